--- /dev/null
+++ b/fennelcove/__init__.py
@@ -0,0 +1,1 @@
+"""A session front's decisions: which server, which rung, or a throttled answer."""
--- /dev/null
+++ b/fennelcove/interface.py
@@ -0,0 +1,232 @@
+"""Wire-free types: what a front is told, and what it may ask for. Times are whole microseconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, IntEnum, auto
+from typing import Protocol
+
+
+class Effect(Enum):
+    """What a repeated set-up does to a viewer of the room type."""
+
+    FREE = "free"
+    GUARDED = "guarded"
+    SINGLE_SHOT = "single_shot"
+
+
+class Scope(Enum):
+    """The servers that recognise a guarded set-up as a repeat."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Outcome(Enum):
+    """How a join ended."""
+
+    SERVED = "served"
+    SERVER_ERROR = "server_error"
+    TURNED_AWAY = "turned_away"
+    NO_ANSWER = "no_answer"
+    NO_CONNECTION = "no_connection"
+    CONNECTION_LOST = "connection_lost"
+    CALLED_OFF = "called_off"
+    NOT_SENT = "not_sent"
+
+
+class Standing(Enum):
+    """What the list says of a server."""
+
+    ACTIVE = "active"
+    LEAVING = "leaving"
+    LEFT = "left"
+
+
+class ListMode(Enum):
+    """How a list update relates to the list held so far."""
+
+    INCREMENTAL = "INCREMENTAL"
+    FULL = "FULL"
+    SAVED = "SAVED"
+    FAILED = "FAILED"
+
+
+class NoteKind(IntEnum):
+    """What a note on a playing subscription tells."""
+
+    DELIVERED = 1
+    RUNG = 2
+    LINK = 3
+    UPLINK = 4
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class RoomType:
+    """The terms of one room type."""
+
+    objective_us: int
+    benefit: float
+    effect: Effect
+    scope: Scope
+    key_ttl_us: int
+    scale: float
+    floor: int
+    seats: int
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Settings:
+    """What a front is told at its start; an optional figure that is absent is None."""
+
+    rooms: dict[str, RoomType]
+    fronts: int
+    index: int
+    zone: str
+    ladder_kb: tuple[float, ...]
+    ladder_worth: tuple[float, ...]
+    kind_streams: dict[str, int]
+    kb_per_weight: float
+    all_links_kb: float
+    sizes_listed: bool
+    racks: int
+    cells: int
+    uplink_kb: float
+    seen_after_us: int
+    reports_every_us: int
+    switch_cost_us: int
+    stall: float
+    cross_zone_price: float
+    move_price: float
+    send_cap: int | None
+    retry_after_us: int | None
+    must_ask: bool
+    ask_within_us: int | None
+    start_capacity: float
+    ramp_us: int
+    budget_free: float | None
+    budget_ratio: float
+    budget_span_us: int
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class ListEntry:
+    """One server as the list names it."""
+
+    address: str
+    zone: str
+    kind: str
+    cell: int
+    standing: Standing
+    weight: float
+    started_us: int
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class ListUpdate:
+    """News of the server list; no entries come with a failed call."""
+
+    mode: ListMode
+    entries: tuple[ListEntry, ...]
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Request:
+    """A viewer asks for a subscription."""
+
+    id: str
+    room: str
+    title: int
+    first_cell: int
+    cell_count: int
+    top_rung: int
+    timeout_us: int
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Handover:
+    """A subscription that already plays when the front starts."""
+
+    request: Request
+    server: str
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Started:
+    """The viewer watches."""
+
+    id: str
+    join: int
+    took_us: int
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class LoadReport:
+    """What an answer says of its server; a value that it does not give is None."""
+
+    util: float | None
+    link: float | None
+    uplink: float | None
+    streams: float | None
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class JoinEnded:
+    """A join is over; finished says that the subscription needs no further answer."""
+
+    id: str
+    join: int
+    outcome: Outcome
+    finished: bool
+    report: LoadReport | None
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Note:
+    """A figure about the server of a playing subscription."""
+
+    id: str
+    server: str
+    kind: NoteKind
+    level: float
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class ClientGone:
+    """Nobody waits for this subscription any more."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class TimerFired:
+    """A timer that the front asked for."""
+
+    name: int
+
+
+class TimerName(IntEnum):
+    """The timers that a front may set."""
+
+    ASK_LIST = auto()
+
+
+class Effects(Protocol):
+    """What a front may ask of the program round it."""
+
+    def join(self, id: str, server: str, allow_us: int) -> None: ...
+
+    def set_rung(self, id: str, rung: int) -> None: ...
+
+    def throttle(self, id: str, wait_us: int) -> None: ...
+
+    def terminate(self, id: str) -> None: ...
+
+    def move(self, id: str) -> None: ...
+
+    def timer(self, name: int, delay_us: int) -> None: ...
+
+    def watch_list(self) -> None: ...
+
+    def fetch_list(self) -> None: ...
--- /dev/null
+++ b/fennelcove/rules.py
@@ -0,0 +1,558 @@
+"""Every decision of one session front: which server, which rung, or a throttled answer.
+
+A host builds one Front from Settings, a seed and an Effects object, then calls handle(event, now_us) for
+each event in order; the front answers through the Effects. The types stand in fennelcove/interface.py.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from random import Random
+
+from fennelcove.interface import (ClientGone, Effect, Effects, Handover, JoinEnded, ListEntry, ListMode,
+                                  ListUpdate, LoadReport, Note, NoteKind, Outcome, Request, RoomType, Scope,
+                                  Settings, Standing, Started, TimerFired, TimerName)
+
+Event = ListUpdate | Request | Handover | Started | JoinEnded | Note | ClientGone | TimerFired
+
+EXPONENT = 0.5  # n of the design page
+THRESHOLD = 1.0  # r of the design page
+HOLD_BACK = 0.1  # of each size, against the spread of true rates: the design page's pessimism
+MARK_US = 10_000_000  # a short-delivery note marks its link full for so long: the design page
+WHOLE = 0.98  # delivery under this costs benefit: the notes' own bound
+INFINITE = float("inf")
+
+
+class Life(Enum):
+    """Where a subscription stands."""
+
+    WAITING = auto()
+    JOINING = auto()
+    PLAYING = auto()
+    ABANDONED = auto()
+    ENDED = auto()
+
+
+class Cue(Enum):
+    """What moves a subscription on."""
+
+    TRY = auto()
+    PLACED = auto()
+    NO_ROOM = auto()
+    STUCK = auto()
+    STARTED = auto()
+    FAILED = auto()
+    FINISHED = auto()
+    CLIENT_GONE = auto()
+
+
+class Health(Enum):
+    """What this front's own joins tell of a server."""
+
+    WELL = auto()
+    SHUT = auto()
+    TRIAL = auto()
+
+
+@dataclass(slots=True, eq=False)
+class Pipe:
+    """A server's link or a rack's uplink, in shares of its size; what was sent after the report is added."""
+
+    size_kb: float
+    asked: float | None = None
+    as_of_us: int = 0
+    full_until_us: int = 0
+    sent: deque[tuple[int, float]] = field(default_factory=deque)
+
+    def hear(self, asked: float, as_of_us: int) -> None:
+        if self.asked is not None and as_of_us < self.as_of_us:
+            return  # an older report must not undo a newer one
+        self.asked, self.as_of_us = asked, as_of_us
+        while self.sent and self.sent[0][0] <= as_of_us:
+            self.sent.popleft()
+
+    def note_sent(self, kb: float, now_us: int) -> None:
+        self.sent.append((now_us, kb))
+
+    def asked_now(self, unheard: float) -> float:
+        base = unheard if self.asked is None else self.asked
+        return max(0.0, base + sum(kb for _, kb in self.sent) / self.size_kb)
+
+
+@dataclass(slots=True, eq=False)
+class Rack:
+    """The servers behind one uplink."""
+
+    uplink: Pipe
+    servers: list[Server] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """What the front holds on one server, over all the server's lives."""
+
+    address: str
+    zone: str
+    cell: int
+    rack: Rack
+    streams_most: int
+    link: Pipe
+    listed: bool = True
+    started_us: int | None = None
+    last_cold_join_us: int | None = None
+    health: Health = Health.WELL
+    strikes: int = 0
+    shut_until_us: int = 0
+    subs: dict[Subscription, None] = field(default_factory=dict)
+
+
+@dataclass(slots=True, eq=False)
+class Join:
+    """One join, from its sending to its outcome."""
+
+    server: Server
+    sent_us: int
+    may_have_run: bool = True
+
+
+@dataclass(slots=True, eq=False)
+class Subscription:
+    """One viewer's request and what became of it."""
+
+    id: str
+    room: RoomType
+    title: int
+    cells: frozenset[int]
+    top: int
+    taken_us: int
+    timeout_us: int
+    life: Life = Life.WAITING
+    rung: int = 0
+    joins: list[Join] = field(default_factory=list)
+    noted: bool = False
+    rung_changed_us: int = 0
+
+    @property
+    def server(self) -> Server:
+        return self.joins[-1].server
+
+
+def utilization(share_left: float) -> float:
+    """UF of one resource: infinite where the room is short."""
+    return share_left ** -EXPONENT if share_left > 0 else INFINITE
+
+
+class Front:
+    """One front's knowledge and decisions."""
+
+    def __init__(self, settings: Settings, seed: int, effects: Effects, now_us: int) -> None:
+        self.settings = settings
+        self.effects = effects
+        chance = Random(seed)
+        self.uniform, self.weighted = chance.choice, chance.choices
+        self.born_us = now_us
+        self.now_us = now_us
+        self.servers: dict[str, Server] = {}
+        self.racks = [Rack(Pipe(settings.uplink_kb or 1.0)) for _ in range(settings.racks)]
+        self.subs: dict[str, Subscription] = {}
+        self.seats: dict[tuple[int, RoomType], int] = {}
+        self.taken: deque[int] = deque()
+        self.further: deque[int] = deque()
+        self.asks_failed = 0
+        self.typical_join_us = min(room.objective_us for room in settings.rooms.values()) / 4
+        self.hears: dict[type, Callable[..., None]] = {
+            Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
+            JoinEnded: self.on_join_ended, Note: self.on_note, ClientGone: self.on_client_gone,
+            ListUpdate: self.on_list, TimerFired: self.on_timer}
+
+    def handle(self, event: Event, now_us: int) -> None:
+        self.now_us = now_us
+        self.hears[type(event)](event)
+
+    def step(self, sub: Subscription, cue: Cue | None) -> None:
+        while cue is not None:
+            sub.life, effect = LIVES.get((sub.life, cue), (sub.life, Front.nothing))
+            cue = effect(self, sub)
+
+    # The door: events name things by id.
+
+    def on_request(self, event: Request) -> None:
+        self.taken.append(self.now_us)
+        self.step(self.take(event), Cue.TRY)
+
+    def take(self, event: Request) -> Subscription:
+        cells = frozenset((event.first_cell + i) % self.settings.cells for i in range(event.cell_count))
+        room = self.settings.rooms[event.room]
+        sub = Subscription(event.id, room, event.title, cells, event.top_rung, self.now_us,
+                           self.now_us + event.timeout_us, rung=min(room.floor, event.top_rung))
+        self.subs[event.id] = sub
+        return sub
+
+    def on_handover(self, event: Handover) -> None:
+        sub = self.take(event.request)
+        sub.life = Life.PLAYING
+        self.open_join(sub, self.servers[event.server])
+        self.count_sent(sub, self.rate(sub, sub.rung))
+
+    def on_started(self, event: Started) -> None:
+        if event.id in self.subs:
+            sub = self.subs[event.id]
+            self.typical_join_us += (event.took_us - self.typical_join_us) / 8
+            self.judge(sub.server, Outcome.SERVED)
+            self.step(sub, Cue.STARTED)
+
+    def on_client_gone(self, event: ClientGone) -> None:
+        if event.id in self.subs:
+            self.step(self.subs[event.id], Cue.CLIENT_GONE)
+
+    def on_join_ended(self, event: JoinEnded) -> None:
+        sub = self.subs.get(event.id)
+        if sub is None:
+            return
+        join = sub.joins[event.join]
+        playing = sub.life is Life.PLAYING
+        join.may_have_run = event.outcome not in (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
+        if event.outcome is Outcome.NOT_SENT and len(sub.joins) > 1 and join.sent_us in self.further:
+            self.further.remove(join.sent_us)
+        self.close_join(sub, join)
+        if not playing or event.outcome is Outcome.CONNECTION_LOST:
+            self.judge(join.server, event.outcome)
+        if event.report is not None:
+            self.hear_report(join.server, event.report)
+        self.step(sub, Cue.FINISHED if event.finished else Cue.FAILED)
+
+    def on_timer(self, event: TimerFired) -> None:
+        if event.name == TimerName.ASK_LIST:
+            self.ask_list()
+
+    # The list.
+
+    def on_list(self, event: ListUpdate) -> None:
+        if event.mode is ListMode.FAILED:
+            self.asks_failed += 1
+            # Asking again at once would keep the one list service jammed for every front.
+            self.effects.timer(TimerName.ASK_LIST, self.ask_pause_us())
+            return
+        if event.mode is not ListMode.INCREMENTAL:
+            for server in self.servers.values():
+                server.listed = False
+        for entry in event.entries:
+            self.note_entry(entry)
+        for rack in self.racks:
+            rack.servers = [s for s in self.servers.values() if s.listed and s.rack is rack]
+        self.size_links(event.entries)
+        if event.mode is ListMode.SAVED:
+            # The saved list may be old: a full one is worth one call.
+            self.ask_list()
+
+    def ask_list(self) -> None:
+        if self.settings.must_ask:
+            self.effects.watch_list()
+        else:
+            self.effects.fetch_list()
+
+    def ask_pause_us(self) -> int:
+        within = self.settings.ask_within_us or self.settings.ramp_us
+        return max(1, within // 8) * min(8, self.asks_failed)
+
+    def note_entry(self, entry: ListEntry) -> None:
+        server = self.servers.get(entry.address)
+        if server is None:
+            rack = self.racks[entry.cell % self.settings.racks]
+            server = Server(entry.address, entry.zone, entry.cell, rack,
+                            self.settings.kind_streams.get(entry.kind, 0), Pipe(1.0))
+            self.servers[entry.address] = server
+        server.listed = entry.standing is Standing.ACTIVE
+        if entry.started_us > (server.started_us or 0):
+            # A process that started anew carries nothing of its last life.
+            server.started_us, server.health, server.strikes = entry.started_us, Health.WELL, 0
+            server.link.asked = None
+
+    def size_links(self, entries: tuple[ListEntry, ...]) -> None:
+        places = sum(self.servers[e.address].streams_most for e in entries)
+        for entry in entries:
+            server = self.servers[entry.address]
+            if self.settings.sizes_listed or not places:
+                size = self.settings.kb_per_weight * entry.weight
+            else:
+                mean = sum(self.settings.kind_streams.values()) / len(self.settings.kind_streams)
+                size = self.settings.kb_per_weight * server.streams_most / mean
+            server.link.size_kb = size or 1.0
+
+    # Placement: the design's ordinary path.
+
+    def place(self, sub: Subscription) -> Cue:
+        if not self.may_join(sub):
+            return Cue.NO_ROOM if self.may_throttle(sub) else Cue.STUCK
+        holders = [s for s in self.servers.values() if s.cell in sub.cells and self.may_use(sub, s)]
+        well = [s for s in holders if self.is_well(s)]
+        # Where every holder looks ill, trying one beats turning the viewer away for certain.
+        found = self.choose(sub, well or holders)
+        if found is None:
+            return Cue.NO_ROOM if self.may_throttle(sub) else Cue.STUCK
+        server, rung = found
+        self.send_join(sub, server, rung)
+        return Cue.PLACED
+
+    def choose(self, sub: Subscription, holders: list[Server]) -> tuple[Server, int] | None:
+        home = [s for s in holders if s.zone == self.settings.zone]
+        near, far = self.highest(sub, home), self.highest(sub, holders)
+        if near is not None and far is not None:
+            worth = self.settings.ladder_worth
+            gain = worth[far[1]] - worth[near[1]]
+            # Crossing zones is priced by the second, so it must earn more than its price.
+            return far if gain * sub.room.benefit > self.settings.cross_zone_price else near
+        return near or far
+
+    def highest(self, sub: Subscription, holders: list[Server]) -> tuple[Server, int] | None:
+        for rung in range(sub.top, sub.room.floor - 1, -1):
+            scored = [(s, *self.factors(s, self.rate(sub, rung))) for s in holders]
+            feasible = [row for row in scored if row[1] < INFINITE and row[2] < INFINITE]
+            if feasible:
+                return self.draw(feasible), rung
+        return None
+
+    def factors(self, server: Server, kb: float) -> tuple[float, float]:
+        """Server UF and network UF of a request for so many kB a second."""
+        link = self.link_left(server) - kb / server.link.size_kb
+        if server.streams_most:
+            link = min(link, (server.streams_most - self.streams(server) - 1) / server.streams_most)
+        uplink = self.uplink_left(server.rack) - kb / server.rack.uplink.size_kb
+        return utilization(link), utilization(uplink)
+
+    def draw(self, feasible: list[tuple[Server, float, float]]) -> Server:
+        if sum(row[2] for row in feasible) > THRESHOLD * sum(row[1] for row in feasible):
+            return self.uniform(feasible)[0]
+        return self.weighted(feasible, [1 / row[1] for row in feasible])[0][0]
+
+    # Residue.
+
+    def link_left(self, server: Server) -> float:
+        if self.now_us < server.link.full_until_us:
+            return 0.0
+        return 1 - HOLD_BACK - server.link.asked_now(self.mean_asked())
+
+    def mean_asked(self) -> float:
+        heard = [s.link.asked for s in self.servers.values() if s.listed and s.link.asked is not None]
+        # With nothing heard a residue may be anything from nothing to all: the paper's OPT takes the middle.
+        return sum(heard) / len(heard) if heard else 0.5
+
+    def uplink_asked(self, rack: Rack) -> float:
+        if rack.uplink.asked is not None:
+            return rack.uplink.asked_now(0.0)
+        mean = self.mean_asked()
+        return sum(s.link.asked_now(mean) * s.link.size_kb for s in rack.servers) / rack.uplink.size_kb
+
+    def uplink_left(self, rack: Rack) -> float:
+        return 1 - HOLD_BACK - self.uplink_asked(rack)
+
+    def streams(self, server: Server) -> float:
+        """Streams in use: this front's own, and others' at this front's mean rate."""
+        if not server.subs:
+            return 0.0
+        own_kb = sum(self.rate(sub, sub.rung) for sub in server.subs)
+        others_kb = max(0.0, server.link.asked_now(0.0) * server.link.size_kb - own_kb)
+        return len(server.subs) * (1 + others_kb / max(own_kb, 1.0))
+
+    def rate(self, sub: Subscription, rung: int) -> float:
+        return sub.room.scale * self.settings.ladder_kb[rung]
+
+    def count_sent(self, sub: Subscription, kb: float) -> None:
+        sub.server.link.note_sent(kb, self.now_us)
+        sub.server.rack.uplink.note_sent(kb, self.now_us)
+
+    def hear_report(self, server: Server, report: LoadReport) -> None:
+        link = report.link if report.link is not None else report.util
+        if link is not None:
+            server.link.hear(link, self.now_us - self.settings.seen_after_us)
+        if report.uplink is not None:
+            server.rack.uplink.hear(report.uplink, self.now_us - self.settings.seen_after_us)
+
+    def on_note(self, event: Note) -> None:
+        sub = self.subs.get(event.id)
+        if sub is None or sub.life is not Life.PLAYING:
+            return
+        as_of_us = self.now_us - (self.settings.seen_after_us if sub.noted else 0)
+        if event.kind is NoteKind.RUNG:
+            old, sub.rung = sub.rung, int(event.level)
+            self.count_sent(sub, self.rate(sub, sub.rung) - self.rate(sub, old))
+        elif event.kind is NoteKind.LINK:
+            sub.server.link.hear(event.level, as_of_us)
+            sub.noted = True
+        elif event.kind is NoteKind.UPLINK:
+            sub.server.rack.uplink.hear(event.level, as_of_us)
+        elif event.level < WHOLE:
+            sub.server.link.full_until_us = self.now_us + MARK_US
+        else:
+            sub.server.link.full_until_us = self.now_us
+
+    # Joins.
+
+    def open_join(self, sub: Subscription, server: Server) -> None:
+        sub.joins.append(Join(server, self.now_us))
+        server.subs[sub] = None
+        self.seats[sub.title, sub.room] = self.seats.get((sub.title, sub.room), 0) + 1
+
+    def close_join(self, sub: Subscription, join: Join) -> None:
+        join.server.subs.pop(sub, None)
+        self.seats[sub.title, sub.room] -= 1
+        self.count_sent(sub, -self.rate(sub, sub.rung))
+
+    def send_join(self, sub: Subscription, server: Server, rung: int) -> None:
+        if sub.joins:
+            self.further.append(self.now_us)
+        sub.rung = rung
+        self.open_join(sub, server)
+        self.count_sent(sub, self.rate(sub, rung))
+        if self.is_cold(server):
+            server.last_cold_join_us = self.now_us
+        self.effects.set_rung(sub.id, rung)
+        self.effects.join(sub.id, server.address, self.allowance(sub))
+
+    def allowance(self, sub: Subscription) -> int:
+        """Half of what is left to the join objective, so that another holder can still make it."""
+        left = sub.taken_us + sub.room.objective_us - self.now_us
+        allow = max(left // 2, round(2 * self.typical_join_us))
+        return max(1, min(allow, sub.timeout_us - self.now_us))
+
+    # Guards of the rules.
+
+    def may_join(self, sub: Subscription) -> bool:
+        """Rules 1, 2, 5 and 6: whether any join may be sent now."""
+        settings = self.settings
+        if self.now_us >= sub.timeout_us or (settings.send_cap and len(sub.joins) >= settings.send_cap):
+            return False
+        if sub.room.seats and self.seats.get((sub.title, sub.room), 0) >= sub.room.seats:
+            return False
+        if sub.room.effect is Effect.SINGLE_SHOT and any(join.may_have_run for join in sub.joins):
+            return False
+        if sub.top < sub.room.floor:
+            return False
+        return not sub.joins or self.in_budget()
+
+    def in_budget(self) -> bool:
+        if self.settings.budget_free is None:
+            return True
+        since = self.now_us - self.settings.budget_span_us
+        for times in (self.taken, self.further):
+            while times and times[0] < since:
+                times.popleft()
+        earned = self.settings.budget_free + self.settings.budget_ratio * len(self.taken)
+        return len(self.further) + 1 <= earned
+
+    def may_use(self, sub: Subscription, server: Server) -> bool:
+        """Rules 2, 3 and 4: whether this server may get this join."""
+        if not server.listed or any(join.server is server for join in sub.joins):
+            return False
+        if self.is_cold(server) and not self.cold_turn(server):
+            return False
+        if sub.room.effect is Effect.GUARDED:
+            return all(self.same_scope(sub.room, join, server) for join in sub.joins if join.may_have_run)
+        return True
+
+    def same_scope(self, room: RoomType, join: Join, server: Server) -> bool:
+        if self.now_us - join.sent_us >= room.key_ttl_us:
+            return False
+        if room.scope is Scope.ZONE:
+            return join.server.zone == server.zone
+        return room.scope is Scope.ALL or join.server.cell == server.cell
+
+    def may_throttle(self, sub: Subscription) -> bool:
+        if sub.room.effect is Effect.FREE or not any(join.may_have_run for join in sub.joins):
+            return True
+        return sub.room.effect is Effect.GUARDED and sub.room.scope is Scope.ALL
+
+    def start_of(self, server: Server) -> int:
+        """A fresh front's list is old, so any server on it may have started just before this front did."""
+        return max(self.born_us, server.started_us or 0)
+
+    def is_cold(self, server: Server) -> bool:
+        return self.now_us - self.start_of(server) < self.settings.ramp_us
+
+    def cold_turn(self, server: Server) -> bool:
+        """Fronts can't agree, so each keeps to its share of the pace, at turns set by its index."""
+        settings = self.settings
+        age = self.now_us - self.start_of(server)
+        warmth = settings.start_capacity + (1 - settings.start_capacity) * age / settings.ramp_us
+        gap = settings.ramp_us * settings.fronts / (max(1, server.streams_most) * warmth)
+        if server.last_cold_join_us is None:
+            return age >= gap * settings.index / settings.fronts
+        return self.now_us - server.last_cold_join_us >= gap
+
+    # Health.
+
+    def is_well(self, server: Server) -> bool:
+        if server.health is Health.SHUT and self.now_us >= server.shut_until_us:
+            server.health = Health.TRIAL
+        if server.health is Health.TRIAL:
+            return not any(sub.life is Life.JOINING for sub in server.subs)
+        return server.health is Health.WELL
+
+    def judge(self, server: Server, outcome: Outcome) -> None:
+        server.health, effect = HEALTH.get((server.health, outcome), (server.health, Front.ignore))
+        effect(self, server)
+
+    def ignore(self, server: Server) -> None:
+        pass
+
+    def forgive(self, server: Server) -> None:
+        server.strikes = max(0, server.strikes - 1)
+
+    def pause(self, server: Server) -> None:
+        objective = min(room.objective_us for room in self.settings.rooms.values())
+        server.shut_until_us = self.now_us + min(objective * 2 ** (server.strikes + 1), self.settings.ramp_us)
+        server.strikes = min(server.strikes + 1, 8)
+
+    def lost(self, server: Server) -> None:
+        """Whatever ended it, it may come back cold under its old id before the list says so."""
+        server.started_us = self.now_us
+        server.last_cold_join_us = None
+        server.link.asked = None
+        self.pause(server)
+
+    # Effects of the lives table.
+
+    def nothing(self, sub: Subscription) -> Cue | None:
+        return None
+
+    def forget(self, sub: Subscription) -> Cue | None:
+        self.subs.pop(sub.id, None)
+        return None
+
+    def throttle(self, sub: Subscription) -> Cue | None:
+        self.effects.throttle(sub.id, self.settings.retry_after_us or 0)
+        return self.forget(sub)
+
+    def terminate(self, sub: Subscription) -> Cue | None:
+        self.effects.terminate(sub.id)
+        return self.forget(sub)
+
+
+LIVES: dict[tuple[Life, Cue], tuple[Life, Callable[[Front, Subscription], Cue | None]]] = {
+    (Life.WAITING, Cue.TRY): (Life.WAITING, Front.place),
+    (Life.WAITING, Cue.PLACED): (Life.JOINING, Front.nothing),
+    (Life.WAITING, Cue.NO_ROOM): (Life.ENDED, Front.throttle),
+    (Life.WAITING, Cue.STUCK): (Life.ENDED, Front.terminate),
+    (Life.JOINING, Cue.STARTED): (Life.PLAYING, Front.nothing),
+    (Life.JOINING, Cue.FAILED): (Life.WAITING, Front.place),
+    (Life.JOINING, Cue.FINISHED): (Life.ENDED, Front.forget),
+    (Life.JOINING, Cue.CLIENT_GONE): (Life.ABANDONED, Front.nothing),
+    (Life.ABANDONED, Cue.FAILED): (Life.ENDED, Front.forget),
+    (Life.ABANDONED, Cue.FINISHED): (Life.ENDED, Front.forget),
+    (Life.PLAYING, Cue.FAILED): (Life.ENDED, Front.forget),
+    (Life.PLAYING, Cue.FINISHED): (Life.ENDED, Front.forget),
+}
+
+HEALTH: dict[tuple[Health, Outcome], tuple[Health, Callable[[Front, Server], None]]] = {
+    (Health.WELL, Outcome.SERVED): (Health.WELL, Front.forgive),
+    (Health.TRIAL, Outcome.SERVED): (Health.WELL, Front.forgive),
+    (Health.SHUT, Outcome.SERVED): (Health.SHUT, Front.forgive),
+    **{(health, outcome): (Health.SHUT, Front.pause)
+       for health in (Health.WELL, Health.TRIAL)
+       for outcome in (Outcome.SERVER_ERROR, Outcome.TURNED_AWAY, Outcome.NO_ANSWER)},
+    **{(health, outcome): (Health.SHUT, Front.lost)
+       for health in Health for outcome in (Outcome.NO_CONNECTION, Outcome.CONNECTION_LOST)},
+}
--- /dev/null
+++ b/fennelcove/wirehost/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts many fronts on the simulator's wire."""
--- /dev/null
+++ b/fennelcove/wirehost/__main__.py
@@ -0,0 +1,176 @@
+"""Runs the adapter: python -m fennelcove.wirehost."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import TextIO
+
+from fennelcove.interface import ListEntry, ListMode, ListUpdate
+from fennelcove.rules import Event, Front
+from fennelcove.wirehost import codec
+from fennelcove.wirehost.codec import Fields, WireError
+
+DECODERS: dict[str, Callable[[Fields], Event | None]] = {
+    "order": codec.request,
+    "existing": codec.handover,
+    "established": codec.started,
+    "interim": codec.note,
+    "cancelled_by_client": codec.client_gone,
+    "fired": codec.timer_fired,
+}
+# Messages that answer what no front here asks for.
+SKIPPED = {"probe_result": ("Server", "Reason"), "note_from": ("Neighbour", "Msg")}
+
+
+class Lines:
+    """Collects one front's effects as lines of the reply."""
+
+    def __init__(self, front: int, out: list[str]) -> None:
+        self.front = front
+        self.out = out
+        self.report_fields: tuple[str, ...] = ()
+
+    def join(self, id: str, server: str, allow_us: int) -> None:
+        self.out.append(
+            f"call_out Front={self.front} Job={id} Server={server} AllowForMs={allow_us / 1000}\n"
+        )
+
+    def set_rung(self, id: str, rung: int) -> None:
+        self.out.append(f"rate Front={self.front} Job={id} Rung={rung}\n")
+
+    def throttle(self, id: str, wait_us: int) -> None:
+        self.out.append(f"deny Front={self.front} Job={id} WaitMs={wait_us / 1000}\n")
+
+    def terminate(self, id: str) -> None:
+        self.out.append(f"give_up Front={self.front} Job={id}\n")
+
+    def move(self, id: str) -> None:
+        self.out.append(f"migrate Front={self.front} Job={id}\n")
+
+    def timer(self, name: int, delay_us: int) -> None:
+        self.out.append(f"after Front={self.front} SleepForMs={delay_us / 1000} Name={name}\n")
+
+    def watch_list(self) -> None:
+        self.out.append(f"watch Front={self.front} Active=1\n")
+
+    def fetch_list(self) -> None:
+        self.out.append(f"list_all Front={self.front}\n")
+
+
+class Host:
+    """Deals each event to its front and collects what the fronts ask for."""
+
+    def __init__(self) -> None:
+        self.out: list[str] = []
+        self.fronts: dict[int, tuple[Front, Lines]] = {}
+        self.lists: dict[int, tuple[ListEntry, ...]] = {}
+        self.filling: tuple[int, int, list[ListEntry]] | None = None
+        self.now_us: int | None = None
+
+    def line(self, line: str) -> bool:
+        """Take one line; true when a reply is due."""
+        name, fields = codec.split(line)
+        if self.filling is not None:
+            self.fill(name, fields)
+        elif name == "turn":
+            if self.now_us is not None:
+                raise WireError("a turn inside a turn")
+            self.now_us = codec.micros(fields, "WallMs")
+        elif self.now_us is None:
+            raise WireError(f"message {name!r} outside a turn")
+        elif name == "commit":
+            self.now_us = None
+            return True
+        elif name == "pool":
+            size = codec.whole(fields, "RowsIn")
+            self.filling = (codec.whole(fields, "Buffer"), size, [])
+            self.close_list()
+        else:
+            self.event(name, fields, self.now_us)
+        return False
+
+    def fill(self, name: str, fields: Fields) -> None:
+        if name != "entry":
+            raise WireError(f"message {name!r} where an entry was due")
+        assert self.filling is not None
+        self.filling[2].append(codec.entry(fields))
+        self.close_list()
+
+    def close_list(self) -> None:
+        assert self.filling is not None
+        buffer, size, entries = self.filling
+        if len(entries) >= size:
+            self.lists[buffer] = tuple(entries)
+            self.filling = None
+
+    def event(self, name: str, fields: Fields, now_us: int) -> None:
+        index = codec.whole(fields, "Front")
+        if name == "up":
+            settings, report_fields = codec.facts(fields)
+            lines = Lines(index, self.out)
+            lines.report_fields = report_fields
+            self.fronts[index] = (Front(settings, codec.whole(fields, "Entropy"), lines, now_us), lines)
+            return
+        if name == "crash_now":
+            self.fronts.pop(index, None)
+            return
+        event: Event | None = None
+        if name in DECODERS:
+            event = DECODERS[name](fields)
+        elif name == "directory_update":
+            event = self.list_update(fields)
+        elif name in SKIPPED:
+            for key in SKIPPED[name]:
+                codec.text(fields, key)
+        elif name != "report_back":
+            raise WireError(f"unknown message {name!r}")
+        if index not in self.fronts:
+            raise WireError(f"field Front names no running front: {index}")
+        front, lines = self.fronts[index]
+        if name == "report_back":
+            event = codec.join_ended(fields, lines.report_fields)
+        if event is not None:
+            front.handle(event, now_us)
+
+    def list_update(self, fields: Fields) -> ListUpdate:
+        mode = codec.choice(fields, "Mode", ListMode)
+        codec.whole(fields, "Epoch")
+        if mode is ListMode.FAILED:
+            return ListUpdate(mode, ())
+        buffer = codec.whole(fields, "Buffer")
+        if buffer not in self.lists:
+            raise WireError(f"field Buffer names no list: {buffer}")
+        return ListUpdate(mode, self.lists[buffer])
+
+    def reply(self) -> str:
+        self.out.append("done\n")
+        reply = "".join(self.out)
+        self.out.clear()
+        return reply
+
+
+def run(source: TextIO, sink: TextIO, errors: TextIO) -> int:
+    """Serve until the input ends; the exit status."""
+    host = Host()
+    count = 0
+    try:
+        for raw in source:
+            count += 1
+            line = raw.rstrip("\n")
+            if not line:
+                continue
+            if host.line(line):
+                sink.write(host.reply())
+                sink.flush()
+    except WireError as error:
+        print(f"fennelcove: line {count}: {error}", file=errors)
+        return 1
+    except UnicodeDecodeError:
+        print(f"fennelcove: line {count + 1}: text is not UTF-8", file=errors)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run(sys.stdin, sys.stdout, sys.stderr))
