--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -133,7 +133,7 @@
     rung: int = 0
     joins: list[Join] = field(default_factory=list)
     noted: bool = False
-    rung_changed_us: int = 0
+    changed_us: tuple[int, int] = (0, 0)  # when it started to play, and its last change of rung
 
     @property
     def server(self) -> Server:
@@ -162,6 +162,8 @@
         self.taken: deque[int] = deque()
         self.further: deque[int] = deque()
         self.asks_failed = 0
+        self.typical_watch_us = float(settings.ramp_us)
+        self.offered = 0.0
         self.typical_join_us = min(room.objective_us for room in settings.rooms.values()) / 4
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
@@ -181,6 +183,8 @@
 
     def on_request(self, event: Request) -> None:
         self.taken.append(self.now_us)
+        room = self.settings.rooms[event.room]
+        self.offered += (room.benefit * self.settings.ladder_worth[event.top_rung] - self.offered) / 16
         self.step(self.take(event), Cue.TRY)
 
     def take(self, event: Request) -> Subscription:
@@ -193,7 +197,7 @@
 
     def on_handover(self, event: Handover) -> None:
         sub = self.take(event.request)
-        sub.life = Life.PLAYING
+        sub.life, sub.changed_us = Life.PLAYING, (self.now_us, self.now_us)
         self.open_join(sub, self.servers[event.server])
         self.count_sent(sub, self.rate(sub, sub.rung))
 
@@ -202,6 +206,7 @@
             sub = self.subs[event.id]
             self.typical_join_us += (event.took_us - self.typical_join_us) / 8
             self.judge(sub.server, Outcome.SERVED)
+            sub.changed_us = (self.now_us, self.now_us)
             self.step(sub, Cue.STARTED)
 
     def on_client_gone(self, event: ClientGone) -> None:
@@ -220,8 +225,11 @@
         self.close_join(sub, join)
         if not playing or event.outcome is Outcome.CONNECTION_LOST:
             self.judge(join.server, event.outcome)
-        if event.report is not None:
+        if event.report is not None and not playing:
+            # The report that closes a played subscription may be as old as its set-up.
             self.hear_report(join.server, event.report)
+        if playing:
+            self.typical_watch_us += (self.now_us - sub.changed_us[0] - self.typical_watch_us) / 8
         self.step(sub, Cue.FINISHED if event.finished else Cue.FAILED)
 
     def on_timer(self, event: TimerFired) -> None:
@@ -291,6 +299,8 @@
         well = [s for s in holders if self.is_well(s)]
         # Where every holder looks ill, trying one beats turning the viewer away for certain.
         found = self.choose(sub, well or holders)
+        if found is None or found[1] < sub.top:
+            found = self.make_room(sub, well or holders, found)
         if found is None:
             return Cue.NO_ROOM if self.may_throttle(sub) else Cue.STUCK
         server, rung = found
@@ -304,7 +314,7 @@
             worth = self.settings.ladder_worth
             gain = worth[far[1]] - worth[near[1]]
             # Crossing zones is priced by the second, so it must earn more than its price.
-            return far if gain * sub.room.benefit > self.settings.cross_zone_price else near
+            return far if gain * sub.room.benefit > self.crossing_price() else near
         return near or far
 
     def highest(self, sub: Subscription, holders: list[Server]) -> tuple[Server, int] | None:
@@ -328,6 +338,94 @@
             return self.uniform(feasible)[0]
         return self.weighted(feasible, [1 / row[1] for row in feasible])[0][0]
 
+    def crossing_price(self) -> float:
+        return self.settings.cross_zone_price * self.offered
+
+    # Room made by lowering what earns least: acts only where the ordinary path falls short of the top rung.
+
+    def make_room(self, sub: Subscription, holders: list[Server],
+                  found: tuple[Server, int] | None) -> tuple[Server, int] | None:
+        worth, benefit = self.settings.ladder_worth, sub.room.benefit
+        base = benefit * worth[found[1]] if found else 0.0
+        if found and found[0].zone != self.settings.zone:
+            base -= self.crossing_price()
+        best, best_gain, best_plan = found, 0.0, dict[Subscription, int]()
+        for server in holders:
+            if self.now_us < server.link.full_until_us or not self.has_stream(server):
+                continue
+            crossing = self.crossing_price() if server.zone != self.settings.zone else 0.0
+            for rung in range(found[1] + 1 if found else sub.room.floor, sub.top + 1):
+                kb = self.rate(sub, rung)
+                plan: dict[Subscription, int] = {}
+                link_short = kb - self.link_left(server) * server.link.size_kb
+                uplink_short = kb - self.uplink_left(server.rack) * server.rack.uplink.size_kb
+                freed = self.plan_lower(plan, list(server.subs), link_short)
+                if freed < link_short:
+                    break
+                others = [other for s in server.rack.servers for other in s.subs]
+                if freed < uplink_short:
+                    freed += self.plan_lower(plan, others, uplink_short - freed)
+                if freed < uplink_short:
+                    break
+                gain = benefit * worth[rung] - crossing - base - sum(
+                    other.room.benefit * (worth[other.rung] - worth[to]
+                                          + self.settings.switch_cost_us / self.typical_watch_us)
+                    for other, to in plan.items())
+                if gain > best_gain:
+                    best, best_gain, best_plan = (server, rung), gain, plan
+        self.carry_out(best_plan)
+        return best
+
+    def plan_lower(self, plan: dict[Subscription, int], subs: list[Subscription], need_kb: float) -> float:
+        """Lower the steps that earn least for their rate until enough is free; what was freed."""
+        freed = 0.0
+        while freed < need_kb:
+            steps = [(self.earning(sub, plan.get(sub, sub.rung)), i) for i, sub in enumerate(subs)
+                     if sub.life is Life.PLAYING and plan.get(sub, sub.rung) > sub.room.floor]
+            if not steps:
+                break
+            sub = subs[min(steps)[1]]
+            rung = plan.get(sub, sub.rung)
+            plan[sub] = rung - 1
+            freed += self.rate(sub, rung) - self.rate(sub, rung - 1)
+        return freed
+
+    def earning(self, sub: Subscription, rung: int) -> float:
+        """What the step up to this rung earns for each kB a second."""
+        worth = self.settings.ladder_worth
+        return (sub.room.benefit * (worth[rung] - worth[rung - 1])
+                / max(self.rate(sub, rung) - self.rate(sub, rung - 1), 1e-9))
+
+    def carry_out(self, plan: dict[Subscription, int]) -> None:
+        for sub, rung in plan.items():
+            self.count_sent(sub, self.rate(sub, rung) - self.rate(sub, sub.rung))
+            sub.rung, sub.changed_us = rung, (sub.changed_us[0], self.now_us)
+            self.effects.set_rung(sub.id, rung)
+
+    def ease(self, pipe: Pipe, asked: float, subs: list[Subscription]) -> None:
+        """Short delivery costs more than a rung, so this front takes its own share of the excess off."""
+        if asked > 1 - HOLD_BACK / 2:
+            own_kb = sum(self.rate(sub, sub.rung) for sub in subs)
+            plan: dict[Subscription, int] = {}
+            self.plan_lower(plan, subs, own_kb * (1 - (1 - HOLD_BACK) / asked))
+            self.carry_out(plan)
+
+    def lift(self, server: Server) -> None:
+        """Lasting room goes to the steps that earn most, a front's share of it at a time."""
+        share = 1 / self.settings.fronts
+        link_kb = self.link_left(server) * server.link.size_kb * share
+        uplink_kb = self.uplink_left(server.rack) * server.rack.uplink.size_kb * share
+        ready = [(self.earning(sub, sub.rung + 1), i, sub) for i, sub in enumerate(server.subs)
+                 if sub.life is Life.PLAYING and sub.rung < sub.top
+                 and self.now_us - sub.changed_us[1] > self.settings.reports_every_us]
+        plan: dict[Subscription, int] = {}
+        for _, _, sub in sorted(ready, reverse=True):
+            more = self.rate(sub, sub.rung + 1) - self.rate(sub, sub.rung)
+            if more < min(link_kb, uplink_kb):
+                plan[sub] = sub.rung + 1
+                link_kb, uplink_kb = link_kb - more, uplink_kb - more
+        self.carry_out(plan)
+
     # Residue.
 
     def link_left(self, server: Server) -> float:
@@ -357,6 +455,9 @@
         others_kb = max(0.0, server.link.asked_now(0.0) * server.link.size_kb - own_kb)
         return len(server.subs) * (1 + others_kb / max(own_kb, 1.0))
 
+    def has_stream(self, server: Server) -> bool:
+        return not server.streams_most or self.streams(server) + 1 < server.streams_most
+
     def rate(self, sub: Subscription, rung: int) -> float:
         return sub.room.scale * self.settings.ladder_kb[rung]
 
@@ -375,19 +476,36 @@
         sub = self.subs.get(event.id)
         if sub is None or sub.life is not Life.PLAYING:
             return
+        server = sub.server
         as_of_us = self.now_us - (self.settings.seen_after_us if sub.noted else 0)
         if event.kind is NoteKind.RUNG:
             old, sub.rung = sub.rung, int(event.level)
             self.count_sent(sub, self.rate(sub, sub.rung) - self.rate(sub, old))
         elif event.kind is NoteKind.LINK:
-            sub.server.link.hear(event.level, as_of_us)
+            server.link.hear(event.level, as_of_us)
             sub.noted = True
+            self.ease(server.link, server.link.asked_now(0.0), list(server.subs))
+            self.ease_uplink(server.rack)
+            self.lift(server)
         elif event.kind is NoteKind.UPLINK:
-            sub.server.rack.uplink.hear(event.level, as_of_us)
+            server.rack.uplink.hear(event.level, as_of_us)
+            self.ease_uplink(server.rack)
         elif event.level < WHOLE:
-            sub.server.link.full_until_us = self.now_us + MARK_US
+            self.on_short(server, event.level)
         else:
-            sub.server.link.full_until_us = self.now_us
+            server.link.full_until_us = self.now_us
+
+    def ease_uplink(self, rack: Rack) -> None:
+        self.ease(rack.uplink, self.uplink_asked(rack), [sub for s in rack.servers for sub in s.subs])
+
+    def on_short(self, server: Server, delivered: float) -> None:
+        server.link.full_until_us = self.now_us + MARK_US
+        uplink = server.rack.uplink
+        if uplink.asked is None and server.link.asked_now(0.0) < WHOLE:
+            # The link has room, so the uplink is what falls short: its true size is what gets through.
+            size = self.uplink_asked(server.rack) * uplink.size_kb * delivered
+            uplink.size_kb = max(min(uplink.size_kb, size), 1.0)
+            self.ease_uplink(server.rack)
 
     # Joins.
 
