--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -164,6 +164,7 @@
         self.asks_failed = 0
         self.typical_watch_us = float(settings.ramp_us)
         self.offered = 0.0
+        self.kb_per_stream = 0.0
         self.typical_join_us = min(room.objective_us for room in settings.rooms.values()) / 4
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
@@ -280,15 +281,15 @@
             server.link.asked = None
 
     def size_links(self, entries: tuple[ListEntry, ...]) -> None:
+        """Where the list tells no sizes, a server's streams tell its part of all the links."""
         places = sum(self.servers[e.address].streams_most for e in entries)
+        if not self.kb_per_stream and places:
+            self.kb_per_stream = self.settings.all_links_kb / places
         for entry in entries:
             server = self.servers[entry.address]
-            if self.settings.sizes_listed or not places:
-                size = self.settings.kb_per_weight * entry.weight
-            else:
-                mean = sum(self.settings.kind_streams.values()) / len(self.settings.kind_streams)
-                size = self.settings.kb_per_weight * server.streams_most / mean
-            server.link.size_kb = size or 1.0
+            listed = self.settings.kb_per_weight * entry.weight
+            by_streams = server.streams_most * self.kb_per_stream
+            server.link.size_kb = (listed if self.settings.sizes_listed else by_streams) or listed or 1.0
 
     # Placement: the design's ordinary path.
 
@@ -496,7 +497,12 @@
             server.link.full_until_us = self.now_us
 
     def ease_uplink(self, rack: Rack) -> None:
-        self.ease(rack.uplink, self.uplink_asked(rack), [sub for s in rack.servers for sub in s.subs])
+        asked = self.uplink_asked(rack)
+        if rack.uplink.asked is None and not any(self.now_us < s.link.full_until_us for s in rack.servers):
+            # Unreported, and nothing short behind it: what it is asked for fits.
+            rack.uplink.size_kb *= max(asked, 1.0)
+            return
+        self.ease(rack.uplink, asked, [sub for s in rack.servers for sub in s.subs])
 
     def on_short(self, server: Server, delivered: float) -> None:
         server.link.full_until_us = self.now_us + MARK_US
