--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -407,15 +407,18 @@
         """Short delivery costs more than a rung, so this front takes its own share of the excess off."""
         if asked > 1 - HOLD_BACK / 2:
             own_kb = sum(self.rate(sub, sub.rung) for sub in subs)
+            part = 1 - (1 - HOLD_BACK) / asked
             plan: dict[Subscription, int] = {}
-            self.plan_lower(plan, subs, own_kb * (1 - (1 - HOLD_BACK) / asked))
+            self.plan_lower(plan, subs, own_kb * part)
             self.carry_out(plan)
+            # The other fronts heard the same and ease alike; waiting to see it would cut twice.
+            pipe.note_sent(-max(0.0, asked * pipe.size_kb - own_kb) * part, self.now_us)
 
     def lift(self, server: Server) -> None:
         """Lasting room goes to the steps that earn most, a front's share of it at a time."""
         share = 1 / self.settings.fronts
-        link_kb = self.link_left(server) * server.link.size_kb * share
-        uplink_kb = self.uplink_left(server.rack) * server.rack.uplink.size_kb * share
+        link_kb = (self.link_left(server) - HOLD_BACK) * server.link.size_kb * share
+        uplink_kb = (self.uplink_left(server.rack) - HOLD_BACK) * server.rack.uplink.size_kb * share
         ready = [(self.earning(sub, sub.rung + 1), i, sub) for i, sub in enumerate(server.subs)
                  if sub.life is Life.PLAYING and sub.rung < sub.top
                  and self.now_us - sub.changed_us[1] > self.settings.reports_every_us]
@@ -425,6 +428,8 @@
             if more < min(link_kb, uplink_kb):
                 plan[sub] = sub.rung + 1
                 link_kb, uplink_kb = link_kb - more, uplink_kb - more
+                for pipe in (server.link, server.rack.uplink):
+                    pipe.note_sent(more * (self.settings.fronts - 1), self.now_us)
         self.carry_out(plan)
 
     # Residue.
