--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -511,12 +511,17 @@
 
     def on_short(self, server: Server, delivered: float) -> None:
         server.link.full_until_us = self.now_us + MARK_US
-        uplink = server.rack.uplink
-        if uplink.asked is None and server.link.asked_now(0.0) < WHOLE:
-            # The link has room, so the uplink is what falls short: its true size is what gets through.
-            size = self.uplink_asked(server.rack) * uplink.size_kb * delivered
-            uplink.size_kb = max(min(uplink.size_kb, size), 1.0)
-            self.ease_uplink(server.rack)
+        rack, uplink = server.rack, server.rack.uplink
+        if uplink.asked is not None or self.now_us - uplink.as_of_us < self.settings.reports_every_us:
+            return
+        held = [s for s in rack.servers if s.subs and (s.link.asked or 0.0) < 1 - HOLD_BACK]
+        short = [s for s in held if self.now_us < s.link.full_until_us]
+        if server in short and len(short) > max(1, len(held) // 2):
+            # Links with room fall short together: it is their uplink, and its true size is what gets through.
+            asked_kb = sum((s.link.asked or 0.0) * s.link.size_kb for s in rack.servers)
+            uplink.size_kb = max(1.0, min(uplink.size_kb, asked_kb * delivered))
+            uplink.as_of_us = self.now_us
+            self.ease_uplink(rack)
 
     # Joins.
 
