--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -88,6 +88,8 @@
 
     uplink: Pipe
     servers: list[Server] = field(default_factory=list)
+    eased_us: int = 0
+    delivered: float = 1.0
 
 
 @dataclass(slots=True, eq=False)
@@ -489,10 +491,12 @@
             self.count_sent(sub, self.rate(sub, sub.rung) - self.rate(sub, old))
         elif event.kind is NoteKind.LINK:
             server.link.hear(event.level, as_of_us)
+            if sub.noted:
+                # Every front hears these; the note at a set-up is heard by this front alone.
+                self.ease(server.link, server.link.asked_now(0.0), list(server.subs))
+                self.ease_uplink(server.rack)
+                self.lift(server)
             sub.noted = True
-            self.ease(server.link, server.link.asked_now(0.0), list(server.subs))
-            self.ease_uplink(server.rack)
-            self.lift(server)
         elif event.kind is NoteKind.UPLINK:
             server.rack.uplink.hear(event.level, as_of_us)
             self.ease_uplink(server.rack)
@@ -511,17 +515,19 @@
 
     def on_short(self, server: Server, delivered: float) -> None:
         server.link.full_until_us = self.now_us + MARK_US
-        rack, uplink = server.rack, server.rack.uplink
-        if uplink.asked is not None or self.now_us - uplink.as_of_us < self.settings.reports_every_us:
-            return
+        rack = server.rack
         held = [s for s in rack.servers if s.subs and (s.link.asked or 0.0) < 1 - HOLD_BACK]
         short = [s for s in held if self.now_us < s.link.full_until_us]
-        if server in short and len(short) > max(1, len(held) // 2):
-            # Links with room fall short together: it is their uplink, and its true size is what gets through.
-            asked_kb = sum((s.link.asked or 0.0) * s.link.size_kb for s in rack.servers)
-            uplink.size_kb = max(1.0, min(uplink.size_kb, asked_kb * delivered))
-            uplink.as_of_us = self.now_us
+        if rack.uplink.asked is not None or server not in short or len(short) <= max(1, len(held) // 2):
+            return
+        # Links with room fall short together: it is their uplink, and its true size is what gets through.
+        # What was lowered shows late, so it is given time, and left alone while delivery recovers.
+        waited = self.now_us - rack.eased_us > 2 * self.settings.seen_after_us
+        if waited and delivered <= rack.delivered:
+            rack.uplink.size_kb *= min(1.0, self.uplink_asked(rack) * delivered)
+            rack.eased_us = self.now_us
             self.ease_uplink(rack)
+        rack.delivered = delivered if waited else 1.0
 
     # Joins.
 
