--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -88,8 +88,7 @@
 
     uplink: Pipe
     servers: list[Server] = field(default_factory=list)
-    eased_us: int = 0
-    delivered: float = 1.0
+    asked_kb: deque[tuple[int, float]] = field(default_factory=deque)  # where the uplink is not reported
 
 
 @dataclass(slots=True, eq=False)
@@ -507,6 +506,8 @@
 
     def ease_uplink(self, rack: Rack) -> None:
         asked = self.uplink_asked(rack)
+        if rack.uplink.asked is None:
+            rack.asked_kb.append((self.now_us, asked * rack.uplink.size_kb))
         if rack.uplink.asked is None and not any(self.now_us < s.link.full_until_us for s in rack.servers):
             # Unreported, and nothing short behind it: what it is asked for fits.
             rack.uplink.size_kb *= max(asked, 1.0)
@@ -521,13 +522,14 @@
         if rack.uplink.asked is not None or server not in short or len(short) <= max(1, len(held) // 2):
             return
         # Links with room fall short together: it is their uplink, and its true size is what gets through.
-        # What was lowered shows late, so it is given time, and left alone while delivery recovers.
-        waited = self.now_us - rack.eased_us > 2 * self.settings.seen_after_us
-        if waited and delivered <= rack.delivered:
-            rack.uplink.size_kb *= min(1.0, self.uplink_asked(rack) * delivered)
-            rack.eased_us = self.now_us
+        # A note is as old as it is late, so it is held against the most that was asked at that time.
+        seen_us = self.now_us - self.settings.seen_after_us
+        while len(rack.asked_kb) > 1 and rack.asked_kb[0][0] < seen_us - 2 * self.settings.seen_after_us:
+            rack.asked_kb.popleft()
+        then_kb = max((kb for at_us, kb in rack.asked_kb if at_us <= seen_us), default=0.0)
+        if then_kb:
+            rack.uplink.size_kb = max(1.0, min(rack.uplink.size_kb, then_kb * delivered))
             self.ease_uplink(rack)
-        rack.delivered = delivered if waited else 1.0
 
     # Joins.
 
