--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -404,7 +404,7 @@
             sub.rung, sub.changed_us = rung, (sub.changed_us[0], self.now_us)
             self.effects.set_rung(sub.id, rung)
 
-    def ease(self, pipe: Pipe, asked: float, subs: list[Subscription]) -> None:
+    def ease(self, pipe: Pipe, asked: float, subs: list[Subscription], others: int) -> None:
         """Short delivery costs more than a rung, so this front takes its own share of the excess off."""
         if asked > 1 - HOLD_BACK / 2:
             own_kb = sum(self.rate(sub, sub.rung) for sub in subs)
@@ -413,9 +413,10 @@
             self.plan_lower(plan, subs, own_kb * part)
             self.carry_out(plan)
             # The other fronts heard the same and ease alike; waiting to see it would cut twice.
-            pipe.note_sent(-max(0.0, asked * pipe.size_kb - own_kb) * part, self.now_us)
+            if others:
+                pipe.note_sent(-max(0.0, asked * pipe.size_kb - own_kb) * part, self.now_us)
 
-    def lift(self, server: Server) -> None:
+    def lift(self, server: Server, others: int) -> None:
         """Lasting room goes to the steps that earn most, a front's share of it at a time."""
         share = 1 / self.settings.fronts
         link_kb = (self.link_left(server) - HOLD_BACK) * server.link.size_kb * share
@@ -430,7 +431,7 @@
                 plan[sub] = sub.rung + 1
                 link_kb, uplink_kb = link_kb - more, uplink_kb - more
                 for pipe in (server.link, server.rack.uplink):
-                    pipe.note_sent(more * (self.settings.fronts - 1), self.now_us)
+                    pipe.note_sent(more * others, self.now_us)
         self.carry_out(plan)
 
     # Residue.
@@ -490,21 +491,21 @@
             self.count_sent(sub, self.rate(sub, sub.rung) - self.rate(sub, old))
         elif event.kind is NoteKind.LINK:
             server.link.hear(event.level, as_of_us)
-            if sub.noted:
-                # Every front hears these; the note at a set-up is heard by this front alone.
-                self.ease(server.link, server.link.asked_now(0.0), list(server.subs))
-                self.ease_uplink(server.rack)
-                self.lift(server)
+            # Every front hears the later notes; the one at a set-up is heard by this front alone.
+            others = self.settings.fronts - 1 if sub.noted else 0
+            self.ease(server.link, server.link.asked_now(0.0), list(server.subs), others)
+            self.ease_uplink(server.rack, others)
+            self.lift(server, others)
             sub.noted = True
         elif event.kind is NoteKind.UPLINK:
             server.rack.uplink.hear(event.level, as_of_us)
-            self.ease_uplink(server.rack)
+            self.ease_uplink(server.rack, self.settings.fronts - 1)
         elif event.level < WHOLE:
             self.on_short(server, event.level)
         else:
             server.link.full_until_us = self.now_us
 
-    def ease_uplink(self, rack: Rack) -> None:
+    def ease_uplink(self, rack: Rack, others: int) -> None:
         asked = self.uplink_asked(rack)
         if rack.uplink.asked is None:
             rack.asked_kb.append((self.now_us, asked * rack.uplink.size_kb))
@@ -512,7 +513,7 @@
             # Unreported, and nothing short behind it: what it is asked for fits.
             rack.uplink.size_kb *= max(asked, 1.0)
             return
-        self.ease(rack.uplink, asked, [sub for s in rack.servers for sub in s.subs])
+        self.ease(rack.uplink, asked, [sub for s in rack.servers for sub in s.subs], others)
 
     def on_short(self, server: Server, delivered: float) -> None:
         server.link.full_until_us = self.now_us + MARK_US
@@ -529,7 +530,7 @@
         then_kb = max((kb for at_us, kb in rack.asked_kb if at_us <= seen_us), default=0.0)
         if then_kb:
             rack.uplink.size_kb = max(1.0, min(rack.uplink.size_kb, then_kb * delivered))
-            self.ease_uplink(rack)
+            self.ease_uplink(rack, self.settings.fronts - 1)
 
     # Joins.
 
