--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -102,7 +102,7 @@
     streams_most: int
     link: Pipe
     listed: bool = True
-    started_us: int | None = None
+    started_us: int = 0
     last_cold_join_us: int | None = None
     health: Health = Health.WELL
     strikes: int = 0
@@ -163,6 +163,7 @@
         self.taken: deque[int] = deque()
         self.further: deque[int] = deque()
         self.asks_failed = 0
+        self.list_is_fresh = False
         self.typical_watch_us = float(settings.ramp_us)
         self.offered = 0.0
         self.kb_per_stream = 0.0
@@ -246,6 +247,8 @@
             # Asking again at once would keep the one list service jammed for every front.
             self.effects.timer(TimerName.ASK_LIST, self.ask_pause_us())
             return
+        self.asks_failed = 0
+        self.list_is_fresh |= event.mode is ListMode.FULL
         if event.mode is not ListMode.INCREMENTAL:
             for server in self.servers.values():
                 server.listed = False
@@ -276,7 +279,7 @@
                             self.settings.kind_streams.get(entry.kind, 0), Pipe(1.0))
             self.servers[entry.address] = server
         server.listed = entry.standing is Standing.ACTIVE
-        if entry.started_us > (server.started_us or 0):
+        if entry.started_us > server.started_us:
             # A process that started anew carries nothing of its last life.
             server.started_us, server.health, server.strikes = entry.started_us, Health.WELL, 0
             server.link.asked = None
@@ -609,11 +612,12 @@
         return sub.room.effect is Effect.GUARDED and sub.room.scope is Scope.ALL
 
     def start_of(self, server: Server) -> int:
-        """A fresh front's list is old, so any server on it may have started just before this front did."""
-        return max(self.born_us, server.started_us or 0)
+        """Until a full list has come, any server on the saved one may have started just before this front."""
+        return server.started_us if self.list_is_fresh else max(self.born_us, server.started_us)
 
     def is_cold(self, server: Server) -> bool:
-        return self.now_us - self.start_of(server) < self.settings.ramp_us
+        start_us = self.start_of(server)
+        return start_us > 0 and self.now_us - start_us < self.settings.ramp_us
 
     def cold_turn(self, server: Server) -> bool:
         """Fronts can't agree, so each keeps to its share of the pace, at turns set by its index."""
