--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -407,17 +407,22 @@
             sub.rung, sub.changed_us = rung, (sub.changed_us[0], self.now_us)
             self.effects.set_rung(sub.id, rung)
 
-    def ease(self, pipe: Pipe, asked: float, subs: list[Subscription], others: int) -> None:
+    def ease(self, asked: float, servers: list[Server], others: int) -> None:
         """Short delivery costs more than a rung, so this front takes its own share of the excess off."""
-        if asked > 1 - HOLD_BACK / 2:
-            own_kb = sum(self.rate(sub, sub.rung) for sub in subs)
-            part = 1 - (1 - HOLD_BACK) / asked
-            plan: dict[Subscription, int] = {}
-            self.plan_lower(plan, subs, own_kb * part)
-            self.carry_out(plan)
+        if asked <= 1 - HOLD_BACK / 2:
+            return
+        part = 1 - (1 - HOLD_BACK) / asked
+        subs = [sub for server in servers for sub in server.subs]
+        if others:
             # The other fronts heard the same and ease alike; waiting to see it would cut twice.
-            if others:
-                pipe.note_sent(-max(0.0, asked * pipe.size_kb - own_kb) * part, self.now_us)
+            for server in servers:
+                own_kb = sum(self.rate(sub, sub.rung) for sub in server.subs)
+                theirs_kb = max(0.0, server.link.asked_now(0.0) * server.link.size_kb - own_kb)
+                for pipe in (server.link, server.rack.uplink):
+                    pipe.note_sent(-theirs_kb * part, self.now_us)
+        plan: dict[Subscription, int] = {}
+        self.plan_lower(plan, subs, part * sum(self.rate(sub, sub.rung) for sub in subs))
+        self.carry_out(plan)
 
     def lift(self, server: Server, others: int) -> None:
         """Lasting room goes to the steps that earn most, a front's share of it at a time."""
@@ -496,7 +501,7 @@
             server.link.hear(event.level, as_of_us)
             # Every front hears the later notes; the one at a set-up is heard by this front alone.
             others = self.settings.fronts - 1 if sub.noted else 0
-            self.ease(server.link, server.link.asked_now(0.0), list(server.subs), others)
+            self.ease(server.link.asked_now(0.0), [server], others)
             self.ease_uplink(server.rack, others)
             self.lift(server, others)
             sub.noted = True
@@ -516,7 +521,7 @@
             # Unreported, and nothing short behind it: what it is asked for fits.
             rack.uplink.size_kb *= max(asked, 1.0)
             return
-        self.ease(rack.uplink, asked, [sub for s in rack.servers for sub in s.subs], others)
+        self.ease(asked, rack.servers, others)
 
     def on_short(self, server: Server, delivered: float) -> None:
         server.link.full_until_us = self.now_us + MARK_US
