--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from heapq import heapify, heappop, heapreplace
 from random import Random
 
 from fennelcove.interface import (ClientGone, Effect, Effects, Handover, JoinEnded, ListEntry, ListMode,
@@ -67,20 +68,22 @@
     as_of_us: int = 0
     full_until_us: int = 0
     sent: deque[tuple[int, float]] = field(default_factory=deque)
+    sent_kb: float = 0.0
 
     def hear(self, asked: float, as_of_us: int) -> None:
         if self.asked is not None and as_of_us < self.as_of_us:
             return  # an older report must not undo a newer one
         self.asked, self.as_of_us = asked, as_of_us
         while self.sent and self.sent[0][0] <= as_of_us:
-            self.sent.popleft()
+            self.sent_kb -= self.sent.popleft()[1]
 
     def note_sent(self, kb: float, now_us: int) -> None:
         self.sent.append((now_us, kb))
+        self.sent_kb += kb
 
     def asked_now(self, unheard: float) -> float:
         base = unheard if self.asked is None else self.asked
-        return max(0.0, base + sum(kb for _, kb in self.sent) / self.size_kb)
+        return max(0.0, base + self.sent_kb / self.size_kb)
 
 
 @dataclass(slots=True, eq=False)
@@ -109,6 +112,7 @@
     strikes: int = 0
     shut_until_us: int = 0
     subs: dict[Subscription, None] = field(default_factory=dict)
+    own_kb: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -167,6 +171,7 @@
         self.list_is_fresh = False
         self.typical_watch_us = float(settings.ramp_us)
         self.offered = 0.0
+        self.mean, self.mean_at_us = 0.5, -1
         self.kb_per_stream = 0.0
         self.typical_join_us = min(room.objective_us for room in settings.rooms.values()) / 4
         self.hears: dict[type, Callable[..., None]] = {
@@ -304,18 +309,20 @@
         holders = [s for s in self.servers.values() if s.cell in sub.cells and self.may_use(sub, s)]
         well = [s for s in holders if self.is_well(s)]
         # Where every holder looks ill, trying one beats turning the viewer away for certain.
-        found = self.choose(sub, well or holders)
+        uplinks_left = {rack: self.uplink_left(rack) for rack in self.racks}
+        found = self.choose(sub, well or holders, uplinks_left)
         if found is None or found[1] < sub.top:
-            found = self.make_room(sub, well or holders, found)
+            found = self.make_room(sub, well or holders, uplinks_left, found)
         if found is None:
             return Cue.NO_ROOM if self.may_throttle(sub) else Cue.STUCK
         server, rung = found
         self.send_join(sub, server, rung)
         return Cue.PLACED
 
-    def choose(self, sub: Subscription, holders: list[Server]) -> tuple[Server, int] | None:
+    def choose(self, sub: Subscription, holders: list[Server],
+               uplinks_left: dict[Rack, float]) -> tuple[Server, int] | None:
         home = [s for s in holders if s.zone == self.settings.zone]
-        near, far = self.highest(sub, home), self.highest(sub, holders)
+        near, far = self.highest(sub, home, uplinks_left), self.highest(sub, holders, uplinks_left)
         if near is not None and far is not None:
             worth = self.settings.ladder_worth
             gain = worth[far[1]] - worth[near[1]]
@@ -323,21 +330,21 @@
             return far if gain * sub.room.benefit > self.crossing_price() else near
         return near or far
 
-    def highest(self, sub: Subscription, holders: list[Server]) -> tuple[Server, int] | None:
+    def highest(self, sub: Subscription, holders: list[Server],
+                uplinks_left: dict[Rack, float]) -> tuple[Server, int] | None:
         for rung in range(sub.top, sub.room.floor - 1, -1):
-            scored = [(s, *self.factors(s, self.rate(sub, rung))) for s in holders]
+            scored = [(s, *self.factors(s, uplinks_left[s.rack], self.rate(sub, rung))) for s in holders]
             feasible = [row for row in scored if row[1] < INFINITE and row[2] < INFINITE]
             if feasible:
                 return self.draw(feasible), rung
         return None
 
-    def factors(self, server: Server, kb: float) -> tuple[float, float]:
+    def factors(self, server: Server, uplink_left: float, kb: float) -> tuple[float, float]:
         """Server UF and network UF of a request for so many kB a second."""
         link = self.link_left(server) - kb / server.link.size_kb
         if server.streams_most:
             link = min(link, (server.streams_most - self.streams(server) - 1) / server.streams_most)
-        uplink = self.uplink_left(server.rack) - kb / server.rack.uplink.size_kb
-        return utilization(link), utilization(uplink)
+        return utilization(link), utilization(uplink_left - kb / server.rack.uplink.size_kb)
 
     def draw(self, feasible: list[tuple[Server, float, float]]) -> Server:
         if sum(row[2] for row in feasible) > THRESHOLD * sum(row[1] for row in feasible):
@@ -349,7 +356,7 @@
 
     # Room made by lowering what earns least: acts only where the ordinary path falls short of the top rung.
 
-    def make_room(self, sub: Subscription, holders: list[Server],
+    def make_room(self, sub: Subscription, holders: list[Server], uplinks_left: dict[Rack, float],
                   found: tuple[Server, int] | None) -> tuple[Server, int] | None:
         worth, benefit = self.settings.ladder_worth, sub.room.benefit
         base = benefit * worth[found[1]] if found else 0.0
@@ -360,15 +367,15 @@
             if self.now_us < server.link.full_until_us or not self.has_stream(server):
                 continue
             crossing = self.crossing_price() if server.zone != self.settings.zone else 0.0
+            others = [other for s in server.rack.servers for other in s.subs if other.life is Life.PLAYING]
             for rung in range(found[1] + 1 if found else sub.room.floor, sub.top + 1):
                 kb = self.rate(sub, rung)
                 plan: dict[Subscription, int] = {}
                 link_short = kb - self.link_left(server) * server.link.size_kb
-                uplink_short = kb - self.uplink_left(server.rack) * server.rack.uplink.size_kb
+                uplink_short = kb - uplinks_left[server.rack] * server.rack.uplink.size_kb
                 freed = self.plan_lower(plan, list(server.subs), link_short)
                 if freed < link_short:
                     break
-                others = [other for s in server.rack.servers for other in s.subs]
                 if freed < uplink_short:
                     freed += self.plan_lower(plan, others, uplink_short - freed)
                 if freed < uplink_short:
@@ -385,15 +392,18 @@
     def plan_lower(self, plan: dict[Subscription, int], subs: list[Subscription], need_kb: float) -> float:
         """Lower the steps that earn least for their rate until enough is free; what was freed."""
         freed = 0.0
-        while freed < need_kb:
-            steps = [(self.earning(sub, plan.get(sub, sub.rung)), i) for i, sub in enumerate(subs)
-                     if sub.life is Life.PLAYING and plan.get(sub, sub.rung) > sub.room.floor]
-            if not steps:
-                break
-            sub = subs[min(steps)[1]]
+        steps = [(self.earning(sub, plan.get(sub, sub.rung)), i, sub) for i, sub in enumerate(subs)
+                 if sub.life is Life.PLAYING and plan.get(sub, sub.rung) > sub.room.floor]
+        heapify(steps)
+        while freed < need_kb and steps:
+            _, i, sub = steps[0]
             rung = plan.get(sub, sub.rung)
             plan[sub] = rung - 1
             freed += self.rate(sub, rung) - self.rate(sub, rung - 1)
+            if rung - 1 > sub.room.floor:
+                heapreplace(steps, (self.earning(sub, rung - 1), i, sub))
+            else:
+                heappop(steps)
         return freed
 
     def earning(self, sub: Subscription, rung: int) -> float:
@@ -417,12 +427,11 @@
         if others:
             # The other fronts heard the same and ease alike; waiting to see it would cut twice.
             for server in servers:
-                own_kb = sum(self.rate(sub, sub.rung) for sub in server.subs)
-                theirs_kb = max(0.0, server.link.asked_now(0.0) * server.link.size_kb - own_kb)
+                eased_kb = part * self.others_kb(server)
                 for pipe in (server.link, server.rack.uplink):
-                    pipe.note_sent(-theirs_kb * part, self.now_us)
+                    pipe.note_sent(-eased_kb, self.now_us)
         plan: dict[Subscription, int] = {}
-        self.plan_lower(plan, subs, part * sum(self.rate(sub, sub.rung) for sub in subs))
+        self.plan_lower(plan, subs, part * sum(server.own_kb for server in servers))
         self.carry_out(plan)
 
     def lift(self, server: Server, others: int) -> None:
@@ -451,9 +460,12 @@
         return 1 - HOLD_BACK - server.link.asked_now(self.mean_asked())
 
     def mean_asked(self) -> float:
+        if self.mean_at_us == self.now_us:
+            return self.mean
         heard = [s.link.asked for s in self.servers.values() if s.listed and s.link.asked is not None]
         # With nothing heard a residue may be anything from nothing to all: the paper's OPT takes the middle.
-        return sum(heard) / len(heard) if heard else 0.5
+        self.mean, self.mean_at_us = sum(heard) / len(heard) if heard else 0.5, self.now_us
+        return self.mean
 
     def uplink_asked(self, rack: Rack) -> float:
         if rack.uplink.asked is not None:
@@ -468,9 +480,10 @@
         """Streams in use: this front's own, and others' at this front's mean rate."""
         if not server.subs:
             return 0.0
-        own_kb = sum(self.rate(sub, sub.rung) for sub in server.subs)
-        others_kb = max(0.0, server.link.asked_now(0.0) * server.link.size_kb - own_kb)
-        return len(server.subs) * (1 + others_kb / max(own_kb, 1.0))
+        return len(server.subs) * (1 + self.others_kb(server) / max(server.own_kb, 1.0))
+
+    def others_kb(self, server: Server) -> float:
+        return max(0.0, server.link.asked_now(0.0) * server.link.size_kb - server.own_kb)
 
     def has_stream(self, server: Server) -> bool:
         return not server.streams_most or self.streams(server) + 1 < server.streams_most
@@ -479,6 +492,7 @@
         return sub.room.scale * self.settings.ladder_kb[rung]
 
     def count_sent(self, sub: Subscription, kb: float) -> None:
+        sub.server.own_kb += kb
         sub.server.link.note_sent(kb, self.now_us)
         sub.server.rack.uplink.note_sent(kb, self.now_us)
 
