--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum, auto
+from enum import Enum
 from heapq import heapify, heappop, heapreplace
 from random import Random
 
@@ -28,35 +28,10 @@
 NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
 
 
-class Life(Enum):
-    """Where a subscription stands."""
-
-    WAITING = auto()
-    JOINING = auto()
-    PLAYING = auto()
-    ABANDONED = auto()
-    ENDED = auto()
-
-
-class Cue(Enum):
-    """What moves a subscription on."""
-
-    TRY = auto()
-    PLACED = auto()
-    NO_ROOM = auto()
-    STUCK = auto()
-    STARTED = auto()
-    FAILED = auto()
-    FINISHED = auto()
-    CLIENT_GONE = auto()
-
-
-class Health(Enum):
-    """What this front's own joins tell of a server."""
-
-    WELL = auto()
-    SHUT = auto()
-    TRIAL = auto()
+# Where a subscription stands, what moves it on, and what this front's own joins tell of a server.
+Life = Enum("Life", "WAITING JOINING PLAYING ABANDONED ENDED")
+Cue = Enum("Cue", "TRY PLACED NO_ROOM STUCK STARTED FAILED FINISHED CLIENT_GONE")
+Health = Enum("Health", "WELL SHUT TRIAL")
 
 
 @dataclass(slots=True, eq=False)
@@ -177,7 +152,7 @@
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
             JoinEnded: self.on_join_ended, Note: self.on_note, ClientGone: self.on_client_gone,
-            ListUpdate: self.on_list, TimerFired: self.on_timer}
+            ListUpdate: self.on_list, TimerFired: self.ask_list}
 
     def handle(self, event: Event, now_us: int) -> None:
         self.now_us = now_us
@@ -241,17 +216,14 @@
             self.typical_watch_us += (self.now_us - sub.changed_us[0] - self.typical_watch_us) / 8
         self.step(sub, Cue.FINISHED if event.finished else Cue.FAILED)
 
-    def on_timer(self, event: TimerFired) -> None:
-        if event.name == TimerName.ASK_LIST:
-            self.ask_list()
-
     # The list.
 
     def on_list(self, event: ListUpdate) -> None:
         if event.mode is ListMode.FAILED:
             self.asks_failed += 1
             # Asking again at once would keep the one list service jammed for every front.
-            self.effects.timer(TimerName.ASK_LIST, self.ask_pause_us())
+            within = self.settings.ask_within_us or self.settings.ramp_us
+            self.effects.timer(TimerName.ASK_LIST, max(1, within // 8) * min(8, self.asks_failed))
             return
         self.asks_failed = 0
         self.list_is_fresh |= event.mode is ListMode.FULL
@@ -261,22 +233,18 @@
         for entry in event.entries:
             self.note_entry(entry)
         for rack in self.racks:
-            rack.servers = [s for s in self.servers.values() if s.listed and s.rack is rack]
+            rack.servers = [s for s in self.servers.values() if s.rack is rack and (s.listed or s.subs)]
         self.size_links(event.entries)
         if event.mode is ListMode.SAVED:
             # The saved list may be old: a full one is worth one call.
             self.ask_list()
 
-    def ask_list(self) -> None:
+    def ask_list(self, _: TimerFired | None = None) -> None:
         if self.settings.must_ask:
             self.effects.watch_list()
         else:
             self.effects.fetch_list()
 
-    def ask_pause_us(self) -> int:
-        within = self.settings.ask_within_us or self.settings.ramp_us
-        return max(1, within // 8) * min(8, self.asks_failed)
-
     def note_entry(self, entry: ListEntry) -> None:
         server = self.servers.get(entry.address)
         if server is None:
@@ -304,8 +272,9 @@
     # Placement: the design's ordinary path.
 
     def place(self, sub: Subscription) -> Cue:
+        without = Cue.NO_ROOM if self.may_throttle(sub) else Cue.STUCK
         if not self.may_join(sub):
-            return Cue.NO_ROOM if self.may_throttle(sub) else Cue.STUCK
+            return without
         holders = [s for s in self.servers.values() if s.cell in sub.cells and self.may_use(sub, s)]
         well = [s for s in holders if self.is_well(s)]
         # Where every holder looks ill, trying one beats turning the viewer away for certain.
@@ -314,9 +283,8 @@
         if found is None or found[1] < sub.top:
             found = self.make_room(sub, well or holders, uplinks_left, found)
         if found is None:
-            return Cue.NO_ROOM if self.may_throttle(sub) else Cue.STUCK
-        server, rung = found
-        self.send_join(sub, server, rung)
+            return without
+        self.send_join(sub, *found)
         return Cue.PLACED
 
     def choose(self, sub: Subscription, holders: list[Server],
