Trial: raise into the room of an ended play at once

While reports are late the front takes them as fresh, drops its own newer sends and overshoots. Next: tell how late reports are.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -214,6 +214,9 @@
             self.hear_report(join.server, event.report)
         if playing:
             self.typical_watch_us += (self.now_us - sub.changed_us[0] - self.typical_watch_us) / 8
+            # What has ended makes room at once; notes may be late or stay out.
+            for server in join.server.rack.servers:
+                self.lift(server, 0)
         self.step(sub, Cue.FINISHED if event.finished else Cue.FAILED)
 
     # The list.
