--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -88,6 +88,8 @@
     shut_until_us: int = 0
     subs: dict[Subscription, None] = field(default_factory=dict)
     own_kb: float = 0.0
+    noted_us: int = 0
+    late_us: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -181,7 +183,7 @@
 
     def on_handover(self, event: Handover) -> None:
         sub = self.take(event.request)
-        sub.life, sub.changed_us = Life.PLAYING, (self.now_us, self.now_us)
+        sub.life, sub.noted, sub.changed_us = Life.PLAYING, True, (self.now_us, self.now_us)
         self.open_join(sub, self.servers[event.server])
         self.count_sent(sub, self.rate(sub, sub.rung))
 
@@ -479,7 +481,13 @@
         if sub is None or sub.life is not Life.PLAYING:
             return
         server = sub.server
-        as_of_us = self.now_us - (self.settings.seen_after_us if sub.noted else 0)
+        if event.kind is NoteKind.LINK and sub.noted:
+            # Notes leave a server at a fixed pace, so a longer gap between two is how much later they now come.
+            if server.noted_us:
+                late_us = server.late_us + self.now_us - server.noted_us - self.settings.reports_every_us
+                server.late_us = max(0, late_us)
+            server.noted_us = self.now_us
+        as_of_us = self.now_us - (self.settings.seen_after_us + server.late_us if sub.noted else 0)
         if event.kind is NoteKind.RUNG:
             old, sub.rung = sub.rung, int(event.level)
             self.count_sent(sub, self.rate(sub, sub.rung) - self.rate(sub, old))
@@ -535,6 +543,8 @@
 
     def close_join(self, sub: Subscription, join: Join) -> None:
         join.server.subs.pop(sub, None)
+        if not join.server.subs:
+            join.server.noted_us = join.server.late_us = 0
         self.seats[sub.title, sub.room] -= 1
         self.count_sent(sub, -self.rate(sub, sub.rung))
 
