--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -56,9 +56,8 @@
         self.sent.append((now_us, kb))
         self.sent_kb += kb
 
-    def asked_now(self, unheard: float) -> float:
-        base = unheard if self.asked is None else self.asked
-        return max(0.0, base + self.sent_kb / self.size_kb)
+    def asked_now(self) -> float:
+        return max(0.0, (self.asked or 0.0) + self.sent_kb / self.size_kb)
 
 
 @dataclass(slots=True, eq=False)
@@ -148,6 +147,9 @@
         self.list_is_fresh = False
         self.typical_watch_us = float(settings.ramp_us)
         self.offered = 0.0
+        # Two notes missed in a row; where no notes come, a report lasts until the next.
+        every_us = settings.reports_every_us
+        self.report_lasts_us = settings.seen_after_us + 2 * every_us if every_us else INFINITE
         self.mean, self.mean_at_us = 0.5, -1
         self.kb_per_stream = 0.0
         self.typical_join_us = min(room.objective_us for room in settings.rooms.values()) / 4
@@ -430,21 +432,29 @@
     def link_left(self, server: Server) -> float:
         if self.now_us < server.link.full_until_us:
             return 0.0
-        return 1 - HOLD_BACK - server.link.asked_now(self.mean_asked())
+        return 1 - HOLD_BACK - self.link_asked(server)
 
     def mean_asked(self) -> float:
         if self.mean_at_us == self.now_us:
             return self.mean
-        heard = [s.link.asked for s in self.servers.values() if s.listed and s.link.asked is not None]
+        heard = [s.link.asked or 0.0 for s in self.servers.values() if s.listed and self.is_heard(s.link)]
         # With nothing heard a residue may be anything from nothing to all: the paper's OPT takes the middle.
         self.mean, self.mean_at_us = sum(heard) / len(heard) if heard else 0.5, self.now_us
         return self.mean
 
+    def is_heard(self, pipe: Pipe) -> bool:
+        """A report that stops says nothing of what the other fronts do by now, so it goes out of use."""
+        return pipe.asked is not None and self.now_us - pipe.as_of_us <= self.report_lasts_us
+
+    def link_asked(self, server: Server) -> float:
+        if self.is_heard(server.link):
+            return server.link.asked_now()
+        return max(self.mean_asked(), server.own_kb / server.link.size_kb)
+
     def uplink_asked(self, rack: Rack) -> float:
-        if rack.uplink.asked is not None:
-            return rack.uplink.asked_now(0.0)
-        mean = self.mean_asked()
-        return sum(s.link.asked_now(mean) * s.link.size_kb for s in rack.servers) / rack.uplink.size_kb
+        if self.is_heard(rack.uplink):
+            return rack.uplink.asked_now()
+        return sum(self.link_asked(s) * s.link.size_kb for s in rack.servers) / rack.uplink.size_kb
 
     def uplink_left(self, rack: Rack) -> float:
         return 1 - HOLD_BACK - self.uplink_asked(rack)
@@ -456,7 +466,7 @@
         return len(server.subs) * (1 + self.others_kb(server) / max(server.own_kb, 1.0))
 
     def others_kb(self, server: Server) -> float:
-        return max(0.0, server.link.asked_now(0.0) * server.link.size_kb - server.own_kb)
+        return max(0.0, self.link_asked(server) * server.link.size_kb - server.own_kb)
 
     def has_stream(self, server: Server) -> bool:
         return not server.streams_most or self.streams(server) + 1 < server.streams_most
@@ -495,7 +505,7 @@
             server.link.hear(event.level, as_of_us)
             # Every front hears the later notes; the one at a set-up is heard by this front alone.
             others = self.settings.fronts - 1 if sub.noted else 0
-            self.ease(server.link.asked_now(0.0), [server], others)
+            self.ease(self.link_asked(server), [server], others)
             self.ease_uplink(server.rack, others)
             self.lift(server, others)
             sub.noted = True
@@ -509,9 +519,9 @@
 
     def ease_uplink(self, rack: Rack, others: int) -> None:
         asked = self.uplink_asked(rack)
-        if rack.uplink.asked is None:
+        if not self.is_heard(rack.uplink):
             rack.asked_kb.append((self.now_us, asked * rack.uplink.size_kb))
-        if rack.uplink.asked is None and not any(self.now_us < s.link.full_until_us for s in rack.servers):
+        if not self.is_heard(rack.uplink) and not any(self.now_us < s.link.full_until_us for s in rack.servers):
             # Unreported, and nothing short behind it: what it is asked for fits.
             rack.uplink.size_kb *= max(asked, 1.0)
             return
@@ -522,7 +532,7 @@
         rack = server.rack
         held = [s for s in rack.servers if s.subs and (s.link.asked or 0.0) < 1 - HOLD_BACK]
         short = [s for s in held if self.now_us < s.link.full_until_us]
-        if rack.uplink.asked is not None or server not in short or len(short) <= max(1, len(held) // 2):
+        if self.is_heard(rack.uplink) or server not in short or len(short) <= max(1, len(held) // 2):
             return
         # Links with room fall short together: it is their uplink, and its true size is what gets through.
         # A note is as old as it is late, so it is held against the most that was asked at that time.
