--- a/fennelcove/interface.py
+++ b/fennelcove/interface.py
@@ -93,6 +93,7 @@
     racks: int
     cells: int
     uplink_kb: float
+    uplinks_told: bool
     seen_after_us: int
     reports_every_us: int
     switch_cost_us: int
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -519,9 +519,9 @@
 
     def ease_uplink(self, rack: Rack, others: int) -> None:
         asked = self.uplink_asked(rack)
-        if not self.is_heard(rack.uplink):
+        if not self.settings.uplinks_told:
             rack.asked_kb.append((self.now_us, asked * rack.uplink.size_kb))
-        if not self.is_heard(rack.uplink) and not any(self.now_us < s.link.full_until_us for s in rack.servers):
+        if not self.settings.uplinks_told and not any(self.now_us < s.link.full_until_us for s in rack.servers):
             # Unreported, and nothing short behind it: what it is asked for fits.
             rack.uplink.size_kb *= max(asked, 1.0)
             return
@@ -532,7 +532,7 @@
         rack = server.rack
         held = [s for s in rack.servers if s.subs and (s.link.asked or 0.0) < 1 - HOLD_BACK]
         short = [s for s in held if self.now_us < s.link.full_until_us]
-        if self.is_heard(rack.uplink) or server not in short or len(short) <= max(1, len(held) // 2):
+        if self.settings.uplinks_told or server not in short or len(short) <= max(1, len(held) // 2):
             return
         # Links with room fall short together: it is their uplink, and its true size is what gets through.
         # A note is as old as it is late, so it is held against the most that was asked at that time.
--- a/fennelcove/wirehost/codec.py
+++ b/fennelcove/wirehost/codec.py
@@ -286,6 +286,7 @@
         raise WireError("field Facts.Lanes names no room types")
     kinds = [item for item in root.items("Kinds") if isinstance(item, str)]
     streams = info.numbers("KindStreams")
+    fields_told = tuple(str(item) for item in root.sub("LoadReport").items("Fields"))
     send_cap = allowed.maybe("SendCap")
     ask_within = rules.maybe("AskWithinMs")
     settings = Settings(
@@ -302,6 +303,7 @@
         racks=max(1, int(info.number("Racks", 1))),
         cells=max(1, int(info.number("Places", 1))),
         uplink_kb=info.number("RackLinkKb", 0.0),
+        uplinks_told="x1" in fields_told,
         seen_after_us=info.micros("SeenAfterMs"),
         reports_every_us=info.micros("ReportsEveryMs"),
         switch_cost_us=round(info.number("SwitchCostS", 0.0) * 1_000_000),
@@ -318,4 +320,4 @@
         budget_ratio=rules.number("ExtraRatio", 0.0),
         budget_span_us=rules.micros("ResendSpanMs"),
     )
-    return settings, tuple(str(item) for item in root.sub("LoadReport").items("Fields"))
+    return settings, fields_told
