--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from heapq import heapify, heappop, heapreplace
+from math import exp
 from random import Random
 
 from fennelcove.interface import (ClientGone, Effect, Effects, Handover, JoinEnded, ListEntry, ListMode,
@@ -147,9 +148,6 @@
         self.list_is_fresh = False
         self.typical_watch_us = float(settings.ramp_us)
         self.offered = 0.0
-        # Two notes missed in a row; where no notes come, a report lasts until the next.
-        every_us = settings.reports_every_us
-        self.report_lasts_us = settings.seen_after_us + 2 * every_us if every_us else INFINITE
         self.mean, self.mean_at_us = 0.5, -1
         self.kb_per_stream = 0.0
         self.typical_join_us = min(room.objective_us for room in settings.rooms.values()) / 4
@@ -435,25 +433,27 @@
         return 1 - HOLD_BACK - self.link_asked(server)
 
     def mean_asked(self) -> float:
-        if self.mean_at_us == self.now_us:
-            return self.mean
-        heard = [s.link.asked or 0.0 for s in self.servers.values() if s.listed and self.is_heard(s.link)]
-        # With nothing heard a residue may be anything from nothing to all: the paper's OPT takes the middle.
-        self.mean, self.mean_at_us = sum(heard) / len(heard) if heard else 0.5, self.now_us
+        if self.mean_at_us != self.now_us:
+            links = [s.link for s in self.servers.values() if s.listed and s.link.asked is not None]
+            # With nothing heard a residue may be anything: the paper's OPT takes the middle.
+            mean = sum(link.asked_now() for link in links) / len(links) if links else 0.5
+            self.mean, self.mean_at_us = mean, self.now_us
         return self.mean
 
-    def is_heard(self, pipe: Pipe) -> bool:
-        """A report that stops says nothing of what the other fronts do by now, so it goes out of use."""
-        return pipe.asked is not None and self.now_us - pipe.as_of_us <= self.report_lasts_us
+    def aged(self, pipe: Pipe, own: float) -> float:
+        """A report that stops says ever less of the other fronts; they are then taken to do as this one does."""
+        normal_us = self.settings.seen_after_us + self.settings.reports_every_us
+        over_us = max(0, self.now_us - pipe.as_of_us - normal_us)
+        weight = exp(-over_us / self.typical_watch_us)
+        return weight * pipe.asked_now() + (1 - weight) * min(1.0, own * self.settings.fronts)
 
     def link_asked(self, server: Server) -> float:
-        if self.is_heard(server.link):
-            return server.link.asked_now()
-        return max(self.mean_asked(), server.own_kb / server.link.size_kb)
+        own = server.own_kb / server.link.size_kb
+        return max(own, self.mean_asked() if server.link.asked is None else self.aged(server.link, own))
 
     def uplink_asked(self, rack: Rack) -> float:
-        if self.is_heard(rack.uplink):
-            return rack.uplink.asked_now()
+        if rack.uplink.asked is not None:
+            return self.aged(rack.uplink, sum(s.own_kb for s in rack.servers) / rack.uplink.size_kb)
         return sum(self.link_asked(s) * s.link.size_kb for s in rack.servers) / rack.uplink.size_kb
 
     def uplink_left(self, rack: Rack) -> float:
