--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -135,7 +135,7 @@
         self.settings = settings
         self.effects = effects
         chance = Random(seed)
-        self.uniform, self.weighted, self.chance = chance.choice, chance.choices, chance.random
+        self.uniform, self.weighted = chance.choice, chance.choices
         self.born_us = now_us
         self.now_us = now_us
         self.servers: dict[str, Server] = {}
@@ -409,25 +409,20 @@
 
     def lift(self, server: Server, others: int) -> None:
         """Lasting room goes to the steps that earn most, a front's share of it at a time."""
-        link_kb = (self.link_left(server) - HOLD_BACK) * server.link.size_kb
-        uplink_kb = (self.uplink_left(server.rack) - HOLD_BACK) * server.rack.uplink.size_kb
+        share = 1 / self.settings.fronts
+        link_kb = (self.link_left(server) - HOLD_BACK) * server.link.size_kb * share
+        uplink_kb = (self.uplink_left(server.rack) - HOLD_BACK) * server.rack.uplink.size_kb * share
         ready = [(self.earning(sub, sub.rung + 1), i, sub) for i, sub in enumerate(server.subs)
                  if sub.life is Life.PLAYING and sub.rung < sub.top
                  and self.now_us - sub.changed_us[1] > self.settings.reports_every_us]
         plan: dict[Subscription, int] = {}
         for _, _, sub in sorted(ready, reverse=True):
             more = self.rate(sub, sub.rung + 1) - self.rate(sub, sub.rung)
-            room_kb = min(link_kb, uplink_kb)
-            if more >= room_kb:
-                continue
-            # A step may be larger than one front's share of the room: then chance decides which front takes it.
-            share_kb = room_kb / self.settings.fronts
-            if share_kb >= more * self.chance():
+            if more < min(link_kb, uplink_kb):
                 plan[sub] = sub.rung + 1
-            taken_kb = (others + 1) * min(more, share_kb)
-            link_kb, uplink_kb = link_kb - taken_kb, uplink_kb - taken_kb
-            for pipe in (server.link, server.rack.uplink):
-                pipe.note_sent(taken_kb * others / (others + 1), self.now_us)
+                link_kb, uplink_kb = link_kb - more, uplink_kb - more
+                for pipe in (server.link, server.rack.uplink):
+                    pipe.note_sent(more * others, self.now_us)
         self.carry_out(plan)
 
     # Residue.
