--- a/fennelcove/interface.py
+++ b/fennelcove/interface.py
@@ -97,9 +97,7 @@
     seen_after_us: int
     reports_every_us: int
     switch_cost_us: int
-    stall: float
     cross_zone_price: float
-    move_price: float
     send_cap: int | None
     retry_after_us: int | None
     must_ask: bool
@@ -166,10 +164,8 @@
 class LoadReport:
     """What an answer says of its server; a value that it does not give is None."""
 
-    util: float | None
     link: float | None
     uplink: float | None
-    streams: float | None
 
 
 @dataclass(frozen=True, slots=True, eq=False)
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -15,7 +15,7 @@
 from random import Random
 
 from fennelcove.interface import (ClientGone, Effect, Effects, Handover, JoinEnded, ListEntry, ListMode,
-                                  ListUpdate, LoadReport, Note, NoteKind, Outcome, Request, RoomType, Scope,
+                                  ListUpdate, Note, NoteKind, Outcome, Request, RoomType, Scope,
                                   Settings, Standing, Started, TimerFired, TimerName)
 
 Event = ListUpdate | Request | Handover | Started | JoinEnded | Note | ClientGone | TimerFired
@@ -63,11 +63,10 @@
 
 @dataclass(slots=True, eq=False)
 class Rack:
-    """The servers behind one uplink."""
-
     uplink: Pipe
     servers: list[Server] = field(default_factory=list)
     asked_kb: deque[tuple[int, float]] = field(default_factory=deque)  # where the uplink is not reported
+    left: float = 0.0  # the uplink's residue for the request in hand
 
 
 @dataclass(slots=True, eq=False)
@@ -80,8 +79,8 @@
     rack: Rack
     streams_most: int
     link: Pipe
+    started_us: int
     listed: bool = True
-    started_us: int = 0
     last_cold_join_us: int | None = None
     health: Health = Health.WELL
     strikes: int = 0
@@ -94,8 +93,6 @@
 
 @dataclass(slots=True, eq=False)
 class Join:
-    """One join, from its sending to its outcome."""
-
     server: Server
     sent_us: int
     may_have_run: bool = True
@@ -128,6 +125,10 @@
     return share_left ** -EXPONENT if share_left > 0 else INFINITE
 
 
+def nothing(front: Front, subject: Subscription | Server) -> None:
+    """The effect of a row that only changes state."""
+
+
 class Front:
     """One front's knowledge and decisions."""
 
@@ -136,21 +137,16 @@
         self.effects = effects
         chance = Random(seed)
         self.uniform, self.weighted = chance.choice, chance.choices
-        self.born_us = now_us
-        self.now_us = now_us
+        self.born_us = self.now_us = now_us
         self.servers: dict[str, Server] = {}
         self.racks = [Rack(Pipe(settings.uplink_kb or 1.0)) for _ in range(settings.racks)]
         self.subs: dict[str, Subscription] = {}
         self.seats: dict[tuple[int, RoomType], int] = {}
-        self.taken: deque[int] = deque()
-        self.further: deque[int] = deque()
-        self.asks_failed = 0
-        self.list_is_fresh = False
+        self.taken, self.further = deque[int](), deque[int]()
+        self.asks_failed, self.list_is_fresh = 0, False
         self.typical_watch_us = float(settings.ramp_us)
-        self.offered = 0.0
-        self.mean, self.mean_at_us = 0.5, -1
-        self.kb_per_stream = 0.0
-        self.typical_join_us = min(room.objective_us for room in settings.rooms.values()) / 4
+        self.offered = self.kb_per_stream = self.mean = 0.0
+        self.mean_at_us = -1
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
             JoinEnded: self.on_join_ended, Note: self.on_note, ClientGone: self.on_client_gone,
@@ -162,16 +158,16 @@
 
     def step(self, sub: Subscription, cue: Cue | None) -> None:
         while cue is not None:
-            sub.life, effect = LIVES.get((sub.life, cue), (sub.life, Front.nothing))
+            sub.life, effect = LIVES.get((sub.life, cue), (sub.life, nothing))
             cue = effect(self, sub)
 
     # The door: events name things by id.
 
     def on_request(self, event: Request) -> None:
         self.taken.append(self.now_us)
-        room = self.settings.rooms[event.room]
-        self.offered += (room.benefit * self.settings.ladder_worth[event.top_rung] - self.offered) / 16
-        self.step(self.take(event), Cue.TRY)
+        sub = self.take(event)
+        self.offered += (sub.room.benefit * self.settings.ladder_worth[sub.top] - self.offered) / 16
+        self.step(sub, Cue.TRY)
 
     def take(self, event: Request) -> Subscription:
         cells = frozenset((event.first_cell + i) % self.settings.cells for i in range(event.cell_count))
@@ -188,23 +184,20 @@
         self.count_sent(sub, self.rate(sub, sub.rung))
 
     def on_started(self, event: Started) -> None:
-        if event.id in self.subs:
-            sub = self.subs[event.id]
-            self.typical_join_us += (event.took_us - self.typical_join_us) / 8
+        if sub := self.subs.get(event.id):
             self.judge(sub.server, Outcome.SERVED)
             sub.changed_us = (self.now_us, self.now_us)
             self.step(sub, Cue.STARTED)
 
     def on_client_gone(self, event: ClientGone) -> None:
-        if event.id in self.subs:
-            self.step(self.subs[event.id], Cue.CLIENT_GONE)
+        if sub := self.subs.get(event.id):
+            self.step(sub, Cue.CLIENT_GONE)
 
     def on_join_ended(self, event: JoinEnded) -> None:
         sub = self.subs.get(event.id)
         if sub is None or event.join >= len(sub.joins):
             return
-        join = sub.joins[event.join]
-        playing = sub.life is Life.PLAYING
+        join, playing = sub.joins[event.join], sub.life is Life.PLAYING
         join.may_have_run = event.outcome not in NEVER_RAN
         if event.outcome is Outcome.NOT_SENT and len(sub.joins) > 1 and join.sent_us in self.further:
             self.further.remove(join.sent_us)
@@ -213,7 +206,11 @@
             self.judge(join.server, event.outcome)
         if event.report is not None and not playing:
             # The report that closes a played subscription may be as old as its set-up.
-            self.hear_report(join.server, event.report)
+            as_of_us = self.now_us - self.settings.seen_after_us
+            report, server = event.report, join.server
+            for pipe, asked in ((server.link, report.link), (server.rack.uplink, report.uplink)):
+                if asked is not None:
+                    pipe.hear(asked, as_of_us)
         if playing:
             self.typical_watch_us += (self.now_us - sub.changed_us[0] - self.typical_watch_us) / 8
             # What has ended makes room at once; notes may be late or stay out.
@@ -228,34 +225,38 @@
             self.asks_failed += 1
             # Asking again at once would keep the one list service jammed for every front.
             within = self.settings.ask_within_us or self.settings.ramp_us
-            self.effects.timer(TimerName.ASK_LIST, max(1, within // 8) * min(8, self.asks_failed))
+            self.effects.timer(TimerName.ASK_LIST, max(1, within // 8) * min(4, self.asks_failed))
             return
         self.asks_failed = 0
-        self.list_is_fresh |= event.mode is ListMode.FULL
+        self.list_is_fresh |= event.mode is ListMode.FULL or self.settings.must_ask
         if event.mode is not ListMode.INCREMENTAL:
             for server in self.servers.values():
                 server.listed = False
+        places = sum(self.settings.kind_streams.get(entry.kind, 0) for entry in event.entries)
+        if not self.kb_per_stream and places:
+            self.kb_per_stream = self.settings.all_links_kb / places
         for entry in event.entries:
             self.note_entry(entry)
         for rack in self.racks:
             rack.servers = [s for s in self.servers.values() if s.rack is rack and (s.listed or s.subs)]
-        self.size_links(event.entries)
         if event.mode is ListMode.SAVED:
             # The saved list may be old: a full one is worth one call.
             self.ask_list()
 
     def ask_list(self, _: TimerFired | None = None) -> None:
-        if self.settings.must_ask:
-            self.effects.watch_list()
-        else:
-            self.effects.fetch_list()
+        (self.effects.watch_list if self.settings.must_ask else self.effects.fetch_list)()
 
     def note_entry(self, entry: ListEntry) -> None:
         server = self.servers.get(entry.address)
         if server is None:
             rack = self.racks[entry.cell % self.settings.racks]
-            server = Server(entry.address, entry.zone, entry.cell, rack,
-                            self.settings.kind_streams.get(entry.kind, 0), Pipe(1.0))
+            streams = self.settings.kind_streams.get(entry.kind, 0)
+            size = self.settings.kb_per_weight * entry.weight
+            if not self.settings.sizes_listed:
+                # Where the list tells no sizes, a server's streams tell its part of all the links.
+                size = streams * self.kb_per_stream or size
+            server = Server(entry.address, entry.zone, entry.cell, rack, streams, Pipe(size or 1.0),
+                            entry.started_us)
             self.servers[entry.address] = server
         server.listed = entry.standing is Standing.ACTIVE
         if entry.started_us > server.started_us:
@@ -263,17 +264,6 @@
             server.started_us, server.health, server.strikes = entry.started_us, Health.WELL, 0
             server.link.asked = None
 
-    def size_links(self, entries: tuple[ListEntry, ...]) -> None:
-        """Where the list tells no sizes, a server's streams tell its part of all the links."""
-        places = sum(self.servers[e.address].streams_most for e in entries)
-        if not self.kb_per_stream and places:
-            self.kb_per_stream = self.settings.all_links_kb / places
-        for entry in entries:
-            server = self.servers[entry.address]
-            listed = self.settings.kb_per_weight * entry.weight
-            by_streams = server.streams_most * self.kb_per_stream
-            server.link.size_kb = (listed if self.settings.sizes_listed else by_streams) or listed or 1.0
-
     # Placement: the design's ordinary path.
 
     def place(self, sub: Subscription) -> Cue:
@@ -283,69 +273,65 @@
         holders = [s for s in self.servers.values() if s.cell in sub.cells and self.may_use(sub, s)]
         well = [s for s in holders if self.is_well(s)]
         # Where every holder looks ill, trying one beats turning the viewer away for certain.
-        uplinks_left = {rack: self.uplink_left(rack) for rack in self.racks}
-        found = self.choose(sub, well or holders, uplinks_left)
+        for rack in self.racks:
+            rack.left = self.uplink_left(rack)
+        found = self.choose(sub, well or holders)
         if found is None or found[1] < sub.top:
-            found = self.make_room(sub, well or holders, uplinks_left, found)
+            found = self.make_room(sub, well or holders, found)
         if found is None:
             return without
         self.send_join(sub, *found)
         return Cue.PLACED
 
-    def choose(self, sub: Subscription, holders: list[Server],
-               uplinks_left: dict[Rack, float]) -> tuple[Server, int] | None:
+    def choose(self, sub: Subscription, holders: list[Server]) -> tuple[Server, int] | None:
         home = [s for s in holders if s.zone == self.settings.zone]
-        near, far = self.highest(sub, home, uplinks_left), self.highest(sub, holders, uplinks_left)
+        near, far = self.highest(sub, home), self.highest(sub, holders)
         if near is not None and far is not None:
-            worth = self.settings.ladder_worth
-            gain = worth[far[1]] - worth[near[1]]
             # Crossing zones is priced by the second, so it must earn more than its price.
-            return far if gain * sub.room.benefit > self.crossing_price() else near
+            gain = self.settings.ladder_worth[far[1]] - self.settings.ladder_worth[near[1]]
+            return far if gain * sub.room.benefit > self.crossing(far[0]) else near
         return near or far
 
-    def highest(self, sub: Subscription, holders: list[Server],
-                uplinks_left: dict[Rack, float]) -> tuple[Server, int] | None:
+    def highest(self, sub: Subscription, holders: list[Server]) -> tuple[Server, int] | None:
         for rung in range(sub.top, sub.room.floor - 1, -1):
-            scored = [(s, *self.factors(s, uplinks_left[s.rack], self.rate(sub, rung))) for s in holders]
+            scored = [(s, *self.factors(s, self.rate(sub, rung))) for s in holders]
             feasible = [row for row in scored if row[1] < INFINITE and row[2] < INFINITE]
             if feasible:
                 return self.draw(feasible), rung
         return None
 
-    def factors(self, server: Server, uplink_left: float, kb: float) -> tuple[float, float]:
+    def factors(self, server: Server, kb: float) -> tuple[float, float]:
         """Server UF and network UF of a request for so many kB a second."""
         link = self.link_left(server) - kb / server.link.size_kb
         if server.streams_most:
             link = min(link, (server.streams_most - self.streams(server) - 1) / server.streams_most)
-        return utilization(link), utilization(uplink_left - kb / server.rack.uplink.size_kb)
+        return utilization(link), utilization(server.rack.left - kb / server.rack.uplink.size_kb)
 
     def draw(self, feasible: list[tuple[Server, float, float]]) -> Server:
         if sum(row[2] for row in feasible) > THRESHOLD * sum(row[1] for row in feasible):
             return self.uniform(feasible)[0]
         return self.weighted(feasible, [1 / row[1] for row in feasible])[0][0]
 
-    def crossing_price(self) -> float:
-        return self.settings.cross_zone_price * self.offered
+    def crossing(self, server: Server) -> float:
+        return 0.0 if server.zone == self.settings.zone else self.settings.cross_zone_price * self.offered
 
     # Room made by lowering what earns least: acts only where the ordinary path falls short of the top rung.
 
-    def make_room(self, sub: Subscription, holders: list[Server], uplinks_left: dict[Rack, float],
+    def make_room(self, sub: Subscription, holders: list[Server],
                   found: tuple[Server, int] | None) -> tuple[Server, int] | None:
         worth, benefit = self.settings.ladder_worth, sub.room.benefit
-        base = benefit * worth[found[1]] if found else 0.0
-        if found and found[0].zone != self.settings.zone:
-            base -= self.crossing_price()
+        base = benefit * worth[found[1]] - self.crossing(found[0]) if found else 0.0
         best, best_gain, best_plan = found, 0.0, dict[Subscription, int]()
         for server in holders:
-            if self.now_us < server.link.full_until_us or not self.has_stream(server):
+            full = server.streams_most and self.streams(server) + 1 >= server.streams_most
+            if full or self.now_us < server.link.full_until_us:
                 continue
-            crossing = self.crossing_price() if server.zone != self.settings.zone else 0.0
             others = [other for s in server.rack.servers for other in s.subs if other.life is Life.PLAYING]
             for rung in range(found[1] + 1 if found else sub.room.floor, sub.top + 1):
                 kb = self.rate(sub, rung)
                 plan: dict[Subscription, int] = {}
                 link_short = kb - self.link_left(server) * server.link.size_kb
-                uplink_short = kb - uplinks_left[server.rack] * server.rack.uplink.size_kb
+                uplink_short = kb - server.rack.left * server.rack.uplink.size_kb
                 freed = self.plan_lower(plan, list(server.subs), link_short)
                 if freed < link_short:
                     break
@@ -353,7 +339,7 @@
                     freed += self.plan_lower(plan, others, uplink_short - freed)
                 if freed < uplink_short:
                     break
-                gain = benefit * worth[rung] - crossing - base - sum(
+                gain = benefit * worth[rung] - self.crossing(server) - base - sum(
                     other.room.benefit * (worth[other.rung] - worth[to]
                                           + self.settings.switch_cost_us / self.typical_watch_us)
                     for other, to in plan.items())
@@ -396,7 +382,6 @@
         if asked <= 1 - HOLD_BACK / 2:
             return
         part = 1 - (1 - HOLD_BACK) / asked
-        subs = [sub for server in servers for sub in server.subs]
         if others:
             # The other fronts heard the same and ease alike; waiting to see it would cut twice.
             for server in servers:
@@ -404,6 +389,7 @@
                 for pipe in (server.link, server.rack.uplink):
                     pipe.note_sent(-eased_kb, self.now_us)
         plan: dict[Subscription, int] = {}
+        subs = [sub for server in servers for sub in server.subs]
         self.plan_lower(plan, subs, part * sum(server.own_kb for server in servers))
         self.carry_out(plan)
 
@@ -441,7 +427,7 @@
         return self.mean
 
     def aged(self, pipe: Pipe, own: float) -> float:
-        """A report that stops says ever less of the other fronts; they are then taken to do as this one does."""
+        """A report that stops says ever less of the other fronts: they are taken to do as this one does."""
         normal_us = self.settings.seen_after_us + self.settings.reports_every_us
         over_us = max(0, self.now_us - pipe.as_of_us - normal_us)
         weight = exp(-over_us / self.typical_watch_us)
@@ -461,16 +447,11 @@
 
     def streams(self, server: Server) -> float:
         """Streams in use: this front's own, and others' at this front's mean rate."""
-        if not server.subs:
-            return 0.0
         return len(server.subs) * (1 + self.others_kb(server) / max(server.own_kb, 1.0))
 
     def others_kb(self, server: Server) -> float:
         return max(0.0, self.link_asked(server) * server.link.size_kb - server.own_kb)
 
-    def has_stream(self, server: Server) -> bool:
-        return not server.streams_most or self.streams(server) + 1 < server.streams_most
-
     def rate(self, sub: Subscription, rung: int) -> float:
         return sub.room.scale * self.settings.ladder_kb[rung]
 
@@ -479,23 +460,15 @@
         sub.server.link.note_sent(kb, self.now_us)
         sub.server.rack.uplink.note_sent(kb, self.now_us)
 
-    def hear_report(self, server: Server, report: LoadReport) -> None:
-        link = report.link if report.link is not None else report.util
-        if link is not None:
-            server.link.hear(link, self.now_us - self.settings.seen_after_us)
-        if report.uplink is not None:
-            server.rack.uplink.hear(report.uplink, self.now_us - self.settings.seen_after_us)
-
     def on_note(self, event: Note) -> None:
         sub = self.subs.get(event.id)
         if sub is None or sub.life is not Life.PLAYING:
             return
         server = sub.server
         if event.kind is NoteKind.LINK and sub.noted:
-            # Notes leave a server at a fixed pace, so a longer gap between two is how much later they now come.
-            if server.noted_us:
-                late_us = server.late_us + self.now_us - server.noted_us - self.settings.reports_every_us
-                server.late_us = max(0, late_us)
+            # Notes leave a server at a fixed pace: a longer gap between two is how much later they now come.
+            gap_us = self.now_us - (server.noted_us or self.now_us)
+            server.late_us = max(0, server.late_us + gap_us - self.settings.reports_every_us)
             server.noted_us = self.now_us
         as_of_us = self.now_us - (self.settings.seen_after_us + server.late_us if sub.noted else 0)
         if event.kind is NoteKind.RUNG:
@@ -521,10 +494,10 @@
         asked = self.uplink_asked(rack)
         if not self.settings.uplinks_told:
             rack.asked_kb.append((self.now_us, asked * rack.uplink.size_kb))
-        if not self.settings.uplinks_told and not any(self.now_us < s.link.full_until_us for s in rack.servers):
-            # Unreported, and nothing short behind it: what it is asked for fits.
-            rack.uplink.size_kb *= max(asked, 1.0)
-            return
+            if not any(self.now_us < s.link.full_until_us for s in rack.servers):
+                # Unreported, and nothing short behind it: what it is asked for fits.
+                rack.uplink.size_kb *= max(asked, 1.0)
+                return
         self.ease(asked, rack.servers, others)
 
     def on_short(self, server: Server, delivered: float) -> None:
@@ -571,9 +544,8 @@
 
     def allowance(self, sub: Subscription) -> int:
         """Half of what is left to the join objective, so that another holder can still make it."""
-        left = sub.taken_us + sub.room.objective_us - self.now_us
-        allow = max(left // 2, round(2 * self.typical_join_us))
-        return max(1, min(allow, sub.timeout_us - self.now_us))
+        left_us = sub.taken_us + sub.room.objective_us - self.now_us
+        return max(1, min(max(left_us, sub.room.objective_us // 2) // 2, sub.timeout_us - self.now_us))
 
     # Guards of the rules.
 
@@ -586,9 +558,7 @@
             return False
         if sub.room.effect is Effect.SINGLE_SHOT and any(join.may_have_run for join in sub.joins):
             return False
-        if sub.top < sub.room.floor:
-            return False
-        return not sub.joins or self.in_budget()
+        return sub.top >= sub.room.floor and (not sub.joins or self.in_budget())
 
     def in_budget(self) -> bool:
         if self.settings.budget_free is None:
@@ -606,9 +576,8 @@
             return False
         if self.is_cold(server) and not self.cold_turn(server):
             return False
-        if sub.room.effect is Effect.GUARDED:
-            return all(self.same_scope(sub.room, join, server) for join in sub.joins if join.may_have_run)
-        return True
+        return sub.room.effect is not Effect.GUARDED or all(
+            self.same_scope(sub.room, join, server) for join in sub.joins if join.may_have_run)
 
     def same_scope(self, room: RoomType, join: Join, server: Server) -> bool:
         if self.now_us - join.sent_us >= room.key_ttl_us:
@@ -622,22 +591,21 @@
             return True
         return sub.room.effect is Effect.GUARDED and sub.room.scope is Scope.ALL
 
-    def start_of(self, server: Server) -> int:
-        """Until a full list has come, any server on the saved one may have started just before this front."""
-        return server.started_us if self.list_is_fresh else max(self.born_us, server.started_us)
+    def age_us(self, server: Server) -> int:
+        """Any server on a saved list may have started just before this front did."""
+        return self.now_us - max(server.started_us, 0 if self.list_is_fresh else self.born_us)
 
     def is_cold(self, server: Server) -> bool:
-        start_us = self.start_of(server)
-        return start_us > 0 and self.now_us - start_us < self.settings.ramp_us
+        told = server.started_us or not self.list_is_fresh
+        return bool(told) and self.age_us(server) < self.settings.ramp_us
 
     def cold_turn(self, server: Server) -> bool:
         """Fronts can't agree, so each keeps to its share of the pace, at turns set by its index."""
-        settings = self.settings
-        age = self.now_us - self.start_of(server)
-        warmth = settings.start_capacity + (1 - settings.start_capacity) * age / settings.ramp_us
+        settings, age_us = self.settings, self.age_us(server)
+        warmth = settings.start_capacity + (1 - settings.start_capacity) * age_us / settings.ramp_us
         gap = settings.ramp_us * settings.fronts / (max(1, server.streams_most) * warmth)
         if server.last_cold_join_us is None:
-            return age >= gap * settings.index / settings.fronts
+            return age_us >= gap * settings.index / settings.fronts
         return self.now_us - server.last_cold_join_us >= gap
 
     # Health.
@@ -645,17 +613,13 @@
     def is_well(self, server: Server) -> bool:
         if server.health is Health.SHUT and self.now_us >= server.shut_until_us:
             server.health = Health.TRIAL
-        if server.health is Health.TRIAL:
-            return not any(sub.life is Life.JOINING for sub in server.subs)
-        return server.health is Health.WELL
+        joining = any(sub.life is Life.JOINING for sub in server.subs)
+        return server.health is Health.WELL or (server.health is Health.TRIAL and not joining)
 
     def judge(self, server: Server, outcome: Outcome) -> None:
-        server.health, effect = HEALTH.get((server.health, outcome), (server.health, Front.ignore))
+        server.health, effect = HEALTH.get((server.health, outcome), (server.health, nothing))
         effect(self, server)
 
-    def ignore(self, server: Server) -> None:
-        pass
-
     def forgive(self, server: Server) -> None:
         server.strikes = max(0, server.strikes - 1)
 
@@ -664,18 +628,16 @@
         server.shut_until_us = self.now_us + min(objective * 2 ** (server.strikes + 1), self.settings.ramp_us)
         server.strikes = min(server.strikes + 1, 8)
 
-    def lost(self, server: Server) -> None:
+    def restart(self, server: Server) -> None:
         """Whatever ended it, it may come back cold under its old id before the list says so."""
-        server.started_us = self.now_us
-        server.last_cold_join_us = None
-        server.link.asked = None
+        server.started_us, server.last_cold_join_us, server.link.asked = self.now_us, None, None
+
+    def lost(self, server: Server) -> None:
+        self.restart(server)
         self.pause(server)
 
     # Effects of the lives table.
 
-    def nothing(self, sub: Subscription) -> Cue | None:
-        return None
-
     def forget(self, sub: Subscription) -> Cue | None:
         self.subs.pop(sub.id, None)
         return None
@@ -691,13 +653,13 @@
 
 LIVES: dict[tuple[Life, Cue], tuple[Life, Callable[[Front, Subscription], Cue | None]]] = {
     (Life.WAITING, Cue.TRY): (Life.WAITING, Front.place),
-    (Life.WAITING, Cue.PLACED): (Life.JOINING, Front.nothing),
+    (Life.WAITING, Cue.PLACED): (Life.JOINING, nothing),
     (Life.WAITING, Cue.NO_ROOM): (Life.ENDED, Front.throttle),
     (Life.WAITING, Cue.STUCK): (Life.ENDED, Front.terminate),
-    (Life.JOINING, Cue.STARTED): (Life.PLAYING, Front.nothing),
+    (Life.JOINING, Cue.STARTED): (Life.PLAYING, nothing),
     (Life.JOINING, Cue.FAILED): (Life.WAITING, Front.place),
     (Life.JOINING, Cue.FINISHED): (Life.ENDED, Front.forget),
-    (Life.JOINING, Cue.CLIENT_GONE): (Life.ABANDONED, Front.nothing),
+    (Life.JOINING, Cue.CLIENT_GONE): (Life.ABANDONED, nothing),
     (Life.ABANDONED, Cue.FAILED): (Life.ENDED, Front.forget),
     (Life.ABANDONED, Cue.FINISHED): (Life.ENDED, Front.forget),
     (Life.PLAYING, Cue.FAILED): (Life.ENDED, Front.forget),
@@ -711,6 +673,6 @@
     **{(health, outcome): (Health.SHUT, Front.pause)
        for health in (Health.WELL, Health.TRIAL)
        for outcome in (Outcome.SERVER_ERROR, Outcome.TURNED_AWAY, Outcome.NO_ANSWER)},
-    **{(health, outcome): (Health.SHUT, Front.lost)
+    **{(health, outcome): (Health.SHUT, Front.restart if health is Health.SHUT else Front.lost)
        for health in Health for outcome in (Outcome.NO_CONNECTION, Outcome.CONNECTION_LOST)},
 }
--- a/fennelcove/wirehost/codec.py
+++ b/fennelcove/wirehost/codec.py
@@ -178,7 +178,7 @@
     if len(parts) != len(names):
         raise WireError(f"field Feedback has {len(parts)} values, not {len(names)}")
     values = {name: number({"Feedback": part}, "Feedback") for name, part in zip(names, parts, strict=True)}
-    return LoadReport(values.get("util"), values.get("x0"), values.get("x1"), values.get("inflight"))
+    return LoadReport(values.get("x0", values.get("util")), values.get("x1"))
 
 
 def note(fields: Fields, settings: Settings) -> Note | None:
@@ -307,9 +307,7 @@
         seen_after_us=info.micros("SeenAfterMs"),
         reports_every_us=info.micros("ReportsEveryMs"),
         switch_cost_us=round(info.number("SwitchCostS", 0.0) * 1_000_000),
-        stall=info.number("Stall", 0.0),
         cross_zone_price=prices.number("CrossZone", 0.0),
-        move_price=prices.number("Moves", 0.0),
         send_cap=None if send_cap is None else int(send_cap),
         retry_after_us=allowed.micros("MaxRetryAfterMs") if allowed.tree.get("RetryAfter") else None,
         must_ask=root.text("Discovery", "push") == "ask",
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -20,16 +20,16 @@
     def test_server_takes_its_scarcest_resource(self) -> None:
         made, _ = front()
         server = made.servers["s0"]
-        by_link, _ = made.factors(server, 0.9, 500.0)
+        by_link, _ = made.factors(server, 500.0)
         self.assertAlmostEqual(by_link, (1 - 0.1 - 0.5) ** -0.5)
         server.streams_most = 2
-        self.assertAlmostEqual(made.factors(server, 0.9, 0.0)[0], 0.5 ** -0.5)
+        self.assertAlmostEqual(made.factors(server, 0.0)[0], 0.5 ** -0.5)
 
     def test_network_takes_the_uplink(self) -> None:
         made, _ = front()
         made.racks[0].uplink.hear(0.5, made.now_us)
-        self.assertAlmostEqual(made.uplink_left(made.racks[0]), 0.4)
-        self.assertAlmostEqual(made.factors(made.servers["s0"], 0.4, 250.0)[1], 0.3 ** -0.5)
+        made.racks[0].left = made.uplink_left(made.racks[0])
+        self.assertAlmostEqual(made.factors(made.servers["s0"], 250.0)[1], 0.3 ** -0.5)
 
 
 class DrawTest(unittest.TestCase):
