--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from heapq import heapify, heappop, heapreplace
-from math import exp
+from heapq import heapify, heappop, heappush
+from math import exp, inf
 from random import Random
 
 from fennelcove.interface import (ClientGone, Effect, Effects, Handover, JoinEnded, ListEntry, ListMode,
@@ -25,7 +25,6 @@
 HOLD_BACK = 0.1  # of each size, against the spread of true rates: the design page's pessimism
 MARK_US = 10_000_000  # a short-delivery note marks its link full for so long: the design page
 WHOLE = 0.98  # delivery under this costs benefit: the notes' own bound
-INFINITE = float("inf")
 NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
 
 
@@ -81,7 +80,7 @@
     link: Pipe
     started_us: int
     listed: bool = True
-    last_cold_join_us: int | None = None
+    last_join_us: int | None = None
     health: Health = Health.WELL
     strikes: int = 0
     shut_until_us: int = 0
@@ -100,8 +99,6 @@
 
 @dataclass(slots=True, eq=False)
 class Subscription:
-    """One viewer's request and what became of it."""
-
     id: str
     room: RoomType
     title: int
@@ -122,7 +119,7 @@
 
 def utilization(share_left: float) -> float:
     """UF of one resource: infinite where the room is short."""
-    return share_left ** -EXPONENT if share_left > 0 else INFINITE
+    return share_left ** -EXPONENT if share_left > 0 else inf
 
 
 def nothing(front: Front, subject: Subscription | Server) -> None:
@@ -130,11 +127,8 @@
 
 
 class Front:
-    """One front's knowledge and decisions."""
-
     def __init__(self, settings: Settings, seed: int, effects: Effects, now_us: int) -> None:
-        self.settings = settings
-        self.effects = effects
+        self.settings, self.effects = settings, effects
         chance = Random(seed)
         self.uniform, self.weighted = chance.choice, chance.choices
         self.born_us = self.now_us = now_us
@@ -181,7 +175,6 @@
         sub = self.take(event.request)
         sub.life, sub.noted, sub.changed_us = Life.PLAYING, True, (self.now_us, self.now_us)
         self.open_join(sub, self.servers[event.server])
-        self.count_sent(sub, self.rate(sub, sub.rung))
 
     def on_started(self, event: Started) -> None:
         if sub := self.subs.get(event.id):
@@ -221,13 +214,12 @@
     # The list.
 
     def on_list(self, event: ListUpdate) -> None:
+        self.asks_failed = self.asks_failed + 1 if event.mode is ListMode.FAILED else 0
         if event.mode is ListMode.FAILED:
-            self.asks_failed += 1
             # Asking again at once would keep the one list service jammed for every front.
             within = self.settings.ask_within_us or self.settings.ramp_us
             self.effects.timer(TimerName.ASK_LIST, max(1, within // 8) * min(4, self.asks_failed))
             return
-        self.asks_failed = 0
         self.list_is_fresh |= event.mode is ListMode.FULL or self.settings.must_ask
         if event.mode is not ListMode.INCREMENTAL:
             for server in self.servers.values():
@@ -262,15 +254,14 @@
         if entry.started_us > server.started_us:
             # A process that started anew carries nothing of its last life.
             server.started_us, server.health, server.strikes = entry.started_us, Health.WELL, 0
-            server.link.asked = None
+            server.link.asked = server.last_join_us = None
 
     # Placement: the design's ordinary path.
 
     def place(self, sub: Subscription) -> Cue:
         without = Cue.NO_ROOM if self.may_throttle(sub) else Cue.STUCK
-        if not self.may_join(sub):
-            return without
-        holders = [s for s in self.servers.values() if s.cell in sub.cells and self.may_use(sub, s)]
+        holders = [s for s in self.servers.values()
+                   if s.cell in sub.cells and self.may_use(sub, s)] if self.may_join(sub) else []
         well = [s for s in holders if self.is_well(s)]
         # Where every holder looks ill, trying one beats turning the viewer away for certain.
         for rack in self.racks:
@@ -295,7 +286,7 @@
     def highest(self, sub: Subscription, holders: list[Server]) -> tuple[Server, int] | None:
         for rung in range(sub.top, sub.room.floor - 1, -1):
             scored = [(s, *self.factors(s, self.rate(sub, rung))) for s in holders]
-            feasible = [row for row in scored if row[1] < INFINITE and row[2] < INFINITE]
+            feasible = [row for row in scored if row[1] < inf and row[2] < inf]
             if feasible:
                 return self.draw(feasible), rung
         return None
@@ -303,9 +294,9 @@
     def factors(self, server: Server, kb: float) -> tuple[float, float]:
         """Server UF and network UF of a request for so many kB a second."""
         link = self.link_left(server) - kb / server.link.size_kb
-        if server.streams_most:
-            link = min(link, (server.streams_most - self.streams(server) - 1) / server.streams_most)
-        return utilization(link), utilization(server.rack.left - kb / server.rack.uplink.size_kb)
+        streams = 1 - (self.streams(server) + 1) / server.streams_most if server.streams_most else link
+        uplink = server.rack.left - kb / server.rack.uplink.size_kb
+        return utilization(min(link, streams)), utilization(uplink)
 
     def draw(self, feasible: list[tuple[Server, float, float]]) -> Server:
         if sum(row[2] for row in feasible) > THRESHOLD * sum(row[1] for row in feasible):
@@ -333,11 +324,8 @@
                 link_short = kb - self.link_left(server) * server.link.size_kb
                 uplink_short = kb - server.rack.left * server.rack.uplink.size_kb
                 freed = self.plan_lower(plan, list(server.subs), link_short)
-                if freed < link_short:
-                    break
-                if freed < uplink_short:
-                    freed += self.plan_lower(plan, others, uplink_short - freed)
-                if freed < uplink_short:
+                more = self.plan_lower(plan, others, uplink_short - freed)
+                if freed < link_short or freed + more < uplink_short:
                     break
                 gain = benefit * worth[rung] - self.crossing(server) - base - sum(
                     other.room.benefit * (worth[other.rung] - worth[to]
@@ -355,21 +343,18 @@
                  if sub.life is Life.PLAYING and plan.get(sub, sub.rung) > sub.room.floor]
         heapify(steps)
         while freed < need_kb and steps:
-            _, i, sub = steps[0]
+            _, i, sub = heappop(steps)
             rung = plan.get(sub, sub.rung)
             plan[sub] = rung - 1
             freed += self.rate(sub, rung) - self.rate(sub, rung - 1)
             if rung - 1 > sub.room.floor:
-                heapreplace(steps, (self.earning(sub, rung - 1), i, sub))
-            else:
-                heappop(steps)
+                heappush(steps, (self.earning(sub, rung - 1), i, sub))
         return freed
 
     def earning(self, sub: Subscription, rung: int) -> float:
         """What the step up to this rung earns for each kB a second."""
-        worth = self.settings.ladder_worth
-        return (sub.room.benefit * (worth[rung] - worth[rung - 1])
-                / max(self.rate(sub, rung) - self.rate(sub, rung - 1), 1e-9))
+        more = self.settings.ladder_worth[rung] - self.settings.ladder_worth[rung - 1]
+        return sub.room.benefit * more / max(self.rate(sub, rung) - self.rate(sub, rung - 1), 1e-9)
 
     def carry_out(self, plan: dict[Subscription, int]) -> None:
         for sub, rung in plan.items():
@@ -512,10 +497,9 @@
         seen_us = self.now_us - self.settings.seen_after_us
         while len(rack.asked_kb) > 1 and rack.asked_kb[0][0] < seen_us - 2 * self.settings.seen_after_us:
             rack.asked_kb.popleft()
-        then_kb = max((kb for at_us, kb in rack.asked_kb if at_us <= seen_us), default=0.0)
-        if then_kb:
-            rack.uplink.size_kb = max(1.0, min(rack.uplink.size_kb, then_kb * delivered))
-            self.ease_uplink(rack, self.settings.fronts - 1)
+        then_kb = max((kb for at_us, kb in rack.asked_kb if at_us <= seen_us), default=inf)
+        rack.uplink.size_kb = max(1.0, min(rack.uplink.size_kb, then_kb * delivered))
+        self.ease_uplink(rack, self.settings.fronts - 1)
 
     # Joins.
 
@@ -523,6 +507,7 @@
         sub.joins.append(Join(server, self.now_us))
         server.subs[sub] = None
         self.seats[sub.title, sub.room] = self.seats.get((sub.title, sub.room), 0) + 1
+        self.count_sent(sub, self.rate(sub, sub.rung))
 
     def close_join(self, sub: Subscription, join: Join) -> None:
         join.server.subs.pop(sub, None)
@@ -536,9 +521,7 @@
             self.further.append(self.now_us)
         sub.rung = rung
         self.open_join(sub, server)
-        self.count_sent(sub, self.rate(sub, rung))
-        if self.is_cold(server):
-            server.last_cold_join_us = self.now_us
+        server.last_join_us = self.now_us
         self.effects.set_rung(sub.id, rung)
         self.effects.join(sub.id, server.address, self.allowance(sub))
 
@@ -580,11 +563,9 @@
             self.same_scope(sub.room, join, server) for join in sub.joins if join.may_have_run)
 
     def same_scope(self, room: RoomType, join: Join, server: Server) -> bool:
-        if self.now_us - join.sent_us >= room.key_ttl_us:
-            return False
-        if room.scope is Scope.ZONE:
-            return join.server.zone == server.zone
-        return room.scope is Scope.ALL or join.server.cell == server.cell
+        same = {Scope.ALL: True, Scope.ZONE: join.server.zone == server.zone,
+                Scope.CELL: join.server.cell == server.cell}
+        return same[room.scope] and self.now_us - join.sent_us < room.key_ttl_us
 
     def may_throttle(self, sub: Subscription) -> bool:
         if sub.room.effect is Effect.FREE or not any(join.may_have_run for join in sub.joins):
@@ -596,17 +577,17 @@
         return self.now_us - max(server.started_us, 0 if self.list_is_fresh else self.born_us)
 
     def is_cold(self, server: Server) -> bool:
-        told = server.started_us or not self.list_is_fresh
-        return bool(told) and self.age_us(server) < self.settings.ramp_us
+        long_warm = self.list_is_fresh and not server.started_us
+        return not long_warm and self.age_us(server) < self.settings.ramp_us
 
     def cold_turn(self, server: Server) -> bool:
         """Fronts can't agree, so each keeps to its share of the pace, at turns set by its index."""
         settings, age_us = self.settings, self.age_us(server)
         warmth = settings.start_capacity + (1 - settings.start_capacity) * age_us / settings.ramp_us
         gap = settings.ramp_us * settings.fronts / (max(1, server.streams_most) * warmth)
-        if server.last_cold_join_us is None:
+        if server.last_join_us is None:
             return age_us >= gap * settings.index / settings.fronts
-        return self.now_us - server.last_cold_join_us >= gap
+        return self.now_us - server.last_join_us >= gap
 
     # Health.
 
@@ -630,7 +611,7 @@
 
     def restart(self, server: Server) -> None:
         """Whatever ended it, it may come back cold under its old id before the list says so."""
-        server.started_us, server.last_cold_join_us, server.link.asked = self.now_us, None, None
+        server.started_us, server.last_join_us, server.link.asked = self.now_us, None, None
 
     def lost(self, server: Server) -> None:
         self.restart(server)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,18 +4,19 @@
 
 import unittest
 from collections import Counter
+from math import inf
 
 from fennelcove.interface import (ClientGone, Effect, Handover, ListMode, ListUpdate, NoteKind, Outcome,
                                   Request, Scope, Standing, TimerFired, TimerName)
-from fennelcove.rules import INFINITE, Cue, Health, Life, Pipe, utilization
+from fennelcove.rules import Cue, Health, Life, Pipe, utilization
 from tests.helpers import SECOND, ask, end, entry, front, note, play
 
 
 class UtilizationTest(unittest.TestCase):
     def test_falls_with_room_and_is_infinite_when_short(self) -> None:
         self.assertEqual(utilization(0.25), 2.0)
-        self.assertEqual(utilization(0.0), INFINITE)
-        self.assertEqual(utilization(-0.1), INFINITE)
+        self.assertEqual(utilization(0.0), inf)
+        self.assertEqual(utilization(-0.1), inf)
 
     def test_server_takes_its_scarcest_resource(self) -> None:
         made, _ = front()
