--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -86,8 +86,6 @@
     shut_until_us: int = 0
     subs: dict[Subscription, None] = field(default_factory=dict)
     own_kb: float = 0.0
-    noted_us: int = 0
-    late_us: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -197,13 +195,6 @@
         self.close_join(sub, join)
         if not playing or event.outcome is Outcome.CONNECTION_LOST:
             self.judge(join.server, event.outcome)
-        if event.report is not None and not playing:
-            # The report that closes a played subscription may be as old as its set-up.
-            as_of_us = self.now_us - self.settings.seen_after_us
-            report, server = event.report, join.server
-            for pipe, asked in ((server.link, report.link), (server.rack.uplink, report.uplink)):
-                if asked is not None:
-                    pipe.hear(asked, as_of_us)
         if playing:
             self.typical_watch_us += (self.now_us - sub.changed_us[0] - self.typical_watch_us) / 8
             # What has ended makes room at once; notes may be late or stay out.
@@ -450,12 +441,7 @@
         if sub is None or sub.life is not Life.PLAYING:
             return
         server = sub.server
-        if event.kind is NoteKind.LINK and sub.noted:
-            # Notes leave a server at a fixed pace: a longer gap between two is how much later they now come.
-            gap_us = self.now_us - (server.noted_us or self.now_us)
-            server.late_us = max(0, server.late_us + gap_us - self.settings.reports_every_us)
-            server.noted_us = self.now_us
-        as_of_us = self.now_us - (self.settings.seen_after_us + server.late_us if sub.noted else 0)
+        as_of_us = self.now_us - (self.settings.seen_after_us if sub.noted else 0)
         if event.kind is NoteKind.RUNG:
             old, sub.rung = sub.rung, int(event.level)
             self.count_sent(sub, self.rate(sub, sub.rung) - self.rate(sub, old))
@@ -511,8 +497,6 @@
 
     def close_join(self, sub: Subscription, join: Join) -> None:
         join.server.subs.pop(sub, None)
-        if not join.server.subs:
-            join.server.noted_us = join.server.late_us = 0
         self.seats[sub.title, sub.room] -= 1
         self.count_sent(sub, -self.rate(sub, sub.rung))
 
