While reports stay out, take what is asked from the share delivered

Also meant for reports that lag or lie low for long; it may hurt where delivery falls short for another reason than load.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -473,19 +473,24 @@
 
     def on_short(self, server: Server, delivered: float) -> None:
         server.link.full_until_us = self.now_us + MARK_US
-        rack = server.rack
+        rack, seen_us, others = server.rack, self.now_us - self.settings.seen_after_us, self.settings.fronts - 1
         held = [s for s in rack.servers if s.subs and (s.link.asked or 0.0) < 1 - HOLD_BACK]
         short = [s for s in held if self.now_us < s.link.full_until_us]
-        if self.settings.uplinks_told or server not in short or len(short) <= max(1, len(held) // 2):
+        # Links with room fall short together: it is their uplink.
+        together = server in short and len(short) > max(1, len(held) // 2)
+        if together and not self.settings.uplinks_told:
+            # Its true size is what gets through, held against the most that was asked at the note's own time.
+            while len(rack.asked_kb) > 1 and rack.asked_kb[0][0] < seen_us - 2 * self.settings.seen_after_us:
+                rack.asked_kb.popleft()
+            then_kb = max((kb for at_us, kb in rack.asked_kb if at_us <= seen_us), default=inf)
+            rack.uplink.size_kb = max(1.0, min(rack.uplink.size_kb, then_kb * delivered))
+            self.ease_uplink(rack, others)
             return
-        # Links with room fall short together: it is their uplink, and its true size is what gets through.
-        # A note is as old as it is late, so it is held against the most that was asked at that time.
-        seen_us = self.now_us - self.settings.seen_after_us
-        while len(rack.asked_kb) > 1 and rack.asked_kb[0][0] < seen_us - 2 * self.settings.seen_after_us:
-            rack.asked_kb.popleft()
-        then_kb = max((kb for at_us, kb in rack.asked_kb if at_us <= seen_us), default=inf)
-        rack.uplink.size_kb = max(1.0, min(rack.uplink.size_kb, then_kb * delivered))
-        self.ease_uplink(rack, self.settings.fronts - 1)
+        pipe = rack.uplink if together else server.link
+        if pipe.as_of_us < seen_us - self.settings.reports_every_us:
+            # Reports stay out, and what is delivered tells what is asked.
+            pipe.hear(1 / max(delivered, HOLD_BACK), seen_us)
+            self.ease(1 / max(delivered, HOLD_BACK), rack.servers if together else [server], others)
 
     # Joins.
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -128,6 +128,14 @@
 
 
 class RungChangeTest(unittest.TestCase):
+    def test_short_delivery_counts_as_a_report_while_reports_stay_out(self) -> None:
+        made, _ = front(1)
+        play(made)
+        note(made, NoteKind.DELIVERED, 0.8)
+        self.assertEqual(made.subs["a"].rung, 2)  # the report is young: it decides
+        note(made, NoteKind.DELIVERED, 0.8, after=6 * SECOND)
+        self.assertLess(made.subs["a"].rung, 2)
+
     def test_full_link_lowers_what_plays(self) -> None:
         made, effects = front(1)
         play(made)
