--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -257,25 +257,35 @@
         # Where every holder looks ill, trying one beats turning the viewer away for certain.
         for rack in self.racks:
             rack.left = self.uplink_left(rack)
-        found = self.choose(sub, well or holders)
-        if found is None or found[1] < sub.top:
-            found = self.make_room(sub, well or holders, found)
+        top = self.rationed_top(sub, well or holders)
+        found = self.choose(sub, top, well or holders)
+        if found is None or found[1] < top:
+            found = self.make_room(sub, top, well or holders, found)
         if found is None:
             return without
         self.send_join(sub, *found)
         return Cue.PLACED
 
-    def choose(self, sub: Subscription, holders: list[Server]) -> tuple[Server, int] | None:
+    def rationed_top(self, sub: Subscription, holders: list[Server]) -> int:
+        """While subscriptions playing there wait for steps earning twice as much, newcomers do without."""
+        wanted = max((self.earning(other, other.rung + 1) for server in holders for other in server.subs
+                      if other.life is Life.PLAYING and other.rung < other.top), default=0.0)
+        top = sub.top
+        while top > sub.room.floor and self.earning(sub, top) < wanted / 2:
+            top -= 1
+        return top
+
+    def choose(self, sub: Subscription, top: int, holders: list[Server]) -> tuple[Server, int] | None:
         home = [s for s in holders if s.zone == self.settings.zone]
-        near, far = self.highest(sub, home), self.highest(sub, holders)
+        near, far = self.highest(sub, top, home), self.highest(sub, top, holders)
         if near is not None and far is not None:
             # Crossing zones is priced by the second, so it must earn more than its price.
             gain = self.settings.ladder_worth[far[1]] - self.settings.ladder_worth[near[1]]
             return far if gain * sub.room.benefit > self.crossing(far[0]) else near
         return near or far
 
-    def highest(self, sub: Subscription, holders: list[Server]) -> tuple[Server, int] | None:
-        for rung in range(sub.top, sub.room.floor - 1, -1):
+    def highest(self, sub: Subscription, top: int, holders: list[Server]) -> tuple[Server, int] | None:
+        for rung in range(top, sub.room.floor - 1, -1):
             scored = [(s, *self.factors(s, self.rate(sub, rung))) for s in holders]
             feasible = [row for row in scored if row[1] < inf and row[2] < inf]
             if feasible:
@@ -299,7 +309,7 @@
 
     # Room made by lowering what earns least: acts only where the ordinary path falls short of the top rung.
 
-    def make_room(self, sub: Subscription, holders: list[Server],
+    def make_room(self, sub: Subscription, top: int, holders: list[Server],
                   found: tuple[Server, int] | None) -> tuple[Server, int] | None:
         worth, benefit = self.settings.ladder_worth, sub.room.benefit
         base = benefit * worth[found[1]] - self.crossing(found[0]) if found else 0.0
@@ -309,7 +319,7 @@
             if full or self.now_us < server.link.full_until_us:
                 continue
             others = [other for s in server.rack.servers for other in s.subs if other.life is Life.PLAYING]
-            for rung in range(found[1] + 1 if found else sub.room.floor, sub.top + 1):
+            for rung in range(found[1] + 1 if found else sub.room.floor, top + 1):
                 kb = self.rate(sub, rung)
                 plan: dict[Subscription, int] = {}
                 link_short = kb - self.link_left(server) * server.link.size_kb
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -67,6 +67,13 @@
         ask(made)
         self.assertEqual(effects.calls, [("throttle", "a", 2 * SECOND)])
 
+    def test_newcomer_leaves_out_steps_when_others_wait_for_better_ones(self) -> None:
+        made, effects = front(1, ladder_worth=(0.5, 0.9, 1.0))
+        play(made)
+        made.subs["a"].rung = 0
+        ask(made, "b")
+        self.assertEqual(effects.named("set_rung")[-1], ("set_rung", "b", 1))
+
     def test_crosses_zones_only_for_more_than_the_price(self) -> None:
         for price, zone in ((0.2, "there"), (0.9, "here")):
             made, effects = front(2, cross_zone_price=price)
