--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -365,7 +365,7 @@
 
     def ease(self, asked: float, servers: list[Server], others: int) -> None:
         """Short delivery costs more than a rung, so this front takes its own share of the excess off."""
-        if asked <= 1 - HOLD_BACK / 2:
+        if asked <= 1:
             return
         part = 1 - (1 - HOLD_BACK) / asked
         if others:
@@ -483,7 +483,8 @@
 
     def on_short(self, server: Server, delivered: float) -> None:
         server.link.full_until_us = self.now_us + MARK_US
-        rack, seen_us, others = server.rack, self.now_us - self.settings.seen_after_us, self.settings.fronts - 1
+        rack, others = server.rack, self.settings.fronts - 1
+        seen_us = self.now_us - self.settings.seen_after_us
         held = [s for s in rack.servers if s.subs and (s.link.asked or 0.0) < 1 - HOLD_BACK]
         short = [s for s in held if self.now_us < s.link.full_until_us]
         # Links with room fall short together: it is their uplink.
