--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -108,7 +108,7 @@
     rung: int = 0
     joins: list[Join] = field(default_factory=list)
     noted: bool = False
-    changed_us: tuple[int, int] = (0, 0)  # when it started to play, and its last change of rung
+    started_us: int = 0
 
     @property
     def server(self) -> Server:
@@ -171,13 +171,13 @@
 
     def on_handover(self, event: Handover) -> None:
         sub = self.take(event.request)
-        sub.life, sub.noted, sub.changed_us = Life.PLAYING, True, (self.now_us, self.now_us)
+        sub.life, sub.noted, sub.started_us = Life.PLAYING, True, self.now_us
         self.open_join(sub, self.servers[event.server])
 
     def on_started(self, event: Started) -> None:
         if sub := self.subs.get(event.id):
             self.judge(sub.server, Outcome.SERVED)
-            sub.changed_us = (self.now_us, self.now_us)
+            sub.started_us = self.now_us
             self.step(sub, Cue.STARTED)
 
     def on_client_gone(self, event: ClientGone) -> None:
@@ -196,7 +196,7 @@
         if not playing or event.outcome is Outcome.CONNECTION_LOST:
             self.judge(join.server, event.outcome)
         if playing:
-            self.typical_watch_us += (self.now_us - sub.changed_us[0] - self.typical_watch_us) / 8
+            self.typical_watch_us += (self.now_us - sub.started_us - self.typical_watch_us) / 8
             # What has ended makes room at once; notes may be late or stay out.
             for server in join.server.rack.servers:
                 self.lift(server, 0)
@@ -360,7 +360,7 @@
     def carry_out(self, plan: dict[Subscription, int]) -> None:
         for sub, rung in plan.items():
             self.count_sent(sub, self.rate(sub, rung) - self.rate(sub, sub.rung))
-            sub.rung, sub.changed_us = rung, (sub.changed_us[0], self.now_us)
+            sub.rung = rung
             self.effects.set_rung(sub.id, rung)
 
     def ease(self, asked: float, servers: list[Server], others: int) -> None:
@@ -385,8 +385,7 @@
         link_kb = (self.link_left(server) - HOLD_BACK) * server.link.size_kb * share
         uplink_kb = (self.uplink_left(server.rack) - HOLD_BACK) * server.rack.uplink.size_kb * share
         ready = [(self.earning(sub, sub.rung + 1), i, sub) for i, sub in enumerate(server.subs)
-                 if sub.life is Life.PLAYING and sub.rung < sub.top
-                 and self.now_us - sub.changed_us[1] > self.settings.reports_every_us]
+                 if sub.life is Life.PLAYING and sub.rung < sub.top]
         plan: dict[Subscription, int] = {}
         for _, _, sub in sorted(ready, reverse=True):
             more = self.rate(sub, sub.rung + 1) - self.rate(sub, sub.rung)
