--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -23,6 +23,8 @@
 EXPONENT = 0.5  # n of the design page
 THRESHOLD = 1.0  # r of the design page
 HOLD_BACK = 0.1  # of each size, against the spread of true rates: the design page's pessimism
+LIFT_MARGIN = 1.5 * HOLD_BACK  # left free beyond it when raising, or rungs flutter past the page's 3 steps
+CHANGES = 4  # a step lowered for a newcomer is raised again and drags others along
 MARK_US = 10_000_000  # a short-delivery note marks its link full for so long: the design page
 WHOLE = 0.98  # delivery under this costs benefit: the notes' own bound
 NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
@@ -330,7 +332,7 @@
                     break
                 gain = benefit * worth[rung] - self.crossing(server) - base - sum(
                     other.room.benefit * (worth[other.rung] - worth[to]
-                                          + self.settings.switch_cost_us / self.typical_watch_us)
+                                          + CHANGES * self.settings.switch_cost_us / self.typical_watch_us)
                     for other, to in plan.items())
                 if gain > best_gain:
                     best, best_gain, best_plan = (server, rung), gain, plan
@@ -382,8 +384,8 @@
     def lift(self, server: Server, others: int) -> None:
         """Lasting room goes to the steps that earn most, a front's share of it at a time."""
         share = 1 / self.settings.fronts
-        link_kb = (self.link_left(server) - HOLD_BACK) * server.link.size_kb * share
-        uplink_kb = (self.uplink_left(server.rack) - HOLD_BACK) * server.rack.uplink.size_kb * share
+        link_kb = (self.link_left(server) - LIFT_MARGIN) * server.link.size_kb * share
+        uplink_kb = (self.uplink_left(server.rack) - LIFT_MARGIN) * server.rack.uplink.size_kb * share
         ready = [(self.earning(sub, sub.rung + 1), i, sub) for i, sub in enumerate(server.subs)
                  if sub.life is Life.PLAYING and sub.rung < sub.top]
         plan: dict[Subscription, int] = {}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -168,7 +168,7 @@
         self.assertEqual(made.subs["a"].rung, 1)
 
     def test_room_is_made_by_lowering_what_earns_less(self) -> None:
-        made, _ = front(1, all_links_kb=1000.0)
+        made, _ = front(1, all_links_kb=1000.0, switch_cost_us=SECOND // 10)
         play(made)
         made.servers["s0"].link.hear(0.85, made.now_us)
         ask(made, "b")
