--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -66,7 +66,6 @@
 class Rack:
     uplink: Pipe
     servers: list[Server] = field(default_factory=list)
-    asked_kb: deque[tuple[int, float]] = field(default_factory=deque)  # where the uplink is not reported
     left: float = 0.0  # the uplink's residue for the request in hand
 
 
@@ -474,12 +473,11 @@
 
     def ease_uplink(self, rack: Rack, others: int) -> None:
         asked = self.uplink_asked(rack)
-        if not self.settings.uplinks_told:
-            rack.asked_kb.append((self.now_us, asked * rack.uplink.size_kb))
-            if not any(self.now_us < s.link.full_until_us for s in rack.servers):
-                # Unreported, and nothing short behind it: what it is asked for fits.
-                rack.uplink.size_kb *= max(asked, 1.0)
-                return
+        short = any(self.now_us < s.link.full_until_us for s in rack.servers)
+        if not self.settings.uplinks_told and not short:
+            # Unreported, and nothing short behind it: what it is asked for fits.
+            rack.uplink.size_kb *= max(asked, 1.0)
+            return
         self.ease(asked, rack.servers, others)
 
     def on_short(self, server: Server, delivered: float) -> None:
@@ -490,17 +488,9 @@
         short = [s for s in held if self.now_us < s.link.full_until_us]
         # Links with room fall short together: it is their uplink.
         together = server in short and len(short) > max(1, len(held) // 2)
-        if together and not self.settings.uplinks_told:
-            # Its true size is what gets through, held against the most that was asked at the note's own time.
-            while len(rack.asked_kb) > 1 and rack.asked_kb[0][0] < seen_us - 2 * self.settings.seen_after_us:
-                rack.asked_kb.popleft()
-            then_kb = max((kb for at_us, kb in rack.asked_kb if at_us <= seen_us), default=inf)
-            rack.uplink.size_kb = max(1.0, min(rack.uplink.size_kb, then_kb * delivered))
-            self.ease_uplink(rack, others)
-            return
         pipe = rack.uplink if together else server.link
         if pipe.as_of_us < seen_us - self.settings.reports_every_us:
-            # Reports stay out, and what is delivered tells what is asked.
+            # Reports stay out, or never come, and what is delivered tells what is asked.
             pipe.hear(1 / max(delivered, HOLD_BACK), seen_us)
             self.ease(1 / max(delivered, HOLD_BACK), rack.servers if together else [server], others)
 
