--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -101,7 +101,7 @@
     id: str
     room: RoomType
     title: int
-    cells: frozenset[int]
+    cells: tuple[int, ...]
     top: int
     taken_us: int
     timeout_us: int
@@ -133,6 +133,9 @@
         self.born_us = self.now_us = now_us
         self.servers: dict[str, Server] = {}
         self.racks = [Rack(Pipe(settings.uplink_kb or 1.0)) for _ in range(settings.racks)]
+        # A request must cost what its holders cost, not the fleet; so must a note.
+        self.holders: dict[int, list[Server]] = {}
+        self.met: dict[Server, None] = {}
         self.subs: dict[str, Subscription] = {}
         self.seats: dict[tuple[int, RoomType], int] = {}
         self.taken, self.further = deque[int](), deque[int]()
@@ -163,7 +166,8 @@
         self.step(sub, Cue.TRY)
 
     def take(self, event: Request) -> Subscription:
-        cells = frozenset((event.first_cell + i) % self.settings.cells for i in range(event.cell_count))
+        cells = tuple((event.first_cell + i) % self.settings.cells
+                      for i in range(min(event.cell_count, self.settings.cells)))
         room = self.settings.rooms[event.room]
         sub = Subscription(event.id, room, event.title, cells, event.top_rung, self.now_us,
                            self.now_us + event.timeout_us, rung=min(room.floor, event.top_rung))
@@ -222,7 +226,10 @@
         for entry in event.entries:
             self.note_entry(entry)
         for rack in self.racks:
-            rack.servers = [s for s in self.servers.values() if s.rack is rack and (s.listed or s.subs)]
+            rack.servers.clear()
+        for server in self.servers.values():
+            if server.listed or server.subs:
+                server.rack.servers.append(server)
         if event.mode is ListMode.SAVED:
             # The saved list may be old: a full one is worth one call.
             self.ask_list()
@@ -242,6 +249,7 @@
             server = Server(entry.address, entry.zone, entry.cell, rack, streams, Pipe(size or 1.0),
                             entry.started_us)
             self.servers[entry.address] = server
+            self.holders.setdefault(entry.cell, []).append(server)
         server.listed = entry.standing is Standing.ACTIVE
         if entry.started_us > server.started_us:
             # A process that started anew carries nothing of its last life.
@@ -252,11 +260,11 @@
 
     def place(self, sub: Subscription) -> Cue:
         without = Cue.NO_ROOM if self.may_throttle(sub) else Cue.STUCK
-        holders = [s for s in self.servers.values()
-                   if s.cell in sub.cells and self.may_use(sub, s)] if self.may_join(sub) else []
+        holders = [server for cell in sub.cells for server in self.holders.get(cell, ())
+                   if self.may_use(sub, server)] if self.may_join(sub) else []
         well = [s for s in holders if self.is_well(s)]
         # Where every holder looks ill, trying one beats turning the viewer away for certain.
-        for rack in self.racks:
+        for rack in dict.fromkeys(server.rack for server in holders):
             rack.left = self.uplink_left(rack)
         top = self.rationed_top(sub, well or holders)
         found = self.choose(sub, top, well or holders)
@@ -406,7 +414,7 @@
 
     def mean_asked(self) -> float:
         if self.mean_at_us != self.now_us:
-            links = [s.link for s in self.servers.values() if s.listed and s.link.asked is not None]
+            links = [s.link for s in self.met if s.listed and s.link.asked is not None]
             # With nothing heard a residue may be anything: the paper's OPT takes the middle.
             mean = sum(link.asked_now() for link in links) / len(links) if links else 0.5
             self.mean, self.mean_at_us = mean, self.now_us
@@ -499,6 +507,7 @@
     def open_join(self, sub: Subscription, server: Server) -> None:
         sub.joins.append(Join(server, self.now_us))
         server.subs[sub] = None
+        self.met[server] = None
         self.seats[sub.title, sub.room] = self.seats.get((sub.title, sub.room), 0) + 1
         self.count_sent(sub, self.rate(sub, sub.rung))
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -43,6 +43,7 @@
     made.now_us = 100 * SECOND if warm else 0
     for server in made.servers.values():
         server.link.hear(0.0, made.now_us)
+        made.met[server] = None
     effects.calls.clear()
     return made, effects
 
