A front's share of room or excess is its share of what is asked; chance rounds steps

The share is now the front's part of what the link or uplink is asked, and a step larger than it is taken by chance, so that the sum of all fronts is right at any number.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -129,7 +129,7 @@
     def __init__(self, settings: Settings, seed: int, effects: Effects, now_us: int) -> None:
         self.settings, self.effects = settings, effects
         chance = Random(seed)
-        self.uniform, self.weighted = chance.choice, chance.choices
+        self.uniform, self.weighted, self.chance = chance.choice, chance.choices, chance.random
         self.born_us = self.now_us = now_us
         self.servers: dict[str, Server] = {}
         self.racks = [Rack(Pipe(settings.uplink_kb or 1.0)) for _ in range(settings.racks)]
@@ -346,8 +346,12 @@
         self.carry_out(best_plan)
         return best
 
-    def plan_lower(self, plan: dict[Subscription, int], subs: list[Subscription], need_kb: float) -> float:
-        """Lower the steps that earn least for their rate until enough is free; what was freed."""
+    def plan_lower(self, plan: dict[Subscription, int], subs: list[Subscription], need_kb: float,
+                   least: float = 0.0) -> float:
+        """Lower the steps that earn least for their rate until enough is free; what was freed.
+
+        The last step is left out where the need covers less than this part of it.
+        """
         freed = 0.0
         steps = [(self.earning(sub, plan.get(sub, sub.rung)), i, sub) for i, sub in enumerate(subs)
                  if sub.life is Life.PLAYING and plan.get(sub, sub.rung) > sub.room.floor]
@@ -355,8 +359,11 @@
         while freed < need_kb and steps:
             _, i, sub = heappop(steps)
             rung = plan.get(sub, sub.rung)
+            step_kb = self.rate(sub, rung) - self.rate(sub, rung - 1)
+            if need_kb - freed < least * step_kb:
+                break
             plan[sub] = rung - 1
-            freed += self.rate(sub, rung) - self.rate(sub, rung - 1)
+            freed += step_kb
             if rung - 1 > sub.room.floor:
                 heappush(steps, (self.earning(sub, rung - 1), i, sub))
         return freed
@@ -385,24 +392,31 @@
                     pipe.note_sent(-eased_kb, self.now_us)
         plan: dict[Subscription, int] = {}
         subs = [sub for server in servers for sub in server.subs]
-        self.plan_lower(plan, subs, part * sum(server.own_kb for server in servers))
+        # Where a front holds little, a step is more than its part: chance keeps the sum of all fronts right.
+        self.plan_lower(plan, subs, part * sum(server.own_kb for server in servers), self.chance())
         self.carry_out(plan)
 
     def lift(self, server: Server, others: int) -> None:
-        """Lasting room goes to the steps that earn most, a front's share of it at a time."""
-        share = 1 / self.settings.fronts
-        link_kb = (self.link_left(server) - LIFT_MARGIN) * server.link.size_kb * share
-        uplink_kb = (self.uplink_left(server.rack) - LIFT_MARGIN) * server.rack.uplink.size_kb * share
+        """Lasting room goes to the steps that earn most; a front's share of it is its share of what is asked."""
+        link, uplink, own_kb = server.link, server.rack.uplink, server.own_kb
+        link_kb = (self.link_left(server) - LIFT_MARGIN) * link.size_kb
+        uplink_kb = (self.uplink_left(server.rack) - LIFT_MARGIN) * uplink.size_kb
+        link_share = own_kb / max(own_kb + self.others_kb(server), 1.0)
+        uplink_share = own_kb / max(own_kb, self.uplink_asked(server.rack) * uplink.size_kb, 1.0)
+        room_kb, budget_kb = min(link_kb, uplink_kb), min(link_kb * link_share, uplink_kb * uplink_share)
         ready = [(self.earning(sub, sub.rung + 1), i, sub) for i, sub in enumerate(server.subs)
                  if sub.life is Life.PLAYING and sub.rung < sub.top]
         plan: dict[Subscription, int] = {}
+        spent_kb, least = 0.0, self.chance()
         for _, _, sub in sorted(ready, reverse=True):
             more = self.rate(sub, sub.rung + 1) - self.rate(sub, sub.rung)
-            if more < min(link_kb, uplink_kb):
+            if more < room_kb - spent_kb and least * more < budget_kb - spent_kb:
+                # A step may be more than the share: then chance decides which front takes it.
                 plan[sub] = sub.rung + 1
-                link_kb, uplink_kb = link_kb - more, uplink_kb - more
-                for pipe in (server.link, server.rack.uplink):
-                    pipe.note_sent(more * others, self.now_us)
+                spent_kb += more
+        if others and spent_kb:
+            for pipe in (link, uplink):
+                pipe.note_sent(min(spent_kb, budget_kb) * self.others_kb(server) / own_kb, self.now_us)
         self.carry_out(plan)
 
     # Residue.
