--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -435,11 +435,12 @@
         return self.mean
 
     def aged(self, pipe: Pipe, own: float) -> float:
-        """A report that stops says ever less of the other fronts: they are taken to do as this one does."""
+        """A report that stops says ever less of the other fronts: they are taken to ask the average."""
         normal_us = self.settings.seen_after_us + self.settings.reports_every_us
         over_us = max(0, self.now_us - pipe.as_of_us - normal_us)
         weight = exp(-over_us / self.typical_watch_us)
-        return weight * pipe.asked_now() + (1 - weight) * min(1.0, own * self.settings.fronts)
+        others = self.mean_asked() * (1 - 1 / self.settings.fronts)
+        return weight * pipe.asked_now() + (1 - weight) * min(1.0, own + others)
 
     def link_asked(self, server: Server) -> float:
         own = server.own_kb / server.link.size_kb
