Hear the report in a failed join's answer

The report in such an answer is now heard, as old as a note. May hurt where reports run late by more than notes do.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -15,8 +15,8 @@
 from random import Random
 
 from fennelcove.interface import (ClientGone, Effect, Effects, Handover, JoinEnded, ListEntry, ListMode,
-                                  ListUpdate, Note, NoteKind, Outcome, Request, RoomType, Scope,
-                                  Settings, Standing, Started, TimerFired, TimerName)
+                                  ListUpdate, LoadReport, Note, NoteKind, Outcome, Request, RoomType,
+                                  Scope, Settings, Standing, Started, TimerFired, TimerName)
 
 Event = ListUpdate | Request | Handover | Started | JoinEnded | Note | ClientGone | TimerFired
 
@@ -200,6 +200,9 @@
         self.close_join(sub, join)
         if not playing or event.outcome is Outcome.CONNECTION_LOST:
             self.judge(join.server, event.outcome)
+        if event.report and not playing:
+            # Among many fronts most servers hold none of this one's subscriptions: their answers are all it hears.
+            self.hear_report(join, event.report)
         if playing:
             self.typical_watch_us += (self.now_us - sub.started_us - self.typical_watch_us) / 8
             # What has ended makes room at once; notes may be late or stay out.
@@ -207,6 +210,12 @@
                 self.lift(server, 0)
         self.step(sub, Cue.FINISHED if event.finished else Cue.FAILED)
 
+    def hear_report(self, join: Join, report: LoadReport) -> None:
+        """What a failed join's answer tells; taken to be as old as a note, so that young notes stand against it."""
+        for pipe, asked in ((join.server.link, report.link), (join.server.rack.uplink, report.uplink)):
+            if asked is not None:
+                pipe.hear(asked, join.sent_us - self.settings.seen_after_us)
+
     # The list.
 
     def on_list(self, event: ListUpdate) -> None:
