Count only told links in an uplink; one short link with room blames it

At size a front hears one link of a rack of nine, and guesses at the others filled uplinks that had room (size growing by each guess hid part of it) while a really short uplink was never blamed, because two short links were asked for. Now an uplink that nothing told of counts what its links were told to be asked and this front's own rates; its size grows only by that; and a short link with room is enough to blame it where it is all that is heard. Also meets late reports and fresh fronts; may hurt where a link gives less than its report says, which blames an uplink that has room.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -131,6 +131,7 @@
         chance = Random(seed)
         self.uniform, self.weighted, self.chance = chance.choice, chance.choices, chance.random
         self.born_us = self.now_us = now_us
+        self.normal_us = settings.seen_after_us + settings.reports_every_us
         self.servers: dict[str, Server] = {}
         self.racks = [Rack(Pipe(settings.uplink_kb or 1.0)) for _ in range(settings.racks)]
         # A request must cost what its holders cost, not the fleet; so must a note.
@@ -445,12 +446,14 @@
 
     def aged(self, pipe: Pipe, own: float) -> float:
         """A report that stops says ever less of the other fronts: they are taken to ask the average."""
-        normal_us = self.settings.seen_after_us + self.settings.reports_every_us
-        over_us = max(0, self.now_us - pipe.as_of_us - normal_us)
+        over_us = max(0, self.now_us - pipe.as_of_us - self.normal_us)
         weight = exp(-over_us / self.typical_watch_us)
         others = self.mean_asked() * (1 - 1 / self.settings.fronts)
         return weight * pipe.asked_now() + (1 - weight) * min(1.0, own + others)
 
+    def is_young(self, pipe: Pipe) -> bool:
+        return pipe.asked is not None and self.now_us - pipe.as_of_us <= self.normal_us
+
     def link_asked(self, server: Server) -> float:
         own = server.own_kb / server.link.size_kb
         return max(own, self.mean_asked() if server.link.asked is None else self.aged(server.link, own))
@@ -458,7 +461,11 @@
     def uplink_asked(self, rack: Rack) -> float:
         if rack.uplink.asked is not None:
             return self.aged(rack.uplink, sum(s.own_kb for s in rack.servers) / rack.uplink.size_kb)
-        return sum(self.link_asked(s) * s.link.size_kb for s in rack.servers) / rack.uplink.size_kb
+        return self.told_kb(rack) / rack.uplink.size_kb
+
+    def told_kb(self, rack: Rack) -> float:
+        return sum(s.link.size_kb * s.link.asked_now() if self.is_young(s.link) else s.own_kb
+                   for s in rack.servers)
 
     def uplink_left(self, rack: Rack) -> float:
         return 1 - HOLD_BACK - self.uplink_asked(rack)
@@ -504,13 +511,14 @@
             server.link.full_until_us = self.now_us
 
     def ease_uplink(self, rack: Rack, others: int) -> None:
-        asked = self.uplink_asked(rack)
         short = any(self.now_us < s.link.full_until_us for s in rack.servers)
         if not self.settings.uplinks_told and not short:
-            # Unreported, and nothing short behind it: what it is asked for fits.
-            rack.uplink.size_kb *= max(asked, 1.0)
+            # Unreported, and nothing short behind it: what its links were told to be asked fits. A guess at
+            # links not heard must not count, or the size grows by each guess that is too high.
+            told_kb = self.told_kb(rack)
+            rack.uplink.size_kb = max(rack.uplink.size_kb, told_kb)
             return
-        self.ease(asked, rack.servers, others)
+        self.ease(self.uplink_asked(rack), rack.servers, others)
 
     def on_short(self, server: Server, delivered: float) -> None:
         server.link.full_until_us = self.now_us + MARK_US
@@ -518,8 +526,8 @@
         seen_us = self.now_us - self.settings.seen_after_us
         held = [s for s in rack.servers if s.subs and (s.link.asked or 0.0) < 1 - HOLD_BACK]
         short = [s for s in held if self.now_us < s.link.full_until_us]
-        # Links with room fall short together: it is their uplink.
-        together = server in short and len(short) > max(1, len(held) // 2)
+        # Links with room fall short together: it is their uplink. One is enough where it is all that is heard.
+        together = server in short and len(short) > len(held) // 2
         pipe = rack.uplink if together else server.link
         if pipe.as_of_us < seen_us - self.settings.reports_every_us:
             # Reports stay out, or never come, and what is delivered tells what is asked.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -127,7 +127,7 @@
             made.servers[f"s{2 * i}"].link.hear(0.8, made.now_us)
         uplink = made.racks[0].uplink
         note(made, NoteKind.DELIVERED, 0.8, "0")
-        self.assertIsNone(uplink.asked)  # one short link is its own trouble
+        self.assertIsNone(uplink.asked)  # one short link of three is its own trouble
         note(made, NoteKind.DELIVERED, 0.8, "1")
         self.assertEqual(uplink.asked, 1.25)
 
@@ -136,11 +136,25 @@
     def test_short_delivery_counts_as_a_report_while_reports_stay_out(self) -> None:
         made, _ = front(1)
         play(made)
+        made.servers["s0"].link.hear(0.95, made.now_us)
         note(made, NoteKind.DELIVERED, 0.8)
         self.assertEqual(made.subs["a"].rung, 2)  # the report is young: it decides
         note(made, NoteKind.DELIVERED, 0.8, after=6 * SECOND)
         self.assertLess(made.subs["a"].rung, 2)
 
+    def test_one_short_link_with_room_blames_its_uplink_where_no_other_is_heard(self) -> None:
+        made, _ = front(6)
+        play(made, first_cell=0, cell_count=1)
+        note(made, NoteKind.DELIVERED, 0.8)
+        self.assertEqual(made.racks[0].uplink.asked, 1.25)
+
+    def test_guesses_at_links_not_heard_fill_no_uplink(self) -> None:
+        made, _ = front(6)
+        for server in made.servers.values():
+            server.link.hear(0.9, 0)  # too long ago
+        made.servers["s0"].link.hear(0.5, made.now_us)
+        self.assertAlmostEqual(made.uplink_asked(made.racks[0]), 0.5 * 500 / 2500)
+
     def test_full_link_lowers_what_plays(self) -> None:
         made, effects = front(1)
         play(made)
