--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -490,7 +490,8 @@
         if sub is None or sub.life is not Life.PLAYING:
             return
         server = sub.server
-        as_of_us = self.now_us - (self.settings.seen_after_us if sub.noted else 0)
+        # The note at a set-up mostly does not show the newcomer yet: pessimistically, it never does.
+        as_of_us = self.now_us - self.settings.seen_after_us if sub.noted else sub.joins[-1].sent_us - 1
         if event.kind is NoteKind.RUNG:
             old, sub.rung = sub.rung, int(event.level)
             self.count_sent(sub, self.rate(sub, sub.rung) - self.rate(sub, old))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -42,7 +42,7 @@
     made.handle(ListUpdate(ListMode.FULL, tuple(entry(f"s{i}", i) for i in range(servers))), 0)
     made.now_us = 100 * SECOND if warm else 0
     for server in made.servers.values():
-        server.link.hear(0.0, made.now_us)
+        server.link.hear(0.0, made.now_us - 1)
         made.met[server] = None
     effects.calls.clear()
     return made, effects
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -99,6 +99,12 @@
         pipe.hear(0.1, 10)
         self.assertEqual(pipe.asked_now(), 0.7)
 
+    def test_note_at_a_set_up_does_not_show_the_newcomer(self) -> None:
+        made, _ = front(1)
+        play(made)
+        note(made, NoteKind.LINK, 0.3, after=0)
+        self.assertAlmostEqual(made.servers["s0"].link.asked_now(), 0.3 + 400 / 3000)
+
     def test_unheard_counts_as_average(self) -> None:
         made, _ = front(2)
         made.servers["s0"].link.hear(0.4, made.now_us)
