--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -287,7 +287,9 @@
 
     def rationed_top(self, sub: Subscription, holders: list[Server]) -> int:
         """While subscriptions playing there wait for steps earning twice as much, newcomers do without."""
-        wanted = max((self.earning(other, other.rung + 1) for server in holders for other in server.subs
+        # A front of many has none there; then all that it holds stand for those that others hold there.
+        others = [other for server in holders for other in server.subs if other is not sub] or self.subs.values()
+        wanted = max((self.earning(other, other.rung + 1) for other in others
                       if other.life is Life.PLAYING and other.rung < other.top), default=0.0)
         top = sub.top
         while top > sub.room.floor and self.earning(sub, top) < wanted / 2:
