--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from heapq import heapify, heappop, heappush
-from math import exp, inf
+from math import exp, inf, sqrt
 from random import Random
 
 from fennelcove.interface import (ClientGone, Effect, Effects, Handover, JoinEnded, ListEntry, ListMode,
@@ -143,6 +143,7 @@
         self.typical_watch_us = float(settings.ramp_us)
         self.offered = self.kb_per_stream = self.mean = 0.0
         self.mean_at_us = -1
+        self.recent = deque[tuple[int, float]]()
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
             JoinEnded: self.on_join_ended, Note: self.on_note, ClientGone: self.on_client_gone,
@@ -401,7 +402,7 @@
     def link_left(self, server: Server) -> float:
         if self.now_us < server.link.full_until_us:
             return 0.0
-        return 1 - HOLD_BACK - self.link_asked(server)
+        return 1 - HOLD_BACK - self.link_asked(server) - self.crowd_kb() / max(self.settings.all_links_kb, 1.0)
 
     def mean_asked(self) -> float:
         if self.mean_at_us != self.now_us:
@@ -439,7 +440,18 @@
                    for s in rack.servers)
 
     def uplink_left(self, rack: Rack) -> float:
-        return 1 - HOLD_BACK - self.uplink_asked(rack)
+        crowd = self.crowd_kb() / max(self.settings.uplink_kb * self.settings.racks, 1.0)
+        return 1 - HOLD_BACK - self.uplink_asked(rack) - crowd
+
+    def crowd_kb(self) -> float:
+        """What the other fronts took on since notes were made, if they meet the crowd that this one meets.
+
+        Only what this front took on past the root of its squares counts: less comes and goes by chance.
+        """
+        while self.recent and self.recent[0][0] < self.now_us - self.normal_us:
+            self.recent.popleft()
+        net, squares = sum(kb for _, kb in self.recent), sum(kb * kb for _, kb in self.recent)
+        return max(0.0, net - sqrt(squares)) * (self.settings.fronts - 1)
 
     def streams(self, server: Server) -> float:
         """Streams in use: this front's own, and others' at this front's mean rate."""
@@ -510,11 +522,13 @@
         self.met[server] = None
         self.seats[sub.title, sub.room] = self.seats.get((sub.title, sub.room), 0) + 1
         self.count_sent(sub, self.rate(sub, sub.rung))
+        self.recent.append((self.now_us, self.rate(sub, sub.rung)))
 
     def close_join(self, sub: Subscription, join: Join) -> None:
         join.server.subs.pop(sub, None)
         self.seats[sub.title, sub.room] -= 1
         self.count_sent(sub, -self.rate(sub, sub.rung))
+        self.recent.append((self.now_us, -self.rate(sub, sub.rung)))
 
     def send_join(self, sub: Subscription, server: Server, rung: int) -> None:
         if sub.joins:
