--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from heapq import heapify, heappop, heappush
-from math import exp, inf, sqrt
+from math import exp, inf
 from random import Random
 
 from fennelcove.interface import (ClientGone, Effect, Effects, Handover, JoinEnded, ListEntry, ListMode,
@@ -141,9 +141,8 @@
         self.taken, self.further = deque[int](), deque[int]()
         self.asks_failed, self.list_is_fresh = 0, False
         self.typical_watch_us = float(settings.ramp_us)
-        self.joined_kb = self.offered = self.kb_per_stream = self.mean = 0.0
+        self.offered = self.kb_per_stream = self.mean = 0.0
         self.mean_at_us = -1
-        self.recent = deque[tuple[int, float]]()
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
             JoinEnded: self.on_join_ended, Note: self.on_note, ClientGone: self.on_client_gone,
@@ -402,7 +401,7 @@
     def link_left(self, server: Server) -> float:
         if self.now_us < server.link.full_until_us:
             return 0.0
-        return 1 - HOLD_BACK - self.link_asked(server) - self.crowd_kb() / max(self.settings.all_links_kb, 1.0)
+        return 1 - HOLD_BACK - self.link_asked(server)
 
     def mean_asked(self) -> float:
         if self.mean_at_us != self.now_us:
@@ -440,68 +439,7 @@
                    for s in rack.servers)
 
     def uplink_left(self, rack: Rack) -> float:
-        crowd = self.crowd_kb() / max(self.settings.uplink_kb * self.settings.racks, 1.0)
-        return 1 - HOLD_BACK - self.uplink_asked(rack) - crowd
-
-    def crowd_kb(self) -> float:
-        """What the other fronts took on since notes were made, if they meet the crowd that this one meets.
-
-        Only what is past this front's usual pace and past chance counts: the root of the squares.
-        """
-        while self.recent and self.recent[0][0] < self.now_us - self.normal_us:
-            self.recent.popleft()
-        usual = self.joined_kb * min(1.0, self.normal_us / max(1, self.now_us - self.born_us))
-        took, squares = sum(kb for _, kb in self.recent), sum(kb * kb for _, kb in self.recent)
-        return max(0.0, took - usual - sqrt(squares)) * (self.settings.fronts - 1)
-
-    def mean_asked(self) -> float:
-        if self.mean_at_us != self.now_us:
-            links = [s.link for s in self.met if s.listed and s.link.asked is not None]
-            # With nothing heard a residue may be anything: the paper's OPT takes the middle.
-            asked = [min(1.0, link.asked_now()) for link in links] or [0.5]
-            self.mean, self.mean_at_us = sum(asked) / len(asked), self.now_us
-            if not self.settings.guard:
-                # Taken at its middle, the emptiest of many guesses is most often too low, and all that play
-                # there pay for it. Where servers turn set-ups away it costs a quick refusal instead.
-                self.mean += sum(abs(a - self.mean) for a in asked) / len(asked)
-        return self.mean
-
-    def aged(self, pipe: Pipe, own: float) -> float:
-        """A report that stops says ever less of the other fronts: they are taken to ask the average."""
-        over_us = max(0, self.now_us - pipe.as_of_us - self.normal_us)
-        weight = exp(-over_us / self.typical_watch_us)
-        others = self.mean_asked() * (1 - 1 / self.settings.fronts)
-        return weight * pipe.asked_now() + (1 - weight) * min(1.0, own + others)
-
-    def is_young(self, pipe: Pipe) -> bool:
-        return pipe.asked is not None and self.now_us - pipe.as_of_us <= self.normal_us
-
-    def link_asked(self, server: Server) -> float:
-        own = server.own_kb / server.link.size_kb
-        return max(own, self.mean_asked() if server.link.asked is None else self.aged(server.link, own))
-
-    def uplink_asked(self, rack: Rack) -> float:
-        if rack.uplink.asked is not None:
-            return self.aged(rack.uplink, sum(s.own_kb for s in rack.servers) / rack.uplink.size_kb)
-        return self.told_kb(rack) / rack.uplink.size_kb
-
-    def told_kb(self, rack: Rack) -> float:
-        return sum(s.link.size_kb * s.link.asked_now() if self.is_young(s.link) else s.own_kb
-                   for s in rack.servers)
-
-    def uplink_left(self, rack: Rack) -> float:
-        crowd = self.crowd_kb() / max(self.settings.uplink_kb * self.settings.racks, 1.0)
-        return 1 - HOLD_BACK - self.uplink_asked(rack) - crowd
-
-    def crowd_kb(self) -> float:
-        """What the other fronts took on since notes were made, if they meet the crowd that this one meets.
-
-        Only what this front took on past the root of its squares counts: less comes and goes by chance.
-        """
-        while self.recent and self.recent[0][0] < self.now_us - self.normal_us:
-            self.recent.popleft()
-        net, squares = sum(kb for _, kb in self.recent), sum(kb * kb for _, kb in self.recent)
-        return max(0.0, net - sqrt(squares)) * (self.settings.fronts - 1)
+        return 1 - HOLD_BACK - self.uplink_asked(rack)
 
     def streams(self, server: Server) -> float:
         """Streams in use: this front's own, and others' at this front's mean rate."""
@@ -583,8 +521,6 @@
             self.further.append(self.now_us)
         sub.rung = rung
         self.open_join(sub, server)
-        self.joined_kb += self.rate(sub, rung)
-        self.recent.append((self.now_us, self.rate(sub, rung)))
         server.last_join_us = self.now_us
         self.effects.set_rung(sub.id, rung)
         self.effects.join(sub.id, server.address, self.allowance(sub))
