A crowd here counts for the other fronts at links and uplinks not heard

Also meets viewers coming again after a wave of drains or a lost hall; may hurt where the crowd comes to this front alone.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from heapq import heapify, heappop, heappush
-from math import exp, inf
+from math import exp, inf, sqrt
 from random import Random
 
 from fennelcove.interface import (ClientGone, Effect, Effects, Handover, JoinEnded, ListEntry, ListMode,
@@ -141,8 +141,9 @@
         self.taken, self.further = deque[int](), deque[int]()
         self.asks_failed, self.list_is_fresh = 0, False
         self.typical_watch_us = float(settings.ramp_us)
-        self.offered = self.kb_per_stream = self.mean = 0.0
+        self.joined_kb = self.offered = self.kb_per_stream = self.mean = 0.0
         self.mean_at_us = -1
+        self.recent = deque[tuple[int, float]]()
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
             JoinEnded: self.on_join_ended, Note: self.on_note, ClientGone: self.on_client_gone,
@@ -413,7 +414,18 @@
                 # Taken at its middle, the emptiest of many guesses is most often too low, and all that play
                 # there pay for it. Where servers turn set-ups away it costs a quick refusal instead.
                 self.mean += sum(abs(a - self.mean) for a in asked) / len(asked)
-        return self.mean
+        return self.mean + self.crowd_kb() / max(self.settings.all_links_kb, 1.0)
+
+    def crowd_kb(self) -> float:
+        """What the other fronts took on since notes were made, if they meet the crowd that this one meets.
+
+        Only what is past this front's usual pace and past chance counts: the root of the squares.
+        """
+        while self.recent and self.recent[0][0] < self.now_us - self.normal_us:
+            self.recent.popleft()
+        usual = self.joined_kb * min(1.0, self.normal_us / max(1, self.now_us - self.born_us))
+        took, squares = sum(kb for _, kb in self.recent), sum(kb * kb for _, kb in self.recent)
+        return max(0.0, took - usual - sqrt(squares)) * (self.settings.fronts - 1)
 
     def aged(self, pipe: Pipe, own: float) -> float:
         """A report that stops says ever less of the other fronts: they are taken to ask the average."""
@@ -432,7 +444,8 @@
     def uplink_asked(self, rack: Rack) -> float:
         if rack.uplink.asked is not None:
             return self.aged(rack.uplink, sum(s.own_kb for s in rack.servers) / rack.uplink.size_kb)
-        return self.told_kb(rack) / rack.uplink.size_kb
+        crowd = self.crowd_kb() / max(self.settings.uplink_kb * self.settings.racks, 1.0)
+        return self.told_kb(rack) / rack.uplink.size_kb + crowd
 
     def told_kb(self, rack: Rack) -> float:
         return sum(s.link.size_kb * s.link.asked_now() if self.is_young(s.link) else s.own_kb
@@ -521,6 +534,8 @@
             self.further.append(self.now_us)
         sub.rung = rung
         self.open_join(sub, server)
+        self.joined_kb += self.rate(sub, rung)
+        self.recent.append((self.now_us, self.rate(sub, rung)))
         server.last_join_us = self.now_us
         self.effects.set_rung(sub.id, rung)
         self.effects.join(sub.id, server.address, self.allowance(sub))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -113,6 +113,15 @@
                 made.servers[f"s{i}"].link.asked = asked
             self.assertAlmostEqual(made.link_left(made.servers["s2"]), left)
 
+    def test_a_crowd_here_counts_for_the_other_fronts_at_what_is_not_heard(self) -> None:
+        made, _ = front(6, fronts=10, all_links_kb=60000.0)
+        made.now_us += SECOND
+        ask(made, "0", first_cell=0, cell_count=1)
+        self.assertEqual(made.crowd_kb(), 0.0)  # one join may be chance
+        for i in range(1, 4):
+            ask(made, str(i), first_cell=i, cell_count=1)
+        self.assertGreater(made.crowd_kb(), 1000.0)
+
     def test_handed_over_subscription_holds_room_at_its_rung(self) -> None:
         made, _ = front()
         made.handle(Handover(Request("old", "room", 5, 0, 3, 2, 0), "s0"), made.now_us)
