--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -10,13 +10,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from heapq import heapify, heappop, heappush
 from math import exp, inf, sqrt
 from random import Random
 
 from fennelcove.interface import (ClientGone, Effect, Effects, Handover, JoinEnded, ListEntry, ListMode,
-                                  ListUpdate, LoadReport, Note, NoteKind, Outcome, Request, RoomType,
-                                  Scope, Settings, Standing, Started, TimerFired, TimerName)
+                                  ListUpdate, Note, NoteKind, Outcome, Request, RoomType, Scope,
+                                  Settings, Standing, Started, TimerFired, TimerName)
 
 Event = ListUpdate | Request | Handover | Started | JoinEnded | Note | ClientGone | TimerFired
 
@@ -203,7 +202,12 @@
             self.judge(join.server, event.outcome)
         if event.report and not playing:
             # Among many fronts most servers hold none of this one's: their answers are all it hears of them.
-            self.hear_report(join, event.report)
+            # They are taken to be as old as a note, so that young notes stand.
+            as_of_us = join.sent_us - self.settings.seen_after_us
+            if event.report.link is not None:
+                join.server.link.hear(event.report.link, as_of_us)
+            if event.report.uplink is not None:
+                join.server.rack.uplink.hear(event.report.uplink, as_of_us)
         if playing:
             self.typical_watch_us += (self.now_us - sub.started_us - self.typical_watch_us) / 8
             # What has ended makes room at once; notes may be late or stay out.
@@ -211,12 +215,6 @@
                 self.lift(server, 0)
         self.step(sub, Cue.FINISHED if event.finished else Cue.FAILED)
 
-    def hear_report(self, join: Join, report: LoadReport) -> None:
-        """What a failed join's answer tells; taken to be as old as a note, so that young notes stand."""
-        for pipe, asked in ((join.server.link, report.link), (join.server.rack.uplink, report.uplink)):
-            if asked is not None:
-                pipe.hear(asked, join.sent_us - self.settings.seen_after_us)
-
     # The list.
 
     def on_list(self, event: ListUpdate) -> None:
@@ -300,7 +298,7 @@
         if near is not None and far is not None:
             # Crossing zones is priced by the second, so it must earn more than its price.
             gain = self.settings.ladder_worth[far[1]] - self.settings.ladder_worth[near[1]]
-            return far if gain * sub.room.benefit > self.crossing(far[0]) else near
+            return far if gain * sub.room.benefit > self.settings.cross_zone_price * self.offered else near
         return near or far
 
     def highest(self, sub: Subscription, top: int, holders: list[Server]) -> tuple[Server, int] | None:
@@ -323,9 +321,6 @@
             return self.uniform(feasible)[0]
         return self.weighted(feasible, [1 / row[1] for row in feasible])[0][0]
 
-    def crossing(self, server: Server) -> float:
-        return 0.0 if server.zone == self.settings.zone else self.settings.cross_zone_price * self.offered
-
     # Rungs of those that play: lowered where all is asked, raised into lasting room.
 
     def lower(self, subs: list[Subscription], need_kb: float) -> None:
@@ -335,19 +330,15 @@
         """
         plan: dict[Subscription, int] = {}
         least = self.chance()
-        steps = [(self.earning(sub, sub.rung), i, sub) for i, sub in enumerate(subs)
-                 if sub.life is Life.PLAYING and sub.rung > sub.room.floor]
-        heapify(steps)
-        while steps:
-            _, i, sub = heappop(steps)
-            rung = plan.get(sub, sub.rung)
-            step_kb = self.rate(sub, rung) - self.rate(sub, rung - 1)
+        steps = [(self.earning(sub, rung), i, -rung, sub) for i, sub in enumerate(subs)
+                 if sub.life is Life.PLAYING for rung in range(sub.room.floor + 1, sub.rung + 1)]
+        for _, _, below, sub in sorted(steps):
+            step_kb = self.rate(sub, -below) - self.rate(sub, -below - 1)
             if need_kb <= least * step_kb:
                 break
-            plan[sub] = rung - 1
-            need_kb -= step_kb
-            if rung - 1 > sub.room.floor:
-                heappush(steps, (self.earning(sub, rung - 1), i, sub))
+            if plan.get(sub, sub.rung) == -below:
+                plan[sub] = -below - 1
+                need_kb -= step_kb
         self.carry_out(plan)
 
     def earning(self, sub: Subscription, rung: int) -> float:
@@ -434,9 +425,6 @@
         others = self.mean_asked() * (1 - 1 / self.settings.fronts)
         return weight * pipe.asked_now() + (1 - weight) * min(1.0, own + others)
 
-    def is_young(self, pipe: Pipe) -> bool:
-        return pipe.asked is not None and self.now_us - pipe.as_of_us <= self.normal_us
-
     def link_asked(self, server: Server) -> float:
         own = server.own_kb / server.link.size_kb
         return max(own, self.mean_asked() if server.link.asked is None else self.aged(server.link, own))
@@ -444,12 +432,11 @@
     def uplink_asked(self, rack: Rack) -> float:
         if rack.uplink.asked is not None:
             return self.aged(rack.uplink, sum(s.own_kb for s in rack.servers) / rack.uplink.size_kb)
-        crowd = self.crowd_kb() / max(self.settings.uplink_kb * self.settings.racks, 1.0)
-        return self.told_kb(rack) / rack.uplink.size_kb + crowd
-
-    def told_kb(self, rack: Rack) -> float:
-        return sum(s.link.size_kb * s.link.asked_now() if self.is_young(s.link) else s.own_kb
-                   for s in rack.servers)
+        # Guesses at links not heard would fill uplinks that have room: what was told lately counts, and own.
+        since_us = self.now_us - self.normal_us
+        told_kb = sum(s.own_kb if s.link.asked is None or s.link.as_of_us < since_us
+                      else s.link.size_kb * s.link.asked_now() for s in rack.servers)
+        return (told_kb + self.crowd_kb() / self.settings.racks) / rack.uplink.size_kb
 
     def uplink_left(self, rack: Rack) -> float:
         return 1 - HOLD_BACK - self.uplink_asked(rack)
@@ -496,10 +483,9 @@
             server.link.full_until_us = self.now_us
 
     def ease_uplink(self, rack: Rack, others: int) -> None:
-        short = any(self.now_us < s.link.full_until_us for s in rack.servers)
-        if not self.settings.uplinks_told and not short:
-            return  # what a sum of links says against it is worth less than that nothing falls short
-        self.ease(self.uplink_asked(rack), rack.servers, others)
+        # A sum of links says less of an unreported uplink than that nothing behind it falls short.
+        if self.settings.uplinks_told or any(self.now_us < s.link.full_until_us for s in rack.servers):
+            self.ease(self.uplink_asked(rack), rack.servers, others)
 
     def on_short(self, server: Server, delivered: float) -> None:
         server.link.full_until_us = self.now_us + MARK_US
