A server not heard since its start counts as filling up to the average

They now count from nothing up to the average over a typical subscription; the pace of cold servers still holds. Also meets waves of replacements; may hurt where a restarted process is given back its viewers at once.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -267,7 +267,6 @@
     # Placement: the design's ordinary path.
 
     def place(self, sub: Subscription) -> Cue:
-        without = Cue.NO_ROOM if self.may_throttle(sub) else Cue.STUCK
         holders = [server for cell in sub.cells for server in self.holders.get(cell, ())
                    if self.may_use(sub, server)] if self.may_join(sub) else []
         well = [s for s in holders if self.is_well(s)]
@@ -277,7 +276,7 @@
         top = self.rationed_top(sub, well or holders)
         found = self.choose(sub, top, well or holders)
         if found is None:
-            return without
+            return Cue.NO_ROOM if self.may_throttle(sub) else Cue.STUCK
         self.send_join(sub, *found)
         return Cue.PLACED
 
@@ -324,10 +323,8 @@
     # Rungs of those that play: lowered where all is asked, raised into lasting room.
 
     def lower(self, subs: list[Subscription], need_kb: float) -> None:
-        """Take off the steps that earn least; where a step is more than what is left to free, chance decides.
-
-        A front of many holds little there, and a whole step of each would free many times the need.
-        """
+        """Take off the steps that earn least; a step larger than what is left to free is taken by chance."""
+        # Else each of many fronts that hold little there would take a whole step.
         plan: dict[Subscription, int] = {}
         least = self.chance()
         steps = [(self.earning(sub, rung), i, -rung, sub) for i, sub in enumerate(subs)
@@ -402,20 +399,18 @@
             asked = [min(1.0, link.asked_now()) for link in links] or [0.5]
             self.mean, self.mean_at_us = sum(asked) / len(asked), self.now_us
             if not self.settings.guard:
-                # Taken at its middle, the emptiest of many guesses is most often too low, and all that play
-                # there pay for it. Where servers turn set-ups away it costs a quick refusal instead.
+                # The emptiest of many guesses is mostly too low, and all that play there pay for it.
+                # Where servers turn set-ups away it costs a quick refusal instead.
                 self.mean += sum(abs(a - self.mean) for a in asked) / len(asked)
         return self.mean + self.crowd_kb() / max(self.settings.all_links_kb, 1.0)
 
     def crowd_kb(self) -> float:
-        """What the other fronts took on since notes were made, if they meet the crowd that this one meets.
-
-        Only what is past this front's usual pace and past chance counts: the root of the squares.
-        """
+        """What the others took on lately, if they meet the crowd that this one meets."""
         while self.recent and self.recent[0][0] < self.now_us - self.normal_us:
             self.recent.popleft()
         usual = self.joined_kb * min(1.0, self.normal_us / max(1, self.now_us - self.born_us))
         took, squares = sum(kb for _, kb in self.recent), sum(kb * kb for _, kb in self.recent)
+        # Only what is past this front's usual pace and past chance is a crowd; one join never is.
         return max(0.0, took - usual - sqrt(squares)) * (self.settings.fronts - 1)
 
     def aged(self, pipe: Pipe, own: float) -> float:
@@ -427,7 +422,11 @@
 
     def link_asked(self, server: Server) -> float:
         own = server.own_kb / server.link.size_kb
-        return max(own, self.mean_asked() if server.link.asked is None else self.aged(server.link, own))
+        if server.link.asked is not None:
+            return max(own, self.aged(server.link, own))
+        # One that started while others played fills as viewers come: the average would pass it by.
+        age_us = self.now_us - server.started_us if server.started_us else inf
+        return max(own, self.mean_asked() * (1 - exp(-age_us / self.typical_watch_us)))
 
     def uplink_asked(self, rack: Rack) -> float:
         if rack.uplink.asked is not None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -113,6 +113,15 @@
                 made.servers[f"s{i}"].link.asked = asked
             self.assertAlmostEqual(made.link_left(made.servers["s2"]), left)
 
+    def test_a_server_not_heard_since_its_start_is_filling_up(self) -> None:
+        made, _ = front(2)
+        server = made.servers["s1"]
+        made.servers["s0"].link.hear(0.6, made.now_us)
+        server.started_us, server.link.asked = made.now_us - SECOND, None
+        self.assertLess(made.link_asked(server), 0.1)
+        server.started_us = 0
+        self.assertAlmostEqual(made.link_asked(server), 0.6)
+
     def test_a_crowd_here_counts_for_the_other_fronts_at_what_is_not_heard(self) -> None:
         made, _ = front(6, fronts=10, all_links_kb=60000.0)
         made.now_us += SECOND
