--- a/fennelcove/interface.py
+++ b/fennelcove/interface.py
@@ -203,6 +203,9 @@
     name: int
 
 
+Event = ListUpdate | Request | Handover | Started | JoinEnded | Note | ClientGone | TimerFired
+
+
 class TimerName(IntEnum):
     """The timers that a front may set."""
 
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -13,12 +13,10 @@
 from math import exp, inf, sqrt
 from random import Random
 
-from fennelcove.interface import (ClientGone, Effect, Effects, Handover, JoinEnded, ListEntry, ListMode,
-                                  ListUpdate, Note, NoteKind, Outcome, Request, RoomType, Scope,
+from fennelcove.interface import (ClientGone, Effect, Effects, Event, Handover, JoinEnded, ListEntry,
+                                  ListMode, ListUpdate, Note, NoteKind, Outcome, Request, RoomType, Scope,
                                   Settings, Standing, Started, TimerFired, TimerName)
 
-Event = ListUpdate | Request | Handover | Started | JoinEnded | Note | ClientGone | TimerFired
-
 EXPONENT = 0.5  # n of the design page
 THRESHOLD = 1.0  # r of the design page
 HOLD_BACK = 0.1  # of each size, against the spread of true rates: the design page's pessimism
@@ -85,6 +83,8 @@
     shut_until_us: int = 0
     subs: dict[Subscription, None] = field(default_factory=dict)
     own_kb: float = 0.0
+    left: float = 0.0  # the residues for the request in hand
+    streams_left: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -140,8 +140,8 @@
         self.taken, self.further = deque[int](), deque[int]()
         self.asks_failed, self.list_is_fresh = 0, False
         self.typical_watch_us = float(settings.ramp_us)
-        self.joined_kb = self.offered = self.kb_per_stream = self.mean = 0.0
-        self.mean_at_us = -1
+        self.joined_kb = self.offered = self.kb_per_stream = self.mean = self.crowd = 0.0
+        self.mean_at_us = self.crowd_at_us = -1
         self.recent = deque[tuple[int, float]]()
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
@@ -203,11 +203,10 @@
         if event.report and not playing:
             # Among many fronts most servers hold none of this one's: their answers are all it hears of them.
             # They are taken to be as old as a note, so that young notes stand.
-            as_of_us = join.sent_us - self.settings.seen_after_us
-            if event.report.link is not None:
-                join.server.link.hear(event.report.link, as_of_us)
-            if event.report.uplink is not None:
-                join.server.rack.uplink.hear(event.report.uplink, as_of_us)
+            told = ((join.server.link, event.report.link), (join.server.rack.uplink, event.report.uplink))
+            for pipe, asked in told:
+                if asked is not None:
+                    pipe.hear(asked, join.sent_us - self.settings.seen_after_us)
         if playing:
             self.typical_watch_us += (self.now_us - sub.started_us - self.typical_watch_us) / 8
             # What has ended makes room at once; notes may be late or stay out.
@@ -229,8 +228,7 @@
             for server in self.servers.values():
                 server.listed = False
         places = sum(self.settings.kind_streams.get(entry.kind, 0) for entry in event.entries)
-        if not self.kb_per_stream and places:
-            self.kb_per_stream = self.settings.all_links_kb / places
+        self.kb_per_stream = self.kb_per_stream or (self.settings.all_links_kb / places if places else 0.0)
         for entry in event.entries:
             self.note_entry(entry)
         for rack in self.racks:
@@ -250,12 +248,10 @@
         if server is None:
             rack = self.racks[entry.cell % self.settings.racks]
             streams = self.settings.kind_streams.get(entry.kind, 0)
-            size = self.settings.kb_per_weight * entry.weight
-            if not self.settings.sizes_listed:
-                # Where the list tells no sizes, a server's streams tell its part of all the links.
-                size = streams * self.kb_per_stream or size
-            server = Server(entry.address, entry.zone, entry.cell, rack, streams, Pipe(size or 1.0),
-                            entry.started_us)
+            # Where the list tells no sizes, a server's streams tell its part of all the links.
+            by_streams = 0.0 if self.settings.sizes_listed else streams * self.kb_per_stream
+            link = Pipe(by_streams or self.settings.kb_per_weight * entry.weight or 1.0)
+            server = Server(entry.address, entry.zone, entry.cell, rack, streams, link, entry.started_us)
             self.servers[entry.address] = server
             self.holders.setdefault(entry.cell, []).append(server)
         server.listed = entry.standing is Standing.ACTIVE
@@ -269,17 +265,25 @@
     def place(self, sub: Subscription) -> Cue:
         holders = [server for cell in sub.cells for server in self.holders.get(cell, ())
                    if self.may_use(sub, server)] if self.may_join(sub) else []
-        well = [s for s in holders if self.is_well(s)]
         # Where every holder looks ill, trying one beats turning the viewer away for certain.
-        for rack in dict.fromkeys(server.rack for server in holders):
-            rack.left = self.uplink_left(rack)
-        top = self.rationed_top(sub, well or holders)
-        found = self.choose(sub, top, well or holders)
+        holders = [s for s in holders if self.is_well(s)] or holders
+        self.weigh(holders)
+        found = self.choose(sub, self.rationed_top(sub, holders), holders)
         if found is None:
             return Cue.NO_ROOM if self.may_throttle(sub) else Cue.STUCK
         self.send_join(sub, *found)
         return Cue.PLACED
 
+    def weigh(self, holders: list[Server]) -> None:
+        """Residues, once for all rungs: thousands of viewers may come again in one moment."""
+        for server in holders:
+            server.left = self.link_left(server)
+            # Streams in use: this front's own, and others' at this front's mean rate.
+            used = len(server.subs) * (1 + self.others_kb(server) / max(server.own_kb, 1.0))
+            server.streams_left = 1 - (used + 1) / server.streams_most if server.streams_most else 1.0
+        for rack in dict.fromkeys(server.rack for server in holders):
+            rack.left = 1 - HOLD_BACK - self.uplink_asked(rack)
+
     def rationed_top(self, sub: Subscription, holders: list[Server]) -> int:
         """While subscriptions playing there wait for steps earning twice as much, newcomers do without."""
         # A front of many has none there; then all that it holds stand for those that others hold there.
@@ -310,10 +314,9 @@
 
     def factors(self, server: Server, kb: float) -> tuple[float, float]:
         """Server UF and network UF of a request for so many kB a second."""
-        link = self.link_left(server) - kb / server.link.size_kb
-        streams = 1 - (self.streams(server) + 1) / server.streams_most if server.streams_most else link
+        link = server.left - kb / server.link.size_kb
         uplink = server.rack.left - kb / server.rack.uplink.size_kb
-        return utilization(min(link, streams)), utilization(uplink)
+        return utilization(min(link, server.streams_left)), utilization(uplink)
 
     def draw(self, feasible: list[tuple[Server, float, float]]) -> Server:
         if sum(row[2] for row in feasible) > THRESHOLD * sum(row[1] for row in feasible):
@@ -366,9 +369,10 @@
         """Lasting room goes to the steps that earn most; a front's share is its share of what is asked."""
         link, uplink, own_kb = server.link, server.rack.uplink, server.own_kb
         link_kb = (self.link_left(server) - LIFT_MARGIN) * link.size_kb
-        uplink_kb = (self.uplink_left(server.rack) - LIFT_MARGIN) * uplink.size_kb
+        uplink_asked_kb = self.uplink_asked(server.rack) * uplink.size_kb
+        uplink_kb = (1 - HOLD_BACK - LIFT_MARGIN) * uplink.size_kb - uplink_asked_kb
         link_share = own_kb / max(own_kb + self.others_kb(server), 1.0)
-        uplink_share = own_kb / max(own_kb, self.uplink_asked(server.rack) * uplink.size_kb, 1.0)
+        uplink_share = own_kb / max(own_kb, uplink_asked_kb, 1.0)
         room_kb, budget_kb = min(link_kb, uplink_kb), min(link_kb * link_share, uplink_kb * uplink_share)
         ready = [(self.earning(sub, sub.rung + 1), i, sub) for i, sub in enumerate(server.subs)
                  if sub.life is Life.PLAYING and sub.rung < sub.top]
@@ -406,12 +410,15 @@
 
     def crowd_kb(self) -> float:
         """What the others took on lately, if they meet the crowd that this one meets."""
-        while self.recent and self.recent[0][0] < self.now_us - self.normal_us:
-            self.recent.popleft()
-        usual = self.joined_kb * min(1.0, self.normal_us / max(1, self.now_us - self.born_us))
-        took, squares = sum(kb for _, kb in self.recent), sum(kb * kb for _, kb in self.recent)
-        # Only what is past this front's usual pace and past chance is a crowd; one join never is.
-        return max(0.0, took - usual - sqrt(squares)) * (self.settings.fronts - 1)
+        if self.crowd_at_us != self.now_us:
+            while self.recent and self.recent[0][0] < self.now_us - self.normal_us:
+                self.recent.popleft()
+            usual = self.joined_kb * min(1.0, self.normal_us / max(1, self.now_us - self.born_us))
+            took, squares = sum(kb for _, kb in self.recent), sum(kb * kb for _, kb in self.recent)
+            # Only what is past this front's usual pace and past chance is a crowd; one join never is.
+            self.crowd = max(0.0, took - usual - sqrt(squares)) * (self.settings.fronts - 1)
+            self.crowd_at_us = self.now_us
+        return self.crowd
 
     def aged(self, pipe: Pipe, own: float) -> float:
         """A report that stops says ever less of the other fronts: they are taken to ask the average."""
@@ -437,13 +444,6 @@
                       else s.link.size_kb * s.link.asked_now() for s in rack.servers)
         return (told_kb + self.crowd_kb() / self.settings.racks) / rack.uplink.size_kb
 
-    def uplink_left(self, rack: Rack) -> float:
-        return 1 - HOLD_BACK - self.uplink_asked(rack)
-
-    def streams(self, server: Server) -> float:
-        """Streams in use: this front's own, and others' at this front's mean rate."""
-        return len(server.subs) * (1 + self.others_kb(server) / max(server.own_kb, 1.0))
-
     def others_kb(self, server: Server) -> float:
         return max(0.0, self.link_asked(server) * server.link.size_kb - server.own_kb)
 
@@ -641,10 +641,8 @@
     (Life.JOINING, Cue.FAILED): (Life.WAITING, Front.place),
     (Life.JOINING, Cue.FINISHED): (Life.ENDED, Front.forget),
     (Life.JOINING, Cue.CLIENT_GONE): (Life.ABANDONED, nothing),
-    (Life.ABANDONED, Cue.FAILED): (Life.ENDED, Front.forget),
-    (Life.ABANDONED, Cue.FINISHED): (Life.ENDED, Front.forget),
-    (Life.PLAYING, Cue.FAILED): (Life.ENDED, Front.forget),
-    (Life.PLAYING, Cue.FINISHED): (Life.ENDED, Front.forget),
+    **{(life, cue): (Life.ENDED, Front.forget)
+       for life in (Life.ABANDONED, Life.PLAYING) for cue in (Cue.FAILED, Cue.FINISHED)},
 }
 
 HEALTH: dict[tuple[Health, Outcome], tuple[Health, Callable[[Front, Server], None]]] = {
--- a/fennelcove/wirehost/__main__.py
+++ b/fennelcove/wirehost/__main__.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import TextIO
 
-from fennelcove.interface import Handover, ListEntry, ListMode, ListUpdate, Settings
-from fennelcove.rules import Event, Front
+from fennelcove.interface import Event, Handover, ListEntry, ListMode, ListUpdate, Settings
+from fennelcove.rules import Front
 from fennelcove.wirehost import codec
 from fennelcove.wirehost.codec import Fields, WireError
 
