Lower the steps that earn least among all that a front holds

At size a front holds one subscription at a server that is asked too much, and lowered it whatever it earned; with few fronts each ranked a dozen there. Steps are now ranked among all that the front holds, which stands for what others hold there, and those on the server are lowered when their rank falls under the part. May hurt where what a front holds elsewhere earns quite unlike what plays there.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -325,21 +325,22 @@
 
     # Rungs of those that play: lowered where all is asked, raised into lasting room.
 
-    def lower(self, subs: list[Subscription], need_kb: float) -> None:
-        """Take off the steps that earn least; a step larger than what is left to free is taken by chance."""
-        # Else each of many fronts that hold little there would take a whole step.
+    def lower(self, servers: list[Server], part: float) -> None:
+        """Take this part off what plays on these servers, the steps that earn least first."""
+        # Ranked among all that this front holds, or many fronts of one each lower dear and cheap steps alike.
+        playing = [sub for sub in self.subs.values() if sub.life is Life.PLAYING]
+        steps = sorted((self.earning(sub, rung), i, -rung, sub) for i, sub in enumerate(playing)
+                       for rung in range(sub.room.floor + 1, sub.rung + 1))
+        need_kb, least = part * sum(self.rate(sub, sub.rung) for sub in playing), self.chance()
         plan: dict[Subscription, int] = {}
-        least = self.chance()
-        steps = [(self.earning(sub, rung), i, -rung, sub) for i, sub in enumerate(subs)
-                 if sub.life is Life.PLAYING for rung in range(sub.room.floor + 1, sub.rung + 1)]
-        for _, _, below, sub in sorted(steps):
+        for _, _, below, sub in steps:
             step_kb = self.rate(sub, -below) - self.rate(sub, -below - 1)
             if need_kb <= least * step_kb:
-                break
+                break  # a step larger than what is left is taken by chance, or each front would take one
             if plan.get(sub, sub.rung) == -below:
                 plan[sub] = -below - 1
                 need_kb -= step_kb
-        self.carry_out(plan)
+        self.carry_out({sub: rung for sub, rung in plan.items() if sub.server in servers})
 
     def earning(self, sub: Subscription, rung: int) -> float:
         """What the step up to this rung earns for each kB a second."""
@@ -363,7 +364,7 @@
                 eased_kb = part * self.others_kb(server)
                 for pipe in (server.link, server.rack.uplink):
                     pipe.note_sent(-eased_kb, self.now_us)
-        self.lower([sub for server in servers for sub in server.subs], part * sum(s.own_kb for s in servers))
+        self.lower(servers, part)
 
     def lift(self, server: Server, others: int) -> None:
         """Lasting room goes to the steps that earn most; a front's share is its share of what is asked."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -214,10 +214,20 @@
             made, _ = front(1)
             made.chance = Random(seed).random
             play(made)
-            made.lower([made.subs["a"]], 50.0)  # of a step of 200
+            made.lower([made.subs["a"].server], 0.125)  # 50 of a step of 200
             lowered += made.subs["a"].rung < 2
         self.assertAlmostEqual(lowered / 200, 0.25, delta=0.08)
 
+    def test_what_earns_more_than_all_else_held_is_lowered_last(self) -> None:
+        made, _ = front(2, ladder_worth=(0.1, 0.8, 1.0))
+        play(made, "cheap", first_cell=0, cell_count=1)
+        play(made, "dear", first_cell=1, cell_count=1)
+        made.subs["dear"].rung = 1
+        made.lower([made.servers["s1"]], 0.2)
+        self.assertEqual(made.subs["dear"].rung, 1)
+        made.lower([made.servers["s0"]], 1 / 3)
+        self.assertEqual(made.subs["cheap"].rung, 1)
+
     def test_report_of_a_failed_join_is_heard(self) -> None:
         made, _ = front(1)
         made.servers["s0"].link.as_of_us = 0
