--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -141,8 +141,7 @@
         self.asks_failed, self.list_is_fresh = 0, False
         self.typical_watch_us = float(settings.ramp_us)
         self.joined_kb = self.offered = self.kb_per_stream = self.mean = self.crowd = 0.0
-        self.mean_at_us = self.crowd_at_us = -1
-        self.recent = deque[tuple[int, float]]()
+        self.mean_at_us, self.crowd_at_us, self.recent = -1, -1, deque[tuple[int, float]]()
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
             JoinEnded: self.on_join_ended, Note: self.on_note, ClientGone: self.on_client_gone,
