What has left for good is not kept; sends and budgets are bounded

Servers that are replaced come back under new ids, an unreported uplink's sends were never read, and requests were counted where no budget is set: in a front that runs for weeks all three grew with everything ever heard. Servers that left and hold nothing are dropped once a warm-up has passed since their start (before that, what was learnt of the start still counts), a pipe keeps its last 4096 sends, and requests are counted only where a budget is stated.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -40,7 +40,7 @@
     asked: float | None = None
     as_of_us: int = 0
     full_until_us: int = 0
-    sent: deque[tuple[int, float]] = field(default_factory=deque)
+    sent: deque[tuple[int, float]] = field(default_factory=lambda: deque(maxlen=4096))  # it may go unreported
     sent_kb: float = 0.0
 
     def hear(self, asked: float, as_of_us: int) -> None:
@@ -48,7 +48,8 @@
             return  # an older report must not undo a newer one
         self.asked, self.as_of_us = asked, as_of_us
         while self.sent and self.sent[0][0] <= as_of_us:
-            self.sent_kb -= self.sent.popleft()[1]
+            self.sent.popleft()
+        self.sent_kb = sum(kb for _, kb in self.sent)
 
     def note_sent(self, kb: float, now_us: int) -> None:
         self.sent.append((now_us, kb))
@@ -76,7 +77,7 @@
     streams_most: int
     link: Pipe
     started_us: int
-    listed: bool = True
+    standing: Standing = Standing.ACTIVE
     last_join_us: int | None = None
     health: Health = Health.WELL
     strikes: int = 0
@@ -159,7 +160,8 @@
     # The door: events name things by id.
 
     def on_request(self, event: Request) -> None:
-        self.taken.append(self.now_us)
+        if self.settings.budget_free is not None:
+            self.taken.append(self.now_us)
         sub = self.take(event)
         self.offered += (sub.room.benefit * self.settings.ladder_worth[sub.top] - self.offered) / 16
         self.step(sub, Cue.TRY)
@@ -200,12 +202,11 @@
         if not playing or event.outcome is Outcome.CONNECTION_LOST:
             self.judge(join.server, event.outcome)
         if event.report and not playing:
-            # Among many fronts most servers hold none of this one's: their answers are all it hears of them.
-            # They are taken to be as old as a note, so that young notes stand.
-            told = ((join.server.link, event.report.link), (join.server.rack.uplink, event.report.uplink))
-            for pipe, asked in told:
+            # Most servers hold none of one front of many: such answers, as old as notes, are all it hears.
+            as_of_us, rack = join.sent_us - self.settings.seen_after_us, join.server.rack
+            for pipe, asked in ((join.server.link, event.report.link), (rack.uplink, event.report.uplink)):
                 if asked is not None:
-                    pipe.hear(asked, join.sent_us - self.settings.seen_after_us)
+                    pipe.hear(asked, as_of_us)
         if playing:
             self.typical_watch_us += (self.now_us - sub.started_us - self.typical_watch_us) / 8
             # What has ended makes room at once; notes may be late or stay out.
@@ -225,16 +226,21 @@
         self.list_is_fresh |= event.mode is ListMode.FULL or self.settings.must_ask
         if event.mode is not ListMode.INCREMENTAL:
             for server in self.servers.values():
-                server.listed = False
+                server.standing = Standing.LEFT
         places = sum(self.settings.kind_streams.get(entry.kind, 0) for entry in event.entries)
         self.kb_per_stream = self.kb_per_stream or (self.settings.all_links_kb / places if places else 0.0)
         for entry in event.entries:
             self.note_entry(entry)
         for rack in self.racks:
             rack.servers.clear()
-        for server in self.servers.values():
-            if server.listed or server.subs:
+        for server in list(self.servers.values()):
+            if server.standing is Standing.ACTIVE or server.subs:
                 server.rack.servers.append(server)
+            elif server.standing is Standing.LEFT and self.now_us - server.started_us > self.settings.ramp_us:
+                # Replacements come under new ids: what is kept must not grow with all ever heard.
+                del self.servers[server.address]
+                self.holders[server.cell].remove(server)
+                self.met.pop(server, None)
         if event.mode is ListMode.SAVED:
             # The saved list may be old: a full one is worth one call.
             self.ask_list()
@@ -253,7 +259,7 @@
             server = Server(entry.address, entry.zone, entry.cell, rack, streams, link, entry.started_us)
             self.servers[entry.address] = server
             self.holders.setdefault(entry.cell, []).append(server)
-        server.listed = entry.standing is Standing.ACTIVE
+        server.standing = entry.standing
         if entry.started_us > server.started_us:
             # A process that started anew carries nothing of its last life.
             server.started_us, server.health, server.strikes = entry.started_us, Health.WELL, 0
@@ -274,10 +280,9 @@
         return Cue.PLACED
 
     def weigh(self, holders: list[Server]) -> None:
-        """Residues, once for all rungs: thousands of viewers may come again in one moment."""
+        """Residues and streams, once for all rungs: thousands of viewers may come again in one moment."""
         for server in holders:
             server.left = self.link_left(server)
-            # Streams in use: this front's own, and others' at this front's mean rate.
             used = len(server.subs) * (1 + self.others_kb(server) / max(server.own_kb, 1.0))
             server.streams_left = 1 - (used + 1) / server.streams_most if server.streams_most else 1.0
         for rack in dict.fromkeys(server.rack for server in holders):
@@ -392,13 +397,11 @@
     # Residue.
 
     def link_left(self, server: Server) -> float:
-        if self.now_us < server.link.full_until_us:
-            return 0.0
-        return 1 - HOLD_BACK - self.link_asked(server)
+        return 0.0 if self.now_us < server.link.full_until_us else 1 - HOLD_BACK - self.link_asked(server)
 
     def mean_asked(self) -> float:
         if self.mean_at_us != self.now_us:
-            links = [s.link for s in self.met if s.listed and s.link.asked is not None]
+            links = [s.link for s in self.met if s.standing is Standing.ACTIVE and s.link.asked is not None]
             # With nothing heard a residue may be anything: the paper's OPT takes the middle.
             asked = [min(1.0, link.asked_now()) for link in links] or [0.5]
             self.mean, self.mean_at_us = sum(asked) / len(asked), self.now_us
@@ -409,21 +412,19 @@
         return self.mean + self.crowd_kb() / max(self.settings.all_links_kb, 1.0)
 
     def crowd_kb(self) -> float:
-        """What the others took on lately, if they meet the crowd that this one meets."""
+        """What others took on lately, if they meet what this one does past its usual pace and past chance."""
         if self.crowd_at_us != self.now_us:
             while self.recent and self.recent[0][0] < self.now_us - self.normal_us:
                 self.recent.popleft()
             usual = self.joined_kb * min(1.0, self.normal_us / max(1, self.now_us - self.born_us))
             took, squares = sum(kb for _, kb in self.recent), sum(kb * kb for _, kb in self.recent)
-            # Only what is past this front's usual pace and past chance is a crowd; one join never is.
             self.crowd = max(0.0, took - usual - sqrt(squares)) * (self.settings.fronts - 1)
             self.crowd_at_us = self.now_us
         return self.crowd
 
     def aged(self, pipe: Pipe, own: float) -> float:
         """A report that stops says ever less of the other fronts: they are taken to ask the average."""
-        over_us = max(0, self.now_us - pipe.as_of_us - self.normal_us)
-        weight = exp(-over_us / self.typical_watch_us)
+        weight = exp(-max(0, self.now_us - pipe.as_of_us - self.normal_us) / self.typical_watch_us)
         others = self.mean_asked() * (1 - 1 / self.settings.fronts)
         return weight * pipe.asked_now() + (1 - weight) * min(1.0, own + others)
 
@@ -515,7 +516,7 @@
         self.count_sent(sub, -self.rate(sub, sub.rung))
 
     def send_join(self, sub: Subscription, server: Server, rung: int) -> None:
-        if sub.joins:
+        if sub.joins and self.settings.budget_free is not None:
             self.further.append(self.now_us)
         sub.rung = rung
         self.open_join(sub, server)
@@ -555,9 +556,8 @@
 
     def may_use(self, sub: Subscription, server: Server) -> bool:
         """Rules 2, 3 and 4: whether this server may get this join."""
-        if not server.listed or any(join.server is server for join in sub.joins):
-            return False
-        if self.is_cold(server) and not self.cold_turn(server):
+        cold = self.is_cold(server) and not self.cold_turn(server)
+        if cold or server.standing is not Standing.ACTIVE or any(join.server is server for join in sub.joins):
             return False
         return sub.room.effect is not Effect.GUARDED or all(
             self.same_scope(sub.room, join, server) for join in sub.joins if join.may_have_run)
@@ -568,17 +568,16 @@
         return same[room.scope] and self.now_us - join.sent_us < room.key_ttl_us
 
     def may_throttle(self, sub: Subscription) -> bool:
-        if sub.room.effect is Effect.FREE or not any(join.may_have_run for join in sub.joins):
-            return True
-        return sub.room.effect is Effect.GUARDED and sub.room.scope is Scope.ALL
+        keyed = sub.room.effect is Effect.GUARDED and sub.room.scope is Scope.ALL
+        return sub.room.effect is Effect.FREE or keyed or not any(join.may_have_run for join in sub.joins)
 
-    def age_us(self, server: Server) -> int:
+    def age_us(self, server: Server) -> float:
         """Any server on a saved list may have started just before this front did."""
-        return self.now_us - max(server.started_us, 0 if self.list_is_fresh else self.born_us)
+        since_us = server.started_us if self.list_is_fresh else max(server.started_us, self.born_us)
+        return self.now_us - since_us if server.started_us or not self.list_is_fresh else inf
 
     def is_cold(self, server: Server) -> bool:
-        long_warm = self.list_is_fresh and not server.started_us
-        return not long_warm and self.age_us(server) < self.settings.ramp_us
+        return self.age_us(server) < self.settings.ramp_us
 
     def cold_turn(self, server: Server) -> bool:
         """Fronts can't agree, so each keeps to its share of the pace, at turns set by its index."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -115,6 +115,14 @@
                 made.servers[f"s{i}"].link.asked = asked
             self.assertAlmostEqual(made.link_left(made.servers["s2"]), left)
 
+    def test_what_has_left_for_good_is_not_kept(self) -> None:
+        made, _ = front(3)
+        play(made, first_cell=1, cell_count=1)
+        left = tuple(entry(f"s{i}", i, standing=Standing.LEFT) for i in (0, 1))
+        made.handle(ListUpdate(ListMode.INCREMENTAL, left), made.now_us)
+        self.assertEqual(list(made.servers), ["s1", "s2"])  # what plays there still ends there
+        self.assertEqual(made.holders[0], [])
+
     def test_a_server_not_heard_since_its_start_is_filling_up(self) -> None:
         made, _ = front(2)
         server = made.servers["s1"]
