Middles of both halves stand beside what little a new front has heard

Where servers turn no set-ups away, a quarter and three quarters now stand beside the reports in the average and its spread; they weigh less with each report. Also meets fronts that hear little for any cause; may hurt on a fleet that is nearly empty.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -402,12 +402,13 @@
     def mean_asked(self) -> float:
         if self.mean_at_us != self.now_us:
             links = [s.link for s in self.met if s.standing is Standing.ACTIVE and s.link.asked is not None]
-            # With nothing heard a residue may be anything: the paper's OPT takes the middle.
-            asked = [min(1.0, link.asked_now()) for link in links] or [0.5]
+            heard = [min(1.0, link.asked_now()) for link in links]
+            # With nothing heard a residue may be anything: the paper's OPT takes the middle. Beside what little
+            # a new front has heard stand the middles of both halves, or one report would speak for all servers.
+            asked = heard or [0.5] if self.settings.guard else [*heard, 0.25, 0.75]
             self.mean, self.mean_at_us = sum(asked) / len(asked), self.now_us
             if not self.settings.guard:
-                # The emptiest of many guesses is mostly too low, and all that play there pay for it.
-                # Where servers turn set-ups away it costs a quick refusal instead.
+                # The emptiest of many guesses is mostly too low: unless servers turn away, all there pay.
                 self.mean += sum(abs(a - self.mean) for a in asked) / len(asked)
         return self.mean + self.crowd_kb() / max(self.settings.all_links_kb, 1.0)
 
