--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -403,8 +403,8 @@
         if self.mean_at_us != self.now_us:
             links = [s.link for s in self.met if s.standing is Standing.ACTIVE and s.link.asked is not None]
             heard = [min(1.0, link.asked_now()) for link in links]
-            # With nothing heard a residue may be anything: the paper's OPT takes the middle. Beside what a new
-            # front has heard stand the middles of both halves, or one report would speak for all servers.
+            # With nothing heard a residue may be anything: the paper's OPT takes the middle. Beside what a
+            # new front heard stand the middles of both halves, or one report would speak for all servers.
             asked = heard or [0.5] if self.settings.guard else [*heard, 0.25, 0.75]
             self.mean, self.mean_at_us = sum(asked) / len(asked), self.now_us
             if not self.settings.guard:
