--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -116,6 +116,14 @@
                 made.servers[f"s{i}"].link.asked = asked
             self.assertAlmostEqual(made.link_left(made.servers["s2"]), left)
 
+    def test_a_backlog_found_late_goes_by_its_news_and_its_time_left(self) -> None:
+        made, effects = front(2)  # a front that stood still finds both in one turn
+        news = (entry("s0", 0, standing=Standing.LEAVING),)
+        made.handle(ListUpdate(ListMode.INCREMENTAL, news), made.now_us)
+        ask(made, timeout_us=SECOND // 10)
+        (_, _, server, allow_us), = effects.named("join")
+        self.assertEqual((server, allow_us), ("s1", SECOND // 10))
+
     def test_what_has_left_for_good_is_not_kept(self) -> None:
         made, _ = front(3)
         play(made, first_cell=1, cell_count=1)
