An uplink of no stated size does not bind

Settings without a mean uplink made every uplink one kB a second wide, and everything was throttled; its size is now that of all links together.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -132,15 +132,15 @@
         self.born_us = self.now_us = now_us
         self.normal_us = settings.seen_after_us + settings.reports_every_us
         self.servers: dict[str, Server] = {}
-        self.racks = [Rack(Pipe(settings.uplink_kb or 1.0)) for _ in range(settings.racks)]
-        # A request must cost what its holders cost, not the fleet; so must a note.
-        self.holders: dict[int, list[Server]] = {}
+        # An uplink of no stated size must not bind: all links together never ask more of it.
+        uplink_kb = settings.uplink_kb or settings.all_links_kb or 1.0
+        self.racks = [Rack(Pipe(uplink_kb)) for _ in range(settings.racks)]
+        self.holders: dict[int, list[Server]] = {}  # a request must cost what its holders cost, not the fleet
         self.met: dict[Server, None] = {}
         self.subs: dict[str, Subscription] = {}
         self.seats: dict[tuple[int, RoomType], int] = {}
         self.taken, self.further = deque[int](), deque[int]()
-        self.asks_failed, self.list_is_fresh = 0, False
-        self.typical_watch_us = float(settings.ramp_us)
+        self.asks_failed, self.list_is_fresh, self.typical_watch_us = 0, False, float(settings.ramp_us)
         self.joined_kb = self.offered = self.kb_per_stream = self.mean = self.crowd = 0.0
         self.mean_at_us, self.crowd_at_us, self.recent = -1, -1, deque[tuple[int, float]]()
         self.hears: dict[type, Callable[..., None]] = {
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -63,6 +63,13 @@
         ask(made, top_rung=0)
         self.assertEqual(effects.named("set_rung"), [("set_rung", "a", 0)])
 
+    def test_one_front_one_server_and_an_uplink_of_no_stated_size(self) -> None:
+        made, effects = front(1, fronts=1, uplink_kb=0.0)
+        ask(made)
+        self.assertEqual(effects.named("set_rung"), [("set_rung", "a", 2)])
+        ask(made, "gone", first_cell=3, cell_count=1)
+        self.assertEqual(effects.calls[-1][0], "throttle")
+
     def test_throttled_at_once_without_room(self) -> None:
         made, effects = front()
         for server in made.servers.values():
