--- /dev/null
+++ b/fennelcove/clock.py
@@ -0,0 +1,35 @@
+"""The one source of time: whole microseconds since some fixed moment, never going back."""
+
+from __future__ import annotations
+
+import time
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Hands out the time to everything that needs it."""
+
+    def now_us(self) -> int: ...
+
+
+class SystemClock:
+    """The machine's monotonic clock; every process of one machine reads the same."""
+
+    def now_us(self) -> int:
+        return time.monotonic_ns() // 1000
+
+
+class ManualClock:
+    """A clock that moves only when told, for tests and emulation."""
+
+    def __init__(self, now_us: int = 0) -> None:
+        self._now_us = now_us
+
+    def now_us(self) -> int:
+        return self._now_us
+
+    def advance(self, by_us: int) -> None:
+        """Move on by so many microseconds."""
+        if by_us < 0:
+            raise ValueError(f"a clock never goes back: {by_us} us")
+        self._now_us += by_us
--- /dev/null
+++ b/fennelcove/decisions/admission.py
@@ -0,0 +1,143 @@
+"""What the door lets in: bounds on connections, waiting requests and buffered bytes, and how patient it is.
+
+Past a bound the answer is an immediate refusal with a time to come back; nothing is queued that can't be
+bounded.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+
+class Phase(Enum):
+    """How the front stands towards new work."""
+
+    OPEN = auto()
+    STOPPING = auto()
+
+
+class Entry(Enum):
+    """What asks to be let in."""
+
+    CONNECTION = auto()
+    REQUEST = auto()  # a set-up that will wait for its answer
+    SUBSCRIPTION = auto()  # one more to hold while it plays
+
+
+class Ruling(Enum):
+    """What the door does."""
+
+    LET_IN = auto()
+    FULL = auto()  # answer 503 at once: a bound is reached
+    CLOSING = auto()  # answer 503 at once: this front is stopping
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """The most of each that the front holds."""
+
+    connections: int
+    waiting: int
+    held: int
+    buffered_bytes: int
+
+
+# The refusals that come before anything is counted.
+TABLE: dict[tuple[Phase, Entry], Ruling] = {
+    (Phase.OPEN, Entry.CONNECTION): Ruling.LET_IN,
+    (Phase.OPEN, Entry.REQUEST): Ruling.LET_IN,
+    (Phase.OPEN, Entry.SUBSCRIPTION): Ruling.LET_IN,
+    (Phase.STOPPING, Entry.CONNECTION): Ruling.CLOSING,
+    (Phase.STOPPING, Entry.REQUEST): Ruling.CLOSING,
+    (Phase.STOPPING, Entry.SUBSCRIPTION): Ruling.CLOSING,
+}
+
+SMOOTHING = 16  # as the module smooths what it averages over requests
+LEAST_WAIT_US = 1_000_000  # Retry-After counts whole seconds: less can't be told to every client
+PRESSURE = 0.5  # from this share of the connections on, idle ones are given less time
+LEAST_PATIENCE = 0.1
+
+
+class Gate:
+    """Counts what is inside and rules on what wants in. The caller hands in times and holds the lock."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        self.bounds = bounds
+        self.phase = Phase.OPEN
+        self.connections = self.waiting = self.held = self.buffered_bytes = 0
+        self.typical_wait_us = 0.0
+        self.refused = 0
+
+    def ask(self, entry: Entry) -> Ruling:
+        """Rule, and count what is let in."""
+        ruling = TABLE[self.phase, entry]
+        if ruling is Ruling.LET_IN and not self._room(entry):
+            ruling = Ruling.FULL
+        if ruling is not Ruling.LET_IN:
+            self.refused += 1
+        elif entry is Entry.CONNECTION:
+            self.connections += 1
+        elif entry is Entry.REQUEST:
+            self.waiting += 1
+        else:
+            self.held += 1
+        return ruling
+
+    def _room(self, entry: Entry) -> bool:
+        bounds = self.bounds
+        return {
+            Entry.CONNECTION: self.connections < bounds.connections,
+            Entry.REQUEST: self.waiting < bounds.waiting,
+            Entry.SUBSCRIPTION: self.held < bounds.held,
+        }[entry] and self.buffered_bytes < bounds.buffered_bytes
+
+    def connection_closed(self) -> None:
+        """One that was let in has gone."""
+        self.connections -= 1
+
+    def request_answered(self, waited_us: int) -> None:
+        """A set-up that was let in has its answer."""
+        self.waiting -= 1
+        self.typical_wait_us += (waited_us - self.typical_wait_us) / SMOOTHING
+
+    def subscription_ended(self) -> None:
+        """One that was held has ended."""
+        self.held -= 1
+
+    def buffer(self, more_bytes: int) -> bool:
+        """Count bytes read and not yet acted on; False where they must not be kept."""
+        if more_bytes > 0 and self.buffered_bytes + more_bytes > self.bounds.buffered_bytes:
+            return False
+        self.buffered_bytes += more_bytes
+        return True
+
+    def stop(self) -> None:
+        """From now on nothing new."""
+        self.phase = Phase.STOPPING
+
+    def come_back_us(self, draw: float, most_us: int | None) -> int:
+        """When one that was turned away at the door should ask again, in microseconds.
+
+        The time in which those that wait now will have gone, spread over as much again by chance, so that
+        those turned away in one moment don't return in one.
+        """
+        wait_us = max(LEAST_WAIT_US, 2 * self.typical_wait_us) * (1 + draw)
+        return round(min(wait_us, max(most_us, LEAST_WAIT_US)) if most_us is not None else wait_us)
+
+    def patience_us(self, limit_us: int) -> int:
+        """How long an idle or slow connection may stay: less as the connections run out.
+
+        Five hundred connections that send a byte a second would hold the door against everybody else; the
+        limit falls from the stated one at half the connections to a tenth of it at all of them.
+        """
+        fill = self.connections / self.bounds.connections
+        if fill <= PRESSURE:
+            return limit_us
+        left = max(0.0, (1 - fill) / (1 - PRESSURE))
+        return max(1, round(limit_us * (LEAST_PATIENCE + (1 - LEAST_PATIENCE) * left)))
+
+
+def retry_after_s(wait_us: int) -> int:
+    """A wait as Retry-After counts it (RFC 9110 section 10.2.3): whole seconds, never earlier than meant."""
+    return max(1, -(-wait_us // 1_000_000))
--- /dev/null
+++ b/fennelcove/decisions/commands.py
@@ -0,0 +1,119 @@
+"""Which order to a box goes out next: new rungs, and releases of what nobody watches.
+
+Orders wait here while a box is slow. Of two rungs for one subscription the later counts; a release makes
+every rung moot; one order a box is out at a time, so that a hanging box holds one sender and not all; boxes
+take turns.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+FIRST_PAUSE_US = 100_000
+MOST_PAUSE_US = 2_000_000
+MOST_TRIES = 6
+
+
+@dataclass(slots=True, eq=False)
+class Order:
+    """What one box is to do for one subscription's join; rung None is a release."""
+
+    box: str
+    id: str
+    join: int
+    rung: int | None
+    tries: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Line:
+    """One box's orders, the oldest first."""
+
+    orders: OrderedDict[tuple[str, int], Order] = field(default_factory=OrderedDict)
+    busy: bool = False
+    not_before_us: int = 0
+    failures: int = 0
+
+
+class Orders:
+    """All boxes' orders, bounded in number. Times in microseconds; the caller holds the lock."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.lines: OrderedDict[str, Line] = OrderedDict()
+        self.count = 0
+        self.dropped = 0
+
+    def add(self, order: Order) -> None:
+        """Take an order in.
+
+        Past the bound the oldest rung of the longest line goes: a rung comes again with the next note, a
+        release does not. Where only releases are left the oldest goes, and the box's own limit ends what it
+        names.
+        """
+        line = self.lines.setdefault(order.box, Line())
+        key = (order.id, order.join)
+        held = line.orders.get(key)
+        if held is not None:
+            if held.rung is not None:
+                held.rung, held.tries = order.rung, 0
+            return
+        line.orders[key] = order
+        self.count += 1
+        if self.count > self.most:
+            self._drop_one()
+
+    def _drop_one(self) -> None:
+        line = max(self.lines.values(), key=lambda line: len(line.orders))
+        victim = next((key for key, order in line.orders.items() if order.rung is not None), None)
+        line.orders.pop(victim if victim is not None else next(iter(line.orders)))
+        self.count -= 1
+        self.dropped += 1
+
+    def take(self, now_us: int) -> Order | None:
+        """The next order that may go out, marking its box busy; None where all must wait."""
+        for box, line in self.lines.items():
+            if line.orders and not line.busy and line.not_before_us <= now_us:
+                line.busy = True
+                _, order = line.orders.popitem(last=False)
+                self.count -= 1
+                self.lines.move_to_end(box)
+                return order
+        return None
+
+    def wait_us(self, now_us: int) -> int | None:
+        """How long until some order may go out; None while there is none to wait for."""
+        times = [line.not_before_us for line in self.lines.values() if line.orders and not line.busy]
+        return max(0, min(times) - now_us) if times else None
+
+    def done(self, order: Order, carried_out: bool, now_us: int) -> None:
+        """An order came back: carried out, or to be tried again after a growing pause, so often at most."""
+        line = self.lines[order.box]
+        line.busy = False
+        if carried_out:
+            line.failures = 0
+            if not line.orders:
+                del self.lines[order.box]  # boxes come and go: an idle one must leave nothing behind
+            return
+        line.failures += 1
+        line.not_before_us = now_us + min(MOST_PAUSE_US, FIRST_PAUSE_US * 2 ** min(line.failures - 1, 16))
+        order.tries += 1
+        newer = (order.id, order.join) in line.orders
+        if order.tries < MOST_TRIES and not newer:
+            line.orders[order.id, order.join] = order
+            line.orders.move_to_end((order.id, order.join), last=False)
+            self.count += 1
+        elif not newer:
+            self.dropped += 1
+        if not line.orders and not line.busy:
+            del self.lines[order.box]
+
+    def box_gone(self, box: str) -> None:
+        """Nothing more can be told to it."""
+        line = self.lines.get(box)
+        if line is not None:
+            self.count -= len(line.orders)
+            line.orders.clear()
+            if not line.busy:
+                del self.lines[box]
--- /dev/null
+++ b/fennelcove/decisions/feeds.py
@@ -0,0 +1,118 @@
+"""Whether a box's reports are heard, and when silence means that what played there is lost.
+
+A front keeps one feed open to each box on which it holds subscriptions (docs/design/10-running-front.md has
+the options). A feed that breaks says nothing of the box: the network may have cut it. What proves a loss is a
+box that says it started anew or that it does not know a subscription, a connection refused again and again,
+or a silence longer than a mark's.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from fennelcove.rules import MARK_US
+
+FIRST_PAUSE_US = 100_000
+MOST_PAUSE_US = 2_000_000
+REFUSALS_THAT_PROVE = 3
+
+
+class Stage(Enum):
+    """How the feed stands."""
+
+    CLOSED = auto()  # nothing is held there
+    OPENING = auto()
+    OPEN = auto()
+    BROKEN = auto()  # to be opened again after a pause
+
+
+class Cue(Enum):
+    """What happens to it."""
+
+    HELD = auto()  # the first subscription plays there
+    NONE_HELD = auto()  # the last has ended
+    HELLO = auto()  # the box greets: same process as before
+    HELLO_ANEW = auto()  # the box greets: another process
+    REFUSED = auto()
+    CUT = auto()  # it broke, or fell silent past its limit
+    RETRY = auto()  # the pause is over
+
+
+class Act(Enum):
+    """What follows."""
+
+    OPEN_FEED = auto()
+    CLOSE_FEED = auto()
+    PAUSE = auto()
+    LOSE_UNKNOWN = auto()  # what the greeting does not name is lost
+    LOSE_ALL = auto()
+
+
+Row = tuple[Stage, tuple[Act, ...]]
+
+TABLE: dict[tuple[Stage, Cue], Row] = {
+    (Stage.CLOSED, Cue.HELD): (Stage.OPENING, (Act.OPEN_FEED,)),
+    (Stage.OPENING, Cue.HELLO): (Stage.OPEN, (Act.LOSE_UNKNOWN,)),
+    (Stage.OPENING, Cue.HELLO_ANEW): (Stage.OPEN, (Act.LOSE_UNKNOWN,)),
+    (Stage.OPENING, Cue.REFUSED): (Stage.BROKEN, (Act.PAUSE,)),
+    (Stage.OPENING, Cue.CUT): (Stage.BROKEN, (Act.PAUSE,)),
+    (Stage.OPENING, Cue.NONE_HELD): (Stage.CLOSED, (Act.CLOSE_FEED,)),
+    (Stage.OPEN, Cue.CUT): (Stage.BROKEN, (Act.PAUSE,)),
+    (Stage.OPEN, Cue.NONE_HELD): (Stage.CLOSED, (Act.CLOSE_FEED,)),
+    (Stage.BROKEN, Cue.RETRY): (Stage.OPENING, (Act.OPEN_FEED,)),
+    (Stage.BROKEN, Cue.NONE_HELD): (Stage.CLOSED, ()),
+}
+
+
+@dataclass(slots=True)
+class Feed:
+    """One box's feed; times in microseconds."""
+
+    stage: Stage = Stage.CLOSED
+    boot: str | None = None
+    refusals: int = 0
+    failures: int = 0
+    unheard_since_us: int = 0
+    acts: list[Act] = field(default_factory=list)
+
+    def cue(self, cue: Cue, now_us: int) -> tuple[Act, ...]:
+        """Move on; what follows, in order."""
+        row = TABLE.get((self.stage, cue))
+        if row is None:
+            return ()
+        if cue in (Cue.HELLO, Cue.HELLO_ANEW, Cue.HELD):
+            self.refusals = self.failures = 0
+            self.unheard_since_us = now_us
+        elif cue is Cue.REFUSED:
+            self.refusals += 1
+            self.failures += 1
+        elif cue is Cue.CUT:
+            if self.stage is Stage.OPEN:
+                self.unheard_since_us = now_us
+            self.failures += 1
+        self.stage, acts = row
+        if self.stage is Stage.BROKEN and self._proves_loss(now_us):
+            # Still tried again: what the front places there later needs its feed.
+            self.refusals, self.unheard_since_us = 0, now_us
+            acts = (*acts, Act.LOSE_ALL)
+        return acts
+
+    def _proves_loss(self, now_us: int) -> bool:
+        return self.refusals >= REFUSALS_THAT_PROVE or now_us - self.unheard_since_us >= MARK_US
+
+    def greet(self, boot: str, now_us: int) -> tuple[Act, ...]:
+        """The box greets with the name of its process's life."""
+        anew = self.boot is not None and boot != self.boot
+        self.boot = boot
+        return self.cue(Cue.HELLO_ANEW if anew else Cue.HELLO, now_us)
+
+    def pause_us(self, draw: float) -> int:
+        """How long to wait before opening it again, by chance over the upper half of a doubling pause."""
+        longest = min(MOST_PAUSE_US, FIRST_PAUSE_US * (1 << min(max(0, self.failures - 1), 16)))
+        return round(longest * (0.5 + draw / 2))
+
+
+def silence_us(reports_every_us: int, seen_after_us: int) -> int:
+    """How long a feed may bring nothing before it counts as cut: three beats, and the notes' own delay."""
+    return 3 * max(reports_every_us, 100_000) + seen_after_us
--- /dev/null
+++ b/fennelcove/decisions/sessions.py
@@ -0,0 +1,99 @@
+"""The life of one subscription at the door: who is owed an answer, and what follows from each thing that
+happens.
+
+The module decides where a subscription goes; this table decides that it is answered exactly once, that what a
+box began for nobody is released, and what the module is told. It has the door's half of rules 1 and 2.
+"""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+
+
+class Stage(Enum):
+    """Where a subscription stands at the door."""
+
+    ASKED = auto()  # an answer is owed, no join is out
+    JOINING = auto()  # an answer is owed, one join is out
+    PLAYING = auto()  # answered; a box plays it
+    ABANDONED = auto()  # nobody waits any more, one join is out
+    ENDED = auto()
+
+
+class Cue(Enum):
+    """What happens to a subscription."""
+
+    JOIN = auto()  # the module: send a join
+    THROTTLE = auto()  # the module: a refusal is safe
+    TERMINATE = auto()  # the module: an error, a refusal would not be safe
+    SERVED = auto()  # the box began to play, in time
+    SERVED_LATE = auto()  # the box began to play when its join had been given up
+    FAILED = auto()  # the join ended otherwise
+    VIEWER_GONE = auto()  # the viewer hung up
+    RELEASED = auto()  # the viewer, its box or its silence ended it
+    BOX_LOST = auto()  # its box is gone, or knows it no more
+    STOPPED = auto()  # this front ends and can wait no longer
+
+
+class Act(Enum):
+    """What the core does about it, in order."""
+
+    SEND_JOIN = auto()
+    ANSWER_PLAYING = auto()
+    ANSWER_THROTTLED = auto()
+    ANSWER_TERMINATED = auto()
+    ANSWER_STOPPED = auto()
+    TELL_STARTED = auto()
+    TELL_FAILED = auto()
+    TELL_FINISHED = auto()
+    TELL_LOST = auto()
+    TELL_GONE = auto()
+    RELEASE_BOX = auto()
+    FORGET = auto()
+
+
+ANSWERS = frozenset({Act.ANSWER_PLAYING, Act.ANSWER_THROTTLED, Act.ANSWER_TERMINATED, Act.ANSWER_STOPPED})
+OWED = frozenset({Stage.ASKED, Stage.JOINING})
+
+Row = tuple[Stage, tuple[Act, ...]]
+
+TABLE: dict[tuple[Stage, Cue], Row] = {
+    (Stage.ASKED, Cue.JOIN): (Stage.JOINING, (Act.SEND_JOIN,)),
+    (Stage.ASKED, Cue.THROTTLE): (Stage.ENDED, (Act.ANSWER_THROTTLED, Act.FORGET)),
+    (Stage.ASKED, Cue.TERMINATE): (Stage.ENDED, (Act.ANSWER_TERMINATED, Act.FORGET)),
+    (Stage.JOINING, Cue.SERVED): (Stage.PLAYING, (Act.TELL_STARTED, Act.ANSWER_PLAYING)),
+    # The box plays for a join that no longer counts: taken back before another join goes out.
+    (Stage.JOINING, Cue.SERVED_LATE): (Stage.ASKED, (Act.RELEASE_BOX, Act.TELL_FAILED)),
+    (Stage.JOINING, Cue.FAILED): (Stage.ASKED, (Act.RELEASE_BOX, Act.TELL_FAILED)),
+    (Stage.JOINING, Cue.VIEWER_GONE): (Stage.ABANDONED, (Act.TELL_GONE,)),
+    (Stage.JOINING, Cue.STOPPED): (Stage.ABANDONED, (Act.ANSWER_STOPPED, Act.TELL_GONE)),
+    # Nobody watches: what the box began would hold a place until its own limit.
+    (Stage.ABANDONED, Cue.SERVED): (Stage.ENDED, (Act.RELEASE_BOX, Act.TELL_FINISHED, Act.FORGET)),
+    (Stage.ABANDONED, Cue.SERVED_LATE): (Stage.ENDED, (Act.RELEASE_BOX, Act.TELL_FINISHED, Act.FORGET)),
+    (Stage.ABANDONED, Cue.FAILED): (Stage.ENDED, (Act.RELEASE_BOX, Act.TELL_FINISHED, Act.FORGET)),
+    (Stage.PLAYING, Cue.RELEASED): (Stage.ENDED, (Act.RELEASE_BOX, Act.TELL_FINISHED, Act.FORGET)),
+    (Stage.PLAYING, Cue.VIEWER_GONE): (Stage.ENDED, (Act.RELEASE_BOX, Act.TELL_FINISHED, Act.FORGET)),
+    # A box that lost it needs no release; one that is only out of reach ends it by its own limit.
+    (Stage.PLAYING, Cue.BOX_LOST): (Stage.ENDED, (Act.TELL_LOST, Act.FORGET)),
+}
+
+
+def step(stage: Stage, cue: Cue) -> Row:
+    """The next stage and what to do; a cue that comes too late or twice changes nothing."""
+    return TABLE.get((stage, cue), (stage, ()))
+
+
+# A tenth of the client's own time-out is kept for the answer's way back, as a tenth of every size is held
+# back.
+ANSWER_RESERVE = 0.1
+
+
+def time_to_answer_us(client_timeout_us: int) -> int:
+    """How long the front may work on a request whose viewer waits so long."""
+    return max(1, round(client_timeout_us * (1 - ANSWER_RESERVE)))
+
+
+def honest_timeout_us(stated_us: int | None, room_timeout_us: int) -> int:
+    """The client timeout that counts: what the viewer states, its room type's at most, or that where it is
+    silent."""
+    return room_timeout_us if stated_us is None else max(1, min(stated_us, room_timeout_us))
--- /dev/null
+++ b/fennelcove/hints/cmcd.py
@@ -0,0 +1,184 @@
+"""CMCD, what a player tells: CTA-5004 (version 1), and the keys that version 2 adds where they are public.
+
+Three carriers, as the specification has them: four request headers, one query argument, one JSON object. Keys
+come typed; keys of one's own carry a hyphen and are kept as they are. What is malformed is dropped and
+counted.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import unquote
+
+import msgspec
+
+from fennelcove.hints.fields import Bare, Item, Token, dictionary, write_dictionary
+
+HEADERS = ("cmcd-request", "cmcd-object", "cmcd-status", "cmcd-session")
+QUERY_KEY = "CMCD"
+
+
+@dataclass(slots=True)
+class Cmcd:
+    """One player's hints: reserved keys by name, typed; rates in kb/s, times in ms."""
+
+    values: dict[str, Bare] = field(default_factory=dict)
+    custom: dict[str, Bare] = field(default_factory=dict)
+    dropped: int = 0
+
+    def number(self, key: str) -> float | None:
+        """A reserved key's figure, where it was given."""
+        value = self.values.get(key)
+        return None if value is None or isinstance(value, str | bytes) else float(value)
+
+    def text(self, key: str) -> str | None:
+        """A reserved key's text, where it was given."""
+        value = self.values.get(key)
+        return value if isinstance(value, str) else None
+
+    def flag(self, key: str) -> bool:
+        """Whether a reserved flag is set; absent is false (CTA-5004, section on keys)."""
+        return self.values.get(key) is True
+
+
+def _whole(value: Bare) -> Bare | None:
+    # What senders are to round to a hundred is read as it stands: finer is no fault.
+    ok = isinstance(value, int) and not isinstance(value, bool) and value >= 0
+    return value if ok else None
+
+
+def _decimal(value: Bare) -> Bare | None:
+    ok = isinstance(value, int | float) and not isinstance(value, bool) and value >= 0
+    return float(value) if ok and not isinstance(value, str | bytes) else None
+
+
+def _flag(value: Bare) -> Bare | None:
+    return value if isinstance(value, bool) else None
+
+
+def _text(most: int) -> Callable[[Bare], Bare | None]:
+    def check(value: Bare) -> Bare | None:
+        ok = isinstance(value, str) and not isinstance(value, Token) and len(value) <= most
+        return value if ok else None
+    return check
+
+
+def _token(*known: str) -> Callable[[Bare], Bare | None]:
+    def check(value: Bare) -> Bare | None:
+        # JSON and some players quote what the specification has as tokens: the words are the same.
+        return Token(value) if isinstance(value, str) and (not known or value in known) else None
+    return check
+
+
+_V1: Mapping[str, Callable[[Bare], Bare | None]] = {
+    "br": _whole, "bl": _whole, "bs": _flag, "cid": _text(64), "d": _whole, "dl": _whole, "mtp": _whole,
+    "nor": _text(2048), "nrr": _text(64),
+    "ot": _token("m", "a", "v", "av", "i", "c", "tt", "k", "o"), "pr": _decimal, "rtp": _whole,
+    "sf": _token("d", "h", "s", "o"), "sid": _text(64), "st": _token("v", "l"), "su": _flag, "tb": _whole,
+    "v": _whole,
+}
+_V2: Mapping[str, Callable[[Bare], Bare | None]] = {
+    "ab": _whole, "bg": _flag, "bsa": _whole, "bsd": _whole, "bsda": _whole, "cdn": _text(128),
+    "cmsdd": _text(2048), "cmsds": _text(2048), "cs": _text(128), "df": _whole, "e": _token(),
+    "ec": _text(64), "h": _text(128), "lab": _whole, "lb": _whole, "ltc": _whole, "msd": _whole, "nr": _flag,
+    "pb": _whole, "pt": _whole, "rc": _whole, "sn": _whole,
+    "sta": _token("s", "p", "k", "r", "a", "w", "e", "f", "q", "d"), "tab": _whole, "tbl": _whole,
+    "tpb": _whole, "ts": _whole, "ttfb": _whole, "ttfbb": _whole, "ttlb": _whole, "url": _text(2048),
+}
+RESERVED: Mapping[str, Callable[[Bare], Bare | None]] = {**_V1, **_V2}
+# Where version 1 puts each of its keys; players are read whichever header they use.
+HOME = {"bl": 0, "dl": 0, "mtp": 0, "nor": 0, "nrr": 0, "su": 0, "br": 1, "d": 1, "ot": 1, "tb": 1, "bs": 2,
+        "rtp": 2, "cid": 3, "pr": 3, "sf": 3, "sid": 3, "st": 3, "v": 3}
+
+
+def _add(into: Cmcd, key: str, value: Bare) -> None:
+    if "-" in key:
+        into.custom[key] = value
+        return
+    check = RESERVED.get(key)
+    checked = check(value) if check else None
+    if checked is None:
+        into.dropped += 1
+    else:
+        into.values[key] = checked
+
+
+def _plain(item: Item) -> Bare | None:
+    """The value, or the first of an inner list: version 2 lists figures by object type."""
+    if isinstance(item.value, tuple):
+        first = item.value[0].value if item.value else None
+        return None if isinstance(first, tuple) else first
+    return item.value
+
+
+def read_text(texts: Iterable[str]) -> Cmcd:
+    """Hints out of header values, or out of a query argument already unquoted."""
+    found = Cmcd()
+    for text in texts:
+        items, dropped = dictionary(text)
+        found.dropped += dropped
+        for key, item in items.items():
+            value = _plain(item)
+            if value is None:
+                found.dropped += 1
+            else:
+                _add(found, key, value)
+    return found
+
+
+def read_json(raw: bytes | Mapping[str, Any]) -> Cmcd:
+    """Hints out of a JSON object."""
+    found = Cmcd()
+    tree: Any = raw
+    if isinstance(raw, bytes):
+        try:
+            tree = msgspec.json.decode(raw)
+        except msgspec.DecodeError:
+            tree = None
+    if not isinstance(tree, Mapping):
+        found.dropped += 1
+        return found
+    for key, value in list(tree.items())[:64]:
+        if isinstance(value, list) and value:
+            value = value[0]
+        if isinstance(key, str) and isinstance(value, int | float | str | bool):
+            _add(found, key, value)
+        else:
+            found.dropped += 1
+    return found
+
+
+def read(headers: Mapping[str, str], query: Mapping[str, str], body: Any = None) -> Cmcd:
+    """Hints from whichever carrier brought them: headers, else the query argument, else a JSON object."""
+    texts = [headers[name] for name in HEADERS if name in headers]
+    if texts:
+        return read_text(texts)
+    if QUERY_KEY in query:
+        return read_text([query[QUERY_KEY]])
+    return read_json(body) if body is not None else Cmcd()
+
+
+def query_arguments(query: str) -> dict[str, str]:
+    """A query's arguments, the first of each name counting; what is no argument is passed over."""
+    found: dict[str, str] = {}
+    for part in query.split("&")[:64]:
+        name, mark, value = part.partition("=")
+        if mark:
+            found.setdefault(unquote(name), unquote(value))
+    return found
+
+
+def write_headers(values: Mapping[str, Bare]) -> list[tuple[str, str]]:
+    """Hints as the four headers, keys in order; for players and stand-ins.
+
+    Raises:
+        FieldError: a value that can't be written.
+    """
+    groups: list[dict[str, Bare]] = [{}, {}, {}, {}]
+    for key in sorted(values):
+        if values[key] is not False:
+            groups[HOME.get(key, 3)][key] = values[key]
+    names = ("CMCD-Request", "CMCD-Object", "CMCD-Status", "CMCD-Session")
+    return [(name, write_dictionary(group)) for name, group in zip(names, groups, strict=True) if group]
--- /dev/null
+++ b/fennelcove/hints/fields.py
@@ -0,0 +1,238 @@
+"""Structured fields (RFC 8941), read member by member so that one malformed member costs only itself.
+
+Each member is parsed as strictly as the RFC asks; what is lenient is that its neighbours still count.
+http_sfv stands in the tests as the peer that this reader is held to; it took several times as long
+(docs/results.md).
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import math
+import re
+from collections.abc import Iterator
+from decimal import ROUND_HALF_EVEN, Decimal
+from typing import NamedTuple
+
+MOST_CHARS = 4096
+MOST_MEMBERS = 64
+
+
+class Token(str):
+    """A token, apart from a string."""
+
+    __slots__ = ()
+
+
+Bare = int | float | str | bool | bytes
+Params = dict[str, Bare]
+
+
+class Item(NamedTuple):
+    """A bare value, or the values of an inner list, with parameters."""
+
+    value: Bare | tuple[Item, ...]
+    params: Params
+
+
+class FieldError(ValueError):
+    """A member that is no structured field."""
+
+
+_KEY = re.compile(r"[a-z*][a-z0-9_.*-]*")
+_NUMBER = re.compile(r"(-?[0-9]{1,15})(?:\.([0-9]{1,3}))?(?![0-9.])")
+_STRING = re.compile(r'"((?:[\x20\x21\x23-\x5b\x5d-\x7e]|\\["\\])*)"')
+_TOKEN = re.compile(r"[A-Za-z*][!#$%&'*+\-.^_`|~0-9A-Za-z:/]*")
+_BYTES = re.compile(r":([A-Za-z0-9+/=]*):")
+_BOOL = re.compile(r"\?([01])")
+_SPACES = re.compile(r" *")
+# A member reaches to the next comma outside quotes and inner lists.
+_MEMBER = re.compile(r'(?:"(?:[^"\\]|\\.)*"?|[^,"()]|\((?:"(?:[^"\\]|\\.)*"?|[^")])*\)?|\))+')
+
+
+def _bare(text: str, at: int) -> tuple[Bare, int]:
+    first = text[at:at + 1]
+    if first == '"' and (match := _STRING.match(text, at)):
+        return re.sub(r"\\(.)", r"\1", match[1]), match.end()
+    if (first.isdigit() or first == "-") and (match := _NUMBER.match(text, at)):
+        if match[2] is None:
+            return int(match[1]), match.end()
+        if len(match[1].lstrip("-")) > 12:
+            raise FieldError(f"a decimal of more than 12 whole digits at {at}")
+        return float(f"{match[1]}.{match[2]}"), match.end()
+    if first == "?" and (match := _BOOL.match(text, at)):
+        return match[1] == "1", match.end()
+    if first == ":" and (match := _BYTES.match(text, at)):
+        try:
+            return base64.b64decode(match[1] + "=" * (-len(match[1]) % 4), validate=True), match.end()
+        except binascii.Error:
+            raise FieldError(f"bytes that are no base64 at {at}") from None
+    if match := _TOKEN.match(text, at):
+        return Token(match[0]), match.end()
+    raise FieldError(f"no value at {at} of {text[:40]!r}")
+
+
+def _params(text: str, at: int) -> tuple[Params, int]:
+    found: Params = {}
+    while text.startswith(";", at):
+        spaces = _SPACES.match(text, at + 1)
+        assert spaces is not None
+        key = _KEY.match(text, spaces.end())
+        if key is None:
+            raise FieldError(f"no parameter key at {at}")
+        at = key.end()
+        found[key[0]] = True
+        if text.startswith("=", at):
+            found[key[0]], at = _bare(text, at + 1)
+    return found, at
+
+
+def _item(text: str, at: int) -> tuple[Item, int]:
+    if text.startswith("(", at):
+        return _inner(text, at + 1)
+    value, at = _bare(text, at)
+    params, at = _params(text, at)
+    return Item(value, params), at
+
+
+def _inner(text: str, at: int) -> tuple[Item, int]:
+    items: list[Item] = []
+    while True:
+        spaces = _SPACES.match(text, at)
+        assert spaces is not None
+        gap, at = spaces.end() - at, spaces.end()
+        if text.startswith(")", at):
+            params, at = _params(text, at + 1)
+            return Item(tuple(items), params), at
+        if items and not gap:
+            raise FieldError(f"inner values that run together at {at}")
+        if text.startswith("(", at):
+            raise FieldError(f"an inner list inside one at {at}")
+        item, at = _item(text, at)
+        items.append(item)
+
+
+def item(text: str) -> Item:
+    """One item or inner list.
+
+    Raises:
+        FieldError: anything else, or something left over.
+    """
+    found, at = _item(text, 0)
+    if at != len(text):
+        raise FieldError(f"something left over at {at} of {text[:40]!r}")
+    return found
+
+
+def member(text: str) -> tuple[str, Item]:
+    """One member of a dictionary: `key`, `key=item` or `key;params`.
+
+    Raises:
+        FieldError: anything else.
+    """
+    key = _KEY.match(text)
+    if key is None:
+        raise FieldError(f"no key in {text[:40]!r}")
+    if text.startswith("=", key.end()):
+        return key[0], item(text[key.end() + 1:])
+    params, at = _params(text, key.end())
+    if at != len(text):
+        raise FieldError(f"something left over at {at} of {text[:40]!r}")
+    return key[0], Item(True, params)
+
+
+def members(text: str) -> Iterator[str | None]:
+    """The raw members of a list or dictionary; None for each that is empty or past the bounds."""
+    if len(text) > MOST_CHARS:
+        yield None
+        return
+    at, count = 0, 0
+    while at < len(text):
+        match = _MEMBER.match(text, at)
+        raw = match[0].strip(" \t") if match else ""
+        at = match.end() if match else at
+        if at < len(text):
+            at += 1
+            if at == len(text):
+                yield raw or None
+                yield None  # a comma with nothing after it
+                return
+        count += 1
+        if count > MOST_MEMBERS:
+            yield None
+            return
+        yield raw or None
+
+
+def dictionary(text: str) -> tuple[dict[str, Item], int]:
+    """The well-formed members, the last of each key counting, and how many were dropped."""
+    found: dict[str, Item] = {}
+    dropped = 0
+    for raw in members(text):
+        try:
+            if raw is None:
+                raise FieldError("an empty member")
+            key, value = member(raw)
+        except FieldError:
+            dropped += 1
+            continue
+        found.pop(key, None)
+        found[key] = value
+    return found, dropped
+
+
+def listing(text: str) -> tuple[list[Item], int]:
+    """The well-formed members of a list, and how many were dropped."""
+    found: list[Item] = []
+    dropped = 0
+    for raw in members(text):
+        try:
+            if raw is None:
+                raise FieldError("an empty member")
+            found.append(item(raw))
+        except FieldError:
+            dropped += 1
+    return found, dropped
+
+
+def write_bare(value: Bare) -> str:
+    """A bare value as RFC 8941 section 4.1 writes it.
+
+    Raises:
+        FieldError: a value that has no such form.
+    """
+    if isinstance(value, bool):
+        return f"?{int(value)}"
+    if isinstance(value, int):
+        if abs(value) > 999_999_999_999_999:
+            raise FieldError(f"an integer of more than 15 digits: {value}")
+        return str(value)
+    if isinstance(value, float):
+        if not math.isfinite(value):
+            raise FieldError(f"no decimal: {value}")
+        rounded = Decimal(value).quantize(Decimal("0.001"), ROUND_HALF_EVEN)
+        if abs(rounded) >= 10 ** 12:
+            raise FieldError(f"a decimal of more than 12 whole digits: {value}")
+        text = f"{rounded:f}".rstrip("0")
+        return text + "0" if text.endswith(".") else text
+    if isinstance(value, bytes):
+        return f":{base64.b64encode(value).decode()}:"
+    if isinstance(value, Token):
+        if _TOKEN.fullmatch(value) is None:
+            raise FieldError(f"no token: {value!r}")
+        return str(value)
+    if not value.isascii() or not value.isprintable():
+        raise FieldError(f"a string with other than printable ASCII: {value!r}")
+    return '"' + value.replace("\\", "\\\\").replace('"', '\\"') + '"'
+
+
+def write_params(params: Params) -> str:
+    """Parameters as they follow an item."""
+    return "".join(f";{key}" if value is True else f";{key}={write_bare(value)}"
+                   for key, value in params.items())
+
+
+def write_dictionary(values: dict[str, Bare]) -> str:
+    """A dictionary of plain values; true stands as the bare key."""
+    return ",".join(key if value is True else f"{key}={write_bare(value)}" for key, value in values.items())
--- /dev/null
+++ b/fennelcove/http1/syntax.py
@@ -0,0 +1,111 @@
+"""The grammar of heads, strict where leniency lets one message pass for two (RFC 9112 sections 2 to 7,
+11.2)."""
+
+from __future__ import annotations
+
+import re
+
+from fennelcove.http1.messages import CodecLimits, Headers, ProtocolError, RequestHead, ResponseHead
+
+_TCHAR = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]"
+_FIELD = re.compile(rb"(" + _TCHAR + rb"+):[ \t]*([\t\x20-\x7e\x80-\xff]*)")
+_REQUEST = re.compile(rb"(" + _TCHAR + rb"{1,32}) ([\x21-\x7e]+) HTTP/1\.([01])")
+_STATUS = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?")
+_OLD_REQUEST = re.compile(rb".* HTTP/[0-9.]+")
+LONE_LF = re.compile(rb"(?:^|[^\r])\n")
+_DIGITS = re.compile(rb"[0-9]{1,18}")
+HEX = re.compile(rb"([0-9A-Fa-f]{1,15})(?:[ \t]*;[\t\x20-\x7e\x80-\xff]*)?")
+
+
+def fields(lines: list[bytes], limits: CodecLimits) -> Headers:
+    """Header lines, names in lower case.
+
+    Raises:
+        ProtocolError: 400 for bare CR or LF, folds and space before the colon; 431 past the count.
+    """
+    if len(lines) > limits.head_count:
+        raise ProtocolError(431, f"more than {limits.head_count} header fields")
+    found: Headers = []
+    for line in lines:
+        match = _FIELD.fullmatch(line)
+        if match is None:
+            if line[:1] in (b" ", b"\t"):
+                raise ProtocolError(400, "a folded header field")
+            raise ProtocolError(400, "a header field that is no `name: value`")
+        found.append((match[1].lower(), match[2].rstrip(b" \t")))
+    return found
+
+
+def request_head(raw: bytes, limits: CodecLimits) -> RequestHead:
+    """A request's head, without its closing empty line.
+
+    Raises:
+        ProtocolError: 400 for what is malformed, 505 for another major version.
+    """
+    lines = raw.split(b"\r\n")
+    match = _REQUEST.fullmatch(lines[0])
+    if match is None:
+        if _OLD_REQUEST.fullmatch(lines[0]) and not lines[0].endswith((b"HTTP/1.0", b"HTTP/1.1")):
+            raise ProtocolError(505, "a version other than HTTP/1.0 and 1.1")
+        raise ProtocolError(400, "a request line that is no `method target version`")
+    headers = fields(lines[1:], limits)
+    hosts = sum(1 for name, _ in headers if name == b"host")
+    if hosts > 1 or (hosts == 0 and match[3] == b"1"):
+        raise ProtocolError(400, f"{hosts} Host fields where one is due")
+    head = RequestHead(match[1].decode(), match[2].decode(), headers, _keeps(headers, match[3]))
+    expect = head.get(b"expect")
+    if expect is not None:
+        if expect.lower() != b"100-continue":
+            raise ProtocolError(417, "an expectation other than 100-continue")
+        head.expects_continue = match[3] == b"1"
+    return head
+
+
+def response_head(raw: bytes, limits: CodecLimits) -> ResponseHead:
+    """A response's head, without its closing empty line.
+
+    Raises:
+        ProtocolError: whatever is malformed.
+    """
+    lines = raw.split(b"\r\n")
+    match = _STATUS.fullmatch(lines[0])
+    if match is None:
+        raise ProtocolError(502, "a status line that is no `version status reason`")
+    headers = fields(lines[1:], limits)
+    return ResponseHead(int(match[2]), headers, _keeps(headers, match[1]))
+
+
+def _keeps(headers: Headers, minor: bytes) -> bool:
+    options = {option.strip().lower() for name, value in headers if name == b"connection"
+               for option in value.split(b",")}
+    return minor == b"1" and b"close" not in options
+
+
+CHUNKED = -1
+UNTIL_CLOSE = -2
+
+
+def body_length(headers: Headers, default: int, keep_alive: bool) -> int:
+    """How long the body is: a count of bytes, CHUNKED, or the default where no field tells.
+
+    Raises:
+        ProtocolError: 400 for both lengths at once, a repeated or malformed length, chunked twice or on
+            HTTP/1.0-like messages; 501 for other codings. Each is a way to smuggle (RFC 9112 section 11.2).
+    """
+    lengths = [value for name, value in headers if name == b"content-length"]
+    codings = [value for name, value in headers if name == b"transfer-encoding"]
+    if lengths and codings:
+        raise ProtocolError(400, "both Content-Length and Transfer-Encoding")
+    if codings:
+        if len(codings) > 1 or b"," in codings[0]:
+            raise ProtocolError(400, "several transfer codings")
+        if codings[0].lower() != b"chunked":
+            raise ProtocolError(501, "a transfer coding other than chunked")
+        return CHUNKED
+    if len(lengths) > 1:
+        raise ProtocolError(400, "a repeated Content-Length")
+    if lengths:
+        if _DIGITS.fullmatch(lengths[0]) is None:
+            raise ProtocolError(400, "a Content-Length that is no count")
+        return int(lengths[0])
+    return default
--- /dev/null
+++ b/fennelcove/http1/writer.py
@@ -0,0 +1,75 @@
+"""Writes messages as bytes; a field that could end its line early is refused, whoever handed it in."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+
+_SAFE_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_SAFE_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
+_SAFE_TARGET = re.compile(r"[\x21-\x7e]+")
+
+REASONS = {
+    100: "Continue", 200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 401: "Unauthorized",
+    403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
+    410: "Gone", 411: "Length Required", 413: "Content Too Large", 415: "Unsupported Media Type",
+    417: "Expectation Failed", 422: "Unprocessable Content", 429: "Too Many Requests",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
+    502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+}
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+
+Fields = Iterable[tuple[str, str]]
+
+
+def _lines(fields: Fields) -> str:
+    lines = []
+    for name, value in fields:
+        if _SAFE_NAME.fullmatch(name) is None or _SAFE_VALUE.fullmatch(value) is None:
+            raise ValueError(f"header field {name!r} would break its line")
+        lines.append(f"{name}: {value}\r\n")
+    return "".join(lines)
+
+
+def response(status: int, fields: Fields, body: bytes = b"", close: bool = False) -> bytes:
+    """A whole response, framed by Content-Length.
+
+    Raises:
+        ValueError: a field that would break its line.
+    """
+    length = "" if status == 204 else f"Content-Length: {len(body)}\r\n"
+    ending = "Connection: close\r\n" if close else ""
+    head = f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}\r\n{_lines(fields)}{length}{ending}\r\n"
+    return head.encode("latin-1") + body
+
+
+def stream_head(status: int, fields: Fields) -> bytes:
+    """The head of a response that goes on in chunks."""
+    lines = _lines(fields)
+    head = f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}\r\n{lines}Transfer-Encoding: chunked\r\n\r\n"
+    return head.encode("latin-1")
+
+
+def chunk(data: bytes) -> bytes:
+    """One chunk; empty data would end the body and is refused.
+
+    Raises:
+        ValueError: no data.
+    """
+    if not data:
+        raise ValueError("an empty chunk ends the body; write LAST_CHUNK")
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def request(method: str, target: str, host: str, fields: Fields = (), body: bytes = b"") -> bytes:
+    """A whole request, framed by Content-Length.
+
+    Raises:
+        ValueError: a field or target that would break its line.
+    """
+    if _SAFE_TARGET.fullmatch(target) is None or _SAFE_NAME.fullmatch(method) is None:
+        raise ValueError(f"request target {target!r} would break its line")
+    length = f"Content-Length: {len(body)}\r\n" if body or method in ("POST", "PUT", "PATCH") else ""
+    head = f"{method} {target} HTTP/1.1\r\n{_lines([('Host', host), *fields])}{length}\r\n"
+    return head.encode("latin-1") + body
--- a/fennelcove/interface.py
+++ b/fennelcove/interface.py
@@ -189,6 +189,14 @@
     level: float
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class TopChanged:
+    """The viewer's best rung is another from now on, by its own measure or its server's word."""
+
+    id: str
+    top_rung: int
+
+
 @dataclass(frozen=True, slots=True, eq=False)
 class ClientGone:
     """Nobody waits for this subscription any more."""
@@ -203,7 +211,7 @@
     name: int
 
 
-Event = ListUpdate | Request | Handover | Started | JoinEnded | Note | ClientGone | TimerFired
+Event = ListUpdate | Request | Handover | Started | JoinEnded | Note | TopChanged | ClientGone | TimerFired
 
 
 class TimerName(IntEnum):
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -15,7 +15,7 @@
 
 from fennelcove.interface import (ClientGone, Effect, Effects, Event, Handover, JoinEnded, ListEntry,
                                   ListMode, ListUpdate, Note, NoteKind, Outcome, Request, RoomType, Scope,
-                                  Settings, Standing, Started, TimerFired, TimerName)
+                                  Settings, Standing, Started, TimerFired, TimerName, TopChanged)
 
 EXPONENT = 0.5  # n of the design page
 THRESHOLD = 1.0  # r of the design page
@@ -146,7 +146,7 @@
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
             JoinEnded: self.on_join_ended, Note: self.on_note, ClientGone: self.on_client_gone,
-            ListUpdate: self.on_list, TimerFired: self.ask_list}
+            ListUpdate: self.on_list, TimerFired: self.ask_list, TopChanged: self.on_top}
 
     def handle(self, event: Event, now_us: int) -> None:
         self.now_us = now_us
@@ -190,6 +190,13 @@
         if sub := self.subs.get(event.id):
             self.step(sub, Cue.CLIENT_GONE)
 
+    def on_top(self, event: TopChanged) -> None:
+        """What a viewer can't use leaves its link at once; raising it waits for room, as elsewhere."""
+        if sub := self.subs.get(event.id):
+            sub.top = max(event.top_rung, sub.room.floor)
+            if sub.life is Life.PLAYING and sub.rung > sub.top:
+                self.carry_out({sub: sub.top})
+
     def on_join_ended(self, event: JoinEnded) -> None:
         sub = self.subs.get(event.id)
         if sub is None or event.join >= len(sub.joins):
--- /dev/null
+++ b/fennelcove/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings as S-expressions, read into typed structs."""
--- /dev/null
+++ b/fennelcove/settings/schema.py
@@ -0,0 +1,144 @@
+"""The settings of a front, as typed structs; figures out of their range are refused by type.
+
+What belongs together is checked in `checks.py`. Times end in `_ms`, rates are kB a second.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, ClassVar, Literal
+
+from msgspec import Meta, Struct
+
+Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
+Address = Annotated[str, Meta(max_length=64, pattern=r"^[0-9A-Za-z._-]+:[0-9]{1,5}$")]
+Millis = Annotated[float, Meta(ge=0, le=86_400_000)]
+SomeMillis = Annotated[float, Meta(gt=0, le=86_400_000)]
+Count = Annotated[int, Meta(ge=0, le=1_000_000)]
+SomeCount = Annotated[int, Meta(ge=1, le=1_000_000)]
+Figure = Annotated[float, Meta(ge=0, le=1e12)]
+SomeFigure = Annotated[float, Meta(gt=0, le=1e12)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+
+
+class Strict(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Unknown fields are refused by name."""
+
+
+class Instance(Strict, frozen=True, kw_only=True):
+    """Which of how many fronts this is."""
+
+    index: Count = 0
+    fronts: SomeCount = 1
+    zone: Name = "zone"
+
+
+class RoomTypeSettings(Strict, frozen=True, kw_only=True):
+    """The terms of one room type."""
+
+    name: Name
+    objective_ms: SomeMillis
+    client_timeout_ms: SomeMillis
+    benefit: Figure = 1.0
+    effect: Literal["free", "guarded", "single_shot"] = "free"
+    scope: Literal["all", "zone", "cell"] = "all"
+    key_ttl_ms: Millis = 0.0
+    scale: SomeFigure = 1.0
+    floor: Count = 0
+    seats: Count = 0
+
+
+class Rung(Strict, frozen=True, kw_only=True):
+    """One step of the ladder of rates."""
+
+    kb: SomeFigure
+    worth: Share
+
+
+class Kind(Strict, frozen=True, kw_only=True):
+    """A kind of box."""
+
+    name: Name
+    streams: SomeCount
+
+
+class Title(Strict, frozen=True, kw_only=True):
+    """A title and the cells whose boxes hold it."""
+
+    name: Name
+    first_cell: Count = 0
+    cells: SomeCount = 1
+
+
+class Fleet(Strict, frozen=True, kw_only=True):
+    """What is known of the boxes beforehand."""
+
+    kinds: Annotated[list[Kind], Meta(min_length=1, max_length=64)]
+    cells: SomeCount = 1
+    racks: SomeCount = 1
+    kb_per_weight: Figure = 0.0
+    all_links_kb: Figure = 0.0
+    uplink_kb: Figure = 0.0
+    uplinks_told: bool = True
+    sizes_listed: bool = True
+    seen_after_ms: Millis = 1000.0
+    reports_every_ms: Millis = 1000.0
+    guard: Figure = 0.0
+
+
+class Rules(Strict, frozen=True, kw_only=True):
+    """The figures of the rules that this front must keep."""
+
+    drain_grace_ms: Millis = 2000.0
+    start_capacity: Annotated[float, Meta(gt=0, le=1)] = 1.0
+    ramp_ms: Millis = 0.0
+    join_cap: SomeCount | None = None
+    budget_free: Figure | None = None
+    budget_ratio: Figure = 0.0
+    budget_span_ms: Millis = 0.0
+
+
+class Lists(Strict, frozen=True, kw_only=True):
+    """Where the server list comes from."""
+
+    address: Address
+    must_ask: bool = False
+    ask_within_ms: SomeMillis | None = None
+
+
+class Limits(Strict, frozen=True, kw_only=True):
+    """Bounds on what the front holds; past one the answer is an immediate 503."""
+
+    connections: SomeCount = 1024
+    waiting: SomeCount = 512
+    held: SomeCount = 100_000
+    buffered_bytes: SomeCount = 1_000_000
+    head_bytes: Annotated[int, Meta(ge=256, le=1_000_000)] = 16_384
+    head_count: Annotated[int, Meta(ge=4, le=1000)] = 64
+    body_bytes: Annotated[int, Meta(ge=64, le=1_000_000)] = 16_384
+    head_ms: SomeMillis = 5000.0
+    idle_ms: SomeMillis = 30_000.0
+    write_ms: SomeMillis = 5000.0
+    box_connections: SomeCount = 16
+    stop_ms: SomeMillis = 5000.0
+    silent_ms: SomeMillis = 30_000.0
+    stack_kib: Annotated[int, Meta(ge=64, le=8192)] = 256
+
+
+class FrontSettings(Strict, frozen=True, kw_only=True):
+    """All that a front is told at its start."""
+
+    HEAD: ClassVar[str] = "front"
+
+    name: Name
+    listen: Address
+    lists: Lists
+    room_types: Annotated[list[RoomTypeSettings], Meta(min_length=1, max_length=64)]
+    ladder: Annotated[list[Rung], Meta(min_length=1, max_length=64)]
+    fleet: Fleet
+    titles: Annotated[list[Title], Meta(min_length=1, max_length=100_000)]
+    instance: Instance = Instance()
+    rules: Rules = Rules()
+    limits: Limits = Limits()
+    seed: Count = 1
+    max_retry_after_ms: Millis | None = 2000.0
+    cross_zone_price: Figure = 0.0
--- /dev/null
+++ b/tests/test_top.py
@@ -0,0 +1,44 @@
+"""A viewer whose best rung changes while it plays."""
+
+from __future__ import annotations
+
+import unittest
+
+from fennelcove.interface import TopChanged
+from tests.helpers import front, play
+
+
+class TopChangedTest(unittest.TestCase):
+    def test_a_lower_top_lowers_the_rung_at_once_and_frees_the_link(self) -> None:
+        made, effects = front()
+        play(made)
+        sub = made.subs["a"]
+        self.assertEqual(sub.rung, 2)
+        before = sub.server.own_kb
+        made.handle(TopChanged("a", 0), made.now_us)
+        self.assertEqual((sub.rung, sub.top), (0, 0))
+        self.assertEqual(effects.named("set_rung")[-1], ("set_rung", "a", 0))
+        self.assertEqual(before - sub.server.own_kb, 300.0)
+
+    def test_a_higher_top_changes_nothing_until_there_is_room_to_raise(self) -> None:
+        made, effects = front()
+        play(made, top_rung=0)
+        count = len(effects.calls)
+        made.handle(TopChanged("a", 2), made.now_us)
+        self.assertEqual((made.subs["a"].rung, made.subs["a"].top), (0, 2))
+        self.assertEqual(len(effects.calls), count)
+
+    def test_never_under_the_floor(self) -> None:
+        made, _ = front(room={"floor": 1})
+        play(made)
+        made.handle(TopChanged("a", 0), made.now_us)
+        self.assertEqual((made.subs["a"].rung, made.subs["a"].top), (1, 1))
+
+    def test_of_a_subscription_that_has_ended_nothing_is_made(self) -> None:
+        made, effects = front()
+        made.handle(TopChanged("gone", 0), made.now_us)
+        self.assertEqual(effects.calls, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
