--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 
 lint: $(STAMP)
 	.venv/bin/ruff check .
+	.venv/bin/ruff format --check --quiet .
 	.venv/bin/mypy fennelcove
 
 $(STAMP):
--- /dev/null
+++ b/fennelcove/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/fennelcove/cli/days.py
@@ -0,0 +1,65 @@
+"""Plays and judges days, and shows verdicts."""
+
+from __future__ import annotations
+
+import click
+import msgspec
+
+from fennelcove.day.judge import Verdict, judge
+from fennelcove.day.player import DayFailed, DayPlayer
+from fennelcove.day.script import read
+from fennelcove.settings.reader import SettingsError
+from fennelcove.standins.recorder import load, save
+
+PASSED, BROKEN, USAGE = 0, 1, 2
+
+
+def play(name: str, seed: int, record: str | None, as_json: bool) -> int:
+    """Play a day; the exit status."""
+    try:
+        day = read(name)
+    except SettingsError as error:
+        click.echo(f"fennelcove: {error}", err=True)
+        return USAGE
+    click.echo(f"playing {name}, seed {seed}: {len(day.boxes)} stand-in boxes, one front, {day.seconds:g} s")
+    try:
+        records = DayPlayer(day, seed).play()
+    except DayFailed as error:
+        click.echo(f"fennelcove: {name}: {error}", err=True)
+        return BROKEN
+    if record is not None:
+        try:
+            save(records, record)
+        except OSError as error:
+            click.echo(f"fennelcove: {record}: found no writable file ({error.strerror})", err=True)
+            return USAGE
+    return show(judge(records), as_json)
+
+
+def judge_file(file: str, as_json: bool) -> int:
+    """Judge a recording; the exit status."""
+    try:
+        return show(judge(load(file)), as_json)
+    except OSError as error:
+        click.echo(f"fennelcove: {file}: found no readable file ({error.strerror})", err=True)
+    except (ValueError, KeyError) as error:
+        click.echo(f"fennelcove: {file}: found no recording of a day ({error})", err=True)
+    return USAGE
+
+
+def show(verdict: Verdict, as_json: bool) -> int:
+    """Print a verdict; the exit status."""
+    click.echo(
+        f"{verdict.day}: {verdict.requests} requests, {verdict.answers} answers: {verdict.played} played, "
+        f"{verdict.throttled} throttled, {verdict.terminated} terminated; {verdict.hung_up} hung up, "
+        f"{verdict.not_taken} found no front, {verdict.lost} lost while playing"
+    )
+    click.echo(f"service {verdict.service:.3f}, floor {verdict.service_floor:.3f}")
+    for broken in verdict.broken[:50]:
+        click.echo(
+            f"rule {broken.rule} broken at {broken.time:.3f} s by {broken.subscription}: {broken.reason}"
+        )
+    click.echo("passed" if verdict.passed else "FAILED")
+    if as_json:
+        click.echo(msgspec.json.encode(verdict).decode())
+    return PASSED if verdict.passed else BROKEN
--- /dev/null
+++ b/fennelcove/cli/serve.py
@@ -0,0 +1,110 @@
+"""Runs a front or a stand-in box until a signal."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+from typing import Annotated, ClassVar
+
+import click
+from msgspec import Meta
+
+from fennelcove import log
+from fennelcove.clock import SystemClock
+from fennelcove.program.front import FrontProgram
+from fennelcove.settings.checks import load_front
+from fennelcove.settings.reader import SettingsError, load
+from fennelcove.settings.schema import Name, SomeCount, SomeFigure, SomeMillis, Strict
+from fennelcove.standins.box import StandInBox
+from fennelcove.standins.model import BoxModel, RackModel
+from fennelcove.standins.recorder import Recorder
+
+USAGE, FAILED = 2, 1
+
+
+class BoxSettings(Strict, frozen=True, kw_only=True):
+    """A stand-in box."""
+
+    HEAD: ClassVar[str] = "box"
+
+    name: Name
+    streams: SomeCount
+    link_kb: SomeFigure
+    uplink_kb: SomeFigure
+    reports_every_ms: SomeMillis = 1000.0
+    ramp_ms: Annotated[float, Meta(ge=0)] = 0.0
+    start_capacity: Annotated[float, Meta(gt=0, le=1)] = 1.0
+
+
+def _until_signal(second: threading.Event | None = None) -> threading.Event:
+    """Set by SIGTERM or SIGINT; the second signal sets the other event."""
+    first = threading.Event()
+
+    def heard(_number: int, _frame: object) -> None:
+        if first.is_set() and second is not None:
+            second.set()
+        first.set()
+
+    signal.signal(signal.SIGTERM, heard)
+    signal.signal(signal.SIGINT, heard)
+    return first
+
+
+def run_front(config: str, level: str) -> int:
+    """The front's process; its exit status."""
+    try:
+        settings = load_front(config)
+    except SettingsError as error:
+        click.echo(f"fennelcove: {error}", err=True)
+        return USAGE
+    notice = log.configure(settings.name, level)
+    hurry = threading.Event()
+    asked = _until_signal(hurry)
+    try:
+        program = FrontProgram(settings, notice)
+    except OSError as error:
+        click.echo(
+            f"fennelcove: {config}: listen: found {settings.listen} in use or barred ({error})", err=True
+        )
+        return USAGE
+    program.start()
+    while not asked.wait(1.0):
+        pass  # a bounded wait, so that a signal is handled even where the lock would hold it back
+    ending = threading.Thread(target=program.stop, name="ending")
+    ending.start()
+    while ending.is_alive():
+        ending.join(0.1)
+        if hurry.is_set():
+            program.hurry()
+    return 0
+
+
+def run_box(config: str) -> int:
+    """The stand-in box's process; its exit status."""
+    try:
+        settings = load(config, BoxSettings)
+    except SettingsError as error:
+        click.echo(f"fennelcove: {error}", err=True)
+        return USAGE
+    clock = SystemClock()
+    rack = RackModel(settings.uplink_kb)
+    model = BoxModel(
+        settings.link_kb,
+        settings.streams,
+        rack,
+        round(settings.ramp_ms * 1000),
+        settings.start_capacity,
+        2.0,
+        3_000_000,
+    )
+    rack.boxes.append(model)
+    box = StandInBox(settings.name, model, clock, Recorder(clock), settings.reports_every_ms / 1000)
+    asked = _until_signal()
+    box.start()
+    click.echo(box.address)
+    sys.stdout.flush()
+    while not asked.wait(1.0):
+        pass
+    box.stop()
+    return 0
--- /dev/null
+++ b/fennelcove/core/core.py
@@ -0,0 +1,604 @@
+"""The core: every door's events pass through it one at a time, and it hands back what to do.
+
+It decides nothing: the module places, the tables in `fennelcove.decisions` say what follows from what, and
+the core carries it out. A door calls `ask`, runs the join it is handed, calls `join_over`, and so on until it
+is told to answer. All calls are short; none waits for anything but the lock.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from fennelcove.clock import Clock
+from fennelcove.core.names import Names
+from fennelcove.core.timers import Timers
+from fennelcove.core.verdicts import (
+    Answer,
+    Answered,
+    Ask,
+    Boxes,
+    JoinEnd,
+    ListSource,
+    Notices,
+    SendJoin,
+    Session,
+    Step,
+    View,
+)
+from fennelcove.decisions import feeds, hearing, joins, sessions
+from fennelcove.decisions.admission import Bounds, Entry, Gate
+from fennelcove.decisions.admission import Ruling as Entered
+from fennelcove.decisions.commands import Order, Orders
+from fennelcove.decisions.feeds import Feed
+from fennelcove.decisions.hearing import BoxEar, BoxSays, ViewerSays
+from fennelcove.decisions.listing import ListKeeper, ListNews, Ruling
+from fennelcove.decisions.presence import Presence
+from fennelcove.decisions.sessions import Act, Cue, Stage
+from fennelcove.interface import (
+    ClientGone,
+    JoinEnded,
+    ListMode,
+    ListUpdate,
+    Note,
+    NoteKind,
+    Outcome,
+    Request,
+    Started,
+    TimerFired,
+    TopChanged,
+)
+from fennelcove.rules import Front
+from fennelcove.settings.checks import module_settings
+from fennelcove.settings.schema import FrontSettings
+
+ENDED_KEPT = 10_000  # ended subscriptions of which the reason is still told
+
+
+@dataclass(slots=True, eq=False)
+class Box:
+    """What the core holds of one box while something plays there."""
+
+    address: str
+    playing: dict[str, Session] = field(default_factory=dict)
+    feed: Feed = field(default_factory=Feed)
+    ear: BoxEar = field(default_factory=BoxEar)
+    generation: int = 0
+    opened_us: int = 0
+    blamed: bool = False
+
+
+class Core:
+    """One front's state behind its doors. Attach `boxes` and `lists` before the first event."""
+
+    def __init__(
+        self,
+        settings: FrontSettings,
+        clock: Clock,
+        timers: Timers,
+        notice: Notices,
+        names: Names | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.timers = timers
+        self.notice = notice
+        self.names = names or Names()
+        self.lock = threading.RLock()
+        self.chance = Random(settings.seed)
+        self.rooms = {room.name: room for room in settings.room_types}
+        self.titles = {title.name: (number, title) for number, title in enumerate(settings.titles)}
+        self.front = Front(module_settings(settings), settings.seed, self, clock.now_us())
+        self.keeper = ListKeeper()
+        self.presence = Presence(round(settings.limits.silent_ms * 1000))
+        self.orders = Orders(settings.limits.held)
+        self.sessions: dict[str, Session] = {}
+        self.ended: OrderedDict[str, str] = OrderedDict()
+        self.boxes_held: dict[str, Box] = {}
+        self.boxes: Boxes
+        self.lists: ListSource
+        self.counts: dict[str, int] = {}
+        self.generations = 0
+        self.gate = Gate(
+            Bounds(
+                settings.limits.connections,
+                settings.limits.waiting,
+                settings.limits.held,
+                settings.limits.buffered_bytes,
+            )
+        )
+        self.list_age_from_us = 0
+        self.acts: dict[Act, Callable[[Session], None]] = {
+            Act.SEND_JOIN: self._send_join,
+            Act.ANSWER_PLAYING: self._answer_playing,
+            Act.ANSWER_THROTTLED: self._answer_throttled,
+            Act.ANSWER_TERMINATED: self._answer_terminated,
+            Act.ANSWER_STOPPED: self._answer_stopped,
+            Act.TELL_STARTED: self._tell_started,
+            Act.TELL_FAILED: self._tell_failed,
+            Act.TELL_FINISHED: self._tell_finished,
+            Act.TELL_LOST: self._tell_lost,
+            Act.TELL_GONE: self._tell_gone,
+            Act.RELEASE_BOX: self._release_box,
+            Act.FORGET: self._forget,
+        }
+        self.feed_acts: dict[feeds.Act, Callable[[Box], None]] = {
+            feeds.Act.OPEN_FEED: self._open_feed,
+            feeds.Act.CLOSE_FEED: self._close_feed,
+            feeds.Act.PAUSE: self._pause_feed,
+            feeds.Act.LOSE_ALL: self._lose_all,
+            feeds.Act.LOSE_UNKNOWN: self._lose_unknown,
+        }
+        self.greeted: frozenset[tuple[str, int]] = frozenset()
+
+    # What doors call.
+
+    def enter(self, entry: Entry) -> Answered | None:
+        """Something wants in; the refusal to answer at once, or None where it is let in and counted."""
+        with self.lock:
+            ruling = self.gate.ask(entry)
+            if ruling is Entered.LET_IN:
+                return None
+            self._count(f"refused_{entry.name.lower()}_{ruling.name.lower()}")
+            stopping = ruling is Entered.CLOSING
+            why = "this front is stopping" if stopping else "this front holds all that it can"
+            return Answered(Answer.THROTTLED, why, self.come_back_us())
+
+    def come_back_us(self) -> int:
+        """When one that is turned away at the door should ask again."""
+        with self.lock:
+            return self.gate.come_back_us(self.chance.random(), self.front.settings.retry_after_us)
+
+    def stop_entries(self) -> None:
+        """This front is ending: nothing new comes in from now on."""
+        with self.lock:
+            self.gate.stop()
+
+    def status(self) -> dict[str, object]:
+        """Figures for an operator, all of them this front's own."""
+        with self.lock:
+            now_us = self.clock.now_us()
+            age_us = now_us - self.list_age_from_us if self.keeper.version is not None else None
+            return {
+                "front": self.settings.name,
+                "boot": self.names.boot,
+                "phase": self.gate.phase.name.lower(),
+                "connections": self.gate.connections,
+                "waiting": self.gate.waiting,
+                "held": self.gate.held,
+                "boxes_playing": len(self.boxes_held),
+                "orders_waiting": self.orders.count,
+                "list_version": self.keeper.version,
+                "list_age_ms": None if age_us is None else age_us / 1000,
+                "counts": dict(self.counts),
+            }
+
+    def leave(self) -> None:
+        """A connection that was let in has gone."""
+        with self.lock:
+            self.gate.connection_closed()
+
+    def buffer(self, more_bytes: int) -> bool:
+        """Count bytes read and not yet acted on; False where there is no room for them."""
+        with self.lock:
+            return self.gate.buffer(more_bytes)
+
+    def patience_us(self, limit_us: int) -> int:
+        """How long an idle or slow connection may stay now."""
+        with self.lock:
+            return self.gate.patience_us(limit_us)
+
+    def ask(self, ask: Ask) -> tuple[Session | None, Step]:
+        """A viewer asks; the session, and what to do first. Without a session the door is full.
+
+        Raises:
+            KeyError: a room type or title that the settings do not name.
+        """
+        room, (number, title) = self.rooms[ask.room], self.titles[ask.title]
+        now_us = self.clock.now_us()
+        timeout_us = sessions.honest_timeout_us(ask.client_timeout_us, round(room.client_timeout_ms * 1000))
+        rates_kb = tuple(room.scale * rung.kb for rung in self.settings.ladder)
+        stated = len(rates_kb) - 1 if ask.stated_top is None else min(ask.stated_top, len(rates_kb) - 1)
+        top = hearing.top_rung(rates_kb, stated, room.floor, ask.says)
+        work_us = sessions.time_to_answer_us(timeout_us)
+        with self.lock:
+            refusal = self.enter(Entry.REQUEST)
+            if refusal is None and (refusal := self.enter(Entry.SUBSCRIPTION)) is not None:
+                self.gate.request_answered(0)
+            if refusal is not None:
+                return None, refusal
+            session = Session(
+                self.names.next(),
+                ask.room,
+                ask.title,
+                room.floor,
+                rates_kb,
+                stated,
+                now_us,
+                now_us + work_us,
+                top=top,
+            )
+            self.sessions[session.id] = session
+            self._count("requests")
+            request = Request(session.id, ask.room, number, title.first_cell, title.cells, top, work_us)
+            self.front.handle(request, now_us)
+            return session, self._taken(session)
+
+    def join_over(
+        self, session: Session, join: int, outcome: Outcome, says: BoxSays | None, took_us: int
+    ) -> Step | None:
+        """The join that is out has ended so; what to do next, or None where nobody is owed anything."""
+        with self.lock:
+            if join != session.joins - 1 or session.stage not in (Stage.JOINING, Stage.ABANDONED):
+                return None
+            now_us = self.clock.now_us()
+            cue = Cue.FAILED
+            if outcome is Outcome.SERVED:
+                # In the very instant in which the front's time is over, the give-up counts: it is the side on
+                # which the viewer surely still hears the answer.
+                cue = Cue.SERVED if now_us < session.give_up_us else Cue.SERVED_LATE
+            counted = Outcome.NO_ANSWER if cue is Cue.SERVED_LATE else outcome
+            session.end = JoinEnd(counted, says, took_us)
+            session.box_may_hold = joins.may_need_release(outcome)
+            self._count(f"joins_{outcome.value}")
+            self._cue(session, cue)
+            return self._taken(session) if session.step is not None else None
+
+    def viewer_gone(self, session: Session) -> None:
+        """The viewer hung up before its answer, or its answer could not be written."""
+        with self.lock:
+            self._cue(session, Cue.VIEWER_GONE)
+
+    def stopped(self, session: Session) -> Step | None:
+        """This front ends and waits no longer for the join that is out."""
+        with self.lock:
+            self._cue(session, Cue.STOPPED)
+            return self._taken(session) if session.step is not None else None
+
+    def release(self, id: str, why: str) -> bool:
+        """End what plays; False where nothing does."""
+        with self.lock:
+            session = self.sessions.get(id)
+            if session is None or session.stage is not Stage.PLAYING:
+                return False
+            session.ended_because = why
+            self._cue(session, Cue.RELEASED)
+            return True
+
+    def hear_viewer(self, id: str, says: ViewerSays, stated_top: int | None = None) -> View | None:
+        """A playing viewer gives a sign of life, with what it says; None where it does not play."""
+        with self.lock:
+            session = self.sessions.get(id)
+            if session is None or session.stage is not Stage.PLAYING:
+                return None
+            now_us = self.clock.now_us()
+            self.presence.hear(id, now_us)
+            if stated_top is not None:
+                session.stated_top = min(stated_top, len(session.rates_kb) - 1)
+            box = self.boxes_held[session.box]
+            rate_kb = session.rates_kb[session.rung]
+            share = hearing.starving_share(says, rate_kb)
+            box.ear.hear(id, share, now_us)
+            self._judge_box(box, now_us)
+            if share is None or not box.blamed:
+                top = hearing.new_top(session.rates_kb, session.stated_top, session.top, session.floor, says)
+                if top != session.top:
+                    session.top = top
+                    self.front.handle(TopChanged(id, top), now_us)
+            return self.view(session)
+
+    def view(self, session: Session) -> View:
+        """What the viewer may know."""
+        return View(
+            session.id,
+            session.title,
+            session.room,
+            session.box,
+            session.rung,
+            session.top,
+            session.rates_kb[session.rung],
+            self.presence.poll_every_us(),
+        )
+
+    def why_ended(self, id: str) -> str | None:
+        """Why a subscription ended, where that is still known."""
+        with self.lock:
+            return self.ended.get(id)
+
+    # What the sides towards boxes and list call.
+
+    def list_news(self, news: ListNews) -> Ruling:
+        """A message of the list service."""
+        with self.lock:
+            verdict = self.keeper.rule(news)
+            self._count(f"lists_{verdict.ruling.name.lower()}")
+            if verdict.update is not None:
+                now_us = self.clock.now_us()
+                self.list_age_from_us = now_us
+                self.front.handle(verdict.update, now_us)
+                self.notice("list_taken", version=news.version, boxes=len(verdict.update.entries))
+            elif verdict.ruling is Ruling.REFUSED:
+                self.notice("list_refused", version=news.version, reason=verdict.reason)
+            if verdict.ruling is Ruling.GAP:
+                self.lists.fetch()
+            return verdict.ruling
+
+    def list_failed(self) -> None:
+        """A call that the module asked for, or the stream, failed."""
+        with self.lock:
+            self.front.handle(ListUpdate(ListMode.FAILED, ()), self.clock.now_us())
+
+    def feed_hello(self, address: str, generation: int, boot: str, held: Iterable[tuple[str, int]]) -> None:
+        """A box greets on its feed and names the joins that it holds for this front."""
+        with self.lock:
+            box = self._feed_of(address, generation)
+            if box is not None:
+                self.greeted = frozenset(held)
+                self._feed(box, box.feed.greet(boot, self.clock.now_us()))
+
+    def feed_report(self, address: str, generation: int, says: BoxSays, delivered: float | None) -> None:
+        """A box reports its load, and what share of the rates it delivers."""
+        with self.lock:
+            box = self._feed_of(address, generation)
+            carrier = next(iter(box.playing.values()), None) if box is not None else None
+            if box is not None and carrier is not None:
+                self._notes(carrier, says)
+                if delivered is not None:
+                    self._note(carrier, NoteKind.DELIVERED, delivered)
+
+    def feed_ended(self, address: str, generation: int, id: str, join: int) -> None:
+        """A box says that it plays a subscription no more."""
+        with self.lock:
+            session = self.sessions.get(id)
+            if self._feed_of(address, generation) and session is not None and session.joins - 1 == join:
+                session.ended_because, session.box_may_hold = "ended at its box", False
+                self._cue(session, Cue.RELEASED)
+
+    def feed_cut(self, address: str, generation: int, refused: bool) -> None:
+        """A feed broke, fell silent or could not be opened."""
+        with self.lock:
+            box = self._feed_of(address, generation)
+            if box is not None:
+                cue = feeds.Cue.REFUSED if refused else feeds.Cue.CUT
+                self._feed(box, box.feed.cue(cue, self.clock.now_us()))
+
+    def take_order(self) -> tuple[Order | None, int | None]:
+        """The next order for a box, or how long to wait for one (None: until there is one)."""
+        with self.lock:
+            now_us = self.clock.now_us()
+            order = self.orders.take(now_us)
+            return order, None if order is not None else self.orders.wait_us(now_us)
+
+    def order_over(self, order: Order, carried_out: bool) -> None:
+        """An order was carried out, or was not."""
+        with self.lock:
+            self.orders.done(order, carried_out, self.clock.now_us())
+
+    def sweep(self) -> None:
+        """End what is watched by nobody; called every so often."""
+        with self.lock:
+            for id in self.presence.silent(self.clock.now_us()):
+                session = self.sessions.get(id)
+                if session is not None:
+                    session.ended_because = "its viewer fell silent"
+                    self._count("silent")
+                    self._cue(session, Cue.RELEASED)
+
+    # Effects: what the module asks for.
+
+    def join(self, id: str, server: str, allow_us: int) -> None:
+        session = self.sessions[id]
+        left_us = session.give_up_us - self.clock.now_us()
+        session.box = server
+        session.step = SendJoin(session, session.joins, server, session.rung, max(1, min(allow_us, left_us)))
+        self._cue(session, Cue.JOIN)
+
+    def set_rung(self, id: str, rung: int) -> None:
+        session = self.sessions[id]
+        session.rung = rung
+        if session.stage is Stage.PLAYING:
+            self._order(session, rung)
+
+    def throttle(self, id: str, wait_us: int) -> None:
+        session = self.sessions[id]
+        why = "no holder has room" if not session.joins else "no further holder may be tried"
+        session.step = Answered(Answer.THROTTLED, why, wait_us)
+        self._cue(session, Cue.THROTTLE)
+
+    def terminate(self, id: str) -> None:
+        session = self.sessions[id]
+        session.step = Answered(Answer.TERMINATED, "a join may have run and must not be repeated")
+        self._cue(session, Cue.TERMINATE)
+
+    def move(self, id: str) -> None:
+        self.notice("move_asked", subscription=id)
+
+    def timer(self, name: int, delay_us: int) -> None:
+        self.timers.after(delay_us, lambda: self._fire(name))
+
+    def watch_list(self) -> None:
+        self.lists.watch()
+
+    def fetch_list(self) -> None:
+        self.lists.fetch()
+
+    def _fire(self, name: int) -> None:
+        with self.lock:
+            self.front.handle(TimerFired(name), self.clock.now_us())
+
+    # Sessions.
+
+    def _cue(self, session: Session, cue: Cue) -> None:
+        session.stage, acts = sessions.step(session.stage, cue)
+        for act in acts:
+            self.acts[act](session)
+
+    def _taken(self, session: Session) -> Step:
+        step, session.step = session.step, None
+        assert step is not None
+        return step
+
+    def _send_join(self, session: Session) -> None:
+        session.joins += 1
+        self._count("joins")
+
+    def _answer_playing(self, session: Session) -> None:
+        session.step = Answered(Answer.PLAYING, "")
+        self._count("playing")
+
+    def _answer_throttled(self, session: Session) -> None:
+        self._count("throttled")
+
+    def _answer_terminated(self, session: Session) -> None:
+        self._count("terminated")
+
+    def _answer_stopped(self, session: Session) -> None:
+        sub = self.front.subs.get(session.id)
+        if sub is not None and self.front.may_throttle(sub):
+            session.step = Answered(Answer.THROTTLED, "this front is stopping", self.settings_wait_us())
+            self._count("throttled")
+        else:
+            session.step = Answered(Answer.TERMINATED, "this front is stopping and the join may have run")
+            self._count("terminated")
+
+    def settings_wait_us(self) -> int:
+        """The time to come back that the module would name."""
+        return self.front.settings.retry_after_us or 0
+
+    def _tell_started(self, session: Session) -> None:
+        now_us = self.clock.now_us()
+        end = session.end
+        assert end is not None
+        self.front.handle(Started(session.id, session.joins - 1, end.took_us), now_us)
+        session.playing_since_us = now_us
+        self.presence.begin(session.id, now_us)
+        box = self.boxes_held.setdefault(session.box, Box(session.box))
+        box.playing[session.id] = session
+        if len(box.playing) == 1:
+            self._feed(box, box.feed.cue(feeds.Cue.HELD, now_us))
+        if end.says is not None:
+            self._notes(session, end.says)
+            if end.says.most_kbit is not None:
+                top = hearing.highest_rung(session.rates_kb, end.says.most_kbit, session.floor)
+                if top < session.top:
+                    session.top = top
+                    self.front.handle(TopChanged(session.id, top), now_us)
+
+    def _tell_failed(self, session: Session) -> None:
+        assert session.end is not None
+        self._join_ended(session, session.end.outcome, False)
+
+    def _tell_finished(self, session: Session) -> None:
+        assert session.end is not None
+        self._join_ended(session, session.end.outcome, True)
+
+    def _tell_lost(self, session: Session) -> None:
+        session.ended_because = session.ended_because or "its box was lost"
+        self._count("lost")
+        self._join_ended(session, Outcome.CONNECTION_LOST, True)
+
+    def _join_ended(self, session: Session, outcome: Outcome, finished: bool) -> None:
+        says = session.end.says if session.end is not None and not finished else None
+        report = hearing.load_report(says) if says is not None else None
+        self.front.handle(
+            JoinEnded(session.id, session.joins - 1, outcome, finished, report), self.clock.now_us()
+        )
+
+    def _tell_gone(self, session: Session) -> None:
+        self.front.handle(ClientGone(session.id), self.clock.now_us())
+
+    def _release_box(self, session: Session) -> None:
+        if session.box_may_hold:
+            self._order(session, None)
+
+    def _order(self, session: Session, rung: int | None) -> None:
+        self.orders.add(Order(session.box, session.id, session.joins - 1, rung))
+        self.boxes.orders_ready()
+
+    def answered(self, session: Session) -> None:
+        """The door has the answer of a session that was let in and will hand it on."""
+        with self.lock:
+            self.gate.request_answered(self.clock.now_us() - session.asked_us)
+
+    def _forget(self, session: Session) -> None:
+        self.gate.subscription_ended()
+        self.sessions.pop(session.id, None)
+        self.presence.end(session.id)
+        if session.ended_because:
+            self.ended[session.id] = session.ended_because
+            if len(self.ended) > ENDED_KEPT:
+                self.ended.popitem(last=False)
+        box = self.boxes_held.get(session.box)
+        if box is not None and box.playing.pop(session.id, None) is not None:
+            box.ear.forget(session.id)
+            if not box.playing:
+                self._feed(box, box.feed.cue(feeds.Cue.NONE_HELD, self.clock.now_us()))
+                del self.boxes_held[session.box]
+
+    # Boxes.
+
+    def _notes(self, session: Session, says: BoxSays) -> None:
+        report = hearing.load_report(says)
+        if report is not None and report.link is not None:
+            self._note(session, NoteKind.LINK, report.link)
+        if report is not None and report.uplink is not None:
+            self._note(session, NoteKind.UPLINK, report.uplink)
+
+    def _note(self, session: Session, kind: NoteKind, level: float) -> None:
+        self.front.handle(Note(session.id, session.box, kind, level), self.clock.now_us())
+
+    def _judge_box(self, box: Box, now_us: int) -> None:
+        """The note of short delivery that viewers' hints amount to, and the one that it is over."""
+        window_us = self.front.settings.seen_after_us + self.front.settings.reports_every_us
+        short = box.ear.short_delivery(now_us - window_us)
+        carrier = next(iter(box.playing.values()))
+        if short is not None:
+            box.blamed = True
+            self._count("boxes_blamed_by_viewers")
+            self._note(carrier, NoteKind.DELIVERED, short)
+        elif box.blamed:
+            box.blamed = False
+            self._note(carrier, NoteKind.DELIVERED, 1.0)
+
+    def _feed_of(self, address: str, generation: int) -> Box | None:
+        box = self.boxes_held.get(address)
+        return box if box is not None and box.generation == generation else None
+
+    def _feed(self, box: Box, acts: Iterable[feeds.Act]) -> None:
+        for act in acts:
+            self.feed_acts[act](box)
+
+    def _open_feed(self, box: Box) -> None:
+        self.generations += 1
+        box.generation, box.opened_us = self.generations, self.clock.now_us()
+        self.boxes.open_feed(box.address, box.generation)
+
+    def _close_feed(self, box: Box) -> None:
+        self.boxes.close_feed(box.address)
+
+    def _pause_feed(self, box: Box) -> None:
+        def retry() -> None:
+            with self.lock:
+                if self.boxes_held.get(box.address) is box:
+                    self._feed(box, box.feed.cue(feeds.Cue.RETRY, self.clock.now_us()))
+
+        self.timers.after(box.feed.pause_us(self.chance.random()), retry)
+
+    def _lose_all(self, box: Box) -> None:
+        self.notice("box_lost", box=box.address, subscriptions=len(box.playing))
+        for session in list(box.playing.values()):
+            self._cue(session, Cue.BOX_LOST)
+
+    def _lose_unknown(self, box: Box) -> None:
+        for session in list(box.playing.values()):
+            # What began while the greeting was under way is not in it and is not lost.
+            unknown = (session.id, session.joins - 1) not in self.greeted
+            if unknown and session.playing_since_us < box.opened_us:
+                session.ended_because = "its box knows it no more"
+                self._cue(session, Cue.BOX_LOST)
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
--- /dev/null
+++ b/fennelcove/core/names.py
@@ -0,0 +1,25 @@
+"""Names for subscriptions that nobody can guess, and for one life of a process."""
+
+from __future__ import annotations
+
+import hashlib
+import os
+
+
+class Names:
+    """Hands out ids: a count under a key of this life, so that none comes twice and none can be guessed.
+
+    An id lets its holder see and release the subscription. The key is no decision's chance: it comes from the
+    system, not from the seed, or two lives of one front would give boxes the same ids.
+    """
+
+    def __init__(self, key: bytes | None = None) -> None:
+        self.key = key or os.urandom(32)
+        self.boot = hashlib.blake2s(b"boot", key=self.key, digest_size=6).hexdigest()
+        self.count = 0
+
+    def next(self) -> str:
+        """A new id, 24 hexadecimal characters behind the count."""
+        self.count += 1
+        mark = hashlib.blake2s(self.count.to_bytes(8, "big"), key=self.key, digest_size=12).hexdigest()
+        return f"{self.count:x}-{mark}"
--- /dev/null
+++ b/fennelcove/core/verdicts.py
@@ -0,0 +1,124 @@
+"""What passes between the core and what stands round it: asks, steps and views. Times in microseconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from fennelcove.decisions.hearing import BoxSays, ViewerSays
+from fennelcove.decisions.sessions import Stage
+from fennelcove.interface import Outcome
+
+
+class Answer(Enum):
+    """How a request for a subscription was answered."""
+
+    PLAYING = "playing"
+    THROTTLED = "throttled"
+    TERMINATED = "terminated"
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A viewer asks for a subscription; the names are known to the settings."""
+
+    title: str
+    room: str
+    stated_top: int | None = None
+    client_timeout_us: int | None = None
+    says: ViewerSays = field(default_factory=ViewerSays)
+
+
+@dataclass(frozen=True, slots=True)
+class JoinEnd:
+    """How a join ended, what its box said in the answer, and how long it took."""
+
+    outcome: Outcome
+    says: BoxSays | None
+    took_us: int
+
+
+@dataclass(slots=True, eq=False)
+class Session:
+    """One subscription at the door."""
+
+    id: str
+    room: str
+    title: str
+    floor: int
+    rates_kb: tuple[float, ...]
+    stated_top: int
+    asked_us: int
+    give_up_us: int
+    stage: Stage = Stage.ASKED
+    top: int = 0
+    rung: int = 0
+    joins: int = 0
+    box: str = ""
+    end: JoinEnd | None = None
+    box_may_hold: bool = False
+    playing_since_us: int = 0
+    ended_because: str = ""
+    step: Step | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class SendJoin:
+    """Send this join now; report its end."""
+
+    session: Session
+    join: int
+    box: str
+    rung: int
+    allow_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """Answer the viewer now; nothing more is owed."""
+
+    answer: Answer
+    why: str
+    wait_us: int = 0
+
+
+Step = SendJoin | Answered
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """What a viewer may know of its subscription."""
+
+    id: str
+    title: str
+    room: str
+    box: str
+    rung: int
+    top: int
+    rate_kb: float
+    poll_every_us: int
+
+
+class Boxes(Protocol):
+    """What the core asks of the side that talks to boxes; none of it may wait."""
+
+    def open_feed(self, box: str, generation: int) -> None: ...
+
+    def close_feed(self, box: str) -> None: ...
+
+    def orders_ready(self) -> None: ...
+
+
+class ListSource(Protocol):
+    """What the core asks of the side that talks to the list service; none of it may wait."""
+
+    def fetch(self) -> None: ...
+
+    def watch(self) -> None: ...
+
+
+class Notices(Protocol):
+    """What the core tells for the log: one event name, with what belongs to it."""
+
+    def __call__(self, event: str, **fields: object) -> None: ...
--- /dev/null
+++ b/fennelcove/day/__init__.py
@@ -0,0 +1,2 @@
+"""Scripted days of trouble: played against a live front, recorded from its peers' sockets, judged by the
+rules."""
--- /dev/null
+++ b/fennelcove/day/judge.py
@@ -0,0 +1,391 @@
+"""Judges a recording by the six rules, from nothing but what passed on the stand-ins' sockets."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from itertools import pairwise
+from typing import Any
+
+import msgspec
+
+from fennelcove.standins.recorder import Record
+
+# What the two ends of a socket may differ by: threads that wake late on a busy machine, nothing of the
+# front's own.
+SLACK_US = 250_000
+PLAYS, THROTTLED = 201, 503
+
+
+class Broken(msgspec.Struct, frozen=True):
+    """One break of a rule."""
+
+    rule: int
+    time: float
+    subscription: str
+    reason: str
+
+
+class Verdict(msgspec.Struct, kw_only=True):
+    """A day's verdict; counts are of requests, service a share of the benefit asked for."""
+
+    day: str
+    requests: int
+    answers: int
+    played: int
+    throttled: int
+    terminated: int
+    hung_up: int
+    not_taken: int
+    lost: int
+    service: float
+    service_floor: float
+    broken: list[Broken]
+
+    @property
+    def passed(self) -> bool:
+        """No rule broken, and service at its floor or above."""
+        return not self.broken and self.service >= self.service_floor
+
+
+@dataclass(slots=True)
+class _Join:
+    """One set-up as its box saw it; times in microseconds."""
+
+    box: str
+    number: int
+    room: str
+    title: str
+    rung: int
+    began: int
+    over: int | None = None
+    how: str = ""
+    ended: int | None = None
+
+
+@dataclass(slots=True)
+class _Seen:
+    """A recording, sorted by what it concerns."""
+
+    terms: Record
+    rooms: dict[str, Any]
+    asked: dict[tuple[str, int], Record] = field(default_factory=dict)
+    answers: dict[tuple[str, int], list[Record]] = field(default_factory=lambda: defaultdict(list))
+    unanswered: dict[tuple[str, int], Record] = field(default_factory=dict)
+    joins: dict[str, list[_Join]] = field(default_factory=lambda: defaultdict(list))
+    boxes: dict[str, Record] = field(default_factory=dict)
+    told: list[Record] = field(default_factory=list)
+    starts: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
+    down: list[tuple[int, int]] = field(default_factory=list)  # when no front ran or one was ending
+    kills: list[int] = field(default_factory=list)
+    broken: list[Broken] = field(default_factory=list)
+
+    def break_(self, rule: int, t_us: int, subscription: str, reason: str) -> None:
+        self.broken.append(Broken(rule, round(t_us / 1e6, 3), subscription, reason))
+
+
+def _sort(records: list[Record]) -> _Seen:
+    terms = next((record for record in records if record["what"] == "terms"), None)
+    if terms is None:
+        raise ValueError("the recording holds no terms: nothing to judge it by")
+    seen = _Seen(terms, {room["name"]: room for room in terms["room_types"]})
+    stopping: int | None = None
+    for record in records:
+        what, t_us = record["what"], record["t_us"]
+        if what == "asked":
+            seen.asked[record["viewer"], record["number"]] = record
+        elif what in ("answered", "stray"):
+            seen.answers[record["viewer"], record["number"]].append(record)
+        elif what == "unanswered":
+            seen.unanswered[record["viewer"], record["number"]] = record
+        elif what == "box":
+            seen.boxes[record["box"]] = record
+        elif what == "box_started":
+            seen.starts[record["box"]].append(t_us)
+        elif what == "told":
+            seen.told.append(record)
+        elif what == "set_up":
+            seen.joins[record["subscription"]].append(
+                _Join(
+                    record["box"], record["join"], record["room_type"], record["title"], record["rung"], t_us
+                )
+            )
+        elif what == "front_stopping":
+            stopping = t_us
+        elif what == "front_killed":
+            stopping = t_us
+            seen.kills.append(t_us)
+        elif what == "front_started" and stopping is not None:
+            seen.down.append((stopping - SLACK_US, t_us + SLACK_US))
+            stopping = None
+        else:
+            _join_news(seen, record)
+    if stopping is not None:
+        seen.down.append((stopping - SLACK_US, records[-1]["t_us"] + SLACK_US))
+    return seen
+
+
+def _join_news(seen: _Seen, record: Record) -> None:
+    what = record["what"]
+    if what == "set_up_over":
+        join = _join(seen, record)
+        if join is not None and join.over is None:
+            join.over, join.how = record["t_us"], record["how"]
+    elif what in ("released", "ended"):
+        join = _join(seen, record)
+        if join is not None:
+            join.ended = record["t_us"]
+    elif what == "rung":
+        join = _join(seen, record)
+        if join is not None and record["rung"] < seen.rooms[join.room]["floor"]:
+            seen.break_(5, record["t_us"], record["subscription"], f"rung {record['rung']} under the floor")
+    elif what == "box_died":
+        for joins in seen.joins.values():
+            for join in joins:
+                if join.box == record["box"] and join.ended is None:
+                    join.ended = record["t_us"]
+                    join.over = join.over if join.over is not None else record["t_us"]
+                    join.how = join.how or "reset"
+
+
+def _join(seen: _Seen, record: Record) -> _Join | None:
+    for join in reversed(seen.joins.get(record["subscription"], [])):
+        if join.number == record["join"] and join.box == record["box"]:
+            return join
+    return None
+
+
+# Rule 1.
+
+
+def _one_answer(seen: _Seen) -> None:
+    for key, asked in seen.asked.items():
+        answers, silence = seen.answers.get(key, []), seen.unanswered.get(key)
+        name = f"{key[0]}/{key[1]}"
+        due_us = asked["t_us"] + round(asked["timeout_ms"] * 1000)
+        if len(answers) > 1:
+            seen.break_(1, answers[1]["t_us"], name, f"{len(answers)} answers to one request")
+        if not answers:
+            if silence is None:
+                seen.break_(1, due_us, name, "neither an answer nor an end of its connection")
+            elif silence["how"] not in ("hung_up",) and not _not_taken(seen, asked, silence):
+                seen.break_(
+                    1, silence["t_us"], name, f"no answer before the client timeout ({silence['how']})"
+                )
+            continue
+        answer = answers[0]
+        if answer["t_us"] > due_us:
+            seen.break_(1, answer["t_us"], name, "answered after the client timeout")
+        _at_once(seen, name, asked, answer)
+
+
+def _not_taken(seen: _Seen, asked: Record, silence: Record) -> bool:
+    """A front that was down, ending or killed meanwhile owes nothing to what it did not take or held when
+    killed."""
+    spans = [span for span in seen.down if span[0] <= silence["t_us"] and asked["t_us"] <= span[1]]
+    if not spans:
+        return False
+    if silence["how"] in ("refused", "reset"):
+        return True
+    return any(asked["t_us"] <= kill <= silence["t_us"] for kill in seen.kills)
+
+
+def _at_once(seen: _Seen, name: str, asked: Record, answer: Record) -> None:
+    if answer["status"] == PLAYS:
+        return
+    if answer["status"] == THROTTLED and not answer["retry_after"]:
+        seen.break_(1, answer["t_us"], name, "throttled without a time to come back")
+    last = asked["t_us"]
+    for join in seen.joins.get(answer["subscription"] or "", []):
+        last = max(last, join.over if join.over is not None else answer["t_us"])
+    if answer["t_us"] - last > SLACK_US:
+        held_ms = (answer["t_us"] - last) / 1000
+        seen.break_(1, answer["t_us"], name, f"given up but held back for {held_ms:.0f} ms")
+
+
+# Rule 2.
+
+
+def _no_double(seen: _Seen) -> None:
+    answered = {
+        answer["subscription"]: answer
+        for answers in seen.answers.values()
+        for answer in answers
+        if answer["what"] == "answered" and answer["subscription"]
+    }
+    for id, joins in seen.joins.items():
+        room = seen.rooms[joins[0].room]
+        for before, after in pairwise(joins):
+            if before.over is None or after.began < before.over - SLACK_US:
+                seen.break_(2, after.began, id, f"join {after.number} out while join {before.number} was")
+        ran = [join for join in joins if join.how != "turned_away"]
+        if room["effect"] == "free" or not ran:
+            continue
+        first = ran[0]
+        for join in joins[joins.index(first) + 1 :]:
+            if room["effect"] == "single_shot":
+                seen.break_(2, join.began, id, "a single-shot set-up again after one that may have run")
+            elif not _same_group(seen, room, first, join):
+                seen.break_(2, join.began, id, "a guarded set-up again outside its group or window")
+        answer = answered.get(id)
+        keyed = room["effect"] == "guarded" and room["scope"] == "all"
+        if answer is not None and answer["status"] == THROTTLED and not keyed:
+            seen.break_(2, answer["t_us"], id, "throttled although a join may have run")
+
+
+def _same_group(seen: _Seen, room: dict[str, Any], first: _Join, join: _Join) -> bool:
+    if join.began - first.began > room["key_ttl_ms"] * 1000 + SLACK_US:
+        return False
+    here, there = seen.boxes[first.box], seen.boxes[join.box]
+    return bool(room["scope"] == "all" or here[room["scope"]] == there[room["scope"]])
+
+
+# Rule 3.
+
+
+def _drains(seen: _Seen) -> None:
+    grace_us = round(seen.terms["drain_grace_ms"] * 1000)
+    closed: dict[str, list[tuple[int, int | None]]] = defaultdict(list)  # told closed, told open again
+    listed: set[str] = set()
+    for told in seen.told:
+        active = {box for box, state in told["boxes"].items() if state == "active"}
+        out = {box for box, state in told["boxes"].items() if state != "active"}
+        if told["whole"]:
+            out |= listed - set(told["boxes"])
+        listed |= set(told["boxes"])
+        for box in out:
+            if not closed[box] or closed[box][-1][1] is not None:
+                closed[box].append((told["t_us"], None))
+        for box in active:
+            if closed[box] and closed[box][-1][1] is None:
+                closed[box][-1] = (closed[box][-1][0], told["t_us"])
+    for id, joins in seen.joins.items():
+        for join in joins:
+            for since, until in closed.get(join.box, []):
+                late = join.began > since + grace_us + SLACK_US
+                if late and (until is None or join.began < until - SLACK_US):
+                    seen.break_(
+                        3, join.began, id, f"set up at {join.box}, told to drain {since / 1e6:.3f} s in"
+                    )
+
+
+# Rule 4.
+
+
+def _cold(seen: _Seen) -> None:
+    terms = seen.terms
+    ramp_us, window_us = terms["ramp_ms"] * 1000, terms["tip_after_ms"] * 1000
+    if not ramp_us:
+        return
+    for box, starts in seen.starts.items():
+        times = sorted(
+            (join.began, id) for id, joins in seen.joins.items() for join in joins if join.box == box
+        )
+        for start in starts:
+            cold = [(t, id) for t, id in times if start <= t < start + ramp_us]
+            for i, (t, id) in enumerate(cold):
+                sent = sum(1 for other, _ in cold[: i + 1] if other > t - window_us)
+                warmth = terms["start_capacity"] + (1 - terms["start_capacity"]) * (t - start) / ramp_us
+                pace = seen.boxes[box]["streams"] / ramp_us * warmth
+                # One set-up more for the edge of the window: a budget is counted in whole ones.
+                if sent > pace * window_us / terms["fronts"] * terms["fall_multiple"] + 1:
+                    seen.break_(4, t, id, f"{sent} set-ups at a cold box within {window_us / 1e6:g} s")
+
+
+# Rule 5.
+
+
+def _terms(seen: _Seen) -> None:
+    changes: dict[tuple[str, str], list[tuple[int, int, str]]] = defaultdict(list)
+    for id, joins in seen.joins.items():
+        for join in joins:
+            room = seen.rooms[join.room]
+            if join.rung < room["floor"]:
+                seen.break_(5, join.began, id, f"set up at rung {join.rung} under the floor")
+            if room["seats"]:
+                changes[join.title, join.room].append((join.began, 1, id))
+                end = join.ended if join.how == "started" else join.over
+                if end is not None:
+                    # Seats come free at the front when it learns; counting from the box is the strict side.
+                    changes[join.title, join.room].append((end - SLACK_US, -1, id))
+    for (title, name), events in changes.items():
+        taken = 0
+        for t, change, id in sorted(events):
+            taken += change
+            if taken > seen.rooms[name]["seats"]:
+                seen.break_(5, t, id, f"{taken} subscriptions of {title} where there are seats for fewer")
+
+
+# Rule 6.
+
+
+def _budget(seen: _Seen) -> None:
+    free = seen.terms.get("budget_free")
+    if free is None:
+        return
+    span_us = seen.terms["budget_span_ms"] * 1000
+    taken = sorted(asked["t_us"] for asked in seen.asked.values())
+    further = sorted(
+        (join.began, id) for id, joins in seen.joins.items() for join in joins if join.number > 0
+    )
+    for i, (t, id) in enumerate(further):
+        since = t - span_us
+        spent = sum(1 for other, _ in further[: i + 1] if other >= since + SLACK_US)
+        earned = free + seen.terms["budget_ratio"] * sum(1 for at in taken if since - SLACK_US <= at <= t)
+        if spent > earned:
+            seen.break_(6, t, id, f"{spent} further joins where {earned:.1f} were earned")
+
+
+RULES = (_one_answer, _no_double, _drains, _cold, _terms, _budget)
+
+
+def _service(seen: _Seen) -> float:
+    """The benefit answered within the join objective over that asked for; further tries belong to the
+    first."""
+    offered = earned = 0.0
+    first: dict[str, Record] = {}
+    for (viewer, number), asked in seen.asked.items():
+        silence = seen.unanswered.get((viewer, number))
+        if number == 0 and not (silence is not None and silence["how"] == "hung_up"):
+            first[viewer] = asked
+    for viewer, asked in first.items():
+        room = seen.rooms[asked["room_type"]]
+        offered += room["benefit"]
+        times = [
+            answers[0]["t_us"]
+            for (name, _), answers in seen.answers.items()
+            if name == viewer and answers and answers[0]["status"] == PLAYS
+        ]
+        if times and min(times) - asked["t_us"] <= room["objective_ms"] * 1000:
+            earned += room["benefit"]
+    return earned / offered if offered else 1.0
+
+
+def judge(records: list[Record]) -> Verdict:
+    """The verdict on a recording.
+
+    Raises:
+        ValueError: the recording holds no terms.
+    """
+    seen = _sort(records)
+    for rule in RULES:
+        rule(seen)
+    for record in records:
+        if record["what"] == "fell":
+            seen.break_(4, record["t_us"], "", f"cold box {record['box']} fell over")
+    statuses = [answers[0].get("status") for answers in seen.answers.values()]
+    silent = [silence["how"] for silence in seen.unanswered.values()]
+    return Verdict(
+        day=seen.terms["day"],
+        requests=len(seen.asked),
+        answers=sum(map(len, seen.answers.values())),
+        played=statuses.count(PLAYS),
+        throttled=statuses.count(THROTTLED),
+        terminated=sum(1 for status in statuses if status not in (PLAYS, THROTTLED)),
+        hung_up=silent.count("hung_up"),
+        not_taken=silent.count("refused") + silent.count("reset"),
+        lost=sum(1 for record in records if record["what"] == "lost"),
+        service=round(_service(seen), 4),
+        service_floor=seen.terms["service_floor"],
+        broken=sorted(seen.broken, key=lambda broken: broken.time),
+    )
--- /dev/null
+++ b/fennelcove/day/player.py
@@ -0,0 +1,239 @@
+"""Plays a day: stand-ins on loopback, a front of its own process, viewers by the script, troubles on time."""
+
+from __future__ import annotations
+
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from fennelcove.clock import Clock, SystemClock
+from fennelcove.day.rig import Rig
+from fennelcove.day.script import Crowd, Day, Trouble
+from fennelcove.settings.writer import write
+from fennelcove.standins.recorder import Record, Recorder
+from fennelcove.standins.viewers import Habits, Player, StandInViewer, Unanswered
+
+START_S = 15.0
+MOST_VIEWERS = 5000
+
+
+class DayFailed(Exception):
+    """The day could not be played: the front did not start, or did not end."""
+
+
+class FrontProcess:
+    """One front in a process of its own; it can be stopped, killed and started again on the same port."""
+
+    def __init__(self, day: Day, lists: str, seed: int, recorder: Recorder, folder: Path) -> None:
+        self.day = day
+        self.lists = lists
+        self.seed = seed
+        self.recorder = recorder
+        self.config = folder / "front.sexp"
+        self.log = folder / "front.log"
+        self.address = "127.0.0.1:0"
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start and wait until it listens and has a list.
+
+        Raises:
+            DayFailed: it ended, or did not get so far in time.
+        """
+        front = msgspec.structs.replace(
+            self.day.front,
+            listen=self.address,
+            seed=self.seed,
+            lists=msgspec.structs.replace(self.day.front.lists, address=self.lists),
+        )
+        self.config.write_text(write(front), "utf-8")
+        command = [sys.executable, "-m", "fennelcove", "front", str(self.config), "--log-level", "debug"]
+        already = self.log.stat().st_size if self.log.exists() else 0
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(command, stdin=subprocess.DEVNULL, stderr=log)
+        waited = threading.Event()
+        for _ in range(round(START_S / 0.02)):
+            if self.process.poll() is not None:
+                raise DayFailed(f"the front ended with status {self.process.returncode}: {self.tail()}")
+            for line in self.log.read_bytes()[already:].splitlines():
+                if b'"front_started"' in line:
+                    self.address = msgspec.json.decode(line)["address"]
+            if not self.address.endswith(":0") and self._has_list():
+                self.recorder.note("front_started", front=self.day.front.name)
+                return
+            waited.wait(0.02)
+        raise DayFailed(f"the front did not start in {START_S:g} s: {self.tail()}")
+
+    def _has_list(self) -> bool:
+        player = Player(self.address, self.recorder.clock)
+        try:
+            heard = player.ask("GET", "/v1/status", [], b"", 1.0)
+            return heard.body.get("list_version") is not None
+        except Unanswered:
+            return False
+        finally:
+            player.close()
+
+    def tail(self) -> str:
+        """The end of its log."""
+        return self.log.read_text("utf-8", "replace")[-600:]
+
+    def stop(self) -> None:
+        """Ask it to end and wait for it.
+
+        Raises:
+            DayFailed: it did not end within its stated time, and was killed.
+        """
+        if self.process is None or self.process.poll() is not None:
+            return
+        self.recorder.note("front_stopping", front=self.day.front.name)
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            self.process.wait(self.day.front.limits.stop_ms / 1000 + START_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            raise DayFailed(f"the front did not end: {self.tail()}") from None
+        self.recorder.note("front_stopped", status=self.process.returncode)
+
+    def kill(self) -> None:
+        """End it without warning."""
+        if self.process is not None and self.process.poll() is None:
+            self.recorder.note("front_killed", front=self.day.front.name)
+            self.process.kill()
+            self.process.wait()
+
+
+@dataclass(frozen=True, slots=True)
+class _Due:
+    at_s: float
+    call: Callable[[], None]
+
+
+def arrivals(crowd: Crowd, number: int, seed: int) -> Iterator[tuple[float, Habits]]:
+    """A crowd's viewers with their times, drawn from a seed of the crowd's own."""
+    chance = random.Random(f"{seed}/{number}")
+    at_s = crowd.from_s
+    while (at_s := at_s + chance.expovariate(crowd.per_s)) < crowd.to_s:
+        hang_up = chance.random() < crowd.hang_up
+        yield (
+            at_s,
+            Habits(
+                room_type=crowd.room_type,
+                title=chance.choice(crowd.titles),
+                timeout_s=crowd.timeout_s,
+                watch_s=crowd.watch_s * (0.5 + chance.random()),
+                top_rung=crowd.top_rung,
+                retries=crowd.retries,
+                honours=chance.random() < crowd.honour,
+                hangs_up_after_s=chance.uniform(0.0, 0.05) if hang_up else None,
+                vanishes=chance.random() < crowd.vanish,
+                top_kbit=crowd.top_kbit,
+            ),
+        )
+
+
+class DayPlayer:
+    """Plays one day and hands back its recording."""
+
+    def __init__(self, day: Day, seed: int, clock: Clock | None = None) -> None:
+        self.day = day
+        self.seed = seed
+        self.clock = clock or SystemClock()
+        self.recorder = Recorder(self.clock)
+        self.leaving = threading.Event()
+        self.viewers: list[StandInViewer] = []
+
+    def play(self) -> list[Record]:
+        """Play it all.
+
+        Raises:
+            DayFailed: the front did not start or end.
+        """
+        with tempfile.TemporaryDirectory(prefix="fennelcove-day-") as folder:
+            self.recorder.note("terms", **terms(self.day))
+            rig = Rig(self.day, self.clock, self.recorder)
+            front = FrontProcess(self.day, rig.lists.address, self.seed, self.recorder, Path(folder))
+            restarts: list[threading.Thread] = []
+            try:
+                rig.start()
+                front.start()
+                self._run(self._plan(rig, front, restarts))
+                for viewer in self.viewers:
+                    viewer.thread.join()
+                for thread in restarts:
+                    thread.join()
+                front.stop()
+            finally:
+                self.leaving.set()
+                front.kill()
+                rig.stop()
+        return self.recorder.records
+
+    def _plan(self, rig: Rig, front: FrontProcess, restarts: list[threading.Thread]) -> list[_Due]:
+        due: list[_Due] = []
+        for number, crowd in enumerate(self.day.crowds):
+            for at_s, habits in arrivals(crowd, number, self.seed):
+                if len(self.viewers) >= MOST_VIEWERS:
+                    break
+                name = f"v{number}-{len(self.viewers)}"
+                viewer = StandInViewer(
+                    name, habits, lambda: front.address, self.clock, self.recorder, rig.share_of, self.leaving
+                )
+                self.viewers.append(viewer)
+                due.append(_Due(at_s, viewer.thread.start))
+        for trouble in self.day.troubles:
+            due += self._trouble(trouble, rig, front, restarts)
+        return sorted(due, key=lambda item: item.at_s)
+
+    def _trouble(
+        self, trouble: Trouble, rig: Rig, front: FrontProcess, restarts: list[threading.Thread]
+    ) -> Iterator[_Due]:
+        if trouble.what in ("front-restart", "front-kill"):
+
+            def again() -> None:
+                (front.stop if trouble.what == "front-restart" else front.kill)()
+                self.leaving.wait(trouble.for_s)
+                front.start()
+
+            thread = threading.Thread(target=again, name="front-again")
+            restarts.append(thread)
+            yield _Due(trouble.at_s, thread.start)
+            return
+        yield _Due(trouble.at_s, lambda: rig.switch(trouble, True))
+        if trouble.for_s:
+            yield _Due(trouble.at_s + trouble.for_s, lambda: rig.switch(trouble, False))
+
+    def _run(self, due: list[_Due]) -> None:
+        began_us = self.clock.now_us()
+        for item in due:
+            left_s = item.at_s - (self.clock.now_us() - began_us) / 1e6
+            if left_s > 0:
+                self.leaving.wait(left_s)
+            item.call()
+
+
+def terms(day: Day) -> Record:
+    """What the judge must know beforehand."""
+    front = day.front
+    return {
+        "day": day.name,
+        "service_floor": day.service_floor,
+        "fronts": front.instance.fronts,
+        "drain_grace_ms": front.rules.drain_grace_ms,
+        "ramp_ms": front.rules.ramp_ms,
+        "start_capacity": front.rules.start_capacity,
+        "fall_multiple": day.rig.fall_multiple,
+        "tip_after_ms": day.rig.tip_after_ms,
+        "budget_free": front.rules.budget_free,
+        "budget_ratio": front.rules.budget_ratio,
+        "budget_span_ms": front.rules.budget_span_ms,
+        "room_types": [msgspec.to_builtins(room) for room in front.room_types],
+    }
--- /dev/null
+++ b/fennelcove/day/rig.py
@@ -0,0 +1,181 @@
+"""One day's stand-ins, and the script's troubles as switches on them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from fennelcove.clock import Clock
+from fennelcove.day.script import Day, Trouble
+from fennelcove.standins.box import StandInBox
+from fennelcove.standins.listservice import Known, StandInLists, State
+from fennelcove.standins.model import BoxModel, RackModel
+from fennelcove.standins.recorder import Recorder
+
+
+@dataclass(frozen=True, slots=True)
+class Switch:
+    """What a trouble does when it begins and when it ends."""
+
+    begin: Callable[[Rig, Trouble], None]
+    end: Callable[[Rig, Trouble], None] | None = None
+
+
+class Rig:
+    """The boxes and the list service of a day."""
+
+    def __init__(self, day: Day, clock: Clock, recorder: Recorder) -> None:
+        self.day = day
+        self.clock = clock
+        self.recorder = recorder
+        racks = day.front.fleet.racks
+        self.racks = [RackModel(day.rig.uplink_kb) for _ in range(racks)]
+        self.lists = StandInLists(clock, recorder)
+        self.boxes: list[StandInBox] = []
+        self.known: list[Known] = []
+        for i in range(len(day.boxes)):
+            self._add(i)
+
+    def _add(self, line: int) -> StandInBox:
+        settings, spec = self.day.front, self.day.boxes[line]
+        streams = {kind.name: kind.streams for kind in settings.fleet.kinds}[spec.kind]
+        rack = self.racks[spec.cell % len(self.racks)]
+        model = BoxModel(
+            spec.link_kb,
+            streams,
+            rack,
+            round(settings.rules.ramp_ms * 1000),
+            settings.rules.start_capacity,
+            self.day.rig.fall_multiple,
+            round(self.day.rig.tip_after_ms * 1000),
+            settings.fleet.guard,
+        )
+        rack.boxes.append(model)
+        box = StandInBox(
+            f"box-{len(self.boxes)}", model, self.clock, self.recorder, settings.fleet.reports_every_ms / 1000
+        )
+        weight = spec.link_kb / (settings.fleet.kb_per_weight or spec.link_kb)
+        self.boxes.append(box)
+        self.known.append(Known(box.address, spec.zone, spec.kind, spec.cell, weight))
+        self.recorder.note(
+            "box", box=box.address, cell=spec.cell, zone=spec.zone, kind=spec.kind, streams=streams
+        )
+        return box
+
+    def start(self) -> None:
+        """Start all stand-ins and publish the first list."""
+        for box in self.boxes:
+            box.start()
+        self.lists.publish(*self.known)
+        self.lists.start()
+
+    def stop(self) -> None:
+        """Stop all stand-ins."""
+        self.lists.stop()
+        for box in self.boxes:
+            box.stop()
+
+    def share_of(self, address: str) -> float:
+        """What share of its rate a player at this box gets."""
+        for box in self.boxes:
+            if box.address == address:
+                return box.model.delivered() if box.model.up and not box.faults.hang else 0.0
+        return 1.0
+
+    def switch(self, trouble: Trouble, on: bool) -> None:
+        """Begin or end a trouble."""
+        switch = SWITCHES[trouble.what]
+        self.recorder.note("trouble", kind=trouble.what, box=trouble.box, on=on)
+        if on:
+            switch.begin(self, trouble)
+        elif switch.end is not None:
+            switch.end(self, trouble)
+
+    def box(self, trouble: Trouble) -> StandInBox:
+        """The box that a trouble concerns."""
+        return self.boxes[trouble.box or 0]
+
+    def list_state(self, trouble: Trouble, state: State) -> None:
+        """The list says so from now on."""
+        number = trouble.box or 0
+        self.known[number] = replace(self.known[number], state=state)
+        self.lists.publish(self.known[number])
+
+
+def _fault(name: str, on: object = True, off: object = False) -> Switch:
+    return Switch(
+        lambda rig, trouble: setattr(rig.box(trouble).faults, name, on),
+        lambda rig, trouble: setattr(rig.box(trouble).faults, name, off),
+    )
+
+
+def _slow(rig: Rig, trouble: Trouble) -> None:
+    rig.box(trouble).faults.slow_ms = trouble.value
+
+
+def _not_slow(rig: Rig, trouble: Trouble) -> None:
+    rig.box(trouble).faults.slow_ms = 0.0
+
+
+def _lies(rig: Rig, trouble: Trouble) -> None:
+    rig.box(trouble).faults.lies = trouble.value
+
+
+def _neighbour(rig: Rig, trouble: Trouble) -> None:
+    rig.box(trouble).model.others_kb = trouble.value
+
+
+def _no_neighbour(rig: Rig, trouble: Trouble) -> None:
+    rig.box(trouble).model.others_kb = 0.0
+
+
+def _die(rig: Rig, trouble: Trouble) -> None:
+    rig.box(trouble).die()
+
+
+def _rise(rig: Rig, trouble: Trouble) -> None:
+    number = trouble.box or 0
+    rig.boxes[number].restart()
+    rig.known[number] = replace(rig.known[number], started_us=rig.clock.now_us())
+    rig.lists.publish(rig.known[number])
+
+
+def _replace(rig: Rig, trouble: Trouble) -> None:
+    """The box drains and leaves; a cold one of another address takes its place."""
+    number = trouble.box or 0
+    successor = rig._add(number)
+    successor.model.start(rig.clock.now_us())
+    rig.recorder.note("box_started", box=successor.address)
+    successor.start()
+    rig.known[-1] = replace(rig.known[-1], started_us=rig.clock.now_us())
+    rig.known[number] = replace(rig.known[number], state="leaving")
+    rig.lists.publish(rig.known[number], rig.known[-1])
+
+
+def _gone(rig: Rig, trouble: Trouble) -> None:
+    rig.list_state(trouble, "left")
+    rig.box(trouble).die()
+
+
+SWITCHES: dict[str, Switch] = {
+    "hang": _fault("hang"),
+    "slow": Switch(_slow, _not_slow),
+    "errors": _fault("errors"),
+    "reset": _fault("reset"),
+    "half": _fault("half"),
+    "garbage": _fault("garbage"),
+    "full": _fault("full"),
+    "lies": Switch(_lies, _fault("lies", None, None).begin),
+    "mute": _fault("mute"),
+    "neighbour": Switch(_neighbour, _no_neighbour),
+    "die": Switch(_die, _rise),
+    "leave": Switch(
+        lambda rig, trouble: rig.list_state(trouble, "leaving"),
+        lambda rig, trouble: rig.list_state(trouble, "active"),
+    ),
+    "left": Switch(lambda rig, trouble: rig.list_state(trouble, "left")),
+    "replace": Switch(_replace, _gone),
+    "list-out": Switch(
+        lambda rig, trouble: rig.lists.server.down(), lambda rig, trouble: rig.lists.server.up()
+    ),
+}
--- a/fennelcove/decisions/commands.py
+++ b/fennelcove/decisions/commands.py
@@ -13,6 +13,7 @@
 FIRST_PAUSE_US = 100_000
 MOST_PAUSE_US = 2_000_000
 MOST_TRIES = 6
+CARRY_OUT_US = 1_000_000  # a box that needs longer for an order is tried again later
 
 
 @dataclass(slots=True, eq=False)
--- a/fennelcove/decisions/joins.py
+++ b/fennelcove/decisions/joins.py
@@ -83,8 +83,13 @@
 
 def may_need_release(outcome: Outcome) -> bool:
     """Whether the box may hold something for a join that ended so."""
-    return outcome in (Outcome.SERVED, Outcome.SERVER_ERROR, Outcome.NO_ANSWER, Outcome.CONNECTION_LOST,
-                       Outcome.CALLED_OFF)
+    return outcome in (
+        Outcome.SERVED,
+        Outcome.SERVER_ERROR,
+        Outcome.NO_ANSWER,
+        Outcome.CONNECTION_LOST,
+        Outcome.CALLED_OFF,
+    )
 
 
 def may_reuse(effect: Effect) -> bool:
--- a/fennelcove/decisions/listing.py
+++ b/fennelcove/decisions/listing.py
@@ -106,9 +106,14 @@
 
 
 CHECKS: tuple[Callable[[ListKeeper, ListNews], Verdict | None], ...] = (
-    ListKeeper._in_order, ListKeeper._fits, ListKeeper._names_some, ListKeeper._agrees)
+    ListKeeper._in_order,
+    ListKeeper._fits,
+    ListKeeper._names_some,
+    ListKeeper._agrees,
+)
 
 
+SILENCE_US = 10_000_000  # the service beats every second: so long without is a connection that is dead
 FIRST_PAUSE_US = 100_000
 MOST_PAUSE_US = 5_000_000
 
--- /dev/null
+++ b/fennelcove/doors/answers.py
@@ -0,0 +1,106 @@
+"""Answers of the session interface as HTTP: statuses, problem details, Retry-After, CMSD."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from fennelcove.core.verdicts import Answer, Answered, Session, View
+from fennelcove.decisions.admission import retry_after_s
+from fennelcove.decisions.hearing import KBIT
+from fennelcove.hints import cmsd
+from fennelcove.http1 import writer
+from fennelcove.wire.sessions import Playing, Problem, Rung, problem
+
+JSON = ("Content-Type", "application/json")
+PROBLEM_JSON = ("Content-Type", "application/problem+json")
+MOST_HOPS = 1024  # characters of boxes' own hints passed on
+
+
+@dataclass(slots=True)
+class Reply:
+    """One answer before it is bytes."""
+
+    status: int
+    fields: list[tuple[str, str]] = field(default_factory=list)
+    body: bytes = b""
+    close: bool = False
+
+    def raw(self, close: bool) -> bytes:
+        """The bytes."""
+        return writer.response(self.status, self.fields, self.body, self.close or close)
+
+
+def fault(kind: str, detail: str = "", status: int | None = None, close: bool = False) -> Reply:
+    """An error that concerns the request itself."""
+    return _problem(problem(kind, detail, status), close)
+
+
+def _problem(details: Problem, close: bool = False) -> Reply:
+    return Reply(details.status, [PROBLEM_JSON], msgspec.json.encode(details), close)
+
+
+def playing(session: Session, view: View, hops: str, front: str, took_us: int) -> Reply:
+    """201: the subscription plays."""
+    body = Playing(
+        id=view.id,
+        state="playing",
+        title=view.title,
+        room_type=view.room,
+        box=view.box,
+        rung=view.rung,
+        top_rung=view.top,
+        rate_kb=view.rate_kb,
+        poll_after_ms=view.poll_every_us / 1000,
+        joins=session.joins,
+    )
+    fields = [JSON, ("Location", f"/v1/subscriptions/{view.id}"), *hints(view, hops, front, took_us)]
+    return Reply(201, fields, msgspec.json.encode(body))
+
+
+def state(view: View, front: str) -> Reply:
+    """200: the state of what plays."""
+    body = Playing(
+        id=view.id,
+        state="playing",
+        title=view.title,
+        room_type=view.room,
+        box=view.box,
+        rung=view.rung,
+        top_rung=view.top,
+        rate_kb=view.rate_kb,
+        poll_after_ms=view.poll_every_us / 1000,
+    )
+    return Reply(200, [JSON, *hints(view, "", front, None)], msgspec.json.encode(body))
+
+
+def rung(view: View, front: str) -> Reply:
+    """200: the rung in force."""
+    body = Rung(rung=view.rung, top_rung=view.top, rate_kb=view.rate_kb)
+    return Reply(200, [JSON, *hints(view, "", front, None)], msgspec.json.encode(body))
+
+
+def hints(view: View, hops: str, front: str, took_us: int | None) -> list[tuple[str, str]]:
+    """CMSD of an answer: the object's rate, then each hop's word, the front's own last (CTA-5006)."""
+    kbit = round(view.rate_kb * KBIT)
+    own: dict[str, int | float | str | bool | bytes] = {"mb": kbit}
+    if took_us is not None:
+        own["rd"] = took_us // 1000
+    ours = cmsd.write_hop(front, own)
+    joined = f"{hops}, {ours}" if hops and len(hops) <= MOST_HOPS else ours
+    return [("CMSD-Static", cmsd.write_static({"br": kbit})), ("CMSD-Dynamic", joined)]
+
+
+def refused(answered: Answered, front: str, session: Session | None, timed_out: bool) -> Reply:
+    """503 with a time to come back, or 502 and 504 where a join may have run and nothing may be promised."""
+    instance = f"/v1/subscriptions/{session.id}" if session is not None else ""
+    if answered.answer is Answer.THROTTLED:
+        reply = _problem(
+            problem("throttled", answered.why, instance=instance, retry_after_ms=answered.wait_us / 1000)
+        )
+        reply.fields.append(("Retry-After", str(retry_after_s(answered.wait_us))))
+        reply.fields.append(("CMSD-Dynamic", cmsd.write_hop(front, {"du": True})))
+        return reply
+    status = 504 if timed_out else 502
+    return _problem(problem("terminated", answered.why, status, instance, may_have_run=True))
--- /dev/null
+++ b/fennelcove/doors/connection.py
@@ -0,0 +1,201 @@
+"""One viewer's connection: whole requests in, whole answers out, and a limit on every wait."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections import deque
+from contextlib import suppress
+from dataclasses import dataclass
+
+from fennelcove.clock import Clock
+from fennelcove.core.core import Core
+from fennelcove.http1 import writer
+from fennelcove.http1.messages import CodecLimits, ProtocolError, RequestHead
+from fennelcove.http1.reader import Gatherer, Reader
+from fennelcove.peers.latch import Latch, Woken, wait
+
+READ_BYTES = 16_384
+LINGER_US = 250_000
+LINGER_BYTES = 262_144
+MOST_LINGERING = 128
+
+
+@dataclass(frozen=True, slots=True)
+class DoorLimits:
+    """Times of one connection, in microseconds."""
+
+    idle_us: int
+    message_us: int
+    write_us: int
+
+
+@dataclass(slots=True)
+class Received:
+    """A whole request."""
+
+    head: RequestHead
+    body: bytes
+    at_us: int
+
+
+class TooSlow(Exception):
+    """A request that has begun and does not end within its limit."""
+
+
+class Connection:
+    """Belongs to one thread. `close` gives back what was counted."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        core: Core,
+        clock: Clock,
+        codec: CodecLimits,
+        limits: DoorLimits,
+        closing: Latch,
+    ) -> None:
+        self.sock = sock
+        self.core = core
+        self.clock = clock
+        self.limits = limits
+        self.closing: Latch | None = closing
+        self.requests = Gatherer(Reader(True, codec))
+        self.counted = 0
+        self.continued = False
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def read(self) -> Received | None:
+        """The next request; None where the connection is over between two of them.
+
+        Raises:
+            ProtocolError: a request that must not be acted on.
+            TooSlow: a request that was begun and not ended in time.
+        """
+        began_us: int | None = None
+        while True:
+            whole = self.requests.next()
+            if whole is not None:
+                self._count(-self.counted)
+                self.continued = False
+                assert isinstance(whole.head, RequestHead)
+                return Received(whole.head, whole.body, self.clock.now_us())
+            self._may_continue()
+            begun = not self.requests.reader.between or self.requests.head is not None
+            now_us = self.clock.now_us()
+            if begun and began_us is None:
+                began_us = now_us
+            if began_us is None:
+                left_us = self.core.patience_us(self.limits.idle_us)
+            else:
+                left_us = began_us + self.core.patience_us(self.limits.message_us) - now_us
+            woken = Woken.TIME if left_us <= 0 else wait(self.sock, left_us, self.closing)
+            if woken is not Woken.READY:
+                if begun and woken is Woken.TIME:
+                    raise TooSlow
+                if not begun or woken is Woken.TIME:
+                    return None
+                # Closing with a request half read: it may still end, within its own limit.
+                self.closing = None
+                continue
+            try:
+                data = self.sock.recv(READ_BYTES)
+            except OSError:
+                return None
+            if not data and not begun:
+                return None
+            if not self._count(len(data)):
+                raise ProtocolError(503, "no room for more bytes")
+            self.requests.reader.feed(data)
+
+    def _may_continue(self) -> None:
+        """Answer `Expect: 100-continue` once the head is here and the body is not (RFC 9110 section
+        10.1.1)."""
+        head = self.requests.head
+        if isinstance(head, RequestHead) and head.expects_continue and not self.continued:
+            self.continued = True
+            self.write(writer.CONTINUE)
+
+    def _count(self, more: int) -> bool:
+        if more and not self.core.buffer(more):
+            return False
+        self.counted += more
+        return True
+
+    def write(self, raw: bytes) -> bool:
+        """Send all of it within the limit; False where the viewer is gone or reads too slowly."""
+        try:
+            self.sock.settimeout(self.limits.write_us / 1e6)
+            self.sock.sendall(raw)
+            return True
+        except OSError:
+            return False
+
+    def close(self, linger: bool = False) -> None:
+        """Close. With `linger`, read past what the peer still sends, or the reset would eat the answer."""
+        self._count(-self.counted)
+        if linger:
+            with suppress(OSError):
+                self.sock.shutdown(socket.SHUT_WR)
+                until_us = self.clock.now_us() + LINGER_US
+                taken = 0
+                while taken < LINGER_BYTES and (left_us := until_us - self.clock.now_us()) > 0:
+                    self.sock.settimeout(left_us / 1e6)
+                    data = self.sock.recv(READ_BYTES)
+                    if not data:
+                        break
+                    taken += len(data)
+        self.sock.close()
+
+
+class Refuser:
+    """Answers connections that the door has no room for, without holding up the next one.
+
+    The answer goes out at once; one thread then reads past what those viewers still send, a moment each, in a
+    bounded line. Past the bound they are closed at once and may see a reset instead.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.line: deque[tuple[int, socket.socket]] = deque()
+        self.changed = threading.Condition()
+        self.stopped = False
+        self.thread = threading.Thread(target=self._run, name="refuser")
+
+    def refuse(self, sock: socket.socket, raw: bytes) -> None:
+        """Send the answer and leave the rest to the thread."""
+        with suppress(OSError):
+            sock.setblocking(False)
+            sock.send(raw)
+            sock.shutdown(socket.SHUT_WR)
+        with self.changed:
+            if len(self.line) >= MOST_LINGERING or self.stopped:
+                sock.close()
+                return
+            self.line.append((self.clock.now_us() + LINGER_US, sock))
+            self.changed.notify()
+
+    def stop(self) -> None:
+        """Close all that lingers and end the thread."""
+        with self.changed:
+            self.stopped = True
+            self.changed.notify()
+        self.thread.join()
+
+    def _run(self) -> None:
+        while True:
+            with self.changed:
+                while not self.stopped:
+                    if not self.line:
+                        self.changed.wait(1.0)
+                    elif (left_us := self.line[0][0] - self.clock.now_us()) > 0:
+                        self.changed.wait(left_us / 1e6)
+                    else:
+                        break
+                due = [self.line.popleft() for _ in range(len(self.line) if self.stopped else 1)]
+            for _, sock in due:
+                with suppress(OSError):
+                    sock.recv(LINGER_BYTES)
+                sock.close()
+            if self.stopped:
+                return
--- /dev/null
+++ b/fennelcove/doors/routes.py
@@ -0,0 +1,155 @@
+"""The session interface's requests: which path and method means what, and how bodies and hints are read."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from fennelcove.core.core import Core
+from fennelcove.core.verdicts import Ask
+from fennelcove.decisions.hearing import ViewerSays
+from fennelcove.doors import answers
+from fennelcove.doors.answers import Reply
+from fennelcove.doors.connection import Received
+from fennelcove.hints import cmcd
+from fennelcove.hints.cmcd import Cmcd
+from fennelcove.wire.sessions import SetUp, TopRung
+
+_ABSOLUTE = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
+_SETUP: msgspec.json.Decoder[SetUp] = msgspec.json.Decoder(SetUp)
+_TOP: msgspec.json.Decoder[TopRung] = msgspec.json.Decoder(TopRung)
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A request read: its route, the id in its path, its query and hints."""
+
+    route: Route
+    id: str
+    query: dict[str, str]
+    received: Received
+
+
+Handler = Callable[["Routes", Asked], "Reply | Ask"]
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One line of the interface."""
+
+    method: str
+    pattern: re.Pattern[str]
+    handler: Handler
+    body: bool
+
+
+class Routes:
+    """Reads requests; set-ups come out as an Ask, everything else as a Reply."""
+
+    def __init__(self, core: Core, front: str) -> None:
+        self.core = core
+        self.front = front
+        self.hints_dropped = 0
+
+    def take(self, received: Received) -> Reply | Ask:
+        """What a request asks for, or the answer to it."""
+        target = _ABSOLUTE.sub("", received.head.target, count=1)
+        path, _, query = target.partition("?")
+        methods = []
+        for route in ROUTES:
+            match = route.pattern.fullmatch(path or "/")
+            if match is None:
+                continue
+            methods.append(route.method)
+            if route.method != received.head.method:
+                continue
+            if route.body and not _is_json(received):
+                return answers.fault("not-json", "send Content-Type: application/json")
+            id = match.groupdict().get("id") or ""
+            return route.handler(self, Asked(route, id, cmcd.query_arguments(query), received))
+        if not methods:
+            return answers.fault("unknown-path", path[:80])
+        reply = answers.fault("wrong-method", f"{received.head.method} {path[:80]}")
+        reply.fields.append(("Allow", ", ".join(sorted(set(methods)))))
+        return reply
+
+    def hints(self, asked: Asked, body: dict[str, Any] | None = None) -> Cmcd:
+        """The viewer's CMCD from whichever carrier; what was malformed is counted and no more."""
+        fields = {
+            name.decode(): value.decode("latin-1")
+            for name, value in asked.received.head.headers
+            if name.startswith(b"cmcd-")
+        }
+        found = cmcd.read(fields, asked.query, body)
+        self.hints_dropped += found.dropped
+        return found
+
+    def set_up(self, asked: Asked) -> Reply | Ask:
+        try:
+            body = _SETUP.decode(asked.received.body)
+        except msgspec.MsgspecError as error:
+            return answers.fault("malformed", str(error))
+        hints = self.hints(asked, body.cmcd)
+        title = body.title or hints.text("cid")
+        if body.room_type not in self.core.rooms:
+            known = ", ".join(self.core.rooms)
+            return answers.fault("unknown-room-type", f"{body.room_type!r}; known: {known}")
+        if title is None or title not in self.core.titles:
+            return answers.fault(
+                "unknown-title", "name a title in the body or as CMCD cid" if title is None else repr(title)
+            )
+        timeout_us = None if body.client_timeout_ms is None else round(body.client_timeout_ms * 1000)
+        return Ask(title, body.room_type, body.top_rung, timeout_us, says(hints))
+
+    def state(self, asked: Asked) -> Reply:
+        view = self.core.hear_viewer(asked.id, says(self.hints(asked)))
+        return self._gone(asked.id) if view is None else answers.state(view, self.front)
+
+    def rung(self, asked: Asked) -> Reply:
+        view = self.core.hear_viewer(asked.id, says(self.hints(asked)))
+        return self._gone(asked.id) if view is None else answers.rung(view, self.front)
+
+    def set_top(self, asked: Asked) -> Reply:
+        try:
+            body = _TOP.decode(asked.received.body)
+        except msgspec.MsgspecError as error:
+            return answers.fault("malformed", str(error))
+        view = self.core.hear_viewer(asked.id, says(self.hints(asked)), body.top_rung)
+        return self._gone(asked.id) if view is None else answers.rung(view, self.front)
+
+    def release(self, asked: Asked) -> Reply:
+        if self.core.release(asked.id, "released by its viewer"):
+            return Reply(204)
+        return self._gone(asked.id)
+
+    def counts(self, asked: Asked) -> Reply:
+        return Reply(200, [answers.JSON], msgspec.json.encode(self.core.status()))
+
+    def _gone(self, id: str) -> Reply:
+        why = self.core.why_ended(id)
+        return answers.fault("unknown-subscription", id[:80]) if why is None else answers.fault("ended", why)
+
+
+def says(hints: Cmcd) -> ViewerSays:
+    """What of a viewer's CMCD decides anything: top bitrate, measured throughput, starvation."""
+    return ViewerSays(hints.number("tb"), hints.number("mtp"), hints.flag("bs"))
+
+
+def _is_json(received: Received) -> bool:
+    kind = received.head.get(b"content-type")
+    return kind is not None and kind.split(b";")[0].strip().lower() == b"application/json"
+
+
+_ONE = r"/v1/subscriptions/(?P<id>[0-9a-f]{1,16}-[0-9a-f]{24})"
+ROUTES: tuple[Route, ...] = (
+    Route("POST", re.compile("/v1/subscriptions"), Routes.set_up, True),
+    Route("GET", re.compile(_ONE), Routes.state, False),
+    Route("DELETE", re.compile(_ONE), Routes.release, False),
+    Route("GET", re.compile(f"{_ONE}/rung"), Routes.rung, False),
+    Route("PUT", re.compile(f"{_ONE}/rung"), Routes.set_top, True),
+    Route("GET", re.compile("/v1/status"), Routes.counts, False),
+)
--- a/fennelcove/hints/cmcd.py
+++ b/fennelcove/hints/cmcd.py
@@ -62,6 +62,7 @@
     def check(value: Bare) -> Bare | None:
         ok = isinstance(value, str) and not isinstance(value, Token) and len(value) <= most
         return value if ok else None
+
     return check
 
 
@@ -69,28 +70,85 @@
     def check(value: Bare) -> Bare | None:
         # JSON and some players quote what the specification has as tokens: the words are the same.
         return Token(value) if isinstance(value, str) and (not known or value in known) else None
+
     return check
 
 
 _V1: Mapping[str, Callable[[Bare], Bare | None]] = {
-    "br": _whole, "bl": _whole, "bs": _flag, "cid": _text(64), "d": _whole, "dl": _whole, "mtp": _whole,
-    "nor": _text(2048), "nrr": _text(64),
-    "ot": _token("m", "a", "v", "av", "i", "c", "tt", "k", "o"), "pr": _decimal, "rtp": _whole,
-    "sf": _token("d", "h", "s", "o"), "sid": _text(64), "st": _token("v", "l"), "su": _flag, "tb": _whole,
+    "br": _whole,
+    "bl": _whole,
+    "bs": _flag,
+    "cid": _text(64),
+    "d": _whole,
+    "dl": _whole,
+    "mtp": _whole,
+    "nor": _text(2048),
+    "nrr": _text(64),
+    "ot": _token("m", "a", "v", "av", "i", "c", "tt", "k", "o"),
+    "pr": _decimal,
+    "rtp": _whole,
+    "sf": _token("d", "h", "s", "o"),
+    "sid": _text(64),
+    "st": _token("v", "l"),
+    "su": _flag,
+    "tb": _whole,
     "v": _whole,
 }
 _V2: Mapping[str, Callable[[Bare], Bare | None]] = {
-    "ab": _whole, "bg": _flag, "bsa": _whole, "bsd": _whole, "bsda": _whole, "cdn": _text(128),
-    "cmsdd": _text(2048), "cmsds": _text(2048), "cs": _text(128), "df": _whole, "e": _token(),
-    "ec": _text(64), "h": _text(128), "lab": _whole, "lb": _whole, "ltc": _whole, "msd": _whole, "nr": _flag,
-    "pb": _whole, "pt": _whole, "rc": _whole, "sn": _whole,
-    "sta": _token("s", "p", "k", "r", "a", "w", "e", "f", "q", "d"), "tab": _whole, "tbl": _whole,
-    "tpb": _whole, "ts": _whole, "ttfb": _whole, "ttfbb": _whole, "ttlb": _whole, "url": _text(2048),
+    "ab": _whole,
+    "bg": _flag,
+    "bsa": _whole,
+    "bsd": _whole,
+    "bsda": _whole,
+    "cdn": _text(128),
+    "cmsdd": _text(2048),
+    "cmsds": _text(2048),
+    "cs": _text(128),
+    "df": _whole,
+    "e": _token(),
+    "ec": _text(64),
+    "h": _text(128),
+    "lab": _whole,
+    "lb": _whole,
+    "ltc": _whole,
+    "msd": _whole,
+    "nr": _flag,
+    "pb": _whole,
+    "pt": _whole,
+    "rc": _whole,
+    "sn": _whole,
+    "sta": _token("s", "p", "k", "r", "a", "w", "e", "f", "q", "d"),
+    "tab": _whole,
+    "tbl": _whole,
+    "tpb": _whole,
+    "ts": _whole,
+    "ttfb": _whole,
+    "ttfbb": _whole,
+    "ttlb": _whole,
+    "url": _text(2048),
 }
 RESERVED: Mapping[str, Callable[[Bare], Bare | None]] = {**_V1, **_V2}
 # Where version 1 puts each of its keys; players are read whichever header they use.
-HOME = {"bl": 0, "dl": 0, "mtp": 0, "nor": 0, "nrr": 0, "su": 0, "br": 1, "d": 1, "ot": 1, "tb": 1, "bs": 2,
-        "rtp": 2, "cid": 3, "pr": 3, "sf": 3, "sid": 3, "st": 3, "v": 3}
+HOME = {
+    "bl": 0,
+    "dl": 0,
+    "mtp": 0,
+    "nor": 0,
+    "nrr": 0,
+    "su": 0,
+    "br": 1,
+    "d": 1,
+    "ot": 1,
+    "tb": 1,
+    "bs": 2,
+    "rtp": 2,
+    "cid": 3,
+    "pr": 3,
+    "sf": 3,
+    "sid": 3,
+    "st": 3,
+    "v": 3,
+}
 
 
 def _add(into: Cmcd, key: str, value: Bare) -> None:
--- a/fennelcove/hints/cmsd.py
+++ b/fennelcove/hints/cmsd.py
@@ -10,18 +10,40 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from fennelcove.hints.fields import (Bare, Item, Params, dictionary, listing, write_bare, write_dictionary,
-                                     write_params)
+from fennelcove.hints.fields import (
+    Bare,
+    Item,
+    Params,
+    dictionary,
+    listing,
+    write_bare,
+    write_dictionary,
+    write_params,
+)
 
 STATIC, DYNAMIC = "cmsd-static", "cmsd-dynamic"
 LINK_KEY, UPLINK_KEY = "fennelcove-link", "fennelcove-uplink"
 Kinds = Mapping[str, type]
 _STATIC_KINDS: Kinds = {
-    "at": int, "br": int, "d": int, "ht": int, "n": str, "nor": str, "nrr": str, "ot": str, "sf": str,
-    "st": str, "su": bool, "v": int,
+    "at": int,
+    "br": int,
+    "d": int,
+    "ht": int,
+    "n": str,
+    "nor": str,
+    "nrr": str,
+    "ot": str,
+    "sf": str,
+    "st": str,
+    "su": bool,
+    "v": int,
 }
 _DYNAMIC_KINDS: Kinds = {
-    "du": bool, "etp": int, "mb": int, "rd": int, "rtt": int,
+    "du": bool,
+    "etp": int,
+    "mb": int,
+    "rd": int,
+    "rtt": int,
 }
 
 
@@ -135,4 +157,3 @@
         if len(self.known) > self.most:
             self.known.popitem(last=False)
         return found
-
--- a/fennelcove/hints/fields.py
+++ b/fennelcove/hints/fields.py
@@ -52,7 +52,7 @@
 
 
 def _bare(text: str, at: int) -> tuple[Bare, int]:
-    first = text[at:at + 1]
+    first = text[at : at + 1]
     if first == '"' and (match := _STRING.match(text, at)):
         return re.sub(r"\\(.)", r"\1", match[1]), match.end()
     if (first.isdigit() or first == "-") and (match := _NUMBER.match(text, at)):
@@ -135,7 +135,7 @@
     if key is None:
         raise FieldError(f"no key in {text[:40]!r}")
     if text.startswith("=", key.end()):
-        return key[0], item(text[key.end() + 1:])
+        return key[0], item(text[key.end() + 1 :])
     params, at = _params(text, key.end())
     if at != len(text):
         raise FieldError(f"something left over at {at} of {text[:40]!r}")
@@ -212,7 +212,7 @@
         if not math.isfinite(value):
             raise FieldError(f"no decimal: {value}")
         rounded = Decimal(value).quantize(Decimal("0.001"), ROUND_HALF_EVEN)
-        if abs(rounded) >= 10 ** 12:
+        if abs(rounded) >= 10**12:
             raise FieldError(f"a decimal of more than 12 whole digits: {value}")
         text = f"{rounded:f}".rstrip("0")
         return text + "0" if text.endswith(".") else text
@@ -229,8 +229,9 @@
 
 def write_params(params: Params) -> str:
     """Parameters as they follow an item."""
-    return "".join(f";{key}" if value is True else f";{key}={write_bare(value)}"
-                   for key, value in params.items())
+    return "".join(
+        f";{key}" if value is True else f";{key}={write_bare(value)}" for key, value in params.items()
+    )
 
 
 def write_dictionary(values: dict[str, Bare]) -> str:
--- a/fennelcove/http1/reader.py
+++ b/fennelcove/http1/reader.py
@@ -88,7 +88,7 @@
             self._short()
             return None
         raw = bytes(self.buffer[:end])
-        del self.buffer[:end + 4]
+        del self.buffer[: end + 4]
         self.looked = self.taken = self.trailers = 0
         return self._request(raw) if self.requests else self._response(raw)
 
@@ -123,8 +123,8 @@
             raise ProtocolError(413, f"a body longer than {self.limits.body_bytes} bytes")
 
     def _take(self) -> Data:
-        piece = bytes(self.buffer[:self.left])
-        del self.buffer[:self.left]
+        piece = bytes(self.buffer[: self.left])
+        del self.buffer[: self.left]
         self.left -= len(piece)
         return Data(piece)
 
@@ -148,7 +148,7 @@
             self._short()
             return None
         line = bytes(self.buffer[:end])
-        del self.buffer[:end + 2]
+        del self.buffer[: end + 2]
         return line
 
     def _chunk_size(self) -> Event | None:
--- a/fennelcove/http1/syntax.py
+++ b/fennelcove/http1/syntax.py
@@ -76,8 +76,12 @@
 
 
 def _keeps(headers: Headers, minor: bytes) -> bool:
-    options = {option.strip().lower() for name, value in headers if name == b"connection"
-               for option in value.split(b",")}
+    options = {
+        option.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for option in value.split(b",")
+    }
     return minor == b"1" and b"close" not in options
 
 
--- a/fennelcove/http1/writer.py
+++ b/fennelcove/http1/writer.py
@@ -10,12 +10,31 @@
 _SAFE_TARGET = re.compile(r"[\x21-\x7e]+")
 
 REASONS = {
-    100: "Continue", 200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 401: "Unauthorized",
-    403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
-    410: "Gone", 411: "Length Required", 413: "Content Too Large", 415: "Unsupported Media Type",
-    417: "Expectation Failed", 422: "Unprocessable Content", 429: "Too Many Requests",
-    431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
-    502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+    100: "Continue",
+    200: "OK",
+    201: "Created",
+    204: "No Content",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    410: "Gone",
+    411: "Length Required",
+    413: "Content Too Large",
+    415: "Unsupported Media Type",
+    417: "Expectation Failed",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+    505: "HTTP Version Not Supported",
 }
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
--- /dev/null
+++ b/fennelcove/log.py
@@ -0,0 +1,61 @@
+"""Structured logs: human lines on a terminal, JSON lines elsewhere; one event name each."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any, TextIO
+
+import msgspec
+import structlog
+
+from fennelcove.core.verdicts import Notices
+
+LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+# What an operator should look at; everything else tells the ordinary course.
+WARNINGS = frozenset(
+    {
+        "accept_failed",
+        "box_lost",
+        "feed_broken",
+        "feeds_full",
+        "list_call_failed",
+        "list_refused",
+        "list_stream_broken",
+    }
+)
+ERRORS = frozenset({"connection_failed", "subscription_failed", "timer_failed"})
+
+
+def _json(fields: Any, **_: Any) -> str:
+    return msgspec.json.encode(fields, enc_hook=str).decode()
+
+
+def configure(front: str, level: str = "info", stream: TextIO | None = None) -> Notices:
+    """A function that logs one event; everything goes to standard error unless a stream is given."""
+    sink = stream or sys.stderr
+    human = sink.isatty()
+    renderer: Any = structlog.dev.ConsoleRenderer() if human else structlog.processors.JSONRenderer(_json)
+    stamp = structlog.processors.TimeStamper(fmt="iso", utc=True)
+    logger = structlog.wrap_logger(
+        structlog.PrintLogger(sink),
+        processors=[structlog.processors.add_log_level, stamp, renderer],
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
+        cache_logger_on_first_use=True,
+    )
+    bound = logger.bind(front=front)
+
+    def notice(event: str, **fields: object) -> None:
+        if event in ERRORS:
+            bound.error(event, **fields)
+        elif event in WARNINGS:
+            bound.warning(event, **fields)
+        elif event == "join_over":
+            bound.debug(event, **fields)
+        else:
+            bound.info(event, **fields)
+
+    return notice
+
+
+def silent(event: str, **fields: object) -> None:
+    """Logs nothing."""
--- /dev/null
+++ b/fennelcove/peers/__init__.py
@@ -0,0 +1,2 @@
+"""The front as a client: joins and orders to boxes, their feeds, the list service. Sockets only, no
+decisions."""
--- /dev/null
+++ b/fennelcove/peers/feeds.py
@@ -0,0 +1,120 @@
+"""The feeds of boxes: one thread for each box on which this front holds something."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass
+
+import msgspec
+
+from fennelcove.core.core import Core
+from fennelcove.core.verdicts import Notices
+from fennelcove.decisions.commands import CARRY_OUT_US
+from fennelcove.decisions.hearing import BoxSays
+from fennelcove.http1.messages import CodecLimits
+from fennelcove.peers.joins import HintReader
+from fennelcove.peers.orders import OrderSenders
+from fennelcove.peers.streams import Broken, EventStream, Refused
+from fennelcove.wire.boxes import ENDED, HELLO, REPORT, Held, Hello, Report
+from fennelcove.wire.events import EventError, ServerEvent
+
+MOST_FEEDS = 4096
+_HELLO: msgspec.json.Decoder[Hello] = msgspec.json.Decoder(Hello)
+_REPORT: msgspec.json.Decoder[Report] = msgspec.json.Decoder(Report)
+_HELD: msgspec.json.Decoder[Held] = msgspec.json.Decoder(Held)
+
+
+@dataclass(slots=True, eq=False)
+class _Feed:
+    stream: EventStream
+    thread: threading.Thread
+
+
+class BoxSide:
+    """What the core asks of boxes: feeds opened and closed, orders sent."""
+
+    def __init__(
+        self,
+        core: Core,
+        senders: OrderSenders,
+        hints: HintReader,
+        front: str,
+        silence_us: int,
+        limits: CodecLimits,
+        notice: Notices,
+    ) -> None:
+        self.core = core
+        self.senders = senders
+        self.hints = hints
+        self.front = front
+        self.silence_us = silence_us
+        self.limits = limits
+        self.notice = notice
+        self.feeds: dict[str, _Feed] = {}
+        self.lock = threading.Lock()
+
+    def orders_ready(self) -> None:
+        self.senders.wake()
+
+    def open_feed(self, box: str, generation: int) -> None:
+        stream = EventStream(box, f"/v1/feed?front={self.front}", self.limits, CARRY_OUT_US, self.silence_us)
+        thread = threading.Thread(target=self._run, args=(box, generation, stream), name=f"feed-{box}")
+        with self.lock:
+            full = len(self.feeds) >= MOST_FEEDS
+            if not full:
+                self.feeds[box] = _Feed(stream, thread)
+        try:
+            if not full:
+                thread.start()
+                return
+        except RuntimeError:  # the machine gives no more threads
+            with self.lock:
+                del self.feeds[box]
+        # The core is in the middle of a step: it hears of it as of any other feed that broke, a moment later.
+        self.notice("feeds_full", box=box)
+        self.core.timers.after(0, lambda: self.core.feed_cut(box, generation, False))
+
+    def close_feed(self, box: str) -> None:
+        with self.lock:
+            feed = self.feeds.get(box)
+        if feed is not None:
+            feed.stream.shut()
+
+    def stop(self) -> None:
+        """End every feed and wait for its thread."""
+        with self.lock:
+            feeds = list(self.feeds.values())
+        for feed in feeds:
+            feed.stream.shut()
+        for feed in feeds:
+            feed.thread.join()
+
+    def _run(self, box: str, generation: int, stream: EventStream) -> None:
+        refused = False
+        try:
+            stream.run(lambda event: self._take(box, generation, event))
+        except Refused:
+            refused = True
+        except Broken as error:
+            if not stream.is_shut:
+                self.notice("feed_broken", box=box, reason=str(error))
+        with self.lock:
+            if box in self.feeds and self.feeds[box].stream is stream:
+                del self.feeds[box]
+        self.core.feed_cut(box, generation, refused)
+
+    def _take(self, box: str, generation: int, event: ServerEvent) -> None:
+        try:
+            if event.name == HELLO:
+                hello = _HELLO.decode(event.data)
+                held = [(item.subscription, item.join) for item in hello.held]
+                self.core.feed_hello(box, generation, hello.boot, held)
+            elif event.name == REPORT:
+                report = _REPORT.decode(event.data)
+                says = self.hints.says(None, report.cmsd)
+                self.core.feed_report(box, generation, says or BoxSays(), report.delivered)
+            elif event.name == ENDED:
+                ended = _HELD.decode(event.data)
+                self.core.feed_ended(box, generation, ended.subscription, ended.join)
+        except msgspec.MsgspecError as error:
+            raise EventError(f"an event that is not as agreed: {error}") from None
--- /dev/null
+++ b/fennelcove/peers/joins.py
@@ -0,0 +1,205 @@
+"""Carries out one join: one HTTP set-up at a box, each socket event told to the table that knows what it
+proves."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from fennelcove.clock import Clock
+from fennelcove.core.verdicts import JoinEnd, SendJoin
+from fennelcove.decisions.hearing import BoxSays
+from fennelcove.decisions.joins import Exchange, Seen, join_times, may_reuse
+from fennelcove.hints import cmsd
+from fennelcove.http1 import writer
+from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead, Whole
+from fennelcove.interface import Effect, Outcome
+from fennelcove.peers.latch import Latch, Woken, wait
+from fennelcove.peers.pool import Link, Pool, dial
+from fennelcove.wire.boxes import TURNED_AWAY, JoinOrder, join_path
+from fennelcove.wire.sessions import Problem
+
+READ_BYTES = 16_384
+_PROBLEM: msgspec.json.Decoder[Problem] = msgspec.json.Decoder(Problem)
+
+
+@dataclass(frozen=True, slots=True)
+class JoinRun:
+    """A join's end, and whether the viewer's hanging up or this front's stopping brought it."""
+
+    end: JoinEnd
+    interrupted: Woken | None = None
+    hops: str = ""
+
+
+class HintReader:
+    """Reads boxes' CMSD for all threads, out of memory where it came lately."""
+
+    def __init__(self) -> None:
+        self.memo = cmsd.Memo()
+        self.lock = threading.Lock()
+        self.dropped = 0
+
+    def says(self, static: str | None, dynamic: str | None) -> BoxSays | None:
+        """What a box tells; of several hops the one nearest the box counts, which is the first."""
+        if not dynamic:
+            return None
+        with self.lock:
+            found = self.memo.read(static, dynamic)
+            self.dropped += found.dropped
+        if not found.hops:
+            return None
+        hop = found.hops[0]
+        link, uplink = hop.number(cmsd.LINK_KEY), hop.number(cmsd.UPLINK_KEY)
+        return BoxSays(link, uplink, hop.in_duress, hop.number("mb"))
+
+
+def text(head: ResponseHead, name: bytes) -> str | None:
+    """A field's value as text."""
+    value = head.get(name)
+    return None if value is None else value.decode("latin-1")
+
+
+class Joiner:
+    """Runs joins, each on the thread that waits for it."""
+
+    def __init__(
+        self,
+        front: str,
+        clock: Clock,
+        pool: Pool,
+        hints: HintReader,
+        effects: Mapping[str, Effect],
+        limits: CodecLimits,
+        halt: Latch,
+    ) -> None:
+        self.front = front
+        self.clock = clock
+        self.pool = pool
+        self.hints = hints
+        self.effects = effects
+        self.limits = limits
+        self.halt = halt
+
+    def run(self, step: SendJoin, viewer: socket.socket | None) -> JoinRun:
+        """Send the join and wait for its end, the viewer's hanging up, or this front's stopping."""
+        began_us = self.clock.now_us()
+        if not self.pool.enter(step.box):
+            return JoinRun(JoinEnd(Outcome.NOT_SENT, None, 0))
+        link: Link | None = None
+        keep = False
+        try:
+            run, link, keep = self._exchange(step, viewer, began_us)
+            return run
+        finally:
+            if link is not None and not keep:
+                link.sock.close()
+            self.pool.leave(step.box, link if keep else None)
+
+    def _exchange(
+        self, step: SendJoin, viewer: socket.socket | None, began_us: int
+    ) -> tuple[JoinRun, Link | None, bool]:
+        exchange, times = Exchange(), join_times(step.allow_us)
+        session = step.session
+        link = self.pool.idle_link(step.box) if may_reuse(self.effects[session.room]) else None
+        if link is None:
+            try:
+                link = dial(step.box, times.connect_us, self.limits)
+            except TimeoutError:
+                exchange.see(Seen.TIMED_OUT)
+            except OSError:
+                exchange.see(Seen.REFUSED)
+        if link is None:
+            return self._run(exchange, began_us), None, False
+        exchange.see(Seen.CONNECTED)
+        order = JoinOrder(
+            front=self.front,
+            title=session.title,
+            room_type=session.room,
+            rung=step.rung,
+            rate_kb=session.rates_kb[step.rung],
+        )
+        fields = [("Content-Type", "application/json"), ("Idempotency-Key", f'"{session.id}"')]
+        path, body = join_path(session.id, step.join), msgspec.json.encode(order)
+        raw = writer.request("PUT", path, step.box, fields, body)
+        try:
+            link.sock.settimeout(max(0.001, (began_us + times.whole_us - self.clock.now_us()) / 1e6))
+            link.sock.sendall(raw)
+            exchange.see(Seen.WROTE)
+        except TimeoutError:
+            exchange.see(Seen.TIMED_OUT)
+        except OSError:
+            exchange.see(Seen.CLOSED)
+        if exchange.outcome is not None:
+            return self._run(exchange, began_us), link, False
+        first_us, whole_us = began_us + times.first_byte_us, began_us + times.whole_us
+        return self._await(link, exchange, began_us, first_us, whole_us, viewer)
+
+    def _await(
+        self,
+        link: Link,
+        exchange: Exchange,
+        began_us: int,
+        first_us: int,
+        whole_us: int,
+        viewer: socket.socket | None,
+    ) -> tuple[JoinRun, Link, bool]:
+        limit_us = first_us
+        while True:
+            woken = wait(link.sock, limit_us - self.clock.now_us(), self.halt, viewer)
+            if woken in (Woken.HUNG_UP, Woken.LATCH):
+                end = JoinEnd(Outcome.CALLED_OFF, None, self.clock.now_us() - began_us)
+                return JoinRun(end, woken), link, False
+            if woken is Woken.TIME:
+                exchange.see(Seen.TIMED_OUT)
+                return self._run(exchange, began_us), link, False
+            try:
+                data = link.sock.recv(READ_BYTES)
+            except OSError:
+                data = b""
+            if data:
+                exchange.see(Seen.BYTES)
+                limit_us = whole_us
+            link.answers.reader.feed(data)
+            try:
+                whole = link.answers.next()
+            except ProtocolError:
+                exchange.see(Seen.GARBAGE if data else Seen.CLOSED)
+                return self._run(exchange, began_us), link, False
+            if whole is not None:
+                return self._answer(whole, link, exchange, began_us)
+            if not data:
+                exchange.see(Seen.CLOSED)
+                return self._run(exchange, began_us), link, False
+
+    def _answer(
+        self, whole: Whole, link: Link, exchange: Exchange, began_us: int
+    ) -> tuple[JoinRun, Link, bool]:
+        head = whole.head
+        assert isinstance(head, ResponseHead)
+        dynamic = text(head, cmsd.DYNAMIC.encode())
+        says = self.hints.says(text(head, cmsd.STATIC.encode()), dynamic)
+        exchange.see(_meaning(head, whole.body))
+        keep = head.keep_alive and link.answers.reader.between
+        return self._run(exchange, began_us, says, dynamic or ""), link, keep
+
+    def _run(self, exchange: Exchange, began_us: int, says: BoxSays | None = None, hops: str = "") -> JoinRun:
+        assert exchange.outcome is not None
+        return JoinRun(JoinEnd(exchange.outcome, says, self.clock.now_us() - began_us), None, hops)
+
+
+def _meaning(head: ResponseHead, body: bytes) -> Seen:
+    if head.status == 201:
+        return Seen.STARTED
+    if head.status == 503:
+        # A 503 alone may come from anything on the way, after the box ran it: only the box's own word proves.
+        try:
+            if _PROBLEM.decode(body).type == TURNED_AWAY:
+                return Seen.TURNED_AWAY
+        except msgspec.MsgspecError:
+            pass
+    return Seen.ERROR
--- /dev/null
+++ b/fennelcove/peers/latch.py
@@ -0,0 +1,64 @@
+"""A one-way switch that a thread can wait for together with its sockets."""
+
+from __future__ import annotations
+
+import os
+import select
+import socket
+from enum import Enum, auto
+
+
+class Latch:
+    """Set once; its descriptor is readable from then on. The owner closes it when nobody waits any more."""
+
+    def __init__(self) -> None:
+        self.reader, self.writer = os.pipe()
+        self.is_set = False
+
+    def set(self) -> None:
+        """Wake everybody who waits."""
+        if not self.is_set:
+            self.is_set = True
+            os.write(self.writer, b"x")
+
+    def wait(self, timeout_us: int) -> bool:
+        """Wait until it is set, or for so long."""
+        poll = select.poll()
+        poll.register(self.reader, select.POLLIN)
+        return bool(poll.poll(max(0, -(-timeout_us // 1000))))
+
+    def close(self) -> None:
+        """Give the descriptors back."""
+        os.close(self.reader)
+        os.close(self.writer)
+
+
+class Woken(Enum):
+    """What ended a wait."""
+
+    READY = auto()
+    HUNG_UP = auto()
+    LATCH = auto()
+    TIME = auto()
+
+
+# A peer that closed its side shows so without its bytes being read, pipelined ones included.
+_HANG_UP = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
+
+
+def wait(
+    sock: socket.socket, timeout_us: int, latch: Latch | None, other: socket.socket | None = None
+) -> Woken:
+    """Wait until the socket can be read, the other one's peer hangs up, the latch is set or time is up."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    if latch is not None:
+        poll.register(latch.reader, select.POLLIN)
+    if other is not None:
+        poll.register(other, _HANG_UP & ~(select.POLLHUP | select.POLLERR))
+    found = dict(poll.poll(max(0, -(-timeout_us // 1000))))
+    if sock.fileno() in found:
+        return Woken.READY
+    if other is not None and other.fileno() in found:
+        return Woken.HUNG_UP
+    return Woken.LATCH if found else Woken.TIME
--- /dev/null
+++ b/fennelcove/peers/lists.py
@@ -0,0 +1,142 @@
+"""The list service's client: a stream of changes, and single calls for the whole list."""
+
+from __future__ import annotations
+
+import threading
+from random import Random
+
+import msgspec
+
+from fennelcove.clock import Clock
+from fennelcove.core.core import Core
+from fennelcove.core.verdicts import Notices
+from fennelcove.decisions import listing
+from fennelcove.decisions.commands import CARRY_OUT_US
+from fennelcove.http1 import writer
+from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead
+from fennelcove.peers.joins import READ_BYTES
+from fennelcove.peers.pool import dial
+from fennelcove.peers.streams import Broken, EventStream, Refused
+from fennelcove.wire.events import EventError, ServerEvent
+from fennelcove.wire.lists import ListMessage, news
+
+LIST_BYTES = 4 * 1024 * 1024
+_MESSAGE: msgspec.json.Decoder[ListMessage] = msgspec.json.Decoder(ListMessage)
+
+
+class ListSide:
+    """Owns two threads: one reads the stream, one makes calls. With `must_ask` the stream opens when asked
+    for."""
+
+    def __init__(
+        self, core: Core, clock: Clock, address: str, must_ask: bool, chance: Random, notice: Notices
+    ) -> None:
+        self.core = core
+        self.clock = clock
+        self.address = address
+        self.must_ask = must_ask
+        self.chance = chance
+        self.notice = notice
+        self.limits = CodecLimits(body_bytes=LIST_BYTES)
+        self.changed = threading.Condition()
+        self.stream_due = not must_ask
+        self.fetch_due = False
+        self.stopped = False
+        self.stream: EventStream | None = None
+        self.threads = [
+            threading.Thread(target=self._streams, name="list-stream"),
+            threading.Thread(target=self._fetches, name="list-fetch"),
+        ]
+
+    def start(self) -> None:
+        """Start the threads."""
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """End the threads."""
+        with self.changed:
+            self.stopped = True
+            if self.stream is not None:
+                self.stream.shut()
+            self.changed.notify_all()
+        for thread in self.threads:
+            thread.join()
+
+    def watch(self) -> None:
+        with self.changed:
+            self.stream_due = True
+            self.changed.notify_all()
+
+    def fetch(self) -> None:
+        with self.changed:
+            self.fetch_due = True
+            self.changed.notify_all()
+
+    def _streams(self) -> None:
+        failures = 0
+        while True:
+            with self.changed:
+                self.changed.wait_for(lambda: self.stream_due or self.stopped)
+                if self.stopped:
+                    return
+                version = self.core.keeper.version
+                path = "/v1/list/stream" if version is None else f"/v1/list/stream?since={version}"
+                self.stream = EventStream(self.address, path, self.limits, CARRY_OUT_US, listing.SILENCE_US)
+            try:
+                self.stream.run(self._take)
+            except (Refused, Broken) as error:
+                failures = 0 if self.core.keeper.version != version else failures + 1
+                if not self.stopped:
+                    self.notice("list_stream_broken", reason=str(error) or "refused", failures=failures)
+            if self.must_ask:
+                with self.changed:
+                    self.stream_due = False
+                self.core.list_failed()
+            with self.changed:
+                pause_us = listing.pause_us(failures, self.chance.random())
+                self.changed.wait_for(lambda: self.stopped, pause_us / 1e6)
+
+    def _take(self, event: ServerEvent) -> None:
+        if event.name == "list":
+            try:
+                message = _MESSAGE.decode(event.data)
+            except msgspec.MsgspecError as error:
+                self.notice("list_refused", reason=str(error))
+                raise EventError(f"a list that is not as agreed: {error}") from None
+            self.core.list_news(news(message, self.clock.now_us()))
+
+    def _fetches(self) -> None:
+        failures = 0
+        while True:
+            with self.changed:
+                self.changed.wait_for(lambda: self.fetch_due or self.stopped)
+                if self.stopped:
+                    return
+                self.fetch_due = False
+            try:
+                message = self._fetch()
+                self.core.list_news(news(message, self.clock.now_us()))
+                failures = 0
+            except (OSError, ProtocolError, msgspec.MsgspecError) as error:
+                failures += 1
+                self.notice("list_call_failed", reason=str(error), failures=failures)
+                self.core.list_failed()
+                with self.changed:
+                    pause_us = listing.pause_us(failures, self.chance.random())
+                    self.changed.wait_for(lambda: self.stopped, pause_us / 1e6)
+
+    def _fetch(self) -> ListMessage:
+        link = dial(self.address, CARRY_OUT_US, self.limits)
+        with link.sock as sock:
+            sock.settimeout(CARRY_OUT_US / 1e6)
+            sock.sendall(writer.request("GET", "/v1/list", self.address))
+            while (whole := link.answers.next()) is None:
+                data = sock.recv(READ_BYTES)
+                link.answers.reader.feed(data)
+                if not data and link.answers.reader.between:
+                    raise ConnectionResetError("closed before its answer")
+        assert isinstance(whole.head, ResponseHead)
+        if whole.head.status == 200:
+            return _MESSAGE.decode(whole.body)
+        raise ConnectionError(f"answered {whole.head.status}")
--- /dev/null
+++ b/fennelcove/peers/orders.py
@@ -0,0 +1,97 @@
+"""Sends orders to boxes, new rungs and releases, on a few threads of its own."""
+
+from __future__ import annotations
+
+import threading
+
+import msgspec
+
+from fennelcove.core.core import Core
+from fennelcove.decisions.commands import CARRY_OUT_US, Order
+from fennelcove.http1 import writer
+from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead
+from fennelcove.peers.joins import READ_BYTES
+from fennelcove.peers.pool import Link, Pool, dial
+from fennelcove.wire.boxes import RungOrder, join_path
+
+SENDERS = 4
+MOST_WAIT_S = 1.0
+
+
+class OrderSenders:
+    """Owns the senders; `start` them once, `stop` ends them when what is in hand has gone out."""
+
+    def __init__(self, core: Core, pool: Pool, limits: CodecLimits) -> None:
+        self.core = core
+        self.pool = pool
+        self.limits = limits
+        self.ready = threading.Condition()
+        self.stopped = False
+        self.threads = [threading.Thread(target=self._run, name=f"orders-{i}") for i in range(SENDERS)]
+
+    def start(self) -> None:
+        """Start the threads."""
+        for thread in self.threads:
+            thread.start()
+
+    def wake(self) -> None:
+        """An order may be ready."""
+        with self.ready:
+            self.ready.notify()
+
+    def stop(self) -> None:
+        """Send what may go out at once, then end."""
+        with self.ready:
+            self.stopped = True
+            self.ready.notify_all()
+        for thread in self.threads:
+            thread.join()
+
+    def _run(self) -> None:
+        while True:
+            order, wait_us = self.core.take_order()
+            if order is not None:
+                self.core.order_over(order, self._carry_out(order))
+                continue
+            with self.ready:
+                if self.stopped:
+                    return
+                # Woken between the look and this wait, a sender sleeps one bound at the most.
+                self.ready.wait(MOST_WAIT_S if wait_us is None else min(MOST_WAIT_S, wait_us / 1e6))
+
+    def _carry_out(self, order: Order) -> bool:
+        if not self.pool.enter(order.box):
+            return False
+        link, keep = None, False
+        try:
+            link = self.pool.idle_link(order.box) or dial(order.box, CARRY_OUT_US, self.limits)
+            keep = self._exchange(link, order)
+            return True
+        except (OSError, ProtocolError):
+            return False
+        finally:
+            if link is not None and not keep:
+                link.sock.close()
+            self.pool.leave(order.box, link if keep else None)
+
+    def _exchange(self, link: Link, order: Order) -> bool:
+        path = join_path(order.id, order.join)
+        if order.rung is None:
+            raw = writer.request("DELETE", path, order.box)
+        else:
+            session = self.core.sessions.get(order.id)
+            rate_kb = session.rates_kb[order.rung] if session is not None else 0.0
+            body = msgspec.json.encode(RungOrder(order.rung, rate_kb))
+            fields = [("Content-Type", "application/json")]
+            raw = writer.request("PUT", f"{path}/rung", order.box, fields, body)
+        link.sock.settimeout(CARRY_OUT_US / 1e6)
+        link.sock.sendall(raw)
+        while (whole := link.answers.next()) is None:
+            data = link.sock.recv(READ_BYTES)
+            link.answers.reader.feed(data)
+            if not data and link.answers.reader.between:
+                raise ConnectionResetError("closed before its answer")
+        assert isinstance(whole.head, ResponseHead)
+        if whole.head.status >= 500:
+            raise ConnectionError(f"answered {whole.head.status}")
+        return whole.head.keep_alive and link.answers.reader.between
--- /dev/null
+++ b/fennelcove/peers/pool.py
@@ -0,0 +1,114 @@
+"""Connections to boxes: kept between exchanges, bounded for each box and in age."""
+
+from __future__ import annotations
+
+import select
+import socket
+import threading
+from collections import deque
+from dataclasses import dataclass, field
+
+from fennelcove.clock import Clock
+from fennelcove.http1.messages import CodecLimits
+from fennelcove.http1.reader import Gatherer, Reader
+
+
+@dataclass(slots=True, eq=False)
+class Link:
+    """One connection to a box, with what has been read off it."""
+
+    box: str
+    sock: socket.socket
+    answers: Gatherer
+    kept_us: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class _Box:
+    out: int = 0
+    idle: deque[Link] = field(default_factory=deque)
+
+
+def dial(address: str, timeout_us: int, limits: CodecLimits, stream: bool = False) -> Link:
+    """A new connection.
+
+    Raises:
+        OSError: refused, unreachable or not made in time.
+    """
+    host, _, port = address.rpartition(":")
+    sock = socket.create_connection((host, int(port)), max(0.001, timeout_us / 1e6))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return Link(address, sock, Gatherer(Reader(False, limits, stream)))
+
+
+class Pool:
+    """Hands out connections; `most` of them to one box at a time, idle ones included."""
+
+    def __init__(self, clock: Clock, most: int, idle_us: int) -> None:
+        self.clock = clock
+        self.most = most
+        self.idle_us = idle_us
+        self.boxes: dict[str, _Box] = {}
+        self.lock = threading.Lock()
+        self.closed = False
+
+    def enter(self, address: str) -> bool:
+        """Count one exchange with a box; False where the bound is reached."""
+        with self.lock:
+            box = self.boxes.setdefault(address, _Box())
+            if self.closed or box.out >= self.most:
+                return False
+            box.out += 1
+            return True
+
+    def leave(self, address: str, link: Link | None) -> None:
+        """An exchange is over; a link that may be used again is kept."""
+        with self.lock:
+            box = self.boxes[address]
+            box.out -= 1
+            if link is not None:
+                if not self.closed and len(box.idle) + box.out < self.most:
+                    link.kept_us = self.clock.now_us()
+                    box.idle.append(link)
+                else:
+                    link.sock.close()
+            if not box.out and not box.idle:
+                del self.boxes[address]
+
+    def idle_link(self, address: str) -> Link | None:
+        """A kept connection that still looks alive, the last used first."""
+        with self.lock:
+            box = self.boxes.get(address)
+            while box is not None and box.idle:
+                link = box.idle.pop()
+                if self.clock.now_us() - link.kept_us < self.idle_us and _looks_alive(link):
+                    return link
+                link.sock.close()
+            return None
+
+    def trim(self) -> None:
+        """Close what has been idle for too long; boxes that are gone would hold descriptors for ever."""
+        with self.lock:
+            now_us = self.clock.now_us()
+            for address in list(self.boxes):
+                box = self.boxes[address]
+                while box.idle and now_us - box.idle[0].kept_us >= self.idle_us:
+                    box.idle.popleft().sock.close()
+                if not box.out and not box.idle:
+                    del self.boxes[address]
+
+    def close(self) -> None:
+        """Close all that is idle and keep nothing from now on."""
+        with self.lock:
+            self.closed = True
+            for box in self.boxes.values():
+                for link in box.idle:
+                    link.sock.close()
+                box.idle.clear()
+
+
+def _looks_alive(link: Link) -> bool:
+    """Nothing may be readable between two exchanges: neither an end nor an answer that nobody asked for."""
+    poll = select.poll()
+    poll.register(link.sock, select.POLLIN)
+    return not poll.poll(0)
--- /dev/null
+++ b/fennelcove/program/front.py
@@ -0,0 +1,125 @@
+"""One front: its clock, core, doors and peers, who owns which thread, and the order in which they end."""
+
+from __future__ import annotations
+
+import threading
+from random import Random
+
+from fennelcove.clock import Clock, SystemClock
+from fennelcove.core.core import Core
+from fennelcove.core.names import Names
+from fennelcove.core.timers import Timers
+from fennelcove.core.verdicts import Notices
+from fennelcove.decisions import feeds
+from fennelcove.decisions.stopping import Act, Cue, Phase, Stopping
+from fennelcove.doors.connection import DoorLimits
+from fennelcove.doors.http_door import HttpDoor
+from fennelcove.http1.messages import CodecLimits
+from fennelcove.interface import Effect
+from fennelcove.peers.feeds import BoxSide
+from fennelcove.peers.joins import HintReader, Joiner
+from fennelcove.peers.latch import Latch
+from fennelcove.peers.lists import ListSide
+from fennelcove.peers.orders import OrderSenders
+from fennelcove.peers.pool import Pool
+from fennelcove.settings.schema import FrontSettings
+
+SWEEP_US = 250_000
+
+
+class FrontProgram:
+    """A whole front. `start`; then `stop` from any thread, which returns when every thread has ended."""
+
+    def __init__(
+        self, settings: FrontSettings, notice: Notices, clock: Clock | None = None, names: Names | None = None
+    ) -> None:
+        self.settings = settings
+        self.notice = notice
+        self.clock = clock or SystemClock()
+        limits = settings.limits
+        threading.stack_size(limits.stack_kib * 1024)
+        codec = CodecLimits(limits.head_bytes, limits.head_count, limits.body_bytes)
+        self.timers = Timers(self.clock, lambda error: notice("timer_failed", reason=repr(error)))
+        self.core = Core(settings, self.clock, self.timers, notice, names)
+        self.halt = Latch()
+        self.pool = Pool(self.clock, limits.box_connections, round(limits.idle_ms * 1000))
+        self.hints = HintReader()
+        effects = {room.name: Effect(room.effect) for room in settings.room_types}
+        self.joiner = Joiner(settings.name, self.clock, self.pool, self.hints, effects, codec, self.halt)
+        self.senders = OrderSenders(self.core, self.pool, codec)
+        told = self.core.front.settings
+        silence_us = feeds.silence_us(told.reports_every_us, told.seen_after_us)
+        self.box_side = BoxSide(self.core, self.senders, self.hints, settings.name, silence_us, codec, notice)
+        self.list_side = ListSide(
+            self.core,
+            self.clock,
+            settings.lists.address,
+            settings.lists.must_ask,
+            Random(settings.seed),
+            notice,
+        )
+        self.core.boxes, self.core.lists = self.box_side, self.list_side
+        times = [round(ms * 1000) for ms in (limits.idle_ms, limits.head_ms, limits.write_ms)]
+        self.door = HttpDoor(
+            self.core,
+            self.clock,
+            self.joiner,
+            settings.name,
+            settings.listen,
+            codec,
+            DoorLimits(*times),
+            notice,
+        )
+        self.timekeeper = threading.Thread(target=self.timers.run, name="timers")
+        self.stopping = Stopping(round(limits.stop_ms * 1000))
+
+    def start(self) -> None:
+        """Start every thread; from then on the front answers."""
+        self.timekeeper.start()
+        self.senders.start()
+        self.list_side.start()
+        if self.settings.lists.must_ask:
+            self.list_side.watch()
+        self._sweep()
+        self.door.start()
+        self.notice("front_started", address=self.door.address, boot=self.core.names.boot)
+
+    def _sweep(self) -> None:
+        self.core.sweep()
+        self.pool.trim()
+        self.timers.after(SWEEP_US, self._sweep)
+
+    def stop(self) -> None:
+        """Answer everything held and end, within the stated time."""
+        began_us = self.clock.now_us()
+        acts = {
+            Act.STOP_ACCEPTING: self._stop_accepting,
+            Act.GIVE_UP_JOINS: self.halt.set,
+            Act.CLOSE_ALL: self._close,
+        }
+        cue = Cue.ASKED
+        while self.stopping.phase is not Phase.OVER:
+            for act in self.stopping.cue(cue, self.clock.now_us()):
+                acts[act]()
+            idle = self.door.wait_idle(self.stopping.left_us(self.clock.now_us()))
+            cue = Cue.IDLE if idle else Cue.TIME
+        self.notice("front_stopped", took_ms=(self.clock.now_us() - began_us) / 1000, counts=self.core.counts)
+
+    def _stop_accepting(self) -> None:
+        self.core.stop_entries()
+        self.door.stop_accepting()
+
+    def _close(self) -> None:
+        self.halt.set()
+        self.door.close()
+        self.list_side.stop()
+        self.timers.stop()
+        self.timekeeper.join()
+        self.box_side.stop()
+        self.senders.stop()
+        self.pool.close()
+        self.halt.close()
+
+    def hurry(self) -> None:
+        """Give up what is still out; `stop` goes on to its end."""
+        self.halt.set()
--- a/fennelcove/settings/checks.py
+++ b/fennelcove/settings/checks.py
@@ -15,16 +15,22 @@
     if port > 65_535:
         yield f"listen: found port {port}; use one up to 65535, 0 for any free one"
     if front.instance.index >= front.instance.fronts:
-        yield (f"instance.index: found {front.instance.index} of {front.instance.fronts} fronts; "
-               f"count from 0 up to {front.instance.fronts - 1}")
+        yield (
+            f"instance.index: found {front.instance.index} of {front.instance.fronts} fronts; "
+            f"count from 0 up to {front.instance.fronts - 1}"
+        )
     rungs = len(front.ladder)
     for i, (low, high) in enumerate(zip(front.ladder, front.ladder[1:], strict=False)):
         if high.kb <= low.kb or high.worth < low.worth:
-            yield (f"ladder[{i + 1}]: found a rung not above the one before; "
-                   "sort rungs by kb, worth never falling")
-    for group, names in (("room-types", [room.name for room in front.room_types]),
-                         ("titles", [title.name for title in front.titles]),
-                         ("fleet.kinds", [kind.name for kind in front.fleet.kinds])):
+            yield (
+                f"ladder[{i + 1}]: found a rung not above the one before; "
+                "sort rungs by kb, worth never falling"
+            )
+    for group, names in (
+        ("room-types", [room.name for room in front.room_types]),
+        ("titles", [title.name for title in front.titles]),
+        ("fleet.kinds", [kind.name for kind in front.fleet.kinds]),
+    ):
         seen: set[str] = set()
         for i, name in enumerate(names):
             if name in seen:
@@ -35,20 +41,26 @@
         if room.floor >= rungs:
             yield f"{at}.floor: found {room.floor} on a ladder of {rungs}; use a rung from 0 to {rungs - 1}"
         if room.objective_ms > room.client_timeout_ms:
-            yield (f"{at}.objective-ms: found {room.objective_ms:g}, past the client timeout; "
-                   f"use at most {room.client_timeout_ms:g}")
+            yield (
+                f"{at}.objective-ms: found {room.objective_ms:g}, past the client timeout; "
+                f"use at most {room.client_timeout_ms:g}"
+            )
         if room.effect == "guarded" and not room.key_ttl_ms:
             yield f"{at}.key-ttl-ms: found 0 for a guarded room type; state how long a repeat is recognised"
     for i, title in enumerate(front.titles):
         if title.cells > front.fleet.cells or title.first_cell >= front.fleet.cells:
-            yield (f"titles[{i}]: found cells {title.first_cell}+{title.cells} of {front.fleet.cells}; "
-                   "keep within fleet.cells")
+            yield (
+                f"titles[{i}]: found cells {title.first_cell}+{title.cells} of {front.fleet.cells}; "
+                "keep within fleet.cells"
+            )
     if front.rules.budget_free is not None and not front.rules.budget_span_ms:
         yield "rules.budget-span-ms: found 0 beside a join budget; state the window"
     limits = front.limits
     if limits.waiting > limits.connections:
-        yield (f"limits.waiting: found {limits.waiting} over {limits.connections} connections; "
-               "one connection waits for one request at most")
+        yield (
+            f"limits.waiting: found {limits.waiting} over {limits.connections} connections; "
+            "one connection waits for one request at most"
+        )
     if limits.body_bytes + limits.head_bytes > limits.buffered_bytes:
         yield "limits.buffered-bytes: found less than one head and one body; raise it above both together"
 
@@ -69,24 +81,45 @@
     """What the decision module is told; times in microseconds."""
     rooms = {
         room.name: RoomType(
-            objective_us=round(room.objective_ms * 1000), benefit=room.benefit, effect=Effect(room.effect),
-            scope=Scope(room.scope), key_ttl_us=round(room.key_ttl_ms * 1000), scale=room.scale,
-            floor=room.floor, seats=room.seats)
-        for room in front.room_types}
+            objective_us=round(room.objective_ms * 1000),
+            benefit=room.benefit,
+            effect=Effect(room.effect),
+            scope=Scope(room.scope),
+            key_ttl_us=round(room.key_ttl_ms * 1000),
+            scale=room.scale,
+            floor=room.floor,
+            seats=room.seats,
+        )
+        for room in front.room_types
+    }
     fleet, rules = front.fleet, front.rules
     ask_within = front.lists.ask_within_ms
     return Settings(
-        rooms=rooms, fronts=front.instance.fronts, index=front.instance.index, zone=front.instance.zone,
+        rooms=rooms,
+        fronts=front.instance.fronts,
+        index=front.instance.index,
+        zone=front.instance.zone,
         ladder_kb=tuple(rung.kb for rung in front.ladder),
         ladder_worth=tuple(rung.worth for rung in front.ladder),
         kind_streams={kind.name: kind.streams for kind in fleet.kinds},
-        kb_per_weight=fleet.kb_per_weight, all_links_kb=fleet.all_links_kb, sizes_listed=fleet.sizes_listed,
-        racks=fleet.racks, cells=fleet.cells, uplink_kb=fleet.uplink_kb, uplinks_told=fleet.uplinks_told,
+        kb_per_weight=fleet.kb_per_weight,
+        all_links_kb=fleet.all_links_kb,
+        sizes_listed=fleet.sizes_listed,
+        racks=fleet.racks,
+        cells=fleet.cells,
+        uplink_kb=fleet.uplink_kb,
+        uplinks_told=fleet.uplinks_told,
         seen_after_us=round(fleet.seen_after_ms * 1000),
         reports_every_us=round(fleet.reports_every_ms * 1000),
-        guard=fleet.guard, cross_zone_price=front.cross_zone_price, send_cap=rules.join_cap,
+        guard=fleet.guard,
+        cross_zone_price=front.cross_zone_price,
+        send_cap=rules.join_cap,
         retry_after_us=None if front.max_retry_after_ms is None else round(front.max_retry_after_ms * 1000),
-        must_ask=front.lists.must_ask, ask_within_us=None if ask_within is None else round(ask_within * 1000),
-        start_capacity=rules.start_capacity, ramp_us=round(rules.ramp_ms * 1000),
-        budget_free=rules.budget_free, budget_ratio=rules.budget_ratio,
-        budget_span_us=round(rules.budget_span_ms * 1000))
+        must_ask=front.lists.must_ask,
+        ask_within_us=None if ask_within is None else round(ask_within * 1000),
+        start_capacity=rules.start_capacity,
+        ramp_us=round(rules.ramp_ms * 1000),
+        budget_free=rules.budget_free,
+        budget_ratio=rules.budget_ratio,
+        budget_span_us=round(rules.budget_span_ms * 1000),
+    )
--- /dev/null
+++ b/fennelcove/standins/__init__.py
@@ -0,0 +1,2 @@
+"""Stand-ins on loopback: boxes, a list service, viewers. For tests and scripted days; no front imports
+them."""
--- /dev/null
+++ b/fennelcove/standins/box.py
@@ -0,0 +1,223 @@
+"""A stand-in box: serves set-ups, orders and feeds by its model, with faults switched on by a script."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass
+from urllib.parse import parse_qs
+
+import msgspec
+
+from fennelcove.clock import Clock
+from fennelcove.hints import cmsd
+from fennelcove.http1 import writer
+from fennelcove.http1.messages import RequestHead
+from fennelcove.standins.model import BoxModel, SetUp
+from fennelcove.standins.recorder import Recorder
+from fennelcove.standins.server import Peer, StandInServer
+from fennelcove.wire.boxes import ENDED, HELLO, REPORT, TURNED_AWAY, Held, Hello, JoinOrder, Report, RungOrder
+from fennelcove.wire.events import write_event
+from fennelcove.wire.sessions import Problem
+
+JSON = ("Content-Type", "application/json")
+MOST_HANG_S = 30.0
+
+
+@dataclass(slots=True)
+class Faults:
+    """What is wrong with a box now; all off by default."""
+
+    hang: bool = False  # takes requests and never answers
+    slow_ms: float = 0.0
+    errors: bool = False  # answers 500 at once
+    reset: bool = False  # resets after the request was read
+    half: bool = False  # half an answer, then an end
+    garbage: bool = False
+    full: bool = False  # says duress, goes on accepting
+    lies: float | None = None  # the load it reports instead of the true one
+    mute: bool = False  # reports stop
+
+
+class StandInBox:
+    """One box on a loopback port."""
+
+    def __init__(
+        self, name: str, model: BoxModel, clock: Clock, recorder: Recorder, report_every_s: float
+    ) -> None:
+        self.name = name
+        self.model = model
+        self.clock = clock
+        self.recorder = recorder
+        self.report_every_s = report_every_s
+        self.faults = Faults()
+        self.lives = 1
+        self.lock = threading.Lock()
+        self.changed = threading.Condition(self.lock)
+        self.holders: dict[tuple[str, int], str] = {}
+        self.stopped = False
+        self.server = StandInServer(self._handle, f"box-{name}")
+        self.address = self.server.address
+
+    def start(self) -> None:
+        """Start to listen."""
+        self.server.start()
+
+    def stop(self) -> None:
+        """End everything."""
+        with self.changed:
+            self.stopped = True
+            self.changed.notify_all()
+        self.server.stop()
+
+    def die(self) -> None:
+        """The process dies: nothing listens, all connections are cut, all that played is lost."""
+        with self.changed:
+            if not self.model.up:
+                return
+            self.model.stop()
+            self.holders.clear()
+            self.changed.notify_all()
+        self.recorder.note("box_died", box=self.address)
+        self.server.down()
+
+    def restart(self) -> None:
+        """A new process on the same port, cold."""
+        with self.lock:
+            self.lives += 1
+            self.model.start(self.clock.now_us())
+        self.recorder.note("box_started", box=self.address)
+        self.server.up()
+
+    def hint(self) -> str:
+        """The CMSD-Dynamic value of an answer."""
+        link = self.model.asked() if self.faults.lies is None else self.faults.lies
+        values: dict[str, int | float | str | bool | bytes] = {
+            cmsd.LINK_KEY: round(link, 3),
+            cmsd.UPLINK_KEY: round(self.model.rack.asked(), 3),
+        }
+        if self.faults.full:
+            values["du"] = True
+            values[cmsd.LINK_KEY] = 1.0
+        return cmsd.write_hop(self.name, values)
+
+    def _reply(self, status: int, body: bytes = b"") -> bytes:
+        fields = [("CMSD-Dynamic", self.hint())]
+        if body:
+            fields.append(JSON if status < 400 else ("Content-Type", "application/problem+json"))
+        return writer.response(status, fields, body)
+
+    def _handle(self, head: RequestHead, body: bytes, peer: Peer) -> bool:
+        path, _, query = head.target.partition("?")
+        parts = path.strip("/").split("/")
+        if parts[:2] == ["v1", "joins"] and len(parts) >= 4:
+            key = (parts[2], int(parts[3]))
+            if head.method == "PUT" and len(parts) == 4:
+                return self._set_up(key, msgspec.json.decode(body, type=JoinOrder), peer)
+            if self.faults.hang:
+                peer.wait_closed(MOST_HANG_S)
+                return False
+            if head.method == "PUT":
+                return self._rung(key, msgspec.json.decode(body, type=RungOrder), peer)
+            return self._release(key, peer)
+        if path == "/v1/feed":
+            self._feed(parse_qs(query).get("front", [""])[0], peer)
+            return False
+        return peer.send(self._reply(404))
+
+    def _set_up(self, key: tuple[str, int], order: JoinOrder, peer: Peer) -> bool:
+        told = {"box": self.address, "front": order.front, "subscription": key[0], "join": key[1]}
+        self.recorder.note("set_up", **told, room_type=order.room_type, title=order.title, rung=order.rung)
+        if self.faults.hang:
+            closed = peer.wait_closed(MOST_HANG_S)
+            self.recorder.note("set_up_over", **told, how="front_closed" if closed else "silent")
+            return False
+        if self.faults.slow_ms and peer.wait_closed(self.faults.slow_ms / 1000):
+            # The front has given up; a box that is slow and not hung still does the work.
+            with self.lock:
+                self.model.set_up(key, order.rate_kb, self.clock.now_us())
+                self.holders[key] = order.front
+            self.recorder.note("set_up_over", **told, how="front_closed")
+            return False
+        if self.faults.errors:
+            self.recorder.note("set_up_over", **told, how="error")
+            return peer.send(self._reply(500))
+        with self.lock:
+            became = self.model.set_up(key, order.rate_kb, self.clock.now_us())
+            if became is SetUp.STARTED:
+                self.holders[key] = order.front
+        if became is SetUp.FELL:
+            self.recorder.note("set_up_over", **told, how="reset")
+            self.recorder.note("fell", box=self.address, front=order.front)
+            threading.Thread(target=self.die, name="fall").start()
+            peer.reset()
+            return False
+        if became is SetUp.TURNED_AWAY:
+            self.recorder.note("set_up_over", **told, how="turned_away")
+            problem = Problem(type=TURNED_AWAY, title="Full", status=503)
+            return peer.send(self._reply(503, msgspec.json.encode(problem)))
+        return self._started(told, peer)
+
+    def _started(self, told: dict[str, object], peer: Peer) -> bool:
+        raw = self._reply(201, b'{"state":"playing"}')
+        if self.faults.reset:
+            self.recorder.note("set_up_over", **told, how="reset")
+            peer.reset()
+            return False
+        if self.faults.half:
+            self.recorder.note("set_up_over", **told, how="half")
+            peer.send(raw[: len(raw) // 2])
+            return False
+        if self.faults.garbage:
+            self.recorder.note("set_up_over", **told, how="garbage")
+            peer.send(b"\x16\x03\x01 not http\n\n\n")
+            return False
+        self.recorder.note("set_up_over", **told, how="started")
+        return peer.send(raw)
+
+    def _rung(self, key: tuple[str, int], order: RungOrder, peer: Peer) -> bool:
+        with self.lock:
+            held = key in self.model.playing
+            if held:
+                self.model.playing[key] = order.rate_kb
+        if held:
+            self.recorder.note("rung", box=self.address, subscription=key[0], join=key[1], rung=order.rung)
+        return peer.send(self._reply(204 if held else 404))
+
+    def _release(self, key: tuple[str, int], peer: Peer) -> bool:
+        with self.lock:
+            held = self.model.playing.pop(key, None) is not None
+            self.holders.pop(key, None)
+        self.recorder.note("released", box=self.address, subscription=key[0], join=key[1], held=held)
+        return peer.send(self._reply(204))
+
+    def end(self, key: tuple[str, int]) -> None:
+        """A player is gone: its box notices and says so on the feeds."""
+        with self.changed:
+            if self.model.playing.pop(key, None) is not None:
+                self.holders.pop(key, None)
+                self.recorder.note("ended", box=self.address, subscription=key[0], join=key[1])
+                self.changed.notify_all()
+
+    def _feed(self, front: str, peer: Peer) -> None:
+        if self.faults.hang:
+            peer.wait_closed(MOST_HANG_S)
+            return
+        with self.lock:
+            known = {key for key, holder in self.holders.items() if holder == front}
+            hello = Hello(f"{self.name}-{self.lives}", [Held(*key) for key in sorted(known)])
+        if not peer.send(writer.stream_head(200, [("Content-Type", "text/event-stream")])):
+            return
+        events = write_event(HELLO, msgspec.json.encode(hello))
+        while peer.send(writer.chunk(events)):
+            with self.changed:
+                self.changed.wait(self.report_every_s)
+                if self.stopped or not self.model.up:
+                    return
+                now = {key for key, holder in self.holders.items() if holder == front}
+            ended, known = known - now, now
+            events = b"".join(write_event(ENDED, msgspec.json.encode(Held(*key))) for key in sorted(ended))
+            if not self.faults.mute and not self.faults.hang:
+                share = self.model.delivered()
+                report = Report(self.hint(), round(share, 3) if share < 1 else None)
+                events += write_event(REPORT, msgspec.json.encode(report))
+            events = events or b": beat\n\n"
--- /dev/null
+++ b/fennelcove/standins/listservice.py
@@ -0,0 +1,150 @@
+"""A stand-in list service: whole lists and changes, pushed late, or out of reach."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass
+from typing import Literal
+from urllib.parse import parse_qs
+
+import msgspec
+
+from fennelcove.clock import Clock
+from fennelcove.http1 import writer
+from fennelcove.http1.messages import RequestHead
+from fennelcove.standins.recorder import Recorder
+from fennelcove.standins.server import Peer, StandInServer
+from fennelcove.wire.events import BEAT, write_event
+from fennelcove.wire.lists import ListedBox, ListMessage
+
+JSON = ("Content-Type", "application/json")
+BEAT_S = 0.5
+State = Literal["active", "leaving", "left"]
+
+
+@dataclass(slots=True)
+class Known:
+    """One box as the service knows it; started None is long ago."""
+
+    address: str
+    zone: str
+    kind: str
+    cell: int
+    weight: float
+    state: State = "active"
+    started_us: int | None = None
+
+
+class StandInLists:
+    """Versions of one list. `publish` makes a version; each stream sends what it has not sent yet."""
+
+    def __init__(self, clock: Clock, recorder: Recorder) -> None:
+        self.clock = clock
+        self.recorder = recorder
+        self.boxes: dict[str, Known] = {}
+        self.versions: list[dict[str, Known]] = [{}]
+        self.changed = threading.Condition()
+        self.stopped = False
+        self.raw: list[bytes] = []  # bodies sent as they are, once each, by tests of bad lists
+        self.server = StandInServer(self._handle, "lists")
+        self.address = self.server.address
+
+    def start(self) -> None:
+        """Start to listen."""
+        self.server.start()
+
+    def stop(self) -> None:
+        """End everything."""
+        with self.changed:
+            self.stopped = True
+            self.changed.notify_all()
+        self.server.stop()
+
+    def publish(self, *boxes: Known) -> None:
+        """A new version in which these boxes stand as given; those that have left are named once more."""
+        with self.changed:
+            for box in boxes:
+                self.boxes[box.address] = box
+            self.versions.append({box.address: box for box in boxes})
+            self.changed.notify_all()
+
+    def send_raw(self, body: bytes) -> None:
+        """Push these bytes as a list event on every stream."""
+        with self.changed:
+            self.raw.append(body)
+            self.changed.notify_all()
+
+    @property
+    def version(self) -> int:
+        """The newest version."""
+        return len(self.versions) - 1
+
+    def _listed(self, boxes: list[Known]) -> list[ListedBox]:
+        now_us = self.clock.now_us()
+        return [
+            ListedBox(
+                address=box.address,
+                zone=box.zone,
+                kind=box.kind,
+                cell=box.cell,
+                state=box.state,
+                weight=box.weight,
+                age_ms=None if box.started_us is None else max(0, now_us - box.started_us) / 1000,
+            )
+            for box in boxes
+        ]
+
+    def _whole(self) -> ListMessage:
+        boxes = [box for box in self.boxes.values() if box.state != "left"]
+        return ListMessage(version=self.version, boxes=self._listed(boxes))
+
+    def _since(self, version: int) -> ListMessage:
+        changed: dict[str, Known] = {}
+        for boxes in self.versions[version + 1 :]:
+            changed.update(boxes)
+        return ListMessage(version=self.version, base=version, boxes=self._listed(list(changed.values())))
+
+    def _told(self, message: ListMessage) -> None:
+        states = {box.address: box.state for box in message.boxes}
+        self.recorder.note("told", version=message.version, whole=message.base is None, boxes=states)
+
+    def _handle(self, head: RequestHead, body: bytes, peer: Peer) -> bool:
+        path, _, query = head.target.partition("?")
+        if path == "/v1/list":
+            with self.changed:
+                message = self._whole()
+            sent = peer.send(writer.response(200, [JSON], msgspec.json.encode(message)))
+            self._told(message)
+            return sent
+        if path != "/v1/list/stream":
+            return peer.send(writer.response(404, []))
+        since = parse_qs(query).get("since")
+        self._stream(int(since[0]) if since else None, peer)
+        return False
+
+    def _stream(self, version: int | None, peer: Peer) -> None:
+        if not peer.send(writer.stream_head(200, [("Content-Type", "text/event-stream")])):
+            return
+        raw_sent = len(self.raw)
+        while True:
+            messages = list[bytes]()
+            with self.changed:
+                if self.stopped:
+                    return
+                message = None
+                if version is None or version > self.version:
+                    message = self._whole()
+                elif version < self.version:
+                    message = self._since(version)
+                messages, raw_sent = self.raw[raw_sent:], len(self.raw)
+            if message is not None:
+                version = message.version
+                messages.insert(0, msgspec.json.encode(message))
+            events = b"".join(write_event("list", body) for body in messages) or BEAT
+            if not peer.send(writer.chunk(events)):
+                return
+            if message is not None:
+                self._told(message)
+            with self.changed:
+                if version == self.version and raw_sent == len(self.raw) and not self.stopped:
+                    self.changed.wait(BEAT_S)
--- /dev/null
+++ b/fennelcove/standins/server.py
@@ -0,0 +1,127 @@
+"""A small threaded server for stand-ins, on the project's own codec."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import threading
+from collections.abc import Callable
+from contextlib import suppress
+
+from fennelcove.http1.messages import CodecLimits, ProtocolError, RequestHead
+from fennelcove.http1.reader import Gatherer, Reader
+
+Handler = Callable[[RequestHead, bytes, "Peer"], bool]
+
+
+class Peer:
+    """One connection as the handler sees it."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+
+    def send(self, raw: bytes) -> bool:
+        """Send; False where the peer is gone."""
+        try:
+            self.sock.sendall(raw)
+            return True
+        except OSError:
+            return False
+
+    def wait_closed(self, seconds: float) -> bool:
+        """Wait until the peer closes or sends; whether it did in time."""
+        self.sock.settimeout(seconds)
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+            return True
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+
+    def reset(self) -> None:
+        """Close so that the peer sees a reset."""
+        with suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+
+class StandInServer:
+    """Listens until `stop`; can `down` and `up` again on the same port. A handler returns whether to go
+    on."""
+
+    def __init__(self, handler: Handler, name: str) -> None:
+        self.handler = handler
+        self.name = name
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.port: int = self.listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+        self.lock = threading.Lock()
+        self.peers: set[socket.socket] = set()
+        self.threads: list[threading.Thread] = []
+        self.acceptor: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Start to accept."""
+        self.acceptor = threading.Thread(target=self._accept, args=(self.listener,), name=self.name)
+        self.acceptor.start()
+
+    def up(self) -> None:
+        """Listen again on the same port."""
+        self.listener = socket.create_server(("127.0.0.1", self.port), backlog=512)
+        self.start()
+
+    def down(self) -> None:
+        """Stop listening and cut every connection: what a process that dies leaves."""
+        with suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        if self.acceptor is not None:
+            self.acceptor.join()
+        with self.lock:
+            peers = list(self.peers)
+        for sock in peers:
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def stop(self) -> None:
+        """End everything and wait for the threads."""
+        self.down()
+        with self.lock:
+            threads = list(self.threads)
+        for thread in threads:
+            thread.join()
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            thread = threading.Thread(target=self._serve, args=(sock,), name=f"{self.name}-peer")
+            with self.lock:
+                self.peers.add(sock)
+                self.threads = [old for old in self.threads if old.is_alive()] + [thread]
+            thread.start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        requests = Gatherer(Reader(True, CodecLimits(body_bytes=1_000_000)))
+        peer = Peer(sock)
+        try:
+            while True:
+                while (whole := requests.next()) is None:
+                    sock.settimeout(60.0)
+                    data = sock.recv(16_384)
+                    requests.reader.feed(data)
+                    if not data:
+                        return
+                assert isinstance(whole.head, RequestHead)
+                if not self.handler(whole.head, whole.body, peer):
+                    return
+        except (OSError, ProtocolError):
+            return
+        finally:
+            with self.lock:
+                self.peers.discard(sock)
+            sock.close()
--- /dev/null
+++ b/fennelcove/wire/sessions.py
@@ -0,0 +1,97 @@
+"""The session interface for players: bodies of requests and answers. Rates in kB a second, times in
+milliseconds."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any
+
+from msgspec import UNSET, Meta, Struct, UnsetType
+
+
+class SetUp(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """`POST /v1/subscriptions`: a player asks for a subscription. The title may come as CMCD `cid`
+    instead."""
+
+    room_type: Annotated[str, Meta(min_length=1, max_length=64)]
+    title: Annotated[str, Meta(min_length=1, max_length=64)] | None = None
+    top_rung: Annotated[int, Meta(ge=0, le=1000)] | None = None
+    client_timeout_ms: Annotated[float, Meta(gt=0, le=86_400_000)] | None = None
+    cmcd: dict[str, Any] | None = None
+
+
+class TopRung(Struct, frozen=True, forbid_unknown_fields=True):
+    """`PUT /v1/subscriptions/{id}/rung`: the highest rung that the player wants from now on."""
+
+    top_rung: Annotated[int, Meta(ge=0, le=1000)]
+
+
+class Playing(Struct, frozen=True, kw_only=True):
+    """The state of a subscription that plays."""
+
+    id: str
+    state: str
+    title: str
+    room_type: str
+    box: str
+    rung: int
+    top_rung: int
+    rate_kb: float
+    poll_after_ms: float
+    joins: int | UnsetType = UNSET
+
+
+class Rung(Struct, frozen=True, kw_only=True):
+    """The rung in force."""
+
+    rung: int
+    top_rung: int
+    rate_kb: float
+
+
+class Problem(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Problem details (RFC 9457), with what a machine needs to go on."""
+
+    type: str
+    title: str
+    status: int
+    detail: str = ""
+    instance: str = ""
+    retry_after_ms: float | None = None
+    may_have_run: bool | None = None
+
+
+KINDS: dict[str, tuple[int, str]] = {
+    "throttled": (503, "No room now; come back later"),
+    "terminated": (504, "The subscription could not be set up"),
+    "malformed": (400, "The request can't be read"),
+    "unknown-title": (404, "No such title"),
+    "unknown-room-type": (422, "No such room type"),
+    "unknown-subscription": (404, "No such subscription"),
+    "ended": (410, "The subscription has ended"),
+    "unknown-path": (404, "Nothing is served here"),
+    "wrong-method": (405, "Not by this method"),
+    "not-json": (415, "The body must be application/json"),
+    "too-slow": (408, "The request came too slowly"),
+    "failed": (500, "This front failed to answer properly"),
+}
+
+
+def problem(
+    kind: str,
+    detail: str = "",
+    status: int | None = None,
+    instance: str = "",
+    retry_after_ms: float | None = None,
+    may_have_run: bool | None = None,
+) -> Problem:
+    """Problem details of one of our kinds."""
+    usual, title = KINDS[kind]
+    return Problem(
+        type=f"urn:fennelcove:problem:{kind}",
+        title=title,
+        status=status or usual,
+        detail=detail,
+        instance=instance,
+        retry_after_ms=retry_after_ms,
+        may_have_run=may_have_run,
+    )
