A restarted front takes over what its boxes still play

Each box now names in its greeting what it holds; the front adopts, keeps or releases each by a table before it listens.

--- a/fennelcove/core/core.py
+++ b/fennelcove/core/core.py
@@ -9,18 +9,17 @@
 
 import threading
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable
 from random import Random
 
 from fennelcove.clock import Clock
+from fennelcove.core.boxes import BoxBook
 from fennelcove.core.names import Names
 from fennelcove.core.timers import Timers
 from fennelcove.core.verdicts import (
     Answer,
     Answered,
     Ask,
-    Boxes,
     JoinEnd,
     ListSource,
     Notices,
@@ -29,12 +28,11 @@
     Step,
     View,
 )
-from fennelcove.decisions import feeds, hearing, joins, sessions
+from fennelcove.decisions import adoption, hearing, joins, sessions
 from fennelcove.decisions.admission import Bounds, Entry, Gate
 from fennelcove.decisions.admission import Ruling as Entered
 from fennelcove.decisions.commands import Order, Orders
-from fennelcove.decisions.feeds import Feed
-from fennelcove.decisions.hearing import BoxEar, BoxSays, ViewerSays
+from fennelcove.decisions.hearing import BoxSays, ViewerSays
 from fennelcove.decisions.listing import ListKeeper, ListNews, Ruling
 from fennelcove.decisions.presence import Presence
 from fennelcove.decisions.sessions import Act, Cue, Stage
@@ -43,8 +41,6 @@
     JoinEnded,
     ListMode,
     ListUpdate,
-    Note,
-    NoteKind,
     Outcome,
     Request,
     Started,
@@ -58,21 +54,8 @@
 ENDED_KEPT = 10_000  # ended subscriptions of which the reason is still told
 
 
-@dataclass(slots=True, eq=False)
-class Box:
-    """What the core holds of one box while something plays there."""
-
-    address: str
-    playing: dict[str, Session] = field(default_factory=dict)
-    feed: Feed = field(default_factory=Feed)
-    ear: BoxEar = field(default_factory=BoxEar)
-    generation: int = 0
-    opened_us: int = 0
-    blamed: bool = False
-
-
 class Core:
-    """One front's state behind its doors. Attach `boxes` and `lists` before the first event."""
+    """One front's state behind its doors. Attach `book.port` and `lists` before the first event."""
 
     def __init__(
         self,
@@ -97,11 +80,8 @@
         self.orders = Orders(settings.limits.held)
         self.sessions: dict[str, Session] = {}
         self.ended: OrderedDict[str, str] = OrderedDict()
-        self.boxes_held: dict[str, Box] = {}
-        self.boxes: Boxes
         self.lists: ListSource
         self.counts: dict[str, int] = {}
-        self.generations = 0
         self.gate = Gate(
             Bounds(
                 settings.limits.connections,
@@ -125,14 +105,7 @@
             Act.RELEASE_BOX: self._release_box,
             Act.FORGET: self._forget,
         }
-        self.feed_acts: dict[feeds.Act, Callable[[Box], None]] = {
-            feeds.Act.OPEN_FEED: self._open_feed,
-            feeds.Act.CLOSE_FEED: self._close_feed,
-            feeds.Act.PAUSE: self._pause_feed,
-            feeds.Act.LOSE_ALL: self._lose_all,
-            feeds.Act.LOSE_UNKNOWN: self._lose_unknown,
-        }
-        self.greeted: frozenset[tuple[str, int]] = frozenset()
+        self.book = BoxBook(self)
 
     # What doors call.
 
@@ -142,7 +115,7 @@
             ruling = self.gate.ask(entry)
             if ruling is Entered.LET_IN:
                 return None
-            self._count(f"refused_{entry.name.lower()}_{ruling.name.lower()}")
+            self.tally(f"refused_{entry.name.lower()}_{ruling.name.lower()}")
             stopping = ruling is Entered.CLOSING
             why = "this front is stopping" if stopping else "this front holds all that it can"
             return Answered(Answer.THROTTLED, why, self.come_back_us())
@@ -169,7 +142,7 @@
                 "connections": self.gate.connections,
                 "waiting": self.gate.waiting,
                 "held": self.gate.held,
-                "boxes_playing": len(self.boxes_held),
+                "boxes_playing": len(self.book.boxes),
                 "orders_waiting": self.orders.count,
                 "list_version": self.keeper.version,
                 "list_age_ms": None if age_us is None else age_us / 1000,
@@ -222,7 +195,7 @@
                 top=top,
             )
             self.sessions[session.id] = session
-            self._count("requests")
+            self.tally("requests")
             request = Request(session.id, ask.room, number, title.first_cell, title.cells, top, work_us)
             self.front.handle(request, now_us)
             return session, self._taken(session)
@@ -243,19 +216,19 @@
             counted = Outcome.NO_ANSWER if cue is Cue.SERVED_LATE else outcome
             session.end = JoinEnd(counted, says, took_us)
             session.box_may_hold = joins.may_need_release(outcome)
-            self._count(f"joins_{outcome.value}")
-            self._cue(session, cue)
+            self.tally(f"joins_{outcome.value}")
+            self.cue(session, cue)
             return self._taken(session) if session.step is not None else None
 
     def viewer_gone(self, session: Session) -> None:
         """The viewer hung up before its answer, or its answer could not be written."""
         with self.lock:
-            self._cue(session, Cue.VIEWER_GONE)
+            self.cue(session, Cue.VIEWER_GONE)
 
     def stopped(self, session: Session) -> Step | None:
         """This front ends and waits no longer for the join that is out."""
         with self.lock:
-            self._cue(session, Cue.STOPPED)
+            self.cue(session, Cue.STOPPED)
             return self._taken(session) if session.step is not None else None
 
     def release(self, id: str, why: str) -> bool:
@@ -265,7 +238,7 @@
             if session is None or session.stage is not Stage.PLAYING:
                 return False
             session.ended_because = why
-            self._cue(session, Cue.RELEASED)
+            self.cue(session, Cue.RELEASED)
             return True
 
     def hear_viewer(self, id: str, says: ViewerSays, stated_top: int | None = None) -> View | None:
@@ -278,11 +251,11 @@
             self.presence.hear(id, now_us)
             if stated_top is not None:
                 session.stated_top = min(stated_top, len(session.rates_kb) - 1)
-            box = self.boxes_held[session.box]
+            box = self.book.boxes[session.box]
             rate_kb = session.rates_kb[session.rung]
             share = hearing.starving_share(says, rate_kb)
             box.ear.hear(id, share, now_us)
-            self._judge_box(box, now_us)
+            self.book.judge(box, now_us)
             if share is None or not box.blamed:
                 top = hearing.new_top(session.rates_kb, session.stated_top, session.top, session.floor, says)
                 if top != session.top:
@@ -314,11 +287,13 @@
         """A message of the list service."""
         with self.lock:
             verdict = self.keeper.rule(news)
-            self._count(f"lists_{verdict.ruling.name.lower()}")
+            self.tally(f"lists_{verdict.ruling.name.lower()}")
             if verdict.update is not None:
                 now_us = self.clock.now_us()
                 self.list_age_from_us = now_us
                 self.front.handle(verdict.update, now_us)
+                if self.book.opening.phase is adoption.Phase.LISTING:
+                    self.book.greet_all(verdict.update, now_us)
                 self.notice("list_taken", version=news.version, boxes=len(verdict.update.entries))
             elif verdict.ruling is Ruling.REFUSED:
                 self.notice("list_refused", version=news.version, reason=verdict.reason)
@@ -331,40 +306,6 @@
         with self.lock:
             self.front.handle(ListUpdate(ListMode.FAILED, ()), self.clock.now_us())
 
-    def feed_hello(self, address: str, generation: int, boot: str, held: Iterable[tuple[str, int]]) -> None:
-        """A box greets on its feed and names the joins that it holds for this front."""
-        with self.lock:
-            box = self._feed_of(address, generation)
-            if box is not None:
-                self.greeted = frozenset(held)
-                self._feed(box, box.feed.greet(boot, self.clock.now_us()))
-
-    def feed_report(self, address: str, generation: int, says: BoxSays, delivered: float | None) -> None:
-        """A box reports its load, and what share of the rates it delivers."""
-        with self.lock:
-            box = self._feed_of(address, generation)
-            carrier = next(iter(box.playing.values()), None) if box is not None else None
-            if box is not None and carrier is not None:
-                self._notes(carrier, says)
-                if delivered is not None:
-                    self._note(carrier, NoteKind.DELIVERED, delivered)
-
-    def feed_ended(self, address: str, generation: int, id: str, join: int) -> None:
-        """A box says that it plays a subscription no more."""
-        with self.lock:
-            session = self.sessions.get(id)
-            if self._feed_of(address, generation) and session is not None and session.joins - 1 == join:
-                session.ended_because, session.box_may_hold = "ended at its box", False
-                self._cue(session, Cue.RELEASED)
-
-    def feed_cut(self, address: str, generation: int, refused: bool) -> None:
-        """A feed broke, fell silent or could not be opened."""
-        with self.lock:
-            box = self._feed_of(address, generation)
-            if box is not None:
-                cue = feeds.Cue.REFUSED if refused else feeds.Cue.CUT
-                self._feed(box, box.feed.cue(cue, self.clock.now_us()))
-
     def take_order(self) -> tuple[Order | None, int | None]:
         """The next order for a box, or how long to wait for one (None: until there is one)."""
         with self.lock:
@@ -384,8 +325,8 @@
                 session = self.sessions.get(id)
                 if session is not None:
                     session.ended_because = "its viewer fell silent"
-                    self._count("silent")
-                    self._cue(session, Cue.RELEASED)
+                    self.tally("silent")
+                    self.cue(session, Cue.RELEASED)
 
     # Effects: what the module asks for.
 
@@ -394,24 +335,24 @@
         left_us = session.give_up_us - self.clock.now_us()
         session.box = server
         session.step = SendJoin(session, session.joins, server, session.rung, max(1, min(allow_us, left_us)))
-        self._cue(session, Cue.JOIN)
+        self.cue(session, Cue.JOIN)
 
     def set_rung(self, id: str, rung: int) -> None:
         session = self.sessions[id]
         session.rung = rung
         if session.stage is Stage.PLAYING:
-            self._order(session, rung)
+            self.order(Order(session.box, session.id, session.joins - 1, rung))
 
     def throttle(self, id: str, wait_us: int) -> None:
         session = self.sessions[id]
         why = "no holder has room" if not session.joins else "no further holder may be tried"
         session.step = Answered(Answer.THROTTLED, why, wait_us)
-        self._cue(session, Cue.THROTTLE)
+        self.cue(session, Cue.THROTTLE)
 
     def terminate(self, id: str) -> None:
         session = self.sessions[id]
         session.step = Answered(Answer.TERMINATED, "a join may have run and must not be repeated")
-        self._cue(session, Cue.TERMINATE)
+        self.cue(session, Cue.TERMINATE)
 
     def move(self, id: str) -> None:
         self.notice("move_asked", subscription=id)
@@ -431,7 +372,8 @@
 
     # Sessions.
 
-    def _cue(self, session: Session, cue: Cue) -> None:
+    def cue(self, session: Session, cue: Cue) -> None:
+        """Move a subscription on by the table, and do what follows."""
         session.stage, acts = sessions.step(session.stage, cue)
         for act in acts:
             self.acts[act](session)
@@ -443,26 +385,26 @@
 
     def _send_join(self, session: Session) -> None:
         session.joins += 1
-        self._count("joins")
+        self.tally("joins")
 
     def _answer_playing(self, session: Session) -> None:
         session.step = Answered(Answer.PLAYING, "")
-        self._count("playing")
+        self.tally("playing")
 
     def _answer_throttled(self, session: Session) -> None:
-        self._count("throttled")
+        self.tally("throttled")
 
     def _answer_terminated(self, session: Session) -> None:
-        self._count("terminated")
+        self.tally("terminated")
 
     def _answer_stopped(self, session: Session) -> None:
         sub = self.front.subs.get(session.id)
         if sub is not None and self.front.may_throttle(sub):
             session.step = Answered(Answer.THROTTLED, "this front is stopping", self.settings_wait_us())
-            self._count("throttled")
+            self.tally("throttled")
         else:
             session.step = Answered(Answer.TERMINATED, "this front is stopping and the join may have run")
-            self._count("terminated")
+            self.tally("terminated")
 
     def settings_wait_us(self) -> int:
         """The time to come back that the module would name."""
@@ -475,12 +417,9 @@
         self.front.handle(Started(session.id, session.joins - 1, end.took_us), now_us)
         session.playing_since_us = now_us
         self.presence.begin(session.id, now_us)
-        box = self.boxes_held.setdefault(session.box, Box(session.box))
-        box.playing[session.id] = session
-        if len(box.playing) == 1:
-            self._feed(box, box.feed.cue(feeds.Cue.HELD, now_us))
+        self.book.plays(session)
         if end.says is not None:
-            self._notes(session, end.says)
+            self.book.notes(session, end.says)
             if end.says.most_kbit is not None:
                 top = hearing.highest_rung(session.rates_kb, end.says.most_kbit, session.floor)
                 if top < session.top:
@@ -497,14 +436,15 @@
 
     def _tell_lost(self, session: Session) -> None:
         session.ended_because = session.ended_because or "its box was lost"
-        self._count("lost")
+        self.tally("lost")
         self._join_ended(session, Outcome.CONNECTION_LOST, True)
 
     def _join_ended(self, session: Session, outcome: Outcome, finished: bool) -> None:
         says = session.end.says if session.end is not None and not finished else None
         report = hearing.load_report(says) if says is not None else None
         self.front.handle(
-            JoinEnded(session.id, session.joins - 1, outcome, finished, report), self.clock.now_us()
+            JoinEnded(session.id, session.joins - 1 - session.module_joins_from, outcome, finished, report),
+            self.clock.now_us(),
         )
 
     def _tell_gone(self, session: Session) -> None:
@@ -512,11 +452,12 @@
 
     def _release_box(self, session: Session) -> None:
         if session.box_may_hold:
-            self._order(session, None)
+            self.order(Order(session.box, session.id, session.joins - 1, None))
 
-    def _order(self, session: Session, rung: int | None) -> None:
-        self.orders.add(Order(session.box, session.id, session.joins - 1, rung))
-        self.boxes.orders_ready()
+    def order(self, order: Order) -> None:
+        """A box is to do this as soon as it can."""
+        self.orders.add(order)
+        self.book.port.orders_ready()
 
     def answered(self, session: Session) -> None:
         """The door has the answer of a session that was let in and will hand it on."""
@@ -531,74 +472,8 @@
             self.ended[session.id] = session.ended_because
             if len(self.ended) > ENDED_KEPT:
                 self.ended.popitem(last=False)
-        box = self.boxes_held.get(session.box)
-        if box is not None and box.playing.pop(session.id, None) is not None:
-            box.ear.forget(session.id)
-            if not box.playing:
-                self._feed(box, box.feed.cue(feeds.Cue.NONE_HELD, self.clock.now_us()))
-                del self.boxes_held[session.box]
-
-    # Boxes.
-
-    def _notes(self, session: Session, says: BoxSays) -> None:
-        report = hearing.load_report(says)
-        if report is not None and report.link is not None:
-            self._note(session, NoteKind.LINK, report.link)
-        if report is not None and report.uplink is not None:
-            self._note(session, NoteKind.UPLINK, report.uplink)
-
-    def _note(self, session: Session, kind: NoteKind, level: float) -> None:
-        self.front.handle(Note(session.id, session.box, kind, level), self.clock.now_us())
-
-    def _judge_box(self, box: Box, now_us: int) -> None:
-        """The note of short delivery that viewers' hints amount to, and the one that it is over."""
-        window_us = self.front.settings.seen_after_us + self.front.settings.reports_every_us
-        short = box.ear.short_delivery(now_us - window_us)
-        carrier = next(iter(box.playing.values()))
-        if short is not None:
-            box.blamed = True
-            self._count("boxes_blamed_by_viewers")
-            self._note(carrier, NoteKind.DELIVERED, short)
-        elif box.blamed:
-            box.blamed = False
-            self._note(carrier, NoteKind.DELIVERED, 1.0)
-
-    def _feed_of(self, address: str, generation: int) -> Box | None:
-        box = self.boxes_held.get(address)
-        return box if box is not None and box.generation == generation else None
-
-    def _feed(self, box: Box, acts: Iterable[feeds.Act]) -> None:
-        for act in acts:
-            self.feed_acts[act](box)
-
-    def _open_feed(self, box: Box) -> None:
-        self.generations += 1
-        box.generation, box.opened_us = self.generations, self.clock.now_us()
-        self.boxes.open_feed(box.address, box.generation)
-
-    def _close_feed(self, box: Box) -> None:
-        self.boxes.close_feed(box.address)
-
-    def _pause_feed(self, box: Box) -> None:
-        def retry() -> None:
-            with self.lock:
-                if self.boxes_held.get(box.address) is box:
-                    self._feed(box, box.feed.cue(feeds.Cue.RETRY, self.clock.now_us()))
-
-        self.timers.after(box.feed.pause_us(self.chance.random()), retry)
-
-    def _lose_all(self, box: Box) -> None:
-        self.notice("box_lost", box=box.address, subscriptions=len(box.playing))
-        for session in list(box.playing.values()):
-            self._cue(session, Cue.BOX_LOST)
-
-    def _lose_unknown(self, box: Box) -> None:
-        for session in list(box.playing.values()):
-            # What began while the greeting was under way is not in it and is not lost.
-            unknown = (session.id, session.joins - 1) not in self.greeted
-            if unknown and session.playing_since_us < box.opened_us:
-                session.ended_because = "its box knows it no more"
-                self._cue(session, Cue.BOX_LOST)
-
-    def _count(self, name: str) -> None:
+        self.book.plays_no_more(session)
+
+    def tally(self, name: str) -> None:
+        """Count something for the operator."""
         self.counts[name] = self.counts.get(name, 0) + 1
--- a/fennelcove/core/names.py
+++ b/fennelcove/core/names.py
@@ -21,5 +21,17 @@
     def next(self) -> str:
         """A new id, 24 hexadecimal characters behind the count."""
         self.count += 1
-        mark = hashlib.blake2s(self.count.to_bytes(8, "big"), key=self.key, digest_size=12).hexdigest()
-        return f"{self.count:x}-{mark}"
+        return self._name(self.count)
+
+    def _name(self, count: int) -> str:
+        mark = hashlib.blake2s(count.to_bytes(8, "big"), key=self.key, digest_size=12).hexdigest()
+        return f"{count:x}-{mark}"
+
+    def is_mine(self, id: str) -> bool:
+        """Whether the id was made in this life."""
+        head = id.partition("-")[0]
+        try:
+            count = int(head, 16)
+        except ValueError:
+            return False
+        return 0 < count <= self.count and id == self._name(count)
--- a/fennelcove/core/verdicts.py
+++ b/fennelcove/core/verdicts.py
@@ -55,6 +55,7 @@
     top: int = 0
     rung: int = 0
     joins: int = 0
+    module_joins_from: int = 0  # the number of the join that the module counts as its first
     box: str = ""
     end: JoinEnd | None = None
     box_may_hold: bool = False
--- a/fennelcove/peers/feeds.py
+++ b/fennelcove/peers/feeds.py
@@ -15,13 +15,13 @@
 from fennelcove.peers.joins import HintReader
 from fennelcove.peers.orders import OrderSenders
 from fennelcove.peers.streams import Broken, EventStream, Refused
-from fennelcove.wire.boxes import ENDED, HELLO, REPORT, Held, Hello, Report
+from fennelcove.wire.boxes import ENDED, HELLO, REPORT, Ended, Hello, Report
 from fennelcove.wire.events import EventError, ServerEvent
 
 MOST_FEEDS = 4096
 _HELLO: msgspec.json.Decoder[Hello] = msgspec.json.Decoder(Hello)
 _REPORT: msgspec.json.Decoder[Report] = msgspec.json.Decoder(Report)
-_HELD: msgspec.json.Decoder[Held] = msgspec.json.Decoder(Held)
+_ENDED: msgspec.json.Decoder[Ended] = msgspec.json.Decoder(Ended)
 
 
 @dataclass(slots=True, eq=False)
@@ -72,7 +72,7 @@
                 del self.feeds[box]
         # The core is in the middle of a step: it hears of it as of any other feed that broke, a moment later.
         self.notice("feeds_full", box=box)
-        self.core.timers.after(0, lambda: self.core.feed_cut(box, generation, False))
+        self.core.timers.after(0, lambda: self.core.book.cut(box, generation, False))
 
     def close_feed(self, box: str) -> None:
         with self.lock:
@@ -101,20 +101,19 @@
         with self.lock:
             if box in self.feeds and self.feeds[box].stream is stream:
                 del self.feeds[box]
-        self.core.feed_cut(box, generation, refused)
+        self.core.book.cut(box, generation, refused)
 
     def _take(self, box: str, generation: int, event: ServerEvent) -> None:
         try:
             if event.name == HELLO:
                 hello = _HELLO.decode(event.data)
-                held = [(item.subscription, item.join) for item in hello.held]
-                self.core.feed_hello(box, generation, hello.boot, held)
+                self.core.book.hello(box, generation, hello.boot, hello.held)
             elif event.name == REPORT:
                 report = _REPORT.decode(event.data)
                 says = self.hints.says(None, report.cmsd)
-                self.core.feed_report(box, generation, says or BoxSays(), report.delivered)
+                self.core.book.report(box, generation, says or BoxSays(), report.delivered)
             elif event.name == ENDED:
-                ended = _HELD.decode(event.data)
-                self.core.feed_ended(box, generation, ended.subscription, ended.join)
+                ended = _ENDED.decode(event.data)
+                self.core.book.ended(box, generation, ended.subscription, ended.join)
         except msgspec.MsgspecError as error:
             raise EventError(f"an event that is not as agreed: {error}") from None
--- a/fennelcove/program/front.py
+++ b/fennelcove/program/front.py
@@ -58,7 +58,7 @@
             Random(settings.seed),
             notice,
         )
-        self.core.boxes, self.core.lists = self.box_side, self.list_side
+        self.core.book.port, self.core.lists = self.box_side, self.list_side
         times = [round(ms * 1000) for ms in (limits.idle_ms, limits.head_ms, limits.write_ms)]
         self.door = HttpDoor(
             self.core,
@@ -81,6 +81,7 @@
         if self.settings.lists.must_ask:
             self.list_side.watch()
         self._sweep()
+        self.core.book.wait_open()
         self.door.start()
         self.notice("front_started", address=self.door.address, boot=self.core.names.boot)
 
--- a/fennelcove/standins/box.py
+++ b/fennelcove/standins/box.py
@@ -7,6 +7,7 @@
 from urllib.parse import parse_qs
 
 import msgspec
+from msgspec.structs import replace
 
 from fennelcove.clock import Clock
 from fennelcove.hints import cmsd
@@ -15,12 +16,25 @@
 from fennelcove.standins.model import BoxModel, SetUp
 from fennelcove.standins.recorder import Recorder
 from fennelcove.standins.server import Peer, StandInServer
-from fennelcove.wire.boxes import ENDED, HELLO, REPORT, TURNED_AWAY, Held, Hello, JoinOrder, Report, RungOrder
+from fennelcove.wire.boxes import (
+    ENDED,
+    HELLO,
+    REPORT,
+    TURNED_AWAY,
+    Ended,
+    Held,
+    Hello,
+    JoinOrder,
+    Report,
+    RungOrder,
+)
 from fennelcove.wire.events import write_event
 from fennelcove.wire.sessions import Problem
 
 JSON = ("Content-Type", "application/json")
 MOST_HANG_S = 30.0
+_ORDER: msgspec.json.Decoder[JoinOrder] = msgspec.json.Decoder(JoinOrder)
+_RUNG: msgspec.json.Decoder[RungOrder] = msgspec.json.Decoder(RungOrder)
 
 
 @dataclass(slots=True)
@@ -53,7 +67,7 @@
         self.lives = 1
         self.lock = threading.Lock()
         self.changed = threading.Condition(self.lock)
-        self.holders: dict[tuple[str, int], str] = {}
+        self.holders: dict[tuple[str, int], JoinOrder] = {}
         self.stopped = False
         self.server = StandInServer(self._handle, f"box-{name}")
         self.address = self.server.address
@@ -112,12 +126,12 @@
         if parts[:2] == ["v1", "joins"] and len(parts) >= 4:
             key = (parts[2], int(parts[3]))
             if head.method == "PUT" and len(parts) == 4:
-                return self._set_up(key, msgspec.json.decode(body, type=JoinOrder), peer)
+                return self._set_up(key, _ORDER.decode(body), peer)
             if self.faults.hang:
                 peer.wait_closed(MOST_HANG_S)
                 return False
             if head.method == "PUT":
-                return self._rung(key, msgspec.json.decode(body, type=RungOrder), peer)
+                return self._rung(key, _RUNG.decode(body), peer)
             return self._release(key, peer)
         if path == "/v1/feed":
             self._feed(parse_qs(query).get("front", [""])[0], peer)
@@ -135,7 +149,7 @@
             # The front has given up; a box that is slow and not hung still does the work.
             with self.lock:
                 self.model.set_up(key, order.rate_kb, self.clock.now_us())
-                self.holders[key] = order.front
+                self.holders[key] = order
             self.recorder.note("set_up_over", **told, how="front_closed")
             return False
         if self.faults.errors:
@@ -144,7 +158,7 @@
         with self.lock:
             became = self.model.set_up(key, order.rate_kb, self.clock.now_us())
             if became is SetUp.STARTED:
-                self.holders[key] = order.front
+                self.holders[key] = order
         if became is SetUp.FELL:
             self.recorder.note("set_up_over", **told, how="reset")
             self.recorder.note("fell", box=self.address, front=order.front)
@@ -179,6 +193,7 @@
             held = key in self.model.playing
             if held:
                 self.model.playing[key] = order.rate_kb
+                self.holders[key] = replace(self.holders[key], rung=order.rung)
         if held:
             self.recorder.note("rung", box=self.address, subscription=key[0], join=key[1], rung=order.rung)
         return peer.send(self._reply(204 if held else 404))
@@ -203,8 +218,12 @@
             peer.wait_closed(MOST_HANG_S)
             return
         with self.lock:
-            known = {key for key, holder in self.holders.items() if holder == front}
-            hello = Hello(f"{self.name}-{self.lives}", [Held(*key) for key in sorted(known)])
+            known = {key for key, holder in self.holders.items() if holder.front == front}
+            held = [(*key, self.holders[key]) for key in sorted(known)]
+            hello = Hello(
+                f"{self.name}-{self.lives}",
+                [Held(id, join, order.title, order.room_type, order.rung) for id, join, order in held],
+            )
         if not peer.send(writer.stream_head(200, [("Content-Type", "text/event-stream")])):
             return
         events = write_event(HELLO, msgspec.json.encode(hello))
@@ -213,9 +232,9 @@
                 self.changed.wait(self.report_every_s)
                 if self.stopped or not self.model.up:
                     return
-                now = {key for key, holder in self.holders.items() if holder == front}
+                now = {key for key, holder in self.holders.items() if holder.front == front}
             ended, known = known - now, now
-            events = b"".join(write_event(ENDED, msgspec.json.encode(Held(*key))) for key in sorted(ended))
+            events = b"".join(write_event(ENDED, msgspec.json.encode(Ended(*key))) for key in sorted(ended))
             if not self.faults.mute and not self.faults.hang:
                 share = self.model.delivered()
                 report = Report(self.hint(), round(share, 3) if share < 1 else None)
--- a/fennelcove/wire/boxes.py
+++ b/fennelcove/wire/boxes.py
@@ -32,7 +32,18 @@
 
 
 class Held(Struct, frozen=True):
-    """One join that a box holds."""
+    """One join that a box holds, with what a front needs that has lost its memory; the rate in kB a
+    second."""
+
+    subscription: str
+    join: int
+    title: str
+    room_type: str
+    rung: int
+
+
+class Ended(Struct, frozen=True):
+    """One join that a box holds no more."""
 
     subscription: str
     join: int
