Stitched timelines: changes, tracks and manifests without I/O

Changes to a lesson are ruled on whole, each refusal with its reason and cure; a player's track only goes forward, so nothing shown is contradicted; HLS and DASH are written from one exact model.

--- a/fennelcove/clock.py
+++ b/fennelcove/clock.py
@@ -11,6 +11,10 @@
 
     def now_us(self) -> int: ...
 
+    def wall_us(self) -> int:
+        """Microseconds since 1970, for what people and manifests call a time; it may be set back."""
+        ...
+
 
 class SystemClock:
     """The machine's monotonic clock; every process of one machine reads the same."""
@@ -18,16 +22,23 @@
     def now_us(self) -> int:
         return time.monotonic_ns() // 1000
 
+    def wall_us(self) -> int:
+        return time.time_ns() // 1000
+
 
 class ManualClock:
     """A clock that moves only when told, for tests and emulation."""
 
-    def __init__(self, now_us: int = 0) -> None:
+    def __init__(self, now_us: int = 0, wall_from_us: int = 0) -> None:
         self._now_us = now_us
+        self._wall_from_us = wall_from_us
 
     def now_us(self) -> int:
         return self._now_us
 
+    def wall_us(self) -> int:
+        return self._wall_from_us + self._now_us
+
     def advance(self, by_us: int) -> None:
         """Move on by so many microseconds."""
         if by_us < 0:
--- /dev/null
+++ b/fennelcove/manifests/__init__.py
@@ -0,0 +1,1 @@
+"""Manifests of what one player is shown: HLS and MPEG-DASH, written without I/O."""
--- a/fennelcove/settings/checks.py
+++ b/fennelcove/settings/checks.py
@@ -53,6 +53,13 @@
                 f"titles[{i}]: found cells {title.first_cell}+{title.cells} of {front.fleet.cells}; "
                 "keep within fleet.cells"
             )
+    named = {title.name: title for title in front.titles}
+    slate = front.stitch.slate
+    if slate is not None and (slate not in named or named[slate].media is None):
+        yield f"stitch.slate: found {slate!r}, which is no title with media; name one"
+    for i, title in enumerate(front.titles):
+        if title.media is not None and any(rung >= rungs for rung in title.media.rungs):
+            yield f"titles[{i}].media.rungs: found a rung off the ladder; use 0 to {rungs - 1}"
     if front.rules.budget_free is not None and not front.rules.budget_span_ms:
         yield "rules.budget-span-ms: found 0 beside a join budget; state the window"
     limits = front.limits
--- a/fennelcove/settings/schema.py
+++ b/fennelcove/settings/schema.py
@@ -7,7 +7,7 @@
 
 from typing import Annotated, ClassVar, Literal
 
-from msgspec import Meta, Struct
+from msgspec import Meta, Struct, field
 
 Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
 Address = Annotated[str, Meta(max_length=64, pattern=r"^[0-9A-Za-z._-]+:[0-9]{1,5}$")]
@@ -61,12 +61,42 @@
     streams: SomeCount
 
 
+class MediaSettings(Strict, frozen=True, kw_only=True):
+    """How a title is cut into segments; without `segments` it is live, from a wall time on."""
+
+    timescale: Annotated[int, Meta(ge=1, le=1_000_000_000)] = 1000
+    segment_ticks: Annotated[int, Meta(ge=1, le=10_000_000_000)] = 2000
+    segments: SomeCount | None = None
+    live_from_ms: Annotated[int, Meta(ge=0)] = 0
+    rungs: list[Count] = field(default_factory=list)
+    codecs: Annotated[str, Meta(max_length=100, pattern=r"^[A-Za-z0-9.,]+$")] = "avc1.64001f,mp4a.40.2"
+
+
 class Title(Strict, frozen=True, kw_only=True):
     """A title and the cells whose boxes hold it."""
 
     name: Name
     first_cell: Count = 0
     cells: SomeCount = 1
+    media: MediaSettings | None = None
+
+
+class Author(Strict, frozen=True, kw_only=True):
+    """Who may change lessons: the blake3 hash of a key, in hexadecimal (`fennelcove stitch key` makes
+    both)."""
+
+    name: Name
+    key_hash: Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+    may_change: bool = True
+
+
+class StitchSettings(Strict, frozen=True, kw_only=True):
+    """Changes to running lessons."""
+
+    authors: list[Author] = field(default_factory=list)
+    slate: Name | None = None
+    ledger: Annotated[str, Meta(max_length=1000)] | None = None
+    moves_at_once: Annotated[int, Meta(ge=1, le=64)] = 8
 
 
 class Fleet(Strict, frozen=True, kw_only=True):
@@ -138,6 +168,7 @@
     titles: Annotated[list[Title], Meta(min_length=1, max_length=100_000)]
     instance: Instance = Instance()
     rules: Rules = Rules()
+    stitch: StitchSettings = StitchSettings()
     limits: Limits = Limits()
     seed: Count = 1
     max_retry_after_ms: Millis | None = 2000.0
--- /dev/null
+++ b/tests/test_stitch.py
@@ -0,0 +1,343 @@
+"""Stitched timelines: any mix of changes, withdrawals, rungs, fetches and polls, read by parsers that are not
+ours."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+from fractions import Fraction
+from itertools import pairwise
+from typing import Any
+
+import m3u8
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from mpegdash.parser import MPEGDASHParser
+
+from fennelcove.decisions import seams, tracks
+from fennelcove.decisions.seams import Ledger, Refusal, Ruling, Scene
+from fennelcove.decisions.tracks import Track, Viewpoint
+from fennelcove.manifests import dash, hls
+from fennelcove.manifests.clockwork import micros
+from fennelcove.timeline.model import Change, Kind, Media, Shown, Target
+
+WALL = 1_800_000_000_000_000
+LESSON = Media("lesson", 30_000, 60_060, 40, (0, 1, 2), "avc1")
+REST = Media("rest", 90_000, 120_007, 3, (0, 2), "avc1")
+NOTE = Media("note", 7, 5, 1, (0, 1, 2), "avc1")
+LIVE = Media("live", 1000, 2000, None, (0, 1), "avc1", WALL - 100_000_000)
+ODD = Media("odd", 1000, 1000, 2, (0,), "hvc1")
+HIGH = Media("high", 1000, 1000, 2, (2,), "avc1")
+MEDIA = {item.name: item for item in (LESSON, REST, NOTE, LIVE, ODD, HIGH)}
+TARGET = hls.target_duration(MEDIA.values())
+
+
+def change(
+    id: str,
+    at: Any = 10,
+    clip: str | None = "rest",
+    kind: Kind = Kind.INSERT,
+    until: Any = None,
+    target: Target | None = None,
+    **more: Any,
+) -> Change:
+    return Change(
+        id,
+        "author",
+        target or Target("lesson"),
+        kind,
+        clip,
+        None if at is None else Fraction(at),
+        None if until is None else Fraction(until),
+        **more,
+    )
+
+
+def scene(**changes: Any) -> Scene:
+    return replace(Scene(MEDIA, 0, WALL), **changes)
+
+
+def view(ledger: Ledger, title: str = "lesson", rung: int = 1, **changes: Any) -> Viewpoint:
+    base = Viewpoint(
+        MEDIA, title, "room", "s1", tuple(ledger.standing(title)), rung, 0, WALL, WALL, lambda name: True
+    )
+    return replace(base, **changes)
+
+
+def whole(ledger: Ledger, track: Track | None = None, **changes: Any) -> list[Shown]:
+    """Everything a player is shown that fetches as it goes."""
+    track = track or tracks.begin(LESSON, WALL)
+    found: list[Shown] = []
+    for _ in range(400):
+        track.extend(view(ledger, **changes), ledger.version)
+        found += [item for item in track.shown if item.seq == len(found)][:1]
+        if track.ended and len(found) == track.cursor.seq:
+            return found
+        track.fetch(len(found) - 1)
+    raise AssertionError("never ended")
+
+
+class SeamsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ledger = Ledger()
+
+    def refused(self, made: Change, **changes: Any) -> Refusal | None:
+        verdict = self.ledger.submit(made, scene(**changes))
+        if verdict.ruling is Ruling.REFUSED:
+            self.assertTrue(verdict.cure)
+            if verdict.refusal is not Refusal.ID_TAKEN:
+                self.assertNotIn(made.id, [item.id for item in self.ledger.standing("lesson")])
+        return verdict.refusal
+
+    def test_each_refusal_has_its_reason_and_leaves_nothing(self) -> None:
+        live = Target("live")
+        for made, refusal in (
+            (change("a", target=Target("nowhere")), Refusal.UNKNOWN_TITLE),
+            (change("a", clip="nothing"), Refusal.UNKNOWN_CLIP),
+            (change("a", clip="live"), Refusal.UNKNOWN_CLIP),
+            (change("a", at=None), Refusal.NO_TIME),
+            (change("a", wall_us=WALL), Refusal.NO_TIME),
+            (change("a", at=-1), Refusal.NO_TIME),
+            (change("a", until=20), Refusal.NO_TIME),
+            (change("a", kind=Kind.REPLACE), Refusal.NO_TIME),
+            (change("a", kind=Kind.CUT, at="2.1", until="2.5"), Refusal.EMPTY_STRETCH),
+            (change("a", kind=Kind.CUT, at=10, until=900), Refusal.PAST_END),
+            (change("a", at="80.2"), Refusal.PAST_END),
+            (change("a", at=None, wall_us=WALL - 1), Refusal.BEFORE_EDGE),
+            (change("a", at=100, target=live), Refusal.BEFORE_EDGE),
+            (change("a", clip="odd"), Refusal.RENDITIONS),
+            (change("a", clip="high"), Refusal.RENDITIONS),
+        ):
+            self.assertIs(self.refused(made), refusal, made)
+        self.assertEqual(self.ledger.version, 0)
+        self.assertIs(self.refused(change("a"), shown=6), Refusal.ALREADY_SHOWN)
+        self.assertIs(self.refused(change("a"), playing=False), Refusal.UNKNOWN_SUBSCRIPTION)
+
+    def test_a_live_change_keeps_one_whole_segment_clear_of_the_edge(self) -> None:
+        # Fifty segments are ready at 100 s; the one now being written must not be touched either.
+        target = Target("live")
+        self.assertIs(self.refused(change("a", at=102 - Fraction(1, 10**9), target=target)), None)
+        self.assertIs(self.refused(change("b", at=100, target=target)), Refusal.BEFORE_EDGE)
+
+    def test_a_repeat_stands_and_an_id_is_never_given_twice(self) -> None:
+        self.assertIsNone(self.refused(change("a")))
+        again = self.ledger.submit(change("a"), scene())
+        self.assertEqual((again.ruling, again.version, self.ledger.version), (Ruling.STANDS, 1, 1))
+        self.assertIs(self.refused(change("a", at=30)), Refusal.ID_TAKEN)
+        self.ledger.withdraw("a")
+        self.assertIs(self.refused(change("a")), Refusal.ID_TAKEN)
+        self.assertIs(self.ledger.withdraw("a").ruling, Ruling.WITHDRAWN)
+        self.assertEqual(self.ledger.version, 2)
+        self.assertIs(self.ledger.withdraw("zz").ruling, Ruling.UNKNOWN)
+
+    def test_two_authors_whose_changes_meet(self) -> None:
+        self.assertIsNone(self.refused(change("a", at=20, until=30, kind=Kind.REPLACE)))
+        for other, refusal in (
+            (change("b", at=20), Refusal.OVERLAPS),
+            (change("b", at=25), Refusal.OVERLAPS),
+            (change("b", at=28, until=40, kind=Kind.CUT), Refusal.OVERLAPS),
+            (change("b", at=25, target=Target("lesson", "room")), Refusal.OVERLAPS),
+            (change("b", at=25, target=Target("lesson", None, "s9")), Refusal.OVERLAPS),
+        ):
+            self.assertIs(self.refused(other), refusal, other)
+        self.assertIsNone(self.refused(change("c", at="30.03")))
+        self.assertIsNone(self.refused(change("d", at=50, target=Target("lesson", "one"))))
+        self.assertIsNone(self.refused(change("e", at=50, target=Target("lesson", "two"))))
+
+    def test_bounded(self) -> None:
+        for i in range(seams.MOST_A_TITLE):
+            self.ledger.put(change(f"x{i}", at=None, wall_us=WALL + i))
+        self.assertIs(self.refused(change("a")), Refusal.TOO_MANY)
+
+    def test_times_as_authors_write_them(self) -> None:
+        for text, value in (
+            ("12.5", Fraction(25, 2)),
+            ("37/3", Fraction(37, 3)),
+            ("1:02:03.25", Fraction(14893, 4)),
+        ):
+            self.assertEqual(seams.seconds(text), value)
+        for text in ("", "x", "1:2:3:4", "1e9", ":", "9" * 50):
+            with self.assertRaises(ValueError):
+                seams.seconds(text)
+
+
+class TracksTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ledger = Ledger()
+
+    def test_insert_replace_and_cut(self) -> None:
+        self.ledger.put(change("a", at=4, clip="note"))
+        self.ledger.put(change("b", at=20, until=30, kind=Kind.REPLACE))
+        self.ledger.put(change("c", at=40, until=60, kind=Kind.CUT, clip=None))
+        shown = whole(self.ledger)
+        lesson = [item.number for item in shown if not item.change]
+        self.assertEqual(lesson, [*range(10), *range(15, 20), *range(30, 40)])
+        self.assertEqual([item.change for item in shown[:4]], ["", "", "a", ""])
+        self.assertEqual(
+            [item.media for item in shown if item.joint], ["note", "lesson", "rest", "lesson", "lesson"]
+        )
+
+    def test_a_change_taken_back_while_half_the_players_watch_its_clip(self) -> None:
+        self.ledger.put(change("a", at=4))
+        ahead, behind = tracks.begin(LESSON, WALL), tracks.begin(LESSON, WALL)
+        ahead.extend(view(self.ledger), 1)
+        self.assertEqual([item.change for item in ahead.shown], ["", "", "a"])
+        self.ledger.withdraw("a")
+        self.assertEqual([item.change for item in whole(self.ledger, ahead)][:6], ["", "", "a", "a", "a", ""])
+        self.assertTrue(all(not item.change for item in whole(self.ledger, behind)))
+
+    def test_a_rendition_that_the_clip_lacks_falls_to_the_next_lower(self) -> None:
+        self.ledger.put(change("a", at=4))
+        self.assertEqual({item.rung for item in whole(self.ledger, rung=1) if item.change}, {0})
+        self.assertEqual({item.rung for item in whole(self.ledger, rung=2) if item.change}, {2})
+        self.assertEqual(tracks.rung_of(HIGH, 1, 1), 1)
+
+    def test_a_clip_that_nothing_can_serve_leaves_the_lesson_unstitched(self) -> None:
+        self.ledger.put(change("a", at=4))
+        shown = whole(self.ledger, playable=lambda name: False)
+        self.assertEqual([item.number for item in shown], list(range(40)))
+        self.assertFalse(any(item.joint for item in shown))
+
+    def test_a_moment_meets_each_player_where_it_is_and_once(self) -> None:
+        self.ledger.put(change("a", at=None, clip="note", wall_us=WALL + 10_000_000))
+        shown = whole(self.ledger)
+        self.assertEqual([item.seq for item in shown if item.change], [5])
+        late = tracks.begin(LESSON, WALL + 11_000_000)
+        self.assertFalse(
+            any(item.change for item in whole(self.ledger, late, began_wall_us=late.began_wall_us))
+        )
+
+    def test_a_live_player_begins_near_the_edge_and_waits_there(self) -> None:
+        track = tracks.begin(LIVE, WALL)
+        track.extend(view(self.ledger, "live"), 0)
+        self.assertEqual([item.number for item in track.shown], [47, 48, 49])
+        for seq in range(3):
+            track.fetch(seq)
+        self.assertEqual(track.extend(view(self.ledger, "live"), 0), 0)
+        self.assertFalse(track.ended)
+        self.assertEqual(track.extend(view(self.ledger, "live", wall_us=WALL + 2_000_000), 0), 1)
+
+    def test_the_narrowest_target_wins_where_two_meet_by_moment_and_time(self) -> None:
+        self.ledger.put(change("wide", at=4))
+        self.ledger.put(change("own", at=4, clip="note", target=Target("lesson", None, "s1")))
+        self.assertEqual([item.change for item in whole(self.ledger)][2:6], ["own", "wide", "wide", "wide"])
+
+
+steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("insert"), st.integers(0, 85), st.sampled_from(["rest", "note"])),
+        st.tuples(st.just("replace"), st.integers(0, 85), st.integers(1, 20)),
+        st.tuples(st.just("cut"), st.integers(0, 85), st.integers(1, 20)),
+        st.tuples(st.just("withdraw"), st.integers(0, 20), st.just(0)),
+        st.tuples(st.just("rung"), st.integers(0, 2), st.just(0)),
+        st.tuples(st.just("fetch"), st.integers(1, 3), st.just(0)),
+        st.tuples(st.just("poll"), st.just(0), st.just(0)),
+    ),
+    max_size=60,
+)
+
+
+class ManifestsTest(unittest.TestCase):
+    @given(steps)
+    @settings(max_examples=120, deadline=None)
+    def test_whatever_happens_each_manifest_goes_on_from_the_last(
+        self, script: list[tuple[str, Any, Any]]
+    ) -> None:
+        ledger, track, rung = Ledger(), tracks.begin(LESSON, WALL), 1
+        seen: dict[int, tuple[str, str]] = {}
+        before = (0, 0)
+        for i, (what, one, two) in enumerate([*script, *[("fetch", 3, 0)] * 60]):
+            if what == "insert":
+                ledger.submit(change(f"c{i}", at=one, clip=two), scene())
+            elif what in ("replace", "cut"):
+                ledger.submit(change(f"c{i}", one, kind=Kind(what), until=one + two), scene())
+            elif what == "withdraw":
+                ledger.withdraw(f"c{one}")
+            elif what == "rung":
+                rung = one
+            elif what == "fetch":
+                for seq in range(track.fetched + 1, min(track.cursor.seq, track.fetched + 1 + one)):
+                    self.assertIsNotNone(track.fetch(seq))
+            track.extend(view(ledger, rung=rung), ledger.version)
+            before = self.check(track, seen, before)
+        self.assertTrue(track.ended)
+        for seq in range(max(0, track.fetched - 20), track.fetched + 1):
+            self.assertIsNotNone(track.fetch(seq), "a segment fetched is denied later")
+
+    def check(
+        self, track: Track, seen: dict[int, tuple[str, str]], before: tuple[int, int]
+    ) -> tuple[int, int]:
+        shown, joints = track.window()
+        listing = hls.Listing(shown, joints, track.ended, False, WALL, MEDIA)
+        text = hls.media_playlist(listing, TARGET)
+        parsed = m3u8.loads(text)
+        self.assertEqual(parsed.target_duration, TARGET)
+        self.assertEqual(parsed.is_endlist, track.ended)
+        first, discontinuity = parsed.media_sequence, parsed.discontinuity_sequence or 0
+        self.assertGreaterEqual(first, before[0])
+        self.assertGreaterEqual(discontinuity, before[1])
+        for i, segment in enumerate(parsed.segments):
+            self.assertLessEqual(segment.duration, TARGET)
+            now = (segment.uri, str(segment.init_section.uri))
+            self.assertEqual(seen.setdefault(first + i, now), now, "a listed segment changed")
+        for one, two in pairwise(shown):
+            self.assertEqual(one.end, two.start)
+        self.sums(text, shown)
+        self.periods(dash.manifest(listing, TARGET, {0: 800, 1: 1600, 2: 3200}, 4), shown)
+        return first, discontinuity
+
+    def sums(self, text: str, shown: list[Shown]) -> None:
+        """The decimals add up to the rounded ends, however many there are."""
+        total = sum(Fraction(line[8:-1]) for line in text.splitlines() if line.startswith("#EXTINF:"))
+        if shown:
+            self.assertEqual(total * 1_000_000, micros(shown[-1].end) - micros(shown[0].start))
+
+    def periods(self, text: str, shown: list[Shown]) -> None:
+        mpd = MPEGDASHParser.parse(text)
+        numbers: list[int] = []
+        ends: str | None = None
+        for period in mpd.periods:
+            template = period.adaptation_sets[0].segment_templates[0]
+            timeline = template.segment_timelines[0].Ss[0]
+            numbers += range(template.start_number, template.start_number + timeline.r + 1)
+            if ends is not None:
+                self.assertEqual(ends, period.start, "a period does not begin where the one before ends")
+            if period.duration:
+                start, length = Fraction(period.start[2:-1]), Fraction(period.duration[2:-1])
+                ends = f"PT{float(start + length):.6f}S"
+        self.assertEqual(numbers, [item.seq for item in shown])
+
+    def test_periods_keep_their_names_as_the_window_slides(self) -> None:
+        ledger = Ledger()
+        ledger.put(change("a", at=10))
+        track = tracks.begin(LESSON, WALL)
+        names: dict[str, str] = {}
+        for _ in range(30):
+            track.extend(view(ledger), 1)
+            shown, joints = track.window()
+            listing = hls.Listing(shown, joints, track.ended, False, WALL, MEDIA)
+            for period in MPEGDASHParser.parse(dash.manifest(listing, TARGET, {0: 1, 1: 1}, 4)).periods:
+                self.assertEqual(names.setdefault(period.id, period.start), period.start)
+            track.fetch(track.cursor.seq - 1)
+        self.assertEqual(list(names), ["p0", "p5", "p8"])
+
+    def test_clips_are_told_and_interstitials_have_their_own_form(self) -> None:
+        ledger = Ledger()
+        ledger.put(change("a", at=4))
+        track = tracks.begin(LESSON, WALL)
+        track.extend(view(ledger), 1)
+        shown, joints = track.window()
+        parsed = m3u8.loads(hls.media_playlist(hls.Listing(shown, joints, False, False, WALL, MEDIA), TARGET))
+        marked = [item for segment in parsed.segments for item in segment.dateranges]
+        self.assertEqual([(item.id, item.class_) for item in marked], [("a", hls.STITCH_CLASS)])
+        self.assertAlmostEqual(float(marked[0].duration), 3 * 120_007 / 90_000, places=5)
+        tag = hls.interstitial_tag(hls.Interstitial("a", 4_004_000, 2_000_000, 0), WALL, "asset.m3u8")
+        text = f"#EXTM3U\n#EXT-X-TARGETDURATION:2\n{tag}\n#EXTINF:2,\ns\n"
+        found = m3u8.loads(text).segments[0].dateranges[0]
+        self.assertEqual(found.class_, "com.apple.hls.interstitial")
+        variants = m3u8.loads(hls.multivariant(2_000_000, 1_600_000, "avc1.64001f,mp4a.40.2"))
+        self.assertEqual(variants.playlists[0].stream_info.bandwidth, 2_000_000)
+
+
+if __name__ == "__main__":
+    unittest.main()
