Subscriptions move: before a drain's grace is over, and when their box dies

Drained boxes broke what they played, and a box that died ended its lessons. A property test found a cut at a lesson's end that never ended; mended.

--- a/fennelcove/core/boxes.py
+++ b/fennelcove/core/boxes.py
@@ -8,11 +8,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from fennelcove.core.verdicts import Boxes, JoinEnd, Session
+from fennelcove.core.verdicts import Boxes, JoinEnd, Place, Session
 from fennelcove.decisions import adoption, feeds, hearing
 from fennelcove.decisions.admission import Entry
 from fennelcove.decisions.admission import Ruling as Entered
-from fennelcove.decisions.commands import Order
 from fennelcove.decisions.feeds import Feed
 from fennelcove.decisions.hearing import BoxEar, BoxSays
 from fennelcove.decisions.sessions import Cue, Stage
@@ -97,7 +96,12 @@
         session = self.core.sessions.get(held.subscription)
         known = None
         if session is not None:
-            known = adoption.Known(session.stage, session.joins - 1, session.box)
+            place = session.home or session.out
+            if session.out is not None and session.out.join == held.join:
+                place = session.out
+            if place is not None:
+                stage = Stage.JOINING if place is session.out else session.stage
+                known = adoption.Known(stage, place.join, place.box)
         room = self.core.rooms.get(held.room_type)
         fits = room is not None and held.title in self.core.titles
         fits = fits and room is not None and room.floor <= held.rung < len(self.core.settings.ladder)
@@ -112,7 +116,7 @@
             session.ended_because = "a later join of it was found"
             self.core.cue(session, Cue.RELEASED)
         if act is adoption.Act.RELEASE:
-            self.core.order(Order(box.address, held.subscription, held.join, None))
+            self.core.order_at(box.address, held.subscription, held.join, None)
             return
         self._adopt(box, held)
 
@@ -127,18 +131,18 @@
         now_us = self.core.clock.now_us()
         listed = box.address in self.core.front.servers
         if not listed or self.core.gate.ask(Entry.SUBSCRIPTION) is not Entered.LET_IN:
-            self.core.order(Order(box.address, held.subscription, held.join, None))
+            self.core.order_at(box.address, held.subscription, held.join, None)
             return
         rates_kb = tuple(room.scale * rung.kb for rung in self.core.settings.ladder)
         top = len(rates_kb) - 1
         session = Session(
             held.subscription, held.room_type, held.title, room.floor, rates_kb, top, now_us, now_us
         )
-        session.stage, session.top, session.rung, session.box = Stage.PLAYING, top, held.rung, box.address
-        session.joins, session.module_joins_from = held.join + 1, held.join
+        session.stage, session.top, session.rung = Stage.PLAYING, top, held.rung
+        session.home, session.joins = Place(box.address, held.join, session.id, 0), held.join + 1
         session.end, session.box_may_hold = JoinEnd(Outcome.SERVED, None, 0), True
         session.playing_since_us = now_us
-        self.core.sessions[session.id] = session
+        self.core.sessions[session.id] = self.core.by_module[session.id] = session
         box.playing[session.id] = session
         self.core.presence.begin(session.id, now_us)
         request = Request(session.id, held.room_type, number, title.first_cell, title.cells, top, 1)
@@ -160,7 +164,12 @@
         """A box says that it plays a subscription no more."""
         with self.core.lock:
             session = self.core.sessions.get(id)
-            if self._feed_of(address, generation) and session is not None and session.joins - 1 == join:
+            if (
+                self._feed_of(address, generation)
+                and session is not None
+                and session.home is not None
+                and session.home.join == join
+            ):
                 session.ended_because, session.box_may_hold = "ended at its box", False
                 self.core.cue(session, Cue.RELEASED)
 
@@ -203,7 +212,10 @@
             self.note(session, NoteKind.UPLINK, report.uplink)
 
     def note(self, session: Session, kind: NoteKind, level: float) -> None:
-        self.core.front.handle(Note(session.id, session.box, kind, level), self.core.clock.now_us())
+        """Hand a note to the module."""
+        place = session.home
+        if place is not None and not session.adrift:
+            self.core.front.handle(Note(place.module_id, place.box, kind, level), self.core.clock.now_us())
 
     def judge(self, box: Box, now_us: int) -> None:
         """The note of short delivery that viewers' hints amount to, and the one that it is over."""
@@ -262,12 +274,12 @@
         else:
             self._settle(box, self.core.clock.now_us())
         for session in list(box.playing.values()):
-            self.core.cue(session, Cue.BOX_LOST)
+            self.core.moves.lost(session)
 
     def _lose_unknown(self, box: Box) -> None:
         for session in list(box.playing.values()):
             # What began while the greeting was under way is not in it and is not lost.
-            unknown = (session.id, session.joins - 1) not in self.greeted
+            unknown = session.home is None or (session.id, session.home.join) not in self.greeted
             if unknown and session.playing_since_us < box.opened_us:
                 session.ended_because = "its box knows it no more"
-                self.core.cue(session, Cue.BOX_LOST)
+                self.core.moves.lost(session)
--- /dev/null
+++ b/fennelcove/core/moves.py
@@ -0,0 +1,219 @@
+"""The core's part that moves subscriptions from box to box; the core's lock is round all of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
+
+from fennelcove.core.verdicts import JoinEnd, SendJoin, Session
+from fennelcove.decisions import joins, move
+from fennelcove.decisions.move import Act, Cue, Move, Turns
+from fennelcove.decisions.sessions import Cue as SessionCue
+from fennelcove.decisions.sessions import Stage
+from fennelcove.interface import MoveAsked, Outcome, Standing, Started
+
+if TYPE_CHECKING:
+    from fennelcove.core.core import Core
+
+
+class Movers(Protocol):
+    """Who carries out the joins of moves; `send` must not wait and says whether there was room for it."""
+
+    def send(self, step: SendJoin) -> bool: ...
+
+
+class MoveBook:
+    """Every playing subscription's standing towards its box. Attach `port` first."""
+
+    def __init__(self, core: Core) -> None:
+        self.core = core
+        self.port: Movers
+        settings = core.settings
+        self.grace_us = round(settings.rules.drain_grace_ms * 1000)
+        self.turns = Turns(settings.stitch.moves_at_once, self.grace_us)
+        self.moves: dict[str, Move] = {}
+        self.drained: dict[str, int] = {}  # boxes told to drain or gone, and when
+        self.acts: dict[Act, Callable[[Session, Move], None]] = {
+            Act.QUEUE: self._queue,
+            Act.ASK_MODULE: self._ask_module,
+            Act.SWITCH: self._switch,
+            Act.TELL_FAILED: self._tell_failed,
+            Act.TELL_LOST: self._tell_lost,
+            Act.PAUSE: self._pause,
+            Act.STAY: self._stay,
+            Act.END: self._end,
+        }
+
+    def may_tell(self, box: str) -> bool:
+        """Whether a box may still hear from this front: not past the grace after it was told to drain."""
+        told_us = self.drained.get(box)
+        return told_us is None or self.core.clock.now_us() - told_us < self.grace_us
+
+    def listed(self, now_us: int) -> None:
+        """A list was taken: which boxes drain, and whose subscriptions should go."""
+        servers = self.core.front.servers
+        for address, server in servers.items():
+            if server.standing is Standing.ACTIVE:
+                if self.drained.pop(address, None) is not None:
+                    self._tell_box(address, Cue.CALM)
+            elif address not in self.drained:
+                self.drained[address] = now_us
+                self._tell_box(address, Cue.TOLD)
+        for address in [address for address in self.drained if address not in servers]:
+            del self.drained[address]
+
+    def _tell_box(self, address: str, cue: Cue) -> None:
+        box = self.core.book.boxes.get(address)
+        for session in list(box.playing.values()) if box is not None else ():
+            self._cue(session, cue)
+
+    def lost(self, session: Session) -> None:
+        """Its box is gone with it; another may take it over where that is safe."""
+        if session.stage is not Stage.PLAYING:
+            return
+        effect = self.core.front.settings.rooms[session.room].effect
+        if (
+            session.home is None
+            or not move.may_rescue(effect)
+            or session.home.module_id not in self.core.front.subs
+        ):
+            self.core.cue(session, SessionCue.BOX_LOST)
+            return
+        self._cue(session, Cue.LOST)
+
+    def over(self, session: Session) -> None:
+        """The subscription has ended; a join that is out elsewhere is taken back when it ends."""
+        held = self.moves.pop(session.id, None)
+        if held is not None:
+            if held.stage is move.Stage.MAKING and not held.lost:
+                self.turns.finished()
+            held.cue(Cue.ENDED)
+
+    def pump(self) -> None:
+        """Give turns; called as turns come free, and every so often."""
+        with self.core.lock:
+            turn, over = self.turns.take(self.core.clock.now_us())
+            for due, cue in [*((due, Cue.TURN) for due in turn), *((due, Cue.TIME) for due in over)]:
+                session = self.core.sessions.get(due.id)
+                if session is not None:
+                    self._cue(session, cue)
+                elif cue is Cue.TURN:
+                    self.turns.finished()
+
+    def _cue(self, session: Session, cue: Cue) -> None:
+        held = self.moves.get(session.id)
+        if held is None:
+            benefit = self.core.front.settings.rooms[session.room].benefit
+            held = self.moves[session.id] = Move(session.id, benefit)
+        for act in held.cue(cue):
+            self.acts[act](session, held)
+
+    # What follows.
+
+    def _queue(self, session: Session, held: Move) -> None:
+        self.turns.add(held, self.core.clock.now_us())
+        self.core.timers.after(0, self.pump)
+
+    def _ask_module(self, session: Session, held: Move) -> None:
+        assert session.home is not None
+        session.moves += 1
+        module_id = f"{session.id}~{session.moves}"
+        self.core.by_module[module_id] = session
+        self.core.tally("moves_tried")
+        timeout_us = max(1, self.grace_us)
+        self.core.front.handle(
+            MoveAsked(session.home.module_id, module_id, timeout_us), self.core.clock.now_us()
+        )
+
+    def send(self, step: SendJoin) -> None:
+        """The module names a second home: the join goes to the movers."""
+        if not self.port.send(step):
+            # The core is inside the module's own step: it hears of the end a moment later.
+            end = JoinEnd(Outcome.NOT_SENT, None, 0)
+            self.core.timers.after(0, lambda: self.join_over(step, end))
+
+    def refused(self, session: Session, module_id: str) -> None:
+        """The module finds no place now."""
+        self.core.by_module.pop(module_id, None)
+        session.out = None
+        held = self.moves.get(session.id)
+        if held is not None and not held.lost:
+            self.turns.finished()
+        self._cue(session, Cue.REFUSED)
+
+    def join_over(self, step: SendJoin, end: JoinEnd) -> None:
+        """A join of a move has ended."""
+        with self.core.lock:
+            session = step.session
+            out = session.out
+            self.core.tally(f"move_joins_{end.outcome.value}")
+            held = self.moves.get(session.id)
+            mine = out is not None and out.join == step.join
+            if held is None or not mine or held.stage is not move.Stage.MAKING:
+                # It ended meanwhile: whatever the box began is for nobody.
+                if joins.may_need_release(end.outcome):
+                    self.core.order_at(step.box, session.id, step.join, None)
+                if out is not None and mine:
+                    session.out = None
+                    self.core.tell_end(out, end, True)
+                return
+            session.end = end
+            if end.outcome is Outcome.SERVED:
+                self._cue(session, Cue.MADE)
+            else:
+                if joins.may_need_release(end.outcome):
+                    self.core.order_at(step.box, session.id, step.join, None)
+                self._cue(session, Cue.FAILED)
+
+    def _switch(self, session: Session, held: Move) -> None:
+        old, new, end = session.home, session.out, session.end
+        assert old is not None and new is not None and end is not None
+        core, now_us = self.core, self.core.clock.now_us()
+        if not session.adrift:
+            self.turns.finished()
+        core.book.plays_no_more(session)
+        session.home, session.out, session.rung = new, None, session.out_rung
+        core.front.handle(Started(new.module_id, new.module_join, end.took_us), now_us)
+        session.playing_since_us = now_us
+        if not session.adrift:
+            core.tell_end(old, JoinEnd(Outcome.SERVED, None, 0), True)
+            core.order(old, session, None)
+        session.adrift = False
+        core.book.plays(session)
+        if end.says is not None:
+            core.book.notes(session, end.says)
+        core.tally("moves_made")
+        core.notice(
+            "subscription_moved",
+            subscription=session.id,
+            from_box=old.box,
+            box=new.box,
+            rung=session.rung,
+            waited_ms=(now_us - held.since_us) / 1000 if held.since_us else 0.0,
+        )
+        core.timers.after(0, self.pump)
+
+    def _tell_failed(self, session: Session, held: Move) -> None:
+        assert session.end is not None and session.out is not None
+        place, session.out = session.out, None
+        self.core.tell_end(place, session.end, False)
+
+    def _tell_lost(self, session: Session, held: Move) -> None:
+        if session.stage is not Stage.PLAYING or session.home is None or session.adrift:
+            return
+        self.core.book.plays_no_more(session)
+        session.adrift = True
+        self.core.tally("adrift")
+        self.core.tell_end(session.home, JoinEnd(Outcome.CONNECTION_LOST, None, 0), True)
+
+    def _pause(self, session: Session, held: Move) -> None:
+        self.turns.put_back(held, self.core.clock.now_us())
+        self.core.timers.after(move.RETRY_US, self.pump)
+
+    def _stay(self, session: Session, held: Move) -> None:
+        self.core.tally("moves_given_up")
+        self.core.notice("move_given_up", subscription=session.id, box=session.box)
+
+    def _end(self, session: Session, held: Move) -> None:
+        session.ended_because = "its box was lost, and no other had room"
+        self.core.cue(session, SessionCue.BOX_LOST)
--- a/fennelcove/core/verdicts.py
+++ b/fennelcove/core/verdicts.py
@@ -39,6 +39,16 @@
     took_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class Place:
+    """One join's place: its box, its number on the wire, and what the module calls it."""
+
+    box: str
+    join: int
+    module_id: str
+    module_join: int
+
+
 @dataclass(slots=True, eq=False)
 class Session:
     """One subscription at the door."""
@@ -55,14 +65,23 @@
     top: int = 0
     rung: int = 0
     joins: int = 0
-    module_joins_from: int = 0  # the number of the join that the module counts as its first
-    box: str = ""
+    home: Place | None = None  # where it plays
+    out: Place | None = None  # where a join is out: the first home, or a second one while it moves
+    out_rung: int = 0
+    adrift: bool = False  # its home is gone and another is being made
+    moves: int = 0
     end: JoinEnd | None = None
     box_may_hold: bool = False
     playing_since_us: int = 0
     ended_because: str = ""
     step: Step | None = None
 
+    @property
+    def box(self) -> str:
+        """The box of its home, or else of the join that is out."""
+        place = self.home or self.out
+        return place.box if place is not None else ""
+
 
 @dataclass(frozen=True, slots=True)
 class SendJoin:
--- a/fennelcove/decisions/tracks.py
+++ b/fennelcove/decisions/tracks.py
@@ -110,8 +110,13 @@
     return replace(cursor, lesson=moved, done=done, run=Run(change.id, clip.name, 0, clip.count))
 
 
-def advance(cursor: Cursor, view: Viewpoint) -> tuple[Cursor, Shown] | None:
-    """The next segment, or None at the end of the lesson or at the live edge."""
+def advance(cursor: Cursor, view: Viewpoint) -> tuple[Cursor, Shown | None]:
+    """The next segment, or none at the end of the lesson or at the live edge; the cursor may go on all the
+    same.
+
+    A stretch cut out at the lesson's end leaves nothing to show: the cursor that was past it must not be
+    lost.
+    """
     lesson = view.media[view.title]
     while cursor.run is None and (change := _due(cursor, view)) is not None:
         cursor = _enter(cursor, change, view)
@@ -121,7 +126,7 @@
         later = replace(run, next=run.next + 1) if run.next + 1 < run.count else None
         return replace(_past(cursor, shown), run=later), shown
     if cursor.lesson >= lesson.ready(view.wall_us):
-        return None
+        return cursor, None
     shown = _show(cursor, lesson, cursor.lesson, "", view)
     moments = frozenset(c.id for c in view.changes if c.id in cursor.done and c.first(lesson) is None)
     return replace(_past(cursor, shown), lesson=cursor.lesson + 1, done=moments), shown
@@ -169,12 +174,11 @@
         count = 0
         self.version = version
         while not self.ended and self.cursor.seq <= self.fetched + AHEAD:
-            step = advance(self.cursor, view)
-            if step is None:
+            self.cursor, shown = advance(self.cursor, view)
+            if shown is None:
                 lesson = view.media[view.title]
                 self.ended = not lesson.live and self.cursor.lesson >= (lesson.count or 0)
                 break
-            self.cursor, shown = step
             self.shown.append(shown)
             count += 1
         while len(self.shown) > KEPT:
--- a/fennelcove/interface.py
+++ b/fennelcove/interface.py
@@ -197,6 +197,16 @@
     top_rung: int
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class MoveAsked:
+    """A playing subscription wants a second home; it is told of under a new id, and ends under the old
+    one."""
+
+    id: str
+    new_id: str
+    timeout_us: int
+
+
 @dataclass(frozen=True, slots=True, eq=False)
 class ClientGone:
     """Nobody waits for this subscription any more."""
@@ -211,7 +221,8 @@
     name: int
 
 
-Event = ListUpdate | Request | Handover | Started | JoinEnded | Note | TopChanged | ClientGone | TimerFired
+Event = (ListUpdate | Request | Handover | Started | JoinEnded | Note | TopChanged | MoveAsked | ClientGone
+         | TimerFired)
 
 
 class TimerName(IntEnum):
--- a/fennelcove/manifests/dash.py
+++ b/fennelcove/manifests/dash.py
@@ -54,11 +54,12 @@
     start_us = micros(began.start)
     length = f' duration="{period(micros(closed.end) - start_us)}"' if closed is not None else ""
     timeline = f'<S t="{first.number * media.ticks}" d="{media.ticks}" r="{len(stretch) - 1}"/>'
+    offset = began.number * media.ticks
     init = quoteattr(f"init/{first.media}/{first.rung}.mp4")
     return (
         f'<Period id="p{began.seq}" start="{period(start_us)}"{length}>'
         '<AdaptationSet contentType="video" mimeType="video/mp4" segmentAlignment="true" startWithSAP="1">'
-        f'<SegmentTemplate timescale="{media.timescale}" presentationTimeOffset="{began.number * media.ticks}"'
+        f'<SegmentTemplate timescale="{media.timescale}" presentationTimeOffset="{offset}"'
         f' startNumber="{first.seq}" initialization={init} media="seg/$Number$.m4s">'
         f"<SegmentTimeline>{timeline}</SegmentTimeline></SegmentTemplate>"
         f'<Representation id="r{first.rung}" bandwidth="{kbit[first.rung] * 1000}"'
--- a/fennelcove/program/front.py
+++ b/fennelcove/program/front.py
@@ -20,6 +20,7 @@
 from fennelcove.peers.joins import HintReader, Joiner
 from fennelcove.peers.latch import Latch
 from fennelcove.peers.lists import ListSide
+from fennelcove.peers.movers import MoverThreads
 from fennelcove.peers.orders import OrderSenders
 from fennelcove.peers.pool import Pool
 from fennelcove.settings.schema import FrontSettings
@@ -47,6 +48,8 @@
         effects = {room.name: Effect(room.effect) for room in settings.room_types}
         self.joiner = Joiner(settings.name, self.clock, self.pool, self.hints, effects, codec, self.halt)
         self.senders = OrderSenders(self.core, self.pool, codec)
+        self.movers = MoverThreads(self.core, self.joiner, settings.stitch.moves_at_once)
+        self.core.moves.port = self.movers
         told = self.core.front.settings
         silence_us = feeds.silence_us(told.reports_every_us, told.seen_after_us)
         self.box_side = BoxSide(self.core, self.senders, self.hints, settings.name, silence_us, codec, notice)
@@ -77,6 +80,7 @@
         """Start every thread; from then on the front answers."""
         self.timekeeper.start()
         self.senders.start()
+        self.movers.start()
         self.list_side.start()
         if self.settings.lists.must_ask:
             self.list_side.watch()
@@ -87,6 +91,7 @@
 
     def _sweep(self) -> None:
         self.core.sweep()
+        self.core.moves.pump()
         self.pool.trim()
         self.timers.after(SWEEP_US, self._sweep)
 
@@ -116,6 +121,7 @@
         self.list_side.stop()
         self.timers.stop()
         self.timekeeper.join()
+        self.movers.stop()
         self.box_side.stop()
         self.senders.stop(self.stopping.asked_us + self.stopping.stop_us)
         self.pool.close()
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -14,8 +14,8 @@
 from random import Random
 
 from fennelcove.interface import (ClientGone, Effect, Effects, Event, Handover, JoinEnded, ListEntry,
-                                  ListMode, ListUpdate, Note, NoteKind, Outcome, Request, RoomType, Scope,
-                                  Settings, Standing, Started, TimerFired, TimerName, TopChanged)
+                                  ListMode, ListUpdate, MoveAsked, Note, NoteKind, Outcome, Request, RoomType,
+                                  Scope, Settings, Standing, Started, TimerFired, TimerName, TopChanged)
 
 EXPONENT = 0.5  # n of the design page
 THRESHOLD = 1.0  # r of the design page
@@ -152,7 +152,8 @@
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
             JoinEnded: self.on_join_ended, Note: self.on_note, ClientGone: self.on_client_gone,
-            ListUpdate: self.on_list, TimerFired: self.ask_list, TopChanged: self.on_top}
+            ListUpdate: self.on_list, TimerFired: self.ask_list, TopChanged: self.on_top,
+            MoveAsked: self.on_move}
 
     def handle(self, event: Event, now_us: int) -> None:
         self.now_us = now_us
@@ -203,6 +204,16 @@
             if sub.life is Life.PLAYING and sub.rung > sub.top:
                 self.carry_out({sub: sub.top})
 
+    def on_move(self, event: MoveAsked) -> None:
+        """A second home before the first ends; earlier joins go along, so that each guard counts them."""
+        old = self.subs[event.id]
+        past = [join for join in old.joins if join.may_have_run and (
+            join is old.joins[-1] or old.room.effect is not Effect.FREE)]
+        sub = Subscription(event.new_id, old.room, old.title, old.cells, old.top, self.now_us,
+                           self.now_us + event.timeout_us, rung=old.rung, joins=past)
+        self.subs[event.new_id] = sub
+        self.step(sub, Cue.TRY)
+
     def on_join_ended(self, event: JoinEnded) -> None:
         sub = self.subs.get(event.id)
         if sub is None or event.join >= len(sub.joins):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,6 +4,8 @@
 
 import unittest
 
+from typing import Any
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -18,7 +20,7 @@
     presence,
     sessions,
 )
-from fennelcove.decisions import stopping
+from fennelcove.decisions import move, stitching, stopping
 from fennelcove.decisions.adoption import Claim
 from fennelcove.decisions.hearing import BoxSays, ViewerSays
 from fennelcove.decisions.joins import Phase, Seen
@@ -366,6 +368,85 @@
         self.assertIs(stop.phase, stopping.Phase.OVER)
 
 
+class MoveTest(unittest.TestCase):
+    def test_a_move_has_one_join_out_and_one_end_whatever_happens(self) -> None:
+        held = move.Move("a", 1.0)
+        self.assertEqual(held.cue(move.Cue.TOLD), (move.Act.QUEUE,))
+        self.assertEqual(held.cue(move.Cue.TOLD), ())
+        self.assertEqual(held.cue(move.Cue.TURN), (move.Act.ASK_MODULE,))
+        self.assertEqual(held.cue(move.Cue.TURN), ())
+        self.assertEqual(held.cue(move.Cue.LOST), (move.Act.TELL_LOST,))
+        self.assertEqual(held.cue(move.Cue.MADE), (move.Act.SWITCH,))
+        self.assertFalse(held.lost)
+
+    def test_without_a_place_what_plays_stays_and_what_is_lost_ends(self) -> None:
+        staying, adrift = move.Move("a", 1.0), move.Move("b", 1.0)
+        for cue in (move.Cue.TOLD, move.Cue.TURN):
+            staying.cue(cue)
+        self.assertEqual(staying.cue(move.Cue.REFUSED), (move.Act.PAUSE,))
+        self.assertEqual(staying.cue(move.Cue.TIME), (move.Act.STAY,))
+        self.assertEqual(adrift.cue(move.Cue.LOST), (move.Act.ASK_MODULE, move.Act.TELL_LOST))
+        self.assertEqual(adrift.cue(move.Cue.REFUSED), (move.Act.END,))
+        self.assertEqual(adrift.cue(move.Cue.MADE), ())
+        self.assertFalse(move.may_rescue(Effect.SINGLE_SHOT))
+
+    def test_turns_go_by_time_then_benefit_and_so_many_at_once(self) -> None:
+        turns = move.Turns(2, 1000)
+        moves = [move.Move(name, benefit) for name, benefit in (("low", 1.0), ("high", 3.0), ("mid", 2.0))]
+        for one in moves:
+            one.cue(move.Cue.TOLD)
+            turns.add(one, 0)
+        turn, over = turns.take(0)
+        self.assertEqual(([one.id for one in turn], over), (["high", "mid"], []))
+        self.assertEqual(turns.take(1), ([], []))
+        turns.finished()
+        self.assertEqual([one.id for one in turns.take(1)[0]], ["low"])
+
+    def test_past_nine_tenths_of_the_grace_no_turn_is_given(self) -> None:
+        turns, held = move.Turns(1, 1000), move.Move("a", 1.0)
+        held.cue(move.Cue.TOLD)
+        turns.add(held, 0)
+        self.assertEqual(turns.take(900), ([], [held]))
+
+    def test_a_move_put_back_waits_its_pause(self) -> None:
+        turns, held = move.Turns(1, 10 * move.RETRY_US), move.Move("a", 1.0)
+        held.cue(move.Cue.TOLD)
+        turns.add(held, 0)
+        turns.take(0)
+        held.cue(move.Cue.TURN)
+        held.cue(move.Cue.REFUSED)
+        turns.finished()
+        turns.put_back(held, 0)
+        self.assertEqual(turns.take(move.RETRY_US - 1), ([], []))
+        self.assertEqual(turns.take(move.RETRY_US), ([held], []))
+
+
+class SourceTest(unittest.TestCase):
+    def offer(self, **changes: Any) -> stitching.Offer:
+        base = {"home": "h", "home_holds": True, "others": ("o", "p"), "lower": ("l",), "slate": "s"}
+        return stitching.Offer(**{**base, **changes})
+
+    def test_sources_in_their_order(self) -> None:
+        source = stitching.Source
+        for offer, tried, pick in (
+            (self.offer(), (), (source.HOME, "h")),
+            (self.offer(), ("h",), (source.OTHER, "o")),
+            (self.offer(), ("h", "o"), (source.OTHER, "p")),
+            (self.offer(home_holds=False), (), (source.OTHER, "o")),
+            (self.offer(home=None), (), (source.OTHER, "o")),
+            (self.offer(others=()), ("h",), (source.LOWER, "l")),
+            (self.offer(others=(), lower=()), ("h",), (source.SLATE, "s")),
+            (self.offer(others=(), lower=(), slate=None), ("h",), (source.NONE, "")),
+            (self.offer(home=None, others=(), lower=(), slate=None), (), (source.WAIT, "")),
+        ):
+            found = stitching.pick_clip(offer, tried)
+            self.assertEqual((found.source, found.box), pick)
+
+    def test_the_lesson_comes_from_its_place_or_waits_for_one(self) -> None:
+        self.assertEqual(stitching.pick_lesson(self.offer()).box, "h")
+        self.assertIs(stitching.pick_lesson(self.offer(home=None)).source, stitching.Source.WAIT)
+
+
 class AdoptionTest(unittest.TestCase):
     def claim(
         self, known: adoption.Known | None = None, mine: bool = False, fits: bool = True, seat: bool = True
