--- a/fennelcove/cli/days.py
+++ b/fennelcove/cli/days.py
@@ -54,6 +54,11 @@
         f"{verdict.throttled} throttled, {verdict.terminated} terminated; {verdict.hung_up} hung up, "
         f"{verdict.not_taken} found no front, {verdict.lost} lost while playing"
     )
+    if verdict.seams or verdict.stalls:
+        click.echo(
+            f"{verdict.seams} seams crossed, {verdict.moves} changes of box, {verdict.stalls} stalls, "
+            f"the longest {verdict.longest_stall_ms:.0f} ms"
+        )
     click.echo(f"service {verdict.service:.3f}, floor {verdict.service_floor:.3f}")
     for broken in verdict.broken[:50]:
         click.echo(
--- a/fennelcove/core/boxes.py
+++ b/fennelcove/core/boxes.py
@@ -148,6 +148,7 @@
         request = Request(session.id, held.room_type, number, title.first_cell, title.cells, top, 1)
         self.core.front.handle(Handover(request, box.address), now_us)
         self.note(session, NoteKind.RUNG, held.rung)
+        self.core.stitches.adopt(session, held.mark)
         self.core.tally("adopted")
 
     def report(self, address: str, generation: int, says: BoxSays, delivered: float | None) -> None:
--- a/fennelcove/core/core.py
+++ b/fennelcove/core/core.py
@@ -16,6 +16,7 @@
 from fennelcove.core.boxes import BoxBook
 from fennelcove.core.moves import MoveBook
 from fennelcove.core.names import Names
+from fennelcove.core.stitches import StitchBook
 from fennelcove.core.timers import Timers
 from fennelcove.core.verdicts import (
     Answer,
@@ -110,6 +111,7 @@
         }
         self.book = BoxBook(self)
         self.moves = MoveBook(self)
+        self.stitches = StitchBook(self)
 
     # What doors call.
 
@@ -289,6 +291,10 @@
                     self.tell_top(session, top)
             return self.view(session)
 
+    def sessions_rates(self, room_type: str) -> tuple[float, ...]:
+        """A room type's rates in kB a second, by rung."""
+        return tuple(self.rooms[room_type].scale * rung.kb for rung in self.settings.ladder)
+
     def tell_top(self, session: Session, top: int) -> None:
         """The viewer's best rung is another."""
         session.top = top
@@ -512,8 +518,12 @@
 
     def order_at(self, box: str, id: str, join: int, rung: int | None) -> None:
         """As `order`, for what may have no session any more."""
-        if self.moves.may_tell(box):
-            self.orders.add(Order(box, id, join, rung))
+        self.put_order(Order(box, id, join, rung))
+
+    def put_order(self, order: Order) -> None:
+        """An order in the line of its box, unless the box must hear nothing more from here."""
+        if self.moves.may_tell(order.box):
+            self.orders.add(order)
             self.book.port.orders_ready()
 
     def answered(self, session: Session) -> None:
@@ -527,6 +537,7 @@
         self.by_module.pop(session.id, None)
         self.presence.end(session.id)
         self.moves.over(session)
+        self.stitches.over(session)
         if session.ended_because:
             self.ended[session.id] = session.ended_because
             if len(self.ended) > ENDED_KEPT:
--- /dev/null
+++ b/fennelcove/core/stitches.py
@@ -0,0 +1,305 @@
+"""The core's part that concerns changes to lessons and what players are shown; the core's lock is round all
+of it."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import blake3
+
+from fennelcove.core.verdicts import Session
+from fennelcove.decisions import stitching, tracks
+from fennelcove.decisions.commands import Order
+from fennelcove.decisions.seams import Entry, Ledger, Ruling, Scene, Verdict
+from fennelcove.decisions.sessions import Stage
+from fennelcove.decisions.stitching import Offer, Source
+from fennelcove.decisions.tracks import Track, Viewpoint
+from fennelcove.interface import Standing
+from fennelcove.manifests.hls import Listing, target_duration
+from fennelcove.rules import Server
+from fennelcove.settings.schema import Author
+from fennelcove.timeline import marks
+from fennelcove.timeline.model import Change, Media, Shown
+
+if TYPE_CHECKING:
+    from fennelcove.core.core import Core
+
+MOST_TRIED = 8
+
+
+@dataclass(slots=True, eq=False)
+class Player:
+    """One subscription's track, and where its fetches have failed."""
+
+    track: Track
+    tried: dict[int, list[str]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """Where a player's segment or initialisation is to be had; without a box, why not."""
+
+    source: Source
+    url: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """A change and how many players' tracks have it, and have passed it by."""
+
+    entry: Entry
+    shown: int
+    ahead: int
+
+
+class StitchBook:
+    """Media of the settings, the ledger of changes, and each player's track."""
+
+    def __init__(self, core: Core) -> None:
+        self.core = core
+        settings = core.settings
+        ladder = tuple(range(len(settings.ladder)))
+        self.media: dict[str, Media] = {}
+        for title in settings.titles:
+            told = title.media
+            if told is not None:
+                rungs = tuple(sorted(told.rungs)) or ladder
+                self.media[title.name] = Media(
+                    title.name,
+                    told.timescale,
+                    told.segment_ticks,
+                    told.segments,
+                    rungs,
+                    told.codecs,
+                    told.live_from_ms * 1000,
+                )
+        self.target = target_duration(self.media.values())
+        self.ledger = Ledger()
+        self.players: dict[str, Player] = {}
+        self.slate = settings.stitch.slate
+
+    # Authors.
+
+    def author(self, key: str) -> Author | None:
+        """Whose key this is. Every hash is compared, and each in constant time."""
+        hashed = blake3.blake3(key.encode()).hexdigest()
+        found = None
+        for author in self.core.settings.stitch.authors:
+            if hmac.compare_digest(author.key_hash, hashed):
+                found = author
+        return found
+
+    def submit(self, change: Change) -> Verdict:
+        """Rule on a change; one that is made is in force at once."""
+        with self.core.lock:
+            target = change.target
+            session = self.core.sessions.get(target.subscription) if target.subscription else None
+            playing = target.subscription is None or (session is not None and session.title == target.title)
+            rooms = self.core.rooms.values()
+            floors = [room.floor for room in rooms if target.room_type in (None, room.name)]
+            floor = session.floor if session is not None else max(floors, default=0)
+            held = self.players.get(session.id) if session is not None else None
+            shown = held.track.cursor.lesson if held is not None else None
+            scene = Scene(self.media, floor, self.core.clock.wall_us(), shown, playing)
+            verdict = self.ledger.submit(change, scene)
+            self.core.tally(f"changes_{verdict.ruling.value}")
+            return verdict
+
+    def withdraw(self, id: str) -> Verdict:
+        """Take a change back."""
+        with self.core.lock:
+            verdict = self.ledger.withdraw(id)
+            self.core.tally(f"changes_{verdict.ruling.value}")
+            return verdict
+
+    def restore(self, entries: Iterable[tuple[Change, bool]]) -> None:
+        """Changes that an earlier life of this front made, in their order, and whether each was withdrawn."""
+        with self.core.lock:
+            for change, made in entries:
+                if made and change.id not in self.ledger.entries:
+                    self.ledger.put(change)
+                elif not made:
+                    self.ledger.withdraw(change.id)
+
+    def changes(self, title: str | None = None) -> list[Seen]:
+        """Every change, the oldest first, with how many players it has reached."""
+        with self.core.lock:
+            found = []
+            for entry in self.ledger.entries.values():
+                if title in (None, entry.change.target.title):
+                    found.append(self._seen(entry))
+            return found
+
+    def _seen(self, entry: Entry) -> Seen:
+        shown = ahead = 0
+        for id, player in self.players.items():
+            session = self.core.sessions[id]
+            if entry.change.target.meets(session.title, session.room, id):
+                here = any(item.change == entry.change.id for item in player.track.shown)
+                shown += here
+                first = entry.change.first(self.media[session.title])
+                ahead += not here and (first is None or first >= player.track.cursor.lesson)
+        return Seen(entry, shown, ahead)
+
+    # Players.
+
+    def listing(self, id: str) -> Listing | None:
+        """What a player's manifest names now; None where nothing plays or the title has no media."""
+        with self.core.lock:
+            session = self.core.sessions.get(id)
+            if session is None or session.stage is not Stage.PLAYING or session.title not in self.media:
+                return None
+            lesson, wall_us = self.media[session.title], self.core.clock.wall_us()
+            player = self.players.get(id)
+            if player is None:
+                player = self.players[id] = Player(tracks.begin(lesson, wall_us))
+            track = player.track
+            new = 0
+            # Twice after a restart: by the changes of the mark's time, then by those of now.
+            for _ in range(2):
+                at_version = track.replays()
+                view = self._view(session, track, wall_us, at_version)
+                version = self.ledger.version if at_version is None else at_version
+                new += track.extend(view, version)
+            if new:
+                self._mark(session, track)
+            shown, joints = track.window()
+            return Listing(shown, joints, track.ended, lesson.live, track.began_wall_us, self.media)
+
+    def _view(self, session: Session, track: Track, wall_us: int, at_version: int | None) -> Viewpoint:
+        changes = tuple(self.ledger.standing(session.title, at_version))
+        return Viewpoint(
+            self.media,
+            session.title,
+            session.room,
+            session.id,
+            changes,
+            session.rung,
+            session.floor,
+            wall_us,
+            track.began_wall_us,
+            self._playable,
+        )
+
+    def _playable(self, clip: str) -> bool:
+        return self.slate is not None or bool(self._holders(clip))
+
+    def _mark(self, session: Session, track: Track) -> None:
+        if session.home is not None and not session.adrift:
+            home = session.home
+            self.core.put_order(Order(home.box, session.id, home.join, None, marks.write(track)))
+
+    def adopt(self, session: Session, mark: str) -> None:
+        """A subscription of an earlier life goes on where its box says that it was."""
+        track = marks.read(mark)
+        if track is not None and session.title in self.media:
+            self.players[session.id] = Player(track)
+
+    def segment(self, id: str, seq: int) -> Fetch | None:
+        """Where a player fetches a segment that it was shown; None for one that it was not."""
+        with self.core.lock:
+            session, player = self.core.sessions.get(id), self.players.get(id)
+            if session is None or player is None:
+                return None
+            again = seq <= player.track.fetched
+            shown = player.track.fetch(seq)
+            if shown is None:
+                return None
+            tried = player.tried.setdefault(seq, [])
+            if not again:
+                tried.clear()
+            while len(player.tried) > tracks.KEPT:
+                del player.tried[next(iter(player.tried))]
+            return self._fetch(session, shown, tried)
+
+    def _fetch(self, session: Session, shown: Shown, tried: list[str]) -> Fetch:
+        title = session.title
+        offer = self._offer(session, shown)
+        if shown.media == title:
+            pick = stitching.pick_lesson(offer)
+        else:
+            pick = stitching.pick_clip(offer, tuple(tried))
+        self.core.tally(f"segments_{pick.source.name.lower()}")
+        if not pick.box:
+            return Fetch(pick.source)
+        if len(tried) < MOST_TRIED:
+            tried.append(pick.box)
+        name, rung, number, more = shown.media, shown.rung, shown.number, ""
+        if pick.source is Source.LOWER:
+            rung = self._lower(shown, session.floor)
+        elif pick.source is Source.SLATE:
+            name, number, more = self.slate or "", 0, f"&duration={float(shown.duration):.6f}"
+        join = session.home.join if session.home is not None else 0
+        query = f"subscription={session.id}&join={join}{more}"
+        return Fetch(pick.source, f"http://{pick.box}/media/{name}/{rung}/{number}.m4s?{query}")
+
+    def _lower(self, shown: Shown, floor: int) -> int:
+        under = [rung for rung in self.media[shown.media].rungs if floor <= rung < shown.rung]
+        return max(under, default=shown.rung)
+
+    def _offer(self, session: Session, shown: Shown) -> Offer:
+        home = None
+        if session.home is not None and not session.adrift:
+            server = self.core.front.servers.get(session.home.box)
+            if server is not None and server.standing is not Standing.LEFT:
+                home = session.home.box
+        if shown.media == session.title:
+            return Offer(home, True, (), (), None)
+        kb = session.rates_kb[shown.rung]
+        holders = self._holders(shown.media)
+        holds = any(server.address == home for server in holders)
+        lower = self._lower(shown, session.floor)
+        fewer = self._drawn(holders, session.rates_kb[lower]) if lower < shown.rung else []
+        slate: str | None = None
+        if self.slate is not None:
+            usable = [server.address for server in self._holders(self.slate)]
+            slate = home if home in usable else (usable[0] if usable else None)
+        return Offer(home, holds, self._drawn(holders, kb), fewer, slate)
+
+    def _holders(self, title: str) -> list[Server]:
+        """Boxes in service that hold a title and look well, by the module's own knowledge."""
+        front, (_, told) = self.core.front, self.core.titles[title]
+        cells = {(told.first_cell + i) % self.core.settings.fleet.cells for i in range(told.cells)}
+        return [
+            server
+            for cell in sorted(cells)
+            for server in front.holders.get(cell, ())
+            if server.standing is Standing.ACTIVE and front.is_well(server)
+        ]
+
+    def _drawn(self, holders: list[Server], kb: float) -> list[str]:
+        """The feasible ones, one drawn by the design's factors first."""
+        front = self.core.front
+        front.weigh(holders)
+        scored = [(server, *front.factors(server, kb)) for server in holders]
+        feasible = [row for row in scored if row[1] < float("inf") and row[2] < float("inf")]
+        if not feasible:
+            return []
+        first = front.draw(feasible)
+        return [first.address, *(row[0].address for row in feasible if row[0] is not first)]
+
+    def init(self, id: str, media: str, rung: int) -> Fetch | None:
+        """Where a player fetches the initialisation of a rendition that it was shown."""
+        with self.core.lock:
+            session, player = self.core.sessions.get(id), self.players.get(id)
+            if session is None or player is None:
+                return None
+            for shown in player.track.shown:
+                if shown.media == media and shown.rung == rung:
+                    offer = self._offer(session, shown)
+                    lesson = media == session.title
+                    pick = stitching.pick_lesson(offer) if lesson else stitching.pick_clip(offer, ())
+                    return Fetch(
+                        pick.source, f"http://{pick.box}/media/{media}/{rung}/init.mp4" if pick.box else ""
+                    )
+            return None
+
+    def over(self, session: Session) -> None:
+        """The subscription has ended."""
+        self.players.pop(session.id, None)
+
+
+__all__ = ["Fetch", "Ruling", "Seen", "StitchBook"]
--- /dev/null
+++ b/fennelcove/day/authors.py
@@ -0,0 +1,37 @@
+"""A day's author: sends the script's changes to the front, as anybody with a key would."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from fennelcove.clock import Clock
+from fennelcove.day.script import ChangeLine
+from fennelcove.standins.recorder import Recorder
+from fennelcove.standins.viewers import Player, Unanswered
+
+KEY = "a-key-for-scripted-days-only"
+
+
+def send(line: ChangeLine, number: int, address: Callable[[], str], clock: Clock, recorder: Recorder) -> None:
+    """Make or take back one change and write down what was answered."""
+    player = Player(address(), clock)
+    fields = [("Authorization", f"Bearer {KEY}"), ("Content-Type", "application/json")]
+    id = line.id or f"change-{number}"
+    try:
+        if line.kind == "remove":
+            heard = player.ask("DELETE", f"/v1/changes/{id}", fields, b"", 5.0)
+        else:
+            order = {"id": id, "kind": line.kind, "title": line.title}
+            order |= {
+                name: value
+                for name, value in (("clip", line.clip), ("at", line.at), ("until", line.until))
+                if value is not None
+            }
+            heard = player.ask("POST", "/v1/changes", fields, msgspec.json.encode(order), 5.0)
+        recorder.note("change", id=id, kind=line.kind, status=heard.status, reason=heard.body.get("reason"))
+    except Unanswered as error:
+        recorder.note("change", id=id, kind=line.kind, status=0, reason=error.how)
+    finally:
+        player.close()
--- a/fennelcove/day/judge.py
+++ b/fennelcove/day/judge.py
@@ -15,6 +15,7 @@
 # front's own.
 SLACK_US = 250_000
 PLAYS, THROTTLED = 201, 503
+SMOOTH = 7  # none of the six rules: what a day's script asks of its players' pictures
 
 
 class Broken(msgspec.Struct, frozen=True):
@@ -38,6 +39,10 @@
     hung_up: int
     not_taken: int
     lost: int
+    seams: int
+    moves: int
+    stalls: int
+    longest_stall_ms: float
     service: float
     service_floor: float
     broken: list[Broken]
@@ -339,6 +344,19 @@
 RULES = (_one_answer, _no_double, _drains, _cold, _terms, _budget)
 
 
+def _smooth(seen: _Seen, records: list[Record]) -> None:
+    """What a day may ask beside the rules: no stall past its limit, nothing listed and then denied."""
+    limit_ms = seen.terms.get("stall_limit_ms")
+    for record in records:
+        if record["what"] == "stall" and limit_ms is not None and record["ms"] > limit_ms:
+            where = "at a seam" if record["seam"] else "as it moved" if record["moved"] else "between"
+            seen.break_(
+                SMOOTH, record["t_us"], record["subscription"], f"stalled {record['ms']:.0f} ms {where}"
+            )
+        elif record["what"] in ("denied", "fell_off", "no_segment"):
+            seen.break_(SMOOTH, record["t_us"], record["subscription"], f"a listed segment: {record['what']}")
+
+
 def _service(seen: _Seen) -> float:
     """The benefit answered within the join objective over that asked for; further tries belong to the
     first."""
@@ -373,6 +391,11 @@
     for record in records:
         if record["what"] == "fell":
             seen.break_(4, record["t_us"], "", f"cold box {record['box']} fell over")
+    _smooth(seen, records)
+
+    def count(what: str) -> int:
+        return sum(1 for record in records if record["what"] == what)
+
     statuses = [answers[0].get("status") for answers in seen.answers.values()]
     silent = [silence["how"] for silence in seen.unanswered.values()]
     return Verdict(
@@ -384,6 +407,10 @@
         terminated=sum(1 for status in statuses if status not in (PLAYS, THROTTLED)),
         hung_up=silent.count("hung_up"),
         not_taken=silent.count("refused") + silent.count("reset"),
+        seams=count("seam"),
+        moves=count("other_box"),
+        stalls=count("stall"),
+        longest_stall_ms=max((record["ms"] for record in records if record["what"] == "stall"), default=0.0),
         lost=sum(1 for record in records if record["what"] == "lost"),
         service=round(_service(seen), 4),
         service_floor=seen.terms["service_floor"],
--- a/fennelcove/day/player.py
+++ b/fennelcove/day/player.py
@@ -12,11 +12,14 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import blake3
 import msgspec
 
 from fennelcove.clock import Clock, SystemClock
 from fennelcove.day.rig import Rig
-from fennelcove.day.script import Crowd, Day, Trouble
+from fennelcove.day import authors
+from fennelcove.day.script import ChangeLine, Crowd, Day, Trouble
+from fennelcove.settings.schema import Author
 from fennelcove.settings.writer import write
 from fennelcove.standins.recorder import Record, Recorder
 from fennelcove.standins.viewers import Habits, Player, StandInViewer, Unanswered
@@ -39,6 +42,7 @@
         self.recorder = recorder
         self.config = folder / "front.sexp"
         self.log = folder / "front.log"
+        self.ledger = folder / "ledger"
         self.address = "127.0.0.1:0"
         self.process: subprocess.Popen[bytes] | None = None
 
@@ -53,6 +57,11 @@
             listen=self.address,
             seed=self.seed,
             lists=msgspec.structs.replace(self.day.front.lists, address=self.lists),
+            stitch=msgspec.structs.replace(
+                self.day.front.stitch,
+                authors=[Author(name="author", key_hash=blake3.blake3(authors.KEY.encode()).hexdigest())],
+                ledger=str(self.ledger),
+            ),
         )
         self.config.write_text(write(front), "utf-8")
         command = [sys.executable, "-m", "fennelcove", "front", str(self.config), "--log-level", "debug"]
@@ -140,6 +149,13 @@
         )
 
 
+def _player() -> type[StandInViewer]:
+    """Players need a manifest parser of the development tools; other days do without."""
+    from fennelcove.standins.players import StandInPlayer
+
+    return StandInPlayer
+
+
 class DayPlayer:
     """Plays one day and hands back its recording."""
 
@@ -184,11 +200,14 @@
                 if len(self.viewers) >= MOST_VIEWERS:
                     break
                 name = f"v{number}-{len(self.viewers)}"
-                viewer = StandInViewer(
+                kind = _player() if crowd.plays else StandInViewer
+                viewer = kind(
                     name, habits, lambda: front.address, self.clock, self.recorder, rig.share_of, self.leaving
                 )
                 self.viewers.append(viewer)
                 due.append(_Due(at_s, viewer.thread.start))
+        for number, line in enumerate(self.day.changes):
+            due.append(_Due(line.at_s, lambda line=line, number=number: self._change(line, number, front)))  # type: ignore[misc]
         for trouble in self.day.troubles:
             due += self._trouble(trouble, rig, front, restarts)
         return sorted(due, key=lambda item: item.at_s)
@@ -211,6 +230,9 @@
         if trouble.for_s:
             yield _Due(trouble.at_s + trouble.for_s, lambda: rig.switch(trouble, False))
 
+    def _change(self, line: ChangeLine, number: int, front: FrontProcess) -> None:
+        authors.send(line, number, lambda: front.address, self.clock, self.recorder)
+
     def _run(self, due: list[_Due]) -> None:
         began_us = self.clock.now_us()
         for item in due:
@@ -226,6 +248,7 @@
     return {
         "day": day.name,
         "service_floor": day.service_floor,
+        "stall_limit_ms": day.stall_limit_ms,
         "fronts": front.instance.fronts,
         "drain_grace_ms": front.rules.drain_grace_ms,
         "ramp_ms": front.rules.ramp_ms,
--- a/fennelcove/day/script.py
+++ b/fennelcove/day/script.py
@@ -67,6 +67,19 @@
     hang_up: Share = 0.0
     vanish: Share = 0.0
     top_kbit: SomeCount | None = None
+    plays: bool = False  # reads manifests and fetches segments
+
+
+class ChangeLine(Strict, frozen=True, kw_only=True):
+    """A change that the day's author makes, or takes back."""
+
+    at_s: Seconds
+    kind: Literal["insert", "replace", "cut", "remove"]
+    id: Name | None = None
+    title: Name = "-"
+    clip: Name | None = None
+    at: str | None = None
+    until: str | None = None
 
 
 class Trouble(Strict, frozen=True, kw_only=True):
@@ -101,6 +114,8 @@
     boxes: Annotated[list[BoxLine], Meta(min_length=1, max_length=200)]
     crowds: Annotated[list[Crowd], Meta(min_length=1, max_length=50)]
     troubles: list[Trouble] = field(default_factory=list)
+    changes: list[ChangeLine] = field(default_factory=list)
+    stall_limit_ms: Figure | None = None
 
 
 def names() -> list[str]:
--- a/fennelcove/decisions/commands.py
+++ b/fennelcove/decisions/commands.py
@@ -16,22 +16,32 @@
 CARRY_OUT_US = 1_000_000  # a box that needs longer for an order is tried again later
 
 
+Key = tuple[str, int, bool]
+
+
 @dataclass(slots=True, eq=False)
 class Order:
-    """What one box is to do for one subscription's join; rung None is a release."""
+    """What one box is to do for one subscription's join: keep a mark, play a rung, or with neither release
+    it."""
 
     box: str
     id: str
     join: int
     rung: int | None
+    mark: str | None = None
     tries: int = 0
 
+    @property
+    def key(self) -> Key:
+        """Of two orders with one key the later counts."""
+        return self.id, self.join, self.mark is not None
+
 
 @dataclass(slots=True, eq=False)
 class Line:
     """One box's orders, the oldest first."""
 
-    orders: OrderedDict[tuple[str, int], Order] = field(default_factory=OrderedDict)
+    orders: OrderedDict[Key, Order] = field(default_factory=OrderedDict)
     busy: bool = False
     not_before_us: int = 0
     failures: int = 0
@@ -54,20 +64,22 @@
         names.
         """
         line = self.lines.setdefault(order.box, Line())
-        key = (order.id, order.join)
-        held = line.orders.get(key)
+        held = line.orders.get(order.key)
         if held is not None:
-            if held.rung is not None:
+            if order.mark is not None:
+                held.mark, held.tries = order.mark, 0
+            elif held.rung is not None:
                 held.rung, held.tries = order.rung, 0
             return
-        line.orders[key] = order
+        line.orders[order.key] = order
         self.count += 1
         if self.count > self.most:
             self._drop_one()
 
     def _drop_one(self) -> None:
         line = max(self.lines.values(), key=lambda line: len(line.orders))
-        victim = next((key for key, order in line.orders.items() if order.rung is not None), None)
+        mild = (key for key, order in line.orders.items() if order.rung is not None or order.mark is not None)
+        victim = next(mild, None)
         line.orders.pop(victim if victim is not None else next(iter(line.orders)))
         self.count -= 1
         self.dropped += 1
@@ -100,10 +112,10 @@
         line.failures += 1
         line.not_before_us = now_us + min(MOST_PAUSE_US, FIRST_PAUSE_US * 2 ** min(line.failures - 1, 16))
         order.tries += 1
-        newer = (order.id, order.join) in line.orders
+        newer = order.key in line.orders
         if order.tries < MOST_TRIES and not newer:
-            line.orders[order.id, order.join] = order
-            line.orders.move_to_end((order.id, order.join), last=False)
+            line.orders[order.key] = order
+            line.orders.move_to_end(order.key, last=False)
             self.count += 1
         elif not newer:
             self.dropped += 1
--- a/fennelcove/decisions/tracks.py
+++ b/fennelcove/decisions/tracks.py
@@ -18,6 +18,7 @@
     3  # segments shown beyond the last one fetched: what a player needs to keep its buffer (RFC 8216, 6.3.3)
 )
 WINDOW = 6  # segments kept in manifests behind the last one fetched
+REPLAYED = 2 * AHEAD  # segments that may have been shown past a mark: one mark late, and one lost
 KEPT = 64  # segments that a late player may still fetch
 LIVE_BEHIND = 3  # target durations behind the edge at which a live player begins (RFC 8216, 6.3.3)
 
@@ -168,12 +169,25 @@
     joints_gone: int = 0
     ended: bool = False
     version: int = 0
+    # After a restart: the mark's next segment and the ledger's version then. What was shown past the mark is
+    # not known, but at most so many segments were, and under that version's changes they come out the same
+    # again.
+    replay: tuple[int, int] | None = None
+
+    def replays(self) -> int | None:
+        """The ledger's version by which the next segment must be chosen, where that is not the newest."""
+        if self.replay is None or self.cursor.seq >= self.replay[0] + REPLAYED:
+            return None
+        return self.replay[1]
 
     def extend(self, view: Viewpoint, version: int) -> int:
         """Show as far ahead as a player may fetch; how many segments are new."""
         count = 0
         self.version = version
+        replaying = self.replays()
         while not self.ended and self.cursor.seq <= self.fetched + AHEAD:
+            if replaying is not None and self.replays() is None:
+                break  # from here on the newest changes count: the caller comes again with them
             self.cursor, shown = advance(self.cursor, view)
             if shown is None:
                 lesson = view.media[view.title]
--- a/fennelcove/doors/http_door.py
+++ b/fennelcove/doors/http_door.py
@@ -13,7 +13,7 @@
 from fennelcove.decisions.admission import Entry
 from fennelcove.doors import answers
 from fennelcove.doors.connection import Connection, DoorLimits, Refuser, TooSlow
-from fennelcove.doors.routes import Routes
+from fennelcove.doors.routes import Keep, Routes
 from fennelcove.http1.messages import CodecLimits, ProtocolError
 from fennelcove.interface import Outcome
 from fennelcove.peers.joins import Joiner
@@ -35,6 +35,7 @@
         codec: CodecLimits,
         limits: DoorLimits,
         notice: Notices,
+        keep: Keep,
     ) -> None:
         self.core = core
         self.clock = clock
@@ -43,7 +44,7 @@
         self.codec = codec
         self.limits = limits
         self.notice = notice
-        self.routes = Routes(core, front)
+        self.routes = Routes(core, front, keep)
         self.closing = Latch()
         self.refuser = Refuser(clock)
         self.lock = threading.Lock()
--- /dev/null
+++ b/fennelcove/doors/lessons.py
@@ -0,0 +1,192 @@
+"""The session interface's second half: manifests and segments for players, changes for authors."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from datetime import UTC, datetime
+from fractions import Fraction
+
+import msgspec
+
+from fennelcove.core.core import Core
+from fennelcove.core.stitches import Fetch, Seen
+from fennelcove.decisions.hearing import KBIT, ViewerSays
+from fennelcove.decisions.seams import Refusal, Ruling, Verdict, seconds
+from fennelcove.decisions.stitching import Source
+from fennelcove.doors import answers
+from fennelcove.doors.answers import Reply
+from fennelcove.manifests import dash, hls
+from fennelcove.manifests.clockwork import iso
+from fennelcove.settings.schema import Author
+from fennelcove.timeline.model import Change, Kind, Target
+from fennelcove.wire.sessions import ChangeOrder, ChangeState, problem
+
+HLS = ("Content-Type", "application/vnd.apple.mpegurl")
+DASH = ("Content-Type", "application/dash+xml")
+FRESH = ("Cache-Control", "no-cache")
+MOVING_MS = 50.0  # a home is made within some milliseconds
+BUFFER_S = 2
+CONFLICTS = (Refusal.OVERLAPS, Refusal.ID_TAKEN)
+_ORDER: msgspec.json.Decoder[ChangeOrder] = msgspec.json.Decoder(ChangeOrder)
+_INIT = re.compile(r"([A-Za-z0-9._-]{1,64})/([0-9]{1,4})\.mp4")
+
+
+class Lessons:
+    """Answers for one front; `keep` writes a ruled change down before its author hears of it."""
+
+    def __init__(self, core: Core, front: str, keep: Callable[[Change, bool, int], None]) -> None:
+        self.core = core
+        self.front = front
+        self.keep = keep
+
+    # Players.
+
+    def manifest(self, id: str, name: str, says: ViewerSays) -> Reply | None:
+        """A manifest; None where nothing plays under this id."""
+        view = self.core.hear_viewer(id, says)
+        if view is None:
+            return None
+        listing = self.core.stitches.listing(id)
+        if listing is None:
+            return answers.fault("unknown-title", "this title has no media; ask its box")
+        kbit = {rung: round(kb * KBIT) for rung, kb in enumerate(self.core.sessions_rates(view.room))}
+        fields = [FRESH, *answers.hints(view, "", self.front, None)]
+        target = self.core.stitches.target
+        if name == "master.m3u8":
+            lesson = self.core.stitches.media[view.title]
+            text = hls.multivariant(max(kbit.values()) * 1000, kbit[view.rung] * 1000, lesson.codecs)
+            return Reply(200, [HLS, *fields], text.encode())
+        if name == "media.m3u8":
+            return Reply(200, [HLS, *fields], hls.media_playlist(listing, target).encode())
+        return Reply(200, [DASH, *fields], dash.manifest(listing, target, kbit, BUFFER_S).encode())
+
+    def segment(self, id: str, seq: int, says: ViewerSays) -> Reply | None:
+        """Where a segment is to be had; None where nothing plays under this id."""
+        view = self.core.hear_viewer(id, says)
+        if view is None:
+            return None
+        return self._sent(self.core.stitches.segment(id, seq), answers.hints(view, "", self.front, None))
+
+    def init(self, id: str, rest: str, says: ViewerSays) -> Reply | None:
+        """Where an initialisation is to be had."""
+        view = self.core.hear_viewer(id, says)
+        match = _INIT.fullmatch(rest)
+        if view is None:
+            return None
+        fetch = self.core.stitches.init(id, match[1], int(match[2])) if match is not None else None
+        return self._sent(fetch, answers.hints(view, "", self.front, None))
+
+    def _sent(self, fetch: Fetch | None, hints: list[tuple[str, str]]) -> Reply:
+        if fetch is None:
+            return answers.fault("not-shown")
+        if fetch.url:
+            return Reply(307, [("Location", fetch.url), FRESH, *hints])
+        if fetch.source is Source.WAIT:
+            details = problem("moving", retry_after_ms=MOVING_MS)
+            return Reply(503, [answers.PROBLEM_JSON, ("Retry-After", "1")], msgspec.json.encode(details))
+        return answers.fault("not-shown", "no box can serve it any more", status=404)
+
+    # Authors.
+
+    def author(self, authorization: str | None, changes: bool) -> Author | Reply:
+        """Who asks, or the answer to one who may not."""
+        scheme, _, key = (authorization or "").partition(" ")
+        author = self.core.stitches.author(key.strip()) if scheme.lower() == "bearer" and key else None
+        if author is None:
+            reply = answers.fault("no-key", "send Authorization: Bearer and an author's key")
+            reply.fields.append(("WWW-Authenticate", 'Bearer realm="changes"'))
+            return reply
+        if changes and not author.may_change:
+            return answers.fault("not-permitted", f"{author.name} may look and not change")
+        return author
+
+    def submit(self, author: Author, body: bytes) -> Reply:
+        """A change made, found made, or refused whole."""
+        try:
+            order = _ORDER.decode(body)
+            change = _change(order, author.name)
+        except (msgspec.MsgspecError, ValueError, ZeroDivisionError) as error:
+            return answers.fault("malformed", str(error))
+        verdict = self.core.stitches.submit(change)
+        if verdict.ruling is Ruling.REFUSED:
+            return _refused(verdict)
+        if verdict.ruling is Ruling.MADE:
+            self.keep(change, True, verdict.version)
+        state = ChangeState(id=change.id, state=verdict.ruling.value, version=verdict.version)
+        status = 201 if verdict.ruling is Ruling.MADE else 200
+        return Reply(
+            status, [answers.JSON, ("Location", f"/v1/changes/{change.id}")], msgspec.json.encode(state)
+        )
+
+    def withdraw(self, id: str) -> Reply:
+        """A change taken back, now or before."""
+        verdict = self.core.stitches.withdraw(id)
+        if verdict.ruling is Ruling.UNKNOWN:
+            return answers.fault("unknown-change", id[:80])
+        change = self.core.stitches.ledger.entries[id].change
+        self.keep(change, False, verdict.version)
+        state = ChangeState(id=id, state=verdict.ruling.value, version=verdict.version)
+        return Reply(200, [answers.JSON], msgspec.json.encode(state))
+
+    def changes(self, title: str | None, id: str | None = None) -> Reply:
+        """All changes, or one."""
+        found = self.core.stitches.changes(title)
+        if id is None:
+            return Reply(200, [answers.JSON], msgspec.json.encode([_state(seen) for seen in found]))
+        one = [seen for seen in found if seen.entry.change.id == id]
+        if not one:
+            return answers.fault("unknown-change", id[:80])
+        return Reply(200, [answers.JSON], msgspec.json.encode(_state(one[0])))
+
+
+def _change(order: ChangeOrder, author: str) -> Change:
+    wall_us = None
+    if order.wall is not None:
+        if order.wall.tzinfo is None:
+            raise ValueError("wall: a time needs its zone, such as Z")
+        since = order.wall - datetime(1970, 1, 1, tzinfo=UTC)
+        wall_us = (since.days * 86_400 + since.seconds) * 1_000_000 + since.microseconds
+    return Change(
+        order.id,
+        author,
+        Target(order.title, order.room_type, order.subscription),
+        Kind(order.kind),
+        order.clip,
+        None if order.at is None else seconds(order.at),
+        None if order.until is None else seconds(order.until),
+        wall_us,
+    )
+
+
+def _refused(verdict: Verdict) -> Reply:
+    assert verdict.refusal is not None
+    status = 409 if verdict.refusal in CONFLICTS else 422
+    details = msgspec.structs.replace(
+        problem("refused-change", verdict.cure, status), reason=verdict.refusal.value
+    )
+    return Reply(status, [answers.PROBLEM_JSON], msgspec.json.encode(details))
+
+
+def _time(at: Fraction | None) -> str | None:
+    return None if at is None else str(at)
+
+
+def _state(seen: Seen) -> ChangeState:
+    change, entry = seen.entry.change, seen.entry
+    return ChangeState(
+        id=change.id,
+        state="made" if entry.withdrawn is None else "withdrawn",
+        version=entry.version,
+        author=change.author,
+        kind=change.kind.value,
+        title=change.target.title,
+        room_type=change.target.room_type,
+        subscription=change.target.subscription,
+        clip=change.clip,
+        at=_time(change.at),
+        until=_time(change.until),
+        wall=None if change.wall_us is None else iso(change.wall_us),
+        players_shown=seen.shown,
+        players_ahead=seen.ahead,
+    )
--- a/fennelcove/doors/routes.py
+++ b/fennelcove/doors/routes.py
@@ -15,10 +15,14 @@
 from fennelcove.doors import answers
 from fennelcove.doors.answers import Reply
 from fennelcove.doors.connection import Received
+from fennelcove.doors.lessons import Lessons
 from fennelcove.hints import cmcd
 from fennelcove.hints.cmcd import Cmcd
+from fennelcove.settings.schema import Author
+from fennelcove.timeline.model import Change
 from fennelcove.wire.sessions import SetUp, TopRung
 
+Keep = Callable[[Change, bool, int], None]
 _ABSOLUTE = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
 _SETUP: msgspec.json.Decoder[SetUp] = msgspec.json.Decoder(SetUp)
 _TOP: msgspec.json.Decoder[TopRung] = msgspec.json.Decoder(TopRung)
@@ -30,6 +34,7 @@
 
     route: Route
     id: str
+    rest: str
     query: dict[str, str]
     received: Received
 
@@ -50,9 +55,10 @@
 class Routes:
     """Reads requests; set-ups come out as an Ask, everything else as a Reply."""
 
-    def __init__(self, core: Core, front: str) -> None:
+    def __init__(self, core: Core, front: str, keep: Keep) -> None:
         self.core = core
         self.front = front
+        self.lessons = Lessons(core, front, keep)
         self.hints_dropped = 0
 
     def take(self, received: Received) -> Reply | Ask:
@@ -69,8 +75,9 @@
                 continue
             if route.body and not _is_json(received):
                 return answers.fault("not-json", "send Content-Type: application/json")
-            id = match.groupdict().get("id") or ""
-            return route.handler(self, Asked(route, id, cmcd.query_arguments(query), received))
+            named = match.groupdict()
+            id, rest = named.get("id") or "", named.get("rest") or ""
+            return route.handler(self, Asked(route, id, rest, cmcd.query_arguments(query), received))
         if not methods:
             return answers.fault("unknown-path", path[:80])
         reply = answers.fault("wrong-method", f"{received.head.method} {path[:80]}")
@@ -126,6 +133,38 @@
             return Reply(204)
         return self._gone(asked.id)
 
+    def manifest(self, asked: Asked) -> Reply:
+        reply = self.lessons.manifest(asked.id, asked.rest, says(self.hints(asked)))
+        return reply or self._gone(asked.id)
+
+    def segment(self, asked: Asked) -> Reply:
+        reply = self.lessons.segment(asked.id, int(asked.rest), says(self.hints(asked)))
+        return reply or self._gone(asked.id)
+
+    def init(self, asked: Asked) -> Reply:
+        reply = self.lessons.init(asked.id, asked.rest, says(self.hints(asked)))
+        return reply or self._gone(asked.id)
+
+    def _author(self, asked: Asked, changes: bool) -> Author | Reply:
+        value = asked.received.head.get(b"authorization")
+        return self.lessons.author(None if value is None else value.decode("latin-1"), changes)
+
+    def submit_change(self, asked: Asked) -> Reply:
+        author = self._author(asked, True)
+        return author if isinstance(author, Reply) else self.lessons.submit(author, asked.received.body)
+
+    def withdraw_change(self, asked: Asked) -> Reply:
+        author = self._author(asked, True)
+        return author if isinstance(author, Reply) else self.lessons.withdraw(asked.rest)
+
+    def list_changes(self, asked: Asked) -> Reply:
+        author = self._author(asked, False)
+        return author if isinstance(author, Reply) else self.lessons.changes(asked.query.get("title"))
+
+    def show_change(self, asked: Asked) -> Reply:
+        author = self._author(asked, False)
+        return author if isinstance(author, Reply) else self.lessons.changes(None, asked.rest)
+
     def counts(self, asked: Asked) -> Reply:
         return Reply(200, [answers.JSON], msgspec.json.encode(self.core.status()))
 
@@ -145,11 +184,19 @@
 
 
 _ONE = r"/v1/subscriptions/(?P<id>[0-9a-f]{1,16}-[0-9a-f]{24})"
+_CHANGE = r"/v1/changes/(?P<rest>[A-Za-z0-9._-]{1,64})"
 ROUTES: tuple[Route, ...] = (
     Route("POST", re.compile("/v1/subscriptions"), Routes.set_up, True),
     Route("GET", re.compile(_ONE), Routes.state, False),
     Route("DELETE", re.compile(_ONE), Routes.release, False),
     Route("GET", re.compile(f"{_ONE}/rung"), Routes.rung, False),
     Route("PUT", re.compile(f"{_ONE}/rung"), Routes.set_top, True),
+    Route("GET", re.compile(f"{_ONE}/(?P<rest>master.m3u8|media.m3u8|manifest.mpd)"), Routes.manifest, False),
+    Route("GET", re.compile(f"{_ONE}/seg/(?P<rest>[0-9]{{1,9}})\\.m4s"), Routes.segment, False),
+    Route("GET", re.compile(f"{_ONE}/init/(?P<rest>.+)"), Routes.init, False),
+    Route("POST", re.compile("/v1/changes"), Routes.submit_change, True),
+    Route("GET", re.compile("/v1/changes"), Routes.list_changes, False),
+    Route("GET", re.compile(_CHANGE), Routes.show_change, False),
+    Route("DELETE", re.compile(_CHANGE), Routes.withdraw_change, False),
     Route("GET", re.compile("/v1/status"), Routes.counts, False),
 )
--- a/fennelcove/http1/writer.py
+++ b/fennelcove/http1/writer.py
@@ -14,6 +14,7 @@
     200: "OK",
     201: "Created",
     204: "No Content",
+    307: "Temporary Redirect",
     400: "Bad Request",
     401: "Unauthorized",
     403: "Forbidden",
--- a/fennelcove/log.py
+++ b/fennelcove/log.py
@@ -20,7 +20,9 @@
         "feeds_full",
         "list_call_failed",
         "list_refused",
+        "ledger_line_passed_over",
         "list_stream_broken",
+        "move_given_up",
     }
 )
 ERRORS = frozenset({"connection_failed", "subscription_failed", "timer_failed"})
--- a/fennelcove/peers/orders.py
+++ b/fennelcove/peers/orders.py
@@ -12,7 +12,7 @@
 from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead
 from fennelcove.peers.joins import READ_BYTES
 from fennelcove.peers.pool import Link, Pool, dial
-from fennelcove.wire.boxes import RungOrder, join_path
+from fennelcove.wire.boxes import Mark, RungOrder, join_path
 
 SENDERS = 4
 MOST_WAIT_S = 1.0
@@ -82,13 +82,16 @@
 
     def _exchange(self, link: Link, order: Order) -> bool:
         path = join_path(order.id, order.join)
-        if order.rung is None:
+        fields = [("Content-Type", "application/json")]
+        if order.mark is not None:
+            body = msgspec.json.encode(Mark(order.mark))
+            raw = writer.request("PUT", f"{path}/mark", order.box, fields, body)
+        elif order.rung is None:
             raw = writer.request("DELETE", path, order.box)
         else:
             session = self.core.sessions.get(order.id)
             rate_kb = session.rates_kb[order.rung] if session is not None else 0.0
             body = msgspec.json.encode(RungOrder(order.rung, rate_kb))
-            fields = [("Content-Type", "application/json")]
             raw = writer.request("PUT", f"{path}/rung", order.box, fields, body)
         link.sock.settimeout(max(0.001, self._left_us() / 1e6))
         link.sock.sendall(raw)
--- a/fennelcove/program/front.py
+++ b/fennelcove/program/front.py
@@ -23,6 +23,7 @@
 from fennelcove.peers.movers import MoverThreads
 from fennelcove.peers.orders import OrderSenders
 from fennelcove.peers.pool import Pool
+from fennelcove.program.ledger_file import LedgerFile
 from fennelcove.settings.schema import FrontSettings
 
 SWEEP_US = 250_000
@@ -42,6 +43,8 @@
         codec = CodecLimits(limits.head_bytes, limits.head_count, limits.body_bytes)
         self.timers = Timers(self.clock, lambda error: notice("timer_failed", reason=repr(error)))
         self.core = Core(settings, self.clock, self.timers, notice, names)
+        self.ledger = LedgerFile(settings.stitch.ledger, notice)
+        self.core.stitches.restore(self.ledger.load())
         self.halt = Latch()
         self.pool = Pool(self.clock, limits.box_connections, round(limits.idle_ms * 1000))
         self.hints = HintReader()
@@ -72,6 +75,7 @@
             codec,
             DoorLimits(*times),
             notice,
+            self.ledger.keep,
         )
         self.timekeeper = threading.Thread(target=self.timers.run, name="timers")
         self.stopping = Stopping(round(limits.stop_ms * 1000))
--- /dev/null
+++ b/fennelcove/program/ledger_file.py
@@ -0,0 +1,120 @@
+"""The changes made, on disk: one line each with its own hash, written through before an author hears of it.
+
+A line that was cut short by a crash, or whose hash does not fit, is passed over and told; the rest stands.
+"""
+
+from __future__ import annotations
+
+import os
+import threading
+from fractions import Fraction
+from pathlib import Path
+
+import blake3
+import msgspec
+from msgspec import Struct
+
+from fennelcove.core.verdicts import Notices
+from fennelcove.timeline.model import Change, Kind, Target
+
+
+class _Line(Struct, frozen=True, kw_only=True):
+    version: int
+    made: bool
+    id: str
+    author: str
+    title: str
+    room_type: str | None
+    subscription: str | None
+    kind: str
+    clip: str | None
+    at: str | None
+    until: str | None
+    wall_us: int | None
+
+
+_DECODER: msgspec.json.Decoder[_Line] = msgspec.json.Decoder(_Line)
+
+
+def _text(at: Fraction | None) -> str | None:
+    return None if at is None else str(at)
+
+
+def _fraction(text: str | None) -> Fraction | None:
+    return None if text is None else Fraction(text)
+
+
+class LedgerFile:
+    """One file; without a path nothing is kept."""
+
+    def __init__(self, path: str | None, notice: Notices) -> None:
+        self.path = Path(path) if path is not None else None
+        self.notice = notice
+        self.lock = threading.Lock()
+
+    def load(self) -> list[tuple[Change, bool]]:
+        """Every change and withdrawal in the order of the ledger's versions."""
+        if self.path is None or not self.path.exists():
+            return []
+        lines = []
+        for number, raw in enumerate(self.path.read_bytes().split(b"\n"), 1):
+            if not raw:
+                continue
+            mark, _, body = raw.partition(b" ")
+            try:
+                if mark.decode("ascii", "replace") != blake3.blake3(body).hexdigest()[:16]:
+                    raise ValueError("its hash does not fit")
+                lines.append(_DECODER.decode(body))
+            except (msgspec.MsgspecError, ValueError) as error:
+                self.notice("ledger_line_passed_over", file=str(self.path), line=number, reason=str(error))
+        return [(_change(line), line.made) for line in sorted(lines, key=lambda line: line.version)]
+
+    def keep(self, change: Change, made: bool, version: int) -> None:
+        """Write one step through to the disk.
+
+        Raises:
+            OSError: it could not be written; the change is in force and will not outlive this process.
+        """
+        if self.path is None:
+            return
+        target = change.target
+        line = _Line(
+            version=version,
+            made=made,
+            id=change.id,
+            author=change.author,
+            title=target.title,
+            room_type=target.room_type,
+            subscription=target.subscription,
+            kind=change.kind.value,
+            clip=change.clip,
+            at=_text(change.at),
+            until=_text(change.until),
+            wall_us=change.wall_us,
+        )
+        body = msgspec.json.encode(line)
+        with self.lock, self.path.open("ab") as file:
+            if file.tell() and not self._ends_whole():
+                file.write(b"\n")  # a line cut short must not swallow the next one
+            file.write(blake3.blake3(body).hexdigest()[:16].encode() + b" " + body + b"\n")
+            file.flush()
+            os.fsync(file.fileno())
+
+    def _ends_whole(self) -> bool:
+        assert self.path is not None
+        with self.path.open("rb") as file:
+            file.seek(-1, os.SEEK_END)
+            return file.read(1) == b"\n"
+
+
+def _change(line: _Line) -> Change:
+    return Change(
+        line.id,
+        line.author,
+        Target(line.title, line.room_type, line.subscription),
+        Kind(line.kind),
+        line.clip,
+        _fraction(line.at),
+        _fraction(line.until),
+        line.wall_us,
+    )
--- a/fennelcove/standins/box.py
+++ b/fennelcove/standins/box.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 from urllib.parse import parse_qs
 
@@ -25,6 +26,7 @@
     Held,
     Hello,
     JoinOrder,
+    Mark,
     Report,
     RungOrder,
 )
@@ -34,6 +36,7 @@
 JSON = ("Content-Type", "application/json")
 MOST_HANG_S = 30.0
 _ORDER: msgspec.json.Decoder[JoinOrder] = msgspec.json.Decoder(JoinOrder)
+_MARK: msgspec.json.Decoder[Mark] = msgspec.json.Decoder(Mark)
 _RUNG: msgspec.json.Decoder[RungOrder] = msgspec.json.Decoder(RungOrder)
 
 
@@ -68,6 +71,8 @@
         self.lock = threading.Lock()
         self.changed = threading.Condition(self.lock)
         self.holders: dict[tuple[str, int], JoinOrder] = {}
+        self.marks: dict[tuple[str, int], str] = {}
+        self.holds: Callable[[str], bool] = lambda title: True
         self.stopped = False
         self.server = StandInServer(self._handle, f"box-{name}")
         self.address = self.server.address
@@ -133,9 +138,15 @@
             if self.faults.hang:
                 peer.wait_closed(MOST_HANG_S)
                 return False
+            if head.method == "PUT" and parts[-1] == "mark":
+                with self.lock:
+                    self.marks[key] = _MARK.decode(body).mark
+                return peer.send(self._reply(204))
             if head.method == "PUT":
                 return self._rung(key, _RUNG.decode(body), peer)
             return self._release(key, peer)
+        if parts[0] == "media" and len(parts) == 4:
+            return self._media(parts, parse_qs(query), peer)
         if path == "/v1/feed":
             self._feed(parse_qs(query).get("front", [""])[0], peer)
             return False
@@ -205,9 +216,29 @@
         with self.lock:
             held = self.model.playing.pop(key, None) is not None
             self.holders.pop(key, None)
+            self.marks.pop(key, None)
         self.recorder.note("released", box=self.address, subscription=key[0], join=key[1], held=held)
         return peer.send(self._reply(204))
 
+    def _media(self, parts: list[str], query: dict[str, list[str]], peer: Peer) -> bool:
+        """A segment or an initialisation: a few bytes that stand for it."""
+        _, title, rung, name = parts
+        told = {"box": self.address, "media": title, "rung": int(rung), "name": name}
+        subscription = query.get("subscription", [""])[0]
+        held = self.holds(title)
+        self.recorder.note("media", **told, subscription=subscription, held=held)
+        if self.faults.hang:
+            peer.wait_closed(MOST_HANG_S)
+            return False
+        if self.faults.slow_ms:
+            peer.wait_closed(self.faults.slow_ms / 1000)
+        if self.faults.half:
+            peer.send(self._reply(200, b"x" * 64)[:-32])
+            return False
+        if self.faults.errors or not held:
+            return peer.send(self._reply(500 if held else 404))
+        return peer.send(self._reply(200, f"{title}/{rung}/{name}".encode()))
+
     def end(self, key: tuple[str, int]) -> None:
         """A player is gone: its box notices and says so on the feeds."""
         with self.changed:
@@ -225,7 +256,10 @@
             held = [(*key, self.holders[key]) for key in sorted(known)]
             hello = Hello(
                 f"{self.name}-{self.lives}",
-                [Held(id, join, order.title, order.room_type, order.rung) for id, join, order in held],
+                [
+                    Held(id, join, order.title, order.room_type, order.rung, self.marks.get((id, join), ""))
+                    for id, join, order in held
+                ],
             )
         if not peer.send(writer.stream_head(200, [("Content-Type", "text/event-stream")])):
             return
--- /dev/null
+++ b/fennelcove/standins/players.py
@@ -0,0 +1,148 @@
+"""Stand-in players: viewers that read HLS manifests with a parser that is not ours, fetch, buffer, and note
+stalls."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import m3u8
+
+from fennelcove.http1.messages import ResponseHead
+from fennelcove.standins.viewers import Heard, Player, StandInViewer, Unanswered
+
+START_SEGMENTS = 2
+BUFFER_S = 1.2
+MOST_TRIES = 40
+PAUSE_S = 0.05
+
+
+class StandInPlayer(StandInViewer):
+    """A viewer that plays what its manifests say, in real time."""
+
+    def _watch(self, player: Player, fields: dict[str, Any]) -> None:
+        self.told = {"viewer": self.name, "subscription": fields["id"]}
+        self.path = f"/v1/subscriptions/{fields['id']}"
+        self.front = player
+        self.boxes: dict[str, Player] = {}
+        self.next_seq = 0
+        self.fetched: list[float] = []
+        self.play_end_us = 0
+        self.seams = 0
+        self.last_box = ""
+        ended = False
+        until_us = self.clock.now_us() + round(self.habits.watch_s * 1e6)
+        try:
+            while not ended and self.clock.now_us() < until_us and not self.leaving.is_set():
+                ended = self._round()
+        finally:
+            for box in self.boxes.values():
+                box.close()
+        self.recorder.note("played", **self.told, segments=self.next_seq, seams=self.seams, ended=ended)
+        if not self.lost and not self.habits.vanishes:
+            self.recorder.note("releases", **self.told)
+            self._ask("DELETE", self.path)
+
+    lost = False
+
+    def _ask(self, method: str, path: str, fields: list[tuple[str, str]] | None = None) -> Heard | None:
+        try:
+            return self.front.ask(method, path, fields or [], b"", 2.0)
+        except Unanswered as error:
+            self.recorder.note("poll_unanswered", **self.told, how=error.how)
+            self.front = Player(self.address(), self.clock)
+            self.leaving.wait(PAUSE_S)
+            return None
+
+    def _round(self) -> bool:
+        """One manifest and what is new in it; whether the lesson is over."""
+        heard = self._ask("GET", f"{self.path}/media.m3u8", self.hints())
+        if heard is None:
+            return False
+        if heard.status != 200:
+            self.recorder.note("lost", **self.told, status=heard.status, detail=heard.body.get("detail"))
+            self.lost = True
+            return True
+        listed = m3u8.loads(heard.text)
+        first = listed.media_sequence or 0
+        if first > self.next_seq:
+            self.recorder.note("fell_off", **self.told, first=first, wanted=self.next_seq)
+            self.next_seq = first
+        for i, segment in enumerate(listed.segments):
+            if first + i == self.next_seq and not self._segment(segment):
+                return True
+        over = listed.is_endlist and self.next_seq == first + len(listed.segments)
+        if not over and not listed.segments[self.next_seq - first :]:
+            self.leaving.wait(PAUSE_S)
+        return bool(over)
+
+    def _segment(self, segment: Any) -> bool:
+        """Fetch one segment when the buffer has room for it; False where it can't be had."""
+        ahead_s = (self.play_end_us - self.clock.now_us()) / 1e6 if self.play_end_us else 0.0
+        if ahead_s > BUFFER_S:
+            self.leaving.wait(ahead_s - BUFFER_S)
+        for attempt in range(MOST_TRIES):
+            if self.leaving.is_set():
+                return False
+            box = self._fetch(segment.uri)
+            if box:
+                self._played(segment, box, attempt)
+                return True
+            if self.lost:
+                return False
+            self.leaving.wait(PAUSE_S)
+        self.recorder.note("no_segment", **self.told, seq=self.next_seq)
+        return False
+
+    def _fetch(self, uri: str) -> str:
+        """The box that served it whole; nothing where it must be tried again."""
+        heard = self._ask("GET", f"{self.path}/{uri}", self.hints())
+        if heard is None:
+            return ""
+        if heard.status in (404, 410):
+            self.recorder.note(
+                "denied", **self.told, uri=uri, status=heard.status, detail=heard.body.get("detail")
+            )
+            self.lost = True
+            return ""
+        if heard.status != 307:
+            return ""
+        where = (heard.head.get(b"location") or b"").decode().removeprefix("http://")
+        address, _, path = where.partition("/")
+        box = self.boxes.setdefault(address, Player(address, self.clock))
+        try:
+            got = box.ask("GET", f"/{path}", [], b"", 1.0)
+        except Unanswered:
+            return ""
+        assert isinstance(got.head, ResponseHead)
+        return address if got.status == 200 else ""
+
+    def _played(self, segment: Any, box: str, attempt: int) -> None:
+        now_us, seam = self.clock.now_us(), bool(segment.discontinuity)
+        moved = bool(self.last_box) and box != self.last_box
+        self.fetched.append(segment.duration)
+        length_us = round(segment.duration * 1e6)
+        if len(self.fetched) < START_SEGMENTS:
+            pass
+        elif not self.play_end_us:
+            self.play_end_us = now_us + round(sum(self.fetched) * 1e6)
+        elif now_us > self.play_end_us:
+            late_ms = (now_us - self.play_end_us) / 1000
+            self.recorder.note(
+                "stall",
+                **self.told,
+                seq=self.next_seq,
+                ms=round(late_ms, 1),
+                seam=seam,
+                moved=moved,
+                tries=attempt,
+            )
+            self.play_end_us = now_us + length_us
+        else:
+            self.play_end_us += length_us
+        if seam:
+            self.seams += 1
+            self.recorder.note("seam", **self.told, seq=self.next_seq, box=box)
+        if moved:
+            self.recorder.note("other_box", **self.told, seq=self.next_seq, box=box, was=self.last_box)
+        self.last_box = box
+        self.next_seq += 1
--- a/fennelcove/standins/viewers.py
+++ b/fennelcove/standins/viewers.py
@@ -46,6 +46,7 @@
     status: int
     head: ResponseHead
     body: dict[str, Any]
+    text: str = ""
 
 
 class Unanswered(Exception):
@@ -112,7 +113,8 @@
             tree = msgspec.json.decode(whole.body) if whole.body else {}
         except msgspec.DecodeError:
             tree = {}
-        return Heard(whole.head.status, whole.head, tree if isinstance(tree, dict) else {})
+        text = whole.body.decode("utf-8", "replace")
+        return Heard(whole.head.status, whole.head, tree if isinstance(tree, dict) else {}, text)
 
     def stray(self) -> bool:
         """Whether more came than was asked for."""
--- a/fennelcove/wire/boxes.py
+++ b/fennelcove/wire/boxes.py
@@ -2,6 +2,8 @@
 
     PUT    /v1/joins/{subscription}/{join}        set up; 201 plays, 503 of type turned-away never ran
     PUT    /v1/joins/{subscription}/{join}/rung   change the rung; 204
+    PUT    /v1/joins/{subscription}/{join}/mark   keep a text for the front; 204
+    GET    /media/{title}/{rung}/{number}.m4s     a segment, for players; init.mp4 in place of the number
     DELETE /v1/joins/{subscription}/{join}        release; 204, also where nothing is held
     GET    /v1/feed?front={name}                  text/event-stream of hello, report and ended
 
@@ -40,6 +42,14 @@
     title: str
     room_type: str
     rung: int
+    mark: str = ""
+
+
+class Mark(Struct, frozen=True):
+    """The body of `PUT /v1/joins/{subscription}/{join}/mark`: a text that the box keeps and names in its
+    greeting."""
+
+    mark: str
 
 
 class Ended(Struct, frozen=True):
--- a/fennelcove/wire/sessions.py
+++ b/fennelcove/wire/sessions.py
@@ -3,7 +3,8 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any
+from datetime import datetime
+from typing import Annotated, Any, Literal
 
 from msgspec import UNSET, Meta, Struct, UnsetType
 
@@ -58,6 +59,7 @@
     instance: str = ""
     retry_after_ms: float | None = None
     may_have_run: bool | None = None
+    reason: str | None = None
 
 
 KINDS: dict[str, tuple[int, str]] = {
@@ -72,6 +74,12 @@
     "wrong-method": (405, "Not by this method"),
     "not-json": (415, "The body must be application/json"),
     "too-slow": (408, "The request came too slowly"),
+    "no-key": (401, "A key is needed"),
+    "not-permitted": (403, "This key does not permit it"),
+    "unknown-change": (404, "No such change"),
+    "refused-change": (422, "The change can't be made"),
+    "not-shown": (404, "The player was not shown this"),
+    "moving": (503, "Its box is being changed; ask again at once"),
     "failed": (500, "This front failed to answer properly"),
 }
 
@@ -95,3 +103,37 @@
         retry_after_ms=retry_after_ms,
         may_have_run=may_have_run,
     )
+
+
+class ChangeOrder(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """`POST /v1/changes`: an author's change. Times as `12.5`, `37/3` or `1:02:03.25`; `wall` as RFC 3339."""
+
+    id: Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
+    kind: Literal["insert", "replace", "cut"]
+    title: Annotated[str, Meta(min_length=1, max_length=64)]
+    room_type: Annotated[str, Meta(max_length=64)] | None = None
+    subscription: Annotated[str, Meta(max_length=64)] | None = None
+    clip: Annotated[str, Meta(max_length=64)] | None = None
+    at: Annotated[str, Meta(max_length=40)] | None = None
+    until: Annotated[str, Meta(max_length=40)] | None = None
+    wall: datetime | None = None
+
+
+class ChangeState(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """One change as it stands: `made`, `stands` (told again) or `withdrawn`; how many players it has
+    reached."""
+
+    id: str
+    state: str
+    version: int
+    author: str = ""
+    kind: str = ""
+    title: str = ""
+    room_type: str | None = None
+    subscription: str | None = None
+    clip: str | None = None
+    at: str | None = None
+    until: str | None = None
+    wall: str | None = None
+    players_shown: int = 0
+    players_ahead: int = 0
