--- a/fennelcove/core/moves.py
+++ b/fennelcove/core/moves.py
@@ -101,6 +101,10 @@
                     self.turns.finished()
 
     def _cue(self, session: Session, cue: Cue) -> None:
+        if not self.turns.at_once:
+            if cue is Cue.LOST:  # moves are switched off by the settings: what is lost has ended
+                self.core.cue(session, SessionCue.BOX_LOST)
+            return
         held = self.moves.get(session.id)
         if held is None:
             benefit = self.core.front.settings.rooms[session.room].benefit
--- a/fennelcove/settings/schema.py
+++ b/fennelcove/settings/schema.py
@@ -96,7 +96,7 @@
     authors: list[Author] = field(default_factory=list)
     slate: Name | None = None
     ledger: Annotated[str, Meta(max_length=1000)] | None = None
-    moves_at_once: Annotated[int, Meta(ge=1, le=64)] = 8
+    moves_at_once: Annotated[int, Meta(ge=0, le=64)] = 8
 
 
 class Fleet(Strict, frozen=True, kw_only=True):
--- a/fennelcove/standins/players.py
+++ b/fennelcove/standins/players.py
@@ -10,7 +10,7 @@
 from fennelcove.standins.viewers import Heard, Player, StandInViewer, Unanswered
 
 START_SEGMENTS = 2
-BUFFER_S = 1.2
+BUFFERED = 2.5  # segments that a player keeps ahead
 MOST_TRIES = 40
 PAUSE_S = 0.05
 
@@ -77,8 +77,9 @@
     def _segment(self, segment: Any) -> bool:
         """Fetch one segment when the buffer has room for it; False where it can't be had."""
         ahead_s = (self.play_end_us - self.clock.now_us()) / 1e6 if self.play_end_us else 0.0
-        if ahead_s > BUFFER_S:
-            self.leaving.wait(ahead_s - BUFFER_S)
+        room_s = BUFFERED * segment.duration
+        if ahead_s > room_s:
+            self.leaving.wait(ahead_s - room_s)
         for attempt in range(MOST_TRIES):
             if self.leaving.is_set():
                 return False
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""The same examples in every run: a verdict must not hang on chance. HYPOTHESIS_PROFILE=explore draws new ones."""
+"""The same examples in every run: a verdict must not hang on chance; HYPOTHESIS_PROFILE=explore draws new."""
 
 from __future__ import annotations
 
