A subscription whose box has left and that may not move ends, and says why

Its player asked for segments that nobody may name to it, and got 503 for ever. Staying is now for boxes that drain; once the list says that one has left, what can't move within the grace ends with 410.

--- a/fennelcove/core/moves.py
+++ b/fennelcove/core/moves.py
@@ -33,6 +33,7 @@
         self.turns = Turns(settings.stitch.moves_at_once, self.grace_us)
         self.moves: dict[str, Move] = {}
         self.drained: dict[str, int] = {}  # boxes told to drain or gone, and when
+        self.gone: set[str] = set()  # those of them that have left
         self.acts: dict[Act, Callable[[Session, Move], None]] = {
             Act.QUEUE: self._queue,
             Act.ASK_MODULE: self._ask_module,
@@ -56,11 +57,17 @@
             if server.standing is Standing.ACTIVE:
                 if self.drained.pop(address, None) is not None:
                     self._tell_box(address, Cue.CALM)
+                self.gone.discard(address)
+            elif server.standing is Standing.LEFT and address not in self.gone:
+                self.drained.setdefault(address, now_us)
+                self.gone.add(address)
+                self._tell_box(address, Cue.GONE)
             elif address not in self.drained:
                 self.drained[address] = now_us
                 self._tell_box(address, Cue.TOLD)
         for address in [address for address in self.drained if address not in servers]:
             del self.drained[address]
+            self.gone.discard(address)
 
     def _tell_box(self, address: str, cue: Cue) -> None:
         box = self.core.book.boxes.get(address)
@@ -219,5 +226,6 @@
         self.core.notice("move_given_up", subscription=session.id, box=session.box)
 
     def _end(self, session: Session, held: Move) -> None:
-        session.ended_because = "its box was lost, and no other had room"
+        what = "was lost" if held.lost else "has left"
+        session.ended_because = f"its box {what}, and no other may take it"
         self.core.cue(session, SessionCue.BOX_LOST)
--- a/fennelcove/decisions/move.py
+++ b/fennelcove/decisions/move.py
@@ -27,7 +27,8 @@
 class Cue(Enum):
     """What happens."""
 
-    TOLD = auto()  # the list: its box drains or has left
+    TOLD = auto()  # the list: its box drains
+    GONE = auto()  # the list: its box has left; no player may be sent there any more
     CALM = auto()  # the list: its box is in service again
     LOST = auto()  # its box is gone, with its play
     TURN = auto()
@@ -58,6 +59,9 @@
     # Asked first and told then: the module copies what plays before it forgets it. It is told in the same
     # instant, or it would take the box that comes back under its old address for a warm one.
     (Stage.SETTLED, Cue.LOST): (Stage.MAKING, (Act.ASK_MODULE, Act.TELL_LOST)),
+    (Stage.SETTLED, Cue.GONE): (Stage.DUE, (Act.QUEUE,)),
+    (Stage.DUE, Cue.GONE): (Stage.DUE, ()),
+    (Stage.MAKING, Cue.GONE): (Stage.MAKING, ()),
     (Stage.DUE, Cue.TURN): (Stage.MAKING, (Act.ASK_MODULE,)),
     (Stage.DUE, Cue.CALM): (Stage.SETTLED, ()),
     (Stage.DUE, Cue.LOST): (Stage.MAKING, (Act.ASK_MODULE, Act.TELL_LOST)),
@@ -88,6 +92,7 @@
     benefit: float
     stage: Stage = Stage.SETTLED
     lost: bool = False
+    gone: bool = False
     until_us: int = 0
     not_before_us: int = 0
     since_us: int = 0
@@ -98,11 +103,16 @@
         if row is None:
             return ()
         self.lost = self.lost or cue is Cue.LOST
+        self.gone = (self.gone or cue is Cue.GONE) and cue not in (Cue.MADE, Cue.CALM)
         self.stage, acts = row
         if self.lost and cue is Cue.REFUSED:
             # Nothing plays any more and there is no place: waiting would only look like playing.
             self.stage = Stage.OVER
             return (Act.END,)
+        if self.gone and cue is Cue.TIME:
+            # Staying would leave its player asking for segments that nobody may name to it.
+            self.stage = Stage.OVER
+            return (Act.END,)
         if cue is Cue.MADE:
             self.lost, self.until_us = False, 0
         return acts
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -390,6 +390,14 @@
         self.assertEqual(adrift.cue(move.Cue.MADE), ())
         self.assertFalse(move.may_rescue(Effect.SINGLE_SHOT))
 
+    def test_what_stays_ends_when_its_box_has_left_the_list(self) -> None:
+        # Its player would ask for ever for segments that nobody may name to it.
+        held = move.Move("a", 1.0)
+        for cue in (move.Cue.TOLD, move.Cue.TURN, move.Cue.REFUSED, move.Cue.TIME):
+            held.cue(cue)
+        self.assertEqual(held.cue(move.Cue.GONE), (move.Act.QUEUE,))
+        self.assertEqual(held.cue(move.Cue.TIME), (move.Act.END,))
+
     def test_turns_go_by_time_then_benefit_and_so_many_at_once(self) -> None:
         turns = move.Turns(2, 1000)
         moves = [move.Move(name, benefit) for name, benefit in (("low", 1.0), ("high", 3.0), ("mid", 2.0))]
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -249,6 +249,16 @@
         self.assertEqual(self.front.core.orders.count, 0)
         self.assertEqual(self.seen("released", subscription=id), [])
 
+    def test_a_single_shot_subscription_ends_when_its_box_leaves_the_list(self) -> None:
+        id = self.ask("once").body["id"]
+        self.drain(self.home(id), "left")
+        wait_for(lambda: id not in self.front.core.sessions, "its end")
+        gone = self.get(f"/v1/subscriptions/{id}")
+        self.assertEqual(
+            (gone.status, gone.body["detail"]), (410, "its box has left, and no other may take it")
+        )
+        self.assertEqual(len(self.seen("set_up", subscription=id)), 1)
+
     def test_a_subscription_released_while_its_move_is_out_leaves_nothing_at_either_box(self) -> None:
         id = self.ask().body["id"]
         old = self.home(id)
