--- a/fennelcove/cli/days.py
+++ b/fennelcove/cli/days.py
@@ -59,6 +59,8 @@
             f"{verdict.seams} seams crossed, {verdict.moves} changes of box, {verdict.stalls} stalls, "
             f"the longest {verdict.longest_stall_ms:.0f} ms"
         )
+    if verdict.settled_s is not None:
+        click.echo(f"refusals over a twentieth ended {verdict.settled_s:g} s after the last crowd")
     click.echo(f"service {verdict.service:.3f}, floor {verdict.service_floor:.3f}")
     for broken in verdict.broken[:50]:
         click.echo(
--- a/fennelcove/cli/serve.py
+++ b/fennelcove/cli/serve.py
@@ -13,6 +13,7 @@
 from fennelcove import log
 from fennelcove.clock import SystemClock
 from fennelcove.program.front import FrontProgram
+from fennelcove.program.key_file import KeyFileError
 from fennelcove.settings.checks import load_front
 from fennelcove.settings.reader import SettingsError, load
 from fennelcove.settings.schema import Name, SomeCount, SomeFigure, SomeMillis, Strict
@@ -63,6 +64,9 @@
     asked = _until_signal(hurry)
     try:
         program = FrontProgram(settings, notice)
+    except KeyFileError as error:
+        click.echo(f"fennelcove: {error}", err=True)
+        return USAGE
     except OSError as error:
         click.echo(
             f"fennelcove: {config}: listen: found {settings.listen} in use or barred ({error})", err=True
--- a/fennelcove/core/core.py
+++ b/fennelcove/core/core.py
@@ -17,6 +17,7 @@
 from fennelcove.core.moves import MoveBook
 from fennelcove.core.names import Names
 from fennelcove.core.stitches import StitchBook
+from fennelcove.core.storms import StormBook
 from fennelcove.core.timers import Timers
 from fennelcove.core.verdicts import (
     Answer,
@@ -112,6 +113,7 @@
         self.book = BoxBook(self)
         self.moves = MoveBook(self)
         self.stitches = StitchBook(self)
+        self.storms = StormBook(self)
 
     # What doors call.
 
@@ -152,6 +154,7 @@
                 "orders_waiting": self.orders.count,
                 "list_version": self.keeper.version,
                 "list_age_ms": None if age_us is None else age_us / 1000,
+                "storm": self.storms.status(),
                 "counts": dict(self.counts),
             }
 
@@ -189,6 +192,12 @@
                 self.gate.request_answered(0)
             if refusal is not None:
                 return None, refusal
+            damped = self.storms.before(ask, now_us)
+            if damped is not None:
+                self.gate.request_answered(0)
+                self.gate.subscription_ended()
+                self.tally("damped")
+                return None, damped
             session = Session(
                 self.names.next(),
                 ask.room,
@@ -200,6 +209,7 @@
                 now_us + work_us,
                 top=top,
             )
+            session.ask = ask
             self.sessions[session.id] = self.by_module[session.id] = session
             self.tally("requests")
             request = Request(session.id, ask.room, number, title.first_cell, title.cells, top, work_us)
@@ -241,6 +251,7 @@
                 # In the very instant in which the front's time is over, the give-up counts: it is the side on
                 # which the viewer surely still hears the answer.
                 cue = Cue.SERVED if now_us < session.give_up_us else Cue.SERVED_LATE
+            self.storms.join_over(session, out.box, outcome, now_us)
             counted = Outcome.NO_ANSWER if cue is Cue.SERVED_LATE else outcome
             session.end = JoinEnd(counted, says, took_us)
             session.box_may_hold = joins.may_need_release(outcome)
@@ -375,12 +386,14 @@
         session.out = place
         session.joins += 1
         self.tally("joins")
+        blocked = not self.storms.enter(server)
+        session.out_sent_us = -1 if blocked else self.clock.now_us()
         if session.home is not None:
-            self.moves.send(SendJoin(session, place.join, server, session.out_rung, allow_us))
+            self.moves.send(SendJoin(session, place.join, server, session.out_rung, allow_us, blocked))
             return
         left_us = session.give_up_us - self.clock.now_us()
         allow_us = max(1, min(allow_us, left_us))
-        session.step = SendJoin(session, place.join, server, session.out_rung, allow_us)
+        session.step = SendJoin(session, place.join, server, session.out_rung, allow_us, blocked)
         self.cue(session, Cue.JOIN)
 
     def set_rung(self, id: str, rung: int) -> None:
@@ -398,7 +411,7 @@
             self.moves.refused(session, id)
             return
         why = "no holder has room" if not session.joins else "no further holder may be tried"
-        session.step = Answered(Answer.THROTTLED, why, wait_us)
+        session.step = self.storms.refused(session, why, wait_us)
         self.cue(session, Cue.THROTTLE)
 
     def terminate(self, id: str) -> None:
--- a/fennelcove/core/moves.py
+++ b/fennelcove/core/moves.py
@@ -158,6 +158,7 @@
             session = step.session
             out = session.out
             self.core.tally(f"move_joins_{end.outcome.value}")
+            self.core.storms.join_over(session, step.box, end.outcome, self.core.clock.now_us())
             held = self.moves.get(session.id)
             mine = out is not None and out.join == step.join
             if held is None or not mine or held.stage is not move.Stage.MAKING:
--- /dev/null
+++ b/fennelcove/core/storms.py
@@ -0,0 +1,133 @@
+"""The core's part that sees storms, gives out places and bounds set-ups at boxes; the core's lock is round
+it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
+
+import blake3
+
+from fennelcove.core.verdicts import Answer, Answered, Ask, Session
+from fennelcove.decisions import places
+from fennelcove.decisions.counting import Counts
+from fennelcove.decisions.limits import Limits
+from fennelcove.decisions.places import Place, Queue, Ruling, Standing
+from fennelcove.decisions.storm import Sign, Weather
+from fennelcove.interface import Outcome
+
+if TYPE_CHECKING:
+    from fennelcove.core.core import Core
+
+MAC_BYTES = 16
+
+
+def mac(key: bytes) -> Callable[[bytes], bytes]:
+    """A keyed MAC of 16 bytes; the key has 32."""
+    return lambda data: blake3.blake3(data, key=key).digest(MAC_BYTES)
+
+
+class StormBook:
+    """One front's weather, its queue of places, its boxes' limits, and its keys, the newest first."""
+
+    def __init__(self, core: Core) -> None:
+        self.core = core
+        now_us = core.clock.now_us()
+        self.settings = core.settings.storm
+        self.weather = Weather(now_us)
+        self.queue = Queue(now_us)
+        self.limits = Limits()
+        own = core.names.key
+        self.clients = Counts(mac(blake3.blake3(b"clients", key=own).digest()), now_us)
+        self.tokens = Counts(mac(blake3.blake3(b"tokens", key=own).digest()), now_us)
+        self.macs = [mac(blake3.blake3(b"places", key=own).digest())]
+
+    def use_keys(self, keys: Sequence[bytes]) -> None:
+        """Keys that outlive this process; the first seals, all are known."""
+        if keys:
+            self.macs = [mac(key) for key in keys]
+
+    def before(self, ask: Ask, now_us: int) -> Answered | None:
+        """A viewer asks: the answer to give at once, or None where the module is to be asked."""
+        phase = self.weather.phase
+        self.weather.advance(now_us)
+        self.queue.probing = self.weather.sign in (Sign.CROWD, Sign.COOL)
+        self.queue.advance(now_us)
+        if self.weather.phase is not phase:
+            self.core.notice(
+                "storm_phase",
+                phase=self.weather.phase.name.lower(),
+                was=phase.name.lower(),
+                usual=round(self.weather.usual, 1),
+                pace=round(self.queue.pace, 1),
+            )
+        window = self.weather.window
+        window.asked += 1
+        tries = self.clients.add(ask.client, now_us) if ask.client else 1
+        who = self._standing(ask, ask.again or tries > 1, now_us)
+        window.again += who is not Standing.FIRST
+        self.core.tally(f"storm_{who.name.lower()}")
+        if not (self.settings.damping and self.weather.damped()):
+            window.let_in += 1
+            return None
+        ruling, paced = places.TABLE[who]
+        if ruling is Ruling.LET_IN and (not paced or self.queue.admit(who)):
+            window.let_in += 1
+            return None
+        if ruling is Ruling.KEEP_PLACE:
+            return self._kept(ask)
+        return self._place(ask, "many ask at once; this is your place", now_us)
+
+    def _standing(self, ask: Ask, again: bool, now_us: int) -> Standing:
+        place = places.unseal(ask.place, self.macs) if ask.place else None
+        asked = (ask.client, ask.title, ask.room)
+        who = places.standing(place, bool(ask.place), again, asked, self.core.clock.wall_us())
+        if who in (Standing.DUE, Standing.LATE) and self.tokens.add(ask.place or "", now_us) > 1:
+            return Standing.INVENTED  # one place, shown again: it has been used, or handed round
+        return who
+
+    def _kept(self, ask: Ask) -> Answered:
+        place = places.unseal(ask.place or "", self.macs)
+        assert place is not None
+        wall_us = self.core.clock.wall_us()
+        wait_us, latest_us = place.earliest_us - wall_us, place.latest_us - wall_us
+        return Answered(Answer.THROTTLED, "your place is not due yet", wait_us, latest_us, ask.place or "")
+
+    def _place(self, ask: Ask, why: str, now_us: int) -> Answered:
+        most_us = self.core.front.settings.retry_after_us
+        wait_us, latest_us = self.queue.promise(now_us, most_us, self.core.chance.random())
+        wall_us = self.core.clock.wall_us()
+        place = Place(ask.client, ask.title, ask.room, wall_us + wait_us, wall_us + latest_us)
+        return Answered(Answer.THROTTLED, why, wait_us, latest_us, places.seal(place, self.macs[0]))
+
+    def refused(self, session: Session, why: str, wait_us: int) -> Answered:
+        """The module throttles: with a place while a storm lasts, else as it says."""
+        self.weather.window.refused += 1
+        if session.ask is None or not (self.settings.damping and self.weather.damped()):
+            return Answered(Answer.THROTTLED, why, wait_us)
+        return self._place(session.ask, why, self.core.clock.now_us())
+
+    def enter(self, box: str) -> bool:
+        """Whether a box may have one more set-up under way; one that may is counted."""
+        if not self.settings.box_limits or self.limits.enter(box):
+            return True
+        self.core.tally("joins_held_back")
+        return False
+
+    def join_over(self, session: Session, box: str, outcome: Outcome, now_us: int) -> None:
+        """A set-up has ended."""
+        if session.out_sent_us >= 0:
+            self.limits.leave(box, outcome, session.out_sent_us, now_us)
+        session.out_sent_us = -1
+        self.queue.served += outcome is Outcome.SERVED
+
+    def status(self) -> dict[str, object]:
+        """Figures for an operator."""
+        weather = self.weather
+        return {
+            "phase": weather.phase.name.lower(),
+            "usual": round(weather.usual, 2),
+            "changes": weather.changes,
+            "pace": round(self.queue.pace, 2),
+            "sign": weather.sign.name.lower(),
+        }
--- a/fennelcove/core/verdicts.py
+++ b/fennelcove/core/verdicts.py
@@ -28,6 +28,9 @@
     stated_top: int | None = None
     client_timeout_us: int | None = None
     says: ViewerSays = field(default_factory=ViewerSays)
+    client: str = ""  # the viewer's own name for itself (CMCD sid)
+    again: bool = False  # it marks this as a further try
+    place: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +73,8 @@
     out_rung: int = 0
     adrift: bool = False  # its home is gone and another is being made
     moves: int = 0
+    out_sent_us: int = -1  # when the join that is out was sent; -1 for one that was not
+    ask: Ask | None = None
     end: JoinEnd | None = None
     box_may_hold: bool = False
     playing_since_us: int = 0
@@ -92,6 +97,7 @@
     box: str
     rung: int
     allow_us: int
+    blocked: bool = False  # the box has as many under way as it may: not to be sent
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +107,8 @@
     answer: Answer
     why: str
     wait_us: int = 0
+    latest_us: int = 0  # of a place: the end of its span
+    place: str = ""
 
 
 Step = SendJoin | Answered
--- a/fennelcove/day/judge.py
+++ b/fennelcove/day/judge.py
@@ -43,6 +43,7 @@
     moves: int
     stalls: int
     longest_stall_ms: float
+    settled_s: float | None = None
     service: float
     service_floor: float
     broken: list[Broken]
@@ -57,6 +58,7 @@
 class _Join:
     """One set-up as its box saw it; times in microseconds."""
 
+    front: str
     box: str
     number: int
     room: str
@@ -81,7 +83,8 @@
     boxes: dict[str, Record] = field(default_factory=dict)
     told: list[Record] = field(default_factory=list)
     starts: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
-    down: list[tuple[int, int]] = field(default_factory=list)  # when no front ran or one was ending
+    down: list[tuple[int, int]] = field(default_factory=list)  # when some front was down or ending
+    ports: dict[str, str] = field(default_factory=dict)
     kills: list[int] = field(default_factory=list)
     broken: list[Broken] = field(default_factory=list)
 
@@ -94,7 +97,7 @@
     if terms is None:
         raise ValueError("the recording holds no terms: nothing to judge it by")
     seen = _Seen(terms, {room["name"]: room for room in terms["room_types"]})
-    stopping: int | None = None
+    stopping: dict[str, int] = {}
     for record in records:
         what, t_us = record["what"], record["t_us"]
         if what == "asked":
@@ -112,21 +115,28 @@
         elif what == "set_up":
             seen.joins[record["subscription"]].append(
                 _Join(
-                    record["box"], record["join"], record["room_type"], record["title"], record["rung"], t_us
+                    record["front"],
+                    record["box"],
+                    record["join"],
+                    record["room_type"],
+                    record["title"],
+                    record["rung"],
+                    t_us,
                 )
             )
         elif what == "front_stopping":
-            stopping = t_us
+            stopping[record["front"]] = t_us
         elif what == "front_killed":
-            stopping = t_us
+            stopping[record["front"]] = t_us
             seen.kills.append(t_us)
-        elif what == "front_started" and stopping is not None:
-            seen.down.append((stopping - SLACK_US, t_us + SLACK_US))
-            stopping = None
+        elif what == "front_started" and record["front"] in stopping:
+            seen.down.append((stopping.pop(record["front"]) - SLACK_US, t_us + SLACK_US))
         else:
             _join_news(seen, record)
-    if stopping is not None:
-        seen.down.append((stopping - SLACK_US, records[-1]["t_us"] + SLACK_US))
+        if what == "front_started" and "address" in record:
+            seen.ports[record["front"]] = record["address"]
+    for since in stopping.values():
+        seen.down.append((since - SLACK_US, records[-1]["t_us"] + SLACK_US))
     return seen
 
 
@@ -301,19 +311,19 @@
 
 
 def _terms(seen: _Seen) -> None:
-    changes: dict[tuple[str, str], list[tuple[int, int, str]]] = defaultdict(list)
+    changes: dict[tuple[str, str, str], list[tuple[int, int, str]]] = defaultdict(list)
     for id, joins in seen.joins.items():
         for join in joins:
             room = seen.rooms[join.room]
             if join.rung < room["floor"]:
                 seen.break_(5, join.began, id, f"set up at rung {join.rung} under the floor")
             if room["seats"]:
-                changes[join.title, join.room].append((join.began, 1, id))
+                changes[join.front, join.title, join.room].append((join.began, 1, id))
                 end = join.ended if join.how == "started" else join.over
                 if end is not None:
                     # Seats come free at the front when it learns; counting from the box is the strict side.
-                    changes[join.title, join.room].append((end - SLACK_US, -1, id))
-    for (title, name), events in changes.items():
+                    changes[join.front, join.title, join.room].append((end - SLACK_US, -1, id))
+    for (_, title, name), events in changes.items():
         taken = 0
         for t, change, id in sorted(events):
             taken += change
@@ -329,16 +339,20 @@
     if free is None:
         return
     span_us = seen.terms["budget_span_ms"] * 1000
-    taken = sorted(asked["t_us"] for asked in seen.asked.values())
-    further = sorted(
-        (join.began, id) for id, joins in seen.joins.items() for join in joins if join.number > 0
-    )
-    for i, (t, id) in enumerate(further):
-        since = t - span_us
-        spent = sum(1 for other, _ in further[: i + 1] if other >= since + SLACK_US)
-        earned = free + seen.terms["budget_ratio"] * sum(1 for at in taken if since - SLACK_US <= at <= t)
-        if spent > earned:
-            seen.break_(6, t, id, f"{spent} further joins where {earned:.1f} were earned")
+    joins = [
+        (join.front, join.began, id) for id, found in seen.joins.items() for join in found if join.number > 0
+    ]
+    for front in sorted({name for name, _, _ in joins}):
+        # Which front a request reached is told by its port; a recording of one front need not tell.
+        port = seen.ports.get(front)
+        taken = sorted(a["t_us"] for a in seen.asked.values() if port is None or a.get("front") == port)
+        further = sorted((t, id) for name, t, id in joins if name == front)
+        for i, (t, id) in enumerate(further):
+            since = t - span_us
+            spent = sum(1 for other, _ in further[: i + 1] if other >= since + SLACK_US)
+            earned = free + seen.terms["budget_ratio"] * sum(1 for at in taken if since - SLACK_US <= at <= t)
+            if spent > earned:
+                seen.break_(6, t, id, f"{spent} further joins where {earned:.1f} were earned")
 
 
 RULES = (_one_answer, _no_double, _drains, _cold, _terms, _budget)
@@ -357,6 +371,25 @@
             seen.break_(SMOOTH, record["t_us"], record["subscription"], f"a listed segment: {record['what']}")
 
 
+def _settled(seen: _Seen, records: list[Record]) -> float | None:
+    """When the share of refusals was last over a twentieth in a second, in seconds after the last crowd
+    came."""
+    last = seen.terms.get("last_crowd_s")
+    if last is None:
+        return None
+    began_us = next((r["t_us"] for r in records if r["what"] == "front_started"), 0)
+    seconds: dict[int, list[bool]] = defaultdict(list)
+    for record in records:
+        if record["what"] == "answered":
+            seconds[(record["t_us"] - began_us) // 1_000_000].append(record["status"] == THROTTLED)
+    rough = [at for at, refused in seconds.items() if sum(refused) > max(1, len(refused) / 20)]
+    settled = max(0.0, float(max(rough, default=0) + 1 - last))
+    within = seen.terms.get("settle_within_s")
+    if within is not None and settled > within:
+        seen.break_(SMOOTH, began_us, "", f"refusals went on for {settled:g} s after the last crowd")
+    return settled
+
+
 def _service(seen: _Seen) -> float:
     """The benefit answered within the join objective over that asked for; further tries belong to the
     first."""
@@ -392,6 +425,7 @@
         if record["what"] == "fell":
             seen.break_(4, record["t_us"], "", f"cold box {record['box']} fell over")
     _smooth(seen, records)
+    settled = _settled(seen, records)
 
     def count(what: str) -> int:
         return sum(1 for record in records if record["what"] == what)
@@ -407,6 +441,7 @@
         terminated=sum(1 for status in statuses if status not in (PLAYS, THROTTLED)),
         hung_up=silent.count("hung_up"),
         not_taken=silent.count("refused") + silent.count("reset"),
+        settled_s=settled,
         seams=count("seam"),
         moves=count("other_box"),
         stalls=count("stall"),
--- a/fennelcove/day/player.py
+++ b/fennelcove/day/player.py
@@ -10,6 +10,7 @@
 import threading
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 import blake3
@@ -19,7 +20,7 @@
 from fennelcove.day.rig import Rig
 from fennelcove.day import authors
 from fennelcove.day.script import ChangeLine, Crowd, Day, Trouble
-from fennelcove.settings.schema import Author
+from fennelcove.settings.schema import Author, Instance
 from fennelcove.settings.writer import write
 from fennelcove.standins.recorder import Record, Recorder
 from fennelcove.standins.viewers import Habits, Player, StandInViewer, Unanswered
@@ -32,17 +33,46 @@
     """The day could not be played: the front did not start, or did not end."""
 
 
+class Fronts:
+    """All fronts of a day, each in a process of its own; they share nothing."""
+
+    def __init__(self, day: Day, lists: str, seed: int, recorder: Recorder, folder: Path) -> None:
+        self.all = [FrontProcess(day, i, lists, seed, recorder, folder) for i in range(day.fronts)]
+
+    def start(self) -> None:
+        """Start each and wait for it."""
+        for front in self.all:
+            front.start()
+
+    def stop(self) -> None:
+        """Stop each and wait for it."""
+        for front in self.all:
+            front.stop()
+
+    def kill(self) -> None:
+        """End what still runs."""
+        for front in self.all:
+            front.kill()
+
+    def chooser(self, name: str) -> Callable[[], str]:
+        """A viewer's way to a front: another one at each try, by its name, the same in every run."""
+        chance = random.Random(name)
+        return lambda: chance.choice(self.all).address
+
+
 class FrontProcess:
     """One front in a process of its own; it can be stopped, killed and started again on the same port."""
 
-    def __init__(self, day: Day, lists: str, seed: int, recorder: Recorder, folder: Path) -> None:
+    def __init__(self, day: Day, index: int, lists: str, seed: int, recorder: Recorder, folder: Path) -> None:
         self.day = day
+        self.index = index
+        self.name = f"{day.front.name}-{index}" if day.fronts > 1 else day.front.name
         self.lists = lists
         self.seed = seed
         self.recorder = recorder
-        self.config = folder / "front.sexp"
-        self.log = folder / "front.log"
-        self.ledger = folder / "ledger"
+        self.config = folder / f"front-{index}.sexp"
+        self.log = folder / f"front-{index}.log"
+        self.ledger = folder / f"ledger-{index}"
         self.address = "127.0.0.1:0"
         self.process: subprocess.Popen[bytes] | None = None
 
@@ -54,8 +84,10 @@
         """
         front = msgspec.structs.replace(
             self.day.front,
+            name=self.name,
             listen=self.address,
-            seed=self.seed,
+            seed=self.seed + self.index,
+            instance=self._instance(),
             lists=msgspec.structs.replace(self.day.front.lists, address=self.lists),
             stitch=msgspec.structs.replace(
                 self.day.front.stitch,
@@ -76,11 +108,17 @@
                 if b'"front_started"' in line:
                     self.address = msgspec.json.decode(line)["address"]
             if not self.address.endswith(":0") and self._has_list():
-                self.recorder.note("front_started", front=self.day.front.name)
+                self.recorder.note("front_started", front=self.name, address=self.address)
                 return
             waited.wait(0.02)
         raise DayFailed(f"the front did not start in {START_S:g} s: {self.tail()}")
 
+    def _instance(self) -> Instance:
+        told = self.day.front.instance
+        if self.day.fronts == 1:
+            return told
+        return msgspec.structs.replace(told, index=self.index, fronts=self.day.fronts)
+
     def _has_list(self) -> bool:
         player = Player(self.address, self.recorder.clock)
         try:
@@ -103,19 +141,19 @@
         """
         if self.process is None or self.process.poll() is not None:
             return
-        self.recorder.note("front_stopping", front=self.day.front.name)
+        self.recorder.note("front_stopping", front=self.name)
         self.process.send_signal(signal.SIGTERM)
         try:
             self.process.wait(self.day.front.limits.stop_ms / 1000 + START_S)
         except subprocess.TimeoutExpired:
             self.kill()
             raise DayFailed(f"the front did not end: {self.tail()}") from None
-        self.recorder.note("front_stopped", status=self.process.returncode)
+        self.recorder.note("front_stopped", front=self.name, status=self.process.returncode)
 
     def kill(self) -> None:
         """End it without warning."""
         if self.process is not None and self.process.poll() is None:
-            self.recorder.note("front_killed", front=self.day.front.name)
+            self.recorder.note("front_killed", front=self.name)
             self.process.kill()
             self.process.wait()
 
@@ -145,6 +183,7 @@
                 hangs_up_after_s=chance.uniform(0.0, 0.05) if hang_up else None,
                 vanishes=chance.random() < crowd.vanish,
                 top_kbit=crowd.top_kbit,
+                temper=chance.choice(crowd.tempers) if crowd.tempers else "obeys",
             ),
         )
 
@@ -176,24 +215,24 @@
         with tempfile.TemporaryDirectory(prefix="fennelcove-day-") as folder:
             self.recorder.note("terms", **terms(self.day))
             rig = Rig(self.day, self.clock, self.recorder)
-            front = FrontProcess(self.day, rig.lists.address, self.seed, self.recorder, Path(folder))
+            fronts = Fronts(self.day, rig.lists.address, self.seed, self.recorder, Path(folder))
             restarts: list[threading.Thread] = []
             try:
                 rig.start()
-                front.start()
-                self._run(self._plan(rig, front, restarts))
+                fronts.start()
+                self._run(self._plan(rig, fronts, restarts))
                 for viewer in self.viewers:
                     viewer.thread.join()
                 for thread in restarts:
                     thread.join()
-                front.stop()
+                fronts.stop()
             finally:
                 self.leaving.set()
-                front.kill()
+                fronts.kill()
                 rig.stop()
         return self.recorder.records
 
-    def _plan(self, rig: Rig, front: FrontProcess, restarts: list[threading.Thread]) -> list[_Due]:
+    def _plan(self, rig: Rig, fronts: Fronts, restarts: list[threading.Thread]) -> list[_Due]:
         due: list[_Due] = []
         for number, crowd in enumerate(self.day.crowds):
             for at_s, habits in arrivals(crowd, number, self.seed):
@@ -202,20 +241,21 @@
                 name = f"v{number}-{len(self.viewers)}"
                 kind = _player() if crowd.plays else StandInViewer
                 viewer = kind(
-                    name, habits, lambda: front.address, self.clock, self.recorder, rig.share_of, self.leaving
+                    name, habits, fronts.chooser(name), self.clock, self.recorder, rig.share_of, self.leaving
                 )
                 self.viewers.append(viewer)
                 due.append(_Due(at_s, viewer.thread.start))
         for number, line in enumerate(self.day.changes):
-            due.append(_Due(line.at_s, lambda line=line, number=number: self._change(line, number, front)))  # type: ignore[misc]
+            due.append(_Due(line.at_s, partial(self._change, line, number, fronts.all[0])))
         for trouble in self.day.troubles:
-            due += self._trouble(trouble, rig, front, restarts)
+            due += self._trouble(trouble, rig, fronts, restarts)
         return sorted(due, key=lambda item: item.at_s)
 
     def _trouble(
-        self, trouble: Trouble, rig: Rig, front: FrontProcess, restarts: list[threading.Thread]
+        self, trouble: Trouble, rig: Rig, fronts: Fronts, restarts: list[threading.Thread]
     ) -> Iterator[_Due]:
         if trouble.what in ("front-restart", "front-kill"):
+            front = fronts.all[(trouble.box or 0) % len(fronts.all)]
 
             def again() -> None:
                 (front.stop if trouble.what == "front-restart" else front.kill)()
@@ -249,7 +289,9 @@
         "day": day.name,
         "service_floor": day.service_floor,
         "stall_limit_ms": day.stall_limit_ms,
-        "fronts": front.instance.fronts,
+        "fronts": day.fronts if day.fronts > 1 else front.instance.fronts,
+        "settle_within_s": day.settle_within_s,
+        "last_crowd_s": max(crowd.to_s for crowd in day.crowds),
         "drain_grace_ms": front.rules.drain_grace_ms,
         "ramp_ms": front.rules.ramp_ms,
         "start_capacity": front.rules.start_capacity,
--- a/fennelcove/day/script.py
+++ b/fennelcove/day/script.py
@@ -67,6 +67,7 @@
     hang_up: Share = 0.0
     vanish: Share = 0.0
     top_kbit: SomeCount | None = None
+    tempers: list[Literal["obeys", "half", "hasty", "drops", "forges"]] = field(default_factory=list)
     plays: bool = False  # reads manifests and fetches segments
 
 
@@ -115,6 +116,8 @@
     crowds: Annotated[list[Crowd], Meta(min_length=1, max_length=50)]
     troubles: list[Trouble] = field(default_factory=list)
     changes: list[ChangeLine] = field(default_factory=list)
+    fronts: Annotated[int, Meta(ge=1, le=16)] = 1
+    settle_within_s: Figure | None = None  # after the last crowd has come
     stall_limit_ms: Figure | None = None
 
 
--- /dev/null
+++ b/fennelcove/decisions/limits.py
@@ -0,0 +1,69 @@
+"""How many set-ups a box may have under way from this front: additive increase, multiplicative decrease.
+
+A gradient on delays was weighed (docs/design/12-retry-storms.md); a set-up's delay at a box says little until
+its places run out, while a time-out or a refusal says it at once, so what is learned from is the outcome.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from fennelcove.interface import Outcome
+
+FIRST_LIMIT = 16.0
+LEAST_LIMIT = 1.0
+MOST_LIMIT = 256.0
+CUT = 0.7
+MOST_BOXES = 10_000
+BAD = (Outcome.NO_ANSWER, Outcome.TURNED_AWAY, Outcome.SERVER_ERROR, Outcome.CONNECTION_LOST)
+
+
+@dataclass(slots=True)
+class BoxLimit:
+    """One box: how many may be out, how many are."""
+
+    limit: float = FIRST_LIMIT
+    out: int = 0
+    cut_at_us: int = -1
+
+
+class Limits:
+    """All boxes' limits; times in microseconds. A box not heard of for long is forgotten, the longest
+    first."""
+
+    def __init__(self) -> None:
+        self.boxes: OrderedDict[str, BoxLimit] = OrderedDict()
+
+    def enter(self, box: str) -> bool:
+        """One more set-up; False where it must not be sent now."""
+        held = self.boxes.get(box)
+        if held is None:
+            held = self.boxes[box] = BoxLimit()
+            self._forget()
+        self.boxes.move_to_end(box)
+        if held.out >= int(held.limit):
+            return False
+        held.out += 1
+        return True
+
+    def leave(self, box: str, outcome: Outcome, sent_us: int, now_us: int) -> None:
+        """One has ended. Those sent before the last cut don't cut again: they tell of the same trouble."""
+        held = self.boxes.get(box)
+        if held is None:
+            return
+        held.out = max(0, held.out - 1)
+        if outcome is Outcome.SERVED:
+            # Until the first cut it grows with each: a front that has just started must not crawl.
+            step = 1.0 if held.cut_at_us < 0 else 1 / max(1.0, held.limit)
+            held.limit = min(MOST_LIMIT, held.limit + step)
+        elif outcome in BAD and sent_us > held.cut_at_us:
+            held.limit = max(LEAST_LIMIT, held.limit * CUT)
+            held.cut_at_us = now_us
+
+    def _forget(self) -> None:
+        if len(self.boxes) > MOST_BOXES:
+            for box, held in self.boxes.items():
+                if held.out == 0:
+                    del self.boxes[box]
+                    return
--- /dev/null
+++ b/fennelcove/decisions/storm.py
@@ -0,0 +1,133 @@
+"""Whether a front is in a retry storm, from what it alone sees: phases with hysteresis, as a state table.
+
+A peak is not a storm. What tells them apart is that a storm's arrivals come back: many more than this front's
+usual pace and chance explain, while a good part of the answers are refusals. Arrivals alone, or refusals
+alone, are an evening's start or a lost box.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from math import sqrt
+
+WINDOW_US = 500_000
+SLOW = 1 / 64  # of each calm window in the usual pace: half a minute, longer than a storm's first rise
+TIMES_USUAL = 2.0  # the least whole factor past an evening's own swing, as in the module's rationing
+SPREADS = 3.0  # chance in a count: three times the root of it
+MANY_REFUSED = 0.2
+FEW_REFUSED = 0.05
+RISES = 2  # windows in a row that make a rise a storm
+CALMS = 6  # windows in a row that make it over: a storm that pauses for a breath has not ended
+SETTLED = 6
+
+
+class Phase(Enum):
+    """How the front stands towards those who ask."""
+
+    CALM = auto()
+    RISING = auto()
+    STORM = auto()
+    SETTLING = auto()
+
+
+class Sign(Enum):
+    """What one window shows."""
+
+    HOT = auto()  # far more than usual, and many refused
+    CROWD = auto()  # far more than usual
+    FULL = auto()  # many refused
+    COOL = auto()  # neither
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """The next phase, once the sign has come so many windows in a row."""
+
+    after: int
+    phase: Phase
+
+
+TABLE: dict[tuple[Phase, Sign], Rule] = {
+    (Phase.CALM, Sign.HOT): Rule(1, Phase.RISING),
+    (Phase.RISING, Sign.HOT): Rule(RISES, Phase.STORM),
+    (Phase.RISING, Sign.CROWD): Rule(CALMS, Phase.CALM),
+    (Phase.RISING, Sign.FULL): Rule(CALMS, Phase.CALM),
+    (Phase.RISING, Sign.COOL): Rule(RISES, Phase.CALM),
+    # While the crowd comes the damping that keeps it from being refused must stay: its rest is no calm.
+    (Phase.STORM, Sign.FULL): Rule(CALMS, Phase.SETTLING),
+    (Phase.STORM, Sign.COOL): Rule(CALMS, Phase.SETTLING),
+    # It starts again within a minute: no second rise is waited for.
+    (Phase.SETTLING, Sign.HOT): Rule(1, Phase.STORM),
+    # Refusals that go on without a crowd are overload, and no storm: they must not hold the phase for ever.
+    (Phase.SETTLING, Sign.FULL): Rule(4 * SETTLED, Phase.CALM),
+    (Phase.SETTLING, Sign.COOL): Rule(SETTLED, Phase.CALM),
+}
+
+# How fast each phase takes arrivals for usual. None is zero: what never ends becomes the usual pace, so that
+# no phase lasts for ever.
+LEARNS = {Phase.CALM: SLOW, Phase.RISING: SLOW / 4, Phase.STORM: SLOW / 4, Phase.SETTLING: SLOW}
+
+
+@dataclass(slots=True)
+class Window:
+    """What was counted since the window began."""
+
+    asked: int = 0
+    again: int = 0  # of them marked as further tries, or with a place
+    let_in: int = 0
+    refused: int = 0  # of those let in, by the module: what damping turns away must not feed itself
+
+
+@dataclass(slots=True)
+class Weather:
+    """One front's phase. The caller hands in the time and holds the lock."""
+
+    began_us: int
+    phase: Phase = Phase.CALM
+    window: Window = field(default_factory=Window)
+    usual: float = 0.0  # arrivals in a window
+    seen: int = 0
+    sign: Sign = Sign.COOL
+    in_row: int = 0
+    changes: int = 0
+    since_us: int = 0
+
+    def advance(self, now_us: int) -> None:
+        """Close the windows that have passed; many at once after a stall count as empty ones, a bounded
+        few."""
+        passed = (now_us - self.began_us) // WINDOW_US
+        for _ in range(min(passed, CALMS + SETTLED)):
+            self._close(now_us)
+        if passed > 0:
+            self.began_us += passed * WINDOW_US
+
+    def _close(self, now_us: int) -> None:
+        window, self.window = self.window, Window()
+        sign = self.read(window)
+        self.in_row = self.in_row + 1 if sign is self.sign else 1
+        self.sign = sign
+        weight = LEARNS[self.phase]
+        if self.phase is Phase.CALM and sign is not Sign.HOT:
+            # The first windows count for more: a new front knows no past.
+            self.seen += 1
+            weight = max(weight, 1 / (self.seen + 1))
+        self.usual += (window.asked - self.usual) * weight
+        rule = TABLE.get((self.phase, sign))
+        if rule is not None and self.in_row >= rule.after:
+            self.phase, self.in_row, self.since_us = rule.phase, 0, now_us
+            self.changes += 1
+
+    def read(self, window: Window) -> Sign:
+        """What a window shows."""
+        crowd = window.asked > TIMES_USUAL * self.usual + SPREADS * sqrt(self.usual + 1)
+        share = window.refused / window.let_in if window.let_in else 0.0
+        limit = MANY_REFUSED if self.phase in (Phase.CALM, Phase.RISING) else FEW_REFUSED
+        refused = window.refused >= SPREADS and share > limit
+        if crowd and refused:
+            return Sign.HOT
+        return Sign.CROWD if crowd else Sign.FULL if refused else Sign.COOL
+
+    def damped(self) -> bool:
+        """Whether places are given out and kept."""
+        return self.phase in (Phase.STORM, Phase.SETTLING)
--- a/fennelcove/doors/answers.py
+++ b/fennelcove/doors/answers.py
@@ -96,9 +96,14 @@
     """503 with a time to come back, or 502 and 504 where a join may have run and nothing may be promised."""
     instance = f"/v1/subscriptions/{session.id}" if session is not None else ""
     if answered.answer is Answer.THROTTLED:
-        reply = _problem(
-            problem("throttled", answered.why, instance=instance, retry_after_ms=answered.wait_us / 1000)
+        details = problem(
+            "throttled", answered.why, instance=instance, retry_after_ms=answered.wait_us / 1000
         )
+        if answered.place:
+            details = msgspec.structs.replace(
+                details, latest_ms=answered.latest_us / 1000, place=answered.place
+            )
+        reply = _problem(details)
         reply.fields.append(("Retry-After", str(retry_after_s(answered.wait_us))))
         reply.fields.append(("CMSD-Dynamic", cmsd.write_hop(front, {"du": True})))
         return reply
--- a/fennelcove/doors/routes.py
+++ b/fennelcove/doors/routes.py
@@ -110,7 +110,10 @@
                 "unknown-title", "name a title in the body or as CMCD cid" if title is None else repr(title)
             )
         timeout_us = None if body.client_timeout_ms is None else round(body.client_timeout_ms * 1000)
-        return Ask(title, body.room_type, body.top_rung, timeout_us, says(hints))
+        client = hints.text("sid") or ""
+        return Ask(
+            title, body.room_type, body.top_rung, timeout_us, says(hints), client, body.retry, body.place
+        )
 
     def state(self, asked: Asked) -> Reply:
         view = self.core.hear_viewer(asked.id, says(self.hints(asked)))
--- a/fennelcove/peers/joins.py
+++ b/fennelcove/peers/joins.py
@@ -88,7 +88,7 @@
     def run(self, step: SendJoin, viewer: socket.socket | None) -> JoinRun:
         """Send the join and wait for its end, the viewer's hanging up, or this front's stopping."""
         began_us = self.clock.now_us()
-        if not self.pool.enter(step.box):
+        if step.blocked or not self.pool.enter(step.box):
             return JoinRun(JoinEnd(Outcome.NOT_SENT, None, 0))
         link: Link | None = None
         keep = False
--- a/fennelcove/program/front.py
+++ b/fennelcove/program/front.py
@@ -23,6 +23,7 @@
 from fennelcove.peers.movers import MoverThreads
 from fennelcove.peers.orders import OrderSenders
 from fennelcove.peers.pool import Pool
+from fennelcove.program.key_file import load
 from fennelcove.program.ledger_file import LedgerFile
 from fennelcove.settings.schema import FrontSettings
 
@@ -45,6 +46,8 @@
         self.core = Core(settings, self.clock, self.timers, notice, names)
         self.ledger = LedgerFile(settings.stitch.ledger, notice)
         self.core.stitches.restore(self.ledger.load())
+        if settings.storm.key_file is not None:
+            self.core.storms.use_keys(load(settings.storm.key_file, self.clock.wall_us() // 1000))
         self.halt = Latch()
         self.pool = Pool(self.clock, limits.box_connections, round(limits.idle_ms * 1000))
         self.hints = HintReader()
--- /dev/null
+++ b/fennelcove/program/key_file.py
@@ -0,0 +1,76 @@
+"""Keys of places in a file: one a line, `hexadecimal milliseconds-since-1970`, the newest last.
+
+A new key seals at once; older ones are known for an hour more, longer than any place lasts.
+"""
+
+from __future__ import annotations
+
+import os
+import secrets
+from pathlib import Path
+
+OVERLAP_MS = 3_600_000
+KEY_BYTES = 32
+
+
+class KeyFileError(Exception):
+    """One line: the file, what was found and what would do."""
+
+
+def load(path: str, wall_ms: int) -> list[bytes]:
+    """The keys in use, the newest first.
+
+    Raises:
+        KeyFileError: unreadable, or a line that is no key.
+    """
+    try:
+        lines = Path(path).read_text("ascii").splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        raise KeyFileError(
+            f"{path}: found no readable key file ({error}); fennelcove storm key makes one"
+        ) from None
+    found: list[tuple[int, bytes]] = []
+    for number, line in enumerate(lines, 1):
+        text, _, made = line.strip().partition(" ")
+        try:
+            key, made_ms = bytes.fromhex(text), int(made)
+        except ValueError:
+            key, made_ms = b"", 0
+        if len(key) != KEY_BYTES:
+            raise KeyFileError(
+                f"{path}:{number}: found no key of {KEY_BYTES} bytes and its time; remove the line"
+            )
+        found.append((made_ms, key))
+    found.sort(reverse=True)
+    # A key is superseded when the next is made; the newest never expires.
+    kept = [key for i, (_, key) in enumerate(found) if i == 0 or wall_ms - found[i - 1][0] < OVERLAP_MS]
+    if not kept:
+        raise KeyFileError(f"{path}: found no key; fennelcove storm key makes one")
+    return kept
+
+
+def rotate(path: str, wall_ms: int) -> int:
+    """Add a new key and drop those whose overlap is over; how many there are now. Whole or not at all.
+
+    Raises:
+        KeyFileError: a file that is there and is no key file, or can't be written.
+    """
+    here = Path(path)
+    keys = load(path, wall_ms) if here.exists() else []
+    lines = (
+        []
+        if not keys
+        else [line for line in here.read_text("ascii").splitlines() if bytes.fromhex(line.split()[0]) in keys]
+    )
+    lines.append(f"{secrets.token_hex(KEY_BYTES)} {wall_ms}")
+    fresh = here.with_name(here.name + ".new")
+    try:
+        descriptor = os.open(fresh, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        with os.fdopen(descriptor, "w", encoding="ascii") as file:
+            file.write("\n".join(lines) + "\n")
+            file.flush()
+            os.fsync(file.fileno())
+        fresh.replace(here)
+    except OSError as error:
+        raise KeyFileError(f"{path}: found no writable place ({error.strerror})") from None
+    return len(lines)
--- a/fennelcove/settings/schema.py
+++ b/fennelcove/settings/schema.py
@@ -154,6 +154,15 @@
     stack_kib: Annotated[int, Meta(ge=64, le=8192)] = 256
 
 
+class StormSettings(Strict, frozen=True, kw_only=True):
+    """Damping of retry storms; `key_file` makes places outlive this process (`fennelcove storm key` makes
+    it)."""
+
+    damping: bool = True
+    box_limits: bool = True
+    key_file: Annotated[str, Meta(max_length=1000)] | None = None
+
+
 class FrontSettings(Strict, frozen=True, kw_only=True):
     """All that a front is told at its start."""
 
@@ -169,6 +178,7 @@
     instance: Instance = Instance()
     rules: Rules = Rules()
     stitch: StitchSettings = StitchSettings()
+    storm: StormSettings = StormSettings()
     limits: Limits = Limits()
     seed: Count = 1
     max_retry_after_ms: Millis | None = 2000.0
--- a/fennelcove/standins/viewers.py
+++ b/fennelcove/standins/viewers.py
@@ -4,6 +4,7 @@
 
 import socket
 import threading
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -36,6 +37,7 @@
     vanishes: bool = False  # leaves without a release
     top_kbit: int | None = None
     measured_kbit: int | None = None
+    temper: str = "obeys"  # obeys, half, hasty, drops, forges
     pause_s: float = 0.2  # before a further try, where nothing was said or heeded
 
 
@@ -153,6 +155,7 @@
         self.recorder = recorder
         self.share_of = share_of
         self.leaving = leaving
+        self.place: str | None = None
         self.thread = threading.Thread(target=self.run, name=name)
 
     def run(self) -> None:
@@ -162,14 +165,26 @@
             if self.leaving.is_set():
                 return
             heard = self._try(number)
-            wait_s = habits.pause_s
             if heard is not None and heard.status == 201:
                 return
-            if heard is not None and habits.honours and heard.status == 503:
-                wait_s = heard.body.get("retry_after_ms", wait_s * 1000) / 1000
+            wait_s = self._wait_s(heard)
             if number < habits.retries and self.leaving.wait(wait_s):
                 return
 
+    def _wait_s(self, heard: Heard | None) -> float:
+        """How long this viewer waits before it asks again, and what it keeps of its place."""
+        habits, self.place = self.habits, None
+        if habits.temper == "forges":
+            self.place = "aW52ZW50ZWQ.aW52ZW50ZWQ"
+        if heard is None or heard.status != 503 or not habits.honours or habits.temper in ("hasty", "forges"):
+            return habits.pause_s
+        told_s = float(heard.body.get("retry_after_ms", habits.pause_s * 1000)) / 1000
+        latest_s = float(heard.body.get("latest_ms", told_s * 1000)) / 1000
+        if habits.temper != "drops":
+            self.place = heard.body.get("place")
+        spread = hash_share(self.name)
+        return told_s * 0.5 if habits.temper == "half" else told_s + spread * max(0.0, latest_s - told_s)
+
     def hints(
         self, starved: bool = False, measured_kbit: int | None = None, startup: bool = False
     ) -> list[tuple[str, str]]:
@@ -191,7 +206,11 @@
         body: dict[str, Any] = {"room_type": habits.room_type, "client_timeout_ms": habits.timeout_s * 1000}
         if habits.top_rung is not None:
             body["top_rung"] = habits.top_rung
-        told = {"viewer": self.name, "number": number}
+        if number:
+            body["retry"] = True
+        if self.place is not None:
+            body["place"] = self.place
+        told = {"viewer": self.name, "number": number, "front": player.address}
         self.recorder.note(
             "asked",
             **told,
@@ -262,5 +281,10 @@
             self.recorder.note("poll_unanswered", **told, how=error.how)
 
 
+def hash_share(name: str) -> float:
+    """A share between 0 and 1 that belongs to a name: the same in every run."""
+    return zlib.crc32(name.encode()) / 2**32
+
+
 def _last(path: str | None) -> str | None:
     return path.rpartition("/")[2] if path else None
--- a/fennelcove/wire/sessions.py
+++ b/fennelcove/wire/sessions.py
@@ -18,6 +18,8 @@
     top_rung: Annotated[int, Meta(ge=0, le=1000)] | None = None
     client_timeout_ms: Annotated[float, Meta(gt=0, le=86_400_000)] | None = None
     cmcd: dict[str, Any] | None = None
+    retry: bool = False
+    place: Annotated[str, Meta(max_length=400)] | None = None
 
 
 class TopRung(Struct, frozen=True, forbid_unknown_fields=True):
@@ -60,6 +62,8 @@
     retry_after_ms: float | None = None
     may_have_run: bool | None = None
     reason: str | None = None
+    latest_ms: float | None = None
+    place: str | None = None
 
 
 KINDS: dict[str, tuple[int, str]] = {
--- /dev/null
+++ b/tests/test_storm.py
@@ -0,0 +1,256 @@
+"""Storms seen, damped and settled: tables that end, places that can't be made up, counts that stay small."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import unittest
+from itertools import product
+from pathlib import Path
+
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fennelcove.cli.main import main
+from fennelcove.core.storms import mac
+from fennelcove.decisions import counting, places, storm
+from fennelcove.decisions.counting import Counts
+from fennelcove.decisions.limits import LEAST_LIMIT, Limits
+from fennelcove.decisions.places import Place, Queue, Ruling, Standing
+from fennelcove.decisions.storm import Phase, Sign, Weather
+from fennelcove.interface import Outcome
+from fennelcove.program import key_file
+
+SECOND = 1_000_000
+KEY, OTHER = mac(b"k" * 32), mac(b"o" * 32)
+ASKED = ("viewer", "title", "room")
+STEPS = st.tuples(st.integers(0, 3 * SECOND), st.integers(0, 40), st.booleans(), st.floats(0, 0.99))
+
+
+class WeatherTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.weather = Weather(0)
+        self.now_us = 0
+
+    def window(self, asked: int, refused: int = 0, let_in: int | None = None) -> Phase:
+        window = self.weather.window
+        window.asked, window.refused = asked, refused
+        window.let_in = asked if let_in is None else let_in
+        self.now_us += storm.WINDOW_US
+        self.weather.advance(self.now_us)
+        return self.weather.phase
+
+    def calm(self, pace: int = 4, windows: int = 20) -> None:
+        for _ in range(windows):
+            self.window(pace)
+
+    def test_a_storm_rises_holds_through_a_breath_settles_and_ends(self) -> None:
+        self.calm()
+        phases = [self.window(80, 40) for _ in range(3)]
+        self.assertEqual(phases, [Phase.RISING, Phase.RISING, Phase.STORM])
+        self.assertIs(self.window(4), Phase.STORM)
+        self.assertIs(self.window(80, 2, 4), Phase.STORM)
+        for _ in range(storm.CALMS):
+            phase = self.window(4)
+        self.assertIs(phase, Phase.SETTLING)
+        self.assertIs(self.window(80, 40), Phase.STORM)
+        for _ in range(storm.CALMS + storm.SETTLED):
+            phase = self.window(4)
+        self.assertIs(phase, Phase.CALM)
+
+    def test_a_lawful_peak_and_a_lost_box_are_no_storm(self) -> None:
+        self.calm()
+        for asked in (8, 16, 32, 64, 64, 64):
+            self.assertIsNot(self.window(asked), Phase.STORM)
+        self.calm(64, 200)
+        for _ in range(20):
+            self.assertIsNot(self.window(64, 20), Phase.STORM)
+
+    def test_no_false_alarm_in_a_hundred_quiet_and_swinging_evenings(self) -> None:
+        alarms = 0
+        for evening in range(100):
+            chance, weather, now_us = random.Random(evening), Weather(0), 0
+            for i in range(240):
+                pace = 4 * (1 + (i / 60 if evening % 2 else 0.5 * (i % 20 > 10)))
+                asked = sum(chance.random() < pace / 40 for _ in range(40))
+                weather.window.asked = weather.window.let_in = asked
+                weather.window.refused = sum(chance.random() < 0.05 for _ in range(asked))
+                now_us += storm.WINDOW_US
+                weather.advance(now_us)
+                alarms += weather.phase is Phase.STORM
+        self.assertEqual(alarms, 0)
+
+    def test_no_state_fails_to_come_back_to_calm(self) -> None:
+        # Every phase under every sign held for ever, arrivals at whatever pace goes with it.
+        for phase, (asked, refused) in product(Phase, ((0, 0), (4, 0), (4, 4), (400, 0), (400, 400))):
+            self.weather, self.now_us = Weather(0), 0
+            self.calm()
+            self.weather.phase = phase
+            for _ in range(5000):
+                if self.window(asked, refused) is Phase.CALM:
+                    break
+            else:
+                self.fail(f"{phase} never ended at {asked} asked, {refused} refused")
+
+    def test_a_stall_is_so_many_empty_windows_and_no_more(self) -> None:
+        self.calm()
+        self.weather.advance(self.now_us + 10**12)
+        self.assertIs(self.weather.phase, Phase.CALM)
+
+    def test_the_table_has_no_row_that_stays(self) -> None:
+        for (phase, _), rule in storm.TABLE.items():
+            self.assertIsNot(rule.phase, phase)
+            self.assertGreater(rule.after, 0)
+        self.assertTrue(all(weight > 0 for weight in storm.LEARNS.values()))
+        self.assertEqual(set(places.TABLE), set(Standing))
+        self.assertEqual(len(Sign), 4)
+
+
+class PlacesTest(unittest.TestCase):
+    def place(self) -> Place:
+        return Place(*ASKED, 10 * SECOND, 12 * SECOND)
+
+    def test_a_place_is_known_under_any_key_in_use_and_to_its_owner_alone(self) -> None:
+        token = places.seal(self.place(), OTHER)
+        self.assertEqual(places.unseal(token, [KEY, OTHER]), self.place())
+        self.assertIsNone(places.unseal(token, [KEY]))
+        self.assertLess(len(token), places.TOKEN_CHARS)
+        for asked in (("x", "title", "room"), ("viewer", "x", "room"), ("viewer", "title", "x")):
+            self.assertIs(places.standing(self.place(), True, True, asked, 11 * SECOND), Standing.INVENTED)
+
+    @given(st.text(max_size=60), st.integers(0, 500))
+    @settings(max_examples=200)
+    def test_no_text_and_no_changed_letter_is_a_place(self, text: str, at: int) -> None:
+        self.assertIsNone(places.unseal(text, [KEY]))
+        token = places.seal(self.place(), KEY)
+        at %= len(token)
+        changed = token[:at] + ("A" if token[at] != "A" else "B") + token[at + 1 :]
+        found = places.unseal(changed, [KEY])
+        # The last letter of a part may hold bits that stand for nothing.
+        self.assertIn(found, (None, self.place()))
+
+    def test_standings_by_time(self) -> None:
+        for at, who in ((9, Standing.EARLY), (10, Standing.DUE), (12, Standing.DUE), (13, Standing.LATE)):
+            self.assertIs(places.standing(self.place(), True, True, ASKED, at * SECOND), who)
+        self.assertIs(places.standing(None, False, False, ASKED, 0), Standing.FIRST)
+        self.assertIs(places.standing(None, False, True, ASKED, 0), Standing.AGAIN)
+        self.assertIs(places.standing(None, True, True, ASKED, 0), Standing.INVENTED)
+        self.assertIs(places.TABLE[Standing.INVENTED][0], Ruling.NEW_PLACE)
+
+    @given(
+        st.lists(st.tuples(st.integers(0, 3 * SECOND), st.integers(0, 40), st.booleans(), st.floats(0, 0.99)))
+    )
+    @settings(max_examples=150)
+    def test_promises_lie_ahead_within_bounds_and_buckets_never_below_nothing(
+        self, steps: list[tuple[int, int, bool, float]]
+    ) -> None:
+        now_us = 0
+        queue = Queue(now_us)
+        for gap, served, first, draw in steps:
+            now_us += gap
+            queue.served += served
+            queue.advance(now_us)
+            queue.admit(Standing.FIRST if first else Standing.DUE)
+            for most_us in (None, 2 * SECOND):
+                earliest, latest = queue.promise(now_us, most_us, draw)
+                self.assertGreaterEqual(earliest, places.LEAST_WAIT_US)
+                self.assertLess(earliest, latest)
+                self.assertLessEqual(earliest, places.LONGEST_WAIT_US if most_us is None else most_us)
+            self.assertGreaterEqual(min(queue.firsts.level, queue.backs.level), 0.0)
+
+    def test_neither_first_tries_nor_those_who_come_back_starve(self) -> None:
+        queue, taken = Queue(0, pace=10.0), {Standing.FIRST: 0, Standing.DUE: 0}
+        for i in range(1, 401):
+            queue.served += 2 if i % 2 else 3
+            queue.advance(i * SECOND // 4)
+            for who in (Standing.DUE, Standing.FIRST) * 10:
+                taken[who] += queue.admit(who)
+        total = sum(taken.values())
+        self.assertGreater(min(taken.values()), 0.35 * total)
+        self.assertLess(total, 1.2 * 1000)
+
+    def test_a_crowd_is_told_to_come_back_at_the_pace_and_not_in_one_moment(self) -> None:
+        queue = Queue(0, pace=20.0)
+        waits = [queue.promise(0, None, 0.5)[0] for _ in range(400)]
+        seconds = [sum(1 for wait in waits if at * SECOND <= wait < (at + 1) * SECOND) for at in range(1, 20)]
+        self.assertLessEqual(max(seconds), 21)
+
+
+class LimitsTest(unittest.TestCase):
+    def test_many_failures_at_once_cut_once_and_growth_is_slow_after(self) -> None:
+        limits = Limits()
+        entered = 0
+        while limits.enter("b"):
+            entered += 1
+        for _ in range(entered):
+            limits.leave("b", Outcome.NO_ANSWER, 0, 10)
+        held = limits.boxes["b"]
+        self.assertAlmostEqual(held.limit, entered * 0.7)
+        self.assertEqual(held.out, 0)
+        before = held.limit
+        limits.enter("b")
+        limits.leave("b", Outcome.SERVED, 20, 30)
+        self.assertLess(held.limit - before, 0.2)
+
+    @given(st.lists(st.tuples(st.booleans(), st.sampled_from(list(Outcome)))))
+    def test_never_under_one_and_never_more_out_than_let_in(self, steps: list[tuple[bool, Outcome]]) -> None:
+        limits, out = Limits(), 0
+        for now_us, (enter, outcome) in enumerate(steps, 1):
+            if enter:
+                out += limits.enter("b")
+            elif out:
+                limits.leave("b", outcome, now_us - 1, now_us)
+                out -= 1
+        if "b" in limits.boxes:
+            self.assertGreaterEqual(limits.boxes["b"].limit, LEAST_LIMIT)
+            self.assertEqual(limits.boxes["b"].out, out)
+
+    def test_boxes_long_unheard_are_forgotten(self) -> None:
+        limits = Limits()
+        for i in range(10_050):
+            limits.enter(f"b{i}")
+            limits.leave(f"b{i}", Outcome.SERVED, 0, 0)
+        self.assertLessEqual(len(limits.boxes), 10_001)
+
+
+class CountsTest(unittest.TestCase):
+    def test_never_too_low_seldom_too_high_and_the_memory_stays(self) -> None:
+        counts = Counts(KEY, 0)
+        for i in range(20_000):
+            counts.add(f"v{i}", 0)
+        size = len(counts.now) + len(counts.before)
+        self.assertEqual(size, 2 * counting.WIDTH * counting.DEPTH)
+        over = sum(counts.add(f"n{i}", 0) > 1 + 2 * 21_000 / counting.WIDTH for i in range(1000))
+        self.assertLess(over, 1000 / 2**counting.DEPTH)
+        self.assertEqual(min(counts.add("v7", 0) for _ in range(1)) >= 2, True)
+
+    def test_what_is_long_past_counts_no_more(self) -> None:
+        counts = Counts(KEY, 0)
+        counts.add("a", 0)
+        self.assertEqual(counts.add("a", counting.SPAN_US), 2)
+        self.assertEqual(counts.add("a", 5 * counting.SPAN_US), 1)
+
+
+class KeyFileTest(unittest.TestCase):
+    def test_made_rotated_with_overlap_and_expired(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = str(Path(folder) / "keys")
+            with self.assertRaises(key_file.KeyFileError):
+                key_file.load(path, 0)
+            self.assertEqual(CliRunner().invoke(main, ["storm", "key", path]).exit_code, 0)
+            made = int(Path(path).read_text().split()[1])
+            old = key_file.load(path, made)
+            self.assertEqual(key_file.rotate(path, made + 1000), 2)
+            both = key_file.load(path, made + 1000)
+            self.assertEqual((len(both), both[1]), (2, old[0]))
+            later = made + 1000 + key_file.OVERLAP_MS
+            self.assertEqual(key_file.load(path, later), both[:1])
+            self.assertEqual(Path(path).stat().st_mode & 0o077, 0)
+            Path(path).write_text("zz 1\n")
+            with self.assertRaises(key_file.KeyFileError):
+                key_file.load(path, later)
+
+
+if __name__ == "__main__":
+    unittest.main()
