--- a/benchmarks/storms.py
+++ b/benchmarks/storms.py
@@ -23,11 +23,6 @@
     "no box limits": (True, False),
     "none": (False, False),
 }
-    "all": (True, True),
-    "no damping": (False, True),
-    "no box limits": (True, False),
-    "none": (False, False),
-}
 
 
 def main() -> None:
