One place that reads a whole answer, one that writes a playing subscription

Orders, lists and the command line each had the same loop round recv, and two answers the same body. Links now read their own answers.

--- a/fennelcove/cli/client.py
+++ b/fennelcove/cli/client.py
@@ -32,11 +32,7 @@
         with link.sock as sock:
             sock.settimeout(TIMEOUT_S)
             sock.sendall(writer.request(method, path, address, fields, body))
-            while (whole := link.answers.next()) is None:
-                data = sock.recv(65_536)
-                link.answers.reader.feed(data)
-                if not data and link.answers.reader.between:
-                    raise Failed("it closed the connection without an answer")
+            whole = link.answer()
     except TimeoutError:
         raise Failed(f"no answer in {TIMEOUT_S:g} s") from None
     except (OSError, ValueError) as error:
--- a/fennelcove/doors/answers.py
+++ b/fennelcove/doors/answers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from fennelcove.core.verdicts import Answer, Answered, Session, View
 from fennelcove.decisions.admission import retry_after_s
@@ -41,8 +42,7 @@
     return Reply(details.status, [PROBLEM_JSON], msgspec.json.encode(details), close)
 
 
-def playing(session: Session, view: View, hops: str, front: str, took_us: int) -> Reply:
-    """201: the subscription plays."""
+def _playing(view: View, joins: int | UnsetType) -> bytes:
     body = Playing(
         id=view.id,
         state="playing",
@@ -53,26 +53,20 @@
         top_rung=view.top,
         rate_kb=view.rate_kb,
         poll_after_ms=view.poll_every_us / 1000,
-        joins=session.joins,
+        joins=joins,
     )
+    return msgspec.json.encode(body)
+
+
+def playing(session: Session, view: View, hops: str, front: str, took_us: int) -> Reply:
+    """201: the subscription plays."""
     fields = [JSON, ("Location", f"/v1/subscriptions/{view.id}"), *hints(view, hops, front, took_us)]
-    return Reply(201, fields, msgspec.json.encode(body))
+    return Reply(201, fields, _playing(view, session.joins))
 
 
 def state(view: View, front: str) -> Reply:
     """200: the state of what plays."""
-    body = Playing(
-        id=view.id,
-        state="playing",
-        title=view.title,
-        room_type=view.room,
-        box=view.box,
-        rung=view.rung,
-        top_rung=view.top,
-        rate_kb=view.rate_kb,
-        poll_after_ms=view.poll_every_us / 1000,
-    )
-    return Reply(200, [JSON, *hints(view, "", front, None)], msgspec.json.encode(body))
+    return Reply(200, [JSON, *hints(view, "", front, None)], _playing(view, UNSET))
 
 
 def rung(view: View, front: str) -> Reply:
--- a/fennelcove/peers/joins.py
+++ b/fennelcove/peers/joins.py
@@ -19,11 +19,10 @@
 from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead, Whole
 from fennelcove.interface import Effect, Outcome
 from fennelcove.peers.latch import Latch, Woken, wait
-from fennelcove.peers.pool import Link, Pool, dial
+from fennelcove.peers.pool import READ_BYTES, Link, Pool, dial
 from fennelcove.wire.boxes import TURNED_AWAY, JoinOrder, join_path
 from fennelcove.wire.sessions import Problem
 
-READ_BYTES = 16_384
 _PROBLEM: msgspec.json.Decoder[Problem] = msgspec.json.Decoder(Problem)
 
 
--- a/fennelcove/peers/lists.py
+++ b/fennelcove/peers/lists.py
@@ -14,7 +14,6 @@
 from fennelcove.decisions.commands import CARRY_OUT_US
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead
-from fennelcove.peers.joins import READ_BYTES
 from fennelcove.peers.pool import dial
 from fennelcove.peers.streams import Broken, EventStream, Refused
 from fennelcove.wire.events import EventError, ServerEvent
@@ -131,11 +130,7 @@
         with link.sock as sock:
             sock.settimeout(CARRY_OUT_US / 1e6)
             sock.sendall(writer.request("GET", "/v1/list", self.address))
-            while (whole := link.answers.next()) is None:
-                data = sock.recv(READ_BYTES)
-                link.answers.reader.feed(data)
-                if not data and link.answers.reader.between:
-                    raise ConnectionResetError("closed before its answer")
+            whole = link.answer()
         assert isinstance(whole.head, ResponseHead)
         if whole.head.status == 200:
             return _MESSAGE.decode(whole.body)
--- a/fennelcove/peers/orders.py
+++ b/fennelcove/peers/orders.py
@@ -10,7 +10,6 @@
 from fennelcove.decisions.commands import CARRY_OUT_US, Order
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead
-from fennelcove.peers.joins import READ_BYTES
 from fennelcove.peers.pool import Link, Pool, dial
 from fennelcove.wire.boxes import Mark, RungOrder, join_path
 
@@ -95,11 +94,7 @@
             raw = writer.request("PUT", f"{path}/rung", order.box, fields, body)
         link.sock.settimeout(max(0.001, self._left_us() / 1e6))
         link.sock.sendall(raw)
-        while (whole := link.answers.next()) is None:
-            data = link.sock.recv(READ_BYTES)
-            link.answers.reader.feed(data)
-            if not data and link.answers.reader.between:
-                raise ConnectionResetError("closed before its answer")
+        whole = link.answer()
         assert isinstance(whole.head, ResponseHead)
         if whole.head.status >= 500:
             raise ConnectionError(f"answered {whole.head.status}")
--- a/fennelcove/peers/pool.py
+++ b/fennelcove/peers/pool.py
@@ -9,9 +9,11 @@
 from dataclasses import dataclass, field
 
 from fennelcove.clock import Clock
-from fennelcove.http1.messages import CodecLimits
+from fennelcove.http1.messages import CodecLimits, Whole
 from fennelcove.http1.reader import Gatherer, Reader
 
+READ_BYTES = 16_384
+
 
 @dataclass(slots=True, eq=False)
 class Link:
@@ -22,6 +24,20 @@
     answers: Gatherer
     kept_us: int = 0
 
+    def answer(self) -> Whole:
+        """The next whole answer, waiting as the socket's own limit says.
+
+        Raises:
+            OSError: silent past the limit, reset, or closed before an answer.
+            ProtocolError: an answer that is refused or cut short.
+        """
+        while (whole := self.answers.next()) is None:
+            data = self.sock.recv(READ_BYTES)
+            self.answers.reader.feed(data)
+            if not data and self.answers.reader.between:
+                raise ConnectionResetError("closed before its answer")
+        return whole
+
 
 @dataclass(slots=True, eq=False)
 class _Box:
--- a/fennelcove/peers/streams.py
+++ b/fennelcove/peers/streams.py
@@ -10,8 +10,7 @@
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import CodecLimits, Data, End, ProtocolError, ResponseHead
 from fennelcove.http1.reader import Reader
-from fennelcove.peers.joins import READ_BYTES
-from fennelcove.peers.pool import dial
+from fennelcove.peers.pool import READ_BYTES, dial
 from fennelcove.wire.events import EventError, EventReader, ServerEvent
 
 
