Storms: a quarter more than was served is let in, and one refusal is no sign

With few viewers at each front one refusal in a window cut the pace, which fell under what could be served. A fifth of those let in, and more than one, must be refused now, and the pace falls to a quarter over what is served.

--- a/fennelcove/decisions/places.py
+++ b/fennelcove/decisions/places.py
@@ -25,6 +25,7 @@
 DEBT = 2.0  # seconds of its pace that a class may save up
 GROWTH = 2.0  # a second, while nothing is refused: room that is there must not wait for a slow guess
 CUT = 0.7
+OVER = 1.25  # times what is served, so that room that comes free is asked for at once
 MOST_PACE = 1000.0
 TOKEN_CHARS = 400
 
@@ -173,7 +174,8 @@
             return
         rate = self.served / seconds
         self.rate += (rate - self.rate) * min(1.0, seconds / 2)
-        self.pace = max(rate, self.pace * CUT) if refusing else self.pace * GROWTH ** min(seconds, DEBT)
+        grown = self.pace * GROWTH ** min(seconds, DEBT)
+        self.pace = max(self.rate * OVER, self.pace * CUT) if refusing else grown
         self.pace = min(MOST_PACE, max(LEAST_PACE, self.pace))
         self.now_us, self.served = now_us, 0
         gained, most = self.pace * min(seconds, DEBT), max(1.0, self.pace * DEBT)
--- a/fennelcove/decisions/storm.py
+++ b/fennelcove/decisions/storm.py
@@ -123,7 +123,7 @@
         """What a window shows."""
         crowd = window.asked > TIMES_USUAL * self.usual + SPREADS * sqrt(self.usual + 1)
         share = window.refused / window.let_in if window.let_in else 0.0
-        self.refusing = share > FEW_REFUSED
+        self.refusing = window.refused > 1 and share > MANY_REFUSED
         limit = MANY_REFUSED if self.phase in (Phase.CALM, Phase.RISING) else FEW_REFUSED
         refused = window.refused >= SPREADS and share > limit
         if crowd and refused:
--- a/fennelcove/standins/viewers.py
+++ b/fennelcove/standins/viewers.py
@@ -211,12 +211,14 @@
         if self.place is not None:
             body["place"] = self.place
         told = {"viewer": self.name, "number": number, "front": player.address}
+        temper = habits.temper
         self.recorder.note(
             "asked",
             **told,
             room_type=habits.room_type,
             title=habits.title,
             timeout_ms=habits.timeout_s * 1000,
+            temper=temper,
         )
         hangs_up = habits.hangs_up_after_s is not None and number == 0
         wait_s = min(habits.timeout_s, habits.hangs_up_after_s or habits.timeout_s)
