Each front is judged alone; damping is off until it is shown to pay

The judge took four fronts' shares of a cold box's pace for one front's breach of rule 4; it counts each front's own now, with a test.

--- a/fennelcove/day/judge.py
+++ b/fennelcove/day/judge.py
@@ -293,18 +293,31 @@
     if not ramp_us:
         return
     for box, starts in seen.starts.items():
-        times = sorted(
-            (join.began, id) for id, joins in seen.joins.items() for join in joins if join.box == box
-        )
-        for start in starts:
-            cold = [(t, id) for t, id in times if start <= t < start + ramp_us]
-            for i, (t, id) in enumerate(cold):
-                sent = sum(1 for other, _ in cold[: i + 1] if other > t - window_us)
-                warmth = terms["start_capacity"] + (1 - terms["start_capacity"]) * (t - start) / ramp_us
-                pace = seen.boxes[box]["streams"] / ramp_us * warmth
-                # One set-up more for the edge of the window: a budget is counted in whole ones.
-                if sent > pace * window_us / terms["fronts"] * terms["fall_multiple"] + 1:
-                    seen.break_(4, t, id, f"{sent} set-ups at a cold box within {window_us / 1e6:g} s")
+        joins = [
+            (join.front, join.began, id)
+            for id, all_ in seen.joins.items()
+            for join in all_
+            if join.box == box
+        ]
+        for front in sorted({name for name, _, _ in joins}):
+            # Each front keeps to its own share: what the others send is no fault of it.
+            times = sorted((t, id) for name, t, id in joins if name == front)
+            for start in starts:
+                _cold_start(
+                    seen, box, start, [(t, id) for t, id in times if start <= t < start + ramp_us], window_us
+                )
+
+
+def _cold_start(seen: _Seen, box: str, start: int, cold: list[tuple[int, str]], window_us: float) -> None:
+    terms = seen.terms
+    ramp_us = terms["ramp_ms"] * 1000
+    for i, (t, id) in enumerate(cold):
+        sent = sum(1 for other, _ in cold[: i + 1] if other > t - window_us)
+        warmth = terms["start_capacity"] + (1 - terms["start_capacity"]) * (t - start) / ramp_us
+        pace = seen.boxes[box]["streams"] / ramp_us * warmth
+        # One set-up more for the edge of the window: a budget is counted in whole ones.
+        if sent > pace * window_us / terms["fronts"] * terms["fall_multiple"] + 1:
+            seen.break_(4, t, id, f"{sent} set-ups at a cold box within {window_us / 1e6:g} s")
 
 
 # Rule 5.
--- a/fennelcove/settings/schema.py
+++ b/fennelcove/settings/schema.py
@@ -158,8 +158,8 @@
     """Damping of retry storms; `key_file` makes places outlive this process (`fennelcove storm key` makes
     it)."""
 
-    damping: bool = True
-    box_limits: bool = True
+    damping: bool = False
+    box_limits: bool = False
     key_file: Annotated[str, Meta(max_length=1000)] | None = None
 
 
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -76,8 +76,9 @@
         how: str = "started",
         room: str = "free",
         rung: int = 1,
+        front: str = "f",
     ) -> Made:
-        told = {"box": box, "front": "f", "subscription": id, "join": number}
+        told = {"box": box, "front": front, "subscription": id, "join": number}
         self.add(t, "set_up", **told, room_type=room, title="t", rung=rung)
         return self if over is None else self.add(t + over, "set_up_over", **told, how=how)
 
@@ -191,6 +192,19 @@
         self.assertEqual(slow.broken(), [])
         self.assertEqual(Made().add(5, "fell", box="b0", front="f").broken(), [4])
 
+    def test_rules_4_5_and_6_are_kept_by_each_front_alone(self) -> None:
+        # Counted together, the shares of four fronts looked like one front's breach.
+        made = Made().add(100, "box_started", box="b0")
+        for i, front in enumerate(("f", "g", "h")):
+            made.join(110 + i, f"s{i}", front=front)
+        made.join(2000, "t1", "b1", room="few", front="f").join(2001, "t2", "b2", room="few", front="g")
+        for i, front in enumerate(("f", "f", "g", "g")):
+            made.join(3000 + i * 50, f"x{i}", how="error", front=front)
+            made.join(3020 + i * 50, f"x{i}", "b1", 1, front=front)
+        self.assertEqual(made.broken(), [])
+        made.join(114, "more", front="f").join(115, "most", front="f")
+        self.assertEqual(made.broken(), [4])
+
     def test_rule_5_floors_and_seats(self) -> None:
         self.assertEqual(Made().join(0, "a", room="high", rung=0).broken(), [5])
         lowered = Made().join(0, "a", room="high").add(50, "rung", box="b0", subscription="a", join=0, rung=0)
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -11,6 +11,7 @@
 from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from fennelcove.cli.main import main
 from fennelcove.clock import ManualClock
@@ -29,7 +30,7 @@
 from fennelcove.log import silent
 from fennelcove.program import key_file
 from fennelcove.settings.reader import parse
-from fennelcove.settings.schema import FrontSettings
+from fennelcove.settings.schema import FrontSettings, StormSettings
 from fennelcove.standins.recorder import Record
 from tests.rig import SETTINGS
 
@@ -309,7 +310,7 @@
         self.core.storms.queue.pace = 0.5
 
     def made(self, key: bytes) -> Core:
-        told = parse(SETTINGS, FrontSettings, "test")
+        told = replace(parse(SETTINGS, FrontSettings, "test"), storm=StormSettings(damping=True))
         return Core(told, self.clock, Timers(self.clock), silent, Names(key * 32))
 
     def ask(self, client: str, place: str | None = None, again: bool = True) -> Answered:
