What nothing calls is gone, and a manifest plans its track once

A last read found a method, a sum and a count that nothing used, an export list, and that each poll built the changes and asked the track to go on twice, where only the first poll after a restart needs it.

--- a/fennelcove/core/stitches.py
+++ b/fennelcove/core/stitches.py
@@ -13,7 +13,7 @@
 from fennelcove.core.verdicts import Session
 from fennelcove.decisions import stitching, tracks
 from fennelcove.decisions.commands import Order
-from fennelcove.decisions.seams import Entry, Ledger, Ruling, Scene, Verdict
+from fennelcove.decisions.seams import Entry, Ledger, Scene, Verdict
 from fennelcove.decisions.sessions import Stage
 from fennelcove.decisions.stitching import Offer, Source
 from fennelcove.decisions.tracks import Track, Viewpoint
@@ -164,6 +164,8 @@
                 view = self._view(session, track, wall_us, at_version)
                 version = self.ledger.version if at_version is None else at_version
                 new += track.extend(view, version)
+                if at_version is None:
+                    break
             if new:
                 self._mark(session, track)
             shown, joints = track.window()
@@ -300,6 +302,3 @@
     def over(self, session: Session) -> None:
         """The subscription has ended."""
         self.players.pop(session.id, None)
-
-
-__all__ = ["Fetch", "Ruling", "Seen", "StitchBook"]
--- a/fennelcove/core/storms.py
+++ b/fennelcove/core/storms.py
@@ -69,7 +69,6 @@
         window.asked += 1
         tries = self.clients.add(ask.client, now_us) if ask.client else 1
         who = self._standing(ask, ask.again or tries > 1, now_us)
-        window.again += who is not Standing.FIRST
         self.core.tally(f"storm_{who.name.lower()}")
         if not (self.settings.damping and self.weather.damped()):
             window.let_in += 1
--- a/fennelcove/decisions/commands.py
+++ b/fennelcove/decisions/commands.py
@@ -121,12 +121,3 @@
             self.dropped += 1
         if not line.orders and not line.busy:
             del self.lines[order.box]
-
-    def box_gone(self, box: str) -> None:
-        """Nothing more can be told to it."""
-        line = self.lines.get(box)
-        if line is not None:
-            self.count -= len(line.orders)
-            line.orders.clear()
-            if not line.busy:
-                del self.lines[box]
--- a/fennelcove/decisions/storm.py
+++ b/fennelcove/decisions/storm.py
@@ -74,7 +74,6 @@
     """What was counted since the window began."""
 
     asked: int = 0
-    again: int = 0  # of them marked as further tries, or with a place
     let_in: int = 0
     refused: int = 0  # of those let in, by the module: what damping turns away must not feed itself
 
--- a/fennelcove/decisions/tracks.py
+++ b/fennelcove/decisions/tracks.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from fractions import Fraction
 
@@ -233,8 +233,3 @@
     if media.live:
         track.cursor = Cursor(lesson=live_start(media, wall_us))
     return track
-
-
-def duration(shown: Iterable[Shown]) -> Fraction:
-    """How long these segments play together."""
-    return sum((item.duration for item in shown), Fraction(0))
