Fronts tell keepers of a cell what they hear and send there, and ask before placing

Where the settings allow messages, what is heard of a server and what is sent to it now goes to the front that keeps its cell, and a request waits a moment for the keepers of its holders: the paper's directory. Streams on a server are taken by the mean rate held: own plays there are none at most servers.

--- a/fennelcove/interface.py
+++ b/fennelcove/interface.py
@@ -107,6 +107,9 @@
     budget_free: float | None
     budget_ratio: float
     budget_span_us: int
+    probe_price: float | None = None  # of a subscription's benefit, for each; None: none may be sent
+    peer_price: float | None = None  # of a subscription's benefit, for each full message; None: none
+    reports_unasked: bool = True  # joins and plays bring reports
     switch_cost_us: int = 0  # of a room type's benefit, for each change of rung while it plays
 
 
@@ -170,6 +173,37 @@
     uplink: float | None
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class Probed:
+    """The end of a probe: it passed where the outcome is SERVED."""
+
+    server: str
+    outcome: Outcome
+    took_us: int
+    report: LoadReport | None
+
+
+@dataclass(frozen=True, slots=True)
+class CellLoad:
+    """What a front knows of the server in a cell: shares asked, None where unknown, and their age."""
+
+    cell: int
+    link: float | None
+    uplink: float | None
+    age_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSays:
+    """A message of another front: the cells that it asks about, what it knows of some, or what it has just
+    sent to some (cell, kB a second)."""
+
+    sender: int
+    asks: tuple[int, ...] = ()
+    loads: tuple[CellLoad, ...] = ()
+    joins: tuple[tuple[int, int], ...] = ()
+
+
 @dataclass(frozen=True, slots=True, eq=False)
 class JoinEnded:
     """A join is over; finished says that the subscription needs no further answer."""
@@ -242,13 +276,15 @@
 
 
 Event = (ListUpdate | Request | Handover | Started | JoinEnded | Note | TopChanged | MoveAsked | ClientGone
-         | TimerFired | Remembered | Spent)
+         | TimerFired | Remembered | Spent | Probed | PeerSays)
 
 
 class TimerName(IntEnum):
     """The timers that a front may set."""
 
     ASK_LIST = auto()
+    PROBE = auto()
+    HELD = auto()
 
 
 class Effects(Protocol):
@@ -264,6 +300,10 @@
 
     def move(self, id: str) -> None: ...
 
+    def probe(self, server: str) -> None: ...
+
+    def tell(self, front: int, said: PeerSays) -> None: ...
+
     def timer(self, name: int, delay_us: int) -> None: ...
 
     def watch_list(self) -> None: ...
--- /dev/null
+++ b/fennelcove/messages.py
@@ -0,0 +1,60 @@
+"""What fronts say to each other, as bytes: a kind, then rows of one size. Nothing here decides."""
+
+from __future__ import annotations
+
+import struct
+
+from fennelcove.interface import CellLoad, PeerSays
+
+MOST_BYTES = 256
+ASKS, LOADS, JOINS = 1, 2, 3  # first byte of a message: cells asked about, loads known, joins sent
+CELL = struct.Struct(">H")
+LOAD = struct.Struct(">HBBB")  # cell, link and uplink in hundredths, age in tenths of a second
+JOIN = struct.Struct(">HH")  # cell, kB a second
+SIZES = {ASKS: CELL, LOADS: LOAD, JOINS: JOIN}
+UNKNOWN = 255
+
+
+def pack(said: PeerSays) -> list[bytes]:
+    """The messages, of 256 bytes at most each, that say so much."""
+    parts: list[bytes] = []
+    for kind, rows in (
+        (ASKS, [CELL.pack(cell) for cell in said.asks]),
+        (LOADS, [LOAD.pack(*row(load)) for load in said.loads]),
+        (JOINS, [JOIN.pack(cell, min(kb, 65_535)) for cell, kb in said.joins]),
+    ):
+        most = (MOST_BYTES - 1) // SIZES[kind].size
+        parts += [bytes([kind]) + b"".join(rows[i : i + most]) for i in range(0, len(rows), most)]
+    return parts
+
+
+def row(load: CellLoad) -> tuple[int, int, int, int]:
+    """A load as whole numbers of a byte or two."""
+    age = min(255, load.age_us // 100_000)
+    return load.cell, hundredths(load.link), hundredths(load.uplink), age
+
+
+def hundredths(level: float | None) -> int:
+    """A level as a byte, at most 2.54."""
+    return UNKNOWN if level is None else max(0, round(min(UNKNOWN - 1, level * 100)))
+
+
+def unpack(sender: int, raw: bytes) -> PeerSays | None:
+    """What a message says; None where it is malformed, as another build's may be, or altered."""
+    if not 1 < len(raw) <= MOST_BYTES:
+        return None
+    kind, body = raw[0], raw[1:]
+    if kind not in SIZES or len(body) % SIZES[kind].size:
+        return None
+    rows = list(SIZES[kind].iter_unpack(body))
+    if kind == ASKS:
+        return PeerSays(sender, asks=tuple(cell for (cell,) in rows))
+    if kind == LOADS:
+        return PeerSays(sender, loads=tuple(load(*row) for row in rows))
+    return PeerSays(sender, joins=tuple(rows))
+
+
+def load(cell: int, link: int, uplink: int, age: int) -> CellLoad:
+    """One row read back."""
+    levels = (None if level == UNKNOWN else level / 100 for level in (link, uplink))
+    return CellLoad(cell, *levels, age * 100_000)
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -12,10 +12,11 @@
 from enum import Enum
 from math import exp, inf, sqrt
 from random import Random
+from typing import Any
 
-from fennelcove.interface import (ClientGone, Effect, Effects, Event, Handover, JoinEnded, ListEntry,
-                                  ListMode, ListUpdate, MoveAsked, Note, NoteKind, Outcome, Remembered,
-                                  Request, RoomType, Scope, Settings, Spent, Standing, Started, TimerFired,
+from fennelcove.interface import (CellLoad, ClientGone, Effect, Effects, Event, Handover, JoinEnded, ListEntry,
+                                  ListMode, ListUpdate, LoadReport, MoveAsked, Note, NoteKind, Outcome, PeerSays, Probed,
+                                  Remembered, Request, RoomType, Scope, Settings, Spent, Standing, Started, TimerFired,
                                   TimerName, TopChanged)
 
 EXPONENT = 0.5  # n of the design page
@@ -23,6 +24,10 @@
 HOLD_BACK = 0.1  # of each size, against the spread of true rates: the design page's pessimism
 LIFT_MARGIN = 1.5 * HOLD_BACK  # left free beyond it when raising, or rungs flutter past the page's 3 steps
 MARK_US = 10_000_000  # a short-delivery note marks its link full for so long: the design page
+PROBE_EVERY = 15_000_000
+PROBES = 0
+HEARD = 1_000_000
+BLOCK, KEEPERS = 4, 1
 WHOLE = 0.98  # delivery under this costs benefit: the notes' own bound
 NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
 
@@ -88,9 +93,15 @@
     shut_until_us: int = 0
     subs: dict[Subscription, None] = field(default_factory=dict)
     own_kb: float = 0.0
+    probe_at_us: int | None = None
     left: float = 0.0  # the residues for the request in hand
     streams_left: float = 0.0
 
+    def hear(self, report: LoadReport | CellLoad, as_of_us: int) -> None:
+        for pipe, asked in ((self.link, report.link), (self.rack.uplink, report.uplink)):
+            if asked is not None:
+                pipe.hear(asked, as_of_us)
+
 
 @dataclass(slots=True, eq=False)
 class Join:
@@ -113,6 +124,7 @@
     rung: int = 0
     joins: list[Join] = field(default_factory=list)
     noted: bool = False
+    asked: dict[Server, None] | None = None  # whom its probes are out to
     started_us: int = 0
 
     @property
@@ -134,6 +146,7 @@
         self.settings, self.effects = settings, effects
         chance = Random(seed)
         self.uniform, self.weighted, self.chance = chance.choice, chance.choices, chance.random
+        self.sample = chance.sample
         self.born_us = self.now_us = now_us
         self.normal_us = settings.seen_after_us + settings.reports_every_us
         self.servers: dict[str, Server] = {}
@@ -154,7 +167,7 @@
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
             JoinEnded: self.on_join_ended, Note: self.on_note, ClientGone: self.on_client_gone,
-            ListUpdate: self.on_list, TimerFired: self.ask_list, TopChanged: self.on_top,
+            ListUpdate: self.on_list, TimerFired: self.on_timer, Probed: self.on_probed, PeerSays: self.on_peer, TopChanged: self.on_top,
             MoveAsked: self.on_move, Remembered: self.on_remembered, Spent: self.on_spent}
 
     def handle(self, event: Event, now_us: int) -> None:
@@ -189,12 +202,14 @@
         sub = self.take(event.request)
         sub.life, sub.noted, sub.started_us = Life.PLAYING, True, self.now_us
         self.open_join(sub, self.servers[event.server])
+        self.plan_probe(sub.server)
 
     def on_started(self, event: Started) -> None:
         if sub := self.subs.get(event.id):
             self.judge(sub.server, Outcome.SERVED)
             sub.started_us = self.now_us
             self.step(sub, Cue.STARTED)
+            self.plan_probe(sub.server)
 
     def on_client_gone(self, event: ClientGone) -> None:
         if sub := self.subs.get(event.id):
@@ -230,10 +245,7 @@
             self.judge(join.server, event.outcome)
         if event.report and not playing:
             # Most servers hold none of one front of many: such answers, as old as notes, are all it hears.
-            as_of_us, rack = join.sent_us - self.settings.seen_after_us, join.server.rack
-            for pipe, asked in ((join.server.link, event.report.link), (rack.uplink, event.report.uplink)):
-                if asked is not None:
-                    pipe.hear(asked, as_of_us)
+            join.server.hear(event.report, join.sent_us - self.settings.seen_after_us)
         if playing:
             self.typical_watch_us += (self.now_us - sub.started_us - self.typical_watch_us) / 8
             # What has ended makes room at once; notes may be late or stay out.
@@ -286,7 +298,10 @@
         self.taken.extendleft(self.now_us - ago for ago in reversed(event.taken_ago_us))
         self.further.extendleft(self.now_us - ago for ago in reversed(event.further_ago_us))
 
-    def ask_list(self, _: TimerFired | None = None) -> None:
+    def on_timer(self, event: TimerFired) -> None:
+        {TimerName.ASK_LIST: self.ask_list, TimerName.PROBE: self.probe_due, TimerName.HELD: self.held_due}[TimerName(event.name)]()
+
+    def ask_list(self) -> None:
         (self.effects.watch_list if self.settings.must_ask else self.effects.fetch_list)()
 
     def note_entry(self, entry: ListEntry) -> None:
@@ -308,12 +323,14 @@
 
     # Placement: the design's ordinary path.
 
-    def place(self, sub: Subscription) -> Cue:
+    def place(self, sub: Subscription) -> Cue | None:
         holders = [server for cell in sub.cells for server in self.holders.get(cell, ())
                    if self.may_use(sub, server)] if self.may_join(sub) else []
         # Where every holder looks ill, trying one beats turning the viewer away for certain.
         holders = [s for s in holders if self.is_well(s)] or holders
         self.weigh(holders)
+        if self.ask_first(sub, holders):
+            return None
         found = self.choose(sub, self.rationed_top(sub, holders), holders)
         if found is None:
             return Cue.NO_ROOM if self.may_throttle(sub) else Cue.STUCK
@@ -322,9 +339,11 @@
 
     def weigh(self, holders: list[Server]) -> None:
         """Residues and streams, once for all rungs: thousands of viewers may come again in one moment."""
+        playing = [self.rate(sub, sub.rung) for sub in self.subs.values() if sub.life is Life.PLAYING]
+        stream_kb = max(1.0, sum(playing) / len(playing) if playing else self.settings.ladder_kb[0])
         for server in holders:
             server.left = self.link_left(server)
-            used = len(server.subs) * (1 + self.others_kb(server) / max(server.own_kb, 1.0))
+            used = len(server.subs) + self.others_kb(server) / stream_kb
             server.streams_left = 1 - (used + 1) / server.streams_most if server.streams_most else 1.0
         for rack in dict.fromkeys(server.rack for server in holders):
             rack.left = 1 - HOLD_BACK - self.uplink_asked(rack)
@@ -529,19 +548,24 @@
         elif event.kind is NoteKind.LINK:
             server.link.hear(event.level, as_of_us)
             # Every front hears the later notes; the one at a set-up is heard by this front alone.
-            others = self.settings.fronts - 1 if sub.noted else 0
-            self.ease(self.link_asked(server), [server], others)
-            self.ease_uplink(server.rack, others)
-            self.lift(server, others)
+            self.act_on(server, self.settings.fronts - 1 if sub.noted else 0)
             sub.noted = True
+            if not self.settings.uplinks_told:
+                self.tell_keepers(server.cell, loads=(self.told(server),))
         elif event.kind is NoteKind.UPLINK:
             server.rack.uplink.hear(event.level, as_of_us)
             self.ease_uplink(server.rack, self.settings.fronts - 1)
+            self.tell_keepers(server.cell, loads=(self.told(server),))
         elif event.level < WHOLE:
             self.on_short(server, event.level)
         else:
             server.link.full_until_us = self.now_us
 
+    def act_on(self, server: Server, others: int) -> None:
+        self.ease(self.link_asked(server), [server], others)
+        self.ease_uplink(server.rack, others)
+        self.lift(server, others)
+
     def ease_uplink(self, rack: Rack, others: int) -> None:
         # A sum of links says less of an unreported uplink than that nothing behind it falls short.
         if self.settings.uplinks_told or any(self.now_us < s.link.full_until_us for s in rack.servers):
@@ -561,6 +585,109 @@
             pipe.hear(1 / max(delivered, HOLD_BACK), seen_us)
             self.ease(1 / max(delivered, HOLD_BACK), rack.servers if together else [server], others)
 
+    # Probes: the refresh by events where nothing reports unasked.
+
+    def plan_probe(self, server: Server) -> None:
+        if self.settings.probe_price is None or self.settings.reports_unasked:
+            return
+        if server.probe_at_us is None:
+            server.probe_at_us = self.now_us + int(self.chance() * PROBE_EVERY)
+            self.effects.timer(TimerName.PROBE, server.probe_at_us - self.now_us)
+
+    def ask_first(self, sub: Subscription, holders: list[Server]) -> bool:
+        """Whether this one waits for news of its holders."""
+        settings = self.settings
+        if sub.asked is not None:
+            return False
+        sub.asked = {}
+        unheard = [s for s in holders if s.link.asked is None or s.link.as_of_us < self.now_us - HEARD]
+        if settings.probe_price is not None and not settings.reports_unasked:
+            sub.asked = dict.fromkeys(unheard if len(unheard) <= PROBES else self.sample(unheard, PROBES))
+            for server in sub.asked:
+                self.effects.probe(server.address)
+        elif settings.peer_price is not None:
+            cells: dict[int, tuple[int, ...]] = {}
+            for server in unheard:
+                for keeper in self.keepers(server.cell):
+                    if keeper != settings.index:
+                        cells[keeper] = (*cells.get(keeper, ()), server.cell)
+                        sub.asked[server] = None
+            for keeper, asks in cells.items():
+                self.effects.tell(keeper, PeerSays(settings.index, asks=asks))
+        if sub.asked:
+            self.effects.timer(TimerName.HELD, sub.room.objective_us // 8)
+        return bool(sub.asked)
+
+    def keepers(self, cell: int) -> set[int]:
+        """The fronts that are told of a cell: the paper's directory, spread over all fronts."""
+        first = cell // BLOCK
+        return {(first + i * (self.settings.fronts // KEEPERS)) % self.settings.fronts for i in range(KEEPERS)}
+
+    def tell_keepers(self, cell: int, **said: Any) -> None:
+        if self.settings.peer_price is None:
+            return
+        for keeper in self.keepers(cell):
+            if keeper != self.settings.index:
+                self.effects.tell(keeper, PeerSays(self.settings.index, **said))
+
+    def load(self, server: Server) -> CellLoad:
+        link, uplink = server.link, server.rack.uplink
+        return CellLoad(server.cell, link.asked_now(), None if uplink.asked is None else uplink.asked_now(),
+                        self.now_us - min(link.as_of_us, uplink.as_of_us or link.as_of_us))
+
+    def told(self, server: Server) -> CellLoad:
+        link, uplink = server.link, server.rack.uplink
+        return CellLoad(server.cell, link.asked, uplink.asked,
+                        self.now_us - min(link.as_of_us, uplink.as_of_us or link.as_of_us))
+
+    def on_peer(self, event: PeerSays) -> None:
+        if event.asks:
+            known = [s for cell in event.asks for s in self.holders.get(cell, ())
+                     if s.standing is Standing.ACTIVE and s.link.asked is not None]
+            if event.sender < self.settings.fronts:
+                self.effects.tell(event.sender, PeerSays(self.settings.index, loads=tuple(map(self.load, known))))
+        for cell, kb in event.joins:
+            for server in self.holders.get(cell, ()):
+                server.link.note_sent(kb, self.now_us)
+                server.rack.uplink.note_sent(kb, self.now_us)
+        for load in event.loads:
+            for server in self.holders.get(load.cell, ()):
+                as_of_us = self.now_us - load.age_us
+                if as_of_us > server.started_us:
+                    server.hear(load, as_of_us)
+                    self.heard(server)
+
+    def heard(self, server: Server) -> None:
+        for sub in [s for s in self.subs.values() if s.life is Life.WAITING and server in (s.asked or ())]:
+            assert sub.asked is not None
+            del sub.asked[server]
+            if not sub.asked:
+                self.step(sub, Cue.TRY)
+
+    def held_due(self) -> None:
+        for sub in list(self.subs.values()):
+            if sub.life is Life.WAITING and self.now_us >= sub.taken_us + sub.room.objective_us // 8:
+                self.step(sub, Cue.TRY)
+
+    def probe_due(self) -> None:
+        for server in list(self.met):
+            if server.probe_at_us is not None and server.probe_at_us <= self.now_us:
+                server.probe_at_us = None
+                if any(sub.life is Life.PLAYING for sub in server.subs):
+                    self.effects.probe(server.address)
+
+    def on_probed(self, event: Probed) -> None:
+        server = self.servers.get(event.server)
+        if server is None:
+            return
+        if event.report:
+            server.hear(event.report, self.now_us - event.took_us - self.settings.seen_after_us)
+            self.act_on(server, 0)
+        self.heard(server)
+        if server.subs and server.probe_at_us is None:
+            server.probe_at_us = self.now_us + PROBE_EVERY
+            self.effects.timer(TimerName.PROBE, PROBE_EVERY)
+
     # Joins.
 
     def open_join(self, sub: Subscription, server: Server) -> None:
@@ -585,6 +712,7 @@
         self.recent.append((self.now_us, kb))
         self.took, self.squares = self.took + kb, self.squares + kb * kb
         server.last_join_us = self.now_us
+        self.tell_keepers(server.cell, joins=((server.cell, round(kb)),))
         self.effects.set_rung(sub.id, rung)
         self.effects.join(sub.id, server.address, self.allowance(sub))
 
@@ -677,6 +805,7 @@
     def lost(self, server: Server) -> None:
         self.restart(server)
         self.pause(server)
+        self.tell_keepers(server.cell, loads=(CellLoad(server.cell, inf, None, 0),))
 
     # Effects of the lives table.
 
@@ -697,6 +826,7 @@
     (Life.WAITING, Cue.TRY): (Life.WAITING, Front.place),
     (Life.WAITING, Cue.PLACED): (Life.JOINING, nothing),
     (Life.WAITING, Cue.NO_ROOM): (Life.ENDED, Front.throttle),
+    (Life.WAITING, Cue.CLIENT_GONE): (Life.ENDED, Front.forget),
     (Life.WAITING, Cue.STUCK): (Life.ENDED, Front.terminate),
     (Life.JOINING, Cue.STARTED): (Life.PLAYING, nothing),
     (Life.JOINING, Cue.FAILED): (Life.WAITING, Front.place),
--- a/fennelcove/wirehost/__main__.py
+++ b/fennelcove/wirehost/__main__.py
@@ -6,12 +6,14 @@
 from collections.abc import Callable
 from typing import TextIO
 
-from fennelcove.interface import Event, Handover, ListEntry, ListMode, ListUpdate, Settings
+from fennelcove.interface import Event, Handover, ListEntry, ListMode, ListUpdate, PeerSays, Settings
+from fennelcove.messages import pack
 from fennelcove.rules import Front
 from fennelcove.wirehost import codec
 from fennelcove.wirehost.codec import Fields, WireError
 
-DECODERS: dict[str, Callable[[Fields], Event]] = {
+DECODERS: dict[str, Callable[[Fields], Event | None]] = {
+    "note_from": codec.peer_says,
     "established": codec.started,
     "cancelled_by_client": codec.client_gone,
     "fired": codec.timer_fired,
@@ -22,8 +24,11 @@
     "existing": codec.handover,
     "interim": codec.note,
 }
-# Messages that answer what no front here asks for.
-SKIPPED = {"probe_result": ("Server", "Reason"), "note_from": ("Neighbour", "Msg")}
+# These need the names of a report's values.
+REPORTED: dict[str, Callable[[Fields, tuple[str, ...]], Event]] = {
+    "report_back": codec.join_ended,
+    "probe_result": codec.probed,
+}
 
 
 class Lines:
@@ -51,6 +56,13 @@
     def move(self, id: str) -> None:
         self.out.append(f"migrate Front={self.front} Job={id}\n")
 
+    def probe(self, server: str) -> None:
+        self.out.append(f"inspect Front={self.front} Server={server}\n")
+
+    def tell(self, front: int, said: PeerSays) -> None:
+        for part in pack(said):
+            self.out.append(f"announce Front={self.front} Target={front} Msg={part.hex()}\n")
+
     def timer(self, name: int, delay_us: int) -> None:
         self.out.append(f"after Front={self.front} SleepForMs={delay_us / 1000} Name={name}\n")
 
@@ -123,16 +135,13 @@
             event = DECODERS[name](fields)
         elif name == "directory_update":
             event = self.list_update(fields)
-        elif name in SKIPPED:
-            for key in SKIPPED[name]:
-                codec.text(fields, key)
-        elif name not in CHECKED and name != "report_back":
+        elif name not in CHECKED and name not in REPORTED:
             raise WireError(f"unknown message {name!r}")
         if index not in self.fronts:
             raise WireError(f"field Front names no running front: {index}")
         front, lines = self.fronts[index]
-        if name == "report_back":
-            event = codec.join_ended(fields, lines.report_fields)
+        if name in REPORTED:
+            event = REPORTED[name](fields, lines.report_fields)
         elif name in CHECKED:
             event = CHECKED[name](fields, front.settings)
             if isinstance(event, Handover) and event.server not in front.servers:
--- a/fennelcove/wirehost/codec.py
+++ b/fennelcove/wirehost/codec.py
@@ -18,6 +18,8 @@
     Note,
     NoteKind,
     Outcome,
+    PeerSays,
+    Probed,
     Request,
     RoomType,
     Scope,
@@ -26,6 +28,7 @@
     Started,
     TimerFired,
 )
+from fennelcove.messages import unpack
 
 E = TypeVar("E", bound=Enum)
 Fields = dict[str, str]
@@ -177,6 +180,25 @@
     )
 
 
+def probed(fields: Fields, report_fields: tuple[str, ...]) -> Probed:
+    """The end of a probe, with the report that came along."""
+    return Probed(
+        server=text(fields, "Server"),
+        outcome=choice(fields, "Reason", Outcome),
+        took_us=micros(fields, "TookMs", 0),
+        report=load_report(fields, report_fields),
+    )
+
+
+def peer_says(fields: Fields) -> PeerSays | None:
+    """Another front's message; one that does not read as any is passed over: its sender is not ours."""
+    raw = text(fields, "Msg")
+    try:
+        return unpack(whole(fields, "Neighbour"), b"" if raw == "-" else bytes.fromhex(raw))
+    except ValueError:
+        raise WireError(f"field Msg is no hex: {raw!r}") from None
+
+
 def load_report(fields: Fields, names: tuple[str, ...]) -> LoadReport | None:
     """The values that the server sent, by name."""
     raw = fields.get("Feedback", "")
@@ -325,6 +347,9 @@
         budget_free=rules.maybe("BudgetFree"),
         budget_ratio=rules.number("ExtraRatio", 0.0),
         budget_span_us=rules.micros("ResendSpanMs"),
+        probe_price=prices.number("Probe", 0.0) if allowed.tree.get("MayProbe") else None,
+        peer_price=prices.number("Peer", 0.0) if allowed.tree.get("Peers") else None,
+        reports_unasked=root.sub("LoadReport").text("Source", "answers") == "answers",
         switch_cost_us=round(info.number("SwitchCostS", 0.0) * 1_000_000),
     )
     return settings, fields_told
