--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -393,7 +393,7 @@
         """Take this part off what plays on these servers, the steps that earn least first."""
         # Ranked among all that this front holds, or many fronts of one each lower dear and cheap steps alike.
         playing = [sub for sub in self.subs.values() if sub.life is Life.PLAYING]
-        steps = sorted((self.earning(sub, rung), i, -rung, sub) for i, sub in enumerate(playing)
+        steps = sorted((self.earning(sub, rung, 1), i, -rung, sub) for i, sub in enumerate(playing)
                        for rung in range(sub.room.floor + 1, sub.rung + 1))
         need_kb, least = part * sum(self.rate(sub, sub.rung) for sub in playing), self.chance()
         plan: dict[Subscription, int] = {}
@@ -406,9 +406,10 @@
                 need_kb -= step_kb
         self.carry_out({sub: rung for sub, rung in plan.items() if sub.server in servers})
 
-    def earning(self, sub: Subscription, rung: int) -> float:
-        """What the step up to this rung earns for each kB a second."""
+    def earning(self, sub: Subscription, rung: int, change: int = 0) -> float:
+        """What the step up to this rung earns for each kB a second, with what changing costs or saves."""
         more = self.settings.ladder_worth[rung] - self.settings.ladder_worth[rung - 1]
+        more += change * self.settings.switch_cost_us / max(self.left_us(sub), 1.0)
         return sub.room.benefit * more / max(self.rate(sub, rung) - self.rate(sub, rung - 1), 1e-9)
 
     def left_us(self, sub: Subscription) -> float:
