--- a/fennelcove/interface.py
+++ b/fennelcove/interface.py
@@ -110,6 +110,7 @@
     probe_price: float | None = None  # of a subscription's benefit, for each; None: none may be sent
     peer_price: float | None = None  # of a subscription's benefit, for each full message; None: none
     reports_unasked: bool = True  # joins and plays bring reports
+    worst_room_part: float = 0.0  # what the worst served room type counts, over what the whole counts
     switch_cost_us: int = 0  # of a room type's benefit, for each change of rung while it plays
 
 
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from operator import attrgetter
 from math import exp, inf, sqrt
 from random import Random
 from typing import Any
@@ -24,8 +25,8 @@
 HOLD_BACK = 0.1  # of each size, against the spread of true rates: the design page's pessimism
 LIFT_MARGIN = 1.5 * HOLD_BACK  # left free beyond it when raising, or rungs flutter past the page's 3 steps
 MARK_US = 10_000_000  # a short-delivery note marks its link full for so long: the design page
-PROBE_EVERY = 15_000_000
-PROBES = 0
+PROBE_EVERY = 1_000_000_000
+PROBES = 2
 HEARD = 1_000_000
 BLOCK, KEEPERS = 4, 1
 WHOLE = 0.98  # delivery under this costs benefit: the notes' own bound
@@ -132,6 +133,9 @@
         return self.joins[-1].server
 
 
+TOP, RUNG = attrgetter("top"), attrgetter("rung")
+
+
 def utilization(share_left: float) -> float:
     """UF of one resource: infinite where the room is short."""
     return share_left ** -EXPONENT if share_left > 0 else inf
@@ -163,6 +167,7 @@
         self.asks_failed, self.list_is_fresh = 0, False
         self.joined_kb = self.offered = self.kb_per_stream = self.mean = self.crowd = 0.0
         self.mean_at_us, self.crowd_at_us, self.recent = -1, -1, deque[tuple[int, float]]()
+        self.worths, self.worths_at_us = dict[RoomType, float](), -1
         self.took = self.squares = 0.0  # the sums of what is recent: thousands a second on a busy front
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
@@ -410,7 +415,20 @@
         """What the step up to this rung earns for each kB a second, with what changing costs or saves."""
         more = self.settings.ladder_worth[rung] - self.settings.ladder_worth[rung - 1]
         more += change * self.settings.switch_cost_us / max(self.left_us(sub), 1.0)
-        return sub.room.benefit * more / max(self.rate(sub, rung) - self.rate(sub, rung - 1), 1e-9)
+        return self.worth(sub.room) * more / max(self.rate(sub, rung) - self.rate(sub, rung - 1), 1e-9)
+
+    def worth(self, room: RoomType) -> float:
+        """A room type's benefit as the goal counts it: what the worst served one earns counts once more."""
+        if self.worths_at_us != self.now_us:
+            rooms, ladder = self.settings.rooms.values(), self.settings.ladder_worth
+            offered, earned = ({r: sum(r.benefit * ladder[at(sub)] for sub in self.subs.values() if sub.room is r)
+                                for r in rooms} for at in (TOP, RUNG))
+            worst = min((r for r in rooms if offered[r]), key=lambda r: earned[r] / offered[r], default=None)
+            self.worths = {r: r.benefit for r in rooms}
+            if worst is not None:
+                self.worths[worst] *= 1 + self.settings.worst_room_part * sum(offered.values()) / offered[worst]
+            self.worths_at_us = self.now_us
+        return self.worths[room]
 
     def left_us(self, sub: Subscription) -> float:
         """How long it is still taken to play: a guess that has run out was rough, by some part of itself."""
--- a/fennelcove/wirehost/codec.py
+++ b/fennelcove/wirehost/codec.py
@@ -293,7 +293,9 @@
         root = Facts(json.loads(text(fields, "Facts")))
     except json.JSONDecodeError as error:
         raise WireError(f"field Facts is no JSON: {error}") from None
-    info, rules, allowed, prices = (root.sub(key) for key in ("FamilyInfo", "Rules", "Allowed", "Prices"))
+    info, rules, allowed, prices, goal = (
+        root.sub(key) for key in ("FamilyInfo", "Rules", "Allowed", "Prices", "Goal")
+    )
     ladder, worth = info.numbers("LevelKb"), info.numbers("WorthByRung")
     if not ladder or len(worth) != len(ladder):
         raise WireError("field Facts.FamilyInfo.LevelKb and WorthByRung name no ladder of rungs")
@@ -350,6 +352,7 @@
         probe_price=prices.number("Probe", 0.0) if allowed.tree.get("MayProbe") else None,
         peer_price=prices.number("Peer", 0.0) if allowed.tree.get("Peers") else None,
         reports_unasked=root.sub("LoadReport").text("Source", "answers") == "answers",
+        worst_room_part=goal.number("WorstClass", 0.0) / (goal.number("Whole", 1.0) or 1.0),
         switch_cost_us=round(info.number("SwitchCostS", 0.0) * 1_000_000),
     )
     return settings, fields_told
