--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -25,10 +25,8 @@
 HOLD_BACK = 0.1  # of each size, against the spread of true rates: the design page's pessimism
 LIFT_MARGIN = 1.5 * HOLD_BACK  # left free beyond it when raising, or rungs flutter past the page's 3 steps
 MARK_US = 10_000_000  # a short-delivery note marks its link full for so long: the design page
-PROBE_EVERY = 1_000_000_000
-PROBES = 2
-HEARD = 1_000_000
-BLOCK, KEEPERS = 4, 1
+PROBED = 2  # holders probed for a request: of two known ones the better is nearly as good as of all
+BLOCK = 4  # cells in a row that one front keeps: a title's lie in a row, and one question serves most
 WHOLE = 0.98  # delivery under this costs benefit: the notes' own bound
 NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
 
@@ -95,6 +93,7 @@
     subs: dict[Subscription, None] = field(default_factory=dict)
     own_kb: float = 0.0
     probe_at_us: int | None = None
+    probe_gap_us: int = 0
     left: float = 0.0  # the residues for the request in hand
     streams_left: float = 0.0
 
@@ -460,7 +459,7 @@
                     pipe.note_sent(-eased_kb, self.now_us)
         self.lower(servers, part)
 
-    def lift(self, server: Server, others: int) -> None:
+    def lift(self, server: Server, others: int | None) -> None:
         """Lasting room goes to the steps that earn most; a front's share is its share of what is asked."""
         link, uplink, own_kb = server.link, server.rack.uplink, server.own_kb
         link_kb = (self.link_left(server) - LIFT_MARGIN) * link.size_kb
@@ -469,6 +468,8 @@
         link_share = own_kb / max(own_kb + self.others_kb(server), 1.0)
         uplink_share = own_kb / max(own_kb, uplink_asked_kb, 1.0)
         room_kb, budget_kb = min(link_kb, uplink_kb), min(link_kb * link_share, uplink_kb * uplink_share)
+        if others is None:
+            budget_kb = room_kb  # nobody else heard this, or takes any of it now
         steps = sorted(((self.earning(sub, rung), i, -rung, sub) for i, sub in enumerate(server.subs)
                         if sub.life is Life.PLAYING for rung in range(sub.rung + 1, sub.top + 1)
                         if self.repays(sub, sub.top)), reverse=True)
@@ -570,19 +571,19 @@
             self.act_on(server, self.settings.fronts - 1 if sub.noted else 0)
             sub.noted = True
             if not self.settings.uplinks_told:
-                self.tell_keepers(server.cell, loads=(self.told(server),))
+                self.tell_keeper(server.cell, loads=(self.load(server, False),))
         elif event.kind is NoteKind.UPLINK:
             server.rack.uplink.hear(event.level, as_of_us)
             self.ease_uplink(server.rack, self.settings.fronts - 1)
-            self.tell_keepers(server.cell, loads=(self.told(server),))
+            self.tell_keeper(server.cell, loads=(self.load(server, False),))
         elif event.level < WHOLE:
             self.on_short(server, event.level)
         else:
             server.link.full_until_us = self.now_us
 
-    def act_on(self, server: Server, others: int) -> None:
-        self.ease(self.link_asked(server), [server], others)
-        self.ease_uplink(server.rack, others)
+    def act_on(self, server: Server, others: int | None) -> None:
+        self.ease(self.link_asked(server), [server], others or 0)
+        self.ease_uplink(server.rack, others or 0)
         self.lift(server, others)
 
     def ease_uplink(self, rack: Rack, others: int) -> None:
@@ -610,7 +611,8 @@
         if self.settings.probe_price is None or self.settings.reports_unasked:
             return
         if server.probe_at_us is None:
-            server.probe_at_us = self.now_us + int(self.chance() * PROBE_EVERY)
+            server.probe_gap_us = int(self.typical_watch_us)
+            server.probe_at_us = self.now_us + int(self.chance() * server.probe_gap_us)
             self.effects.timer(TimerName.PROBE, server.probe_at_us - self.now_us)
 
     def ask_first(self, sub: Subscription, holders: list[Server]) -> bool:
@@ -619,52 +621,47 @@
         if sub.asked is not None:
             return False
         sub.asked = {}
-        unheard = [s for s in holders if s.link.asked is None or s.link.as_of_us < self.now_us - HEARD]
+        unheard = [s for s in holders if s.link.asked is None or s.link.as_of_us < self.now_us - settings.seen_after_us]
         if settings.probe_price is not None and not settings.reports_unasked:
-            sub.asked = dict.fromkeys(unheard if len(unheard) <= PROBES else self.sample(unheard, PROBES))
+            if self.is_full():
+                return False
+            sub.asked = dict.fromkeys(self.sample(unheard, min(PROBED, len(unheard))))
             for server in sub.asked:
                 self.effects.probe(server.address)
         elif settings.peer_price is not None:
             cells: dict[int, tuple[int, ...]] = {}
             for server in unheard:
-                for keeper in self.keepers(server.cell):
-                    if keeper != settings.index:
-                        cells[keeper] = (*cells.get(keeper, ()), server.cell)
-                        sub.asked[server] = None
+                keeper = self.keeper(server.cell)
+                if keeper != settings.index:
+                    cells[keeper] = (*cells.get(keeper, ()), server.cell)
+                    sub.asked[server] = None
             for keeper, asks in cells.items():
                 self.effects.tell(keeper, PeerSays(settings.index, asks=asks))
         if sub.asked:
             self.effects.timer(TimerName.HELD, sub.room.objective_us // 8)
         return bool(sub.asked)
 
-    def keepers(self, cell: int) -> set[int]:
-        """The fronts that are told of a cell: the paper's directory, spread over all fronts."""
-        first = cell // BLOCK
-        return {(first + i * (self.settings.fronts // KEEPERS)) % self.settings.fronts for i in range(KEEPERS)}
+    def keeper(self, cell: int) -> int:
+        """The front that is told of a cell: the paper's directory, spread over all fronts."""
+        return cell // BLOCK % self.settings.fronts
 
-    def tell_keepers(self, cell: int, **said: Any) -> None:
-        if self.settings.peer_price is None:
-            return
-        for keeper in self.keepers(cell):
-            if keeper != self.settings.index:
-                self.effects.tell(keeper, PeerSays(self.settings.index, **said))
-
-    def load(self, server: Server) -> CellLoad:
-        link, uplink = server.link, server.rack.uplink
-        return CellLoad(server.cell, link.asked_now(), None if uplink.asked is None else uplink.asked_now(),
-                        self.now_us - min(link.as_of_us, uplink.as_of_us or link.as_of_us))
+    def tell_keeper(self, cell: int, **said: Any) -> None:
+        if self.settings.peer_price is not None and self.keeper(cell) != self.settings.index:
+            self.effects.tell(self.keeper(cell), PeerSays(self.settings.index, **said))
 
-    def told(self, server: Server) -> CellLoad:
-        link, uplink = server.link, server.rack.uplink
-        return CellLoad(server.cell, link.asked, uplink.asked,
-                        self.now_us - min(link.as_of_us, uplink.as_of_us or link.as_of_us))
+    def load(self, server: Server, with_sent: bool) -> CellLoad:
+        """What this front knows of a server; its keeper counts joins itself, from what each front sends."""
+        levels = [(pipe.asked_now() if with_sent else pipe.asked) if pipe.asked is not None else None
+                  for pipe in (server.link, server.rack.uplink)]
+        told_us = [pipe.as_of_us for pipe in (server.link, server.rack.uplink) if pipe.asked is not None]
+        return CellLoad(server.cell, *levels, self.now_us - min(told_us, default=self.now_us))
 
     def on_peer(self, event: PeerSays) -> None:
         if event.asks:
             known = [s for cell in event.asks for s in self.holders.get(cell, ())
                      if s.standing is Standing.ACTIVE and s.link.asked is not None]
             if event.sender < self.settings.fronts:
-                self.effects.tell(event.sender, PeerSays(self.settings.index, loads=tuple(map(self.load, known))))
+                self.effects.tell(event.sender, PeerSays(self.settings.index, loads=tuple(self.load(s, True) for s in known)))
         for cell, kb in event.joins:
             for server in self.holders.get(cell, ()):
                 server.link.note_sent(kb, self.now_us)
@@ -683,6 +680,11 @@
             if not sub.asked:
                 self.step(sub, Cue.TRY)
 
+    def is_full(self) -> bool:
+        """Whether most servers heard lately had no room: asking others then costs more than it finds."""
+        late = [s for s in self.met if max(s.link.as_of_us, s.link.full_until_us) > self.now_us - MARK_US]
+        return sum(min(self.link_left(s), 1 - HOLD_BACK - self.uplink_asked(s.rack)) <= 0 for s in late) > len(late) / 2
+
     def held_due(self) -> None:
         for sub in list(self.subs.values()):
             if sub.life is Life.WAITING and self.now_us >= sub.taken_us + sub.room.objective_us // 8:
@@ -692,7 +694,8 @@
         for server in list(self.met):
             if server.probe_at_us is not None and server.probe_at_us <= self.now_us:
                 server.probe_at_us = None
-                if any(sub.life is Life.PLAYING for sub in server.subs):
+                if server.link.full_until_us <= self.now_us and any(sub.life is Life.PLAYING and sub.rung < sub.top and self.repays(sub, sub.top)
+                       for sub in server.subs):
                     self.effects.probe(server.address)
 
     def on_probed(self, event: Probed) -> None:
@@ -701,11 +704,14 @@
             return
         if event.report:
             server.hear(event.report, self.now_us - event.took_us - self.settings.seen_after_us)
-            self.act_on(server, 0)
+            rungs = sum(sub.rung for sub in server.subs)
+            self.act_on(server, None)
+            raised = sum(sub.rung for sub in server.subs) > rungs
+            server.probe_gap_us = int(self.typical_watch_us) if raised else server.probe_gap_us * 2
         self.heard(server)
         if server.subs and server.probe_at_us is None:
-            server.probe_at_us = self.now_us + PROBE_EVERY
-            self.effects.timer(TimerName.PROBE, PROBE_EVERY)
+            server.probe_at_us = self.now_us + server.probe_gap_us
+            self.effects.timer(TimerName.PROBE, server.probe_gap_us)
 
     # Joins.
 
@@ -731,7 +737,7 @@
         self.recent.append((self.now_us, kb))
         self.took, self.squares = self.took + kb, self.squares + kb * kb
         server.last_join_us = self.now_us
-        self.tell_keepers(server.cell, joins=((server.cell, round(kb)),))
+        self.tell_keeper(server.cell, joins=((server.cell, round(kb)),))
         self.effects.set_rung(sub.id, rung)
         self.effects.join(sub.id, server.address, self.allowance(sub))
 
@@ -824,7 +830,7 @@
     def lost(self, server: Server) -> None:
         self.restart(server)
         self.pause(server)
-        self.tell_keepers(server.cell, loads=(CellLoad(server.cell, inf, None, 0),))
+        self.tell_keeper(server.cell, loads=(CellLoad(server.cell, inf, None, 0),))
 
     # Effects of the lives table.
 
