--- a/fennelcove/messages.py
+++ b/fennelcove/messages.py
@@ -56,5 +56,5 @@
 
 def load(cell: int, link: int, uplink: int, age: int) -> CellLoad:
     """One row read back."""
-    levels = (None if level == UNKNOWN else level / 100 for level in (link, uplink))
-    return CellLoad(cell, *levels, age * 100_000)
+    levels = [None if level == UNKNOWN else level / 100 for level in (link, uplink)]
+    return CellLoad(cell, levels[0], levels[1], age * 100_000)
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -10,15 +10,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from operator import attrgetter
 from math import exp, inf, sqrt
 from random import Random
 from typing import Any
 
-from fennelcove.interface import (CellLoad, ClientGone, Effect, Effects, Event, Handover, JoinEnded, ListEntry,
-                                  ListMode, ListUpdate, LoadReport, MoveAsked, Note, NoteKind, Outcome, PeerSays, Probed,
-                                  Remembered, Request, RoomType, Scope, Settings, Spent, Standing, Started, TimerFired,
-                                  TimerName, TopChanged)
+from fennelcove.interface import (CellLoad, ClientGone, Effect, Effects, Event, Handover, JoinEnded,
+                                  ListEntry, ListMode, ListUpdate, LoadReport, MoveAsked, Note, NoteKind,
+                                  Outcome, PeerSays, Probed, Remembered, Request, RoomType, Scope, Settings,
+                                  Spent, Standing, Started, TimerFired, TimerName, TopChanged)
 
 EXPONENT = 0.5  # n of the design page
 THRESHOLD = 1.0  # r of the design page
@@ -124,17 +123,18 @@
     rung: int = 0
     joins: list[Join] = field(default_factory=list)
     noted: bool = False
-    asked: dict[Server, None] | None = None  # whom its probes are out to
+    asked: dict[Server, None] | None = None  # of whom it awaits news; None before it asks
     started_us: int = 0
 
+    @property
+    def held_until_us(self) -> int:
+        return self.taken_us + min(self.room.objective_us, self.timeout_us - self.taken_us) // 8
+
     @property
     def server(self) -> Server:
         return self.joins[-1].server
 
 
-TOP, RUNG = attrgetter("top"), attrgetter("rung")
-
-
 def utilization(share_left: float) -> float:
     """UF of one resource: infinite where the room is short."""
     return share_left ** -EXPONENT if share_left > 0 else inf
@@ -151,6 +151,7 @@
         self.uniform, self.weighted, self.chance = chance.choice, chance.choices, chance.random
         self.sample = chance.sample
         self.born_us = self.now_us = now_us
+        self.probes = settings.probe_price is not None and not settings.reports_unasked
         self.normal_us = settings.seen_after_us + settings.reports_every_us
         self.servers: dict[str, Server] = {}
         # An uplink of no stated size must not bind: all links together never ask more of it.
@@ -171,8 +172,11 @@
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
             JoinEnded: self.on_join_ended, Note: self.on_note, ClientGone: self.on_client_gone,
-            ListUpdate: self.on_list, TimerFired: self.on_timer, Probed: self.on_probed, PeerSays: self.on_peer, TopChanged: self.on_top,
-            MoveAsked: self.on_move, Remembered: self.on_remembered, Spent: self.on_spent}
+            ListUpdate: self.on_list, TimerFired: self.on_timer, TopChanged: self.on_top,
+            MoveAsked: self.on_move, Remembered: self.on_remembered, Spent: self.on_spent,
+            Probed: self.on_probed, PeerSays: self.on_peer}
+        self.timers: dict[int, Callable[[], None]] = {
+            TimerName.ASK_LIST: self.ask_list, TimerName.PROBE: self.probe_due, TimerName.HELD: self.held_due}
 
     def handle(self, event: Event, now_us: int) -> None:
         self.now_us = now_us
@@ -303,7 +307,7 @@
         self.further.extendleft(self.now_us - ago for ago in reversed(event.further_ago_us))
 
     def on_timer(self, event: TimerFired) -> None:
-        {TimerName.ASK_LIST: self.ask_list, TimerName.PROBE: self.probe_due, TimerName.HELD: self.held_due}[TimerName(event.name)]()
+        self.timers[event.name]()
 
     def ask_list(self) -> None:
         (self.effects.watch_list if self.settings.must_ask else self.effects.fetch_list)()
@@ -350,7 +354,7 @@
             used = len(server.subs) + self.others_kb(server) / stream_kb
             server.streams_left = 1 - (used + 1) / server.streams_most if server.streams_most else 1.0
         for rack in dict.fromkeys(server.rack for server in holders):
-            rack.left = 1 - HOLD_BACK - self.uplink_asked(rack)
+            rack.left = self.uplink_left(rack)
 
     def rationed_top(self, sub: Subscription, holders: list[Server]) -> int:
         """While subscriptions playing there wait for steps earning twice as much, newcomers do without."""
@@ -419,14 +423,16 @@
     def worth(self, room: RoomType) -> float:
         """A room type's benefit as the goal counts it: what the worst served one earns counts once more."""
         if self.worths_at_us != self.now_us:
-            rooms, ladder = self.settings.rooms.values(), self.settings.ladder_worth
-            offered, earned = ({r: sum(r.benefit * ladder[at(sub)] for sub in self.subs.values() if sub.room is r)
-                                for r in rooms} for at in (TOP, RUNG))
-            worst = min((r for r in rooms if offered[r]), key=lambda r: earned[r] / offered[r], default=None)
-            self.worths = {r: r.benefit for r in rooms}
-            if worst is not None:
-                self.worths[worst] *= 1 + self.settings.worst_room_part * sum(offered.values()) / offered[worst]
-            self.worths_at_us = self.now_us
+            self.worths, self.worths_at_us = {r: r.benefit for r in self.settings.rooms.values()}, self.now_us
+            offered, earned = dict.fromkeys(self.worths, 0.0), dict.fromkeys(self.worths, 0.0)
+            for sub in self.subs.values():
+                offered[sub.room] += sub.room.benefit * self.settings.ladder_worth[sub.top]
+                earned[sub.room] += sub.room.benefit * self.settings.ladder_worth[sub.rung]
+            held = [r for r in self.worths if offered[r]]
+            if held and self.settings.worst_room_part:
+                worst = min(held, key=lambda r: earned[r] / offered[r])
+                part = offered[worst] / sum(offered.values())
+                self.worths[worst] *= 1 + self.settings.worst_room_part / part
         return self.worths[room]
 
     def left_us(self, sub: Subscription) -> float:
@@ -494,6 +500,9 @@
     def link_left(self, server: Server) -> float:
         return 0.0 if self.now_us < server.link.full_until_us else 1 - HOLD_BACK - self.link_asked(server)
 
+    def uplink_left(self, rack: Rack) -> float:
+        return 1 - HOLD_BACK - self.uplink_asked(rack)
+
     def mean_asked(self) -> float:
         if self.mean_at_us != self.now_us:
             links = [s.link for s in self.met if s.standing is Standing.ACTIVE and s.link.asked is not None]
@@ -605,98 +614,60 @@
             pipe.hear(1 / max(delivered, HOLD_BACK), seen_us)
             self.ease(1 / max(delivered, HOLD_BACK), rack.servers if together else [server], others)
 
-    # Probes: the refresh by events where nothing reports unasked.
-
-    def plan_probe(self, server: Server) -> None:
-        if self.settings.probe_price is None or self.settings.reports_unasked:
-            return
-        if server.probe_at_us is None:
-            server.probe_gap_us = int(self.typical_watch_us)
-            server.probe_at_us = self.now_us + int(self.chance() * server.probe_gap_us)
-            self.effects.timer(TimerName.PROBE, server.probe_at_us - self.now_us)
+    # News asked for, where it does not come by itself: from servers by probes, from other fronts by messages.
 
     def ask_first(self, sub: Subscription, holders: list[Server]) -> bool:
-        """Whether this one waits for news of its holders."""
-        settings = self.settings
+        """Whether this one waits, an eighth of its time at most, for news of its holders."""
         if sub.asked is not None:
             return False
-        sub.asked = {}
-        unheard = [s for s in holders if s.link.asked is None or s.link.as_of_us < self.now_us - settings.seen_after_us]
-        if settings.probe_price is not None and not settings.reports_unasked:
-            if self.is_full():
-                return False
+        sub.asked, since_us = {}, self.now_us - self.settings.seen_after_us
+        unheard = [s for s in holders if s.link.asked is None or s.link.as_of_us < since_us]
+        if self.probes and not self.is_full():
             sub.asked = dict.fromkeys(self.sample(unheard, min(PROBED, len(unheard))))
             for server in sub.asked:
                 self.effects.probe(server.address)
-        elif settings.peer_price is not None:
-            cells: dict[int, tuple[int, ...]] = {}
-            for server in unheard:
-                keeper = self.keeper(server.cell)
-                if keeper != settings.index:
-                    cells[keeper] = (*cells.get(keeper, ()), server.cell)
-                    sub.asked[server] = None
-            for keeper, asks in cells.items():
-                self.effects.tell(keeper, PeerSays(settings.index, asks=asks))
+        elif self.settings.peer_price is not None:
+            sub.asked = {s: None for s in unheard if self.keeper(s.cell) != self.settings.index}
+            for keeper in sorted({self.keeper(server.cell) for server in sub.asked}):
+                asks = tuple(server.cell for server in sub.asked if self.keeper(server.cell) == keeper)
+                self.effects.tell(keeper, PeerSays(self.settings.index, asks=asks))
         if sub.asked:
-            self.effects.timer(TimerName.HELD, sub.room.objective_us // 8)
+            self.effects.timer(TimerName.HELD, sub.held_until_us - self.now_us)
         return bool(sub.asked)
 
-    def keeper(self, cell: int) -> int:
-        """The front that is told of a cell: the paper's directory, spread over all fronts."""
-        return cell // BLOCK % self.settings.fronts
-
-    def tell_keeper(self, cell: int, **said: Any) -> None:
-        if self.settings.peer_price is not None and self.keeper(cell) != self.settings.index:
-            self.effects.tell(self.keeper(cell), PeerSays(self.settings.index, **said))
-
-    def load(self, server: Server, with_sent: bool) -> CellLoad:
-        """What this front knows of a server; its keeper counts joins itself, from what each front sends."""
-        levels = [(pipe.asked_now() if with_sent else pipe.asked) if pipe.asked is not None else None
-                  for pipe in (server.link, server.rack.uplink)]
-        told_us = [pipe.as_of_us for pipe in (server.link, server.rack.uplink) if pipe.asked is not None]
-        return CellLoad(server.cell, *levels, self.now_us - min(told_us, default=self.now_us))
-
-    def on_peer(self, event: PeerSays) -> None:
-        if event.asks:
-            known = [s for cell in event.asks for s in self.holders.get(cell, ())
-                     if s.standing is Standing.ACTIVE and s.link.asked is not None]
-            if event.sender < self.settings.fronts:
-                self.effects.tell(event.sender, PeerSays(self.settings.index, loads=tuple(self.load(s, True) for s in known)))
-        for cell, kb in event.joins:
-            for server in self.holders.get(cell, ()):
-                server.link.note_sent(kb, self.now_us)
-                server.rack.uplink.note_sent(kb, self.now_us)
-        for load in event.loads:
-            for server in self.holders.get(load.cell, ()):
-                as_of_us = self.now_us - load.age_us
-                if as_of_us > server.started_us:
-                    server.hear(load, as_of_us)
-                    self.heard(server)
+    def is_full(self) -> bool:
+        """Whether most servers heard lately had no room: asking others then costs more than it finds."""
+        since_us = self.now_us - MARK_US
+        late = [s for s in self.met if max(s.link.as_of_us, s.link.full_until_us) > since_us]
+        full = [s for s in late if max(0.0, self.link_left(s)) * max(0.0, self.uplink_left(s.rack)) == 0]
+        return len(full) > len(late) / 2
 
     def heard(self, server: Server) -> None:
-        for sub in [s for s in self.subs.values() if s.life is Life.WAITING and server in (s.asked or ())]:
-            assert sub.asked is not None
-            del sub.asked[server]
-            if not sub.asked:
+        for sub in [sub for sub in self.subs.values() if sub.asked and server in sub.asked]:
+            asked = sub.asked or {}
+            asked.pop(server)
+            if not asked:
                 self.step(sub, Cue.TRY)
 
-    def is_full(self) -> bool:
-        """Whether most servers heard lately had no room: asking others then costs more than it finds."""
-        late = [s for s in self.met if max(s.link.as_of_us, s.link.full_until_us) > self.now_us - MARK_US]
-        return sum(min(self.link_left(s), 1 - HOLD_BACK - self.uplink_asked(s.rack)) <= 0 for s in late) > len(late) / 2
-
     def held_due(self) -> None:
-        for sub in list(self.subs.values()):
-            if sub.life is Life.WAITING and self.now_us >= sub.taken_us + sub.room.objective_us // 8:
+        # A reply may be lost: the ordinary path then goes by what is known.
+        for sub in [sub for sub in self.subs.values() if sub.life is Life.WAITING]:
+            if self.now_us >= sub.held_until_us:
                 self.step(sub, Cue.TRY)
 
+    def plan_probe(self, server: Server) -> None:
+        """One probe a typical play, twice as long after each that raised nothing: each has its price."""
+        if self.probes and server.subs and server.probe_at_us is None:
+            gap_us = server.probe_gap_us or int(self.chance() * self.typical_watch_us)
+            server.probe_at_us = self.now_us + gap_us
+            self.effects.timer(TimerName.PROBE, gap_us)
+
     def probe_due(self) -> None:
-        for server in list(self.met):
-            if server.probe_at_us is not None and server.probe_at_us <= self.now_us:
-                server.probe_at_us = None
-                if server.link.full_until_us <= self.now_us and any(sub.life is Life.PLAYING and sub.rung < sub.top and self.repays(sub, sub.top)
-                       for sub in server.subs):
-                    self.effects.probe(server.address)
+        for server in [s for s in self.met if s.probe_at_us is not None and s.probe_at_us <= self.now_us]:
+            server.probe_at_us = None
+            if self.now_us >= server.link.full_until_us and any(
+                    sub.life is Life.PLAYING and self.repays(sub, sub.top) for sub in server.subs):
+                self.effects.probe(server.address)
 
     def on_probed(self, event: Probed) -> None:
         server = self.servers.get(event.server)
@@ -707,11 +678,44 @@
             rungs = sum(sub.rung for sub in server.subs)
             self.act_on(server, None)
             raised = sum(sub.rung for sub in server.subs) > rungs
-            server.probe_gap_us = int(self.typical_watch_us) if raised else server.probe_gap_us * 2
+            server.probe_gap_us = int(self.typical_watch_us) if raised else 2 * server.probe_gap_us
         self.heard(server)
-        if server.subs and server.probe_at_us is None:
-            server.probe_at_us = self.now_us + server.probe_gap_us
-            self.effects.timer(TimerName.PROBE, server.probe_gap_us)
+        self.plan_probe(server)
+
+    def keeper(self, cell: int) -> int:
+        """The front that is told of a cell: the paper's directory, spread over all fronts."""
+        return cell // BLOCK % self.settings.fronts
+
+    def tell_keeper(self, cell: int, **said: Any) -> None:
+        if self.settings.peer_price is not None and self.keeper(cell) != self.settings.index:
+            self.effects.tell(self.keeper(cell), PeerSays(self.settings.index, **said))
+
+    def load(self, server: Server, with_sent: bool) -> CellLoad:
+        """What this front knows of a server; its keeper adds the joins that it was told of."""
+        known = [pipe for pipe in (server.link, server.rack.uplink) if pipe.asked is not None]
+        link, uplink = (None if pipe not in known else pipe.asked_now() if with_sent else pipe.asked
+                        for pipe in (server.link, server.rack.uplink))
+        age_us = self.now_us - min((pipe.as_of_us for pipe in known), default=self.now_us)
+        return CellLoad(server.cell, link, uplink, age_us)
+
+    def on_peer(self, event: PeerSays) -> None:
+        """Whatever it says, it moves residues only: it may be late, doubled or of another build."""
+        if event.asks and event.sender < self.settings.fronts:
+            loads = tuple(self.load(server, True) for cell in event.asks for server in self.active(cell))
+            self.effects.tell(event.sender, PeerSays(self.settings.index, loads=loads))
+        for cell, kb in event.joins:
+            for server in self.active(cell):
+                for pipe in (server.link, server.rack.uplink):
+                    pipe.note_sent(kb, self.now_us)
+        for load in event.loads:
+            for server in self.active(load.cell):
+                # What ran there before its last start tells nothing of it.
+                if self.now_us - load.age_us > server.started_us:
+                    server.hear(load, self.now_us - load.age_us)
+                self.heard(server)
+
+    def active(self, cell: int) -> list[Server]:
+        return [s for s in self.holders.get(cell, ()) if s.standing is Standing.ACTIVE]
 
     # Joins.
 
--- a/fennelcove/wirehost/codec.py
+++ b/fennelcove/wirehost/codec.py
@@ -27,6 +27,7 @@
     Standing,
     Started,
     TimerFired,
+    TimerName,
 )
 from fennelcove.messages import unpack
 
@@ -229,7 +230,10 @@
 
 def timer_fired(fields: Fields) -> TimerFired:
     """A timer's time has come."""
-    return TimerFired(whole(fields, "Name"))
+    name = whole(fields, "Name")
+    if name not in TimerName.__members__.values():
+        raise WireError(f"field Name names no timer of a front: {name}")
+    return TimerFired(name)
 
 
 class Facts:
