--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -378,16 +378,17 @@
 
     def highest(self, sub: Subscription, top: int, holders: list[Server]) -> tuple[Server, int] | None:
         for rung in range(top, sub.room.floor - 1, -1):
-            scored = [(s, *self.factors(s, self.rate(sub, rung))) for s in holders]
+            spare = HOLD_BACK if rung == sub.room.floor else 0.0
+            scored = [(s, *self.factors(s, self.rate(sub, rung), spare)) for s in holders]
             feasible = [row for row in scored if row[1] < inf and row[2] < inf]
             if feasible:
                 return self.draw(feasible), rung
         return None
 
-    def factors(self, server: Server, kb: float) -> tuple[float, float]:
+    def factors(self, server: Server, kb: float, spare: float = 0.0) -> tuple[float, float]:
         """Server UF and network UF of a request for so many kB a second."""
-        link = server.left - kb / server.link.size_kb
-        uplink = server.rack.left - kb / server.rack.uplink.size_kb
+        link = server.left + spare - kb / server.link.size_kb
+        uplink = server.rack.left + spare - kb / server.rack.uplink.size_kb
         return utilization(min(link, server.streams_left)), utilization(uplink)
 
     def draw(self, feasible: list[tuple[Server, float, float]]) -> Server:
