--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -827,6 +827,8 @@
         objective = min(room.objective_us for room in self.settings.rooms.values())
         server.shut_until_us = self.now_us + min(objective * 2 ** (server.strikes + 1), self.settings.ramp_us)
         server.strikes = min(server.strikes + 1, 8)
+        # Nobody else need try it to find the same, until a younger report says that it has room.
+        self.tell_keeper(server.cell, loads=(CellLoad(server.cell, inf, None, 0),))
 
     def restart(self, server: Server) -> None:
         """Whatever ended it, it may come back cold under its old id before the list says so."""
@@ -835,7 +837,6 @@
     def lost(self, server: Server) -> None:
         self.restart(server)
         self.pause(server)
-        self.tell_keeper(server.cell, loads=(CellLoad(server.cell, inf, None, 0),))
 
     # Effects of the lives table.
 
