--- a/fennelcove/interface.py
+++ b/fennelcove/interface.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, IntEnum, auto
 from typing import Protocol
 
@@ -110,6 +110,9 @@
     probe_price: float | None = None  # of a subscription's benefit, for each; None: none may be sent
     peer_price: float | None = None  # of a subscription's benefit, for each full message; None: none
     reports_unasked: bool = True  # joins and plays bring reports
+    # Of each tenant, requests a second over all fronts that count in full.
+    quotas: dict[str, float] = field(default_factory=dict)
+    over_quota_worth: float = 1.0  # what a request past its tenant's quota counts, of its benefit
     worst_room_part: float = 0.0  # what the worst served room type counts, over what the whole counts
     switch_cost_us: int = 0  # of a room type's benefit, for each change of rung while it plays
 
@@ -146,6 +149,8 @@
     cell_count: int
     top_rung: int
     timeout_us: int
+    tenant: str = ""  # the customer that it counts for
+    returned: bool = False  # not the viewer's first try
     watch_guess_us: int | None = None  # from its start; of a handover, from now
 
 
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -119,6 +119,7 @@
     taken_us: int
     timeout_us: int
     watch_guess_us: int | None = None
+    share: float = 1.0  # of its benefit that is counted on
     life: Life = Life.WAITING
     rung: int = 0
     joins: list[Join] = field(default_factory=list)
@@ -158,6 +159,7 @@
         uplink_kb = settings.uplink_kb or settings.all_links_kb or 1.0
         self.racks = [Rack(Pipe(uplink_kb)) for _ in range(settings.racks)]
         self.holders: dict[int, list[Server]] = {}  # a request must cost what its holders cost, not the fleet
+        self.tenants: dict[str, deque[int]] = {}
         self.met: dict[Server, None] = {}
         self.subs: dict[str, Subscription] = {}
         self.seats: dict[tuple[int, RoomType], int] = {}
@@ -193,6 +195,7 @@
         if self.settings.budget_free is not None:
             self.taken.append(self.now_us)
         sub = self.take(event)
+        sub.share = self.inside(event)
         self.offered += (sub.room.benefit * self.settings.ladder_worth[sub.top] - self.offered) / 16
         self.step(sub, Cue.TRY)
 
@@ -206,6 +209,19 @@
         self.subs[event.id] = sub
         return sub
 
+    def inside(self, event: Request) -> float:
+        """What a request counts, as more of its tenant's come here than this front's part of the quota."""
+        quota, times = self.settings.quotas.get(event.tenant), self.tenants.setdefault(event.tenant, deque(maxlen=1024))
+        if quota is None:
+            return 1.0
+        if not event.returned:
+            times.append(self.now_us)
+        while times and times[0] < self.now_us - MARK_US:
+            times.popleft()
+        within = quota / self.settings.fronts * MARK_US / 1_000_000
+        part = min(1.0, (within + 1) / (len(times) + 1))
+        return part + (1 - part) * self.settings.over_quota_worth
+
     def on_handover(self, event: Handover) -> None:
         sub = self.take(event.request)
         sub.life, sub.noted, sub.started_us = Life.PLAYING, True, self.now_us
@@ -419,7 +435,7 @@
         """What the step up to this rung earns for each kB a second, with what changing costs or saves."""
         more = self.settings.ladder_worth[rung] - self.settings.ladder_worth[rung - 1]
         more += change * self.settings.switch_cost_us / max(self.left_us(sub), 1.0)
-        return self.worth(sub.room) * more / max(self.rate(sub, rung) - self.rate(sub, rung - 1), 1e-9)
+        return self.worth(sub.room) * sub.share * more / max(self.rate(sub, rung) - self.rate(sub, rung - 1), 1e-9)
 
     def worth(self, room: RoomType) -> float:
         """A room type's benefit as the goal counts it: what the worst served one earns counts once more."""
--- a/fennelcove/wirehost/codec.py
+++ b/fennelcove/wirehost/codec.py
@@ -148,6 +148,8 @@
         cell_count=whole(fields, "CellsInRow"),
         top_rung=whole(fields, "TopRung"),
         timeout_us=micros(fields, "BudgetMs", 0),
+        tenant=fields.get("Party", ""),
+        returned=flag(fields, "Returned"),
         watch_guess_us=at_least(fields, "CostGuessMs", micros(fields, "CostGuessMs", 0)) or None,
     )
 
@@ -356,6 +358,8 @@
         probe_price=prices.number("Probe", 0.0) if allowed.tree.get("MayProbe") else None,
         peer_price=prices.number("Peer", 0.0) if allowed.tree.get("Peers") else None,
         reports_unasked=root.sub("LoadReport").text("Source", "answers") == "answers",
+        quotas={tenant.text("Name", ""): tenant.number("QuotaPerS") for tenant in root.subs("Tenants")},
+        over_quota_worth=root.number("OverShareWorth", 1.0),
         worst_room_part=goal.number("WorstClass", 0.0) / (goal.number("Whole", 1.0) or 1.0),
         switch_cost_us=round(info.number("SwitchCostS", 0.0) * 1_000_000),
     )
