--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -167,10 +167,9 @@
         # Settings without a warm-up must not make the first guess of a play nothing: ages are divided by it.
         self.typical_watch_us = float(settings.ramp_us or MARK_US)
         self.asks_failed, self.list_is_fresh = 0, False
-        self.joined_kb = self.offered = self.kb_per_stream = self.mean = self.crowd = 0.0
-        self.mean_at_us, self.crowd_at_us, self.recent = -1, -1, deque[tuple[int, float]]()
+        self.offered = self.kb_per_stream = self.mean = 0.0
+        self.mean_at_us = -1
         self.worths, self.worths_at_us = dict[RoomType, float](), -1
-        self.took = self.squares = 0.0  # the sums of what is recent: thousands a second on a busy front
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
             JoinEnded: self.on_join_ended, Note: self.on_note, ClientGone: self.on_client_gone,
@@ -531,21 +530,7 @@
             if not self.settings.guard:
                 # The emptiest of many guesses is mostly too low: unless servers turn away, all there pay.
                 self.mean += sum(abs(a - self.mean) for a in asked) / len(asked)
-        return self.mean + self.crowd_kb() / max(self.settings.all_links_kb, 1.0)
-
-    def crowd_kb(self) -> float:
-        """What others took on lately, if they meet what this one does past its usual pace and past chance."""
-        if self.crowd_at_us != self.now_us:
-            while self.recent and self.recent[0][0] < self.now_us - self.normal_us:
-                kb = self.recent.popleft()[1]
-                self.took, self.squares = self.took - kb, self.squares - kb * kb
-            if not self.recent:
-                self.took = self.squares = 0.0
-            usual = self.joined_kb * min(1.0, self.normal_us / max(1, self.now_us - self.born_us))
-            spread = sqrt(max(0.0, self.squares))
-            self.crowd = max(0.0, self.took - usual - spread) * (self.settings.fronts - 1)
-            self.crowd_at_us = self.now_us
-        return self.crowd
+        return self.mean
 
     def aged(self, pipe: Pipe, own: float) -> float:
         """A report that stops says ever less of the other fronts: they are taken to ask the average."""
@@ -568,7 +553,7 @@
         since_us = self.now_us - self.normal_us
         told_kb = sum(s.own_kb if s.link.asked is None or s.link.as_of_us < since_us
                       else s.link.size_kb * s.link.asked_now() for s in rack.servers)
-        return (told_kb + self.crowd_kb() / self.settings.racks) / rack.uplink.size_kb
+        return told_kb / rack.uplink.size_kb
 
     def others_kb(self, server: Server) -> float:
         return max(0.0, self.link_asked(server) * server.link.size_kb - server.own_kb)
@@ -753,10 +738,7 @@
             self.further.append(self.now_us)
         sub.rung = rung
         self.open_join(sub, server)
-        self.joined_kb += self.rate(sub, rung)
         kb = self.rate(sub, rung)
-        self.recent.append((self.now_us, kb))
-        self.took, self.squares = self.took + kb, self.squares + kb * kb
         server.last_join_us = self.now_us
         self.tell_keeper(server.cell, joins=((server.cell, round(kb)),))
         self.effects.set_rung(sub.id, rung)
