--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -542,9 +542,7 @@
         own = server.own_kb / server.link.size_kb
         if server.link.asked is not None:
             return max(own, self.aged(server.link, own))
-        # One that started while others played fills as viewers come: the average would pass it by.
-        age_us = self.now_us - server.started_us if server.started_us else inf
-        return max(own, self.mean_asked() * (1 - exp(-age_us / self.typical_watch_us)))
+        return max(own, self.mean_asked())
 
     def uplink_asked(self, rack: Rack) -> float:
         if rack.uplink.asked is not None:
