The program takes another shape's settings, and watches what they would decide

Settings: shape (switch-cost-ms, goal, tenants, over-quota-worth, reports-unasked, probes, peers), each default as today; watch takes the same and is counted by kind beside what is decided (decisions/watching.py), never carried out. Requests may name tenant and watch_ms. A tenant that the settings do not name keeps no times, or any viewer could grow the table.

--- a/fennelcove/core/verdicts.py
+++ b/fennelcove/core/verdicts.py
@@ -34,6 +34,8 @@
     again: bool = False  # it marks this as a further try
     place: str | None = None
     key: str = ""  # the viewer's own name for this set-up: sent twice it counts once
+    tenant: str = ""
+    watch_guess_us: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fennelcove/doors/routes.py
+++ b/fennelcove/doors/routes.py
@@ -239,8 +239,19 @@
     if shown.held is not None and shown.held.titles and title not in shown.held.titles:
         return "not-entitled", f"it names {', '.join(shown.held.titles)}"
     key = body.key or ""
+    guess_us = None if body.watch_ms is None else round(body.watch_ms * 1000)
     return Ask(
-        title, body.room_type, body.top_rung, timeout_us, says(hints), client, body.retry, body.place, key
+        title,
+        body.room_type,
+        body.top_rung,
+        timeout_us,
+        says(hints),
+        client,
+        body.retry,
+        body.place,
+        key,
+        body.tenant,
+        guess_us,
     )
 
 
--- /dev/null
+++ b/fennelcove/peers/probes.py
@@ -0,0 +1,97 @@
+"""Probes: a box's feed opened, heard once and closed, on a few threads with a bounded queue."""
+
+from __future__ import annotations
+
+import queue
+import threading
+from collections.abc import Callable
+
+import msgspec
+
+from fennelcove.clock import Clock
+from fennelcove.decisions import hearing
+from fennelcove.http1.messages import CodecLimits
+from fennelcove.interface import LoadReport, Outcome, Probed
+from fennelcove.peers.joins import HintReader
+from fennelcove.peers.streams import Broken, EventStream, Refused
+from fennelcove.wire.boxes import REPORT, Report
+from fennelcove.wire.events import ServerEvent
+
+MOST_WAITING = 256
+THREADS = 4
+_REPORT: msgspec.json.Decoder[Report] = msgspec.json.Decoder(Report)
+
+
+class ProbeSide:
+    """Asks boxes and says what came of it, once for each; started with the front, ended by `stop`."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        hints: HintReader,
+        front: str,
+        timeout_us: int,
+        limits: CodecLimits,
+        heard: Callable[[Probed], None],
+    ) -> None:
+        self.clock = clock
+        self.hints = hints
+        self.front = front
+        self.timeout_us = timeout_us
+        self.limits = limits
+        self.heard = heard
+        self.waiting: queue.Queue[str | None] = queue.Queue(MOST_WAITING)
+        self.threads = [threading.Thread(target=self._run, name=f"probe-{i}") for i in range(THREADS)]
+
+    def start(self) -> None:
+        """Begin to carry probes out."""
+        for thread in self.threads:
+            thread.start()
+
+    def ask(self, box: str) -> bool:
+        """Probe this box soon; False where too many wait, and nothing will be heard of it."""
+        try:
+            self.waiting.put_nowait(box)
+        except queue.Full:
+            return False
+        return True
+
+    def stop(self) -> None:
+        """End after the probes under way, each of which has its limit."""
+        while not self.waiting.empty():
+            try:
+                self.waiting.get_nowait()
+            except queue.Empty:
+                break
+        for _ in self.threads:
+            self.waiting.put(None)
+        for thread in self.threads:
+            thread.join()
+
+    def _run(self) -> None:
+        while (box := self.waiting.get()) is not None:
+            self.heard(self.probe(box))
+
+    def probe(self, box: str) -> Probed:
+        """Ask now, within the time-out."""
+        began_us, reports = self.clock.now_us(), list[LoadReport]()
+        path = f"/v1/feed?front={self.front}"
+        stream = EventStream(box, path, self.limits, self.timeout_us, self.timeout_us)
+
+        def take(event: ServerEvent) -> None:
+            if event.name == REPORT:
+                says = self.hints.says(None, _REPORT.decode(event.data).cmsd)
+                report = hearing.load_report(says) if says is not None else None
+                reports.append(report or LoadReport(None, None))
+            if reports or self.clock.now_us() - began_us > self.timeout_us:
+                raise Broken("heard")
+
+        outcome = Outcome.NO_ANSWER
+        try:
+            stream.run(take)
+        except Refused:
+            outcome = Outcome.NO_CONNECTION
+        except (Broken, msgspec.MsgspecError):
+            outcome = Outcome.SERVED if reports else Outcome.NO_ANSWER
+        took_us = self.clock.now_us() - began_us
+        return Probed(box, outcome, took_us, reports[0] if reports else None)
--- a/fennelcove/program/front.py
+++ b/fennelcove/program/front.py
@@ -24,12 +24,14 @@
 from fennelcove.http1.messages import CodecLimits
 from fennelcove.interface import Effect
 from fennelcove.peers.feeds import BoxSide
+from fennelcove.peers.fronts import FrontSide
 from fennelcove.peers.joins import HintReader, Joiner
 from fennelcove.peers.latch import Latch
 from fennelcove.peers.lists import ListSide
 from fennelcove.peers.movers import MoverThreads
 from fennelcove.peers.orders import OrderSenders
 from fennelcove.peers.pool import Pool
+from fennelcove.peers.probes import ProbeSide
 from fennelcove.program.audit_file import AuditFile
 from fennelcove.program.background import Background
 from fennelcove.program.key_file import load
@@ -102,6 +104,17 @@
             notice,
         )
         self.core.book.port, self.core.lists = self.box_side, self.list_side
+        self.probe_side: ProbeSide | None = None
+        self.front_side: FrontSide | None = None
+        shape = settings.shape
+        if shape.probes is not None:
+            timeout_us, heard = round(shape.probes.timeout_ms * 1000), self.core.probed
+            self.probe_side = ProbeSide(self.clock, self.hints, settings.name, timeout_us, codec, heard)
+            self.core.probes = self.probe_side
+        if shape.peers is not None:
+            index = settings.instance.index
+            self.front_side = FrontSide(shape.peers.addresses, index, self.core.peer_says)
+            self.core.fronts = self.front_side
         times = [round(ms * 1000) for ms in (limits.idle_ms, limits.head_ms, limits.write_ms)]
         self.setups = SetUps(self.core, self.clock, self.joiner, notice)
         self.sockets = SocketDoor(
@@ -136,6 +149,9 @@
         self.timekeeper.start()
         if self.keeper is not None:
             self.keeper.start()
+        for side in (self.probe_side, self.front_side):
+            if side is not None:
+                side.start()
         self.senders.start()
         self.movers.start()
         self.list_side.start()
@@ -199,6 +215,9 @@
         if self.keeper is not None:
             self.keeper.keep(self.core.memories.gather())
             self.keeper.stop(max(0, self.stopping.asked_us + self.stopping.stop_us - self.clock.now_us()))
+        for side in (self.probe_side, self.front_side):
+            if side is not None:
+                side.stop()
         self.box_side.stop()
         self.senders.stop(self.stopping.asked_us + self.stopping.stop_us)
         self.pool.close()
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from math import exp, inf, sqrt
+from math import exp, inf
 from random import Random
 from typing import Any
 
@@ -159,7 +159,7 @@
         uplink_kb = settings.uplink_kb or settings.all_links_kb or 1.0
         self.racks = [Rack(Pipe(uplink_kb)) for _ in range(settings.racks)]
         self.holders: dict[int, list[Server]] = {}  # a request must cost what its holders cost, not the fleet
-        self.tenants: dict[str, deque[int]] = {}
+        self.asked_of = {tenant: deque[int](maxlen=1024) for tenant in settings.quotas}
         self.met: dict[Server, None] = {}
         self.subs: dict[str, Subscription] = {}
         self.seats: dict[tuple[int, RoomType], int] = {}
@@ -210,8 +210,8 @@
 
     def inside(self, event: Request) -> float:
         """What a request counts, as more of its tenant's come here than this front's part of the quota."""
-        quota, times = self.settings.quotas.get(event.tenant), self.tenants.setdefault(event.tenant, deque(maxlen=1024))
-        if quota is None:
+        quota, times = self.settings.quotas.get(event.tenant), self.asked_of.get(event.tenant)
+        if quota is None or times is None:
             return 1.0
         if not event.returned:
             times.append(self.now_us)
@@ -363,10 +363,12 @@
     def weigh(self, holders: list[Server]) -> None:
         """Residues and streams, once for all rungs: thousands of viewers may come again in one moment."""
         playing = [self.rate(sub, sub.rung) for sub in self.subs.values() if sub.life is Life.PLAYING]
-        stream_kb = max(1.0, sum(playing) / len(playing) if playing else self.settings.ladder_kb[0])
+        # Guesses fill no streams: one at half a link, by low rates, shut a new front to everybody.
+        stream_kb = sum(playing) / len(playing) if playing else inf
         for server in holders:
             server.left = self.link_left(server)
-            used = len(server.subs) + self.others_kb(server) / stream_kb
+            others_kb = 0.0 if server.link.asked is None else self.others_kb(server)
+            used = len(server.subs) + others_kb / stream_kb
             server.streams_left = 1 - (used + 1) / server.streams_most if server.streams_most else 1.0
         for rack in dict.fromkeys(server.rack for server in holders):
             rack.left = self.uplink_left(rack)
@@ -434,7 +436,8 @@
         """What the step up to this rung earns for each kB a second, with what changing costs or saves."""
         more = self.settings.ladder_worth[rung] - self.settings.ladder_worth[rung - 1]
         more += change * self.settings.switch_cost_us / max(self.left_us(sub), 1.0)
-        return self.worth(sub.room) * sub.share * more / max(self.rate(sub, rung) - self.rate(sub, rung - 1), 1e-9)
+        kb = self.rate(sub, rung) - self.rate(sub, rung - 1)
+        return self.worth(sub.room) * sub.share * more / max(kb, 1e-9)
 
     def worth(self, room: RoomType) -> float:
         """A room type's benefit as the goal counts it: what the worst served one earns counts once more."""
--- a/fennelcove/settings/checks.py
+++ b/fennelcove/settings/checks.py
@@ -6,7 +6,7 @@
 
 from fennelcove.interface import Effect, RoomType, Scope, Settings
 from fennelcove.settings.reader import SettingsError, load
-from fennelcove.settings.schema import FrontSettings
+from fennelcove.settings.schema import FrontSettings, ShapeSettings
 
 
 def amiss(front: FrontSettings) -> Iterator[str]:
@@ -62,6 +62,9 @@
             yield f"titles[{i}].media.rungs: found a rung off the ladder; use 0 to {rungs - 1}"
     if front.rules.budget_free is not None and not front.rules.budget_span_ms:
         yield "rules.budget-span-ms: found 0 beside a join budget; state the window"
+    yield from amiss_in_shape("shape", front.shape, front)
+    if front.watch is not None:
+        yield from amiss_in_shape("watch", front.watch, front)
     limits = front.limits
     if limits.waiting > limits.connections:
         yield (
@@ -72,6 +75,21 @@
         yield "limits.buffered-bytes: found less than one head and one body; raise it above both together"
 
 
+def amiss_in_shape(at: str, shape: ShapeSettings, front: FrontSettings) -> Iterator[str]:
+    """The contradictions of a shape, under the name that it has in the file."""
+    names = [tenant.name for tenant in shape.tenants]
+    for i, name in enumerate(names):
+        if name in names[:i]:
+            yield f"{at}.tenants[{i}].name: found {name!r} a second time; give each its own name"
+    if not shape.reports_unasked and shape.probes is None:
+        yield f"{at}.probes: found none where no report comes unasked; state them, or reports-unasked true"
+    if shape.peers is not None and len(shape.peers.addresses) != front.instance.fronts:
+        yield (
+            f"{at}.peers.addresses: found {len(shape.peers.addresses)} for {front.instance.fronts} fronts; "
+            "state one for each, by its index"
+        )
+
+
 def load_front(path: str) -> FrontSettings:
     """A front's settings from a file, whole and checked.
 
@@ -84,8 +102,9 @@
     return front
 
 
-def module_settings(front: FrontSettings) -> Settings:
-    """What the decision module is told; times in microseconds."""
+def module_settings(front: FrontSettings, shape: ShapeSettings | None = None) -> Settings:
+    """What the decision module is told, of the shape in force or of another; times in microseconds."""
+    shape = shape or front.shape
     rooms = {
         room.name: RoomType(
             objective_us=round(room.objective_ms * 1000),
@@ -129,4 +148,11 @@
         budget_free=rules.budget_free,
         budget_ratio=rules.budget_ratio,
         budget_span_us=round(rules.budget_span_ms * 1000),
+        probe_price=None if shape.probes is None else shape.probes.price,
+        peer_price=None if shape.peers is None else shape.peers.price,
+        reports_unasked=shape.reports_unasked,
+        quotas={tenant.name: tenant.quota_per_s for tenant in shape.tenants},
+        over_quota_worth=shape.over_quota_worth,
+        worst_room_part=shape.goal.worst_room_type / shape.goal.whole,
+        switch_cost_us=round(shape.switch_cost_ms * 1000),
     )
--- a/fennelcove/settings/schema.py
+++ b/fennelcove/settings/schema.py
@@ -100,6 +100,46 @@
     moves_at_once: Annotated[int, Meta(ge=0, le=64)] = 8
 
 
+class Tenant(Strict, frozen=True, kw_only=True):
+    """A customer, and the requests a second, over all fronts, that count in full."""
+
+    name: Name
+    quota_per_s: Figure
+
+
+class Goal(Strict, frozen=True, kw_only=True):
+    """How the parts of what is served are weighed against each other."""
+
+    whole: SomeFigure = 1.0
+    worst_room_type: Figure = 0.0
+
+
+class ProbeSettings(Strict, frozen=True, kw_only=True):
+    """Boxes may be asked for their load, each time at this part of a subscription's benefit."""
+
+    price: Figure = 0.0
+    timeout_ms: SomeMillis = 250.0
+
+
+class PeerSettings(Strict, frozen=True, kw_only=True):
+    """Fronts may tell each other what they know, over UDP: every front's address, by its index."""
+
+    addresses: Annotated[list[Address], Meta(min_length=1, max_length=10_000)]
+    price: Figure = 0.0
+
+
+class ShapeSettings(Strict, frozen=True, kw_only=True):
+    """What a fleet of another shape states; each default is as if it were not there."""
+
+    switch_cost_ms: Millis = 0.0
+    goal: Goal = Goal()
+    tenants: Annotated[list[Tenant], Meta(max_length=1000)] = field(default_factory=list)
+    over_quota_worth: Share = 1.0
+    reports_unasked: bool = True
+    probes: ProbeSettings | None = None
+    peers: PeerSettings | None = None
+
+
 class Fleet(Strict, frozen=True, kw_only=True):
     """What is known of the boxes beforehand."""
 
@@ -236,3 +276,5 @@
     seed: Count = 1
     max_retry_after_ms: Millis | None = 2000.0
     cross_zone_price: Figure = 0.0
+    shape: ShapeSettings = ShapeSettings()
+    watch: ShapeSettings | None = None  # a shape to compare with: its decisions are counted, not carried out
--- a/fennelcove/wire/sessions.py
+++ b/fennelcove/wire/sessions.py
@@ -14,7 +14,8 @@
 
 class SetUp(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """`POST /v1/subscriptions`: a player asks for a subscription. The title may come as CMCD `cid`
-    instead. With a `key` of the player's choice, sent twice it counts once."""
+    instead. With a `key` of the player's choice, sent twice it counts once. `tenant` is the customer that it
+    counts for, `watch_ms` a guess of how long it will play."""
 
     room_type: Annotated[str, Meta(min_length=1, max_length=64)]
     title: Annotated[str, Meta(min_length=1, max_length=64)] | None = None
@@ -22,6 +23,8 @@
     client_timeout_ms: Annotated[float, Meta(gt=0, le=86_400_000)] | None = None
     cmcd: dict[str, Any] | None = None
     retry: bool = False
+    tenant: Annotated[str, Meta(max_length=64)] = ""
+    watch_ms: Annotated[float, Meta(gt=0, le=86_400_000)] | None = None
     place: Annotated[str, Meta(max_length=400)] | None = None
     key: Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")] | None = None
 
--- /dev/null
+++ b/tests/test_shape.py
@@ -0,0 +1,171 @@
+"""A fleet of another shape: its settings, what the front does with them, and the watch before the switch."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+
+from fennelcove.decisions.watching import Kind, Watched
+from fennelcove.interface import CellLoad, JoinEnded, ListMode, ListUpdate, Outcome, PeerSays, Started
+from fennelcove.messages import pack
+from fennelcove.peers.fronts import FrontSide
+from fennelcove.settings.checks import amiss, module_settings
+from fennelcove.settings.reader import parse
+from fennelcove.settings.schema import (
+    FrontSettings,
+    Goal,
+    Instance,
+    PeerSettings,
+    ProbeSettings,
+    ShapeSettings,
+    Tenant,
+)
+from tests.helpers import SECOND, SETTINGS, Recorder, ask, entry
+from tests.rig import SETTINGS as FILE
+from tests.rig import WholePath, wait_for
+
+
+def free_ports(count: int) -> list[str]:
+    """Addresses on loopback that nobody listens on."""
+    socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return [f"127.0.0.1:{port}" for port in ports]
+
+
+class ShapeSettingsTest(unittest.TestCase):
+    def test_every_default_is_as_if_no_shape_were_stated(self) -> None:
+        told = module_settings(parse(FILE, FrontSettings, "test"))
+        plain = {"probe_price": None, "peer_price": None, "reports_unasked": True, "quotas": {}}
+        plain |= {"over_quota_worth": 1.0, "worst_room_part": 0.0, "switch_cost_us": 0}
+        self.assertEqual({name: getattr(told, name) for name in plain}, plain)
+
+    def test_what_the_file_states_reaches_the_module_in_microseconds(self) -> None:
+        shape = """(shape (switch-cost-ms 650) (goal (whole 0.5) (worst-room-type 0.25))
+          (over-quota-worth 0.1)
+          (tenants (item (name "a") (quota-per-s 18))) (reports-unasked false) (probes (price 0.01))
+          (peers (price 0.012) (addresses "127.0.0.1:9"))))"""
+        told = module_settings(parse(FILE.rstrip()[:-1] + shape, FrontSettings, "test"))
+        self.assertEqual(
+            (told.switch_cost_us, told.worst_room_part, told.quotas), (650_000, 0.5, {"a": 18.0})
+        )
+        self.assertEqual((told.probe_price, told.peer_price, told.reports_unasked), (0.01, 0.012, False))
+
+    def test_each_contradiction_names_its_place(self) -> None:
+        front = parse(FILE, FrontSettings, "test")
+        twice = ShapeSettings(tenants=[Tenant(name="a", quota_per_s=1), Tenant(name="a", quota_per_s=2)])
+        for shape, named in (
+            (twice, "tenants[1].name"),
+            (ShapeSettings(reports_unasked=False), "probes"),
+            (ShapeSettings(peers=PeerSettings(addresses=["127.0.0.1:1", "127.0.0.1:2"])), "peers.addresses"),
+        ):
+            self.assertIn(f"shape.{named}", next(amiss(msgspec.structs.replace(front, shape=shape))))
+            self.assertIn(f"watch.{named}", next(amiss(msgspec.structs.replace(front, watch=shape))))
+
+
+class WatchTest(unittest.TestCase):
+    def watched(self, **other: Any) -> tuple[Watched, Recorder]:
+        effects = Recorder()
+        made = Watched(SETTINGS, replace(SETTINGS, **other), 7, effects, 0)
+        made.handle(ListUpdate(ListMode.FULL, tuple(entry(f"s{i}", i) for i in range(3))), 0)
+        made.now_us = 100 * SECOND
+        for front in (made, made.other):
+            for server in front.servers.values():
+                server.link.hear(0.0, made.now_us - 1)
+        return made, effects
+
+    def day(self, made: Watched) -> None:
+        for i in range(30):
+            ask(made, str(i), at=made.now_us + SECOND, tenant="t")
+            if str(i) in made.subs:
+                made.handle(Started(str(i), 0, 1000), made.now_us + 1000)
+            if i >= 10 and str(i - 10) in made.subs:
+                made.handle(JoinEnded(str(i - 10), 0, Outcome.SERVED, True, None), made.now_us + 1000)
+
+    def test_the_same_settings_never_differ(self) -> None:
+        made, _ = self.watched()
+        self.day(made)
+        self.assertEqual({kind for kind, count in made.counts.items() if count}, {Kind.SAME})
+
+    def test_what_is_decided_is_what_a_front_alone_decides(self) -> None:
+        both = self.watched(switch_cost_us=SECOND, quotas={"t": 0.1}, over_quota_worth=0.1), self.watched()
+        for made, _ in both:
+            self.day(made)
+        self.assertEqual(both[0][1].calls, both[1][1].calls)
+
+    def test_where_another_shape_would_decide_otherwise_is_counted_by_kind(self) -> None:
+        made, effects = self.watched(peer_price=0.01, fronts=9, index=5)
+        for server in made.servers.values():
+            server.link.asked = 0.85  # it goes by what it knows; the other by its guess of nine fronts
+        for server in made.other.servers.values():
+            server.link.asked = None
+        ask(made)
+        self.assertEqual((made.counts[Kind.WOULD_ASK], made.counts[Kind.OTHER_RUNG]), (1, 1))
+        self.assertEqual(effects.named("tell"), [])  # counted, not carried out
+        sub, theirs = made.subs["a"], made.other.subs["a"]
+        self.assertEqual((theirs.server.address, theirs.rung), (sub.server.address, sub.rung))
+
+    def test_a_throttled_answer_that_another_shape_would_not_give(self) -> None:
+        made, effects = self.watched()
+        for server in made.servers.values():
+            server.link.asked = 2.0
+        ask(made)
+        self.assertEqual(effects.calls[-1][0], "throttle")
+        self.assertEqual(made.counts[Kind.WOULD_JOIN], 1)
+        self.assertEqual((made.subs, made.other.subs), ({}, {}))
+
+
+class FrontSideTest(unittest.TestCase):
+    def test_fronts_hear_each_other_and_nobody_else(self) -> None:
+        addresses, heard = free_ports(2), list[PeerSays]()
+        sides = [FrontSide(addresses, i, heard.append) for i in range(2)]
+        for side in sides:
+            side.start()
+            self.addCleanup(side.stop)
+        said = PeerSays(0, loads=(CellLoad(3, 0.5, None, 0),))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+            stranger.sendto(pack(said)[0], sides[1].addresses[1])
+            wait_for(lambda: sides[1].lost == 1, "the stranger's message to be passed over")
+        sides[0].sock.sendto(b"\xff\xff", sides[1].addresses[1])
+        wait_for(lambda: sides[1].lost == 2, "the malformed message to be passed over")
+        sides[0].tell(1, said)
+        wait_for(lambda: heard, "a message")
+        self.assertEqual(heard, [said])
+
+
+class WholeShapeTest(WholePath):
+    def test_a_request_waits_for_probes_and_then_plays(self) -> None:
+        fleet = msgspec.structs.replace(parse(FILE, FrontSettings, "test").fleet, reports_every_ms=0.0)
+        shape = ShapeSettings(reports_unasked=False, probes=ProbeSettings(price=0.01))
+        self.begin(fleet=fleet, shape=shape)
+        answer = self.ask("once")
+        self.assertEqual(answer.status, 201)
+        counts = self.front.core.counts
+        self.assertEqual(counts["probes"], 2)
+        wait_for(lambda: counts.get("probes_served") == 2, "both probes")
+
+    def test_a_front_whose_keeper_never_answers_still_answers_in_time(self) -> None:
+        addresses = free_ports(2)
+        shape = ShapeSettings(peers=PeerSettings(addresses=addresses))
+        self.begin(instance=Instance(index=1, fronts=2), shape=shape)
+        answer = self.ask(tenant="a", watch_ms=5000)
+        self.assertEqual(answer.status, 201)
+        self.assertGreaterEqual(self.front.core.counts["messages"], 2)  # its question and its join
+
+    def test_a_watched_front_answers_as_ever_and_tells_its_counts(self) -> None:
+        self.begin(watch=ShapeSettings(switch_cost_ms=500, goal=Goal(worst_room_type=0.5)))
+        self.assertEqual(self.ask().status, 201)
+        told = self.front.core.status()["watch"]
+        assert isinstance(told, dict)
+        self.assertGreaterEqual(told["same"], 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
