A short note speaks of its server's link alone, not of the rack's uplink

on_short() took an uplink for short where most links behind it were, and eased all of the rack; with probes and notes of uplinks it is told.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -605,17 +605,11 @@
 
     def on_short(self, server: Server, delivered: float) -> None:
         server.link.full_until_us = self.now_us + MARK_US
-        rack, others = server.rack, self.settings.fronts - 1
-        seen_us = self.now_us - self.settings.seen_after_us
-        held = [s for s in rack.servers if s.subs and (s.link.asked or 0.0) < 1 - HOLD_BACK]
-        short = [s for s in held if self.now_us < s.link.full_until_us]
-        # Links with room fall short together: it is their uplink. One is enough where no other is heard.
-        together = server in short and len(short) > len(held) // 2
-        pipe = rack.uplink if together else server.link
-        if pipe.as_of_us < seen_us - self.settings.reports_every_us:
+        seen_us, others = self.now_us - self.settings.seen_after_us, self.settings.fronts - 1
+        if server.link.as_of_us < seen_us - self.settings.reports_every_us:
             # Reports stay out, or never come, and what is delivered tells what is asked.
-            pipe.hear(1 / max(delivered, HOLD_BACK), seen_us)
-            self.ease(1 / max(delivered, HOLD_BACK), rack.servers if together else [server], others)
+            server.link.hear(1 / max(delivered, HOLD_BACK), seen_us)
+            self.ease(1 / max(delivered, HOLD_BACK), [server], others)
 
     # News asked for, where it does not come by itself: from servers by probes, from other fronts by messages.
 
