--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -101,6 +101,10 @@
             if asked is not None:
                 pipe.hear(asked, as_of_us)
 
+    def note_sent(self, kb: float, now_us: int) -> None:
+        for pipe in (self.link, self.rack.uplink):
+            pipe.note_sent(kb, now_us)
+
 
 @dataclass(slots=True, eq=False)
 class Join:
@@ -168,8 +172,7 @@
         self.typical_watch_us = float(settings.ramp_us or MARK_US)
         self.asks_failed, self.list_is_fresh = 0, False
         self.offered = self.kb_per_stream = self.mean = 0.0
-        self.mean_at_us = -1
-        self.worths, self.worths_at_us = dict[RoomType, float](), -1
+        self.worths, self.worths_at_us, self.mean_at_us = dict[RoomType, float](), -1, -1
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
             JoinEnded: self.on_join_ended, Note: self.on_note, ClientGone: self.on_client_gone,
@@ -210,14 +213,14 @@
 
     def inside(self, event: Request) -> float:
         """What a request counts, as more of its tenant's come here than this front's part of the quota."""
-        quota, times = self.settings.quotas.get(event.tenant), self.asked_of.get(event.tenant)
-        if quota is None or times is None:
+        times = self.asked_of.get(event.tenant)
+        if times is None:
             return 1.0
         if not event.returned:
             times.append(self.now_us)
         while times and times[0] < self.now_us - MARK_US:
             times.popleft()
-        within = quota / self.settings.fronts * MARK_US / 1_000_000
+        within = self.settings.quotas[event.tenant] / self.settings.fronts * MARK_US / 1_000_000
         part = min(1.0, (within + 1) / (len(times) + 1))
         return part + (1 - part) * self.settings.over_quota_worth
 
@@ -447,9 +450,9 @@
             for sub in self.subs.values():
                 offered[sub.room] += sub.room.benefit * self.settings.ladder_worth[sub.top]
                 earned[sub.room] += sub.room.benefit * self.settings.ladder_worth[sub.rung]
-            held = [r for r in self.worths if offered[r]]
-            if held and self.settings.worst_room_part:
-                worst = min(held, key=lambda r: earned[r] / offered[r])
+            worst = min((r for r in self.worths if offered[r]), default=None,
+                        key=lambda r: earned[r] / offered[r])
+            if worst is not None:
                 part = offered[worst] / sum(offered.values())
                 self.worths[worst] *= 1 + self.settings.worst_room_part / part
         return self.worths[room]
@@ -479,9 +482,7 @@
         if others:
             # The other fronts heard the same and ease alike; waiting to see it would cut twice.
             for server in servers:
-                eased_kb = part * self.others_kb(server)
-                for pipe in (server.link, server.rack.uplink):
-                    pipe.note_sent(-eased_kb, self.now_us)
+                server.note_sent(-part * self.others_kb(server), self.now_us)
         self.lower(servers, part)
 
     def lift(self, server: Server, others: int | None) -> None:
@@ -510,8 +511,7 @@
         plan = {sub: rung for sub, rung in plan.items() if self.repays(sub, rung)}
         spent_kb = sum(self.rate(sub, rung) - self.rate(sub, sub.rung) for sub, rung in plan.items())
         if others and spent_kb:
-            for pipe in (link, uplink):
-                pipe.note_sent(min(spent_kb, budget_kb) * self.others_kb(server) / own_kb, self.now_us)
+            server.note_sent(min(spent_kb, budget_kb) * self.others_kb(server) / own_kb, self.now_us)
         self.carry_out(plan)
 
     # Residue.
@@ -550,11 +550,8 @@
     def uplink_asked(self, rack: Rack) -> float:
         if rack.uplink.asked is not None:
             return self.aged(rack.uplink, sum(s.own_kb for s in rack.servers) / rack.uplink.size_kb)
-        # Guesses at links not heard would fill uplinks that have room: what was told lately counts, and own.
-        since_us = self.now_us - self.normal_us
-        told_kb = sum(s.own_kb if s.link.asked is None or s.link.as_of_us < since_us
-                      else s.link.size_kb * s.link.asked_now() for s in rack.servers)
-        return told_kb / rack.uplink.size_kb
+        # Guesses at links not heard would fill uplinks that have room.
+        return sum(s.own_kb for s in rack.servers) / rack.uplink.size_kb
 
     def others_kb(self, server: Server) -> float:
         return max(0.0, self.link_asked(server) * server.link.size_kb - server.own_kb)
@@ -564,8 +561,7 @@
 
     def count_sent(self, sub: Subscription, kb: float) -> None:
         sub.server.own_kb += kb
-        sub.server.link.note_sent(kb, self.now_us)
-        sub.server.rack.uplink.note_sent(kb, self.now_us)
+        sub.server.note_sent(kb, self.now_us)
 
     def on_note(self, event: Note) -> None:
         sub = self.subs.get(event.id)
@@ -586,7 +582,7 @@
                 self.tell_keeper(server.cell, loads=(self.load(server, False),))
         elif event.kind is NoteKind.UPLINK:
             server.rack.uplink.hear(event.level, as_of_us)
-            self.ease_uplink(server.rack, self.settings.fronts - 1)
+            self.ease(self.uplink_asked(server.rack), server.rack.servers, self.settings.fronts - 1)
             self.tell_keeper(server.cell, loads=(self.load(server, False),))
         elif event.level < WHOLE:
             self.on_short(server, event.level)
@@ -595,21 +591,16 @@
 
     def act_on(self, server: Server, others: int | None) -> None:
         self.ease(self.link_asked(server), [server], others or 0)
-        self.ease_uplink(server.rack, others or 0)
+        self.ease(self.uplink_asked(server.rack), server.rack.servers, others or 0)
         self.lift(server, others)
 
-    def ease_uplink(self, rack: Rack, others: int) -> None:
-        # A sum of links says less of an unreported uplink than that nothing behind it falls short.
-        if self.settings.uplinks_told or any(self.now_us < s.link.full_until_us for s in rack.servers):
-            self.ease(self.uplink_asked(rack), rack.servers, others)
-
     def on_short(self, server: Server, delivered: float) -> None:
         server.link.full_until_us = self.now_us + MARK_US
-        seen_us, others = self.now_us - self.settings.seen_after_us, self.settings.fronts - 1
+        seen_us, asked = self.now_us - self.settings.seen_after_us, 1 / max(delivered, HOLD_BACK)
         if server.link.as_of_us < seen_us - self.settings.reports_every_us:
             # Reports stay out, or never come, and what is delivered tells what is asked.
-            server.link.hear(1 / max(delivered, HOLD_BACK), seen_us)
-            self.ease(1 / max(delivered, HOLD_BACK), [server], others)
+            server.link.hear(asked, seen_us)
+            self.ease(asked, [server], self.settings.fronts - 1)
 
     # News asked for, where it does not come by itself: from servers by probes, from other fronts by messages.
 
@@ -702,8 +693,7 @@
             self.effects.tell(event.sender, PeerSays(self.settings.index, loads=loads))
         for cell, kb in event.joins:
             for server in self.active(cell):
-                for pipe in (server.link, server.rack.uplink):
-                    pipe.note_sent(kb, self.now_us)
+                server.note_sent(kb, self.now_us)
         for load in event.loads:
             for server in self.active(load.cell):
                 # What ran there before its last start tells nothing of it.
