--- a/fennelcove/core/core.py
+++ b/fennelcove/core/core.py
@@ -11,13 +11,13 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from random import Random
-from typing import Protocol
 
 from fennelcove.clock import Clock
 from fennelcove.core.boxes import BoxBook
 from fennelcove.core.memories import MemoryBook
 from fennelcove.core.moves import MoveBook
 from fennelcove.core.names import Names
+from fennelcove.core.news import NewsBook
 from fennelcove.core.pushes import PushBook
 from fennelcove.core.repeats import RepeatBook
 from fennelcove.core.stitches import StitchBook
@@ -54,11 +54,9 @@
     ListUpdate,
     Outcome,
     PeerSays,
-    Probed,
     Request,
     Started,
     TimerFired,
-    TimerName,
     TopChanged,
 )
 from fennelcove.rules import Front
@@ -73,18 +71,6 @@
 ENDED_KEPT = 10_000  # ended subscriptions of which the reason is still told
 
 
-class Probes(Protocol):
-    """What asks boxes for their load."""
-
-    def ask(self, box: str) -> bool: ...
-
-
-class Fronts(Protocol):
-    """What carries messages to other fronts."""
-
-    def tell(self, front: int, said: PeerSays) -> None: ...
-
-
 class Core:
     """One front's state behind its doors. Attach `book.port` and `lists` before the first event."""
 
@@ -105,15 +91,12 @@
         self.chance = Random(settings.seed)
         self.rooms = {room.name: room for room in settings.room_types}
         self.titles = {title.name: (number, title) for number, title in enumerate(settings.titles)}
-        self.decided = threading.Condition(self.lock)
         told, now_us = module_settings(settings), clock.now_us()
         self.front = Front(told, settings.seed, self, now_us)
         self.watched: Watched | None = None
         if settings.watch is not None:
             other = module_settings(settings, settings.watch)
             self.front = self.watched = Watched(told, other, settings.seed, self, now_us)
-        self.probes: Probes | None = None
-        self.fronts: Fronts | None = None
         self.keeper = ListKeeper()
         self.presence = Presence(round(settings.limits.silent_ms * 1000))
         self.orders = Orders(settings.limits.held)
@@ -145,6 +128,7 @@
             Act.RELEASE_BOX: self._release_box,
             Act.FORGET: self._forget,
         }
+        self.news = NewsBook(self)
         self.book = BoxBook(self)
         self.moves = MoveBook(self)
         self.stitches = StitchBook(self)
@@ -281,7 +265,7 @@
             )
             try:
                 self.front.handle(request, now_us)
-                self._wait_held(session)
+                self.news.wait(session)
             except Exception:
                 # What failed once would fail again: without this each such request kept its place for ever,
                 # and a front full of nothing refused everybody.
@@ -304,30 +288,6 @@
                 self._forget(session)
             session.stage = Stage.ENDED
 
-    def _wait_held(self, session: Session) -> None:
-        """The module may hold a request while it asks boxes or fronts; past its time it decides without."""
-        sub = self.front.subs.get(session.id)
-        while session.step is None and sub is not None:
-            left_us = sub.held_until_us - self.clock.now_us()
-            if left_us <= 0:
-                self.front.handle(TimerFired(TimerName.HELD), self.clock.now_us())
-                return
-            self.decided.wait(left_us / 1e6)
-
-    def probed(self, event: Probed) -> None:
-        """A probe is over."""
-        with self.lock:
-            self.tally(f"probes_{event.outcome.value}")
-            self.front.handle(event, self.clock.now_us())
-            self.decided.notify_all()
-
-    def peer_says(self, event: PeerSays) -> None:
-        """Another front's message has come."""
-        with self.lock:
-            self.tally("messages_heard")
-            self.front.handle(event, self.clock.now_us())
-            self.decided.notify_all()
-
     def join_over(
         self, session: Session, join: int, outcome: Outcome, says: BoxSays | None, took_us: int
     ) -> Step | None:
@@ -523,16 +483,10 @@
         self.notice("move_asked", subscription=id)
 
     def probe(self, server: str) -> None:
-        self.tally("probes")
-        if self.probes is None or not self.probes.ask(server):
-            # Told later: the module is in the middle of a step.
-            failed = Probed(server, Outcome.NOT_SENT, 0, None)
-            self.timers.after(0, lambda: self.probed(failed))
+        self.news.probe(server)
 
     def tell(self, front: int, said: PeerSays) -> None:
-        self.tally("messages")
-        if self.fronts is not None:
-            self.fronts.tell(front, said)
+        self.news.tell(front, said)
 
     def timer(self, name: int, delay_us: int) -> None:
         self.timers.after(delay_us, lambda: self._fire(name))
@@ -546,7 +500,7 @@
     def _fire(self, name: int) -> None:
         with self.lock:
             self.front.handle(TimerFired(name), self.clock.now_us())
-            self.decided.notify_all()
+            self.news.moved()
 
     # Sessions.
 
--- /dev/null
+++ b/fennelcove/core/news.py
@@ -0,0 +1,78 @@
+"""The core's part that asks boxes and fronts for news and lets a set-up wait for it; the core's lock is round
+it."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING, Protocol
+
+from fennelcove.core.verdicts import Session
+from fennelcove.interface import Outcome, PeerSays, Probed, TimerFired, TimerName
+
+if TYPE_CHECKING:
+    from fennelcove.core.core import Core
+
+
+class Probes(Protocol):
+    """What asks boxes for their load."""
+
+    def ask(self, box: str) -> bool: ...
+
+
+class Fronts(Protocol):
+    """What carries messages to other fronts."""
+
+    def tell(self, front: int, said: PeerSays) -> None: ...
+
+
+class NewsBook:
+    """One front's questions, and who waits for the answers. Attach `probes` and `fronts` where configured."""
+
+    def __init__(self, core: Core) -> None:
+        self.core = core
+        self.decided = threading.Condition(core.lock)
+        self.probes: Probes | None = None
+        self.fronts: Fronts | None = None
+
+    def wait(self, session: Session) -> None:
+        """The module may hold a request while it asks; past its time it decides by what it knows."""
+        clock, front = self.core.clock, self.core.front
+        sub = front.subs.get(session.id)
+        while session.step is None and sub is not None:
+            left_us = sub.held_until_us - clock.now_us()
+            if left_us <= 0:
+                front.handle(TimerFired(TimerName.HELD), clock.now_us())
+                return
+            self.decided.wait(left_us / 1e6)
+
+    def moved(self) -> None:
+        """Something was decided that a set-up may wait for."""
+        self.decided.notify_all()
+
+    def probe(self, box: str) -> None:
+        """Ask this box for its load."""
+        self.core.tally("probes")
+        if self.probes is None or not self.probes.ask(box):
+            # Told later: the module is in the middle of a step.
+            failed = Probed(box, Outcome.NOT_SENT, 0, None)
+            self.core.timers.after(0, lambda: self.probed(failed))
+
+    def tell(self, front: int, said: PeerSays) -> None:
+        """Say this to another front, or lose it."""
+        self.core.tally("messages")
+        if self.fronts is not None:
+            self.fronts.tell(front, said)
+
+    def probed(self, event: Probed) -> None:
+        """A probe is over."""
+        with self.core.lock:
+            self.core.tally(f"probes_{event.outcome.value}")
+            self.core.front.handle(event, self.core.clock.now_us())
+            self.moved()
+
+    def peer_says(self, event: PeerSays) -> None:
+        """Another front's message has come."""
+        with self.core.lock:
+            self.core.tally("messages_heard")
+            self.core.front.handle(event, self.core.clock.now_us())
+            self.moved()
--- a/fennelcove/program/front.py
+++ b/fennelcove/program/front.py
@@ -108,13 +108,13 @@
         self.front_side: FrontSide | None = None
         shape = settings.shape
         if shape.probes is not None:
-            timeout_us, heard = round(shape.probes.timeout_ms * 1000), self.core.probed
+            timeout_us, heard = round(shape.probes.timeout_ms * 1000), self.core.news.probed
             self.probe_side = ProbeSide(self.clock, self.hints, settings.name, timeout_us, codec, heard)
-            self.core.probes = self.probe_side
+            self.core.news.probes = self.probe_side
         if shape.peers is not None:
             index = settings.instance.index
-            self.front_side = FrontSide(shape.peers.addresses, index, self.core.peer_says)
-            self.core.fronts = self.front_side
+            self.front_side = FrontSide(shape.peers.addresses, index, self.core.news.peer_says)
+            self.core.news.fronts = self.front_side
         times = [round(ms * 1000) for ms in (limits.idle_ms, limits.head_ms, limits.write_ms)]
         self.setups = SetUps(self.core, self.clock, self.joiner, notice)
         self.sockets = SocketDoor(
