A title that lies everywhere is asked about at a few cells; waiting requests are found by server

Now eight cells at most are asked about and answered for, and a server knows who waits for it; what has waited its time is taken off.

--- a/fennelcove/decisions/watching.py
+++ b/fennelcove/decisions/watching.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from fennelcove.interface import Effects, Event, Settings, TimerFired
-from fennelcove.rules import Cue, Front, Life, Subscription
+from fennelcove.rules import Front, Subscription
 
 MOST_KEPT = 256  # decisions of one event that are compared; more come only with a whole fleet's end
 
@@ -80,9 +80,9 @@
         if self.would.asked:
             self.counts[Kind.WOULD_ASK] += 1
             # No reply will come: it decides by what it knows, as it would where a reply is lost.
-            for sub in [sub for sub in self.other.subs.values() if sub.life is Life.WAITING]:
-                sub.asked = {}
-                self.other.step(sub, Cue.TRY)
+            self.other.now_us = max((sub.held_until_us for sub in self.other.waiting), default=now_us)
+            self.other.held_due()
+            self.other.now_us = now_us
         decisions = (self.decided.joins, self.decided.rungs, self.would.joins, self.would.rungs)
         for id in dict.fromkeys(id for decided in decisions for id in decided):
             self.counts[self.kind(id)] += 1
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -25,6 +25,7 @@
 LIFT_MARGIN = 1.5 * HOLD_BACK  # left free beyond it when raising, or rungs flutter past the page's 3 steps
 MARK_US = 10_000_000  # a short-delivery note marks its link full for so long: the design page
 PROBED = 2  # holders probed for a request: of two known ones the better is nearly as good as of all
+ASKED = 8  # cells asked about at most, and answered for: more than most titles lie in
 BLOCK = 4  # cells in a row that one front keeps: a title's lie in a row, and one question serves most
 WHOLE = 0.98  # delivery under this costs benefit: the notes' own bound
 NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
@@ -93,6 +94,7 @@
     own_kb: float = 0.0
     probe_at_us: int | None = None
     probe_gap_us: int = 0
+    waiters: dict[Subscription, None] = field(default_factory=dict)  # of thousands held, those to tell
     left: float = 0.0  # the residues for the request in hand
     streams_left: float = 0.0
 
@@ -166,6 +168,7 @@
         self.asked_of = {tenant: deque[int](maxlen=1024) for tenant in settings.quotas}
         self.met: dict[Server, None] = {}
         self.subs: dict[str, Subscription] = {}
+        self.waiting: dict[Subscription, None] = {}
         self.seats: dict[tuple[int, RoomType], int] = {}
         self.taken, self.further = deque[int](), deque[int]()
         # Settings without a warm-up must not make the first guess of a play nothing: ages are divided by it.
@@ -176,9 +179,9 @@
         self.hears: dict[type, Callable[..., None]] = {
             Request: self.on_request, Handover: self.on_handover, Started: self.on_started,
             JoinEnded: self.on_join_ended, Note: self.on_note, ClientGone: self.on_client_gone,
-            ListUpdate: self.on_list, TimerFired: self.on_timer, TopChanged: self.on_top,
+            ListUpdate: self.on_list, TimerFired: lambda event: self.timers[event.name](),
             MoveAsked: self.on_move, Remembered: self.on_remembered, Spent: self.on_spent,
-            Probed: self.on_probed, PeerSays: self.on_peer}
+            TopChanged: self.on_top, Probed: self.on_probed, PeerSays: self.on_peer}
         self.timers: dict[int, Callable[[], None]] = {
             TimerName.ASK_LIST: self.ask_list, TimerName.PROBE: self.probe_due, TimerName.HELD: self.held_due}
 
@@ -324,9 +327,6 @@
         self.taken.extendleft(self.now_us - ago for ago in reversed(event.taken_ago_us))
         self.further.extendleft(self.now_us - ago for ago in reversed(event.further_ago_us))
 
-    def on_timer(self, event: TimerFired) -> None:
-        self.timers[event.name]()
-
     def ask_list(self) -> None:
         (self.effects.watch_list if self.settings.must_ask else self.effects.fetch_list)()
 
@@ -370,11 +370,10 @@
         stream_kb = sum(playing) / len(playing) if playing else inf
         for server in holders:
             server.left = self.link_left(server)
-            others_kb = 0.0 if server.link.asked is None else self.others_kb(server)
-            used = len(server.subs) + others_kb / stream_kb
+            used = len(server.subs) + (0.0 if server.link.asked is None else self.others_kb(server) / stream_kb)
             server.streams_left = 1 - (used + 1) / server.streams_most if server.streams_most else 1.0
         for rack in dict.fromkeys(server.rack for server in holders):
-            rack.left = self.uplink_left(rack)
+            rack.left = 1 - HOLD_BACK - self.uplink_asked(rack)
 
     def rationed_top(self, sub: Subscription, holders: list[Server]) -> int:
         """While subscriptions playing there wait for steps earning twice as much, newcomers do without."""
@@ -508,8 +507,6 @@
                 # A step may be more than the share: then chance decides which front takes it.
                 plan[sub] = -below
                 spent_kb += more
-        plan = {sub: rung for sub, rung in plan.items() if self.repays(sub, rung)}
-        spent_kb = sum(self.rate(sub, rung) - self.rate(sub, sub.rung) for sub, rung in plan.items())
         if others and spent_kb:
             server.note_sent(min(spent_kb, budget_kb) * self.others_kb(server) / own_kb, self.now_us)
         self.carry_out(plan)
@@ -519,15 +516,11 @@
     def link_left(self, server: Server) -> float:
         return 0.0 if self.now_us < server.link.full_until_us else 1 - HOLD_BACK - self.link_asked(server)
 
-    def uplink_left(self, rack: Rack) -> float:
-        return 1 - HOLD_BACK - self.uplink_asked(rack)
-
     def mean_asked(self) -> float:
         if self.mean_at_us != self.now_us:
             links = [s.link for s in self.met if s.standing is Standing.ACTIVE and s.link.asked is not None]
             heard = [min(1.0, link.asked_now()) for link in links]
-            # With nothing heard a residue may be anything: the paper's OPT takes the middle. Beside what a
-            # new front heard stand the middles of both halves, or one report would speak for all servers.
+            # Nothing heard: the paper's OPT, the middle. Else no one report may speak for all servers.
             asked = heard or [0.5] if self.settings.guard else [*heard, 0.25, 0.75]
             self.mean, self.mean_at_us = sum(asked) / len(asked), self.now_us
             if not self.settings.guard:
@@ -615,23 +608,27 @@
             for server in sub.asked:
                 self.effects.probe(server.address)
         elif self.settings.peer_price is not None:
-            sub.asked = {s: None for s in unheard if self.keeper(s.cell) != self.settings.index}
+            # A title may lie everywhere, and thousands ask at once.
+            kept = [s for s in unheard if self.keeper(s.cell) != self.settings.index]
+            sub.asked = dict.fromkeys(kept if len(kept) <= ASKED else self.sample(kept, ASKED))
             for keeper in sorted({self.keeper(server.cell) for server in sub.asked}):
                 asks = tuple(server.cell for server in sub.asked if self.keeper(server.cell) == keeper)
                 self.effects.tell(keeper, PeerSays(self.settings.index, asks=asks))
+        for server in sub.asked:
+            server.waiters[sub] = self.waiting[sub] = None
         if sub.asked:
             self.effects.timer(TimerName.HELD, sub.held_until_us - self.now_us)
         return bool(sub.asked)
 
     def is_full(self) -> bool:
         """Whether most servers heard lately had no room: asking others then costs more than it finds."""
-        since_us = self.now_us - MARK_US
-        late = [s for s in self.met if max(s.link.as_of_us, s.link.full_until_us) > since_us]
-        full = [s for s in late if max(0.0, self.link_left(s)) * max(0.0, self.uplink_left(s.rack)) == 0]
+        late = [s for s in self.met if self.now_us - max(s.link.as_of_us, s.link.full_until_us) < MARK_US]
+        full = [s for s in late if self.link_left(s) <= 0 or self.uplink_asked(s.rack) >= 1 - HOLD_BACK]
         return len(full) > len(late) / 2
 
     def heard(self, server: Server) -> None:
-        for sub in [sub for sub in self.subs.values() if sub.asked and server in sub.asked]:
+        waiters, server.waiters = server.waiters, {}
+        for sub in waiters:
             asked = sub.asked or {}
             asked.pop(server)
             if not asked:
@@ -639,9 +636,11 @@
 
     def held_due(self) -> None:
         # A reply may be lost: the ordinary path then goes by what is known.
-        for sub in [sub for sub in self.subs.values() if sub.life is Life.WAITING]:
-            if self.now_us >= sub.held_until_us:
-                self.step(sub, Cue.TRY)
+        for sub in [sub for sub in self.waiting if self.now_us >= sub.held_until_us]:
+            del self.waiting[sub]
+            for server in sub.asked or ():
+                server.waiters.pop(sub)
+            self.step(sub, Cue.TRY)
 
     def plan_probe(self, server: Server) -> None:
         """One probe a typical play, twice as long after each that raised nothing: each has its price."""
@@ -680,16 +679,15 @@
 
     def load(self, server: Server, with_sent: bool) -> CellLoad:
         """What this front knows of a server; its keeper adds the joins that it was told of."""
-        known = [pipe for pipe in (server.link, server.rack.uplink) if pipe.asked is not None]
-        link, uplink = (None if pipe not in known else pipe.asked_now() if with_sent else pipe.asked
-                        for pipe in (server.link, server.rack.uplink))
-        age_us = self.now_us - min((pipe.as_of_us for pipe in known), default=self.now_us)
+        pipes = (server.link, server.rack.uplink)
+        link, uplink = (None if p.asked is None else p.asked_now() if with_sent else p.asked for p in pipes)
+        age_us = self.now_us - min((p.as_of_us for p in pipes if p.asked is not None), default=self.now_us)
         return CellLoad(server.cell, link, uplink, age_us)
 
     def on_peer(self, event: PeerSays) -> None:
         """Whatever it says, it moves residues only: it may be late, doubled or of another build."""
         if event.asks and event.sender < self.settings.fronts:
-            loads = tuple(self.load(server, True) for cell in event.asks for server in self.active(cell))
+            loads = tuple(self.load(s, True) for cell in event.asks[:ASKED] for s in self.active(cell))
             self.effects.tell(event.sender, PeerSays(self.settings.index, loads=loads))
         for cell, kb in event.joins:
             for server in self.active(cell):
