--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -156,8 +156,7 @@
         self.settings, self.effects = settings, effects
         chance = Random(seed)
         self.uniform, self.weighted, self.chance = chance.choice, chance.choices, chance.random
-        self.sample = chance.sample
-        self.born_us = self.now_us = now_us
+        self.sample, self.born_us, self.now_us = chance.sample, now_us, now_us
         self.probes = settings.probe_price is not None and not settings.reports_unasked
         self.normal_us = settings.seen_after_us + settings.reports_every_us
         self.servers: dict[str, Server] = {}
@@ -370,7 +369,8 @@
         stream_kb = sum(playing) / len(playing) if playing else inf
         for server in holders:
             server.left = self.link_left(server)
-            used = len(server.subs) + (0.0 if server.link.asked is None else self.others_kb(server) / stream_kb)
+            others_kb = 0.0 if server.link.asked is None else self.others_kb(server)
+            used = len(server.subs) + others_kb / stream_kb
             server.streams_left = 1 - (used + 1) / server.streams_most if server.streams_most else 1.0
         for rack in dict.fromkeys(server.rack for server in holders):
             rack.left = 1 - HOLD_BACK - self.uplink_asked(rack)
