--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -25,7 +25,7 @@
 LIFT_MARGIN = 1.5 * HOLD_BACK  # left free beyond it when raising, or rungs flutter past the page's 3 steps
 MARK_US = 10_000_000  # a short-delivery note marks its link full for so long: the design page
 PROBED = 2  # holders probed for a request: of two known ones the better is nearly as good as of all
-ASKED = 8  # cells asked about at most, and answered for: more than most titles lie in
+ASKED = 8  # cells asked about and answered for at most: a title may lie everywhere, and thousands ask
 BLOCK = 4  # cells in a row that one front keeps: a title's lie in a row, and one question serves most
 WHOLE = 0.98  # delivery under this costs benefit: the notes' own bound
 NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
@@ -462,10 +462,10 @@
             return self.typical_watch_us
         return max(sub.watch_guess_us - (self.now_us - sub.started_us), sub.watch_guess_us / 2)
 
-    def repays(self, sub: Subscription, rung: int) -> bool:
-        """Whether raising to this rung earns more, in the time left, than the change costs the viewer."""
+    def repays(self, sub: Subscription, rung: int, price: float = 0.0) -> bool:
+        """Whether raising earns more in the time left than the change, and this part of a typical play."""
         more = self.settings.ladder_worth[rung] - self.settings.ladder_worth[sub.rung]
-        return more * self.left_us(sub) > self.settings.switch_cost_us
+        return more * self.left_us(sub) > self.settings.switch_cost_us + price * self.typical_watch_us
 
     def carry_out(self, plan: dict[Subscription, int]) -> None:
         for sub, rung in plan.items():
@@ -608,7 +608,6 @@
             for server in sub.asked:
                 self.effects.probe(server.address)
         elif self.settings.peer_price is not None:
-            # A title may lie everywhere, and thousands ask at once.
             kept = [s for s in unheard if self.keeper(s.cell) != self.settings.index]
             sub.asked = dict.fromkeys(kept if len(kept) <= ASKED else self.sample(kept, ASKED))
             for keeper in sorted({self.keeper(server.cell) for server in sub.asked}):
@@ -651,10 +650,12 @@
 
     def probe_due(self) -> None:
         for server in [s for s in self.met if s.probe_at_us is not None and s.probe_at_us <= self.now_us]:
-            server.probe_at_us = None
+            server.probe_at_us, price = None, self.settings.probe_price or 0.0
             if self.now_us >= server.link.full_until_us and any(
-                    sub.life is Life.PLAYING and self.repays(sub, sub.top) for sub in server.subs):
+                    sub.life is Life.PLAYING and self.repays(sub, sub.top, price) for sub in server.subs):
                 self.effects.probe(server.address)
+            else:
+                self.plan_probe(server)  # what is full or not worth it now may be later
 
     def on_probed(self, event: Probed) -> None:
         server = self.servers.get(event.server)
@@ -685,7 +686,7 @@
         return CellLoad(server.cell, link, uplink, age_us)
 
     def on_peer(self, event: PeerSays) -> None:
-        """Whatever it says, it moves residues only: it may be late, doubled or of another build."""
+        """Late, doubled or of another build, it moves residues only, and none of what has started since."""
         if event.asks and event.sender < self.settings.fronts:
             loads = tuple(self.load(s, True) for cell in event.asks[:ASKED] for s in self.active(cell))
             self.effects.tell(event.sender, PeerSays(self.settings.index, loads=loads))
@@ -694,7 +695,6 @@
                 server.note_sent(kb, self.now_us)
         for load in event.loads:
             for server in self.active(load.cell):
-                # What ran there before its last start tells nothing of it.
                 if self.now_us - load.age_us > server.started_us:
                     server.hear(load, self.now_us - load.age_us)
                 self.heard(server)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -458,6 +458,20 @@
         self.probed(made, sub.server.address, 1.0)
         self.assertEqual(sub.server.probe_gap_us, 2 * raised_gap_us)
 
+    def test_a_probe_that_does_not_pay_now_is_planned_anew(self) -> None:
+        # Planned once only, a play whose link was marked full at its turn was never raised again.
+        for price, sent in ((0.01, 1), (9.0, 0)):
+            made, effects = front(probe_price=price, reports_unasked=False)
+            play(made)
+            made.carry_out({made.subs["a"]: 0})
+            server = made.subs["a"].server
+            server.link.full_until_us = made.now_us + 60 * SECOND
+            for full_until_us, probes in ((server.link.full_until_us, 0), (0, sent)):
+                server.link.full_until_us = full_until_us
+                assert server.probe_at_us is not None
+                made.handle(TimerFired(TimerName.PROBE), server.probe_at_us)
+                self.assertEqual(len(effects.named("probe")), probes)
+
     def test_a_keeper_adds_joins_that_it_was_told_of_and_names_what_it_does_not_know(self) -> None:
         made, effects = self.unheard(fronts=3, peer_price=0.01)
         made.servers["s1"].link.hear(0.3, made.now_us)
