--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -688,7 +688,7 @@
     def on_peer(self, event: PeerSays) -> None:
         """Late, doubled or of another build, it moves residues only, and none of what has started since."""
         if event.asks and event.sender < self.settings.fronts:
-            loads = tuple(self.load(s, True) for cell in event.asks[:ASKED] for s in self.active(cell))
+            loads = tuple(self.load(s, True) for cell in event.asks[:ASKED] for s in self.active(cell)[:1])
             self.effects.tell(event.sender, PeerSays(self.settings.index, loads=loads))
         for cell, kb in event.joins:
             for server in self.active(cell):
