The watch can't break the front that decides; bounds on cells, gaps and weighing

Found by reading the change again. watching.align() looked up every earlier join's box, and one that had left both lists since raised KeyError in the live front's step (a test shows it, and fails without the change). A cell past 65,535, which fleet.cells allows, could not be packed and would have raised at each join: peers are refused with such a fleet. The gap between probes doubled without bound, also by probes for placing, up to never: eight typical plays at most. worth() summed all held subscriptions at each event where the goal weighs no room type: it does not now.

--- a/fennelcove/decisions/watching.py
+++ b/fennelcove/decisions/watching.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from fennelcove.interface import Effects, Event, Settings, TimerFired
-from fennelcove.rules import Front, Subscription
+from fennelcove.rules import Front, Join, Subscription
 
 MOST_KEPT = 256  # decisions of one event that are compared; more come only with a whole fleet's end
 
@@ -123,10 +123,13 @@
         copy.share = theirs.share if theirs is not None else sub.share
         self.other.subs[id] = copy
         for join in sub.joins:
-            self.other.open_join(copy, self.other.servers[join.server.address])
+            server = self.other.servers.get(join.server.address)
+            if server is not None and sub in join.server.subs:
+                self.other.open_join(copy, server)
+            else:
+                # Over, and its box may be on no list: looked up there, it broke the front that decides.
+                copy.joins.append(Join(server or join.server, join.sent_us))
             copy.joins[-1].sent_us, copy.joins[-1].may_have_run = join.sent_us, join.may_have_run
-            if sub not in join.server.subs:
-                self.other.close_join(copy, copy.joins[-1])
 
 
 def random_of(front: Front) -> Random:
--- a/fennelcove/messages.py
+++ b/fennelcove/messages.py
@@ -7,6 +7,7 @@
 from fennelcove.interface import CellLoad, PeerSays
 
 MOST_BYTES = 256
+MOST_CELLS = 1 << 16  # a cell is two bytes
 ASKS, LOADS, JOINS = 1, 2, 3  # first byte of a message: cells asked about, loads known, joins sent
 CELL = struct.Struct(">H")
 LOAD = struct.Struct(">HBBB")  # cell, link and uplink in hundredths, age in tenths of a second
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -446,7 +446,7 @@
         if self.worths_at_us != self.now_us:
             self.worths, self.worths_at_us = {r: r.benefit for r in self.settings.rooms.values()}, self.now_us
             offered, earned = dict.fromkeys(self.worths, 0.0), dict.fromkeys(self.worths, 0.0)
-            for sub in self.subs.values():
+            for sub in self.subs.values() if self.settings.worst_room_part else ():
                 offered[sub.room] += sub.room.benefit * self.settings.ladder_worth[sub.top]
                 earned[sub.room] += sub.room.benefit * self.settings.ladder_worth[sub.rung]
             worst = min((r for r in self.worths if offered[r]), default=None,
@@ -634,7 +634,6 @@
                 self.step(sub, Cue.TRY)
 
     def held_due(self) -> None:
-        # A reply may be lost: the ordinary path then goes by what is known.
         for sub in [sub for sub in self.waiting if self.now_us >= sub.held_until_us]:
             del self.waiting[sub]
             for server in sub.asked or ():
@@ -666,7 +665,8 @@
             rungs = sum(sub.rung for sub in server.subs)
             self.act_on(server, None)
             raised = sum(sub.rung for sub in server.subs) > rungs
-            server.probe_gap_us = int(self.typical_watch_us) if raised else 2 * server.probe_gap_us
+            gap_us = int(self.typical_watch_us)  # a gap without bound would end in no probe at all
+            server.probe_gap_us = gap_us if raised else min(2 * server.probe_gap_us, 8 * gap_us)
         self.heard(server)
         self.plan_probe(server)
 
--- a/fennelcove/settings/checks.py
+++ b/fennelcove/settings/checks.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from fennelcove.interface import Effect, RoomType, Scope, Settings
+from fennelcove.messages import MOST_CELLS
 from fennelcove.settings.reader import SettingsError, load
 from fennelcove.settings.schema import FrontSettings, ShapeSettings
 
@@ -83,6 +84,11 @@
             yield f"{at}.tenants[{i}].name: found {name!r} a second time; give each its own name"
     if not shape.reports_unasked and shape.probes is None:
         yield f"{at}.probes: found none where no report comes unasked; state them, or reports-unasked true"
+    if shape.peers is not None and front.fleet.cells > MOST_CELLS:
+        yield (
+            f"{at}.peers: found {front.fleet.cells} fleet.cells; messages name {MOST_CELLS} at most, "
+            "so leave peers out"
+        )
     if shape.peers is not None and len(shape.peers.addresses) != front.instance.fronts:
         yield (
             f"{at}.peers.addresses: found {len(shape.peers.addresses)} for {front.instance.fronts} fronts; "
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -10,7 +10,16 @@
 import msgspec
 
 from fennelcove.decisions.watching import Kind, Watched
-from fennelcove.interface import CellLoad, JoinEnded, ListMode, ListUpdate, Outcome, PeerSays, Started
+from fennelcove.interface import (
+    CellLoad,
+    JoinEnded,
+    ListMode,
+    ListUpdate,
+    Outcome,
+    PeerSays,
+    Started,
+    TopChanged,
+)
 from fennelcove.messages import pack
 from fennelcove.peers.fronts import FrontSide
 from fennelcove.settings.checks import amiss, module_settings
@@ -68,6 +77,11 @@
         ):
             self.assertIn(f"shape.{named}", next(amiss(msgspec.structs.replace(front, shape=shape))))
             self.assertIn(f"watch.{named}", next(amiss(msgspec.structs.replace(front, watch=shape))))
+        wide = msgspec.structs.replace(front.fleet, cells=70_000)  # a message names a cell in two bytes
+        peers = ShapeSettings(peers=PeerSettings(addresses=["127.0.0.1:1"]))
+        self.assertIn(
+            "shape.peers: found 70000", next(amiss(msgspec.structs.replace(front, fleet=wide, shape=peers)))
+        )
 
 
 class WatchTest(unittest.TestCase):
@@ -112,6 +126,18 @@
         sub, theirs = made.subs["a"], made.other.subs["a"]
         self.assertEqual((theirs.server.address, theirs.rung), (sub.server.address, sub.rung))
 
+    def test_a_box_that_has_left_since_a_join_there_failed_breaks_nothing(self) -> None:
+        made, _ = self.watched()
+        ask(made)
+        first = made.subs["a"].server.address
+        made.handle(JoinEnded("a", 0, Outcome.SERVER_ERROR, False, None), made.now_us + 1000)
+        made.handle(Started("a", 1, 1000), made.now_us + 1000)
+        gone = tuple(entry(f"s{i}", i) for i in range(3) if f"s{i}" != first)
+        made.handle(ListUpdate(ListMode.FULL, gone), made.now_us + 60 * SECOND)
+        self.assertNotIn(first, made.other.servers)
+        made.handle(TopChanged("a", 0), made.now_us + 1000)
+        self.assertEqual(made.other.subs["a"].rung, made.subs["a"].rung)
+
     def test_a_throttled_answer_that_another_shape_would_not_give(self) -> None:
         made, effects = self.watched()
         for server in made.servers.values():
