--- /dev/null
+++ b/fennelcove/isup/reader.py
@@ -0,0 +1,63 @@
+"""Reads messages off a stream of bytes: feed bytes, then take messages until None says more are needed."""
+
+from __future__ import annotations
+
+from fennelcove.isup.messages import MOST_BYTES, SESSION_BYTES, Kind, Message, ProtocolError
+
+_KINDS = {int(kind): kind for kind in Kind}
+
+
+class Reader:
+    """One direction of one connection; after a ProtocolError every further call raises it again."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+        self.failure: ProtocolError | None = None
+
+    def feed(self, data: bytes) -> None:
+        """Add what was read."""
+        self.buffer += data
+
+    def next(self) -> Message | None:
+        """The next message, or None while more bytes are needed.
+
+        Raises:
+            ProtocolError: bytes that are no message; nothing more can be read.
+        """
+        if self.failure is not None:
+            raise self.failure
+        try:
+            return self._next()
+        except ProtocolError as error:
+            self.failure = error
+            self.buffer.clear()
+            raise
+
+    def _next(self) -> Message | None:
+        if len(self.buffer) < 3:
+            return None
+        length = int.from_bytes(self.buffer[:2], "big")
+        # Both are known from the first bytes: noise must not wait for a message that never ends.
+        if not 1 + SESSION_BYTES <= length <= MOST_BYTES - 2:
+            raise ProtocolError(f"a message of {length} bytes")
+        kind = _KINDS.get(self.buffer[2])
+        if kind is None:
+            raise ProtocolError(f"a message of type {self.buffer[2]}")
+        if len(self.buffer) < 2 + length:
+            return None
+        raw = bytes(self.buffer[3 : 2 + length])
+        del self.buffer[: 2 + length]
+        return Message(kind, raw[:SESSION_BYTES], _parameters(raw, SESSION_BYTES))
+
+
+def _parameters(raw: bytes, at: int) -> dict[int, bytes]:
+    found: dict[int, bytes] = {}
+    while at < len(raw):
+        end = at + 3 + int.from_bytes(raw[at + 1 : at + 3], "big")
+        if at + 3 > len(raw) or end > len(raw):
+            raise ProtocolError("a parameter longer than its message")
+        if raw[at] in found:
+            raise ProtocolError(f"parameter {raw[at]} given twice")
+        found[raw[at]] = raw[at + 3 : end]
+        at = end
+    return found
--- /dev/null
+++ b/fennelcove/isup/writer.py
@@ -0,0 +1,25 @@
+"""Writes messages as bytes."""
+
+from __future__ import annotations
+
+from fennelcove.isup.messages import MOST_BYTES, SESSION_BYTES, Cause, Code, Kind
+
+
+def message(kind: Kind, session: bytes, *parameters: tuple[Code, bytes]) -> bytes:
+    """A whole message.
+
+    Raises:
+        ValueError: a session that is not 8 bytes, or a message past its bound.
+    """
+    if len(session) != SESSION_BYTES:
+        raise ValueError(f"a session of {len(session)} bytes")
+    body = b"".join(bytes([code]) + len(value).to_bytes(2, "big") + value for code, value in parameters)
+    length = 1 + SESSION_BYTES + len(body)
+    if length + 2 > MOST_BYTES:
+        raise ValueError(f"a message of {length + 2} bytes")
+    return length.to_bytes(2, "big") + bytes([kind]) + session + body
+
+
+def release(session: bytes, cause: Cause) -> bytes:
+    """A session's end, or a set-up that is given up."""
+    return message(Kind.RELEASE, session, (Code.CAUSE, bytes([cause])))
--- /dev/null
+++ b/fennelcove/node/board.py
@@ -0,0 +1,112 @@
+"""Watches the notice board: one thread that asks for what comes after the last event it has."""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+from contextlib import suppress
+
+from fennelcove.clock import Clock
+from fennelcove.http1 import writer
+from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead
+from fennelcove.http1.reader import Gatherer, Reader
+from fennelcove.node.address import Address
+from fennelcove.node.desk import Desk
+from fennelcove.node.notices import Board, BoardError
+
+LINGER_MS = 1_000  # a board that goes silent is noticed soon after so long
+ANSWER_US = 400_000  # beyond it
+CONNECT_US = 500_000
+PAUSE_US = 100_000  # after a failure: asking anew at once, for ever, would only load a board that is down
+BOARD_BYTES = 1 << 20
+READ_BYTES = 65_536
+
+
+class Watch:
+    """Owns the poll's connection. `move` and `stop` may be called from any thread."""
+
+    def __init__(self, desk: Desk, clock: Clock, board: Address, rev: int) -> None:
+        self.desk = desk
+        self.clock = clock
+        self.board = board
+        self.rev = rev
+        self.changed = threading.Condition()
+        self.stopped = False
+        self.sock: socket.socket | None = None
+        self.answers: Gatherer | None = None
+
+    def move(self, board: Address) -> None:
+        """Go on at another address, with the same numbers."""
+        with self.changed:
+            self.board = board
+            self._shut()
+            self.changed.notify_all()
+
+    def again(self) -> None:
+        """Ask for everything anew."""
+        self.rev = 0
+
+    def stop(self) -> None:
+        with self.changed:
+            self.stopped = True
+            self._shut()
+            self.changed.notify_all()
+
+    def _shut(self) -> None:
+        if self.sock is not None:
+            with suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
+
+    def run(self) -> None:
+        """Ask until stopped."""
+        while not self.stopped:
+            address = self.board
+            try:
+                self._poll(address)
+            except (OSError, ProtocolError, BoardError, ValueError) as error:
+                self._close()
+                self.desk.notice("board_call_failed", reason=f"{type(error).__name__}: {error}")
+                with self.changed:
+                    if not self.stopped and self.board == address:
+                        self.changed.wait(PAUSE_US / 1e6)
+
+    def _poll(self, address: Address) -> None:
+        if self.sock is None:
+            sock = socket.create_connection((address.host, address.port), CONNECT_US / 1e6)
+            with self.changed:
+                self.sock, self.answers = sock, Gatherer(Reader(False, CodecLimits(body_bytes=BOARD_BYTES)))
+        if address != self.board:
+            raise ConnectionError("the board has moved")
+        assert self.answers is not None and self.sock is not None
+        rev = self.rev
+        target = f"/board/poll?watch={rev}&linger={LINGER_MS}"
+        self.sock.settimeout(CONNECT_US / 1e6)
+        self.sock.sendall(writer.request("GET", target, f"{address.host}:{address.port}"))
+        until_us = self.clock.now_us() + LINGER_MS * 1000 + ANSWER_US
+        while (whole := self.answers.next()) is None:
+            left_us = until_us - self.clock.now_us()
+            if left_us <= 0:
+                raise TimeoutError("the board is silent")
+            self.sock.settimeout(left_us / 1e6)
+            data = self.sock.recv(READ_BYTES)
+            self.answers.reader.feed(data)
+            if not data and self.answers.reader.between:
+                raise ConnectionResetError("closed before its answer")
+        assert isinstance(whole.head, ResponseHead)
+        if whole.head.status != 200:
+            raise ConnectionError(f"answered {whole.head.status}")
+        board = Board.parse(json.loads(whole.body))
+        for notice in board.notices:
+            if notice.rev > rev:
+                with self.desk.lock:
+                    self.desk.board_says(notice)
+        self.rev = max(self.rev, board.rev) if rev == self.rev else self.rev
+        if not whole.head.keep_alive:
+            self._close()
+
+    def _close(self) -> None:
+        with self.changed:
+            sock, self.sock, self.answers = self.sock, None, None
+        if sock is not None:
+            sock.close()
--- /dev/null
+++ b/fennelcove/node/config.py
@@ -0,0 +1,73 @@
+"""What a front node is told at its start, read from the file that the platform names."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from fennelcove import facts
+from fennelcove.facts import FactsError, LinkTerms
+from fennelcove.interface import Settings
+from fennelcove.node.address import Address, parse_address
+from fennelcove.node.notices import Board, BoardError
+
+CONNECT_US = 250_000  # where the settings name no limit
+IDLE_US = 30_000_000
+SOCKETS = 256
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the message names the field."""
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Config:
+    """One front node's configuration."""
+
+    name: str
+    listen: Address
+    seed: int
+    sockets: int
+    board: Address
+    known: Board
+    settings: Settings
+    terms: LinkTerms
+
+
+def load(path: str) -> Config:
+    """Read the file.
+
+    Raises:
+        ConfigError: unreadable, no JSON, or a field that can't be used.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            tree = json.load(file)
+        return parse(tree)
+    except (OSError, ValueError, FactsError, BoardError) as error:
+        raise ConfigError(f"{type(error).__name__}: {error}") from None
+
+
+def parse(tree: Any) -> Config:
+    """The configuration out of its parsed JSON.
+
+    Raises:
+        ConfigError, FactsError, BoardError, ValueError: a field that can't be used.
+    """
+    if not isinstance(tree, dict):
+        raise ConfigError("the configuration is no object")
+    settings, _ = facts.read(tree.get("settings"))
+    terms = facts.link_terms(tree.get("settings"))
+    limits = facts.Facts(tree.get("limits", {}), "limits")
+    seed = tree.get("seed", "0")
+    return Config(
+        name=str(tree.get("name", "")),
+        listen=parse_address(tree.get("listen")),
+        seed=int(seed, 16) if isinstance(seed, str) else int(seed),
+        sockets=max(32, int(limits.number("sockets", SOCKETS))),
+        board=parse_address(tree.get("board")),
+        known=Board.parse(tree.get("known", {"rev": 0, "notices": []})),
+        settings=settings,
+        terms=LinkTerms(terms.connect_us or CONNECT_US, terms.idle_us or IDLE_US, terms.longest_us),
+    )
--- /dev/null
+++ b/fennelcove/node/desk.py
@@ -0,0 +1,307 @@
+"""Everything behind the one lock: the decision module, and what the node holds of viewers and servers.
+
+Nothing here waits: sends are handed to the kernel or given up, and the threads of links and viewers wait
+outside. Every method but `due` is called with the lock held.
+"""
+
+from __future__ import annotations
+
+import math
+import threading
+from collections import deque
+from collections.abc import Callable
+
+from fennelcove.clock import Clock
+from fennelcove.core.timers import Timers
+from fennelcove.facts import load_report
+from fennelcove.interface import (
+    Event,
+    Handover,
+    ListMode,
+    LoadReport,
+    Note,
+    NoteKind,
+    Outcome,
+    Request,
+    Standing,
+)
+from fennelcove.isup.messages import Cause, Code, Kind, Message
+from fennelcove.node import states
+from fennelcove.node.asks import Asks
+from fennelcove.node.config import Config
+from fennelcove.node.links import Link, Phase
+from fennelcove.node.log import Notices
+from fennelcove.node.notices import Notice
+from fennelcove.node.parties import Join, Server, State, Subscription
+from fennelcove.node.states import Cue
+from fennelcove.node.viewers import Roll
+from fennelcove.rules import Front
+
+QUIET_US = 1_500_000  # a link with something playing behind it is asked for a sign of life after so long,
+SILENT_US = 1_500_000  # and taken for dead when none has come after so long again
+DIAL_AGAIN_US = 300_000
+DIALS = 2  # failed in a row say that a server is gone: its sessions are, and their viewers must hear
+MOST_OPEN = 10_000  # set-ups and subscriptions held at once
+
+NOTES = {
+    "quality": NoteKind.DELIVERED,
+    "profile": NoteKind.RUNG,
+    "nic": NoteKind.LINK,
+    "tor": NoteKind.UPLINK,
+}
+BEFORE: dict[int | None, Outcome] = {
+    Cause.FULL: Outcome.TURNED_AWAY,
+    Cause.ERROR: Outcome.SERVER_ERROR,
+    Cause.MOOT: Outcome.NOT_SENT,
+}
+AFTER: dict[int | None, Outcome] = {Cause.OK: Outcome.SERVED, Cause.CALLED_OFF: Outcome.CALLED_OFF}
+
+
+class Desk:
+    """One instance."""
+
+    def __init__(self, config: Config, clock: Clock, timers: Timers, notice: Notices) -> None:
+        self.config = config
+        self.clock = clock
+        self.timers = timers
+        self.notice = notice
+        self.lock = threading.Lock()
+        self.last_us = 0
+        self.subs: dict[bytes, Subscription] = {}
+        self.servers: dict[str, Server] = {}
+        self.roll = Roll(config.sockets // 2)
+        self.links = 0
+        self.most_links = config.sockets // 3
+        self.stopping = False
+        self.events: deque[Event] = deque()
+        self.telling = False
+        self.fetch: Callable[[], None] = lambda: None
+        self.front = Front(config.settings, config.seed, Asks(self), self.now_us())
+
+    def now_us(self) -> int:
+        """The Unix clock, by which rules are judged and servers' starts are told; it never goes back."""
+        self.last_us = max(self.last_us, self.clock.wall_us())
+        return self.last_us
+
+    def tell(self, event: Event) -> None:
+        """Tell the module, after what it is being told already."""
+        self.events.append(event)
+        if self.telling:
+            return
+        self.telling = True
+        try:
+            while self.events:
+                self.front.handle(self.events.popleft(), self.now_us())
+        finally:
+            self.telling = False
+
+    def due(self, call: Callable[[], None]) -> None:
+        """What a timer calls: takes the lock itself."""
+        with self.lock:
+            call()
+
+    # Joins on links.
+
+    def carry(self, sub: Subscription) -> None:
+        """Hand a set-up to an idle link, or to a new one; the limit on the join runs from now."""
+        join = sub.join
+        assert join is not None
+        self.timers.after(join.allow_us, lambda: self.due(lambda: self.time_over(sub, join)))
+        idle = [link for link in join.server.links if link.idle]
+        if not idle and self.links >= self.most_links:
+            self.spare()
+        if not idle and self.links >= self.most_links:
+            self.join_over(sub, Outcome.NOT_SENT, None)
+            return
+        join.link = idle[-1] if idle else Link(self, join.server)
+        join.link.carry(sub)
+        if not idle:
+            join.link.start()
+
+    def spare(self) -> None:
+        """Close the idle link that has been silent longest, to make room for another."""
+        idle = [link for server in self.servers.values() for link in server.links if link.idle]
+        if idle:
+            min(idle, key=lambda link: link.heard_us).close(Outcome.CONNECTION_LOST)
+
+    def time_over(self, sub: Subscription, join: Join) -> None:
+        """The wait for this join is over, if it is still out: it is given up before the module hears."""
+        link = join.link
+        if sub.join is not join or sub.state is not State.JOINING or link is None:
+            return
+        if link.phase is Phase.DIALLING:
+            link.close(Outcome.NO_CONNECTION)
+            return
+        link.give_up(sub)
+        # An answer that never comes, or stops short, leaves nothing that can be read behind it.
+        link.close(Outcome.NO_ANSWER)
+        self.join_over(sub, Outcome.NO_ANSWER, None)
+
+    def join_over(self, sub: Subscription, outcome: Outcome, report: LoadReport | None) -> None:
+        """A join, or what it started, has come to this."""
+        if sub.join is not None:
+            sub.join.outcome, sub.join.report = outcome, report
+            states.step(self, sub, Cue.ENDED)
+
+    def hear(self, link: Link, message: Message) -> None:
+        """A message of a server. What is known to nobody is passed over: it may have crossed with its end, or
+        be a second copy, or an answer ahead of its question."""
+        sub = self.subs.get(message.session)
+        if message.kind is Kind.TEST:
+            link.answer_test()
+        if sub is None or sub.join is None or sub.join.server is not link.server:
+            return
+        if message.kind is Kind.ANSWER:
+            self.answered(link, sub, message)
+        elif message.kind is Kind.RELEASE:
+            self.released(link, sub, message)
+        elif message.kind is Kind.NOTE and sub.state is State.STANDING:
+            self.noted(sub, message)
+
+    def answered(self, link: Link, sub: Subscription, message: Message) -> None:
+        if sub.state is not State.JOINING:
+            return  # a second copy
+        description = message.parameters.get(Code.DESCRIPTION)
+        if description is None:
+            link.close(Outcome.CONNECTION_LOST)
+            return
+        if link.carried is sub:
+            link.carried = None
+        sub.answer = description
+        states.step(self, sub, Cue.ANSWERED)
+
+    def released(self, link: Link, sub: Subscription, message: Message) -> None:
+        standing = sub.state is State.STANDING
+        outcome = (AFTER if standing else BEFORE).get(message.cause, Outcome.CONNECTION_LOST)
+        if link.carried is sub:
+            link.carried = None
+        self.join_over(sub, outcome, self.report(message))
+
+    def report(self, message: Message) -> LoadReport | None:
+        """The report that came along; one that can't be read is none."""
+        values: dict[str, float] = {}
+        for part in filter(None, message.text(Code.REPORT).split(";")):
+            name, _, raw = part.partition(":")
+            value = figure(raw)
+            if value is None:
+                return None
+            values[name] = value
+        return load_report(values) if values else None
+
+    def noted(self, sub: Subscription, message: Message) -> None:
+        kind, value = NOTES.get(message.text(Code.NOTE_NAME)), figure(message.text(Code.FIGURE))
+        if kind is None or value is None or sub.join is None:
+            return
+        if kind is NoteKind.RUNG:
+            if not 0 <= value < len(self.config.settings.ladder_kb):
+                return
+            sub.rung = int(value)
+        self.tell(Note(sub.key, sub.join.server.name, kind, value))
+
+    # Servers.
+
+    def board_says(self, notice: Notice) -> None:
+        """The list has changed."""
+        self.tell(notice.update)
+        if notice.update.mode is not ListMode.INCREMENTAL:
+            for server in self.servers.values():
+                server.listed = False
+        for entry in notice.update.entries:
+            dial = notice.dials[entry.address]
+            server = self.servers.setdefault(entry.address, Server(entry.address, dial))
+            server.address, server.listed = dial, entry.standing is not Standing.LEFT
+        for server in list(self.servers.values()):
+            self.drop(server)
+
+    def drop(self, server: Server) -> None:
+        """Forget a server that is off the list, once the module has and nothing plays there."""
+        if not server.listed and not server.standing and server.name not in self.front.servers:
+            for link in list(server.links):
+                if link.carried is None:
+                    link.close(Outcome.CONNECTION_LOST)
+            if not server.links:
+                del self.servers[server.name]
+
+    def dial_failed(self, server: Server) -> None:
+        """A connection could not be made: once may be chance; again in a row, what played there is over."""
+        server.dials_failed += 1
+        server.dial_at_us = self.now_us() + DIAL_AGAIN_US
+        if server.dials_failed >= DIALS and not any(link.phase is Phase.OPEN for link in server.links):
+            for sub in list(server.standing):
+                self.join_over(sub, Outcome.CONNECTION_LOST, None)
+
+    def round(self) -> None:
+        """Now and then: links that must be there are, those behind which something plays give a sign of life,
+        and those that carry nothing end before the server ends them."""
+        now_us = self.now_us()
+        for server in list(self.servers.values()):
+            for link in list(server.links):
+                if link.phase is not Phase.OPEN:
+                    continue
+                quiet_us = now_us - link.heard_us
+                silent = link.tested_us is not None and now_us - link.tested_us > SILENT_US
+                unused = link.idle and not server.standing and quiet_us > self.config.terms.idle_us * 3 // 4
+                if silent or unused:
+                    link.close(Outcome.CONNECTION_LOST)
+                elif quiet_us > QUIET_US and server.standing and link.tested_us is None:
+                    link.test()
+            # The end of what plays there comes on any open link, or on the next that is opened.
+            if (server.standing or server.unsent) and not server.links and now_us >= server.dial_at_us:
+                Link(self, server).start()
+            self.drop(server)
+
+    # Viewers.
+
+    def take(self, sub: Subscription, request: Request) -> None:
+        """A set-up that is well formed."""
+        self.subs[sub.id] = sub
+        if sub.viewer is not None:
+            sub.viewer.open[sub] = None
+        self.tell(request)
+
+    def adopt(self, sub: Subscription, request: Request, server: str) -> bool:
+        """What plays at a server already; False where no such server is known."""
+        if server not in self.front.servers or server not in self.servers:
+            return False
+        sub.join, sub.joins, sub.state = Join(self.servers[server], 0, self.now_us(), 0), 1, State.STANDING
+        sub.description = b""
+        self.subs[sub.id] = sub
+        self.servers[server].standing[sub] = None
+        if sub.viewer is not None:
+            sub.viewer.standing[sub] = None
+        self.tell(Handover(request, server))
+        if not self.servers[server].links and self.links < self.most_links:
+            Link(self, self.servers[server]).start()
+        return True
+
+    def forget(self, sub: Subscription) -> None:
+        """Nothing of it may stay in any table."""
+        self.subs.pop(sub.id, None)
+        if sub.viewer is not None:
+            sub.viewer.open.pop(sub, None)
+            sub.viewer.standing.pop(sub, None)
+        if sub.join is not None:
+            sub.join.server.standing.pop(sub, None)
+
+    def to_viewer(self, sub: Subscription, data: bytes) -> None:
+        """On the connection of the set-up, or another of the same viewer's: what stands belongs to none."""
+        viewer = sub.viewer or self.roll.other(sub.peer)
+        if viewer is not None:
+            viewer.send(data)
+
+    def to_server(self, sub: Subscription, data: bytes) -> None:
+        if sub.join is not None:
+            for link in sub.join.server.links:
+                if link.phase is Phase.OPEN:
+                    link.send(data)
+                    return
+            sub.join.server.unsent.append(data)
+
+
+def figure(raw: str) -> float | None:
+    """A finite number, or None."""
+    try:
+        value = float(raw)
+    except ValueError:
+        return None
+    return value if math.isfinite(value) else None
--- /dev/null
+++ b/fennelcove/node/door.py
@@ -0,0 +1,155 @@
+"""What a viewer's message means: checked whole before anything behind the door sees it."""
+
+from __future__ import annotations
+
+import math
+import re
+from typing import TYPE_CHECKING
+
+from fennelcove.interface import Request, Settings
+from fennelcove.node import states
+from fennelcove.node.parties import State, Subscription
+from fennelcove.node.states import Cue
+from fennelcove.rtsp import messages, writer
+
+if TYPE_CHECKING:
+    from fennelcove.node.desk import Desk
+    from fennelcove.node.viewers import Viewer
+
+_ID = re.compile(r"[0-9a-fA-F]{16}")
+_TITLE = re.compile(r"rtsp://media/([0-9a-f]{1,16})")
+_WHOLE = re.compile(r"[0-9]{1,9}")
+MOST_WAIT_MS = 3_600_000
+MOST_OPEN_HERE = 256  # set-ups open on one connection
+MOST_HELD = 10_000  # set-ups and subscriptions of a node
+
+
+class Unfit(Exception):
+    """A set-up that can't be used."""
+
+
+def hear(desk: Desk, viewer: Viewer, message: messages.Message) -> None:
+    """Act on one message; the desk's lock is held."""
+    if isinstance(message, messages.Answer):
+        return  # a release that was heard
+    echo = [
+        (name, message.fields[name.lower()]) for name in ("CSeq", "Session") if name.lower() in message.fields
+    ]
+    session = message.fields.get("session", "")
+    if message.method == "OPTIONS":
+        viewer.send(writer.answer(503 if desk.stopping else 200, *echo))
+    elif _ID.fullmatch(session) is None:
+        viewer.send(writer.answer(400, *echo))
+    elif message.method == "SETUP":
+        set_up(desk, viewer, message, session)
+    elif message.method == "TEARDOWN":
+        found = tear_down(desk, viewer, bytes.fromhex(session))
+        viewer.send(writer.answer(200 if found else 454, *echo))
+    else:
+        viewer.send(writer.answer(501, *echo))
+
+
+def set_up(desk: Desk, viewer: Viewer, message: messages.Request, session: str) -> None:
+    """A subscription to set up, or one that plays already."""
+    cseq = message.fields.get("cseq", "1")
+    echo = (("CSeq", cseq), ("Session", session))
+    id = bytes.fromhex(session)
+    held = desk.subs.get(id)
+    at = ""
+    try:
+        routing = parts(message.fields.get("routing-data", ""))
+        at = routing.get("at", "")
+        request = checked(desk.config.settings, message, id.hex(), routing)
+    except Unfit:
+        viewer.send(writer.answer(451, *echo))
+        return
+    if held is not None:
+        if at:
+            return  # it may name what is held already
+        if held.viewer is viewer and held.state is not State.STANDING:
+            # One answer is owed under this id; a refusal here would be taken for it.
+            viewer.shut()
+            return
+        viewer.send(writer.answer(455, *echo))
+        return
+    title = message.address.rpartition("/")[2]
+    sub = Subscription(id, session, cseq, request.room, title, message.body, viewer, viewer.peer)
+    if at:
+        if len(desk.subs) < MOST_HELD:
+            desk.adopt(sub, request, at)
+    elif len(viewer.open) >= MOST_OPEN_HERE or len(desk.subs) >= MOST_HELD:
+        viewer.send(writer.answer(503, *echo))
+    else:
+        desk.take(sub, request)
+
+
+def checked(settings: Settings, message: messages.Request, key: str, routing: dict[str, str]) -> Request:
+    """The set-up as the module takes it.
+
+    Raises:
+        Unfit: a field that is missing, of another form or out of its range.
+    """
+    title = _TITLE.fullmatch(message.address)
+    room = message.fields.get("call-kind", "")
+    if title is None or room not in settings.rooms:
+        raise Unfit
+    return Request(
+        id=key,
+        room=room,
+        title=int(title[1], 16),
+        first_cell=whole(routing, "home", 0, settings.cells - 1),
+        cell_count=whole(routing, "copies", 1, settings.cells),
+        top_rung=whole(routing, "top", 0, len(settings.ladder_kb) - 1),
+        timeout_us=0 if "at" in routing else wait_us(message.fields.get("answer-within", "")),
+        returned=routing.get("again", "0") == "1",
+    )
+
+
+def parts(raw: str) -> dict[str, str]:
+    """`name:value` parts, each name once.
+
+    Raises:
+        Unfit: another form.
+    """
+    found: dict[str, str] = {}
+    for part in raw.split(";"):
+        name, colon, value = part.partition(":")
+        if not colon or name in found:
+            raise Unfit
+        found[name] = value
+    return found
+
+
+def whole(routing: dict[str, str], name: str, least: int, most: int) -> int:
+    raw = routing.get(name, "")
+    if _WHOLE.fullmatch(raw) is None or not least <= int(raw) <= most:
+        raise Unfit
+    return int(raw)
+
+
+def wait_us(raw: str) -> int:
+    """How long the viewer waits, from milliseconds."""
+    try:
+        value = float(raw)
+    except ValueError:
+        raise Unfit from None
+    if not math.isfinite(value) or not 0 < value <= MOST_WAIT_MS:
+        raise Unfit
+    return round(value * 1000)
+
+
+def tear_down(desk: Desk, viewer: Viewer, id: bytes) -> bool:
+    """The viewer gives up a set-up, or ends what stands; what stands may be ended on any connection."""
+    sub = desk.subs.get(id)
+    if sub is None or (sub.viewer is not viewer and sub.state is not State.STANDING):
+        return False
+    return states.step(desk, sub, Cue.VIEWER_GONE)
+
+
+def viewer_gone(desk: Desk, viewer: Viewer) -> None:
+    """A connection has ended: nobody waits for what is open on it, and what stands on it stands on."""
+    for sub in list(viewer.open):
+        states.step(desk, sub, Cue.VIEWER_GONE)
+    for sub in viewer.standing:
+        sub.viewer = None
+    viewer.standing.clear()
--- /dev/null
+++ b/fennelcove/node/links.py
@@ -0,0 +1,169 @@
+"""Links to servers: one thread each, one set-up out on each, and what a link's end proves.
+
+A server's answer may be spoilt, cut off or never come, and then the link is of no further use for whatever
+else is out on it: with one set-up to a link, the one that was spoilt is the only one that is lost.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+import threading
+from contextlib import suppress
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from fennelcove.interface import Outcome
+from fennelcove.isup import writer
+from fennelcove.isup.messages import Cause, Code, Kind, ProtocolError
+from fennelcove.isup.reader import Reader
+from fennelcove.node.parties import Server, Subscription
+
+if TYPE_CHECKING:
+    from fennelcove.node.desk import Desk
+
+READ_BYTES = 16_384
+NO_SESSION = bytes(8)
+
+Phase = Enum("Phase", "DIALLING OPEN CLOSED")
+
+
+def receive_limit(sock: socket.socket, limit_us: int) -> None:
+    """Bound each read by the kernel, and leave sends to say at once that they would wait."""
+    seconds, micros = divmod(max(1000, limit_us), 1_000_000)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", seconds, micros))
+
+
+def send_now(sock: socket.socket, data: bytes) -> bool:
+    """Hand all of it to the kernel; False where it would have to wait, or the connection is broken."""
+    try:
+        return sock.send(data, socket.MSG_DONTWAIT) == len(data)
+    except OSError:
+        return False
+
+
+class Link:
+    """One connection to a server. All but `run` is called with the desk's lock held."""
+
+    def __init__(self, desk: Desk, server: Server) -> None:
+        self.desk = desk
+        self.server = server
+        self.phase = Phase.DIALLING
+        self.sock: socket.socket | None = None
+        self.carried: Subscription | None = None  # whose set-up is out
+        self.heard_us = desk.now_us()
+        self.tested_us: int | None = None
+        server.links[self] = None
+        desk.links += 1
+
+    @property
+    def idle(self) -> bool:
+        """Open, with no set-up out."""
+        return self.phase is Phase.OPEN and self.carried is None
+
+    def start(self) -> None:
+        """Begin to dial; a thread that can't be had is a connection that can't be made."""
+        try:
+            threading.Thread(target=self.run, name="link", daemon=True).start()
+        except RuntimeError:
+            self.close(Outcome.NOT_SENT)
+
+    def carry(self, sub: Subscription) -> None:
+        """Send this subscription's set-up, at once or as soon as the connection stands."""
+        self.carried = sub
+        if self.phase is Phase.OPEN:
+            self._set_up(sub)
+
+    def _set_up(self, sub: Subscription) -> None:
+        assert sub.join is not None
+        left_us = sub.join.sent_us + sub.join.allow_us - self.desk.now_us()
+        parameters = [
+            (Code.ROOM, sub.room.encode()),
+            (Code.TITLE, sub.title.encode()),
+            (Code.WAIT_MS, b"%d" % max(1, left_us // 1000)),
+        ]
+        if sub.rung is not None:
+            parameters.append((Code.RUNG, b"%d" % sub.rung))
+        parameters.append((Code.DESCRIPTION, sub.description))
+        self.send(writer.message(Kind.SET_UP, sub.id, *parameters))
+
+    def send(self, data: bytes) -> None:
+        """Send a short message; a server that takes none in is not waited for."""
+        if self.phase is Phase.OPEN and self.sock is not None and not send_now(self.sock, data):
+            self.close(Outcome.CONNECTION_LOST)
+
+    def test(self) -> None:
+        """Ask for a sign of life."""
+        self.tested_us = self.desk.now_us()
+        self.send(writer.message(Kind.TEST, NO_SESSION, (Code.CAUSE, b"\0")))
+
+    def answer_test(self) -> None:
+        """This end is alive as well."""
+        self.send(writer.message(Kind.TESTED, NO_SESSION, (Code.CAUSE, b"\1")))
+
+    def give_up(self, sub: Subscription) -> None:
+        """The set-up out here is wanted no longer; what still comes for it is passed over."""
+        if self.carried is sub:
+            self.carried = None
+            self.send(writer.release(sub.id, Cause.OK))
+
+    def close(self, outcome: Outcome) -> None:
+        """End the link; the set-up that is out on it has come to this."""
+        if self.phase is Phase.CLOSED:
+            return
+        self.phase = Phase.CLOSED
+        self.server.links.pop(self, None)
+        self.desk.links -= 1
+        sub, self.carried = self.carried, None
+        if self.sock is not None:
+            with suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)  # wakes the thread, which closes the descriptor
+        if sub is not None:
+            self.desk.join_over(sub, outcome, None)
+
+    def run(self) -> None:
+        """Dial, then read until the link ends."""
+        sock = self._dial()
+        if sock is None:
+            return
+        reader = Reader()
+        try:
+            while data := sock.recv(READ_BYTES):
+                reader.feed(data)
+                with self.desk.lock:
+                    self.heard_us, self.tested_us = self.desk.now_us(), None
+                    while self.phase is Phase.OPEN and (message := reader.next()) is not None:
+                        self.desk.hear(self, message)
+        except (OSError, ProtocolError):
+            pass  # broken, or what comes can't be read: either way nothing more can be had from it
+        with self.desk.lock:
+            self.close(Outcome.CONNECTION_LOST)
+            self.sock = None
+        sock.close()
+
+    def _dial(self) -> socket.socket | None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        address = self.server.address
+        try:
+            sock.settimeout(self.desk.config.terms.connect_us / 1e6)
+            sock.connect((address.host, address.port))
+            sock.settimeout(None)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            sock.close()
+            with self.desk.lock:
+                if self.phase is Phase.DIALLING:
+                    self.close(Outcome.NO_CONNECTION)
+                    self.desk.dial_failed(self.server)
+            return None
+        with self.desk.lock:
+            if self.phase is Phase.DIALLING:
+                self.phase, self.sock, self.server.dials_failed = Phase.OPEN, sock, 0
+                self.heard_us = self.desk.now_us()
+                while self.server.unsent:
+                    self.send(self.server.unsent.popleft())
+                if self.carried is not None:
+                    self._set_up(self.carried)
+                return sock
+        sock.close()
+        return None
--- /dev/null
+++ b/fennelcove/node/notices.py
@@ -0,0 +1,90 @@
+"""The notice board's events: the list of servers and its changes, without I/O."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import Any
+
+from fennelcove.interface import ListEntry, ListMode, ListUpdate, Standing
+from fennelcove.node.address import Address, parse_address
+
+STANDINGS = {"up": Standing.ACTIVE, "draining": Standing.LEAVING, "removed": Standing.LEFT}
+MOST_HOSTS = 100_000
+
+
+class BoardError(Exception):
+    """Not what a notice board tells; nothing of it may be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """One event: an update of the list, with the address of each of its servers."""
+
+    rev: int
+    update: ListUpdate
+    dials: dict[str, Address]
+
+
+@dataclass(frozen=True, slots=True)
+class Board:
+    """Events up to a number."""
+
+    rev: int
+    notices: tuple[Notice, ...]
+
+    @classmethod
+    def parse(cls, tree: Any) -> Board:
+        """Whole or not at all.
+
+        Raises:
+            BoardError: it is malformed anywhere.
+        """
+        notices = _value(tree, "notices", list)
+        return cls(
+            _value(tree, "rev", int),
+            tuple(_notice(item) for item in notices if isinstance(item, dict) and "pool" in item),
+        )
+
+
+def _notice(tree: Any) -> Notice:
+    pool = _value(tree, "pool", dict)
+    hosts = _value(pool, "hosts", list)
+    if len(hosts) > MOST_HOSTS:
+        raise BoardError(f"{len(hosts)} hosts")
+    mode = ListMode.FULL if _value(pool, "whole", bool) else ListMode.INCREMENTAL
+    entries = tuple(_entry(host) for host in hosts)
+    try:
+        dials = {e.address: parse_address(host.get("dial")) for e, host in zip(entries, hosts, strict=True)}
+    except ValueError as error:
+        raise BoardError(str(error)) from None
+    return Notice(_value(tree, "rev", int), ListUpdate(mode, entries), dials)
+
+
+def _entry(tree: Any) -> ListEntry:
+    standing = STANDINGS.get(_value(tree, "health", str))
+    if standing is None:
+        raise BoardError(f"unknown health {tree['health']!r}")
+    return ListEntry(
+        address=_value(tree, "host", str),
+        zone=_value(tree, "site", str),
+        kind=_value(tree, "class", str),
+        cell=_value(tree, "block", int),
+        standing=standing,
+        weight=_number(tree, "share", 1.0),
+        started_us=round(_number(tree, "born_ms", 0.0) * 1000),
+    )
+
+
+def _value(tree: Any, key: str, kind: type) -> Any:
+    value = tree.get(key) if isinstance(tree, dict) else None
+    if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+        raise BoardError(f"field {key} is no {kind.__name__}")
+    return value
+
+
+def _number(tree: Any, key: str, default: float) -> float:
+    value = tree.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise BoardError(f"field {key} is no number")
+    return float(value)
--- /dev/null
+++ b/fennelcove/node/parties.py
@@ -0,0 +1,70 @@
+"""What the node holds, by lifetime: a join, a subscription, a server."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from fennelcove.interface import LoadReport, Outcome
+from fennelcove.node.address import Address
+
+if TYPE_CHECKING:
+    from fennelcove.node.links import Link
+    from fennelcove.node.viewers import Viewer
+
+State = Enum("State", "OPEN JOINING STANDING OVER")
+
+
+@dataclass(slots=True, eq=False)
+class Join:
+    """One join, on the link that carries it."""
+
+    server: Server
+    number: int
+    sent_us: int
+    allow_us: int
+    link: Link | None = None
+    outcome: Outcome = Outcome.NO_ANSWER
+    report: LoadReport | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Subscription:
+    """From its set-up until it is over; `viewer` is the connection of its set-up while that is open."""
+
+    id: bytes
+    name: str  # the id as its viewer wrote it
+    cseq: str
+    room: str
+    title: str
+    description: bytes
+    viewer: Viewer | None
+    peer: str
+    state: State = State.OPEN
+    rung: int | None = None
+    join: Join | None = None
+    joins: int = 0
+    answer: bytes = b""
+    wait_us: int = 0  # what a throttled viewer is told to keep away for
+
+    @property
+    def key(self) -> str:
+        """What the module calls it."""
+        return self.id.hex()
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """A host of the notice board: another one may get its address once it has gone."""
+
+    name: str
+    address: Address
+    listed: bool = True
+    links: dict[Link, None] = field(default_factory=dict)
+    standing: dict[Subscription, None] = field(default_factory=dict)
+    # What could not be sent for want of an open link; the next one that opens takes it along.
+    unsent: deque[bytes] = field(default_factory=lambda: deque(maxlen=256))
+    dials_failed: int = 0
+    dial_at_us: int = 0  # not before, while dials fail
--- /dev/null
+++ b/fennelcove/node/program.py
@@ -0,0 +1,135 @@
+"""One front node put together: threads, signals and the listening socket."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import threading
+import time
+
+from fennelcove.clock import SystemClock
+from fennelcove.core.timers import Timers
+from fennelcove.node import config, log
+from fennelcove.node.board import Watch
+from fennelcove.node.desk import Desk
+from fennelcove.node.links import receive_limit
+from fennelcove.node.viewers import MESSAGE_US, Viewer
+
+STACK_BYTES = 256 * 1024  # address space; what is touched of it is a fraction
+ROUND_US = 250_000
+BACKLOG = 512
+STOP_LEAST_US = 3_000_000  # from SIGTERM to the end, where no client timeout is longer
+STOP_MORE_US = 400_000
+RELOADS = 5  # tries to read a configuration that is just being replaced
+RELOAD_PAUSE_S = 0.1
+
+
+class Program:
+    """Owns the threads of one front node."""
+
+    def __init__(self, path: str) -> None:
+        self.path = path
+        self.config = config.load(path)
+        self.notice = log.notices(self.config.name)
+        self.clock = SystemClock()
+        self.timers = Timers(self.clock, self.timer_failed)
+        self.desk = Desk(self.config, self.clock, self.timers, self.notice)
+        self.watch = Watch(self.desk, self.clock, self.config.board, self.config.known.rev)
+        self.desk.fetch = self.watch.again
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+
+    def timer_failed(self, error: Exception) -> None:
+        self.notice("timer_failed", reason=f"{type(error).__name__}: {error}")
+
+    def run(self) -> int:
+        """Serve until SIGTERM and what is owed after it; the exit status."""
+        # Blocked before any thread starts, so that each one inherits it and the main thread alone hears them.
+        signals = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+        signal.pthread_sigmask(signal.SIG_BLOCK, signals)
+        threading.stack_size(STACK_BYTES)
+        with self.desk.lock:
+            for notice in self.config.known.notices:
+                self.desk.board_says(notice)
+        self.listener.bind((self.config.listen.host, self.config.listen.port))
+        self.listener.listen(BACKLOG)
+        for name, call in (
+            ("timers", self.timers.run),
+            ("board", self.watch.run),
+            ("accept", self.accept),
+            ("round", self.rounds),
+        ):
+            threading.Thread(target=call, name=name, daemon=True).start()
+        self.notice("ready", servers=len(self.desk.servers), rev=self.config.known.rev)
+        while signal.sigwait(signals) == signal.SIGHUP:
+            self.reload()
+        self.stop()
+        return 0
+
+    def rounds(self) -> None:
+        """Look after links; never ends."""
+        while True:
+            time.sleep(ROUND_US / 1e6)
+            with self.desk.lock:
+                self.desk.round()
+
+    def accept(self) -> None:
+        """Take connections in; never ends."""
+        while True:
+            try:
+                sock, peer = self.listener.accept()
+            except OSError as error:
+                self.notice("accept_failed", reason=str(error))
+                time.sleep(0.05)
+                continue
+            self.take(sock, peer[0])
+
+    def take(self, sock: socket.socket, peer: str) -> None:
+        """A new connection, where there is room for it."""
+        viewer = Viewer(self.desk, sock, peer)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            receive_limit(sock, MESSAGE_US)
+            with self.desk.lock:
+                room = self.desk.roll.add(viewer)
+            if not room:
+                sock.close()
+                return
+            threading.Thread(target=viewer.run, name="viewer", daemon=True).start()
+        except (OSError, RuntimeError):
+            with self.desk.lock:
+                self.desk.roll.remove(viewer)
+            sock.close()
+
+    def reload(self) -> None:
+        """Go on by the file as it is now; one that can't be read leaves what was."""
+        for _ in range(RELOADS):
+            try:
+                fresh = config.load(self.path)
+            except config.ConfigError as error:
+                self.notice("reload_failed", reason=str(error))
+                time.sleep(RELOAD_PAUSE_S)
+                continue
+            self.watch.move(fresh.board)
+            self.notice("reloaded", board=f"{fresh.board.host}:{fresh.board.port}")
+            return
+
+    def stop(self) -> None:
+        """Tests fail from now on; what plays plays on and what comes is answered until the end is due."""
+        with self.desk.lock:
+            self.desk.stopping = True
+        self.notice("stopping", held=len(self.desk.subs))
+        time.sleep((max(STOP_LEAST_US, self.config.terms.longest_us) + STOP_MORE_US) / 1e6)
+        self.notice("stopped", held=len(self.desk.subs))
+
+
+def main() -> int:
+    """Run the front node that the environment names; the exit status."""
+    path = os.environ.get("EDGE_CONFIG", "")
+    try:
+        program = Program(path)
+    except config.ConfigError as error:
+        print(f"fennelcove: EDGE_CONFIG {path!r}: {error}", flush=True)
+        return 1
+    return program.run()
--- /dev/null
+++ b/fennelcove/node/states.py
@@ -0,0 +1,141 @@
+"""Where a subscription of the node stands, what moves it on, and what is done then."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from fennelcove.interface import ClientGone, JoinEnded, Outcome, Started
+from fennelcove.isup import writer as isup
+from fennelcove.isup.messages import Cause, Code, Kind
+from fennelcove.node.parties import State, Subscription
+from fennelcove.rtsp import writer as rtsp
+
+if TYPE_CHECKING:
+    from fennelcove.node.desk import Desk
+
+Cue = Enum("Cue", "JOIN ANSWERED ENDED THROTTLE TERMINATE RUNG MOVE VIEWER_GONE")
+Effect = Callable[["Desk", Subscription], None]
+
+# What a server's release means to the viewer who is owed one.
+RELEASES = {Outcome.SERVED: Cause.OK}
+
+
+def step(desk: Desk, sub: Subscription, cue: Cue) -> bool:
+    """Move on; False where the cue means nothing here, as what crosses with an end does."""
+    row = TABLE.get((sub.state, cue))
+    if row is None:
+        return False
+    sub.state, effect = row
+    effect(desk, sub)
+    return True
+
+
+def nothing(desk: Desk, sub: Subscription) -> None:
+    """The effect of a row that only keeps its state."""
+
+
+def carry(desk: Desk, sub: Subscription) -> None:
+    desk.carry(sub)
+
+
+def start(desk: Desk, sub: Subscription) -> None:
+    """The server's description goes to the viewer as it is."""
+    join = sub.join
+    assert join is not None
+    desk.to_viewer(sub, rtsp.answer(200, ("CSeq", sub.cseq), ("Session", sub.name), body=sub.answer))
+    if sub.viewer is not None:
+        sub.viewer.open.pop(sub, None)
+        sub.viewer.standing[sub] = None
+    sub.description = sub.answer = b""
+    join.link = None
+    join.server.standing[sub] = None
+    desk.tell(Started(sub.key, join.number, desk.now_us() - join.sent_us))
+
+
+def over(desk: Desk, sub: Subscription, finished: bool) -> None:
+    join = sub.join
+    assert join is not None
+    join.link = None
+    if finished:
+        desk.forget(sub)
+    desk.tell(JoinEnded(sub.key, join.number, join.outcome, finished, join.report))
+
+
+def join_over(desk: Desk, sub: Subscription) -> None:
+    over(desk, sub, False)
+
+
+def end(desk: Desk, sub: Subscription) -> None:
+    """What stood is over at its server; its viewer is owed a release, unless it ended it itself."""
+    assert sub.join is not None
+    if sub.join.outcome is not Outcome.CALLED_OFF:
+        cause = RELEASES.get(sub.join.outcome, Cause.RESET)
+        desk.to_viewer(sub, release(sub, cause))
+    over(desk, sub, True)
+
+
+def release(sub: Subscription, cause: Cause) -> bytes:
+    fields = (("CSeq", "2"), ("Session", sub.name), ("Reason", f"cause={int(cause)}"))
+    return rtsp.request("TEARDOWN", f"rtsp://media/{sub.title}", *fields)
+
+
+def leave(desk: Desk, sub: Subscription) -> None:
+    """The viewer has ended what stood: its server must let go of it."""
+    assert sub.join is not None
+    desk.to_server(sub, isup.release(sub.id, Cause.OK))
+    sub.join.outcome = Outcome.CALLED_OFF
+    over(desk, sub, True)
+
+
+def give_up(desk: Desk, sub: Subscription) -> None:
+    """Nobody waits for the answer any more."""
+    assert sub.join is not None
+    if sub.join.link is not None:
+        sub.join.link.give_up(sub)
+    sub.join.outcome = Outcome.CALLED_OFF
+    desk.tell(ClientGone(sub.key))
+    over(desk, sub, True)
+
+
+def gone(desk: Desk, sub: Subscription) -> None:
+    desk.forget(sub)
+    desk.tell(ClientGone(sub.key))
+
+
+def throttle(desk: Desk, sub: Subscription) -> None:
+    wait = (("Come-Back-Ms", str(max(1, sub.wait_us // 1000))),) if sub.wait_us else ()
+    desk.to_viewer(sub, rtsp.answer(453, ("CSeq", sub.cseq), ("Session", sub.name), *wait))
+    desk.forget(sub)
+
+
+def terminate(desk: Desk, sub: Subscription) -> None:
+    desk.to_viewer(sub, rtsp.answer(500, ("CSeq", sub.cseq), ("Session", sub.name)))
+    desk.forget(sub)
+
+
+def change_rung(desk: Desk, sub: Subscription) -> None:
+    desk.to_server(sub, isup.message(Kind.RUNG, sub.id, (Code.RUNG, b"%d" % (sub.rung or 0))))
+
+
+def move(desk: Desk, sub: Subscription) -> None:
+    fields = (("CSeq", "4"), ("Session", sub.name))
+    desk.to_viewer(sub, rtsp.request("REDIRECT", f"rtsp://media/{sub.title}", *fields))
+    leave(desk, sub)
+
+
+TABLE: dict[tuple[State, Cue], tuple[State, Effect]] = {
+    (State.OPEN, Cue.JOIN): (State.JOINING, carry),
+    (State.OPEN, Cue.RUNG): (State.OPEN, nothing),  # goes out with the set-up
+    (State.OPEN, Cue.THROTTLE): (State.OVER, throttle),
+    (State.OPEN, Cue.TERMINATE): (State.OVER, terminate),
+    (State.OPEN, Cue.VIEWER_GONE): (State.OVER, gone),
+    (State.JOINING, Cue.ANSWERED): (State.STANDING, start),
+    (State.JOINING, Cue.ENDED): (State.OPEN, join_over),
+    (State.JOINING, Cue.VIEWER_GONE): (State.OVER, give_up),
+    (State.STANDING, Cue.RUNG): (State.STANDING, change_rung),
+    (State.STANDING, Cue.MOVE): (State.OVER, move),
+    (State.STANDING, Cue.ENDED): (State.OVER, end),
+    (State.STANDING, Cue.VIEWER_GONE): (State.OVER, leave),
+}
--- /dev/null
+++ b/fennelcove/node/viewers.py
@@ -0,0 +1,134 @@
+"""Viewers' connections: one thread each, whole messages in, and a limit on every wait."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from fennelcove.node import door
+from fennelcove.node.links import receive_limit, send_now
+from fennelcove.node.parties import Subscription
+from fennelcove.rtsp import writer
+from fennelcove.rtsp.messages import ProtocolError
+from fennelcove.rtsp.reader import Reader
+
+if TYPE_CHECKING:
+    from fennelcove.node.desk import Desk
+
+READ_BYTES = 16_384
+MESSAGE_US = 2_000_000  # from a connection's start, or a message's first byte, until the message is whole
+IDLE_US = 10_000_000  # with nothing open or standing
+
+
+class Viewer:
+    """One connection. All but `run` is called with the desk's lock held."""
+
+    def __init__(self, desk: Desk, sock: socket.socket, peer: str) -> None:
+        self.desk = desk
+        self.sock = sock
+        self.peer = peer
+        self.open: dict[Subscription, None] = {}
+        self.standing: dict[Subscription, None] = {}
+        self.spoke = False
+        self.closed = False
+
+    @property
+    def bare(self) -> bool:
+        """Nothing hangs on it: it may be closed."""
+        return not self.open and not self.standing
+
+    def send(self, data: bytes) -> None:
+        """A viewer that lets the kernel's buffer fill with short messages is cut off, not waited for."""
+        if not self.closed and not send_now(self.sock, data):
+            self.shut()
+
+    def shut(self) -> None:
+        """End it; its thread does the rest."""
+        self.closed = True
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+
+    def run(self) -> None:
+        """Read until the connection ends."""
+        try:
+            self._read()
+        except OSError:
+            pass  # broken, or silent past its limit
+        except ProtocolError as error:
+            with self.desk.lock:
+                self.send(writer.answer(error.status))
+        finally:
+            with self.desk.lock:
+                self.closed = True
+                self.desk.roll.remove(self)
+                door.viewer_gone(self.desk, self)
+            self.sock.close()
+
+    def _read(self) -> None:
+        reader = Reader()
+        limit_us = 0
+        until_us = self.desk.clock.now_us() + MESSAGE_US
+        while not self.closed:
+            left_us = until_us - self.desk.clock.now_us()
+            if left_us <= 0:
+                if not reader.between or not self.spoke or self.bare:
+                    return  # never said anything whole, stopped in the middle of it, or has nothing left here
+                left_us = IDLE_US
+                until_us += IDLE_US
+            # Set anew only where it matters: most reads find the limit that they need.
+            if not left_us <= limit_us <= left_us + MESSAGE_US // 2:
+                limit_us = left_us
+                receive_limit(self.sock, limit_us)
+            try:
+                data = self.sock.recv(READ_BYTES)
+            except BlockingIOError:
+                continue
+            if not data:
+                return
+            began = reader.between
+            reader.feed(data)
+            while not self.closed and (message := reader.next()) is not None:
+                self.spoke, began = True, True
+                # One message a turn of the lock: a flood on one connection must not hold up the others.
+                with self.desk.lock:
+                    door.hear(self.desk, self, message)
+            if reader.between:
+                until_us = self.desk.clock.now_us() + IDLE_US
+            elif began and self.spoke:
+                until_us = self.desk.clock.now_us() + MESSAGE_US
+
+
+class Roll:
+    """The open connections, oldest first, bounded."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.viewers: dict[Viewer, None] = {}
+        self.by_peer: dict[str, dict[Viewer, None]] = {}
+
+    def add(self, viewer: Viewer) -> bool:
+        """False where there is no room for it, even with others closed that nothing hangs on."""
+        if len(self.viewers) >= self.most:
+            bare = [v for v in self.viewers if v.bare and not v.closed]
+            # Those that have said nothing go first: some open connections by the hundred, and never do.
+            out = next((v for v in bare if not v.spoke), bare[0] if bare else None)
+            if out is None:
+                return False
+            out.shut()
+            self.remove(out)
+        self.viewers[viewer] = None
+        self.by_peer.setdefault(viewer.peer, {})[viewer] = None
+        return True
+
+    def remove(self, viewer: Viewer) -> None:
+        self.viewers.pop(viewer, None)
+        same = self.by_peer.get(viewer.peer)
+        if same is not None:
+            same.pop(viewer, None)
+            if not same:
+                del self.by_peer[viewer.peer]
+
+    def other(self, peer: str) -> Viewer | None:
+        """Any open connection of this peer's."""
+        return next((v for v in self.by_peer.get(peer, ()) if not v.closed), None)
--- /dev/null
+++ b/fennelcove/rtsp/messages.py
@@ -0,0 +1,44 @@
+"""What passes between viewers and a node, and how a message is refused."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+MOST_BYTES = 16_384  # of one message, head and body together: the platform's bound
+MOST_FIELDS = 32
+
+Fields = dict[str, str]
+
+
+class ProtocolError(Exception):
+    """A message that must not be acted on; the connection can't be read any further.
+
+    Attributes:
+        status: the answer that says so (RFC 2326, section 11).
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Request:
+    """A request with its fields, names in lower case."""
+
+    method: str
+    address: str
+    fields: Fields
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Answer:
+    """An answer with its fields, names in lower case."""
+
+    status: int
+    fields: Fields
+    body: bytes
+
+
+Message = Request | Answer
--- /dev/null
+++ b/fennelcove/rtsp/writer.py
@@ -0,0 +1,48 @@
+"""Writes messages as bytes; a field that could end its line early is refused, whoever handed it in."""
+
+from __future__ import annotations
+
+import re
+
+_SAFE = re.compile(r"[\t\x20-\x7e]*")
+
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    413: "Request Entity Too Large",
+    451: "Parameter Not Understood",
+    453: "Not Enough Bandwidth",
+    454: "Session Not Found",
+    455: "Method Not Valid in This State",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    503: "Service Unavailable",
+}
+
+
+def _message(first: str, fields: tuple[tuple[str, str], ...], body: bytes) -> bytes:
+    lines = [first, *(f"{name}: {value}" for name, value in fields), f"Content-Length: {len(body)}"]
+    if not all(_SAFE.fullmatch(line) for line in lines):
+        raise ValueError("a field would break its line")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def answer(status: int, *fields: tuple[str, str], body: bytes = b"") -> bytes:
+    """A whole answer.
+
+    Raises:
+        ValueError: a field that would break its line.
+    """
+    return _message(f"RTSP/1.0 {status} {REASONS.get(status, 'Unknown')}", fields, body)
+
+
+def request(method: str, address: str, *fields: tuple[str, str], body: bytes = b"") -> bytes:
+    """A whole request.
+
+    Raises:
+        ValueError: a field or address that would break its line.
+    """
+    return _message(f"{method} {address} RTSP/1.0", fields, body)
--- a/fennelcove/wirehost/codec.py
+++ b/fennelcove/wirehost/codec.py
@@ -6,11 +6,11 @@
 import math
 from collections.abc import Callable
 from enum import Enum
-from typing import Any, TypeVar
+from typing import TypeVar
 
+from fennelcove import facts as facts_reader
 from fennelcove.interface import (
     ClientGone,
-    Effect,
     Handover,
     JoinEnded,
     ListEntry,
@@ -21,8 +21,6 @@
     PeerSays,
     Probed,
     Request,
-    RoomType,
-    Scope,
     Settings,
     Standing,
     Started,
@@ -211,7 +209,7 @@
     if len(parts) != len(names):
         raise WireError(f"field Feedback has {len(parts)} values, not {len(names)}")
     values = {name: number({"Feedback": part}, "Feedback") for name, part in zip(names, parts, strict=True)}
-    return LoadReport(values.get("x0", values.get("util")), values.get("x1"))
+    return facts_reader.load_report(values)
 
 
 def note(fields: Fields, settings: Settings) -> Note | None:
@@ -238,129 +236,11 @@
     return TimerFired(name)
 
 
-class Facts:
-    """Reads typed values out of the start message's settings, naming what is amiss."""
-
-    def __init__(self, tree: Any, path: str = "Facts") -> None:
-        if not isinstance(tree, dict):
-            raise WireError(f"field {path} is no object")
-        self.tree: dict[str, Any] = tree
-        self.path = path
-
-    def sub(self, key: str) -> Facts:
-        return Facts(self.tree.get(key, {}), f"{self.path}.{key}")
-
-    def subs(self, key: str) -> list[Facts]:
-        return [Facts(item, f"{self.path}.{key}[{i}]") for i, item in enumerate(self.items(key))]
-
-    def items(self, key: str) -> list[Any]:
-        value = self.tree.get(key, [])
-        if not isinstance(value, list):
-            raise WireError(f"field {self.path}.{key} is no list")
-        return value
-
-    def maybe(self, key: str) -> float | None:
-        value = self.tree.get(key)
-        if value is None:
-            return None
-        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
-            raise WireError(f"field {self.path}.{key} is no number")
-        return float(value)
-
-    def number(self, key: str, default: float | None = None) -> float:
-        value = self.maybe(key)
-        if value is None:
-            value = default
-        if value is None:
-            raise WireError(f"field {self.path}.{key} is missing")
-        return value
-
-    def numbers(self, key: str) -> tuple[float, ...]:
-        return tuple(Facts({key: item}, self.path).number(key) for item in self.items(key))
-
-    def micros(self, key: str) -> int:
-        return round(self.number(key, 0.0) * 1000)
-
-    def text(self, key: str, default: str) -> str:
-        value = self.tree.get(key, default)
-        if not isinstance(value, str):
-            raise WireError(f"field {self.path}.{key} is no text")
-        return value
-
-
-def at(values: tuple[float, ...], index: int, default: float) -> float:
-    """A per-type value, where the settings give it."""
-    return values[index] if index < len(values) else default
-
-
 def facts(fields: Fields) -> tuple[Settings, tuple[str, ...]]:
     """The settings, and the names of a load report's values."""
     try:
-        root = Facts(json.loads(text(fields, "Facts")))
+        return facts_reader.read(json.loads(text(fields, "Facts")))
     except json.JSONDecodeError as error:
         raise WireError(f"field Facts is no JSON: {error}") from None
-    info, rules, allowed, prices, goal = (
-        root.sub(key) for key in ("FamilyInfo", "Rules", "Allowed", "Prices", "Goal")
-    )
-    ladder, worth = info.numbers("LevelKb"), info.numbers("WorthByRung")
-    if not ladder or len(worth) != len(ladder):
-        raise WireError("field Facts.FamilyInfo.LevelKb and WorthByRung name no ladder of rungs")
-    scale, floor, seats = (info.numbers(key) for key in ("ClassScale", "ClassFloor", "ClassSeats"))
-    if any(not 0 <= value < len(ladder) for value in floor):
-        raise WireError("field Facts.FamilyInfo.ClassFloor names rungs that the ladder lacks")
-    rooms: dict[str, RoomType] = {}
-    for i, lane in enumerate(root.subs("Lanes")):
-        rooms[lane.text("Name", str(i))] = RoomType(
-            objective_us=round(lane.number("AimMs") * 1000),
-            benefit=lane.number("Importance", 1.0),
-            effect=choice({"Effect": lane.text("Effect", "free")}, "Effect", Effect),
-            scope=choice({"DedupScope": lane.text("DedupScope", "all")}, "DedupScope", Scope),
-            key_ttl_us=lane.micros("KeyTtlMs"),
-            scale=at(scale, i, 1.0),
-            floor=int(at(floor, i, 0)),
-            seats=int(at(seats, i, 0)),
-        )
-    if not rooms:
-        raise WireError("field Facts.Lanes names no room types")
-    kinds = [item for item in root.items("Kinds") if isinstance(item, str)]
-    streams = info.numbers("KindStreams")
-    fields_told = tuple(str(item) for item in root.sub("LoadReport").items("Fields"))
-    send_cap = allowed.maybe("SendCap")
-    ask_within = rules.maybe("AskWithinMs")
-    settings = Settings(
-        rooms=rooms,
-        fronts=max(1, int(root.number("Balancers", 1))),
-        index=int(root.number("Index", 0)),
-        zone=root.text("Zone", ""),
-        ladder_kb=ladder,
-        ladder_worth=worth,
-        kind_streams={kind: int(at(streams, i, 0)) for i, kind in enumerate(kinds)},
-        kb_per_weight=info.number("KbPerWeight", 0.0),
-        all_links_kb=info.number("AllLinksKb", 0.0),
-        sizes_listed=root.text("Weights", "none") != "none",
-        racks=max(1, int(info.number("Racks", 1))),
-        cells=max(1, int(info.number("Places", 1))),
-        uplink_kb=info.number("RackLinkKb", 0.0),
-        uplinks_told="x1" in fields_told,
-        seen_after_us=info.micros("SeenAfterMs"),
-        reports_every_us=info.micros("ReportsEveryMs"),
-        guard=info.number("Guard", 0.0),
-        cross_zone_price=prices.number("CrossZone", 0.0),
-        send_cap=None if send_cap is None else int(send_cap),
-        retry_after_us=allowed.micros("MaxRetryAfterMs") if allowed.tree.get("RetryAfter") else None,
-        must_ask=root.text("Discovery", "push") == "ask",
-        ask_within_us=None if ask_within is None else round(ask_within * 1000),
-        start_capacity=rules.number("StartCapacity", 1.0),
-        ramp_us=rules.micros("RampTimeMs"),
-        budget_free=rules.maybe("BudgetFree"),
-        budget_ratio=rules.number("ExtraRatio", 0.0),
-        budget_span_us=rules.micros("ResendSpanMs"),
-        probe_price=prices.number("Probe", 0.0) if allowed.tree.get("MayProbe") else None,
-        peer_price=prices.number("Peer", 0.0) if allowed.tree.get("Peers") else None,
-        reports_unasked=root.sub("LoadReport").text("Source", "answers") == "answers",
-        quotas={tenant.text("Name", ""): tenant.number("QuotaPerS") for tenant in root.subs("Tenants")},
-        over_quota_worth=root.number("OverShareWorth", 1.0),
-        worst_room_part=goal.number("WorstClass", 0.0) / (goal.number("Whole", 1.0) or 1.0),
-        switch_cost_us=round(info.number("SwitchCostS", 0.0) * 1_000_000),
-    )
-    return settings, fields_told
+    except facts_reader.FactsError as error:
+        raise WireError(str(error)) from None
