A server's error counts only once another server has served the same request

Ruled out: refusals at the door (none of usual viewers), links lost (none), late answers (p99 under 100 ms). At fault: rules.py, Front.on_join_ended. An error is now kept with its join and judged in on_started, when another server has served the same request.

Also: FENNELCOVE_TRACE writes what is believed beside what was seen.

--- a/fennelcove/node/parties.py
+++ b/fennelcove/node/parties.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -66,5 +66,6 @@
     standing: dict[Subscription, None] = field(default_factory=dict)
     # What could not be sent for want of an open link; the next one that opens takes it along.
     unsent: deque[bytes] = field(default_factory=lambda: deque(maxlen=256))
+    seen: Counter[Outcome] = field(default_factory=Counter)  # how joins and what they started ended here
     dials_failed: int = 0
     dial_at_us: int = 0  # not before, while dials fail
--- a/fennelcove/node/program.py
+++ b/fennelcove/node/program.py
@@ -10,7 +10,7 @@
 
 from fennelcove.clock import SystemClock
 from fennelcove.core.timers import Timers
-from fennelcove.node import config, log
+from fennelcove.node import config, log, trace
 from fennelcove.node.board import Watch
 from fennelcove.node.desk import Desk
 from fennelcove.node.links import receive_limit
@@ -61,6 +61,7 @@
             ("round", self.rounds),
         ):
             threading.Thread(target=call, name=name, daemon=True).start()
+        trace.start(self.desk)
         self.notice("ready", servers=len(self.desk.servers), rev=self.config.known.rev)
         while signal.sigwait(signals) == signal.SIGHUP:
             self.reload()
--- a/fennelcove/node/states.py
+++ b/fennelcove/node/states.py
@@ -58,6 +58,7 @@
     join = sub.join
     assert join is not None
     join.link = None
+    join.server.seen[join.outcome] += 1
     if finished:
         desk.forget(sub)
     desk.tell(JoinEnded(sub.key, join.number, join.outcome, finished, join.report))
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -1,7 +1,6 @@
 """Every decision of one session front: which server, which rung, or a throttled answer.
 
-A host builds one Front from Settings, a seed and an Effects object, then calls handle(event, now_us) for
-each event in order; the front answers through the Effects. The types stand in fennelcove/interface.py.
+A host calls handle(event, now_us) in order; the front answers by its Effects (fennelcove/interface.py).
 """
 
 from __future__ import annotations
@@ -113,6 +112,7 @@
     server: Server
     sent_us: int
     may_have_run: bool = True
+    erred: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -235,6 +235,10 @@
     def on_started(self, event: Started) -> None:
         if sub := self.subs.get(event.id):
             self.judge(sub.server, Outcome.SERVED)
+            # What every server answers with an error speaks of the request: such viewers shut all servers.
+            for join in [join for join in sub.joins if join.erred]:
+                join.erred = False
+                self.judge(join.server, Outcome.SERVER_ERROR)
             sub.started_us = self.now_us
             self.step(sub, Cue.STARTED)
             self.plan_probe(sub.server)
@@ -269,7 +273,8 @@
         if event.outcome is Outcome.NOT_SENT and len(sub.joins) > 1 and join.sent_us in self.further:
             self.further.remove(join.sent_us)
         self.close_join(sub, join)
-        if not playing or event.outcome is Outcome.CONNECTION_LOST:
+        join.erred = event.outcome is Outcome.SERVER_ERROR
+        if not join.erred and (not playing or event.outcome is Outcome.CONNECTION_LOST):
             self.judge(join.server, event.outcome)
         if event.report and not playing:
             # Most servers hold none of one front of many: such answers, as old as notes, are all it hears.
@@ -313,8 +318,7 @@
             self.ask_list()
 
     def on_remembered(self, event: Remembered) -> None:
-        server = self.servers.get(event.server)
-        if server is not None:
+        if server := self.servers.get(event.server):
             server.strikes = event.strikes
             if event.shut_for_us:
                 server.health, server.shut_until_us = Health.SHUT, self.now_us + event.shut_for_us
@@ -330,8 +334,7 @@
         (self.effects.watch_list if self.settings.must_ask else self.effects.fetch_list)()
 
     def note_entry(self, entry: ListEntry) -> None:
-        server = self.servers.get(entry.address)
-        if server is None:
+        if (server := self.servers.get(entry.address)) is None:
             rack = self.racks[entry.cell % self.settings.racks]
             streams = self.settings.kind_streams.get(entry.kind, 0)
             # Where the list tells no sizes, a server's streams tell its part of all the links.
@@ -356,8 +359,7 @@
         self.weigh(holders)
         if self.ask_first(sub, holders):
             return None
-        found = self.choose(sub, self.rationed_top(sub, holders), holders)
-        if found is None:
+        if (found := self.choose(sub, self.rationed_top(sub, holders), holders)) is None:
             return Cue.NO_ROOM if self.may_throttle(sub) else Cue.STUCK
         self.send_join(sub, *found)
         return Cue.PLACED
@@ -557,8 +559,7 @@
         sub.server.note_sent(kb, self.now_us)
 
     def on_note(self, event: Note) -> None:
-        sub = self.subs.get(event.id)
-        if sub is None or sub.life is not Life.PLAYING:
+        if (sub := self.subs.get(event.id)) is None or sub.life is not Life.PLAYING:
             return
         server = sub.server
         # The note at a set-up mostly does not show the newcomer yet: pessimistically, it never does.
@@ -657,8 +658,7 @@
                 self.plan_probe(server)  # what is full or not worth it now may be later
 
     def on_probed(self, event: Probed) -> None:
-        server = self.servers.get(event.server)
-        if server is None:
+        if not (server := self.servers.get(event.server)):
             return
         if event.report:
             server.hear(event.report, self.now_us - event.took_us - self.settings.seen_after_us)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -366,6 +366,22 @@
         made.judge(server, Outcome.SERVER_ERROR)
         self.assertEqual(server.shut_until_us - made.now_us, 2 * first)
 
+    def test_what_every_server_answers_with_an_error_shuts_none(self) -> None:
+        # A few viewers that send what no server can use had all servers shut to everybody else.
+        made, _ = front(2)
+        ask(made)
+        end(made, Outcome.SERVER_ERROR)
+        end(made, Outcome.SERVER_ERROR, join=1)
+        self.assertEqual([server.health for server in made.servers.values()], [Health.WELL] * 2)
+
+    def test_an_error_shuts_its_server_once_another_has_served_the_same(self) -> None:
+        made, effects = front(2)
+        ask(made)
+        end(made, Outcome.SERVER_ERROR)
+        made.handle(Started("a", 1, SECOND // 10), made.now_us + SECOND // 10)
+        first, second = (made.servers[call[2]] for call in effects.named("join"))
+        self.assertEqual((first.health, second.health), (Health.SHUT, Health.WELL))
+
     def test_all_holders_ill_is_still_tried(self) -> None:
         made, effects = front(1)
         made.judge(made.servers["s0"], Outcome.SERVER_ERROR)
