What servers say of sessions before their viewers name them is kept and heard

Servers tell the rungs as soon as a link stands; most SETUPs with 'at' come a moment later, and Desk.hear passed over sessions it did not know. Ruled out: notes that can't be read, notes on other links.

--- a/fennelcove/node/desk.py
+++ b/fennelcove/node/desk.py
@@ -41,7 +41,8 @@
 SILENT_US = 1_500_000  # and taken for dead when none has come after so long again
 DIAL_AGAIN_US = 300_000
 DIALS = 2  # failed in a row say that a server is gone: its sessions are, and their viewers must hear
-MOST_OPEN = 10_000  # set-ups and subscriptions held at once
+EARLY_US = 2_000_000  # what servers say of sessions that their viewers have not named yet is kept so long,
+MOST_EARLY = 4_096  # and so much of it
 
 NOTES = {
     "quality": NoteKind.DELIVERED,
@@ -75,6 +76,7 @@
         self.stopping = False
         self.events: deque[Event] = deque()
         self.telling = False
+        self.early: deque[tuple[int, Link, Message]] = deque(maxlen=MOST_EARLY)
         self.fetch: Callable[[], None] = lambda: None
         self.front = Front(config.settings, config.seed, Asks(self), self.now_us())
 
@@ -144,11 +146,15 @@
             states.step(self, sub, Cue.ENDED)
 
     def hear(self, link: Link, message: Message) -> None:
-        """A message of a server. What is known to nobody is passed over: it may have crossed with its end, or
-        be a second copy, or an answer ahead of its question."""
+        """A message of a server. An answer that nobody asked for is passed over: it may have crossed with its
+        end, or be a second copy, or come ahead of its question."""
         sub = self.subs.get(message.session)
         if message.kind is Kind.TEST:
             link.answer_test()
+        if sub is None and message.kind in (Kind.NOTE, Kind.RELEASE):
+            # At a start a server tells the rungs of all that plays there as soon as a link stands, and most
+            # viewers have not named theirs by then: unheard, all of those would be taken for the lowest rung.
+            self.early.append((self.now_us(), link, message))
         if sub is None or sub.join is None or sub.join.server is not link.server:
             return
         if message.kind is Kind.ANSWER:
@@ -234,6 +240,8 @@
         """Now and then: links that must be there are, those behind which something plays give a sign of life,
         and those that carry nothing end before the server ends them."""
         now_us = self.now_us()
+        while self.early and now_us - self.early[0][0] > EARLY_US:
+            self.early.popleft()
         for server in list(self.servers.values()):
             for link in list(server.links):
                 if link.phase is not Phase.OPEN:
@@ -270,6 +278,8 @@
         if sub.viewer is not None:
             sub.viewer.standing[sub] = None
         self.tell(Handover(request, server))
+        for _, link, message in [said for said in self.early if said[2].session == sub.id]:
+            self.hear(link, message)
         if not self.servers[server].links and self.links < self.most_links:
             Link(self, self.servers[server]).start()
         return True
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -119,6 +119,22 @@
         server.say(isup.release(bytes.fromhex(ID), Cause.RESET))
         self.assertEqual(viewer.request().fields["reason"], "cause=41")
 
+    def test_what_a_server_says_before_the_viewer_does_is_not_lost(self) -> None:
+        # The rungs of most that played at a start went unheard, and were taken for the lowest.
+        server = StandInServer("s0", 0)
+        rig = self.rig(server)
+        viewer = rig.caller()
+        viewer.set_up(ID, routing="home:0;copies:4;top:2;at:s0")
+        eventually(lambda: server.sockets, "a link")
+        for name, figure in ((b"profile", b"2"), (b"nic", b"1.6")):
+            parameters = ((Code.NOTE_NAME, name), (Code.FIGURE, figure))
+            server.say(isup.message(Kind.NOTE, bytes.fromhex(OTHER), *parameters))
+        server.say(isup.message(Kind.TEST, bytes(8), (Code.CAUSE, b"\0")))
+        eventually(lambda: server.of(Kind.TESTED), "an answer behind the notes")
+        viewer.set_up(OTHER, routing="home:0;copies:4;top:2;at:s0")
+        [change, *_] = eventually(lambda: server.of(Kind.RUNG), "a lower rung, as the link is overasked")
+        self.assertEqual(change.session.hex(), OTHER)
+
     def test_bad_clients_get_an_error_or_a_close(self) -> None:
         rig = self.rig(StandInServer("s0", 0))
         head = f"SETUP rtsp://media/7f3a RTSP/1.0\r\nCSeq: 1\r\nSession: {ID}\r\n"
