Short delivery on a link with room is heard as a short uplink

Seen: on rude+fleet notes say 0.76 delivered at four servers of one rack while their links report 0.4 to 0.7 asked, for 5 s. No report of this deployment tells of uplinks, and Front.on_short (rules.py) heard short delivery only where link reports stayed out. Ruled out: late or lost reports (they came each 3 s), short links.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -169,10 +169,9 @@
         self.subs: dict[str, Subscription] = {}
         self.waiting: dict[Subscription, None] = {}
         self.seats: dict[tuple[int, RoomType], int] = {}
-        self.taken, self.further = deque[int](), deque[int]()
         # Settings without a warm-up must not make the first guess of a play nothing: ages are divided by it.
         self.typical_watch_us = float(settings.ramp_us or MARK_US)
-        self.asks_failed, self.list_is_fresh = 0, False
+        self.taken, self.further, self.asks_failed, self.list_is_fresh = deque[int](), deque[int](), 0, False
         self.offered = self.kb_per_stream = self.mean = 0.0
         self.worths, self.worths_at_us, self.mean_at_us = dict[RoomType, float](), -1, -1
         self.hears: dict[type, Callable[..., None]] = {
@@ -207,10 +206,9 @@
         cells = tuple((event.first_cell + i) % self.settings.cells
                       for i in range(min(event.cell_count, self.settings.cells)))
         room = self.settings.rooms[event.room]
-        sub = Subscription(event.id, room, event.title, cells, event.top_rung, self.now_us,
-                           self.now_us + event.timeout_us, event.watch_guess_us,
-                           rung=min(room.floor, event.top_rung))
-        self.subs[event.id] = sub
+        sub = self.subs[event.id] = Subscription(
+            event.id, room, event.title, cells, event.top_rung, self.now_us, self.now_us + event.timeout_us,
+            event.watch_guess_us, rung=min(room.floor, event.top_rung))
         return sub
 
     def inside(self, event: Request) -> float:
@@ -401,8 +399,7 @@
         for rung in range(top, sub.room.floor - 1, -1):
             spare = HOLD_BACK if rung == sub.room.floor else 0.0
             scored = [(s, *self.factors(s, self.rate(sub, rung), spare)) for s in holders]
-            feasible = [row for row in scored if row[1] < inf and row[2] < inf]
-            if feasible:
+            if feasible := [row for row in scored if row[1] < inf and row[2] < inf]:
                 return self.draw(feasible), rung
         return None
 
@@ -543,10 +540,9 @@
         return max(own, self.mean_asked())
 
     def uplink_asked(self, rack: Rack) -> float:
-        if rack.uplink.asked is not None:
-            return self.aged(rack.uplink, sum(s.own_kb for s in rack.servers) / rack.uplink.size_kb)
+        own = sum(server.own_kb for server in rack.servers) / rack.uplink.size_kb
         # Guesses at links not heard would fill uplinks that have room.
-        return sum(s.own_kb for s in rack.servers) / rack.uplink.size_kb
+        return own if rack.uplink.asked is None else self.aged(rack.uplink, own)
 
     def others_kb(self, server: Server) -> float:
         return max(0.0, self.link_asked(server) * server.link.size_kb - server.own_kb)
@@ -595,6 +591,10 @@
             # Reports stay out, or never come, and what is delivered tells what is asked.
             server.link.hear(asked, seen_us)
             self.ease(asked, [server], self.settings.fronts - 1)
+        elif not self.settings.uplinks_told and (server.link.asked or 0.0) < 1 - HOLD_BACK:
+            # A link with room delivers in full: its rack's uplink is short, and nothing else tells of it.
+            server.rack.uplink.hear(asked, seen_us)
+            self.ease(self.uplink_asked(server.rack), server.rack.servers, self.settings.fronts - 1)
 
     # News asked for, where it does not come by itself: from servers by probes, from other fronts by messages.
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -177,6 +177,16 @@
         note(made, NoteKind.DELIVERED, 0.8, after=6 * SECOND)
         self.assertLess(made.subs["a"].rung, 2)
 
+    def test_short_delivery_on_a_link_with_room_is_the_uplink_s(self) -> None:
+        # Where no report tells of uplinks, racks stayed short for good behind links with room.
+        for told, rung in ((False, 1), (True, 2)):
+            made, _ = front(1, uplinks_told=told)
+            play(made)
+            made.servers["s0"].link.hear(0.5, made.now_us)
+            note(made, NoteKind.DELIVERED, 0.6)
+            self.assertEqual(made.subs["a"].rung, rung)
+            self.assertEqual(made.servers["s0"].rack.uplink.asked is not None, not told)
+
     def test_guesses_at_links_not_heard_fill_no_uplink(self) -> None:
         made, _ = front(6)
         for server in made.servers.values():
