--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -527,22 +527,22 @@
                 self.mean += sum(abs(a - self.mean) for a in asked) / len(asked)
         return self.mean
 
-    def aged(self, pipe: Pipe, own: float) -> float:
-        """A report that stops says ever less of the other fronts: they are taken to ask the average."""
+    def aged(self, pipe: Pipe, own: float, others: float) -> float:
+        """A report that stops says ever less of the other fronts: they are taken to ask the usual."""
         weight = exp(-max(0, self.now_us - pipe.as_of_us - self.normal_us) / self.typical_watch_us)
-        others = self.mean_asked() * (1 - 1 / self.settings.fronts)
         return weight * pipe.asked_now() + (1 - weight) * min(1.0, own + others)
 
     def link_asked(self, server: Server) -> float:
         own = server.own_kb / server.link.size_kb
         if server.link.asked is not None:
-            return max(own, self.aged(server.link, own))
+            return max(own, self.aged(server.link, own, self.mean_asked() * (1 - 1 / self.settings.fronts)))
         return max(own, self.mean_asked())
 
     def uplink_asked(self, rack: Rack) -> float:
         own = sum(server.own_kb for server in rack.servers) / rack.uplink.size_kb
-        # Guesses at links not heard would fill uplinks that have room.
-        return own if rack.uplink.asked is None else self.aged(rack.uplink, own)
+        # Guesses at links not heard would fill uplinks that have room, and for good where none are told.
+        others = self.mean_asked() * (1 - 1 / self.settings.fronts) if self.settings.uplinks_told else 0.0
+        return own if rack.uplink.asked is None else self.aged(rack.uplink, own, others)
 
     def others_kb(self, server: Server) -> float:
         return max(0.0, self.link_asked(server) * server.link.size_kb - server.own_kb)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -187,6 +187,18 @@
             self.assertEqual(made.subs["a"].rung, rung)
             self.assertEqual(made.servers["s0"].rack.uplink.asked is not None, not told)
 
+    def test_a_short_uplink_that_nothing_tells_of_fades(self) -> None:
+        # One short moment held a rack down for the rest of a day: no report would ever say that it was over.
+        made, _ = front(1, uplinks_told=False)
+        play(made)
+        server = made.servers["s0"]
+        server.link.hear(0.5, made.now_us)
+        note(made, NoteKind.DELIVERED, 0.6)
+        own = server.own_kb / server.rack.uplink.size_kb
+        self.assertGreater(made.uplink_asked(server.rack), 0.8)
+        made.now_us += 1000 * SECOND
+        self.assertAlmostEqual(made.uplink_asked(server.rack), own, places=3)
+
     def test_guesses_at_links_not_heard_fill_no_uplink(self) -> None:
         made, _ = front(6)
         for server in made.servers.values():
