A fault of the module answers its viewer; early messages are bounded by session

A module that raised would have left its viewer unanswered and ended the thread that told it (Desk.tell); a link's thread that ended by any other exception kept its socket (Link.run). A board that is down no longer fills the log.

--- a/fennelcove/node/board.py
+++ b/fennelcove/node/board.py
@@ -60,13 +60,17 @@
 
     def run(self) -> None:
         """Ask until stopped."""
+        failures = 0
         while not self.stopped:
             address = self.board
             try:
                 self._poll(address)
+                failures = 0
             except (OSError, ProtocolError, BoardError, ValueError) as error:
                 self._close()
-                self.desk.notice("board_call_failed", reason=f"{type(error).__name__}: {error}")
+                failures += 1
+                if failures == 1:  # a board that is down for long must not fill the log
+                    self.desk.notice("board_call_failed", reason=f"{type(error).__name__}: {error}")
                 with self.changed:
                     if not self.stopped and self.board == address:
                         self.changed.wait(PAUSE_US / 1e6)
--- a/fennelcove/node/desk.py
+++ b/fennelcove/node/desk.py
@@ -42,7 +42,8 @@
 DIAL_AGAIN_US = 300_000
 DIALS = 2  # failed in a row say that a server is gone: its sessions are, and their viewers must hear
 EARLY_US = 2_000_000  # what servers say of sessions that their viewers have not named yet is kept so long,
-MOST_EARLY = 4_096  # and so much of it
+MOST_EARLY = 4_096  # of so many sessions,
+MOST_EARLY_EACH = 8  # and so much of each
 
 NOTES = {
     "quality": NoteKind.DELIVERED,
@@ -76,7 +77,7 @@
         self.stopping = False
         self.events: deque[Event] = deque()
         self.telling = False
-        self.early: deque[tuple[int, Link, Message]] = deque(maxlen=MOST_EARLY)
+        self.early: dict[bytes, list[tuple[int, Link, Message]]] = {}
         self.fetch: Callable[[], None] = lambda: None
         self.front = Front(config.settings, config.seed, Asks(self), self.now_us())
 
@@ -93,10 +94,23 @@
         self.telling = True
         try:
             while self.events:
-                self.front.handle(self.events.popleft(), self.now_us())
+                self.decide(self.events.popleft())
         finally:
             self.telling = False
 
+    def decide(self, event: Event) -> None:
+        """Hand one event to the module. It must not raise; if it does all the same, what it was asked is
+        answered, since its viewer would wait for good, and everybody else is served on."""
+        try:
+            self.front.handle(event, self.now_us())
+        except Exception as error:
+            self.notice(
+                "decision_failed", told=type(event).__name__, reason=f"{type(error).__name__}: {error}"
+            )
+            sub = self.subs.get(bytes.fromhex(event.id)) if isinstance(event, Request) else None
+            if sub is not None:
+                states.step(self, sub, Cue.STOP)
+
     def due(self, call: Callable[[], None]) -> None:
         """What a timer calls: takes the lock itself."""
         with self.lock:
@@ -154,7 +168,7 @@
         if sub is None and message.kind in (Kind.NOTE, Kind.RELEASE):
             # At a start a server tells the rungs of all that plays there as soon as a link stands, and most
             # viewers have not named theirs by then: unheard, all of those would be taken for the lowest rung.
-            self.early.append((self.now_us(), link, message))
+            self.keep(link, message)
         if sub is None or sub.join is None or sub.join.server is not link.server:
             return
         if message.kind is Kind.ANSWER:
@@ -164,6 +178,13 @@
         elif message.kind is Kind.NOTE and sub.state is State.STANDING:
             self.noted(sub, message)
 
+    def keep(self, link: Link, message: Message) -> None:
+        """Bounded in number, in each session's messages and in age: most of it is never asked for."""
+        if message.session in self.early or len(self.early) < MOST_EARLY:
+            said = self.early.setdefault(message.session, [])
+            if len(said) < MOST_EARLY_EACH:
+                said.append((self.now_us(), link, message))
+
     def answered(self, link: Link, sub: Subscription, message: Message) -> None:
         if sub.state is not State.JOINING:
             return  # a second copy
@@ -240,8 +261,10 @@
         """Now and then: links that must be there are, those behind which something plays give a sign of life,
         and those that carry nothing end before the server ends them."""
         now_us = self.now_us()
-        while self.early and now_us - self.early[0][0] > EARLY_US:
-            self.early.popleft()
+        for id, said in list(self.early.items()):
+            if now_us - said[0][0] <= EARLY_US:
+                break  # kept in the order of their first
+            del self.early[id]
         for server in list(self.servers.values()):
             for link in list(server.links):
                 if link.phase is not Phase.OPEN:
@@ -278,7 +301,7 @@
         if sub.viewer is not None:
             sub.viewer.standing[sub] = None
         self.tell(Handover(request, server))
-        for _, link, message in [said for said in self.early if said[2].session == sub.id]:
+        for _, link, message in self.early.pop(sub.id, ()):
             self.hear(link, message)
         if not self.servers[server].links and self.links < self.most_links:
             Link(self, self.servers[server]).start()
--- a/fennelcove/node/links.py
+++ b/fennelcove/node/links.py
@@ -126,20 +126,24 @@
         sock = self._dial()
         if sock is None:
             return
-        reader = Reader()
         try:
-            while data := sock.recv(READ_BYTES):
-                reader.feed(data)
-                with self.desk.lock:
-                    self.heard_us, self.tested_us = self.desk.now_us(), None
-                    while self.phase is Phase.OPEN and (message := reader.next()) is not None:
-                        self.desk.hear(self, message)
+            self._read(sock)
         except (OSError, ProtocolError):
             pass  # broken, or what comes can't be read: either way nothing more can be had from it
-        with self.desk.lock:
-            self.close(Outcome.CONNECTION_LOST)
-            self.sock = None
-        sock.close()
+        finally:
+            with self.desk.lock:
+                self.close(Outcome.CONNECTION_LOST)
+                self.sock = None
+            sock.close()
+
+    def _read(self, sock: socket.socket) -> None:
+        reader = Reader()
+        while data := sock.recv(READ_BYTES):
+            reader.feed(data)
+            with self.desk.lock:
+                self.heard_us, self.tested_us = self.desk.now_us(), None
+                while self.phase is Phase.OPEN and (message := reader.next()) is not None:
+                    self.desk.hear(self, message)
 
     def _dial(self) -> socket.socket | None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/fennelcove/node/program.py
+++ b/fennelcove/node/program.py
@@ -72,8 +72,11 @@
         """Look after links; never ends."""
         while True:
             time.sleep(ROUND_US / 1e6)
-            with self.desk.lock:
-                self.desk.round()
+            try:
+                with self.desk.lock:
+                    self.desk.round()
+            except Exception as error:  # one round's fault must not end them all
+                self.notice("round_failed", reason=f"{type(error).__name__}: {error}")
 
     def accept(self) -> None:
         """Take connections in; never ends."""
--- /dev/null
+++ b/tests/test_node_desk.py
@@ -0,0 +1,222 @@
+"""What stands behind the node's lock, without a process or a network."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+from typing import Any
+
+from fennelcove.clock import ManualClock
+from fennelcove.core.timers import Timers
+from fennelcove.interface import Outcome
+from fennelcove.isup import writer as isup
+from fennelcove.isup.messages import Cause, Code, Kind, Message
+from fennelcove.isup.reader import Reader
+from fennelcove.node import config, desk, door, log, states, trace
+from fennelcove.node.config import ConfigError
+from fennelcove.node.links import Link, Phase
+from fennelcove.node.notices import Board, BoardError
+from fennelcove.node.parties import State, Subscription
+from fennelcove.node.viewers import Roll, Viewer
+from fennelcove.rtsp import messages as rtsp
+from tests.noderig import SETTINGS, notice
+
+ID = bytes.fromhex("9b1f03aa5c7e2d41")
+HOST = {
+    "host": "s0",
+    "dial": "127.0.0.1:9",
+    "site": "here",
+    "class": "kind",
+    "block": 0,
+    "health": "up",
+    "share": 1,
+    "born_ms": 0,
+}
+TREE: dict[str, Any] = {
+    "name": "n0",
+    "listen": "127.0.0.1:1",
+    "seed": "0a",
+    "limits": {"sockets": 60},
+    "board": "127.0.0.1:2",
+    "known": {"rev": 1, "notices": [notice(1, [HOST], whole=True)]},
+    "settings": SETTINGS,
+}
+
+
+class Said(Viewer):
+    """A viewer's connection that writes down what it is sent."""
+
+    def __init__(self, made: desk.Desk, peer: str = "127.0.0.1") -> None:
+        super().__init__(made, socket.socket(), peer)
+        self.said: list[bytes] = []
+
+    def send(self, data: bytes) -> None:
+        self.said.append(data)
+
+
+class DeskTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock(wall_from_us=1_000_000_000)
+        self.timers = Timers(self.clock)
+        self.desk = desk.Desk(config.parse(TREE), self.clock, self.timers, log.silent)
+        for told in self.desk.config.known.notices:
+            self.desk.board_says(told)
+        self.viewer = Said(self.desk)
+        self.addCleanup(self.viewer.sock.close)
+
+    def link(self) -> tuple[Link, socket.socket]:
+        """An open link to the one server, and the server's end of it."""
+        made = Link(self.desk, self.desk.servers["s0"])
+        made.sock, far = socket.socketpair()
+        made.phase = Phase.OPEN
+        self.addCleanup(made.sock.close)
+        self.addCleanup(far.close)
+        return made, far
+
+    def set_up(self) -> Subscription:
+        self.ask()
+        return self.desk.subs[ID]
+
+    def ask(self) -> None:
+        fields = {"cseq": "1", "session": ID.hex(), "call-kind": "recorded", "answer-within": "8000"}
+        fields["routing-data"] = "home:0;copies:4;top:2"
+        door.hear(self.desk, self.viewer, rtsp.Request("SETUP", "rtsp://media/7f", fields, b"what"))
+
+    def heard(self, far: socket.socket) -> list[Message]:
+        reader, found = Reader(), list[Message]()
+        reader.feed(far.recv(65_536))
+        while (message := reader.next()) is not None:
+            found.append(message)
+        return found
+
+    def pass_time(self, by_us: int) -> None:
+        self.clock.advance(by_us)
+        for call in self.timers.ready():
+            call()
+
+    def test_a_join_whose_wait_is_over_is_given_up_on_the_wire_first(self) -> None:
+        link, far = self.link()
+        sub = self.set_up()
+        self.assertIs(sub.state, State.JOINING)
+        self.pass_time(8_000_000)
+        sent, given_up = self.heard(far)
+        self.assertEqual((sent.kind, given_up.kind, given_up.cause), (Kind.SET_UP, Kind.RELEASE, Cause.OK))
+        self.assertIs(link.phase, Phase.CLOSED)
+        self.assertEqual(self.desk.servers["s0"].seen, {Outcome.NO_ANSWER: 1})
+        [answer] = self.viewer.said
+        self.assertTrue(answer.startswith(b"RTSP/1.0 453 "))
+        self.assertFalse(self.desk.subs)
+
+    def test_an_answer_after_its_time_reaches_nobody(self) -> None:
+        link, _ = self.link()
+        self.set_up()
+        self.pass_time(8_000_000)
+        late = Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"late"})
+        self.desk.hear(link, late)
+        self.assertEqual(len(self.viewer.said), 1)
+        self.assertFalse(self.desk.early)
+
+    def test_an_answer_without_its_description_is_none(self) -> None:
+        link, _ = self.link()
+        self.set_up()
+        self.desk.hear(link, Message(Kind.ANSWER, ID, {}))
+        self.assertIs(link.phase, Phase.CLOSED)
+        self.assertFalse(any(said.startswith(b"RTSP/1.0 200") for said in self.viewer.said))
+
+    def test_a_fault_of_the_module_answers_its_viewer(self) -> None:
+        def broken(*_: object) -> None:
+            raise KeyError("s0")
+
+        self.desk.front.handle = broken  # type: ignore[method-assign]
+        self.ask()
+        [answer] = self.viewer.said
+        self.assertTrue(answer.startswith(b"RTSP/1.0 500 "))
+
+    def test_early_messages_are_bounded_and_forgotten(self) -> None:
+        link, _ = self.link()
+        for number in range(desk.MOST_EARLY + 10):
+            for _ in range(desk.MOST_EARLY_EACH + 1 if number == 0 else 1):
+                self.desk.hear(link, Message(Kind.NOTE, number.to_bytes(8, "big"), {}))
+        self.assertEqual(len(self.desk.early), desk.MOST_EARLY)
+        self.assertEqual(len(self.desk.early[bytes(8)]), desk.MOST_EARLY_EACH)
+        self.clock.advance(desk.EARLY_US + 1)
+        self.desk.round()
+        self.assertFalse(self.desk.early)
+
+    def test_links_stay_within_their_part_of_the_descriptors(self) -> None:
+        links = [self.link()[0] for _ in range(self.desk.most_links)]
+        for link in links:
+            link.carried = Subscription(bytes(8), "", "", "", "", b"", None, "")
+        self.ask()
+        self.assertEqual(self.desk.links, self.desk.most_links)
+        self.assertEqual(self.desk.servers["s0"].seen, {Outcome.NOT_SENT: 1})
+
+    def test_nothing_is_left_of_what_is_over(self) -> None:
+        link, _ = self.link()
+        sub = self.set_up()
+        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        self.assertIn(sub, self.viewer.standing)
+        self.desk.hear(link, Message(Kind.RELEASE, ID, {Code.CAUSE: bytes([Cause.OK])}))
+        server = self.desk.servers["s0"]
+        self.assertFalse(self.desk.subs or self.viewer.standing or self.viewer.open or server.standing)
+        self.assertFalse(self.desk.front.subs)
+
+    def test_a_gone_server_is_forgotten_with_its_links(self) -> None:
+        link, _ = self.link()
+        gone = Board.parse({"rev": 2, "notices": [notice(2, [{**HOST, "health": "removed"}])]})
+        self.clock.advance(5_000_000)
+        for told in gone.notices:
+            self.desk.board_says(told)
+        self.assertFalse(self.desk.servers)
+        self.assertIs(link.phase, Phase.CLOSED)
+
+    def test_a_release_finds_the_next_link(self) -> None:
+        link, _ = self.link()
+        sub = self.set_up()
+        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        link.close(Outcome.CONNECTION_LOST)
+        states.step(self.desk, sub, states.Cue.VIEWER_GONE)
+        self.assertEqual(list(self.desk.servers["s0"].unsent), [isup.release(ID, Cause.OK)])
+
+    def test_the_trace_sets_belief_beside_what_was_seen(self) -> None:
+        link, _ = self.link()
+        self.set_up()
+        self.desk.hear(link, Message(Kind.RELEASE, ID, {Code.CAUSE: bytes([Cause.FULL])}))
+        [line] = trace.lines(self.desk)
+        self.assertEqual((line["server"], line["health"], line["seen"]), ("s0", "SHUT", {"TURNED_AWAY": 1}))
+
+
+class RollTest(unittest.TestCase):
+    def test_those_that_never_spoke_go_first_and_who_carries_something_stays(self) -> None:
+        made = desk.Desk(config.parse(TREE), ManualClock(), Timers(ManualClock()), log.silent)
+        viewers = [Said(made, str(i)) for i in range(4)]
+        for viewer in viewers:
+            self.addCleanup(viewer.sock.close)
+        roll = Roll(3)
+        old, busy, mute, fresh = viewers
+        old.spoke = busy.spoke = True
+        busy.open[Subscription(bytes(8), "", "", "", "", b"", None, "")] = None
+        self.assertTrue(all(roll.add(viewer) for viewer in (old, busy, mute)))
+        self.assertTrue(roll.add(fresh))
+        self.assertEqual(list(roll.viewers), [old, busy, fresh])
+        self.assertIs(roll.other("0"), old)
+        self.assertIsNone(roll.other("2"))
+
+
+class ConfigTest(unittest.TestCase):
+    def test_what_can_t_be_used_is_refused_whole(self) -> None:
+        for change in (
+            {"listen": "nowhere"},
+            {"board": None},
+            {"settings": {}},
+            {"known": {"rev": "x", "notices": []}},
+            {"known": {"rev": 1, "notices": [notice(1, [{**HOST, "health": "unheard of"}])]}},
+            {"known": {"rev": 1, "notices": [notice(1, [{**HOST, "dial": "x"}])]}},
+        ):
+            with (
+                self.subTest(change),
+                self.assertRaises((ConfigError, ValueError, BoardError, config.FactsError)),
+            ):
+                config.parse({**TREE, **change})
+        with self.assertRaises(ConfigError):
+            config.load("/nowhere/config.json")
