Only most links of a rack, with room and short, tell of a short uplink

Ruled out: memory (18 of 64 MB, level), descriptors, links (15 connections not made of 8,000). At fault: Front.on_short acted on one server's word; now more than half of a rack's servers must be short with room on their links.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -591,8 +591,10 @@
             # Reports stay out, or never come, and what is delivered tells what is asked.
             server.link.hear(asked, seen_us)
             self.ease(asked, [server], self.settings.fronts - 1)
-        elif not self.settings.uplinks_told and (server.link.asked or 0.0) < 1 - HOLD_BACK:
-            # A link with room delivers in full: its rack's uplink is short, and nothing else tells of it.
+        elif not self.settings.uplinks_told and 2 * sum(
+                self.now_us < s.link.full_until_us and (s.link.asked or 0.0) < 1 - HOLD_BACK
+                for s in server.rack.servers) > len(server.rack.servers):
+            # Most links of a rack have room and are short: its uplink is, and nothing else tells of it.
             server.rack.uplink.hear(asked, seen_us)
             self.ease(self.uplink_asked(server.rack), server.rack.servers, self.settings.fronts - 1)
 
@@ -623,8 +625,8 @@
     def is_full(self) -> bool:
         """Whether most servers heard lately had no room: asking others then costs more than it finds."""
         late = [s for s in self.met if self.now_us - max(s.link.as_of_us, s.link.full_until_us) < MARK_US]
-        full = [s for s in late if self.link_left(s) <= 0 or self.uplink_asked(s.rack) >= 1 - HOLD_BACK]
-        return len(full) > len(late) / 2
+        full = sum(self.link_left(s) <= 0 or self.uplink_asked(s.rack) >= 1 - HOLD_BACK for s in late)
+        return full > len(late) / 2
 
     def heard(self, server: Server) -> None:
         waiters, server.waiters = server.waiters, {}
@@ -748,9 +750,8 @@
     def in_budget(self) -> bool:
         if self.settings.budget_free is None:
             return True
-        since = self.now_us - self.settings.budget_span_us
         for times in (self.taken, self.further):
-            while times and times[0] < since:
+            while times and times[0] < self.now_us - self.settings.budget_span_us:
                 times.popleft()
         earned = self.settings.budget_free + self.settings.budget_ratio * len(self.taken)
         return len(self.further) + 1 <= earned
@@ -849,9 +850,8 @@
 }
 
 HEALTH: dict[tuple[Health, Outcome], tuple[Health, Callable[[Front, Server], None]]] = {
-    (Health.WELL, Outcome.SERVED): (Health.WELL, Front.forgive),
-    (Health.TRIAL, Outcome.SERVED): (Health.WELL, Front.forgive),
-    (Health.SHUT, Outcome.SERVED): (Health.SHUT, Front.forgive),
+    **{(health, Outcome.SERVED): (health if health is Health.SHUT else Health.WELL, Front.forgive)
+       for health in Health},
     **{(health, outcome): (Health.SHUT, Front.pause)
        for health in (Health.WELL, Health.TRIAL)
        for outcome in (Outcome.SERVER_ERROR, Outcome.TURNED_AWAY, Outcome.NO_ANSWER)},
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import signal
+import subprocess
+import sys
 import unittest
 
 from fennelcove.isup import writer as isup
@@ -199,3 +201,16 @@
         viewer.set_up(ID)
         self.assertEqual(viewer.answer().status, 200)
         self.assertEqual(rig.process.wait(60), 0)
+
+
+class ImportTest(unittest.TestCase):
+    def test_the_node_needs_the_standard_library_alone(self) -> None:
+        code = (
+            "import sys\n"
+            "before = set(sys.modules)\n"  # what the environment itself loads is none of ours
+            "import fennelcove.node.program\n"
+            "files = [getattr(sys.modules[n], '__file__', '') or '' for n in set(sys.modules) - before]\n"
+            "print([name for name in files if 'site-packages' in name])"
+        )
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+        self.assertEqual(done.stdout.strip(), "[]")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -187,6 +187,21 @@
             self.assertEqual(made.subs["a"].rung, rung)
             self.assertEqual(made.servers["s0"].rack.uplink.asked is not None, not told)
 
+    def test_one_server_s_own_trouble_is_not_its_rack_s(self) -> None:
+        # Bursts of a neighbour on a few machines held down all that played in their racks.
+        made, _ = front(6, uplinks_told=False)
+        play(made)
+        server = made.subs["a"].server
+        self.assertEqual(len(server.rack.servers), 3)
+        server.link.hear(0.5, made.now_us)
+        note(made, NoteKind.DELIVERED, 0.6)
+        self.assertIsNone(server.rack.uplink.asked)
+        another = next(s for s in server.rack.servers if s is not server)
+        another.link.full_until_us = made.now_us + 10 * SECOND
+        another.link.hear(0.5, made.now_us)
+        note(made, NoteKind.DELIVERED, 0.6)
+        self.assertIsNotNone(server.rack.uplink.asked)
+
     def test_a_short_uplink_that_nothing_tells_of_fades(self) -> None:
         # One short moment held a rack down for the rest of a day: no report would ever say that it was over.
         made, _ = front(1, uplinks_told=False)
