A vanished server's successor at its address is not taken for it

A host off the list whose address another listed one has is no longer dialled, and what stood there is released.

--- a/fennelcove/node/desk.py
+++ b/fennelcove/node/desk.py
@@ -254,8 +254,19 @@
         server.dials_failed += 1
         server.dial_at_us = self.now_us() + DIAL_AGAIN_US
         if server.dials_failed >= DIALS and not any(link.phase is Phase.OPEN for link in server.links):
-            for sub in list(server.standing):
-                self.join_over(sub, Outcome.CONNECTION_LOST, None)
+            self.cut(server)
+
+    def cut(self, server: Server) -> None:
+        """A server is gone without a word: what stood there is over, and nothing can be sent there."""
+        server.unsent.clear()
+        for sub in list(server.standing):
+            self.join_over(sub, Outcome.CONNECTION_LOST, None)
+
+    def succeeded(self, server: Server) -> bool:
+        """Off the list, with its address another's by now."""
+        return not server.listed and any(
+            other.listed and other.address == server.address for other in self.servers.values()
+        )
 
     def round(self) -> None:
         """Now and then: links that must be there are, those behind which something plays give a sign of life,
@@ -278,7 +289,11 @@
                     link.test()
             # The end of what plays there comes on any open link, or on the next that is opened.
             if (server.standing or server.unsent) and not server.links and now_us >= server.dial_at_us:
-                Link(self, server).start()
+                # A dial would reach the one that came in its place, whose signs of life say nothing of it.
+                if self.succeeded(server):
+                    self.cut(server)
+                else:
+                    Link(self, server).start()
             self.drop(server)
 
     # Viewers.
--- a/tests/noderig.py
+++ b/tests/noderig.py
@@ -12,6 +12,7 @@
 import threading
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -153,15 +154,19 @@
 
     def _serve(self, sock: socket.socket) -> None:
         requests = Gatherer(HttpReader(True, CodecLimits()))
-        while data := sock.recv(4096):
-            requests.reader.feed(data)
-            while (whole := requests.next()) is not None:
-                assert isinstance(whole.head, RequestHead)
-                self.polls += 1
-                after = int(whole.head.target.partition("watch=")[2].partition("&")[0])
-                time.sleep(0.02)
-                body = {"rev": len(self.notices), "notices": [n for n in self.notices if n["rev"] > after]}
-                sock.sendall(http.response(200, [], json.dumps(body).encode()))
+        with suppress(OSError):  # the node was ended
+            while data := sock.recv(4096):
+                requests.reader.feed(data)
+                while (whole := requests.next()) is not None:
+                    assert isinstance(whole.head, RequestHead)
+                    self.polls += 1
+                    after = int(whole.head.target.partition("watch=")[2].partition("&")[0])
+                    time.sleep(0.02)
+                    body = {
+                        "rev": len(self.notices),
+                        "notices": [n for n in self.notices if n["rev"] > after],
+                    }
+                    sock.sendall(http.response(200, [], json.dumps(body).encode()))
 
 
 def notice(rev: int, servers: list[dict[str, Any]], whole: bool = False) -> dict[str, Any]:
--- a/tests/test_node_desk.py
+++ b/tests/test_node_desk.py
@@ -170,6 +170,21 @@
         self.assertFalse(self.desk.servers)
         self.assertIs(link.phase, Phase.CLOSED)
 
+    def test_a_successor_at_its_address_is_not_taken_for_a_vanished_server(self) -> None:
+        link, _ = self.link()
+        sub = self.set_up()
+        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        rows = [{**HOST, "health": "removed"}, {**HOST, "host": "s1"}]
+        for told in Board.parse({"rev": 2, "notices": [notice(2, rows)]}).notices:
+            self.desk.board_says(told)
+        self.desk.round()
+        self.assertIs(sub.state, State.STANDING)  # its link stands yet
+        link.close(Outcome.CONNECTION_LOST)
+        self.desk.round()
+        self.assertIs(sub.state, State.OVER)
+        self.assertIn(b"Reason: cause=41", self.viewer.said[-1])
+        self.assertEqual(self.desk.links, 0)
+
     def test_a_release_finds_the_next_link(self) -> None:
         link, _ = self.link()
         sub = self.set_up()
