--- a/tests/test_node_desk.py
+++ b/tests/test_node_desk.py
@@ -185,6 +185,23 @@
         self.assertIn(b"Reason: cause=41", self.viewer.said[-1])
         self.assertEqual(self.desk.links, 0)
 
+    def test_a_node_that_ends_answers_what_is_open(self) -> None:
+        _, far = self.link()
+        self.set_up()
+        self.assertEqual(self.desk.end(), 1)
+        [answer] = self.viewer.said
+        self.assertTrue(answer.startswith(b"RTSP/1.0 500 "))
+        self.assertEqual([message.kind for message in self.heard(far)], [Kind.SET_UP, Kind.RELEASE])
+
+    def test_a_move_is_told_to_the_viewer_and_ends_at_the_server(self) -> None:
+        link, far = self.link()
+        sub = self.set_up()
+        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        states.step(self.desk, sub, states.Cue.MOVE)
+        self.assertTrue(self.viewer.said[-1].startswith(b"REDIRECT rtsp://media/7f RTSP/1.0"))
+        self.assertEqual([message.kind for message in self.heard(far)], [Kind.SET_UP, Kind.RELEASE])
+        self.assertFalse(self.desk.subs)
+
     def test_a_release_finds_the_next_link(self) -> None:
         link, _ = self.link()
         sub = self.set_up()
