One silent log and one way to tell an overasked link, where the change had two

Found on reading the change again: node/log.py repeated fennelcove.log.silent for tests alone, two tests of the node told the same notes by copied loops, and door.set_up set a value that it always sets again. Read and left: the codecs share their shape with http1 (feed, next, a kept failure) but neither grammar nor limits, and the other pairs are alike by shape only.

--- a/fennelcove/node/door.py
+++ b/fennelcove/node/door.py
@@ -55,7 +55,6 @@
     echo = (("CSeq", cseq), ("Session", session))
     id = bytes.fromhex(session)
     held = desk.subs.get(id)
-    at = ""
     try:
         routing = parts(message.fields.get("routing-data", ""))
         at = routing.get("at", "")
--- a/fennelcove/node/log.py
+++ b/fennelcove/node/log.py
@@ -19,7 +19,3 @@
         sys.stdout.flush()
 
     return notice
-
-
-def silent(event: str, **fields: object) -> None:
-    """Logs nothing."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,6 +14,13 @@
 ID, OTHER = "9b1f03aa5c7e2d41", "00000000000000a1"
 
 
+def overasked(server: StandInServer, id: str) -> None:
+    """The server tells a session's rung, 2, and that its link is asked for more than it gives."""
+    for name, figure in ((b"profile", b"2"), (b"nic", b"1.6")):
+        parameters = ((Code.NOTE_NAME, name), (Code.FIGURE, figure))
+        server.say(isup.message(Kind.NOTE, bytes.fromhex(id), *parameters))
+
+
 class NodeTest(unittest.TestCase):
     def rig(self, *servers: StandInServer, sockets: int = 256) -> NodeRig:
         made = NodeRig(*servers, sockets=sockets)
@@ -112,9 +119,7 @@
         viewer = rig.caller()
         viewer.set_up(ID, routing="home:0;copies:4;top:2;at:s0")
         eventually(lambda: server.sockets, "a link for what plays there")
-        for name, figure in ((b"profile", b"2"), (b"nic", b"1.6")):
-            parameters = ((Code.NOTE_NAME, name), (Code.FIGURE, figure))
-            server.say(isup.message(Kind.NOTE, bytes.fromhex(ID), *parameters))
+        overasked(server, ID)
         [change, *_] = eventually(lambda: server.of(Kind.RUNG), "a lower rung, as the link is overasked")
         self.assertEqual(change.session.hex(), ID)
         self.assertLess(int(change.text(Code.RUNG)), 2)
@@ -128,9 +133,7 @@
         viewer = rig.caller()
         viewer.set_up(ID, routing="home:0;copies:4;top:2;at:s0")
         eventually(lambda: server.sockets, "a link")
-        for name, figure in ((b"profile", b"2"), (b"nic", b"1.6")):
-            parameters = ((Code.NOTE_NAME, name), (Code.FIGURE, figure))
-            server.say(isup.message(Kind.NOTE, bytes.fromhex(OTHER), *parameters))
+        overasked(server, OTHER)
         server.say(isup.message(Kind.TEST, bytes(8), (Code.CAUSE, b"\0")))
         eventually(lambda: server.of(Kind.TESTED), "an answer behind the notes")
         viewer.set_up(OTHER, routing="home:0;copies:4;top:2;at:s0")
--- a/tests/test_node_desk.py
+++ b/tests/test_node_desk.py
@@ -12,7 +12,8 @@
 from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause, Code, Kind, Message
 from fennelcove.isup.reader import Reader
-from fennelcove.node import config, desk, door, log, states, trace
+from fennelcove.log import silent
+from fennelcove.node import config, desk, door, states, trace
 from fennelcove.node.config import ConfigError
 from fennelcove.node.links import Link, Phase
 from fennelcove.node.notices import Board, BoardError
@@ -58,7 +59,7 @@
     def setUp(self) -> None:
         self.clock = ManualClock(wall_from_us=1_000_000_000)
         self.timers = Timers(self.clock)
-        self.desk = desk.Desk(config.parse(TREE), self.clock, self.timers, log.silent)
+        self.desk = desk.Desk(config.parse(TREE), self.clock, self.timers, silent)
         for told in self.desk.config.known.notices:
             self.desk.board_says(told)
         self.viewer = Said(self.desk)
@@ -220,7 +221,7 @@
 
 class RollTest(unittest.TestCase):
     def test_those_that_never_spoke_go_first_and_who_carries_something_stays(self) -> None:
-        made = desk.Desk(config.parse(TREE), ManualClock(), Timers(ManualClock()), log.silent)
+        made = desk.Desk(config.parse(TREE), ManualClock(), Timers(ManualClock()), silent)
         viewers = [Said(made, str(i)) for i in range(4)]
         for viewer in viewers:
             self.addCleanup(viewer.sock.close)
