--- a/benchmarks/sockets.py
+++ b/benchmarks/sockets.py
@@ -24,7 +24,7 @@
 import msgspec
 
 from fennelcove.clock import SystemClock
-from fennelcove.day.player import FrontProcess
+from fennelcove.day.fronts import FrontProcess
 from fennelcove.day.rig import Rig
 from fennelcove.day.script import Day, read
 from fennelcove.program import certificates
--- a/fennelcove/cli/client.py
+++ b/fennelcove/cli/client.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from fennelcove.http1 import writer
-from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead
-from fennelcove.peers.pool import dial
+from fennelcove.http1.messages import ProtocolError, ResponseHead
+from fennelcove.peers.pool import DialLimits, dial
 
 TIMEOUT_S = 5.0
 BODY_BYTES = 16 * 1024 * 1024
@@ -28,7 +28,7 @@
     if body:
         fields.append(("Content-Type", "application/json"))
     try:
-        link = dial(address, round(TIMEOUT_S * 1e6), CodecLimits(body_bytes=BODY_BYTES))
+        link = dial(address, round(TIMEOUT_S * 1e6), DialLimits(body_bytes=BODY_BYTES))
         with link.sock as sock:
             sock.settimeout(TIMEOUT_S)
             sock.sendall(writer.request(method, path, address, fields, body))
--- a/fennelcove/cli/days.py
+++ b/fennelcove/cli/days.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from fennelcove.day.judge import Verdict, judge
+from fennelcove.day.plots import draw_seconds
+from fennelcove.day.recovery import told
 from fennelcove.day.player import DayFailed, DayPlayer
 from fennelcove.day.script import read
 from fennelcove.settings.reader import SettingsError
@@ -14,14 +16,15 @@
 PASSED, BROKEN, USAGE = 0, 1, 2
 
 
-def play(name: str, seed: int, record: str | None, as_json: bool) -> int:
+def play(name: str, seed: int, record: str | None, as_json: bool, plot: str | None = None) -> int:
     """Play a day; the exit status."""
     try:
         day = read(name)
     except SettingsError as error:
         click.echo(f"fennelcove: {error}", err=True)
         return USAGE
-    click.echo(f"playing {name}, seed {seed}: {len(day.boxes)} stand-in boxes, one front, {day.seconds:g} s")
+    fronts = f"{day.fronts} fronts" if day.fronts > 1 else "one front"
+    click.echo(f"playing {name}, seed {seed}: {len(day.boxes)} stand-in boxes, {fronts}, {day.seconds:g} s")
     try:
         records = DayPlayer(day, seed).play()
     except DayFailed as error:
@@ -33,6 +36,15 @@
         except OSError as error:
             click.echo(f"fennelcove: {record}: found no writable file ({error.strerror})", err=True)
             return USAGE
+    if plot is not None:
+        try:
+            draw_seconds(records, plot)
+        except ImportError:
+            click.echo("fennelcove: plots need matplotlib: install fennelcove with the extra `dev`", err=True)
+            return USAGE
+        except OSError as error:
+            click.echo(f"fennelcove: {plot}: found no writable file ({error.strerror})", err=True)
+            return USAGE
     return show(judge(records), as_json)
 
 
@@ -61,6 +73,9 @@
         )
     if verdict.settled_s is not None:
         click.echo(f"refusals over a twentieth ended {verdict.settled_s:g} s after the last crowd")
+    if verdict.fleet is not None:
+        for line in told(verdict.fleet):
+            click.echo(line)
     click.echo(f"service {verdict.service:.3f}, floor {verdict.service_floor:.3f}")
     for broken in verdict.broken[:50]:
         click.echo(
--- a/fennelcove/cli/main.py
+++ b/fennelcove/cli/main.py
@@ -59,11 +59,14 @@
 @main.command()
 @click.argument("config", type=click.Path())
 @click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
-def front(config: str, log_level: str) -> None:
+@click.option(
+    "--wall-offset-s", type=float, default=0.0, hidden=True, help="Set its wall clock off, for days."
+)
+def front(config: str, log_level: str, wall_offset_s: float) -> None:
     """Run a front by the settings in CONFIG until SIGTERM or SIGINT; a second one shortens its end."""
     from fennelcove.cli.serve import run_front
 
-    sys.exit(run_front(config, log_level))
+    sys.exit(run_front(config, log_level, wall_offset_s))
 
 
 @main.command()
@@ -113,12 +116,14 @@
 @click.argument("name")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--record", type=click.Path(), help="Keep the recording in this file.")
+@click.option("--plot", type=click.Path(), help="Draw asked, played and refused a second into this PNG file.")
 @click.option("--json", "as_json", is_flag=True, help="End with one JSON object on the last line.")
-def day_play(name: str, seed: int, record: str | None, as_json: bool) -> None:
-    """Play the day NAME; exit status 0 only where no rule broke and service reached its floor."""
+def day_play(name: str, seed: int, record: str | None, plot: str | None, as_json: bool) -> None:
+    """Play the day NAME, or one of your own from a file that ends in `.sexp`; exit status 0 only where no
+    rule broke and service reached its floor."""
     from fennelcove.cli.days import play
 
-    sys.exit(play(name, seed, record, as_json))
+    sys.exit(play(name, seed, record, as_json, plot))
 
 
 @day.command("judge")
--- a/fennelcove/cli/serve.py
+++ b/fennelcove/cli/serve.py
@@ -54,7 +54,7 @@
     return first
 
 
-def run_front(config: str, level: str) -> int:
+def run_front(config: str, level: str, wall_off_s: float = 0.0) -> int:
     """The front's process; its exit status."""
     try:
         settings = load_front(config)
@@ -65,7 +65,7 @@
     hurry = threading.Event()
     asked = _until_signal(hurry)
     try:
-        program = FrontProgram(settings, notice)
+        program = FrontProgram(settings, notice, SystemClock(round(wall_off_s * 1e6)))
     except (KeyFileError, StoreError, TlsError) as error:
         click.echo(f"fennelcove: {error}", err=True)
         return USAGE
--- a/fennelcove/clock.py
+++ b/fennelcove/clock.py
@@ -17,13 +17,17 @@
 
 
 class SystemClock:
-    """The machine's monotonic clock; every process of one machine reads the same."""
+    """The machine's monotonic clock; every process of one machine reads the same. Its wall clock may be set
+    off by so many microseconds, for days that try what a wrong one does."""
+
+    def __init__(self, wall_off_us: int = 0) -> None:
+        self.wall_off_us = wall_off_us
 
     def now_us(self) -> int:
         return time.monotonic_ns() // 1000
 
     def wall_us(self) -> int:
-        return time.time_ns() // 1000
+        return time.time_ns() // 1000 + self.wall_off_us
 
 
 class ManualClock:
--- a/fennelcove/core/core.py
+++ b/fennelcove/core/core.py
@@ -107,14 +107,8 @@
         self.ended: OrderedDict[str, str] = OrderedDict()
         self.lists: ListSource
         self.counts: dict[str, int] = {}
-        self.gate = Gate(
-            Bounds(
-                settings.limits.connections,
-                settings.limits.waiting,
-                settings.limits.held,
-                settings.limits.buffered_bytes,
-            )
-        )
+        most = settings.limits
+        self.gate = Gate(Bounds(most.connections, most.waiting, most.held, most.buffered_bytes))
         self.list_age_from_us = 0
         self.acts: dict[Act, Callable[[Session], None]] = {
             Act.SEND_JOIN: self._send_join,
@@ -139,7 +133,7 @@
         self.memories = MemoryBook(self)
         self.repeats = RepeatBook(self)
         self.seats = SeatBook(self)
-        self.background: Callable[[], dict[str, object]] = dict
+        self.shown: dict[str, Callable[[], object]] = {}  # figures of others that belong into the status
         self.passes: list[Mac] = []  # the keys of viewers' passes, the newest first
         self.passes_needed = settings.viewers.key_file is not None
 
@@ -194,9 +188,9 @@
                 "list_version": self.keeper.version,
                 "list_age_ms": None if age_us is None else age_us / 1000,
                 "storm": self.storms.status(),
-                "background": self.background(),
                 "counts": dict(self.counts),
                 "watch": self.watched.told() if self.watched is not None else None,
+                **{name: show() for name, show in self.shown.items()},
             }
 
     def leave(self) -> None:
--- /dev/null
+++ b/fennelcove/day/fronts.py
@@ -0,0 +1,313 @@
+"""The fronts of a day, each in a process of its own: started, stopped, killed, paused, started again."""
+
+from __future__ import annotations
+
+import random
+import shutil
+import signal
+import socket
+import ssl
+import subprocess
+import sys
+import threading
+from collections.abc import Callable
+from pathlib import Path
+
+import blake3
+import msgspec
+
+from fennelcove.day import authors
+from fennelcove.day.rig import Rig, front_host
+from fennelcove.day.script import Day
+from fennelcove.program.key_file import rotate
+from fennelcove.settings.schema import Author, CompanySettings, Instance, Rules
+from fennelcove.settings.writer import write
+from fennelcove.standins.recorder import Recorder
+from fennelcove.standins.viewers import Player, Unanswered
+from fennelcove.store.folder import verify
+
+START_S = 30.0
+TORN_BYTES = 40  # off the end of a journal: what a disk had not written when its power went
+AT_ONCE = 6  # fronts that are started side by side: more would measure how fast this machine imports
+
+
+class DayFailed(Exception):
+    """The day could not be played: the front did not start, or did not end."""
+
+
+class FrontProcess:
+    """One front in a process of its own; it can be stopped, killed and started again on the same port."""
+
+    def __init__(
+        self,
+        day: Day,
+        index: int,
+        lists: str,
+        seed: int,
+        recorder: Recorder,
+        folder: Path,
+        company: list[str] | None = None,
+    ) -> None:
+        self.day = day
+        self.index = index
+        self.name = f"{day.front.name}-{index}" if day.fronts > 1 else day.front.name
+        self.lists = lists
+        self.seed = seed
+        self.recorder = recorder
+        self.company = company
+        self.clock_s = 0.0  # how far its wall clock is off
+        self.config = folder / f"front-{index}.sexp"
+        self.log = folder / f"front-{index}.log"
+        self.ledger = folder / f"ledger-{index}"
+        self.keys = folder / "places.keys"
+        self.store = folder / f"store-{index}"
+        self.copy = folder / f"store-{index}-before"
+        self.listen = "127.0.0.1:0"
+        self.address = "127.0.0.1:0"  # where viewers find it
+        self.rig: Rig | None = None  # where there are relays
+        self.process: subprocess.Popen[bytes] | None = None
+        self.context: ssl.SSLContext | None = None  # where the front speaks TLS
+
+    def start(self) -> None:
+        """Start and wait until it listens and has a list.
+
+        Raises:
+            DayFailed: it ended, or did not get so far in time.
+        """
+        self.launch()
+        waited = threading.Event()
+        for _ in range(round(START_S / 0.02)):
+            if self.up() and self._has_list():
+                return
+            waited.wait(0.02)
+        raise DayFailed(f"the front did not start in {START_S:g} s: {self.tail()}")
+
+    def launch(self) -> None:
+        """Start, and wait for nothing."""
+        self.config.write_text(write(self._settings()), "utf-8")
+        command = [sys.executable, "-m", "fennelcove", "front", str(self.config), "--log-level", "debug"]
+        if self.clock_s:
+            command += ["--wall-offset-s", f"{self.clock_s:g}"]
+        self.already = self.log.stat().st_size if self.log.exists() else 0
+        self.told = False
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(command, stdin=subprocess.DEVNULL, stderr=log)
+        self.recorder.note("front_launched", front=self.name)
+
+    def up(self) -> bool:
+        """Whether it listens by now, in this life.
+
+        Raises:
+            DayFailed: it has ended.
+        """
+        assert self.process is not None
+        if self.process.poll() is not None:
+            raise DayFailed(f"the front ended with status {self.process.returncode}: {self.tail()}")
+        if self.told:
+            return True
+        for line in self.log.read_bytes()[self.already :].splitlines():
+            if b'"front_started"' in line and line.endswith(b"}"):
+                self.listen = msgspec.json.decode(line)["address"]
+                if self.rig is None:
+                    self.address = self.listen
+                elif self.address.endswith(":0"):
+                    self.address = self.rig.front_door(self.index, self.listen)
+                self.recorder.note("front_started", front=self.name, address=self.address)
+                self.told = True
+        return self.told
+
+    def _settings(self) -> msgspec.Struct:
+        told = self.day.front
+        store = told.store
+        if store is not None:
+            store = msgspec.structs.replace(store, folder=str(self.store))
+        return msgspec.structs.replace(
+            told,
+            store=store,
+            name=self.name,
+            listen=self.listen,
+            seed=self.seed + self.index,
+            instance=self._instance(),
+            lists=msgspec.structs.replace(told.lists, address=self.lists),
+            rules=self._rules(),
+            source=front_host(self.index) if self.rig is not None else told.source,
+            company=self._company(),
+            storm=msgspec.structs.replace(told.storm, key_file=str(self.keys)),
+            stitch=msgspec.structs.replace(
+                told.stitch,
+                authors=[Author(name="author", key_hash=blake3.blake3(authors.KEY.encode()).hexdigest())],
+                ledger=str(self.ledger),
+            ),
+        )
+
+    def _rules(self) -> Rules:
+        """With how a cold box of this day falls over, where the script does not say that apart."""
+        told, rig = self.day.front.rules, self.day.rig
+        if told.tip_after_ms:
+            return told
+        return msgspec.structs.replace(told, fall_multiple=rig.fall_multiple, tip_after_ms=rig.tip_after_ms)
+
+    def _company(self) -> CompanySettings | None:
+        told = self.day.front.company
+        if self.company is None:
+            return None
+        if told is None:
+            return CompanySettings(addresses=self.company)
+        return msgspec.structs.replace(told, addresses=self.company)
+
+    def _instance(self) -> Instance:
+        told, halls = self.day.front.instance, self.day.halls
+        if self.day.fronts == 1:
+            return told
+        zone = halls[self.index % len(halls)] if halls else told.zone
+        return msgspec.structs.replace(told, index=self.index, fronts=self.day.fronts, zone=zone)
+
+    def _has_list(self) -> bool:
+        player = Player(self.listen, self.recorder.clock, None, self.context)
+        try:
+            heard = player.ask("GET", "/v1/status", [], b"", 1.0)
+            return heard.body.get("list_version") is not None
+        except Unanswered:
+            return False
+        finally:
+            player.close()
+
+    def tail(self) -> str:
+        """The end of its log."""
+        return self.log.read_text("utf-8", "replace")[-600:]
+
+    def stop(self) -> None:
+        """Ask it to end and wait for it.
+
+        Raises:
+            DayFailed: it did not end within its stated time, and was killed.
+        """
+        if self.process is None or self.process.poll() is not None:
+            return
+        self.recorder.note("front_stopping", front=self.name)
+        self.process.send_signal(signal.SIGTERM)
+        self.end()
+
+    def end(self) -> None:
+        """Wait for the end of one that was asked to end.
+
+        Raises:
+            DayFailed: it did not end within its stated time, and was killed.
+        """
+        if self.process is None:
+            return
+        try:
+            self.process.wait(self.day.front.limits.stop_ms / 1000 + START_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            raise DayFailed(f"the front did not end: {self.tail()}") from None
+        self.recorder.note("front_stopped", front=self.name, status=self.process.returncode)
+
+    def kill(self) -> None:
+        """End it without warning, and look at what it leaves."""
+        if self.strike():
+            assert self.process is not None
+            self.process.wait()
+            self.check_store()
+
+    def strike(self) -> bool:
+        """Kill it and wait for nothing; whether it ran."""
+        if self.process is None or self.process.poll() is not None:
+            return False
+        self.recorder.note("front_killed", front=self.name)
+        self.process.kill()
+        return True
+
+    def pause(self, on: bool) -> None:
+        """Stop the process where it is, or let it go on."""
+        if self.process is not None and self.process.poll() is None:
+            self.recorder.note("front_paused" if on else "front_continued", front=self.name)
+            self.process.send_signal(signal.SIGSTOP if on else signal.SIGCONT)
+
+    def check_store(self) -> None:
+        """Write down what is amiss with its store while nobody holds it."""
+        if self.store.exists():
+            for fault in verify(str(self.store)):
+                self.recorder.note("store_fault", front=self.name, fault=fault)
+
+    def spoil(self, how: str) -> None:
+        """What its folder is like after the power went; only while nobody holds it."""
+        if how == "kept" or not self.store.exists():
+            return
+        self.recorder.note("folder", front=self.name, how=how)
+        if how == "torn":
+            for journal in sorted(self.store.glob("journal*")):
+                raw = journal.read_bytes()
+                journal.write_bytes(raw[: max(0, len(raw) - TORN_BYTES)])
+        else:
+            shutil.rmtree(self.store)
+            if how == "old" and self.copy.exists():
+                shutil.copytree(self.copy, self.store)
+
+    def keep_copy(self) -> None:
+        """A copy of its folder as it is now, for a day that restores an old one."""
+        if self.store.exists():
+            shutil.copytree(self.store, self.copy, dirs_exist_ok=True)
+
+
+class Fronts:
+    """All fronts of a day, each in a process of its own."""
+
+    def __init__(self, day: Day, rig: Rig, seed: int, recorder: Recorder, folder: Path) -> None:
+        # One key for all: without it a place was known only at the front that gave it, and viewers, who come
+        # to any of them, were turned away as forgers (142 of 200 watched).
+        rotate(str(folder / "places.keys"), recorder.clock.wall_us() // 1000)
+        company: list[list[str] | None] = [None] * day.fronts
+        if day.company:
+            company = list(rig.company([_free_port() for _ in range(day.fronts)]))
+        self.all = [
+            FrontProcess(day, i, rig.lists_for_fronts, seed, recorder, folder, company[i])
+            for i in range(day.fronts)
+        ]
+        if day.relays:
+            for front in self.all:
+                front.rig = rig
+
+    def start(self) -> None:
+        """Start each and wait for it, a few at a time."""
+        for at in range(0, len(self.all), AT_ONCE):
+            side_by_side([front.start for front in self.all[at : at + AT_ONCE]])
+
+    def stop(self) -> None:
+        """Stop all and wait for them."""
+        side_by_side([front.stop for front in self.all])
+
+    def kill(self) -> None:
+        """End what still runs."""
+        for front in self.all:
+            front.kill()
+
+    def chooser(self, name: str) -> Callable[[], str]:
+        """A viewer's way to a front: another one at each try, by its name, the same in every run."""
+        chance = random.Random(name)
+        return lambda: chance.choice(self.all).address
+
+
+def side_by_side(calls: list[Callable[[], None]]) -> None:
+    """All calls at once; the first failure is raised when all have ended."""
+    failures: list[DayFailed] = []
+
+    def run(call: Callable[[], None]) -> None:
+        try:
+            call()
+        except DayFailed as error:
+            failures.append(error)
+
+    threads = [threading.Thread(target=run, args=(call,), name="fronts") for call in calls]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    if failures:
+        raise failures[0]
+
+
+def _free_port() -> str:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
--- a/fennelcove/day/plots.py
+++ b/fennelcove/day/plots.py
@@ -4,6 +4,7 @@
 
 from pathlib import Path
 
+from fennelcove.day.recovery import seconds
 from fennelcove.day.replays import series
 from fennelcove.standins.recorder import Record
 
@@ -41,3 +42,32 @@
         figure.savefig(file, dpi=110, bbox_inches="tight")
     pyplot.close(figure)
     return files
+
+
+def draw_seconds(records: list[Record], file: str) -> None:
+    """Draw what became of requests in each second, with the troubles marked.
+
+    Raises:
+        ImportError: matplotlib is not installed.
+        OSError: the file can't be written.
+    """
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    found = seconds(records)
+    figure, panel = pyplot.subplots(figsize=(9, 3.6))
+    at = [second.at_s for second in found]
+    for name in ("asked", "played", "refused", "unanswered"):
+        panel.plot(at, [getattr(second, name) for second in found], label=name, drawstyle="steps-post")
+    began_us = next((r["t_us"] for r in records if r["what"] == "day_began"), 0)
+    for record in records:
+        if record["what"] == "power" or (record["what"] in ("trouble", "fault") and record["on"]):
+            panel.axvline((record["t_us"] - began_us) / 1e6, color="grey", linewidth=0.8)
+    panel.set_xlabel("second of the day")
+    panel.set_ylabel("a second")
+    panel.legend(loc="upper right")
+    panel.grid(alpha=0.3)
+    figure.savefig(file, dpi=90, bbox_inches="tight")
+    pyplot.close(figure)
--- /dev/null
+++ b/fennelcove/day/recovery.py
@@ -0,0 +1,183 @@
+"""How a whole fleet came back from a trouble, and what that cost, from what passed on the sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+from fennelcove.standins.recorder import Record
+
+PLAYS, THROTTLED = 201, 503
+BEFORE_S = 6  # over which the service before a trouble is taken
+BACK = 0.9  # of the service before it
+FOR_S = 3  # over which the service after it is taken: single seconds swing by chance
+FIRST_S = 30
+
+
+class Second(msgspec.Struct, frozen=True):
+    """What was asked in one second, and what became of requests in it; benefit is of what played."""
+
+    at_s: int
+    asked: int
+    played: int
+    refused: int  # throttled or terminated
+    unanswered: int
+    benefit: float = 0.0
+
+
+class Return(msgspec.Struct, frozen=True):
+    """What followed one trouble; times in seconds."""
+
+    trouble: str
+    at_s: float
+    before: float  # set-ups played a second, before it
+    back_after_s: float | None  # until `BACK` of it was played again; None: never on this day
+    bound_s: float  # the same, as the warm-up of the boxes alone allows
+    first_share: float  # played in the first 30 s, of what was played before in such a time
+
+
+class Fleet(msgspec.Struct, frozen=True):
+    """The day of a whole fleet; costs are for each request that viewers made."""
+
+    seconds: list[Second]
+    returns: list[Return]
+    pushed_over: int
+    joins: float
+    connections: float  # by fronts, to boxes and list service
+    list_calls: float
+    datagrams: float
+
+
+def began_us(records: list[Record]) -> int:
+    """When the day's script began."""
+    times: dict[str, int] = {}
+    for record in records:
+        times.setdefault(record["what"], record["t_us"])
+    return times.get("day_began", times.get("front_started", 0))
+
+
+def seconds(records: list[Record]) -> list[Second]:
+    """The day, second by second."""
+    since_us = began_us(records)
+    worth = {
+        room["name"]: room["benefit"] for r in records if r["what"] == "terms" for room in r["room_types"]
+    }
+    rooms = {(r["viewer"], r["number"]): r["room_type"] for r in records if r["what"] == "asked"}
+    counts: dict[int, list[float]] = {}
+    for record in records:
+        what, at = record["what"], (record["t_us"] - since_us) // 1_000_000
+        if what not in ("asked", "answered", "unanswered") or at < 0:
+            continue
+        row = counts.setdefault(at, [0, 0, 0, 0, 0.0])
+        if what == "asked":
+            row[0] += 1
+        elif what == "unanswered":
+            row[3] += record["how"] != "hung_up"
+        elif record["status"] == PLAYS:
+            row[1] += 1
+            row[4] += worth.get(rooms.get((record["viewer"], record["number"]), ""), 0.0)
+        else:
+            row[2] += 1
+    rows = [(at, counts.get(at, [0] * 5)) for at in range(max(counts, default=-1) + 1)]
+    return [
+        Second(at, int(asked), int(played), int(refused), int(unanswered), round(benefit, 3))
+        for at, (asked, played, refused, unanswered, benefit) in rows
+    ]
+
+
+def returns(records: list[Record], found: list[Second]) -> Iterator[Return]:
+    """Each time that the power went, and how the service came back."""
+    since_us = began_us(records)
+    played = [second.played for second in found]
+    times = [(r["t_us"] - since_us) / 1e6 for r in records if r["what"] == "power"]
+    for i, at_s in enumerate(times):
+        first = int(at_s) + 1  # what was played in the second of the trouble is of both
+        before = played[max(0, first - 1 - BEFORE_S) : first - 1]
+        mean = sum(before) / max(1, len(before))
+        until = int(times[i + 1]) if i + 1 < len(times) else len(played)
+        back = None
+        for at in range(first, until - FOR_S + 1):
+            if mean and sum(played[at : at + FOR_S]) / FOR_S >= BACK * mean:
+                back = float(at - at_s)
+                break
+        share = sum(played[first : min(until, first + FIRST_S)]) / max(1e-9, mean * FIRST_S)
+        bound = warm_bound_s(records, at_s, mean)
+        yield Return("power", round(at_s, 2), round(mean, 2), back, round(bound, 2), round(share, 3))
+
+
+def warm_bound_s(records: list[Record], at_s: float, mean: float) -> float:
+    """How soon after a trouble the boxes alone could take `BACK` of the set-ups before it: from then on all
+    boxes that are back, each at the pace that it has warmed up to, take so many a second."""
+    since_us = began_us(records)
+    terms = next(r for r in records if r["what"] == "terms")
+    ramp_s, cold = terms["ramp_ms"] / 1000, terms["start_capacity"]
+    streams = {r["box"]: r["streams"] for r in records if r["what"] == "box"}
+    dead = {
+        r["box"] for r in records if r["what"] == "box_died" and (r["t_us"] - since_us) / 1e6 >= at_s - 0.5
+    }
+    starts = {
+        r["box"]: (r["t_us"] - since_us) / 1e6
+        for r in records
+        if r["what"] == "box_started" and (r["t_us"] - since_us) / 1e6 >= at_s
+    }
+    if not ramp_s or not mean:
+        return 0.0
+
+    def pace(at: float) -> float:
+        total = 0.0
+        for box, most in streams.items():
+            if box not in dead:
+                return float("inf")
+            if box in starts and at >= starts[box]:
+                warmth = min(1.0, cold + (1 - cold) * (at - starts[box]) / ramp_s)
+                total += most / ramp_s * warmth if warmth < 1 else float("inf")
+        return total
+
+    step = at_s
+    while step < at_s + 600:
+        if pace(step) >= BACK * mean:
+            return step - at_s
+        step += 0.05
+    return 600.0
+
+
+def fleet(records: list[Record]) -> Fleet:
+    """The figures of the whole fleet."""
+    found = seconds(records)
+    asked = max(1, sum(second.asked for second in found))
+    carried = next((r for r in records if r["what"] == "carried"), {})
+
+    def count(*parts: str) -> int:
+        return sum(n for name, n in carried.items() if isinstance(n, int) and name in parts)
+
+    return Fleet(
+        found,
+        list(returns(records, found)),
+        sum(1 for r in records if r["what"] == "fell"),
+        round(sum(1 for r in records if r["what"] == "set_up") / asked, 3),
+        round(count("connections fronts boxes", "connections fronts lists") / asked, 3),
+        round(count("connections fronts lists") / asked, 3),
+        round(count("datagrams fronts fronts") / asked, 3),
+    )
+
+
+def told(figures: Fleet) -> Iterator[str]:
+    """The figures in words, a line each."""
+    for back in figures.returns:
+        when = "never on this day" if back.back_after_s is None else f"{back.back_after_s:.1f} s after"
+        yield (
+            f"power went at {back.at_s:.1f} s, at {back.before:.1f} set-ups a second; {BACK:.0%} of it "
+            f"was back {when} (the boxes' warm-up alone: {back.bound_s:.1f} s), {back.first_share:.2f} of "
+            "the first 30 s"
+        )
+    if figures.connections:
+        yield (
+            f"for each request {figures.joins:.2f} joins, {figures.connections:.2f} connections, "
+            f"{figures.list_calls:.3f} list calls, {figures.datagrams:.2f} datagrams; "
+            f"{figures.pushed_over} boxes pushed over"
+        )
+    yield "second: asked, played, refused, unanswered"
+    for second in figures.seconds:
+        parts = (second.asked, second.played, second.refused, second.unanswered)
+        yield f"{second.at_s:4d}: " + " ".join(f"{part:4d}" for part in parts)
--- a/fennelcove/day/rig.py
+++ b/fennelcove/day/rig.py
@@ -1,12 +1,15 @@
-"""One day's stand-ins, and the script's troubles as switches on them."""
+"""One day's stand-ins, the relays between them, and the script's troubles as switches on them."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from random import Random
 
 from fennelcove.clock import Clock
 from fennelcove.day.script import Day, Trouble
+from fennelcove.standins.between.faults import Fault, How, Party
+from fennelcove.standins.between.relay import Relays
 from fennelcove.standins.box import StandInBox
 from fennelcove.standins.listservice import Known, StandInLists, State
 from fennelcove.standins.model import BoxModel, RackModel
@@ -21,16 +24,28 @@
     end: Callable[[Rig, Trouble], None] | None = None
 
 
+def front_host(index: int) -> str:
+    """The address that a front dials from, by which relays know it."""
+    return f"127.0.1.{index + 1}"
+
+
 class Rig:
-    """The boxes and the list service of a day."""
+    """The boxes and the list service of a day, and the relays where it has them."""
 
-    def __init__(self, day: Day, clock: Clock, recorder: Recorder) -> None:
+    def __init__(self, day: Day, clock: Clock, recorder: Recorder, seed: int = 1) -> None:
         self.day = day
+        self.relays = Relays(clock, Random(f"{seed}/relays").random) if day.relays else None
+        self.faults: dict[int, list[Fault]] = {}  # by the trouble that makes them
         self.clock = clock
         self.recorder = recorder
         racks = day.front.fleet.racks
         self.racks = [RackModel(day.rig.uplink_kb) for _ in range(racks)]
         self.lists = StandInLists(clock, recorder)
+        self.lists_for_fronts = self.lists.address
+        if self.relays is not None:
+            self.lists_for_fronts = self.relays.door(self.lists.address, frozenset({"lists"}))
+            for i in range(day.fronts):
+                self.relays.name(front_host(i), self.party(i))
         self.boxes: list[StandInBox] = []
         self.known: list[Known] = []
         for i in range(len(day.boxes)):
@@ -55,6 +70,9 @@
         box = StandInBox(
             f"box-{len(self.boxes)}", model, self.clock, self.recorder, settings.fleet.reports_every_ms / 1000
         )
+        if self.relays is not None:
+            number = f"box-{len(self.boxes)}"
+            box.address = self.relays.door(box.address, frozenset({"boxes", number, spec.zone}))
         weight = spec.link_kb / (settings.fleet.kb_per_weight or spec.link_kb)
         self.boxes.append(box)
         self.known.append(Known(box.address, spec.zone, spec.kind, spec.cell, weight))
@@ -69,13 +87,50 @@
             box.start()
         self.lists.publish(*self.known)
         self.lists.start()
+        if self.relays is not None:
+            self.relays.start()
 
     def stop(self) -> None:
         """Stop all stand-ins."""
         self.lists.stop()
+        if self.relays is not None:
+            self.relays.stop()
         for box in self.boxes:
             box.stop()
 
+    def party(self, front: int) -> Party:
+        """What a front is called in faults: as one of the fronts, by its number, by its hall."""
+        halls = self.day.halls or [self.day.front.instance.zone]
+        return frozenset({"fronts", f"front-{front}", halls[front % len(halls)]})
+
+    def front_door(self, front: int, address: str) -> str:
+        """Where viewers find a front that listens there."""
+        return self.relays.door(address, self.party(front)) if self.relays is not None else address
+
+    def company(self, addresses: list[str]) -> list[list[str]]:
+        """For fronts that listen for each other at these addresses: the addresses as each is to know them."""
+        if self.relays is None:
+            return [addresses for _ in addresses]
+        return self.relays.post(addresses, [self.party(i) for i in range(len(addresses))])
+
+    def fault(self, number: int, trouble: Trouble, on: bool) -> None:
+        """A trouble between parties begins or ends."""
+        told = trouble.between
+        assert told is not None and self.relays is not None
+        ways = [(told.sender, told.taker)] + ([(told.taker, told.sender)] if told.both else [])
+        if on:
+            self.faults[number] = [Fault(a, b, How(told.how), trouble.value, told.share) for a, b in ways]
+        else:
+            self.faults.pop(number, None)
+        for a, b in ways:
+            self.recorder.note("fault", sender=a, taker=b, how=told.how, on=on, number=number)
+        self.relays.set(*[fault for faults in self.faults.values() for fault in faults])
+
+    def carried(self) -> None:
+        """Write down what the relays carried."""
+        if self.relays is not None:
+            self.recorder.note("carried", **self.relays.told())
+
     def share_of(self, address: str) -> float:
         """What share of its rate a player at this box gets."""
         for box in self.boxes:
--- /dev/null
+++ b/fennelcove/decisions/fleet/company.py
@@ -0,0 +1,324 @@
+"""Which fronts live, by what they say to each other, and how many may need a share of a cold box.
+
+Every front may always take a stated part of its equal share, heard or not. The rest it may take only while it
+holds a lease: a majority of all fronts has repeated a beat of its own that is younger than the lease. A front
+that has been silent for longer than any lease it can hold is called gone by those who notice; where a
+majority says so, those with a lease share what it left over its stated part. The two majorities have a front
+in common, and that one repeats nothing of a front while its word that it is gone may still be acted on. So
+the shares of all living fronts never add up to more than the whole, whatever is lost, late, doubled or cut in
+half; no front has to know how the others see it. A front in a new life repeats nothing and calls nobody gone
+until whatever its last life promised has lapsed.
+
+What is sent to one front is answered in what that front is sent back, so that each judges the age of a word
+by its own clock. Times are in microseconds of one front's monotonic clock.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+BEAT_US = 250_000
+LEASE_US = 2_000_000
+WORD_US = 2_000_000  # how long a word that a front is gone may be acted on, from the beat that it answers
+DRIFT = 0.05  # by how much two clocks may differ in pace, and a process be held up between look and act
+KEPT = 0.5  # of its equal share, what a front may take whoever hears it
+SUSPECT_BEATS = 3
+FLAPS = 3  # returns within `FLAP_US` after which a front has to be steady for longer before it is repeated
+FLAP_US = 30_000_000
+TWIN_US = 5_000_000  # two lives under one index within so long are two processes
+MOST_BEATS = 64  # own beats whose times are known
+MOST_BIDS = 3
+
+
+class Standing(Enum):
+    """How another front stands."""
+
+    UNHEARD = auto()  # nothing since this one began
+    ALIVE = auto()
+    SUSPECT = auto()  # some beats are missing
+    SILENT = auto()  # for longer than any lease it can hold: this front calls it gone
+    LEFT = auto()  # it said that it ends: this front calls it gone
+    BACK = auto()  # heard again, and not repeated yet: the word that it is gone may still be acted on
+    TWIN = auto()  # two processes speak under its index: neither is repeated
+
+
+class Cue(Enum):
+    """What happens to it."""
+
+    HEARD = auto()
+    NEW_LIFE = auto()
+    OTHER_LIFE = auto()  # one that was heard before the present one
+    FAREWELL = auto()
+    LATE = auto()  # beats are missing
+    LAPSED = auto()
+    FREE = auto()  # no word of this front's is in force any more, or the twin was last heard long ago
+
+
+TABLE: dict[tuple[Standing, Cue], Standing] = {
+    (Standing.UNHEARD, Cue.HEARD): Standing.ALIVE,
+    (Standing.UNHEARD, Cue.NEW_LIFE): Standing.ALIVE,
+    (Standing.UNHEARD, Cue.FAREWELL): Standing.LEFT,
+    (Standing.UNHEARD, Cue.LAPSED): Standing.SILENT,
+    # The last life may still hold a lease where its process was not the one that ended.
+    (Standing.ALIVE, Cue.NEW_LIFE): Standing.BACK,
+    (Standing.ALIVE, Cue.FAREWELL): Standing.LEFT,
+    (Standing.ALIVE, Cue.OTHER_LIFE): Standing.TWIN,
+    (Standing.ALIVE, Cue.LATE): Standing.SUSPECT,
+    (Standing.ALIVE, Cue.LAPSED): Standing.SILENT,
+    (Standing.SUSPECT, Cue.HEARD): Standing.ALIVE,
+    (Standing.SUSPECT, Cue.NEW_LIFE): Standing.BACK,
+    (Standing.SUSPECT, Cue.OTHER_LIFE): Standing.TWIN,
+    (Standing.SUSPECT, Cue.FAREWELL): Standing.LEFT,
+    (Standing.SUSPECT, Cue.LAPSED): Standing.SILENT,
+    (Standing.SILENT, Cue.HEARD): Standing.BACK,
+    (Standing.SILENT, Cue.NEW_LIFE): Standing.BACK,
+    (Standing.SILENT, Cue.OTHER_LIFE): Standing.TWIN,
+    (Standing.SILENT, Cue.FAREWELL): Standing.LEFT,
+    # A beat that was late on its way says nothing after a farewell; only another life does.
+    (Standing.LEFT, Cue.NEW_LIFE): Standing.BACK,
+    (Standing.BACK, Cue.FREE): Standing.ALIVE,
+    (Standing.BACK, Cue.FAREWELL): Standing.LEFT,
+    (Standing.BACK, Cue.OTHER_LIFE): Standing.TWIN,
+    (Standing.BACK, Cue.LAPSED): Standing.SILENT,
+    (Standing.TWIN, Cue.FREE): Standing.BACK,
+    (Standing.TWIN, Cue.LAPSED): Standing.SILENT,
+}
+GONE = (Standing.SILENT, Standing.LEFT)
+REPEATED = (Standing.ALIVE, Standing.SUSPECT)
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """The figures of one company; see the module's text."""
+
+    fronts: int
+    index: int
+    beat_us: int = BEAT_US
+    lease_us: int = LEASE_US
+    word_us: int = WORD_US
+    kept: float = KEPT
+
+    @property
+    def majority(self) -> int:
+        """How many of all fronts, this one among them, are more than half."""
+        return self.fronts // 2 + 1
+
+    @property
+    def lapse_us(self) -> int:
+        """A front silent for so long holds no lease by this one's repeating."""
+        return round(self.lease_us * (1 + DRIFT)) + self.beat_us
+
+
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """What one front tells another: a sign of life, what it last heard from there, and whom it calls gone."""
+
+    life: int  # of the sender's process, higher than any before it
+    number: int  # of this beat, counted in this life
+    heard_life: int = 0  # the taker's, as the sender knows it
+    heard_number: int = 0  # the taker's last beat in it, repeated; 0: nothing is repeated
+    leaving: bool = False
+    gone: tuple[int, ...] = ()
+
+
+@dataclass(slots=True)
+class Peer:
+    """What this front knows of another."""
+
+    standing: Standing = Standing.UNHEARD
+    life: int = 0
+    number: int = 0
+    heard_us: int = 0
+    other_us: int = 0  # when another life than the present one was last heard
+    born_us: int = 0  # when the present life was first heard
+    called_us: int = -(1 << 60)  # when this front last called it gone
+    repeated: int = 0  # the newest beat of ours that it has repeated in its present life, by number
+    gone: frozenset[int] = frozenset()  # whom it calls gone
+    gone_by: int = 0  # the beat of ours that this word answers
+    returns: int = 0
+    returned_us: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Something that an operator may want to know."""
+
+    index: int
+    was: Standing
+    now: Standing
+
+
+@dataclass(slots=True)
+class Company:
+    """One front's view of all. The caller hands in times, carries beats and holds the lock."""
+
+    terms: Terms
+    life: int
+    now_us: int
+    number: int = 0
+    sent_us: OrderedDict[int, int] = field(default_factory=OrderedDict)
+    peers: dict[int, Peer] = field(default_factory=dict)
+    changes: list[Change] = field(default_factory=list)
+    speaks_us: int = 0  # until then a new life repeats nothing: it may have called somebody gone before
+    leaving: bool = False
+    outbid: int = 0  # how often a higher life was known for this index
+
+    def __post_init__(self) -> None:
+        terms = self.terms
+        self.peers = {i: Peer(heard_us=self.now_us) for i in range(terms.fronts) if i != terms.index}
+        self.speaks_us = self.now_us + round(max(terms.lease_us, terms.word_us) * (1 + DRIFT)) + terms.beat_us
+
+    # What is sent.
+
+    def beat(self, now_us: int) -> dict[int, Beat]:
+        """The next beat, for each other front; to be sent now."""
+        self.advance(now_us)
+        self.number += 1
+        self.sent_us[self.number] = now_us
+        if len(self.sent_us) > MOST_BEATS:
+            self.sent_us.popitem(last=False)
+        called: tuple[int, ...] = ()
+        if now_us >= self.speaks_us:
+            called = tuple(i for i, peer in self.peers.items() if peer.standing in GONE)
+            for i in called:
+                self.peers[i].called_us = now_us
+        return {i: self._for(peer, called, now_us) for i, peer in self.peers.items()}
+
+    def _for(self, peer: Peer, called: tuple[int, ...], now_us: int) -> Beat:
+        if not self._repeats(peer, now_us):
+            return Beat(self.life, self.number, peer.life, leaving=self.leaving)
+        return Beat(self.life, self.number, peer.life, peer.number, self.leaving, called)
+
+    def _repeats(self, peer: Peer, now_us: int) -> bool:
+        # A word given in a beat may be acted on until it lapses by the clock of whoever it was given to; what
+        # is repeated here before that would let its subject act as well.
+        word_over = now_us >= peer.called_us + round(self.terms.word_us * (1 + DRIFT))
+        return now_us >= self.speaks_us and peer.standing in REPEATED and word_over
+
+    # What is heard.
+
+    def hear(self, sender: int, beat: Beat, now_us: int) -> None:
+        """A beat has come."""
+        peer = self.peers.get(sender)
+        if peer is None:
+            return
+        self.advance(now_us)
+        if beat.heard_life > self.life:
+            self._outbid(beat.heard_life)
+        if beat.life < peer.life:
+            # Late ones of a life that is over come for a moment; two processes under one index go on.
+            peer.other_us = now_us
+            if now_us - peer.born_us > TWIN_US or peer.standing is Standing.TWIN:
+                self._cue(sender, peer, Cue.OTHER_LIFE, now_us)
+            return
+        if beat.life == peer.life and beat.number <= peer.number:
+            return  # doubled, or overtaken by a newer one
+        new = beat.life > peer.life
+        if new:
+            if peer.life:
+                peer.other_us = now_us
+            peer.life, peer.born_us = beat.life, now_us
+            peer.repeated, peer.gone, peer.gone_by = 0, frozenset(), 0
+        peer.number, peer.heard_us = beat.number, now_us
+        if beat.heard_life == self.life and beat.heard_number in self.sent_us:  # 0 is none of them
+            peer.repeated = max(peer.repeated, beat.heard_number)
+            if beat.heard_number >= peer.gone_by:
+                peer.gone, peer.gone_by = frozenset(beat.gone), beat.heard_number
+        if beat.leaving:
+            self._cue(sender, peer, Cue.FAREWELL, now_us)
+        else:
+            self._cue(sender, peer, Cue.NEW_LIFE if new else Cue.HEARD, now_us)
+
+    def _outbid(self, known: int) -> None:
+        """Others know a later life under this index: a clock that went back gave this one too low a number. A
+        second process would bid against it for ever, so only a few times; then others see that it is one."""
+        if self.outbid < MOST_BIDS:
+            self.outbid += 1
+            self.life = known + 1
+            # The count of beats goes on: begun anew, what was repeated of the last life passed for new.
+            self.sent_us.clear()
+
+    def advance(self, now_us: int) -> None:
+        """Time passes."""
+        self.now_us = now_us
+        for index, peer in self.peers.items():
+            silent_us = now_us - peer.heard_us
+            if silent_us >= self.terms.lapse_us:
+                self._cue(index, peer, Cue.LAPSED, now_us)
+            elif silent_us >= SUSPECT_BEATS * self.terms.beat_us:
+                self._cue(index, peer, Cue.LATE, now_us)
+            if peer.standing in (Standing.BACK, Standing.TWIN) and now_us >= self._free_us(peer):
+                self._cue(index, peer, Cue.FREE, now_us)
+
+    def _free_us(self, peer: Peer) -> int:
+        """When one that is back may be repeated: the word that it is gone has lapsed, and one that comes and
+        goes has stayed for the longer the more often it went."""
+        other_over_us = peer.other_us + self.terms.lapse_us if peer.other_us else 0
+        if peer.standing is Standing.TWIN:
+            return max(peer.other_us + TWIN_US, other_over_us)
+        steady_us = peer.returned_us + self.terms.lease_us * max(0, peer.returns - FLAPS)
+        return max(steady_us, other_over_us, peer.called_us + round(self.terms.word_us * (1 + DRIFT)))
+
+    def _cue(self, index: int, peer: Peer, cue: Cue, now_us: int) -> None:
+        now = TABLE.get((peer.standing, cue), peer.standing)
+        if now is peer.standing:
+            return
+        if now is Standing.BACK:
+            recent = now_us - peer.returned_us < FLAP_US
+            peer.returns, peer.returned_us = (peer.returns + 1 if recent else 1), now_us
+        self.changes.append(Change(index, peer.standing, now))
+        peer.standing = now
+
+    # What follows.
+
+    def leased(self, now_us: int) -> bool:
+        """Whether a majority has lately repeated this front's beats."""
+        fresh = 1  # this front hears itself
+        for peer in self.peers.values():
+            sent_us = self.sent_us.get(peer.repeated)
+            fresh += sent_us is not None and now_us - sent_us < self.terms.lease_us
+        return fresh >= self.terms.majority and not self.leaving
+
+    def gone(self, now_us: int) -> frozenset[int]:
+        """The fronts that a majority calls gone, by words that are still in force."""
+        words: dict[int, int] = {}
+        for peer in self.peers.values():
+            sent_us = self.sent_us.get(peer.gone_by)
+            if sent_us is not None and now_us - sent_us < self.terms.word_us:
+                for index in peer.gone:
+                    words[index] = words.get(index, 0) + 1
+        mine = now_us >= self.speaks_us
+        return frozenset(
+            index
+            for index, peer in self.peers.items()
+            if words.get(index, 0) + (mine and peer.standing in GONE) >= self.terms.majority
+        )
+
+    def share(self, now_us: int) -> float:
+        """What part of anything that all fronts share this one may take now, whatever the others believe."""
+        terms = self.terms
+        if terms.fronts == 1:
+            return 1.0
+        if not self.leased(now_us):
+            return terms.kept / terms.fronts
+        gone = len(self.gone(now_us))
+        return (1 - terms.kept * gone / terms.fronts) / (terms.fronts - gone)
+
+    def part(self, now_us: int) -> tuple[float, float]:
+        """As how many fronts this one has to reckon, and its place among them."""
+        fronts = 1 / self.share(now_us)
+        gone = self.gone(now_us) if self.leased(now_us) else frozenset()
+        rank = sum(1 for i in range(self.terms.index) if i not in gone)
+        return fronts, rank * fronts / max(1, self.terms.fronts - len(gone))
+
+    def living(self) -> int:
+        """How many fronts this one takes to be alive, itself among them; no share hangs on it."""
+        here = (*REPEATED, Standing.BACK)
+        return 1 + sum(peer.standing in here for peer in self.peers.values())
+
+    def news(self) -> list[Change]:
+        """What has changed since the last call."""
+        found, self.changes = self.changes, []
+        return found
--- a/fennelcove/facts.py
+++ b/fennelcove/facts.py
@@ -144,6 +144,7 @@
         ask_within_us=None if ask_within is None else round(ask_within * 1000),
         start_capacity=rules.number("StartCapacity", 1.0),
         ramp_us=rules.micros("RampTimeMs"),
+        cold_slack_us=round(max(0.0, rules.number("FallMultiple", 1.0) - 1) * rules.micros("TipAfterMs")),
         budget_free=rules.maybe("BudgetFree"),
         budget_ratio=rules.number("ExtraRatio", 0.0),
         budget_span_us=rules.micros("ResendSpanMs"),
--- a/fennelcove/interface.py
+++ b/fennelcove/interface.py
@@ -114,6 +114,7 @@
     quotas: dict[str, float] = field(default_factory=dict)
     over_quota_worth: float = 1.0  # what a request past its tenant's quota counts, of its benefit
     worst_room_part: float = 0.0  # what the worst served room type counts, over what the whole counts
+    cold_slack_us: int = 0  # by how much past its pace a cold server falls over, as time at that pace
     switch_cost_us: int = 0  # of a room type's benefit, for each change of rung while it plays
 
 
--- a/fennelcove/messages.py
+++ b/fennelcove/messages.py
@@ -4,16 +4,20 @@
 
 import struct
 
+from fennelcove.decisions.fleet.company import Beat
 from fennelcove.interface import CellLoad, PeerSays
 
 MOST_BYTES = 256
 MOST_CELLS = 1 << 16  # a cell is two bytes
-ASKS, LOADS, JOINS = 1, 2, 3  # first byte of a message: cells asked about, loads known, joins sent
+ASKS, LOADS, JOINS, BEAT = 1, 2, 3, 4  # first byte of a message: cells asked about, loads known, joins sent
 CELL = struct.Struct(">H")
 LOAD = struct.Struct(">HBBB")  # cell, link and uplink in hundredths, age in tenths of a second
 JOIN = struct.Struct(">HH")  # cell, kB a second
 SIZES = {ASKS: CELL, LOADS: LOAD, JOINS: JOIN}
 UNKNOWN = 255
+# Kind, life, number, the taker's life and its number repeated, whether the sender leaves; then who is gone.
+SIGN = struct.Struct(">BQIQIB")
+MOST_GONE = (MOST_BYTES - SIGN.size) // CELL.size
 
 
 def pack(said: PeerSays) -> list[bytes]:
@@ -59,3 +63,21 @@
     """One row read back."""
     levels = [None if level == UNKNOWN else level / 100 for level in (link, uplink)]
     return CellLoad(cell, levels[0], levels[1], age * 100_000)
+
+
+def pack_beat(beat: Beat) -> bytes:
+    """A sign of life as one message."""
+    gone = b"".join(CELL.pack(index) for index in beat.gone[:MOST_GONE])
+    parts = (BEAT, beat.life, beat.number, beat.heard_life, beat.heard_number, beat.leaving)
+    return SIGN.pack(*parts) + gone
+
+
+def unpack_beat(raw: bytes) -> Beat | None:
+    """A sign of life; None where it is malformed."""
+    if not SIGN.size <= len(raw) <= MOST_BYTES or (len(raw) - SIGN.size) % CELL.size or raw[0] != BEAT:
+        return None
+    _, life, number, heard_life, heard_number, leaving = SIGN.unpack_from(raw)
+    if leaving > 1:
+        return None
+    gone = tuple(index for (index,) in CELL.iter_unpack(raw[SIGN.size :]))
+    return Beat(life, number, heard_life, heard_number, bool(leaving), gone)
--- a/fennelcove/peers/feeds.py
+++ b/fennelcove/peers/feeds.py
@@ -11,9 +11,9 @@
 from fennelcove.core.verdicts import Notices
 from fennelcove.decisions.boxes.commands import CARRY_OUT_US
 from fennelcove.decisions.boxes.hearing import BoxSays
-from fennelcove.http1.messages import CodecLimits
 from fennelcove.peers.joins import HintReader
 from fennelcove.peers.orders import OrderSenders
+from fennelcove.peers.pool import DialLimits
 from fennelcove.peers.streams import Broken, EventStream, Refused
 from fennelcove.wire.boxes import ENDED, HELLO, REPORT, Ended, Hello, Report
 from fennelcove.wire.events import EventError, ServerEvent
@@ -40,7 +40,7 @@
         hints: HintReader,
         front: str,
         silence_us: int,
-        limits: CodecLimits,
+        limits: DialLimits,
         notice: Notices,
     ) -> None:
         self.core = core
--- a/fennelcove/peers/fronts.py
+++ b/fennelcove/peers/fronts.py
@@ -6,8 +6,9 @@
 import threading
 from collections.abc import Callable, Sequence
 
+from fennelcove.decisions.fleet.company import Beat
 from fennelcove.interface import PeerSays
-from fennelcove.messages import MOST_BYTES, pack, unpack
+from fennelcove.messages import BEAT, MOST_BYTES, pack, pack_beat, unpack, unpack_beat
 
 LOOK_S = 0.25  # how often the listening thread looks whether it should end
 
@@ -15,10 +16,17 @@
 class FrontSide:
     """Tells the other fronts and hears them: only what comes from a configured address counts."""
 
-    def __init__(self, addresses: Sequence[str], index: int, heard: Callable[[PeerSays], None]) -> None:
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        index: int,
+        heard: Callable[[PeerSays], None],
+        beaten: Callable[[int, Beat], None] | None = None,
+    ) -> None:
         self.addresses = [(host, int(port)) for host, _, port in (a.rpartition(":") for a in addresses)]
         self.indices = {address: i for i, address in enumerate(self.addresses) if i != index}
         self.heard = heard
+        self.beaten = beaten  # None: signs of life are not asked for
         self.stopped = False
         self.lost = 0  # not sent, from nobody known, or not understood
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -37,10 +45,18 @@
     def tell(self, front: int, said: PeerSays) -> None:
         """Send it, or lose it: a message that can't leave now is worth nothing later."""
         for part in pack(said):
-            try:
-                self.sock.sendto(part, self.addresses[front])
-            except (OSError, IndexError):
-                self.lost += 1
+            self._send(front, part)
+
+    def beat(self, beats: dict[int, Beat]) -> None:
+        """Send a sign of life to each of these fronts, or lose it."""
+        for front, beat in beats.items():
+            self._send(front, pack_beat(beat))
+
+    def _send(self, front: int, part: bytes) -> None:
+        try:
+            self.sock.sendto(part, self.addresses[front])
+        except (OSError, IndexError):
+            self.lost += 1
 
     def stop(self) -> None:
         """End listening and close."""
@@ -58,8 +74,16 @@
                 self.lost += 1  # a refused datagram of ours comes back as an error of the socket
                 continue
             sender = self.indices.get(address)
-            said = unpack(sender, raw) if sender is not None else None
-            if said is None:
+            if sender is None or not self._take(sender, raw):
                 self.lost += 1
-            else:
-                self.heard(said)
+
+    def _take(self, sender: int, raw: bytes) -> bool:
+        if raw[:1] == bytes([BEAT]) and self.beaten is not None:
+            beat = unpack_beat(raw)
+            if beat is not None:
+                self.beaten(sender, beat)
+            return beat is not None
+        said = unpack(sender, raw)
+        if said is not None:
+            self.heard(said)
+        return said is not None
--- a/fennelcove/peers/joins.py
+++ b/fennelcove/peers/joins.py
@@ -16,10 +16,10 @@
 from fennelcove.decisions.boxes.joins import Exchange, Seen, join_times, may_reuse
 from fennelcove.hints import cmsd
 from fennelcove.http1 import writer
-from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead, Whole
+from fennelcove.http1.messages import ProtocolError, ResponseHead, Whole
 from fennelcove.interface import Effect, Outcome
 from fennelcove.peers.latch import Latch, Woken, wait
-from fennelcove.peers.pool import READ_BYTES, Link, Pool, dial
+from fennelcove.peers.pool import READ_BYTES, DialLimits, Link, Pool, dial
 from fennelcove.wire.boxes import TURNED_AWAY, JoinOrder, join_path
 from fennelcove.wire.sessions import Problem
 
@@ -73,7 +73,7 @@
         pool: Pool,
         hints: HintReader,
         effects: Mapping[str, Effect],
-        limits: CodecLimits,
+        limits: DialLimits,
         halt: Latch,
     ) -> None:
         self.front = front
--- a/fennelcove/peers/lists.py
+++ b/fennelcove/peers/lists.py
@@ -13,8 +13,8 @@
 from fennelcove.decisions.boxes import listing
 from fennelcove.decisions.boxes.commands import CARRY_OUT_US
 from fennelcove.http1 import writer
-from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead
-from fennelcove.peers.pool import dial
+from fennelcove.http1.messages import ProtocolError, ResponseHead
+from fennelcove.peers.pool import DialLimits, dial
 from fennelcove.peers.streams import Broken, EventStream, Refused
 from fennelcove.wire.events import EventError, ServerEvent
 from fennelcove.wire.lists import ListMessage, news
@@ -28,7 +28,14 @@
     for."""
 
     def __init__(
-        self, core: Core, clock: Clock, address: str, must_ask: bool, chance: Random, notice: Notices
+        self,
+        core: Core,
+        clock: Clock,
+        address: str,
+        must_ask: bool,
+        chance: Random,
+        notice: Notices,
+        source: str = "",
     ) -> None:
         self.core = core
         self.clock = clock
@@ -36,7 +43,7 @@
         self.must_ask = must_ask
         self.chance = chance
         self.notice = notice
-        self.limits = CodecLimits(body_bytes=LIST_BYTES)
+        self.limits = DialLimits(body_bytes=LIST_BYTES, source=source)
         self.changed = threading.Condition()
         self.stream_due = not must_ask
         self.fetch_due = False
--- a/fennelcove/peers/orders.py
+++ b/fennelcove/peers/orders.py
@@ -9,8 +9,8 @@
 from fennelcove.core.core import Core
 from fennelcove.decisions.boxes.commands import CARRY_OUT_US, Order
 from fennelcove.http1 import writer
-from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead
-from fennelcove.peers.pool import Link, Pool, dial
+from fennelcove.http1.messages import ProtocolError, ResponseHead
+from fennelcove.peers.pool import DialLimits, Link, Pool, dial
 from fennelcove.wire.boxes import Mark, RungOrder, join_path
 
 SENDERS = 4
@@ -20,7 +20,7 @@
 class OrderSenders:
     """Owns the senders; `start` them once, `stop` ends them when what is in hand has gone out."""
 
-    def __init__(self, core: Core, pool: Pool, limits: CodecLimits) -> None:
+    def __init__(self, core: Core, pool: Pool, limits: DialLimits) -> None:
         self.core = core
         self.pool = pool
         self.limits = limits
--- a/fennelcove/peers/pool.py
+++ b/fennelcove/peers/pool.py
@@ -15,6 +15,13 @@
 READ_BYTES = 16_384
 
 
+@dataclass(frozen=True, slots=True)
+class DialLimits(CodecLimits):
+    """Bounds on what is read from a peer, and the address of this machine that peers are dialled from."""
+
+    source: str = ""  # the system chooses
+
+
 @dataclass(slots=True, eq=False)
 class Link:
     """One connection to a box, with what has been read off it."""
@@ -45,14 +52,15 @@
     idle: deque[Link] = field(default_factory=deque)
 
 
-def dial(address: str, timeout_us: int, limits: CodecLimits, stream: bool = False) -> Link:
+def dial(address: str, timeout_us: int, limits: DialLimits, stream: bool = False) -> Link:
     """A new connection.
 
     Raises:
         OSError: refused, unreachable or not made in time.
     """
     host, _, port = address.rpartition(":")
-    sock = socket.create_connection((host, int(port)), max(0.001, timeout_us / 1e6))
+    source = (limits.source, 0) if limits.source else None
+    sock = socket.create_connection((host, int(port)), max(0.001, timeout_us / 1e6), source)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return Link(address, sock, Gatherer(Reader(False, limits, stream)))
 
--- a/fennelcove/peers/probes.py
+++ b/fennelcove/peers/probes.py
@@ -10,9 +10,9 @@
 
 from fennelcove.clock import Clock
 from fennelcove.decisions.boxes import hearing
-from fennelcove.http1.messages import CodecLimits
 from fennelcove.interface import LoadReport, Outcome, Probed
 from fennelcove.peers.joins import HintReader
+from fennelcove.peers.pool import DialLimits
 from fennelcove.peers.streams import Broken, EventStream, Refused
 from fennelcove.wire.boxes import REPORT, Report
 from fennelcove.wire.events import ServerEvent
@@ -31,7 +31,7 @@
         hints: HintReader,
         front: str,
         timeout_us: int,
-        limits: CodecLimits,
+        limits: DialLimits,
         heard: Callable[[Probed], None],
     ) -> None:
         self.clock = clock
--- a/fennelcove/peers/streams.py
+++ b/fennelcove/peers/streams.py
@@ -8,9 +8,9 @@
 from contextlib import suppress
 
 from fennelcove.http1 import writer
-from fennelcove.http1.messages import CodecLimits, Data, End, ProtocolError, ResponseHead
+from fennelcove.http1.messages import Data, End, ProtocolError, ResponseHead
 from fennelcove.http1.reader import Reader
-from fennelcove.peers.pool import READ_BYTES, dial
+from fennelcove.peers.pool import READ_BYTES, DialLimits, dial
 from fennelcove.wire.events import EventError, EventReader, ServerEvent
 
 
@@ -25,9 +25,7 @@
 class EventStream:
     """One stream. `run` belongs to the thread that owns it; `shut` ends it from any other."""
 
-    def __init__(
-        self, address: str, path: str, limits: CodecLimits, connect_us: int, silence_us: int
-    ) -> None:
+    def __init__(self, address: str, path: str, limits: DialLimits, connect_us: int, silence_us: int) -> None:
         self.address = address
         self.path = path
         self.limits = limits
--- a/fennelcove/program/front.py
+++ b/fennelcove/program/front.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from fennelcove.clock import Clock, SystemClock
+from fennelcove.core.company import CompanyBook
 from fennelcove.core.core import Core
 from fennelcove.core.names import Names
 from fennelcove.core.storms import mac
@@ -21,7 +22,6 @@
 from fennelcove.doors.setups import SetUps
 from fennelcove.doors.socket_door import SocketDoor
 from fennelcove.doors.tls import TlsKeys
-from fennelcove.http1.messages import CodecLimits
 from fennelcove.interface import Effect
 from fennelcove.peers.feeds import BoxSide
 from fennelcove.peers.fronts import FrontSide
@@ -30,7 +30,7 @@
 from fennelcove.peers.lists import ListSide
 from fennelcove.peers.movers import MoverThreads
 from fennelcove.peers.orders import OrderSenders
-from fennelcove.peers.pool import Pool
+from fennelcove.peers.pool import DialLimits, Pool
 from fennelcove.peers.probes import ProbeSide
 from fennelcove.program.audit_file import AuditFile
 from fennelcove.program.background import Background
@@ -61,7 +61,7 @@
         self.clock = clock or SystemClock()
         limits = settings.limits
         threading.stack_size(limits.stack_kib * 1024)
-        codec = CodecLimits(limits.head_bytes, limits.head_count, limits.body_bytes)
+        codec = DialLimits(limits.head_bytes, limits.head_count, limits.body_bytes, settings.source)
         self.timers = Timers(self.clock, lambda error: notice("timer_failed", reason=repr(error)))
         self.core = Core(settings, self.clock, self.timers, notice, names)
         self.ledger = LedgerFile(settings.stitch.ledger, notice)
@@ -83,7 +83,7 @@
             self.core.memories.restore(store.values)
             self.keeper = Keeper(store, self.clock, notice)
         self.background = Background(self.clock, notice)
-        self.core.background = self.background.status
+        self.core.shown["background"] = self.background.status
         self.halt = Latch()
         self.pool = Pool(self.clock, limits.box_connections, round(limits.idle_ms * 1000))
         self.hints = HintReader()
@@ -102,19 +102,26 @@
             settings.lists.must_ask,
             Random(settings.seed),
             notice,
+            settings.source,
         )
         self.core.book.port, self.core.lists = self.box_side, self.list_side
         self.probe_side: ProbeSide | None = None
         self.front_side: FrontSide | None = None
         shape = settings.shape
         if shape.probes is not None:
-            timeout_us, heard = round(shape.probes.timeout_ms * 1000), self.core.news.probed
-            self.probe_side = ProbeSide(self.clock, self.hints, settings.name, timeout_us, codec, heard)
+            timeout_us, probed = round(shape.probes.timeout_ms * 1000), self.core.news.probed
+            self.probe_side = ProbeSide(self.clock, self.hints, settings.name, timeout_us, codec, probed)
             self.core.news.probes = self.probe_side
-        if shape.peers is not None:
-            index = settings.instance.index
-            self.front_side = FrontSide(shape.peers.addresses, index, self.core.news.peer_says)
-            self.core.news.fronts = self.front_side
+        self.company = self._company()
+        among = settings.company or shape.peers
+        if among is not None:
+            index, heard = settings.instance.index, self.core.news.peer_says
+            beaten = self.company.hear if self.company is not None else None
+            self.front_side = FrontSide(among.addresses, index, heard, beaten)
+            if shape.peers is not None:
+                self.core.news.fronts = self.front_side
+            if self.company is not None:
+                self.company.post = self.front_side.beat
         times = [round(ms * 1000) for ms in (limits.idle_ms, limits.head_ms, limits.write_ms)]
         self.setups = SetUps(self.core, self.clock, self.joiner, notice)
         self.sockets = SocketDoor(
@@ -138,6 +145,25 @@
         self.timekeeper = threading.Thread(target=self.timers.run, name="timers")
         self.stopping = Stopping(round(limits.stop_ms * 1000))
 
+    def _company(self) -> CompanyBook | None:
+        """Off by default: without it each front counts on all others that its settings name."""
+        told, core = self.settings.company, self.core
+        if told is None:
+            return None
+        life = self.clock.wall_us() // 1000
+        company = CompanyBook(told, self.settings.instance, life, self.clock, core.lock, self.notice)
+        core.front.part = company.part
+        core.shown["company"] = company.status
+        if core.watched is not None:
+            core.watched.other.part = company.part
+        return company
+
+    def _beat(self) -> None:
+        assert self.company is not None and self.settings.company is not None
+        if self.stopping.phase is Phase.RUNNING:
+            self.timers.after(round(self.settings.company.beat_ms * 1000), self._beat)
+            self.company.beat()
+
     def _control(self) -> Control:
         wall_ms = self.clock.wall_us() // 1000
         told = self.settings.control
@@ -152,6 +178,8 @@
         for side in (self.probe_side, self.front_side):
             if side is not None:
                 side.start()
+        if self.company is not None:
+            self.timers.after(0, self._beat)
         self.senders.start()
         self.movers.start()
         self.list_side.start()
@@ -201,6 +229,8 @@
         self.notice("front_stopped", took_ms=(self.clock.now_us() - began_us) / 1000, counts=self.core.counts)
 
     def _stop_accepting(self) -> None:
+        if self.company is not None:
+            self.company.leave()
         self.core.stop_entries()
         self.door.stop_accepting()
 
--- a/fennelcove/settings/checks.py
+++ b/fennelcove/settings/checks.py
@@ -66,6 +66,7 @@
     yield from amiss_in_shape("shape", front.shape, front)
     if front.watch is not None:
         yield from amiss_in_shape("watch", front.watch, front)
+    yield from amiss_in_company(front)
     limits = front.limits
     if limits.waiting > limits.connections:
         yield (
@@ -76,6 +77,25 @@
         yield "limits.buffered-bytes: found less than one head and one body; raise it above both together"
 
 
+def amiss_in_company(front: FrontSettings) -> Iterator[str]:
+    """What fronts are told of each other, against the rest."""
+    company, peers = front.company, front.shape.peers
+    if company is None:
+        return
+    if len(company.addresses) != front.instance.fronts:
+        yield (
+            f"company.addresses: found {len(company.addresses)} for {front.instance.fronts} fronts; "
+            "state one for each, by its index"
+        )
+    if peers is not None and list(peers.addresses) != list(company.addresses):
+        yield "company.addresses: found others than shape.peers.addresses; a front listens at one address"
+    if company.lease_ms < 4 * company.beat_ms:
+        yield (
+            f"company.lease-ms: found {company.lease_ms:g} with a beat of {company.beat_ms:g}; "
+            "use four beats or more, or one lost message ends it"
+        )
+
+
 def amiss_in_shape(at: str, shape: ShapeSettings, front: FrontSettings) -> Iterator[str]:
     """The contradictions of a shape, under the name that it has in the file."""
     names = [tenant.name for tenant in shape.tenants]
@@ -151,6 +171,7 @@
         ask_within_us=None if ask_within is None else round(ask_within * 1000),
         start_capacity=rules.start_capacity,
         ramp_us=round(rules.ramp_ms * 1000),
+        cold_slack_us=round((rules.fall_multiple - 1) * rules.tip_after_ms * 1000),
         budget_free=rules.budget_free,
         budget_ratio=rules.budget_ratio,
         budget_span_us=round(rules.budget_span_ms * 1000),
--- a/fennelcove/settings/reader.py
+++ b/fennelcove/settings/reader.py
@@ -169,8 +169,8 @@
 _AT = re.compile(r"^(?P<what>.*?)(?: - at `\$(?P<path>[^`]*)`)?$", re.DOTALL)
 
 
-def parse(text: str, type_: type[T], source: str) -> T:
-    """Read settings from text.
+def parse(text: str, type_: type[T], source: str, under: dict[str, Any] | None = None) -> T:
+    """Read settings from text; what it leaves out is as in `under`, field by field.
 
     Raises:
         SettingsError: syntax, an unknown or repeated field, a wrong type, a figure out of its range.
@@ -186,6 +186,8 @@
         raise SettingsError(f"{source}: found {len(tree)} expressions or another head; write ({head} ...)")
     lines = _lines(text)
     built = _Builder(source, lines).struct(tree[0][1:], type_, "")
+    if under is not None:
+        built = _laid_over(under, built)
     try:
         return msgspec.convert(built, type_)
     except msgspec.ValidationError as error:
@@ -196,6 +198,12 @@
         raise _fault(source, lines, path or "the file", _found(built, path), what) from None
 
 
+def _laid_over(under: Any, over: Any) -> Any:
+    if not isinstance(under, dict) or not isinstance(over, dict):
+        return over
+    return under | {name: _laid_over(under.get(name), value) for name, value in over.items()}
+
+
 def _found(built: Any, path: str) -> str:
     here = built
     for part in re.findall(r"[^.\[\]]+", path):
--- a/fennelcove/settings/schema.py
+++ b/fennelcove/settings/schema.py
@@ -128,6 +128,16 @@
     price: Figure = 0.0
 
 
+class CompanySettings(Strict, frozen=True, kw_only=True):
+    """Fronts may tell each other that they live, over UDP: every front's address, by its index. `kept` is the
+    part of its equal share that a front may take whoever hears it; the rest hangs on a lease."""
+
+    addresses: Annotated[list[Address], Meta(min_length=1, max_length=64)]
+    beat_ms: Annotated[float, Meta(ge=50, le=60_000)] = 250.0
+    lease_ms: Annotated[float, Meta(ge=500, le=600_000)] = 2000.0
+    kept: Annotated[float, Meta(gt=0, le=0.5)] = 0.5
+
+
 class ShapeSettings(Strict, frozen=True, kw_only=True):
     """What a fleet of another shape states; each default is as if it were not there."""
 
@@ -162,6 +172,8 @@
     drain_grace_ms: Millis = 2000.0
     start_capacity: Annotated[float, Meta(gt=0, le=1)] = 1.0
     ramp_ms: Millis = 0.0
+    fall_multiple: Annotated[float, Meta(ge=1, le=1000)] = 1.0  # of its pace; past it for `tip_after_ms`
+    tip_after_ms: Millis = 0.0  # a cold box falls over
     join_cap: SomeCount | None = None
     budget_free: Figure | None = None
     budget_ratio: Figure = 0.0
@@ -259,6 +271,9 @@
     name: Name
     listen: Address
     lists: Lists
+    source: Annotated[str, Meta(max_length=64, pattern=r"^[0-9.]*$")] = (
+        ""  # of ours, from which peers are dialled
+    )
     room_types: Annotated[list[RoomTypeSettings], Meta(min_length=1, max_length=64)]
     ladder: Annotated[list[Rung], Meta(min_length=1, max_length=64)]
     fleet: Fleet
@@ -277,4 +292,5 @@
     max_retry_after_ms: Millis | None = 2000.0
     cross_zone_price: Figure = 0.0
     shape: ShapeSettings = ShapeSettings()
+    company: CompanySettings | None = None
     watch: ShapeSettings | None = None  # a shape to compare with: its decisions are counted, not carried out
--- /dev/null
+++ b/fennelcove/standins/between/faults.py
@@ -0,0 +1,80 @@
+"""What goes wrong between two parties, by rule. No sockets, no clock, no chance but what is handed in."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+Party = frozenset[str]  # every name that a party goes by: its own, its kind's, its hall's
+
+
+class How(Enum):
+    """What a fault does to one direction between two parties."""
+
+    SILENT = "silent"  # bytes stay where they are until it heals; datagrams are gone
+    RESET = "reset"  # open connections are reset, and so are new ones
+    REFUSE = "refuse"  # new connections are reset at once; open ones go on
+    DELAY = "delay"  # value: milliseconds, and up to half as much again
+    THROTTLE = "throttle"  # value: kB a second on each connection
+    CUT = "cut"  # each connection is reset in the middle of the next that is sent on it
+    LOSE = "lose"  # share: of datagrams
+    DOUBLE = "double"  # share: of datagrams, the second up to value milliseconds later
+    REORDER = "reorder"  # share: of datagrams, each up to value milliseconds late
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One rule: what `sender` sends to `taker` suffers. Either names a party or a group of them."""
+
+    sender: str
+    taker: str
+    how: How
+    value: float = 0.0
+    share: float = 1.0
+
+    def hits(self, sender: Party, taker: Party) -> bool:
+        """Whether it concerns this direction."""
+        return _named(self.sender, sender) and _named(self.taker, taker)
+
+
+def _named(name: str, party: Party) -> bool:
+    return name == "all" or any(part in party for part in name.split("|"))
+
+
+def on(faults: Iterable[Fault], sender: Party, taker: Party) -> list[Fault]:
+    """The faults in force in one direction."""
+    return [fault for fault in faults if fault.hits(sender, taker)]
+
+
+def hows(faults: Iterable[Fault]) -> set[How]:
+    """What they do, taken together."""
+    return {fault.how for fault in faults}
+
+
+def late_us(faults: Iterable[Fault], chance: Callable[[], float]) -> int:
+    """How late the faults make what passes now, in microseconds."""
+    delays = [fault for fault in faults if fault.how is How.DELAY]
+    return round(sum(fault.value * (1 + chance() / 2) for fault in delays) * 1000)
+
+
+def datagram(faults: Iterable[Fault], chance: Callable[[], float]) -> list[int]:
+    """When each copy of a datagram arrives, in microseconds from now; none where it is lost."""
+    faults = list(faults)
+    base_us, copies = late_us(faults, chance), 1
+    extra_us = 0
+    for fault in faults:
+        struck = chance() < fault.share
+        if fault.how in (How.SILENT, How.RESET, How.REFUSE) or (fault.how is How.LOSE and struck):
+            return []
+        if fault.how is How.DOUBLE and struck:
+            copies = 2
+        if fault.how is How.REORDER and struck:
+            extra_us = round(fault.value * 1000 * chance())
+    again_us = max((round(f.value * 1000 * chance()) for f in faults if f.how is How.DOUBLE), default=0)
+    return [base_us + extra_us, base_us + extra_us + again_us][:copies]
+
+
+def pace_kb(faults: Iterable[Fault]) -> float | None:
+    """The least rate that a direction is throttled to, in kB a second; None where it is not."""
+    return min((fault.value for fault in faults if fault.how is How.THROTTLE), default=None)
--- a/fennelcove/standins/box.py
+++ b/fennelcove/standins/box.py
@@ -254,6 +254,10 @@
                 self.recorder.note("ended", box=self.address, subscription=key[0], join=key[1])
                 self.changed.notify_all()
 
+    def _up_ms(self) -> float | None:
+        since_us = self.model.started_us
+        return None if since_us is None else max(0, self.clock.now_us() - since_us) / 1000
+
     def _feed(self, front: str, peer: Peer) -> None:
         if self.faults.hang:
             peer.wait_closed(MOST_HANG_S)
@@ -267,6 +271,7 @@
                     Held(id, join, order.title, order.room_type, order.rung, self.marks.get((id, join), ""))
                     for id, join, order in held
                 ],
+                self._up_ms(),
             )
         if not peer.send(writer.stream_head(200, [("Content-Type", "text/event-stream")])):
             return
--- a/fennelcove/standins/listservice.py
+++ b/fennelcove/standins/listservice.py
@@ -68,6 +68,12 @@
             self.versions.append({box.address: box for box in boxes})
             self.changed.notify_all()
 
+    def forget(self) -> None:
+        """It knows no more than its first list, under its number: what was restored from a copy."""
+        with self.changed:
+            self.versions = self.versions[:2]
+            self.boxes = dict(self.versions[-1])
+
     def send_raw(self, body: bytes) -> None:
         """Push these bytes as a list event on every stream."""
         with self.changed:
--- a/fennelcove/wire/boxes.py
+++ b/fennelcove/wire/boxes.py
@@ -61,10 +61,12 @@
 
 
 class Hello(Struct, frozen=True):
-    """The first event of a feed: this life of the box's process, and what it holds for the front."""
+    """The first event of a feed: this life of the box's process, what it holds for the front, and for how
+    long the process has been up, where it says so."""
 
     boot: str
     held: list[Held]
+    up_ms: float | None = None
 
 
 class Report(Struct, frozen=True):
