Turns at a cold server go round all fronts and lapse when unused

Ruled out: ages told wrong (all within 20 ms of the start), one front past its pace, retries. At fault: cold_turn gave a first turn once and for ever (age >= gap * index / fronts): turns unused over a warm-up added up, and a crowd used them in one moment. The low indices came first at every server, too.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -12,6 +12,7 @@
 from math import exp, inf
 from random import Random
 from typing import Any
+from zlib import crc32
 
 from fennelcove.interface import (CellLoad, ClientGone, Effect, Effects, Event, Handover, JoinEnded,
                                   ListEntry, ListMode, ListUpdate, LoadReport, MoveAsked, Note, NoteKind,
@@ -171,6 +172,8 @@
         self.seats: dict[tuple[int, RoomType], int] = {}
         # Settings without a warm-up must not make the first guess of a play nothing: ages are divided by it.
         self.typical_watch_us = float(settings.ramp_us or MARK_US)
+        # How many fronts share a cold server, and this one's place among them; a host may know better.
+        self.part: Callable[[], tuple[float, float]] = lambda: (settings.fronts, settings.index)
         self.taken, self.further, self.asks_failed, self.list_is_fresh = deque[int](), deque[int](), 0, False
         self.offered = self.kb_per_stream = self.mean = 0.0
         self.worths, self.worths_at_us, self.mean_at_us = dict[RoomType, float](), -1, -1
@@ -782,13 +785,16 @@
         return self.age_us(server) < self.settings.ramp_us
 
     def cold_turn(self, server: Server) -> bool:
-        """Fronts can't agree, so each keeps to its share of the pace, at turns set by its index."""
-        settings, age_us = self.settings, self.age_us(server)
-        warmth = settings.start_capacity + (1 - settings.start_capacity) * age_us / settings.ramp_us
-        gap = settings.ramp_us * settings.fronts / (max(1, server.streams_most) * warmth)
-        if server.last_join_us is None:
-            return age_us >= gap * settings.index / settings.fronts
-        return self.now_us - server.last_join_us >= gap
+        """Fronts can't agree: turns go round at the pace. Unused ones lapse, or many at once push it over."""
+        (fronts, place), now = self.part(), self.turns(server, self.now_us)
+        since = (now - place - crc32(server.address.encode()) / 2**32 * fronts) % fronts
+        unused = server.last_join_us is None or self.turns(server, server.last_join_us) < now - since - 1e-6
+        return unused and since <= max(1, now - self.turns(server, self.now_us - self.settings.cold_slack_us))
+
+    def turns(self, server: Server, at_us: int) -> float:
+        """How many turns of all fronts have come there by then, since its start."""
+        age = max(0, self.age_us(server) - self.now_us + at_us) / self.settings.ramp_us
+        return server.streams_most * age * (1 - (1 - self.settings.start_capacity) * (1 - age / 2))
 
     # Health.
 
@@ -836,25 +842,20 @@
 
 
 LIVES: dict[tuple[Life, Cue], tuple[Life, Callable[[Front, Subscription], Cue | None]]] = {
-    (Life.WAITING, Cue.TRY): (Life.WAITING, Front.place),
-    (Life.WAITING, Cue.PLACED): (Life.JOINING, nothing),
+    (Life.WAITING, Cue.TRY): (Life.WAITING, Front.place), (Life.WAITING, Cue.PLACED): (Life.JOINING, nothing),
     (Life.WAITING, Cue.NO_ROOM): (Life.ENDED, Front.throttle),
     (Life.WAITING, Cue.CLIENT_GONE): (Life.ENDED, Front.forget),
     (Life.WAITING, Cue.STUCK): (Life.ENDED, Front.terminate),
     (Life.JOINING, Cue.STARTED): (Life.PLAYING, nothing),
     (Life.JOINING, Cue.FAILED): (Life.WAITING, Front.place),
     (Life.JOINING, Cue.FINISHED): (Life.ENDED, Front.forget),
-    (Life.JOINING, Cue.CLIENT_GONE): (Life.ABANDONED, nothing),
-    **{(life, cue): (Life.ENDED, Front.forget)
-       for life in (Life.ABANDONED, Life.PLAYING) for cue in (Cue.FAILED, Cue.FINISHED)},
-}
+    (Life.JOINING, Cue.CLIENT_GONE): (Life.ABANDONED, nothing), **{(life, cue): (Life.ENDED, Front.forget)
+       for life in (Life.ABANDONED, Life.PLAYING) for cue in (Cue.FAILED, Cue.FINISHED)}, }
 
 HEALTH: dict[tuple[Health, Outcome], tuple[Health, Callable[[Front, Server], None]]] = {
     **{(health, Outcome.SERVED): (health if health is Health.SHUT else Health.WELL, Front.forgive)
-       for health in Health},
-    **{(health, outcome): (Health.SHUT, Front.pause)
+       for health in Health}, **{(health, outcome): (Health.SHUT, Front.pause)
        for health in (Health.WELL, Health.TRIAL)
        for outcome in (Outcome.SERVER_ERROR, Outcome.TURNED_AWAY, Outcome.NO_ANSWER)},
     **{(health, outcome): (Health.SHUT, Front.restart if health is Health.SHUT else Front.lost)
-       for health in Health for outcome in (Outcome.NO_CONNECTION, Outcome.CONNECTION_LOST)},
-}
+       for health in Health for outcome in (Outcome.NO_CONNECTION, Outcome.CONNECTION_LOST)}, }
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -329,6 +329,21 @@
         self.assertGreater(sent, 3)
         self.assertLessEqual(sent, 20 / 2)
 
+    def test_turns_at_a_cold_server_that_lay_unused_are_not_all_used_at_once(self) -> None:
+        # Twelve fronts had kept one each over the warm-up; six came within 3 s and the box fell over.
+        fronts, streams, tip_us = 12, 10, 3 * SECOND
+        for age_us in range(SECOND, 9 * SECOND, SECOND // 2):
+            open_turns = 0
+            for index in range(fronts):
+                made, _ = front(1, fronts=fronts, index=index, kind_streams={"kind": streams},
+                                cold_slack_us=tip_us)
+                server = made.servers["s0"]
+                server.started_us = made.now_us - age_us
+                open_turns += made.cold_turn(server)
+            pace = streams / (10 * SECOND) * (0.5 + 0.5 * age_us / (10 * SECOND))
+            self.assertLessEqual(open_turns, pace * tip_us + 1)
+            self.assertGreater(open_turns, 0)
+
     def test_a_lost_server_counts_as_cold_before_the_list_says_so(self) -> None:
         made, _ = front()
         play(made)
