--- a/fennelcove/day/recovery.py
+++ b/fennelcove/day/recovery.py
@@ -24,6 +24,8 @@
     refused: int  # throttled or terminated
     unanswered: int
     benefit: float = 0.0
+    held: int = 0  # subscriptions that play at boxes, at the second's end
+    places: int = 0  # of all boxes that are up
 
 
 class Return(msgspec.Struct, frozen=True):
@@ -79,13 +81,44 @@
             row[4] += worth.get(rooms.get((record["viewer"], record["number"]), ""), 0.0)
         else:
             row[2] += 1
+    room = held(records, since_us)
     rows = [(at, counts.get(at, [0] * 5)) for at in range(max(counts, default=-1) + 1)]
     return [
-        Second(at, int(asked), int(played), int(refused), int(unanswered), round(benefit, 3))
+        Second(
+            at,
+            int(asked),
+            int(played),
+            int(refused),
+            int(unanswered),
+            round(benefit, 3),
+            *room.get(at, (0, 0)),
+        )
         for at, (asked, played, refused, unanswered, benefit) in rows
     ]
 
 
+def held(records: list[Record], since_us: int) -> dict[int, tuple[int, int]]:
+    """For each second, how many subscriptions played at its end, and for how many the boxes had places."""
+    streams = {r["box"]: r["streams"] for r in records if r["what"] == "box"}
+    up = dict.fromkeys(streams, True)
+    playing: dict[str, set[tuple[str, int]]] = {box: set() for box in streams}
+    found: dict[int, tuple[int, int]] = {}
+    at = 0
+    for record in records:
+        while (record["t_us"] - since_us) // 1_000_000 > at:
+            found[at] = (sum(map(len, playing.values())), sum(n for box, n in streams.items() if up[box]))
+            at += 1
+        what, box = record["what"], str(record.get("box"))
+        if what == "set_up_over" and record["how"] == "started":
+            playing[box].add((record["subscription"], record["join"]))
+        elif what in ("released", "ended"):
+            playing[box].discard((record["subscription"], record["join"]))
+        elif what in ("box_died", "box_started"):
+            playing[box].clear()
+            up[box] = what == "box_started"
+    return found
+
+
 def returns(records: list[Record], found: list[Second]) -> Iterator[Return]:
     """Each time that the power went, and how the service came back."""
     since_us = began_us(records)
@@ -177,7 +210,8 @@
             f"{figures.list_calls:.3f} list calls, {figures.datagrams:.2f} datagrams; "
             f"{figures.pushed_over} boxes pushed over"
         )
-    yield "second: asked, played, refused, unanswered"
+    yield "second: asked, played, refused, unanswered; playing of places"
     for second in figures.seconds:
         parts = (second.asked, second.played, second.refused, second.unanswered)
-        yield f"{second.at_s:4d}: " + " ".join(f"{part:4d}" for part in parts)
+        counted = " ".join(f"{part:4d}" for part in parts)
+        yield f"{second.at_s:4d}: {counted}   {second.held:4d} of {second.places}"
