Service returns in order after a power loss: asked first, kept list, trust by evidence, benefit

Need: each front recovered as if it alone had died; viewers met a closed door for up to 4 s, a list restored from a copy passed cold boxes for warm, and whoever came first had the few turns of cold boxes. Change: decisions/fleet/trust, comeback (in place of adoption's opening) and ration; boxes tell for how long they are up, the younger word counts; the list in force is kept (format 2 of records, format 1 is read) and stands in after 1 s; relays shut a door behind which nothing listens. All off without (recovery) in the settings.

--- /dev/null
+++ b/benchmarks/power.py
@@ -0,0 +1,119 @@
+"""How a fleet comes back from a power loss, in several builds of its settings, on the same days and seeds.
+
+    python -m benchmarks.power [--days power-loss] [--seeds 1,2] [--beside 3] [--variants now,today]
+
+Each day is played against fronts of their own processes. Prints a row a variant and day: median and range
+over the seeds of seconds until 90% of the service is back, the part of the first 30 s, benefit a second in
+them, boxes pushed over, and costs a request.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import statistics
+import sys
+from concurrent.futures import ProcessPoolExecutor
+
+import msgspec
+
+from fennelcove.day.judge import Verdict, judge
+from fennelcove.day.player import DayFailed, DayPlayer
+from fennelcove.day.script import Day, read
+from fennelcove.settings.schema import RecoverySettings
+
+replace = msgspec.structs.replace
+
+
+def bare(day: Day) -> Day:
+    """Without what a fleet does together: each front as if it alone had died."""
+    return replace(day, company=False, front=replace(day.front, recovery=None))
+
+
+def without(day: Day, **recovery: bool) -> Day:
+    """With a part of the recovery left out."""
+    return replace(day, front=replace(day.front, recovery=RecoverySettings(**recovery)))
+
+
+VARIANTS = {
+    "now": lambda day: day,
+    "today": bare,
+    "no-folders": lambda day: replace(day, front=replace(day.front, store=None)),
+    "no-messages": lambda day: replace(day, company=False),
+    "at-once": lambda day: replace(day, front=replace(day.front, recovery=None)),
+    "first-come": lambda day: without(day, by_benefit=False),
+    "no-kept-list": lambda day: without(day, kept_list=False),
+}
+
+
+def first_benefit(verdict: Verdict) -> float:
+    """The benefit that was played a second in the 30 s after the (last) loss."""
+    assert verdict.fleet is not None
+    at = int(verdict.fleet.returns[-1].at_s) + 1
+    return sum(second.benefit for second in verdict.fleet.seconds[at : at + 30]) / 30
+
+
+def play(job: tuple[str, str, int]) -> Verdict | None:
+    """One day; None where it could not be played."""
+    day, variant, seed = job
+    try:
+        return judge(DayPlayer(VARIANTS[variant](read(day)), seed).play())
+    except DayFailed as error:
+        print(f"{job}: {error}", flush=True)
+        return None
+
+
+def main() -> None:
+    """All of it."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--days", default="power-loss,power-split,power-lists,power-twice")
+    parser.add_argument("--seeds", default="1,2")
+    parser.add_argument("--variants", default=",".join(VARIANTS))
+    parser.add_argument("--beside", type=int, default=3)
+    options = parser.parse_args()
+    print(f"{os.cpu_count()} cores, Python {sys.version.split()[0]}, {options.beside} days side by side")
+    jobs = [
+        (day, variant, int(seed))
+        for seed in options.seeds.split(",")
+        for day in options.days.split(",")
+        for variant in options.variants.split(",")
+    ]
+
+    # A process for each day: five in one were bound by its one interpreter, and nobody was answered in time.
+    with ProcessPoolExecutor(options.beside) as pool:
+        found = dict(zip(jobs, pool.map(play, jobs), strict=True))
+    for day in options.days.split(","):
+        for variant in options.variants.split(","):
+            rows = [verdict for job, verdict in found.items() if job[:2] == (day, variant) and verdict]
+            if rows:
+                show(day, variant, rows)
+
+
+def show(day: str, variant: str, rows: list[Verdict]) -> None:
+    """One row of the table."""
+    fleets = [row.fleet for row in rows if row.fleet is not None]
+    backs = [fleet.returns[-1].back_after_s for fleet in fleets]
+    known = [back for back in backs if back is not None]
+    rules = sorted({broken.rule for row in rows for broken in row.broken})
+    print(
+        f"{day:12} {variant:13} back {spread(known)} s ({len(backs) - len(known)} never), bound "
+        f"{spread([fleet.returns[-1].bound_s for fleet in fleets])}; first 30 s "
+        f"{spread([fleet.returns[-1].first_share for fleet in fleets])}, benefit "
+        f"{spread([first_benefit(row) for row in rows])} a s; service "
+        f"{spread([row.service for row in rows])}; over {sum(fleet.pushed_over for fleet in fleets)}; joins "
+        f"{spread([fleet.joins for fleet in fleets])}, connections "
+        f"{spread([fleet.connections for fleet in fleets])}, calls "
+        f"{spread([fleet.list_calls for fleet in fleets])}; rules broken {rules or 'none'}",
+        flush=True,
+    )
+
+
+def spread(values: list[float]) -> str:
+    """Median and range."""
+    if not values:
+        return "-"
+    return f"{statistics.median(values):.2f} [{min(values):.2f} to {max(values):.2f}]"
+
+
+if __name__ == "__main__":
+    main()
--- a/fennelcove/core/boxes.py
+++ b/fennelcove/core/boxes.py
@@ -10,6 +10,7 @@
 
 from fennelcove.core.verdicts import Boxes, JoinEnd, Place, Session
 from fennelcove.decisions.boxes import feeds, hearing
+from fennelcove.decisions.fleet import comeback
 from fennelcove.decisions.kept import adoption
 from fennelcove.decisions.viewers.admission import Entry
 from fennelcove.decisions.viewers.admission import Ruling as Entered
@@ -46,7 +47,11 @@
         self.boxes: dict[str, Box] = {}
         self.generations = 0
         self.greeted: frozenset[tuple[str, int]] = frozenset()
-        self.opening: adoption.Opening = adoption.Opening(core.clock.now_us())
+        self.greeters: set[str] = set()  # boxes that have greeted this life of the front
+        told = core.settings
+        ordered, ramp_us = told.recovery is not None, round(told.rules.ramp_ms * 1000)
+        self.opening: comeback.Comeback = comeback.Comeback(core.clock.now_us(), ordered, ramp_us)
+        self.heard_up: Callable[[str, float | None], None] = lambda address, up_ms: None
         self.open = threading.Event()
         self.acts: dict[feeds.Act, Callable[[Box], None]] = {
             feeds.Act.OPEN_FEED: self._open_feed,
@@ -73,13 +78,18 @@
             if not box.playing:
                 self.feed(box, box.feed.cue(feeds.Cue.NONE_HELD, self.core.clock.now_us()))
 
-    def hello(self, address: str, generation: int, boot: str, held: Sequence[Held]) -> None:
-        """A box greets on its feed and names the joins that it holds for this front."""
+    def hello(
+        self, address: str, generation: int, boot: str, held: Sequence[Held], up_ms: float | None = None
+    ) -> None:
+        """A box greets on its feed and names the joins that it holds for this front, and for how long it has
+        been up."""
         with self.core.lock:
             box = self._feed_of(address, generation)
             if box is None:
                 return
             now_us = self.core.clock.now_us()
+            self.greeters.add(address)
+            self.heard_up(address, up_ms)
             self.greeted = frozenset((item.subscription, item.join) for item in held)
             self.feed(box, box.feed.greet(boot, now_us))
             for item in held:
@@ -90,7 +100,7 @@
         self.opening.settled(box.address, now_us)
         if not box.playing and self.boxes.get(box.address) is box:
             self.feed(box, box.feed.cue(feeds.Cue.NONE_HELD, now_us))
-        if self.opening.phase is adoption.Phase.OPEN:
+        if self.opening.accounted:
             self.open.set()
 
     def _claim(self, box: Box, held: Held) -> None:
@@ -200,10 +210,10 @@
         while True:
             with self.core.lock:
                 left_us = self.opening.left_us(self.core.clock.now_us())
-                if self.opening.phase is adoption.Phase.OPEN:
+                if self.opening.accounted:
                     return
                 if left_us == 0:
-                    self.opening.cue(adoption.Cue.TIME, self.core.clock.now_us())
+                    self.opening.cue(comeback.Cue.TIME, self.core.clock.now_us())
                     continue
             self.open.wait(min(0.05, left_us / 1e6))
 
--- a/fennelcove/core/company.py
+++ b/fennelcove/core/company.py
@@ -60,6 +60,14 @@
             self.company.leaving = True
         self.beat()
 
+    def lives(self) -> tuple[int, int, list[int]]:
+        """This front's life, the latest known under its index before it, and all by index; 0 for unheard."""
+        with self.lock:
+            company = self.company
+            size = range(company.terms.fronts)
+            known = [company.peers[i].life if i in company.peers else company.life for i in size]
+            return company.life, company.outbid_life, known
+
     def status(self) -> dict[str, object]:
         """Figures for an operator."""
         with self.lock:
--- a/fennelcove/core/core.py
+++ b/fennelcove/core/core.py
@@ -38,7 +38,6 @@
     View,
 )
 from fennelcove.decisions.boxes import hearing, joins
-from fennelcove.decisions.kept import adoption
 from fennelcove.decisions.viewers import sessions
 from fennelcove.decisions.viewers.admission import Bounds, Entry, Gate, Turn
 from fennelcove.decisions.viewers.admission import Ruling as Entered
@@ -107,6 +106,9 @@
         self.ended: OrderedDict[str, str] = OrderedDict()
         self.lists: ListSource
         self.counts: dict[str, int] = {}
+        self.gates: list[Callable[[Ask, int], Answered | None]] = []  # who is refused at the door, in order
+        self.hear_list: Callable[[ListUpdate], ListUpdate] = lambda update: update
+        self.shown: dict[str, Callable[[], object]] = {}  # figures of others that belong into the status
         most = settings.limits
         self.gate = Gate(Bounds(most.connections, most.waiting, most.held, most.buffered_bytes))
         self.list_age_from_us = 0
@@ -129,11 +131,11 @@
         self.moves = MoveBook(self)
         self.stitches = StitchBook(self)
         self.storms = StormBook(self)
+        self.gates.append(self.storms.before)
         self.pushes = PushBook(self)
         self.memories = MemoryBook(self)
         self.repeats = RepeatBook(self)
         self.seats = SeatBook(self)
-        self.shown: dict[str, Callable[[], object]] = {}  # figures of others that belong into the status
         self.passes: list[Mac] = []  # the keys of viewers' passes, the newest first
         self.passes_needed = settings.viewers.key_file is not None
 
@@ -227,7 +229,7 @@
                 self.gate.request_answered(0)
             if refusal is not None:
                 return None, refusal
-            damped = self.storms.before(ask, now_us)
+            damped = next(filter(None, (rule(ask, now_us) for rule in self.gates)), None)
             if damped is not None:
                 self.gate.request_answered(0)
                 self.gate.subscription_ended()
@@ -384,13 +386,13 @@
     def list_news(self, news: ListNews) -> Ruling:
         """A message of the list service."""
         with self.lock:
-            verdict = self.keeper.rule(news)
+            first, verdict = self.keeper.version is None, self.keeper.rule(news)
             self.tally(f"lists_{verdict.ruling.name.lower()}")
             if verdict.update is not None:
                 now_us = self.clock.now_us()
                 self.list_age_from_us = now_us
-                self.front.handle(verdict.update, now_us)
-                if self.book.opening.phase is adoption.Phase.LISTING:
+                self.front.handle(self.hear_list(verdict.update), now_us)
+                if first:
                     self.book.greet_all(verdict.update, now_us)
                 self.memories.listed()
                 self.moves.listed(now_us)
--- a/fennelcove/core/memories.py
+++ b/fennelcove/core/memories.py
@@ -2,20 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from fennelcove.decisions.fleet import trust
+from fennelcove.decisions.fleet.trust import Age, Evidence, Fact, Loss, Use
 from fennelcove.decisions.kept import recovery
-from fennelcove.decisions.kept.recovery import BoxMemory, FrontMemory, Verdict
-from fennelcove.interface import Remembered, Spent
+from fennelcove.decisions.kept.recovery import BoxMemory, FrontMemory, KeptBox, KeptList, Verdict
+from fennelcove.interface import ListEntry, Remembered, Spent, Standing
 
 if TYPE_CHECKING:
     from fennelcove.core.core import Core
     from fennelcove.rules import Server
 
-BOX, FRONT = b"box/", b"front"
+BOX, FRONT, LIST, FORMAT = b"box/", b"front", b"list", b"format"
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -26,51 +28,111 @@
         self.core = core
         self.kept: dict[bytes, bytes] = {}
         self.unread: dict[bytes, bytes] = {}
+        self.front: FrontMemory | None = None
+        # What the others say of lives: this front's, the latest known under its index before, all by index.
+        self.lives: Callable[[], tuple[int, int, list[int]]] = lambda: (0, 0, [])
+        self.entries: dict[str, ListEntry] | None = None  # the list in force, where it is to be kept
 
     def restore(self, values: Mapping[bytes, bytes]) -> None:
         """What the last life kept. Boxes wait for the first list: only it tells which still are what they
         were."""
         with self.core.lock:
+            values = recovery.migrated(values)
             self.kept = dict(values)
             self.unread = {key: raw for key, raw in values.items() if key.startswith(BOX)}
             self.core.seats.restore(values)
             keys = self.core.repeats.restore(values)
             if keys:
                 self.core.notice("keys_remembered", count=keys)
-            front = recovery.read_front(values.get(FRONT, b""))
+            front = self.front = recovery.read_front(values.get(FRONT, b""))
             if front is None:
                 return
             wall_us, settings = self.core.clock.wall_us(), self.core.front.settings
             taken = recovery.spent(front.taken_us, wall_us, settings.budget_span_us)
             further = recovery.spent(front.further_us, wall_us, settings.budget_span_us)
+            if trust.use(Fact.BUDGET, Loss.SELF, self.evidence(0, 0)[1]) is Use.AT_LEAST:
+                taken, further = [], [0 for _ in front.further_us]
             self.core.front.handle(Spent(tuple(taken), tuple(further)), self.core.clock.now_us())
             weather = self.core.storms.weather
             weather.usual, weather.seen = front.usual, front.seen
 
+    def last_list(self) -> tuple[ListEntry, ...]:
+        """The list that the last life kept, as far as it may still be asked; empty where there is none."""
+        with self.core.lock:
+            kept = recovery.read_list(self.kept.get(LIST, b""))
+            _, age = self.evidence(0, 0)
+            if kept is None or trust.use(Fact.LIST, Loss.SELF, age) is Use.DROP:
+                return ()
+            return tuple(
+                ListEntry(box.address, box.zone, box.kind, box.cell, Standing(box.standing), box.weight, 0)
+                for box in kept.boxes
+            )
+
+    def evidence(self, boxes: int, new: int) -> tuple[Loss, Age]:
+        """What died and how old the folder is, by what was heard until now."""
+        front, (_, known, lives) = self.front, self.lives()
+        before = front.lives if front is not None else []
+        heard = [(life, was) for life, was in zip(lives, before, strict=False) if life and was]
+        found = Evidence(
+            boxes,
+            new,
+            len(heard),
+            sum(life > was for life, was in heard),
+            front.life if front is not None else 0,
+            known,
+            front.written_us if front is not None else 0,
+            self.core.clock.wall_us(),
+        )
+        return trust.loss(found), trust.age(found)
+
     def listed(self) -> None:
         """A list has come: boxes that it names are remembered, once."""
         unread, self.unread = self.unread, {}
         counts: dict[Verdict, int] = {}
         now_us, wall_us = self.core.clock.now_us(), self.core.clock.wall_us()
-        for key, raw in unread.items():
+        ruled = {key: self._ruled(key, raw, now_us, wall_us) for key, raw in unread.items()}
+        new = sum(verdict is Verdict.NEW_LIFE for verdict, _ in ruled.values())
+        listed = sum(verdict is not Verdict.NOT_LISTED for verdict, _ in ruled.values())
+        loss, age = self.evidence(listed, new)
+        if self.front is not None:
+            self.core.notice(
+                "evidence", loss=loss.name.lower(), folder=age.name.lower(), boxes=listed, new=new
+            )
+            self._believe_pace(loss, age)
+        for key, (verdict, recalled) in ruled.items():
             address = key[len(BOX) :].decode("utf-8", "replace")
-            server = self.core.front.servers.get(address)
-            started_us = None if server is None else wall_us - (now_us - server.started_us)
-            verdict, recalled = recovery.rule(recovery.read_box(raw), started_us, wall_us)
             counts[verdict] = counts.get(verdict, 0) + 1
             if recalled is not None:
-                self.core.front.handle(
-                    Remembered(
-                        address,
-                        recalled.strikes,
-                        recalled.shut_for_us,
-                        recalled.joined_ago_us,
-                    ),
-                    now_us,
+                # What is recalled is of a process that lived through it, whatever else was lost.
+                lived = Loss.SELF if loss is Loss.SELF else Loss.FRONTS
+                strikes = trust.use(Fact.STRIKES, lived, age) is Use.USE
+                joined = trust.use(Fact.LAST_JOIN, lived, age) is Use.USE
+                told = Remembered(
+                    address,
+                    recalled.strikes if strikes else 0,
+                    recalled.shut_for_us if strikes else 0,
+                    recalled.joined_ago_us if joined else None,
                 )
+                self.core.front.handle(told, now_us)
         if counts:
             self.core.notice("boxes_remembered", **{verdict.name.lower(): n for verdict, n in counts.items()})
 
+    def _ruled(
+        self, key: bytes, raw: bytes, now_us: int, wall_us: int
+    ) -> tuple[Verdict, recovery.Recalled | None]:
+        address = key[len(BOX) :].decode("utf-8", "replace")
+        server = self.core.front.servers.get(address)
+        started_us = None if server is None else wall_us - (now_us - server.started_us)
+        return recovery.rule(recovery.read_box(raw), started_us, wall_us)
+
+    def _believe_pace(self, loss: Loss, age: Age) -> None:
+        """The usual pace: where it may be more by now it is learned anew from where it was."""
+        weather = self.core.storms.weather
+        believed = trust.use(Fact.PACE, loss, age)
+        if believed is not Use.USE:
+            weather.seen = 0
+            weather.usual = 0.0 if believed is Use.DROP else weather.usual
+
     def gather(self) -> list[tuple[bytes, bytes | None]]:
         """What has changed since the last time; called every so often."""
         with self.core.lock:
@@ -84,6 +146,9 @@
             new += self.core.repeats.kept()
             new += self.core.seats.kept()
             new.append((FRONT, _ENCODER.encode(self._front(now_us, wall_us))))
+            new.append((FORMAT, str(recovery.FORMAT).encode()))
+            if self.entries is not None:
+                new.append((LIST, _ENCODER.encode(self._list(now_us, wall_us))))
             found = recovery.changed(new, self.kept)
             self.kept = dict(new)
             return found
@@ -92,7 +157,32 @@
         front, weather = self.core.front, self.core.storms.weather
         taken = [wall_us - (now_us - at) for at in front.taken][-recovery.MOST_TIMES :]
         further = [wall_us - (now_us - at) for at in front.further][-recovery.MOST_TIMES :]
-        return FrontMemory(wall_us // 1_000_000 * 1_000_000, taken, further, weather.usual, weather.seen)
+        life, _, lives = self.lives()
+        return FrontMemory(
+            wall_us // 1_000_000 * 1_000_000,
+            taken,
+            further,
+            weather.usual,
+            weather.seen,
+            life,
+            lives,
+            self.core.keeper.version if self.core.keeper.version is not None else -1,
+        )
+
+    def _list(self, now_us: int, wall_us: int) -> KeptList:
+        boxes = [
+            KeptBox(
+                entry.address,
+                entry.zone,
+                entry.kind,
+                entry.cell,
+                entry.standing.value,
+                entry.weight,
+                round((wall_us - (now_us - entry.started_us)) / 1e6) * 1_000_000 if entry.started_us else 0,
+            )
+            for entry in (self.entries or {}).values()
+        ]
+        return KeptList(self.core.keeper.version or 0, boxes)
 
 
 def _box(server: Server, now_us: int, wall_us: int) -> BoxMemory:
--- a/fennelcove/core/repeats.py
+++ b/fennelcove/core/repeats.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from fennelcove.core.verdicts import Answer, Answered, Ask, Session
-from fennelcove.decisions.kept import adoption
 from fennelcove.decisions.viewers.repeats import Act, Cue, Repeat, Repeats
 from fennelcove.decisions.viewers.sessions import Stage
 from fennelcove.interface import Effect
@@ -49,7 +48,7 @@
         session = self.core.sessions.get(repeat.subscription)
         if act is Act.SHOW and session is not None and session.stage is Stage.PLAYING:
             return session, Answered(Answer.PLAYING, "")
-        if act is Act.SHOW and self.core.book.opening.phase is not adoption.Phase.OPEN:
+        if act is Act.SHOW and not self.core.book.opening.accounted:
             # Its box may still greet this life of the front.
             return None, Answered(Answer.THROTTLED, "this front has just started", COME_BACK_US)
         return None, Answered(Answer.SPENT, "the set-up under this key has played and ended")
--- a/fennelcove/day/rig.py
+++ b/fennelcove/day/rig.py
@@ -126,6 +126,11 @@
             self.recorder.note("fault", sender=a, taker=b, how=told.how, on=on, number=number)
         self.relays.set(*[fault for faults in self.faults.values() for fault in faults])
 
+    def shut(self, address: str, gone: bool = True) -> None:
+        """What listens behind this address is gone, or back."""
+        if self.relays is not None:
+            (self.relays.shut if gone else self.relays.open)(address)
+
     def carried(self) -> None:
         """Write down what the relays carried."""
         if self.relays is not None:
@@ -187,11 +192,13 @@
 
 def _die(rig: Rig, trouble: Trouble) -> None:
     rig.box(trouble).die()
+    rig.shut(rig.box(trouble).address)
 
 
 def _rise(rig: Rig, trouble: Trouble) -> None:
     number = trouble.box or 0
     rig.boxes[number].restart()
+    rig.shut(rig.boxes[number].address, gone=False)
     rig.known[number] = replace(rig.known[number], started_us=rig.clock.now_us())
     rig.lists.publish(rig.known[number])
 
--- a/fennelcove/day/troubles.py
+++ b/fennelcove/day/troubles.py
@@ -119,8 +119,10 @@
         recorder.note("power", on=False)
         struck = [front for front in self.fronts.all if front.strike()]
         self.rig.lists.server.down()
+        self.rig.shut(self.rig.lists_for_fronts)
         for box in self.rig.boxes[power.boxes_spared :]:
             box.die()
+            self.rig.shut(box.address)
         for front in struck:
             front.kill()
             assert front.process is not None
@@ -138,12 +140,14 @@
         if not power.lists_before:
             rig.lists.publish(*rig.known)
         rig.lists.server.up()
+        rig.shut(rig.lists_for_fronts, gone=False)
         rig.recorder.note("lists_back", before=power.lists_before)
 
     def _box_back(self, number: int) -> None:
         rig = self.rig
         box = rig.boxes[number]
         box.restart()
+        rig.shut(box.address, gone=False)
         rig.known[number] = replace(rig.known[number], state="active", started_us=rig.clock.now_us())
         told = not any(trouble.power and trouble.power.lists_before for trouble in rig.day.troubles)
         if told:
--- a/fennelcove/decisions/fleet/company.py
+++ b/fennelcove/decisions/fleet/company.py
@@ -164,6 +164,7 @@
     speaks_us: int = 0  # until then a new life repeats nothing: it may have called somebody gone before
     leaving: bool = False
     outbid: int = 0  # how often a higher life was known for this index
+    outbid_life: int = 0  # the latest that others knew before this one
 
     def __post_init__(self) -> None:
         terms = self.terms
@@ -205,6 +206,8 @@
         if peer is None:
             return
         self.advance(now_us)
+        if beat.heard_life != self.life:
+            self.outbid_life = max(self.outbid_life, beat.heard_life)
         if beat.heard_life > self.life:
             self._outbid(beat.heard_life)
         if beat.life < peer.life:
--- /dev/null
+++ b/fennelcove/decisions/fleet/ration.py
@@ -0,0 +1,82 @@
+"""Who of many gets the few turns that cold boxes give: by benefit, and what the others are promised.
+
+The module places whoever it is asked for. While turns are scarce, whoever comes first would have them, and
+hasty viewers come first. Here the lesser benefits step back by as much as the greater ones need.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from math import exp
+
+SPAN_US = 2_000_000  # over which demand is counted: a viewer's pause between two tries
+OVER = 1.5  # times the pace is let in: not each finds its turn open
+LEAST = 0.1  # of those who step back are let in all the same, so that none is shut out whole
+MOST_TITLES = 1024
+LEAST_WAIT_US = 1_000_000  # Retry-After counts whole seconds
+LONGEST_WAIT_US = 30_000_000
+
+
+@dataclass(slots=True)
+class Demand:
+    """What is asked for one title, by benefit, and what was promised to those sent away."""
+
+    now_us: int
+    counts: dict[float, float] = field(default_factory=dict)
+    promised: float = 0.0
+
+    def advance(self, now_us: int, pace: float) -> None:
+        """Time passes: counts fade, promises fall due at the pace."""
+        seconds = max(0, now_us - self.now_us) / 1e6
+        fade = exp(-seconds * 1e6 / SPAN_US)
+        self.counts = {benefit: count * fade for benefit, count in self.counts.items() if count * fade > 0.01}
+        self.promised = max(0.0, self.promised - pace * seconds)
+        self.now_us = max(now_us, self.now_us)
+
+    def ask(self, benefit: float) -> None:
+        """One more asks."""
+        self.counts[benefit] = self.counts.get(benefit, 0.0) + 1.0
+
+    def part(self, benefit: float, pace: float) -> float:
+        """The share of those of this benefit that may be let in at a pace of set-ups a second."""
+        per_s = 1e6 / SPAN_US
+        greater = sum(count for other, count in self.counts.items() if other > benefit) * per_s
+        own = max(self.counts.get(benefit, 0.0) * per_s, 1e-9)
+        return min(1.0, max(LEAST, (OVER * pace - greater) / own))
+
+    def wait_us(self, pace: float, most_us: int | None, draw: float) -> int:
+        """When one that is sent away should come again: behind those before it, within what may be told."""
+        self.promised += 1.0
+        longest = LONGEST_WAIT_US if most_us is None else max(LEAST_WAIT_US, most_us)
+        wait_us = self.promised / pace * 1e6 if pace > 0 else longest
+        if wait_us > longest:
+            wait_us = longest * (0.5 + draw / 2)
+        return max(LEAST_WAIT_US, round(wait_us))
+
+
+class Ration:
+    """One front's demands, a bounded number of titles; the one longest unasked is forgotten first."""
+
+    def __init__(self) -> None:
+        self.titles: OrderedDict[str, Demand] = OrderedDict()
+
+    def ask(
+        self, title: str, benefit: float, pace: float, most_us: int | None, now_us: int, draw: float
+    ) -> int | None:
+        """One asks for a title whose holders are cold and give this front `pace` turns a second together.
+
+        Returns:
+            None where it is let in, or the wait to tell it, in microseconds.
+        """
+        demand = self.titles.get(title)
+        if demand is None:
+            demand = self.titles[title] = Demand(now_us)
+            if len(self.titles) > MOST_TITLES:
+                self.titles.popitem(last=False)
+        self.titles.move_to_end(title)
+        demand.advance(now_us, pace)
+        demand.ask(benefit)
+        if draw < demand.part(benefit, pace):
+            return None
+        return demand.wait_us(pace, most_us, draw)
--- /dev/null
+++ b/fennelcove/decisions/fleet/trust.py
@@ -0,0 +1,109 @@
+"""What a front that has just started believes of its folder: each kind of fact by what died meanwhile, and by
+its age as far as clocks can tell.
+
+Facts that others know better are not asked of the folder at all: what plays and who has a seat is told by the
+boxes, since when a box is up by itself and by the list, whichever says less, and how many fronts there are
+by the settings, of which only a majority that hears may take away (`company`). What was promised to viewers,
+keys and places, stands by its own time whatever died.
+
+That a whole fleet was lost is told by evidence, never by a flag: boxes whose processes began after the last
+word of the folder, other fronts in new lives, a list whose version went back. A folder that others know a
+later life than is not the newest: it was restored from a copy.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, IntEnum, auto
+
+KEPT_US = 600_000_000  # past it what a box or a crowd did says nothing
+SLACK_US = 1_500_000  # two accounts of one moment differ by a list's and a clock's error
+
+
+class Fact(Enum):
+    """What the folder may know that something can have made untrue."""
+
+    STRIKES = auto()  # how often a box failed
+    LAST_JOIN = auto()  # when this front last gave a box work
+    BUDGET = auto()  # further joins spent
+    PACE = auto()  # the usual arrivals
+    LIST = auto()  # which boxes there are
+
+
+class Loss(IntEnum):
+    """What died, as far as the evidence goes; each says more than the one before."""
+
+    SELF = 0  # this front
+    FRONTS = 1  # most fronts
+    BOX = 2  # this front, and the box that the fact is about
+    ALL = 3  # fronts and boxes
+
+
+class Age(IntEnum):
+    """How old a fact is."""
+
+    FRESH = 0
+    UNKNOWN = 1  # a clock went back, or there is none to compare with
+    OLD = 2  # past its time, or from a copy of an older folder
+
+
+class Use(IntEnum):
+    """What is done with it; each trusts less than the one before."""
+
+    USE = 0
+    AT_LEAST = 1  # it may be more by now
+    ASK = 2  # only once whoever it is about has spoken
+    DROP = 3
+
+
+# Each row: by loss from SELF to ALL, and in it by age from FRESH to OLD.
+U, L, A, D = Use.USE, Use.AT_LEAST, Use.ASK, Use.DROP
+TABLE: dict[Fact, tuple[tuple[Use, Use, Use], ...]] = {
+    # What a box did wrong says nothing of its next process, and nothing where no clock tells since when.
+    Fact.STRIKES: ((U, D, D), (U, D, D), (D, D, D), (D, D, D)),
+    # A process that began anew carries nothing of its last life: its turns are counted from its start.
+    Fact.LAST_JOIN: ((U, D, D), (U, D, D), (D, D, D), (D, D, D)),
+    # A budget must not come back by a clock: without an age all of it counts as spent just now.
+    Fact.BUDGET: ((U, L, U), (U, L, U), (U, L, U), (U, L, U)),
+    # With other fronts gone more come to each: taken for the usual, the crowd after a loss would be a storm.
+    Fact.PACE: ((U, U, D), (L, L, D), (U, U, D), (L, L, D)),
+    # Boxes of a kept list are asked before they get work; a copy from long ago names others' machines.
+    Fact.LIST: ((A, A, D), (A, A, D), (A, A, D), (A, A, D)),
+}
+
+
+def use(fact: Fact, loss: Loss, age: Age) -> Use:
+    """What becomes of a fact out of the folder."""
+    return TABLE[fact][loss][age]
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What a start has found so far; counts of what was heard, wall times in microseconds."""
+
+    boxes: int = 0
+    boxes_new: int = 0  # whose processes began after the folder's last word
+    fronts: int = 0  # others that were heard
+    fronts_new: int = 0  # in another life than the folder knows
+    kept_life: int = 0  # this front's life that wrote the folder; 0 where it does not say
+    known_life: int = 0  # the latest life under its index that others have heard of, before this one
+    written_us: int = 0  # the folder's last word; 0 for no folder
+    wall_us: int = 0
+
+
+def loss(found: Evidence) -> Loss:
+    """What died, by the evidence: more than half of those heard. Of what was not heard nothing is claimed."""
+    boxes = 2 * found.boxes_new > found.boxes
+    fronts = 2 * found.fronts_new > found.fronts
+    if boxes and (fronts or not found.fronts):
+        return Loss.ALL
+    return Loss.FRONTS if fronts else Loss.SELF
+
+
+def age(found: Evidence) -> Age:
+    """How old the folder is."""
+    if not found.written_us or (found.kept_life and found.known_life > found.kept_life):
+        return Age.OLD
+    if found.written_us > found.wall_us + SLACK_US:
+        return Age.UNKNOWN
+    return Age.OLD if found.wall_us - found.written_us > KEPT_US else Age.FRESH
--- a/fennelcove/decisions/kept/adoption.py
+++ b/fennelcove/decisions/kept/adoption.py
@@ -2,13 +2,12 @@
 
 A front keeps no state on disk (yet); the boxes' greetings are its memory. Each join that a box names is kept,
 taken over under its old id, or released, so that viewers' polls go on being answered, seats are counted once,
-and nothing plays for nobody. Until the boxes have greeted, or for a short while at the most, the front does
-not listen: a seat given away before its holder is known would be given twice.
+and nothing plays for nobody. In which order service returns meanwhile is ruled on in `fleet/comeback.py`.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, auto
 
 from fennelcove.decisions.viewers.sessions import Stage
@@ -79,64 +78,3 @@
     if known is not None:
         return Claim.ORPHAN_NEWER if join > known.join else Claim.ORPHAN_OLDER
     return Claim.ORPHAN if seat_free else Claim.SURPLUS
-
-
-class Phase(Enum):
-    """How far a start has come."""
-
-    LISTING = auto()  # waiting for the first list
-    GREETING = auto()  # waiting for the boxes on it
-    OPEN = auto()
-
-
-class Cue(Enum):
-    """What moves it on."""
-
-    LISTED = auto()
-    GREETED = auto()  # the last box has greeted, or was given up
-    TIME = auto()
-
-
-OPENING: dict[tuple[Phase, Cue], Phase] = {
-    (Phase.LISTING, Cue.LISTED): Phase.GREETING,
-    # Without a list the front can only throttle, but it answers: that is better than a refused connection.
-    (Phase.LISTING, Cue.TIME): Phase.OPEN,
-    (Phase.GREETING, Cue.GREETED): Phase.OPEN,
-    (Phase.GREETING, Cue.TIME): Phase.OPEN,
-}
-
-LIST_WAIT_US = 3_000_000
-GREET_WAIT_US = 1_000_000  # a box that hangs must not keep the front away for long
-
-
-@dataclass(slots=True)
-class Opening:
-    """The start of one front; times in microseconds."""
-
-    began_us: int
-    phase: Phase = Phase.LISTING
-    due: set[str] = field(default_factory=set)
-
-    def cue(self, cue: Cue, now_us: int) -> None:
-        """Move on."""
-        after = OPENING.get((self.phase, cue), self.phase)
-        if after is not self.phase:
-            self.phase, self.began_us = after, now_us
-
-    def listed(self, boxes: set[str], now_us: int) -> None:
-        """The first list names these boxes."""
-        if self.phase is Phase.LISTING:
-            self.due = set(boxes)
-            self.cue(Cue.LISTED, now_us)
-            self.settled("", now_us)
-
-    def settled(self, box: str, now_us: int) -> None:
-        """A box has greeted, or will not."""
-        self.due.discard(box)
-        if not self.due:
-            self.cue(Cue.GREETED, now_us)
-
-    def left_us(self, now_us: int) -> int:
-        """How long this phase may still take."""
-        limit = {Phase.LISTING: LIST_WAIT_US, Phase.GREETING: GREET_WAIT_US, Phase.OPEN: 0}[self.phase]
-        return max(0, self.began_us + limit - now_us)
--- a/fennelcove/decisions/kept/recovery.py
+++ b/fennelcove/decisions/kept/recovery.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -39,6 +39,59 @@
     further_us: list[int]  # further joins in it
     usual: float  # arrivals in half a second
     seen: int  # windows that the usual pace was learned from
+    # From here on of format 2; a record of format 1 ends before.
+    life: int = 0  # of this front, as the others know it; 0 where it has no company
+    lives: list[int] = []  # of all fronts by index, as last heard
+    list_version: int = -1
+
+
+class KeptBox(Struct, frozen=True, array_like=True):
+    """A box of the list in force."""
+
+    address: str
+    zone: str
+    kind: str
+    cell: int
+    standing: str
+    weight: float
+    started_us: int  # wall time; 0 for long ago
+
+
+class KeptList(Struct, frozen=True, array_like=True):
+    """The list in force, for a start at which no list service answers."""
+
+    version: int
+    boxes: list[KeptBox]
+
+
+FORMAT = 2  # of what is kept; a folder that does not say has the first
+
+
+def format_of(values: Mapping[bytes, bytes]) -> int:
+    """Which format a folder's records have; 0 for one that is newer than this program or can't be read."""
+    raw = values.get(b"format")
+    if raw is None:
+        return 1
+    return int(raw) if raw.isdigit() and 1 <= int(raw) <= FORMAT else 0
+
+
+def migrated(values: Mapping[bytes, bytes]) -> dict[bytes, bytes]:
+    """A folder's records in today's format.
+
+    Records of format 1 stand as they are: what format 2 adds is at their end, and read as not known. One of a
+    newer program is not guessed at: what it learned is learned anew.
+    """
+    if format_of(values) == 0:
+        return {}
+    return {key: raw for key, raw in values.items() if key != b"format"}
+
+
+def read_list(raw: bytes) -> KeptList | None:
+    """As `read_box`."""
+    try:
+        return msgspec.msgpack.decode(raw, type=KeptList)
+    except msgspec.MsgspecError:
+        return None
 
 
 class Verdict(Enum):
--- a/fennelcove/peers/feeds.py
+++ b/fennelcove/peers/feeds.py
@@ -107,7 +107,7 @@
         try:
             if event.name == HELLO:
                 hello = _HELLO.decode(event.data)
-                self.core.book.hello(box, generation, hello.boot, hello.held)
+                self.core.book.hello(box, generation, hello.boot, hello.held, hello.up_ms)
             elif event.name == REPORT:
                 report = _REPORT.decode(event.data)
                 says = self.hints.says(None, report.cmsd)
--- a/fennelcove/program/front.py
+++ b/fennelcove/program/front.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from fennelcove.clock import Clock, SystemClock
+from fennelcove.core.comeback import ComebackBook
 from fennelcove.core.company import CompanyBook
 from fennelcove.core.core import Core
 from fennelcove.core.names import Names
@@ -13,6 +14,7 @@
 from fennelcove.core.timers import Timers
 from fennelcove.core.verdicts import Notices
 from fennelcove.decisions.boxes import feeds
+from fennelcove.decisions.fleet import comeback
 from fennelcove.decisions.kept.background import Priority
 from fennelcove.decisions.operators.stopping import Act, Cue, Phase, Stopping
 from fennelcove.doors.connection import DoorLimits
@@ -82,6 +84,7 @@
                 notice("store_damaged", file="base.lmdb", key=repr(key), fault="altered")
             self.core.memories.restore(store.values)
             self.keeper = Keeper(store, self.clock, notice)
+        self.comeback = self._comeback()
         self.background = Background(self.clock, notice)
         self.core.shown["background"] = self.background.status
         self.halt = Latch()
@@ -145,6 +148,26 @@
         self.timekeeper = threading.Thread(target=self.timers.run, name="timers")
         self.stopping = Stopping(round(limits.stop_ms * 1000))
 
+    def _comeback(self) -> ComebackBook | None:
+        """Off by default: without it who asks waits at the door until the front knows what it holds."""
+        core, settings = self.core, self.settings
+        if settings.recovery is None:
+            return None
+        found = ComebackBook(settings, core.front, core.book, self.clock, core.chance, self.notice)
+        core.gates.insert(0, found.before)
+        core.hear_list = found.hear_list
+        core.shown["comeback"] = found.status
+        found.listed, found.opened = core.memories.listed, core.seats.opened
+        found.kept = core.memories.last_list()
+        if settings.recovery.kept_list:
+            core.memories.entries = found.entries
+        return found
+
+    def _look(self) -> None:
+        assert self.comeback is not None
+        with self.core.lock:
+            self.comeback.look(self.clock.now_us())
+
     def _company(self) -> CompanyBook | None:
         """Off by default: without it each front counts on all others that its settings name."""
         told, core = self.settings.company, self.core
@@ -154,6 +177,7 @@
         company = CompanyBook(told, self.settings.instance, life, self.clock, core.lock, self.notice)
         core.front.part = company.part
         core.shown["company"] = company.status
+        core.memories.lives = company.lives
         if core.watched is not None:
             core.watched.other.part = company.part
         return company
@@ -187,16 +211,26 @@
             self.list_side.watch()
         self._plan()
         self.background.start()
-        self.core.book.wait_open()
-        self.core.seats.opened()
+        if self.comeback is None:
+            self.core.book.wait_open()
+            self.core.seats.opened()
+        else:
+            self.timers.after(comeback.SAVED_AFTER_US, self._stand_in)
         self.door.start()
         self.notice("front_started", address=self.door.address, boot=self.core.names.boot)
 
+    def _stand_in(self) -> None:
+        assert self.comeback is not None
+        with self.core.lock:
+            self.comeback.stand_in()
+
     def _plan(self) -> None:
         """What goes on in the background."""
         plan = self.background.add
         plan("sweep", Priority.VIEWERS, SWEEP_US, SWEEP_US, self._sweep)
         plan("trim", Priority.HOUSEKEEPING, TRIM_US, TRIM_US, self.pool.trim)
+        if self.comeback is not None:
+            plan("comeback", Priority.VIEWERS, SWEEP_US, SWEEP_US, self._look)
         if self.keeper is not None:
             plan("memories", Priority.MEMORY, REMEMBER_US, REMEMBER_US, self._remember)
         if self.tls is not None:
--- a/fennelcove/settings/schema.py
+++ b/fennelcove/settings/schema.py
@@ -133,9 +133,17 @@
     part of its equal share that a front may take whoever hears it; the rest hangs on a lease."""
 
     addresses: Annotated[list[Address], Meta(min_length=1, max_length=64)]
-    beat_ms: Annotated[float, Meta(ge=50, le=60_000)] = 250.0
-    lease_ms: Annotated[float, Meta(ge=500, le=600_000)] = 2000.0
-    kept: Annotated[float, Meta(gt=0, le=0.5)] = 0.5
+    beat_ms: Annotated[float, Meta(ge=50, le=60_000)] = 200.0
+    lease_ms: Annotated[float, Meta(ge=500, le=600_000)] = 1000.0
+    kept: Annotated[float, Meta(gt=0, le=1)] = 0.75
+
+
+class RecoverySettings(Strict, frozen=True, kw_only=True):
+    """Service returns in order: the door opens at once, boxes are asked, a list kept in the store stands in
+    for one that does not come, and while most boxes are cold the greater benefit goes first."""
+
+    by_benefit: bool = True
+    kept_list: bool = True
 
 
 class ShapeSettings(Strict, frozen=True, kw_only=True):
@@ -293,4 +301,5 @@
     cross_zone_price: Figure = 0.0
     shape: ShapeSettings = ShapeSettings()
     company: CompanySettings | None = None
+    recovery: RecoverySettings | None = None
     watch: ShapeSettings | None = None  # a shape to compare with: its decisions are counted, not carried out
--- /dev/null
+++ b/tests/test_between.py
@@ -0,0 +1,189 @@
+"""Relays between parties, with each fault; and days of a whole fleet, judged."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import unittest
+from contextlib import suppress
+from random import Random
+
+from fennelcove.clock import SystemClock
+from fennelcove.standins.between import faults
+from fennelcove.standins.between.faults import Fault, How
+from fennelcove.standins.between.relay import Relays
+from tests.rig import wait_for
+
+FRONT = frozenset({"fronts", "front-0", "hall-a"})
+BOX = frozenset({"boxes", "box-0", "hall-b"})
+
+
+class FaultTest(unittest.TestCase):
+    def test_a_rule_names_a_party_a_group_or_several_and_one_direction(self) -> None:
+        for sender, taker, hit in (
+            ("front-0", "box-0", True),
+            ("hall-a", "hall-b", True),
+            ("front-1|front-0", "all", True),
+            ("hall-b", "hall-a", False),
+            ("front-1", "boxes", False),
+        ):
+            self.assertIs(Fault(sender, taker, How.SILENT).hits(FRONT, BOX), hit, (sender, taker))
+
+    def test_datagrams_are_lost_doubled_and_late_by_share(self) -> None:
+        chance = Random(3).random
+        lose = [faults.datagram([Fault("all", "all", How.LOSE, share=0.5)], chance) for _ in range(400)]
+        self.assertTrue(120 < sum(not copies for copies in lose) < 280)
+        double = [faults.datagram([Fault("all", "all", How.DOUBLE, 20, 0.5)], chance) for _ in range(400)]
+        self.assertTrue(120 < sum(len(copies) == 2 for copies in double) < 280)
+        late = [faults.datagram([Fault("all", "all", How.REORDER, 50, 1.0)], chance)[0] for _ in range(50)]
+        self.assertTrue(all(0 <= at <= 50_000 for at in late))
+        self.assertGreater(len(set(late)), 10)
+        self.assertEqual(faults.datagram([Fault("all", "all", How.SILENT)], chance), [])
+        self.assertEqual(faults.datagram([], chance), [0])
+
+    def test_the_least_of_two_paces_holds_and_delays_add_up(self) -> None:
+        both = [Fault("all", "all", How.THROTTLE, 50), Fault("all", "all", How.THROTTLE, 20)]
+        self.assertEqual(faults.pace_kb(both), 20)
+        late = [Fault("all", "all", How.DELAY, 10), Fault("all", "all", How.DELAY, 20)]
+        self.assertEqual(faults.late_us(late, lambda: 0.0), 30_000)
+
+
+class Echo:
+    """Sends back what comes; ends with its listener."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self.listener.getsockname())
+        self.threads = [threading.Thread(target=self.accept)]
+        self.threads[0].start()
+
+    def accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            thread = threading.Thread(target=self.serve, args=(sock,))
+            self.threads.append(thread)
+            thread.start()
+
+    def serve(self, sock: socket.socket) -> None:
+        with sock, suppress(OSError):
+            while data := sock.recv(4096):
+                sock.sendall(data)
+
+    def stop(self) -> None:
+        with suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for thread in self.threads:
+            thread.join()
+
+
+class RelayTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.echo = Echo()
+        self.relays = Relays(SystemClock(), Random(1).random)
+        self.relays.name("127.0.1.1", FRONT)
+        self.door = self.relays.door(self.echo.address, BOX)
+        self.relays.start()
+        self.addCleanup(self.echo.stop)
+        self.addCleanup(self.relays.stop)
+
+    def dial(self) -> socket.socket:
+        host, _, port = self.door.rpartition(":")
+        sock = socket.create_connection((host, int(port)), 10, ("127.0.1.1", 0))
+        self.addCleanup(sock.close)
+        return sock
+
+    def said(self, sock: socket.socket, data: bytes = b"hello") -> bytes:
+        sock.sendall(data)
+        found = b""
+        while len(found) < len(data) and (part := sock.recv(4096)):
+            found += part
+        return found
+
+    def test_bytes_pass_whole_and_connections_are_counted(self) -> None:
+        big = bytes(range(256)) * 2000
+        sock = self.dial()
+        threading.Thread(target=sock.sendall, args=(big,)).start()
+        found = b""
+        while len(found) < len(big):
+            found += sock.recv(65_536)
+        self.assertEqual(found, big)
+        self.assertEqual(self.relays.told(), {"connections fronts boxes": 1})
+
+    def test_an_end_passes_and_so_does_what_was_sent_before_it(self) -> None:
+        sock = self.dial()
+        sock.sendall(b"last words")
+        sock.shutdown(socket.SHUT_WR)
+        found = b""
+        while part := sock.recv(100):
+            found += part
+        self.assertEqual(found, b"last words")
+
+    def test_a_silent_cut_holds_bytes_until_it_heals(self) -> None:
+        sock = self.dial()
+        self.assertEqual(self.said(sock), b"hello")
+        self.relays.set(Fault("hall-a", "hall-b", How.SILENT))
+        sock.sendall(b"into the dark")
+        sock.settimeout(0.2)
+        with self.assertRaises(TimeoutError):
+            sock.recv(100)
+        self.relays.set()
+        sock.settimeout(10)
+        self.assertEqual(sock.recv(100), b"into the dark")
+
+    def test_a_reset_ends_what_is_open_and_what_is_new_until_it_heals(self) -> None:
+        sock = self.dial()
+        self.said(sock)
+        self.relays.set(Fault("fronts", "boxes", How.RESET))
+        with self.assertRaises(ConnectionError):
+            while True:
+                sock.sendall(b"x")
+                if not sock.recv(1):
+                    raise ConnectionError
+        with self.assertRaises(ConnectionError):
+            if not self.said(self.dial()):
+                raise ConnectionError
+        self.relays.set()
+        self.assertEqual(self.said(self.dial()), b"hello")
+
+    def test_a_cut_breaks_off_in_the_middle_of_a_message(self) -> None:
+        sock = self.dial()
+        self.relays.set(Fault("boxes", "front-0", How.CUT))
+        found = b""
+        with suppress(ConnectionError):
+            found = self.said(sock, b"0123456789")
+        self.assertIn(found, (b"", b"01234"))
+
+    def test_what_is_behind_a_shut_door_is_refused(self) -> None:
+        self.relays.shut(self.door)
+        with self.assertRaises(ConnectionRefusedError):
+            self.dial()
+        self.relays.open(self.door)
+        self.assertEqual(self.said(self.dial()), b"hello")
+
+    def test_datagrams_come_from_who_sent_them_as_the_taker_knows_it(self) -> None:
+        socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(2)]
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+            sock.settimeout(10)
+            self.addCleanup(sock.close)
+        addresses = ["{}:{}".format(*sock.getsockname()) for sock in socks]
+        known = self.relays.post(addresses, [FRONT, BOX])
+        host, _, port = known[0][1].rpartition(":")
+        socks[0].sendto(b"beat", (host, int(port)))
+        raw, source = socks[1].recvfrom(100)
+        self.assertEqual((raw, "{}:{}".format(*source)), (b"beat", known[1][0]))
+        self.relays.set(Fault("front-0", "all", How.LOSE))
+        socks[0].sendto(b"lost", (host, int(port)))
+        count = "datagrams fronts boxes"
+        wait_for(lambda: self.relays.told().get(count) == 2, "the second datagram")
+        self.relays.set()
+        socks[0].sendto(b"again", (host, int(port)))
+        self.assertEqual(socks[1].recv(100), b"again")
+
+
+if __name__ == "__main__":
+    unittest.main()
