A server process that began anew ends what stood at the last one; run is held to one process

Need: open since the front node came into service: a process back at its address before two dials had failed was taken for alive, and its old sessions ended only by its own word. At fault: Desk.board_says passed a later start to the module and not to what stands. Change: what was set up before a start that the board tells is over (Desk.reborn). Tests between stand-ins: a birth told once and again, a configuration refused at SIGHUP, and the standing test's terms for run (one process, no child, linked against the C library, IPv4 sockets alone).

--- a/fennelcove/node/desk.py
+++ b/fennelcove/node/desk.py
@@ -237,6 +237,7 @@
             dial = notice.dials[entry.address]
             server = self.servers.setdefault(entry.address, Server(entry.address, dial))
             server.address, server.listed = dial, entry.standing is not Standing.LEFT
+            self.reborn(server, entry.started_us)
         for server in list(self.servers.values()):
             self.drop(server)
 
@@ -262,6 +263,16 @@
         for sub in list(server.standing):
             self.join_over(sub, Outcome.CONNECTION_LOST, None)
 
+    def reborn(self, server: Server, started_us: int) -> None:
+        """A process that dies and is back before two dials have failed looks alive, and its viewers waited
+        for good: what was set up there before the start that the board tells is over."""
+        if started_us <= server.started_us:
+            return
+        server.started_us = started_us
+        for sub in list(server.standing):
+            if sub.join is not None and sub.join.sent_us < started_us:
+                self.join_over(sub, Outcome.CONNECTION_LOST, None)
+
     def succeeded(self, server: Server) -> bool:
         """Off the list, with its address another's by now."""
         return not server.listed and any(
--- a/fennelcove/node/parties.py
+++ b/fennelcove/node/parties.py
@@ -62,6 +62,7 @@
     name: str
     address: Address
     listed: bool = True
+    started_us: int = 0  # its process, as the board tells; 0 for long ago
     links: dict[Link, None] = field(default_factory=dict)
     standing: dict[Subscription, None] = field(default_factory=dict)
     # What could not be sent for want of an open link; the next one that opens takes it along.
--- a/tests/noderig.py
+++ b/tests/noderig.py
@@ -222,7 +222,13 @@
 class NodeRig:
     """One front node as a process, with what it talks to."""
 
-    def __init__(self, *servers: StandInServer, sockets: int = 256) -> None:
+    def __init__(
+        self,
+        *servers: StandInServer,
+        sockets: int = 256,
+        command: list[str] | None = None,
+        cwd: str | None = None,
+    ) -> None:
         self.board = StandInBoard([notice(1, [server.row for server in servers], whole=True)])
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.address: tuple[str, int] = ("127.0.0.1", free.getsockname()[1])
@@ -240,7 +246,10 @@
         self.write()
         environment = {**os.environ, "EDGE_CONFIG": str(self.path)}
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "fennelcove.node"], env=environment, stdout=subprocess.DEVNULL
+            command or [sys.executable, "-m", "fennelcove.node"],
+            env=environment,
+            cwd=cwd,
+            stdout=subprocess.DEVNULL,
         )
         eventually(self.ready, "a test that passes")
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import json
+import os
 import signal
 import subprocess
 import sys
+import time
+import tomllib
 import unittest
+from pathlib import Path
 
 from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause, Code, Kind
@@ -196,6 +201,50 @@
         self.assertEqual(viewer.answer().status, 200)
         self.assertEqual((len(first.of(Kind.SET_UP)), len(second.of(Kind.SET_UP))), (0, 1))
 
+    def test_what_stood_at_a_process_that_began_anew_is_over(self) -> None:
+        # It was back at its address before two dials had failed, and its viewers were never told.
+        server = StandInServer("s0", 0)
+        rig = self.rig(server)
+        viewer = rig.caller()
+        viewer.set_up(ID)
+        self.assertEqual(viewer.answer().status, 200)
+        born = {**server.row, "born_ms": round(time.time() * 1000)}
+        rig.board.notices.append(notice(2, [born]))
+        release = viewer.request()
+        self.assertEqual((release.method, release.fields["session"]), ("TEARDOWN", ID))
+        viewer.set_up(OTHER)
+        self.assertEqual(viewer.answer().status, 200)
+        rig.board.notices.append(notice(3, [born]))
+        polled = rig.board.polls
+        eventually(lambda: rig.board.polls > polled + 2, "the same birth told again")
+        viewer.tear_down(OTHER)
+        self.assertEqual(viewer.answer().status, 200)
+
+    def test_a_configuration_that_is_refused_leaves_what_was(self) -> None:
+        first, second = StandInServer("s0", 0), StandInServer("s1", 0)
+        rig = self.rig(first)
+        good = dict(rig.config)
+        for spoilt in (
+            "{",
+            "[]",
+            json.dumps({**good, "board": "nowhere"}),
+            json.dumps({**good, "settings": 7}),
+        ):
+            rig.path.write_text(spoilt)
+            rig.signal(signal.SIGHUP)
+            polled = rig.board.polls
+            eventually(lambda polled=polled: rig.board.polls > polled + 2, "polls at the same board")
+            self.assertIsNone(rig.process.poll())
+        viewer = rig.caller()
+        viewer.set_up(ID)
+        self.assertEqual(viewer.answer().status, 200)
+        gone = {**first.row, "health": "removed"}
+        board = StandInBoard([rig.board.notices[0], notice(2, [second.row, gone])])
+        rig.config["board"] = board.address
+        rig.write()
+        rig.signal(signal.SIGHUP)
+        eventually(lambda: board.polls > 2, "polls at the new board")
+
     def test_sigterm_fails_tests_and_answers_what_still_comes(self) -> None:
         rig = self.rig(StandInServer("s0", 0))
         rig.signal(signal.SIGTERM)
@@ -206,6 +255,32 @@
         self.assertEqual(rig.process.wait(60), 0)
 
 
+class DeployTest(unittest.TestCase):
+    """What the standing fleet test asks of `run`: one process, the same as was started, over IPv4 alone."""
+
+    def test_run_ends_in_one_process_without_children_or_other_sockets(self) -> None:
+        root = Path(__file__).parents[1]
+        run = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["run"]
+        server = StandInServer("s0", 0)
+        rig = NodeRig(server, command=["/bin/sh", "-c", run], cwd=str(root))
+        self.addCleanup(rig.close)
+        viewer = rig.caller()
+        viewer.set_up(ID)
+        self.assertEqual(viewer.answer().status, 200)
+        here = Path("/proc") / str(rig.process.pid)
+        self.assertIn("python", (here / "exe").readlink().name)
+        children = [path.read_text().split() for path in here.glob("task/*/children")]
+        self.assertEqual([child for some in children for child in some], [])
+        maps = (here / "maps").read_text()
+        self.assertRegex(maps, r"/(libc\.so|libc-|ld-musl)")  # linked dynamically against the C library
+        targets = [os.readlink(path) for path in (here / "fd").iterdir()]
+        own = {target[8:-1] for target in targets if target.startswith("socket:[")}
+        self.assertTrue(own)
+        for table, column in (("unix", 6), ("tcp6", 9), ("udp6", 9)):
+            rows = [line.split() for line in (here / "net" / table).read_text().splitlines()[1:]]
+            self.assertEqual(own & {row[column] for row in rows if len(row) > column}, set(), table)
+
+
 class ImportTest(unittest.TestCase):
     def test_the_node_needs_the_standard_library_alone(self) -> None:
         code = (
