Fronts shed load as one: summaries between them, one ladder, places that all honour

Need: what each front damps alone adds up; with half of the fronts killed in a crowd the others played on at their own pace. Change: decisions/fleet/burden (summaries that merge alike in any order, a bound on what one may claim, own likes for who is silent) and shedding (a ladder climbed at once and left step by step), by a message kind of their own; off without (overload) in the settings.

--- /dev/null
+++ b/benchmarks/floods.py
@@ -0,0 +1,87 @@
+"""How a fleet stands a flood: shedding as one, each front damping alone, and nothing, on the same days and seeds.
+
+    python -m benchmarks.floods [--days flood,flood-kill] [--seeds 1,2] [--beside 2]
+
+A process for each day. Prints a row a variant and day, median and range over the seeds: benefit played a second
+while the crowd comes and in the worst 10 s, tries a viewer, joins and datagrams a request, seconds until no
+second has more than a twentieth refused, and rules broken.
+"""
+
+from __future__ import annotations
+
+import argparse
+from concurrent.futures import ProcessPoolExecutor
+
+import msgspec
+
+from benchmarks.power import spread
+from fennelcove.day.judge import Verdict, judge
+from fennelcove.day.player import DayFailed, DayPlayer
+from fennelcove.day.script import Day, read
+from fennelcove.settings.schema import StormSettings
+
+replace = msgspec.structs.replace
+CROWD = (8, 16)  # seconds of the day in which it comes
+
+
+def bare(day: Day, damping: bool = False) -> Day:
+    """Without shedding as one."""
+    storm = StormSettings(damping=damping)
+    return replace(day, front=replace(day.front, overload=None, storm=storm))
+
+
+VARIANTS = {
+    "as-one": lambda day: day,
+    "damping": lambda day: bare(day, True),
+    "nothing": bare,
+    "alone": lambda day: replace(day, company=False),  # the same ladder, each front by its own figures
+}
+
+
+def play(job: tuple[str, str, int]) -> Verdict | None:
+    """One day; None where it could not be played."""
+    day, variant, seed = job
+    try:
+        return judge(DayPlayer(VARIANTS[variant](read(day)), seed).play())
+    except DayFailed as error:
+        print(f"{job}: {error}", flush=True)
+        return None
+
+
+def worst(verdict: Verdict) -> float:
+    """The least benefit a second in any 10 s until the crowd has been gone as long."""
+    assert verdict.fleet is not None
+    benefit = [second.benefit for second in verdict.fleet.seconds[4:28]]
+    return min(sum(benefit[at : at + 10]) / 10 for at in range(len(benefit) - 9))
+
+
+def main() -> None:
+    """All of it."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--days", default="flood,flood-kill")
+    parser.add_argument("--seeds", default="1,2")
+    parser.add_argument("--variants", default=",".join(VARIANTS))
+    parser.add_argument("--beside", type=int, default=2)
+    options = parser.parse_args()
+    days, variants = options.days.split(","), options.variants.split(",")
+    jobs = [(d, v, int(s)) for s in options.seeds.split(",") for d in days for v in variants]
+    with ProcessPoolExecutor(options.beside) as pool:
+        found = dict(zip(jobs, pool.map(play, jobs), strict=True))
+    for day in days:
+        for variant in variants:
+            rows = [row for job, row in found.items() if job[:2] == (day, variant) and row is not None]
+            fleets = [row.fleet for row in rows if row.fleet is not None]
+            crowd = [sum(s.benefit for s in f.seconds[slice(*CROWD)]) / (CROWD[1] - CROWD[0]) for f in fleets]
+            print(
+                f"{day:11} {variant:8} crowd {spread(crowd)}, worst 10 s {spread([worst(row) for row in rows])} "
+                f"benefit a s; service {spread([row.service for row in rows])}; requests "
+                f"{spread([float(row.requests) for row in rows])}, joins {spread([f.joins for f in fleets])}, "
+                f"datagrams {spread([f.datagrams for f in fleets])} a request; settled "
+                f"{spread([row.settled_s or 0.0 for row in rows])} s; rules "
+                f"{sorted({b.rule for row in rows for b in row.broken}) or 'kept'}",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/fennelcove/core/storms.py
+++ b/fennelcove/core/storms.py
@@ -42,6 +42,10 @@
         self.clients = Counts(mac(blake3.blake3(b"clients", key=own).digest()), now_us)
         self.tokens = Counts(mac(blake3.blake3(b"tokens", key=own).digest()), now_us)
         self.macs = [mac(blake3.blake3(b"places", key=own).digest())]
+        # Where a whole fleet sheds, it rules in place of this front's own weather.
+        self.ruler: Callable[[Ask, Standing, Queue, int], Ruling] | None = None
+        self.ended: Callable[[str, bool], None] = lambda room, served: None
+        self.sheds: Callable[[], bool] = lambda: False
 
     def use_keys(self, keys: Sequence[bytes]) -> None:
         """Keys that outlive this process; the first seals, all are known."""
@@ -71,7 +75,9 @@
         who = self._standing(ask, held, ask.again or tries > 1, now_us)
         self.core.tally(f"storm_{who.name.lower()}")
         ruling = Ruling.LET_IN
-        if self.settings.damping and self.weather.damped():
+        if self.ruler is not None:
+            ruling = self.ruler(ask, who, queue, now_us)
+        elif self.settings.damping and self.weather.damped():
             ruling = places.TABLE[who, queue.room]
         if ruling is Ruling.BY_PACE:
             admitted = queue.admit(who, queue.cost(self.core.rooms[ask.room].benefit))
@@ -124,7 +130,8 @@
         now_us = self.core.clock.now_us()
         queue = self.queues.of(session.title, now_us)
         queue.refused += 1
-        if session.ask is None or not (self.settings.damping and self.weather.damped()):
+        self.ended(session.room, False)
+        if session.ask is None or not (self.sheds() or (self.settings.damping and self.weather.damped())):
             return Answered(Answer.THROTTLED, why, wait_us)
         # Only a place whose time had come was let in to be refused.
         held = self._held(session.ask)
@@ -145,6 +152,8 @@
             self.limits.leave(box, outcome, session.out_sent_us, now_us)
         session.out_sent_us = -1
         self.queues.of(session.title, now_us).served += outcome is Outcome.SERVED
+        if outcome is Outcome.SERVED:
+            self.ended(session.room, True)
 
     def status(self) -> dict[str, object]:
         """Figures for an operator."""
--- a/fennelcove/day/judge.py
+++ b/fennelcove/day/judge.py
@@ -180,6 +180,8 @@
                 )
             continue
         answer = answers[0]
+        if seen.excuses.not_taken(asked, {"t_us": answer["t_us"], "how": "late"}):
+            continue  # one that was stopped where it stood answers when it goes on
         if answer["t_us"] > due_us:
             seen.break_(1, answer["t_us"], name, "answered after the client timeout")
         _at_once(seen, name, asked, answer)
--- /dev/null
+++ b/fennelcove/day/scripts/flood-slow-box.sexp
@@ -0,0 +1,8 @@
+;; One box is slow to all, one to a single front, and a front stands still for 4 s in the flood.
+(day
+  (name "flood-slow-box")
+  (like "flood")
+  (troubles
+    (item (at-s 9) (what "slow") (box 1) (value 900) (for-s 8))
+    (item (at-s 9) (what "between") (value 900) (for-s 8) (between (sender "front-2") (taker "box-4") (how "delay")))
+    (item (at-s 10) (what "front-stop") (fronts 3) (for-s 4))))
--- a/fennelcove/messages.py
+++ b/fennelcove/messages.py
@@ -4,12 +4,14 @@
 
 import struct
 
+from fennelcove.decisions.fleet.burden import Summary
 from fennelcove.decisions.fleet.company import Beat
 from fennelcove.interface import CellLoad, PeerSays
 
 MOST_BYTES = 256
 MOST_CELLS = 1 << 16  # a cell is two bytes
-ASKS, LOADS, JOINS, BEAT = 1, 2, 3, 4  # first byte of a message: cells asked about, loads known, joins sent
+# First byte of a message: cells asked about, loads known, joins sent, a sign of life, what is asked.
+ASKS, LOADS, JOINS, BEAT, SUMMARY = 1, 2, 3, 4, 5
 CELL = struct.Struct(">H")
 LOAD = struct.Struct(">HBBB")  # cell, link and uplink in hundredths, age in tenths of a second
 JOIN = struct.Struct(">HH")  # cell, kB a second
@@ -17,6 +19,9 @@
 UNKNOWN = 255
 # Kind, life, number, the taker's life and its number repeated, whether the sender leaves; then who is gone.
 SIGN = struct.Struct(">BQIQIB")
+COUNTED = struct.Struct(">BQI")  # kind, life, number; then a row for each room type
+ROW = struct.Struct(">HHH")
+MOST_ROWS = (MOST_BYTES - COUNTED.size) // ROW.size
 MOST_GONE = (MOST_BYTES - SIGN.size) // CELL.size
 
 
@@ -81,3 +86,22 @@
         return None
     gone = tuple(index for (index,) in CELL.iter_unpack(raw[SIGN.size :]))
     return Beat(life, number, heard_life, heard_number, bool(leaving), gone)
+
+
+def pack_summary(said: Summary) -> bytes:
+    """What a front was asked, as one message."""
+    rows = b"".join(ROW.pack(*row) for row in said.rows[:MOST_ROWS])
+    return COUNTED.pack(SUMMARY, said.life, said.number) + rows
+
+
+def unpack_summary(raw: bytes) -> Summary | None:
+    """What another front was asked; None where it is malformed."""
+    if (
+        not COUNTED.size <= len(raw) <= MOST_BYTES
+        or (len(raw) - COUNTED.size) % ROW.size
+        or raw[0] != SUMMARY
+    ):
+        return None
+    _, life, number = COUNTED.unpack_from(raw)
+    rows = tuple((asked, served, turned) for asked, served, turned in ROW.iter_unpack(raw[COUNTED.size :]))
+    return Summary(life, number, rows)
--- a/fennelcove/peers/fronts.py
+++ b/fennelcove/peers/fronts.py
@@ -6,9 +6,11 @@
 import threading
 from collections.abc import Callable, Sequence
 
+from fennelcove.decisions.fleet.burden import Summary
 from fennelcove.decisions.fleet.company import Beat
 from fennelcove.interface import PeerSays
-from fennelcove.messages import BEAT, MOST_BYTES, pack, pack_beat, unpack, unpack_beat
+from fennelcove import messages
+from fennelcove.messages import MOST_BYTES, pack, unpack
 
 LOOK_S = 0.25  # how often the listening thread looks whether it should end
 
@@ -27,6 +29,7 @@
         self.indices = {address: i for i, address in enumerate(self.addresses) if i != index}
         self.heard = heard
         self.beaten = beaten  # None: signs of life are not asked for
+        self.counted: Callable[[int, Summary], None] | None = None
         self.stopped = False
         self.lost = 0  # not sent, from nobody known, or not understood
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -50,7 +53,13 @@
     def beat(self, beats: dict[int, Beat]) -> None:
         """Send a sign of life to each of these fronts, or lose it."""
         for front, beat in beats.items():
-            self._send(front, pack_beat(beat))
+            self._send(front, messages.pack_beat(beat))
+
+    def summary(self, said: Summary) -> None:
+        """Tell all other fronts what this one is asked."""
+        raw = messages.pack_summary(said)
+        for front in self.indices.values():
+            self._send(front, raw)
 
     def _send(self, front: int, part: bytes) -> None:
         try:
@@ -78,11 +87,17 @@
                 self.lost += 1
 
     def _take(self, sender: int, raw: bytes) -> bool:
-        if raw[:1] == bytes([BEAT]) and self.beaten is not None:
-            beat = unpack_beat(raw)
+        kind = raw[0] if raw else 0
+        if kind == messages.BEAT and self.beaten is not None:
+            beat = messages.unpack_beat(raw)
             if beat is not None:
                 self.beaten(sender, beat)
             return beat is not None
+        if kind == messages.SUMMARY and self.counted is not None:
+            summary = messages.unpack_summary(raw)
+            if summary is not None:
+                self.counted(sender, summary)
+            return summary is not None
         said = unpack(sender, raw)
         if said is not None:
             self.heard(said)
--- a/fennelcove/program/front.py
+++ b/fennelcove/program/front.py
@@ -10,11 +10,12 @@
 from fennelcove.core.company import CompanyBook
 from fennelcove.core.core import Core
 from fennelcove.core.names import Names
+from fennelcove.core.overload import OverloadBook
 from fennelcove.core.storms import mac
 from fennelcove.core.timers import Timers
 from fennelcove.core.verdicts import Notices
 from fennelcove.decisions.boxes import feeds
-from fennelcove.decisions.fleet import comeback
+from fennelcove.decisions.fleet import burden, comeback
 from fennelcove.decisions.kept.background import Priority
 from fennelcove.decisions.operators.stopping import Act, Cue, Phase, Stopping
 from fennelcove.doors.connection import DoorLimits
@@ -125,6 +126,7 @@
                 self.core.news.fronts = self.front_side
             if self.company is not None:
                 self.company.post = self.front_side.beat
+        self.overload = self._overload()
         times = [round(ms * 1000) for ms in (limits.idle_ms, limits.head_ms, limits.write_ms)]
         self.setups = SetUps(self.core, self.clock, self.joiner, notice)
         self.sockets = SocketDoor(
@@ -163,6 +165,28 @@
             core.memories.entries = found.entries
         return found
 
+    def _overload(self) -> OverloadBook | None:
+        """Off by default: without it each front damps alone, by its own weather."""
+        core, settings, company = self.core, self.settings, self.company
+        if settings.overload is None or not settings.overload.enabled:
+            return None
+        all_fronts = settings.instance.fronts
+        fronts = company.company.living if company is not None else lambda: all_fronts
+        life = self.clock.wall_us() // 1000
+        found = OverloadBook(
+            settings.room_types, fronts, life, core.storms, self.clock, core.chance, core.lock, self.notice
+        )
+        core.shown["overload"] = found.status
+        if self.front_side is not None:
+            found.post, self.front_side.counted = self.front_side.summary, found.hear
+        return found
+
+    def _count(self) -> None:
+        assert self.overload is not None
+        if self.stopping.phase is Phase.RUNNING:
+            self.timers.after(burden.WINDOW_US, self._count)
+            self.overload.window()
+
     def _look(self) -> None:
         assert self.comeback is not None
         with self.core.lock:
@@ -204,6 +228,8 @@
                 side.start()
         if self.company is not None:
             self.timers.after(0, self._beat)
+        if self.overload is not None:
+            self.timers.after(burden.WINDOW_US, self._count)
         self.senders.start()
         self.movers.start()
         self.list_side.start()
--- a/fennelcove/settings/schema.py
+++ b/fennelcove/settings/schema.py
@@ -138,6 +138,13 @@
     kept: Annotated[float, Meta(gt=0, le=1)] = 0.75
 
 
+class OverloadSettings(Strict, frozen=True, kw_only=True):
+    """Fronts tell each other what they are asked and shed load by one ladder; with no `company` each takes
+    the others for its own likes."""
+
+    enabled: bool = True
+
+
 class RecoverySettings(Strict, frozen=True, kw_only=True):
     """Service returns in order: the door opens at once, boxes are asked, a list kept in the store stands in
     for one that does not come, and while most boxes are cold the greater benefit goes first."""
@@ -302,4 +309,5 @@
     shape: ShapeSettings = ShapeSettings()
     company: CompanySettings | None = None
     recovery: RecoverySettings | None = None
+    overload: OverloadSettings | None = None
     watch: ShapeSettings | None = None  # a shape to compare with: its decisions are counted, not carried out
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,144 @@
+"""Shedding as one: summaries merge alike however they come, the ladder is left again, nobody due is passed
+over; and floods against fleets of processes."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from random import Random
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fennelcove import messages
+from fennelcove.day.script import Crowd, Day, read
+from fennelcove.decisions.fleet import burden, shedding
+from fennelcove.decisions.fleet.burden import Burden, Summary, Totals
+from fennelcove.decisions.fleet.shedding import Act, Ladder, Level, Sign
+from fennelcove.decisions.viewers.places import Standing
+from tests.fleetdays import played
+
+WINDOW = burden.WINDOW_US
+
+
+def said(number: int, asked: int, served: int, life: int = 1) -> Summary:
+    return Summary(life, number, ((asked, served, asked - served),))
+
+
+class BurdenTest(unittest.TestCase):
+    @settings(max_examples=100, deadline=None)
+    @given(st.integers(0, 1 << 30))
+    def test_summaries_merge_alike_in_any_order_and_number(self, seed: int) -> None:
+        chance = Random(seed)
+        sent = [
+            (front, said(number, chance.randrange(50), chance.randrange(20), chance.choice((1, 2))))
+            for front in range(1, 5)
+            for number in range(1, 6)
+        ]
+        results = []
+        for _ in range(3):
+            order = sent + chance.sample(sent, 8)
+            chance.shuffle(order)
+            held = Burden(1, 0)
+            for front, summary in order:
+                held.hear(front, summary, 0)
+            results.append({front: held.others[front][0] for front in held.others})
+        self.assertEqual(results[0], results[1])
+        self.assertEqual(results[0], results[2])
+
+    def test_fronts_that_are_not_heard_are_taken_for_ones_own_likes(self) -> None:
+        held = Burden(2, 0)
+        for _ in range(10):
+            held.asked(1)
+        held.advance(WINDOW)
+        self.assertEqual(held.totals(4, WINDOW).rows, ((0, 0, 0), (40, 0, 0)))
+        held.hear(1, Summary(1, 1, ((6, 6, 0), (0, 0, 0))), WINDOW)
+        self.assertEqual(held.totals(4, WINDOW).rows, ((6, 6, 0), (30, 0, 0)))
+        self.assertEqual(held.totals(4, WINDOW + 2 * burden.STALE_US).heard, 0)
+
+    def test_one_that_tells_a_hundred_times_more_is_taken_at_a_bound(self) -> None:
+        held = Burden(1, 0)
+        for _ in range(10):
+            held.asked(0)
+        held.advance(WINDOW)
+        for front, asked in ((1, 10), (2, 12), (3, 1000)):
+            held.hear(front, said(1, asked, 0), WINDOW)
+        self.assertLessEqual(held.totals(4, WINDOW).asked, 10 + 10 + 12 + burden.MOST_TIMES * 11)
+
+    def test_a_summary_survives_its_bytes_and_cut_ones_are_refused(self) -> None:
+        summary = Summary(1 << 40, 9, ((1, 2, 3), (40_000, 5, 6)))
+        raw = messages.pack_summary(summary)
+        self.assertEqual(messages.unpack_summary(raw), summary)
+        self.assertIsNone(messages.unpack(0, raw))
+        for cut in range(len(raw)):
+            self.assertNotEqual(messages.unpack_summary(raw[:cut]), summary)
+
+
+def figures(asked: int, served: int) -> Totals:
+    return Totals(((asked, served, asked - served),), 0)
+
+
+class LadderTest(unittest.TestCase):
+    def test_every_step_has_an_answer_for_everyone_and_passes_whose_time_has_come(self) -> None:
+        for level in Level:
+            for who in Standing:
+                self.assertIn((level, who), shedding.ACTS)
+            self.assertIs(shedding.ACTS[level, Standing.DUE], Act.PASS)
+
+    def test_it_is_climbed_at_once_and_left_again_step_by_step(self) -> None:
+        for worst in (figures(100, 70), figures(100, 45), figures(100, 10)):
+            ladder = Ladder()
+            ladder.window(worst)
+            top = ladder.level
+            self.assertIs(top, shedding.WANTED[shedding.read(worst)])
+            windows = 0
+            while ladder.level is not Level.NONE:
+                ladder.window(figures(100, 99))
+                windows += 1
+            self.assertEqual(windows, top * shedding.FALLS)
+
+    def test_figures_that_waver_do_not_make_it_swing(self) -> None:
+        ladder, chance = Ladder(), Random(4)
+        for _ in range(400):
+            ladder.window(figures(100, chance.choice((55, 65, 80))))
+        self.assertLess(ladder.changes, 12)
+
+    def test_few_requests_say_nothing(self) -> None:
+        self.assertIs(shedding.read(figures(shedding.FEW - 1, 0)), Sign.EASY)
+
+
+SHORT = {"from_s": 5.0, "to_s": 9.0}
+
+
+def short(day: Day) -> Day:
+    """The same in half the time and at half the load, for every change."""
+    crowds = [
+        msgspec.structs.replace(crowd, per_s=crowd.per_s / 2, to_s=14.0) if not crowd.from_s else _peak(crowd)
+        for crowd in day.crowds
+    ]
+    troubles = [msgspec.structs.replace(trouble, at_s=6.0, for_s=2.5) for trouble in day.troubles]
+    boxes = day.boxes[:6]
+    return msgspec.structs.replace(day, crowds=crowds, troubles=troubles, boxes=boxes, seconds=16.0)
+
+
+def _peak(crowd: Crowd) -> Crowd:
+    return msgspec.structs.replace(crowd, per_s=crowd.per_s / 2, **SHORT)
+
+
+class FloodTest(unittest.TestCase):
+    def test_floods_keep_every_rule_and_nothing_stays_collapsed(self) -> None:
+        names = ("flood", "flood-kill", "flood-split", "flood-slow-box")
+        with tempfile.TemporaryDirectory() as folder:
+            found = played({name: short(read(name)) for name in names}, folder, 2)
+        for name, verdict in found.items():
+            with self.subTest(day=name):
+                self.assertEqual(verdict["broken"], [])
+                self.assertEqual(verdict["fleet"]["pushed_over"], 0)
+                # With the crowd gone what is asked is served again, but for those who still come back.
+                last = verdict["fleet"]["seconds"][12:14]
+                self.assertGreater(sum(second["played"] for second in last), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
