--- a/benchmarks/floods.py
+++ b/benchmarks/floods.py
@@ -1,9 +1,9 @@
-"""How a fleet stands a flood: shedding as one, each front damping alone, and nothing, on the same days and seeds.
+"""How a fleet stands a flood: shedding as one, each front damping alone, and nothing; same days and seeds.
 
     python -m benchmarks.floods [--days flood,flood-kill] [--seeds 1,2] [--beside 2]
 
-A process for each day. Prints a row a variant and day, median and range over the seeds: benefit played a second
-while the crowd comes and in the worst 10 s, tries a viewer, joins and datagrams a request, seconds until no
+A process for each day. Prints a row a variant and day, median and range over the seeds: benefit played a
+second while the crowd comes and in the worst 10 s, requests, joins and datagrams for each, seconds until no
 second has more than a twentieth refused, and rules broken.
 """
 
@@ -71,11 +71,13 @@
         for variant in variants:
             rows = [row for job, row in found.items() if job[:2] == (day, variant) and row is not None]
             fleets = [row.fleet for row in rows if row.fleet is not None]
-            crowd = [sum(s.benefit for s in f.seconds[slice(*CROWD)]) / (CROWD[1] - CROWD[0]) for f in fleets]
+            crowds = [sum(s.benefit for s in f.seconds[slice(*CROWD)]) / 8 for f in fleets]
+            least = [worst(row) for row in rows]
             print(
-                f"{day:11} {variant:8} crowd {spread(crowd)}, worst 10 s {spread([worst(row) for row in rows])} "
+                f"{day:11} {variant:8} crowd {spread(crowds)}, worst 10 s {spread(least)} "
                 f"benefit a s; service {spread([row.service for row in rows])}; requests "
-                f"{spread([float(row.requests) for row in rows])}, joins {spread([f.joins for f in fleets])}, "
+                f"{spread([float(row.requests) for row in rows])}, "
+                f"joins {spread([f.joins for f in fleets])}, "
                 f"datagrams {spread([f.datagrams for f in fleets])} a request; settled "
                 f"{spread([row.settled_s or 0.0 for row in rows])} s; rules "
                 f"{sorted({b.rule for row in rows for b in row.broken}) or 'kept'}",
