A title asked for again before a report could tell counts for all other fronts

At fault: send_join counts what this front sends and nothing for the 197 others, who are asked for the same title in the same seconds; reports tell 1 to 4 s later. Change: expect_crowd: where a title is asked for again within a report's time, each of its holders' links is taken to get this front's rate from each other front, shared among the holders, until a report tells. It may do harm where one front alone is asked for a title (a distributor that sticks to titles): its holders then look fuller for one report's time.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -26,6 +26,7 @@
 MARK_US = 10_000_000  # a short-delivery note marks its link full for so long: the design page
 PROBED = 2  # holders probed for a request: of two known ones the better is nearly as good as of all
 ASKED = 8  # cells asked about and answered for at most: a title may lie everywhere, and thousands ask
+MOST_TITLES = 4096
 BLOCK = 4  # cells in a row that one front keeps: a title's lie in a row, and one question serves most
 WHOLE = 0.98  # delivery under this costs benefit: the notes' own bound
 NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
@@ -170,6 +171,7 @@
         self.subs: dict[str, Subscription] = {}
         self.waiting: dict[Subscription, None] = {}
         self.seats: dict[tuple[int, RoomType], int] = {}
+        self.asked_last: dict[int, int] = {}  # when a title was last asked for
         # Settings without a warm-up must not make the first guess of a play nothing: ages are divided by it.
         self.typical_watch_us = float(settings.ramp_us or MARK_US)
         # How many fronts share a cold server, and this one's place among them; a host may know better.
@@ -728,10 +730,22 @@
         self.open_join(sub, server)
         kb = self.rate(sub, rung)
         server.last_join_us = self.now_us
+        self.expect_crowd(sub, kb)
         self.tell_keeper(server.cell, joins=((server.cell, round(kb)),))
         self.effects.set_rung(sub.id, rung)
         self.effects.join(sub.id, server.address, self.allowance(sub))
 
+    def expect_crowd(self, sub: Subscription, kb: float) -> None:
+        """One title asked for here again before any report could tell: the other fronts are asked for it as
+        often, and all together filled its few holders, each front one or two, before one of them heard."""
+        holders = [server for cell in sub.cells for server in self.active(cell)]
+        last_us, self.asked_last[sub.title] = self.asked_last.get(sub.title, -self.normal_us), self.now_us
+        if len(self.asked_last) > MOST_TITLES:
+            del self.asked_last[next(iter(self.asked_last))]
+        if not sub.joins[:-1] and self.now_us - last_us < self.normal_us:
+            for server in holders:
+                server.note_sent(kb * (self.settings.fronts - 1) / len(holders), self.now_us)
+
     def allowance(self, sub: Subscription) -> int:
         """Half of what is left to the join objective, so that another holder can still make it."""
         left_us = sub.taken_us + sub.room.objective_us - self.now_us
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -344,6 +344,23 @@
             self.assertLessEqual(open_turns, pace * tip_us + 1)
             self.assertGreater(open_turns, 0)
 
+    def test_a_title_asked_for_again_before_a_report_counts_for_the_other_fronts(self) -> None:
+        # 198 fronts gave its few holders one or two each before one of them heard of the others.
+        made, _ = front(3, fronts=10)
+        play(made, "a")
+        before = sum(server.link.asked_now() for server in made.servers.values())
+        play(made, "b", title=6)
+        other = sum(server.link.asked_now() for server in made.servers.values())
+        play(made, "c")
+        again = sum(server.link.asked_now() for server in made.servers.values())
+        self.assertGreater(again - other, 3 * (other - before))
+        late, _ = front(3, fronts=10)
+        play(late, "a")
+        first = sum(server.link.asked_now() for server in late.servers.values())
+        late.now_us += 2 * late.normal_us
+        play(late, "b")
+        self.assertLess(sum(server.link.asked_now() for server in late.servers.values()), 3 * first)
+
     def test_a_lost_server_counts_as_cold_before_the_list_says_so(self) -> None:
         made, _ = front()
         play(made)
