--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -26,7 +26,7 @@
 MARK_US = 10_000_000  # a short-delivery note marks its link full for so long: the design page
 PROBED = 2  # holders probed for a request: of two known ones the better is nearly as good as of all
 ASKED = 8  # cells asked about and answered for at most: a title may lie everywhere, and thousands ask
-MOST_TITLES = 4096
+MOST_TITLES, CROWD = 4096, 3
 BLOCK = 4  # cells in a row that one front keeps: a title's lie in a row, and one question serves most
 WHOLE = 0.98  # delivery under this costs benefit: the notes' own bound
 NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
@@ -171,7 +171,7 @@
         self.subs: dict[str, Subscription] = {}
         self.waiting: dict[Subscription, None] = {}
         self.seats: dict[tuple[int, RoomType], int] = {}
-        self.asked_last: dict[int, int] = {}  # when a title was last asked for
+        self.asked_last: dict[int, deque[int]] = {}  # when a title was asked for lately
         # Settings without a warm-up must not make the first guess of a play nothing: ages are divided by it.
         self.typical_watch_us = float(settings.ramp_us or MARK_US)
         # How many fronts share a cold server, and this one's place among them; a host may know better.
@@ -736,13 +736,14 @@
         self.effects.join(sub.id, server.address, self.allowance(sub))
 
     def expect_crowd(self, sub: Subscription, kb: float) -> None:
-        """One title asked for here again before any report could tell: the other fronts are asked for it as
+        """One title asked for here thrice before any report could tell: the other fronts are asked for it as
         often, and all together filled its few holders, each front one or two, before one of them heard."""
         holders = [server for cell in sub.cells for server in self.active(cell)]
-        last_us, self.asked_last[sub.title] = self.asked_last.get(sub.title, -self.normal_us), self.now_us
+        earlier = self.asked_last.setdefault(sub.title, deque(maxlen=CROWD))
+        earlier.append(self.now_us)
         if len(self.asked_last) > MOST_TITLES:
             del self.asked_last[next(iter(self.asked_last))]
-        if not sub.joins[:-1] and self.now_us - last_us < self.normal_us:
+        if not sub.joins[:-1] and len(earlier) == CROWD and self.now_us - earlier[0] < self.normal_us:
             for server in holders:
                 server.note_sent(kb * (self.settings.fronts - 1) / len(holders), self.now_us)
 
