--- a/benchmarks/floods.py
+++ b/benchmarks/floods.py
@@ -14,9 +14,8 @@
 
 import msgspec
 
-from benchmarks.power import spread
-from fennelcove.day.judge import Verdict, judge
-from fennelcove.day.player import DayFailed, DayPlayer
+from benchmarks.power import played, spread
+from fennelcove.day.judge import Verdict
 from fennelcove.day.script import Day, read
 from fennelcove.settings.schema import StormSettings
 
@@ -39,13 +38,9 @@
 
 
 def play(job: tuple[str, str, int]) -> Verdict | None:
-    """One day; None where it could not be played."""
+    """A day by its name, in one of the variants."""
     day, variant, seed = job
-    try:
-        return judge(DayPlayer(VARIANTS[variant](read(day)), seed).play())
-    except DayFailed as error:
-        print(f"{job}: {error}", flush=True)
-        return None
+    return played(VARIANTS[variant](read(day)), seed)
 
 
 def worst(verdict: Verdict) -> float:
--- a/benchmarks/power.py
+++ b/benchmarks/power.py
@@ -53,16 +53,21 @@
     return sum(second.benefit for second in verdict.fleet.seconds[at : at + 30]) / 30
 
 
-def play(job: tuple[str, str, int]) -> Verdict | None:
-    """One day; None where it could not be played."""
-    day, variant, seed = job
+def played(day: Day, seed: int) -> Verdict | None:
+    """One day's verdict; None where it could not be played."""
     try:
-        return judge(DayPlayer(VARIANTS[variant](read(day)), seed).play())
+        return judge(DayPlayer(day, seed).play())
     except DayFailed as error:
-        print(f"{job}: {error}", flush=True)
+        print(f"{day.name}, seed {seed}: {error}", flush=True)
         return None
 
 
+def play(job: tuple[str, str, int]) -> Verdict | None:
+    """A day by its name, in one of the variants."""
+    day, variant, seed = job
+    return played(VARIANTS[variant](read(day)), seed)
+
+
 def main() -> None:
     """All of it."""
     parser = argparse.ArgumentParser()
--- a/fennelcove/core/comeback.py
+++ b/fennelcove/core/comeback.py
@@ -101,8 +101,9 @@
 
     def look(self, now_us: int) -> None:
         """Move on by time, and by how many places are cold."""
-        if now_us - self.looked_us < LOOK_US and self.state.left_us(now_us) > 0:
-            return
+        due = self.state.phase is not Phase.OPEN and self.state.left_us(now_us) == 0
+        if now_us - self.looked_us < LOOK_US and not due:
+            return  # counted anew for each request, a fleet's boxes would cost more than its answer
         self.looked_us, self.front.now_us = now_us, now_us
         cold = places = 0
         for server in self.front.servers.values():
--- a/fennelcove/day/fronts.py
+++ b/fennelcove/day/fronts.py
@@ -208,9 +208,13 @@
     def kill(self) -> None:
         """End it without warning, and look at what it leaves."""
         if self.strike():
-            assert self.process is not None
-            self.process.wait()
-            self.check_store()
+            self.bury()
+
+    def bury(self) -> None:
+        """Wait for the end of one that was struck, and look at what it leaves."""
+        assert self.process is not None
+        self.process.wait()
+        self.check_store()
 
     def strike(self) -> bool:
         """Kill it and wait for nothing; whether it ran."""
--- a/fennelcove/day/troubles.py
+++ b/fennelcove/day/troubles.py
@@ -82,10 +82,8 @@
         if trouble.what == "front-restart":
             side_by_side([front.stop for front in some])
         else:
-            for front in some:
-                front.strike()
-            for front in some:
-                front.kill()
+            for front in [front for front in some if front.strike()]:
+                front.bury()
         self.leaving.wait(trouble.for_s)
         if not self.leaving.is_set():
             side_by_side([front.start for front in some])
@@ -124,10 +122,7 @@
             box.die()
             self.rig.shut(box.address)
         for front in struck:
-            front.kill()
-            assert front.process is not None
-            front.process.wait()
-            front.check_store()
+            front.bury()
         if power.lists_before:
             self.rig.lists.forget()
         else:
