Last read: one age of memories, holders gathered only for a crowd, recovery's terms handed in

trust and recovery each held the age past which memories say nothing and the error of two clocks: recovery takes trust's. expect_crowd gathered a title's holders at every join and used them at few. ComebackBook asked at each request whether it had settings, without which it is never made. trust's text named a list's version as evidence, which nothing reads.

--- a/fennelcove/core/comeback.py
+++ b/fennelcove/core/comeback.py
@@ -14,7 +14,7 @@
 from fennelcove.decisions.fleet.ration import LEAST_WAIT_US, Ration
 from fennelcove.interface import Effect, ListEntry, ListMode, ListUpdate, Standing
 from fennelcove.rules import Front
-from fennelcove.settings.schema import FrontSettings
+from fennelcove.settings.schema import FrontSettings, RecoverySettings
 
 LOOK_US = 250_000  # how often it is counted how many places are cold
 AGAIN_US = 1_000_000  # and up to as much again, so that not all fronts ask a box at once
@@ -32,13 +32,14 @@
     def __init__(
         self,
         settings: FrontSettings,
+        told: RecoverySettings,
         front: Front,
         book: BoxBook,
         clock: Clock,
         chance: Random,
         notice: Notices,
     ) -> None:
-        self.told = settings.recovery
+        self.told = told
         self.front = front
         self.book = book
         self.clock = clock
@@ -75,7 +76,7 @@
         wait_us: int | None = LEAST_WAIT_US
         if let is Let.RATIONED:
             pace = self._pace(ask.title)
-            if pace is None or self.told is None or not self.told.by_benefit:
+            if pace is None or not self.told.by_benefit:
                 return None
             wait_us = self.ration.ask(
                 ask.title, room.benefit, pace, self.most_us, now_us, self.chance.random()
@@ -162,7 +163,7 @@
 
     def stand_in(self) -> None:
         """No list has come for a while: the boxes of the last one are asked, and those that answer count."""
-        if not self.kept or self.entries or self.told is None or not self.told.kept_list:
+        if not self.kept or self.entries or not self.told.kept_list:
             return
         self.stands_in = True
         self.notice("kept_list", boxes=len(self.kept))
--- a/fennelcove/decisions/fleet/trust.py
+++ b/fennelcove/decisions/fleet/trust.py
@@ -7,8 +7,8 @@
 keys and places, stands by its own time whatever died.
 
 That a whole fleet was lost is told by evidence, never by a flag: boxes whose processes began after the last
-word of the folder, other fronts in new lives, a list whose version went back. A folder that others know a
-later life than is not the newest: it was restored from a copy.
+word of the folder, other fronts in new lives. A folder that others know a later life than is not the newest:
+it was restored from a copy.
 """
 
 from __future__ import annotations
--- a/fennelcove/decisions/kept/recovery.py
+++ b/fennelcove/decisions/kept/recovery.py
@@ -16,8 +16,8 @@
 import msgspec
 from msgspec import Struct
 
-KEPT_US = 600_000_000  # past it what a box did says nothing
-SAME_LIFE_US = 1_500_000  # two accounts of one start differ by a list's and a clock's error
+from fennelcove.decisions.fleet.trust import KEPT_US, SLACK_US
+
 MOST_TIMES = 4096
 
 
@@ -144,9 +144,9 @@
     if started_us is None:
         return Verdict.NOT_LISTED, None
     newest_us = memory.heard_us
-    if newest_us > wall_us + SAME_LIFE_US:
+    if newest_us > wall_us + SLACK_US:
         return Verdict.CLOCK_BACK, None
-    if started_us > memory.started_us + SAME_LIFE_US and started_us > newest_us:
+    if started_us > memory.started_us + SLACK_US and started_us > newest_us:
         return Verdict.NEW_LIFE, None
     if wall_us - newest_us > KEPT_US:
         return Verdict.TOO_OLD, None
--- a/fennelcove/program/front.py
+++ b/fennelcove/program/front.py
@@ -153,15 +153,16 @@
     def _comeback(self) -> ComebackBook | None:
         """Off by default: without it who asks waits at the door until the front knows what it holds."""
         core, settings = self.core, self.settings
-        if settings.recovery is None:
+        told = settings.recovery
+        if told is None:
             return None
-        found = ComebackBook(settings, core.front, core.book, self.clock, core.chance, self.notice)
+        found = ComebackBook(settings, told, core.front, core.book, self.clock, core.chance, self.notice)
         core.gates.insert(0, found.before)
         core.hear_list = found.hear_list
         core.shown["comeback"] = found.status
         found.listed, found.opened = core.memories.listed, core.seats.opened
         found.kept = core.memories.last_list()
-        if settings.recovery.kept_list:
+        if told.kept_list:
             core.memories.entries = found.entries
         return found
 
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -738,12 +738,12 @@
     def expect_crowd(self, sub: Subscription, kb: float) -> None:
         """One title asked for here thrice before any report could tell: the other fronts are asked for it as
         often, and all together filled its few holders, each front one or two, before one of them heard."""
-        holders = [server for cell in sub.cells for server in self.active(cell)]
         earlier = self.asked_last.setdefault(sub.title, deque(maxlen=CROWD))
         earlier.append(self.now_us)
         if len(self.asked_last) > MOST_TITLES:
             del self.asked_last[next(iter(self.asked_last))]
         if not sub.joins[:-1] and len(earlier) == CROWD and self.now_us - earlier[0] < self.normal_us:
+            holders = [server for cell in sub.cells for server in self.active(cell)]
             for server in holders:
                 server.note_sent(kb * (self.settings.fronts - 1) / len(holders), self.now_us)
 
