A server whose path is silent keeps what stands there; a refused dial proves its end

Each failed dial by its error: at 7 to 9 s, when the zone died, 2,979 were refused; at 17 to 21 s, when a zone was only cut off, 4,100 timed out and none was refused. At fault: Desk.dial_failed took any two failed dials for the end of the server. Change: decisions/boxes/parting.py, a table: refused twice, it is gone; silent, it is given up when the board drops it or 7 s after its last sign of life (a viewer must hear of an end within 8 s).

--- a/fennelcove/node/desk.py
+++ b/fennelcove/node/desk.py
@@ -13,6 +13,7 @@
 
 from fennelcove.clock import Clock
 from fennelcove.core.timers import Timers
+from fennelcove.decisions.boxes.parting import Dial
 from fennelcove.facts import load_report
 from fennelcove.interface import (
     Event,
@@ -40,7 +41,6 @@
 QUIET_US = 1_500_000  # a link with something playing behind it is asked for a sign of life after so long,
 SILENT_US = 1_500_000  # and taken for dead when none has come after so long again
 DIAL_AGAIN_US = 300_000
-DIALS = 2  # failed in a row say that a server is gone: its sessions are, and their viewers must hear
 EARLY_US = 2_000_000  # what servers say of sessions that their viewers have not named yet is kept so long,
 MOST_EARLY = 4_096  # of so many sessions,
 MOST_EARLY_EACH = 8  # and so much of each
@@ -250,11 +250,18 @@
             if not server.links:
                 del self.servers[server.name]
 
-    def dial_failed(self, server: Server) -> None:
-        """A connection could not be made: once may be chance; again in a row, what played there is over."""
-        server.dials_failed += 1
+    def dial_failed(self, server: Server, refused: bool) -> None:
+        """A connection could not be made."""
+        server.parting.dialled(Dial.REFUSED if refused else Dial.SILENT, self.now_us())
         server.dial_at_us = self.now_us() + DIAL_AGAIN_US
-        if server.dials_failed >= DIALS and not any(link.phase is Phase.OPEN for link in server.links):
+        self.part(server)
+
+    def part(self, server: Server) -> None:
+        """End what stands at a server that is gone: its viewers must hear."""
+        if any(link.phase is Phase.OPEN for link in server.links):
+            return
+        # Taken for gone after two dials that timed out, a zone that was only cut off lost all its viewers.
+        if server.parting.over(server.listed, self.now_us()):
             self.cut(server)
 
     def cut(self, server: Server) -> None:
@@ -298,6 +305,8 @@
                     link.close(Outcome.CONNECTION_LOST)
                 elif quiet_us > QUIET_US and server.standing and link.tested_us is None:
                     link.test()
+            if server.standing:
+                self.part(server)
             # The end of what plays there comes on any open link, or on the next that is opened.
             if (server.standing or server.unsent) and not server.links and now_us >= server.dial_at_us:
                 # A dial would reach the one that came in its place, whose signs of life say nothing of it.
--- a/fennelcove/node/links.py
+++ b/fennelcove/node/links.py
@@ -13,6 +13,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from fennelcove.decisions.boxes.parting import Dial
 from fennelcove.interface import Outcome
 from fennelcove.isup import writer
 from fennelcove.isup.messages import Cause, Code, Kind, ProtocolError
@@ -142,6 +143,7 @@
             reader.feed(data)
             with self.desk.lock:
                 self.heard_us, self.tested_us = self.desk.now_us(), None
+                self.server.parting.heard(self.heard_us)
                 while self.phase is Phase.OPEN and (message := reader.next()) is not None:
                     self.desk.hear(self, message)
 
@@ -153,17 +155,17 @@
             sock.connect((address.host, address.port))
             sock.settimeout(None)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError:
+        except OSError as error:
             sock.close()
             with self.desk.lock:
                 if self.phase is Phase.DIALLING:
                     self.close(Outcome.NO_CONNECTION)
-                    self.desk.dial_failed(self.server)
+                    self.desk.dial_failed(self.server, isinstance(error, ConnectionRefusedError))
             return None
         with self.desk.lock:
             if self.phase is Phase.DIALLING:
-                self.phase, self.sock, self.server.dials_failed = Phase.OPEN, sock, 0
-                self.heard_us = self.desk.now_us()
+                self.phase, self.sock, self.heard_us = Phase.OPEN, sock, self.desk.now_us()
+                self.server.parting.dialled(Dial.MADE, self.heard_us)
                 while self.server.unsent:
                     self.send(self.server.unsent.popleft())
                 if self.carried is not None:
--- a/fennelcove/node/parties.py
+++ b/fennelcove/node/parties.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from fennelcove.decisions.boxes.parting import Parting
 from fennelcove.interface import LoadReport, Outcome
 from fennelcove.node.address import Address
 
@@ -68,5 +69,5 @@
     # What could not be sent for want of an open link; the next one that opens takes it along.
     unsent: deque[bytes] = field(default_factory=lambda: deque(maxlen=256))
     seen: Counter[Outcome] = field(default_factory=Counter)  # how joins and what they started ended here
-    dials_failed: int = 0
+    parting: Parting = field(default_factory=Parting)
     dial_at_us: int = 0  # not before, while dials fail
--- a/tests/test_node_desk.py
+++ b/tests/test_node_desk.py
@@ -186,6 +186,53 @@
         self.assertIn(b"Reason: cause=41", self.viewer.said[-1])
         self.assertEqual(self.desk.links, 0)
 
+    def test_a_server_that_is_only_cut_off_keeps_what_stands_there(self) -> None:
+        # Two dials that timed out passed for a death: 571 viewers of a zone that was cut off were sent away.
+        link, _ = self.link()
+        sub = self.set_up()
+        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        server = self.desk.servers["s0"]
+        server.parting.heard(self.desk.now_us())
+        link.close(Outcome.CONNECTION_LOST)
+        server.dial_at_us = 1 << 62
+        for _ in range(3):
+            self.desk.dial_failed(server, refused=False)
+        server.dial_at_us = 1 << 62
+        self.clock.advance(6_900_000)
+        self.desk.round()
+        self.assertIs(sub.state, State.STANDING)
+        self.clock.advance(200_000)
+        self.desk.round()
+        self.assertIs(sub.state, State.OVER)
+
+    def test_a_server_whose_machine_refuses_is_gone(self) -> None:
+        link, _ = self.link()
+        sub = self.set_up()
+        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        server = self.desk.servers["s0"]
+        server.parting.heard(self.desk.now_us())
+        link.close(Outcome.CONNECTION_LOST)
+        self.desk.dial_failed(server, refused=True)
+        self.assertIs(sub.state, State.STANDING)
+        self.desk.dial_failed(server, refused=True)
+        self.assertIs(sub.state, State.OVER)
+
+    def test_a_server_off_the_list_that_is_silent_is_gone(self) -> None:
+        link, _ = self.link()
+        sub = self.set_up()
+        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        server = self.desk.servers["s0"]
+        server.parting.heard(self.desk.now_us())
+        link.close(Outcome.CONNECTION_LOST)
+        for _ in range(2):
+            self.desk.dial_failed(server, refused=False)
+        server.dial_at_us = 1 << 62
+        self.assertIs(sub.state, State.STANDING)
+        for told in Board.parse({"rev": 2, "notices": [notice(2, [{**HOST, "health": "removed"}])]}).notices:
+            self.desk.board_says(told)
+        self.desk.round()
+        self.assertIs(sub.state, State.OVER)
+
     def test_a_node_that_ends_answers_what_is_open(self) -> None:
         _, far = self.link()
         self.set_up()
