--- a/fennelcove/core/core.py
+++ b/fennelcove/core/core.py
@@ -106,6 +106,7 @@
         self.ended: OrderedDict[str, str] = OrderedDict()
         self.lists: ListSource
         self.counts: dict[str, int] = {}
+        self.may_join_again: Callable[[], bool] = lambda: True
         self.gates: list[Callable[[Ask, int], Answered | None]] = []  # who is refused at the door, in order
         self.hear_list: Callable[[ListUpdate], ListUpdate] = lambda update: update
         self.shown: dict[str, Callable[[], object]] = {}  # figures of others that belong into the status
@@ -438,7 +439,7 @@
         session.out = place
         session.joins += 1
         self.tally("joins")
-        blocked = not self.storms.enter(server)
+        blocked = not ((session.joins < 2 or self.may_join_again()) and self.storms.enter(server))
         session.out_sent_us = -1 if blocked else self.clock.now_us()
         if session.home is not None:
             self.moves.send(SendJoin(session, place.join, server, session.out_rung, allow_us, blocked))
--- a/fennelcove/core/news.py
+++ b/fennelcove/core/news.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
 from fennelcove.core.verdicts import Session
@@ -33,6 +34,7 @@
         self.decided = threading.Condition(core.lock)
         self.probes: Probes | None = None
         self.fronts: Fronts | None = None
+        self.may_probe: Callable[[], bool] = lambda: True
 
     def wait(self, session: Session) -> None:
         """The module may hold a request while it asks; past its time it decides by what it knows."""
@@ -52,7 +54,7 @@
     def probe(self, box: str) -> None:
         """Ask this box for its load."""
         self.core.tally("probes")
-        if self.probes is None or not self.probes.ask(box):
+        if self.probes is None or not self.may_probe() or not self.probes.ask(box):
             # Told later: the module is in the middle of a step.
             failed = Probed(box, Outcome.NOT_SENT, 0, None)
             self.core.timers.after(0, lambda: self.probed(failed))
--- /dev/null
+++ b/fennelcove/decisions/fleet/budgets.py
@@ -0,0 +1,200 @@
+"""One budget of the whole fleet for each thing that adds up, split among its fronts and lent by the idle.
+
+Every front has an equal part of the whole, counted by the fronts that there may be, heard or not. A busy one
+asks others for more; whoever has some to spare lends it for a stated time and goes without it for longer than
+the borrower may use it: the borrower counts from when it asked, by its own clock, the lender from when it
+heard. So the parts never add up to more than the whole, whether messages are lost, doubled, late or cut off
+by a partition: what is lost is spent by nobody. A front in a new life does not know what its last one lent,
+and until that has lapsed it has only the part that is never lent; what its last life borrowed is not its own.
+
+In any time all fronts together spend at most the whole for so long, what may be saved up, and one for each
+life that began.
+
+Times are in microseconds of one front's monotonic clock, rates in things a second.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import IntEnum
+from math import ceil, exp
+
+LOAN_US = 2_000_000
+DRIFT = 0.05  # by how much two clocks may differ in pace
+KEPT = 0.1  # of its part, what a front never lends: a new life has that at once
+SPARE = 0.25  # of what it needs, what a lender keeps beside it
+SAVED_S = 0.5  # of its rate, what may be saved up; one thing at least
+NEED_US = 2_000_000  # over which need is counted
+ASK_US = 500_000  # how often a busy front asks
+MOST_ASKED = 8  # others at a time
+MOST_SENT = 32
+
+
+class Thing(IntEnum):
+    """What adds up."""
+
+    FURTHER_JOIN = 0
+    PROBE = 1
+    LIST_CALL = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A front asks another for so much more of a thing."""
+
+    life: int
+    number: int  # of this ask in this life
+    thing: Thing
+    rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class Loan:
+    """The answer: so much, from when the ask of this number was sent."""
+
+    life: int  # the borrower's
+    number: int
+    thing: Thing
+    rate: float
+
+
+@dataclass(slots=True)
+class Lent:
+    """What is out, with one peer."""
+
+    rate: float
+    until_us: int
+    ask: tuple[int, int]  # the life and number it answers: a doubled ask is the same loan
+
+
+@dataclass(slots=True)
+class Purse:
+    """One front's part of one thing. The caller hands in times and chance, and carries messages."""
+
+    thing: Thing
+    whole: float
+    fronts: int
+    index: int
+    life: int
+    now_us: int
+    born_us: int = 0
+    tokens: float = 1.0  # a front that starts must not wait for its first list
+    need: float = 0.0
+    number: int = 0
+    asked_us: int = -ASK_US
+    sent: OrderedDict[int, tuple[int, Ask, int]] = field(default_factory=OrderedDict)  # unanswered
+    lent: dict[int, Lent] = field(default_factory=dict)
+    borrowed: dict[int, tuple[float, int]] = field(default_factory=dict)
+    spent: int = 0
+    denied: int = 0
+
+    def __post_init__(self) -> None:
+        self.born_us = self.now_us
+
+    @property
+    def part(self) -> float:
+        """The equal share."""
+        return self.whole / self.fronts
+
+    @property
+    def wary_until_us(self) -> int:
+        """Until then a last life's loans may still be spent by others."""
+        return self.born_us + round(LOAN_US * (1 + DRIFT) ** 2)
+
+    def rate(self, now_us: int) -> float:
+        """What this front may spend a second now, saved things apart."""
+        lent = sum(loan.rate for loan in self.lent.values() if now_us < loan.until_us)
+        own = self.part * KEPT if now_us < self.wary_until_us else self.part - lent
+        return own + sum(rate for rate, until_us in self.borrowed.values() if now_us < until_us)
+
+    def advance(self, now_us: int) -> None:
+        """Time passes; each loan counts for as long as it lasts, however seldom this is called."""
+        ends = [self.wary_until_us, *(loan.until_us for loan in self.lent.values())]
+        ends += [until_us for _, until_us in self.borrowed.values()]
+        at_us = self.now_us
+        for end_us in [*sorted(end for end in ends if at_us < end < now_us), now_us]:
+            self.tokens += self.rate(at_us) * max(0, end_us - at_us) / 1e6
+            at_us = max(at_us, end_us)
+        # Saved up by a loan and spent after its end, things would come on top of the lender's.
+        self._cap(now_us)
+        self.need *= exp(-max(0, now_us - self.now_us) / NEED_US)
+        self.now_us = max(self.now_us, now_us)
+        self.lent = {peer: loan for peer, loan in self.lent.items() if now_us < loan.until_us}
+        self.borrowed = {peer: loan for peer, loan in self.borrowed.items() if now_us < loan[1]}
+
+    def _cap(self, now_us: int) -> None:
+        self.tokens = min(self.tokens, max(1.0, SAVED_S * self.rate(now_us)))
+
+    def take(self, now_us: int) -> bool:
+        """One more is wanted; whether it may be."""
+        self.advance(now_us)
+        self.need += 1e6 / NEED_US
+        if self.tokens < 1:
+            self.denied += 1
+            return False
+        self.tokens -= 1
+        self.spent += 1
+        return True
+
+    def wait_us(self, now_us: int) -> int:
+        """How long until the next may be, as things stand; at most a loan's time, then ask again."""
+        self.advance(now_us)
+        missing = 1 - self.tokens
+        rate = self.rate(now_us)
+        return 0 if missing <= 0 else round(min(LOAN_US, missing / rate * 1e6 if rate > 0 else LOAN_US))
+
+    def ask(self, draw: float, now_us: int) -> list[tuple[int, Ask]]:
+        """Whom to ask for more now, if anybody: others by chance, so that the idle are found by and by, as
+        many as would do if each lent all that it may."""
+        self.advance(now_us)
+        short = self.need - self.rate(now_us)
+        if self.fronts < 2 or short <= 0 or now_us < self.asked_us + ASK_US:
+            return []
+        self.asked_us = now_us
+        many = min(MOST_ASKED, self.fronts - 1, ceil(short / (self.part * (1 - KEPT))))
+        # Asked again under the same number, one whose answer was lost does not lend twice: a third of all
+        # messages lost cost a third of what had been lent.
+        found = [(to, said) for to, said, at_us in self.sent.values() if now_us - at_us < LOAN_US // 2]
+        first = int(draw * (self.fronts - 1))
+        for step in range(many - len(found)):
+            other = (self.index + 1 + (first + step) % (self.fronts - 1)) % self.fronts
+            self.number += 1
+            said = Ask(self.life, self.number, self.thing, short)
+            self.sent[self.number] = other, said, now_us
+            found.append((other, said))
+        while len(self.sent) > MOST_SENT:
+            self.sent.popitem(last=False)
+        return found[:many]
+
+    def hear_ask(self, sender: int, ask: Ask, now_us: int) -> Loan | None:
+        """Another asks: what it is lent."""
+        self.advance(now_us)
+        if now_us < self.wary_until_us or sender == self.index or not 0 <= sender < self.fronts:
+            return None
+        known = self.lent.get(sender)
+        if known is not None:
+            # One loan to each at a time. The same ask again is the same loan; another waits for its end.
+            same = known.ask == (ask.life, ask.number)
+            return Loan(ask.life, ask.number, ask.thing, known.rate) if same else None
+        lent = sum(loan.rate for loan in self.lent.values())
+        spare = self.part * (1 - KEPT) - lent - self.need * (1 + SPARE)
+        rate = min(spare, ask.rate)
+        if rate <= 0:
+            return None
+        until_us = now_us + round(LOAN_US * (1 + DRIFT))
+        # What is lent is given up before it is told, with what was saved of it.
+        self.lent[sender] = Lent(rate, until_us, (ask.life, ask.number))
+        self._cap(now_us)
+        return Loan(ask.life, ask.number, ask.thing, rate)
+
+    def hear_loan(self, sender: int, loan: Loan, now_us: int) -> None:
+        """Another lends. Late or doubled, it counts from the ask that it answers."""
+        self.advance(now_us)
+        asked = self.sent.get(loan.number)
+        if loan.life != self.life or asked is None or asked[0] != sender:
+            return
+        del self.sent[loan.number]
+        until_us = asked[2] + LOAN_US
+        if now_us < until_us:
+            self.borrowed[sender] = (min(loan.rate, asked[1].rate), until_us)
--- /dev/null
+++ b/fennelcove/decisions/fleet/watchers.py
@@ -0,0 +1,142 @@
+"""Who watches a box, how often, and when its watchers' words amount to its being gone.
+
+A box is watched by a few fronts, chosen by a rendezvous hash over the fronts taken to live; the others hear.
+So what a box sees of probes grows with its trouble, not with the fleet. A front whose own path is bad can
+shut a box for itself alone: gone, for all, is what a stated number of watchers say, by words that are young.
+Fronts that disagree on who lives may have more watchers for a box for a while, never fewer living ones than
+each of them counts. Times are in microseconds.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from hashlib import blake2b
+
+WATCHERS = 3
+AGREED = 2  # watchers whose word makes a box gone for all
+CALM_US = 4_000_000  # between two probes of one watcher while a box is well
+DOUBT_US = 500_000
+MOST_US = 8_000_000
+WORD_US = 6_000_000  # a word older than this says nothing; a watcher repeats its own at every probe
+MOST_BOXES = 10_000
+
+
+class Sight(Enum):
+    """What one watcher makes of a box."""
+
+    WELL = auto()
+    DOUBTED = auto()  # one probe has failed: asked again soon
+    ILL = auto()
+
+
+class Seen(Enum):
+    """How a probe ended."""
+
+    ANSWERED = auto()
+    FAILED = auto()
+
+
+TABLE: dict[tuple[Sight, Seen], Sight] = {
+    **{(sight, Seen.ANSWERED): Sight.WELL for sight in Sight},
+    (Sight.WELL, Seen.FAILED): Sight.DOUBTED,
+    (Sight.DOUBTED, Seen.FAILED): Sight.ILL,
+    (Sight.ILL, Seen.FAILED): Sight.ILL,
+}
+
+
+def weight(box: str, front: int) -> bytes:
+    """By what fronts are ranked for a box; alike in every process."""
+    return blake2b(f"{box}\0{front}".encode(), digest_size=8).digest()
+
+
+def chosen(box: str, living: Iterable[int], most: int = WATCHERS) -> tuple[int, ...]:
+    """The watchers of a box among the fronts that live."""
+    return tuple(sorted(living, key=lambda front: (weight(box, front), front))[:most])
+
+
+@dataclass(slots=True)
+class Watch:
+    """One front's watch of one box, and what the box's other watchers say of it."""
+
+    sight: Sight = Sight.WELL
+    gap_us: int = CALM_US
+    due_us: int = 0
+    words: dict[int, tuple[bool, int, int]] = field(default_factory=dict)  # ill, number, when heard
+
+
+class Watchers:
+    """All boxes of one front. The caller hands in times, chance and who lives, and carries words."""
+
+    def __init__(self, index: int, fronts: int) -> None:
+        self.index = index
+        self.fronts = fronts
+        self.boxes: OrderedDict[str, Watch] = OrderedDict()
+        self.number = 0
+
+    def _of(self, box: str) -> Watch:
+        found = self.boxes.get(box)
+        if found is None:
+            found = self.boxes[box] = Watch()
+            if len(self.boxes) > MOST_BOXES:
+                self.boxes.popitem(last=False)
+        self.boxes.move_to_end(box)
+        return found
+
+    def due(self, boxes: Iterable[str], living: Iterable[int], draw: float, now_us: int) -> list[str]:
+        """The boxes that this front should probe now."""
+        here = sorted(set(living) | {self.index})
+        found = []
+        for box in boxes:
+            if self.index not in chosen(box, here):
+                continue
+            watch = self._of(box)
+            if not watch.due_us:
+                # A watch that begins is spread over its gap: after a partition all would begin at once.
+                watch.due_us = now_us + round(draw * DOUBT_US)
+            if now_us >= watch.due_us:
+                watch.due_us = now_us + watch.gap_us
+                found.append(box)
+        return found
+
+    def probed(self, box: str, seen: Seen, now_us: int) -> tuple[bool, int]:
+        """A probe has ended; the word to tell the other fronts: whether the box is ill, and its number."""
+        watch = self._of(box)
+        watch.sight = TABLE[watch.sight, seen]
+        if watch.sight is Sight.WELL:
+            watch.gap_us = CALM_US
+        elif watch.sight is Sight.DOUBTED:
+            watch.gap_us = DOUBT_US
+        else:
+            watch.gap_us = min(2 * watch.gap_us, MOST_US)
+        watch.due_us = min(watch.due_us, now_us + watch.gap_us) if seen is Seen.FAILED else watch.due_us
+        self.number += 1
+        word = (watch.sight is Sight.ILL, self.number, now_us)
+        watch.words[self.index] = word
+        return word[0], word[1]
+
+    def hear(self, sender: int, box: str, ill: bool, number: int, now_us: int) -> None:
+        """Another front's word; one that is doubled or overtaken says nothing."""
+        if not 0 <= sender < self.fronts or sender == self.index:
+            return
+        watch = self._of(box)
+        known = watch.words.get(sender)
+        if known is None or number > known[1] or now_us - known[2] > WORD_US:
+            watch.words[sender] = (ill, number, now_us)
+
+    def gone(self, box: str, living: Iterable[int], now_us: int) -> bool:
+        """Whether enough of the box's watchers say so."""
+        watch = self.boxes.get(box)
+        if watch is None:
+            return False
+        here = set(living) | {self.index}
+        entitled = chosen(box, here)
+        words = {
+            front: ill
+            for front, (ill, _, heard_us) in watch.words.items()
+            if front in entitled and now_us - heard_us <= WORD_US
+        }
+        # With fewer fronts alive than have to agree, all of them have to.
+        return sum(words.values()) >= min(AGREED, len(entitled))
--- a/fennelcove/messages.py
+++ b/fennelcove/messages.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 import struct
 
+from fennelcove.decisions.fleet.budgets import Ask, Loan, Thing
 from fennelcove.decisions.fleet.burden import Summary
 from fennelcove.decisions.fleet.company import Beat
 from fennelcove.interface import CellLoad, PeerSays
@@ -11,7 +13,7 @@
 MOST_BYTES = 256
 MOST_CELLS = 1 << 16  # a cell is two bytes
 # First byte of a message: cells asked about, loads known, joins sent, a sign of life, what is asked.
-ASKS, LOADS, JOINS, BEAT, SUMMARY = 1, 2, 3, 4, 5
+ASKS, LOADS, JOINS, BEAT, SUMMARY, ASK, LOAN = 1, 2, 3, 4, 5, 6, 7
 CELL = struct.Struct(">H")
 LOAD = struct.Struct(">HBBB")  # cell, link and uplink in hundredths, age in tenths of a second
 JOIN = struct.Struct(">HH")  # cell, kB a second
@@ -21,6 +23,8 @@
 SIGN = struct.Struct(">BQIQIB")
 COUNTED = struct.Struct(">BQI")  # kind, life, number; then a row for each room type
 ROW = struct.Struct(">HHH")
+SPARED = struct.Struct(">BQIBd")  # kind, the asker's life, number of the ask, thing, things a second
+THINGS = frozenset(Thing)
 MOST_ROWS = (MOST_BYTES - COUNTED.size) // ROW.size
 MOST_GONE = (MOST_BYTES - SIGN.size) // CELL.size
 
@@ -105,3 +109,19 @@
     _, life, number = COUNTED.unpack_from(raw)
     rows = tuple((asked, served, turned) for asked, served, turned in ROW.iter_unpack(raw[COUNTED.size :]))
     return Summary(life, number, rows)
+
+
+def pack_budget(said: Ask | Loan) -> bytes:
+    """An ask for more of a thing, or its answer."""
+    kind = ASK if isinstance(said, Ask) else LOAN
+    return SPARED.pack(kind, said.life, said.number, said.thing, said.rate)
+
+
+def unpack_budget(raw: bytes) -> Ask | Loan | None:
+    """An ask or a loan; None where it is malformed."""
+    if len(raw) != SPARED.size or raw[0] not in (ASK, LOAN):
+        return None
+    kind, life, number, thing, rate = SPARED.unpack(raw)
+    if thing not in THINGS or not math.isfinite(rate) or rate <= 0:
+        return None
+    return (Ask if kind == ASK else Loan)(life, number, Thing(thing), rate)
--- a/fennelcove/peers/fronts.py
+++ b/fennelcove/peers/fronts.py
@@ -6,6 +6,7 @@
 import threading
 from collections.abc import Callable, Sequence
 
+from fennelcove.decisions.fleet.budgets import Ask, Loan
 from fennelcove.decisions.fleet.burden import Summary
 from fennelcove.decisions.fleet.company import Beat
 from fennelcove.interface import PeerSays
@@ -30,6 +31,7 @@
         self.heard = heard
         self.beaten = beaten  # None: signs of life are not asked for
         self.counted: Callable[[int, Summary], None] | None = None
+        self.spared: Callable[[int, Ask | Loan], None] | None = None
         self.stopped = False
         self.lost = 0  # not sent, from nobody known, or not understood
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -61,6 +63,10 @@
         for front in self.indices.values():
             self._send(front, raw)
 
+    def spare(self, front: int, said: Ask | Loan) -> None:
+        """Ask another front for a part of its budget, or lend of this one's."""
+        self._send(front, messages.pack_budget(said))
+
     def _send(self, front: int, part: bytes) -> None:
         try:
             self.sock.sendto(part, self.addresses[front])
@@ -98,6 +104,11 @@
             if summary is not None:
                 self.counted(sender, summary)
             return summary is not None
+        if kind in (messages.ASK, messages.LOAN) and self.spared is not None:
+            spared = messages.unpack_budget(raw)
+            if spared is not None:
+                self.spared(sender, spared)
+            return spared is not None
         said = unpack(sender, raw)
         if said is not None:
             self.heard(said)
--- a/fennelcove/peers/lists.py
+++ b/fennelcove/peers/lists.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from random import Random
 
 import msgspec
@@ -49,6 +50,7 @@
         self.fetch_due = False
         self.stopped = False
         self.stream: EventStream | None = None
+        self.turn_us: Callable[[], int] = lambda: 0  # how long to wait before a call; 0 where it is counted
         self.threads = [
             threading.Thread(target=self._streams, name="list-stream"),
             threading.Thread(target=self._fetches, name="list-fetch"),
@@ -79,6 +81,13 @@
             self.fetch_due = True
             self.changed.notify_all()
 
+    def _wait_turn(self) -> None:
+        """Where the fleet's calls have a budget, wait for this front's turn."""
+        while (left_us := self.turn_us()) > 0:
+            with self.changed:
+                if self.changed.wait_for(lambda: self.stopped, left_us / 1e6):
+                    return
+
     def _streams(self) -> None:
         failures = 0
         while True:
@@ -86,6 +95,10 @@
                 self.changed.wait_for(lambda: self.stream_due or self.stopped)
                 if self.stopped:
                     return
+            self._wait_turn()
+            with self.changed:
+                if self.stopped:
+                    return
                 version = self.core.keeper.version
                 path = "/v1/list/stream" if version is None else f"/v1/list/stream?since={version}"
                 self.stream = EventStream(self.address, path, self.limits, CARRY_OUT_US, listing.SILENCE_US)
@@ -120,6 +133,9 @@
                 if self.stopped:
                     return
                 self.fetch_due = False
+            self._wait_turn()
+            if self.stopped:
+                return
             try:
                 message = self._fetch()
                 self.core.list_news(news(message, self.clock.now_us()))
--- a/fennelcove/program/front.py
+++ b/fennelcove/program/front.py
@@ -6,6 +6,8 @@
 from random import Random
 
 from fennelcove.clock import Clock, SystemClock
+from fennelcove.core import budgets
+from fennelcove.core.budgets import BudgetBook
 from fennelcove.core.comeback import ComebackBook
 from fennelcove.core.company import CompanyBook
 from fennelcove.core.core import Core
@@ -16,6 +18,7 @@
 from fennelcove.core.verdicts import Notices
 from fennelcove.decisions.boxes import feeds
 from fennelcove.decisions.fleet import burden, comeback
+from fennelcove.decisions.fleet.budgets import Thing
 from fennelcove.decisions.kept.background import Priority
 from fennelcove.decisions.operators.stopping import Act, Cue, Phase, Stopping
 from fennelcove.doors.connection import DoorLimits
@@ -127,6 +130,7 @@
             if self.company is not None:
                 self.company.post = self.front_side.beat
         self.overload = self._overload()
+        self.budgets = self._budgets()
         times = [round(ms * 1000) for ms in (limits.idle_ms, limits.head_ms, limits.write_ms)]
         self.setups = SetUps(self.core, self.clock, self.joiner, notice)
         self.sockets = SocketDoor(
@@ -182,6 +186,33 @@
             found.post, self.front_side.counted = self.front_side.summary, found.hear
         return found
 
+    def _budgets(self) -> BudgetBook | None:
+        """Off by default: without it each front spends by its own limits."""
+        core, told = self.core, self.settings.overload
+        limits = {
+            Thing.FURTHER_JOIN: told.further_joins_s if told is not None else 0.0,
+            Thing.PROBE: told.probes_s if told is not None else 0.0,
+            Thing.LIST_CALL: told.list_calls_s if told is not None else 0.0,
+        }
+        wholes = {thing: whole for thing, whole in limits.items() if whole > 0}
+        if not wholes:
+            return None
+        life = self.clock.wall_us() // 1000
+        found = BudgetBook(wholes, self.settings.instance, life, self.clock, core.chance, core.lock)
+        core.may_join_again = lambda: found.take(Thing.FURTHER_JOIN)
+        core.news.may_probe = lambda: found.take(Thing.PROBE)
+        self.list_side.turn_us = lambda: found.wait_us(Thing.LIST_CALL)
+        core.shown["budgets"] = found.status
+        if self.front_side is not None:
+            found.post, self.front_side.spared = self.front_side.spare, found.hear
+        return found
+
+    def _spare(self) -> None:
+        assert self.budgets is not None
+        if self.stopping.phase is Phase.RUNNING:
+            self.timers.after(budgets.TURN_US, self._spare)
+            self.budgets.turn()
+
     def _count(self) -> None:
         assert self.overload is not None
         if self.stopping.phase is Phase.RUNNING:
@@ -229,6 +260,8 @@
                 side.start()
         if self.company is not None:
             self.timers.after(0, self._beat)
+        if self.budgets is not None:
+            self.timers.after(0, self._spare)
         if self.overload is not None:
             self.timers.after(burden.WINDOW_US, self._count)
         self.senders.start()
--- a/fennelcove/settings/schema.py
+++ b/fennelcove/settings/schema.py
@@ -140,9 +140,12 @@
 
 class OverloadSettings(Strict, frozen=True, kw_only=True):
     """Fronts tell each other what they are asked and shed load by one ladder; with no `company` each takes
-    the others for its own likes."""
+    the others for its own likes. What all fronts together may spend a second: 0 sets no limit."""
 
     enabled: bool = True
+    further_joins_s: Figure = 0.0
+    probes_s: Figure = 0.0
+    list_calls_s: Figure = 0.0
 
 
 class RecoverySettings(Strict, frozen=True, kw_only=True):
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,283 @@
+"""Budgets of a fleet and watchers of boxes: small worlds searched whole, random ones, and planted faults."""
+
+from __future__ import annotations
+
+import copy
+import unittest
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from itertools import pairwise
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fennelcove import messages
+from fennelcove.decisions.fleet import budgets, watchers
+from fennelcove.decisions.fleet.budgets import Ask, Loan, Purse, Thing
+from fennelcove.decisions.fleet.watchers import Seen, Watchers, chosen
+
+STEP_US = budgets.LOAN_US // 2
+WHOLE = 6.0
+
+
+@dataclass
+class World:
+    """A few fronts, and what is on its way between them."""
+
+    kind: type[Purse] = Purse
+    size: int = 3
+    now_us: int = 0
+    lives: int = 0
+    purses: dict[int, Purse] = field(default_factory=dict)
+    air: list[tuple[int, int, Ask | Loan]] = field(default_factory=list)
+
+    def born(self, index: int) -> None:
+        self.lives += 1
+        self.purses[index] = self.kind(
+            Thing.PROBE, WHOLE, self.size, index, self.lives, self.now_us, need=WHOLE if index == 0 else 0.0
+        )
+
+    def whole(self) -> float:
+        return sum(purse.rate(self.now_us) for purse in self.purses.values())
+
+    def deliver(self, at: int, keep: bool) -> None:
+        sender, taker, said = self.air[at] if keep else self.air.pop(at)
+        purse = self.purses.get(taker)
+        if purse is None:
+            return
+        if isinstance(said, Ask):
+            loan = purse.hear_ask(sender, said, self.now_us)
+            if loan is not None:
+                self.air.append((taker, sender, loan))
+        else:
+            purse.hear_loan(sender, said, self.now_us)
+
+    def steps(self) -> Iterator[World]:
+        """Every world that may come next: time passes, a message comes once or again or is lost, a front
+        asks, dies, or begins anew."""
+        for choice in ("time", *range(len(self.air))):
+            for how in ("come", "again", "lose") if choice != "time" else ("",):
+                after = copy.deepcopy(self)
+                if choice == "time":
+                    after.now_us += STEP_US
+                elif how == "lose":
+                    after.air.pop(int(choice))
+                else:
+                    after.deliver(int(choice), how == "again")
+                yield after
+        for index in range(2):
+            after = copy.deepcopy(self)
+            if index in after.purses:
+                del after.purses[index]
+            else:
+                after.born(index)
+            yield after
+        if 0 in self.purses and len(self.air) < 3:
+            for to in (1, 2):
+                after = copy.deepcopy(self)
+                purse = after.purses[0]
+                purse.need = WHOLE
+                draw = (to - 1) / 2
+                found = purse.ask(draw, after.now_us)
+                after.air += [(0, other, said) for other, said in found[:1]]
+                yield after
+
+    def key(self) -> object:
+        purses = tuple(
+            (
+                i,
+                min(self.now_us - p.born_us, 3 * STEP_US),
+                tuple(sorted((to, loan.rate, loan.until_us - self.now_us) for to, loan in p.lent.items())),
+                tuple(
+                    sorted(
+                        (at, rate, u - self.now_us) for at, (rate, u) in p.borrowed.items() if u > self.now_us
+                    )
+                ),
+                tuple((to, self.now_us - at_us) for to, _, at_us in p.sent.values()),
+                min(self.now_us - p.asked_us, STEP_US),
+            )
+            for i, p in sorted(self.purses.items())
+        )
+        now = {i: (p.life, p.number) for i, p in self.purses.items()}
+        air = tuple(
+            sorted(
+                (
+                    a,
+                    b,
+                    type(s).__name__,
+                    s.life == now.get(a if isinstance(s, Ask) else b, (0, 0))[0],
+                    s.number - now.get(a if isinstance(s, Ask) else b, (0, 0))[1],
+                    s.rate,
+                )
+                for a, b, s in self.air
+            )
+        )
+        return purses, air
+
+
+def search(kind: type[Purse], most: int) -> tuple[int, float]:
+    """Worlds seen until one is at fault, and the largest sum of rates in any of them; breadth first."""
+    world = World(kind)
+    for index in range(world.size):
+        world.born(index)
+    world.now_us = 2 * budgets.LOAN_US  # nobody is wary any more
+    seen, edge, largest = {world.key()}, [world], world.whole()
+    while edge and len(seen) < most and largest <= WHOLE + 1e-9:
+        following = []
+        for one in edge:
+            for after in one.steps():
+                key = after.key()
+                if key not in seen and len(seen) < most:
+                    seen.add(key)
+                    following.append(after)
+                    largest = max(largest, after.whole())
+        edge = following
+    return len(seen), largest
+
+
+class FromReceipt(Purse):
+    """A planted fault: a loan counts from when it is heard."""
+
+    def hear_loan(self, sender: int, loan: Loan, now_us: int) -> None:
+        if loan.life == self.life:
+            self.borrowed[sender] = (loan.rate, now_us + budgets.LOAN_US)
+
+
+class Unwary(Purse):
+    """A planted fault: a new life takes its whole part at once."""
+
+    @property
+    def wary_until_us(self) -> int:
+        return self.born_us
+
+
+class TakesBack(Purse):
+    """A planted fault: what is lent is counted as its own again before the loan is over."""
+
+    def rate(self, now_us: int) -> float:
+        back = sum(lent.rate for lent in self.lent.values() if now_us >= lent.until_us - STEP_US)
+        return super().rate(now_us) + back
+
+
+class SearchTest(unittest.TestCase):
+    def test_in_no_small_world_do_rates_add_up_to_more_than_the_whole(self) -> None:
+        worlds, largest = search(Purse, 2000)
+        self.assertGreaterEqual(worlds, 2000)
+        self.assertLessEqual(largest, WHOLE + 1e-9)
+
+    def test_planted_faults_are_found(self) -> None:
+        for fault in (FromReceipt, Unwary, TakesBack):
+            with self.subTest(fault.__name__):
+                self.assertGreater(search(fault, 6000)[1], WHOLE + 1e-9)
+
+
+class PurseTest(unittest.TestCase):
+    @settings(max_examples=40, deadline=None)
+    @given(st.integers(0, 1 << 30))
+    def test_what_is_spent_stays_within_the_whole_and_what_may_be_saved(self, seed: int) -> None:
+        chance, world = Random(seed), World(size=4)
+        for index in range(4):
+            world.born(index)
+        spent: list[int] = []
+        births = 4
+        for _ in range(400):
+            world.now_us += 25_000
+            for index, purse in list(world.purses.items()):
+                while chance.random() < (0.8 if index == 0 else 0.1) and purse.take(world.now_us):
+                    spent.append(world.now_us)
+                world.air += [(index, to, said) for to, said in purse.ask(chance.random(), world.now_us)]
+            if chance.random() < 0.01:
+                world.born(chance.randrange(4))
+                births += 1
+            chance.shuffle(world.air)
+            for _ in range(min(len(world.air), chance.randrange(4))):
+                if chance.random() < 0.3:
+                    world.air.pop()
+                else:
+                    world.deliver(len(world.air) - 1, chance.random() < 0.1)
+        saved = max(4.0, budgets.SAVED_S * WHOLE)
+        for at, from_us in enumerate(spent):
+            within = [time for time in spent[at:] if time < from_us + 1_000_000]
+            self.assertLessEqual(len(within), WHOLE + saved + births)
+
+    def test_the_idle_lend_to_the_busy(self) -> None:
+        world = World(size=3)
+        for index in range(3):
+            world.born(index)
+        world.now_us = 2 * budgets.LOAN_US
+        busy = world.purses[0]
+        busy.advance(world.now_us)
+        busy.need = WHOLE
+        world.air = [(0, to, said) for to, said in busy.ask(0.0, world.now_us)]
+        while world.air:
+            world.deliver(0, keep=False)
+        self.assertGreater(busy.rate(world.now_us), 2 * busy.part)
+        self.assertAlmostEqual(world.whole(), WHOLE)
+        self.assertEqual(busy.wait_us(world.now_us), 0)
+
+    def test_asks_and_loans_survive_their_bytes_and_cut_ones_are_refused(self) -> None:
+        for said in (Ask(1 << 40, 7, Thing.PROBE, 2.5), Loan(1 << 41, 9, Thing.LIST_CALL, 0.125)):
+            raw = messages.pack_budget(said)
+            self.assertEqual(messages.unpack_budget(raw), said)
+            for cut in range(len(raw)):
+                self.assertIsNone(messages.unpack_budget(raw[:cut]))
+
+
+class WatchersTest(unittest.TestCase):
+    def test_only_the_chosen_probe_and_the_next_takes_over(self) -> None:
+        everyone = range(8)
+        first = chosen("box", everyone)
+        self.assertEqual(len(first), watchers.WATCHERS)
+        rest = [front for front in everyone if front != first[0]]
+        after = chosen("box", rest)
+        self.assertEqual(after[:2], first[1:])
+        book = Watchers(after[2], 8)
+        self.assertEqual(book.due(["box"], everyone, 0.0, 1), [])
+        self.assertEqual(book.due(["box"], rest, 0.0, 1), ["box"])
+
+    def test_names_of_fronts_change_nothing_but_who_watches(self) -> None:
+        for names in (range(5), range(20, 25), (3, 1, 4, 15, 9)):
+            self.assertEqual(len(set(chosen("box", names))), watchers.WATCHERS)
+            self.assertEqual(chosen("box", names), chosen("box", reversed(list(names))))
+
+    def test_one_bad_path_shuts_a_box_for_nobody_else_and_two_words_do(self) -> None:
+        everyone = range(6)
+        one, two, _ = chosen("box", everyone)
+        other = next(front for front in everyone if front not in chosen("box", everyone))
+        book = Watchers(other, 6)
+        book.hear(one, "box", True, 1, 0)
+        book.hear(other, "box", True, 1, 0)  # its own voice from outside is nobody's
+        self.assertFalse(book.gone("box", everyone, 0))
+        book.hear(two, "box", True, 1, 0)
+        self.assertTrue(book.gone("box", everyone, 0))
+        self.assertFalse(book.gone("box", everyone, watchers.WORD_US + 1))
+        book.hear(two, "box", False, 2, 0)
+        book.hear(two, "box", True, 1, 0)  # late
+        self.assertFalse(book.gone("box", everyone, 0))
+
+    def test_a_probe_that_fails_is_repeated_soon_and_a_dead_box_is_asked_ever_more_seldom(self) -> None:
+        book, now, asked = Watchers(0, 1), 1, []
+        book.due(["box"], (0,), 0.0, now)
+        for _ in range(400):
+            now += 100_000
+            if book.due(["box"], (0,), 0.0, now):
+                asked.append(now)
+                book.probed("box", Seen.FAILED, now)
+        gaps = [b - a for a, b in pairwise(asked)]
+        self.assertLess(gaps[0], watchers.CALM_US)
+        self.assertEqual(gaps[-1], watchers.MOST_US)
+        self.assertEqual(gaps, sorted(gaps))
+        self.assertTrue(book.gone("box", (0,), asked[-1]))
+
+    def test_with_all_watchers_dead_the_next_begin_within_a_look(self) -> None:
+        everyone = set(range(7))
+        now = 10_000_000
+        dead = set(chosen("box", everyone))
+        living = everyone - dead
+        begun = [front for front in living if Watchers(front, 7).due(["box"], living, 0.0, now)]
+        self.assertEqual(sorted(begun), sorted(chosen("box", living)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -3,9 +3,12 @@
 
 from __future__ import annotations
 
+import json
 import tempfile
 import unittest
+from pathlib import Path
 from random import Random
+from typing import Any
 
 import msgspec
 from hypothesis import given, settings
@@ -14,6 +17,7 @@
 from fennelcove import messages
 from fennelcove.day.script import Crowd, Day, read
 from fennelcove.decisions.fleet import burden, shedding
+from fennelcove.decisions.fleet.budgets import SAVED_S
 from fennelcove.decisions.fleet.burden import Burden, Summary, Totals
 from fennelcove.decisions.fleet.shedding import Act, Ladder, Level, Sign
 from fennelcove.decisions.viewers.places import Standing
@@ -126,11 +130,32 @@
     return msgspec.structs.replace(crowd, per_s=crowd.per_s / 2, **SHORT)
 
 
+def further(records: list[dict[str, Any]]) -> list[int]:
+    """When joins beyond a set-up's first reached their boxes, in microseconds."""
+    return [record["t_us"] for record in records if record["what"] == "set_up" and record["join"] > 0]
+
+
 class FloodTest(unittest.TestCase):
+    def assert_within_budgets(self, day: Day, records: list[dict[str, Any]]) -> None:
+        """Further joins and list calls of all fronts together, counted where they arrive."""
+        told = day.front.overload
+        assert told is not None
+        times = further(records)
+        saved = max(day.fronts, SAVED_S * told.further_joins_s)
+        for from_us in times:
+            within = [time for time in times if from_us <= time < from_us + 4_000_000]
+            # Each front's first is on top, and what a box sees is later than what was sent, by its slowness.
+            self.assertLessEqual(len(within), 5 * told.further_joins_s + saved + day.fronts)
+        calls = next(r for r in records if r["what"] == "carried").get("connections fronts lists", 0)
+        self.assertGreater(calls, day.fronts)
+        self.assertLessEqual(calls, day.seconds * told.list_calls_s + 2 * day.fronts)
+
     def test_floods_keep_every_rule_and_nothing_stays_collapsed(self) -> None:
-        names = ("flood", "flood-kill", "flood-split", "flood-slow-box")
+        names = ("flood-sums", "flood-kill", "flood-split", "flood-slow-box")
         with tempfile.TemporaryDirectory() as folder:
             found = played({name: short(read(name)) for name in names}, folder, 2)
+            lines = Path(folder, "flood-sums.jsonl").read_text("utf-8").splitlines()
+        self.assert_within_budgets(short(read("flood-sums")), [json.loads(line) for line in lines])
         for name, verdict in found.items():
             with self.subTest(day=name):
                 self.assertEqual(verdict["broken"], [])
