Turns at a cold box keep their numbers whoever lives; a gone front's go to one other each

With five of twelve fronts away for good none fell: what differs is that parts change while boxes are cold. At fault: Company.part gave each front a new place among so many at every change, and turns of two views fell together; the rates added up to the whole, the turns did not. Change: Front.mine(turn) in place of Front.part; turns go round the settings' fronts, a kept part of each front's turns is nobody else's, the rest of one that is gone goes to whoever ranks first for that very turn. A random search finds no turn that two fronts take.

--- a/benchmarks/power_sim.py
+++ b/benchmarks/power_sim.py
@@ -200,7 +200,7 @@
         if self.kept is not None:
             terms = Terms(self.fronts, side.index, BEAT_US, LEASE_US, LEASE_US, self.kept)
             company = side.company = Company(terms, self.now_us, self.now_us)
-            front.part = lambda: company.part(self.now_us)
+            front.mine = lambda turn: company.mine(turn, self.now_us)
             self.after(self.chance.randrange(BEAT_US), partial(self.beat, side, company))
         self.tell_list(side)
 
--- a/fennelcove/core/comeback.py
+++ b/fennelcove/core/comeback.py
@@ -50,6 +50,7 @@
         self.cells = settings.fleet.cells
         self.most_us = front.settings.retry_after_us
         self.ration = Ration()
+        self.fronts: Callable[[], float] = lambda: settings.instance.fronts  # that share a cold box
         self.state = book.opening
         self.looked_us = -LOOK_US
         self.shown = Phase.DARK
@@ -88,7 +89,7 @@
     def _pace(self, title: str) -> float | None:
         """The turns a second that a title's holders give this front; None where one of them is warm."""
         told, total = self.titles[title], 0.0
-        fronts = max(1.0, self.front.part()[0])
+        fronts = max(1.0, self.fronts())
         for i in range(min(told.cells, self.cells)):
             for server in self.front.holders.get((told.first_cell + i) % self.cells, ()):
                 if server.standing is not Standing.ACTIVE:
--- a/fennelcove/core/company.py
+++ b/fennelcove/core/company.py
@@ -36,10 +36,15 @@
         self.post: Post = lambda beats: None
         self.was_leased = False
 
-    def part(self) -> tuple[float, float]:
-        """As `rules.Front.part`, by what is heard of the others."""
+    def mine(self, turn: int) -> bool:
+        """As `rules.Front.mine`, by what is heard of the others."""
         with self.lock:
-            return self.company.part(self.clock.now_us())
+            return self.company.mine(turn, self.clock.now_us())
+
+    def fronts(self) -> float:
+        """As how many fronts this one has to reckon."""
+        with self.lock:
+            return 1 / self.company.share(self.clock.now_us())
 
     def beat(self) -> None:
         """Tell the others; called every beat. What is sent waits for nobody."""
--- a/fennelcove/decisions/fleet/company.py
+++ b/fennelcove/decisions/fleet/company.py
@@ -18,6 +18,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from zlib import crc32
 
 BEAT_US = 250_000
 LEASE_US = 2_000_000
@@ -309,12 +310,27 @@
         gone = len(self.gone(now_us))
         return (1 - terms.kept * gone / terms.fronts) / (terms.fronts - gone)
 
-    def part(self, now_us: int) -> tuple[float, float]:
-        """As how many fronts this one has to reckon, and its place among them."""
-        fronts = 1 / self.share(now_us)
-        gone = self.gone(now_us) if self.leased(now_us) else frozenset()
-        rank = sum(1 for i in range(self.terms.index) if i not in gone)
-        return fronts, rank * fronts / max(1, self.terms.fronts - len(gone))
+    def mine(self, turn: int, now_us: int) -> bool:
+        """Whether a turn that goes round all fronts is this one's, whatever the others believe.
+
+        Turns keep their numbers whoever lives: shared out anew with each change, the turns of two views fell
+        together, and pushed boxes over. Of each front's turns the kept part is nobody else's; the rest of one
+        that is gone goes to whoever of the others ranks first for that very turn, so that two who hold a
+        lease and differ on who is gone never take the same one.
+        """
+        owner, round_ = turn % self.terms.fronts, turn // self.terms.fronts
+        if owner == self.terms.index:
+            return self._kept(owner, round_) or self.leased(now_us)
+        if self._kept(owner, round_) or not self.leased(now_us):
+            return False
+        gone = self.gone(now_us)
+        if owner not in gone:
+            return False
+        others = (i for i in range(self.terms.fronts) if i not in gone)
+        return max(others, key=lambda i: crc32(f"{turn}/{i}".encode())) == self.terms.index
+
+    def _kept(self, owner: int, round_: int) -> bool:
+        return crc32(f"{owner}/{round_}".encode()) < self.terms.kept * 2**32
 
     def living(self) -> int:
         """How many fronts this one takes to be alive, itself among them; no share hangs on it."""
--- a/fennelcove/program/front.py
+++ b/fennelcove/program/front.py
@@ -231,11 +231,13 @@
             return None
         life = self.clock.wall_us() // 1000
         company = CompanyBook(told, self.settings.instance, life, self.clock, core.lock, self.notice)
-        core.front.part = company.part
+        core.front.mine = company.mine
         core.shown["company"] = company.status
         core.memories.lives = company.lives
+        if self.comeback is not None:
+            self.comeback.fronts = company.fronts
         if core.watched is not None:
-            core.watched.other.part = company.part
+            core.watched.other.mine = company.mine
         return company
 
     def _beat(self) -> None:
--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from math import exp, inf
+from math import ceil, exp, floor, inf
 from random import Random
 from typing import Any
 from zlib import crc32
@@ -174,8 +174,8 @@
         self.asked_last: dict[int, deque[int]] = {}  # when a title was asked for lately
         # Settings without a warm-up must not make the first guess of a play nothing: ages are divided by it.
         self.typical_watch_us = float(settings.ramp_us or MARK_US)
-        # How many fronts share a cold server, and this one's place among them; a host may know better.
-        self.part: Callable[[], tuple[float, float]] = lambda: (settings.fronts, settings.index)
+        # Whose turn at a cold server it is, by its number; a host may know better.
+        self.mine: Callable[[int], bool] = lambda turn: turn % settings.fronts == settings.index
         self.taken, self.further, self.asks_failed, self.list_is_fresh = deque[int](), deque[int](), 0, False
         self.offered = self.kb_per_stream = self.mean = 0.0
         self.worths, self.worths_at_us, self.mean_at_us = dict[RoomType, float](), -1, -1
@@ -801,10 +801,11 @@
 
     def cold_turn(self, server: Server) -> bool:
         """Fronts can't agree: turns go round at the pace. Unused ones lapse, or many at once push it over."""
-        (fronts, place), now = self.part(), self.turns(server, self.now_us)
-        since = (now - place - crc32(server.address.encode()) / 2**32 * fronts) % fronts
-        unused = server.last_join_us is None or self.turns(server, server.last_join_us) < now - since - 1e-6
-        return unused and since <= max(1, now - self.turns(server, self.now_us - self.settings.cold_slack_us))
+        now, last_us, settings = self.turns(server, self.now_us), server.last_join_us, self.settings
+        used = -inf if last_us is None else self.turns(server, last_us) + 1e-6
+        since = max(used, now - max(1, now - self.turns(server, self.now_us - settings.cold_slack_us)))
+        start = crc32(server.address.encode()) / 2**32 * settings.fronts
+        return any(self.mine(turn) for turn in range(ceil(since - start), floor(now - start) + 1))
 
     def turns(self, server: Server, at_us: int) -> float:
         """How many turns of all fronts have come there by then, since its start."""
