End-to-end tests of budgets on further joins in the running front

Every box resets its set-ups: without a budget each of three holders gets the join, with one free the first request gets two and the next ones one; a budget of the whole fleet holds the same at one front alone.

--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -11,6 +11,7 @@
 import httpx
 
 from fennelcove.interface import Outcome
+from fennelcove.settings.schema import OverloadSettings
 from fennelcove.standins.box import StandInBox
 from fennelcove.standins.listservice import Known, State
 from fennelcove.standins.viewers import Unanswered
@@ -297,6 +298,34 @@
         self.wait_seen("released", subscription=ids[0], held=True)
 
 
+class FurtherJoinsTest(WholePath):
+    def joins_that_reached_boxes(self, count: int) -> list[int]:
+        """For each of so many set-ups in a row, with every box resetting them."""
+        for box in self.boxes:
+            box.faults.reset = True
+        made: list[int] = []
+        for _ in range(count):
+            before = len(self.seen("set_up"))
+            self.assertEqual(self.ask().status, 503)
+            made.append(len(self.seen("set_up")) - before)
+        return made
+
+    def test_without_a_budget_each_holder_is_tried(self) -> None:
+        self.begin()
+        self.assertEqual(self.joins_that_reached_boxes(1), [3])
+
+    def test_the_budget_on_further_joins_holds_at_the_boxes(self) -> None:
+        self.begin(rules={"budget_free": 1.0, "budget_ratio": 0.0, "budget_span_ms": 60_000.0})
+        self.assertEqual(self.joins_that_reached_boxes(3), [2, 1, 1])
+
+    def test_a_budget_of_the_whole_fleet_holds_at_one_front_alone(self) -> None:
+        self.begin(overload=OverloadSettings(enabled=False, further_joins_s=0.001))
+        self.assertEqual(self.joins_that_reached_boxes(3), [2, 1, 1])
+        told = self.front.core.status()["budgets"]
+        assert isinstance(told, dict)
+        self.assertEqual(told["further_join"]["spent"], 1)
+
+
 class FifthJoinTest(WholePath):
     BOXES = 6
 
