A further join of one request is no further request for its title

At fault: expect_crowd noted the time of every join sent and asked only afterwards whether it was a first one. Change: a further join returns at once. tests/test_rules.py CrowdTest failed before.

--- a/fennelcove/rules.py
+++ b/fennelcove/rules.py
@@ -738,11 +738,13 @@
     def expect_crowd(self, sub: Subscription, kb: float) -> None:
         """One title asked for here thrice before any report could tell: the other fronts are asked for it as
         often, and all together filled its few holders, each front one or two, before one of them heard."""
+        if sub.joins[:-1]:
+            return  # a further join of one request is no further request for its title
         earlier = self.asked_last.setdefault(sub.title, deque(maxlen=CROWD))
         earlier.append(self.now_us)
         if len(self.asked_last) > MOST_TITLES:
             del self.asked_last[next(iter(self.asked_last))]
-        if not sub.joins[:-1] and len(earlier) == CROWD and self.now_us - earlier[0] < self.normal_us:
+        if len(earlier) == CROWD and self.now_us - earlier[0] < self.normal_us:
             holders = [server for cell in sub.cells for server in self.active(cell)]
             for server in holders:
                 server.note_sent(kb * (self.settings.fronts - 1) / len(holders), self.now_us)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -106,6 +106,22 @@
             self.assertEqual(made.servers[effects.named("join")[0][2]].zone, zone)
 
 
+class CrowdTest(unittest.TestCase):
+    def test_three_requests_for_a_title_count_for_the_other_fronts_and_further_joins_do_not(self) -> None:
+        # Further joins of one request passed for a crowd wherever servers failed, and kept its title small.
+        made, _ = front(3, fronts=10)
+        sent_kb = lambda: sum(s.link.sent_kb - s.own_kb for s in made.servers.values())  # noqa: E731
+        ask(made)
+        for join in range(2):
+            end(made, Outcome.SERVER_ERROR, join=join, after=SECOND // 100)
+        self.assertEqual(len(made.subs["a"].joins), 3)
+        self.assertAlmostEqual(sent_kb(), 0.0)
+        ask(made, "b")
+        self.assertAlmostEqual(sent_kb(), 0.0)
+        ask(made, "c")
+        self.assertGreater(sent_kb(), 100.0)
+
+
 class ResidueTest(unittest.TestCase):
     def test_own_joins_count_until_a_report_shows_them(self) -> None:
         pipe = Pipe(1000.0)
