--- a/tests/test_node_desk.py
+++ b/tests/test_node_desk.py
@@ -17,7 +17,7 @@
 from fennelcove.node.config import ConfigError
 from fennelcove.node.links import Link, Phase
 from fennelcove.node.notices import Board, BoardError
-from fennelcove.node.parties import State, Subscription
+from fennelcove.node.parties import Server, State, Subscription
 from fennelcove.node.viewers import Roll, Viewer
 from fennelcove.rtsp import messages as rtsp
 from tests.noderig import SETTINGS, notice
@@ -186,14 +186,19 @@
         self.assertIn(b"Reason: cause=41", self.viewer.said[-1])
         self.assertEqual(self.desk.links, 0)
 
-    def test_a_server_that_is_only_cut_off_keeps_what_stands_there(self) -> None:
-        # Two dials that timed out passed for a death: 571 viewers of a zone that was cut off were sent away.
+    def standing_without_a_link(self) -> tuple[Server, Subscription]:
+        """A subscription that stands at a server which was heard and whose one link has just broken."""
         link, _ = self.link()
         sub = self.set_up()
         self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
         server = self.desk.servers["s0"]
         server.parting.heard(self.desk.now_us())
         link.close(Outcome.CONNECTION_LOST)
+        return server, sub
+
+    def test_a_server_that_is_only_cut_off_keeps_what_stands_there(self) -> None:
+        # Two dials that timed out passed for a death: 571 viewers of a zone that was cut off were sent away.
+        server, sub = self.standing_without_a_link()
         server.dial_at_us = 1 << 62
         for _ in range(3):
             self.desk.dial_failed(server, refused=False)
@@ -206,24 +211,14 @@
         self.assertIs(sub.state, State.OVER)
 
     def test_a_server_whose_machine_refuses_is_gone(self) -> None:
-        link, _ = self.link()
-        sub = self.set_up()
-        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
-        server = self.desk.servers["s0"]
-        server.parting.heard(self.desk.now_us())
-        link.close(Outcome.CONNECTION_LOST)
+        server, sub = self.standing_without_a_link()
         self.desk.dial_failed(server, refused=True)
         self.assertIs(sub.state, State.STANDING)
         self.desk.dial_failed(server, refused=True)
         self.assertIs(sub.state, State.OVER)
 
     def test_a_server_off_the_list_that_is_silent_is_gone(self) -> None:
-        link, _ = self.link()
-        sub = self.set_up()
-        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
-        server = self.desk.servers["s0"]
-        server.parting.heard(self.desk.now_us())
-        link.close(Outcome.CONNECTION_LOST)
+        server, sub = self.standing_without_a_link()
         for _ in range(2):
             self.desk.dial_failed(server, refused=False)
         server.dial_at_us = 1 << 62
