--- a/benchmarks/fleet_sums.py
+++ b/benchmarks/fleet_sums.py
@@ -11,13 +11,11 @@
 from __future__ import annotations
 
 import argparse
-import heapq
-from collections.abc import Callable
 from functools import partial
-from itertools import count
 from random import Random
 from statistics import median
 
+from benchmarks.events import Call, Events
 from fennelcove.decisions.fleet import watchers
 from fennelcove.decisions.fleet.budgets import Ask, Purse, Thing
 from fennelcove.decisions.fleet.watchers import Seen, Watchers
@@ -26,32 +24,22 @@
 CUT = (10_000_000, 20_000_000)
 
 
-class Sea:
+class Sea(Events):
     """Events in order, and messages that may be lost, late, doubled or cut off."""
 
     def __init__(self, seed: int, fronts: int) -> None:
+        super().__init__()
         self.chance = Random(seed)
         self.fronts = fronts
-        self.now_us = 0
         self.messages = 0
-        self.order = count()
-        self.events: list[tuple[int, int, Callable[[], None]]] = []
 
-    def at(self, time_us: int, call: Callable[[], None]) -> None:
-        heapq.heappush(self.events, (time_us, next(self.order), call))
-
-    def send(self, sender: int, taker: int, call: Callable[[], None]) -> None:
+    def send(self, sender: int, taker: int, call: Call) -> None:
         self.messages += 1
         halves = (sender < self.fronts // 2) != (taker < self.fronts // 2)
         if (halves and CUT[0] <= self.now_us < CUT[1]) or self.chance.random() < 1 / 3:
             return
         for _ in range(2 if self.chance.random() < 0.1 else 1):
-            self.at(self.now_us + self.chance.randrange(1_000, 30_000), call)
-
-    def run(self) -> None:
-        while self.events and self.events[0][0] < END_US:
-            self.now_us, _, call = heapq.heappop(self.events)
-            call()
+            self.after(self.chance.randrange(1_000, 30_000), call)
 
 
 def spend(fronts: int, seed: int, lends: bool) -> tuple[float, float, float]:
@@ -66,10 +54,10 @@
         if purses[i].take(sea.now_us):
             met[0] += 1
             seconds[sea.now_us // 1_000_000] += 1
-        sea.at(sea.now_us + round(sea.chance.expovariate(rate) * 1e6), lambda: want(i, rate))
+        sea.after(round(sea.chance.expovariate(rate) * 1e6), lambda: want(i, rate))
 
     def ask(i: int) -> None:
-        sea.at(sea.now_us + 250_000, lambda: ask(i))
+        sea.after(250_000, lambda: ask(i))
         for to, asked in purses[i].ask(sea.chance.random(), sea.now_us) if lends else ():
             sea.send(i, to, partial(lend, i, to, asked))
 
@@ -82,7 +70,7 @@
         rate = 0.8 * whole * (0.9 / busy if i < busy else 0.1 / (fronts - busy))
         sea.at(round(sea.chance.expovariate(rate) * 1e6), partial(want, i, rate))
         sea.at(sea.chance.randrange(250_000), partial(ask, i))
-    sea.run()
+    sea.run(END_US)
     return met[0] / wanted[0], max(seconds) / whole, sea.messages / fronts / (END_US / 1e6)
 
 
@@ -101,7 +89,7 @@
     mine = [[box for box in boxes if own[box, i]] for i in range(fronts)]
 
     def look(i: int) -> None:
-        sea.at(sea.now_us + 250_000, lambda: look(i))
+        sea.after(250_000, lambda: look(i))
         for box in books[i].due(mine[i], living[i], sea.chance.random(), sea.now_us):
             probes[box] += 1
             ill = box in dead and sea.now_us >= 5_000_000
@@ -128,7 +116,7 @@
 
     for i in range(fronts):
         sea.at(sea.chance.randrange(250_000), partial(look, i))
-    sea.run()
+    sea.run(END_US)
     well = [probes[box] / 30 for box in boxes if box not in dead]
     ill = [probes[box] / 30 for box in dead]
     known = [sorted(told.values()) for told in found.values() if len(told) > fronts // 2]
--- a/benchmarks/power_sim.py
+++ b/benchmarks/power_sim.py
@@ -13,8 +13,7 @@
 from __future__ import annotations
 
 import argparse
-import heapq
-from collections.abc import Callable
+import dataclasses
 from dataclasses import dataclass
 from functools import partial
 from itertools import count
@@ -22,6 +21,7 @@
 
 import msgspec
 
+from benchmarks.events import Events
 from fennelcove.day.script import Day, read
 from fennelcove.decisions.fleet.company import Beat, Company, Terms
 from fennelcove.interface import (
@@ -43,6 +43,7 @@
 from fennelcove.settings.checks import module_settings
 from fennelcove.standins.model import BoxModel, RackModel, SetUp
 
+BEGAN_US = 1_000_000
 POWER_S, END_S, WATCH_US = 16, 60, 12_000_000
 BEAT_US, LEASE_US = 200_000, 1_000_000
 KEPT = {"leases": 0.75, "steady": 1.0}  # by variant; in no other are there leases
@@ -57,11 +58,8 @@
     model: BoxModel
 
     def listed(self) -> ListEntry:
-        told = self.entry
         standing = Standing.ACTIVE if self.model.up else Standing.LEFT
-        return ListEntry(
-            told.address, told.zone, told.kind, told.cell, standing, 1, self.model.started_us or 0
-        )
+        return dataclasses.replace(self.entry, standing=standing, started_us=self.model.started_us or 0)
 
 
 @dataclass
@@ -125,18 +123,16 @@
         """The list comes by itself."""
 
 
-class Sea:
+class Sea(Events):
     """The day."""
 
     def __init__(self, day: Day, fronts: int, variant: str, few: bool, seed: int) -> None:
+        super().__init__(BEGAN_US)
         self.chance = Random(seed)
         self.times = max(1, round(fronts / 12))
         self.fronts = fronts
         self.kept = KEPT.get(variant)
         self.few = few
-        self.now_us = 1_000_000
-        self.order = count()
-        self.events: list[tuple[int, int, Callable[[], None]]] = []
         front = day.front
         fleet, k = front.fleet, self.times
         titles = [
@@ -154,7 +150,6 @@
         )
         self.titles = {title.name: (i, title) for i, title in enumerate(titles)}
         self.rate_kb = [rung.kb for rung in front.ladder]
-        self.rooms = {room.name: room for room in front.room_types}
         self.ramp_us = round(front.rules.ramp_ms * 1000)
         self.cold = front.rules.start_capacity
         streams = {kind.name: kind.streams for kind in fleet.kinds}
@@ -176,17 +171,14 @@
             for i in range(k)
             for n, line in enumerate(day.boxes)
         }
-        self.crowds = [(c, [t for t in c.titles]) for c in day.crowds]
+        self.crowds = day.crowds
         self.sides = [Side(self, i) for i in range(fronts)]
         self.played = [0] * END_S
         self.requests = self.joins = self.pushed = 0
         self.names = count()
 
-    def after(self, us: float, call: Callable[[], None]) -> None:
-        heapq.heappush(self.events, (self.now_us + round(us), next(self.order), call))
-
     def second(self) -> int:
-        return min(END_S - 1, (self.now_us - 1_000_000) // 1_000_000)
+        return min(END_S - 1, (self.now_us - BEGAN_US) // 1_000_000)
 
     # Fronts.
 
@@ -225,9 +217,9 @@
     # Viewers.
 
     def arrive(self, at: int) -> None:
-        crowd, titles = self.crowds[at]
+        crowd = self.crowds[at]
         self.after(self.chance.expovariate(crowd.per_s * self.times) * 1e6, partial(self.arrive, at))
-        title = f"{self.chance.choice(titles)}-{self.chance.randrange(self.times)}"
+        title = f"{self.chance.choice(crowd.titles)}-{self.chance.randrange(self.times)}"
         hasty = self.chance.random() < 0.75
         self.ask(Viewer(next(self.names), crowd.room_type, self.titles[title][0], hasty))
 
@@ -305,20 +297,17 @@
         if side.front is not None:
             side.front.handle(ListUpdate(ListMode.INCREMENTAL, (box.listed(),)), self.now_us)
 
-    def run(self) -> None:
+    def play(self) -> None:
         for side in self.sides:
             self.start(side)
         for at in range(len(self.crowds)):
             self.after(0, partial(self.arrive, at))
         self.after(POWER_S * 1e6, self.power)
-        end_us = self.now_us + END_S * 1_000_000
-        while self.events and self.events[0][0] < end_us:
-            self.now_us, _, call = heapq.heappop(self.events)
-            call()
+        self.run(BEGAN_US + END_S * 1_000_000)
 
     def bound_s(self, mean: float) -> float:
         """How soon the boxes' warm-up alone allows nine tenths of the set-ups before."""
-        at_us = 1_000_000 + POWER_S * 1_000_000
+        at_us = BEGAN_US + POWER_S * 1_000_000
         for step in range(0, 40_000_000, 100_000):
             pace = 0.0
             for box in self.boxes.values():
@@ -343,7 +332,7 @@
     for fronts in map(int, options.fronts.split(",")):
         for variant in options.variants.split(","):
             sea = Sea(day, fronts, variant, options.few, options.seed)
-            sea.run()
+            sea.play()
             before = sea.played[POWER_S - 6 : POWER_S]
             mean = sum(before) / 6
             back = next(
--- a/fennelcove/decisions/fleet/watchers.py
+++ b/fennelcove/decisions/fleet/watchers.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from hashlib import blake2b
+from heapq import nsmallest
 
 WATCHERS = 3
 AGREED = 2  # watchers whose word makes a box gone for all
@@ -54,7 +55,7 @@
 
 def chosen(box: str, living: Iterable[int], most: int = WATCHERS) -> tuple[int, ...]:
     """The watchers of a box among the fronts that live."""
-    return tuple(sorted(living, key=lambda front: (weight(box, front), front))[:most])
+    return tuple(nsmallest(most, living, key=lambda front: (weight(box, front), front)))
 
 
 @dataclass(slots=True)
--- a/fennelcove/program/front.py
+++ b/fennelcove/program/front.py
@@ -189,10 +189,12 @@
     def _budgets(self) -> BudgetBook | None:
         """Off by default: without it each front spends by its own limits."""
         core, told = self.core, self.settings.overload
+        if told is None:
+            return None
         limits = {
-            Thing.FURTHER_JOIN: told.further_joins_s if told is not None else 0.0,
-            Thing.PROBE: told.probes_s if told is not None else 0.0,
-            Thing.LIST_CALL: told.list_calls_s if told is not None else 0.0,
+            Thing.FURTHER_JOIN: told.further_joins_s,
+            Thing.PROBE: told.probes_s,
+            Thing.LIST_CALL: told.list_calls_s,
         }
         wholes = {thing: whole for thing, whole in limits.items() if whole > 0}
         if not wholes:
--- a/tests/test_company.py
+++ b/tests/test_company.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from benchmarks.worlds import Hasty, Trusting
 from fennelcove import messages
 from fennelcove.decisions.fleet import company
 from fennelcove.decisions.fleet.company import Beat, Company, Standing, Terms
@@ -249,21 +250,6 @@
     return most
 
 
-class Hasty(Company):
-    """A planted fault: it repeats beats while its own word may still be acted on."""
-
-    def _repeats(self, peer: company.Peer, now_us: int) -> bool:
-        return True
-
-
-class Trusting(Company):
-    """A planted fault: a word that somebody is gone stands for ever."""
-
-    def gone(self, now_us: int) -> frozenset[int]:
-        words = [index for peer in self.peers.values() for index in peer.gone]
-        return frozenset(i for i in self.peers if words.count(i) + 1 >= self.terms.majority and i in words)
-
-
 class PlantedTest(unittest.TestCase):
     def test_planted_faults_are_found(self) -> None:
         for fault in (Hasty, Trusting):
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -153,9 +153,10 @@
     def test_floods_keep_every_rule_and_nothing_stays_collapsed(self) -> None:
         names = ("flood-sums", "flood-kill", "flood-split", "flood-slow-box")
         with tempfile.TemporaryDirectory() as folder:
-            found = played({name: short(read(name)) for name in names}, folder, 2)
+            days = {name: short(read(name)) for name in names}
+            found = played(days, folder, 2)
             lines = Path(folder, "flood-sums.jsonl").read_text("utf-8").splitlines()
-        self.assert_within_budgets(short(read("flood-sums")), [json.loads(line) for line in lines])
+        self.assert_within_budgets(days["flood-sums"], [json.loads(line) for line in lines])
         for name, verdict in found.items():
             with self.subTest(day=name):
                 self.assertEqual(verdict["broken"], [])
