A set-up goes out on no server connection that is ending or near its idle limit

Cause: Desk.carry took the newest idle connection by what its thread had read. Where a FIN or a reset had come in and the thread stood before the lock, the set-up was written into a dead connection and ended as CONNECTION_LOST: for a room type that may not be repeated that is a 500 for what never ran. Ruled out: round() closing a connection while a set-up is handed to it (both hold the lock). Not provable: a FIN that arrives after the write; such a set-up may have run. At fault: desk.carry (idle[-1] of all that are Phase.OPEN). Change: Link.ended asks the kernel (poll, POLLRDHUP, no wait; it sees the end also behind unread bytes, and takes nothing out of the stream as a peek by a thread that isn't the reader might). Desk.idle leaves such connections and those near the limit to their own end, and the one heard last is taken.

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -124,7 +124,7 @@
         if not self.timers.after(join.allow_us, lambda: self.due(lambda: self.time_over(sub, join))):
             self.join_over(sub, Outcome.NOT_SENT, None)  # a join without a limit would outlast its viewer
             return
-        idle = [link for link in join.server.links if link.idle]
+        idle = self.idle(join.server)
         if not idle and self.links >= self.most_links:
             self.spare()
         if not idle and self.links >= self.most_links:
@@ -138,6 +138,13 @@
         link.carry(sub)
         link.start()
 
+    def idle(self, server: Server) -> list[Line]:
+        """The server's links that a set-up may go out on, the one heard last at the end. Not one that the
+        server is ending or is about to: a set-up lost there fails for good where it may not be repeated."""
+        since_us = self.now_us() - self.config.terms.idle_us * 3 // 4
+        fit = [link for link in server.links if link.idle and link.heard_us >= since_us and not link.ended()]
+        return sorted(fit, key=lambda link: link.heard_us)
+
     def spare(self) -> None:
         """Close the idle link that has been silent longest, to make room for another."""
         idle = [link for server in self.servers.values() for link in server.links if link.idle]
--- a/packages/node/src/fennelcove/node/links.py
+++ b/packages/node/src/fennelcove/node/links.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import struct
 import threading
@@ -79,6 +80,15 @@
         """Open, with no set-up out."""
         return self.phase is Phase.OPEN and self.carried is None
 
+    def ended(self) -> bool:
+        """Whether the server's end of the stream or a reset has come in, though its thread has not read it
+        yet. What is written then is lost, and a lost set-up may have run."""
+        if self.sock is None:
+            return False
+        poll = select.poll()
+        poll.register(self.sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def start(self) -> None:
         """Begin to dial; a thread that can't be had is a connection that can't be made."""
         self.dials = True
--- /dev/null
+++ b/tests/test_node_connections.py
@@ -0,0 +1,226 @@
+"""A front node's connections to servers, closed, filled or crossed at the wrong instant, each time anew."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import sys
+import threading
+import unittest
+from contextlib import suppress
+from select import POLLRDHUP, poll
+from typing import Any
+
+from fennelcove.clock import SystemClock
+from fennelcove.clock.timers import Timers
+from fennelcove.isup import writer as isup
+from fennelcove.isup.messages import Cause, Kind, Message
+from fennelcove.isup.reader import Reader
+from fennelcove.log import silent
+from fennelcove.node import config, desk, door
+from fennelcove.node.links import Link
+from fennelcove.node.viewers import Viewer
+from fennelcove.rtsp import messages as rtsp
+from tests.noderig import (
+    SETTINGS,
+    WAIT_S,
+    Caller,
+    NodeRig,
+    StandInServer,
+    answered,
+    eventually,
+    notice,
+    released,
+)
+from tests.test_node_desk import TREE
+
+ID, OTHER, THIRD = "9b1f03aa5c7e2d41", "00000000000000a1", "00000000000000b2"
+SINGLE_SHOT: dict[str, Any] = {**SETTINGS, "Lanes": [{**SETTINGS["Lanes"][0], "Effect": "single_shot"}]}
+
+
+def waits(sock: socket.socket, what: int) -> bool:
+    """Whether the kernel holds this for a socket, read by its thread or not."""
+    seen = poll()
+    seen.register(sock, what)
+    return bool(seen.poll(0))
+
+
+def reset_on_close(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+def silence(message: Message) -> bytes:
+    """A server that says nothing by itself."""
+    return b""
+
+
+class Peer:
+    """A server whose connections are accepted and read only when the test says so."""
+
+    def __init__(self, backlog: int = 8, buffer_bytes: int = 0) -> None:
+        self.listener = socket.socket()
+        if buffer_bytes:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(backlog)
+        self.listener.settimeout(WAIT_S)
+        self.address = self.listener.getsockname()
+
+    def row(self, name: str = "s0", cell: int = 0) -> dict[str, Any]:
+        dial = f"127.0.0.1:{self.address[1]}"
+        told = {"host": name, "dial": dial, "site": "here", "class": "kind", "block": cell}
+        return {**told, "health": "up", "share": 1, "born_ms": 0}
+
+    def accept(self) -> socket.socket:
+        sock, _ = self.listener.accept()
+        sock.settimeout(WAIT_S)
+        return sock
+
+
+def read_all(sock: socket.socket) -> list[Message]:
+    """What still comes until the connection ends; a message in part is none."""
+    reader, found = Reader(), list[Message]()
+    with suppress(ConnectionResetError):
+        while data := sock.recv(65_536):
+            reader.feed(data)
+    while (message := reader.next()) is not None:
+        found.append(message)
+    return found
+
+
+def read_one(sock: socket.socket) -> Message:
+    reader = Reader()
+    while (message := reader.next()) is None:
+        data = sock.recv(4096)
+        assert data, "the front node closed"
+        reader.feed(data)
+    return message
+
+
+class FrontHere:
+    """A front node's threads and real connections in this process: whoever holds its lock stands between
+    two of its lines for as long as it takes to bring about what comes in between."""
+
+    def __init__(self, *rows: dict[str, Any], settings: dict[str, Any]) -> None:
+        known = {"rev": 1, "notices": [notice(1, list(rows), whole=True)]}
+        clock = SystemClock()
+        self.timers = Timers(clock)
+        self.desk = desk.Desk(
+            config.parse({**TREE, "known": known, "settings": settings}), clock, self.timers, silent
+        )
+        with self.desk.lock:
+            for told in self.desk.config.known.notices:
+                self.desk.board_says(told)
+        threading.Thread(target=self.timers.run, daemon=True).start()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            self.caller = Caller(listener.getsockname())
+            sock, peer = listener.accept()
+        self.viewer = Viewer(self.desk, sock, peer[0])
+        self.desk.roll.add(self.viewer)
+        threading.Thread(target=self.viewer.run, daemon=True).start()
+
+    def set_up(self, id: str, body: bytes = b"what") -> None:
+        """As the viewer's thread once it has read this; the lock is held."""
+        fields = {"cseq": "1", "session": id, "call-kind": "recorded", "answer-within": "8000"}
+        fields["routing-data"] = "home:0;copies:4;top:2"
+        door.hear(self.desk, self.viewer, rtsp.Request("SETUP", "rtsp://media/7f", fields, body))
+
+    def link(self) -> Link:
+        [link] = self.desk.servers["s0"].links
+        assert isinstance(link, Link)
+        return link
+
+    def dialled(self) -> socket.socket | None:
+        """The connection that a thread has just made, and with which it waits for the lock."""
+        for frame in sys._current_frames().values():
+            if frame.f_code is Link._dial.__code__:
+                sock = frame.f_locals.get("sock")
+                if sock is not None and sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY):
+                    assert isinstance(sock, socket.socket)
+                    return sock
+        return None
+
+    def close(self) -> None:
+        self.timers.stop()
+        with self.desk.lock:
+            for server in self.desk.servers.values():
+                server.listed = False
+        self.caller.sock.close()
+
+
+class RigTest(unittest.TestCase):
+    def front(self, *rows: dict[str, Any], settings: dict[str, Any] = SINGLE_SHOT) -> FrontHere:
+        made = FrontHere(*rows, settings=settings)
+        self.addCleanup(made.close)
+        return made
+
+    def node(self, *servers: StandInServer) -> NodeRig:
+        made = NodeRig(*servers)
+        self.addCleanup(made.close)
+        return made
+
+
+class IdleTest(RigTest):
+    """A set-up of a room type that may not be repeated, handed to a connection that is ending."""
+
+    def idle(self, server: StandInServer) -> FrontHere:
+        """A front node with one idle connection to this server."""
+        front = self.front(server.row)
+        front.caller.set_up(OTHER)
+        self.assertEqual(front.caller.answer().status, 200)
+        server.say(isup.release(bytes.fromhex(OTHER), Cause.OK))
+        self.assertEqual(front.caller.request().method, "TEARDOWN")
+        return front
+
+    def answer_after(self, reset: bool) -> None:
+        server = StandInServer("s0", 0)
+        front = self.idle(server)
+        with front.desk.lock:  # the connection's thread does not get to read its end
+            link = front.link()
+            if reset:
+                reset_on_close(server.sockets[0])
+            server.sockets[0].shutdown(socket.SHUT_RD if reset else socket.SHUT_RDWR)
+            sock = link.sock
+            assert sock is not None
+            eventually(lambda: waits(sock, POLLRDHUP), "the end of the connection")
+            front.set_up(ID)
+        self.assertEqual(front.caller.answer().status, 200)
+        self.assertEqual([m.session.hex() for m in server.of(Kind.SET_UP)], [OTHER, ID])
+        self.assertEqual(len(server.sockets), 2)
+
+    def test_a_closed_idle_connection_carries_no_set_up(self) -> None:
+        self.answer_after(reset=False)
+
+    def test_a_reset_idle_connection_carries_no_set_up(self) -> None:
+        self.answer_after(reset=True)
+
+    def test_a_connection_near_its_idle_limit_carries_no_set_up(self) -> None:
+        # Its server closes it while the set-up is on its way, and nothing proves then that it never ran.
+        server = StandInServer("s0", 0)
+        front = self.idle(server)
+        with front.desk.lock:
+            front.link().heard_us -= front.desk.config.terms.idle_us * 3 // 4 + 1
+            front.set_up(ID)
+        self.assertEqual(front.caller.answer().status, 200)
+        self.assertEqual(len(server.sockets), 2)
+
+    def test_of_idle_connections_the_one_heard_last_is_taken(self) -> None:
+        server = StandInServer("s0", 0, silence)
+        front = self.front(server.row)
+        for number, id in enumerate((ID, OTHER), 1):
+            front.caller.set_up(id)
+            eventually(lambda number=number: len(server.of(Kind.SET_UP)) == number, "a set-up")
+        first, second = server.of(Kind.SET_UP)
+        for sock, sent in ((server.sockets[1], second), (server.sockets[0], first)):
+            sock.sendall(answered(sent) + released(sent, Cause.OK))
+            self.assertEqual(front.caller.answer().status, 200)
+            self.assertEqual(front.caller.request().method, "TEARDOWN")
+        with front.desk.lock:
+            front.set_up(THIRD)
+            older, newer = front.desk.servers["s0"].links
+            self.assertGreater(older.heard_us, newer.heard_us)
+            self.assertIsNotNone(older.carried)
+
+
+if __name__ == "__main__":
+    unittest.main()
