What was never written whole to a server is told as never run, and a release outlives it

Cause: Link.send ended the connection with CONNECTION_LOST for whatever it could not hand to the kernel: a set-up refused by a full buffer, by EPIPE or ECONNRESET, or taken in part, passed for one that may have run, though no more of it is ever sent and no server gets it whole. The same where the connection had ended while new (the set-up written behind a FIN is reset unread), and where a release that had waited for the connection broke it first: the set-up behind it had not been sent at all, and that release and all behind it were taken off the queue and lost. Ruled out: a set-up written whole and reset then may have run, and stays CONNECTION_LOST. At fault: links.Link.send, _set_up, and the loop over server.unsent in _dial. Before: reset and closed while new, and written in part: "AssertionError: 500 != 453"; the release: "TimeoutError: timed out" (it never came).

--- a/packages/node/src/fennelcove/node/links.py
+++ b/packages/node/src/fennelcove/node/links.py
@@ -115,12 +115,15 @@
         if sub.rung is not None:
             parameters.append((Code.RUNG, b"%d" % sub.rung))
         parameters.append((Code.DESCRIPTION, sub.description))
-        self.send(writer.message(Kind.SET_UP, sub.id, *parameters))
+        # Of a set-up that the kernel took in part or not at all no more is sent: no server gets it whole.
+        self.send(writer.message(Kind.SET_UP, sub.id, *parameters), Outcome.NOT_SENT)
 
-    def send(self, data: bytes) -> None:
-        """Send a short message; a server that takes none in is not waited for."""
+    def send(self, data: bytes, unsent: Outcome = Outcome.CONNECTION_LOST) -> bool:
+        """Send a short message; a server that takes none in is not waited for: False, and the set-up that
+        the link carries has come to `unsent`."""
         if self.phase is Phase.OPEN and self.sock is not None and not send_now(self.sock, data):
-            self.close(Outcome.CONNECTION_LOST)
+            self.close(unsent)
+        return self.phase is Phase.OPEN
 
     def test(self) -> None:
         """Ask for a sign of life."""
@@ -163,6 +166,28 @@
         if self.phase is Phase.CLOSED:
             self._uncount()
 
+    def _begin(self) -> None:
+        """Send what has waited for the connection."""
+        unsent = self.server.unsent
+        if self.ended():
+            # Closed by its server while new: a set-up written now would pass for one that may have run.
+            self._put_back(Outcome.NO_CONNECTION)
+            return
+        # The set-up that is carried has not been sent either where one of these can't be.
+        while unsent and self.send(unsent[0], Outcome.NOT_SENT):
+            unsent.popleft()
+        if not self.desk.takes_joins(self.server):
+            # The list has changed while this was dialled: a slow dial may outlast the grace, and
+            # behind the address may be another server by now. The link stays for what stands there.
+            self._put_back(Outcome.NOT_SENT)
+        elif self.carried is not None:
+            self._set_up(self.carried)
+
+    def _put_back(self, outcome: Outcome) -> None:
+        sub, self.carried = self.carried, None
+        if sub is not None:
+            self.desk.join_over(sub, outcome, None)
+
     def run(self) -> None:
         """Dial, then read until the link ends."""
         sock = self._dial()
@@ -218,15 +243,7 @@
             if self.phase is Phase.DIALLING:
                 self.phase, self.sock, self.heard_us = Phase.OPEN, sock, self.desk.now_us()
                 self.server.parting.dialled(Dial.MADE, self.heard_us)
-                while self.server.unsent:
-                    self.send(self.server.unsent.popleft())
-                if self.carried is not None and not self.desk.takes_joins(self.server):
-                    # The list has changed while this was dialled: a slow dial may outlast the grace, and
-                    # behind the address may be another server by now. The link stays for what stands there.
-                    sub, self.carried = self.carried, None
-                    self.desk.join_over(sub, Outcome.NOT_SENT, None)
-                elif self.carried is not None:
-                    self._set_up(self.carried)
+                self._begin()
                 return sock
         sock.close()
         return None
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -222,5 +222,70 @@
             self.assertIsNotNone(older.carried)
 
 
+class ProofTest(RigTest):
+    """What a broken connection proves of the set-up that was to go out on it."""
+
+    def new_connection_ends(self, reset: bool) -> None:
+        peer = Peer()
+        front = self.front(peer.row())
+        with front.desk.lock:
+            front.set_up(ID)
+            sock = eventually(front.dialled, "a connection that is made")
+            far = peer.accept()
+            if reset:
+                reset_on_close(far)
+            far.close()
+            eventually(lambda: waits(sock, POLLRDHUP), "the end of the connection")
+        self.assertEqual(front.caller.answer().status, 453)
+
+    def test_a_connection_reset_while_new_has_carried_no_set_up(self) -> None:
+        self.new_connection_ends(reset=True)
+
+    def test_a_connection_closed_while_new_has_carried_no_set_up(self) -> None:
+        self.new_connection_ends(reset=False)
+
+    def test_a_set_up_written_in_part_never_ran(self) -> None:
+        peer = Peer(buffer_bytes=2048)
+        front = self.front(peer.row())
+        front.caller.set_up(OTHER)
+        far = peer.accept()
+        sent = read_one(far)
+        far.sendall(answered(sent) + released(sent, Cause.OK))
+        self.assertEqual(front.caller.answer().status, 200)
+        self.assertEqual(front.caller.request().method, "TEARDOWN")
+        with front.desk.lock:
+            sock = front.link().sock
+            assert sock is not None
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+            front.set_up(ID, b"x" * 15_000)
+        self.assertEqual(front.caller.answer().status, 453)
+        self.assertEqual(read_all(far), [])  # neither then nor later is it there whole
+
+    def test_a_release_outlives_a_connection_reset_while_new(self) -> None:
+        # It was taken off the queue for a connection that had ended, and its session stood on for nobody.
+        peer = Peer()
+        front = self.front(peer.row())
+        front.caller.set_up(ID)
+        far = peer.accept()
+        far.sendall(answered(read_one(far)))
+        self.assertEqual(front.caller.answer().status, 200)
+        far.close()
+        eventually(lambda: not front.desk.servers["s0"].links, "the end of the connection")
+        front.caller.tear_down(ID)
+        self.assertEqual(front.caller.answer().status, 200)
+        with front.desk.lock:
+            front.desk.round()
+            sock = eventually(front.dialled, "a connection that is made")
+            far = peer.accept()
+            reset_on_close(far)
+            far.close()
+            eventually(lambda: waits(sock, POLLRDHUP), "the end of the connection")
+        eventually(lambda: not front.desk.servers["s0"].links, "the end of the new connection")
+        with front.desk.lock:
+            front.desk.round()
+        sent = read_one(peer.accept())
+        self.assertEqual((sent.kind, sent.session.hex(), sent.cause), (Kind.RELEASE, ID, Cause.OK))
+
+
 if __name__ == "__main__":
     unittest.main()
