Before it stands, a session's server is heard only on the connection of its set-up

Cause: Desk.hear took a message for a join's by id and server alone. Where an id was set up again after its end, a late answer to the earlier join, on another connection of the server or on the same one used again, was passed on as the new join's (its viewer got what no server made for it), and a late refusal ended the new join while it was out. Ruled out: an answer to a join given up when the next is out at another server (the server is compared, and the give-up is written, or the connection closed, before the next join); an answer after a refusal, a second answer, a refusal behind an answer (test); an answer in one buffer with what made us close (the join is over, and no connection carries it). At fault: desk.hear (only join.server compared), desk.carry (any idle connection). Change: while a set-up is out, only its own connection is heard. A connection keeps the ids that were given up on it until its server has told of a later set-up, which shows that it has read those; none of them goes out there again. The test of an answer after a refusal passed before as well: it holds what was ruled out.

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -43,6 +43,7 @@
 EARLY_US = 2_000_000  # what servers say of sessions that their viewers have not named yet is kept so long,
 MOST_EARLY = 4_096  # of so many sessions,
 MOST_EARLY_EACH = 8  # and so much of each
+MOST_GIVEN_UP = 64  # set-ups, one after another on a link whose server answers none of them
 
 NOTES = {
     "quality": NoteKind.DELIVERED,
@@ -124,7 +125,7 @@
         if not self.timers.after(join.allow_us, lambda: self.due(lambda: self.time_over(sub, join))):
             self.join_over(sub, Outcome.NOT_SENT, None)  # a join without a limit would outlast its viewer
             return
-        idle = self.idle(join.server)
+        idle = self.idle(join.server, sub)
         if not idle and self.links >= self.most_links:
             self.spare()
         if not idle and self.links >= self.most_links:
@@ -138,11 +139,13 @@
         link.carry(sub)
         link.start()
 
-    def idle(self, server: Server) -> list[Line]:
+    def idle(self, server: Server, sub: Subscription) -> list[Line]:
         """The server's links that a set-up may go out on, the one heard last at the end. Not one that the
         server is ending or is about to: a set-up lost there fails for good where it may not be repeated."""
         since_us = self.now_us() - self.config.terms.idle_us * 3 // 4
         fit = [link for link in server.links if link.idle and link.heard_us >= since_us and not link.ended()]
+        # Where a set-up under this id was given up, the answer to it may be on its way.
+        fit = [link for link in fit if sub.id not in link.given_up and len(link.given_up) < MOST_GIVEN_UP]
         return sorted(fit, key=lambda link: link.heard_us)
 
     def spare(self) -> None:
@@ -182,6 +185,8 @@
             self.keep(link, message)
         if sub is None or sub.join is None or sub.join.server is not link.server:
             return
+        if sub.state is State.JOINING and sub.join.link is not link:
+            return  # of an earlier join under this id: until it stands, a join has its one connection
         if message.kind is Kind.ANSWER:
             self.answered(link, sub, message)
         elif message.kind is Kind.RELEASE:
@@ -204,7 +209,7 @@
             link.close(Outcome.CONNECTION_LOST)
             return
         if link.carried is sub:
-            link.carried = None
+            link.done()
         sub.answer = description
         states.step(self, sub, Cue.ANSWERED)
 
@@ -212,7 +217,7 @@
         standing = sub.state is State.STANDING
         outcome = (AFTER if standing else BEFORE).get(message.cause, Outcome.CONNECTION_LOST)
         if link.carried is sub:
-            link.carried = None
+            link.done()
         self.join_over(sub, outcome, self.report(message))
 
     def report(self, message: Message) -> LoadReport | None:
--- a/packages/node/src/fennelcove/node/links.py
+++ b/packages/node/src/fennelcove/node/links.py
@@ -68,6 +68,7 @@
         self.phase = Phase.DIALLING
         self.sock: socket.socket | None = None
         self.carried: Subscription | None = None  # whose set-up is out
+        self.given_up: set[bytes] = set()  # ids for which an answer may still come here
         self.heard_us = desk.now_us()
         self.tested_us: int | None = None
         self.dials = False  # its thread is dialling: it holds a descriptor, whatever the phase
@@ -138,8 +139,14 @@
         """The set-up out here is wanted no longer; what still comes for it is passed over."""
         if self.carried is sub:
             self.carried = None
+            self.given_up.add(sub.id)
             self.send(writer.release(sub.id, Cause.OK))
 
+    def done(self) -> None:
+        """The server has told of the set-up out here, and so has read all that was given up before."""
+        self.carried = None
+        self.given_up.clear()
+
     def close(self, outcome: Outcome) -> None:
         """End the link; the set-up that is out on it has come to this."""
         if self.phase is Phase.CLOSED:
--- a/packages/node/src/fennelcove/node/parties.py
+++ b/packages/node/src/fennelcove/node/parties.py
@@ -21,6 +21,7 @@
     server: Server
     phase: Phase
     carried: Subscription | None  # whose set-up is out
+    given_up: set[bytes]
     heard_us: int
     tested_us: int | None
 
@@ -39,6 +40,8 @@
 
     def give_up(self, sub: Subscription) -> None: ...
 
+    def done(self) -> None: ...
+
     def close(self, outcome: Outcome) -> None: ...
 
 
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -7,6 +7,7 @@
 import sys
 import threading
 import unittest
+from collections.abc import Callable
 from contextlib import suppress
 from select import POLLRDHUP, poll
 from typing import Any
@@ -14,13 +15,14 @@
 from fennelcove.clock import SystemClock
 from fennelcove.clock.timers import Timers
 from fennelcove.isup import writer as isup
-from fennelcove.isup.messages import Cause, Kind, Message
+from fennelcove.isup.messages import Cause, Code, Kind, Message
 from fennelcove.isup.reader import Reader
 from fennelcove.log import silent
 from fennelcove.node import config, desk, door
 from fennelcove.node.links import Link
 from fennelcove.node.viewers import Viewer
 from fennelcove.rtsp import messages as rtsp
+from fennelcove.rtsp import writer as rtsp_writer
 from tests.noderig import (
     SETTINGS,
     WAIT_S,
@@ -54,6 +56,10 @@
     return b""
 
 
+def described(message: Message, what: bytes) -> bytes:
+    return isup.message(Kind.ANSWER, message.session, (Code.DESCRIPTION, what))
+
+
 class Peer:
     """A server whose connections are accepted and read only when the test says so."""
 
@@ -287,5 +293,60 @@
         self.assertEqual((sent.kind, sent.session.hex(), sent.cause), (Kind.RELEASE, ID, Cause.OK))
 
 
+class CrossingTest(RigTest):
+    """What a server says of a session crosses with its end, or with another set-up under the same id."""
+
+    def heard(self, server: StandInServer, sock: socket.socket, data: bytes) -> None:
+        """The front node has taken in what the server says here."""
+        tested = len(server.of(Kind.TESTED))
+        sock.sendall(data + isup.message(Kind.TEST, bytes(8), (Code.CAUSE, b"\0")))
+        eventually(lambda: len(server.of(Kind.TESTED)) > tested, "the answer to a test behind it")
+
+    def of_an_earlier_join(self, say: Callable[[Message], bytes], between: bool) -> None:
+        """A set-up is given up and its id set up again, as another carries the first connection or none."""
+        server = StandInServer("s0", 0, silence)
+        viewer = self.node(server).caller()
+        viewer.set_up(ID)
+        [first] = eventually(lambda: server.of(Kind.SET_UP), "a set-up")
+        viewer.tear_down(ID)
+        self.assertEqual(viewer.answer().status, 200)
+        if between:
+            viewer.set_up(OTHER)
+        viewer.set_up(ID)
+        eventually(lambda: len(server.of(Kind.SET_UP)) == 2 + between, "the set-ups")
+        self.heard(server, server.sockets[0], say(first))
+        fresh = server.of(Kind.SET_UP)[-1]
+        self.heard(server, server.sockets[-1], described(fresh, b"of the second"))
+        answer = viewer.answer()
+        self.assertEqual((answer.status, answer.fields["session"]), (200, ID))
+        self.assertEqual(answer.body, b"of the second")
+
+    def test_an_answer_to_an_earlier_join_on_another_connection_is_passed_over(self) -> None:
+        self.of_an_earlier_join(lambda first: described(first, b"of the first"), between=True)
+
+    def test_a_refusal_of_an_earlier_join_on_another_connection_is_passed_over(self) -> None:
+        self.of_an_earlier_join(lambda first: released(first, Cause.FULL), between=True)
+
+    def test_an_answer_to_an_earlier_join_on_the_same_connection_is_passed_over(self) -> None:
+        self.of_an_earlier_join(lambda first: described(first, b"of the first"), between=False)
+
+    def test_an_answer_after_a_refusal_and_a_second_one_are_passed_over(self) -> None:
+        server = StandInServer("s0", 0, silence)
+        viewer = self.node(server).caller()
+        viewer.set_up(ID)
+        [sent] = eventually(lambda: server.of(Kind.SET_UP), "a set-up")
+        self.heard(server, server.sockets[0], released(sent, Cause.FULL) + answered(sent))
+        self.assertEqual(viewer.answer().status, 453)
+        viewer.set_up(OTHER)
+        sent = eventually(lambda: server.of(Kind.SET_UP)[1:], "a set-up")[0]
+        first, second = described(sent, b"the first"), described(sent, b"a second")
+        self.heard(server, server.sockets[-1], first + second + released(sent, Cause.FULL) + second)
+        answer = viewer.answer()
+        self.assertEqual((answer.status, answer.body), (200, b"the first"))
+        self.assertEqual(viewer.request().fields["reason"], "cause=41")
+        viewer.send(rtsp_writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")))
+        self.assertEqual(viewer.answer().fields["cseq"], "3")  # and nothing else came before it
+
+
 if __name__ == "__main__":
     unittest.main()
