Signals are heeded from the node's first line on, ahead of its imports and its file

Cause: signals were blocked in Program.run alone, after the imports and the read of the configuration. A SIGHUP until then met the default action, which ends the process and counts as a crash; a SIGTERM ended it with the signal's status and not with 0.

Lines at fault: __main__.py (nothing before `from fennelcove.node.program import main`), program.py, first lines of run.

Change: __main__ blocks SIGHUP before it imports anything of ours; it stays pending, and the file is read again once the node runs. Until it listens nothing can have been taken, so SIGTERM and SIGINT have a handler that ends the process at once with status 0, also in a read that never ends; just before it listens all three are blocked for the main thread's sigwait, as before. What is left: the interpreter's own start before our first line, in which no program can act.

Tests hold the process in its imports (a slow standard module behind a named pipe) and in the read of its file (a named pipe as the file).

--- a/packages/node/src/fennelcove/node/__main__.py
+++ b/packages/node/src/fennelcove/node/__main__.py
@@ -1,11 +1,23 @@
 """Runs one front node: python -m fennelcove.node."""
 
 import os
+import signal
 import sys
 
-from fennelcove.node.program import main
+
+def leave(number: int, frame: object) -> None:
+    """End at once: before it listens, a node owes nobody anything, and its file may never come."""
+    os._exit(0)
+
 
 if __name__ == "__main__":
+    # Ahead of the imports and of the configuration: by its default action a SIGHUP in the start was a crash.
+    # It stays pending until the node runs; SIGTERM and SIGINT are heeded here until the node blocks them too.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, leave)
+    from fennelcove.node.program import main
+
     status = main()
     sys.stdout.flush()
     os._exit(status)  # threads that wait on sockets must not hold up the end
--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -45,13 +45,14 @@
 
     def run(self) -> int:
         """Serve until SIGTERM and what is owed after it; the exit status."""
-        # Blocked before any thread starts, so that each one inherits it and the main thread alone hears them.
-        signals = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
-        signal.pthread_sigmask(signal.SIG_BLOCK, signals)
         threading.stack_size(STACK_BYTES)
         with self.desk.lock:
             for notice in self.config.known.notices:
                 self.desk.board_says(notice)
+        # Blocked before any thread starts, so that each one inherits it and the main thread alone hears them;
+        # and before it listens, since what is taken from then on is owed the whole stay.
+        signals = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+        signal.pthread_sigmask(signal.SIG_BLOCK, signals)
         self.listener.bind((self.config.listen.host, self.config.listen.port))
         self.listener.listen(BACKLOG)
         for name, call in (
