A reload's log line names the fields that differ from what the node runs by

Cause: a file handed over at SIGHUP may name another customer, and of it `board` alone was taken without a word. Before such a file is refused, this tells whether files that are handed over ever differ.

Change: Config.differs compares name, listen, limits (as written) and settings (as read: what is not read can't be half taken over), and names them as the file does. `board`, `known` and `seed` are another's at each reading. `reloaded` has them as `differs`.

--- a/packages/node/src/fennelcove/node/config.py
+++ b/packages/node/src/fennelcove/node/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import Any
 
 from fennelcove import facts
@@ -37,6 +37,19 @@
     known: Board
     settings: Settings
     terms: LinkTerms
+    told: dict[str, dict[str, Any]]  # `limits` and `settings` as the file has them, to name what differs
+
+    def differs(self, fresh: Config) -> list[str]:
+        """The fields, as the file names them, in which a fresh file differs from this one beyond `board`,
+        `known` and `seed`, which are another's at each reading. Of the settings what is read counts."""
+        found = [name for name in ("name", "listen") if getattr(self, name) != getattr(fresh, name)]
+        settings_differ = asdict(self.settings) != asdict(fresh.settings) or self.terms != fresh.terms
+        for part in ("limits", "settings") if settings_differ else ("limits",):
+            was, now = self.told[part], fresh.told[part]
+            found += [
+                f"{part}.{key}" for key in sorted(was.keys() | now.keys()) if was.get(key) != now.get(key)
+            ]
+        return found
 
 
 def load(path: str) -> Config:
@@ -74,4 +87,5 @@
         known=Board.parse(tree.get("known", {"rev": 0, "notices": []})),
         settings=settings,
         terms=LinkTerms(terms.connect_us or CONNECT_US, terms.idle_us or IDLE_US, terms.longest_us),
+        told={"limits": limits.tree, "settings": tree["settings"]},
     )
--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -117,7 +117,8 @@
                 time.sleep(RELOAD_PAUSE_S)
                 continue
             self.watch.move(fresh.board)
-            self.notice("reloaded", board=f"{fresh.board.host}:{fresh.board.port}")
+            board = f"{fresh.board.host}:{fresh.board.port}"
+            self.notice("reloaded", board=board, differs=self.config.differs(fresh))
             return
 
     def stop(self) -> None:
