A release that meets a broken server connection goes out on the next

Cause: Desk.to_server wrote to the first connection that no thread had seen end. On one whose end had come in, or that took no more, the release was lost, and the session stood on at its server for a viewer who had left. At fault: desk.to_server (the result of the send was not looked at). Change: a connection that has ended or takes it not whole is passed over; with no other it waits for the next. Before: "TimeoutError: timed out" (no release came on the next connection).

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -394,9 +394,9 @@
 
     def to_server(self, sub: Subscription, data: bytes) -> None:
         if sub.join is not None:
-            for link in sub.join.server.links:
-                if link.phase is Phase.OPEN:
-                    link.send(data)
+            for link in list(sub.join.server.links):
+                # Lost on a connection that has ended, it left its session standing for nobody.
+                if link.phase is Phase.OPEN and not link.ended() and link.send(data):
                     return
             sub.join.server.unsent.append(data)
 
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -347,6 +347,25 @@
         viewer.send(rtsp_writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")))
         self.assertEqual(viewer.answer().fields["cseq"], "3")  # and nothing else came before it
 
+    def test_a_release_that_meets_a_closed_connection_goes_out_on_the_next(self) -> None:
+        peer = Peer()
+        front = self.front(peer.row())
+        front.caller.set_up(ID)
+        far = peer.accept()
+        far.sendall(answered(read_one(far)))
+        self.assertEqual(front.caller.answer().status, 200)
+        with front.desk.lock:
+            sock = front.link().sock
+            assert sock is not None
+            far.close()
+            eventually(lambda: waits(sock, POLLRDHUP), "the end of the connection")
+            door.tear_down(front.desk, front.viewer, bytes.fromhex(ID))
+        eventually(lambda: not front.desk.servers["s0"].links, "the end of the connection")
+        with front.desk.lock:
+            front.desk.round()
+        sent = read_one(peer.accept())
+        self.assertEqual((sent.kind, sent.session.hex(), sent.cause), (Kind.RELEASE, ID, Cause.OK))
+
 
 if __name__ == "__main__":
     unittest.main()
