What is handed over at a server that no list names is held for the list, then released

Cause: Desk.adopt returned False for a server that the list did not name (gone already, or newer than this process's list), and door.set_up looked at nothing: the session stood on at its viewer for good, whatever became of it, and where the list named the server a moment later its release was passed over as well. Ruled out: a release kept early from another server under the same id (Desk.hear compares the server; test); a draining server (the module still holds it); links at their most (round() opens one whatever their number); a dead server that is listed (two refused dials; test in test_node.py); a TEARDOWN that crosses the server's release (454, nothing is left). Change: such a session stands at a placeholder for 2 s. A list that names its server in this time hands it to the module as before, and what its viewer ended meanwhile is released at the server; else its viewer gets the release (cause 41). Before: "TimeoutError: timed out" (8 s, no release), "AssertionError: never came: a connection for what stands there", "AssertionError: 454 != 200". The test of another server's word passed before as well: it holds what was ruled out.

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -28,6 +28,7 @@
 )
 from fennelcove.isup.messages import Cause, Code, Kind, Message
 from fennelcove.node import states
+from fennelcove.node.address import Address
 from fennelcove.node.asks import Asks
 from fennelcove.node.config import Config
 from fennelcove.node.links import DIAL_AGAIN_US, Link
@@ -43,6 +44,8 @@
 EARLY_US = 2_000_000  # what servers say of sessions that their viewers have not named yet is kept so long,
 MOST_EARLY = 4_096  # of so many sessions,
 MOST_EARLY_EACH = 8  # and so much of each
+UNNAMED_US = 2_000_000  # what plays at a server that no list names waits so long for one that does,
+MOST_UNNAMED = 1_024  # of so many sessions
 MOST_GIVEN_UP = 64  # set-ups, one after another on a link whose server answers none of them
 
 NOTES = {
@@ -77,6 +80,7 @@
         self.stopping = False
         self.events: deque[Event] = deque()
         self.telling = False
+        self.unnamed: dict[Subscription, tuple[int, Request]] = {}
         self.early: dict[bytes, list[tuple[int, Line, Message]]] = {}
         self.fetch: Callable[[], None] = lambda: None
         self.front = Front(config.settings, config.seed, Asks(self), self.now_us())
@@ -254,6 +258,7 @@
             server = self.servers.setdefault(entry.address, Server(entry.address, dial))
             server.address, server.listed = dial, entry.standing is not Standing.LEFT
             self.reborn(server, entry.started_us)
+        self.name_handovers()
         for server in list(self.servers.values()):
             self.drop(server)
 
@@ -316,6 +321,7 @@
                 break  # kept in the order of their first
             del self.early[id]
         self.roll.forgive(now_us)
+        self.name_handovers()
         for server in list(self.servers.values()):
             for link in list(server.links):
                 if link.phase is not Phase.OPEN:
@@ -348,21 +354,48 @@
         self.tell(request)
 
     def adopt(self, sub: Subscription, request: Request, server: str) -> bool:
-        """What plays at a server already; False where no such server is known."""
-        if server not in self.front.servers or server not in self.servers:
+        """What plays at a server already; False where no such server is known yet."""
+        known = server in self.front.servers and server in self.servers
+        if not known and len(self.unnamed) >= MOST_UNNAMED:
+            self.to_viewer(sub, states.release(sub, Cause.RESET))
             return False
-        sub.join, sub.joins, sub.state = Join(self.servers[server], 0, self.now_us(), 0), 1, State.STANDING
+        # Passed over, it was left standing for good: with no list that names its server, nobody told its end.
+        at = self.servers[server] if known else Server(server, Address("", 0), listed=False)
+        sub.join, sub.joins, sub.state = Join(at, 0, self.now_us(), 0), 1, State.STANDING
         sub.description = b""
         self.subs[sub.id] = sub
-        self.servers[server].standing[sub] = None
         if sub.viewer is not None:
             sub.viewer.standing[sub] = None
-        self.tell(Handover(request, server))
+        if not known:
+            self.unnamed[sub] = (self.now_us() + UNNAMED_US, request)
+            return False
+        self.hold(sub, request, at)
+        return True
+
+    def hold(self, sub: Subscription, request: Request, server: Server) -> None:
+        """What was handed over stands at a server that is known."""
+        server.standing[sub] = None
+        self.tell(Handover(request, server.name))
         for _, link, message in self.early.pop(sub.id, ()):
             self.hear(link, message)
-        if not self.servers[server].links and self.links < self.most_links:
-            Link(self, self.servers[server]).start()
-        return True
+        if not server.links and self.links < self.most_links:
+            Link(self, server).start()
+
+    def name_handovers(self) -> None:
+        """What was handed over at a server that no list named: one may by now, or its time is over."""
+        for sub, (until_us, request) in list(self.unnamed.items()):
+            assert sub.join is not None
+            placeholder = sub.join.server
+            server = self.servers.get(placeholder.name)
+            if server is not None and server.name in self.front.servers:
+                del self.unnamed[sub]
+                server.unsent.extend(placeholder.unsent)  # ended meanwhile, it stands at its server yet
+                if sub.state is State.STANDING:
+                    sub.join.server = server
+                    self.hold(sub, request, server)
+            elif self.now_us() >= until_us:
+                del self.unnamed[sub]
+                self.join_over(sub, Outcome.CONNECTION_LOST, None)
 
     def end(self) -> int:
         """Answer whatever is still unanswered; how much that was."""
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -367,5 +367,58 @@
         self.assertEqual((sent.kind, sent.session.hex(), sent.cause), (Kind.RELEASE, ID, Cause.OK))
 
 
+class HandOverTest(RigTest):
+    """A set-up for what plays already, at a server that this front node can't be sure of."""
+
+    def hand_over(self, node: NodeRig, server: str) -> Caller:
+        viewer = node.caller()
+        viewer.set_up(ID, routing=f"home:0;copies:4;top:2;at:{server}")
+        viewer.send(rtsp_writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")))
+        self.assertEqual(viewer.answer().fields["cseq"], "3")  # it has been taken in, and wants no answer
+        return viewer
+
+    def test_at_a_server_that_no_list_names_it_is_released(self) -> None:
+        viewer = self.hand_over(self.node(StandInServer("s0", 0)), "s9")
+        viewer.sock.settimeout(8)  # the page's limit on an end that can't be told
+        release = viewer.request()
+        self.assertEqual((release.method, release.fields["session"]), ("TEARDOWN", ID))
+        self.assertEqual(release.fields["reason"], "cause=41")
+
+    def late(self) -> tuple[NodeRig, StandInServer, Caller]:
+        """Handed over at a server of which the list tells only then."""
+        node, server = self.node(StandInServer("s0", 0)), StandInServer("s9", 1)
+        viewer = self.hand_over(node, "s9")
+        return node, server, viewer
+
+    def test_before_its_server_is_on_the_list_it_is_held_until_then(self) -> None:
+        node, server, viewer = self.late()
+        node.board.notices.append(notice(2, [server.row]))
+        eventually(lambda: server.sockets, "a connection for what stands there")
+        server.say(isup.release(bytes.fromhex(ID), Cause.OK))
+        self.assertEqual(viewer.request().fields["reason"], "cause=16")
+
+    def test_ended_before_its_server_is_on_the_list_it_ends_there_too(self) -> None:
+        node, server, viewer = self.late()
+        viewer.tear_down(ID)
+        self.assertEqual(viewer.answer().status, 200)
+        node.board.notices.append(notice(2, [server.row]))
+        [sent] = eventually(lambda: server.of(Kind.RELEASE), "its release")
+        self.assertEqual((sent.session.hex(), sent.cause), (ID, Cause.OK))
+
+    def test_what_another_server_says_of_it_counts_for_nothing(self) -> None:
+        other, server = StandInServer("s0", 0, silence), StandInServer("s1", 1)
+        node = self.node(other, server)
+        viewer = node.caller()
+        viewer.set_up(OTHER, routing="home:0;copies:1;top:2")
+        eventually(lambda: other.of(Kind.SET_UP), "a connection to the other server")
+        early = isup.release(bytes.fromhex(ID), Cause.RESET)
+        other.say(early + isup.message(Kind.TEST, bytes(8), (Code.CAUSE, b"\0")))
+        eventually(lambda: other.of(Kind.TESTED), "the answer to a test behind it")
+        viewer = self.hand_over(node, "s1")
+        eventually(lambda: server.sockets, "a connection for what stands there")
+        server.say(isup.release(bytes.fromhex(ID), Cause.OK))
+        self.assertEqual(viewer.request().fields["reason"], "cause=16")
+
+
 if __name__ == "__main__":
     unittest.main()
