The end of what plays is kept although notes of it fill its place

Cause: of what servers say of a session before its set-up with at has come, 8 messages are kept. Two reports of four notes each filled that, and the release behind them was passed over: its viewer was never told. At fault: desk.keep. Change: a release takes the place of the last note that was kept.

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -204,6 +204,9 @@
             said = self.early.setdefault(message.session, [])
             if len(said) < MOST_EARLY_EACH:
                 said.append((self.now_us(), link, message))
+            elif message.kind is Kind.RELEASE:
+                # Crowded out by notes, the end of what plays was lost, and its viewer waited for good.
+                said[-1] = (self.now_us(), link, message)
 
     def answered(self, link: Line, sub: Subscription, message: Message) -> None:
         if sub.state is not State.JOINING:
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -419,6 +419,19 @@
         server.say(isup.release(bytes.fromhex(ID), Cause.OK))
         self.assertEqual(viewer.request().fields["reason"], "cause=16")
 
+    def test_its_end_is_not_crowded_out_by_notes_that_came_before(self) -> None:
+        server = StandInServer("s0", 0, silence)
+        node = self.node(server)
+        viewer = node.caller()
+        viewer.set_up(OTHER)
+        eventually(lambda: server.of(Kind.SET_UP), "a connection")
+        note = isup.message(Kind.NOTE, bytes.fromhex(ID), (Code.NOTE_NAME, b"nic"), (Code.FIGURE, b"0.5"))
+        test = isup.message(Kind.TEST, bytes(8), (Code.CAUSE, b"\0"))
+        server.say(note * desk.MOST_EARLY_EACH + isup.release(bytes.fromhex(ID), Cause.OK) + test)
+        eventually(lambda: server.of(Kind.TESTED), "the answer to a test behind them")
+        viewer.set_up(ID, routing="home:0;copies:4;top:2;at:s0")
+        self.assertEqual(viewer.request().fields["reason"], "cause=16")
+
 
 if __name__ == "__main__":
     unittest.main()
