A file at SIGHUP that is another node's is refused whole, and a refused one is told of once

Cause: of a file with another name, listening address, limits or settings `board` alone was taken over: the node went on with one customer's settings and another's discovery. A file that can't be read gave five log lines, one a try.

Lines at fault: Program.reload, `self.watch.move(fresh.board)` with nothing compared before it, and the notice within the loop of tries.

--- a/packages/node/src/fennelcove/node/config.py
+++ b/packages/node/src/fennelcove/node/config.py
@@ -25,6 +25,13 @@
     advice = "Correct the file that EDGE_CONFIG names; a node that runs goes on by what it had read"
 
 
+class ConfigForeign(Trouble):
+    """A front node's configuration at SIGHUP is not the one of the node that runs."""
+
+    code = "node-configuration-foreign"
+    advice = "Put the node's own file back, or restart the node to run by this one; it goes on as it was"
+
+
 @dataclass(frozen=True, slots=True, eq=False)
 class Config:
     """One front node's configuration."""
@@ -66,6 +73,19 @@
         raise ConfigError(f"{type(error).__name__}: {error}", path or "EDGE_CONFIG") from None
 
 
+def reload(path: str, running: Config) -> Config:
+    """Read the file of a node that runs: whole, or nothing of it.
+
+    Raises:
+        ConfigError: as `load`.
+        ConfigForeign: it is another node's, or asks for what takes a restart.
+    """
+    fresh = load(path)
+    if differs := running.differs(fresh):
+        raise ConfigForeign(f"differs from what the node runs by in {', '.join(differs)}", path)
+    return fresh
+
+
 def parse(tree: Any) -> Config:
     """The configuration out of its parsed JSON.
 
--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -108,17 +108,18 @@
             sock.close()
 
     def reload(self) -> None:
-        """Go on by the file as it is now; one that can't be read leaves what was."""
-        for _ in range(RELOADS):
+        """Go on by the file as it is now; one that can't be used leaves what was, and is told of once."""
+        for left in reversed(range(RELOADS)):
             try:
-                fresh = config.load(self.path)
-            except config.ConfigError as error:
-                self.notice("reload_failed", **error.fields())
-                time.sleep(RELOAD_PAUSE_S)
+                fresh = config.reload(self.path, self.config)
+            except (config.ConfigError, config.ConfigForeign) as error:
+                if left:  # it may be in the middle of being replaced
+                    time.sleep(RELOAD_PAUSE_S)
+                else:
+                    self.notice("reload_failed", **error.fields())
                 continue
             self.watch.move(fresh.board)
-            board = f"{fresh.board.host}:{fresh.board.port}"
-            self.notice("reloaded", board=board, differs=self.config.differs(fresh))
+            self.notice("reloaded", board=f"{fresh.board.host}:{fresh.board.port}")
             return
 
     def stop(self) -> None:
