The file is read again on a thread of its own, so SIGTERM never waits behind a SIGHUP

Cause: Program.run called reload from the loop that waits for signals. Five tries with 0.1 s between them, or a file whose read does not end, held back a SIGTERM that came in between; tests passed meanwhile, though they have to fail from the first moment after it.

Lines at fault: program.py, `while signal.sigwait(signals) == signal.SIGHUP: self.reload()`.

Change: a thread "reload" waits for an Event that the main thread sets; the main thread is always in sigwait. Ruled out instead: sigtimedwait in place of sleep, which helps between tries but not in a read.

Test: the new file is a named pipe that the node has opened and nobody writes to; SIGTERM; tests then fail on a connection that was open as on a new one, and the process ends with 0. Before the change: AssertionError: never came: the log's word of the signal

--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -37,6 +37,7 @@
         self.desk = Desk(self.config, self.clock, self.timers, self.notice)
         self.watch = Watch(self.desk, self.clock, self.config.board, self.config.known.rev)
         self.desk.fetch = self.watch.again
+        self.reread = threading.Event()
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
 
@@ -60,12 +61,13 @@
             ("board", self.watch.run),
             ("accept", self.accept),
             ("round", self.rounds),
+            ("reload", self.reloads),
         ):
             threading.Thread(target=call, name=name, daemon=True).start()
         trace.start(self.desk)
         self.notice("ready", servers=len(self.desk.servers), rev=self.config.known.rev)
         while signal.sigwait(signals) == signal.SIGHUP:
-            self.reload()
+            self.reread.set()
         self.stop()
         return 0
 
@@ -107,6 +109,17 @@
                 self.desk.roll.remove(viewer)
             sock.close()
 
+    def reloads(self) -> None:
+        """Read the file whenever a SIGHUP has come; never ends. Apart from the main thread: while that one
+        read a file, or waited between two tries, SIGTERM waited with it and tests went on passing."""
+        while True:
+            self.reread.wait()
+            self.reread.clear()
+            try:
+                self.reload()
+            except Exception as error:  # one file's fault must not end what all later ones are read by
+                self.notice("reload_failed", reason=f"{type(error).__name__}: {error}")
+
     def reload(self) -> None:
         """Go on by the file as it is now; one that can't be used leaves what was, and is told of once."""
         for left in reversed(range(RELOADS)):
--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from tests.nodeprocess import Gate, blocked, run
+from tests.nodeprocess import Gate, Rig, blocked, options, run
 from tests.noderig import SETTINGS, Caller, StandInBoard, StandInServer, eventually, notice, rtsp_writer
 
 # Stands in for a module of the standard library that the node imports and the interpreter's own start does
@@ -107,3 +107,27 @@
                 process.send_signal(number)  # nothing is written: it must not wait for the file
                 self.assertEqual(process.wait(20), 0)
                 os.close(held)
+
+
+class StopTest(unittest.TestCase):
+    """From SIGTERM to the end of the process."""
+
+    def rig(self, *servers: StandInServer) -> Rig:
+        made = Rig(*servers)
+        self.addCleanup(made.close)
+        return made
+
+    def test_sigterm_is_heeded_while_a_new_file_is_read(self) -> None:
+        rig = self.rig(StandInServer("s0", 0))
+        caller = rig.caller()
+        self.assertEqual(options(caller), 200)
+        rig.path.unlink()
+        gate = Gate(rig.path)
+        rig.signal(signal.SIGHUP)
+        held = gate.held()  # the node is in the middle of reading, and nothing comes
+        self.addCleanup(os.close, held)
+        rig.signal(signal.SIGTERM)
+        eventually(lambda: rig.told("stopping"), "the log's word of the signal")
+        # On a connection that stays open as on a new one.
+        self.assertEqual((options(caller), rig.test()), (503, 503))
+        self.assertEqual(rig.process.wait(20), 0)
