Nothing is begun for a viewer that has left or taken its set-up back, though it wrote more

Cause: Viewer._read acted on all messages of its buffer one by one and saw the end of the stream only at its next read: `while not self.closed and (message := reader.next())`. A set-up was begun although its end, a reset or its TEARDOWN had come in the same read, or while it waited for the lock; an answer was handed to a connection whose end lay unread, and stood for nobody; and TEARDOWNs behind the first answer that met a reset were dropped, as `closed` ended the loop, so that what they end stood on. `closed` was looked at outside the lock: a set-up was acted on for a connection that had just been shut, and its repeat on the next met it there.

Change: what has come is read ahead, 64 KiB at most (node/inbox.py), and looked for again under the lock before each message. At the end, seen by the read or, past the bound, by the kernel's POLLRDHUP, what is open is given up; set-ups that wait for an answer are then passed over, as are those whose TEARDOWN has come (answered 200) and those read from a connection that is shut. What is only named (`at`) or ended counts all the same. The answer to a viewer that has left is not handed over, and its session ends at the server.

Ruled out, tests that passed before: left while its dial was under way (a full backlog; closed, reset, taken back), left while the module held it.

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -414,8 +414,9 @@
             sub.join.server.standing.pop(sub, None)
 
     def answer(self, sub: Subscription, data: bytes) -> bool:
-        """On the connection of the set-up alone; False where its viewer has not got all of it."""
-        return sub.viewer is not None and sub.viewer.send(data)
+        """On the connection of the set-up alone; False where its viewer has not got all of it. The kernel
+        takes it for one that has closed as well, and what it tells of would stand for nobody."""
+        return sub.viewer is not None and not sub.viewer.left() and sub.viewer.send(data)
 
     def pay(self, viewer: Caller) -> None:
         """Tell a connection what its peer has missed."""
--- a/packages/node/src/fennelcove/node/door.py
+++ b/packages/node/src/fennelcove/node/door.py
@@ -39,8 +39,8 @@
     """A set-up that can't be used."""
 
 
-def hear(desk: Counter, viewer: Caller, message: messages.Message) -> None:
-    """Act on one message; the desk's lock is held."""
+def hear(desk: Counter, viewer: Caller, message: messages.Message, gone: bool = False) -> None:
+    """Act on one message; the desk's lock is held. `gone`: nobody waits for an answer to it by now."""
     if isinstance(message, messages.Answer):
         return  # a release that was heard
     echo = [
@@ -53,6 +53,8 @@
         viewer.send(writer.answer(503 if desk.stopping else 200, *echo))
     elif _ID.fullmatch(session) is None:
         viewer.send(writer.answer(400, *echo))
+    elif message.method == "SETUP" and gone and waits(message):
+        viewer.withdrawn.add(bytes.fromhex(session))
     elif message.method == "SETUP":
         set_up(desk, viewer, message, session)
     elif message.method == "TEARDOWN":
@@ -62,6 +64,12 @@
         viewer.send(writer.answer(501, *echo))
 
 
+def waits(message: messages.Request) -> bool:
+    """Whether an answer to this set-up is owed; what plays already is only named."""
+    routing = message.fields.get("routing-data", "")
+    return not any(part.startswith("at:") and part != "at:" for part in routing.split(";"))
+
+
 def set_up(desk: Counter, viewer: Caller, message: messages.Request, session: str) -> None:
     """A subscription to set up, or one that plays already."""
     cseq = message.fields.get("cseq", "1")
@@ -152,9 +160,11 @@
 
 def tear_down(desk: Counter, viewer: Caller, id: bytes) -> bool:
     """The viewer gives up a set-up, or ends what stands; what stands may be ended on any connection."""
+    withdrawn = id in viewer.withdrawn
+    viewer.withdrawn.discard(id)
     sub = desk.subs.get(id)
     if sub is None or (sub.viewer is not viewer and sub.state is not State.STANDING):
-        return False
+        return withdrawn
     return states.step(desk, sub, Cue.VIEWER_GONE)
 
 
--- a/packages/node/src/fennelcove/node/parties.py
+++ b/packages/node/src/fennelcove/node/parties.py
@@ -51,8 +51,11 @@
     peer: str
     open: dict[Subscription, None]
     standing: dict[Subscription, None]
+    withdrawn: set[bytes]  # set-ups taken back before anything was begun for them
     closed: bool
 
+    def left(self) -> bool: ...
+
     def send(self, data: bytes) -> bool: ...
 
     def shut(self) -> None: ...
--- a/packages/node/src/fennelcove/node/viewers.py
+++ b/packages/node/src/fennelcove/node/viewers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import threading
 from collections import deque
@@ -10,11 +11,11 @@
 
 from fennelcove.clock import Clock
 from fennelcove.node import door
+from fennelcove.node.inbox import Inbox
 from fennelcove.node.links import receive_limit, send_now
 from fennelcove.node.parties import Caller, Subscription
 from fennelcove.rtsp import writer
 from fennelcove.rtsp.messages import ProtocolError
-from fennelcove.rtsp.reader import Reader
 
 READ_BYTES = 16_384
 MESSAGE_US = 2_000_000  # from a connection's start, or a message's first byte, until the message is whole
@@ -41,7 +42,10 @@
         self.peer = peer
         self.open: dict[Subscription, None] = {}
         self.standing: dict[Subscription, None] = {}
+        self.inbox = Inbox()
+        self.withdrawn: set[bytes] = set()
         self.spoke = False
+        self.ended = False  # its viewer has closed
         self.closed = False
 
     @property
@@ -56,6 +60,17 @@
             self.shut()
         return not self.closed
 
+    def left(self) -> bool:
+        """Whether its viewer has closed, as far as the kernel knows: bytes may lie unread before the end."""
+        if self.ended or self.closed:
+            return True
+        poll = select.poll()
+        try:
+            poll.register(self.sock, select.POLLRDHUP)
+            return any(events & (select.POLLRDHUP | select.POLLERR) for _, events in poll.poll(0))
+        except (OSError, ValueError):
+            return False
+
     def shut(self) -> None:
         """End it; its thread does the rest."""
         self.closed = True
@@ -67,7 +82,7 @@
         try:
             self._read()
         except OSError:
-            pass  # broken, or silent past its limit
+            self.ended = True  # broken
         except ProtocolError as error:
             with self.desk.lock:
                 self.send(writer.answer(error.status))
@@ -79,13 +94,13 @@
             self.sock.close()
 
     def _read(self) -> None:
-        reader = Reader()
+        inbox = self.inbox
         limit_us = 0
         until_us = self.desk.clock.now_us() + MESSAGE_US
-        while not self.closed:
+        while not self.closed and not self.ended:
             left_us = until_us - self.desk.clock.now_us()
             if left_us <= 0:
-                if not reader.between or not self.spoke or self.bare:
+                if not inbox.between or not self.spoke or self.bare:
                     return  # never said anything whole, stopped in the middle of it, or has nothing left here
                 left_us = IDLE_US
                 until_us += IDLE_US
@@ -98,19 +113,54 @@
             except BlockingIOError:
                 continue
             if not data:
+                self.ended = True
                 return
-            began = reader.between
-            reader.feed(data)
-            while not self.closed and (message := reader.next()) is not None:
-                self.spoke, began = True, True
-                # One message a turn of the lock: a flood on one connection must not hold up the others.
-                with self.desk.lock:
-                    door.hear(self.desk, self, message)
-            if reader.between:
+            began = inbox.between
+            inbox.feed(data)
+            began |= self._act()
+            inbox.check()
+            if inbox.between:
                 until_us = self.desk.clock.now_us() + IDLE_US
             elif began and self.spoke:
                 until_us = self.desk.clock.now_us() + MESSAGE_US
 
+    def _come(self) -> bytes | None:
+        """What has come by now; None where nothing has, and empty where the end has."""
+        try:
+            return self.sock.recv(READ_BYTES, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b""
+
+    def _act(self) -> bool:
+        """Act on what has come, one message a turn of the lock: a flood on one connection must not hold up
+        the others. Before each, look what has come behind it: nothing may be begun for a viewer that has
+        left, or has given up, while the messages before that were acted on or waited for the lock."""
+        inbox = self.inbox
+        acted = False
+        while inbox.messages:
+            with self.desk.lock:
+                more = self._behind()
+                if not more:
+                    acted = self.spoke = True
+                    message = inbox.take()
+                    gone = self.ended or self.closed or inbox.takes_back(message)
+                    door.hear(self.desk, self, message, gone)
+            if more:
+                inbox.feed(more)
+        return acted
+
+    def _behind(self) -> bytes | None:
+        """What has come behind the messages that are being acted on; an end is acted on at once."""
+        if self.ended or self.closed:
+            return None
+        more = self._come() if not self.inbox.full else b"" if self.left() else None
+        if more == b"":
+            self.ended = True
+            door.viewer_gone(self.desk, self)
+        return more
+
 
 class Roll:
     """The open connections, oldest first, bounded."""
--- /dev/null
+++ b/tests/test_node_clients.py
@@ -0,0 +1,244 @@
+"""Clients that leave, take back or repeat at a bad moment, over real connections, the bad order each time."""
+
+from __future__ import annotations
+
+import copy
+import socket
+import threading
+import unittest
+from unittest import mock
+
+from fennelcove.isup.messages import Kind
+from fennelcove.isup.messages import Message as ServerMessage
+from fennelcove.node.parties import State
+from fennelcove.rtsp import writer
+from tests import noderig
+from tests.clientrig import Inside, Stopped, arrived, ended, holds, reset, sockets, taken
+from tests.noderig import Caller, NodeRig, StandInServer, answered, eventually
+
+ID, OTHER = "9b1f03aa5c7e2d41", "00000000000000a1"
+
+
+def many(count: int) -> list[str]:
+    return [f"{number:016x}" for number in range(1, count + 1)]
+
+
+def mute(_: ServerMessage) -> bytes:
+    return b""
+
+
+class Script(Caller):
+    """A connection on which messages are gathered and go out together."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        super().__init__(address)
+        self.gathered = bytearray()
+
+    def send(self, data: bytes) -> None:
+        self.gathered += data
+
+    def flush(self) -> None:
+        self.sock.sendall(self.gathered)
+        self.gathered.clear()
+
+
+class RigTest(unittest.TestCase):
+    def rig(self, *servers: StandInServer, sockets: int = 256, command: list[str] | None = None) -> NodeRig:
+        made = NodeRig(*servers, sockets=sockets, command=command)
+        self.addCleanup(made.close)
+        return made
+
+    def script(self, rig: NodeRig) -> Script:
+        made = Script(rig.address)
+        self.addCleanup(made.sock.close)
+        return made
+
+
+class GoneTest(RigTest):
+    """Nothing is begun for a viewer that has left or taken its set-up back."""
+
+    def test_an_end_behind_many_set_ups_is_acted_on_before_them(self) -> None:
+        for name in ("half-closed", "reset"):
+            with self.subTest(name):
+                server = StandInServer("s0", 0, mute)
+                rig = self.rig(server)
+                viewer = self.script(rig)
+                inode = taken(rig, viewer)
+                for id in many(150):
+                    viewer.set_up(id)
+                with Stopped(rig):
+                    viewer.flush()
+                    arrived(viewer.sock)
+                    if name == "half-closed":
+                        viewer.sock.shutdown(socket.SHUT_WR)
+                        arrived(viewer.sock)
+                    else:
+                        reset(viewer.sock)
+                eventually(lambda rig=rig, inode=inode: not holds(rig, inode), "the connection closed")
+                self.assertEqual(len(server.of(Kind.SET_UP)), 0)
+
+    def test_a_set_up_taken_back_in_the_same_read_is_not_begun(self) -> None:
+        server = StandInServer("s0", 0, mute)
+        rig = self.rig(server)
+        viewer = self.script(rig)
+        for id in many(60):
+            viewer.set_up(id)
+        for id in many(60):
+            viewer.tear_down(id)
+        viewer.set_up(many(1)[0])  # an id that has just ended is a new set-up's
+        with Stopped(rig):
+            viewer.flush()
+            arrived(viewer.sock)
+        answers = [viewer.answer() for _ in many(60)]
+        self.assertEqual({(a.status, a.fields["cseq"]) for a in answers}, {(200, "2")})
+        [sent] = eventually(lambda: server.of(Kind.SET_UP), "the one that was not taken back")
+        self.assertEqual(sent.session.hex(), many(1)[0])
+        server.say(answered(sent))
+        self.assertEqual(viewer.answer().fields["cseq"], "1")
+
+    def test_an_end_far_behind_what_is_read_ahead_is_seen(self) -> None:
+        server = StandInServer("s0", 0, mute)
+        inside = Inside(self, server)
+        viewer, far = inside.meet()
+        script = Script(inside.listener.getsockname())
+        script.sock.close()
+        script.sock = viewer.sock
+        for id in many(1500):
+            script.set_up(id)
+        self.assertGreater(len(script.gathered), 4 * 65_536)
+        script.flush()
+        viewer.sock.shutdown(socket.SHUT_WR)
+        arrived(viewer.sock)
+        inside.read(far).join(noderig.WAIT_S)
+        self.assertFalse(inside.desk.servers["s0"].links or inside.desk.subs)
+
+    def test_what_is_only_named_or_ended_counts_though_its_viewer_has_left(self) -> None:
+        server = StandInServer("s0", 0)
+        rig = self.rig(server)
+        viewer = rig.caller()
+        for id in many(40):
+            viewer.set_up(id)
+            self.assertEqual(viewer.answer().status, 200)
+        leaver = self.script(rig)
+        leaver.set_up(OTHER, routing="home:0;copies:4;top:2;at:s0")
+        for id in (OTHER, *many(40)):
+            leaver.tear_down(id)
+        with Stopped(rig):
+            leaver.flush()
+            arrived(leaver.sock)
+            reset(leaver.sock)  # no answer can be written: what comes next is acted on all the same
+        eventually(lambda: len(server.of(Kind.RELEASE)) == 41, "each end at the server")
+        self.assertEqual({message.session.hex() for message in server.of(Kind.RELEASE)}, {OTHER, *many(40)})
+
+    def test_a_set_up_whose_viewer_left_while_it_waited_for_the_lock(self) -> None:
+        inside = Inside(self, StandInServer("s0", 0, mute))
+        caller, far = inside.meet()
+        inside.gate.hold("viewer")
+        thread = inside.read(far)
+        caller.set_up(ID)
+        eventually(lambda: inside.gate.reached("viewer"), "the set-up read")
+        caller.sock.close()
+        eventually(lambda: ended(far.sock), "the end at the node's kernel")
+        inside.gate.free("viewer")
+        thread.join(noderig.WAIT_S)
+        self.assertFalse(inside.desk.servers["s0"].links or inside.desk.subs)
+
+    def test_a_set_up_whose_viewer_left_while_it_waited_for_a_dial(self) -> None:
+        for name in ("closed", "reset", "taken back"):
+            with self.subTest(name):
+                slow = StandInServer("s0", 0, mute)
+                slow.listener.close()
+                slow.listener = listener = socket.create_server(("127.0.0.1", 0), backlog=1)
+                self.addCleanup(listener.close)
+                crowd = [socket.socket() for _ in range(8)]
+                for sock in crowd:  # a full backlog: who comes now is not let in until its kernel asks again
+                    self.addCleanup(sock.close)
+                    sock.setblocking(False)
+                    sock.connect_ex(listener.getsockname())
+                rig = self.rig(slow)
+                viewer = rig.caller()
+                inode = taken(rig, viewer)
+                viewer.set_up(ID)
+                port = listener.getsockname()[1]
+                eventually(lambda rig=rig, port=port: sockets(rig, None, port), "the dial")
+                if name == "taken back":
+                    viewer.tear_down(ID)
+                    self.assertEqual(viewer.answer().status, 200)
+                elif name == "closed":
+                    viewer.sock.close()
+                else:
+                    reset(viewer.sock)
+                if name != "taken back":
+                    eventually(lambda rig=rig, inode=inode: not holds(rig, inode), "the end acted on")
+                for sock in crowd:
+                    sock.close()
+                threading.Thread(target=slow._accept, daemon=True).start()
+                # The link that was dialled in vain carries the next one: nothing has gone out on it before.
+                eventually(lambda slow=slow: len(slow.sockets) > 0, "a connection let in")
+                following = rig.caller()
+                following.set_up(OTHER)
+                eventually(lambda slow=slow: slow.of(Kind.SET_UP), "the next set-up")
+                self.assertEqual([m.session.hex() for m in slow.heard], [OTHER])
+
+    def test_a_set_up_whose_viewer_left_while_the_module_held_it(self) -> None:
+        settings = copy.deepcopy(noderig.SETTINGS)
+        settings["LoadReport"]["Source"] = "probes"
+        settings["Allowed"]["MayProbe"] = True
+        server = StandInServer("s0", 0, mute)
+        with mock.patch.object(noderig, "SETTINGS", settings):
+            rig = self.rig(server)
+        viewer = rig.caller()
+        viewer.set_up(ID)
+        viewer.send(writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")))
+        self.assertEqual(viewer.answer().fields["cseq"], "3")
+        self.assertFalse(server.heard)  # it is held
+        viewer.sock.close()
+        following = rig.caller()
+        following.set_up(OTHER)
+        eventually(lambda: server.of(Kind.SET_UP), "the next set-up, which was held as long")
+        self.assertEqual([message.session.hex() for message in server.of(Kind.SET_UP)], [OTHER])
+
+    def test_an_answer_to_a_viewer_whose_end_was_not_read_yet_leaves_nothing_standing(self) -> None:
+        server = StandInServer("s0", 0, mute)
+        inside = Inside(self, server)
+        caller, far = inside.meet()
+        thread = inside.read(far)
+        caller.set_up(ID)
+        [sent] = eventually(lambda: server.of(Kind.SET_UP), "the set-up")
+        sub = inside.desk.subs[bytes.fromhex(ID)]
+        inside.gate.hold("viewer")
+        caller.sock.close()
+        eventually(lambda: inside.gate.reached("viewer"), "the end read, and not acted on")
+        server.say(answered(sent))
+        eventually(lambda: sub.state in (State.STANDING, State.OVER), "the answer heard")
+        inside.gate.free("viewer")
+        thread.join(noderig.WAIT_S)
+        [release] = eventually(lambda: server.of(Kind.RELEASE), "its end at the server")
+        self.assertEqual(release.session.hex(), ID)
+        self.assertFalse(inside.desk.subs)
+
+    def test_a_set_up_read_as_its_connection_is_shut_is_served_on_the_next(self) -> None:
+        server = StandInServer("s0", 0)
+        inside = Inside(self, server)
+        first = inside.connect()
+        first.set_up(OTHER)
+        self.assertEqual(first.answer().status, 200)  # its link is free: what is begun now is sent at once
+        caller, far = inside.meet()
+        inside.gate.hold("viewer")
+        thread = inside.read(far)
+        caller.set_up(ID)
+        eventually(lambda: inside.gate.reached("viewer"), "the set-up read")
+        with inside.gate:
+            far.shut()
+        inside.gate.free("viewer")
+        self.assertIsNone(caller.next())
+        caller.sock.close()
+        thread.join(noderig.WAIT_S)
+        again = inside.connect()
+        again.set_up(ID)
+        self.assertEqual(again.answer().status, 200)
+        self.assertEqual([m.session.hex() for m in server.of(Kind.SET_UP)], [OTHER, ID])
+
+
+if __name__ == "__main__":
+    unittest.main()
