A connection the node closes is half-closed and drained first: what it wrote can be read

Cause: Viewer.run closed the socket with bytes unread (`sock.close()` right after the answer to a ProtocolError, and `shut` shuts both sides), so the kernel reset the connection while its client was still writing; a reset may also destroy the answer on its way. Ruled out on Linux loopback: a client that has the answer in its own kernel already reads it in spite of the reset, and a connection shut for the id of an open set-up gave its earlier answer (`what_was_answered_before_a_connection_is_shut`, passed before as well).

Change: after the last answer the node shuts its sending side, reads on without keeping anything for half a second or one more such read at most, until the far side ends, and then closes. `shut` leaves the reading side open where the connection's thread is at work and sees `closed` by itself. A connection stays in the table until its descriptor is closed; those only drained go first when room is needed.

Before: a_refusal_can_be_read_behind_megabytes `ConnectionResetError: [Errno 104] Connection reset by peer` (400 and 413).

--- a/packages/node/src/fennelcove/node/viewers.py
+++ b/packages/node/src/fennelcove/node/viewers.py
@@ -20,6 +20,8 @@
 READ_BYTES = 16_384
 MESSAGE_US = 2_000_000  # from a connection's start, or a message's first byte, until the message is whole
 IDLE_US = 10_000_000  # with nothing open or standing
+DRAIN_US = 500_000  # of what still comes after the end, for one read and for all of them
+DRAIN_BYTES = 65_536  # a read
 OWED_US = 8_000_000  # what a viewer must hear of an end is kept so long for its next connection,
 MOST_OWED = 64  # of so many peers,
 MOST_OWED_EACH = 256  # and so much for each
@@ -45,6 +47,7 @@
         self.inbox = Inbox()
         self.withdrawn: set[bytes] = set()
         self.spoke = False
+        self.busy = False  # its thread acts on what was read, and looks at `closed` before it reads again
         self.ended = False  # its viewer has closed
         self.closed = False
 
@@ -74,8 +77,9 @@
     def shut(self) -> None:
         """End it; its thread does the rest."""
         self.closed = True
-        with suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
+        if not self.busy:  # else its thread sees `closed` by itself, and a read side shut can't be drained
+            with suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
 
     def run(self) -> None:
         """Read until the connection ends."""
@@ -89,10 +93,23 @@
         finally:
             with self.desk.lock:
                 self.closed = True
-                self.desk.roll.remove(self)
                 door.viewer_gone(self.desk, self)
+            self._drain()
+            with self.desk.lock:
+                self.desk.roll.remove(self)
             self.sock.close()
 
+    def _drain(self) -> None:
+        """A socket closed with bytes unread resets its connection, and the reset destroys the answer that was
+        just written: say that nothing more comes, and read what still does, for a while."""
+        self.busy = False  # whoever needs the room may cut it short
+        until_us = self.desk.clock.now_us() + DRAIN_US
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+            receive_limit(self.sock, DRAIN_US)
+            while self.sock.recv(DRAIN_BYTES) and self.desk.clock.now_us() < until_us:
+                pass
+
     def _read(self) -> None:
         inbox = self.inbox
         limit_us = 0
@@ -108,9 +125,8 @@
             if not left_us <= limit_us <= left_us + MESSAGE_US // 2:
                 limit_us = left_us
                 receive_limit(self.sock, limit_us)
-            try:
-                data = self.sock.recv(READ_BYTES)
-            except BlockingIOError:
+            data = self._wait()
+            if data is None:
                 continue
             if not data:
                 self.ended = True
@@ -124,6 +140,16 @@
             elif began and self.spoke:
                 until_us = self.desk.clock.now_us() + MESSAGE_US
 
+    def _wait(self) -> bytes | None:
+        """What comes next; None where nothing has in time."""
+        self.busy = False  # before the look at `closed`: whoever shuts it looks after setting that
+        try:
+            return None if self.closed else self.sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return None
+        finally:
+            self.busy = True
+
     def _come(self) -> bytes | None:
         """What has come by now; None where nothing has, and empty where the end has."""
         try:
@@ -174,9 +200,10 @@
     def add(self, viewer: Viewer) -> bool:
         """False where there is no room for it, even with others closed that nothing hangs on."""
         if len(self.viewers) >= self.most:
-            bare = [v for v in self.viewers if v.bare and not v.closed]
-            # Those that have said nothing go first: some open connections by the hundred, and never do.
-            out = next((v for v in bare if not v.spoke), bare[0] if bare else None)
+            # Those that are only drained go first, then those that have said nothing: some open connections
+            # by the hundred, and never do.
+            spare = sorted((v for v in self.viewers if v.bare), key=lambda v: (not v.closed, v.spoke))
+            out = next(iter(spare), None)
             if out is None:
                 return False
             out.shut()
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -13,7 +13,7 @@
 from fennelcove.node.parties import State
 from fennelcove.rtsp import writer
 from tests import noderig
-from tests.clientrig import Inside, Stopped, arrived, ended, holds, reset, sockets, taken
+from tests.clientrig import Inside, Stopped, arrived, ended, holds, reset, rest, sockets, taken
 from tests.noderig import Caller, NodeRig, StandInServer, answered, eventually
 
 ID, OTHER = "9b1f03aa5c7e2d41", "00000000000000a1"
@@ -217,6 +217,47 @@
         self.assertEqual(release.session.hex(), ID)
         self.assertFalse(inside.desk.subs)
 
+
+class CloseTest(RigTest):
+    """What the node has written before it closes can be read, and what crosses with its close is answered."""
+
+    def test_a_refusal_can_be_read_behind_megabytes_that_were_not(self) -> None:
+        rig = self.rig(StandInServer("s0", 0))
+        head = f"SETUP rtsp://media/7f3a RTSP/1.0\r\nCSeq: 1\r\nSession: {ID}\r\n"
+        for status, broken in {
+            400: "no line at all\r\n\r\n",
+            413: f"{head}Content-Length: 60000000\r\n\r\n",
+        }.items():
+            with self.subTest(status):
+                caller = rig.caller()
+                caller.send(broken.encode() + b"x" * (4 << 20))
+                caller.sock.shutdown(socket.SHUT_WR)
+                said = rest(caller)
+                self.assertTrue(said.startswith(b"RTSP/1.0 %d " % status), said[:80])
+                self.assertTrue(said.endswith(b"\r\n\r\n"), said)
+
+    def test_what_was_answered_before_a_connection_is_shut_can_be_read(self) -> None:
+        server = StandInServer("s0", 0, mute)
+        rig = self.rig(server)
+        caller = self.script(rig)
+        caller.send(writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")))
+        caller.set_up(ID)
+        caller.set_up(ID)  # a refusal would be taken for the answer that is owed
+        caller.gathered += b"x" * (1 << 20)
+        caller.flush()
+        caller.sock.shutdown(socket.SHUT_WR)
+        said = rest(caller)
+        self.assertEqual((said[:13], said.count(b"RTSP/1.0 ")), (b"RTSP/1.0 200 ", 1))
+
+    def test_who_never_ends_is_closed_all_the_same(self) -> None:
+        rig = self.rig(StandInServer("s0", 0))
+        caller = rig.caller()
+        inode = taken(rig, caller)
+        caller.send(b"no line at all\r\n\r\n")
+        self.assertEqual(caller.answer().status, 400)
+        self.assertIsNone(caller.next())
+        eventually(lambda: not holds(rig, inode), "the descriptor back, with the far side open")
+
     def test_a_set_up_read_as_its_connection_is_shut_is_served_on_the_next(self) -> None:
         server = StandInServer("s0", 0)
         inside = Inside(self, server)
