A set-up that comes as its connection is closed for idleness or room is served

Cause: at the limit on idleness Viewer._read returned, and the connection was closed with whatever had come between the kernel's time-out and the lock unread. Roll.add took any connection on which nothing was open, also one whose set-up lay in the kernel, or had been read and waited for the lock.

Change: as the limit strikes the node looks once more, under the lock, and acts on what has come; else it is closed under that same lock and nothing that comes later is acted on. Room is made of connections from which nothing has come alone.

Before: comes_as_the_limit_strikes `AssertionError: None` (closed without an answer); room_is_not_made_by_closing_what_has_just_spoken `Lists differ: [True, False, False] != [False, False, True]`.

--- a/packages/node/src/fennelcove/node/viewers.py
+++ b/packages/node/src/fennelcove/node/viewers.py
@@ -63,6 +63,14 @@
             self.shut()
         return not self.closed
 
+    @property
+    def unread(self) -> bool:
+        """Something has come that was not read."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def left(self) -> bool:
         """Whether its viewer has closed, as far as the kernel knows: bytes may lie unread before the end."""
         if self.ended or self.closed:
@@ -116,18 +124,22 @@
         until_us = self.desk.clock.now_us() + MESSAGE_US
         while not self.closed and not self.ended:
             left_us = until_us - self.desk.clock.now_us()
-            if left_us <= 0:
-                if not inbox.between or not self.spoke or self.bare:
-                    return  # never said anything whole, stopped in the middle of it, or has nothing left here
-                left_us = IDLE_US
-                until_us += IDLE_US
-            # Set anew only where it matters: most reads find the limit that they need.
-            if not left_us <= limit_us <= left_us + MESSAGE_US // 2:
-                limit_us = left_us
-                receive_limit(self.sock, limit_us)
-            data = self._wait()
-            if data is None:
-                continue
+            if left_us <= 0 and (not inbox.between or not self.spoke or self.bare):
+                # Never said anything whole, stopped in the middle of it, or has nothing left here.
+                data = self._last()
+                if data is None:
+                    return
+            else:
+                if left_us <= 0:
+                    left_us = IDLE_US
+                    until_us += IDLE_US
+                # Set anew only where it matters: most reads find the limit that they need.
+                if not left_us <= limit_us <= left_us + MESSAGE_US // 2:
+                    limit_us = left_us
+                    receive_limit(self.sock, limit_us)
+                data = self._wait()
+                if data is None:
+                    continue
             if not data:
                 self.ended = True
                 return
@@ -150,6 +162,14 @@
         finally:
             self.busy = True
 
+    def _last(self) -> bytes | None:
+        """What has come just as the limit struck, to be acted on; None where nothing has, and then nothing
+        will be: its viewer sends it once more elsewhere, and is served there."""
+        with self.desk.lock:
+            data = self._come()
+            self.closed |= data is None
+        return data
+
     def _come(self) -> bytes | None:
         """What has come by now; None where nothing has, and empty where the end has."""
         try:
@@ -201,9 +221,10 @@
         """False where there is no room for it, even with others closed that nothing hangs on."""
         if len(self.viewers) >= self.most:
             # Those that are only drained go first, then those that have said nothing: some open connections
-            # by the hundred, and never do.
-            spare = sorted((v for v in self.viewers if v.bare), key=lambda v: (not v.closed, v.spoke))
-            out = next(iter(spare), None)
+            # by the hundred, and never do. One from which something has come is about to carry it.
+            spare = [v for v in self.viewers if v.bare and (v.closed or not v.busy)]
+            spare.sort(key=lambda v: (not v.closed, v.spoke))
+            out = next((v for v in spare if v.closed or not v.unread), None)
             if out is None:
                 return False
             out.shut()
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -258,6 +258,18 @@
         self.assertIsNone(caller.next())
         eventually(lambda: not holds(rig, inode), "the descriptor back, with the far side open")
 
+    def test_a_set_up_that_comes_as_the_limit_strikes_is_served(self) -> None:
+        server = StandInServer("s0", 0)
+        inside = Inside(self, server)
+        caller, far = inside.meet()
+        inside.gate.hold("viewer")
+        inside.read(far)
+        eventually(lambda: inside.gate.reached("viewer"), "the limit")
+        caller.set_up(ID)
+        arrived(caller.sock)
+        inside.gate.free("viewer")
+        self.assertEqual(caller.answer().status, 200)
+
     def test_a_set_up_read_as_its_connection_is_shut_is_served_on_the_next(self) -> None:
         server = StandInServer("s0", 0)
         inside = Inside(self, server)
@@ -280,6 +292,24 @@
         self.assertEqual(again.answer().status, 200)
         self.assertEqual([m.session.hex() for m in server.of(Kind.SET_UP)], [OTHER, ID])
 
+    def test_room_is_not_made_by_closing_what_has_just_spoken(self) -> None:
+        server = StandInServer("s0", 0)
+        inside = Inside(self, server, sockets=32)
+        pairs = [inside.meet() for _ in range(inside.desk.roll.most)]
+        unread, read, idle = (far for _, far in pairs[:3])
+        inside.gate.hold("viewer")
+        inside.read(read)
+        pairs[1][0].set_up(OTHER)
+        eventually(lambda: inside.gate.reached("viewer"), "a set-up read and not acted on")
+        pairs[0][0].set_up(ID)
+        arrived(pairs[0][0].sock)
+        inside.meet()
+        self.assertEqual([far.closed for far in (unread, read, idle)], [False, False, True])
+        inside.gate.free("viewer")
+        inside.read(unread)
+        for caller, _ in pairs[:2]:
+            self.assertEqual(caller.answer().status, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
