Each set-up has its answer by its client timeout, whatever the decision module does

Cause: Desk.decide answers a set-up only where the module raised at its Request. A fault at JoinEnded or TimerFired left it OPEN, with no timer of its own: its client waited for good, and the request was lost.

A set-up for which no timer can be had is refused as harmless before anything is begun.

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -31,6 +31,7 @@
 from fennelcove.node.address import Address
 from fennelcove.node.asks import Asks
 from fennelcove.node.config import Config
+from fennelcove.node.deadlines import Deadlines
 from fennelcove.node.links import DIAL_AGAIN_US, Link
 from fennelcove.node.log import Notices
 from fennelcove.node.notices import Notice
@@ -47,6 +48,7 @@
 UNNAMED_US = 2_000_000  # what plays at a server that no list names waits so long for one that does,
 MOST_UNNAMED = 1_024  # of so many sessions
 MOST_GIVEN_UP = 64  # set-ups, one after another on a link whose server answers none of them
+ANSWER_MORE_US = 20_000  # past a client timeout the module may still answer, of the 50 ms that limits leave
 
 NOTES = {
     "quality": NoteKind.DELIVERED,
@@ -78,6 +80,7 @@
         self.links = 0
         self.most_links = config.sockets // 3
         self.stopping = False
+        self.deadlines = Deadlines(clock, timers, lambda: self.due(self.answer_late))
         self.events: deque[Event] = deque()
         self.telling = False
         self.unnamed: dict[Subscription, tuple[int, Request]] = {}
@@ -325,6 +328,7 @@
             del self.early[id]
         self.roll.forgive(now_us)
         self.name_handovers()
+        self.answer_late()  # here too, where no timer could be had for the next of them
         for server in list(self.servers.values()):
             for link in list(server.links):
                 if link.phase is not Phase.OPEN:
@@ -354,7 +358,18 @@
         self.subs[sub.id] = sub
         if sub.viewer is not None:
             sub.viewer.open[sub] = None
-        self.tell(request)
+        if self.deadlines.add(sub, request.timeout_us + ANSWER_MORE_US):
+            self.tell(request)
+        else:
+            states.step(self, sub, Cue.THROTTLE)
+
+    def answer_late(self) -> None:
+        """Answer what the module has not by its client timeout, as after a fault of its own: unanswered, a
+        set-up is lost."""
+        for id in self.deadlines.passed():
+            sub = self.subs.get(id)
+            if sub is not None and states.step(self, sub, Cue.STOP):
+                self.notice("answered_late", id=sub.key, joins=sub.joins)
 
     def adopt(self, sub: Subscription, request: Request, server: str) -> bool:
         """What plays at a server already; False where no such server is known yet."""
@@ -407,6 +422,7 @@
     def forget(self, sub: Subscription) -> None:
         """Nothing of it may stay in any table."""
         self.subs.pop(sub.id, None)
+        self.deadlines.drop(sub)
         if sub.viewer is not None:
             sub.viewer.open.pop(sub, None)
             sub.viewer.standing.pop(sub, None)
@@ -416,6 +432,7 @@
     def answer(self, sub: Subscription, data: bytes) -> bool:
         """On the connection of the set-up alone; False where its viewer has not got all of it. The kernel
         takes it for one that has closed as well, and what it tells of would stand for nobody."""
+        self.deadlines.drop(sub)
         return sub.viewer is not None and not sub.viewer.left() and sub.viewer.send(data)
 
     def pay(self, viewer: Caller) -> None:
--- a/packages/node/src/fennelcove/node/parties.py
+++ b/packages/node/src/fennelcove/node/parties.py
@@ -92,6 +92,7 @@
     joins: int = 0
     answer: bytes = b""
     wait_us: int = 0  # what a throttled viewer is told to keep away for
+    answer_by_us: int = 0
 
     @property
     def key(self) -> str:
--- a/packages/node/src/fennelcove/node/states.py
+++ b/packages/node/src/fennelcove/node/states.py
@@ -137,6 +137,12 @@
     hands.forget(sub)
 
 
+def abandon(hands: Hands, sub: Subscription) -> None:
+    """Answered past the module, which may have failed on it and holds it still."""
+    terminate(hands, sub)
+    hands.tell(ClientGone(sub.key))
+
+
 def cut_short(hands: Hands, sub: Subscription) -> None:
     """The node ends: one answer is owed all the same, and nobody can tell whether the join ran."""
     hands.answer(sub, rtsp.answer(500, ("CSeq", sub.cseq), ("Session", sub.name)))
@@ -162,7 +168,7 @@
     (State.JOINING, Cue.ANSWERED): (State.STANDING, start),
     (State.JOINING, Cue.ENDED): (State.OPEN, join_over),
     (State.JOINING, Cue.VIEWER_GONE): (State.OVER, give_up),
-    (State.OPEN, Cue.STOP): (State.OVER, terminate),
+    (State.OPEN, Cue.STOP): (State.OVER, abandon),
     (State.JOINING, Cue.STOP): (State.OVER, cut_short),
     (State.STANDING, Cue.RUNG): (State.STANDING, change_rung),
     (State.STANDING, Cue.MOVE): (State.OVER, move),
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -4,17 +4,19 @@
 
 import copy
 import socket
+import sys
 import threading
+import time
 import unittest
 from unittest import mock
 
-from fennelcove.isup.messages import Kind
+from fennelcove.isup.messages import Cause, Kind
 from fennelcove.isup.messages import Message as ServerMessage
 from fennelcove.node.parties import State
 from fennelcove.rtsp import writer
 from tests import noderig
 from tests.clientrig import Inside, Stopped, arrived, ended, holds, reset, rest, sockets, taken
-from tests.noderig import Caller, NodeRig, StandInServer, answered, eventually
+from tests.noderig import Caller, NodeRig, StandInServer, answered, eventually, released
 
 ID, OTHER = "9b1f03aa5c7e2d41", "00000000000000a1"
 
@@ -311,5 +313,69 @@
             self.assertEqual(caller.answer().status, 200)
 
 
+# A front node whose module fails at every event of one kind: nothing else answers what it was told of.
+FAULTY = """
+import sys
+from fennelcove.node import desk, program
+
+class Faulty(desk.Front):
+    def handle(self, event, now_us):
+        if type(event).__name__ == {event!r}:
+            raise KeyError("a fault of the module")
+        super().handle(event, now_us)
+
+desk.Front = Faulty
+sys.exit(program.main())
+"""
+
+
+class FaultTest(RigTest):
+    """Each set-up that is taken gets its answer by its client timeout, whatever the module does."""
+
+    def faulty(self, server: StandInServer, event: str) -> NodeRig:
+        return self.rig(server, command=[sys.executable, "-c", FAULTY.format(event=event)])
+
+    def test_a_fault_as_a_join_ends(self) -> None:
+        server = StandInServer("s0", 0, lambda message: released(message, Cause.FULL))
+        viewer = self.faulty(server, "JoinEnded").caller()
+        began = time.monotonic()
+        viewer.set_up(ID, **{"Answer-Within": "700"})
+        viewer.set_up(OTHER, **{"Answer-Within": "400"})
+        answers = [viewer.answer(), viewer.answer()]
+        self.assertGreaterEqual(time.monotonic() - began, 0.7)
+        self.assertEqual([(a.status, a.fields["session"]) for a in answers], [(500, OTHER), (500, ID)])
+        viewer.tear_down(ID)
+        self.assertEqual(viewer.answer().status, 454)  # nothing of it is left, nor a second answer
+
+    def test_a_fault_as_a_timer_falls_due(self) -> None:
+        settings = copy.deepcopy(noderig.SETTINGS)
+        settings["LoadReport"]["Source"] = "probes"
+        settings["Allowed"]["MayProbe"] = True
+        with mock.patch.object(noderig, "SETTINGS", settings):
+            rig = self.faulty(StandInServer("s0", 0), "TimerFired")
+        viewer = rig.caller()
+        viewer.set_up(ID, **{"Answer-Within": "700"})
+        answer = viewer.answer()
+        self.assertEqual((answer.status, answer.fields["session"]), (500, ID))
+
+    def test_a_fault_as_a_request_is_taken_and_the_same_id_once_more(self) -> None:
+        viewer = self.faulty(StandInServer("s0", 0), "Request").caller()
+        for _ in range(2):
+            viewer.set_up(ID)
+            self.assertEqual(viewer.answer().status, 500)
+
+    def test_deadlines_leave_nothing_behind(self) -> None:
+        inside = Inside(self, StandInServer("s0", 0))
+        viewer = inside.connect()
+        for number, id in enumerate(many(200)):
+            viewer.set_up(id, **{"Answer-Within": str(3_600_000 - number)})
+            self.assertIn(viewer.answer().status, (200, 453))
+        waits = inside.desk.deadlines
+        with inside.gate:
+            self.assertFalse(waits.order)
+            looks = [at for at, _, call in inside.timers.due if call is waits.due]
+        self.assertLessEqual(len(looks), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
