What is owed to a client is not spent on a connection it has left

Cause: Desk.to_viewer and Roll.other took any connection not yet marked closed, also one whose end lay unread in the kernel: the release went there and was lost. Roll.pay took all that was owed out of the table and sent it to the connection that spoke, also where that had closed behind its message, or broke at the first send.

Change: a connection whose viewer has left by what the kernel knows is passed over, and what could not be sent stays owed.

Before: told_as_its_connection_ends and not_sent_to_one_that_has_left `AssertionError: Answer(status=454, ...)`: the next connection got the answer to its own message, and no release before it.

--- a/packages/node/src/fennelcove/node/viewers.py
+++ b/packages/node/src/fennelcove/node/viewers.py
@@ -243,8 +243,8 @@
 
     def other(self, peer: str) -> Viewer | None:
         """Any open connection of this peer's; one that has spoken, where there is one."""
-        alive = [v for v in self.by_peer.get(peer, ()) if not v.closed]
-        return next((v for v in alive if v.spoke), alive[0] if alive else None)
+        same = self.by_peer.get(peer, {})
+        return next((v for spoke in (True, False) for v in same if v.spoke is spoke and not v.left()), None)
 
     def owe(self, peer: str, data: bytes, now_us: int) -> None:
         """Keep this for the peer's next connection. With none open just then, as after a reset, the end of
@@ -253,9 +253,12 @@
             self.owed.setdefault(peer, deque(maxlen=MOST_OWED_EACH)).append((now_us, data))
 
     def pay(self, viewer: Caller) -> None:
-        """Send what is owed to this connection's peer."""
-        for _, data in self.owed.pop(viewer.peer, ()):
-            viewer.send(data)
+        """Send what is owed to this connection's peer; what it can't be sent stays for the next."""
+        said = self.owed.get(viewer.peer, deque())
+        while said and not viewer.left() and viewer.send(said[0][1]):
+            said.popleft()
+        if not said:
+            self.owed.pop(viewer.peer, None)
 
     def forgive(self, now_us: int) -> None:
         """What is owed for too long does nobody any good."""
