Tests: one final answer for each set-up, whatever servers say and whatever crosses with it

Suspected: a second answer, an answer behind a refusal, a TEARDOWN that crosses with the 200, an id used anew right after its end. Ruled out by reading (states.TABLE has no row for any of them) and by these tests over real connections, which passed at once.

--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -14,6 +14,7 @@
 from fennelcove.isup.messages import Cause, Code, Kind
 from fennelcove.isup.messages import Message as ServerMessage
 from fennelcove.node.parties import State
+from fennelcove.rtsp import messages as rtsp
 from fennelcove.rtsp import writer
 from tests import noderig
 from tests.clientrig import Inside, Stopped, arrived, ended, holds, reset, rest, sockets, taken
@@ -362,6 +363,71 @@
         self.assertEqual(following.request().fields["session"], ID)
 
 
+class OneAnswerTest(RigTest):
+    """Each set-up has one final answer, whatever servers say, and whatever crosses with it."""
+
+    def told(self, viewer: Caller, server: StandInServer) -> list[str]:
+        """All that this connection is sent up to now, the answer to a test ending it."""
+        server.say(isup.message(Kind.TEST, bytes(8), (Code.CAUSE, b"\0")))
+        eventually(lambda: server.of(Kind.TESTED), "all that the server said heard")
+        viewer.send(writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")))
+        found = list[str]()
+        while (message := viewer.next()) is not None and message.fields.get("cseq") != "3":
+            kind = message.status if isinstance(message, rtsp.Answer) else message.method
+            found.append(f"{kind} {message.fields['cseq']}")
+        return found
+
+    def test_whatever_a_server_says_behind_its_first_word(self) -> None:
+        full, error = Cause.FULL, Cause.ERROR
+        for name, says, expected in (
+            ("answers", lambda m: answered(m) * 3, ["200 1"]),
+            ("answer and refusal", lambda m: answered(m) + released(m, full), ["200 1", "TEARDOWN 2"]),
+            ("refusal and answer", lambda m: released(m, full) + answered(m), ["453 1"]),
+            ("refusals", lambda m: released(m, error) + released(m, full) + answered(m), ["453 1"]),
+        ):
+            with self.subTest(name):
+                server = StandInServer("s0", 0, says)
+                viewer = self.rig(server).caller()
+                viewer.set_up(ID)
+                answer = viewer.answer()  # by now all of it is on its way
+                found = [f"{answer.status} {answer.fields['cseq']}", *self.told(viewer, server)]
+                self.assertEqual(found, expected)
+
+    def test_a_teardown_that_crosses_with_the_answer(self) -> None:
+        server = StandInServer("s0", 0, mute)
+        rig = self.rig(server)
+        viewer = rig.caller()
+        viewer.set_up(ID)
+        [sent] = eventually(lambda: server.of(Kind.SET_UP), "the set-up")
+        with Stopped(rig):
+            server.say(answered(sent))
+            viewer.tear_down(ID)
+            arrived(server.sockets[-1])
+            arrived(viewer.sock)
+        [release] = eventually(lambda: server.of(Kind.RELEASE), "its end at the server")
+        self.assertEqual((release.session.hex(), release.cause), (ID, Cause.OK))
+        self.assertIn(self.told(viewer, server), (["200 1", "200 2"], ["200 2"]))
+        self.assertEqual(len(server.of(Kind.RELEASE)), 1)
+
+    def test_an_id_that_has_just_ended_is_a_new_set_up_s(self) -> None:
+        replies = [answered]
+        server = StandInServer("s0", 0, lambda message: replies[-1](message))
+        viewer = self.rig(server).caller()
+        viewer.set_up(ID)
+        viewer.tear_down(ID)  # ended by its viewer, perhaps before it was answered
+        viewer.set_up(ID)
+        answers = [viewer.answer(), viewer.answer()]
+        if answers[-1].fields["cseq"] == "2":
+            answers.append(viewer.answer())
+        self.assertEqual((answers[-1].status, answers[-1].fields["cseq"]), (200, "1"))
+        server.say(released(server.of(Kind.SET_UP)[-1], Cause.OK))  # ended by its server
+        self.assertEqual(viewer.request().method, "TEARDOWN")
+        replies.append(lambda message: released(message, Cause.FULL))
+        for _ in range(2):  # refused
+            viewer.set_up(ID)
+            self.assertEqual(viewer.answer().status, 453)
+
+
 # A front node whose module fails at every event of one kind: nothing else answers what it was told of.
 FAULTY = """
 import sys
