A set-up goes out on a connection to the server's present address only

Cause: a list may drop a server and name it again at another address while a set-up waits for its connection, or while connections to the old address stand (what stands there keeps them). Link._dial asked only whether the server takes joins, and Desk.carry took any of its idle connections: the set-up went to whoever is behind the old address by now. Ruled out, with a test each that passed before as well: the client gives up or closes while the connection is made, and the join's time is over then (nothing is sent, and the last is refused as harmless). Drained, dropped, succeeded while dialled: test_node_desk holds them. At fault: links._dial (server.address read anew, takes_joins alone), desk.idle. Change: a connection keeps the address that it was made to; with another in the list it carries no set-up.

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -150,7 +150,8 @@
         """The server's links that a set-up may go out on, the one heard last at the end. Not one that the
         server is ending or is about to: a set-up lost there fails for good where it may not be repeated."""
         since_us = self.now_us() - self.config.terms.idle_us * 3 // 4
-        fit = [link for link in server.links if link.idle and link.heard_us >= since_us and not link.ended()]
+        here = [link for link in server.links if link.idle and link.address == server.address]
+        fit = [link for link in here if link.heard_us >= since_us and not link.ended()]
         # Where a set-up under this id was given up, the answer to it may be on its way.
         fit = [link for link in fit if sub.id not in link.given_up and len(link.given_up) < MOST_GIVEN_UP]
         return sorted(fit, key=lambda link: link.heard_us)
--- a/packages/node/src/fennelcove/node/links.py
+++ b/packages/node/src/fennelcove/node/links.py
@@ -65,6 +65,7 @@
     def __init__(self, desk: Owner, server: Server) -> None:
         self.desk = desk
         self.server = server
+        self.address = server.address  # a server may be listed anew elsewhere while this stands
         self.phase = Phase.DIALLING
         self.sock: socket.socket | None = None
         self.carried: Subscription | None = None  # whose set-up is out
@@ -183,7 +184,7 @@
         # The set-up that is carried has not been sent either where one of these can't be.
         while unsent and self.send(unsent[0], Outcome.NOT_SENT):
             unsent.popleft()
-        if not self.desk.takes_joins(self.server):
+        if not self.desk.takes_joins(self.server) or self.address != self.server.address:
             # The list has changed while this was dialled: a slow dial may outlast the grace, and
             # behind the address may be another server by now. The link stays for what stands there.
             self._put_back(Outcome.NOT_SENT)
@@ -231,7 +232,7 @@
                 self.server.dial_at_us = self.desk.now_us() + DIAL_AGAIN_US
                 self.close(Outcome.NOT_SENT)
             return None
-        address = self.server.address
+        address = self.address
         try:
             sock.settimeout(self.desk.config.terms.connect_us / 1e6)
             sock.connect((address.host, address.port))
--- a/packages/node/src/fennelcove/node/parties.py
+++ b/packages/node/src/fennelcove/node/parties.py
@@ -19,6 +19,7 @@
     """A link to a server, as whoever has something to send there knows it."""
 
     server: Server
+    address: Address
     phase: Phase
     carried: Subscription | None  # whose set-up is out
     given_up: set[bytes]
