--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -141,9 +141,10 @@
         for frame in sys._current_frames().values():
             if frame.f_code is Link._dial.__code__:
                 sock = frame.f_locals.get("sock")
-                if sock is not None and sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY):
-                    assert isinstance(sock, socket.socket)
-                    return sock
+                with suppress(OSError):  # it has just closed it
+                    if sock is not None and sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY):
+                        assert isinstance(sock, socket.socket)
+                        return sock
         return None
 
     def close(self) -> None:
--- a/tests/test_node_dials.py
+++ b/tests/test_node_dials.py
@@ -3,22 +3,30 @@
 from __future__ import annotations
 
 import socket
+import threading
 import unittest
 from collections.abc import Callable
+from contextlib import suppress
+from select import POLLIN
+from types import SimpleNamespace
 from typing import Any
 
-from fennelcove.isup.messages import Cause, Kind
+from fennelcove.isup.messages import Cause, Kind, Message
 from fennelcove.node import door
 from fennelcove.node.notices import Board
-from tests.noderig import answered, eventually, notice, released
+from tests.noderig import NodeRig, StandInServer, answered, eventually, notice, released
 from tests.test_node_connections import (
     ID,
     OTHER,
+    SINGLE_SHOT,
     FrontHere,
     Peer,
     RigTest,
     read_all,
     read_one,
+    reset_on_close,
+    silence,
+    waits,
 )
 
 
@@ -92,5 +100,107 @@
         self.assertEqual(read_one(back.accept()).session.hex(), ID)
 
 
+class OnceNode(NodeRig):
+    """A front node whose one room type may be set up once, and that waits for connections only shortly."""
+
+    aim_ms = 8000
+
+    def write(self) -> None:
+        lane = {**SINGLE_SHOT["Lanes"][0], "AimMs": self.aim_ms}
+        allowed = {**SINGLE_SHOT["Allowed"], "ConnectTimeoutMs": 200}
+        self.config["settings"] = {**SINGLE_SHOT, "Lanes": [lane], "Allowed": allowed}
+        super().write()
+
+
+class ShortNode(OnceNode):
+    """And for answers as well."""
+
+    aim_ms = 800
+
+
+class SingleShotTest(unittest.TestCase):
+    """How often a set-up that may not be repeated reaches two servers that end each join alike, and what its
+    client is told: refused as harmless only where it never ran."""
+
+    def ends(self, *servers: Any, kind: type[OnceNode] = OnceNode) -> int:
+        """The status that the client gets, while these servers are the two that could play it."""
+        node = kind(*servers)
+        self.addCleanup(node.close)
+        viewer = node.caller()
+        viewer.set_up(ID)
+        answer = viewer.answer()
+        self.assertEqual(answer.fields["session"], ID)
+        return answer.status
+
+    def peers(self, backlog: int = 8) -> list[Peer]:
+        made = [Peer(backlog), Peer(backlog)]
+        for peer in made:
+            self.addCleanup(peer.listener.close)
+        return made
+
+    def rows(self, peers: list[Peer]) -> list[Any]:
+        return [SimpleNamespace(row=peer.row(f"s{i}", i)) for i, peer in enumerate(peers)]
+
+    def test_refused_connections_prove_that_it_never_ran(self) -> None:
+        peers = self.peers()
+        for peer in peers:
+            peer.listener.close()
+        self.assertEqual(self.ends(*self.rows(peers)), 453)
+
+    def test_connections_not_made_in_time_prove_that_it_never_ran(self) -> None:
+        peers = self.peers(backlog=0)
+        for peer in peers:  # the queue of one is full: the machine answers no further dial
+            full = socket.create_connection(peer.address)
+            self.addCleanup(full.close)
+        self.assertEqual(self.ends(*self.rows(peers)), 453)
+        for peer in peers:
+            queued, _ = peer.listener.accept()
+            peer.listener.setblocking(False)
+            queued.close()
+
+    def test_a_reset_with_the_set_up_unread_proves_nothing(self) -> None:
+        peers, reached = self.peers(), list[int]()
+
+        def reset(number: int) -> None:
+            with suppress(OSError):  # the one that is never asked
+                sock = peers[number].accept()
+                eventually(lambda: waits(sock, POLLIN), "a set-up")
+                reached.append(number)
+                reset_on_close(sock)
+                sock.close()
+
+        for number in range(2):
+            threading.Thread(target=reset, args=(number,), daemon=True).start()
+        self.assertEqual(self.ends(*self.rows(peers)), 500)
+        self.assertEqual(len(reached), 1)
+
+    def met(
+        self, reply: Callable[[Message], bytes | None], kind: type[OnceNode] = OnceNode
+    ) -> tuple[int, int]:
+        servers = [StandInServer(f"s{i}", i, reply) for i in range(2)]
+        status = self.ends(*servers, kind=kind)
+        return status, sum(len(server.of(Kind.SET_UP)) for server in servers)
+
+    def test_a_close_behind_the_set_up_proves_nothing(self) -> None:
+        self.assertEqual(self.met(lambda message: None), (500, 1))
+
+    def test_silence_proves_nothing(self) -> None:
+        self.assertEqual(self.met(silence, ShortNode), (500, 1))
+
+    def test_answers_that_can_t_be_read_prove_nothing(self) -> None:
+        for name, data in (
+            ("noise", b"\xff\xff\x09 an answer that claims more than there is"),
+            ("no description", b"\0\x09\x09" + bytes.fromhex(ID)),
+            ("a parameter longer than its message", b"\0\x0c\x09" + bytes.fromhex(ID) + b"\x91\xff\xff"),
+        ):
+            with self.subTest(name):
+                self.assertEqual(self.met(lambda message, data=data: data), (500, 1))
+
+    def test_full_and_moot_prove_that_it_never_ran(self) -> None:
+        for cause in (Cause.FULL, Cause.MOOT):
+            with self.subTest(cause):
+                self.assertEqual(self.met(lambda message, cause=cause: released(message, cause)), (453, 2))
+
+
 if __name__ == "__main__":
     unittest.main()
