A set-up heard after the last answers is refused at once; what was never sent may come again

Cause: a connection's thread that had read a set-up and waited for the lock while Desk.end ran handed it to the module afterwards: a join went out, and the process ended with the request unanswered, which is lost. What was never sent to any server was answered 500 there and could not come again, though it is harmless. Ending a join first also made the module send what waited for its room, an instant before that was cut.

Lines at fault: Desk.take and Desk.end.

Change: Desk.ended, set under the lock; from then on `take` answers by itself. A set-up that was never sent is refused (453, Come-Back-Ms where the settings allow it), any other gets 500 as before; what waits is answered ahead of what is out.

Tests over a real connection whose thread has provably read (its buffer is empty) while the test holds the lock. Before the change: TimeoutError: timed out (no answer at all) [('00..', 500, None), ('01..', 500, None)] != [('00..', 453, '500'), ('01..', 500, None)]

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -16,6 +16,7 @@
 from fennelcove.decisions.boxes.parting import Dial
 from fennelcove.facts import load_report
 from fennelcove.interface import (
+    ClientGone,
     Event,
     Handover,
     ListMode,
@@ -81,6 +82,7 @@
         self.most_links = config.sockets // 3
         self.stopping = False
         self.deadlines = Deadlines(clock, timers, lambda: self.due(self.answer_late))
+        self.ended = False  # the last answers are out: a set-up that still comes gets its own at once
         self.events: deque[Event] = deque()
         self.telling = False
         self.unnamed: dict[Subscription, tuple[int, Request]] = {}
@@ -359,7 +361,9 @@
         self.subs[sub.id] = sub
         if sub.viewer is not None:
             sub.viewer.open[sub] = None
-        if self.deadlines.add(sub, request.timeout_us + ANSWER_MORE_US):
+        if self.ended:
+            self.last_answer(sub)  # the process is gone before a server could give one
+        elif self.deadlines.add(sub, request.timeout_us + ANSWER_MORE_US):
             self.tell(request)
         else:
             states.step(self, sub, Cue.THROTTLE)
@@ -417,8 +421,20 @@
                 self.join_over(sub, Outcome.CONNECTION_LOST, None)
 
     def end(self) -> int:
-        """Answer whatever is still unanswered; how much that was."""
-        return sum(states.step(self, sub, Cue.STOP) for sub in list(self.subs.values()))
+        """Answer whatever is still unanswered, and from now on what comes; how much that was."""
+        self.ended = True
+        # What waits goes first: the room that an ended join leaves would send it out once more.
+        left = sorted(self.subs.values(), key=lambda sub: sub.state is State.JOINING)
+        return sum(self.last_answer(sub) for sub in left)
+
+    def last_answer(self, sub: Subscription) -> bool:
+        """The node ends. What was never sent to a server is refused as harmless; nobody knows of the rest."""
+        if sub.state is not State.OPEN or sub.joins:
+            return states.step(self, sub, Cue.STOP)
+        sub.wait_us = self.config.settings.retry_after_us or 0
+        states.step(self, sub, Cue.THROTTLE)
+        self.tell(ClientGone(sub.key))
+        return True
 
     def forget(self, sub: Subscription) -> None:
         """Nothing of it may stay in any table."""
--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 import os
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
+import termios
+import threading
 import unittest
 from pathlib import Path
 from typing import Any
 
+from fennelcove.clock import SystemClock
+from fennelcove.clock.timers import Timers
+from fennelcove.isup.messages import Kind
+from fennelcove.log import silent
+from fennelcove.node import config, desk
+from fennelcove.node.parties import Subscription
+from fennelcove.node.viewers import Viewer
 from tests.nodeprocess import Gate, Rig, blocked, options, run
 from tests.noderig import SETTINGS, Caller, StandInBoard, StandInServer, eventually, notice, rtsp_writer
 
@@ -131,3 +142,55 @@
         # On a connection that stays open as on a new one.
         self.assertEqual((options(caller), rig.test()), (503, 503))
         self.assertEqual(rig.process.wait(20), 0)
+
+
+class LastAnswerTest(unittest.TestCase):
+    """A set-up that is heard after the node has given its last answers."""
+
+    def setUp(self) -> None:
+        clock = SystemClock()
+        self.server = StandInServer("s0", 0, lambda message: b"")
+        first = notice(1, [self.server.row], whole=True)
+        tree = {"listen": "127.0.0.1:1", "board": "127.0.0.1:2", "settings": SETTINGS}
+        made = config.parse({**tree, "known": {"rev": 1, "notices": [first]}})
+        self.desk = desk.Desk(made, clock, Timers(clock), silent)
+        for told in made.known.notices:
+            self.desk.board_says(told)
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            self.caller = Caller(listener.getsockname())
+            self.sock, _ = listener.accept()
+        self.addCleanup(self.caller.sock.close)
+        self.viewer = Viewer(self.desk, self.sock, "127.0.0.1")
+        self.desk.roll.add(self.viewer)
+        threading.Thread(target=self.viewer.run, daemon=True).start()
+
+    def unread(self) -> int:
+        return struct.unpack("i", fcntl.ioctl(self.sock, termios.FIONREAD, bytes(4)))[0]
+
+    def test_what_was_read_but_waits_for_the_lock_is_refused_at_once(self) -> None:
+        with self.desk.lock:
+            self.caller.set_up("9b1f03aa5c7e2d41")  # on loopback it is in the other end's buffer on return
+            eventually(lambda: self.unread() == 0, "the thread's read")
+            self.assertEqual(self.desk.end(), 0)
+        self.caller.sock.settimeout(5)
+        answer = self.caller.answer()
+        self.assertEqual((answer.status, answer.fields["come-back-ms"]), (453, "500"))
+        with self.desk.lock:
+            self.assertEqual((self.desk.subs, self.server.of(Kind.SET_UP)), ({}, []))
+
+    def test_what_was_never_sent_may_come_again_and_nobody_knows_of_the_rest(self) -> None:
+        told = []
+        with self.desk.lock:
+            for joins in (0, 1):
+                id = bytes([joins]) * 8
+                sub = Subscription(id, id.hex(), "1", "recorded", "7f", b"", self.viewer, "127.0.0.1")
+                sub.joins = joins
+                self.desk.subs[id] = sub
+                self.viewer.open[sub] = None
+            self.assertEqual(self.desk.end(), 2)
+        self.caller.sock.settimeout(5)
+        for _ in range(2):
+            answer = self.caller.answer()
+            told.append((answer.fields["session"], answer.status, answer.fields.get("come-back-ms")))
+        self.assertEqual(told, [("00" * 8, 453, "500"), ("01" * 8, 500, None)])
+        self.assertEqual(self.desk.subs, {})
