Before its end the node answers what the kernel has taken in for it, in backlog and buffers

Cause: the process ended right after Desk.end. What lay in the listener's backlog or in a connection's buffer, or was being read, had no answer and is lost; its connection was reset for the bytes unread, over answers that were just written.

Lines at fault: Program.stop, nothing between `self.desk.end()` and the return to os._exit.

Change: Program.hear_out. It accepts what is in the backlog, closes the listener, shuts the read side of each connection, so that its thread reads what has come, answers it (refused at once since Desk.ended) and finds the end, and waits for these threads. That is over in milliseconds; where it isn't, waiting on up to the kill loses nothing that an end of our own would not. A thread's end is the proof that nothing read is unanswered; buffers seen empty are none, as a thread may be between its read and the lock.

Test: the process is stopped (SIGSTOP) from its first moments after SIGTERM until its stay is over; set-ups and tests are written meanwhile on eight open connections and eight in the backlog; continued, it meets them all together with its own end.

--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -7,6 +7,7 @@
 import socket
 import threading
 import time
+from contextlib import suppress
 
 from fennelcove.clock import SystemClock
 from fennelcove.clock.timers import Timers
@@ -21,6 +22,7 @@
 BACKLOG = 512
 STOP_MOST_US = 3_000_000  # from SIGTERM to the end: the longest client timeout, but no more than this,
 STOP_MORE_US = 500_000  # and a little for what came last; the platform kills 0.2 s after
+HEAR_OUT_US = 1_000_000  # at most, at the end; it is over as soon as all is heard, and giving up loses it
 RELOADS = 5  # tries to read a configuration that is just being replaced
 RELOAD_PAUSE_S = 0.1
 
@@ -38,6 +40,8 @@
         self.watch = Watch(self.desk, self.clock, self.config.board, self.config.known.rev)
         self.desk.fetch = self.watch.again
         self.reread = threading.Event()
+        self.accepts = threading.Thread(target=self.accept, name="accept", daemon=True)
+        self.ending = False
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
 
@@ -59,11 +63,11 @@
         for name, call in (
             ("timers", self.timers.run),
             ("board", self.watch.run),
-            ("accept", self.accept),
             ("round", self.rounds),
             ("reload", self.reloads),
         ):
             threading.Thread(target=call, name=name, daemon=True).start()
+        self.accepts.start()
         trace.start(self.desk)
         self.notice("ready", servers=len(self.desk.servers), rev=self.config.known.rev)
         while signal.sigwait(signals) == signal.SIGHUP:
@@ -82,11 +86,13 @@
                 self.notice("round_failed", reason=f"{type(error).__name__}: {error}")
 
     def accept(self) -> None:
-        """Take connections in; never ends."""
-        while True:
+        """Take connections in, until the node ends."""
+        while not self.ending:
             try:
                 sock, peer = self.listener.accept()
             except OSError as error:
+                if self.ending:
+                    return
                 self.notice("accept_failed", reason=str(error))
                 time.sleep(0.05)
                 continue
@@ -143,8 +149,29 @@
         time.sleep(stop_us(self.config.terms.longest_us) / 1e6)
         with self.desk.lock:
             left = self.desk.end()
+        self.hear_out()
         self.notice("stopped", held=len(self.desk.subs), unanswered=left)
 
+    def hear_out(self) -> None:
+        """Answer what the kernel has taken in by now, in the backlog and in buffers: at the process's end it
+        would go unanswered, and a connection with bytes unread is reset, over the answers before them."""
+        until_us = self.clock.now_us() + HEAR_OUT_US
+        self.ending = True
+        self.listener.setblocking(False)
+        with suppress(OSError):  # nobody is left in the backlog
+            for _ in range(BACKLOG):
+                sock, peer = self.listener.accept()
+                self.take(sock, peer[0])
+        with suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)  # wakes the thread that accepts
+        self.accepts.join(HEAR_OUT_US / 20 / 1e6)
+        with self.desk.lock:
+            for viewer in list(self.desk.roll.viewers):
+                viewer.finish()
+        for thread in threading.enumerate():
+            if thread.name == "viewer":
+                thread.join(max(0, until_us - self.clock.now_us()) / 1e6)
+
 
 def stop_us(longest_us: int) -> int:
     """From SIGTERM to the end, by the longest client timeout of the settings; 0 where they name none."""
--- a/packages/node/src/fennelcove/node/viewers.py
+++ b/packages/node/src/fennelcove/node/viewers.py
@@ -89,6 +89,11 @@
             with suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
 
+    def finish(self) -> None:
+        """Let its thread read what has come already and then find the end."""
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RD)
+
     def run(self) -> None:
         """Read until the connection ends."""
         try:
--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -12,6 +12,7 @@
 import tempfile
 import termios
 import threading
+import time
 import unittest
 from pathlib import Path
 from typing import Any
@@ -23,8 +24,8 @@
 from fennelcove.node import config, desk
 from fennelcove.node.parties import Subscription
 from fennelcove.node.viewers import Viewer
-from tests.nodeprocess import Gate, Rig, blocked, options, run
-from tests.noderig import SETTINGS, Caller, StandInBoard, StandInServer, eventually, notice, rtsp_writer
+from tests.nodeprocess import BRIEF_STAY_S, Gate, Rig, blocked, options, over, run
+from tests.noderig import SETTINGS, Caller, StandInBoard, StandInServer, eventually, notice, rtsp, rtsp_writer
 
 # Stands in for a module of the standard library that the node imports and the interpreter's own start does
 # not: held at the gate, the process is in the middle of its imports.
@@ -143,6 +144,38 @@
         self.assertEqual((options(caller), rig.test()), (503, 503))
         self.assertEqual(rig.process.wait(20), 0)
 
+    def test_all_that_the_kernel_took_in_before_the_end_is_answered_once(self) -> None:
+        # Stopped until its stay is over, the process finds it all at the same moment as its own end.
+        server = StandInServer("s0", 0, lambda message: b"")  # a set-up sent there stays out
+        rig = self.rig(server)
+        callers = [rig.caller() for _ in range(8)]
+        for caller in callers:
+            self.assertEqual(options(caller), 200)
+        since = time.monotonic()
+        rig.signal(signal.SIGTERM)
+        eventually(lambda: rig.told("stopping"), "the log's word of the signal")
+        rig.freeze()
+        callers += [rig.caller() for _ in range(8)]  # these stay in the listener's backlog
+        for number, caller in enumerate(callers, 1):
+            caller.set_up(f"{number:016x}")
+            caller.send(rtsp_writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")))
+        over(since, BRIEF_STAY_S)
+        rig.signal(signal.SIGCONT)
+        told = []
+        for number, caller in enumerate(callers, 1):
+            answers = []
+            while (message := caller.next()) is not None:
+                assert isinstance(message, rtsp.Answer)
+                answers.append((message.fields.get("session"), message.status))
+            told.append((number, sorted(answers, key=lambda answer: answer[0] or "")))
+        refused = [
+            (number, [(None, 503), (f"{number:016x}", status)])
+            for number, status in ((number, dict(answers).get(f"{number:016x}")) for number, answers in told)
+            if status in (453, 500)
+        ]
+        self.assertEqual(told, refused)
+        self.assertEqual(rig.process.wait(20), 0)
+
 
 class LastAnswerTest(unittest.TestCase):
     """A set-up that is heard after the node has given its last answers."""
