Tests: a restart with set-ups in flight, and eight fronts that start together

A process with two set-ups out at a server that holds them gets SIGTERM; one answer comes within its stay and is passed on, the other set-up is answered 500 at the end, neither twice, and each connection then ends in order; the next process at the same address serves.

--- a/tests/nodeprocess.py
+++ b/tests/nodeprocess.py
@@ -26,8 +26,14 @@
     def __init__(self, *servers: StandInServer, settings: dict[str, Any] = BRIEF) -> None:
         self.settings = settings
         self.log = tempfile.NamedTemporaryFile("r", suffix=".log")  # noqa: SIM115: closed by `close`
-        shell = f'exec {sys.executable} -m fennelcove.node > "{self.log.name}"'
-        super().__init__(*servers, command=["/bin/sh", "-c", shell])
+        shell = f'exec {sys.executable} -m fennelcove.node >> "{self.log.name}"'
+        self.command = ["/bin/sh", "-c", shell]
+        super().__init__(*servers, command=self.command)
+
+    def begin_again(self) -> None:
+        """The next process, at the same address with the same file."""
+        self.process = subprocess.Popen(self.command, env={**os.environ, "EDGE_CONFIG": str(self.path)})
+        eventually(self.ready, "a test that passes")
 
     def write(self) -> None:
         self.config["settings"] = self.settings
--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -25,7 +25,19 @@
 from fennelcove.node.parties import Subscription
 from fennelcove.node.viewers import Viewer
 from tests.nodeprocess import BRIEF_STAY_S, Gate, Rig, blocked, options, over, run
-from tests.noderig import SETTINGS, Caller, StandInBoard, StandInServer, eventually, notice, rtsp, rtsp_writer
+from tests.noderig import (
+    SETTINGS,
+    Caller,
+    NodeRig,
+    ServerMessage,
+    StandInBoard,
+    StandInServer,
+    answered,
+    eventually,
+    notice,
+    rtsp,
+    rtsp_writer,
+)
 
 # Stands in for a module of the standard library that the node imports and the interpreter's own start does
 # not: held at the gate, the process is in the middle of its imports.
@@ -120,6 +132,20 @@
                 self.assertEqual(process.wait(20), 0)
                 os.close(held)
 
+    def test_several_that_start_together_are_all_ready_in_time(self) -> None:
+        until = time.monotonic() + 30  # what the page gives each; it only bounds a failure
+        made: list[NodeRig] = []
+        starts = [
+            threading.Thread(target=lambda: made.append(NodeRig(StandInServer("s0", 0)))) for _ in range(8)
+        ]
+        for start in starts:
+            start.start()
+        for start in starts:
+            start.join(until - time.monotonic())
+        for rig in made:
+            self.addCleanup(rig.close)
+        self.assertEqual([rig.test() for rig in made], [200] * len(starts))
+
 
 class StopTest(unittest.TestCase):
     """From SIGTERM to the end of the process."""
@@ -227,3 +253,38 @@
             told.append((answer.fields["session"], answer.status, answer.fields.get("come-back-ms")))
         self.assertEqual(told, [("00" * 8, 453, "500"), ("01" * 8, 500, None)])
         self.assertEqual(self.desk.subs, {})
+
+
+class RestartTest(unittest.TestCase):
+    """One process ends and the next begins at its address."""
+
+    def test_a_set_up_in_flight_has_one_answer_and_the_next_process_serves(self) -> None:
+        held: list[ServerMessage] = []
+
+        def reply(message: ServerMessage) -> bytes:
+            held.append(message)
+            return b"" if len(held) <= 2 else answered(message)
+
+        server = StandInServer("s0", 0, reply)
+        rig = Rig(server)
+        self.addCleanup(rig.close)
+        served, cut = rig.caller(), rig.caller()
+        served.set_up("00000000000000a1")
+        eventually(lambda: len(held) == 1, "the first set-up at the server")
+        cut.set_up("00000000000000a2")
+        eventually(lambda: len(held) == 2, "the second")
+        rig.signal(signal.SIGTERM)
+        eventually(lambda: rig.told("stopping"), "the log's word of the signal")
+        server.sockets[0].sendall(answered(held[0]))
+        got = [served.answer(), cut.answer()]
+        told = [(answer.fields["session"], answer.status) for answer in got]
+        self.assertEqual(told, [("00000000000000a1", 200), ("00000000000000a2", 500)])
+        self.assertEqual((served.next(), cut.next()), (None, None))  # no second one: its end
+        self.assertEqual(rig.process.wait(20), 0)
+        rig.begin_again()
+        viewer = rig.caller()
+        viewer.set_up("00000000000000a3")
+        self.assertEqual(viewer.answer().status, 200)
+        self.assertEqual(
+            [message.session.hex()[-2:] for message in server.of(Kind.SET_UP)], ["a1", "a2", "a3"]
+        )
