A connection that the node itself shuts at its end is not taken for one its viewer left

At its end the node shuts the reading side of each connection, so that its thread reads what has come and finds the end (Program.hear_out); reading ahead (Viewer._behind, Viewer.left) took that end for the viewer's own, and passed the last set-ups over as those of a viewer that has gone: read, never answered, lost. At fault: viewers.Viewer._behind and left, which could not tell whose end it is. Change: Viewer.finish says so first; from then on that end says nothing of the viewer.

--- a/packages/node/src/fennelcove/node/viewers.py
+++ b/packages/node/src/fennelcove/node/viewers.py
@@ -49,6 +49,7 @@
         self.spoke = False
         self.busy = False  # its thread acts on what was read, and looks at `closed` before it reads again
         self.ended = False  # its viewer has closed
+        self.finishing = False  # the node ends, and has shut the reading side by itself
         self.closed = False
 
     @property
@@ -75,6 +76,8 @@
         """Whether its viewer has closed, as far as the kernel knows: bytes may lie unread before the end."""
         if self.ended or self.closed:
             return True
+        if self.finishing:  # this end of the stream is the node's own, and says nothing of its viewer
+            return False
         poll = select.poll()
         try:
             poll.register(self.sock, select.POLLRDHUP)
@@ -91,6 +94,7 @@
 
     def finish(self) -> None:
         """Let its thread read what has come already and then find the end."""
+        self.finishing = True
         with suppress(OSError):
             self.sock.shutdown(socket.SHUT_RD)
 
@@ -207,6 +211,8 @@
         if self.ended or self.closed:
             return None
         more = self._come() if not self.inbox.full else b"" if self.left() else None
+        if more == b"" and self.finishing:
+            return None
         if more == b"":
             self.ended = True
             door.viewer_gone(self.desk, self)
