Node: whatever a discovery answer raises, the thread that asks goes on

Cause: Watch.run caught OSError, ProtocolError, BoardError and ValueError alone. An answer of 100 kB of nested JSON raises RecursionError, a number of 400 digits or a birth of 1e308 OverflowError, a fault while an answer is applied KeyError or whatever it is, and a log whose reader has gone BrokenPipeError out of the handler itself: in each case the thread ended without a word, and the server list was never updated again. A `dial` with a NUL made the link's thread end by TypeError, with the link left in its tables. Lines: board.py, the except clause of run and the notice in it; notices.py, _number (math.isfinite and float of a long whole number), _notice (dial), Board.parse (items that are no events were passed over in silence).

Change: any exception is a failed call; numbers are bounded and addresses checked where they are read; log lines of this thread may fail.

Before the change: test_no_answer_ends_the_asking, test_a_log_that_nobody_reads_ends_no_asking and test_a_fault_while_an_answer_is_applied_is_tried_again each failed with "AssertionError: never came: the next poll".

--- a/packages/node/src/fennelcove/node/board.py
+++ b/packages/node/src/fennelcove/node/board.py
@@ -10,7 +10,7 @@
 from fennelcove.clock import Clock
 from fennelcove.errors import Trouble
 from fennelcove.http1 import writer
-from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead
+from fennelcove.http1.messages import CodecLimits, ResponseHead
 from fennelcove.http1.reader import Gatherer, Reader
 from fennelcove.node.address import Address
 from fennelcove.node.desk import Desk
@@ -74,22 +74,22 @@
             try:
                 self._poll(address)
                 failures = 0
-            except (OSError, ProtocolError, BoardError, ValueError) as error:
+            except Exception as error:  # whatever it is: with this thread the list would end for good
                 self._close()
                 failures += 1
                 if failures == 1:  # a board that is down for long must not fill the log
-                    told = (
-                        error
-                        if isinstance(error, BoardError)
-                        else BoardUnreached(
-                            f"{type(error).__name__}: {error}", f"{address.host}:{address.port}"
-                        )
-                    )
-                    self.desk.notice("board_call_failed", **told.fields())
+                    self._report(error, address)
                 with self.changed:
                     if not self.stopped and self.board == address:
                         self.changed.wait(PAUSE_US / 1e6)
 
+    def _report(self, error: Exception, address: Address) -> None:
+        where = f"{address.host}:{address.port}"
+        unreached = BoardUnreached(f"{type(error).__name__}: {error}", where)
+        told = error if isinstance(error, BoardError) else unreached
+        with suppress(OSError, ValueError):  # a log that nobody reads any more ends no asking
+            self.desk.notice("board_call_failed", **told.fields())
+
     def _poll(self, address: Address) -> None:
         if self.sock is None:
             sock = socket.create_connection((address.host, address.port), CONNECT_US / 1e6)
--- a/packages/node/src/fennelcove/node/notices.py
+++ b/packages/node/src/fennelcove/node/notices.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 from typing import Any
 
@@ -12,6 +11,7 @@
 
 STANDINGS = {"up": Standing.ACTIVE, "draining": Standing.LEAVING, "removed": Standing.LEFT}
 MOST_HOSTS = 100_000
+MOST_NUMBER = 1e18  # beyond it, or not a number at all, what is counted from it is no whole number any more
 
 
 class BoardError(Trouble):
@@ -44,11 +44,12 @@
         Raises:
             BoardError: it is malformed anywhere.
         """
-        notices = _value(tree, "notices", list)
-        return cls(
-            _value(tree, "rev", int),
-            tuple(_notice(item) for item in notices if isinstance(item, dict) and "pool" in item),
-        )
+        notices, rev = _value(tree, "notices", list), _value(tree, "rev", int)
+        if rev < 0:
+            raise BoardError(f"found {rev}", "field rev")
+        if not all(isinstance(item, dict) for item in notices):
+            raise BoardError("found an event that is none", "field notices")
+        return cls(rev, tuple(_notice(item) for item in notices if "pool" in item))
 
 
 def _notice(tree: Any) -> Notice:
@@ -58,11 +59,19 @@
         raise BoardError(f"found {len(hosts)}", "field hosts")
     mode = ListMode.FULL if _value(pool, "whole", bool) else ListMode.INCREMENTAL
     entries = tuple(_entry(host) for host in hosts)
+    dials = {e.address: _dial(host) for e, host in zip(entries, hosts, strict=True)}
+    return Notice(_value(tree, "rev", int), ListUpdate(mode, entries), dials)
+
+
+def _dial(tree: Any) -> Address:
     try:
-        dials = {e.address: parse_address(host.get("dial")) for e, host in zip(entries, hosts, strict=True)}
+        address = parse_address(tree.get("dial"))
     except ValueError as error:
         raise BoardError(str(error)) from None
-    return Notice(_value(tree, "rev", int), ListUpdate(mode, entries), dials)
+    # A host name with such characters raises more than OSError where it is dialled, and ends that thread.
+    if not address.host.isascii() or not address.host.isprintable() or " " in address.host:
+        raise BoardError(f"no address: {address.host!r}", "field dial")
+    return address
 
 
 def _entry(tree: Any) -> ListEntry:
@@ -89,6 +98,6 @@
 
 def _number(tree: Any, key: str, default: float) -> float:
     value = tree.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+    if isinstance(value, bool) or not isinstance(value, int | float) or not abs(value) <= MOST_NUMBER:
         raise BoardError("found no number", f"field {key}")
     return float(value)
--- /dev/null
+++ b/tests/test_node_discovery.py
@@ -0,0 +1,268 @@
+"""Service discovery of the front node against boards that hold each step until told."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import tempfile
+import threading
+import unittest
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from fennelcove.clock import SystemClock
+from fennelcove.clock.timers import Timers
+from fennelcove.http1 import writer as http
+from fennelcove.interface import Standing
+from fennelcove.isup.messages import Kind
+from fennelcove.log import silent
+from fennelcove.node import board as discovery
+from fennelcove.node import config, desk
+from fennelcove.node.address import parse_address
+from fennelcove.node.board import Watch
+from tests.boardrig import BoardRig, HeldBoard
+from tests.noderig import Caller, NodeRig, StandInServer, eventually, notice
+from tests.test_node_desk import HOST, TREE
+
+DRAINING = {**HOST, "health": "draining"}
+
+
+def off(server: StandInServer) -> dict[str, Any]:
+    return {**server.row, "health": "removed"}
+
+
+class Gate:
+    """The desk's lock, which says when somebody waits for it and what is true each time it is let go."""
+
+    def __init__(self, made: desk.Desk) -> None:
+        self.desk, self.inner, self.wanted = made, threading.Lock(), threading.Event()
+        self.seen: list[list[str]] = []
+
+    def __enter__(self) -> None:
+        self.wanted.set()
+        self.inner.acquire()
+
+    def __exit__(self, *_: object) -> None:
+        servers = self.desk.front.servers.values()
+        self.seen.append([server.address for server in servers if server.standing is Standing.ACTIVE])
+        self.inner.release()
+
+
+def hung(test: unittest.TestCase) -> tuple[socket.socket, list[socket.socket]]:
+    """A listener that answers no further connection until its backlog is taken in."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    fillers = [socket.socket() for _ in range(4)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex(listener.getsockname())
+        test.addCleanup(filler.close)
+    test.addCleanup(listener.close)
+    return listener, fillers
+
+
+def dialled(listener: socket.socket, but: list[socket.socket]) -> bool:
+    """Whether a connection to it is under way that is none of these."""
+    port = listener.getsockname()[1]
+    own = set()
+    for sock in but:
+        with suppress(OSError):
+            own.add(sock.getsockname()[1])
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        row = line.split()
+        local, remote = (int(row[column].rpartition(":")[2], 16) for column in (1, 2))
+        if remote == port and row[3] == "02" and local not in own:
+            return True
+    return False
+
+
+def take_in(listener: socket.socket, server: StandInServer) -> None:
+    """The server serves whoever comes to this listener as well."""
+    with suppress(OSError):  # closed at the end of the test
+        while True:
+            sock, _ = listener.accept()
+            server.sockets.append(sock)
+            threading.Thread(target=server._serve, args=(sock,), daemon=True).start()
+
+
+class DiscoveryTest(unittest.TestCase):
+    """A front node as a process."""
+
+    def rig(self, board: HeldBoard, *servers: StandInServer, rev: int = 1, **changes: Any) -> BoardRig:
+        self.addCleanup(board.close)
+        made = BoardRig(board, *servers, rev=rev, **changes)
+        self.addCleanup(made.close)
+        return made
+
+    def served(self, rig: NodeRig, number: int = 1) -> Caller:
+        viewer = rig.caller()
+        self.addCleanup(viewer.sock.close)
+        viewer.set_up(f"{number:016x}")
+        self.assertEqual(viewer.answer().status, 200)
+        return viewer
+
+    def moved(self, rig: BoardRig, board: HeldBoard) -> None:
+        rig.asked = board
+        rig.write()
+        rig.signal(signal.SIGHUP)
+
+    def test_no_answer_ends_the_asking(self) -> None:
+        # An exception that the thread did not expect ended it: the list was never updated again.
+        first, second, board = StandInServer("s0", 0), StandInServer("s1", 0), HeldBoard()
+        rig = self.rig(board, first)
+
+        def one(**changes: Any) -> bytes:
+            return json.dumps({"rev": 2, "notices": [notice(2, [{**first.row, **changes}])]}).encode()
+
+        for name, body in {
+            "a list in a list, deeper than can be read": b"[" * 500_000,
+            "an object in an object": b'{"a":' * 100_000,
+            "a number without end": one().replace(b'"share": 1', b'"share": 1' + b"0" * 400),
+            "a birth beyond all numbers": one(born_ms=1e308),
+            "an address that no call takes": one(dial="127.0.0.1\x00:80"),
+            "an address with a line in it": one(dial="a b\r\n:80"),
+            "no object": b"null",
+            "an event that is none": b'{"rev":2,"notices":[null]}',
+            "a number that is none": b'{"rev":true,"notices":[]}',
+            "a negative number": b'{"rev":-1,"notices":[]}',
+            "no JSON": b"\xff\xfe{",
+            "half of it": one()[:-9],
+        }.items():
+            with self.subTest(name):
+                board.next().body(body)
+        for status in (500, 404, 302):
+            board.next().body(one(health="removed"), status)
+        poll = board.next()
+        self.assertEqual(poll.watch, 1)
+        poll.tell(2, notice(2, [off(first), second.row]))
+        self.assertEqual(board.next().watch, 2)
+        self.served(rig)
+        self.assertEqual((len(first.of(Kind.SET_UP)), len(second.of(Kind.SET_UP))), (0, 1))
+
+    def test_a_log_that_nobody_reads_ends_no_asking(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        pipe = Path(folder.name) / "log"
+        os.mkfifo(pipe)
+        reader = os.open(pipe, os.O_RDONLY | os.O_NONBLOCK)
+        board = HeldBoard()
+        with mock.patch.object(BoardRig, "LOG", str(pipe)):
+            self.rig(board, StandInServer("s0", 0))
+        os.close(reader)
+        for _ in range(3):
+            board.next().close()
+        self.assertEqual(board.next().watch, 1)
+
+    def test_lengths_that_are_wrong_take_nothing_over(self) -> None:
+        first, second, board = StandInServer("s0", 0), StandInServer("s1", 0), HeldBoard()
+        rig = self.rig(board, first)
+        body = json.dumps({"rev": 2, "notices": [notice(2, [off(first), second.row])]}).encode()
+        head = b"HTTP/1.1 200 OK\r\n"
+        for name, data in {
+            "cut at its end": http.response(200, [], body)[:-1],
+            "too short a length": head + b"Content-Length: %d\r\n\r\n" % (len(body) - 1) + body,
+            "longer than the bound": head + b"Content-Length: 3000000000\r\n\r\n" + body,
+            "a negative length": head + b"Content-Length: -1\r\n\r\n" + body,
+            "a chunk cut off": head + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(body) + body[:-1],
+            "a last chunk that is missing": head
+            + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(body)
+            + body
+            + b"\r\n",
+            "a head cut off": head,
+            "nothing": b"",
+        }.items():
+            with self.subTest(name):
+                poll = board.next()
+                self.assertEqual(poll.watch, 1)
+                poll.send(data)
+                poll.close()
+        self.assertEqual(board.next().watch, 1)
+        self.served(rig)
+        self.assertEqual((len(first.of(Kind.SET_UP)), len(second.of(Kind.SET_UP))), (1, 0))
+
+    def test_silence_and_a_trickle_are_given_up(self) -> None:
+        board = HeldBoard()
+        self.rig(board, StandInServer("s0", 0))
+        for start in (b"", b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"):
+            with self.subTest(start):
+                poll = board.next()
+                poll.send(start)
+                while not poll.ended.wait(0.05):  # a byte now and then renews nothing
+                    poll.send(b" " if start else b"")
+        self.assertEqual(board.next().watch, 1)
+
+    def test_a_board_that_is_down_from_the_start_is_found_when_it_comes(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            nowhere = free.getsockname()[1]
+        board = HeldBoard()
+        self.addCleanup(board.close)
+        board.address = f"127.0.0.1:{nowhere}"
+        first, second = StandInServer("s0", 0), StandInServer("s1", 0)
+        rig = self.rig(board, first)
+        eventually(lambda: rig.log("board_call_failed"), "a failed call")
+        self.served(rig)
+        late = HeldBoard(nowhere)
+        self.addCleanup(late.close)
+        late.next().tell(2, notice(2, [off(first), second.row]))
+        self.assertEqual(late.next().watch, 2)
+        self.served(rig, 2)
+        self.assertEqual(len(second.of(Kind.SET_UP)), 1)
+
+
+class WatchTest(unittest.TestCase):
+    """The thread that asks, on a desk of its own, where a step inside of it has to be held."""
+
+    def watch(self, board: HeldBoard, rev: int = 1, seed: str = "0a") -> Watch:
+        clock = SystemClock()
+        self.desk = desk.Desk(config.parse({**TREE, "seed": seed}), clock, Timers(clock), silent)
+        for first in self.desk.config.known.notices:
+            self.desk.board_says(first)
+        watch = Watch(self.desk, clock, parse_address(board.address), rev)
+        thread = threading.Thread(target=watch.run, daemon=True)
+        thread.start()
+        self.addCleanup(board.close)
+        self.addCleanup(thread.join)
+        self.addCleanup(watch.stop)
+        return watch
+
+    def standing(self) -> Standing:
+        return self.desk.front.servers["s0"].standing
+
+    def test_a_move_ends_the_pause_after_a_failure(self) -> None:
+        board, new = HeldBoard(), HeldBoard()
+        self.addCleanup(new.close)
+        told: list[str] = []
+        with mock.patch.object(discovery, "PAUSE_US", 60_000_000):
+            watch = self.watch(board)
+            self.desk.notice = lambda event, **fields: told.append(event)
+            poll = board.next()
+            poll.close()
+            eventually(lambda: told == ["board_call_failed"], "the failure")
+            watch.move(parse_address(new.address))
+            self.assertEqual(new.next().watch, 1)
+
+    def test_a_fault_while_an_answer_is_applied_is_tried_again(self) -> None:
+        board = HeldBoard()
+        self.watch(board)
+        poll = board.next()
+        answer = [notice(2, [DRAINING]), notice(3, [{**HOST, "host": "s1"}])]
+        faults = iter((None, KeyError("s1")))
+        says = self.desk.board_says
+
+        def breaking(told: Any) -> None:
+            if fault := next(faults, None):
+                raise fault
+            says(told)
+
+        with mock.patch.object(self.desk, "board_says", breaking):
+            poll.tell(3, *answer)
+            poll = board.next()
+            self.assertEqual(poll.watch, 1)  # half of it stands, and all of it is told once more
+            poll.tell(3, *answer)
+            self.assertEqual(board.next().watch, 3)
+        self.assertEqual(set(self.desk.front.servers), {"s0", "s1"})
