Node: a discovery answer is applied whole, once, and never after a move; asks for all aren't lost

Cause, by place in board.py: - _poll took the desk's lock once for each event: a request in between saw a server gone and the one in its place not there yet, and with no other holder of its title it was refused. - an answer read before SIGHUP and waiting for the lock was applied after it, though the old board tells nothing further (address and number were compared before the poll alone). - `self.rev = ... if rev == self.rev` without a lock: an `again` between the check and the assignment was lost (by reading), and one that came while a poll for everything was open counted as answered by it. - `again` left the open poll as it was: asked for after up to 1.4 s. - a move waited for a connection under way to an address that hangs, up to CONNECT_US; the socket was nobody's till then. - a move to the same address broke the open poll and told it as a failed call with a pause; so did a move there and back, and the second of two. - what was left in the connection after an answer (a second copy of it) was taken for the next answer, and each one from then on for that of the poll after its own. - the poll's descriptor was left open after `stop` if no call failed.

Change: a turn is counted at each move and `again`; answers of an earlier turn are dropped under both locks, all events of one answer are applied in one hold of the desk's lock; what is broken off by ourselves is no failure; the socket is known before it connects; a connection with something left in it is not used again. Ruled out: half an answer of the old board that is completed after the move; a move in the pause after a failure; descriptors over breaks and moves (tests; they passed before).

Before the change: test_an_answer_of_the_old_board_...: "(2, <Standing.LEAVING: 'leaving'>) != (1, <Standing.ACTIVE: 'active'>)" test_one_answer_is_applied_in_one_hold_...: "[[], ['s1']] != [['s1']]" test_everything_is_asked_for_anew_... [0]: "2 != 0" test_an_open_poll_does_not_keep_... and test_a_move_does_not_wait_...: "never came: the next poll" test_a_move_to_the_same_address_...: "(1, <Standing.ACTIVE: 'active'>, 2) != (2, <Standing.LEAVING: 'leaving'>, 1)" test_a_move_there_and_back_..., test_two_moves_...: "['board_call_failed'] != []" test_a_second_copy_...: "unexpectedly identical: <socket.socket ...>"

--- a/packages/node/src/fennelcove/node/board.py
+++ b/packages/node/src/fennelcove/node/board.py
@@ -5,7 +5,7 @@
 import json
 import socket
 import threading
-from contextlib import suppress
+from contextlib import nullcontext, suppress
 
 from fennelcove.clock import Clock
 from fennelcove.errors import Trouble
@@ -32,13 +32,18 @@
 
 
 class Watch:
-    """Owns the poll's connection. `move` and `stop` may be called from any thread."""
+    """Owns the poll's connection. `move`, `again` and `stop` may be called from any thread.
+
+    What they change is guarded by `changed`, which may be taken with the desk's lock held and never the other
+    way round. Each move or ask for everything begins a turn; answers to polls of earlier ones are dropped.
+    """
 
     def __init__(self, desk: Desk, clock: Clock, board: Address, rev: int) -> None:
         self.desk = desk
         self.clock = clock
         self.board = board
         self.rev = rev
+        self.turn = 0
         # Where what is told of everything leaves numbers out, one that is left out later says nothing.
         self.gapless = not desk.config.known.misses(0)
         self.changed = threading.Condition()
@@ -47,15 +52,23 @@
         self.answers: Gatherer | None = None
 
     def move(self, board: Address) -> None:
-        """Go on at another address, with the same numbers."""
+        """Go on at another address, with the same numbers; at the same one the open poll goes on."""
         with self.changed:
-            self.board = board
-            self._shut()
+            if board != self.board:
+                self.board = board
+                self._turn()
             self.changed.notify_all()
 
     def again(self) -> None:
         """Ask for everything anew."""
-        self.rev = 0
+        with self.changed:
+            self.rev = 0
+            self._turn()
+
+    def _turn(self) -> None:
+        self.turn += 1
+        self._shut()
+        self.changed.notify_all()
 
     def stop(self) -> None:
         with self.changed:
@@ -72,18 +85,24 @@
         """Ask until stopped."""
         failures = 0
         while not self.stopped:
-            address = self.board
+            with self.changed:
+                turn, address, rev = self.turn, self.board, self.rev
             try:
-                self._poll(address)
+                self._poll(turn, address, rev)
                 failures = 0
             except Exception as error:  # whatever it is: with this thread the list would end for good
                 self._close()
+                with self.changed:
+                    if self.stopped or self.turn != turn:
+                        failures = 0  # broken off by ourselves
+                        continue
                 failures += 1
                 if failures == 1:  # a board that is down for long must not fill the log
                     self._report(error, address)
                 with self.changed:
-                    if not self.stopped and self.board == address:
+                    if not self.stopped and self.turn == turn:
                         self.changed.wait(PAUSE_US / 1e6)
+        self._close()
 
     def _report(self, error: Exception, address: Address) -> None:
         where = f"{address.host}:{address.port}"
@@ -92,15 +111,12 @@
         with suppress(OSError, ValueError):  # a log that nobody reads any more ends no asking
             self.desk.notice("board_call_failed", **told.fields())
 
-    def _poll(self, address: Address) -> None:
+    def _poll(self, turn: int, address: Address, rev: int) -> None:
+        if self.sock is not None and not self._clean():
+            self._close()
         if self.sock is None:
-            sock = socket.create_connection((address.host, address.port), CONNECT_US / 1e6)
-            with self.changed:
-                self.sock, self.answers = sock, Gatherer(Reader(False, CodecLimits(body_bytes=BOARD_BYTES)))
-        if address != self.board:
-            raise ConnectionError("the board has moved")
+            self._connect(turn, address)
         assert self.answers is not None and self.sock is not None
-        rev = self.rev
         target = f"/board/poll?watch={rev}&linger={LINGER_MS}"
         self.sock.settimeout(CONNECT_US / 1e6)
         self.sock.sendall(writer.request("GET", target, f"{address.host}:{address.port}"))
@@ -117,19 +133,51 @@
         assert isinstance(whole.head, ResponseHead)
         if whole.head.status != 200:
             raise ConnectionError(f"answered {whole.head.status}")
-        board = Board.parse(json.loads(whole.body))
+        self._take(turn, rev, Board.parse(json.loads(whole.body)))
+        if not whole.head.keep_alive or self.turn != turn:
+            self._close()
+
+    def _connect(self, turn: int, address: Address) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        with self.changed:
+            # Known before it connects: a move need not wait for an address that hangs.
+            self.sock, self.answers = sock, Gatherer(Reader(False, CodecLimits(body_bytes=BOARD_BYTES)))
+            if self.stopped or self.turn != turn:
+                raise ConnectionError("the board has moved")
+        sock.settimeout(CONNECT_US / 1e6)
+        sock.connect((address.host, address.port))
+
+    def _clean(self) -> bool:
+        """Whether nothing has come since the last answer: a second copy of it would be taken for the next,
+        and each answer from then on for that of the poll after its own."""
+        assert self.answers is not None and self.sock is not None
+        self.sock.settimeout(0)
+        try:
+            self.sock.recv(1)
+        except BlockingIOError:
+            return self.answers.reader.between
+        except OSError:
+            pass
+        return False
+
+    def _take(self, turn: int, rev: int, board: Board) -> None:
+        """Apply one answer in one hold of the lock, unless a move or an ask for everything has come first: a
+        request in between saw a server gone and the one in its place not there yet."""
         news = board.after(rev, self.gapless)
         if rev == 0:
             self.gapless = not board.misses(0)
-        if news is None:  # asked after its high number for good, it would hear of no change any more
-            self.rev = 0
-            raise BoardError(f"found events up to {board.last} that do not follow upon {rev}", "field rev")
-        for notice in news:
-            with self.desk.lock:
+        with self.desk.lock if news else nullcontext(), self.changed:
+            if self.turn != turn:
+                raise ConnectionError("the board has moved")
+            if news is None:  # asked after its high number for good, it would hear of no change any more
+                self.rev = 0
+                raise BoardError(
+                    f"found events up to {board.last} that do not follow upon {rev}", "field rev"
+                )
+            for notice in news:
                 self.desk.board_says(notice)
-        self.rev = board.last if rev == self.rev else self.rev
-        if not whole.head.keep_alive:
-            self._close()
+            if self.turn == turn:  # the module may have asked for everything meanwhile
+                self.rev = board.last
 
     def _close(self) -> None:
         with self.changed:
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -24,7 +24,7 @@
 from fennelcove.node import config, desk
 from fennelcove.node.address import parse_address
 from fennelcove.node.board import Watch
-from tests.boardrig import BoardRig, HeldBoard
+from tests.boardrig import BoardRig, HeldBoard, Poll
 from tests.noderig import Caller, NodeRig, StandInServer, eventually, notice, released
 from tests.test_node_desk import HOST, TREE
 
@@ -198,6 +198,15 @@
                     poll.send(b" " if start else b"")
         self.assertEqual(board.next().watch, 1)
 
+    def test_a_second_copy_is_not_taken_for_the_next_answer(self) -> None:
+        # Each answer was taken for that of the poll after its own from then on.
+        board = HeldBoard()
+        self.rig(board, StandInServer("s0", 0))
+        poll = board.next()
+        answer = http.response(200, [], b'{"rev":1,"notices":[]}')
+        poll.send(answer + answer)
+        self.assertIsNot(board.next().sock, poll.sock)
+
     def test_a_board_that_began_its_numbers_anew_is_asked_for_everything(self) -> None:
         # The node stayed at its high number for good and heard of no change any more.
         first, second, board = StandInServer("s0", 0), StandInServer("s1", 0), HeldBoard()
@@ -294,6 +303,23 @@
         self.assertEqual(board.next().watch, 2)
         self.served(rig)
 
+    def test_half_an_answer_of_the_old_board_is_not_taken_after_the_move(self) -> None:
+        first, second, old, new = StandInServer("s0", 0), StandInServer("s1", 0), HeldBoard(), HeldBoard()
+        self.addCleanup(new.close)
+        rig = self.rig(old, first)
+        poll = old.next()
+        body = json.dumps({"rev": 2, "notices": [notice(2, [off(first), second.row])]}).encode()
+        data = http.response(200, [], body)
+        poll.send(data[:-1])
+        self.moved(rig, new)
+        fresh = new.next()
+        self.assertEqual(fresh.watch, 1)
+        poll.send(data[-1:])
+        fresh.tell(1)
+        self.assertEqual(new.next().watch, 1)
+        self.served(rig)
+        self.assertEqual((len(first.of(Kind.SET_UP)), len(second.of(Kind.SET_UP))), (1, 0))
+
     def test_a_board_that_is_down_from_the_start_is_found_when_it_comes(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as free:
             nowhere = free.getsockname()[1]
@@ -311,6 +337,30 @@
         self.served(rig, 2)
         self.assertEqual(len(second.of(Kind.SET_UP)), 1)
 
+    def test_breaks_and_moves_leave_no_descriptor_behind(self) -> None:
+        boards = HeldBoard(), HeldBoard()
+        self.addCleanup(boards[1].close)
+        rig = self.rig(boards[0], StandInServer("s0", 0))
+        here = Path("/proc") / str(rig.process.pid) / "fd"
+
+        def sockets() -> int:
+            names = []
+            for path in here.iterdir():
+                with suppress(OSError):
+                    names.append(os.readlink(path))
+            return sum(name.startswith("socket:") for name in names)
+
+        at, poll = 0, boards[0].next()
+        eventually(lambda: sockets() == 2, "the listener and the open poll")
+        for _ in range(4):
+            for end in (Poll.close, lambda poll: poll.body(b"x"), lambda poll: poll.tell(1)):
+                end(poll)
+                poll = boards[at].next()
+            at = 1 - at
+            self.moved(rig, boards[at])
+            poll = boards[at].next()
+        eventually(lambda: sockets() == 2, "the listener and the open poll")
+
 
 class WatchTest(unittest.TestCase):
     """The thread that asks, on a desk of its own, where a step inside of it has to be held."""
@@ -331,6 +381,67 @@
     def standing(self) -> Standing:
         return self.desk.front.servers["s0"].standing
 
+    def test_an_answer_of_the_old_board_is_not_applied_after_the_move(self) -> None:
+        # Read before the move and applied after it: the old board tells nothing further.
+        old, new = HeldBoard(), HeldBoard()
+        self.addCleanup(new.close)
+        watch = self.watch(old)
+        poll = old.next()
+        gate = Gate(self.desk)
+        with mock.patch.object(self.desk, "lock", gate), gate.inner:
+            poll.tell(2, notice(2, [DRAINING]))
+            self.assertTrue(gate.wanted.wait(20))  # the answer is read whole, and waits for the lock
+            watch.move(parse_address(new.address))
+        poll = new.next()
+        self.assertEqual((poll.watch, self.standing()), (1, Standing.ACTIVE))
+
+    def test_one_answer_is_applied_in_one_hold_of_the_lock(self) -> None:
+        # A request between two events of one answer saw a server gone and the one in its place not there yet.
+        board = HeldBoard()
+        self.watch(board)
+        poll = board.next()
+        gate = Gate(self.desk)
+        with mock.patch.object(self.desk, "lock", gate):
+            heir = {**HOST, "host": "s1"}
+            poll.tell(3, notice(2, [{**HOST, "health": "removed"}]), notice(3, [heir]))
+            self.assertEqual(board.next().watch, 3)
+        self.assertEqual(gate.seen, [["s1"]])
+
+    def test_everything_is_asked_for_anew_whatever_is_open(self) -> None:
+        # An ask for everything that came while one for everything was open counted as answered by it.
+        for rev in (1, 0):
+            with self.subTest(rev):
+                board = HeldBoard()
+                watch = self.watch(board, rev)
+                poll = board.next()
+                self.assertEqual(poll.watch, rev)
+                watch.again()
+                poll.tell(2, notice(1, [HOST], whole=True), notice(2, [DRAINING]))
+                poll = board.next()
+                self.assertEqual(poll.watch, 0)
+                poll.tell(2, notice(1, [HOST], whole=True), notice(2, [DRAINING]))
+                self.assertEqual((board.next().watch, self.standing()), (2, Standing.LEAVING))
+
+    def test_an_open_poll_does_not_keep_the_ask_for_everything_back(self) -> None:
+        board = HeldBoard()
+        watch = self.watch(board)
+        with mock.patch.object(discovery, "ANSWER_US", 60_000_000):
+            board.next().close()
+            board.next()  # held for good
+            watch.again()
+            self.assertEqual(board.next().watch, 0)
+
+    def test_a_move_does_not_wait_for_an_address_that_hangs(self) -> None:
+        listener, fillers = hung(self)
+        board, new = HeldBoard(), HeldBoard()
+        self.addCleanup(new.close)
+        board.address = f"127.0.0.1:{listener.getsockname()[1]}"
+        with mock.patch.object(discovery, "CONNECT_US", 60_000_000):
+            watch = self.watch(board)
+            eventually(lambda: dialled(listener, fillers), "a dial that hangs")
+            watch.move(parse_address(new.address))
+            self.assertEqual(new.next().watch, 1)
+
     def test_a_move_ends_the_pause_after_a_failure(self) -> None:
         board, new = HeldBoard(), HeldBoard()
         self.addCleanup(new.close)
@@ -344,6 +455,39 @@
             watch.move(parse_address(new.address))
             self.assertEqual(new.next().watch, 1)
 
+    def test_two_moves_in_a_row_end_at_the_second_and_are_no_failures(self) -> None:
+        boards = [HeldBoard() for _ in range(3)]
+        watch = self.watch(boards[0])
+        told: list[str] = []
+        self.desk.notice = lambda event, **fields: told.append(event)
+        boards[0].next()
+        for board in boards[1:]:
+            self.addCleanup(board.close)
+            watch.move(parse_address(board.address))
+        boards[2].next().tell(2, notice(2, [DRAINING]))
+        self.assertEqual((boards[2].next().watch, self.standing()), (2, Standing.LEAVING))
+        self.assertEqual(told, [])
+
+    def test_a_move_there_and_back_is_no_failure(self) -> None:
+        board, other = HeldBoard(), HeldBoard()
+        self.addCleanup(other.close)
+        watch = self.watch(board)
+        told: list[str] = []
+        self.desk.notice = lambda event, **fields: told.append(event)
+        board.next()
+        watch.move(parse_address(other.address))
+        watch.move(parse_address(board.address))
+        self.assertEqual((board.next().watch, told), (1, []))
+
+    def test_a_move_to_the_same_address_leaves_the_open_poll(self) -> None:
+        board = HeldBoard()
+        watch = self.watch(board)
+        poll = board.next()
+        watch.move(parse_address(board.address))
+        poll.tell(2, notice(2, [DRAINING]))
+        fresh = board.next()
+        self.assertEqual((fresh.watch, self.standing(), board.accepted), (2, Standing.LEAVING, 1))
+
     def test_a_fault_while_an_answer_is_applied_is_tried_again(self) -> None:
         board = HeldBoard()
         self.watch(board)
