Node: discovery that is down is asked after growing, spread pauses; its return is told

Cause: Watch.run waited a constant 0.1 s after each failure: a fleet of 200 asked a board that is down 10 times a second each, all in step, as all lose it in the same moment. Change: 0.1 s, twice as long after each failure up to 0.5 s, each half as much more or less by the configuration's seed (0.05 to 0.15 s after the first, 0.75 s at most); after a move it begins at the least again. One line `board_reached` with the number of failures when it is back, beside the one line `board_call_failed` of the outage. Ruled out: a line for each failed call (five failures gave one line before too); a node that is not ready while its board is down (by `known` it is).

--- a/packages/node/src/fennelcove/node/board.py
+++ b/packages/node/src/fennelcove/node/board.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 from contextlib import nullcontext, suppress
+from random import Random
 
 from fennelcove.clock import Clock
 from fennelcove.errors import Trouble
@@ -19,7 +20,8 @@
 LINGER_MS = 1_000  # a board that goes silent is noticed soon after so long
 ANSWER_US = 400_000  # beyond it
 CONNECT_US = 500_000
-PAUSE_US = 100_000  # after a failure: asking anew at once, for ever, would only load a board that is down
+PAUSE_US = 100_000  # after a failure, about; then twice as long after each, so that no fleet keeps one down,
+PAUSE_MOST_US = 500_000  # up to about this: one that is back has its news heard while they are news
 BOARD_BYTES = 1 << 20
 READ_BYTES = 65_536
 
@@ -31,6 +33,12 @@
     advice = "See that the board runs and can be reached; the node asks again and goes on by its list"
 
 
+def pause_us(failures: int, draws: Random) -> int:
+    """How long to wait after so many failures in a row: half as much more or less, since all processes of a
+    fleet lose the same board in the same moment."""
+    return round(min(PAUSE_US << min(failures - 1, 10), PAUSE_MOST_US) * draws.uniform(0.5, 1.5))
+
+
 class Watch:
     """Owns the poll's connection. `move`, `again` and `stop` may be called from any thread.
 
@@ -44,6 +52,7 @@
         self.board = board
         self.rev = rev
         self.turn = 0
+        self.draws = Random(desk.config.seed)
         # Where what is told of everything leaves numbers out, one that is left out later says nothing.
         self.gapless = not desk.config.known.misses(0)
         self.changed = threading.Condition()
@@ -89,6 +98,8 @@
                 turn, address, rev = self.turn, self.board, self.rev
             try:
                 self._poll(turn, address, rev)
+                if failures:
+                    self._log("board_reached", failures=failures)
                 failures = 0
             except Exception as error:  # whatever it is: with this thread the list would end for good
                 self._close()
@@ -101,15 +112,18 @@
                     self._report(error, address)
                 with self.changed:
                     if not self.stopped and self.turn == turn:
-                        self.changed.wait(PAUSE_US / 1e6)
+                        self.changed.wait(pause_us(failures, self.draws) / 1e6)
         self._close()
 
     def _report(self, error: Exception, address: Address) -> None:
         where = f"{address.host}:{address.port}"
         unreached = BoardUnreached(f"{type(error).__name__}: {error}", where)
         told = error if isinstance(error, BoardError) else unreached
+        self._log("board_call_failed", **told.fields())
+
+    def _log(self, event: str, **fields: object) -> None:
         with suppress(OSError, ValueError):  # a log that nobody reads any more ends no asking
-            self.desk.notice("board_call_failed", **told.fields())
+            self.desk.notice(event, **fields)
 
     def _poll(self, turn: int, address: Address, rev: int) -> None:
         if self.sock is not None and not self._clean():
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -4,10 +4,12 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import tempfile
 import threading
+import time
 import unittest
 from contextlib import suppress
 from pathlib import Path
@@ -320,6 +322,16 @@
         self.served(rig)
         self.assertEqual((len(first.of(Kind.SET_UP)), len(second.of(Kind.SET_UP))), (1, 0))
 
+    def test_a_long_outage_takes_one_line_of_the_log_and_its_end_another(self) -> None:
+        board = HeldBoard()
+        rig = self.rig(board, StandInServer("s0", 0))
+        for _ in range(5):
+            board.next().body(b"down", 503)
+        board.next().tell(1)
+        board.next()
+        self.assertEqual(len(rig.log("board_call_failed")), 1)
+        self.assertEqual([line["failures"] for line in rig.log("board_reached")], [5])
+
     def test_a_board_that_is_down_from_the_start_is_found_when_it_comes(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as free:
             nowhere = free.getsockname()[1]
@@ -508,3 +520,34 @@
             poll.tell(3, *answer)
             self.assertEqual(board.next().watch, 3)
         self.assertEqual(set(self.desk.front.servers), {"s0", "s1"})
+
+
+class PauseTest(unittest.TestCase):
+    def test_pauses_grow_to_a_bound_and_differ_from_one_process_to_the_next(self) -> None:
+        rows = [
+            [discovery.pause_us(n, draws) for n in range(1, 40)] for draws in map(random.Random, range(50))
+        ]
+        for n, column in enumerate(zip(*rows, strict=True)):
+            self.assertGreater(len(set(column)), 40)  # spread
+            mean_us = sum(column) / len(column)
+            self.assertTrue(0.7 < mean_us / min(100_000 * 2**n, 500_000) < 1.3, mean_us)
+            self.assertLess(max(column), 1_000_000)
+        self.assertLessEqual(max(row[0] for row in rows), 150_000)
+        self.assertEqual(rows[3][0], discovery.pause_us(1, random.Random(3)))  # the seed's alone
+
+    def test_a_board_that_is_down_is_asked_less_and_less(self) -> None:
+        # 200 processes asked one that was down 10 times a second each, in step.
+        board = HeldBoard()
+        self.addCleanup(board.close)
+        clock = SystemClock()
+        made = desk.Desk(config.parse(TREE), clock, Timers(clock), silent)
+        watch = Watch(made, clock, parse_address(board.address), 1)
+        thread = threading.Thread(target=watch.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(watch.stop)
+        board.next().close()
+        began = time.monotonic()
+        for _ in range(5):
+            board.next().close()
+        self.assertGreater(time.monotonic() - began, 0.84)  # half of 0.1, 0.2, 0.4, 0.5 and 0.5 s
