Node: one account of descriptors, from the opening of each to its close

Cause: Link.close, Roll.add and Viewer.run took a connection off the count at its shutdown, while its descriptor lived until its thread had got the lock and closed it. What came in its place was opened beside it: a busy lock, and the parts of servers and clients are passed. The poll, the configuration file, the listening socket and the standard streams stood in no account at all, and half and a third were taken of the limit of the configuration, also where the process's own is lower. Lines at fault: links.Link.close (_uncount before the thread's sock.close), viewers.Roll.add (remove behind shut), the end of Viewer.run (roll.remove before sock.close), program.take, desk.Desk.__init__. Ruled out: a thread that can't be started (Link.start, Program.take) left nothing counted or open before either: test_what_gets_no_thread_is_closed_and_uncounted_once, without its two lines that ask the new account, passed on the unmended code.

Change: descriptors.Descriptors owns the account. Each use has its part: what is there at the start and the listening socket, 2 for files, 2 for discovery, 1 for a connection just accepted, a third for servers, half for clients or what is left; together never over the limit. A descriptor is promised under the desk's lock, opened by its thread once there is room, and closed and uncounted in one; a second close means nothing. The poll connects by itself: create_connection asks getaddrinfo, which may open files and sockets of its own. The trace (off by default) has a line of the account.

Failed before: test_a_link_is_not_dialled_before_the_one_that_went_for_it_is_closed AssertionError: 11 != 10 : dialled beside one not yet closed test_a_client_is_not_taken_in_before_the_one_that_went_for_it_is_closed AssertionError: 17 != 16 : taken in beside one not yet closed test_the_account_is_what_the_process_holds IndexError: list index out of range (there was no account to compare)

--- a/packages/node/src/fennelcove/node/board.py
+++ b/packages/node/src/fennelcove/node/board.py
@@ -14,6 +14,7 @@
 from fennelcove.http1.messages import CodecLimits, ResponseHead
 from fennelcove.http1.reader import Gatherer, Reader
 from fennelcove.node.address import Address
+from fennelcove.node.descriptors import Descriptor, Use
 from fennelcove.node.desk import Desk
 from fennelcove.node.notices import Board, BoardError
 
@@ -58,6 +59,7 @@
         self.changed = threading.Condition()
         self.stopped = False
         self.sock: socket.socket | None = None
+        self.place: Descriptor | None = None
         self.answers: Gatherer | None = None
 
     def move(self, board: Address) -> None:
@@ -152,10 +154,16 @@
             self._close()
 
     def _connect(self, turn: int, address: Address) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        place = self.desk.descriptors.promise(Use.DISCOVERY)
+        try:
+            sock = place.open(lambda: socket.socket(socket.AF_INET, socket.SOCK_STREAM), CONNECT_US)
+        except OSError:
+            place.close()
+            raise
         with self.changed:
             # Known before it connects: a move need not wait for an address that hangs.
-            self.sock, self.answers = sock, Gatherer(Reader(False, CodecLimits(body_bytes=BOARD_BYTES)))
+            self.place, self.sock = place, sock
+            self.answers = Gatherer(Reader(False, CodecLimits(body_bytes=BOARD_BYTES)))
             if self.stopped or self.turn != turn:
                 raise ConnectionError("the board has moved")
         sock.settimeout(CONNECT_US / 1e6)
@@ -195,6 +203,6 @@
 
     def _close(self) -> None:
         with self.changed:
-            sock, self.sock, self.answers = self.sock, None, None
-        if sock is not None:
-            sock.close()
+            place, self.place, self.sock, self.answers = self.place, None, None, None
+        if place is not None:
+            place.close()
--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -33,6 +33,7 @@
 from fennelcove.node.asks import Asks
 from fennelcove.node.config import Config
 from fennelcove.node.deadlines import Deadlines
+from fennelcove.node.descriptors import Descriptors, Use, limited
 from fennelcove.node.links import DIAL_AGAIN_US, Link
 from fennelcove.node.log import Notices
 from fennelcove.node.notices import Notice
@@ -68,7 +69,14 @@
 class Desk:
     """One instance."""
 
-    def __init__(self, config: Config, clock: Clock, timers: Timers, notice: Notices) -> None:
+    def __init__(
+        self,
+        config: Config,
+        clock: Clock,
+        timers: Timers,
+        notice: Notices,
+        descriptors: Descriptors | None = None,
+    ) -> None:
         self.config = config
         self.clock = clock
         self.timers = timers
@@ -77,9 +85,8 @@
         self.last_us = 0
         self.subs: dict[bytes, Subscription] = {}
         self.servers: dict[str, Server] = {}
-        self.roll = Roll(config.sockets // 2)
-        self.links = 0
-        self.most_links = config.sockets // 3
+        self.descriptors = descriptors or Descriptors(limited(config.sockets))
+        self.roll = Roll(self.descriptors.most[Use.CLIENT])
         self.stopping = False
         self.deadlines = Deadlines(clock, timers, lambda: self.due(self.answer_late))
         self.ended = False  # the last answers are out: a set-up that still comes gets its own at once
@@ -90,6 +97,15 @@
         self.fetch: Callable[[], None] = lambda: None
         self.front = Front(config.settings, config.seed, Asks(self), self.now_us())
 
+    @property
+    def links(self) -> int:
+        """Links that are not closed."""
+        return self.descriptors.promised[Use.SERVER]
+
+    @property
+    def most_links(self) -> int:
+        return self.descriptors.most[Use.SERVER]
+
     def now_us(self) -> int:
         """The Unix clock, by which rules are judged and servers' starts are told; it never goes back."""
         self.last_us = max(self.last_us, self.clock.wall_us())
--- a/packages/node/src/fennelcove/node/links.py
+++ b/packages/node/src/fennelcove/node/links.py
@@ -19,6 +19,7 @@
 from fennelcove.isup.messages import Cause, Code, Kind, Message, ProtocolError
 from fennelcove.isup.reader import Reader
 from fennelcove.node.config import Config
+from fennelcove.node.descriptors import Descriptors, Use
 from fennelcove.node.parties import Line, Phase, Server, Subscription
 
 READ_BYTES = 16_384
@@ -27,12 +28,11 @@
 
 
 class Owner(Protocol):
-    """Who is told what comes over a link, and what has become of it; `links` counts those that are not
-    closed."""
+    """Who is told what comes over a link, and what has become of it."""
 
     config: Config
     lock: threading.Lock
-    links: int
+    descriptors: Descriptors
 
     def now_us(self) -> int: ...
 
@@ -73,9 +73,8 @@
         self.heard_us = desk.now_us()
         self.tested_us: int | None = None
         self.dials = False  # its thread is dialling: it holds a descriptor, whatever the phase
-        self.counted = True
+        self.place = desk.descriptors.promise(Use.SERVER)
         server.links[self] = None
-        desk.links += 1
 
     @property
     def idle(self) -> bool:
@@ -155,7 +154,7 @@
         self.phase = Phase.CLOSED
         self.server.links.pop(self, None)
         if not self.dials:
-            self._uncount()
+            self.place.leave()
         sub, self.carried = self.carried, None
         if self.sock is not None:
             with suppress(OSError):
@@ -163,16 +162,12 @@
         if sub is not None:
             self.desk.join_over(sub, outcome, None)
 
-    def _uncount(self) -> None:
+    def _dial_over(self) -> None:
         """A dial that was given up keeps its descriptor until it ends: not counted, dials to servers that are
         silent went past the node's part of the descriptors."""
-        self.desk.links -= self.counted
-        self.counted = False
-
-    def _dial_over(self) -> None:
         self.dials = False
         if self.phase is Phase.CLOSED:
-            self._uncount()
+            self.place.leave()
 
     def _begin(self) -> None:
         """Send what has waited for the connection."""
@@ -209,7 +204,7 @@
             with self.desk.lock:
                 self.close(Outcome.CONNECTION_LOST)
                 self.sock = None
-            sock.close()
+            self.place.close()
 
     def _read(self, sock: socket.socket) -> None:
         reader = Reader()
@@ -222,8 +217,9 @@
                     self.desk.hear(self, message)
 
     def _dial(self) -> socket.socket | None:
+        connect_us = self.desk.config.terms.connect_us
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock = self.place.open(lambda: socket.socket(socket.AF_INET, socket.SOCK_STREAM), connect_us)
         except OSError:
             # No descriptor: that says nothing of the server. Left as it was, the link stayed in its tables
             # for good, and while it did no other was opened to a server at which something stands.
@@ -234,12 +230,12 @@
             return None
         address = self.address
         try:
-            sock.settimeout(self.desk.config.terms.connect_us / 1e6)
+            sock.settimeout(connect_us / 1e6)
             sock.connect((address.host, address.port))
             sock.settimeout(None)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as error:
-            sock.close()
+            self.place.close()
             with self.desk.lock:
                 self._dial_over()
                 if self.phase is Phase.DIALLING:
@@ -253,5 +249,5 @@
                 self.server.parting.dialled(Dial.MADE, self.heard_us)
                 self._begin()
                 return sock
-        sock.close()
+        self.place.close()
         return None
--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -13,6 +13,7 @@
 from fennelcove.clock.timers import Timers
 from fennelcove.node import config, log, trace
 from fennelcove.node.board import Watch
+from fennelcove.node.descriptors import Descriptors, Use, inherited, limited
 from fennelcove.node.desk import Desk
 from fennelcove.node.links import receive_limit
 from fennelcove.node.viewers import MESSAGE_US, Viewer
@@ -20,6 +21,7 @@
 STACK_BYTES = 256 * 1024  # address space; what is touched of it is a fraction
 ROUND_US = 250_000
 BACKLOG = 512
+ROOM_US = 1_000_000  # for the thread of a connection that goes for another to close it
 STOP_MOST_US = 3_000_000  # from SIGTERM to the end: the longest client timeout, but no more than this,
 STOP_MORE_US = 500_000  # and a little for what came last; the platform kills 0.2 s after
 HEAR_OUT_US = 1_000_000  # at most, at the end; it is over as soon as all is heard, and giving up loses it
@@ -36,7 +38,9 @@
         self.notice = log.notices(self.config.name)
         self.clock = SystemClock()
         self.timers = Timers(self.clock, self.timer_failed)
-        self.desk = Desk(self.config, self.clock, self.timers, self.notice)
+        fixed = inherited() + 1  # the listening socket
+        account = Descriptors(limited(self.config.sockets), fixed)
+        self.desk = Desk(self.config, self.clock, self.timers, self.notice, account)
         self.watch = Watch(self.desk, self.clock, self.config.board, self.config.known.rev)
         self.desk.fetch = self.watch.again
         self.reread = threading.Event()
@@ -106,14 +110,13 @@
             receive_limit(sock, MESSAGE_US)
             with self.desk.lock:
                 room = self.desk.roll.add(viewer)
-            if not room:
-                sock.close()
-                return
+            if not (room and viewer.place.move(Use.CLIENT, ROOM_US)):
+                raise OSError("no room")
             threading.Thread(target=viewer.run, name="viewer", daemon=True).start()
         except (OSError, RuntimeError):
             with self.desk.lock:
                 self.desk.roll.remove(viewer)
-            sock.close()
+            viewer.place.close()
 
     def reloads(self) -> None:
         """Read the file whenever a SIGHUP has come; never ends. Apart from the main thread: while that one
@@ -130,7 +133,8 @@
         """Go on by the file as it is now; one that can't be used leaves what was, and is told of once."""
         for left in reversed(range(RELOADS)):
             try:
-                fresh = config.reload(self.path, self.config)
+                with self.desk.descriptors.opened(Use.FILE):
+                    fresh = config.reload(self.path, self.config)
             except (config.ConfigError, config.ConfigForeign) as error:
                 if left:  # it may be in the middle of being replaced
                     time.sleep(RELOAD_PAUSE_S)
--- a/packages/node/src/fennelcove/node/trace.py
+++ b/packages/node/src/fennelcove/node/trace.py
@@ -1,4 +1,5 @@
-"""What the module believes of each server beside what the node has seen of it: one log line a server.
+"""What the module believes of each server beside what the node has seen of it: one log line a server, and
+one of the account of descriptors.
 
 Off unless the environment sets FENNELCOVE_TRACE to a number of milliseconds between two rounds of lines.
 """
@@ -10,6 +11,7 @@
 import time
 from typing import Protocol
 
+from fennelcove.node.descriptors import Descriptors
 from fennelcove.node.log import Notices
 from fennelcove.node.parties import Server
 from fennelcove.rules import Front
@@ -25,6 +27,7 @@
     notice: Notices
     front: Front
     servers: dict[str, Server]
+    descriptors: Descriptors
 
 
 def start(desk: Scene) -> None:
@@ -42,6 +45,7 @@
             found = lines(desk)
         for line in found:
             desk.notice("trace", **line)
+        desk.notice("descriptors", **desk.descriptors.told())
 
 
 def lines(desk: Scene) -> list[dict[str, object]]:
--- a/packages/node/src/fennelcove/node/viewers.py
+++ b/packages/node/src/fennelcove/node/viewers.py
@@ -11,6 +11,7 @@
 
 from fennelcove.clock import Clock
 from fennelcove.node import door
+from fennelcove.node.descriptors import Descriptors, Use
 from fennelcove.node.inbox import Inbox
 from fennelcove.node.links import receive_limit, send_now
 from fennelcove.node.parties import Caller, Subscription
@@ -33,6 +34,7 @@
     lock: threading.Lock
     clock: Clock
     roll: Roll
+    descriptors: Descriptors
 
 
 class Viewer:
@@ -41,6 +43,7 @@
     def __init__(self, desk: Hall, sock: socket.socket, peer: str) -> None:
         self.desk = desk
         self.sock = sock
+        self.place = desk.descriptors.opened(Use.ACCEPT, sock)
         self.peer = peer
         self.open: dict[Subscription, None] = {}
         self.standing: dict[Subscription, None] = {}
@@ -114,7 +117,7 @@
             self._drain()
             with self.desk.lock:
                 self.desk.roll.remove(self)
-            self.sock.close()
+            self.place.close()
 
     def _drain(self) -> None:
         """A socket closed with bytes unread resets its connection, and the reset destroys the answer that was
--- /dev/null
+++ b/tests/test_node_descriptors.py
@@ -0,0 +1,231 @@
+"""The account of descriptors: what each use may hold, from the opening of each to its close."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import threading
+import time
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from fennelcove.clock import SystemClock
+from fennelcove.clock.timers import Timers
+from fennelcove.interface import Outcome
+from fennelcove.isup.messages import Cause
+from fennelcove.log import silent
+from fennelcove.node import config, program
+from fennelcove.node.desk import Desk
+from fennelcove.node.links import Link
+from fennelcove.node.parties import Phase
+from tests.noderig import (
+    Caller,
+    NodeRig,
+    StandInBoard,
+    StandInServer,
+    eventually,
+    notice,
+    released,
+)
+from tests.test_node_desk import TREE
+
+LEAST = 32  # the smallest limit that a configuration may name
+HELD_S = 0.5  # for how long what must not happen is watched for
+
+
+def ids(count: int, first: int = 1) -> list[str]:
+    return [f"{number:016x}" for number in range(first, first + count)]
+
+
+class Process(NodeRig):
+    """A node whose log is kept and whose descriptors are watched; `limit` is the process's own, if any."""
+
+    def __init__(self, *servers: StandInServer, sockets: int, limit: int | None = None) -> None:
+        self.log_folder = tempfile.TemporaryDirectory()
+        self.log = Path(self.log_folder.name) / "log"
+        own = f"ulimit -n {limit}; " if limit else ""
+        start = f"{own}FENNELCOVE_TRACE=100 exec {sys.executable} -m fennelcove.node > {self.log}"
+        super().__init__(*servers, sockets=sockets, command=["/bin/sh", "-c", start])
+        self.highest, self.watched = 0, True
+        self.watcher = threading.Thread(target=self._watch)
+        self.watcher.start()
+
+    def lines(self, event: str) -> list[dict[str, Any]]:
+        raw = self.log.read_text().rpartition("\n")[0]
+        return [told for line in raw.splitlines() if (told := json.loads(line))["event"] == event]
+
+    def held(self) -> int:
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def _watch(self) -> None:
+        while self.watched:
+            self.highest = max(self.highest, self.held())
+            time.sleep(0.002)
+
+    def move(self, board: str) -> None:
+        """A new configuration names this board."""
+        before = len(self.lines("reloaded"))
+        self.config["board"] = board
+        self.write()
+        self.signal(signal.SIGHUP)
+        eventually(lambda: len(self.lines("reloaded")) > before, "the new configuration read")
+
+    def close(self) -> None:
+        self.watched = False
+        self.watcher.join()
+        super().close()
+        self.log_folder.cleanup()
+
+
+def nowhere() -> str:
+    """An address at which nobody listens."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        return f"127.0.0.1:{free.getsockname()[1]}"
+
+
+class Rigged(unittest.TestCase):
+    def process(self, *servers: StandInServer, sockets: int, limit: int | None = None) -> Process:
+        made = Process(*servers, sockets=sockets, limit=limit)
+        self.addCleanup(made.close)
+        return made
+
+    def caller(self, rig: NodeRig) -> Caller:
+        made = rig.caller()
+        self.addCleanup(made.sock.close)
+        return made
+
+
+class CloseTest(Rigged):
+    """What is shut down is still held until its thread has closed it."""
+
+    def test_a_link_is_not_dialled_before_the_one_that_went_for_it_is_closed(self) -> None:
+        server = StandInServer("s0", 0)
+        self.addCleanup(server.listener.close)
+        tree = {**TREE, "limits": {"sockets": LEAST}}
+        tree["known"] = {"rev": 1, "notices": [notice(1, [server.row], whole=True)]}
+        clock = SystemClock()
+        desk = Desk(config.parse(tree), clock, Timers(clock), silent)
+        with desk.lock:
+            for told in desk.config.known.notices:
+                desk.board_says(told)
+            row = desk.servers["s0"]
+            for _ in range(desk.most_links):
+                Link(desk, row).start()
+        eventually(lambda: [link.phase for link in row.links] == [Phase.OPEN] * desk.most_links, "links")
+        eventually(lambda: len(server.sockets) == desk.most_links, "the server's ends")
+        # A closed link's thread needs the lock before its descriptor goes: held here, it can't.
+        with desk.lock:
+            desk.spare()
+            Link(desk, row).start()
+            time.sleep(HELD_S)
+            self.assertEqual(len(server.sockets), desk.most_links, "dialled beside one not yet closed")
+        eventually(lambda: len(server.sockets) == desk.most_links + 1, "the dial, once there is room")
+        with desk.lock:
+            for link in list(row.links):
+                link.close(Outcome.CONNECTION_LOST)
+
+    def test_a_client_is_not_taken_in_before_the_one_that_went_for_it_is_closed(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps({**TREE, "limits": {"sockets": LEAST}}))
+            made = program.Program(str(path))
+        self.addCleanup(made.listener.close)
+        threads: list[Callable[[], None]] = []  # that read connections; each is run only when told
+        most = made.desk.roll.most
+        real = threading.Thread
+
+        def thread(target: Callable[[], None], name: str = "", daemon: bool = True) -> Any:
+            made_thread = real(target=target, name=name, daemon=daemon)
+            if name != "viewer":
+                return made_thread
+            threads.append(target)
+            return mock.Mock()
+
+        def take() -> None:
+            near, far = socket.socketpair()
+            self.addCleanup(far.close)
+            with mock.patch.object(socket.socket, "setsockopt"):
+                made.take(near, "127.0.0.1")
+
+        with mock.patch.object(program.threading, "Thread", thread):
+            for _ in range(most):
+                take()
+            self.assertEqual(len(threads), most)
+            last = real(target=take)
+            last.start()
+            last.join(HELD_S)
+            self.assertEqual(len(threads), most, "taken in beside one not yet closed")
+            threads[0]()  # the one that was shut for it: its thread closes it
+            last.join()
+            self.assertEqual(len(threads), most + 1)
+        for viewer in list(made.desk.roll.viewers):
+            viewer.shut()
+            viewer.run()
+
+
+class AccountTest(Rigged):
+    def test_what_gets_no_thread_is_closed_and_uncounted_once(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps(TREE))
+            made = program.Program(str(path))
+        self.addCleanup(made.listener.close)
+        before = made.desk.descriptors.told()
+        with (
+            socket.create_server(("127.0.0.1", 0)) as listener,
+            socket.create_connection(listener.getsockname()) as far,
+            mock.patch.object(threading.Thread, "start", side_effect=RuntimeError("can't start new thread")),
+        ):
+            near, _ = listener.accept()
+            made.take(near, "127.0.0.1")
+            self.assertEqual(far.recv(1), b"")
+            with made.desk.lock:
+                for told in made.config.known.notices:
+                    made.desk.board_says(told)
+                link = Link(made.desk, made.desk.servers["s0"])
+                link.start()
+                link.close(Outcome.CONNECTION_LOST)
+        self.assertEqual(near.fileno(), -1)
+        self.assertEqual(made.desk.descriptors.told(), before)
+        self.assertFalse(made.desk.links or made.desk.roll.viewers)
+
+    def test_the_account_is_what_the_process_holds(self) -> None:
+        # Breaks, evictions, moves and dials that fail: whatever is forgotten or counted twice stays for good.
+        broken = StandInServer("s1", 1, lambda message: None)
+        full = StandInServer("s2", 2, lambda message: released(message, Cause.FULL))
+        gone = StandInServer("s3", 3)
+        rig = self.process(StandInServer("s0", 0), broken, full, gone, sockets=64)
+        gone.die()
+        board = StandInBoard(list(rig.board.notices))
+        for turn in range(4):
+            mute = [self.caller(rig) for _ in range(60)]
+            callers = [self.caller(rig) for _ in range(10)]
+            for caller, id in zip(callers, ids(10, 100 * turn + 1), strict=True):
+                caller.set_up(id)
+            for caller in callers:
+                caller.answer()
+            rig.move(nowhere())
+            rig.move(board.address)
+            for caller in [*callers, *mute]:
+                caller.sock.close()
+        polled = board.polls
+        eventually(lambda: board.polls > polled + 1, "polls at the new board")
+        eventually(lambda: rig.lines("descriptors")[-1]["client"] == 0, "no client left")
+
+        def agree() -> bool:
+            """The account and the system say the same, on either side of a line of the trace."""
+            before = rig.held()
+            count = len(rig.lines("descriptors"))
+            eventually(lambda: len(rig.lines("descriptors")) > count, "a line of the trace")
+            return before == rig.lines("descriptors")[-1]["all"] == rig.held()
+
+        eventually(agree, "an account that is what the process holds")
+        self.assertTrue(all(agree() for _ in range(3)))
+        self.assertLessEqual(rig.highest, 64)
