Node: busy clients leave places for new ones, so a health test is always read and answered

Cause: with the whole part of the clients busy (16 connections at the least limit, 13 since the parts add up) Roll.add had nobody to close and Program.take closed the new connection with no answer: the platform's test as well, which takes the process for dead, and set-ups and `at` of a restart. And room was made by closing who had not spoken yet however new it was, also with its first message in the socket's buffer, unread. Lines at fault: viewers.Roll.add (bare, first not spoken), program.take (close where there is no room), door.set_up (any connection may become busy). Ruled out: idle clients alone (silent, or that spoke and hold their connection) starved neither discovery nor the reading of a configuration nor servers: the test of it with 5 busy ones passed on the unmended code; it is the busy ones that did.

Change: busy connections hold all places but 3, or one in 8 where that is more; past that a set-up on another connection is refused with 503 and Come-Back-Ms (never sent on, so harmless), and what plays already (`at`) is held without a connection. Who is closed for room: the oldest that has not spoken, after 20 ms, and nobody whose bytes wait to be read while there is another.

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -468,6 +468,10 @@
         self.deadlines.drop(sub)
         return sub.viewer is not None and not sub.viewer.left() and sub.viewer.send(data)
 
+    def seated(self, viewer: Caller) -> bool:
+        """Whether something may be open on this connection."""
+        return self.roll.seated(viewer)
+
     def pay(self, viewer: Caller) -> None:
         """Tell a connection what its peer has missed."""
         self.roll.pay(viewer)
--- a/packages/node/src/fennelcove/node/door.py
+++ b/packages/node/src/fennelcove/node/door.py
@@ -30,6 +30,8 @@
 
     def pay(self, viewer: Caller) -> None: ...
 
+    def seated(self, viewer: Caller) -> bool: ...
+
     def take(self, sub: Subscription, request: Request) -> None: ...
 
     def adopt(self, sub: Subscription, request: Request, server: str) -> bool: ...
@@ -95,10 +97,16 @@
     title = message.address.rpartition("/")[2]
     sub = Subscription(id, session, cseq, request.room, title, message.body, viewer, viewer.peer)
     if at:
+        if not desk.seated(viewer):
+            sub.viewer = None  # what stands belongs to no connection, and this one may have to go for others
         if len(desk.subs) < MOST_HELD:
             desk.adopt(sub, request, at)
     elif len(viewer.open) >= MOST_OPEN_HERE or len(desk.subs) >= MOST_HELD:
         viewer.send(writer.answer(503, *echo))
+    elif not desk.seated(viewer):
+        wait_us = desk.config.settings.retry_after_us
+        come_back = (("Come-Back-Ms", str(max(1, wait_us // 1000))),) if wait_us else ()
+        viewer.send(writer.answer(503, *echo, *come_back))
     else:
         desk.take(sub, request)
 
--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -108,6 +108,10 @@
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             receive_limit(sock, MESSAGE_US)
+            with self.desk.lock:
+                wait_us = self.desk.roll.wait_us(self.clock.now_us())
+            if wait_us:
+                time.sleep(wait_us / 1e6)  # the listener's backlog holds the others meanwhile
             with self.desk.lock:
                 room = self.desk.roll.add(viewer)
             if not (room and viewer.place.move(Use.CLIENT, ROOM_US)):
--- a/packages/node/src/fennelcove/node/viewers.py
+++ b/packages/node/src/fennelcove/node/viewers.py
@@ -26,6 +26,11 @@
 OWED_US = 8_000_000  # what a viewer must hear of an end is kept so long for its next connection,
 MOST_OWED = 64  # of so many peers,
 MOST_OWED_EACH = 256  # and so much for each
+# Who has only just come has its first message on the way: none goes to make room before so long. At the least
+# limit the places for new ones still pass on 150 a second, so hundreds that say nothing are gone within 3 s.
+HEAD_START_US = 20_000
+LEAST_NEW = 3  # places that busy connections leave to new ones, at least,
+NEW_SHARE = 8  # and one in so many
 
 
 class Hall(door.Counter, Protocol):
@@ -49,6 +54,7 @@
         self.standing: dict[Subscription, None] = {}
         self.inbox = Inbox()
         self.withdrawn: set[bytes] = set()
+        self.since_us = desk.clock.now_us()
         self.spoke = False
         self.busy = False  # its thread acts on what was read, and looks at `closed` before it reads again
         self.ended = False  # its viewer has closed
@@ -60,6 +66,14 @@
         """Nothing hangs on it: it may be closed."""
         return not self.open and not self.standing
 
+    @property
+    def unread(self) -> bool:
+        """Something has come that its thread has not read yet."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def send(self, data: bytes) -> bool:
         """A viewer that lets the kernel's buffer fill with short messages is cut off, not waited for; False
         where it has not got all of this one."""
@@ -227,6 +241,7 @@
 
     def __init__(self, most: int) -> None:
         self.most = most
+        self.seats = max(1, most - max(LEAST_NEW, most // NEW_SHARE))  # for those that carry something
         self.viewers: dict[Viewer, None] = {}
         self.by_peer: dict[str, dict[Viewer, None]] = {}
         self.owed: dict[str, deque[tuple[int, bytes]]] = {}
@@ -234,11 +249,7 @@
     def add(self, viewer: Viewer) -> bool:
         """False where there is no room for it, even with others closed that nothing hangs on."""
         if len(self.viewers) >= self.most:
-            # Those that are only drained go first, then those that have said nothing: some open connections
-            # by the hundred, and never do. One from which something has come is about to carry it.
-            spare = [v for v in self.viewers if v.bare and (v.closed or not v.busy)]
-            spare.sort(key=lambda v: (not v.closed, v.spoke))
-            out = next((v for v in spare if v.closed or not v.unread), None)
+            out = self._out()
             if out is None:
                 return False
             out.shut()
@@ -247,6 +258,28 @@
         self.by_peer.setdefault(viewer.peer, {})[viewer] = None
         return True
 
+    def _out(self) -> Viewer | None:
+        """Who goes to make room: those that are only drained first, then those that have said nothing, since
+        some open connections by the hundred and never do. One from which something has come is about to
+        carry it, and what waits to be read would go without an answer."""
+        spare = [v for v in self.viewers if v.bare and (v.closed or not v.busy)]
+        spare.sort(key=lambda v: (not v.closed, v.spoke))
+        return next((v for v in spare if v.closed or not v.unread), None)
+
+    def wait_us(self, now_us: int) -> int:
+        """How long a new connection waits before another goes for it."""
+        if len(self.viewers) < self.most:
+            return 0
+        out = self._out()
+        if out is None:  # those that carry nothing are being read just now
+            return HEAD_START_US
+        return 0 if out.spoke or out.closed else max(0, out.since_us + HEAD_START_US - now_us)
+
+    def seated(self, viewer: Caller) -> bool:
+        """Whether something may be open on this connection: were all of them busy, a new one would have to be
+        closed without an answer, and so would the platform's test."""
+        return bool(viewer.open or viewer.standing) or sum(not v.bare for v in self.viewers) < self.seats
+
     def remove(self, viewer: Viewer) -> None:
         self.viewers.pop(viewer, None)
         same = self.by_peer.get(viewer.peer)
--- a/tests/test_node_descriptors.py
+++ b/tests/test_node_descriptors.py
@@ -19,17 +19,22 @@
 from fennelcove.clock import SystemClock
 from fennelcove.clock.timers import Timers
 from fennelcove.interface import Outcome
-from fennelcove.isup.messages import Cause
+from fennelcove.isup.messages import Cause, Code, Kind
+from fennelcove.isup.messages import Message as ServerMessage
 from fennelcove.log import silent
 from fennelcove.node import config, program
 from fennelcove.node.desk import Desk
 from fennelcove.node.links import Link
 from fennelcove.node.parties import Phase
+from fennelcove.node.viewers import HEAD_START_US, Viewer
+from fennelcove.rtsp import writer as rtsp_writer
 from tests.noderig import (
+    WAIT_S,
     Caller,
     NodeRig,
     StandInBoard,
     StandInServer,
+    answered,
     eventually,
     notice,
     released,
@@ -90,6 +95,27 @@
         return f"127.0.0.1:{free.getsockname()[1]}"
 
 
+def gone(caller: Caller) -> bool:
+    """Whether the node has closed it."""
+    caller.sock.setblocking(False)
+    try:
+        return not caller.sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except ConnectionResetError:
+        return True
+    finally:
+        caller.sock.settimeout(WAIT_S)
+
+
+def program_of(tree: dict[str, Any]) -> program.Program:
+    """A node in this process; nothing of it runs."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "config.json"
+        path.write_text(json.dumps(tree))
+        return program.Program(str(path))
+
+
 class Rigged(unittest.TestCase):
     def process(self, *servers: StandInServer, sockets: int, limit: int | None = None) -> Process:
         made = Process(*servers, sockets=sockets, limit=limit)
@@ -132,10 +158,7 @@
                 link.close(Outcome.CONNECTION_LOST)
 
     def test_a_client_is_not_taken_in_before_the_one_that_went_for_it_is_closed(self) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / "config.json"
-            path.write_text(json.dumps({**TREE, "limits": {"sockets": LEAST}}))
-            made = program.Program(str(path))
+        made = program_of({**TREE, "limits": {"sockets": LEAST}})
         self.addCleanup(made.listener.close)
         threads: list[Callable[[], None]] = []  # that read connections; each is run only when told
         most = made.desk.roll.most
@@ -170,12 +193,121 @@
             viewer.run()
 
 
+class RoomTest(Rigged):
+    """Clients that hold their connections leave everything else its descriptors."""
+
+    def test_a_health_test_is_answered_with_the_clients_part_busy(self) -> None:
+        # A new connection was closed with no answer, and the platform took the process for dead.
+        server = StandInServer("s0", 0)
+        rig = self.process(server, sockets=LEAST, limit=LEAST)
+        callers, statuses = list[Caller](), list[int]()
+        for id in ids(LEAST):
+            callers.append(self.caller(rig))
+            callers[-1].set_up(id)
+            answer = callers[-1].answer()
+            statuses.append(answer.status)
+            if answer.status != 200:
+                self.assertEqual((answer.status, answer.fields["come-back-ms"]), (503, "500"))
+            self.assertEqual(rig.test(), 200)
+        self.assertGreaterEqual(statuses.count(200), LEAST // 3)  # so much the pages let clients hold
+        self.assertEqual(len(server.of(Kind.SET_UP)), statuses.count(200))
+        callers[0].tear_down(ids(1)[0])
+        self.assertEqual(callers[0].answer().status, 200)
+        caller = self.caller(rig)
+        caller.set_up(ids(1, 1000)[0])
+        self.assertEqual(caller.answer().status, 200)
+        self.assertFalse(rig.lines("accept_failed"))
+        self.assertLessEqual(rig.highest, LEAST)
+
+    def test_what_plays_already_is_held_past_the_clients_part(self) -> None:
+        rig = self.process(StandInServer("s0", 0), sockets=LEAST, limit=LEAST)
+        for id in ids(LEAST):
+            self.caller(rig).set_up(id, routing="home:0;copies:4;top:2;at:s0")
+        self.assertEqual(rig.test(), 200)
+        for id in ids(LEAST):
+            caller = self.caller(rig)
+            caller.tear_down(id)
+            self.assertEqual(caller.answer().status, 200)
+            caller.sock.close()
+
+    def test_idle_clients_leave_discovery_servers_health_and_configuration_theirs(self) -> None:
+        held, other = f"{1:x}", f"{2:x}"
+
+        def reply(message: ServerMessage) -> bytes:
+            return b"" if message.text(Code.TITLE) == held else answered(message)
+
+        first, second = StandInServer("s0", 0, reply), StandInServer("s1", 1)
+        rig = self.process(first, sockets=LEAST, limit=LEAST)
+        rig.move(nowhere())
+        eventually(lambda: rig.lines("board_call_failed"), "discovery that is down")
+        busy = list[Caller]()
+        for number, id in enumerate(ids(LEAST // 3)):  # so many connections the pages let clients hold
+            busy.append(self.caller(rig))
+            busy[-1].set_up(id, title=held if number < 5 else other, **{"Answer-Within": "60000"})
+            if number >= 5:
+                self.assertEqual(busy[-1].answer().status, 200)
+            eventually(lambda: len(first.of(Kind.SET_UP)) >= len(busy), "a set-up that is held open")
+        for id in ids(LEAST, 100):  # past these: answered one way or the other, and held as well
+            caller = self.caller(rig)
+            caller.set_up(id, title=other)
+            self.assertIn(caller.answer().status, (200, 503))
+        for _ in range(LEAST):  # they speak once and then hold their connections
+            caller = self.caller(rig)
+            caller.send(rtsp_writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")))
+            self.assertEqual(caller.answer().status, 200)
+        mute = [self.caller(rig) for _ in range(300)]
+        self.assertEqual(rig.test(), 200)
+        board = StandInBoard([*rig.board.notices, notice(2, [second.row])])
+        rig.move(board.address)
+        eventually(lambda: board.polls > 1, "polls at the new board")
+        self.assertFalse([caller for caller in busy if gone(caller)])
+        busy[-1].tear_down(ids(len(busy))[-1])
+        self.assertEqual(busy[-1].answer().status, 200)
+        caller = self.caller(rig)
+        caller.set_up(ids(1, 1000)[0], title=other)
+        self.assertEqual(caller.answer().status, 200)
+        self.assertEqual(rig.test(), 200)
+        self.assertTrue(gone(mute[0]))
+        self.assertFalse(rig.lines("accept_failed"))
+        self.assertLessEqual(rig.highest, LEAST)
+
+    def test_whose_first_bytes_have_come_is_not_closed_for_room(self) -> None:
+        made, far = self.program_full_of_silent()
+        far[0].sendall(b"OPTIONS")  # the oldest; no thread has read it yet
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            self.enterContext(socket.create_connection(listener.getsockname()))
+            fresh = Viewer(made.desk, listener.accept()[0], "127.0.0.1")
+        self.addCleanup(fresh.place.close)
+        with made.desk.lock:
+            self.assertTrue(made.desk.roll.add(fresh))
+        far[0].setblocking(False)
+        self.assertRaises(BlockingIOError, far[0].recv, 1)  # open yet
+        self.assertEqual(far[1].recv(1), b"")
+
+    def test_who_has_only_just_come_is_given_time_to_speak(self) -> None:
+        made, _ = self.program_full_of_silent()
+        oldest = next(iter(made.desk.roll.viewers))
+        with made.desk.lock:
+            for age_us, wait_us in ((0, HEAD_START_US), (HEAD_START_US, 0), (HEAD_START_US - 1, 1)):
+                self.assertEqual(made.desk.roll.wait_us(oldest.since_us + age_us), wait_us)
+
+    def program_full_of_silent(self) -> tuple[program.Program, list[socket.socket]]:
+        """A node whose clients' part is taken by connections that no thread reads, and their other ends."""
+        made, far = program_of({**TREE, "limits": {"sockets": LEAST}}), list[socket.socket]()
+        self.addCleanup(made.listener.close)
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            for _ in range(made.desk.roll.most):
+                far.append(self.enterContext(socket.create_connection(listener.getsockname())))
+                viewer = Viewer(made.desk, listener.accept()[0], "127.0.0.1")
+                self.addCleanup(viewer.place.close)
+                with made.desk.lock:
+                    self.assertTrue(made.desk.roll.add(viewer))
+        return made, far
+
+
 class AccountTest(Rigged):
     def test_what_gets_no_thread_is_closed_and_uncounted_once(self) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / "config.json"
-            path.write_text(json.dumps(TREE))
-            made = program.Program(str(path))
+        made = program_of(TREE)
         self.addCleanup(made.listener.close)
         before = made.desk.descriptors.told()
         with (
