Node: links for what stands keep within the servers' part and take turns where they are too few

Cause: Desk.round started a link to every server at which something stands and none was open, without a look at the limit: with more such servers than a third of the limit the process went past it (48 servers, limit 32: 55 descriptors), and a set-up to any other server ended as not sent, as the links were over their part. Lines at fault: desk.Desk.round (`Link(self, server).start()`).

Change: rounds gather the servers that wait for a link; within the part each gets one. Past it the one that has been without for longest takes the place of an idle link that nothing needs, or of one that has had its turn: a server tells what has ended on the next connection that is opened, so each is reached in its turn. A turn is so long that all have theirs within 4 s (an end must be told within 8 s), and no shorter rounds are made for it. Chosen so rather than by who has most standing, since one session left standing is as lost as another.

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -44,6 +44,7 @@
 
 QUIET_US = 1_500_000  # a link with something playing behind it is asked for a sign of life after so long,
 SILENT_US = 1_500_000  # and taken for dead when none has come after so long again
+TURNS_US = 4_000_000  # in which each server with something standing has its turn, well within 8 s of an end
 EARLY_US = 2_000_000  # what servers say of sessions that their viewers have not named yet is kept so long,
 MOST_EARLY = 4_096  # of so many sessions,
 MOST_EARLY_EACH = 8  # and so much of each
@@ -174,11 +175,29 @@
         fit = [link for link in fit if sub.id not in link.given_up and len(link.given_up) < MOST_GIVEN_UP]
         return sorted(fit, key=lambda link: link.heard_us)
 
-    def spare(self) -> None:
-        """Close the idle link that has been silent longest, to make room for another."""
+    def spare(self, turn_us: int = 0) -> bool:
+        """Close an idle link to make room for another, where there is one: the one silent longest of those
+        that nothing needs, or else one that has been there for a turn."""
+        now_us = self.now_us()
         idle = [link for server in self.servers.values() for link in server.links if link.idle]
-        if idle:
-            min(idle, key=lambda link: link.heard_us).close(Outcome.CONNECTION_LOST)
+        free = [link for link in idle if not (link.server.needs_link and len(link.server.links) == 1)]
+        if free:
+            min(free, key=lambda link: link.heard_us).close(Outcome.CONNECTION_LOST)
+            return True
+        out = min(idle, key=lambda link: link.opened_us, default=None)
+        if out is None or now_us - out.opened_us < turn_us:
+            return False
+        out.close(Outcome.CONNECTION_LOST)
+        return True
+
+    def reach(self, waiting: list[Server]) -> None:
+        """Links to servers that need one, within the servers' part of the descriptors. Where they are more
+        than that, they take turns: a server tells what has ended on the next connection that is opened."""
+        turn_us = TURNS_US * self.most_links // (self.most_links + len(waiting))
+        for server in sorted(waiting, key=lambda server: server.left_us):
+            if self.links >= self.most_links and not self.spare(turn_us):
+                return
+            Link(self, server).start()
 
     def time_over(self, sub: Subscription, join: Join) -> None:
         """The wait for this join is over, if it is still out: it is given up before the module hears."""
@@ -348,6 +367,7 @@
         self.roll.forgive(now_us)
         self.name_handovers()
         self.answer_late()  # here too, where no timer could be had for the next of them
+        waiting = list[Server]()
         for server in list(self.servers.values()):
             for link in list(server.links):
                 if link.phase is not Phase.OPEN:
@@ -362,13 +382,14 @@
             if server.standing:
                 self.part(server)
             # The end of what plays there comes on any open link, or on the next that is opened.
-            if (server.standing or server.unsent) and not server.links and now_us >= server.dial_at_us:
+            if server.needs_link and not server.links and now_us >= server.dial_at_us:
                 # A dial would reach the one that came in its place, whose signs of life say nothing of it.
                 if self.succeeded(server):
                     self.cut(server)
                 else:
-                    Link(self, server).start()
+                    waiting.append(server)
             self.drop(server)
+        self.reach(waiting)
 
     # Viewers.
 
--- a/packages/node/src/fennelcove/node/links.py
+++ b/packages/node/src/fennelcove/node/links.py
@@ -70,7 +70,7 @@
         self.sock: socket.socket | None = None
         self.carried: Subscription | None = None  # whose set-up is out
         self.given_up: set[bytes] = set()  # ids for which an answer may still come here
-        self.heard_us = desk.now_us()
+        self.heard_us = self.opened_us = desk.now_us()
         self.tested_us: int | None = None
         self.dials = False  # its thread is dialling: it holds a descriptor, whatever the phase
         self.place = desk.descriptors.promise(Use.SERVER)
@@ -153,6 +153,7 @@
             return
         self.phase = Phase.CLOSED
         self.server.links.pop(self, None)
+        self.server.left_us = self.desk.now_us()
         if not self.dials:
             self.place.leave()
         sub, self.carried = self.carried, None
@@ -246,6 +247,7 @@
             self._dial_over()
             if self.phase is Phase.DIALLING:
                 self.phase, self.sock, self.heard_us = Phase.OPEN, sock, self.desk.now_us()
+                self.opened_us = self.heard_us
                 self.server.parting.dialled(Dial.MADE, self.heard_us)
                 self._begin()
                 return sock
--- a/packages/node/src/fennelcove/node/parties.py
+++ b/packages/node/src/fennelcove/node/parties.py
@@ -24,6 +24,7 @@
     carried: Subscription | None  # whose set-up is out
     given_up: set[bytes]
     heard_us: int
+    opened_us: int
     tested_us: int | None
 
     @property
@@ -116,3 +117,9 @@
     seen: Counter[Outcome] = field(default_factory=Counter)  # how joins and what they started ended here
     parting: Parting = field(default_factory=Parting)
     dial_at_us: int = 0  # not before, while dials fail
+    left_us: int = 0  # when its last link ended
+
+    @property
+    def needs_link(self) -> bool:
+        """What ends there is told on any open link, and on the next that is opened."""
+        return bool(self.standing or self.unsent)
--- a/packages/node/src/fennelcove/node/viewers.py
+++ b/packages/node/src/fennelcove/node/viewers.py
@@ -81,14 +81,6 @@
             self.shut()
         return not self.closed
 
-    @property
-    def unread(self) -> bool:
-        """Something has come that was not read."""
-        try:
-            return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:
-            return False
-
     def left(self) -> bool:
         """Whether its viewer has closed, as far as the kernel knows: bytes may lie unread before the end."""
         if self.ended or self.closed:
--- a/tests/test_node_descriptors.py
+++ b/tests/test_node_descriptors.py
@@ -12,6 +12,7 @@
 import time
 import unittest
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -19,6 +20,7 @@
 from fennelcove.clock import SystemClock
 from fennelcove.clock.timers import Timers
 from fennelcove.interface import Outcome
+from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause, Code, Kind
 from fennelcove.isup.messages import Message as ServerMessage
 from fennelcove.log import silent
@@ -305,6 +307,38 @@
         return made, far
 
 
+class Leaving(StandInServer):
+    """Says on each connection that is opened that its session is over, as long as that may be unheard."""
+
+    def __init__(self, name: str, cell: int, id: str) -> None:
+        self.over = isup.release(bytes.fromhex(id), Cause.OK)
+        super().__init__(name, cell)
+
+    def _serve(self, sock: socket.socket) -> None:
+        with suppress(OSError):
+            sock.sendall(self.over)
+        super()._serve(sock)
+
+
+class TurnsTest(Rigged):
+    """Links that must be there for what stands."""
+
+    def test_what_stands_at_more_servers_than_there_are_links_ends_for_its_viewers(self) -> None:
+        kept, leaving = ids(LEAST // 2), ids(LEAST, 100)
+        servers = [StandInServer(f"s{id}", number % 4) for number, id in enumerate(kept)]
+        servers += [Leaving(f"s{id}", number % 4, id) for number, id in enumerate(leaving)]
+        rig = self.process(*servers, sockets=LEAST)
+        viewer = self.caller(rig)
+        for id in kept + leaving:  # those that stay are named first: they would hold all links there are
+            viewer.set_up(id, routing=f"home:0;copies:4;top:2;at:s{id}")
+        told = [viewer.request() for _ in leaving]
+        self.assertEqual(sorted(message.fields["session"] for message in told), leaving)
+        other = self.caller(rig)
+        other.set_up(ids(1, 1000)[0])
+        self.assertEqual(other.answer().status, 200)
+        self.assertLessEqual(rig.highest, LEAST)
+
+
 class AccountTest(Rigged):
     def test_what_gets_no_thread_is_closed_and_uncounted_once(self) -> None:
         made = program_of(TREE)
