The end of a session goes to a connection of its own viewer's, where clients share an address

Cause: Roll.other looked for a connection by address alone and took the oldest that had spoken: of two clients behind one address one got the other's releases, and the other waited for good although a connection of its own was open.

Change: a connection remembers the figures (Routing-Data, `viewer`) of the last 64 viewers that set something up on it, and is preferred for these. The fallback to the address stays.

Before: of_clients_that_share_an_address `TimeoutError: timed out`.

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -500,7 +500,7 @@
     def to_viewer(self, sub: Subscription, data: bytes) -> None:
         """On the connection of the set-up, or another of the same viewer's: what stands belongs to none."""
         known = sub.viewer is not None and not sub.viewer.left()
-        viewer = sub.viewer if known else self.roll.other(sub.peer)
+        viewer = sub.viewer if known else self.roll.other(sub.peer, sub.figure)
         if viewer is None or not viewer.send(data):
             self.roll.owe(sub.peer, data, self.now_us())
 
--- a/packages/node/src/fennelcove/node/door.py
+++ b/packages/node/src/fennelcove/node/door.py
@@ -18,6 +18,7 @@
 _WHOLE = re.compile(r"[0-9]{1,9}")
 MOST_WAIT_MS = 3_600_000
 MOST_OPEN_HERE = 256  # set-ups open on one connection
+MOST_FIGURES = 64  # of viewers, remembered of one connection
 MOST_HELD = 10_000  # set-ups and subscriptions of a node
 
 
@@ -96,6 +97,11 @@
         return
     title = message.address.rpartition("/")[2]
     sub = Subscription(id, session, cseq, request.room, title, message.body, viewer, viewer.peer)
+    sub.figure = routing.get("viewer", "")[:16]
+    viewer.figures.pop(sub.figure, None)  # the latest last
+    viewer.figures[sub.figure] = None
+    if len(viewer.figures) > MOST_FIGURES:
+        del viewer.figures[next(iter(viewer.figures))]
     if at:
         if not desk.seated(viewer):
             sub.viewer = None  # what stands belongs to no connection, and this one may have to go for others
--- a/packages/node/src/fennelcove/node/parties.py
+++ b/packages/node/src/fennelcove/node/parties.py
@@ -53,6 +53,7 @@
     peer: str
     open: dict[Subscription, None]
     standing: dict[Subscription, None]
+    figures: dict[str, None]  # of the viewers that lately spoke here; many clients may share an address
     withdrawn: set[bytes]  # set-ups taken back before anything was begun for them
     closed: bool
 
@@ -95,6 +96,7 @@
     answer: bytes = b""
     wait_us: int = 0  # what a throttled viewer is told to keep away for
     answer_by_us: int = 0
+    figure: str = ""  # its viewer's
 
     @property
     def key(self) -> str:
--- a/packages/node/src/fennelcove/node/viewers.py
+++ b/packages/node/src/fennelcove/node/viewers.py
@@ -53,6 +53,7 @@
         self.open: dict[Subscription, None] = {}
         self.standing: dict[Subscription, None] = {}
         self.inbox = Inbox()
+        self.figures: dict[str, None] = {}
         self.withdrawn: set[bytes] = set()
         self.since_us = desk.clock.now_us()
         self.spoke = False
@@ -280,10 +281,11 @@
             if not same:
                 del self.by_peer[viewer.peer]
 
-    def other(self, peer: str) -> Viewer | None:
-        """Any open connection of this peer's; one that has spoken, where there is one."""
-        same = self.by_peer.get(peer, {})
-        return next((v for spoke in (True, False) for v in same if v.spoke is spoke and not v.left()), None)
+    def other(self, peer: str, figure: str = "") -> Viewer | None:
+        """Any open connection of this peer's; one on which this viewer has spoken, where there is one, or
+        else one that has spoken at all: clients that share an address must not get each other's ends."""
+        same = sorted(self.by_peer.get(peer, ()), key=lambda v: (figure not in v.figures, not v.spoke))
+        return next((v for v in same if not v.left()), None)
 
     def owe(self, peer: str, data: bytes, now_us: int) -> None:
         """Keep this for the peer's next connection. With none open just then, as after a reset, the end of
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -315,54 +315,6 @@
             self.assertEqual(caller.answer().status, 200)
 
 
-class OwedTest(RigTest):
-    """The end of what stands reaches its client on whichever connection is open, or the next that is."""
-
-    def test_an_end_told_as_its_connection_ends_waits_for_the_next(self) -> None:
-        server = StandInServer("s0", 0)
-        inside = Inside(self, server)
-        caller, far = inside.meet()
-        thread = inside.read(far)
-        caller.set_up(ID)
-        self.assertEqual(caller.answer().status, 200)
-        sub = inside.desk.subs[bytes.fromhex(ID)]
-        inside.gate.hold("viewer")
-        caller.sock.close()
-        eventually(lambda: inside.gate.reached("viewer"), "the end read, and not acted on")
-        server.say(released(server.of(Kind.SET_UP)[0], Cause.OK))
-        eventually(lambda: sub.state is State.OVER, "the end at the server heard")
-        inside.gate.free("viewer")
-        thread.join(noderig.WAIT_S)
-        following = inside.connect()
-        following.tear_down(OTHER)
-        self.assertEqual(following.request().fields["session"], ID)
-        self.assertEqual(following.answer().status, 454)
-
-    def test_what_is_owed_is_not_sent_to_one_that_has_left(self) -> None:
-        server = StandInServer("s0", 0)
-        rig = self.rig(server)
-        viewer = rig.caller()
-        inode = taken(rig, viewer)
-        viewer.set_up(ID)
-        self.assertEqual(viewer.answer().status, 200)
-        viewer.sock.close()
-        eventually(lambda: not holds(rig, inode), "its connection closed")
-        server.say(released(server.of(Kind.SET_UP)[0], Cause.OK))
-        server.say(isup.message(Kind.TEST, bytes(8), (Code.CAUSE, b"\0")))
-        eventually(lambda: server.of(Kind.TESTED), "the end heard")
-        leaver = self.script(rig)
-        inode = taken(rig, leaver)
-        leaver.tear_down(OTHER)
-        with Stopped(rig):
-            leaver.flush()
-            leaver.sock.shutdown(socket.SHUT_WR)
-            arrived(leaver.sock)
-        eventually(lambda: not holds(rig, inode), "what was sent acted on, and the connection closed")
-        following = rig.caller()
-        following.tear_down(OTHER)
-        self.assertEqual(following.request().fields["session"], ID)
-
-
 class OneAnswerTest(RigTest):
     """Each set-up has one final answer, whatever servers say, and whatever crosses with it."""
 
--- /dev/null
+++ b/tests/test_node_owed.py
@@ -0,0 +1,91 @@
+"""What a client must hear of an end whose connection is gone, over real connections."""
+
+from __future__ import annotations
+
+import socket
+
+from fennelcove.isup import writer as isup
+from fennelcove.isup.messages import Cause, Code, Kind
+from fennelcove.node import door
+from fennelcove.node.parties import State
+from tests import noderig
+from tests.clientrig import Inside, Stopped, arrived, holds, taken
+from tests.noderig import StandInServer, eventually, released
+from tests.test_node_clients import ID, OTHER, RigTest, many
+
+
+class OwedTest(RigTest):
+    """The end of what stands reaches its client on whichever connection is open, or the next that is."""
+
+    def test_an_end_told_as_its_connection_ends_waits_for_the_next(self) -> None:
+        server = StandInServer("s0", 0)
+        inside = Inside(self, server)
+        caller, far = inside.meet()
+        thread = inside.read(far)
+        caller.set_up(ID)
+        self.assertEqual(caller.answer().status, 200)
+        sub = inside.desk.subs[bytes.fromhex(ID)]
+        inside.gate.hold("viewer")
+        caller.sock.close()
+        eventually(lambda: inside.gate.reached("viewer"), "the end read, and not acted on")
+        server.say(released(server.of(Kind.SET_UP)[0], Cause.OK))
+        eventually(lambda: sub.state is State.OVER, "the end at the server heard")
+        inside.gate.free("viewer")
+        thread.join(noderig.WAIT_S)
+        following = inside.connect()
+        following.tear_down(OTHER)
+        self.assertEqual(following.request().fields["session"], ID)
+        self.assertEqual(following.answer().status, 454)
+
+    def test_what_is_owed_is_not_sent_to_one_that_has_left(self) -> None:
+        server = StandInServer("s0", 0)
+        rig = self.rig(server)
+        viewer = rig.caller()
+        inode = taken(rig, viewer)
+        viewer.set_up(ID)
+        self.assertEqual(viewer.answer().status, 200)
+        viewer.sock.close()
+        eventually(lambda: not holds(rig, inode), "its connection closed")
+        server.say(released(server.of(Kind.SET_UP)[0], Cause.OK))
+        server.say(isup.message(Kind.TEST, bytes(8), (Code.CAUSE, b"\0")))
+        eventually(lambda: server.of(Kind.TESTED), "the end heard")
+        leaver = self.script(rig)
+        inode = taken(rig, leaver)
+        leaver.tear_down(OTHER)
+        with Stopped(rig):
+            leaver.flush()
+            leaver.sock.shutdown(socket.SHUT_WR)
+            arrived(leaver.sock)
+        eventually(lambda: not holds(rig, inode), "what was sent acted on, and the connection closed")
+        following = rig.caller()
+        following.tear_down(OTHER)
+        self.assertEqual(following.request().fields["session"], ID)
+
+    def test_of_clients_that_share_an_address_each_gets_its_own(self) -> None:
+        server = StandInServer("s0", 0)
+        rig = self.rig(server)
+        routing = "home:0;copies:4;top:2;viewer:{}"
+        first, neighbour, second = rig.caller(), rig.caller(), rig.caller()
+        for caller, id, figure in (
+            (neighbour, many(3)[0], "b" * 16),
+            (first, ID, "a" * 16),
+            (second, many(3)[1], "a" * 16),
+        ):
+            inode = taken(rig, caller)
+            caller.set_up(id, routing=routing.format(figure))
+            self.assertEqual(caller.answer().status, 200)
+            if caller is first:
+                first.sock.close()
+                eventually(lambda inode=inode: not holds(rig, inode), "its connection closed")
+        [sent] = [m for m in server.of(Kind.SET_UP) if m.session.hex() == ID]
+        server.say(released(sent, Cause.OK))
+        self.assertEqual(second.request().fields["session"], ID)
+
+    def test_the_figures_of_one_connection_are_bounded(self) -> None:
+        inside = Inside(self, StandInServer("s0", 0))
+        caller, far = inside.meet()
+        inside.read(far)
+        for number, id in enumerate(many(door.MOST_FIGURES + 9)):
+            caller.set_up(id, routing=f"home:0;copies:4;top:2;viewer:{number:016x}")
+            caller.answer()
+        self.assertEqual(list(far.figures), [f"{n:016x}" for n in range(9, door.MOST_FIGURES + 9)])
