No attempt, first or further, begins for a viewer whose end lies unread

Cause: a join that ended was followed by the next while the thread of its viewer's connection, with the end of the stream already read, waited for the lock; states.carry did not ask whether anybody was there still.

Change: states.carry asks the kernel and gives the set-up up instead. Not changed: a dial that is made in the moment between the end and the turn of that thread still sends its set-up (links.Link._dial).

Before: no_further_attempt `AssertionError: {<fennelcove.node.links.Link object at ...>: None} is not false`.

--- a/packages/node/src/fennelcove/node/states.py
+++ b/packages/node/src/fennelcove/node/states.py
@@ -54,7 +54,11 @@
 
 
 def carry(hands: Hands, sub: Subscription) -> None:
-    hands.carry(sub)
+    if sub.viewer is not None and sub.viewer.left():
+        # Its end lies unread while its thread waits for the lock, perhaps for long.
+        step(hands, sub, Cue.VIEWER_GONE)
+    else:
+        hands.carry(sub)
 
 
 def start(hands: Hands, sub: Subscription) -> None:
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -202,6 +202,25 @@
         eventually(lambda: server.of(Kind.SET_UP), "the next set-up, which was held as long")
         self.assertEqual([message.session.hex() for message in server.of(Kind.SET_UP)], [OTHER])
 
+    def test_no_further_attempt_for_a_viewer_whose_end_was_not_read_yet(self) -> None:
+        servers = [StandInServer("s0", 0, mute), StandInServer("s1", 1, mute)]
+        inside = Inside(self, *servers)
+        caller, far = inside.meet()
+        thread = inside.read(far)
+        caller.set_up(ID)
+        tried = eventually(lambda: [s for s in servers if s.of(Kind.SET_UP)], "the first attempt")[0]
+        other = next(server for server in servers if server is not tried)
+        inside.gate.hold("viewer")
+        caller.sock.close()
+        eventually(lambda: inside.gate.reached("viewer"), "the end read, and not acted on")
+        tried.say(released(tried.of(Kind.SET_UP)[0], Cause.FULL))
+        eventually(lambda: inside.desk.servers[tried.name].seen, "the refusal heard")
+        with inside.gate:
+            self.assertFalse(inside.desk.servers[other.name].links or inside.desk.subs)
+        inside.gate.free("viewer")
+        thread.join(noderig.WAIT_S)
+        self.assertFalse(inside.desk.front.subs)
+
     def test_an_answer_to_a_viewer_whose_end_was_not_read_yet_leaves_nothing_standing(self) -> None:
         server = StandInServer("s0", 0, mute)
         inside = Inside(self, server)
