The end of what stands, told on a server connection that we close, is heard

Cause: a connection is closed by us where a join's wait is over, an answer can't be used or it is silent. What stands at that server is told of on the same connection: a release that had come in already was passed over (Link._read stopped at Phase.CLOSED), one on its way was lost. The server tells it again on the next connection that is opened, but with another connection open none was, and the viewer was never released. Ruled out: a connection that the server ends (all of it is read first); an answer in what is read behind our close (the join is over and carries no connection, so Desk.hear passes it over). At fault: links._read, desk.round (dials only where there is no connection at all). Change: what has come in is read out; after a close before the end was read, and while something stands there, round() opens one more connection, within the limit on connections.

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -382,7 +382,11 @@
             if server.standing:
                 self.part(server)
             # The end of what plays there comes on any open link, or on the next that is opened.
-            if server.needs_link and not server.links and now_us >= server.dial_at_us:
+            # One that was closed unread may have carried it, and with others open no next one ever came.
+            server.dial_anew = server.dial_anew and bool(server.standing)
+            due = not server.links or (server.dial_anew and self.links < self.most_links)
+            if server.needs_link and due and now_us >= server.dial_at_us:
+                server.dial_anew = False
                 # A dial would reach the one that came in its place, whose signs of life say nothing of it.
                 if self.succeeded(server):
                     self.cut(server)
--- a/packages/node/src/fennelcove/node/links.py
+++ b/packages/node/src/fennelcove/node/links.py
@@ -74,6 +74,7 @@
         self.tested_us: int | None = None
         self.dials = False  # its thread is dialling: it holds a descriptor, whatever the phase
         self.place = desk.descriptors.promise(Use.SERVER)
+        self.read_out = False  # all that the server has written here has been heard
         server.links[self] = None
 
     @property
@@ -151,6 +152,8 @@
         """End the link; the set-up that is out on it has come to this."""
         if self.phase is Phase.CLOSED:
             return
+        if self.phase is Phase.OPEN and not self.read_out:
+            self.server.dial_anew = True
         self.phase = Phase.CLOSED
         self.server.links.pop(self, None)
         self.server.left_us = self.desk.now_us()
@@ -214,8 +217,10 @@
             with self.desk.lock:
                 self.heard_us, self.tested_us = self.desk.now_us(), None
                 self.server.parting.heard(self.heard_us)
-                while self.phase is Phase.OPEN and (message := reader.next()) is not None:
+                # Read out where it has been closed meanwhile as well: the end of what stands may be among it.
+                while (message := reader.next()) is not None:
                     self.desk.hear(self, message)
+        self.read_out = True
 
     def _dial(self) -> socket.socket | None:
         connect_us = self.desk.config.terms.connect_us
--- a/packages/node/src/fennelcove/node/parties.py
+++ b/packages/node/src/fennelcove/node/parties.py
@@ -120,6 +120,8 @@
     parting: Parting = field(default_factory=Parting)
     dial_at_us: int = 0  # not before, while dials fail
     left_us: int = 0  # when its last link ended
+    # A connection was closed before its end was read: what the server told there last comes on the next one.
+    dial_anew: bool = False
 
     @property
     def needs_link(self) -> bool:
--- a/tests/test_node_dials.py
+++ b/tests/test_node_dials.py
@@ -11,6 +11,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause, Kind, Message
 from fennelcove.node import door
 from fennelcove.node.notices import Board
@@ -19,6 +20,7 @@
     ID,
     OTHER,
     SINGLE_SHOT,
+    THIRD,
     FrontHere,
     Peer,
     RigTest,
@@ -99,6 +101,50 @@
             front.set_up(ID)
         self.assertEqual(read_one(back.accept()).session.hex(), ID)
 
+    def standing_and_out(self, peer: Peer) -> tuple[FrontHere, socket.socket, socket.socket]:
+        """One session stands, a set-up is out on its connection and another on a second."""
+        front = self.front(peer.row())
+        front.caller.set_up(ID)
+        first = peer.accept()
+        first.sendall(answered(read_one(first)))
+        self.assertEqual(front.caller.answer().status, 200)
+        front.caller.set_up(OTHER)
+        self.assertEqual(read_one(first).session.hex(), OTHER)
+        front.caller.set_up(THIRD)
+        second = peer.accept()
+        self.assertEqual(read_one(second).session.hex(), THIRD)
+        return front, first, second
+
+    def give_up(self, front: FrontHere) -> None:
+        """The wait for the set-up is over that is out on the first connection; the lock is held."""
+        sub = front.desk.subs[bytes.fromhex(OTHER)]
+        assert sub.join is not None
+        front.desk.time_over(sub, sub.join)
+
+    def test_an_end_told_on_a_connection_that_is_being_closed_is_heard(self) -> None:
+        front, first, _ = self.standing_and_out(Peer())
+        with front.desk.lock:
+            first.sendall(isup.release(bytes.fromhex(ID), Cause.OK))
+            self.give_up(front)
+        self.assertEqual(front.caller.answer().fields["session"], OTHER)
+        front.caller.sock.settimeout(3)
+        self.assertEqual(front.caller.request().fields["reason"], "cause=16")
+
+    def test_for_what_stands_a_connection_closed_unread_is_followed_by_another(self) -> None:
+        # What was on its way there is told again on the next connection; with a second open none came.
+        peer = Peer()
+        front, first, second = self.standing_and_out(peer)
+        with front.desk.lock:
+            self.give_up(front)
+            front.desk.round()
+        peer.listener.settimeout(3)
+        third = peer.accept()
+        third.sendall(isup.release(bytes.fromhex(ID), Cause.OK))
+        self.assertEqual(front.caller.answer().fields["session"], OTHER)
+        self.assertEqual(front.caller.request().fields["reason"], "cause=16")
+        for sock in (first, second, third):
+            sock.close()
+
 
 class OnceNode(NodeRig):
     """A front node whose one room type may be set up once, and that waits for connections only shortly."""
