An idle connection is closed once its server's process is known to have begun anew

Cause: a machine that vanishes ends none of its connections. Where it is back under its name with a later born_ms, the idle ones from before look open (nothing is written there, so nothing is reset), and the first set-up on one is reset: a 500 for a room type that may not be repeated, although the new process never knew the connection. At fault: desk.reborn (ended what stood there, and kept the connections). Change: idle connections that were last heard before the start are closed there; those with a set-up out keep their end. Before: "TimeoutError: timed out" (the connection stayed open).

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -341,6 +341,10 @@
         if started_us <= server.started_us:
             return
         server.started_us = started_us
+        for link in list(server.links):
+            # A machine that vanished ended none of its connections: a set-up on one of them is reset.
+            if link.idle and link.heard_us < started_us:
+                link.close(Outcome.CONNECTION_LOST)
         for sub in list(server.standing):
             if sub.join is not None and sub.join.sent_us < started_us:
                 self.join_over(sub, Outcome.CONNECTION_LOST, None)
--- a/tests/test_node_dials.py
+++ b/tests/test_node_dials.py
@@ -145,6 +145,22 @@
         for sock in (first, second, third):
             sock.close()
 
+    def test_an_idle_connection_is_none_to_a_process_that_began_anew(self) -> None:
+        # As after a machine that vanished: its old connection looks open, and resets what is sent on it.
+        peer = Peer()
+        front = self.front(peer.row())
+        front.caller.set_up(OTHER)
+        far = peer.accept()
+        sent = read_one(far)
+        far.sendall(answered(sent) + released(sent, Cause.OK))
+        self.assertEqual(front.caller.answer().status, 200)
+        self.assertEqual(front.caller.request().method, "TEARDOWN")
+        with front.desk.lock:
+            born_ms = front.desk.now_us() // 1000 + 1
+            self.told(front, {**peer.row(), "born_ms": born_ms})
+        far.settimeout(3)
+        self.assertEqual(far.recv(4096), b"")
+
 
 class OnceNode(NodeRig):
     """A front node whose one room type may be set up once, and that waits for connections only shortly."""
