--- a/tests/test_node_dials.py
+++ b/tests/test_node_dials.py
@@ -12,10 +12,10 @@
 from typing import Any
 
 from fennelcove.isup import writer as isup
-from fennelcove.isup.messages import Cause, Kind, Message
+from fennelcove.isup.messages import Cause, Code, Kind, Message
 from fennelcove.node import door
 from fennelcove.node.notices import Board
-from tests.noderig import NodeRig, StandInServer, answered, eventually, notice, released
+from tests.noderig import SETTINGS, NodeRig, StandInServer, answered, eventually, notice, released
 from tests.test_node_connections import (
     ID,
     OTHER,
@@ -161,6 +161,29 @@
         far.settimeout(3)
         self.assertEqual(far.recv(4096), b"")
 
+    def test_an_answer_that_crosses_with_the_end_of_its_wait_is_given_up_at_its_server(self) -> None:
+        # The next join is out at another server by then: two would play, and the client be told of one.
+        peers = {"s0": Peer(), "s1": Peer()}
+        rows = [peer.row(name, cell) for cell, (name, peer) in enumerate(peers.items())]
+        front = self.front(*rows, settings=SETTINGS)
+        front.caller.set_up(ID)
+        sub = eventually(lambda: front.desk.subs.get(bytes.fromhex(ID)), "the set-up")
+        late = peers.pop(sub.join.server.name).accept()
+        sent = read_one(late)
+        [other] = peers.values()
+        with front.desk.lock:
+            late.sendall(answered(sent) + answered(sent))
+            front.desk.time_over(sub, sub.join)
+        given_up = read_one(late)
+        self.assertEqual((given_up.kind, given_up.session, given_up.cause), (Kind.RELEASE, sub.id, Cause.OK))
+        self.assertEqual(read_all(late), [])
+        next_one = other.accept()
+        again = read_one(next_one)
+        self.assertEqual((again.kind, again.session), (Kind.SET_UP, sub.id))
+        next_one.sendall(isup.message(Kind.ANSWER, sub.id, (Code.DESCRIPTION, b"of the next")))
+        answer = front.caller.answer()
+        self.assertEqual((answer.status, answer.body), (200, b"of the next"))
+
 
 class OnceNode(NodeRig):
     """A front node whose one room type may be set up once, and that waits for connections only shortly."""
