--- a/tests/test_node_dials.py
+++ b/tests/test_node_dials.py
@@ -184,6 +184,25 @@
         answer = front.caller.answer()
         self.assertEqual((answer.status, answer.body), (200, b"of the next"))
 
+    def test_room_is_made_at_a_server_where_nothing_stands(self) -> None:
+        peers = [Peer() for _ in range(3)]
+        front = self.front(*(peer.row(f"s{cell}", cell) for cell, peer in enumerate(peers)))
+        front.desk.most_links = 2
+        here = []
+        for cell, id in enumerate((ID, OTHER, THIRD)):
+            front.caller.set_up(id, routing=f"home:{cell};copies:1;top:2")
+            here.append(peers[cell].accept())
+            sent = read_one(here[cell])
+            self.assertEqual(sent.session.hex(), id)
+            here[cell].sendall(answered(sent) + (released(sent, Cause.OK) if cell else b""))
+            self.assertEqual(front.caller.answer().status, 200)
+            if cell:
+                self.assertEqual(front.caller.request().method, "TEARDOWN")
+        here[1].settimeout(3)
+        self.assertEqual(here[1].recv(4096), b"")
+        with front.desk.lock:
+            self.assertEqual([link.idle for link in front.desk.servers["s0"].links], [True])
+
 
 class OnceNode(NodeRig):
     """A front node whose one room type may be set up once, and that waits for connections only shortly."""
