A dial that is made as its viewer leaves carries no set-up

Cause: a dial could end between the end of its viewer's stream and the turn of that connection's thread at the lock; Link._begin asked only whether the server takes joins, and the set-up was sent for nobody. At fault: links.Link._begin. Change: Desk.wanted asks the kernel, as states.carry does, and gives the set-up up instead. Before: 'AssertionError: Lists differ: [<Kind.SET_UP: 1>, <Kind.RELEASE: 12>, <Kind.TESTED: 53>] != [<Kind.TESTED: 53>]'. Also: the test of room for server connections sets the servers' part in the account of descriptors, where that number stands by now.

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -354,6 +354,14 @@
         held = self.front.servers.get(server.name)
         return held is not None and held.standing is Standing.ACTIVE
 
+    def wanted(self, sub: Subscription) -> bool:
+        """Whether a set-up that waited for its connection is to be sent: its viewer may have left in the
+        moment in which the dial was made, with its thread still waiting for the lock."""
+        if sub.viewer is None or not sub.viewer.left():
+            return True
+        states.step(self, sub, Cue.VIEWER_GONE)
+        return False
+
     def succeeded(self, server: Server) -> bool:
         """Off the list, with its address another's by now."""
         return not server.listed and any(
--- a/packages/node/src/fennelcove/node/links.py
+++ b/packages/node/src/fennelcove/node/links.py
@@ -42,6 +42,8 @@
 
     def takes_joins(self, server: Server) -> bool: ...
 
+    def wanted(self, sub: Subscription) -> bool: ...
+
     def dial_failed(self, server: Server, refused: bool) -> None: ...
 
 
@@ -188,7 +190,10 @@
             # behind the address may be another server by now. The link stays for what stands there.
             self._put_back(Outcome.NOT_SENT)
         elif self.carried is not None:
-            self._set_up(self.carried)
+            sub, self.carried = self.carried, None
+            if self.desk.wanted(sub):
+                self.carried = sub
+                self._set_up(sub)
 
     def _put_back(self, outcome: Outcome) -> None:
         sub, self.carried = self.carried, None
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -13,7 +13,7 @@
 from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause, Code, Kind
 from fennelcove.isup.messages import Message as ServerMessage
-from fennelcove.node.parties import State
+from fennelcove.node.parties import Phase, State
 from fennelcove.rtsp import messages as rtsp
 from fennelcove.rtsp import writer
 from tests import noderig
@@ -221,6 +221,29 @@
         thread.join(noderig.WAIT_S)
         self.assertFalse(inside.desk.front.subs)
 
+    def test_a_dial_that_is_made_as_its_viewer_leaves_carries_no_set_up(self) -> None:
+        server = StandInServer("s0", 0)
+        inside = Inside(self, server)
+        caller, far = inside.meet()
+        inside.gate.hold("link")
+        thread = inside.read(far)
+        caller.set_up(ID)
+        eventually(lambda: inside.gate.reached("link"), "a connection that is made")
+        inside.gate.hold("viewer")
+        caller.sock.close()
+        eventually(lambda: inside.gate.reached("viewer"), "the end read, and not acted on")
+        inside.gate.free("link")
+        [link] = inside.desk.servers["s0"].links
+        eventually(lambda: link.phase is Phase.OPEN, "the connection in use")
+        with inside.gate:
+            self.assertFalse(inside.desk.subs or link.carried)
+            self.assertFalse(inside.desk.front.subs)
+        inside.gate.free("viewer")
+        thread.join(noderig.WAIT_S)
+        server.say(isup.message(Kind.TEST, bytes(8), (Code.CAUSE, b"\0")))
+        eventually(lambda: server.of(Kind.TESTED), "an answer behind whatever else was sent")
+        self.assertEqual([message.kind for message in server.heard], [Kind.TESTED])
+
     def test_an_answer_to_a_viewer_whose_end_was_not_read_yet_leaves_nothing_standing(self) -> None:
         server = StandInServer("s0", 0, mute)
         inside = Inside(self, server)
--- a/tests/test_node_dials.py
+++ b/tests/test_node_dials.py
@@ -13,6 +13,7 @@
 
 from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause, Code, Kind, Message
+from fennelcove.node.descriptors import Use
 from fennelcove.node import door
 from fennelcove.node.notices import Board
 from tests.noderig import SETTINGS, NodeRig, StandInServer, answered, eventually, notice, released
@@ -187,7 +188,7 @@
     def test_room_is_made_at_a_server_where_nothing_stands(self) -> None:
         peers = [Peer() for _ in range(3)]
         front = self.front(*(peer.row(f"s{cell}", cell) for cell, peer in enumerate(peers)))
-        front.desk.most_links = 2
+        front.desk.descriptors.most[Use.SERVER] = 2
         here = []
         for cell, id in enumerate((ID, OTHER, THIRD)):
             front.caller.set_up(id, routing=f"home:{cell};copies:1;top:2")
