Node: a connection whose message is in hand is not closed to make room for another

Cause: room was made by closing a connection whose thread had read its message out of the kernel and was not back from recv yet: it waits there for the interpreter's lock, which who makes room may hold. Neither `busy` nor the kernel showed it, the connection passed for one that had said nothing, and the message was lost unanswered. Lines at fault: viewers.Viewer._wait (recv before `busy`), viewers.Roll._out (`busy` before `unread`), Roll.add.

Change: a read first looks (MSG_PEEK, under the same limit), then says that it is busy, then takes; who makes room asks for bytes unread first and for `busy` after. It waits up to 1 s for one that is neither, not at all when the node ends, and only then takes the oldest that nothing hangs on, as against peers that never stop sending.

--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -21,7 +21,7 @@
 STACK_BYTES = 256 * 1024  # address space; what is touched of it is a fraction
 ROUND_US = 250_000
 BACKLOG = 512
-ROOM_US = 1_000_000  # for the thread of a connection that goes for another to close it
+ROOM_US = 1_000_000  # at most, for one that may go for another, and then for its thread to close it
 STOP_MOST_US = 3_000_000  # from SIGTERM to the end: the longest client timeout, but no more than this,
 STOP_MORE_US = 500_000  # and a little for what came last; the platform kills 0.2 s after
 HEAR_OUT_US = 1_000_000  # at most, at the end; it is over as soon as all is heard, and giving up loses it
@@ -108,12 +108,14 @@
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             receive_limit(sock, MESSAGE_US)
-            with self.desk.lock:
-                wait_us = self.desk.roll.wait_us(self.clock.now_us())
-            if wait_us:
+            until_us = self.clock.now_us() + ROOM_US
+            while True:
+                with self.desk.lock:
+                    wait_us = self.desk.roll.wait_us(self.clock.now_us())
+                    if not wait_us or self.ending or self.clock.now_us() >= until_us:
+                        room = self.desk.roll.add(viewer)
+                        break
                 time.sleep(wait_us / 1e6)  # the listener's backlog holds the others meanwhile
-            with self.desk.lock:
-                room = self.desk.roll.add(viewer)
             if not (room and viewer.place.move(Use.CLIENT, ROOM_US)):
                 raise OSError("no room")
             threading.Thread(target=viewer.run, name="viewer", daemon=True).start()
--- a/packages/node/src/fennelcove/node/viewers.py
+++ b/packages/node/src/fennelcove/node/viewers.py
@@ -175,7 +175,12 @@
         """What comes next; None where nothing has in time."""
         self.busy = False  # before the look at `closed`: whoever shuts it looks after setting that
         try:
-            return None if self.closed else self.sock.recv(READ_BYTES)
+            if self.closed:
+                return None
+            # Only looked at: taken out before `busy` is set, what has come would be seen nowhere.
+            self.sock.recv(1, socket.MSG_PEEK)
+            self.busy = True
+            return self.sock.recv(READ_BYTES)
         except BlockingIOError:
             return None
         finally:
@@ -242,7 +247,8 @@
     def add(self, viewer: Viewer) -> bool:
         """False where there is no room for it, even with others closed that nothing hangs on."""
         if len(self.viewers) >= self.most:
-            out = self._out()
+            # None but those that never stop sending: one of them goes all the same.
+            out = self._out() or next((v for v in self.viewers if v.bare and not v.closed), None)
             if out is None:
                 return False
             out.shut()
@@ -257,7 +263,8 @@
         carry it, and what waits to be read would go without an answer."""
         spare = [v for v in self.viewers if v.bare and (v.closed or not v.busy)]
         spare.sort(key=lambda v: (not v.closed, v.spoke))
-        return next((v for v in spare if v.closed or not v.unread), None)
+        # `unread` first: what is taken out meanwhile has set `busy` before.
+        return next((v for v in spare if v.closed or not (v.unread or v.busy)), None)
 
     def wait_us(self, now_us: int) -> int:
         """How long a new connection waits before another goes for it."""
--- a/tests/test_node_descriptors.py
+++ b/tests/test_node_descriptors.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+import mmap
 import os
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import threading
@@ -276,16 +278,69 @@
     def test_whose_first_bytes_have_come_is_not_closed_for_room(self) -> None:
         made, far = self.program_full_of_silent()
         far[0].sendall(b"OPTIONS")  # the oldest; no thread has read it yet
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            self.enterContext(socket.create_connection(listener.getsockname()))
-            fresh = Viewer(made.desk, listener.accept()[0], "127.0.0.1")
-        self.addCleanup(fresh.place.close)
         with made.desk.lock:
-            self.assertTrue(made.desk.roll.add(fresh))
+            self.assertTrue(made.desk.roll.add(self.fresh(made)))
         far[0].setblocking(False)
         self.assertRaises(BlockingIOError, far[0].recv, 1)  # open yet
         self.assertEqual(far[1].recv(1), b"")
 
+    def test_whose_message_is_in_hand_is_not_closed_for_room(self) -> None:
+        # Its thread has read the bytes and waits for the lock: neither the kernel nor any table shows them.
+        made, far = self.program_full_of_silent()
+        first = next(iter(made.desk.roll.viewers))
+        far[0].sendall(rtsp_writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")))
+        eventually(lambda: first.unread, "a message that has come")
+        reading = threading.Thread(target=first.run)
+        with made.desk.lock:
+            reading.start()
+            eventually(lambda: not first.unread, "a message that has been read")
+            made.desk.roll.add(self.fresh(made))
+        self.assertEqual(far[0].recv(12), b"RTSP/1.0 200")
+        self.assertEqual(far[1].recv(1), b"")
+        far[0].close()
+        reading.join()
+
+    def test_whose_message_is_on_its_way_out_of_the_kernel_is_not_closed_for_room(self) -> None:
+        # Its thread has the bytes and waits inside recv for the interpreter, which who makes room holds.
+        made, far = self.program_full_of_silent()
+        first = next(iter(made.desk.roll.viewers))
+        reading = threading.Thread(target=first.run)
+        reading.start()
+        sender = (
+            "import mmap, socket, sys\n"
+            "flags = mmap.mmap(int(sys.argv[1]), 2)\n"
+            "flags[0] = 1\n"
+            "while flags[0] != 2: pass\n"
+            "socket.socket(fileno=int(sys.argv[2])).sendall(sys.argv[3].encode())\n"
+            "flags[1] = 1\n"
+        )
+        asked = rtsp_writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")).decode()
+        with tempfile.TemporaryFile() as file:
+            file.truncate(2)
+            flags = mmap.mmap(file.fileno(), 2)
+            command = [sys.executable, "-c", sender, str(file.fileno()), str(far[0].fileno()), asked]
+            child = subprocess.Popen(command, pass_fds=(file.fileno(), far[0].fileno()))
+            eventually(lambda: flags[0] == 1, "a sender in a process of its own")
+            fresh = self.fresh(made)
+            self.addCleanup(sys.setswitchinterval, sys.getswitchinterval())
+            sys.setswitchinterval(WAIT_S)
+            with made.desk.lock:
+                # From here on this thread keeps the interpreter, until it makes a call that may wait.
+                flags[0] = 2
+                while not flags[1]:
+                    pass
+                until = time.perf_counter() + HELD_S
+                while time.perf_counter() < until:
+                    pass
+                made.desk.roll.add(fresh)
+            sys.setswitchinterval(0.005)
+            child.wait()
+            flags.close()
+        self.assertEqual(far[0].recv(12), b"RTSP/1.0 200")
+        self.assertEqual(far[1].recv(1), b"")
+        far[0].close()
+        reading.join()
+
     def test_who_has_only_just_come_is_given_time_to_speak(self) -> None:
         made, _ = self.program_full_of_silent()
         oldest = next(iter(made.desk.roll.viewers))
@@ -293,6 +348,14 @@
             for age_us, wait_us in ((0, HEAD_START_US), (HEAD_START_US, 0), (HEAD_START_US - 1, 1)):
                 self.assertEqual(made.desk.roll.wait_us(oldest.since_us + age_us), wait_us)
 
+    def fresh(self, made: program.Program) -> Viewer:
+        """A connection that has just been accepted."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            self.enterContext(socket.create_connection(listener.getsockname()))
+            viewer = Viewer(made.desk, listener.accept()[0], "127.0.0.1")
+        self.addCleanup(viewer.place.close)
+        return viewer
+
     def program_full_of_silent(self) -> tuple[program.Program, list[socket.socket]]:
         """A node whose clients' part is taken by connections that no thread reads, and their other ends."""
         made, far = program_of({**TREE, "limits": {"sockets": LEAST}}), list[socket.socket]()
