Node: no descriptor for a connection closes an idle one, and is logged once in 10 s

Lines at fault: program.Program.accept (the except branch). Ruled out: a busy loop (there is a pause of 50 ms), and that the accept thread ends.

Change: EMFILE and ENFILE close one connection that nothing hangs on (Roll.spare); the log has a line at most each 10 s.

Failed before: test_a_limit_set_lower_meanwhile_costs_the_idle_and_fills_no_log AssertionError: 241 not less than or equal to 2

--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import signal
 import socket
@@ -21,6 +22,8 @@
 STACK_BYTES = 256 * 1024  # address space; what is touched of it is a fraction
 ROUND_US = 250_000
 BACKLOG = 512
+ACCEPT_PAUSE_S = 0.05
+TELL_US = 10_000_000  # between two log lines of connections that can't be accepted
 ROOM_US = 1_000_000  # at most, for one that may go for another, and then for its thread to close it
 STOP_MOST_US = 3_000_000  # from SIGTERM to the end: the longest client timeout, but no more than this,
 STOP_MORE_US = 500_000  # and a little for what came last; the platform kills 0.2 s after
@@ -46,6 +49,7 @@
         self.reread = threading.Event()
         self.accepts = threading.Thread(target=self.accept, name="accept", daemon=True)
         self.ending = False
+        self.told_us = -TELL_US  # when the log was last told of a failed accept
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
 
@@ -97,11 +101,21 @@
             except OSError as error:
                 if self.ending:
                     return
-                self.notice("accept_failed", reason=str(error))
-                time.sleep(0.05)
+                self.accept_failed(error)
                 continue
             self.take(sock, peer[0])
 
+    def accept_failed(self, error: OSError) -> None:
+        """With no descriptor for another the connections that came would wait until somebody leaves."""
+        now_us = self.clock.now_us()
+        if now_us >= self.told_us + TELL_US:
+            self.told_us = now_us
+            self.notice("accept_failed", reason=str(error))
+        if error.errno in (errno.EMFILE, errno.ENFILE):
+            with self.desk.lock:
+                self.desk.roll.spare()
+        time.sleep(ACCEPT_PAUSE_S)
+
     def take(self, sock: socket.socket, peer: str) -> None:
         """A new connection, where there is room for it."""
         viewer = Viewer(self.desk, sock, peer)
--- a/packages/node/src/fennelcove/node/viewers.py
+++ b/packages/node/src/fennelcove/node/viewers.py
@@ -266,6 +266,13 @@
         # `unread` first: what is taken out meanwhile has set `busy` before.
         return next((v for v in spare if v.closed or not (v.unread or v.busy)), None)
 
+    def spare(self) -> None:
+        """Close one that may go, where there is one."""
+        out = self._out()
+        if out is not None:
+            out.shut()
+            self.remove(out)
+
     def wait_us(self, now_us: int) -> int:
         """How long a new connection waits before another goes for it."""
         if len(self.viewers) < self.most:
--- a/tests/test_node_descriptors.py
+++ b/tests/test_node_descriptors.py
@@ -5,6 +5,7 @@
 import json
 import mmap
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -223,6 +224,22 @@
         self.assertFalse(rig.lines("accept_failed"))
         self.assertLessEqual(rig.highest, LEAST)
 
+    def test_a_limit_set_lower_meanwhile_costs_the_idle_and_fills_no_log(self) -> None:
+        # Without a descriptor: a line in the log each 50 ms, and tests waited until an idle client left.
+        rig = self.process(StandInServer("s0", 0), sockets=64)
+        resource.prlimit(rig.process.pid, resource.RLIMIT_NOFILE, (14, 64))
+        standing = self.caller(rig)
+        standing.set_up(ids(1)[0])
+        self.assertEqual(standing.answer().status, 200)
+        for _ in range(3):
+            idle = [self.caller(rig) for _ in range(14)]
+            self.assertEqual(rig.test(), 200)
+        self.assertTrue(idle)
+        eventually(lambda: rig.lines("accept_failed"), "the failure in the log")
+        self.assertLessEqual(len(rig.lines("accept_failed")), 2)
+        standing.tear_down(ids(1)[0])
+        self.assertEqual(standing.answer().status, 200)
+
     def test_what_plays_already_is_held_past_the_clients_part(self) -> None:
         rig = self.process(StandInServer("s0", 0), sockets=LEAST, limit=LEAST)
         for id in ids(LEAST):
