Every file that can't be used is told with what to do: no traceback at start, no crash at SIGHUP

Cause: config.load passed on what it did not expect: a seed that is a list or past all numbers, a wait or a birth past all numbers, JSON nested past the parser's depth. An address that can't be listened on was a traceback too.

Lines at fault: config.load, `except (OSError, ValueError, FactsError, BoardError)`; Program.run, bind outside of main's `try`.

Change: what such files raise (TypeError, ArithmeticError, RecursionError beside the others) is a ConfigError; Program.listen raises one that names the field and the address.

Tests: sixteen files at a start and fourteen at SIGHUP, over the process.

--- a/packages/node/src/fennelcove/node/config.py
+++ b/packages/node/src/fennelcove/node/config.py
@@ -16,6 +16,8 @@
 CONNECT_US = 250_000  # where the settings name no limit
 IDLE_US = 30_000_000
 SOCKETS = 256
+# What a file of another form raises somewhere; RecursionError: nested past what the parser follows.
+UNUSABLE = (OSError, ValueError, TypeError, ArithmeticError, RecursionError, FactsError, BoardError)
 
 
 class ConfigError(Trouble):
@@ -69,7 +71,7 @@
         with open(path, encoding="utf-8") as file:
             tree = json.load(file)
         return parse(tree)
-    except (OSError, ValueError, FactsError, BoardError) as error:
+    except UNUSABLE as error:
         raise ConfigError(f"{type(error).__name__}: {error}", path or "EDGE_CONFIG") from None
 
 
--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -66,8 +66,7 @@
         # and before it listens, since what is taken from then on is owed the whole stay.
         signals = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
         signal.pthread_sigmask(signal.SIG_BLOCK, signals)
-        self.listener.bind((self.config.listen.host, self.config.listen.port))
-        self.listener.listen(BACKLOG)
+        self.listen()
         for name, call in (
             ("timers", self.timers.run),
             ("board", self.watch.run),
@@ -83,6 +82,19 @@
         self.stop()
         return 0
 
+    def listen(self) -> None:
+        """Raises:
+        ConfigError: the address is not one to listen on.
+        """
+        host, port = self.config.listen.host, self.config.listen.port
+        try:
+            self.listener.bind((host, port))
+            self.listener.listen(BACKLOG)
+        except OSError as error:
+            raise config.ConfigError(
+                f"{type(error).__name__}: {error}", f"field listen, {host}:{port}"
+            ) from None
+
     def rounds(self) -> None:
         """Look after links; never ends."""
         while True:
@@ -206,8 +218,7 @@
     """Run the front node that the environment names; the exit status."""
     path = os.environ.get("EDGE_CONFIG", "")
     try:
-        program = Program(path)
+        return Program(path).run()
     except config.ConfigError as error:
         print(f"fennelcove: {error.lines()}", flush=True)
         return 1
-    return program.run()
--- a/tests/test_node_reload.py
+++ b/tests/test_node_reload.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from fennelcove.node.program import RELOADS
-from tests.nodeprocess import BRIEF, Gate, Rig
+from tests.nodeprocess import BRIEF, Gate, Rig, run
 from tests.noderig import StandInBoard, StandInServer, eventually
 
 
@@ -107,3 +107,61 @@
 
         self.assertEqual(self.handed(rig, own)["event"], "reloaded")
         eventually(lambda: board.polls > 2, "polls at the new board")
+
+
+class UnusableTest(unittest.TestCase):
+    """A file that can't be used, at a start and at SIGHUP."""
+
+    def texts(self, good: dict[str, Any]) -> dict[str, str]:
+        def with_settings(**fields: Any) -> str:
+            return json.dumps({**good, "settings": {**good["settings"], **fields}})
+
+        return {
+            "empty": "",
+            "half": json.dumps(good)[:-40],
+            "no text": "\x00\x01",
+            "a list": "[]",
+            "nested past all depth": "[" * 100_000,
+            "no settings": json.dumps({**good, "settings": None}),
+            "no room types": with_settings(Lanes=[]),
+            "a wait past all numbers": with_settings(Allowed={"ConnIdleMs": 1e308}),
+            "no address": json.dumps({**good, "listen": "nowhere"}),
+            "no board": json.dumps({**good, "board": None}),
+            "a seed that is a list": json.dumps({**good, "seed": []}),
+            "a seed past all numbers": json.dumps({**good, "seed": 0}).replace('"seed": 0', '"seed": 1e999'),
+            "known that is none": json.dumps({**good, "known": {"rev": 1, "notices": [{"pool": 7}]}}),
+            "a birth past all numbers": json.dumps(good).replace('"born_ms": 0', '"born_ms": 1e308'),
+        }
+
+    def test_at_a_start_it_is_told_with_what_can_be_done_and_status_1(self) -> None:
+        rig = Rig(StandInServer("s0", 0))
+        self.addCleanup(rig.close)
+        path = rig.path.with_name("spoilt.json")
+        texts = self.texts(rig.config)
+        # Another's address, as seen from here: nothing can listen there.
+        texts["an address that is taken"] = json.dumps(rig.config)
+        for name, text in [*texts.items(), ("missing", None)]:
+            with self.subTest(name):
+                path.unlink(missing_ok=True)
+                if text is not None:
+                    path.write_text(text)
+                process = run(path)
+                said, _ = process.communicate(timeout=30)
+                self.assertEqual(process.returncode, 1)
+                self.assertNotIn("Traceback", said)
+                self.assertRegex(
+                    said, r"(?s)^fennelcove: .+\n  what can be done: .+ \[node-configuration-\w+\]\n$"
+                )
+
+    def test_at_sighup_the_old_one_stays_whole(self) -> None:
+        rig = Rig(StandInServer("s0", 0))
+        self.addCleanup(rig.close)
+        for count, (name, text) in enumerate(self.texts(rig.config).items(), 1):
+            with self.subTest(name):
+                rig.path.write_text(text)
+                rig.signal(signal.SIGHUP)
+                lines = eventually(lambda count=count: rig.told("reload_failed")[count - 1 :], "its line")
+                self.assertEqual(lines[0].get("code"), "node-configuration-unusable")
+        polls = rig.board.polls
+        eventually(lambda: rig.board.polls > polls + 2, "polls at the node's own board")
+        self.assertEqual(rig.test(), 200)
