Node: what is lost with a server's last life does not move the start that the board tells

Seen: a server that began anew under its old id was cold for longer than its warm-up, for each front by another time. Desk.reborn ends what stood there when the board tells of the start, and told the module of it as CONNECTION_LOST (desk.py, join_over in reborn); rules.health.restart then set the start that had just been told to now: another one in each front, so that their turns no longer fitted together, and each first turn was free again (seen with the real process: test_node began_anew got its next join by just that). Ruled out: the list itself (note_entry takes the start as told), the link's end (dead links are closed without a word to the module about what stands).

Now reborn ends it as NO_ANSWER, which says nothing of the server; viewers get the same release. Before: test_what_was_lost_with_the_last_life_says_nothing_of_the_start_that_the_board_tells failed with AssertionError: 453 != 200.

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -347,7 +347,9 @@
                 link.close(Outcome.CONNECTION_LOST)
         for sub in list(server.standing):
             if sub.join is not None and sub.join.sent_us < started_us:
-                self.join_over(sub, Outcome.CONNECTION_LOST, None)
+                # Told as a lost connection, it made the module take the new process for started only now:
+                # each front had another start, by its own clock, and the turns of all no longer fitted.
+                self.join_over(sub, Outcome.NO_ANSWER, None)
 
     def takes_joins(self, server: Server) -> bool:
         """Whether the list, as far as it has been told, lets anything new go to this server."""
--- a/tests/test_node_cold.py
+++ b/tests/test_node_cold.py
@@ -204,6 +204,23 @@
         self.addCleanup(lambda: server.filler.close())
         self.play(server, Terms(4000, 0.5, 2.0, 1000, 40), 4, restart=True)
 
+    def test_what_was_lost_with_the_last_life_says_nothing_of_the_start_that_the_board_tells(self) -> None:
+        # Each front took the server for started when it ended what had stood there, not when it had started.
+        server = ColdServer()
+        self.addCleanup(server.end)
+        node = FleetNode(server, Terms(ramp_ms=1000), 200, 7, told=True)
+        self.addCleanup(node.close)
+        viewer = node.caller()
+        self.addCleanup(viewer.sock.close)
+        viewer.set_up("0" * 16, routing="home:0;copies:1;top:0")
+        self.assertEqual(viewer.answer().status, 200)
+        server.born_ms = round(time.time() * 1000) + 1
+        eventually(lambda: time.time() * 1000 > server.born_ms + 1000, "the end of its warm-up")
+        node.board.notices.append(notice(2, [server.row]))
+        self.assertEqual(viewer.request().method, "TEARDOWN")
+        viewer.set_up("1" * 16, routing="home:0;copies:1;top:0")
+        self.assertEqual(viewer.answer().status, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
