Rules: a fresh instance takes no turn at a cold server from before it was born

Seen: with seven in ten fronts begun anew within a moment, a cold server got up to 104 requests in 1 s where N = 78.8 (N + 2 roots of N + 2 = 98.5): what all held was sent at once after a quiet, and what the fresh ones sent came up with it, after dials of 1 s. Lines: cold.cold_turn took last_join_us = None for a turn that nobody has used, and looked back over (FallMultiple - 1) x TipAfterMs: into the time in which the instance's earlier life had used that turn.

Now the turns of a fresh instance that has a fresh list begin with its birth.

--- a/packages/rules/src/fennelcove/rules/cold.py
+++ b/packages/rules/src/fennelcove/rules/cold.py
@@ -18,10 +18,10 @@
 
 def cold_turn(known: Known, server: Server) -> bool:
     """Fronts can't agree: turns go round at the pace. Unused ones lapse, or many at once push it over."""
-    now, last_us, settings = turns(known, server, known.now_us), server.last_join_us, known.settings
-    used = -inf if last_us is None else turns(known, server, last_us) + 1e-6
-    since = max(used, now - max(1, now - turns(known, server, known.now_us - settings.cold_slack_us)))
-    start = crc32(b"%d" % server.started_us + server.address.encode()) / 2**32 * settings.fronts
+    now, last = turns(known, server, known.now_us), server.last_join_us or known.born_us * known.list_is_fresh
+    used = turns(known, server, last) + 1e-6 if last >= (server.started_us or 1) else -inf  # past lives' too
+    since = max(used, now - max(1, now - turns(known, server, known.now_us - known.settings.cold_slack_us)))
+    start = crc32(b"%d" % server.started_us + server.address.encode()) / 2**32 * known.settings.fronts
     return any(known.mine(turn) for turn in range(ceil(since - start), floor(now - start) + 1))
 
 
--- a/tests/test_node_cold.py
+++ b/tests/test_node_cold.py
@@ -9,6 +9,7 @@
 import unittest
 from bisect import bisect_right
 from contextlib import suppress
+from dataclasses import replace
 from math import sqrt
 from typing import Any
 
@@ -65,6 +66,14 @@
                 )
                 self.check(case, 0.1)
 
+    def test_most_of_the_fleet_restarts_at_once(self) -> None:
+        # A fresh instance took the turns that its earlier life had used a moment ago: as much again.
+        terms = Terms(5000, 0.6, 3.0, 1000, 150)
+        for fronts, asks in ((20, 1500), (30, 1500), (200, 4000)):
+            for down_us in (0, SECOND // 2):
+                case = Case(terms, fronts, asks=asks, dial="held", quiet_us=300 * terms.ramp_ms)
+                self.check(replace(case, restart_part=0.7, restart_us=SECOND // 2, down_us=down_us), 0.1)
+
     def test_a_server_that_resets_what_comes(self) -> None:
         # Each lost connection gave the turn back, and the front that had it sent without an end.
         for terms in (EIGHT_S, SHORT_WINDOW, SMALL_AND_STEEP):
