Node: connections that lead to another process than the list now means are closed with the list

Cause: Desk.board_says changed a server's address and left its connections as they were. Set-ups to a host that has another address went on to the old one over what was idle there. A dial under way to a server that goes off the list reached the one that came in its place at its address; counted as the first one's, its signs of life held what had played at the first (Desk.part: any open link), and its viewer was never released. Also, by reading: the loop that entered the update's servers ended what was over (reborn) before the later ones were in the table; a join of the module to one of those in that moment would have raised KeyError. Change: all of an update is entered, then the module is told, then what follows from it is done. Idle links and dials to an old address are closed, and dials to a server whose address is another's; what was to be sent on a dial never was (NOT_SENT). Links with a set-up out, and open ones of a server that has gone, stay as they were.

Before the change: test_a_host_that_has_another_address_is_reached_there "(2, 0) != (1, 1)" (set-ups at the old and the new address); test_a_dial_under_way_does_not_take_a_successor_for_the_one_that_went "TimeoutError: timed out" (no release in 20 s).

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -293,19 +293,37 @@
 
     def board_says(self, notice: Notice) -> None:
         """The list has changed."""
-        self.tell(notice.update)
         if notice.update.mode is not ListMode.INCREMENTAL:
             for server in self.servers.values():
                 server.listed = False
+        moved = []
+        # All of it is in the tables before anything ends by it: the module may then join any of these.
         for entry in notice.update.entries:
             dial = notice.dials[entry.address]
             server = self.servers.setdefault(entry.address, Server(entry.address, dial))
+            if server.address != dial:
+                moved.append(server)
             server.address, server.listed = dial, entry.standing is not Standing.LEFT
-            self.reborn(server, entry.started_us)
+        self.tell(notice.update)
+        for server in moved:
+            self.redial(server)  # what is open or being dialled leads to where it was
+        for entry in notice.update.entries:
+            self.reborn(self.servers[entry.address], entry.started_us)
         self.name_handovers()
         for server in list(self.servers.values()):
+            if not server.listed and server.links and self.succeeded(server):
+                self.redial(server, dials_only=True)
             self.drop(server)
 
+    def redial(self, server: Server, dials_only: bool = False) -> None:
+        """Close what leads to another process than the list now means: a dial under way to a server that has
+        gone reaches the one in its place, whose signs of life then held what had played at the first."""
+        for link in list(server.links):
+            if link.phase is Phase.DIALLING:
+                link.close(Outcome.NOT_SENT)
+            elif link.idle and not dials_only:
+                link.close(Outcome.CONNECTION_LOST)
+
     def drop(self, server: Server) -> None:
         """Forget a server that is off the list, once the module has and nothing plays there."""
         if not server.listed and not server.standing and server.name not in self.front.servers:
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -373,6 +373,36 @@
             poll = boards[at].next()
         eventually(lambda: sockets() == 2, "the listener and the open poll")
 
+    def test_a_host_that_has_another_address_is_reached_there(self) -> None:
+        # Set-ups went on to the old address on the connections that were open to it.
+        old, new, board = StandInServer("s0", 0), StandInServer("s0", 0), HeldBoard()
+        rig = self.rig(board, old)
+        poll = board.next()
+        viewer = self.served(rig)
+        old.say(released(old.of(Kind.SET_UP)[0], Cause.OK))
+        viewer.request()
+        poll.tell(2, notice(2, [new.row]))
+        self.assertEqual(board.next().watch, 2)
+        self.served(rig, 2)
+        self.assertEqual((len(old.of(Kind.SET_UP)), len(new.of(Kind.SET_UP))), (1, 1))
+
+    def test_a_dial_under_way_does_not_take_a_successor_for_the_one_that_went(self) -> None:
+        # What played at the one that went was held by a connection to the other, and never released.
+        listener, fillers = hung(self)
+        gone, heir = StandInServer("s0", 0), StandInServer("s1", 0)
+        rows = [{**s.row, "dial": f"127.0.0.1:{listener.getsockname()[1]}"} for s in (gone, heir)]
+        board = HeldBoard()
+        rig = self.rig(board, known={"rev": 1, "notices": [notice(1, rows[:1], whole=True)]})
+        viewer = rig.caller()
+        self.addCleanup(viewer.sock.close)
+        viewer.set_up("00000000000000a1", routing="home:0;copies:4;top:2;at:s0")
+        eventually(lambda: dialled(listener, fillers), "a dial that hangs")
+        board.next().tell(2, notice(2, [{**rows[0], "health": "removed"}, rows[1]]))
+        self.assertEqual(board.next().watch, 2)
+        threading.Thread(target=take_in, args=(listener, heir), daemon=True).start()
+        release = viewer.request()
+        self.assertEqual((release.method, release.fields["reason"]), ("TEARDOWN", "cause=41"))
+
 
 class WatchTest(unittest.TestCase):
     """The thread that asks, on a desk of its own, where a step inside of it has to be held."""
