Node: failures at the old board don't lengthen the pauses at the new one; discovery's tests in two files

Cause: Watch.run kept its count of failures over a move that came during the pause: the first failure at the new address was told to nobody and paused as after many. Change: the count ends with the turn. Before the change: test_a_move_ends_the_pause_after_a_failure "never came: the failure of the other board".

--- a/packages/node/src/fennelcove/node/board.py
+++ b/packages/node/src/fennelcove/node/board.py
@@ -115,6 +115,8 @@
                 with self.changed:
                     if not self.stopped and self.turn == turn:
                         self.changed.wait(pause_us(failures, self.draws) / 1e6)
+                    if self.turn != turn:
+                        failures = 0  # those were another address's
         self._close()
 
     def _report(self, error: Exception, address: Address) -> None:
--- a/tests/boardrig.py
+++ b/tests/boardrig.py
@@ -7,7 +7,9 @@
 import socket
 import sys
 import threading
+import unittest
 from contextlib import suppress
+from pathlib import Path
 from typing import Any
 
 from fennelcove.http1 import writer as http
@@ -110,3 +112,32 @@
         self.config["known"] = {"rev": self.rev, "notices": [notice(1, self.rows, whole=True)]}
         self.config.update(self.changes)
         super().write()
+
+
+def hung(test: unittest.TestCase) -> tuple[socket.socket, list[socket.socket]]:
+    """A listener that answers no further connection until its backlog is taken in."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    fillers = [socket.socket() for _ in range(4)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex(listener.getsockname())
+        test.addCleanup(filler.close)
+    test.addCleanup(listener.close)
+    return listener, fillers
+
+
+def dialled(listener: socket.socket, but: list[socket.socket]) -> bool:
+    """Whether a connection to it is under way that is none of these."""
+    port = listener.getsockname()[1]
+    own = set()
+    for sock in but:
+        with suppress(OSError):
+            own.add(sock.getsockname()[1])
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        row = line.split()
+        local, remote = (int(row[column].rpartition(":")[2], 16) for column in (1, 2))
+        if remote == port and row[3] == "02" and local not in own:
+            return True
+    return False
--- /dev/null
+++ b/tests/test_node_discovery_thread.py
@@ -0,0 +1,223 @@
+"""The thread that asks discovery: moves, asks for everything and pauses, each forced at its moment."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+import unittest
+from typing import Any
+from unittest import mock
+
+from fennelcove.clock import SystemClock
+from fennelcove.clock.timers import Timers
+from fennelcove.interface import Standing
+from fennelcove.log import silent
+from fennelcove.node import board as discovery
+from fennelcove.node import config, desk
+from fennelcove.node.address import parse_address
+from fennelcove.node.board import Watch
+from tests.boardrig import HeldBoard, dialled, hung
+from tests.noderig import eventually, notice
+from tests.test_node_desk import HOST, TREE
+
+DRAINING = {**HOST, "health": "draining"}
+
+
+class Gate:
+    """The desk's lock, which says when somebody waits for it and what is true each time it is let go."""
+
+    def __init__(self, made: desk.Desk) -> None:
+        self.desk, self.inner, self.wanted = made, threading.Lock(), threading.Event()
+        self.seen: list[list[str]] = []
+
+    def __enter__(self) -> None:
+        self.wanted.set()
+        self.inner.acquire()
+
+    def __exit__(self, *_: object) -> None:
+        servers = self.desk.front.servers.values()
+        self.seen.append([server.address for server in servers if server.standing is Standing.ACTIVE])
+        self.inner.release()
+
+
+class WatchTest(unittest.TestCase):
+    """The thread that asks, on a desk of its own, where a step inside of it has to be held."""
+
+    def watch(self, board: HeldBoard, rev: int = 1, seed: str = "0a") -> Watch:
+        clock = SystemClock()
+        self.desk = desk.Desk(config.parse({**TREE, "seed": seed}), clock, Timers(clock), silent)
+        for first in self.desk.config.known.notices:
+            self.desk.board_says(first)
+        watch = Watch(self.desk, clock, parse_address(board.address), rev)
+        thread = threading.Thread(target=watch.run, daemon=True)
+        thread.start()
+        self.addCleanup(board.close)
+        self.addCleanup(thread.join)
+        self.addCleanup(watch.stop)
+        return watch
+
+    def standing(self) -> Standing:
+        return self.desk.front.servers["s0"].standing
+
+    def test_an_answer_of_the_old_board_is_not_applied_after_the_move(self) -> None:
+        # Read before the move and applied after it: the old board tells nothing further.
+        old, new = HeldBoard(), HeldBoard()
+        self.addCleanup(new.close)
+        watch = self.watch(old)
+        poll = old.next()
+        gate = Gate(self.desk)
+        with mock.patch.object(self.desk, "lock", gate), gate.inner:
+            poll.tell(2, notice(2, [DRAINING]))
+            self.assertTrue(gate.wanted.wait(20))  # the answer is read whole, and waits for the lock
+            watch.move(parse_address(new.address))
+        poll = new.next()
+        self.assertEqual((poll.watch, self.standing()), (1, Standing.ACTIVE))
+
+    def test_one_answer_is_applied_in_one_hold_of_the_lock(self) -> None:
+        # A request between two events of one answer saw a server gone and the one in its place not there yet.
+        board = HeldBoard()
+        self.watch(board)
+        poll = board.next()
+        gate = Gate(self.desk)
+        with mock.patch.object(self.desk, "lock", gate):
+            heir = {**HOST, "host": "s1"}
+            poll.tell(3, notice(2, [{**HOST, "health": "removed"}]), notice(3, [heir]))
+            self.assertEqual(board.next().watch, 3)
+        self.assertEqual(gate.seen, [["s1"]])
+
+    def test_everything_is_asked_for_anew_whatever_is_open(self) -> None:
+        # An ask for everything that came while one for everything was open counted as answered by it.
+        for rev in (1, 0):
+            with self.subTest(rev):
+                board = HeldBoard()
+                watch = self.watch(board, rev)
+                poll = board.next()
+                self.assertEqual(poll.watch, rev)
+                watch.again()
+                poll.tell(2, notice(1, [HOST], whole=True), notice(2, [DRAINING]))
+                poll = board.next()
+                self.assertEqual(poll.watch, 0)
+                poll.tell(2, notice(1, [HOST], whole=True), notice(2, [DRAINING]))
+                self.assertEqual((board.next().watch, self.standing()), (2, Standing.LEAVING))
+
+    def test_an_open_poll_does_not_keep_the_ask_for_everything_back(self) -> None:
+        board = HeldBoard()
+        watch = self.watch(board)
+        with mock.patch.object(discovery, "ANSWER_US", 60_000_000):
+            board.next().close()
+            board.next()  # held for good
+            watch.again()
+            self.assertEqual(board.next().watch, 0)
+
+    def test_a_move_does_not_wait_for_an_address_that_hangs(self) -> None:
+        listener, fillers = hung(self)
+        board, new = HeldBoard(), HeldBoard()
+        self.addCleanup(new.close)
+        board.address = f"127.0.0.1:{listener.getsockname()[1]}"
+        with mock.patch.object(discovery, "CONNECT_US", 60_000_000):
+            watch = self.watch(board)
+            eventually(lambda: dialled(listener, fillers), "a dial that hangs")
+            watch.move(parse_address(new.address))
+            self.assertEqual(new.next().watch, 1)
+
+    def test_a_move_ends_the_pause_after_a_failure(self) -> None:
+        board, new = HeldBoard(), HeldBoard()
+        self.addCleanup(new.close)
+        told: list[str] = []
+        with mock.patch.multiple(discovery, PAUSE_US=60_000_000, PAUSE_MOST_US=60_000_000):
+            watch = self.watch(board)
+            self.desk.notice = lambda event, **fields: told.append(event)
+            poll = board.next()
+            poll.close()
+            eventually(lambda: told == ["board_call_failed"], "the failure")
+            watch.move(parse_address(new.address))
+            poll = new.next()
+            self.assertEqual(poll.watch, 1)
+            poll.close()  # the first failure there, whatever there was before
+            eventually(lambda: told == ["board_call_failed"] * 2, "the failure of the other board")
+
+    def test_two_moves_in_a_row_end_at_the_second_and_are_no_failures(self) -> None:
+        boards = [HeldBoard() for _ in range(3)]
+        watch = self.watch(boards[0])
+        told: list[str] = []
+        self.desk.notice = lambda event, **fields: told.append(event)
+        boards[0].next()
+        for board in boards[1:]:
+            self.addCleanup(board.close)
+            watch.move(parse_address(board.address))
+        boards[2].next().tell(2, notice(2, [DRAINING]))
+        self.assertEqual((boards[2].next().watch, self.standing()), (2, Standing.LEAVING))
+        self.assertEqual(told, [])
+
+    def test_a_move_there_and_back_is_no_failure(self) -> None:
+        board, other = HeldBoard(), HeldBoard()
+        self.addCleanup(other.close)
+        watch = self.watch(board)
+        told: list[str] = []
+        self.desk.notice = lambda event, **fields: told.append(event)
+        board.next()
+        watch.move(parse_address(other.address))
+        watch.move(parse_address(board.address))
+        self.assertEqual((board.next().watch, told), (1, []))
+
+    def test_a_move_to_the_same_address_leaves_the_open_poll(self) -> None:
+        board = HeldBoard()
+        watch = self.watch(board)
+        poll = board.next()
+        watch.move(parse_address(board.address))
+        poll.tell(2, notice(2, [DRAINING]))
+        fresh = board.next()
+        self.assertEqual((fresh.watch, self.standing(), board.accepted), (2, Standing.LEAVING, 1))
+
+    def test_a_fault_while_an_answer_is_applied_is_tried_again(self) -> None:
+        board = HeldBoard()
+        self.watch(board)
+        poll = board.next()
+        answer = [notice(2, [DRAINING]), notice(3, [{**HOST, "host": "s1"}])]
+        faults = iter((None, KeyError("s1")))
+        says = self.desk.board_says
+
+        def breaking(told: Any) -> None:
+            if fault := next(faults, None):
+                raise fault
+            says(told)
+
+        with mock.patch.object(self.desk, "board_says", breaking):
+            poll.tell(3, *answer)
+            poll = board.next()
+            self.assertEqual(poll.watch, 1)  # half of it stands, and all of it is told once more
+            poll.tell(3, *answer)
+            self.assertEqual(board.next().watch, 3)
+        self.assertEqual(set(self.desk.front.servers), {"s0", "s1"})
+
+
+class PauseTest(unittest.TestCase):
+    def test_pauses_grow_to_a_bound_and_differ_from_one_process_to_the_next(self) -> None:
+        rows = [
+            [discovery.pause_us(n, draws) for n in range(1, 40)] for draws in map(random.Random, range(50))
+        ]
+        for n, column in enumerate(zip(*rows, strict=True)):
+            self.assertGreater(len(set(column)), 40)  # spread
+            mean_us = sum(column) / len(column)
+            self.assertTrue(0.7 < mean_us / min(100_000 * 2**n, 500_000) < 1.3, mean_us)
+            self.assertLess(max(column), 1_000_000)
+        self.assertLessEqual(max(row[0] for row in rows), 150_000)
+        self.assertEqual(rows[3][0], discovery.pause_us(1, random.Random(3)))  # the seed's alone
+
+    def test_a_board_that_is_down_is_asked_less_and_less(self) -> None:
+        # 200 processes asked one that was down 10 times a second each, in step.
+        board = HeldBoard()
+        self.addCleanup(board.close)
+        clock = SystemClock()
+        made = desk.Desk(config.parse(TREE), clock, Timers(clock), silent)
+        watch = Watch(made, clock, parse_address(board.address), 1)
+        thread = threading.Thread(target=watch.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(watch.stop)
+        board.next().close()
+        began = time.monotonic()
+        for _ in range(5):
+            board.next().close()
+        self.assertGreater(time.monotonic() - began, 0.84)  # half of 0.1, 0.2, 0.4, 0.5 and 0.5 s
