Test: a read side that the node shuts at its end is forced before what was read is acted on

The mend of Viewer.finish (taken for its viewer's own end) was seen failing in a race only. Here the test holds the lock while the thread has provably read a set-up, ends the node and shuts the read side, then lets go. Without `self.finishing = True` it fails each time: AssertionError: None (closed without an answer).

--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -231,6 +231,8 @@
             self.caller.set_up("9b1f03aa5c7e2d41")  # on loopback it is in the other end's buffer on return
             eventually(lambda: self.unread() == 0, "the thread's read")
             self.assertEqual(self.desk.end(), 0)
+            # As at the node's own end: that its read side is shut is no sign that the viewer has left.
+            self.viewer.finish()
         self.caller.sock.settimeout(5)
         answer = self.caller.answer()
         self.assertEqual((answer.status, answer.fields["come-back-ms"]), (453, "500"))
