Tests: each front's port is held for it, and a stand-in server that is to close does

Two faults of the rig, seen beside a busy machine. A port was chosen, let go of and listened on later: another process could be given it, and a caller then met somebody else's node, ended with its rig ('AssertionError: None', the connection closed: once in about 12 runs of test_node, once of test_node_connections, once of test_node_discovery; that the port was the cause is not proved). NodeRig holds it now, as two rigs did already.

--- a/tests/nodeprocess.py
+++ b/tests/nodeprocess.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -26,7 +25,6 @@
 
     def __init__(self, *servers: StandInServer, settings: dict[str, Any] = BRIEF) -> None:
         self.settings = settings
-        self.place: socket.socket | None = None
         self.log = tempfile.NamedTemporaryFile("r", suffix=".log")  # noqa: SIM115: closed by `close`
         shell = f'exec {sys.executable} -m fennelcove.node >> "{self.log.name}"'
         self.command = ["/bin/sh", "-c", shell]
@@ -38,10 +36,6 @@
         eventually(self.ready, "a test that passes")
 
     def write(self) -> None:
-        if self.place is None:
-            # Bound as long as the rig is there: nobody else is given its port before the node listens.
-            self.place, self.address = reserved()
-            self.config["listen"] = f"127.0.0.1:{self.address[1]}"
         self.config["settings"] = self.settings
         super().write()
 
@@ -59,16 +53,6 @@
     def close(self) -> None:
         super().close()
         self.log.close()
-        if self.place is not None:
-            self.place.close()
-
-
-def reserved() -> tuple[socket.socket, tuple[str, int]]:
-    """A port that is given to nobody else while the socket is open; a node can listen there all the same."""
-    place = socket.socket()
-    place.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    place.bind(("127.0.0.1", 0))
-    return place, ("127.0.0.1", place.getsockname()[1])
 
 
 def options(caller: Caller) -> int:
--- a/tests/noderig.py
+++ b/tests/noderig.py
@@ -70,6 +70,14 @@
     return isup.release(message.session, cause)
 
 
+def reserved() -> tuple[socket.socket, tuple[str, int]]:
+    """A port that is given to nobody else while the socket is open; a node can listen there all the same."""
+    place = socket.socket()
+    place.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    place.bind(("127.0.0.1", 0))
+    return place, ("127.0.0.1", place.getsockname()[1])
+
+
 class StandInServer:
     """Answers each set-up by `reply`; None closes the connection, and empty bytes say nothing."""
 
@@ -130,7 +138,8 @@
                     elif message.kind is Kind.TEST:
                         said = isup.message(Kind.TESTED, message.session, (Code.CAUSE, b"\1"))
                     if said is None:
-                        break
+                        sock.close()
+                        return
                     sock.sendall(said)
         except OSError:
             pass
@@ -230,8 +239,7 @@
         cwd: str | None = None,
     ) -> None:
         self.board = StandInBoard([notice(1, [server.row for server in servers], whole=True)])
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.address: tuple[str, int] = ("127.0.0.1", free.getsockname()[1])
+        self.place, self.address = reserved()
         self.folder = tempfile.TemporaryDirectory()
         self.path = Path(self.folder.name) / "config.json"
         self.config = {
@@ -280,3 +288,4 @@
         self.process.kill()
         self.process.wait()
         self.folder.cleanup()
+        self.place.close()
--- a/tests/test_node_cold.py
+++ b/tests/test_node_cold.py
@@ -157,19 +157,9 @@
         super().__init__(*([server] if told else []))
 
     def write(self) -> None:
-        # Kept until the process has bound it too: between so many dials a port that is free now soon isn't.
-        self.port = socket.socket()
-        self.port.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.port.bind(("127.0.0.1", 0))
-        self.address = self.port.getsockname()
-        self.config["listen"] = f"127.0.0.1:{self.address[1]}"
         self.config["settings"] = self.settings
         super().write()
 
-    def close(self) -> None:
-        super().close()
-        self.port.close()
-
 
 class ColdProcessesTest(unittest.TestCase):
     def play(self, server: ColdServer, terms: Terms, fronts: int, restart: bool = False) -> None:
--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -24,8 +24,9 @@
 from fennelcove.node import config, desk
 from fennelcove.node.parties import Subscription
 from fennelcove.node.viewers import Viewer
-from tests.nodeprocess import BRIEF_STAY_S, Gate, Rig, blocked, options, over, reserved, run
+from tests.nodeprocess import BRIEF_STAY_S, Gate, Rig, blocked, options, over, run
 from tests.noderig import (
+    reserved,
     SETTINGS,
     Caller,
     ServerMessage,
