Node: the pool of server connections and what messages mean stand in files of their own

Moved as they were: which connection carries a set-up and which goes (pool.py, the base of Desk), the tables of outcomes and notes and the reading of reports (outcomes.py).

--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -14,7 +13,6 @@
 from fennelcove.clock import Clock
 from fennelcove.clock.timers import Timers
 from fennelcove.decisions.boxes.parting import Dial
-from fennelcove.facts import load_report
 from fennelcove.interface import (
     ClientGone,
     Event,
@@ -28,7 +26,7 @@
     Standing,
 )
 from fennelcove.isup.messages import Cause, Code, Kind, Message
-from fennelcove.node import states
+from fennelcove.node import outcomes, states
 from fennelcove.node.address import Address
 from fennelcove.node.asks import Asks
 from fennelcove.node.config import Config
@@ -37,6 +35,7 @@
 from fennelcove.node.links import DIAL_AGAIN_US, Link
 from fennelcove.node.log import Notices
 from fennelcove.node.notices import Notice
+from fennelcove.node.pool import Pool
 from fennelcove.node.parties import Caller, Join, Line, Phase, Server, State, Subscription
 from fennelcove.node.states import Cue
 from fennelcove.node.viewers import Roll
@@ -44,30 +43,15 @@
 
 QUIET_US = 1_500_000  # a link with something playing behind it is asked for a sign of life after so long,
 SILENT_US = 1_500_000  # and taken for dead when none has come after so long again
-TURNS_US = 4_000_000  # in which each server with something standing has its turn, well within 8 s of an end
 EARLY_US = 2_000_000  # what servers say of sessions that their viewers have not named yet is kept so long,
 MOST_EARLY = 4_096  # of so many sessions,
 MOST_EARLY_EACH = 8  # and so much of each
 UNNAMED_US = 2_000_000  # what plays at a server that no list names waits so long for one that does,
 MOST_UNNAMED = 1_024  # of so many sessions
-MOST_GIVEN_UP = 64  # set-ups, one after another on a link whose server answers none of them
 ANSWER_MORE_US = 20_000  # past a client timeout the module may still answer, of the 50 ms that limits leave
 
-NOTES = {
-    "quality": NoteKind.DELIVERED,
-    "profile": NoteKind.RUNG,
-    "nic": NoteKind.LINK,
-    "tor": NoteKind.UPLINK,
-}
-BEFORE: dict[int | None, Outcome] = {
-    Cause.FULL: Outcome.TURNED_AWAY,
-    Cause.ERROR: Outcome.SERVER_ERROR,
-    Cause.MOOT: Outcome.NOT_SENT,
-}
-AFTER: dict[int | None, Outcome] = {Cause.OK: Outcome.SERVED, Cause.CALLED_OFF: Outcome.CALLED_OFF}
-
-
-class Desk:
+
+class Desk(Pool):
     """One instance."""
 
     def __init__(
@@ -98,20 +82,6 @@
         self.fetch: Callable[[], None] = lambda: None
         self.front = Front(config.settings, config.seed, Asks(self), self.now_us())
 
-    @property
-    def links(self) -> int:
-        """Links that are not closed."""
-        return self.descriptors.promised[Use.SERVER]
-
-    @property
-    def most_links(self) -> int:
-        return self.descriptors.most[Use.SERVER]
-
-    def now_us(self) -> int:
-        """The Unix clock, by which rules are judged and servers' starts are told; it never goes back."""
-        self.last_us = max(self.last_us, self.clock.wall_us())
-        return self.last_us
-
     def tell(self, event: Event) -> None:
         """Tell the module, after what it is being told already."""
         self.events.append(event)
@@ -165,40 +135,6 @@
         link.carry(sub)
         link.start()
 
-    def idle(self, server: Server, sub: Subscription) -> list[Line]:
-        """The server's links that a set-up may go out on, the one heard last at the end. Not one that the
-        server is ending or is about to: a set-up lost there fails for good where it may not be repeated."""
-        since_us = self.now_us() - self.config.terms.idle_us * 3 // 4
-        here = [link for link in server.links if link.idle and link.address == server.address]
-        fit = [link for link in here if link.heard_us >= since_us and not link.ended()]
-        # Where a set-up under this id was given up, the answer to it may be on its way.
-        fit = [link for link in fit if sub.id not in link.given_up and len(link.given_up) < MOST_GIVEN_UP]
-        return sorted(fit, key=lambda link: link.heard_us)
-
-    def spare(self, turn_us: int = 0) -> bool:
-        """Close an idle link to make room for another, where there is one: the one silent longest of those
-        that nothing needs, or else one that has been there for a turn."""
-        now_us = self.now_us()
-        idle = [link for server in self.servers.values() for link in server.links if link.idle]
-        free = [link for link in idle if not (link.server.needs_link and len(link.server.links) == 1)]
-        if free:
-            min(free, key=lambda link: link.heard_us).close(Outcome.CONNECTION_LOST)
-            return True
-        out = min(idle, key=lambda link: link.opened_us, default=None)
-        if out is None or now_us - out.opened_us < turn_us:
-            return False
-        out.close(Outcome.CONNECTION_LOST)
-        return True
-
-    def reach(self, waiting: list[Server]) -> None:
-        """Links to servers that need one, within the servers' part of the descriptors. Where they are more
-        than that, they take turns: a server tells what has ended on the next connection that is opened."""
-        turn_us = TURNS_US * self.most_links // (self.most_links + len(waiting))
-        for server in sorted(waiting, key=lambda server: server.left_us):
-            if self.links >= self.most_links and not self.spare(turn_us):
-                return
-            Link(self, server).start()
-
     def time_over(self, sub: Subscription, join: Join) -> None:
         """The wait for this join is over, if it is still out: it is given up before the module hears."""
         link = join.link
@@ -263,24 +199,18 @@
 
     def released(self, link: Line, sub: Subscription, message: Message) -> None:
         standing = sub.state is State.STANDING
-        outcome = (AFTER if standing else BEFORE).get(message.cause, Outcome.CONNECTION_LOST)
+        outcome = (outcomes.AFTER if standing else outcomes.BEFORE).get(
+            message.cause, Outcome.CONNECTION_LOST
+        )
         if link.carried is sub:
             link.done()
-        self.join_over(sub, outcome, self.report(message))
-
-    def report(self, message: Message) -> LoadReport | None:
-        """The report that came along; one that can't be read is none."""
-        values: dict[str, float] = {}
-        for part in filter(None, message.text(Code.REPORT).split(";")):
-            name, _, raw = part.partition(":")
-            value = figure(raw)
-            if value is None:
-                return None
-            values[name] = value
-        return load_report(values) if values else None
+        self.join_over(sub, outcome, outcomes.load(message))
 
     def noted(self, sub: Subscription, message: Message) -> None:
-        kind, value = NOTES.get(message.text(Code.NOTE_NAME)), figure(message.text(Code.FIGURE))
+        kind, value = (
+            outcomes.NOTES.get(message.text(Code.NOTE_NAME)),
+            outcomes.figure(message.text(Code.FIGURE)),
+        )
         if kind is None or value is None or sub.join is None:
             return
         if kind is NoteKind.RUNG:
@@ -315,15 +245,6 @@
                 self.redial(server, dials_only=True)
             self.drop(server)
 
-    def redial(self, server: Server, dials_only: bool = False) -> None:
-        """Close what leads to another process than the list now means: a dial under way to a server that has
-        gone reaches the one in its place, whose signs of life then held what had played at the first."""
-        for link in list(server.links):
-            if link.phase is Phase.DIALLING:
-                link.close(Outcome.NOT_SENT)
-            elif link.idle and not dials_only:
-                link.close(Outcome.CONNECTION_LOST)
-
     def drop(self, server: Server) -> None:
         """Forget a server that is off the list, once the module has and nothing plays there."""
         if not server.listed and not server.standing and server.name not in self.front.servers:
@@ -547,12 +468,3 @@
                 if link.phase is Phase.OPEN and not link.ended() and link.send(data):
                     return
             sub.join.server.unsent.append(data)
-
-
-def figure(raw: str) -> float | None:
-    """A finite number, or None."""
-    try:
-        value = float(raw)
-    except ValueError:
-        return None
-    return value if math.isfinite(value) else None
