Names: connection table, pending messages, discovery client, input of the table of states

Only renames. Pictures of our own hid the field's terms: Roll is ConnectionTable (Desk.roll: connections), what is owed, paid and forgiven is pending, delivered and expired (defer, deliver, expire), Watch is DiscoveryClient (again: resync), Cue of the node's states is Input. test_node*.py pass.

--- a/packages/node/src/fennelcove/node/asks.py
+++ b/packages/node/src/fennelcove/node/asks.py
@@ -1,4 +1,4 @@
-"""What the decision module asks of the node: each of its effects as a cue to the table of states."""
+"""What the decision module asks of the node: each of its effects as an input to the table of states."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from fennelcove.interface import PeerSays, TimerFired
 from fennelcove.node import states
 from fennelcove.node.parties import Join, Server, Subscription
-from fennelcove.node.states import Cue, Hands
+from fennelcove.node.states import Input, Hands
 
 
 class Stock(Hands, Protocol):
@@ -36,23 +36,23 @@
         sub = self._sub(id)
         sub.join = Join(self.desk.servers[server], sub.joins, self.desk.now_us(), allow_us)
         sub.joins += 1
-        states.step(self.desk, sub, Cue.JOIN)
+        states.step(self.desk, sub, Input.JOIN)
 
     def set_rung(self, id: str, rung: int) -> None:
         sub = self._sub(id)
         sub.rung = rung
-        states.step(self.desk, sub, Cue.RUNG)
+        states.step(self.desk, sub, Input.RUNG)
 
     def throttle(self, id: str, wait_us: int) -> None:
         sub = self._sub(id)
         sub.wait_us = wait_us
-        states.step(self.desk, sub, Cue.THROTTLE)
+        states.step(self.desk, sub, Input.THROTTLE)
 
     def terminate(self, id: str) -> None:
-        states.step(self.desk, self._sub(id), Cue.TERMINATE)
+        states.step(self.desk, self._sub(id), Input.TERMINATE)
 
     def move(self, id: str) -> None:
-        states.step(self.desk, self._sub(id), Cue.MOVE)
+        states.step(self.desk, self._sub(id), Input.MOVE)
 
     def timer(self, name: int, delay_us: int) -> None:
         desk = self.desk
--- a/packages/node/src/fennelcove/node/board.py
+++ b/packages/node/src/fennelcove/node/board.py
@@ -40,8 +40,8 @@
     return round(min(PAUSE_US << min(failures - 1, 10), PAUSE_MOST_US) * draws.uniform(0.5, 1.5))
 
 
-class Watch:
-    """Owns the poll's connection. `move`, `again` and `stop` may be called from any thread.
+class DiscoveryClient:
+    """Owns the poll's connection. `move`, `resync` and `stop` may be called from any thread.
 
     What they change is guarded by `changed`, which may be taken with the desk's lock held and never the other
     way round. Each move or ask for everything begins a turn; answers to polls of earlier ones are dropped.
@@ -70,7 +70,7 @@
                 self._turn()
             self.changed.notify_all()
 
-    def again(self) -> None:
+    def resync(self) -> None:
         """Ask for everything anew."""
         with self.changed:
             self.rev = 0
--- a/packages/node/src/fennelcove/node/desk.py
+++ b/packages/node/src/fennelcove/node/desk.py
@@ -37,8 +37,8 @@
 from fennelcove.node.notices import Notice
 from fennelcove.node.pool import Pool
 from fennelcove.node.parties import Caller, Join, Line, Phase, Server, State, Subscription
-from fennelcove.node.states import Cue
-from fennelcove.node.viewers import Roll
+from fennelcove.node.states import Input
+from fennelcove.node.viewers import ConnectionTable
 from fennelcove.rules import Front
 
 QUIET_US = 1_500_000  # a link with something playing behind it is asked for a sign of life after so long,
@@ -71,7 +71,7 @@
         self.subs: dict[bytes, Subscription] = {}
         self.servers: dict[str, Server] = {}
         self.descriptors = descriptors or Descriptors(limited(config.sockets))
-        self.roll = Roll(self.descriptors.most[Use.CLIENT])
+        self.connections = ConnectionTable(self.descriptors.most[Use.CLIENT])
         self.stopping = False
         self.deadlines = Deadlines(clock, timers, lambda: self.due(self.answer_late))
         self.ended = False  # the last answers are out: a set-up that still comes gets its own at once
@@ -105,7 +105,7 @@
             )
             sub = self.subs.get(bytes.fromhex(event.id)) if isinstance(event, Request) else None
             if sub is not None:
-                states.step(self, sub, Cue.STOP)
+                states.step(self, sub, Input.STOP)
 
     def due(self, call: Callable[[], None]) -> None:
         """What a timer calls: takes the lock itself."""
@@ -152,7 +152,7 @@
         """A join, or what it started, has come to this."""
         if sub.join is not None:
             sub.join.outcome, sub.join.report = outcome, report
-            states.step(self, sub, Cue.ENDED)
+            states.step(self, sub, Input.ENDED)
 
     def hear(self, link: Line, message: Message) -> None:
         """A message of a server. An answer that nobody asked for is passed over: it may have crossed with its
@@ -195,7 +195,7 @@
         if link.carried is sub:
             link.done()
         sub.answer = description
-        states.step(self, sub, Cue.ANSWERED)
+        states.step(self, sub, Input.ANSWERED)
 
     def released(self, link: Line, sub: Subscription, message: Message) -> None:
         standing = sub.state is State.STANDING
@@ -300,7 +300,7 @@
         moment in which the dial was made, with its thread still waiting for the lock."""
         if sub.viewer is None or not sub.viewer.left():
             return True
-        states.step(self, sub, Cue.VIEWER_GONE)
+        states.step(self, sub, Input.VIEWER_GONE)
         return False
 
     def succeeded(self, server: Server) -> bool:
@@ -317,7 +317,7 @@
             if now_us - said[0][0] <= EARLY_US:
                 break  # kept in the order of their first
             del self.early[id]
-        self.roll.forgive(now_us)
+        self.connections.expire(now_us)
         self.name_handovers()
         self.answer_late()  # here too, where no timer could be had for the next of them
         waiting = list[Server]()
@@ -360,14 +360,14 @@
         elif self.deadlines.add(sub, request.timeout_us + ANSWER_MORE_US):
             self.tell(request)
         else:
-            states.step(self, sub, Cue.THROTTLE)
+            states.step(self, sub, Input.THROTTLE)
 
     def answer_late(self) -> None:
         """Answer what the module has not by its client timeout, as after a fault of its own: unanswered, a
         set-up is lost."""
         for id in self.deadlines.passed():
             sub = self.subs.get(id)
-            if sub is not None and states.step(self, sub, Cue.STOP):
+            if sub is not None and states.step(self, sub, Input.STOP):
                 self.notice("answered_late", id=sub.key, joins=sub.joins)
 
     def adopt(self, sub: Subscription, request: Request, server: str) -> bool:
@@ -424,9 +424,9 @@
     def last_answer(self, sub: Subscription) -> bool:
         """The node ends. What was never sent to a server is refused as harmless; nobody knows of the rest."""
         if sub.state is not State.OPEN or sub.joins:
-            return states.step(self, sub, Cue.STOP)
+            return states.step(self, sub, Input.STOP)
         sub.wait_us = self.config.settings.retry_after_us or 0
-        states.step(self, sub, Cue.THROTTLE)
+        states.step(self, sub, Input.THROTTLE)
         self.tell(ClientGone(sub.key))
         return True
 
@@ -448,18 +448,18 @@
 
     def seated(self, viewer: Caller) -> bool:
         """Whether something may be open on this connection."""
-        return self.roll.seated(viewer)
+        return self.connections.seated(viewer)
 
-    def pay(self, viewer: Caller) -> None:
+    def deliver(self, viewer: Caller) -> None:
         """Tell a connection what its peer has missed."""
-        self.roll.pay(viewer)
+        self.connections.deliver(viewer)
 
     def to_viewer(self, sub: Subscription, data: bytes) -> None:
         """On the connection of the set-up, or another of the same viewer's: what stands belongs to none."""
         known = sub.viewer is not None and not sub.viewer.left()
-        viewer = sub.viewer if known else self.roll.other(sub.peer, sub.figure)
+        viewer = sub.viewer if known else self.connections.other(sub.peer, sub.figure)
         if viewer is None or not viewer.send(data):
-            self.roll.owe(sub.peer, data, self.now_us())
+            self.connections.defer(sub.peer, data, self.now_us())
 
     def to_server(self, sub: Subscription, data: bytes) -> None:
         if sub.join is not None:
--- a/packages/node/src/fennelcove/node/door.py
+++ b/packages/node/src/fennelcove/node/door.py
@@ -10,7 +10,7 @@
 from fennelcove.node import states
 from fennelcove.node.config import Config
 from fennelcove.node.parties import Caller, State, Subscription
-from fennelcove.node.states import Cue, Hands
+from fennelcove.node.states import Input, Hands
 from fennelcove.rtsp import messages, writer
 
 _ID = re.compile(r"[0-9a-fA-F]{16}")
@@ -29,7 +29,7 @@
     stopping: bool
     subs: dict[bytes, Subscription]
 
-    def pay(self, viewer: Caller) -> None: ...
+    def deliver(self, viewer: Caller) -> None: ...
 
     def seated(self, viewer: Caller) -> bool: ...
 
@@ -51,7 +51,7 @@
     ]
     session = message.fields.get("session", "")
     if message.method != "OPTIONS":  # tests come from the platform, not from viewers
-        desk.pay(viewer)
+        desk.deliver(viewer)
     if message.method == "OPTIONS":
         viewer.send(writer.answer(503 if desk.stopping else 200, *echo))
     elif _ID.fullmatch(session) is None:
@@ -179,13 +179,13 @@
     sub = desk.subs.get(id)
     if sub is None or (sub.viewer is not viewer and sub.state is not State.STANDING):
         return withdrawn
-    return states.step(desk, sub, Cue.VIEWER_GONE)
+    return states.step(desk, sub, Input.VIEWER_GONE)
 
 
 def viewer_gone(desk: Counter, viewer: Caller) -> None:
     """A connection has ended: nobody waits for what is open on it, and what stands on it stands on."""
     for sub in list(viewer.open):
-        states.step(desk, sub, Cue.VIEWER_GONE)
+        states.step(desk, sub, Input.VIEWER_GONE)
     for sub in viewer.standing:
         sub.viewer = None
     viewer.standing.clear()
--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -13,7 +13,7 @@
 from fennelcove.clock import SystemClock
 from fennelcove.clock.timers import Timers
 from fennelcove.node import config, log, trace
-from fennelcove.node.board import Watch
+from fennelcove.node.board import DiscoveryClient
 from fennelcove.node.descriptors import Descriptors, Use, inherited, limited
 from fennelcove.node.desk import Desk
 from fennelcove.node.links import receive_limit
@@ -44,8 +44,8 @@
         fixed = inherited() + 1  # the listening socket
         account = Descriptors(limited(self.config.sockets), fixed)
         self.desk = Desk(self.config, self.clock, self.timers, self.notice, account)
-        self.watch = Watch(self.desk, self.clock, self.config.board, self.config.known.rev)
-        self.desk.fetch = self.watch.again
+        self.discovery = DiscoveryClient(self.desk, self.clock, self.config.board, self.config.known.rev)
+        self.desk.fetch = self.discovery.resync
         self.reread = threading.Event()
         self.accepts = threading.Thread(target=self.accept, name="accept", daemon=True)
         self.ending = False
@@ -69,7 +69,7 @@
         self.listen()
         for name, call in (
             ("timers", self.timers.run),
-            ("board", self.watch.run),
+            ("board", self.discovery.run),
             ("round", self.rounds),
             ("reload", self.reloads),
         ):
@@ -125,7 +125,7 @@
             self.notice("accept_failed", reason=str(error))
         if error.errno in (errno.EMFILE, errno.ENFILE):
             with self.desk.lock:
-                self.desk.roll.spare()
+                self.desk.connections.spare()
         time.sleep(ACCEPT_PAUSE_S)
 
     def take(self, sock: socket.socket, peer: str) -> None:
@@ -137,9 +137,9 @@
             until_us = self.clock.now_us() + ROOM_US
             while True:
                 with self.desk.lock:
-                    wait_us = self.desk.roll.wait_us(self.clock.now_us())
+                    wait_us = self.desk.connections.wait_us(self.clock.now_us())
                     if not wait_us or self.ending or self.clock.now_us() >= until_us:
-                        room = self.desk.roll.add(viewer)
+                        room = self.desk.connections.add(viewer)
                         break
                 time.sleep(wait_us / 1e6)  # the listener's backlog holds the others meanwhile
             if not (room and viewer.place.move(Use.CLIENT, ROOM_US)):
@@ -147,7 +147,7 @@
             threading.Thread(target=viewer.run, name="viewer", daemon=True).start()
         except (OSError, RuntimeError):
             with self.desk.lock:
-                self.desk.roll.remove(viewer)
+                self.desk.connections.remove(viewer)
             viewer.place.close()
 
     def reloads(self) -> None:
@@ -173,7 +173,7 @@
                 else:
                     self.notice("reload_failed", **error.fields())
                 continue
-            self.watch.move(fresh.board)
+            self.discovery.move(fresh.board)
             self.notice("reloaded", board=f"{fresh.board.host}:{fresh.board.port}")
             return
 
@@ -204,7 +204,7 @@
             self.listener.shutdown(socket.SHUT_RDWR)  # wakes the thread that accepts
         self.accepts.join(HEAR_OUT_US / 20 / 1e6)
         with self.desk.lock:
-            for viewer in list(self.desk.roll.viewers):
+            for viewer in list(self.desk.connections.viewers):
                 viewer.finish()
         for thread in threading.enumerate():
             if thread.name == "viewer":
--- a/packages/node/src/fennelcove/node/states.py
+++ b/packages/node/src/fennelcove/node/states.py
@@ -12,7 +12,7 @@
 from fennelcove.node.parties import State, Subscription
 from fennelcove.rtsp import writer as rtsp
 
-Cue = Enum("Cue", "JOIN ANSWERED ENDED THROTTLE TERMINATE RUNG MOVE VIEWER_GONE STOP")
+Input = Enum("Input", "JOIN ANSWERED ENDED THROTTLE TERMINATE RUNG MOVE VIEWER_GONE STOP")
 
 
 class Hands(Protocol):
@@ -39,9 +39,9 @@
 RELEASES = {Outcome.SERVED: Cause.OK}
 
 
-def step(hands: Hands, sub: Subscription, cue: Cue) -> bool:
-    """Move on; False where the cue means nothing here, as what crosses with an end does."""
-    row = TABLE.get((sub.state, cue))
+def step(hands: Hands, sub: Subscription, given: Input) -> bool:
+    """Move on; False where the input means nothing here, as what crosses with an end does."""
+    row = TABLE.get((sub.state, given))
     if row is None:
         return False
     sub.state, effect = row
@@ -56,7 +56,7 @@
 def carry(hands: Hands, sub: Subscription) -> None:
     if sub.viewer is not None and sub.viewer.left():
         # Its end lies unread while its thread waits for the lock, perhaps for long.
-        step(hands, sub, Cue.VIEWER_GONE)
+        step(hands, sub, Input.VIEWER_GONE)
     else:
         hands.carry(sub)
 
@@ -76,7 +76,7 @@
     hands.tell(Started(sub.key, join.number, hands.now_us() - join.sent_us))
     if not heard:
         # Its connection broke under the answer: left standing, it would fill the server's link for nobody.
-        step(hands, sub, Cue.VIEWER_GONE)
+        step(hands, sub, Input.VIEWER_GONE)
 
 
 def over(hands: Hands, sub: Subscription, finished: bool) -> None:
@@ -163,19 +163,19 @@
     leave(hands, sub)
 
 
-TABLE: dict[tuple[State, Cue], tuple[State, Effect]] = {
-    (State.OPEN, Cue.JOIN): (State.JOINING, carry),
-    (State.OPEN, Cue.RUNG): (State.OPEN, nothing),  # goes out with the set-up
-    (State.OPEN, Cue.THROTTLE): (State.OVER, throttle),
-    (State.OPEN, Cue.TERMINATE): (State.OVER, terminate),
-    (State.OPEN, Cue.VIEWER_GONE): (State.OVER, gone),
-    (State.JOINING, Cue.ANSWERED): (State.STANDING, start),
-    (State.JOINING, Cue.ENDED): (State.OPEN, join_over),
-    (State.JOINING, Cue.VIEWER_GONE): (State.OVER, give_up),
-    (State.OPEN, Cue.STOP): (State.OVER, abandon),
-    (State.JOINING, Cue.STOP): (State.OVER, cut_short),
-    (State.STANDING, Cue.RUNG): (State.STANDING, change_rung),
-    (State.STANDING, Cue.MOVE): (State.OVER, move),
-    (State.STANDING, Cue.ENDED): (State.OVER, end),
-    (State.STANDING, Cue.VIEWER_GONE): (State.OVER, leave),
+TABLE: dict[tuple[State, Input], tuple[State, Effect]] = {
+    (State.OPEN, Input.JOIN): (State.JOINING, carry),
+    (State.OPEN, Input.RUNG): (State.OPEN, nothing),  # goes out with the set-up
+    (State.OPEN, Input.THROTTLE): (State.OVER, throttle),
+    (State.OPEN, Input.TERMINATE): (State.OVER, terminate),
+    (State.OPEN, Input.VIEWER_GONE): (State.OVER, gone),
+    (State.JOINING, Input.ANSWERED): (State.STANDING, start),
+    (State.JOINING, Input.ENDED): (State.OPEN, join_over),
+    (State.JOINING, Input.VIEWER_GONE): (State.OVER, give_up),
+    (State.OPEN, Input.STOP): (State.OVER, abandon),
+    (State.JOINING, Input.STOP): (State.OVER, cut_short),
+    (State.STANDING, Input.RUNG): (State.STANDING, change_rung),
+    (State.STANDING, Input.MOVE): (State.OVER, move),
+    (State.STANDING, Input.ENDED): (State.OVER, end),
+    (State.STANDING, Input.VIEWER_GONE): (State.OVER, leave),
 }
--- a/packages/node/src/fennelcove/node/viewers.py
+++ b/packages/node/src/fennelcove/node/viewers.py
@@ -23,9 +23,9 @@
 IDLE_US = 10_000_000  # with nothing open or standing
 DRAIN_US = 500_000  # of what still comes after the end, for one read and for all of them
 DRAIN_BYTES = 65_536  # a read
-OWED_US = 8_000_000  # what a viewer must hear of an end is kept so long for its next connection,
-MOST_OWED = 64  # of so many peers,
-MOST_OWED_EACH = 256  # and so much for each
+PENDING_US = 8_000_000  # what a viewer must hear of an end is kept so long for its next connection,
+MOST_PENDING = 64  # of so many peers,
+MOST_PENDING_EACH = 256  # and so much for each
 # Who has only just come has its first message on the way: none goes to make room before so long. At the least
 # limit the places for new ones still pass on 150 a second, so hundreds that say nothing are gone within 3 s.
 HEAD_START_US = 20_000
@@ -38,7 +38,7 @@
 
     lock: threading.Lock
     clock: Clock
-    roll: Roll
+    connections: ConnectionTable
     descriptors: Descriptors
 
 
@@ -123,7 +123,7 @@
                 door.viewer_gone(self.desk, self)
             self._drain()
             with self.desk.lock:
-                self.desk.roll.remove(self)
+                self.desk.connections.remove(self)
             self.place.close()
 
     def _drain(self) -> None:
@@ -234,7 +234,7 @@
         return more
 
 
-class Roll:
+class ConnectionTable:
     """The open connections, oldest first, bounded."""
 
     def __init__(self, most: int) -> None:
@@ -242,7 +242,7 @@
         self.seats = max(1, most - max(LEAST_NEW, most // NEW_SHARE))  # for those that carry something
         self.viewers: dict[Viewer, None] = {}
         self.by_peer: dict[str, dict[Viewer, None]] = {}
-        self.owed: dict[str, deque[tuple[int, bytes]]] = {}
+        self.pending: dict[str, deque[tuple[int, bytes]]] = {}
 
     def add(self, viewer: Viewer) -> bool:
         """False where there is no room for it, even with others closed that nothing hangs on."""
@@ -301,24 +301,24 @@
         same = sorted(self.by_peer.get(peer, ()), key=lambda v: (figure not in v.figures, not v.spoke))
         return next((v for v in same if not v.left()), None)
 
-    def owe(self, peer: str, data: bytes, now_us: int) -> None:
+    def defer(self, peer: str, data: bytes, now_us: int) -> None:
         """Keep this for the peer's next connection. With none open just then, as after a reset, the end of
         what stood was told to nobody, and its viewer waited for good."""
-        if peer in self.owed or len(self.owed) < MOST_OWED:
-            self.owed.setdefault(peer, deque(maxlen=MOST_OWED_EACH)).append((now_us, data))
+        if peer in self.pending or len(self.pending) < MOST_PENDING:
+            self.pending.setdefault(peer, deque(maxlen=MOST_PENDING_EACH)).append((now_us, data))
 
-    def pay(self, viewer: Caller) -> None:
+    def deliver(self, viewer: Caller) -> None:
         """Send what is owed to this connection's peer; what it can't be sent stays for the next."""
-        said = self.owed.get(viewer.peer, deque())
+        said = self.pending.get(viewer.peer, deque())
         while said and not viewer.left() and viewer.send(said[0][1]):
             said.popleft()
         if not said:
-            self.owed.pop(viewer.peer, None)
+            self.pending.pop(viewer.peer, None)
 
-    def forgive(self, now_us: int) -> None:
+    def expire(self, now_us: int) -> None:
         """What is owed for too long does nobody any good."""
-        for peer, said in list(self.owed.items()):
-            while said and now_us - said[0][0] > OWED_US:
+        for peer, said in list(self.pending.items()):
+            while said and now_us - said[0][0] > PENDING_US:
                 said.popleft()
             if not said:
-                del self.owed[peer]
+                del self.pending[peer]
--- a/tests/clientrig.py
+++ b/tests/clientrig.py
@@ -91,7 +91,7 @@
         receive_limit(sock, MESSAGE_US)
         viewer = Viewer(self.desk, sock, peer[0])
         with self.gate:
-            assert self.desk.roll.add(viewer)
+            assert self.desk.connections.add(viewer)
         return caller, viewer
 
     def read(self, viewer: Viewer) -> threading.Thread:
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -341,7 +341,7 @@
     def test_room_is_not_made_by_closing_what_has_just_spoken(self) -> None:
         server = StandInServer("s0", 0)
         inside = Inside(self, server, sockets=32)
-        pairs = [inside.meet() for _ in range(inside.desk.roll.most)]
+        pairs = [inside.meet() for _ in range(inside.desk.connections.most)]
         unread, read, idle = (far for _, far in pairs[:3])
         inside.gate.hold("viewer")
         inside.read(read)
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -122,7 +122,7 @@
             self.caller = Caller(listener.getsockname())
             sock, peer = listener.accept()
         self.viewer = Viewer(self.desk, sock, peer[0])
-        self.desk.roll.add(self.viewer)
+        self.desk.connections.add(self.viewer)
         threading.Thread(target=self.viewer.run, daemon=True).start()
 
     def set_up(self, id: str, body: bytes = b"what") -> None:
--- a/tests/test_node_descriptors.py
+++ b/tests/test_node_descriptors.py
@@ -166,7 +166,7 @@
         made = program_of({**TREE, "limits": {"sockets": LEAST}})
         self.addCleanup(made.listener.close)
         threads: list[Callable[[], None]] = []  # that read connections; each is run only when told
-        most = made.desk.roll.most
+        most = made.desk.connections.most
         real = threading.Thread
 
         def thread(target: Callable[[], None], name: str = "", daemon: bool = True) -> Any:
@@ -193,7 +193,7 @@
             threads[0]()  # the one that was shut for it: its thread closes it
             last.join()
             self.assertEqual(len(threads), most + 1)
-        for viewer in list(made.desk.roll.viewers):
+        for viewer in list(made.desk.connections.viewers):
             viewer.shut()
             viewer.run()
 
@@ -296,7 +296,7 @@
         made, far = self.program_full_of_silent()
         far[0].sendall(b"OPTIONS")  # the oldest; no thread has read it yet
         with made.desk.lock:
-            self.assertTrue(made.desk.roll.add(self.fresh(made)))
+            self.assertTrue(made.desk.connections.add(self.fresh(made)))
         far[0].setblocking(False)
         self.assertRaises(BlockingIOError, far[0].recv, 1)  # open yet
         self.assertEqual(far[1].recv(1), b"")
@@ -304,14 +304,14 @@
     def test_whose_message_is_in_hand_is_not_closed_for_room(self) -> None:
         # Its thread has read the bytes and waits for the lock: neither the kernel nor any table shows them.
         made, far = self.program_full_of_silent()
-        first = next(iter(made.desk.roll.viewers))
+        first = next(iter(made.desk.connections.viewers))
         far[0].sendall(rtsp_writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")))
         eventually(lambda: first.unread, "a message that has come")
         reading = threading.Thread(target=first.run)
         with made.desk.lock:
             reading.start()
             eventually(lambda: not first.unread, "a message that has been read")
-            made.desk.roll.add(self.fresh(made))
+            made.desk.connections.add(self.fresh(made))
         self.assertEqual(far[0].recv(12), b"RTSP/1.0 200")
         self.assertEqual(far[1].recv(1), b"")
         far[0].close()
@@ -320,7 +320,7 @@
     def test_whose_message_is_on_its_way_out_of_the_kernel_is_not_closed_for_room(self) -> None:
         # Its thread has the bytes and waits inside recv for the interpreter, which who makes room holds.
         made, far = self.program_full_of_silent()
-        first = next(iter(made.desk.roll.viewers))
+        first = next(iter(made.desk.connections.viewers))
         reading = threading.Thread(target=first.run)
         reading.start()
         sender = (
@@ -349,7 +349,7 @@
                 until = time.perf_counter() + HELD_S
                 while time.perf_counter() < until:
                     pass
-                made.desk.roll.add(fresh)
+                made.desk.connections.add(fresh)
             sys.setswitchinterval(0.005)
             child.wait()
             flags.close()
@@ -360,10 +360,10 @@
 
     def test_who_has_only_just_come_is_given_time_to_speak(self) -> None:
         made, _ = self.program_full_of_silent()
-        oldest = next(iter(made.desk.roll.viewers))
+        oldest = next(iter(made.desk.connections.viewers))
         with made.desk.lock:
             for age_us, wait_us in ((0, HEAD_START_US), (HEAD_START_US, 0), (HEAD_START_US - 1, 1)):
-                self.assertEqual(made.desk.roll.wait_us(oldest.since_us + age_us), wait_us)
+                self.assertEqual(made.desk.connections.wait_us(oldest.since_us + age_us), wait_us)
 
     def fresh(self, made: program.Program) -> Viewer:
         """A connection that has just been accepted."""
@@ -378,12 +378,12 @@
         made, far = program_of({**TREE, "limits": {"sockets": LEAST}}), list[socket.socket]()
         self.addCleanup(made.listener.close)
         with socket.create_server(("127.0.0.1", 0)) as listener:
-            for _ in range(made.desk.roll.most):
+            for _ in range(made.desk.connections.most):
                 far.append(self.enterContext(socket.create_connection(listener.getsockname())))
                 viewer = Viewer(made.desk, listener.accept()[0], "127.0.0.1")
                 self.addCleanup(viewer.place.close)
                 with made.desk.lock:
-                    self.assertTrue(made.desk.roll.add(viewer))
+                    self.assertTrue(made.desk.connections.add(viewer))
         return made, far
 
 
@@ -440,7 +440,7 @@
                 link.close(Outcome.CONNECTION_LOST)
         self.assertEqual(near.fileno(), -1)
         self.assertEqual(made.desk.descriptors.told(), before)
-        self.assertFalse(made.desk.links or made.desk.roll.viewers)
+        self.assertFalse(made.desk.links or made.desk.connections.viewers)
 
     def test_the_account_is_what_the_process_holds(self) -> None:
         # Breaks, evictions, moves and dials that fail: whatever is forgotten or counted twice stays for good.
--- a/tests/test_node_desk.py
+++ b/tests/test_node_desk.py
@@ -23,7 +23,7 @@
 from fennelcove.node.links import Link
 from fennelcove.node.notices import Board, BoardError
 from fennelcove.node.parties import Phase, Server, State, Subscription
-from fennelcove.node.viewers import Roll, Viewer
+from fennelcove.node.viewers import ConnectionTable, Viewer
 from fennelcove.rtsp import messages as rtsp
 from tests.noderig import SETTINGS, notice
 
@@ -258,18 +258,18 @@
         self.assertEqual(len(test.said), 1)
         release, _ = fresh.said
         self.assertTrue(release.startswith(b"TEARDOWN ") and ID.hex().encode() in release)
-        self.assertFalse(self.desk.roll.owed)
+        self.assertFalse(self.desk.connections.pending)
 
     def test_what_is_owed_is_bounded_and_forgiven(self) -> None:
-        roll = self.desk.roll
-        for number in range(viewers.MOST_OWED + 1):
-            for _ in range(viewers.MOST_OWED_EACH + 1):
-                roll.owe(str(number), b"x", self.desk.now_us())
-        self.assertEqual(len(roll.owed), viewers.MOST_OWED)
-        self.assertEqual({len(said) for said in roll.owed.values()}, {viewers.MOST_OWED_EACH})
-        self.clock.advance(viewers.OWED_US + 1)
+        table = self.desk.connections
+        for number in range(viewers.MOST_PENDING + 1):
+            for _ in range(viewers.MOST_PENDING_EACH + 1):
+                table.defer(str(number), b"x", self.desk.now_us())
+        self.assertEqual(len(table.pending), viewers.MOST_PENDING)
+        self.assertEqual({len(said) for said in table.pending.values()}, {viewers.MOST_PENDING_EACH})
+        self.clock.advance(viewers.PENDING_US + 1)
         self.desk.round()
-        self.assertFalse(roll.owed)
+        self.assertFalse(table.pending)
 
     def test_no_table_grows_with_what_has_passed(self) -> None:
         # Memory that grows is priced. Each round brings new sessions, servers and peers, and ends them all.
@@ -281,7 +281,7 @@
                 id = (self.desk.last_us * 8 + number).to_bytes(8, "big")
                 viewer = Said(self.desk, f"peer {self.desk.last_us}")
                 self.addCleanup(viewer.sock.close)
-                self.desk.roll.add(viewer)
+                self.desk.connections.add(viewer)
                 fields = {"cseq": "1", "session": id.hex(), "call-kind": "recorded", "answer-within": "8000"}
                 fields["routing-data"] = "home:0;copies:4;top:2"
                 with mock.patch("threading.Thread"):
@@ -289,7 +289,7 @@
                     self.say(id, number, end)
                 self.desk.hear(self.link()[0], Message(Kind.NOTE, bytes(reversed(id)), {}))
                 viewer.closed = number % 2 == 0
-                self.desk.roll.remove(viewer)
+                self.desk.connections.remove(viewer)
                 door.viewer_gone(self.desk, viewer)
                 for sub in list(self.desk.subs.values()):
                     self.desk.join_over(sub, Outcome.SERVED, None)
@@ -466,7 +466,7 @@
         link, far = self.link()
         sub = self.set_up()
         self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
-        states.step(self.desk, sub, states.Cue.MOVE)
+        states.step(self.desk, sub, states.Input.MOVE)
         self.assertTrue(self.viewer.said[-1].startswith(b"REDIRECT rtsp://media/7f RTSP/1.0"))
         self.assertEqual([message.kind for message in self.heard(far)], [Kind.SET_UP, Kind.RELEASE])
         self.assertFalse(self.desk.subs)
@@ -476,7 +476,7 @@
         sub = self.set_up()
         self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
         link.close(Outcome.CONNECTION_LOST)
-        states.step(self.desk, sub, states.Cue.VIEWER_GONE)
+        states.step(self.desk, sub, states.Input.VIEWER_GONE)
         self.assertEqual(list(self.desk.servers["s0"].unsent), [isup.release(ID, Cause.OK)])
 
     def test_the_trace_sets_belief_beside_what_was_seen(self) -> None:
@@ -487,21 +487,21 @@
         self.assertEqual((line["server"], line["health"], line["seen"]), ("s0", "SHUT", {"TURNED_AWAY": 1}))
 
 
-class RollTest(unittest.TestCase):
+class ConnectionTableTest(unittest.TestCase):
     def test_those_that_never_spoke_go_first_and_who_carries_something_stays(self) -> None:
         made = desk.Desk(config.parse(TREE), ManualClock(), Timers(ManualClock()), silent)
         viewers = [Said(made, str(i)) for i in range(4)]
         for viewer in viewers:
             self.addCleanup(viewer.sock.close)
-        roll = Roll(3)
+        table = ConnectionTable(3)
         old, busy, mute, fresh = viewers
         old.spoke = busy.spoke = True
         busy.open[Subscription(bytes(8), "", "", "", "", b"", None, "")] = None
-        self.assertTrue(all(roll.add(viewer) for viewer in (old, busy, mute)))
-        self.assertTrue(roll.add(fresh))
-        self.assertEqual(list(roll.viewers), [old, busy, fresh])
-        self.assertIs(roll.other("0"), old)
-        self.assertIsNone(roll.other("2"))
+        self.assertTrue(all(table.add(viewer) for viewer in (old, busy, mute)))
+        self.assertTrue(table.add(fresh))
+        self.assertEqual(list(table.viewers), [old, busy, fresh])
+        self.assertIs(table.other("0"), old)
+        self.assertIsNone(table.other("2"))
 
 
 class ConfigTest(unittest.TestCase):
--- a/tests/test_node_discovery_thread.py
+++ b/tests/test_node_discovery_thread.py
@@ -16,7 +16,7 @@
 from fennelcove.node import board as discovery
 from fennelcove.node import config, desk
 from fennelcove.node.address import parse_address
-from fennelcove.node.board import Watch
+from fennelcove.node.board import DiscoveryClient
 from tests.boardrig import HeldBoard, dialled, hung
 from tests.noderig import eventually, notice
 from tests.test_node_desk import HOST, TREE
@@ -44,12 +44,12 @@
 class WatchTest(unittest.TestCase):
     """The thread that asks, on a desk of its own, where a step inside of it has to be held."""
 
-    def watch(self, board: HeldBoard, rev: int = 1, seed: str = "0a") -> Watch:
+    def watch(self, board: HeldBoard, rev: int = 1, seed: str = "0a") -> DiscoveryClient:
         clock = SystemClock()
         self.desk = desk.Desk(config.parse({**TREE, "seed": seed}), clock, Timers(clock), silent)
         for first in self.desk.config.known.notices:
             self.desk.board_says(first)
-        watch = Watch(self.desk, clock, parse_address(board.address), rev)
+        watch = DiscoveryClient(self.desk, clock, parse_address(board.address), rev)
         thread = threading.Thread(target=watch.run, daemon=True)
         thread.start()
         self.addCleanup(board.close)
@@ -94,7 +94,7 @@
                 watch = self.watch(board, rev)
                 poll = board.next()
                 self.assertEqual(poll.watch, rev)
-                watch.again()
+                watch.resync()
                 poll.tell(2, notice(1, [HOST], whole=True), notice(2, [DRAINING]))
                 poll = board.next()
                 self.assertEqual(poll.watch, 0)
@@ -107,7 +107,7 @@
         with mock.patch.object(discovery, "ANSWER_US", 60_000_000):
             board.next().close()
             board.next()  # held for good
-            watch.again()
+            watch.resync()
             self.assertEqual(board.next().watch, 0)
 
     def test_a_move_does_not_wait_for_an_address_that_hangs(self) -> None:
@@ -211,7 +211,7 @@
         self.addCleanup(board.close)
         clock = SystemClock()
         made = desk.Desk(config.parse(TREE), clock, Timers(clock), silent)
-        watch = Watch(made, clock, parse_address(board.address), 1)
+        watch = DiscoveryClient(made, clock, parse_address(board.address), 1)
         thread = threading.Thread(target=watch.run, daemon=True)
         thread.start()
         self.addCleanup(thread.join)
--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -218,7 +218,7 @@
             self.sock, _ = listener.accept()
         self.addCleanup(self.caller.sock.close)
         self.viewer = Viewer(self.desk, self.sock, "127.0.0.1")
-        self.desk.roll.add(self.viewer)
+        self.desk.connections.add(self.viewer)
         threading.Thread(target=self.viewer.run, daemon=True).start()
 
     def unread(self) -> int:
--- a/tests/test_node_standing.py
+++ b/tests/test_node_standing.py
@@ -24,7 +24,7 @@
 from fennelcove.log import silent
 from fennelcove.node import config, desk, door
 from fennelcove.node.address import Address
-from fennelcove.node.board import Watch
+from fennelcove.node.board import DiscoveryClient
 from fennelcove.node.links import Link, Phase
 from fennelcove.node.program import stop_us
 from fennelcove.rtsp import messages as rtsp
@@ -190,7 +190,7 @@
         made = desk.Desk(config.parse(TREE), clock, Timers(clock), silent)
         for first in made.config.known.notices:
             made.board_says(first)
-        watch = Watch(made, clock, Address("127.0.0.1", listener.getsockname()[1]), 1)
+        watch = DiscoveryClient(made, clock, Address("127.0.0.1", listener.getsockname()[1]), 1)
         self.addCleanup(watch.stop)
         threading.Thread(target=watch.run, daemon=True).start()
         eventually(lambda: made.front.servers["s0"].standing is Standing.LEAVING, "the news")
