A log that takes nothing any more ends no thread of a front node

Cause: log.notices raised where standard output takes nothing (its reader gone, its file system full); every thread tells there, and the main one ended by the line 'ready', the one that accepts or reads files by its own. With it SIGHUP and SIGTERM were never heard. At fault: log.notice, and the flush in __main__. Before: 'AssertionError: never came: a poll at the new board' (a process whose output is /dev/full).

--- a/packages/node/src/fennelcove/node/__main__.py
+++ b/packages/node/src/fennelcove/node/__main__.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+from contextlib import suppress
 
 
 def leave(number: int, frame: object) -> None:
@@ -19,5 +20,6 @@
     from fennelcove.node.program import main
 
     status = main()
-    sys.stdout.flush()
+    with suppress(OSError, ValueError):  # nobody takes the log
+        sys.stdout.flush()
     os._exit(status)  # threads that wait on sockets must not hold up the end
--- a/packages/node/src/fennelcove/node/log.py
+++ b/packages/node/src/fennelcove/node/log.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from collections.abc import Callable
+from contextlib import suppress
 
 Notices = Callable[..., None]
 
@@ -15,7 +16,9 @@
 
     def notice(event: str, **fields: object) -> None:
         line = {"at": round(time.time(), 3), "node": name, "event": event, **fields}
-        sys.stdout.write(json.dumps(line, default=str) + "\n")
-        sys.stdout.flush()
+        # Any thread tells here, and it must not end because nobody takes the log any more.
+        with suppress(OSError, ValueError):
+            sys.stdout.write(json.dumps(line, default=str) + "\n")
+            sys.stdout.flush()
 
     return notice
--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import termios
 import threading
@@ -26,15 +27,16 @@
 from fennelcove.node.viewers import Viewer
 from tests.nodeprocess import BRIEF_STAY_S, Gate, Rig, blocked, options, over, run
 from tests.noderig import (
-    reserved,
     SETTINGS,
     Caller,
+    NodeRig,
     ServerMessage,
     StandInBoard,
     StandInServer,
     answered,
     eventually,
     notice,
+    reserved,
     rtsp,
     rtsp_writer,
 )
@@ -145,6 +147,28 @@
         self.assertEqual([rig.test() for rig in made], [200] * len(starts))
 
 
+class LogTest(unittest.TestCase):
+    def test_a_log_that_takes_nothing_ends_nothing(self) -> None:
+        # Every thread writes there: the main one ended by it, and the one that reads files.
+        server = StandInServer("s0", 0)
+        rig = NodeRig(
+            server, command=["/bin/sh", "-c", f"exec {sys.executable} -m fennelcove.node > /dev/full"]
+        )
+        self.addCleanup(rig.close)
+        good = rig.path.read_text()
+        rig.path.write_text("{")
+        rig.signal(signal.SIGHUP)
+        board = StandInBoard(rig.board.notices)
+        rig.path.write_text(good.replace(rig.board.address, board.address))
+        rig.signal(signal.SIGHUP)
+        eventually(lambda: board.polls, "a poll at the new board")
+        viewer = rig.caller()
+        viewer.set_up("9b1f03aa5c7e2d41")
+        self.assertEqual(viewer.answer().status, 200)
+        rig.signal(signal.SIGTERM)
+        self.assertEqual(rig.process.wait(60), 0)
+
+
 class StopTest(unittest.TestCase):
     """From SIGTERM to the end of the process."""
 
