A start waits for threads that the machine has not got, and so does a new connection

Change: Program.begin tries again, 20 s at a start, 1 s for a connection. Before: 'RuntimeError: can't start new thread', 'AssertionError: None'.

--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -23,6 +23,8 @@
 ROUND_US = 250_000
 BACKLOG = 512
 ACCEPT_PAUSE_S = 0.05
+THREAD_PAUSE_S = 0.05
+START_MOST_US = 20_000_000  # of the 30 s after which the platform takes a start for failed
 TELL_US = 10_000_000  # between two log lines of connections that can't be accepted
 ROOM_US = 1_000_000  # at most, for one that may go for another, and then for its thread to close it
 STOP_MOST_US = 3_000_000  # from SIGTERM to the end: the longest client timeout, but no more than this,
@@ -74,8 +76,8 @@
             ("round", self.rounds),
             ("reload", self.reloads),
         ):
-            threading.Thread(target=call, name=name, daemon=True).start()
-        self.accepts.start()
+            self.begin(threading.Thread(target=call, name=name, daemon=True))
+        self.begin(self.accepts)
         trace.start(self.desk)
         self.notice("ready", servers=len(self.desk.servers), rev=self.config.known.rev)
         while signal.sigwait(signals) == signal.SIGHUP:
@@ -96,6 +98,23 @@
                 f"{type(error).__name__}: {error}", f"field listen, {host}:{port}"
             ) from None
 
+    def begin(self, thread: threading.Thread, most_us: int = START_MOST_US) -> None:
+        """Start a thread, once the machine has one: where many processes start together it may be out of them
+        for a moment, and a start that ended by that was a crash.
+
+        Raises:
+            RuntimeError: none came free in time.
+        """
+        until_us = self.clock.now_us() + most_us
+        while True:
+            try:
+                thread.start()
+                return
+            except RuntimeError:
+                if self.clock.now_us() >= until_us:
+                    raise
+                time.sleep(THREAD_PAUSE_S)
+
     def rounds(self) -> None:
         """Look after links; never ends."""
         while True:
@@ -145,7 +164,7 @@
                 time.sleep(wait_us / 1e6)  # the listener's backlog holds the others meanwhile
             if not (room and viewer.place.move(Use.CLIENT, ROOM_US)):
                 raise OSError("no room")
-            threading.Thread(target=viewer.run, name="viewer", daemon=True).start()
+            self.begin(threading.Thread(target=viewer.run, name="viewer", daemon=True), ROOM_US)
         except (OSError, RuntimeError):
             with self.desk.lock:
                 self.desk.connections.remove(viewer)
--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -147,6 +147,34 @@
         self.assertEqual([rig.test() for rig in made], [200] * len(starts))
 
 
+# The machine is out of threads for the first few that the node begins.
+THREADLESS = """
+import sys, threading
+from fennelcove.node import program
+
+start, left = threading.Thread.start, [3]
+
+def refused(thread):
+    if left[0]:
+        left[0] -= 1
+        raise RuntimeError("can't start new thread")
+    start(thread)
+
+threading.Thread.start = refused
+sys.exit(program.main())
+"""
+
+
+class ThreadsTest(unittest.TestCase):
+    def test_a_start_waits_for_threads_that_the_machine_has_not_got(self) -> None:
+        # Of a fleet that restarted on a full machine one process ended with status 1, which is a crash.
+        rig = NodeRig(StandInServer("s0", 0), command=[sys.executable, "-c", THREADLESS])
+        self.addCleanup(rig.close)
+        viewer = rig.caller()
+        viewer.set_up("9b1f03aa5c7e2d41")
+        self.assertEqual(viewer.answer().status, 200)
+
+
 class LogTest(unittest.TestCase):
     def test_a_log_that_takes_nothing_ends_nothing(self) -> None:
         # Every thread writes there: the main one ended by it, and the one that reads files.
