--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,10 @@
 
 from hypothesis import settings
 
+from tests.known_red import pytest_collection_modifyitems, pytest_configure, pytest_terminal_summary
+
+__all__ = ["pytest_collection_modifyitems", "pytest_configure", "pytest_terminal_summary"]
+
 settings.register_profile("same", derandomize=True, database=None, deadline=None)
 settings.register_profile("explore", deadline=None, max_examples=2000)
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "same"))
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,84 @@
+"""The list of known failures passes over those alone, and fails a run for a list that is not true."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).parents[1]
+HOOKS = (
+    "from tests.known_red import pytest_collection_modifyitems, pytest_configure, pytest_terminal_summary\n"
+)
+TESTS = """
+def test_good():
+    pass
+
+def test_bad():
+    assert False
+
+def test_worse():
+    assert 1 == 2
+"""
+NONE, BAD = "test_some.py::no | a | 1\n", "test_some.py::test_bad | a | 1\n"
+
+
+class KnownRedTest(unittest.TestCase):
+    def run_with(self, listed: str | None, *more: str) -> tuple[int, str]:
+        """Exit status and output of a run over one good test and two bad ones."""
+        with tempfile.TemporaryDirectory() as folder:
+            root = Path(folder)
+            (root / "pytest.ini").write_text("[pytest]\n")
+            (root / "conftest.py").write_text(HOOKS)
+            (root / "test_some.py").write_text(TESTS)
+            if listed is not None:
+                (root / "KNOWN-RED.txt").write_text(listed)
+            done = subprocess.run(
+                [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "-p", "xdist", *more],
+                cwd=root,
+                env={**os.environ, "PYTHONPATH": str(ROOT), "PYTEST_DISABLE_PLUGIN_AUTOLOAD": "1"},
+                capture_output=True,
+                text=True,
+            )
+            return done.returncode, done.stdout + done.stderr
+
+    def test_listed_failures_alone_are_passed_over_and_named(self) -> None:
+        bad, worse = (
+            "test_some.py::test_bad | a cause | issue 1\n",
+            "test_some.py::test_worse | another | issue 2\n",
+        )
+        for workers in ((), ("-n", "2")):
+            with self.subTest(workers):
+                status, said = self.run_with(bad + worse, *workers)
+                self.assertEqual(status, 0, said)
+                self.assertIn("known red, passed over: test_some.py::test_bad: a cause (issue 1)", said)
+                self.assertIn("known red, passed over: test_some.py::test_worse: another (issue 2)", said)
+                status, said = self.run_with(bad, *workers)
+                self.assertEqual(status, 1, said)
+                self.assertIn("FAILED test_some.py::test_worse", said)
+
+    def test_a_list_that_is_not_true_fails_the_run(self) -> None:
+        workers = ("-n", "2")
+        for name, listed, more in (
+            ("a listed test passes", "test_some.py::test_good | none | issue 1\n", ()),
+            ("a listed test passes", "test_some.py::test_good | none | issue 1\n", workers),
+            ("no such test", BAD + BAD.replace("bad", "worse") + NONE, ()),
+            ("no such file", BAD.replace("some", "none"), ()),
+            ("too many", BAD + BAD.replace("bad", "worse") + NONE + NONE.replace("no", "na"), ()),
+            ("twice", BAD + BAD, ()),
+            ("no cause", "test_some.py::test_bad\n", ()),
+        ):
+            with self.subTest(name, more=more):
+                status, said = self.run_with(listed, *more)
+                self.assertNotEqual(status, 0, said)
+                expected = "XPASS" if name == "a listed test passes" else "KNOWN-RED.txt"
+                self.assertIn(expected, said)
+
+    def test_without_a_list_every_failure_counts(self) -> None:
+        for listed in (None, "\n"):
+            status, said = self.run_with(listed)
+            self.assertEqual(status, 1, said)
+            self.assertIn("2 failed, 1 passed", said)
