--- a/benchmarks/fair_sim.py
+++ b/benchmarks/fair_sim.py
@@ -27,11 +27,11 @@
 from statistics import median
 
 from benchmarks.events import Events
-from fennelcove.fair import told
-from fennelcove.fair.line import Line, Waiter
-from fennelcove.fair.shares import Terms
-from fennelcove.fair.told import Given, Told
-from fennelcove.fair.waiting import Act, Cue
+from fennelcove.fair_queueing import usage_gossip
+from fennelcove.fair_queueing.wait_queue import WaitQueue, Waiter
+from fennelcove.fair_queueing.virtual_time import TenantTerms
+from fennelcove.fair_queueing.usage_gossip import UsageReport, UsageGossip
+from fennelcove.fair_queueing.waiter import WaiterAction, WaiterEvent
 
 PART, HOLD_US, SLOW_TIMES = 4, 100_000, 10
 TENANTS, HOG, GROUP = 8, 1, 50
@@ -81,8 +81,8 @@
     """One front: its line, what it tells, who waits in the plain line."""
 
     index: int
-    line: Line
-    told: Told
+    line: WaitQueue
+    told: UsageGossip
     plain: list[Asked] = field(default_factory=list)
 
 
@@ -103,7 +103,8 @@
         # Against invented names an operator names who is known.
         named = {tenant: 1.0 for tenant in range(2, TENANTS + 1)} if case.day == "names" else {}
         self.fronts = [
-            Front(i, Line(lambda box, now_us: PART, Terms(named)), Told(life=1)) for i in range(case.fronts)
+            Front(i, WaitQueue(lambda box, now_us: PART, TenantTerms(named)), UsageGossip(life=1))
+            for i in range(case.fronts)
         ]
 
     # Who asks.
@@ -126,7 +127,9 @@
             self._arrivals(HOG, case.rate_s / TENANTS * times, HOG_FROM_US, hog=True)
         if case.tell:
             for front in self.fronts:
-                self.events.after(int(self.chance.random() * told.WINDOW_US), lambda f=front: self._tell(f))
+                self.events.after(
+                    int(self.chance.random() * usage_gossip.WINDOW_US), lambda f=front: self._tell(f)
+                )
         if case.day == "shift":
             self.events.after(int(case.seconds * 5e5), self._shift)
         self.events.run(int(case.seconds * 1e6))
@@ -188,30 +191,30 @@
 
     def _asks_fair(self, front: Front, waiter: Asked) -> None:
         ruling = front.line.ask(waiter, self.events.now_us)
-        if ruling.act is Act.PLACE:
+        if ruling.act is WaiterAction.PLACE:
             self._place(front, waiter)
-        elif ruling.act is Act.WAIT:
+        elif ruling.act is WaiterAction.WAIT:
             due_us = front.line.due_us(waiter)
             self.events.after(max(0, due_us - self.events.now_us), lambda: self._due(front, waiter))
 
     def _due(self, front: Front, waiter: Asked) -> None:
-        front.line.leave(waiter, Cue.NO_TIME)
+        front.line.leave(waiter, WaiterEvent.NO_TIME)
 
     def _place(self, front: Front, waiter: Asked) -> None:
         now_us, line = self.events.now_us, front.line
-        free = [box for box in waiter.boxes if line.open_to(waiter, box, now_us)]
+        free = [box for box in waiter.servers if line.open_to(waiter, box, now_us)]
         if not free:
-            waiter.cue(Cue.NO_BOX)
+            waiter.apply(WaiterEvent.NO_BOX)
             return
         box = min(free, key=lambda name: (self.out[front.index, name], self.chance.random()))
         key = waiter.id, 0
         line.take(box, key, waiter.tenant, waiter.guess, now_us)
-        waiter.cue(Cue.PLACED)
+        waiter.apply(WaiterEvent.PLACED)
         held_us = self._begins(front, box, waiter)
 
         def over() -> None:
             hold = line.give_back(box, key, self.events.now_us)
-            waiter.cue(Cue.RETURNED)
+            waiter.apply(WaiterEvent.RETURNED)
             assert hold is not None
             line.holds.learn(waiter.shape, waiter.title, waiter.tenant, held_us)
             front.told.gave(int(box[4:]), waiter.tenant, held_us)
@@ -223,7 +226,7 @@
         self.events.after(held_us, over)
 
     def _tell(self, front: Front) -> None:
-        self.events.after(told.WINDOW_US, lambda: self._tell(front))
+        self.events.after(usage_gossip.WINDOW_US, lambda: self._tell(front))
         front.line.heard = front.told.heard(self.events.now_us)
         said = front.told.window()
         if said is None or self.case.variant != "fair":
@@ -234,11 +237,11 @@
                 late_us = int(self.chance.uniform(1_000, 30_000))
                 self.events.after(late_us, lambda other=other: self._hear(other, front.index, said))
 
-    def _hear(self, front: Front, sender: int, said: Given) -> None:
+    def _hear(self, front: Front, sender: int, said: UsageReport) -> None:
         now_us = self.events.now_us
         names = [f"box-{i}" for i in range(self.case.boxes)]
         for row in front.told.hear(sender, said, PART, now_us):
-            front.line.advance(names[row.box], row.tenant, row.given_us, now_us)
+            front.line.advance(names[row.server], row.tenant, row.given_us, now_us)
 
     # Today's, with a line and with a limit.
 
@@ -260,7 +263,7 @@
             front.plain.remove(waiter)
 
     def _place_plain(self, front: Front, waiter: Asked) -> bool:
-        free = [box for box in waiter.boxes if self._may(front, box, waiter)]
+        free = [box for box in waiter.servers if self._may(front, box, waiter)]
         if not free:
             return False
         box = min(free, key=lambda name: (self.out[front.index, name], self.chance.random()))
@@ -271,7 +274,7 @@
             self.by_tenant[front.index, box, waiter.tenant] -= 1
             self._ends(front, box, waiter, held_us)
             for one in list(front.plain):
-                if box in one.boxes and self._place_plain(front, one):
+                if box in one.servers and self._place_plain(front, one):
                     front.plain.remove(one)
                     return
 
--- a/benchmarks/fleet_sums.py
+++ b/benchmarks/fleet_sums.py
@@ -16,9 +16,9 @@
 from statistics import median
 
 from benchmarks.events import Call, Events
-from fennelcove.decisions.fleet import watchers
-from fennelcove.decisions.fleet.budgets import Ask, Purse, Thing
-from fennelcove.decisions.fleet.watchers import Seen, Watchers
+from fennelcove.decisions.fleet import health_checks
+from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, Quota, Resource
+from fennelcove.decisions.fleet.health_checks import ProbeResult, HealthCheckAssignment
 
 END_US = 30_000_000
 CUT = (10_000_000, 20_000_000)
@@ -45,7 +45,7 @@
 def spend(fronts: int, seed: int, lends: bool) -> tuple[float, float, float]:
     """Need that was met, most spent in a second for the whole, messages a front a second."""
     sea, whole = Sea(seed, fronts), 2.0 * fronts
-    purses = [Purse(Thing.FURTHER_JOIN, whole, fronts, i, 1, 0) for i in range(fronts)]
+    purses = [Quota(Resource.FURTHER_JOIN, whole, fronts, i, 1, 0) for i in range(fronts)]
     busy = max(1, fronts // 10)
     wanted, met, seconds = [0], [0], [0] * (END_US // 1_000_000)
 
@@ -61,7 +61,7 @@
         for to, asked in purses[i].ask(sea.chance.random(), sea.now_us) if lends else ():
             sea.send(i, to, partial(lend, i, to, asked))
 
-    def lend(i: int, to: int, asked: Ask) -> None:
+    def lend(i: int, to: int, asked: QuotaRequest) -> None:
         loan = purses[to].hear_ask(i, asked, sea.now_us)
         if loan is not None:
             sea.send(to, i, lambda: purses[i].hear_loan(to, loan, sea.now_us))
@@ -80,12 +80,14 @@
     sea = Sea(seed, fronts)
     boxes = [f"box-{i}" for i in range(60)]
     dead = set(boxes[:6])
-    books = [Watchers(i, fronts) for i in range(fronts)]
+    books = [HealthCheckAssignment(i, fronts) for i in range(fronts)]
     living = {i: range(fronts) if shared else (i,) for i in range(fronts)}
     probes = dict.fromkeys(boxes, 0)
     found: dict[str, dict[int, int]] = {box: {} for box in dead}
     wrong: set[tuple[int, str]] = set()
-    own = {(box, i): i in watchers.chosen(box, living[i]) for box in boxes for i in range(fronts)}
+    own = {
+        (box, i): i in health_checks.chosen_checkers(box, living[i]) for box in boxes for i in range(fronts)
+    }
     mine = [[box for box in boxes if own[box, i]] for i in range(fronts)]
 
     def look(i: int) -> None:
@@ -95,7 +97,7 @@
             ill = box in dead and sea.now_us >= 5_000_000
             # One path in fifty is bad all day: that alone must shut a box for nobody else.
             path = Random(f"{seed} {i} {box}").random() < 0.02
-            seen = Seen.FAILED if ill or path else Seen.ANSWERED
+            seen = ProbeResult.FAILED if ill or path else ProbeResult.ANSWERED
             was_ill, number = books[i].probed(box, seen, sea.now_us)
             judge(i, box)
             if shared:
--- a/benchmarks/floods.py
+++ b/benchmarks/floods.py
@@ -15,8 +15,8 @@
 import msgspec
 
 from benchmarks.power import played, spread
-from fennelcove.day.judge import Verdict
-from fennelcove.day.script import Day, read
+from fennelcove.scenarios.checker import Verdict
+from fennelcove.scenarios.script import Day, read
 from fennelcove.settings.schema import StormSettings
 
 replace = msgspec.structs.replace
--- a/benchmarks/front_load.py
+++ b/benchmarks/front_load.py
@@ -28,8 +28,8 @@
 from hdrh.histogram import HdrHistogram
 
 from fennelcove.clock import SystemClock
-from fennelcove.standins.listservice import Known, StandInLists
-from fennelcove.standins.recorder import Recorder
+from fennelcove.emulators.endpoint_list_service import Known, StandInLists
+from fennelcove.emulators.recorder import Recorder
 
 CLIENTS, BOXES = 3, 3
 BODY = b'{"room_type":"free","title":"t","client_timeout_ms":9000}'
--- a/benchmarks/live_seam.py
+++ b/benchmarks/live_seam.py
@@ -17,9 +17,9 @@
 
 import msgspec
 
-from fennelcove.day.judge import judge
-from fennelcove.day.player import DayPlayer
-from fennelcove.day.script import BoxLine, ChangeLine, Crowd, Day, Trouble, read
+from fennelcove.scenarios.checker import judge
+from fennelcove.scenarios.player import DayPlayer
+from fennelcove.scenarios.script import BoxLine, ChangeLine, Crowd, Day, Trouble, read
 from fennelcove.settings.schema import MediaSettings, Title
 from benchmarks.moving import causes, seen_after
 
--- a/benchmarks/manifests.py
+++ b/benchmarks/manifests.py
@@ -9,11 +9,11 @@
 import time
 from fractions import Fraction
 
-from fennelcove.decisions.lessons import tracks
-from fennelcove.decisions.lessons.seams import Ledger
-from fennelcove.decisions.lessons.tracks import Viewpoint
+from fennelcove.decisions.playback import playlist_cursor
+from fennelcove.decisions.playback.splices import Ledger
+from fennelcove.decisions.playback.playlist_cursor import Viewpoint
 from fennelcove.manifests import dash, hls
-from fennelcove.decisions.lessons import marks
+from fennelcove.decisions.playback import resume_tokens
 from fennelcove.timeline.model import Change, Kind, Media, Target
 
 LESSON = Media("lesson", 30_000, 60_060, 450, (0, 1, 2), "avc1")
@@ -29,7 +29,7 @@
         for i in range(count):
             at = Fraction(450 * (2 * i + 1), 2 * count) * LESSON.each
             ledger.put(Change(f"c{i}", "a", Target("lesson"), Kind.INSERT, "rest", at))
-        track, rounds, size, mpd_size, mark_size = tracks.begin(LESSON, 0), 0, 0, 0, 0
+        track, rounds, size, mpd_size, mark_size = playlist_cursor.begin(LESSON, 0), 0, 0, 0, 0
         spent = {"extend": 0.0, "hls": 0.0, "dash": 0.0}
         while not track.ended:
             began = time.perf_counter()
@@ -45,7 +45,7 @@
             spent["dash"] += time.perf_counter() - written
             spent["hls"] += written - extended
             spent["extend"] += extended - began
-            mark_size = max(mark_size, len(marks.write(track)))
+            mark_size = max(mark_size, len(resume_tokens.write(track)))
             track.fetch(track.fetched + 1)
             rounds += 1
         each = {name: seconds / rounds * 1e6 for name, seconds in spent.items()}
--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -15,14 +15,14 @@
 from fennelcove.clock import SystemClock
 from fennelcove.core.core import Core
 from fennelcove.clock.timers import Timers
-from fennelcove.core.verdicts import Ask, SendJoin
-from fennelcove.decisions.boxes.hearing import BoxSays
-from fennelcove.decisions.boxes.listing import ListNews
+from fennelcove.core.requests import SessionRequest, SendAttempt
+from fennelcove.decisions.servers.load_signals import ServerHints
+from fennelcove.decisions.servers.endpoint_list import EndpointListUpdate
 from fennelcove.hints import cmcd, cmsd
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import CodecLimits
 from fennelcove.http1.reader import Gatherer, Reader
-from fennelcove.interface import ListEntry, Outcome, Standing
+from fennelcove.interface import ListEntry, Outcome, ServerState
 from fennelcove.settings.reader import parse
 from fennelcove.settings.schema import FrontSettings
 
@@ -50,7 +50,7 @@
 
     def orders_ready(self) -> None: ...
 
-    def send(self, step: SendJoin) -> bool:
+    def send(self, step: SendAttempt) -> bool:
         return True
 
     def fetch(self) -> None: ...
@@ -83,14 +83,14 @@
     clock = SystemClock()
     core = Core(parse(SETTINGS, FrontSettings, "bench"), clock, Timers(clock), log.silent)
     core.book.port = core.lists = core.moves.port = NoPorts()
-    entries = tuple(ListEntry(f"b{i}:1", "zone", "k", 0, Standing.ACTIVE, 1.0, 0) for i in range(3))
-    core.list_news(ListNews(1, None, entries))
-    says = BoxSays(0.4, 0.3)
+    entries = tuple(ListEntry(f"b{i}:1", "zone", "k", 0, ServerState.ACTIVE, 1.0, 0) for i in range(3))
+    core.list_news(EndpointListUpdate(1, None, entries))
+    says = ServerHints(0.4, 0.3)
 
     def decide() -> None:
-        session, step = core.ask(Ask("t", "free"))
-        assert session is not None and isinstance(step, SendJoin)
-        core.join_over(session, 0, Outcome.SERVED, says, 1000)
+        session, step = core.ask(SessionRequest("t", "free"))
+        assert session is not None and isinstance(step, SendAttempt)
+        core.on_attempt_completed(session, 0, Outcome.SERVED, says, 1000)
         core.answered(session)
         core.release(session.id, "done")
         while (order := core.take_order()[0]) is not None:
--- a/benchmarks/power.py
+++ b/benchmarks/power.py
@@ -17,9 +17,9 @@
 
 import msgspec
 
-from fennelcove.day.judge import Verdict, judge
-from fennelcove.day.player import DayFailed, DayPlayer
-from fennelcove.day.script import Day, read
+from fennelcove.scenarios.checker import Verdict, judge
+from fennelcove.scenarios.player import DayFailed, DayPlayer
+from fennelcove.scenarios.script import Day, read
 from fennelcove.settings.schema import RecoverySettings
 
 replace = msgspec.structs.replace
--- a/benchmarks/power_sim.py
+++ b/benchmarks/power_sim.py
@@ -25,26 +25,26 @@
 import msgspec
 
 from benchmarks.events import Events
-from fennelcove.day.script import Day, read
-from fennelcove.decisions.fleet.company import Beat, Company, Terms
+from fennelcove.scenarios.script import Day, read
+from fennelcove.decisions.fleet.membership import Heartbeat, Membership, MembershipSettings
 from fennelcove.interface import (
-    JoinEnded,
+    AttemptCompleted,
     ListEntry,
     ListMode,
     ListUpdate,
     LoadReport,
-    Note,
-    NoteKind,
+    SessionReport,
+    ReportKind,
     Outcome,
-    PeerSays,
+    PeerMessage,
     Request,
-    Standing,
-    Started,
+    ServerState,
+    SessionStarted,
     TimerFired,
 )
-from fennelcove.rules import Front
+from fennelcove.placement import PlacementPolicy
 from fennelcove.settings.checks import module_settings
-from fennelcove.standins.model import BoxModel, RackModel, SetUp
+from fennelcove.emulators.model import BoxModel, RackModel, SetUp
 
 BEGAN_US = 1_000_000
 POWER_S, END_S, WATCH_US = 16, 60, 12_000_000
@@ -63,7 +63,7 @@
     model: BoxModel
 
     def listed(self) -> ListEntry:
-        standing = Standing.ACTIVE if self.model.up else Standing.LEFT
+        standing = ServerState.ACTIVE if self.model.up else ServerState.LEFT
         return dataclasses.replace(self.entry, standing=standing, started_us=self.model.started_us or 0)
 
 
@@ -84,8 +84,8 @@
     def __init__(self, sea: Sea, index: int) -> None:
         self.sea = sea
         self.index = index
-        self.front: Front | None = None
-        self.company: Company | None = None
+        self.front: PlacementPolicy | None = None
+        self.company: Membership | None = None
         self.rungs: dict[str, int] = {}
         self.asking: dict[str, Viewer] = {}
         halls = sea.halls
@@ -94,7 +94,7 @@
     def join(self, id: str, server: str, allow_us: int) -> None:
         front = self.front
         assert front is not None
-        number = len(front.subs[id].joins) - 1
+        number = len(front.sessions[id].attempts) - 1
         zone = self.sea.boxes[server].entry.zone
         if self.sea.is_cut() and zone != self.hall:
             self.sea.after(GIVEN_UP_US, partial(self.sea.given_up, self, front, id, number))
@@ -116,14 +116,14 @@
     def probe(self, server: str) -> None:
         """Nothing is probed here."""
 
-    def tell(self, front: int, said: PeerSays) -> None:
+    def tell(self, front: int, said: PeerMessage) -> None:
         """Nothing is told here."""
 
     def timer(self, name: int, delay_us: int) -> None:
         front = self.front
         self.sea.after(delay_us, partial(self.due, front, name))
 
-    def due(self, front: Front, name: int) -> None:
+    def due(self, front: PlacementPolicy, name: int) -> None:
         if front is self.front:
             front.handle(TimerFired(name), self.sea.now_us)
 
@@ -171,7 +171,7 @@
         self.boxes = {
             f"b{i}-{n}": Box(
                 ListEntry(
-                    f"b{i}-{n}", line.zone, line.kind, line.cell + i * fleet.cells, Standing.ACTIVE, 1, 0
+                    f"b{i}-{n}", line.zone, line.kind, line.cell + i * fleet.cells, ServerState.ACTIVE, 1, 0
                 ),
                 BoxModel(
                     line.link_kb,
@@ -204,12 +204,12 @@
         told = module_settings(
             replace(self.settings, instance=replace(self.settings.instance, index=side.index))
         )
-        front = side.front = Front(told, side.index + self.now_us, side, self.now_us)
+        front = side.front = PlacementPolicy(told, side.index + self.now_us, side, self.now_us)
         side.rungs.clear()
         side.asking.clear()
         if self.kept is not None:
-            terms = Terms(self.fronts, side.index, BEAT_US, LEASE_US, LEASE_US, self.kept)
-            company = side.company = Company(terms, self.now_us, self.now_us)
+            terms = MembershipSettings(self.fronts, side.index, BEAT_US, LEASE_US, LEASE_US, self.kept)
+            company = side.company = Membership(terms, self.now_us, self.now_us)
             front.mine = lambda turn: company.mine(turn, self.now_us)
             self.after(self.chance.randrange(BEAT_US), partial(self.beat, side, company))
         if self.halves:
@@ -217,7 +217,7 @@
             front.mine = lambda turn: (turn % (self.fronts // many) == own if self.is_cut() else all_(turn))
         self.tell_list(side)
 
-    def beat(self, side: Side, company: Company) -> None:
+    def beat(self, side: Side, company: Membership) -> None:
         if side.company is not company:
             return
         self.after(BEAT_US, partial(self.beat, side, company))
@@ -226,7 +226,7 @@
             if self.chance.random() >= 0.05 and not across:
                 self.after(self.chance.randrange(1_000, 30_000), partial(self.hear, to, side.index, said))
 
-    def hear(self, to: int, sender: int, said: Beat) -> None:
+    def hear(self, to: int, sender: int, said: Heartbeat) -> None:
         company = self.sides[to].company
         if company is not None:
             company.hear(sender, said, self.now_us)
@@ -270,38 +270,38 @@
 
     # Boxes.
 
-    def joined(self, side: Side, front: Front, id: str, join: int, server: str) -> None:
-        if side.front is not front or id not in front.subs:
+    def joined(self, side: Side, front: PlacementPolicy, id: str, join: int, server: str) -> None:
+        if side.front is not front or id not in front.sessions:
             return
         self.joins += 1
         box = self.boxes[server].model
         found = SetUp.FELL
         if box.up:
             self.used += box.is_cold(self.now_us)
-            rate_kb = front.rate(front.subs[id], side.rungs[id])
+            rate_kb = front.rate(front.sessions[id], side.rungs[id])
             found = box.set_up((id, join), rate_kb, self.now_us)
             if found is SetUp.FELL:
                 box.stop()
                 self.pushed += 1
         if found is not SetUp.STARTED:
             outcome = Outcome.TURNED_AWAY if found is SetUp.TURNED_AWAY else Outcome.NO_CONNECTION
-            front.handle(JoinEnded(id, join, outcome, False, None), self.now_us)
+            front.handle(AttemptCompleted(id, join, outcome, False, None), self.now_us)
             return
         side.asking.pop(id, None)
         self.played[self.second()] += 1
-        front.handle(Started(id, join, 20_000), self.now_us)
-        front.handle(Note(id, server, NoteKind.LINK, box.asked()), self.now_us)
+        front.handle(SessionStarted(id, join, 20_000), self.now_us)
+        front.handle(SessionReport(id, server, ReportKind.LINK, box.asked()), self.now_us)
         self.after(self.chance.expovariate(1 / WATCH_US), partial(self.over, side, front, id, join, box))
 
-    def given_up(self, side: Side, front: Front, id: str, join: int) -> None:
-        if side.front is front and id in front.subs:
+    def given_up(self, side: Side, front: PlacementPolicy, id: str, join: int) -> None:
+        if side.front is front and id in front.sessions:
             self.joins += 1
-            front.handle(JoinEnded(id, join, Outcome.NO_ANSWER, False, None), self.now_us)
+            front.handle(AttemptCompleted(id, join, Outcome.NO_ANSWER, False, None), self.now_us)
 
-    def over(self, side: Side, front: Front, id: str, join: int, box: BoxModel) -> None:
-        if box.playing.pop((id, join), None) is not None and side.front is front and id in front.subs:
+    def over(self, side: Side, front: PlacementPolicy, id: str, join: int, box: BoxModel) -> None:
+        if box.playing.pop((id, join), None) is not None and side.front is front and id in front.sessions:
             report = LoadReport(box.asked(), None)
-            front.handle(JoinEnded(id, join, Outcome.SERVED, True, report), self.now_us)
+            front.handle(AttemptCompleted(id, join, Outcome.SERVED, True, report), self.now_us)
 
     # The loss.
 
--- a/benchmarks/release_sim.py
+++ b/benchmarks/release_sim.py
@@ -27,11 +27,11 @@
 from random import Random
 from statistics import median
 
-from fennelcove.releases import release
-from fennelcove.releases.permits import Asker, Rules, Stage, Voter
-from fennelcove.releases.places import Limit, Map, Place
-from fennelcove.releases.release import Cue, Fleet, Lead
-from fennelcove.releases.says import Kind, Phase, Plan, Reason, Record, Stands, Word
+from fennelcove.rollouts import rollout_plan
+from fennelcove.rollouts.disruption_permits import Requester, PermitRules, RequestState, Grantor
+from fennelcove.rollouts.disruption_budget import Limit, DisruptionMap, Location
+from fennelcove.rollouts.rollout_plan import RolloutEvent, FleetSet, RolloutPlan
+from fennelcove.rollouts.messages import Kind, Phase, Plan, Reason, Record, Stands, Word
 
 SECOND = 1_000_000
 HALLS = 4
@@ -168,12 +168,12 @@
         self.day = day
         size = day.size
         limit = Limit(day.limit, max(1, day.limit // 2), margin=0.1)
-        places = Map({i: Place(i % HALLS, 1.0, LOAD) for i in range(size)})
+        places = DisruptionMap({i: Location(i % HALLS, 1.0, LOAD) for i in range(size)})
         self.halls = {i: i % HALLS for i in range(size)}
         self.chance = Random(day.seed + 1)
-        rules = [Rules(Kind.FRONT, size, i, limit, silent_us=1 << 60) for i in range(size)]
-        self.voters = [Voter(rule, places, -10 * SECOND, True) for rule in rules]
-        self.askers = [Asker(rule, 1, count(1)) for rule in rules]
+        rules = [PermitRules(Kind.FRONT, size, i, limit, silent_us=1 << 60) for i in range(size)]
+        self.voters = [Grantor(rule, places, -10 * SECOND, True) for rule in rules]
+        self.askers = [Requester(rule, 1, count(1)) for rule in rules]
         self.words = {i: Word(1, 1, version=1) for i in range(size)}
         self.again: list[tuple[int, int]] = []  # whose word did not come, and to whom
         self.served = [0.0] * size
@@ -185,7 +185,7 @@
         plan = Plan(1, 2, 1, 1, day.limit, SOAK_S * 1000, 180_000, worse=30)
         first = Record(1, 1, Phase.MOVING, goal=1, plan=plan)
         self.record = first
-        self.lead = Lead(first, self.halls, 0)
+        self.lead = RolloutPlan(first, self.halls, 0)
         self.halted_s = 0
         self.halts = 0
         for i in range(size):
@@ -214,7 +214,7 @@
         for taker in range(self.day.size):
             self.pass_on(index, taker)
 
-    def numbers(self, asker: Asker) -> int:
+    def numbers(self, asker: Requester) -> int:
         return max((one.number for one in asker.wanted.values()), default=self.last.get(asker.rules.index, 0))
 
     def pass_on(self, index: int, taker: int) -> None:
@@ -250,7 +250,7 @@
     def changed(self, front: Front, life: int) -> None:
         """What it is now is told by itself, or seen by all when its words stay away."""
         if front.life > life:
-            self.askers[front.index] = Asker(self.askers[front.index].rules, front.life, count(1))
+            self.askers[front.index] = Requester(self.askers[front.index].rules, front.life, count(1))
             self.last.pop(front.index, None)
             self.off.discard(front.index)
             self.out_us.pop(front.index, None)
@@ -271,11 +271,14 @@
             self.asked[front.index] += 10 * share
             self.served[front.index] += 10 * min(1.0, share) * good
 
-    def ask(self, index: int, asker: Asker) -> None:
+    def ask(self, index: int, asker: Requester) -> None:
         """A round of an ask that is due."""
         now_us = self.now_us()
         one = asker.wanted[index]
-        if one.stage in (Stage.WANTED, Stage.ASKING) and now_us >= one.told_us + release.LAPSE_US:
+        if (
+            one.stage in (RequestState.WANTED, RequestState.ASKING)
+            and now_us >= one.told_us + rollout_plan.LAPSE_US
+        ):
             asker.let_go(index, back=False)
         ask = asker.due(now_us)
         if ask is None:
@@ -300,7 +303,7 @@
                 return
             self.leader = next(front.index for front in day.fronts if front.state is State.SERVES)
             self.write(replace(self.record, term=self.record.term + 1))
-            self.lead, self.gap_s = Lead(self.record, self.halls, now_us), 0
+            self.lead, self.gap_s = RolloutPlan(self.record, self.halls, now_us), 0
         words = self.voters[self.leader].words
         if self.lead.judge.began_us + 4 * SECOND < now_us:
             words = {
@@ -310,18 +313,18 @@
                 for i, word in words.items()
             }
         dark = frozenset(self.voters[self.leader].dark(now_us) - self.off)
-        fleet = Fleet(day.size, self.leader, words, dark, frozenset(self.off), self.out_us)
+        fleet = FleetSet(day.size, self.leader, words, dark, frozenset(self.off), self.out_us)
         self.operate(fleet)
-        found = self.lead.cue(fleet, now_us)
+        found = self.lead.apply(fleet, now_us)
         if found is not None:
-            have = len(fleet.have(release.target(self.record)))
-            written = release.after(self.record, found[0], have, why=found[1])
+            have = len(fleet.have(rollout_plan.target(self.record)))
+            written = rollout_plan.after(self.record, found[0], have, why=found[1])
             if written is not None:
                 self.write(written)
                 return
         for index in self.lead.orders(fleet, now_us):
             if day.fronts[index].state is State.SERVES:
-                self.askers[index].want(index, now_us, release.target(self.record), self.record.stamp)
+                self.askers[index].want(index, now_us, rollout_plan.target(self.record), self.record.stamp)
 
     def write(self, record: Record) -> None:
         """The next state of the plan, agreed at once."""
@@ -332,13 +335,13 @@
             for asker in self.askers:
                 asker.let_go(asker.rules.index, back=False)
 
-    def operate(self, fleet: Fleet) -> None:
+    def operate(self, fleet: FleetSet) -> None:
         """Once a minute an operator looks at a plan that is halted."""
         day = self.day
         if self.record.phase is not Phase.HALTED or (day.now_s - self.halted_s) % 60 != 59:
             return
         if day.bad and self.record.reason in (Reason.WORSE, Reason.SERVED) and not self.record.back:
-            back = release.after(self.record, Cue.BACK, len(fleet.have(1)))
+            back = rollout_plan.after(self.record, RolloutEvent.BACK, len(fleet.have(1)))
             assert back is not None
             self.write(back)
             return
@@ -348,7 +351,7 @@
                 for voter in self.voters:
                     voter.write_off(index, self.now_us())
         if not fleet.dark - self.off:
-            on = release.after(self.record, Cue.ON, 0)
+            on = rollout_plan.after(self.record, RolloutEvent.ON, 0)
             assert on is not None
             self.write(on)
 
--- a/benchmarks/release_world.py
+++ b/benchmarks/release_world.py
@@ -13,19 +13,19 @@
 from enum import Enum
 from random import Random
 
-from fennelcove.releases import release
-from fennelcove.releases.agreement import Act, Agreement, Command, Do, Memory, Mine, Terms, Wish
-from fennelcove.releases.leading import Seat
-from fennelcove.releases.places import Limit, Limits, Map, Place
-from fennelcove.releases.says import Kind, Phase, Plan, Record, Said, Stands
+from fennelcove.rollouts import rollout_plan
+from fennelcove.rollouts.coordinator import Act, RolloutAgreement, Command, Do, Memory, Mine, Terms, Wish
+from fennelcove.rollouts.leader_election import Role
+from fennelcove.rollouts.disruption_budget import Limit, Limits, DisruptionMap, Location
+from fennelcove.rollouts.messages import Kind, Phase, Plan, Record, Said, Stands
 
 BEAT_US = 250_000
 WINDOW_US = 1_000_000
 SHOW_US = 2_000_000
 SILENT_US = 1_000_000
-LIMITS = Limits(Limit(whole=2, hall=2, margin=0.0), Limit(whole=2, hall=2, holders=1, margin=0.0))
+LIMITS = Limits(Limit(whole=2, zone=2, margin=0.0), Limit(whole=2, zone=2, replicas=1, margin=0.0))
 PLAN = Plan(wanted=2, before=1, canary=1, wave=2, soak_ms=1_000, out_ms=8_000)
-BOXES = {cell: Place(cell % 2, titles=frozenset({cell // 2, 9})) for cell in range(4)}
+BOXES = {cell: Location(cell % 2, titles=frozenset({cell // 2, 9})) for cell in range(4)}
 
 
 @dataclass
@@ -46,7 +46,7 @@
     """A front as it is, whatever it believes."""
 
     index: int
-    agreed: Agreement | None = None
+    agreed: RolloutAgreement | None = None
     version: int = 1
     next_version: int = 1
     stands: Stands = Stands.SERVING
@@ -110,10 +110,10 @@
         """Its process begins."""
         front.life += 1
         terms = Terms(self.size, front.index, BEAT_US, WINDOW_US, SILENT_US, 8 * BEAT_US, SHOW_US)
-        places = tuple(Place(index % self.halls) for index in range(self.size))
+        places = tuple(Location(index % self.halls) for index in range(self.size))
         now_us = front.clock(self.now_us)
-        front.agreed = Agreement(terms, self.limits, places, front.life, now_us, front.memory)
-        front.agreed.boxes_are(BOXES, now_us)
+        front.agreed = RolloutAgreement(terms, self.limits, places, front.life, now_us, front.memory)
+        front.agreed.servers_are(BOXES, now_us)
         front.paused = False
 
     def crash(self, front: Front) -> None:
@@ -127,7 +127,7 @@
     # One beat.
 
     def call(
-        self, front: Front, what: Callable[[Agreement, int], list[tuple[int, Said]]]
+        self, front: Front, what: Callable[[RolloutAgreement, int], list[tuple[int, Said]]]
     ) -> list[tuple[int, Said]]:
         """A call of a front's, and all that follows of it."""
         agreed, now_us = front.agreed, front.clock(self.now_us)
@@ -186,11 +186,11 @@
         out = [front for front in self.fronts if front.by_permit and not front.off]
         halls = Counter(front.index % self.halls for front in out)
         self.most_out = max(self.most_out, len(out))
-        if len(out) > self.limits.fronts.whole or max(halls.values(), default=0) > self.limits.fronts.hall:
+        if len(out) > self.limits.fronts.whole or max(halls.values(), default=0) > self.limits.fronts.zone:
             self.found.append(f"{len(out)} fronts out by permits")
         cells = [c for c, b in self.boxes.items() if b.told_us is not None and self.now_us < b.back_us]
         titles = Counter(title for cell in cells for title in BOXES[cell].titles if title != 9)
-        if len(cells) > self.limits.boxes.whole or max(titles.values(), default=0) > 1:
+        if len(cells) > self.limits.servers.whole or max(titles.values(), default=0) > 1:
             self.found.append(f"{len(cells)} boxes out by permits")
 
     def check_halt(self, stamp: tuple[int, int]) -> None:
@@ -208,7 +208,7 @@
         known = self.records.setdefault(record.stamp, record)
         if known != record and record.reason.name != "FORGOTTEN":
             self.found.append(f"two records of {record.stamp}")
-        if agreed.chair.seat is Seat.LEADS:
+        if agreed.chair.seat is Role.LEADS:
             term = agreed.chair.term
             if self.led.setdefault(term, (front.index, front.life)) != (front.index, front.life):
                 self.found.append(f"term {term} led twice")
@@ -221,7 +221,7 @@
         """A majority has taken it."""
         before = max((r for _, r in self.agreed), key=lambda r: r.stamp, default=Record())
         self.agreed.append((self.now_us, record))
-        moving = record.phase in release.UNDER_WAY
+        moving = record.phase in rollout_plan.UNDER_WAY
         if record.stamp < before.stamp and moving:
             self.found.append(f"{record.stamp} agreed after {before.stamp}")
         if before.phase is Phase.HALTED and moving and record.stamp > before.stamp:
@@ -303,7 +303,7 @@
         after_us = (front.index + 1) * SHOW_US // (self.size + 1)
         now_us = front.clock(self.now_us)
         for cell, box in self.boxes.items():
-            front.agreed.see_box(cell, box.serves(self.now_us, after_us), now_us, now_us)
+            front.agreed.see_server(cell, box.serves(self.now_us, after_us), now_us, now_us)
 
     def command(self, front: Front, wish: Wish, plan: Plan | None = None, fence: int | None = None) -> None:
         """An operator's word, by the fence that this front knows, or an old one."""
@@ -322,7 +322,7 @@
         if cell is None:
             self.call(front, lambda agreed, now_us: agreed.want_out(front.version, now_us))
         else:
-            self.call(front, lambda agreed, now_us: agreed.want_box(cell, now_us))
+            self.call(front, lambda agreed, now_us: agreed.want_server(cell, now_us))
 
     # Breadth first.
 
@@ -373,10 +373,10 @@
         return ("t", max(-8 * BEAT_US, thing - now_us)) if thing > 100_000 else thing
     if isinstance(thing, float):
         return thing
-    if isinstance(thing, Agreement):
+    if isinstance(thing, RolloutAgreement):
         left = {"hearers", "kept", "terms", "sent_us"}
         return tuple((k, plain(v, now_us)) for k, v in sorted(vars(thing).items()) if k not in left)
-    if isinstance(thing, Map):
+    if isinstance(thing, DisruptionMap):
         return None
     if isinstance(thing, dict):
         return tuple(sorted(((repr(k), plain(v, now_us)) for k, v in thing.items()), key=repr))
--- a/benchmarks/release_worlds.py
+++ b/benchmarks/release_worlds.py
@@ -21,12 +21,12 @@
 from random import Random
 
 from benchmarks.release_world import BEAT_US, BOXES, LIMITS, PLAN, World
-from fennelcove.releases import leading, release
-from fennelcove.releases.agreement import Agreement, Wish
-from fennelcove.releases.leading import Register, Seat
-from fennelcove.releases.permits import Asker, Hold, Voter
-from fennelcove.releases.places import Limit, Limits
-from fennelcove.releases.says import Phase, Record, Stands, Taken, Verdict, Voice
+from fennelcove.rollouts import leader_election, rollout_plan
+from fennelcove.rollouts.coordinator import RolloutAgreement, Wish
+from fennelcove.rollouts.leader_election import Register, Role
+from fennelcove.rollouts.disruption_permits import Requester, PermitState, Grantor
+from fennelcove.rollouts.disruption_budget import Limit, Limits
+from fennelcove.rollouts.messages import Phase, Record, Stands, Taken, Verdict, Voice
 
 
 def search(steps: int, most: int, limits: Limits = LIMITS) -> tuple[int, int, list[str]]:
@@ -77,7 +77,7 @@
     chance = Random(seed)
     mood = MOODS[seed % len(MOODS)]
     whole = chance.choice((1, 2))
-    limits = Limits(Limit(whole, whole, margin=0.0), LIMITS.boxes)
+    limits = Limits(Limit(whole, whole, margin=0.0), LIMITS.servers)
     world = World(size, seed, now_us=1_000_000, limits=limits, halls=chance.choice((1, 2)))
     world.start(drift=True)
     apart: frozenset[int] = frozenset()
@@ -159,7 +159,7 @@
                     front.agreed.anew()
         world.beat(chance.random())
         records = [front.agreed.record() for front in world.fronts if front.agreed is not None]
-        rests = all(r == records[0] and r.phase not in release.UNDER_WAY for r in records)
+        rests = all(r == records[0] and r.phase not in rollout_plan.UNDER_WAY for r in records)
         serves = all(front.stands is Stands.SERVING for front in world.fronts)
         resting = resting + 1 if rests and serves and len(records) == world.size else 0
         if resting >= 8 or world.found:
@@ -179,25 +179,25 @@
 # Faults that are planted to see that they are found.
 
 
-def _forgets(self: Voter, now_us: int) -> None:
+def _forgets(self: Grantor, now_us: int) -> None:
     self.now_us = max(self.now_us, now_us)
     for place, entry in list(self.entries.items()):
-        if entry.hold is Hold.PROMISED and self.now_us >= entry.since_us + self.rules.over_us:
+        if entry.hold is PermitState.PROMISED and self.now_us >= entry.since_us + self.rules.over_us:
             del self.entries[place]
 
 
-def _trusts_itself(self: Voter) -> None:
+def _trusts_itself(self: Grantor) -> None:
     self.wary_until_us = self.now_us
     self.remembers = True
 
 
-def _open_minded(self: Voter, asker: int, ask: object, now_us: int) -> Verdict:
+def _open_minded(self: Grantor, asker: int, ask: object, now_us: int) -> Verdict:
     others = {place for place in self.held() if place != ask.place}  # type: ignore[attr-defined]
     full = self.map.past(self.rules.limit, ask.place, others) is not None  # type: ignore[attr-defined]
     return Verdict.FULL if full else Verdict.YES
 
 
-def _careless(self: Asker, one: object, seen: Voter, now_us: int) -> bool:
+def _careless(self: Requester, one: object, seen: Grantor, now_us: int) -> bool:
     return True
 
 
@@ -212,19 +212,21 @@
     return Taken(record.term, record.turn)
 
 
-def _starts_alone(self: leading.Chair, sender: int, voice: Voice, now_us: int) -> Record | None:
-    if self.seat is not Seat.STANDS:
+def _starts_alone(
+    self: leader_election.LeaderElection, sender: int, voice: Voice, now_us: int
+) -> Record | None:
+    if self.seat is not Role.STANDS:
         return None
-    self._cue(leading.Cue.MAJORITY)
+    self._apply(leader_election.ElectionEvent.MAJORITY)
     best = self.register.record
     return self._tell(replace(best, term=self.term, turn=best.turn + 1), now_us)
 
 
-def _never_stale(self: Agreement, sender: int, ask: object, now_us: int) -> object:
+def _never_stale(self: RolloutAgreement, sender: int, ask: object, now_us: int) -> object:
     return self.voters[ask.kind].hear_ask(sender, ask, now_us)  # type: ignore[attr-defined, arg-type]
 
 
-def _restless(self: leading.Chair, record: Record, now_us: int) -> Record:
+def _restless(self: leader_election.LeaderElection, record: Record, now_us: int) -> Record:
     self.since_us, self.heard = now_us, set()
     again = record.phase is Phase.HALTED and record.term != self.writes.term
     self.writes = replace(record, phase=Phase.MOVING) if again else record
@@ -232,15 +234,19 @@
 
 
 FAULTS: dict[str, tuple[type, str, object]] = {
-    "forgets": (Voter, "advance", _forgets),  # a permit that runs out frees its place
-    "trusts": (Voter, "__post_init__", _trusts_itself),  # a new life promises at once
-    "open": (Voter, "_weigh", _open_minded),  # yes to several asks at once
-    "careless": (Asker, "_fits", _careless),  # what the voices name is not counted
+    "forgets": (Grantor, "advance", _forgets),  # a permit that runs out frees its place
+    "trusts": (Grantor, "__post_init__", _trusts_itself),  # a new life promises at once
+    "open": (Grantor, "_weigh", _open_minded),  # yes to several asks at once
+    "careless": (Requester, "_fits", _careless),  # what the voices name is not counted
     "gullible": (Register, "ready", _gullible),  # who forgot gives its voice
     "anything": (Register, "hear_told", _takes_anything),  # a record of a leader that is over is taken
-    "alone": (leading.Chair, "hear_voice", _starts_alone),  # a minority leads
-    "stale": (Agreement, "_vote", _never_stale),  # orders from before a halt are permitted
-    "restless": (leading.Chair, "_tell", _restless),  # who takes over goes on with a plan that is halted
+    "alone": (leader_election.LeaderElection, "hear_voice", _starts_alone),  # a minority leads
+    "stale": (RolloutAgreement, "_vote", _never_stale),  # orders from before a halt are permitted
+    "restless": (
+        leader_election.LeaderElection,
+        "_tell",
+        _restless,
+    ),  # who takes over goes on with a plan that is halted
 }
 
 
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -17,10 +17,10 @@
 
 import msgspec
 
-from fennelcove.day.judge import judge
-from fennelcove.day.player import DayPlayer
-from fennelcove.day.script import Day, Trouble, read
-from fennelcove.standins.recorder import Record
+from fennelcove.scenarios.checker import judge
+from fennelcove.scenarios.player import DayPlayer
+from fennelcove.scenarios.script import Day, Trouble, read
+from fennelcove.emulators.recorder import Record
 from fennelcove.store.folder import Store
 
 AFTER_US = 2_000_000
--- a/benchmarks/seats.py
+++ b/benchmarks/seats.py
@@ -21,11 +21,11 @@
 
 from fennelcove import log
 from fennelcove.clock import SystemClock
-from fennelcove.day.rig import Rig
-from fennelcove.day.script import read
-from fennelcove.program.front import FrontProgram
-from fennelcove.standins.recorder import Recorder
-from fennelcove.standins.viewers import Player, Unanswered
+from fennelcove.scenarios.rig import Rig
+from fennelcove.scenarios.script import read
+from fennelcove.daemon.front_daemon import FrontDaemon
+from fennelcove.emulators.recorder import Recorder
+from fennelcove.emulators.clients import Player, Unanswered
 
 JSON = ("Content-Type", "application/json")
 ROOM, TITLE, SEATS, SEAT_MS = "keyed", "knee-1", 40, 400.0
@@ -133,7 +133,7 @@
         limits=msgspec.structs.replace(day.front.limits, silent_ms=60_000.0),
     )
     rig.start()
-    program = FrontProgram(front, log.silent, clock)
+    program = FrontDaemon(front, log.silent, clock)
     program.start()
     seats = program.core.seats.seats
     while program.core.keeper.version is None:
--- a/benchmarks/slots_sim.py
+++ b/benchmarks/slots_sim.py
@@ -27,11 +27,11 @@
 from statistics import median
 
 from benchmarks.events import Events
-from fennelcove.decisions.fleet.budgets import Ask, Loan
-from fennelcove.slots import lots
-from fennelcove.slots.counts import WINDOW_US
-from fennelcove.slots.learning import Terms
-from fennelcove.slots.member import Member, Told
+from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer
+from fennelcove.concurrency_limits import quota_loans
+from fennelcove.concurrency_limits.latency_histogram import WINDOW_US
+from fennelcove.concurrency_limits.adaptive_limit import LimitSettings
+from fennelcove.concurrency_limits.replica import Replica, ReplicaMessages
 
 END_S = 150.0
 WARM_US = 30_000_000
@@ -96,17 +96,17 @@
         self.waits: list[int] = []
         self.late = self.answered = self.wished = self.denied = self.lost = self.messages = 0
         self.good_us: dict[int, int] = {}  # by shifted box: since when its number is good
-        self.members: list[Member] = []
+        self.members: list[Replica] = []
         if rule in ("learned", "alone"):
             alone = rule == "alone"
             start = max(1, START // fronts) if alone else START
-            terms = Terms(start=start, least=1 if alone else 2, wait_us=TIMEOUT_US // 50)
+            terms = LimitSettings(start=start, least=1 if alone else 2, wait_us=TIMEOUT_US // 50)
             for i in range(fronts):
-                self.members.append(Member(terms, 1 if alone else fronts, 0 if alone else i, 1, 0))
+                self.members.append(Replica(terms, 1 if alone else fronts, 0 if alone else i, 1, 0))
                 for name in range(boxes):
                     self.members[i].listed(name, f"kind-{name % len(KNEES)}", 0, 0)
                 self.at(self.noise.randrange(WINDOW_US), self._windows(i))
-                self.at(self.noise.randrange(lots.ASK_US), partial(self._trading, i))
+                self.at(self.noise.randrange(quota_loans.ASK_US), partial(self._trading, i))
         self.at(0, self._arrive)
         self.at(WARM_US, self._count)
         if day == "shift":
@@ -295,29 +295,29 @@
         if self.members[to].hear_clear(sender, 1):
             self._pump_all(to)
 
-    def _hear(self, to: int, sender: int, number: int, told: list[Told]) -> None:
+    def _hear(self, to: int, sender: int, number: int, told: list[ReplicaMessages]) -> None:
         if any([self.members[to].hear(sender, 1, number, said, self.now_us) for said in told]):
             self._pump_all(to)
 
     def _trading(self, i: int) -> None:
-        self.after(lots.ASK_US, lambda: self._trading(i))
+        self.after(quota_loans.ASK_US, lambda: self._trading(i))
         self._trade(i)
 
     def _trade(self, i: int, names: tuple[int, ...] | None = None) -> None:
         if self.rule != "learned":
             return
         for to, name, said in self.members[i].trade(self.noise.random(), self.now_us, names):
-            if isinstance(said, Ask):
+            if isinstance(said, QuotaRequest):
                 self._send_to(partial(self._asked, i, to, name, said))
             else:
                 self._send_to(partial(self._lent, i, to, name, said))
 
-    def _asked(self, sender: int, to: int, name: int, ask: Ask) -> None:
+    def _asked(self, sender: int, to: int, name: int, ask: QuotaRequest) -> None:
         loan = self.members[to].hear_ask(sender, name, ask, self.now_us)
         if loan is not None:
             self._send_to(partial(self._lent, to, sender, name, loan))
 
-    def _lent(self, sender: int, to: int, name: int, loan: Loan) -> None:
+    def _lent(self, sender: int, to: int, name: int, loan: QuotaTransfer) -> None:
         if self.members[to].hear_loan(sender, name, loan, self.now_us) and (to, name) in self.lines:
             self._pump(to, name)
 
@@ -329,9 +329,9 @@
     def number(self, at: int) -> float:
         """How many joins may be out there."""
         if self.rule == "learned":
-            return median(member.boxes[at].agreed.whole for member in self.members)
+            return median(member.servers[at].agreed.whole for member in self.members)
         if self.rule == "alone":
-            return sum(member.boxes[at].agreed.whole for member in self.members)
+            return sum(member.servers[at].agreed.whole for member in self.members)
         return int(self.rule) * self.fronts
 
     def _measure(self) -> None:
--- a/benchmarks/slots_worlds.py
+++ b/benchmarks/slots_worlds.py
@@ -2,7 +2,8 @@
 
     python -m benchmarks.slots_worlds [--walks 2000] [--steps 300] [--seed 1] [--fault NAME]
 
-The modules of `packages/slots` as they are. In a step: time passes; a message comes, comes again or is lost;
+The modules of `packages/concurrency-limits` as they are. In a step: time passes; a message comes, comes again
+or is lost;
 a front wants slots or none, asks, gives back, sends a join, dies, begins anew, stands still or goes on; a
 part of the fronts is cut off or hears again; a front of the panel says another number, and the last front
 says any number at all. After each step joins out, and what all might send at that moment, are held against
@@ -22,11 +23,11 @@
 from typing import Any
 from unittest import mock
 
-from fennelcove.decisions.fleet.budgets import DRIFT, Ask, Loan, Purse
-from fennelcove.slots.agreeing import Agreed, Word
-from fennelcove.slots.learning import Terms
-from fennelcove.slots.lots import LOAN_US, Lot
-from fennelcove.slots.member import Member, Told
+from fennelcove.decisions.fleet.shared_quotas import DRIFT, QuotaRequest, QuotaTransfer, Quota
+from fennelcove.concurrency_limits.quorum import QuorumAgreement, QuorumVote
+from fennelcove.concurrency_limits.adaptive_limit import LimitSettings
+from fennelcove.concurrency_limits.quota_loans import LOAN_US, QuotaLoans
+from fennelcove.concurrency_limits.replica import Replica, ReplicaMessages
 
 BOX = 7
 START = 4
@@ -35,7 +36,9 @@
 HONEST = (2, 3, 5, 6, 8)
 LIE = 60
 
-Message = Ask | Loan | Told | int  # a number is a life that begins, or is answered where negative
+Message = (
+    QuotaRequest | QuotaTransfer | ReplicaMessages | int
+)  # a number is a life that begins, or is answered where negative
 
 
 @dataclass
@@ -47,7 +50,7 @@
     acts: tuple[str, ...]
     now_us: int = 10 * LOAN_US
     lives: int = 0
-    members: dict[int, Member] = field(default_factory=dict)
+    members: dict[int, Replica] = field(default_factory=dict)
     still: set[int] = field(default_factory=set)
     cut: frozenset[int] = frozenset()
     joins: list[tuple[int, int]] = field(default_factory=list)  # front, end
@@ -63,11 +66,11 @@
             self.born(index)
         for member in self.members.values():
             member.unclear.clear()
-            member.boxes[BOX].lot.purse.cleared = True
+            member.servers[BOX].lot.purse.cleared = True
 
     def born(self, index: int) -> None:
         self.lives += 1
-        member = Member(Terms(start=START), self.size, index, self.lives, self.now_us)
+        member = Replica(LimitSettings(start=START), self.size, index, self.lives, self.now_us)
         member.listed(BOX, "kind", 0, self.now_us)
         self.members[index] = member
 
@@ -91,13 +94,13 @@
         if member is None or to in self.still or self.chance.random() < 0.1:
             return
         now_us = self.now_us
-        if isinstance(said, Told):
+        if isinstance(said, ReplicaMessages):
             member.hear(sender, life, number, said, now_us)
-        elif isinstance(said, Ask):
+        elif isinstance(said, QuotaRequest):
             loan = member.hear_ask(sender, BOX, said, now_us)
             if loan is not None:
                 self.send(to, sender, loan)
-        elif isinstance(said, Loan):
+        elif isinstance(said, QuotaTransfer):
             member.hear_loan(sender, BOX, said, now_us)
         elif said < 0:
             member.hear_clear(sender, -said)
@@ -108,15 +111,15 @@
         """A front of the panel has another opinion; the last one lies."""
         whole = LIE if index == self.size - 1 else self.chance.choice(HONEST)
         self.said[index] = max(whole, self.said.get(index, 0))
-        word, member = Word(whole), self.members[index]
+        word, member = QuorumVote(whole), self.members[index]
         self.numbers += 1
-        agreed = member.boxes[BOX].agreed
+        agreed = member.servers[BOX].agreed
         agreed.hear(index, member.life, self.numbers, word, self.now_us)
-        member._settle(member.boxes[BOX], self.now_us)
+        member._settle(member.servers[BOX], self.now_us)
         self.back()
         for to in self.members:
             if to != index:
-                self.send(index, to, Told((to,), BOX, 0, word=word))
+                self.send(index, to, ReplicaMessages((to,), BOX, 0, word=word))
 
     def back(self) -> None:
         said = sorted(self.said.values(), reverse=True)
@@ -159,7 +162,7 @@
             self.trade(index)
         elif act == "sends":
             # To those that waited it is all one: as many as may be.
-            while member.boxes[BOX].lot.out < member.most(BOX, self.now_us, ALLOW_US):
+            while member.servers[BOX].lot.out < member.most(BOX, self.now_us, ALLOW_US):
                 member.sent(BOX, 0, self.now_us, ALLOW_US)
                 self.joins.append((index, self.now_us + ALLOW_US))
         elif act == "says":
@@ -168,11 +171,11 @@
             for to in member.begun():
                 self.send(index, to, member.life)
         else:
-            member._settle(member.boxes[BOX], self.now_us)
+            member._settle(member.servers[BOX], self.now_us)
 
     def check(self) -> None:
         """What is out and what might be, against what counted; and that against the majority's."""
-        counts = max((m.boxes[BOX].agreed.whole for m in self.members.values()), default=0)
+        counts = max((m.servers[BOX].agreed.whole for m in self.members.values()), default=0)
         self.counted.append((self.now_us, counts))
         since_us = self.now_us - round(LOAN_US * (1 + DRIFT) ** 2)
         while self.counted[0][0] < since_us and self.counted[1:] and self.counted[1][0] <= since_us:
@@ -197,40 +200,44 @@
 CALM = tuple(act for act in ACTS if act not in ("says", "cut"))
 
 
-def from_receipt(self: Purse, sender: int, loan: Loan, now_us: int) -> None:
+def from_receipt(self: Quota, sender: int, loan: QuotaTransfer, now_us: int) -> None:
     if loan.life == self.life and self.sent.pop(loan.number, None) is not None:
         self.borrowed[sender] = (loan.rate, now_us + self.loan_us)
         self.answers[sender] = loan.number
 
 
-def past_end(self: Lot, now_us: int, allow_us: int = 0) -> int:
+def past_end(self: QuotaLoans, now_us: int, allow_us: int = 0) -> int:
     return int(self.purse.rate(now_us) + 1e-9)
 
 
-def any_word(self: Agreed, now_us: int) -> int:
+def any_word(self: QuorumAgreement, now_us: int) -> int:
     self.whole = max([self.whole, *(word.whole for word in self.young(now_us))])
     return self.whole
 
 
-def clears_early(self: Lot, lender: int, now_us: int) -> bool:
+def clears_early(self: QuotaLoans, lender: int, now_us: int) -> bool:
     return True
 
 
-def spares(self: Lot, lender: int, now_us: int) -> bool:
+def spares(self: QuotaLoans, lender: int, now_us: int) -> bool:
     return True
 
 
 FAULTS: dict[str, tuple[type, str, Any]] = {
-    "from-receipt": (Purse, "hear_loan", from_receipt),  # a loan counts from when it is heard
+    "from-receipt": (Quota, "hear_loan", from_receipt),  # a loan counts from when it is heard
     "unwary": (
-        Purse,
+        Quota,
         "wary_until_us",
         property(lambda self: self.born_us),
     ),  # a new life takes its whole part
-    "past-end": (Lot, "most", past_end),  # a borrowed slot carries joins that outlast the loan
-    "any-word": (Agreed, "advance", any_word),  # one word raises the number
-    "clears-early": (Lot, "hear_begun", clears_early),  # answers a new life and goes on using its last one's
-    "backs-used": (Lot, "_spares", spares),  # gives back a slot that carries a join
+    "past-end": (QuotaLoans, "most", past_end),  # a borrowed slot carries joins that outlast the loan
+    "any-word": (QuorumAgreement, "advance", any_word),  # one word raises the number
+    "clears-early": (
+        QuotaLoans,
+        "hear_begun",
+        clears_early,
+    ),  # answers a new life and goes on using its last one's
+    "backs-used": (QuotaLoans, "_spares", spares),  # gives back a slot that carries a join
 }
 
 
--- a/benchmarks/sockets.py
+++ b/benchmarks/sockets.py
@@ -24,15 +24,15 @@
 import msgspec
 
 from fennelcove.clock import SystemClock
-from fennelcove.day.fronts import FrontProcess
-from fennelcove.day.rig import Rig
-from fennelcove.day.script import Day, read
-from fennelcove.program import certificates
-from fennelcove.program.key_file import rotate
+from fennelcove.scenarios.fronts import FrontProcess
+from fennelcove.scenarios.rig import Rig
+from fennelcove.scenarios.script import Day, read
+from fennelcove.daemon import certificates
+from fennelcove.daemon.key_file import rotate
 from fennelcove.settings.schema import TlsSettings
-from fennelcove.standins.recorder import Recorder
-from fennelcove.standins.sockets import SocketPlayer
-from fennelcove.standins.viewers import Player, Unanswered
+from fennelcove.emulators.recorder import Recorder
+from fennelcove.emulators.sockets import SocketPlayer
+from fennelcove.emulators.clients import Player, Unanswered
 from fennelcove.websocket.deflate import Inflater, deflate
 from fennelcove.websocket.frames import masked
 
--- a/benchmarks/store_cost.py
+++ b/benchmarks/store_cost.py
@@ -19,12 +19,12 @@
 
 from fennelcove import log
 from fennelcove.clock import SystemClock
-from fennelcove.day.rig import Rig
-from fennelcove.day.script import read
-from fennelcove.program.front import FrontProgram
+from fennelcove.scenarios.rig import Rig
+from fennelcove.scenarios.script import read
+from fennelcove.daemon.front_daemon import FrontDaemon
 from fennelcove.settings.schema import StoreSettings
-from fennelcove.standins.recorder import Recorder
-from fennelcove.standins.viewers import Player
+from fennelcove.emulators.recorder import Recorder
+from fennelcove.emulators.clients import Player
 from fennelcove.store.files import RealFiles
 
 JSON = ("Content-Type", "application/json")
@@ -51,7 +51,7 @@
         store=StoreSettings(folder=folder) if folder is not None else None,
     )
     rig.start()
-    program = FrontProgram(front, log.silent, clock)
+    program = FrontDaemon(front, log.silent, clock)
     if slow and program.keeper is not None:
         program.keeper.store.journal.files = program.keeper.store.files = SlowFiles(folder or "")
     program.start()
--- a/benchmarks/storm_parts.py
+++ b/benchmarks/storm_parts.py
@@ -19,22 +19,22 @@
 
 from fennelcove.clock import ManualClock
 from fennelcove.core.core import Core
-from fennelcove.core.names import Names
-from fennelcove.core.storms import mac
+from fennelcove.core.session_ids import SessionIds
+from fennelcove.core.retry_storm_guard import mac
 from fennelcove.clock.timers import Timers
-from fennelcove.core.verdicts import Ask
-from fennelcove.day.script import read
-from fennelcove.decisions.viewers import places
-from fennelcove.decisions.viewers.places import Place
-from fennelcove.decisions.viewers.storm import Phase
+from fennelcove.core.requests import SessionRequest
+from fennelcove.scenarios.script import read
+from fennelcove.decisions.clients import waiting_room
+from fennelcove.decisions.clients.waiting_room import QueueTicket
+from fennelcove.decisions.clients.retry_storm import StormState
 from fennelcove.settings.schema import StormSettings
 
 
-def made(phase: Phase) -> tuple[Core, ManualClock]:
+def made(phase: StormState) -> tuple[Core, ManualClock]:
     """A core in a phase, with damping."""
     front = msgspec.structs.replace(read("storm-hall").front, storm=StormSettings(damping=True))
     clock = ManualClock(10_000_000, 10**15)
-    core = Core(front, clock, Timers(clock), lambda event, **fields: None, Names(b"n" * 32))
+    core = Core(front, clock, Timers(clock), lambda event, **fields: None, SessionIds(b"n" * 32))
     core.storms.weather.phase = phase
     return core, clock
 
@@ -45,9 +45,12 @@
     parser.add_argument("--viewers", type=int, default=100_000)
     viewers = parser.parse_args().viewers
     print(f"{os.cpu_count()} cores, Python {sys.version.split()[0]}; {viewers} distinct viewers")
-    for phase in (Phase.CALM, Phase.STORM):
+    for phase in (StormState.CALM, StormState.STORM):
         core, clock = made(phase)
-        asks = [Ask("knee-1", "recorded", client=f"viewer-{i}", again=bool(i % 3)) for i in range(viewers)]
+        asks = [
+            SessionRequest("knee-1", "recorded", client=f"viewer-{i}", again=bool(i % 3))
+            for i in range(viewers)
+        ]
         tracemalloc.start()
         before = tracemalloc.get_traced_memory()[0]
         began = time.perf_counter()
@@ -70,21 +73,21 @@
             f"{refused} answered with a place, {kept} bytes kept in all, {kept / viewers:.2f} a viewer"
         )
     key, chance = mac(b"k" * 32), Random(1)
-    place = Place("viewer", "knee-1", "recorded", chance.randrange(10**15), 10**15)
-    token = places.seal(place, key)
+    place = QueueTicket("viewer", "knee-1", "recorded", chance.randrange(10**15), 10**15)
+    token = waiting_room.sign_ticket(place, key)
     for name, call in (
-        ("made", lambda: places.seal(place, key)),
-        ("known", lambda: places.unseal(token, [key])),
+        ("made", lambda: waiting_room.sign_ticket(place, key)),
+        ("known", lambda: waiting_room.verify_ticket(token, [key])),
     ):
         began = time.perf_counter()
         for _ in range(20_000):
             call()
         print(f"a place {name}: {(time.perf_counter() - began) / 20_000 * 1e6:.1f} us")
-    core, clock = made(Phase.STORM)
-    due = places.seal(Place("viewer", "knee-1", "recorded", 0, 2 * 10**15), mac(b"k" * 32))
+    core, clock = made(StormState.STORM)
+    due = waiting_room.sign_ticket(QueueTicket("viewer", "knee-1", "recorded", 0, 2 * 10**15), mac(b"k" * 32))
     core.storms.use_keys([b"k" * 32])
     shown = [
-        core.storms.before(Ask("knee-1", "recorded", client="viewer", place=due), clock.now_us())
+        core.storms.before(SessionRequest("knee-1", "recorded", client="viewer", place=due), clock.now_us())
         for _ in range(1000)
     ]
     print(f"one place shown a thousand times: let in {sum(item is None for item in shown)}")
--- a/benchmarks/watching.py
+++ b/benchmarks/watching.py
@@ -15,11 +15,11 @@
 import msgspec
 
 from benchmarks.power import spread
-from fennelcove.day.judge import Verdict, judge
-from fennelcove.day.player import DayFailed, DayPlayer
-from fennelcove.day.recovery import began_us
-from fennelcove.day.script import Day, read
-from fennelcove.standins.recorder import Record
+from fennelcove.scenarios.checker import Verdict, judge
+from fennelcove.scenarios.player import DayFailed, DayPlayer
+from fennelcove.scenarios.recovery import began_us
+from fennelcove.scenarios.script import Day, read
+from fennelcove.emulators.recorder import Record
 
 replace = msgspec.structs.replace
 FOUND_S = 2.5  # two probes that fail, half a second apart, and words that may be late
--- a/benchmarks/worlds.py
+++ b/benchmarks/worlds.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 from itertools import product
 
-from fennelcove.decisions.fleet.company import Beat, Company, Peer, Terms
+from fennelcove.decisions.fleet.membership import Heartbeat, Membership, Peer, MembershipSettings
 
 BEAT_US = 500_000
 TERMS = {"fronts": 3, "beat_us": BEAT_US, "lease_us": 2 * BEAT_US, "word_us": 2 * BEAT_US}
@@ -27,14 +27,14 @@
 CUTS: tuple[frozenset[int], ...] = (frozenset(), frozenset({0}), frozenset({1}), frozenset({0, 1, 2}))
 
 
-class Hasty(Company):
+class Hasty(Membership):
     """A planted fault: it repeats beats while its own word may still be acted on."""
 
     def _repeats(self, peer: Peer, now_us: int) -> bool:
         return True
 
 
-class Trusting(Company):
+class Trusting(Membership):
     """A planted fault: a word that somebody is gone stands for ever."""
 
     def gone(self, now_us: int) -> frozenset[int]:
@@ -42,24 +42,24 @@
         return frozenset(i for i in self.peers if words.count(i) + 1 >= self.terms.majority and i in words)
 
 
-KINDS: dict[str, type[Company]] = {"": Company, "hasty": Hasty, "trusting": Trusting}
+KINDS: dict[str, type[Membership]] = {"": Membership, "hasty": Hasty, "trusting": Trusting}
 
 
 @dataclass
 class World:
     """What runs, what stands still, and what is on its way."""
 
-    kind: type[Company]
+    kind: type[Membership]
     now_us: int = 10 * HORIZON_US
     lives: int = 0
-    members: dict[int, Company] = field(default_factory=dict)
-    still: dict[int, Company] = field(default_factory=dict)
-    air: list[tuple[int, int, int, Beat]] = field(default_factory=list)  # when, from, to
+    members: dict[int, Membership] = field(default_factory=dict)
+    still: dict[int, Membership] = field(default_factory=dict)
+    air: list[tuple[int, int, int, Heartbeat]] = field(default_factory=list)  # when, from, to
     largest: float = 0.0
 
     def born(self, index: int) -> None:
         self.lives += 1
-        self.members[index] = self.kind(Terms(index=index, **TERMS), self.lives, self.now_us)
+        self.members[index] = self.kind(MembershipSettings(index=index, **TERMS), self.lives, self.now_us)
 
     def beat(self, apart: frozenset[int], late_us: int) -> None:
         """One beat of all that run, and what comes of it."""
@@ -109,7 +109,7 @@
         def ago(at_us: int) -> int:
             return min(HORIZON_US, self.now_us - at_us)
 
-        def one(index: int, member: Company) -> object:
+        def one(index: int, member: Membership) -> object:
             peers = tuple(
                 (
                     other,
@@ -145,7 +145,7 @@
         return tuple(one(index, member) for index, member in sorted(everyone.items())), air
 
 
-def search(kind: type[Company], steps: int, most: int) -> tuple[int, int, float]:
+def search(kind: type[Membership], steps: int, most: int) -> tuple[int, int, float]:
     """Worlds seen, whole steps done, and the largest sum; ends early where that is above the whole."""
     world = World(kind)
     for index in range(3):
--- a/packages/cli/src/fennelcove/cli/api.py
+++ b/packages/cli/src/fennelcove/cli/api.py
@@ -12,7 +12,7 @@
 from fennelcove.api import asyncapi, openapi
 from fennelcove.api.diff import Comparison, stepped
 from fennelcove.cli.telling import FileUnusable, fail
-from fennelcove.doors.routes import LINES
+from fennelcove.ingress.routes import LINES
 
 BREAKS = 1
 
--- a/packages/cli/src/fennelcove/cli/client.py
+++ b/packages/cli/src/fennelcove/cli/client.py
@@ -6,16 +6,16 @@
 
 import msgspec
 
-from fennelcove.errors import Trouble
+from fennelcove.errors import OperatorError
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import ProtocolError, ResponseHead
-from fennelcove.peers.pool import DialLimits, dial
+from fennelcove.upstream.connection_pool import DialLimits, dial
 
 TIMEOUT_S = 5.0
 BODY_BYTES = 16 * 1024 * 1024
 
 
-class Failed(Trouble):
+class Failed(OperatorError):
     """A front gave the command no whole answer."""
 
     code = "front-unanswered"
--- a/packages/cli/src/fennelcove/cli/days.py
+++ b/packages/cli/src/fennelcove/cli/days.py
@@ -6,14 +6,14 @@
 import msgspec
 
 from fennelcove.cli.telling import FileUnusable, ToolsMissing, tell
-from fennelcove.day import outs, slots
-from fennelcove.day.judge import Verdict, judge
-from fennelcove.day.plots import draw_seconds
-from fennelcove.day.recovery import told
-from fennelcove.day.player import DayFailed, DayPlayer
-from fennelcove.day.script import read
+from fennelcove.scenarios import outages, slots
+from fennelcove.scenarios.checker import Verdict, judge
+from fennelcove.scenarios.plots import draw_seconds
+from fennelcove.scenarios.recovery import told
+from fennelcove.scenarios.player import DayFailed, DayPlayer
+from fennelcove.scenarios.script import read
 from fennelcove.settings.reader import SettingsError
-from fennelcove.standins.recorder import load, save
+from fennelcove.emulators.recorder import load, save
 
 PASSED, BROKEN, USAGE = 0, 1, 2
 
@@ -89,7 +89,7 @@
                 f"{row.wait_p50_ms:.0f} ms (p99 {row.wait_p99_ms:.0f}), slot-time {row.slot_s:.1f} s"
             )
     if verdict.outs is not None:
-        click.echo(outs.told(verdict.outs))
+        click.echo(outages.told(verdict.outs))
     if verdict.slots is not None:
         click.echo(slots.told(verdict.slots))
     if verdict.fleet is not None:
--- a/packages/cli/src/fennelcove/cli/fleet.py
+++ b/packages/cli/src/fennelcove/cli/fleet.py
@@ -16,18 +16,18 @@
 from fennelcove.cli.main import LazyGroup
 from fennelcove.cli.telling import fail
 from fennelcove.clock import SystemClock
-from fennelcove.core.storms import mac
-from fennelcove.decisions.operators import control, reach
-from fennelcove.decisions.operators.control import Command
-from fennelcove.decisions.operators.reach import Outcome, Word
-from fennelcove.decisions.operators.waiting import Wait, Wanted
+from fennelcove.core.retry_storm_guard import mac
+from fennelcove.decisions.operators import command_authorization, reachability
+from fennelcove.decisions.operators.command_authorization import SignedCommand
+from fennelcove.decisions.operators.reachability import CallOutcome, ReachStatus
+from fennelcove.decisions.operators.convergence import ConvergenceWait, DesiredState
 from fennelcove.fleet import inventory
 from fennelcove.fleet.asker import Call, Fields, Times, ask_all
 from fennelcove.fleet.inventory import FrontLine
-from fennelcove.program.key_file import KeyFileError, load
+from fennelcove.daemon.key_file import KeyFileError, load
 from fennelcove.settings.reader import SettingsError
 
-Show = Callable[[Outcome], list[str]]
+Show = Callable[[CallOutcome], list[str]]
 
 
 class Fleet:
@@ -48,10 +48,10 @@
             fail(error)
 
     def run(
-        self, lines: list[FrontLine], call: Call, show: Callable[[Outcome], list[str]], heads: list[str]
+        self, lines: list[FrontLine], call: Call, show: Callable[[CallOutcome], list[str]], heads: list[str]
     ) -> None:
         """Ask all, show all, and end with the status that belongs to it."""
-        outcomes: dict[str, Outcome] = {}
+        outcomes: dict[str, CallOutcome] = {}
         for outcome in ask_all(lines, call, self.times, self.clock, self.at_once):
             outcomes[outcome.name] = outcome
             if not self.as_json and sys.stderr.isatty():
@@ -69,20 +69,20 @@
                 click.echo(msgspec.json.encode(row).decode())
         else:
             self._table(ordered, show, heads)
-            failed = [outcome for outcome in ordered if outcome.word is not Word.DONE]
+            failed = [outcome for outcome in ordered if outcome.word is not ReachStatus.DONE]
             unknown = [outcome for outcome in failed if commands and outcome.unknown]
             click.echo(
                 f"{len(ordered) - len(failed)} of {len(ordered)} done, {len(failed) - len(unknown)} failed"
                 + (f", {len(unknown)} unknown: they may have done it" if unknown else "")
             )
-        sys.exit(reach.ended(ordered, commands).value)
+        sys.exit(reachability.ended(ordered, commands).value)
 
-    def _table(self, ordered: list[Outcome], show: Show, heads: list[str]) -> None:
+    def _table(self, ordered: list[CallOutcome], show: Show, heads: list[str]) -> None:
         table = Table(box=None, pad_edge=False)
         for head in ["front", "outcome", *heads, "detail"]:
             table.add_column(head, overflow="fold")
         for outcome in ordered:
-            told = show(outcome) if outcome.word is Word.DONE else [""] * len(heads)
+            told = show(outcome) if outcome.word is ReachStatus.DONE else [""] * len(heads)
             table.add_row(outcome.name, outcome.word.value, *told, outcome.detail)
         Console(width=None if sys.stdout.isatty() else 140).print(table)
 
@@ -121,7 +121,7 @@
     ctx.obj = Fleet(source, times, at_once, as_json)
 
 
-def _status(outcome: Outcome) -> list[str]:
+def _status(outcome: CallOutcome) -> list[str]:
     said = outcome.said
     storm = said.get("storm")
     weather = str(storm.get("phase", "")) if isinstance(storm, dict) else ""
@@ -148,7 +148,7 @@
 ) -> None:
     """Ask until every front is in a phase, or holds so few subscriptions. Exit status 1: not in time."""
     lines, call = tool.chosen(selectors), Call("GET", "/v1/status")
-    waiting = Wait(Wanted(phase, held_most), tool.clock.now_us() + round(for_s * 1e6))
+    waiting = ConvergenceWait(DesiredState(phase, held_most), tool.clock.now_us() + round(for_s * 1e6))
     while True:
         waiting.hear(ask_all(lines, call, tool.times, tool.clock, tool.at_once))
         pause_us = waiting.pause_us(tool.clock.now_us())
@@ -160,7 +160,7 @@
     sys.exit(0 if waiting.there else 1)
 
 
-def _turned(outcome: Outcome) -> list[str]:
+def _turned(outcome: CallOutcome) -> list[str]:
     return [str(outcome.said.get(name, "")) for name in ("phase", "held")]
 
 
@@ -173,8 +173,8 @@
     path = f"/v1/control/{what}"
 
     def fields(line: FrontLine) -> Fields:
-        command = Command(line.name, "POST", path, body, tool.clock.wall_us(), secrets.token_hex(12))
-        return [(control.HEADER, control.seal(command, key, seal))]
+        command = SignedCommand(line.name, "POST", path, body, tool.clock.wall_us(), secrets.token_hex(12))
+        return [(command_authorization.HEADER, command_authorization.sign_command(command, key, seal))]
 
     return Call("POST", path, body, fields)
 
@@ -211,7 +211,7 @@
 @click.argument("file", type=click.Path(exists=True))
 def audit(file: str) -> None:
     """Whether an audit file of a front is what was written. Exit status 1 where it is not."""
-    from fennelcove.program.audit_file import check
+    from fennelcove.daemon.audit_file import check
 
     bad = check(file)
     click.echo("sound" if bad is None else f"{file}:{bad}: not what was written")
--- a/packages/cli/src/fennelcove/cli/keys.py
+++ b/packages/cli/src/fennelcove/cli/keys.py
@@ -10,9 +10,9 @@
 
 from fennelcove.cli.telling import FileUnusable, fail
 from fennelcove.clock import SystemClock
-from fennelcove.core.storms import mac
-from fennelcove.decisions.viewers import passes
-from fennelcove.program.key_file import KeyFileError, load, rotate
+from fennelcove.core.retry_storm_guard import mac
+from fennelcove.decisions.clients import access_tokens
+from fennelcove.daemon.key_file import KeyFileError, load, rotate
 
 
 @click.group()
@@ -36,7 +36,7 @@
 @click.option("--days", type=click.IntRange(1, 825), default=90, show_default=True)
 def rotate_(folder: str, days: int) -> None:
     """Replace the certificate in FOLDER, for the same names. A running front takes the new one by itself."""
-    from fennelcove.program import certificates
+    from fennelcove.daemon import certificates
 
     try:
         held = certificates.read(folder)
@@ -46,7 +46,7 @@
 
 
 def _write(folder: str, names: tuple[str, ...], days: int) -> None:
-    from fennelcove.program import certificates
+    from fennelcove.daemon import certificates
 
     try:
         certificates.make(folder, names, datetime.now(UTC), timedelta(days=days))
@@ -59,7 +59,7 @@
 @click.argument("folder", type=click.Path())
 def list_(folder: str) -> None:
     """Show what the certificate in FOLDER is for. Exit status 1 where it is over, or its key does not fit."""
-    from fennelcove.program import certificates
+    from fennelcove.daemon import certificates
 
     try:
         held = certificates.read(folder)
@@ -99,5 +99,5 @@
         newest = load(file, now_us // 1000)[0]
     except KeyFileError as error:
         fail(error)
-    held = passes.Pass(client, now_us - 5_000_000, now_us + round(minutes * 60e6), most, titles)
-    click.echo(passes.seal(held, mac(newest)))
+    held = access_tokens.AccessToken(client, now_us - 5_000_000, now_us + round(minutes * 60e6), most, titles)
+    click.echo(access_tokens.seal(held, mac(newest)))
--- a/packages/cli/src/fennelcove/cli/main.py
+++ b/packages/cli/src/fennelcove/cli/main.py
@@ -99,7 +99,7 @@
 @day.command("list")
 def day_list() -> None:
     """The days that come with the program."""
-    from fennelcove.day.script import names
+    from fennelcove.scenarios.script import names
 
     for name in names():
         click.echo(name)
--- a/packages/cli/src/fennelcove/cli/releases.py
+++ b/packages/cli/src/fennelcove/cli/releases.py
@@ -11,8 +11,8 @@
 
 from fennelcove.cli.fleet import FILE, KEY, Fleet, sealed
 from fennelcove.cli.telling import FleetSilent, fail
-from fennelcove.decisions.operators import reach
-from fennelcove.decisions.operators.reach import Outcome, Word
+from fennelcove.decisions.operators import reachability
+from fennelcove.decisions.operators.reachability import CallOutcome, ReachStatus
 from fennelcove.fleet.asker import Call, ask, ask_all
 from fennelcove.fleet.inventory import FrontLine
 from fennelcove.wire.orders import PlanOrder
@@ -22,12 +22,12 @@
 FENCE = click.option("--fence", type=click.IntRange(0), help="What `state` told; without it that of now.")
 
 
-def _told(outcome: Outcome) -> dict[str, Any]:
+def _told(outcome: CallOutcome) -> dict[str, Any]:
     said = outcome.said.get("releases", outcome.said)
     return said if isinstance(said, dict) else {}
 
 
-def _row(outcome: Outcome) -> list[str]:
+def _row(outcome: CallOutcome) -> list[str]:
     said = _told(outcome)
     out = said.get("out", {})
 
@@ -64,9 +64,12 @@
     """Tell one front: who leads first, then whoever answers, as long as none may have taken it."""
     lines = tool.chosen(())
     seen = {one.name: one for one in ask_all(lines, STATUS, tool.times, tool.clock, tool.at_once)}
-    up = [line for line in lines if seen[line.name].word is Word.DONE and _told(seen[line.name])]
+    up = [line for line in lines if seen[line.name].word is ReachStatus.DONE and _told(seen[line.name])]
     if not up:
-        fail(FleetSilent("found no front that answers and has releases"), reach.Exit.SOME_FAILED.value)
+        fail(
+            FleetSilent("found no front that answers and has releases"),
+            reachability.ExitCode.SOME_FAILED.value,
+        )
     if fence is None:
         fence = max(int(_told(seen[line.name]).get("fence", 0)) for line in up)
     up.sort(key=lambda line: not _told(seen[line.name]).get("leads"))
@@ -75,7 +78,7 @@
 
 
 def _first(tool: Fleet, lines: Sequence[FrontLine], call: Call) -> None:
-    outcomes: list[Outcome] = []
+    outcomes: list[CallOutcome] = []
     until_us = tool.clock.now_us() + tool.times.whole_us
     for line in lines:
         outcome = ask(line, call, tool.times, tool.clock, until_us)
@@ -84,19 +87,19 @@
             break
     for outcome in outcomes:
         said = f"{outcome.name}: {outcome.word.value} {outcome.detail}".rstrip()
-        if outcome.word is Word.DONE:
+        if outcome.word is ReachStatus.DONE:
             told = _told(outcome)
             said += f"; plan {told.get('plan')} is {told.get('phase')}, fence {told.get('fence')}"
         click.echo(said)
     last = outcomes[-1]
-    sys.exit(reach.ended([last], True).value)
+    sys.exit(reachability.ended([last], True).value)
 
 
-def _untaken(outcome: Outcome) -> bool:
+def _untaken(outcome: CallOutcome) -> bool:
     """Whether it surely has not taken the order, and another may: it is busy, or could not be reached."""
-    if outcome.word is Word.DECLINED:
+    if outcome.word is ReachStatus.DECLINED:
         return "busy" in outcome.detail
-    return outcome.word in (Word.REFUSED, Word.UNREACHABLE, Word.UNRESOLVED)
+    return outcome.word in (ReachStatus.REFUSED, ReachStatus.UNREACHABLE, ReachStatus.UNRESOLVED)
 
 
 PLAN = (
--- a/packages/cli/src/fennelcove/cli/serve.py
+++ b/packages/cli/src/fennelcove/cli/serve.py
@@ -13,16 +13,16 @@
 from fennelcove import log
 from fennelcove.cli.telling import ListenFailed, tell
 from fennelcove.clock import SystemClock
-from fennelcove.doors.tls import TlsError
-from fennelcove.program.front import FrontProgram
-from fennelcove.program.key_file import KeyFileError
+from fennelcove.ingress.tls import TlsError
+from fennelcove.daemon.front_daemon import FrontDaemon
+from fennelcove.daemon.key_file import KeyFileError
 from fennelcove.settings.checks import load_front
 from fennelcove.settings.reader import SettingsError, load
 from fennelcove.store.folder import StoreError
 from fennelcove.settings.schema import Name, SomeCount, SomeFigure, SomeMillis, Strict
-from fennelcove.standins.box import StandInBox
-from fennelcove.standins.model import BoxModel, RackModel
-from fennelcove.standins.recorder import Recorder
+from fennelcove.emulators.media_server import StandInBox
+from fennelcove.emulators.model import BoxModel, RackModel
+from fennelcove.emulators.recorder import Recorder
 
 USAGE, FAILED = 2, 1
 
@@ -66,7 +66,7 @@
     hurry = threading.Event()
     asked = _until_signal(hurry)
     try:
-        program = FrontProgram(settings, notice, SystemClock(round(wall_off_s * 1e6)), end=asked.set)
+        program = FrontDaemon(settings, notice, SystemClock(round(wall_off_s * 1e6)), end=asked.set)
     except (KeyFileError, StoreError, TlsError) as error:
         tell(error)
         return USAGE
--- a/packages/cli/src/fennelcove/cli/store.py
+++ b/packages/cli/src/fennelcove/cli/store.py
@@ -11,9 +11,9 @@
 import msgspec
 
 from fennelcove.cli.telling import fail
-from fennelcove.core.memories import BOX, FRONT
-from fennelcove.decisions.kept import recovery
-from fennelcove.store.base import FILE, BaseError
+from fennelcove.core.snapshot_manager import SERVER, FRONT
+from fennelcove.decisions.recovery import snapshot
+from fennelcove.store.base import FILE, BaseFileError
 from fennelcove.store.folder import Store, StoreError, verify
 
 BAD = 1
@@ -36,11 +36,11 @@
     rows: list[dict[str, Any]] = []
     for key, raw in sorted(store.values.items()):
         found: msgspec.Struct | None
-        if key.startswith(BOX):
-            kind, found = "box", recovery.read_box(raw)
+        if key.startswith(SERVER):
+            kind, found = "box", snapshot.read_server(raw)
         else:
-            kind, found = ("front" if key == FRONT else "unknown"), recovery.read_front(raw)
-        name = key.removeprefix(BOX).decode("utf-8", "replace")
+            kind, found = ("front" if key == FRONT else "unknown"), snapshot.read_front(raw)
+        name = key.removeprefix(SERVER).decode("utf-8", "replace")
         row: dict[str, Any] = {"kind": kind, "name": name, "bytes": len(raw)}
         if found is not None:
             row |= msgspec.structs.asdict(found)
@@ -107,7 +107,7 @@
         before = (Path(folder) / FILE).stat().st_size
         fresh.unlink(missing_ok=True)
         held.base.copy(str(fresh))
-    except BaseError as error:
+    except BaseFileError as error:
         fail(error)
     except OSError as error:
         fail(StoreError(f"found no way to write there ({error})", folder))
--- a/packages/cli/src/fennelcove/cli/storms.py
+++ b/packages/cli/src/fennelcove/cli/storms.py
@@ -12,13 +12,13 @@
 from fennelcove.cli.days import show
 from fennelcove.cli.telling import FileUnusable, ToolsMissing, fail, tell
 from fennelcove.clock import SystemClock
-from fennelcove.day import replays
-from fennelcove.day.judge import judge
-from fennelcove.day.player import DayFailed, DayPlayer
-from fennelcove.day.script import read
-from fennelcove.program.key_file import KeyFileError, rotate
+from fennelcove.scenarios import replays
+from fennelcove.scenarios.checker import judge
+from fennelcove.scenarios.player import DayFailed, DayPlayer
+from fennelcove.scenarios.script import read
+from fennelcove.daemon.key_file import KeyFileError, rotate
 from fennelcove.settings.reader import SettingsError
-from fennelcove.standins.recorder import Record, load, save
+from fennelcove.emulators.recorder import Record, load, save
 
 FAILED = 1
 
@@ -77,7 +77,7 @@
 def draw(records: list[Record], folder: str) -> None:
     """Draw, or say what is missing."""
     try:
-        from fennelcove.day import plots
+        from fennelcove.scenarios import plots
 
         for file in plots.draw(records, folder):
             click.echo(file)
--- a/packages/cli/src/fennelcove/log.py
+++ b/packages/cli/src/fennelcove/log.py
@@ -8,7 +8,7 @@
 import msgspec
 import structlog
 
-from fennelcove.core.verdicts import Notices
+from fennelcove.core.requests import EventLogger
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 # What an operator should look at; everything else tells the ordinary course.
@@ -32,7 +32,7 @@
     return msgspec.json.encode(fields, enc_hook=str).decode()
 
 
-def configure(front: str, level: str = "info", stream: TextIO | None = None) -> Notices:
+def configure(front: str, level: str = "info", stream: TextIO | None = None) -> EventLogger:
     """A function that logs one event; everything goes to standard error unless a stream is given."""
     sink = stream or sys.stderr
     human = sink.isatty()
--- a/packages/slots/src/fennelcove/slots/learning.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/adaptive_limit.py
@@ -23,8 +23,8 @@
 from enum import Enum, auto
 from math import ceil, log, sqrt
 
-from fennelcove.slots import erlang
-from fennelcove.slots.counts import COVER_US, Seen, class_of, quantile_us
+from fennelcove.concurrency_limits import erlang
+from fennelcove.concurrency_limits.latency_histogram import COVER_US, ObservedLatency, class_of, quantile_us
 
 KNEE = 1.5  # of the gradient: past it holds are long for want of room
 EASY = 1.25  # up to it a rise has done no harm
@@ -48,7 +48,7 @@
 AGE_US = 600_000_000  # in which half of what is above the first number is given up, with nothing seen
 
 
-class Phase(Enum):
+class LimitState(Enum):
     """What goes on at the box."""
 
     STEADY = auto()
@@ -58,7 +58,7 @@
     LOOKING = auto()  # at the holds with fewer out
 
 
-class Sign(Enum):
+class LimitSignal(Enum):
     """What the figures say."""
 
     QUIET = auto()  # too few
@@ -73,7 +73,7 @@
     RESTED = auto()
 
 
-class Act(Enum):
+class LimitAction(Enum):
     """What follows."""
 
     KEEP = auto()
@@ -87,8 +87,8 @@
     FOLLOW = auto()
 
 
-P, S, A = Phase, Sign, Act
-TABLE: dict[tuple[Phase, Sign], tuple[Phase, Act]] = {
+P, S, A = LimitState, LimitSignal, LimitAction
+TRANSITIONS: dict[tuple[LimitState, LimitSignal], tuple[LimitState, LimitAction]] = {
     (P.STEADY, S.QUIET): (P.STEADY, A.AGE),
     (P.STEADY, S.EASY): (P.STEADY, A.KEEP),
     (P.STEADY, S.WAITS): (P.PROVING, A.RISE),
@@ -132,11 +132,11 @@
     (P.LOOKING, S.LOSES): (P.FELL, A.HALVE),
     (P.LOOKING, S.ALONE): (P.STEADY, A.FOLLOW),
 }
-MUST_BE_IN_FORCE = (Phase.PROVING, Phase.FELL, Phase.LOOKING)
+MUST_BE_IN_FORCE = (LimitState.PROVING, LimitState.FELL, LimitState.LOOKING)
 
 
 @dataclass(frozen=True, slots=True)
-class Terms:
+class LimitSettings:
     """What the settings say."""
 
     start: int = 8  # where nothing is known
@@ -146,13 +146,13 @@
 
 
 @dataclass(slots=True)
-class Learner:
+class AdaptiveLimit:
     """One front's opinion of one box. The caller hands in figures, what is agreed, and times."""
 
-    terms: Terms
+    terms: LimitSettings
     whole: int
     now_us: int
-    phase: Phase = Phase.STEADY
+    phase: LimitState = LimitState.STEADY
     before: int = 0  # what a rise or a look began from
     acted_us: int = 0  # when the last act was, and 0 or when it came into force
     forced_us: int = 0
@@ -163,14 +163,14 @@
     seen_us: int = 0  # when figures last said anything
     medians: dict[int, float] = field(default_factory=dict)
     taken_us: int = 0  # when figures were last taken
-    gathered: dict[int, Seen] = field(default_factory=dict)  # since the last act came into force
+    gathered: dict[int, ObservedLatency] = field(default_factory=dict)  # since the last act came into force
     gathered_us: int = 0  # of how long
-    bucket: dict[int, Seen] = field(default_factory=dict)
+    bucket: dict[int, ObservedLatency] = field(default_factory=dict)
     bucket_us: int = 0
     late: deque[tuple[int, dict[int, float]]] = field(default_factory=lambda: deque(maxlen=BUCKETS))
     parts: dict[int, int] = field(default_factory=dict)  # what each shape needs
     own: bool = False  # it has figures of this box
-    acts: dict[Act, int] = field(default_factory=dict)
+    acts: dict[LimitAction, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.acted_us = self.looked_us = self.seen_us = self.now_us
@@ -182,13 +182,13 @@
         found = [low[shape] for _, low in self.late if shape in low]
         return min(found) if found else None
 
-    def _take(self, seen: Mapping[int, Seen], now_us: int) -> None:
+    def _take(self, seen: Mapping[int, ObservedLatency], now_us: int) -> None:
         """Figures overlap: each join counts once."""
         self.taken_us = now_us
         self.gathered_us += COVER_US
         for shape, figures in seen.items():
-            self.gathered.setdefault(shape, Seen()).add(figures)
-            self.bucket.setdefault(shape, Seen()).add(figures)
+            self.gathered.setdefault(shape, ObservedLatency()).add(figures)
+            self.bucket.setdefault(shape, ObservedLatency()).add(figures)
         found = {shape: quantile_us(figures.holds, 0.5) for shape, figures in self.gathered.items()}
         self.medians = {shape: median for shape, median in found.items() if median is not None}
         first = not self.late and sum(figures.ended for figures in self.bucket.values()) >= 2 * FEW
@@ -244,7 +244,7 @@
 
     # Decisions.
 
-    def window(self, seen: Mapping[int, Seen], agreed: int, now_us: int) -> Act:
+    def window(self, seen: Mapping[int, ObservedLatency], agreed: int, now_us: int) -> LimitAction:
         """A window has passed; what follows. `agreed` is what is in force at the box."""
         sign = self._standing(agreed, now_us)
         waits = self.phase in MUST_BE_IN_FORCE and not self.forced_us
@@ -252,9 +252,9 @@
             self._take(seen, now_us)
             sign = self._sign(agreed, now_us)
         if sign is None:
-            return Act.KEEP
-        self.phase, act = TABLE[self.phase, sign]
-        ACTS[act](self, agreed, now_us)
+            return LimitAction.KEEP
+        self.phase, act = TRANSITIONS[self.phase, sign]
+        ACTIONS[act](self, agreed, now_us)
         self.acts[act] = self.acts.get(act, 0) + 1
         self._gather()
         return act
@@ -263,20 +263,20 @@
         self.gathered, self.gathered_us = {}, 0
 
     def _in_force(self, agreed: int) -> bool:
-        return agreed >= self.whole if self.phase is Phase.PROVING else agreed <= self.whole
+        return agreed >= self.whole if self.phase is LimitState.PROVING else agreed <= self.whole
 
-    def _standing(self, agreed: int, now_us: int) -> Sign | None:
+    def _standing(self, agreed: int, now_us: int) -> LimitSignal | None:
         """What follows from the others' words and from time alone."""
-        alone = Sign.ALONE if now_us - self.acted_us >= FOLLOW_US else None
-        if self.phase is Phase.STEADY and agreed != self.whole:
+        alone = LimitSignal.ALONE if now_us - self.acted_us >= FOLLOW_US else None
+        if self.phase is LimitState.STEADY and agreed != self.whole:
             return alone
         if self.phase in MUST_BE_IN_FORCE and not self.forced_us:
             if not self._in_force(agreed):
                 return alone
             self.forced_us = now_us
             self._settle(now_us)
-        if self.phase is Phase.RESTING and now_us - self.acted_us >= self.rest_us:
-            return Sign.RESTED
+        if self.phase is LimitState.RESTING and now_us - self.acted_us >= self.rest_us:
+            return LimitSignal.RESTED
         return None
 
     def _settle(self, now_us: int) -> None:
@@ -284,31 +284,31 @@
         longest = min(float(LONGEST_US), 1.5 * max(self.medians.values(), default=0.0))
         self.taken_us = now_us + round(longest)
 
-    def _sign(self, agreed: int, now_us: int) -> Sign | None:
+    def _sign(self, agreed: int, now_us: int) -> LimitSignal | None:
         """What the figures say; None while there are too few."""
         ended = sum(figures.ended for figures in self.gathered.values())
         if ended < FEW:
-            return Sign.QUIET if self.gathered_us >= PATIENCE_US else None
+            return LimitSignal.QUIET if self.gathered_us >= PATIENCE_US else None
         self.own, self.seen_us = True, now_us
         if sum(figures.lost for figures in self.gathered.values()) > MUCH_LOST * ended:
-            return Sign.LOSES
+            return LimitSignal.LOSES
         gradient, needed = self.gradient(), self.needed()
         if gradient is None:
             return None
         self.now = gradient
         unsure = sum(figures.ended * doubt(figures) for figures in self.gathered.values()) / ended
         if gradient > KNEE * (1 + unsure):
-            stuck = self.phase is Phase.FELL and gradient > HELPED * self.slow
+            stuck = self.phase is LimitState.FELL and gradient > HELPED * self.slow
             self.slow = gradient
-            return Sign.STUCK if stuck else Sign.SLOW
+            return LimitSignal.STUCK if stuck else LimitSignal.SLOW
         if gradient > EASY:
-            return Sign.OLD if now_us - self.looked_us >= LOOK_US else Sign.FULL
+            return LimitSignal.OLD if now_us - self.looked_us >= LOOK_US else LimitSignal.FULL
         self.looked_us = now_us
         if agreed >= self.terms.most:
-            return Sign.EASY
+            return LimitSignal.EASY
         # More than the formula says only where it is seen that they wait.
         wanted = ceil(SPLIT * needed) if self.waited() > LATE_SHARE else needed
-        return Sign.WAITS if wanted > agreed else Sign.EASY
+        return LimitSignal.WAITS if wanted > agreed else LimitSignal.EASY
 
     # Acts.
 
@@ -334,7 +334,7 @@
         self._acted(now_us)
 
     def _take_back(self, agreed: int, now_us: int) -> None:
-        if self.phase is Phase.RESTING:
+        if self.phase is LimitState.RESTING:
             self.rest_us = min(MOST_REST_US, 2 * self.rest_us)
             self.whole = min(agreed, self.before)
         else:
@@ -371,20 +371,20 @@
         self._acted(now_us)
 
 
-ACTS: dict[Act, Callable[[Learner, int, int], None]] = {
-    Act.KEEP: Learner._keep,
-    Act.AGE: Learner._age,
-    Act.RISE: Learner._rise,
-    Act.TAKE_BACK: Learner._take_back,
-    Act.FALL: Learner._fall,
-    Act.HALVE: Learner._halve,
-    Act.LEARN_ANEW: Learner._learn_anew,
-    Act.DIP: Learner._dip,
-    Act.FOLLOW: Learner._follow,
+ACTIONS: dict[LimitAction, Callable[[AdaptiveLimit, int, int], None]] = {
+    LimitAction.KEEP: AdaptiveLimit._keep,
+    LimitAction.AGE: AdaptiveLimit._age,
+    LimitAction.RISE: AdaptiveLimit._rise,
+    LimitAction.TAKE_BACK: AdaptiveLimit._take_back,
+    LimitAction.FALL: AdaptiveLimit._fall,
+    LimitAction.HALVE: AdaptiveLimit._halve,
+    LimitAction.LEARN_ANEW: AdaptiveLimit._learn_anew,
+    LimitAction.DIP: AdaptiveLimit._dip,
+    LimitAction.FOLLOW: AdaptiveLimit._follow,
 }
 
 
-def doubt(figures: Seen) -> float:
+def doubt(figures: ObservedLatency) -> float:
     """By what part a median is unsure, by how far the middle half is spread: as of a lognormal."""
     low, high = quantile_us(figures.holds, 0.25), quantile_us(figures.holds, 0.75)
     if not low or not high:
--- a/packages/slots/src/fennelcove/slots/counts.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/latency_histogram.py
@@ -53,7 +53,7 @@
 
 
 @dataclass(slots=True)
-class Tally:
+class LatencyHistogram:
     """Counts of one box and shape, open to more."""
 
     asked: int = 0
@@ -72,15 +72,15 @@
 
 
 @dataclass(slots=True)
-class Own:
+class OwnHistograms:
     """One front's counts of one box. The caller hands in times."""
 
-    open: dict[int, Tally] = field(default_factory=dict)
-    past: deque[dict[int, Tally]] = field(default_factory=lambda: deque(maxlen=WINDOWS))
+    open: dict[int, LatencyHistogram] = field(default_factory=dict)
+    past: deque[dict[int, LatencyHistogram]] = field(default_factory=lambda: deque(maxlen=WINDOWS))
 
-    def tally(self, shape: int) -> Tally:
+    def tally(self, shape: int) -> LatencyHistogram:
         """The open counts of a shape."""
-        return self.open.setdefault(shape, Tally())
+        return self.open.setdefault(shape, LatencyHistogram())
 
     def close(self, windows: int) -> None:
         """So many windows have passed."""
@@ -95,10 +95,10 @@
 
     def rows(self, most: int) -> tuple[Row, ...]:
         """What to tell: the shapes that hold slots for longest first, at most so many."""
-        sums: dict[int, Tally] = {}
+        sums: dict[int, LatencyHistogram] = {}
         for window in self.past:
             for shape, seen in window.items():
-                total = sums.setdefault(shape, Tally())
+                total = sums.setdefault(shape, LatencyHistogram())
                 total.asked += seen.asked
                 total.denied += seen.denied
                 total.lost += seen.lost
@@ -148,7 +148,7 @@
 
 
 @dataclass(slots=True)
-class Seen:
+class ObservedLatency:
     """A fleet's figures of one box and shape."""
 
     asked: float = 0.0
@@ -167,7 +167,7 @@
         """Of the hold times."""
         return held_us(self.holds.items()) / self.ended if self.holds else 0.0
 
-    def add(self, other: Seen) -> None:
+    def add(self, other: ObservedLatency) -> None:
         """Of another time, or another front, as well."""
         self.asked += other.asked
         self.denied += other.denied
@@ -178,7 +178,7 @@
 
 
 @dataclass(slots=True)
-class Heard:
+class GossipedHistograms:
     """The newest rows of each front about one box."""
 
     rows: dict[tuple[int, int], tuple[int, int, Row, int]] = field(default_factory=dict)
@@ -195,7 +195,7 @@
         """Rows that say nothing any more; what is left is bounded by fronts and shapes."""
         self.rows = {key: known for key, known in self.rows.items() if now_us - known[3] <= STALE_US}
 
-    def merged(self, now_us: int) -> dict[int, Seen]:
+    def merged(self, now_us: int) -> dict[int, ObservedLatency]:
         """The fleet's figures by shape. Where three or more speak none weighs more than a third, or than the
         next: its counts are scaled down, so that a median stays between the others' quartiles whatever it
         says."""
@@ -206,8 +206,8 @@
         return {shape: _merge(rows) for shape, rows in young.items()}
 
 
-def _merge(rows: list[Row]) -> Seen:
-    seen = Seen()
+def _merge(rows: list[Row]) -> ObservedLatency:
+    seen = ObservedLatency()
     ended = [many(row.holds) for row in rows]
     asked = [float(row.asked) for row in rows]
     for row, factor, less in zip(rows, _factors(ended), _factors(asked), strict=True):
--- a/packages/slots/src/fennelcove/slots/keeping.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/persisted.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from fennelcove.slots.learning import aged
+from fennelcove.concurrency_limits.adaptive_limit import aged
 
 KEY = b"slots/"
 BORN_WITHIN_US = 5_000_000  # two fronts learn a box's birth from answers that took a while
--- a/packages/slots/src/fennelcove/slots/agreeing.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/quorum.py
@@ -20,14 +20,14 @@
 from enum import Enum, auto
 from zlib import crc32
 
-from fennelcove.slots.learning import aged
+from fennelcove.concurrency_limits.adaptive_limit import aged
 
 PANEL = 15
 WORD_US = 4_000_000  # how long a word counts
 MOST_PARTS = 6  # shapes of which a word says what they need
 
 
-class Stand(Enum):
+class AgreementState(Enum):
     """How this front stands to the panel."""
 
     ALONE = auto()  # no majority yet, in this life
@@ -35,7 +35,7 @@
     CUT = auto()  # there was one
 
 
-class Sign(Enum):
+class AgreementSignal(Enum):
     """Who is heard."""
 
     NOBODY = auto()
@@ -43,7 +43,7 @@
     MAJORITY = auto()
 
 
-class Act(Enum):
+class AgreementAction(Enum):
     """What follows for the number in force."""
 
     AGE = auto()
@@ -51,38 +51,38 @@
     TAKE = auto()
 
 
-TABLE: dict[tuple[Stand, Sign], tuple[Stand, Act]] = {
-    (Stand.ALONE, Sign.NOBODY): (Stand.ALONE, Act.AGE),
-    (Stand.ALONE, Sign.SOME): (Stand.ALONE, Act.LOWER),
-    (Stand.ALONE, Sign.MAJORITY): (Stand.LED, Act.TAKE),
-    (Stand.LED, Sign.NOBODY): (Stand.CUT, Act.AGE),
-    (Stand.LED, Sign.SOME): (Stand.CUT, Act.LOWER),
-    (Stand.LED, Sign.MAJORITY): (Stand.LED, Act.TAKE),
-    (Stand.CUT, Sign.NOBODY): (Stand.CUT, Act.AGE),
-    (Stand.CUT, Sign.SOME): (Stand.CUT, Act.LOWER),
-    (Stand.CUT, Sign.MAJORITY): (Stand.LED, Act.TAKE),
+TRANSITIONS: dict[tuple[AgreementState, AgreementSignal], tuple[AgreementState, AgreementAction]] = {
+    (AgreementState.ALONE, AgreementSignal.NOBODY): (AgreementState.ALONE, AgreementAction.AGE),
+    (AgreementState.ALONE, AgreementSignal.SOME): (AgreementState.ALONE, AgreementAction.LOWER),
+    (AgreementState.ALONE, AgreementSignal.MAJORITY): (AgreementState.LED, AgreementAction.TAKE),
+    (AgreementState.LED, AgreementSignal.NOBODY): (AgreementState.CUT, AgreementAction.AGE),
+    (AgreementState.LED, AgreementSignal.SOME): (AgreementState.CUT, AgreementAction.LOWER),
+    (AgreementState.LED, AgreementSignal.MAJORITY): (AgreementState.LED, AgreementAction.TAKE),
+    (AgreementState.CUT, AgreementSignal.NOBODY): (AgreementState.CUT, AgreementAction.AGE),
+    (AgreementState.CUT, AgreementSignal.SOME): (AgreementState.CUT, AgreementAction.LOWER),
+    (AgreementState.CUT, AgreementSignal.MAJORITY): (AgreementState.LED, AgreementAction.TAKE),
 }
 
 
-def panel_of(box: int, fronts: int) -> tuple[int, ...]:
+def panel_of(server: int, fronts: int) -> tuple[int, ...]:
     """The fronts that judge a box, by rendezvous hash."""
     if fronts <= PANEL:
         return tuple(range(fronts))
-    return tuple(sorted(range(fronts), key=lambda i: crc32(f"{box}/{i}".encode()))[:PANEL])
+    return tuple(sorted(range(fronts), key=lambda i: crc32(f"{server}/{i}".encode()))[:PANEL])
 
 
-def home_slots(box: int, whole: int, fronts: int, index: int) -> int:
+def home_slots(server: int, whole: int, fronts: int, index: int) -> int:
     """How many of the slots 0 to whole - 1 are at home at a front: slot k is at `(box + k) % fronts`."""
-    return len(range((index - box) % fronts, whole, fronts))
+    return len(range((index - server) % fronts, whole, fronts))
 
 
-def homes_of(box: int, whole: int, fronts: int, index: int) -> tuple[int, ...]:
+def homes_of(server: int, whole: int, fronts: int, index: int) -> tuple[int, ...]:
     """The other fronts at which some are at home."""
-    return tuple(i for slot in range(min(whole, fronts)) if (i := (box + slot) % fronts) != index)
+    return tuple(i for slot in range(min(whole, fronts)) if (i := (server + slot) % fronts) != index)
 
 
 @dataclass(frozen=True, slots=True)
-class Word:
+class QuorumVote:
     """What one front of the panel says of a box."""
 
     whole: int
@@ -90,15 +90,15 @@
 
 
 @dataclass(slots=True)
-class Agreed:
+class QuorumAgreement:
     """What counts at one front for one box. The caller hands in times."""
 
     panel: tuple[int, ...]
     whole: int  # in force
     start: int
     now_us: int
-    stand: Stand = Stand.ALONE
-    words: dict[int, tuple[int, int, Word, int]] = field(default_factory=dict)
+    stand: AgreementState = AgreementState.ALONE
+    words: dict[int, tuple[int, int, QuorumVote, int]] = field(default_factory=dict)
     led_us: int = 0  # when a majority last counted
 
     def __post_init__(self) -> None:
@@ -109,7 +109,7 @@
         """Of the panel, whoever lives."""
         return len(self.panel) // 2 + 1
 
-    def hear(self, sender: int, life: int, number: int, word: Word, now_us: int) -> bool:
+    def hear(self, sender: int, life: int, number: int, word: QuorumVote, now_us: int) -> bool:
         """A word has come; whether it says something new. Only the panel's count."""
         known = self.words.get(sender)
         if sender not in self.panel or (known is not None and (life, number) <= known[:2]):
@@ -117,23 +117,29 @@
         self.words[sender] = (life, number, word, now_us)
         return known is None or known[2].whole != word.whole or now_us - known[3] > WORD_US
 
-    def young(self, now_us: int) -> list[Word]:
+    def young(self, now_us: int) -> list[QuorumVote]:
         """The words that count."""
         return [word for _, _, word, heard_us in self.words.values() if now_us - heard_us <= WORD_US]
 
     def advance(self, now_us: int) -> int:
         """The number in force from now on."""
         said = sorted((word.whole for word in self.young(now_us)), reverse=True)
-        sign = Sign.NOBODY if not said else Sign.SOME if len(said) < self.majority else Sign.MAJORITY
-        self.stand, act = TABLE[self.stand, sign]
+        sign = (
+            AgreementSignal.NOBODY
+            if not said
+            else AgreementSignal.SOME
+            if len(said) < self.majority
+            else AgreementSignal.MAJORITY
+        )
+        self.stand, act = TRANSITIONS[self.stand, sign]
         median = said[len(said) // 2] if said else self.whole
-        if act is Act.TAKE:
+        if act is AgreementAction.TAKE:
             # At least a majority of the panel says so much: more counts by that alone, less by the median.
             self.whole = max(said[self.majority - 1], min(self.whole, median))
             self.led_us = now_us
-        elif act is Act.LOWER:
+        elif act is AgreementAction.LOWER:
             self.whole = min(self.whole, median)
-        if act is not Act.TAKE:
+        if act is not AgreementAction.TAKE:
             kept = aged(self.whole, self.start, now_us - self.led_us)
             if kept < self.whole:
                 self.whole, self.led_us = kept, now_us
--- a/packages/slots/src/fennelcove/slots/lots.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/quota_loans.py
@@ -1,4 +1,4 @@
-"""One front's part of a box's slots, lent by the idle to the busy as budgets are.
+"""One front's part of a server's slots, lent by the idle to the busy as budgets are.
 
 The slots at home here are this front's part; loans, their ends and what a new life may do are
 `decisions/fleet/budgets`' own. Three things differ. A slot has no halves. A join holds it until its end, so a
@@ -12,8 +12,8 @@
 from dataclasses import dataclass, field
 from math import floor
 
-from fennelcove.decisions.fleet.budgets import Ask, Loan, Purse, Thing
-from fennelcove.slots.agreeing import home_slots, homes_of
+from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Quota, Resource
+from fennelcove.concurrency_limits.quorum import home_slots, homes_of
 
 LOAN_US = 10_000_000  # longer than a join may take, or a loan carries none
 KEPT = 0.2  # of the slots at home, what is never lent: a new life that nobody answers has that
@@ -25,10 +25,10 @@
 
 
 @dataclass(slots=True)
-class Lot:
+class QuotaLoans:
     """One front's part of one box. The caller hands in times and chance, and carries messages."""
 
-    box: int
+    server: int
     fronts: int
     index: int
     life: int
@@ -39,12 +39,12 @@
     ends_us: int = 0  # when the last of what is out ends at the latest
     allow_us: int = 0  # how long the last join may last
     homes: tuple[int, ...] = ()  # the other fronts that have slots
-    given: deque[tuple[int, Loan, int]] = field(default_factory=lambda: deque(maxlen=MOST_BACKS))
-    purse: Purse = field(init=False)
+    given: deque[tuple[int, QuotaTransfer, int]] = field(default_factory=lambda: deque(maxlen=MOST_BACKS))
+    purse: Quota = field(init=False)
 
     def __post_init__(self) -> None:
-        self.purse = Purse(
-            Thing.SLOT,
+        self.purse = Quota(
+            Resource.SLOT,
             0.0,
             self.fronts,
             self.index,
@@ -61,8 +61,8 @@
 
     def set_whole(self, whole: int, now_us: int) -> None:
         """Another number counts here: what is at home follows at once, loans end when they end."""
-        home = float(home_slots(self.box, whole, self.fronts, self.index) * self.fronts)
-        self.homes = homes_of(self.box, whole, self.fronts, self.index)
+        home = float(home_slots(self.server, whole, self.fronts, self.index) * self.fronts)
+        self.homes = homes_of(self.server, whole, self.fronts, self.index)
         if home != self.purse.whole:
             self.purse.advance(now_us)
             self.purse.whole = home
@@ -87,7 +87,7 @@
         self.purse.advance(now_us)
         self.purse.need = float(self.out + self.waiting)
 
-    def ask(self, draw: float, now_us: int) -> list[tuple[int, Ask]]:
+    def ask(self, draw: float, now_us: int) -> list[tuple[int, QuotaRequest]]:
         """Whom to ask for more now, if anybody."""
         if not self.waiting:
             return []
@@ -96,7 +96,7 @@
         self.purse.need = float(self.out + max(self.waiting, (self.out + 1) // 2))
         return self.purse.ask(draw, now_us, now_us + self.allow_us, self.homes)
 
-    def backs(self, now_us: int) -> list[tuple[int, Loan]]:
+    def backs(self, now_us: int) -> list[tuple[int, QuotaTransfer]]:
         """What to give back, and to whom: loans that carry no join any more, and those that nobody needs.
         What is out stays within the rest until its end."""
         found = [(to, back) for to, back, _ in self.given]
@@ -137,12 +137,12 @@
         self.purse.forget(lender)
         return True
 
-    def hear_ask(self, sender: int, ask: Ask, now_us: int) -> Loan | None:
+    def hear_ask(self, sender: int, ask: QuotaRequest, now_us: int) -> QuotaTransfer | None:
         """Another asks: what it is lent."""
         self._need(now_us)
         return self.purse.hear_ask(sender, ask, now_us)
 
-    def hear_loan(self, sender: int, loan: Loan, now_us: int) -> bool:
+    def hear_loan(self, sender: int, loan: QuotaTransfer, now_us: int) -> bool:
         """Another lends, or gives back; whether there may be more here now."""
         if not loan.rate:
             self.purse.hear_back(sender, loan)
--- a/packages/slots/src/fennelcove/slots/shapes.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/workload_shape.py
@@ -12,7 +12,7 @@
 BAND_NAMES = ("low", "middle", "high")
 
 
-def shape_of(room: int, rung: int, rungs: int, ready: bool) -> int:
+def shape_of(service_class: int, rung: int, rungs: int, ready: bool) -> int:
     """The shape's number.
 
     Args:
@@ -21,11 +21,15 @@
         ready: the title is at hand at the box, and the box is warm.
     """
     band = min(BANDS - 1, max(0, rung) * BANDS // max(1, rungs))
-    return (min(room, MOST_ROOMS - 1) * BANDS + band) * 2 + ready
+    return (min(service_class, MOST_ROOMS - 1) * BANDS + band) * 2 + ready
 
 
-def name_of(shape: int, rooms: tuple[str, ...]) -> str:
+def name_of(shape: int, service_classes: tuple[str, ...]) -> str:
     """A shape for an operator to read."""
-    room, rest = divmod(shape, BANDS * 2)
-    name = rooms[room] if room < len(rooms) else f"room type {room}"
+    service_class, rest = divmod(shape, BANDS * 2)
+    name = (
+        service_classes[service_class]
+        if service_class < len(service_classes)
+        else f"room type {service_class}"
+    )
     return f"{name} {BAND_NAMES[rest // 2]} {'ready' if rest % 2 else 'cold'}"
--- a/packages/core/src/fennelcove/core/overload.py
+++ b/packages/core/src/fennelcove/core/load_shedding_coordinator.py
@@ -8,64 +8,70 @@
 from random import Random
 
 from fennelcove.clock import Clock
-from fennelcove.core.storms import StormBook
-from fennelcove.core.verdicts import Ask, Notices
-from fennelcove.decisions.fleet.burden import Burden, Summary
-from fennelcove.decisions.fleet.ration import Ration
-from fennelcove.decisions.fleet.shedding import Act, Ladder, Level
-from fennelcove.decisions.viewers import places
-from fennelcove.decisions.viewers.places import Queue, Ruling, Standing
+from fennelcove.core.retry_storm_guard import RetryStormGuard
+from fennelcove.core.requests import SessionRequest, EventLogger
+from fennelcove.decisions.fleet.fleet_load import FleetLoadEstimator, LoadSummary
+from fennelcove.decisions.fleet.slow_start_allocation import SlowStartAllocation
+from fennelcove.decisions.fleet.shedding import SheddingAction, SheddingPolicy, SheddingLevel
+from fennelcove.decisions.clients import waiting_room
+from fennelcove.decisions.clients.waiting_room import WaitingQueue, QueueDecision, TicketStatus
 from fennelcove.settings.schema import RoomTypeSettings
 
 
-class OverloadBook:
+class LoadSheddingCoordinator:
     """One front's counts, what it hears of the others', and the step of the ladder. Attach `post` where there
     are others; call `window` every `burden.WINDOW_US`."""
 
     def __init__(
         self,
-        rooms: Sequence[RoomTypeSettings],
+        service_classes: Sequence[RoomTypeSettings],
         fronts: Callable[[], int],
         life: int,
-        storms: StormBook,
+        storms: RetryStormGuard,
         clock: Clock,
-        chance: Random,
+        rng: Random,
         lock: threading.RLock,
-        notice: Notices,
+        notice: EventLogger,
     ) -> None:
-        self.rooms = {room.name: (i, room.benefit) for i, room in enumerate(rooms)}
+        self.service_classes = {
+            service_class.name: (i, service_class.benefit) for i, service_class in enumerate(service_classes)
+        }
         self.fronts = fronts
         self.clock = clock
-        self.chance = chance
+        self.rng = rng
         self.lock = lock
         self.notice = notice
-        self.burden = Burden(len(rooms), clock.now_us(), life)
-        self.ladder = Ladder()
-        self.ration = Ration()
-        self.post: Callable[[Summary], None] = lambda said: None
+        self.burden = FleetLoadEstimator(len(service_classes), clock.now_us(), life)
+        self.ladder = SheddingPolicy()
+        self.ration = SlowStartAllocation()
+        self.post: Callable[[LoadSummary], None] = lambda said: None
         storms.ruler, storms.ended, storms.sheds = self.rule, self.ended, self.sheds
 
     def sheds(self) -> bool:
         """Whether those who are turned away get places."""
-        return self.ladder.level is not Level.NONE
+        return self.ladder.level is not SheddingLevel.NONE
 
-    def rule(self, ask: Ask, who: Standing, queue: Queue, now_us: int) -> Ruling:
+    def rule(self, ask: SessionRequest, who: TicketStatus, queue: WaitingQueue, now_us: int) -> QueueDecision:
         """One asks, who stands so."""
-        room, benefit = self.rooms[ask.room]
-        self.burden.asked(room)
+        service_class, priority_weight = self.service_classes[ask.service_class]
+        self.burden.asked(service_class)
         act = self.ladder.act(who)
-        if act is Act.BY_BENEFIT:
+        if act is SheddingAction.BY_BENEFIT:
             # The title's pace grows as long as the module refuses nobody, so that nobody steps back for good.
-            kept_s = self.ration.ask(ask.title, benefit, queue.pace, None, now_us, self.chance.random())
-            act = Act.PASS if kept_s is None else Act.TURN
-        if act is Act.PASS:
-            return Ruling.LET_IN
-        self.burden.turned(room)
-        return Ruling.KEEP_PLACE if who is Standing.EARLY else places.TURNED_AWAY.get(who, Ruling.GUEST_PLACE)
+            kept_s = self.ration.ask(ask.title, priority_weight, queue.pace, None, now_us, self.rng.random())
+            act = SheddingAction.PASS if kept_s is None else SheddingAction.TURN
+        if act is SheddingAction.PASS:
+            return QueueDecision.LET_IN
+        self.burden.turned(service_class)
+        return (
+            QueueDecision.KEEP_PLACE
+            if who is TicketStatus.EARLY
+            else waiting_room.TURNED_AWAY.get(who, QueueDecision.GUEST_PLACE)
+        )
 
-    def ended(self, room: str, served: bool) -> None:
+    def ended(self, service_class: str, served: bool) -> None:
         """What was let in plays, or was refused by the module."""
-        number, _ = self.rooms[room]
+        number, _ = self.service_classes[service_class]
         (self.burden.served if served else self.burden.turned)(number)
 
     def window(self) -> None:
@@ -86,7 +92,7 @@
             said = self.burden.summary()
         self.post(said)
 
-    def hear(self, sender: int, said: Summary) -> None:
+    def hear(self, sender: int, said: LoadSummary) -> None:
         """Another front's summary has come."""
         with self.lock:
             self.burden.hear(sender, said, self.clock.now_us())
--- a/packages/core/src/fennelcove/core/company.py
+++ b/packages/core/src/fennelcove/core/membership_coordinator.py
@@ -6,15 +6,15 @@
 from collections.abc import Callable
 
 from fennelcove.clock import Clock
-from fennelcove.core.verdicts import Notices
-from fennelcove.decisions.fleet.company import Beat, Company, Standing, Terms
+from fennelcove.core.requests import EventLogger
+from fennelcove.decisions.fleet.membership import Heartbeat, Membership, PeerState, MembershipSettings
 from fennelcove.settings.schema import CompanySettings, Instance
 
-Post = Callable[[dict[int, Beat]], None]
-SHOWN = {Standing.SILENT, Standing.LEFT, Standing.BACK, Standing.TWIN}  # what goes into the log
+Post = Callable[[dict[int, Heartbeat]], None]
+SHOWN = {PeerState.SILENT, PeerState.LEFT, PeerState.BACK, PeerState.TWIN}  # what goes into the log
 
 
-class CompanyBook:
+class MembershipCoordinator:
     """One front among others: beats on a timer, and the part of a cold box that is this front's. Attach
     `post` before `begin`."""
 
@@ -25,14 +25,14 @@
         life: int,
         clock: Clock,
         lock: threading.RLock,
-        notice: Notices,
+        notice: EventLogger,
     ) -> None:
         beat_us, lease_us = round(told.beat_ms * 1000), round(told.lease_ms * 1000)
-        terms = Terms(instance.fronts, instance.index, beat_us, lease_us, lease_us, told.kept)
+        terms = MembershipSettings(instance.fronts, instance.index, beat_us, lease_us, lease_us, told.kept)
         self.clock = clock
         self.lock = lock
         self.notice = notice
-        self.company = Company(terms, life, clock.now_us())
+        self.company = Membership(terms, life, clock.now_us())
         self.post: Post = lambda beats: None
         self.was_leased = False
 
@@ -53,7 +53,7 @@
             self._tell()
         self.post(beats)
 
-    def hear(self, sender: int, beat: Beat) -> None:
+    def hear(self, sender: int, beat: Heartbeat) -> None:
         """Another front's beat has come."""
         with self.lock:
             self.company.hear(sender, beat, self.clock.now_us())
--- a/packages/core/src/fennelcove/core/comeback.py
+++ b/packages/core/src/fennelcove/core/recovery_coordinator.py
@@ -8,52 +8,52 @@
 from random import Random
 
 from fennelcove.clock import Clock
-from fennelcove.core.boxes import BoxBook
-from fennelcove.core.verdicts import Answer, Answered, Ask, Notices
-from fennelcove.decisions.fleet.comeback import Kind, Let, Phase
-from fennelcove.decisions.fleet.ration import LEAST_WAIT_US, Ration
-from fennelcove.interface import Effect, ListEntry, ListMode, ListUpdate, Standing
-from fennelcove.rules import Front
+from fennelcove.core.server_registry import ServerRegistry
+from fennelcove.core.requests import ResponseKind, SessionResponse, SessionRequest, EventLogger
+from fennelcove.decisions.fleet.recovery_admission import RequestKind, AdmissionDecision, RecoveryState
+from fennelcove.decisions.fleet.slow_start_allocation import LEAST_WAIT_US, SlowStartAllocation
+from fennelcove.interface import Effect, ListEntry, ListMode, ListUpdate, ServerState
+from fennelcove.placement import PlacementPolicy
 from fennelcove.settings.schema import FrontSettings, RecoverySettings
 
 LOOK_US = 250_000  # how often it is counted how many places are cold
 AGAIN_US = 1_000_000  # and up to as much again, so that not all fronts ask a box at once
 WORDS = {
-    Phase.DARK: "this front has no list of boxes yet",
-    Phase.ASKING: "this front asks its boxes what plays",
-    Phase.SETTLING: "some boxes have not said what plays there",
-    Phase.RATIONED: "boxes are warming up; a greater benefit goes first",
+    RecoveryState.DARK: "this front has no list of boxes yet",
+    RecoveryState.ASKING: "this front asks its boxes what plays",
+    RecoveryState.SETTLING: "some boxes have not said what plays there",
+    RecoveryState.RATIONED: "boxes are warming up; a greater benefit goes first",
 }
 
 
-class ComebackBook:
+class RecoveryCoordinator:
     """Who comes in while a start is under way, what boxes say of their age, and the list that was kept."""
 
     def __init__(
         self,
         settings: FrontSettings,
         told: RecoverySettings,
-        front: Front,
-        book: BoxBook,
+        front: PlacementPolicy,
+        book: ServerRegistry,
         clock: Clock,
-        chance: Random,
-        notice: Notices,
+        rng: Random,
+        notice: EventLogger,
     ) -> None:
         self.told = told
         self.front = front
         self.book = book
         self.clock = clock
-        self.chance = chance
+        self.rng = rng
         self.notice = notice
-        self.rooms = {room.name: room for room in settings.room_types}
+        self.service_classes = {service_class.name: service_class for service_class in settings.room_types}
         self.titles = {title.name: title for title in settings.titles}
         self.cells = settings.fleet.cells
         self.most_us = front.settings.retry_after_us
-        self.ration = Ration()
+        self.ration = SlowStartAllocation()
         self.fronts: Callable[[], float] = lambda: settings.instance.fronts  # that share a cold box
         self.state = book.opening
         self.looked_us = -LOOK_US
-        self.shown = Phase.DARK
+        self.shown = RecoveryState.DARK
         self.entries: dict[str, ListEntry] = {}  # the list in force, for the store
         self.started: dict[str, int] = {}  # since when boxes are up, by their own word
         self.kept: tuple[ListEntry, ...] = ()  # the list of the last life
@@ -66,33 +66,33 @@
 
     # The door.
 
-    def before(self, ask: Ask, now_us: int) -> Answered | None:
+    def before(self, ask: SessionRequest, now_us: int) -> SessionResponse | None:
         """One asks: the refusal to give at once, or None where it is let in."""
         self.look(now_us)
-        room = self.rooms[ask.room]
-        accounted = room.seats > 0 or room.effect == Effect.SINGLE_SHOT.value
-        let = self.state.entry(Kind.ACCOUNTED if accounted else Kind.PLAIN)
-        if let is Let.IN:
+        service_class = self.service_classes[ask.service_class]
+        accounted = service_class.seats > 0 or service_class.effect == Effect.SINGLE_SHOT.value
+        let = self.state.entry(RequestKind.ACCOUNTED if accounted else RequestKind.PLAIN)
+        if let is AdmissionDecision.IN:
             return None
         wait_us: int | None = LEAST_WAIT_US
-        if let is Let.RATIONED:
+        if let is AdmissionDecision.RATIONED:
             pace = self._pace(ask.title)
             if pace is None or not self.told.by_benefit:
                 return None
             wait_us = self.ration.ask(
-                ask.title, room.benefit, pace, self.most_us, now_us, self.chance.random()
+                ask.title, service_class.benefit, pace, self.most_us, now_us, self.rng.random()
             )
         if wait_us is None:
             return None
-        return Answered(Answer.THROTTLED, WORDS[self.state.phase], wait_us)
+        return SessionResponse(ResponseKind.THROTTLED, WORDS[self.state.phase], wait_us)
 
     def _pace(self, title: str) -> float | None:
         """The turns a second that a title's holders give this front; None where one of them is warm."""
         told, total = self.titles[title], 0.0
         fronts = max(1.0, self.fronts())
         for i in range(min(told.cells, self.cells)):
-            for server in self.front.holders.get((told.first_cell + i) % self.cells, ()):
-                if server.standing is not Standing.ACTIVE:
+            for server in self.front.replicas.get((told.first_cell + i) % self.cells, ()):
+                if server.standing is not ServerState.ACTIVE:
                     continue
                 if not self.front.is_cold(server):
                     return None
@@ -103,13 +103,13 @@
 
     def look(self, now_us: int) -> None:
         """Move on by time, and by how many places are cold."""
-        due = self.state.phase is not Phase.OPEN and self.state.left_us(now_us) == 0
+        due = self.state.phase is not RecoveryState.OPEN and self.state.left_us(now_us) == 0
         if now_us - self.looked_us < LOOK_US and not due:
             return  # counted anew for each request, a fleet's boxes would cost more than its answer
         self.looked_us, self.front.now_us = now_us, now_us
         cold = places = 0
         for server in self.front.servers.values():
-            if server.standing is Standing.ACTIVE:
+            if server.standing is ServerState.ACTIVE:
                 places += server.streams_most
                 cold += server.streams_most * self.front.is_cold(server)
         self.state.advance(2 * cold > places, now_us)
@@ -122,7 +122,7 @@
             self.notice(
                 "comeback", phase=self.shown.name.lower(), was=was.name.lower(), cold=cold, places=places
             )
-            if self.stands_in and was is Phase.ASKING:
+            if self.stands_in and was is RecoveryState.ASKING:
                 self._tell_kept()
 
     # The list.
@@ -136,7 +136,7 @@
         entries = tuple(self._younger(entry) for entry in update.entries)
         self.entries.update((entry.address, entry) for entry in entries)
         for entry in entries:
-            if entry.standing is Standing.LEFT:
+            if entry.standing is ServerState.LEFT:
                 self.entries.pop(entry.address, None)
                 self.started.pop(entry.address, None)
         return replace(update, entries=entries)
@@ -151,7 +151,7 @@
         if up_ms is not None:
             self.started[address] = max(1, now_us - round(up_ms * 1000))
         entry = self.entries.get(address)
-        if self.stands_in and self.state.phase is not Phase.ASKING:
+        if self.stands_in and self.state.phase is not RecoveryState.ASKING:
             entry = next((kept for kept in self.kept if kept.address == address), None)
             if entry is not None and address not in self.started:
                 entry = replace(entry, started_us=now_us)
@@ -172,9 +172,9 @@
 
     def _ask_again(self, now_us: int) -> None:
         """Boxes of the kept list that were down when asked: no list will tell when they are back."""
-        if not self.stands_in or self.state.phase is Phase.ASKING or now_us < self.again_us:
+        if not self.stands_in or self.state.phase is RecoveryState.ASKING or now_us < self.again_us:
             return
-        self.again_us = now_us + round(AGAIN_US * (1 + self.chance.random()))
+        self.again_us = now_us + round(AGAIN_US * (1 + self.rng.random()))
         absent = tuple(entry for entry in self.kept if entry.address not in self.book.greeters)
         self.book.greet_all(ListUpdate(ListMode.SAVED, absent), now_us)
 
--- a/packages/core/src/fennelcove/core/verdicts.py
+++ b/packages/core/src/fennelcove/core/requests.py
@@ -6,12 +6,12 @@
 from enum import Enum
 from typing import Protocol
 
-from fennelcove.decisions.boxes.hearing import BoxSays, ViewerSays
-from fennelcove.decisions.viewers.sessions import Stage
+from fennelcove.decisions.servers.load_signals import ServerHints, ClientHints
+from fennelcove.decisions.clients.session_lifecycle import SessionState
 from fennelcove.interface import Outcome
 
 
-class Answer(Enum):
+class ResponseKind(Enum):
     """How a request for a subscription was answered."""
 
     PLAYING = "playing"
@@ -22,14 +22,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
+class SessionRequest:
     """A viewer asks for a subscription; the names are known to the settings."""
 
     title: str
-    room: str
+    service_class: str
     stated_top: int | None = None
     client_timeout_us: int | None = None
-    says: ViewerSays = field(default_factory=ViewerSays)
+    says: ClientHints = field(default_factory=ClientHints)
     client: str = ""  # the viewer's own name for itself (CMCD sid)
     again: bool = False  # it marks this as a further try
     place: str | None = None
@@ -39,22 +39,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class JoinEnd:
+class AttemptResult:
     """How a join ended, what its box said in the answer, and how long it took."""
 
     outcome: Outcome
-    says: BoxSays | None
+    says: ServerHints | None
     took_us: int
 
 
 @dataclass(frozen=True, slots=True)
-class Place:
+class AttemptTarget:
     """One join's place: its box, its number on the wire, and what the module calls it."""
 
-    box: str
-    join: int
+    server: str
+    attempt: int
     module_id: str
-    module_join: int
+    module_attempt: int
 
 
 @dataclass(slots=True, eq=False)
@@ -62,54 +62,54 @@
     """One subscription at the door."""
 
     id: str
-    room: str
+    service_class: str
     title: str
     floor: int
     rates_kb: tuple[float, ...]
     stated_top: int
     asked_us: int
     give_up_us: int
-    stage: Stage = Stage.ASKED
+    stage: SessionState = SessionState.ASKED
     top: int = 0
     rung: int = 0
-    joins: int = 0
-    home: Place | None = None  # where it plays
-    out: Place | None = None  # where a join is out: the first home, or a second one while it moves
+    attempts: int = 0
+    home: AttemptTarget | None = None  # where it plays
+    out: AttemptTarget | None = None  # where a join is out: the first home, or a second one while it moves
     out_rung: int = 0
     adrift: bool = False  # its home is gone and another is being made
     moves: int = 0
     out_sent_us: int = -1  # when the join that is out was sent; -1 for one that was not
-    ask: Ask | None = None
-    end: JoinEnd | None = None
-    box_may_hold: bool = False
+    ask: SessionRequest | None = None
+    end: AttemptResult | None = None
+    server_may_hold: bool = False
     playing_since_us: int = 0
     ended_because: str = ""
-    step: Step | None = None
+    step: NextStep | None = None
 
     @property
-    def box(self) -> str:
+    def server(self) -> str:
         """The box of its home, or else of the join that is out."""
         place = self.home or self.out
-        return place.box if place is not None else ""
+        return place.server if place is not None else ""
 
 
 @dataclass(frozen=True, slots=True)
-class SendJoin:
+class SendAttempt:
     """Send this join now; report its end."""
 
     session: Session
-    join: int
-    box: str
+    attempt: int
+    server: str
     rung: int
     allow_us: int
     blocked: bool = False  # the box has as many under way as it may: not to be sent
 
 
 @dataclass(frozen=True, slots=True)
-class Answered:
+class SessionResponse:
     """Answer the viewer now; nothing more is owed."""
 
-    answer: Answer
+    answer: ResponseKind
     why: str
     wait_us: int = 0
     latest_us: int = 0  # of a place: the end of its span
@@ -117,7 +117,7 @@
     standing: str = ""  # how the viewer stood, where places decided
 
 
-class Bell(Protocol):
+class Wakeup(Protocol):
     """What wakes a set-up that waits; its descriptor is readable from then on."""
 
     reader: int
@@ -128,25 +128,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class InLine:
+class WaitForSlot:
     """Wait until the bell rings, and no longer than until then; nothing has left yet."""
 
     session: Session
     until_us: int
-    bell: Bell
+    bell: Wakeup
 
 
-Step = SendJoin | Answered | InLine
+NextStep = SendAttempt | SessionResponse | WaitForSlot
 
 
 @dataclass(frozen=True, slots=True)
-class View:
+class SessionView:
     """What a viewer may know of its subscription."""
 
     id: str
     title: str
-    room: str
-    box: str
+    service_class: str
+    server: str
     rung: int
     top: int
     rate_kb: float
@@ -154,17 +154,17 @@
     seat_us: int | None = None  # for how long its seat lasts, where that ends
 
 
-class Boxes(Protocol):
+class ServerGateway(Protocol):
     """What the core asks of the side that talks to boxes; none of it may wait."""
 
-    def open_feed(self, box: str, generation: int) -> None: ...
+    def open_feed(self, server: str, generation: int) -> None: ...
 
-    def close_feed(self, box: str) -> None: ...
+    def close_feed(self, server: str) -> None: ...
 
     def orders_ready(self) -> None: ...
 
 
-class ListSource(Protocol):
+class EndpointListSource(Protocol):
     """What the core asks of the side that talks to the list service; none of it may wait."""
 
     def fetch(self) -> None: ...
@@ -172,7 +172,7 @@
     def watch(self) -> None: ...
 
 
-class Notices(Protocol):
+class EventLogger(Protocol):
     """What the core tells for the log: one event name, with what belongs to it."""
 
     def __call__(self, event: str, **fields: object) -> None: ...
--- a/packages/core/src/fennelcove/core/releases.py
+++ b/packages/core/src/fennelcove/core/rollout_coordinator.py
@@ -15,10 +15,10 @@
 from random import Random
 
 from fennelcove.clock import Clock
-from fennelcove.core.verdicts import Notices
-from fennelcove.releases.agreement import Act, Agreement, Answer, Command, Do, Memory, Mine, Post
-from fennelcove.releases.places import Place
-from fennelcove.releases.says import Kind, Said
+from fennelcove.core.requests import EventLogger
+from fennelcove.rollouts.coordinator import Act, RolloutAgreement, Answer, Command, Do, Memory, Mine, Post
+from fennelcove.rollouts.disruption_budget import Location
+from fennelcove.rollouts.messages import Kind, Said
 
 MOST_WAITING = 1024
 ANSWER_US = 4_500_000  # how long an operator's word is waited for; the agreement calls it lost before
@@ -26,10 +26,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BoxSight:
+class ServerSight:
     """What this front sees of a box."""
 
-    place: Place
+    place: Location
     serving: bool
     as_of_us: int
 
@@ -42,32 +42,32 @@
     ready: threading.Event = field(default_factory=threading.Event)
 
 
-class ReleaseBook:
+class RolloutCoordinator:
     """One front's part. Attach `post`, `leave`, `take_box` before `run`, which belongs to its thread."""
 
     def __init__(
         self,
-        agreement: Agreement,
+        agreement: RolloutAgreement,
         beat_us: int,
         mine: Callable[[], Mine],
-        boxes: Callable[[], Mapping[int, BoxSight]],
+        servers: Callable[[], Mapping[int, ServerSight]],
         keep: Callable[[Memory], bool],
         clock: Clock,
-        chance: Random,
-        notice: Notices,
+        rng: Random,
+        notice: EventLogger,
     ) -> None:
         self.agreement = agreement
         self.beat_us = beat_us
         self.mine = mine
-        self.boxes = boxes
+        self.servers = servers
         self.keep = keep  # whether it is safe now
         self.clock = clock
-        self.chance = chance
+        self.rng = rng
         self.notice = notice
         self.post: Callable[[int, Said], None] = lambda front, said: None
         # Go out and come back with this version; False where that can't be done.
         self.leave: Callable[[int], bool] = lambda version: False
-        self.take_box: Callable[[int], bool] = lambda cell: False
+        self.take_server: Callable[[int], bool] = lambda cell: False
         self.line: queue.Queue[Callable[[int], Post]] = queue.Queue(MOST_WAITING)
         self.followed: list[tuple[int, Reply, int]] = []  # operators' words that no majority has taken yet
         self.unsafe: Memory | None = None  # not in the folder yet: until it is, nothing is said
@@ -96,9 +96,9 @@
         """An operator wants this front out when it may be, to come back with this version."""
         return self._at_once(lambda now_us: self.agreement.want_out(version, now_us))
 
-    def want_box(self, cell: int) -> Answer:
+    def want_server(self, cell: int) -> Answer:
         """An operator wants a box out when it may be."""
-        return self._at_once(lambda now_us: self.agreement.want_box(cell, now_us))
+        return self._at_once(lambda now_us: self.agreement.want_server(cell, now_us))
 
     def write_off(self, kind: Kind, place: int) -> Answer:
         """An operator says that a place does not come back."""
@@ -185,11 +185,11 @@
                 self._follow(number, reply, until_us)
 
     def _beat(self, now_us: int) -> Post:
-        sights = self.boxes()
-        self.agreement.boxes_are({cell: sight.place for cell, sight in sights.items()}, now_us)
+        sights = self.servers()
+        self.agreement.servers_are({cell: sight.place for cell, sight in sights.items()}, now_us)
         for cell, sight in sights.items():
-            self.agreement.see_box(cell, sight.serving, sight.as_of_us, now_us)
-        post = self.agreement.beat(self.mine(), now_us, self.chance.random())
+            self.agreement.see_server(cell, sight.serving, sight.as_of_us, now_us)
+        post = self.agreement.beat(self.mine(), now_us, self.rng.random())
         self.shown = self.agreement.status(now_us)
         return post
 
@@ -219,6 +219,6 @@
         elif act.do is Do.STAY:
             self.notice("release_stays", kind=act.kind.name.lower(), place=act.place)
         elif self.agreement.begin(act.kind, act.place, self.clock.now_us()):
-            gone = self.leave(act.version) if act.kind is Kind.FRONT else self.take_box(act.place)
+            gone = self.leave(act.version) if act.kind is Kind.FRONT else self.take_server(act.place)
             if not gone:
                 self._carry(lambda now_us: self.agreement.let_go(act.kind, act.place, now_us))
--- a/packages/core/src/fennelcove/core/seats.py
+++ b/packages/core/src/fennelcove/core/seat_leases.py
@@ -4,61 +4,61 @@
 
 from collections.abc import Mapping
 
-from fennelcove.core.ground import Catalogue, Ground
-from fennelcove.core.subscriptions import Subscriptions
-from fennelcove.core.verdicts import Session
-from fennelcove.decisions.viewers.seats import Act, Seats
+from fennelcove.core.context import Catalogue, CoreContext
+from fennelcove.core.session_lifecycle import SessionLifecycle
+from fennelcove.core.requests import Session
+from fennelcove.decisions.clients.seat_leases import SeatAction, SeatLeases
 
 SEAT = b"seat/"
 
 
-class SeatBook:
+class SeatLeaseManager:
     """Seats of one front."""
 
-    def __init__(self, ground: Ground, catalogue: Catalogue, subs: Subscriptions) -> None:
-        self.ground = ground
+    def __init__(self, context: CoreContext, catalogue: Catalogue, lifecycle: SessionLifecycle) -> None:
+        self.context = context
         self.catalogue = catalogue
-        self.subs = subs
-        self.seats = Seats()
+        self.lifecycle = lifecycle
+        self.seats = SeatLeases()
         self.unread: dict[str, bytes] = {}
 
-    def length_us(self, room: str) -> int:
+    def length_us(self, service_class: str) -> int:
         """For how long a seat of a room type lasts; 0 for as long as it plays."""
-        return round(self.catalogue.rooms[room].seat_ms * 1000)
+        return round(self.catalogue.service_classes[service_class].seat_ms * 1000)
 
     def plays(self, session: Session) -> None:
         """A subscription plays: set up, moved, or adopted from an earlier life."""
-        length_us = self.length_us(session.room)
+        length_us = self.length_us(session.service_class)
         if not length_us:
             return
-        wall_us = self.ground.wall_us()
+        wall_us = self.context.wall_us()
         raw = self.unread.pop(session.id, None)
         if raw is not None and self.seats.restore(session.id, raw, length_us, wall_us):
             return
-        self.seats.take(session.id, (session.title, session.room), length_us, wall_us)
+        self.seats.take(session.id, (session.title, session.service_class), length_us, wall_us)
 
     def left_us(self, id: str) -> int | None:
         """For how long a seat lasts; None for one that does not expire."""
         seat = self.seats.held.get(id)
-        return None if seat is None else max(0, seat.until_us - self.ground.wall_us())
+        return None if seat is None else max(0, seat.until_us - self.context.wall_us())
 
     def renew(self, id: str, key: str) -> int | None:
         """A viewer keeps its seat; how long it lasts now, None where it has none."""
-        with self.ground.lock:
-            step = self.seats.renew(id, key, self.ground.wall_us())
-            self.ground.tally(f"seats_{step.act.name.lower()}")
-            return None if step.act is Act.REFUSE else self.left_us(id)
+        with self.context.lock:
+            step = self.seats.renew(id, key, self.context.wall_us())
+            self.context.tally(f"seats_{step.act.name.lower()}")
+            return None if step.act is SeatAction.REFUSE else self.left_us(id)
 
     def over(self, session: Session) -> None:
         """A subscription has ended."""
-        self.seats.release(session.id, self.ground.wall_us())
+        self.seats.release(session.id, self.context.wall_us())
 
     def sweep(self) -> None:
         """End what has not been renewed."""
-        with self.ground.lock:
-            for step in self.seats.expired(self.ground.wall_us()):
-                self.ground.tally("seats_expired")
-                self.subs.release(step.id, "its seat was not renewed")
+        with self.context.lock:
+            for step in self.seats.expired(self.context.wall_us()):
+                self.context.tally("seats_expired")
+                self.lifecycle.release(step.id, "its seat was not renewed")
 
     # For the store.
 
--- a/packages/core/src/fennelcove/core/names.py
+++ b/packages/core/src/fennelcove/core/session_ids.py
@@ -6,7 +6,7 @@
 import os
 
 
-class Names:
+class SessionIds:
     """Hands out ids: a count under a key of this life, so that none comes twice and none can be guessed.
 
     An id lets its holder see and release the subscription. The key is no decision's chance: it comes from the
--- a/packages/core/src/fennelcove/core/budgets.py
+++ b/packages/core/src/fennelcove/core/shared_quota_coordinator.py
@@ -8,41 +8,41 @@
 from random import Random
 
 from fennelcove.clock import Clock
-from fennelcove.decisions.fleet.budgets import Ask, Loan, Purse, Thing
+from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Quota, Resource
 from fennelcove.settings.schema import Instance
 
 TURN_US = 250_000  # how often it is looked whether more is needed
 
 
-class BudgetBook:
+class SharedQuotaCoordinator:
     """One front's parts. Attach `post` where others can be asked; call `turn` every `TURN_US`."""
 
     def __init__(
         self,
-        wholes: Mapping[Thing, float],
+        wholes: Mapping[Resource, float],
         instance: Instance,
         life: int,
         clock: Clock,
-        chance: Random,
+        rng: Random,
         lock: threading.RLock,
     ) -> None:
         self.clock = clock
-        self.chance = chance
+        self.rng = rng
         self.lock = lock
         now_us = clock.now_us()
         self.purses = {
-            thing: Purse(thing, whole, instance.fronts, instance.index, life, now_us)
+            thing: Quota(thing, whole, instance.fronts, instance.index, life, now_us)
             for thing, whole in wholes.items()
         }
-        self.post: Callable[[int, Ask | Loan], None] = lambda front, said: None
+        self.post: Callable[[int, QuotaRequest | QuotaTransfer], None] = lambda front, said: None
 
-    def take(self, thing: Thing) -> bool:
+    def take(self, thing: Resource) -> bool:
         """One more is wanted; True where nothing limits it."""
         with self.lock:
             purse = self.purses.get(thing)
             return purse is None or purse.take(self.clock.now_us())
 
-    def wait_us(self, thing: Thing) -> int:
+    def wait_us(self, thing: Resource) -> int:
         """How long to wait before one is taken; 0 where it was taken."""
         with self.lock:
             purse, now_us = self.purses.get(thing), self.clock.now_us()
@@ -54,17 +54,17 @@
         """Ask others for what is short. What is sent waits for nobody."""
         with self.lock:
             now_us = self.clock.now_us()
-            found = [ask for purse in self.purses.values() for ask in purse.ask(self.chance.random(), now_us)]
+            found = [ask for purse in self.purses.values() for ask in purse.ask(self.rng.random(), now_us)]
         for front, ask in found:
             self.post(front, ask)
 
-    def hear(self, sender: int, said: Ask | Loan) -> None:
+    def hear(self, sender: int, said: QuotaRequest | QuotaTransfer) -> None:
         """Another front asks, or lends."""
         with self.lock:
             purse, now_us = self.purses.get(said.thing), self.clock.now_us()
             if purse is None:
                 return
-            if isinstance(said, Loan):
+            if isinstance(said, QuotaTransfer):
                 purse.hear_loan(sender, said, now_us)
                 return
             loan = purse.hear_ask(sender, said, now_us)
--- a/packages/program/src/fennelcove/program/background.py
+++ b/packages/daemon/src/fennelcove/daemon/background.py
@@ -6,27 +6,31 @@
 from collections.abc import Callable
 
 from fennelcove.clock import Clock
-from fennelcove.core.verdicts import Notices
-from fennelcove.decisions.kept.background import Priority, Schedule, Task
+from fennelcove.core.requests import EventLogger
+from fennelcove.decisions.recovery.background_scheduler import (
+    TaskPriority,
+    BackgroundScheduler,
+    BackgroundTask,
+)
 
 
 class Background:
     """Owns its thread; `add` before `start`, and `stop` waits for the run under way."""
 
-    def __init__(self, clock: Clock, notice: Notices) -> None:
+    def __init__(self, clock: Clock, notice: EventLogger) -> None:
         self.clock = clock
         self.notice = notice
-        self.schedule = Schedule(clock.now_us())
-        self.calls: dict[Task, Callable[[], None]] = {}
+        self.schedule = BackgroundScheduler(clock.now_us())
+        self.calls: dict[BackgroundTask, Callable[[], None]] = {}
         self.changed = threading.Condition()
         self.stopped = False
         self.thread = threading.Thread(target=self._run, name="background")
 
     def add(
-        self, name: str, priority: Priority, every_us: int, late_us: int, call: Callable[[], None]
+        self, name: str, priority: TaskPriority, every_us: int, late_us: int, call: Callable[[], None]
     ) -> None:
         """Work that comes again; it must not wait for anything."""
-        task = Task(name, priority, every_us, late_us)
+        task = BackgroundTask(name, priority, every_us, late_us)
         self.calls[task] = call
         self.schedule.add(task, self.clock.now_us())
 
--- a/packages/program/src/fennelcove/program/certificates.py
+++ b/packages/daemon/src/fennelcove/daemon/certificates.py
@@ -13,12 +13,12 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
-from fennelcove.errors import Trouble
+from fennelcove.errors import OperatorError
 
 CERTIFICATE, KEY = "certificate.pem", "key.pem"
 
 
-class CertificateError(Trouble):
+class CertificateError(OperatorError):
     """A folder holds no certificate and key that can be read, or can't take one."""
 
     code = "certificate-unusable"
@@ -26,7 +26,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Held:
+class HeldCertificate:
     """What a certificate says."""
 
     names: tuple[str, ...]
@@ -88,7 +88,7 @@
     fresh.replace(path)
 
 
-def read(folder: str) -> Held:
+def read(folder: str) -> HeldCertificate:
     """The certificate of a folder, and whether its key fits.
 
     Raises:
@@ -104,7 +104,7 @@
         ) from None
     names = certificate.extensions.get_extension_for_class(x509.SubjectAlternativeName).value
     spki = (serialization.Encoding.DER, serialization.PublicFormat.SubjectPublicKeyInfo)
-    return Held(
+    return HeldCertificate(
         tuple(str(name.value) for name in names),
         certificate.not_valid_before_utc,
         certificate.not_valid_after_utc,
--- a/packages/program/src/fennelcove/program/slots.py
+++ b/packages/daemon/src/fennelcove/daemon/concurrency_limits.py
@@ -6,14 +6,14 @@
 
 from fennelcove.clock import Clock
 from fennelcove.core.core import Core
-from fennelcove.core.learned import TRADE_US, LearnedBook, Listed
+from fennelcove.core.learned_limits import TRADE_US, LearnedLimits, Listed
 from fennelcove.clock.timers import Timers
-from fennelcove.core.verdicts import Notices
+from fennelcove.core.requests import EventLogger
 from fennelcove.settings.schema import FrontSettings, SlotSettings
-from fennelcove.slots.counts import WINDOW_US
+from fennelcove.concurrency_limits.latency_histogram import WINDOW_US
 
 
-class SlotSide:
+class LimitService:
     """The book of one front, with what it is fed. `start` when the timers run."""
 
     def __init__(
@@ -23,37 +23,37 @@
         core: Core,
         timers: Timers,
         clock: Clock,
-        notice: Notices,
+        notice: EventLogger,
         running: Callable[[], bool],
     ) -> None:
         self.core = core
         self.timers = timers
         self.clock = clock
         self.running = running
-        self.book = LearnedBook(
+        self.book = LearnedLimits(
             told,
             settings.room_types,
             len(settings.ladder),
             settings.instance,
             clock.wall_us() // 1000,
             clock,
-            core.chance,
+            core.rng,
             core.lock,
             notice,
         )
-        self.book.boxes = self._boxes
+        self.book.servers = self._servers
         self.book.soon = lambda: timers.after(0, self.book.trade)
 
-    def free(self, id: str, box: str) -> bool:
+    def free(self, id: str, server: str) -> bool:
         """As the module asks: whether a subscription may join there now."""
-        return self.book.free(box)
+        return self.book.free(server)
 
     def start(self) -> None:
         """Begin to learn and to trade."""
         self.timers.after(0, self._window)
         self.timers.after(TRADE_US, self._trade)
 
-    def _boxes(self) -> list[Listed]:
+    def _servers(self) -> list[Listed]:
         """The boxes that the module knows, with the kinds that the list has told."""
         front, kinds, now_us = self.core.front, self.core.keeper.cells, self.clock.now_us()
         return [
--- a/packages/program/src/fennelcove/program/front.py
+++ b/packages/daemon/src/fennelcove/daemon/front_daemon.py
@@ -7,51 +7,56 @@
 from random import Random
 
 from fennelcove.clock import Clock, SystemClock
-from fennelcove.core import budgets, slots
-from fennelcove.core.budgets import BudgetBook
-from fennelcove.core.comeback import ComebackBook
-from fennelcove.core.company import CompanyBook
+from fennelcove.core import shared_quota_coordinator, slot_scheduler
+from fennelcove.core.shared_quota_coordinator import SharedQuotaCoordinator
+from fennelcove.core.recovery_coordinator import RecoveryCoordinator
+from fennelcove.core.membership_coordinator import MembershipCoordinator
 from fennelcove.core.core import Core
-from fennelcove.core.names import Names
-from fennelcove.core.overload import OverloadBook
-from fennelcove.core.slots import SlotBook
-from fennelcove.core.storms import mac
+from fennelcove.core.session_ids import SessionIds
+from fennelcove.core.load_shedding_coordinator import LoadSheddingCoordinator
+from fennelcove.core.slot_scheduler import SlotScheduler
+from fennelcove.core.retry_storm_guard import mac
 from fennelcove.clock.timers import Timers
-from fennelcove.core.verdicts import Notices
-from fennelcove.core import watchers
-from fennelcove.core.watchers import WatchBook
-from fennelcove.decisions.boxes import feeds
-from fennelcove.decisions.fleet import burden, comeback
-from fennelcove.decisions.fleet.budgets import Thing
-from fennelcove.decisions.kept.background import Priority
-from fennelcove.decisions.operators.stopping import Act, Cue, Phase, Stopping
-from fennelcove.doors.connection import DoorLimits
-from fennelcove.decisions.operators.control import Commands
-from fennelcove.doors.control import Control
-from fennelcove.doors.orders import Orders
-from fennelcove.doors.http_door import HttpDoor
-from fennelcove.doors.setups import SetUps
-from fennelcove.doors.socket_door import SocketDoor
-from fennelcove.doors.tls import TlsKeys
-from fennelcove.interface import Effect, Standing
-from fennelcove.peers.feeds import BoxSide
-from fennelcove.peers.fronts import FrontSide
-from fennelcove.peers.joins import HintReader, Joiner
-from fennelcove.peers.latch import Bell, Latch
-from fennelcove.peers.lists import ListSide
-from fennelcove.peers.movers import MoverThreads
-from fennelcove.peers.orders import OrderSenders
-from fennelcove.peers.pool import DialLimits, Pool
-from fennelcove.peers.probes import ProbeSide
-from fennelcove.program.audit_file import AuditFile
-from fennelcove.program.background import Background
-from fennelcove.program.key_file import load
-from fennelcove.program.ledger_file import LedgerFile
-from fennelcove.program.releases import ReleaseSide
-from fennelcove.program.slots import SlotSide
+from fennelcove.core.requests import EventLogger
+from fennelcove.core import health_check_coordinator
+from fennelcove.core.health_check_coordinator import HealthCheckCoordinator
+from fennelcove.decisions.servers import event_stream
+from fennelcove.decisions.fleet import fleet_load, recovery_admission
+from fennelcove.decisions.fleet.shared_quotas import Resource
+from fennelcove.decisions.recovery.background_scheduler import TaskPriority
+from fennelcove.decisions.operators.graceful_shutdown import (
+    ShutdownAction,
+    ShutdownEvent,
+    ShutdownState,
+    GracefulShutdown,
+)
+from fennelcove.ingress.connection import ConnectionLimits
+from fennelcove.decisions.operators.command_authorization import CommandAuthorizer
+from fennelcove.ingress.control import OperatorCommands
+from fennelcove.ingress.operator_routes import OperatorRoutes
+from fennelcove.ingress.http_server import HttpServer
+from fennelcove.ingress.session_setups import SessionSetups
+from fennelcove.ingress.websocket_server import WebSocketServer
+from fennelcove.ingress.tls import TlsKeys
+from fennelcove.interface import Effect, ServerState
+from fennelcove.upstream.server_event_streams import ServerEventStreams
+from fennelcove.upstream.front_messaging import FrontMessaging
+from fennelcove.upstream.attempts import HintReader, AttemptSender
+from fennelcove.upstream.wakeups import Wakeup, CancellationLatch
+from fennelcove.upstream.endpoint_list_client import EndpointListClient
+from fennelcove.upstream.migration_workers import MigrationWorkers
+from fennelcove.upstream.command_senders import CommandSenders
+from fennelcove.upstream.connection_pool import DialLimits, ConnectionPool
+from fennelcove.upstream.health_checks import HealthChecker
+from fennelcove.daemon.audit_file import AuditFile
+from fennelcove.daemon.background import Background
+from fennelcove.daemon.key_file import load
+from fennelcove.daemon.ledger_file import LedgerFile
+from fennelcove.daemon.rollouts import RolloutService
+from fennelcove.daemon.concurrency_limits import LimitService
 from fennelcove.settings.schema import FrontSettings
 from fennelcove.store.folder import Store
-from fennelcove.store.keeper import Keeper
+from fennelcove.store.keeper import StoreWriter
 
 SWEEP_US = 250_000
 REMEMBER_US = 1_000_000
@@ -63,15 +68,15 @@
     """A call whose answer nobody needs."""
 
 
-class FrontProgram:
+class FrontDaemon:
     """A whole front. `start`; then `stop` from any thread, which returns when every thread has ended."""
 
     def __init__(
         self,
         settings: FrontSettings,
-        notice: Notices,
+        notice: EventLogger,
         clock: Clock | None = None,
-        names: Names | None = None,
+        names: SessionIds | None = None,
         end: Callable[[], None] = lambda: None,
     ) -> None:
         self.settings = settings
@@ -89,7 +94,7 @@
         if settings.viewers.key_file is not None:
             keys = load(settings.viewers.key_file, self.clock.wall_us() // 1000)
             self.core.passes = [mac(key) for key in keys]
-        self.keeper: Keeper | None = None
+        self.keeper: StoreWriter | None = None
         if settings.store is not None:
             store = Store(settings.store.folder, settings.store.most_mb, settings.name)
             for file, damage in store.found.damages:
@@ -99,22 +104,26 @@
             for key in store.unsound:
                 notice("store_damaged", file="base.lmdb", key=repr(key), fault="altered")
             self.core.memories.restore(store.values)
-            self.keeper = Keeper(store, self.clock, notice)
+            self.keeper = StoreWriter(store, self.clock, notice)
         self.comeback = self._comeback()
         self.background = Background(self.clock, notice)
         self.core.shown["background"] = self.background.status
-        self.halt = Latch()
-        self.pool = Pool(self.clock, limits.box_connections, round(limits.idle_ms * 1000))
+        self.halt = CancellationLatch()
+        self.pool = ConnectionPool(self.clock, limits.box_connections, round(limits.idle_ms * 1000))
         self.hints = HintReader()
-        effects = {room.name: Effect(room.effect) for room in settings.room_types}
-        self.joiner = Joiner(settings.name, self.clock, self.pool, self.hints, effects, codec, self.halt)
-        self.senders = OrderSenders(self.core, self.pool, codec)
-        self.movers = MoverThreads(self.core, self.joiner, settings.stitch.moves_at_once)
+        effects = {service_class.name: Effect(service_class.effect) for service_class in settings.room_types}
+        self.joiner = AttemptSender(
+            settings.name, self.clock, self.pool, self.hints, effects, codec, self.halt
+        )
+        self.senders = CommandSenders(self.core, self.pool, codec)
+        self.movers = MigrationWorkers(self.core, self.joiner, settings.stitch.moves_at_once)
         self.core.moves.port = self.movers
         told = self.core.front.settings
-        silence_us = feeds.silence_us(told.reports_every_us, told.seen_after_us)
-        self.box_side = BoxSide(self.core, self.senders, self.hints, settings.name, silence_us, codec, notice)
-        self.list_side = ListSide(
+        silence_us = event_stream.idle_timeout_us(told.reports_every_us, told.seen_after_us)
+        self.server_side = ServerEventStreams(
+            self.core, self.senders, self.hints, settings.name, silence_us, codec, notice
+        )
+        self.list_side = EndpointListClient(
             self.core,
             self.clock,
             settings.lists.address,
@@ -123,20 +132,20 @@
             notice,
             settings.source,
         )
-        self.core.book.port, self.core.lists.source = self.box_side, self.list_side
-        self.probe_side: ProbeSide | None = None
-        self.front_side: FrontSide | None = None
+        self.core.book.port, self.core.lists.source = self.server_side, self.list_side
+        self.probe_side: HealthChecker | None = None
+        self.front_side: FrontMessaging | None = None
         shape = settings.shape
         if shape.probes is not None:
             timeout_us, probed = round(shape.probes.timeout_ms * 1000), self.core.news.probed
-            self.probe_side = ProbeSide(self.clock, self.hints, settings.name, timeout_us, codec, probed)
+            self.probe_side = HealthChecker(self.clock, self.hints, settings.name, timeout_us, codec, probed)
             self.core.news.probes = self.probe_side
         self.company = self._company()
         among = settings.company or shape.peers
         if among is not None:
             index, heard = settings.instance.index, self.core.news.peer_says
             beaten = self.company.hear if self.company is not None else None
-            self.front_side = FrontSide(among.addresses, index, heard, beaten)
+            self.front_side = FrontMessaging(among.addresses, index, heard, beaten)
             if shape.peers is not None:
                 self.core.news.fronts = self.front_side
             if self.company is not None:
@@ -145,19 +154,19 @@
         self.budgets = self._budgets()
         self.vetoes: list[Callable[[str, str], bool]] = []  # what keeps the module from a box, in order
         core = self.core
-        core.front.free = lambda id, box: all(free(id, box) for free in self.vetoes)
+        core.front.free = lambda id, server: all(free(id, server) for free in self.vetoes)
         self.releases = self._releases(end)
-        self.watch_side: ProbeSide | None = None
+        self.watch_side: HealthChecker | None = None
         self.watch = self._watch(codec)
         self.slots = self._slots()
         self.fair = self._fair()
         times = [round(ms * 1000) for ms in (limits.idle_ms, limits.head_ms, limits.write_ms)]
-        self.setups = SetUps(self.core, self.clock, self.joiner, notice)
-        self.sockets = SocketDoor(
-            self.core, self.clock, self.setups, settings.name, DoorLimits(*times), notice
+        self.setups = SessionSetups(self.core, self.clock, self.joiner, notice)
+        self.sockets = WebSocketServer(
+            self.core, self.clock, self.setups, settings.name, ConnectionLimits(*times), notice
         )
         self.tls = TlsKeys(settings.tls, notice) if settings.tls is not None else None
-        self.door = HttpDoor(
+        self.door = HttpServer(
             self.core,
             self.clock,
             self.setups,
@@ -166,21 +175,21 @@
             settings.name,
             settings.listen,
             codec,
-            DoorLimits(*times),
+            ConnectionLimits(*times),
             notice,
             self.ledger.keep,
             self._control(),
         )
         self.timekeeper = threading.Thread(target=self.timers.run, name="timers")
-        self.stopping = Stopping(round(limits.stop_ms * 1000))
+        self.stopping = GracefulShutdown(round(limits.stop_ms * 1000))
 
-    def _comeback(self) -> ComebackBook | None:
+    def _comeback(self) -> RecoveryCoordinator | None:
         """Off by default: without it who asks waits at the door until the front knows what it holds."""
         core, settings = self.core, self.settings
         told = settings.recovery
         if told is None:
             return None
-        found = ComebackBook(settings, told, core.front, core.book, self.clock, core.chance, self.notice)
+        found = RecoveryCoordinator(settings, told, core.front, core.book, self.clock, core.rng, self.notice)
         core.gates.insert(0, found.before)
         core.lists.hear = found.hear_list
         core.shown["comeback"] = found.status
@@ -190,7 +199,7 @@
             core.memories.entries = found.entries
         return found
 
-    def _overload(self) -> OverloadBook | None:
+    def _overload(self) -> LoadSheddingCoordinator | None:
         """Off by default: without it each front damps alone, by its own weather."""
         core, settings, company = self.core, self.settings, self.company
         if settings.overload is None or not settings.overload.enabled:
@@ -198,43 +207,43 @@
         all_fronts = settings.instance.fronts
         fronts = company.company.living if company is not None else lambda: all_fronts
         life = self.clock.wall_us() // 1000
-        found = OverloadBook(
-            settings.room_types, fronts, life, core.storms, self.clock, core.chance, core.lock, self.notice
+        found = LoadSheddingCoordinator(
+            settings.room_types, fronts, life, core.storms, self.clock, core.rng, core.lock, self.notice
         )
         core.shown["overload"] = found.status
         if self.front_side is not None:
             found.post, self.front_side.counted = self.front_side.summary, found.hear
         return found
 
-    def _budgets(self) -> BudgetBook | None:
+    def _budgets(self) -> SharedQuotaCoordinator | None:
         """Off by default: without it each front spends by its own limits."""
         core, told = self.core, self.settings.overload
         if told is None:
             return None
         limits = {
-            Thing.FURTHER_JOIN: told.further_joins_s,
-            Thing.PROBE: told.probes_s,
-            Thing.LIST_CALL: told.list_calls_s,
+            Resource.FURTHER_JOIN: told.further_joins_s,
+            Resource.PROBE: told.probes_s,
+            Resource.LIST_CALL: told.list_calls_s,
         }
         wholes = {thing: whole for thing, whole in limits.items() if whole > 0}
         if not wholes:
             return None
         life = self.clock.wall_us() // 1000
-        found = BudgetBook(wholes, self.settings.instance, life, self.clock, core.chance, core.lock)
-        core.may_join_again = lambda: found.take(Thing.FURTHER_JOIN)
-        core.news.may_probe = lambda: found.take(Thing.PROBE)
-        self.list_side.turn_us = lambda: found.wait_us(Thing.LIST_CALL)
+        found = SharedQuotaCoordinator(wholes, self.settings.instance, life, self.clock, core.rng, core.lock)
+        core.may_attempt_again = lambda: found.take(Resource.FURTHER_JOIN)
+        core.news.may_probe = lambda: found.take(Resource.PROBE)
+        self.list_side.turn_us = lambda: found.wait_us(Resource.LIST_CALL)
         core.shown["budgets"] = found.status
         if self.front_side is not None:
             found.post, self.front_side.spared = self.front_side.spare, found.hear
         return found
 
-    def _releases(self, end: Callable[[], None]) -> ReleaseSide | None:
+    def _releases(self, end: Callable[[], None]) -> RolloutService | None:
         """Off by default: without it operators see to it that not too many are out."""
         told, core = self.settings.releases, self.core
         if told is None or self.front_side is None:
             return None
-        found = ReleaseSide(self.settings, told, core, self.timers, self.clock, self.notice, end)
+        found = RolloutService(self.settings, told, core, self.timers, self.clock, self.notice, end)
         if self.overload is not None:
             ladder = self.overload.ladder
             found.level = lambda: ladder.level.value
@@ -244,7 +253,7 @@
         found.book.post, self.front_side.agreed = self.front_side.agree, found.book.hear
         return found
 
-    def _watch(self, codec: DialLimits) -> WatchBook | None:
+    def _watch(self, codec: DialLimits) -> HealthCheckCoordinator | None:
         """Off by default: without it each front finds out by its own joins that a box is gone."""
         core, told, company = self.core, self.settings.watchers, self.company
         if told is None:
@@ -252,28 +261,28 @@
         instance, front = self.settings.instance, core.front
 
         def listed() -> list[str]:
-            return [box for box, server in front.servers.items() if server.standing is Standing.ACTIVE]
+            return [box for box, server in front.servers.items() if server.standing is ServerState.ACTIVE]
 
         def living() -> Iterable[int]:
             return company.company.alive() if company is not None else range(instance.fronts)
 
-        found = WatchBook(
+        found = HealthCheckCoordinator(
             instance.index,
             instance.fronts,
             self.clock.wall_us(),  # the number above all of an earlier life's
             listed,
             living,
             self.clock,
-            core.chance,
+            core.rng,
             core.lock,
             self.notice,
         )
-        side = ProbeSide(
+        side = HealthChecker(
             self.clock, self.hints, self.settings.name, round(told.timeout_ms * 1000), codec, found.probed
         )
         self.watch_side, found.ask = side, side.ask
         self.vetoes.append(found.free)
-        core.storms.joined = found.joined
+        core.storms.attempted = found.attempted
         core.shown["watchers"] = found.status
         if self.front_side is not None:
             found.post, self.front_side.worded = self.front_side.word, found.hear
@@ -281,17 +290,17 @@
 
     def _look_out(self) -> None:
         assert self.watch is not None
-        if self.stopping.phase is Phase.RUNNING:
-            self.timers.after(watchers.LOOK_US, self._look_out)
+        if self.stopping.phase is ShutdownState.RUNNING:
+            self.timers.after(health_check_coordinator.LOOK_US, self._look_out)
             self.watch.look()
 
-    def _slots(self) -> SlotSide | None:
+    def _slots(self) -> LimitService | None:
         """Off by default: without it each front has so many joins out at a box as it keeps connections."""
         told, core = self.settings.slots, self.core
         if told is None:
             return None
-        running = lambda: self.stopping.phase is Phase.RUNNING  # noqa: E731
-        found = SlotSide(self.settings, told, core, self.timers, self.clock, self.notice, running)
+        running = lambda: self.stopping.phase is ShutdownState.RUNNING  # noqa: E731
+        found = LimitService(self.settings, told, core, self.timers, self.clock, self.notice, running)
         core.shown["slots"], core.memories.more = found.book.status, found.book.kept
         self.vetoes.append(found.free)
         self.joiner.slots, self.pool.keeps = found.book, found.book.links
@@ -301,19 +310,19 @@
             found.book.post, self.front_side.slotted = self.front_side.slots, found.book.hear
         return found
 
-    def _fair(self) -> SlotBook | None:
+    def _fair(self) -> SlotScheduler | None:
         """Off by default: without it a box's slots go to whoever comes first."""
         told, core = self.settings.fair, self.core
         if told is None:
             return None
-        found = SlotBook(
-            core.ground, told, self.settings.instance, core.catalogue, core.front, core.subs, Bell
+        found = SlotScheduler(
+            core.context, told, self.settings.instance, core.catalogue, core.front, core.lifecycle, Wakeup
         )
         core.use_slots(found)
         self.vetoes.append(found.free)
         if self.slots is not None:
             learned = self.slots.book
-            found.part = lambda box, now_us: learned.most(box, learned.longest_us)
+            found.part = lambda server, now_us: learned.most(server, learned.longest_us)
             found.wants, learned.changed = learned.wants, found.risen
         if self.front_side is not None:
             found.post, self.front_side.gave = self.front_side.give, found.hear
@@ -321,20 +330,20 @@
 
     def _share(self) -> None:
         assert self.fair is not None
-        if self.stopping.phase is Phase.RUNNING:
-            self.timers.after(slots.WINDOW_US, self._share)
+        if self.stopping.phase is ShutdownState.RUNNING:
+            self.timers.after(slot_scheduler.WINDOW_US, self._share)
             self.fair.window()
 
     def _spare(self) -> None:
         assert self.budgets is not None
-        if self.stopping.phase is Phase.RUNNING:
-            self.timers.after(budgets.TURN_US, self._spare)
+        if self.stopping.phase is ShutdownState.RUNNING:
+            self.timers.after(shared_quota_coordinator.TURN_US, self._spare)
             self.budgets.turn()
 
     def _count(self) -> None:
         assert self.overload is not None
-        if self.stopping.phase is Phase.RUNNING:
-            self.timers.after(burden.WINDOW_US, self._count)
+        if self.stopping.phase is ShutdownState.RUNNING:
+            self.timers.after(fleet_load.WINDOW_US, self._count)
             self.overload.window()
 
     def _look(self) -> None:
@@ -342,13 +351,15 @@
         with self.core.lock:
             self.comeback.look(self.clock.now_us())
 
-    def _company(self) -> CompanyBook | None:
+    def _company(self) -> MembershipCoordinator | None:
         """Off by default: without it each front counts on all others that its settings name."""
         told, core = self.settings.company, self.core
         if told is None:
             return None
         life = self.clock.wall_us() // 1000
-        company = CompanyBook(told, self.settings.instance, life, self.clock, core.lock, self.notice)
+        company = MembershipCoordinator(
+            told, self.settings.instance, life, self.clock, core.lock, self.notice
+        )
         core.front.mine = company.mine
         core.shown["company"] = company.status
         core.memories.lives = company.lives
@@ -360,17 +371,19 @@
 
     def _beat(self) -> None:
         assert self.company is not None and self.settings.company is not None
-        if self.stopping.phase is Phase.RUNNING:
+        if self.stopping.phase is ShutdownState.RUNNING:
             self.timers.after(round(self.settings.company.beat_ms * 1000), self._beat)
             self.company.beat()
 
-    def _control(self) -> Control:
+    def _control(self) -> OperatorCommands:
         wall_ms = self.clock.wall_us() // 1000
         told = self.settings.control
         keys = {key.name: (mac(load(key.key_file, wall_ms)[0]), key.may_change) for key in told.keys}
-        found = Control(self.core, self.clock, Commands(self.settings.name, keys), AuditFile(told.audit).tell)
+        found = OperatorCommands(
+            self.core, self.clock, CommandAuthorizer(self.settings.name, keys), AuditFile(told.audit).tell
+        )
         if self.releases is not None:
-            found.orders = Orders(self.settings.name, self.releases.book)
+            found.orders = OperatorRoutes(self.settings.name, self.releases.book)
         return found
 
     def start(self) -> None:
@@ -384,7 +397,7 @@
         if self.releases is not None:
             self.releases.start()
         if self.watch is not None:
-            self.timers.after(watchers.LOOK_US, self._look_out)
+            self.timers.after(health_check_coordinator.LOOK_US, self._look_out)
         if self.company is not None:
             self.timers.after(0, self._beat)
         if self.budgets is not None:
@@ -392,9 +405,9 @@
         if self.slots is not None:
             self.slots.start()
         if self.overload is not None:
-            self.timers.after(burden.WINDOW_US, self._count)
+            self.timers.after(fleet_load.WINDOW_US, self._count)
         if self.fair is not None:
-            self.timers.after(slots.WINDOW_US, self._share)
+            self.timers.after(slot_scheduler.WINDOW_US, self._share)
         self.senders.start()
         self.movers.start()
         self.list_side.start()
@@ -406,7 +419,7 @@
             self.core.book.wait_open()
             self.core.seats.opened()
         else:
-            self.timers.after(comeback.SAVED_AFTER_US, self._stand_in)
+            self.timers.after(recovery_admission.SAVED_AFTER_US, self._stand_in)
         self.door.start()
         if self.releases is not None:
             self.releases.is_open = True
@@ -420,15 +433,15 @@
     def _plan(self) -> None:
         """What goes on in the background."""
         plan = self.background.add
-        plan("sweep", Priority.VIEWERS, SWEEP_US, SWEEP_US, self._sweep)
-        plan("trim", Priority.HOUSEKEEPING, TRIM_US, TRIM_US, self.pool.trim)
+        plan("sweep", TaskPriority.VIEWERS, SWEEP_US, SWEEP_US, self._sweep)
+        plan("trim", TaskPriority.HOUSEKEEPING, TRIM_US, TRIM_US, self.pool.trim)
         if self.comeback is not None:
-            plan("comeback", Priority.VIEWERS, SWEEP_US, SWEEP_US, self._look)
+            plan("comeback", TaskPriority.VIEWERS, SWEEP_US, SWEEP_US, self._look)
         if self.keeper is not None:
-            plan("memories", Priority.MEMORY, REMEMBER_US, REMEMBER_US, self._remember)
+            plan("memories", TaskPriority.MEMORY, REMEMBER_US, REMEMBER_US, self._remember)
         if self.tls is not None:
             tls = self.tls
-            plan("certificate", Priority.HOUSEKEEPING, LOOK_US, LOOK_US, lambda: void(tls.check()))
+            plan("certificate", TaskPriority.HOUSEKEEPING, LOOK_US, LOOK_US, lambda: void(tls.check()))
 
     def _remember(self) -> None:
         assert self.keeper is not None
@@ -443,16 +456,16 @@
         """Answer everything held and end, within the stated time."""
         began_us = self.clock.now_us()
         acts = {
-            Act.STOP_ACCEPTING: self._stop_accepting,
-            Act.GIVE_UP_JOINS: self.halt.set,
-            Act.CLOSE_ALL: self._close,
+            ShutdownAction.STOP_ACCEPTING: self._stop_accepting,
+            ShutdownAction.GIVE_UP_JOINS: self.halt.set,
+            ShutdownAction.CLOSE_ALL: self._close,
         }
-        cue = Cue.ASKED
-        while self.stopping.phase is not Phase.OVER:
-            for act in self.stopping.cue(cue, self.clock.now_us()):
+        event = ShutdownEvent.ASKED
+        while self.stopping.phase is not ShutdownState.OVER:
+            for act in self.stopping.apply(event, self.clock.now_us()):
                 acts[act]()
             idle = self.door.wait_idle(self.stopping.left_us(self.clock.now_us()))
-            cue = Cue.IDLE if idle else Cue.TIME
+            event = ShutdownEvent.IDLE if idle else ShutdownEvent.TIME
         self.notice("front_stopped", took_ms=(self.clock.now_us() - began_us) / 1000, counts=self.core.counts)
 
     def _stop_accepting(self) -> None:
@@ -475,7 +488,7 @@
         for side in (self.probe_side, self.watch_side, self.releases, self.front_side):
             if side is not None:
                 side.stop()
-        self.box_side.stop()
+        self.server_side.stop()
         self.senders.stop(self.stopping.asked_us + self.stopping.stop_us)
         self.pool.close()
         self.halt.close()
--- a/packages/program/src/fennelcove/program/key_file.py
+++ b/packages/daemon/src/fennelcove/daemon/key_file.py
@@ -9,13 +9,13 @@
 import secrets
 from pathlib import Path
 
-from fennelcove.errors import Trouble
+from fennelcove.errors import OperatorError
 
 OVERLAP_MS = 3_600_000
 KEY_BYTES = 32
 
 
-class KeyFileError(Trouble):
+class KeyFileError(OperatorError):
     """A file of keys can't be read or written, or holds none."""
 
     code = "key-file-unusable"
--- a/packages/program/src/fennelcove/program/ledger_file.py
+++ b/packages/daemon/src/fennelcove/daemon/ledger_file.py
@@ -14,7 +14,7 @@
 import msgspec
 from msgspec import Struct
 
-from fennelcove.core.verdicts import Notices
+from fennelcove.core.requests import EventLogger
 from fennelcove.timeline.model import Change, Kind, Target
 
 
@@ -47,7 +47,7 @@
 class LedgerFile:
     """One file; without a path nothing is kept."""
 
-    def __init__(self, path: str | None, notice: Notices) -> None:
+    def __init__(self, path: str | None, notice: EventLogger) -> None:
         self.path = Path(path) if path is not None else None
         self.notice = notice
         self.lock = threading.Lock()
--- a/packages/program/src/fennelcove/program/releases.py
+++ b/packages/daemon/src/fennelcove/daemon/rollouts.py
@@ -15,17 +15,17 @@
 
 from fennelcove.clock import Clock
 from fennelcove.core.core import Core
-from fennelcove.core.releases import BoxSight, ReleaseBook
+from fennelcove.core.rollout_coordinator import ServerSight, RolloutCoordinator
 from fennelcove.clock.timers import Timers
-from fennelcove.core.verdicts import Notices
-from fennelcove.decisions.fleet.comeback import Phase as Opening
-from fennelcove.decisions.viewers.admission import Phase, Turn
-from fennelcove.decisions.viewers.storm import Phase as Weather
-from fennelcove.interface import Standing
-from fennelcove.releases.agreement import Agreement, Memory, Mine, Terms
-from fennelcove.releases.places import Limit, Limits, Place
-from fennelcove.releases.says import Stands
-from fennelcove.rules import Server
+from fennelcove.core.requests import EventLogger
+from fennelcove.decisions.fleet.recovery_admission import RecoveryState as Opening
+from fennelcove.decisions.clients.admission import AdmissionState, AdmissionEvent
+from fennelcove.decisions.clients.retry_storm import StormState as Weather
+from fennelcove.interface import ServerState
+from fennelcove.rollouts.coordinator import RolloutAgreement, Memory, Mine, Terms
+from fennelcove.rollouts.disruption_budget import Limit, Limits, Location
+from fennelcove.rollouts.messages import Stands
+from fennelcove.placement import Server
 from fennelcove.settings.schema import FrontSettings, ReleaseSettings
 from fennelcove.store.folder import Store
 
@@ -49,7 +49,7 @@
 _ENCODER = msgspec.msgpack.Encoder()
 
 
-def hall(name: str) -> int:
+def zone(name: str) -> int:
     """A hall's number, the same at all fronts."""
     return crc32(name.encode()) & MOST_PLACE
 
@@ -58,7 +58,7 @@
     """The folder of one front's promises; without a folder nothing outlives the process, and the next life
     waits instead."""
 
-    def __init__(self, settings: FrontSettings, wall_us: int, notice: Notices) -> None:
+    def __init__(self, settings: FrontSettings, wall_us: int, notice: EventLogger) -> None:
         self.notice = notice
         self.store: Store | None = None
         self.memory: Memory | None = None
@@ -96,7 +96,7 @@
             self.store.close()
 
 
-class ReleaseSide:
+class RolloutService:
     """Owns the thread of releases. `start` and `stop` with the front; `opened` once its door is open."""
 
     def __init__(
@@ -106,7 +106,7 @@
         core: Core,
         timers: Timers,
         clock: Clock,
-        notice: Notices,
+        notice: EventLogger,
         end: Callable[[], None],
     ) -> None:
         self.told = told
@@ -121,22 +121,22 @@
         self.served_from_us: int | None = None
         self.joined_us: dict[str, int] = {}  # when the last join was sent that each box has answered well
         self.promises = Promises(settings, clock.wall_us(), notice)
-        self.book = ReleaseBook(
+        self.book = RolloutCoordinator(
             self._agreement(settings, told),
             round(told.beat_ms * 1000),
             self.mine,
-            self.boxes,
+            self.servers,
             self.promises.keep,
             clock,
             Random(f"{settings.seed}/releases"),
             notice,
         )
-        self.book.leave, self.book.take_box = self.leave, self.take_box
-        core.box_joined = self.box_joined
+        self.book.leave, self.book.take_server = self.leave, self.take_server
+        core.server_attempted = self.server_attempted
         core.shown["releases"] = self.status
         self.thread = threading.Thread(target=self.book.run, name="releases")
 
-    def _agreement(self, settings: FrontSettings, told: ReleaseSettings) -> Agreement:
+    def _agreement(self, settings: FrontSettings, told: ReleaseSettings) -> RolloutAgreement:
         instance = settings.instance
         halls = told.halls or [instance.zone] * instance.fronts
         limits = Limits(
@@ -147,9 +147,9 @@
             round(ms * 1000) for ms in (told.beat_ms, told.window_ms, told.silent_ms, told.show_ms)
         )
         terms = Terms(instance.fronts, instance.index, beat_us, window_us, silent_us, show_us=show_us)
-        places = tuple(Place(hall(name), 1.0, told.front_load) for name in halls)
+        places = tuple(Location(zone(name), 1.0, told.front_load) for name in halls)
         now_us = self.clock.now_us()
-        return Agreement(terms, limits, places, self.promises.life, now_us, self.promises.memory)
+        return RolloutAgreement(terms, limits, places, self.promises.life, now_us, self.promises.memory)
 
     def start(self) -> None:
         """Begin to speak: the door may still be shut."""
@@ -174,7 +174,7 @@
             opening = self.opening()
             storm, level = WEATHER[weather.phase], self.level()
         away = counts["damped"] + counts["refused_request_full"] + counts["refused_subscription_full"]
-        stands = Stands.SERVING if phase is Phase.OPEN else Stands.LEAVING
+        stands = Stands.SERVING if phase is AdmissionState.OPEN else Stands.LEAVING
         if stands is Stands.SERVING and (not self.is_open or opening not in (Opening.OPEN, Opening.RATIONED)):
             stands = Stands.STARTING
         now_us = self.clock.now_us()
@@ -193,15 +193,15 @@
             storm=storm,
         )
 
-    def box_joined(self, address: str, sent_us: int) -> None:
+    def server_attempted(self, address: str, sent_us: int) -> None:
         """A box has answered a join well that was sent then; the core's lock is round it."""
         self.joined_us[address] = max(sent_us, self.joined_us.get(address, 0))
 
-    def boxes(self) -> Mapping[int, BoxSight]:
+    def servers(self) -> Mapping[int, ServerSight]:
         """All boxes by their cells. Where two share one, a cell names no box: then none may be taken out."""
-        found: dict[int, BoxSight] = {}
+        found: dict[int, ServerSight] = {}
         with self.core.lock:
-            servers = [s for s in self.core.front.servers.values() if s.standing is not Standing.LEFT]
+            servers = [s for s in self.core.front.servers.values() if s.standing is not ServerState.LEFT]
             cells = Counter(server.cell for server in servers)
             if not servers or max(cells.values()) > 1 or max(cells) > MOST_PLACE:
                 return {}
@@ -213,7 +213,7 @@
                 del self.joined_us[address]
         return found
 
-    def _sight(self, server: Server, now_us: int) -> BoxSight:
+    def _sight(self, server: Server, now_us: int) -> ServerSight:
         front, core = self.core.front, self.core
         warm = not front.is_cold(server)
         titles = frozenset(
@@ -223,13 +223,13 @@
         )
         size_kb = server.link.size_kb
         load_kb = min(size_kb, (server.link.asked or 0.0) * size_kb)
-        place = Place(hall(server.zone), size_kb, load_kb, titles, warm)
-        joined_us = self.joined_us.get(server.address)
-        well = warm and server.standing is Standing.ACTIVE and now_us >= server.shut_until_us
-        if well and joined_us is not None and joined_us >= server.started_us:
-            return BoxSight(place, True, joined_us)
+        place = Location(zone(server.zone), size_kb, load_kb, titles, warm)
+        attempted_us = self.joined_us.get(server.address)
+        well = warm and server.standing is ServerState.ACTIVE and now_us >= server.shut_until_us
+        if well and attempted_us is not None and attempted_us >= server.started_us:
+            return ServerSight(place, True, attempted_us)
         # Nothing but an answer to what was sent tells of a time: a report may have lain anywhere.
-        return BoxSight(place, False, now_us if not well else server.started_us)
+        return ServerSight(place, False, now_us if not well else server.started_us)
 
     # How it goes out.
 
@@ -241,14 +241,14 @@
             self.notice("wanted_not_written", file=self.told.wanted, reason=str(error))
             return False
         self.notice("release_leaves", version=version)
-        self.core.turn(Turn.DRAIN)
+        self.core.turn(AdmissionEvent.DRAIN)
         if not self.ending:
             self.ending = True
             if not self.timers.after(round(self.told.drain_ms * 1000), self.end):
                 self.end()  # no timer is left: better at once than never
         return True
 
-    def take_box(self, cell: int) -> bool:
+    def take_server(self, cell: int) -> bool:
         """Tell whoever keeps the list that this box may be drained now: a line in a file beside `wanted`."""
         with self.core.lock:
             found = [s.address for s in self.core.front.servers.values() if s.cell == cell]
--- a/packages/decisions-viewers/src/fennelcove/decisions/viewers/admission.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/admission.py
@@ -10,7 +10,7 @@
 from enum import Enum, auto
 
 
-class Phase(Enum):
+class AdmissionState(Enum):
     """How the front stands towards new work."""
 
     OPEN = auto()
@@ -18,7 +18,7 @@
     STOPPING = auto()
 
 
-class Turn(Enum):
+class AdmissionEvent(Enum):
     """What an operator, or the end, does with it."""
 
     DRAIN = auto()
@@ -26,17 +26,17 @@
     STOP = auto()
 
 
-TURNS: dict[tuple[Phase, Turn], Phase] = {
-    (Phase.OPEN, Turn.DRAIN): Phase.DRAINING,
-    (Phase.OPEN, Turn.UNDRAIN): Phase.OPEN,
-    (Phase.OPEN, Turn.STOP): Phase.STOPPING,
-    (Phase.DRAINING, Turn.DRAIN): Phase.DRAINING,
-    (Phase.DRAINING, Turn.UNDRAIN): Phase.OPEN,
-    (Phase.DRAINING, Turn.STOP): Phase.STOPPING,
+EVENTS: dict[tuple[AdmissionState, AdmissionEvent], AdmissionState] = {
+    (AdmissionState.OPEN, AdmissionEvent.DRAIN): AdmissionState.DRAINING,
+    (AdmissionState.OPEN, AdmissionEvent.UNDRAIN): AdmissionState.OPEN,
+    (AdmissionState.OPEN, AdmissionEvent.STOP): AdmissionState.STOPPING,
+    (AdmissionState.DRAINING, AdmissionEvent.DRAIN): AdmissionState.DRAINING,
+    (AdmissionState.DRAINING, AdmissionEvent.UNDRAIN): AdmissionState.OPEN,
+    (AdmissionState.DRAINING, AdmissionEvent.STOP): AdmissionState.STOPPING,
     # There is no way back from an end.
-    (Phase.STOPPING, Turn.DRAIN): Phase.STOPPING,
-    (Phase.STOPPING, Turn.UNDRAIN): Phase.STOPPING,
-    (Phase.STOPPING, Turn.STOP): Phase.STOPPING,
+    (AdmissionState.STOPPING, AdmissionEvent.DRAIN): AdmissionState.STOPPING,
+    (AdmissionState.STOPPING, AdmissionEvent.UNDRAIN): AdmissionState.STOPPING,
+    (AdmissionState.STOPPING, AdmissionEvent.STOP): AdmissionState.STOPPING,
 }
 
 
@@ -48,7 +48,7 @@
     SUBSCRIPTION = auto()  # one more to hold while it plays
 
 
-class Ruling(Enum):
+class AdmissionDecision(Enum):
     """What the door does."""
 
     LET_IN = auto()
@@ -58,7 +58,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Bounds:
+class AdmissionLimits:
     """The most of each that the front holds."""
 
     connections: int
@@ -68,17 +68,17 @@
 
 
 # The refusals that come before anything is counted.
-TABLE: dict[tuple[Phase, Entry], Ruling] = {
-    (Phase.OPEN, Entry.CONNECTION): Ruling.LET_IN,
-    (Phase.OPEN, Entry.REQUEST): Ruling.LET_IN,
-    (Phase.OPEN, Entry.SUBSCRIPTION): Ruling.LET_IN,
+TRANSITIONS: dict[tuple[AdmissionState, Entry], AdmissionDecision] = {
+    (AdmissionState.OPEN, Entry.CONNECTION): AdmissionDecision.LET_IN,
+    (AdmissionState.OPEN, Entry.REQUEST): AdmissionDecision.LET_IN,
+    (AdmissionState.OPEN, Entry.SUBSCRIPTION): AdmissionDecision.LET_IN,
     # Those who play here still poll, fetch and release.
-    (Phase.DRAINING, Entry.CONNECTION): Ruling.LET_IN,
-    (Phase.DRAINING, Entry.REQUEST): Ruling.DRAINING,
-    (Phase.DRAINING, Entry.SUBSCRIPTION): Ruling.DRAINING,
-    (Phase.STOPPING, Entry.CONNECTION): Ruling.CLOSING,
-    (Phase.STOPPING, Entry.REQUEST): Ruling.CLOSING,
-    (Phase.STOPPING, Entry.SUBSCRIPTION): Ruling.CLOSING,
+    (AdmissionState.DRAINING, Entry.CONNECTION): AdmissionDecision.LET_IN,
+    (AdmissionState.DRAINING, Entry.REQUEST): AdmissionDecision.DRAINING,
+    (AdmissionState.DRAINING, Entry.SUBSCRIPTION): AdmissionDecision.DRAINING,
+    (AdmissionState.STOPPING, Entry.CONNECTION): AdmissionDecision.CLOSING,
+    (AdmissionState.STOPPING, Entry.REQUEST): AdmissionDecision.CLOSING,
+    (AdmissionState.STOPPING, Entry.SUBSCRIPTION): AdmissionDecision.CLOSING,
 }
 
 SMOOTHING = 16  # as the module smooths what it averages over requests
@@ -89,22 +89,22 @@
 LEAST_PATIENCE = 0.1
 
 
-class Gate:
+class AdmissionController:
     """Counts what is inside and rules on what wants in. The caller hands in times and holds the lock."""
 
-    def __init__(self, bounds: Bounds) -> None:
+    def __init__(self, bounds: AdmissionLimits) -> None:
         self.bounds = bounds
-        self.phase = Phase.OPEN
+        self.phase = AdmissionState.OPEN
         self.connections = self.waiting = self.held = self.buffered_bytes = 0
         self.typical_wait_us = 0.0
         self.refused = 0
 
-    def ask(self, entry: Entry) -> Ruling:
+    def ask(self, entry: Entry) -> AdmissionDecision:
         """Rule, and count what is let in."""
-        ruling = TABLE[self.phase, entry]
-        if ruling is Ruling.LET_IN and not self._room(entry):
-            ruling = Ruling.FULL
-        if ruling is not Ruling.LET_IN:
+        ruling = TRANSITIONS[self.phase, entry]
+        if ruling is AdmissionDecision.LET_IN and not self._room(entry):
+            ruling = AdmissionDecision.FULL
+        if ruling is not AdmissionDecision.LET_IN:
             self.refused += 1
         elif entry is Entry.CONNECTION:
             self.connections += 1
@@ -131,7 +131,7 @@
         self.waiting -= 1
         self.typical_wait_us += (waited_us - self.typical_wait_us) / SMOOTHING
 
-    def subscription_ended(self) -> None:
+    def session_ended(self) -> None:
         """One that was held has ended."""
         self.held -= 1
 
@@ -142,9 +142,9 @@
         self.buffered_bytes += more_bytes
         return True
 
-    def turn(self, turn: Turn) -> Phase:
+    def turn(self, turn: AdmissionEvent) -> AdmissionState:
         """Drained, opened again or ended; the phase from now on."""
-        self.phase = TURNS[self.phase, turn]
+        self.phase = EVENTS[self.phase, turn]
         return self.phase
 
     def come_back_us(self, draw: float, most_us: int | None) -> int:
--- a/packages/decisions-viewers/src/fennelcove/decisions/viewers/outbox.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/conflating_queue.py
@@ -16,7 +16,7 @@
 MOST_ITEMS = 64
 
 
-class Kept(Enum):
+class PutResult(Enum):
     """What became of an item."""
 
     QUEUED = auto()
@@ -24,7 +24,7 @@
     OVER = auto()  # no room: the connection must be cut off
 
 
-class Outbox(Generic[Item]):
+class ConflatingQueue(Generic[Item]):
     """One connection's line, in order; the caller holds the lock."""
 
     def __init__(self, most: int = MOST_ITEMS) -> None:
@@ -33,19 +33,19 @@
         self.count = 0
         self.over = False
 
-    def put(self, item: Item, matter: Hashable | None = None) -> Kept:
+    def put(self, item: Item, matter: Hashable | None = None) -> PutResult:
         """One more; items of one matter replace each other where they stand, those of none never."""
         if self.over:
-            return Kept.OVER
+            return PutResult.OVER
         if matter is not None and matter in self.items:
             self.items[matter] = item
-            return Kept.REPLACED
+            return PutResult.REPLACED
         if len(self.items) >= self.most:
             self.over = True
-            return Kept.OVER
+            return PutResult.OVER
         self.count += 1
         self.items[matter if matter is not None else self.count] = item
-        return Kept.QUEUED
+        return PutResult.QUEUED
 
     def take(self) -> list[Item]:
         """All that waits."""
--- a/packages/decisions-viewers/src/fennelcove/decisions/viewers/counting.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/count_min_sketch.py
@@ -17,7 +17,7 @@
 Hash = Callable[[bytes], bytes]
 
 
-class Counts:
+class CountMinSketch:
     """A sliding count of names; `hashed` must give at least 4 * DEPTH bytes."""
 
     def __init__(self, hashed: Hash, now_us: int) -> None:
--- a/packages/decisions-viewers/src/fennelcove/decisions/viewers/chatter.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/rate_limit.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(slots=True)
-class Meter:
+class MessageRateLimit:
     """A bucket of messages; times in microseconds."""
 
     now_us: int
@@ -29,7 +29,7 @@
         return True
 
 
-class Pulse(Enum):
+class KeepaliveAction(Enum):
     """What to do about a connection that says nothing."""
 
     WAIT = auto()
@@ -38,7 +38,7 @@
 
 
 @dataclass(slots=True)
-class Silence:
+class KeepaliveMonitor:
     """One connection's last sign of life, and when it was last asked for one."""
 
     silent_us: int
@@ -50,14 +50,14 @@
         self.heard_us = now_us
         self.asked_us = -1
 
-    def check(self, now_us: int) -> tuple[Pulse, int]:
+    def check(self, now_us: int) -> tuple[KeepaliveAction, int]:
         """What is due now, and in how long to look again, in microseconds."""
         every_us = max(1, self.silent_us // PINGS_IN_SILENCE)
         if now_us - self.heard_us >= self.silent_us:
-            return Pulse.CUT, 0
+            return KeepaliveAction.CUT, 0
         last_us = max(self.heard_us, self.asked_us)
         due_us = min(last_us + every_us, self.heard_us + self.silent_us)
         if now_us >= last_us + every_us:
             self.asked_us = now_us
-            return Pulse.PING, min(every_us, self.heard_us + self.silent_us - now_us)
-        return Pulse.WAIT, due_us - now_us
+            return KeepaliveAction.PING, min(every_us, self.heard_us + self.silent_us - now_us)
+        return KeepaliveAction.WAIT, due_us - now_us
