--- a/packages/decisions-viewers/src/fennelcove/decisions/viewers/storm.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/retry_storm.py
@@ -22,7 +22,7 @@
 SETTLED = 6
 
 
-class Phase(Enum):
+class StormState(Enum):
     """How the front stands towards those who ask."""
 
     CALM = auto()
@@ -31,7 +31,7 @@
     SETTLING = auto()
 
 
-class Sign(Enum):
+class StormSignal(Enum):
     """What one window shows."""
 
     HOT = auto()  # far more than usual, and many refused
@@ -41,36 +41,41 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Rule:
+class StormTransition:
     """The next phase, once the sign has come so many windows in a row."""
 
     after: int
-    phase: Phase
+    phase: StormState
 
 
-TABLE: dict[tuple[Phase, Sign], Rule] = {
-    (Phase.CALM, Sign.HOT): Rule(1, Phase.RISING),
-    (Phase.RISING, Sign.HOT): Rule(RISES, Phase.STORM),
-    (Phase.RISING, Sign.CROWD): Rule(CALMS, Phase.CALM),
-    (Phase.RISING, Sign.FULL): Rule(CALMS, Phase.CALM),
-    (Phase.RISING, Sign.COOL): Rule(RISES, Phase.CALM),
+TRANSITIONS: dict[tuple[StormState, StormSignal], StormTransition] = {
+    (StormState.CALM, StormSignal.HOT): StormTransition(1, StormState.RISING),
+    (StormState.RISING, StormSignal.HOT): StormTransition(RISES, StormState.STORM),
+    (StormState.RISING, StormSignal.CROWD): StormTransition(CALMS, StormState.CALM),
+    (StormState.RISING, StormSignal.FULL): StormTransition(CALMS, StormState.CALM),
+    (StormState.RISING, StormSignal.COOL): StormTransition(RISES, StormState.CALM),
     # While the crowd comes the damping that keeps it from being refused must stay: its rest is no calm.
-    (Phase.STORM, Sign.FULL): Rule(CALMS, Phase.SETTLING),
-    (Phase.STORM, Sign.COOL): Rule(CALMS, Phase.SETTLING),
+    (StormState.STORM, StormSignal.FULL): StormTransition(CALMS, StormState.SETTLING),
+    (StormState.STORM, StormSignal.COOL): StormTransition(CALMS, StormState.SETTLING),
     # It starts again within a minute: no second rise is waited for.
-    (Phase.SETTLING, Sign.HOT): Rule(1, Phase.STORM),
+    (StormState.SETTLING, StormSignal.HOT): StormTransition(1, StormState.STORM),
     # Refusals that go on without a crowd are overload, and no storm: they must not hold the phase for ever.
-    (Phase.SETTLING, Sign.FULL): Rule(4 * SETTLED, Phase.CALM),
-    (Phase.SETTLING, Sign.COOL): Rule(SETTLED, Phase.CALM),
+    (StormState.SETTLING, StormSignal.FULL): StormTransition(4 * SETTLED, StormState.CALM),
+    (StormState.SETTLING, StormSignal.COOL): StormTransition(SETTLED, StormState.CALM),
 }
 
 # How fast each phase takes arrivals for usual. None is zero: what never ends becomes the usual pace, so that
 # no phase lasts for ever.
-LEARNS = {Phase.CALM: SLOW, Phase.RISING: SLOW / 4, Phase.STORM: SLOW / 4, Phase.SETTLING: SLOW}
+LEARNS = {
+    StormState.CALM: SLOW,
+    StormState.RISING: SLOW / 4,
+    StormState.STORM: SLOW / 4,
+    StormState.SETTLING: SLOW,
+}
 
 
 @dataclass(slots=True)
-class Window:
+class RetryWindow:
     """What was counted since the window began."""
 
     asked: int = 0
@@ -79,15 +84,15 @@
 
 
 @dataclass(slots=True)
-class Weather:
+class RetryStormDetector:
     """One front's phase. The caller hands in the time and holds the lock."""
 
     began_us: int
-    phase: Phase = Phase.CALM
-    window: Window = field(default_factory=Window)
+    phase: StormState = StormState.CALM
+    window: RetryWindow = field(default_factory=RetryWindow)
     usual: float = 0.0  # arrivals in a window
     seen: int = 0
-    sign: Sign = Sign.COOL
+    sign: StormSignal = StormSignal.COOL
     in_row: int = 0
     changes: int = 0
     since_us: int = 0
@@ -102,31 +107,31 @@
             self.began_us += passed * WINDOW_US
 
     def _close(self, now_us: int) -> None:
-        window, self.window = self.window, Window()
+        window, self.window = self.window, RetryWindow()
         sign = self.read(window)
         self.in_row = self.in_row + 1 if sign is self.sign else 1
         self.sign = sign
         weight = LEARNS[self.phase]
-        if self.phase is Phase.CALM and sign is not Sign.HOT:
+        if self.phase is StormState.CALM and sign is not StormSignal.HOT:
             # The first windows count for more: a new front knows no past.
             self.seen += 1
             weight = max(weight, 1 / (self.seen + 1))
         self.usual += (window.asked - self.usual) * weight
-        rule = TABLE.get((self.phase, sign))
+        rule = TRANSITIONS.get((self.phase, sign))
         if rule is not None and self.in_row >= rule.after:
             self.phase, self.in_row, self.since_us = rule.phase, 0, now_us
             self.changes += 1
 
-    def read(self, window: Window) -> Sign:
+    def read(self, window: RetryWindow) -> StormSignal:
         """What a window shows."""
         crowd = window.asked > TIMES_USUAL * self.usual + SPREADS * sqrt(self.usual + 1)
         share = window.refused / window.let_in if window.let_in else 0.0
-        limit = MANY_REFUSED if self.phase in (Phase.CALM, Phase.RISING) else FEW_REFUSED
+        limit = MANY_REFUSED if self.phase in (StormState.CALM, StormState.RISING) else FEW_REFUSED
         refused = window.refused >= SPREADS and share > limit
         if crowd and refused:
-            return Sign.HOT
-        return Sign.CROWD if crowd else Sign.FULL if refused else Sign.COOL
+            return StormSignal.HOT
+        return StormSignal.CROWD if crowd else StormSignal.FULL if refused else StormSignal.COOL
 
     def damped(self) -> bool:
         """Whether places are given out and kept."""
-        return self.phase in (Phase.STORM, Phase.SETTLING)
+        return self.phase in (StormState.STORM, StormState.SETTLING)
--- a/packages/decisions-viewers/src/fennelcove/decisions/viewers/seats.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/seat_leases.py
@@ -19,7 +19,7 @@
 MOST_AT_ONCE = 200  # seats given back in one go: ten thousand in a moment must not hold the lock for a second
 
 
-class Stage(Enum):
+class SeatState(Enum):
     """Where one subscription's seat stands."""
 
     NONE = auto()
@@ -27,7 +27,7 @@
     OVER = auto()
 
 
-class Cue(Enum):
+class SeatEvent(Enum):
     """What happens to it."""
 
     TAKEN = auto()
@@ -38,7 +38,7 @@
     TIME = auto()
 
 
-class Act(Enum):
+class SeatAction(Enum):
     """What follows."""
 
     COUNT = auto()
@@ -48,26 +48,26 @@
     REFUSE = auto()
 
 
-TABLE: dict[tuple[Stage, Cue], tuple[Stage, Act]] = {
-    (Stage.NONE, Cue.TAKEN): (Stage.HELD, Act.COUNT),
-    (Stage.NONE, Cue.RENEWED): (Stage.NONE, Act.REFUSE),
-    (Stage.NONE, Cue.RENEWED_AGAIN): (Stage.NONE, Act.REFUSE),
-    (Stage.NONE, Cue.MOVED): (Stage.NONE, Act.KEEP),
-    (Stage.NONE, Cue.RELEASED): (Stage.NONE, Act.KEEP),
-    (Stage.NONE, Cue.TIME): (Stage.NONE, Act.KEEP),
+TRANSITIONS: dict[tuple[SeatState, SeatEvent], tuple[SeatState, SeatAction]] = {
+    (SeatState.NONE, SeatEvent.TAKEN): (SeatState.HELD, SeatAction.COUNT),
+    (SeatState.NONE, SeatEvent.RENEWED): (SeatState.NONE, SeatAction.REFUSE),
+    (SeatState.NONE, SeatEvent.RENEWED_AGAIN): (SeatState.NONE, SeatAction.REFUSE),
+    (SeatState.NONE, SeatEvent.MOVED): (SeatState.NONE, SeatAction.KEEP),
+    (SeatState.NONE, SeatEvent.RELEASED): (SeatState.NONE, SeatAction.KEEP),
+    (SeatState.NONE, SeatEvent.TIME): (SeatState.NONE, SeatAction.KEEP),
     # Told twice, as by a box that greets after a restart: the seat is the same.
-    (Stage.HELD, Cue.TAKEN): (Stage.HELD, Act.KEEP),
-    (Stage.HELD, Cue.RENEWED): (Stage.HELD, Act.EXTEND),
-    (Stage.HELD, Cue.RENEWED_AGAIN): (Stage.HELD, Act.KEEP),
-    (Stage.HELD, Cue.MOVED): (Stage.HELD, Act.KEEP),
-    (Stage.HELD, Cue.RELEASED): (Stage.OVER, Act.FREE),
-    (Stage.HELD, Cue.TIME): (Stage.OVER, Act.FREE),
+    (SeatState.HELD, SeatEvent.TAKEN): (SeatState.HELD, SeatAction.KEEP),
+    (SeatState.HELD, SeatEvent.RENEWED): (SeatState.HELD, SeatAction.EXTEND),
+    (SeatState.HELD, SeatEvent.RENEWED_AGAIN): (SeatState.HELD, SeatAction.KEEP),
+    (SeatState.HELD, SeatEvent.MOVED): (SeatState.HELD, SeatAction.KEEP),
+    (SeatState.HELD, SeatEvent.RELEASED): (SeatState.OVER, SeatAction.FREE),
+    (SeatState.HELD, SeatEvent.TIME): (SeatState.OVER, SeatAction.FREE),
     # A renewal that crosses with the end: the seat may be somebody else's by now.
-    **{(Stage.OVER, cue): (Stage.OVER, Act.REFUSE) for cue in Cue},
+    **{(SeatState.OVER, event): (SeatState.OVER, SeatAction.REFUSE) for event in SeatEvent},
 }
 
 
-class Kept(Struct, frozen=True, array_like=True):
+class StoredSeat(Struct, frozen=True, array_like=True):
     """A seat as a store keeps it."""
 
     title: str
@@ -84,21 +84,21 @@
     pool: tuple[str, str]  # title and room type
     length_us: int
     until_us: int
-    stage: Stage = Stage.NONE
+    stage: SeatState = SeatState.NONE
     keys: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
-class Step:
+class SeatResult:
     """One thing that happened, for a ledger that can be read again."""
 
     id: str
     pool: tuple[str, str]
-    cue: Cue
-    act: Act
+    apply: SeatEvent
+    act: SeatAction
 
 
-class Seats:
+class SeatLeases:
     """All seats of one front."""
 
     def __init__(self) -> None:
@@ -107,53 +107,53 @@
         self.due: list[tuple[int, int, Seat]] = []
         self.number = 0
 
-    def take(self, id: str, pool: tuple[str, str], length_us: int, wall_us: int) -> Step:
+    def take(self, id: str, pool: tuple[str, str], length_us: int, wall_us: int) -> SeatResult:
         """A subscription plays in a room type whose seats expire."""
         seat = self.held.get(id) or Seat(id, pool, length_us, wall_us + length_us)
-        return self._cue(seat, Cue.TAKEN, wall_us)
+        return self._apply(seat, SeatEvent.TAKEN, wall_us)
 
-    def renew(self, id: str, key: str, wall_us: int) -> Step:
+    def renew(self, id: str, key: str, wall_us: int) -> SeatResult:
         """Its viewer wants to keep it; under one key it is renewed once."""
         seat = self.held.get(id)
         if seat is None:
-            return Step(id, ("", ""), Cue.RENEWED, Act.REFUSE)
+            return SeatResult(id, ("", ""), SeatEvent.RENEWED, SeatAction.REFUSE)
         again = bool(key) and key in seat.keys
-        step = self._cue(seat, Cue.RENEWED_AGAIN if again else Cue.RENEWED, wall_us)
-        if step.act is Act.EXTEND and key:
+        step = self._apply(seat, SeatEvent.RENEWED_AGAIN if again else SeatEvent.RENEWED, wall_us)
+        if step.act is SeatAction.EXTEND and key:
             seat.keys = [*seat.keys[1 - KEYS_KEPT :], key]
         return step
 
-    def release(self, id: str, wall_us: int) -> Step | None:
+    def release(self, id: str, wall_us: int) -> SeatResult | None:
         """Its subscription has ended."""
         seat = self.held.get(id)
-        return self._cue(seat, Cue.RELEASED, wall_us) if seat is not None else None
+        return self._apply(seat, SeatEvent.RELEASED, wall_us) if seat is not None else None
 
-    def expired(self, wall_us: int) -> list[Step]:
+    def expired(self, wall_us: int) -> list[SeatResult]:
         """Those whose time is up, a bounded number; the rest with the next call."""
-        found: list[Step] = []
+        found: list[SeatResult] = []
         while self.due and self.due[0][0] <= wall_us and len(found) < MOST_AT_ONCE:
             _, _, seat = heapq.heappop(self.due)
-            if seat.stage is Stage.HELD and seat.until_us <= wall_us:
-                found.append(self._cue(seat, Cue.TIME, wall_us))
-            elif seat.stage is Stage.HELD:
+            if seat.stage is SeatState.HELD and seat.until_us <= wall_us:
+                found.append(self._apply(seat, SeatEvent.TIME, wall_us))
+            elif seat.stage is SeatState.HELD:
                 self._watch(seat)  # renewed since: it waits for its newer time
         return found
 
-    def _cue(self, seat: Seat, cue: Cue, wall_us: int) -> Step:
-        seat.stage, act = TABLE[seat.stage, cue]
-        if act is Act.COUNT:
+    def _apply(self, seat: Seat, event: SeatEvent, wall_us: int) -> SeatResult:
+        seat.stage, act = TRANSITIONS[seat.stage, event]
+        if act is SeatAction.COUNT:
             self.held[seat.id] = seat
             self.counts[seat.pool] += 1
             self._watch(seat)
-        elif act is Act.EXTEND:
+        elif act is SeatAction.EXTEND:
             # Counted from now and not from the old end: asking often must not save up time.
             seat.until_us = max(seat.until_us, wall_us + seat.length_us)
-        elif act is Act.FREE:
+        elif act is SeatAction.FREE:
             del self.held[seat.id]
             self.counts[seat.pool] -= 1
             if not self.counts[seat.pool]:
                 del self.counts[seat.pool]
-        return Step(seat.id, seat.pool, cue, act)
+        return SeatResult(seat.id, seat.pool, event, act)
 
     def _watch(self, seat: Seat) -> None:
         self.number += 1
@@ -162,7 +162,10 @@
     def kept(self) -> list[tuple[str, bytes]]:
         """What a store keeps."""
         return [
-            (seat.id, msgspec.msgpack.encode(Kept(seat.pool[0], seat.pool[1], seat.until_us, seat.keys)))
+            (
+                seat.id,
+                msgspec.msgpack.encode(StoredSeat(seat.pool[0], seat.pool[1], seat.until_us, seat.keys)),
+            )
             for seat in self.held.values()
         ]
 
@@ -170,7 +173,7 @@
         """A seat of an earlier life, whose subscription plays on; it keeps its old time, and no more than a
         clock that went back could give it."""
         try:
-            kept: Kept = msgspec.msgpack.decode(raw, type=Kept)
+            kept: StoredSeat = msgspec.msgpack.decode(raw, type=StoredSeat)
         except msgspec.MsgspecError:
             return False
         until_us = min(kept.until_us, wall_us + length_us)
@@ -178,12 +181,12 @@
         seat = self.held.get(id) or Seat(
             id, (kept.title, kept.room), length_us, until_us, keys=kept.keys[-KEYS_KEPT:]
         )
-        return self._cue(seat, Cue.TAKEN, wall_us).act is Act.COUNT
+        return self._apply(seat, SeatEvent.TAKEN, wall_us).act is SeatAction.COUNT
 
 
-def replayed(steps: list[Step]) -> Counter[tuple[str, str]]:
+def replayed(steps: list[SeatResult]) -> Counter[tuple[str, str]]:
     """The totals of a ledger read again from its steps."""
     counts: Counter[tuple[str, str]] = Counter()
     for step in steps:
-        counts[step.pool] += (step.act is Act.COUNT) - (step.act is Act.FREE)
+        counts[step.pool] += (step.act is SeatAction.COUNT) - (step.act is SeatAction.FREE)
     return +counts
--- a/packages/decisions-viewers/src/fennelcove/decisions/viewers/presence.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/session_expiry.py
@@ -9,7 +9,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Watch:
+class ExpiryEntry:
     """One playing subscription's sign of life; times in microseconds."""
 
     id: str
@@ -17,19 +17,19 @@
     over: bool = False
 
 
-class Presence:
+class SessionExpiry:
     """Finds the silent without looking at everybody: each watch waits in a heap for the time it would be
     due."""
 
     def __init__(self, silent_us: int) -> None:
         self.silent_us = silent_us
-        self.watches: dict[str, Watch] = {}
-        self.due: list[tuple[int, int, Watch]] = []
+        self.watches: dict[str, ExpiryEntry] = {}
+        self.due: list[tuple[int, int, ExpiryEntry]] = []
         self.count = 0
 
     def begin(self, id: str, now_us: int) -> None:
         """A subscription plays from now on."""
-        watch = self.watches[id] = Watch(id, now_us)
+        watch = self.watches[id] = ExpiryEntry(id, now_us)
         self._push(watch)
 
     def hear(self, id: str, now_us: int) -> None:
@@ -43,7 +43,7 @@
         if watch is not None:
             watch.over = True
 
-    def _push(self, watch: Watch) -> None:
+    def _push(self, watch: ExpiryEntry) -> None:
         self.count += 1
         heapq.heappush(self.due, (watch.heard_us + self.silent_us, self.count, watch))
 
--- a/packages/decisions-viewers/src/fennelcove/decisions/viewers/sessions.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/session_lifecycle.py
@@ -10,7 +10,7 @@
 from enum import Enum, auto
 
 
-class Stage(Enum):
+class SessionState(Enum):
     """Where a subscription stands at the door."""
 
     ASKED = auto()  # an answer is owed, no join is out
@@ -20,7 +20,7 @@
     ENDED = auto()
 
 
-class Cue(Enum):
+class SessionEvent(Enum):
     """What happens to a subscription."""
 
     JOIN = auto()  # the module: send a join
@@ -35,7 +35,7 @@
     STOPPED = auto()  # this front ends and can wait no longer
 
 
-class Act(Enum):
+class SessionAction(Enum):
     """What the core does about it, in order."""
 
     SEND_JOIN = auto()
@@ -52,34 +52,77 @@
     FORGET = auto()
 
 
-ANSWERS = frozenset({Act.ANSWER_PLAYING, Act.ANSWER_THROTTLED, Act.ANSWER_TERMINATED, Act.ANSWER_STOPPED})
-
-Row = tuple[Stage, tuple[Act, ...]]
-
-TABLE: dict[tuple[Stage, Cue], Row] = {
-    (Stage.ASKED, Cue.JOIN): (Stage.JOINING, (Act.SEND_JOIN,)),
-    (Stage.ASKED, Cue.THROTTLE): (Stage.ENDED, (Act.ANSWER_THROTTLED, Act.FORGET)),
-    (Stage.ASKED, Cue.TERMINATE): (Stage.ENDED, (Act.ANSWER_TERMINATED, Act.FORGET)),
-    (Stage.JOINING, Cue.SERVED): (Stage.PLAYING, (Act.TELL_STARTED, Act.ANSWER_PLAYING)),
+ANSWERS = frozenset(
+    {
+        SessionAction.ANSWER_PLAYING,
+        SessionAction.ANSWER_THROTTLED,
+        SessionAction.ANSWER_TERMINATED,
+        SessionAction.ANSWER_STOPPED,
+    }
+)
+
+Row = tuple[SessionState, tuple[SessionAction, ...]]
+
+TRANSITIONS: dict[tuple[SessionState, SessionEvent], Row] = {
+    (SessionState.ASKED, SessionEvent.JOIN): (SessionState.JOINING, (SessionAction.SEND_JOIN,)),
+    (SessionState.ASKED, SessionEvent.THROTTLE): (
+        SessionState.ENDED,
+        (SessionAction.ANSWER_THROTTLED, SessionAction.FORGET),
+    ),
+    (SessionState.ASKED, SessionEvent.TERMINATE): (
+        SessionState.ENDED,
+        (SessionAction.ANSWER_TERMINATED, SessionAction.FORGET),
+    ),
+    (SessionState.JOINING, SessionEvent.SERVED): (
+        SessionState.PLAYING,
+        (SessionAction.TELL_STARTED, SessionAction.ANSWER_PLAYING),
+    ),
     # The box plays for a join that no longer counts: taken back before another join goes out.
-    (Stage.JOINING, Cue.SERVED_LATE): (Stage.ASKED, (Act.RELEASE_BOX, Act.TELL_FAILED)),
-    (Stage.JOINING, Cue.FAILED): (Stage.ASKED, (Act.RELEASE_BOX, Act.TELL_FAILED)),
-    (Stage.JOINING, Cue.VIEWER_GONE): (Stage.ABANDONED, (Act.TELL_GONE,)),
-    (Stage.JOINING, Cue.STOPPED): (Stage.ABANDONED, (Act.ANSWER_STOPPED, Act.TELL_GONE)),
+    (SessionState.JOINING, SessionEvent.SERVED_LATE): (
+        SessionState.ASKED,
+        (SessionAction.RELEASE_BOX, SessionAction.TELL_FAILED),
+    ),
+    (SessionState.JOINING, SessionEvent.FAILED): (
+        SessionState.ASKED,
+        (SessionAction.RELEASE_BOX, SessionAction.TELL_FAILED),
+    ),
+    (SessionState.JOINING, SessionEvent.VIEWER_GONE): (SessionState.ABANDONED, (SessionAction.TELL_GONE,)),
+    (SessionState.JOINING, SessionEvent.STOPPED): (
+        SessionState.ABANDONED,
+        (SessionAction.ANSWER_STOPPED, SessionAction.TELL_GONE),
+    ),
     # Nobody watches: what the box began would hold a place until its own limit.
-    (Stage.ABANDONED, Cue.SERVED): (Stage.ENDED, (Act.RELEASE_BOX, Act.TELL_FINISHED, Act.FORGET)),
-    (Stage.ABANDONED, Cue.SERVED_LATE): (Stage.ENDED, (Act.RELEASE_BOX, Act.TELL_FINISHED, Act.FORGET)),
-    (Stage.ABANDONED, Cue.FAILED): (Stage.ENDED, (Act.RELEASE_BOX, Act.TELL_FINISHED, Act.FORGET)),
-    (Stage.PLAYING, Cue.RELEASED): (Stage.ENDED, (Act.RELEASE_BOX, Act.TELL_FINISHED, Act.FORGET)),
-    (Stage.PLAYING, Cue.VIEWER_GONE): (Stage.ENDED, (Act.RELEASE_BOX, Act.TELL_FINISHED, Act.FORGET)),
+    (SessionState.ABANDONED, SessionEvent.SERVED): (
+        SessionState.ENDED,
+        (SessionAction.RELEASE_BOX, SessionAction.TELL_FINISHED, SessionAction.FORGET),
+    ),
+    (SessionState.ABANDONED, SessionEvent.SERVED_LATE): (
+        SessionState.ENDED,
+        (SessionAction.RELEASE_BOX, SessionAction.TELL_FINISHED, SessionAction.FORGET),
+    ),
+    (SessionState.ABANDONED, SessionEvent.FAILED): (
+        SessionState.ENDED,
+        (SessionAction.RELEASE_BOX, SessionAction.TELL_FINISHED, SessionAction.FORGET),
+    ),
+    (SessionState.PLAYING, SessionEvent.RELEASED): (
+        SessionState.ENDED,
+        (SessionAction.RELEASE_BOX, SessionAction.TELL_FINISHED, SessionAction.FORGET),
+    ),
+    (SessionState.PLAYING, SessionEvent.VIEWER_GONE): (
+        SessionState.ENDED,
+        (SessionAction.RELEASE_BOX, SessionAction.TELL_FINISHED, SessionAction.FORGET),
+    ),
     # A box that lost it needs no release; one that is only out of reach ends it by its own limit.
-    (Stage.PLAYING, Cue.BOX_LOST): (Stage.ENDED, (Act.TELL_LOST, Act.FORGET)),
+    (SessionState.PLAYING, SessionEvent.BOX_LOST): (
+        SessionState.ENDED,
+        (SessionAction.TELL_LOST, SessionAction.FORGET),
+    ),
 }
 
 
-def step(stage: Stage, cue: Cue) -> Row:
+def transition(stage: SessionState, event: SessionEvent) -> Row:
     """The next stage and what to do; a cue that comes too late or twice changes nothing."""
-    return TABLE.get((stage, cue), (stage, ()))
+    return TRANSITIONS.get((stage, event), (stage, ()))
 
 
 # A tenth of the client's own time-out is kept for the answer's way back, as a tenth of every size is held
--- a/packages/decisions-viewers/src/fennelcove/decisions/viewers/owning.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/session_ownership.py
@@ -15,7 +15,7 @@
 Owner = TypeVar("Owner", bound=Hashable)
 
 
-class Stage(Enum):
+class OwnershipState(Enum):
     """Where a subscription stands."""
 
     LOOSE = auto()  # nobody claimed it on a connection: it was set up over HTTP, or by an earlier life
@@ -24,7 +24,7 @@
     OVER = auto()
 
 
-class Cue(Enum):
+class OwnershipEvent(Enum):
     """What happens to it."""
 
     CLAIMED = auto()  # by a connection that does not own it
@@ -33,7 +33,7 @@
     ENDED = auto()
 
 
-class Act(Enum):
+class OwnershipAction(Enum):
     """What follows."""
 
     GIVE = auto()  # it is the claimant's from now on
@@ -42,32 +42,37 @@
     REFUSE = auto()
 
 
-TABLE: dict[tuple[Stage, Cue], tuple[Stage, tuple[Act, ...]]] = {
-    (Stage.LOOSE, Cue.CLAIMED): (Stage.OWNED, (Act.GIVE,)),
-    (Stage.LOOSE, Cue.CLAIMED_AGAIN): (Stage.OWNED, (Act.GIVE,)),
-    (Stage.LOOSE, Cue.LEFT): (Stage.LOOSE, ()),
-    (Stage.LOOSE, Cue.ENDED): (Stage.OVER, ()),
-    (Stage.OWNED, Cue.CLAIMED): (Stage.OWNED, (Act.TELL_TAKEN, Act.GIVE)),
-    (Stage.OWNED, Cue.CLAIMED_AGAIN): (Stage.OWNED, (Act.GIVE,)),
-    (Stage.OWNED, Cue.LEFT): (Stage.ORPHAN, ()),
-    (Stage.OWNED, Cue.ENDED): (Stage.OVER, (Act.TELL_ENDED,)),
-    (Stage.ORPHAN, Cue.CLAIMED): (Stage.OWNED, (Act.GIVE,)),
-    (Stage.ORPHAN, Cue.CLAIMED_AGAIN): (Stage.OWNED, (Act.GIVE,)),
-    (Stage.ORPHAN, Cue.LEFT): (Stage.ORPHAN, ()),
-    (Stage.ORPHAN, Cue.ENDED): (Stage.OVER, ()),
-    (Stage.OVER, Cue.CLAIMED): (Stage.OVER, (Act.REFUSE,)),
-    (Stage.OVER, Cue.CLAIMED_AGAIN): (Stage.OVER, (Act.REFUSE,)),
-    (Stage.OVER, Cue.LEFT): (Stage.OVER, ()),
-    (Stage.OVER, Cue.ENDED): (Stage.OVER, ()),
+TRANSITIONS: dict[
+    tuple[OwnershipState, OwnershipEvent], tuple[OwnershipState, tuple[OwnershipAction, ...]]
+] = {
+    (OwnershipState.LOOSE, OwnershipEvent.CLAIMED): (OwnershipState.OWNED, (OwnershipAction.GIVE,)),
+    (OwnershipState.LOOSE, OwnershipEvent.CLAIMED_AGAIN): (OwnershipState.OWNED, (OwnershipAction.GIVE,)),
+    (OwnershipState.LOOSE, OwnershipEvent.LEFT): (OwnershipState.LOOSE, ()),
+    (OwnershipState.LOOSE, OwnershipEvent.ENDED): (OwnershipState.OVER, ()),
+    (OwnershipState.OWNED, OwnershipEvent.CLAIMED): (
+        OwnershipState.OWNED,
+        (OwnershipAction.TELL_TAKEN, OwnershipAction.GIVE),
+    ),
+    (OwnershipState.OWNED, OwnershipEvent.CLAIMED_AGAIN): (OwnershipState.OWNED, (OwnershipAction.GIVE,)),
+    (OwnershipState.OWNED, OwnershipEvent.LEFT): (OwnershipState.ORPHAN, ()),
+    (OwnershipState.OWNED, OwnershipEvent.ENDED): (OwnershipState.OVER, (OwnershipAction.TELL_ENDED,)),
+    (OwnershipState.ORPHAN, OwnershipEvent.CLAIMED): (OwnershipState.OWNED, (OwnershipAction.GIVE,)),
+    (OwnershipState.ORPHAN, OwnershipEvent.CLAIMED_AGAIN): (OwnershipState.OWNED, (OwnershipAction.GIVE,)),
+    (OwnershipState.ORPHAN, OwnershipEvent.LEFT): (OwnershipState.ORPHAN, ()),
+    (OwnershipState.ORPHAN, OwnershipEvent.ENDED): (OwnershipState.OVER, ()),
+    (OwnershipState.OVER, OwnershipEvent.CLAIMED): (OwnershipState.OVER, (OwnershipAction.REFUSE,)),
+    (OwnershipState.OVER, OwnershipEvent.CLAIMED_AGAIN): (OwnershipState.OVER, (OwnershipAction.REFUSE,)),
+    (OwnershipState.OVER, OwnershipEvent.LEFT): (OwnershipState.OVER, ()),
+    (OwnershipState.OVER, OwnershipEvent.ENDED): (OwnershipState.OVER, ()),
 }
 
 
 @dataclass(slots=True)
-class Holding(Generic[Owner]):
+class SessionOwnership(Generic[Owner]):
     """One subscription's owner, and how many news there were of it."""
 
     id: str
-    stage: Stage = Stage.LOOSE
+    stage: OwnershipState = OwnershipState.LOOSE
     owner: Owner | None = None
     number: int = 0
 
@@ -82,7 +87,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Claim(Generic[Owner]):
+class OwnershipClaim(Generic[Owner]):
     """What became of a claim."""
 
     given: bool
@@ -91,34 +96,36 @@
 
 
 @dataclass(slots=True)
-class Holdings(Generic[Owner]):
+class SessionOwnerships(Generic[Owner]):
     """All subscriptions that were ever on a connection, and each connection's own."""
 
-    held: dict[str, Holding[Owner]] = field(default_factory=dict)
+    held: dict[str, SessionOwnership[Owner]] = field(default_factory=dict)
     owned: dict[Owner, set[str]] = field(default_factory=dict)
 
-    def claim(self, id: str, owner: Owner, most: int) -> Claim[Owner]:
+    def claim(self, id: str, owner: Owner, most: int) -> OwnershipClaim[Owner]:
         """A connection claims a subscription that plays; it may own `most`."""
-        holding = self.held.get(id) or Holding(id)
+        holding = self.held.get(id) or SessionOwnership(id)
         again = holding.owner == owner
         if not again and len(self.owned.get(owner, ())) >= most:
-            return Claim(False, f"this connection holds {most} subscriptions, the most it may")
+            return OwnershipClaim(False, f"this connection holds {most} subscriptions, the most it may")
         before = holding.owner
-        holding.stage, acts = TABLE[holding.stage, Cue.CLAIMED_AGAIN if again else Cue.CLAIMED]
-        loser = before if Act.TELL_TAKEN in acts else None
+        holding.stage, acts = TRANSITIONS[
+            holding.stage, OwnershipEvent.CLAIMED_AGAIN if again else OwnershipEvent.CLAIMED
+        ]
+        loser = before if OwnershipAction.TELL_TAKEN in acts else None
         if loser is not None:
             self.owned[loser].discard(id)
-        if Act.GIVE in acts:
+        if OwnershipAction.GIVE in acts:
             self.held[id], holding.owner = holding, owner
             self.owned.setdefault(owner, set()).add(id)
-        return Claim(Act.GIVE in acts, "", loser)
+        return OwnershipClaim(OwnershipAction.GIVE in acts, "", loser)
 
     def left(self, owner: Owner) -> list[str]:
         """A connection is gone; what it leaves behind."""
         orphans = sorted(self.owned.pop(owner, ()))
         for id in orphans:
             holding = self.held[id]
-            holding.stage, _ = TABLE[holding.stage, Cue.LEFT]
+            holding.stage, _ = TRANSITIONS[holding.stage, OwnershipEvent.LEFT]
             holding.owner = None
         return orphans
 
@@ -127,11 +134,11 @@
         holding = self.held.pop(id, None)
         if holding is None:
             return None
-        holding.stage, acts = TABLE[holding.stage, Cue.ENDED]
+        holding.stage, acts = TRANSITIONS[holding.stage, OwnershipEvent.ENDED]
         owner, holding.owner = holding.owner, None
         if owner is not None:
             self.owned[owner].discard(id)
-        return owner if Act.TELL_ENDED in acts else None
+        return owner if OwnershipAction.TELL_ENDED in acts else None
 
     def news(self, id: str) -> tuple[Owner | None, int]:
         """There is news of a subscription: who is to be told, and the news' number."""
--- a/packages/decisions-viewers/src/fennelcove/decisions/viewers/sealing.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/signed_tokens.py
@@ -9,12 +9,12 @@
 Mac = Callable[[bytes], bytes]
 
 
-def seal(raw: bytes, mac: Mac) -> str:
+def sign(raw: bytes, mac: Mac) -> str:
     """Some bytes and their MAC as a token of letters, digits, `-`, `_` and one point."""
     return f"{_text(raw)}.{_text(mac(raw))}"
 
 
-def unseal(token: str, macs: Sequence[Mac], most_chars: int) -> bytes | None:
+def verify(token: str, macs: Sequence[Mac], most_chars: int) -> bytes | None:
     """The bytes of a token made under one of these keys; None for any other text."""
     if len(token) > most_chars:
         return None
--- a/packages/decisions-viewers/src/fennelcove/decisions/viewers/places.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/waiting_room.py
@@ -15,8 +15,8 @@
 import msgspec
 from msgspec import Struct
 
-from fennelcove.decisions.viewers import sealing
-from fennelcove.decisions.viewers.sealing import Mac
+from fennelcove.decisions.clients import signed_tokens
+from fennelcove.decisions.clients.signed_tokens import Mac
 
 LEAST_WAIT_US = 1_000_000  # Retry-After counts whole seconds
 # The pace may double each second: what it says of a time further off is worth nothing. Told up to 30 s, a
@@ -32,14 +32,14 @@
 OVER = 1.25  # times what is served, so that room that comes free is asked for at once
 MOST_PACE = 1000.0
 DEAREST = 4.0  # times a mean set-up: what the least benefit costs of the pace
-BENEFIT_OVER = 64  # requests over which the mean benefit is taken
+PRIORITY_WEIGHT_SCALE = 64  # requests over which the mean benefit is taken
 REFUSED_SHARE = 0.2  # of those let in: from here on there is no room
 MOST_QUEUES = 1024
 MOST_DOUBLINGS = 3
 TOKEN_CHARS = 400
 
 
-class Place(Struct, frozen=True, array_like=True):
+class QueueTicket(Struct, frozen=True, array_like=True):
     """What was promised: whom, for what, and between which wall times in microseconds."""
 
     client: str
@@ -50,7 +50,7 @@
     vain: int = 0  # how often its holder has waited its time in vain
 
 
-class Standing(Enum):
+class TicketStatus(Enum):
     """How one that asks stands."""
 
     FIRST = auto()  # a first try
@@ -61,14 +61,14 @@
     INVENTED = auto()  # a token that nobody here made, or made for another
 
 
-class Room(Enum):
+class AvailableCapacity(Enum):
     """What the module made of those let in lately."""
 
     SOME = auto()  # it refused next to nobody
     NONE = auto()
 
 
-class Ruling(Enum):
+class QueueDecision(Enum):
     """What the door does."""
 
     LET_IN = auto()  # ask the module
@@ -81,64 +81,64 @@
 
 # While places are kept. Where there is room nobody waits but who can do it without harm: held to the pace
 # then, first tries were turned away for whom boxes had room (147 of 200 watched, 191 without any damping).
-TABLE: dict[tuple[Standing, Room], Ruling] = {
-    (Standing.FIRST, Room.SOME): Ruling.LET_IN,
-    (Standing.AGAIN, Room.SOME): Ruling.BY_PACE,
-    (Standing.EARLY, Room.SOME): Ruling.KEEP_PLACE,
-    (Standing.DUE, Room.SOME): Ruling.LET_IN,
-    (Standing.LATE, Room.SOME): Ruling.LET_IN,
-    (Standing.INVENTED, Room.SOME): Ruling.GUEST_PLACE,
-    (Standing.FIRST, Room.NONE): Ruling.BY_PACE,
+TRANSITIONS: dict[tuple[TicketStatus, AvailableCapacity], QueueDecision] = {
+    (TicketStatus.FIRST, AvailableCapacity.SOME): QueueDecision.LET_IN,
+    (TicketStatus.AGAIN, AvailableCapacity.SOME): QueueDecision.BY_PACE,
+    (TicketStatus.EARLY, AvailableCapacity.SOME): QueueDecision.KEEP_PLACE,
+    (TicketStatus.DUE, AvailableCapacity.SOME): QueueDecision.LET_IN,
+    (TicketStatus.LATE, AvailableCapacity.SOME): QueueDecision.LET_IN,
+    (TicketStatus.INVENTED, AvailableCapacity.SOME): QueueDecision.GUEST_PLACE,
+    (TicketStatus.FIRST, AvailableCapacity.NONE): QueueDecision.BY_PACE,
     # One that comes again without its place has most likely been given one: a further one each time would
     # hold places for nobody.
-    (Standing.AGAIN, Room.NONE): Ruling.GUEST_PLACE,
-    (Standing.EARLY, Room.NONE): Ruling.KEEP_PLACE,
+    (TicketStatus.AGAIN, AvailableCapacity.NONE): QueueDecision.GUEST_PLACE,
+    (TicketStatus.EARLY, AvailableCapacity.NONE): QueueDecision.KEEP_PLACE,
     # The module is asked for each whose time has come: it knows best what has room.
-    (Standing.DUE, Room.NONE): Ruling.LET_IN,
-    (Standing.LATE, Room.NONE): Ruling.LET_IN,
-    (Standing.INVENTED, Room.NONE): Ruling.GUEST_PLACE,
+    (TicketStatus.DUE, AvailableCapacity.NONE): QueueDecision.LET_IN,
+    (TicketStatus.LATE, AvailableCapacity.NONE): QueueDecision.LET_IN,
+    (TicketStatus.INVENTED, AvailableCapacity.NONE): QueueDecision.GUEST_PLACE,
 }
 
 # For whom the pace has no room, and whom the module refuses.
-TURNED_AWAY: dict[Standing, Ruling] = {
-    Standing.FIRST: Ruling.NEW_PLACE,
-    Standing.AGAIN: Ruling.GUEST_PLACE,
-    Standing.DUE: Ruling.NEXT_PLACE,
-    Standing.LATE: Ruling.NEXT_PLACE,
+TURNED_AWAY: dict[TicketStatus, QueueDecision] = {
+    TicketStatus.FIRST: QueueDecision.NEW_PLACE,
+    TicketStatus.AGAIN: QueueDecision.GUEST_PLACE,
+    TicketStatus.DUE: QueueDecision.NEXT_PLACE,
+    TicketStatus.LATE: QueueDecision.NEXT_PLACE,
 }
 
 
-def seal(place: Place, mac: Mac) -> str:
+def sign_ticket(place: QueueTicket, mac: Mac) -> str:
     """A place as a token."""
-    return sealing.seal(msgspec.json.encode(place), mac)
+    return signed_tokens.sign(msgspec.json.encode(place), mac)
 
 
-def unseal(token: str, macs: list[Mac]) -> Place | None:
+def verify_ticket(token: str, macs: list[Mac]) -> QueueTicket | None:
     """The place of a token made under one of these keys; None for any other text."""
-    raw = sealing.unseal(token, macs, TOKEN_CHARS)
+    raw = signed_tokens.verify(token, macs, TOKEN_CHARS)
     if raw is None:
         return None
     try:
-        return msgspec.json.decode(raw, type=Place)
+        return msgspec.json.decode(raw, type=QueueTicket)
     except msgspec.MsgspecError:
         return None
 
 
-def standing(
-    place: Place | None, token: bool, again: bool, asked: tuple[str, str, str], wall_us: int
-) -> Standing:
+def ticket_status(
+    place: QueueTicket | None, token: bool, again: bool, asked: tuple[str, str, str], wall_us: int
+) -> TicketStatus:
     """How one stands that asks for (client, title, room type)."""
     if place is None:
-        return Standing.INVENTED if token else Standing.AGAIN if again else Standing.FIRST
+        return TicketStatus.INVENTED if token else TicketStatus.AGAIN if again else TicketStatus.FIRST
     if (place.client, place.title, place.room_type) != asked:
-        return Standing.INVENTED
+        return TicketStatus.INVENTED
     if wall_us < place.earliest_us:
-        return Standing.EARLY
-    return Standing.DUE if wall_us <= place.latest_us else Standing.LATE
+        return TicketStatus.EARLY
+    return TicketStatus.DUE if wall_us <= place.latest_us else TicketStatus.LATE
 
 
 @dataclass(slots=True)
-class Bucket:
+class TokenBucket:
     """What one class may still take, in set-ups; never below nothing."""
 
     level: float = 0.0
@@ -159,7 +159,7 @@
 
 
 @dataclass(slots=True)
-class Queue:
+class WaitingQueue:
     """The promise of one front for one title: its pace, and the time up to which places are given out.
 
     A queue for each title: held in one, those who wanted a title with room waited for those who did not (p90
@@ -174,24 +174,29 @@
     refused: float = 0.0  # of those let in, by the module
     refusing: bool = False
     rate: float = 0.0  # set-ups served a second, smoothed
-    firsts: Bucket = field(default_factory=Bucket)
-    backs: Bucket = field(default_factory=Bucket)
-    benefit: float = 0.0  # of those who ask, the mean
+    firsts: TokenBucket = field(default_factory=TokenBucket)
+    backs: TokenBucket = field(default_factory=TokenBucket)
+    priority_weight: float = 0.0  # of those who ask, the mean
     asked: int = 0
 
-    def cost(self, benefit: float) -> float:
+    def cost(self, priority_weight: float) -> float:
         """What a set-up of this benefit costs of the pace; one of the mean benefit costs one.
 
         So room types share the pace as their benefits are to each other, and none is shut out.
         """
         self.asked += 1
-        self.benefit += (benefit - self.benefit) / min(self.asked, BENEFIT_OVER)
-        return min(DEAREST, max(1 / DEAREST, self.benefit / benefit if benefit > 0 else DEAREST))
+        self.priority_weight += (priority_weight - self.priority_weight) / min(
+            self.asked, PRIORITY_WEIGHT_SCALE
+        )
+        return min(
+            DEAREST,
+            max(1 / DEAREST, self.priority_weight / priority_weight if priority_weight > 0 else DEAREST),
+        )
 
     @property
-    def room(self) -> Room:
+    def room(self) -> AvailableCapacity:
         """What the module made of those let in lately."""
-        return Room.NONE if self.refusing else Room.SOME
+        return AvailableCapacity.NONE if self.refusing else AvailableCapacity.SOME
 
     def advance(self, now_us: int) -> None:
         """Time passes: the pace follows what can be served, and both classes' buckets fill.
@@ -219,9 +224,9 @@
         # What one class leaves the other may have: no pace is lost while anybody waits.
         self.firsts.fill(over, most)
 
-    def admit(self, who: Standing, cost: float = 1.0) -> bool:
+    def admit(self, who: TicketStatus, cost: float = 1.0) -> bool:
         """Whether the pace still has room for one of this standing."""
-        own, other = (self.firsts, self.backs) if who is Standing.FIRST else (self.backs, self.firsts)
+        own, other = (self.firsts, self.backs) if who is TicketStatus.FIRST else (self.backs, self.firsts)
         if own.take(cost):
             return True
         # Of the other class only what it has saved up over a second of its share is free to take.
@@ -259,17 +264,17 @@
         return wait_us, wait_us + span_us
 
 
-class Queues:
+class WaitingRoom:
     """A queue for each title asked for lately, a bounded number; the one longest unused goes first."""
 
     def __init__(self) -> None:
-        self.held: OrderedDict[str, Queue] = OrderedDict()
+        self.held: OrderedDict[str, WaitingQueue] = OrderedDict()
 
-    def of(self, title: str, now_us: int) -> Queue:
+    def of(self, title: str, now_us: int) -> WaitingQueue:
         """The queue of a title, brought up to now."""
         queue = self.held.get(title)
         if queue is None:
-            queue = self.held[title] = Queue(now_us)
+            queue = self.held[title] = WaitingQueue(now_us)
             if len(self.held) > MOST_QUEUES:
                 self.held.popitem(last=False)
         self.held.move_to_end(title)
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/burden.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/fleet_load.py
@@ -24,7 +24,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Summary:
+class LoadSummary:
     """What one front saw in `WINDOWS` windows, by room type in the settings' order."""
 
     life: int
@@ -33,7 +33,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Totals:
+class FleetTotals:
     """The fleet's figures as one front knows them."""
 
     rows: tuple[Row, ...]
@@ -61,7 +61,7 @@
 
 
 @dataclass(slots=True)
-class Burden:
+class FleetLoadEstimator:
     """One front's own counts, and what it has heard. The caller hands in times and holds the lock."""
 
     size: int  # room types
@@ -70,22 +70,22 @@
     number: int = 0
     counts: list[list[int]] = field(default_factory=list)
     past: deque[tuple[Row, ...]] = field(default_factory=lambda: deque(maxlen=WINDOWS))
-    others: dict[int, tuple[Summary, int]] = field(default_factory=dict)
+    others: dict[int, tuple[LoadSummary, int]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.counts = [[0, 0, 0] for _ in range(self.size)]
 
-    def asked(self, room: int) -> None:
+    def asked(self, service_class: int) -> None:
         """One asks."""
-        self.counts[room][0] += 1
+        self.counts[service_class][0] += 1
 
-    def served(self, room: int) -> None:
+    def served(self, service_class: int) -> None:
         """One plays."""
-        self.counts[room][1] += 1
+        self.counts[service_class][1] += 1
 
-    def turned(self, room: int) -> None:
+    def turned(self, service_class: int) -> None:
         """One is sent away, at the door or by the module."""
-        self.counts[room][2] += 1
+        self.counts[service_class][2] += 1
 
     def advance(self, now_us: int) -> bool:
         """Close the windows that have passed; whether one has."""
@@ -103,14 +103,14 @@
         """What this front saw in the windows that are closed."""
         return plus(list(self.past), self.size)
 
-    def summary(self) -> Summary:
+    def summary(self) -> LoadSummary:
         """What to tell the others."""
         rows = tuple(
             (min(row[0], MOST_COUNT), min(row[1], MOST_COUNT), min(row[2], MOST_COUNT)) for row in self.own()
         )
-        return Summary(self.life, self.number, rows)
+        return LoadSummary(self.life, self.number, rows)
 
-    def hear(self, sender: int, said: Summary, now_us: int) -> bool:
+    def hear(self, sender: int, said: LoadSummary, now_us: int) -> bool:
         """A summary has come; whether it is news."""
         known = self.others.get(sender)
         if known is not None and (said.life, said.number) <= (known[0].life, known[0].number):
@@ -118,7 +118,7 @@
         self.others[sender] = (said, now_us)
         return True
 
-    def totals(self, fronts: int, now_us: int) -> Totals:
+    def totals(self, fronts: int, now_us: int) -> FleetTotals:
         """The whole fleet's figures, where there may be so many fronts."""
         own = self.own()
         young = [said.rows for said, at_us in self.others.values() if now_us - at_us <= STALE_US]
@@ -131,7 +131,7 @@
             ]
         unheard = max(0, fronts - 1 - len(young))
         rows = plus([own, *young, *[own] * unheard], self.size)
-        return Totals(rows, len(young))
+        return FleetTotals(rows, len(young))
 
 
 def _scaled(rows: tuple[Row, ...], factor: float) -> tuple[Row, ...]:
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/watchers.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/health_checks.py
@@ -1,4 +1,4 @@
-"""Who watches a box, how often, and when its watchers' words amount to its being gone.
+"""Who watches a server, how often, and when its watchers' words amount to its being gone.
 
 A box is watched by a few fronts, chosen by a rendezvous hash over the fronts taken to live; the others hear.
 So what a box sees of probes grows with its trouble, not with the fleet. A front whose own path is bad can
@@ -26,10 +26,10 @@
 # longest gaps, for one that is lost: with 8 s between probes and 6 s for a word, a dead box was well again.
 WORD_US = 2 * MOST_US + 1_000_000
 SERVED_US = 1_000_000  # what served this front so lately is not gone for it, whoever says so
-MOST_BOXES = 10_000
+MOST_SERVERS = 10_000
 
 
-class Sight(Enum):
+class ProbeView(Enum):
     """What one watcher makes of a box."""
 
     WELL = auto()
@@ -37,32 +37,32 @@
     ILL = auto()
 
 
-class Seen(Enum):
+class ProbeResult(Enum):
     """How a probe ended."""
 
     ANSWERED = auto()
     FAILED = auto()
 
 
-TABLE: dict[tuple[Sight, Seen], Sight] = {
-    **{(sight, Seen.ANSWERED): Sight.WELL for sight in Sight},
-    (Sight.WELL, Seen.FAILED): Sight.DOUBTED,
-    (Sight.DOUBTED, Seen.FAILED): Sight.ILL,
-    (Sight.ILL, Seen.FAILED): Sight.ILL,
+TRANSITIONS: dict[tuple[ProbeView, ProbeResult], ProbeView] = {
+    **{(sight, ProbeResult.ANSWERED): ProbeView.WELL for sight in ProbeView},
+    (ProbeView.WELL, ProbeResult.FAILED): ProbeView.DOUBTED,
+    (ProbeView.DOUBTED, ProbeResult.FAILED): ProbeView.ILL,
+    (ProbeView.ILL, ProbeResult.FAILED): ProbeView.ILL,
 }
 
 
-def weight(box: str, front: int) -> bytes:
+def weight(server: str, front: int) -> bytes:
     """By what fronts are ranked for a box; alike in every process."""
-    return blake2b(f"{box}\0{front}".encode(), digest_size=8).digest()
+    return blake2b(f"{server}\0{front}".encode(), digest_size=8).digest()
 
 
-def chosen(box: str, living: Iterable[int], most: int = WATCHERS) -> tuple[int, ...]:
+def chosen_checkers(server: str, living: Iterable[int], most: int = WATCHERS) -> tuple[int, ...]:
     """The watchers of a box among the fronts that live."""
-    return tuple(nsmallest(most, living, key=lambda front: (weight(box, front), front)))
+    return tuple(nsmallest(most, living, key=lambda front: (weight(server, front), front)))
 
 
-class Tells(IntEnum):
+class HealthVerdict(IntEnum):
     """What a front says of a box."""
 
     WELL = 0
@@ -71,24 +71,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Word:
+class HealthReport:
     """What one front tells the others of a box; the highest number of a watcher's verdicts counts."""
 
-    box: int  # see `mark`
-    tells: Tells
+    server: int  # see `mark`
+    tells: HealthVerdict
     number: int
 
 
-def mark(box: str) -> int:
+def mark(server: str) -> int:
     """A box's address in four bytes; two that fell on one mark would be shut together, never opened."""
-    return crc32(box.encode())
+    return crc32(server.encode())
 
 
 @dataclass(slots=True)
-class Watch:
+class WatchedServer:
     """One front's watch of one box, and what the box's other watchers say of it."""
 
-    sight: Sight = Sight.WELL
+    sight: ProbeView = ProbeView.WELL
     gap_us: int = CALM_US
     due_us: int = 0
     words: dict[int, tuple[bool, int, int]] = field(default_factory=dict)  # ill, number, when heard
@@ -98,103 +98,105 @@
     probed_us: int = -DOUBT_US  # when this front last probed it
 
 
-class Watchers:
+class HealthCheckAssignment:
     """All boxes of one front. The caller hands in times, chance and who lives, and carries words."""
 
     def __init__(self, index: int, fronts: int, first: int = 0) -> None:
         self.index = index
         self.fronts = fronts
-        self.boxes: OrderedDict[str, Watch] = OrderedDict()
+        self.servers: OrderedDict[str, WatchedServer] = OrderedDict()
         self.number = first  # above all of an earlier life, whose words others may still hold
 
-    def _of(self, box: str) -> Watch:
-        found = self.boxes.get(box)
+    def _of(self, server: str) -> WatchedServer:
+        found = self.servers.get(server)
         if found is None:
-            found = self.boxes[box] = Watch()
-            if len(self.boxes) > MOST_BOXES:
-                self.boxes.popitem(last=False)
-        self.boxes.move_to_end(box)
+            found = self.servers[server] = WatchedServer()
+            if len(self.servers) > MOST_SERVERS:
+                self.servers.popitem(last=False)
+        self.servers.move_to_end(server)
         return found
 
-    def due(self, boxes: Iterable[str], living: Iterable[int], draw: float, now_us: int) -> list[str]:
+    def due(self, servers: Iterable[str], living: Iterable[int], draw: float, now_us: int) -> list[str]:
         """The boxes that this front should probe now."""
         here = sorted(set(living) | {self.index})
         found = []
-        for box in boxes:
-            if self.index not in chosen(box, here):
+        for server in servers:
+            if self.index not in chosen_checkers(server, here):
                 continue
-            watch = self._of(box)
+            watch = self._of(server)
             if not watch.due_us:
                 # A watch that begins is spread over its gap: after a partition all would begin at once.
                 watch.due_us = now_us + round(draw * DOUBT_US)
             if now_us >= watch.due_us:
                 watch.due_us, watch.probed_us = now_us + watch.gap_us, now_us
-                found.append(box)
+                found.append(server)
         return found
 
-    def probed(self, box: str, seen: Seen, now_us: int) -> tuple[bool, int]:
+    def probed(self, server: str, seen: ProbeResult, now_us: int) -> tuple[bool, int]:
         """A probe has ended; the word to tell the other fronts: whether the box is ill, and its number."""
-        watch = self._of(box)
-        watch.sight = TABLE[watch.sight, seen]
-        if watch.sight is Sight.WELL:
+        watch = self._of(server)
+        watch.sight = TRANSITIONS[watch.sight, seen]
+        if watch.sight is ProbeView.WELL:
             watch.gap_us = CALM_US
-        elif watch.sight is Sight.DOUBTED:
+        elif watch.sight is ProbeView.DOUBTED:
             watch.gap_us = DOUBT_US
         else:
             watch.gap_us = min(2 * watch.gap_us, MOST_US)
-        watch.due_us = min(watch.due_us, now_us + watch.gap_us) if seen is Seen.FAILED else watch.due_us
+        watch.due_us = (
+            min(watch.due_us, now_us + watch.gap_us) if seen is ProbeResult.FAILED else watch.due_us
+        )
         self.number += 1
-        word = (watch.sight is Sight.ILL, self.number, now_us)
+        word = (watch.sight is ProbeView.ILL, self.number, now_us)
         watch.words[self.index] = word
         return word[0], word[1]
 
-    def tells(self, box: str, now_us: int) -> Word | None:
+    def tells(self, server: str, now_us: int) -> HealthReport | None:
         """What the others have to hear after a probe: that a box is ill, or is so no more. Nothing where none
         of them can hold an ill word of this front, so that a calm fleet says nothing."""
-        watch = self._of(box)
-        ill = watch.sight is Sight.ILL
+        watch = self._of(server)
+        ill = watch.sight is ProbeView.ILL
         if ill:
             watch.told_until_us = now_us + WORD_US
-        tells = Tells.ILL if ill else Tells.WELL
-        return Word(mark(box), tells, self.number) if now_us < watch.told_until_us else None
+        tells = HealthVerdict.ILL if ill else HealthVerdict.WELL
+        return HealthReport(mark(server), tells, self.number) if now_us < watch.told_until_us else None
 
-    def failed(self, box: str, now_us: int) -> Word | None:
+    def failed(self, server: str, now_us: int) -> HealthReport | None:
         """A join of this front was not answered there: the watchers are asked to look, so that it is found
         out in a probe's time and not at the next calm one. Once in a while is enough from one front."""
-        watch = self._of(box)
+        watch = self._of(server)
         if now_us < watch.asked_us + DOUBT_US:
             return None
         watch.asked_us = now_us
-        self.urge(box, now_us)
-        return Word(mark(box), Tells.FAILED_ME, self.number)
+        self.urge(server, now_us)
+        return HealthReport(mark(server), HealthVerdict.FAILED_ME, self.number)
 
-    def urge(self, box: str, now_us: int) -> None:
+    def urge(self, server: str, now_us: int) -> None:
         """Some front's join failed there. However many say so, a watcher probes no more than each `DOUBT_US`,
         and one that knows the box for ill goes on at its own pace."""
-        watch = self._of(box)
-        if watch.sight is Sight.WELL and watch.due_us:
+        watch = self._of(server)
+        if watch.sight is ProbeView.WELL and watch.due_us:
             watch.due_us = max(now_us, min(watch.due_us, watch.probed_us + DOUBT_US))
 
-    def served(self, box: str, now_us: int) -> None:
+    def served(self, server: str, now_us: int) -> None:
         """A join of this front was served there: its own eyes go before what others say."""
-        self._of(box).served_us = now_us
+        self._of(server).served_us = now_us
 
-    def hear(self, sender: int, box: str, ill: bool, number: int, now_us: int) -> None:
+    def hear(self, sender: int, server: str, ill: bool, number: int, now_us: int) -> None:
         """Another front's word; one that is doubled or overtaken says nothing."""
         if not 0 <= sender < self.fronts or sender == self.index:
             return
-        watch = self._of(box)
+        watch = self._of(server)
         known = watch.words.get(sender)
         if known is None or number > known[1] or now_us - known[2] > WORD_US:
             watch.words[sender] = (ill, number, now_us)
 
-    def gone(self, box: str, living: Iterable[int], now_us: int) -> bool:
+    def gone(self, server: str, living: Iterable[int], now_us: int) -> bool:
         """Whether enough of the box's watchers say so."""
-        watch = self.boxes.get(box)
+        watch = self.servers.get(server)
         if watch is None or (watch.served_us is not None and now_us - watch.served_us <= SERVED_US):
             return False
         here = set(living) | {self.index}
-        entitled = chosen(box, here)
+        entitled = chosen_checkers(server, here)
         words = {
             front: ill
             for front, (ill, _, heard_us) in watch.words.items()
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/company.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/membership.py
@@ -20,20 +20,20 @@
 from enum import Enum, auto
 from zlib import crc32
 
-BEAT_US = 250_000
+HEARTBEAT_INTERVAL_US = 250_000
 LEASE_US = 2_000_000
 WORD_US = 2_000_000  # how long a word that a front is gone may be acted on, from the beat that it answers
 DRIFT = 0.05  # by how much two clocks may differ in pace, and a process be held up between look and act
 KEPT = 0.5  # of its equal share, what a front may take whoever hears it
-SUSPECT_BEATS = 3
+SUSPECT_AFTER_HEARTBEATS = 3
 FLAPS = 3  # returns within `FLAP_US` after which a front has to be steady for longer before it is repeated
 FLAP_US = 30_000_000
-TWIN_US = 5_000_000  # two lives under one index within so long are two processes
-MOST_BEATS = 64  # own beats whose times are known
+DUPLICATE_WINDOW_US = 5_000_000  # two lives under one index within so long are two processes
+MAX_HEARTBEATS = 64  # own beats whose times are known
 MOST_BIDS = 3
 
 
-class Standing(Enum):
+class PeerState(Enum):
     """How another front stands."""
 
     UNHEARD = auto()  # nothing since this one began
@@ -45,7 +45,7 @@
     TWIN = auto()  # two processes speak under its index: neither is repeated
 
 
-class Cue(Enum):
+class MembershipEvent(Enum):
     """What happens to it."""
 
     HEARD = auto()
@@ -57,46 +57,46 @@
     FREE = auto()  # no word of this front's is in force any more, or the twin was last heard long ago
 
 
-TABLE: dict[tuple[Standing, Cue], Standing] = {
-    (Standing.UNHEARD, Cue.HEARD): Standing.ALIVE,
-    (Standing.UNHEARD, Cue.NEW_LIFE): Standing.ALIVE,
-    (Standing.UNHEARD, Cue.FAREWELL): Standing.LEFT,
-    (Standing.UNHEARD, Cue.LAPSED): Standing.SILENT,
+TRANSITIONS: dict[tuple[PeerState, MembershipEvent], PeerState] = {
+    (PeerState.UNHEARD, MembershipEvent.HEARD): PeerState.ALIVE,
+    (PeerState.UNHEARD, MembershipEvent.NEW_LIFE): PeerState.ALIVE,
+    (PeerState.UNHEARD, MembershipEvent.FAREWELL): PeerState.LEFT,
+    (PeerState.UNHEARD, MembershipEvent.LAPSED): PeerState.SILENT,
     # The last life may still hold a lease where its process was not the one that ended.
-    (Standing.ALIVE, Cue.NEW_LIFE): Standing.BACK,
-    (Standing.ALIVE, Cue.FAREWELL): Standing.LEFT,
-    (Standing.ALIVE, Cue.OTHER_LIFE): Standing.TWIN,
-    (Standing.ALIVE, Cue.LATE): Standing.SUSPECT,
-    (Standing.ALIVE, Cue.LAPSED): Standing.SILENT,
-    (Standing.SUSPECT, Cue.HEARD): Standing.ALIVE,
-    (Standing.SUSPECT, Cue.NEW_LIFE): Standing.BACK,
-    (Standing.SUSPECT, Cue.OTHER_LIFE): Standing.TWIN,
-    (Standing.SUSPECT, Cue.FAREWELL): Standing.LEFT,
-    (Standing.SUSPECT, Cue.LAPSED): Standing.SILENT,
-    (Standing.SILENT, Cue.HEARD): Standing.BACK,
-    (Standing.SILENT, Cue.NEW_LIFE): Standing.BACK,
-    (Standing.SILENT, Cue.OTHER_LIFE): Standing.TWIN,
-    (Standing.SILENT, Cue.FAREWELL): Standing.LEFT,
+    (PeerState.ALIVE, MembershipEvent.NEW_LIFE): PeerState.BACK,
+    (PeerState.ALIVE, MembershipEvent.FAREWELL): PeerState.LEFT,
+    (PeerState.ALIVE, MembershipEvent.OTHER_LIFE): PeerState.TWIN,
+    (PeerState.ALIVE, MembershipEvent.LATE): PeerState.SUSPECT,
+    (PeerState.ALIVE, MembershipEvent.LAPSED): PeerState.SILENT,
+    (PeerState.SUSPECT, MembershipEvent.HEARD): PeerState.ALIVE,
+    (PeerState.SUSPECT, MembershipEvent.NEW_LIFE): PeerState.BACK,
+    (PeerState.SUSPECT, MembershipEvent.OTHER_LIFE): PeerState.TWIN,
+    (PeerState.SUSPECT, MembershipEvent.FAREWELL): PeerState.LEFT,
+    (PeerState.SUSPECT, MembershipEvent.LAPSED): PeerState.SILENT,
+    (PeerState.SILENT, MembershipEvent.HEARD): PeerState.BACK,
+    (PeerState.SILENT, MembershipEvent.NEW_LIFE): PeerState.BACK,
+    (PeerState.SILENT, MembershipEvent.OTHER_LIFE): PeerState.TWIN,
+    (PeerState.SILENT, MembershipEvent.FAREWELL): PeerState.LEFT,
     # A beat that was late on its way says nothing after a farewell; only another life does.
-    (Standing.LEFT, Cue.NEW_LIFE): Standing.BACK,
-    (Standing.BACK, Cue.FREE): Standing.ALIVE,
-    (Standing.BACK, Cue.FAREWELL): Standing.LEFT,
-    (Standing.BACK, Cue.OTHER_LIFE): Standing.TWIN,
-    (Standing.BACK, Cue.LAPSED): Standing.SILENT,
-    (Standing.TWIN, Cue.FREE): Standing.BACK,
-    (Standing.TWIN, Cue.LAPSED): Standing.SILENT,
+    (PeerState.LEFT, MembershipEvent.NEW_LIFE): PeerState.BACK,
+    (PeerState.BACK, MembershipEvent.FREE): PeerState.ALIVE,
+    (PeerState.BACK, MembershipEvent.FAREWELL): PeerState.LEFT,
+    (PeerState.BACK, MembershipEvent.OTHER_LIFE): PeerState.TWIN,
+    (PeerState.BACK, MembershipEvent.LAPSED): PeerState.SILENT,
+    (PeerState.TWIN, MembershipEvent.FREE): PeerState.BACK,
+    (PeerState.TWIN, MembershipEvent.LAPSED): PeerState.SILENT,
 }
-GONE = (Standing.SILENT, Standing.LEFT)
-REPEATED = (Standing.ALIVE, Standing.SUSPECT)
+GONE = (PeerState.SILENT, PeerState.LEFT)
+ACKNOWLEDGED = (PeerState.ALIVE, PeerState.SUSPECT)
 
 
 @dataclass(frozen=True, slots=True)
-class Terms:
+class MembershipSettings:
     """The figures of one company; see the module's text."""
 
     fronts: int
     index: int
-    beat_us: int = BEAT_US
+    beat_us: int = HEARTBEAT_INTERVAL_US
     lease_us: int = LEASE_US
     word_us: int = WORD_US
     kept: float = KEPT
@@ -113,7 +113,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Beat:
+class Heartbeat:
     """What one front tells another: a sign of life, what it last heard from there, and whom it calls gone."""
 
     life: int  # of the sender's process, higher than any before it
@@ -128,7 +128,7 @@
 class Peer:
     """What this front knows of another."""
 
-    standing: Standing = Standing.UNHEARD
+    standing: PeerState = PeerState.UNHEARD
     life: int = 0
     number: int = 0
     heard_us: int = 0
@@ -143,25 +143,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Change:
+class PeerChange:
     """Something that an operator may want to know."""
 
     index: int
-    was: Standing
-    now: Standing
+    was: PeerState
+    now: PeerState
 
 
 @dataclass(slots=True)
-class Company:
+class Membership:
     """One front's view of all. The caller hands in times, carries beats and holds the lock."""
 
-    terms: Terms
+    terms: MembershipSettings
     life: int
     now_us: int
     number: int = 0
     sent_us: OrderedDict[int, int] = field(default_factory=OrderedDict)
     peers: dict[int, Peer] = field(default_factory=dict)
-    changes: list[Change] = field(default_factory=list)
+    changes: list[PeerChange] = field(default_factory=list)
     speaks_us: int = 0  # until then a new life repeats nothing: it may have called somebody gone before
     leaving: bool = False
     outbid: int = 0  # how often a higher life was known for this index
@@ -174,12 +174,12 @@
 
     # What is sent.
 
-    def beat(self, now_us: int) -> dict[int, Beat]:
+    def beat(self, now_us: int) -> dict[int, Heartbeat]:
         """The next beat, for each other front; to be sent now."""
         self.advance(now_us)
         self.number += 1
         self.sent_us[self.number] = now_us
-        if len(self.sent_us) > MOST_BEATS:
+        if len(self.sent_us) > MAX_HEARTBEATS:
             self.sent_us.popitem(last=False)
         called: tuple[int, ...] = ()
         if now_us >= self.speaks_us:
@@ -188,20 +188,20 @@
                 self.peers[i].called_us = now_us
         return {i: self._for(peer, called, now_us) for i, peer in self.peers.items()}
 
-    def _for(self, peer: Peer, called: tuple[int, ...], now_us: int) -> Beat:
+    def _for(self, peer: Peer, called: tuple[int, ...], now_us: int) -> Heartbeat:
         if not self._repeats(peer, now_us):
-            return Beat(self.life, self.number, peer.life, leaving=self.leaving)
-        return Beat(self.life, self.number, peer.life, peer.number, self.leaving, called)
+            return Heartbeat(self.life, self.number, peer.life, leaving=self.leaving)
+        return Heartbeat(self.life, self.number, peer.life, peer.number, self.leaving, called)
 
     def _repeats(self, peer: Peer, now_us: int) -> bool:
         # A word given in a beat may be acted on until it lapses by the clock of whoever it was given to; what
         # is repeated here before that would let its subject act as well.
         word_over = now_us >= peer.called_us + round(self.terms.word_us * (1 + DRIFT))
-        return now_us >= self.speaks_us and peer.standing in REPEATED and word_over
+        return now_us >= self.speaks_us and peer.standing in ACKNOWLEDGED and word_over
 
     # What is heard.
 
-    def hear(self, sender: int, beat: Beat, now_us: int) -> None:
+    def hear(self, sender: int, beat: Heartbeat, now_us: int) -> None:
         """A beat has come."""
         peer = self.peers.get(sender)
         if peer is None:
@@ -214,8 +214,8 @@
         if beat.life < peer.life:
             # Late ones of a life that is over come for a moment; two processes under one index go on.
             peer.other_us = now_us
-            if now_us - peer.born_us > TWIN_US or peer.standing is Standing.TWIN:
-                self._cue(sender, peer, Cue.OTHER_LIFE, now_us)
+            if now_us - peer.born_us > DUPLICATE_WINDOW_US or peer.standing is PeerState.TWIN:
+                self._apply(sender, peer, MembershipEvent.OTHER_LIFE, now_us)
             return
         if beat.life == peer.life and beat.number <= peer.number:
             return  # doubled, or overtaken by a newer one
@@ -231,9 +231,9 @@
             if beat.heard_number >= peer.gone_by:
                 peer.gone, peer.gone_by = frozenset(beat.gone), beat.heard_number
         if beat.leaving:
-            self._cue(sender, peer, Cue.FAREWELL, now_us)
+            self._apply(sender, peer, MembershipEvent.FAREWELL, now_us)
         else:
-            self._cue(sender, peer, Cue.NEW_LIFE if new else Cue.HEARD, now_us)
+            self._apply(sender, peer, MembershipEvent.NEW_LIFE if new else MembershipEvent.HEARD, now_us)
 
     def _outbid(self, known: int) -> None:
         """Others know a later life under this index: a clock that went back gave this one too low a number. A
@@ -250,29 +250,29 @@
         for index, peer in self.peers.items():
             silent_us = now_us - peer.heard_us
             if silent_us >= self.terms.lapse_us:
-                self._cue(index, peer, Cue.LAPSED, now_us)
-            elif silent_us >= SUSPECT_BEATS * self.terms.beat_us:
-                self._cue(index, peer, Cue.LATE, now_us)
-            if peer.standing in (Standing.BACK, Standing.TWIN) and now_us >= self._free_us(peer):
-                self._cue(index, peer, Cue.FREE, now_us)
+                self._apply(index, peer, MembershipEvent.LAPSED, now_us)
+            elif silent_us >= SUSPECT_AFTER_HEARTBEATS * self.terms.beat_us:
+                self._apply(index, peer, MembershipEvent.LATE, now_us)
+            if peer.standing in (PeerState.BACK, PeerState.TWIN) and now_us >= self._free_us(peer):
+                self._apply(index, peer, MembershipEvent.FREE, now_us)
 
     def _free_us(self, peer: Peer) -> int:
         """When one that is back may be repeated: the word that it is gone has lapsed, and one that comes and
         goes has stayed for the longer the more often it went."""
         other_over_us = peer.other_us + self.terms.lapse_us if peer.other_us else 0
-        if peer.standing is Standing.TWIN:
-            return max(peer.other_us + TWIN_US, other_over_us)
+        if peer.standing is PeerState.TWIN:
+            return max(peer.other_us + DUPLICATE_WINDOW_US, other_over_us)
         steady_us = peer.returned_us + self.terms.lease_us * max(0, peer.returns - FLAPS)
         return max(steady_us, other_over_us, peer.called_us + round(self.terms.word_us * (1 + DRIFT)))
 
-    def _cue(self, index: int, peer: Peer, cue: Cue, now_us: int) -> None:
-        now = TABLE.get((peer.standing, cue), peer.standing)
+    def _apply(self, index: int, peer: Peer, event: MembershipEvent, now_us: int) -> None:
+        now = TRANSITIONS.get((peer.standing, event), peer.standing)
         if now is peer.standing:
             return
-        if now is Standing.BACK:
+        if now is PeerState.BACK:
             recent = now_us - peer.returned_us < FLAP_US
             peer.returns, peer.returned_us = (peer.returns + 1 if recent else 1), now_us
-        self.changes.append(Change(index, peer.standing, now))
+        self.changes.append(PeerChange(index, peer.standing, now))
         peer.standing = now
 
     # What follows.
@@ -338,11 +338,11 @@
 
     def alive(self) -> list[int]:
         """Which they are, by index."""
-        here = (*REPEATED, Standing.BACK)
+        here = (*ACKNOWLEDGED, PeerState.BACK)
         others = [index for index, peer in self.peers.items() if peer.standing in here]
         return sorted([self.terms.index, *others])
 
-    def news(self) -> list[Change]:
+    def news(self) -> list[PeerChange]:
         """What has changed since the last call."""
         found, self.changes = self.changes, []
         return found
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/comeback.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/recovery_admission.py
@@ -11,7 +11,7 @@
 from enum import Enum, auto
 
 
-class Phase(Enum):
+class RecoveryState(Enum):
     """How far a start has come."""
 
     DARK = auto()  # no list
@@ -21,7 +21,7 @@
     OPEN = auto()
 
 
-class Cue(Enum):
+class RecoveryEvent(Enum):
     """What moves it on."""
 
     LISTED = auto()
@@ -31,29 +31,29 @@
     WARM = auto()
 
 
-TABLE: dict[tuple[Phase, Cue], Phase] = {
-    (Phase.DARK, Cue.LISTED): Phase.ASKING,
+TRANSITIONS: dict[tuple[RecoveryState, RecoveryEvent], RecoveryState] = {
+    (RecoveryState.DARK, RecoveryEvent.LISTED): RecoveryState.ASKING,
     # Without a list the front can only throttle, but it answers: that is better than a refused connection.
-    (Phase.DARK, Cue.TIME): Phase.OPEN,
-    (Phase.ASKING, Cue.GREETED): Phase.OPEN,
-    (Phase.ASKING, Cue.TIME): Phase.SETTLING,
-    (Phase.SETTLING, Cue.GREETED): Phase.OPEN,
-    (Phase.SETTLING, Cue.TIME): Phase.OPEN,
-    (Phase.OPEN, Cue.COLD): Phase.RATIONED,
-    (Phase.OPEN, Cue.LISTED): Phase.ASKING,  # it was opened for want of a list
-    (Phase.RATIONED, Cue.WARM): Phase.OPEN,
-    (Phase.RATIONED, Cue.TIME): Phase.OPEN,
+    (RecoveryState.DARK, RecoveryEvent.TIME): RecoveryState.OPEN,
+    (RecoveryState.ASKING, RecoveryEvent.GREETED): RecoveryState.OPEN,
+    (RecoveryState.ASKING, RecoveryEvent.TIME): RecoveryState.SETTLING,
+    (RecoveryState.SETTLING, RecoveryEvent.GREETED): RecoveryState.OPEN,
+    (RecoveryState.SETTLING, RecoveryEvent.TIME): RecoveryState.OPEN,
+    (RecoveryState.OPEN, RecoveryEvent.COLD): RecoveryState.RATIONED,
+    (RecoveryState.OPEN, RecoveryEvent.LISTED): RecoveryState.ASKING,  # it was opened for want of a list
+    (RecoveryState.RATIONED, RecoveryEvent.WARM): RecoveryState.OPEN,
+    (RecoveryState.RATIONED, RecoveryEvent.TIME): RecoveryState.OPEN,
 }
 
 
-class Kind(Enum):
+class RequestKind(Enum):
     """What a room type needs before it may be set up."""
 
     PLAIN = auto()
     ACCOUNTED = auto()  # paid once, or with seats: whoever holds one must be known first
 
 
-class Let(Enum):
+class AdmissionDecision(Enum):
     """What becomes of one that asks."""
 
     IN = auto()
@@ -61,12 +61,16 @@
     WAIT = auto()  # refused at once, with a time to come back
 
 
-ENTRY: dict[tuple[Phase, Kind], Let] = {
-    **{(phase, kind): Let.WAIT for phase in (Phase.DARK, Phase.ASKING) for kind in Kind},
-    (Phase.SETTLING, Kind.PLAIN): Let.RATIONED,
-    (Phase.SETTLING, Kind.ACCOUNTED): Let.WAIT,
-    **{(Phase.RATIONED, kind): Let.RATIONED for kind in Kind},
-    **{(Phase.OPEN, kind): Let.IN for kind in Kind},
+ENTRY: dict[tuple[RecoveryState, RequestKind], AdmissionDecision] = {
+    **{
+        (phase, kind): AdmissionDecision.WAIT
+        for phase in (RecoveryState.DARK, RecoveryState.ASKING)
+        for kind in RequestKind
+    },
+    (RecoveryState.SETTLING, RequestKind.PLAIN): AdmissionDecision.RATIONED,
+    (RecoveryState.SETTLING, RequestKind.ACCOUNTED): AdmissionDecision.WAIT,
+    **{(RecoveryState.RATIONED, kind): AdmissionDecision.RATIONED for kind in RequestKind},
+    **{(RecoveryState.OPEN, kind): AdmissionDecision.IN for kind in RequestKind},
 }
 
 LIST_WAIT_US = 3_000_000
@@ -77,68 +81,70 @@
 
 
 @dataclass(slots=True)
-class Comeback:
+class RecoveryAdmission:
     """The start of one front; times in microseconds. Not `ordered`: who asks waits at the door until it is
     open, accounts are settled while it is, and nobody is rationed."""
 
     began_us: int
     ordered: bool = False
     ramp_us: int = 0
-    phase: Phase = Phase.DARK
+    phase: RecoveryState = RecoveryState.DARK
     due: set[str] = field(default_factory=set)
     was_listed: bool = False
-    entered: list[tuple[Phase, int]] = field(default_factory=list)  # each phase, and when; a bounded few
+    entered: list[tuple[RecoveryState, int]] = field(
+        default_factory=list
+    )  # each phase, and when; a bounded few
 
-    def cue(self, cue: Cue, now_us: int) -> bool:
+    def apply(self, event: RecoveryEvent, now_us: int) -> bool:
         """Move on; whether it did."""
-        after = TABLE.get((self.phase, cue), self.phase)
-        if cue is Cue.LISTED and self.was_listed:
+        after = TRANSITIONS.get((self.phase, event), self.phase)
+        if event is RecoveryEvent.LISTED and self.was_listed:
             return False
-        self.was_listed |= cue is Cue.LISTED
-        if not self.ordered and after in (Phase.SETTLING, Phase.RATIONED):
-            after = Phase.OPEN
+        self.was_listed |= event is RecoveryEvent.LISTED
+        if not self.ordered and after in (RecoveryState.SETTLING, RecoveryState.RATIONED):
+            after = RecoveryState.OPEN
         if after is self.phase:
             return False
         self.phase, self.began_us = after, now_us
         self.entered = [*self.entered[-15:], (after, now_us)]
         return True
 
-    def listed(self, boxes: set[str], now_us: int) -> None:
+    def listed(self, servers: set[str], now_us: int) -> None:
         """The first list names these boxes."""
         if not self.was_listed:
-            self.due = set(boxes)
-            self.cue(Cue.LISTED, now_us)
+            self.due = set(servers)
+            self.apply(RecoveryEvent.LISTED, now_us)
             self.settled("", now_us)
 
-    def settled(self, box: str, now_us: int) -> None:
+    def settled(self, server: str, now_us: int) -> None:
         """A box has said what it holds, or holds nothing."""
-        self.due.discard(box)
+        self.due.discard(server)
         if not self.due:
-            self.cue(Cue.GREETED, now_us)
+            self.apply(RecoveryEvent.GREETED, now_us)
 
     def advance(self, cold: bool, now_us: int) -> bool:
         """Time passes; `cold` where most places are on cold boxes. Whether a phase has ended."""
         moved = False
-        if self.phase is not Phase.OPEN and self.left_us(now_us) == 0:
-            moved = self.cue(Cue.TIME, now_us)
-        return self.cue(Cue.COLD if cold else Cue.WARM, now_us) or moved
+        if self.phase is not RecoveryState.OPEN and self.left_us(now_us) == 0:
+            moved = self.apply(RecoveryEvent.TIME, now_us)
+        return self.apply(RecoveryEvent.COLD if cold else RecoveryEvent.WARM, now_us) or moved
 
     def left_us(self, now_us: int) -> int:
         """How long this phase may still take."""
         limits = {
-            Phase.DARK: LIST_WAIT_US,
-            Phase.ASKING: GREET_WAIT_US,
-            Phase.SETTLING: SETTLE_US,
-            Phase.RATIONED: RATIONED_RAMPS * self.ramp_us,
-            Phase.OPEN: 0,
+            RecoveryState.DARK: LIST_WAIT_US,
+            RecoveryState.ASKING: GREET_WAIT_US,
+            RecoveryState.SETTLING: SETTLE_US,
+            RecoveryState.RATIONED: RATIONED_RAMPS * self.ramp_us,
+            RecoveryState.OPEN: 0,
         }
         return max(0, self.began_us + limits[self.phase] - now_us)
 
-    def entry(self, kind: Kind) -> Let:
+    def entry(self, kind: RequestKind) -> AdmissionDecision:
         """What becomes of one that asks now."""
-        return ENTRY[self.phase, kind] if self.ordered else Let.IN
+        return ENTRY[self.phase, kind] if self.ordered else AdmissionDecision.IN
 
     @property
     def accounted(self) -> bool:
         """Whether what plays is known as well as it will be."""
-        return self.phase in (Phase.RATIONED, Phase.OPEN)
+        return self.phase in (RecoveryState.RATIONED, RecoveryState.OPEN)
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/budgets.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/shared_quotas.py
@@ -32,7 +32,7 @@
 MOST_SENT = 32
 
 
-class Thing(IntEnum):
+class Resource(IntEnum):
     """What adds up."""
 
     FURTHER_JOIN = 0
@@ -42,27 +42,27 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
+class QuotaRequest:
     """A front asks another for so much more of a thing."""
 
     life: int
     number: int  # of this ask in this life
-    thing: Thing
+    thing: Resource
     rate: float
 
 
 @dataclass(frozen=True, slots=True)
-class Loan:
+class QuotaTransfer:
     """The answer: so much, from when the ask of this number was sent."""
 
     life: int  # the borrower's
     number: int
-    thing: Thing
+    thing: Resource
     rate: float
 
 
 @dataclass(slots=True)
-class Lent:
+class LentQuota:
     """What is out, with one peer."""
 
     rate: float
@@ -71,10 +71,10 @@
 
 
 @dataclass(slots=True)
-class Purse:
+class Quota:
     """One front's part of one thing. The caller hands in times and chance, and carries messages."""
 
-    thing: Thing
+    thing: Resource
     whole: float
     fronts: int
     index: int
@@ -85,8 +85,8 @@
     need: float = 0.0
     number: int = 0
     asked_us: int = -ASK_US
-    sent: OrderedDict[int, tuple[int, Ask, int]] = field(default_factory=OrderedDict)  # unanswered
-    lent: dict[int, Lent] = field(default_factory=dict)
+    sent: OrderedDict[int, tuple[int, QuotaRequest, int]] = field(default_factory=OrderedDict)  # unanswered
+    lent: dict[int, LentQuota] = field(default_factory=dict)
     borrowed: dict[int, tuple[float, int]] = field(default_factory=dict)
     spent: int = 0
     denied: int = 0
@@ -174,7 +174,7 @@
 
     def ask(
         self, draw: float, now_us: int, until_us: int = 0, others: Sequence[int] | None = None
-    ) -> list[tuple[int, Ask]]:
+    ) -> list[tuple[int, QuotaRequest]]:
         """Whom to ask for more now, if anybody: others by chance, so that the idle are found by and by, as
         many as would do if each lent all that it may. `until_us` as in `lasting`; `others` who may have some,
         where that is known."""
@@ -196,14 +196,14 @@
         for step in range(many - len(found)):
             other = others[(first + step) % len(others)]
             self.number += 1
-            said = Ask(self.life, self.number, self.thing, short)
+            said = QuotaRequest(self.life, self.number, self.thing, short)
             self.sent[self.number] = other, said, now_us
             found.append((other, said))
         while len(self.sent) > MOST_SENT:
             self.sent.popitem(last=False)
         return found[:many]
 
-    def hear_ask(self, sender: int, ask: Ask, now_us: int) -> Loan | None:
+    def hear_ask(self, sender: int, ask: QuotaRequest, now_us: int) -> QuotaTransfer | None:
         """Another asks: what it is lent."""
         self.advance(now_us)
         if now_us < self.wary_until_us or sender == self.index or not 0 <= sender < self.fronts:
@@ -212,7 +212,7 @@
         if known is not None:
             # One loan to each at a time. The same ask again is the same loan; another waits for its end.
             same = known.ask == (ask.life, ask.number)
-            return Loan(ask.life, ask.number, ask.thing, known.rate) if same else None
+            return QuotaTransfer(ask.life, ask.number, ask.thing, known.rate) if same else None
         lent = sum(loan.rate for loan in self.lent.values())
         spare = self.part - self.stays - lent - self.need * (1 + SPARE)
         rate = self._whole_grains(min(spare, ask.rate))
@@ -220,11 +220,11 @@
             return None
         until_us = now_us + round(self.loan_us * (1 + DRIFT))
         # What is lent is given up before it is told, with what was saved of it.
-        self.lent[sender] = Lent(rate, until_us, (ask.life, ask.number))
+        self.lent[sender] = LentQuota(rate, until_us, (ask.life, ask.number))
         self._cap(now_us)
-        return Loan(ask.life, ask.number, ask.thing, rate)
+        return QuotaTransfer(ask.life, ask.number, ask.thing, rate)
 
-    def hear_loan(self, sender: int, loan: Loan, now_us: int) -> None:
+    def hear_loan(self, sender: int, loan: QuotaTransfer, now_us: int) -> None:
         """Another lends. Late or doubled, it counts from the ask that it answers."""
         self.advance(now_us)
         asked = self.sent.get(loan.number)
@@ -236,14 +236,19 @@
             self.borrowed[sender] = (min(loan.rate, asked[1].rate), until_us)
             self.answers[sender] = loan.number
 
-    def give_back(self, lender: int) -> Loan | None:
+    def give_back(self, lender: int) -> QuotaTransfer | None:
         """What another lends is not needed any more: what to tell it. From now on it is not counted here."""
         loan = self.borrowed.pop(lender, None)
-        return Loan(self.life, self.answers.pop(lender), self.thing, 0.0) if loan is not None else None
+        return (
+            QuotaTransfer(self.life, self.answers.pop(lender), self.thing, 0.0) if loan is not None else None
+        )
 
-    def cancel(self) -> list[tuple[int, Loan]]:
+    def cancel(self) -> list[tuple[int, QuotaTransfer]]:
         """What was asked for is not needed any more: what to tell, as an answer may have been lost."""
-        found = [(to, Loan(self.life, number, self.thing, 0.0)) for number, (to, _, _) in self.sent.items()]
+        found = [
+            (to, QuotaTransfer(self.life, number, self.thing, 0.0))
+            for number, (to, _, _) in self.sent.items()
+        ]
         self.sent.clear()
         return found
 
@@ -254,7 +259,7 @@
         for number in [number for number, (to, _, _) in self.sent.items() if to == lender]:
             del self.sent[number]
 
-    def hear_back(self, sender: int, loan: Loan) -> None:
+    def hear_back(self, sender: int, loan: QuotaTransfer) -> None:
         """A borrower needs no more what it was lent by that ask. Lost, the loan lapses in its time."""
         known = self.lent.get(sender)
         if known is not None and known.ask == (loan.life, loan.number):
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/shedding.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/shedding.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 from enum import Enum, IntEnum, auto
 
-from fennelcove.decisions.fleet.burden import Totals
-from fennelcove.decisions.viewers.places import Standing
+from fennelcove.decisions.fleet.fleet_load import FleetTotals
+from fennelcove.decisions.clients.waiting_room import TicketStatus
 
 FEW = 8  # requests in a summary's time that say nothing
 UNMET_TIGHT = 0.15
@@ -22,7 +22,7 @@
 FALLS = 8  # windows without need before a step down: a crowd that draws breath has not gone
 
 
-class Level(IntEnum):
+class SheddingLevel(IntEnum):
     """The step that the fleet stands on."""
 
     NONE = 0
@@ -31,7 +31,7 @@
     FIRSTS = 3  # first tries wait while places fall due
 
 
-class Sign(Enum):
+class LoadSignal(Enum):
     """What a summary's time shows."""
 
     EASY = auto()
@@ -40,7 +40,7 @@
     DROWNED = auto()
 
 
-class Act(Enum):
+class SheddingAction(Enum):
     """What becomes of one that asks."""
 
     PASS = auto()
@@ -49,55 +49,55 @@
 
 
 # The step that each sign asks for; up at once, down one step after `FALLS` windows.
-WANTED: dict[Sign, Level] = {
-    Sign.EASY: Level.NONE,
-    Sign.TIGHT: Level.REPEATS,
-    Sign.FULL: Level.LEAST,
-    Sign.DROWNED: Level.FIRSTS,
+WANTED: dict[LoadSignal, SheddingLevel] = {
+    LoadSignal.EASY: SheddingLevel.NONE,
+    LoadSignal.TIGHT: SheddingLevel.REPEATS,
+    LoadSignal.FULL: SheddingLevel.LEAST,
+    LoadSignal.DROWNED: SheddingLevel.FIRSTS,
 }
 
-ACTS: dict[tuple[Level, Standing], Act] = {
-    **{(Level.NONE, who): Act.PASS for who in Standing},
-    (Level.REPEATS, Standing.FIRST): Act.PASS,
-    (Level.REPEATS, Standing.DUE): Act.PASS,
-    (Level.REPEATS, Standing.LATE): Act.PASS,
-    (Level.REPEATS, Standing.AGAIN): Act.BY_BENEFIT,
-    (Level.REPEATS, Standing.EARLY): Act.TURN,
-    (Level.REPEATS, Standing.INVENTED): Act.TURN,
-    (Level.LEAST, Standing.FIRST): Act.BY_BENEFIT,
-    (Level.LEAST, Standing.DUE): Act.PASS,
-    (Level.LEAST, Standing.LATE): Act.PASS,
-    (Level.LEAST, Standing.AGAIN): Act.TURN,
-    (Level.LEAST, Standing.EARLY): Act.TURN,
-    (Level.LEAST, Standing.INVENTED): Act.TURN,
+ACTIONS: dict[tuple[SheddingLevel, TicketStatus], SheddingAction] = {
+    **{(SheddingLevel.NONE, who): SheddingAction.PASS for who in TicketStatus},
+    (SheddingLevel.REPEATS, TicketStatus.FIRST): SheddingAction.PASS,
+    (SheddingLevel.REPEATS, TicketStatus.DUE): SheddingAction.PASS,
+    (SheddingLevel.REPEATS, TicketStatus.LATE): SheddingAction.PASS,
+    (SheddingLevel.REPEATS, TicketStatus.AGAIN): SheddingAction.BY_BENEFIT,
+    (SheddingLevel.REPEATS, TicketStatus.EARLY): SheddingAction.TURN,
+    (SheddingLevel.REPEATS, TicketStatus.INVENTED): SheddingAction.TURN,
+    (SheddingLevel.LEAST, TicketStatus.FIRST): SheddingAction.BY_BENEFIT,
+    (SheddingLevel.LEAST, TicketStatus.DUE): SheddingAction.PASS,
+    (SheddingLevel.LEAST, TicketStatus.LATE): SheddingAction.PASS,
+    (SheddingLevel.LEAST, TicketStatus.AGAIN): SheddingAction.TURN,
+    (SheddingLevel.LEAST, TicketStatus.EARLY): SheddingAction.TURN,
+    (SheddingLevel.LEAST, TicketStatus.INVENTED): SheddingAction.TURN,
     # One whose place has come is never passed over for one without.
-    (Level.FIRSTS, Standing.FIRST): Act.BY_BENEFIT,
-    (Level.FIRSTS, Standing.DUE): Act.PASS,
-    (Level.FIRSTS, Standing.LATE): Act.BY_BENEFIT,
-    (Level.FIRSTS, Standing.AGAIN): Act.TURN,
-    (Level.FIRSTS, Standing.EARLY): Act.TURN,
-    (Level.FIRSTS, Standing.INVENTED): Act.TURN,
+    (SheddingLevel.FIRSTS, TicketStatus.FIRST): SheddingAction.BY_BENEFIT,
+    (SheddingLevel.FIRSTS, TicketStatus.DUE): SheddingAction.PASS,
+    (SheddingLevel.FIRSTS, TicketStatus.LATE): SheddingAction.BY_BENEFIT,
+    (SheddingLevel.FIRSTS, TicketStatus.AGAIN): SheddingAction.TURN,
+    (SheddingLevel.FIRSTS, TicketStatus.EARLY): SheddingAction.TURN,
+    (SheddingLevel.FIRSTS, TicketStatus.INVENTED): SheddingAction.TURN,
 }
 
 
-def read(totals: Totals) -> Sign:
+def read(totals: FleetTotals) -> LoadSignal:
     """What the fleet's figures show."""
     if totals.asked < FEW or totals.unmet < UNMET_TIGHT:
-        return Sign.EASY
+        return LoadSignal.EASY
     if totals.unmet < UNMET_FULL:
-        return Sign.TIGHT
-    return Sign.FULL if totals.unmet < UNMET_DROWNED else Sign.DROWNED
+        return LoadSignal.TIGHT
+    return LoadSignal.FULL if totals.unmet < UNMET_DROWNED else LoadSignal.DROWNED
 
 
 @dataclass(slots=True)
-class Ladder:
+class SheddingPolicy:
     """Where one front stands on it."""
 
-    level: Level = Level.NONE
+    level: SheddingLevel = SheddingLevel.NONE
     calm: int = 0  # windows in a row that asked for a lower step
     changes: int = 0
 
-    def window(self, totals: Totals) -> bool:
+    def window(self, totals: FleetTotals) -> bool:
         """One more window is closed; whether the step has changed."""
         wanted = WANTED[read(totals)]
         if wanted >= self.level:
@@ -109,10 +109,10 @@
             self.calm += 1
             if self.calm < FALLS:
                 return False
-            self.level, self.calm = Level(self.level - 1), 0
+            self.level, self.calm = SheddingLevel(self.level - 1), 0
         self.changes += 1
         return True
 
-    def act(self, who: Standing) -> Act:
+    def act(self, who: TicketStatus) -> SheddingAction:
         """What becomes of one that stands so."""
-        return ACTS[self.level, who]
+        return ACTIONS[self.level, who]
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/ration.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/slow_start_allocation.py
@@ -19,7 +19,7 @@
 
 
 @dataclass(slots=True)
-class Demand:
+class TitleDemand:
     """What is asked for one title, by benefit, and what was promised to those sent away."""
 
     now_us: int
@@ -30,19 +30,23 @@
         """Time passes: counts fade, promises fall due at the pace."""
         seconds = max(0, now_us - self.now_us) / 1e6
         fade = exp(-seconds * 1e6 / SPAN_US)
-        self.counts = {benefit: count * fade for benefit, count in self.counts.items() if count * fade > 0.01}
+        self.counts = {
+            priority_weight: count * fade
+            for priority_weight, count in self.counts.items()
+            if count * fade > 0.01
+        }
         self.promised = max(0.0, self.promised - pace * seconds)
         self.now_us = max(now_us, self.now_us)
 
-    def ask(self, benefit: float) -> None:
+    def ask(self, priority_weight: float) -> None:
         """One more asks."""
-        self.counts[benefit] = self.counts.get(benefit, 0.0) + 1.0
+        self.counts[priority_weight] = self.counts.get(priority_weight, 0.0) + 1.0
 
-    def part(self, benefit: float, pace: float) -> float:
+    def part(self, priority_weight: float, pace: float) -> float:
         """The share of those of this benefit that may be let in at a pace of set-ups a second."""
         per_s = 1e6 / SPAN_US
-        greater = sum(count for other, count in self.counts.items() if other > benefit) * per_s
-        own = max(self.counts.get(benefit, 0.0) * per_s, 1e-9)
+        greater = sum(count for other, count in self.counts.items() if other > priority_weight) * per_s
+        own = max(self.counts.get(priority_weight, 0.0) * per_s, 1e-9)
         return min(1.0, max(LEAST, (OVER * pace - greater) / own))
 
     def wait_us(self, pace: float, most_us: int | None, draw: float) -> int:
@@ -55,14 +59,14 @@
         return max(LEAST_WAIT_US, round(wait_us))
 
 
-class Ration:
+class SlowStartAllocation:
     """One front's demands, a bounded number of titles; the one longest unasked is forgotten first."""
 
     def __init__(self) -> None:
-        self.titles: OrderedDict[str, Demand] = OrderedDict()
+        self.titles: OrderedDict[str, TitleDemand] = OrderedDict()
 
     def ask(
-        self, title: str, benefit: float, pace: float, most_us: int | None, now_us: int, draw: float
+        self, title: str, priority_weight: float, pace: float, most_us: int | None, now_us: int, draw: float
     ) -> int | None:
         """One asks for a title whose holders are cold and give this front `pace` turns a second together.
 
@@ -71,12 +75,12 @@
         """
         demand = self.titles.get(title)
         if demand is None:
-            demand = self.titles[title] = Demand(now_us)
+            demand = self.titles[title] = TitleDemand(now_us)
             if len(self.titles) > MOST_TITLES:
                 self.titles.popitem(last=False)
         self.titles.move_to_end(title)
         demand.advance(now_us, pace)
-        demand.ask(benefit)
-        if draw < demand.part(benefit, pace):
+        demand.ask(priority_weight)
+        if draw < demand.part(priority_weight, pace):
             return None
         return demand.wait_us(pace, most_us, draw)
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/trust.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/snapshot_trust.py
@@ -20,7 +20,7 @@
 SLACK_US = 1_500_000  # two accounts of one moment differ by a list's and a clock's error
 
 
-class Fact(Enum):
+class FactKind(Enum):
     """What the folder may know that something can have made untrue."""
 
     STRIKES = auto()  # how often a box failed
@@ -30,7 +30,7 @@
     LIST = auto()  # which boxes there are
 
 
-class Loss(IntEnum):
+class LossKind(IntEnum):
     """What died, as far as the evidence goes; each says more than the one before."""
 
     SELF = 0  # this front
@@ -39,7 +39,7 @@
     ALL = 3  # fronts and boxes
 
 
-class Age(IntEnum):
+class SnapshotAge(IntEnum):
     """How old a fact is."""
 
     FRESH = 0
@@ -47,7 +47,7 @@
     OLD = 2  # past its time, or from a copy of an older folder
 
 
-class Use(IntEnum):
+class SnapshotUse(IntEnum):
     """What is done with it; each trusts less than the one before."""
 
     USE = 0
@@ -57,32 +57,32 @@
 
 
 # Each row: by loss from SELF to ALL, and in it by age from FRESH to OLD.
-U, L, A, D = Use.USE, Use.AT_LEAST, Use.ASK, Use.DROP
-TABLE: dict[Fact, tuple[tuple[Use, Use, Use], ...]] = {
+U, L, A, D = SnapshotUse.USE, SnapshotUse.AT_LEAST, SnapshotUse.ASK, SnapshotUse.DROP
+TRUST_RULES: dict[FactKind, tuple[tuple[SnapshotUse, SnapshotUse, SnapshotUse], ...]] = {
     # What a box did wrong says nothing of its next process, and nothing where no clock tells since when.
-    Fact.STRIKES: ((U, D, D), (U, D, D), (D, D, D), (D, D, D)),
+    FactKind.STRIKES: ((U, D, D), (U, D, D), (D, D, D), (D, D, D)),
     # A process that began anew carries nothing of its last life: its turns are counted from its start.
-    Fact.LAST_JOIN: ((U, D, D), (U, D, D), (D, D, D), (D, D, D)),
+    FactKind.LAST_JOIN: ((U, D, D), (U, D, D), (D, D, D), (D, D, D)),
     # A budget must not come back by a clock: without an age all of it counts as spent just now.
-    Fact.BUDGET: ((U, L, U), (U, L, U), (U, L, U), (U, L, U)),
+    FactKind.BUDGET: ((U, L, U), (U, L, U), (U, L, U), (U, L, U)),
     # With other fronts gone more come to each: taken for the usual, the crowd after a loss would be a storm.
-    Fact.PACE: ((U, U, D), (L, L, D), (U, U, D), (L, L, D)),
+    FactKind.PACE: ((U, U, D), (L, L, D), (U, U, D), (L, L, D)),
     # Boxes of a kept list are asked before they get work; a copy from long ago names others' machines.
-    Fact.LIST: ((A, A, D), (A, A, D), (A, A, D), (A, A, D)),
+    FactKind.LIST: ((A, A, D), (A, A, D), (A, A, D), (A, A, D)),
 }
 
 
-def use(fact: Fact, loss: Loss, age: Age) -> Use:
+def use(fact: FactKind, loss: LossKind, age: SnapshotAge) -> SnapshotUse:
     """What becomes of a fact out of the folder."""
-    return TABLE[fact][loss][age]
+    return TRUST_RULES[fact][loss][age]
 
 
 @dataclass(frozen=True, slots=True)
 class Evidence:
     """What a start has found so far; counts of what was heard, wall times in microseconds."""
 
-    boxes: int = 0
-    boxes_new: int = 0  # whose processes began after the folder's last word
+    servers: int = 0
+    servers_new: int = 0  # whose processes began after the folder's last word
     fronts: int = 0  # others that were heard
     fronts_new: int = 0  # in another life than the folder knows
     kept_life: int = 0  # this front's life that wrote the folder; 0 where it does not say
@@ -91,19 +91,19 @@
     wall_us: int = 0
 
 
-def loss(found: Evidence) -> Loss:
+def loss(found: Evidence) -> LossKind:
     """What died, by the evidence: more than half of those heard. Of what was not heard nothing is claimed."""
-    boxes = 2 * found.boxes_new > found.boxes
+    servers = 2 * found.servers_new > found.servers
     fronts = 2 * found.fronts_new > found.fronts
-    if boxes and (fronts or not found.fronts):
-        return Loss.ALL
-    return Loss.FRONTS if fronts else Loss.SELF
+    if servers and (fronts or not found.fronts):
+        return LossKind.ALL
+    return LossKind.FRONTS if fronts else LossKind.SELF
 
 
-def age(found: Evidence) -> Age:
+def age(found: Evidence) -> SnapshotAge:
     """How old the folder is."""
     if not found.written_us or (found.kept_life and found.known_life > found.kept_life):
-        return Age.OLD
+        return SnapshotAge.OLD
     if found.written_us > found.wall_us + SLACK_US:
-        return Age.UNKNOWN
-    return Age.OLD if found.wall_us - found.written_us > KEPT_US else Age.FRESH
+        return SnapshotAge.UNKNOWN
+    return SnapshotAge.OLD if found.wall_us - found.written_us > KEPT_US else SnapshotAge.FRESH
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/control.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/command_authorization.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from fennelcove.decisions.viewers.sealing import Mac
+from fennelcove.decisions.clients.signed_tokens import Mac
 
 HEADER = "fennelcove-command"
 WINDOW_US = 60_000_000  # clocks of operators' machines and fronts may differ by so much
@@ -20,7 +20,7 @@
 NONCE_CHARS = 32
 
 
-class Verdict(Enum):
+class CommandVerdict(Enum):
     """What a front makes of a command."""
 
     GRANTED = "granted"
@@ -32,19 +32,19 @@
     BUSY = "busy"  # more commands in the window than can be told apart
 
 
-CURES: dict[Verdict, str] = {
-    Verdict.GRANTED: "",
-    Verdict.UNSEALED: "seal it: fennelcove fleet does",
-    Verdict.WRONG_KEY: "use a key of this front's settings, and its own name",
-    Verdict.STALE: "set the clocks: they differ by over a minute",
-    Verdict.REPLAYED: "make a new command; one counts once",
-    Verdict.NOT_PERMITTED: "this key may only read",
-    Verdict.BUSY: "wait a minute",
+REMEDIES: dict[CommandVerdict, str] = {
+    CommandVerdict.GRANTED: "",
+    CommandVerdict.UNSEALED: "seal it: fennelcove fleet does",
+    CommandVerdict.WRONG_KEY: "use a key of this front's settings, and its own name",
+    CommandVerdict.STALE: "set the clocks: they differ by over a minute",
+    CommandVerdict.REPLAYED: "make a new command; one counts once",
+    CommandVerdict.NOT_PERMITTED: "this key may only read",
+    CommandVerdict.BUSY: "wait a minute",
 }
 
 
 @dataclass(frozen=True, slots=True)
-class Command:
+class SignedCommand:
     """What is sealed."""
 
     front: str
@@ -60,14 +60,14 @@
         return b"".join(b"%d:%b" % (len(part), part) for part in [*(p.encode() for p in parts), self.body])
 
 
-def seal(command: Command, key: str, mac: Mac) -> str:
+def sign_command(command: SignedCommand, key: str, mac: Mac) -> str:
     """The header field of a command, under a key of this name."""
     mark = base64.urlsafe_b64encode(mac(command.raw())).decode().rstrip("=")
     return f"{key}:{command.wall_us}:{command.nonce}:{mark}"
 
 
 @dataclass(slots=True)
-class Commands:
+class CommandAuthorizer:
     """One front's memory of commands; the caller holds the lock. Keys are by name: a MAC, and whether it
     may change anything."""
 
@@ -77,32 +77,32 @@
 
     def check(
         self, header: str | None, method: str, path: str, body: bytes, changes: bool, wall_us: int
-    ) -> tuple[Verdict, str]:
+    ) -> tuple[CommandVerdict, str]:
         """Rule on one; the verdict, and the name of its key."""
         parts = (header or "").split(":")
         if len(parts) != 4 or not parts[1].isdigit() or len(parts[1]) > 20:
-            return Verdict.UNSEALED, ""
+            return CommandVerdict.UNSEALED, ""
         key, told, nonce, mark = parts
         if not 0 < len(nonce) <= NONCE_CHARS:
-            return Verdict.UNSEALED, ""
+            return CommandVerdict.UNSEALED, ""
         held = self.keys.get(key)
-        command = Command(self.front, method, path, body, int(told), nonce)
+        command = SignedCommand(self.front, method, path, body, int(told), nonce)
         # Without such a key one is made up, so that the answer takes as long.
         mac = held[0] if held is not None else _nobody
-        fits = _same(seal(command, key, mac).rpartition(":")[2], mark)
+        fits = _same(sign_command(command, key, mac).rpartition(":")[2], mark)
         if held is None or not fits:
-            return Verdict.WRONG_KEY, key
+            return CommandVerdict.WRONG_KEY, key
         if abs(wall_us - command.wall_us) > WINDOW_US:
-            return Verdict.STALE, key
+            return CommandVerdict.STALE, key
         self._forget(wall_us)
         if f"{key}:{nonce}" in self.seen:
-            return Verdict.REPLAYED, key
+            return CommandVerdict.REPLAYED, key
         if len(self.seen) >= MOST_SEEN:
-            return Verdict.BUSY, key
+            return CommandVerdict.BUSY, key
         self.seen[f"{key}:{nonce}"] = command.wall_us
         if changes and not held[1]:
-            return Verdict.NOT_PERMITTED, key
-        return Verdict.GRANTED, key
+            return CommandVerdict.NOT_PERMITTED, key
+        return CommandVerdict.GRANTED, key
 
     def _forget(self, wall_us: int) -> None:
         while self.seen:
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/waiting.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/convergence.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-from fennelcove.decisions.operators.reach import Outcome, Word
+from fennelcove.decisions.operators.reachability import CallOutcome, ReachStatus
 
 PAUSE_US = 500_000
 SURE = 2  # answers in a row that say so: a front about to be handed work may be empty for a moment
 
 
-class Stage(Enum):
+class ConvergenceState(Enum):
     """How one front stands towards what is waited for."""
 
     UNSEEN = auto()
@@ -21,7 +21,7 @@
     MUTE = auto()  # its last answer did not come
 
 
-class Cue(Enum):
+class ConvergenceEvent(Enum):
     """What its newest answer says."""
 
     FITS = auto()
@@ -29,55 +29,55 @@
     NO_ANSWER = auto()
 
 
-TABLE: dict[tuple[Stage, Cue], Stage] = {
-    (Stage.UNSEEN, Cue.FITS): Stage.THERE,
-    (Stage.UNSEEN, Cue.DIFFERS): Stage.NOT_YET,
-    (Stage.UNSEEN, Cue.NO_ANSWER): Stage.MUTE,
-    (Stage.NOT_YET, Cue.FITS): Stage.THERE,
-    (Stage.NOT_YET, Cue.DIFFERS): Stage.NOT_YET,
-    (Stage.NOT_YET, Cue.NO_ANSWER): Stage.MUTE,
-    (Stage.THERE, Cue.FITS): Stage.THERE,
-    (Stage.THERE, Cue.DIFFERS): Stage.NOT_YET,
+TRANSITIONS: dict[tuple[ConvergenceState, ConvergenceEvent], ConvergenceState] = {
+    (ConvergenceState.UNSEEN, ConvergenceEvent.FITS): ConvergenceState.THERE,
+    (ConvergenceState.UNSEEN, ConvergenceEvent.DIFFERS): ConvergenceState.NOT_YET,
+    (ConvergenceState.UNSEEN, ConvergenceEvent.NO_ANSWER): ConvergenceState.MUTE,
+    (ConvergenceState.NOT_YET, ConvergenceEvent.FITS): ConvergenceState.THERE,
+    (ConvergenceState.NOT_YET, ConvergenceEvent.DIFFERS): ConvergenceState.NOT_YET,
+    (ConvergenceState.NOT_YET, ConvergenceEvent.NO_ANSWER): ConvergenceState.MUTE,
+    (ConvergenceState.THERE, ConvergenceEvent.FITS): ConvergenceState.THERE,
+    (ConvergenceState.THERE, ConvergenceEvent.DIFFERS): ConvergenceState.NOT_YET,
     # One that was there and says nothing any more is not there: nobody knows.
-    (Stage.THERE, Cue.NO_ANSWER): Stage.MUTE,
-    (Stage.MUTE, Cue.FITS): Stage.THERE,
-    (Stage.MUTE, Cue.DIFFERS): Stage.NOT_YET,
-    (Stage.MUTE, Cue.NO_ANSWER): Stage.MUTE,
+    (ConvergenceState.THERE, ConvergenceEvent.NO_ANSWER): ConvergenceState.MUTE,
+    (ConvergenceState.MUTE, ConvergenceEvent.FITS): ConvergenceState.THERE,
+    (ConvergenceState.MUTE, ConvergenceEvent.DIFFERS): ConvergenceState.NOT_YET,
+    (ConvergenceState.MUTE, ConvergenceEvent.NO_ANSWER): ConvergenceState.MUTE,
 }
 
 
 @dataclass(frozen=True, slots=True)
-class Wanted:
+class DesiredState:
     """The state waited for; None where it does not matter."""
 
     phase: str | None = None
     held_most: int | None = None
 
-    def cue(self, outcome: Outcome) -> Cue:
+    def apply(self, outcome: CallOutcome) -> ConvergenceEvent:
         """What an answer says about it."""
-        if outcome.word is not Word.DONE:
-            return Cue.NO_ANSWER
+        if outcome.word is not ReachStatus.DONE:
+            return ConvergenceEvent.NO_ANSWER
         phase, held = outcome.said.get("phase"), outcome.said.get("held")
         fits = self.phase in (None, phase)
         fits &= self.held_most is None or (isinstance(held, int) and held <= self.held_most)
-        return Cue.FITS if fits else Cue.DIFFERS
+        return ConvergenceEvent.FITS if fits else ConvergenceEvent.DIFFERS
 
 
 @dataclass(slots=True)
-class Wait:
+class ConvergenceWait:
     """All fronts that are waited for; times in microseconds."""
 
-    wanted: Wanted
+    wanted: DesiredState
     until_us: int
-    stages: dict[str, Stage] = field(default_factory=dict)
+    stages: dict[str, ConvergenceState] = field(default_factory=dict)
     in_row: dict[str, int] = field(default_factory=dict)
 
-    def hear(self, outcomes: Iterable[Outcome]) -> None:
+    def hear(self, outcomes: Iterable[CallOutcome]) -> None:
         """One round of answers."""
         for outcome in outcomes:
-            cue, name = self.wanted.cue(outcome), outcome.name
-            self.stages[name] = TABLE[self.stages.get(name, Stage.UNSEEN), cue]
-            self.in_row[name] = self.in_row.get(name, 0) + 1 if cue is Cue.FITS else 0
+            event, name = self.wanted.apply(outcome), outcome.name
+            self.stages[name] = TRANSITIONS[self.stages.get(name, ConvergenceState.UNSEEN), event]
+            self.in_row[name] = self.in_row.get(name, 0) + 1 if event is ConvergenceEvent.FITS else 0
 
     @property
     def there(self) -> bool:
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/stopping.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/graceful_shutdown.py
@@ -11,7 +11,7 @@
 ANSWER_SHARE = 0.25  # of the time to stop, kept for answers after the last join is given up
 
 
-class Phase(Enum):
+class ShutdownState(Enum):
     """How far the end has come."""
 
     RUNNING = auto()
@@ -20,7 +20,7 @@
     OVER = auto()
 
 
-class Cue(Enum):
+class ShutdownEvent(Enum):
     """What moves it on."""
 
     ASKED = auto()  # a signal, or an operator
@@ -28,7 +28,7 @@
     TIME = auto()  # this phase's time is up
 
 
-class Act(Enum):
+class ShutdownAction(Enum):
     """What follows."""
 
     STOP_ACCEPTING = auto()
@@ -36,37 +36,37 @@
     CLOSE_ALL = auto()
 
 
-TABLE: dict[tuple[Phase, Cue], tuple[Phase, tuple[Act, ...]]] = {
-    (Phase.RUNNING, Cue.ASKED): (Phase.DRAINING, (Act.STOP_ACCEPTING,)),
-    (Phase.DRAINING, Cue.IDLE): (Phase.OVER, (Act.CLOSE_ALL,)),
-    (Phase.DRAINING, Cue.TIME): (Phase.ANSWERING, (Act.GIVE_UP_JOINS,)),
+TRANSITIONS: dict[tuple[ShutdownState, ShutdownEvent], tuple[ShutdownState, tuple[ShutdownAction, ...]]] = {
+    (ShutdownState.RUNNING, ShutdownEvent.ASKED): (ShutdownState.DRAINING, (ShutdownAction.STOP_ACCEPTING,)),
+    (ShutdownState.DRAINING, ShutdownEvent.IDLE): (ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)),
+    (ShutdownState.DRAINING, ShutdownEvent.TIME): (ShutdownState.ANSWERING, (ShutdownAction.GIVE_UP_JOINS,)),
     # A second signal is an operator who will wait no longer.
-    (Phase.DRAINING, Cue.ASKED): (Phase.ANSWERING, (Act.GIVE_UP_JOINS,)),
-    (Phase.ANSWERING, Cue.IDLE): (Phase.OVER, (Act.CLOSE_ALL,)),
-    (Phase.ANSWERING, Cue.TIME): (Phase.OVER, (Act.CLOSE_ALL,)),
-    (Phase.ANSWERING, Cue.ASKED): (Phase.OVER, (Act.CLOSE_ALL,)),
+    (ShutdownState.DRAINING, ShutdownEvent.ASKED): (ShutdownState.ANSWERING, (ShutdownAction.GIVE_UP_JOINS,)),
+    (ShutdownState.ANSWERING, ShutdownEvent.IDLE): (ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)),
+    (ShutdownState.ANSWERING, ShutdownEvent.TIME): (ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)),
+    (ShutdownState.ANSWERING, ShutdownEvent.ASKED): (ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)),
 }
 
 
 @dataclass(slots=True)
-class Stopping:
+class GracefulShutdown:
     """The end of one front; times in microseconds."""
 
     stop_us: int
-    phase: Phase = Phase.RUNNING
+    phase: ShutdownState = ShutdownState.RUNNING
     asked_us: int = 0
 
-    def cue(self, cue: Cue, now_us: int) -> tuple[Act, ...]:
+    def apply(self, event: ShutdownEvent, now_us: int) -> tuple[ShutdownAction, ...]:
         """Move on; what follows, in order."""
-        row = TABLE.get((self.phase, cue))
+        row = TRANSITIONS.get((self.phase, event))
         if row is None:
             return ()
-        if self.phase is Phase.RUNNING:
+        if self.phase is ShutdownState.RUNNING:
             self.asked_us = now_us
         self.phase, acts = row
         return acts
 
     def left_us(self, now_us: int) -> int:
         """How long this phase may still take."""
-        share = {Phase.DRAINING: 1 - ANSWER_SHARE, Phase.ANSWERING: 1.0}.get(self.phase, 0.0)
+        share = {ShutdownState.DRAINING: 1 - ANSWER_SHARE, ShutdownState.ANSWERING: 1.0}.get(self.phase, 0.0)
         return max(0, self.asked_us + round(self.stop_us * share) - now_us)
--- a/packages/decisions-kept/src/fennelcove/decisions/kept/background.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/background_scheduler.py
@@ -17,7 +17,7 @@
 LONGEST_WAIT_US = 60_000_000
 
 
-class Priority(IntEnum):
+class TaskPriority(IntEnum):
     """Of two tasks that may run, the lower number goes first."""
 
     VIEWERS = 0  # what somebody waits for
@@ -26,11 +26,11 @@
 
 
 @dataclass(slots=True, eq=False)
-class Task:
+class BackgroundTask:
     """Work that comes again; times in microseconds."""
 
     name: str
-    priority: Priority
+    priority: TaskPriority
     every_us: int
     late_us: int  # past its time by so much it runs whatever the budget says
     due_us: int = 0
@@ -41,23 +41,23 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Pick:
+class ScheduledTask:
     """A task to run now, or how long to wait."""
 
-    task: Task | None
+    task: BackgroundTask | None
     wait_us: int = 0
 
 
-class Schedule:
+class BackgroundScheduler:
     """All tasks of one thread; the caller hands in the time."""
 
     def __init__(self, now_us: int, share: float = SHARE) -> None:
         self.share = share
-        self.tasks: list[Task] = []
+        self.tasks: list[BackgroundTask] = []
         self.level_us = float(SAVED_US)
         self.at_us = now_us
 
-    def add(self, task: Task, now_us: int) -> None:
+    def add(self, task: BackgroundTask, now_us: int) -> None:
         """One more; first due at once."""
         task.due_us = now_us
         self.tasks.append(task)
@@ -67,26 +67,26 @@
         self.at_us = max(now_us, self.at_us)
         self.level_us = min(float(SAVED_US), self.level_us + passed * self.share)
 
-    def pick(self, now_us: int) -> Pick:
+    def pick(self, now_us: int) -> ScheduledTask:
         """What to do now."""
         self._fill(now_us)
         due = [task for task in self.tasks if task.due_us <= now_us]
         late = [task for task in due if now_us >= task.due_us + task.late_us]
         if late:
-            return Pick(min(late, key=lambda task: (task.due_us + task.late_us, task.priority)))
+            return ScheduledTask(min(late, key=lambda task: (task.due_us + task.late_us, task.priority)))
         fitting = [task for task in due if task.usual_us <= self.level_us]
         if fitting:
-            return Pick(min(fitting, key=lambda task: (task.priority, task.due_us)))
-        return Pick(None, self._wait_us(due, now_us))
+            return ScheduledTask(min(fitting, key=lambda task: (task.priority, task.due_us)))
+        return ScheduledTask(None, self._wait_us(due, now_us))
 
-    def _wait_us(self, due: list[Task], now_us: int) -> int:
+    def _wait_us(self, due: list[BackgroundTask], now_us: int) -> int:
         waits = [task.due_us - now_us for task in self.tasks if task.due_us > now_us]
         waits += [task.due_us + task.late_us - now_us for task in due]
         if self.share > 0:
             waits += [round((task.usual_us - self.level_us) / self.share) + 1 for task in due]
         return max(1, min([*waits, LONGEST_WAIT_US]))
 
-    def over(self, task: Task, began_us: int, now_us: int) -> None:
+    def over(self, task: BackgroundTask, began_us: int, now_us: int) -> None:
         """A run has ended. What was due again meanwhile is skipped: catching up would make it worse."""
         self._fill(now_us)
         took_us = max(0, now_us - began_us)
--- a/packages/decisions-kept/src/fennelcove/decisions/kept/adoption.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/reconciliation.py
@@ -1,6 +1,7 @@
 """What a front that has just started takes over: boxes play on while a front is away, and say what they hold.
 
-A front keeps no state on disk (yet); the boxes' greetings are its memory. Each join that a box names is kept,
+A front keeps no state on disk (yet); the servers' greetings are its memory. Each attempt that a server names
+is kept,
 taken over under its old id, or released, so that viewers' polls go on being answered, seats are counted once,
 and nothing plays for nobody. In which order service returns meanwhile is ruled on in `fleet/comeback.py`.
 """
@@ -10,10 +11,10 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from fennelcove.decisions.viewers.sessions import Stage
+from fennelcove.decisions.clients.session_lifecycle import SessionState
 
 
-class Claim(Enum):
+class SessionClaim(Enum):
     """What a join that a box names is to this front."""
 
     CURRENT = auto()  # plays there, by this front's own knowledge
@@ -27,7 +28,7 @@
     SURPLUS = auto()  # of an earlier life, and its seats are all taken
 
 
-class Act(Enum):
+class ClaimAction(Enum):
     """What follows."""
 
     KEEP = auto()
@@ -36,29 +37,31 @@
     RELEASE = auto()
 
 
-TABLE: dict[Claim, Act] = {
-    Claim.CURRENT: Act.KEEP,
-    Claim.IN_FLIGHT: Act.KEEP,
-    Claim.OVERTAKEN: Act.RELEASE,
-    Claim.ENDED_HERE: Act.RELEASE,
-    Claim.ORPHAN: Act.ADOPT,
-    Claim.ORPHAN_OLDER: Act.RELEASE,
-    Claim.ORPHAN_NEWER: Act.ADOPT_INSTEAD,
-    Claim.UNFIT: Act.RELEASE,
-    Claim.SURPLUS: Act.RELEASE,
+TRANSITIONS: dict[SessionClaim, ClaimAction] = {
+    SessionClaim.CURRENT: ClaimAction.KEEP,
+    SessionClaim.IN_FLIGHT: ClaimAction.KEEP,
+    SessionClaim.OVERTAKEN: ClaimAction.RELEASE,
+    SessionClaim.ENDED_HERE: ClaimAction.RELEASE,
+    SessionClaim.ORPHAN: ClaimAction.ADOPT,
+    SessionClaim.ORPHAN_OLDER: ClaimAction.RELEASE,
+    SessionClaim.ORPHAN_NEWER: ClaimAction.ADOPT_INSTEAD,
+    SessionClaim.UNFIT: ClaimAction.RELEASE,
+    SessionClaim.SURPLUS: ClaimAction.RELEASE,
 }
 
 
 @dataclass(frozen=True, slots=True)
-class Known:
+class KnownSession:
     """What this front holds under the id that a box names."""
 
-    stage: Stage
-    join: int
-    box: str
+    stage: SessionState
+    attempt: int
+    server: str
 
 
-def claim(box: str, join: int, known: Known | None, mine: bool, fits: bool, seat_free: bool) -> Claim:
+def claim(
+    server: str, attempt: int, known: KnownSession | None, mine: bool, fits: bool, seat_free: bool
+) -> SessionClaim:
     """Sort one join that a box names.
 
     Args:
@@ -69,12 +72,12 @@
         fits: the settings know its title, its room type, and its rung is none under the floor.
         seat_free: one more of its title and room type may be held.
     """
-    if known is not None and known.join == join and known.box == box:
-        return Claim.CURRENT if known.stage is Stage.PLAYING else Claim.IN_FLIGHT
+    if known is not None and known.attempt == attempt and known.server == server:
+        return SessionClaim.CURRENT if known.stage is SessionState.PLAYING else SessionClaim.IN_FLIGHT
     if mine:
-        return Claim.ENDED_HERE if known is None else Claim.OVERTAKEN
+        return SessionClaim.ENDED_HERE if known is None else SessionClaim.OVERTAKEN
     if not fits:
-        return Claim.UNFIT
+        return SessionClaim.UNFIT
     if known is not None:
-        return Claim.ORPHAN_NEWER if join > known.join else Claim.ORPHAN_OLDER
-    return Claim.ORPHAN if seat_free else Claim.SURPLUS
+        return SessionClaim.ORPHAN_NEWER if attempt > known.attempt else SessionClaim.ORPHAN_OLDER
+    return SessionClaim.ORPHAN if seat_free else SessionClaim.SURPLUS
--- a/packages/decisions-kept/src/fennelcove/decisions/kept/recovery.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/snapshot.py
@@ -16,12 +16,12 @@
 import msgspec
 from msgspec import Struct
 
-from fennelcove.decisions.fleet.trust import KEPT_US, SLACK_US
+from fennelcove.decisions.fleet.snapshot_trust import KEPT_US, SLACK_US
 
 MOST_TIMES = 4096
 
 
-class BoxMemory(Struct, frozen=True, array_like=True):
+class ServerMemory(Struct, frozen=True, array_like=True):
     """One box; wall times in microseconds, 0 for never."""
 
     started_us: int  # its process
@@ -45,7 +45,7 @@
     list_version: int = -1
 
 
-class KeptBox(Struct, frozen=True, array_like=True):
+class KeptServer(Struct, frozen=True, array_like=True):
     """A box of the list in force."""
 
     address: str
@@ -61,7 +61,7 @@
     """The list in force, for a start at which no list service answers."""
 
     version: int
-    boxes: list[KeptBox]
+    boxes: list[KeptServer]
 
 
 FORMAT = 2  # of what is kept; a folder that does not say has the first
@@ -94,7 +94,7 @@
         return None
 
 
-class Verdict(Enum):
+class RecordVerdict(Enum):
     """What becomes of a box's memory."""
 
     USED = auto()
@@ -106,18 +106,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Recalled:
+class RecoveredState:
     """A box's memory as ages in microseconds, fit for the module; None for never."""
 
     strikes: int
     shut_for_us: int
-    joined_ago_us: int | None
+    last_attempt_ago_us: int | None
 
 
-def read_box(raw: bytes) -> BoxMemory | None:
+def read_server(raw: bytes) -> ServerMemory | None:
     """A memory as it was kept; None for what is none."""
     try:
-        return msgspec.msgpack.decode(raw, type=BoxMemory)
+        return msgspec.msgpack.decode(raw, type=ServerMemory)
     except msgspec.MsgspecError:
         return None
 
@@ -130,7 +130,9 @@
         return None
 
 
-def rule(memory: BoxMemory | None, started_us: int | None, wall_us: int) -> tuple[Verdict, Recalled | None]:
+def rule(
+    memory: ServerMemory | None, started_us: int | None, wall_us: int
+) -> tuple[RecordVerdict, RecoveredState | None]:
     """What a memory of a box is worth.
 
     Args:
@@ -140,17 +142,17 @@
         wall_us: now.
     """
     if memory is None:
-        return Verdict.UNREADABLE, None
+        return RecordVerdict.UNREADABLE, None
     if started_us is None:
-        return Verdict.NOT_LISTED, None
+        return RecordVerdict.NOT_LISTED, None
     newest_us = memory.heard_us
     if newest_us > wall_us + SLACK_US:
-        return Verdict.CLOCK_BACK, None
+        return RecordVerdict.CLOCK_BACK, None
     if started_us > memory.started_us + SLACK_US and started_us > newest_us:
-        return Verdict.NEW_LIFE, None
+        return RecordVerdict.NEW_LIFE, None
     if wall_us - newest_us > KEPT_US:
-        return Verdict.TOO_OLD, None
-    return Verdict.USED, Recalled(
+        return RecordVerdict.TOO_OLD, None
+    return RecordVerdict.USED, RecoveredState(
         memory.strikes,
         max(0, memory.shut_until_us - wall_us),
         max(0, wall_us - memory.joined_us) if memory.joined_us else None,
--- a/packages/decisions-kept/src/fennelcove/decisions/kept/keeping.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/write_behind.py
@@ -17,7 +17,7 @@
 LONGEST_PAUSE_US = 30_000_000
 
 
-class State(Enum):
+class WriterState(Enum):
     """How the disk does."""
 
     WRITING = auto()
@@ -25,7 +25,7 @@
     BROKEN = auto()  # it said something else: tried again as well, an operator may mend it
 
 
-class Cue(Enum):
+class WriterEvent(Enum):
     """What became of a write."""
 
     DONE = auto()
@@ -33,7 +33,7 @@
     FAILED = auto()
 
 
-class Act(Enum):
+class WriterAction(Enum):
     """What follows."""
 
     TELL_FULL = auto()
@@ -42,24 +42,36 @@
     PAUSE = auto()  # twice as long each time
 
 
-TABLE: dict[tuple[State, Cue], tuple[State, tuple[Act, ...]]] = {
-    (State.WRITING, Cue.DONE): (State.WRITING, ()),
-    (State.WRITING, Cue.NO_SPACE): (State.FULL, (Act.TELL_FULL, Act.PAUSE)),
-    (State.WRITING, Cue.FAILED): (State.BROKEN, (Act.TELL_BROKEN, Act.PAUSE)),
-    (State.FULL, Cue.DONE): (State.WRITING, (Act.TELL_WELL,)),
-    (State.FULL, Cue.NO_SPACE): (State.FULL, (Act.PAUSE,)),
-    (State.FULL, Cue.FAILED): (State.BROKEN, (Act.TELL_BROKEN, Act.PAUSE)),
-    (State.BROKEN, Cue.DONE): (State.WRITING, (Act.TELL_WELL,)),
-    (State.BROKEN, Cue.NO_SPACE): (State.FULL, (Act.TELL_FULL, Act.PAUSE)),
-    (State.BROKEN, Cue.FAILED): (State.BROKEN, (Act.PAUSE,)),
+TRANSITIONS: dict[tuple[WriterState, WriterEvent], tuple[WriterState, tuple[WriterAction, ...]]] = {
+    (WriterState.WRITING, WriterEvent.DONE): (WriterState.WRITING, ()),
+    (WriterState.WRITING, WriterEvent.NO_SPACE): (
+        WriterState.FULL,
+        (WriterAction.TELL_FULL, WriterAction.PAUSE),
+    ),
+    (WriterState.WRITING, WriterEvent.FAILED): (
+        WriterState.BROKEN,
+        (WriterAction.TELL_BROKEN, WriterAction.PAUSE),
+    ),
+    (WriterState.FULL, WriterEvent.DONE): (WriterState.WRITING, (WriterAction.TELL_WELL,)),
+    (WriterState.FULL, WriterEvent.NO_SPACE): (WriterState.FULL, (WriterAction.PAUSE,)),
+    (WriterState.FULL, WriterEvent.FAILED): (
+        WriterState.BROKEN,
+        (WriterAction.TELL_BROKEN, WriterAction.PAUSE),
+    ),
+    (WriterState.BROKEN, WriterEvent.DONE): (WriterState.WRITING, (WriterAction.TELL_WELL,)),
+    (WriterState.BROKEN, WriterEvent.NO_SPACE): (
+        WriterState.FULL,
+        (WriterAction.TELL_FULL, WriterAction.PAUSE),
+    ),
+    (WriterState.BROKEN, WriterEvent.FAILED): (WriterState.BROKEN, (WriterAction.PAUSE,)),
 }
 
 
 @dataclass(slots=True)
-class Waiting:
+class WriteBehindQueue:
     """What is to be written, and when; the caller holds the lock and hands in times in microseconds."""
 
-    state: State = State.WRITING
+    state: WriterState = WriterState.WRITING
     keys: OrderedDict[bytes, bytes | None] = field(default_factory=OrderedDict)
     since_us: int = -1
     pause_us: int = FIRST_PAUSE_US
@@ -99,10 +111,10 @@
             self.keys.popitem(last=False)
             self.dropped += 1
 
-    def over(self, cue: Cue, now_us: int) -> tuple[Act, ...]:
+    def over(self, event: WriterEvent, now_us: int) -> tuple[WriterAction, ...]:
         """What became of a write."""
-        self.state, acts = TABLE[self.state, cue]
-        if Act.PAUSE in acts:
+        self.state, acts = TRANSITIONS[self.state, event]
+        if WriterAction.PAUSE in acts:
             self.not_before_us = now_us + self.pause_us
             self.pause_us = min(LONGEST_PAUSE_US, 2 * self.pause_us)
         else:
--- a/packages/decisions-boxes/src/fennelcove/decisions/boxes/limits.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/aimd_limit.py
@@ -15,12 +15,12 @@
 LEAST_LIMIT = 1.0
 MOST_LIMIT = 256.0
 CUT = 0.7
-MOST_BOXES = 10_000
+MOST_SERVERS = 10_000
 BAD = (Outcome.NO_ANSWER, Outcome.TURNED_AWAY, Outcome.SERVER_ERROR, Outcome.CONNECTION_LOST)
 
 
 @dataclass(slots=True)
-class BoxLimit:
+class AimdLimit:
     """One box: how many may be out, how many are."""
 
     limit: float = FIRST_LIMIT
@@ -28,28 +28,28 @@
     cut_at_us: int = -1
 
 
-class Limits:
+class AimdLimits:
     """All boxes' limits; times in microseconds. A box not heard of for long is forgotten, the longest
     first."""
 
     def __init__(self) -> None:
-        self.boxes: OrderedDict[str, BoxLimit] = OrderedDict()
+        self.servers: OrderedDict[str, AimdLimit] = OrderedDict()
 
-    def enter(self, box: str) -> bool:
+    def enter(self, server: str) -> bool:
         """One more set-up; False where it must not be sent now."""
-        held = self.boxes.get(box)
+        held = self.servers.get(server)
         if held is None:
-            held = self.boxes[box] = BoxLimit()
+            held = self.servers[server] = AimdLimit()
             self._forget()
-        self.boxes.move_to_end(box)
+        self.servers.move_to_end(server)
         if held.out >= int(held.limit):
             return False
         held.out += 1
         return True
 
-    def leave(self, box: str, outcome: Outcome, sent_us: int, now_us: int) -> None:
+    def leave(self, server: str, outcome: Outcome, sent_us: int, now_us: int) -> None:
         """One has ended. Those sent before the last cut don't cut again: they tell of the same trouble."""
-        held = self.boxes.get(box)
+        held = self.servers.get(server)
         if held is None:
             return
         held.out = max(0, held.out - 1)
@@ -62,8 +62,8 @@
             held.cut_at_us = now_us
 
     def _forget(self) -> None:
-        if len(self.boxes) > MOST_BOXES:
-            for box, held in self.boxes.items():
+        if len(self.servers) > MOST_SERVERS:
+            for server, held in self.servers.items():
                 if held.out == 0:
-                    del self.boxes[box]
+                    del self.servers[server]
                     return
--- a/packages/decisions-boxes/src/fennelcove/decisions/boxes/joins.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/attempt_exchange.py
@@ -13,7 +13,7 @@
 from fennelcove.interface import Effect, Outcome
 
 
-class Phase(Enum):
+class ExchangeState(Enum):
     """How far the exchange has come."""
 
     DIALLING = auto()
@@ -23,7 +23,7 @@
     OVER = auto()
 
 
-class Seen(Enum):
+class ExchangeEvent(Enum):
     """What the socket showed."""
 
     CONNECTED = auto()
@@ -38,31 +38,31 @@
     ERROR = auto()  # any other answer
 
 
-Row = tuple[Phase, Outcome | None]
+Row = tuple[ExchangeState, Outcome | None]
 
-_ANSWERS: dict[Seen, Row] = {
-    Seen.STARTED: (Phase.OVER, Outcome.SERVED),
-    Seen.TURNED_AWAY: (Phase.OVER, Outcome.TURNED_AWAY),
-    Seen.ERROR: (Phase.OVER, Outcome.SERVER_ERROR),
-    Seen.GARBAGE: (Phase.OVER, Outcome.SERVER_ERROR),
+_ANSWERS: dict[ExchangeEvent, Row] = {
+    ExchangeEvent.STARTED: (ExchangeState.OVER, Outcome.SERVED),
+    ExchangeEvent.TURNED_AWAY: (ExchangeState.OVER, Outcome.TURNED_AWAY),
+    ExchangeEvent.ERROR: (ExchangeState.OVER, Outcome.SERVER_ERROR),
+    ExchangeEvent.GARBAGE: (ExchangeState.OVER, Outcome.SERVER_ERROR),
 }
 
-TABLE: dict[tuple[Phase, Seen], Row] = {
-    (Phase.DIALLING, Seen.CONNECTED): (Phase.WRITING, None),
-    (Phase.DIALLING, Seen.REFUSED): (Phase.OVER, Outcome.NO_CONNECTION),
-    (Phase.DIALLING, Seen.TIMED_OUT): (Phase.OVER, Outcome.NO_CONNECTION),
-    (Phase.DIALLING, Seen.CLOSED): (Phase.OVER, Outcome.NO_CONNECTION),
-    (Phase.WRITING, Seen.WROTE): (Phase.WAITING, None),
+TRANSITIONS: dict[tuple[ExchangeState, ExchangeEvent], Row] = {
+    (ExchangeState.DIALLING, ExchangeEvent.CONNECTED): (ExchangeState.WRITING, None),
+    (ExchangeState.DIALLING, ExchangeEvent.REFUSED): (ExchangeState.OVER, Outcome.NO_CONNECTION),
+    (ExchangeState.DIALLING, ExchangeEvent.TIMED_OUT): (ExchangeState.OVER, Outcome.NO_CONNECTION),
+    (ExchangeState.DIALLING, ExchangeEvent.CLOSED): (ExchangeState.OVER, Outcome.NO_CONNECTION),
+    (ExchangeState.WRITING, ExchangeEvent.WROTE): (ExchangeState.WAITING, None),
     # The box has at most a part of the request, whose framing tells it so: it can't have acted on it.
-    (Phase.WRITING, Seen.CLOSED): (Phase.OVER, Outcome.NO_CONNECTION),
-    (Phase.WRITING, Seen.TIMED_OUT): (Phase.OVER, Outcome.NO_CONNECTION),
-    (Phase.WAITING, Seen.BYTES): (Phase.READING, None),
-    (Phase.WAITING, Seen.CLOSED): (Phase.OVER, Outcome.CONNECTION_LOST),
-    (Phase.WAITING, Seen.TIMED_OUT): (Phase.OVER, Outcome.NO_ANSWER),
-    (Phase.READING, Seen.CLOSED): (Phase.OVER, Outcome.CONNECTION_LOST),
-    (Phase.READING, Seen.TIMED_OUT): (Phase.OVER, Outcome.NO_ANSWER),
-    **{(Phase.READING, seen): row for seen, row in _ANSWERS.items()},
-    (Phase.WAITING, Seen.GARBAGE): _ANSWERS[Seen.GARBAGE],
+    (ExchangeState.WRITING, ExchangeEvent.CLOSED): (ExchangeState.OVER, Outcome.NO_CONNECTION),
+    (ExchangeState.WRITING, ExchangeEvent.TIMED_OUT): (ExchangeState.OVER, Outcome.NO_CONNECTION),
+    (ExchangeState.WAITING, ExchangeEvent.BYTES): (ExchangeState.READING, None),
+    (ExchangeState.WAITING, ExchangeEvent.CLOSED): (ExchangeState.OVER, Outcome.CONNECTION_LOST),
+    (ExchangeState.WAITING, ExchangeEvent.TIMED_OUT): (ExchangeState.OVER, Outcome.NO_ANSWER),
+    (ExchangeState.READING, ExchangeEvent.CLOSED): (ExchangeState.OVER, Outcome.CONNECTION_LOST),
+    (ExchangeState.READING, ExchangeEvent.TIMED_OUT): (ExchangeState.OVER, Outcome.NO_ANSWER),
+    **{(ExchangeState.READING, seen): row for seen, row in _ANSWERS.items()},
+    (ExchangeState.WAITING, ExchangeEvent.GARBAGE): _ANSWERS[ExchangeEvent.GARBAGE],
 }
 
 
@@ -70,12 +70,12 @@
     """One join on its way."""
 
     def __init__(self) -> None:
-        self.phase = Phase.DIALLING
+        self.phase = ExchangeState.DIALLING
         self.outcome: Outcome | None = None
 
-    def see(self, seen: Seen) -> Outcome | None:
+    def see(self, seen: ExchangeEvent) -> Outcome | None:
         """Move on by what the socket showed; the outcome once there is one."""
-        row = TABLE.get((self.phase, seen))
+        row = TRANSITIONS.get((self.phase, seen))
         if row is not None:
             self.phase, self.outcome = row
         return self.outcome
@@ -92,7 +92,7 @@
     )
 
 
-def may_reuse(effect: Effect) -> bool:
+def may_reuse_connection(effect: Effect) -> bool:
     """Whether a kept connection may carry this join.
 
     A kept connection can be closed by the box in the instant of writing, and then nobody knows whether the
@@ -102,7 +102,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class JoinTimes:
+class AttemptTimeouts:
     """Limits of one join's parts, each from its start, in microseconds."""
 
     connect_us: int
@@ -110,7 +110,7 @@
     whole_us: int
 
 
-def join_times(allow_us: int) -> JoinTimes:
+def attempt_timeouts(allow_us: int) -> AttemptTimeouts:
     """The parts of a join's allowance.
 
     Half for the connection: on the networks that a front serves a connection that takes longer is one that
@@ -118,4 +118,4 @@
     the last.
     """
     whole_us = max(1, allow_us)
-    return JoinTimes(max(1, whole_us // 2), max(1, whole_us - whole_us // 8), whole_us)
+    return AttemptTimeouts(max(1, whole_us // 2), max(1, whole_us - whole_us // 8), whole_us)
--- a/packages/decisions-boxes/src/fennelcove/decisions/boxes/commands.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/command_queue.py
@@ -20,13 +20,13 @@
 
 
 @dataclass(slots=True, eq=False)
-class Order:
+class Command:
     """What one box is to do for one subscription's join: keep a mark, play a rung, or with neither release
     it."""
 
-    box: str
+    server: str
     id: str
-    join: int
+    attempt: int
     rung: int | None
     mark: str | None = None
     tries: int = 0
@@ -34,36 +34,36 @@
     @property
     def key(self) -> Key:
         """Of two orders with one key the later counts."""
-        return self.id, self.join, self.mark is not None
+        return self.id, self.attempt, self.mark is not None
 
 
 @dataclass(slots=True, eq=False)
-class Line:
+class ServerCommands:
     """One box's orders, the oldest first."""
 
-    orders: OrderedDict[Key, Order] = field(default_factory=OrderedDict)
+    orders: OrderedDict[Key, Command] = field(default_factory=OrderedDict)
     busy: bool = False
     not_before_us: int = 0
     failures: int = 0
 
 
-class Orders:
+class CommandQueue:
     """All boxes' orders, bounded in number. Times in microseconds; the caller holds the lock."""
 
     def __init__(self, most: int) -> None:
         self.most = most
-        self.lines: OrderedDict[str, Line] = OrderedDict()
+        self.lines: OrderedDict[str, ServerCommands] = OrderedDict()
         self.count = 0
         self.dropped = 0
 
-    def add(self, order: Order) -> None:
+    def add(self, order: Command) -> None:
         """Take an order in.
 
         Past the bound the oldest rung of the longest line goes: a rung comes again with the next note, a
         release does not. Where only releases are left the oldest goes, and the box's own limit ends what it
         names.
         """
-        line = self.lines.setdefault(order.box, Line())
+        line = self.lines.setdefault(order.server, ServerCommands())
         held = line.orders.get(order.key)
         if held is not None:
             if order.mark is not None:
@@ -84,14 +84,14 @@
         self.count -= 1
         self.dropped += 1
 
-    def take(self, now_us: int) -> Order | None:
+    def take(self, now_us: int) -> Command | None:
         """The next order that may go out, marking its box busy; None where all must wait."""
-        for box, line in self.lines.items():
+        for server, line in self.lines.items():
             if line.orders and not line.busy and line.not_before_us <= now_us:
                 line.busy = True
                 _, order = line.orders.popitem(last=False)
                 self.count -= 1
-                self.lines.move_to_end(box)
+                self.lines.move_to_end(server)
                 return order
         return None
 
@@ -100,14 +100,14 @@
         times = [line.not_before_us for line in self.lines.values() if line.orders and not line.busy]
         return max(0, min(times) - now_us) if times else None
 
-    def done(self, order: Order, carried_out: bool, now_us: int) -> None:
+    def done(self, order: Command, carried_out: bool, now_us: int) -> None:
         """An order came back: carried out, or to be tried again after a growing pause, so often at most."""
-        line = self.lines[order.box]
+        line = self.lines[order.server]
         line.busy = False
         if carried_out:
             line.failures = 0
             if not line.orders:
-                del self.lines[order.box]  # boxes come and go: an idle one must leave nothing behind
+                del self.lines[order.server]  # boxes come and go: an idle one must leave nothing behind
             return
         line.failures += 1
         line.not_before_us = now_us + min(MOST_PAUSE_US, FIRST_PAUSE_US * 2 ** min(line.failures - 1, 16))
@@ -120,4 +120,4 @@
         elif not newer:
             self.dropped += 1
         if not line.orders and not line.busy:
-            del self.lines[order.box]
+            del self.lines[order.server]
--- a/packages/decisions-boxes/src/fennelcove/decisions/boxes/parting.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
@@ -12,10 +12,10 @@
 from enum import Enum, auto
 
 # Of the 8 s in which a viewer must hear of an end, which is no earlier than the last sign of life.
-UNTOLD_US = 7_000_000
+UNCONFIRMED_LOSS_US = 7_000_000
 
 
-class Dial(Enum):
+class DialResult(Enum):
     """How a dial ended."""
 
     MADE = auto()
@@ -23,7 +23,7 @@
     SILENT = auto()
 
 
-class Known(Enum):
+class EndpointKnowledge(Enum):
     """What else is known of the box."""
 
     LISTED = auto()  # and heard of before: its path may be cut
@@ -31,7 +31,7 @@
     DROPPED = auto()  # the list names it no more
 
 
-class Stage(Enum):
+class LossState(Enum):
     """How its dials stand."""
 
     REACHED = auto()
@@ -40,46 +40,52 @@
     SILENT = auto()
 
 
-TABLE: dict[tuple[Stage, Dial], Stage] = {
-    **{(stage, Dial.MADE): Stage.REACHED for stage in Stage},
-    (Stage.REACHED, Dial.REFUSED): Stage.DOUBTED,
-    (Stage.REACHED, Dial.SILENT): Stage.DOUBTED,
-    (Stage.DOUBTED, Dial.REFUSED): Stage.REFUSING,
-    (Stage.DOUBTED, Dial.SILENT): Stage.SILENT,
-    (Stage.SILENT, Dial.REFUSED): Stage.REFUSING,
-    (Stage.REFUSING, Dial.SILENT): Stage.SILENT,
+TRANSITIONS: dict[tuple[LossState, DialResult], LossState] = {
+    **{(stage, DialResult.MADE): LossState.REACHED for stage in LossState},
+    (LossState.REACHED, DialResult.REFUSED): LossState.DOUBTED,
+    (LossState.REACHED, DialResult.SILENT): LossState.DOUBTED,
+    (LossState.DOUBTED, DialResult.REFUSED): LossState.REFUSING,
+    (LossState.DOUBTED, DialResult.SILENT): LossState.SILENT,
+    (LossState.SILENT, DialResult.REFUSED): LossState.REFUSING,
+    (LossState.REFUSING, DialResult.SILENT): LossState.SILENT,
 }
 
 # How long after the last sign what stands there is over; None: as soon as the stage is reached.
-OVER: dict[tuple[Stage, Known], int | None] = {
-    **{(Stage.REFUSING, known): None for known in Known},
-    (Stage.SILENT, Known.DROPPED): None,
-    (Stage.SILENT, Known.UNHEARD): None,
-    (Stage.SILENT, Known.LISTED): UNTOLD_US,
+LOST_STATES: dict[tuple[LossState, EndpointKnowledge], int | None] = {
+    **{(LossState.REFUSING, known): None for known in EndpointKnowledge},
+    (LossState.SILENT, EndpointKnowledge.DROPPED): None,
+    (LossState.SILENT, EndpointKnowledge.UNHEARD): None,
+    (LossState.SILENT, EndpointKnowledge.LISTED): UNCONFIRMED_LOSS_US,
 }
 
 
 @dataclass(slots=True)
-class Parting:
+class ConnectionLossTracker:
     """One box; times in microseconds."""
 
-    stage: Stage = Stage.REACHED
+    stage: LossState = LossState.REACHED
     heard_us: int | None = None  # the last sign of life
 
-    def dialled(self, dial: Dial, now_us: int) -> None:
+    def dialled(self, dial: DialResult, now_us: int) -> None:
         """A dial has ended."""
-        self.stage = TABLE.get((self.stage, dial), self.stage)
-        if dial is Dial.MADE:
+        self.stage = TRANSITIONS.get((self.stage, dial), self.stage)
+        if dial is DialResult.MADE:
             self.heard_us = now_us
 
     def heard(self, now_us: int) -> None:
         """Anything has come from there."""
-        self.stage, self.heard_us = Stage.REACHED, now_us
+        self.stage, self.heard_us = LossState.REACHED, now_us
 
     def over(self, listed: bool, now_us: int) -> bool:
         """Whether what stands there is to be taken for ended."""
-        known = Known.DROPPED if not listed else Known.UNHEARD if self.heard_us is None else Known.LISTED
-        if (self.stage, known) not in OVER:
+        known = (
+            EndpointKnowledge.DROPPED
+            if not listed
+            else EndpointKnowledge.UNHEARD
+            if self.heard_us is None
+            else EndpointKnowledge.LISTED
+        )
+        if (self.stage, known) not in LOST_STATES:
             return False
-        after_us = OVER[self.stage, known]
+        after_us = LOST_STATES[self.stage, known]
         return after_us is None or self.heard_us is None or now_us - self.heard_us >= after_us
--- a/packages/decisions-boxes/src/fennelcove/decisions/boxes/listing.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/endpoint_list.py
@@ -10,15 +10,15 @@
 from dataclasses import dataclass, replace
 from enum import Enum, auto
 
-from fennelcove.interface import ListEntry, ListMode, ListUpdate, Standing
+from fennelcove.interface import ListEntry, ListMode, ListUpdate, ServerState
 
-MOST_BOXES = 10_000
+MOST_SERVERS = 10_000
 # A restart told out of order must not make a box older than it is.
-_CAREFUL = {Standing.ACTIVE: 0, Standing.LEAVING: 1, Standing.LEFT: 2}
+_CAREFUL = {ServerState.ACTIVE: 0, ServerState.LEAVING: 1, ServerState.LEFT: 2}
 
 
 @dataclass(frozen=True, slots=True)
-class ListNews:
+class EndpointListUpdate:
     """One message of the list service: a whole list, or changes on top of the version before it."""
 
     version: int
@@ -26,7 +26,7 @@
     entries: tuple[ListEntry, ...]
 
 
-class Ruling(Enum):
+class ListDecision(Enum):
     """What became of a message."""
 
     TAKEN = auto()
@@ -36,10 +36,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Verdict:
+class ListVerdict:
     """A ruling, with the reason where it is a refusal, or the update to hand on."""
 
-    ruling: Ruling
+    ruling: ListDecision
     reason: str = ""
     update: ListUpdate | None = None
 
@@ -56,16 +56,16 @@
     return tuple(found.values())
 
 
-class ListKeeper:
+class EndpointListTracker:
     """Holds which version of the list is in force."""
 
     def __init__(self) -> None:
         self.version: int | None = None
         self.cells: dict[str, tuple[int, str]] = {}
 
-    def rule(self, news: ListNews) -> Verdict:
+    def rule(self, news: EndpointListUpdate) -> ListVerdict:
         """Rule on a message; only what is TAKEN changes anything."""
-        for check in CHECKS:
+        for check in VIOLATION_CHECKS:
             verdict = check(self, news)
             if verdict is not None:
                 return verdict
@@ -75,41 +75,45 @@
         self.cells.update((entry.address, (entry.cell, entry.kind)) for entry in entries)
         self.version = news.version
         mode = ListMode.FULL if news.base is None else ListMode.INCREMENTAL
-        return Verdict(Ruling.TAKEN, update=ListUpdate(mode, entries))
+        return ListVerdict(ListDecision.TAKEN, update=ListUpdate(mode, entries))
 
-    def _in_order(self, news: ListNews) -> Verdict | None:
+    def _in_order(self, news: EndpointListUpdate) -> ListVerdict | None:
         if self.version is not None and news.version <= self.version:
-            return Verdict(Ruling.OLD)
+            return ListVerdict(ListDecision.OLD)
         if news.base is not None and news.base != self.version:
-            return Verdict(Ruling.GAP)
+            return ListVerdict(ListDecision.GAP)
         return None
 
-    def _names_some(self, news: ListNews) -> Verdict | None:
+    def _names_some(self, news: EndpointListUpdate) -> ListVerdict | None:
         # A whole list without one box to play on takes every viewer's lesson away: a fault far likelier than
         # a fleet that is gone, and joins will tell if it is.
-        if news.base is None and not any(entry.standing is Standing.ACTIVE for entry in news.entries):
-            return Verdict(Ruling.REFUSED, "a whole list that names no active box; the last list stays")
+        if news.base is None and not any(entry.standing is ServerState.ACTIVE for entry in news.entries):
+            return ListVerdict(
+                ListDecision.REFUSED, "a whole list that names no active box; the last list stays"
+            )
         return None
 
-    def _fits(self, news: ListNews) -> Verdict | None:
-        if len(news.entries) > MOST_BOXES:
-            return Verdict(Ruling.REFUSED, f"{len(news.entries)} boxes, at most {MOST_BOXES} will do")
+    def _fits(self, news: EndpointListUpdate) -> ListVerdict | None:
+        if len(news.entries) > MOST_SERVERS:
+            return ListVerdict(
+                ListDecision.REFUSED, f"{len(news.entries)} boxes, at most {MOST_SERVERS} will do"
+            )
         return None
 
-    def _agrees(self, news: ListNews) -> Verdict | None:
+    def _agrees(self, news: EndpointListUpdate) -> ListVerdict | None:
         places: dict[str, tuple[int, str]] = {} if news.base is None else dict(self.cells)
         for entry in news.entries:
             place = (entry.cell, entry.kind)
             if places.setdefault(entry.address, place) != place:
-                return Verdict(Ruling.REFUSED, f"box {entry.address} in two cells or of two kinds")
+                return ListVerdict(ListDecision.REFUSED, f"box {entry.address} in two cells or of two kinds")
         return None
 
 
-CHECKS: tuple[Callable[[ListKeeper, ListNews], Verdict | None], ...] = (
-    ListKeeper._in_order,
-    ListKeeper._fits,
-    ListKeeper._names_some,
-    ListKeeper._agrees,
+VIOLATION_CHECKS: tuple[Callable[[EndpointListTracker, EndpointListUpdate], ListVerdict | None], ...] = (
+    EndpointListTracker._in_order,
+    EndpointListTracker._fits,
+    EndpointListTracker._names_some,
+    EndpointListTracker._agrees,
 )
 
 
--- a/packages/decisions-boxes/src/fennelcove/decisions/boxes/feeds.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/event_stream.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-from fennelcove.rules import MARK_US
+from fennelcove.placement import MARK_US
 
 FIRST_PAUSE_US = 100_000
 MOST_PAUSE_US = 2_000_000
@@ -19,7 +19,7 @@
 LINGER_US = MARK_US  # what a mark remembers of a link is worth hearing for as long
 
 
-class Stage(Enum):
+class StreamState(Enum):
     """How the feed stands."""
 
     CLOSED = auto()  # nothing is held there
@@ -29,7 +29,7 @@
     LINGERING = auto()  # open still, with nothing held: short lessons would open and close it without end
 
 
-class Cue(Enum):
+class StreamEvent(Enum):
     """What happens to it."""
 
     HELD = auto()  # the first subscription plays there
@@ -42,7 +42,7 @@
     EXPIRED = auto()  # nothing has been held for a while
 
 
-class Act(Enum):
+class StreamAction(Enum):
     """What follows."""
 
     OPEN_FEED = auto()
@@ -54,66 +54,74 @@
     LOSE_ALL = auto()
 
 
-Row = tuple[Stage, tuple[Act, ...]]
-
-TABLE: dict[tuple[Stage, Cue], Row] = {
-    (Stage.CLOSED, Cue.HELD): (Stage.OPENING, (Act.OPEN_FEED,)),
-    (Stage.OPENING, Cue.HELLO): (Stage.OPEN, (Act.LOSE_UNKNOWN,)),
-    (Stage.OPENING, Cue.HELLO_ANEW): (Stage.OPEN, (Act.LOSE_UNKNOWN,)),
-    (Stage.OPENING, Cue.REFUSED): (Stage.BROKEN, (Act.PAUSE,)),
-    (Stage.OPENING, Cue.CUT): (Stage.BROKEN, (Act.PAUSE,)),
-    (Stage.OPENING, Cue.NONE_HELD): (Stage.CLOSED, (Act.CLOSE_FEED, Act.FORGET)),
-    (Stage.OPEN, Cue.CUT): (Stage.BROKEN, (Act.PAUSE,)),
-    (Stage.OPEN, Cue.NONE_HELD): (Stage.LINGERING, (Act.LINGER,)),
-    (Stage.LINGERING, Cue.HELD): (Stage.OPEN, ()),
-    (Stage.LINGERING, Cue.EXPIRED): (Stage.CLOSED, (Act.CLOSE_FEED, Act.FORGET)),
-    (Stage.LINGERING, Cue.CUT): (Stage.CLOSED, (Act.FORGET,)),
-    (Stage.BROKEN, Cue.RETRY): (Stage.OPENING, (Act.OPEN_FEED,)),
-    (Stage.BROKEN, Cue.NONE_HELD): (Stage.CLOSED, (Act.FORGET,)),
+Row = tuple[StreamState, tuple[StreamAction, ...]]
+
+TRANSITIONS: dict[tuple[StreamState, StreamEvent], Row] = {
+    (StreamState.CLOSED, StreamEvent.HELD): (StreamState.OPENING, (StreamAction.OPEN_FEED,)),
+    (StreamState.OPENING, StreamEvent.HELLO): (StreamState.OPEN, (StreamAction.LOSE_UNKNOWN,)),
+    (StreamState.OPENING, StreamEvent.HELLO_ANEW): (StreamState.OPEN, (StreamAction.LOSE_UNKNOWN,)),
+    (StreamState.OPENING, StreamEvent.REFUSED): (StreamState.BROKEN, (StreamAction.PAUSE,)),
+    (StreamState.OPENING, StreamEvent.CUT): (StreamState.BROKEN, (StreamAction.PAUSE,)),
+    (StreamState.OPENING, StreamEvent.NONE_HELD): (
+        StreamState.CLOSED,
+        (StreamAction.CLOSE_FEED, StreamAction.FORGET),
+    ),
+    (StreamState.OPEN, StreamEvent.CUT): (StreamState.BROKEN, (StreamAction.PAUSE,)),
+    (StreamState.OPEN, StreamEvent.NONE_HELD): (StreamState.LINGERING, (StreamAction.LINGER,)),
+    (StreamState.LINGERING, StreamEvent.HELD): (StreamState.OPEN, ()),
+    (StreamState.LINGERING, StreamEvent.EXPIRED): (
+        StreamState.CLOSED,
+        (StreamAction.CLOSE_FEED, StreamAction.FORGET),
+    ),
+    (StreamState.LINGERING, StreamEvent.CUT): (StreamState.CLOSED, (StreamAction.FORGET,)),
+    (StreamState.BROKEN, StreamEvent.RETRY): (StreamState.OPENING, (StreamAction.OPEN_FEED,)),
+    (StreamState.BROKEN, StreamEvent.NONE_HELD): (StreamState.CLOSED, (StreamAction.FORGET,)),
 }
 
 
 @dataclass(slots=True)
-class Feed:
+class StreamLifecycle:
     """One box's feed; times in microseconds."""
 
-    stage: Stage = Stage.CLOSED
+    stage: StreamState = StreamState.CLOSED
     boot: str | None = None
     refusals: int = 0
     failures: int = 0
     unheard_since_us: int = 0
-    acts: list[Act] = field(default_factory=list)
+    acts: list[StreamAction] = field(default_factory=list)
 
-    def cue(self, cue: Cue, now_us: int) -> tuple[Act, ...]:
+    def apply(self, event: StreamEvent, now_us: int) -> tuple[StreamAction, ...]:
         """Move on; what follows, in order."""
-        row = TABLE.get((self.stage, cue))
+        row = TRANSITIONS.get((self.stage, event))
         if row is None:
             return ()
-        if cue in (Cue.HELLO, Cue.HELLO_ANEW) or (cue is Cue.HELD and self.stage is Stage.CLOSED):
+        if event in (StreamEvent.HELLO, StreamEvent.HELLO_ANEW) or (
+            event is StreamEvent.HELD and self.stage is StreamState.CLOSED
+        ):
             self.refusals = self.failures = 0
             self.unheard_since_us = now_us
-        elif cue is Cue.REFUSED:
+        elif event is StreamEvent.REFUSED:
             self.refusals += 1
             self.failures += 1
-        elif cue is Cue.CUT:
-            if self.stage is Stage.OPEN:
+        elif event is StreamEvent.CUT:
+            if self.stage is StreamState.OPEN:
                 self.unheard_since_us = now_us
             self.failures += 1
         self.stage, acts = row
-        if self.stage is Stage.BROKEN and self._proves_loss(now_us):
+        if self.stage is StreamState.BROKEN and self._proves_loss(now_us):
             # Still tried again: what the front places there later needs its feed.
             self.refusals, self.unheard_since_us = 0, now_us
-            acts = (*acts, Act.LOSE_ALL)
+            acts = (*acts, StreamAction.LOSE_ALL)
         return acts
 
     def _proves_loss(self, now_us: int) -> bool:
         return self.refusals >= REFUSALS_THAT_PROVE or now_us - self.unheard_since_us >= MARK_US
 
-    def greet(self, boot: str, now_us: int) -> tuple[Act, ...]:
+    def greet(self, boot: str, now_us: int) -> tuple[StreamAction, ...]:
         """The box greets with the name of its process's life."""
         anew = self.boot is not None and boot != self.boot
         self.boot = boot
-        return self.cue(Cue.HELLO_ANEW if anew else Cue.HELLO, now_us)
+        return self.apply(StreamEvent.HELLO_ANEW if anew else StreamEvent.HELLO, now_us)
 
     def pause_us(self, draw: float) -> int:
         """How long to wait before opening it again, by chance over the upper half of a doubling pause."""
@@ -121,6 +129,6 @@
         return round(longest * (0.5 + draw / 2))
 
 
-def silence_us(reports_every_us: int, seen_after_us: int) -> int:
+def idle_timeout_us(reports_every_us: int, seen_after_us: int) -> int:
     """How long a feed may bring nothing before it counts as cut: three beats, and the notes' own delay."""
     return 3 * max(reports_every_us, 100_000) + seen_after_us
--- a/packages/decisions-boxes/src/fennelcove/decisions/boxes/hearing.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/load_signals.py
@@ -13,7 +13,7 @@
 from statistics import median
 
 from fennelcove.interface import LoadReport
-from fennelcove.rules import HOLD_BACK, LIFT_MARGIN, WHOLE
+from fennelcove.placement import HOLD_BACK, LIFT_MARGIN, WHOLE
 
 KBIT = 8  # hints count kilobits, the ladder counts kilobytes
 FULL = 1.0
@@ -22,7 +22,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BoxSays:
+class ServerHints:
     """One answer's CMSD, of the hop nearest the box; rates in kilobits a second."""
 
     link: float | None = None
@@ -32,7 +32,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ViewerSays:
+class ClientHints:
     """One request's CMCD; rates in kilobits a second."""
 
     top_kbit: float | None = None
@@ -40,7 +40,7 @@
     starved: bool = False
 
 
-def load_report(says: BoxSays) -> LoadReport | None:
+def load_report(says: ServerHints) -> LoadReport | None:
     """The report that a box's hints amount to.
 
     Duress is the specification's word for 'send me nothing more', so it counts as a full link whatever figure
@@ -60,7 +60,7 @@
     return max(floor, fitting[-1] if fitting else 0)
 
 
-def top_rung(rates_kb: Sequence[float], stated: int, floor: int, says: ViewerSays) -> int:
+def top_rung(rates_kb: Sequence[float], stated: int, floor: int, says: ClientHints) -> int:
     """The highest rung that a viewer can use, by its own hints.
 
     Measured throughput is read with the design's tenth held back. A viewer is never taken for less than the
@@ -74,7 +74,7 @@
     return max(top, min(floor, stated))
 
 
-def new_top(rates_kb: Sequence[float], stated: int, now: int, floor: int, says: ViewerSays) -> int:
+def adjusted_top_rung(rates_kb: Sequence[float], stated: int, now: int, floor: int, says: ClientHints) -> int:
     """A playing viewer's highest rung after new hints.
 
     Down at once; up only with the margin that raising keeps elsewhere, or the measure of a rung would carry
@@ -83,12 +83,12 @@
     down = top_rung(rates_kb, stated, floor, says)
     if down <= now or says.measured_kbit is None:
         return down
-    calm = ViewerSays(says.top_kbit, says.measured_kbit * (1 - LIFT_MARGIN), says.starved)
+    calm = ClientHints(says.top_kbit, says.measured_kbit * (1 - LIFT_MARGIN), says.starved)
     return max(now, top_rung(rates_kb, stated, floor, calm))
 
 
 @dataclass(slots=True)
-class BoxEar:
+class DeliveryMonitor:
     """What viewers of one box said lately, the longest ago first; times in microseconds."""
 
     heard: OrderedDict[str, tuple[int, float | None]] = field(default_factory=OrderedDict)
@@ -116,7 +116,7 @@
         return median(starving)
 
 
-def starving_share(says: ViewerSays, rate_kb: float) -> float | None:
+def starving_share(says: ClientHints, rate_kb: float) -> float | None:
     """The share of its rate that a starving viewer gets; None while it does not starve."""
     if not says.starved:
         return None
--- a/packages/standins/src/fennelcove/standins/slotliar.py
+++ b/packages/emulators/src/fennelcove/emulators/dishonest_front.py
@@ -8,12 +8,12 @@
 from itertools import count
 from random import Random
 
-from fennelcove import slot_messages
+from fennelcove import limit_messages
 from fennelcove.clock import Clock
-from fennelcove.decisions.fleet.budgets import Ask, Loan, Thing
-from fennelcove.slots.agreeing import Word
-from fennelcove.slots.counts import Row
-from fennelcove.slots.member import Told
+from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Resource
+from fennelcove.concurrency_limits.quorum import QuorumVote
+from fennelcove.concurrency_limits.latency_histogram import Row
+from fennelcove.concurrency_limits.replica import ReplicaMessages
 
 EVERY_S = 0.2
 MOST = 4096
@@ -62,18 +62,22 @@
 
     def _lies(self, number: int) -> list[bytes]:
         told = [
-            Told(
+            ReplicaMessages(
                 (),
                 box,
                 0,
                 (Row(shape, 60_000, 60_000, 0, self.chance.choice((SLOW, FAST)), ()),),
-                Word(self.chance.choice((1, MOST))),
+                QuorumVote(self.chance.choice((1, MOST))),
             )
             for box in self.boxes
             for shape in (self.chance.randrange(12),)
         ]
-        found = slot_messages.pack(self.life, number, told, self.clock.now_us())
+        found = limit_messages.encode(self.life, number, told, self.clock.now_us())
         for box in self.boxes:
-            found.append(slot_messages.pack_trade(box, Loan(self.life, number, Thing.SLOT, float(MOST))))
-            found.append(slot_messages.pack_trade(box, Ask(self.life, number, Thing.SLOT, float(MOST))))
+            found.append(
+                limit_messages.pack_trade(box, QuotaTransfer(self.life, number, Resource.SLOT, float(MOST)))
+            )
+            found.append(
+                limit_messages.pack_trade(box, QuotaRequest(self.life, number, Resource.SLOT, float(MOST)))
+            )
         return found
--- a/packages/standins/src/fennelcove/standins/listservice.py
+++ b/packages/emulators/src/fennelcove/emulators/endpoint_list_service.py
@@ -12,8 +12,8 @@
 from fennelcove.clock import Clock
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import RequestHead
-from fennelcove.standins.recorder import Recorder
-from fennelcove.standins.server import Peer, StandInServer
+from fennelcove.emulators.recorder import Recorder
+from fennelcove.emulators.server import Peer, StandInServer
 from fennelcove.wire.events import BEAT, write_event
 from fennelcove.wire.lists import ListedBox, ListMessage
 
--- a/packages/standins/src/fennelcove/standins/between/gauge.py
+++ b/packages/emulators/src/fennelcove/emulators/fault_proxy/gauge.py
@@ -13,10 +13,10 @@
 from fennelcove.clock import Clock
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import RequestHead
-from fennelcove.standins.between.relay import Relays
-from fennelcove.standins.recorder import Recorder
-from fennelcove.standins.server import Peer, StandInServer
-from fennelcove.standins.viewers import Player, Unanswered
+from fennelcove.emulators.fault_proxy.relay import Relays
+from fennelcove.emulators.recorder import Recorder
+from fennelcove.emulators.server import Peer, StandInServer
+from fennelcove.emulators.clients import Player, Unanswered
 
 EVERY_S = 0.1
 LONGEST_S = 5.0
--- a/packages/standins/src/fennelcove/standins/between/relay.py
+++ b/packages/emulators/src/fennelcove/emulators/fault_proxy/relay.py
@@ -22,7 +22,7 @@
 from itertools import count
 
 from fennelcove.clock import Clock
-from fennelcove.standins.between.faults import Fault, How, Party, Rules, datagram, late_us, pace_kb
+from fennelcove.emulators.fault_proxy.faults import Fault, How, Party, Rules, datagram, late_us, pace_kb
 
 READ_BYTES = 65_536
 MOST_WAITING = 1_000_000  # bytes of one direction; past it its sender has to wait, as in any network
--- a/packages/standins/src/fennelcove/standins/box.py
+++ b/packages/emulators/src/fennelcove/emulators/media_server.py
@@ -15,9 +15,9 @@
 from fennelcove.hints import cmsd
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import RequestHead
-from fennelcove.standins.model import BoxModel, SetUp
-from fennelcove.standins.recorder import Recorder
-from fennelcove.standins.server import Peer, StandInServer
+from fennelcove.emulators.model import BoxModel, SetUp
+from fennelcove.emulators.recorder import Recorder
+from fennelcove.emulators.server import Peer, StandInServer
 from fennelcove.wire.boxes import (
     ENDED,
     HELLO,
--- a/packages/standins/src/fennelcove/standins/players.py
+++ b/packages/emulators/src/fennelcove/emulators/players.py
@@ -7,7 +7,7 @@
 import m3u8
 
 from fennelcove.http1.messages import ResponseHead
-from fennelcove.standins.viewers import Heard, Player, StandInViewer, Unanswered
+from fennelcove.emulators.clients import Heard, Player, StandInViewer, Unanswered
 
 INTERSTITIAL = "com.apple.hls.interstitial"
 START_SEGMENTS = 2
--- a/packages/standins/src/fennelcove/standins/socketviewers.py
+++ b/packages/emulators/src/fennelcove/emulators/websocket_clients.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from fennelcove.http1.messages import ResponseHead
-from fennelcove.standins.sockets import SocketPlayer
-from fennelcove.standins.viewers import Heard, StandInViewer, Unanswered
+from fennelcove.emulators.sockets import SocketPlayer
+from fennelcove.emulators.clients import Heard, StandInViewer, Unanswered
 
 STATUS = {"playing": 201, "throttled": 503, "terminated": 504, "fault": 400}
 REPORT_S = 0.5
--- a/packages/errors/src/fennelcove/errors/__init__.py
+++ b/packages/errors/src/fennelcove/errors/__init__.py
@@ -10,7 +10,7 @@
 from typing import ClassVar
 
 
-class Trouble(Exception):
+class OperatorError(Exception):
     """The base of all.
 
     Attributes:
--- a/packages/errors/src/fennelcove/errors/__main__.py
+++ b/packages/errors/src/fennelcove/errors/__main__.py
@@ -7,7 +7,7 @@
 from importlib import import_module
 from pathlib import Path
 
-from fennelcove.errors import Trouble
+from fennelcove.errors import OperatorError
 
 HEAD = """# Errors and what can be done
 
@@ -20,27 +20,27 @@
 """
 # Whoever calls acts on these; no operator hears of them under their names.
 APART = {
-    "fennelcove.doors.connection.TooSlow": "the connection is answered 408 and closed",
+    "fennelcove.ingress.connection.TooSlow": "the connection is answered 408 and closed",
     "fennelcove.fleet.asker._Ended": "one front's part of a command: shown as that front's row of the table",
     "fennelcove.hints.fields.FieldError": "the header field is passed over, as its specification has it",
     "fennelcove.http1.messages.ProtocolError": "a status for the peer, or told under the code of who asked",
     "fennelcove.isup.messages.ProtocolError": "ends the link to the server, which is dialled again",
-    "fennelcove.node.door.Unfit": "answered 451 to its viewer",
+    "fennelcove.node.request_validation.InvalidRequestError": "answered 451 to its viewer",
     "fennelcove.rtsp.messages.ProtocolError": "answered with its status to its viewer",
-    "fennelcove.standins.disk.PowerCut": "stand-ins only: the test that cuts the power catches it",
-    "fennelcove.standins.viewers.Unanswered": "stand-ins only: goes into the recording",
+    "fennelcove.emulators.disk.PowerCut": "stand-ins only: the test that cuts the power catches it",
+    "fennelcove.emulators.clients.Unanswered": "stand-ins only: goes into the recording",
     "fennelcove.websocket.handshake.Refused": "answered with its status to the client",
     "fennelcove.websocket.terms.Violation": "closes the connection with its close code",
     "fennelcove.wire.events.EventError": "ends its stream, told as `peer-stream-broken`",
 }
 
 
-def troubles() -> list[type[Trouble]]:
+def operator_errors() -> list[type[OperatorError]]:
     """Every type that derives from `Trouble`, by its code."""
     for name in modules():
         import_module(name)
     # Ours alone: one that a test made and that is not collected yet would stand on the page, or fail it.
-    ours = (kind for kind in _below(Trouble) if kind.__module__.startswith("fennelcove."))
+    ours = (kind for kind in _below(OperatorError) if kind.__module__.startswith("fennelcove."))
     return sorted(ours, key=lambda kind: kind.code)
 
 
@@ -53,7 +53,7 @@
                 yield ".".join(parts).removesuffix(".__init__")
 
 
-def _below(kind: type[Trouble]) -> Iterator[type[Trouble]]:
+def _below(kind: type[OperatorError]) -> Iterator[type[OperatorError]]:
     for below in kind.__subclasses__():
         yield below
         yield from _below(below)
@@ -62,7 +62,7 @@
 def page() -> str:
     """The whole page."""
     rows = []
-    for kind in troubles():
+    for kind in operator_errors():
         happened = (kind.__doc__ or "").strip().splitlines()[0]
         rows.append(f"| `{kind.code}` | {happened} | {kind.advice} | `{kind.__module__}.{kind.__name__}` |\n")
     apart = [f"| `{name}` | {why} |\n" for name, why in APART.items()]
--- a/packages/fair/src/fennelcove/fair/holds.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/service_time.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Guess:
+class ServiceTimeEstimate:
     """What is expected of a hold, in microseconds."""
 
     us: int
@@ -48,23 +48,25 @@
 
 
 @dataclass(slots=True)
-class Holds:
+class ServiceTimeEstimator:
     """What one front has learned of hold times; every table is bounded, the oldest goes first."""
 
     shapes: OrderedDict[Shape, Mean] = field(default_factory=OrderedDict)
     titles: OrderedDict[tuple[Shape, str], Mean] = field(default_factory=OrderedDict)
     tenants: OrderedDict[int, Mean] = field(default_factory=OrderedDict)
 
-    def guess(self, shape: Shape, title: str) -> Guess:
+    def guess(self, shape: Shape, title: str) -> ServiceTimeEstimate:
         """What a set-up will take."""
         known = self.titles.get((shape, title))
         mean = known or self.shapes.get(shape)
         if mean is None:
-            return Guess(FIRST_US, 2 * FIRST_US, True)
+            return ServiceTimeEstimate(FIRST_US, 2 * FIRST_US, True)
         most_us = mean.value + 2 * mean.spread
         # Of a title that nobody asked for yet the worst of its shape is feared.
         feared_us = mean.value if known is not None else mean.worst
-        return Guess(max(1, round(mean.value)), max(1, round(most_us)), feared_us > self.long_us())
+        return ServiceTimeEstimate(
+            max(1, round(mean.value)), max(1, round(most_us)), feared_us > self.long_us()
+        )
 
     def long_us(self) -> float:
         """From where on a hold is long."""
--- a/packages/fair/src/fennelcove/fair/told.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/usage_gossip.py
@@ -1,4 +1,4 @@
-"""What fronts tell each other of the slot-time that each tenant got at each box.
+"""What fronts tell each other of the slot-time that each tenant got at each server.
 
 A front tells sums that only grow, under its life. Of each the greatest counts, so they merge alike in
 whatever order and however often they come, and what is lost is in the next. What is heard for the first time
@@ -25,13 +25,13 @@
 class Row:
     """One box's slot-time for one tenant since the teller's life began, in microseconds."""
 
-    box: int
+    server: int
     tenant: int
     given_us: int
 
 
 @dataclass(frozen=True, slots=True)
-class Given:
+class UsageReport:
     """What one front tells; a window's rows may come in several messages."""
 
     life: int
@@ -69,7 +69,7 @@
 
 
 @dataclass(slots=True)
-class Told:
+class UsageGossip:
     """One front's own sums and what it has heard. The caller hands in times and holds the lock."""
 
     life: int = 0
@@ -77,9 +77,9 @@
     own: OrderedDict[Key, Sum] = field(default_factory=OrderedDict)
     others: dict[int, Teller] = field(default_factory=dict)
 
-    def gave(self, box: int, tenant: int, us: int) -> None:
+    def gave(self, server: int, tenant: int, us: int) -> None:
         """This front gave so much."""
-        key = box, tenant
+        key = server, tenant
         if key not in self.own and len(self.own) >= MOST_KEPT:
             self._fold()
         row = self.own.setdefault(key, Sum())
@@ -91,18 +91,18 @@
     def _fold(self) -> None:
         """The one that was given nothing for longest joins the rest of its box; its sum must not count
         twice, so only what was not told yet goes along."""
-        (box, tenant), gone = self.own.popitem(last=False)
+        (server, tenant), gone = self.own.popitem(last=False)
         if tenant == REST:
             return
-        if (box, REST) not in self.own:
+        if (server, REST) not in self.own:
             self.own.popitem(last=False)  # room for it
-        rest = self.own.setdefault((box, REST), Sum())
+        rest = self.own.setdefault((server, REST), Sum())
         rest.given_us += gone.given_us - gone.told_us
         rest.lately_us += gone.lately_us
         rest.windows = max(rest.windows, gone.windows)
-        self.own.move_to_end((box, REST))
+        self.own.move_to_end((server, REST))
 
-    def window(self) -> Given | None:
+    def window(self) -> UsageReport | None:
         """What to tell now, the largest first and the rest with the next; None where nothing grew."""
         due = [(key, row) for key, row in self.own.items() if row.windows > 0]
         if not due:
@@ -113,10 +113,10 @@
             row.windows -= 1
             row.told_us = row.given_us
             row.lately_us = row.lately_us // 2 if row.windows else 0
-        rows = tuple(Row(box, tenant, row.given_us) for (box, tenant), row in due[:MOST_ROWS])
-        return Given(self.life, self.number, rows)
+        rows = tuple(Row(server, tenant, row.given_us) for (server, tenant), row in due[:MOST_ROWS])
+        return UsageReport(self.life, self.number, rows)
 
-    def hear(self, sender: int, said: Given, slots: int, now_us: int) -> list[Row]:
+    def hear(self, sender: int, said: UsageReport, slots: int, now_us: int) -> list[Row]:
         """Another front's word has come: by how much each tenant was given more, at each box. `slots` is the
         most that one box can have out."""
         teller = self.others.get(sender)
@@ -127,7 +127,7 @@
         teller.at_us = max(teller.at_us, now_us)
         found = []
         for row in said.rows:
-            key = row.box, row.tenant
+            key = row.server, row.tenant
             before = teller.rows.get(key)
             if before is None:
                 teller.rows[key] = Heard(row.given_us, row.given_us, now_us)
@@ -138,7 +138,7 @@
             teller.rows.move_to_end(key)
             most_us = min(before.given_us - before.first_us, slots * (now_us - before.first_at_us))
             if most_us > before.taken_us:
-                found.append(Row(row.box, row.tenant, most_us - before.taken_us))
+                found.append(Row(row.server, row.tenant, most_us - before.taken_us))
                 before.taken_us = most_us
         return found
 
--- a/packages/fair/src/fennelcove/fair/shares.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/virtual_time.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Terms:
+class TenantTerms:
     """Weights of the tenants that are named, by their numbers; what all others weigh together beside them."""
 
     weights: Mapping[int, float] = field(default_factory=dict)
@@ -70,7 +70,7 @@
 
 
 @dataclass(slots=True)
-class Account:
+class TenantAccount:
     """One tenant at one box."""
 
     tag: float
@@ -85,13 +85,13 @@
         self.here.add(us, now_us)
 
 
-class Shares:
+class VirtualTimeScheduler:
     """The tags of one box. The caller hands in times and holds the lock."""
 
-    def __init__(self, terms: Terms) -> None:
+    def __init__(self, terms: TenantTerms) -> None:
         self.terms = terms
         self.virtual = 0.0
-        self.accounts: dict[int, Account] = {}
+        self.accounts: dict[int, TenantAccount] = {}
         self.holds: dict[tuple[str, int], Hold] = {}
 
     @property
@@ -129,7 +129,7 @@
             self._fold()
         key = self._key(tenant)
         if key not in self.accounts:
-            self.accounts[key] = Account(self.virtual, now_us)
+            self.accounts[key] = TenantAccount(self.virtual, now_us)
         self.accounts[key].touched_us = now_us
         return key
 
@@ -139,7 +139,7 @@
         if idle:
             tag, key = min(idle)
             del self.accounts[key]
-            rest = self.accounts.setdefault(REST, Account(tag, 0))
+            rest = self.accounts.setdefault(REST, TenantAccount(tag, 0))
             rest.tag = max(rest.tag, tag)
 
     def take(self, key: tuple[str, int], tenant: int, guess_us: int, long: bool, now_us: int) -> None:
--- a/packages/fair/src/fennelcove/fair/line.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/wait_queue.py
@@ -11,13 +11,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from fennelcove.fair.holds import Guess, Holds, Shape
-from fennelcove.fair.shares import Hold, Shares, Terms
-from fennelcove.fair.waiting import Act, Cue, Stage, step
+from fennelcove.fair_queueing.service_time import ServiceTimeEstimate, ServiceTimeEstimator, Shape
+from fennelcove.fair_queueing.virtual_time import Hold, VirtualTimeScheduler, TenantTerms
+from fennelcove.fair_queueing.waiter import WaiterAction, WaiterEvent, WaiterState, transition
 
 KEPT = 4  # one slot in so many, and one at least, is never given to a long hold
 UNLENT = 4  # one slot in so many of a title's holders is not lent while others come
-MOST_BOXES = 4096  # with tags; the one that nobody held for longest goes
+MOST_SERVERS = 4096  # with tags; the one that nobody held for longest goes
 LEAST_WAIT_US = 100_000  # before one that is refused should come back
 
 
@@ -29,39 +29,39 @@
     tenant: int
     shape: Shape
     title: str
-    boxes: tuple[str, ...]  # that hold its title
+    servers: tuple[str, ...]  # that hold its title
     asked_us: int
     answer_by_us: int  # its viewer hears nothing after this
-    guess: Guess
+    guess: ServiceTimeEstimate
     number: int = 0
-    stage: Stage = Stage.NEW
+    stage: WaiterState = WaiterState.NEW
 
-    def cue(self, cue: Cue) -> Act:
+    def apply(self, event: WaiterEvent) -> WaiterAction:
         """Move on by the table."""
-        self.stage, act = step(self.stage, cue)
+        self.stage, act = transition(self.stage, event)
         return act
 
 
 @dataclass(slots=True)
-class Ruling:
+class QueueDecision:
     """What becomes of a new wish, and of whom it pushes out."""
 
-    act: Act
+    act: WaiterAction
     wait_us: int = 0  # of a refusal: when to come back
     crowded: Waiter | None = None
 
 
 @dataclass(slots=True)
-class Line:
+class WaitQueue:
     """All that wait at one front, and all slots that it has out. The caller hands in times and holds the
     lock; `part` says how many slots this front has at a box now."""
 
     part: Callable[[str, int], int]
-    terms: Terms = field(default_factory=Terms)
+    terms: TenantTerms = field(default_factory=TenantTerms)
     most_wait_us: int = 200_000
     most_waiting: int = 256
-    holds: Holds = field(default_factory=Holds)
-    boxes: dict[str, Shares] = field(default_factory=dict)
+    holds: ServiceTimeEstimator = field(default_factory=ServiceTimeEstimator)
+    servers: dict[str, VirtualTimeScheduler] = field(default_factory=dict)
     waiting: dict[int, dict[str, Waiter]] = field(default_factory=dict)  # by tenant, the oldest first
     heard: int = 0  # other fronts whose word is young
     count: int = 0
@@ -69,60 +69,60 @@
 
     # Slots.
 
-    def shares(self, box: str) -> Shares:
+    def shares(self, server: str) -> VirtualTimeScheduler:
         """One box's tags."""
-        found = self.boxes.get(box)
+        found = self.servers.get(server)
         if found is None:
-            if len(self.boxes) >= MOST_BOXES:
-                idle = next((name for name, shares in self.boxes.items() if not shares.out), None)
+            if len(self.servers) >= MOST_SERVERS:
+                idle = next((name for name, shares in self.servers.items() if not shares.out), None)
                 if idle is not None:
-                    del self.boxes[idle]
-            found = self.boxes[box] = Shares(self.terms)
+                    del self.servers[idle]
+            found = self.servers[server] = VirtualTimeScheduler(self.terms)
         return found
 
-    def use(self, terms: Terms) -> None:
+    def use(self, terms: TenantTerms) -> None:
         """Other weights from now on; what was charged stays charged."""
         self.terms = terms
-        for shares in self.boxes.values():
+        for shares in self.servers.values():
             shares.terms = terms
 
-    def free(self, box: str, long: bool, now_us: int) -> bool:
+    def free(self, server: str, long: bool, now_us: int) -> bool:
         """Whether a hold of this kind could begin at a box now, whosever it is."""
-        part = self.part(box, now_us)
-        shares = self.boxes.get(box)
+        part = self.part(server, now_us)
+        shares = self.servers.get(server)
         if (0 if shares is None else shares.out) >= part:
             return False
         if not long:
             return True
         return (0 if shares is None else shares.long(self.holds.long_us(), now_us)) < part - kept(part)
 
-    def open_to(self, waiter: Waiter, box: str, now_us: int) -> bool:
+    def open_to(self, waiter: Waiter, server: str, now_us: int) -> bool:
         """Whether this one could have a slot there now."""
-        return self.free(box, waiter.guess.long, now_us) and self._within(waiter, now_us)
+        return self.free(server, waiter.guess.long, now_us) and self._within(waiter, now_us)
 
     def _within(self, waiter: Waiter, now_us: int) -> bool:
         """Long holds stay within their tenant's own part of its title's holders, and one at least: what is
         lent of others' idle parts must be won back within one hold, and a long one gives nothing back. Of
         what is lent to short ones a little stays free, or each newcomer would wait for somebody's end."""
-        known = [self.boxes[box] for box in waiter.boxes if box in self.boxes]
+        known = [self.servers[server] for server in waiter.servers if server in self.servers]
         if waiter.guess.long:
             long_us = self.holds.long_us()
             held = sum(shares.long(long_us, now_us, waiter.tenant) for shares in known)
             return held < max(1.0, self._own_part(waiter, now_us)[0])
-        slots = sum(self.part(box, now_us) for box in waiter.boxes)
+        slots = sum(self.part(server, now_us) for server in waiter.servers)
         if slots - sum(shares.out for shares in known) > slots // UNLENT:
             return True
-        within = self.within(waiter.boxes, waiter.tenant, now_us)
+        within = self.within(waiter.servers, waiter.tenant, now_us)
         # One with a wish in line needs no slot kept for it: it has the next by its tag.
         return waiter.tenant in within or all(tenant in self.waiting for tenant in within)
 
-    def within(self, boxes: tuple[str, ...], tenant: int, now_us: int) -> set[int]:
+    def within(self, servers: tuple[str, ...], tenant: int, now_us: int) -> set[int]:
         """Which tenants that had slots at these boxes of late, and this one, are within their part of them,
         at all fronts that are heard."""
         slots, used = 0, {tenant: 0.0}
-        for box in boxes:
-            slots += self.part(box, now_us)
-            shares = self.boxes.get(box)
+        for server in servers:
+            slots += self.part(server, now_us)
+            shares = self.servers.get(server)
             for known in shares.active(now_us) if shares is not None else ():
                 assert shares is not None
                 used[known] = used.get(known, 0.0) + shares.used(known, now_us)
@@ -134,47 +134,49 @@
         """How many slots of its title's holders are its tenant's, among those that had some of late; and how
         many there are."""
         slots, weights = 0, {waiter.tenant: self.terms.weight(waiter.tenant)}
-        for box in waiter.boxes:
-            slots += self.part(box, now_us)
-            shares = self.boxes.get(box)
+        for server in waiter.servers:
+            slots += self.part(server, now_us)
+            shares = self.servers.get(server)
             for tenant in shares.active(now_us) if shares is not None else ():
                 weights[tenant] = self.terms.weight(tenant)
         return slots * weights[waiter.tenant] / sum(weights.values()), slots
 
-    def take(self, box: str, key: tuple[str, int], tenant: int, guess: Guess, now_us: int) -> bool:
+    def take(
+        self, server: str, key: tuple[str, int], tenant: int, guess: ServiceTimeEstimate, now_us: int
+    ) -> bool:
         """One join is to go out; False where there is no slot for it."""
-        if not self.free(box, guess.long, now_us):
+        if not self.free(server, guess.long, now_us):
             return False
-        self.shares(box).take(key, tenant, guess.us, guess.long, now_us)
+        self.shares(server).take(key, tenant, guess.us, guess.long, now_us)
         return True
 
-    def give_back(self, box: str, key: tuple[str, int], now_us: int) -> Hold | None:
+    def give_back(self, server: str, key: tuple[str, int], now_us: int) -> Hold | None:
         """A join is over; None where it held no slot, or gave it back before."""
-        shares = self.boxes.get(box)
+        shares = self.servers.get(server)
         return shares.give_back(key, now_us) if shares is not None else None
 
     # Waiting.
 
-    def ask(self, waiter: Waiter, now_us: int) -> Ruling:
+    def ask(self, waiter: Waiter, now_us: int) -> QueueDecision:
         """A set-up wants a slot."""
         self.number += 1
         waiter.number = self.number
-        if any(self.open_to(waiter, box, now_us) for box in waiter.boxes):
+        if any(self.open_to(waiter, server, now_us) for server in waiter.servers):
             # Nobody who waits could use it, or it would have it already.
-            return Ruling(waiter.cue(Cue.TURN))
+            return QueueDecision(waiter.apply(WaiterEvent.TURN))
         expected_us = self.expected_us(waiter, now_us)
         if now_us + expected_us > self.due_us(waiter):
-            return Ruling(waiter.cue(Cue.NO_TIME), max(LEAST_WAIT_US, expected_us))
+            return QueueDecision(waiter.apply(WaiterEvent.NO_TIME), max(LEAST_WAIT_US, expected_us))
         crowded = None
         if self.count >= self.most_waiting:
             crowded = self._crowds(waiter)
             if crowded is waiter:
-                return Ruling(waiter.cue(Cue.CROWDED), max(LEAST_WAIT_US, expected_us))
+                return QueueDecision(waiter.apply(WaiterEvent.CROWDED), max(LEAST_WAIT_US, expected_us))
             self._remove(crowded)
-            crowded.cue(Cue.CROWDED)
+            crowded.apply(WaiterEvent.CROWDED)
         self.waiting.setdefault(waiter.tenant, {})[waiter.id] = waiter
         self.count += 1
-        return Ruling(waiter.cue(Cue.NO_SLOT), 0, crowded)
+        return QueueDecision(waiter.apply(WaiterEvent.NO_SLOT), 0, crowded)
 
     def _crowds(self, newcomer: Waiter) -> Waiter:
         """The newest of the tenant that has most waiting: the newcomer where it is of that tenant."""
@@ -190,15 +192,15 @@
         mine = sum(one.guess.us for one in self.waiting.get(waiter.tenant, {}).values())
         part, slots = self._own_part(waiter, now_us)
         if waiter.guess.long:
-            slots = min(slots - len(waiter.boxes), max(1, int(part)))
+            slots = min(slots - len(waiter.servers), max(1, int(part)))
         if slots <= 0:
             return waiter.answer_by_us - waiter.asked_us
-        least = min((self._ahead(waiter, box, mine, now_us) for box in waiter.boxes), default=0.0)
+        least = min((self._ahead(waiter, server, mine, now_us) for server in waiter.servers), default=0.0)
         return round(least / slots)
 
-    def _ahead(self, waiter: Waiter, box: str, mine: int, now_us: int) -> float:
+    def _ahead(self, waiter: Waiter, server: str, mine: int, now_us: int) -> float:
         """The slot-time that goes before a newcomer by the tags of one box."""
-        shares = self.shares(box)
+        shares = self.shares(server)
         turn = shares.start(waiter.tenant, now_us) + mine / self.terms.weight(waiter.tenant)
         ahead = float(mine)
         for tenant, others in self.waiting.items():
@@ -209,33 +211,34 @@
                     ahead += min(work, lead + next(iter(others.values())).guess.us)
         return ahead
 
-    def next(self, box: str, now_us: int) -> Waiter | None:
+    def next(self, server: str, now_us: int) -> Waiter | None:
         """Who has the slot that is free at a box now; it waits no longer."""
-        if not self.count or not self.free(box, False, now_us):
+        if not self.count or not self.free(server, False, now_us):
             return None
-        shares = self.shares(box)
+        shares = self.shares(server)
         best: tuple[bool, float, int] | None = None
         found: Waiter | None = None
         for tenant, mine in self.waiting.items():
             first = next(
-                (one for one in mine.values() if box in one.boxes and self.open_to(one, box, now_us)), None
+                (one for one in mine.values() if server in one.servers and self.open_to(one, server, now_us)),
+                None,
             )
             if first is not None:
                 # By itself a front has the tags, and no need of what fades.
-                over = bool(self.heard) and tenant not in self.within(first.boxes, tenant, now_us)
+                over = bool(self.heard) and tenant not in self.within(first.servers, tenant, now_us)
                 rank = over, shares.start(tenant, now_us), first.number
                 if best is None or rank < best:
                     best, found = rank, first
         if found is not None:
             self._remove(found)
-            found.cue(Cue.TURN)
+            found.apply(WaiterEvent.TURN)
         return found
 
-    def leave(self, waiter: Waiter, cue: Cue) -> Act:
+    def leave(self, waiter: Waiter, event: WaiterEvent) -> WaiterAction:
         """One that waits has hung up, or waits no longer; nothing where it had its turn meanwhile."""
-        if waiter.stage is Stage.WAITING:
+        if waiter.stage is WaiterState.WAITING:
             self._remove(waiter)
-        return waiter.cue(cue)
+        return waiter.apply(event)
 
     def overdue(self, now_us: int) -> list[Waiter]:
         """Those for whom it makes no sense any more to wait."""
@@ -254,9 +257,9 @@
 
     # Other fronts.
 
-    def advance(self, box: str, tenant: int, given_us: int, now_us: int) -> None:
+    def advance(self, server: str, tenant: int, given_us: int, now_us: int) -> None:
         """Others gave a tenant so much slot-time at a box."""
-        self.shares(box).advance(tenant, given_us, now_us)
+        self.shares(server).advance(tenant, given_us, now_us)
 
 
 def kept(part: int) -> int:
--- a/packages/fair/src/fennelcove/fair/waiting.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/waiter.py
@@ -9,7 +9,7 @@
 from enum import Enum, auto
 
 
-class Stage(Enum):
+class WaiterState(Enum):
     """Where a wish stands."""
 
     NEW = auto()
@@ -19,7 +19,7 @@
     OVER = auto()
 
 
-class Cue(Enum):
+class WaiterEvent(Enum):
     """What happens to it."""
 
     NO_SLOT = auto()  # every slot that it could use is out
@@ -34,7 +34,7 @@
     RETURNED = auto()  # its join is over
 
 
-class Act(Enum):
+class WaiterAction(Enum):
     """What follows."""
 
     WAIT = auto()
@@ -46,24 +46,24 @@
     NOTHING = auto()
 
 
-TABLE: dict[tuple[Stage, Cue], tuple[Stage, Act]] = {
-    (Stage.NEW, Cue.TURN): (Stage.PLACING, Act.PLACE),
-    (Stage.NEW, Cue.NO_SLOT): (Stage.WAITING, Act.WAIT),
-    (Stage.NEW, Cue.NO_TIME): (Stage.OVER, Act.REFUSE),
-    (Stage.NEW, Cue.CROWDED): (Stage.OVER, Act.REFUSE),
-    (Stage.WAITING, Cue.TURN): (Stage.PLACING, Act.PLACE),
-    (Stage.WAITING, Cue.NO_TIME): (Stage.OVER, Act.REFUSE),
-    (Stage.WAITING, Cue.CROWDED): (Stage.OVER, Act.REFUSE),
-    (Stage.WAITING, Cue.STOPPED): (Stage.OVER, Act.REFUSE),
-    (Stage.WAITING, Cue.HUNG_UP): (Stage.OVER, Act.DROP),
-    (Stage.PLACING, Cue.PLACED): (Stage.HOLDING, Act.CHARGE),
-    (Stage.PLACING, Cue.NO_BOX): (Stage.OVER, Act.NOTHING),
-    (Stage.OVER, Cue.AGAIN): (Stage.NEW, Act.NOTHING),
-    (Stage.HOLDING, Cue.RETURNED): (Stage.PLACING, Act.CORRECT),
+TRANSITIONS: dict[tuple[WaiterState, WaiterEvent], tuple[WaiterState, WaiterAction]] = {
+    (WaiterState.NEW, WaiterEvent.TURN): (WaiterState.PLACING, WaiterAction.PLACE),
+    (WaiterState.NEW, WaiterEvent.NO_SLOT): (WaiterState.WAITING, WaiterAction.WAIT),
+    (WaiterState.NEW, WaiterEvent.NO_TIME): (WaiterState.OVER, WaiterAction.REFUSE),
+    (WaiterState.NEW, WaiterEvent.CROWDED): (WaiterState.OVER, WaiterAction.REFUSE),
+    (WaiterState.WAITING, WaiterEvent.TURN): (WaiterState.PLACING, WaiterAction.PLACE),
+    (WaiterState.WAITING, WaiterEvent.NO_TIME): (WaiterState.OVER, WaiterAction.REFUSE),
+    (WaiterState.WAITING, WaiterEvent.CROWDED): (WaiterState.OVER, WaiterAction.REFUSE),
+    (WaiterState.WAITING, WaiterEvent.STOPPED): (WaiterState.OVER, WaiterAction.REFUSE),
+    (WaiterState.WAITING, WaiterEvent.HUNG_UP): (WaiterState.OVER, WaiterAction.DROP),
+    (WaiterState.PLACING, WaiterEvent.PLACED): (WaiterState.HOLDING, WaiterAction.CHARGE),
+    (WaiterState.PLACING, WaiterEvent.NO_BOX): (WaiterState.OVER, WaiterAction.NOTHING),
+    (WaiterState.OVER, WaiterEvent.AGAIN): (WaiterState.NEW, WaiterAction.NOTHING),
+    (WaiterState.HOLDING, WaiterEvent.RETURNED): (WaiterState.PLACING, WaiterAction.CORRECT),
     # One that holds a slot is told of hang-ups and stops by its join's end alone: the box has it until then.
 }
 
 
-def step(stage: Stage, cue: Cue) -> tuple[Stage, Act]:
+def transition(stage: WaiterState, event: WaiterEvent) -> tuple[WaiterState, WaiterAction]:
     """The next stage and what to do; a cue that comes too late or twice changes nothing."""
-    return TABLE.get((stage, cue), (stage, Act.NOTHING))
+    return TRANSITIONS.get((stage, event), (stage, WaiterAction.NOTHING))
--- a/packages/fleet/src/fennelcove/fleet/asker.py
+++ b/packages/fleet/src/fennelcove/fleet/asker.py
@@ -12,8 +12,8 @@
 import msgspec
 
 from fennelcove.clock import Clock
-from fennelcove.decisions.operators import reach
-from fennelcove.decisions.operators.reach import Failure, Outcome, Seen, Word
+from fennelcove.decisions.operators import reachability
+from fennelcove.decisions.operators.reachability import CallFailure, CallOutcome, CallResult, ReachStatus
 from fennelcove.fleet.inventory import FrontLine
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead
@@ -45,21 +45,21 @@
 
 
 class _Ended(Exception):
-    def __init__(self, seen: Seen, failure: Failure, detail: str) -> None:
+    def __init__(self, seen: CallResult, failure: CallFailure, detail: str) -> None:
         super().__init__(detail)
         self.seen = seen
         self.failure = failure
 
 
-def ask(line: FrontLine, call: Call, times: Times, clock: Clock, until_us: int) -> Outcome:
+def ask(line: FrontLine, call: Call, times: Times, clock: Clock, until_us: int) -> CallOutcome:
     """One front; never raises, never takes longer than its times."""
     began_us = clock.now_us()
     try:
         status, body = _exchange(line, call, times, clock, min(until_us, began_us + times.whole_us))
     except _Ended as error:
-        word = reach.TABLE[error.seen, error.failure]
-        return Outcome(line.name, word, str(error), {}, clock.now_us() - began_us)
-    return reach.answered(line.name, status, body, clock.now_us() - began_us)
+        word = reachability.STATUS_BY_FAILURE[error.seen, error.failure]
+        return CallOutcome(line.name, word, str(error), {}, clock.now_us() - began_us)
+    return reachability.answered(line.name, status, body, clock.now_us() - began_us)
 
 
 def _resolved(address: str, limit_us: int) -> Any:
@@ -78,9 +78,9 @@
     thread.start()
     thread.join(max(0.001, limit_us / 1e6))
     if thread.is_alive():
-        raise _Ended(Seen.RESOLVING, Failure.TIME, "no address in its time")
+        raise _Ended(CallResult.RESOLVING, CallFailure.TIME, "no address in its time")
     if not found:
-        raise _Ended(Seen.RESOLVING, Failure.NO_HOST, wrong[0] if wrong else "no address")
+        raise _Ended(CallResult.RESOLVING, CallFailure.NO_HOST, wrong[0] if wrong else "no address")
     return found[0]
 
 
@@ -90,11 +90,11 @@
     left_us = min(times.connect_us, until_us - clock.now_us())
     family, kind, protocol, _, where = _resolved(line.address, left_us)
     sock = socket.socket(family, kind, protocol)
-    seen = Seen.CONNECTING
+    seen = CallResult.CONNECTING
     try:
         sock.settimeout(max(0.001, min(times.connect_us, until_us - clock.now_us()) / 1e6))
         sock.connect(where)
-        seen = Seen.SENT
+        seen = CallResult.SENT
         limit_us = min(until_us, clock.now_us() + times.answer_us)
         fields = [*call.fields(line)]
         if call.body:
@@ -109,34 +109,34 @@
             sock.settimeout(left_us / 1e6)
             data = sock.recv(READ_BYTES)
             if not data:
-                raise _Ended(seen, Failure.HUNG_UP, "it hung up")
-            seen = Seen.BYTES
+                raise _Ended(seen, CallFailure.HUNG_UP, "it hung up")
+            seen = CallResult.BYTES
             gatherer.reader.feed(data)
     except TimeoutError:
-        raise _Ended(seen, Failure.TIME, "in its time") from None
+        raise _Ended(seen, CallFailure.TIME, "in its time") from None
     except ConnectionRefusedError:
-        raise _Ended(seen, Failure.REFUSED, "nobody listens") from None
+        raise _Ended(seen, CallFailure.REFUSED, "nobody listens") from None
     except ProtocolError as error:
-        raise _Ended(Seen.BYTES, Failure.NO_HTTP, str(error)) from None
+        raise _Ended(CallResult.BYTES, CallFailure.NO_HTTP, str(error)) from None
     except OSError as error:
-        raise _Ended(seen, Failure.HUNG_UP, str(error)) from None
+        raise _Ended(seen, CallFailure.HUNG_UP, str(error)) from None
     finally:
         sock.close()
     assert isinstance(whole.head, ResponseHead)
     try:
         body = msgspec.json.decode(whole.body) if whole.body else {}
     except msgspec.DecodeError:
-        raise _Ended(Seen.BYTES, Failure.NO_HTTP, "an answer that is no JSON") from None
+        raise _Ended(CallResult.BYTES, CallFailure.NO_HTTP, "an answer that is no JSON") from None
     return whole.head.status, body if isinstance(body, dict) else {}
 
 
 def ask_all(
     lines: Sequence[FrontLine], call: Call, times: Times, clock: Clock, at_once: int
-) -> Iterator[Outcome]:
+) -> Iterator[CallOutcome]:
     """Every front, so many at once; each outcome as it comes, exactly one for each front."""
     until_us = clock.now_us() + times.whole_us
     todo: queue.SimpleQueue[FrontLine] = queue.SimpleQueue()
-    done: queue.SimpleQueue[Outcome] = queue.SimpleQueue()
+    done: queue.SimpleQueue[CallOutcome] = queue.SimpleQueue()
     for line in lines:
         todo.put(line)
 
@@ -147,7 +147,9 @@
             except queue.Empty:
                 return
             if clock.now_us() >= until_us:
-                done.put(Outcome(line.name, Word.NOT_ASKED, "the whole time was over before its turn"))
+                done.put(
+                    CallOutcome(line.name, ReachStatus.NOT_ASKED, "the whole time was over before its turn")
+                )
             else:
                 done.put(ask(line, call, times, clock, until_us))
 
--- a/packages/doors/src/fennelcove/doors/connection.py
+++ b/packages/ingress/src/fennelcove/ingress/connection.py
@@ -14,8 +14,8 @@
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import CodecLimits, ProtocolError, RequestHead
 from fennelcove.http1.reader import Gatherer, Reader
-from fennelcove.doors.tls import TlsKeys
-from fennelcove.peers.latch import Latch, Woken, wait
+from fennelcove.ingress.tls import TlsKeys
+from fennelcove.upstream.wakeups import CancellationLatch, WakeReason, wait
 
 READ_BYTES = 16_384
 LINGER_US = 250_000
@@ -25,7 +25,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DoorLimits:
+class ConnectionLimits:
     """Times of one connection, in microseconds."""
 
     idle_us: int
@@ -70,14 +70,14 @@
         core: Core,
         clock: Clock,
         codec: CodecLimits,
-        limits: DoorLimits,
-        closing: Latch,
+        limits: ConnectionLimits,
+        closing: CancellationLatch,
     ) -> None:
         self.sock = sock
         self.core = core
         self.clock = clock
         self.limits = limits
-        self.closing: Latch | None = closing
+        self.closing: CancellationLatch | None = closing
         self.requests = Gatherer(Reader(True, codec))
         self.counted = 0
         self.continued = False
@@ -107,11 +107,13 @@
                 left_us = self.core.patience_us(self.limits.idle_us)
             else:
                 left_us = began_us + self.core.patience_us(self.limits.message_us) - now_us
-            woken = Woken.TIME if left_us <= 0 else wait(self.sock, left_us, self.closing)
-            if woken is not Woken.READY:
-                if begun and woken is Woken.TIME:
+            woken = WakeReason.TIME if left_us <= 0 else wait(self.sock, left_us, self.closing)
+            if woken is not WakeReason.READY:
+                if begun and woken is WakeReason.TIME:
                     raise TooSlow
-                if woken is Woken.TIME or (not begun and wait(self.sock, GRACE_US, None) is not Woken.READY):
+                if woken is WakeReason.TIME or (
+                    not begun and wait(self.sock, GRACE_US, None) is not WakeReason.READY
+                ):
                     return None
                 # Closing with a request on its way or half read: it may still end, within its own limit.
                 self.closing = None
@@ -180,7 +182,7 @@
         self.sock.close()
 
 
-class Refuser:
+class ConnectionRejecter:
     """Answers connections that the door has no room for, without holding up the next one.
 
     The answer goes out at once; one thread then reads past what those viewers still send, a moment each, in a
--- /dev/null
+++ b/packages/ingress/src/fennelcove/ingress/control.py
@@ -0,0 +1,62 @@
+"""Commands of operators over HTTP: checked, written down, carried out, answered with what is so."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+import msgspec
+
+from fennelcove.clock import Clock
+from fennelcove.core.core import Core
+from fennelcove.decisions.operators import command_authorization
+from fennelcove.decisions.clients.admission import AdmissionEvent
+from fennelcove.decisions.operators.command_authorization import CommandAuthorizer, CommandVerdict
+from fennelcove.ingress import replies
+from fennelcove.ingress.replies import Reply
+from fennelcove.ingress.operator_routes import OperatorRoutes
+
+TURNS = {"drain": AdmissionEvent.DRAIN, "undrain": AdmissionEvent.UNDRAIN}
+STATUS = {
+    CommandVerdict.UNSEALED: 401,
+    CommandVerdict.WRONG_KEY: 401,
+    CommandVerdict.STALE: 401,
+    CommandVerdict.REPLAYED: 409,
+    CommandVerdict.NOT_PERMITTED: 403,
+    CommandVerdict.BUSY: 503,
+}
+
+
+class OperatorCommands:
+    """One front's commands; `tell` writes down each before it is carried out."""
+
+    def __init__(
+        self, core: Core, clock: Clock, commands: CommandAuthorizer, tell: Callable[..., None]
+    ) -> None:
+        self.core = core
+        self.clock = clock
+        self.commands = commands
+        self.tell = tell
+        self.orders: OperatorRoutes | None = None  # where the settings have releases
+        self.lock = threading.Lock()
+
+    def take(self, header: str | None, path: str, what: str, body: bytes) -> Reply:
+        """One command, answered."""
+        with self.lock:
+            verdict, key = self.commands.check(header, "POST", path, body, True, self.clock.wall_us())
+        self.core.tally(f"commands_{verdict.value}")
+        try:
+            self.tell(wall_us=self.clock.wall_us(), key=key, command=what, verdict=verdict.value)
+        except OSError as error:
+            if verdict is CommandVerdict.GRANTED:  # what can't be written down is not done
+                return replies.fault("failed", f"the audit file can't be written ({error.strerror})")
+        if verdict is not CommandVerdict.GRANTED:
+            kind = "not-permitted" if verdict is CommandVerdict.NOT_PERMITTED else "no-key"
+            return replies.fault(
+                kind, f"{verdict.value}: {command_authorization.REMEDIES[verdict]}", STATUS[verdict]
+            )
+        if what in TURNS:
+            return Reply(200, [replies.JSON], msgspec.json.encode(self.core.turn(TURNS[what])))
+        if self.orders is None:
+            return replies.fault("not-carried-out", "this front's settings have no releases section")
+        return self.orders.carry(what, body)
