--- a/packages/doors/src/fennelcove/doors/http_door.py
+++ b/packages/ingress/src/fennelcove/ingress/http_server.py
@@ -9,41 +9,41 @@
 
 from fennelcove.clock import Clock
 from fennelcove.core.core import Core
-from fennelcove.core.verdicts import Answer, Answered, Ask, Notices
-from fennelcove.decisions.viewers.admission import Entry
-from fennelcove.doors import answers
-from fennelcove.doors.connection import Connection, DoorLimits, Refuser, TooSlow
-from fennelcove.doors.control import Control
-from fennelcove.doors.routes import Keep, Routes
-from fennelcove.doors.setups import SetUps
-from fennelcove.doors.socket_door import SocketDoor
-from fennelcove.doors.tls import TlsKeys
+from fennelcove.core.requests import ResponseKind, SessionResponse, SessionRequest, EventLogger
+from fennelcove.decisions.clients.admission import Entry
+from fennelcove.ingress import replies
+from fennelcove.ingress.connection import Connection, ConnectionLimits, ConnectionRejecter, TooSlow
+from fennelcove.ingress.control import OperatorCommands
+from fennelcove.ingress.routes import Keep, Routes
+from fennelcove.ingress.session_setups import SessionSetups
+from fennelcove.ingress.websocket_server import WebSocketServer
+from fennelcove.ingress.tls import TlsKeys
 from fennelcove.http1.messages import CodecLimits, ProtocolError
-from fennelcove.peers.latch import Latch, Woken, wait
+from fennelcove.upstream.wakeups import CancellationLatch, WakeReason, wait
 from fennelcove.websocket import handshake
 from fennelcove.wire.socket import PATH
 
-KEYED = {Answer.SPENT: "spent", Answer.REUSED: "reused-key"}
+KEYED = {ResponseKind.SPENT: "spent", ResponseKind.REUSED: "reused-key"}
 ACCEPT_PAUSE_US = 50_000  # keeps a failing accept from spinning
 
 
-class HttpDoor:
+class HttpServer:
     """Owns its listener and all its threads: `start`, then `stop_accepting`, then `close`."""
 
     def __init__(
         self,
         core: Core,
         clock: Clock,
-        setups: SetUps,
-        sockets: SocketDoor,
+        setups: SessionSetups,
+        sockets: WebSocketServer,
         tls: TlsKeys | None,
         front: str,
         address: str,
         codec: CodecLimits,
-        limits: DoorLimits,
-        notice: Notices,
+        limits: ConnectionLimits,
+        notice: EventLogger,
         keep: Keep,
-        control: Control,
+        control: OperatorCommands,
     ) -> None:
         self.core = core
         self.clock = clock
@@ -55,8 +55,8 @@
         self.limits = limits
         self.notice = notice
         self.routes = Routes(core, front, keep, control)
-        self.closing = Latch()
-        self.refuser = Refuser(clock)
+        self.closing = CancellationLatch()
+        self.refuser = ConnectionRejecter(clock)
         self.lock = threading.Lock()
         self.idle = threading.Condition(self.lock)
         self.connections: dict[threading.Thread, Connection] = {}
@@ -95,7 +95,7 @@
         self.closing.close()
 
     def _accept(self) -> None:
-        while wait(self.listener, 60_000_000, self.closing) is not Woken.LATCH:
+        while wait(self.listener, 60_000_000, self.closing) is not WakeReason.LATCH:
             try:
                 sock, _ = self.listener.accept()
             except OSError as error:
@@ -124,11 +124,11 @@
                 else:
                     self._refuse(sock, refusal)
 
-    def _refuse(self, sock: socket.socket, refusal: Answered) -> None:
+    def _refuse(self, sock: socket.socket, refusal: SessionResponse) -> None:
         if self.tls is not None:
             sock.close()  # a handshake would cost more than what it would tell
             return
-        self.refuser.refuse(sock, answers.refused(refusal, self.front, None, False).raw(True))
+        self.refuser.refuse(sock, replies.refused(refusal, self.front, None, False).raw(True))
 
     def _begin(self, sock: socket.socket) -> None:
         connection = Connection(sock, self.core, self.clock, self.codec, self.limits, self.closing)
@@ -139,7 +139,9 @@
             thread.start()
         except RuntimeError:  # the machine gives no more threads: the same answer as past our own bound
             self._end(thread)
-            self._refuse(sock, Answered(Answer.THROTTLED, "no thread to be had", self.core.come_back_us()))
+            self._refuse(
+                sock, SessionResponse(ResponseKind.THROTTLED, "no thread to be had", self.core.come_back_us())
+            )
 
     def _end(self, thread: threading.Thread) -> None:
         with self.idle:
@@ -165,20 +167,20 @@
                 received = connection.read()
             except ProtocolError as error:
                 if error.status == 503:
-                    full = Answered(Answer.THROTTLED, str(error), self.core.come_back_us())
-                    reply = answers.refused(full, self.front, None, False)
+                    full = SessionResponse(ResponseKind.THROTTLED, str(error), self.core.come_back_us())
+                    reply = replies.refused(full, self.front, None, False)
                 else:
-                    reply = answers.fault("malformed", str(error), error.status)
+                    reply = replies.fault("malformed", str(error), error.status)
                 return connection.write(reply.raw(True))
             except TooSlow:
-                return connection.write(answers.fault("too-slow").raw(True))
+                return connection.write(replies.fault("too-slow").raw(True))
             if received is None:
                 return False
             close = not received.head.keep_alive or self.closing.is_set
             if handshake.wanted(received.head) and received.head.target.partition("?")[0] == PATH:
                 return self.sockets.serve(connection, received)
             taken = self.routes.take(received)
-            if isinstance(taken, Ask):
+            if isinstance(taken, SessionRequest):
                 if not self._set_up(connection, taken, close):
                     return False
             elif not connection.write(taken.raw(close)):
@@ -186,22 +188,22 @@
             if close:
                 return True
 
-    def _set_up(self, connection: Connection, ask: Ask, close: bool) -> bool:
+    def _set_up(self, connection: Connection, ask: SessionRequest, close: bool) -> bool:
         """Run one subscription to its answer; False where the viewer is gone."""
         result = self.setups.run(ask, connection.sock)
         if result is None:
-            return connection.write(answers.fault("failed", close=True).raw(True))
+            return connection.write(replies.fault("failed", close=True).raw(True))
         if result.answered is None:
             return False
         session = result.session
         kind = KEYED.get(result.answered.answer)
         if kind is not None:
-            return connection.write(answers.fault(kind, result.answered.why).raw(close))
-        if session is not None and result.answered.answer is Answer.PLAYING:
+            return connection.write(replies.fault(kind, result.answered.why).raw(close))
+        if session is not None and result.answered.answer is ResponseKind.PLAYING:
             view = self.core.view(session)
-            reply = answers.playing(session, view, result.hops, self.front, result.took_us)
+            reply = replies.playing(session, view, result.hops, self.front, result.took_us)
         else:
-            reply = answers.refused(result.answered, self.front, session, result.timed_out)
+            reply = replies.refused(result.answered, self.front, session, result.timed_out)
         written = connection.write(reply.raw(close))
         self.setups.told(result, written)
         return written
--- a/packages/doors/src/fennelcove/doors/orders.py
+++ b/packages/ingress/src/fennelcove/ingress/operator_routes.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from fennelcove.core.releases import ReleaseBook
-from fennelcove.doors import answers
-from fennelcove.doors.answers import Reply
-from fennelcove.releases.agreement import Answer, Command, Wish
-from fennelcove.releases.says import Kind, Plan
+from fennelcove.core.rollout_coordinator import RolloutCoordinator
+from fennelcove.ingress import replies
+from fennelcove.ingress.replies import Reply
+from fennelcove.rollouts.coordinator import Answer, Command, Wish
+from fennelcove.rollouts.messages import Kind, Plan
 from fennelcove.wire.orders import FenceOrder, OutOrder, PlanOrder
 
 PLANS = {"release-start": Wish.START, "release-change": Wish.CHANGE}
@@ -28,10 +28,10 @@
 _OUT: msgspec.json.Decoder[OutOrder] = msgspec.json.Decoder(OutOrder)
 
 
-class Orders:
+class OperatorRoutes:
     """One front's orders about releases; whoever calls has checked the seal."""
 
-    def __init__(self, front: str, book: ReleaseBook) -> None:
+    def __init__(self, front: str, book: RolloutCoordinator) -> None:
         self.front = front
         self.book = book
 
@@ -40,11 +40,11 @@
         try:
             answer = self._call(what, body)()
         except msgspec.MsgspecError as error:
-            return answers.fault("malformed", str(error))
+            return replies.fault("malformed", str(error))
         if answer is not Answer.DONE:
-            return answers.fault("not-carried-out", f"{answer.name.lower()}: {CURES[answer]}")
+            return replies.fault("not-carried-out", f"{answer.name.lower()}: {CURES[answer]}")
         told = {"front": self.front, "answer": answer.name.lower(), **self.book.status()}
-        return Reply(200, [answers.JSON], msgspec.json.encode(told))
+        return Reply(200, [replies.JSON], msgspec.json.encode(told))
 
     def _call(self, what: str, body: bytes) -> Callable[[], Answer]:
         book = self.book
@@ -59,7 +59,7 @@
         if what == "out":
             return lambda: book.want_out(order.version)
         if what == "box-out":
-            return lambda: book.want_box(order.place)
+            return lambda: book.want_server(order.place)
         return lambda: book.write_off(Kind[order.kind.upper()], order.place)
 
     def _plan(self, wish: Wish, told: PlanOrder) -> Callable[[], Answer]:
--- a/packages/doors/src/fennelcove/doors/lessons.py
+++ b/packages/ingress/src/fennelcove/ingress/playback_routes.py
@@ -10,14 +10,14 @@
 import msgspec
 
 from fennelcove.core.core import Core
-from fennelcove.core.stitches import Fetch, Seen
-from fennelcove.decisions.boxes.hearing import KBIT, ViewerSays
-from fennelcove.decisions.lessons.seams import Refusal, Ruling, Verdict, seconds
-from fennelcove.decisions.lessons.stitching import Source
-from fennelcove.doors import answers
-from fennelcove.doors.answers import Reply
+from fennelcove.core.content_insertion import Fetch, Seen
+from fennelcove.decisions.servers.load_signals import KBIT, ClientHints
+from fennelcove.decisions.playback.splices import Refusal, Ruling, Verdict, seconds
+from fennelcove.decisions.playback.segment_routing import Source
+from fennelcove.ingress import replies
+from fennelcove.ingress.replies import Reply
 from fennelcove.manifests import dash, hls
-from fennelcove.manifests.clockwork import iso
+from fennelcove.manifests.exact_time import iso
 from fennelcove.settings.schema import Author
 from fennelcove.timeline.model import Change, Kind, Target
 from fennelcove.wire.sessions import ChangeOrder, ChangeState, problem
@@ -32,7 +32,7 @@
 _INIT = re.compile(r"([A-Za-z0-9._-]{1,64})/([0-9]{1,4})\.mp4")
 
 
-class Lessons:
+class PlaybackRoutes:
     """Answers for one front; `keep` writes a ruled change down before its author hears of it."""
 
     def __init__(self, core: Core, front: str, keep: Callable[[Change, bool, int], None]) -> None:
@@ -42,16 +42,18 @@
 
     # Players.
 
-    def manifest(self, id: str, name: str, says: ViewerSays, apart: bool) -> Reply | None:
+    def manifest(self, id: str, name: str, says: ClientHints, apart: bool) -> Reply | None:
         """A manifest; None where nothing plays under this id."""
         view = self.core.hear_viewer(id, says)
         if view is None:
             return None
         listing = self.core.stitches.listing(id, apart)
         if listing is None:
-            return answers.fault("unknown-title", "this title has no media; ask its box")
-        kbit = {rung: round(kb * KBIT) for rung, kb in enumerate(self.core.catalogue.rates_kb(view.room))}
-        fields = [FRESH, *answers.hints(view, "", self.front, None)]
+            return replies.fault("unknown-title", "this title has no media; ask its box")
+        kbit = {
+            rung: round(kb * KBIT) for rung, kb in enumerate(self.core.catalogue.rates_kb(view.service_class))
+        }
+        fields = [FRESH, *replies.hints(view, "", self.front, None)]
         target = self.core.stitches.target
         if name == "master.m3u8":
             lesson = self.core.stitches.media[view.title]
@@ -61,50 +63,50 @@
             return Reply(200, [HLS, *fields], hls.media_playlist(listing, target).encode())
         return Reply(200, [DASH, *fields], dash.manifest(listing, target, kbit, BUFFER_S).encode())
 
-    def segment(self, id: str, seq: int, says: ViewerSays) -> Reply | None:
+    def segment(self, id: str, seq: int, says: ClientHints) -> Reply | None:
         """Where a segment is to be had; None where nothing plays under this id."""
         view = self.core.hear_viewer(id, says)
         if view is None:
             return None
-        return self._sent(self.core.stitches.segment(id, seq), answers.hints(view, "", self.front, None))
+        return self._sent(self.core.stitches.segment(id, seq), replies.hints(view, "", self.front, None))
 
-    def asset(self, id: str, change: str, says: ViewerSays) -> Reply | None:
+    def asset(self, id: str, change: str, says: ClientHints) -> Reply | None:
         """The playlist of a clip told apart; None where nothing plays under this id."""
         view = self.core.hear_viewer(id, says)
         if view is None:
             return None
         found = self.core.stitches.asset(id, change)
         if found is None:
-            return answers.fault("not-shown")
-        fields = [HLS, FRESH, *answers.hints(view, "", self.front, None)]
+            return replies.fault("not-shown")
+        fields = [HLS, FRESH, *replies.hints(view, "", self.front, None)]
         return Reply(200, fields, hls.asset_playlist(change, *found).encode())
 
-    def asset_segment(self, id: str, change: str, number: int, says: ViewerSays) -> Reply | None:
+    def asset_segment(self, id: str, change: str, number: int, says: ClientHints) -> Reply | None:
         """Where a segment of a clip told apart is to be had."""
         view = self.core.hear_viewer(id, says)
         if view is None:
             return None
         fetch = self.core.stitches.asset_segment(id, change, number)
-        return self._sent(fetch, answers.hints(view, "", self.front, None))
+        return self._sent(fetch, replies.hints(view, "", self.front, None))
 
-    def init(self, id: str, rest: str, says: ViewerSays) -> Reply | None:
+    def init(self, id: str, rest: str, says: ClientHints) -> Reply | None:
         """Where an initialisation is to be had."""
         view = self.core.hear_viewer(id, says)
         match = _INIT.fullmatch(rest)
         if view is None:
             return None
         fetch = self.core.stitches.init(id, match[1], int(match[2])) if match is not None else None
-        return self._sent(fetch, answers.hints(view, "", self.front, None))
+        return self._sent(fetch, replies.hints(view, "", self.front, None))
 
     def _sent(self, fetch: Fetch | None, hints: list[tuple[str, str]]) -> Reply:
         if fetch is None:
-            return answers.fault("not-shown")
+            return replies.fault("not-shown")
         if fetch.url:
             return Reply(307, [("Location", fetch.url), FRESH, *hints])
         if fetch.source is Source.WAIT:
             details = problem("moving", retry_after_ms=MOVING_MS)
-            return Reply(503, [answers.PROBLEM_JSON, ("Retry-After", "1")], msgspec.json.encode(details))
-        return answers.fault("not-shown", "no box can serve it any more", status=404)
+            return Reply(503, [replies.PROBLEM_JSON, ("Retry-After", "1")], msgspec.json.encode(details))
+        return replies.fault("not-shown", "no box can serve it any more", status=404)
 
     # Authors.
 
@@ -112,11 +114,11 @@
         """Whose key this is, or the answer to one who may not."""
         author = self.core.stitches.author(key) if key else None
         if author is None:
-            reply = answers.fault("no-key", "send Authorization: Bearer and an author's key")
+            reply = replies.fault("no-key", "send Authorization: Bearer and an author's key")
             reply.fields.append(("WWW-Authenticate", 'Bearer realm="changes"'))
             return reply
         if changes and not author.may_change:
-            return answers.fault("not-permitted", f"{author.name} may look and not change")
+            return replies.fault("not-permitted", f"{author.name} may look and not change")
         return author
 
     def submit(self, author: Author, body: bytes) -> Reply:
@@ -125,7 +127,7 @@
             order = _ORDER.decode(body)
             change = _change(order, author.name)
         except (msgspec.MsgspecError, ValueError, ZeroDivisionError) as error:
-            return answers.fault("malformed", str(error))
+            return replies.fault("malformed", str(error))
         verdict = self.core.stitches.submit(change)
         if verdict.ruling is Ruling.REFUSED:
             return _refused(verdict)
@@ -134,28 +136,28 @@
         state = ChangeState(id=change.id, state=verdict.ruling.value, version=verdict.version)
         status = 201 if verdict.ruling is Ruling.MADE else 200
         return Reply(
-            status, [answers.JSON, ("Location", f"/v1/changes/{change.id}")], msgspec.json.encode(state)
+            status, [replies.JSON, ("Location", f"/v1/changes/{change.id}")], msgspec.json.encode(state)
         )
 
     def withdraw(self, id: str) -> Reply:
         """A change taken back, now or before."""
         verdict = self.core.stitches.withdraw(id)
         if verdict.ruling is Ruling.UNKNOWN:
-            return answers.fault("unknown-change", id[:80])
+            return replies.fault("unknown-change", id[:80])
         change = self.core.stitches.ledger.entries[id].change
         self.keep(change, False, verdict.version)
         state = ChangeState(id=id, state=verdict.ruling.value, version=verdict.version)
-        return Reply(200, [answers.JSON], msgspec.json.encode(state))
+        return Reply(200, [replies.JSON], msgspec.json.encode(state))
 
     def changes(self, title: str | None, id: str | None = None) -> Reply:
         """All changes, or one."""
         found = self.core.stitches.changes(title)
         if id is None:
-            return Reply(200, [answers.JSON], msgspec.json.encode([_state(seen) for seen in found]))
+            return Reply(200, [replies.JSON], msgspec.json.encode([_state(seen) for seen in found]))
         one = [seen for seen in found if seen.entry.change.id == id]
         if not one:
-            return answers.fault("unknown-change", id[:80])
-        return Reply(200, [answers.JSON], msgspec.json.encode(_state(one[0])))
+            return replies.fault("unknown-change", id[:80])
+        return Reply(200, [replies.JSON], msgspec.json.encode(_state(one[0])))
 
 
 def _change(order: ChangeOrder, author: str) -> Change:
@@ -183,7 +185,7 @@
     details = msgspec.structs.replace(
         problem("refused-change", verdict.cure, status), reason=verdict.refusal.value
     )
-    return Reply(status, [answers.PROBLEM_JSON], msgspec.json.encode(details))
+    return Reply(status, [replies.PROBLEM_JSON], msgspec.json.encode(details))
 
 
 def _time(at: Fraction | None) -> str | None:
--- a/packages/doors/src/fennelcove/doors/answers.py
+++ b/packages/ingress/src/fennelcove/ingress/replies.py
@@ -7,9 +7,9 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
-from fennelcove.core.verdicts import Answer, Answered, Session, View
-from fennelcove.decisions.viewers.admission import retry_after_s
-from fennelcove.decisions.boxes.hearing import KBIT
+from fennelcove.core.requests import ResponseKind, SessionResponse, Session, SessionView
+from fennelcove.decisions.clients.admission import retry_after_s
+from fennelcove.decisions.servers.load_signals import KBIT
 from fennelcove.hints import cmsd
 from fennelcove.http1 import writer
 from fennelcove.wire.sessions import Playing, Problem, Rung, problem
@@ -42,55 +42,55 @@
     return Reply(details.status, [PROBLEM_JSON], msgspec.json.encode(details), close)
 
 
-def playing_state(view: View, joins: int | UnsetType = UNSET) -> Playing:
+def playing_state(view: SessionView, attempts: int | UnsetType = UNSET) -> Playing:
     """The state of what plays, as both doors tell it."""
     return Playing(
         id=view.id,
         state="playing",
         title=view.title,
-        room_type=view.room,
-        box=view.box,
+        room_type=view.service_class,
+        box=view.server,
         rung=view.rung,
         top_rung=view.top,
         rate_kb=view.rate_kb,
         poll_after_ms=view.poll_every_us / 1000,
-        joins=joins,
+        joins=attempts,
         seat_for_ms=UNSET if view.seat_us is None else view.seat_us / 1000,
     )
 
 
-def playing(session: Session, view: View, hops: str, front: str, took_us: int) -> Reply:
+def playing(session: Session, view: SessionView, hops: str, front: str, took_us: int) -> Reply:
     """201: the subscription plays."""
     fields = [JSON, ("Location", f"/v1/subscriptions/{view.id}"), *hints(view, hops, front, took_us)]
-    return Reply(201, fields, msgspec.json.encode(playing_state(view, session.joins)))
+    return Reply(201, fields, msgspec.json.encode(playing_state(view, session.attempts)))
 
 
-def state(view: View, front: str) -> Reply:
+def state(view: SessionView, front: str) -> Reply:
     """200: the state of what plays."""
     return Reply(200, [JSON, *hints(view, "", front, None)], msgspec.json.encode(playing_state(view)))
 
 
-def rung(view: View, front: str) -> Reply:
+def rung(view: SessionView, front: str) -> Reply:
     """200: the rung in force."""
     body = Rung(rung=view.rung, top_rung=view.top, rate_kb=view.rate_kb)
     return Reply(200, [JSON, *hints(view, "", front, None)], msgspec.json.encode(body))
 
 
-def hints(view: View, hops: str, front: str, took_us: int | None) -> list[tuple[str, str]]:
+def hints(view: SessionView, hops: str, front: str, took_us: int | None) -> list[tuple[str, str]]:
     """CMSD of an answer: the object's rate, then each hop's word, the front's own last (CTA-5006)."""
     kbit = round(view.rate_kb * KBIT)
     own: dict[str, int | float | str | bool | bytes] = {"mb": kbit}
     if took_us is not None:
         own["rd"] = took_us // 1000
     ours = cmsd.write_hop(front, own)
-    joined = f"{hops}, {ours}" if hops and len(hops) <= MOST_HOPS else ours
-    return [("CMSD-Static", cmsd.write_static({"br": kbit})), ("CMSD-Dynamic", joined)]
+    attempted = f"{hops}, {ours}" if hops and len(hops) <= MOST_HOPS else ours
+    return [("CMSD-Static", cmsd.write_static({"br": kbit})), ("CMSD-Dynamic", attempted)]
 
 
-def refused(answered: Answered, front: str, session: Session | None, timed_out: bool) -> Reply:
+def refused(answered: SessionResponse, front: str, session: Session | None, timed_out: bool) -> Reply:
     """503 with a time to come back, or 502 and 504 where a join may have run and nothing may be promised."""
     instance = f"/v1/subscriptions/{session.id}" if session is not None else ""
-    if answered.answer is Answer.THROTTLED:
+    if answered.answer is ResponseKind.THROTTLED:
         details = problem(
             "throttled", answered.why, instance=instance, retry_after_ms=answered.wait_us / 1000
         )
--- a/packages/doors/src/fennelcove/doors/routes.py
+++ b/packages/ingress/src/fennelcove/ingress/routes.py
@@ -10,16 +10,16 @@
 import msgspec
 
 from fennelcove.core.core import Core
-from fennelcove.core.verdicts import Ask
-from fennelcove.decisions.operators import control
-from fennelcove.decisions.viewers import passes
-from fennelcove.decisions.boxes.hearing import ViewerSays
-from fennelcove.decisions.viewers.passes import Demand, Shown
-from fennelcove.doors import answers
-from fennelcove.doors.answers import Reply
-from fennelcove.doors.connection import Received
-from fennelcove.doors.control import Control
-from fennelcove.doors.lessons import Lessons
+from fennelcove.core.requests import SessionRequest
+from fennelcove.decisions.operators import command_authorization
+from fennelcove.decisions.clients import access_tokens
+from fennelcove.decisions.servers.load_signals import ClientHints
+from fennelcove.decisions.clients.access_tokens import Demand, PresentedToken
+from fennelcove.ingress import replies
+from fennelcove.ingress.replies import Reply
+from fennelcove.ingress.connection import Received
+from fennelcove.ingress.control import OperatorCommands
+from fennelcove.ingress.playback_routes import PlaybackRoutes
 from fennelcove.hints import cmcd
 from fennelcove.hints.cmcd import Cmcd
 from fennelcove.settings.schema import Author
@@ -45,7 +45,7 @@
     received: Received
 
 
-Handler = Callable[["Routes", Asked], "Reply | Ask"]
+Handler = Callable[["Routes", Asked], "Reply | SessionRequest"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,14 +63,14 @@
 class Routes:
     """Reads requests; set-ups come out as an Ask, everything else as a Reply."""
 
-    def __init__(self, core: Core, front: str, keep: Keep, control: Control) -> None:
+    def __init__(self, core: Core, front: str, keep: Keep, control: OperatorCommands) -> None:
         self.core = core
         self.control = control
         self.front = front
-        self.lessons = Lessons(core, front, keep)
+        self.lessons = PlaybackRoutes(core, front, keep)
         self.hints_dropped = 0
 
-    def take(self, received: Received) -> Reply | Ask:
+    def take(self, received: Received) -> Reply | SessionRequest:
         """What a request asks for, or the answer to it."""
         target = _ABSOLUTE.sub("", received.head.target, count=1)
         path, _, query = target.partition("?")
@@ -83,13 +83,13 @@
             if route.method != received.head.method:
                 continue
             if route.body and not _is_json(received):
-                return answers.fault("not-json", "send Content-Type: application/json")
+                return replies.fault("not-json", "send Content-Type: application/json")
             named = match.groupdict()
             id, rest = named.get("id") or "", named.get("rest") or ""
             return route.handler(self, Asked(route, id, rest, cmcd.query_arguments(query), received))
         if not methods:
-            return answers.fault("unknown-path", path[:80])
-        reply = answers.fault("wrong-method", f"{received.head.method} {path[:80]}")
+            return replies.fault("unknown-path", path[:80])
+        reply = replies.fault("wrong-method", f"{received.head.method} {path[:80]}")
         reply.fields.append(("Allow", ", ".join(sorted(set(methods)))))
         return reply
 
@@ -104,35 +104,35 @@
         self.hints_dropped += found.dropped
         return found
 
-    def set_up(self, asked: Asked) -> Reply | Ask:
+    def set_up(self, asked: Asked) -> Reply | SessionRequest:
         try:
             body = _SETUP.decode(asked.received.body)
         except msgspec.MsgspecError as error:
-            return answers.fault("malformed", str(error))
+            return replies.fault("malformed", str(error))
         hints = self.hints(asked, body.cmcd)
         held = shown(self.core, asked.received.head.get(b"authorization"))
         if not held.may(Demand.ASK) and self.core.passes_needed:
-            reply = answers.fault("no-pass", f"the pass is {passes.WORDS[held.standing]}")
+            reply = replies.fault("no-pass", f"the pass is {access_tokens.WORDS[held.standing]}")
             reply.fields.append(("WWW-Authenticate", 'Bearer realm="subscriptions"'))
             return reply
         found = asked_for(self.core, body, hints, held)
-        return found if isinstance(found, Ask) else answers.fault(*found)
+        return found if isinstance(found, SessionRequest) else replies.fault(*found)
 
     def state(self, asked: Asked) -> Reply:
         view = self.core.hear_viewer(asked.id, says(self.hints(asked)))
-        return self._gone(asked.id) if view is None else answers.state(view, self.front)
+        return self._gone(asked.id) if view is None else replies.state(view, self.front)
 
     def rung(self, asked: Asked) -> Reply:
         view = self.core.hear_viewer(asked.id, says(self.hints(asked)))
-        return self._gone(asked.id) if view is None else answers.rung(view, self.front)
+        return self._gone(asked.id) if view is None else replies.rung(view, self.front)
 
     def set_top(self, asked: Asked) -> Reply:
         try:
             body = _TOP.decode(asked.received.body)
         except msgspec.MsgspecError as error:
-            return answers.fault("malformed", str(error))
+            return replies.fault("malformed", str(error))
         view = self.core.hear_viewer(asked.id, says(self.hints(asked)), body.top_rung)
-        return self._gone(asked.id) if view is None else answers.rung(view, self.front)
+        return self._gone(asked.id) if view is None else replies.rung(view, self.front)
 
     def release(self, asked: Asked) -> Reply:
         if self.core.release(asked.id, "released by its viewer"):
@@ -143,14 +143,14 @@
         try:
             body = _SEAT.decode(asked.received.body or b"{}")
         except msgspec.MsgspecError as error:
-            return answers.fault("malformed", str(error))
+            return replies.fault("malformed", str(error))
         if self.core.hear_viewer(asked.id, says(self.hints(asked))) is None:
             return self._gone(asked.id)
         left_us = self.core.seats.renew(asked.id, body.key or "")
         if left_us is None:
-            return answers.fault("no-seat")
+            return replies.fault("no-seat")
         state = SeatState(subscription=asked.id, seat_for_ms=left_us / 1000)
-        return Reply(200, [answers.JSON], msgspec.json.encode(state))
+        return Reply(200, [replies.JSON], msgspec.json.encode(state))
 
     def manifest(self, asked: Asked) -> Reply:
         apart = asked.query.get("interstitials") == "1"
@@ -194,10 +194,10 @@
         return author if isinstance(author, Reply) else self.lessons.changes(None, asked.rest)
 
     def counts(self, asked: Asked) -> Reply:
-        return Reply(200, [answers.JSON], msgspec.json.encode(self.core.status()))
+        return Reply(200, [replies.JSON], msgspec.json.encode(self.core.status()))
 
     def command(self, asked: Asked) -> Reply:
-        header = asked.received.head.get(control.HEADER.encode())
+        header = asked.received.head.get(command_authorization.HEADER.encode())
         told = None if header is None else header.decode("latin-1")
         path = f"/v1/control/{asked.rest}"
         return self.control.take(told, path, asked.rest, asked.received.body)
@@ -206,16 +206,16 @@
         # Written only when asked for: a front that nobody asks never loads the writer.
         from fennelcove.api import openapi
 
-        return Reply(200, [answers.JSON], openapi.text(LINES).encode())
+        return Reply(200, [replies.JSON], openapi.text(LINES).encode())
 
     def asyncapi(self, asked: Asked) -> Reply:
         from fennelcove.api import asyncapi
 
-        return Reply(200, [answers.JSON], asyncapi.text().encode())
+        return Reply(200, [replies.JSON], asyncapi.text().encode())
 
     def _gone(self, id: str) -> Reply:
         why = self.core.why_ended(id)
-        return answers.fault("unknown-subscription", id[:80]) if why is None else answers.fault("ended", why)
+        return replies.fault("unknown-subscription", id[:80]) if why is None else replies.fault("ended", why)
 
 
 def bearer(authorization: bytes | None) -> str:
@@ -224,16 +224,18 @@
     return token.strip() if scheme.lower() == "bearer" else ""
 
 
-def shown(core: Core, authorization: bytes | None) -> Shown:
+def shown(core: Core, authorization: bytes | None) -> PresentedToken:
     """The pass in a header field, and what it is worth."""
-    return passes.show(bearer(authorization), core.passes, core.clock.wall_us())
+    return access_tokens.show(bearer(authorization), core.passes, core.clock.wall_us())
 
 
-def asked_for(core: Core, body: SetUp, hints: Cmcd, shown: Shown) -> Ask | tuple[str, str]:
+def asked_for(
+    core: Core, body: SetUp, hints: Cmcd, shown: PresentedToken
+) -> SessionRequest | tuple[str, str]:
     """What a set-up asks for, through whichever door; or the problem's kind and detail."""
     title = body.title or hints.text("cid")
-    if body.room_type not in core.rooms:
-        return "unknown-room-type", f"{body.room_type!r}; known: {', '.join(core.rooms)}"
+    if body.room_type not in core.service_classes:
+        return "unknown-room-type", f"{body.room_type!r}; known: {', '.join(core.service_classes)}"
     if title is None or title not in core.titles:
         return "unknown-title", "name a title in the body or as CMCD cid" if title is None else repr(title)
     timeout_us = None if body.client_timeout_ms is None else round(body.client_timeout_ms * 1000)
@@ -242,7 +244,7 @@
         return "not-entitled", f"it names {', '.join(shown.held.titles)}"
     key = body.key or ""
     guess_us = None if body.watch_ms is None else round(body.watch_ms * 1000)
-    return Ask(
+    return SessionRequest(
         title,
         body.room_type,
         body.top_rung,
@@ -257,9 +259,9 @@
     )
 
 
-def says(hints: Cmcd) -> ViewerSays:
+def says(hints: Cmcd) -> ClientHints:
     """What of a viewer's CMCD decides anything: top bitrate, measured throughput, starvation."""
-    return ViewerSays(hints.number("tb"), hints.number("mtp"), hints.flag("bs"))
+    return ClientHints(hints.number("tb"), hints.number("mtp"), hints.flag("bs"))
 
 
 def _is_json(received: Received) -> bool:
--- a/packages/doors/src/fennelcove/doors/setups.py
+++ b/packages/ingress/src/fennelcove/ingress/session_setups.py
@@ -7,11 +7,19 @@
 
 from fennelcove.clock import Clock
 from fennelcove.core.core import Core
-from fennelcove.core.verdicts import Answered, Ask, InLine, Notices, SendJoin, Session, Step
-from fennelcove.fair.waiting import Cue
+from fennelcove.core.requests import (
+    SessionResponse,
+    SessionRequest,
+    WaitForSlot,
+    EventLogger,
+    SendAttempt,
+    Session,
+    NextStep,
+)
+from fennelcove.fair_queueing.waiter import WaiterEvent
 from fennelcove.interface import Outcome
-from fennelcove.peers.joins import Joiner
-from fennelcove.peers.latch import Woken, wait_bell
+from fennelcove.upstream.attempts import AttemptSender
+from fennelcove.upstream.wakeups import WakeReason, wait_bell
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,7 +27,7 @@
     """How it ended; without an answer nobody waits for one any more."""
 
     session: Session | None
-    answered: Answered | None
+    answered: SessionResponse | None
     hops: str = ""
     timed_out: bool = False
     took_us: int = 0
@@ -27,16 +35,16 @@
     repeated: bool = False  # the answer of a set-up that was run before
 
 
-class SetUps:
+class SessionSetups:
     """Runs set-ups; one for all doors of a front."""
 
-    def __init__(self, core: Core, clock: Clock, joiner: Joiner, notice: Notices) -> None:
+    def __init__(self, core: Core, clock: Clock, joiner: AttemptSender, notice: EventLogger) -> None:
         self.core = core
         self.clock = clock
         self.joiner = joiner
         self.notice = notice
 
-    def run(self, ask: Ask, viewer: socket.socket) -> Result | None:
+    def run(self, ask: SessionRequest, viewer: socket.socket) -> Result | None:
         """Ask the core and send joins until there is an answer; None where this front failed at it, so that
         the viewer is owed an error and nothing is held."""
         session: Session | None = None
@@ -44,13 +52,13 @@
         known = self.core.repeats.ask(ask)
         if known is not None:
             return Result(known[0], known[1], repeated=True)
-        answered: Answered | None = None
+        answered: SessionResponse | None = None
         try:
             session, step = self.core.ask(ask)
             if session is not None:
                 self.core.repeats.begins(ask, session)
             if session is None:
-                assert isinstance(step, Answered)
+                assert isinstance(step, SessionResponse)
                 self.notice(
                     "subscription_turned_away",
                     why=step.why,
@@ -62,7 +70,7 @@
                 answered = step
                 return Result(None, step)
             counted = True
-            answered, hops, timed_out = self._joins(session, step, viewer)
+            answered, hops, timed_out = self._attempts(session, step, viewer)
             self.core.answered(session)
             counted = False
             return Result(
@@ -79,47 +87,53 @@
         finally:
             self.core.repeats.over(ask, session, answered)
 
-    def _joins(
-        self, session: Session, step: Step | None, viewer: socket.socket
-    ) -> tuple[Answered | None, str, bool]:
+    def _attempts(
+        self, session: Session, step: NextStep | None, viewer: socket.socket
+    ) -> tuple[SessionResponse | None, str, bool]:
         """Send joins until there is an answer; None where nobody waits for it any more."""
         hops, timed_out = "", False
-        answered: Answered | None = None
-        if isinstance(step, InLine):
+        answered: SessionResponse | None = None
+        if isinstance(step, WaitForSlot):
             step = self._in_line(step, viewer)
             if step is None:
                 return None, "", False
-        while isinstance(step, SendJoin):
+        while isinstance(step, SendAttempt):
             run = self.joiner.run(step, viewer)
-            if run.interrupted is Woken.HUNG_UP:
+            if run.interrupted is WakeReason.HUNG_UP:
                 self.core.viewer_gone(session)
-            elif run.interrupted is Woken.LATCH:
+            elif run.interrupted is WakeReason.LATCH:
                 stopped = self.core.stopped(session)
-                answered = stopped if isinstance(stopped, Answered) else None
+                answered = stopped if isinstance(stopped, SessionResponse) else None
             end = run.end
             hops, timed_out = run.hops, end.outcome is Outcome.NO_ANSWER
-            following = self.core.join_over(session, step.join, end.outcome, end.says, end.took_us)
+            following = self.core.on_attempt_completed(
+                session, step.attempt, end.outcome, end.says, end.took_us
+            )
             self.notice(
                 "join_over",
                 subscription=session.id,
-                join=step.join,
-                box=step.box,
+                join=step.attempt,
+                box=step.server,
                 outcome=end.outcome.value,
                 took_ms=end.took_us / 1000,
             )
             if following is None:
                 return answered, "", False
             step = following
-        assert isinstance(step, Answered)
+        assert isinstance(step, SessionResponse)
         return step, hops, timed_out
 
-    def _in_line(self, step: InLine, viewer: socket.socket) -> Step | None:
+    def _in_line(self, step: WaitForSlot, viewer: socket.socket) -> NextStep | None:
         """Wait for a slot; nothing has left, so that a hang-up ends it here and now."""
         assert self.core.slots is not None
         left_us = step.until_us - self.clock.now_us()
         woken = wait_bell(step.bell.reader, left_us, self.joiner.halt, viewer)
-        cue = {Woken.HUNG_UP: Cue.HUNG_UP, Woken.LATCH: Cue.STOPPED, Woken.TIME: Cue.NO_TIME}.get(woken)
-        return self.core.slots.waited(step, cue)
+        event = {
+            WakeReason.HUNG_UP: WaiterEvent.HUNG_UP,
+            WakeReason.LATCH: WaiterEvent.STOPPED,
+            WakeReason.TIME: WaiterEvent.NO_TIME,
+        }.get(woken)
+        return self.core.slots.waited(step, event)
 
     def told(self, result: Result, written: bool) -> None:
         """The answer was handed on, or could not be: then what plays is released."""
@@ -133,11 +147,11 @@
             "subscription_answered",
             subscription=session.id,
             answer=answered.answer.value,
-            room_type=session.room,
+            room_type=session.service_class,
             title=session.title,
-            box=session.box,
+            box=session.server,
             rung=session.rung,
-            joins=session.joins,
+            joins=session.attempts,
             took_ms=result.took_us / 1000,
             why=answered.why,
             written=written,
--- a/packages/doors/src/fennelcove/doors/tls.py
+++ b/packages/ingress/src/fennelcove/ingress/tls.py
@@ -8,12 +8,12 @@
 import ssl
 import threading
 
-from fennelcove.core.verdicts import Notices
-from fennelcove.errors import Trouble
+from fennelcove.core.requests import EventLogger
+from fennelcove.errors import OperatorError
 from fennelcove.settings.schema import TlsSettings
 
 
-class TlsError(Trouble):
+class TlsError(OperatorError):
     """The files of the settings hold no usable certificate and key."""
 
     code = "tls-pair-unusable"
@@ -25,7 +25,7 @@
 class TlsKeys:
     """The newest good pair. Connections go on under the one they began with."""
 
-    def __init__(self, settings: TlsSettings, notice: Notices) -> None:
+    def __init__(self, settings: TlsSettings, notice: EventLogger) -> None:
         self.settings = settings
         self.notice = notice
         self.lock = threading.Lock()
--- a/packages/doors/src/fennelcove/doors/socket_routes.py
+++ b/packages/ingress/src/fennelcove/ingress/websocket_routes.py
@@ -7,23 +7,23 @@
 
 import msgspec
 
-from fennelcove.core.verdicts import Ask
-from fennelcove.decisions.viewers import passes
-from fennelcove.decisions.boxes.hearing import ViewerSays
-from fennelcove.decisions.viewers.passes import Demand, Standing
-from fennelcove.doors.answers import playing_state
-from fennelcove.doors.routes import asked_for, says
+from fennelcove.core.requests import SessionRequest
+from fennelcove.decisions.clients import access_tokens
+from fennelcove.decisions.servers.load_signals import ClientHints
+from fennelcove.decisions.clients.access_tokens import Demand, TokenStatus
+from fennelcove.ingress.replies import playing_state
+from fennelcove.ingress.routes import asked_for, says
 from fennelcove.hints import cmcd
 from fennelcove.wire import socket as wire
 
 if TYPE_CHECKING:
-    from fennelcove.doors.socket_session import SocketSession
+    from fennelcove.ingress.websocket_session import WebSocketSession
 
 _DECODER: msgspec.json.Decoder[wire.Request] = msgspec.json.Decoder(wire.Request)
 _REF: msgspec.json.Decoder[dict[str, Any]] = msgspec.json.Decoder(dict[str, Any])
 
 
-def take(session: SocketSession, text: str) -> None:
+def take(session: WebSocketSession, text: str) -> None:
     """Act on one message."""
     try:
         message = _DECODER.decode(text)
@@ -42,42 +42,44 @@
     return ref if isinstance(ref, str) and 0 < len(ref) <= 64 else None
 
 
-def _hello(session: SocketSession, message: wire.Hello) -> None:
+def _hello(session: WebSocketSession, message: wire.Hello) -> None:
     if _shows(session, message.ref, message.token):
         session.say(session.welcome(message.ref))
 
 
-def _renew(session: SocketSession, message: wire.Renew) -> None:
+def _renew(session: WebSocketSession, message: wire.Renew) -> None:
     if _shows(session, message.ref, message.token):
         session.say(wire.Renewed(ref=message.ref, pass_for_ms=session.pass_for_ms()))
 
 
-def _shows(session: SocketSession, ref: str, token: str) -> bool:
-    shown = passes.show(token, session.core.passes, session.core.clock.wall_us())
-    if shown.held is None or shown.standing not in (Standing.VALID, Standing.RENEW):
-        session.fault(ref, "no-pass", f"the pass is {passes.WORDS[shown.standing]}")
+def _shows(session: WebSocketSession, ref: str, token: str) -> bool:
+    shown = access_tokens.show(token, session.core.passes, session.core.clock.wall_us())
+    if shown.held is None or shown.standing not in (TokenStatus.VALID, TokenStatus.RENEW):
+        session.fault(ref, "no-pass", f"the pass is {access_tokens.WORDS[shown.standing]}")
         return False
-    if not passes.renews(session.shown.held, shown.held):
+    if not access_tokens.renews(session.shown.held, shown.held):
         session.fault(ref, "not-permitted", "the pass is another client's; open a connection of its own")
         return False
     session.shown, session.told_pass_ends = shown, False
     return True
 
 
-def _may(session: SocketSession, ref: str, demand: Demand) -> bool:
+def _may(session: WebSocketSession, ref: str, demand: Demand) -> bool:
     """Whether the pass, as old as it is by now, lets its holder in for this."""
     if not session.core.passes_needed:
         return True
     shown = session.shown
-    if shown.held is not None and shown.standing is not Standing.INVENTED:
-        session.shown = shown = passes.Shown(passes.at(shown.held, session.core.clock.wall_us()), shown.held)
+    if shown.held is not None and shown.standing is not TokenStatus.INVENTED:
+        session.shown = shown = access_tokens.PresentedToken(
+            access_tokens.at(shown.held, session.core.clock.wall_us()), shown.held
+        )
     if not shown.may(demand):
-        session.fault(ref, "no-pass", f"the pass is {passes.WORDS[shown.standing]}")
+        session.fault(ref, "no-pass", f"the pass is {access_tokens.WORDS[shown.standing]}")
         return False
     return True
 
 
-def _set_up(session: SocketSession, message: wire.AskSetUp) -> None:
+def _set_up(session: WebSocketSession, message: wire.AskSetUp) -> None:
     ref = message.ref
     if not _may(session, ref, Demand.ASK):
         return
@@ -93,13 +95,13 @@
         return
     hints = cmcd.read({}, {}, message.ask.cmcd)
     found = asked_for(session.core, message.ask, hints, session.shown)
-    if isinstance(found, Ask):
+    if isinstance(found, SessionRequest):
         session.begin(ref, found)
     else:
         session.fault(ref, *found)
 
 
-def _resume(session: SocketSession, message: wire.Resume) -> None:
+def _resume(session: WebSocketSession, message: wire.Resume) -> None:
     if not _may(session, message.ref, Demand.CLAIM):
         return
     id = message.subscription
@@ -123,25 +125,25 @@
     )
 
 
-def _release(session: SocketSession, message: wire.Release) -> None:
+def _release(session: WebSocketSession, message: wire.Release) -> None:
     if session.core.pushes.release(session, message.subscription):
         session.say(wire.Released(ref=message.ref, subscription=message.subscription))
     else:
         _not_mine(session, message.ref, message.subscription)
 
 
-def _set_top(session: SocketSession, message: wire.SetTop) -> None:
+def _set_top(session: WebSocketSession, message: wire.SetTop) -> None:
     if not session.core.pushes.owns(session, message.subscription):
         _not_mine(session, message.ref, message.subscription)
         return
-    view = session.core.hear_viewer(message.subscription, ViewerSays(), message.top_rung)
+    view = session.core.hear_viewer(message.subscription, ClientHints(), message.top_rung)
     if view is None:
         _not_mine(session, message.ref, message.subscription)
         return
     session.say(wire.ToldState(ref=message.ref, state=playing_state(view)))
 
 
-def _renew_seat(session: SocketSession, message: wire.RenewSeat) -> None:
+def _renew_seat(session: WebSocketSession, message: wire.RenewSeat) -> None:
     id = message.subscription
     if not session.core.pushes.owns(session, id):
         _not_mine(session, message.ref, id)
@@ -153,12 +155,12 @@
     session.say(wire.SeatKept(ref=message.ref, subscription=id, seat_for_ms=left_us / 1000))
 
 
-def _report(session: SocketSession, message: wire.Report) -> None:
+def _report(session: WebSocketSession, message: wire.Report) -> None:
     if session.core.pushes.owns(session, message.subscription):
         session.core.hear_viewer(message.subscription, says(cmcd.read({}, {}, message.cmcd)))
 
 
-def _not_mine(session: SocketSession, ref: str, id: str) -> None:
+def _not_mine(session: WebSocketSession, ref: str, id: str) -> None:
     why = session.core.why_ended(id)
     if why is not None:
         session.fault(ref, "ended", why)
@@ -166,7 +168,7 @@
         session.fault(ref, "unknown-subscription", f"{id} is not this connection's")
 
 
-HANDLERS: dict[type[msgspec.Struct], Callable[[SocketSession, Any], None]] = {
+HANDLERS: dict[type[msgspec.Struct], Callable[[WebSocketSession, Any], None]] = {
     wire.Hello: _hello,
     wire.Renew: _renew,
     wire.AskSetUp: _set_up,
--- a/packages/doors/src/fennelcove/doors/socket_door.py
+++ b/packages/ingress/src/fennelcove/ingress/websocket_server.py
@@ -8,12 +8,12 @@
 
 from fennelcove.clock import Clock
 from fennelcove.core.core import Core
-from fennelcove.core.verdicts import Notices
-from fennelcove.doors import answers
-from fennelcove.doors.connection import Connection, DoorLimits, Received
-from fennelcove.doors.routes import shown
-from fennelcove.doors.setups import SetUps
-from fennelcove.doors.socket_session import SocketSession
+from fennelcove.core.requests import EventLogger
+from fennelcove.ingress import replies
+from fennelcove.ingress.connection import Connection, ConnectionLimits, Received
+from fennelcove.ingress.routes import shown
+from fennelcove.ingress.session_setups import SessionSetups
+from fennelcove.ingress.websocket_session import WebSocketSession
 from fennelcove.http1 import writer
 from fennelcove.websocket import handshake
 from fennelcove.websocket.conversation import Conversation
@@ -21,11 +21,17 @@
 from fennelcove.wire.socket import SUBPROTOCOL
 
 
-class SocketDoor:
+class WebSocketServer:
     """Serves WebSockets, each on the thread of its connection."""
 
     def __init__(
-        self, core: Core, clock: Clock, setups: SetUps, front: str, limits: DoorLimits, notice: Notices
+        self,
+        core: Core,
+        clock: Clock,
+        setups: SessionSetups,
+        front: str,
+        limits: ConnectionLimits,
+        notice: EventLogger,
     ) -> None:
         self.core = core
         self.clock = clock
@@ -35,7 +41,7 @@
         self.notice = notice
         self.settings = core.settings.websocket
         self.lock = threading.Lock()
-        self.sessions: set[SocketSession] = set()
+        self.sessions: set[WebSocketSession] = set()
         self.leaving = False
 
     def serve(self, connection: Connection, received: Received) -> bool:
@@ -44,7 +50,7 @@
         try:
             opened = handshake.server(head, [SUBPROTOCOL], self.settings.origins, self.settings.deflate)
         except handshake.Refused as error:
-            reply = answers.fault("malformed", str(error), error.status)
+            reply = replies.fault("malformed", str(error), error.status)
             reply.fields += error.fields
             return connection.write(reply.raw(True))
         held = shown(self.core, head.get(b"authorization"))
@@ -52,7 +58,7 @@
             return False
         most = self.settings.message_bytes
         conversation = Conversation(Bounds(most, most), opened.deflates)
-        session = SocketSession(
+        session = WebSocketSession(
             connection.sock, conversation, self.core, self.clock, self.setups, self.front, self.limits, held
         )
         with self.lock:
--- a/packages/doors/src/fennelcove/doors/socket_session.py
+++ b/packages/ingress/src/fennelcove/ingress/websocket_session.py
@@ -11,26 +11,26 @@
 
 from fennelcove.clock import Clock
 from fennelcove.core.core import Core
-from fennelcove.core.pushes import (
-    EndedNews,
-    MovedNews,
-    News,
-    RungNews,
-    StitchedNews,
-    TakenNews,
-    WeatherNews,
+from fennelcove.core.client_notifier import (
+    EndNotification,
+    MigrationNotification,
+    Notification,
+    RungNotification,
+    ContentNotification,
+    TakeoverNotification,
+    StormNotification,
 )
-from fennelcove.core.verdicts import Answer, Ask, View
-from fennelcove.decisions.viewers import passes
-from fennelcove.decisions.viewers.admission import reconnect_span_us
-from fennelcove.decisions.viewers.chatter import Meter, Pulse, Silence
-from fennelcove.decisions.viewers.outbox import Kept, Outbox
-from fennelcove.decisions.viewers.passes import Shown, Standing
-from fennelcove.doors import socket_routes
-from fennelcove.doors.answers import playing_state
-from fennelcove.doors.connection import READ_BYTES, DoorLimits, take
-from fennelcove.doors.setups import Result, SetUps
-from fennelcove.peers.latch import Bell, Woken, wait
+from fennelcove.core.requests import ResponseKind, SessionRequest, SessionView
+from fennelcove.decisions.clients import access_tokens
+from fennelcove.decisions.clients.admission import reconnect_span_us
+from fennelcove.decisions.clients.rate_limit import MessageRateLimit, KeepaliveAction, KeepaliveMonitor
+from fennelcove.decisions.clients.conflating_queue import PutResult, ConflatingQueue
+from fennelcove.decisions.clients.access_tokens import PresentedToken, TokenStatus
+from fennelcove.ingress import websocket_routes
+from fennelcove.ingress.replies import playing_state
+from fennelcove.ingress.connection import READ_BYTES, ConnectionLimits, take
+from fennelcove.ingress.session_setups import Result, SessionSetups
+from fennelcove.upstream.wakeups import Wakeup, WakeReason, wait
 from fennelcove.websocket.conversation import Closed, Conversation, Message, Pinged, State
 from fennelcove.websocket.terms import CloseCode
 from fennelcove.wire import socket as wire
@@ -47,7 +47,7 @@
     session: str = ""
 
 
-class SocketSession:
+class WebSocketSession:
     """Belongs to its connection's thread. `put`, `leave` and the set-ups' ends come from others."""
 
     def __init__(
@@ -56,10 +56,10 @@
         conversation: Conversation,
         core: Core,
         clock: Clock,
-        setups: SetUps,
+        setups: SessionSetups,
         front: str,
-        limits: DoorLimits,
-        shown: Shown,
+        limits: ConnectionLimits,
+        shown: PresentedToken,
     ) -> None:
         self.sock = sock
         self.conversation = conversation
@@ -71,14 +71,14 @@
         self.shown = shown
         self.told_pass_ends = False
         self.lock = threading.Lock()
-        self.outbox: Outbox[Line] = Outbox()
-        self.bell = Bell()
+        self.outbox: ConflatingQueue[Line] = ConflatingQueue()
+        self.bell = Wakeup()
         self.gone = False
         self.leaving = False
         self.under_way: dict[str, threading.Thread] = {}  # set-ups, by their ref
         now_us = clock.now_us()
-        self.meter = Meter(now_us)
-        self.silence = Silence(core.presence.silent_us, now_us)
+        self.meter = MessageRateLimit(now_us)
+        self.silence = KeepaliveMonitor(core.presence.silent_us, now_us)
 
     # From any thread.
 
@@ -86,7 +86,7 @@
         """A message for the player; past the bound the connection is cut off."""
         with self.lock:
             kept = self.outbox.put(Line(told, session), matter)
-        if kept is Kept.OVER:
+        if kept is PutResult.OVER:
             self.core.tally("sockets_cut_off")
         self._ring()
 
@@ -96,9 +96,9 @@
             if not self.gone:
                 self.bell.ring()
 
-    def put(self, news: News, number: int) -> None:
+    def put(self, news: Notification, number: int) -> None:
         """News of the core; never waits."""
-        if isinstance(news, RungNews):
+        if isinstance(news, RungNotification):
             view = news.view
             self.say(
                 wire.RungChanged(
@@ -110,22 +110,22 @@
                 ),
                 ("rung", view.id),
             )
-        elif isinstance(news, MovedNews):
+        elif isinstance(news, MigrationNotification):
             self._moved(news.view, number)
-        elif isinstance(news, EndedNews):
+        elif isinstance(news, EndNotification):
             self.say(wire.Ended(subscription=news.id, number=number, detail=news.why))
-        elif isinstance(news, TakenNews):
+        elif isinstance(news, TakeoverNotification):
             self.say(wire.Taken(subscription=news.id, number=number))
-        elif isinstance(news, StitchedNews):
+        elif isinstance(news, ContentNotification):
             told = wire.Stitched(subscription=news.id, number=number, change=news.change, state=news.state)
             self.say(told, ("stitched", news.id, news.change))
         else:
-            assert isinstance(news, WeatherNews)
+            assert isinstance(news, StormNotification)
             self.say(wire.Weather(phase=news.phase), "weather")
 
-    def _moved(self, view: View, number: int) -> None:
+    def _moved(self, view: SessionView, number: int) -> None:
         told = wire.Moved(
-            subscription=view.id, number=number, box=view.box, rung=view.rung, rate_kb=view.rate_kb
+            subscription=view.id, number=number, box=view.server, rung=view.rung, rate_kb=view.rate_kb
         )
         self.say(told, ("moved", view.id))
 
@@ -145,7 +145,7 @@
 
     def run(self, first: bytes) -> bool:
         """Serve until it is over; whether what the peer still sends must be read past."""
-        self.core.pushes.join(self)
+        self.core.pushes.subscribe(self)
         self.say(self.welcome(None))
         data: bytes | None = first or None
         while True:
@@ -157,32 +157,32 @@
             if not self._flush():
                 return False
             pulse, wait_us = self._pulse()
-            if pulse is Pulse.CUT:
+            if pulse is KeepaliveAction.CUT:
                 return False
             woken = wait(self.sock, wait_us, self.bell)
-            if woken is Woken.LATCH:
+            if woken is WakeReason.LATCH:
                 self.bell.clear()
                 data = None
                 continue
             try:
-                data = take(self.sock, READ_BYTES) if woken is Woken.READY else None
+                data = take(self.sock, READ_BYTES) if woken is WakeReason.READY else None
             except OSError:
                 return False
 
-    def _pulse(self) -> tuple[Pulse, int]:
+    def _pulse(self) -> tuple[KeepaliveAction, int]:
         now_us = self.clock.now_us()
         pulse, wait_us = self.silence.check(now_us)
-        if pulse is Pulse.PING:
+        if pulse is KeepaliveAction.PING:
             self.conversation.ping()
             if not self._flush():
-                return Pulse.CUT, 0
+                return KeepaliveAction.CUT, 0
         if self.conversation.state is State.CLOSING:
             # The peer has our close: it answers within the limit of a message, or is cut.
             left_us = self.closing_until_us - now_us
-            return (Pulse.CUT, 0) if left_us <= 0 else (Pulse.WAIT, left_us)
+            return (KeepaliveAction.CUT, 0) if left_us <= 0 else (KeepaliveAction.WAIT, left_us)
         held = self.shown.held
         if held is not None and not self.told_pass_ends:
-            until_us = passes.notice_us(held) - self.core.clock.wall_us()
+            until_us = access_tokens.notice_us(held) - self.core.clock.wall_us()
             if until_us <= 0:
                 self.told_pass_ends = True
                 self.say(wire.PassEnds(in_ms=self.pass_for_ms()))
@@ -222,7 +222,7 @@
                 if isinstance(event.data, bytes):
                     self._close(CloseCode.UNSUPPORTED, "messages are JSON text")
                     return True
-                socket_routes.take(self, event.data)
+                websocket_routes.take(self, event.data)
         return True
 
     def _flush(self) -> bool:
@@ -277,7 +277,7 @@
     def welcome(self, ref: str | None) -> wire.Welcome:
         """Who this front is, and what it needs."""
         held = self.shown.held
-        valid = held is not None and self.shown.standing in (Standing.VALID, Standing.RENEW)
+        valid = held is not None and self.shown.standing in (TokenStatus.VALID, TokenStatus.RENEW)
         return wire.Welcome(
             front=self.front,
             boot=self.core.names.boot,
@@ -293,7 +293,7 @@
         """Whose pass was shown."""
         return self.shown.held.client if self.shown.held is not None else ""
 
-    def begin(self, ref: str, ask: Ask) -> None:
+    def begin(self, ref: str, ask: SessionRequest) -> None:
         """Run a set-up beside this thread, so that pings and releases go on meanwhile."""
         thread = threading.Thread(target=self._set_up, args=(ref, ask), name="set-up")
         self.under_way[ref] = thread
@@ -304,7 +304,7 @@
             wait_ms = self.core.come_back_us() / 1000
             self.say(wire.Throttled(ref=ref, detail="no thread to be had", retry_after_ms=wait_ms))
 
-    def _set_up(self, ref: str, ask: Ask) -> None:
+    def _set_up(self, ref: str, ask: SessionRequest) -> None:
         try:
             result = self.setups.run(ask, self.sock)
             if result is None:
@@ -318,11 +318,11 @@
     def _answer(self, ref: str, result: Result) -> None:
         answered, session = result.answered, result.session
         assert answered is not None
-        if answered.answer in (Answer.SPENT, Answer.REUSED):
-            self.fault(ref, "spent" if answered.answer is Answer.SPENT else "reused-key", answered.why)
+        if answered.answer in (ResponseKind.SPENT, ResponseKind.REUSED):
+            self.fault(ref, "spent" if answered.answer is ResponseKind.SPENT else "reused-key", answered.why)
             return
         tried = session.id if session is not None else None
-        if answered.answer is Answer.THROTTLED:
+        if answered.answer is ResponseKind.THROTTLED:
             placed = bool(answered.place)
             told: msgspec.Struct = wire.Throttled(
                 ref=ref,
@@ -332,14 +332,14 @@
                 place=answered.place or None,
                 subscription=tried,
             )
-        elif answered.answer is Answer.TERMINATED or session is None:
+        elif answered.answer is ResponseKind.TERMINATED or session is None:
             told = wire.Terminated(ref=ref, detail=answered.why, subscription=tried)
         else:
             claimed = self.core.pushes.claim(self, session.id, self.client(), None)
             if claimed.view is None:  # it ended in this very moment
                 told = wire.Terminated(ref=ref, detail=claimed.why or "it has ended")
             else:
-                state = playing_state(claimed.view, session.joins)
+                state = playing_state(claimed.view, session.attempts)
                 told = wire.ToldPlaying(
                     ref=ref, number=claimed.number, state=state, took_ms=result.took_us / 1000
                 )
--- a/packages/interface/src/fennelcove/facts.py
+++ b/packages/interface/src/fennelcove/facts.py
@@ -8,13 +8,13 @@
 from enum import Enum
 from typing import Any, TypeVar
 
-from fennelcove.errors import Trouble
-from fennelcove.interface import Effect, LoadReport, RoomType, Scope, Settings
+from fennelcove.errors import OperatorError
+from fennelcove.interface import Effect, LoadReport, ServiceClass, Scope, Settings
 
 E = TypeVar("E", bound=Enum)
 
 
-class FactsError(Trouble):
+class PlatformSettingsError(OperatorError):
     """The platform's settings hold a field that can't be used."""
 
     code = "platform-settings-unusable"
@@ -26,25 +26,25 @@
     return LoadReport(values.get("x0", values.get("util")), values.get("x1"))
 
 
-class Facts:
+class SettingsReader:
     """Reads typed values out of the start message's settings, naming what is amiss."""
 
     def __init__(self, tree: Any, path: str = "Facts") -> None:
         if not isinstance(tree, dict):
-            raise FactsError("found no object", f"field {path}")
+            raise PlatformSettingsError("found no object", f"field {path}")
         self.tree: dict[str, Any] = tree
         self.path = path
 
-    def sub(self, key: str) -> Facts:
-        return Facts(self.tree.get(key, {}), f"{self.path}.{key}")
+    def section(self, key: str) -> SettingsReader:
+        return SettingsReader(self.tree.get(key, {}), f"{self.path}.{key}")
 
-    def subs(self, key: str) -> list[Facts]:
-        return [Facts(item, f"{self.path}.{key}[{i}]") for i, item in enumerate(self.items(key))]
+    def sections(self, key: str) -> list[SettingsReader]:
+        return [SettingsReader(item, f"{self.path}.{key}[{i}]") for i, item in enumerate(self.items(key))]
 
     def items(self, key: str) -> list[Any]:
         value = self.tree.get(key, [])
         if not isinstance(value, list):
-            raise FactsError("found no list", f"field {self.path}.{key}")
+            raise PlatformSettingsError("found no list", f"field {self.path}.{key}")
         return value
 
     def maybe(self, key: str) -> float | None:
@@ -52,7 +52,7 @@
         if value is None:
             return None
         if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
-            raise FactsError("found no number", f"field {self.path}.{key}")
+            raise PlatformSettingsError("found no number", f"field {self.path}.{key}")
         return float(value)
 
     def number(self, key: str, default: float | None = None) -> float:
@@ -60,11 +60,11 @@
         if value is None:
             value = default
         if value is None:
-            raise FactsError("found nothing", f"field {self.path}.{key}")
+            raise PlatformSettingsError("found nothing", f"field {self.path}.{key}")
         return value
 
     def numbers(self, key: str) -> tuple[float, ...]:
-        return tuple(Facts({key: item}, self.path).number(key) for item in self.items(key))
+        return tuple(SettingsReader({key: item}, self.path).number(key) for item in self.items(key))
 
     def micros(self, key: str) -> int:
         return round(self.number(key, 0.0) * 1000)
@@ -72,7 +72,7 @@
     def text(self, key: str, default: str) -> str:
         value = self.tree.get(key, default)
         if not isinstance(value, str):
-            raise FactsError("found no text", f"field {self.path}.{key}")
+            raise PlatformSettingsError("found no text", f"field {self.path}.{key}")
         return value
 
     def choice(self, key: str, default: str, kind: Callable[[str], E]) -> E:
@@ -80,57 +80,59 @@
         try:
             return kind(value)
         except ValueError:
-            raise FactsError(f"found an unknown value: {value!r}", f"field {self.path}.{key}") from None
+            raise PlatformSettingsError(
+                f"found an unknown value: {value!r}", f"field {self.path}.{key}"
+            ) from None
 
 
-def at(values: tuple[float, ...], index: int, default: float) -> float:
+def value_at(values: tuple[float, ...], index: int, default: float) -> float:
     """A per-type value, where the settings give it."""
     return values[index] if index < len(values) else default
 
 
-def read(tree: Any) -> tuple[Settings, tuple[str, ...]]:
+def read_settings(tree: Any) -> tuple[Settings, tuple[str, ...]]:
     """The settings, and the names of a load report's values; `tree` is parsed JSON, times in milliseconds.
 
     Raises:
         FactsError: a value that is missing, of another type or out of its range.
     """
-    root = Facts(tree)
+    root = SettingsReader(tree)
     info, rules, allowed, prices, goal = (
-        root.sub(key) for key in ("FamilyInfo", "Rules", "Allowed", "Prices", "Goal")
+        root.section(key) for key in ("FamilyInfo", "Rules", "Allowed", "Prices", "Goal")
     )
     ladder, worth = info.numbers("LevelKb"), info.numbers("WorthByRung")
     if not ladder or len(worth) != len(ladder):
-        raise FactsError("found no ladder of rungs", "field Facts.FamilyInfo.LevelKb, WorthByRung")
+        raise PlatformSettingsError("found no ladder of rungs", "field Facts.FamilyInfo.LevelKb, WorthByRung")
     scale, floor, seats = (info.numbers(key) for key in ("ClassScale", "ClassFloor", "ClassSeats"))
     if any(not 0 <= value < len(ladder) for value in floor):
-        raise FactsError("found rungs that the ladder lacks", "field Facts.FamilyInfo.ClassFloor")
-    rooms: dict[str, RoomType] = {}
-    for i, lane in enumerate(root.subs("Lanes")):
-        rooms[lane.text("Name", str(i))] = RoomType(
-            objective_us=round(lane.number("AimMs") * 1000),
-            benefit=lane.number("Importance", 1.0),
+        raise PlatformSettingsError("found rungs that the ladder lacks", "field Facts.FamilyInfo.ClassFloor")
+    service_classes: dict[str, ServiceClass] = {}
+    for i, lane in enumerate(root.sections("Lanes")):
+        service_classes[lane.text("Name", str(i))] = ServiceClass(
+            latency_objective_us=round(lane.number("AimMs") * 1000),
+            priority_weight=lane.number("Importance", 1.0),
             effect=lane.choice("Effect", "free", Effect),
             scope=lane.choice("DedupScope", "all", Scope),
             key_ttl_us=lane.micros("KeyTtlMs"),
-            scale=at(scale, i, 1.0),
-            floor=int(at(floor, i, 0)),
-            seats=int(at(seats, i, 0)),
+            scale=value_at(scale, i, 1.0),
+            floor=int(value_at(floor, i, 0)),
+            seats=int(value_at(seats, i, 0)),
         )
-    if not rooms:
-        raise FactsError("found no room types", "field Facts.Lanes")
+    if not service_classes:
+        raise PlatformSettingsError("found no room types", "field Facts.Lanes")
     kinds = [item for item in root.items("Kinds") if isinstance(item, str)]
     streams = info.numbers("KindStreams")
-    fields_told = tuple(str(item) for item in root.sub("LoadReport").items("Fields"))
+    fields_told = tuple(str(item) for item in root.section("LoadReport").items("Fields"))
     send_cap = allowed.maybe("SendCap")
     ask_within = rules.maybe("AskWithinMs")
     settings = Settings(
-        rooms=rooms,
+        service_classes=service_classes,
         fronts=max(1, int(root.number("Balancers", 1))),
         index=int(root.number("Index", 0)),
         zone=root.text("Zone", ""),
         ladder_kb=ladder,
         ladder_worth=worth,
-        kind_streams={kind: int(at(streams, i, 0)) for i, kind in enumerate(kinds)},
+        kind_streams={kind: int(value_at(streams, i, 0)) for i, kind in enumerate(kinds)},
         kb_per_weight=info.number("KbPerWeight", 0.0),
         all_links_kb=info.number("AllLinksKb", 0.0),
         sizes_listed=root.text("Weights", "none") != "none",
@@ -154,17 +156,17 @@
         budget_span_us=rules.micros("ResendSpanMs"),
         probe_price=prices.number("Probe", 0.0) if allowed.tree.get("MayProbe") else None,
         peer_price=prices.number("Peer", 0.0) if allowed.tree.get("Peers") else None,
-        reports_unasked=root.sub("LoadReport").text("Source", "answers") == "answers",
-        quotas={tenant.text("Name", ""): tenant.number("QuotaPerS") for tenant in root.subs("Tenants")},
+        reports_unasked=root.section("LoadReport").text("Source", "answers") == "answers",
+        quotas={tenant.text("Name", ""): tenant.number("QuotaPerS") for tenant in root.sections("Tenants")},
         over_quota_worth=root.number("OverShareWorth", 1.0),
-        worst_room_part=goal.number("WorstClass", 0.0) / (goal.number("Whole", 1.0) or 1.0),
+        worst_class_weight=goal.number("WorstClass", 0.0) / (goal.number("Whole", 1.0) or 1.0),
         switch_cost_us=round(info.number("SwitchCostS", 0.0) * 1_000_000),
     )
     return settings, fields_told
 
 
 @dataclass(frozen=True, slots=True)
-class LinkTerms:
+class ConnectionSettings:
     """What the settings say of connections and of the longest wait, in microseconds."""
 
     connect_us: int
@@ -172,13 +174,13 @@
     longest_us: int
 
 
-def link_terms(tree: Any) -> LinkTerms:
+def connection_settings(tree: Any) -> ConnectionSettings:
     """The part of the settings that transports need; 0 where a figure is absent.
 
     Raises:
         FactsError: as `read`.
     """
-    root = Facts(tree)
-    allowed = root.sub("Allowed")
-    longest_us = max((lane.micros("HardLimitMs") for lane in root.subs("Lanes")), default=0)
-    return LinkTerms(allowed.micros("ConnectTimeoutMs"), allowed.micros("ConnIdleMs"), longest_us)
+    root = SettingsReader(tree)
+    allowed = root.section("Allowed")
+    longest_us = max((lane.micros("HardLimitMs") for lane in root.sections("Lanes")), default=0)
+    return ConnectionSettings(allowed.micros("ConnectTimeoutMs"), allowed.micros("ConnIdleMs"), longest_us)
--- a/packages/interface/src/fennelcove/interface.py
+++ b/packages/interface/src/fennelcove/interface.py
@@ -36,7 +36,7 @@
     NOT_SENT = "not_sent"
 
 
-class Standing(Enum):
+class ServerState(Enum):
     """What the list says of a server."""
 
     ACTIVE = "active"
@@ -53,7 +53,7 @@
     FAILED = "FAILED"
 
 
-class NoteKind(IntEnum):
+class ReportKind(IntEnum):
     """What a note on a playing subscription tells."""
 
     DELIVERED = 1
@@ -63,11 +63,11 @@
 
 
 @dataclass(frozen=True, slots=True, eq=False)
-class RoomType:
+class ServiceClass:
     """The terms of one room type."""
 
-    objective_us: int
-    benefit: float
+    latency_objective_us: int
+    priority_weight: float
     effect: Effect
     scope: Scope
     key_ttl_us: int
@@ -80,7 +80,7 @@
 class Settings:
     """What a front is told at its start; an optional figure that is absent is None."""
 
-    rooms: dict[str, RoomType]
+    service_classes: dict[str, ServiceClass]
     fronts: int
     index: int
     zone: str
@@ -113,7 +113,7 @@
     # Of each tenant, requests a second over all fronts that count in full.
     quotas: dict[str, float] = field(default_factory=dict)
     over_quota_worth: float = 1.0  # what a request past its tenant's quota counts, of its benefit
-    worst_room_part: float = 0.0  # what the worst served room type counts, over what the whole counts
+    worst_class_weight: float = 0.0  # what the worst served room type counts, over what the whole counts
     cold_slack_us: int = 0  # by how much past its pace a cold server falls over, as time at that pace
     switch_cost_us: int = 0  # of a room type's benefit, for each change of rung while it plays
 
@@ -126,7 +126,7 @@
     zone: str
     kind: str
     cell: int
-    standing: Standing
+    standing: ServerState
     weight: float
     started_us: int
 
@@ -144,7 +144,7 @@
     """A viewer asks for a subscription."""
 
     id: str
-    room: str
+    service_class: str
     title: int
     first_cell: int
     cell_count: int
@@ -164,11 +164,11 @@
 
 
 @dataclass(frozen=True, slots=True, eq=False)
-class Started:
+class SessionStarted:
     """The viewer watches."""
 
     id: str
-    join: int
+    attempt: int
     took_us: int
 
 
@@ -181,7 +181,7 @@
 
 
 @dataclass(frozen=True, slots=True, eq=False)
-class Probed:
+class ProbeCompleted:
     """The end of a probe: it passed where the outcome is SERVED."""
 
     server: str
@@ -201,39 +201,39 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PeerSays:
+class PeerMessage:
     """A message of another front: the cells that it asks about, what it knows of some, or what it has just
     sent to some (cell, kB a second)."""
 
     sender: int
     asks: tuple[int, ...] = ()
     loads: tuple[CellLoad, ...] = ()
-    joins: tuple[tuple[int, int], ...] = ()
+    attempts: tuple[tuple[int, int], ...] = ()
 
 
 @dataclass(frozen=True, slots=True, eq=False)
-class JoinEnded:
+class AttemptCompleted:
     """A join is over; finished says that the subscription needs no further answer."""
 
     id: str
-    join: int
+    attempt: int
     outcome: Outcome
     finished: bool
     report: LoadReport | None
 
 
 @dataclass(frozen=True, slots=True, eq=False)
-class Note:
+class SessionReport:
     """A figure about the server of a playing subscription."""
 
     id: str
     server: str
-    kind: NoteKind
+    kind: ReportKind
     level: float
 
 
 @dataclass(frozen=True, slots=True, eq=False)
-class TopChanged:
+class TopRungChanged:
     """The viewer's best rung is another from now on, by its own measure or its server's word."""
 
     id: str
@@ -241,7 +241,7 @@
 
 
 @dataclass(frozen=True, slots=True, eq=False)
-class MoveAsked:
+class MigrationRequested:
     """A playing subscription wants a second home; it is told of under a new id, and ends under the old
     one."""
 
@@ -258,17 +258,17 @@
 
 
 @dataclass(frozen=True, slots=True, eq=False)
-class Remembered:
+class ServerSnapshot:
     """Of a server's same life, known to an earlier life of this front; None for never."""
 
     server: str
     strikes: int
     shut_for_us: int
-    joined_ago_us: int | None
+    last_attempt_ago_us: int | None
 
 
 @dataclass(frozen=True, slots=True)
-class Spent:
+class BudgetSnapshot:
     """How long ago requests were taken and further joins sent in an earlier life of this front."""
 
     taken_ago_us: tuple[int, ...]
@@ -282,8 +282,9 @@
     name: int
 
 
-Event = (ListUpdate | Request | Handover | Started | JoinEnded | Note | TopChanged | MoveAsked | ClientGone
-         | TimerFired | Remembered | Spent | Probed | PeerSays)
+Event = (ListUpdate | Request | Handover | SessionStarted | AttemptCompleted | SessionReport | TopRungChanged
+         | MigrationRequested | ClientGone
+         | TimerFired | ServerSnapshot | BudgetSnapshot | ProbeCompleted | PeerMessage)
 
 
 class TimerName(IntEnum):
@@ -297,21 +298,21 @@
 class Effects(Protocol):
     """What a front may ask of the program round it."""
 
-    def join(self, id: str, server: str, allow_us: int) -> None: ...
+    def start_attempt(self, id: str, server: str, allow_us: int) -> None: ...
 
     def set_rung(self, id: str, rung: int) -> None: ...
 
-    def throttle(self, id: str, wait_us: int) -> None: ...
+    def reject(self, id: str, wait_us: int) -> None: ...
 
-    def terminate(self, id: str) -> None: ...
+    def fail(self, id: str) -> None: ...
 
-    def move(self, id: str) -> None: ...
+    def migrate(self, id: str) -> None: ...
 
     def probe(self, server: str) -> None: ...
 
-    def tell(self, front: int, said: PeerSays) -> None: ...
+    def send_peer_message(self, front: int, said: PeerMessage) -> None: ...
 
-    def timer(self, name: int, delay_us: int) -> None: ...
+    def set_timer(self, name: int, delay_us: int) -> None: ...
 
     def watch_list(self) -> None: ...
 
--- a/packages/messages/src/fennelcove/slot_messages.py
+++ b/packages/messages/src/fennelcove/limit_messages.py
@@ -9,10 +9,10 @@
 import struct
 from collections.abc import Iterator, Sequence
 
-from fennelcove.decisions.fleet.budgets import Ask, Loan, Thing
-from fennelcove.slots.agreeing import Word
-from fennelcove.slots.counts import LAST, Classes, Row
-from fennelcove.slots.member import OLD_US, Told
+from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Resource
+from fennelcove.concurrency_limits.quorum import QuorumVote
+from fennelcove.concurrency_limits.latency_histogram import LAST, Classes, Row
+from fennelcove.concurrency_limits.replica import OLD_US, ReplicaMessages
 
 MOST_BYTES = 256
 ROWS, WORDS, ASK, LOAN, BEGUN, CLEAR = range(64, 70)
@@ -25,14 +25,14 @@
 PART = struct.Struct(">BH")  # shape, slots that it needs
 TRADE = struct.Struct(">BQIIH")  # kind, life of the asker, number of its ask, box, slots; 0 gives back
 LIFE = struct.Struct(">BQ")
-OF_BOX = 1  # the kind of a row that is known here
+OF_SERVER = 1  # the kind of a row that is known here
 END = 255
 OLD_S = OLD_US // 1_000_000
 MOST_HOLDS, MOST_WAITS = 40, 24  # classes in a row: the most numerous
 MOST_WHOLE = 65_535
 
 
-def pack(life: int, number: int, told: Sequence[Told], now_us: int) -> list[bytes]:
+def encode(life: int, number: int, told: Sequence[ReplicaMessages], now_us: int) -> list[bytes]:
     """The messages that say so much, each of 256 bytes at most."""
     found: list[bytes] = []
     for kind, rows in (
@@ -61,7 +61,7 @@
 
 
 def _framed(body: bytes) -> bytes:
-    return ROW_HEAD.pack(OF_BOX, len(body)) + body
+    return ROW_HEAD.pack(OF_SERVER, len(body)) + body
 
 
 def _most(classes: Classes, most: int) -> bytes:
@@ -69,24 +69,24 @@
     return b"".join(PAIR.pack(number, min(255, count)) for number, count in sorted(kept))
 
 
-def _row(said: Told, row: Row, now_us: int) -> bytes:
+def _row(said: ReplicaMessages, row: Row, now_us: int) -> bytes:
     age_s = _age(said.born_us, now_us)
-    head = COUNTS.pack(said.box, age_s, row.shape, row.asked, row.denied, row.lost)
+    head = COUNTS.pack(said.server, age_s, row.shape, row.asked, row.denied, row.lost)
     return _framed(head + _most(row.holds, MOST_HOLDS) + bytes([END]) + _most(row.waits, MOST_WAITS))
 
 
-def _word(said: Told, word: Word, now_us: int) -> bytes:
-    head = WORD.pack(said.box, _age(said.born_us, now_us), min(MOST_WHOLE, word.whole))
+def _word(said: ReplicaMessages, word: QuorumVote, now_us: int) -> bytes:
+    head = WORD.pack(said.server, _age(said.born_us, now_us), min(MOST_WHOLE, word.whole))
     parts = b"".join(PART.pack(shape, min(MOST_WHOLE, slots)) for shape, slots in word.parts)
     return _framed(head + parts)
 
 
-def unpack(raw: bytes, now_us: int) -> tuple[int, int, list[Told]] | None:
+def decode(raw: bytes, now_us: int) -> tuple[int, int, list[ReplicaMessages]] | None:
     """Life, number and what is told; None where it is malformed. Rows of an unknown kind are passed over."""
     if not HEAD.size < len(raw) <= MOST_BYTES or raw[0] not in (ROWS, WORDS):
         return None
     kind, life, number = HEAD.unpack_from(raw)
-    found: list[Told] = []
+    found: list[ReplicaMessages] = []
     for body in _bodies(raw[HEAD.size :]):
         if not body:
             if body is None:
@@ -106,14 +106,14 @@
             yield None
             return
         kind, size = ROW_HEAD.unpack_from(raw)
-        yield raw[ROW_HEAD.size : ROW_HEAD.size + size] if kind == OF_BOX and size else b""
+        yield raw[ROW_HEAD.size : ROW_HEAD.size + size] if kind == OF_SERVER and size else b""
         raw = raw[ROW_HEAD.size + size :]
 
 
-def _read_row(body: bytes, now_us: int) -> Told | None:
+def _read_row(body: bytes, now_us: int) -> ReplicaMessages | None:
     if len(body) <= COUNTS.size:
         return None
-    box, age_s, shape, asked, denied, lost = COUNTS.unpack_from(body)
+    server, age_s, shape, asked, denied, lost = COUNTS.unpack_from(body)
     pairs = body[COUNTS.size :]
     # A class is never END, so that it stands at an even place once.
     ends = [at for at in range(0, len(pairs), 2) if pairs[at] == END]
@@ -122,7 +122,9 @@
     holds, waits = _pairs(pairs[: ends[0]]), _pairs(pairs[ends[0] + 1 :])
     if holds is None or waits is None:
         return None
-    return Told((), box, _born(age_s, now_us), rows=(Row(shape, asked, denied, lost, holds, waits),))
+    return ReplicaMessages(
+        (), server, _born(age_s, now_us), rows=(Row(shape, asked, denied, lost, holds, waits),)
+    )
 
 
 def _pairs(raw: bytes) -> Classes | None:
@@ -130,28 +132,28 @@
     return found if all(number <= LAST for number, _ in found) else None
 
 
-def _read_word(body: bytes, now_us: int) -> Told | None:
+def _read_word(body: bytes, now_us: int) -> ReplicaMessages | None:
     if len(body) < WORD.size or (len(body) - WORD.size) % PART.size:
         return None
-    box, age_s, whole = WORD.unpack_from(body)
+    server, age_s, whole = WORD.unpack_from(body)
     parts = tuple((shape, slots) for shape, slots in PART.iter_unpack(body[WORD.size :]))
-    return Told((), box, _born(age_s, now_us), word=Word(whole, parts)) if whole else None
+    return ReplicaMessages((), server, _born(age_s, now_us), word=QuorumVote(whole, parts)) if whole else None
 
 
-def pack_trade(box: int, said: Ask | Loan) -> bytes:
+def pack_trade(server: int, said: QuotaRequest | QuotaTransfer) -> bytes:
     """An ask for slots of a box, its answer, or what is given back."""
-    kind = ASK if isinstance(said, Ask) else LOAN
-    return TRADE.pack(kind, said.life, said.number, box, min(MOST_WHOLE, int(said.rate)))
+    kind = ASK if isinstance(said, QuotaRequest) else LOAN
+    return TRADE.pack(kind, said.life, said.number, server, min(MOST_WHOLE, int(said.rate)))
 
 
-def unpack_trade(raw: bytes) -> tuple[int, Ask | Loan] | None:
+def unpack_trade(raw: bytes) -> tuple[int, QuotaRequest | QuotaTransfer] | None:
     """The box and what is said; None where it is malformed."""
     if len(raw) != TRADE.size or raw[0] not in (ASK, LOAN):
         return None
-    kind, life, number, box, slots = TRADE.unpack(raw)
+    kind, life, number, server, slots = TRADE.unpack(raw)
     if kind == ASK:
-        return (box, Ask(life, number, Thing.SLOT, float(slots))) if slots else None
-    return box, Loan(life, number, Thing.SLOT, float(slots))
+        return (server, QuotaRequest(life, number, Resource.SLOT, float(slots))) if slots else None
+    return server, QuotaTransfer(life, number, Resource.SLOT, float(slots))
 
 
 def pack_life(kind: int, life: int) -> bytes:
--- a/packages/messages/src/fennelcove/messages.py
+++ b/packages/messages/src/fennelcove/messages.py
@@ -5,11 +5,11 @@
 import math
 import struct
 
-from fennelcove.decisions.fleet.budgets import Ask, Loan, Thing
-from fennelcove.decisions.fleet.burden import Summary
-from fennelcove.decisions.fleet.company import Beat
-from fennelcove.decisions.fleet.watchers import Tells, Word
-from fennelcove.interface import CellLoad, PeerSays
+from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Resource
+from fennelcove.decisions.fleet.fleet_load import LoadSummary
+from fennelcove.decisions.fleet.membership import Heartbeat
+from fennelcove.decisions.fleet.health_checks import HealthVerdict, HealthReport
+from fennelcove.interface import CellLoad, PeerMessage
 
 MOST_BYTES = 256
 MOST_CELLS = 1 << 16  # a cell is two bytes
@@ -27,19 +27,19 @@
 SPARED = struct.Struct(">BQIBd")  # kind, the asker's life, number of the ask, thing, things a second
 WORD = 60
 WORDED = struct.Struct(">BIBQ")  # kind, mark of the box, what is told of it, number
-TOLD = frozenset(Tells)
-THINGS = frozenset(Thing)
+TOLD = frozenset(HealthVerdict)
+THINGS = frozenset(Resource)
 MOST_ROWS = (MOST_BYTES - COUNTED.size) // ROW.size
 MOST_GONE = (MOST_BYTES - SIGN.size) // CELL.size
 
 
-def pack(said: PeerSays) -> list[bytes]:
+def encode(said: PeerMessage) -> list[bytes]:
     """The messages, of 256 bytes at most each, that say so much."""
     parts: list[bytes] = []
     for kind, rows in (
         (ASKS, [CELL.pack(cell) for cell in said.asks]),
         (LOADS, [LOAD.pack(*row(load)) for load in said.loads]),
-        (JOINS, [JOIN.pack(cell, min(kb, 65_535)) for cell, kb in said.joins]),
+        (JOINS, [JOIN.pack(cell, min(kb, 65_535)) for cell, kb in said.attempts]),
     ):
         most = (MOST_BYTES - 1) // SIZES[kind].size
         parts += [bytes([kind]) + b"".join(rows[i : i + most]) for i in range(0, len(rows), most)]
@@ -57,7 +57,7 @@
     return UNKNOWN if level is None else max(0, round(min(UNKNOWN - 1, level * 100)))
 
 
-def unpack(sender: int, raw: bytes) -> PeerSays | None:
+def decode(sender: int, raw: bytes) -> PeerMessage | None:
     """What a message says; None where it is malformed, as another build's may be, or altered."""
     if not 1 < len(raw) <= MOST_BYTES:
         return None
@@ -66,10 +66,10 @@
         return None
     rows = list(SIZES[kind].iter_unpack(body))
     if kind == ASKS:
-        return PeerSays(sender, asks=tuple(cell for (cell,) in rows))
+        return PeerMessage(sender, asks=tuple(cell for (cell,) in rows))
     if kind == LOADS:
-        return PeerSays(sender, loads=tuple(load(*row) for row in rows))
-    return PeerSays(sender, joins=tuple(rows))
+        return PeerMessage(sender, loads=tuple(load(*row) for row in rows))
+    return PeerMessage(sender, attempts=tuple(rows))
 
 
 def load(cell: int, link: int, uplink: int, age: int) -> CellLoad:
@@ -78,14 +78,14 @@
     return CellLoad(cell, levels[0], levels[1], age * 100_000)
 
 
-def pack_beat(beat: Beat) -> bytes:
+def pack_beat(beat: Heartbeat) -> bytes:
     """A sign of life as one message."""
     gone = b"".join(CELL.pack(index) for index in beat.gone[:MOST_GONE])
     parts = (BEAT, beat.life, beat.number, beat.heard_life, beat.heard_number, beat.leaving)
     return SIGN.pack(*parts) + gone
 
 
-def unpack_beat(raw: bytes) -> Beat | None:
+def unpack_beat(raw: bytes) -> Heartbeat | None:
     """A sign of life; None where it is malformed."""
     if not SIGN.size <= len(raw) <= MOST_BYTES or (len(raw) - SIGN.size) % CELL.size or raw[0] != BEAT:
         return None
@@ -93,16 +93,16 @@
     if leaving > 1:
         return None
     gone = tuple(index for (index,) in CELL.iter_unpack(raw[SIGN.size :]))
-    return Beat(life, number, heard_life, heard_number, bool(leaving), gone)
+    return Heartbeat(life, number, heard_life, heard_number, bool(leaving), gone)
 
 
-def pack_summary(said: Summary) -> bytes:
+def pack_summary(said: LoadSummary) -> bytes:
     """What a front was asked, as one message."""
     rows = b"".join(ROW.pack(*row) for row in said.rows[:MOST_ROWS])
     return COUNTED.pack(SUMMARY, said.life, said.number) + rows
 
 
-def unpack_summary(raw: bytes) -> Summary | None:
+def unpack_summary(raw: bytes) -> LoadSummary | None:
     """What another front was asked; None where it is malformed."""
     if (
         not COUNTED.size <= len(raw) <= MOST_BYTES
@@ -112,33 +112,33 @@
         return None
     _, life, number = COUNTED.unpack_from(raw)
     rows = tuple((asked, served, turned) for asked, served, turned in ROW.iter_unpack(raw[COUNTED.size :]))
-    return Summary(life, number, rows)
+    return LoadSummary(life, number, rows)
 
 
-def pack_budget(said: Ask | Loan) -> bytes:
+def pack_budget(said: QuotaRequest | QuotaTransfer) -> bytes:
     """An ask for more of a thing, or its answer."""
-    kind = ASK if isinstance(said, Ask) else LOAN
+    kind = ASK if isinstance(said, QuotaRequest) else LOAN
     return SPARED.pack(kind, said.life, said.number, said.thing, said.rate)
 
 
-def unpack_budget(raw: bytes) -> Ask | Loan | None:
+def unpack_budget(raw: bytes) -> QuotaRequest | QuotaTransfer | None:
     """An ask or a loan; None where it is malformed."""
     if len(raw) != SPARED.size or raw[0] not in (ASK, LOAN):
         return None
     kind, life, number, thing, rate = SPARED.unpack(raw)
     if thing not in THINGS or not math.isfinite(rate) or rate <= 0:
         return None
-    return (Ask if kind == ASK else Loan)(life, number, Thing(thing), rate)
+    return (QuotaRequest if kind == ASK else QuotaTransfer)(life, number, Resource(thing), rate)
 
 
-def pack_word(said: Word) -> bytes:
+def pack_word(said: HealthReport) -> bytes:
     """A watcher's word on a box."""
-    return WORDED.pack(WORD, said.box, said.tells, said.number)
+    return WORDED.pack(WORD, said.server, said.tells, said.number)
 
 
-def unpack_word(raw: bytes) -> Word | None:
+def unpack_word(raw: bytes) -> HealthReport | None:
     """A watcher's word; None where it is malformed."""
     if len(raw) != WORDED.size or raw[0] != WORD:
         return None
-    _, box, tells, number = WORDED.unpack(raw)
-    return Word(box, Tells(tells), number) if tells in TOLD else None
+    _, server, tells, number = WORDED.unpack(raw)
+    return HealthReport(server, HealthVerdict(tells), number) if tells in TOLD else None
--- a/packages/messages/src/fennelcove/release_messages.py
+++ b/packages/messages/src/fennelcove/rollout_messages.py
@@ -6,7 +6,7 @@
 import struct
 from collections.abc import Callable
 
-from fennelcove.releases.says import (
+from fennelcove.rollouts.messages import (
     MOST_HELD,
     MOST_OPEN,
     Ask,
@@ -56,13 +56,13 @@
     return shape.pack(*(min(int(v), BOUNDS[code]) for v, code in zip(values, codes, strict=True)))
 
 
-def pack(said: Said) -> bytes:
+def encode(said: Said) -> bytes:
     """One message, of 256 bytes at most."""
     kind, packer = PACKERS[type(said)]
     return bytes([kind]) + packer(said)
 
 
-def unpack(raw: bytes) -> Said | None:
+def decode(raw: bytes) -> Said | None:
     """What a message says; None where it is malformed, or of another build."""
     if not HEAD < len(raw) <= MOST_BYTES or raw[0] not in UNPACKERS:
         return None
--- a/packages/node/src/fennelcove/node/viewers.py
+++ b/packages/node/src/fennelcove/node/client_connection.py
@@ -10,11 +10,11 @@
 from typing import Protocol
 
 from fennelcove.clock import Clock
-from fennelcove.node import door
-from fennelcove.node.descriptors import Descriptors, Use
-from fennelcove.node.inbox import Inbox
-from fennelcove.node.links import receive_limit, send_now
-from fennelcove.node.parties import Caller, Subscription
+from fennelcove.node import request_validation
+from fennelcove.node.descriptor_budget import DescriptorBudget, DescriptorUse
+from fennelcove.node.receive_queue import ReceiveQueue
+from fennelcove.node.server_connection import receive_limit, send_now
+from fennelcove.node.model import ClientLink, Session
 from fennelcove.rtsp import writer
 from fennelcove.rtsp.messages import ProtocolError
 
@@ -33,26 +33,26 @@
 NEW_SHARE = 8  # and one in so many
 
 
-class Hall(door.Counter, Protocol):
+class ClientSessions(request_validation.Counter, Protocol):
     """What viewers' connections lead to."""
 
     lock: threading.Lock
     clock: Clock
     connections: ConnectionTable
-    descriptors: Descriptors
+    descriptors: DescriptorBudget
 
 
-class Viewer:
+class ClientConnection:
     """One connection. All but `run` is called with the desk's lock held."""
 
-    def __init__(self, desk: Hall, sock: socket.socket, peer: str) -> None:
+    def __init__(self, desk: ClientSessions, sock: socket.socket, peer: str) -> None:
         self.desk = desk
         self.sock = sock
-        self.place = desk.descriptors.opened(Use.ACCEPT, sock)
+        self.place = desk.descriptors.opened(DescriptorUse.ACCEPT, sock)
         self.peer = peer
-        self.open: dict[Subscription, None] = {}
-        self.standing: dict[Subscription, None] = {}
-        self.inbox = Inbox()
+        self.open: dict[Session, None] = {}
+        self.standing: dict[Session, None] = {}
+        self.inbox = ReceiveQueue()
         self.figures: dict[str, None] = {}
         self.withdrawn: set[bytes] = set()
         self.since_us = desk.clock.now_us()
@@ -120,7 +120,7 @@
         finally:
             with self.desk.lock:
                 self.closed = True
-                door.viewer_gone(self.desk, self)
+                request_validation.viewer_gone(self.desk, self)
             self._drain()
             with self.desk.lock:
                 self.desk.connections.remove(self)
@@ -216,7 +216,7 @@
                     acted = self.spoke = True
                     message = inbox.take()
                     gone = self.ended or self.closed or inbox.takes_back(message)
-                    door.hear(self.desk, self, message, gone)
+                    request_validation.hear(self.desk, self, message, gone)
             if more:
                 inbox.feed(more)
         return acted
@@ -230,7 +230,7 @@
             return None
         if more == b"":
             self.ended = True
-            door.viewer_gone(self.desk, self)
+            request_validation.viewer_gone(self.desk, self)
         return more
 
 
@@ -240,11 +240,11 @@
     def __init__(self, most: int) -> None:
         self.most = most
         self.seats = max(1, most - max(LEAST_NEW, most // NEW_SHARE))  # for those that carry something
-        self.viewers: dict[Viewer, None] = {}
-        self.by_peer: dict[str, dict[Viewer, None]] = {}
+        self.viewers: dict[ClientConnection, None] = {}
+        self.by_peer: dict[str, dict[ClientConnection, None]] = {}
         self.pending: dict[str, deque[tuple[int, bytes]]] = {}
 
-    def add(self, viewer: Viewer) -> bool:
+    def add(self, viewer: ClientConnection) -> bool:
         """False where there is no room for it, even with others closed that nothing hangs on."""
         if len(self.viewers) >= self.most:
             # None but those that never stop sending: one of them goes all the same.
@@ -257,7 +257,7 @@
         self.by_peer.setdefault(viewer.peer, {})[viewer] = None
         return True
 
-    def _out(self) -> Viewer | None:
+    def _out(self) -> ClientConnection | None:
         """Who goes to make room: those that are only drained first, then those that have said nothing, since
         some open connections by the hundred and never do. One from which something has come is about to
         carry it, and what waits to be read would go without an answer."""
@@ -282,12 +282,12 @@
             return HEAD_START_US
         return 0 if out.spoke or out.closed else max(0, out.since_us + HEAD_START_US - now_us)
 
-    def seated(self, viewer: Caller) -> bool:
+    def seated(self, viewer: ClientLink) -> bool:
         """Whether something may be open on this connection: were all of them busy, a new one would have to be
         closed without an answer, and so would the platform's test."""
         return bool(viewer.open or viewer.standing) or sum(not v.bare for v in self.viewers) < self.seats
 
-    def remove(self, viewer: Viewer) -> None:
+    def remove(self, viewer: ClientConnection) -> None:
         self.viewers.pop(viewer, None)
         same = self.by_peer.get(viewer.peer)
         if same is not None:
@@ -295,7 +295,7 @@
             if not same:
                 del self.by_peer[viewer.peer]
 
-    def other(self, peer: str, figure: str = "") -> Viewer | None:
+    def other(self, peer: str, figure: str = "") -> ClientConnection | None:
         """Any open connection of this peer's; one on which this viewer has spoken, where there is one, or
         else one that has spoken at all: clients that share an address must not get each other's ends."""
         same = sorted(self.by_peer.get(peer, ()), key=lambda v: (figure not in v.figures, not v.spoke))
@@ -307,7 +307,7 @@
         if peer in self.pending or len(self.pending) < MOST_PENDING:
             self.pending.setdefault(peer, deque(maxlen=MOST_PENDING_EACH)).append((now_us, data))
 
-    def deliver(self, viewer: Caller) -> None:
+    def deliver(self, viewer: ClientLink) -> None:
         """Send what is owed to this connection's peer; what it can't be sent stays for the next."""
         said = self.pending.get(viewer.peer, deque())
         while said and not viewer.left() and viewer.send(said[0][1]):
--- a/packages/node/src/fennelcove/node/config.py
+++ b/packages/node/src/fennelcove/node/config.py
@@ -7,27 +7,35 @@
 from typing import Any
 
 from fennelcove import facts
-from fennelcove.errors import Trouble
-from fennelcove.facts import FactsError, LinkTerms
+from fennelcove.errors import OperatorError
+from fennelcove.facts import PlatformSettingsError, ConnectionSettings
 from fennelcove.interface import Settings
 from fennelcove.node.address import Address, parse_address
-from fennelcove.node.notices import Board, BoardError
+from fennelcove.node.discovery_events import DiscoveryStream, DiscoveryError
 
 CONNECT_US = 250_000  # where the settings name no limit
 IDLE_US = 30_000_000
 SOCKETS = 256
 # What a file of another form raises somewhere; RecursionError: nested past what the parser follows.
-UNUSABLE = (OSError, ValueError, TypeError, ArithmeticError, RecursionError, FactsError, BoardError)
-
-
-class ConfigError(Trouble):
+UNUSABLE = (
+    OSError,
+    ValueError,
+    TypeError,
+    ArithmeticError,
+    RecursionError,
+    PlatformSettingsError,
+    DiscoveryError,
+)
+
+
+class ConfigError(OperatorError):
     """A front node's configuration can't be used."""
 
     code = "node-configuration-unusable"
     advice = "Correct the file that EDGE_CONFIG names; a node that runs goes on by what it had read"
 
 
-class ConfigForeign(Trouble):
+class ConfigMismatchError(OperatorError):
     """A front node's configuration at SIGHUP is not the one of the node that runs."""
 
     code = "node-configuration-foreign"
@@ -43,9 +51,9 @@
     seed: int
     sockets: int
     board: Address
-    known: Board
+    known: DiscoveryStream
     settings: Settings
-    terms: LinkTerms
+    terms: ConnectionSettings
     told: dict[str, dict[str, Any]]  # `limits` and `settings` as the file has them, to name what differs
 
     def differs(self, fresh: Config) -> list[str]:
@@ -84,7 +92,7 @@
     """
     fresh = load(path)
     if differs := running.differs(fresh):
-        raise ConfigForeign(f"differs from what the node runs by in {', '.join(differs)}", path)
+        raise ConfigMismatchError(f"differs from what the node runs by in {', '.join(differs)}", path)
     return fresh
 
 
@@ -96,9 +104,9 @@
     """
     if not isinstance(tree, dict):
         raise ConfigError("found no object")
-    settings, _ = facts.read(tree.get("settings"))
-    terms = facts.link_terms(tree.get("settings"))
-    limits = facts.Facts(tree.get("limits", {}), "limits")
+    settings, _ = facts.read_settings(tree.get("settings"))
+    terms = facts.connection_settings(tree.get("settings"))
+    limits = facts.SettingsReader(tree.get("limits", {}), "limits")
     seed = tree.get("seed", "0")
     return Config(
         name=str(tree.get("name", "")),
@@ -106,8 +114,8 @@
         seed=int(seed, 16) if isinstance(seed, str) else int(seed),
         sockets=max(32, int(limits.number("sockets", SOCKETS))),
         board=parse_address(tree.get("board")),
-        known=Board.parse(tree.get("known", {"rev": 0, "notices": []})),
+        known=DiscoveryStream.parse(tree.get("known", {"rev": 0, "notices": []})),
         settings=settings,
-        terms=LinkTerms(terms.connect_us or CONNECT_US, terms.idle_us or IDLE_US, terms.longest_us),
+        terms=ConnectionSettings(terms.connect_us or CONNECT_US, terms.idle_us or IDLE_US, terms.longest_us),
         told={"limits": limits.tree, "settings": tree["settings"]},
     )
--- a/packages/node/src/fennelcove/node/deadlines.py
+++ b/packages/node/src/fennelcove/node/deadlines.py
@@ -7,7 +7,7 @@
 
 from fennelcove.clock import Clock
 from fennelcove.clock.timers import Timers
-from fennelcove.node.parties import Subscription
+from fennelcove.node.model import Session
 
 LOOK_US = 1_000_000  # a timer set for longer would outlive what it was set for: client timeouts reach an hour
 
@@ -22,17 +22,17 @@
         self.order: list[tuple[int, bytes]] = []
         self.look_at_us: int | None = None  # when the timer falls due, where one is set
 
-    def add(self, sub: Subscription, after_us: int) -> bool:
+    def add(self, session: Session, after_us: int) -> bool:
         """False where no timer can be had, and with it no certain answer."""
-        sub.answer_by_us = self.clock.now_us() + after_us
-        if not self._look(sub.answer_by_us):
+        session.answer_by_us = self.clock.now_us() + after_us
+        if not self._look(session.answer_by_us):
             return False
-        insort(self.order, (sub.answer_by_us, sub.id))
+        insort(self.order, (session.answer_by_us, session.id))
         return True
 
-    def drop(self, sub: Subscription) -> None:
+    def drop(self, session: Session) -> None:
         """It has its answer, or wants none."""
-        entry = (sub.answer_by_us, sub.id)
+        entry = (session.answer_by_us, session.id)
         at = bisect_left(self.order, entry)
         if at < len(self.order) and self.order[at] == entry:
             del self.order[at]
--- a/packages/node/src/fennelcove/node/descriptors.py
+++ b/packages/node/src/fennelcove/node/descriptor_budget.py
@@ -19,7 +19,7 @@
 LEAST_SERVERS, LEAST_CLIENTS = 1, 2
 
 
-class Use(Enum):
+class DescriptorUse(Enum):
     """What descriptors are held for."""
 
     FIXED = "fixed"  # what was there at the start, and the listening socket
@@ -30,7 +30,7 @@
     CLIENT = "client"
 
 
-RESERVED = {Use.FILE: 2, Use.DISCOVERY: 2, Use.ACCEPT: 1}
+RESERVED = {DescriptorUse.FILE: 2, DescriptorUse.DISCOVERY: 2, DescriptorUse.ACCEPT: 1}
 
 
 def inherited() -> int:
@@ -47,7 +47,7 @@
     return sockets if own == resource.RLIM_INFINITY else min(sockets, own)
 
 
-class Descriptors:
+class DescriptorBudget:
     """The owner of the account. The parts add up to the limit at most."""
 
     def __init__(self, limit: int, fixed: int = STANDARD + 1) -> None:
@@ -55,22 +55,27 @@
         servers = max(LEAST_SERVERS, limit // 3)
         left = limit - fixed - sum(RESERVED.values()) - servers
         clients = max(LEAST_CLIENTS, min(limit // 2, left))
-        self.most = {**RESERVED, Use.FIXED: fixed, Use.SERVER: servers, Use.CLIENT: clients}
-        self.held = dict.fromkeys(Use, 0) | {Use.FIXED: fixed}
+        self.most = {
+            **RESERVED,
+            DescriptorUse.FIXED: fixed,
+            DescriptorUse.SERVER: servers,
+            DescriptorUse.CLIENT: clients,
+        }
+        self.held = dict.fromkeys(DescriptorUse, 0) | {DescriptorUse.FIXED: fixed}
         # Those that are held or about to be, without those that are about to be closed.
-        self.promised = dict.fromkeys(Use, 0)
+        self.promised = dict.fromkeys(DescriptorUse, 0)
         self.changed = threading.Condition()
 
-    def room(self, use: Use) -> bool:
+    def room(self, use: DescriptorUse) -> bool:
         """Whether another may be promised; it may have to wait for one that is being closed."""
         with self.changed:
             return self.promised[use] < self.most[use]
 
-    def promise(self, use: Use) -> Descriptor:
+    def promise(self, use: DescriptorUse) -> Descriptor:
         """One that is to be opened."""
         return Descriptor(self, use)
 
-    def opened(self, use: Use, file: socket.socket | None = None) -> Descriptor:
+    def opened(self, use: DescriptorUse, file: socket.socket | None = None) -> Descriptor:
         """One that is open, or is opened and closed by whoever holds this."""
         made = Descriptor(self, use)
         with self.changed:
@@ -89,7 +94,7 @@
 class Descriptor:
     """One descriptor, from the promise of it to its close."""
 
-    def __init__(self, owner: Descriptors, use: Use) -> None:
+    def __init__(self, owner: DescriptorBudget, use: DescriptorUse) -> None:
         self.owner = owner
         self.use = use
         self.file: socket.socket | None = None
@@ -125,7 +130,7 @@
             raise
         return self.file
 
-    def move(self, use: Use, wait_us: int) -> bool:
+    def move(self, use: DescriptorUse, wait_us: int) -> bool:
         """Count it to another use, once there is room for it there; False where none came in time."""
         owner = self.owner
         with owner.changed:
--- a/packages/node/src/fennelcove/node/board.py
+++ b/packages/node/src/fennelcove/node/discovery_client.py
@@ -9,14 +9,14 @@
 from random import Random
 
 from fennelcove.clock import Clock
-from fennelcove.errors import Trouble
+from fennelcove.errors import OperatorError
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import CodecLimits, ResponseHead
 from fennelcove.http1.reader import Gatherer, Reader
 from fennelcove.node.address import Address
-from fennelcove.node.descriptors import Descriptor, Use
-from fennelcove.node.desk import Desk
-from fennelcove.node.notices import Board, BoardError
+from fennelcove.node.descriptor_budget import Descriptor, DescriptorUse
+from fennelcove.node.session_manager import SessionManager
+from fennelcove.node.discovery_events import DiscoveryStream, DiscoveryError
 
 LINGER_MS = 1_000  # a board that goes silent is noticed soon after so long
 ANSWER_US = 400_000  # beyond it
@@ -27,7 +27,7 @@
 READ_BYTES = 65_536
 
 
-class BoardUnreached(Trouble):
+class DiscoveryUnreachableError(OperatorError):
     """No whole answer of the notice board came."""
 
     code = "board-unreached"
@@ -47,7 +47,7 @@
     way round. Each move or ask for everything begins a turn; answers to polls of earlier ones are dropped.
     """
 
-    def __init__(self, desk: Desk, clock: Clock, board: Address, rev: int) -> None:
+    def __init__(self, desk: SessionManager, clock: Clock, board: Address, rev: int) -> None:
         self.desk = desk
         self.clock = clock
         self.board = board
@@ -121,8 +121,8 @@
 
     def _report(self, error: Exception, address: Address) -> None:
         where = f"{address.host}:{address.port}"
-        unreached = BoardUnreached(f"{type(error).__name__}: {error}", where)
-        told = error if isinstance(error, BoardError) else unreached
+        unreached = DiscoveryUnreachableError(f"{type(error).__name__}: {error}", where)
+        told = error if isinstance(error, DiscoveryError) else unreached
         self._log("board_call_failed", **told.fields())
 
     def _log(self, event: str, **fields: object) -> None:
@@ -151,12 +151,12 @@
         assert isinstance(whole.head, ResponseHead)
         if whole.head.status != 200:
             raise ConnectionError(f"answered {whole.head.status}")
-        self._take(turn, rev, Board.parse(json.loads(whole.body)))
+        self._take(turn, rev, DiscoveryStream.parse(json.loads(whole.body)))
         if not whole.head.keep_alive or self.turn != turn:
             self._close()
 
     def _connect(self, turn: int, address: Address) -> None:
-        place = self.desk.descriptors.promise(Use.DISCOVERY)
+        place = self.desk.descriptors.promise(DescriptorUse.DISCOVERY)
         try:
             sock = place.open(lambda: socket.socket(socket.AF_INET, socket.SOCK_STREAM), CONNECT_US)
         except OSError:
@@ -184,7 +184,7 @@
             pass
         return False
 
-    def _take(self, turn: int, rev: int, board: Board) -> None:
+    def _take(self, turn: int, rev: int, board: DiscoveryStream) -> None:
         """Apply one answer in one hold of the lock, unless a move or an ask for everything has come first: a
         request in between saw a server gone and the one in its place not there yet."""
         news = board.after(rev, self.gapless)
@@ -195,7 +195,7 @@
                 raise ConnectionError("the board has moved")
             if news is None:  # asked after its high number for good, it would hear of no change any more
                 self.rev = 0
-                raise BoardError(
+                raise DiscoveryError(
                     f"found events up to {board.last} that do not follow upon {rev}", "field rev"
                 )
             for notice in news:
--- a/packages/node/src/fennelcove/node/log.py
+++ b/packages/node/src/fennelcove/node/log.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from contextlib import suppress
 
-Notices = Callable[..., None]
+EventLogger = Callable[..., None]
 
 
-def notices(name: str) -> Notices:
+def notices(name: str) -> EventLogger:
     """A function that logs one event with its fields."""
 
     def notice(event: str, **fields: object) -> None:
--- a/packages/node/src/fennelcove/node/outcomes.py
+++ b/packages/node/src/fennelcove/node/outcome_mapping.py
@@ -5,14 +5,14 @@
 import math
 
 from fennelcove.facts import load_report
-from fennelcove.interface import LoadReport, NoteKind, Outcome
+from fennelcove.interface import LoadReport, ReportKind, Outcome
 from fennelcove.isup.messages import Cause, Code, Message
 
 NOTES = {
-    "quality": NoteKind.DELIVERED,
-    "profile": NoteKind.RUNG,
-    "nic": NoteKind.LINK,
-    "tor": NoteKind.UPLINK,
+    "quality": ReportKind.DELIVERED,
+    "profile": ReportKind.RUNG,
+    "nic": ReportKind.LINK,
+    "tor": ReportKind.UPLINK,
 }
 BEFORE: dict[int | None, Outcome] = {
     Cause.FULL: Outcome.TURNED_AWAY,
--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -12,12 +12,12 @@
 
 from fennelcove.clock import SystemClock
 from fennelcove.clock.timers import Timers
-from fennelcove.node import config, log, trace
-from fennelcove.node.board import DiscoveryClient
-from fennelcove.node.descriptors import Descriptors, Use, inherited, limited
-from fennelcove.node.desk import Desk
-from fennelcove.node.links import receive_limit
-from fennelcove.node.viewers import MESSAGE_US, Viewer
+from fennelcove.node import config, log, state_dump
+from fennelcove.node.discovery_client import DiscoveryClient
+from fennelcove.node.descriptor_budget import DescriptorBudget, DescriptorUse, inherited, limited
+from fennelcove.node.session_manager import SessionManager
+from fennelcove.node.server_connection import receive_limit
+from fennelcove.node.client_connection import MESSAGE_US, ClientConnection
 
 STACK_BYTES = 256 * 1024  # address space; what is touched of it is a fraction
 ROUND_US = 250_000
@@ -35,7 +35,7 @@
 RELOAD_PAUSE_S = 0.1
 
 
-class Program:
+class NodeProgram:
     """Owns the threads of one front node."""
 
     def __init__(self, path: str) -> None:
@@ -45,8 +45,8 @@
         self.clock = SystemClock()
         self.timers = Timers(self.clock, self.timer_failed)
         fixed = inherited() + 1  # the listening socket
-        account = Descriptors(limited(self.config.sockets), fixed)
-        self.desk = Desk(self.config, self.clock, self.timers, self.notice, account)
+        account = DescriptorBudget(limited(self.config.sockets), fixed)
+        self.desk = SessionManager(self.config, self.clock, self.timers, self.notice, account)
         self.discovery = DiscoveryClient(self.desk, self.clock, self.config.board, self.config.known.rev)
         self.desk.fetch = self.discovery.resync
         self.reread = threading.Event()
@@ -78,7 +78,7 @@
         ):
             self.begin(threading.Thread(target=call, name=name, daemon=True))
         self.begin(self.accepts)
-        trace.start(self.desk)
+        state_dump.start(self.desk)
         self.notice("ready", servers=len(self.desk.servers), rev=self.config.known.rev)
         while signal.sigwait(signals) == signal.SIGHUP:
             self.reread.set()
@@ -150,7 +150,7 @@
 
     def take(self, sock: socket.socket, peer: str) -> None:
         """A new connection, where there is room for it."""
-        viewer = Viewer(self.desk, sock, peer)
+        viewer = ClientConnection(self.desk, sock, peer)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             receive_limit(sock, MESSAGE_US)
@@ -162,7 +162,7 @@
                         room = self.desk.connections.add(viewer)
                         break
                 time.sleep(wait_us / 1e6)  # the listener's backlog holds the others meanwhile
-            if not (room and viewer.place.move(Use.CLIENT, ROOM_US)):
+            if not (room and viewer.place.move(DescriptorUse.CLIENT, ROOM_US)):
                 raise OSError("no room")
             self.begin(threading.Thread(target=viewer.run, name="viewer", daemon=True), ROOM_US)
         except (OSError, RuntimeError):
@@ -185,9 +185,9 @@
         """Go on by the file as it is now; one that can't be used leaves what was, and is told of once."""
         for left in reversed(range(RELOADS)):
             try:
-                with self.desk.descriptors.opened(Use.FILE):
+                with self.desk.descriptors.opened(DescriptorUse.FILE):
                     fresh = config.reload(self.path, self.config)
-            except (config.ConfigError, config.ConfigForeign) as error:
+            except (config.ConfigError, config.ConfigMismatchError) as error:
                 if left:  # it may be in the middle of being replaced
                     time.sleep(RELOAD_PAUSE_S)
                 else:
@@ -201,12 +201,12 @@
         """Tests fail from now on; what plays plays on and what comes is answered until the end is due."""
         with self.desk.lock:
             self.desk.stopping = True
-        self.notice("stopping", held=len(self.desk.subs))
+        self.notice("stopping", held=len(self.desk.sessions))
         time.sleep(stop_us(self.config.terms.longest_us) / 1e6)
         with self.desk.lock:
             left = self.desk.end()
         self.hear_out()
-        self.notice("stopped", held=len(self.desk.subs), unanswered=left)
+        self.notice("stopped", held=len(self.desk.sessions), unanswered=left)
 
     def hear_out(self) -> None:
         """Answer what the kernel has taken in by now, in the backlog and in buffers: at the process's end it
@@ -241,7 +241,7 @@
     """Run the front node that the environment names; the exit status."""
     path = os.environ.get("EDGE_CONFIG", "")
     try:
-        return Program(path).run()
+        return NodeProgram(path).run()
     except config.ConfigError as error:
         print(f"fennelcove: {error.lines()}", flush=True)
         return 1
--- a/packages/node/src/fennelcove/node/inbox.py
+++ b/packages/node/src/fennelcove/node/receive_queue.py
@@ -11,7 +11,7 @@
 MOST_BYTES = 65_536  # read ahead of what is acted on
 
 
-class Inbox:
+class ReceiveQueue:
     """One connection's."""
 
     def __init__(self) -> None:
--- a/packages/node/src/fennelcove/node/door.py
+++ b/packages/node/src/fennelcove/node/request_validation.py
@@ -7,10 +7,10 @@
 from typing import Protocol
 
 from fennelcove.interface import Request, Settings
-from fennelcove.node import states
+from fennelcove.node import session_states
 from fennelcove.node.config import Config
-from fennelcove.node.parties import Caller, State, Subscription
-from fennelcove.node.states import Input, Hands
+from fennelcove.node.model import ClientLink, SessionState, Session
+from fennelcove.node.session_states import SessionEvent, SessionActions
 from fennelcove.rtsp import messages, writer
 
 _ID = re.compile(r"[0-9a-fA-F]{16}")
@@ -22,27 +22,27 @@
 MOST_HELD = 10_000  # set-ups and subscriptions of a node
 
 
-class Counter(Hands, Protocol):
+class Counter(SessionActions, Protocol):
     """What stands behind the door; its lock is held."""
 
     config: Config
     stopping: bool
-    subs: dict[bytes, Subscription]
+    sessions: dict[bytes, Session]
 
-    def deliver(self, viewer: Caller) -> None: ...
+    def deliver(self, viewer: ClientLink) -> None: ...
 
-    def seated(self, viewer: Caller) -> bool: ...
+    def seated(self, viewer: ClientLink) -> bool: ...
 
-    def take(self, sub: Subscription, request: Request) -> None: ...
+    def take(self, session: Session, request: Request) -> None: ...
 
-    def adopt(self, sub: Subscription, request: Request, server: str) -> bool: ...
+    def adopt(self, session: Session, request: Request, server: str) -> bool: ...
 
 
-class Unfit(Exception):
+class InvalidRequestError(Exception):
     """A set-up that can't be used."""
 
 
-def hear(desk: Counter, viewer: Caller, message: messages.Message, gone: bool = False) -> None:
+def hear(desk: Counter, viewer: ClientLink, message: messages.Message, gone: bool = False) -> None:
     """Act on one message; the desk's lock is held. `gone`: nobody waits for an answer to it by now."""
     if isinstance(message, messages.Answer):
         return  # a release that was heard
@@ -73,30 +73,30 @@
     return not any(part.startswith("at:") and part != "at:" for part in routing.split(";"))
 
 
-def set_up(desk: Counter, viewer: Caller, message: messages.Request, session: str) -> None:
+def set_up(desk: Counter, viewer: ClientLink, message: messages.Request, session: str) -> None:
     """A subscription to set up, or one that plays already."""
     cseq = message.fields.get("cseq", "1")
     echo = (("CSeq", cseq), ("Session", session))
     id = bytes.fromhex(session)
-    held = desk.subs.get(id)
+    held = desk.sessions.get(id)
     try:
         routing = parts(message.fields.get("routing-data", ""))
         at = routing.get("at", "")
         request = checked(desk.config.settings, message, id.hex(), routing)
-    except Unfit:
+    except InvalidRequestError:
         viewer.send(writer.answer(451, *echo))
         return
     if held is not None:
         if at:
             return  # it may name what is held already
-        if held.viewer is viewer and held.state is not State.STANDING:
+        if held.viewer is viewer and held.state is not SessionState.STANDING:
             # One answer is owed under this id; a refusal here would be taken for it.
             viewer.shut()
             return
         viewer.send(writer.answer(455, *echo))
         return
     title = message.address.rpartition("/")[2]
-    sub = Subscription(id, session, cseq, request.room, title, message.body, viewer, viewer.peer)
+    sub = Session(id, session, cseq, request.service_class, title, message.body, viewer, viewer.peer)
     sub.figure = routing.get("viewer", "")[:16]
     viewer.figures.pop(sub.figure, None)  # the latest last
     viewer.figures[sub.figure] = None
@@ -105,9 +105,9 @@
     if at:
         if not desk.seated(viewer):
             sub.viewer = None  # what stands belongs to no connection, and this one may have to go for others
-        if len(desk.subs) < MOST_HELD:
+        if len(desk.sessions) < MOST_HELD:
             desk.adopt(sub, request, at)
-    elif len(viewer.open) >= MOST_OPEN_HERE or len(desk.subs) >= MOST_HELD:
+    elif len(viewer.open) >= MOST_OPEN_HERE or len(desk.sessions) >= MOST_HELD:
         viewer.send(writer.answer(503, *echo))
     elif not desk.seated(viewer):
         wait_us = desk.config.settings.retry_after_us
@@ -124,12 +124,12 @@
         Unfit: a field that is missing, of another form or out of its range.
     """
     title = _TITLE.fullmatch(message.address)
-    room = message.fields.get("call-kind", "")
-    if title is None or room not in settings.rooms:
-        raise Unfit
+    service_class = message.fields.get("call-kind", "")
+    if title is None or service_class not in settings.service_classes:
+        raise InvalidRequestError
     return Request(
         id=key,
-        room=room,
+        service_class=service_class,
         title=int(title[1], 16),
         first_cell=whole(routing, "home", 0, settings.cells - 1),
         cell_count=whole(routing, "copies", 1, settings.cells),
@@ -149,7 +149,7 @@
     for part in raw.split(";"):
         name, colon, value = part.partition(":")
         if not colon or name in found:
-            raise Unfit
+            raise InvalidRequestError
         found[name] = value
     return found
 
@@ -157,7 +157,7 @@
 def whole(routing: dict[str, str], name: str, least: int, most: int) -> int:
     raw = routing.get(name, "")
     if _WHOLE.fullmatch(raw) is None or not least <= int(raw) <= most:
-        raise Unfit
+        raise InvalidRequestError
     return int(raw)
 
 
@@ -166,26 +166,26 @@
     try:
         value = float(raw)
     except ValueError:
-        raise Unfit from None
+        raise InvalidRequestError from None
     if not math.isfinite(value) or not 0 < value <= MOST_WAIT_MS:
-        raise Unfit
+        raise InvalidRequestError
     return round(value * 1000)
 
 
-def tear_down(desk: Counter, viewer: Caller, id: bytes) -> bool:
+def tear_down(desk: Counter, viewer: ClientLink, id: bytes) -> bool:
     """The viewer gives up a set-up, or ends what stands; what stands may be ended on any connection."""
     withdrawn = id in viewer.withdrawn
     viewer.withdrawn.discard(id)
-    sub = desk.subs.get(id)
-    if sub is None or (sub.viewer is not viewer and sub.state is not State.STANDING):
+    session = desk.sessions.get(id)
+    if session is None or (session.viewer is not viewer and session.state is not SessionState.STANDING):
         return withdrawn
-    return states.step(desk, sub, Input.VIEWER_GONE)
+    return session_states.apply_event(desk, session, SessionEvent.VIEWER_GONE)
 
 
-def viewer_gone(desk: Counter, viewer: Caller) -> None:
+def viewer_gone(desk: Counter, viewer: ClientLink) -> None:
     """A connection has ended: nobody waits for what is open on it, and what stands on it stands on."""
-    for sub in list(viewer.open):
-        states.step(desk, sub, Input.VIEWER_GONE)
-    for sub in viewer.standing:
-        sub.viewer = None
+    for session in list(viewer.open):
+        session_states.apply_event(desk, session, SessionEvent.VIEWER_GONE)
+    for session in viewer.standing:
+        session.viewer = None
     viewer.standing.clear()
--- a/packages/node/src/fennelcove/node/links.py
+++ b/packages/node/src/fennelcove/node/server_connection.py
@@ -13,36 +13,36 @@
 from contextlib import suppress
 from typing import Protocol
 
-from fennelcove.decisions.boxes.parting import Dial
+from fennelcove.decisions.servers.connection_loss import DialResult
 from fennelcove.interface import LoadReport, Outcome
 from fennelcove.isup import writer
 from fennelcove.isup.messages import Cause, Code, Kind, Message, ProtocolError
 from fennelcove.isup.reader import Reader
 from fennelcove.node.config import Config
-from fennelcove.node.descriptors import Descriptors, Use
-from fennelcove.node.parties import Line, Phase, Server, Subscription
+from fennelcove.node.descriptor_budget import DescriptorBudget, DescriptorUse
+from fennelcove.node.model import ServerLink, ConnectionState, Server, Session
 
 READ_BYTES = 16_384
 DIAL_AGAIN_US = 300_000  # between two dials for what stands at a server
 NO_SESSION = bytes(8)
 
 
-class Owner(Protocol):
+class ConnectionOwner(Protocol):
     """Who is told what comes over a link, and what has become of it."""
 
     config: Config
     lock: threading.Lock
-    descriptors: Descriptors
+    descriptors: DescriptorBudget
 
     def now_us(self) -> int: ...
 
-    def hear(self, link: Line, message: Message) -> None: ...
+    def hear(self, link: ServerLink, message: Message) -> None: ...
 
-    def join_over(self, sub: Subscription, outcome: Outcome, report: LoadReport | None) -> None: ...
+    def on_attempt_completed(self, session: Session, outcome: Outcome, report: LoadReport | None) -> None: ...
 
-    def takes_joins(self, server: Server) -> bool: ...
+    def takes_attempts(self, server: Server) -> bool: ...
 
-    def wanted(self, sub: Subscription) -> bool: ...
+    def wanted(self, session: Session) -> bool: ...
 
     def dial_failed(self, server: Server, refused: bool) -> None: ...
 
@@ -61,28 +61,28 @@
         return False
 
 
-class Link:
+class ServerConnection:
     """One connection to a server. All but `run` is called with the desk's lock held."""
 
-    def __init__(self, desk: Owner, server: Server) -> None:
+    def __init__(self, desk: ConnectionOwner, server: Server) -> None:
         self.desk = desk
         self.server = server
         self.address = server.address  # a server may be listed anew elsewhere while this stands
-        self.phase = Phase.DIALLING
+        self.phase = ConnectionState.DIALLING
         self.sock: socket.socket | None = None
-        self.carried: Subscription | None = None  # whose set-up is out
+        self.carried: Session | None = None  # whose set-up is out
         self.given_up: set[bytes] = set()  # ids for which an answer may still come here
         self.heard_us = self.opened_us = desk.now_us()
         self.tested_us: int | None = None
         self.dials = False  # its thread is dialling: it holds a descriptor, whatever the phase
-        self.place = desk.descriptors.promise(Use.SERVER)
+        self.place = desk.descriptors.promise(DescriptorUse.SERVER)
         self.read_out = False  # all that the server has written here has been heard
         server.links[self] = None
 
     @property
     def idle(self) -> bool:
         """Open, with no set-up out."""
-        return self.phase is Phase.OPEN and self.carried is None
+        return self.phase is ConnectionState.OPEN and self.carried is None
 
     def ended(self) -> bool:
         """Whether the server's end of the stream or a reset has come in, though its thread has not read it
@@ -102,32 +102,32 @@
             self.dials = False
             self.close(Outcome.NOT_SENT)
 
-    def carry(self, sub: Subscription) -> None:
+    def carry(self, session: Session) -> None:
         """Send this subscription's set-up, at once or as soon as the connection stands."""
-        self.carried = sub
-        if self.phase is Phase.OPEN:
-            self._set_up(sub)
+        self.carried = session
+        if self.phase is ConnectionState.OPEN:
+            self._set_up(session)
 
-    def _set_up(self, sub: Subscription) -> None:
-        assert sub.join is not None
-        left_us = sub.join.sent_us + sub.join.allow_us - self.desk.now_us()
+    def _set_up(self, session: Session) -> None:
+        assert session.attempt is not None
+        left_us = session.attempt.sent_us + session.attempt.allow_us - self.desk.now_us()
         parameters = [
-            (Code.ROOM, sub.room.encode()),
-            (Code.TITLE, sub.title.encode()),
+            (Code.ROOM, session.service_class.encode()),
+            (Code.TITLE, session.title.encode()),
             (Code.WAIT_MS, b"%d" % max(1, left_us // 1000)),
         ]
-        if sub.rung is not None:
-            parameters.append((Code.RUNG, b"%d" % sub.rung))
-        parameters.append((Code.DESCRIPTION, sub.description))
+        if session.rung is not None:
+            parameters.append((Code.RUNG, b"%d" % session.rung))
+        parameters.append((Code.DESCRIPTION, session.description))
         # Of a set-up that the kernel took in part or not at all no more is sent: no server gets it whole.
-        self.send(writer.message(Kind.SET_UP, sub.id, *parameters), Outcome.NOT_SENT)
+        self.send(writer.message(Kind.SET_UP, session.id, *parameters), Outcome.NOT_SENT)
 
     def send(self, data: bytes, unsent: Outcome = Outcome.CONNECTION_LOST) -> bool:
         """Send a short message; a server that takes none in is not waited for: False, and the set-up that
         the link carries has come to `unsent`."""
-        if self.phase is Phase.OPEN and self.sock is not None and not send_now(self.sock, data):
+        if self.phase is ConnectionState.OPEN and self.sock is not None and not send_now(self.sock, data):
             self.close(unsent)
-        return self.phase is Phase.OPEN
+        return self.phase is ConnectionState.OPEN
 
     def test(self) -> None:
         """Ask for a sign of life."""
@@ -138,12 +138,12 @@
         """This end is alive as well."""
         self.send(writer.message(Kind.TESTED, NO_SESSION, (Code.CAUSE, b"\1")))
 
-    def give_up(self, sub: Subscription) -> None:
+    def give_up(self, session: Session) -> None:
         """The set-up out here is wanted no longer; what still comes for it is passed over."""
-        if self.carried is sub:
+        if self.carried is session:
             self.carried = None
-            self.given_up.add(sub.id)
-            self.send(writer.release(sub.id, Cause.OK))
+            self.given_up.add(session.id)
+            self.send(writer.release(session.id, Cause.OK))
 
     def done(self) -> None:
         """The server has told of the set-up out here, and so has read all that was given up before."""
@@ -152,27 +152,27 @@
 
     def close(self, outcome: Outcome) -> None:
         """End the link; the set-up that is out on it has come to this."""
-        if self.phase is Phase.CLOSED:
+        if self.phase is ConnectionState.CLOSED:
             return
-        if self.phase is Phase.OPEN and not self.read_out:
+        if self.phase is ConnectionState.OPEN and not self.read_out:
             self.server.dial_anew = True
-        self.phase = Phase.CLOSED
+        self.phase = ConnectionState.CLOSED
         self.server.links.pop(self, None)
         self.server.left_us = self.desk.now_us()
         if not self.dials:
             self.place.leave()
-        sub, self.carried = self.carried, None
+        session, self.carried = self.carried, None
         if self.sock is not None:
             with suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)  # wakes the thread, which closes the descriptor
-        if sub is not None:
-            self.desk.join_over(sub, outcome, None)
+        if session is not None:
+            self.desk.on_attempt_completed(session, outcome, None)
 
     def _dial_over(self) -> None:
         """A dial that was given up keeps its descriptor until it ends: not counted, dials to servers that are
         silent went past the node's part of the descriptors."""
         self.dials = False
-        if self.phase is Phase.CLOSED:
+        if self.phase is ConnectionState.CLOSED:
             self.place.leave()
 
     def _begin(self) -> None:
@@ -185,20 +185,20 @@
         # The set-up that is carried has not been sent either where one of these can't be.
         while unsent and self.send(unsent[0], Outcome.NOT_SENT):
             unsent.popleft()
-        if not self.desk.takes_joins(self.server) or self.address != self.server.address:
+        if not self.desk.takes_attempts(self.server) or self.address != self.server.address:
             # The list has changed while this was dialled: a slow dial may outlast the grace, and
             # behind the address may be another server by now. The link stays for what stands there.
             self._put_back(Outcome.NOT_SENT)
         elif self.carried is not None:
-            sub, self.carried = self.carried, None
-            if self.desk.wanted(sub):
-                self.carried = sub
-                self._set_up(sub)
+            session, self.carried = self.carried, None
+            if self.desk.wanted(session):
+                self.carried = session
+                self._set_up(session)
 
     def _put_back(self, outcome: Outcome) -> None:
-        sub, self.carried = self.carried, None
-        if sub is not None:
-            self.desk.join_over(sub, outcome, None)
+        session, self.carried = self.carried, None
+        if session is not None:
+            self.desk.on_attempt_completed(session, outcome, None)
 
     def run(self) -> None:
         """Dial, then read until the link ends."""
@@ -249,16 +249,16 @@
             self.place.close()
             with self.desk.lock:
                 self._dial_over()
-                if self.phase is Phase.DIALLING:
+                if self.phase is ConnectionState.DIALLING:
                     self.close(Outcome.NO_CONNECTION)
                     self.desk.dial_failed(self.server, isinstance(error, ConnectionRefusedError))
             return None
         with self.desk.lock:
             self._dial_over()
-            if self.phase is Phase.DIALLING:
-                self.phase, self.sock, self.heard_us = Phase.OPEN, sock, self.desk.now_us()
+            if self.phase is ConnectionState.DIALLING:
+                self.phase, self.sock, self.heard_us = ConnectionState.OPEN, sock, self.desk.now_us()
                 self.opened_us = self.heard_us
-                self.server.parting.dialled(Dial.MADE, self.heard_us)
+                self.server.parting.dialled(DialResult.MADE, self.heard_us)
                 self._begin()
                 return sock
         self.place.close()
--- a/packages/node/src/fennelcove/node/pool.py
+++ b/packages/node/src/fennelcove/node/server_pool.py
@@ -6,16 +6,16 @@
 
 from fennelcove.clock import Clock
 from fennelcove.node.config import Config
-from fennelcove.node.descriptors import Descriptors, Use
-from fennelcove.node.links import Link, Owner
-from fennelcove.node.parties import Line, Phase, Server, Subscription
+from fennelcove.node.descriptor_budget import DescriptorBudget, DescriptorUse
+from fennelcove.node.server_connection import ServerConnection, ConnectionOwner
+from fennelcove.node.model import ServerLink, ConnectionState, Server, Session
 from fennelcove.interface import Outcome
 
 TURNS_US = 4_000_000  # in which each server with something standing has its turn, well within 8 s of an end
 MOST_GIVEN_UP = 64  # set-ups, one after another on a link whose server answers none of them
 
 
-class Pool(Owner):
+class ServerPool(ConnectionOwner):
     """What of an instance has to do with connections to servers; its lock is held."""
 
     config: Config
@@ -23,30 +23,30 @@
     lock: threading.Lock
     last_us: int
     servers: dict[str, Server]
-    descriptors: Descriptors
+    descriptors: DescriptorBudget
 
     @property
     def links(self) -> int:
         """Links that are not closed."""
-        return self.descriptors.promised[Use.SERVER]
+        return self.descriptors.promised[DescriptorUse.SERVER]
 
     @property
     def most_links(self) -> int:
-        return self.descriptors.most[Use.SERVER]
+        return self.descriptors.most[DescriptorUse.SERVER]
 
     def now_us(self) -> int:
         """The Unix clock, by which rules are judged and servers' starts are told; it never goes back."""
         self.last_us = max(self.last_us, self.clock.wall_us())
         return self.last_us
 
-    def idle(self, server: Server, sub: Subscription) -> list[Line]:
+    def idle(self, server: Server, session: Session) -> list[ServerLink]:
         """The server's links that a set-up may go out on, the one heard last at the end. Not one that the
         server is ending or is about to: a set-up lost there fails for good where it may not be repeated."""
         since_us = self.now_us() - self.config.terms.idle_us * 3 // 4
         here = [link for link in server.links if link.idle and link.address == server.address]
         fit = [link for link in here if link.heard_us >= since_us and not link.ended()]
         # Where a set-up under this id was given up, the answer to it may be on its way.
-        fit = [link for link in fit if sub.id not in link.given_up and len(link.given_up) < MOST_GIVEN_UP]
+        fit = [link for link in fit if session.id not in link.given_up and len(link.given_up) < MOST_GIVEN_UP]
         return sorted(fit, key=lambda link: link.heard_us)
 
     def spare(self, turn_us: int = 0) -> bool:
@@ -71,13 +71,13 @@
         for server in sorted(waiting, key=lambda server: server.left_us):
             if self.links >= self.most_links and not self.spare(turn_us):
                 return
-            Link(self, server).start()
+            ServerConnection(self, server).start()
 
     def redial(self, server: Server, dials_only: bool = False) -> None:
         """Close what leads to another process than the list now means: a dial under way to a server that has
         gone reaches the one in its place, whose signs of life then held what had played at the first."""
         for link in list(server.links):
-            if link.phase is Phase.DIALLING:
+            if link.phase is ConnectionState.DIALLING:
                 link.close(Outcome.NOT_SENT)
             elif link.idle and not dials_only:
                 link.close(Outcome.CONNECTION_LOST)
--- a/packages/node/src/fennelcove/node/trace.py
+++ b/packages/node/src/fennelcove/node/state_dump.py
@@ -11,26 +11,26 @@
 import time
 from typing import Protocol
 
-from fennelcove.node.descriptors import Descriptors
-from fennelcove.node.log import Notices
-from fennelcove.node.parties import Server
-from fennelcove.rules import Front
+from fennelcove.node.descriptor_budget import DescriptorBudget
+from fennelcove.node.log import EventLogger
+from fennelcove.node.model import Server
+from fennelcove.placement import PlacementPolicy
 
 MOST_ROUNDS = 1_000  # standard output counts as memory
 LEAST_MS = 100
 
 
-class Scene(Protocol):
+class StateDumper(Protocol):
     """What is traced."""
 
     lock: threading.Lock
-    notice: Notices
-    front: Front
+    notice: EventLogger
+    front: PlacementPolicy
     servers: dict[str, Server]
-    descriptors: Descriptors
+    descriptors: DescriptorBudget
 
 
-def start(desk: Scene) -> None:
+def start(desk: StateDumper) -> None:
     """Begin to trace, where it is asked for."""
     raw = os.environ.get("FENNELCOVE_TRACE", "")
     if raw.isdecimal() and int(raw) > 0:
@@ -38,7 +38,7 @@
         threading.Thread(target=_rounds, args=(desk, gap_ms), name="trace", daemon=True).start()
 
 
-def _rounds(desk: Scene, gap_ms: int) -> None:
+def _rounds(desk: StateDumper, gap_ms: int) -> None:
     for _ in range(MOST_ROUNDS):
         time.sleep(gap_ms / 1000)
         with desk.lock:
@@ -48,7 +48,7 @@
         desk.notice("descriptors", **desk.descriptors.told())
 
 
-def lines(desk: Scene) -> list[dict[str, object]]:
+def lines(desk: StateDumper) -> list[dict[str, object]]:
     """One for each server; the desk's lock is held."""
     found: list[dict[str, object]] = []
     for server in desk.servers.values():
@@ -70,7 +70,7 @@
                 "asked": None if asked is None else round(asked, 3),
                 "taken_for": round(desk.front.link_asked(held), 3),
                 "own": round(held.own_kb / held.link.size_kb, 3),
-                "subs": len(held.subs),
+                "subs": len(held.sessions),
             }
         found.append(line)
     return found
--- a/packages/rules/src/fennelcove/rules/health.py
+++ b/packages/placement/src/fennelcove/placement/health.py
@@ -4,41 +4,44 @@
 from math import inf
 
 from fennelcove.interface import CellLoad, Outcome
-from fennelcove.rules.hearing import tell_keeper
-from fennelcove.rules.known import Health, Known, Life, Server
+from fennelcove.placement.observations import notify_block_keeper
+from fennelcove.placement.records import Server, Health, SessionState
+from fennelcove.placement.state import PolicyState
 
 
-def is_well(known: Known, server: Server) -> bool:
+def is_well(known: PolicyState, server: Server) -> bool:
     if server.health is Health.SHUT and known.now_us >= server.shut_until_us:
         server.health = Health.TRIAL
-    joining = any(sub.life is Life.JOINING for sub in server.subs)
+    joining = any(session.life is SessionState.JOINING for session in server.sessions)
     return server.health is Health.WELL or (server.health is Health.TRIAL and not joining)
 
 
-def judge(known: Known, server: Server, outcome: Outcome) -> None:
+def judge(known: PolicyState, server: Server, outcome: Outcome) -> None:
     server.health, effects = HEALTH.get((server.health, outcome), (server.health, ()))
     for effect in effects:
         effect(known, server)
 
 
-def forgive(known: Known, server: Server) -> None:
+def forgive(known: PolicyState, server: Server) -> None:
     server.strikes = max(0, server.strikes - 1)
 
 
-def pause(known: Known, server: Server) -> None:
-    objective = min(room.objective_us for room in known.settings.rooms.values())
-    server.shut_until_us = known.now_us + min(objective * 2 ** (server.strikes + 1), known.settings.ramp_us)
+def pause(known: PolicyState, server: Server) -> None:
+    latency_objective = min(service_class.latency_objective_us
+                            for service_class in known.settings.service_classes.values())
+    server.shut_until_us = known.now_us + min(latency_objective * 2 ** (server.strikes + 1),
+                                              known.settings.ramp_us)
     server.strikes = min(server.strikes + 1, 8)
     # Nobody else need try it to find the same, until a younger report says that it has room.
-    tell_keeper(known, server.cell, loads=(CellLoad(server.cell, inf, None, 0),))
+    notify_block_keeper(known, server.cell, loads=(CellLoad(server.cell, inf, None, 0),))
 
 
-def restart(known: Known, server: Server) -> None:
+def restart(known: PolicyState, server: Server) -> None:
     """It may come back cold, before the list says so; turns are drawn anew, and this one stays used."""
-    server.started_us, server.last_join_us, server.link.asked = known.now_us, known.now_us, None
+    server.started_us, server.last_attempt_us, server.link.asked = known.now_us, known.now_us, None
 
 
-HEALTH: dict[tuple[Health, Outcome], tuple[Health, tuple[Callable[[Known, Server], None], ...]]] = {
+HEALTH: dict[tuple[Health, Outcome], tuple[Health, tuple[Callable[[PolicyState, Server], None], ...]]] = {
     **{(health, Outcome.SERVED): (health if health is Health.SHUT else Health.WELL, (forgive,))
        for health in Health}, **{(health, outcome): (Health.SHUT, (pause,))
        for health in (Health.WELL, Health.TRIAL)
--- a/packages/rules/src/fennelcove/rules/scores.py
+++ b/packages/placement/src/fennelcove/placement/utilization.py
@@ -2,7 +2,8 @@
 
 from math import inf
 
-from fennelcove.rules.known import HOLD_BACK, Known, Life, Server
+from fennelcove.placement.records import Server, SessionState
+from fennelcove.placement.state import HOLD_BACK, PolicyState
 
 EXPONENT = 0.5  # n of the design page
 
@@ -11,17 +12,18 @@
     return share_left ** -EXPONENT if share_left > 0 else inf
 
 
-def weigh(known: Known, holders: list[Server]) -> None:
+def update_residuals(known: PolicyState, replicas: list[Server]) -> None:
     """Residues and streams, once for all rungs: thousands of viewers may come again in one moment."""
-    playing = [known.rate(sub, sub.rung) for sub in known.subs.values() if sub.life is Life.PLAYING]
+    playing = [known.rate(session, session.rung) for session in known.sessions.values(
+        ) if session.life is SessionState.PLAYING]
     # Guesses fill no streams: one at half a link, by low rates, shut a new front to everybody.
     stream_kb = sum(playing) / len(playing) if playing else inf
-    for server in holders:
+    for server in replicas:
         server.left = known.link_left(server)
         others_kb = 0.0 if server.link.asked is None else known.others_kb(server)
-        used = len(server.subs) + others_kb / stream_kb
+        used = len(server.sessions) + others_kb / stream_kb
         server.streams_left = 1 - (used + 1) / server.streams_most if server.streams_most else 1.0
-    for rack in dict.fromkeys(server.rack for server in holders):
+    for rack in dict.fromkeys(server.rack for server in replicas):
         rack.left = 1 - HOLD_BACK - known.uplink_asked(rack)
 
 
--- a/packages/lessons/src/fennelcove/decisions/lessons/move.py
+++ b/packages/playback/src/fennelcove/decisions/playback/migration.py
@@ -15,7 +15,7 @@
 from fennelcove.interface import Effect
 
 
-class Stage(Enum):
+class MigrationState(Enum):
     """How a subscription stands towards its box."""
 
     SETTLED = auto()
@@ -24,7 +24,7 @@
     OVER = auto()
 
 
-class Cue(Enum):
+class MigrationEvent(Enum):
     """What happens."""
 
     TOLD = auto()  # the list: its box drains
@@ -39,7 +39,7 @@
     ENDED = auto()  # the subscription ended meanwhile
 
 
-class Act(Enum):
+class MigrationAction(Enum):
     """What follows."""
 
     QUEUE = auto()
@@ -52,28 +52,34 @@
     END = auto()  # nothing plays and no home was found
 
 
-Row = tuple[Stage, tuple[Act, ...]]
+Row = tuple[MigrationState, tuple[MigrationAction, ...]]
 
-TABLE: dict[tuple[Stage, Cue], Row] = {
-    (Stage.SETTLED, Cue.TOLD): (Stage.DUE, (Act.QUEUE,)),
+TABLE: dict[tuple[MigrationState, MigrationEvent], Row] = {
+    (MigrationState.SETTLED, MigrationEvent.TOLD): (MigrationState.DUE, (MigrationAction.QUEUE,)),
     # Asked first and told then: the module copies what plays before it forgets it. It is told in the same
     # instant, or it would take the box that comes back under its old address for a warm one.
-    (Stage.SETTLED, Cue.LOST): (Stage.MAKING, (Act.ASK_MODULE, Act.TELL_LOST)),
-    (Stage.SETTLED, Cue.GONE): (Stage.DUE, (Act.QUEUE,)),
-    (Stage.DUE, Cue.GONE): (Stage.DUE, ()),
-    (Stage.MAKING, Cue.GONE): (Stage.MAKING, ()),
-    (Stage.DUE, Cue.TURN): (Stage.MAKING, (Act.ASK_MODULE,)),
-    (Stage.DUE, Cue.CALM): (Stage.SETTLED, ()),
-    (Stage.DUE, Cue.LOST): (Stage.MAKING, (Act.ASK_MODULE, Act.TELL_LOST)),
-    (Stage.DUE, Cue.TIME): (Stage.SETTLED, (Act.STAY,)),
-    (Stage.DUE, Cue.ENDED): (Stage.OVER, ()),
-    (Stage.MAKING, Cue.MADE): (Stage.SETTLED, (Act.SWITCH,)),
-    (Stage.MAKING, Cue.LOST): (Stage.MAKING, (Act.TELL_LOST,)),
-    (Stage.MAKING, Cue.FAILED): (Stage.MAKING, (Act.TELL_FAILED,)),
-    (Stage.MAKING, Cue.REFUSED): (Stage.DUE, (Act.PAUSE,)),
+    (MigrationState.SETTLED, MigrationEvent.LOST): (
+        MigrationState.MAKING,
+        (MigrationAction.ASK_MODULE, MigrationAction.TELL_LOST),
+    ),
+    (MigrationState.SETTLED, MigrationEvent.GONE): (MigrationState.DUE, (MigrationAction.QUEUE,)),
+    (MigrationState.DUE, MigrationEvent.GONE): (MigrationState.DUE, ()),
+    (MigrationState.MAKING, MigrationEvent.GONE): (MigrationState.MAKING, ()),
+    (MigrationState.DUE, MigrationEvent.TURN): (MigrationState.MAKING, (MigrationAction.ASK_MODULE,)),
+    (MigrationState.DUE, MigrationEvent.CALM): (MigrationState.SETTLED, ()),
+    (MigrationState.DUE, MigrationEvent.LOST): (
+        MigrationState.MAKING,
+        (MigrationAction.ASK_MODULE, MigrationAction.TELL_LOST),
+    ),
+    (MigrationState.DUE, MigrationEvent.TIME): (MigrationState.SETTLED, (MigrationAction.STAY,)),
+    (MigrationState.DUE, MigrationEvent.ENDED): (MigrationState.OVER, ()),
+    (MigrationState.MAKING, MigrationEvent.MADE): (MigrationState.SETTLED, (MigrationAction.SWITCH,)),
+    (MigrationState.MAKING, MigrationEvent.LOST): (MigrationState.MAKING, (MigrationAction.TELL_LOST,)),
+    (MigrationState.MAKING, MigrationEvent.FAILED): (MigrationState.MAKING, (MigrationAction.TELL_FAILED,)),
+    (MigrationState.MAKING, MigrationEvent.REFUSED): (MigrationState.DUE, (MigrationAction.PAUSE,)),
     # The join that is out is taken back by whoever hears of its end.
-    (Stage.MAKING, Cue.ENDED): (Stage.OVER, ()),
-    (Stage.SETTLED, Cue.ENDED): (Stage.OVER, ()),
+    (MigrationState.MAKING, MigrationEvent.ENDED): (MigrationState.OVER, ()),
+    (MigrationState.SETTLED, MigrationEvent.ENDED): (MigrationState.OVER, ()),
 }
 
 RETRY_US = 200_000
@@ -86,40 +92,43 @@
 
 
 @dataclass(slots=True, eq=False)
-class Move:
+class SessionMigration:
     """One subscription's standing; times in microseconds."""
 
     id: str
-    benefit: float
-    stage: Stage = Stage.SETTLED
+    priority_weight: float
+    stage: MigrationState = MigrationState.SETTLED
     lost: bool = False
     gone: bool = False
     until_us: int = 0
     not_before_us: int = 0
     since_us: int = 0
 
-    def cue(self, cue: Cue) -> tuple[Act, ...]:
+    def apply(self, event: MigrationEvent) -> tuple[MigrationAction, ...]:
         """Move on; what follows, in order."""
-        row = TABLE.get((self.stage, cue))
+        row = TABLE.get((self.stage, event))
         if row is None:
             return ()
-        self.lost = self.lost or cue is Cue.LOST
-        self.gone = (self.gone or cue is Cue.GONE) and cue not in (Cue.MADE, Cue.CALM)
+        self.lost = self.lost or event is MigrationEvent.LOST
+        self.gone = (self.gone or event is MigrationEvent.GONE) and event not in (
+            MigrationEvent.MADE,
+            MigrationEvent.CALM,
+        )
         self.stage, acts = row
-        if self.lost and cue is Cue.REFUSED:
+        if self.lost and event is MigrationEvent.REFUSED:
             # Nothing plays any more and there is no place: waiting would only look like playing.
-            self.stage = Stage.OVER
-            return (Act.END,)
-        if self.gone and cue is Cue.TIME:
+            self.stage = MigrationState.OVER
+            return (MigrationAction.END,)
+        if self.gone and event is MigrationEvent.TIME:
             # Staying would leave its player asking for segments that nobody may name to it.
-            self.stage = Stage.OVER
-            return (Act.END,)
-        if cue is Cue.MADE:
+            self.stage = MigrationState.OVER
+            return (MigrationAction.END,)
+        if event is MigrationEvent.MADE:
             self.lost, self.until_us = False, 0
         return acts
 
 
-class Turns:
+class MigrationTurns:
     """Who moves next: those whose time ends first, of them those of most benefit; so many at once."""
 
     def __init__(self, at_once: int, grace_us: int) -> None:
@@ -128,27 +137,31 @@
         self.grace_us = round(grace_us * 0.9)
         self.making = 0
         self.count = 0
-        self.queue: list[tuple[int, float, int, Move]] = []
+        self.queue: list[tuple[int, float, int, SessionMigration]] = []
 
-    def add(self, move: Move, now_us: int) -> None:
+    def add(self, move: SessionMigration, now_us: int) -> None:
         """A move is due from now on."""
         move.until_us, move.since_us = now_us + self.grace_us, now_us
         self.count += 1
-        heapq.heappush(self.queue, (move.until_us, -move.benefit, self.count, move))
+        heapq.heappush(self.queue, (move.until_us, -move.priority_weight, self.count, move))
 
-    def put_back(self, move: Move, now_us: int) -> None:
+    def put_back(self, move: SessionMigration, now_us: int) -> None:
         """No place now: try again a little later, within its time."""
         move.not_before_us = now_us + RETRY_US
         self.count += 1
-        heapq.heappush(self.queue, (move.until_us, -move.benefit, self.count, move))
+        heapq.heappush(self.queue, (move.until_us, -move.priority_weight, self.count, move))
 
-    def take(self, now_us: int) -> tuple[list[Move], list[Move]]:
+    def take(self, now_us: int) -> tuple[list[SessionMigration], list[SessionMigration]]:
         """Those whose turn it is, and those whose time is over."""
-        turn, over, later = list[Move](), list[Move](), list[tuple[int, float, int, Move]]()
+        turn, over, later = (
+            list[SessionMigration](),
+            list[SessionMigration](),
+            list[tuple[int, float, int, SessionMigration]](),
+        )
         while self.queue:
             item = heapq.heappop(self.queue)
             move = item[3]
-            if move.stage is not Stage.DUE:
+            if move.stage is not MigrationState.DUE:
                 continue
             if move.until_us <= now_us:
                 over.append(move)
--- a/packages/lessons/src/fennelcove/decisions/lessons/tracks.py
+++ b/packages/playback/src/fennelcove/decisions/playback/playlist_cursor.py
@@ -36,7 +36,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Cursor:
+class PlaylistCursor:
     """Where a player's timeline goes on."""
 
     seq: int = 0
@@ -56,8 +56,8 @@
 
     media: Mapping[str, Media]
     title: str
-    room_type: str
-    subscription: str
+    service_class: str
+    session: str
     changes: tuple[Change, ...]
     rung: int
     floor: int
@@ -74,12 +74,12 @@
     return max(fitting) if fitting else max(rung, floor)
 
 
-def _due(cursor: Cursor, view: Viewpoint) -> Change | None:
+def _due(cursor: PlaylistCursor, view: Viewpoint) -> Change | None:
     """The change that acts before the lesson's next segment, the narrowest target first."""
     lesson = view.media[view.title]
     found = []
     for change in view.changes:
-        if change.id in cursor.done or not change.target.meets(view.title, view.room_type, view.subscription):
+        if change.id in cursor.done or not change.target.meets(view.title, view.service_class, view.session):
             continue
         first = change.first(lesson)
         if first is None:
@@ -98,7 +98,7 @@
     )
 
 
-def _enter(cursor: Cursor, change: Change, view: Viewpoint) -> Cursor:
+def _enter(cursor: PlaylistCursor, change: Change, view: Viewpoint) -> PlaylistCursor:
     """Begin a change: its clip, and past the stretch that it takes out."""
     lesson = view.media[view.title]
     after = change.after(lesson)
@@ -117,7 +117,7 @@
     return replace(cursor, lesson=moved, done=done, run=Run(change.id, clip.name, 0, clip.count))
 
 
-def advance(cursor: Cursor, view: Viewpoint) -> tuple[Cursor, Shown | None]:
+def advance(cursor: PlaylistCursor, view: Viewpoint) -> tuple[PlaylistCursor, Shown | None]:
     """The next segment, or none at the end of the lesson or at the live edge; the cursor may go on all the
     same.
 
@@ -139,7 +139,7 @@
     return replace(_past(cursor, shown), lesson=cursor.lesson + 1, done=moments), shown
 
 
-def _show(cursor: Cursor, media: Media, number: int, change: str, view: Viewpoint) -> Shown:
+def _show(cursor: PlaylistCursor, media: Media, number: int, change: str, view: Viewpoint) -> Shown:
     # A lesson that goes on after a stretch was taken out jumps in its own time: that is a joint as well.
     follows = cursor.source == f"{change}/{media.name}@{number}"
     rung = rung_of(media, view.rung, view.floor)
@@ -158,7 +158,7 @@
     )
 
 
-def _past(cursor: Cursor, shown: Shown) -> Cursor:
+def _past(cursor: PlaylistCursor, shown: Shown) -> PlaylistCursor:
     source = f"{shown.change}/{shown.media}@{shown.number + 1}"
     return replace(
         cursor,
@@ -172,11 +172,11 @@
 
 
 @dataclass(slots=True)
-class Track:
+class PlaylistTrack:
     """One player's timeline: what it was shown and has fetched."""
 
     began_wall_us: int
-    cursor: Cursor = field(default_factory=Cursor)
+    cursor: PlaylistCursor = field(default_factory=PlaylistCursor)
     shown: deque[Shown] = field(default_factory=deque)
     fetched: int = -1  # the highest sequence number fetched
     joints_gone: int = 0
@@ -263,9 +263,9 @@
     return max(0, media.ready(wall_us) - LIVE_BEHIND)
 
 
-def begin(media: Media, wall_us: int, apart: bool = False) -> Track:
+def begin(media: Media, wall_us: int, apart: bool = False) -> PlaylistTrack:
     """A new player's track."""
-    track = Track(wall_us, apart=apart)
+    track = PlaylistTrack(wall_us, apart=apart)
     if media.live:
-        track.cursor = Cursor(lesson=live_start(media, wall_us))
+        track.cursor = PlaylistCursor(lesson=live_start(media, wall_us))
     return track
--- a/packages/lessons/src/fennelcove/decisions/lessons/marks.py
+++ b/packages/playback/src/fennelcove/decisions/playback/resume_tokens.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Struct
 
-from fennelcove.decisions.lessons.tracks import WINDOW, Cursor, Run, Track
+from fennelcove.decisions.playback.playlist_cursor import WINDOW, PlaylistCursor, Run, PlaylistTrack
 from fennelcove.timeline.model import Shown, Stretch
 
 MOST_CHARS = 8192
@@ -55,7 +55,7 @@
     return held.seq, held.number, str(held.start)
 
 
-def write(track: Track) -> str:
+def write(track: PlaylistTrack) -> str:
     """The mark of a track; what is long fetched is left out."""
     cursor = track.cursor
     kept = [item for item in track.shown if item.seq > track.fetched - WINDOW]
@@ -100,7 +100,7 @@
     return msgspec.json.encode(mark).decode()
 
 
-def read(text: str) -> Track | None:
+def read(text: str) -> PlaylistTrack | None:
     """The track of a mark; None for what is none of ours, so that a box can't make a front fail."""
     if not text or len(text) > MOST_CHARS:
         return None
@@ -108,7 +108,7 @@
         mark = _DECODER.decode(text)
         stretch = Stretch(mark.stretch[0], mark.stretch[1], Fraction(mark.stretch[2]))
         run = Run(*mark.run) if mark.run is not None else None
-        cursor = Cursor(
+        cursor = PlaylistCursor(
             mark.seq,
             mark.lesson,
             Fraction(mark.start),
@@ -136,7 +136,9 @@
         )
     except (msgspec.MsgspecError, ValueError, ZeroDivisionError):
         return None
-    track = Track(mark.began_wall_us, cursor, shown, mark.fetched, mark.joints_gone, mark.ended, mark.version)
+    track = PlaylistTrack(
+        mark.began_wall_us, cursor, shown, mark.fetched, mark.joints_gone, mark.ended, mark.version
+    )
     track.replay = (cursor.seq, mark.version)
     track.apart, track.begun = mark.apart, dict(mark.begun)
     return track
--- a/packages/lessons/src/fennelcove/decisions/lessons/stitching.py
+++ b/packages/playback/src/fennelcove/decisions/playback/segment_routing.py
@@ -1,4 +1,4 @@
-"""Where a shown segment is fetched from, and what stands in when its box drains, dies or lacks it.
+"""Where a shown segment is fetched from, and what stands in when its server drains, dies or lacks it.
 
 The lesson comes from the subscription's own box, where its place is. A stitched segment comes from there too
 if the box holds the clip; else from another holder, a lower rendition, the slate that every box holds, in
@@ -57,7 +57,7 @@
     """The source and its box."""
 
     source: Source
-    box: str = ""
+    server: str = ""
 
 
 def pick_lesson(offer: Offer) -> Pick:
@@ -69,9 +69,9 @@
     """Where a stitched segment is fetched by a player that got nothing whole from the boxes tried."""
     source = Source.HOME
     while source is not Source.NONE:
-        box, fault = _ask(source, offer, tried)
-        if box is not None:
-            return Pick(source, box)
+        server, fault = _ask(source, offer, tried)
+        if server is not None:
+            return Pick(source, server)
         source = TABLE[source, fault]
     return Pick(Source.WAIT if offer.home is None else Source.NONE)
 
@@ -85,6 +85,6 @@
         return (None, Fault.TRIED) if offer.home in tried else (offer.home, Fault.TRIED)
     if source is Source.SLATE:
         return offer.slate, Fault.NOT_HELD
-    boxes = offer.others if source is Source.OTHER else offer.lower
-    left = [box for box in boxes if box not in tried]
-    return (left[0] if left else None), (Fault.TRIED if boxes else Fault.NOT_HELD)
+    servers = offer.others if source is Source.OTHER else offer.lower
+    left = [server for server in servers if server not in tried]
+    return (left[0] if left else None), (Fault.TRIED if servers else Fault.NOT_HELD)
--- a/packages/lessons/src/fennelcove/manifests/dash.py
+++ b/packages/playback/src/fennelcove/manifests/dash.py
@@ -6,7 +6,7 @@
 from itertools import groupby
 from xml.sax.saxutils import quoteattr
 
-from fennelcove.manifests.clockwork import iso, micros, period
+from fennelcove.manifests.exact_time import iso, micros, period
 from fennelcove.manifests.hls import Listing
 from fennelcove.timeline.model import Shown
 
--- a/packages/lessons/src/fennelcove/manifests/hls.py
+++ b/packages/playback/src/fennelcove/manifests/hls.py
@@ -12,7 +12,7 @@
 from fractions import Fraction
 from math import ceil
 
-from fennelcove.manifests.clockwork import iso, micros, span
+from fennelcove.manifests.exact_time import iso, micros, span
 from fennelcove.timeline.model import Media, Shown
 
 STITCH_CLASS = "urn:fennelcove:stitch"
--- a/packages/releases/src/fennelcove/releases/evidence.py
+++ b/packages/rollouts/src/fennelcove/rollouts/canary_analysis.py
@@ -12,7 +12,7 @@
 from math import sqrt
 from statistics import median_low
 
-from fennelcove.releases.says import Plan, Reason, Word
+from fennelcove.rollouts.messages import Plan, Reason, Word
 
 WINDOW_US = 5_000_000
 FEW = 60  # set-ups of a window that say nothing
@@ -20,7 +20,7 @@
 
 
 @dataclass(slots=True)
-class Tally:
+class OutcomeCounts:
     """What was counted."""
 
     asked: int = 0
@@ -46,14 +46,14 @@
 
 
 @dataclass(slots=True)
-class Pairs:
+class PairedOutcomes:
     """How far the new are behind their neighbours, over all windows."""
 
     weight: float = 0.0
     behind: float = 0.0
     variance: float = 0.0
 
-    def add(self, new: Tally, old: Tally) -> None:
+    def add(self, new: OutcomeCounts, old: OutcomeCounts) -> None:
         """One hall in one window."""
         if not new.asked or not old.asked:
             return
@@ -71,39 +71,39 @@
 
 
 @dataclass(slots=True)
-class Judge:
+class CanaryAnalysis:
     """Watches one step of a plan; begun anew with each plan, each way and each leader."""
 
     halls: Mapping[int, int]  # of each front
     began_us: int
     words: dict[int, Word] = field(default_factory=dict)  # at the begin of the window
-    pairs: Pairs = field(default_factory=Pairs)
+    pairs: PairedOutcomes = field(default_factory=PairedOutcomes)
 
     def look(self, words: Mapping[int, Word], plan: Plan, now_us: int) -> Reason:
         """The cause to halt that a window shows which ends now, if it does. `words`: the newest of all fronts
         that serve."""
         if now_us < self.began_us + WINDOW_US:
             return Reason.NONE
-        whole, new, old = Tally(), self._tallies(), self._tallies()
+        whole, new, old = OutcomeCounts(), self._tallies(), self._tallies()
         for index, after in words.items():
             before = self.words.get(index)
             if before is None or before.life != after.life or before.number > after.number:
                 continue
             whole.add(before, after)
             side = new if after.version == plan.wanted else old
-            side.setdefault(self.halls.get(index, 0), Tally()).add(before, after)
+            side.setdefault(self.halls.get(index, 0), OutcomeCounts()).add(before, after)
         self.began_us, self.words = now_us, dict(words)
-        everywhere = Tally()
+        everywhere = OutcomeCounts()
         for one in old.values():
             everywhere.asked += one.asked
             everywhere.served += one.served
             everywhere.failed += one.failed
-        for hall, tally in new.items():
-            beside = old.get(hall)
+        for zone, tally in new.items():
+            beside = old.get(zone)
             self.pairs.add(tally, beside if beside is not None and beside.asked else everywhere)
         return self._cause(whole, words, plan)
 
-    def _cause(self, whole: Tally, words: Mapping[int, Word], plan: Plan) -> Reason:
+    def _cause(self, whole: OutcomeCounts, words: Mapping[int, Word], plan: Plan) -> Reason:
         if self.pairs.worse(plan.worse / 1000):
             return Reason.WORSE
         if words and median_low(word.storm for word in words.values()) >= plan.storm:
@@ -115,7 +115,7 @@
         return next((reason for reason, past in self._shares(whole, plan) if past), Reason.NONE)
 
     @staticmethod
-    def _shares(whole: Tally, plan: Plan) -> list[tuple[Reason, bool]]:
+    def _shares(whole: OutcomeCounts, plan: Plan) -> list[tuple[Reason, bool]]:
         asked = whole.asked
         return [
             (Reason.FAILED, whole.failed * 1000 > plan.failed * asked),
@@ -124,5 +124,5 @@
         ]
 
     @staticmethod
-    def _tallies() -> dict[int, Tally]:
+    def _tallies() -> dict[int, OutcomeCounts]:
         return {}
--- a/packages/releases/src/fennelcove/releases/agreement.py
+++ b/packages/rollouts/src/fennelcove/rollouts/coordinator.py
@@ -11,12 +11,20 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from fennelcove.releases import release
-from fennelcove.releases.course import Course
-from fennelcove.releases.leading import Register, Seat
-from fennelcove.releases.permits import Asked, Asker, Entry, Hold, Rules, Stage, Voter
-from fennelcove.releases.places import Limits, Map, Place
-from fennelcove.releases.says import (
+from fennelcove.rollouts import rollout_plan
+from fennelcove.rollouts.rollout_controller import RolloutController
+from fennelcove.rollouts.leader_election import Register, Role
+from fennelcove.rollouts.disruption_permits import (
+    PermitRequest,
+    Requester,
+    Entry,
+    PermitState,
+    PermitRules,
+    RequestState,
+    Grantor,
+)
+from fennelcove.rollouts.disruption_budget import Limits, DisruptionMap, Location
+from fennelcove.rollouts.messages import (
     MOST_OPEN,
     Ask,
     Kind,
@@ -32,11 +40,10 @@
     Vote,
     Word,
 )
-from fennelcove.releases.terms import Act, Answer, Command, Do, Memory, Mine, Post, Promise, Terms, Wish
+from fennelcove.rollouts.types import Act, Answer, Command, Do, Memory, Mine, Post, Promise, Terms, Wish
 
 __all__ = [
     "Act",
-    "Agreement",
     "Answer",
     "Command",
     "Do",
@@ -44,6 +51,7 @@
     "Mine",
     "Post",
     "Promise",
+    "RolloutAgreement",
     "Terms",
     "Wish",
 ]
@@ -65,30 +73,32 @@
         return self.last
 
 
-class Agreement:
+class RolloutAgreement:
     """See the module's text."""
 
     def __init__(
         self,
         terms: Terms,
         limits: Limits,
-        fronts: tuple[Place, ...],
+        fronts: tuple[Location, ...],
         life: int,
         now_us: int,
         memory: Memory | None = None,
     ) -> None:
         self.terms = terms
         self.life = life
-        self.halls = {index: place.hall for index, place in enumerate(fronts)}
+        self.halls = {index: place.zone for index, place in enumerate(fronts)}
         self.mine = Mine(Stands.STARTING)
         self.numbers = Numbers()
         told = memory or Memory(sure=False, whole=False)
         rules = {kind: terms.rules(kind, limits) for kind in Kind}
-        maps = {Kind.FRONT: Map(dict(enumerate(fronts))), Kind.BOX: Map({})}
+        maps = {Kind.FRONT: DisruptionMap(dict(enumerate(fronts))), Kind.BOX: DisruptionMap({})}
         self.voters = {kind: self._voter(rules[kind], maps[kind], told, now_us) for kind in Kind}
-        self.askers = {kind: Asker(rules[kind], life, self.numbers) for kind in Kind}
+        self.askers = {kind: Requester(rules[kind], life, self.numbers) for kind in Kind}
         voter, front = self.voters[Kind.FRONT], rules[Kind.FRONT]
-        self.course = Course(terms, front, self.halls, life, told, voter, self._ordered, self._note, now_us)
+        self.course = RolloutController(
+            terms, front, self.halls, life, told, voter, self._ordered, self._note, now_us
+        )
         self.register, self.chair = self.course.register, self.course.chair
         self.number = 0
         self.sent_us: OrderedDict[int, int] = OrderedDict()
@@ -113,14 +123,14 @@
         self.doing.append(Act(Do.NOTE, text=text))
 
     @staticmethod
-    def _voter(rules: Rules, places: Map, told: Memory, now_us: int) -> Voter:
+    def _voter(rules: PermitRules, places: DisruptionMap, told: Memory, now_us: int) -> Grantor:
         entries = {
-            one.place: Entry(Hold.HELD, one.asker, one.life, one.number)
+            one.place: Entry(PermitState.HELD, one.asker, one.life, one.number)
             for one in told.promises
             if one.kind is rules.kind
         }
-        entries |= {place: Entry(Hold.OFF) for kind, place in told.off if kind is rules.kind}
-        return Voter(rules, places, now_us, told.whole, entries)
+        entries |= {place: Entry(PermitState.OFF) for kind, place in told.off if kind is rules.kind}
+        return Grantor(rules, places, now_us, told.whole, entries)
 
     # What is sent.
 
@@ -224,12 +234,12 @@
 
     def _hear_vote(self, sender: int, vote: Vote, now_us: int) -> Post:
         for kind, asker in self.askers.items():
-            was = [one.place for one in asker.wanted.values() if one.stage is Stage.ASKING]
+            was = [one.place for one in asker.wanted.values() if one.stage is RequestState.ASKING]
             granted = asker.hear_vote(sender, vote, self.voters[kind], self.draw, now_us)
             if granted is not None:
                 do = Do.LEAVE if kind is Kind.FRONT else Do.TAKE_BOX
                 self.doing.append(Act(do, kind, granted.place, granted.version))
-            if any(asker.wanted[place].stage is not Stage.ASKING for place in was):
+            if any(asker.wanted[place].stage is not RequestState.ASKING for place in was):
                 return self._words(now_us)  # voters wait for this
         return []
 
@@ -244,7 +254,7 @@
     def _ordered(self, version: int, stamp: tuple[int, int], now_us: int) -> None:
         here = self.terms.index
         out = self.askers[Kind.FRONT].wanted.get(here)
-        if self.mine.stands is Stands.SERVING and (out is None or out.stage is not Stage.OUT):
+        if self.mine.stands is Stands.SERVING and (out is None or out.stage is not RequestState.OUT):
             self.comes_as = None
             if self.mine.version != version:
                 self.askers[Kind.FRONT].want(here, now_us, version, stamp)
@@ -272,7 +282,7 @@
         self.askers[Kind.FRONT].want(self.terms.index, now_us, version)
         return []
 
-    def want_box(self, cell: int, now_us: int) -> Post:
+    def want_server(self, cell: int, now_us: int) -> Post:
         """An operator wants a box to go out."""
         self.askers[Kind.BOX].want(cell, now_us)
         return []
@@ -316,25 +326,25 @@
         asker = self.askers[Kind.FRONT]
         asker.advance(now_us)
         for one in list(asker.wanted.values()):
-            over = one.stamp != (0, 0) and now_us >= one.told_us + release.LAPSE_US
-            if over and one.stage in (Stage.WANTED, Stage.ASKING):
+            over = one.stamp != (0, 0) and now_us >= one.told_us + rollout_plan.LAPSE_US
+            if over and one.stage in (RequestState.WANTED, RequestState.ASKING):
                 asker.let_go(one.place, back=False)
                 self.doing.append(Act(Do.STAY, Kind.FRONT, one.place))
 
     @staticmethod
-    def _stale(one: Asked, record: Record) -> bool:
+    def _stale(one: PermitRequest, record: Record) -> bool:
         if one.stamp == (0, 0) or one.stamp >= record.stamp:
             return False
-        return record.phase is not Phase.MOVING or one.version != release.target(record)
+        return record.phase is not Phase.MOVING or one.version != rollout_plan.target(record)
 
     # What is seen of boxes.
 
-    def boxes_are(self, boxes: Mapping[int, Place], now_us: int) -> None:
+    def servers_are(self, servers: Mapping[int, Location], now_us: int) -> None:
         """All boxes of the list, by first cell, with loads of now."""
         self.voters[Kind.BOX].advance(now_us)
-        self.voters[Kind.BOX].take_map(Map(boxes))
+        self.voters[Kind.BOX].take_map(DisruptionMap(servers))
 
-    def see_box(self, cell: int, serving: bool, as_of_us: int, now_us: int) -> None:
+    def see_server(self, cell: int, serving: bool, as_of_us: int, now_us: int) -> None:
         """A sight of a box: whether it serves, is warm and is not told to drain, as it was at `as_of_us`."""
         self.voters[Kind.BOX].see(cell, serving, as_of_us, now_us)
         if serving:
@@ -349,7 +359,7 @@
 
     def keep(self) -> Memory | None:
         """What the folder has to hold now; None where that has not changed since the last call."""
-        books: list[Voter | Register] = [*self.voters.values(), self.register]
+        books: list[Grantor | Register] = [*self.voters.values(), self.register]
         if not any(book.changed for book in books):
             return None
         for book in books:
@@ -358,18 +368,22 @@
             self.register.term,
             self.register.record,
             self.register.sure,
-            not any(e.hold is Hold.UNKNOWN for voter in self.voters.values() for e in voter.entries.values()),
+            not any(
+                e.hold is PermitState.UNKNOWN
+                for voter in self.voters.values()
+                for e in voter.entries.values()
+            ),
             tuple(
                 Promise(kind, place, entry.asker, entry.life, entry.number)
                 for kind, voter in self.voters.items()
                 for place, entry in sorted(voter.entries.items())
-                if entry.hold in (Hold.PROMISED, Hold.HELD)
+                if entry.hold in (PermitState.PROMISED, PermitState.HELD)
             ),
             tuple(
                 (kind, place)
                 for kind, voter in self.voters.items()
                 for place, entry in sorted(voter.entries.items())
-                if entry.hold is Hold.OFF
+                if entry.hold is PermitState.OFF
             ),
         )
         if memory == self.kept:
@@ -388,7 +402,9 @@
             kind.name.lower(): {
                 "dark": sorted(voter.dark(now_us)),
                 "held": sorted(voter.held()),
-                "off": sorted(place for place, entry in voter.entries.items() if entry.hold is Hold.OFF),
+                "off": sorted(
+                    place for place, entry in voter.entries.items() if entry.hold is PermitState.OFF
+                ),
             }
             for kind, voter in self.voters.items()
         }
@@ -398,10 +414,10 @@
             "phase": record.phase.name.lower(),
             "reason": record.reason.name.lower(),
             "back": record.back,
-            "wanted": release.target(record),
+            "wanted": rollout_plan.target(record),
             "goal": record.goal,
             "leader": record.term % self.terms.fronts if record.term else None,
-            "leads": self.chair.seat is Seat.LEADS,
+            "leads": self.chair.seat is Role.LEADS,
             "sure": self.register.sure,
             "outlived": self.outlived,
             "out": out,
--- a/packages/releases/src/fennelcove/releases/places.py
+++ b/packages/rollouts/src/fennelcove/rollouts/disruption_budget.py
@@ -9,10 +9,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Place:
+class Location:
     """A front or a box, as the settings or the list have it."""
 
-    hall: int
+    zone: int
     room: float = 1.0  # what it can carry; the unit is the same for all of a kind
     load: float = 0.0  # what it carries now
     titles: frozenset[int] = field(default_factory=frozenset)  # that a box holds
@@ -24,8 +24,8 @@
     """How many of one kind may be out at once."""
 
     whole: int
-    hall: int
-    holders: int = 1 << 15  # of one title
+    zone: int
+    replicas: int = 1 << 15  # of one title
     margin: float = 0.1  # of the room that stays, what the load of now has to leave
 
 
@@ -34,7 +34,7 @@
     """Of a fleet; the same in the settings of all fronts."""
 
     fronts: Limit
-    boxes: Limit
+    servers: Limit
 
 
 class Past(Enum):
@@ -47,10 +47,10 @@
     LOAD = auto()
 
 
-class Map:
+class DisruptionMap:
     """All places of one kind, with what adds up over them: looked at for each ask, made for each list."""
 
-    def __init__(self, places: Mapping[int, Place]) -> None:
+    def __init__(self, places: Mapping[int, Location]) -> None:
         self.places = dict(places)
         self.load = sum(place.load for place in places.values())
         self.room = sum(place.room for place in places.values())
@@ -71,10 +71,10 @@
         if one is None:
             return  # one that the list does not name has no hall, no titles and no load
         named = [self.places[at] for at in out if at in self.places]
-        if sum(other.hall == one.hall for other in named) > limit.hall:
+        if sum(other.zone == one.zone for other in named) > limit.zone:
             yield Past.HALL
-        holders = Counter(title for other in named for title in other.titles & one.titles)
-        if max(holders.values(), default=0) > limit.holders:
+        replicas = Counter(title for other in named for title in other.titles & one.titles)
+        if max(replicas.values(), default=0) > limit.replicas:
             yield Past.HOLDERS
         # Of a title that nobody holds warm there is no last warm holder; taking out a cold one harms nobody.
         warm = Counter(title for other in named if other.warm for title in other.titles & one.titles)
