--- a/packages/releases/src/fennelcove/releases/permits.py
+++ b/packages/rollouts/src/fennelcove/rollouts/disruption_permits.py
@@ -23,8 +23,8 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-from fennelcove.releases.places import Limit, Map
-from fennelcove.releases.says import MOST_HELD, Ask, Kind, Open, Stands, Verdict, Vote, Word
+from fennelcove.rollouts.disruption_budget import Limit, DisruptionMap
+from fennelcove.rollouts.messages import MOST_HELD, Ask, Kind, Open, Stands, Verdict, Vote, Word
 
 DRIFT = 0.05  # by how much two clocks may differ in pace, and a process be held up between look and act
 MOST_WANTED = 15  # all asks in hand of both kinds have to fit into a word
@@ -32,7 +32,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Rules:
+class PermitRules:
     """The figures of permits for one kind."""
 
     kind: Kind
@@ -54,7 +54,7 @@
         return round(self.window_us * (1 + DRIFT))
 
 
-class Hold(Enum):
+class PermitState(Enum):
     """What a voter holds of a place."""
 
     FREE = auto()
@@ -64,7 +64,7 @@
     OFF = auto()  # written off: it counts no more until it is seen to serve
 
 
-class Cue(Enum):
+class PermitEvent(Enum):
     """What happens to it."""
 
     ASKED = auto()  # and the answer is yes
@@ -74,24 +74,24 @@
     WRITTEN_OFF = auto()
 
 
-TABLE: dict[tuple[Hold, Cue], Hold] = {
-    **{(hold, Cue.ASKED): Hold.PROMISED for hold in Hold},
-    **{(hold, Cue.WRITTEN_OFF): Hold.OFF for hold in Hold},
-    (Hold.PROMISED, Cue.SETTLED): Hold.HELD,
-    (Hold.PROMISED, Cue.OVER): Hold.FREE,
-    (Hold.HELD, Cue.OVER): Hold.FREE,
-    (Hold.HELD, Cue.SEEN): Hold.FREE,
-    (Hold.UNKNOWN, Cue.SEEN): Hold.FREE,
-    (Hold.OFF, Cue.SEEN): Hold.FREE,
+TRANSITIONS: dict[tuple[PermitState, PermitEvent], PermitState] = {
+    **{(hold, PermitEvent.ASKED): PermitState.PROMISED for hold in PermitState},
+    **{(hold, PermitEvent.WRITTEN_OFF): PermitState.OFF for hold in PermitState},
+    (PermitState.PROMISED, PermitEvent.SETTLED): PermitState.HELD,
+    (PermitState.PROMISED, PermitEvent.OVER): PermitState.FREE,
+    (PermitState.HELD, PermitEvent.OVER): PermitState.FREE,
+    (PermitState.HELD, PermitEvent.SEEN): PermitState.FREE,
+    (PermitState.UNKNOWN, PermitEvent.SEEN): PermitState.FREE,
+    (PermitState.OFF, PermitEvent.SEEN): PermitState.FREE,
 }
-COUNTED = (Hold.PROMISED, Hold.HELD, Hold.UNKNOWN)
+COUNTED = (PermitState.PROMISED, PermitState.HELD, PermitState.UNKNOWN)
 
 
 @dataclass(slots=True)
 class Entry:
     """A place in a voter's book, and the ask that it is promised to."""
 
-    hold: Hold
+    hold: PermitState
     asker: int = 0
     life: int = 0
     number: int = 0
@@ -103,7 +103,7 @@
 
 
 @dataclass(slots=True)
-class Sight:
+class HealthView:
     """How a place was last seen: not earlier than `as_of_us`."""
 
     serving: bool
@@ -111,15 +111,15 @@
 
 
 @dataclass(slots=True)
-class Voter:
+class Grantor:
     """One front's voice, and what it promised. `remembers`: the folder told all of the last life's."""
 
-    rules: Rules
-    map: Map
+    rules: PermitRules
+    map: DisruptionMap
     now_us: int
     remembers: bool = False
     entries: dict[int, Entry] = field(default_factory=dict)
-    sights: dict[int, Sight] = field(default_factory=dict)
+    sights: dict[int, HealthView] = field(default_factory=dict)
     words: dict[int, Word] = field(default_factory=dict)  # the newest of each front
     wary_until_us: int = 0
     changed: bool = False  # since the folder was told
@@ -135,13 +135,13 @@
         }
         self.take_map(self.map)
 
-    def take_map(self, new: Map) -> None:
+    def take_map(self, new: DisruptionMap) -> None:
         """The settings or the list name these places."""
         if not self.remembers:
             fresh = new.places.keys() - self.entries.keys() - self.sights.keys()
             # A box that is listed later than this may be new, or one that the last life promised.
             for place in fresh:
-                self.entries[place] = Entry(Hold.UNKNOWN, since_us=self.wary_until_us)
+                self.entries[place] = Entry(PermitState.UNKNOWN, since_us=self.wary_until_us)
         for place in self.sights.keys() - new.places.keys():
             del self.sights[place]
         self.map = new
@@ -166,7 +166,7 @@
             fresh = [at_us + silent_us for at_us in seen if now_us < at_us + silent_us]
             self._dark = {place for place in self.map.places if not self._serves(place, now_us)}
             self._dark_until_us = min(fresh, default=now_us + silent_us)
-        off = {place for place, entry in self.entries.items() if entry.hold is Hold.OFF}
+        off = {place for place, entry in self.entries.items() if entry.hold is PermitState.OFF}
         return self._dark - off
 
     def _serves(self, place: int, now_us: int) -> bool:
@@ -188,12 +188,16 @@
         if now_us < self.wary_until_us:
             return Verdict.WARY
         entry = self.entries.get(ask.place)
-        if entry is not None and entry.same(asker, ask) and entry.hold in (Hold.PROMISED, Hold.HELD):
+        if (
+            entry is not None
+            and entry.same(asker, ask)
+            and entry.hold in (PermitState.PROMISED, PermitState.HELD)
+        ):
             return Verdict.YES  # asked twice, or the answer was lost
         if entry is not None and not self._may_replace(asker, ask, entry):
             return Verdict.BUSY
         others = {place for place in self.held() if place != ask.place}
-        if any(self.entries[place].hold is Hold.PROMISED for place in others):
+        if any(self.entries[place].hold is PermitState.PROMISED for place in others):
             return Verdict.BUSY
         everyone = others | self.dark(now_us)
         full = len(others) >= MOST_HELD or self.map.past(self.rules.limit, ask.place, everyone) is not None
@@ -201,13 +205,13 @@
 
     def _may_replace(self, asker: int, ask: Ask, entry: Entry) -> bool:
         """Whether what is held of the place is over since this is asked for."""
-        if entry.hold in (Hold.FREE, Hold.OFF):
+        if entry.hold in (PermitState.FREE, PermitState.OFF):
             return True
         if self.rules.kind is Kind.FRONT:  # it asks for itself, while it serves, one ask at a time
-            return entry.hold is Hold.UNKNOWN or (entry.life, entry.number) < (ask.life, ask.number)
+            return entry.hold is PermitState.UNKNOWN or (entry.life, entry.number) < (ask.life, ask.number)
         # Another front, or another life of this one, may have told the list to drain it a moment ago.
         same = (entry.asker, entry.life) == (asker, ask.life)
-        return entry.hold is not Hold.UNKNOWN and same and entry.number < ask.number
+        return entry.hold is not PermitState.UNKNOWN and same and entry.number < ask.number
 
     def _is_over(self, asker: int, ask: Ask) -> bool:
         word = self.words.get(asker)
@@ -218,7 +222,7 @@
         return ask.number <= word.asks and not any(one.number == ask.number for one in word.open)
 
     def _promise(self, asker: int, ask: Ask, now_us: int) -> None:
-        self._cue(ask.place, Cue.ASKED)
+        self._apply(ask.place, PermitEvent.ASKED)
         entry = self.entries[ask.place]
         entry.asker, entry.life, entry.number, entry.since_us = asker, ask.life, ask.number, now_us
         self._settles_us = now_us + self.rules.over_us  # there is one at a time
@@ -235,7 +239,11 @@
         self.advance(now_us)
         for place in [sender] if self.rules.kind is Kind.FRONT else list(self.entries):
             entry = self.entries.get(place)
-            if entry is not None and entry.asker == sender and entry.hold in (Hold.PROMISED, Hold.HELD):
+            if (
+                entry is not None
+                and entry.asker == sender
+                and entry.hold in (PermitState.PROMISED, PermitState.HELD)
+            ):
                 self._hear_of(place, entry, word)
         if self.rules.kind is Kind.FRONT and as_of_us is not None:
             self.see(sender, word.stands is Stands.SERVING, as_of_us, now_us)
@@ -245,14 +253,14 @@
         if entry.life < word.life:
             # The life that asked is over. Of a front that is all; a box may have been told to drain by it.
             if front and serves:
-                self._cue(place, Cue.OVER)
+                self._apply(place, PermitEvent.OVER)
         elif entry.life == word.life and entry.number <= word.asks:
             mine = [one for one in word.open if one.number == entry.number]
             if not mine:
                 if serves or not front:  # one that is out for another reason is not free by what it gives up
-                    self._cue(place, Cue.OVER)
+                    self._apply(place, PermitEvent.OVER)
             elif mine[0].granted:
-                self._cue(place, Cue.SETTLED)
+                self._apply(place, PermitEvent.SETTLED)
 
     def see(self, place: int, serving: bool, as_of_us: int, now_us: int) -> None:
         """A place is seen to serve or not, as it was at that time or later. Of fronts their words tell."""
@@ -260,7 +268,7 @@
         sight = self.sights.get(place)
         if place not in self.map.places or (sight is not None and as_of_us < sight.as_of_us):
             return
-        self.sights[place] = Sight(serving, as_of_us)
+        self.sights[place] = HealthView(serving, as_of_us)
         if now_us >= as_of_us + self.rules.silent_us or not serving:
             self._dark.add(place)
         else:
@@ -268,18 +276,18 @@
             self._dark_until_us = min(self._dark_until_us, as_of_us + self.rules.silent_us)
         entry = self.entries.get(place)
         if serving and entry is not None and as_of_us >= self._free_from_us(place, entry):
-            self._cue(place, Cue.SEEN)
+            self._apply(place, PermitEvent.SEEN)
 
     def _free_from_us(self, place: int, entry: Entry) -> int:
         """From when on a sight of the place serving says that it is not on its way out."""
         show_us = self.rules.show_us
-        if entry.hold is Hold.UNKNOWN:
+        if entry.hold is PermitState.UNKNOWN:
             word = self.words.get(place)
             front = self.rules.kind is Kind.FRONT
             if front and (word is None or any(one.kind is Kind.FRONT for one in word.open)):
                 return 1 << 62
             return max(entry.since_us, self.wary_until_us) + show_us
-        if entry.hold is Hold.HELD:
+        if entry.hold is PermitState.HELD:
             # Of a front its own word alone says that an ask is over; a box has none.
             return 1 << 62 if self.rules.kind is Kind.FRONT else entry.since_us + self.rules.over_us + show_us
         return entry.since_us
@@ -287,7 +295,7 @@
     def write_off(self, place: int, now_us: int) -> None:
         """An operator says that it is not coming back."""
         self.advance(now_us)
-        self._cue(place, Cue.WRITTEN_OFF)
+        self._apply(place, PermitEvent.WRITTEN_OFF)
         self.entries[place].since_us = now_us
 
     def advance(self, now_us: int) -> None:
@@ -296,19 +304,19 @@
         if self.now_us < self._settles_us:
             return
         for place, entry in list(self.entries.items()):
-            if entry.hold is Hold.PROMISED:
-                self._cue(place, Cue.SETTLED)
+            if entry.hold is PermitState.PROMISED:
+                self._apply(place, PermitEvent.SETTLED)
 
-    def _cue(self, place: int, cue: Cue) -> None:
-        entry = self.entries.setdefault(place, Entry(Hold.FREE))
-        after = TABLE.get((entry.hold, cue), entry.hold)
-        self.changed |= after is not entry.hold or cue is Cue.ASKED
+    def _apply(self, place: int, event: PermitEvent) -> None:
+        entry = self.entries.setdefault(place, Entry(PermitState.FREE))
+        after = TRANSITIONS.get((entry.hold, event), entry.hold)
+        self.changed |= after is not entry.hold or event is PermitEvent.ASKED
         entry.hold = after
-        if after is Hold.FREE:
+        if after is PermitState.FREE:
             del self.entries[place]
 
 
-class Stage(Enum):
+class RequestState(Enum):
     """How far an ask is."""
 
     WANTED = auto()  # not asked, or to be asked again
@@ -318,7 +326,7 @@
     GONE = auto()  # over
 
 
-class Turn(Enum):
+class RequestEvent(Enum):
     """What moves it on."""
 
     ASK = auto()
@@ -330,27 +338,30 @@
     BACK = auto()
 
 
-STAGES: dict[tuple[Stage, Turn], Stage] = {
-    (Stage.WANTED, Turn.ASK): Stage.ASKING,
-    (Stage.ASKING, Turn.MAJORITY): Stage.GRANTED,
-    (Stage.ASKING, Turn.DENIED): Stage.WANTED,
-    (Stage.ASKING, Turn.TIME): Stage.WANTED,
-    (Stage.GRANTED, Turn.BEGIN): Stage.OUT,
-    (Stage.GRANTED, Turn.TIME): Stage.WANTED,
-    **{(stage, Turn.CALLED_OFF): Stage.GONE for stage in (Stage.WANTED, Stage.ASKING, Stage.GRANTED)},
-    **{(stage, Turn.BACK): Stage.GONE for stage in Stage},
+REQUEST_TRANSITIONS: dict[tuple[RequestState, RequestEvent], RequestState] = {
+    (RequestState.WANTED, RequestEvent.ASK): RequestState.ASKING,
+    (RequestState.ASKING, RequestEvent.MAJORITY): RequestState.GRANTED,
+    (RequestState.ASKING, RequestEvent.DENIED): RequestState.WANTED,
+    (RequestState.ASKING, RequestEvent.TIME): RequestState.WANTED,
+    (RequestState.GRANTED, RequestEvent.BEGIN): RequestState.OUT,
+    (RequestState.GRANTED, RequestEvent.TIME): RequestState.WANTED,
+    **{
+        (stage, RequestEvent.CALLED_OFF): RequestState.GONE
+        for stage in (RequestState.WANTED, RequestState.ASKING, RequestState.GRANTED)
+    },
+    **{(stage, RequestEvent.BACK): RequestState.GONE for stage in RequestState},
 }
-IN_HAND = (Stage.ASKING, Stage.GRANTED, Stage.OUT)
+IN_HAND = (RequestState.ASKING, RequestState.GRANTED, RequestState.OUT)
 
 
 @dataclass(slots=True)
-class Asked:
+class PermitRequest:
     """A place that this front wants out."""
 
     place: int
     version: int = 0
     stamp: tuple[int, int] = (0, 0)  # of the plan
-    stage: Stage = Stage.WANTED
+    stage: RequestState = RequestState.WANTED
     number: int = 0
     asked_us: int = 0
     next_us: int = 0  # not before
@@ -362,54 +373,60 @@
 
 
 @dataclass(slots=True)
-class Asker:
+class Requester:
     """One front's asks for one kind; one at a time is being counted."""
 
-    rules: Rules
+    rules: PermitRules
     life: int
     numbers: Iterator[int]  # the next number of an ask in this life, for all kinds
-    wanted: dict[int, Asked] = field(default_factory=dict)
+    wanted: dict[int, PermitRequest] = field(default_factory=dict)
 
     def want(self, place: int, now_us: int, version: int = 0, stamp: tuple[int, int] = (0, 0)) -> bool:
         """Have a place out when it may be. False: too many are wanted, or it is under way."""
         known = self.wanted.get(place)
         if known is not None:
             known.told_us = now_us
-            if known.stage is Stage.WANTED:
+            if known.stage is RequestState.WANTED:
                 known.version, known.stamp = version, stamp
-            return known.stage is Stage.WANTED
+            return known.stage is RequestState.WANTED
         if len(self.wanted) >= MOST_WANTED:
             return False
-        self.wanted[place] = Asked(place, version, stamp, next_us=now_us, told_us=now_us)
+        self.wanted[place] = PermitRequest(place, version, stamp, next_us=now_us, told_us=now_us)
         return True
 
     def due(self, now_us: int) -> Ask | None:
         """The ask that is to be sent to all now, if any: a new one, or again the one being counted."""
         self.advance(now_us)
-        counting = next((one for one in self.wanted.values() if one.stage is Stage.ASKING), None)
+        counting = next((one for one in self.wanted.values() if one.stage is RequestState.ASKING), None)
         if counting is None:
             counting = next(
-                (one for one in self.wanted.values() if one.stage is Stage.WANTED and now_us >= one.next_us),
+                (
+                    one
+                    for one in self.wanted.values()
+                    if one.stage is RequestState.WANTED and now_us >= one.next_us
+                ),
                 None,
             )
             if counting is None:
                 return None
-            self._turn(counting, Turn.ASK)
+            self._turn(counting, RequestEvent.ASK)
             counting.number = next(self.numbers)
             counting.asked_us, counting.yes, counting.no, counting.named = now_us, set(), {}, set()
         return Ask(self.life, counting.number, self.rules.kind, counting.place, *counting.stamp)
 
-    def hear_vote(self, sender: int, vote: Vote, seen: Voter, draw: float, now_us: int) -> Asked | None:
+    def hear_vote(
+        self, sender: int, vote: Vote, seen: Grantor, draw: float, now_us: int
+    ) -> PermitRequest | None:
         """A voice has come; the ask that it grants, if it does. `seen`: this front's own book."""
         self.advance(now_us)
         for one in self.wanted.values():
-            if one.stage is Stage.ASKING and (vote.life, vote.number) == (self.life, one.number):
+            if one.stage is RequestState.ASKING and (vote.life, vote.number) == (self.life, one.number):
                 return self._count(one, sender, vote, seen, draw, now_us)
         return None
 
     def _count(
-        self, one: Asked, sender: int, vote: Vote, seen: Voter, draw: float, now_us: int
-    ) -> Asked | None:
+        self, one: PermitRequest, sender: int, vote: Vote, seen: Grantor, draw: float, now_us: int
+    ) -> PermitRequest | None:
         if vote.verdict is Verdict.YES:
             one.yes.add(sender)
             one.no.pop(sender, None)
@@ -417,17 +434,17 @@
         elif sender not in one.yes:
             one.no[sender] = vote.verdict
         if len(one.yes) >= self.rules.majority and self._fits(one, seen, now_us):
-            self._turn(one, Turn.MAJORITY)
+            self._turn(one, RequestEvent.MAJORITY)
             return one
         full = len(one.yes) >= self.rules.majority
         if full or len(one.no) > self.rules.fronts - self.rules.majority:
-            self._later(one, Turn.DENIED, draw, now_us)
+            self._later(one, RequestEvent.DENIED, draw, now_us)
         return None
 
-    def _fits(self, one: Asked, seen: Voter, now_us: int) -> bool:
+    def _fits(self, one: PermitRequest, seen: Grantor, now_us: int) -> bool:
         return seen.map.past(self.rules.limit, one.place, one.named | seen.out(now_us)) is None
 
-    def _later(self, one: Asked, why: Turn, draw: float, now_us: int) -> None:
+    def _later(self, one: PermitRequest, why: RequestEvent, draw: float, now_us: int) -> None:
         # The number is not used again: voters hear by the next word that it is over.
         self._turn(one, why)
         pause_us = self.rules.window_us // 8 << min(one.tries, MOST_DOUBLINGS)
@@ -438,9 +455,9 @@
         """Whether it may go out now; asked directly before it does."""
         self.advance(now_us)
         one = self.wanted.get(place)
-        if one is None or one.stage not in (Stage.GRANTED, Stage.OUT):
+        if one is None or one.stage not in (RequestState.GRANTED, RequestState.OUT):
             return False
-        self._turn(one, Turn.BEGIN)
+        self._turn(one, RequestEvent.BEGIN)
         return True
 
     def let_go(self, place: int, back: bool) -> bool:
@@ -448,8 +465,8 @@
         one = self.wanted.get(place)
         if one is None:
             return False
-        self._turn(one, Turn.BACK if back else Turn.CALLED_OFF)
-        if one.stage is Stage.GONE:
+        self._turn(one, RequestEvent.BACK if back else RequestEvent.CALLED_OFF)
+        if one.stage is RequestState.GONE:
             del self.wanted[place]
         return place not in self.wanted
 
@@ -457,22 +474,27 @@
         """A box serves, as it was at that time: what is seen before a drain can show says nothing."""
         one = self.wanted.get(place)
         shown_us = self.rules.over_us + self.rules.show_us
-        if one is not None and one.stage is Stage.OUT and as_of_us >= one.asked_us + shown_us:
+        if one is not None and one.stage is RequestState.OUT and as_of_us >= one.asked_us + shown_us:
             self.let_go(place, back=True)
 
     def advance(self, now_us: int) -> None:
         """Time passes: a window that is over grants nothing, whoever was held up meanwhile."""
         for one in self.wanted.values():
-            if one.stage in (Stage.ASKING, Stage.GRANTED) and now_us >= one.asked_us + self.rules.window_us:
-                self._later(one, Turn.TIME, 0.5, now_us)
+            if (
+                one.stage in (RequestState.ASKING, RequestState.GRANTED)
+                and now_us >= one.asked_us + self.rules.window_us
+            ):
+                self._later(one, RequestEvent.TIME, 0.5, now_us)
 
     def open(self) -> list[Open]:
         """The asks that are not over, for the next word."""
         return [
-            Open(self.rules.kind, one.place, one.number, one.stage in (Stage.GRANTED, Stage.OUT))
+            Open(
+                self.rules.kind, one.place, one.number, one.stage in (RequestState.GRANTED, RequestState.OUT)
+            )
             for one in self.wanted.values()
             if one.stage in IN_HAND
         ]
 
-    def _turn(self, one: Asked, turn: Turn) -> None:
-        one.stage = STAGES.get((one.stage, turn), one.stage)
+    def _turn(self, one: PermitRequest, turn: RequestEvent) -> None:
+        one.stage = REQUEST_TRANSITIONS.get((one.stage, turn), one.stage)
--- a/packages/releases/src/fennelcove/releases/leaving.py
+++ b/packages/rollouts/src/fennelcove/rollouts/draining.py
@@ -18,7 +18,7 @@
 MOST_ANSWERED = 8192
 
 
-class Stage(Enum):
+class DrainState(Enum):
     """How far it is."""
 
     OPEN = auto()
@@ -27,7 +27,7 @@
     EMPTY = auto()
 
 
-class Cue(Enum):
+class DrainEvent(Enum):
     """What moves it on."""
 
     BEGIN = auto()
@@ -37,13 +37,13 @@
     CALLED_OFF = auto()
 
 
-TABLE: dict[tuple[Stage, Cue], Stage] = {
-    (Stage.OPEN, Cue.BEGIN): Stage.CLOSING,
-    (Stage.CLOSING, Cue.ALL_TOLD): Stage.EMPTYING,
-    (Stage.EMPTYING, Cue.SOME_LEFT): Stage.CLOSING,
-    (Stage.CLOSING, Cue.LAST_GONE): Stage.EMPTY,
-    (Stage.EMPTYING, Cue.LAST_GONE): Stage.EMPTY,
-    **{(stage, Cue.CALLED_OFF): Stage.OPEN for stage in Stage},
+TRANSITIONS: dict[tuple[DrainState, DrainEvent], DrainState] = {
+    (DrainState.OPEN, DrainEvent.BEGIN): DrainState.CLOSING,
+    (DrainState.CLOSING, DrainEvent.ALL_TOLD): DrainState.EMPTYING,
+    (DrainState.EMPTYING, DrainEvent.SOME_LEFT): DrainState.CLOSING,
+    (DrainState.CLOSING, DrainEvent.LAST_GONE): DrainState.EMPTY,
+    (DrainState.EMPTYING, DrainEvent.LAST_GONE): DrainState.EMPTY,
+    **{(stage, DrainEvent.CALLED_OFF): DrainState.OPEN for stage in DrainState},
 }
 
 
@@ -55,7 +55,7 @@
     GONE = auto()  # of its own, moved, or ended
 
 
-class Turn(Enum):
+class StayEvent(Enum):
     """What happens to it."""
 
     TOLD = auto()
@@ -64,7 +64,7 @@
     END = auto()  # the stated time is over
 
 
-class Act(Enum):
+class DrainAction(Enum):
     """What is to be done with it."""
 
     NOTHING = auto()
@@ -74,18 +74,18 @@
     ANSWER = auto()  # a request in hand: refuse it now
 
 
-STAYS: dict[tuple[Stay, Turn], tuple[Stay, Act]] = {
-    (Stay.HERE, Turn.TOLD): (Stay.TOLD, Act.TELL),
-    (Stay.HERE, Turn.WENT): (Stay.GONE, Act.NOTHING),
-    (Stay.HERE, Turn.END): (Stay.GONE, Act.END),
-    (Stay.TOLD, Turn.FAILED): (Stay.HERE, Act.NOTHING),
-    (Stay.TOLD, Turn.WENT): (Stay.GONE, Act.NOTHING),
-    (Stay.TOLD, Turn.END): (Stay.GONE, Act.END),
+STAY_TRANSITIONS: dict[tuple[Stay, StayEvent], tuple[Stay, DrainAction]] = {
+    (Stay.HERE, StayEvent.TOLD): (Stay.TOLD, DrainAction.TELL),
+    (Stay.HERE, StayEvent.WENT): (Stay.GONE, DrainAction.NOTHING),
+    (Stay.HERE, StayEvent.END): (Stay.GONE, DrainAction.END),
+    (Stay.TOLD, StayEvent.FAILED): (Stay.HERE, DrainAction.NOTHING),
+    (Stay.TOLD, StayEvent.WENT): (Stay.GONE, DrainAction.NOTHING),
+    (Stay.TOLD, StayEvent.END): (Stay.GONE, DrainAction.END),
 }
 
 
 @dataclass(frozen=True, slots=True)
-class Times:
+class DrainTimes:
     """The figures of one leaving."""
 
     spread_us: int = 10_000_000  # over which those here are told to go
@@ -94,17 +94,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Step:
+class DrainStep:
     """One thing to do, once."""
 
     id: str
-    act: Act
+    act: DrainAction
     to: int | None = None  # who has room
     after_us: int = 0  # when to come back
 
 
 @dataclass(frozen=True, slots=True)
-class Reply:
+class DrainReply:
     """What a new set-up is answered, at once."""
 
     after_us: int
@@ -112,7 +112,7 @@
 
 
 @dataclass(slots=True)
-class Rooms:
+class AvailableCapacity:
     """What others have room for: each is given no more a second than that."""
 
     free_us: dict[int, int] = field(default_factory=dict)  # when each can take the next
@@ -136,14 +136,14 @@
 
 
 @dataclass(slots=True)
-class Leaving:
+class Draining:
     """One front or box that goes out. The caller hands in times and chance and carries out the steps."""
 
-    times: Times
+    times: DrainTimes
     moves: bool = False  # a box: what plays there is moved, not told to come back
-    stage: Stage = Stage.OPEN
+    stage: DrainState = DrainState.OPEN
     begun_us: int = 0
-    rooms: Rooms = field(default_factory=Rooms)
+    rooms: AvailableCapacity = field(default_factory=AvailableCapacity)
     here: dict[str, Stay] = field(default_factory=dict)  # who has not gone
     queue: OrderedDict[str, int] = field(default_factory=OrderedDict)  # not told yet, and when each may be
     waiting: dict[str, int] = field(default_factory=dict)  # requests in hand, and their client timeouts
@@ -152,9 +152,9 @@
 
     def begin(self, held: Sequence[str], rooms: Mapping[int, float], now_us: int, draw: float) -> None:
         """Go out: `held` in the order in which they are to go. `draw`: chance, from 0 to below 1."""
-        if self.stage is not Stage.OPEN:
+        if self.stage is not DrainState.OPEN:
             return
-        self._cue(Cue.BEGIN)
+        self._apply(DrainEvent.BEGIN)
         self.begun_us = now_us
         self.rooms_are(rooms, now_us)
         gap_us = self.times.spread_us / max(1, len(held))
@@ -168,16 +168,16 @@
 
     # Requests.
 
-    def asked(self, id: str, now_us: int) -> Reply | None:
+    def asked(self, id: str, now_us: int) -> DrainReply | None:
         """A set-up has come: what it is answered at once; None while this is open, or where it has been
         answered before."""
-        if self.stage is Stage.OPEN or not self._answers(id):
+        if self.stage is DrainState.OPEN or not self._answers(id):
             return None
         to, at_us = self.rooms.next(now_us)
         if to is None:
-            return Reply(self.times.spread_us, None)
+            return DrainReply(self.times.spread_us, None)
         self.rooms.give(to, at_us)
-        return Reply(at_us - now_us, to)
+        return DrainReply(at_us - now_us, to)
 
     def waits(self, id: str, until_us: int) -> None:
         """A request that is in hand, and its client timeout."""
@@ -199,20 +199,20 @@
 
     # Those who are here.
 
-    def due(self, now_us: int) -> list[Step]:
+    def due(self, now_us: int) -> list[DrainStep]:
         """What is to be done now."""
         steps = [
-            Step(id, Act.ANSWER, after_us=self.times.spread_us)
+            DrainStep(id, DrainAction.ANSWER, after_us=self.times.spread_us)
             for id, until_us in list(self.waiting.items())
             if now_us >= until_us - self.times.answer_us and self.answered(id)
         ]
-        if self.stage in (Stage.CLOSING, Stage.EMPTYING):
+        if self.stage in (DrainState.CLOSING, DrainState.EMPTYING):
             over = now_us >= self.begun_us + self.times.end_us
             steps += self._end(now_us) if over else self._tell(now_us)
             self._look()
         return steps
 
-    def _tell(self, now_us: int) -> list[Step]:
+    def _tell(self, now_us: int) -> list[DrainStep]:
         steps = []
         for id, at_us in list(self.queue.items()):
             to, free_us = self.rooms.next(now_us)
@@ -220,37 +220,37 @@
                 break  # the queue is in order of time, and nobody has room before that
             del self.queue[id]
             self.rooms.give(to, now_us)
-            steps += self._turn(id, Turn.TOLD, to)
+            steps += self._turn(id, StayEvent.TOLD, to)
         return steps
 
-    def _end(self, now_us: int) -> list[Step]:
+    def _end(self, now_us: int) -> list[DrainStep]:
         """Who is left is ended, with a time to come back by the room that there is."""
-        steps: list[Step] = []
+        steps: list[DrainStep] = []
         self.queue.clear()
         for id in list(self.here):
             to, at_us = self.rooms.next(now_us)
             if to is not None:
                 self.rooms.give(to, at_us)
-            steps += self._turn(id, Turn.END, to, at_us - now_us)
+            steps += self._turn(id, StayEvent.END, to, at_us - now_us)
         self.ended += len(steps)
         return steps
 
     def gone(self, id: str) -> None:
         """It is here no more."""
-        self._turn(id, Turn.WENT)
+        self._turn(id, StayEvent.WENT)
         self.queue.pop(id, None)
         self._look()
 
     def failed(self, id: str, now_us: int) -> None:
         """It could not be told, or its move has failed: another try."""
         if self.here.get(id) is Stay.TOLD:
-            self._turn(id, Turn.FAILED)
+            self._turn(id, StayEvent.FAILED)
             self.queue[id] = max(now_us + RETRY_US, next(reversed(self.queue.values()), 0))
-            self._cue(Cue.SOME_LEFT)
+            self._apply(DrainEvent.SOME_LEFT)
 
     def stay(self) -> None:
         """Called off: new set-ups are taken again, nobody else is told to go."""
-        self._cue(Cue.CALLED_OFF)
+        self._apply(DrainEvent.CALLED_OFF)
         self.queue.clear()
         self.here.clear()
 
@@ -261,23 +261,23 @@
         times += [self.begun_us + self.times.end_us] if self.here else []
         return max(0, min([RETRY_US, *(at_us - now_us for at_us in times)]))
 
-    def _turn(self, id: str, turn: Turn, to: int | None = None, after_us: int = 0) -> list[Step]:
+    def _turn(self, id: str, turn: StayEvent, to: int | None = None, after_us: int = 0) -> list[DrainStep]:
         stays = self.here.get(id)
-        row = STAYS.get((stays, turn)) if stays is not None else None
+        row = STAY_TRANSITIONS.get((stays, turn)) if stays is not None else None
         if row is None:
             return []
         self.here[id], act = row
         if row[0] is Stay.GONE:
             del self.here[id]
-        if act is Act.TELL and self.moves:
-            act = Act.MOVE
-        return [Step(id, act, to, after_us)] if act is not Act.NOTHING else []
+        if act is DrainAction.TELL and self.moves:
+            act = DrainAction.MOVE
+        return [DrainStep(id, act, to, after_us)] if act is not DrainAction.NOTHING else []
 
     def _look(self) -> None:
         if not self.here:
-            self._cue(Cue.LAST_GONE)
+            self._apply(DrainEvent.LAST_GONE)
         elif not self.queue:
-            self._cue(Cue.ALL_TOLD)
+            self._apply(DrainEvent.ALL_TOLD)
 
-    def _cue(self, cue: Cue) -> None:
-        self.stage = TABLE.get((self.stage, cue), self.stage)
+    def _apply(self, event: DrainEvent) -> None:
+        self.stage = TRANSITIONS.get((self.stage, event), self.stage)
--- a/packages/releases/src/fennelcove/releases/leading.py
+++ b/packages/rollouts/src/fennelcove/rollouts/leader_election.py
@@ -17,8 +17,8 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 
-from fennelcove.releases.permits import Rules
-from fennelcove.releases.says import Phase, Reason, Record, Stand, Taken, Voice, Word
+from fennelcove.rollouts.disruption_permits import PermitRules
+from fennelcove.rollouts.messages import Phase, Reason, Record, Stand, Taken, Voice, Word
 
 MOVING = (Phase.MOVING, Phase.SOAKING)
 
@@ -27,7 +27,7 @@
 class Register:
     """What one front took, and its voice. `remembers`: the folder told what the last life took."""
 
-    rules: Rules
+    rules: PermitRules
     now_us: int
     term: int = 0  # the highest that it gave its voice to, or took a record of
     record: Record = field(default_factory=Record)
@@ -93,7 +93,7 @@
             self.knowing.clear()
 
 
-class Seat(Enum):
+class Role(Enum):
     """How a front stands to the plan."""
 
     FOLLOWS = auto()
@@ -102,7 +102,7 @@
     LEADS = auto()
 
 
-class Cue(Enum):
+class ElectionEvent(Enum):
     """What moves it."""
 
     STAND = auto()
@@ -113,25 +113,25 @@
     OUTBID = auto()  # there is a later term
 
 
-TABLE: dict[tuple[Seat, Cue], Seat] = {
-    (Seat.FOLLOWS, Cue.STAND): Seat.STANDS,
-    (Seat.STANDS, Cue.MAJORITY): Seat.WRITES,
-    (Seat.WRITES, Cue.MAJORITY): Seat.LEADS,
-    (Seat.LEADS, Cue.WRITE): Seat.WRITES,
-    **{(seat, Cue.TIME): Seat.FOLLOWS for seat in (Seat.STANDS, Seat.WRITES)},
-    **{(seat, Cue.OUTBID): Seat.FOLLOWS for seat in (Seat.STANDS, Seat.WRITES, Seat.LEADS)},
-    **{(seat, Cue.ALONE): Seat.FOLLOWS for seat in (Seat.STANDS, Seat.WRITES, Seat.LEADS)},
+TRANSITIONS: dict[tuple[Role, ElectionEvent], Role] = {
+    (Role.FOLLOWS, ElectionEvent.STAND): Role.STANDS,
+    (Role.STANDS, ElectionEvent.MAJORITY): Role.WRITES,
+    (Role.WRITES, ElectionEvent.MAJORITY): Role.LEADS,
+    (Role.LEADS, ElectionEvent.WRITE): Role.WRITES,
+    **{(seat, ElectionEvent.TIME): Role.FOLLOWS for seat in (Role.STANDS, Role.WRITES)},
+    **{(seat, ElectionEvent.OUTBID): Role.FOLLOWS for seat in (Role.STANDS, Role.WRITES, Role.LEADS)},
+    **{(seat, ElectionEvent.ALONE): Role.FOLLOWS for seat in (Role.STANDS, Role.WRITES, Role.LEADS)},
 }
 
 
 @dataclass(slots=True)
-class Chair:
+class LeaderElection:
     """One front that stands, writes and leads. `register` is its own."""
 
-    rules: Rules
+    rules: PermitRules
     life: int
     register: Register
-    seat: Seat = Seat.FOLLOWS
+    seat: Role = Role.FOLLOWS
     term: int = 0
     since_us: int = 0  # of the stand or the writing
     heard: set[int] = field(default_factory=set)  # who gave a voice, or took what was written
@@ -140,18 +140,18 @@
 
     def stand(self, now_us: int) -> Stand | None:
         """Ask all for their voices, this front's own register too; None where it can't now."""
-        if self.seat is not Seat.FOLLOWS or not self.register.ready(now_us):
+        if self.seat is not Role.FOLLOWS or not self.register.ready(now_us):
             return None
         fronts = self.rules.fronts
         self.term = (self.register.term // fronts + 1) * fronts + self.rules.index
-        self._cue(Cue.STAND)
+        self._apply(ElectionEvent.STAND)
         self.since_us, self.heard, self.best = now_us, set(), Record()
         return Stand(self.life, self.term)
 
     def hear_voice(self, sender: int, voice: Voice, now_us: int) -> Record | None:
         """A voice has come; the record that is to be told to all, where it makes a majority."""
         self.advance(now_us)
-        if self.seat is not Seat.STANDS or (voice.life, voice.term) != (self.life, self.term):
+        if self.seat is not Role.STANDS or (voice.life, voice.term) != (self.life, self.term):
             return None
         if not voice.yes:
             return None
@@ -161,15 +161,15 @@
             self.best = voice.record
         if len(self.heard) < self.rules.majority:
             return None
-        self._cue(Cue.MAJORITY)
+        self._apply(ElectionEvent.MAJORITY)
         return self._tell(replace(self.best, term=self.term, turn=self.best.turn + 1), now_us)
 
     def write(self, record: Record, now_us: int) -> Record | None:
         """Change what is agreed; what is to be told to all. None where this front does not lead."""
         self.advance(now_us)
-        if self.seat is not Seat.LEADS:
+        if self.seat is not Role.LEADS:
             return None
-        self._cue(Cue.WRITE)
+        self._apply(ElectionEvent.WRITE)
         return self._tell(replace(record, term=self.term, turn=self.writes.turn + 1), now_us)
 
     def _tell(self, record: Record, now_us: int) -> Record:
@@ -179,26 +179,26 @@
     def hear_taken(self, sender: int, taken: Taken, now_us: int) -> bool:
         """A front took a record; whether a majority now has, for the first time."""
         self.advance(now_us)
-        if self.seat is not Seat.WRITES or (taken.term, taken.turn) != self.writes.stamp:
+        if self.seat is not Role.WRITES or (taken.term, taken.turn) != self.writes.stamp:
             return False
         self.heard.add(sender)
         if len(self.heard) < self.rules.majority:
             return False
-        self._cue(Cue.MAJORITY)
+        self._apply(ElectionEvent.MAJORITY)
         return True
 
     def advance(self, now_us: int, hears: int | None = None) -> None:
         """Time passes. `hears`: how many fronts serve by what this one sees, itself among them."""
         if self.register.term > self.term:
-            self._cue(Cue.OUTBID)
-        if self.seat in (Seat.STANDS, Seat.WRITES) and now_us >= self.since_us + self.rules.window_us:
-            self._cue(Cue.TIME)
+            self._apply(ElectionEvent.OUTBID)
+        if self.seat in (Role.STANDS, Role.WRITES) and now_us >= self.since_us + self.rules.window_us:
+            self._apply(ElectionEvent.TIME)
         if hears is not None and hears < self.rules.majority:
-            self._cue(Cue.ALONE)
+            self._apply(ElectionEvent.ALONE)
 
     def follow(self) -> None:
         """This front goes out, or can't lead for another reason."""
-        self._cue(Cue.ALONE)
+        self._apply(ElectionEvent.ALONE)
 
-    def _cue(self, cue: Cue) -> None:
-        self.seat = TABLE.get((self.seat, cue), self.seat)
+    def _apply(self, event: ElectionEvent) -> None:
+        self.seat = TRANSITIONS.get((self.seat, event), self.seat)
--- a/packages/releases/src/fennelcove/releases/course.py
+++ b/packages/rollouts/src/fennelcove/rollouts/rollout_controller.py
@@ -9,27 +9,27 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from fennelcove.releases import release
-from fennelcove.releases.leading import Chair, Register, Seat
-from fennelcove.releases.permits import Hold, Rules, Voter
-from fennelcove.releases.release import UNDER_WAY, Cue, Fleet, Lead
-from fennelcove.releases.says import Order, Reason, Record, Said, Stand, Stands, Taken, Told, Voice
-from fennelcove.releases.terms import Answer, Command, Memory, Mine, Post, Terms, Wish
+from fennelcove.rollouts import rollout_plan
+from fennelcove.rollouts.leader_election import LeaderElection, Register, Role
+from fennelcove.rollouts.disruption_permits import PermitState, PermitRules, Grantor
+from fennelcove.rollouts.rollout_plan import UNDER_WAY, RolloutEvent, FleetSet, RolloutPlan
+from fennelcove.rollouts.messages import Order, Reason, Record, Said, Stand, Stands, Taken, Told, Voice
+from fennelcove.rollouts.types import Answer, Command, Memory, Mine, Post, Terms, Wish
 
 MOST_ANSWERS = 16
 COMMAND_US = 4_000_000  # after which an operator's word that no majority took is called lost
 SPREAD_BEATS = 8  # over which those that miss a leader begin to stand
-CUES = {
-    Wish.START: Cue.START,
-    Wish.CHANGE: Cue.CHANGE,
-    Wish.HALT: Cue.HALT,
-    Wish.ON: Cue.ON,
-    Wish.BACK: Cue.BACK,
+EVENTS = {
+    Wish.START: RolloutEvent.START,
+    Wish.CHANGE: RolloutEvent.CHANGE,
+    Wish.HALT: RolloutEvent.HALT,
+    Wish.ON: RolloutEvent.ON,
+    Wish.BACK: RolloutEvent.BACK,
 }
 
 
 @dataclass(slots=True)
-class Pending:
+class PendingCommand:
     """An operator's word on its way."""
 
     number: int
@@ -38,17 +38,17 @@
     stamp: tuple[int, int] | None = None  # of the record that has it
 
 
-class Course:
+class RolloutController:
     """See the module's text. `order` tells this front itself that it is its turn, `note` is for the log."""
 
     def __init__(
         self,
         terms: Terms,
-        rules: Rules,
+        rules: PermitRules,
         halls: Mapping[int, int],
         life: int,
         told: Memory,
-        voter: Voter,
+        voter: Grantor,
         order: Callable[[int, tuple[int, int], int], None],
         note: Callable[[str], None],
         now_us: int,
@@ -60,13 +60,13 @@
         self.order = order
         self.note = note
         self.register = Register(rules, now_us, told.term, told.record, told.sure)
-        self.chair = Chair(rules, life, self.register)
+        self.chair = LeaderElection(rules, life, self.register)
         self.mine = Mine(Stands.STARTING)
         self.draw = 0.5
-        self.lead: Lead | None = None
+        self.lead: RolloutPlan | None = None
         self.out_us: dict[int, int] = {}  # since when each that does not serve is so
         self.stand_us: int | None = None  # when this front stands, if no leader is heard until then
-        self.pending: Pending | None = None
+        self.pending: PendingCommand | None = None
         self.commands = 0
         self.answers: OrderedDict[int, Answer] = OrderedDict()
 
@@ -80,13 +80,13 @@
             self.chair.follow()
         self._expire(now_us)
         seat = self.chair.seat
-        if seat is not Seat.LEADS and seat is not Seat.WRITES:
+        if seat is not Role.LEADS and seat is not Role.WRITES:
             self.lead = None
-        if seat is Seat.FOLLOWS:
+        if seat is Role.FOLLOWS:
             return self._follow(now_us)
-        if seat is Seat.STANDS:
+        if seat is Role.STANDS:
             return self._all(Stand(self.life, self.chair.term))
-        if seat is Seat.WRITES:
+        if seat is Role.WRITES:
             return self._told(self.chair.writes)
         post = self._told(self.register.record)
         if self.lead is not None:
@@ -96,11 +96,11 @@
     def _all(self, said: Said) -> Post:
         return [(index, said) for index in self.halls if index != self.terms.index]
 
-    def _fleet(self, now_us: int) -> Fleet:
+    def _fleet(self, now_us: int) -> FleetSet:
         voter = self.voter
-        off = frozenset(place for place, entry in voter.entries.items() if entry.hold is Hold.OFF)
+        off = frozenset(place for place, entry in voter.entries.items() if entry.hold is PermitState.OFF)
         dark = frozenset(voter.dark(now_us))
-        return Fleet(self.terms.fronts, self.terms.index, voter.words, dark, off, self.out_us)
+        return FleetSet(self.terms.fronts, self.terms.index, voter.words, dark, off, self.out_us)
 
     def _follow(self, now_us: int) -> Post:
         missed = now_us >= self.register.told_us + self.terms.silent_us
@@ -140,7 +140,7 @@
         record = self.chair.writes
         self.note(f"plan {record.plan.number} {record.phase.name.lower()}")
         if self.lead is None:
-            self.lead = Lead(record, self.halls, now_us)
+            self.lead = RolloutPlan(record, self.halls, now_us)
         else:
             self.lead.goes_on(record, now_us)
         pending = self.pending
@@ -148,15 +148,15 @@
             self._answered(pending, Answer.DONE)
         return self._apply(now_us)
 
-    def _move(self, lead: Lead, now_us: int) -> Post:
+    def _move(self, lead: RolloutPlan, now_us: int) -> Post:
         fleet = self._fleet(now_us)
-        found = lead.cue(fleet, now_us)
+        found = lead.apply(fleet, now_us)
         if found is not None:
-            have = len(fleet.have(release.target(lead.record)))
-            record = release.after(lead.record, found[0], have, why=found[1])
+            have = len(fleet.have(rollout_plan.target(lead.record)))
+            record = rollout_plan.after(lead.record, found[0], have, why=found[1])
             written = self.chair.write(record, now_us) if record is not None else None
             return self._tell(written, now_us) if written is not None else []
-        record, version = lead.record, release.target(lead.record)
+        record, version = lead.record, rollout_plan.target(lead.record)
         going = lead.orders(fleet, now_us)
         if self.terms.index in going:
             self.order(version, record.stamp, now_us)
@@ -173,14 +173,14 @@
         if self.pending is not None or not ready:
             self._answer(number, Answer.BUSY)
             return number, []
-        self.pending = Pending(number, told, now_us)
+        self.pending = PendingCommand(number, told, now_us)
         self._answer(number, Answer.PENDING)
-        post = self._apply(now_us) if self.chair.seat is Seat.LEADS else self._stand(now_us)
+        post = self._apply(now_us) if self.chair.seat is Role.LEADS else self._stand(now_us)
         return number, post
 
     def _apply(self, now_us: int) -> Post:
         pending, chair = self.pending, self.chair
-        if pending is None or pending.stamp is not None or chair.seat is not Seat.LEADS:
+        if pending is None or pending.stamp is not None or chair.seat is not Role.LEADS:
             return []
         record, told = chair.writes, pending.told
         if told.fence != record.fence:
@@ -190,7 +190,7 @@
         version = plan.before if told.wish is Wish.BACK or record.back else plan.wanted
         have = len(self._fleet(now_us).have(version))
         reason = Reason.OPERATOR if told.wish in (Wish.HALT, Wish.CHANGE) else Reason.NONE
-        now = release.after(record, CUES[told.wish], have, told.plan, reason)
+        now = rollout_plan.after(record, EVENTS[told.wish], have, told.plan, reason)
         written = chair.write(now, now_us) if now is not None else None
         if written is None:
             self._answered(pending, Answer.WRONG)
@@ -202,7 +202,7 @@
         if self.pending is not None and now_us >= self.pending.since_us + COMMAND_US:
             self._answered(self.pending, Answer.LOST)
 
-    def _answered(self, pending: Pending, answer: Answer) -> None:
+    def _answered(self, pending: PendingCommand, answer: Answer) -> None:
         self._answer(pending.number, answer)
         self.pending = None
 
--- a/packages/releases/src/fennelcove/releases/release.py
+++ b/packages/rollouts/src/fennelcove/rollouts/rollout_plan.py
@@ -12,15 +12,15 @@
 from enum import Enum, auto
 from zlib import crc32
 
-from fennelcove.releases.evidence import Judge
-from fennelcove.releases.says import Kind, Phase, Plan, Reason, Record, Stands, Word
+from fennelcove.rollouts.canary_analysis import CanaryAnalysis
+from fennelcove.rollouts.messages import Kind, Phase, Plan, Reason, Record, Stands, Word
 
 ORDER_US = 4_000_000  # after which one that was ordered and has not got out lets another go first
 LAPSE_US = 2_000_000  # for which a front asks on after its last order
 QUIET_US = 4_500_000  # in which what another leader ordered, or this one before, has lapsed and been counted
 
 
-class Cue(Enum):
+class RolloutEvent(Enum):
     """What happens to a plan."""
 
     START = auto()
@@ -34,7 +34,7 @@
     CAUSE = auto()  # evidence
 
 
-class Then(Enum):
+class RolloutDecision(Enum):
     """What follows of it."""
 
     NOTHING = auto()
@@ -46,46 +46,63 @@
 
 UNDER_WAY = (Phase.MOVING, Phase.SOAKING)
 OVER = (Phase.NONE, Phase.DONE, Phase.UNDONE)
-TABLE: dict[tuple[Phase, bool, Cue], tuple[Phase, Then]] = {
+TRANSITIONS: dict[tuple[Phase, bool, RolloutEvent], tuple[Phase, RolloutDecision]] = {
     # (phase, on the way back, cue). What stands in no row is refused.
-    **{(phase, back, Cue.START): (Phase.MOVING, Then.ANEW) for phase in OVER for back in (False, True)},
-    **{(phase, False, Cue.CHANGE): (Phase.HALTED, Then.REPLACE) for phase in (*UNDER_WAY, Phase.HALTED)},
     **{
-        (phase, back, cue): (Phase.HALTED, Then.NOTHING)
+        (phase, back, RolloutEvent.START): (Phase.MOVING, RolloutDecision.ANEW)
+        for phase in OVER
+        for back in (False, True)
+    },
+    **{
+        (phase, False, RolloutEvent.CHANGE): (Phase.HALTED, RolloutDecision.REPLACE)
+        for phase in (*UNDER_WAY, Phase.HALTED)
+    },
+    **{
+        (phase, back, event): (Phase.HALTED, RolloutDecision.NOTHING)
         for phase in UNDER_WAY
         for back in (False, True)
-        for cue in (Cue.HALT, Cue.CAUSE)
+        for event in (RolloutEvent.HALT, RolloutEvent.CAUSE)
+    },
+    **{
+        (Phase.HALTED, back, RolloutEvent.ON): (Phase.MOVING, RolloutDecision.NOTHING)
+        for back in (False, True)
     },
-    **{(Phase.HALTED, back, Cue.ON): (Phase.MOVING, Then.NOTHING) for back in (False, True)},
     **{
-        (phase, False, Cue.BACK): (Phase.MOVING, Then.TURN_BACK)
+        (phase, False, RolloutEvent.BACK): (Phase.MOVING, RolloutDecision.TURN_BACK)
         for phase in (*UNDER_WAY, Phase.HALTED, Phase.DONE)
     },
-    (Phase.MOVING, False, Cue.STEPPED): (Phase.SOAKING, Then.NOTHING),
-    (Phase.MOVING, True, Cue.STEPPED): (Phase.MOVING, Then.STEP),
-    (Phase.SOAKING, False, Cue.SOAKED): (Phase.MOVING, Then.STEP),
-    (Phase.SOAKING, False, Cue.ENDED): (Phase.DONE, Then.NOTHING),
-    (Phase.MOVING, True, Cue.ENDED): (Phase.UNDONE, Then.NOTHING),
+    (Phase.MOVING, False, RolloutEvent.STEPPED): (Phase.SOAKING, RolloutDecision.NOTHING),
+    (Phase.MOVING, True, RolloutEvent.STEPPED): (Phase.MOVING, RolloutDecision.STEP),
+    (Phase.SOAKING, False, RolloutEvent.SOAKED): (Phase.MOVING, RolloutDecision.STEP),
+    (Phase.SOAKING, False, RolloutEvent.ENDED): (Phase.DONE, RolloutDecision.NOTHING),
+    (Phase.MOVING, True, RolloutEvent.ENDED): (Phase.UNDONE, RolloutDecision.NOTHING),
 }
-FENCED = (Cue.START, Cue.CHANGE, Cue.HALT, Cue.ON, Cue.BACK, Cue.CAUSE)
+FENCED = (
+    RolloutEvent.START,
+    RolloutEvent.CHANGE,
+    RolloutEvent.HALT,
+    RolloutEvent.ON,
+    RolloutEvent.BACK,
+    RolloutEvent.CAUSE,
+)
 
 
 def after(
-    record: Record, cue: Cue, have: int, plan: Plan | None = None, why: Reason = Reason.NONE
+    record: Record, event: RolloutEvent, have: int, plan: Plan | None = None, why: Reason = Reason.NONE
 ) -> Record | None:
     """What a record becomes; None where the table has no such row. `have`: fronts that have what they are to
     have by `record`, or by `plan` where that is another."""
-    row = TABLE.get((record.phase, record.back, cue))
-    if row is None or (plan is None) is not (cue not in (Cue.START, Cue.CHANGE)):
+    row = TRANSITIONS.get((record.phase, record.back, event))
+    if row is None or (plan is None) is not (event not in (RolloutEvent.START, RolloutEvent.CHANGE)):
         return None
     if plan is not None and (min(plan.canary, plan.wave, plan.wanted) < 1 or plan.wanted == plan.before):
         return None  # it would take nobody out, for ever
     phase, then = row
-    fence = record.fence + (cue in FENCED)
+    fence = record.fence + (event in FENCED)
     now = replace(record, phase=phase, reason=why, fence=fence)
-    if then is Then.STEP:
+    if then is RolloutDecision.STEP:
         return replace(now, goal=have + now.plan.wave)
-    if then is Then.TURN_BACK:
+    if then is RolloutDecision.TURN_BACK:
         return replace(now, back=True, goal=have + now.plan.wave)
     if plan is not None:
         first = replace(plan, number=record.plan.number + 1)
@@ -99,7 +116,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Fleet:
+class FleetSet:
     """What a leader sees of all fronts at one moment."""
 
     size: int
@@ -127,13 +144,13 @@
 
 
 @dataclass(slots=True)
-class Lead:
+class RolloutPlan:
     """What a front that leads does for one state of a plan: whom it orders out, and what it finds."""
 
     record: Record
     halls: Mapping[int, int]
     began_us: int  # when a majority had taken the record
-    judge: Judge = field(init=False)
+    judge: CanaryAnalysis = field(init=False)
     ordered: dict[int, int] = field(default_factory=dict)  # the life in which each was ordered
     left: set[int] = field(default_factory=set)  # those of them that were seen on their way out
     first_us: dict[int, int] = field(default_factory=dict)  # when the one whose turn it is was first ordered
@@ -141,14 +158,14 @@
     quiet_us: int = 0  # until then nobody is ordered: two that ask at once may both go, past the step
 
     def __post_init__(self) -> None:
-        self.judge = Judge(self.halls, self.began_us)
+        self.judge = CanaryAnalysis(self.halls, self.began_us)
         self.quiet_us = self.began_us + QUIET_US
 
     def goes_on(self, record: Record, now_us: int) -> None:
         """Another state of the plan is agreed."""
         same = (record.plan.number, record.back) == (self.record.plan.number, self.record.back)
         if not same or record.phase not in UNDER_WAY:
-            self.judge = Judge(self.halls, now_us)
+            self.judge = CanaryAnalysis(self.halls, now_us)
             self.ordered.clear()
             self.left.clear()
         if record.phase is not self.record.phase:
@@ -156,25 +173,25 @@
             self.waits.clear()
         self.record, self.began_us = record, now_us
 
-    def cue(self, fleet: Fleet, now_us: int) -> tuple[Cue, Reason] | None:
+    def apply(self, fleet: FleetSet, now_us: int) -> tuple[RolloutEvent, Reason] | None:
         """What has happened by what is seen now."""
         record = self.record
         if record.phase not in UNDER_WAY:
             return None
         why = self._cause(fleet, now_us)
         if why is not Reason.NONE:
-            return Cue.CAUSE, why
+            return RolloutEvent.CAUSE, why
         have = len(fleet.have(target(record)))
         if record.phase is Phase.MOVING:
             everyone = have >= fleet.counted
             if record.back and everyone:
-                return Cue.ENDED, Reason.NONE
-            return (Cue.STEPPED, Reason.NONE) if everyone or have >= record.goal else None
+                return RolloutEvent.ENDED, Reason.NONE
+            return (RolloutEvent.STEPPED, Reason.NONE) if everyone or have >= record.goal else None
         if now_us < self.began_us + record.plan.soak_ms * 1000:
             return None
-        return (Cue.ENDED if have >= fleet.counted else Cue.SOAKED), Reason.NONE
+        return (RolloutEvent.ENDED if have >= fleet.counted else RolloutEvent.SOAKED), Reason.NONE
 
-    def _cause(self, fleet: Fleet, now_us: int) -> Reason:
+    def _cause(self, fleet: FleetSet, now_us: int) -> Reason:
         record = self.record
         for index, life in self.ordered.items():
             word = fleet.words.get(index)
@@ -204,7 +221,7 @@
         permit = any(one.kind is Kind.FRONT and one.granted for one in word.open)
         return permit or word.stands is Stands.LEAVING
 
-    def orders(self, fleet: Fleet, now_us: int) -> list[int]:
+    def orders(self, fleet: FleetSet, now_us: int) -> list[int]:
         """Whom to tell now that it is its turn: one that serves, at a time, so that their asks for permits
         don't meet; on the way back also all that don't serve and still speak."""
         record = self.record
@@ -221,7 +238,7 @@
             self.ordered.setdefault(index, fleet.words[index].life)
         return going
 
-    def _first(self, fleet: Fleet, version: int, many: int, now_us: int) -> list[int]:
+    def _first(self, fleet: FleetSet, version: int, many: int, now_us: int) -> list[int]:
         lack = self._sorted(fleet, version)
         # One that has its permit and still serves is on its way.
         away = [i for i in lack if self._goes(fleet.words[i])]
@@ -237,14 +254,14 @@
             return []
         return [first]
 
-    def _sorted(self, fleet: Fleet, version: int) -> list[int]:
+    def _sorted(self, fleet: FleetSet, version: int) -> list[int]:
         number = self.record.plan.number
 
         def rank(index: int) -> tuple[int, bool, int]:
             # Who leads goes last: another has to carry the plan on then.
             late = self.waits.index(index) + 1 if index in self.waits else 0
             newest = fleet.words[index].since_s
-            chance = crc32(f"{number}/{index}".encode())
-            return late, index == fleet.index, newest if self.record.back else chance
+            rng = crc32(f"{number}/{index}".encode())
+            return late, index == fleet.index, newest if self.record.back else rng
 
         return sorted(fleet.lack(version), key=rank)
--- a/packages/releases/src/fennelcove/releases/terms.py
+++ b/packages/rollouts/src/fennelcove/rollouts/types.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-from fennelcove.releases.permits import Rules
-from fennelcove.releases.places import Limits
-from fennelcove.releases.says import Kind, Plan, Record, Said, Stands
+from fennelcove.rollouts.disruption_permits import PermitRules
+from fennelcove.rollouts.disruption_budget import Limits
+from fennelcove.rollouts.messages import Kind, Plan, Record, Said, Stands
 
 Post = list[tuple[int, Said]]  # to whom, what
 
@@ -112,14 +112,14 @@
     blind_us: int = 5_000_000  # a box not seen for so long is out
     show_us: int = 5_000_000  # in which a box told to drain is seen to drain, by all
 
-    def rules(self, kind: Kind, limits: Limits) -> Rules:
+    def rules(self, kind: Kind, limits: Limits) -> PermitRules:
         """The figures of permits for one kind."""
         front = kind is Kind.FRONT
-        return Rules(
+        return PermitRules(
             kind,
             self.fronts,
             self.index,
-            limits.fronts if front else limits.boxes,
+            limits.fronts if front else limits.servers,
             self.window_us,
             self.silent_us if front else self.blind_us,
             0 if front else self.show_us,
--- a/packages/day/src/fennelcove/day/authors.py
+++ b/packages/scenarios/src/fennelcove/scenarios/authors.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from fennelcove.clock import Clock
-from fennelcove.day.script import ChangeLine
-from fennelcove.manifests.clockwork import iso
-from fennelcove.standins.recorder import Recorder
-from fennelcove.standins.viewers import Player, Unanswered
+from fennelcove.scenarios.script import ChangeLine
+from fennelcove.manifests.exact_time import iso
+from fennelcove.emulators.recorder import Recorder
+from fennelcove.emulators.clients import Player, Unanswered
 
 KEY = "a-key-for-scripted-days-only"
 
--- a/packages/day/src/fennelcove/day/judge.py
+++ b/packages/scenarios/src/fennelcove/scenarios/checker.py
@@ -9,12 +9,12 @@
 
 import msgspec
 
-from fennelcove.day.excuses import SLACK_US, Excuses
-from fennelcove.day.outs import Outs, outs
-from fennelcove.day.slots import Slots, slots
-from fennelcove.day.recovery import Fleet, fleet
-from fennelcove.day.tenants import Tenants, tenants
-from fennelcove.standins.recorder import Record
+from fennelcove.scenarios.exemptions import SLACK_US, Excuses
+from fennelcove.scenarios.outages import Outs, outs
+from fennelcove.scenarios.slots import Slots, slots
+from fennelcove.scenarios.recovery import Fleet, fleet
+from fennelcove.scenarios.tenants import Tenants, tenants
+from fennelcove.emulators.recorder import Record
 
 PLAYS, THROTTLED = 201, 503
 DESCRIBED = 8  # none of them either: a front says nothing that its descriptions do not mention
--- a/packages/day/src/fennelcove/day/excuses.py
+++ b/packages/scenarios/src/fennelcove/scenarios/exemptions.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from fennelcove.standins.recorder import Record
+from fennelcove.emulators.recorder import Record
 
 # What the two ends of a socket may differ by: threads that wake late on a busy machine, nothing of the
 # front's own.
--- a/packages/day/src/fennelcove/day/troubles.py
+++ b/packages/scenarios/src/fennelcove/scenarios/fault_injection.py
@@ -10,11 +10,11 @@
 
 from msgspec.structs import replace as replace_struct
 
-from fennelcove.day.fronts import DayFailed, FrontProcess, Fronts, side_by_side
-from fennelcove.day.rig import Rig
-from fennelcove.day.script import Power, Trouble
-from fennelcove.day.supervisor import Supervisor
-from fennelcove.standins.slotliar import SlotLiar
+from fennelcove.scenarios.fronts import DayFailed, FrontProcess, Fronts, side_by_side
+from fennelcove.scenarios.rig import Rig
+from fennelcove.scenarios.script import Power, Trouble
+from fennelcove.scenarios.supervisor import Supervisor
+from fennelcove.emulators.dishonest_front import SlotLiar
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/day/src/fennelcove/day/fronts.py
+++ b/packages/scenarios/src/fennelcove/scenarios/fronts.py
@@ -16,11 +16,11 @@
 import blake3
 import msgspec
 
-from fennelcove.errors import Trouble
-from fennelcove.day import authors
-from fennelcove.day.rig import Rig, front_host
-from fennelcove.day.script import Day, Version
-from fennelcove.program.key_file import rotate
+from fennelcove.errors import OperatorError
+from fennelcove.scenarios import authors
+from fennelcove.scenarios.rig import Rig, front_host
+from fennelcove.scenarios.script import Day, Version
+from fennelcove.daemon.key_file import rotate
 from fennelcove.settings.schema import (
     Author,
     CompanySettings,
@@ -32,8 +32,8 @@
     Rules,
 )
 from fennelcove.settings.writer import write
-from fennelcove.standins.recorder import Recorder
-from fennelcove.standins.viewers import Player, Unanswered
+from fennelcove.emulators.recorder import Recorder
+from fennelcove.emulators.clients import Player, Unanswered
 from fennelcove.store.folder import verify
 
 START_S = 30.0
@@ -41,7 +41,7 @@
 AT_ONCE = 6  # fronts that are started side by side: more would measure how fast this machine imports
 
 
-class DayFailed(Trouble):
+class DayFailed(OperatorError):
     """A day could not be played: a front did not start, or did not end."""
 
     code = "day-not-played"
--- a/packages/day/src/fennelcove/day/outs.py
+++ b/packages/scenarios/src/fennelcove/scenarios/outages.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from fennelcove.day.boxouts import boxed
-from fennelcove.day.excuses import SLACK_US
-from fennelcove.day.faults import OUT, STRUCK, Fault
-from fennelcove.standins.recorder import Record
+from fennelcove.scenarios.server_outages import boxed
+from fennelcove.scenarios.exemptions import SLACK_US
+from fennelcove.scenarios.faults import OUT, STRUCK, Fault
+from fennelcove.emulators.recorder import Record
 
 PLAYS = 201
 NEVER = 1 << 62
--- a/packages/day/src/fennelcove/day/player.py
+++ b/packages/scenarios/src/fennelcove/scenarios/player.py
@@ -12,16 +12,16 @@
 import msgspec
 
 from fennelcove.clock import Clock, SystemClock
-from fennelcove.day import authors
-from fennelcove.day.fronts import DayFailed, FrontProcess, Fronts
-from fennelcove.day.rig import Rig
-from fennelcove.day.script import ChangeLine, Crowd, Day
-from fennelcove.day.supervisor import Supervisor
-from fennelcove.day.troubles import Due, Troubles
-from fennelcove.day.witness import DescribedWitness
-from fennelcove.standins.recorder import Record, Recorder
-from fennelcove.standins.socketviewers import StandInSocketViewer
-from fennelcove.standins.viewers import Habits, StandInViewer
+from fennelcove.scenarios import authors
+from fennelcove.scenarios.fronts import DayFailed, FrontProcess, Fronts
+from fennelcove.scenarios.rig import Rig
+from fennelcove.scenarios.script import ChangeLine, Crowd, Day
+from fennelcove.scenarios.supervisor import Supervisor
+from fennelcove.scenarios.fault_injection import Due, Troubles
+from fennelcove.scenarios.schema_conformance import DescribedWitness
+from fennelcove.emulators.recorder import Record, Recorder
+from fennelcove.emulators.websocket_clients import StandInSocketViewer
+from fennelcove.emulators.clients import Habits, StandInViewer
 
 __all__ = ["DayFailed", "DayPlayer", "arrivals", "terms"]
 
@@ -64,7 +64,7 @@
         DayFailed: it is not installed.
     """
     try:
-        from fennelcove.standins.players import StandInPlayer
+        from fennelcove.emulators.players import StandInPlayer
     except ImportError as error:
         raise DayFailed(f"its players need {error.name}", cure="install the development tools") from None
     return StandInPlayer
--- a/packages/day/src/fennelcove/day/recovery.py
+++ b/packages/scenarios/src/fennelcove/scenarios/recovery.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from fennelcove.standins.recorder import Record
+from fennelcove.emulators.recorder import Record
 
 PLAYS, THROTTLED = 201, 503
 BEFORE_S = 6  # over which the service before a trouble is taken
--- a/packages/day/src/fennelcove/day/replays.py
+++ b/packages/scenarios/src/fennelcove/scenarios/replays.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-from fennelcove.standins.recorder import Record
-from fennelcove.standins.viewers import Habits
+from fennelcove.emulators.recorder import Record
+from fennelcove.emulators.clients import Habits
 
 WORDS = {
     "first": "a first try past what the pace has room for",
--- a/packages/day/src/fennelcove/day/rig.py
+++ b/packages/scenarios/src/fennelcove/scenarios/rig.py
@@ -7,14 +7,14 @@
 from random import Random
 
 from fennelcove.clock import Clock
-from fennelcove.day.script import Day, Trouble
-from fennelcove.standins.between.faults import Fault, How, Party
-from fennelcove.standins.between.gauge import Gauge
-from fennelcove.standins.between.relay import Relays
-from fennelcove.standins.box import Pace, StandInBox
-from fennelcove.standins.listservice import Known, StandInLists, State
-from fennelcove.standins.model import BoxModel, RackModel
-from fennelcove.standins.recorder import Recorder
+from fennelcove.scenarios.script import Day, Trouble
+from fennelcove.emulators.fault_proxy.faults import Fault, How, Party
+from fennelcove.emulators.fault_proxy.gauge import Gauge
+from fennelcove.emulators.fault_proxy.relay import Relays
+from fennelcove.emulators.media_server import Pace, StandInBox
+from fennelcove.emulators.endpoint_list_service import Known, StandInLists, State
+from fennelcove.emulators.model import BoxModel, RackModel
+from fennelcove.emulators.recorder import Recorder
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/day/src/fennelcove/day/script.py
+++ b/packages/scenarios/src/fennelcove/scenarios/script.py
@@ -238,7 +238,7 @@
 
 def names() -> list[str]:
     """The days that come with the program."""
-    folder = resources.files("fennelcove.day") / "scripts"
+    folder = resources.files("fennelcove.scenarios") / "scripts"
     return sorted(item.name.removesuffix(".sexp") for item in folder.iterdir() if item.name.endswith(".sexp"))
 
 
@@ -259,7 +259,7 @@
         )
     else:
         source = f"{name}.sexp"
-        text = (resources.files("fennelcove.day") / "scripts" / source).read_text("utf-8")
+        text = (resources.files("fennelcove.scenarios") / "scripts" / source).read_text("utf-8")
     base = LIKE.search(text)
     under = msgspec.to_builtins(read(base.group(1))) if base is not None else None
     day = parse(text, Day, source, under)
--- a/packages/day/src/fennelcove/day/slots.py
+++ b/packages/scenarios/src/fennelcove/scenarios/slots.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from fennelcove.standins.recorder import Record
+from fennelcove.emulators.recorder import Record
 
 OVER = 12  # no rule of the six: more joins out at a box than its knee bears
 STRUCK = 11  # what the day was played for did not happen
--- a/packages/day/src/fennelcove/day/supervisor.py
+++ b/packages/scenarios/src/fennelcove/scenarios/supervisor.py
@@ -11,9 +11,9 @@
 from pathlib import Path
 from typing import Any
 
-from fennelcove.day.fronts import START_S, DayFailed, FrontProcess, Fronts
-from fennelcove.day.rig import Rig
-from fennelcove.day.script import Release, Trouble
+from fennelcove.scenarios.fronts import START_S, DayFailed, FrontProcess, Fronts
+from fennelcove.scenarios.rig import Rig
+from fennelcove.scenarios.script import Release, Trouble
 from fennelcove.fleet.asker import Call, Times, ask_all
 from fennelcove.fleet.inventory import FrontLine, Inventory
 from fennelcove.settings.writer import write
--- a/packages/day/src/fennelcove/day/tenants.py
+++ b/packages/scenarios/src/fennelcove/scenarios/tenants.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from fennelcove.day.excuses import SLACK_US
-from fennelcove.standins.recorder import Record
+from fennelcove.scenarios.exemptions import SLACK_US
+from fennelcove.emulators.recorder import Record
 
 SLOTS = 10  # none of the six rules: joins out at a box over all fronts
 WAITS = 11  # a neighbour's wait
--- a/packages/settings/src/fennelcove/settings/checks.py
+++ b/packages/settings/src/fennelcove/settings/checks.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from fennelcove.interface import Effect, RoomType, Scope, Settings
+from fennelcove.interface import Effect, ServiceClass, Scope, Settings
 from fennelcove.messages import MOST_CELLS
 from fennelcove.settings.reader import SettingsError, load
 from fennelcove.settings.schema import FrontSettings, ShapeSettings
@@ -188,9 +188,9 @@
     """What the decision module is told, of the shape in force or of another; times in microseconds."""
     shape = shape or front.shape
     rooms = {
-        room.name: RoomType(
-            objective_us=round(room.objective_ms * 1000),
-            benefit=room.benefit,
+        room.name: ServiceClass(
+            latency_objective_us=round(room.objective_ms * 1000),
+            priority_weight=room.benefit,
             effect=Effect(room.effect),
             scope=Scope(room.scope),
             key_ttl_us=round(room.key_ttl_ms * 1000),
@@ -203,7 +203,7 @@
     fleet, rules = front.fleet, front.rules
     ask_within = front.lists.ask_within_ms
     return Settings(
-        rooms=rooms,
+        service_classes=rooms,
         fronts=front.instance.fronts,
         index=front.instance.index,
         zone=front.instance.zone,
@@ -236,6 +236,6 @@
         reports_unasked=shape.reports_unasked,
         quotas={tenant.name: tenant.quota_per_s for tenant in shape.tenants},
         over_quota_worth=shape.over_quota_worth,
-        worst_room_part=shape.goal.worst_room_type / shape.goal.whole,
+        worst_class_weight=shape.goal.worst_room_type / shape.goal.whole,
         switch_cost_us=round(shape.switch_cost_ms * 1000),
     )
--- a/packages/settings/src/fennelcove/settings/reader.py
+++ b/packages/settings/src/fennelcove/settings/reader.py
@@ -17,13 +17,13 @@
 import msgspec
 import sexpdata
 
-from fennelcove.errors import Trouble
+from fennelcove.errors import OperatorError
 
 MOST_BYTES = 4 * 1024 * 1024
 T = TypeVar("T", bound=msgspec.Struct)
 
 
-class SettingsError(Trouble):
+class SettingsError(OperatorError):
     """Settings can't be used: the file, line and path of the first thing amiss are named."""
 
     code = "settings-amiss"
--- a/packages/wirehost/src/fennelcove/wirehost/__main__.py
+++ b/packages/simulator-adapter/src/fennelcove/simulator_adapter/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the adapter: python -m fennelcove.wirehost."""
+"""Runs the adapter: python -m fennelcove.simulator_adapter."""
 
 from __future__ import annotations
 
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 from typing import TextIO
 
-from fennelcove.interface import Event, Handover, ListEntry, ListMode, ListUpdate, PeerSays, Settings
-from fennelcove.messages import pack
-from fennelcove.rules import Front
-from fennelcove.wirehost import codec
-from fennelcove.wirehost.codec import Fields, WireError
+from fennelcove.interface import Event, Handover, ListEntry, ListMode, ListUpdate, PeerMessage, Settings
+from fennelcove.messages import encode
+from fennelcove.placement import PlacementPolicy
+from fennelcove.simulator_adapter import codec
+from fennelcove.simulator_adapter.codec import Fields, WireError
 
 DECODERS: dict[str, Callable[[Fields], Event | None]] = {
     "note_from": codec.peer_says,
@@ -26,7 +26,7 @@
 }
 # These need the names of a report's values.
 REPORTED: dict[str, Callable[[Fields, tuple[str, ...]], Event]] = {
-    "report_back": codec.join_ended,
+    "report_back": codec.attempt_completed,
     "probe_result": codec.probed,
 }
 
@@ -39,7 +39,7 @@
         self.out = out
         self.report_fields: tuple[str, ...] = ()
 
-    def join(self, id: str, server: str, allow_us: int) -> None:
+    def start_attempt(self, id: str, server: str, allow_us: int) -> None:
         self.out.append(
             f"call_out Front={self.front} Job={id} Server={server} AllowForMs={allow_us / 1000}\n"
         )
@@ -47,23 +47,23 @@
     def set_rung(self, id: str, rung: int) -> None:
         self.out.append(f"rate Front={self.front} Job={id} Rung={rung}\n")
 
-    def throttle(self, id: str, wait_us: int) -> None:
+    def reject(self, id: str, wait_us: int) -> None:
         self.out.append(f"deny Front={self.front} Job={id} WaitMs={wait_us / 1000}\n")
 
-    def terminate(self, id: str) -> None:
+    def fail(self, id: str) -> None:
         self.out.append(f"give_up Front={self.front} Job={id}\n")
 
-    def move(self, id: str) -> None:
+    def migrate(self, id: str) -> None:
         self.out.append(f"migrate Front={self.front} Job={id}\n")
 
     def probe(self, server: str) -> None:
         self.out.append(f"inspect Front={self.front} Server={server}\n")
 
-    def tell(self, front: int, said: PeerSays) -> None:
-        for part in pack(said):
+    def send_peer_message(self, front: int, said: PeerMessage) -> None:
+        for part in encode(said):
             self.out.append(f"announce Front={self.front} Target={front} Msg={part.hex()}\n")
 
-    def timer(self, name: int, delay_us: int) -> None:
+    def set_timer(self, name: int, delay_us: int) -> None:
         self.out.append(f"after Front={self.front} SleepForMs={delay_us / 1000} Name={name}\n")
 
     def watch_list(self) -> None:
@@ -78,7 +78,7 @@
 
     def __init__(self) -> None:
         self.out: list[str] = []
-        self.fronts: dict[int, tuple[Front, Lines]] = {}
+        self.fronts: dict[int, tuple[PlacementPolicy, Lines]] = {}
         self.lists: dict[int, tuple[ListEntry, ...]] = {}
         self.filling: tuple[int, int, list[ListEntry]] | None = None
         self.now_us: int | None = None
@@ -125,7 +125,8 @@
             settings, report_fields = codec.facts(fields)
             lines = Lines(index, self.out)
             lines.report_fields = report_fields
-            self.fronts[index] = (Front(settings, codec.whole(fields, "Entropy"), lines, now_us), lines)
+            self.fronts[index] = (PlacementPolicy(settings, codec.whole(fields, "Entropy"), lines, now_us),
+                                  lines)
             return
         if name == "crash_now":
             self.fronts.pop(index, None)
--- a/packages/wirehost/src/fennelcove/wirehost/codec.py
+++ b/packages/simulator-adapter/src/fennelcove/simulator_adapter/codec.py
@@ -9,32 +9,32 @@
 from typing import TypeVar
 
 from fennelcove import facts as facts_reader
-from fennelcove.errors import Trouble
+from fennelcove.errors import OperatorError
 from fennelcove.interface import (
     ClientGone,
     Handover,
-    JoinEnded,
+    AttemptCompleted,
     ListEntry,
     LoadReport,
-    Note,
-    NoteKind,
+    SessionReport,
+    ReportKind,
     Outcome,
-    PeerSays,
-    Probed,
+    PeerMessage,
+    ProbeCompleted,
     Request,
     Settings,
-    Standing,
-    Started,
+    ServerState,
+    SessionStarted,
     TimerFired,
     TimerName,
 )
-from fennelcove.messages import unpack
+from fennelcove.messages import decode
 
 E = TypeVar("E", bound=Enum)
 Fields = dict[str, str]
 
 
-class WireError(Trouble):
+class WireError(OperatorError):
     """The simulator said something that this adapter can't read."""
 
     code = "simulator-line-unreadable"
@@ -130,7 +130,7 @@
         zone=text(fields, "FailureDomain"),
         kind=text(fields, "Hw"),
         cell=whole(fields, "Place"),
-        standing=choice(fields, "State", Standing),
+        standing=choice(fields, "State", ServerState),
         weight=number(fields, "Share", 1.0),
         started_us=micros(fields, "CameUpMs", 0),
     )
@@ -138,13 +138,13 @@
 
 def request(fields: Fields, settings: Settings) -> Request:
     """A subscription to be set up."""
-    if text(fields, "TierClass") not in settings.rooms:
+    if text(fields, "TierClass") not in settings.service_classes:
         raise WireError(f"found a name that the settings lack: {fields['TierClass']!r}", "field TierClass")
     if not 0 <= whole(fields, "TopRung") < len(settings.ladder_kb):
         raise WireError(f"found a rung off the ladder: {fields['TopRung']!r}", "field TopRung")
     return Request(
         id=text(fields, "Job"),
-        room=text(fields, "TierClass"),
+        service_class=text(fields, "TierClass"),
         title=whole(fields, "Asset"),
         first_cell=whole(fields, "StartCell"),
         cell_count=whole(fields, "CellsInRow"),
@@ -161,7 +161,7 @@
     return Handover(request(fields, settings), text(fields, "Server"))
 
 
-def join_number(fields: Fields) -> int:
+def attempt_number(fields: Fields) -> int:
     """Which join of its subscription."""
     number = whole(fields, "Try")
     if number < 0:
@@ -169,25 +169,25 @@
     return number
 
 
-def started(fields: Fields) -> Started:
+def started(fields: Fields) -> SessionStarted:
     """A viewer watches."""
-    return Started(text(fields, "Job"), join_number(fields), micros(fields, "TookMs"))
+    return SessionStarted(text(fields, "Job"), attempt_number(fields), micros(fields, "TookMs"))
 
 
-def join_ended(fields: Fields, report_fields: tuple[str, ...]) -> JoinEnded:
+def attempt_completed(fields: Fields, report_fields: tuple[str, ...]) -> AttemptCompleted:
     """A join's outcome, with the report that came along."""
-    return JoinEnded(
+    return AttemptCompleted(
         id=text(fields, "Job"),
-        join=join_number(fields),
+        attempt=attempt_number(fields),
         outcome=choice(fields, "Reason", Outcome),
         finished=flag(fields, "DoneFlag"),
         report=load_report(fields, report_fields),
     )
 
 
-def probed(fields: Fields, report_fields: tuple[str, ...]) -> Probed:
+def probed(fields: Fields, report_fields: tuple[str, ...]) -> ProbeCompleted:
     """The end of a probe, with the report that came along."""
-    return Probed(
+    return ProbeCompleted(
         server=text(fields, "Server"),
         outcome=choice(fields, "Reason", Outcome),
         took_us=micros(fields, "TookMs", 0),
@@ -195,11 +195,11 @@
     )
 
 
-def peer_says(fields: Fields) -> PeerSays | None:
+def peer_says(fields: Fields) -> PeerMessage | None:
     """Another front's message; one that does not read as any is passed over: its sender is not ours."""
     raw = text(fields, "Msg")
     try:
-        return unpack(whole(fields, "Neighbour"), b"" if raw == "-" else bytes.fromhex(raw))
+        return decode(whole(fields, "Neighbour"), b"" if raw == "-" else bytes.fromhex(raw))
     except ValueError:
         raise WireError(f"found no hex: {raw!r}", "field Msg") from None
 
@@ -216,15 +216,15 @@
     return facts_reader.load_report(values)
 
 
-def note(fields: Fields, settings: Settings) -> Note | None:
+def note(fields: Fields, settings: Settings) -> SessionReport | None:
     """A note; kinds that the interface doesn't know are skipped."""
     kind, level = whole(fields, "Kind"), number(fields, "Level")
     job, server = text(fields, "Job"), text(fields, "Server")
-    if kind not in NoteKind.__members__.values():
+    if kind not in ReportKind.__members__.values():
         return None
-    if kind == NoteKind.RUNG and not 0 <= level < len(settings.ladder_kb):
+    if kind == ReportKind.RUNG and not 0 <= level < len(settings.ladder_kb):
         raise WireError(f"found a rung off the ladder: {fields['Level']!r}", "field Level")
-    return Note(job, server, NoteKind(kind), level)
+    return SessionReport(job, server, ReportKind(kind), level)
 
 
 def client_gone(fields: Fields) -> ClientGone:
@@ -243,8 +243,8 @@
 def facts(fields: Fields) -> tuple[Settings, tuple[str, ...]]:
     """The settings, and the names of a load report's values."""
     try:
-        return facts_reader.read(json.loads(text(fields, "Facts")))
+        return facts_reader.read_settings(json.loads(text(fields, "Facts")))
     except json.JSONDecodeError as error:
         raise WireError(f"found no JSON: {error}", "field Facts") from None
-    except facts_reader.FactsError as error:
+    except facts_reader.PlatformSettingsError as error:
         raise WireError(error.happened, error.where) from None
--- a/packages/store/src/fennelcove/store/base.py
+++ b/packages/store/src/fennelcove/store/base.py
@@ -11,7 +11,7 @@
 
 import lmdb
 
-from fennelcove.errors import Trouble
+from fennelcove.errors import OperatorError
 from fennelcove.store.records import CHECK_BYTES, FORMAT, Entry, check
 
 META = b"\x00number"
@@ -19,7 +19,7 @@
 ANEW = "move it away to begin anew"
 
 
-class BaseError(Trouble):
+class BaseFileError(OperatorError):
     """A store's base file can't be used or copied."""
 
     code = "store-base-unusable"
@@ -28,7 +28,7 @@
     )
 
 
-class Base:
+class BaseFile:
     """One environment. `most_bytes` bounds its file."""
 
     def __init__(self, folder: str, most_bytes: int, read_only: bool = False) -> None:
@@ -45,13 +45,13 @@
                 mode=0o600,
             )
         except lmdb.Error as error:
-            raise BaseError(f"found no usable base ({error})", str(path), ANEW) from None
+            raise BaseFileError(f"found no usable base ({error})", str(path), ANEW) from None
         with self.env.begin() as view:
             raw = view.get(META)
         found = int.from_bytes(raw[:4], "big") if raw else FORMAT
         if found != FORMAT:
             self.env.close()
-            raise BaseError(f"found format {found}, this is {FORMAT}", str(path), ANEW)
+            raise BaseFileError(f"found format {found}, this is {FORMAT}", str(path), ANEW)
         self.number = int.from_bytes(raw[4:12], "big") if raw else 0
 
     def apply(self, entries: Iterable[Entry], number: int) -> None:
@@ -86,7 +86,7 @@
         try:
             self.env.copy(path, compact=True)
         except lmdb.Error as error:
-            raise BaseError(f"found no way to write it ({error})", str(path)) from None
+            raise BaseFileError(f"found no way to write it ({error})", str(path)) from None
 
     def size(self) -> int:
         """Bytes of its pages in use."""
--- a/packages/store/src/fennelcove/store/folder.py
+++ b/packages/store/src/fennelcove/store/folder.py
@@ -7,19 +7,19 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from fennelcove.errors import Trouble
+from fennelcove.errors import OperatorError
 from fennelcove.store import journal
-from fennelcove.store.base import FILE, Base, BaseError
+from fennelcove.store.base import FILE, BaseFile, BaseFileError
 from fennelcove.store.files import RealFiles
 from fennelcove.store.journal import Found, Journal
-from fennelcove.store.records import Damage, Entry, Fault
+from fennelcove.store.records import Damage, Entry, FrameFault
 
 LOCK = "lock"
 FOLD_BYTES = 4_000_000  # of journal: from here on it is folded into the base
 MEGABYTE = 1_000_000
 
 
-class StoreError(Trouble):
+class StoreError(OperatorError):
     """A store's folder can't be used: held by another, not writable, or not ours."""
 
     code = "store-unusable"
@@ -35,7 +35,7 @@
         StoreError: from its constructor: held by another, not a folder, not writable, or not ours.
     """
 
-    def __init__(self, folder: str, most_mb: int, holder: str) -> None:
+    def __init__(self, folder: str, most_mb: int, replica: str) -> None:
         self.folder = folder
         self.most_mb = most_mb
         here = Path(folder)
@@ -54,9 +54,9 @@
             ) from None
         try:
             os.ftruncate(self.lock, 0)
-            os.pwrite(self.lock, f"{holder}, process {os.getpid()}\n".encode(), 0)
-            self.base = Base(folder, most_mb * MEGABYTE)
-        except BaseError as error:
+            os.pwrite(self.lock, f"{replica}, process {os.getpid()}\n".encode(), 0)
+            self.base = BaseFile(folder, most_mb * MEGABYTE)
+        except BaseFileError as error:
             os.close(self.lock)
             raise StoreError(error.sentence, folder, error.cure) from None
         except OSError as error:
@@ -157,8 +157,8 @@
     if not (Path(folder) / FILE).exists():
         raise StoreError("found no store there", folder)
     try:
-        base = Base(folder, MEGABYTE, read_only=True)
-    except BaseError as error:
+        base = BaseFile(folder, MEGABYTE, read_only=True)
+    except BaseFileError as error:
         raise StoreError(error.happened, error.where, error.cure) from None
     files = RealFiles(folder)
     try:
@@ -172,5 +172,5 @@
 
 
 def _said(damage: Damage) -> str:
-    tail = "; the end of a write that never was whole" if damage.fault is Fault.CUT_SHORT else ""
+    tail = "; the end of a write that never was whole" if damage.fault is FrameFault.CUT_SHORT else ""
     return f"{damage.fault.value}{f' ({damage.detail})' if damage.detail else ''}{tail}"
--- a/packages/store/src/fennelcove/store/journal.py
+++ b/packages/store/src/fennelcove/store/journal.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from fennelcove.store.files import Files
-from fennelcove.store.records import FORMAT, Batch, Damage, Entry, Fault, frame, read
+from fennelcove.store.records import FORMAT, Batch, Damage, Entry, FrameFault, frame, read
 
 PREFIX, SUFFIX = "journal-", ".log"
 
@@ -46,14 +46,14 @@
             continue
         if begins > last:
             damages.append(
-                (file, Damage(0, Fault.OUT_OF_ORDER, f"begins after {begins}, found up to {last}"))
+                (file, Damage(0, FrameFault.OUT_OF_ORDER, f"begins after {begins}, found up to {last}"))
             )
             break
         stopped = False
         for item in read(files.read(file), begins):
             if isinstance(item, Damage):
                 damages.append((file, item))
-                stopped = item.fault is not Fault.CUT_SHORT
+                stopped = item.fault is not FrameFault.CUT_SHORT
             elif item.number == last + 1:
                 batches.append(item)
                 last = item.number
--- a/packages/store/src/fennelcove/store/keeper.py
+++ b/packages/store/src/fennelcove/store/keeper.py
@@ -7,30 +7,30 @@
 from collections.abc import Callable
 
 from fennelcove.clock import Clock
-from fennelcove.core.verdicts import Notices
-from fennelcove.decisions.kept.keeping import Act, Cue, Waiting
+from fennelcove.core.requests import EventLogger
+from fennelcove.decisions.recovery.write_behind import WriterAction, WriterEvent, WriteBehindQueue
 from fennelcove.store.folder import Store
 
 IDLE_S = 60.0
 
 
-class Keeper:
+class StoreWriter:
     """Owns an open store. `keep` never waits; `stop` writes what waits, within a limit, and closes."""
 
-    def __init__(self, store: Store, clock: Clock, notice: Notices) -> None:
+    def __init__(self, store: Store, clock: Clock, notice: EventLogger) -> None:
         self.store = store
         self.clock = clock
         self.notice = notice
-        self.waiting = Waiting()
+        self.waiting = WriteBehindQueue()
         self.changed = threading.Condition()
         self.stopped = False
         self.writes = 0
         self.thread = threading.Thread(target=self._run, name="keeper")
-        self.acts: dict[Act, Callable[[], None]] = {
-            Act.TELL_FULL: lambda: self.notice("store_full", folder=store.folder),
-            Act.TELL_BROKEN: lambda: self.notice("store_broken", folder=store.folder),
-            Act.TELL_WELL: lambda: self.notice("store_well", folder=store.folder),
-            Act.PAUSE: lambda: None,
+        self.acts: dict[WriterAction, Callable[[], None]] = {
+            WriterAction.TELL_FULL: lambda: self.notice("store_full", folder=store.folder),
+            WriterAction.TELL_BROKEN: lambda: self.notice("store_broken", folder=store.folder),
+            WriterAction.TELL_WELL: lambda: self.notice("store_well", folder=store.folder),
+            WriterAction.PAUSE: lambda: None,
         }
 
     def start(self) -> None:
@@ -67,23 +67,23 @@
                 batch = self.waiting.take(self.clock.now_us())
                 if not batch and self.stopped:
                     return
-            cue = self._write(batch)
+            event = self._write(batch)
             with self.changed:
-                if cue is not Cue.DONE:
+                if event is not WriterEvent.DONE:
                     self.waiting.back(batch)
-                acts = self.waiting.over(cue, self.clock.now_us())
-                last = self.stopped and (cue is not Cue.DONE or not self.waiting.keys)
+                acts = self.waiting.over(event, self.clock.now_us())
+                last = self.stopped and (event is not WriterEvent.DONE or not self.waiting.keys)
             for act in acts:
                 self.acts[act]()
             if last:
                 return
 
-    def _write(self, batch: list[tuple[bytes, bytes | None]]) -> Cue:
+    def _write(self, batch: list[tuple[bytes, bytes | None]]) -> WriterEvent:
         try:
             self.store.commit(batch)
             self.writes += 1
             if self.store.heavy:
                 self.store.fold()
-            return Cue.DONE
+            return WriterEvent.DONE
         except OSError as error:
-            return Cue.NO_SPACE if error.errno in (errno.ENOSPC, errno.EDQUOT) else Cue.FAILED
+            return WriterEvent.NO_SPACE if error.errno in (errno.ENOSPC, errno.EDQUOT) else WriterEvent.FAILED
--- a/packages/store/src/fennelcove/store/records.py
+++ b/packages/store/src/fennelcove/store/records.py
@@ -34,7 +34,7 @@
 _ENCODER = msgspec.msgpack.Encoder()
 
 
-class Fault(Enum):
+class FrameFault(Enum):
     """What is amiss with a frame."""
 
     CUT_SHORT = "cut short"
@@ -48,7 +48,7 @@
     """Where reading had to stop, in bytes from the file's start, and why."""
 
     at: int
-    fault: Fault
+    fault: FrameFault
     detail: str = ""
 
 
@@ -70,30 +70,30 @@
     at = 0
     while at < len(raw):
         if len(raw) - at < HEAD_BYTES:
-            yield Damage(at, Fault.CUT_SHORT, "in a head")
+            yield Damage(at, FrameFault.CUT_SHORT, "in a head")
             return
         length = int.from_bytes(raw[at : at + 4], "big")
         end = at + HEAD_BYTES + length
         if length > MOST_FRAME:
-            yield Damage(at, Fault.ALTERED, f"a length of {length}")
+            yield Damage(at, FrameFault.ALTERED, f"a length of {length}")
             return
         if end > len(raw):
-            yield Damage(at, Fault.CUT_SHORT, "in a body")
+            yield Damage(at, FrameFault.CUT_SHORT, "in a body")
             return
         body = raw[at + HEAD_BYTES : end]
         if check(raw[at : at + 4] + body) != raw[at + 4 : at + HEAD_BYTES]:
-            yield Damage(at, Fault.ALTERED)
+            yield Damage(at, FrameFault.ALTERED)
             return
         try:
             batch = _DECODER.decode(body)
         except msgspec.MsgspecError as error:
-            yield Damage(at, Fault.OTHER_FORMAT, str(error))
+            yield Damage(at, FrameFault.OTHER_FORMAT, str(error))
             return
         if batch.format != FORMAT:
-            yield Damage(at, Fault.OTHER_FORMAT, f"{batch.format}, this is {FORMAT}")
+            yield Damage(at, FrameFault.OTHER_FORMAT, f"{batch.format}, this is {FORMAT}")
             return
         if batch.number != after + 1:
-            yield Damage(at, Fault.OUT_OF_ORDER, f"{batch.number} after {after}")
+            yield Damage(at, FrameFault.OUT_OF_ORDER, f"{batch.number} after {after}")
             return
         yield batch
         after, at = batch.number, end
--- a/packages/peers/src/fennelcove/peers/joins.py
+++ b/packages/upstream/src/fennelcove/upstream/attempts.py
@@ -12,15 +12,20 @@
 import msgspec
 
 from fennelcove.clock import Clock
-from fennelcove.core.verdicts import JoinEnd, SendJoin
-from fennelcove.decisions.boxes.hearing import BoxSays
-from fennelcove.decisions.boxes.joins import Exchange, Seen, join_times, may_reuse
+from fennelcove.core.requests import AttemptResult, SendAttempt
+from fennelcove.decisions.servers.load_signals import ServerHints
+from fennelcove.decisions.servers.attempt_exchange import (
+    Exchange,
+    ExchangeEvent,
+    attempt_timeouts,
+    may_reuse_connection,
+)
 from fennelcove.hints import cmsd
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import ProtocolError, ResponseHead, Whole
 from fennelcove.interface import Effect, Outcome
-from fennelcove.peers.latch import Latch, Woken, wait
-from fennelcove.peers.pool import READ_BYTES, DialLimits, Link, Pool, dial
+from fennelcove.upstream.wakeups import CancellationLatch, WakeReason, wait
+from fennelcove.upstream.connection_pool import READ_BYTES, DialLimits, ServerConnection, ConnectionPool, dial
 from fennelcove.wire.boxes import TURNED_AWAY, JoinOrder, join_path
 from fennelcove.wire.sessions import Problem
 
@@ -28,11 +33,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class JoinRun:
+class RunningAttempt:
     """A join's end, and whether the viewer's hanging up or this front's stopping brought it."""
 
-    end: JoinEnd
-    interrupted: Woken | None = None
+    end: AttemptResult
+    interrupted: WakeReason | None = None
     hops: str = ""
 
 
@@ -44,7 +49,7 @@
         self.lock = threading.Lock()
         self.dropped = 0
 
-    def says(self, static: str | None, dynamic: str | None) -> BoxSays | None:
+    def says(self, static: str | None, dynamic: str | None) -> ServerHints | None:
         """What a box tells; of several hops the one nearest the box counts, which is the first."""
         if not dynamic:
             return None
@@ -55,7 +60,7 @@
             return None
         hop = found.hops[0]
         link, uplink = hop.number(cmsd.LINK_KEY), hop.number(cmsd.UPLINK_KEY)
-        return BoxSays(link, uplink, hop.in_duress, hop.number("mb"))
+        return ServerHints(link, uplink, hop.in_duress, hop.number("mb"))
 
 
 def text(head: ResponseHead, name: bytes) -> str | None:
@@ -67,18 +72,18 @@
 class Slots(Protocol):
     """What a joiner asks where the joins at a box have a number of their own; none of it waits."""
 
-    def shape(self, room: str, rung: int, box: str) -> int: ...
+    def shape(self, service_class: str, rung: int, server: str) -> int: ...
 
-    def take(self, box: str, shape: int, allow_us: int) -> bool: ...
+    def take(self, server: str, shape: int, allow_us: int) -> bool: ...
 
-    def ended(self, box: str, shape: int, held_us: int, answered: bool | None) -> None: ...
+    def ended(self, server: str, shape: int, held_us: int, answered: bool | None) -> None: ...
 
 
 # What an end says of a box's pace: it answered, or did not; the rest says nothing of it.
 ANSWERED = {Outcome.SERVED: True, Outcome.NO_ANSWER: False, Outcome.CONNECTION_LOST: False}
 
 
-class Joiner:
+class AttemptSender:
     """Runs joins, each on the thread that waits for it. With `slots` each first takes one."""
 
     slots: Slots | None = None
@@ -87,11 +92,11 @@
         self,
         front: str,
         clock: Clock,
-        pool: Pool,
+        pool: ConnectionPool,
         hints: HintReader,
         effects: Mapping[str, Effect],
         limits: DialLimits,
-        halt: Latch,
+        halt: CancellationLatch,
     ) -> None:
         self.front = front
         self.clock = clock
@@ -101,16 +106,16 @@
         self.limits = limits
         self.halt = halt
 
-    def run(self, step: SendJoin, viewer: socket.socket | None) -> JoinRun:
+    def run(self, step: SendAttempt, viewer: socket.socket | None) -> RunningAttempt:
         """Send the join and wait for its end, the viewer's hanging up, or this front's stopping."""
-        if step.blocked or not self.pool.enter(step.box):
-            return JoinRun(JoinEnd(Outcome.NOT_SENT, None, 0))
+        if step.blocked or not self.pool.enter(step.server):
+            return RunningAttempt(AttemptResult(Outcome.NOT_SENT, None, 0))
         if self.slots is None:
             return self._entered(step, viewer)
-        shape = self.slots.shape(step.session.room, step.rung, step.box)
-        if not self.slots.take(step.box, shape, step.allow_us):
-            self.pool.leave(step.box, None)
-            return JoinRun(JoinEnd(Outcome.NOT_SENT, None, 0))
+        shape = self.slots.shape(step.session.service_class, step.rung, step.server)
+        if not self.slots.take(step.server, shape, step.allow_us):
+            self.pool.leave(step.server, None)
+            return RunningAttempt(AttemptResult(Outcome.NOT_SENT, None, 0))
         answered = None
         began_us = self.clock.now_us()
         try:
@@ -118,11 +123,11 @@
             answered = ANSWERED.get(run.end.outcome)
             return run
         finally:
-            self.slots.ended(step.box, shape, self.clock.now_us() - began_us, answered)
+            self.slots.ended(step.server, shape, self.clock.now_us() - began_us, answered)
 
-    def _entered(self, step: SendJoin, viewer: socket.socket | None) -> JoinRun:
+    def _entered(self, step: SendAttempt, viewer: socket.socket | None) -> RunningAttempt:
         began_us = self.clock.now_us()
-        link: Link | None = None
+        link: ServerConnection | None = None
         keep = False
         try:
             run, link, keep = self._exchange(step, viewer, began_us)
@@ -130,42 +135,46 @@
         finally:
             if link is not None and not keep:
                 link.sock.close()
-            self.pool.leave(step.box, link if keep else None)
+            self.pool.leave(step.server, link if keep else None)
 
     def _exchange(
-        self, step: SendJoin, viewer: socket.socket | None, began_us: int
-    ) -> tuple[JoinRun, Link | None, bool]:
-        exchange, times = Exchange(), join_times(step.allow_us)
+        self, step: SendAttempt, viewer: socket.socket | None, began_us: int
+    ) -> tuple[RunningAttempt, ServerConnection | None, bool]:
+        exchange, times = Exchange(), attempt_timeouts(step.allow_us)
         session = step.session
-        link = self.pool.idle_link(step.box) if may_reuse(self.effects[session.room]) else None
+        link = (
+            self.pool.idle_link(step.server)
+            if may_reuse_connection(self.effects[session.service_class])
+            else None
+        )
         if link is None:
             try:
-                link = dial(step.box, times.connect_us, self.limits)
+                link = dial(step.server, times.connect_us, self.limits)
             except TimeoutError:
-                exchange.see(Seen.TIMED_OUT)
+                exchange.see(ExchangeEvent.TIMED_OUT)
             except OSError:
-                exchange.see(Seen.REFUSED)
+                exchange.see(ExchangeEvent.REFUSED)
         if link is None:
             return self._run(exchange, began_us), None, False
-        exchange.see(Seen.CONNECTED)
+        exchange.see(ExchangeEvent.CONNECTED)
         order = JoinOrder(
             front=self.front,
             title=session.title,
-            room_type=session.room,
+            room_type=session.service_class,
             rung=step.rung,
             rate_kb=session.rates_kb[step.rung],
         )
         fields = [("Content-Type", "application/json"), ("Idempotency-Key", f'"{session.id}"')]
-        path, body = join_path(session.id, step.join), msgspec.json.encode(order)
-        raw = writer.request("PUT", path, step.box, fields, body)
+        path, body = join_path(session.id, step.attempt), msgspec.json.encode(order)
+        raw = writer.request("PUT", path, step.server, fields, body)
         try:
             link.sock.settimeout(max(0.001, (began_us + times.whole_us - self.clock.now_us()) / 1e6))
             link.sock.sendall(raw)
-            exchange.see(Seen.WROTE)
+            exchange.see(ExchangeEvent.WROTE)
         except TimeoutError:
-            exchange.see(Seen.TIMED_OUT)
+            exchange.see(ExchangeEvent.TIMED_OUT)
         except OSError:
-            exchange.see(Seen.CLOSED)
+            exchange.see(ExchangeEvent.CLOSED)
         if exchange.outcome is not None:
             return self._run(exchange, began_us), link, False
         first_us, whole_us = began_us + times.first_byte_us, began_us + times.whole_us
@@ -173,44 +182,44 @@
 
     def _await(
         self,
-        link: Link,
+        link: ServerConnection,
         exchange: Exchange,
         began_us: int,
         first_us: int,
         whole_us: int,
         viewer: socket.socket | None,
-    ) -> tuple[JoinRun, Link, bool]:
+    ) -> tuple[RunningAttempt, ServerConnection, bool]:
         limit_us = first_us
         while True:
             woken = wait(link.sock, limit_us - self.clock.now_us(), self.halt, viewer)
-            if woken in (Woken.HUNG_UP, Woken.LATCH):
-                end = JoinEnd(Outcome.CALLED_OFF, None, self.clock.now_us() - began_us)
-                return JoinRun(end, woken), link, False
-            if woken is Woken.TIME:
-                exchange.see(Seen.TIMED_OUT)
+            if woken in (WakeReason.HUNG_UP, WakeReason.LATCH):
+                end = AttemptResult(Outcome.CALLED_OFF, None, self.clock.now_us() - began_us)
+                return RunningAttempt(end, woken), link, False
+            if woken is WakeReason.TIME:
+                exchange.see(ExchangeEvent.TIMED_OUT)
                 return self._run(exchange, began_us), link, False
             try:
                 data = link.sock.recv(READ_BYTES)
             except OSError:
                 data = b""
             if data:
-                exchange.see(Seen.BYTES)
+                exchange.see(ExchangeEvent.BYTES)
                 limit_us = whole_us
             link.answers.reader.feed(data)
             try:
                 whole = link.answers.next()
             except ProtocolError:
-                exchange.see(Seen.GARBAGE if data else Seen.CLOSED)
+                exchange.see(ExchangeEvent.GARBAGE if data else ExchangeEvent.CLOSED)
                 return self._run(exchange, began_us), link, False
             if whole is not None:
                 return self._answer(whole, link, exchange, began_us)
             if not data:
-                exchange.see(Seen.CLOSED)
+                exchange.see(ExchangeEvent.CLOSED)
                 return self._run(exchange, began_us), link, False
 
     def _answer(
-        self, whole: Whole, link: Link, exchange: Exchange, began_us: int
-    ) -> tuple[JoinRun, Link, bool]:
+        self, whole: Whole, link: ServerConnection, exchange: Exchange, began_us: int
+    ) -> tuple[RunningAttempt, ServerConnection, bool]:
         head = whole.head
         assert isinstance(head, ResponseHead)
         dynamic = text(head, cmsd.DYNAMIC.encode())
@@ -219,19 +228,23 @@
         keep = head.keep_alive and link.answers.reader.between
         return self._run(exchange, began_us, says, dynamic or ""), link, keep
 
-    def _run(self, exchange: Exchange, began_us: int, says: BoxSays | None = None, hops: str = "") -> JoinRun:
+    def _run(
+        self, exchange: Exchange, began_us: int, says: ServerHints | None = None, hops: str = ""
+    ) -> RunningAttempt:
         assert exchange.outcome is not None
-        return JoinRun(JoinEnd(exchange.outcome, says, self.clock.now_us() - began_us), None, hops)
+        return RunningAttempt(
+            AttemptResult(exchange.outcome, says, self.clock.now_us() - began_us), None, hops
+        )
 
 
-def _meaning(head: ResponseHead, body: bytes) -> Seen:
+def _meaning(head: ResponseHead, body: bytes) -> ExchangeEvent:
     if head.status == 201:
-        return Seen.STARTED
+        return ExchangeEvent.STARTED
     if head.status == 503:
         # A 503 alone may come from anything on the way, after the box ran it: only the box's own word proves.
         try:
             if _PROBLEM.decode(body).type == TURNED_AWAY:
-                return Seen.TURNED_AWAY
+                return ExchangeEvent.TURNED_AWAY
         except msgspec.MsgspecError:
             pass
-    return Seen.ERROR
+    return ExchangeEvent.ERROR
--- a/packages/peers/src/fennelcove/peers/orders.py
+++ b/packages/upstream/src/fennelcove/upstream/command_senders.py
@@ -7,20 +7,20 @@
 import msgspec
 
 from fennelcove.core.core import Core
-from fennelcove.decisions.boxes.commands import CARRY_OUT_US, Order
+from fennelcove.decisions.servers.command_queue import CARRY_OUT_US, Command
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import ProtocolError, ResponseHead
-from fennelcove.peers.pool import DialLimits, Link, Pool, dial
+from fennelcove.upstream.connection_pool import DialLimits, ServerConnection, ConnectionPool, dial
 from fennelcove.wire.boxes import Mark, RungOrder, join_path
 
 SENDERS = 4
 MOST_WAIT_S = 1.0
 
 
-class OrderSenders:
+class CommandSenders:
     """Owns the senders; `start` them once, `stop` ends them when what is in hand has gone out."""
 
-    def __init__(self, core: Core, pool: Pool, limits: DialLimits) -> None:
+    def __init__(self, core: Core, pool: ConnectionPool, limits: DialLimits) -> None:
         self.core = core
         self.pool = pool
         self.limits = limits
@@ -64,12 +64,14 @@
         until_us = self.until_us
         return CARRY_OUT_US if until_us is None else min(CARRY_OUT_US, until_us - self.core.clock.now_us())
 
-    def _carry_out(self, order: Order) -> bool:
-        if not self.pool.enter(order.box):
+    def _carry_out(self, order: Command) -> bool:
+        if not self.pool.enter(order.server):
             return False
         link, keep = None, False
         try:
-            link = self.pool.idle_link(order.box) or dial(order.box, max(1, self._left_us()), self.limits)
+            link = self.pool.idle_link(order.server) or dial(
+                order.server, max(1, self._left_us()), self.limits
+            )
             keep = self._exchange(link, order)
             return True
         except (OSError, ProtocolError):
@@ -77,21 +79,21 @@
         finally:
             if link is not None and not keep:
                 link.sock.close()
-            self.pool.leave(order.box, link if keep else None)
+            self.pool.leave(order.server, link if keep else None)
 
-    def _exchange(self, link: Link, order: Order) -> bool:
-        path = join_path(order.id, order.join)
+    def _exchange(self, link: ServerConnection, order: Command) -> bool:
+        path = join_path(order.id, order.attempt)
         fields = [("Content-Type", "application/json")]
         if order.mark is not None:
             body = msgspec.json.encode(Mark(order.mark))
-            raw = writer.request("PUT", f"{path}/mark", order.box, fields, body)
+            raw = writer.request("PUT", f"{path}/mark", order.server, fields, body)
         elif order.rung is None:
-            raw = writer.request("DELETE", path, order.box)
+            raw = writer.request("DELETE", path, order.server)
         else:
             session = self.core.sessions.get(order.id)
             rate_kb = session.rates_kb[order.rung] if session is not None else 0.0
             body = msgspec.json.encode(RungOrder(order.rung, rate_kb))
-            raw = writer.request("PUT", f"{path}/rung", order.box, fields, body)
+            raw = writer.request("PUT", f"{path}/rung", order.server, fields, body)
         link.sock.settimeout(max(0.001, self._left_us() / 1e6))
         link.sock.sendall(raw)
         whole = link.answer()
--- a/packages/peers/src/fennelcove/peers/pool.py
+++ b/packages/upstream/src/fennelcove/upstream/connection_pool.py
@@ -1,4 +1,4 @@
-"""Connections to boxes: kept between exchanges, bounded for each box and in age."""
+"""Connections to boxes: kept between exchanges, bounded for each server and in age."""
 
 from __future__ import annotations
 
@@ -24,10 +24,10 @@
 
 
 @dataclass(slots=True, eq=False)
-class Link:
+class ServerConnection:
     """One connection to a box, with what has been read off it."""
 
-    box: str
+    server: str
     sock: socket.socket
     answers: Gatherer
     kept_us: int = 0
@@ -48,12 +48,12 @@
 
 
 @dataclass(slots=True, eq=False)
-class _Box:
+class _Server:
     out: int = 0
-    idle: deque[Link] = field(default_factory=deque)
+    idle: deque[ServerConnection] = field(default_factory=deque)
 
 
-def dial(address: str, timeout_us: int, limits: DialLimits, stream: bool = False) -> Link:
+def dial(address: str, timeout_us: int, limits: DialLimits, stream: bool = False) -> ServerConnection:
     """A new connection.
 
     Raises:
@@ -63,17 +63,17 @@
     source = (limits.source, 0) if limits.source else None
     sock = socket.create_connection((host, int(port)), max(0.001, timeout_us / 1e6), source)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return Link(address, sock, Gatherer(Reader(False, limits, stream)))
+    return ServerConnection(address, sock, Gatherer(Reader(False, limits, stream)))
 
 
-class Pool:
+class ConnectionPool:
     """Hands out connections; `most` of them to one box at a time, idle ones included."""
 
     def __init__(self, clock: Clock, most: int, idle_us: int) -> None:
         self.clock = clock
         self.most = most
         self.idle_us = idle_us
-        self.boxes: dict[str, _Box] = {}
+        self.servers: dict[str, _Server] = {}
         self.lock = threading.Lock()
         self.closed = False
         self.keeps: Callable[[str], int] = lambda address: most  # connections to a box worth keeping
@@ -81,33 +81,33 @@
     def enter(self, address: str) -> bool:
         """Count one exchange with a box; False where the bound is reached."""
         with self.lock:
-            box = self.boxes.setdefault(address, _Box())
-            if self.closed or box.out >= self.most:
+            server = self.servers.setdefault(address, _Server())
+            if self.closed or server.out >= self.most:
                 return False
-            box.out += 1
+            server.out += 1
             return True
 
-    def leave(self, address: str, link: Link | None) -> None:
+    def leave(self, address: str, link: ServerConnection | None) -> None:
         """An exchange is over; a link that may be used again is kept."""
         keeps = min(self.most, self.keeps(address)) if link is not None else 0
         with self.lock:
-            box = self.boxes[address]
-            box.out -= 1
+            server = self.servers[address]
+            server.out -= 1
             if link is not None:
-                if not self.closed and len(box.idle) + box.out < keeps:
+                if not self.closed and len(server.idle) + server.out < keeps:
                     link.kept_us = self.clock.now_us()
-                    box.idle.append(link)
+                    server.idle.append(link)
                 else:
                     link.sock.close()
-            if not box.out and not box.idle:
-                del self.boxes[address]
+            if not server.out and not server.idle:
+                del self.servers[address]
 
-    def idle_link(self, address: str) -> Link | None:
+    def idle_link(self, address: str) -> ServerConnection | None:
         """A kept connection that still looks alive, the last used first."""
         with self.lock:
-            box = self.boxes.get(address)
-            while box is not None and box.idle:
-                link = box.idle.pop()
+            server = self.servers.get(address)
+            while server is not None and server.idle:
+                link = server.idle.pop()
                 if self.clock.now_us() - link.kept_us < self.idle_us and _looks_alive(link):
                     return link
                 link.sock.close()
@@ -117,24 +117,24 @@
         """Close what has been idle for too long; boxes that are gone would hold descriptors for ever."""
         with self.lock:
             now_us = self.clock.now_us()
-            for address in list(self.boxes):
-                box = self.boxes[address]
-                while box.idle and now_us - box.idle[0].kept_us >= self.idle_us:
-                    box.idle.popleft().sock.close()
-                if not box.out and not box.idle:
-                    del self.boxes[address]
+            for address in list(self.servers):
+                server = self.servers[address]
+                while server.idle and now_us - server.idle[0].kept_us >= self.idle_us:
+                    server.idle.popleft().sock.close()
+                if not server.out and not server.idle:
+                    del self.servers[address]
 
     def close(self) -> None:
         """Close all that is idle and keep nothing from now on."""
         with self.lock:
             self.closed = True
-            for box in self.boxes.values():
-                for link in box.idle:
+            for server in self.servers.values():
+                for link in server.idle:
                     link.sock.close()
-                box.idle.clear()
+                server.idle.clear()
 
 
-def _looks_alive(link: Link) -> bool:
+def _looks_alive(link: ServerConnection) -> bool:
     """Nothing may be readable between two exchanges: neither an end nor an answer that nobody asked for."""
     poll = select.poll()
     poll.register(link.sock, select.POLLIN)
--- a/packages/peers/src/fennelcove/peers/lists.py
+++ b/packages/upstream/src/fennelcove/upstream/endpoint_list_client.py
@@ -10,14 +10,14 @@
 
 from fennelcove.clock import Clock
 from fennelcove.core.core import Core
-from fennelcove.core.verdicts import Notices
-from fennelcove.decisions.boxes import listing
-from fennelcove.decisions.boxes.commands import CARRY_OUT_US
-from fennelcove.errors import Trouble
+from fennelcove.core.requests import EventLogger
+from fennelcove.decisions.servers import endpoint_list
+from fennelcove.decisions.servers.command_queue import CARRY_OUT_US
+from fennelcove.errors import OperatorError
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import ProtocolError, ResponseHead
-from fennelcove.peers.pool import DialLimits, dial
-from fennelcove.peers.streams import Broken, EventStream, Refused
+from fennelcove.upstream.connection_pool import DialLimits, dial
+from fennelcove.upstream.event_stream import Broken, EventStream, Refused
 from fennelcove.wire.events import EventError, ServerEvent
 from fennelcove.wire.lists import ListMessage, news
 
@@ -25,21 +25,21 @@
 _MESSAGE: msgspec.json.Decoder[ListMessage] = msgspec.json.Decoder(ListMessage)
 
 
-class ListUnreached(Trouble):
+class EndpointListUnreachedError(OperatorError):
     """No whole answer of the list service came."""
 
     code = "list-service-unreached"
     advice = "See that the list service runs and can be reached; the front asks again and goes on by its list"
 
 
-class ListUnreadable(Trouble):
+class EndpointListUnreadableError(OperatorError):
     """A list is not as agreed; nothing of it was used."""
 
     code = "list-unreadable"
     advice = "See what the list service sends (docs/operate/front.md); the front goes on by the list before"
 
 
-class ListSide:
+class EndpointListClient:
     """Owns two threads: one reads the stream, one makes calls. With `must_ask` the stream opens when asked
     for."""
 
@@ -49,15 +49,15 @@
         clock: Clock,
         address: str,
         must_ask: bool,
-        chance: Random,
-        notice: Notices,
+        rng: Random,
+        notice: EventLogger,
         source: str = "",
     ) -> None:
         self.core = core
         self.clock = clock
         self.address = address
         self.must_ask = must_ask
-        self.chance = chance
+        self.rng = rng
         self.notice = notice
         self.limits = DialLimits(body_bytes=LIST_BYTES, source=source)
         self.changed = threading.Condition()
@@ -116,7 +116,9 @@
                     return
                 version = self.core.keeper.version
                 path = "/v1/list/stream" if version is None else f"/v1/list/stream?since={version}"
-                self.stream = EventStream(self.address, path, self.limits, CARRY_OUT_US, listing.SILENCE_US)
+                self.stream = EventStream(
+                    self.address, path, self.limits, CARRY_OUT_US, endpoint_list.SILENCE_US
+                )
             try:
                 self.stream.run(self._take)
             except (Refused, Broken) as error:
@@ -128,7 +130,7 @@
                     self.stream_due = False
                 self.core.lists.failed()
             with self.changed:
-                pause_us = listing.pause_us(failures, self.chance.random())
+                pause_us = endpoint_list.pause_us(failures, self.rng.random())
                 self.changed.wait_for(lambda: self.stopped, pause_us / 1e6)
 
     def _take(self, event: ServerEvent) -> None:
@@ -136,7 +138,7 @@
             try:
                 message = _MESSAGE.decode(event.data)
             except msgspec.MsgspecError as error:
-                self.notice("list_refused", **ListUnreadable(str(error), self.address).fields())
+                self.notice("list_refused", **EndpointListUnreadableError(str(error), self.address).fields())
                 raise EventError(f"a list that is not as agreed: {error}") from None
             self.core.lists.news(news(message, self.clock.now_us()))
 
@@ -157,11 +159,11 @@
                 failures = 0
             except (OSError, ProtocolError, msgspec.MsgspecError) as error:
                 failures += 1
-                told = ListUnreached(str(error) or type(error).__name__, self.address)
+                told = EndpointListUnreachedError(str(error) or type(error).__name__, self.address)
                 self.notice("list_call_failed", **told.fields(), failures=failures)
                 self.core.lists.failed()
                 with self.changed:
-                    pause_us = listing.pause_us(failures, self.chance.random())
+                    pause_us = endpoint_list.pause_us(failures, self.rng.random())
                     self.changed.wait_for(lambda: self.stopped, pause_us / 1e6)
 
     def _fetch(self) -> ListMessage:
--- a/packages/peers/src/fennelcove/peers/streams.py
+++ b/packages/upstream/src/fennelcove/upstream/event_stream.py
@@ -7,22 +7,22 @@
 from collections.abc import Callable
 from contextlib import suppress
 
-from fennelcove.errors import Trouble
+from fennelcove.errors import OperatorError
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import Data, End, ProtocolError, ResponseHead
 from fennelcove.http1.reader import Reader
-from fennelcove.peers.pool import READ_BYTES, DialLimits, dial
+from fennelcove.upstream.connection_pool import READ_BYTES, DialLimits, dial
 from fennelcove.wire.events import EventError, EventReader, ServerEvent
 
 
-class Refused(Trouble):
+class Refused(OperatorError):
     """A connection for a stream was refused: nothing listens there."""
 
     code = "peer-refused"
     advice = "Start what should listen there, or take its address off the list or out of the settings"
 
 
-class Broken(Trouble):
+class Broken(OperatorError):
     """A stream of a box or of the list service ended, fell silent or can't be read on."""
 
     code = "peer-stream-broken"
--- a/packages/peers/src/fennelcove/peers/fronts.py
+++ b/packages/upstream/src/fennelcove/upstream/front_messaging.py
@@ -6,39 +6,39 @@
 import threading
 from collections.abc import Callable, Sequence
 
-from fennelcove.decisions.fleet.budgets import Ask, Loan
-from fennelcove.decisions.fleet.burden import Summary
-from fennelcove.decisions.fleet.company import Beat
-from fennelcove.decisions.fleet.watchers import Word
-from fennelcove.interface import PeerSays
-from fennelcove import fair_messages, messages, release_messages, slot_messages
-from fennelcove.fair.told import Given
-from fennelcove.messages import MOST_BYTES, pack, unpack
-from fennelcove.releases.says import Said
+from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer
+from fennelcove.decisions.fleet.fleet_load import LoadSummary
+from fennelcove.decisions.fleet.membership import Heartbeat
+from fennelcove.decisions.fleet.health_checks import HealthReport
+from fennelcove.interface import PeerMessage
+from fennelcove import usage_messages, messages, rollout_messages, limit_messages
+from fennelcove.fair_queueing.usage_gossip import UsageReport
+from fennelcove.messages import MOST_BYTES, encode, decode
+from fennelcove.rollouts.messages import Said
 
 LOOK_S = 0.25  # how often the listening thread looks whether it should end
 
 
-class FrontSide:
+class FrontMessaging:
     """Tells the other fronts and hears them: only what comes from a configured address counts."""
 
     def __init__(
         self,
         addresses: Sequence[str],
         index: int,
-        heard: Callable[[PeerSays], None],
-        beaten: Callable[[int, Beat], None] | None = None,
+        heard: Callable[[PeerMessage], None],
+        beaten: Callable[[int, Heartbeat], None] | None = None,
     ) -> None:
         self.addresses = [(host, int(port)) for host, _, port in (a.rpartition(":") for a in addresses)]
         self.indices = {address: i for i, address in enumerate(self.addresses) if i != index}
         self.heard = heard
         self.beaten = beaten  # None: signs of life are not asked for
-        self.counted: Callable[[int, Summary], None] | None = None
-        self.worded: Callable[[int, Word], None] | None = None
-        self.spared: Callable[[int, Ask | Loan], None] | None = None
+        self.counted: Callable[[int, LoadSummary], None] | None = None
+        self.worded: Callable[[int, HealthReport], None] | None = None
+        self.spared: Callable[[int, QuotaRequest | QuotaTransfer], None] | None = None
         self.agreed: Callable[[int, Said], None] | None = None
         self.slotted: Callable[[int, bytes], bool] | None = None
-        self.gave: Callable[[int, Given], None] | None = None
+        self.gave: Callable[[int, UsageReport], None] | None = None
         self.stopped = False
         self.lost = 0  # not sent, from nobody known, or not understood
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -54,31 +54,31 @@
         """Begin to listen."""
         self.thread.start()
 
-    def tell(self, front: int, said: PeerSays) -> None:
+    def tell(self, front: int, said: PeerMessage) -> None:
         """Send it, or lose it: a message that can't leave now is worth nothing later."""
-        for part in pack(said):
+        for part in encode(said):
             self._send(front, part)
 
-    def beat(self, beats: dict[int, Beat]) -> None:
+    def beat(self, beats: dict[int, Heartbeat]) -> None:
         """Send a sign of life to each of these fronts, or lose it."""
         for front, beat in beats.items():
             self._send(front, messages.pack_beat(beat))
 
-    def summary(self, said: Summary) -> None:
+    def summary(self, said: LoadSummary) -> None:
         """Tell all other fronts what this one is asked."""
         raw = messages.pack_summary(said)
         for front in self.indices.values():
             self._send(front, raw)
 
-    def spare(self, front: int, said: Ask | Loan) -> None:
+    def spare(self, front: int, said: QuotaRequest | QuotaTransfer) -> None:
         """Ask another front for a part of its budget, or lend of this one's."""
         self._send(front, messages.pack_budget(said))
 
     def agree(self, front: int, said: Said) -> None:
         """Tell another front something about who is out."""
-        self._send(front, release_messages.pack(said))
+        self._send(front, rollout_messages.encode(said))
 
-    def word(self, said: Word) -> None:
+    def word(self, said: HealthReport) -> None:
         """Tell all other fronts what this one finds of a box."""
         raw = messages.pack_word(said)
         for front in self.indices.values():
@@ -88,9 +88,9 @@
         """Tell another front something about slots at boxes."""
         self._send(front, raw)
 
-    def give(self, said: Given) -> None:
+    def give(self, said: UsageReport) -> None:
         """Tell all other fronts what this one's slots were given to."""
-        for raw in fair_messages.pack(said):
+        for raw in usage_messages.encode(said):
             for front in self.indices.values():
                 self._send(front, raw)
 
@@ -136,8 +136,8 @@
             if spared is not None:
                 self.spared(sender, spared)
             return spared is not None
-        if kind in release_messages.KINDS and self.agreed is not None:
-            agreed = release_messages.unpack(raw)
+        if kind in rollout_messages.KINDS and self.agreed is not None:
+            agreed = rollout_messages.decode(raw)
             if agreed is not None:
                 self.agreed(sender, agreed)
             return agreed is not None
@@ -146,14 +146,14 @@
             if word is not None:
                 self.worded(sender, word)
             return word is not None
-        if kind in slot_messages.KINDS and self.slotted is not None:
+        if kind in limit_messages.KINDS and self.slotted is not None:
             return self.slotted(sender, raw)
-        if kind == fair_messages.GIVEN and self.gave is not None:
-            given = fair_messages.unpack(raw)
+        if kind == usage_messages.GIVEN and self.gave is not None:
+            given = usage_messages.decode(raw)
             if given is not None:
                 self.gave(sender, given)
             return given is not None
-        said = unpack(sender, raw)
+        said = decode(sender, raw)
         if said is not None:
             self.heard(said)
         return said is not None
--- a/packages/peers/src/fennelcove/peers/probes.py
+++ b/packages/upstream/src/fennelcove/upstream/health_checks.py
@@ -9,11 +9,11 @@
 import msgspec
 
 from fennelcove.clock import Clock
-from fennelcove.decisions.boxes import hearing
-from fennelcove.interface import LoadReport, Outcome, Probed
-from fennelcove.peers.joins import HintReader
-from fennelcove.peers.pool import DialLimits
-from fennelcove.peers.streams import Broken, EventStream, Refused
+from fennelcove.decisions.servers import load_signals
+from fennelcove.interface import LoadReport, Outcome, ProbeCompleted
+from fennelcove.upstream.attempts import HintReader
+from fennelcove.upstream.connection_pool import DialLimits
+from fennelcove.upstream.event_stream import Broken, EventStream, Refused
 from fennelcove.wire.boxes import REPORT, Report
 from fennelcove.wire.events import ServerEvent
 
@@ -22,7 +22,7 @@
 _REPORT: msgspec.json.Decoder[Report] = msgspec.json.Decoder(Report)
 
 
-class ProbeSide:
+class HealthChecker:
     """Asks boxes and says what came of it, once for each; started with the front, ended by `stop`."""
 
     def __init__(
@@ -32,7 +32,7 @@
         front: str,
         timeout_us: int,
         limits: DialLimits,
-        heard: Callable[[Probed], None],
+        heard: Callable[[ProbeCompleted], None],
     ) -> None:
         self.clock = clock
         self.hints = hints
@@ -48,10 +48,10 @@
         for thread in self.threads:
             thread.start()
 
-    def ask(self, box: str) -> bool:
+    def ask(self, server: str) -> bool:
         """Probe this box soon; False where too many wait, and nothing will be heard of it."""
         try:
-            self.waiting.put_nowait(box)
+            self.waiting.put_nowait(server)
         except queue.Full:
             return False
         return True
@@ -69,19 +69,19 @@
             thread.join()
 
     def _run(self) -> None:
-        while (box := self.waiting.get()) is not None:
-            self.heard(self.probe(box))
+        while (server := self.waiting.get()) is not None:
+            self.heard(self.probe(server))
 
-    def probe(self, box: str) -> Probed:
+    def probe(self, server: str) -> ProbeCompleted:
         """Ask now, within the time-out."""
         began_us, reports = self.clock.now_us(), list[LoadReport]()
         path = f"/v1/feed?front={self.front}"
-        stream = EventStream(box, path, self.limits, self.timeout_us, self.timeout_us)
+        stream = EventStream(server, path, self.limits, self.timeout_us, self.timeout_us)
 
         def take(event: ServerEvent) -> None:
             if event.name == REPORT:
                 says = self.hints.says(None, _REPORT.decode(event.data).cmsd)
-                report = hearing.load_report(says) if says is not None else None
+                report = load_signals.load_report(says) if says is not None else None
                 reports.append(report or LoadReport(None, None))
             if reports or self.clock.now_us() - began_us > self.timeout_us:
                 raise Broken("heard")
@@ -94,4 +94,4 @@
         except (Broken, msgspec.MsgspecError):
             outcome = Outcome.SERVED if reports else Outcome.NO_ANSWER
         took_us = self.clock.now_us() - began_us
-        return Probed(box, outcome, took_us, reports[0] if reports else None)
+        return ProbeCompleted(server, outcome, took_us, reports[0] if reports else None)
--- a/packages/peers/src/fennelcove/peers/movers.py
+++ b/packages/upstream/src/fennelcove/upstream/migration_workers.py
@@ -6,19 +6,19 @@
 import threading
 
 from fennelcove.core.core import Core
-from fennelcove.core.verdicts import SendJoin
-from fennelcove.peers.joins import Joiner
+from fennelcove.core.requests import SendAttempt
+from fennelcove.upstream.attempts import AttemptSender
 
 MOST_WAITING = 4096
 
 
-class MoverThreads:
+class MigrationWorkers:
     """Owns the movers: `start` them once, `stop` ends them when the joins in hand are over."""
 
-    def __init__(self, core: Core, joiner: Joiner, count: int) -> None:
+    def __init__(self, core: Core, joiner: AttemptSender, count: int) -> None:
         self.core = core
         self.joiner = joiner
-        self.line: queue.Queue[SendJoin | None] = queue.Queue(MOST_WAITING)
+        self.line: queue.Queue[SendAttempt | None] = queue.Queue(MOST_WAITING)
         self.threads = [threading.Thread(target=self._run, name=f"mover-{i}") for i in range(count)]
 
     def start(self) -> None:
@@ -26,7 +26,7 @@
         for thread in self.threads:
             thread.start()
 
-    def send(self, step: SendJoin) -> bool:
+    def send(self, step: SendAttempt) -> bool:
         try:
             self.line.put_nowait(step)
             return True
@@ -43,4 +43,4 @@
     def _run(self) -> None:
         while (step := self.line.get()) is not None:
             run = self.joiner.run(step, None)
-            self.core.moves.join_over(step, run.end)
+            self.core.moves.on_attempt_completed(step, run.end)
--- a/packages/peers/src/fennelcove/peers/feeds.py
+++ b/packages/upstream/src/fennelcove/upstream/server_event_streams.py
@@ -8,13 +8,13 @@
 import msgspec
 
 from fennelcove.core.core import Core
-from fennelcove.core.verdicts import Notices
-from fennelcove.decisions.boxes.commands import CARRY_OUT_US
-from fennelcove.decisions.boxes.hearing import BoxSays
-from fennelcove.peers.joins import HintReader
-from fennelcove.peers.orders import OrderSenders
-from fennelcove.peers.pool import DialLimits
-from fennelcove.peers.streams import Broken, EventStream, Refused
+from fennelcove.core.requests import EventLogger
+from fennelcove.decisions.servers.command_queue import CARRY_OUT_US
+from fennelcove.decisions.servers.load_signals import ServerHints
+from fennelcove.upstream.attempts import HintReader
+from fennelcove.upstream.command_senders import CommandSenders
+from fennelcove.upstream.connection_pool import DialLimits
+from fennelcove.upstream.event_stream import Broken, EventStream, Refused
 from fennelcove.wire.boxes import ENDED, HELLO, REPORT, Ended, Hello, Report
 from fennelcove.wire.events import EventError, ServerEvent
 
@@ -30,18 +30,18 @@
     thread: threading.Thread
 
 
-class BoxSide:
+class ServerEventStreams:
     """What the core asks of boxes: feeds opened and closed, orders sent."""
 
     def __init__(
         self,
         core: Core,
-        senders: OrderSenders,
+        senders: CommandSenders,
         hints: HintReader,
         front: str,
         silence_us: int,
         limits: DialLimits,
-        notice: Notices,
+        notice: EventLogger,
     ) -> None:
         self.core = core
         self.senders = senders
@@ -56,27 +56,29 @@
     def orders_ready(self) -> None:
         self.senders.wake()
 
-    def open_feed(self, box: str, generation: int) -> None:
-        stream = EventStream(box, f"/v1/feed?front={self.front}", self.limits, CARRY_OUT_US, self.silence_us)
-        thread = threading.Thread(target=self._run, args=(box, generation, stream), name=f"feed-{box}")
+    def open_feed(self, server: str, generation: int) -> None:
+        stream = EventStream(
+            server, f"/v1/feed?front={self.front}", self.limits, CARRY_OUT_US, self.silence_us
+        )
+        thread = threading.Thread(target=self._run, args=(server, generation, stream), name=f"feed-{server}")
         with self.lock:
             full = len(self.feeds) >= MOST_FEEDS
             if not full:
-                self.feeds[box] = _Feed(stream, thread)
+                self.feeds[server] = _Feed(stream, thread)
         try:
             if not full:
                 thread.start()
                 return
         except RuntimeError:  # the machine gives no more threads
             with self.lock:
-                del self.feeds[box]
+                del self.feeds[server]
         # The core is in the middle of a step: it hears of it as of any other feed that broke, a moment later.
-        self.notice("feeds_full", box=box)
-        self.core.timers.after(0, lambda: self.core.book.cut(box, generation, False))
+        self.notice("feeds_full", box=server)
+        self.core.timers.after(0, lambda: self.core.book.cut(server, generation, False))
 
-    def close_feed(self, box: str) -> None:
+    def close_feed(self, server: str) -> None:
         with self.lock:
-            feed = self.feeds.get(box)
+            feed = self.feeds.get(server)
         if feed is not None:
             feed.stream.shut()
 
@@ -89,31 +91,31 @@
         for feed in feeds:
             feed.thread.join()
 
-    def _run(self, box: str, generation: int, stream: EventStream) -> None:
+    def _run(self, server: str, generation: int, stream: EventStream) -> None:
         refused = False
         try:
-            stream.run(lambda event: self._take(box, generation, event))
+            stream.run(lambda event: self._take(server, generation, event))
         except Refused:
             refused = True
         except Broken as error:
             if not stream.is_shut:
-                self.notice("feed_broken", box=box, **error.fields())
+                self.notice("feed_broken", box=server, **error.fields())
         with self.lock:
-            if box in self.feeds and self.feeds[box].stream is stream:
-                del self.feeds[box]
-        self.core.book.cut(box, generation, refused)
+            if server in self.feeds and self.feeds[server].stream is stream:
+                del self.feeds[server]
+        self.core.book.cut(server, generation, refused)
 
-    def _take(self, box: str, generation: int, event: ServerEvent) -> None:
+    def _take(self, server: str, generation: int, event: ServerEvent) -> None:
         try:
             if event.name == HELLO:
                 hello = _HELLO.decode(event.data)
-                self.core.book.hello(box, generation, hello.boot, hello.held, hello.up_ms)
+                self.core.book.hello(server, generation, hello.boot, hello.held, hello.up_ms)
             elif event.name == REPORT:
                 report = _REPORT.decode(event.data)
                 says = self.hints.says(None, report.cmsd)
-                self.core.book.report(box, generation, says or BoxSays(), report.delivered)
+                self.core.book.report(server, generation, says or ServerHints(), report.delivered)
             elif event.name == ENDED:
                 ended = _ENDED.decode(event.data)
-                self.core.book.ended(box, generation, ended.subscription, ended.join)
+                self.core.book.ended(server, generation, ended.subscription, ended.join)
         except msgspec.MsgspecError as error:
             raise EventError(f"an event that is not as agreed: {error}") from None
--- a/packages/peers/src/fennelcove/peers/latch.py
+++ b/packages/upstream/src/fennelcove/upstream/wakeups.py
@@ -9,7 +9,7 @@
 from enum import Enum, auto
 
 
-class Latch:
+class CancellationLatch:
     """Set once; its descriptor is readable from then on. The owner closes it when nobody waits any more."""
 
     def __init__(self) -> None:
@@ -34,7 +34,7 @@
         os.close(self.writer)
 
 
-class Bell:
+class Wakeup:
     """A wake-up that can be rung again and again; the owner closes it when nobody rings any more."""
 
     def __init__(self) -> None:
@@ -54,7 +54,7 @@
         os.close(self.reader)
 
 
-class Woken(Enum):
+class WakeReason(Enum):
     """What ended a wait."""
 
     READY = auto()
@@ -68,8 +68,11 @@
 
 
 def wait(
-    sock: socket.socket, timeout_us: int, latch: Latch | Bell | None, other: socket.socket | None = None
-) -> Woken:
+    sock: socket.socket,
+    timeout_us: int,
+    latch: CancellationLatch | Wakeup | None,
+    other: socket.socket | None = None,
+) -> WakeReason:
     """Wait until the socket can be read, the other one's peer hangs up, the latch is set or time is up."""
     poll = select.poll()
     poll.register(sock, select.POLLIN)
@@ -79,13 +82,13 @@
         poll.register(other, _HANG_UP & ~(select.POLLHUP | select.POLLERR))
     found = dict(poll.poll(max(0, -(-timeout_us // 1000))))
     if sock.fileno() in found:
-        return Woken.READY
+        return WakeReason.READY
     if other is not None and other.fileno() in found:
-        return Woken.HUNG_UP
-    return Woken.LATCH if found else Woken.TIME
+        return WakeReason.HUNG_UP
+    return WakeReason.LATCH if found else WakeReason.TIME
 
 
-def wait_bell(bell: int, timeout_us: int, latch: Latch, other: socket.socket) -> Woken:
+def wait_bell(bell: int, timeout_us: int, latch: CancellationLatch, other: socket.socket) -> WakeReason:
     """Wait until this descriptor can be read, the other one's peer hangs up, the latch is set or time is
     up."""
     poll = select.poll()
@@ -94,7 +97,7 @@
     poll.register(other, _HANG_UP & ~(select.POLLHUP | select.POLLERR))
     found = dict(poll.poll(max(0, -(-timeout_us // 1000))))
     if bell in found:
-        return Woken.READY
+        return WakeReason.READY
     if other.fileno() in found:
-        return Woken.HUNG_UP
-    return Woken.LATCH if found else Woken.TIME
+        return WakeReason.HUNG_UP
+    return WakeReason.LATCH if found else WakeReason.TIME
--- a/packages/wire/src/fennelcove/wire/lists.py
+++ b/packages/wire/src/fennelcove/wire/lists.py
@@ -11,8 +11,8 @@
 
 from msgspec import Meta, Struct
 
-from fennelcove.decisions.boxes.listing import ListNews
-from fennelcove.interface import ListEntry, Standing
+from fennelcove.decisions.servers.endpoint_list import EndpointListUpdate
+from fennelcove.interface import ListEntry, ServerState
 
 
 class ListedBox(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -35,7 +35,7 @@
     base: Annotated[int, Meta(ge=0)] | None = None
 
 
-def news(message: ListMessage, now_us: int) -> ListNews:
+def news(message: ListMessage, now_us: int) -> EndpointListUpdate:
     """The message on the front's own clock.
 
     Ages count from the sending, so that no two machines' clocks are compared; a slow way makes a box look
@@ -47,10 +47,10 @@
             box.zone,
             box.kind,
             box.cell,
-            Standing(box.state),
+            ServerState(box.state),
             box.weight,
             0 if box.age_ms is None else max(1, now_us - round(box.age_ms * 1000)),
         )
         for box in message.boxes
     )
-    return ListNews(message.version, message.base, entries)
+    return EndpointListUpdate(message.version, message.base, entries)
--- a/tests/clientrig.py
+++ b/tests/clientrig.py
@@ -18,9 +18,9 @@
 from fennelcove.clock import SystemClock
 from fennelcove.clock.timers import Timers
 from fennelcove.log import silent
-from fennelcove.node import config, desk
-from fennelcove.node.links import receive_limit
-from fennelcove.node.viewers import MESSAGE_US, Viewer
+from fennelcove.node import config, session_manager
+from fennelcove.node.server_connection import receive_limit
+from fennelcove.node.client_connection import MESSAGE_US, ClientConnection
 from tests.noderig import SETTINGS, WAIT_S, Caller, NodeRig, StandInServer, eventually, notice
 
 
@@ -73,7 +73,7 @@
         }
         clock = SystemClock()
         self.timers = Timers(clock)
-        self.desk = desk.Desk(config.parse(tree), clock, self.timers, silent)
+        self.desk = session_manager.SessionManager(config.parse(tree), clock, self.timers, silent)
         self.gate = Gate()
         self.desk.lock = self.gate  # type: ignore[assignment]
         for told in self.desk.config.known.notices:
@@ -84,17 +84,17 @@
         test.addCleanup(self.listener.close)
         test.addCleanup(self.timers.stop)
 
-    def meet(self) -> tuple[Caller, Viewer]:
+    def meet(self) -> tuple[Caller, ClientConnection]:
         """A connection and the node's end of it, in its table; nothing is read yet."""
         caller = Caller(self.listener.getsockname())
         sock, peer = self.listener.accept()
         receive_limit(sock, MESSAGE_US)
-        viewer = Viewer(self.desk, sock, peer[0])
+        viewer = ClientConnection(self.desk, sock, peer[0])
         with self.gate:
             assert self.desk.connections.add(viewer)
         return caller, viewer
 
-    def read(self, viewer: Viewer) -> threading.Thread:
+    def read(self, viewer: ClientConnection) -> threading.Thread:
         """Begin to read from a connection."""
         thread = threading.Thread(target=viewer.run, name="viewer", daemon=True)
         thread.start()
--- a/tests/coldfleet.py
+++ b/tests/coldfleet.py
@@ -11,8 +11,16 @@
 from typing import Any
 
 from fennelcove import facts
-from fennelcove.interface import JoinEnded, ListEntry, ListMode, ListUpdate, Outcome, Request, Standing
-from fennelcove.rules import Front
+from fennelcove.interface import (
+    AttemptCompleted,
+    ListEntry,
+    ListMode,
+    ListUpdate,
+    Outcome,
+    Request,
+    ServerState,
+)
+from fennelcove.placement import PlacementPolicy
 from tests.helpers import SECOND, Recorder
 from tests.noderig import SETTINGS
 
@@ -124,17 +132,19 @@
         self.made = [self.front(i) for i in range(case.fronts)]
         self.up_at_us = [0] * case.fronts
 
-    def front(self, index: int) -> Front:
+    def front(self, index: int) -> PlacementPolicy:
         """A fresh instance, as one that starts now: it has the whole list as the board tells it by now."""
         tree = self.case.terms.tree(self.case.fronts, index, self.cells)
-        made = Front(facts.read(tree)[0], self.random.randrange(2**32), Recorder(), self.now_us)
+        made = PlacementPolicy(
+            facts.read_settings(tree)[0], self.random.randrange(2**32), Recorder(), self.now_us
+        )
         made.handle(ListUpdate(ListMode.FULL, self.listed(index)), self.now_us)
         return made
 
     def listed(self, index: int) -> tuple[ListEntry, ...]:
         names = [f"warm{i}" for i in range(self.case.warm)] + list(self.born)
         return tuple(
-            ListEntry(name, "here", "kind", cell, Standing.ACTIVE, 1.0, self.start_told(index, name))
+            ListEntry(name, "here", "kind", cell, ServerState.ACTIVE, 1.0, self.start_told(index, name))
             for cell, name in enumerate(names)
         )
 
@@ -189,11 +199,11 @@
         front.handle(Request(id, "recorded", first, first, min(3, self.cells), 0, 3 * SECOND), self.now_us)
         self.join(index, front, id)
 
-    def join(self, index: int, front: Front, id: str) -> None:
+    def join(self, index: int, front: PlacementPolicy, id: str) -> None:
         """A join that the module has just asked for, if it has: sent when its dial is through."""
-        if (sub := front.subs.get(id)) is None or not sub.joins:
+        if (sub := front.sessions.get(id)) is None or not sub.attempts:
             return
-        number, server = len(sub.joins) - 1, sub.server.address
+        number, server = len(sub.attempts) - 1, sub.server.address
         told = server in self.born and self.start_told(index, server) > 0
         sent_us = {
             "none": self.now_us,
@@ -214,10 +224,10 @@
             self.sent[server].at_us.append(self.now_us)
             self.sent[server].told.append(told)
 
-    def over(self, index: int, front: Front, id: str, number: int, outcome: Outcome) -> None:
+    def over(self, index: int, front: PlacementPolicy, id: str, number: int, outcome: Outcome) -> None:
         if self.made[index] is not front:
             return  # it has ended since
-        front.handle(JoinEnded(id, number, outcome, outcome is Outcome.CALLED_OFF, None), self.now_us)
+        front.handle(AttemptCompleted(id, number, outcome, outcome is Outcome.CALLED_OFF, None), self.now_us)
         self.join(index, front, id)
 
     def worst(self) -> Worst:
--- a/tests/fleetdays.py
+++ b/tests/fleetdays.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from fennelcove.day.script import Day
+from fennelcove.scenarios.script import Day
 from fennelcove.settings.writer import write
 
 LONGEST_S = 150
--- a/tests/generated.py
+++ b/tests/generated.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from fennelcove.api.described import Described
-from fennelcove.standins.sockets import SocketPlayer
-from fennelcove.standins.viewers import Heard, Player
+from fennelcove.emulators.sockets import SocketPlayer
+from fennelcove.emulators.clients import Heard, Player
 
 
 class Undescribed(AssertionError):
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,14 +14,14 @@
 from fennelcove.clock import SystemClock
 from fennelcove.http1.messages import CodecLimits, ResponseHead
 from fennelcove.http1.reader import Gatherer, Reader
-from fennelcove.program.front import FrontProgram
+from fennelcove.daemon.front_daemon import FrontDaemon
 from fennelcove.settings.reader import parse
 from fennelcove.settings.schema import FrontSettings
-from fennelcove.standins.box import StandInBox
-from fennelcove.standins.listservice import Known, StandInLists
-from fennelcove.standins.model import BoxModel, RackModel
-from fennelcove.standins.recorder import Record, Recorder
-from fennelcove.standins.viewers import Heard, Player
+from fennelcove.emulators.media_server import StandInBox
+from fennelcove.emulators.endpoint_list_service import Known, StandInLists
+from fennelcove.emulators.model import BoxModel, RackModel
+from fennelcove.emulators.recorder import Record, Recorder
+from fennelcove.emulators.clients import Heard, Player
 
 LONGEST_S = 20.0
 SETTINGS = """
@@ -75,7 +75,7 @@
         self.lists.start()
         self.addCleanup(self.lists.stop)
         self.settings = self.changed(**changes)
-        self.programs: list[FrontProgram] = []
+        self.programs: list[FrontDaemon] = []
         self.addCleanup(self.end)
         if start:
             self.front = self.new_front()
@@ -88,8 +88,8 @@
                 changes[group] = msgspec.structs.replace(getattr(front, group), **changes[group])
         return msgspec.structs.replace(front, lists=lists, **changes)
 
-    def new_front(self) -> FrontProgram:
-        program = FrontProgram(self.settings, log.silent)
+    def new_front(self) -> FrontDaemon:
+        program = FrontDaemon(self.settings, log.silent)
         self.programs.append(program)
         program.start()
         wait_for(lambda: program.core.keeper.version is not None, "a list")
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -18,10 +18,10 @@
 from fennelcove.api.described import KNOWN, Described
 from fennelcove.api.diff import Comparison, stepped
 from fennelcove.cli.main import main
-from fennelcove.doors.routes import LINES
-from fennelcove.doors.socket_routes import HANDLERS
+from fennelcove.ingress.routes import LINES
+from fennelcove.ingress.websocket_routes import HANDLERS
 from fennelcove.settings.schema import Author, MediaSettings, StitchSettings, Title
-from fennelcove.standins.sockets import SocketPlayer
+from fennelcove.emulators.sockets import SocketPlayer
 from fennelcove.wire import sessions
 from fennelcove.wire import socket as wire
 from tests.generated import GeneratedHttp, GeneratedSocket, Undescribed
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -8,14 +8,20 @@
 from hypothesis import strategies as st
 
 from fennelcove.clock import SystemClock
-from fennelcove.decisions.kept.background import DEBT_US, SAVED_US, Priority, Schedule, Task
-from fennelcove.program.background import Background
+from fennelcove.decisions.recovery.background_scheduler import (
+    DEBT_US,
+    SAVED_US,
+    TaskPriority,
+    BackgroundScheduler,
+    BackgroundTask,
+)
+from fennelcove.daemon.background import Background
 from tests.rig import wait_for
 
 MS = 1000
 
 
-def played(schedule: Schedule, costs: dict[str, int], for_us: int) -> tuple[int, int]:
+def played(schedule: BackgroundScheduler, costs: dict[str, int], for_us: int) -> tuple[int, int]:
     """Run a schedule in simulated time; the time passed and the time taken."""
     now_us = taken = 0
     while now_us < for_us:
@@ -31,15 +37,15 @@
 
 
 class ScheduleTest(unittest.TestCase):
-    def made(self, *tasks: Task) -> Schedule:
-        schedule = Schedule(0)
+    def made(self, *tasks: BackgroundTask) -> BackgroundScheduler:
+        schedule = BackgroundScheduler(0)
         for task in tasks:
             schedule.add(task, 0)
         return schedule
 
     def test_what_somebody_waits_for_goes_first_and_what_is_past_its_time_before_that(self) -> None:
-        viewers = Task("v", Priority.VIEWERS, 100 * MS, 100 * MS)
-        house = Task("h", Priority.HOUSEKEEPING, 100 * MS, 50 * MS)
+        viewers = BackgroundTask("v", TaskPriority.VIEWERS, 100 * MS, 100 * MS)
+        house = BackgroundTask("h", TaskPriority.HOUSEKEEPING, 100 * MS, 50 * MS)
         schedule = self.made(house, viewers)
         self.assertIs(schedule.pick(0).task, viewers)
         self.assertIs(schedule.pick(60 * MS).task, house)
@@ -47,7 +53,7 @@
     @given(
         st.lists(
             st.tuples(
-                st.sampled_from(list(Priority)),
+                st.sampled_from(list(TaskPriority)),
                 st.integers(20, 2000),
                 st.integers(0, 2000),
                 st.integers(0, 30),
@@ -58,9 +64,11 @@
     )
     @settings(max_examples=150, deadline=None)
     def test_nothing_starves_and_the_whole_keeps_to_its_share_where_deadlines_allow(
-        self, told: list[tuple[Priority, int, int, int]]
+        self, told: list[tuple[TaskPriority, int, int, int]]
     ) -> None:
-        tasks = [Task(f"t{i}", p, every * MS, late * MS) for i, (p, every, late, _) in enumerate(told)]
+        tasks = [
+            BackgroundTask(f"t{i}", p, every * MS, late * MS) for i, (p, every, late, _) in enumerate(told)
+        ]
         costs = {f"t{i}": cost * MS for i, (*_, cost) in enumerate(told)}
         schedule = self.made(*tasks)
         passed, taken = played(schedule, costs, 20_000 * MS)
@@ -74,8 +82,8 @@
             self.assertLessEqual(taken, schedule.share * passed + SAVED_US + longest)
 
     def test_a_dear_task_waits_for_its_budget_and_a_cheap_one_does_not(self) -> None:
-        dear = Task("dear", Priority.VIEWERS, 100 * MS, 10_000 * MS)
-        cheap = Task("cheap", Priority.HOUSEKEEPING, 100 * MS, 10_000 * MS)
+        dear = BackgroundTask("dear", TaskPriority.VIEWERS, 100 * MS, 10_000 * MS)
+        cheap = BackgroundTask("cheap", TaskPriority.HOUSEKEEPING, 100 * MS, 10_000 * MS)
         schedule = self.made(dear, cheap)
         passed, taken = played(schedule, {"dear": 40 * MS, "cheap": MS // 10}, 30_000 * MS)
         self.assertLess(taken / passed, 0.12)
@@ -84,8 +92,8 @@
 
     def test_one_that_hung_once_does_not_stop_the_rest_for_long(self) -> None:
         hung, other = (
-            Task("hung", Priority.MEMORY, 1000 * MS, 500 * MS),
-            Task("o", Priority.MEMORY, 1000 * MS, 500 * MS),
+            BackgroundTask("hung", TaskPriority.MEMORY, 1000 * MS, 500 * MS),
+            BackgroundTask("o", TaskPriority.MEMORY, 1000 * MS, 500 * MS),
         )
         schedule = self.made(hung, other)
         schedule.over(hung, 0, 60_000 * MS)
@@ -103,8 +111,8 @@
         def fail() -> None:
             raise ValueError("no")
 
-        background.add("bad", Priority.VIEWERS, MS, MS, fail)
-        background.add("good", Priority.MEMORY, MS, MS, lambda: runs.append(1))
+        background.add("bad", TaskPriority.VIEWERS, MS, MS, fail)
+        background.add("good", TaskPriority.MEMORY, MS, MS, lambda: runs.append(1))
         background.start()
         wait_for(lambda: len(runs) > 3 and len(told) > 3, "both")
         background.stop()
--- a/tests/test_between.py
+++ b/tests/test_between.py
@@ -11,19 +11,19 @@
 
 import msgspec
 
-from fennelcove.day.fronts import DayFailed, FrontProcess
+from fennelcove.scenarios.fronts import DayFailed, FrontProcess
 from fennelcove.clock import SystemClock
-from fennelcove.day.judge import judge
-from fennelcove.day.player import terms
-from fennelcove.day.script import read
-from fennelcove.standins.between import faults
-from fennelcove.standins.between.faults import Fault, How
-from fennelcove.standins.between.gauge import Gauge
-from fennelcove.standins.between.relay import Relays
-from fennelcove.standins.box import StandInBox
-from fennelcove.standins.model import BoxModel, RackModel
-from fennelcove.standins.recorder import Recorder
-from fennelcove.standins.viewers import Player
+from fennelcove.scenarios.checker import judge
+from fennelcove.scenarios.player import terms
+from fennelcove.scenarios.script import read
+from fennelcove.emulators.fault_proxy import faults
+from fennelcove.emulators.fault_proxy.faults import Fault, How
+from fennelcove.emulators.fault_proxy.gauge import Gauge
+from fennelcove.emulators.fault_proxy.relay import Relays
+from fennelcove.emulators.media_server import StandInBox
+from fennelcove.emulators.model import BoxModel, RackModel
+from fennelcove.emulators.recorder import Recorder
+from fennelcove.emulators.clients import Player
 from fennelcove.wire.boxes import JoinOrder, join_path
 from tests.rig import wait_for
 
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -13,11 +13,16 @@
 from hypothesis import strategies as st
 
 from fennelcove import messages
-from fennelcove.decisions.fleet import budgets, watchers
-from fennelcove.decisions.fleet.budgets import Ask, Loan, Purse, Thing
-from fennelcove.decisions.fleet.watchers import Seen, Watchers, Word, chosen
-
-STEP_US = budgets.LOAN_US // 2
+from fennelcove.decisions.fleet import shared_quotas, health_checks
+from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Quota, Resource
+from fennelcove.decisions.fleet.health_checks import (
+    ProbeResult,
+    HealthCheckAssignment,
+    HealthReport,
+    chosen_checkers,
+)
+
+STEP_US = shared_quotas.LOAN_US // 2
 WHOLE = 6.0
 
 
@@ -25,17 +30,23 @@
 class World:
     """A few fronts, and what is on its way between them."""
 
-    kind: type[Purse] = Purse
+    kind: type[Quota] = Quota
     size: int = 3
     now_us: int = 0
     lives: int = 0
-    purses: dict[int, Purse] = field(default_factory=dict)
-    air: list[tuple[int, int, Ask | Loan]] = field(default_factory=list)
+    purses: dict[int, Quota] = field(default_factory=dict)
+    air: list[tuple[int, int, QuotaRequest | QuotaTransfer]] = field(default_factory=list)
 
     def born(self, index: int) -> None:
         self.lives += 1
         self.purses[index] = self.kind(
-            Thing.PROBE, WHOLE, self.size, index, self.lives, self.now_us, need=WHOLE if index == 0 else 0.0
+            Resource.PROBE,
+            WHOLE,
+            self.size,
+            index,
+            self.lives,
+            self.now_us,
+            need=WHOLE if index == 0 else 0.0,
         )
 
     def whole(self) -> float:
@@ -46,7 +57,7 @@
         purse = self.purses.get(taker)
         if purse is None:
             return
-        if isinstance(said, Ask):
+        if isinstance(said, QuotaRequest):
             loan = purse.hear_ask(sender, said, self.now_us)
             if loan is not None:
                 self.air.append((taker, sender, loan))
@@ -106,8 +117,8 @@
                     a,
                     b,
                     type(s).__name__,
-                    s.life == now.get(a if isinstance(s, Ask) else b, (0, 0))[0],
-                    s.number - now.get(a if isinstance(s, Ask) else b, (0, 0))[1],
+                    s.life == now.get(a if isinstance(s, QuotaRequest) else b, (0, 0))[0],
+                    s.number - now.get(a if isinstance(s, QuotaRequest) else b, (0, 0))[1],
                     s.rate,
                 )
                 for a, b, s in self.air
@@ -116,12 +127,12 @@
         return purses, air
 
 
-def search(kind: type[Purse], most: int) -> tuple[int, float]:
+def search(kind: type[Quota], most: int) -> tuple[int, float]:
     """Worlds seen until one is at fault, and the largest sum of rates in any of them; breadth first."""
     world = World(kind)
     for index in range(world.size):
         world.born(index)
-    world.now_us = 2 * budgets.LOAN_US  # nobody is wary any more
+    world.now_us = 2 * shared_quotas.LOAN_US  # nobody is wary any more
     seen, edge, largest = {world.key()}, [world], world.whole()
     while edge and len(seen) < most and largest <= WHOLE + 1e-9:
         following = []
@@ -136,15 +147,15 @@
     return len(seen), largest
 
 
-class FromReceipt(Purse):
+class FromReceipt(Quota):
     """A planted fault: a loan counts from when it is heard."""
 
-    def hear_loan(self, sender: int, loan: Loan, now_us: int) -> None:
+    def hear_loan(self, sender: int, loan: QuotaTransfer, now_us: int) -> None:
         if loan.life == self.life:
-            self.borrowed[sender] = (loan.rate, now_us + budgets.LOAN_US)
+            self.borrowed[sender] = (loan.rate, now_us + shared_quotas.LOAN_US)
 
 
-class Unwary(Purse):
+class Unwary(Quota):
     """A planted fault: a new life takes its whole part at once."""
 
     @property
@@ -152,7 +163,7 @@
         return self.born_us
 
 
-class TakesBack(Purse):
+class TakesBack(Quota):
     """A planted fault: what is lent is counted as its own again before the loan is over."""
 
     def rate(self, now_us: int) -> float:
@@ -162,7 +173,7 @@
 
 class SearchTest(unittest.TestCase):
     def test_in_no_small_world_do_rates_add_up_to_more_than_the_whole(self) -> None:
-        worlds, largest = search(Purse, 2000)
+        worlds, largest = search(Quota, 2000)
         self.assertGreaterEqual(worlds, 2000)
         self.assertLessEqual(largest, WHOLE + 1e-9)
 
@@ -196,7 +207,7 @@
                     world.air.pop()
                 else:
                     world.deliver(len(world.air) - 1, chance.random() < 0.1)
-        saved = max(4.0, budgets.SAVED_S * WHOLE)
+        saved = max(4.0, shared_quotas.SAVED_S * WHOLE)
         for at, from_us in enumerate(spent):
             within = [time for time in spent[at:] if time < from_us + 1_000_000]
             self.assertLessEqual(len(within), WHOLE + saved + births)
@@ -205,7 +216,7 @@
         world = World(size=3)
         for index in range(3):
             world.born(index)
-        world.now_us = 2 * budgets.LOAN_US
+        world.now_us = 2 * shared_quotas.LOAN_US
         busy = world.purses[0]
         busy.advance(world.now_us)
         busy.need = WHOLE
@@ -217,7 +228,10 @@
         self.assertEqual(busy.wait_us(world.now_us), 0)
 
     def test_asks_and_loans_survive_their_bytes_and_cut_ones_are_refused(self) -> None:
-        for said in (Ask(1 << 40, 7, Thing.PROBE, 2.5), Loan(1 << 41, 9, Thing.LIST_CALL, 0.125)):
+        for said in (
+            QuotaRequest(1 << 40, 7, Resource.PROBE, 2.5),
+            QuotaTransfer(1 << 41, 9, Resource.LIST_CALL, 0.125),
+        ):
             raw = messages.pack_budget(said)
             self.assertEqual(messages.unpack_budget(raw), said)
             for cut in range(len(raw)):
@@ -227,63 +241,63 @@
 class WatchersTest(unittest.TestCase):
     def test_only_the_chosen_probe_and_the_next_takes_over(self) -> None:
         everyone = range(8)
-        first = chosen("box", everyone)
-        self.assertEqual(len(first), watchers.WATCHERS)
+        first = chosen_checkers("box", everyone)
+        self.assertEqual(len(first), health_checks.WATCHERS)
         rest = [front for front in everyone if front != first[0]]
-        after = chosen("box", rest)
+        after = chosen_checkers("box", rest)
         self.assertEqual(after[:2], first[1:])
-        book = Watchers(after[2], 8)
+        book = HealthCheckAssignment(after[2], 8)
         self.assertEqual(book.due(["box"], everyone, 0.0, 1), [])
         self.assertEqual(book.due(["box"], rest, 0.0, 1), ["box"])
 
     def test_names_of_fronts_change_nothing_but_who_watches(self) -> None:
         for names in (range(5), range(20, 25), (3, 1, 4, 15, 9)):
-            self.assertEqual(len(set(chosen("box", names))), watchers.WATCHERS)
-            self.assertEqual(chosen("box", names), chosen("box", reversed(list(names))))
+            self.assertEqual(len(set(chosen_checkers("box", names))), health_checks.WATCHERS)
+            self.assertEqual(chosen_checkers("box", names), chosen_checkers("box", reversed(list(names))))
 
     def test_one_bad_path_shuts_a_box_for_nobody_else_and_two_words_do(self) -> None:
         everyone = range(6)
-        one, two, _ = chosen("box", everyone)
-        other = next(front for front in everyone if front not in chosen("box", everyone))
-        book = Watchers(other, 6)
+        one, two, _ = chosen_checkers("box", everyone)
+        other = next(front for front in everyone if front not in chosen_checkers("box", everyone))
+        book = HealthCheckAssignment(other, 6)
         book.hear(one, "box", True, 1, 0)
         book.hear(other, "box", True, 1, 0)  # its own voice from outside is nobody's
         self.assertFalse(book.gone("box", everyone, 0))
         book.hear(two, "box", True, 1, 0)
         self.assertTrue(book.gone("box", everyone, 0))
-        self.assertFalse(book.gone("box", everyone, watchers.WORD_US + 1))
+        self.assertFalse(book.gone("box", everyone, health_checks.WORD_US + 1))
         book.hear(two, "box", False, 2, 0)
         book.hear(two, "box", True, 1, 0)  # late
         self.assertFalse(book.gone("box", everyone, 0))
 
     def test_a_probe_that_fails_is_repeated_soon_and_a_dead_box_is_asked_ever_more_seldom(self) -> None:
-        book, now, asked = Watchers(0, 1), 1, []
+        book, now, asked = HealthCheckAssignment(0, 1), 1, []
         book.due(["box"], (0,), 0.0, now)
         for _ in range(400):
             now += 100_000
             if book.due(["box"], (0,), 0.0, now):
                 asked.append(now)
-                book.probed("box", Seen.FAILED, now)
+                book.probed("box", ProbeResult.FAILED, now)
         gaps = [b - a for a, b in pairwise(asked)]
-        self.assertLess(gaps[0], watchers.CALM_US)
-        self.assertEqual(gaps[-1], watchers.MOST_US)
+        self.assertLess(gaps[0], health_checks.CALM_US)
+        self.assertEqual(gaps[-1], health_checks.MOST_US)
         self.assertEqual(gaps, sorted(gaps))
         self.assertTrue(book.gone("box", (0,), asked[-1]))
 
     def test_a_dead_box_stays_gone_for_others_between_two_probes(self) -> None:
         # A word that ended before its watcher's next probe made the fleet join there again each time.
         everyone = range(5)
-        one, two, _ = chosen("box", everyone)
-        other = next(front for front in everyone if front not in chosen("box", everyone))
-        books = {front: Watchers(front, 5) for front in (one, two)}
-        hearer, now = Watchers(other, 5), 1
+        one, two, _ = chosen_checkers("box", everyone)
+        other = next(front for front in everyone if front not in chosen_checkers("box", everyone))
+        books = {front: HealthCheckAssignment(front, 5) for front in (one, two)}
+        hearer, now = HealthCheckAssignment(other, 5), 1
         gone = []
         while now < 60_000_000:
             for front, book in books.items():
                 if book.due(["box"], everyone, 0.0, now):
-                    book.probed("box", Seen.FAILED, now)
+                    book.probed("box", ProbeResult.FAILED, now)
                     said = book.tells("box", now)
-                    if said is not None and said.tells is watchers.Tells.ILL:
+                    if said is not None and said.tells is health_checks.HealthVerdict.ILL:
                         hearer.hear(front, "box", True, said.number, now)
             gone.append(hearer.gone("box", everyone, now))
             now += 100_000
@@ -293,48 +307,50 @@
 
     def test_a_failed_join_brings_the_next_probe_forward_and_many_bring_no_more(self) -> None:
         # Calm probes are seconds apart: most fronts had tried a box that stood still before it was found out.
-        book, now = Watchers(0, 1), 1
+        book, now = HealthCheckAssignment(0, 1), 1
         self.assertEqual(book.due(["box"], (0,), 0.0, now), ["box"])
-        book.probed("box", Seen.ANSWERED, now)
-        now += watchers.DOUBT_US
+        book.probed("box", ProbeResult.ANSWERED, now)
+        now += health_checks.DOUBT_US
         word = book.failed("box", now)
         assert word is not None
-        self.assertEqual(word, Word(watchers.mark("box"), watchers.Tells.FAILED_ME, 1))
+        self.assertEqual(
+            word, HealthReport(health_checks.mark("box"), health_checks.HealthVerdict.FAILED_ME, 1)
+        )
         self.assertEqual(messages.unpack_word(messages.pack_word(word)), word)
         self.assertIsNone(book.failed("box", now + 1))
         self.assertEqual(book.due(["box"], (0,), 0.0, now), ["box"])
         for _ in range(100):
             book.urge("box", now)
-            self.assertEqual(book.due(["box"], (0,), 0.0, now + watchers.DOUBT_US - 1), [])
-        book.probed("box", Seen.FAILED, now)
+            self.assertEqual(book.due(["box"], (0,), 0.0, now + health_checks.DOUBT_US - 1), [])
+        book.probed("box", ProbeResult.FAILED, now)
         self.assertIsNone(book.tells("box", now))
 
     def test_what_served_this_front_just_now_is_not_gone_for_it(self) -> None:
         everyone = range(5)
-        other = next(front for front in everyone if front not in chosen("box", everyone))
-        book = Watchers(other, 5)
-        for front in chosen("box", everyone):
+        other = next(front for front in everyone if front not in chosen_checkers("box", everyone))
+        book = HealthCheckAssignment(other, 5)
+        for front in chosen_checkers("box", everyone):
             book.hear(front, "box", True, 1, 0)
         self.assertTrue(book.gone("box", everyone, 0))
         book.served("box", 0)
-        self.assertFalse(book.gone("box", everyone, watchers.SERVED_US))
-        self.assertTrue(book.gone("box", everyone, watchers.SERVED_US + 1))
+        self.assertFalse(book.gone("box", everyone, health_checks.SERVED_US))
+        self.assertTrue(book.gone("box", everyone, health_checks.SERVED_US + 1))
 
     def test_a_box_that_is_well_again_is_told_for_as_long_as_an_ill_word_may_stand(self) -> None:
         # A single word that it is well may be lost, and the ill one before it stood on.
-        book, now = Watchers(0, 1), 1
+        book, now = HealthCheckAssignment(0, 1), 1
         for _ in range(2):
             book.due(["box"], (0,), 0.0, now)
-            book.probed("box", Seen.FAILED, now)
+            book.probed("box", ProbeResult.FAILED, now)
         self.assertIsNotNone(book.tells("box", now))
-        book.probed("box", Seen.ANSWERED, now)
-        for after in (1, watchers.WORD_US - 1):
+        book.probed("box", ProbeResult.ANSWERED, now)
+        for after in (1, health_checks.WORD_US - 1):
             said = book.tells("box", now + after)
-            self.assertIs(said.tells if said else None, watchers.Tells.WELL)
-        self.assertIsNone(book.tells("box", now + watchers.WORD_US))
+            self.assertIs(said.tells if said else None, health_checks.HealthVerdict.WELL)
+        self.assertIsNone(book.tells("box", now + health_checks.WORD_US))
 
     def test_words_that_were_altered_are_refused(self) -> None:
-        raw = messages.pack_word(Word(7, watchers.Tells.ILL, 1 << 60))
+        raw = messages.pack_word(HealthReport(7, health_checks.HealthVerdict.ILL, 1 << 60))
         self.assertIsNone(messages.unpack_word(raw[:-1]))
         self.assertIsNone(messages.unpack_word(raw[:5] + b"\x09" + raw[6:]))
         self.assertIsNone(messages.unpack_word(b""))
@@ -342,10 +358,10 @@
     def test_with_all_watchers_dead_the_next_begin_within_a_look(self) -> None:
         everyone = set(range(7))
         now = 10_000_000
-        dead = set(chosen("box", everyone))
+        dead = set(chosen_checkers("box", everyone))
         living = everyone - dead
-        begun = [front for front in living if Watchers(front, 7).due(["box"], living, 0.0, now)]
-        self.assertEqual(sorted(begun), sorted(chosen("box", living)))
+        begun = [front for front in living if HealthCheckAssignment(front, 7).due(["box"], living, 0.0, now)]
+        self.assertEqual(sorted(begun), sorted(chosen_checkers("box", living)))
 
 
 if __name__ == "__main__":
--- a/tests/test_company.py
+++ b/tests/test_company.py
@@ -11,11 +11,11 @@
 
 from benchmarks.worlds import Hasty, Trusting
 from fennelcove import messages
-from fennelcove.decisions.fleet import company
-from fennelcove.decisions.fleet.company import Beat, Company, Standing, Terms
+from fennelcove.decisions.fleet import membership
+from fennelcove.decisions.fleet.membership import Heartbeat, Membership, PeerState, MembershipSettings
 
-BEAT = company.BEAT_US
-LONG = 2 * company.LEASE_US
+BEAT = membership.HEARTBEAT_INTERVAL_US
+LONG = 2 * membership.LEASE_US
 
 
 @dataclass
@@ -25,17 +25,19 @@
     size: int
     now_us: int = 1_000_000
     lives: int = 0
-    members: dict[int, Company] = field(default_factory=dict)  # those that run, by index
-    extra: list[Company] = field(default_factory=list)  # further processes under an index
-    late: list[tuple[int, int, Beat]] = field(default_factory=list)
+    members: dict[int, Membership] = field(default_factory=dict)  # those that run, by index
+    extra: list[Membership] = field(default_factory=list)  # further processes under an index
+    late: list[tuple[int, int, Heartbeat]] = field(default_factory=list)
 
     def begin(self, *indices: int) -> None:
         for index in indices or range(self.size):
             self.members[index] = self.new(index)
 
-    def new(self, index: int, life: int | None = None) -> Company:
+    def new(self, index: int, life: int | None = None) -> Membership:
         self.lives += 1
-        return Company(Terms(self.size, index), life if life is not None else self.lives, self.now_us)
+        return Membership(
+            MembershipSettings(self.size, index), life if life is not None else self.lives, self.now_us
+        )
 
     def step(self, cut: object = frozenset(), lost: object = frozenset(), us: int = BEAT) -> None:
         """One beat of all; `cut` and `lost` hold pairs of indices whose messages do not pass."""
@@ -145,7 +147,7 @@
             world.step()
             self.assertLessEqual(world.whole(), 1 + (0.5 / 5 if tick * BEAT <= LONG else 0) + 1e-9)
         seen = world.members[0].peers[3].standing
-        self.assertIs(seen, Standing.TWIN)
+        self.assertIs(seen, PeerState.TWIN)
 
     def test_a_clock_that_went_back_does_not_make_a_new_life_an_old_one(self) -> None:
         world = World(3)
@@ -164,30 +166,30 @@
         late = world.members[2].beat(world.now_us)[0]
         world.members[2].leaving = True
         world.step()
-        self.assertIs(world.members[0].peers[2].standing, Standing.LEFT)
+        self.assertIs(world.members[0].peers[2].standing, PeerState.LEFT)
         world.members[0].hear(2, late, world.now_us)
-        self.assertIs(world.members[0].peers[2].standing, Standing.LEFT)
+        self.assertIs(world.members[0].peers[2].standing, PeerState.LEFT)
 
     def test_one_that_comes_and_goes_has_to_be_steady_for_longer_each_time(self) -> None:
         waits = []
         world = World(3)
         world.begin()
         world.run(LONG)
-        for _ in range(company.FLAPS + 3):
+        for _ in range(membership.FLAPS + 3):
             flapping = apart({2}, {0, 1})
-            while world.members[0].peers[2].standing is not Standing.SILENT:
+            while world.members[0].peers[2].standing is not PeerState.SILENT:
                 world.step(flapping)
             since_us = world.now_us
-            while world.members[0].peers[2].standing is not Standing.ALIVE:
+            while world.members[0].peers[2].standing is not PeerState.ALIVE:
                 world.step()
             waits.append(world.now_us - since_us)
         self.assertGreater(waits[-1], waits[0])
 
     def test_a_beat_survives_its_bytes_and_altered_ones_are_refused_or_other_beats(self) -> None:
-        beat = Beat(1 << 40, 7, 1 << 41, 9, True, (3, 200))
+        beat = Heartbeat(1 << 40, 7, 1 << 41, 9, True, (3, 200))
         raw = messages.pack_beat(beat)
         self.assertEqual(messages.unpack_beat(raw), beat)
-        self.assertIsNone(messages.unpack(0, raw))
+        self.assertIsNone(messages.decode(0, raw))
         for cut in range(len(raw)):
             self.assertNotEqual(messages.unpack_beat(raw[:cut]), beat)
 
@@ -203,15 +205,15 @@
         self.assertLessEqual(walk(seed, size, 160, turns=True), 1)
 
 
-def walk(seed: int, size: int, steps: int, kind: type[Company] = Company, turns: bool = False) -> float:
+def walk(seed: int, size: int, steps: int, kind: type[Membership] = Membership, turns: bool = False) -> float:
     """The largest sum of shares in one random world, or how many fronts take one turn at most."""
     chance, world, most = Random(seed), World(size), 0.0
     world.new = lambda index, life=None: kind(  # type: ignore[method-assign]
-        Terms(size, index), world.now_us, world.now_us
+        MembershipSettings(size, index), world.now_us, world.now_us
     )
     world.begin()
-    paused: dict[int, Company] = {}
-    air: list[tuple[int, int, int, Beat]] = []
+    paused: dict[int, Membership] = {}
+    air: list[tuple[int, int, int, Heartbeat]] = []
     cut: set[tuple[int, int]] = set()
     for _ in range(steps):
         world.now_us += BEAT
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,13 +8,20 @@
 from fennelcove import log
 from fennelcove.clock import ManualClock
 from fennelcove.core.core import Core
-from fennelcove.core.names import Names
+from fennelcove.core.session_ids import SessionIds
 from fennelcove.clock.timers import Timers
-from fennelcove.core.verdicts import Answer, Answered, Ask, SendJoin, Session, Step
-from fennelcove.decisions.boxes.hearing import BoxSays, ViewerSays
-from fennelcove.decisions.boxes.listing import ListNews
-from fennelcove.decisions.viewers.sessions import Stage
-from fennelcove.interface import ListEntry, Outcome, Standing
+from fennelcove.core.requests import (
+    ResponseKind,
+    SessionResponse,
+    SessionRequest,
+    SendAttempt,
+    Session,
+    NextStep,
+)
+from fennelcove.decisions.servers.load_signals import ServerHints, ClientHints
+from fennelcove.decisions.servers.endpoint_list import EndpointListUpdate
+from fennelcove.decisions.clients.session_lifecycle import SessionState
+from fennelcove.interface import ListEntry, Outcome, ServerState
 from fennelcove.settings.reader import parse
 from fennelcove.settings.schema import FrontSettings
 from fennelcove.wire.boxes import Held
@@ -38,26 +45,26 @@
         self.clock = ManualClock(10_000 * MS)
         self.timers = Timers(self.clock)
         settings = parse(SETTINGS, FrontSettings, "test")
-        self.core = Core(settings, self.clock, self.timers, log.silent, Names(b"k" * 32))
+        self.core = Core(settings, self.clock, self.timers, log.silent, SessionIds(b"k" * 32))
         self.ports = Ports()
         self.core.book.port = self.core.lists.source = self.core.moves.port = self.ports
-        entries = tuple(ListEntry(f"b{i}:1", "zone", "k", i, Standing.ACTIVE, 1.0, 0) for i in range(3))
-        self.core.lists.news(ListNews(1, None, entries))
+        entries = tuple(ListEntry(f"b{i}:1", "zone", "k", i, ServerState.ACTIVE, 1.0, 0) for i in range(3))
+        self.core.lists.news(EndpointListUpdate(1, None, entries))
         for i in range(3):
             self.core.book.hello(f"b{i}:1", i + 1, f"boot{i}", [])
 
-    def ask(self, room: str = "free", **changes: Any) -> tuple[Session, SendJoin]:
-        session, step = self.core.ask(Ask("t1", room, **changes))
-        assert session is not None and isinstance(step, SendJoin)
+    def ask(self, room: str = "free", **changes: Any) -> tuple[Session, SendAttempt]:
+        session, step = self.core.ask(SessionRequest("t1", room, **changes))
+        assert session is not None and isinstance(step, SendAttempt)
         return session, step
 
-    def over(self, step: SendJoin, outcome: Outcome, says: BoxSays | None = None) -> Step | None:
-        return self.core.join_over(step.session, step.join, outcome, says, 5 * MS)
+    def over(self, step: SendAttempt, outcome: Outcome, says: ServerHints | None = None) -> NextStep | None:
+        return self.core.on_attempt_completed(step.session, step.attempt, outcome, says, 5 * MS)
 
     def play(self, room: str = "free", **changes: Any) -> Session:
         session, step = self.ask(room, **changes)
         answered = self.over(step, Outcome.SERVED)
-        assert isinstance(answered, Answered) and answered.answer is Answer.PLAYING
+        assert isinstance(answered, SessionResponse) and answered.answer is ResponseKind.PLAYING
         return session
 
     def orders(self) -> list[tuple[str, int | None]]:
@@ -72,89 +79,89 @@
         self.assertEqual(session.give_up_us, self.clock.now_us() + 900 * MS)
         self.clock.advance(900 * MS)
         answered = self.over(step, Outcome.SERVED)
-        assert isinstance(answered, Answered)
-        self.assertIs(answered.answer, Answer.THROTTLED)
+        assert isinstance(answered, SessionResponse)
+        self.assertIs(answered.answer, ResponseKind.THROTTLED)
         self.assertEqual(self.orders(), [(session.id, None)])
-        self.assertFalse(self.core.front.subs)
+        self.assertFalse(self.core.front.sessions)
 
     def test_served_one_microsecond_before_it_plays(self) -> None:
         _, step = self.ask(client_timeout_us=1000 * MS)
         self.clock.advance(900 * MS - 1)
         answered = self.over(step, Outcome.SERVED)
-        assert isinstance(answered, Answered)
-        self.assertIs(answered.answer, Answer.PLAYING)
+        assert isinstance(answered, SessionResponse)
+        self.assertIs(answered.answer, ResponseKind.PLAYING)
 
     def test_a_second_end_of_one_join_says_nothing(self) -> None:
         session, step = self.ask()
         self.over(step, Outcome.SERVED)
         self.assertIsNone(self.over(step, Outcome.SERVED))
         self.assertIsNone(self.over(step, Outcome.CONNECTION_LOST))
-        self.assertIs(session.stage, Stage.PLAYING)
+        self.assertIs(session.stage, SessionState.PLAYING)
 
     def test_single_shot_is_never_sent_again_once_it_may_have_run(self) -> None:
         _, step = self.ask("once")
         answered = self.over(step, Outcome.NO_ANSWER)
-        assert isinstance(answered, Answered)
-        self.assertIs(answered.answer, Answer.TERMINATED)
+        assert isinstance(answered, SessionResponse)
+        self.assertIs(answered.answer, ResponseKind.TERMINATED)
         _, step = self.ask("once")
-        self.assertIsInstance(self.over(step, Outcome.NO_CONNECTION), SendJoin)
+        self.assertIsInstance(self.over(step, Outcome.NO_CONNECTION), SendAttempt)
 
     def test_an_abandoned_join_that_is_served_is_released(self) -> None:
         session, step = self.ask()
         self.core.viewer_gone(session)
         self.assertIsNone(self.over(step, Outcome.SERVED))
         self.assertEqual(self.orders(), [(session.id, None)])
-        self.assertEqual((self.core.sessions, self.core.front.subs), ({}, {}))
+        self.assertEqual((self.core.sessions, self.core.front.sessions), ({}, {}))
 
     def test_what_began_while_a_greeting_was_under_way_is_not_lost_by_it(self) -> None:
         # A greeting made before the set-up ended does not name it; losing it would end a lesson that plays.
         first = self.play()
-        box = self.core.book.boxes[first.box]
+        box = self.core.book.servers[first.server]
         opened, generation = box.opened_us, box.generation
         self.clock.advance(1)
         session, step = self.ask()
-        while step.box != first.box:
+        while step.server != first.server:
             self.over(step, Outcome.SERVED)
             session, step = self.ask()
         self.over(step, Outcome.SERVED)
         self.assertGreater(session.playing_since_us, opened)
-        self.core.book.hello(first.box, generation, "boot", [Held(first.id, 0, "t1", "free", 2)])
+        self.core.book.hello(first.server, generation, "boot", [Held(first.id, 0, "t1", "free", 2)])
         self.assertIn(session.id, self.core.sessions)
         self.assertIn(first.id, self.core.sessions)
 
     def test_a_box_that_names_what_ended_here_is_told_to_let_go_and_not_believed(self) -> None:
         session = self.play()
         keeps = self.play()
-        while keeps.box != session.box:
+        while keeps.server != session.server:
             keeps = self.play()
         self.core.release(session.id, "done")
         self.orders()
-        generation = self.core.book.boxes[keeps.box].generation
+        generation = self.core.book.servers[keeps.server].generation
         held = [Held(item.id, 0, "t1", "free", 2) for item in (session, keeps)]
-        self.core.book.hello(keeps.box, generation, "boot", held)
+        self.core.book.hello(keeps.server, generation, "boot", held)
         self.assertEqual(self.orders(), [(session.id, None)])
         self.assertNotIn(session.id, self.core.sessions)
 
     def test_reports_of_a_feed_that_was_closed_count_for_nothing(self) -> None:
         session = self.play()
-        generation = self.core.book.boxes[session.box].generation
-        self.core.book.report(session.box, generation - 1, BoxSays(link=1.5), None)
-        self.assertIsNone(self.core.front.servers[session.box].link.asked)
-        self.core.book.report(session.box, generation, BoxSays(link=0.4), None)
-        self.assertEqual(self.core.front.servers[session.box].link.asked, 0.4)
+        generation = self.core.book.servers[session.server].generation
+        self.core.book.report(session.server, generation - 1, ServerHints(link=1.5), None)
+        self.assertIsNone(self.core.front.servers[session.server].link.asked)
+        self.core.book.report(session.server, generation, ServerHints(link=0.4), None)
+        self.assertEqual(self.core.front.servers[session.server].link.asked, 0.4)
 
     def test_a_boxs_ceiling_lowers_the_rung_at_once(self) -> None:
         session, step = self.ask()
-        self.over(step, Outcome.SERVED, BoxSays(most_kbit=1700.0))
+        self.over(step, Outcome.SERVED, ServerHints(most_kbit=1700.0))
         self.assertEqual((session.top, session.rung), (1, 1))
         self.assertEqual(self.orders(), [(session.id, 1)])
 
     def test_a_viewers_own_short_link_lowers_it_and_blames_no_box(self) -> None:
         session = self.play()
-        view = self.core.hear_viewer(session.id, ViewerSays(measured_kbit=1000.0, starved=True))
+        view = self.core.hear_viewer(session.id, ClientHints(measured_kbit=1000.0, starved=True))
         assert view is not None
         self.assertEqual(view.rung, 0)
-        self.assertEqual(self.core.front.servers[session.box].link.full_until_us, 0)
+        self.assertEqual(self.core.front.servers[session.server].link.full_until_us, 0)
 
     def test_a_silent_viewer_is_let_go(self) -> None:
         session = self.play()
@@ -165,7 +172,7 @@
         self.core.sweep()
         self.assertEqual(self.core.why_ended(session.id), "its viewer fell silent")
         self.assertEqual(self.orders(), [(session.id, None)])
-        self.assertEqual((self.core.gate.held, self.core.front.subs), (0, {}))
+        self.assertEqual((self.core.gate.held, self.core.front.sessions), (0, {}))
 
     def test_a_decision_that_fails_keeps_no_place_and_no_memory(self) -> None:
         # Each such request used to keep its place: after 4,000 of them a front refused everybody.
@@ -174,7 +181,7 @@
 
         self.core.front.handle = fails  # type: ignore[method-assign,assignment]
         with self.assertRaises(ZeroDivisionError):
-            self.core.ask(Ask("t1", "free"))
+            self.core.ask(SessionRequest("t1", "free"))
         gate = self.core.gate
         self.assertEqual((gate.waiting, gate.held, self.core.sessions), (0, 0, {}))
 
@@ -183,7 +190,7 @@
         self.core.discard(session)
         self.assertEqual(self.orders(), [(session.id, None)])
         self.assertEqual((self.core.gate.held, self.core.sessions), (0, {}))
-        self.assertEqual(self.core.book.boxes[session.box].playing, {})
+        self.assertEqual(self.core.book.servers[session.server].playing, {})
 
     def test_a_box_on_which_nothing_plays_for_a_while_is_let_go(self) -> None:
         session = self.play()
@@ -191,17 +198,17 @@
         self.clock.advance(20_000 * MS)
         for call in self.timers.ready():
             call()
-        self.assertEqual(self.core.book.boxes, {})
+        self.assertEqual(self.core.book.servers, {})
 
     def test_a_gap_in_the_changes_asks_for_a_whole_list(self) -> None:
-        self.core.lists.news(ListNews(9, 8, ()))
+        self.core.lists.news(EndpointListUpdate(9, 8, ()))
         self.assertIn(("fetch",), self.ports.calls)
 
     def test_an_id_of_another_life_is_not_mine(self) -> None:
-        names = Names(b"a" * 32)
+        names = SessionIds(b"a" * 32)
         mine = names.next()
         self.assertTrue(names.is_mine(mine))
-        self.assertFalse(Names(b"b" * 32).is_mine(mine))
+        self.assertFalse(SessionIds(b"b" * 32).is_mine(mine))
         for other in ("", "zz", "1-" + "0" * 24, f"2{mine[1:]}"):
             self.assertFalse(names.is_mine(other))
 
