--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,11 +9,13 @@
 from random import Random
 from typing import Any, ClassVar
 
-from fennelcove.interface import (CellLoad, ClientGone, Effect, Handover, JoinEnded, ListMode, ListUpdate,
-                                  LoadReport, NoteKind, Outcome, PeerSays, Probed, Request, Scope, Standing,
-                                  Started, TimerFired, TimerName)
-from fennelcove.messages import pack, unpack
-from fennelcove.rules import Cue, Front, Health, Life, Pipe, utilization
+from fennelcove.interface import (CellLoad, ClientGone, Effect, Handover, AttemptCompleted, ListMode,
+                                  ListUpdate,
+                                  LoadReport, ReportKind, Outcome, PeerMessage, ProbeCompleted, Request,
+                                  Scope, ServerState,
+                                  SessionStarted, TimerFired, TimerName)
+from fennelcove.messages import encode, decode
+from fennelcove.placement import Health, LinkLoad, PlacementPolicy, SessionEvent, SessionState, utilization
 from tests.helpers import SECOND, Recorder, ask, end, entry, front, note, play
 
 
@@ -39,11 +41,11 @@
         for server in made.servers.values():
             server.link.asked = None
         ask(made)
-        self.assertEqual(effects.calls[-1][0], "join")
+        self.assertEqual(effects.calls[-1][0], "start_attempt")
 
     def test_network_takes_the_uplink(self) -> None:
         made, _ = front()
-        made.racks[0].uplink.hear(0.5, made.now_us)
+        made.racks[0].uplink.observe(0.5, made.now_us)
         made.weigh([made.servers["s0"]])
         self.assertAlmostEqual(made.factors(made.servers["s0"], 250.0)[1], 0.3 ** -0.5)
 
@@ -54,10 +56,10 @@
         made, effects = front(3)
         made.free = lambda id, address: address == "s2"
         ask(made)
-        self.assertEqual([call[2] for call in effects.named("join")], ["s2"])
+        self.assertEqual([call[2] for call in effects.named("start_attempt")], ["s2"])
         made.free = lambda id, address: False
         ask(made, "b")
-        self.assertEqual(effects.calls[-1][:2], ("throttle", "b"))
+        self.assertEqual(effects.calls[-1][:2], ("reject", "b"))
 
 
 class DrawTest(unittest.TestCase):
@@ -78,7 +80,7 @@
     def test_highest_rung_that_leaves_a_holder_feasible(self) -> None:
         made, effects = front()
         for server in made.servers.values():
-            server.link.hear(0.6, made.now_us)
+            server.link.observe(0.6, made.now_us)
         ask(made)
         self.assertEqual(effects.named("set_rung"), [("set_rung", "a", 1)])
 
@@ -92,19 +94,19 @@
         ask(made)
         self.assertEqual(effects.named("set_rung"), [("set_rung", "a", 2)])
         ask(made, "gone", first_cell=3, cell_count=1)
-        self.assertEqual(effects.calls[-1][0], "throttle")
+        self.assertEqual(effects.calls[-1][0], "reject")
 
     def test_throttled_at_once_without_room(self) -> None:
         made, effects = front()
         for server in made.servers.values():
-            server.link.hear(1.0, made.now_us)
+            server.link.observe(1.0, made.now_us)
         ask(made)
-        self.assertEqual(effects.calls, [("throttle", "a", 2 * SECOND)])
+        self.assertEqual(effects.calls, [("reject", "a", 2 * SECOND)])
 
     def test_newcomer_leaves_out_steps_when_others_wait_for_better_ones(self) -> None:
         made, effects = front(1, ladder_worth=(0.5, 0.9, 1.0))
         play(made)
-        made.subs["a"].rung = 0
+        made.sessions["a"].rung = 0
         ask(made, "b")
         self.assertEqual(effects.named("set_rung")[-1], ("set_rung", "b", 1))
 
@@ -112,10 +114,10 @@
         for price, zone in ((0.2, "there"), (0.9, "here")):
             made, effects = front(2, cross_zone_price=price)
             made.servers["s1"].zone = "there"
-            made.servers["s0"].link.hear(0.7, made.now_us)
+            made.servers["s0"].link.observe(0.7, made.now_us)
             made.offered = 1.0
             ask(made)
-            self.assertEqual(made.servers[effects.named("join")[0][2]].zone, zone)
+            self.assertEqual(made.servers[effects.named("start_attempt")[0][2]].zone, zone)
 
 
 class CrowdTest(unittest.TestCase):
@@ -126,7 +128,7 @@
         ask(made)
         for join in range(2):
             end(made, Outcome.SERVER_ERROR, join=join, after=SECOND // 100)
-        self.assertEqual(len(made.subs["a"].joins), 3)
+        self.assertEqual(len(made.sessions["a"].attempts), 3)
         self.assertAlmostEqual(sent_kb(), 0.0)
         ask(made, "b")
         self.assertAlmostEqual(sent_kb(), 0.0)
@@ -136,23 +138,23 @@
 
 class ResidueTest(unittest.TestCase):
     def test_own_joins_count_until_a_report_shows_them(self) -> None:
-        pipe = Pipe(1000.0)
-        pipe.hear(0.2, 10)
-        pipe.note_sent(300.0, 20)
+        pipe = LinkLoad(1000.0)
+        pipe.observe(0.2, 10)
+        pipe.record_sent(300.0, 20)
         self.assertAlmostEqual(pipe.asked_now(), 0.5)
-        pipe.hear(0.5, 20)
+        pipe.observe(0.5, 20)
         self.assertAlmostEqual(pipe.asked_now(), 0.5)
 
     def test_an_older_report_does_not_undo_a_newer_one(self) -> None:
-        pipe = Pipe(1000.0)
-        pipe.hear(0.7, 20)
-        pipe.hear(0.1, 10)
+        pipe = LinkLoad(1000.0)
+        pipe.observe(0.7, 20)
+        pipe.observe(0.1, 10)
         self.assertEqual(pipe.asked_now(), 0.7)
 
     def test_note_at_a_set_up_does_not_show_the_newcomer(self) -> None:
         made, _ = front(1)
         play(made)
-        note(made, NoteKind.LINK, 0.3, after=0)
+        note(made, ReportKind.LINK, 0.3, after=0)
         self.assertAlmostEqual(made.servers["s0"].link.asked_now(), 0.3 + 400 / 3000)
 
     def test_unheard_counts_as_average_and_above_it_where_no_server_turns_away(self) -> None:
@@ -165,33 +167,33 @@
 
     def test_a_backlog_found_late_goes_by_its_news_and_its_time_left(self) -> None:
         made, effects = front(2)  # a front that stood still finds both in one turn
-        news = (entry("s0", 0, standing=Standing.LEAVING),)
+        news = (entry("s0", 0, standing=ServerState.LEAVING),)
         made.handle(ListUpdate(ListMode.INCREMENTAL, news), made.now_us)
         ask(made, timeout_us=SECOND // 10)
-        (_, _, server, allow_us), = effects.named("join")
+        (_, _, server, allow_us), = effects.named("start_attempt")
         self.assertEqual((server, allow_us), ("s1", SECOND // 10))
 
     def test_what_has_left_for_good_is_not_kept(self) -> None:
         made, _ = front(3)
         play(made, first_cell=1, cell_count=1)
-        left = tuple(entry(f"s{i}", i, standing=Standing.LEFT) for i in (0, 1))
+        left = tuple(entry(f"s{i}", i, standing=ServerState.LEFT) for i in (0, 1))
         made.handle(ListUpdate(ListMode.INCREMENTAL, left), made.now_us)
         self.assertEqual(list(made.servers), ["s1", "s2"])  # what plays there still ends there
-        self.assertEqual(made.holders[0], [])
+        self.assertEqual(made.replicas[0], [])
 
     def test_handed_over_subscription_holds_room_at_its_rung(self) -> None:
         made, _ = front()
         made.handle(Handover(Request("old", "room", 5, 0, 3, 2, 0), "s0"), made.now_us)
-        note(made, NoteKind.RUNG, 2.0, "old")
+        note(made, ReportKind.RUNG, 2.0, "old")
         self.assertAlmostEqual(made.link_left(made.servers["s0"]), 0.9 - 0.4)
 
     def test_short_note_marks_the_link_full_until_all_is_well(self) -> None:
         made, _ = front()
         play(made)
-        server = made.subs["a"].server
-        note(made, NoteKind.DELIVERED, 0.9)
+        server = made.sessions["a"].server
+        note(made, ReportKind.DELIVERED, 0.9)
         self.assertEqual(made.link_left(server), 0.0)
-        note(made, NoteKind.DELIVERED, 0.99)
+        note(made, ReportKind.DELIVERED, 0.99)
         self.assertGreater(made.link_left(server), 0.0)
 
 
@@ -199,35 +201,35 @@
     def test_short_delivery_counts_as_a_report_while_reports_stay_out(self) -> None:
         made, _ = front(1)
         play(made)
-        made.servers["s0"].link.hear(0.95, made.now_us)
-        note(made, NoteKind.DELIVERED, 0.8)
-        self.assertEqual(made.subs["a"].rung, 2)  # the report is young: it decides
-        note(made, NoteKind.DELIVERED, 0.8, after=6 * SECOND)
-        self.assertLess(made.subs["a"].rung, 2)
+        made.servers["s0"].link.observe(0.95, made.now_us)
+        note(made, ReportKind.DELIVERED, 0.8)
+        self.assertEqual(made.sessions["a"].rung, 2)  # the report is young: it decides
+        note(made, ReportKind.DELIVERED, 0.8, after=6 * SECOND)
+        self.assertLess(made.sessions["a"].rung, 2)
 
     def test_short_delivery_on_a_link_with_room_is_the_uplink_s(self) -> None:
         # Where no report tells of uplinks, racks stayed short for good behind links with room.
         for told, rung in ((False, 1), (True, 2)):
             made, _ = front(1, uplinks_told=told)
             play(made)
-            made.servers["s0"].link.hear(0.5, made.now_us)
-            note(made, NoteKind.DELIVERED, 0.6)
-            self.assertEqual(made.subs["a"].rung, rung)
+            made.servers["s0"].link.observe(0.5, made.now_us)
+            note(made, ReportKind.DELIVERED, 0.6)
+            self.assertEqual(made.sessions["a"].rung, rung)
             self.assertEqual(made.servers["s0"].rack.uplink.asked is not None, not told)
 
     def test_one_server_s_own_trouble_is_not_its_rack_s(self) -> None:
         # Bursts of a neighbour on a few machines held down all that played in their racks.
         made, _ = front(6, uplinks_told=False)
         play(made)
-        server = made.subs["a"].server
+        server = made.sessions["a"].server
         self.assertEqual(len(server.rack.servers), 3)
-        server.link.hear(0.5, made.now_us)
-        note(made, NoteKind.DELIVERED, 0.6)
+        server.link.observe(0.5, made.now_us)
+        note(made, ReportKind.DELIVERED, 0.6)
         self.assertIsNone(server.rack.uplink.asked)
         another = next(s for s in server.rack.servers if s is not server)
         another.link.full_until_us = made.now_us + 10 * SECOND
-        another.link.hear(0.5, made.now_us)
-        note(made, NoteKind.DELIVERED, 0.6)
+        another.link.observe(0.5, made.now_us)
+        note(made, ReportKind.DELIVERED, 0.6)
         self.assertIsNotNone(server.rack.uplink.asked)
 
     def test_a_short_uplink_that_nothing_tells_of_fades(self) -> None:
@@ -235,8 +237,8 @@
         made, _ = front(1, uplinks_told=False)
         play(made)
         server = made.servers["s0"]
-        server.link.hear(0.5, made.now_us)
-        note(made, NoteKind.DELIVERED, 0.6)
+        server.link.observe(0.5, made.now_us)
+        note(made, ReportKind.DELIVERED, 0.6)
         own = server.own_kb / server.rack.uplink.size_kb
         self.assertGreater(made.uplink_asked(server.rack), 0.8)
         made.now_us += 1000 * SECOND
@@ -252,52 +254,53 @@
     def test_full_link_lowers_what_plays(self) -> None:
         made, effects = front(1)
         play(made)
-        note(made, NoteKind.LINK, 1.3)
+        note(made, ReportKind.LINK, 1.3)
         self.assertIn(("set_rung", "a", 1), effects.calls)
 
     def test_a_shared_note_is_not_answered_twice(self) -> None:
         made, effects = front(1)
         play(made)
-        made.subs["a"].noted = True
-        note(made, NoteKind.LINK, 1.3)
+        made.sessions["a"].noted = True
+        note(made, ReportKind.LINK, 1.3)
         lowered = len(effects.named("set_rung"))
-        note(made, NoteKind.LINK, 1.3, after=SECOND // 2)
+        note(made, ReportKind.LINK, 1.3, after=SECOND // 2)
         self.assertEqual(len(effects.named("set_rung")), lowered)
 
     def test_room_past_the_band_raises_what_plays(self) -> None:
         made, effects = front(1)
         play(made)
-        made.subs["a"].rung = 0
-        note(made, NoteKind.LINK, 0.75)
-        self.assertEqual(made.subs["a"].rung, 0)
-        note(made, NoteKind.LINK, 0.1)
-        self.assertEqual(made.subs["a"].rung, 2)  # in one change: each has its price
+        made.sessions["a"].rung = 0
+        note(made, ReportKind.LINK, 0.75)
+        self.assertEqual(made.sessions["a"].rung, 0)
+        note(made, ReportKind.LINK, 0.1)
+        self.assertEqual(made.sessions["a"].rung, 2)  # in one change: each has its price
 
     def test_a_step_larger_than_the_part_is_taken_by_chance(self) -> None:
         lowered = 0
         for seed in range(200):
             made, _ = front(1)
-            made.chance = Random(seed).random
+            made.rng = Random(seed).random
             play(made)
-            made.lower([made.subs["a"].server], 0.125)  # 50 of a step of 200
-            lowered += made.subs["a"].rung < 2
+            made.lower([made.sessions["a"].server], 0.125)  # 50 of a step of 200
+            lowered += made.sessions["a"].rung < 2
         self.assertAlmostEqual(lowered / 200, 0.25, delta=0.08)
 
     def test_what_earns_more_than_all_else_held_is_lowered_last(self) -> None:
         made, _ = front(2, ladder_worth=(0.1, 0.8, 1.0))
         play(made, "cheap", first_cell=0, cell_count=1)
         play(made, "dear", first_cell=1, cell_count=1)
-        made.subs["dear"].rung = 1
+        made.sessions["dear"].rung = 1
         made.lower([made.servers["s1"]], 0.2)
-        self.assertEqual(made.subs["dear"].rung, 1)
+        self.assertEqual(made.sessions["dear"].rung, 1)
         made.lower([made.servers["s0"]], 1 / 3)
-        self.assertEqual(made.subs["cheap"].rung, 1)
+        self.assertEqual(made.sessions["cheap"].rung, 1)
 
     def test_report_of_a_failed_join_is_heard(self) -> None:
         made, _ = front(1)
         made.servers["s0"].link.as_of_us = 0
         ask(made)
-        made.handle(JoinEnded("a", 0, Outcome.TURNED_AWAY, False, LoadReport(1.2, 0.8)), made.now_us + 1000)
+        made.handle(AttemptCompleted("a", 0, Outcome.TURNED_AWAY, False, LoadReport(1.2, 0.8)),
+                    made.now_us + 1000)
         server = made.servers["s0"]
         self.assertEqual((server.link.asked, server.rack.uplink.asked), (1.2, 0.8))
 
@@ -305,20 +308,20 @@
         made, effects = front(2)
         ask(made)
         end(made, Outcome.SERVER_ERROR)
-        self.assertEqual({call[2] for call in effects.named("join")}, {"s0", "s1"})
+        self.assertEqual({call[2] for call in effects.named("start_attempt")}, {"s0", "s1"})
         end(made, Outcome.SERVER_ERROR, join=1)
-        self.assertEqual(len(effects.named("throttle")), 1)
+        self.assertEqual(len(effects.named("reject")), 1)
 
     def test_join_leaves_room_for_another_and_ends_by_the_client_timeout(self) -> None:
         made, effects = front()
         ask(made)
-        self.assertEqual(effects.named("join")[0][3], SECOND // 2)
+        self.assertEqual(effects.named("start_attempt")[0][3], SECOND // 2)
         ask(made, "b", timeout_us=SECOND // 10)
-        self.assertEqual(effects.named("join")[1][3], SECOND // 10)
+        self.assertEqual(effects.named("start_attempt")[1][3], SECOND // 10)
 
     def test_single_shot_that_may_have_run_is_neither_repeated_nor_throttled(self) -> None:
-        for outcome, call in ((Outcome.NO_ANSWER, "terminate"), (Outcome.NO_CONNECTION, "join")):
-            made, effects = front(room={"effect": Effect.SINGLE_SHOT})
+        for outcome, call in ((Outcome.NO_ANSWER, "fail"), (Outcome.NO_CONNECTION, "start_attempt")):
+            made, effects = front(service_class={"effect": Effect.SINGLE_SHOT})
             ask(made)
             effects.calls.clear()
             end(made, outcome)
@@ -326,24 +329,24 @@
 
     def test_guarded_stays_in_its_group_and_time(self) -> None:
         room = {"effect": Effect.GUARDED, "scope": Scope.CELL}
-        made, effects = front(room=room)
+        made, effects = front(service_class=room)
         ask(made)
         end(made, Outcome.NO_ANSWER)
-        self.assertEqual(effects.calls[-1], ("terminate", "a"))
-        made, effects = front(room={**room, "scope": Scope.ALL})
+        self.assertEqual(effects.calls[-1], ("fail", "a"))
+        made, effects = front(service_class={**room, "scope": Scope.ALL})
         ask(made)
         end(made, Outcome.NO_ANSWER, after=6 * SECOND)
-        self.assertEqual(effects.calls[-1][0], "throttle")
+        self.assertEqual(effects.calls[-1][0], "reject")
 
     def test_nothing_new_to_a_draining_or_vanished_server(self) -> None:
         made, effects = front(2)
-        leaving = entry("s0", 0, standing=Standing.LEAVING)
+        leaving = entry("s0", 0, standing=ServerState.LEAVING)
         made.handle(ListUpdate(ListMode.INCREMENTAL, (leaving,)), made.now_us)
         ask(made)
-        self.assertEqual(effects.named("join")[0][2], "s1")
+        self.assertEqual(effects.named("start_attempt")[0][2], "s1")
         made.handle(ListUpdate(ListMode.FULL, ()), made.now_us)
         ask(made, "b")
-        self.assertEqual(effects.calls[-1][0], "throttle")
+        self.assertEqual(effects.calls[-1][0], "reject")
 
     def test_cold_server_gets_one_fronts_share_of_the_pace(self) -> None:
         made, effects = front(1)
@@ -351,8 +354,8 @@
         start_us, sent = made.now_us, 0
         for tick in range(100):
             ask(made, str(tick), start_us + tick * SECOND // 10, top_rung=0)
-            sent = len(effects.named("join"))
-            if str(tick) in made.subs:
+            sent = len(effects.named("start_attempt"))
+            if str(tick) in made.sessions:
                 end(made, Outcome.CALLED_OFF, str(tick), after=0, finished=True)
         self.assertGreater(sent, 3)
         self.assertLessEqual(sent, 20 / 2)
@@ -391,7 +394,7 @@
     def test_a_lost_server_counts_as_cold_before_the_list_says_so(self) -> None:
         made, _ = front()
         play(made)
-        server = made.subs["a"].server
+        server = made.sessions["a"].server
         end(made, Outcome.CONNECTION_LOST, finished=True)
         self.assertTrue(made.is_cold(server))
         self.assertIsNone(server.link.asked)
@@ -404,37 +407,37 @@
         self.assertTrue(made.is_cold(made.servers["s0"]))
 
     def test_floor_and_seats(self) -> None:
-        made, effects = front(room={"floor": 1, "seats": 1})
+        made, effects = front(service_class={"floor": 1, "seats": 1})
         ask(made, "low", top_rung=0)
-        self.assertEqual(effects.calls[-1][0], "throttle")
+        self.assertEqual(effects.calls[-1][0], "reject")
         play(made)
-        note(made, NoteKind.LINK, 5.0)
-        self.assertEqual(made.subs["a"].rung, 1)
+        note(made, ReportKind.LINK, 5.0)
+        self.assertEqual(made.sessions["a"].rung, 1)
         ask(made, "b")
-        self.assertEqual(effects.calls[-1], ("throttle", "b", 2 * SECOND))
+        self.assertEqual(effects.calls[-1], ("reject", "b", 2 * SECOND))
         end(made, Outcome.SERVED, finished=True)
-        made.servers["s0"].link.hear(0.0, made.now_us)
+        made.servers["s0"].link.observe(0.0, made.now_us)
         ask(made, "c")
-        self.assertEqual(effects.calls[-1][0], "join")
+        self.assertEqual(effects.calls[-1][0], "start_attempt")
 
     def test_join_budget(self) -> None:
         made, effects = front(budget_free=1.0, budget_span_us=10 * SECOND)
         for id in ("a", "b"):
             ask(made, id)
             end(made, Outcome.SERVER_ERROR, id)
-        self.assertEqual(len(effects.named("join")), 3)
-        self.assertEqual(effects.calls[-1], ("throttle", "b", 2 * SECOND))
+        self.assertEqual(len(effects.named("start_attempt")), 3)
+        self.assertEqual(effects.calls[-1], ("reject", "b", 2 * SECOND))
 
     def test_send_cap(self) -> None:
         made, effects = front(send_cap=1)
         ask(made)
         end(made, Outcome.SERVER_ERROR)
-        self.assertEqual(effects.calls[-1][0], "throttle")
+        self.assertEqual(effects.calls[-1][0], "reject")
 
     def test_asks_for_the_list_again_after_a_pause(self) -> None:
         made, effects = front(must_ask=True, ask_within_us=8 * SECOND)
         made.handle(ListUpdate(ListMode.FAILED, ()), made.now_us)
-        self.assertEqual(effects.calls, [("timer", TimerName.ASK_LIST, SECOND)])
+        self.assertEqual(effects.calls, [("set_timer", TimerName.ASK_LIST, SECOND)])
         made.handle(TimerFired(TimerName.ASK_LIST), made.now_us + SECOND)
         self.assertEqual(effects.calls[-1], ("watch_list",))
 
@@ -474,22 +477,22 @@
         made, effects = front(2)
         ask(made)
         end(made, Outcome.SERVER_ERROR)
-        made.handle(Started("a", 1, SECOND // 10), made.now_us + SECOND // 10)
-        first, second = (made.servers[call[2]] for call in effects.named("join"))
+        made.handle(SessionStarted("a", 1, SECOND // 10), made.now_us + SECOND // 10)
+        first, second = (made.servers[call[2]] for call in effects.named("start_attempt"))
         self.assertEqual((first.health, second.health), (Health.SHUT, Health.WELL))
 
     def test_all_holders_ill_is_still_tried(self) -> None:
         made, effects = front(1)
         made.judge(made.servers["s0"], Outcome.SERVER_ERROR)
         ask(made)
-        self.assertEqual(effects.calls[-1][0], "join")
+        self.assertEqual(effects.calls[-1][0], "start_attempt")
 
     def test_ended_play_gives_its_room_back(self) -> None:
         made, _ = front(1)
         play(made)
         end(made, Outcome.SERVED, finished=True)
         self.assertAlmostEqual(made.link_left(made.servers["s0"]), 0.9)
-        self.assertEqual(made.subs, {})
+        self.assertEqual(made.sessions, {})
 
     def test_client_gone_while_joining_is_owed_nothing(self) -> None:
         made, effects = front()
@@ -504,18 +507,20 @@
         made, effects = front()
         play(made)
         effects.calls.clear()
-        made.step(made.subs["a"], Cue.CLIENT_GONE)
-        self.assertIs(made.subs["a"].life, Life.PLAYING)
+        made.step(made.sessions["a"], SessionEvent.CLIENT_GONE)
+        self.assertIs(made.sessions["a"].life, SessionState.PLAYING)
         self.assertEqual(effects.calls, [])
 
 
 class NewsTest(unittest.TestCase):
     PROBED: ClassVar[dict[str, Any]] = {"probe_price": 0.01, "reports_unasked": False}
 
-    def probed(self, made: Front, server: str, link: float, outcome: Outcome = Outcome.SERVED) -> None:
-        made.handle(Probed(server, outcome, 1000, LoadReport(link, None)), made.now_us + 2000)
+    def probed(
+        self, made: PlacementPolicy, server: str, link: float, outcome: Outcome = Outcome.SERVED
+    ) -> None:
+        made.handle(ProbeCompleted(server, outcome, 1000, LoadReport(link, None)), made.now_us + 2000)
 
-    def unheard(self, **settings: Any) -> tuple[Front, Recorder]:
+    def unheard(self, **settings: Any) -> tuple[PlacementPolicy, Recorder]:
         made, effects = front(**settings)
         for server in made.servers.values():
             server.link.asked = None
@@ -525,22 +530,22 @@
         made, effects = self.unheard(**self.PROBED)
         ask(made)
         asked = [call[1] for call in effects.named("probe")]
-        self.assertEqual((len(set(asked)), effects.named("join")), (2, []))
+        self.assertEqual((len(set(asked)), effects.named("start_attempt")), (2, []))
         self.probed(made, asked[0], 0.85)
-        self.assertEqual(effects.named("join"), [])
+        self.assertEqual(effects.named("start_attempt"), [])
         self.probed(made, asked[1], 0.0)
-        self.assertEqual(len(effects.named("join")), 1)
+        self.assertEqual(len(effects.named("start_attempt")), 1)
         self.probed(made, asked[1], 0.0)  # told again, nothing more is sent
-        self.assertEqual(len(effects.named("join")), 1)
+        self.assertEqual(len(effects.named("start_attempt")), 1)
 
     def test_a_lost_reply_holds_nobody_past_an_eighth_of_the_shorter_limit(self) -> None:
         # With an eighth of the objective alone, a viewer of 50 ms was answered after its time.
         made, effects = self.unheard(**self.PROBED)
         ask(made, timeout_us=SECOND // 20)
-        (_, name, delay_us), = effects.named("timer")
+        (_, name, delay_us), = effects.named("set_timer")
         self.assertEqual((name, delay_us), (TimerName.HELD, SECOND // 160))
         made.handle(TimerFired(name), made.now_us + delay_us)
-        self.assertEqual(len(effects.named("join")), 1)
+        self.assertEqual(len(effects.named("start_attempt")), 1)
 
     def test_a_viewer_that_leaves_while_it_waits_is_owed_nothing(self) -> None:
         made, effects = self.unheard(**self.PROBED)
@@ -549,19 +554,19 @@
         for _, server in effects.named("probe"):
             self.probed(made, server, 0.0)
         made.handle(TimerFired(TimerName.HELD), made.now_us + SECOND)
-        self.assertEqual((made.subs, effects.named("join")), ({}, []))
+        self.assertEqual((made.sessions, effects.named("start_attempt")), ({}, []))
 
     def test_none_is_probed_while_all_heard_lately_is_full(self) -> None:
         made, effects = front(**self.PROBED)
         for server in made.servers.values():
             server.link.asked, server.link.as_of_us = 1.2, made.now_us - 2 * SECOND
         ask(made)
-        self.assertEqual([call[0] for call in effects.calls], ["throttle"])
+        self.assertEqual([call[0] for call in effects.calls], ["reject"])
 
     def test_what_a_probe_finds_free_is_raised_into_by_the_front_that_asked(self) -> None:
         made, effects = front(fronts=50, **self.PROBED)
         play(made, top_rung=2)
-        sub = made.subs["a"]
+        sub = made.sessions["a"]
         made.carry_out({sub: 0})
         effects.calls.clear()
         self.probed(made, sub.server.address, 0.2)
@@ -575,8 +580,8 @@
         for price, sent in ((0.01, 1), (9.0, 0)):
             made, effects = front(probe_price=price, reports_unasked=False)
             play(made)
-            made.carry_out({made.subs["a"]: 0})
-            server = made.subs["a"].server
+            made.carry_out({made.sessions["a"]: 0})
+            server = made.sessions["a"].server
             server.link.full_until_us = made.now_us + 60 * SECOND
             for full_until_us, probes in ((server.link.full_until_us, 0), (0, sent)):
                 server.link.full_until_us = full_until_us
@@ -586,79 +591,81 @@
 
     def test_a_keeper_adds_joins_that_it_was_told_of_and_names_what_it_does_not_know(self) -> None:
         made, effects = self.unheard(fronts=3, peer_price=0.01)
-        made.servers["s1"].link.hear(0.3, made.now_us)
-        made.handle(PeerSays(2, joins=((1, 200), (9, 200))), made.now_us + 1000)
-        made.handle(PeerSays(2, asks=(1, 2, 9)), made.now_us)
-        (_, to, said), = effects.named("tell")
+        made.servers["s1"].link.observe(0.3, made.now_us)
+        made.handle(PeerMessage(2, attempts=((1, 200), (9, 200))), made.now_us + 1000)
+        made.handle(PeerMessage(2, asks=(1, 2, 9)), made.now_us)
+        (_, to, said), = effects.named("send_peer_message")
         self.assertEqual(to, 2)
         self.assertEqual([(load.cell, load.link) for load in said.loads], [(1, 0.5), (2, None)])
 
     def test_a_request_waits_for_its_keeper_and_then_goes_by_what_it_says(self) -> None:
         made, effects = self.unheard(fronts=9, index=5, peer_price=0.01)
         ask(made)
-        self.assertEqual(effects.named("tell"), [("tell", 0, PeerSays(5, asks=(0, 1, 2)))])
+        asked = ("send_peer_message", 0, PeerMessage(5, asks=(0, 1, 2)))
+        self.assertEqual(effects.named("send_peer_message"), [asked])
         loads = tuple(CellLoad(cell, level, None, 0) for cell, level in enumerate((0.9, 0.0, 0.9)))
-        made.handle(PeerSays(0, loads=loads), made.now_us + 10_000)
-        (_, _, server, _), = effects.named("join")
+        made.handle(PeerMessage(0, loads=loads), made.now_us + 10_000)
+        (_, _, server, _), = effects.named("start_attempt")
         self.assertEqual(server, "s1")
-        self.assertEqual(effects.named("tell")[-1], ("tell", 0, PeerSays(5, joins=((1, 400),))))
+        sent = ("send_peer_message", 0, PeerMessage(5, attempts=((1, 400),)))
+        self.assertEqual(effects.named("send_peer_message")[-1], sent)
 
     def test_a_title_that_lies_everywhere_is_asked_about_at_a_few(self) -> None:
         # 6,000 at once, each asking of every cell and each reply searched for among all, took over 10 s.
         made, effects = self.unheard(servers=60, fronts=90, index=80, cells=60, peer_price=0.01)
         ask(made, cell_count=60)
-        asks = [cell for _, _, said in effects.named("tell") for cell in said.asks]
+        asks = [cell for _, _, said in effects.named("send_peer_message") for cell in said.asks]
         self.assertEqual(len(asks), 8)
         self.assertEqual(sum(len(server.waiters) for server in made.servers.values()), 8)
         made.handle(TimerFired(TimerName.HELD), made.now_us + SECOND)
         self.assertEqual(made.waiting, {})
         self.assertFalse(any(server.waiters for server in made.servers.values()))
         effects.calls.clear()
-        made.handle(PeerSays(3, asks=tuple(range(60))), made.now_us)
-        self.assertEqual([len(said.loads) for _, _, said in effects.named("tell")], [8])
+        made.handle(PeerMessage(3, asks=tuple(range(60))), made.now_us)
+        self.assertEqual([len(said.loads) for _, _, said in effects.named("send_peer_message")], [8])
 
     def test_a_fault_is_told_to_the_keeper_and_fills_the_server_for_others(self) -> None:
         made, effects = front(fronts=9, index=5, peer_price=0.01)
         ask(made)
         end(made, Outcome.NO_ANSWER)
-        told = [said.loads for _, _, said in effects.named("tell") if said.loads]
+        told = [said.loads for _, _, said in effects.named("send_peer_message") if said.loads]
         self.assertEqual([load.link for loads in told for load in loads], [inf])
 
     def test_news_of_an_earlier_life_of_a_server_is_passed_over(self) -> None:
         made, _ = self.unheard(fronts=9, index=5, peer_price=0.01)
         made.servers["s0"].started_us = made.now_us - SECOND
-        made.handle(PeerSays(0, loads=(CellLoad(0, 0.5, None, 2 * SECOND),)), made.now_us)
+        made.handle(PeerMessage(0, loads=(CellLoad(0, 0.5, None, 2 * SECOND),)), made.now_us)
         self.assertIsNone(made.servers["s0"].link.asked)
 
     def test_bytes_there_and_back_and_malformed_ones(self) -> None:
-        said = PeerSays(3, loads=tuple(CellLoad(cell, 0.5, None, 300_000) for cell in range(60)))
-        parts = pack(said)
+        said = PeerMessage(3, loads=tuple(CellLoad(cell, 0.5, None, 300_000) for cell in range(60)))
+        parts = encode(said)
         self.assertLessEqual(max(map(len, parts)), 256)
-        back = [unpack(3, part) for part in parts]
+        back = [decode(3, part) for part in parts]
         self.assertEqual(tuple(load for part in back if part for load in part.loads), said.loads)
-        most = PeerSays(1, joins=((7, 65_535),))
-        self.assertEqual(unpack(1, pack(PeerSays(1, joins=((7, 99_999),)))[0]), most)
+        most = PeerMessage(1, attempts=((7, 65_535),))
+        self.assertEqual(decode(1, encode(PeerMessage(1, attempts=((7, 99_999),)))[0]), most)
         for raw in (b"", b"\x01", b"\x02abc", b"\x09ab", bytes(257)):
-            self.assertIsNone(unpack(3, raw), raw)
+            self.assertIsNone(decode(3, raw), raw)
 
 
 class WorthTest(unittest.TestCase):
     def test_a_raise_must_repay_its_change_in_the_time_left(self) -> None:
         made, effects = front(switch_cost_us=SECOND)
         play(made, watch_guess_us=SECOND)
-        made.carry_out({made.subs["a"]: 0})
+        made.carry_out({made.sessions["a"]: 0})
         effects.calls.clear()
-        made.lift(made.subs["a"].server, 0)
+        made.lift(made.sessions["a"].server, 0)
         self.assertEqual(effects.named("set_rung"), [])
-        made.subs["a"].watch_guess_us = 60 * SECOND
-        made.lift(made.subs["a"].server, None)
+        made.sessions["a"].watch_guess_us = 60 * SECOND
+        made.lift(made.sessions["a"].server, None)
         self.assertEqual(effects.named("set_rung"), [("set_rung", "a", 2)])  # both steps in one change
 
     def test_a_guess_that_has_run_out_leaves_some_part_of_itself(self) -> None:
         made, _ = front()
         play(made, watch_guess_us=10 * SECOND)
         made.now_us += 60 * SECOND
-        self.assertEqual(made.left_us(made.subs["a"]), 5 * SECOND)
+        self.assertEqual(made.left_us(made.sessions["a"]), 5 * SECOND)
 
     def test_past_its_quota_a_tenants_request_counts_less(self) -> None:
         made, _ = front(quotas={"t": 0.2}, over_quota_worth=0.1)  # one in ten seconds for this front of two
@@ -669,20 +676,20 @@
         self.assertEqual(made.inside(Request("n", "room", 5, 0, 3, 2, SECOND)), 1.0)
 
     def test_the_worst_served_room_type_counts_once_more(self) -> None:
-        made, _ = front(worst_room_part=0.5)
-        other = replace(made.settings.rooms["room"], benefit=2.0)
-        made.settings.rooms["other"] = other
+        made, _ = front(worst_class_weight=0.5)
+        other = replace(made.settings.service_classes["room"], priority_weight=2.0)
+        made.settings.service_classes["other"] = other
         play(made, "a")
-        play(made, "b", room="other")
-        made.carry_out({made.subs["a"]: 0})
+        play(made, "b", service_class="other")
+        made.carry_out({made.sessions["a"]: 0})
         made.worths_at_us = -1
-        self.assertEqual(made.worth(made.subs["b"].room), 2.0)
-        self.assertEqual(made.worth(made.subs["a"].room), 1 + 0.5 * 3)
+        self.assertEqual(made.worth(made.sessions["b"].service_class), 2.0)
+        self.assertEqual(made.worth(made.sessions["a"].service_class), 1 + 0.5 * 3)
 
     def test_the_lowest_rung_may_use_the_tenth_held_back(self) -> None:
         made, effects = front()
         for server in made.servers.values():
-            server.link.hear(0.85, made.now_us)
+            server.link.observe(0.85, made.now_us)
         ask(made)
         self.assertEqual(effects.named("set_rung"), [("set_rung", "a", 0)])
 
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -13,11 +13,20 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fennelcove.decisions.viewers import seats as decisions
-from fennelcove.decisions.viewers.passes import Pass
-from fennelcove.decisions.viewers.seats import MOST_AT_ONCE, TABLE, Act, Cue, Seats, Stage, Step, replayed
+from fennelcove.decisions.clients import seat_leases as decisions
+from fennelcove.decisions.clients.access_tokens import AccessToken
+from fennelcove.decisions.clients.seat_leases import (
+    MOST_AT_ONCE,
+    TRANSITIONS,
+    SeatAction,
+    SeatEvent,
+    SeatLeases,
+    SeatState,
+    SeatResult,
+    replayed,
+)
 from fennelcove.settings.schema import StoreSettings
-from fennelcove.standins.sockets import SocketPlayer
+from fennelcove.emulators.sockets import SocketPlayer
 from tests.rig import WholePath, wait_for
 
 POOL, LONG = ("t1", "few"), 1000
@@ -25,13 +34,15 @@
 
 class SeatsTest(unittest.TestCase):
     def test_the_table_is_total_and_a_seat_is_counted_and_freed_once(self) -> None:
-        self.assertEqual(set(TABLE), {(stage, cue) for stage in Stage for cue in Cue})
-        for (stage, cue), (after, act) in TABLE.items():
-            self.assertEqual(act is Act.COUNT, stage is Stage.NONE and after is Stage.HELD, cue)
-            self.assertEqual(act is Act.FREE, stage is Stage.HELD and after is Stage.OVER, cue)
+        self.assertEqual(set(TRANSITIONS), {(stage, cue) for stage in SeatState for cue in SeatEvent})
+        for (stage, cue), (after, act) in TRANSITIONS.items():
+            self.assertEqual(
+                act is SeatAction.COUNT, stage is SeatState.NONE and after is SeatState.HELD, cue
+            )
+            self.assertEqual(act is SeatAction.FREE, stage is SeatState.HELD and after is SeatState.OVER, cue)
 
     def test_ten_thousand_mixed_steps_agree_with_an_independent_count(self) -> None:
-        chance, seats, steps, now = random.Random(4), Seats(), list[Step](), 0
+        chance, seats, steps, now = random.Random(4), SeatLeases(), list[SeatResult](), 0
         playing: dict[str, int] = {}  # the independent account: until when
         for i in range(10_000):
             now += chance.randrange(20)
@@ -45,8 +56,8 @@
             elif what in ("renew", "again"):
                 step = seats.renew(id, f"k{i}" if what == "renew" else "same", now)
                 steps.append(step)
-                self.assertEqual(step.act is Act.REFUSE, id not in playing)
-                if step.act is Act.EXTEND:
+                self.assertEqual(step.act is SeatAction.REFUSE, id not in playing)
+                if step.act is SeatAction.EXTEND:
                     playing[id] = max(playing[id], now + LONG)
             elif what == "release":
                 found = seats.release(id, now)
@@ -74,7 +85,7 @@
     )
     @settings(max_examples=150, deadline=None)
     def test_a_restart_keeps_each_seat_and_its_time(self, script: list[tuple[str, int]]) -> None:
-        seats, now = Seats(), 0
+        seats, now = SeatLeases(), 0
         for what, number in script:
             now, id = now + 10, f"s{number}"
             if what == "take":
@@ -84,7 +95,7 @@
             elif what == "release":
                 seats.release(id, now)
             else:
-                again = Seats()
+                again = SeatLeases()
                 for name, raw in seats.kept():
                     self.assertTrue(again.restore(name, raw, LONG, now))
                     self.assertFalse(again.restore(name, raw, LONG, now), "told twice")
@@ -96,25 +107,25 @@
                 seats = again
 
     def test_one_key_renews_once_and_asking_often_saves_nothing_up(self) -> None:
-        seats = Seats()
+        seats = SeatLeases()
         seats.take("a", POOL, LONG, 0)
-        self.assertIs(seats.renew("a", "k", 500).act, Act.EXTEND)
-        self.assertIs(seats.renew("a", "k", 900).act, Act.KEEP)
+        self.assertIs(seats.renew("a", "k", 500).act, SeatAction.EXTEND)
+        self.assertIs(seats.renew("a", "k", 900).act, SeatAction.KEEP)
         self.assertEqual(seats.held["a"].until_us, 1500)
         for _ in range(50):
             seats.renew("a", "", 1000)
         self.assertEqual(seats.held["a"].until_us, 2000)
 
     def test_a_clock_that_went_back_gives_no_longer_seat(self) -> None:
-        seats = Seats()
+        seats = SeatLeases()
         seats.take("a", POOL, LONG, 10**9)
-        again = Seats()
+        again = SeatLeases()
         again.restore("a", seats.kept()[0][1], LONG, 5)
         self.assertEqual(again.held["a"].until_us, 5 + LONG)
         self.assertFalse(again.restore("b", b"none", LONG, 5))
 
     def test_ten_thousand_ends_in_one_tick_come_in_bounded_parts(self) -> None:
-        seats = Seats()
+        seats = SeatLeases()
         for i in range(10_000):
             seats.take(f"s{i}", POOL, LONG, 0)
         parts = []
@@ -191,18 +202,18 @@
         self.assertEqual(self.ask("few").status, 503)
 
     def test_passes_name_titles(self) -> None:
-        self.assertEqual(Pass("v", 0, 1).titles, ())
-        from fennelcove.decisions.viewers.passes import Shown, Standing
-        from fennelcove.doors.routes import asked_for
+        self.assertEqual(AccessToken("v", 0, 1).titles, ())
+        from fennelcove.decisions.clients.access_tokens import PresentedToken, TokenStatus
+        from fennelcove.ingress.routes import asked_for
         from fennelcove.hints import cmcd
         from fennelcove.wire.sessions import SetUp
 
-        held = Pass("v", 0, 1, 8, ("other",))
+        held = AccessToken("v", 0, 1, 8, ("other",))
         found = asked_for(
             self.front.core,
             SetUp(room_type="free", title="t1"),
             cmcd.read({}, {}, None),
-            Shown(Standing.VALID, held),
+            PresentedToken(TokenStatus.VALID, held),
         )
         self.assertEqual(found, ("not-entitled", "it names other"))
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,7 +9,7 @@
 from click.testing import CliRunner
 
 from fennelcove.cli.main import main
-from fennelcove.day.script import names, read
+from fennelcove.scenarios.script import names, read
 from fennelcove.settings.checks import load_front, module_settings
 from fennelcove.settings.reader import SettingsError, parse
 from fennelcove.settings.schema import FrontSettings
@@ -52,7 +52,7 @@
         front = load_front(str(self.file))
         self.assertEqual((front.name, front.room_types[0].floor, front.limits.waiting), ("f1", 1, 512))
         self.assertEqual(parse(write(front), FrontSettings, "again"), front)
-        self.assertEqual(module_settings(front).rooms["live"].objective_us, 500_000)
+        self.assertEqual(module_settings(front).service_classes["live"].latency_objective_us, 500_000)
 
     def test_every_day_that_ships_is_well_formed(self) -> None:
         for name in names():
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -9,19 +9,19 @@
 
 import msgspec
 
-from fennelcove.decisions.operators.watching import Kind, Watched
+from fennelcove.decisions.operators.shadow_policy import DecisionKind, ShadowedPolicy
 from fennelcove.interface import (
     CellLoad,
-    JoinEnded,
+    AttemptCompleted,
     ListMode,
     ListUpdate,
     Outcome,
-    PeerSays,
-    Started,
-    TopChanged,
+    PeerMessage,
+    SessionStarted,
+    TopRungChanged,
 )
-from fennelcove.messages import pack
-from fennelcove.peers.fronts import FrontSide
+from fennelcove.messages import encode
+from fennelcove.upstream.front_messaging import FrontMessaging
 from fennelcove.settings.checks import amiss, module_settings
 from fennelcove.settings.reader import parse
 from fennelcove.settings.schema import (
@@ -53,7 +53,7 @@
     def test_every_default_is_as_if_no_shape_were_stated(self) -> None:
         told = module_settings(parse(FILE, FrontSettings, "test"))
         plain = {"probe_price": None, "peer_price": None, "reports_unasked": True, "quotas": {}}
-        plain |= {"over_quota_worth": 1.0, "worst_room_part": 0.0, "switch_cost_us": 0}
+        plain |= {"over_quota_worth": 1.0, "worst_class_weight": 0.0, "switch_cost_us": 0}
         self.assertEqual({name: getattr(told, name) for name in plain}, plain)
 
     def test_what_the_file_states_reaches_the_module_in_microseconds(self) -> None:
@@ -63,7 +63,7 @@
           (peers (price 0.012) (addresses "127.0.0.1:9"))))"""
         told = module_settings(parse(FILE.rstrip()[:-1] + shape, FrontSettings, "test"))
         self.assertEqual(
-            (told.switch_cost_us, told.worst_room_part, told.quotas), (650_000, 0.5, {"a": 18.0})
+            (told.switch_cost_us, told.worst_class_weight, told.quotas), (650_000, 0.5, {"a": 18.0})
         )
         self.assertEqual((told.probe_price, told.peer_price, told.reports_unasked), (0.01, 0.012, False))
 
@@ -85,28 +85,28 @@
 
 
 class WatchTest(unittest.TestCase):
-    def watched(self, **other: Any) -> tuple[Watched, Recorder]:
+    def watched(self, **other: Any) -> tuple[ShadowedPolicy, Recorder]:
         effects = Recorder()
-        made = Watched(SETTINGS, replace(SETTINGS, **other), 7, effects, 0)
+        made = ShadowedPolicy(SETTINGS, replace(SETTINGS, **other), 7, effects, 0)
         made.handle(ListUpdate(ListMode.FULL, tuple(entry(f"s{i}", i) for i in range(3))), 0)
         made.now_us = 100 * SECOND
         for front in (made, made.other):
             for server in front.servers.values():
-                server.link.hear(0.0, made.now_us - 1)
+                server.link.observe(0.0, made.now_us - 1)
         return made, effects
 
-    def day(self, made: Watched) -> None:
+    def day(self, made: ShadowedPolicy) -> None:
         for i in range(30):
             ask(made, str(i), at=made.now_us + SECOND, tenant="t")
-            if str(i) in made.subs:
-                made.handle(Started(str(i), 0, 1000), made.now_us + 1000)
-            if i >= 10 and str(i - 10) in made.subs:
-                made.handle(JoinEnded(str(i - 10), 0, Outcome.SERVED, True, None), made.now_us + 1000)
+            if str(i) in made.sessions:
+                made.handle(SessionStarted(str(i), 0, 1000), made.now_us + 1000)
+            if i >= 10 and str(i - 10) in made.sessions:
+                made.handle(AttemptCompleted(str(i - 10), 0, Outcome.SERVED, True, None), made.now_us + 1000)
 
     def test_the_same_settings_never_differ(self) -> None:
         made, _ = self.watched()
         self.day(made)
-        self.assertEqual({kind for kind, count in made.counts.items() if count}, {Kind.SAME})
+        self.assertEqual({kind for kind, count in made.counts.items() if count}, {DecisionKind.SAME})
 
     def test_what_is_decided_is_what_a_front_alone_decides(self) -> None:
         both = self.watched(switch_cost_us=SECOND, quotas={"t": 0.1}, over_quota_worth=0.1), self.watched()
@@ -121,43 +121,43 @@
         for server in made.other.servers.values():
             server.link.asked = None
         ask(made)
-        self.assertEqual((made.counts[Kind.WOULD_ASK], made.counts[Kind.OTHER_RUNG]), (1, 1))
-        self.assertEqual(effects.named("tell"), [])  # counted, not carried out
-        sub, theirs = made.subs["a"], made.other.subs["a"]
+        self.assertEqual((made.counts[DecisionKind.WOULD_ASK], made.counts[DecisionKind.OTHER_RUNG]), (1, 1))
+        self.assertEqual(effects.named("send_peer_message"), [])  # counted, not carried out
+        sub, theirs = made.sessions["a"], made.other.sessions["a"]
         self.assertEqual((theirs.server.address, theirs.rung), (sub.server.address, sub.rung))
 
     def test_a_box_that_has_left_since_a_join_there_failed_breaks_nothing(self) -> None:
         made, _ = self.watched()
         ask(made)
-        first = made.subs["a"].server.address
-        made.handle(JoinEnded("a", 0, Outcome.SERVER_ERROR, False, None), made.now_us + 1000)
-        made.handle(Started("a", 1, 1000), made.now_us + 1000)
+        first = made.sessions["a"].server.address
+        made.handle(AttemptCompleted("a", 0, Outcome.SERVER_ERROR, False, None), made.now_us + 1000)
+        made.handle(SessionStarted("a", 1, 1000), made.now_us + 1000)
         gone = tuple(entry(f"s{i}", i) for i in range(3) if f"s{i}" != first)
         made.handle(ListUpdate(ListMode.FULL, gone), made.now_us + 60 * SECOND)
         self.assertNotIn(first, made.other.servers)
-        made.handle(TopChanged("a", 0), made.now_us + 1000)
-        self.assertEqual(made.other.subs["a"].rung, made.subs["a"].rung)
+        made.handle(TopRungChanged("a", 0), made.now_us + 1000)
+        self.assertEqual(made.other.sessions["a"].rung, made.sessions["a"].rung)
 
     def test_a_throttled_answer_that_another_shape_would_not_give(self) -> None:
         made, effects = self.watched()
         for server in made.servers.values():
             server.link.asked = 2.0
         ask(made)
-        self.assertEqual(effects.calls[-1][0], "throttle")
-        self.assertEqual(made.counts[Kind.WOULD_JOIN], 1)
-        self.assertEqual((made.subs, made.other.subs), ({}, {}))
+        self.assertEqual(effects.calls[-1][0], "reject")
+        self.assertEqual(made.counts[DecisionKind.WOULD_JOIN], 1)
+        self.assertEqual((made.sessions, made.other.sessions), ({}, {}))
 
 
 class FrontSideTest(unittest.TestCase):
     def test_fronts_hear_each_other_and_nobody_else(self) -> None:
-        addresses, heard = free_ports(2), list[PeerSays]()
-        sides = [FrontSide(addresses, i, heard.append) for i in range(2)]
+        addresses, heard = free_ports(2), list[PeerMessage]()
+        sides = [FrontMessaging(addresses, i, heard.append) for i in range(2)]
         for side in sides:
             side.start()
             self.addCleanup(side.stop)
-        said = PeerSays(0, loads=(CellLoad(3, 0.5, None, 0),))
+        said = PeerMessage(0, loads=(CellLoad(3, 0.5, None, 0),))
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
-            stranger.sendto(pack(said)[0], sides[1].addresses[1])
+            stranger.sendto(encode(said)[0], sides[1].addresses[1])
             wait_for(lambda: sides[1].lost == 1, "the stranger's message to be passed over")
         sides[0].sock.sendto(b"\xff\xff", sides[1].addresses[1])
         wait_for(lambda: sides[1].lost == 2, "the malformed message to be passed over")
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -14,18 +14,40 @@
 from hypothesis import strategies as st
 
 from benchmarks import slots_sim, slots_worlds
-from fennelcove import slot_messages
-from fennelcove.core.learned import LearnedBook, Listed
-from fennelcove.day import slots as day_slots
-from fennelcove.decisions.fleet.budgets import Ask, Loan, Thing
+from fennelcove import limit_messages
+from fennelcove.core.learned_limits import LearnedLimits, Listed
+from fennelcove.scenarios import slots as day_slots
+from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Resource
 from fennelcove.settings.schema import Instance, RoomTypeSettings, SlotSettings
-from fennelcove.slots import erlang, keeping, learning
-from fennelcove.slots.agreeing import WORD_US, Agreed, Word, home_slots, homes_of, panel_of
-from fennelcove.slots.counts import Heard, Own, Row, Seen, class_of, edges_us, quantile_us
-from fennelcove.slots.learning import Act, Learner, Phase, Terms, aged, part_of
-from fennelcove.slots.lots import LOAN_US, Lot
-from fennelcove.slots.member import Member, Told
-from fennelcove.slots.shapes import MOST_SHAPES, name_of, shape_of
+from fennelcove.concurrency_limits import erlang, persisted, adaptive_limit
+from fennelcove.concurrency_limits.quorum import (
+    WORD_US,
+    QuorumAgreement,
+    QuorumVote,
+    home_slots,
+    homes_of,
+    panel_of,
+)
+from fennelcove.concurrency_limits.latency_histogram import (
+    GossipedHistograms,
+    OwnHistograms,
+    Row,
+    ObservedLatency,
+    class_of,
+    edges_us,
+    quantile_us,
+)
+from fennelcove.concurrency_limits.adaptive_limit import (
+    LimitAction,
+    AdaptiveLimit,
+    LimitState,
+    LimitSettings,
+    aged,
+    part_of,
+)
+from fennelcove.concurrency_limits.quota_loans import LOAN_US, QuotaLoans
+from fennelcove.concurrency_limits.replica import Replica, ReplicaMessages
+from fennelcove.concurrency_limits.workload_shape import MOST_SHAPES, name_of, shape_of
 
 MINUTE = 60_000_000
 
@@ -34,10 +56,10 @@
     return Row(shape, count if asked is None else asked, 0, 0, ((class_of(hold_ms * 1000), count),), ())
 
 
-def seen(hold_ms: float, count: float, waits: bool = False, lost: float = 0.0) -> Seen:
+def seen(hold_ms: float, count: float, waits: bool = False, lost: float = 0.0) -> ObservedLatency:
     """Figures of two seconds."""
     waited = {class_of(500_000): count / 5} if waits else {}
-    return Seen(count, 0.0, lost, {class_of(hold_ms * 1000): count}, waited)
+    return ObservedLatency(count, 0.0, lost, {class_of(hold_ms * 1000): count}, waited)
 
 
 class CountsTest(unittest.TestCase):
@@ -60,7 +82,7 @@
         for _ in range(3):
             order = sent + chance.sample(sent, 5)
             chance.shuffle(order)
-            heard = Heard()
+            heard = GossipedHistograms()
             for one in order:
                 heard.hear(*one, now_us=0)
             merged = heard.merged(0)
@@ -75,7 +97,7 @@
                     self.assertAlmostEqual(n1, n2)
 
     def test_one_that_tells_a_hundred_times_more_does_not_move_the_median_out_of_the_others(self) -> None:
-        heard = Heard()
+        heard = GossipedHistograms()
         for front, hold_ms in ((0, 90), (1, 100), (2, 110)):
             heard.hear(front, 1, 1, row(hold_ms, 20), 0)
         heard.hear(3, 1, 1, row(30_000, 2000, asked=60_000), 0)
@@ -86,7 +108,7 @@
         self.assertLessEqual(merged.asked, 2 * 60)
 
     def test_windows_that_are_over_are_forgotten(self) -> None:
-        own = Own()
+        own = OwnHistograms()
         own.tally(0).hold(5)
         own.close(1)
         self.assertEqual(len(own.rows(9)), 1)
@@ -114,25 +136,29 @@
 
     def __init__(self, whole: int = 16, **terms: int) -> None:
         self.now_us = MINUTE
-        self.learner = Learner(Terms(**terms), whole, self.now_us)
-        self.acts: list[Act] = []
+        self.learner = AdaptiveLimit(LimitSettings(**terms), whole, self.now_us)
+        self.acts: list[LimitAction] = []
 
-    def run(self, seconds: float, figures: dict[int, Seen] | None) -> list[Act]:
+    def run(self, seconds: float, figures: dict[int, ObservedLatency] | None) -> list[LimitAction]:
         """The same figures for so long."""
         acts = []
         for _ in range(round(seconds * 2)):
             self.now_us += 500_000
             acts.append(self.learner.window(figures or {}, self.learner.whole, self.now_us))
-        return [act for act in acts if act is not Act.KEEP]
+        return [act for act in acts if act is not LimitAction.KEEP]
 
 
 class LearnerTest(unittest.TestCase):
     def test_every_phase_has_an_act_for_what_figures_may_say(self) -> None:
-        read = set(learning.Sign) - {learning.Sign.ALONE, learning.Sign.RESTED, learning.Sign.STUCK}
-        for phase in Phase:
+        read = set(adaptive_limit.LimitSignal) - {
+            adaptive_limit.LimitSignal.ALONE,
+            adaptive_limit.LimitSignal.RESTED,
+            adaptive_limit.LimitSignal.STUCK,
+        }
+        for phase in LimitState:
             for sign in read:
-                self.assertIn((phase, sign), learning.TABLE)
-        self.assertEqual(set(learning.ACTS), set(Act))
+                self.assertIn((phase, sign), adaptive_limit.TRANSITIONS)
+        self.assertEqual(set(adaptive_limit.ACTIONS), set(LimitAction))
 
     def test_it_rises_in_small_steps_and_stops_where_nobody_waits(self) -> None:
         driver = Driver(8)
@@ -145,20 +171,20 @@
                 wholes.append(driver.learner.whole)
         self.assertGreater(wholes[-1], 30)
         for before, after in pairwise(wholes):
-            self.assertLessEqual(after - before, max(1, before // learning.FAR_STEP))
+            self.assertLessEqual(after - before, max(1, before // adaptive_limit.FAR_STEP))
         self.assertEqual(driver.run(20, {0: seen(100, 60)}), [])
 
     def test_a_rise_that_makes_holds_longer_is_taken_back_and_none_follows_at_once(self) -> None:
         driver = Driver(20)
         busy = {0: seen(100, 600, waits=True)}
         driver.run(6, {0: seen(100, 600)})
-        while driver.learner.phase is not Phase.PROVING:
+        while driver.learner.phase is not LimitState.PROVING:
             driver.run(0.5, busy)
         before = driver.learner.before
         acts = driver.run(5, {0: seen(220, 600, waits=True)})
-        self.assertEqual(acts[0], Act.TAKE_BACK)
+        self.assertEqual(acts[0], LimitAction.TAKE_BACK)
         self.assertLessEqual(driver.learner.whole, before)
-        self.assertNotIn(Act.RISE, acts)
+        self.assertNotIn(LimitAction.RISE, acts)
 
     def test_it_falls_within_seconds_and_never_under_the_least(self) -> None:
         driver = Driver(64)
@@ -174,15 +200,15 @@
         driver = Driver(40)
         driver.run(20, {0: seen(100, 400)})
         acts = driver.run(60, {0: seen(300, 400)})  # whatever is out, from now on
-        self.assertIn(Act.LEARN_ANEW, acts)
-        self.assertLessEqual(acts.count(Act.FALL), 3)
+        self.assertIn(LimitAction.LEARN_ANEW, acts)
+        self.assertLessEqual(acts.count(LimitAction.FALL), 3)
         self.assertGreaterEqual(driver.learner.whole, 30)
 
     def test_one_slow_shape_among_fast_is_no_slow_box(self) -> None:
         driver = Driver(40)
         driver.run(20, {0: seen(100, 400), 1: seen(2000, 20)})
         for share in (60, 120, 200):  # ever more of the long ones are asked for
-            self.assertNotIn(Act.FALL, driver.run(10, {0: seen(100, 400), 1: seen(2000, share)}))
+            self.assertNotIn(LimitAction.FALL, driver.run(10, {0: seen(100, 400), 1: seen(2000, share)}))
 
     def test_a_slow_shape_leaves_what_the_others_need(self) -> None:
         parts = {0: 10, 1: 30}
@@ -195,8 +221,8 @@
         driver = Driver(40)
         driver.run(10, {0: seen(100, 400)})
         acts = driver.run(30, {0: seen(100, 100, lost=50)})
-        self.assertEqual(acts[0], Act.HALVE)
-        self.assertNotIn(Act.LEARN_ANEW, acts)
+        self.assertEqual(acts[0], LimitAction.HALVE)
+        self.assertNotIn(LimitAction.LEARN_ANEW, acts)
         self.assertLess(driver.learner.whole, 10)
 
     def test_a_quiet_hour_ages_it_to_the_first_number_and_not_under(self) -> None:
@@ -216,20 +242,20 @@
             for _ in range(100):
                 number = class_of(100_000 * chance.lognormvariate(0, 1.2))
                 held[number] = held.get(number, 0.0) + 1
-            falls += driver.run(2, {0: Seen(100, 0, 0, held, {})}).count(Act.FALL)
+            falls += driver.run(2, {0: ObservedLatency(100, 0, 0, held, {})}).count(LimitAction.FALL)
         self.assertLessEqual(falls, 2)
 
     def test_a_full_box_is_looked_at_with_fewer_out_and_then_gets_them_back(self) -> None:
         driver = Driver(40)
         driver.run(10, {0: seen(100, 400)})
         acts = driver.run(45, {0: seen(140, 400, waits=True)})
-        self.assertIn(Act.DIP, acts)
-        self.assertIn(Act.TAKE_BACK, acts)
+        self.assertIn(LimitAction.DIP, acts)
+        self.assertIn(LimitAction.TAKE_BACK, acts)
         self.assertEqual(driver.learner.whole, 40)
 
     def test_what_the_others_do_not_want_is_given_up(self) -> None:
-        learner, now = Learner(Terms(), 16, MINUTE), MINUTE
-        learner.whole, learner.phase, learner.acted_us = 22, Phase.PROVING, now
+        learner, now = AdaptiveLimit(LimitSettings(), 16, MINUTE), MINUTE
+        learner.whole, learner.phase, learner.acted_us = 22, LimitState.PROVING, now
         for _ in range(20):
             now += 500_000
             learner.window({}, 16, now)
@@ -237,45 +263,45 @@
 
 
 class AgreedTest(unittest.TestCase):
-    def agreed(self, size: int = 5, whole: int = 10) -> Agreed:
-        return Agreed(tuple(range(size)), whole, 10, MINUTE)
+    def agreed(self, size: int = 5, whole: int = 10) -> QuorumAgreement:
+        return QuorumAgreement(tuple(range(size)), whole, 10, MINUTE)
 
     def test_a_majority_raises_and_fewer_do_not(self) -> None:
         agreed = self.agreed()
         for sender in (0, 1):
-            agreed.hear(sender, 1, 1, Word(20), MINUTE)
+            agreed.hear(sender, 1, 1, QuorumVote(20), MINUTE)
         self.assertEqual(agreed.advance(MINUTE), 10)
-        agreed.hear(2, 1, 1, Word(15), MINUTE)
+        agreed.hear(2, 1, 1, QuorumVote(15), MINUTE)
         self.assertEqual(agreed.advance(MINUTE), 15)
 
     def test_a_liar_neither_raises_nor_lowers(self) -> None:
         for lie in (1, 10_000):
             agreed = self.agreed()
             for sender in range(4):
-                agreed.hear(sender, 1, 1, Word(20), MINUTE)
-            agreed.hear(4, 1, 1, Word(lie), MINUTE)
+                agreed.hear(sender, 1, 1, QuorumVote(20), MINUTE)
+            agreed.hear(4, 1, 1, QuorumVote(lie), MINUTE)
             self.assertEqual(agreed.advance(MINUTE), 20)
 
     def test_the_smaller_half_falls_with_whom_it_hears_and_never_rises(self) -> None:
         agreed = self.agreed()
         for sender in range(5):
-            agreed.hear(sender, 1, 1, Word(20), MINUTE)
+            agreed.hear(sender, 1, 1, QuorumVote(20), MINUTE)
         agreed.advance(MINUTE)
         now = MINUTE + WORD_US + 1
         for sender in (0, 1):
-            agreed.hear(sender, 1, 2, Word(40), now)
+            agreed.hear(sender, 1, 2, QuorumVote(40), now)
         self.assertEqual(agreed.advance(now), 20)
         for sender in (0, 1):
-            agreed.hear(sender, 1, 3, Word(6), now)
+            agreed.hear(sender, 1, 3, QuorumVote(6), now)
         self.assertEqual(agreed.advance(now), 6)
 
     def test_doubled_late_and_foreign_words_say_nothing(self) -> None:
         agreed = self.agreed(3)
         for sender in range(3):
-            agreed.hear(sender, 2, 5, Word(8), MINUTE)
+            agreed.hear(sender, 2, 5, QuorumVote(8), MINUTE)
         for life, number in ((2, 5), (2, 4), (1, 99)):
-            self.assertFalse(agreed.hear(0, life, number, Word(30), MINUTE))
-        self.assertFalse(agreed.hear(9, 9, 9, Word(30), MINUTE))
+            self.assertFalse(agreed.hear(0, life, number, QuorumVote(30), MINUTE))
+        self.assertFalse(agreed.hear(9, 9, 9, QuorumVote(30), MINUTE))
         self.assertEqual(agreed.advance(MINUTE), 8)
 
     @settings(max_examples=100, deadline=None)
@@ -299,8 +325,8 @@
 
 
 class LotTest(unittest.TestCase):
-    def lots(self, fronts: int, whole: int) -> list[Lot]:
-        found = [Lot(0, fronts, i, 1, 0) for i in range(fronts)]
+    def lots(self, fronts: int, whole: int) -> list[QuotaLoans]:
+        found = [QuotaLoans(0, fronts, i, 1, 0) for i in range(fronts)]
         for lot in found:
             lot.purse.cleared = True
             lot.set_whole(whole, 0)
@@ -336,7 +362,7 @@
         self.assertEqual(lots[0].most(1, LOAN_US), 2)
 
     def test_a_new_life_waits_until_all_have_answered_or_loans_are_over(self) -> None:
-        lot = Lot(0, 3, 0, 2, 0)
+        lot = QuotaLoans(0, 3, 0, 2, 0)
         lot.set_whole(9, 0)
         self.assertEqual(lot.most(0), 0)
         self.assertEqual(lot.most(round(LOAN_US * 1.2)), 3)
@@ -345,43 +371,43 @@
 
 
 class MemberTest(unittest.TestCase):
-    def member(self, fronts: int = 3, index: int = 0) -> Member:
-        member = Member(Terms(start=9), fronts, index, 1, MINUTE)
+    def member(self, fronts: int = 3, index: int = 0) -> Replica:
+        member = Replica(LimitSettings(start=9), fronts, index, 1, MINUTE)
         member.listed(7, "kind", 0, MINUTE)
         return member
 
     def test_a_box_replaced_at_its_address_begins_anew_and_the_old_ones_rows_are_passed_over(self) -> None:
         member = self.member()
-        member.boxes[7].agreed.whole = 40
-        member.boxes[7].holds[0] = 1.0
+        member.servers[7].agreed.whole = 40
+        member.servers[7].holds[0] = 1.0
         self.assertFalse(member.listed(7, "kind", 0, MINUTE))
         self.assertTrue(member.listed(7, "kind", MINUTE, MINUTE, cold=True))
-        self.assertEqual(member.boxes[7].agreed.whole, 9)
-        self.assertEqual(member.boxes[7].holds, {})
+        self.assertEqual(member.servers[7].agreed.whole, 9)
+        self.assertEqual(member.servers[7].holds, {})
         for sender in (1, 2):
-            member.hear(sender, 1, 1, Told((0,), 7, 0, word=Word(40)), MINUTE)
-        self.assertEqual(member.boxes[7].agreed.whole, 9)
-        member.hear(1, 1, 1, Told((0,), 7, 0, rows=(row(100, 9),)), MINUTE)
-        self.assertEqual(member.boxes[7].heard.rows, {})
+            member.hear(sender, 1, 1, ReplicaMessages((0,), 7, 0, word=QuorumVote(40)), MINUTE)
+        self.assertEqual(member.servers[7].agreed.whole, 9)
+        member.hear(1, 1, 1, ReplicaMessages((0,), 7, 0, rows=(row(100, 9),)), MINUTE)
+        self.assertEqual(member.servers[7].heard.rows, {})
 
     def test_a_box_begins_at_half_of_what_its_kind_takes(self) -> None:
         member = self.member()
         for name in (8, 9):
             member.listed(name, "kind", 0, MINUTE)
         for name, whole in ((7, 40), (8, 60), (9, 90)):
-            member.boxes[name].agreed.whole = whole
-            learner = member.boxes[name].learner
+            member.servers[name].agreed.whole = whole
+            learner = member.servers[name].learner
             assert learner is not None
             learner.own = True
         member.listed(10, "kind", 0, MINUTE)
         member.listed(11, "other", 0, MINUTE)
-        self.assertEqual(member.boxes[10].agreed.whole, 30)
-        self.assertEqual(member.boxes[11].agreed.whole, 9)
+        self.assertEqual(member.servers[10].agreed.whole, 30)
+        self.assertEqual(member.servers[11].agreed.whole, 9)
 
     def test_links_follow_what_is_used(self) -> None:
         member = self.member()
         member.unclear.clear()
-        member.boxes[7].lot.purse.cleared = True
+        member.servers[7].lot.purse.cleared = True
         self.assertEqual(member.links(7, MINUTE), 1)
         for _ in range(3):
             member.sent(7, 0, MINUTE, 1_000_000)
@@ -411,64 +437,64 @@
 class MessagesTest(unittest.TestCase):
     now_us = 100 * MINUTE
 
-    def told(self, boxes: int) -> list[Told]:
+    def told(self, boxes: int) -> list[ReplicaMessages]:
         full = Row(3, 65_535, 2, 1, tuple((c, 255) for c in range(40)), tuple((c, 9) for c in range(9)))
         return [
-            Told(
+            ReplicaMessages(
                 (1,),
                 1000 + box,
                 self.now_us - MINUTE if box % 2 else 0,
                 (full, row(20, 3)),
-                Word(77, ((3, 5),)),
+                QuorumVote(77, ((3, 5),)),
             )
             for box in range(boxes)
         ]
 
     def test_all_survives_its_bytes_in_messages_of_a_datagram(self) -> None:
-        parts = slot_messages.pack(1 << 40, 9, self.told(12), self.now_us)
-        self.assertTrue(all(len(part) <= slot_messages.MOST_BYTES for part in parts))
-        found: list[Told] = []
+        parts = limit_messages.encode(1 << 40, 9, self.told(12), self.now_us)
+        self.assertTrue(all(len(part) <= limit_messages.MOST_BYTES for part in parts))
+        found: list[ReplicaMessages] = []
         for part in parts:
-            read = slot_messages.unpack(part, self.now_us)
+            read = limit_messages.decode(part, self.now_us)
             assert read is not None
             self.assertEqual(read[:2], (1 << 40, 9))
             found += read[2]
         self.assertEqual(sum(len(one.rows) for one in found), 24)
-        self.assertEqual([one.word for one in found if one.word], [Word(77, ((3, 5),))] * 12)
+        self.assertEqual([one.word for one in found if one.word], [QuorumVote(77, ((3, 5),))] * 12)
         self.assertEqual(found[0].rows[0], self.told(1)[0].rows[0])
         self.assertEqual({one.born_us for one in found}, {0, self.now_us - MINUTE})
 
     def test_rows_of_a_later_version_are_passed_over_and_cut_ones_refused(self) -> None:
-        raw = slot_messages.pack(1, 2, self.told(1)[:1], self.now_us)[1]  # words: short
-        later = raw[: slot_messages.HEAD.size] + bytes([9, 3, 1, 2, 3]) + raw[slot_messages.HEAD.size :]
-        read = slot_messages.unpack(later, self.now_us)
+        raw = limit_messages.encode(1, 2, self.told(1)[:1], self.now_us)[1]  # words: short
+        later = raw[: limit_messages.HEAD.size] + bytes([9, 3, 1, 2, 3]) + raw[limit_messages.HEAD.size :]
+        read = limit_messages.decode(later, self.now_us)
         assert read is not None
-        self.assertEqual([one.word for one in read[2]], [Word(77, ((3, 5),))])
-        for part in slot_messages.pack(1, 2, self.told(1), self.now_us):
+        self.assertEqual([one.word for one in read[2]], [QuorumVote(77, ((3, 5),))])
+        for part in limit_messages.encode(1, 2, self.told(1), self.now_us):
             for cut in range(len(part)):
-                read = slot_messages.unpack(part[:cut], self.now_us)
+                read = limit_messages.decode(part[:cut], self.now_us)
                 self.assertTrue(read is None or len(read[2]) < 2)
 
     @settings(max_examples=200, deadline=None)
     @given(st.binary(max_size=256))
     def test_no_bytes_do_harm(self, raw: bytes) -> None:
-        for kind in slot_messages.KINDS:
+        for kind in limit_messages.KINDS:
             book = learned_book()
             book.hear(1, bytes([kind]) + raw)
 
     def test_trades_survive_their_bytes(self) -> None:
-        for said in (Ask(1 << 40, 7, Thing.SLOT, 3.0), Loan(5, 9, Thing.SLOT, 0.0)):
-            self.assertEqual(slot_messages.unpack_trade(slot_messages.pack_trade(12, said)), (12, said))
+        for said in (QuotaRequest(1 << 40, 7, Resource.SLOT, 3.0), QuotaTransfer(5, 9, Resource.SLOT, 0.0)):
+            self.assertEqual(limit_messages.unpack_trade(limit_messages.pack_trade(12, said)), (12, said))
 
 
-def learned_book(index: int = 0, fronts: int = 3) -> LearnedBook:
+def learned_book(index: int = 0, fronts: int = 3) -> LearnedLimits:
     rooms = [RoomTypeSettings(name="live", objective_ms=500, client_timeout_ms=2000)]
     told, clock = SlotSettings(start=9), FixedClock()
     instance = Instance(index=index, fronts=fronts)
-    book = LearnedBook(
+    book = LearnedLimits(
         told, rooms, 4, instance, 1, clock, Random(1), threading.RLock(), lambda event, **_: None
     )
-    book.boxes = lambda: [Listed("box:1", "big", 0, False)]
+    book.servers = lambda: [Listed("box:1", "big", 0, False)]
     return book
 
 
@@ -485,7 +511,7 @@
 
 
 class BookTest(unittest.TestCase):
-    def fleet(self, fronts: int = 3) -> list[LearnedBook]:
+    def fleet(self, fronts: int = 3) -> list[LearnedLimits]:
         books = [learned_book(i, fronts) for i in range(fronts)]
         for i, book in enumerate(books):
             book.post = lambda to, raw, i=i: books[to].hear(i, raw)  # type: ignore[misc]
@@ -519,15 +545,15 @@
             book.take("box:1", 0, 1_000_000)
         book.clock.now += 500_000  # type: ignore[attr-defined]
         book.window()
-        self.assertEqual(book.member.boxes[book.names["box:1"]].lot.waiting, 3)
+        self.assertEqual(book.member.servers[book.names["box:1"]].lot.waiting, 3)
         book.wants("box:1", 0)
-        self.assertEqual(book.member.boxes[book.names["box:1"]].lot.waiting, 0)
+        self.assertEqual(book.member.servers[book.names["box:1"]].lot.waiting, 0)
 
     def test_a_box_that_no_list_names_takes_none_and_one_that_is_gone_neither(self) -> None:
         book = self.fleet(1)[0]
         self.assertTrue(book.free("box:1"))
         self.assertFalse(book.free("box:2"))
-        book.boxes = lambda: []
+        book.servers = lambda: []
         book.clock.now += 500_000  # type: ignore[attr-defined]
         book.window()
         self.assertFalse(book.free("box:1"))
@@ -535,13 +561,13 @@
 
     def test_what_is_kept_is_taken_up_by_the_next_life(self) -> None:
         book = self.fleet(1)[0]
-        book.member.boxes[book.names["box:1"]].agreed.whole = 50
+        book.member.servers[book.names["box:1"]].agreed.whole = 50
         values = dict(book.kept())
         after = learned_book(0, 1)
         after.clock.now += 500_000  # type: ignore[attr-defined]
         after.restore(values)
         after.window()
-        found = after.member.boxes[after.names["box:1"]].agreed.whole
+        found = after.member.servers[after.names["box:1"]].agreed.whole
         self.assertGreater(found, 45)
         self.assertLessEqual(found, 50)
 
@@ -561,14 +587,14 @@
 class KeptTest(unittest.TestCase):
     def test_it_is_taken_up_aged_and_by_the_same_box_alone(self) -> None:
         wall = 10**15
-        raw = msgspec.msgpack.encode(keeping.KeptSlots("big", wall - 10**9, 80, wall))
-        self.assertEqual(keeping.recall(raw, "big", wall - 10**9, 16, wall), 80)
-        later = keeping.recall(raw, "big", wall - 10**9, 16, wall + learning.AGE_US)
+        raw = msgspec.msgpack.encode(persisted.KeptSlots("big", wall - 10**9, 80, wall))
+        self.assertEqual(persisted.recall(raw, "big", wall - 10**9, 16, wall), 80)
+        later = persisted.recall(raw, "big", wall - 10**9, 16, wall + adaptive_limit.AGE_US)
         self.assertEqual(later, 48)
-        self.assertIsNone(keeping.recall(raw, "big", wall - 10**8, 16, wall))
-        self.assertIsNone(keeping.recall(raw, "small", wall - 10**9, 16, wall))
-        self.assertIsNone(keeping.recall(raw[:-1], "big", wall - 10**9, 16, wall))
-        self.assertIsNone(keeping.recall(raw, "big", wall - 10**9, 16, wall - 1))
+        self.assertIsNone(persisted.recall(raw, "big", wall - 10**8, 16, wall))
+        self.assertIsNone(persisted.recall(raw, "small", wall - 10**9, 16, wall))
+        self.assertIsNone(persisted.recall(raw[:-1], "big", wall - 10**9, 16, wall))
+        self.assertIsNone(persisted.recall(raw, "big", wall - 10**9, 16, wall - 1))
 
 
 class JudgeTest(unittest.TestCase):
--- a/tests/test_socket_door.py
+++ b/tests/test_socket_door.py
@@ -13,12 +13,12 @@
 from websockets.exceptions import ConnectionClosed
 from websockets.sync.client import connect
 
-from fennelcove.core.storms import mac
-from fennelcove.core.verdicts import Ask
-from fennelcove.decisions.viewers import passes
-from fennelcove.decisions.viewers.passes import Pass
-from fennelcove.doors.socket_session import Line
-from fennelcove.program import key_file
+from fennelcove.core.retry_storm_guard import mac
+from fennelcove.core.requests import SessionRequest
+from fennelcove.decisions.clients import access_tokens
+from fennelcove.decisions.clients.access_tokens import AccessToken
+from fennelcove.ingress.websocket_session import Line
+from fennelcove.daemon import key_file
 from fennelcove.settings.schema import (
     Author,
     MediaSettings,
@@ -27,9 +27,9 @@
     ViewerSettings,
     WebSocketSettings,
 )
-from fennelcove.standins.listservice import Known
-from fennelcove.standins.sockets import SocketPlayer
-from fennelcove.standins.viewers import Unanswered
+from fennelcove.emulators.endpoint_list_service import Known
+from fennelcove.emulators.sockets import SocketPlayer
+from fennelcove.emulators.clients import Unanswered
 from fennelcove.websocket.frames import write
 from fennelcove.websocket.terms import Opcode
 from fennelcove.wire.socket import PATH, SUBPROTOCOL
@@ -99,7 +99,7 @@
             self.front.core.set_rung(id, 1 if session.rung != 1 else 0)
         first = player.news("rung")
         self.assertEqual((first["subscription"], first["number"]), (id, 1))
-        old = session.box
+        old = session.server
         self.lists.publish(
             Known(old, "zone", "k", [known.address for known in self.known].index(old), 1.0, "leaving")
         )
@@ -284,10 +284,10 @@
         self.assertEqual(self.get(PATH).status, 404)
 
     def test_both_doors_ask_the_one_core_alike(self) -> None:
-        asked: list[Ask] = []
+        asked: list[SessionRequest] = []
         ask = self.front.core.ask
 
-        def listening(what: Ask) -> Any:
+        def listening(what: SessionRequest) -> Any:
             asked.append(what)
             return ask(what)
 
@@ -345,7 +345,9 @@
 
     def made(self, client: str = "v", for_s: float = 100.0, most: int = 8) -> str:
         now_us = self.clock.wall_us()
-        return passes.seal(Pass(client, now_us - 1_000_000, now_us + round(for_s * 1e6), most), self.mac)
+        return access_tokens.seal(
+            AccessToken(client, now_us - 1_000_000, now_us + round(for_s * 1e6), most), self.mac
+        )
 
     def bearer(self, token: str) -> list[tuple[str, str]]:
         return [("Authorization", f"Bearer {token}")]
--- a/tests/test_stitch.py
+++ b/tests/test_stitch.py
@@ -14,12 +14,12 @@
 from hypothesis import strategies as st
 from mpegdash.parser import MPEGDASHParser
 
-from fennelcove.decisions.lessons import seams, tracks
-from fennelcove.decisions.lessons.seams import Ledger, Refusal, Ruling, Scene
-from fennelcove.decisions.lessons.tracks import Track, Viewpoint
+from fennelcove.decisions.playback import splices, playlist_cursor
+from fennelcove.decisions.playback.splices import Ledger, Refusal, Ruling, Scene
+from fennelcove.decisions.playback.playlist_cursor import PlaylistTrack, Viewpoint
 from fennelcove.manifests import dash, hls
-from fennelcove.manifests.clockwork import micros
-from fennelcove.decisions.lessons import marks
+from fennelcove.manifests.exact_time import micros
+from fennelcove.decisions.playback import resume_tokens
 from fennelcove.timeline.model import Change, Kind, Media, Shown, Target
 
 WALL = 1_800_000_000_000_000
@@ -65,9 +65,9 @@
     return replace(base, **changes)
 
 
-def whole(ledger: Ledger, track: Track | None = None, **changes: Any) -> list[Shown]:
+def whole(ledger: Ledger, track: PlaylistTrack | None = None, **changes: Any) -> list[Shown]:
     """Everything a player is shown that fetches as it goes."""
-    track = track or tracks.begin(LESSON, WALL)
+    track = track or playlist_cursor.begin(LESSON, WALL)
     found: list[Shown] = []
     for _ in range(400):
         track.extend(view(ledger, **changes), ledger.version)
@@ -146,7 +146,7 @@
         self.assertIsNone(self.refused(change("e", at=50, target=Target("lesson", "two"))))
 
     def test_bounded(self) -> None:
-        for i in range(seams.MOST_A_TITLE):
+        for i in range(splices.MOST_A_TITLE):
             self.ledger.put(change(f"x{i}", at=None, wall_us=WALL + i))
         self.assertIs(self.refused(change("a")), Refusal.TOO_MANY)
 
@@ -156,10 +156,10 @@
             ("37/3", Fraction(37, 3)),
             ("1:02:03.25", Fraction(14893, 4)),
         ):
-            self.assertEqual(seams.seconds(text), value)
+            self.assertEqual(splices.seconds(text), value)
         for text in ("", "x", "1:2:3:4", "1e9", ":", "9" * 50):
             with self.assertRaises(ValueError):
-                seams.seconds(text)
+                splices.seconds(text)
 
 
 class TracksTest(unittest.TestCase):
@@ -180,7 +180,7 @@
 
     def test_a_change_taken_back_while_half_the_players_watch_its_clip(self) -> None:
         self.ledger.put(change("a", at=4))
-        ahead, behind = tracks.begin(LESSON, WALL), tracks.begin(LESSON, WALL)
+        ahead, behind = playlist_cursor.begin(LESSON, WALL), playlist_cursor.begin(LESSON, WALL)
         ahead.extend(view(self.ledger), 1)
         self.assertEqual([item.change for item in ahead.shown], ["", "", "a"])
         self.ledger.withdraw("a")
@@ -191,7 +191,7 @@
         self.ledger.put(change("a", at=4))
         self.assertEqual({item.rung for item in whole(self.ledger, rung=1) if item.change}, {0})
         self.assertEqual({item.rung for item in whole(self.ledger, rung=2) if item.change}, {2})
-        self.assertEqual(tracks.rung_of(HIGH, 1, 1), 1)
+        self.assertEqual(playlist_cursor.rung_of(HIGH, 1, 1), 1)
 
     def test_a_clip_that_nothing_can_serve_leaves_the_lesson_unstitched(self) -> None:
         self.ledger.put(change("a", at=4))
@@ -203,13 +203,13 @@
         self.ledger.put(change("a", at=None, clip="note", wall_us=WALL + 10_000_000))
         shown = whole(self.ledger)
         self.assertEqual([item.seq for item in shown if item.change], [5])
-        late = tracks.begin(LESSON, WALL + 11_000_000)
+        late = playlist_cursor.begin(LESSON, WALL + 11_000_000)
         self.assertFalse(
             any(item.change for item in whole(self.ledger, late, began_wall_us=late.began_wall_us))
         )
 
     def test_a_live_player_begins_near_the_edge_and_waits_there(self) -> None:
-        track = tracks.begin(LIVE, WALL)
+        track = playlist_cursor.begin(LIVE, WALL)
         track.extend(view(self.ledger, "live"), 0)
         self.assertEqual([item.number for item in track.shown], [47, 48, 49])
         for seq in range(3):
@@ -244,7 +244,7 @@
     def test_whatever_happens_each_manifest_goes_on_from_the_last(
         self, script: list[tuple[str, Any, Any]]
     ) -> None:
-        ledger, track, rung = Ledger(), tracks.begin(LESSON, WALL), 1
+        ledger, track, rung = Ledger(), playlist_cursor.begin(LESSON, WALL), 1
         seen: dict[int, tuple[str, str]] = {}
         before = (0, 0)
         for i, (what, one, two) in enumerate([*script, *[("fetch", 3, 0)] * 60]):
@@ -256,7 +256,7 @@
             self.assertIsNotNone(track.fetch(seq), "a segment fetched is denied later")
 
     def happens(
-        self, ledger: Ledger, track: Track, number: int, what: str, one: Any, two: Any, rung: int
+        self, ledger: Ledger, track: PlaylistTrack, number: int, what: str, one: Any, two: Any, rung: int
     ) -> int:
         """One step of a script; the rung from then on."""
         if what == "insert":
@@ -271,7 +271,7 @@
         return one if what == "rung" else rung
 
     def check(
-        self, track: Track, seen: dict[int, tuple[str, str]], before: tuple[int, int]
+        self, track: PlaylistTrack, seen: dict[int, tuple[str, str]], before: tuple[int, int]
     ) -> tuple[int, int]:
         shown, joints = track.window()
         listing = hls.Listing(shown, joints, track.ended, False, WALL, MEDIA)
@@ -297,14 +297,14 @@
     def test_clips_told_apart_leave_the_lesson_whole_and_come_once(
         self, script: list[tuple[str, Any, Any]]
     ) -> None:
-        ledger, track, rung = Ledger(), tracks.begin(LESSON, WALL, apart=True), 1
+        ledger, track, rung = Ledger(), playlist_cursor.begin(LESSON, WALL, apart=True), 1
         numbers: dict[int, int] = {}
         told: dict[str, tuple[str, ...]] = {}
         begun: dict[str, int] = {}
         for i, (what, one, two) in enumerate([*script, *[("fetch", 3, 0)] * 60]):
             rung = self.happens(ledger, track, i, what, one, two, rung)
             track.extend(view(ledger, rung=rung, apart=True), ledger.version)
-            track = marks.read(marks.write(track)) or self.fail("a mark that can't be read")
+            track = resume_tokens.read(resume_tokens.write(track)) or self.fail("a mark that can't be read")
             track.replay = None
             for item in track.shown:
                 numbers[item.seq] = item.number
@@ -334,7 +334,7 @@
         ledger = Ledger()
         ledger.put(change("a", at=4))
         ledger.put(change("b", at=4 * 2.002, kind=Kind.REPLACE, until=8 * 2.002, clip="note"))
-        track = tracks.begin(LESSON, WALL, apart=True)
+        track = playlist_cursor.begin(LESSON, WALL, apart=True)
         track.extend(view(ledger, apart=True), 1)
         track.fetch(2)
         track.extend(view(ledger, apart=True), 1)
@@ -380,7 +380,7 @@
     def test_periods_keep_their_names_as_the_window_slides(self) -> None:
         ledger = Ledger()
         ledger.put(change("a", at=10))
-        track = tracks.begin(LESSON, WALL)
+        track = playlist_cursor.begin(LESSON, WALL)
         names: dict[str, str] = {}
         for _ in range(30):
             track.extend(view(ledger), 1)
@@ -394,7 +394,7 @@
     def test_clips_are_told_and_interstitials_have_their_own_form(self) -> None:
         ledger = Ledger()
         ledger.put(change("a", at=4))
-        track = tracks.begin(LESSON, WALL)
+        track = playlist_cursor.begin(LESSON, WALL)
         track.extend(view(ledger), 1)
         shown, joints = track.window()
         parsed = m3u8.loads(hls.media_playlist(hls.Listing(shown, joints, False, False, WALL, MEDIA), TARGET))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -19,17 +19,22 @@
 
 from fennelcove.cli.main import main
 from fennelcove.clock import ManualClock, SystemClock
-from fennelcove.decisions.kept import keeping, recovery
-from fennelcove.decisions.kept.keeping import Act, Cue, State, Waiting
-from fennelcove.decisions.kept.recovery import BoxMemory, Verdict
-from fennelcove.interface import Outcome, Remembered, Spent
+from fennelcove.decisions.recovery import write_behind, snapshot
+from fennelcove.decisions.recovery.write_behind import (
+    WriterAction,
+    WriterEvent,
+    WriterState,
+    WriteBehindQueue,
+)
+from fennelcove.decisions.recovery.snapshot import ServerMemory, RecordVerdict
+from fennelcove.interface import Outcome, ServerSnapshot, BudgetSnapshot
 from fennelcove.settings.schema import StoreSettings
-from fennelcove.standins.disk import PowerCut, StandInDisk
+from fennelcove.emulators.disk import PowerCut, StandInDisk
 from fennelcove.store import journal, records
 from fennelcove.store.folder import Store, StoreError, verify
 from fennelcove.store.journal import Journal
-from fennelcove.store.keeper import Keeper
-from fennelcove.store.records import Batch, Damage, Fault
+from fennelcove.store.keeper import StoreWriter
+from fennelcove.store.records import Batch, Damage, FrameFault
 from tests.rig import WholePath, wait_for
 
 SECOND = 1_000_000
@@ -146,7 +151,10 @@
             self.assertIsInstance(item, Damage)
 
     def test_another_format_and_a_gap_are_told(self) -> None:
-        for batch, fault in ((Batch(2, 1, []), Fault.OTHER_FORMAT), (Batch(1, 3, []), Fault.OUT_OF_ORDER)):
+        for batch, fault in (
+            (Batch(2, 1, []), FrameFault.OTHER_FORMAT),
+            (Batch(1, 3, []), FrameFault.OUT_OF_ORDER),
+        ):
             (found,) = records.read(records.frame(batch), 0)
             assert isinstance(found, Damage)
             self.assertIs(found.fault, fault)
@@ -236,7 +244,7 @@
 
     def test_the_commands(self) -> None:
         store = self.opened()
-        memory = BoxMemory(SECOND, 1, 0, 3 * SECOND, 3 * SECOND)
+        memory = ServerMemory(SECOND, 1, 0, 3 * SECOND, 3 * SECOND)
         import msgspec
 
         store.commit([(b"box/127.0.0.1:9", msgspec.msgpack.encode(memory)), (b"x", b"y")])
@@ -277,7 +285,7 @@
     def test_a_disk_full_and_free_again_gets_the_newest(self) -> None:
         disk, told = self.Disk(), list[str]()
         disk.faults = [errno.ENOSPC]
-        keeper = Keeper(disk, SystemClock(), lambda event, **fields: told.append(event))  # type: ignore[arg-type]
+        keeper = StoreWriter(disk, SystemClock(), lambda event, **fields: told.append(event))  # type: ignore[arg-type]
         keeper.waiting.pause_us = 1000
         keeper.start()
         keeper.keep([(b"a", b"1")])
@@ -290,7 +298,7 @@
         for faults, kept in (([], {b"a": b"1"}), ([errno.EIO], {})):
             disk = self.Disk()
             disk.faults = list(faults)
-            keeper = Keeper(disk, SystemClock(), lambda event, **fields: None)  # type: ignore[arg-type]
+            keeper = StoreWriter(disk, SystemClock(), lambda event, **fields: None)  # type: ignore[arg-type]
             keeper.start()
             keeper.keep([(b"a", b"1")])
             keeper.stop(5 * SECOND)
@@ -298,11 +306,13 @@
             self.assertFalse(keeper.thread.is_alive())
 
     def test_the_table_is_total_and_every_state_comes_back(self) -> None:
-        self.assertEqual(set(keeping.TABLE), {(state, cue) for state in State for cue in Cue})
-        for state in State:
-            self.assertIs(keeping.TABLE[state, Cue.DONE][0], State.WRITING)
-            for cue in (Cue.NO_SPACE, Cue.FAILED):
-                self.assertIn(Act.PAUSE, keeping.TABLE[state, cue][1])
+        self.assertEqual(
+            set(write_behind.TRANSITIONS), {(state, cue) for state in WriterState for cue in WriterEvent}
+        )
+        for state in WriterState:
+            self.assertIs(write_behind.TRANSITIONS[state, WriterEvent.DONE][0], WriterState.WRITING)
+            for cue in (WriterEvent.NO_SPACE, WriterEvent.FAILED):
+                self.assertIn(WriterAction.PAUSE, write_behind.TRANSITIONS[state, cue][1])
 
     @given(
         st.lists(
@@ -311,7 +321,7 @@
     )
     @settings(max_examples=150, deadline=None)
     def test_the_newest_of_each_key_is_what_is_written_last(self, script: list[tuple[str, int, int]]) -> None:
-        waiting, now_us = Waiting(), 0
+        waiting, now_us = WriteBehindQueue(), 0
         newest: dict[bytes, bytes] = {}
         disk: dict[bytes, bytes | None] = {}
         for i, (what, key, _) in enumerate(script):
@@ -324,44 +334,46 @@
             batch = waiting.take(now_us)
             if what == "take":
                 disk.update(batch)
-                waiting.over(Cue.DONE, now_us)
+                waiting.over(WriterEvent.DONE, now_us)
             else:
                 waiting.back(batch)
-                waiting.over(Cue.NO_SPACE if what == "full" else Cue.FAILED, now_us)
-                self.assertLessEqual(waiting.pause_us, keeping.LONGEST_PAUSE_US)
+                waiting.over(WriterEvent.NO_SPACE if what == "full" else WriterEvent.FAILED, now_us)
+                self.assertLessEqual(waiting.pause_us, write_behind.LONGEST_PAUSE_US)
         disk.update(waiting.take(now_us))
         self.assertEqual(disk, newest)
 
     def test_the_table_of_what_waits_is_bounded(self) -> None:
-        waiting = Waiting()
-        for i in range(keeping.MOST_WAITING + 500):
+        waiting = WriteBehindQueue()
+        for i in range(write_behind.MOST_WAITING + 500):
             waiting.put(b"%d" % i, b"", 0)
-        self.assertEqual((len(waiting.keys), waiting.dropped), (keeping.MOST_WAITING, 500))
+        self.assertEqual((len(waiting.keys), waiting.dropped), (write_behind.MOST_WAITING, 500))
 
 
 class RecoveryTest(unittest.TestCase):
     WALL = 1_800_000_000 * SECOND
 
-    def memory(self, **changes: Any) -> BoxMemory:
+    def memory(self, **changes: Any) -> ServerMemory:
         started, joined, heard = (self.WALL - seconds * SECOND for seconds in (900, 7, 5))
-        base = BoxMemory(started, 3, self.WALL + SECOND, joined, heard)
-        return BoxMemory(**{name: changes.get(name, getattr(base, name)) for name in base.__struct_fields__})
+        base = ServerMemory(started, 3, self.WALL + SECOND, joined, heard)
+        return ServerMemory(
+            **{name: changes.get(name, getattr(base, name)) for name in base.__struct_fields__}
+        )
 
-    def rule(self, memory: BoxMemory | None, started_us: int | None = 0, later_s: float = 0.0) -> Any:
-        return recovery.rule(memory, started_us, self.WALL + round(later_s * SECOND))
+    def rule(self, memory: ServerMemory | None, started_us: int | None = 0, later_s: float = 0.0) -> Any:
+        return snapshot.rule(memory, started_us, self.WALL + round(later_s * SECOND))
 
     def test_each_verdict(self) -> None:
         verdict, recalled = self.rule(self.memory())
-        self.assertIs(verdict, Verdict.USED)
-        self.assertEqual(recalled, recovery.Recalled(3, SECOND, 7 * SECOND))
-        self.assertIs(self.rule(None)[0], Verdict.UNREADABLE)
-        self.assertIs(self.rule(self.memory(), None)[0], Verdict.NOT_LISTED)
-        self.assertIs(self.rule(self.memory(), self.WALL - 2 * SECOND)[0], Verdict.NEW_LIFE)
-        self.assertIs(self.rule(self.memory(), self.WALL - 900 * SECOND)[0], Verdict.USED)
-        self.assertIs(self.rule(self.memory(), later_s=3600)[0], Verdict.TOO_OLD)
-        self.assertIs(self.rule(self.memory(), later_s=-3600)[0], Verdict.CLOCK_BACK)
+        self.assertIs(verdict, RecordVerdict.USED)
+        self.assertEqual(recalled, snapshot.RecoveredState(3, SECOND, 7 * SECOND))
+        self.assertIs(self.rule(None)[0], RecordVerdict.UNREADABLE)
+        self.assertIs(self.rule(self.memory(), None)[0], RecordVerdict.NOT_LISTED)
+        self.assertIs(self.rule(self.memory(), self.WALL - 2 * SECOND)[0], RecordVerdict.NEW_LIFE)
+        self.assertIs(self.rule(self.memory(), self.WALL - 900 * SECOND)[0], RecordVerdict.USED)
+        self.assertIs(self.rule(self.memory(), later_s=3600)[0], RecordVerdict.TOO_OLD)
+        self.assertIs(self.rule(self.memory(), later_s=-3600)[0], RecordVerdict.CLOCK_BACK)
         _, recalled = self.rule(self.memory(joined_us=0, shut_until_us=0))
-        self.assertEqual(recalled, recovery.Recalled(3, 0, None))
+        self.assertEqual(recalled, snapshot.RecoveredState(3, 0, None))
 
     @given(
         st.integers(-(10**10), 10**10),
@@ -371,20 +383,20 @@
     @settings(max_examples=150)
     def test_a_budget_never_comes_back_by_a_clock(self, shift: int, times: list[int], span: int) -> None:
         wall_us = 10**10
-        ages = recovery.spent(times, wall_us + shift, span)
+        ages = snapshot.spent(times, wall_us + shift, span)
         self.assertTrue(all(0 <= age < max(span, 1) for age in ages))
         self.assertEqual(ages, sorted(ages, reverse=True))
         if span and shift <= 0:
             # A clock that went back: whatever still counted counts on.
-            self.assertGreaterEqual(len(ages), len(recovery.spent(times, wall_us, span)))
+            self.assertGreaterEqual(len(ages), len(snapshot.spent(times, wall_us, span)))
 
     def test_bytes_that_are_no_memory(self) -> None:
         for raw in (b"", b"x", b"\x90", b"\x93abc"):
-            self.assertIsNone(recovery.read_box(raw))
-            self.assertIsNone(recovery.read_front(raw))
+            self.assertIsNone(snapshot.read_server(raw))
+            self.assertIsNone(snapshot.read_front(raw))
 
     def test_only_what_changed_is_written(self) -> None:
-        found = recovery.changed([(b"a", b"1"), (b"b", b"2")], {b"a": b"1", b"b": b"0", b"c": b"3"})
+        found = snapshot.changed([(b"a", b"1"), (b"b", b"2")], {b"a": b"1", b"b": b"0", b"c": b"3"})
         self.assertEqual(found, [(b"b", b"2"), (b"c", None)])
 
 
@@ -411,7 +423,7 @@
         with self.front.core.lock:
             for _ in range(2):
                 module.judge(server, Outcome.NO_ANSWER)
-            server.last_join_us = module.now_us
+            server.last_attempt_us = module.now_us
             module.further.extend([module.now_us] * 2)
             self.front.core.storms.weather.usual, self.front.core.storms.weather.seen = 7.5, 40
             strikes = server.strikes
@@ -421,7 +433,7 @@
         self.assertIsNot(module, before)
         server = module.servers[self.known[0].address]
         self.assertEqual(server.strikes, strikes)
-        self.assertIsNotNone(server.last_join_us)
+        self.assertIsNotNone(server.last_attempt_us)
         self.assertFalse(module.in_budget())
         self.assertGreater(self.front.core.storms.weather.seen, 39)
 
@@ -456,8 +468,8 @@
         core = Core(
             parse(SETTINGS, FrontSettings, "test"), clock, Timers(clock), lambda event, **fields: None
         )
-        core.front.handle(Remembered("nobody", 1, 1, 1), clock.now_us())
-        core.front.handle(Spent((30, 20, 10), (5,)), clock.now_us())
+        core.front.handle(ServerSnapshot("nobody", 1, 1, 1), clock.now_us())
+        core.front.handle(BudgetSnapshot((30, 20, 10), (5,)), clock.now_us())
         self.assertEqual(list(core.front.taken), [clock.now_us() - ago for ago in (30, 20, 10)])
         self.assertEqual(list(core.front.further), [clock.now_us() - 5])
 
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -16,22 +16,28 @@
 from fennelcove.cli.main import main
 from fennelcove.clock import ManualClock
 from fennelcove.core.core import Core
-from fennelcove.core.names import Names
-from fennelcove.core.storms import mac
+from fennelcove.core.session_ids import SessionIds
+from fennelcove.core.retry_storm_guard import mac
 from fennelcove.clock.timers import Timers
-from fennelcove.core.verdicts import Answered, Ask
-from fennelcove.day import plots, replays
-from fennelcove.decisions.viewers import counting, places, storm
-from fennelcove.decisions.viewers.counting import Counts
-from fennelcove.decisions.boxes.limits import LEAST_LIMIT, Limits
-from fennelcove.decisions.viewers.places import Place, Queue, Room, Ruling, Standing
-from fennelcove.decisions.viewers.storm import Phase, Sign, Weather
+from fennelcove.core.requests import SessionResponse, SessionRequest
+from fennelcove.scenarios import plots, replays
+from fennelcove.decisions.clients import count_min_sketch, waiting_room, retry_storm
+from fennelcove.decisions.clients.count_min_sketch import CountMinSketch
+from fennelcove.decisions.servers.aimd_limit import LEAST_LIMIT, AimdLimits
+from fennelcove.decisions.clients.waiting_room import (
+    QueueTicket,
+    WaitingQueue,
+    AvailableCapacity,
+    QueueDecision,
+    TicketStatus,
+)
+from fennelcove.decisions.clients.retry_storm import StormState, StormSignal, RetryStormDetector
 from fennelcove.interface import Outcome
 from fennelcove.log import silent
-from fennelcove.program import key_file
+from fennelcove.daemon import key_file
 from fennelcove.settings.reader import parse
 from fennelcove.settings.schema import FrontSettings, StormSettings
-from fennelcove.standins.recorder import Record
+from fennelcove.emulators.recorder import Record
 from tests.rig import SETTINGS
 
 SECOND = 1_000_000
@@ -42,14 +48,14 @@
 
 class WeatherTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.weather = Weather(0)
+        self.weather = RetryStormDetector(0)
         self.now_us = 0
 
-    def window(self, asked: int, refused: int = 0, let_in: int | None = None) -> Phase:
+    def window(self, asked: int, refused: int = 0, let_in: int | None = None) -> StormState:
         window = self.weather.window
         window.asked, window.refused = asked, refused
         window.let_in = asked if let_in is None else let_in
-        self.now_us += storm.WINDOW_US
+        self.now_us += retry_storm.WINDOW_US
         self.weather.advance(self.now_us)
         return self.weather.phase
 
@@ -60,47 +66,47 @@
     def test_a_storm_rises_holds_through_a_breath_settles_and_ends(self) -> None:
         self.calm()
         phases = [self.window(80, 40) for _ in range(3)]
-        self.assertEqual(phases, [Phase.RISING, Phase.RISING, Phase.STORM])
-        self.assertIs(self.window(4), Phase.STORM)
-        self.assertIs(self.window(80, 2, 4), Phase.STORM)
-        for _ in range(storm.CALMS):
+        self.assertEqual(phases, [StormState.RISING, StormState.RISING, StormState.STORM])
+        self.assertIs(self.window(4), StormState.STORM)
+        self.assertIs(self.window(80, 2, 4), StormState.STORM)
+        for _ in range(retry_storm.CALMS):
             phase = self.window(4)
-        self.assertIs(phase, Phase.SETTLING)
-        self.assertIs(self.window(80, 40), Phase.STORM)
-        for _ in range(storm.CALMS + storm.SETTLED):
+        self.assertIs(phase, StormState.SETTLING)
+        self.assertIs(self.window(80, 40), StormState.STORM)
+        for _ in range(retry_storm.CALMS + retry_storm.SETTLED):
             phase = self.window(4)
-        self.assertIs(phase, Phase.CALM)
+        self.assertIs(phase, StormState.CALM)
 
     def test_a_lawful_peak_and_a_lost_box_are_no_storm(self) -> None:
         self.calm()
         for asked in (8, 16, 32, 64, 64, 64):
-            self.assertIsNot(self.window(asked), Phase.STORM)
+            self.assertIsNot(self.window(asked), StormState.STORM)
         self.calm(64, 200)
         for _ in range(20):
-            self.assertIsNot(self.window(64, 20), Phase.STORM)
+            self.assertIsNot(self.window(64, 20), StormState.STORM)
 
     def test_no_false_alarm_in_a_hundred_quiet_and_swinging_evenings(self) -> None:
         alarms = 0
         for evening in range(100):
-            chance, weather, now_us = random.Random(evening), Weather(0), 0
+            chance, weather, now_us = random.Random(evening), RetryStormDetector(0), 0
             for i in range(240):
                 pace = 4 * (1 + (i / 60 if evening % 2 else 0.5 * (i % 20 > 10)))
                 asked = sum(chance.random() < pace / 40 for _ in range(40))
                 weather.window.asked = weather.window.let_in = asked
                 weather.window.refused = sum(chance.random() < 0.05 for _ in range(asked))
-                now_us += storm.WINDOW_US
+                now_us += retry_storm.WINDOW_US
                 weather.advance(now_us)
-                alarms += weather.phase is Phase.STORM
+                alarms += weather.phase is StormState.STORM
         self.assertEqual(alarms, 0)
 
     def test_no_state_fails_to_come_back_to_calm(self) -> None:
         # Every phase under every sign held for ever, arrivals at whatever pace goes with it.
-        for phase, (asked, refused) in product(Phase, ((0, 0), (4, 0), (4, 4), (400, 0), (400, 400))):
-            self.weather, self.now_us = Weather(0), 0
+        for phase, (asked, refused) in product(StormState, ((0, 0), (4, 0), (4, 4), (400, 0), (400, 400))):
+            self.weather, self.now_us = RetryStormDetector(0), 0
             self.calm()
             self.weather.phase = phase
             for _ in range(5000):
-                if self.window(asked, refused) is Phase.CALM:
+                if self.window(asked, refused) is StormState.CALM:
                     break
             else:
                 self.fail(f"{phase} never ended at {asked} asked, {refused} refused")
@@ -108,53 +114,67 @@
     def test_a_stall_is_so_many_empty_windows_and_no_more(self) -> None:
         self.calm()
         self.weather.advance(self.now_us + 10**12)
-        self.assertIs(self.weather.phase, Phase.CALM)
+        self.assertIs(self.weather.phase, StormState.CALM)
 
     def test_the_table_has_no_row_that_stays(self) -> None:
-        for (phase, _), rule in storm.TABLE.items():
+        for (phase, _), rule in retry_storm.TRANSITIONS.items():
             self.assertIsNot(rule.phase, phase)
             self.assertGreater(rule.after, 0)
-        self.assertTrue(all(weight > 0 for weight in storm.LEARNS.values()))
-        self.assertEqual(set(places.TABLE), {(who, room) for who in Standing for room in Room})
-        self.assertEqual(len(Sign), 4)
+        self.assertTrue(all(weight > 0 for weight in retry_storm.LEARNS.values()))
+        self.assertEqual(
+            set(waiting_room.TRANSITIONS), {(who, room) for who in TicketStatus for room in AvailableCapacity}
+        )
+        self.assertEqual(len(StormSignal), 4)
 
 
 class PlacesTest(unittest.TestCase):
-    def place(self) -> Place:
-        return Place(*ASKED, 10 * SECOND, 12 * SECOND)
+    def place(self) -> QueueTicket:
+        return QueueTicket(*ASKED, 10 * SECOND, 12 * SECOND)
 
     def test_a_place_is_known_under_any_key_in_use_and_to_its_owner_alone(self) -> None:
-        token = places.seal(self.place(), OTHER)
-        self.assertEqual(places.unseal(token, [KEY, OTHER]), self.place())
-        self.assertIsNone(places.unseal(token, [KEY]))
-        self.assertLess(len(token), places.TOKEN_CHARS)
+        token = waiting_room.sign_ticket(self.place(), OTHER)
+        self.assertEqual(waiting_room.verify_ticket(token, [KEY, OTHER]), self.place())
+        self.assertIsNone(waiting_room.verify_ticket(token, [KEY]))
+        self.assertLess(len(token), waiting_room.TOKEN_CHARS)
         for asked in (("x", "title", "room"), ("viewer", "x", "room"), ("viewer", "title", "x")):
-            self.assertIs(places.standing(self.place(), True, True, asked, 11 * SECOND), Standing.INVENTED)
+            self.assertIs(
+                waiting_room.ticket_status(self.place(), True, True, asked, 11 * SECOND),
+                TicketStatus.INVENTED,
+            )
 
     @given(st.text(max_size=60), st.integers(0, 500))
     @settings(max_examples=200)
     def test_no_text_and_no_changed_letter_is_a_place(self, text: str, at: int) -> None:
-        self.assertIsNone(places.unseal(text, [KEY]))
-        token = places.seal(self.place(), KEY)
+        self.assertIsNone(waiting_room.verify_ticket(text, [KEY]))
+        token = waiting_room.sign_ticket(self.place(), KEY)
         at %= len(token)
         changed = token[:at] + ("A" if token[at] != "A" else "B") + token[at + 1 :]
-        found = places.unseal(changed, [KEY])
+        found = waiting_room.verify_ticket(changed, [KEY])
         # The last letter of a part may hold bits that stand for nothing.
         self.assertIn(found, (None, self.place()))
 
     def test_standings_by_time(self) -> None:
-        for at, who in ((9, Standing.EARLY), (10, Standing.DUE), (12, Standing.DUE), (13, Standing.LATE)):
-            self.assertIs(places.standing(self.place(), True, True, ASKED, at * SECOND), who)
-        self.assertIs(places.standing(None, False, False, ASKED, 0), Standing.FIRST)
-        self.assertIs(places.standing(None, False, True, ASKED, 0), Standing.AGAIN)
-        self.assertIs(places.standing(None, True, True, ASKED, 0), Standing.INVENTED)
-        self.assertEqual(len(places.TABLE), len(Standing) * len(Room))
-        paced = {who for (who, _), ruling in places.TABLE.items() if ruling is Ruling.BY_PACE}
-        self.assertLessEqual(paced, set(places.TURNED_AWAY))
-        self.assertIs(places.TABLE[Standing.INVENTED, Room.SOME], Ruling.GUEST_PLACE)
+        for at, who in (
+            (9, TicketStatus.EARLY),
+            (10, TicketStatus.DUE),
+            (12, TicketStatus.DUE),
+            (13, TicketStatus.LATE),
+        ):
+            self.assertIs(waiting_room.ticket_status(self.place(), True, True, ASKED, at * SECOND), who)
+        self.assertIs(waiting_room.ticket_status(None, False, False, ASKED, 0), TicketStatus.FIRST)
+        self.assertIs(waiting_room.ticket_status(None, False, True, ASKED, 0), TicketStatus.AGAIN)
+        self.assertIs(waiting_room.ticket_status(None, True, True, ASKED, 0), TicketStatus.INVENTED)
+        self.assertEqual(len(waiting_room.TRANSITIONS), len(TicketStatus) * len(AvailableCapacity))
+        paced = {
+            who for (who, _), ruling in waiting_room.TRANSITIONS.items() if ruling is QueueDecision.BY_PACE
+        }
+        self.assertLessEqual(paced, set(waiting_room.TURNED_AWAY))
+        self.assertIs(
+            waiting_room.TRANSITIONS[TicketStatus.INVENTED, AvailableCapacity.SOME], QueueDecision.GUEST_PLACE
+        )
 
     def test_a_place_for_one_that_may_hold_one_already_moves_nobody_back(self) -> None:
-        queue = Queue(0, pace=5.0)
+        queue = WaitingQueue(0, pace=5.0)
         before = queue.promise(0, None, 0.5)[0]
         for _ in range(50):
             queue.promise(0, None, 0.5, reserves=False)
@@ -168,31 +188,31 @@
         self, steps: list[tuple[int, int, bool, float]]
     ) -> None:
         now_us = 0
-        queue = Queue(now_us)
+        queue = WaitingQueue(now_us)
         for gap, served, first, draw in steps:
             now_us += gap
             queue.served += served
             queue.let_in, queue.refused = 1.0, float(first)
             queue.advance(now_us)
-            queue.admit(Standing.FIRST if first else Standing.DUE, queue.cost(draw * 10))
-            self.assertTrue(1 / places.DEAREST <= queue.cost(draw) <= places.DEAREST)
+            queue.admit(TicketStatus.FIRST if first else TicketStatus.DUE, queue.cost(draw * 10))
+            self.assertTrue(1 / waiting_room.DEAREST <= queue.cost(draw) <= waiting_room.DEAREST)
             wait, latest = queue.soon(draw, served)
-            self.assertTrue(places.LEAST_WAIT_US <= wait < latest)
-            self.assertLessEqual(wait, places.LONGEST_WAIT_US)
+            self.assertTrue(waiting_room.LEAST_WAIT_US <= wait < latest)
+            self.assertLessEqual(wait, waiting_room.LONGEST_WAIT_US)
             for most_us in (None, 2 * SECOND):
                 earliest, latest = queue.promise(now_us, most_us, draw)
-                self.assertGreaterEqual(earliest, places.LEAST_WAIT_US)
+                self.assertGreaterEqual(earliest, waiting_room.LEAST_WAIT_US)
                 self.assertLess(earliest, latest)
-                self.assertLessEqual(earliest, places.LONGEST_WAIT_US if most_us is None else most_us)
+                self.assertLessEqual(earliest, waiting_room.LONGEST_WAIT_US if most_us is None else most_us)
             self.assertGreaterEqual(min(queue.firsts.level, queue.backs.level), 0.0)
 
     def test_neither_first_tries_nor_those_who_come_back_starve(self) -> None:
-        queue, taken = Queue(0, pace=10.0), {Standing.FIRST: 0, Standing.DUE: 0}
+        queue, taken = WaitingQueue(0, pace=10.0), {TicketStatus.FIRST: 0, TicketStatus.DUE: 0}
         for i in range(1, 401):
             queue.served += 2 if i % 2 else 3
             queue.let_in, queue.refused = 4.0, 2.0
             queue.advance(i * SECOND // 4)
-            for who in (Standing.DUE, Standing.FIRST) * 10:
+            for who in (TicketStatus.DUE, TicketStatus.FIRST) * 10:
                 taken[who] += queue.admit(who)
         total = sum(taken.values())
         self.assertGreater(min(taken.values()), 0.35 * total)
@@ -201,7 +221,7 @@
     def test_the_pace_finds_room_within_seconds_and_falls_to_what_is_served(self) -> None:
         # Held to what a calm had asked for, it kept out viewers for whom there was room: 138 of 200 watched,
         # 185 without.
-        queue = Queue(0, pace=2.0)
+        queue = WaitingQueue(0, pace=2.0)
         for i in range(1, 17):
             queue.let_in = 4.0
             queue.advance(i * SECOND // 4)
@@ -213,27 +233,27 @@
         self.assertTrue(9.0 < queue.pace < 10.1, queue.pace)
 
     def test_a_crowd_is_told_to_come_back_at_the_pace_and_not_in_one_moment(self) -> None:
-        queue = Queue(0, pace=20.0)
+        queue = WaitingQueue(0, pace=20.0)
         waits = [queue.promise(0, None, 0.5)[0] for _ in range(130)]
         seconds = [sum(1 for wait in waits if at * SECOND <= wait < (at + 1) * SECOND) for at in range(1, 20)]
         self.assertLessEqual(max(seconds), 21)
         # Further off than can be foreseen, they are spread over the second half of what can be.
         far = [queue.promise(0, None, (i % 50) / 50)[0] for i in range(400)][50:]
-        self.assertGreaterEqual(min(far), places.LONGEST_WAIT_US // 2)
-        self.assertLessEqual(max(far), places.LONGEST_WAIT_US)
+        self.assertGreaterEqual(min(far), waiting_room.LONGEST_WAIT_US // 2)
+        self.assertLessEqual(max(far), waiting_room.LONGEST_WAIT_US)
         thirds = [sum(1 for wait in far if at * SECOND <= wait < (at + 1) * SECOND) for at in range(4, 8)]
         self.assertLess(max(thirds), 2 * min(thirds))
 
 
 class LimitsTest(unittest.TestCase):
     def test_many_failures_at_once_cut_once_and_growth_is_slow_after(self) -> None:
-        limits = Limits()
+        limits = AimdLimits()
         entered = 0
         while limits.enter("b"):
             entered += 1
         for _ in range(entered):
             limits.leave("b", Outcome.NO_ANSWER, 0, 10)
-        held = limits.boxes["b"]
+        held = limits.servers["b"]
         self.assertAlmostEqual(held.limit, entered * 0.7)
         self.assertEqual(held.out, 0)
         before = held.limit
@@ -243,41 +263,41 @@
 
     @given(st.lists(st.tuples(st.booleans(), st.sampled_from(list(Outcome)))))
     def test_never_under_one_and_never_more_out_than_let_in(self, steps: list[tuple[bool, Outcome]]) -> None:
-        limits, out = Limits(), 0
+        limits, out = AimdLimits(), 0
         for now_us, (enter, outcome) in enumerate(steps, 1):
             if enter:
                 out += limits.enter("b")
             elif out:
                 limits.leave("b", outcome, now_us - 1, now_us)
                 out -= 1
-        if "b" in limits.boxes:
-            self.assertGreaterEqual(limits.boxes["b"].limit, LEAST_LIMIT)
-            self.assertEqual(limits.boxes["b"].out, out)
+        if "b" in limits.servers:
+            self.assertGreaterEqual(limits.servers["b"].limit, LEAST_LIMIT)
+            self.assertEqual(limits.servers["b"].out, out)
 
     def test_boxes_long_unheard_are_forgotten(self) -> None:
-        limits = Limits()
+        limits = AimdLimits()
         for i in range(10_050):
             limits.enter(f"b{i}")
             limits.leave(f"b{i}", Outcome.SERVED, 0, 0)
-        self.assertLessEqual(len(limits.boxes), 10_001)
+        self.assertLessEqual(len(limits.servers), 10_001)
 
 
 class CountsTest(unittest.TestCase):
     def test_never_too_low_seldom_too_high_and_the_memory_stays(self) -> None:
-        counts = Counts(KEY, 0)
+        counts = CountMinSketch(KEY, 0)
         for i in range(20_000):
             counts.add(f"v{i}", 0)
         size = len(counts.now) + len(counts.before)
-        self.assertEqual(size, 2 * counting.WIDTH * counting.DEPTH)
-        over = sum(counts.add(f"n{i}", 0) > 1 + 2 * 21_000 / counting.WIDTH for i in range(1000))
-        self.assertLess(over, 1000 / 2**counting.DEPTH)
+        self.assertEqual(size, 2 * count_min_sketch.WIDTH * count_min_sketch.DEPTH)
+        over = sum(counts.add(f"n{i}", 0) > 1 + 2 * 21_000 / count_min_sketch.WIDTH for i in range(1000))
+        self.assertLess(over, 1000 / 2**count_min_sketch.DEPTH)
         self.assertEqual(min(counts.add("v7", 0) for _ in range(1)) >= 2, True)
 
     def test_what_is_long_past_counts_no_more(self) -> None:
-        counts = Counts(KEY, 0)
+        counts = CountMinSketch(KEY, 0)
         counts.add("a", 0)
-        self.assertEqual(counts.add("a", counting.SPAN_US), 2)
-        self.assertEqual(counts.add("a", 5 * counting.SPAN_US), 1)
+        self.assertEqual(counts.add("a", count_min_sketch.SPAN_US), 2)
+        self.assertEqual(counts.add("a", 5 * count_min_sketch.SPAN_US), 1)
 
 
 class ReplayTest(unittest.TestCase):
@@ -328,16 +348,16 @@
     def setUp(self) -> None:
         self.clock = ManualClock(10 * SECOND, 10**15)
         self.core = self.made(b"k")
-        self.core.storms.weather.phase = Phase.STORM
-        self.core.storms.queues.held["t1"] = Queue(10 * SECOND, pace=0.5, refusing=True)
+        self.core.storms.weather.phase = StormState.STORM
+        self.core.storms.queues.held["t1"] = WaitingQueue(10 * SECOND, pace=0.5, refusing=True)
 
     def made(self, key: bytes) -> Core:
         told = replace(parse(SETTINGS, FrontSettings, "test"), storm=StormSettings(damping=True))
-        return Core(told, self.clock, Timers(self.clock), silent, Names(key * 32))
+        return Core(told, self.clock, Timers(self.clock), silent, SessionIds(key * 32))
 
-    def ask(self, client: str, place: str | None = None, again: bool = True) -> Answered:
-        session, step = self.core.ask(Ask("t1", "free", client=client, again=again, place=place))
-        assert isinstance(step, Answered)
+    def ask(self, client: str, place: str | None = None, again: bool = True) -> SessionResponse:
+        session, step = self.core.ask(SessionRequest("t1", "free", client=client, again=again, place=place))
+        assert isinstance(step, SessionResponse)
         self.assertEqual((self.core.gate.waiting, self.core.gate.held), (1 if session else 0, 0))
         if session is not None:
             self.core.answered(session)
@@ -363,7 +383,7 @@
         self.core.storms.weather.began_us = self.clock.now_us()
         due = self.ask("v", first.place)
         self.assertEqual((due.standing, due.why), ("", "no holder has room"))  # the module was asked
-        self.assertLessEqual(due.wait_us, 2 * places.LEAST_WAIT_US)
+        self.assertLessEqual(due.wait_us, 2 * waiting_room.LEAST_WAIT_US)
         costs = [queue.cost(benefit) for benefit in (1.0, 3.0) * 200][-2:]
         self.assertAlmostEqual(costs[0] / costs[1], 3.0, delta=0.1)
 
@@ -383,12 +403,12 @@
         self.core.storms.use_keys([b"p" * 32])
         place = self.ask("v").place
         self.core = self.made(b"n")
-        self.core.storms.weather.phase = Phase.STORM
+        self.core.storms.weather.phase = StormState.STORM
         self.core.storms.use_keys([b"q" * 32, b"p" * 32])
         self.assertEqual(self.ask("v", place).standing, "early")
 
     def test_in_calm_nobody_is_held_up(self) -> None:
-        self.core.storms.weather.phase = Phase.CALM
+        self.core.storms.weather.phase = StormState.CALM
         for i in range(50):
             self.assertEqual(self.ask(f"v{i % 3}").why, "no holder has room")
         self.assertNotIn("damped", self.core.counts)
--- a/tests/test_top.py
+++ b/tests/test_top.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from fennelcove.interface import TopChanged
+from fennelcove.interface import TopRungChanged
 from tests.helpers import ask, front, play
 
 
@@ -12,10 +12,10 @@
     def test_a_lower_top_lowers_the_rung_at_once_and_frees_the_link(self) -> None:
         made, effects = front()
         play(made)
-        sub = made.subs["a"]
+        sub = made.sessions["a"]
         self.assertEqual(sub.rung, 2)
         before = sub.server.own_kb
-        made.handle(TopChanged("a", 0), made.now_us)
+        made.handle(TopRungChanged("a", 0), made.now_us)
         self.assertEqual((sub.rung, sub.top), (0, 0))
         self.assertEqual(effects.named("set_rung")[-1], ("set_rung", "a", 0))
         self.assertEqual(before - sub.server.own_kb, 300.0)
@@ -24,19 +24,19 @@
         made, effects = front()
         play(made, top_rung=0)
         count = len(effects.calls)
-        made.handle(TopChanged("a", 2), made.now_us)
-        self.assertEqual((made.subs["a"].rung, made.subs["a"].top), (0, 2))
+        made.handle(TopRungChanged("a", 2), made.now_us)
+        self.assertEqual((made.sessions["a"].rung, made.sessions["a"].top), (0, 2))
         self.assertEqual(len(effects.calls), count)
 
     def test_never_under_the_floor(self) -> None:
-        made, _ = front(room={"floor": 1})
+        made, _ = front(service_class={"floor": 1})
         play(made)
-        made.handle(TopChanged("a", 0), made.now_us)
-        self.assertEqual((made.subs["a"].rung, made.subs["a"].top), (1, 1))
+        made.handle(TopRungChanged("a", 0), made.now_us)
+        self.assertEqual((made.sessions["a"].rung, made.sessions["a"].top), (1, 1))
 
     def test_of_a_subscription_that_has_ended_nothing_is_made(self) -> None:
         made, effects = front()
-        made.handle(TopChanged("gone", 0), made.now_us)
+        made.handle(TopRungChanged("gone", 0), made.now_us)
         self.assertEqual(effects.calls, [])
 
 
@@ -46,7 +46,7 @@
         for server in made.servers.values():
             server.started_us, server.link.asked = 1, None
         ask(made)
-        self.assertEqual(len(effects.named("join")), 1)
+        self.assertEqual(len(effects.named("start_attempt")), 1)
 
 
 if __name__ == "__main__":
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -12,9 +12,9 @@
 
 from fennelcove.interface import Outcome
 from fennelcove.settings.schema import OverloadSettings
-from fennelcove.standins.box import StandInBox
-from fennelcove.standins.listservice import Known, State
-from fennelcove.standins.viewers import Unanswered
+from fennelcove.emulators.media_server import StandInBox
+from fennelcove.emulators.endpoint_list_service import Known, State
+from fennelcove.emulators.clients import Unanswered
 from tests.rig import LONGEST_S, WholePath, read_answers, wait_for
 
 POST = (
@@ -121,7 +121,7 @@
             self.player().ask("POST", "/v1/subscriptions", [("Content-Type", "application/json")], BODY, 0.1)
         self.wait_seen("set_up_over", how="front_closed")
         self.wait_seen("released")
-        wait_for(lambda: not self.front.core.sessions and not self.front.core.front.subs, "nothing held")
+        wait_for(lambda: not self.front.core.sessions and not self.front.core.front.sessions, "nothing held")
         self.assertEqual(len(self.seen("set_up")), 1)
 
     def test_a_box_that_answers_after_the_front_gave_up_is_told_to_let_go(self) -> None:
@@ -168,7 +168,7 @@
         self.assertEqual(self.front.core.counts["boxes_blamed_by_viewers"], 1)
 
     def home(self, id: str) -> StandInBox:
-        address = self.front.core.sessions[id].box
+        address = self.front.core.sessions[id].server
         return next(box for box in self.boxes if box.address == address)
 
     def test_a_box_that_dies_loses_only_what_must_not_be_set_up_again(self) -> None:
@@ -204,7 +204,7 @@
         self.assertLess(made["t_us"], released["t_us"], "broken before it was made")
         self.assertEqual(self.get(f"/v1/subscriptions/{id}", method="DELETE").status, 204)
         self.wait_seen("released", subscription=id, box=view.body["box"], held=True)
-        wait_for(lambda: not self.front.core.front.subs and not self.front.core.by_module, "nothing held")
+        wait_for(lambda: not self.front.core.front.sessions and not self.front.core.by_module, "nothing held")
 
     def test_a_single_shot_subscription_stays_where_it_is(self) -> None:
         id = self.ask("once").body["id"]
@@ -363,7 +363,7 @@
         self.assertEqual([join["join"] for join in joins], [0, 1, 2, 3, 4])
         self.assertEqual(len({join["box"] for join in joins}), 5)
         self.assertFalse(player.stray())
-        wait_for(lambda: not self.front.core.front.subs, "nothing held")
+        wait_for(lambda: not self.front.core.front.sessions, "nothing held")
 
 
 class BoundsTest(WholePath):
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -5,7 +5,7 @@
 import io
 import unittest
 
-from fennelcove.wirehost.__main__ import run
+from fennelcove.simulator_adapter.__main__ import run
 
 FACTS = (
     '{"Balancers":2,"Index":0,"Zone":"z","Lanes":[{"Name":"r","AimMs":1000.0,"Effect":"free","Importance":1.0}],'
--- a/tests/test_workspace.py
+++ b/tests/test_workspace.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from fennelcove import fair_messages, messages, release_messages, slot_messages
+from fennelcove import usage_messages, messages, rollout_messages, limit_messages
 
 PACKAGES = Path(__file__).parents[1] / "packages"
 
@@ -63,7 +63,7 @@
 
     def test_what_run_and_sim_import_is_all_that_the_deploy_file_installs(self) -> None:
         owners, listed = modules(), PACKAGES.parent / "requirements.txt"
-        wanted, met = ["node", "wirehost"], set()
+        wanted, met = ["node", "simulator-adapter"], set()
         while wanted:
             package = wanted.pop()
             if package not in met:
@@ -85,7 +85,7 @@
             for name, number in vars(messages).items()
             if name in ("ASKS", "LOADS", "JOINS", "BEAT", "SUMMARY", "ASK", "LOAN", "WORD")
         }
-        kinds = [*plain, *release_messages.KINDS, *slot_messages.KINDS, fair_messages.GIVEN]
+        kinds = [*plain, *rollout_messages.KINDS, *limit_messages.KINDS, usage_messages.GIVEN]
         self.assertEqual(len(plain), 8)
         self.assertEqual(len(kinds), len(set(kinds)))
         self.assertLess(max(kinds), 256)
