One typed transition table that state machines share

Cause: eighteen tables of state and event were looked up by hand, some with an error for an unknown pair and some without. Change: package state-machine (Transition, TransitionTable, what an unlisted pair means is said at the table); connection_loss is the first user. Measured: its tests, test_decisions, test_errors, test_workspace pass; mypy strict, linter, import contracts clean.

--- a/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
@@ -10,6 +10,9 @@
 
 from dataclasses import dataclass
 from enum import Enum, auto
+from typing import Never
+
+from fennelcove.state_machine import Transition, TransitionTable, Unlisted
 
 # Of the 8 s in which a viewer must hear of an end, which is no earlier than the last sign of life.
 UNCONFIRMED_LOSS_US = 7_000_000
@@ -40,15 +43,18 @@
     SILENT = auto()
 
 
-TRANSITIONS: dict[tuple[LossState, DialResult], LossState] = {
-    **{(stage, DialResult.MADE): LossState.REACHED for stage in LossState},
-    (LossState.REACHED, DialResult.REFUSED): LossState.DOUBTED,
-    (LossState.REACHED, DialResult.SILENT): LossState.DOUBTED,
-    (LossState.DOUBTED, DialResult.REFUSED): LossState.REFUSING,
-    (LossState.DOUBTED, DialResult.SILENT): LossState.SILENT,
-    (LossState.SILENT, DialResult.REFUSED): LossState.REFUSING,
-    (LossState.REFUSING, DialResult.SILENT): LossState.SILENT,
-}
+TRANSITIONS: TransitionTable[LossState, DialResult, Never] = TransitionTable(
+    {
+        **{(state, DialResult.MADE): Transition(LossState.REACHED) for state in LossState},
+        (LossState.REACHED, DialResult.REFUSED): Transition(LossState.DOUBTED),
+        (LossState.REACHED, DialResult.SILENT): Transition(LossState.DOUBTED),
+        (LossState.DOUBTED, DialResult.REFUSED): Transition(LossState.REFUSING),
+        (LossState.DOUBTED, DialResult.SILENT): Transition(LossState.SILENT),
+        (LossState.SILENT, DialResult.REFUSED): Transition(LossState.REFUSING),
+        (LossState.REFUSING, DialResult.SILENT): Transition(LossState.SILENT),
+    },
+    unlisted=Unlisted.IGNORE,
+)
 
 # How long after the last sign what stands there is over; None: as soon as the stage is reached.
 LOST_STATES: dict[tuple[LossState, EndpointKnowledge], int | None] = {
@@ -68,7 +74,7 @@
 
     def dialled(self, dial: DialResult, now_us: int) -> None:
         """A dial has ended."""
-        self.stage = TRANSITIONS.get((self.stage, dial), self.stage)
+        self.stage = TRANSITIONS.apply(self.stage, dial).state
         if dial is DialResult.MADE:
             self.heard_us = now_us
 
