--- a/packages/errors/src/fennelcove/errors/__main__.py
+++ b/packages/errors/src/fennelcove/errors/__main__.py
@@ -29,7 +29,7 @@
     "fennelcove.rtsp.messages.ProtocolError": "answered with its status to its viewer",
     "fennelcove.emulators.disk.PowerCut": "stand-ins only: the test that cuts the power catches it",
     "fennelcove.emulators.clients.Unanswered": "stand-ins only: goes into the recording",
-    "fennelcove.state_machine.UnknownTransitionError": "a fault of the program: ends what met it, and is logged",
+    "fennelcove.state_machine.UnknownTransitionError": "a fault of the program, which is logged",
     "fennelcove.websocket.handshake.Refused": "answered with its status to the client",
     "fennelcove.websocket.terms.Violation": "closes the connection with its close code",
     "fennelcove.wire.events.EventError": "ends its stream, told as `peer-stream-broken`",
--- a/packages/state-machine/src/fennelcove/state_machine/__init__.py
+++ b/packages/state-machine/src/fennelcove/state_machine/__init__.py
@@ -1,7 +1,8 @@
 """Finite-state machines as typed transition tables.
 
 A `TransitionTable` is built once, at import, from rows that map a state and an event to the next state and
-the actions to carry out. It holds no state of its own: the caller keeps the state and carries out the actions.
+the actions to carry out. It holds no state of its own: the caller keeps the state and carries out the
+actions.
 """
 
 from __future__ import annotations
