--- a/packages/cli/src/fennelcove/cli/days.py
+++ b/packages/cli/src/fennelcove/cli/days.py
@@ -100,7 +100,13 @@
         click.echo(
             f"rule {broken.rule} broken at {broken.time:.3f} s by {broken.subscription}: {broken.reason}"
         )
-    click.echo("passed" if verdict.passed else "FAILED")
+    for late in verdict.inconclusive[:50]:
+        click.echo(
+            f"rule {late.rule} inconclusive at {late.time:.3f} s by {late.subscription}: {late.reason}; "
+            "the machine itself stood still then"
+        )
+    failed = "INCONCLUSIVE" if verdict.inconclusive and not verdict.broken else "FAILED"
+    click.echo("passed" if verdict.passed else failed)
     if as_json:
         click.echo(msgspec.json.encode(verdict).decode())
     return PASSED if verdict.passed else BROKEN
--- a/packages/scenarios/src/fennelcove/scenarios/player.py
+++ b/packages/scenarios/src/fennelcove/scenarios/player.py
@@ -20,6 +20,7 @@
 from fennelcove.scenarios.fault_injection import Due, Troubles
 from fennelcove.scenarios.schema_conformance import DescribedWitness
 from fennelcove.emulators.recorder import Record, Recorder
+from fennelcove.emulators.stall_monitor import StallMonitor
 from fennelcove.emulators.websocket_clients import StandInSocketViewer
 from fennelcove.emulators.clients import Habits, StandInViewer
 
@@ -100,7 +101,9 @@
             fronts = Fronts(self.day, rig, self.seed, self.recorder, Path(folder))
             supervisor = Supervisor(rig, fronts, Path(folder), self.leaving)
             troubles = Troubles(rig, fronts, self.seed, self.leaving, supervisor)
+            stall_monitor = StallMonitor(self.recorder)
             try:
+                stall_monitor.start()
                 rig.start()
                 fronts.start()
                 for front in fronts.all:
@@ -121,6 +124,7 @@
                 supervisor.stopped = True
                 fronts.kill()
                 rig.stop()
+                stall_monitor.stop()
         return self.recorder.records
 
     def _arrivals(self) -> list[tuple[float, str, Habits, bool]]:
