--- a/benchmarks/release_sim.py
+++ b/benchmarks/release_sim.py
@@ -28,10 +28,18 @@
 from statistics import median
 
 from fennelcove.rollouts import rollout_plan
-from fennelcove.rollouts.disruption_permits import Requester, PermitRules, RequestState, Grantor
-from fennelcove.rollouts.disruption_budget import Limit, DisruptionMap, Location
-from fennelcove.rollouts.rollout_plan import RolloutEvent, FleetSet, RolloutPlan
-from fennelcove.rollouts.messages import Kind, Phase, Plan, Reason, Record, Stands, Word
+from fennelcove.rollouts.disruption_permits import Requester, PermitSettings, RequestState, Grantor
+from fennelcove.rollouts.disruption_budget import DisruptionLimit, DisruptionMap, Location
+from fennelcove.rollouts.rollout_plan import RolloutEvent, FleetView, PlanExecution
+from fennelcove.rollouts.messages import (
+    Kind,
+    RolloutPhase,
+    Plan,
+    HaltReason,
+    RolloutRecord,
+    ServingState,
+    Heartbeat,
+)
 
 SECOND = 1_000_000
 HALLS = 4
@@ -167,14 +175,14 @@
     def __init__(self, day: Day) -> None:
         self.day = day
         size = day.size
-        limit = Limit(day.limit, max(1, day.limit // 2), margin=0.1)
+        limit = DisruptionLimit(day.limit, max(1, day.limit // 2), capacity_margin=0.1)
         places = DisruptionMap({i: Location(i % HALLS, 1.0, LOAD) for i in range(size)})
         self.halls = {i: i % HALLS for i in range(size)}
         self.chance = Random(day.seed + 1)
-        rules = [PermitRules(Kind.FRONT, size, i, limit, silent_us=1 << 60) for i in range(size)]
+        rules = [PermitSettings(Kind.FRONT, size, i, limit, health_timeout_us=1 << 60) for i in range(size)]
         self.voters = [Grantor(rule, places, -10 * SECOND, True) for rule in rules]
         self.askers = [Requester(rule, 1, count(1)) for rule in rules]
-        self.words = {i: Word(1, 1, version=1) for i in range(size)}
+        self.words = {i: Heartbeat(1, 1, version=1) for i in range(size)}
         self.again: list[tuple[int, int]] = []  # whose word did not come, and to whom
         self.served = [0.0] * size
         self.asked = [0.0] * size
@@ -183,9 +191,9 @@
         self.last: dict[int, int] = {}  # the number of each one's last ask
         self.leader, self.gap_s = 0, 0
         plan = Plan(1, 2, 1, 1, day.limit, SOAK_S * 1000, 180_000, worse=30)
-        first = Record(1, 1, Phase.MOVING, goal=1, plan=plan)
+        first = RolloutRecord(1, 1, RolloutPhase.MOVING, goal=1, plan=plan)
         self.record = first
-        self.lead = RolloutPlan(first, self.halls, 0)
+        self.lead = PlanExecution(first, self.halls, 0)
         self.halted_s = 0
         self.halts = 0
         for i in range(size):
@@ -197,31 +205,34 @@
     def say(self, index: int) -> None:
         """A front's word, to all; what is lost comes a second later."""
         front, before = self.day.fronts[index], self.words[index]
-        stands = {State.SERVES: Stands.SERVING, State.LEAVES: Stands.LEAVING}.get(
-            front.state, Stands.STARTING
+        stands = {State.SERVES: ServingState.SERVING, State.LEAVES: ServingState.DRAINING}.get(
+            front.state, ServingState.STARTING
         )
         asker = self.askers[index]
-        number = 1 if front.life > before.life else before.number + 1
-        self.words[index] = Word(
+        number = 1 if front.life > before.incarnation else before.sequence + 1
+        self.words[index] = Heartbeat(
             front.life,
             number,
-            stands=stands,
+            serving_state=stands,
             version=front.version,
-            since_s=self.day.now_s - front.since_s,
-            asks=self.numbers(asker),
-            open=tuple(asker.open()),
+            serving_for_s=self.day.now_s - front.since_s,
+            last_request_number=self.numbers(asker),
+            open_requests=tuple(asker.open_requests()),
         )
         for taker in range(self.day.size):
             self.pass_on(index, taker)
 
     def numbers(self, asker: Requester) -> int:
-        return max((one.number for one in asker.wanted.values()), default=self.last.get(asker.rules.index, 0))
+        return max(
+            (one.number for one in asker.requests.values()),
+            default=self.last.get(asker.settings.front_index, 0),
+        )
 
     def pass_on(self, index: int, taker: int) -> None:
         if taker != index and self.chance.random() < LOST:
             self.again.append((index, taker))
         else:
-            self.voters[taker].hear_word(index, self.words[index], self.now_us(), self.now_us())
+            self.voters[taker].on_heartbeat(index, self.words[index], self.now_us(), self.now_us())
 
     def tick(self) -> None:
         """One round."""
@@ -236,13 +247,20 @@
                 self.changed(front, was[1])
         self.count()
         for index, asker in enumerate(self.askers):
-            if asker.wanted and day.fronts[index].state is State.SERVES:
+            if asker.requests and day.fronts[index].state is State.SERVES:
                 self.ask(index, asker)
         for index, asker in enumerate(self.askers):
             said = self.words[index]
-            if not asker.wanted and not said.open and said.asks == self.last.get(index, 0):
+            if (
+                not asker.requests
+                and not said.open_requests
+                and said.last_request_number == self.last.get(index, 0)
+            ):
                 continue
-            fresh = (tuple(asker.open()), self.numbers(asker)) != (said.open, said.asks)
+            fresh = (tuple(asker.open_requests()), self.numbers(asker)) != (
+                said.open_requests,
+                said.last_request_number,
+            )
             if fresh and day.fronts[index].state is State.SERVES:
                 self.say(index)
         self.lead_on()
@@ -250,7 +268,7 @@
     def changed(self, front: Front, life: int) -> None:
         """What it is now is told by itself, or seen by all when its words stay away."""
         if front.life > life:
-            self.askers[front.index] = Requester(self.askers[front.index].rules, front.life, count(1))
+            self.askers[front.index] = Requester(self.askers[front.index].settings, front.life, count(1))
             self.last.pop(front.index, None)
             self.off.discard(front.index)
             self.out_us.pop(front.index, None)
@@ -260,7 +278,7 @@
             self.say(front.index)
         else:
             for voter in self.voters:
-                voter.see(front.index, False, self.now_us(), self.now_us())
+                voter.observe(front.index, False, self.now_us(), self.now_us())
 
     def count(self) -> None:
         """What each is asked, and serves."""
@@ -274,23 +292,23 @@
     def ask(self, index: int, asker: Requester) -> None:
         """A round of an ask that is due."""
         now_us = self.now_us()
-        one = asker.wanted[index]
+        one = asker.requests[index]
         if (
-            one.stage in (RequestState.WANTED, RequestState.ASKING)
-            and now_us >= one.told_us + rollout_plan.LAPSE_US
+            one.state in (RequestState.WANTED, RequestState.ASKING)
+            and now_us >= one.wanted_us + rollout_plan.ORDER_EXPIRY_US
         ):
-            asker.let_go(index, back=False)
-        ask = asker.due(now_us)
+            asker.release(index, has_returned=False)
+        ask = asker.next_request(now_us)
         if ask is None:
             return
         self.last[index] = ask.number
-        stale = (ask.term, ask.turn) < self.record.stamp
+        stale = (ask.term, ask.turn) < self.record.revision
         for taker, voter in enumerate(self.voters):
             living = self.day.fronts[taker].state in (State.SERVES, State.LEAVES)
             if not living or (taker != index and self.chance.random() < 2 * LOST):
                 continue
-            vote = voter.hear_ask(index, ask, now_us, stale)
-            granted = asker.hear_vote(taker, vote, self.voters[index], self.chance.random(), now_us)
+            vote = voter.on_permit_request(index, ask, now_us, stale)
+            granted = asker.on_vote(taker, vote, self.voters[index], self.chance.random(), now_us)
             if granted is not None and asker.begin(index, now_us):
                 self.day.take(self.day.fronts[index], granted.version)
 
@@ -303,61 +321,63 @@
                 return
             self.leader = next(front.index for front in day.fronts if front.state is State.SERVES)
             self.write(replace(self.record, term=self.record.term + 1))
-            self.lead, self.gap_s = RolloutPlan(self.record, self.halls, now_us), 0
-        words = self.voters[self.leader].words
-        if self.lead.judge.began_us + 4 * SECOND < now_us:
+            self.lead, self.gap_s = PlanExecution(self.record, self.halls, now_us), 0
+        words = self.voters[self.leader].heartbeats
+        if self.lead.analysis.window_began_us + 4 * SECOND < now_us:
             words = {
                 i: replace(
-                    word, asked=int(self.asked[i]), served=min(int(self.asked[i]), int(self.served[i]))
+                    word, requested=int(self.asked[i]), served=min(int(self.asked[i]), int(self.served[i]))
                 )
                 for i, word in words.items()
             }
-        dark = frozenset(self.voters[self.leader].dark(now_us) - self.off)
-        fleet = FleetSet(day.size, self.leader, words, dark, frozenset(self.off), self.out_us)
+        dark = frozenset(self.voters[self.leader].unavailable_places(now_us) - self.off)
+        fleet = FleetView(day.size, self.leader, words, dark, frozenset(self.off), self.out_us)
         self.operate(fleet)
-        found = self.lead.apply(fleet, now_us)
+        found = self.lead.evaluate(fleet, now_us)
         if found is not None:
-            have = len(fleet.have(rollout_plan.target(self.record)))
-            written = rollout_plan.after(self.record, found[0], have, why=found[1])
+            have = len(fleet.fronts_with(rollout_plan.target_version(self.record)))
+            written = rollout_plan.next_record(self.record, found[0], have, why=found[1])
             if written is not None:
                 self.write(written)
                 return
-        for index in self.lead.orders(fleet, now_us):
+        for index in self.lead.fronts_to_order(fleet, now_us):
             if day.fronts[index].state is State.SERVES:
-                self.askers[index].want(index, now_us, rollout_plan.target(self.record), self.record.stamp)
+                self.askers[index].request_permit(
+                    index, now_us, rollout_plan.target_version(self.record), self.record.revision
+                )
 
-    def write(self, record: Record) -> None:
+    def write(self, record: RolloutRecord) -> None:
         """The next state of the plan, agreed at once."""
         self.record = replace(record, turn=self.record.turn + 1)
-        self.lead.goes_on(self.record, self.now_us())
-        if record.phase is Phase.HALTED:
+        self.lead.on_record_agreed(self.record, self.now_us())
+        if record.phase is RolloutPhase.HALTED:
             self.halted_s, self.halts = self.day.now_s, self.halts + 1
             for asker in self.askers:
-                asker.let_go(asker.rules.index, back=False)
+                asker.release(asker.settings.front_index, has_returned=False)
 
-    def operate(self, fleet: FleetSet) -> None:
+    def operate(self, fleet: FleetView) -> None:
         """Once a minute an operator looks at a plan that is halted."""
         day = self.day
-        if self.record.phase is not Phase.HALTED or (day.now_s - self.halted_s) % 60 != 59:
+        if self.record.phase is not RolloutPhase.HALTED or (day.now_s - self.halted_s) % 60 != 59:
             return
-        if day.bad and self.record.reason in (Reason.WORSE, Reason.SERVED) and not self.record.back:
-            back = rollout_plan.after(self.record, RolloutEvent.BACK, len(fleet.have(1)))
+        if day.bad and self.record.reason in (HaltReason.WORSE, HaltReason.SERVED) and not self.record.back:
+            back = rollout_plan.next_record(self.record, RolloutEvent.ROLL_BACK, len(fleet.fronts_with(1)))
             assert back is not None
             self.write(back)
             return
-        for index in fleet.dark:
+        for index in fleet.unavailable:
             if self.now_us() - self.out_us.get(index, self.now_us()) > 300 * SECOND:
                 self.off.add(index)
                 for voter in self.voters:
                     voter.write_off(index, self.now_us())
-        if not fleet.dark - self.off:
-            on = rollout_plan.after(self.record, RolloutEvent.ON, 0)
+        if not fleet.unavailable - self.off:
+            on = rollout_plan.next_record(self.record, RolloutEvent.RESUME, 0)
             assert on is not None
             self.write(on)
 
     @property
     def over(self) -> bool:
-        return self.record.phase in (Phase.DONE, Phase.UNDONE)
+        return self.record.phase in (RolloutPhase.DONE, RolloutPhase.UNDONE)
 
 
 def run(size: int, seed: int, bad: bool) -> dict[str, tuple[float, ...]]:
--- a/benchmarks/release_world.py
+++ b/benchmarks/release_world.py
@@ -14,16 +14,28 @@
 from random import Random
 
 from fennelcove.rollouts import rollout_plan
-from fennelcove.rollouts.coordinator import Act, RolloutAgreement, Command, Do, Memory, Mine, Terms, Wish
+from fennelcove.rollouts.coordinator import (
+    Act,
+    RolloutAgreement,
+    Command,
+    Do,
+    Memory,
+    Mine,
+    RolloutSettings,
+    Wish,
+)
 from fennelcove.rollouts.leader_election import Role
-from fennelcove.rollouts.disruption_budget import Limit, Limits, DisruptionMap, Location
-from fennelcove.rollouts.messages import Kind, Phase, Plan, Record, Said, Stands
+from fennelcove.rollouts.disruption_budget import DisruptionLimit, FleetLimits, DisruptionMap, Location
+from fennelcove.rollouts.messages import Kind, RolloutPhase, Plan, RolloutRecord, Said, ServingState
 
 BEAT_US = 250_000
 WINDOW_US = 1_000_000
 SHOW_US = 2_000_000
 SILENT_US = 1_000_000
-LIMITS = Limits(Limit(whole=2, zone=2, margin=0.0), Limit(whole=2, zone=2, replicas=1, margin=0.0))
+LIMITS = FleetLimits(
+    DisruptionLimit(total=2, per_zone=2, capacity_margin=0.0),
+    DisruptionLimit(total=2, per_zone=2, per_title=1, capacity_margin=0.0),
+)
 PLAN = Plan(wanted=2, before=1, canary=1, wave=2, soak_ms=1_000, out_ms=8_000)
 BOXES = {cell: Location(cell % 2, titles=frozenset({cell // 2, 9})) for cell in range(4)}
 
@@ -49,7 +61,7 @@
     agreed: RolloutAgreement | None = None
     version: int = 1
     next_version: int = 1
-    stands: Stands = Stands.SERVING
+    stands: ServingState = ServingState.SERVING
     paused: bool = False
     by_permit: bool = False  # it is out by a permit, until it serves again
     ends_us: int = 0  # when what it is doing is over
@@ -73,13 +85,13 @@
     size: int
     seed: int = 0
     now_us: int = 0
-    limits: Limits = LIMITS
+    limits: FleetLimits = LIMITS
     halls: int = 1
     fronts: list[Front] = field(default_factory=list)
     boxes: dict[int, Box] = field(default_factory=dict)
     air: list[tuple[int, int, int, Said]] = field(default_factory=list)  # when, from, to
-    records: dict[tuple[int, int], Record] = field(default_factory=dict)  # all that were ever told
-    agreed: list[tuple[int, Record]] = field(default_factory=list)  # those a majority took, and when
+    records: dict[tuple[int, int], RolloutRecord] = field(default_factory=dict)  # all that were ever told
+    agreed: list[tuple[int, RolloutRecord]] = field(default_factory=list)  # those a majority took, and when
     wished: set[tuple[int, Wish]] = field(default_factory=set)  # fences of commands that were given
     led: dict[int, tuple[int, int]] = field(default_factory=dict)  # front and life of each term
     begun: set[tuple[int, int, int, int]] = field(default_factory=set)
@@ -109,7 +121,7 @@
     def born(self, front: Front) -> None:
         """Its process begins."""
         front.life += 1
-        terms = Terms(self.size, front.index, BEAT_US, WINDOW_US, SILENT_US, 8 * BEAT_US, SHOW_US)
+        terms = RolloutSettings(self.size, front.index, BEAT_US, WINDOW_US, SILENT_US, 8 * BEAT_US, SHOW_US)
         places = tuple(Location(index % self.halls) for index in range(self.size))
         now_us = front.clock(self.now_us)
         front.agreed = RolloutAgreement(terms, self.limits, places, front.life, now_us, front.memory)
@@ -120,7 +132,7 @@
         """Its process ends; without a folder so does what it knew."""
         front.agreed = None
         front.todo.clear()
-        front.stands = Stands.STARTING
+        front.stands = ServingState.STARTING
         if not front.folder:
             front.memory = None
 
@@ -149,26 +161,26 @@
         if agreed is None:
             return
         for act in todo:
-            if act.do is Do.LEAVE and agreed.begin(act.kind, act.place, now_us):
+            if act.do is Do.DRAIN_FRONT and agreed.begin(act.kind, act.place, now_us):
                 self.leave(front, act.version)
-            elif act.do is Do.TAKE_BOX and agreed.begin(act.kind, act.place, now_us):
+            elif act.do is Do.DRAIN_SERVER and agreed.begin(act.kind, act.place, now_us):
                 self.take_box(front, act.place)
 
     def leave(self, front: Front, version: int) -> None:
         """It goes out."""
         front.next_version = version or front.version
-        if front.stands is not Stands.SERVING:
+        if front.stands is not ServingState.SERVING:
             front.ends_us = min(front.ends_us, self.now_us + BEAT_US)
             return
         assert front.agreed is not None
-        asked = front.agreed.askers[Kind.FRONT].wanted[front.index]
+        asked = front.agreed.requesters[Kind.FRONT].requests[front.index]
         key = (0, front.index, front.life, asked.number)
         if key in self.begun:
             self.found.append(f"permit {key} twice")
         self.begun.add(key)
         self.granted += 1
-        self.check_halt(asked.stamp)
-        front.stands, front.by_permit = Stands.LEAVING, True
+        self.check_halt(asked.revision)
+        front.stands, front.by_permit = ServingState.DRAINING, True
         front.ends_us = self.now_us + 2 * BEAT_US
         self.count()
 
@@ -186,71 +198,78 @@
         out = [front for front in self.fronts if front.by_permit and not front.off]
         halls = Counter(front.index % self.halls for front in out)
         self.most_out = max(self.most_out, len(out))
-        if len(out) > self.limits.fronts.whole or max(halls.values(), default=0) > self.limits.fronts.zone:
+        if (
+            len(out) > self.limits.fronts.total
+            or max(halls.values(), default=0) > self.limits.fronts.per_zone
+        ):
             self.found.append(f"{len(out)} fronts out by permits")
         cells = [c for c, b in self.boxes.items() if b.told_us is not None and self.now_us < b.back_us]
         titles = Counter(title for cell in cells for title in BOXES[cell].titles if title != 9)
-        if len(cells) > self.limits.servers.whole or max(titles.values(), default=0) > 1:
+        if len(cells) > self.limits.servers.total or max(titles.values(), default=0) > 1:
             self.found.append(f"{len(cells)} boxes out by permits")
 
     def check_halt(self, stamp: tuple[int, int]) -> None:
         """What was asked under a state before a halt is counted no more a window after that."""
         for at_us, record in self.agreed:
             late = self.now_us > at_us + 1.06 * WINDOW_US + BEAT_US
-            if stamp != (0, 0) and stamp < record.stamp and record.phase is Phase.HALTED and late:
-                self.found.append(f"{stamp} begun after {record.stamp} was halted")
+            if stamp != (0, 0) and stamp < record.revision and record.phase is RolloutPhase.HALTED and late:
+                self.found.append(f"{stamp} begun after {record.revision} was halted")
 
     def look(self, front: Front) -> None:
         """Records: none twice under one stamp, none moved but by a command."""
         agreed = front.agreed
         assert agreed is not None
-        record = agreed.register.record
-        known = self.records.setdefault(record.stamp, record)
+        record = agreed.acceptor.record
+        known = self.records.setdefault(record.revision, record)
         if known != record and record.reason.name != "FORGOTTEN":
-            self.found.append(f"two records of {record.stamp}")
-        if agreed.chair.seat is Role.LEADS:
-            term = agreed.chair.term
+            self.found.append(f"two records of {record.revision}")
+        if agreed.election.role is Role.LEADER:
+            term = agreed.election.term
             if self.led.setdefault(term, (front.index, front.life)) != (front.index, front.life):
                 self.found.append(f"term {term} led twice")
-            written = agreed.chair.writes
-            if written.stamp not in self.agreed_stamps:
-                self.agreed_stamps.add(written.stamp)
+            written = agreed.election.proposal
+            if written.revision not in self.agreed_stamps:
+                self.agreed_stamps.add(written.revision)
                 self.agree(written)
 
-    def agree(self, record: Record) -> None:
+    def agree(self, record: RolloutRecord) -> None:
         """A majority has taken it."""
-        before = max((r for _, r in self.agreed), key=lambda r: r.stamp, default=Record())
+        before = max((r for _, r in self.agreed), key=lambda r: r.revision, default=RolloutRecord())
         self.agreed.append((self.now_us, record))
-        moving = record.phase in rollout_plan.UNDER_WAY
-        if record.stamp < before.stamp and moving:
-            self.found.append(f"{record.stamp} agreed after {before.stamp}")
-        if before.phase is Phase.HALTED and moving and record.stamp > before.stamp:
+        moving = record.phase in rollout_plan.ACTIVE_PHASES
+        if record.revision < before.revision and moving:
+            self.found.append(f"{record.revision} agreed after {before.revision}")
+        if before.phase is RolloutPhase.HALTED and moving and record.revision > before.revision:
             moves = {Wish.ON, Wish.BACK, Wish.START, Wish.CHANGE}
             fences = {fence for fence, wish in self.wished if wish in moves}
             if record.fence <= before.fence or record.fence - 1 not in fences:
-                self.found.append(f"{before.stamp} was halted and moved as {record.stamp}")
+                self.found.append(f"{before.revision} was halted and moved as {record.revision}")
         self.moved += moving
 
     def remembered(self, stamp: tuple[int, int]) -> bool:
         """Whether anybody, or a folder, knows of a record as new."""
-        known = [front.memory.record.stamp for front in self.fronts if front.memory is not None]
-        known += [front.agreed.record().stamp for front in self.fronts if front.agreed is not None]
+        known = [front.memory.record.revision for front in self.fronts if front.memory is not None]
+        known += [front.agreed.record().revision for front in self.fronts if front.agreed is not None]
         return max(known, default=(0, 0)) >= stamp
 
     def act(self, front: Front) -> None:
         """What its process does by itself."""
         if front.ends_us > self.now_us:
             return
-        if front.agreed is not None and front.stands is Stands.LEAVING:
+        if front.agreed is not None and front.stands is ServingState.DRAINING:
             self.crash(front)
-            front.stands, front.ends_us = Stands.STARTING, self.now_us + 4 * BEAT_US
-        elif front.agreed is None and front.stands is Stands.STARTING and not (self.hang and front.by_permit):
+            front.stands, front.ends_us = ServingState.STARTING, self.now_us + 4 * BEAT_US
+        elif (
+            front.agreed is None
+            and front.stands is ServingState.STARTING
+            and not (self.hang and front.by_permit)
+        ):
             front.version = front.version if self.refuse else front.next_version
             front.next_version = front.version
             self.born(front)
             front.ends_us = self.now_us + 2 * BEAT_US
-        elif front.agreed is not None and front.stands is Stands.STARTING:
-            front.stands, front.by_permit, front.off = Stands.SERVING, False, False
+        elif front.agreed is not None and front.stands is ServingState.STARTING:
+            front.stands, front.by_permit, front.off = ServingState.SERVING, False, False
 
     def beat(
         self,
@@ -260,7 +279,7 @@
     ) -> None:
         """One beat of all that run, and all that comes of it at once. `delays`: of each copy of a message."""
         self.now_us += BEAT_US
-        if self.agreed and not self.remembered(max(record.stamp for _, record in self.agreed)):
+        if self.agreed and not self.remembered(max(record.revision for _, record in self.agreed)):
             # All that knew have lost their folders: there is nothing left to hold on to.
             self.agreed.clear()
             self.led.clear()
@@ -270,7 +289,7 @@
             self.act(front)
             if front.agreed is not None and not front.paused:
                 self.sights(front)
-                mine = Mine(front.stands, front.version, since_s=self.now_us // 1_000_000)
+                mine = Mine(front.stands, front.version, serving_for_s=self.now_us // 1_000_000)
                 todo.append((front.index, self.call(front, lambda a, t, m=mine: a.beat(m, t, draw))))
         due = [item for item in self.air if item[0] <= self.now_us]
         self.air = [item for item in self.air if item[0] > self.now_us]
@@ -352,7 +371,7 @@
             one.paused = not one.paused
         elif what:
             front = self.fronts[int(what[-1])]
-            if front.agreed is None or front.paused or front.agreed.askers[Kind.FRONT].wanted:
+            if front.agreed is None or front.paused or front.agreed.requesters[Kind.FRONT].requests:
                 return False
             self.want(front)
         return True
--- a/benchmarks/release_worlds.py
+++ b/benchmarks/release_worlds.py
@@ -23,13 +23,20 @@
 from benchmarks.release_world import BEAT_US, BOXES, LIMITS, PLAN, World
 from fennelcove.rollouts import leader_election, rollout_plan
 from fennelcove.rollouts.coordinator import RolloutAgreement, Wish
-from fennelcove.rollouts.leader_election import Register, Role
+from fennelcove.rollouts.leader_election import Acceptor, Role
 from fennelcove.rollouts.disruption_permits import Requester, PermitState, Grantor
-from fennelcove.rollouts.disruption_budget import Limit, Limits
-from fennelcove.rollouts.messages import Phase, Record, Stands, Taken, Verdict, Voice
+from fennelcove.rollouts.disruption_budget import DisruptionLimit, FleetLimits
+from fennelcove.rollouts.messages import (
+    RolloutPhase,
+    RolloutRecord,
+    ServingState,
+    ProposalAck,
+    PermitVerdict,
+    LeaderVote,
+)
 
 
-def search(steps: int, most: int, limits: Limits = LIMITS) -> tuple[int, int, list[str]]:
+def search(steps: int, most: int, limits: FleetLimits = LIMITS) -> tuple[int, int, list[str]]:
     """Worlds of three fronts seen, whole steps done, and what was found; ends early with the first find."""
     world = World(3, now_us=1_000_000, limits=limits)
     world.start()
@@ -77,7 +84,7 @@
     chance = Random(seed)
     mood = MOODS[seed % len(MOODS)]
     whole = chance.choice((1, 2))
-    limits = Limits(Limit(whole, whole, margin=0.0), LIMITS.servers)
+    limits = FleetLimits(DisruptionLimit(whole, whole, capacity_margin=0.0), LIMITS.servers)
     world = World(size, seed, now_us=1_000_000, limits=limits, halls=chance.choice((1, 2)))
     world.start(drift=True)
     apart: frozenset[int] = frozenset()
@@ -159,8 +166,8 @@
                     front.agreed.anew()
         world.beat(chance.random())
         records = [front.agreed.record() for front in world.fronts if front.agreed is not None]
-        rests = all(r == records[0] and r.phase not in rollout_plan.UNDER_WAY for r in records)
-        serves = all(front.stands is Stands.SERVING for front in world.fronts)
+        rests = all(r == records[0] and r.phase not in rollout_plan.ACTIVE_PHASES for r in records)
+        serves = all(front.stands is ServingState.SERVING for front in world.fronts)
         resting = resting + 1 if rests and serves and len(records) == world.size else 0
         if resting >= 8 or world.found:
             return
@@ -169,7 +176,7 @@
             f.index,
             f.stands.name,
             f.version,
-            f.agreed and (f.agreed.record().phase.name, f.agreed.register.sure),
+            f.agreed and (f.agreed.record().phase.name, f.agreed.acceptor.is_record_known),
         )
         for f in world.fronts
     ]
@@ -182,69 +189,72 @@
 def _forgets(self: Grantor, now_us: int) -> None:
     self.now_us = max(self.now_us, now_us)
     for place, entry in list(self.entries.items()):
-        if entry.hold is PermitState.PROMISED and self.now_us >= entry.since_us + self.rules.over_us:
+        if (
+            entry.state is PermitState.PROMISED
+            and self.now_us >= entry.since_us + self.settings.permit_expiry_us
+        ):
             del self.entries[place]
 
 
 def _trusts_itself(self: Grantor) -> None:
-    self.wary_until_us = self.now_us
-    self.remembers = True
+    self.recovering_until_us = self.now_us
+    self.has_full_history = True
 
 
-def _open_minded(self: Grantor, asker: int, ask: object, now_us: int) -> Verdict:
-    others = {place for place in self.held() if place != ask.place}  # type: ignore[attr-defined]
-    full = self.map.past(self.rules.limit, ask.place, others) is not None  # type: ignore[attr-defined]
-    return Verdict.FULL if full else Verdict.YES
+def _open_minded(self: Grantor, asker: int, ask: object, now_us: int) -> PermitVerdict:
+    others = {place for place in self.promised_places() if place != ask.place}  # type: ignore[attr-defined]
+    full = self.disruption_map.exceeded_limit(self.settings.limit, ask.place, others) is not None  # type: ignore[attr-defined]
+    return PermitVerdict.LIMIT_REACHED if full else PermitVerdict.GRANTED
 
 
 def _careless(self: Requester, one: object, seen: Grantor, now_us: int) -> bool:
     return True
 
 
-def _gullible(self: Register, now_us: int) -> bool:
+def _gullible(self: Acceptor, now_us: int) -> bool:
     return True
 
 
-def _takes_anything(self: Register, record: Record, now_us: int) -> object:
-    if record.stamp < self.record.stamp:
+def _takes_anything(self: Acceptor, record: RolloutRecord, now_us: int) -> object:
+    if record.revision < self.record.revision:
         return None
     self._learn(record)
-    return Taken(record.term, record.turn)
+    return ProposalAck(record.term, record.turn)
 
 
 def _starts_alone(
-    self: leader_election.LeaderElection, sender: int, voice: Voice, now_us: int
-) -> Record | None:
-    if self.seat is not Role.STANDS:
+    self: leader_election.LeaderElection, sender: int, voice: LeaderVote, now_us: int
+) -> RolloutRecord | None:
+    if self.role is not Role.CANDIDATE:
         return None
     self._apply(leader_election.ElectionEvent.MAJORITY)
-    best = self.register.record
-    return self._tell(replace(best, term=self.term, turn=best.turn + 1), now_us)
+    best = self.acceptor.record
+    return self._begin_proposal(replace(best, term=self.term, turn=best.turn + 1), now_us)
 
 
 def _never_stale(self: RolloutAgreement, sender: int, ask: object, now_us: int) -> object:
-    return self.voters[ask.kind].hear_ask(sender, ask, now_us)  # type: ignore[attr-defined, arg-type]
+    return self.grantors[ask.kind].on_permit_request(sender, ask, now_us)  # type: ignore[attr-defined, arg-type]
 
 
-def _restless(self: leader_election.LeaderElection, record: Record, now_us: int) -> Record:
-    self.since_us, self.heard = now_us, set()
-    again = record.phase is Phase.HALTED and record.term != self.writes.term
-    self.writes = replace(record, phase=Phase.MOVING) if again else record
-    return self.writes
+def _restless(self: leader_election.LeaderElection, record: RolloutRecord, now_us: int) -> RolloutRecord:
+    self.round_began_us, self.supporters = now_us, set()
+    again = record.phase is RolloutPhase.HALTED and record.term != self.proposal.term
+    self.proposal = replace(record, phase=RolloutPhase.MOVING) if again else record
+    return self.proposal
 
 
 FAULTS: dict[str, tuple[type, str, object]] = {
     "forgets": (Grantor, "advance", _forgets),  # a permit that runs out frees its place
     "trusts": (Grantor, "__post_init__", _trusts_itself),  # a new life promises at once
-    "open": (Grantor, "_weigh", _open_minded),  # yes to several asks at once
-    "careless": (Requester, "_fits", _careless),  # what the voices name is not counted
-    "gullible": (Register, "ready", _gullible),  # who forgot gives its voice
-    "anything": (Register, "hear_told", _takes_anything),  # a record of a leader that is over is taken
-    "alone": (leader_election.LeaderElection, "hear_voice", _starts_alone),  # a minority leads
-    "stale": (RolloutAgreement, "_vote", _never_stale),  # orders from before a halt are permitted
+    "open": (Grantor, "_judge", _open_minded),  # yes to several asks at once
+    "careless": (Requester, "_is_within_limits", _careless),  # what the voices name is not counted
+    "gullible": (Acceptor, "may_vote", _gullible),  # who forgot gives its voice
+    "anything": (Acceptor, "on_proposal", _takes_anything),  # a record of a leader that is over is taken
+    "alone": (leader_election.LeaderElection, "on_vote", _starts_alone),  # a minority leads
+    "stale": (RolloutAgreement, "_vote_on", _never_stale),  # orders from before a halt are permitted
     "restless": (
         leader_election.LeaderElection,
-        "_tell",
+        "_begin_proposal",
         _restless,
     ),  # who takes over goes on with a plan that is halted
 }
--- a/packages/daemon/src/fennelcove/daemon/rollouts.py
+++ b/packages/daemon/src/fennelcove/daemon/rollouts.py
@@ -22,9 +22,9 @@
 from fennelcove.decisions.clients.admission import AdmissionState, AdmissionEvent
 from fennelcove.decisions.clients.retry_storm import StormState as Weather
 from fennelcove.interface import ServerState
-from fennelcove.rollouts.coordinator import RolloutAgreement, Memory, Mine, Terms
-from fennelcove.rollouts.disruption_budget import Limit, Limits, Location
-from fennelcove.rollouts.messages import Stands
+from fennelcove.rollouts.coordinator import RolloutAgreement, Memory, Mine, RolloutSettings
+from fennelcove.rollouts.disruption_budget import DisruptionLimit, FleetLimits, Location
+from fennelcove.rollouts.messages import ServingState
 from fennelcove.placement import Server
 from fennelcove.settings.schema import FrontSettings, ReleaseSettings
 from fennelcove.store.folder import Store
@@ -139,14 +139,16 @@
     def _agreement(self, settings: FrontSettings, told: ReleaseSettings) -> RolloutAgreement:
         instance = settings.instance
         halls = told.halls or [instance.zone] * instance.fronts
-        limits = Limits(
-            Limit(told.fronts_out, told.fronts_out_hall, margin=told.margin),
-            Limit(told.boxes_out, told.boxes_out_hall, told.boxes_out_title, told.margin),
+        limits = FleetLimits(
+            DisruptionLimit(told.fronts_out, told.fronts_out_hall, capacity_margin=told.margin),
+            DisruptionLimit(told.boxes_out, told.boxes_out_hall, told.boxes_out_title, told.margin),
         )
         beat_us, window_us, silent_us, show_us = (
             round(ms * 1000) for ms in (told.beat_ms, told.window_ms, told.silent_ms, told.show_ms)
         )
-        terms = Terms(instance.fronts, instance.index, beat_us, window_us, silent_us, show_us=show_us)
+        terms = RolloutSettings(
+            instance.fronts, instance.index, beat_us, window_us, silent_us, drain_visible_us=show_us
+        )
         places = tuple(Location(zone(name), 1.0, told.front_load) for name in halls)
         now_us = self.clock.now_us()
         return RolloutAgreement(terms, limits, places, self.promises.life, now_us, self.promises.memory)
@@ -174,23 +176,25 @@
             opening = self.opening()
             storm, level = WEATHER[weather.phase], self.level()
         away = counts["damped"] + counts["refused_request_full"] + counts["refused_subscription_full"]
-        stands = Stands.SERVING if phase is AdmissionState.OPEN else Stands.LEAVING
-        if stands is Stands.SERVING and (not self.is_open or opening not in (Opening.OPEN, Opening.RATIONED)):
-            stands = Stands.STARTING
+        stands = ServingState.SERVING if phase is AdmissionState.OPEN else ServingState.DRAINING
+        if stands is ServingState.SERVING and (
+            not self.is_open or opening not in (Opening.OPEN, Opening.RATIONED)
+        ):
+            stands = ServingState.STARTING
         now_us = self.clock.now_us()
-        if stands is Stands.SERVING and self.served_from_us is None:
+        if stands is ServingState.SERVING and self.served_from_us is None:
             self.served_from_us = now_us
         since_us = now_us if self.served_from_us is None else self.served_from_us
         return Mine(
             stands,
             self.told.version,
             (now_us - since_us) // 1_000_000,
-            asked=counts["requests"] + away,
+            requested=counts["requests"] + away,
             served=counts["playing"],
             refused=counts["throttled"] + away,
             failed=sum(counts[f"joins_{how}"] for how in FAILED),
-            level=level,
-            storm=storm,
+            shedding_level=level,
+            storm_phase=storm,
         )
 
     def server_attempted(self, address: str, sent_us: int) -> None:
--- a/packages/messages/src/fennelcove/rollout_messages.py
+++ b/packages/messages/src/fennelcove/rollout_messages.py
@@ -7,25 +7,25 @@
 from collections.abc import Callable
 
 from fennelcove.rollouts.messages import (
-    MOST_HELD,
-    MOST_OPEN,
-    Ask,
+    MAX_PROMISED_PLACES,
+    MAX_OPEN_REQUESTS,
+    PermitRequest,
     Kind,
-    Open,
-    Order,
-    Phase,
+    OpenRequest,
+    RolloutOrder,
+    RolloutPhase,
     Plan,
-    Reason,
-    Record,
+    HaltReason,
+    RolloutRecord,
     Said,
-    Stand,
-    Stands,
-    Taken,
-    Told,
-    Verdict,
-    Voice,
-    Vote,
-    Word,
+    LeaderVoteRequest,
+    ServingState,
+    ProposalAck,
+    Proposal,
+    PermitVerdict,
+    LeaderVote,
+    PermitVote,
+    Heartbeat,
 )
 
 WORD, ASK, VOTE, STAND, VOICE, TOLD, TAKEN, ORDER = range(32, 40)
@@ -72,59 +72,77 @@
         return None
 
 
-def _word(word: Word) -> bytes:
-    head = (word.life, word.number, word.heard_life, word.heard_number, word.stands, word.version)
-    counts = (word.since_s, word.asked, word.served, word.refused, word.failed, word.level, word.storm)
-    last = (word.asks, word.term, word.turn, word.sure)
-    rows = [_packed(OPENED, one.kind, one.place, one.number, one.granted) for one in word.open[:MOST_OPEN]]
+def _word(word: Heartbeat) -> bytes:
+    head = (
+        word.incarnation,
+        word.sequence,
+        word.acked_incarnation,
+        word.acked_sequence,
+        word.serving_state,
+        word.version,
+    )
+    counts = (
+        word.serving_for_s,
+        word.requested,
+        word.served,
+        word.refused,
+        word.failed,
+        word.shedding_level,
+        word.storm_phase,
+    )
+    last = (word.last_request_number, word.term, word.turn, word.is_record_known)
+    rows = [
+        _packed(OPENED, one.kind, one.place, one.number, one.is_granted)
+        for one in word.open_requests[:MAX_OPEN_REQUESTS]
+    ]
     return _packed(WORDS, *head, *counts, *last) + b"".join(rows)
 
 
-def _read_word(raw: bytes) -> Word:
+def _read_word(raw: bytes) -> Heartbeat:
     rows = raw[WORDS.size :]
-    if len(rows) % OPENED.size or len(rows) > MOST_OPEN * OPENED.size:
+    if len(rows) % OPENED.size or len(rows) > MAX_OPEN_REQUESTS * OPENED.size:
         raise ValueError(len(rows))
     life, number, heard_life, heard_number, stands, *counts, sure = WORDS.unpack_from(raw)
     opened = tuple(
-        Open(Kind(kind), _place(place), ask, _flag(granted))
+        OpenRequest(Kind(kind), _place(place), ask, _flag(granted))
         for kind, place, ask, granted in OPENED.iter_unpack(rows)
     )
     # The fields in the order in which they stand.
-    fields = (life, number, heard_life, heard_number, Stands(stands), *counts, _flag(sure), opened)
-    return Word(*fields)
+    fields = (life, number, heard_life, heard_number, ServingState(stands), *counts, _flag(sure), opened)
+    return Heartbeat(*fields)
 
 
-def _ask(ask: Ask) -> bytes:
-    return _packed(ASKED, ask.life, ask.number, ask.kind, ask.place, ask.term, ask.turn)
+def _ask(ask: PermitRequest) -> bytes:
+    return _packed(ASKED, ask.incarnation, ask.number, ask.kind, ask.place, ask.term, ask.turn)
 
 
-def _read_ask(raw: bytes) -> Ask:
+def _read_ask(raw: bytes) -> PermitRequest:
     life, number, kind, place, term, turn = ASKED.unpack(raw)
-    return Ask(life, number, Kind(kind), _place(place), term, turn)
+    return PermitRequest(life, number, Kind(kind), _place(place), term, turn)
 
 
-def _vote(vote: Vote) -> bytes:
-    held = b"".join(_packed(PLACE, place) for place in vote.held[:MOST_HELD])
-    return _packed(VOTED, vote.life, vote.number, vote.verdict) + held
+def _vote(vote: PermitVote) -> bytes:
+    held = b"".join(_packed(PLACE, place) for place in vote.promised_places[:MAX_PROMISED_PLACES])
+    return _packed(VOTED, vote.requester_incarnation, vote.request_number, vote.verdict) + held
 
 
-def _read_vote(raw: bytes) -> Vote:
+def _read_vote(raw: bytes) -> PermitVote:
     life, number, verdict = VOTED.unpack_from(raw)
     held = tuple(_place(place) for (place,) in PLACE.iter_unpack(raw[VOTED.size :]))
-    if len(held) > MOST_HELD:
+    if len(held) > MAX_PROMISED_PLACES:
         raise ValueError(len(held))
-    return Vote(life, number, Verdict(verdict), held)
+    return PermitVote(life, number, PermitVerdict(verdict), held)
 
 
-def _stand(stand: Stand) -> bytes:
-    return _packed(STOOD, stand.life, stand.term)
+def _stand(stand: LeaderVoteRequest) -> bytes:
+    return _packed(STOOD, stand.incarnation, stand.term)
 
 
-def _read_stand(raw: bytes) -> Stand:
-    return Stand(*STOOD.unpack(raw))
+def _read_stand(raw: bytes) -> LeaderVoteRequest:
+    return LeaderVoteRequest(*STOOD.unpack(raw))
 
 
-def _record(record: Record) -> bytes:
+def _record(record: RolloutRecord) -> bytes:
     plan = record.plan
     state = (record.term, record.turn, record.phase, record.reason, record.back, record.goal, record.fence)
     steps = (plan.number, plan.wanted, plan.before, plan.canary, plan.wave, plan.soak_ms, plan.out_ms)
@@ -132,43 +150,47 @@
     return _packed(RECORD, *state, *steps, *causes)
 
 
-def _read_record(raw: bytes) -> Record:
+def _read_record(raw: bytes) -> RolloutRecord:
     term, turn, phase, reason, back, goal, fence, *plan = RECORD.unpack(raw)
-    return Record(term, turn, Phase(phase), Reason(reason), _flag(back), goal, fence, Plan(*plan))
+    return RolloutRecord(
+        term, turn, RolloutPhase(phase), HaltReason(reason), _flag(back), goal, fence, Plan(*plan)
+    )
 
 
-def _voice(voice: Voice) -> bytes:
-    return _packed(VOICED, voice.life, voice.term, voice.yes, voice.sure) + _record(voice.record)
+def _voice(voice: LeaderVote) -> bytes:
+    return _packed(
+        VOICED, voice.candidate_incarnation, voice.term, voice.is_granted, voice.is_record_known
+    ) + _record(voice.record)
 
 
-def _read_voice(raw: bytes) -> Voice:
+def _read_voice(raw: bytes) -> LeaderVote:
     life, term, yes, sure = VOICED.unpack_from(raw)
-    return Voice(life, term, _flag(yes), _flag(sure), _read_record(raw[VOICED.size :]))
+    return LeaderVote(life, term, _flag(yes), _flag(sure), _read_record(raw[VOICED.size :]))
 
 
-def _told(told: Told) -> bytes:
-    return _packed(MEANT, told.life) + _record(told.record)
+def _told(told: Proposal) -> bytes:
+    return _packed(MEANT, told.receiver_incarnation) + _record(told.record)
 
 
-def _read_told(raw: bytes) -> Told:
+def _read_told(raw: bytes) -> Proposal:
     (life,) = MEANT.unpack_from(raw)
-    return Told(_read_record(raw[MEANT.size :]), life)
+    return Proposal(_read_record(raw[MEANT.size :]), life)
 
 
-def _taken(taken: Taken) -> bytes:
+def _taken(taken: ProposalAck) -> bytes:
     return _packed(TOOK, taken.term, taken.turn)
 
 
-def _read_taken(raw: bytes) -> Taken:
-    return Taken(*TOOK.unpack(raw))
+def _read_taken(raw: bytes) -> ProposalAck:
+    return ProposalAck(*TOOK.unpack(raw))
 
 
-def _order(order: Order) -> bytes:
-    return _packed(TURN, order.life, order.term, order.turn, order.version)
+def _order(order: RolloutOrder) -> bytes:
+    return _packed(TURN, order.receiver_incarnation, order.term, order.turn, order.version)
 
 
-def _read_order(raw: bytes) -> Order:
-    return Order(*TURN.unpack(raw))
+def _read_order(raw: bytes) -> RolloutOrder:
+    return RolloutOrder(*TURN.unpack(raw))
 
 
 def _flag(value: int) -> bool:
@@ -184,14 +206,14 @@
 
 
 PACKERS: dict[type, tuple[int, Callable[..., bytes]]] = {
-    Word: (WORD, _word),
-    Ask: (ASK, _ask),
-    Vote: (VOTE, _vote),
-    Stand: (STAND, _stand),
-    Voice: (VOICE, _voice),
-    Told: (TOLD, _told),
-    Taken: (TAKEN, _taken),
-    Order: (ORDER, _order),
+    Heartbeat: (WORD, _word),
+    PermitRequest: (ASK, _ask),
+    PermitVote: (VOTE, _vote),
+    LeaderVoteRequest: (STAND, _stand),
+    LeaderVote: (VOICE, _voice),
+    Proposal: (TOLD, _told),
+    ProposalAck: (TAKEN, _taken),
+    RolloutOrder: (ORDER, _order),
 }
 UNPACKERS: dict[int, Callable[[bytes], Said]] = {
     WORD: _read_word,
--- a/packages/rollouts/src/fennelcove/rollouts/disruption_permits.py
+++ b/packages/rollouts/src/fennelcove/rollouts/disruption_permits.py
@@ -23,35 +23,46 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-from fennelcove.rollouts.disruption_budget import Limit, DisruptionMap
-from fennelcove.rollouts.messages import MOST_HELD, Ask, Kind, Open, Stands, Verdict, Vote, Word
-
-DRIFT = 0.05  # by how much two clocks may differ in pace, and a process be held up between look and act
-MOST_WANTED = 15  # all asks in hand of both kinds have to fit into a word
-MOST_DOUBLINGS = 3  # of the pause between two asks
+from fennelcove.rollouts.disruption_budget import DisruptionLimit, DisruptionMap
+from fennelcove.rollouts.messages import (
+    MAX_PROMISED_PLACES,
+    PermitRequest,
+    Kind,
+    OpenRequest,
+    ServingState,
+    PermitVerdict,
+    PermitVote,
+    Heartbeat,
+)
+
+MAX_CLOCK_DRIFT = (
+    0.05  # by how much two clocks may differ in pace, and a process be held up between look and act
+)
+MAX_REQUESTS = 15  # all asks in hand of both kinds have to fit into a word
+MAX_BACKOFF_DOUBLINGS = 3  # of the pause between two asks
 
 
 @dataclass(frozen=True, slots=True)
-class PermitRules:
+class PermitSettings:
     """The figures of permits for one kind."""
 
     kind: Kind
-    fronts: int
-    index: int
-    limit: Limit
-    window_us: int = 2_000_000  # from an ask, how long voices are counted and the way out may begin
-    silent_us: int = 2_000_000  # a place without a sight for so long is out
-    show_us: int = 0  # in which a box that was told to drain is seen to drain, by all
+    front_count: int
+    front_index: int
+    limit: DisruptionLimit
+    permit_window_us: int = 2_000_000  # from an ask, how long voices are counted and the way out may begin
+    health_timeout_us: int = 2_000_000  # a place without a sight for so long is out
+    drain_visible_us: int = 0  # in which a box that was told to drain is seen to drain, by all
 
     @property
     def majority(self) -> int:
         """How many of all fronts are more than half."""
-        return self.fronts // 2 + 1
+        return self.front_count // 2 + 1
 
     @property
-    def over_us(self) -> int:
+    def permit_expiry_us(self) -> int:
         """So long after its voice a voter knows that the asker counts and begins no more."""
-        return round(self.window_us * (1 + DRIFT))
+        return round(self.permit_window_us * (1 + MAX_CLOCK_DRIFT))
 
 
 class PermitState(Enum):
@@ -59,54 +70,58 @@
 
     FREE = auto()
     PROMISED = auto()  # the asker may be counting voices
-    HELD = auto()  # granted, or nobody knows
+    GRANTED = auto()  # granted, or nobody knows
     UNKNOWN = auto()  # this life does not know what the last one promised
-    OFF = auto()  # written off: it counts no more until it is seen to serve
+    WRITTEN_OFF = auto()  # written off: it counts no more until it is seen to serve
 
 
 class PermitEvent(Enum):
     """What happens to it."""
 
-    ASKED = auto()  # and the answer is yes
+    PROMISED = auto()  # and the answer is yes
     SETTLED = auto()  # the asker has its majority, or counts no more
-    OVER = auto()  # the ask is given up, or the place is back
-    SEEN = auto()  # it serves, by a sight from after all that this voter may have promised
+    RELEASED = auto()  # the ask is given up, or the place is back
+    SEEN_SERVING = auto()  # it serves, by a sight from after all that this voter may have promised
     WRITTEN_OFF = auto()
 
 
 TRANSITIONS: dict[tuple[PermitState, PermitEvent], PermitState] = {
-    **{(hold, PermitEvent.ASKED): PermitState.PROMISED for hold in PermitState},
-    **{(hold, PermitEvent.WRITTEN_OFF): PermitState.OFF for hold in PermitState},
-    (PermitState.PROMISED, PermitEvent.SETTLED): PermitState.HELD,
-    (PermitState.PROMISED, PermitEvent.OVER): PermitState.FREE,
-    (PermitState.HELD, PermitEvent.OVER): PermitState.FREE,
-    (PermitState.HELD, PermitEvent.SEEN): PermitState.FREE,
-    (PermitState.UNKNOWN, PermitEvent.SEEN): PermitState.FREE,
-    (PermitState.OFF, PermitEvent.SEEN): PermitState.FREE,
+    **{(hold, PermitEvent.PROMISED): PermitState.PROMISED for hold in PermitState},
+    **{(hold, PermitEvent.WRITTEN_OFF): PermitState.WRITTEN_OFF for hold in PermitState},
+    (PermitState.PROMISED, PermitEvent.SETTLED): PermitState.GRANTED,
+    (PermitState.PROMISED, PermitEvent.RELEASED): PermitState.FREE,
+    (PermitState.GRANTED, PermitEvent.RELEASED): PermitState.FREE,
+    (PermitState.GRANTED, PermitEvent.SEEN_SERVING): PermitState.FREE,
+    (PermitState.UNKNOWN, PermitEvent.SEEN_SERVING): PermitState.FREE,
+    (PermitState.WRITTEN_OFF, PermitEvent.SEEN_SERVING): PermitState.FREE,
 }
-COUNTED = (PermitState.PROMISED, PermitState.HELD, PermitState.UNKNOWN)
+OCCUPIED_STATES = (PermitState.PROMISED, PermitState.GRANTED, PermitState.UNKNOWN)
 
 
 @dataclass(slots=True)
-class Entry:
+class PermitEntry:
     """A place in a voter's book, and the ask that it is promised to."""
 
-    hold: PermitState
-    asker: int = 0
-    life: int = 0
-    number: int = 0
+    state: PermitState
+    requester: int = 0
+    incarnation: int = 0
+    request_number: int = 0
     since_us: int = 0  # when it was promised, written off, or this life began
 
-    def same(self, asker: int, ask: Ask) -> bool:
+    def is_for(self, requester: int, request: PermitRequest) -> bool:
         """Whether it is this very ask."""
-        return (self.asker, self.life, self.number) == (asker, ask.life, ask.number)
+        return (self.requester, self.incarnation, self.request_number) == (
+            requester,
+            request.incarnation,
+            request.number,
+        )
 
 
 @dataclass(slots=True)
 class HealthView:
     """How a place was last seen: not earlier than `as_of_us`."""
 
-    serving: bool
+    is_serving: bool
     as_of_us: int
 
 
@@ -114,182 +129,226 @@
 class Grantor:
     """One front's voice, and what it promised. `remembers`: the folder told all of the last life's."""
 
-    rules: PermitRules
-    map: DisruptionMap
+    settings: PermitSettings
+    disruption_map: DisruptionMap
     now_us: int
-    remembers: bool = False
-    entries: dict[int, Entry] = field(default_factory=dict)
-    sights: dict[int, HealthView] = field(default_factory=dict)
-    words: dict[int, Word] = field(default_factory=dict)  # the newest of each front
-    wary_until_us: int = 0
-    changed: bool = False  # since the folder was told
-    _settles_us: int = 0  # when the promise that is not settled is so by time
-    _dark: set[int] = field(default_factory=set)
-    _dark_until_us: int = 0  # none of the others falls silent before
+    has_full_history: bool = False
+    entries: dict[int, PermitEntry] = field(default_factory=dict)
+    health_views: dict[int, HealthView] = field(default_factory=dict)
+    heartbeats: dict[int, Heartbeat] = field(default_factory=dict)  # the newest of each front
+    recovering_until_us: int = 0
+    has_unsaved_changes: bool = False  # since the folder was told
+    _settles_at_us: int = 0  # when the promise that is not settled is so by time
+    _unavailable: set[int] = field(default_factory=set)
+    _unavailable_until_us: int = 0  # none of the others falls silent before
 
     def __post_init__(self) -> None:
-        self.wary_until_us = self.now_us + self.rules.over_us
+        self.recovering_until_us = self.now_us + self.settings.permit_expiry_us
         self.entries = {
-            place: Entry(entry.hold, entry.asker, entry.life, entry.number, self.now_us)
+            place: PermitEntry(
+                entry.state, entry.requester, entry.incarnation, entry.request_number, self.now_us
+            )
             for place, entry in self.entries.items()
         }
-        self.take_map(self.map)
+        self.update_map(self.disruption_map)
 
-    def take_map(self, new: DisruptionMap) -> None:
+    def update_map(self, new: DisruptionMap) -> None:
         """The settings or the list name these places."""
-        if not self.remembers:
-            fresh = new.places.keys() - self.entries.keys() - self.sights.keys()
+        if not self.has_full_history:
+            fresh = new.places.keys() - self.entries.keys() - self.health_views.keys()
             # A box that is listed later than this may be new, or one that the last life promised.
             for place in fresh:
-                self.entries[place] = Entry(PermitState.UNKNOWN, since_us=self.wary_until_us)
-        for place in self.sights.keys() - new.places.keys():
-            del self.sights[place]
-        self.map = new
-        self._dark_until_us = 0
+                self.entries[place] = PermitEntry(PermitState.UNKNOWN, since_us=self.recovering_until_us)
+        for place in self.health_views.keys() - new.places.keys():
+            del self.health_views[place]
+        self.disruption_map = new
+        self._unavailable_until_us = 0
 
     # What is promised.
 
-    def held(self) -> set[int]:
+    def promised_places(self) -> set[int]:
         """All places that count as promised."""
-        return {place for place, entry in self.entries.items() if entry.hold in COUNTED}
+        return {place for place, entry in self.entries.items() if entry.state in OCCUPIED_STATES}
 
-    def out(self, now_us: int) -> set[int]:
+    def disrupted_places(self, now_us: int) -> set[int]:
         """All places that do not serve, as far as this front sees, or may be on their way out."""
         self.advance(now_us)
-        return self.held() | self.dark(now_us)
+        return self.promised_places() | self.unavailable_places(now_us)
 
-    def dark(self, now_us: int) -> set[int]:
+    def unavailable_places(self, now_us: int) -> set[int]:
         """All places that do not serve, as far as this front sees; those written off apart."""
-        if now_us >= self._dark_until_us:
-            silent_us = self.rules.silent_us
-            seen = [sight.as_of_us for sight in self.sights.values() if sight.serving]
-            fresh = [at_us + silent_us for at_us in seen if now_us < at_us + silent_us]
-            self._dark = {place for place in self.map.places if not self._serves(place, now_us)}
-            self._dark_until_us = min(fresh, default=now_us + silent_us)
-        off = {place for place, entry in self.entries.items() if entry.hold is PermitState.OFF}
-        return self._dark - off
-
-    def _serves(self, place: int, now_us: int) -> bool:
-        sight = self.sights.get(place)
-        return sight is not None and sight.serving and now_us < sight.as_of_us + self.rules.silent_us
-
-    def hear_ask(self, asker: int, ask: Ask, now_us: int, stale: bool = False) -> Vote:
+        if now_us >= self._unavailable_until_us:
+            silent_us = self.settings.health_timeout_us
+            grantor = [view.as_of_us for view in self.health_views.values() if view.is_serving]
+            fresh = [at_us + silent_us for at_us in grantor if now_us < at_us + silent_us]
+            self._unavailable = {
+                place for place in self.disruption_map.places if not self._is_serving(place, now_us)
+            }
+            self._unavailable_until_us = min(fresh, default=now_us + silent_us)
+        off = {place for place, entry in self.entries.items() if entry.state is PermitState.WRITTEN_OFF}
+        return self._unavailable - off
+
+    def _is_serving(self, place: int, now_us: int) -> bool:
+        view = self.health_views.get(place)
+        return (
+            view is not None and view.is_serving and now_us < view.as_of_us + self.settings.health_timeout_us
+        )
+
+    def on_permit_request(
+        self, requester: int, request: PermitRequest, now_us: int, is_stale: bool = False
+    ) -> PermitVote:
         """A front asks for a permit; `stale`: its plan is no more what this front knows."""
         self.advance(now_us)
-        verdict = Verdict.STALE if stale or self._is_over(asker, ask) else self._weigh(asker, ask, now_us)
-        if verdict is not Verdict.YES:
-            return Vote(ask.life, ask.number, verdict)
-        entry = self.entries.get(ask.place)
-        if entry is None or not entry.same(asker, ask):
-            self._promise(asker, ask, now_us)
-        return Vote(ask.life, ask.number, verdict, tuple(sorted(self.held() - {ask.place})))
-
-    def _weigh(self, asker: int, ask: Ask, now_us: int) -> Verdict:
-        if now_us < self.wary_until_us:
-            return Verdict.WARY
-        entry = self.entries.get(ask.place)
+        verdict = (
+            PermitVerdict.STALE
+            if is_stale or self._is_over(requester, request)
+            else self._judge(requester, request, now_us)
+        )
+        if verdict is not PermitVerdict.GRANTED:
+            return PermitVote(request.incarnation, request.number, verdict)
+        entry = self.entries.get(request.place)
+        if entry is None or not entry.is_for(requester, request):
+            self._promise(requester, request, now_us)
+        return PermitVote(
+            request.incarnation,
+            request.number,
+            verdict,
+            tuple(sorted(self.promised_places() - {request.place})),
+        )
+
+    def _judge(self, requester: int, request: PermitRequest, now_us: int) -> PermitVerdict:
+        if now_us < self.recovering_until_us:
+            return PermitVerdict.RECOVERING
+        entry = self.entries.get(request.place)
         if (
             entry is not None
-            and entry.same(asker, ask)
-            and entry.hold in (PermitState.PROMISED, PermitState.HELD)
+            and entry.is_for(requester, request)
+            and entry.state in (PermitState.PROMISED, PermitState.GRANTED)
         ):
-            return Verdict.YES  # asked twice, or the answer was lost
-        if entry is not None and not self._may_replace(asker, ask, entry):
-            return Verdict.BUSY
-        others = {place for place in self.held() if place != ask.place}
-        if any(self.entries[place].hold is PermitState.PROMISED for place in others):
-            return Verdict.BUSY
-        everyone = others | self.dark(now_us)
-        full = len(others) >= MOST_HELD or self.map.past(self.rules.limit, ask.place, everyone) is not None
-        return Verdict.FULL if full else Verdict.YES
-
-    def _may_replace(self, asker: int, ask: Ask, entry: Entry) -> bool:
+            return PermitVerdict.GRANTED  # asked twice, or the answer was lost
+        if entry is not None and not self._may_replace(requester, request, entry):
+            return PermitVerdict.BUSY
+        others = {place for place in self.promised_places() if place != request.place}
+        if any(self.entries[place].state is PermitState.PROMISED for place in others):
+            return PermitVerdict.BUSY
+        everyone = others | self.unavailable_places(now_us)
+        full = (
+            len(others) >= MAX_PROMISED_PLACES
+            or self.disruption_map.exceeded_limit(self.settings.limit, request.place, everyone) is not None
+        )
+        return PermitVerdict.LIMIT_REACHED if full else PermitVerdict.GRANTED
+
+    def _may_replace(self, requester: int, request: PermitRequest, entry: PermitEntry) -> bool:
         """Whether what is held of the place is over since this is asked for."""
-        if entry.hold in (PermitState.FREE, PermitState.OFF):
+        if entry.state in (PermitState.FREE, PermitState.WRITTEN_OFF):
             return True
-        if self.rules.kind is Kind.FRONT:  # it asks for itself, while it serves, one ask at a time
-            return entry.hold is PermitState.UNKNOWN or (entry.life, entry.number) < (ask.life, ask.number)
+        if self.settings.kind is Kind.FRONT:  # it asks for itself, while it serves, one ask at a time
+            return entry.state is PermitState.UNKNOWN or (entry.incarnation, entry.request_number) < (
+                request.incarnation,
+                request.number,
+            )
         # Another front, or another life of this one, may have told the list to drain it a moment ago.
-        same = (entry.asker, entry.life) == (asker, ask.life)
-        return entry.hold is not PermitState.UNKNOWN and same and entry.number < ask.number
+        same = (entry.requester, entry.incarnation) == (requester, request.incarnation)
+        return entry.state is not PermitState.UNKNOWN and same and entry.request_number < request.number
 
-    def _is_over(self, asker: int, ask: Ask) -> bool:
-        word = self.words.get(asker)
-        if word is None or word.life < ask.life:
+    def _is_over(self, requester: int, request: PermitRequest) -> bool:
+        heartbeat = self.heartbeats.get(requester)
+        if heartbeat is None or heartbeat.incarnation < request.incarnation:
             return False
-        if word.life > ask.life:
+        if heartbeat.incarnation > request.incarnation:
             return True
-        return ask.number <= word.asks and not any(one.number == ask.number for one in word.open)
-
-    def _promise(self, asker: int, ask: Ask, now_us: int) -> None:
-        self._apply(ask.place, PermitEvent.ASKED)
-        entry = self.entries[ask.place]
-        entry.asker, entry.life, entry.number, entry.since_us = asker, ask.life, ask.number, now_us
-        self._settles_us = now_us + self.rules.over_us  # there is one at a time
+        return request.number <= heartbeat.last_request_number and not any(
+            one.number == request.number for one in heartbeat.open_requests
+        )
+
+    def _promise(self, requester: int, request: PermitRequest, now_us: int) -> None:
+        self._apply(request.place, PermitEvent.PROMISED)
+        entry = self.entries[request.place]
+        entry.requester, entry.incarnation, entry.request_number, entry.since_us = (
+            requester,
+            request.incarnation,
+            request.number,
+            now_us,
+        )
+        self._settles_at_us = now_us + self.settings.permit_expiry_us  # there is one at a time
 
     # What is heard and seen.
 
-    def hear_word(self, sender: int, word: Word, as_of_us: int | None, now_us: int) -> None:
+    def on_heartbeat(self, sender: int, heartbeat: Heartbeat, as_of_us: int | None, now_us: int) -> None:
         """A front says what it is and holds. `as_of_us`: when what it answers was sent from here; None: it
         answers nothing, or what nobody remembers."""
-        known = self.words.get(sender)
-        if known is not None and (word.life, word.number) <= (known.life, known.number):
+        known = self.heartbeats.get(sender)
+        if known is not None and (heartbeat.incarnation, heartbeat.sequence) <= (
+            known.incarnation,
+            known.sequence,
+        ):
             return
-        self.words[sender] = word
+        self.heartbeats[sender] = heartbeat
         self.advance(now_us)
-        for place in [sender] if self.rules.kind is Kind.FRONT else list(self.entries):
+        for place in [sender] if self.settings.kind is Kind.FRONT else list(self.entries):
             entry = self.entries.get(place)
             if (
                 entry is not None
-                and entry.asker == sender
-                and entry.hold in (PermitState.PROMISED, PermitState.HELD)
+                and entry.requester == sender
+                and entry.state in (PermitState.PROMISED, PermitState.GRANTED)
             ):
-                self._hear_of(place, entry, word)
-        if self.rules.kind is Kind.FRONT and as_of_us is not None:
-            self.see(sender, word.stands is Stands.SERVING, as_of_us, now_us)
+                self._update_from_heartbeat(place, entry, heartbeat)
+        if self.settings.kind is Kind.FRONT and as_of_us is not None:
+            self.observe(sender, heartbeat.serving_state is ServingState.SERVING, as_of_us, now_us)
 
-    def _hear_of(self, place: int, entry: Entry, word: Word) -> None:
-        front, serves = self.rules.kind is Kind.FRONT, word.stands is Stands.SERVING
-        if entry.life < word.life:
+    def _update_from_heartbeat(self, place: int, entry: PermitEntry, heartbeat: Heartbeat) -> None:
+        front, serves = self.settings.kind is Kind.FRONT, heartbeat.serving_state is ServingState.SERVING
+        if entry.incarnation < heartbeat.incarnation:
             # The life that asked is over. Of a front that is all; a box may have been told to drain by it.
             if front and serves:
-                self._apply(place, PermitEvent.OVER)
-        elif entry.life == word.life and entry.number <= word.asks:
-            mine = [one for one in word.open if one.number == entry.number]
-            if not mine:
+                self._apply(place, PermitEvent.RELEASED)
+        elif (
+            entry.incarnation == heartbeat.incarnation
+            and entry.request_number <= heartbeat.last_request_number
+        ):
+            status = [one for one in heartbeat.open_requests if one.number == entry.request_number]
+            if not status:
                 if serves or not front:  # one that is out for another reason is not free by what it gives up
-                    self._apply(place, PermitEvent.OVER)
-            elif mine[0].granted:
+                    self._apply(place, PermitEvent.RELEASED)
+            elif status[0].is_granted:
                 self._apply(place, PermitEvent.SETTLED)
 
-    def see(self, place: int, serving: bool, as_of_us: int, now_us: int) -> None:
+    def observe(self, place: int, is_serving: bool, as_of_us: int, now_us: int) -> None:
         """A place is seen to serve or not, as it was at that time or later. Of fronts their words tell."""
         self.advance(now_us)
-        sight = self.sights.get(place)
-        if place not in self.map.places or (sight is not None and as_of_us < sight.as_of_us):
+        view = self.health_views.get(place)
+        if place not in self.disruption_map.places or (view is not None and as_of_us < view.as_of_us):
             return
-        self.sights[place] = HealthView(serving, as_of_us)
-        if now_us >= as_of_us + self.rules.silent_us or not serving:
-            self._dark.add(place)
+        self.health_views[place] = HealthView(is_serving, as_of_us)
+        if now_us >= as_of_us + self.settings.health_timeout_us or not is_serving:
+            self._unavailable.add(place)
         else:
-            self._dark.discard(place)
-            self._dark_until_us = min(self._dark_until_us, as_of_us + self.rules.silent_us)
+            self._unavailable.discard(place)
+            self._unavailable_until_us = min(
+                self._unavailable_until_us, as_of_us + self.settings.health_timeout_us
+            )
         entry = self.entries.get(place)
-        if serving and entry is not None and as_of_us >= self._free_from_us(place, entry):
-            self._apply(place, PermitEvent.SEEN)
+        if is_serving and entry is not None and as_of_us >= self._free_from_us(place, entry):
+            self._apply(place, PermitEvent.SEEN_SERVING)
 
-    def _free_from_us(self, place: int, entry: Entry) -> int:
+    def _free_from_us(self, place: int, entry: PermitEntry) -> int:
         """From when on a sight of the place serving says that it is not on its way out."""
-        show_us = self.rules.show_us
-        if entry.hold is PermitState.UNKNOWN:
-            word = self.words.get(place)
-            front = self.rules.kind is Kind.FRONT
-            if front and (word is None or any(one.kind is Kind.FRONT for one in word.open)):
+        show_us = self.settings.drain_visible_us
+        if entry.state is PermitState.UNKNOWN:
+            heartbeat = self.heartbeats.get(place)
+            front = self.settings.kind is Kind.FRONT
+            if front and (
+                heartbeat is None or any(one.kind is Kind.FRONT for one in heartbeat.open_requests)
+            ):
                 return 1 << 62
-            return max(entry.since_us, self.wary_until_us) + show_us
-        if entry.hold is PermitState.HELD:
+            return max(entry.since_us, self.recovering_until_us) + show_us
+        if entry.state is PermitState.GRANTED:
             # Of a front its own word alone says that an ask is over; a box has none.
-            return 1 << 62 if self.rules.kind is Kind.FRONT else entry.since_us + self.rules.over_us + show_us
+            return (
+                1 << 62
+                if self.settings.kind is Kind.FRONT
+                else entry.since_us + self.settings.permit_expiry_us + show_us
+            )
         return entry.since_us
 
     def write_off(self, place: int, now_us: int) -> None:
@@ -301,17 +360,17 @@
     def advance(self, now_us: int) -> None:
         """Time passes."""
         self.now_us = max(self.now_us, now_us)
-        if self.now_us < self._settles_us:
+        if self.now_us < self._settles_at_us:
             return
         for place, entry in list(self.entries.items()):
-            if entry.hold is PermitState.PROMISED:
+            if entry.state is PermitState.PROMISED:
                 self._apply(place, PermitEvent.SETTLED)
 
     def _apply(self, place: int, event: PermitEvent) -> None:
-        entry = self.entries.setdefault(place, Entry(PermitState.FREE))
-        after = TRANSITIONS.get((entry.hold, event), entry.hold)
-        self.changed |= after is not entry.hold or event is PermitEvent.ASKED
-        entry.hold = after
+        entry = self.entries.setdefault(place, PermitEntry(PermitState.FREE))
+        after = TRANSITIONS.get((entry.state, event), entry.state)
+        self.has_unsaved_changes |= after is not entry.state or event is PermitEvent.PROMISED
+        entry.state = after
         if after is PermitState.FREE:
             del self.entries[place]
 
@@ -329,172 +388,194 @@
 class RequestEvent(Enum):
     """What moves it on."""
 
-    ASK = auto()
+    SENT = auto()
     MAJORITY = auto()
     DENIED = auto()
-    TIME = auto()  # the window is over
-    BEGIN = auto()
-    CALLED_OFF = auto()
-    BACK = auto()
+    TIMED_OUT = auto()  # the window is over
+    BEGUN = auto()
+    CANCELLED = auto()
+    RETURNED = auto()
 
 
 REQUEST_TRANSITIONS: dict[tuple[RequestState, RequestEvent], RequestState] = {
-    (RequestState.WANTED, RequestEvent.ASK): RequestState.ASKING,
+    (RequestState.WANTED, RequestEvent.SENT): RequestState.ASKING,
     (RequestState.ASKING, RequestEvent.MAJORITY): RequestState.GRANTED,
     (RequestState.ASKING, RequestEvent.DENIED): RequestState.WANTED,
-    (RequestState.ASKING, RequestEvent.TIME): RequestState.WANTED,
-    (RequestState.GRANTED, RequestEvent.BEGIN): RequestState.OUT,
-    (RequestState.GRANTED, RequestEvent.TIME): RequestState.WANTED,
+    (RequestState.ASKING, RequestEvent.TIMED_OUT): RequestState.WANTED,
+    (RequestState.GRANTED, RequestEvent.BEGUN): RequestState.OUT,
+    (RequestState.GRANTED, RequestEvent.TIMED_OUT): RequestState.WANTED,
     **{
-        (stage, RequestEvent.CALLED_OFF): RequestState.GONE
+        (stage, RequestEvent.CANCELLED): RequestState.GONE
         for stage in (RequestState.WANTED, RequestState.ASKING, RequestState.GRANTED)
     },
-    **{(stage, RequestEvent.BACK): RequestState.GONE for stage in RequestState},
+    **{(stage, RequestEvent.RETURNED): RequestState.GONE for stage in RequestState},
 }
-IN_HAND = (RequestState.ASKING, RequestState.GRANTED, RequestState.OUT)
+OPEN_STATES = (RequestState.ASKING, RequestState.GRANTED, RequestState.OUT)
 
 
 @dataclass(slots=True)
-class PermitRequest:
+class PendingRequest:
     """A place that this front wants out."""
 
     place: int
     version: int = 0
-    stamp: tuple[int, int] = (0, 0)  # of the plan
-    stage: RequestState = RequestState.WANTED
+    revision: tuple[int, int] = (0, 0)  # of the plan
+    state: RequestState = RequestState.WANTED
     number: int = 0
-    asked_us: int = 0
-    next_us: int = 0  # not before
-    told_us: int = 0  # when it was last wanted
-    tries: int = 0
-    yes: set[int] = field(default_factory=set)
-    no: dict[int, Verdict] = field(default_factory=dict)
-    named: set[int] = field(default_factory=set)  # that the voices for it hold to be promised
+    sent_us: int = 0
+    not_before_us: int = 0  # not before
+    wanted_us: int = 0  # when it was last wanted
+    attempts: int = 0
+    granted_by: set[int] = field(default_factory=set)
+    denied_by: dict[int, PermitVerdict] = field(default_factory=dict)
+    promised_places: set[int] = field(default_factory=set)  # that the voices for it hold to be promised
 
 
 @dataclass(slots=True)
 class Requester:
     """One front's asks for one kind; one at a time is being counted."""
 
-    rules: PermitRules
-    life: int
+    settings: PermitSettings
+    incarnation: int
     numbers: Iterator[int]  # the next number of an ask in this life, for all kinds
-    wanted: dict[int, PermitRequest] = field(default_factory=dict)
+    requests: dict[int, PendingRequest] = field(default_factory=dict)
 
-    def want(self, place: int, now_us: int, version: int = 0, stamp: tuple[int, int] = (0, 0)) -> bool:
+    def request_permit(
+        self, place: int, now_us: int, version: int = 0, revision: tuple[int, int] = (0, 0)
+    ) -> bool:
         """Have a place out when it may be. False: too many are wanted, or it is under way."""
-        known = self.wanted.get(place)
+        known = self.requests.get(place)
         if known is not None:
-            known.told_us = now_us
-            if known.stage is RequestState.WANTED:
-                known.version, known.stamp = version, stamp
-            return known.stage is RequestState.WANTED
-        if len(self.wanted) >= MOST_WANTED:
+            known.wanted_us = now_us
+            if known.state is RequestState.WANTED:
+                known.version, known.revision = version, revision
+            return known.state is RequestState.WANTED
+        if len(self.requests) >= MAX_REQUESTS:
             return False
-        self.wanted[place] = PermitRequest(place, version, stamp, next_us=now_us, told_us=now_us)
+        self.requests[place] = PendingRequest(
+            place, version, revision, not_before_us=now_us, wanted_us=now_us
+        )
         return True
 
-    def due(self, now_us: int) -> Ask | None:
+    def next_request(self, now_us: int) -> PermitRequest | None:
         """The ask that is to be sent to all now, if any: a new one, or again the one being counted."""
         self.advance(now_us)
-        counting = next((one for one in self.wanted.values() if one.stage is RequestState.ASKING), None)
+        counting = next((one for one in self.requests.values() if one.state is RequestState.ASKING), None)
         if counting is None:
             counting = next(
                 (
                     one
-                    for one in self.wanted.values()
-                    if one.stage is RequestState.WANTED and now_us >= one.next_us
+                    for one in self.requests.values()
+                    if one.state is RequestState.WANTED and now_us >= one.not_before_us
                 ),
                 None,
             )
             if counting is None:
                 return None
-            self._turn(counting, RequestEvent.ASK)
+            self._apply(counting, RequestEvent.SENT)
             counting.number = next(self.numbers)
-            counting.asked_us, counting.yes, counting.no, counting.named = now_us, set(), {}, set()
-        return Ask(self.life, counting.number, self.rules.kind, counting.place, *counting.stamp)
+            counting.sent_us, counting.granted_by, counting.denied_by, counting.promised_places = (
+                now_us,
+                set(),
+                {},
+                set(),
+            )
+        return PermitRequest(
+            self.incarnation, counting.number, self.settings.kind, counting.place, *counting.revision
+        )
 
-    def hear_vote(
-        self, sender: int, vote: Vote, seen: Grantor, draw: float, now_us: int
-    ) -> PermitRequest | None:
+    def on_vote(
+        self, sender: int, vote: PermitVote, grantor: Grantor, jitter: float, now_us: int
+    ) -> PendingRequest | None:
         """A voice has come; the ask that it grants, if it does. `seen`: this front's own book."""
         self.advance(now_us)
-        for one in self.wanted.values():
-            if one.stage is RequestState.ASKING and (vote.life, vote.number) == (self.life, one.number):
-                return self._count(one, sender, vote, seen, draw, now_us)
+        for one in self.requests.values():
+            if one.state is RequestState.ASKING and (vote.requester_incarnation, vote.request_number) == (
+                self.incarnation,
+                one.number,
+            ):
+                return self._count_vote(one, sender, vote, grantor, jitter, now_us)
         return None
 
-    def _count(
-        self, one: PermitRequest, sender: int, vote: Vote, seen: Grantor, draw: float, now_us: int
-    ) -> PermitRequest | None:
-        if vote.verdict is Verdict.YES:
-            one.yes.add(sender)
-            one.no.pop(sender, None)
-            one.named |= set(vote.held)
-        elif sender not in one.yes:
-            one.no[sender] = vote.verdict
-        if len(one.yes) >= self.rules.majority and self._fits(one, seen, now_us):
-            self._turn(one, RequestEvent.MAJORITY)
+    def _count_vote(
+        self, one: PendingRequest, sender: int, vote: PermitVote, grantor: Grantor, jitter: float, now_us: int
+    ) -> PendingRequest | None:
+        if vote.verdict is PermitVerdict.GRANTED:
+            one.granted_by.add(sender)
+            one.denied_by.pop(sender, None)
+            one.promised_places |= set(vote.promised_places)
+        elif sender not in one.granted_by:
+            one.denied_by[sender] = vote.verdict
+        if len(one.granted_by) >= self.settings.majority and self._is_within_limits(one, grantor, now_us):
+            self._apply(one, RequestEvent.MAJORITY)
             return one
-        full = len(one.yes) >= self.rules.majority
-        if full or len(one.no) > self.rules.fronts - self.rules.majority:
-            self._later(one, RequestEvent.DENIED, draw, now_us)
+        full = len(one.granted_by) >= self.settings.majority
+        if full or len(one.denied_by) > self.settings.front_count - self.settings.majority:
+            self._retry_later(one, RequestEvent.DENIED, jitter, now_us)
         return None
 
-    def _fits(self, one: PermitRequest, seen: Grantor, now_us: int) -> bool:
-        return seen.map.past(self.rules.limit, one.place, one.named | seen.out(now_us)) is None
+    def _is_within_limits(self, one: PendingRequest, grantor: Grantor, now_us: int) -> bool:
+        return (
+            grantor.disruption_map.exceeded_limit(
+                self.settings.limit, one.place, one.promised_places | grantor.disrupted_places(now_us)
+            )
+            is None
+        )
 
-    def _later(self, one: PermitRequest, why: RequestEvent, draw: float, now_us: int) -> None:
+    def _retry_later(self, one: PendingRequest, why: RequestEvent, jitter: float, now_us: int) -> None:
         # The number is not used again: voters hear by the next word that it is over.
-        self._turn(one, why)
-        pause_us = self.rules.window_us // 8 << min(one.tries, MOST_DOUBLINGS)
-        one.tries += 1
-        one.next_us = now_us + round(pause_us * (0.5 + draw))
+        self._apply(one, why)
+        pause_us = self.settings.permit_window_us // 8 << min(one.attempts, MAX_BACKOFF_DOUBLINGS)
+        one.attempts += 1
+        one.not_before_us = now_us + round(pause_us * (0.5 + jitter))
 
     def begin(self, place: int, now_us: int) -> bool:
         """Whether it may go out now; asked directly before it does."""
         self.advance(now_us)
-        one = self.wanted.get(place)
-        if one is None or one.stage not in (RequestState.GRANTED, RequestState.OUT):
+        one = self.requests.get(place)
+        if one is None or one.state not in (RequestState.GRANTED, RequestState.OUT):
             return False
-        self._turn(one, RequestEvent.BEGIN)
+        self._apply(one, RequestEvent.BEGUN)
         return True
 
-    def let_go(self, place: int, back: bool) -> bool:
+    def release(self, place: int, has_returned: bool) -> bool:
         """It serves again, or is not wanted out any more; whether that was so."""
-        one = self.wanted.get(place)
+        one = self.requests.get(place)
         if one is None:
             return False
-        self._turn(one, RequestEvent.BACK if back else RequestEvent.CALLED_OFF)
-        if one.stage is RequestState.GONE:
-            del self.wanted[place]
-        return place not in self.wanted
+        self._apply(one, RequestEvent.RETURNED if has_returned else RequestEvent.CANCELLED)
+        if one.state is RequestState.GONE:
+            del self.requests[place]
+        return place not in self.requests
 
-    def seen_back(self, place: int, as_of_us: int) -> None:
+    def on_server_returned(self, place: int, as_of_us: int) -> None:
         """A box serves, as it was at that time: what is seen before a drain can show says nothing."""
-        one = self.wanted.get(place)
-        shown_us = self.rules.over_us + self.rules.show_us
-        if one is not None and one.stage is RequestState.OUT and as_of_us >= one.asked_us + shown_us:
-            self.let_go(place, back=True)
+        one = self.requests.get(place)
+        shown_us = self.settings.permit_expiry_us + self.settings.drain_visible_us
+        if one is not None and one.state is RequestState.OUT and as_of_us >= one.sent_us + shown_us:
+            self.release(place, has_returned=True)
 
     def advance(self, now_us: int) -> None:
         """Time passes: a window that is over grants nothing, whoever was held up meanwhile."""
-        for one in self.wanted.values():
+        for one in self.requests.values():
             if (
-                one.stage in (RequestState.ASKING, RequestState.GRANTED)
-                and now_us >= one.asked_us + self.rules.window_us
+                one.state in (RequestState.ASKING, RequestState.GRANTED)
+                and now_us >= one.sent_us + self.settings.permit_window_us
             ):
-                self._later(one, RequestEvent.TIME, 0.5, now_us)
+                self._retry_later(one, RequestEvent.TIMED_OUT, 0.5, now_us)
 
-    def open(self) -> list[Open]:
+    def open_requests(self) -> list[OpenRequest]:
         """The asks that are not over, for the next word."""
         return [
-            Open(
-                self.rules.kind, one.place, one.number, one.stage in (RequestState.GRANTED, RequestState.OUT)
+            OpenRequest(
+                self.settings.kind,
+                one.place,
+                one.number,
+                one.state in (RequestState.GRANTED, RequestState.OUT),
             )
-            for one in self.wanted.values()
-            if one.stage in IN_HAND
+            for one in self.requests.values()
+            if one.state in OPEN_STATES
         ]
 
-    def _turn(self, one: PermitRequest, turn: RequestEvent) -> None:
-        one.stage = REQUEST_TRANSITIONS.get((one.stage, turn), one.stage)
+    def _apply(self, one: PendingRequest, turn: RequestEvent) -> None:
+        one.state = REQUEST_TRANSITIONS.get((one.state, turn), one.state)
--- a/packages/rollouts/src/fennelcove/rollouts/leader_election.py
+++ b/packages/rollouts/src/fennelcove/rollouts/leader_election.py
@@ -17,110 +17,126 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 
-from fennelcove.rollouts.disruption_permits import PermitRules
-from fennelcove.rollouts.messages import Phase, Reason, Record, Stand, Taken, Voice, Word
+from fennelcove.rollouts.disruption_permits import PermitSettings
+from fennelcove.rollouts.messages import (
+    RolloutPhase,
+    HaltReason,
+    RolloutRecord,
+    LeaderVoteRequest,
+    ProposalAck,
+    LeaderVote,
+    Heartbeat,
+)
 
-MOVING = (Phase.MOVING, Phase.SOAKING)
+ACTIVE_PHASES = (RolloutPhase.MOVING, RolloutPhase.SOAKING)
 
 
 @dataclass(slots=True)
-class Register:
+class Acceptor:
     """What one front took, and its voice. `remembers`: the folder told what the last life took."""
 
-    rules: PermitRules
+    settings: PermitSettings
     now_us: int
     term: int = 0  # the highest that it gave its voice to, or took a record of
-    record: Record = field(default_factory=Record)
-    sure: bool = False
-    wary_until_us: int = 0
-    told_us: int = 0  # when the leader was last heard
-    knowing: set[int] = field(default_factory=set)  # others that know, and told nothing newer
-    blank: set[int] = field(default_factory=set)  # others that know of nothing
-    changed: bool = False
+    record: RolloutRecord = field(default_factory=RolloutRecord)
+    is_record_known: bool = False
+    recovering_until_us: int = 0
+    leader_seen_us: int = 0  # when the leader was last heard
+    informed_peers: set[int] = field(default_factory=set)  # others that know, and told nothing newer
+    uninformed_peers: set[int] = field(default_factory=set)  # others that know of nothing
+    has_unsaved_changes: bool = False
 
     def __post_init__(self) -> None:
-        self.wary_until_us = self.now_us + self.rules.over_us
-        self.told_us = self.now_us
+        self.recovering_until_us = self.now_us + self.settings.permit_expiry_us
+        self.leader_seen_us = self.now_us
 
-    def ready(self, now_us: int) -> bool:
+    def may_vote(self, now_us: int) -> bool:
         """Whether it may answer."""
-        return self.sure and now_us >= self.wary_until_us
+        return self.is_record_known and now_us >= self.recovering_until_us
 
-    def hear_stand(self, stand: Stand, now_us: int) -> Voice:
+    def on_vote_request(self, vote_request: LeaderVoteRequest, now_us: int) -> LeaderVote:
         """A front wants to lead."""
-        yes = self.ready(now_us) and stand.term > self.term
+        yes = self.may_vote(now_us) and vote_request.term > self.term
         if yes:
-            self.term, self.changed = stand.term, True
-            self.told_us = now_us  # it gets the time that a leader has
-        return Voice(stand.life, stand.term, yes, self.sure, self.record)
+            self.term, self.has_unsaved_changes = vote_request.term, True
+            self.leader_seen_us = now_us  # it gets the time that a leader has
+        return LeaderVote(vote_request.incarnation, vote_request.term, yes, self.is_record_known, self.record)
 
-    def hear_told(self, record: Record, now_us: int) -> Taken | None:
+    def on_proposal(self, record: RolloutRecord, now_us: int) -> ProposalAck | None:
         """A record is told, and meant for this life."""
-        if record.stamp < self.record.stamp:
+        if record.revision < self.record.revision:
             return None
         self._learn(record)
         # Who forgot may be told what was over long ago, and who gave its voice to a later term has told what
         # it knew: that they know more now is good, but it is not counted.
-        if record.term < self.term or not self.ready(now_us):
+        if record.term < self.term or not self.may_vote(now_us):
             return None
-        self.told_us = now_us
-        return Taken(record.term, record.turn)
+        self.leader_seen_us = now_us
+        return ProposalAck(record.term, record.turn)
 
-    def hear_word(self, sender: int, word: Word, as_of_us: int | None, now_us: int) -> None:
+    def on_heartbeat(self, sender: int, heartbeat: Heartbeat, as_of_us: int | None, now_us: int) -> None:
         """Another front says what it took. `as_of_us`: when what it answers was sent from here."""
-        if self.sure or as_of_us is None or as_of_us < self.wary_until_us:
+        if self.is_record_known or as_of_us is None or as_of_us < self.recovering_until_us:
             return
-        stamp = (word.term, word.turn)
-        known = self.knowing if word.sure else self.blank
-        if stamp <= self.record.stamp and (word.sure or stamp == (0, 0)):
+        revision = (heartbeat.term, heartbeat.turn)
+        known = self.informed_peers if heartbeat.is_record_known else self.uninformed_peers
+        if revision <= self.record.revision and (heartbeat.is_record_known or revision == (0, 0)):
             known.add(sender)
         # More than all but a majority: whoever took the last agreed record, one of them is among these.
-        enough = len(self.knowing) > self.rules.fronts - self.rules.majority
-        nobody = len(self.knowing | self.blank) == self.rules.fronts - 1 and self.record.stamp == (0, 0)
+        enough = len(self.informed_peers) > self.settings.front_count - self.settings.majority
+        nobody = len(
+            self.informed_peers | self.uninformed_peers
+        ) == self.settings.front_count - 1 and self.record.revision == (0, 0)
         if enough or nobody:
-            self.sure = self.changed = True
+            self.is_record_known = self.has_unsaved_changes = True
 
-    def anew(self) -> None:
+    def accept_as_complete(self) -> None:
         """An operator says that what is known is all there is; a plan under way is halted by it, also where
         it is known well: those who halted it may be the ones that forgot."""
-        self.sure = self.changed = True
-        if self.record.phase in MOVING:
-            self.record = replace(self.record, phase=Phase.HALTED, reason=Reason.FORGOTTEN)
+        self.is_record_known = self.has_unsaved_changes = True
+        if self.record.phase in ACTIVE_PHASES:
+            self.record = replace(self.record, phase=RolloutPhase.HALTED, reason=HaltReason.FORGOTTEN)
 
-    def _learn(self, record: Record) -> None:
-        if record.stamp > self.record.stamp:
-            self.record, self.term, self.changed = record, max(self.term, record.term), True
-            self.knowing.clear()
+    def _learn(self, record: RolloutRecord) -> None:
+        if record.revision > self.record.revision:
+            self.record, self.term, self.has_unsaved_changes = record, max(self.term, record.term), True
+            self.informed_peers.clear()
 
 
 class Role(Enum):
     """How a front stands to the plan."""
 
-    FOLLOWS = auto()
-    STANDS = auto()
-    WRITES = auto()  # it has the voices; its record is not taken by a majority yet
-    LEADS = auto()
+    FOLLOWER = auto()
+    CANDIDATE = auto()
+    PROPOSER = auto()  # it has the voices; its record is not taken by a majority yet
+    LEADER = auto()
 
 
 class ElectionEvent(Enum):
     """What moves it."""
 
-    STAND = auto()
+    CANDIDACY = auto()
     MAJORITY = auto()
-    WRITE = auto()
-    TIME = auto()  # the window is over without a majority
-    ALONE = auto()  # no majority is heard
-    OUTBID = auto()  # there is a later term
+    PROPOSAL = auto()
+    TIMED_OUT = auto()  # the window is over without a majority
+    QUORUM_LOST = auto()  # no majority is heard
+    HIGHER_TERM_SEEN = auto()  # there is a later term
 
 
 TRANSITIONS: dict[tuple[Role, ElectionEvent], Role] = {
-    (Role.FOLLOWS, ElectionEvent.STAND): Role.STANDS,
-    (Role.STANDS, ElectionEvent.MAJORITY): Role.WRITES,
-    (Role.WRITES, ElectionEvent.MAJORITY): Role.LEADS,
-    (Role.LEADS, ElectionEvent.WRITE): Role.WRITES,
-    **{(seat, ElectionEvent.TIME): Role.FOLLOWS for seat in (Role.STANDS, Role.WRITES)},
-    **{(seat, ElectionEvent.OUTBID): Role.FOLLOWS for seat in (Role.STANDS, Role.WRITES, Role.LEADS)},
-    **{(seat, ElectionEvent.ALONE): Role.FOLLOWS for seat in (Role.STANDS, Role.WRITES, Role.LEADS)},
+    (Role.FOLLOWER, ElectionEvent.CANDIDACY): Role.CANDIDATE,
+    (Role.CANDIDATE, ElectionEvent.MAJORITY): Role.PROPOSER,
+    (Role.PROPOSER, ElectionEvent.MAJORITY): Role.LEADER,
+    (Role.LEADER, ElectionEvent.PROPOSAL): Role.PROPOSER,
+    **{(seat, ElectionEvent.TIMED_OUT): Role.FOLLOWER for seat in (Role.CANDIDATE, Role.PROPOSER)},
+    **{
+        (seat, ElectionEvent.HIGHER_TERM_SEEN): Role.FOLLOWER
+        for seat in (Role.CANDIDATE, Role.PROPOSER, Role.LEADER)
+    },
+    **{
+        (seat, ElectionEvent.QUORUM_LOST): Role.FOLLOWER
+        for seat in (Role.CANDIDATE, Role.PROPOSER, Role.LEADER)
+    },
 }
 
 
@@ -128,77 +144,89 @@
 class LeaderElection:
     """One front that stands, writes and leads. `register` is its own."""
 
-    rules: PermitRules
-    life: int
-    register: Register
-    seat: Role = Role.FOLLOWS
+    settings: PermitSettings
+    incarnation: int
+    acceptor: Acceptor
+    role: Role = Role.FOLLOWER
     term: int = 0
-    since_us: int = 0  # of the stand or the writing
-    heard: set[int] = field(default_factory=set)  # who gave a voice, or took what was written
-    best: Record = field(default_factory=Record)
-    writes: Record = field(default_factory=Record)
+    round_began_us: int = 0  # of the stand or the writing
+    supporters: set[int] = field(default_factory=set)  # who gave a voice, or took what was written
+    newest_record: RolloutRecord = field(default_factory=RolloutRecord)
+    proposal: RolloutRecord = field(default_factory=RolloutRecord)
 
-    def stand(self, now_us: int) -> Stand | None:
+    def start_election(self, now_us: int) -> LeaderVoteRequest | None:
         """Ask all for their voices, this front's own register too; None where it can't now."""
-        if self.seat is not Role.FOLLOWS or not self.register.ready(now_us):
+        if self.role is not Role.FOLLOWER or not self.acceptor.may_vote(now_us):
             return None
-        fronts = self.rules.fronts
-        self.term = (self.register.term // fronts + 1) * fronts + self.rules.index
-        self._apply(ElectionEvent.STAND)
-        self.since_us, self.heard, self.best = now_us, set(), Record()
-        return Stand(self.life, self.term)
+        fronts = self.settings.front_count
+        self.term = (self.acceptor.term // fronts + 1) * fronts + self.settings.front_index
+        self._apply(ElectionEvent.CANDIDACY)
+        self.round_began_us, self.supporters, self.newest_record = now_us, set(), RolloutRecord()
+        return LeaderVoteRequest(self.incarnation, self.term)
 
-    def hear_voice(self, sender: int, voice: Voice, now_us: int) -> Record | None:
+    def on_vote(self, sender: int, vote: LeaderVote, now_us: int) -> RolloutRecord | None:
         """A voice has come; the record that is to be told to all, where it makes a majority."""
         self.advance(now_us)
-        if self.seat is not Role.STANDS or (voice.life, voice.term) != (self.life, self.term):
+        if self.role is not Role.CANDIDATE or (vote.candidate_incarnation, vote.term) != (
+            self.incarnation,
+            self.term,
+        ):
             return None
-        if not voice.yes:
+        if not vote.is_granted:
             return None
-        self.heard.add(sender)
-        halted = voice.record.phase is Phase.HALTED and voice.record.stamp == self.best.stamp
-        if voice.record.stamp > self.best.stamp or halted:  # two of one stamp: an operator's `anew`
-            self.best = voice.record
-        if len(self.heard) < self.rules.majority:
+        self.supporters.add(sender)
+        halted = (
+            vote.record.phase is RolloutPhase.HALTED and vote.record.revision == self.newest_record.revision
+        )
+        if (
+            vote.record.revision > self.newest_record.revision or halted
+        ):  # two of one stamp: an operator's `anew`
+            self.newest_record = vote.record
+        if len(self.supporters) < self.settings.majority:
             return None
         self._apply(ElectionEvent.MAJORITY)
-        return self._tell(replace(self.best, term=self.term, turn=self.best.turn + 1), now_us)
+        return self._begin_proposal(
+            replace(self.newest_record, term=self.term, turn=self.newest_record.turn + 1), now_us
+        )
 
-    def write(self, record: Record, now_us: int) -> Record | None:
+    def propose(self, record: RolloutRecord, now_us: int) -> RolloutRecord | None:
         """Change what is agreed; what is to be told to all. None where this front does not lead."""
         self.advance(now_us)
-        if self.seat is not Role.LEADS:
+        if self.role is not Role.LEADER:
             return None
-        self._apply(ElectionEvent.WRITE)
-        return self._tell(replace(record, term=self.term, turn=self.writes.turn + 1), now_us)
+        self._apply(ElectionEvent.PROPOSAL)
+        return self._begin_proposal(replace(record, term=self.term, turn=self.proposal.turn + 1), now_us)
 
-    def _tell(self, record: Record, now_us: int) -> Record:
-        self.since_us, self.heard, self.writes = now_us, set(), record
+    def _begin_proposal(self, record: RolloutRecord, now_us: int) -> RolloutRecord:
+        self.round_began_us, self.supporters, self.proposal = now_us, set(), record
         return record
 
-    def hear_taken(self, sender: int, taken: Taken, now_us: int) -> bool:
+    def on_ack(self, sender: int, ack: ProposalAck, now_us: int) -> bool:
         """A front took a record; whether a majority now has, for the first time."""
         self.advance(now_us)
-        if self.seat is not Role.WRITES or (taken.term, taken.turn) != self.writes.stamp:
+        if self.role is not Role.PROPOSER or (ack.term, ack.turn) != self.proposal.revision:
             return False
-        self.heard.add(sender)
-        if len(self.heard) < self.rules.majority:
+        self.supporters.add(sender)
+        if len(self.supporters) < self.settings.majority:
             return False
         self._apply(ElectionEvent.MAJORITY)
         return True
 
-    def advance(self, now_us: int, hears: int | None = None) -> None:
+    def advance(self, now_us: int, serving_count: int | None = None) -> None:
         """Time passes. `hears`: how many fronts serve by what this one sees, itself among them."""
-        if self.register.term > self.term:
-            self._apply(ElectionEvent.OUTBID)
-        if self.seat in (Role.STANDS, Role.WRITES) and now_us >= self.since_us + self.rules.window_us:
-            self._apply(ElectionEvent.TIME)
-        if hears is not None and hears < self.rules.majority:
-            self._apply(ElectionEvent.ALONE)
-
-    def follow(self) -> None:
+        if self.acceptor.term > self.term:
+            self._apply(ElectionEvent.HIGHER_TERM_SEEN)
+        if (
+            self.role in (Role.CANDIDATE, Role.PROPOSER)
+            and now_us >= self.round_began_us + self.settings.permit_window_us
+        ):
+            self._apply(ElectionEvent.TIMED_OUT)
+        if serving_count is not None and serving_count < self.settings.majority:
+            self._apply(ElectionEvent.QUORUM_LOST)
+
+    def step_down(self) -> None:
         """This front goes out, or can't lead for another reason."""
-        self._apply(ElectionEvent.ALONE)
+        self._apply(ElectionEvent.QUORUM_LOST)
 
     def _apply(self, event: ElectionEvent) -> None:
-        self.seat = TRANSITIONS.get((self.seat, event), self.seat)
+        self.role = TRANSITIONS.get((self.role, event), self.role)
--- a/packages/rollouts/src/fennelcove/rollouts/messages.py
+++ b/packages/rollouts/src/fennelcove/rollouts/messages.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-MOST_HELD = 64  # places in a vote, two bytes each
-MOST_OPEN = 16  # asks in a word, seven bytes each
+MAX_PROMISED_PLACES = 64  # places in a vote, two bytes each
+MAX_OPEN_REQUESTS = 16  # asks in a word, seven bytes each
 
 
 class Kind(IntEnum):
@@ -20,15 +20,15 @@
     BOX = 1
 
 
-class Stands(IntEnum):
+class ServingState(IntEnum):
     """How a front says that it stands; one that says nothing is out."""
 
     SERVING = 0
-    LEAVING = 1  # drained, or on its way out
+    DRAINING = 1  # drained, or on its way out
     STARTING = 2  # in a new life, and not serving yet
 
 
-class Phase(IntEnum):
+class RolloutPhase(IntEnum):
     """How far a plan is."""
 
     NONE = 0
@@ -39,7 +39,7 @@
     UNDONE = 5  # all have what was before
 
 
-class Reason(IntEnum):
+class HaltReason(IntEnum):
     """Why a plan is halted."""
 
     NONE = 0
@@ -55,55 +55,55 @@
     FORGOTTEN = 10  # those who agreed on the plan may have forgotten what it last was
 
 
-class Verdict(IntEnum):
+class PermitVerdict(IntEnum):
     """A voter's answer to an ask for a permit."""
 
-    YES = 0
+    GRANTED = 0
     BUSY = 1  # its voice is promised to another ask that is not settled
-    FULL = 2  # a limit would be passed by what it knows
+    LIMIT_REACHED = 2  # a limit would be passed by what it knows
     STALE = 3  # the ask is of an older state of the plan, or of a life that is over
-    WARY = 4  # it began lately and does not know what it promised
+    RECOVERING = 4  # it began lately and does not know what it promised
 
 
 @dataclass(frozen=True, slots=True)
-class Open:
+class OpenRequest:
     """An ask that its sender has not given up."""
 
     kind: Kind
     place: int  # a front's index or a box's first cell: 0 to 32767
     number: int  # of the ask, 1 to 2**32-1
-    granted: bool
+    is_granted: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Word:
+class Heartbeat:
     """Told to each other front every beat: what the sender is and holds."""
 
-    life: int  # 8 bytes
-    number: int  # of this word, 4 bytes, from 1
-    heard_life: int = 0  # the taker's, as the sender knows it
-    heard_number: int = 0  # the taker's newest word in it; 0: none
-    stands: Stands = Stands.SERVING
+    incarnation: int  # 8 bytes
+    sequence: int  # of this word, 4 bytes, from 1
+    acked_incarnation: int = 0  # the taker's, as the sender knows it
+    acked_sequence: int = 0  # the taker's newest word in it; 0: none
+    serving_state: ServingState = ServingState.SERVING
     version: int = 0  # what it runs, 4 bytes; a number that its supervisor knows
-    since_s: int = 0  # for how long it has served in this life, 4 bytes
-    asked: int = 0  # set-ups in this life, 4 bytes each
+    serving_for_s: int = 0  # for how long it has served in this life, 4 bytes
+    requested: int = 0  # set-ups in this life, 4 bytes each
     served: int = 0
     refused: int = 0
     failed: int = 0  # joins that failed
-    level: int = 0  # of the ladder, 1 byte
-    storm: int = 0  # the storm's phase, 1 byte
-    asks: int = 0  # the last number of an ask in this life, 4 bytes
+    shedding_level: int = 0  # of the ladder, 1 byte
+    storm_phase: int = 0  # the storm's phase, 1 byte
+    last_request_number: int = 0  # the last number of an ask in this life, 4 bytes
     term: int = 0  # of the record that it has, 4 bytes each
     turn: int = 0
-    sure: bool = True  # whether it knows all that it ever agreed to
-    open: tuple[Open, ...] = ()  # all asks up to `asks` that are not over; at most MOST_OPEN
+    is_record_known: bool = True  # whether it knows all that it ever agreed to
+    open_requests: tuple[OpenRequest, ...] = ()  # all asks up to `asks` that are not over; at most MOST_OPEN
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
+class PermitRequest:
     """A front asks all for a permit."""
 
-    life: int  # 8 bytes
+    incarnation: int  # 8 bytes
     number: int  # 4 bytes
     kind: Kind
     place: int  # 2 bytes
@@ -112,13 +112,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Vote:
+class PermitVote:
     """The answer to an ask, with all places that the voter holds to be promised."""
 
-    life: int  # the asker's
-    number: int
-    verdict: Verdict
-    held: tuple[int, ...] = ()  # of the ask's kind; at most MOST_HELD
+    requester_incarnation: int  # the asker's
+    request_number: int
+    verdict: PermitVerdict
+    promised_places: tuple[int, ...] = ()  # of the ask's kind; at most MOST_HELD
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,56 +141,56 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Record:
+class RolloutRecord:
     """The plan and how far it is, as agreed; the higher (term, turn) replaces the lower."""
 
     term: int = 0  # 4 bytes: of the front that leads
     turn: int = 0  # 4 bytes: rises with every change
-    phase: Phase = Phase.NONE
-    reason: Reason = Reason.NONE
+    phase: RolloutPhase = RolloutPhase.NONE
+    reason: HaltReason = HaltReason.NONE
     back: bool = False  # on the way back
     goal: int = 0  # fronts that have what they are to have when this step is done, 2 bytes
     fence: int = 0  # 4 bytes: rises with each command of an operator that is taken, and with each halt
     plan: Plan = field(default_factory=Plan)
 
     @property
-    def stamp(self) -> tuple[int, int]:
+    def revision(self) -> tuple[int, int]:
         """Which of two is newer."""
         return self.term, self.turn
 
 
 @dataclass(frozen=True, slots=True)
-class Stand:
+class LeaderVoteRequest:
     """A front wants to lead: it asks all for their voices in a term that had none."""
 
-    life: int  # 8 bytes
+    incarnation: int  # 8 bytes
     term: int
 
 
 @dataclass(frozen=True, slots=True)
-class Voice:
+class LeaderVote:
     """The answer: yes or no, and the newest record that the voter took."""
 
-    life: int  # the asker's
+    candidate_incarnation: int  # the asker's
     term: int
-    yes: bool
-    sure: bool
-    record: Record
+    is_granted: bool
+    is_record_known: bool
+    record: RolloutRecord
 
 
 @dataclass(frozen=True, slots=True)
-class Told:
+class Proposal:
     """A record is told, by its leader or by one that knows it to one that does not.
 
     It is meant for one life of its taker: what was on its way when all forgot must not move a plan again.
     """
 
-    record: Record
-    life: int  # the taker's, 8 bytes
+    record: RolloutRecord
+    receiver_incarnation: int  # the taker's, 8 bytes
 
 
 @dataclass(frozen=True, slots=True)
-class Taken:
+class ProposalAck:
     """A record of this stamp was taken."""
 
     term: int
@@ -198,13 +198,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Order:
+class RolloutOrder:
     """The leader tells a front that it is its turn."""
 
-    life: int  # the taker's, 8 bytes
+    receiver_incarnation: int  # the taker's, 8 bytes
     term: int
     turn: int
     version: int  # to come back with
 
 
-Said = Word | Ask | Vote | Stand | Voice | Told | Taken | Order
+Said = (
+    Heartbeat
+    | PermitRequest
+    | PermitVote
+    | LeaderVoteRequest
+    | LeaderVote
+    | Proposal
+    | ProposalAck
+    | RolloutOrder
+)
--- a/packages/rollouts/src/fennelcove/rollouts/rollout_controller.py
+++ b/packages/rollouts/src/fennelcove/rollouts/rollout_controller.py
@@ -10,21 +10,31 @@
 from dataclasses import dataclass
 
 from fennelcove.rollouts import rollout_plan
-from fennelcove.rollouts.leader_election import LeaderElection, Register, Role
-from fennelcove.rollouts.disruption_permits import PermitState, PermitRules, Grantor
-from fennelcove.rollouts.rollout_plan import UNDER_WAY, RolloutEvent, FleetSet, RolloutPlan
-from fennelcove.rollouts.messages import Order, Reason, Record, Said, Stand, Stands, Taken, Told, Voice
-from fennelcove.rollouts.types import Answer, Command, Memory, Mine, Post, Terms, Wish
-
-MOST_ANSWERS = 16
-COMMAND_US = 4_000_000  # after which an operator's word that no majority took is called lost
-SPREAD_BEATS = 8  # over which those that miss a leader begin to stand
-EVENTS = {
+from fennelcove.rollouts.leader_election import LeaderElection, Acceptor, Role
+from fennelcove.rollouts.disruption_permits import PermitState, PermitSettings, Grantor
+from fennelcove.rollouts.rollout_plan import ACTIVE_PHASES, RolloutEvent, FleetView, PlanExecution
+from fennelcove.rollouts.messages import (
+    RolloutOrder,
+    HaltReason,
+    RolloutRecord,
+    Said,
+    LeaderVoteRequest,
+    ServingState,
+    ProposalAck,
+    Proposal,
+    LeaderVote,
+)
+from fennelcove.rollouts.types import Answer, Command, Memory, Mine, Post, RolloutSettings, Wish
+
+MAX_OUTCOMES = 16
+COMMAND_TIMEOUT_US = 4_000_000  # after which an operator's word that no majority took is called lost
+ELECTION_SPREAD_HEARTBEATS = 8  # over which those that miss a leader begin to stand
+COMMAND_EVENTS = {
     Wish.START: RolloutEvent.START,
     Wish.CHANGE: RolloutEvent.CHANGE,
     Wish.HALT: RolloutEvent.HALT,
-    Wish.ON: RolloutEvent.ON,
-    Wish.BACK: RolloutEvent.BACK,
+    Wish.ON: RolloutEvent.RESUME,
+    Wish.BACK: RolloutEvent.ROLL_BACK,
 }
 
 
@@ -33,9 +43,9 @@
     """An operator's word on its way."""
 
     number: int
-    told: Command
+    command: Command
     since_us: int
-    stamp: tuple[int, int] | None = None  # of the record that has it
+    revision: tuple[int, int] | None = None  # of the record that has it
 
 
 class RolloutController:
@@ -43,190 +53,216 @@
 
     def __init__(
         self,
-        terms: Terms,
-        rules: PermitRules,
-        halls: Mapping[int, int],
-        life: int,
+        settings: RolloutSettings,
+        permit_settings: PermitSettings,
+        zones: Mapping[int, int],
+        incarnation: int,
         told: Memory,
-        voter: Grantor,
+        grantor: Grantor,
         order: Callable[[int, tuple[int, int], int], None],
         note: Callable[[str], None],
         now_us: int,
     ) -> None:
-        self.terms = terms
-        self.halls = halls
-        self.life = life
-        self.voter = voter
-        self.order = order
-        self.note = note
-        self.register = Register(rules, now_us, told.term, told.record, told.sure)
-        self.chair = LeaderElection(rules, life, self.register)
-        self.mine = Mine(Stands.STARTING)
-        self.draw = 0.5
-        self.lead: RolloutPlan | None = None
-        self.out_us: dict[int, int] = {}  # since when each that does not serve is so
-        self.stand_us: int | None = None  # when this front stands, if no leader is heard until then
+        self.settings = settings
+        self.zones = zones
+        self.incarnation = incarnation
+        self.grantor = grantor
+        self.order_own_front = order
+        self.log = note
+        self.acceptor = Acceptor(permit_settings, now_us, told.term, told.record, told.sure)
+        self.election = LeaderElection(permit_settings, incarnation, self.acceptor)
+        self.status = Mine(ServingState.STARTING)
+        self.jitter = 0.5
+        self.execution: PlanExecution | None = None
+        self.unavailable_since_us: dict[int, int] = {}  # since when each that does not serve is so
+        self.election_at_us: int | None = None  # when this front stands, if no leader is heard until then
         self.pending: PendingCommand | None = None
-        self.commands = 0
-        self.answers: OrderedDict[int, Answer] = OrderedDict()
+        self.command_count = 0
+        self.outcomes: OrderedDict[int, Answer] = OrderedDict()
 
-    def beat(self, mine: Mine, now_us: int, draw: float) -> Post:
+    def tick(self, status: Mine, now_us: int, jitter: float) -> Post:
         """What a front that stands, writes or leads has to say at a beat. `draw`: chance."""
-        self.mine, self.draw = mine, draw
-        dark = self.voter.dark(now_us)
-        self.out_us = {index: self.out_us.get(index, now_us) for index in dark}
-        self.chair.advance(now_us, self.terms.fronts - len(dark))
-        if mine.stands is Stands.LEAVING:
-            self.chair.follow()
-        self._expire(now_us)
-        seat = self.chair.seat
-        if seat is not Role.LEADS and seat is not Role.WRITES:
-            self.lead = None
-        if seat is Role.FOLLOWS:
-            return self._follow(now_us)
-        if seat is Role.STANDS:
-            return self._all(Stand(self.life, self.chair.term))
-        if seat is Role.WRITES:
-            return self._told(self.chair.writes)
-        post = self._told(self.register.record)
-        if self.lead is not None:
-            post += self._move(self.lead, now_us)
+        self.status, self.jitter = status, jitter
+        dark = self.grantor.unavailable_places(now_us)
+        self.unavailable_since_us = {index: self.unavailable_since_us.get(index, now_us) for index in dark}
+        self.election.advance(now_us, self.settings.front_count - len(dark))
+        if status.serving_state is ServingState.DRAINING:
+            self.election.step_down()
+        self._expire_command(now_us)
+        seat = self.election.role
+        if seat is not Role.LEADER and seat is not Role.PROPOSER:
+            self.execution = None
+        if seat is Role.FOLLOWER:
+            return self._tick_follower(now_us)
+        if seat is Role.CANDIDATE:
+            return self._to_all_peers(LeaderVoteRequest(self.incarnation, self.election.term))
+        if seat is Role.PROPOSER:
+            return self._proposals(self.election.proposal)
+        post = self._proposals(self.acceptor.record)
+        if self.execution is not None:
+            post += self._advance_plan(self.execution, now_us)
         return post
 
-    def _all(self, said: Said) -> Post:
-        return [(index, said) for index in self.halls if index != self.terms.index]
+    def _to_all_peers(self, message: Said) -> Post:
+        return [(index, message) for index in self.zones if index != self.settings.front_index]
 
-    def _fleet(self, now_us: int) -> FleetSet:
-        voter = self.voter
-        off = frozenset(place for place, entry in voter.entries.items() if entry.hold is PermitState.OFF)
-        dark = frozenset(voter.dark(now_us))
-        return FleetSet(self.terms.fronts, self.terms.index, voter.words, dark, off, self.out_us)
+    def _fleet_view(self, now_us: int) -> FleetView:
+        grantor = self.grantor
+        off = frozenset(
+            place for place, entry in grantor.entries.items() if entry.state is PermitState.WRITTEN_OFF
+        )
+        dark = frozenset(grantor.unavailable_places(now_us))
+        return FleetView(
+            self.settings.front_count,
+            self.settings.front_index,
+            grantor.heartbeats,
+            dark,
+            off,
+            self.unavailable_since_us,
+        )
 
-    def _follow(self, now_us: int) -> Post:
-        missed = now_us >= self.register.told_us + self.terms.silent_us
-        wanted = self.register.record.phase in UNDER_WAY and missed
+    def _tick_follower(self, now_us: int) -> Post:
+        missed = now_us >= self.acceptor.leader_seen_us + self.settings.front_timeout_us
+        wanted = self.acceptor.record.phase in ACTIVE_PHASES and missed
         if self.pending is not None:
-            return self._stand(now_us)
-        if not wanted or self.mine.stands is not Stands.SERVING:
-            self.stand_us = None
+            return self._start_election(now_us)
+        if not wanted or self.status.serving_state is not ServingState.SERVING:
+            self.election_at_us = None
             return []
-        if self.stand_us is None:
+        if self.election_at_us is None:
             # All miss it at once: who stands at the same time as another wins nothing.
-            self.stand_us = now_us + round(self.draw * SPREAD_BEATS * self.terms.beat_us)
-        if now_us < self.stand_us:
+            self.election_at_us = now_us + round(
+                self.jitter * ELECTION_SPREAD_HEARTBEATS * self.settings.heartbeat_us
+            )
+        if now_us < self.election_at_us:
             return []
-        self.stand_us = None
-        return self._stand(now_us)
+        self.election_at_us = None
+        return self._start_election(now_us)
 
-    def _stand(self, now_us: int) -> Post:
-        stand = self.chair.stand(now_us)
-        if stand is None:
+    def _start_election(self, now_us: int) -> Post:
+        vote_request = self.election.start_election(now_us)
+        if vote_request is None:
             return []
-        voice = self.register.hear_stand(stand, now_us)
-        return self._all(stand) + self.hear_voice(self.terms.index, voice, now_us)
+        vote = self.acceptor.on_vote_request(vote_request, now_us)
+        return self._to_all_peers(vote_request) + self.on_vote(self.settings.front_index, vote, now_us)
 
-    def _told(self, record: Record) -> Post:
+    def _proposals(self, record: RolloutRecord) -> Post:
         """For each of the others whose life is known."""
-        words, here = self.voter.words, self.terms.index
-        return [(index, Told(record, word.life)) for index, word in words.items() if index != here]
+        heartbeats, here = self.grantor.heartbeats, self.settings.front_index
+        return [
+            (index, Proposal(record, heartbeat.incarnation))
+            for index, heartbeat in heartbeats.items()
+            if index != here
+        ]
 
-    def _tell(self, record: Record, now_us: int) -> Post:
-        post = self._told(record)
-        taken = self.register.hear_told(record, now_us)
-        return post + (self.hear_taken(self.terms.index, taken, now_us) if taken is not None else [])
+    def _publish(self, record: RolloutRecord, now_us: int) -> Post:
+        post = self._proposals(record)
+        ack = self.acceptor.on_proposal(record, now_us)
+        return post + (self.on_ack(self.settings.front_index, ack, now_us) if ack is not None else [])
 
-    def _agreed(self, now_us: int) -> Post:
+    def _on_agreed(self, now_us: int) -> Post:
         """A majority has taken what this front wrote."""
-        record = self.chair.writes
-        self.note(f"plan {record.plan.number} {record.phase.name.lower()}")
-        if self.lead is None:
-            self.lead = RolloutPlan(record, self.halls, now_us)
+        record = self.election.proposal
+        self.log(f"plan {record.plan.number} {record.phase.name.lower()}")
+        if self.execution is None:
+            self.execution = PlanExecution(record, self.zones, now_us)
         else:
-            self.lead.goes_on(record, now_us)
+            self.execution.on_record_agreed(record, now_us)
         pending = self.pending
-        if pending is not None and pending.stamp == record.stamp:
-            self._answered(pending, Answer.DONE)
-        return self._apply(now_us)
+        if pending is not None and pending.revision == record.revision:
+            self._finish_command(pending, Answer.DONE)
+        return self._propose_command(now_us)
 
-    def _move(self, lead: RolloutPlan, now_us: int) -> Post:
-        fleet = self._fleet(now_us)
-        found = lead.apply(fleet, now_us)
+    def _advance_plan(self, lead: PlanExecution, now_us: int) -> Post:
+        fleet = self._fleet_view(now_us)
+        found = lead.evaluate(fleet, now_us)
         if found is not None:
-            have = len(fleet.have(rollout_plan.target(lead.record)))
-            record = rollout_plan.after(lead.record, found[0], have, why=found[1])
-            written = self.chair.write(record, now_us) if record is not None else None
-            return self._tell(written, now_us) if written is not None else []
-        record, version = lead.record, rollout_plan.target(lead.record)
-        going = lead.orders(fleet, now_us)
-        if self.terms.index in going:
-            self.order(version, record.stamp, now_us)
-        lives = {index: fleet.words[index].life for index in going if index != self.terms.index}
-        return [(index, Order(life, record.term, record.turn, version)) for index, life in lives.items()]
+            have = len(fleet.fronts_with(rollout_plan.target_version(lead.record)))
+            record = rollout_plan.next_record(lead.record, found[0], have, why=found[1])
+            written = self.election.propose(record, now_us) if record is not None else None
+            return self._publish(written, now_us) if written is not None else []
+        record, version = lead.record, rollout_plan.target_version(lead.record)
+        going = lead.fronts_to_order(fleet, now_us)
+        if self.settings.front_index in going:
+            self.order_own_front(version, record.revision, now_us)
+        lives = {
+            index: fleet.heartbeats[index].incarnation
+            for index in going
+            if index != self.settings.front_index
+        }
+        return [
+            (index, RolloutOrder(incarnation, record.term, record.turn, version))
+            for index, incarnation in lives.items()
+        ]
 
     # What operators say.
 
     def command(self, told: Command, now_us: int) -> tuple[int, Post]:
         """An operator's word about a plan: its number, for `answer`."""
-        self.commands += 1
-        number = self.commands
-        ready = self.register.ready(now_us) and self.mine.stands is not Stands.LEAVING
+        self.command_count += 1
+        number = self.command_count
+        ready = self.acceptor.may_vote(now_us) and self.status.serving_state is not ServingState.DRAINING
         if self.pending is not None or not ready:
-            self._answer(number, Answer.BUSY)
+            self._set_outcome(number, Answer.BUSY)
             return number, []
         self.pending = PendingCommand(number, told, now_us)
-        self._answer(number, Answer.PENDING)
-        post = self._apply(now_us) if self.chair.seat is Role.LEADS else self._stand(now_us)
+        self._set_outcome(number, Answer.PENDING)
+        post = (
+            self._propose_command(now_us)
+            if self.election.role is Role.LEADER
+            else self._start_election(now_us)
+        )
         return number, post
 
-    def _apply(self, now_us: int) -> Post:
-        pending, chair = self.pending, self.chair
-        if pending is None or pending.stamp is not None or chair.seat is not Role.LEADS:
+    def _propose_command(self, now_us: int) -> Post:
+        pending, chair = self.pending, self.election
+        if pending is None or pending.revision is not None or chair.role is not Role.LEADER:
             return []
-        record, told = chair.writes, pending.told
+        record, told = chair.proposal, pending.command
         if told.fence != record.fence:
-            self._answered(pending, Answer.STALE)
+            self._finish_command(pending, Answer.STALE)
             return []
         plan = told.plan if told.plan is not None else record.plan
         version = plan.before if told.wish is Wish.BACK or record.back else plan.wanted
-        have = len(self._fleet(now_us).have(version))
-        reason = Reason.OPERATOR if told.wish in (Wish.HALT, Wish.CHANGE) else Reason.NONE
-        now = rollout_plan.after(record, EVENTS[told.wish], have, told.plan, reason)
-        written = chair.write(now, now_us) if now is not None else None
+        have = len(self._fleet_view(now_us).fronts_with(version))
+        reason = HaltReason.OPERATOR if told.wish in (Wish.HALT, Wish.CHANGE) else HaltReason.NONE
+        now = rollout_plan.next_record(record, COMMAND_EVENTS[told.wish], have, told.plan, reason)
+        written = chair.propose(now, now_us) if now is not None else None
         if written is None:
-            self._answered(pending, Answer.WRONG)
+            self._finish_command(pending, Answer.WRONG)
             return []
-        pending.stamp = written.stamp
-        return self._tell(written, now_us)
+        pending.revision = written.revision
+        return self._publish(written, now_us)
 
-    def _expire(self, now_us: int) -> None:
-        if self.pending is not None and now_us >= self.pending.since_us + COMMAND_US:
-            self._answered(self.pending, Answer.LOST)
+    def _expire_command(self, now_us: int) -> None:
+        if self.pending is not None and now_us >= self.pending.since_us + COMMAND_TIMEOUT_US:
+            self._finish_command(self.pending, Answer.LOST)
 
-    def _answered(self, pending: PendingCommand, answer: Answer) -> None:
-        self._answer(pending.number, answer)
+    def _finish_command(self, pending: PendingCommand, answer: Answer) -> None:
+        self._set_outcome(pending.number, answer)
         self.pending = None
 
-    def _answer(self, number: int, answer: Answer) -> None:
-        self.answers[number] = answer
-        if len(self.answers) > MOST_ANSWERS:
-            self.answers.popitem(last=False)
+    def _set_outcome(self, number: int, answer: Answer) -> None:
+        self.outcomes[number] = answer
+        if len(self.outcomes) > MAX_OUTCOMES:
+            self.outcomes.popitem(last=False)
 
-    def answer(self, number: int) -> Answer:
+    def outcome(self, number: int) -> Answer:
         """What became of it; one that is long ago is lost."""
-        return self.answers.get(number, Answer.LOST)
+        return self.outcomes.get(number, Answer.LOST)
 
-    def hear_stand(self, sender: int, stand: Stand, now_us: int) -> Post:
-        return [(sender, self.register.hear_stand(stand, now_us))]
+    def on_vote_request(self, sender: int, vote_request: LeaderVoteRequest, now_us: int) -> Post:
+        return [(sender, self.acceptor.on_vote_request(vote_request, now_us))]
 
-    def hear_voice(self, sender: int, voice: Voice, now_us: int) -> Post:
-        record = self.chair.hear_voice(sender, voice, now_us)
-        return self._tell(record, now_us) if record is not None else []
+    def on_vote(self, sender: int, vote: LeaderVote, now_us: int) -> Post:
+        record = self.election.on_vote(sender, vote, now_us)
+        return self._publish(record, now_us) if record is not None else []
 
-    def hear_told(self, sender: int, told: Told, now_us: int) -> Post:
-        if told.life != self.life:
+    def on_proposal(self, sender: int, told: Proposal, now_us: int) -> Post:
+        if told.receiver_incarnation != self.incarnation:
             return []
-        taken = self.register.hear_told(told.record, now_us)
-        return [(sender, taken)] if taken is not None else []
+        ack = self.acceptor.on_proposal(told.record, now_us)
+        return [(sender, ack)] if ack is not None else []
 
-    def hear_taken(self, sender: int, taken: Taken, now_us: int) -> Post:
-        return self._agreed(now_us) if self.chair.hear_taken(sender, taken, now_us) else []
+    def on_ack(self, sender: int, ack: ProposalAck, now_us: int) -> Post:
+        return self._on_agreed(now_us) if self.election.on_ack(sender, ack, now_us) else []
--- a/packages/rollouts/src/fennelcove/rollouts/types.py
+++ b/packages/rollouts/src/fennelcove/rollouts/types.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-from fennelcove.rollouts.disruption_permits import PermitRules
-from fennelcove.rollouts.disruption_budget import Limits
-from fennelcove.rollouts.messages import Kind, Plan, Record, Said, Stands
+from fennelcove.rollouts.disruption_permits import PermitSettings
+from fennelcove.rollouts.disruption_budget import FleetLimits
+from fennelcove.rollouts.messages import Kind, Plan, RolloutRecord, Said, ServingState
 
 Post = list[tuple[int, Said]]  # to whom, what
 
@@ -16,22 +16,22 @@
 class Mine:
     """What this front is now; counters are of this life and only grow."""
 
-    stands: Stands
+    serving_state: ServingState
     version: int = 0
-    since_s: int = 0
-    asked: int = 0
+    serving_for_s: int = 0
+    requested: int = 0
     served: int = 0
     refused: int = 0
     failed: int = 0
-    level: int = 0
-    storm: int = 0
+    shedding_level: int = 0
+    storm_phase: int = 0
 
 
 class Do(Enum):
     """What this front is to do."""
 
-    LEAVE = auto()  # call `begin`, and where it says yes go out and come back with `version`
-    TAKE_BOX = auto()  # the same for a box: tell the list to drain it
+    DRAIN_FRONT = auto()  # call `begin`, and where it says yes go out and come back with `version`
+    DRAIN_SERVER = auto()  # the same for a box: tell the list to drain it
     STAY = auto()  # what was wanted is given up or out of date; nothing goes out
     NOTE = auto()  # for the log
 
@@ -78,7 +78,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Promise:
+class StoredPermit:
     """A place that is promised, for the folder."""
 
     kind: Kind
@@ -93,34 +93,34 @@
     """What the folder has to keep for the next life. Without it the next life waits before it promises."""
 
     term: int = 0  # the highest that this front gave its voice in
-    record: Record = field(default_factory=Record)
+    record: RolloutRecord = field(default_factory=RolloutRecord)
     sure: bool = True
     whole: bool = True  # no place is left of which this life does not know what the last one promised
-    promises: tuple[Promise, ...] = ()
+    promises: tuple[StoredPermit, ...] = ()
     off: tuple[tuple[Kind, int], ...] = ()  # places written off
 
 
 @dataclass(frozen=True, slots=True)
-class Terms:
+class RolloutSettings:
     """The figures of one fleet."""
 
-    fronts: int
-    index: int
-    beat_us: int = 250_000
-    window_us: int = 2_000_000  # from an ask until which its permit may be counted and begun
-    silent_us: int = 2_000_000  # a front not heard for so long is out
-    blind_us: int = 5_000_000  # a box not seen for so long is out
-    show_us: int = 5_000_000  # in which a box told to drain is seen to drain, by all
+    front_count: int
+    front_index: int
+    heartbeat_us: int = 250_000
+    permit_window_us: int = 2_000_000  # from an ask until which its permit may be counted and begun
+    front_timeout_us: int = 2_000_000  # a front not heard for so long is out
+    server_timeout_us: int = 5_000_000  # a box not seen for so long is out
+    drain_visible_us: int = 5_000_000  # in which a box told to drain is seen to drain, by all
 
-    def rules(self, kind: Kind, limits: Limits) -> PermitRules:
+    def permit_settings(self, kind: Kind, limits: FleetLimits) -> PermitSettings:
         """The figures of permits for one kind."""
         front = kind is Kind.FRONT
-        return PermitRules(
+        return PermitSettings(
             kind,
-            self.fronts,
-            self.index,
+            self.front_count,
+            self.front_index,
             limits.fronts if front else limits.servers,
-            self.window_us,
-            self.silent_us if front else self.blind_us,
-            0 if front else self.show_us,
+            self.permit_window_us,
+            self.front_timeout_us if front else self.server_timeout_us,
+            0 if front else self.drain_visible_us,
         )
--- a/tests/test_release_side.py
+++ b/tests/test_release_side.py
@@ -20,9 +20,26 @@
 from fennelcove.scenarios.outages import outs
 from fennelcove.daemon.rollouts import Promises
 from fennelcove.rollouts import messages
-from fennelcove.rollouts.coordinator import RolloutAgreement, Answer, Command, Memory, Mine, Terms, Wish
-from fennelcove.rollouts.disruption_budget import Limit, Limits, Location
-from fennelcove.rollouts.messages import Kind, Phase, Plan, Reason, Record, Said, Stands, Verdict
+from fennelcove.rollouts.coordinator import (
+    RolloutAgreement,
+    Answer,
+    Command,
+    Memory,
+    Mine,
+    RolloutSettings,
+    Wish,
+)
+from fennelcove.rollouts.disruption_budget import DisruptionLimit, FleetLimits, Location
+from fennelcove.rollouts.messages import (
+    Kind,
+    RolloutPhase,
+    Plan,
+    HaltReason,
+    RolloutRecord,
+    Said,
+    ServingState,
+    PermitVerdict,
+)
 from fennelcove.settings.checks import amiss
 from fennelcove.settings.reader import parse
 from fennelcove.settings.schema import FrontSettings, StoreSettings
@@ -35,27 +52,35 @@
 place = st.integers(0, 0x7FFF)
 kind = st.sampled_from(list(Kind))
 flag = st.booleans()
-opened = st.builds(messages.Open, kind, place, four, flag)
+opened = st.builds(messages.OpenRequest, kind, place, four, flag)
 plans = st.builds(Plan, four, four, four, two, two, four, four, two, two, two, two, one, one)
 records = st.builds(
-    Record, four, four, st.sampled_from(list(Phase)), st.sampled_from(list(Reason)), flag, two, four, plans
+    RolloutRecord,
+    four,
+    four,
+    st.sampled_from(list(RolloutPhase)),
+    st.sampled_from(list(HaltReason)),
+    flag,
+    two,
+    four,
+    plans,
 )
 words = st.builds(
-    messages.Word,
-    *(eight, four, eight, four, st.sampled_from(list(Stands))),
+    messages.Heartbeat,
+    *(eight, four, eight, four, st.sampled_from(list(ServingState))),
     *(four, four, four, four, four, four, one, one, four, four, four, flag),
-    st.lists(opened, max_size=messages.MOST_OPEN).map(tuple),
+    st.lists(opened, max_size=messages.MAX_OPEN_REQUESTS).map(tuple),
 )
-held = st.lists(place, max_size=messages.MOST_HELD).map(tuple)
+held = st.lists(place, max_size=messages.MAX_PROMISED_PLACES).map(tuple)
 SAID: st.SearchStrategy[Said] = st.one_of(
     words,
-    st.builds(messages.Ask, eight, four, kind, place, four, four),
-    st.builds(messages.Vote, eight, four, st.sampled_from(list(Verdict)), held),
-    st.builds(messages.Stand, eight, four),
-    st.builds(messages.Voice, eight, four, flag, flag, records),
-    st.builds(messages.Told, records, eight),
-    st.builds(messages.Taken, four, four),
-    st.builds(messages.Order, eight, four, four, four),
+    st.builds(messages.PermitRequest, eight, four, kind, place, four, four),
+    st.builds(messages.PermitVote, eight, four, st.sampled_from(list(PermitVerdict)), held),
+    st.builds(messages.LeaderVoteRequest, eight, four),
+    st.builds(messages.LeaderVote, eight, four, flag, flag, records),
+    st.builds(messages.Proposal, records, eight),
+    st.builds(messages.ProposalAck, four, four),
+    st.builds(messages.RolloutOrder, eight, four, four, four),
 )
 
 
@@ -75,8 +100,8 @@
         raw = rollout_messages.encode(said)
         read = rollout_messages.decode(raw[: data.draw(st.integers(0, len(raw) - 1))])
         # Rows at the end may be missing whole: what is left is a shorter message, never another figure.
-        if isinstance(said, messages.Word | messages.Vote) and read is not None:
-            name = "open" if isinstance(said, messages.Word) else "held"
+        if isinstance(said, messages.Heartbeat | messages.PermitVote) and read is not None:
+            name = "open_requests" if isinstance(said, messages.Heartbeat) else "promised_places"
             self.assertEqual(read, replace(said, **{name: getattr(read, name)}))
         else:
             self.assertIsNone(read)
@@ -98,10 +123,10 @@
 
 
 def book(disk: Disk, clock: ManualClock) -> RolloutCoordinator:
-    limits = Limits(Limit(1, 1), Limit(1, 1))
+    limits = FleetLimits(DisruptionLimit(1, 1), DisruptionLimit(1, 1))
     known = Memory(sure=True, whole=True)
-    agreement = RolloutAgreement(Terms(3, 0), limits, (Location(0),) * 3, 7, clock.now_us(), known)
-    mine = Mine(Stands.SERVING, 1)
+    agreement = RolloutAgreement(RolloutSettings(3, 0), limits, (Location(0),) * 3, 7, clock.now_us(), known)
+    mine = Mine(ServingState.SERVING, 1)
     found = RolloutCoordinator(
         agreement, 250_000, lambda: mine, dict, disk.keep, clock, Random(1), lambda name, **_: None
     )
@@ -116,29 +141,29 @@
         self.clock.advance(5_000_000)  # past the time in which a new life promises nothing
         self.book._carry(self.book._beat)
         for other in (1, 2):
-            word = messages.Word(5 + other, 1, 7, 1, Stands.SERVING, 1)
+            word = messages.Heartbeat(5 + other, 1, 7, 1, ServingState.SERVING, 1)
             self.book._carry(lambda now_us, o=other, w=word: self.book.agreement.hear(o, w, now_us))
         self.disk.log.clear()
 
     def test_a_promise_is_in_the_folder_before_its_yes_is_sent(self) -> None:
-        ask = messages.Ask(6, 1, Kind.FRONT, 1)
+        ask = messages.PermitRequest(6, 1, Kind.FRONT, 1)
         self.book._carry(lambda now_us: self.book.agreement.hear(1, ask, now_us))
-        self.assertEqual(self.disk.log, ["kept", "Vote"])
+        self.assertEqual(self.disk.log, ["kept", "PermitVote"])
 
     def test_what_the_folder_does_not_take_is_not_said_until_it_does(self) -> None:
         self.disk.well = False
-        ask = messages.Ask(6, 1, Kind.FRONT, 1)
+        ask = messages.PermitRequest(6, 1, Kind.FRONT, 1)
         self.book._carry(lambda now_us: self.book.agreement.hear(1, ask, now_us))
         self.book._carry(self.book._beat)
         self.assertEqual(self.disk.log, ["not kept", "not kept"])
         self.assertTrue(self.book.status()["unsafe"])
         self.disk.well = True
         self.book._carry(self.book._beat)
-        self.assertEqual(self.disk.log[2:], ["kept", "Word", "Word"])
+        self.assertEqual(self.disk.log[2:], ["kept", "Heartbeat", "Heartbeat"])
 
     def test_a_full_line_loses_what_comes_and_says_busy_to_an_operator(self) -> None:
         for number in range(MOST_WAITING + 5):
-            self.book.hear(1, messages.Taken(1, number))
+            self.book.hear(1, messages.ProposalAck(1, number))
         self.assertEqual(self.book.status()["lost"], 5)
         self.assertIs(self.book.command(Command(Wish.HALT, 0)), Answer.BUSY)
 
@@ -146,11 +171,11 @@
         # Otherwise a file that can't be written held the only place for ever.
         self.book.agreement.want_out(2, self.clock.now_us())
         self.book._carry(self.book._beat)
-        asked = next(iter(self.book.agreement.askers[Kind.FRONT].wanted.values()))
+        asked = next(iter(self.book.agreement.requesters[Kind.FRONT].requests.values()))
         for other in (1, 2):
-            vote = messages.Vote(7, asked.number, Verdict.YES)
+            vote = messages.PermitVote(7, asked.number, PermitVerdict.GRANTED)
             self.book._carry(lambda now_us, o=other, v=vote: self.book.agreement.hear(o, v, now_us))
-        self.assertEqual(self.book.agreement.askers[Kind.FRONT].wanted, {})
+        self.assertEqual(self.book.agreement.requesters[Kind.FRONT].requests, {})
 
     def test_an_order_is_answered_when_the_book_runs_and_no_majority_is_there(self) -> None:
         from fennelcove.clock import SystemClock
@@ -160,7 +185,7 @@
         thread = threading.Thread(target=alone.run)
         thread.start()
         try:
-            wait_for(lambda: "Word" in self.disk.log, "a beat")
+            wait_for(lambda: "Heartbeat" in self.disk.log, "a beat")
             self.assertIn(alone.command(Command(Wish.HALT, 0)), (Answer.BUSY, Answer.LOST))
         finally:
             alone.stop()
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -15,44 +15,51 @@
 from fennelcove.rollouts import draining, rollout_plan
 from fennelcove.rollouts.coordinator import Answer, Command, Memory, Wish
 from fennelcove.rollouts.canary_analysis import WINDOW_US, CanaryAnalysis
-from fennelcove.rollouts.leader_election import Register
+from fennelcove.rollouts.leader_election import Acceptor
 from fennelcove.rollouts.draining import DrainAction, Draining, DrainState, DrainTimes
-from fennelcove.rollouts.disruption_permits import Requester, PermitRules, Grantor
-from fennelcove.rollouts.disruption_budget import Limit, DisruptionMap, Past, Location
+from fennelcove.rollouts.disruption_permits import Requester, PermitSettings, Grantor
+from fennelcove.rollouts.disruption_budget import DisruptionLimit, DisruptionMap, ExceededLimit, Location
 from fennelcove.rollouts.rollout_plan import RolloutEvent
 from fennelcove.rollouts.messages import (
-    Ask,
+    PermitRequest,
     Kind,
-    Open,
-    Order,
-    Phase,
-    Reason,
-    Record,
+    OpenRequest,
+    RolloutOrder,
+    RolloutPhase,
+    HaltReason,
+    RolloutRecord,
     Said,
-    Stand,
-    Stands,
-    Taken,
-    Verdict,
-    Vote,
-    Word,
+    LeaderVoteRequest,
+    ServingState,
+    ProposalAck,
+    PermitVerdict,
+    PermitVote,
+    Heartbeat,
 )
 
-LIMIT = Limit(whole=1, zone=1, margin=0.0)
+LIMIT = DisruptionLimit(total=1, per_zone=1, capacity_margin=0.0)
 AFTER = 10_000_000  # nobody is wary any more
 
 
-def voter(kind: Kind = Kind.FRONT, limit: Limit = LIMIT, many: int = 5, remembers: bool = True) -> Grantor:
-    rules = PermitRules(
-        kind, many, 0, limit, show_us=0 if kind is Kind.FRONT else 3_000_000, silent_us=1 << 40
+def voter(
+    kind: Kind = Kind.FRONT, limit: DisruptionLimit = LIMIT, many: int = 5, remembers: bool = True
+) -> Grantor:
+    rules = PermitSettings(
+        kind,
+        many,
+        0,
+        limit,
+        drain_visible_us=0 if kind is Kind.FRONT else 3_000_000,
+        health_timeout_us=1 << 40,
     )
     book = Grantor(rules, DisruptionMap({i: Location(i) for i in range(many)}), 0, remembers)
     for place in range(many if remembers else 0):
-        book.see(place, True, 1, 1)
+        book.observe(place, True, 1, 1)
     return book
 
 
-def ask(place: int, number: int = 1, life: int = 1, kind: Kind = Kind.FRONT) -> Ask:
-    return Ask(life, number, kind, place)
+def ask(place: int, number: int = 1, life: int = 1, kind: Kind = Kind.FRONT) -> PermitRequest:
+    return PermitRequest(life, number, kind, place)
 
 
 class LimitsTest(unittest.TestCase):
@@ -61,101 +68,125 @@
             0: Location(0, 10, 4, frozenset({1, 2})),
             1: Location(0, 10, 4, frozenset({1})),
             2: Location(1, 10, 4, frozenset({1})),
-            3: Location(1, 10, 4, frozenset({3}), warm=False),
+            3: Location(1, 10, 4, frozenset({3}), is_warm=False),
         }
         plan = DisruptionMap(places)
-        wide = Limit(4, 4, margin=0.0)
-        self.assertIsNone(plan.past(wide, 1, ()))
-        self.assertIs(plan.past(Limit(1, 4), 1, (2,)), Past.WHOLE)
-        self.assertIs(plan.past(Limit(4, 1), 1, (0,)), Past.HALL)
-        self.assertIsNone(plan.past(replace(wide, zone=1), 1, (3,)))
-        self.assertIs(plan.past(replace(wide, replicas=1), 1, (2,)), Past.HOLDERS)
-        self.assertIs(plan.past(wide, 0, ()), Past.LAST)  # of title 2
-        self.assertIsNone(plan.past(wide, 3, ()))  # cold: nobody is served from it
-        self.assertIs(plan.past(replace(wide, margin=0.5), 1, ()), Past.LOAD)
+        wide = DisruptionLimit(4, 4, capacity_margin=0.0)
+        self.assertIsNone(plan.exceeded_limit(wide, 1, ()))
+        self.assertIs(plan.exceeded_limit(DisruptionLimit(1, 4), 1, (2,)), ExceededLimit.TOTAL)
+        self.assertIs(plan.exceeded_limit(DisruptionLimit(4, 1), 1, (0,)), ExceededLimit.ZONE)
+        self.assertIsNone(plan.exceeded_limit(replace(wide, per_zone=1), 1, (3,)))
+        self.assertIs(plan.exceeded_limit(replace(wide, per_title=1), 1, (2,)), ExceededLimit.TITLE_REPLICAS)
+        self.assertIs(plan.exceeded_limit(wide, 0, ()), ExceededLimit.LAST_WARM_REPLICA)  # of title 2
+        self.assertIsNone(plan.exceeded_limit(wide, 3, ()))  # cold: nobody is served from it
+        self.assertIs(plan.exceeded_limit(replace(wide, capacity_margin=0.5), 1, ()), ExceededLimit.LOAD)
 
 
 class VoterTest(unittest.TestCase):
     def test_one_place_after_another_and_a_freed_one_by_its_own_word_alone(self) -> None:
         book = voter()
-        self.assertIs(book.hear_ask(1, ask(1), AFTER).verdict, Verdict.YES)
-        self.assertIs(book.hear_ask(2, ask(2), AFTER).verdict, Verdict.BUSY)
-        held = Word(1, 1, asks=1, open=(Open(Kind.FRONT, 1, 1, True),))
-        book.hear_word(1, held, AFTER, AFTER)
+        self.assertIs(book.on_permit_request(1, ask(1), AFTER).verdict, PermitVerdict.GRANTED)
+        self.assertIs(book.on_permit_request(2, ask(2), AFTER).verdict, PermitVerdict.BUSY)
+        held = Heartbeat(1, 1, last_request_number=1, open_requests=(OpenRequest(Kind.FRONT, 1, 1, True),))
+        book.on_heartbeat(1, held, AFTER, AFTER)
         late = AFTER + 1_000_000_000
-        self.assertIs(book.hear_ask(2, ask(2), late).verdict, Verdict.FULL)
-        book.hear_word(1, Word(2, 1, stands=Stands.STARTING), late, late)  # a new life, and not serving
-        self.assertIs(book.hear_ask(2, ask(2), late).verdict, Verdict.FULL)
-        book.hear_word(1, Word(2, 2), late, late)
-        self.assertIs(book.hear_ask(1, ask(1), late).verdict, Verdict.STALE)  # doubled, and late
-        self.assertIs(book.hear_ask(2, ask(2), late).verdict, Verdict.YES)
+        self.assertIs(book.on_permit_request(2, ask(2), late).verdict, PermitVerdict.LIMIT_REACHED)
+        book.on_heartbeat(
+            1, Heartbeat(2, 1, serving_state=ServingState.STARTING), late, late
+        )  # a new life, and not serving
+        self.assertIs(book.on_permit_request(2, ask(2), late).verdict, PermitVerdict.LIMIT_REACHED)
+        book.on_heartbeat(1, Heartbeat(2, 2), late, late)
+        self.assertIs(
+            book.on_permit_request(1, ask(1), late).verdict, PermitVerdict.STALE
+        )  # doubled, and late
+        self.assertIs(book.on_permit_request(2, ask(2), late).verdict, PermitVerdict.GRANTED)
 
     def test_an_ask_that_is_given_up_frees_its_place_and_a_repeated_one_gets_the_same_answer(self) -> None:
         book = voter()
-        first = book.hear_ask(1, ask(1), AFTER)
-        self.assertEqual(book.hear_ask(1, ask(1), AFTER + 1), first)
-        book.hear_word(1, Word(1, 1, stands=Stands.LEAVING, asks=1), AFTER, AFTER)
-        self.assertEqual(book.held(), {1})  # drained by hand meanwhile
-        book.hear_word(1, Word(1, 2, asks=1), AFTER, AFTER)
-        self.assertEqual(book.held(), set())
+        first = book.on_permit_request(1, ask(1), AFTER)
+        self.assertEqual(book.on_permit_request(1, ask(1), AFTER + 1), first)
+        book.on_heartbeat(
+            1, Heartbeat(1, 1, serving_state=ServingState.DRAINING, last_request_number=1), AFTER, AFTER
+        )
+        self.assertEqual(book.promised_places(), {1})  # drained by hand meanwhile
+        book.on_heartbeat(1, Heartbeat(1, 2, last_request_number=1), AFTER, AFTER)
+        self.assertEqual(book.promised_places(), set())
 
     def test_a_voter_paused_past_its_promise_still_holds_it(self) -> None:
         book = voter()
-        book.hear_ask(1, ask(1), AFTER)
-        self.assertIs(book.hear_ask(2, ask(2), AFTER + 3_600_000_000).verdict, Verdict.FULL)
+        book.on_permit_request(1, ask(1), AFTER)
+        self.assertIs(
+            book.on_permit_request(2, ask(2), AFTER + 3_600_000_000).verdict, PermitVerdict.LIMIT_REACHED
+        )
 
     def test_a_new_life_promises_nothing_and_then_takes_all_for_promised_until_it_hears(self) -> None:
         book = voter(remembers=False)
-        self.assertIs(book.hear_ask(1, ask(1), 1_000).verdict, Verdict.WARY)
-        self.assertIs(book.hear_ask(1, ask(1), AFTER).verdict, Verdict.FULL)
+        self.assertIs(book.on_permit_request(1, ask(1), 1_000).verdict, PermitVerdict.RECOVERING)
+        self.assertIs(book.on_permit_request(1, ask(1), AFTER).verdict, PermitVerdict.LIMIT_REACHED)
         for place in range(5):
-            book.hear_word(place, Word(1, 1), 1_000, AFTER)  # it answers what was sent before all had lapsed
-        self.assertEqual(len(book.held()), 5)
+            book.on_heartbeat(
+                place, Heartbeat(1, 1), 1_000, AFTER
+            )  # it answers what was sent before all had lapsed
+        self.assertEqual(len(book.promised_places()), 5)
         for place in range(5):
-            book.hear_word(place, Word(1, 2), AFTER, AFTER)
-        self.assertIs(book.hear_ask(1, ask(1), AFTER).verdict, Verdict.YES)
+            book.on_heartbeat(place, Heartbeat(1, 2), AFTER, AFTER)
+        self.assertIs(book.on_permit_request(1, ask(1), AFTER).verdict, PermitVerdict.GRANTED)
 
     def test_a_box_that_is_about_to_drain_is_seen_to_serve_and_is_not_free(self) -> None:
         """Guards against a promise that lapses before the drain can be seen by all."""
         book = voter(Kind.BOX)
-        book.hear_ask(1, ask(3, kind=Kind.BOX), AFTER)
-        book.see(3, True, AFTER + 2_200_000, AFTER + 2_200_000)
-        self.assertIs(book.hear_ask(2, ask(4, kind=Kind.BOX), AFTER + 2_200_000).verdict, Verdict.FULL)
-        book.see(3, True, AFTER + 6_000_000, AFTER + 6_000_000)
-        self.assertIs(book.hear_ask(2, ask(4, kind=Kind.BOX), AFTER + 6_000_000).verdict, Verdict.YES)
+        book.on_permit_request(1, ask(3, kind=Kind.BOX), AFTER)
+        book.observe(3, True, AFTER + 2_200_000, AFTER + 2_200_000)
+        self.assertIs(
+            book.on_permit_request(2, ask(4, kind=Kind.BOX), AFTER + 2_200_000).verdict,
+            PermitVerdict.LIMIT_REACHED,
+        )
+        book.observe(3, True, AFTER + 6_000_000, AFTER + 6_000_000)
+        self.assertIs(
+            book.on_permit_request(2, ask(4, kind=Kind.BOX), AFTER + 6_000_000).verdict, PermitVerdict.GRANTED
+        )
 
     def test_what_crashed_counts_and_what_is_written_off_does_not(self) -> None:
         book = voter()
-        book.see(4, False, AFTER, AFTER)
-        self.assertIs(book.hear_ask(1, ask(1), AFTER).verdict, Verdict.FULL)
+        book.observe(4, False, AFTER, AFTER)
+        self.assertIs(book.on_permit_request(1, ask(1), AFTER).verdict, PermitVerdict.LIMIT_REACHED)
         book.write_off(4, AFTER)
-        self.assertIs(book.hear_ask(1, ask(1), AFTER).verdict, Verdict.YES)
+        self.assertIs(book.on_permit_request(1, ask(1), AFTER).verdict, PermitVerdict.GRANTED)
 
     def test_with_a_limit_of_two_three_that_ask_crosswise_are_not_all_out(self) -> None:
         """Each of three voters hears two of the three asks, in another order: none knows all."""
 
         def granted() -> int:
             rules = [
-                PermitRules(Kind.FRONT, 3, i, Limit(2, 3, margin=0.0), silent_us=1 << 40) for i in range(3)
+                PermitSettings(
+                    Kind.FRONT, 3, i, DisruptionLimit(2, 3, capacity_margin=0.0), health_timeout_us=1 << 40
+                )
+                for i in range(3)
             ]
             books = [
                 Grantor(rule, DisruptionMap({i: Location(0) for i in range(3)}), 0, True) for rule in rules
             ]
             for book in books:
                 for place in range(3):
-                    book.see(place, True, 1, 1)
+                    book.observe(place, True, 1, 1)
             askers = [Requester(rule, 1, iter(range(1, 9))) for rule in rules]
             for i in range(3):
-                askers[i].want(i, AFTER)
-            asks = [asker.due(AFTER) for asker in askers]
+                askers[i].request_permit(i, AFTER)
+            asks = [asker.next_request(AFTER) for asker in askers]
             given = 0
             for first, second in ((0, 1), (1, 2), (2, 0)):  # who is heard by voter `first`
                 for one in (first, second):
                     told = asks[one]
                     assert told is not None
-                    vote = books[first].hear_ask(one, told, AFTER)
-                    unseen = Grantor(rules[one], books[one].map, 0, True, sights=dict(books[one].sights))
-                    given += askers[one].hear_vote(first, vote, unseen, 0.5, AFTER) is not None
+                    vote = books[first].on_permit_request(one, told, AFTER)
+                    unseen = Grantor(
+                        rules[one],
+                        books[one].disruption_map,
+                        0,
+                        True,
+                        health_views=dict(books[one].health_views),
+                    )
+                    given += askers[one].on_vote(first, vote, unseen, 0.5, AFTER) is not None
             return given
 
         self.assertLessEqual(granted(), 2)
@@ -163,13 +194,15 @@
             self.assertEqual(granted(), 3)
 
     def test_a_permit_is_not_begun_after_its_window_nor_counted_with_what_the_voices_name(self) -> None:
-        rules = PermitRules(Kind.FRONT, 3, 0, LIMIT, silent_us=1 << 40)
+        rules = PermitSettings(Kind.FRONT, 3, 0, LIMIT, health_timeout_us=1 << 40)
         for begun_us, named, expected in ((0, (), True), (3_000_000, (), False), (0, (1,), False)):
             asker = Requester(rules, 1, iter(range(1, 9)))
-            asker.want(0, AFTER)
-            self.assertIsNotNone(asker.due(AFTER))
+            asker.request_permit(0, AFTER)
+            self.assertIsNotNone(asker.next_request(AFTER))
             for sender in (1, 2):
-                asker.hear_vote(sender, Vote(1, 1, Verdict.YES, named), voter(many=3), 0.5, AFTER)
+                asker.on_vote(
+                    sender, PermitVote(1, 1, PermitVerdict.GRANTED, named), voter(many=3), 0.5, AFTER
+                )
             self.assertIs(asker.begin(0, AFTER + begun_us), expected)
 
     def test_planted_faults_are_found(self) -> None:
@@ -198,12 +231,12 @@
         world.beat(beat * 0.37 % 1, apart)
 
 
-def ends(world: World, beats: int = 400) -> Record:
+def ends(world: World, beats: int = 400) -> RolloutRecord:
     """Until all know of one plan that rests."""
     for _ in range(beats):
         run(world, 1)
         records = {front.agreed.record() for front in world.fronts if front.agreed is not None}
-        if len(records) == 1 and next(iter(records)).phase not in rollout_plan.UNDER_WAY:
+        if len(records) == 1 and next(iter(records)).phase not in rollout_plan.ACTIVE_PHASES:
             return records.pop()
     raise AssertionError([front.agreed and front.agreed.record() for front in world.fronts])
 
@@ -219,10 +252,10 @@
     def test_a_plan_ends_with_all_changed_and_goes_back_with_none(self) -> None:
         world = self.world = fleet()
         world.command(world.fronts[2], Wish.START, PLAN)
-        self.assertIs(ends(world).phase, Phase.DONE)
+        self.assertIs(ends(world).phase, RolloutPhase.DONE)
         self.assertEqual({front.version for front in world.fronts}, {2})
         world.command(world.fronts[0], Wish.BACK)
-        self.assertIs(ends(world).phase, Phase.UNDONE)
+        self.assertIs(ends(world).phase, RolloutPhase.UNDONE)
         self.assertEqual({front.version for front in world.fronts}, {1})
 
     def test_the_leader_is_killed_at_each_step(self) -> None:
@@ -237,7 +270,9 @@
                 dead.ends_us = world.now_us + 10 * BEAT_US
                 record = ends(world)
                 # One that was ordered and came back as it was is taken for one that refused.
-                self.assertTrue(record.phase is Phase.DONE or record.reason is Reason.WRONG, record)
+                self.assertTrue(
+                    record.phase is RolloutPhase.DONE or record.reason is HaltReason.WRONG, record
+                )
                 self.assertEqual(world.found, [])
 
     def test_a_minority_begins_nothing_and_the_rest_goes_on(self) -> None:
@@ -248,17 +283,17 @@
         before = {front.index: front.stands for front in world.fronts}
         run(world, 40, cut)
         for index in cut:
-            if before[index] is Stands.SERVING:
-                self.assertIs(world.fronts[index].stands, Stands.SERVING)
+            if before[index] is ServingState.SERVING:
+                self.assertIs(world.fronts[index].stands, ServingState.SERVING)
         self.assertNotIn(leader(world), cut)
-        self.assertIs(ends(world).phase, Phase.DONE)
+        self.assertIs(ends(world).phase, RolloutPhase.DONE)
 
     def test_two_operators_at_once_and_one_who_comes_late(self) -> None:
         world = self.world = fleet()
         world.command(world.fronts[0], Wish.START, PLAN)
         world.command(world.fronts[1], Wish.START, replace(PLAN, wanted=3))
         record = ends(world)
-        self.assertEqual((record.phase, record.plan.number), (Phase.DONE, 1))
+        self.assertEqual((record.phase, record.plan.number), (RolloutPhase.DONE, 1))
         agreed = world.fronts[3].agreed
         assert agreed is not None
         number, _, post = agreed.command(Command(Wish.BACK, 0), world.fronts[3].clock(world.now_us))
@@ -274,7 +309,7 @@
             run(world, 1)
         world.hang = True
         record = ends(world)
-        self.assertEqual((record.phase, record.reason), (Phase.HALTED, Reason.OUT_LONG))
+        self.assertEqual((record.phase, record.reason), (RolloutPhase.HALTED, HaltReason.OUT_LONG))
         run(world, 80)
         self.assertEqual(sum(front.by_permit for front in world.fronts), 1)
         hung = next(front for front in world.fronts if front.by_permit)
@@ -285,15 +320,15 @@
         world.hang, hung.ends_us = False, 1 << 60
         living = next(front for front in world.fronts if front.agreed is not None)
         world.command(living, Wish.ON)
-        self.assertIs(ends(world).phase, Phase.DONE)
+        self.assertIs(ends(world).phase, RolloutPhase.DONE)
 
     def test_a_version_that_is_refused_halts_it_and_the_way_back_is_open(self) -> None:
         world = self.world = fleet()
         world.refuse = True
         world.command(world.fronts[2], Wish.START, PLAN)
-        self.assertIs(ends(world).reason, Reason.WRONG)
+        self.assertIs(ends(world).reason, HaltReason.WRONG)
         world.command(world.fronts[1], Wish.BACK)
-        self.assertIs(ends(world).phase, Phase.UNDONE)
+        self.assertIs(ends(world).phase, RolloutPhase.UNDONE)
 
     def test_a_hall_lost_in_a_wave_halts_it_and_takes_nobody_more(self) -> None:
         world = self.world = fleet(size=7, halls=3)
@@ -304,7 +339,7 @@
                 world.crash(front)
                 front.ends_us = 1 << 60
         granted = world.granted
-        self.assertIs(ends(world).reason, Reason.OUT_LONG)
+        self.assertIs(ends(world).reason, HaltReason.OUT_LONG)
         self.assertLessEqual(world.granted - granted, 1)
 
     def test_a_plan_changed_under_way_is_halted_and_goes_on_to_the_new_one(self) -> None:
@@ -312,9 +347,9 @@
         world.command(world.fronts[2], Wish.START, PLAN)
         run(world, 12)
         world.command(world.fronts[4], Wish.CHANGE, replace(PLAN, wanted=3))
-        self.assertEqual((ends(world).phase, ends(world).plan.wanted), (Phase.HALTED, 3))
+        self.assertEqual((ends(world).phase, ends(world).plan.wanted), (RolloutPhase.HALTED, 3))
         world.command(world.fronts[4], Wish.ON)
-        self.assertIs(ends(world).phase, Phase.DONE)
+        self.assertIs(ends(world).phase, RolloutPhase.DONE)
         self.assertEqual({front.version for front in world.fronts}, {3})
 
     def test_an_order_from_before_a_halt_lets_nobody_out(self) -> None:
@@ -329,7 +364,7 @@
             run(world, 8)
             world.command(world.fronts[2], Wish.START, PLAN)
             run(world, 3)
-            record = max((f.agreed.record() for f in world.fronts if f.agreed), key=lambda r: r.stamp)
+            record = max((f.agreed.record() for f in world.fronts if f.agreed), key=lambda r: r.revision)
             chosen = next(f for f in world.fronts[:3] if f.index != leader(world))
             agreed = chosen.agreed
             assert agreed is not None
@@ -339,17 +374,19 @@
                 front.ends_us = world.now_us
             run(world, 24)
             chosen.paused = False
-            order = Order(agreed.life, record.term, record.turn, 2)
+            order = RolloutOrder(agreed.incarnation, record.term, record.turn, 2)
             world.call(chosen, lambda one, now_us: one.hear(record.term % 5, order, now_us))
             # Its ask meets voters before it has heard of the halt itself.
-            asked = Ask(agreed.life, 1, Kind.FRONT, chosen.index, record.term, record.turn)
+            asked = PermitRequest(agreed.incarnation, 1, Kind.FRONT, chosen.index, record.term, record.turn)
             voters = [front for front in world.fronts if front is not chosen]
             votes: list[tuple[int, Said]] = []
             for front in voters:
                 votes += world.call(front, lambda one, now_us: one.hear(chosen.index, asked, now_us))
             run(world, 16)
             self.assertEqual(world.granted, 0)
-            return sum(isinstance(said, Vote) and said.verdict is Verdict.YES for _, said in votes)
+            return sum(
+                isinstance(said, PermitVote) and said.verdict is PermitVerdict.GRANTED for _, said in votes
+            )
 
         self.assertEqual(begun(), 0)
         with planted("stale"):
@@ -357,12 +394,12 @@
 
     def test_a_record_of_an_earlier_term_is_learnt_and_not_taken(self) -> None:
         """Taken, it would count for a leader that another has followed."""
-        for name, taken in (("", None), ("anything", Taken(8, 1))):
+        for name, taken in (("", None), ("anything", ProposalAck(8, 1))):
             with planted(name):
-                book = Register(PermitRules(Kind.FRONT, 3, 0, LIMIT), 0, sure=True)
-                self.assertTrue(book.hear_stand(Stand(1, 10), AFTER).yes)
-                self.assertEqual(book.hear_told(Record(8, 1), AFTER), taken)
-                self.assertEqual(book.record.stamp, (8, 1))
+                book = Acceptor(PermitSettings(Kind.FRONT, 3, 0, LIMIT), 0, is_record_known=True)
+                self.assertTrue(book.on_vote_request(LeaderVoteRequest(1, 10), AFTER).is_granted)
+                self.assertEqual(book.on_proposal(RolloutRecord(8, 1), AFTER), taken)
+                self.assertEqual(book.record.revision, (8, 1))
 
     def test_where_those_who_halted_forgot_an_operator_who_says_so_moves_nothing(self) -> None:
         """One with its folder knows the plan as moving; the two that took the halt have lost theirs."""
@@ -370,7 +407,7 @@
         world.command(world.fronts[0], Wish.START, PLAN)
         run(world, 2)
         old = world.fronts[1].memory
-        assert old is not None and old.record.phase is Phase.MOVING
+        assert old is not None and old.record.phase is RolloutPhase.MOVING
         world.command(world.fronts[0], Wish.HALT)
         run(world, 4)
         for front in world.fronts:
@@ -387,7 +424,7 @@
         granted = world.granted
         record = ends(world)
         run(world, 40)
-        self.assertEqual((record.phase, record.reason), (Phase.HALTED, Reason.FORGOTTEN))
+        self.assertEqual((record.phase, record.reason), (RolloutPhase.HALTED, HaltReason.FORGOTTEN))
         self.assertEqual(world.granted, granted)
 
     def test_an_old_process_that_goes_on_beside_its_successor_has_no_voice_any_more(self) -> None:
@@ -398,30 +435,32 @@
         world.born(world.fronts[1])
         run(world, 8)
         now_us = world.fronts[1].clock(world.now_us)
-        asked = Ask(1, 99, Kind.FRONT, 0)
+        asked = PermitRequest(1, 99, Kind.FRONT, 0)
         self.assertNotEqual(old.hear(0, asked, now_us), [])
-        old.hear(0, Word(1, 1 << 20, heard_life=2), now_us)
+        old.hear(0, Heartbeat(1, 1 << 20, acked_incarnation=2), now_us)
         self.assertEqual(old.hear(0, asked, now_us), [])
         self.assertFalse(old.begin(Kind.FRONT, 1, now_us))
 
     def test_a_halted_plan_leaves_its_row_by_an_operator_alone(self) -> None:
         for back in (False, True):
             rows = {
-                cue for phase, way, cue in rollout_plan.TRANSITIONS if phase is Phase.HALTED and way is back
+                cue
+                for phase, way, cue in rollout_plan.TRANSITIONS
+                if phase is RolloutPhase.HALTED and way is back
             }
-            self.assertLessEqual(rows, {RolloutEvent.ON, RolloutEvent.BACK, RolloutEvent.CHANGE})
+            self.assertLessEqual(rows, {RolloutEvent.RESUME, RolloutEvent.ROLL_BACK, RolloutEvent.CHANGE})
 
     def test_the_way_back_takes_the_newest_first_and_those_that_serve_not_at_once(self) -> None:
-        words = {i: Word(1, 1, version=2, since_s=10 * i + 5) for i in range(4)}
-        words[3] = replace(words[3], stands=Stands.STARTING)
-        record = Record(5, 1, Phase.MOVING, back=True, goal=1, plan=PLAN)
-        lead = rollout_plan.RolloutPlan(record, {}, 0)
-        seen = rollout_plan.FleetSet(4, 1, words, frozenset({3}), frozenset(), {3: 0})
+        words = {i: Heartbeat(1, 1, version=2, serving_for_s=10 * i + 5) for i in range(4)}
+        words[3] = replace(words[3], serving_state=ServingState.STARTING)
+        record = RolloutRecord(5, 1, RolloutPhase.MOVING, back=True, goal=1, plan=PLAN)
+        lead = rollout_plan.PlanExecution(record, {}, 0)
+        seen = rollout_plan.FleetView(4, 1, words, frozenset({3}), frozenset(), {3: 0})
         self.assertEqual(
-            lead.orders(seen, 1 + rollout_plan.QUIET_US), [3]
+            lead.fronts_to_order(seen, 1 + rollout_plan.SETTLE_US), [3]
         )  # the place of the one that is out is not given twice
-        wider = rollout_plan.RolloutPlan(replace(record, goal=3), {}, 0)
-        self.assertEqual(wider.orders(seen, 1 + rollout_plan.QUIET_US), [0, 3])
+        wider = rollout_plan.PlanExecution(replace(record, goal=3), {}, 0)
+        self.assertEqual(wider.fronts_to_order(seen, 1 + rollout_plan.SETTLE_US), [0, 3])
 
     def test_who_forgot_gives_no_voice_until_enough_others_told_it(self) -> None:
         world = self.world = fleet(size=3)
@@ -433,21 +472,21 @@
         world.born(front)
         agreed = front.agreed
         assert agreed is not None
-        self.assertFalse(agreed.register.sure)
-        stand = Stand(1, 1 << 20)
+        self.assertFalse(agreed.acceptor.is_record_known)
+        stand = LeaderVoteRequest(1, 1 << 20)
         later_us = front.clock(world.now_us) + AFTER
-        self.assertFalse(agreed.register.hear_stand(stand, later_us).yes)
+        self.assertFalse(agreed.acceptor.on_vote_request(stand, later_us).is_granted)
         with planted("gullible"):
-            self.assertTrue(agreed.register.hear_stand(stand, later_us).yes)
-        agreed.register.term = record.term
+            self.assertTrue(agreed.acceptor.on_vote_request(stand, later_us).is_granted)
+        agreed.acceptor.term = record.term
         run(world, 16)
-        self.assertTrue(agreed.register.sure)
+        self.assertTrue(agreed.acceptor.is_record_known)
         self.assertEqual(agreed.record(), record)
-        self.assertEqual(Memory().record, Record())
+        self.assertEqual(Memory().record, RolloutRecord())
 
 
 class EvidenceTest(unittest.TestCase):
-    def judged(self, new: tuple[int, int], old: tuple[int, int], windows: int = 4) -> Reason:
+    def judged(self, new: tuple[int, int], old: tuple[int, int], windows: int = 4) -> HaltReason:
         """What is found where the new two and the old six get so many set-ups a window, and serve so many."""
         judge = CanaryAnalysis({i: i % 2 for i in range(8)}, 0)
         plan = replace(PLAN, floor=0, refused=1000)
@@ -456,33 +495,37 @@
             for i in range(8):
                 asked, served = new if i < 2 else old
                 version = 2 if i < 2 else 1
-                words[i] = Word(1, window + 1, version=version, asked=asked * window, served=served * window)
-            why = judge.look(words, plan, (window + 1) * WINDOW_US)
-            if why is not Reason.NONE:
+                words[i] = Heartbeat(
+                    1, window + 1, version=version, requested=asked * window, served=served * window
+                )
+            why = judge.evaluate(words, plan, (window + 1) * WINDOW_US)
+            if why is not HaltReason.NONE:
                 return why
-        return Reason.NONE
+        return HaltReason.NONE
 
     def test_a_canary_that_is_worse_than_its_neighbours_is_a_cause_and_an_ebb_is_none(self) -> None:
-        self.assertIs(self.judged((200, 170), (200, 198)), Reason.WORSE)
-        self.assertIs(self.judged((200, 120), (200, 120)), Reason.NONE)  # all are as bad: no cause of the new
-        self.assertIs(self.judged((20, 20), (200, 200)), Reason.NONE)
-        self.assertIs(self.judged((3, 2), (200, 200)), Reason.NONE)  # by chance
+        self.assertIs(self.judged((200, 170), (200, 198)), HaltReason.WORSE)
+        self.assertIs(
+            self.judged((200, 120), (200, 120)), HaltReason.NONE
+        )  # all are as bad: no cause of the new
+        self.assertIs(self.judged((20, 20), (200, 200)), HaltReason.NONE)
+        self.assertIs(self.judged((3, 2), (200, 200)), HaltReason.NONE)  # by chance
 
     def test_each_cause_of_the_whole_fleet_halts(self) -> None:
-        calm = Word(1, 1, version=1)
+        calm = Heartbeat(1, 1, version=1)
         cases = {
-            Reason.SERVED: replace(calm, number=2, asked=100, served=80),
-            Reason.REFUSED: replace(calm, number=2, asked=100, served=95, refused=20),
-            Reason.FAILED: replace(calm, number=2, asked=100, served=95, failed=9),
-            Reason.LADDER: replace(calm, number=2, level=2),
-            Reason.STORM: replace(calm, number=2, storm=2),
-            Reason.NONE: replace(calm, number=2, asked=100, served=95),
+            HaltReason.SERVED: replace(calm, sequence=2, requested=100, served=80),
+            HaltReason.REFUSED: replace(calm, sequence=2, requested=100, served=95, refused=20),
+            HaltReason.FAILED: replace(calm, sequence=2, requested=100, served=95, failed=9),
+            HaltReason.LADDER: replace(calm, sequence=2, shedding_level=2),
+            HaltReason.STORM: replace(calm, sequence=2, storm_phase=2),
+            HaltReason.NONE: replace(calm, sequence=2, requested=100, served=95),
         }
         for reason, after in cases.items():
             with self.subTest(reason.name):
                 judge = CanaryAnalysis({}, 0)
-                self.assertIs(judge.look(dict.fromkeys(range(4), calm), PLAN, WINDOW_US), Reason.NONE)
-                self.assertIs(judge.look(dict.fromkeys(range(4), after), PLAN, 2 * WINDOW_US), reason)
+                self.assertIs(judge.evaluate(dict.fromkeys(range(4), calm), PLAN, WINDOW_US), HaltReason.NONE)
+                self.assertIs(judge.evaluate(dict.fromkeys(range(4), after), PLAN, 2 * WINDOW_US), reason)
 
 
 class LeavingTest(unittest.TestCase):
@@ -490,48 +533,48 @@
         """One leaving with rooms that change, moves that fail and viewers who go by themselves."""
         chance = Random(seed)
         times = DrainTimes(4_000_000, 12_000_000, 200_000)
-        one = Draining(times, moves=chance.random() < 0.5)
+        one = Draining(times, moves_sessions=chance.random() < 0.5)
         held = [f"v{i}" for i in range(chance.randrange(1, 60))]
         rooms = {to: chance.uniform(0.5, 8) for to in range(chance.randrange(4))}
         pending = {f"r{i}": chance.randrange(400_000, 9_000_000) for i in range(5)}
         answers: list[str] = []
         told: dict[int, list[int]] = {to: [] for to in rooms}
         for id, until_us in pending.items():
-            one.waits(id, until_us)
+            one.on_request_pending(id, until_us)
         one.begin(held, rooms, 0, chance.random())
         gone: set[str] = set()
         for now_us in range(0, 13_000_000, 100_000):
-            for step in one.due(now_us):
-                if step.act is DrainAction.ANSWER:
+            for step in one.due_steps(now_us):
+                if step.action is DrainAction.REJECT:
                     answers.append(step.id)
                     self.assertLessEqual(now_us, pending[step.id])
-                elif step.act is DrainAction.END:
-                    self.assertGreaterEqual(now_us, times.end_us)
+                elif step.action is DrainAction.CLOSE:
+                    self.assertGreaterEqual(now_us, times.deadline_us)
                     self.assertNotIn(step.id, gone)
                     gone.add(step.id)
                 else:
-                    assert step.to is not None
-                    self.assertIs(step.act, DrainAction.MOVE if one.moves else DrainAction.TELL)
-                    told[step.to].append(now_us)
+                    assert step.target is not None
+                    self.assertIs(step.action, DrainAction.MOVE if one.moves_sessions else DrainAction.NOTIFY)
+                    told[step.target].append(now_us)
                     if chance.random() < 0.2:
-                        one.failed(step.id, now_us)
+                        one.on_failed(step.id, now_us)
                     elif chance.random() < 0.8:
-                        one.gone(step.id)
+                        one.on_left(step.id)
                         gone.add(step.id)
             for _ in range(2 if chance.random() < 0.1 else 0):  # the same set-up comes twice
-                reply = one.asked(f"n{now_us}", now_us)
+                reply = one.on_request(f"n{now_us}", now_us)
                 if reply is not None:
                     answers.append(f"n{now_us}")
-                    if reply.to is not None:
-                        told[reply.to].append(now_us + reply.after_us)
+                    if reply.target is not None:
+                        told[reply.target].append(now_us + reply.retry_after_us)
             if chance.random() < 0.05 and pending:
                 id = chance.choice(sorted(pending))
-                if one.answered(id):
+                if one.on_request_answered(id):
                     answers.append(id)
         self.assertEqual(len(answers), len(set(answers)))
         self.assertLessEqual(set(pending), set(answers))
         self.assertEqual(gone, set(held))
-        self.assertIs(one.stage, DrainState.EMPTY)
+        self.assertIs(one.state, DrainState.EMPTY)
         for to, at in told.items():
             for from_us in at:
                 within = sum(from_us <= time < from_us + 2_000_000 for time in at)
@@ -546,9 +589,9 @@
 
     def test_planted_faults_are_found(self) -> None:
         faults = {
-            "answers again": (Draining, "_answers", lambda self, id: True),
-            "ignores rooms": (draining.AvailableCapacity, "give", lambda self, to, at_us: None),
-            "ends nobody": (Draining, "_end", lambda self, now_us: []),
+            "answers again": (Draining, "_record_answer", lambda self, id: True),
+            "ignores rooms": (draining.AvailableCapacity, "reserve", lambda self, to, at_us: None),
+            "ends nobody": (Draining, "_close_remaining", lambda self, now_us: []),
         }
         for name, (kind, attribute, fault) in faults.items():
             with self.subTest(name), mock.patch.object(kind, attribute, fault):
@@ -564,10 +607,10 @@
     def test_it_can_be_called_off(self) -> None:
         one = Draining(DrainTimes())
         one.begin(["a", "b"], {1: 5.0}, 0, 0.0)
-        one.stay()
-        self.assertIs(one.stage, DrainState.OPEN)
-        self.assertIsNone(one.asked("c", 1))
-        self.assertEqual(one.due(60_000_000), [])
+        one.cancel()
+        self.assertIs(one.state, DrainState.OPEN)
+        self.assertIsNone(one.on_request("c", 1))
+        self.assertEqual(one.due_steps(60_000_000), [])
 
 
 class WorldsTest(unittest.TestCase):
