--- a/benchmarks/release_sim.py
+++ b/benchmarks/release_sim.py
@@ -27,10 +27,14 @@
 from random import Random
 from statistics import median
 
-from fennelcove.rollouts import rollout_plan
-from fennelcove.rollouts.disruption_permits import Requester, PermitSettings, RequestState, Grantor
+from fennelcove.rollouts import plan_execution, rollout_plan
+from fennelcove.rollouts.permit_grantor import Grantor
+from fennelcove.rollouts.permit_requester import RequestState, Requester
+from fennelcove.rollouts.permit_settings import PermitSettings
 from fennelcove.rollouts.disruption_budget import DisruptionLimit, DisruptionMap, Location
-from fennelcove.rollouts.rollout_plan import RolloutEvent, FleetView, PlanExecution
+from fennelcove.rollouts.fleet_view import FleetView
+from fennelcove.rollouts.plan_execution import PlanExecution
+from fennelcove.rollouts.rollout_plan import RolloutEvent
 from fennelcove.rollouts.messages import (
     Kind,
     RolloutPhase,
@@ -278,7 +282,7 @@
             self.say(front.index)
         else:
             for voter in self.voters:
-                voter.observe(front.index, False, self.now_us(), self.now_us())
+                voter.observe(front.index, self.now_us(), self.now_us(), is_serving=False)
 
     def count(self) -> None:
         """What each is asked, and serves."""
@@ -295,9 +299,9 @@
         one = asker.requests[index]
         if (
             one.state in (RequestState.WANTED, RequestState.ASKING)
-            and now_us >= one.wanted_us + rollout_plan.ORDER_EXPIRY_US
+            and now_us >= one.wanted_us + plan_execution.ORDER_EXPIRY_US
         ):
-            asker.release(index, has_returned=False)
+            asker.cancel(index)
         ask = asker.next_request(now_us)
         if ask is None:
             return
@@ -336,7 +340,7 @@
         found = self.lead.evaluate(fleet, now_us)
         if found is not None:
             have = len(fleet.fronts_with(rollout_plan.target_version(self.record)))
-            written = rollout_plan.next_record(self.record, found[0], have, why=found[1])
+            written = rollout_plan.next_record(self.record, found.event, have, reason=found.reason)
             if written is not None:
                 self.write(written)
                 return
--- a/benchmarks/release_world.py
+++ b/benchmarks/release_world.py
@@ -13,7 +13,6 @@
 from enum import Enum
 from random import Random
 
-from fennelcove.rollouts import rollout_plan
 from fennelcove.rollouts.coordinator import (
     Act,
     RolloutAgreement,
@@ -26,7 +25,15 @@
 )
 from fennelcove.rollouts.leader_election import Role
 from fennelcove.rollouts.disruption_budget import DisruptionLimit, FleetLimits, DisruptionMap, Location
-from fennelcove.rollouts.messages import Kind, RolloutPhase, Plan, RolloutRecord, Said, ServingState
+from fennelcove.rollouts.messages import (
+    ACTIVE_PHASES,
+    Kind,
+    RolloutPhase,
+    Plan,
+    RolloutRecord,
+    Said,
+    ServingState,
+)
 
 BEAT_US = 250_000
 WINDOW_US = 1_000_000
@@ -236,7 +243,7 @@
         """A majority has taken it."""
         before = max((r for _, r in self.agreed), key=lambda r: r.revision, default=RolloutRecord())
         self.agreed.append((self.now_us, record))
-        moving = record.phase in rollout_plan.ACTIVE_PHASES
+        moving = record.phase in ACTIVE_PHASES
         if record.revision < before.revision and moving:
             self.found.append(f"{record.revision} agreed after {before.revision}")
         if before.phase is RolloutPhase.HALTED and moving and record.revision > before.revision:
@@ -393,7 +400,7 @@
     if isinstance(thing, float):
         return thing
     if isinstance(thing, RolloutAgreement):
-        left = {"hearers", "kept", "terms", "sent_us"}
+        left = {"handlers", "persisted", "settings", "heartbeats"}
         return tuple((k, plain(v, now_us)) for k, v in sorted(vars(thing).items()) if k not in left)
     if isinstance(thing, DisruptionMap):
         return None
--- a/benchmarks/release_worlds.py
+++ b/benchmarks/release_worlds.py
@@ -21,12 +21,17 @@
 from random import Random
 
 from benchmarks.release_world import BEAT_US, BOXES, LIMITS, PLAN, World
-from fennelcove.rollouts import leader_election, rollout_plan
-from fennelcove.rollouts.coordinator import RolloutAgreement, Wish
-from fennelcove.rollouts.leader_election import Acceptor, Role
-from fennelcove.rollouts.disruption_permits import Requester, PermitState, Grantor
+from fennelcove.rollouts import leader_election
+from fennelcove.rollouts.coordinator import Wish
+from fennelcove.rollouts.front_permits import FrontPermits
+from fennelcove.rollouts.leader_election import Role
+from fennelcove.rollouts.record_acceptor import Acceptor
+from fennelcove.rollouts.permit_entry import PermitState
+from fennelcove.rollouts.permit_grantor import Grantor
+from fennelcove.rollouts.permit_requester import Requester
 from fennelcove.rollouts.disruption_budget import DisruptionLimit, FleetLimits
 from fennelcove.rollouts.messages import (
+    ACTIVE_PHASES,
     RolloutPhase,
     RolloutRecord,
     ServingState,
@@ -166,7 +171,7 @@
                     front.agreed.anew()
         world.beat(chance.random())
         records = [front.agreed.record() for front in world.fronts if front.agreed is not None]
-        rests = all(r == records[0] and r.phase not in rollout_plan.ACTIVE_PHASES for r in records)
+        rests = all(r == records[0] and r.phase not in ACTIVE_PHASES for r in records)
         serves = all(front.stands is ServingState.SERVING for front in world.fronts)
         resting = resting + 1 if rests and serves and len(records) == world.size else 0
         if resting >= 8 or world.found:
@@ -232,7 +237,7 @@
     return self._begin_proposal(replace(best, term=self.term, turn=best.turn + 1), now_us)
 
 
-def _never_stale(self: RolloutAgreement, sender: int, ask: object, now_us: int) -> object:
+def _never_stale(self: FrontPermits, sender: int, ask: object, now_us: int) -> object:
     return self.grantors[ask.kind].on_permit_request(sender, ask, now_us)  # type: ignore[attr-defined, arg-type]
 
 
@@ -251,7 +256,7 @@
     "gullible": (Acceptor, "may_vote", _gullible),  # who forgot gives its voice
     "anything": (Acceptor, "on_proposal", _takes_anything),  # a record of a leader that is over is taken
     "alone": (leader_election.LeaderElection, "on_vote", _starts_alone),  # a minority leads
-    "stale": (RolloutAgreement, "_vote_on", _never_stale),  # orders from before a halt are permitted
+    "stale": (FrontPermits, "_vote_on", _never_stale),  # orders from before a halt are permitted
     "restless": (
         leader_election.LeaderElection,
         "_begin_proposal",
--- a/packages/rollouts/src/fennelcove/rollouts/coordinator.py
+++ b/packages/rollouts/src/fennelcove/rollouts/coordinator.py
@@ -1,45 +1,37 @@
-"""One front's part in all that fronts agree on about who is out: what a book of the core is handed.
+"""One front's part in permits and rollouts: the entry points for messages, commands and observations.
 
-After each call: what `keep` gives has to be safe in the folder (where there is one) before what the call gave
-is sent; then `acts` says what to do. Times are in microseconds of this front's monotonic clock.
+After each call the state that `keep` returns has to be persisted (where the front has a store) before the
+messages that the call returned are sent; then `acts` returns what to do. Times are in microseconds of this
+front's monotonic clock.
 """
 
 from __future__ import annotations
 
-from collections import OrderedDict
-from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Mapping
 from typing import Any
 
-from fennelcove.rollouts import rollout_plan
-from fennelcove.rollouts.rollout_controller import RolloutController
-from fennelcove.rollouts.leader_election import Acceptor, Role
-from fennelcove.rollouts.disruption_permits import (
-    PendingRequest,
-    Requester,
-    PermitEntry,
-    PermitState,
-    PermitSettings,
-    RequestState,
-    Grantor,
-)
-from fennelcove.rollouts.disruption_budget import FleetLimits, DisruptionMap, Location
+from fennelcove.rollouts.disruption_budget import DisruptionMap, FleetLimits, Location
+from fennelcove.rollouts.front_permits import FrontPermits
+from fennelcove.rollouts.heartbeat_sender import HeartbeatSender, LocalFront, RequestNumbers
 from fennelcove.rollouts.messages import (
-    MAX_OPEN_REQUESTS,
-    PermitRequest,
+    Heartbeat,
     Kind,
+    LeaderVote,
+    LeaderVoteRequest,
+    PermitRequest,
+    PermitVote,
+    Proposal,
+    ProposalAck,
     RolloutOrder,
-    RolloutPhase,
     RolloutRecord,
     Said,
-    LeaderVoteRequest,
     ServingState,
-    ProposalAck,
-    Proposal,
-    LeaderVote,
-    PermitVote,
-    Heartbeat,
 )
+from fennelcove.rollouts.order_handler import OrderHandler
+from fennelcove.rollouts.permit_requester import Requester
+from fennelcove.rollouts.persisted_state import restore_grantor, take_changed_state
+from fennelcove.rollouts.rollout_controller import RolloutController
+from fennelcove.rollouts.status import disruption_status, plan_status, request_status
 from fennelcove.rollouts.types import (
     Act,
     Answer,
@@ -48,8 +40,8 @@
     Memory,
     Mine,
     Post,
-    StoredPermit,
     RolloutSettings,
+    StoredPermit,
     Wish,
 )
 
@@ -67,25 +59,17 @@
     "Wish",
 ]
 
-MAX_SENT_HEARTBEATS = 256  # own words whose times are known
-
-
-@dataclass(slots=True)
-class RequestNumbers:
-    """The numbers of asks in this life, for all kinds."""
-
-    last: int = 0
-
-    def __iter__(self) -> Iterator[int]:
-        return self
-
-    def __next__(self) -> int:
-        self.last += 1
-        return self.last
-
 
 class RolloutAgreement:
-    """See the module's text."""
+    """One front's coordinator of permits and rollouts.
+
+    Attributes:
+        requesters: this front's requests, by kind of place.
+        grantors: this front's promises, by kind of place.
+        acceptor: this front's copy of the rollout record.
+        election: this front's role in leading a plan.
+        is_superseded: another process sends with a later incarnation under this front's index.
+    """
 
     def __init__(
         self,
@@ -96,35 +80,60 @@
         now_us: int,
         memory: Memory | None = None,
     ) -> None:
+        """Start an incarnation.
+
+        Args:
+            settings: the coordinator's settings.
+            limits: of disruptions, the same at all fronts.
+            fronts: the location of each front, by index.
+            incarnation: higher than all earlier ones of this front.
+            now_us: the present time.
+            memory: what the previous incarnation persisted; None where that is lost.
+        """
         self.settings = settings
         self.incarnation = incarnation
-        self.zones = {index: place.zone for index, place in enumerate(fronts)}
-        self.local_status = Mine(ServingState.STARTING)
-        self.numbers = RequestNumbers()
-        told = memory or Memory(sure=False, whole=False)
+        self.is_superseded = False
+        self.persisted: Memory | None = memory
+        self.pending_actions: list[Act] = []
+        self.zones = {index: location.zone for index, location in enumerate(fronts)}
+        self.front = LocalFront(settings.front_index, incarnation, Mine(ServingState.STARTING))
+        restored = memory or Memory(sure=False, whole=False)
         permit_settings = {kind: settings.permit_settings(kind, limits) for kind in Kind}
         maps = {Kind.FRONT: DisruptionMap(dict(enumerate(fronts))), Kind.BOX: DisruptionMap({})}
         self.grantors = {
-            kind: self._grantor(permit_settings[kind], maps[kind], told, now_us) for kind in Kind
+            kind: restore_grantor(permit_settings[kind], maps[kind], restored, now_us) for kind in Kind
         }
-        self.requesters = {kind: Requester(permit_settings[kind], incarnation, self.numbers) for kind in Kind}
-        grantor, front = self.grantors[Kind.FRONT], permit_settings[Kind.FRONT]
+        numbers = RequestNumbers()
+        self.requesters = {kind: Requester(permit_settings[kind], incarnation, numbers) for kind in Kind}
+        self._connect(numbers, restored, now_us)
+
+    def _connect(self, numbers: RequestNumbers, restored: Memory, now_us: int) -> None:
+        """Make the parts that work on the grantors and requesters."""
         self.controller = RolloutController(
-            settings, front, self.zones, incarnation, told, grantor, self._apply_order, self._log, now_us
+            self.settings,
+            self.zones,
+            self.incarnation,
+            restored,
+            self.grantors[Kind.FRONT],
+            self._order_own_front,
+            self._log,
+            now_us,
         )
         self.acceptor, self.election = self.controller.acceptor, self.controller.election
-        self.heartbeat_sequence = 0
-        self.heartbeat_sent_us: OrderedDict[int, int] = OrderedDict()
-        self.pending_actions: list[Act] = []
-        self.jitter = 0.5
-        self.is_superseded = False  # another process has a later life under this index
-        self.ordered_version: int | None = None  # the version that this front was last told to come back with
-        self.compared_record = self.acceptor.record  # the plan that wants were last compared with
-        self.persisted: Memory | None = memory
+        front, actions = self.front, self.pending_actions
+        requesters, grantors, acceptor = self.requesters, self.grantors, self.acceptor
+        peers = [index for index in self.zones if index != front.index]
+        self.heartbeats = HeartbeatSender(front, peers, numbers, requesters, grantors, acceptor)
+        self.permits = FrontPermits(
+            front, peers, requesters, grantors, acceptor, self.heartbeats, actions, acceptor.record
+        )
+        self.orders = OrderHandler(
+            front, self.settings.front_count, requesters[Kind.FRONT], acceptor, actions
+        )
         self.handlers: dict[type, Callable[[int, Any, int], Post]] = {
             Heartbeat: self._on_heartbeat,
-            PermitRequest: self._on_permit_request,
-            PermitVote: self._on_permit_vote,
+            PermitRequest: self.permits.on_request,
+            PermitVote: self.permits.on_vote,
             LeaderVoteRequest: self.controller.on_vote_request,
             LeaderVote: self.controller.on_vote,
             Proposal: self.controller.on_proposal,
@@ -135,327 +144,125 @@
     def _log(self, text: str) -> None:
         self.pending_actions.append(Act(Do.NOTE, text=text))
 
-    @staticmethod
-    def _grantor(
-        permit_settings: PermitSettings, places: DisruptionMap, told: Memory, now_us: int
-    ) -> Grantor:
-        entries = {
-            one.place: PermitEntry(PermitState.GRANTED, one.asker, one.life, one.number)
-            for one in told.promises
-            if one.kind is permit_settings.kind
-        }
-        entries |= {
-            place: PermitEntry(PermitState.WRITTEN_OFF)
-            for kind, place in told.off
-            if kind is permit_settings.kind
-        }
-        return Grantor(permit_settings, places, now_us, told.whole, entries)
-
-    # What is sent.
-
-    def beat(self, status: Mine, now_us: int, jitter: float) -> Post:
-        """What to tell; called every beat. `draw`: chance, from 0 to below 1."""
-        self.local_status, self.jitter = status, jitter
-        self._expire_orders(now_us)
-        post = self._heartbeats(now_us)
-        for kind in Kind:
-            if self.is_superseded or (
-                kind is Kind.FRONT and status.serving_state is not ServingState.SERVING
-            ):
-                continue  # a front that does not serve needs no permit
-            request = self.requesters[kind].next_request(now_us)
-            if request is not None:
-                post += self._send_request(request, now_us)
+    def beat(self, mine: Mine, now_us: int, draw: float) -> Post:
+        """What to send at a heartbeat interval; `mine`: this front's state, `draw`: random, from 0 to 1."""
+        self.front.status, self.front.jitter = mine, draw
+        self.permits.expire_orders(now_us)
+        post = self.heartbeats.send(now_us)
         if not self.is_superseded:
-            post += self.controller.tick(status, now_us, jitter)
-        self._cancel_outdated()
+            post += self.permits.send_requests(now_us)
+            post += self.controller.tick(mine, now_us, draw)
+        self.permits.cancel_outdated()
         return post
 
-    def _to_all_peers(self, message: Said) -> Post:
-        return [(index, message) for index in self.zones if index != self.settings.front_index]
-
-    def _heartbeats(self, now_us: int) -> Post:
-        """A word for each: at each beat, and at once where a voter waits for it."""
-        self.heartbeat_sequence += 1
-        self.heartbeat_sent_us[self.heartbeat_sequence] = now_us
-        if len(self.heartbeat_sent_us) > MAX_SENT_HEARTBEATS:
-            self.heartbeat_sent_us.popitem(last=False)
-        opened = tuple(one for requester in self.requesters.values() for one in requester.open_requests())[
-            :MAX_OPEN_REQUESTS
-        ]
-        status = self.local_status
-        own = Heartbeat(
-            self.incarnation,
-            self.heartbeat_sequence,
-            serving_state=status.serving_state,
-            version=status.version,
-            serving_for_s=status.serving_for_s,
-            requested=status.requested,
-            served=status.served,
-            refused=status.refused,
-            failed=status.failed,
-            shedding_level=status.shedding_level,
-            storm_phase=status.storm_phase,
-            last_request_number=self.numbers.last,
-            term=self.acceptor.record.term,
-            turn=self.acceptor.record.turn,
-            is_record_known=self.acceptor.is_record_known,
-            open_requests=opened,
-        )
-        for grantor in self.grantors.values():
-            grantor.on_heartbeat(self.settings.front_index, own, now_us, now_us)
-        heartbeats = self._known_heartbeats()
-        post: Post = []
-        for index in self.zones:
-            if index != self.settings.front_index:
-                heard = heartbeats.get(index)
-                known = (heard.incarnation, heard.sequence) if heard is not None else (0, 0)
-                post.append((index, replace(own, acked_incarnation=known[0], acked_sequence=known[1])))
-        return post
-
-    def _known_heartbeats(self) -> dict[int, Heartbeat]:
-        return self.grantors[Kind.FRONT].heartbeats
-
-    def _send_request(self, request: PermitRequest, now_us: int) -> Post:
-        post = self._to_all_peers(request)
-        return post + self._on_permit_vote(
-            self.settings.front_index, self._vote_on(self.settings.front_index, request, now_us), now_us
-        )
-
-    def _vote_on(self, sender: int, request: PermitRequest, now_us: int) -> PermitVote:
-        revision, grantor = (request.term, request.turn), self.grantors[request.kind]
-        planned = revision != (0, 0)
-        # Who may have forgotten that a plan is halted lets nobody out by it.
-        is_stale = planned and (not self.acceptor.is_record_known or revision < self.acceptor.record.revision)
-        return grantor.on_permit_request(sender, request, now_us, is_stale)
-
-    # What is heard.
-
-    def hear(self, sender: int, message: Said, now_us: int) -> Post:
-        """Another front says something."""
+    def hear(self, sender: int, said: Said, now_us: int) -> Post:
+        """Take in another front's message; what to send for it."""
         if sender not in self.zones or sender == self.settings.front_index:
             return []
-        if self.is_superseded and not isinstance(message, Heartbeat):
-            return []  # two voices of one front would make two majorities that know nothing of each other
-        post = self.handlers[type(message)](sender, message, now_us)
-        self._cancel_outdated()
+        if self.is_superseded and not isinstance(said, Heartbeat):
+            return []  # two votes of one front would make two majorities without a common front
+        post = self.handlers[type(said)](sender, said, now_us)
+        self.permits.cancel_outdated()
         return post
 
     def _on_heartbeat(self, sender: int, heartbeat: Heartbeat, now_us: int) -> Post:
         if heartbeat.acked_incarnation > self.incarnation and not self.is_superseded:
             self.is_superseded = True
-            self._log(f"life {heartbeat.acked_incarnation} speaks for this front")
-        status = heartbeat.acked_incarnation == self.incarnation
-        as_of_us = self.heartbeat_sent_us.get(heartbeat.acked_sequence) if status else None
+            self._log(f"incarnation {heartbeat.acked_incarnation} runs under this front's index")
+        as_of_us = None
+        if heartbeat.acked_incarnation == self.incarnation:
+            as_of_us = self.heartbeats.sent_at_us(heartbeat.acked_sequence)
         for grantor in self.grantors.values():
             grantor.on_heartbeat(sender, heartbeat, as_of_us, now_us)
         self.acceptor.on_heartbeat(sender, heartbeat, as_of_us, now_us)
         record = self.acceptor.record
-        behind = (heartbeat.term, heartbeat.turn) < record.revision
-        return [(sender, Proposal(record, heartbeat.incarnation))] if behind and as_of_us is not None else []
-
-    def _on_permit_request(self, sender: int, request: PermitRequest, now_us: int) -> Post:
-        return [(sender, self._vote_on(sender, request, now_us))]
-
-    def _on_permit_vote(self, sender: int, vote: PermitVote, now_us: int) -> Post:
-        for kind, requester in self.requesters.items():
-            was = [one.place for one in requester.requests.values() if one.state is RequestState.ASKING]
-            granted = requester.on_vote(sender, vote, self.grantors[kind], self.jitter, now_us)
-            if granted is not None:
-                do = Do.DRAIN_FRONT if kind is Kind.FRONT else Do.DRAIN_SERVER
-                self.pending_actions.append(Act(do, kind, granted.place, granted.version))
-            if any(requester.requests[place].state is not RequestState.ASKING for place in was):
-                return self._heartbeats(now_us)  # voters wait for this
+        is_behind = (heartbeat.term, heartbeat.turn) < record.revision
+        if is_behind and as_of_us is not None:
+            return [(sender, Proposal(record, heartbeat.incarnation))]
         return []
 
     def _on_order(self, sender: int, order: RolloutOrder, now_us: int) -> Post:
-        revision = (order.term, order.turn)
-        leads = (
-            sender == order.term % self.settings.front_count
-            and order.receiver_incarnation == self.incarnation
-        )
-        if not leads or revision < self.acceptor.record.revision:
-            return []
-        self._apply_order(order.version, revision, now_us)
+        self.orders.on_order(sender, order, now_us)
         return []
 
-    def _apply_order(self, version: int, revision: tuple[int, int], now_us: int) -> None:
-        here = self.settings.front_index
-        out = self.requesters[Kind.FRONT].requests.get(here)
-        if self.local_status.serving_state is ServingState.SERVING and (
-            out is None or out.state is not RequestState.OUT
-        ):
-            self.ordered_version = None
-            if self.local_status.version != version:
-                self.requesters[Kind.FRONT].request_permit(here, now_us, version, revision)
-            return
-        coming = self.ordered_version or (out.version if out is not None else self.local_status.version)
-        if coming != version:
-            # It does not serve: it takes nothing away by going, and coming back needs no permit.
-            self.ordered_version = version
-            self.pending_actions.append(Act(Do.DRAIN_FRONT, Kind.FRONT, here, version))
-
-    # What operators say.
+    def _order_own_front(self, version: int, revision: tuple[int, int], now_us: int) -> None:
+        self.orders.apply(version, revision, now_us)
 
     def command(self, told: Command, now_us: int) -> tuple[int, Answer, Post]:
-        """An operator's word about a plan: its number, for `answer`."""
+        """Begin to carry out an operator's command: its number, its outcome so far, and what to send."""
         number, post = self.controller.command(told, now_us)
-        self._cancel_outdated()
+        self.permits.cancel_outdated()
         return number, self.controller.outcome(number), post
 
     def answer(self, number: int) -> Answer:
-        """What became of it; one that is long ago is lost."""
+        """The outcome of a command; one that is no longer remembered counts as lost."""
         return self.controller.outcome(number)
 
     def want_out(self, version: int, now_us: int) -> Post:
-        """An operator wants this front to go out, by hand."""
+        """Request a permit to drain this front, by an operator's command."""
         self.requesters[Kind.FRONT].request_permit(self.settings.front_index, now_us, version)
         return []
 
     def want_server(self, cell: int, now_us: int) -> Post:
-        """An operator wants a box to go out."""
+        """Request a permit to drain a server, by an operator's command."""
         self.requesters[Kind.BOX].request_permit(cell, now_us)
         return []
 
     def write_off(self, kind: Kind, place: int, now_us: int) -> None:
-        """An operator says that a place is not to be counted until it is seen to serve again."""
+        """Do not count a place until it is observed to serve again, by an operator's command."""
         self.grantors[kind].write_off(place, now_us)
 
     def anew(self) -> None:
-        """An operator says that nobody knows more of a plan than is known now; one under way is halted."""
+        """Take the known record for complete, by an operator's command; an active plan is halted."""
         self.election.step_down()
         self.acceptor.accept_as_complete()
 
-    # What goes out.
-
     def begin(self, kind: Kind, place: int, now_us: int) -> bool:
-        """Whether to go out now, by a permit that is in hand; asked at once before it is done."""
+        """Whether a drain may begin now; called directly before it does."""
         if self.is_superseded:
             return False
-        if kind is Kind.FRONT and self.local_status.serving_state is not ServingState.SERVING:
-            return True  # it does not serve anyway
+        if kind is Kind.FRONT and self.front.status.serving_state is not ServingState.SERVING:
+            return True  # it takes no capacity away
         return self.requesters[kind].begin(place, now_us)
 
     def let_go(self, kind: Kind, place: int, now_us: int) -> Post:
-        """The place serves (again): its permit is given up, used or not. Needs nobody's leave."""
-        return self._heartbeats(now_us) if self.requesters[kind].release(place, has_returned=True) else []
-
-    def _cancel_outdated(self) -> None:
-        """What is wanted under a plan that is no more so is given up, unless it is out."""
-        record = self.acceptor.record
-        if record.revision == self.compared_record.revision:
-            return
-        self.compared_record = record
-        for kind, requester in self.requesters.items():
-            for one in list(requester.requests.values()):
-                if self._is_outdated(one, record) and requester.release(one.place, has_returned=False):
-                    self.pending_actions.append(Act(Do.STAY, kind, one.place))
-
-    def _expire_orders(self, now_us: int) -> None:
-        """A leader that has changed its mind, or is no more, orders no more: what it wanted is given up."""
-        requester = self.requesters[Kind.FRONT]
-        requester.advance(now_us)
-        for one in list(requester.requests.values()):
-            over = one.revision != (0, 0) and now_us >= one.wanted_us + rollout_plan.ORDER_EXPIRY_US
-            if over and one.state in (RequestState.WANTED, RequestState.ASKING):
-                requester.release(one.place, has_returned=False)
-                self.pending_actions.append(Act(Do.STAY, Kind.FRONT, one.place))
-
-    @staticmethod
-    def _is_outdated(one: PendingRequest, record: RolloutRecord) -> bool:
-        if one.revision == (0, 0) or one.revision >= record.revision:
-            return False
-        return record.phase is not RolloutPhase.MOVING or one.version != rollout_plan.target_version(record)
-
-    # What is seen of boxes.
+        """The place serves (again): its permit ends, used or not."""
+        return self.heartbeats.send(now_us) if self.requesters[kind].on_returned(place) else []
 
     def servers_are(self, servers: Mapping[int, Location], now_us: int) -> None:
-        """All boxes of the list, by first cell, with loads of now."""
+        """Replace the known servers, by first cell, with their present loads."""
         self.grantors[Kind.BOX].advance(now_us)
         self.grantors[Kind.BOX].update_map(DisruptionMap(servers))
 
-    def see_server(self, cell: int, is_serving: bool, as_of_us: int, now_us: int) -> None:
-        """A sight of a box: whether it serves, is warm and is not told to drain, as it was at `as_of_us`."""
-        self.grantors[Kind.BOX].observe(cell, is_serving, as_of_us, now_us)
-        if is_serving:
-            self.requesters[Kind.BOX].on_server_returned(cell, as_of_us)
-
-    # What is read.
+    def see_server(self, cell: int, serving: bool, as_of_us: int, now_us: int) -> None:
+        """Take in whether a server served at `as_of_us`, was warmed up and was not told to drain."""
+        self.grantors[Kind.BOX].observe(cell, as_of_us, now_us, is_serving=serving)
+        if serving:
+            self.requesters[Kind.BOX].on_server_observed(cell, as_of_us)
 
     def acts(self) -> list[Act]:
         """What to do, since the last call."""
-        found, self.pending_actions = self.pending_actions, []
-        return found
+        actions = self.pending_actions.copy()
+        self.pending_actions.clear()
+        return actions
 
     def keep(self) -> Memory | None:
-        """What the folder has to hold now; None where that has not changed since the last call."""
-        books: list[Grantor | Acceptor] = [*self.grantors.values(), self.acceptor]
-        if not any(book.has_unsaved_changes for book in books):
-            return None
-        for book in books:
-            book.has_unsaved_changes = False
-        memory = Memory(
-            self.acceptor.term,
-            self.acceptor.record,
-            self.acceptor.is_record_known,
-            not any(
-                e.state is PermitState.UNKNOWN
-                for grantor in self.grantors.values()
-                for e in grantor.entries.values()
-            ),
-            tuple(
-                StoredPermit(kind, place, entry.requester, entry.incarnation, entry.request_number)
-                for kind, grantor in self.grantors.items()
-                for place, entry in sorted(grantor.entries.items())
-                if entry.state in (PermitState.PROMISED, PermitState.GRANTED)
-            ),
-            tuple(
-                (kind, place)
-                for kind, grantor in self.grantors.items()
-                for place, entry in sorted(grantor.entries.items())
-                if entry.state is PermitState.WRITTEN_OFF
-            ),
-        )
-        if memory == self.persisted:
+        """The state to persist now; None where it is the same as at the last call."""
+        memory = take_changed_state(self.acceptor, self.grantors)
+        if memory is None or memory == self.persisted:
             return None
         self.persisted = memory
         return memory
 
     def record(self) -> RolloutRecord:
-        """The plan as this front knows it."""
+        """The rollout record as this front knows it."""
         return self.acceptor.record
 
     def status(self, now_us: int) -> dict[str, object]:
-        """Figures for an operator."""
-        record = self.acceptor.record
-        out = {
-            kind.name.lower(): {
-                "dark": sorted(grantor.unavailable_places(now_us)),
-                "held": sorted(grantor.promised_places()),
-                "off": sorted(
-                    place
-                    for place, entry in grantor.entries.items()
-                    if entry.state is PermitState.WRITTEN_OFF
-                ),
-            }
-            for kind, grantor in self.grantors.items()
-        }
+        """The status for operators."""
         return {
-            "fence": record.fence,
-            "plan": record.plan.number,
-            "phase": record.phase.name.lower(),
-            "reason": record.reason.name.lower(),
-            "back": record.back,
-            "wanted": rollout_plan.target_version(record),
-            "goal": record.goal,
-            "leader": record.term % self.settings.front_count if record.term else None,
-            "leads": self.election.role is Role.LEADER,
-            "sure": self.acceptor.is_record_known,
+            **plan_status(self.acceptor, self.election, self.settings.front_count),
             "outlived": self.is_superseded,
-            "out": out,
-            "wants": [
-                {"kind": kind.name.lower(), "place": one.place, "stage": one.state.name.lower()}
-                for kind, requester in self.requesters.items()
-                for one in requester.requests.values()
-            ],
+            "out": disruption_status(self.grantors, now_us),
+            "wants": request_status(self.requesters),
         }
--- /dev/null
+++ b/packages/rollouts/src/fennelcove/rollouts/fleet_view.py
@@ -0,0 +1,36 @@
+"""What a leader observes of the fleet, for its decisions about a plan."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from fennelcove.rollouts.messages import Heartbeat
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """What a leader observes of all fronts at one moment."""
+
+    size: int
+    leader_index: int
+    heartbeats: Mapping[int, Heartbeat]  # the newest of each front, the leader's own too
+    unavailable: frozenset[int]  # without those written off
+    written_off: frozenset[int]
+    unavailable_since_us: Mapping[int, int]
+
+    def fronts_with(self, version: int) -> list[int]:
+        """The fronts that serve with a version."""
+        return [i for i, one in self.heartbeats.items() if self._is_counted(i) and one.version == version]
+
+    def fronts_without(self, version: int) -> list[int]:
+        """The fronts that serve with another version."""
+        return [i for i, one in self.heartbeats.items() if self._is_counted(i) and one.version != version]
+
+    def _is_counted(self, index: int) -> bool:
+        return index not in self.unavailable and index not in self.written_off
+
+    @property
+    def expected_count(self) -> int:
+        """The number of fronts without those written off."""
+        return self.size - len(self.written_off)
--- /dev/null
+++ b/packages/rollouts/src/fennelcove/rollouts/front_permits.py
@@ -0,0 +1,109 @@
+"""One front's permits of both kinds: requests sent, votes given and counted, requests given up."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+
+from fennelcove.rollouts.heartbeat_sender import HeartbeatSender, LocalFront
+from fennelcove.rollouts.messages import (
+    Kind,
+    PermitRequest,
+    PermitVote,
+    RolloutPhase,
+    RolloutRecord,
+    ServingState,
+)
+from fennelcove.rollouts.permit_grantor import Grantor
+from fennelcove.rollouts.permit_requester import NO_REVISION, PendingRequest, Requester, RequestState
+from fennelcove.rollouts.plan_execution import ORDER_EXPIRY_US
+from fennelcove.rollouts.record_acceptor import Acceptor
+from fennelcove.rollouts.rollout_plan import target_version
+from fennelcove.rollouts.types import Act, Do, Post
+
+EXPIRING_STATES = (RequestState.WANTED, RequestState.ASKING)
+
+
+@dataclass(slots=True)
+class FrontPermits:
+    """Connects this front's requesters and grantors with the record and with its peers.
+
+    `actions` is shared with the coordinator: what this front has to do is appended.
+    """
+
+    front: LocalFront
+    peers: Collection[int]
+    requesters: Mapping[Kind, Requester]
+    grantors: Mapping[Kind, Grantor]
+    acceptor: Acceptor
+    heartbeats: HeartbeatSender
+    actions: list[Act]
+    compared_record: RolloutRecord  # that the requests were last compared with
+
+    def send_requests(self, now_us: int) -> Post:
+        """The requests to send at a heartbeat interval, and what follows of this front's own votes."""
+        post: Post = []
+        for kind, requester in self.requesters.items():
+            if kind is Kind.FRONT and self.front.status.serving_state is not ServingState.SERVING:
+                continue  # a front that does not serve needs no permit
+            request = requester.next_request(now_us)
+            if request is not None:
+                post += self._send(request, now_us)
+        return post
+
+    def _send(self, request: PermitRequest, now_us: int) -> Post:
+        post: Post = [(index, request) for index in self.peers]
+        own_vote = self._vote_on(self.front.index, request, now_us)
+        return post + self.on_vote(self.front.index, own_vote, now_us)
+
+    def on_request(self, sender: int, request: PermitRequest, now_us: int) -> Post:
+        """Vote on the request of another front."""
+        return [(sender, self._vote_on(sender, request, now_us))]
+
+    def _vote_on(self, sender: int, request: PermitRequest, now_us: int) -> PermitVote:
+        revision = (request.term, request.turn)
+        is_older = revision < self.acceptor.record.revision
+        # A front that may have forgotten that a plan is halted lets no front drain by it.
+        is_stale = revision != NO_REVISION and (is_older or not self.acceptor.is_record_known)
+        return self.grantors[request.kind].on_permit_request(sender, request, now_us, is_stale=is_stale)
+
+    def on_vote(self, sender: int, vote: PermitVote, now_us: int) -> Post:
+        """Count a vote; where a request changes by it, the grantors are sent heartbeats at once."""
+        for kind, requester in self.requesters.items():
+            asking = RequestState.ASKING
+            counted = [one.place for one in requester.requests.values() if one.state is asking]
+            granted = requester.on_vote(sender, vote, self.grantors[kind], self.front.jitter, now_us)
+            if granted is not None:
+                do = Do.DRAIN_FRONT if kind is Kind.FRONT else Do.DRAIN_SERVER
+                self.actions.append(Act(do, kind, granted.place, granted.version))
+            if any(requester.requests[place].state is not asking for place in counted):
+                return self.heartbeats.send(now_us)
+        return []
+
+    def expire_orders(self, now_us: int) -> None:
+        """Give up what was ordered by a leader that does not order it any more."""
+        requester = self.requesters[Kind.FRONT]
+        requester.advance(now_us)
+        for request in list(requester.requests.values()):
+            is_ordered = request.revision != NO_REVISION
+            is_expired = is_ordered and now_us >= request.wanted_us + ORDER_EXPIRY_US
+            if is_expired and request.state in EXPIRING_STATES:
+                requester.cancel(request.place)
+                self.actions.append(Act(Do.STAY, Kind.FRONT, request.place))
+
+    def cancel_outdated(self) -> None:
+        """Give up what the record does not want any more, unless its drain has begun."""
+        record = self.acceptor.record
+        if record.revision == self.compared_record.revision:
+            return
+        self.compared_record = record
+        for kind, requester in self.requesters.items():
+            for request in list(requester.requests.values()):
+                if self._is_outdated(request, record) and requester.cancel(request.place):
+                    self.actions.append(Act(Do.STAY, kind, request.place))
+
+    @staticmethod
+    def _is_outdated(request: PendingRequest, record: RolloutRecord) -> bool:
+        if request.revision == NO_REVISION or request.revision >= record.revision:
+            return False
+        return record.phase is not RolloutPhase.MOVING or request.version != target_version(record)
--- /dev/null
+++ b/packages/rollouts/src/fennelcove/rollouts/pending_command.py
@@ -0,0 +1,63 @@
+"""The one command of an operator that a front has in progress, and the outcomes of the latest ones."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from fennelcove.rollouts.types import Answer, Command
+
+MAX_OUTCOMES = 16
+COMMAND_TIMEOUT_US = 4_000_000  # after which a command that no majority has accepted counts as lost
+
+
+@dataclass(slots=True)
+class PendingCommand:
+    """A command in progress."""
+
+    number: int
+    command: Command
+    since_us: int
+    revision: tuple[int, int] | None = None  # of the record that it is proposed with
+
+
+@dataclass(slots=True)
+class CommandTracker:
+    """Numbers commands, holds the one in progress, and remembers the latest outcomes."""
+
+    pending: PendingCommand | None = None
+    _last_number: int = 0
+    _outcomes: OrderedDict[int, Answer] = field(default_factory=OrderedDict)
+
+    def start(self, command: Command, now_us: int) -> int:
+        """Put a command in progress; its number."""
+        self._last_number += 1
+        self.pending = PendingCommand(self._last_number, command, now_us)
+        self._set_outcome(self._last_number, Answer.PENDING)
+        return self._last_number
+
+    def refuse(self) -> int:
+        """Refuse a command as busy; its number."""
+        self._last_number += 1
+        self._set_outcome(self._last_number, Answer.BUSY)
+        return self._last_number
+
+    def finish(self, outcome: Answer) -> None:
+        """End the command in progress, if there is one."""
+        if self.pending is not None:
+            self._set_outcome(self.pending.number, outcome)
+        self.pending = None
+
+    def expire(self, now_us: int) -> None:
+        """End the command in progress as lost, where its time is over."""
+        if self.pending is not None and now_us >= self.pending.since_us + COMMAND_TIMEOUT_US:
+            self.finish(Answer.LOST)
+
+    def outcome(self, number: int) -> Answer:
+        """The outcome of a command; one that is no longer remembered counts as lost."""
+        return self._outcomes.get(number, Answer.LOST)
+
+    def _set_outcome(self, number: int, outcome: Answer) -> None:
+        self._outcomes[number] = outcome
+        if len(self._outcomes) > MAX_OUTCOMES:
+            self._outcomes.popitem(last=False)
--- /dev/null
+++ b/packages/rollouts/src/fennelcove/rollouts/permit_grantor.py
@@ -0,0 +1,261 @@
+"""Disruption permits, the granting side: one front's votes on requests, and the places it has promised.
+
+A place may be taken out once a majority of all fronts has granted a request for it, one request at a time.
+Each front is a grantor. A promise is never forgotten by time alone: it ends when a heartbeat of the requester
+shows that the request is released, when a new incarnation of the place serves, when a server is observed to
+serve so late that the request can't lead to a drain any more, or when an operator writes the place off. While
+a requester may still be counting votes, the grantor grants no other request. So permits come one after
+another, as if one front granted them all: of two granted requests one was settled at a common grantor before
+the other arrived there, and that grantor names its place in the vote. The requester counts all places that
+its grantors name, the places it observes to be unavailable, and its own; it begins only within the limits. (A
+majority alone would not do: with a limit of two, each of three grantors can know of another two of three.)
+
+A grantor that has just started grants nothing until no request that it may have forgotten can be counted or
+begun any more. Without persisted state it then takes each place for promised until an observation from after
+that time shows otherwise.
+
+Times are in microseconds of this front's monotonic clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+from fennelcove.rollouts.disruption_budget import DisruptionMap
+from fennelcove.rollouts.messages import (
+    MAX_PROMISED_PLACES,
+    Heartbeat,
+    Kind,
+    PermitRequest,
+    PermitVerdict,
+    PermitVote,
+    ServingState,
+)
+from fennelcove.rollouts.permit_entry import (
+    OCCUPIED_STATES,
+    PROMISED_STATES,
+    TRANSITIONS,
+    PermitEntry,
+    PermitEvent,
+    PermitState,
+)
+from fennelcove.rollouts.permit_settings import PermitSettings
+from fennelcove.rollouts.place_health import HealthView, PlaceHealth
+
+NEVER_US = 1 << 62
+
+
+@dataclass(slots=True)
+class Grantor:
+    """One front's votes and promises for one kind of place.
+
+    `has_full_history`: `entries` hold all that the previous incarnation may have promised.
+    """
+
+    settings: PermitSettings
+    disruption_map: DisruptionMap
+    now_us: int
+    has_full_history: bool = False
+    entries: dict[int, PermitEntry] = field(default_factory=dict)
+    health: PlaceHealth = field(default_factory=PlaceHealth)
+    heartbeats: dict[int, Heartbeat] = field(default_factory=dict)  # the newest of each front
+    recovering_until_us: int = 0
+    has_unsaved_changes: bool = False
+    _settles_at_us: int = 0  # when the promise that is not settled settles by time
+
+    def __post_init__(self) -> None:
+        self.recovering_until_us = self.now_us + self.settings.permit_expiry_us
+        self.entries = {place: replace(entry, since_us=self.now_us) for place, entry in self.entries.items()}
+        self.update_map(self.disruption_map)
+
+    def update_map(self, disruption_map: DisruptionMap) -> None:
+        """Replace the known places."""
+        if not self.has_full_history:
+            fresh = disruption_map.places.keys() - self.entries.keys() - self.health.views.keys()
+            # A server that is listed later may be new, or one that the previous incarnation promised.
+            for place in fresh:
+                self.entries[place] = PermitEntry(PermitState.UNKNOWN, since_us=self.recovering_until_us)
+        self.health.retain(disruption_map.places.keys())
+        self.disruption_map = disruption_map
+
+    def promised_places(self) -> set[int]:
+        """All places that count as promised."""
+        return {place for place, entry in self.entries.items() if entry.state in OCCUPIED_STATES}
+
+    def written_off_places(self) -> set[int]:
+        """All places that an operator has written off."""
+        return {place for place, entry in self.entries.items() if entry.state is PermitState.WRITTEN_OFF}
+
+    def unavailable_places(self, now_us: int) -> set[int]:
+        """All places that do not serve, as far as this front observes, without those written off."""
+        places, timeout_us = self.disruption_map.places.keys(), self.settings.health_timeout_us
+        return self.health.unavailable(places, timeout_us, now_us) - self.written_off_places()
+
+    def disrupted_places(self, now_us: int) -> set[int]:
+        """All places that are unavailable or promised."""
+        self.advance(now_us)
+        return self.promised_places() | self.unavailable_places(now_us)
+
+    def on_permit_request(
+        self, requester: int, request: PermitRequest, now_us: int, *, is_stale: bool = False
+    ) -> PermitVote:
+        """Vote on a request; `is_stale`: it belongs to an older record than this front's."""
+        self.advance(now_us)
+        if is_stale or self._is_over(requester, request):
+            verdict = PermitVerdict.STALE
+        else:
+            verdict = self._judge(requester, request, now_us)
+        if verdict is not PermitVerdict.GRANTED:
+            return PermitVote(request.incarnation, request.number, verdict)
+        entry = self.entries.get(request.place)
+        if entry is None or not entry.is_for(requester, request):
+            self._promise(requester, request, now_us)
+        others = tuple(sorted(self.promised_places() - {request.place}))
+        return PermitVote(request.incarnation, request.number, verdict, others)
+
+    def _judge(self, requester: int, request: PermitRequest, now_us: int) -> PermitVerdict:
+        if now_us < self.recovering_until_us:
+            return PermitVerdict.RECOVERING
+        entry = self.entries.get(request.place)
+        if entry is not None:
+            if entry.is_for(requester, request) and entry.state in PROMISED_STATES:
+                return PermitVerdict.GRANTED  # a repeated request, or the vote was lost
+            if not self._may_replace(requester, request, entry):
+                return PermitVerdict.BUSY
+        others = self.promised_places() - {request.place}
+        if any(self.entries[place].state is PermitState.PROMISED for place in others):
+            return PermitVerdict.BUSY
+        if len(others) >= MAX_PROMISED_PLACES:
+            return PermitVerdict.LIMIT_REACHED
+        disrupted = others | self.unavailable_places(now_us)
+        exceeded = self.disruption_map.exceeded_limit(self.settings.limit, request.place, disrupted)
+        return PermitVerdict.GRANTED if exceeded is None else PermitVerdict.LIMIT_REACHED
+
+    def _may_replace(self, requester: int, request: PermitRequest, entry: PermitEntry) -> bool:
+        """Whether this request shows that the entry's one is over."""
+        if entry.state is PermitState.FREE or entry.state is PermitState.WRITTEN_OFF:
+            return True
+        if self.settings.kind is Kind.FRONT:
+            # A front requests for itself, while it serves, one request at a time.
+            entry_request = (entry.incarnation, entry.request_number)
+            is_newer = entry_request < (request.incarnation, request.number)
+            return entry.state is PermitState.UNKNOWN or is_newer
+        # Another front, or another incarnation of this one, may have had the server drained a moment ago.
+        is_same_front = (entry.requester, entry.incarnation) == (requester, request.incarnation)
+        is_known = entry.state is not PermitState.UNKNOWN
+        return is_known and is_same_front and entry.request_number < request.number
+
+    def _is_over(self, requester: int, request: PermitRequest) -> bool:
+        heartbeat = self.heartbeats.get(requester)
+        if heartbeat is None or heartbeat.incarnation < request.incarnation:
+            return False
+        if heartbeat.incarnation > request.incarnation:
+            return True
+        is_open = any(one.number == request.number for one in heartbeat.open_requests)
+        return request.number <= heartbeat.last_request_number and not is_open
+
+    def _promise(self, requester: int, request: PermitRequest, now_us: int) -> None:
+        self._apply(request.place, PermitEvent.PROMISED)
+        entry = self.entries[request.place]
+        entry.requester = requester
+        entry.incarnation = request.incarnation
+        entry.request_number = request.number
+        entry.since_us = now_us
+        self._settles_at_us = now_us + self.settings.permit_expiry_us  # there is one at a time
+
+    def on_heartbeat(self, sender: int, heartbeat: Heartbeat, as_of_us: int | None, now_us: int) -> None:
+        """Take in a front's heartbeat, where it is newer than the last.
+
+        Args:
+            sender: the front's index.
+            heartbeat: its heartbeat.
+            as_of_us: when the heartbeat that it acknowledges was sent from here; None where that is unknown.
+            now_us: the present time.
+        """
+        known = self.heartbeats.get(sender)
+        if known is not None:
+            known_order = (known.incarnation, known.sequence)
+            if (heartbeat.incarnation, heartbeat.sequence) <= known_order:
+                return
+        self.heartbeats[sender] = heartbeat
+        self.advance(now_us)
+        for place in [sender] if self.settings.kind is Kind.FRONT else list(self.entries):
+            entry = self.entries.get(place)
+            if entry is not None and entry.requester == sender and entry.state in PROMISED_STATES:
+                self._update_from_heartbeat(place, entry, heartbeat)
+        if self.settings.kind is Kind.FRONT and as_of_us is not None:
+            is_serving = heartbeat.serving_state is ServingState.SERVING
+            self.observe(sender, as_of_us, now_us, is_serving=is_serving)
+
+    def _update_from_heartbeat(self, place: int, entry: PermitEntry, heartbeat: Heartbeat) -> None:
+        is_front = self.settings.kind is Kind.FRONT
+        is_serving = heartbeat.serving_state is ServingState.SERVING
+        if entry.incarnation < heartbeat.incarnation:
+            # The requester's incarnation has ended. It may still have had a server drained.
+            if is_front and is_serving:
+                self._apply(place, PermitEvent.RELEASED)
+            return
+        if entry.incarnation > heartbeat.incarnation or entry.request_number > heartbeat.last_request_number:
+            return
+        matching = [one for one in heartbeat.open_requests if one.number == entry.request_number]
+        if matching and matching[0].is_granted:
+            self._apply(place, PermitEvent.SETTLED)
+        # A front that is unavailable for another reason is not free because it releases a request.
+        if not matching and (is_serving or not is_front):
+            self._apply(place, PermitEvent.RELEASED)
+
+    def observe(self, place: int, as_of_us: int, now_us: int, *, is_serving: bool) -> None:
+        """Take in an observation of a place: whether it served at `as_of_us` or later.
+
+        Fronts are observed by their heartbeats.
+        """
+        self.advance(now_us)
+        if place not in self.disruption_map.places:
+            return
+        view = HealthView(is_serving, as_of_us)
+        if not self.health.observe(place, view, self.settings.health_timeout_us, now_us):
+            return
+        entry = self.entries.get(place)
+        if is_serving and entry is not None and as_of_us >= self._free_from_us(place, entry):
+            self._apply(place, PermitEvent.SEEN_SERVING)
+
+    def _free_from_us(self, place: int, entry: PermitEntry) -> int:
+        """From when on an observation that the place serves shows that it is not about to drain."""
+        is_front = self.settings.kind is Kind.FRONT
+        drain_visible_us = self.settings.drain_visible_us
+        if entry.state is PermitState.UNKNOWN:
+            if is_front and self._may_have_request(place):
+                return NEVER_US
+            return max(entry.since_us, self.recovering_until_us) + drain_visible_us
+        if entry.state is PermitState.GRANTED:
+            # Only a front's own heartbeat shows that its request is over; a server sends none.
+            expires_us = entry.since_us + self.settings.permit_expiry_us + drain_visible_us
+            return NEVER_US if is_front else expires_us
+        return entry.since_us
+
+    def _may_have_request(self, front_index: int) -> bool:
+        heartbeat = self.heartbeats.get(front_index)
+        return heartbeat is None or any(one.kind is Kind.FRONT for one in heartbeat.open_requests)
+
+    def write_off(self, place: int, now_us: int) -> None:
+        """Do not count a place until it is observed to serve again."""
+        self.advance(now_us)
+        self._apply(place, PermitEvent.WRITTEN_OFF)
+        self.entries[place].since_us = now_us
+
+    def advance(self, now_us: int) -> None:
+        """Settle the pending promise, where its time is over."""
+        self.now_us = max(self.now_us, now_us)
+        if self.now_us < self._settles_at_us:
+            return
+        for place, entry in list(self.entries.items()):
+            if entry.state is PermitState.PROMISED:
+                self._apply(place, PermitEvent.SETTLED)
+
+    def _apply(self, place: int, event: PermitEvent) -> None:
+        entry = self.entries.setdefault(place, PermitEntry(PermitState.FREE))
+        state = TRANSITIONS.apply(entry.state, event).state
+        self.has_unsaved_changes |= state is not entry.state or event is PermitEvent.PROMISED
+        entry.state = state
+        if state is PermitState.FREE:
+            del self.entries[place]
--- /dev/null
+++ b/packages/rollouts/src/fennelcove/rollouts/persisted_state.py
@@ -0,0 +1,61 @@
+"""What a front persists about permits and records, and how its grantors are restored from it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from fennelcove.rollouts.disruption_budget import DisruptionMap
+from fennelcove.rollouts.messages import Kind
+from fennelcove.rollouts.permit_entry import PROMISED_STATES, PermitEntry, PermitState
+from fennelcove.rollouts.permit_grantor import Grantor
+from fennelcove.rollouts.permit_settings import PermitSettings
+from fennelcove.rollouts.record_acceptor import Acceptor
+from fennelcove.rollouts.types import Memory, StoredPermit
+
+
+def restore_grantor(
+    settings: PermitSettings, disruption_map: DisruptionMap, memory: Memory, now_us: int
+) -> Grantor:
+    """A grantor with the promises and the written-off places of the previous incarnation."""
+    entries = {
+        permit.place: PermitEntry(PermitState.GRANTED, permit.asker, permit.life, permit.number)
+        for permit in memory.promises
+        if permit.kind is settings.kind
+    }
+    for kind, place in memory.off:
+        if kind is settings.kind:
+            entries[place] = PermitEntry(PermitState.WRITTEN_OFF)
+    return Grantor(settings, disruption_map, now_us, memory.whole, entries)
+
+
+def take_changed_state(acceptor: Acceptor, grantors: Mapping[Kind, Grantor]) -> Memory | None:
+    """The state to persist, and mark it as taken; None where nothing has changed since the last call."""
+    books: list[Acceptor | Grantor] = [*grantors.values(), acceptor]
+    if not any(book.has_unsaved_changes for book in books):
+        return None
+    for book in books:
+        book.has_unsaved_changes = False
+    return Memory(
+        acceptor.term,
+        acceptor.record,
+        acceptor.is_record_known,
+        not any(_has_unknown_entries(grantor) for grantor in grantors.values()),
+        tuple(permit for grantor in grantors.values() for permit in _stored_permits(grantor)),
+        tuple(
+            (kind, place)
+            for kind, grantor in grantors.items()
+            for place in sorted(grantor.written_off_places())
+        ),
+    )
+
+
+def _has_unknown_entries(grantor: Grantor) -> bool:
+    return any(entry.state is PermitState.UNKNOWN for entry in grantor.entries.values())
+
+
+def _stored_permits(grantor: Grantor) -> list[StoredPermit]:
+    return [
+        StoredPermit(grantor.settings.kind, place, entry.requester, entry.incarnation, entry.request_number)
+        for place, entry in sorted(grantor.entries.items())
+        if entry.state in PROMISED_STATES
+    ]
--- a/packages/rollouts/src/fennelcove/rollouts/types.py
+++ b/packages/rollouts/src/fennelcove/rollouts/types.py
@@ -1,25 +1,28 @@
-"""What the agreement is handed and hands back: figures, operators' words, things to do and to keep."""
+"""Types that the coordinator of rollouts takes and returns: settings, commands, actions, persisted state.
+
+The fields of `Memory` and `StoredPermit` are stored under their names: they are not renamed.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-from fennelcove.rollouts.disruption_permits import PermitSettings
 from fennelcove.rollouts.disruption_budget import FleetLimits
+from fennelcove.rollouts.permit_settings import PermitSettings
 from fennelcove.rollouts.messages import Kind, Plan, RolloutRecord, Said, ServingState
 
-Post = list[tuple[int, Said]]  # to whom, what
+Post = list[tuple[int, Said]]  # messages to send, each with the index of the front that it is for
 
 
 @dataclass(frozen=True, slots=True)
 class Mine:
-    """What this front is now; counters are of this life and only grow."""
+    """The state of this front; counters are of this incarnation and only grow."""
 
     serving_state: ServingState
     version: int = 0
     serving_for_s: int = 0
-    requested: int = 0
+    requested: int = 0  # session set-ups
     served: int = 0
     refused: int = 0
     failed: int = 0
@@ -28,17 +31,17 @@
 
 
 class Do(Enum):
-    """What this front is to do."""
+    """What this front has to do."""
 
-    DRAIN_FRONT = auto()  # call `begin`, and where it says yes go out and come back with `version`
-    DRAIN_SERVER = auto()  # the same for a box: tell the list to drain it
-    STAY = auto()  # what was wanted is given up or out of date; nothing goes out
-    NOTE = auto()  # for the log
+    DRAIN_FRONT = auto()  # call `begin`; where it permits that, drain and return with `version`
+    DRAIN_SERVER = auto()  # call `begin`; where it permits that, have the server drained
+    STAY = auto()  # a drain that was requested is cancelled
+    NOTE = auto()  # write `text` to the log
 
 
 @dataclass(frozen=True, slots=True)
 class Act:
-    """One thing to do, once."""
+    """One action, to be carried out once."""
 
     do: Do
     kind: Kind = Kind.FRONT
@@ -48,79 +51,86 @@
 
 
 class Wish(Enum):
-    """What an operator may say about a plan."""
+    """The commands that an operator can give about a plan."""
 
     START = auto()
-    CHANGE = auto()  # of the plan that is under way; it is halted until `ON`
+    CHANGE = auto()  # replaces the active plan; the new one is halted until `ON`
     HALT = auto()
     ON = auto()
     BACK = auto()
 
 
 class Answer(Enum):
-    """What becomes of an operator's word; `PENDING` until a majority has taken it."""
+    """The outcome of a command. The names appear in HTTP answers."""
 
-    PENDING = auto()
+    PENDING = auto()  # no majority has accepted it yet
     DONE = auto()
-    STALE = auto()  # the fence is not the present one: look again
-    WRONG = auto()  # not possible in this phase
-    BUSY = auto()  # this front carries another word already, or can't speak for the fleet now
-    LOST = auto()  # no majority took it in time; it may still be taken: look again
+    STALE = auto()  # the fence is not the present one
+    WRONG = auto()  # not possible in the plan's present phase
+    BUSY = auto()  # this front has another command in progress, or may not vote now
+    LOST = auto()  # no majority accepted it in time; it may still be accepted
 
 
 @dataclass(frozen=True, slots=True)
 class Command:
-    """An operator's word, with the fence that the operator saw (`status` tells it)."""
+    """A command of an operator, with the fence that the operator saw in the status."""
 
     wish: Wish
     fence: int
-    plan: Plan | None = None  # START and CHANGE; its number is given by the fleet
+    plan: Plan | None = None  # of START and CHANGE; the leader assigns its number
 
 
 @dataclass(frozen=True, slots=True)
 class StoredPermit:
-    """A place that is promised, for the folder."""
+    """A place that is promised, as it is persisted."""
 
     kind: Kind
     place: int
-    asker: int
-    life: int
-    number: int
+    asker: int  # index of the front that requested it
+    life: int  # the requester's incarnation
+    number: int  # of the request
 
 
 @dataclass(frozen=True, slots=True)
 class Memory:
-    """What the folder has to keep for the next life. Without it the next life waits before it promises."""
+    """What has to be persisted for the next incarnation.
+
+    Without it the next incarnation waits before it promises anything.
+    """
 
-    term: int = 0  # the highest that this front gave its voice in
+    term: int = 0  # the highest in which this front voted
     record: RolloutRecord = field(default_factory=RolloutRecord)
-    sure: bool = True
-    whole: bool = True  # no place is left of which this life does not know what the last one promised
+    sure: bool = True  # whether `record` is known to be the last one that this front accepted
+    whole: bool = True  # whether `promises` are all that this front may have promised
     promises: tuple[StoredPermit, ...] = ()
-    off: tuple[tuple[Kind, int], ...] = ()  # places written off
+    off: tuple[tuple[Kind, int], ...] = ()  # places that are written off
 
 
 @dataclass(frozen=True, slots=True)
 class RolloutSettings:
-    """The figures of one fleet."""
+    """The settings of one front's coordinator."""
 
     front_count: int
     front_index: int
     heartbeat_us: int = 250_000
-    permit_window_us: int = 2_000_000  # from an ask until which its permit may be counted and begun
-    front_timeout_us: int = 2_000_000  # a front not heard for so long is out
-    server_timeout_us: int = 5_000_000  # a box not seen for so long is out
-    drain_visible_us: int = 5_000_000  # in which a box told to drain is seen to drain, by all
+    permit_window_us: int = 2_000_000  # from a request, until when its permit may be counted and begun
+    front_timeout_us: int = 2_000_000  # a front without a heartbeat for so long is unavailable
+    server_timeout_us: int = 5_000_000  # a server without an observation for so long is unavailable
+    drain_visible_us: int = 5_000_000  # until when all fronts see that a server drains
 
     def permit_settings(self, kind: Kind, limits: FleetLimits) -> PermitSettings:
-        """The figures of permits for one kind."""
-        front = kind is Kind.FRONT
+        """The settings of permits for one kind of place."""
+        if kind is Kind.FRONT:
+            limit, health_timeout_us, drain_visible_us = limits.fronts, self.front_timeout_us, 0
+        else:
+            limit, health_timeout_us = limits.servers, self.server_timeout_us
+            drain_visible_us = self.drain_visible_us
         return PermitSettings(
             kind,
             self.front_count,
             self.front_index,
-            limits.fronts if front else limits.servers,
+            limit,
             self.permit_window_us,
-            self.front_timeout_us if front else self.server_timeout_us,
-            0 if front else self.drain_visible_us,
+            health_timeout_us,
+            drain_visible_us,
         )
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -12,15 +12,20 @@
 
 from benchmarks.release_world import BEAT_US, PLAN, World
 from benchmarks.release_worlds import planted, search, walk
-from fennelcove.rollouts import draining, rollout_plan
+from fennelcove.rollouts import draining, plan_execution, rollout_plan
 from fennelcove.rollouts.coordinator import Answer, Command, Memory, Wish
 from fennelcove.rollouts.canary_analysis import WINDOW_US, CanaryAnalysis
-from fennelcove.rollouts.leader_election import Acceptor
+from fennelcove.rollouts.place_health import PlaceHealth
+from fennelcove.rollouts.fleet_view import FleetView
+from fennelcove.rollouts.record_acceptor import Acceptor
 from fennelcove.rollouts.draining import DrainAction, Draining, DrainState, DrainTimes
-from fennelcove.rollouts.disruption_permits import Requester, PermitSettings, Grantor
+from fennelcove.rollouts.permit_grantor import Grantor
+from fennelcove.rollouts.permit_requester import Requester
+from fennelcove.rollouts.permit_settings import PermitSettings
 from fennelcove.rollouts.disruption_budget import DisruptionLimit, DisruptionMap, ExceededLimit, Location
 from fennelcove.rollouts.rollout_plan import RolloutEvent
 from fennelcove.rollouts.messages import (
+    ACTIVE_PHASES,
     PermitRequest,
     Kind,
     OpenRequest,
@@ -54,7 +59,7 @@
     )
     book = Grantor(rules, DisruptionMap({i: Location(i) for i in range(many)}), 0, remembers)
     for place in range(many if remembers else 0):
-        book.observe(place, True, 1, 1)
+        book.observe(place, 1, 1, is_serving=True)
     return book
 
 
@@ -136,19 +141,19 @@
         """Guards against a promise that lapses before the drain can be seen by all."""
         book = voter(Kind.BOX)
         book.on_permit_request(1, ask(3, kind=Kind.BOX), AFTER)
-        book.observe(3, True, AFTER + 2_200_000, AFTER + 2_200_000)
+        book.observe(3, AFTER + 2_200_000, AFTER + 2_200_000, is_serving=True)
         self.assertIs(
             book.on_permit_request(2, ask(4, kind=Kind.BOX), AFTER + 2_200_000).verdict,
             PermitVerdict.LIMIT_REACHED,
         )
-        book.observe(3, True, AFTER + 6_000_000, AFTER + 6_000_000)
+        book.observe(3, AFTER + 6_000_000, AFTER + 6_000_000, is_serving=True)
         self.assertIs(
             book.on_permit_request(2, ask(4, kind=Kind.BOX), AFTER + 6_000_000).verdict, PermitVerdict.GRANTED
         )
 
     def test_what_crashed_counts_and_what_is_written_off_does_not(self) -> None:
         book = voter()
-        book.observe(4, False, AFTER, AFTER)
+        book.observe(4, AFTER, AFTER, is_serving=False)
         self.assertIs(book.on_permit_request(1, ask(1), AFTER).verdict, PermitVerdict.LIMIT_REACHED)
         book.write_off(4, AFTER)
         self.assertIs(book.on_permit_request(1, ask(1), AFTER).verdict, PermitVerdict.GRANTED)
@@ -168,7 +173,7 @@
             ]
             for book in books:
                 for place in range(3):
-                    book.observe(place, True, 1, 1)
+                    book.observe(place, 1, 1, is_serving=True)
             askers = [Requester(rule, 1, iter(range(1, 9))) for rule in rules]
             for i in range(3):
                 askers[i].request_permit(i, AFTER)
@@ -184,7 +189,7 @@
                         books[one].disruption_map,
                         0,
                         True,
-                        health_views=dict(books[one].health_views),
+                        health=PlaceHealth(dict(books[one].health.views)),
                     )
                     given += askers[one].on_vote(first, vote, unseen, 0.5, AFTER) is not None
             return given
@@ -236,7 +241,7 @@
     for _ in range(beats):
         run(world, 1)
         records = {front.agreed.record() for front in world.fronts if front.agreed is not None}
-        if len(records) == 1 and next(iter(records)).phase not in rollout_plan.ACTIVE_PHASES:
+        if len(records) == 1 and next(iter(records)).phase not in ACTIVE_PHASES:
             return records.pop()
     raise AssertionError([front.agreed and front.agreed.record() for front in world.fronts])
 
@@ -443,24 +448,21 @@
 
     def test_a_halted_plan_leaves_its_row_by_an_operator_alone(self) -> None:
         for back in (False, True):
-            rows = {
-                cue
-                for phase, way, cue in rollout_plan.TRANSITIONS
-                if phase is RolloutPhase.HALTED and way is back
-            }
+            halted = rollout_plan.PlanState(RolloutPhase.HALTED, back)
+            rows = {event for state, event in rollout_plan.TRANSITIONS if state == halted}
             self.assertLessEqual(rows, {RolloutEvent.RESUME, RolloutEvent.ROLL_BACK, RolloutEvent.CHANGE})
 
     def test_the_way_back_takes_the_newest_first_and_those_that_serve_not_at_once(self) -> None:
         words = {i: Heartbeat(1, 1, version=2, serving_for_s=10 * i + 5) for i in range(4)}
         words[3] = replace(words[3], serving_state=ServingState.STARTING)
         record = RolloutRecord(5, 1, RolloutPhase.MOVING, back=True, goal=1, plan=PLAN)
-        lead = rollout_plan.PlanExecution(record, {}, 0)
-        seen = rollout_plan.FleetView(4, 1, words, frozenset({3}), frozenset(), {3: 0})
+        lead = plan_execution.PlanExecution(record, {}, 0)
+        seen = FleetView(4, 1, words, frozenset({3}), frozenset(), {3: 0})
         self.assertEqual(
-            lead.fronts_to_order(seen, 1 + rollout_plan.SETTLE_US), [3]
+            lead.fronts_to_order(seen, 1 + plan_execution.SETTLE_US), [3]
         )  # the place of the one that is out is not given twice
-        wider = rollout_plan.PlanExecution(replace(record, goal=3), {}, 0)
-        self.assertEqual(wider.fronts_to_order(seen, 1 + rollout_plan.SETTLE_US), [0, 3])
+        wider = plan_execution.PlanExecution(replace(record, goal=3), {}, 0)
+        self.assertEqual(wider.fronts_to_order(seen, 1 + plan_execution.SETTLE_US), [0, 3])
 
     def test_who_forgot_gives_no_voice_until_enough_others_told_it(self) -> None:
         world = self.world = fleet(size=3)
