--- a/packages/rollouts/src/fennelcove/rollouts/__init__.py
+++ b/packages/rollouts/src/fennelcove/rollouts/__init__.py
@@ -1,1 +1,1 @@
-"""Who may be out of a fleet, releases in waves, how one front or box goes out. No I/O, clock or chance."""
+"""Disruption permits, rollouts in waves, and drains of a fleet. No I/O, clock or randomness of its own."""
--- a/packages/rollouts/src/fennelcove/rollouts/canary_analysis.py
+++ b/packages/rollouts/src/fennelcove/rollouts/canary_analysis.py
@@ -1,27 +1,28 @@
-"""What the fleet shows while a plan is under way, and whether that is a cause to halt.
+"""Whether a rollout has to be halted, by what the fronts count while it is active.
 
-All figures are differences of what fronts counted in one life, so a word that is lost costs nothing. Those
-with the new version are compared with neighbours that do not have it, hall by hall and window by window: an
-evening's ebb or a flood meets both alike. Times are in microseconds.
+All figures are differences of what a front counted within one incarnation, so a lost heartbeat costs nothing.
+Fronts with the new version are compared with their neighbours that do not have it, zone by zone and window by
+window: a change of load meets both alike. Times are in microseconds.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from math import sqrt
 from statistics import median_low
 
-from fennelcove.rollouts.messages import Plan, HaltReason, Heartbeat
+from fennelcove.rollouts.messages import HaltReason, Heartbeat, Plan
 
 WINDOW_US = 5_000_000
-MIN_REQUESTS = 60  # set-ups of a window that say nothing
-MIN_STANDARD_ERRORS = 2.5  # standard errors by which the new has to be behind
+MIN_REQUESTS = 60  # fewer set-ups in a window are not judged
+MIN_STANDARD_ERRORS = 2.5  # by which the new version has to be behind
+PER_MILLE = 1000  # a plan's ratios are in thousandths
 
 
 @dataclass(slots=True)
 class OutcomeCounts:
-    """What was counted."""
+    """The outcomes of session set-ups of some fronts in one window."""
 
     requested: int = 0
     served: int = 0
@@ -29,110 +30,114 @@
     failed: int = 0
 
     def add(self, before: Heartbeat, after: Heartbeat) -> None:
-        """What a front counted between two words of one life; one that counts wrongly counts for nothing."""
-        asked, served = after.requested - before.requested, after.served - before.served
+        """Add what a front counted between two heartbeats; impossible counts are ignored."""
+        requested, served = after.requested - before.requested, after.served - before.served
         refused, failed = after.refused - before.refused, after.failed - before.failed
-        if min(asked, served, refused, failed) < 0 or served > asked:
+        if min(requested, served, refused, failed) < 0 or served > requested:
             return
-        self.requested += asked
+        self.requested += requested
         self.served += served
         self.refused += refused
         self.failed += failed
 
     @property
     def success_ratio(self) -> float:
-        """The part of set-ups that was served, and by joins that did not fail."""
+        """The ratio of set-ups that were served without a failed attempt."""
         return max(0.0, (self.served - self.failed) / self.requested) if self.requested else 1.0
 
 
 @dataclass(slots=True)
 class PairedOutcomes:
-    """How far the new are behind their neighbours, over all windows."""
+    """How far the new version is behind its neighbours, over all windows; weighted by set-ups."""
 
     weight: float = 0.0
     weighted_shortfall: float = 0.0
     variance: float = 0.0
 
     def add(self, new: OutcomeCounts, old: OutcomeCounts) -> None:
-        """One hall in one window."""
+        """Add one zone in one window."""
         if not new.requested or not old.requested:
             return
-        share = (new.success_ratio * new.requested + old.success_ratio * old.requested) / (
-            new.requested + old.requested
-        )
+        successes = new.success_ratio * new.requested + old.success_ratio * old.requested
+        pooled_ratio = successes / (new.requested + old.requested)
         self.weight += new.requested
         self.weighted_shortfall += new.requested * (old.success_ratio - new.success_ratio)
-        self.variance += new.requested**2 * share * (1 - share) * (1 / new.requested + 1 / old.requested)
+        sampling = 1 / new.requested + 1 / old.requested
+        self.variance += new.requested**2 * pooled_ratio * (1 - pooled_ratio) * sampling
 
-    def is_worse(self, by: float) -> bool:
-        """Whether the new are behind by more than so much, and not by chance."""
+    def is_worse(self, margin: float) -> bool:
+        """Whether the new version is behind by more than a margin, and not by chance."""
         if self.weight < MIN_REQUESTS:
             return False
         mean, error = self.weighted_shortfall / self.weight, sqrt(self.variance) / self.weight
-        return mean > by and mean > MIN_STANDARD_ERRORS * error
+        return mean > margin and mean > MIN_STANDARD_ERRORS * error
+
+
+def _total(counts: Iterable[OutcomeCounts]) -> OutcomeCounts:
+    total = OutcomeCounts()
+    for one in counts:
+        total.requested += one.requested
+        total.served += one.served
+        total.refused += one.refused
+        total.failed += one.failed
+    return total
 
 
 @dataclass(slots=True)
 class CanaryAnalysis:
-    """Watches one step of a plan; begun anew with each plan, each way and each leader."""
+    """Judges a plan window by window; started again with each plan, direction and leader."""
 
     zones: Mapping[int, int]  # of each front
     window_began_us: int
-    window_start: dict[int, Heartbeat] = field(default_factory=dict)  # at the begin of the window
+    window_start: dict[int, Heartbeat] = field(default_factory=dict)  # heartbeats at its beginning
     comparison: PairedOutcomes = field(default_factory=PairedOutcomes)
 
     def evaluate(self, heartbeats: Mapping[int, Heartbeat], plan: Plan, now_us: int) -> HaltReason:
-        """The cause to halt that a window shows which ends now, if it does. `words`: the newest of all fronts
-        that serve."""
+        """The reason to halt that a window shows which ends now, if it does.
+
+        `heartbeats` are the newest ones of all fronts that serve.
+        """
         if now_us < self.window_began_us + WINDOW_US:
             return HaltReason.NONE
-        whole, new, old = OutcomeCounts(), self._tallies(), self._tallies()
+        new: dict[int, OutcomeCounts] = {}
+        old: dict[int, OutcomeCounts] = {}
         for index, after in heartbeats.items():
             before = self.window_start.get(index)
             if before is None or before.incarnation != after.incarnation or before.sequence > after.sequence:
                 continue
-            whole.add(before, after)
-            side = new if after.version == plan.wanted else old
-            side.setdefault(self.zones.get(index, 0), OutcomeCounts()).add(before, after)
+            by_zone = new if after.version == plan.wanted else old
+            by_zone.setdefault(self.zones.get(index, 0), OutcomeCounts()).add(before, after)
         self.window_began_us, self.window_start = now_us, dict(heartbeats)
-        everywhere = OutcomeCounts()
-        for one in old.values():
-            everywhere.requested += one.requested
-            everywhere.served += one.served
-            everywhere.failed += one.failed
-        for zone, tally in new.items():
-            beside = old.get(zone)
-            self.comparison.add(tally, beside if beside is not None and beside.requested else everywhere)
-        return self._halt_reason(whole, heartbeats, plan)
+        self._compare(new, old)
+        return self._halt_reason(_total([*new.values(), *old.values()]), heartbeats, plan)
+
+    def _compare(self, new: Mapping[int, OutcomeCounts], old: Mapping[int, OutcomeCounts]) -> None:
+        """Compare each zone with itself, or with the whole fleet where it has no neighbours."""
+        whole_fleet = _total(old.values())
+        for zone, counts in new.items():
+            neighbours = old.get(zone)
+            has_neighbours = neighbours is not None and neighbours.requested
+            self.comparison.add(counts, neighbours if neighbours and has_neighbours else whole_fleet)
 
     def _halt_reason(
-        self, whole: OutcomeCounts, heartbeats: Mapping[int, Heartbeat], plan: Plan
+        self, fleet: OutcomeCounts, heartbeats: Mapping[int, Heartbeat], plan: Plan
     ) -> HaltReason:
-        if self.comparison.is_worse(plan.worse / 1000):
+        if self.comparison.is_worse(plan.worse / PER_MILLE):
             return HaltReason.WORSE
-        if (
-            heartbeats
-            and median_low(heartbeat.storm_phase for heartbeat in heartbeats.values()) >= plan.storm
-        ):
+        if heartbeats and median_low(one.storm_phase for one in heartbeats.values()) >= plan.storm:
             return HaltReason.STORM
-        if (
-            heartbeats
-            and median_low(heartbeat.shedding_level for heartbeat in heartbeats.values()) >= plan.level
-        ):
+        if heartbeats and median_low(one.shedding_level for one in heartbeats.values()) >= plan.level:
             return HaltReason.LADDER
-        if whole.requested < MIN_REQUESTS:
+        if fleet.requested < MIN_REQUESTS:
             return HaltReason.NONE
-        return next((reason for reason, past in self._exceeded_ratios(whole, plan) if past), HaltReason.NONE)
-
-    @staticmethod
-    def _exceeded_ratios(whole: OutcomeCounts, plan: Plan) -> list[tuple[HaltReason, bool]]:
-        asked = whole.requested
-        return [
-            (HaltReason.FAILED, whole.failed * 1000 > plan.failed * asked),
-            (HaltReason.REFUSED, whole.refused * 1000 > plan.refused * asked),
-            (HaltReason.SERVED, whole.served * 1000 < plan.floor * asked),
-        ]
+        return self._exceeded_ratio(fleet, plan)
 
     @staticmethod
-    def _tallies() -> dict[int, OutcomeCounts]:
-        return {}
+    def _exceeded_ratio(fleet: OutcomeCounts, plan: Plan) -> HaltReason:
+        if fleet.failed * PER_MILLE > plan.failed * fleet.requested:
+            return HaltReason.FAILED
+        if fleet.refused * PER_MILLE > plan.refused * fleet.requested:
+            return HaltReason.REFUSED
+        if fleet.served * PER_MILLE < plan.floor * fleet.requested:
+            return HaltReason.SERVED
+        return HaltReason.NONE
--- a/packages/rollouts/src/fennelcove/rollouts/draining.py
+++ b/packages/rollouts/src/fennelcove/rollouts/draining.py
@@ -1,10 +1,11 @@
-"""How one front or one box goes out, once it may.
+"""The drain of one front or one server, once it is permitted.
 
-From its begin it takes no new set-ups: each is answered at once, with a time and a place to come back. Those
-who are here are told to go one after another, spread over a stated time and over the room that others tell
-of, each of those getting no more a second than it has room for. Who is still here at the stated end is ended.
-Requests that were in hand at the begin go on, and are answered before their client timeout at the latest.
-Times are in microseconds, rooms in set-ups a second.
+From its beginning no new session set-ups are accepted: each is answered at once, with a time and a target to
+retry at. The present clients are asked to leave one after another, spread over a set time and over the
+capacity that others offer. The clients that are still present at the deadline are closed. Requests that were
+pending at the beginning go on, and are answered before their client's timeout at the latest.
+
+Times are in microseconds, capacities in session set-ups a second.
 """
 
 from __future__ import annotations
@@ -12,276 +13,207 @@
 from collections import OrderedDict
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
-from enum import Enum, auto
-
-RETRY_US = 500_000
-MAX_ANSWERED = 8192
-
-
-class DrainState(Enum):
-    """How far it is."""
-
-    OPEN = auto()
-    CLOSING = auto()  # some have not been told
-    EMPTYING = auto()  # all have been told, some are here
-    EMPTY = auto()
-
-
-class DrainEvent(Enum):
-    """What moves it on."""
-
-    BEGIN = auto()
-    ALL_NOTIFIED = auto()
-    RETRY_QUEUED = auto()  # one that was told could not go
-    LAST_GONE = auto()
-    CANCELLED = auto()
-
-
-TRANSITIONS: dict[tuple[DrainState, DrainEvent], DrainState] = {
-    (DrainState.OPEN, DrainEvent.BEGIN): DrainState.CLOSING,
-    (DrainState.CLOSING, DrainEvent.ALL_NOTIFIED): DrainState.EMPTYING,
-    (DrainState.EMPTYING, DrainEvent.RETRY_QUEUED): DrainState.CLOSING,
-    (DrainState.CLOSING, DrainEvent.LAST_GONE): DrainState.EMPTY,
-    (DrainState.EMPTYING, DrainEvent.LAST_GONE): DrainState.EMPTY,
-    **{(stage, DrainEvent.CANCELLED): DrainState.OPEN for stage in DrainState},
-}
-
-
-class ClientState(Enum):
-    """How one that is here stands."""
-
-    PRESENT = auto()
-    NOTIFIED = auto()  # to go, or its move is under way
-    GONE = auto()  # of its own, moved, or ended
-
-
-class ClientEvent(Enum):
-    """What happens to it."""
-
-    NOTIFIED = auto()
-    FAILED = auto()
-    LEFT = auto()
-    DEADLINE_PASSED = auto()  # the stated time is over
-
 
-class DrainAction(Enum):
-    """What is to be done with it."""
+from fennelcove.rollouts.available_capacity import AvailableCapacity
+from fennelcove.rollouts.drain_states import (
+    CLIENT_TRANSITIONS,
+    DRAIN_TRANSITIONS,
+    ClientEvent,
+    ClientState,
+    DrainAction,
+    DrainEvent,
+    DrainState,
+)
 
-    NONE = auto()
-    NOTIFY = auto()  # to come back elsewhere: of a front
-    MOVE = auto()  # of a box
-    CLOSE = auto()
-    REJECT = auto()  # a request in hand: refuse it now
-
-
-CLIENT_TRANSITIONS: dict[tuple[ClientState, ClientEvent], tuple[ClientState, DrainAction]] = {
-    (ClientState.PRESENT, ClientEvent.NOTIFIED): (ClientState.NOTIFIED, DrainAction.NOTIFY),
-    (ClientState.PRESENT, ClientEvent.LEFT): (ClientState.GONE, DrainAction.NONE),
-    (ClientState.PRESENT, ClientEvent.DEADLINE_PASSED): (ClientState.GONE, DrainAction.CLOSE),
-    (ClientState.NOTIFIED, ClientEvent.FAILED): (ClientState.PRESENT, DrainAction.NONE),
-    (ClientState.NOTIFIED, ClientEvent.LEFT): (ClientState.GONE, DrainAction.NONE),
-    (ClientState.NOTIFIED, ClientEvent.DEADLINE_PASSED): (ClientState.GONE, DrainAction.CLOSE),
-}
+RETRY_US = 500_000
+MAX_ANSWERED = 8192  # requests that are remembered as answered
 
 
 @dataclass(frozen=True, slots=True)
 class DrainTimes:
-    """The figures of one leaving."""
+    """The times of one drain."""
 
-    spread_us: int = 10_000_000  # over which those here are told to go
-    deadline_us: int = 30_000_000  # after the begin: who is here then is ended
-    reply_margin_us: int = (
-        200_000  # before its client timeout, when a request in hand is answered at the latest
-    )
+    spread_us: int = 10_000_000  # over which the clients are asked to leave
+    deadline_us: int = 30_000_000  # from the beginning until the remaining clients are closed
+    reply_margin_us: int = 200_000  # before its client's timeout a pending request is answered
 
 
 @dataclass(frozen=True, slots=True)
 class DrainStep:
-    """One thing to do, once."""
+    """One thing to do, once, with the client or the request of this id."""
 
     id: str
     action: DrainAction
-    target: int | None = None  # who has room
-    retry_after_us: int = 0  # when to come back
+    target: int | None = None  # who has capacity
+    retry_after_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class DrainReply:
-    """What a new set-up is answered, at once."""
+    """The immediate answer to a new session set-up."""
 
     retry_after_us: int
     target: int | None
 
 
-@dataclass(slots=True)
-class AvailableCapacity:
-    """What others have room for: each is given no more a second than that."""
-
-    available_at_us: dict[int, int] = field(default_factory=dict)  # when each can take the next
-    interval_us: dict[int, int] = field(default_factory=dict)
-
-    def update(self, capacities: Mapping[int, float], now_us: int) -> None:
-        """What others tell of now."""
-        self.interval_us = {to: round(1e6 / room) for to, room in capacities.items() if room > 0}
-        self.available_at_us = {to: self.available_at_us.get(to, now_us) for to in self.interval_us}
-
-    def earliest(self, now_us: int) -> tuple[int | None, int]:
-        """Who has room first, and when; nobody for want of any."""
-        if not self.available_at_us:
-            return None, now_us
-        to = min(self.available_at_us, key=lambda other: (max(now_us, self.available_at_us[other]), other))
-        return to, max(now_us, self.available_at_us[to])
-
-    def reserve(self, to: int, at_us: int) -> None:
-        """One more goes there."""
-        self.available_at_us[to] = at_us + self.interval_us[to]
-
-
 @dataclass(slots=True)
 class Draining:
-    """One front or box that goes out. The caller hands in times and chance and carries out the steps."""
+    """One front or server that drains; the caller provides time and randomness and carries out the steps."""
 
     times: DrainTimes
-    moves_sessions: bool = False  # a box: what plays there is moved, not told to come back
+    moves_sessions: bool = False  # of a server: sessions are moved, not asked to reconnect
     state: DrainState = DrainState.OPEN
     began_us: int = 0
     capacity: AvailableCapacity = field(default_factory=AvailableCapacity)
-    clients: dict[str, ClientState] = field(default_factory=dict)  # who has not gone
-    queue: OrderedDict[str, int] = field(default_factory=OrderedDict)  # not told yet, and when each may be
-    pending_requests: dict[str, int] = field(
-        default_factory=dict
-    )  # requests in hand, and their client timeouts
-    answered_requests: OrderedDict[str, None] = field(default_factory=OrderedDict)  # requests answered
+    clients: dict[str, ClientState] = field(default_factory=dict)  # that are present
+    queue: OrderedDict[str, int] = field(default_factory=OrderedDict)  # when to notify each client
+    pending_requests: dict[str, int] = field(default_factory=dict)  # with their clients' timeouts
+    answered_requests: OrderedDict[str, None] = field(default_factory=OrderedDict)
     closed_count: int = 0
 
     def begin(
         self, client_ids: Sequence[str], capacities: Mapping[int, float], now_us: int, jitter: float
     ) -> None:
-        """Go out: `held` in the order in which they are to go. `draw`: chance, from 0 to below 1."""
+        """Begin to drain.
+
+        Args:
+            client_ids: the present clients, in the order in which they are to leave.
+            capacities: what others offer.
+            now_us: the present time.
+            jitter: random, from 0 to below 1.
+        """
         if self.state is not DrainState.OPEN:
             return
         self._apply(DrainEvent.BEGIN)
         self.began_us = now_us
         self.update_capacity(capacities, now_us)
-        gap_us = self.times.spread_us / max(1, len(client_ids))
+        interval_us = self.times.spread_us / max(1, len(client_ids))
         self.clients = dict.fromkeys(client_ids, ClientState.PRESENT)
         self.queue = OrderedDict(
-            (id, now_us + round((at + jitter) * gap_us)) for at, id in enumerate(client_ids)
+            (client_id, now_us + round((position + jitter) * interval_us))
+            for position, client_id in enumerate(client_ids)
         )
         self._update_state()
 
     def update_capacity(self, capacities: Mapping[int, float], now_us: int) -> None:
-        """What others tell of has changed."""
+        """Replace what others offer."""
         self.capacity.update(capacities, now_us)
 
-    # Requests.
-
-    def on_request(self, id: str, now_us: int) -> DrainReply | None:
-        """A set-up has come: what it is answered at once; None while this is open, or where it has been
-        answered before."""
-        if self.state is DrainState.OPEN or not self._record_answer(id):
+    def on_request(self, request_id: str, now_us: int) -> DrainReply | None:
+        """The immediate answer to a new set-up; None before the drain, or where it was answered already."""
+        if self.state is DrainState.OPEN or not self._record_answer(request_id):
             return None
-        to, at_us = self.capacity.earliest(now_us)
-        if to is None:
+        opening = self.capacity.earliest(now_us)
+        if opening.target is None:
             return DrainReply(self.times.spread_us, None)
-        self.capacity.reserve(to, at_us)
-        return DrainReply(at_us - now_us, to)
+        self.capacity.reserve(opening.target, opening.at_us)
+        return DrainReply(opening.at_us - now_us, opening.target)
 
-    def on_request_pending(self, id: str, until_us: int) -> None:
-        """A request that is in hand, and its client timeout."""
-        if id not in self.answered_requests:
-            self.pending_requests[id] = until_us
+    def on_request_pending(self, request_id: str, until_us: int) -> None:
+        """Note a pending request and its client's timeout."""
+        if request_id not in self.answered_requests:
+            self.pending_requests[request_id] = until_us
 
-    def on_request_answered(self, id: str) -> bool:
-        """Its answer is there: whether it may be sent, which is so once."""
-        self.pending_requests.pop(id, None)
-        return self._record_answer(id)
+    def on_request_answered(self, request_id: str) -> bool:
+        """Whether the answer to a request may be sent, which is so once."""
+        self.pending_requests.pop(request_id, None)
+        return self._record_answer(request_id)
 
-    def _record_answer(self, id: str) -> bool:
-        if id in self.answered_requests:
+    def _record_answer(self, request_id: str) -> bool:
+        if request_id in self.answered_requests:
             return False
-        self.answered_requests[id] = None
+        self.answered_requests[request_id] = None
         if len(self.answered_requests) > MAX_ANSWERED:
             self.answered_requests.popitem(last=False)
         return True
 
-    # Those who are here.
-
     def due_steps(self, now_us: int) -> list[DrainStep]:
-        """What is to be done now."""
-        steps = [
-            DrainStep(id, DrainAction.REJECT, retry_after_us=self.times.spread_us)
-            for id, until_us in list(self.pending_requests.items())
-            if now_us >= until_us - self.times.reply_margin_us and self.on_request_answered(id)
-        ]
-        if self.state in (DrainState.CLOSING, DrainState.EMPTYING):
-            over = now_us >= self.began_us + self.times.deadline_us
-            steps += self._close_remaining(now_us) if over else self._notify_next(now_us)
+        """What to do now."""
+        steps = self._reject_expiring(now_us)
+        if self.state is DrainState.CLOSING or self.state is DrainState.EMPTYING:
+            is_over = now_us >= self.began_us + self.times.deadline_us
+            steps += self._close_remaining(now_us) if is_over else self._notify_next(now_us)
             self._update_state()
         return steps
 
+    def _reject_expiring(self, now_us: int) -> list[DrainStep]:
+        margin_us = self.times.reply_margin_us
+        return [
+            DrainStep(request_id, DrainAction.REJECT, retry_after_us=self.times.spread_us)
+            for request_id, until_us in list(self.pending_requests.items())
+            if now_us >= until_us - margin_us and self.on_request_answered(request_id)
+        ]
+
     def _notify_next(self, now_us: int) -> list[DrainStep]:
-        steps = []
-        for id, at_us in list(self.queue.items()):
-            to, free_us = self.capacity.earliest(now_us)
-            if at_us > now_us or to is None or free_us > now_us:
-                break  # the queue is in order of time, and nobody has room before that
-            del self.queue[id]
-            self.capacity.reserve(to, now_us)
-            steps += self._apply_client_event(id, ClientEvent.NOTIFIED, to)
+        steps: list[DrainStep] = []
+        for client_id, due_us in list(self.queue.items()):
+            opening = self.capacity.earliest(now_us)
+            if due_us > now_us or opening.target is None or opening.at_us > now_us:
+                break  # the queue is in order of time, and no target has capacity earlier
+            del self.queue[client_id]
+            self.capacity.reserve(opening.target, now_us)
+            steps += self._apply_client_event(client_id, ClientEvent.NOTIFIED, opening.target)
         return steps
 
     def _close_remaining(self, now_us: int) -> list[DrainStep]:
-        """Who is left is ended, with a time to come back by the room that there is."""
+        """Close the present clients, each with a time to retry at by the capacity of its target."""
         steps: list[DrainStep] = []
         self.queue.clear()
-        for id in list(self.clients):
-            to, at_us = self.capacity.earliest(now_us)
-            if to is not None:
-                self.capacity.reserve(to, at_us)
-            steps += self._apply_client_event(id, ClientEvent.DEADLINE_PASSED, to, at_us - now_us)
+        for client_id in list(self.clients):
+            opening = self.capacity.earliest(now_us)
+            if opening.target is not None:
+                self.capacity.reserve(opening.target, opening.at_us)
+            steps += self._apply_client_event(
+                client_id, ClientEvent.DEADLINE_PASSED, opening.target, opening.at_us - now_us
+            )
         self.closed_count += len(steps)
         return steps
 
-    def on_left(self, id: str) -> None:
-        """It is here no more."""
-        self._apply_client_event(id, ClientEvent.LEFT)
-        self.queue.pop(id, None)
+    def on_left(self, client_id: str) -> None:
+        """A client is no longer present."""
+        self._apply_client_event(client_id, ClientEvent.LEFT)
+        self.queue.pop(client_id, None)
         self._update_state()
 
-    def on_failed(self, id: str, now_us: int) -> None:
-        """It could not be told, or its move has failed: another try."""
-        if self.clients.get(id) is ClientState.NOTIFIED:
-            self._apply_client_event(id, ClientEvent.FAILED)
-            self.queue[id] = max(now_us + RETRY_US, next(reversed(self.queue.values()), 0))
+    def on_failed(self, client_id: str, now_us: int) -> None:
+        """A client could not be notified, or its move failed: try again later."""
+        if self.clients.get(client_id) is ClientState.NOTIFIED:
+            self._apply_client_event(client_id, ClientEvent.FAILED)
+            last_due_us = next(reversed(self.queue.values()), 0)
+            self.queue[client_id] = max(now_us + RETRY_US, last_due_us)
             self._apply(DrainEvent.RETRY_QUEUED)
 
     def cancel(self) -> None:
-        """Called off: new set-ups are taken again, nobody else is told to go."""
+        """Cancel the drain: new set-ups are accepted again, and no further client is asked to leave."""
         self._apply(DrainEvent.CANCELLED)
         self.queue.clear()
         self.clients.clear()
 
     def next_due_us(self, now_us: int) -> int:
-        """How long until `due` has something to do, at most half a second."""
-        times = [until_us - self.times.reply_margin_us for until_us in self.pending_requests.values()]
-        times += [at_us for at_us in list(self.queue.values())[:1]]
-        times += [self.began_us + self.times.deadline_us] if self.clients else []
-        return max(0, min([RETRY_US, *(at_us - now_us for at_us in times)]))
+        """How long until `due_steps` may have something to do, at most RETRY_US."""
+        due_us = [until_us - self.times.reply_margin_us for until_us in self.pending_requests.values()]
+        if self.queue:
+            due_us.append(next(iter(self.queue.values())))
+        if self.clients:
+            due_us.append(self.began_us + self.times.deadline_us)
+        return max(0, min([RETRY_US, *(at_us - now_us for at_us in due_us)]))
 
     def _apply_client_event(
-        self, id: str, turn: ClientEvent, to: int | None = None, after_us: int = 0
+        self, client_id: str, event: ClientEvent, target: int | None = None, retry_after_us: int = 0
     ) -> list[DrainStep]:
-        stays = self.clients.get(id)
-        row = CLIENT_TRANSITIONS.get((stays, turn)) if stays is not None else None
-        if row is None:
+        if client_id not in self.clients:
             return []
-        self.clients[id], act = row
-        if row[0] is ClientState.GONE:
-            del self.clients[id]
-        if act is DrainAction.NOTIFY and self.moves_sessions:
-            act = DrainAction.MOVE
-        return [DrainStep(id, act, to, after_us)] if act is not DrainAction.NONE else []
+        transition = CLIENT_TRANSITIONS.apply(self.clients[client_id], event)
+        self.clients[client_id] = transition.state
+        if transition.state is ClientState.GONE:
+            del self.clients[client_id]
+        return [
+            DrainStep(client_id, self._client_action(action), target, retry_after_us)
+            for action in transition.actions
+        ]
+
+    def _client_action(self, action: DrainAction) -> DrainAction:
+        return DrainAction.MOVE if action is DrainAction.NOTIFY and self.moves_sessions else action
 
     def _update_state(self) -> None:
         if not self.clients:
@@ -290,4 +222,4 @@
             self._apply(DrainEvent.ALL_NOTIFIED)
 
     def _apply(self, event: DrainEvent) -> None:
-        self.state = TRANSITIONS.get((self.state, event), self.state)
+        self.state = DRAIN_TRANSITIONS.apply(self.state, event).state
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -12,13 +12,15 @@
 
 from benchmarks.release_world import BEAT_US, PLAN, World
 from benchmarks.release_worlds import planted, search, walk
-from fennelcove.rollouts import draining, plan_execution, rollout_plan
+from fennelcove.rollouts import plan_execution, rollout_plan
 from fennelcove.rollouts.coordinator import Answer, Command, Memory, Wish
 from fennelcove.rollouts.canary_analysis import WINDOW_US, CanaryAnalysis
 from fennelcove.rollouts.place_health import PlaceHealth
 from fennelcove.rollouts.fleet_view import FleetView
 from fennelcove.rollouts.record_acceptor import Acceptor
-from fennelcove.rollouts.draining import DrainAction, Draining, DrainState, DrainTimes
+from fennelcove.rollouts.available_capacity import AvailableCapacity
+from fennelcove.rollouts.drain_states import DrainAction, DrainState
+from fennelcove.rollouts.draining import Draining, DrainTimes
 from fennelcove.rollouts.permit_grantor import Grantor
 from fennelcove.rollouts.permit_requester import Requester
 from fennelcove.rollouts.permit_settings import PermitSettings
@@ -592,7 +594,7 @@
     def test_planted_faults_are_found(self) -> None:
         faults = {
             "answers again": (Draining, "_record_answer", lambda self, id: True),
-            "ignores rooms": (draining.AvailableCapacity, "reserve", lambda self, to, at_us: None),
+            "ignores rooms": (AvailableCapacity, "reserve", lambda self, to, at_us: None),
             "ends nobody": (Draining, "_close_remaining", lambda self, now_us: []),
         }
         for name, (kind, attribute, fault) in faults.items():
