--- a/packages/rollouts/src/fennelcove/rollouts/coordinator.py
+++ b/packages/rollouts/src/fennelcove/rollouts/coordinator.py
@@ -10,9 +10,10 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from fennelcove.rollouts.action_queue import ActionQueue
 from fennelcove.rollouts.disruption_budget import DisruptionMap, FleetLimits, Location
 from fennelcove.rollouts.front_permits import FrontPermits
-from fennelcove.rollouts.heartbeat_sender import HeartbeatSender, LocalFront, RequestNumbers
+from fennelcove.rollouts.heartbeat_sender import HeartbeatSender
 from fennelcove.rollouts.messages import (
     Heartbeat,
     Kind,
@@ -28,8 +29,9 @@
     ServingState,
 )
 from fennelcove.rollouts.order_handler import OrderHandler
-from fennelcove.rollouts.permit_requester import Requester
+from fennelcove.rollouts.permit_requester import Requester, RequestNumbers
 from fennelcove.rollouts.persisted_state import restore_grantor, take_changed_state
+from fennelcove.rollouts.record_acceptor import Acceptor
 from fennelcove.rollouts.rollout_controller import RolloutController
 from fennelcove.rollouts.status import disruption_status, plan_status, request_status
 from fennelcove.rollouts.types import (
@@ -37,6 +39,7 @@
     Answer,
     Command,
     Do,
+    LocalFront,
     Memory,
     Mine,
     Post,
@@ -94,7 +97,7 @@
         self.incarnation = incarnation
         self.is_superseded = False
         self.persisted: Memory | None = memory
-        self.pending_actions: list[Act] = []
+        self.actions = ActionQueue()
         self.zones = {index: location.zone for index, location in enumerate(fronts)}
         self.front = LocalFront(settings.front_index, incarnation, Mine(ServingState.STARTING))
         restored = memory or Memory(sure=False, whole=False)
@@ -109,27 +112,21 @@
 
     def _connect(self, numbers: RequestNumbers, restored: Memory, now_us: int) -> None:
         """Make the parts that work on the grantors and requesters."""
-        self.controller = RolloutController(
-            self.settings,
-            self.zones,
-            self.incarnation,
-            restored,
-            self.grantors[Kind.FRONT],
-            self._order_own_front,
-            self._log,
-            now_us,
-        )
-        self.acceptor, self.election = self.controller.acceptor, self.controller.election
-        front, actions = self.front, self.pending_actions
-        requesters, grantors, acceptor = self.requesters, self.grantors, self.acceptor
+        front, actions = self.front, self.actions
+        requesters, grantors = self.requesters, self.grantors
+        front_grantor = grantors[Kind.FRONT]
+        acceptor = Acceptor(front_grantor.settings, now_us, restored.term, restored.record, restored.sure)
         peers = [index for index in self.zones if index != front.index]
+        self.acceptor = acceptor
         self.heartbeats = HeartbeatSender(front, peers, numbers, requesters, grantors, acceptor)
         self.permits = FrontPermits(
             front, peers, requesters, grantors, acceptor, self.heartbeats, actions, acceptor.record
         )
-        self.orders = OrderHandler(
-            front, self.settings.front_count, requesters[Kind.FRONT], acceptor, actions
+        orders = OrderHandler(front, self.settings.front_count, requesters[Kind.FRONT], acceptor, actions)
+        self.controller = RolloutController(
+            self.settings, self.zones, self.incarnation, acceptor, front_grantor, orders.apply, actions.log
         )
+        self.election = self.controller.election
         self.handlers: dict[type, Callable[[int, Any, int], Post]] = {
             Heartbeat: self._on_heartbeat,
             PermitRequest: self.permits.on_request,
@@ -138,65 +135,55 @@
             LeaderVote: self.controller.on_vote,
             Proposal: self.controller.on_proposal,
             ProposalAck: self.controller.on_ack,
-            RolloutOrder: self._on_order,
+            RolloutOrder: orders.on_order,
         }
 
-    def _log(self, text: str) -> None:
-        self.pending_actions.append(Act(Do.NOTE, text=text))
-
-    def beat(self, mine: Mine, now_us: int, draw: float) -> Post:
-        """What to send at a heartbeat interval; `mine`: this front's state, `draw`: random, from 0 to 1."""
-        self.front.status, self.front.jitter = mine, draw
+    def beat(self, status: Mine, now_us: int, jitter: float) -> Post:
+        """What to send at a heartbeat interval; `status`: this front's, `jitter`: random, from 0 to 1."""
+        self.front.status, self.front.jitter = status, jitter
         self.permits.expire_orders(now_us)
         post = self.heartbeats.send(now_us)
         if not self.is_superseded:
             post += self.permits.send_requests(now_us)
-            post += self.controller.tick(mine, now_us, draw)
+            post += self.controller.tick(status, now_us, jitter)
         self.permits.cancel_outdated()
         return post
 
-    def hear(self, sender: int, said: Said, now_us: int) -> Post:
+    def hear(self, sender: int, message: Said, now_us: int) -> Post:
         """Take in another front's message; what to send for it."""
         if sender not in self.zones or sender == self.settings.front_index:
             return []
-        if self.is_superseded and not isinstance(said, Heartbeat):
+        if self.is_superseded and not isinstance(message, Heartbeat):
             return []  # two votes of one front would make two majorities without a common front
-        post = self.handlers[type(said)](sender, said, now_us)
+        post = self.handlers[type(message)](sender, message, now_us)
         self.permits.cancel_outdated()
         return post
 
     def _on_heartbeat(self, sender: int, heartbeat: Heartbeat, now_us: int) -> Post:
         if heartbeat.acked_incarnation > self.incarnation and not self.is_superseded:
             self.is_superseded = True
-            self._log(f"incarnation {heartbeat.acked_incarnation} runs under this front's index")
+            self.actions.log(f"incarnation {heartbeat.acked_incarnation} runs under this front's index")
         as_of_us = None
         if heartbeat.acked_incarnation == self.incarnation:
             as_of_us = self.heartbeats.sent_at_us(heartbeat.acked_sequence)
         for grantor in self.grantors.values():
             grantor.on_heartbeat(sender, heartbeat, as_of_us, now_us)
-        self.acceptor.on_heartbeat(sender, heartbeat, as_of_us, now_us)
+        self.acceptor.on_heartbeat(sender, heartbeat, as_of_us)
         record = self.acceptor.record
         is_behind = (heartbeat.term, heartbeat.turn) < record.revision
         if is_behind and as_of_us is not None:
             return [(sender, Proposal(record, heartbeat.incarnation))]
         return []
 
-    def _on_order(self, sender: int, order: RolloutOrder, now_us: int) -> Post:
-        self.orders.on_order(sender, order, now_us)
-        return []
-
-    def _order_own_front(self, version: int, revision: tuple[int, int], now_us: int) -> None:
-        self.orders.apply(version, revision, now_us)
-
-    def command(self, told: Command, now_us: int) -> tuple[int, Answer, Post]:
+    def command(self, command: Command, now_us: int) -> tuple[int, Answer, Post]:
         """Begin to carry out an operator's command: its number, its outcome so far, and what to send."""
-        number, post = self.controller.command(told, now_us)
+        number, post = self.controller.command(command, now_us)
         self.permits.cancel_outdated()
-        return number, self.controller.outcome(number), post
+        return number, self.controller.commands.outcome(number), post
 
     def answer(self, number: int) -> Answer:
         """The outcome of a command; one that is no longer remembered counts as lost."""
-        return self.controller.outcome(number)
+        return self.controller.commands.outcome(number)
 
     def want_out(self, version: int, now_us: int) -> Post:
         """Request a permit to drain this front, by an operator's command."""
@@ -242,9 +229,7 @@
 
     def acts(self) -> list[Act]:
         """What to do, since the last call."""
-        actions = self.pending_actions.copy()
-        self.pending_actions.clear()
-        return actions
+        return self.actions.take()
 
     def keep(self) -> Memory | None:
         """The state to persist now; None where it is the same as at the last call."""
--- a/packages/rollouts/src/fennelcove/rollouts/fleet_view.py
+++ b/packages/rollouts/src/fennelcove/rollouts/fleet_view.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from fennelcove.rollouts.messages import Heartbeat
+from fennelcove.rollouts.permit_grantor import Grantor
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,3 +35,16 @@
     def expected_count(self) -> int:
         """The number of fronts without those written off."""
         return self.size - len(self.written_off)
+
+
+def view_fleet(grantor: Grantor, unavailable_since_us: Mapping[int, int], now_us: int) -> FleetView:
+    """What the front of a grantor (of permits for fronts) observes now."""
+    settings = grantor.settings
+    return FleetView(
+        settings.front_count,
+        settings.front_index,
+        grantor.heartbeats,
+        frozenset(grantor.unavailable_places(now_us)),
+        frozenset(grantor.written_off_places()),
+        unavailable_since_us,
+    )
--- a/packages/rollouts/src/fennelcove/rollouts/front_permits.py
+++ b/packages/rollouts/src/fennelcove/rollouts/front_permits.py
@@ -5,7 +5,8 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-from fennelcove.rollouts.heartbeat_sender import HeartbeatSender, LocalFront
+from fennelcove.rollouts.action_queue import ActionQueue
+from fennelcove.rollouts.heartbeat_sender import HeartbeatSender
 from fennelcove.rollouts.messages import (
     Kind,
     PermitRequest,
@@ -19,7 +20,7 @@
 from fennelcove.rollouts.plan_execution import ORDER_EXPIRY_US
 from fennelcove.rollouts.record_acceptor import Acceptor
 from fennelcove.rollouts.rollout_plan import target_version
-from fennelcove.rollouts.types import Act, Do, Post
+from fennelcove.rollouts.types import Act, Do, LocalFront, Post
 
 EXPIRING_STATES = (RequestState.WANTED, RequestState.ASKING)
 
@@ -37,7 +38,7 @@
     grantors: Mapping[Kind, Grantor]
     acceptor: Acceptor
     heartbeats: HeartbeatSender
-    actions: list[Act]
+    actions: ActionQueue
     compared_record: RolloutRecord  # that the requests were last compared with
 
     def send_requests(self, now_us: int) -> Post:
@@ -75,7 +76,7 @@
             granted = requester.on_vote(sender, vote, self.grantors[kind], self.front.jitter, now_us)
             if granted is not None:
                 do = Do.DRAIN_FRONT if kind is Kind.FRONT else Do.DRAIN_SERVER
-                self.actions.append(Act(do, kind, granted.place, granted.version))
+                self.actions.add(Act(do, kind, granted.place, granted.version))
             if any(requester.requests[place].state is not asking for place in counted):
                 return self.heartbeats.send(now_us)
         return []
@@ -89,7 +90,7 @@
             is_expired = is_ordered and now_us >= request.wanted_us + ORDER_EXPIRY_US
             if is_expired and request.state in EXPIRING_STATES:
                 requester.cancel(request.place)
-                self.actions.append(Act(Do.STAY, Kind.FRONT, request.place))
+                self.actions.add(Act(Do.STAY, Kind.FRONT, request.place))
 
     def cancel_outdated(self) -> None:
         """Give up what the record does not want any more, unless its drain has begun."""
@@ -100,7 +101,7 @@
         for kind, requester in self.requesters.items():
             for request in list(requester.requests.values()):
                 if self._is_outdated(request, record) and requester.cancel(request.place):
-                    self.actions.append(Act(Do.STAY, kind, request.place))
+                    self.actions.add(Act(Do.STAY, kind, request.place))
 
     @staticmethod
     def _is_outdated(request: PendingRequest, record: RolloutRecord) -> bool:
--- a/packages/rollouts/src/fennelcove/rollouts/heartbeat_sender.py
+++ b/packages/rollouts/src/fennelcove/rollouts/heartbeat_sender.py
@@ -3,39 +3,18 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field, replace
 
 from fennelcove.rollouts.messages import MAX_OPEN_REQUESTS, Heartbeat, Kind
 from fennelcove.rollouts.permit_grantor import Grantor
-from fennelcove.rollouts.permit_requester import Requester
+from fennelcove.rollouts.permit_requester import Requester, RequestNumbers
 from fennelcove.rollouts.record_acceptor import Acceptor
-from fennelcove.rollouts.types import Mine, Post
+from fennelcove.rollouts.types import LocalFront, Post
 
 MAX_SENT_HEARTBEATS = 256  # own heartbeats whose times are known
 
 
-@dataclass(slots=True)
-class RequestNumbers(Iterator[int]):
-    """The numbers of permit requests in this incarnation, for all kinds."""
-
-    last: int = 0
-
-    def __next__(self) -> int:
-        self.last += 1
-        return self.last
-
-
-@dataclass(slots=True)
-class LocalFront:
-    """This front, as its supervisor reported it at the last heartbeat interval."""
-
-    index: int
-    incarnation: int
-    status: Mine
-    jitter: float = 0.5  # random, from 0 to below 1
-
-
 @dataclass(slots=True)
 class HeartbeatSender:
     """Makes this front's heartbeats: at each interval, and at once where a grantor waits for one."""
--- a/packages/rollouts/src/fennelcove/rollouts/order_handler.py
+++ b/packages/rollouts/src/fennelcove/rollouts/order_handler.py
@@ -4,11 +4,11 @@
 
 from dataclasses import dataclass
 
-from fennelcove.rollouts.heartbeat_sender import LocalFront
+from fennelcove.rollouts.action_queue import ActionQueue
 from fennelcove.rollouts.messages import Kind, RolloutOrder, ServingState
 from fennelcove.rollouts.permit_requester import Requester, RequestState
 from fennelcove.rollouts.record_acceptor import Acceptor
-from fennelcove.rollouts.types import Act, Do
+from fennelcove.rollouts.types import Act, Do, LocalFront, Post
 
 
 @dataclass(slots=True)
@@ -19,17 +19,17 @@
     front_count: int
     requester: Requester  # of permits for fronts
     acceptor: Acceptor
-    actions: list[Act]  # shared with the coordinator
+    actions: ActionQueue  # shared with the coordinator
     ordered_version: int | None = None  # that this front was last ordered to return with
 
-    def on_order(self, sender: int, order: RolloutOrder, now_us: int) -> None:
+    def on_order(self, sender: int, order: RolloutOrder, now_us: int) -> Post:
         """Apply an order that is for this incarnation, of the term's leader, and not out of date."""
         revision = (order.term, order.turn)
         is_from_leader = sender == order.term % self.front_count
-        if not is_from_leader or order.receiver_incarnation != self.front.incarnation:
-            return
-        if revision >= self.acceptor.record.revision:
+        is_addressed = order.receiver_incarnation == self.front.incarnation
+        if is_from_leader and is_addressed and revision >= self.acceptor.record.revision:
             self.apply(order.version, revision, now_us)
+        return []
 
     def apply(self, version: int, revision: tuple[int, int], now_us: int) -> None:
         """Drain, once that is permitted, and return with a version."""
@@ -45,4 +45,4 @@
         if (self.ordered_version or current) != version:
             # The front does not serve: its drain takes no capacity away, and its return needs no permit.
             self.ordered_version = version
-            self.actions.append(Act(Do.DRAIN_FRONT, Kind.FRONT, index, version))
+            self.actions.add(Act(Do.DRAIN_FRONT, Kind.FRONT, index, version))
--- a/packages/rollouts/src/fennelcove/rollouts/permit_requester.py
+++ b/packages/rollouts/src/fennelcove/rollouts/permit_requester.py
@@ -80,6 +80,17 @@
     promised_places: set[int] = field(default_factory=set)  # other places that its grantors have promised
 
 
+@dataclass(slots=True)
+class RequestNumbers(Iterator[int]):
+    """The numbers of permit requests in this incarnation, for all kinds."""
+
+    last: int = 0
+
+    def __next__(self) -> int:
+        self.last += 1
+        return self.last
+
+
 @dataclass(slots=True)
 class Requester:
     """One front's requests for one kind of place; the votes of one at a time are counted."""
--- a/packages/rollouts/src/fennelcove/rollouts/record_acceptor.py
+++ b/packages/rollouts/src/fennelcove/rollouts/record_acceptor.py
@@ -71,14 +71,13 @@
         self.leader_seen_us = now_us
         return ProposalAck(record.term, record.turn)
 
-    def on_heartbeat(self, sender: int, heartbeat: Heartbeat, as_of_us: int | None, now_us: int) -> None:
+    def on_heartbeat(self, sender: int, heartbeat: Heartbeat, as_of_us: int | None) -> None:
         """Take in the revision that another front reports, until enough are known.
 
         Args:
             sender: the front's index.
             heartbeat: its heartbeat.
             as_of_us: when the heartbeat that it acknowledges was sent from here; None where that is unknown.
-            now_us: the present time.
         """
         if self.is_record_known or as_of_us is None or as_of_us < self.recovering_until_us:
             return
--- a/packages/rollouts/src/fennelcove/rollouts/rollout_controller.py
+++ b/packages/rollouts/src/fennelcove/rollouts/rollout_controller.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable, Mapping
 
-from fennelcove.rollouts.fleet_view import FleetView
+from fennelcove.rollouts.fleet_view import FleetView, view_fleet
 from fennelcove.rollouts.leader_election import LeaderElection, Role
 from fennelcove.rollouts.messages import (
     ACTIVE_PHASES,
@@ -26,7 +26,7 @@
 from fennelcove.rollouts.plan_execution import Finding, PlanExecution
 from fennelcove.rollouts.record_acceptor import Acceptor
 from fennelcove.rollouts.rollout_plan import RolloutEvent, next_record, target_version
-from fennelcove.rollouts.types import Answer, Command, Memory, Mine, Post, RolloutSettings, Wish
+from fennelcove.rollouts.types import Answer, Command, Mine, Post, RolloutSettings, Wish
 
 # Over so many heartbeat intervals the fronts that miss a leader become candidates.
 ELECTION_SPREAD_HEARTBEATS = 8
@@ -54,11 +54,10 @@
         settings: RolloutSettings,
         zones: Mapping[int, int],
         incarnation: int,
-        memory: Memory,
+        acceptor: Acceptor,
         grantor: Grantor,
         order_own_front: Callable[[int, tuple[int, int], int], None],
         log: Callable[[str], None],
-        now_us: int,
     ) -> None:
         """Start as a follower.
 
@@ -66,11 +65,10 @@
             settings: the coordinator's settings.
             zones: the zone of each front.
             incarnation: this front's.
-            memory: what the previous incarnation persisted.
+            acceptor: this front's copy of the record.
             grantor: this front's grantor of permits for fronts.
             order_own_front: called with version, revision and time where this front orders itself to drain.
             log: writes a line to the log.
-            now_us: the present time.
         """
         self.settings = settings
         self.zones = zones
@@ -78,9 +76,8 @@
         self.grantor = grantor
         self.order_own_front = order_own_front
         self.log = log
-        permits = grantor.settings
-        self.acceptor = Acceptor(permits, now_us, memory.term, memory.record, memory.sure)
-        self.election = LeaderElection(permits, incarnation, self.acceptor)
+        self.acceptor = acceptor
+        self.election = LeaderElection(grantor.settings, incarnation, acceptor)
         self.commands = CommandTracker()
         self.status = Mine(ServingState.STARTING)
         self.jitter = 0.5
@@ -142,17 +139,6 @@
     def _to_all_peers(self, message: Said) -> Post:
         return [(index, message) for index in self.zones if index != self.settings.front_index]
 
-    def _fleet_view(self, now_us: int) -> FleetView:
-        grantor = self.grantor
-        return FleetView(
-            self.settings.front_count,
-            self.settings.front_index,
-            grantor.heartbeats,
-            frozenset(grantor.unavailable_places(now_us)),
-            frozenset(grantor.written_off_places()),
-            self.unavailable_since_us,
-        )
-
     def _proposals(self, record: RolloutRecord) -> Post:
         """A proposal for each peer whose incarnation is known."""
         own_index = self.settings.front_index
@@ -184,7 +170,7 @@
         return self._propose_pending(now_us)
 
     def _advance_plan(self, execution: PlanExecution, now_us: int) -> Post:
-        fleet = self._fleet_view(now_us)
+        fleet = view_fleet(self.grantor, self.unavailable_since_us, now_us)
         finding = execution.evaluate(fleet, now_us)
         if finding is None:
             return self._send_orders(execution, fleet, now_us)
@@ -214,7 +200,7 @@
         ]
 
     def command(self, command: Command, now_us: int) -> tuple[int, Post]:
-        """Begin to carry out an operator's command: its number, for `outcome`, and what to send."""
+        """Begin to carry out an operator's command: its number, and what to send."""
         is_draining = self.status.serving_state is ServingState.DRAINING
         if self.commands.pending is not None or is_draining or not self.acceptor.may_vote(now_us):
             return self.commands.refuse(), []
@@ -222,10 +208,6 @@
         is_leader = self.election.role is Role.LEADER
         return number, self._propose_pending(now_us) if is_leader else self._start_election(now_us)
 
-    def outcome(self, number: int) -> Answer:
-        """The outcome of a command; one that is no longer remembered counts as lost."""
-        return self.commands.outcome(number)
-
     def _propose_pending(self, now_us: int) -> Post:
         """Propose the pending command, where this front leads and has not yet."""
         pending = self.commands.pending
@@ -247,7 +229,8 @@
         plan = command.plan if command.plan is not None else record.plan
         is_back = command.wish is Wish.BACK or record.back
         version = plan.before if is_back else plan.wanted
-        updated_count = len(self._fleet_view(now_us).fronts_with(version))
+        fleet = view_fleet(self.grantor, self.unavailable_since_us, now_us)
+        updated_count = len(fleet.fronts_with(version))
         reason = HaltReason.OPERATOR if command.wish in HALTING_COMMANDS else HaltReason.NONE
         return next_record(record, COMMAND_EVENTS[command.wish], updated_count, command.plan, reason)
 
--- a/packages/rollouts/src/fennelcove/rollouts/types.py
+++ b/packages/rollouts/src/fennelcove/rollouts/types.py
@@ -30,6 +30,16 @@
     storm_phase: int = 0
 
 
+@dataclass(slots=True)
+class LocalFront:
+    """This front, as its supervisor reported it at the last heartbeat interval."""
+
+    index: int
+    incarnation: int
+    status: Mine
+    jitter: float = 0.5  # random, from 0 to below 1
+
+
 class Do(Enum):
     """What this front has to do."""
 
