--- a/benchmarks/release_sim.py
+++ b/benchmarks/release_sim.py
@@ -311,7 +311,7 @@
             living = self.day.fronts[taker].state in (State.SERVES, State.LEAVES)
             if not living or (taker != index and self.chance.random() < 2 * LOST):
                 continue
-            vote = voter.on_permit_request(index, ask, now_us, stale)
+            vote = voter.on_permit_request(index, ask, now_us, is_stale=stale)
             granted = asker.on_vote(taker, vote, self.voters[index], self.chance.random(), now_us)
             if granted is not None and asker.begin(index, now_us):
                 self.day.take(self.day.fronts[index], granted.version)
@@ -357,7 +357,7 @@
         if record.phase is RolloutPhase.HALTED:
             self.halted_s, self.halts = self.day.now_s, self.halts + 1
             for asker in self.askers:
-                asker.release(asker.settings.front_index, has_returned=False)
+                asker.cancel(asker.settings.front_index)
 
     def operate(self, fleet: FleetView) -> None:
         """Once a minute an operator looks at a plan that is halted."""
