--- a/packages/rollouts/src/fennelcove/rollouts/canary_analysis.py
+++ b/packages/rollouts/src/fennelcove/rollouts/canary_analysis.py
@@ -116,8 +116,9 @@
         whole_fleet = _total(old.values())
         for zone, counts in new.items():
             neighbours = old.get(zone)
-            has_neighbours = neighbours is not None and neighbours.requested
-            self.comparison.add(counts, neighbours if neighbours and has_neighbours else whole_fleet)
+            if neighbours is None or not neighbours.requested:
+                neighbours = whole_fleet
+            self.comparison.add(counts, neighbours)
 
     def _halt_reason(
         self, fleet: OutcomeCounts, heartbeats: Mapping[int, Heartbeat], plan: Plan
--- a/packages/rollouts/src/fennelcove/rollouts/plan_execution.py
+++ b/packages/rollouts/src/fennelcove/rollouts/plan_execution.py
@@ -84,7 +84,8 @@
             return Finding(RolloutEvent.STEP_COMPLETED) if is_step_complete else None
         if now_us < self.began_us + self.record.plan.soak_ms * 1000:
             return None
-        return Finding(RolloutEvent.COMPLETED if is_complete else RolloutEvent.SOAKED)
+        event = RolloutEvent.COMPLETED if is_complete else RolloutEvent.SOAKED
+        return Finding(event)
 
     def _halt_reason(self, fleet: FleetView, now_us: int) -> HaltReason:
         if self._has_returned_wrong(fleet):
