--- a/packages/rollouts/src/fennelcove/rollouts/leader_election.py
+++ b/packages/rollouts/src/fennelcove/rollouts/leader_election.py
@@ -1,15 +1,12 @@
-"""Who leads a plan, and the one record of it that all fronts share.
-
-Any front may stand: a majority that knows of no later term gives it its voices, each with the newest record
-that it took. What the new leader reads there is at least as new as anything that a majority ever took; it
-writes that again under its own term before it does anything. A record counts when a majority has taken it.
-Terms are no two fronts' own, so none is led twice. A leader that no majority hears any more, or that finds a
-later term, follows.
-
-A front in a new life answers nothing until whatever its last life may have answered can't be counted any
-more. Without its folder it does not know what it took: it gives no voice before so many others, who do know,
-have told it theirs that any majority has one of them. Where too many forgot at once, nothing moves until an
-operator says so.
+"""Election of the front that leads a plan, and replication of the plan's record.
+
+Any front may become a candidate. A majority that knows of no later term grants it their votes, each with the
+newest record that the voter has accepted. The newest of these is at least as new as any record that a
+majority ever accepted; the new leader proposes it again under its own term before it does anything else. A
+record is agreed once a majority has accepted it. A term belongs to one front, so no two fronts lead in the
+same term. A leader that loses its quorum, or learns of a later term, steps down.
+
+Times are in microseconds of this front's monotonic clock.
 """
 
 from __future__ import annotations
@@ -17,188 +14,139 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 
-from fennelcove.rollouts.disruption_permits import PermitRules
-from fennelcove.rollouts.messages import Phase, Reason, Record, Stand, Taken, Voice, Word
-
-MOVING = (Phase.MOVING, Phase.SOAKING)
-
-
-@dataclass(slots=True)
-class Register:
-    """What one front took, and its voice. `remembers`: the folder told what the last life took."""
-
-    rules: PermitRules
-    now_us: int
-    term: int = 0  # the highest that it gave its voice to, or took a record of
-    record: Record = field(default_factory=Record)
-    sure: bool = False
-    wary_until_us: int = 0
-    told_us: int = 0  # when the leader was last heard
-    knowing: set[int] = field(default_factory=set)  # others that know, and told nothing newer
-    blank: set[int] = field(default_factory=set)  # others that know of nothing
-    changed: bool = False
-
-    def __post_init__(self) -> None:
-        self.wary_until_us = self.now_us + self.rules.over_us
-        self.told_us = self.now_us
-
-    def ready(self, now_us: int) -> bool:
-        """Whether it may answer."""
-        return self.sure and now_us >= self.wary_until_us
-
-    def hear_stand(self, stand: Stand, now_us: int) -> Voice:
-        """A front wants to lead."""
-        yes = self.ready(now_us) and stand.term > self.term
-        if yes:
-            self.term, self.changed = stand.term, True
-            self.told_us = now_us  # it gets the time that a leader has
-        return Voice(stand.life, stand.term, yes, self.sure, self.record)
-
-    def hear_told(self, record: Record, now_us: int) -> Taken | None:
-        """A record is told, and meant for this life."""
-        if record.stamp < self.record.stamp:
-            return None
-        self._learn(record)
-        # Who forgot may be told what was over long ago, and who gave its voice to a later term has told what
-        # it knew: that they know more now is good, but it is not counted.
-        if record.term < self.term or not self.ready(now_us):
-            return None
-        self.told_us = now_us
-        return Taken(record.term, record.turn)
-
-    def hear_word(self, sender: int, word: Word, as_of_us: int | None, now_us: int) -> None:
-        """Another front says what it took. `as_of_us`: when what it answers was sent from here."""
-        if self.sure or as_of_us is None or as_of_us < self.wary_until_us:
-            return
-        stamp = (word.term, word.turn)
-        known = self.knowing if word.sure else self.blank
-        if stamp <= self.record.stamp and (word.sure or stamp == (0, 0)):
-            known.add(sender)
-        # More than all but a majority: whoever took the last agreed record, one of them is among these.
-        enough = len(self.knowing) > self.rules.fronts - self.rules.majority
-        nobody = len(self.knowing | self.blank) == self.rules.fronts - 1 and self.record.stamp == (0, 0)
-        if enough or nobody:
-            self.sure = self.changed = True
-
-    def anew(self) -> None:
-        """An operator says that what is known is all there is; a plan under way is halted by it, also where
-        it is known well: those who halted it may be the ones that forgot."""
-        self.sure = self.changed = True
-        if self.record.phase in MOVING:
-            self.record = replace(self.record, phase=Phase.HALTED, reason=Reason.FORGOTTEN)
-
-    def _learn(self, record: Record) -> None:
-        if record.stamp > self.record.stamp:
-            self.record, self.term, self.changed = record, max(self.term, record.term), True
-            self.knowing.clear()
+from fennelcove.rollouts.messages import (
+    LeaderVote,
+    LeaderVoteRequest,
+    ProposalAck,
+    RolloutPhase,
+    RolloutRecord,
+)
+from fennelcove.rollouts.permit_settings import PermitSettings
+from fennelcove.rollouts.record_acceptor import Acceptor
+from fennelcove.state_machine import Transition, TransitionTable, Unlisted
 
 
 class Role(Enum):
-    """How a front stands to the plan."""
+    """A front's role in leading a plan."""
 
-    FOLLOWS = auto()
-    STANDS = auto()
-    WRITES = auto()  # it has the voices; its record is not taken by a majority yet
-    LEADS = auto()
+    FOLLOWER = auto()
+    CANDIDATE = auto()
+    PROPOSER = auto()  # it is elected; no majority has accepted its present proposal yet
+    LEADER = auto()
 
 
 class ElectionEvent(Enum):
-    """What moves it."""
+    """What changes the role."""
 
-    STAND = auto()
+    CANDIDACY = auto()
     MAJORITY = auto()
-    WRITE = auto()
-    TIME = auto()  # the window is over without a majority
-    ALONE = auto()  # no majority is heard
-    OUTBID = auto()  # there is a later term
-
-
-TRANSITIONS: dict[tuple[Role, ElectionEvent], Role] = {
-    (Role.FOLLOWS, ElectionEvent.STAND): Role.STANDS,
-    (Role.STANDS, ElectionEvent.MAJORITY): Role.WRITES,
-    (Role.WRITES, ElectionEvent.MAJORITY): Role.LEADS,
-    (Role.LEADS, ElectionEvent.WRITE): Role.WRITES,
-    **{(seat, ElectionEvent.TIME): Role.FOLLOWS for seat in (Role.STANDS, Role.WRITES)},
-    **{(seat, ElectionEvent.OUTBID): Role.FOLLOWS for seat in (Role.STANDS, Role.WRITES, Role.LEADS)},
-    **{(seat, ElectionEvent.ALONE): Role.FOLLOWS for seat in (Role.STANDS, Role.WRITES, Role.LEADS)},
-}
+    PROPOSAL = auto()
+    TIMED_OUT = auto()  # no majority within the window
+    QUORUM_LOST = auto()
+    HIGHER_TERM_SEEN = auto()
+
+
+TRANSITIONS: TransitionTable[Role, ElectionEvent, None] = TransitionTable(
+    {
+        (Role.FOLLOWER, ElectionEvent.CANDIDACY): Transition(Role.CANDIDATE),
+        (Role.CANDIDATE, ElectionEvent.MAJORITY): Transition(Role.PROPOSER),
+        (Role.PROPOSER, ElectionEvent.MAJORITY): Transition(Role.LEADER),
+        (Role.LEADER, ElectionEvent.PROPOSAL): Transition(Role.PROPOSER),
+        **{
+            (role, ElectionEvent.TIMED_OUT): Transition(Role.FOLLOWER)
+            for role in (Role.CANDIDATE, Role.PROPOSER)
+        },
+        **{
+            (role, event): Transition(Role.FOLLOWER)
+            for role in (Role.CANDIDATE, Role.PROPOSER, Role.LEADER)
+            for event in (ElectionEvent.HIGHER_TERM_SEEN, ElectionEvent.QUORUM_LOST)
+        },
+    },
+    unlisted=Unlisted.IGNORE,
+)
 
 
 @dataclass(slots=True)
 class LeaderElection:
-    """One front that stands, writes and leads. `register` is its own."""
+    """One front as follower, candidate, proposer or leader; `acceptor` is its own."""
 
-    rules: PermitRules
-    life: int
-    register: Register
-    seat: Role = Role.FOLLOWS
+    settings: PermitSettings
+    incarnation: int
+    acceptor: Acceptor
+    role: Role = Role.FOLLOWER
     term: int = 0
-    since_us: int = 0  # of the stand or the writing
-    heard: set[int] = field(default_factory=set)  # who gave a voice, or took what was written
-    best: Record = field(default_factory=Record)
-    writes: Record = field(default_factory=Record)
-
-    def stand(self, now_us: int) -> Stand | None:
-        """Ask all for their voices, this front's own register too; None where it can't now."""
-        if self.seat is not Role.FOLLOWS or not self.register.ready(now_us):
+    round_began_us: int = 0  # of the candidacy or the proposal
+    supporters: set[int] = field(default_factory=set)  # that voted for it, or accepted its proposal
+    newest_record: RolloutRecord = field(default_factory=RolloutRecord)  # among the votes
+    proposal: RolloutRecord = field(default_factory=RolloutRecord)
+
+    def start_election(self, now_us: int) -> LeaderVoteRequest | None:
+        """Become a candidate: the request for all fronts and its own acceptor; None where it can't be one."""
+        if self.role is not Role.FOLLOWER or not self.acceptor.may_vote(now_us):
             return None
-        fronts = self.rules.fronts
-        self.term = (self.register.term // fronts + 1) * fronts + self.rules.index
-        self._apply(ElectionEvent.STAND)
-        self.since_us, self.heard, self.best = now_us, set(), Record()
-        return Stand(self.life, self.term)
-
-    def hear_voice(self, sender: int, voice: Voice, now_us: int) -> Record | None:
-        """A voice has come; the record that is to be told to all, where it makes a majority."""
+        front_count = self.settings.front_count
+        self.term = (self.acceptor.term // front_count + 1) * front_count + self.settings.front_index
+        self._apply(ElectionEvent.CANDIDACY)
+        self.round_began_us, self.supporters, self.newest_record = now_us, set(), RolloutRecord()
+        return LeaderVoteRequest(self.incarnation, self.term)
+
+    def on_vote(self, sender: int, vote: LeaderVote, now_us: int) -> RolloutRecord | None:
+        """Count a vote: the record to propose, where it makes a majority."""
         self.advance(now_us)
-        if self.seat is not Role.STANDS or (voice.life, voice.term) != (self.life, self.term):
-            return None
-        if not voice.yes:
+        is_own = (vote.candidate_incarnation, vote.term) == (self.incarnation, self.term)
+        if self.role is not Role.CANDIDATE or not is_own or not vote.is_granted:
             return None
-        self.heard.add(sender)
-        halted = voice.record.phase is Phase.HALTED and voice.record.stamp == self.best.stamp
-        if voice.record.stamp > self.best.stamp or halted:  # two of one stamp: an operator's `anew`
-            self.best = voice.record
-        if len(self.heard) < self.rules.majority:
+        self.supporters.add(sender)
+        self._note_record(vote.record)
+        if len(self.supporters) < self.settings.majority:
             return None
         self._apply(ElectionEvent.MAJORITY)
-        return self._tell(replace(self.best, term=self.term, turn=self.best.turn + 1), now_us)
-
-    def write(self, record: Record, now_us: int) -> Record | None:
-        """Change what is agreed; what is to be told to all. None where this front does not lead."""
+        record = replace(self.newest_record, term=self.term, turn=self.newest_record.turn + 1)
+        return self._begin_proposal(record, now_us)
+
+    def _note_record(self, record: RolloutRecord) -> None:
+        # Two records have one revision where an operator declared the record complete, which halts it.
+        is_same_revision = record.revision == self.newest_record.revision
+        is_halted = is_same_revision and record.phase is RolloutPhase.HALTED
+        if record.revision > self.newest_record.revision or is_halted:
+            self.newest_record = record
+
+    def propose(self, record: RolloutRecord, now_us: int) -> RolloutRecord | None:
+        """Begin a change of the record: what to propose to all; None where this front does not lead."""
         self.advance(now_us)
-        if self.seat is not Role.LEADS:
+        if self.role is not Role.LEADER:
             return None
-        self._apply(ElectionEvent.WRITE)
-        return self._tell(replace(record, term=self.term, turn=self.writes.turn + 1), now_us)
+        self._apply(ElectionEvent.PROPOSAL)
+        return self._begin_proposal(replace(record, term=self.term, turn=self.proposal.turn + 1), now_us)
 
-    def _tell(self, record: Record, now_us: int) -> Record:
-        self.since_us, self.heard, self.writes = now_us, set(), record
+    def _begin_proposal(self, record: RolloutRecord, now_us: int) -> RolloutRecord:
+        self.round_began_us, self.supporters, self.proposal = now_us, set(), record
         return record
 
-    def hear_taken(self, sender: int, taken: Taken, now_us: int) -> bool:
-        """A front took a record; whether a majority now has, for the first time."""
+    def on_ack(self, sender: int, ack: ProposalAck, now_us: int) -> bool:
+        """Count an acknowledgement; whether a majority now has accepted the proposal, for the first time."""
         self.advance(now_us)
-        if self.seat is not Role.WRITES or (taken.term, taken.turn) != self.writes.stamp:
+        if self.role is not Role.PROPOSER or (ack.term, ack.turn) != self.proposal.revision:
             return False
-        self.heard.add(sender)
-        if len(self.heard) < self.rules.majority:
+        self.supporters.add(sender)
+        if len(self.supporters) < self.settings.majority:
             return False
         self._apply(ElectionEvent.MAJORITY)
         return True
 
-    def advance(self, now_us: int, hears: int | None = None) -> None:
-        """Time passes. `hears`: how many fronts serve by what this one sees, itself among them."""
-        if self.register.term > self.term:
-            self._apply(ElectionEvent.OUTBID)
-        if self.seat in (Role.STANDS, Role.WRITES) and now_us >= self.since_us + self.rules.window_us:
-            self._apply(ElectionEvent.TIME)
-        if hears is not None and hears < self.rules.majority:
-            self._apply(ElectionEvent.ALONE)
+    def advance(self, now_us: int, serving_count: int | None = None) -> None:
+        """Step down where that is due; `serving_count`: the fronts that serve, this one among them."""
+        if self.acceptor.term > self.term:
+            self._apply(ElectionEvent.HIGHER_TERM_SEEN)
+        is_in_round = self.role is Role.CANDIDATE or self.role is Role.PROPOSER
+        if is_in_round and now_us >= self.round_began_us + self.settings.permit_window_us:
+            self._apply(ElectionEvent.TIMED_OUT)
+        if serving_count is not None and serving_count < self.settings.majority:
+            self._apply(ElectionEvent.QUORUM_LOST)
 
-    def follow(self) -> None:
-        """This front goes out, or can't lead for another reason."""
-        self._apply(ElectionEvent.ALONE)
+    def step_down(self) -> None:
+        """Become a follower: this front drains, or can't lead for another reason."""
+        self._apply(ElectionEvent.QUORUM_LOST)
 
     def _apply(self, event: ElectionEvent) -> None:
-        self.seat = TRANSITIONS.get((self.seat, event), self.seat)
+        self.role = TRANSITIONS.apply(self.role, event).state
--- a/packages/rollouts/src/fennelcove/rollouts/rollout_controller.py
+++ b/packages/rollouts/src/fennelcove/rollouts/rollout_controller.py
@@ -1,232 +1,255 @@
-"""One front's part in leading a plan: it follows, stands, writes or leads, and carries operators' words.
+"""One front's part in leading a plan: elections, proposals, orders to fronts, and operators' commands.
 
 Times are in microseconds of this front's monotonic clock.
 """
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-
-from fennelcove.rollouts import rollout_plan
-from fennelcove.rollouts.leader_election import LeaderElection, Register, Role
-from fennelcove.rollouts.disruption_permits import PermitState, PermitRules, Grantor
-from fennelcove.rollouts.rollout_plan import UNDER_WAY, RolloutEvent, FleetSet, RolloutPlan
-from fennelcove.rollouts.messages import Order, Reason, Record, Said, Stand, Stands, Taken, Told, Voice
-from fennelcove.rollouts.types import Answer, Command, Memory, Mine, Post, Terms, Wish
-
-MOST_ANSWERS = 16
-COMMAND_US = 4_000_000  # after which an operator's word that no majority took is called lost
-SPREAD_BEATS = 8  # over which those that miss a leader begin to stand
-EVENTS = {
+
+from fennelcove.rollouts.fleet_view import FleetView, view_fleet
+from fennelcove.rollouts.leader_election import LeaderElection, Role
+from fennelcove.rollouts.messages import (
+    ACTIVE_PHASES,
+    HaltReason,
+    LeaderVote,
+    LeaderVoteRequest,
+    Proposal,
+    ProposalAck,
+    RolloutOrder,
+    RolloutRecord,
+    Said,
+    ServingState,
+)
+from fennelcove.rollouts.pending_command import CommandTracker, PendingCommand
+from fennelcove.rollouts.permit_grantor import Grantor
+from fennelcove.rollouts.plan_execution import Finding, PlanExecution
+from fennelcove.rollouts.record_acceptor import Acceptor
+from fennelcove.rollouts.rollout_plan import RolloutEvent, next_record, target_version
+from fennelcove.rollouts.types import Answer, Command, Mine, Post, RolloutSettings, Wish
+
+# Over so many heartbeat intervals the fronts that miss a leader become candidates.
+ELECTION_SPREAD_HEARTBEATS = 8
+COMMAND_EVENTS = {
     Wish.START: RolloutEvent.START,
     Wish.CHANGE: RolloutEvent.CHANGE,
     Wish.HALT: RolloutEvent.HALT,
-    Wish.ON: RolloutEvent.ON,
-    Wish.BACK: RolloutEvent.BACK,
+    Wish.ON: RolloutEvent.RESUME,
+    Wish.BACK: RolloutEvent.ROLL_BACK,
 }
-
-
-@dataclass(slots=True)
-class PendingCommand:
-    """An operator's word on its way."""
-
-    number: int
-    told: Command
-    since_us: int
-    stamp: tuple[int, int] | None = None  # of the record that has it
+HALTING_COMMANDS = (Wish.HALT, Wish.CHANGE)
 
 
 class RolloutController:
-    """See the module's text. `order` tells this front itself that it is its turn, `note` is for the log."""
+    """Follows or leads a plan.
+
+    Attributes:
+        acceptor: this front's copy of the record.
+        election: this front's role.
+        execution: what this front does for the plan while it leads, otherwise None.
+    """
 
     def __init__(
         self,
-        terms: Terms,
-        rules: PermitRules,
-        halls: Mapping[int, int],
-        life: int,
-        told: Memory,
-        voter: Grantor,
-        order: Callable[[int, tuple[int, int], int], None],
-        note: Callable[[str], None],
-        now_us: int,
+        settings: RolloutSettings,
+        zones: Mapping[int, int],
+        incarnation: int,
+        acceptor: Acceptor,
+        grantor: Grantor,
+        order_own_front: Callable[[int, tuple[int, int], int], None],
+        log: Callable[[str], None],
     ) -> None:
-        self.terms = terms
-        self.halls = halls
-        self.life = life
-        self.voter = voter
-        self.order = order
-        self.note = note
-        self.register = Register(rules, now_us, told.term, told.record, told.sure)
-        self.chair = LeaderElection(rules, life, self.register)
-        self.mine = Mine(Stands.STARTING)
-        self.draw = 0.5
-        self.lead: RolloutPlan | None = None
-        self.out_us: dict[int, int] = {}  # since when each that does not serve is so
-        self.stand_us: int | None = None  # when this front stands, if no leader is heard until then
-        self.pending: PendingCommand | None = None
-        self.commands = 0
-        self.answers: OrderedDict[int, Answer] = OrderedDict()
-
-    def beat(self, mine: Mine, now_us: int, draw: float) -> Post:
-        """What a front that stands, writes or leads has to say at a beat. `draw`: chance."""
-        self.mine, self.draw = mine, draw
-        dark = self.voter.dark(now_us)
-        self.out_us = {index: self.out_us.get(index, now_us) for index in dark}
-        self.chair.advance(now_us, self.terms.fronts - len(dark))
-        if mine.stands is Stands.LEAVING:
-            self.chair.follow()
-        self._expire(now_us)
-        seat = self.chair.seat
-        if seat is not Role.LEADS and seat is not Role.WRITES:
-            self.lead = None
-        if seat is Role.FOLLOWS:
-            return self._follow(now_us)
-        if seat is Role.STANDS:
-            return self._all(Stand(self.life, self.chair.term))
-        if seat is Role.WRITES:
-            return self._told(self.chair.writes)
-        post = self._told(self.register.record)
-        if self.lead is not None:
-            post += self._move(self.lead, now_us)
-        return post
-
-    def _all(self, said: Said) -> Post:
-        return [(index, said) for index in self.halls if index != self.terms.index]
-
-    def _fleet(self, now_us: int) -> FleetSet:
-        voter = self.voter
-        off = frozenset(place for place, entry in voter.entries.items() if entry.hold is PermitState.OFF)
-        dark = frozenset(voter.dark(now_us))
-        return FleetSet(self.terms.fronts, self.terms.index, voter.words, dark, off, self.out_us)
-
-    def _follow(self, now_us: int) -> Post:
-        missed = now_us >= self.register.told_us + self.terms.silent_us
-        wanted = self.register.record.phase in UNDER_WAY and missed
-        if self.pending is not None:
-            return self._stand(now_us)
-        if not wanted or self.mine.stands is not Stands.SERVING:
-            self.stand_us = None
+        """Start as a follower.
+
+        Args:
+            settings: the coordinator's settings.
+            zones: the zone of each front.
+            incarnation: this front's.
+            acceptor: this front's copy of the record.
+            grantor: this front's grantor of permits for fronts.
+            order_own_front: called with version, revision and time where this front orders itself to drain.
+            log: writes a line to the log.
+        """
+        self.settings = settings
+        self.zones = zones
+        self.incarnation = incarnation
+        self.grantor = grantor
+        self.order_own_front = order_own_front
+        self.log = log
+        self.acceptor = acceptor
+        self.election = LeaderElection(grantor.settings, incarnation, acceptor)
+        self.commands = CommandTracker()
+        self.status = Mine(ServingState.STARTING)
+        self.jitter = 0.5
+        self.execution: PlanExecution | None = None
+        self.unavailable_since_us: dict[int, int] = {}
+        self.election_at_us: int | None = None  # when to become a candidate, unless a leader is seen
+
+    def tick(self, status: Mine, now_us: int, jitter: float) -> Post:
+        """What to send at a heartbeat interval; `jitter`: random, from 0 to below 1."""
+        self.status, self.jitter = status, jitter
+        unavailable = self.grantor.unavailable_places(now_us)
+        known_us = self.unavailable_since_us
+        self.unavailable_since_us = {index: known_us.get(index, now_us) for index in unavailable}
+        self.election.advance(now_us, self.settings.front_count - len(unavailable))
+        if status.serving_state is ServingState.DRAINING:
+            self.election.step_down()
+        self.commands.expire(now_us)
+        return self._tick_in_role(now_us)
+
+    def _tick_in_role(self, now_us: int) -> Post:
+        role = self.election.role
+        if role is Role.PROPOSER:
+            return self._proposals(self.election.proposal)
+        if role is Role.LEADER:
+            post = self._proposals(self.acceptor.record)
+            if self.execution is not None:
+                post += self._advance_plan(self.execution, now_us)
+            return post
+        self.execution = None
+        if role is Role.CANDIDATE:
+            return self._to_all_peers(LeaderVoteRequest(self.incarnation, self.election.term))
+        return self._tick_follower(now_us)
+
+    def _tick_follower(self, now_us: int) -> Post:
+        """Become a candidate where a command is pending, or the leader of an active plan is missed."""
+        if self.commands.pending is not None:
+            return self._start_election(now_us)
+        is_missed = now_us >= self.acceptor.leader_seen_us + self.settings.front_timeout_us
+        is_active = self.acceptor.record.phase in ACTIVE_PHASES
+        if not (is_active and is_missed) or self.status.serving_state is not ServingState.SERVING:
+            self.election_at_us = None
             return []
-        if self.stand_us is None:
-            # All miss it at once: who stands at the same time as another wins nothing.
-            self.stand_us = now_us + round(self.draw * SPREAD_BEATS * self.terms.beat_us)
-        if now_us < self.stand_us:
+        if self.election_at_us is None:
+            # All fronts miss it at once: of candidates at the same time none may win.
+            spread_us = ELECTION_SPREAD_HEARTBEATS * self.settings.heartbeat_us
+            self.election_at_us = now_us + round(self.jitter * spread_us)
+        if now_us < self.election_at_us:
             return []
-        self.stand_us = None
-        return self._stand(now_us)
+        self.election_at_us = None
+        return self._start_election(now_us)
 
-    def _stand(self, now_us: int) -> Post:
-        stand = self.chair.stand(now_us)
-        if stand is None:
+    def _start_election(self, now_us: int) -> Post:
+        vote_request = self.election.start_election(now_us)
+        if vote_request is None:
             return []
-        voice = self.register.hear_stand(stand, now_us)
-        return self._all(stand) + self.hear_voice(self.terms.index, voice, now_us)
-
-    def _told(self, record: Record) -> Post:
-        """For each of the others whose life is known."""
-        words, here = self.voter.words, self.terms.index
-        return [(index, Told(record, word.life)) for index, word in words.items() if index != here]
-
-    def _tell(self, record: Record, now_us: int) -> Post:
-        post = self._told(record)
-        taken = self.register.hear_told(record, now_us)
-        return post + (self.hear_taken(self.terms.index, taken, now_us) if taken is not None else [])
-
-    def _agreed(self, now_us: int) -> Post:
-        """A majority has taken what this front wrote."""
-        record = self.chair.writes
-        self.note(f"plan {record.plan.number} {record.phase.name.lower()}")
-        if self.lead is None:
-            self.lead = RolloutPlan(record, self.halls, now_us)
+        vote = self.acceptor.on_vote_request(vote_request, now_us)
+        return self._to_all_peers(vote_request) + self.on_vote(self.settings.front_index, vote, now_us)
+
+    def _to_all_peers(self, message: Said) -> Post:
+        return [(index, message) for index in self.zones if index != self.settings.front_index]
+
+    def _proposals(self, record: RolloutRecord) -> Post:
+        """A proposal for each peer whose incarnation is known."""
+        own_index = self.settings.front_index
+        return [
+            (index, Proposal(record, heartbeat.incarnation))
+            for index, heartbeat in self.grantor.heartbeats.items()
+            if index != own_index
+        ]
+
+    def _publish(self, record: RolloutRecord, now_us: int) -> Post:
+        """Propose a record to all fronts, this one among them."""
+        post = self._proposals(record)
+        ack = self.acceptor.on_proposal(record, now_us)
+        if ack is not None:
+            post += self.on_ack(self.settings.front_index, ack, now_us)
+        return post
+
+    def _on_agreed(self, now_us: int) -> Post:
+        """A majority has accepted what this front proposed."""
+        record = self.election.proposal
+        self.log(f"plan {record.plan.number} {record.phase.name.lower()}")
+        if self.execution is None:
+            self.execution = PlanExecution(record, self.zones, now_us)
         else:
-            self.lead.goes_on(record, now_us)
-        pending = self.pending
-        if pending is not None and pending.stamp == record.stamp:
-            self._answered(pending, Answer.DONE)
-        return self._apply(now_us)
-
-    def _move(self, lead: RolloutPlan, now_us: int) -> Post:
-        fleet = self._fleet(now_us)
-        found = lead.apply(fleet, now_us)
-        if found is not None:
-            have = len(fleet.have(rollout_plan.target(lead.record)))
-            record = rollout_plan.after(lead.record, found[0], have, why=found[1])
-            written = self.chair.write(record, now_us) if record is not None else None
-            return self._tell(written, now_us) if written is not None else []
-        record, version = lead.record, rollout_plan.target(lead.record)
-        going = lead.orders(fleet, now_us)
-        if self.terms.index in going:
-            self.order(version, record.stamp, now_us)
-        lives = {index: fleet.words[index].life for index in going if index != self.terms.index}
-        return [(index, Order(life, record.term, record.turn, version)) for index, life in lives.items()]
-
-    # What operators say.
-
-    def command(self, told: Command, now_us: int) -> tuple[int, Post]:
-        """An operator's word about a plan: its number, for `answer`."""
-        self.commands += 1
-        number = self.commands
-        ready = self.register.ready(now_us) and self.mine.stands is not Stands.LEAVING
-        if self.pending is not None or not ready:
-            self._answer(number, Answer.BUSY)
-            return number, []
-        self.pending = PendingCommand(number, told, now_us)
-        self._answer(number, Answer.PENDING)
-        post = self._apply(now_us) if self.chair.seat is Role.LEADS else self._stand(now_us)
-        return number, post
-
-    def _apply(self, now_us: int) -> Post:
-        pending, chair = self.pending, self.chair
-        if pending is None or pending.stamp is not None or chair.seat is not Role.LEADS:
+            self.execution.on_record_agreed(record, now_us)
+        pending = self.commands.pending
+        if pending is not None and pending.revision == record.revision:
+            self.commands.finish(Answer.DONE)
+        return self._propose_pending(now_us)
+
+    def _advance_plan(self, execution: PlanExecution, now_us: int) -> Post:
+        fleet = view_fleet(self.grantor, self.unavailable_since_us, now_us)
+        finding = execution.evaluate(fleet, now_us)
+        if finding is None:
+            return self._send_orders(execution, fleet, now_us)
+        return self._propose_finding(execution.record, finding, fleet, now_us)
+
+    def _propose_finding(
+        self, record: RolloutRecord, finding: Finding, fleet: FleetView, now_us: int
+    ) -> Post:
+        updated_count = len(fleet.fronts_with(target_version(record)))
+        changed = next_record(record, finding.event, updated_count, reason=finding.reason)
+        if changed is None:
             return []
-        record, told = chair.writes, pending.told
-        if told.fence != record.fence:
-            self._answered(pending, Answer.STALE)
+        proposed = self.election.propose(changed, now_us)
+        return self._publish(proposed, now_us) if proposed is not None else []
+
+    def _send_orders(self, execution: PlanExecution, fleet: FleetView, now_us: int) -> Post:
+        record, version = execution.record, target_version(execution.record)
+        ordered = execution.fronts_to_order(fleet, now_us)
+        own_index = self.settings.front_index
+        if own_index in ordered:
+            self.order_own_front(version, record.revision, now_us)
+        incarnations = {index: fleet.heartbeats[index].incarnation for index in ordered}
+        return [
+            (index, RolloutOrder(incarnation, record.term, record.turn, version))
+            for index, incarnation in incarnations.items()
+            if index != own_index
+        ]
+
+    def command(self, command: Command, now_us: int) -> tuple[int, Post]:
+        """Begin to carry out an operator's command: its number, and what to send."""
+        is_draining = self.status.serving_state is ServingState.DRAINING
+        if self.commands.pending is not None or is_draining or not self.acceptor.may_vote(now_us):
+            return self.commands.refuse(), []
+        number = self.commands.start(command, now_us)
+        is_leader = self.election.role is Role.LEADER
+        return number, self._propose_pending(now_us) if is_leader else self._start_election(now_us)
+
+    def _propose_pending(self, now_us: int) -> Post:
+        """Propose the pending command, where this front leads and has not yet."""
+        pending = self.commands.pending
+        if pending is None or pending.revision is not None or self.election.role is not Role.LEADER:
             return []
-        plan = told.plan if told.plan is not None else record.plan
-        version = plan.before if told.wish is Wish.BACK or record.back else plan.wanted
-        have = len(self._fleet(now_us).have(version))
-        reason = Reason.OPERATOR if told.wish in (Wish.HALT, Wish.CHANGE) else Reason.NONE
-        now = rollout_plan.after(record, EVENTS[told.wish], have, told.plan, reason)
-        written = chair.write(now, now_us) if now is not None else None
-        if written is None:
-            self._answered(pending, Answer.WRONG)
+        if pending.command.fence != self.election.proposal.fence:
+            self.commands.finish(Answer.STALE)
             return []
-        pending.stamp = written.stamp
-        return self._tell(written, now_us)
-
-    def _expire(self, now_us: int) -> None:
-        if self.pending is not None and now_us >= self.pending.since_us + COMMAND_US:
-            self._answered(self.pending, Answer.LOST)
-
-    def _answered(self, pending: PendingCommand, answer: Answer) -> None:
-        self._answer(pending.number, answer)
-        self.pending = None
-
-    def _answer(self, number: int, answer: Answer) -> None:
-        self.answers[number] = answer
-        if len(self.answers) > MOST_ANSWERS:
-            self.answers.popitem(last=False)
-
-    def answer(self, number: int) -> Answer:
-        """What became of it; one that is long ago is lost."""
-        return self.answers.get(number, Answer.LOST)
-
-    def hear_stand(self, sender: int, stand: Stand, now_us: int) -> Post:
-        return [(sender, self.register.hear_stand(stand, now_us))]
-
-    def hear_voice(self, sender: int, voice: Voice, now_us: int) -> Post:
-        record = self.chair.hear_voice(sender, voice, now_us)
-        return self._tell(record, now_us) if record is not None else []
-
-    def hear_told(self, sender: int, told: Told, now_us: int) -> Post:
-        if told.life != self.life:
+        changed = self._commanded_record(pending, now_us)
+        proposed = self.election.propose(changed, now_us) if changed is not None else None
+        if proposed is None:
+            self.commands.finish(Answer.WRONG)
+            return []
+        pending.revision = proposed.revision
+        return self._publish(proposed, now_us)
+
+    def _commanded_record(self, pending: PendingCommand, now_us: int) -> RolloutRecord | None:
+        record, command = self.election.proposal, pending.command
+        plan = command.plan if command.plan is not None else record.plan
+        is_back = command.wish is Wish.BACK or record.back
+        version = plan.before if is_back else plan.wanted
+        fleet = view_fleet(self.grantor, self.unavailable_since_us, now_us)
+        updated_count = len(fleet.fronts_with(version))
+        reason = HaltReason.OPERATOR if command.wish in HALTING_COMMANDS else HaltReason.NONE
+        return next_record(record, COMMAND_EVENTS[command.wish], updated_count, command.plan, reason)
+
+    def on_vote_request(self, sender: int, vote_request: LeaderVoteRequest, now_us: int) -> Post:
+        """Answer a candidate."""
+        return [(sender, self.acceptor.on_vote_request(vote_request, now_us))]
+
+    def on_vote(self, sender: int, vote: LeaderVote, now_us: int) -> Post:
+        """Count a vote; with a majority, what to propose."""
+        record = self.election.on_vote(sender, vote, now_us)
+        return self._publish(record, now_us) if record is not None else []
+
+    def on_proposal(self, sender: int, proposal: Proposal, now_us: int) -> Post:
+        """Take in a record, and acknowledge it where it counts."""
+        if proposal.receiver_incarnation != self.incarnation:
             return []
-        taken = self.register.hear_told(told.record, now_us)
-        return [(sender, taken)] if taken is not None else []
+        ack = self.acceptor.on_proposal(proposal.record, now_us)
+        return [(sender, ack)] if ack is not None else []
 
-    def hear_taken(self, sender: int, taken: Taken, now_us: int) -> Post:
-        return self._agreed(now_us) if self.chair.hear_taken(sender, taken, now_us) else []
+    def on_ack(self, sender: int, ack: ProposalAck, now_us: int) -> Post:
+        """Count an acknowledgement; with a majority, what follows of it."""
+        return self._on_agreed(now_us) if self.election.on_ack(sender, ack, now_us) else []
