--- a/packages/decisions-clients/src/fennelcove/decisions/clients/access_tokens.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/access_tokens.py
@@ -13,9 +13,9 @@
 from fennelcove.decisions.clients import signed_tokens
 from fennelcove.decisions.clients.signed_tokens import Mac
 
-PASS_CHARS = 800
-NOTICE_SHARE = 0.25  # of its whole time: from then on its holder is told to renew
-NOTICE_MOST_US = 60_000_000
+MAX_TOKEN_CHARS = 800
+RENEWAL_NOTICE_FRACTION = 0.25  # of its whole time: from then on its holder is told to renew
+MAX_RENEWAL_NOTICE_US = 60_000_000
 
 
 class AccessToken(Struct, frozen=True, array_like=True):
@@ -44,7 +44,7 @@
 
     ASK = auto()  # a new subscription
     CLAIM = auto()  # one that plays already
-    WATCH = auto()  # to go on with what it has
+    CONTINUE_SESSION = auto()  # to go on with what it has
 
 
 # Whether it is let in. What plays goes on past the end of its pass: the pass said who may ask, not for how
@@ -52,22 +52,22 @@
 ACCESS_RULES: dict[tuple[TokenStatus, Demand], bool] = {
     (TokenStatus.VALID, Demand.ASK): True,
     (TokenStatus.VALID, Demand.CLAIM): True,
-    (TokenStatus.VALID, Demand.WATCH): True,
+    (TokenStatus.VALID, Demand.CONTINUE_SESSION): True,
     (TokenStatus.RENEW, Demand.ASK): True,
     (TokenStatus.RENEW, Demand.CLAIM): True,
-    (TokenStatus.RENEW, Demand.WATCH): True,
+    (TokenStatus.RENEW, Demand.CONTINUE_SESSION): True,
     (TokenStatus.NOT_YET, Demand.ASK): False,
     (TokenStatus.NOT_YET, Demand.CLAIM): False,
-    (TokenStatus.NOT_YET, Demand.WATCH): False,
+    (TokenStatus.NOT_YET, Demand.CONTINUE_SESSION): False,
     (TokenStatus.EXPIRED, Demand.ASK): False,
     (TokenStatus.EXPIRED, Demand.CLAIM): False,
-    (TokenStatus.EXPIRED, Demand.WATCH): True,
+    (TokenStatus.EXPIRED, Demand.CONTINUE_SESSION): True,
     (TokenStatus.INVENTED, Demand.ASK): False,
     (TokenStatus.INVENTED, Demand.CLAIM): False,
-    (TokenStatus.INVENTED, Demand.WATCH): False,
+    (TokenStatus.INVENTED, Demand.CONTINUE_SESSION): False,
     (TokenStatus.MISSING, Demand.ASK): False,
     (TokenStatus.MISSING, Demand.CLAIM): False,
-    (TokenStatus.MISSING, Demand.WATCH): False,
+    (TokenStatus.MISSING, Demand.CONTINUE_SESSION): False,
 }
 
 WORDS: dict[TokenStatus, str] = {
@@ -101,7 +101,7 @@
     """What a token is worth at this wall time."""
     if not token:
         return PresentedToken(TokenStatus.MISSING)
-    raw = signed_tokens.verify(token, macs, PASS_CHARS)
+    raw = signed_tokens.verify(token, macs, MAX_TOKEN_CHARS)
     try:
         held = msgspec.json.decode(raw, type=AccessToken) if raw is not None else None
     except msgspec.MsgspecError:
@@ -122,8 +122,8 @@
 
 def notice_us(held: AccessToken) -> int:
     """The wall time from which its holder should renew."""
-    span = round((held.until_us - held.from_us) * NOTICE_SHARE)
-    return held.until_us - min(NOTICE_MOST_US, span)
+    span = round((held.until_us - held.from_us) * RENEWAL_NOTICE_FRACTION)
+    return held.until_us - min(MAX_RENEWAL_NOTICE_US, span)
 
 
 def renews(old: AccessToken | None, new: AccessToken) -> bool:
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/admission.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/admission.py
@@ -26,7 +26,7 @@
     STOP = auto()
 
 
-EVENTS: dict[tuple[AdmissionState, AdmissionEvent], AdmissionState] = {
+STATE_TRANSITIONS: dict[tuple[AdmissionState, AdmissionEvent], AdmissionState] = {
     (AdmissionState.OPEN, AdmissionEvent.DRAIN): AdmissionState.DRAINING,
     (AdmissionState.OPEN, AdmissionEvent.UNDRAIN): AdmissionState.OPEN,
     (AdmissionState.OPEN, AdmissionEvent.STOP): AdmissionState.STOPPING,
@@ -62,13 +62,13 @@
     """The most of each that the front holds."""
 
     connections: int
-    waiting: int
-    held: int
+    pending_requests: int
+    sessions: int
     buffered_bytes: int
 
 
 # The refusals that come before anything is counted.
-TRANSITIONS: dict[tuple[AdmissionState, Entry], AdmissionDecision] = {
+ADMISSION_RULES: dict[tuple[AdmissionState, Entry], AdmissionDecision] = {
     (AdmissionState.OPEN, Entry.CONNECTION): AdmissionDecision.LET_IN,
     (AdmissionState.OPEN, Entry.REQUEST): AdmissionDecision.LET_IN,
     (AdmissionState.OPEN, Entry.SUBSCRIPTION): AdmissionDecision.LET_IN,
@@ -81,31 +81,31 @@
     (AdmissionState.STOPPING, Entry.SUBSCRIPTION): AdmissionDecision.CLOSING,
 }
 
-SMOOTHING = 16  # as the module smooths what it averages over requests
-LEAST_WAIT_US = 1_000_000  # Retry-After counts whole seconds: less can't be told to every client
-LEAST_ANSWER_US = 1000.0  # what an answer costs a front that is not waiting for anybody
-MOST_SPAN_US = 30_000_000
-PRESSURE = 0.5  # from this share of the connections on, idle ones are given less time
-LEAST_PATIENCE = 0.1
+WAIT_SMOOTHING = 16  # as the module smooths what it averages over requests
+MIN_RETRY_AFTER_US = 1_000_000  # Retry-After counts whole seconds: less can't be told to every client
+MIN_SETUP_US = 1000.0  # what an answer costs a front that is not waiting for anybody
+MAX_RECONNECT_SPAN_US = 30_000_000
+PRESSURE_THRESHOLD = 0.5  # from this share of the connections on, idle ones are given less time
+MIN_TIMEOUT_FRACTION = 0.1
 
 
 class AdmissionController:
     """Counts what is inside and rules on what wants in. The caller hands in times and holds the lock."""
 
     def __init__(self, bounds: AdmissionLimits) -> None:
-        self.bounds = bounds
+        self.limits = bounds
         self.phase = AdmissionState.OPEN
         self.connections = self.waiting = self.held = self.buffered_bytes = 0
         self.typical_wait_us = 0.0
-        self.refused = 0
+        self.rejected_count = 0
 
     def ask(self, entry: Entry) -> AdmissionDecision:
         """Rule, and count what is let in."""
-        ruling = TRANSITIONS[self.phase, entry]
-        if ruling is AdmissionDecision.LET_IN and not self._room(entry):
+        ruling = ADMISSION_RULES[self.phase, entry]
+        if ruling is AdmissionDecision.LET_IN and not self._has_capacity(entry):
             ruling = AdmissionDecision.FULL
         if ruling is not AdmissionDecision.LET_IN:
-            self.refused += 1
+            self.rejected_count += 1
         elif entry is Entry.CONNECTION:
             self.connections += 1
         elif entry is Entry.REQUEST:
@@ -114,12 +114,12 @@
             self.held += 1
         return ruling
 
-    def _room(self, entry: Entry) -> bool:
-        bounds = self.bounds
+    def _has_capacity(self, entry: Entry) -> bool:
+        bounds = self.limits
         return {
             Entry.CONNECTION: self.connections < bounds.connections,
-            Entry.REQUEST: self.waiting < bounds.waiting,
-            Entry.SUBSCRIPTION: self.held < bounds.held,
+            Entry.REQUEST: self.waiting < bounds.pending_requests,
+            Entry.SUBSCRIPTION: self.held < bounds.sessions,
         }[entry] and self.buffered_bytes < bounds.buffered_bytes
 
     def connection_closed(self) -> None:
@@ -129,7 +129,7 @@
     def request_answered(self, waited_us: int) -> None:
         """A set-up that was let in has its answer."""
         self.waiting -= 1
-        self.typical_wait_us += (waited_us - self.typical_wait_us) / SMOOTHING
+        self.typical_wait_us += (waited_us - self.typical_wait_us) / WAIT_SMOOTHING
 
     def session_ended(self) -> None:
         """One that was held has ended."""
@@ -137,14 +137,14 @@
 
     def buffer(self, more_bytes: int) -> bool:
         """Count bytes read and not yet acted on; False where they must not be kept."""
-        if more_bytes > 0 and self.buffered_bytes + more_bytes > self.bounds.buffered_bytes:
+        if more_bytes > 0 and self.buffered_bytes + more_bytes > self.limits.buffered_bytes:
             return False
         self.buffered_bytes += more_bytes
         return True
 
     def turn(self, turn: AdmissionEvent) -> AdmissionState:
         """Drained, opened again or ended; the phase from now on."""
-        self.phase = EVENTS[self.phase, turn]
+        self.phase = STATE_TRANSITIONS[self.phase, turn]
         return self.phase
 
     def come_back_us(self, draw: float, most_us: int | None) -> int:
@@ -153,8 +153,8 @@
         The time in which those that wait now will have gone, spread over as much again by chance, so that
         those turned away in one moment don't return in one.
         """
-        wait_us = max(LEAST_WAIT_US, 2 * self.typical_wait_us) * (1 + draw)
-        return round(min(wait_us, max(most_us, LEAST_WAIT_US)) if most_us is not None else wait_us)
+        wait_us = max(MIN_RETRY_AFTER_US, 2 * self.typical_wait_us) * (1 + draw)
+        return round(min(wait_us, max(most_us, MIN_RETRY_AFTER_US)) if most_us is not None else wait_us)
 
     def patience_us(self, limit_us: int) -> int:
         """How long an idle or slow connection may stay: less as the connections run out.
@@ -162,11 +162,11 @@
         Five hundred connections that send a byte a second would hold the door against everybody else; the
         limit falls from the stated one at half the connections to a tenth of it at all of them.
         """
-        fill = self.connections / self.bounds.connections
-        if fill <= PRESSURE:
+        fill = self.connections / self.limits.connections
+        if fill <= PRESSURE_THRESHOLD:
             return limit_us
-        left = max(0.0, (1 - fill) / (1 - PRESSURE))
-        return max(1, round(limit_us * (LEAST_PATIENCE + (1 - LEAST_PATIENCE) * left)))
+        left = max(0.0, (1 - fill) / (1 - PRESSURE_THRESHOLD))
+        return max(1, round(limit_us * (MIN_TIMEOUT_FRACTION + (1 - MIN_TIMEOUT_FRACTION) * left)))
 
 
 def retry_after_s(wait_us: int) -> int:
@@ -179,5 +179,5 @@
 
     The time in which a front answers that many set-ups one after another: so many resumptions cost no more.
     """
-    span_us = max(LEAST_WAIT_US, round(connections * max(typical_wait_us, LEAST_ANSWER_US)))
-    return LEAST_WAIT_US, LEAST_WAIT_US + min(span_us, MOST_SPAN_US)
+    span_us = max(MIN_RETRY_AFTER_US, round(connections * max(typical_wait_us, MIN_SETUP_US)))
+    return MIN_RETRY_AFTER_US, MIN_RETRY_AFTER_US + min(span_us, MAX_RECONNECT_SPAN_US)
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/conflating_queue.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/conflating_queue.py
@@ -13,7 +13,7 @@
 
 Item = TypeVar("Item")
 
-MOST_ITEMS = 64
+MAX_ITEMS = 64
 
 
 class PutResult(Enum):
@@ -27,10 +27,10 @@
 class ConflatingQueue(Generic[Item]):
     """One connection's line, in order; the caller holds the lock."""
 
-    def __init__(self, most: int = MOST_ITEMS) -> None:
-        self.most = most
+    def __init__(self, most: int = MAX_ITEMS) -> None:
+        self.max_items = most
         self.items: OrderedDict[Hashable, Item] = OrderedDict()
-        self.count = 0
+        self.next_key = 0
         self.over = False
 
     def put(self, item: Item, matter: Hashable | None = None) -> PutResult:
@@ -40,11 +40,11 @@
         if matter is not None and matter in self.items:
             self.items[matter] = item
             return PutResult.REPLACED
-        if len(self.items) >= self.most:
+        if len(self.items) >= self.max_items:
             self.over = True
             return PutResult.OVER
-        self.count += 1
-        self.items[matter if matter is not None else self.count] = item
+        self.next_key += 1
+        self.items[matter if matter is not None else self.next_key] = item
         return PutResult.QUEUED
 
     def take(self) -> list[Item]:
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/count_min_sketch.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/count_min_sketch.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 WIDTH, DEPTH = 8192, 4
-SPAN_US = 10_000_000
+WINDOW_US = 10_000_000
 
 Hash = Callable[[bytes], bytes]
 
@@ -21,31 +21,31 @@
     """A sliding count of names; `hashed` must give at least 4 * DEPTH bytes."""
 
     def __init__(self, hashed: Hash, now_us: int) -> None:
-        self.hashed = hashed
-        self.now, self.before = self._empty(), self._empty()
-        self.began_us = now_us
+        self.hash = hashed
+        self.current, self.previous = self._empty_counters(), self._empty_counters()
+        self.window_started_us = now_us
 
-    def _empty(self) -> array[int]:
+    def _empty_counters(self) -> array[int]:
         return array("L", bytes(array("L").itemsize * WIDTH * DEPTH))
 
-    def _turn(self, now_us: int) -> None:
-        spans = (now_us - self.began_us) // SPAN_US
+    def _rotate(self, now_us: int) -> None:
+        spans = (now_us - self.window_started_us) // WINDOW_US
         if spans <= 0:
             return
-        self.before = self.now if spans == 1 else self._empty()
-        self.now = self._empty()
-        self.began_us += spans * SPAN_US
+        self.previous = self.current if spans == 1 else self._empty_counters()
+        self.current = self._empty_counters()
+        self.window_started_us += spans * WINDOW_US
 
-    def _places(self, name: str) -> list[int]:
-        raw = self.hashed(name.encode("utf-8", "replace"))
+    def _indexes(self, name: str) -> list[int]:
+        raw = self.hash(name.encode("utf-8", "replace"))
         return [
             row * WIDTH + int.from_bytes(raw[4 * row : 4 * row + 4], "little") % WIDTH for row in range(DEPTH)
         ]
 
     def add(self, name: str, now_us: int) -> int:
         """Count one more; how often it has come in the last one to two spans, this time included."""
-        self._turn(now_us)
-        places = self._places(name)
+        self._rotate(now_us)
+        places = self._indexes(name)
         for place in places:
-            self.now[place] += 1
-        return min(self.now[place] + self.before[place] for place in places)
+            self.current[place] += 1
+        return min(self.current[place] + self.previous[place] for place in places)
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/idempotency.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/idempotency.py
@@ -14,30 +14,30 @@
 import msgspec
 from msgspec import Struct
 
-KEPT_US = 120_000_000  # as long as any viewer comes back for the same lesson's start
-MOST_KEYS = 50_000
+RETENTION_US = 120_000_000  # as long as any viewer comes back for the same lesson's start
+MAX_KEYS = 50_000
 
 
 class KeyState(Enum):
     """What became of the set-up under a key."""
 
-    FREE = auto()  # none, or one that surely did nothing
-    RUNNING = auto()
-    PLAYING = auto()
-    SPENT = auto()  # it played, and has ended
-    BARRED = auto()  # it may have run, and must not run again
+    UNUSED = auto()  # none, or one that surely did nothing
+    IN_PROGRESS = auto()
+    ESTABLISHED = auto()
+    CLOSED = auto()  # it played, and has ended
+    INDETERMINATE = auto()  # it may have run, and must not run again
 
 
 class KeyEvent(Enum):
     """What happens to it."""
 
-    ASKED = auto()
+    REQUESTED = auto()
     PLAYS = auto()
     NOTHING = auto()  # it surely did nothing, or may be done again
     MAYBE = auto()  # it may have run and must not be repeated
-    ENDED = auto()
+    CLOSED = auto()
     RESTARTED = auto()  # this front began a new life, and the set-up may be done again
-    RESTARTED_UNSAFE = auto()  # the same, and it may not
+    RESTARTED_NOT_REPEATABLE = auto()  # the same, and it may not
 
 
 class KeyAction(Enum):
@@ -52,41 +52,41 @@
 
 
 TRANSITIONS: dict[tuple[KeyState, KeyEvent], tuple[KeyState, KeyAction]] = {
-    (KeyState.FREE, KeyEvent.ASKED): (KeyState.RUNNING, KeyAction.RUN),
-    (KeyState.FREE, KeyEvent.PLAYS): (KeyState.PLAYING, KeyAction.NONE),
-    (KeyState.FREE, KeyEvent.NOTHING): (KeyState.FREE, KeyAction.NONE),
-    (KeyState.FREE, KeyEvent.MAYBE): (KeyState.BARRED, KeyAction.NONE),
-    (KeyState.FREE, KeyEvent.ENDED): (KeyState.FREE, KeyAction.NONE),
-    (KeyState.FREE, KeyEvent.RESTARTED): (KeyState.FREE, KeyAction.NONE),
-    (KeyState.FREE, KeyEvent.RESTARTED_UNSAFE): (KeyState.FREE, KeyAction.NONE),
-    (KeyState.RUNNING, KeyEvent.ASKED): (KeyState.RUNNING, KeyAction.COME_BACK),
-    (KeyState.RUNNING, KeyEvent.PLAYS): (KeyState.PLAYING, KeyAction.NONE),
-    (KeyState.RUNNING, KeyEvent.NOTHING): (KeyState.FREE, KeyAction.NONE),
-    (KeyState.RUNNING, KeyEvent.MAYBE): (KeyState.BARRED, KeyAction.NONE),
+    (KeyState.UNUSED, KeyEvent.REQUESTED): (KeyState.IN_PROGRESS, KeyAction.RUN),
+    (KeyState.UNUSED, KeyEvent.PLAYS): (KeyState.ESTABLISHED, KeyAction.NONE),
+    (KeyState.UNUSED, KeyEvent.NOTHING): (KeyState.UNUSED, KeyAction.NONE),
+    (KeyState.UNUSED, KeyEvent.MAYBE): (KeyState.INDETERMINATE, KeyAction.NONE),
+    (KeyState.UNUSED, KeyEvent.CLOSED): (KeyState.UNUSED, KeyAction.NONE),
+    (KeyState.UNUSED, KeyEvent.RESTARTED): (KeyState.UNUSED, KeyAction.NONE),
+    (KeyState.UNUSED, KeyEvent.RESTARTED_NOT_REPEATABLE): (KeyState.UNUSED, KeyAction.NONE),
+    (KeyState.IN_PROGRESS, KeyEvent.REQUESTED): (KeyState.IN_PROGRESS, KeyAction.COME_BACK),
+    (KeyState.IN_PROGRESS, KeyEvent.PLAYS): (KeyState.ESTABLISHED, KeyAction.NONE),
+    (KeyState.IN_PROGRESS, KeyEvent.NOTHING): (KeyState.UNUSED, KeyAction.NONE),
+    (KeyState.IN_PROGRESS, KeyEvent.MAYBE): (KeyState.INDETERMINATE, KeyAction.NONE),
     # A set-up that was refused or given up ends as well: what it was worth its answer says.
-    (KeyState.RUNNING, KeyEvent.ENDED): (KeyState.RUNNING, KeyAction.NONE),
-    (KeyState.RUNNING, KeyEvent.RESTARTED): (KeyState.FREE, KeyAction.NONE),
-    (KeyState.RUNNING, KeyEvent.RESTARTED_UNSAFE): (KeyState.BARRED, KeyAction.NONE),
-    (KeyState.PLAYING, KeyEvent.ASKED): (KeyState.PLAYING, KeyAction.SHOW),
-    (KeyState.PLAYING, KeyEvent.PLAYS): (KeyState.PLAYING, KeyAction.NONE),
-    (KeyState.PLAYING, KeyEvent.NOTHING): (KeyState.PLAYING, KeyAction.NONE),
-    (KeyState.PLAYING, KeyEvent.MAYBE): (KeyState.PLAYING, KeyAction.NONE),
-    (KeyState.PLAYING, KeyEvent.ENDED): (KeyState.SPENT, KeyAction.NONE),
+    (KeyState.IN_PROGRESS, KeyEvent.CLOSED): (KeyState.IN_PROGRESS, KeyAction.NONE),
+    (KeyState.IN_PROGRESS, KeyEvent.RESTARTED): (KeyState.UNUSED, KeyAction.NONE),
+    (KeyState.IN_PROGRESS, KeyEvent.RESTARTED_NOT_REPEATABLE): (KeyState.INDETERMINATE, KeyAction.NONE),
+    (KeyState.ESTABLISHED, KeyEvent.REQUESTED): (KeyState.ESTABLISHED, KeyAction.SHOW),
+    (KeyState.ESTABLISHED, KeyEvent.PLAYS): (KeyState.ESTABLISHED, KeyAction.NONE),
+    (KeyState.ESTABLISHED, KeyEvent.NOTHING): (KeyState.ESTABLISHED, KeyAction.NONE),
+    (KeyState.ESTABLISHED, KeyEvent.MAYBE): (KeyState.ESTABLISHED, KeyAction.NONE),
+    (KeyState.ESTABLISHED, KeyEvent.CLOSED): (KeyState.CLOSED, KeyAction.NONE),
     # Its box may play it still: then it is adopted, and shown.
-    (KeyState.PLAYING, KeyEvent.RESTARTED): (KeyState.PLAYING, KeyAction.NONE),
-    (KeyState.PLAYING, KeyEvent.RESTARTED_UNSAFE): (KeyState.PLAYING, KeyAction.NONE),
+    (KeyState.ESTABLISHED, KeyEvent.RESTARTED): (KeyState.ESTABLISHED, KeyAction.NONE),
+    (KeyState.ESTABLISHED, KeyEvent.RESTARTED_NOT_REPEATABLE): (KeyState.ESTABLISHED, KeyAction.NONE),
     **{
-        (KeyState.SPENT, event): (KeyState.SPENT, KeyAction.NONE)
+        (KeyState.CLOSED, event): (KeyState.CLOSED, KeyAction.NONE)
         for event in KeyEvent
-        if event is not KeyEvent.ASKED
+        if event is not KeyEvent.REQUESTED
     },
-    (KeyState.SPENT, KeyEvent.ASKED): (KeyState.SPENT, KeyAction.TELL_SPENT),
+    (KeyState.CLOSED, KeyEvent.REQUESTED): (KeyState.CLOSED, KeyAction.TELL_SPENT),
     **{
-        (KeyState.BARRED, event): (KeyState.BARRED, KeyAction.NONE)
+        (KeyState.INDETERMINATE, event): (KeyState.INDETERMINATE, KeyAction.NONE)
         for event in KeyEvent
-        if event is not KeyEvent.ASKED
+        if event is not KeyEvent.REQUESTED
     },
-    (KeyState.BARRED, KeyEvent.ASKED): (KeyState.BARRED, KeyAction.TELL_BARRED),
+    (KeyState.INDETERMINATE, KeyEvent.REQUESTED): (KeyState.INDETERMINATE, KeyAction.TELL_BARRED),
 }
 
 
@@ -104,11 +104,11 @@
 class IdempotencyKey:
     """One key of one client."""
 
-    what: str  # what was asked for under it: another set-up must not pass for it
-    stage: KeyState = KeyState.FREE
+    request_digest: str  # what was asked for under it: another set-up must not pass for it
+    state: KeyState = KeyState.UNUSED
     session: str = ""
-    wall_us: int = 0
-    safe: bool = True  # a set-up that may have run may be done again
+    touched_wall_us: int = 0
+    is_repeatable: bool = True  # a set-up that may have run may be done again
 
 
 @dataclass(slots=True)
@@ -116,53 +116,53 @@
     """All keys, the one longest untouched first; past the bound it is forgotten, unless its set-up runs or
     plays."""
 
-    held: OrderedDict[tuple[str, str], IdempotencyKey] = field(default_factory=OrderedDict)
-    owners: dict[str, tuple[str, str]] = field(default_factory=dict)  # by subscription
+    keys: OrderedDict[tuple[str, str], IdempotencyKey] = field(default_factory=OrderedDict)
+    names_by_session: dict[str, tuple[str, str]] = field(default_factory=dict)  # by subscription
 
     def ask(
         self, name: tuple[str, str], what: str, safe: bool, wall_us: int
     ) -> tuple[KeyAction, IdempotencyKey] | None:
         """One asks under a key; None where the key stands for something else."""
-        self._forget(wall_us)
-        repeat = self.held.get(name)
+        self._evict_expired(wall_us)
+        repeat = self.keys.get(name)
         if repeat is None:
-            repeat = self.held[name] = IdempotencyKey(what, safe=safe)
-        elif repeat.what != what:
-            if repeat.stage is not KeyState.FREE:
+            repeat = self.keys[name] = IdempotencyKey(what, is_repeatable=safe)
+        elif repeat.request_digest != what:
+            if repeat.state is not KeyState.UNUSED:
                 return None
-            repeat.what, repeat.safe = what, safe
-        self.held.move_to_end(name)
-        repeat.wall_us = wall_us
-        repeat.stage, act = TRANSITIONS[repeat.stage, KeyEvent.ASKED]
+            repeat.request_digest, repeat.is_repeatable = what, safe
+        self.keys.move_to_end(name)
+        repeat.touched_wall_us = wall_us
+        repeat.state, act = TRANSITIONS[repeat.state, KeyEvent.REQUESTED]
         return act, repeat
 
     def begins(self, name: tuple[str, str], session: str) -> None:
         """The set-up under a key is this subscription."""
-        self.held[name].session = session
-        self.owners[session] = name
+        self.keys[name].session = session
+        self.names_by_session[session] = name
 
     def apply(self, name: tuple[str, str], event: KeyEvent, wall_us: int) -> None:
         """Something happened to the set-up under a key."""
-        repeat = self.held.get(name)
+        repeat = self.keys.get(name)
         if repeat is None:
             return
-        repeat.stage, _ = TRANSITIONS[repeat.stage, event]
-        repeat.wall_us = wall_us
-        if repeat.stage not in (KeyState.RUNNING, KeyState.PLAYING):
-            self.owners.pop(repeat.session, None)
+        repeat.state, _ = TRANSITIONS[repeat.state, event]
+        repeat.touched_wall_us = wall_us
+        if repeat.state not in (KeyState.IN_PROGRESS, KeyState.ESTABLISHED):
+            self.names_by_session.pop(repeat.session, None)
 
     def ended(self, session: str, wall_us: int) -> None:
         """A subscription has ended."""
-        name = self.owners.get(session)
+        name = self.names_by_session.get(session)
         if name is not None:
-            self.apply(name, KeyEvent.ENDED, wall_us)
+            self.apply(name, KeyEvent.CLOSED, wall_us)
 
-    def _forget(self, wall_us: int) -> None:
-        for name, repeat in list(self.held.items())[: 2 if len(self.held) <= MOST_KEYS else 64]:
-            idle = repeat.stage not in (KeyState.RUNNING, KeyState.PLAYING)
+    def _evict_expired(self, wall_us: int) -> None:
+        for name, repeat in list(self.keys.items())[: 2 if len(self.keys) <= MAX_KEYS else 64]:
+            idle = repeat.state not in (KeyState.IN_PROGRESS, KeyState.ESTABLISHED)
             # A clock that went back makes nothing older.
-            if idle and (wall_us - repeat.wall_us > KEPT_US or len(self.held) > MOST_KEYS):
-                del self.held[name]
+            if idle and (wall_us - repeat.touched_wall_us > RETENTION_US or len(self.keys) > MAX_KEYS):
+                del self.keys[name]
 
     def kept(self) -> list[tuple[tuple[str, str], bytes]]:
         """What a store keeps: free keys stand for nothing."""
@@ -170,11 +170,17 @@
             (
                 name,
                 msgspec.msgpack.encode(
-                    StoredKey(repeat.stage.value, repeat.what, repeat.session, repeat.wall_us, repeat.safe)
+                    StoredKey(
+                        repeat.state.value,
+                        repeat.request_digest,
+                        repeat.session,
+                        repeat.touched_wall_us,
+                        repeat.is_repeatable,
+                    )
                 ),
             )
-            for name, repeat in self.held.items()
-            if repeat.stage is not KeyState.FREE
+            for name, repeat in self.keys.items()
+            if repeat.state is not KeyState.UNUSED
         ]
 
     def restore(self, name: tuple[str, str], raw: bytes, wall_us: int) -> bool:
@@ -184,12 +190,15 @@
             stage = KeyState(kept.stage)
         except (msgspec.MsgspecError, ValueError):
             return False
-        if stage not in (KeyState.RUNNING, KeyState.PLAYING) and wall_us - kept.wall_us > KEPT_US:
+        if (
+            stage not in (KeyState.IN_PROGRESS, KeyState.ESTABLISHED)
+            and wall_us - kept.wall_us > RETENTION_US
+        ):
             return False
-        repeat = self.held[name] = IdempotencyKey(
+        repeat = self.keys[name] = IdempotencyKey(
             kept.what, stage, kept.subscription, kept.wall_us, kept.safe
         )
         if kept.subscription:
-            self.owners[kept.subscription] = name
-        self.apply(name, KeyEvent.RESTARTED if kept.safe else KeyEvent.RESTARTED_UNSAFE, kept.wall_us)
-        return repeat.stage is not KeyState.FREE
+            self.names_by_session[kept.subscription] = name
+        self.apply(name, KeyEvent.RESTARTED if kept.safe else KeyEvent.RESTARTED_NOT_REPEATABLE, kept.wall_us)
+        return repeat.state is not KeyState.UNUSED
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/retry_storm.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/retry_storm.py
@@ -12,14 +12,16 @@
 from math import sqrt
 
 WINDOW_US = 500_000
-SLOW = 1 / 64  # of each calm window in the usual pace: half a minute, longer than a storm's first rise
-TIMES_USUAL = 2.0  # the least whole factor past an evening's own swing, as in the module's rationing
-SPREADS = 3.0  # chance in a count: three times the root of it
-MANY_REFUSED = 0.2
-FEW_REFUSED = 0.05
-RISES = 2  # windows in a row that make a rise a storm
-CALMS = 6  # windows in a row that make it over: a storm that pauses for a breath has not ended
-SETTLED = 6
+BASELINE_WEIGHT = (
+    1 / 64
+)  # of each calm window in the usual pace: half a minute, longer than a storm's first rise
+CROWD_FACTOR = 2.0  # the least whole factor past an evening's own swing, as in the module's rationing
+STANDARD_DEVIATIONS = 3.0  # chance in a count: three times the root of it
+HIGH_REJECTED_FRACTION = 0.2
+LOW_REJECTED_FRACTION = 0.05
+RISING_WINDOWS = 2  # windows in a row that make a rise a storm
+CALM_WINDOWS = 6  # windows in a row that make it over: a storm that pauses for a breath has not ended
+SETTLING_WINDOWS = 6
 
 
 class StormState(Enum):
@@ -44,33 +46,33 @@
 class StormTransition:
     """The next phase, once the sign has come so many windows in a row."""
 
-    after: int
-    phase: StormState
+    after_windows: int
+    state: StormState
 
 
 TRANSITIONS: dict[tuple[StormState, StormSignal], StormTransition] = {
     (StormState.CALM, StormSignal.HOT): StormTransition(1, StormState.RISING),
-    (StormState.RISING, StormSignal.HOT): StormTransition(RISES, StormState.STORM),
-    (StormState.RISING, StormSignal.CROWD): StormTransition(CALMS, StormState.CALM),
-    (StormState.RISING, StormSignal.FULL): StormTransition(CALMS, StormState.CALM),
-    (StormState.RISING, StormSignal.COOL): StormTransition(RISES, StormState.CALM),
+    (StormState.RISING, StormSignal.HOT): StormTransition(RISING_WINDOWS, StormState.STORM),
+    (StormState.RISING, StormSignal.CROWD): StormTransition(CALM_WINDOWS, StormState.CALM),
+    (StormState.RISING, StormSignal.FULL): StormTransition(CALM_WINDOWS, StormState.CALM),
+    (StormState.RISING, StormSignal.COOL): StormTransition(RISING_WINDOWS, StormState.CALM),
     # While the crowd comes the damping that keeps it from being refused must stay: its rest is no calm.
-    (StormState.STORM, StormSignal.FULL): StormTransition(CALMS, StormState.SETTLING),
-    (StormState.STORM, StormSignal.COOL): StormTransition(CALMS, StormState.SETTLING),
+    (StormState.STORM, StormSignal.FULL): StormTransition(CALM_WINDOWS, StormState.SETTLING),
+    (StormState.STORM, StormSignal.COOL): StormTransition(CALM_WINDOWS, StormState.SETTLING),
     # It starts again within a minute: no second rise is waited for.
     (StormState.SETTLING, StormSignal.HOT): StormTransition(1, StormState.STORM),
     # Refusals that go on without a crowd are overload, and no storm: they must not hold the phase for ever.
-    (StormState.SETTLING, StormSignal.FULL): StormTransition(4 * SETTLED, StormState.CALM),
-    (StormState.SETTLING, StormSignal.COOL): StormTransition(SETTLED, StormState.CALM),
+    (StormState.SETTLING, StormSignal.FULL): StormTransition(4 * SETTLING_WINDOWS, StormState.CALM),
+    (StormState.SETTLING, StormSignal.COOL): StormTransition(SETTLING_WINDOWS, StormState.CALM),
 }
 
 # How fast each phase takes arrivals for usual. None is zero: what never ends becomes the usual pace, so that
 # no phase lasts for ever.
-LEARNS = {
-    StormState.CALM: SLOW,
-    StormState.RISING: SLOW / 4,
-    StormState.STORM: SLOW / 4,
-    StormState.SETTLING: SLOW,
+BASELINE_WEIGHTS = {
+    StormState.CALM: BASELINE_WEIGHT,
+    StormState.RISING: BASELINE_WEIGHT / 4,
+    StormState.STORM: BASELINE_WEIGHT / 4,
+    StormState.SETTLING: BASELINE_WEIGHT,
 }
 
 
@@ -87,47 +89,51 @@
 class RetryStormDetector:
     """One front's phase. The caller hands in the time and holds the lock."""
 
-    began_us: int
+    window_started_us: int
     phase: StormState = StormState.CALM
     window: RetryWindow = field(default_factory=RetryWindow)
     usual: float = 0.0  # arrivals in a window
     seen: int = 0
     sign: StormSignal = StormSignal.COOL
-    in_row: int = 0
+    consecutive_windows: int = 0
     changes: int = 0
-    since_us: int = 0
+    entered_us: int = 0
 
     def advance(self, now_us: int) -> None:
         """Close the windows that have passed; many at once after a stall count as empty ones, a bounded
         few."""
-        passed = (now_us - self.began_us) // WINDOW_US
-        for _ in range(min(passed, CALMS + SETTLED)):
+        passed = (now_us - self.window_started_us) // WINDOW_US
+        for _ in range(min(passed, CALM_WINDOWS + SETTLING_WINDOWS)):
             self._close(now_us)
         if passed > 0:
-            self.began_us += passed * WINDOW_US
+            self.window_started_us += passed * WINDOW_US
 
     def _close(self, now_us: int) -> None:
         window, self.window = self.window, RetryWindow()
-        sign = self.read(window)
-        self.in_row = self.in_row + 1 if sign is self.sign else 1
+        sign = self.classify(window)
+        self.consecutive_windows = self.consecutive_windows + 1 if sign is self.sign else 1
         self.sign = sign
-        weight = LEARNS[self.phase]
+        weight = BASELINE_WEIGHTS[self.phase]
         if self.phase is StormState.CALM and sign is not StormSignal.HOT:
             # The first windows count for more: a new front knows no past.
             self.seen += 1
             weight = max(weight, 1 / (self.seen + 1))
         self.usual += (window.asked - self.usual) * weight
         rule = TRANSITIONS.get((self.phase, sign))
-        if rule is not None and self.in_row >= rule.after:
-            self.phase, self.in_row, self.since_us = rule.phase, 0, now_us
+        if rule is not None and self.consecutive_windows >= rule.after_windows:
+            self.phase, self.consecutive_windows, self.entered_us = rule.state, 0, now_us
             self.changes += 1
 
-    def read(self, window: RetryWindow) -> StormSignal:
+    def classify(self, window: RetryWindow) -> StormSignal:
         """What a window shows."""
-        crowd = window.asked > TIMES_USUAL * self.usual + SPREADS * sqrt(self.usual + 1)
+        crowd = window.asked > CROWD_FACTOR * self.usual + STANDARD_DEVIATIONS * sqrt(self.usual + 1)
         share = window.refused / window.let_in if window.let_in else 0.0
-        limit = MANY_REFUSED if self.phase in (StormState.CALM, StormState.RISING) else FEW_REFUSED
-        refused = window.refused >= SPREADS and share > limit
+        limit = (
+            HIGH_REJECTED_FRACTION
+            if self.phase in (StormState.CALM, StormState.RISING)
+            else LOW_REJECTED_FRACTION
+        )
+        refused = window.refused >= STANDARD_DEVIATIONS and share > limit
         if crowd and refused:
             return StormSignal.HOT
         return StormSignal.CROWD if crowd else StormSignal.FULL if refused else StormSignal.COOL
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/seat_leases.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/seat_leases.py
@@ -15,27 +15,29 @@
 import msgspec
 from msgspec import Struct
 
-KEYS_KEPT = 8  # renewals of one seat whose keys are known
-MOST_AT_ONCE = 200  # seats given back in one go: ten thousand in a moment must not hold the lock for a second
+MAX_RENEWAL_KEYS = 8  # renewals of one seat whose keys are known
+MAX_EXPIRED_PER_CALL = (
+    200  # seats given back in one go: ten thousand in a moment must not hold the lock for a second
+)
 
 
 class SeatState(Enum):
     """Where one subscription's seat stands."""
 
-    NONE = auto()
+    UNHELD = auto()
     HELD = auto()
-    OVER = auto()
+    RELEASED = auto()
 
 
 class SeatEvent(Enum):
     """What happens to it."""
 
-    TAKEN = auto()
+    ACQUIRED = auto()
     RENEWED = auto()
-    RENEWED_AGAIN = auto()  # under a key that it was renewed under already
-    MOVED = auto()  # its subscription plays on another box
+    RENEWED_DUPLICATE = auto()  # under a key that it was renewed under already
+    MIGRATED = auto()  # its subscription plays on another box
     RELEASED = auto()
-    TIME = auto()
+    EXPIRED = auto()
 
 
 class SeatAction(Enum):
@@ -49,21 +51,21 @@
 
 
 TRANSITIONS: dict[tuple[SeatState, SeatEvent], tuple[SeatState, SeatAction]] = {
-    (SeatState.NONE, SeatEvent.TAKEN): (SeatState.HELD, SeatAction.COUNT),
-    (SeatState.NONE, SeatEvent.RENEWED): (SeatState.NONE, SeatAction.REFUSE),
-    (SeatState.NONE, SeatEvent.RENEWED_AGAIN): (SeatState.NONE, SeatAction.REFUSE),
-    (SeatState.NONE, SeatEvent.MOVED): (SeatState.NONE, SeatAction.KEEP),
-    (SeatState.NONE, SeatEvent.RELEASED): (SeatState.NONE, SeatAction.KEEP),
-    (SeatState.NONE, SeatEvent.TIME): (SeatState.NONE, SeatAction.KEEP),
+    (SeatState.UNHELD, SeatEvent.ACQUIRED): (SeatState.HELD, SeatAction.COUNT),
+    (SeatState.UNHELD, SeatEvent.RENEWED): (SeatState.UNHELD, SeatAction.REFUSE),
+    (SeatState.UNHELD, SeatEvent.RENEWED_DUPLICATE): (SeatState.UNHELD, SeatAction.REFUSE),
+    (SeatState.UNHELD, SeatEvent.MIGRATED): (SeatState.UNHELD, SeatAction.KEEP),
+    (SeatState.UNHELD, SeatEvent.RELEASED): (SeatState.UNHELD, SeatAction.KEEP),
+    (SeatState.UNHELD, SeatEvent.EXPIRED): (SeatState.UNHELD, SeatAction.KEEP),
     # Told twice, as by a box that greets after a restart: the seat is the same.
-    (SeatState.HELD, SeatEvent.TAKEN): (SeatState.HELD, SeatAction.KEEP),
+    (SeatState.HELD, SeatEvent.ACQUIRED): (SeatState.HELD, SeatAction.KEEP),
     (SeatState.HELD, SeatEvent.RENEWED): (SeatState.HELD, SeatAction.EXTEND),
-    (SeatState.HELD, SeatEvent.RENEWED_AGAIN): (SeatState.HELD, SeatAction.KEEP),
-    (SeatState.HELD, SeatEvent.MOVED): (SeatState.HELD, SeatAction.KEEP),
-    (SeatState.HELD, SeatEvent.RELEASED): (SeatState.OVER, SeatAction.FREE),
-    (SeatState.HELD, SeatEvent.TIME): (SeatState.OVER, SeatAction.FREE),
+    (SeatState.HELD, SeatEvent.RENEWED_DUPLICATE): (SeatState.HELD, SeatAction.KEEP),
+    (SeatState.HELD, SeatEvent.MIGRATED): (SeatState.HELD, SeatAction.KEEP),
+    (SeatState.HELD, SeatEvent.RELEASED): (SeatState.RELEASED, SeatAction.FREE),
+    (SeatState.HELD, SeatEvent.EXPIRED): (SeatState.RELEASED, SeatAction.FREE),
     # A renewal that crosses with the end: the seat may be somebody else's by now.
-    **{(SeatState.OVER, event): (SeatState.OVER, SeatAction.REFUSE) for event in SeatEvent},
+    **{(SeatState.RELEASED, event): (SeatState.RELEASED, SeatAction.REFUSE) for event in SeatEvent},
 }
 
 
@@ -80,21 +82,21 @@
 class Seat:
     """One subscription's seat."""
 
-    id: str
+    session_id: str
     pool: tuple[str, str]  # title and room type
-    length_us: int
+    duration_us: int
     until_us: int
-    stage: SeatState = SeatState.NONE
-    keys: list[str] = field(default_factory=list)
+    state: SeatState = SeatState.UNHELD
+    renewal_keys: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
-class SeatResult:
+class SeatTransition:
     """One thing that happened, for a ledger that can be read again."""
 
     id: str
     pool: tuple[str, str]
-    apply: SeatEvent
+    event: SeatEvent
     act: SeatAction
 
 
@@ -104,67 +106,69 @@
     def __init__(self) -> None:
         self.held: dict[str, Seat] = {}
         self.counts: Counter[tuple[str, str]] = Counter()
-        self.due: list[tuple[int, int, Seat]] = []
-        self.number = 0
+        self.deadlines: list[tuple[int, int, Seat]] = []
+        self.push_count = 0
 
-    def take(self, id: str, pool: tuple[str, str], length_us: int, wall_us: int) -> SeatResult:
+    def take(self, id: str, pool: tuple[str, str], length_us: int, wall_us: int) -> SeatTransition:
         """A subscription plays in a room type whose seats expire."""
         seat = self.held.get(id) or Seat(id, pool, length_us, wall_us + length_us)
-        return self._apply(seat, SeatEvent.TAKEN, wall_us)
+        return self._apply(seat, SeatEvent.ACQUIRED, wall_us)
 
-    def renew(self, id: str, key: str, wall_us: int) -> SeatResult:
+    def renew(self, id: str, key: str, wall_us: int) -> SeatTransition:
         """Its viewer wants to keep it; under one key it is renewed once."""
         seat = self.held.get(id)
         if seat is None:
-            return SeatResult(id, ("", ""), SeatEvent.RENEWED, SeatAction.REFUSE)
-        again = bool(key) and key in seat.keys
-        step = self._apply(seat, SeatEvent.RENEWED_AGAIN if again else SeatEvent.RENEWED, wall_us)
+            return SeatTransition(id, ("", ""), SeatEvent.RENEWED, SeatAction.REFUSE)
+        again = bool(key) and key in seat.renewal_keys
+        step = self._apply(seat, SeatEvent.RENEWED_DUPLICATE if again else SeatEvent.RENEWED, wall_us)
         if step.act is SeatAction.EXTEND and key:
-            seat.keys = [*seat.keys[1 - KEYS_KEPT :], key]
+            seat.renewal_keys = [*seat.renewal_keys[1 - MAX_RENEWAL_KEYS :], key]
         return step
 
-    def release(self, id: str, wall_us: int) -> SeatResult | None:
+    def release(self, id: str, wall_us: int) -> SeatTransition | None:
         """Its subscription has ended."""
         seat = self.held.get(id)
         return self._apply(seat, SeatEvent.RELEASED, wall_us) if seat is not None else None
 
-    def expired(self, wall_us: int) -> list[SeatResult]:
+    def expired(self, wall_us: int) -> list[SeatTransition]:
         """Those whose time is up, a bounded number; the rest with the next call."""
-        found: list[SeatResult] = []
-        while self.due and self.due[0][0] <= wall_us and len(found) < MOST_AT_ONCE:
-            _, _, seat = heapq.heappop(self.due)
-            if seat.stage is SeatState.HELD and seat.until_us <= wall_us:
-                found.append(self._apply(seat, SeatEvent.TIME, wall_us))
-            elif seat.stage is SeatState.HELD:
-                self._watch(seat)  # renewed since: it waits for its newer time
+        found: list[SeatTransition] = []
+        while self.deadlines and self.deadlines[0][0] <= wall_us and len(found) < MAX_EXPIRED_PER_CALL:
+            _, _, seat = heapq.heappop(self.deadlines)
+            if seat.state is SeatState.HELD and seat.until_us <= wall_us:
+                found.append(self._apply(seat, SeatEvent.EXPIRED, wall_us))
+            elif seat.state is SeatState.HELD:
+                self._schedule(seat)  # renewed since: it waits for its newer time
         return found
 
-    def _apply(self, seat: Seat, event: SeatEvent, wall_us: int) -> SeatResult:
-        seat.stage, act = TRANSITIONS[seat.stage, event]
+    def _apply(self, seat: Seat, event: SeatEvent, wall_us: int) -> SeatTransition:
+        seat.state, act = TRANSITIONS[seat.state, event]
         if act is SeatAction.COUNT:
-            self.held[seat.id] = seat
+            self.held[seat.session_id] = seat
             self.counts[seat.pool] += 1
-            self._watch(seat)
+            self._schedule(seat)
         elif act is SeatAction.EXTEND:
             # Counted from now and not from the old end: asking often must not save up time.
-            seat.until_us = max(seat.until_us, wall_us + seat.length_us)
+            seat.until_us = max(seat.until_us, wall_us + seat.duration_us)
         elif act is SeatAction.FREE:
-            del self.held[seat.id]
+            del self.held[seat.session_id]
             self.counts[seat.pool] -= 1
             if not self.counts[seat.pool]:
                 del self.counts[seat.pool]
-        return SeatResult(seat.id, seat.pool, event, act)
+        return SeatTransition(seat.session_id, seat.pool, event, act)
 
-    def _watch(self, seat: Seat) -> None:
-        self.number += 1
-        heapq.heappush(self.due, (seat.until_us, self.number, seat))
+    def _schedule(self, seat: Seat) -> None:
+        self.push_count += 1
+        heapq.heappush(self.deadlines, (seat.until_us, self.push_count, seat))
 
     def kept(self) -> list[tuple[str, bytes]]:
         """What a store keeps."""
         return [
             (
-                seat.id,
-                msgspec.msgpack.encode(StoredSeat(seat.pool[0], seat.pool[1], seat.until_us, seat.keys)),
+                seat.session_id,
+                msgspec.msgpack.encode(
+                    StoredSeat(seat.pool[0], seat.pool[1], seat.until_us, seat.renewal_keys)
+                ),
             )
             for seat in self.held.values()
         ]
@@ -179,12 +183,12 @@
         until_us = min(kept.until_us, wall_us + length_us)
         # One that is held already is the same seat: made anew it was counted twice.
         seat = self.held.get(id) or Seat(
-            id, (kept.title, kept.room), length_us, until_us, keys=kept.keys[-KEYS_KEPT:]
+            id, (kept.title, kept.room), length_us, until_us, renewal_keys=kept.keys[-MAX_RENEWAL_KEYS:]
         )
-        return self._apply(seat, SeatEvent.TAKEN, wall_us).act is SeatAction.COUNT
+        return self._apply(seat, SeatEvent.ACQUIRED, wall_us).act is SeatAction.COUNT
 
 
-def replayed(steps: list[SeatResult]) -> Counter[tuple[str, str]]:
+def replay_counts(steps: list[SeatTransition]) -> Counter[tuple[str, str]]:
     """The totals of a ledger read again from its steps."""
     counts: Counter[tuple[str, str]] = Counter()
     for step in steps:
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/session_lifecycle.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/session_lifecycle.py
@@ -52,7 +52,7 @@
     FORGET = auto()
 
 
-ANSWERS = frozenset(
+RESPONSES = frozenset(
     {
         SessionAction.ANSWER_PLAYING,
         SessionAction.ANSWER_THROTTLED,
@@ -127,12 +127,12 @@
 
 # A tenth of the client's own time-out is kept for the answer's way back, as a tenth of every size is held
 # back.
-ANSWER_RESERVE = 0.1
+RESPONSE_RESERVE_FRACTION = 0.1
 
 
 def time_to_answer_us(client_timeout_us: int) -> int:
     """How long the front may work on a request whose viewer waits so long."""
-    return max(1, round(client_timeout_us * (1 - ANSWER_RESERVE)))
+    return max(1, round(client_timeout_us * (1 - RESPONSE_RESERVE_FRACTION)))
 
 
 def honest_timeout_us(stated_us: int | None, room_timeout_us: int) -> int:
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/session_ownership.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/session_ownership.py
@@ -18,52 +18,52 @@
 class OwnershipState(Enum):
     """Where a subscription stands."""
 
-    LOOSE = auto()  # nobody claimed it on a connection: it was set up over HTTP, or by an earlier life
+    UNOWNED = auto()  # nobody claimed it on a connection: it was set up over HTTP, or by an earlier life
     OWNED = auto()
-    ORPHAN = auto()  # its connection was lost
-    OVER = auto()
+    ORPHANED = auto()  # its connection was lost
+    CLOSED = auto()
 
 
 class OwnershipEvent(Enum):
     """What happens to it."""
 
     CLAIMED = auto()  # by a connection that does not own it
-    CLAIMED_AGAIN = auto()  # by the one that does
-    LEFT = auto()  # its connection is gone
-    ENDED = auto()
+    RECLAIMED = auto()  # by the one that does
+    DISCONNECTED = auto()  # its connection is gone
+    CLOSED = auto()
 
 
 class OwnershipAction(Enum):
     """What follows."""
 
-    GIVE = auto()  # it is the claimant's from now on
-    TELL_TAKEN = auto()  # the owner of before loses it
-    TELL_ENDED = auto()
-    REFUSE = auto()
+    ASSIGN = auto()  # it is the claimant's from now on
+    NOTIFY_DISPLACED = auto()  # the owner of before loses it
+    NOTIFY_CLOSED = auto()
+    REJECT = auto()
 
 
 TRANSITIONS: dict[
     tuple[OwnershipState, OwnershipEvent], tuple[OwnershipState, tuple[OwnershipAction, ...]]
 ] = {
-    (OwnershipState.LOOSE, OwnershipEvent.CLAIMED): (OwnershipState.OWNED, (OwnershipAction.GIVE,)),
-    (OwnershipState.LOOSE, OwnershipEvent.CLAIMED_AGAIN): (OwnershipState.OWNED, (OwnershipAction.GIVE,)),
-    (OwnershipState.LOOSE, OwnershipEvent.LEFT): (OwnershipState.LOOSE, ()),
-    (OwnershipState.LOOSE, OwnershipEvent.ENDED): (OwnershipState.OVER, ()),
+    (OwnershipState.UNOWNED, OwnershipEvent.CLAIMED): (OwnershipState.OWNED, (OwnershipAction.ASSIGN,)),
+    (OwnershipState.UNOWNED, OwnershipEvent.RECLAIMED): (OwnershipState.OWNED, (OwnershipAction.ASSIGN,)),
+    (OwnershipState.UNOWNED, OwnershipEvent.DISCONNECTED): (OwnershipState.UNOWNED, ()),
+    (OwnershipState.UNOWNED, OwnershipEvent.CLOSED): (OwnershipState.CLOSED, ()),
     (OwnershipState.OWNED, OwnershipEvent.CLAIMED): (
         OwnershipState.OWNED,
-        (OwnershipAction.TELL_TAKEN, OwnershipAction.GIVE),
+        (OwnershipAction.NOTIFY_DISPLACED, OwnershipAction.ASSIGN),
     ),
-    (OwnershipState.OWNED, OwnershipEvent.CLAIMED_AGAIN): (OwnershipState.OWNED, (OwnershipAction.GIVE,)),
-    (OwnershipState.OWNED, OwnershipEvent.LEFT): (OwnershipState.ORPHAN, ()),
-    (OwnershipState.OWNED, OwnershipEvent.ENDED): (OwnershipState.OVER, (OwnershipAction.TELL_ENDED,)),
-    (OwnershipState.ORPHAN, OwnershipEvent.CLAIMED): (OwnershipState.OWNED, (OwnershipAction.GIVE,)),
-    (OwnershipState.ORPHAN, OwnershipEvent.CLAIMED_AGAIN): (OwnershipState.OWNED, (OwnershipAction.GIVE,)),
-    (OwnershipState.ORPHAN, OwnershipEvent.LEFT): (OwnershipState.ORPHAN, ()),
-    (OwnershipState.ORPHAN, OwnershipEvent.ENDED): (OwnershipState.OVER, ()),
-    (OwnershipState.OVER, OwnershipEvent.CLAIMED): (OwnershipState.OVER, (OwnershipAction.REFUSE,)),
-    (OwnershipState.OVER, OwnershipEvent.CLAIMED_AGAIN): (OwnershipState.OVER, (OwnershipAction.REFUSE,)),
-    (OwnershipState.OVER, OwnershipEvent.LEFT): (OwnershipState.OVER, ()),
-    (OwnershipState.OVER, OwnershipEvent.ENDED): (OwnershipState.OVER, ()),
+    (OwnershipState.OWNED, OwnershipEvent.RECLAIMED): (OwnershipState.OWNED, (OwnershipAction.ASSIGN,)),
+    (OwnershipState.OWNED, OwnershipEvent.DISCONNECTED): (OwnershipState.ORPHANED, ()),
+    (OwnershipState.OWNED, OwnershipEvent.CLOSED): (OwnershipState.CLOSED, (OwnershipAction.NOTIFY_CLOSED,)),
+    (OwnershipState.ORPHANED, OwnershipEvent.CLAIMED): (OwnershipState.OWNED, (OwnershipAction.ASSIGN,)),
+    (OwnershipState.ORPHANED, OwnershipEvent.RECLAIMED): (OwnershipState.OWNED, (OwnershipAction.ASSIGN,)),
+    (OwnershipState.ORPHANED, OwnershipEvent.DISCONNECTED): (OwnershipState.ORPHANED, ()),
+    (OwnershipState.ORPHANED, OwnershipEvent.CLOSED): (OwnershipState.CLOSED, ()),
+    (OwnershipState.CLOSED, OwnershipEvent.CLAIMED): (OwnershipState.CLOSED, (OwnershipAction.REJECT,)),
+    (OwnershipState.CLOSED, OwnershipEvent.RECLAIMED): (OwnershipState.CLOSED, (OwnershipAction.REJECT,)),
+    (OwnershipState.CLOSED, OwnershipEvent.DISCONNECTED): (OwnershipState.CLOSED, ()),
+    (OwnershipState.CLOSED, OwnershipEvent.CLOSED): (OwnershipState.CLOSED, ()),
 }
 
 
@@ -71,8 +71,8 @@
 class SessionOwnership(Generic[Owner]):
     """One subscription's owner, and how many news there were of it."""
 
-    id: str
-    stage: OwnershipState = OwnershipState.LOOSE
+    session_id: str
+    state: OwnershipState = OwnershipState.UNOWNED
     owner: Owner | None = None
     number: int = 0
 
@@ -109,23 +109,23 @@
         if not again and len(self.owned.get(owner, ())) >= most:
             return OwnershipClaim(False, f"this connection holds {most} subscriptions, the most it may")
         before = holding.owner
-        holding.stage, acts = TRANSITIONS[
-            holding.stage, OwnershipEvent.CLAIMED_AGAIN if again else OwnershipEvent.CLAIMED
+        holding.state, acts = TRANSITIONS[
+            holding.state, OwnershipEvent.RECLAIMED if again else OwnershipEvent.CLAIMED
         ]
-        loser = before if OwnershipAction.TELL_TAKEN in acts else None
+        loser = before if OwnershipAction.NOTIFY_DISPLACED in acts else None
         if loser is not None:
             self.owned[loser].discard(id)
-        if OwnershipAction.GIVE in acts:
+        if OwnershipAction.ASSIGN in acts:
             self.held[id], holding.owner = holding, owner
             self.owned.setdefault(owner, set()).add(id)
-        return OwnershipClaim(OwnershipAction.GIVE in acts, "", loser)
+        return OwnershipClaim(OwnershipAction.ASSIGN in acts, "", loser)
 
     def left(self, owner: Owner) -> list[str]:
         """A connection is gone; what it leaves behind."""
         orphans = sorted(self.owned.pop(owner, ()))
         for id in orphans:
             holding = self.held[id]
-            holding.stage, _ = TRANSITIONS[holding.stage, OwnershipEvent.LEFT]
+            holding.state, _ = TRANSITIONS[holding.state, OwnershipEvent.DISCONNECTED]
             holding.owner = None
         return orphans
 
@@ -134,11 +134,11 @@
         holding = self.held.pop(id, None)
         if holding is None:
             return None
-        holding.stage, acts = TRANSITIONS[holding.stage, OwnershipEvent.ENDED]
+        holding.state, acts = TRANSITIONS[holding.state, OwnershipEvent.CLOSED]
         owner, holding.owner = holding.owner, None
         if owner is not None:
             self.owned[owner].discard(id)
-        return owner if OwnershipAction.TELL_ENDED in acts else None
+        return owner if OwnershipAction.NOTIFY_CLOSED in acts else None
 
     def news(self, id: str) -> tuple[Owner | None, int]:
         """There is news of a subscription: who is to be told, and the news' number."""
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/waiting_room.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/waiting_room.py
@@ -21,22 +21,26 @@
 LEAST_WAIT_US = 1_000_000  # Retry-After counts whole seconds
 # The pace may double each second: what it says of a time further off is worth nothing. Told up to 30 s, a
 # hall's crowd stayed away from boxes that had room (median wait 30 s, p90 120 s).
-LONGEST_WAIT_US = 8_000_000
-SPAN_SHARE = 0.25  # of the wait is the span in which the holder may come: it spreads those whose clocks agree
+MAX_WAIT_US = 8_000_000
+WINDOW_FRACTION = (
+    0.25  # of the wait is the span in which the holder may come: it spreads those whose clocks agree
+)
 SPAN_LEAST_US = 500_000
-LEAST_PACE = 0.5  # set-ups a second that are promised where nothing was served lately
-FIRSTS_SHARE = 0.5  # of the pace is kept for first tries, the rest for those who come back: neither starves
-DEBT = 2.0  # seconds of its pace that a class may save up
-GROWTH = 2.0  # a second, while nothing is refused: room that is there must not wait for a slow guess
-CUT = 0.7
-OVER = 1.25  # times what is served, so that room that comes free is asked for at once
-MOST_PACE = 1000.0
-DEAREST = 4.0  # times a mean set-up: what the least benefit costs of the pace
-PRIORITY_WEIGHT_SCALE = 64  # requests over which the mean benefit is taken
-REFUSED_SHARE = 0.2  # of those let in: from here on there is no room
-MOST_QUEUES = 1024
-MOST_DOUBLINGS = 3
-TOKEN_CHARS = 400
+MIN_RATE_PER_S = 0.5  # set-ups a second that are promised where nothing was served lately
+FIRST_TRY_FRACTION = (
+    0.5  # of the pace is kept for first tries, the rest for those who come back: neither starves
+)
+MAX_BURST_S = 2.0  # seconds of its pace that a class may save up
+GROWTH_PER_S = 2.0  # a second, while nothing is refused: room that is there must not wait for a slow guess
+DECREASE_FACTOR = 0.7
+HEADROOM_FACTOR = 1.25  # times what is served, so that room that comes free is asked for at once
+MAX_RATE_PER_S = 1000.0
+MAX_COST = 4.0  # times a mean set-up: what the least benefit costs of the pace
+PRIORITY_WEIGHT_SAMPLES = 64  # requests over which the mean benefit is taken
+MAX_REJECTED_FRACTION = 0.2  # of those let in: from here on there is no room
+MAX_QUEUES = 1024
+MAX_DOUBLINGS = 3
+MAX_TICKET_CHARS = 400
 
 
 class QueueTicket(Struct, frozen=True, array_like=True):
@@ -64,8 +68,8 @@
 class AvailableCapacity(Enum):
     """What the module made of those let in lately."""
 
-    SOME = auto()  # it refused next to nobody
-    NONE = auto()
+    AVAILABLE = auto()  # it refused next to nobody
+    EXHAUSTED = auto()
 
 
 class QueueDecision(Enum):
@@ -82,21 +86,21 @@
 # While places are kept. Where there is room nobody waits but who can do it without harm: held to the pace
 # then, first tries were turned away for whom boxes had room (147 of 200 watched, 191 without any damping).
 TRANSITIONS: dict[tuple[TicketStatus, AvailableCapacity], QueueDecision] = {
-    (TicketStatus.FIRST, AvailableCapacity.SOME): QueueDecision.LET_IN,
-    (TicketStatus.AGAIN, AvailableCapacity.SOME): QueueDecision.BY_PACE,
-    (TicketStatus.EARLY, AvailableCapacity.SOME): QueueDecision.KEEP_PLACE,
-    (TicketStatus.DUE, AvailableCapacity.SOME): QueueDecision.LET_IN,
-    (TicketStatus.LATE, AvailableCapacity.SOME): QueueDecision.LET_IN,
-    (TicketStatus.INVENTED, AvailableCapacity.SOME): QueueDecision.GUEST_PLACE,
-    (TicketStatus.FIRST, AvailableCapacity.NONE): QueueDecision.BY_PACE,
+    (TicketStatus.FIRST, AvailableCapacity.AVAILABLE): QueueDecision.LET_IN,
+    (TicketStatus.AGAIN, AvailableCapacity.AVAILABLE): QueueDecision.BY_PACE,
+    (TicketStatus.EARLY, AvailableCapacity.AVAILABLE): QueueDecision.KEEP_PLACE,
+    (TicketStatus.DUE, AvailableCapacity.AVAILABLE): QueueDecision.LET_IN,
+    (TicketStatus.LATE, AvailableCapacity.AVAILABLE): QueueDecision.LET_IN,
+    (TicketStatus.INVENTED, AvailableCapacity.AVAILABLE): QueueDecision.GUEST_PLACE,
+    (TicketStatus.FIRST, AvailableCapacity.EXHAUSTED): QueueDecision.BY_PACE,
     # One that comes again without its place has most likely been given one: a further one each time would
     # hold places for nobody.
-    (TicketStatus.AGAIN, AvailableCapacity.NONE): QueueDecision.GUEST_PLACE,
-    (TicketStatus.EARLY, AvailableCapacity.NONE): QueueDecision.KEEP_PLACE,
+    (TicketStatus.AGAIN, AvailableCapacity.EXHAUSTED): QueueDecision.GUEST_PLACE,
+    (TicketStatus.EARLY, AvailableCapacity.EXHAUSTED): QueueDecision.KEEP_PLACE,
     # The module is asked for each whose time has come: it knows best what has room.
-    (TicketStatus.DUE, AvailableCapacity.NONE): QueueDecision.LET_IN,
-    (TicketStatus.LATE, AvailableCapacity.NONE): QueueDecision.LET_IN,
-    (TicketStatus.INVENTED, AvailableCapacity.NONE): QueueDecision.GUEST_PLACE,
+    (TicketStatus.DUE, AvailableCapacity.EXHAUSTED): QueueDecision.LET_IN,
+    (TicketStatus.LATE, AvailableCapacity.EXHAUSTED): QueueDecision.LET_IN,
+    (TicketStatus.INVENTED, AvailableCapacity.EXHAUSTED): QueueDecision.GUEST_PLACE,
 }
 
 # For whom the pace has no room, and whom the module refuses.
@@ -115,7 +119,7 @@
 
 def verify_ticket(token: str, macs: list[Mac]) -> QueueTicket | None:
     """The place of a token made under one of these keys; None for any other text."""
-    raw = signed_tokens.verify(token, macs, TOKEN_CHARS)
+    raw = signed_tokens.verify(token, macs, MAX_TICKET_CHARS)
     if raw is None:
         return None
     try:
@@ -141,20 +145,20 @@
 class TokenBucket:
     """What one class may still take, in set-ups; never below nothing."""
 
-    level: float = 0.0
+    tokens: float = 0.0
 
     def fill(self, more: float, most: float) -> float:
         """Add; what is over is handed back."""
-        self.level += more
-        over = max(0.0, self.level - most)
-        self.level -= over
+        self.tokens += more
+        over = max(0.0, self.tokens - most)
+        self.tokens -= over
         return over
 
-    def take(self, cost: float) -> bool:
+    def try_acquire(self, cost: float) -> bool:
         """One set-up, at what it costs of the pace."""
-        if self.level < cost:
+        if self.tokens < cost:
             return False
-        self.level -= cost
+        self.tokens -= cost
         return True
 
 
@@ -166,37 +170,39 @@
     of the wait 12.7 s, 6.0 s without damping). Times in microseconds.
     """
 
-    now_us: int
-    pace: float = LEAST_PACE  # set-ups a second that are let in and promised
-    next_us: int = 0
+    updated_us: int
+    pace: float = MIN_RATE_PER_S  # set-ups a second that are let in and promised
+    next_slot_us: int = 0
     served: int = 0
     let_in: float = 0.0
     refused: float = 0.0  # of those let in, by the module
-    refusing: bool = False
-    rate: float = 0.0  # set-ups served a second, smoothed
-    firsts: TokenBucket = field(default_factory=TokenBucket)
-    backs: TokenBucket = field(default_factory=TokenBucket)
-    priority_weight: float = 0.0  # of those who ask, the mean
-    asked: int = 0
+    is_rejecting: bool = False
+    served_per_s: float = 0.0  # set-ups served a second, smoothed
+    first_tries: TokenBucket = field(default_factory=TokenBucket)
+    retries: TokenBucket = field(default_factory=TokenBucket)
+    mean_priority_weight: float = 0.0  # of those who ask, the mean
+    request_count: int = 0
 
     def cost(self, priority_weight: float) -> float:
         """What a set-up of this benefit costs of the pace; one of the mean benefit costs one.
 
         So room types share the pace as their benefits are to each other, and none is shut out.
         """
-        self.asked += 1
-        self.priority_weight += (priority_weight - self.priority_weight) / min(
-            self.asked, PRIORITY_WEIGHT_SCALE
+        self.request_count += 1
+        self.mean_priority_weight += (priority_weight - self.mean_priority_weight) / min(
+            self.request_count, PRIORITY_WEIGHT_SAMPLES
         )
         return min(
-            DEAREST,
-            max(1 / DEAREST, self.priority_weight / priority_weight if priority_weight > 0 else DEAREST),
+            MAX_COST,
+            max(
+                1 / MAX_COST, self.mean_priority_weight / priority_weight if priority_weight > 0 else MAX_COST
+            ),
         )
 
     @property
     def room(self) -> AvailableCapacity:
         """What the module made of those let in lately."""
-        return AvailableCapacity.NONE if self.refusing else AvailableCapacity.SOME
+        return AvailableCapacity.EXHAUSTED if self.is_rejecting else AvailableCapacity.AVAILABLE
 
     def advance(self, now_us: int) -> None:
         """Time passes: the pace follows what can be served, and both classes' buckets fill.
@@ -205,32 +211,40 @@
         doubles each second while the module refuses next to nobody, and falls towards what was served while
         it refuses.
         """
-        seconds = (now_us - self.now_us) / 1e6
+        seconds = (now_us - self.updated_us) / 1e6
         if seconds < 0.25:
             return
         rate = self.served / seconds
-        if self.let_in or self.refused or seconds >= DEBT:
-            self.refusing = self.refused > REFUSED_SHARE * self.let_in
-        self.rate += (rate - self.rate) * min(1.0, seconds / 2)
-        grown = self.pace * GROWTH ** min(seconds, DEBT)
-        self.pace = max(self.rate * OVER, self.pace * CUT) if self.refusing else grown
-        self.pace = min(MOST_PACE, max(LEAST_PACE, self.pace))
+        if self.let_in or self.refused or seconds >= MAX_BURST_S:
+            self.is_rejecting = self.refused > MAX_REJECTED_FRACTION * self.let_in
+        self.served_per_s += (rate - self.served_per_s) * min(1.0, seconds / 2)
+        grown = self.pace * GROWTH_PER_S ** min(seconds, MAX_BURST_S)
+        self.pace = (
+            max(self.served_per_s * HEADROOM_FACTOR, self.pace * DECREASE_FACTOR)
+            if self.is_rejecting
+            else grown
+        )
+        self.pace = min(MAX_RATE_PER_S, max(MIN_RATE_PER_S, self.pace))
         # One title is seldom asked for twice in such a span: what was before it counts on, by half.
-        self.now_us, self.served = now_us, 0
+        self.updated_us, self.served = now_us, 0
         self.let_in, self.refused = self.let_in / 2, self.refused / 2
-        gained, most = self.pace * min(seconds, DEBT), max(DEAREST, self.pace * DEBT)
-        over = self.firsts.fill(gained * FIRSTS_SHARE, most)
-        over = self.backs.fill(gained * (1 - FIRSTS_SHARE) + over, most)
+        gained, most = self.pace * min(seconds, MAX_BURST_S), max(MAX_COST, self.pace * MAX_BURST_S)
+        over = self.first_tries.fill(gained * FIRST_TRY_FRACTION, most)
+        over = self.retries.fill(gained * (1 - FIRST_TRY_FRACTION) + over, most)
         # What one class leaves the other may have: no pace is lost while anybody waits.
-        self.firsts.fill(over, most)
+        self.first_tries.fill(over, most)
 
     def admit(self, who: TicketStatus, cost: float = 1.0) -> bool:
         """Whether the pace still has room for one of this standing."""
-        own, other = (self.firsts, self.backs) if who is TicketStatus.FIRST else (self.backs, self.firsts)
-        if own.take(cost):
+        own, other = (
+            (self.first_tries, self.retries)
+            if who is TicketStatus.FIRST
+            else (self.retries, self.first_tries)
+        )
+        if own.try_acquire(cost):
             return True
         # Of the other class only what it has saved up over a second of its share is free to take.
-        return other.level > self.pace * FIRSTS_SHARE + cost and other.take(cost)
+        return other.tokens > self.pace * FIRST_TRY_FRACTION + cost and other.try_acquire(cost)
 
     def soon(self, draw: float, vain: int) -> tuple[int, int]:
         """The wait of one that has waited its time in vain, so many times: the least, doubled each time, the
@@ -239,7 +253,7 @@
         Sent to the end of the queue, those who did as they were told lost to those who had not; told the
         least each time, they used up their tries (293 of 410 watched, 358 without damping).
         """
-        most_us = min(LONGEST_WAIT_US, LEAST_WAIT_US << min(vain, MOST_DOUBLINGS))
+        most_us = min(MAX_WAIT_US, LEAST_WAIT_US << min(vain, MAX_DOUBLINGS))
         wait_us = max(LEAST_WAIT_US, round(most_us * (0.5 + draw / 2)))
         return wait_us, wait_us + SPAN_LEAST_US
 
@@ -251,16 +265,16 @@
         One place after another at the pace. A client that heeds no wait beyond `most_us` is told a time
         within it, spread over its upper half, since a longer one would be taken for none.
         """
-        next_us = max(self.next_us + round(1e6 / self.pace), now_us + LEAST_WAIT_US)
+        next_us = max(self.next_slot_us + round(1e6 / self.pace), now_us + LEAST_WAIT_US)
         wait_us = next_us - now_us
         if reserves:
-            self.next_us = min(next_us, now_us + LONGEST_WAIT_US)
-        if wait_us > LONGEST_WAIT_US:
-            wait_us = round(LONGEST_WAIT_US * (0.5 + draw / 2))
+            self.next_slot_us = min(next_us, now_us + MAX_WAIT_US)
+        if wait_us > MAX_WAIT_US:
+            wait_us = round(MAX_WAIT_US * (0.5 + draw / 2))
         if most_us is not None and wait_us > max(most_us, LEAST_WAIT_US):
             wait_us = round(max(most_us, LEAST_WAIT_US) * (0.5 + draw / 2))
             wait_us = max(LEAST_WAIT_US, wait_us)
-        span_us = max(SPAN_LEAST_US, round(wait_us * SPAN_SHARE))
+        span_us = max(SPAN_LEAST_US, round(wait_us * WINDOW_FRACTION))
         return wait_us, wait_us + span_us
 
 
@@ -268,19 +282,19 @@
     """A queue for each title asked for lately, a bounded number; the one longest unused goes first."""
 
     def __init__(self) -> None:
-        self.held: OrderedDict[str, WaitingQueue] = OrderedDict()
+        self.by_title: OrderedDict[str, WaitingQueue] = OrderedDict()
 
     def of(self, title: str, now_us: int) -> WaitingQueue:
         """The queue of a title, brought up to now."""
-        queue = self.held.get(title)
+        queue = self.by_title.get(title)
         if queue is None:
-            queue = self.held[title] = WaitingQueue(now_us)
-            if len(self.held) > MOST_QUEUES:
-                self.held.popitem(last=False)
-        self.held.move_to_end(title)
+            queue = self.by_title[title] = WaitingQueue(now_us)
+            if len(self.by_title) > MAX_QUEUES:
+                self.by_title.popitem(last=False)
+        self.by_title.move_to_end(title)
         queue.advance(now_us)
         return queue
 
     def waiting(self, now_us: int) -> dict[str, float]:
         """For titles whose places reach past now, the pace."""
-        return {title: queue.pace for title, queue in self.held.items() if queue.next_us > now_us}
+        return {title: queue.pace for title, queue in self.by_title.items() if queue.next_slot_us > now_us}
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/command_authorization.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/command_authorization.py
@@ -15,9 +15,9 @@
 from fennelcove.decisions.clients.signed_tokens import Mac
 
 HEADER = "fennelcove-command"
-WINDOW_US = 60_000_000  # clocks of operators' machines and fronts may differ by so much
-MOST_SEEN = 10_000
-NONCE_CHARS = 32
+MAX_CLOCK_SKEW_US = 60_000_000  # clocks of operators' machines and fronts may differ by so much
+MAX_NONCES = 10_000
+MAX_NONCE_CHARS = 32
 
 
 class CommandVerdict(Enum):
@@ -54,7 +54,7 @@
     wall_us: int
     nonce: str
 
-    def raw(self) -> bytes:
+    def signed_bytes(self) -> bytes:
         """The bytes under the seal; lengths keep two fields from being read as one."""
         parts = [self.front, self.method, self.path, str(self.wall_us), self.nonce]
         return b"".join(b"%d:%b" % (len(part), part) for part in [*(p.encode() for p in parts), self.body])
@@ -62,7 +62,7 @@
 
 def sign_command(command: SignedCommand, key: str, mac: Mac) -> str:
     """The header field of a command, under a key of this name."""
-    mark = base64.urlsafe_b64encode(mac(command.raw())).decode().rstrip("=")
+    mark = base64.urlsafe_b64encode(mac(command.signed_bytes())).decode().rstrip("=")
     return f"{key}:{command.wall_us}:{command.nonce}:{mark}"
 
 
@@ -73,7 +73,7 @@
 
     front: str
     keys: Mapping[str, tuple[Mac, bool]]
-    seen: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    nonces: OrderedDict[str, int] = field(default_factory=OrderedDict)
 
     def check(
         self, header: str | None, method: str, path: str, body: bytes, changes: bool, wall_us: int
@@ -83,37 +83,37 @@
         if len(parts) != 4 or not parts[1].isdigit() or len(parts[1]) > 20:
             return CommandVerdict.UNSEALED, ""
         key, told, nonce, mark = parts
-        if not 0 < len(nonce) <= NONCE_CHARS:
+        if not 0 < len(nonce) <= MAX_NONCE_CHARS:
             return CommandVerdict.UNSEALED, ""
         held = self.keys.get(key)
         command = SignedCommand(self.front, method, path, body, int(told), nonce)
         # Without such a key one is made up, so that the answer takes as long.
-        mac = held[0] if held is not None else _nobody
+        mac = held[0] if held is not None else _unknown_key_mac
         fits = _same(sign_command(command, key, mac).rpartition(":")[2], mark)
         if held is None or not fits:
             return CommandVerdict.WRONG_KEY, key
-        if abs(wall_us - command.wall_us) > WINDOW_US:
+        if abs(wall_us - command.wall_us) > MAX_CLOCK_SKEW_US:
             return CommandVerdict.STALE, key
-        self._forget(wall_us)
-        if f"{key}:{nonce}" in self.seen:
+        self._evict_expired(wall_us)
+        if f"{key}:{nonce}" in self.nonces:
             return CommandVerdict.REPLAYED, key
-        if len(self.seen) >= MOST_SEEN:
+        if len(self.nonces) >= MAX_NONCES:
             return CommandVerdict.BUSY, key
-        self.seen[f"{key}:{nonce}"] = command.wall_us
+        self.nonces[f"{key}:{nonce}"] = command.wall_us
         if changes and not held[1]:
             return CommandVerdict.NOT_PERMITTED, key
         return CommandVerdict.GRANTED, key
 
-    def _forget(self, wall_us: int) -> None:
-        while self.seen:
-            name, at_us = next(iter(self.seen.items()))
+    def _evict_expired(self, wall_us: int) -> None:
+        while self.nonces:
+            name, at_us = next(iter(self.nonces.items()))
             # Kept for both ends of the window: one made a minute ahead may come for two.
-            if wall_us - at_us <= 2 * WINDOW_US:
+            if wall_us - at_us <= 2 * MAX_CLOCK_SKEW_US:
                 return
-            del self.seen[name]
+            del self.nonces[name]
 
 
-def _nobody(raw: bytes) -> bytes:
+def _unknown_key_mac(raw: bytes) -> bytes:
     return bytes(16)
 
 
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/graceful_shutdown.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/graceful_shutdown.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-ANSWER_SHARE = 0.25  # of the time to stop, kept for answers after the last join is given up
+RESPONSE_FRACTION = 0.25  # of the time to stop, kept for answers after the last join is given up
 
 
 class ShutdownState(Enum):
@@ -16,7 +16,7 @@
 
     RUNNING = auto()
     DRAINING = auto()  # nothing new, joins that are out may end
-    ANSWERING = auto()  # joins are given up, answers go out
+    RESPONDING = auto()  # joins are given up, answers go out
     OVER = auto()
 
 
@@ -39,12 +39,15 @@
 TRANSITIONS: dict[tuple[ShutdownState, ShutdownEvent], tuple[ShutdownState, tuple[ShutdownAction, ...]]] = {
     (ShutdownState.RUNNING, ShutdownEvent.ASKED): (ShutdownState.DRAINING, (ShutdownAction.STOP_ACCEPTING,)),
     (ShutdownState.DRAINING, ShutdownEvent.IDLE): (ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)),
-    (ShutdownState.DRAINING, ShutdownEvent.TIME): (ShutdownState.ANSWERING, (ShutdownAction.GIVE_UP_JOINS,)),
+    (ShutdownState.DRAINING, ShutdownEvent.TIME): (ShutdownState.RESPONDING, (ShutdownAction.GIVE_UP_JOINS,)),
     # A second signal is an operator who will wait no longer.
-    (ShutdownState.DRAINING, ShutdownEvent.ASKED): (ShutdownState.ANSWERING, (ShutdownAction.GIVE_UP_JOINS,)),
-    (ShutdownState.ANSWERING, ShutdownEvent.IDLE): (ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)),
-    (ShutdownState.ANSWERING, ShutdownEvent.TIME): (ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)),
-    (ShutdownState.ANSWERING, ShutdownEvent.ASKED): (ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)),
+    (ShutdownState.DRAINING, ShutdownEvent.ASKED): (
+        ShutdownState.RESPONDING,
+        (ShutdownAction.GIVE_UP_JOINS,),
+    ),
+    (ShutdownState.RESPONDING, ShutdownEvent.IDLE): (ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)),
+    (ShutdownState.RESPONDING, ShutdownEvent.TIME): (ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)),
+    (ShutdownState.RESPONDING, ShutdownEvent.ASKED): (ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)),
 }
 
 
@@ -68,5 +71,7 @@
 
     def left_us(self, now_us: int) -> int:
         """How long this phase may still take."""
-        share = {ShutdownState.DRAINING: 1 - ANSWER_SHARE, ShutdownState.ANSWERING: 1.0}.get(self.phase, 0.0)
+        share = {ShutdownState.DRAINING: 1 - RESPONSE_FRACTION, ShutdownState.RESPONDING: 1.0}.get(
+            self.phase, 0.0
+        )
         return max(0, self.asked_us + round(self.stop_us * share) - now_us)
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/reachability.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/reachability.py
@@ -70,7 +70,7 @@
     (CallResult.BYTES, CallFailure.NO_HTTP): ReachStatus.GARBLED,
 }
 # Sent, and no whole answer: a command may have taken effect.
-DOUBTFUL = frozenset({ReachStatus.SILENT, ReachStatus.CUT_SHORT, ReachStatus.GARBLED})
+INDETERMINATE_STATUSES = frozenset({ReachStatus.SILENT, ReachStatus.CUT_SHORT, ReachStatus.GARBLED})
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +86,7 @@
     @property
     def unknown(self) -> bool:
         """Whether it may have carried out what it was told."""
-        return self.word in DOUBTFUL
+        return self.word in INDETERMINATE_STATUSES
 
 
 def answered(name: str, status: int, body: dict[str, object], took_us: int) -> CallOutcome:
@@ -107,16 +107,18 @@
 class ExitCode(Enum):
     """How a whole call ended, as exit status."""
 
-    ALL = 0
+    ALL_DONE = 0
     SOME_FAILED = 1
-    SOME_UNKNOWN = 3
+    SOME_INDETERMINATE = 3
 
 
 def ended(outcomes: Iterable[CallOutcome], commands: bool) -> ExitCode:
     """The exit status of a call; a question that got no answer has failed, a command may have been heard."""
     found = list(outcomes)
     if commands and any(outcome.unknown for outcome in found):
-        return ExitCode.SOME_UNKNOWN
+        return ExitCode.SOME_INDETERMINATE
     return (
-        ExitCode.ALL if all(outcome.word is ReachStatus.DONE for outcome in found) else ExitCode.SOME_FAILED
+        ExitCode.ALL_DONE
+        if all(outcome.word is ReachStatus.DONE for outcome in found)
+        else ExitCode.SOME_FAILED
     )
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/aimd_limit.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/aimd_limit.py
@@ -11,21 +11,21 @@
 
 from fennelcove.interface import Outcome
 
-FIRST_LIMIT = 16.0
-LEAST_LIMIT = 1.0
-MOST_LIMIT = 256.0
-CUT = 0.7
-MOST_SERVERS = 10_000
-BAD = (Outcome.NO_ANSWER, Outcome.TURNED_AWAY, Outcome.SERVER_ERROR, Outcome.CONNECTION_LOST)
+INITIAL_LIMIT = 16.0
+MIN_LIMIT = 1.0
+MAX_LIMIT = 256.0
+DECREASE_FACTOR = 0.7
+MAX_SERVERS = 10_000
+OVERLOAD_OUTCOMES = (Outcome.NO_ANSWER, Outcome.TURNED_AWAY, Outcome.SERVER_ERROR, Outcome.CONNECTION_LOST)
 
 
 @dataclass(slots=True)
 class AimdLimit:
     """One box: how many may be out, how many are."""
 
-    limit: float = FIRST_LIMIT
-    out: int = 0
-    cut_at_us: int = -1
+    limit: float = INITIAL_LIMIT
+    in_flight: int = 0
+    decreased_at_us: int = -1
 
 
 class AimdLimits:
@@ -40,11 +40,11 @@
         held = self.servers.get(server)
         if held is None:
             held = self.servers[server] = AimdLimit()
-            self._forget()
+            self._evict_idle()
         self.servers.move_to_end(server)
-        if held.out >= int(held.limit):
+        if held.in_flight >= int(held.limit):
             return False
-        held.out += 1
+        held.in_flight += 1
         return True
 
     def leave(self, server: str, outcome: Outcome, sent_us: int, now_us: int) -> None:
@@ -52,18 +52,18 @@
         held = self.servers.get(server)
         if held is None:
             return
-        held.out = max(0, held.out - 1)
+        held.in_flight = max(0, held.in_flight - 1)
         if outcome is Outcome.SERVED:
             # Until the first cut it grows with each: a front that has just started must not crawl.
-            step = 1.0 if held.cut_at_us < 0 else 1 / max(1.0, held.limit)
-            held.limit = min(MOST_LIMIT, held.limit + step)
-        elif outcome in BAD and sent_us > held.cut_at_us:
-            held.limit = max(LEAST_LIMIT, held.limit * CUT)
-            held.cut_at_us = now_us
+            step = 1.0 if held.decreased_at_us < 0 else 1 / max(1.0, held.limit)
+            held.limit = min(MAX_LIMIT, held.limit + step)
+        elif outcome in OVERLOAD_OUTCOMES and sent_us > held.decreased_at_us:
+            held.limit = max(MIN_LIMIT, held.limit * DECREASE_FACTOR)
+            held.decreased_at_us = now_us
 
-    def _forget(self) -> None:
-        if len(self.servers) > MOST_SERVERS:
+    def _evict_idle(self) -> None:
+        if len(self.servers) > MAX_SERVERS:
             for server, held in self.servers.items():
-                if held.out == 0:
+                if held.in_flight == 0:
                     del self.servers[server]
                     return
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/attempt_exchange.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/attempt_exchange.py
@@ -16,11 +16,11 @@
 class ExchangeState(Enum):
     """How far the exchange has come."""
 
-    DIALLING = auto()
+    CONNECTING = auto()
     WRITING = auto()
     WAITING = auto()  # the whole request is out, no byte has come back
     READING = auto()
-    OVER = auto()
+    COMPLETED = auto()
 
 
 class ExchangeEvent(Enum):
@@ -41,26 +41,26 @@
 Row = tuple[ExchangeState, Outcome | None]
 
 _ANSWERS: dict[ExchangeEvent, Row] = {
-    ExchangeEvent.STARTED: (ExchangeState.OVER, Outcome.SERVED),
-    ExchangeEvent.TURNED_AWAY: (ExchangeState.OVER, Outcome.TURNED_AWAY),
-    ExchangeEvent.ERROR: (ExchangeState.OVER, Outcome.SERVER_ERROR),
-    ExchangeEvent.GARBAGE: (ExchangeState.OVER, Outcome.SERVER_ERROR),
+    ExchangeEvent.STARTED: (ExchangeState.COMPLETED, Outcome.SERVED),
+    ExchangeEvent.TURNED_AWAY: (ExchangeState.COMPLETED, Outcome.TURNED_AWAY),
+    ExchangeEvent.ERROR: (ExchangeState.COMPLETED, Outcome.SERVER_ERROR),
+    ExchangeEvent.GARBAGE: (ExchangeState.COMPLETED, Outcome.SERVER_ERROR),
 }
 
 TRANSITIONS: dict[tuple[ExchangeState, ExchangeEvent], Row] = {
-    (ExchangeState.DIALLING, ExchangeEvent.CONNECTED): (ExchangeState.WRITING, None),
-    (ExchangeState.DIALLING, ExchangeEvent.REFUSED): (ExchangeState.OVER, Outcome.NO_CONNECTION),
-    (ExchangeState.DIALLING, ExchangeEvent.TIMED_OUT): (ExchangeState.OVER, Outcome.NO_CONNECTION),
-    (ExchangeState.DIALLING, ExchangeEvent.CLOSED): (ExchangeState.OVER, Outcome.NO_CONNECTION),
+    (ExchangeState.CONNECTING, ExchangeEvent.CONNECTED): (ExchangeState.WRITING, None),
+    (ExchangeState.CONNECTING, ExchangeEvent.REFUSED): (ExchangeState.COMPLETED, Outcome.NO_CONNECTION),
+    (ExchangeState.CONNECTING, ExchangeEvent.TIMED_OUT): (ExchangeState.COMPLETED, Outcome.NO_CONNECTION),
+    (ExchangeState.CONNECTING, ExchangeEvent.CLOSED): (ExchangeState.COMPLETED, Outcome.NO_CONNECTION),
     (ExchangeState.WRITING, ExchangeEvent.WROTE): (ExchangeState.WAITING, None),
     # The box has at most a part of the request, whose framing tells it so: it can't have acted on it.
-    (ExchangeState.WRITING, ExchangeEvent.CLOSED): (ExchangeState.OVER, Outcome.NO_CONNECTION),
-    (ExchangeState.WRITING, ExchangeEvent.TIMED_OUT): (ExchangeState.OVER, Outcome.NO_CONNECTION),
+    (ExchangeState.WRITING, ExchangeEvent.CLOSED): (ExchangeState.COMPLETED, Outcome.NO_CONNECTION),
+    (ExchangeState.WRITING, ExchangeEvent.TIMED_OUT): (ExchangeState.COMPLETED, Outcome.NO_CONNECTION),
     (ExchangeState.WAITING, ExchangeEvent.BYTES): (ExchangeState.READING, None),
-    (ExchangeState.WAITING, ExchangeEvent.CLOSED): (ExchangeState.OVER, Outcome.CONNECTION_LOST),
-    (ExchangeState.WAITING, ExchangeEvent.TIMED_OUT): (ExchangeState.OVER, Outcome.NO_ANSWER),
-    (ExchangeState.READING, ExchangeEvent.CLOSED): (ExchangeState.OVER, Outcome.CONNECTION_LOST),
-    (ExchangeState.READING, ExchangeEvent.TIMED_OUT): (ExchangeState.OVER, Outcome.NO_ANSWER),
+    (ExchangeState.WAITING, ExchangeEvent.CLOSED): (ExchangeState.COMPLETED, Outcome.CONNECTION_LOST),
+    (ExchangeState.WAITING, ExchangeEvent.TIMED_OUT): (ExchangeState.COMPLETED, Outcome.NO_ANSWER),
+    (ExchangeState.READING, ExchangeEvent.CLOSED): (ExchangeState.COMPLETED, Outcome.CONNECTION_LOST),
+    (ExchangeState.READING, ExchangeEvent.TIMED_OUT): (ExchangeState.COMPLETED, Outcome.NO_ANSWER),
     **{(ExchangeState.READING, seen): row for seen, row in _ANSWERS.items()},
     (ExchangeState.WAITING, ExchangeEvent.GARBAGE): _ANSWERS[ExchangeEvent.GARBAGE],
 }
@@ -70,14 +70,14 @@
     """One join on its way."""
 
     def __init__(self) -> None:
-        self.phase = ExchangeState.DIALLING
+        self.state = ExchangeState.CONNECTING
         self.outcome: Outcome | None = None
 
     def see(self, seen: ExchangeEvent) -> Outcome | None:
         """Move on by what the socket showed; the outcome once there is one."""
-        row = TRANSITIONS.get((self.phase, seen))
+        row = TRANSITIONS.get((self.state, seen))
         if row is not None:
-            self.phase, self.outcome = row
+            self.state, self.outcome = row
         return self.outcome
 
 
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
@@ -30,28 +30,28 @@
     """What else is known of the box."""
 
     LISTED = auto()  # and heard of before: its path may be cut
-    UNHEARD = auto()  # nothing yet that an end could be counted from
-    DROPPED = auto()  # the list names it no more
+    NEVER_REACHED = auto()  # nothing yet that an end could be counted from
+    DELISTED = auto()  # the list names it no more
 
 
 class LossState(Enum):
     """How its dials stand."""
 
-    REACHED = auto()
-    DOUBTED = auto()  # one has failed, which may be chance
+    REACHABLE = auto()
+    SUSPECTED = auto()  # one has failed, which may be chance
     REFUSING = auto()
-    SILENT = auto()
+    UNRESPONSIVE = auto()
 
 
 TRANSITIONS: TransitionTable[LossState, DialResult, Never] = TransitionTable(
     {
-        **{(state, DialResult.MADE): Transition(LossState.REACHED) for state in LossState},
-        (LossState.REACHED, DialResult.REFUSED): Transition(LossState.DOUBTED),
-        (LossState.REACHED, DialResult.SILENT): Transition(LossState.DOUBTED),
-        (LossState.DOUBTED, DialResult.REFUSED): Transition(LossState.REFUSING),
-        (LossState.DOUBTED, DialResult.SILENT): Transition(LossState.SILENT),
-        (LossState.SILENT, DialResult.REFUSED): Transition(LossState.REFUSING),
-        (LossState.REFUSING, DialResult.SILENT): Transition(LossState.SILENT),
+        **{(state, DialResult.MADE): Transition(LossState.REACHABLE) for state in LossState},
+        (LossState.REACHABLE, DialResult.REFUSED): Transition(LossState.SUSPECTED),
+        (LossState.REACHABLE, DialResult.SILENT): Transition(LossState.SUSPECTED),
+        (LossState.SUSPECTED, DialResult.REFUSED): Transition(LossState.REFUSING),
+        (LossState.SUSPECTED, DialResult.SILENT): Transition(LossState.UNRESPONSIVE),
+        (LossState.UNRESPONSIVE, DialResult.REFUSED): Transition(LossState.REFUSING),
+        (LossState.REFUSING, DialResult.SILENT): Transition(LossState.UNRESPONSIVE),
     },
     unlisted=Unlisted.IGNORE,
 )
@@ -59,9 +59,9 @@
 # How long after the last sign what stands there is over; None: as soon as the stage is reached.
 LOST_STATES: dict[tuple[LossState, EndpointKnowledge], int | None] = {
     **{(LossState.REFUSING, known): None for known in EndpointKnowledge},
-    (LossState.SILENT, EndpointKnowledge.DROPPED): None,
-    (LossState.SILENT, EndpointKnowledge.UNHEARD): None,
-    (LossState.SILENT, EndpointKnowledge.LISTED): UNCONFIRMED_LOSS_US,
+    (LossState.UNRESPONSIVE, EndpointKnowledge.DELISTED): None,
+    (LossState.UNRESPONSIVE, EndpointKnowledge.NEVER_REACHED): None,
+    (LossState.UNRESPONSIVE, EndpointKnowledge.LISTED): UNCONFIRMED_LOSS_US,
 }
 
 
@@ -69,29 +69,29 @@
 class ConnectionLossTracker:
     """One box; times in microseconds."""
 
-    stage: LossState = LossState.REACHED
-    heard_us: int | None = None  # the last sign of life
+    state: LossState = LossState.REACHABLE
+    last_received_us: int | None = None  # the last sign of life
 
     def dialled(self, dial: DialResult, now_us: int) -> None:
         """A dial has ended."""
-        self.stage = TRANSITIONS.apply(self.stage, dial).state
+        self.state = TRANSITIONS.apply(self.state, dial).state
         if dial is DialResult.MADE:
-            self.heard_us = now_us
+            self.last_received_us = now_us
 
     def heard(self, now_us: int) -> None:
         """Anything has come from there."""
-        self.stage, self.heard_us = LossState.REACHED, now_us
+        self.state, self.last_received_us = LossState.REACHABLE, now_us
 
     def over(self, listed: bool, now_us: int) -> bool:
         """Whether what stands there is to be taken for ended."""
         known = (
-            EndpointKnowledge.DROPPED
+            EndpointKnowledge.DELISTED
             if not listed
-            else EndpointKnowledge.UNHEARD
-            if self.heard_us is None
+            else EndpointKnowledge.NEVER_REACHED
+            if self.last_received_us is None
             else EndpointKnowledge.LISTED
         )
-        if (self.stage, known) not in LOST_STATES:
+        if (self.state, known) not in LOST_STATES:
             return False
-        after_us = LOST_STATES[self.stage, known]
-        return after_us is None or self.heard_us is None or now_us - self.heard_us >= after_us
+        after_us = LOST_STATES[self.state, known]
+        return after_us is None or self.last_received_us is None or now_us - self.last_received_us >= after_us
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/endpoint_list.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/endpoint_list.py
@@ -12,9 +12,9 @@
 
 from fennelcove.interface import ListEntry, ListMode, ListUpdate, ServerState
 
-MOST_SERVERS = 10_000
+MAX_SERVERS = 10_000
 # A restart told out of order must not make a box older than it is.
-_CAREFUL = {ServerState.ACTIVE: 0, ServerState.LEAVING: 1, ServerState.LEFT: 2}
+_DRAIN_PROGRESS = {ServerState.ACTIVE: 0, ServerState.LEAVING: 1, ServerState.LEFT: 2}
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,7 +22,7 @@
     """One message of the list service: a whole list, or changes on top of the version before it."""
 
     version: int
-    base: int | None  # None for a whole list
+    base_version: int | None  # None for a whole list
     entries: tuple[ListEntry, ...]
 
 
@@ -44,13 +44,13 @@
     update: ListUpdate | None = None
 
 
-def merged(entries: tuple[ListEntry, ...]) -> tuple[ListEntry, ...]:
+def merge_entries(entries: tuple[ListEntry, ...]) -> tuple[ListEntry, ...]:
     """Each box once: of two entries the more careful standing and the later start count."""
     found: dict[str, ListEntry] = {}
     for entry in entries:
         other = found.get(entry.address)
         if other is not None:
-            standing = max(entry.standing, other.standing, key=_CAREFUL.__getitem__)
+            standing = max(entry.standing, other.standing, key=_DRAIN_PROGRESS.__getitem__)
             entry = replace(entry, standing=standing, started_us=max(entry.started_us, other.started_us))
         found[entry.address] = entry
     return tuple(found.values())
@@ -69,39 +69,41 @@
             verdict = check(self, news)
             if verdict is not None:
                 return verdict
-        entries = merged(news.entries)
-        if news.base is None:
+        entries = merge_entries(news.entries)
+        if news.base_version is None:
             self.cells.clear()
         self.cells.update((entry.address, (entry.cell, entry.kind)) for entry in entries)
         self.version = news.version
-        mode = ListMode.FULL if news.base is None else ListMode.INCREMENTAL
+        mode = ListMode.FULL if news.base_version is None else ListMode.INCREMENTAL
         return ListVerdict(ListDecision.TAKEN, update=ListUpdate(mode, entries))
 
-    def _in_order(self, news: EndpointListUpdate) -> ListVerdict | None:
+    def _check_order(self, news: EndpointListUpdate) -> ListVerdict | None:
         if self.version is not None and news.version <= self.version:
             return ListVerdict(ListDecision.OLD)
-        if news.base is not None and news.base != self.version:
+        if news.base_version is not None and news.base_version != self.version:
             return ListVerdict(ListDecision.GAP)
         return None
 
-    def _names_some(self, news: EndpointListUpdate) -> ListVerdict | None:
+    def _check_has_active(self, news: EndpointListUpdate) -> ListVerdict | None:
         # A whole list without one box to play on takes every viewer's lesson away: a fault far likelier than
         # a fleet that is gone, and joins will tell if it is.
-        if news.base is None and not any(entry.standing is ServerState.ACTIVE for entry in news.entries):
+        if news.base_version is None and not any(
+            entry.standing is ServerState.ACTIVE for entry in news.entries
+        ):
             return ListVerdict(
                 ListDecision.REFUSED, "a whole list that names no active box; the last list stays"
             )
         return None
 
-    def _fits(self, news: EndpointListUpdate) -> ListVerdict | None:
-        if len(news.entries) > MOST_SERVERS:
+    def _check_size(self, news: EndpointListUpdate) -> ListVerdict | None:
+        if len(news.entries) > MAX_SERVERS:
             return ListVerdict(
-                ListDecision.REFUSED, f"{len(news.entries)} boxes, at most {MOST_SERVERS} will do"
+                ListDecision.REFUSED, f"{len(news.entries)} boxes, at most {MAX_SERVERS} will do"
             )
         return None
 
-    def _agrees(self, news: EndpointListUpdate) -> ListVerdict | None:
-        places: dict[str, tuple[int, str]] = {} if news.base is None else dict(self.cells)
+    def _check_placements(self, news: EndpointListUpdate) -> ListVerdict | None:
+        places: dict[str, tuple[int, str]] = {} if news.base_version is None else dict(self.cells)
         for entry in news.entries:
             place = (entry.cell, entry.kind)
             if places.setdefault(entry.address, place) != place:
@@ -110,16 +112,16 @@
 
 
 VIOLATION_CHECKS: tuple[Callable[[EndpointListTracker, EndpointListUpdate], ListVerdict | None], ...] = (
-    EndpointListTracker._in_order,
-    EndpointListTracker._fits,
-    EndpointListTracker._names_some,
-    EndpointListTracker._agrees,
+    EndpointListTracker._check_order,
+    EndpointListTracker._check_size,
+    EndpointListTracker._check_has_active,
+    EndpointListTracker._check_placements,
 )
 
 
 SILENCE_US = 10_000_000  # the service beats every second: so long without is a connection that is dead
-FIRST_PAUSE_US = 100_000
-MOST_PAUSE_US = 5_000_000
+INITIAL_BACKOFF_US = 100_000
+MAX_BACKOFF_US = 5_000_000
 
 
 def pause_us(failures: int, draw: float) -> int:
@@ -129,5 +131,5 @@
         failures: calls failed in a row.
         draw: chance, from 0 up to 1.
     """
-    longest = min(MOST_PAUSE_US, FIRST_PAUSE_US * (1 << min(failures, 16)))
+    longest = min(MAX_BACKOFF_US, INITIAL_BACKOFF_US * (1 << min(failures, 16)))
     return round(longest * (0.5 + draw / 2))
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/event_stream.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/event_stream.py
@@ -13,9 +13,9 @@
 
 from fennelcove.placement import MARK_US
 
-FIRST_PAUSE_US = 100_000
-MOST_PAUSE_US = 2_000_000
-REFUSALS_THAT_PROVE = 3
+INITIAL_BACKOFF_US = 100_000
+MAX_BACKOFF_US = 2_000_000
+REFUSALS_PROVING_LOSS = 3
 LINGER_US = MARK_US  # what a mark remembers of a link is worth hearing for as long
 
 
@@ -35,7 +35,7 @@
     HELD = auto()  # the first subscription plays there
     NONE_HELD = auto()  # the last has ended
     HELLO = auto()  # the box greets: same process as before
-    HELLO_ANEW = auto()  # the box greets: another process
+    HELLO_RESTARTED = auto()  # the box greets: another process
     REFUSED = auto()
     CUT = auto()  # it broke, or fell silent past its limit
     RETRY = auto()  # the pause is over
@@ -59,7 +59,7 @@
 TRANSITIONS: dict[tuple[StreamState, StreamEvent], Row] = {
     (StreamState.CLOSED, StreamEvent.HELD): (StreamState.OPENING, (StreamAction.OPEN_FEED,)),
     (StreamState.OPENING, StreamEvent.HELLO): (StreamState.OPEN, (StreamAction.LOSE_UNKNOWN,)),
-    (StreamState.OPENING, StreamEvent.HELLO_ANEW): (StreamState.OPEN, (StreamAction.LOSE_UNKNOWN,)),
+    (StreamState.OPENING, StreamEvent.HELLO_RESTARTED): (StreamState.OPEN, (StreamAction.LOSE_UNKNOWN,)),
     (StreamState.OPENING, StreamEvent.REFUSED): (StreamState.BROKEN, (StreamAction.PAUSE,)),
     (StreamState.OPENING, StreamEvent.CUT): (StreamState.BROKEN, (StreamAction.PAUSE,)),
     (StreamState.OPENING, StreamEvent.NONE_HELD): (
@@ -83,49 +83,49 @@
 class StreamLifecycle:
     """One box's feed; times in microseconds."""
 
-    stage: StreamState = StreamState.CLOSED
-    boot: str | None = None
+    state: StreamState = StreamState.CLOSED
+    incarnation: str | None = None
     refusals: int = 0
     failures: int = 0
-    unheard_since_us: int = 0
+    disconnected_since_us: int = 0
     acts: list[StreamAction] = field(default_factory=list)
 
     def apply(self, event: StreamEvent, now_us: int) -> tuple[StreamAction, ...]:
         """Move on; what follows, in order."""
-        row = TRANSITIONS.get((self.stage, event))
+        row = TRANSITIONS.get((self.state, event))
         if row is None:
             return ()
-        if event in (StreamEvent.HELLO, StreamEvent.HELLO_ANEW) or (
-            event is StreamEvent.HELD and self.stage is StreamState.CLOSED
+        if event in (StreamEvent.HELLO, StreamEvent.HELLO_RESTARTED) or (
+            event is StreamEvent.HELD and self.state is StreamState.CLOSED
         ):
             self.refusals = self.failures = 0
-            self.unheard_since_us = now_us
+            self.disconnected_since_us = now_us
         elif event is StreamEvent.REFUSED:
             self.refusals += 1
             self.failures += 1
         elif event is StreamEvent.CUT:
-            if self.stage is StreamState.OPEN:
-                self.unheard_since_us = now_us
+            if self.state is StreamState.OPEN:
+                self.disconnected_since_us = now_us
             self.failures += 1
-        self.stage, acts = row
-        if self.stage is StreamState.BROKEN and self._proves_loss(now_us):
+        self.state, acts = row
+        if self.state is StreamState.BROKEN and self._proves_loss(now_us):
             # Still tried again: what the front places there later needs its feed.
-            self.refusals, self.unheard_since_us = 0, now_us
+            self.refusals, self.disconnected_since_us = 0, now_us
             acts = (*acts, StreamAction.LOSE_ALL)
         return acts
 
     def _proves_loss(self, now_us: int) -> bool:
-        return self.refusals >= REFUSALS_THAT_PROVE or now_us - self.unheard_since_us >= MARK_US
+        return self.refusals >= REFUSALS_PROVING_LOSS or now_us - self.disconnected_since_us >= MARK_US
 
     def greet(self, boot: str, now_us: int) -> tuple[StreamAction, ...]:
         """The box greets with the name of its process's life."""
-        anew = self.boot is not None and boot != self.boot
-        self.boot = boot
-        return self.apply(StreamEvent.HELLO_ANEW if anew else StreamEvent.HELLO, now_us)
+        anew = self.incarnation is not None and boot != self.incarnation
+        self.incarnation = boot
+        return self.apply(StreamEvent.HELLO_RESTARTED if anew else StreamEvent.HELLO, now_us)
 
     def pause_us(self, draw: float) -> int:
         """How long to wait before opening it again, by chance over the upper half of a doubling pause."""
-        longest = min(MOST_PAUSE_US, FIRST_PAUSE_US * (1 << min(max(0, self.failures - 1), 16)))
+        longest = min(MAX_BACKOFF_US, INITIAL_BACKOFF_US * (1 << min(max(0, self.failures - 1), 16)))
         return round(longest * (0.5 + draw / 2))
 
 
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/load_signals.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/load_signals.py
@@ -16,18 +16,18 @@
 from fennelcove.placement import HOLD_BACK, LIFT_MARGIN, WHOLE
 
 KBIT = 8  # hints count kilobits, the ladder counts kilobytes
-FULL = 1.0
-MOST_HEARD = 256  # viewers remembered for each box
-LEAST_STARVING = 2  # one viewer alone may be short by its own last mile
+FULL_UTILIZATION = 1.0
+MAX_CLIENTS = 256  # viewers remembered for each box
+MIN_STARVING_CLIENTS = 2  # one viewer alone may be short by its own last mile
 
 
 @dataclass(frozen=True, slots=True)
 class ServerHints:
     """One answer's CMSD, of the hop nearest the box; rates in kilobits a second."""
 
-    link: float | None = None
-    uplink: float | None = None
-    duress: bool = False
+    link_utilization: float | None = None
+    uplink_utilization: float | None = None
+    is_in_duress: bool = False
     most_kbit: float | None = None
 
 
@@ -37,7 +37,7 @@
 
     top_kbit: float | None = None
     measured_kbit: float | None = None
-    starved: bool = False
+    is_starved: bool = False
 
 
 def load_report(says: ServerHints) -> LoadReport | None:
@@ -46,12 +46,12 @@
     Duress is the specification's word for 'send me nothing more', so it counts as a full link whatever figure
     stands beside it: a box that goes on accepting while it says so must draw no new work.
     """
-    link = says.link
-    if says.duress:
-        link = max(FULL, link or 0.0)
-    if link is None and says.uplink is None:
+    link = says.link_utilization
+    if says.is_in_duress:
+        link = max(FULL_UTILIZATION, link or 0.0)
+    if link is None and says.uplink_utilization is None:
         return None
-    return LoadReport(link, says.uplink)
+    return LoadReport(link, says.uplink_utilization)
 
 
 def highest_rung(rates_kb: Sequence[float], kbit: float, floor: int) -> int:
@@ -83,7 +83,7 @@
     down = top_rung(rates_kb, stated, floor, says)
     if down <= now or says.measured_kbit is None:
         return down
-    calm = ClientHints(says.top_kbit, says.measured_kbit * (1 - LIFT_MARGIN), says.starved)
+    calm = ClientHints(says.top_kbit, says.measured_kbit * (1 - LIFT_MARGIN), says.is_starved)
     return max(now, top_rung(rates_kb, stated, floor, calm))
 
 
@@ -91,34 +91,34 @@
 class DeliveryMonitor:
     """What viewers of one box said lately, the longest ago first; times in microseconds."""
 
-    heard: OrderedDict[str, tuple[int, float | None]] = field(default_factory=OrderedDict)
+    observations: OrderedDict[str, tuple[int, float | None]] = field(default_factory=OrderedDict)
 
     def hear(self, id: str, delivered: float | None, now_us: int) -> None:
         """A viewer said that it starves at this share of its rate, or with None that it does not."""
-        self.heard[id] = (now_us, delivered)
-        self.heard.move_to_end(id)
-        while len(self.heard) > MOST_HEARD:
-            self.heard.popitem(last=False)
+        self.observations[id] = (now_us, delivered)
+        self.observations.move_to_end(id)
+        while len(self.observations) > MAX_CLIENTS:
+            self.observations.popitem(last=False)
 
     def forget(self, id: str) -> None:
         """A viewer that has left says nothing more."""
-        self.heard.pop(id, None)
+        self.observations.pop(id, None)
 
     def short_delivery(self, since_us: int) -> float | None:
         """The share delivered, where the box and not its viewers' own links must be the cause.
 
         That is where more than half of the viewers heard since then starve, and more than one.
         """
-        lately = [said for at_us, said in self.heard.values() if at_us >= since_us]
+        lately = [said for at_us, said in self.observations.values() if at_us >= since_us]
         starving = [said for said in lately if said is not None]
-        if len(starving) < LEAST_STARVING or len(starving) * 2 <= len(lately):
+        if len(starving) < MIN_STARVING_CLIENTS or len(starving) * 2 <= len(lately):
             return None
         return median(starving)
 
 
 def starving_share(says: ClientHints, rate_kb: float) -> float | None:
     """The share of its rate that a starving viewer gets; None while it does not starve."""
-    if not says.starved:
+    if not says.is_starved:
         return None
     if says.measured_kbit is None or rate_kb <= 0:
         return WHOLE * (1 - HOLD_BACK)  # it starves and does not say how much: short by the tenth
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -145,9 +145,9 @@
     def test_reports_of_a_feed_that_was_closed_count_for_nothing(self) -> None:
         session = self.play()
         generation = self.core.book.servers[session.server].generation
-        self.core.book.report(session.server, generation - 1, ServerHints(link=1.5), None)
+        self.core.book.report(session.server, generation - 1, ServerHints(link_utilization=1.5), None)
         self.assertIsNone(self.core.front.servers[session.server].link.asked)
-        self.core.book.report(session.server, generation, ServerHints(link=0.4), None)
+        self.core.book.report(session.server, generation, ServerHints(link_utilization=0.4), None)
         self.assertEqual(self.core.front.servers[session.server].link.asked, 0.4)
 
     def test_a_boxs_ceiling_lowers_the_rung_at_once(self) -> None:
@@ -158,7 +158,7 @@
 
     def test_a_viewers_own_short_link_lowers_it_and_blames_no_box(self) -> None:
         session = self.play()
-        view = self.core.hear_viewer(session.id, ClientHints(measured_kbit=1000.0, starved=True))
+        view = self.core.hear_viewer(session.id, ClientHints(measured_kbit=1000.0, is_starved=True))
         assert view is not None
         self.assertEqual(view.rung, 0)
         self.assertEqual(self.core.front.servers[session.server].link.full_until_us, 0)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -41,7 +41,7 @@
         for cue in cues:
             before = stage
             stage, acts = session_lifecycle.transition(stage, cue)
-            answers += len(session_lifecycle.ANSWERS.intersection(acts))
+            answers += len(session_lifecycle.RESPONSES.intersection(acts))
             joins_out += SessionAction.SEND_JOIN in acts
             if before in (SessionState.JOINING, SessionState.ABANDONED) and stage not in (
                 SessionState.JOINING,
@@ -106,7 +106,7 @@
             outcome = exchange.see(one)
             first = first or outcome
             self.assertIs(outcome, first)
-        self.assertEqual(first is not None, exchange.phase is ExchangeState.OVER)
+        self.assertEqual(first is not None, exchange.state is ExchangeState.COMPLETED)
 
     def test_only_what_surely_never_ran_needs_no_release(self) -> None:
         free = {outcome for outcome in Outcome if not attempt_exchange.may_need_release(outcome)}
@@ -121,7 +121,7 @@
 
 class HearingTest(unittest.TestCase):
     def test_duress_is_a_full_link_whatever_stands_beside_it(self) -> None:
-        report = load_signals.load_report(ServerHints(link=0.1, duress=True))
+        report = load_signals.load_report(ServerHints(link_utilization=0.1, is_in_duress=True))
         assert report is not None
         self.assertEqual(report.link, 1.0)
         self.assertIsNone(load_signals.load_report(ServerHints()))
@@ -152,12 +152,12 @@
         self.assertIsNone(ear.short_delivery(12))
         for i in range(1000):
             ear.hear(f"x{i}", None, 20)
-        self.assertEqual(len(ear.heard), load_signals.MOST_HEARD)
+        self.assertEqual(len(ear.observations), load_signals.MAX_CLIENTS)
 
     def test_starving_share_stays_between_its_bounds(self) -> None:
         self.assertIsNone(load_signals.starving_share(ClientHints(measured_kbit=1), 100))
         for kbit in (None, 0.0, 1.0, 800.0, 1e9):
-            share = load_signals.starving_share(ClientHints(measured_kbit=kbit, starved=True), 100)
+            share = load_signals.starving_share(ClientHints(measured_kbit=kbit, is_starved=True), 100)
             assert share is not None
             self.assertTrue(0.1 <= share < 0.98)
 
@@ -204,13 +204,13 @@
     def test_pauses_grow_and_stay_bounded(self) -> None:
         pauses = [endpoint_list.pause_us(failures, 0.0) for failures in range(200)]
         self.assertEqual(pauses, sorted(pauses))
-        self.assertLessEqual(endpoint_list.pause_us(500, 1.0), endpoint_list.MOST_PAUSE_US)
+        self.assertLessEqual(endpoint_list.pause_us(500, 1.0), endpoint_list.MAX_BACKOFF_US)
 
 
 class AdmissionTest(unittest.TestCase):
     def gate(self) -> admission.AdmissionController:
         return admission.AdmissionController(
-            admission.AdmissionLimits(connections=4, waiting=2, held=3, buffered_bytes=100)
+            admission.AdmissionLimits(connections=4, pending_requests=2, sessions=3, buffered_bytes=100)
         )
 
     def test_each_bound_refuses_at_once_and_opens_again(self) -> None:
@@ -259,7 +259,7 @@
         feed.greet("one", 1)
         self.assertEqual(feed.apply(event_stream.StreamEvent.CUT, 2), (event_stream.StreamAction.PAUSE,))
         acts: tuple[event_stream.StreamAction, ...] = ()
-        for _ in range(event_stream.REFUSALS_THAT_PROVE):
+        for _ in range(event_stream.REFUSALS_PROVING_LOSS):
             self.assertNotIn(event_stream.StreamAction.LOSE_ALL, acts)
             self.assertEqual(
                 feed.apply(event_stream.StreamEvent.RETRY, 3), (event_stream.StreamAction.OPEN_FEED,)
@@ -297,7 +297,7 @@
 
     def test_pauses_are_bounded(self) -> None:
         feed = event_stream.StreamLifecycle(failures=500)
-        self.assertLessEqual(feed.pause_us(1.0), event_stream.MOST_PAUSE_US)
+        self.assertLessEqual(feed.pause_us(1.0), event_stream.MAX_BACKOFF_US)
 
 
 class PresenceTest(unittest.TestCase):
@@ -311,7 +311,7 @@
         self.assertEqual(watch.silent(300), ["c"])
         self.assertEqual(watch.silent(499), [])
         self.assertEqual(watch.silent(500), ["a"])
-        self.assertEqual((watch.silent(10**9), watch.watches, watch.due), ([], {}, []))
+        self.assertEqual((watch.silent(10**9), watch.entries, watch.deadlines), ([], {}, []))
         self.assertEqual(watch.poll_every_us(), 100)
 
 
@@ -338,18 +338,18 @@
         self.assertEqual((first.server, second.server, orders.take(0)), ("x", "y", None))
         orders.done(first, False, 0)
         self.assertIsNone(orders.take(0))
-        self.assertEqual(orders.wait_us(0), command_queue.FIRST_PAUSE_US)
-        self.assertIs(orders.take(command_queue.FIRST_PAUSE_US), first)
+        self.assertEqual(orders.wait_us(0), command_queue.INITIAL_BACKOFF_US)
+        self.assertIs(orders.take(command_queue.INITIAL_BACKOFF_US), first)
 
     def test_tries_end_and_nothing_is_left_behind(self) -> None:
         orders, now_us = command_queue.CommandQueue(10), 0
         orders.add(order("x", "a", None))
-        for _ in range(command_queue.MOST_TRIES):
-            now_us += command_queue.MOST_PAUSE_US
+        for _ in range(command_queue.MAX_TRIES):
+            now_us += command_queue.MAX_BACKOFF_US
             taken = orders.take(now_us)
             assert taken is not None
             orders.done(taken, False, now_us)
-        self.assertEqual((orders.count, orders.dropped, len(orders.lines)), (0, 1, 0))
+        self.assertEqual((orders.count, orders.dropped_count, len(orders.by_server)), (0, 1, 0))
 
     def test_past_the_bound_rungs_go_before_releases(self) -> None:
         orders = command_queue.CommandQueue(2)
@@ -357,14 +357,14 @@
         orders.add(order("x", "b", 1))
         orders.add(order("x", "c", None))
         left = {taken.id for taken in self.drain(orders)}
-        self.assertEqual((left, orders.dropped), ({"a", "c"}, 1))
+        self.assertEqual((left, orders.dropped_count), ({"a", "c"}, 1))
 
     def drain(self, orders: command_queue.CommandQueue) -> list[command_queue.Command]:
         found = []
         while (taken := orders.take(0)) is not None:
             found.append(taken)
             orders.done(taken, True, 0)
-        self.assertEqual((orders.count, len(orders.lines)), (0, 0))
+        self.assertEqual((orders.count, len(orders.by_server)), (0, 0))
         return found
 
     @given(st.lists(st.tuples(st.sampled_from("xyz"), st.sampled_from("abc"), st.integers(-1, 3))))
@@ -372,7 +372,7 @@
         orders = command_queue.CommandQueue(4)
         for box, id, rung in added:
             orders.add(order(box, id, None if rung < 0 else rung))
-            self.assertEqual(orders.count, sum(len(line.orders) for line in orders.lines.values()))
+            self.assertEqual(orders.count, sum(len(line.commands) for line in orders.by_server.values()))
             self.assertLessEqual(orders.count, 4)
         self.drain(orders)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -20,8 +20,8 @@
 from fennelcove.cli.main import main
 from fennelcove.core.retry_storm_guard import mac
 from fennelcove.decisions.operators import command_authorization, reachability, convergence
-from fennelcove.decisions.clients.admission import TRANSITIONS as ENTRIES
-from fennelcove.decisions.clients.admission import EVENTS, Entry, AdmissionState, AdmissionEvent
+from fennelcove.decisions.clients.admission import ADMISSION_RULES as ENTRIES
+from fennelcove.decisions.clients.admission import STATE_TRANSITIONS, Entry, AdmissionState, AdmissionEvent
 from fennelcove.decisions.operators.command_authorization import (
     SignedCommand,
     CommandAuthorizer,
@@ -75,11 +75,11 @@
             [self.check(header) for _ in range(2)], [CommandVerdict.GRANTED, CommandVerdict.REPLAYED]
         )
         late = command_authorization.sign_command(
-            self.made(nonce="n2", wall_us=WALL + command_authorization.WINDOW_US), "ops", KEY
+            self.made(nonce="n2", wall_us=WALL + command_authorization.MAX_CLOCK_SKEW_US), "ops", KEY
         )
         self.assertIs(self.check(late), CommandVerdict.GRANTED)
         self.assertIs(
-            self.check(late, wall_us=WALL + 2 * command_authorization.WINDOW_US), CommandVerdict.REPLAYED
+            self.check(late, wall_us=WALL + 2 * command_authorization.MAX_CLOCK_SKEW_US), CommandVerdict.REPLAYED
         )
 
     def test_what_is_amiss_has_its_word(self) -> None:
@@ -110,7 +110,7 @@
             CommandVerdict.GRANTED,
         )
         for apart in (-1, 1):
-            wall_us = WALL + apart * (command_authorization.WINDOW_US + 1)
+            wall_us = WALL + apart * (command_authorization.MAX_CLOCK_SKEW_US + 1)
             self.assertIs(
                 self.check(
                     command_authorization.sign_command(self.made(nonce="s"), "ops", KEY), wall_us=wall_us
@@ -146,15 +146,15 @@
 class ReachTest(unittest.TestCase):
     def test_tables_are_total(self) -> None:
         self.assertEqual(set(reachability.STATUS_BY_FAILURE), set(itertools.product(CallResult, CallFailure)))
-        self.assertEqual(set(EVENTS), set(itertools.product(AdmissionState, AdmissionEvent)))
+        self.assertEqual(set(STATE_TRANSITIONS), set(itertools.product(AdmissionState, AdmissionEvent)))
         self.assertEqual(set(ENTRIES), set(itertools.product(AdmissionState, Entry)))
 
     def test_a_command_that_was_not_answered_is_neither_done_nor_failed(self) -> None:
         done, failed = CallOutcome("a", ReachStatus.DONE), CallOutcome("b", ReachStatus.REFUSED)
         for word in ReachStatus:
             found = reachability.ended([done, CallOutcome("c", word)], True)
-            expected = ExitCode.SOME_UNKNOWN if word in reachability.DOUBTFUL else ExitCode.SOME_FAILED
-            self.assertIs(found, ExitCode.ALL if word is ReachStatus.DONE else expected)
+            expected = ExitCode.SOME_INDETERMINATE if word in reachability.INDETERMINATE_STATUSES else ExitCode.SOME_FAILED
+            self.assertIs(found, ExitCode.ALL_DONE if word is ReachStatus.DONE else expected)
         self.assertIs(
             reachability.ended([failed, CallOutcome("c", ReachStatus.SILENT)], False), ExitCode.SOME_FAILED
         )
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from fennelcove.decisions.clients.idempotency import (
-    KEPT_US,
+    RETENTION_US,
     TRANSITIONS,
     KeyAction,
     KeyEvent,
@@ -30,20 +30,20 @@
 class TableTest(unittest.TestCase):
     def test_it_is_total_and_a_set_up_runs_from_free_alone(self) -> None:
         self.assertEqual(set(TRANSITIONS), {(stage, cue) for stage in KeyState for cue in KeyEvent})
-        running = [stage for stage in KeyState if TRANSITIONS[stage, KeyEvent.ASKED][1] is KeyAction.RUN]
-        self.assertEqual(running, [KeyState.FREE])
-        for stage in (KeyState.SPENT, KeyState.BARRED):
+        running = [stage for stage in KeyState if TRANSITIONS[stage, KeyEvent.REQUESTED][1] is KeyAction.RUN]
+        self.assertEqual(running, [KeyState.UNUSED])
+        for stage in (KeyState.CLOSED, KeyState.INDETERMINATE):
             self.assertEqual(
                 {TRANSITIONS[stage, cue][0] for cue in KeyEvent}, {stage}, "there is no way back"
             )
-        self.assertIs(TRANSITIONS[KeyState.RUNNING, KeyEvent.RESTARTED_UNSAFE][0], KeyState.BARRED)
+        self.assertIs(TRANSITIONS[KeyState.IN_PROGRESS, KeyEvent.RESTARTED_NOT_REPEATABLE][0], KeyState.INDETERMINATE)
 
     @given(st.lists(st.sampled_from(list(KeyEvent)), max_size=40), st.booleans())
     @settings(max_examples=200)
     def test_what_may_have_run_never_runs_again(self, cues: list[KeyEvent], safe: bool) -> None:
         repeats, runs, doubtful = IdempotencyTable(), 0, False
         for i, cue in enumerate(cues):
-            if cue is KeyEvent.ASKED:
+            if cue is KeyEvent.REQUESTED:
                 found = repeats.ask(NAME, "t/r", safe, i)
                 assert found is not None
                 if found[0] is KeyAction.RUN:
@@ -51,12 +51,12 @@
                     runs += 1
                     repeats.begins(NAME, f"s{runs}")
                 continue
-            before = repeats.held[NAME].stage if NAME in repeats.held else KeyState.FREE
+            before = repeats.keys[NAME].state if NAME in repeats.keys else KeyState.UNUSED
             repeats.apply(NAME, cue, i)
-            doubtful |= before is KeyState.RUNNING and cue in (
+            doubtful |= before is KeyState.IN_PROGRESS and cue in (
                 KeyEvent.MAYBE,
                 KeyEvent.PLAYS,
-                KeyEvent.RESTARTED_UNSAFE,
+                KeyEvent.RESTARTED_NOT_REPEATABLE,
             )
 
     def test_keys_are_forgotten_in_time_and_in_number_and_what_runs_is_not(self) -> None:
@@ -66,9 +66,9 @@
             repeats.ask(("c", f"k{i}"), "t/r", True, i)
             repeats.apply(("c", f"k{i}"), KeyEvent.MAYBE, i)
         for i in range(200):
-            repeats.ask(("d", f"k{i}"), "t/r", True, KEPT_US + 1000 + i)
-        self.assertIn(("c", "runs"), repeats.held)
-        self.assertLess(sum(name[0] == "c" for name in repeats.held), 60)
+            repeats.ask(("d", f"k{i}"), "t/r", True, RETENTION_US + 1000 + i)
+        self.assertIn(("c", "runs"), repeats.keys)
+        self.assertLess(sum(name[0] == "c" for name in repeats.keys), 60)
 
     def test_a_key_for_something_else(self) -> None:
         repeats = IdempotencyTable()
@@ -81,7 +81,7 @@
         repeats = IdempotencyTable()
         for raw in (b"", b"x", b"\x95\x63\xa1a\xa1b\x00\xc3"):
             self.assertFalse(repeats.restore(NAME, raw, 0))
-        self.assertEqual(repeats.held, {})
+        self.assertEqual(repeats.keys, {})
 
 
 class RepeatsPathTest(WholePath):
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -16,14 +16,14 @@
 from fennelcove.decisions.clients import seat_leases as decisions
 from fennelcove.decisions.clients.access_tokens import AccessToken
 from fennelcove.decisions.clients.seat_leases import (
-    MOST_AT_ONCE,
+    MAX_EXPIRED_PER_CALL,
     TRANSITIONS,
     SeatAction,
     SeatEvent,
     SeatLeases,
     SeatState,
-    SeatResult,
-    replayed,
+    SeatTransition,
+    replay_counts,
 )
 from fennelcove.settings.schema import StoreSettings
 from fennelcove.emulators.sockets import SocketPlayer
@@ -37,12 +37,12 @@
         self.assertEqual(set(TRANSITIONS), {(stage, cue) for stage in SeatState for cue in SeatEvent})
         for (stage, cue), (after, act) in TRANSITIONS.items():
             self.assertEqual(
-                act is SeatAction.COUNT, stage is SeatState.NONE and after is SeatState.HELD, cue
+                act is SeatAction.COUNT, stage is SeatState.UNHELD and after is SeatState.HELD, cue
             )
-            self.assertEqual(act is SeatAction.FREE, stage is SeatState.HELD and after is SeatState.OVER, cue)
+            self.assertEqual(act is SeatAction.FREE, stage is SeatState.HELD and after is SeatState.RELEASED, cue)
 
     def test_ten_thousand_mixed_steps_agree_with_an_independent_count(self) -> None:
-        chance, seats, steps, now = random.Random(4), SeatLeases(), list[SeatResult](), 0
+        chance, seats, steps, now = random.Random(4), SeatLeases(), list[SeatTransition](), 0
         playing: dict[str, int] = {}  # the independent account: until when
         for i in range(10_000):
             now += chance.randrange(20)
@@ -74,8 +74,8 @@
                     del playing[id]
             self.assertEqual(set(seats.held), set(playing))
             self.assertEqual(seats.counts[POOL], len(playing))
-        self.assertEqual(replayed(steps), +Counter({POOL: len(playing)}))
-        self.assertLess(len(seats.due), 20_000)
+        self.assertEqual(replay_counts(steps), +Counter({POOL: len(playing)}))
+        self.assertLess(len(seats.deadlines), 20_000)
 
     @given(
         st.lists(
@@ -102,7 +102,7 @@
                 self.assertEqual(again.counts, seats.counts)
                 for name, seat in seats.held.items():
                     self.assertEqual(
-                        (again.held[name].until_us, again.held[name].keys), (seat.until_us, seat.keys)
+                        (again.held[name].until_us, again.held[name].renewal_keys), (seat.until_us, seat.renewal_keys)
                     )
                 seats = again
 
@@ -131,8 +131,8 @@
         parts = []
         while gone := seats.expired(LONG):
             parts.append(len(gone))
-        self.assertEqual((sum(parts), max(parts), seats.counts[POOL]), (10_000, MOST_AT_ONCE, 0))
-        self.assertEqual(decisions.replayed([]), Counter())
+        self.assertEqual((sum(parts), max(parts), seats.counts[POOL]), (10_000, MAX_EXPIRED_PER_CALL, 0))
+        self.assertEqual(decisions.replay_counts([]), Counter())
 
 
 class SeatsPathTest(WholePath):
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -23,7 +23,7 @@
 from fennelcove.scenarios import plots, replays
 from fennelcove.decisions.clients import count_min_sketch, waiting_room, retry_storm
 from fennelcove.decisions.clients.count_min_sketch import CountMinSketch
-from fennelcove.decisions.servers.aimd_limit import LEAST_LIMIT, AimdLimits
+from fennelcove.decisions.servers.aimd_limit import MIN_LIMIT, AimdLimits
 from fennelcove.decisions.clients.waiting_room import (
     QueueTicket,
     WaitingQueue,
@@ -69,11 +69,11 @@
         self.assertEqual(phases, [StormState.RISING, StormState.RISING, StormState.STORM])
         self.assertIs(self.window(4), StormState.STORM)
         self.assertIs(self.window(80, 2, 4), StormState.STORM)
-        for _ in range(retry_storm.CALMS):
+        for _ in range(retry_storm.CALM_WINDOWS):
             phase = self.window(4)
         self.assertIs(phase, StormState.SETTLING)
         self.assertIs(self.window(80, 40), StormState.STORM)
-        for _ in range(retry_storm.CALMS + retry_storm.SETTLED):
+        for _ in range(retry_storm.CALM_WINDOWS + retry_storm.SETTLING_WINDOWS):
             phase = self.window(4)
         self.assertIs(phase, StormState.CALM)
 
@@ -118,9 +118,9 @@
 
     def test_the_table_has_no_row_that_stays(self) -> None:
         for (phase, _), rule in retry_storm.TRANSITIONS.items():
-            self.assertIsNot(rule.phase, phase)
-            self.assertGreater(rule.after, 0)
-        self.assertTrue(all(weight > 0 for weight in retry_storm.LEARNS.values()))
+            self.assertIsNot(rule.state, phase)
+            self.assertGreater(rule.after_windows, 0)
+        self.assertTrue(all(weight > 0 for weight in retry_storm.BASELINE_WEIGHTS.values()))
         self.assertEqual(
             set(waiting_room.TRANSITIONS), {(who, room) for who in TicketStatus for room in AvailableCapacity}
         )
@@ -135,7 +135,7 @@
         token = waiting_room.sign_ticket(self.place(), OTHER)
         self.assertEqual(waiting_room.verify_ticket(token, [KEY, OTHER]), self.place())
         self.assertIsNone(waiting_room.verify_ticket(token, [KEY]))
-        self.assertLess(len(token), waiting_room.TOKEN_CHARS)
+        self.assertLess(len(token), waiting_room.MAX_TICKET_CHARS)
         for asked in (("x", "title", "room"), ("viewer", "x", "room"), ("viewer", "title", "x")):
             self.assertIs(
                 waiting_room.ticket_status(self.place(), True, True, asked, 11 * SECOND),
@@ -170,7 +170,7 @@
         }
         self.assertLessEqual(paced, set(waiting_room.TURNED_AWAY))
         self.assertIs(
-            waiting_room.TRANSITIONS[TicketStatus.INVENTED, AvailableCapacity.SOME], QueueDecision.GUEST_PLACE
+            waiting_room.TRANSITIONS[TicketStatus.INVENTED, AvailableCapacity.AVAILABLE], QueueDecision.GUEST_PLACE
         )
 
     def test_a_place_for_one_that_may_hold_one_already_moves_nobody_back(self) -> None:
@@ -195,16 +195,16 @@
             queue.let_in, queue.refused = 1.0, float(first)
             queue.advance(now_us)
             queue.admit(TicketStatus.FIRST if first else TicketStatus.DUE, queue.cost(draw * 10))
-            self.assertTrue(1 / waiting_room.DEAREST <= queue.cost(draw) <= waiting_room.DEAREST)
+            self.assertTrue(1 / waiting_room.MAX_COST <= queue.cost(draw) <= waiting_room.MAX_COST)
             wait, latest = queue.soon(draw, served)
             self.assertTrue(waiting_room.LEAST_WAIT_US <= wait < latest)
-            self.assertLessEqual(wait, waiting_room.LONGEST_WAIT_US)
+            self.assertLessEqual(wait, waiting_room.MAX_WAIT_US)
             for most_us in (None, 2 * SECOND):
                 earliest, latest = queue.promise(now_us, most_us, draw)
                 self.assertGreaterEqual(earliest, waiting_room.LEAST_WAIT_US)
                 self.assertLess(earliest, latest)
-                self.assertLessEqual(earliest, waiting_room.LONGEST_WAIT_US if most_us is None else most_us)
-            self.assertGreaterEqual(min(queue.firsts.level, queue.backs.level), 0.0)
+                self.assertLessEqual(earliest, waiting_room.MAX_WAIT_US if most_us is None else most_us)
+            self.assertGreaterEqual(min(queue.first_tries.tokens, queue.retries.tokens), 0.0)
 
     def test_neither_first_tries_nor_those_who_come_back_starve(self) -> None:
         queue, taken = WaitingQueue(0, pace=10.0), {TicketStatus.FIRST: 0, TicketStatus.DUE: 0}
@@ -239,8 +239,8 @@
         self.assertLessEqual(max(seconds), 21)
         # Further off than can be foreseen, they are spread over the second half of what can be.
         far = [queue.promise(0, None, (i % 50) / 50)[0] for i in range(400)][50:]
-        self.assertGreaterEqual(min(far), waiting_room.LONGEST_WAIT_US // 2)
-        self.assertLessEqual(max(far), waiting_room.LONGEST_WAIT_US)
+        self.assertGreaterEqual(min(far), waiting_room.MAX_WAIT_US // 2)
+        self.assertLessEqual(max(far), waiting_room.MAX_WAIT_US)
         thirds = [sum(1 for wait in far if at * SECOND <= wait < (at + 1) * SECOND) for at in range(4, 8)]
         self.assertLess(max(thirds), 2 * min(thirds))
 
@@ -255,7 +255,7 @@
             limits.leave("b", Outcome.NO_ANSWER, 0, 10)
         held = limits.servers["b"]
         self.assertAlmostEqual(held.limit, entered * 0.7)
-        self.assertEqual(held.out, 0)
+        self.assertEqual(held.in_flight, 0)
         before = held.limit
         limits.enter("b")
         limits.leave("b", Outcome.SERVED, 20, 30)
@@ -271,8 +271,8 @@
                 limits.leave("b", outcome, now_us - 1, now_us)
                 out -= 1
         if "b" in limits.servers:
-            self.assertGreaterEqual(limits.servers["b"].limit, LEAST_LIMIT)
-            self.assertEqual(limits.servers["b"].out, out)
+            self.assertGreaterEqual(limits.servers["b"].limit, MIN_LIMIT)
+            self.assertEqual(limits.servers["b"].in_flight, out)
 
     def test_boxes_long_unheard_are_forgotten(self) -> None:
         limits = AimdLimits()
@@ -287,7 +287,7 @@
         counts = CountMinSketch(KEY, 0)
         for i in range(20_000):
             counts.add(f"v{i}", 0)
-        size = len(counts.now) + len(counts.before)
+        size = len(counts.current) + len(counts.previous)
         self.assertEqual(size, 2 * count_min_sketch.WIDTH * count_min_sketch.DEPTH)
         over = sum(counts.add(f"n{i}", 0) > 1 + 2 * 21_000 / count_min_sketch.WIDTH for i in range(1000))
         self.assertLess(over, 1000 / 2**count_min_sketch.DEPTH)
@@ -296,8 +296,8 @@
     def test_what_is_long_past_counts_no_more(self) -> None:
         counts = CountMinSketch(KEY, 0)
         counts.add("a", 0)
-        self.assertEqual(counts.add("a", count_min_sketch.SPAN_US), 2)
-        self.assertEqual(counts.add("a", 5 * count_min_sketch.SPAN_US), 1)
+        self.assertEqual(counts.add("a", count_min_sketch.WINDOW_US), 2)
+        self.assertEqual(counts.add("a", 5 * count_min_sketch.WINDOW_US), 1)
 
 
 class ReplayTest(unittest.TestCase):
@@ -349,7 +349,7 @@
         self.clock = ManualClock(10 * SECOND, 10**15)
         self.core = self.made(b"k")
         self.core.storms.weather.phase = StormState.STORM
-        self.core.storms.queues.held["t1"] = WaitingQueue(10 * SECOND, pace=0.5, refusing=True)
+        self.core.storms.queues.by_title["t1"] = WaitingQueue(10 * SECOND, pace=0.5, is_rejecting=True)
 
     def made(self, key: bytes) -> Core:
         told = replace(parse(SETTINGS, FrontSettings, "test"), storm=StormSettings(damping=True))
@@ -369,18 +369,18 @@
         early = self.ask("v", first.place)
         self.assertEqual((early.standing, early.place, early.wait_us), ("early", first.place, first.wait_us))
         self.clock.advance(first.wait_us)
-        self.core.storms.weather.began_us = self.clock.now_us()
+        self.core.storms.weather.window_started_us = self.clock.now_us()
         let_in = self.ask("v", first.place)
         self.assertEqual((let_in.standing, let_in.why), ("", "no holder has room"))  # the module was asked
         self.assertEqual(self.ask("v", first.place).standing, "invented")
 
     def test_one_that_waited_in_vain_is_among_the_next_and_one_of_more_benefit_pays_less(self) -> None:
-        queue = self.core.storms.queues.held["t1"]
+        queue = self.core.storms.queues.by_title["t1"]
         for _ in range(40):
             queue.promise(self.clock.now_us(), None, 0.5)
         first = self.ask("v")
         self.clock.advance(first.wait_us)
-        self.core.storms.weather.began_us = self.clock.now_us()
+        self.core.storms.weather.window_started_us = self.clock.now_us()
         due = self.ask("v", first.place)
         self.assertEqual((due.standing, due.why), ("", "no holder has room"))  # the module was asked
         self.assertLessEqual(due.wait_us, 2 * waiting_room.LEAST_WAIT_US)
@@ -389,7 +389,7 @@
 
     def test_while_there_is_room_a_first_try_is_let_in_past_any_pace(self) -> None:
         # Held to the pace, they were turned away for whom boxes had room: 147 of 200 watched, 191 without.
-        self.core.storms.queues.held["t1"].refusing = False
+        self.core.storms.queues.by_title["t1"].is_rejecting = False
         self.assertEqual(self.ask("new", again=False).why, "no holder has room")
         self.assertEqual(self.ask("hasty").standing, "again")
 
