--- a/packages/daemon/src/fennelcove/daemon/concurrency_limits.py
+++ b/packages/daemon/src/fennelcove/daemon/concurrency_limits.py
@@ -55,11 +55,11 @@
 
     def _servers(self) -> list[Listed]:
         """The boxes that the module knows, with the kinds that the list has told."""
-        front, kinds, now_us = self.core.front, self.core.keeper.cells, self.clock.now_us()
+        front, keeper, now_us = self.core.front, self.core.keeper, self.clock.now_us()
         return [
             Listed(
                 server.address,
-                kinds.get(server.address, (0, ""))[1],
+                keeper.kind_of(server.address),
                 server.started_us,
                 bool(server.started_us) and now_us - server.started_us < front.settings.ramp_us,
             )
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/__init__.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/__init__.py
@@ -1,1 +1,1 @@
-"""What the front rules about boxes: their list, their reports, joins and orders."""
+"""Decisions about media servers: their list, load, attempts, commands, event streams and lost connections."""
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/aimd_limit.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/aimd_limit.py
@@ -1,7 +1,7 @@
-"""How many set-ups a box may have under way from this front: additive increase, multiplicative decrease.
+"""How many set-ups a server may have in flight from this front: additive increase, multiplicative decrease.
 
-A gradient on delays was weighed (docs/design/12-retry-storms.md); a set-up's delay at a box says little until
-its places run out, while a time-out or a refusal says it at once, so what is learned from is the outcome.
+The limit follows outcomes and not delays (docs/design/12-retry-storms.md weighs both): the delay of a set-up
+hardly changes until the server has no capacity left, while a time-out or a rejection shows that at once.
 """
 
 from __future__ import annotations
@@ -16,54 +16,73 @@
 MAX_LIMIT = 256.0
 DECREASE_FACTOR = 0.7
 MAX_SERVERS = 10_000
+NEVER_DECREASED_US = -1
 OVERLOAD_OUTCOMES = (Outcome.NO_ANSWER, Outcome.TURNED_AWAY, Outcome.SERVER_ERROR, Outcome.CONNECTION_LOST)
 
 
 @dataclass(slots=True)
 class AimdLimit:
-    """One box: how many may be out, how many are."""
+    """One server's concurrency limit and its set-ups in flight."""
 
     limit: float = INITIAL_LIMIT
     in_flight: int = 0
-    decreased_at_us: int = -1
+    decreased_at_us: int = NEVER_DECREASED_US
+
+    def increase(self) -> None:
+        """Raise the limit after a success.
+
+        Until the first decrease it grows by one for each success, so that a front that has just started
+        reaches its rate soon; after that by one for each full window.
+        """
+        is_first_growth = self.decreased_at_us == NEVER_DECREASED_US
+        step = 1.0 if is_first_growth else 1 / max(1.0, self.limit)
+        self.limit = min(MAX_LIMIT, self.limit + step)
+
+    def decrease(self, now_us: int) -> None:
+        """Lower the limit after a sign of overload."""
+        self.limit = max(MIN_LIMIT, self.limit * DECREASE_FACTOR)
+        self.decreased_at_us = now_us
 
 
 class AimdLimits:
-    """All boxes' limits; times in microseconds. A box not heard of for long is forgotten, the longest
-    first."""
+    """The limits of all servers; times in microseconds.
+
+    The number of servers is bounded: past it the idle one that was used longest ago is evicted.
+    """
 
     def __init__(self) -> None:
         self.servers: OrderedDict[str, AimdLimit] = OrderedDict()
 
     def enter(self, server: str) -> bool:
-        """One more set-up; False where it must not be sent now."""
-        held = self.servers.get(server)
-        if held is None:
-            held = self.servers[server] = AimdLimit()
+        """Count one more set-up in flight; False where the limit is reached and it must not be sent."""
+        limit = self.servers.get(server)
+        if limit is None:
+            limit = self.servers[server] = AimdLimit()
             self._evict_idle()
         self.servers.move_to_end(server)
-        if held.in_flight >= int(held.limit):
+        if limit.in_flight >= int(limit.limit):
             return False
-        held.in_flight += 1
+        limit.in_flight += 1
         return True
 
     def leave(self, server: str, outcome: Outcome, sent_us: int, now_us: int) -> None:
-        """One has ended. Those sent before the last cut don't cut again: they tell of the same trouble."""
-        held = self.servers.get(server)
-        if held is None:
+        """Count a set-up as completed, and adjust the limit by its outcome.
+
+        A set-up sent before the last decrease does not decrease the limit again: it met the same overload.
+        """
+        limit = self.servers.get(server)
+        if limit is None:
             return
-        held.in_flight = max(0, held.in_flight - 1)
+        limit.in_flight = max(0, limit.in_flight - 1)
         if outcome is Outcome.SERVED:
-            # Until the first cut it grows with each: a front that has just started must not crawl.
-            step = 1.0 if held.decreased_at_us < 0 else 1 / max(1.0, held.limit)
-            held.limit = min(MAX_LIMIT, held.limit + step)
-        elif outcome in OVERLOAD_OUTCOMES and sent_us > held.decreased_at_us:
-            held.limit = max(MIN_LIMIT, held.limit * DECREASE_FACTOR)
-            held.decreased_at_us = now_us
+            limit.increase()
+        elif outcome in OVERLOAD_OUTCOMES and sent_us > limit.decreased_at_us:
+            limit.decrease(now_us)
 
     def _evict_idle(self) -> None:
-        if len(self.servers) > MAX_SERVERS:
-            for server, held in self.servers.items():
-                if held.in_flight == 0:
-                    del self.servers[server]
-                    return
+        if len(self.servers) <= MAX_SERVERS:
+            return
+        for server, limit in self.servers.items():
+            if limit.in_flight == 0:
+                del self.servers[server]
+                return
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/attempt_exchange.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/attempt_exchange.py
@@ -1,8 +1,8 @@
-"""What one join's exchange with a box proves: from each socket event to an outcome of the interface.
+"""What the socket events of one attempt prove: from each event to an outcome of the policy interface.
 
-Only what provably never reached the box whole counts as never run (rule 2): a connection never made, a
-request of which the last byte was never handed to the kernel, and the box's own word. Everything after that
-may have run.
+An attempt counts as never run only where the server provably never had the whole request: the connection was
+never made, the last byte of the request was never handed to the kernel, or the server rejected it. In every
+other case it may have run.
 """
 
 from __future__ import annotations
@@ -11,6 +11,10 @@
 from enum import Enum, auto
 
 from fennelcove.interface import Effect, Outcome
+from fennelcove.state_machine import Transition, TransitionTable, Unlisted
+
+CONNECT_FRACTION = 2  # a half of the attempt's time may go into the connection
+LAST_BYTES_FRACTION = 8  # an eighth of it is left between the first byte of the response and the last
 
 
 class ExchangeState(Enum):
@@ -18,71 +22,74 @@
 
     CONNECTING = auto()
     WRITING = auto()
-    WAITING = auto()  # the whole request is out, no byte has come back
+    WAITING = auto()  # the whole request is sent, no byte of the response has come
     READING = auto()
     COMPLETED = auto()
 
 
 class ExchangeEvent(Enum):
-    """What the socket showed."""
+    """What happened on the socket."""
 
     CONNECTED = auto()
     REFUSED = auto()  # refused, unreachable, or no descriptor left
-    WROTE = auto()  # the last byte was handed over
-    BYTES = auto()  # first bytes of an answer
-    CLOSED = auto()  # closed or reset by the box
+    WROTE = auto()  # the last byte of the request was handed to the kernel
+    BYTES = auto()  # the first bytes of a response
+    CLOSED = auto()  # closed or reset by the server
     TIMED_OUT = auto()
-    GARBAGE = auto()  # an answer that is no HTTP
-    STARTED = auto()  # the box plays
-    TURNED_AWAY = auto()  # the box says that it never looked at it
-    ERROR = auto()  # any other answer
-
-
-Row = tuple[ExchangeState, Outcome | None]
-
-_ANSWERS: dict[ExchangeEvent, Row] = {
-    ExchangeEvent.STARTED: (ExchangeState.COMPLETED, Outcome.SERVED),
-    ExchangeEvent.TURNED_AWAY: (ExchangeState.COMPLETED, Outcome.TURNED_AWAY),
-    ExchangeEvent.ERROR: (ExchangeState.COMPLETED, Outcome.SERVER_ERROR),
-    ExchangeEvent.GARBAGE: (ExchangeState.COMPLETED, Outcome.SERVER_ERROR),
-}
-
-TRANSITIONS: dict[tuple[ExchangeState, ExchangeEvent], Row] = {
-    (ExchangeState.CONNECTING, ExchangeEvent.CONNECTED): (ExchangeState.WRITING, None),
-    (ExchangeState.CONNECTING, ExchangeEvent.REFUSED): (ExchangeState.COMPLETED, Outcome.NO_CONNECTION),
-    (ExchangeState.CONNECTING, ExchangeEvent.TIMED_OUT): (ExchangeState.COMPLETED, Outcome.NO_CONNECTION),
-    (ExchangeState.CONNECTING, ExchangeEvent.CLOSED): (ExchangeState.COMPLETED, Outcome.NO_CONNECTION),
-    (ExchangeState.WRITING, ExchangeEvent.WROTE): (ExchangeState.WAITING, None),
-    # The box has at most a part of the request, whose framing tells it so: it can't have acted on it.
-    (ExchangeState.WRITING, ExchangeEvent.CLOSED): (ExchangeState.COMPLETED, Outcome.NO_CONNECTION),
-    (ExchangeState.WRITING, ExchangeEvent.TIMED_OUT): (ExchangeState.COMPLETED, Outcome.NO_CONNECTION),
-    (ExchangeState.WAITING, ExchangeEvent.BYTES): (ExchangeState.READING, None),
-    (ExchangeState.WAITING, ExchangeEvent.CLOSED): (ExchangeState.COMPLETED, Outcome.CONNECTION_LOST),
-    (ExchangeState.WAITING, ExchangeEvent.TIMED_OUT): (ExchangeState.COMPLETED, Outcome.NO_ANSWER),
-    (ExchangeState.READING, ExchangeEvent.CLOSED): (ExchangeState.COMPLETED, Outcome.CONNECTION_LOST),
-    (ExchangeState.READING, ExchangeEvent.TIMED_OUT): (ExchangeState.COMPLETED, Outcome.NO_ANSWER),
-    **{(ExchangeState.READING, seen): row for seen, row in _ANSWERS.items()},
-    (ExchangeState.WAITING, ExchangeEvent.GARBAGE): _ANSWERS[ExchangeEvent.GARBAGE],
-}
+    GARBAGE = auto()  # a response that is not HTTP
+    STARTED = auto()  # the server plays
+    TURNED_AWAY = auto()  # the server rejected the attempt without looking at it
+    ERROR = auto()  # any other response
+
+
+def _completed(outcome: Outcome) -> Transition[ExchangeState, Outcome]:
+    return Transition(ExchangeState.COMPLETED, (outcome,))
+
+
+# A completed transition's only action is to report the attempt's outcome.
+TRANSITIONS: TransitionTable[ExchangeState, ExchangeEvent, Outcome] = TransitionTable(
+    {
+        (ExchangeState.CONNECTING, ExchangeEvent.CONNECTED): Transition(ExchangeState.WRITING),
+        (ExchangeState.CONNECTING, ExchangeEvent.REFUSED): _completed(Outcome.NO_CONNECTION),
+        (ExchangeState.CONNECTING, ExchangeEvent.TIMED_OUT): _completed(Outcome.NO_CONNECTION),
+        (ExchangeState.CONNECTING, ExchangeEvent.CLOSED): _completed(Outcome.NO_CONNECTION),
+        (ExchangeState.WRITING, ExchangeEvent.WROTE): Transition(ExchangeState.WAITING),
+        # The server has a part of the request at most, and its framing shows that: it can't have acted on it.
+        (ExchangeState.WRITING, ExchangeEvent.CLOSED): _completed(Outcome.NO_CONNECTION),
+        (ExchangeState.WRITING, ExchangeEvent.TIMED_OUT): _completed(Outcome.NO_CONNECTION),
+        (ExchangeState.WAITING, ExchangeEvent.BYTES): Transition(ExchangeState.READING),
+        (ExchangeState.WAITING, ExchangeEvent.CLOSED): _completed(Outcome.CONNECTION_LOST),
+        (ExchangeState.WAITING, ExchangeEvent.TIMED_OUT): _completed(Outcome.NO_ANSWER),
+        (ExchangeState.WAITING, ExchangeEvent.GARBAGE): _completed(Outcome.SERVER_ERROR),
+        (ExchangeState.READING, ExchangeEvent.CLOSED): _completed(Outcome.CONNECTION_LOST),
+        (ExchangeState.READING, ExchangeEvent.TIMED_OUT): _completed(Outcome.NO_ANSWER),
+        (ExchangeState.READING, ExchangeEvent.STARTED): _completed(Outcome.SERVED),
+        (ExchangeState.READING, ExchangeEvent.TURNED_AWAY): _completed(Outcome.TURNED_AWAY),
+        (ExchangeState.READING, ExchangeEvent.ERROR): _completed(Outcome.SERVER_ERROR),
+        (ExchangeState.READING, ExchangeEvent.GARBAGE): _completed(Outcome.SERVER_ERROR),
+    },
+    unlisted=Unlisted.IGNORE,
+)
 
 
 class Exchange:
-    """One join on its way."""
+    """The request and response of one attempt."""
 
     def __init__(self) -> None:
         self.state = ExchangeState.CONNECTING
         self.outcome: Outcome | None = None
 
-    def see(self, seen: ExchangeEvent) -> Outcome | None:
-        """Move on by what the socket showed; the outcome once there is one."""
-        row = TRANSITIONS.get((self.state, seen))
-        if row is not None:
-            self.state, self.outcome = row
+    def see(self, event: ExchangeEvent) -> Outcome | None:
+        """Apply a socket event; the attempt's outcome once there is one."""
+        transition = TRANSITIONS.apply(self.state, event)
+        self.state = transition.state
+        if transition.actions:
+            (self.outcome,) = transition.actions
         return self.outcome
 
 
 def may_need_release(outcome: Outcome) -> bool:
-    """Whether the box may hold something for a join that ended so."""
+    """Whether the server may hold resources for an attempt that ended with this outcome."""
     return outcome in (
         Outcome.SERVED,
         Outcome.SERVER_ERROR,
@@ -93,29 +100,32 @@
 
 
 def may_reuse_connection(effect: Effect) -> bool:
-    """Whether a kept connection may carry this join.
+    """Whether an attempt may be sent on a pooled connection.
 
-    A kept connection can be closed by the box in the instant of writing, and then nobody knows whether the
-    join ran. That costs a free or guarded room type a repeat; a single-shot one would be lost to its viewer.
+    The server can close a pooled connection at the moment of writing, and then it is unknown whether the
+    attempt ran. For a free or guarded service class that costs a retry; a single-shot one could not be tried
+    again.
     """
     return effect is not Effect.SINGLE_SHOT
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptTimeouts:
-    """Limits of one join's parts, each from its start, in microseconds."""
+    """Limits of one attempt, each from its start, in microseconds."""
 
     connect_us: int
     first_byte_us: int
     whole_us: int
 
 
-def attempt_timeouts(allow_us: int) -> AttemptTimeouts:
-    """The parts of a join's allowance.
+def attempt_timeouts(allowed_us: int) -> AttemptTimeouts:
+    """Divide the time that an attempt may take.
 
-    Half for the connection: on the networks that a front serves a connection that takes longer is one that
-    will not come, and failing it early proves that nothing ran. An eighth is left between the first byte and
-    the last.
+    Half of it is for the connection: on the networks that a front serves, a connection that takes longer is
+    not made at all, and failing it early proves that nothing ran. An eighth is left between the first byte of
+    the response and the last.
     """
-    whole_us = max(1, allow_us)
-    return AttemptTimeouts(max(1, whole_us // 2), max(1, whole_us - whole_us // 8), whole_us)
+    total_us = max(1, allowed_us)
+    connect_us = max(1, total_us // CONNECT_FRACTION)
+    first_byte_us = max(1, total_us - total_us // LAST_BYTES_FRACTION)
+    return AttemptTimeouts(connect_us, first_byte_us, total_us)
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/command_queue.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/command_queue.py
@@ -1,8 +1,7 @@
-"""Which order to a box goes out next: new rungs, and releases of what nobody watches.
+"""Commands that wait to be sent to media servers: bitrate changes, resume tokens and releases.
 
-Orders wait here while a box is slow. Of two rungs for one subscription the later counts; a release makes
-every rung moot; one order a box is out at a time, so that a hanging box holds one sender and not all; boxes
-take turns.
+A server has one command in flight at a time, so that one that hangs blocks a single sender, and servers take
+turns. A later bitrate change for an attempt replaces an earlier one, and a release makes all of them moot.
 """
 
 from __future__ import annotations
@@ -10,19 +9,30 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from fennelcove.decisions.servers.backoff import Backoff
+
 INITIAL_BACKOFF_US = 100_000
 MAX_BACKOFF_US = 2_000_000
 MAX_TRIES = 6
-CARRY_OUT_US = 1_000_000  # a box that needs longer for an order is tried again later
+CARRY_OUT_US = 1_000_000  # a server that needs longer for a command is tried again later
+BACKOFF = Backoff(INITIAL_BACKOFF_US, MAX_BACKOFF_US)
+
 
+@dataclass(frozen=True, slots=True)
+class CommandKey:
+    """What a command is about: the later of two commands with one key replaces the earlier."""
 
-CommandKey = tuple[str, int, bool]
+    session_id: str
+    attempt: int
+    is_resume_token: bool
 
 
 @dataclass(slots=True, eq=False)
 class Command:
-    """What one box is to do for one subscription's join: keep a mark, play a rung, or with neither release
-    it."""
+    """One command to a server about one attempt of a session.
+
+    It stores a resume token, plays a rung of the bitrate ladder, or with neither releases the attempt.
+    """
 
     server: str
     id: str
@@ -33,97 +43,113 @@
 
     @property
     def key(self) -> CommandKey:
-        """Of two orders with one key the later counts."""
-        return self.id, self.attempt, self.mark is not None
+        """What the command is about."""
+        return CommandKey(self.id, self.attempt, self.mark is not None)
+
+    @property
+    def is_release(self) -> bool:
+        """Whether the command releases its attempt."""
+        return self.rung is None and self.mark is None
+
+    def replace_with(self, newer: Command) -> None:
+        """Take over what a newer command with the same key asks for; a release changes nothing."""
+        if newer.mark is not None:
+            self.mark, self.tries = newer.mark, 0
+        elif self.rung is not None:
+            self.rung, self.tries = newer.rung, 0
 
 
 @dataclass(slots=True, eq=False)
 class ServerCommands:
-    """One box's orders, the oldest first."""
+    """One server's commands, the oldest first."""
 
     commands: OrderedDict[CommandKey, Command] = field(default_factory=OrderedDict)
     is_in_flight: bool = False
     not_before_us: int = 0
     failures: int = 0
 
+    def is_ready(self, now_us: int) -> bool:
+        """Whether a command may be sent to the server now."""
+        return bool(self.commands) and not self.is_in_flight and self.not_before_us <= now_us
+
 
 class CommandQueue:
-    """All boxes' orders, bounded in number. Times in microseconds; the caller holds the lock."""
+    """The commands of all servers, bounded in number. Times in microseconds; the caller holds the lock."""
 
-    def __init__(self, most: int) -> None:
-        self.max_commands = most
+    def __init__(self, max_commands: int) -> None:
+        self.max_commands = max_commands
         self.by_server: OrderedDict[str, ServerCommands] = OrderedDict()
         self.count = 0
         self.dropped_count = 0
 
-    def add(self, order: Command) -> None:
-        """Take an order in.
+    def add(self, command: Command) -> None:
+        """Enqueue a command, or let it replace the one with the same key.
 
-        Past the bound the oldest rung of the longest line goes: a rung comes again with the next note, a
-        release does not. Where only releases are left the oldest goes, and the box's own limit ends what it
-        names.
+        Past the bound the longest queue drops its oldest command that is no release: a rung is sent again
+        with the next load report, a release is not. Where only releases are left the oldest is dropped, and
+        the server's own time limit ends the session that it names.
         """
-        line = self.by_server.setdefault(order.server, ServerCommands())
-        held = line.commands.get(order.key)
-        if held is not None:
-            if order.mark is not None:
-                held.mark, held.tries = order.mark, 0
-            elif held.rung is not None:
-                held.rung, held.tries = order.rung, 0
+        queue = self.by_server.setdefault(command.server, ServerCommands())
+        waiting = queue.commands.get(command.key)
+        if waiting is not None:
+            waiting.replace_with(command)
             return
-        line.commands[order.key] = order
+        queue.commands[command.key] = command
         self.count += 1
         if self.count > self.max_commands:
             self._drop_one()
 
     def _drop_one(self) -> None:
-        line = max(self.by_server.values(), key=lambda line: len(line.commands))
-        mild = (
-            key for key, order in line.commands.items() if order.rung is not None or order.mark is not None
-        )
-        victim = next(mild, None)
-        line.commands.pop(victim if victim is not None else next(iter(line.commands)))
+        queue = max(self.by_server.values(), key=lambda queue: len(queue.commands))
+        repeatable = (key for key, command in queue.commands.items() if not command.is_release)
+        oldest = next(iter(queue.commands))
+        queue.commands.pop(next(repeatable, oldest))
         self.count -= 1
         self.dropped_count += 1
 
     def take(self, now_us: int) -> Command | None:
-        """The next order that may go out, marking its box busy; None where all must wait."""
-        for server, line in self.by_server.items():
-            if line.commands and not line.is_in_flight and line.not_before_us <= now_us:
-                line.is_in_flight = True
-                _, order = line.commands.popitem(last=False)
+        """The next command to send, which is in flight from now on; None where all must wait."""
+        for server, queue in self.by_server.items():
+            if queue.is_ready(now_us):
+                queue.is_in_flight = True
+                _, command = queue.commands.popitem(last=False)
                 self.count -= 1
                 self.by_server.move_to_end(server)
-                return order
+                return command
         return None
 
     def wait_us(self, now_us: int) -> int | None:
-        """How long until some order may go out; None while there is none to wait for."""
+        """How long until some command may be sent; None while none waits for its time."""
         times = [
-            line.not_before_us for line in self.by_server.values() if line.commands and not line.is_in_flight
+            queue.not_before_us
+            for queue in self.by_server.values()
+            if queue.commands and not queue.is_in_flight
         ]
         return max(0, min(times) - now_us) if times else None
 
-    def done(self, order: Command, carried_out: bool, now_us: int) -> None:
-        """An order came back: carried out, or to be tried again after a growing pause, so often at most."""
-        line = self.by_server[order.server]
-        line.is_in_flight = False
-        if carried_out:
-            line.failures = 0
-            if not line.commands:
-                del self.by_server[order.server]  # boxes come and go: an idle one must leave nothing behind
+    def done(self, command: Command, has_succeeded: bool, now_us: int) -> None:
+        """Complete a command that was in flight: it succeeded, or is tried again after a backoff.
+
+        It is dropped after `MAX_TRIES` tries, and where a newer command with its key waits.
+        """
+        queue = self.by_server[command.server]
+        queue.is_in_flight = False
+        if has_succeeded:
+            queue.failures = 0
+        else:
+            queue.failures += 1
+            queue.not_before_us = now_us + BACKOFF.delay_us(queue.failures - 1)
+            self._retry(queue, command)
+        if not queue.commands:
+            del self.by_server[command.server]  # servers come and go: an idle one must leave nothing behind
+
+    def _retry(self, queue: ServerCommands, command: Command) -> None:
+        command.tries += 1
+        if command.key in queue.commands:
             return
-        line.failures += 1
-        line.not_before_us = now_us + min(
-            MAX_BACKOFF_US, INITIAL_BACKOFF_US * 2 ** min(line.failures - 1, 16)
-        )
-        order.tries += 1
-        newer = order.key in line.commands
-        if order.tries < MAX_TRIES and not newer:
-            line.commands[order.key] = order
-            line.commands.move_to_end(order.key, last=False)
-            self.count += 1
-        elif not newer:
+        if command.tries >= MAX_TRIES:
             self.dropped_count += 1
-        if not line.commands and not line.is_in_flight:
-            del self.by_server[order.server]
+            return
+        queue.commands[command.key] = command
+        queue.commands.move_to_end(command.key, last=False)
+        self.count += 1
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
@@ -1,9 +1,9 @@
-"""What failed dials say of what stands at a box that tells nothing of its own.
+"""Whether the sessions at a server that reports nothing about them are lost, by how dials to it end.
 
-A refused connection comes from the machine: the process there is gone, and what it held with it. One that is
-not made in time says only that the path is silent: a partition looks the same from here, and what stands
-behind it stands on. Such a box is given up when the list has dropped it, or once nothing has been heard of it
-for as long as an end may go untold.
+A refused connection comes from the machine itself: the process there is gone, and its sessions with it. A
+connection that is not made in time shows only that the path is silent: behind a partition the sessions may
+go on. Such a server's sessions are lost once the endpoint list no longer names it, or once nothing has been
+received from it for as long as clients may go without notice of an end.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 
 from fennelcove.state_machine import Transition, TransitionTable, Unlisted
 
-# Of the 8 s in which a viewer must hear of an end, which is no earlier than the last sign of life.
+# Of the 8 s within which a client must be notified of an end, counted from the last byte received.
 UNCONFIRMED_LOSS_US = 7_000_000
 
 
@@ -23,22 +23,22 @@
 
     MADE = auto()
     REFUSED = auto()
-    SILENT = auto()
+    SILENT = auto()  # it timed out
 
 
 class EndpointKnowledge(Enum):
-    """What else is known of the box."""
+    """What else is known of the server."""
 
-    LISTED = auto()  # and heard of before: its path may be cut
-    NEVER_REACHED = auto()  # nothing yet that an end could be counted from
-    DELISTED = auto()  # the list names it no more
+    LISTED = auto()  # listed, and something was received from it before: its path may be cut
+    NEVER_REACHED = auto()  # nothing was received that a time could be counted from
+    DELISTED = auto()  # the endpoint list no longer names it
 
 
 class LossState(Enum):
-    """How its dials stand."""
+    """What the latest dials show."""
 
     REACHABLE = auto()
-    SUSPECTED = auto()  # one has failed, which may be chance
+    SUSPECTED = auto()  # one dial has failed, which may be chance
     REFUSING = auto()
     UNRESPONSIVE = auto()
 
@@ -56,9 +56,9 @@
     unlisted=Unlisted.IGNORE,
 )
 
-# How long after the last sign what stands there is over; None: as soon as the stage is reached.
-LOST_STATES: dict[tuple[LossState, EndpointKnowledge], int | None] = {
-    **{(LossState.REFUSING, known): None for known in EndpointKnowledge},
+# The states in which sessions are lost, and how long after the last byte received (None: at once).
+LOST_AFTER_US: dict[tuple[LossState, EndpointKnowledge], int | None] = {
+    **{(LossState.REFUSING, knowledge): None for knowledge in EndpointKnowledge},
     (LossState.UNRESPONSIVE, EndpointKnowledge.DELISTED): None,
     (LossState.UNRESPONSIVE, EndpointKnowledge.NEVER_REACHED): None,
     (LossState.UNRESPONSIVE, EndpointKnowledge.LISTED): UNCONFIRMED_LOSS_US,
@@ -67,31 +67,35 @@
 
 @dataclass(slots=True)
 class ConnectionLossTracker:
-    """One box; times in microseconds."""
+    """One server's dials; times in microseconds."""
 
     state: LossState = LossState.REACHABLE
-    last_received_us: int | None = None  # the last sign of life
+    last_received_us: int | None = None
 
-    def dialled(self, dial: DialResult, now_us: int) -> None:
-        """A dial has ended."""
-        self.state = TRANSITIONS.apply(self.state, dial).state
-        if dial is DialResult.MADE:
+    def dialled(self, result: DialResult, now_us: int) -> None:
+        """Record how a dial ended."""
+        self.state = TRANSITIONS.apply(self.state, result).state
+        if result is DialResult.MADE:
             self.last_received_us = now_us
 
     def heard(self, now_us: int) -> None:
-        """Anything has come from there."""
-        self.state, self.last_received_us = LossState.REACHABLE, now_us
+        """Record that something was received from the server."""
+        self.state = LossState.REACHABLE
+        self.last_received_us = now_us
 
     def over(self, listed: bool, now_us: int) -> bool:
-        """Whether what stands there is to be taken for ended."""
-        known = (
-            EndpointKnowledge.DELISTED
-            if not listed
-            else EndpointKnowledge.NEVER_REACHED
-            if self.last_received_us is None
-            else EndpointKnowledge.LISTED
-        )
-        if (self.state, known) not in LOST_STATES:
+        """Whether the sessions at the server are to be treated as lost."""
+        reason = (self.state, self._knowledge(is_listed=listed))
+        if reason not in LOST_AFTER_US:
             return False
-        after_us = LOST_STATES[self.state, known]
-        return after_us is None or self.last_received_us is None or now_us - self.last_received_us >= after_us
+        lost_after_us = LOST_AFTER_US[reason]
+        if lost_after_us is None or self.last_received_us is None:
+            return True
+        return now_us - self.last_received_us >= lost_after_us
+
+    def _knowledge(self, *, is_listed: bool) -> EndpointKnowledge:
+        if not is_listed:
+            return EndpointKnowledge.DELISTED
+        if self.last_received_us is None:
+            return EndpointKnowledge.NEVER_REACHED
+        return EndpointKnowledge.LISTED
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/endpoint_list.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/endpoint_list.py
@@ -1,135 +1,149 @@
-"""Which news of the server list counts: versions in order, whole or not at all, and nothing plainly wrong.
+"""Which messages of the endpoint list service count: versions in order, complete, and not plainly wrong.
 
-The module takes lists as they come; this stands before it because a stream can be cut, repeat itself, or
-carry a list that would take every box away.
+The placement policy takes lists as they come. This module checks them first, because a stream can be cut or
+repeat itself, or bring a list that would remove every server.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import Enum, auto
 
+from fennelcove.decisions.servers.backoff import Backoff
 from fennelcove.interface import ListEntry, ListMode, ListUpdate, ServerState
 
 MAX_SERVERS = 10_000
-# A restart told out of order must not make a box older than it is.
+SILENCE_US = 10_000_000  # the service sends a heartbeat every second: the connection is dead by then
+INITIAL_BACKOFF_US = 100_000
+MAX_BACKOFF_US = 5_000_000
+BACKOFF = Backoff(INITIAL_BACKOFF_US, MAX_BACKOFF_US)
+
+# How far a server has left the fleet: of two entries for one server, the further counts.
 _DRAIN_PROGRESS = {ServerState.ACTIVE: 0, ServerState.LEAVING: 1, ServerState.LEFT: 2}
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointListUpdate:
-    """One message of the list service: a whole list, or changes on top of the version before it."""
+    """One message of the list service: a full list, or changes on top of the version before it."""
 
     version: int
-    base_version: int | None  # None for a whole list
+    base_version: int | None  # None for a full list
     entries: tuple[ListEntry, ...]
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the message holds the full list."""
+        return self.base_version is None
+
 
 class ListDecision(Enum):
     """What became of a message."""
 
     TAKEN = auto()
-    OLD = auto()  # says less than what is held
-    GAP = auto()  # changes are missing in between: a whole list is needed
+    OLD = auto()  # not newer than the version in force
+    GAP = auto()  # changes in between are missing: the full list is needed
     REFUSED = auto()
 
 
 @dataclass(frozen=True, slots=True)
 class ListVerdict:
-    """A ruling, with the reason where it is a refusal, or the update to hand on."""
+    """The decision on a message, with the reason of a refusal or the update to pass on."""
 
     ruling: ListDecision
     reason: str = ""
     update: ListUpdate | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ServerPlacement:
+    """Where a server belongs; it never changes while the server is listed."""
+
+    cell: int
+    kind: str
+
+
+def _refused(reason: str) -> ListVerdict:
+    return ListVerdict(ListDecision.REFUSED, reason)
+
+
 def merge_entries(entries: tuple[ListEntry, ...]) -> tuple[ListEntry, ...]:
-    """Each box once: of two entries the more careful standing and the later start count."""
-    found: dict[str, ListEntry] = {}
+    """Each server once: of two entries the state further from active and the later start count.
+
+    The later start counts because restarts that arrive out of order must not make a server look older.
+    """
+    merged: dict[str, ListEntry] = {}
     for entry in entries:
-        other = found.get(entry.address)
-        if other is not None:
-            standing = max(entry.standing, other.standing, key=_DRAIN_PROGRESS.__getitem__)
-            entry = replace(entry, standing=standing, started_us=max(entry.started_us, other.started_us))
-        found[entry.address] = entry
-    return tuple(found.values())
+        other = merged.get(entry.address)
+        merged[entry.address] = entry if other is None else _merge_pair(entry, other)
+    return tuple(merged.values())
+
+
+def _merge_pair(entry: ListEntry, other: ListEntry) -> ListEntry:
+    state = max(entry.standing, other.standing, key=_DRAIN_PROGRESS.__getitem__)
+    return replace(entry, standing=state, started_us=max(entry.started_us, other.started_us))
 
 
 class EndpointListTracker:
-    """Holds which version of the list is in force."""
+    """Keeps which version of the endpoint list is in force."""
 
     def __init__(self) -> None:
         self.version: int | None = None
-        self.cells: dict[str, tuple[int, str]] = {}
+        self.placements: dict[str, ServerPlacement] = {}
 
-    def rule(self, news: EndpointListUpdate) -> ListVerdict:
-        """Rule on a message; only what is TAKEN changes anything."""
-        for check in VIOLATION_CHECKS:
-            verdict = check(self, news)
+    def rule(self, message: EndpointListUpdate) -> ListVerdict:
+        """Decide on a message; only one that is taken changes anything."""
+        for check in (self._check_order, _check_size, _check_has_active, self._check_placements):
+            verdict = check(message)
             if verdict is not None:
                 return verdict
-        entries = merge_entries(news.entries)
-        if news.base_version is None:
-            self.cells.clear()
-        self.cells.update((entry.address, (entry.cell, entry.kind)) for entry in entries)
-        self.version = news.version
-        mode = ListMode.FULL if news.base_version is None else ListMode.INCREMENTAL
+        entries = merge_entries(message.entries)
+        if message.is_full:
+            self.placements.clear()
+        self.placements.update((entry.address, ServerPlacement(entry.cell, entry.kind)) for entry in entries)
+        self.version = message.version
+        mode = ListMode.FULL if message.is_full else ListMode.INCREMENTAL
         return ListVerdict(ListDecision.TAKEN, update=ListUpdate(mode, entries))
 
-    def _check_order(self, news: EndpointListUpdate) -> ListVerdict | None:
-        if self.version is not None and news.version <= self.version:
+    def kind_of(self, address: str) -> str:
+        """The listed kind of a server; empty where it was never listed."""
+        placement = self.placements.get(address)
+        return placement.kind if placement is not None else ""
+
+    def _check_order(self, message: EndpointListUpdate) -> ListVerdict | None:
+        if self.version is not None and message.version <= self.version:
             return ListVerdict(ListDecision.OLD)
-        if news.base_version is not None and news.base_version != self.version:
+        if not message.is_full and message.base_version != self.version:
             return ListVerdict(ListDecision.GAP)
         return None
 
-    def _check_has_active(self, news: EndpointListUpdate) -> ListVerdict | None:
-        # A whole list without one box to play on takes every viewer's lesson away: a fault far likelier than
-        # a fleet that is gone, and joins will tell if it is.
-        if news.base_version is None and not any(
-            entry.standing is ServerState.ACTIVE for entry in news.entries
-        ):
-            return ListVerdict(
-                ListDecision.REFUSED, "a whole list that names no active box; the last list stays"
-            )
-        return None
-
-    def _check_size(self, news: EndpointListUpdate) -> ListVerdict | None:
-        if len(news.entries) > MAX_SERVERS:
-            return ListVerdict(
-                ListDecision.REFUSED, f"{len(news.entries)} boxes, at most {MAX_SERVERS} will do"
-            )
-        return None
-
-    def _check_placements(self, news: EndpointListUpdate) -> ListVerdict | None:
-        places: dict[str, tuple[int, str]] = {} if news.base_version is None else dict(self.cells)
-        for entry in news.entries:
-            place = (entry.cell, entry.kind)
-            if places.setdefault(entry.address, place) != place:
-                return ListVerdict(ListDecision.REFUSED, f"box {entry.address} in two cells or of two kinds")
+    def _check_placements(self, message: EndpointListUpdate) -> ListVerdict | None:
+        placements = {} if message.is_full else dict(self.placements)
+        for entry in message.entries:
+            placement = ServerPlacement(entry.cell, entry.kind)
+            if placements.setdefault(entry.address, placement) != placement:
+                return _refused(f"server {entry.address} is listed in two cells or with two kinds")
         return None
 
 
-VIOLATION_CHECKS: tuple[Callable[[EndpointListTracker, EndpointListUpdate], ListVerdict | None], ...] = (
-    EndpointListTracker._check_order,
-    EndpointListTracker._check_size,
-    EndpointListTracker._check_has_active,
-    EndpointListTracker._check_placements,
-)
+def _check_size(message: EndpointListUpdate) -> ListVerdict | None:
+    if len(message.entries) > MAX_SERVERS:
+        return _refused(f"{len(message.entries)} servers, the maximum is {MAX_SERVERS}")
+    return None
 
 
-SILENCE_US = 10_000_000  # the service beats every second: so long without is a connection that is dead
-INITIAL_BACKOFF_US = 100_000
-MAX_BACKOFF_US = 5_000_000
+def _check_has_active(message: EndpointListUpdate) -> ListVerdict | None:
+    # A full list without an active server would end every session. A fault of the list service is far
+    # likelier than a fleet that is gone, and attempts will show it if it is.
+    if message.is_full and not any(entry.standing is ServerState.ACTIVE for entry in message.entries):
+        return _refused("a full list without an active server; the last list stays in force")
+    return None
 
 
 def pause_us(failures: int, draw: float) -> int:
-    """How long to wait before calling the list service again: doubling, with full jitter over the upper half.
+    """How long to wait before calling the list service again.
 
     Args:
         failures: calls failed in a row.
-        draw: chance, from 0 up to 1.
+        draw: a random number, from 0 up to 1, as jitter.
     """
-    longest = min(MAX_BACKOFF_US, INITIAL_BACKOFF_US * (1 << min(failures, 16)))
-    return round(longest * (0.5 + draw / 2))
+    return BACKOFF.jittered_delay_us(failures, draw)
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/event_stream.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/event_stream.py
@@ -1,134 +1,150 @@
-"""Whether a box's reports are heard, and when silence means that what played there is lost.
+"""The life cycle of one server's event stream, and when its failures prove that sessions there are lost.
 
-A front keeps one feed open to each box on which it holds subscriptions (docs/design/10-running-front.md has
-the options). A feed that breaks says nothing of the box: the network may have cut it. What proves a loss is a
-box that says it started anew or that it does not know a subscription, a connection refused again and again,
-or a silence longer than a mark's.
+A front keeps one event stream open to each server at which it has sessions (docs/design/10-running-front.md
+weighs the options). A stream that breaks proves nothing about the server: the network may have cut it. A loss
+is proven by a server that reports that it restarted or does not know a session, by a connection refused
+repeatedly, or by a silence longer than the retention of marks.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, auto
 
+from fennelcove.decisions.servers.backoff import Backoff
 from fennelcove.placement import MARK_US
+from fennelcove.state_machine import Transition, TransitionTable, Unlisted
 
 INITIAL_BACKOFF_US = 100_000
 MAX_BACKOFF_US = 2_000_000
+BACKOFF = Backoff(INITIAL_BACKOFF_US, MAX_BACKOFF_US)
 REFUSALS_PROVING_LOSS = 3
-LINGER_US = MARK_US  # what a mark remembers of a link is worth hearing for as long
+LINGER_US = MARK_US  # a stream without sessions is still worth reading while its observations are kept
+REPORTS_PER_TIMEOUT = 3  # load reports in a row that must be missing
+MIN_REPORT_INTERVAL_US = 100_000
 
 
 class StreamState(Enum):
-    """How the feed stands."""
+    """The state of the stream."""
 
-    CLOSED = auto()  # nothing is held there
+    CLOSED = auto()  # no sessions at the server
     OPENING = auto()
     OPEN = auto()
-    BROKEN = auto()  # to be opened again after a pause
-    LINGERING = auto()  # open still, with nothing held: short lessons would open and close it without end
+    BROKEN = auto()  # to be opened again after a backoff
+    LINGERING = auto()  # open without sessions: else short sessions would open and close it all the time
 
 
 class StreamEvent(Enum):
-    """What happens to it."""
+    """What happens to the stream."""
 
-    HELD = auto()  # the first subscription plays there
-    NONE_HELD = auto()  # the last has ended
-    HELLO = auto()  # the box greets: same process as before
-    HELLO_RESTARTED = auto()  # the box greets: another process
+    HELD = auto()  # the first session is established at the server
+    NONE_HELD = auto()  # the last session is closed
+    HELLO = auto()  # the server's first message: same process as before
+    HELLO_RESTARTED = auto()  # the server's first message: another process
     REFUSED = auto()
-    CUT = auto()  # it broke, or fell silent past its limit
-    RETRY = auto()  # the pause is over
-    EXPIRED = auto()  # nothing has been held for a while
+    CUT = auto()  # it broke, or was silent past its limit
+    RETRY = auto()  # the backoff is over
+    EXPIRED = auto()  # there have been no sessions for a while
 
 
 class StreamAction(Enum):
-    """What follows."""
+    """What the caller carries out."""
 
     OPEN_FEED = auto()
     CLOSE_FEED = auto()
-    PAUSE = auto()
-    LINGER = auto()
-    FORGET = auto()  # nothing is held and no feed is open
-    LOSE_UNKNOWN = auto()  # what the greeting does not name is lost
+    PAUSE = auto()  # schedule a retry
+    LINGER = auto()  # schedule the end of lingering
+    FORGET = auto()  # discard what is held about the server: no sessions and no stream
+    LOSE_UNKNOWN = auto()  # sessions that the server's first message does not name are lost
     LOSE_ALL = auto()
 
 
-Row = tuple[StreamState, tuple[StreamAction, ...]]
-
-TRANSITIONS: dict[tuple[StreamState, StreamEvent], Row] = {
-    (StreamState.CLOSED, StreamEvent.HELD): (StreamState.OPENING, (StreamAction.OPEN_FEED,)),
-    (StreamState.OPENING, StreamEvent.HELLO): (StreamState.OPEN, (StreamAction.LOSE_UNKNOWN,)),
-    (StreamState.OPENING, StreamEvent.HELLO_RESTARTED): (StreamState.OPEN, (StreamAction.LOSE_UNKNOWN,)),
-    (StreamState.OPENING, StreamEvent.REFUSED): (StreamState.BROKEN, (StreamAction.PAUSE,)),
-    (StreamState.OPENING, StreamEvent.CUT): (StreamState.BROKEN, (StreamAction.PAUSE,)),
-    (StreamState.OPENING, StreamEvent.NONE_HELD): (
-        StreamState.CLOSED,
-        (StreamAction.CLOSE_FEED, StreamAction.FORGET),
-    ),
-    (StreamState.OPEN, StreamEvent.CUT): (StreamState.BROKEN, (StreamAction.PAUSE,)),
-    (StreamState.OPEN, StreamEvent.NONE_HELD): (StreamState.LINGERING, (StreamAction.LINGER,)),
-    (StreamState.LINGERING, StreamEvent.HELD): (StreamState.OPEN, ()),
-    (StreamState.LINGERING, StreamEvent.EXPIRED): (
-        StreamState.CLOSED,
-        (StreamAction.CLOSE_FEED, StreamAction.FORGET),
-    ),
-    (StreamState.LINGERING, StreamEvent.CUT): (StreamState.CLOSED, (StreamAction.FORGET,)),
-    (StreamState.BROKEN, StreamEvent.RETRY): (StreamState.OPENING, (StreamAction.OPEN_FEED,)),
-    (StreamState.BROKEN, StreamEvent.NONE_HELD): (StreamState.CLOSED, (StreamAction.FORGET,)),
-}
+TRANSITIONS: TransitionTable[StreamState, StreamEvent, StreamAction] = TransitionTable(
+    {
+        (StreamState.CLOSED, StreamEvent.HELD): Transition(StreamState.OPENING, (StreamAction.OPEN_FEED,)),
+        (StreamState.OPENING, StreamEvent.HELLO): Transition(StreamState.OPEN, (StreamAction.LOSE_UNKNOWN,)),
+        (StreamState.OPENING, StreamEvent.HELLO_RESTARTED): Transition(
+            StreamState.OPEN, (StreamAction.LOSE_UNKNOWN,)
+        ),
+        (StreamState.OPENING, StreamEvent.REFUSED): Transition(StreamState.BROKEN, (StreamAction.PAUSE,)),
+        (StreamState.OPENING, StreamEvent.CUT): Transition(StreamState.BROKEN, (StreamAction.PAUSE,)),
+        (StreamState.OPENING, StreamEvent.NONE_HELD): Transition(
+            StreamState.CLOSED, (StreamAction.CLOSE_FEED, StreamAction.FORGET)
+        ),
+        (StreamState.OPEN, StreamEvent.CUT): Transition(StreamState.BROKEN, (StreamAction.PAUSE,)),
+        (StreamState.OPEN, StreamEvent.NONE_HELD): Transition(StreamState.LINGERING, (StreamAction.LINGER,)),
+        (StreamState.LINGERING, StreamEvent.HELD): Transition(StreamState.OPEN),
+        (StreamState.LINGERING, StreamEvent.EXPIRED): Transition(
+            StreamState.CLOSED, (StreamAction.CLOSE_FEED, StreamAction.FORGET)
+        ),
+        (StreamState.LINGERING, StreamEvent.CUT): Transition(StreamState.CLOSED, (StreamAction.FORGET,)),
+        (StreamState.BROKEN, StreamEvent.RETRY): Transition(StreamState.OPENING, (StreamAction.OPEN_FEED,)),
+        (StreamState.BROKEN, StreamEvent.NONE_HELD): Transition(StreamState.CLOSED, (StreamAction.FORGET,)),
+    },
+    unlisted=Unlisted.IGNORE,
+)
 
 
 @dataclass(slots=True)
 class StreamLifecycle:
-    """One box's feed; times in microseconds."""
+    """One server's event stream; times in microseconds."""
 
     state: StreamState = StreamState.CLOSED
     incarnation: str | None = None
     refusals: int = 0
     failures: int = 0
     disconnected_since_us: int = 0
-    acts: list[StreamAction] = field(default_factory=list)
 
     def apply(self, event: StreamEvent, now_us: int) -> tuple[StreamAction, ...]:
-        """Move on; what follows, in order."""
-        row = TRANSITIONS.get((self.state, event))
-        if row is None:
+        """Apply an event; the actions to carry out, in order. An event out of place changes nothing."""
+        transition = TRANSITIONS.find(self.state, event)
+        if transition is None:
             return ()
-        if event in (StreamEvent.HELLO, StreamEvent.HELLO_RESTARTED) or (
-            event is StreamEvent.HELD and self.state is StreamState.CLOSED
-        ):
-            self.refusals = self.failures = 0
+        self._count(event, now_us)
+        self.state = transition.state
+        if self.state is StreamState.BROKEN and self._proves_loss(now_us):
+            # It is still tried again: sessions that are placed there later need their stream.
+            self.refusals = 0
+            self.disconnected_since_us = now_us
+            return (*transition.actions, StreamAction.LOSE_ALL)
+        return transition.actions
+
+    def _count(self, event: StreamEvent, now_us: int) -> None:
+        """Count failures, and note since when nothing was received; before the state changes."""
+        is_first_session = event is StreamEvent.HELD and self.state is StreamState.CLOSED
+        if is_first_session or event in (StreamEvent.HELLO, StreamEvent.HELLO_RESTARTED):
+            self.refusals = 0
+            self.failures = 0
             self.disconnected_since_us = now_us
         elif event is StreamEvent.REFUSED:
             self.refusals += 1
             self.failures += 1
         elif event is StreamEvent.CUT:
+            self.failures += 1
             if self.state is StreamState.OPEN:
                 self.disconnected_since_us = now_us
-            self.failures += 1
-        self.state, acts = row
-        if self.state is StreamState.BROKEN and self._proves_loss(now_us):
-            # Still tried again: what the front places there later needs its feed.
-            self.refusals, self.disconnected_since_us = 0, now_us
-            acts = (*acts, StreamAction.LOSE_ALL)
-        return acts
 
     def _proves_loss(self, now_us: int) -> bool:
         return self.refusals >= REFUSALS_PROVING_LOSS or now_us - self.disconnected_since_us >= MARK_US
 
-    def greet(self, boot: str, now_us: int) -> tuple[StreamAction, ...]:
-        """The box greets with the name of its process's life."""
-        anew = self.incarnation is not None and boot != self.incarnation
-        self.incarnation = boot
-        return self.apply(StreamEvent.HELLO_RESTARTED if anew else StreamEvent.HELLO, now_us)
+    def greet(self, incarnation: str, now_us: int) -> tuple[StreamAction, ...]:
+        """Apply the server's first message on the stream, which names the incarnation of its process."""
+        has_restarted = self.incarnation is not None and incarnation != self.incarnation
+        self.incarnation = incarnation
+        event = StreamEvent.HELLO_RESTARTED if has_restarted else StreamEvent.HELLO
+        return self.apply(event, now_us)
 
     def pause_us(self, draw: float) -> int:
-        """How long to wait before opening it again, by chance over the upper half of a doubling pause."""
-        longest = min(MAX_BACKOFF_US, INITIAL_BACKOFF_US * (1 << min(max(0, self.failures - 1), 16)))
-        return round(longest * (0.5 + draw / 2))
+        """How long to wait before opening the stream again, with `draw` from 0 up to 1 as jitter."""
+        return BACKOFF.jittered_delay_us(self.failures - 1, draw)
+
 
+def idle_timeout_us(report_interval_us: int, report_delay_us: int) -> int:
+    """How long a stream may bring nothing before it counts as broken.
 
-def idle_timeout_us(reports_every_us: int, seen_after_us: int) -> int:
-    """How long a feed may bring nothing before it counts as cut: three beats, and the notes' own delay."""
-    return 3 * max(reports_every_us, 100_000) + seen_after_us
+    Args:
+        report_interval_us: time between two of the server's load reports.
+        report_delay_us: how much later than sent a report may be seen.
+    """
+    interval_us = max(report_interval_us, MIN_REPORT_INTERVAL_US)
+    return REPORTS_PER_TIMEOUT * interval_us + report_delay_us
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/load_signals.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/load_signals.py
@@ -1,8 +1,8 @@
-"""What hints change: from what a box tells by CMSD and a viewer by CMCD to events that the module knows.
+"""Load signals from CMSD and CMCD hints, turned into the events that the placement policy knows.
 
-The smallest departure from the design that makes hints count (docs/design.md, 'Hints'): a box's word is a
-load report, a viewer's word bounds its own highest rung, and several starving viewers of one box are the
-short-delivery note that the box did not send.
+Hints count with the smallest departure from the policy's own inputs (docs/design.md, 'Hints'): a server's
+CMSD counts as a load report, a client's CMCD bounds its own highest rung, and several starving clients of one
+server count as the short-delivery report that the server did not send.
 """
 
 from __future__ import annotations
@@ -15,15 +15,17 @@
 from fennelcove.interface import LoadReport
 from fennelcove.placement import HOLD_BACK, LIFT_MARGIN, WHOLE
 
-KBIT = 8  # hints count kilobits, the ladder counts kilobytes
+KBIT = 8  # kilobits in a kilobyte: hints count kilobits, the bitrate ladder counts kilobytes
 FULL_UTILIZATION = 1.0
-MAX_CLIENTS = 256  # viewers remembered for each box
-MIN_STARVING_CLIENTS = 2  # one viewer alone may be short by its own last mile
+MAX_CLIENTS = 256  # remembered for each server
+MIN_STARVING_CLIENTS = 2  # one client alone may be short because of its own last mile
+MAX_STARVING_FRACTION = WHOLE * (1 - HOLD_BACK)
+MIN_STARVING_FRACTION = HOLD_BACK
 
 
 @dataclass(frozen=True, slots=True)
 class ServerHints:
-    """One answer's CMSD, of the hop nearest the box; rates in kilobits a second."""
+    """The CMSD of one response, of the hop nearest the server; rates in kilobits a second."""
 
     link_utilization: float | None = None
     uplink_utilization: float | None = None
@@ -33,93 +35,119 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientHints:
-    """One request's CMCD; rates in kilobits a second."""
+    """The CMCD of one request; rates in kilobits a second."""
 
     top_kbit: float | None = None
     measured_kbit: float | None = None
     is_starved: bool = False
 
 
-def load_report(says: ServerHints) -> LoadReport | None:
-    """The report that a box's hints amount to.
+def load_report(hints: ServerHints) -> LoadReport | None:
+    """The load report that a server's hints amount to; None where they hold no load.
 
-    Duress is the specification's word for 'send me nothing more', so it counts as a full link whatever figure
-    stands beside it: a box that goes on accepting while it says so must draw no new work.
+    A server in duress asks for no further requests (CTA-5006), so it counts as a full link whatever
+    utilization it reports: otherwise it would go on drawing work.
     """
-    link = says.link_utilization
-    if says.is_in_duress:
+    link = hints.link_utilization
+    if hints.is_in_duress:
         link = max(FULL_UTILIZATION, link or 0.0)
-    if link is None and says.uplink_utilization is None:
+    if link is None and hints.uplink_utilization is None:
         return None
-    return LoadReport(link, says.uplink_utilization)
+    return LoadReport(link, hints.uplink_utilization)
 
 
 def highest_rung(rates_kb: Sequence[float], kbit: float, floor: int) -> int:
-    """The highest rung that fits; the floor where none does, since a room type never plays under it."""
-    fitting = [rung for rung, kb in enumerate(rates_kb) if kb * KBIT <= kbit]
-    return max(floor, fitting[-1] if fitting else 0)
+    """The highest rung that fits into a rate; the floor where none does.
+
+    A service class is never played under its floor.
+    """
+    fitting = [rung for rung, rate_kb in enumerate(rates_kb) if rate_kb * KBIT <= kbit]
+    highest = fitting[-1] if fitting else 0
+    return max(floor, highest)
 
 
-def top_rung(rates_kb: Sequence[float], stated: int, floor: int, says: ClientHints) -> int:
-    """The highest rung that a viewer can use, by its own hints.
+def top_rung(rates_kb: Sequence[float], stated: int, floor: int, hints: ClientHints) -> int:
+    """The highest rung that a client can use, by its own hints.
 
-    Measured throughput is read with the design's tenth held back. A viewer is never taken for less than the
-    floor: that it may not be played under it is the room type's term, not the hint's.
+    A tenth of the measured throughput is held back, as everywhere in the policy. The result is never under
+    the floor, which is set by the service class and not by hints.
+
+    Args:
+        rates_kb: rates of the bitrate ladder, in kilobytes a second.
+        stated: the highest rung that the client's request states.
+        floor: the lowest rung of its service class.
+        hints: its CMCD.
     """
     top = min(stated, len(rates_kb) - 1)
-    if says.top_kbit is not None and says.top_kbit > 0:
-        top = min(top, highest_rung(rates_kb, says.top_kbit, floor))
-    if says.measured_kbit is not None and says.measured_kbit > 0:
-        top = min(top, highest_rung(rates_kb, says.measured_kbit * (1 - HOLD_BACK), floor))
+    if hints.top_kbit is not None and hints.top_kbit > 0:
+        top = min(top, highest_rung(rates_kb, hints.top_kbit, floor))
+    if hints.measured_kbit is not None and hints.measured_kbit > 0:
+        usable_kbit = hints.measured_kbit * (1 - HOLD_BACK)
+        top = min(top, highest_rung(rates_kb, usable_kbit, floor))
     return max(top, min(floor, stated))
 
 
-def adjusted_top_rung(rates_kb: Sequence[float], stated: int, now: int, floor: int, says: ClientHints) -> int:
-    """A playing viewer's highest rung after new hints.
+def adjusted_top_rung(
+    rates_kb: Sequence[float], stated: int, current: int, floor: int, hints: ClientHints
+) -> int:
+    """An established session's highest rung after new hints.
 
-    Down at once; up only with the margin that raising keeps elsewhere, or the measure of a rung would carry
-    the viewer up and down with its own spread.
+    It is lowered at once, and raised only with the margin that the policy keeps for raising: otherwise the
+    spread of the client's measurements would move it up and down.
     """
-    down = top_rung(rates_kb, stated, floor, says)
-    if down <= now or says.measured_kbit is None:
-        return down
-    calm = ClientHints(says.top_kbit, says.measured_kbit * (1 - LIFT_MARGIN), says.is_starved)
-    return max(now, top_rung(rates_kb, stated, floor, calm))
+    top = top_rung(rates_kb, stated, floor, hints)
+    if top <= current or hints.measured_kbit is None:
+        return top
+    with_margin = ClientHints(hints.top_kbit, hints.measured_kbit * (1 - LIFT_MARGIN), hints.is_starved)
+    return max(current, top_rung(rates_kb, stated, floor, with_margin))
+
+
+@dataclass(frozen=True, slots=True)
+class DeliveryObservation:
+    """What one client's hints show: the delivered fraction of its rate, or None while it does not starve."""
+
+    at_us: int
+    delivered_fraction: float | None
 
 
 @dataclass(slots=True)
 class DeliveryMonitor:
-    """What viewers of one box said lately, the longest ago first; times in microseconds."""
+    """Recent observations of one server's clients, the oldest first; times in microseconds."""
 
-    observations: OrderedDict[str, tuple[int, float | None]] = field(default_factory=OrderedDict)
+    observations: OrderedDict[str, DeliveryObservation] = field(default_factory=OrderedDict)
 
-    def hear(self, id: str, delivered: float | None, now_us: int) -> None:
-        """A viewer said that it starves at this share of its rate, or with None that it does not."""
-        self.observations[id] = (now_us, delivered)
-        self.observations.move_to_end(id)
+    def hear(self, session_id: str, delivered_fraction: float | None, now_us: int) -> None:
+        """Record that a client starves at this fraction of its rate, or with None that it does not."""
+        self.observations[session_id] = DeliveryObservation(now_us, delivered_fraction)
+        self.observations.move_to_end(session_id)
         while len(self.observations) > MAX_CLIENTS:
             self.observations.popitem(last=False)
 
-    def forget(self, id: str) -> None:
-        """A viewer that has left says nothing more."""
-        self.observations.pop(id, None)
+    def forget(self, session_id: str) -> None:
+        """Drop the observation of a session that is closed."""
+        self.observations.pop(session_id, None)
 
     def short_delivery(self, since_us: int) -> float | None:
-        """The share delivered, where the box and not its viewers' own links must be the cause.
+        """The delivered fraction, where the server and not its clients' own links must be the cause.
 
-        That is where more than half of the viewers heard since then starve, and more than one.
+        That is where more than half of the clients observed since then starve, and more than one.
         """
-        lately = [said for at_us, said in self.observations.values() if at_us >= since_us]
-        starving = [said for said in lately if said is not None]
-        if len(starving) < MIN_STARVING_CLIENTS or len(starving) * 2 <= len(lately):
+        recent = [
+            observation.delivered_fraction
+            for observation in self.observations.values()
+            if observation.at_us >= since_us
+        ]
+        starving = [fraction for fraction in recent if fraction is not None]
+        if len(starving) < MIN_STARVING_CLIENTS or len(starving) * 2 <= len(recent):
             return None
         return median(starving)
 
 
-def starving_share(says: ClientHints, rate_kb: float) -> float | None:
-    """The share of its rate that a starving viewer gets; None while it does not starve."""
-    if not says.is_starved:
+def starving_share(hints: ClientHints, rate_kb: float) -> float | None:
+    """The fraction of its rate that a starving client receives; None while it does not starve."""
+    if not hints.is_starved:
         return None
-    if says.measured_kbit is None or rate_kb <= 0:
-        return WHOLE * (1 - HOLD_BACK)  # it starves and does not say how much: short by the tenth
-    return max(HOLD_BACK, min(WHOLE * (1 - HOLD_BACK), says.measured_kbit / (rate_kb * KBIT)))
+    if hints.measured_kbit is None or rate_kb <= 0:
+        return MAX_STARVING_FRACTION  # it does not report how much it receives: short by the tenth held back
+    fraction = hints.measured_kbit / (rate_kb * KBIT)
+    return max(MIN_STARVING_FRACTION, min(MAX_STARVING_FRACTION, fraction))
