--- a/packages/decisions-clients/src/fennelcove/decisions/clients/__init__.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/__init__.py
@@ -1,1 +1,1 @@
-"""What the front rules about those who ask: who comes in, waits, is known again, and for how long."""
+"""Decisions about clients: admission, tokens, sessions, waiting rooms, storms, seats and idempotency."""
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/access_tokens.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/access_tokens.py
@@ -1,5 +1,7 @@
-"""Passes of viewers: who may ask, until when, for how many subscriptions at once; sealed, so that no front
-asks anybody."""
+"""Access tokens of clients: who may open how many sessions, until when.
+
+They are signed, so that a front verifies them without asking anybody.
+"""
 
 from __future__ import annotations
 
@@ -14,41 +16,41 @@
 from fennelcove.decisions.clients.signed_tokens import Mac
 
 MAX_TOKEN_CHARS = 800
-RENEWAL_NOTICE_FRACTION = 0.25  # of its whole time: from then on its holder is told to renew
+RENEWAL_NOTICE_FRACTION = 0.25  # of a token's whole time: its holder is notified to renew it from then on
 MAX_RENEWAL_NOTICE_US = 60_000_000
 
 
 class AccessToken(Struct, frozen=True, array_like=True):
-    """Who may ask, between which wall times in microseconds, and how many subscriptions it may hold."""
+    """A client's token, valid between two wall times in microseconds; encoded by the order of its fields."""
 
     client: str
     from_us: int
     until_us: int
-    most: int = 8
-    titles: tuple[str, ...] = ()  # the titles that its holder may see; none named is any
+    most: int = 8  # the maximum number of sessions at once
+    titles: tuple[str, ...] = ()  # the titles that its holder may play; none named is any
 
 
 class TokenStatus(Enum):
-    """What a pass is worth now."""
+    """Whether a token is valid."""
 
     VALID = auto()
-    RENEW = auto()  # valid, and soon over
+    RENEW = auto()  # valid, and expires soon
     NOT_YET = auto()
     EXPIRED = auto()
-    INVENTED = auto()  # none of ours, or altered
+    INVENTED = auto()  # not signed by this front's keys, or altered
     MISSING = auto()
 
 
 class Demand(Enum):
-    """What is asked with it."""
+    """What a client wants to do with its token."""
 
-    ASK = auto()  # a new subscription
-    CLAIM = auto()  # one that plays already
-    CONTINUE_SESSION = auto()  # to go on with what it has
+    ASK = auto()  # open a session
+    CLAIM = auto()  # claim an established session
+    CONTINUE_SESSION = auto()  # go on with its sessions
 
 
-# Whether it is let in. What plays goes on past the end of its pass: the pass said who may ask, not for how
-# long a lesson lasts.
+# Whether it is allowed. A session goes on past the expiry of its token: the token states who may open
+# sessions, not for how long they last.
 ACCESS_RULES: dict[tuple[TokenStatus, Demand], bool] = {
     (TokenStatus.VALID, Demand.ASK): True,
     (TokenStatus.VALID, Demand.CLAIM): True,
@@ -82,51 +84,59 @@
 
 @dataclass(frozen=True, slots=True)
 class PresentedToken:
-    """A pass as it was shown, and what it is worth."""
+    """A token as a client presented it, and its status."""
 
     standing: TokenStatus
     held: AccessToken | None = None
 
     def may(self, demand: Demand) -> bool:
-        """Whether it lets its holder in for this."""
+        """Whether the token's holder is allowed to do this."""
         return ACCESS_RULES[self.standing, demand]
 
 
-def seal(held: AccessToken, mac: Mac) -> str:
-    """A pass as a token."""
-    return signed_tokens.sign(msgspec.json.encode(held), mac)
+def seal(token: AccessToken, mac: Mac) -> str:
+    """The signed text of a token."""
+    return signed_tokens.sign(msgspec.json.encode(token), mac)
 
 
-def show(token: str | None, macs: Sequence[Mac], wall_us: int) -> PresentedToken:
-    """What a token is worth at this wall time."""
-    if not token:
+def show(text: str | None, macs: Sequence[Mac], wall_us: int) -> PresentedToken:
+    """Verify the text that a client presents, at this wall time."""
+    if not text:
         return PresentedToken(TokenStatus.MISSING)
-    raw = signed_tokens.verify(token, macs, MAX_TOKEN_CHARS)
+    token = _verify(text, macs)
+    if token is None:
+        return PresentedToken(TokenStatus.INVENTED)
+    return PresentedToken(at(token, wall_us), token)
+
+
+def _verify(text: str, macs: Sequence[Mac]) -> AccessToken | None:
+    raw = signed_tokens.verify(text, macs, MAX_TOKEN_CHARS)
+    if raw is None:
+        return None
     try:
-        held = msgspec.json.decode(raw, type=AccessToken) if raw is not None else None
+        return msgspec.json.decode(raw, type=AccessToken)
     except msgspec.MsgspecError:
-        held = None
-    if held is None:
-        return PresentedToken(TokenStatus.INVENTED)
-    return PresentedToken(at(held, wall_us), held)
+        return None
 
 
-def at(held: AccessToken, wall_us: int) -> TokenStatus:
-    """What a pass that is ours is worth at this wall time."""
-    if wall_us < held.from_us:
+def at(token: AccessToken, wall_us: int) -> TokenStatus:
+    """The status of a correctly signed token at this wall time."""
+    if wall_us < token.from_us:
         return TokenStatus.NOT_YET
-    if wall_us >= held.until_us:
+    if wall_us >= token.until_us:
         return TokenStatus.EXPIRED
-    return TokenStatus.RENEW if wall_us >= notice_us(held) else TokenStatus.VALID
+    return TokenStatus.RENEW if wall_us >= notice_us(token) else TokenStatus.VALID
 
 
-def notice_us(held: AccessToken) -> int:
-    """The wall time from which its holder should renew."""
-    span = round((held.until_us - held.from_us) * RENEWAL_NOTICE_FRACTION)
-    return held.until_us - min(MAX_RENEWAL_NOTICE_US, span)
+def notice_us(token: AccessToken) -> int:
+    """The wall time from which the token's holder should renew it."""
+    notice_period_us = round((token.until_us - token.from_us) * RENEWAL_NOTICE_FRACTION)
+    return token.until_us - min(MAX_RENEWAL_NOTICE_US, notice_period_us)
 
 
 def renews(old: AccessToken | None, new: AccessToken) -> bool:
-    """Whether a pass may take another's place on a connection: it must be the same client's, or what that
-    one holds would change hands."""
+    """Whether a token may replace another on a connection.
+
+    It must be the same client's: otherwise the sessions of the connection would change hands.
+    """
     return old is None or old.client == new.client
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/admission.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/admission.py
@@ -1,65 +1,70 @@
-"""What the door lets in: bounds on connections, waiting requests and buffered bytes, and how patient it is.
+"""Admission control of the front: bounds on connections, pending requests, sessions and buffered bytes.
 
-Past a bound the answer is an immediate refusal with a time to come back; nothing is queued that can't be
-bounded.
+Past a bound the response is an immediate rejection with a Retry-After; nothing is queued without a bound.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from enum import Enum, auto
+from typing import Never
+
+from fennelcove.decisions.clients.wait_window import WaitWindow
+from fennelcove.state_machine import Transition, TransitionTable
 
 
 class AdmissionState(Enum):
-    """How the front stands towards new work."""
+    """Whether the front accepts new work."""
 
     OPEN = auto()
-    DRAINING = auto()  # an operator wants nothing new here; what is held goes on, and it may be opened again
+    DRAINING = auto()  # an operator wants no new work here; sessions go on, and the front may be opened again
     STOPPING = auto()
 
 
 class AdmissionEvent(Enum):
-    """What an operator, or the end, does with it."""
+    """What an operator or the shutdown does with the front."""
 
     DRAIN = auto()
     UNDRAIN = auto()
     STOP = auto()
 
 
-STATE_TRANSITIONS: dict[tuple[AdmissionState, AdmissionEvent], AdmissionState] = {
-    (AdmissionState.OPEN, AdmissionEvent.DRAIN): AdmissionState.DRAINING,
-    (AdmissionState.OPEN, AdmissionEvent.UNDRAIN): AdmissionState.OPEN,
-    (AdmissionState.OPEN, AdmissionEvent.STOP): AdmissionState.STOPPING,
-    (AdmissionState.DRAINING, AdmissionEvent.DRAIN): AdmissionState.DRAINING,
-    (AdmissionState.DRAINING, AdmissionEvent.UNDRAIN): AdmissionState.OPEN,
-    (AdmissionState.DRAINING, AdmissionEvent.STOP): AdmissionState.STOPPING,
-    # There is no way back from an end.
-    (AdmissionState.STOPPING, AdmissionEvent.DRAIN): AdmissionState.STOPPING,
-    (AdmissionState.STOPPING, AdmissionEvent.UNDRAIN): AdmissionState.STOPPING,
-    (AdmissionState.STOPPING, AdmissionEvent.STOP): AdmissionState.STOPPING,
-}
+STATE_TRANSITIONS: TransitionTable[AdmissionState, AdmissionEvent, Never] = TransitionTable(
+    {
+        (AdmissionState.OPEN, AdmissionEvent.DRAIN): Transition(AdmissionState.DRAINING),
+        (AdmissionState.OPEN, AdmissionEvent.UNDRAIN): Transition(AdmissionState.OPEN),
+        (AdmissionState.OPEN, AdmissionEvent.STOP): Transition(AdmissionState.STOPPING),
+        (AdmissionState.DRAINING, AdmissionEvent.DRAIN): Transition(AdmissionState.DRAINING),
+        (AdmissionState.DRAINING, AdmissionEvent.UNDRAIN): Transition(AdmissionState.OPEN),
+        (AdmissionState.DRAINING, AdmissionEvent.STOP): Transition(AdmissionState.STOPPING),
+        # A shutdown can't be undone.
+        (AdmissionState.STOPPING, AdmissionEvent.DRAIN): Transition(AdmissionState.STOPPING),
+        (AdmissionState.STOPPING, AdmissionEvent.UNDRAIN): Transition(AdmissionState.STOPPING),
+        (AdmissionState.STOPPING, AdmissionEvent.STOP): Transition(AdmissionState.STOPPING),
+    }
+)
 
 
 class Entry(Enum):
-    """What asks to be let in."""
+    """What asks for admission."""
 
     CONNECTION = auto()
-    REQUEST = auto()  # a set-up that will wait for its answer
-    SUBSCRIPTION = auto()  # one more to hold while it plays
+    REQUEST = auto()  # a set-up that will wait for its response
+    SUBSCRIPTION = auto()  # one more session, held for as long as it plays
 
 
 class AdmissionDecision(Enum):
-    """What the door does."""
+    """What becomes of it."""
 
     LET_IN = auto()
-    FULL = auto()  # answer 503 at once: a bound is reached
-    DRAINING = auto()  # answer 503 at once: go to another front
-    CLOSING = auto()  # answer 503 at once: this front is stopping
+    FULL = auto()  # respond with 503 at once: a bound is reached
+    DRAINING = auto()  # respond with 503 at once: use another front
+    CLOSING = auto()  # respond with 503 at once: this front is stopping
 
 
 @dataclass(frozen=True, slots=True)
 class AdmissionLimits:
-    """The most of each that the front holds."""
+    """The maximum of each that the front holds."""
 
     connections: int
     pending_requests: int
@@ -67,12 +72,12 @@
     buffered_bytes: int
 
 
-# The refusals that come before anything is counted.
+# The decisions by the front's state, before any bound is looked at.
 ADMISSION_RULES: dict[tuple[AdmissionState, Entry], AdmissionDecision] = {
     (AdmissionState.OPEN, Entry.CONNECTION): AdmissionDecision.LET_IN,
     (AdmissionState.OPEN, Entry.REQUEST): AdmissionDecision.LET_IN,
     (AdmissionState.OPEN, Entry.SUBSCRIPTION): AdmissionDecision.LET_IN,
-    # Those who play here still poll, fetch and release.
+    # Clients with sessions here still poll, fetch and release.
     (AdmissionState.DRAINING, Entry.CONNECTION): AdmissionDecision.LET_IN,
     (AdmissionState.DRAINING, Entry.REQUEST): AdmissionDecision.DRAINING,
     (AdmissionState.DRAINING, Entry.SUBSCRIPTION): AdmissionDecision.DRAINING,
@@ -81,103 +86,123 @@
     (AdmissionState.STOPPING, Entry.SUBSCRIPTION): AdmissionDecision.CLOSING,
 }
 
-WAIT_SMOOTHING = 16  # as the module smooths what it averages over requests
-MIN_RETRY_AFTER_US = 1_000_000  # Retry-After counts whole seconds: less can't be told to every client
-MIN_SETUP_US = 1000.0  # what an answer costs a front that is not waiting for anybody
+WAIT_SMOOTHING = 16  # requests over which the average wait is taken, as the policy does with its averages
+MIN_RETRY_AFTER_US = 1_000_000  # Retry-After counts whole seconds: not every client can be given less
+MIN_SETUP_US = 1000.0  # what one set-up costs a front at which nobody waits
 MAX_RECONNECT_SPAN_US = 30_000_000
-PRESSURE_THRESHOLD = 0.5  # from this share of the connections on, idle ones are given less time
+PRESSURE_THRESHOLD = 0.5  # from this fraction of the connections on, idle ones are given less time
 MIN_TIMEOUT_FRACTION = 0.1
+US_PER_S = 1_000_000
 
 
 class AdmissionController:
-    """Counts what is inside and rules on what wants in. The caller hands in times and holds the lock."""
+    """Counts what was admitted, and decides on what asks for admission.
+
+    The caller passes in times and holds the lock.
+    """
 
-    def __init__(self, bounds: AdmissionLimits) -> None:
-        self.limits = bounds
+    def __init__(self, limits: AdmissionLimits) -> None:
+        self.limits = limits
         self.phase = AdmissionState.OPEN
-        self.connections = self.waiting = self.held = self.buffered_bytes = 0
+        self.connections = 0
+        self.waiting = 0
+        self.held = 0
+        self.buffered_bytes = 0
         self.typical_wait_us = 0.0
         self.rejected_count = 0
 
     def ask(self, entry: Entry) -> AdmissionDecision:
-        """Rule, and count what is let in."""
-        ruling = ADMISSION_RULES[self.phase, entry]
-        if ruling is AdmissionDecision.LET_IN and not self._has_capacity(entry):
-            ruling = AdmissionDecision.FULL
-        if ruling is not AdmissionDecision.LET_IN:
+        """Decide, and count what is admitted."""
+        decision = ADMISSION_RULES[self.phase, entry]
+        if decision is AdmissionDecision.LET_IN and not self._has_capacity(entry):
+            decision = AdmissionDecision.FULL
+        if decision is AdmissionDecision.LET_IN:
+            self._count(entry)
+        else:
             self.rejected_count += 1
-        elif entry is Entry.CONNECTION:
+        return decision
+
+    def _has_capacity(self, entry: Entry) -> bool:
+        if self.buffered_bytes >= self.limits.buffered_bytes:
+            return False
+        if entry is Entry.CONNECTION:
+            return self.connections < self.limits.connections
+        if entry is Entry.REQUEST:
+            return self.waiting < self.limits.pending_requests
+        return self.held < self.limits.sessions
+
+    def _count(self, entry: Entry) -> None:
+        if entry is Entry.CONNECTION:
             self.connections += 1
         elif entry is Entry.REQUEST:
             self.waiting += 1
         else:
             self.held += 1
-        return ruling
-
-    def _has_capacity(self, entry: Entry) -> bool:
-        bounds = self.limits
-        return {
-            Entry.CONNECTION: self.connections < bounds.connections,
-            Entry.REQUEST: self.waiting < bounds.pending_requests,
-            Entry.SUBSCRIPTION: self.held < bounds.sessions,
-        }[entry] and self.buffered_bytes < bounds.buffered_bytes
 
     def connection_closed(self) -> None:
-        """One that was let in has gone."""
+        """Count an admitted connection as closed."""
         self.connections -= 1
 
     def request_answered(self, waited_us: int) -> None:
-        """A set-up that was let in has its answer."""
+        """Count an admitted request as answered, after this wait."""
         self.waiting -= 1
         self.typical_wait_us += (waited_us - self.typical_wait_us) / WAIT_SMOOTHING
 
     def session_ended(self) -> None:
-        """One that was held has ended."""
+        """Count an admitted session as closed."""
         self.held -= 1
 
     def buffer(self, more_bytes: int) -> bool:
-        """Count bytes read and not yet acted on; False where they must not be kept."""
+        """Count bytes read and not yet processed (negative: processed); False where they must be dropped."""
         if more_bytes > 0 and self.buffered_bytes + more_bytes > self.limits.buffered_bytes:
             return False
         self.buffered_bytes += more_bytes
         return True
 
-    def turn(self, turn: AdmissionEvent) -> AdmissionState:
-        """Drained, opened again or ended; the phase from now on."""
-        self.phase = STATE_TRANSITIONS[self.phase, turn]
+    def turn(self, event: AdmissionEvent) -> AdmissionState:
+        """Drain, reopen or stop the front; its state from now on."""
+        self.phase = STATE_TRANSITIONS.apply(self.phase, event).state
         return self.phase
 
-    def come_back_us(self, draw: float, most_us: int | None) -> int:
-        """When one that was turned away at the door should ask again, in microseconds.
+    def come_back_us(self, draw: float, max_wait_us: int | None) -> int:
+        """The Retry-After of a rejected request, in microseconds.
+
+        It is the time in which those that wait now will have been served, spread by as much again, so that
+        those rejected at one moment don't return at one.
 
-        The time in which those that wait now will have gone, spread over as much again by chance, so that
-        those turned away in one moment don't return in one.
+        Args:
+            draw: a random number, from 0 up to 1.
+            max_wait_us: the longest wait that clients accept; None for any.
         """
         wait_us = max(MIN_RETRY_AFTER_US, 2 * self.typical_wait_us) * (1 + draw)
-        return round(min(wait_us, max(most_us, MIN_RETRY_AFTER_US)) if most_us is not None else wait_us)
+        if max_wait_us is not None:
+            wait_us = min(wait_us, max(max_wait_us, MIN_RETRY_AFTER_US))
+        return round(wait_us)
 
     def patience_us(self, limit_us: int) -> int:
         """How long an idle or slow connection may stay: less as the connections run out.
 
-        Five hundred connections that send a byte a second would hold the door against everybody else; the
-        limit falls from the stated one at half the connections to a tenth of it at all of them.
+        Otherwise a few hundred connections that send a byte a second would keep out everybody else. The
+        time-out falls from the configured one, at half the connections, to a tenth of it at all of them.
         """
-        fill = self.connections / self.limits.connections
-        if fill <= PRESSURE_THRESHOLD:
+        utilization = self.connections / self.limits.connections
+        if utilization <= PRESSURE_THRESHOLD:
             return limit_us
-        left = max(0.0, (1 - fill) / (1 - PRESSURE_THRESHOLD))
-        return max(1, round(limit_us * (MIN_TIMEOUT_FRACTION + (1 - MIN_TIMEOUT_FRACTION) * left)))
+        residual = max(0.0, (1 - utilization) / (1 - PRESSURE_THRESHOLD))
+        fraction = MIN_TIMEOUT_FRACTION + (1 - MIN_TIMEOUT_FRACTION) * residual
+        return max(1, round(limit_us * fraction))
 
 
 def retry_after_s(wait_us: int) -> int:
-    """A wait as Retry-After counts it (RFC 9110 section 10.2.3): whole seconds, never earlier than meant."""
-    return max(1, -(-wait_us // 1_000_000))
+    """A wait as Retry-After counts it (RFC 9110 section 10.2.3): whole seconds, rounded up, at least one."""
+    return max(1, -(-wait_us // US_PER_S))
 
 
-def reconnect_span_us(connections: int, typical_wait_us: float) -> tuple[int, int]:
-    """Between which waits those who hold connections should come back to a front that ends, in microseconds.
+def reconnect_span_us(connections: int, average_wait_us: float) -> WaitWindow:
+    """When the clients of a stopping front should reconnect elsewhere.
 
-    The time in which a front answers that many set-ups one after another: so many resumptions cost no more.
+    The window is the time in which a front serves that many set-ups one after another, so that as many
+    resumptions do not overload it.
     """
-    span_us = max(MIN_RETRY_AFTER_US, round(connections * max(typical_wait_us, MIN_SETUP_US)))
-    return MIN_RETRY_AFTER_US, MIN_RETRY_AFTER_US + min(span_us, MAX_RECONNECT_SPAN_US)
+    span_us = max(MIN_RETRY_AFTER_US, round(connections * max(average_wait_us, MIN_SETUP_US)))
+    return WaitWindow(MIN_RETRY_AFTER_US, MIN_RETRY_AFTER_US + min(span_us, MAX_RECONNECT_SPAN_US))
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/conflating_queue.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/conflating_queue.py
@@ -1,7 +1,7 @@
-"""What waits to be sent to one connection: a bounded line in which newer state takes the place of older.
+"""A bounded send queue of one connection, in which newer state replaces older (conflation).
 
-A player that reads slowly is owed each answer, and of what changes only the newest. Past the bound it is cut
-off: one that can't take that much will not catch up, and its subscriptions wait for it to come back.
+A slow reader gets each response, and of states that change only the newest. Past the bound its connection is
+closed: it will not catch up, and its sessions wait for it to reconnect.
 """
 
 from __future__ import annotations
@@ -20,35 +20,35 @@
     """What became of an item."""
 
     QUEUED = auto()
-    REPLACED = auto()  # an older one of the same matter is gone
-    OVER = auto()  # no room: the connection must be cut off
+    REPLACED = auto()  # it took the place of an older item with the same key
+    OVER = auto()  # the queue has overflowed: the connection must be closed
 
 
 class ConflatingQueue(Generic[Item]):
-    """One connection's line, in order; the caller holds the lock."""
+    """One connection's items, in order; the caller holds the lock."""
 
-    def __init__(self, most: int = MAX_ITEMS) -> None:
-        self.max_items = most
+    def __init__(self, max_items: int = MAX_ITEMS) -> None:
+        self.max_items = max_items
         self.items: OrderedDict[Hashable, Item] = OrderedDict()
         self.next_key = 0
         self.over = False
 
-    def put(self, item: Item, matter: Hashable | None = None) -> PutResult:
-        """One more; items of one matter replace each other where they stand, those of none never."""
+    def put(self, item: Item, key: Hashable | None = None) -> PutResult:
+        """Enqueue an item; it replaces a waiting one with the same key, at the older one's position."""
         if self.over:
             return PutResult.OVER
-        if matter is not None and matter in self.items:
-            self.items[matter] = item
+        if key is not None and key in self.items:
+            self.items[key] = item
             return PutResult.REPLACED
         if len(self.items) >= self.max_items:
             self.over = True
             return PutResult.OVER
         self.next_key += 1
-        self.items[matter if matter is not None else self.next_key] = item
+        self.items[key if key is not None else self.next_key] = item
         return PutResult.QUEUED
 
     def take(self) -> list[Item]:
-        """All that waits."""
-        found = list(self.items.values())
+        """Remove and return all items."""
+        items = list(self.items.values())
         self.items.clear()
-        return found
+        return items
--- /dev/null
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/keepalive.py
@@ -0,0 +1,51 @@
+"""When a silent connection is pinged, and when it is closed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import NamedTuple
+
+PINGS_PER_TIMEOUT = 3
+NEVER_US = -1
+
+
+class KeepaliveAction(Enum):
+    """What to do about a silent connection."""
+
+    WAIT = auto()
+    PING = auto()
+    CUT = auto()  # close it
+
+
+class KeepaliveCheck(NamedTuple):
+    """What is due now, and after what time to check again, in microseconds."""
+
+    action: KeepaliveAction
+    delay_us: int
+
+
+@dataclass(slots=True)
+class KeepaliveMonitor:
+    """When something was last received on one connection, and when it was last pinged."""
+
+    timeout_us: int
+    last_received_us: int
+    last_ping_us: int = NEVER_US
+
+    def hear(self, now_us: int) -> None:
+        """Record that bytes were received."""
+        self.last_received_us = now_us
+        self.last_ping_us = NEVER_US
+
+    def check(self, now_us: int) -> KeepaliveCheck:
+        """Decide what is due; a ping counts as sent."""
+        interval_us = max(1, self.timeout_us // PINGS_PER_TIMEOUT)
+        deadline_us = self.last_received_us + self.timeout_us
+        if now_us >= deadline_us:
+            return KeepaliveCheck(KeepaliveAction.CUT, 0)
+        ping_due_us = max(self.last_received_us, self.last_ping_us) + interval_us
+        if now_us >= ping_due_us:
+            self.last_ping_us = now_us
+            return KeepaliveCheck(KeepaliveAction.PING, min(interval_us, deadline_us - now_us))
+        return KeepaliveCheck(KeepaliveAction.WAIT, min(ping_due_us, deadline_us) - now_us)
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/session_expiry.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/session_expiry.py
@@ -1,66 +1,78 @@
-"""Who still watches: a viewer that neither asks nor releases is taken to have left after a stated silence."""
+"""Expiry of silent sessions: a client that neither polls nor releases counts as gone after a time-out."""
 
 from __future__ import annotations
 
 import heapq
 from dataclasses import dataclass
+from typing import NamedTuple
 
 POLLS_PER_TIMEOUT = 3  # polls that must be missed in a row
 
 
 @dataclass(slots=True, eq=False)
 class ExpiryEntry:
-    """One playing subscription's sign of life; times in microseconds."""
+    """The last activity of one established session; times in microseconds."""
 
     session_id: str
     last_activity_us: int
     is_closed: bool = False
 
 
+class ExpiryDeadline(NamedTuple):
+    """When to look at an entry again; the sequence number keeps entries from being compared."""
+
+    due_us: int
+    sequence: int
+    entry: ExpiryEntry
+
+
 class SessionExpiry:
-    """Finds the silent without looking at everybody: each watch waits in a heap for the time it would be
-    due."""
+    """Finds silent sessions without a look at each one.
+
+    Each entry waits in a heap for the time at which it would be due; activity only moves its own time.
+    """
 
-    def __init__(self, silent_us: int) -> None:
-        self.silent_us = silent_us
+    def __init__(self, timeout_us: int) -> None:
+        self.silent_us = timeout_us
         self.entries: dict[str, ExpiryEntry] = {}
-        self.deadlines: list[tuple[int, int, ExpiryEntry]] = []
+        self.deadlines: list[ExpiryDeadline] = []
         self.push_count = 0
 
-    def begin(self, id: str, now_us: int) -> None:
-        """A subscription plays from now on."""
-        watch = self.entries[id] = ExpiryEntry(id, now_us)
-        self._schedule(watch)
+    def begin(self, session_id: str, now_us: int) -> None:
+        """Add a session that is established from now on."""
+        entry = self.entries[session_id] = ExpiryEntry(session_id, now_us)
+        self._schedule(entry)
 
-    def hear(self, id: str, now_us: int) -> None:
-        """Its viewer gave a sign of life."""
-        if id in self.entries:
-            self.entries[id].last_activity_us = now_us
+    def hear(self, session_id: str, now_us: int) -> None:
+        """Record activity of a session's client."""
+        if session_id in self.entries:
+            self.entries[session_id].last_activity_us = now_us
 
-    def end(self, id: str) -> None:
-        """It has ended."""
-        watch = self.entries.pop(id, None)
-        if watch is not None:
-            watch.is_closed = True
+    def end(self, session_id: str) -> None:
+        """Remove a session that is closed."""
+        entry = self.entries.pop(session_id, None)
+        if entry is not None:
+            entry.is_closed = True
 
-    def _schedule(self, watch: ExpiryEntry) -> None:
+    def _schedule(self, entry: ExpiryEntry) -> None:
         self.push_count += 1
-        heapq.heappush(self.deadlines, (watch.last_activity_us + self.silent_us, self.push_count, watch))
+        due_us = entry.last_activity_us + self.silent_us
+        heapq.heappush(self.deadlines, ExpiryDeadline(due_us, self.push_count, entry))
 
     def silent(self, now_us: int) -> list[str]:
-        """Those that have been silent for too long, each named once."""
-        found: list[str] = []
-        while self.deadlines and self.deadlines[0][0] <= now_us:
-            _, _, watch = heapq.heappop(self.deadlines)
-            if watch.is_closed:
+        """Remove and return the sessions that have been silent for too long."""
+        expired: list[str] = []
+        while self.deadlines and self.deadlines[0].due_us <= now_us:
+            entry = heapq.heappop(self.deadlines).entry
+            if entry.is_closed:
                 continue
-            if watch.last_activity_us + self.silent_us <= now_us:
-                self.end(watch.session_id)
-                found.append(watch.session_id)
+            if entry.last_activity_us + self.silent_us <= now_us:
+                self.end(entry.session_id)
+                expired.append(entry.session_id)
             else:
-                self._schedule(watch)
-        return found
+                self._schedule(entry)
+        return expired
 
     def poll_every_us(self) -> int:
-        """How often viewers are told to ask, so that one lost answer or two end nothing."""
+        """How often clients are to poll, so that a lost response or two expire nothing."""
         return max(1, self.silent_us // POLLS_PER_TIMEOUT)
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/session_ownership.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/session_ownership.py
@@ -1,8 +1,8 @@
-"""Which connection a subscription belongs to: claims, lost connections, and two that claim the same one.
+"""Which connection owns a session: claims, lost connections, and two connections that claim the same one.
 
-A subscription plays on a box, not on a connection. A connection that is lost orphans what it owned; until the
-silence limit ends an orphan, whoever shows its id may claim it, from then on alone. Of two that claim one the
-later has it: the earlier is mostly a connection that is dead and does not know it yet.
+A session plays at a server, not on a connection. When a connection is lost, its sessions are orphaned; until
+their time-out a client that presents a session's id may claim it, and then owns it alone. Of two connections
+that claim one session the later owns it: the earlier is mostly dead and has not been noticed yet.
 """
 
 from __future__ import annotations
@@ -10,76 +10,99 @@
 from collections.abc import Hashable
 from dataclasses import dataclass, field
 from enum import Enum, auto
-from typing import Generic, TypeVar
+from typing import Generic, NamedTuple, TypeVar
+
+from fennelcove.state_machine import Transition, TransitionTable
 
 Owner = TypeVar("Owner", bound=Hashable)
 
 
 class OwnershipState(Enum):
-    """Where a subscription stands."""
+    """Who owns a session."""
 
-    UNOWNED = auto()  # nobody claimed it on a connection: it was set up over HTTP, or by an earlier life
+    UNOWNED = auto()  # never claimed: it was set up over HTTP, or before a restart of this front
     OWNED = auto()
     ORPHANED = auto()  # its connection was lost
     CLOSED = auto()
 
 
 class OwnershipEvent(Enum):
-    """What happens to it."""
+    """What happens to the ownership."""
 
     CLAIMED = auto()  # by a connection that does not own it
-    RECLAIMED = auto()  # by the one that does
-    DISCONNECTED = auto()  # its connection is gone
+    RECLAIMED = auto()  # by the connection that does
+    DISCONNECTED = auto()  # its connection was lost
     CLOSED = auto()
 
 
 class OwnershipAction(Enum):
-    """What follows."""
+    """What the caller carries out."""
 
-    ASSIGN = auto()  # it is the claimant's from now on
-    NOTIFY_DISPLACED = auto()  # the owner of before loses it
+    ASSIGN = auto()  # the claiming connection owns it from now on
+    NOTIFY_DISPLACED = auto()  # the previous owner loses it
     NOTIFY_CLOSED = auto()
     REJECT = auto()
 
 
-TRANSITIONS: dict[
-    tuple[OwnershipState, OwnershipEvent], tuple[OwnershipState, tuple[OwnershipAction, ...]]
-] = {
-    (OwnershipState.UNOWNED, OwnershipEvent.CLAIMED): (OwnershipState.OWNED, (OwnershipAction.ASSIGN,)),
-    (OwnershipState.UNOWNED, OwnershipEvent.RECLAIMED): (OwnershipState.OWNED, (OwnershipAction.ASSIGN,)),
-    (OwnershipState.UNOWNED, OwnershipEvent.DISCONNECTED): (OwnershipState.UNOWNED, ()),
-    (OwnershipState.UNOWNED, OwnershipEvent.CLOSED): (OwnershipState.CLOSED, ()),
-    (OwnershipState.OWNED, OwnershipEvent.CLAIMED): (
-        OwnershipState.OWNED,
-        (OwnershipAction.NOTIFY_DISPLACED, OwnershipAction.ASSIGN),
-    ),
-    (OwnershipState.OWNED, OwnershipEvent.RECLAIMED): (OwnershipState.OWNED, (OwnershipAction.ASSIGN,)),
-    (OwnershipState.OWNED, OwnershipEvent.DISCONNECTED): (OwnershipState.ORPHANED, ()),
-    (OwnershipState.OWNED, OwnershipEvent.CLOSED): (OwnershipState.CLOSED, (OwnershipAction.NOTIFY_CLOSED,)),
-    (OwnershipState.ORPHANED, OwnershipEvent.CLAIMED): (OwnershipState.OWNED, (OwnershipAction.ASSIGN,)),
-    (OwnershipState.ORPHANED, OwnershipEvent.RECLAIMED): (OwnershipState.OWNED, (OwnershipAction.ASSIGN,)),
-    (OwnershipState.ORPHANED, OwnershipEvent.DISCONNECTED): (OwnershipState.ORPHANED, ()),
-    (OwnershipState.ORPHANED, OwnershipEvent.CLOSED): (OwnershipState.CLOSED, ()),
-    (OwnershipState.CLOSED, OwnershipEvent.CLAIMED): (OwnershipState.CLOSED, (OwnershipAction.REJECT,)),
-    (OwnershipState.CLOSED, OwnershipEvent.RECLAIMED): (OwnershipState.CLOSED, (OwnershipAction.REJECT,)),
-    (OwnershipState.CLOSED, OwnershipEvent.DISCONNECTED): (OwnershipState.CLOSED, ()),
-    (OwnershipState.CLOSED, OwnershipEvent.CLOSED): (OwnershipState.CLOSED, ()),
-}
+TRANSITIONS: TransitionTable[OwnershipState, OwnershipEvent, OwnershipAction] = TransitionTable(
+    {
+        (OwnershipState.UNOWNED, OwnershipEvent.CLAIMED): Transition(
+            OwnershipState.OWNED, (OwnershipAction.ASSIGN,)
+        ),
+        (OwnershipState.UNOWNED, OwnershipEvent.RECLAIMED): Transition(
+            OwnershipState.OWNED, (OwnershipAction.ASSIGN,)
+        ),
+        (OwnershipState.UNOWNED, OwnershipEvent.DISCONNECTED): Transition(OwnershipState.UNOWNED),
+        (OwnershipState.UNOWNED, OwnershipEvent.CLOSED): Transition(OwnershipState.CLOSED),
+        (OwnershipState.OWNED, OwnershipEvent.CLAIMED): Transition(
+            OwnershipState.OWNED, (OwnershipAction.NOTIFY_DISPLACED, OwnershipAction.ASSIGN)
+        ),
+        (OwnershipState.OWNED, OwnershipEvent.RECLAIMED): Transition(
+            OwnershipState.OWNED, (OwnershipAction.ASSIGN,)
+        ),
+        (OwnershipState.OWNED, OwnershipEvent.DISCONNECTED): Transition(OwnershipState.ORPHANED),
+        (OwnershipState.OWNED, OwnershipEvent.CLOSED): Transition(
+            OwnershipState.CLOSED, (OwnershipAction.NOTIFY_CLOSED,)
+        ),
+        (OwnershipState.ORPHANED, OwnershipEvent.CLAIMED): Transition(
+            OwnershipState.OWNED, (OwnershipAction.ASSIGN,)
+        ),
+        (OwnershipState.ORPHANED, OwnershipEvent.RECLAIMED): Transition(
+            OwnershipState.OWNED, (OwnershipAction.ASSIGN,)
+        ),
+        (OwnershipState.ORPHANED, OwnershipEvent.DISCONNECTED): Transition(OwnershipState.ORPHANED),
+        (OwnershipState.ORPHANED, OwnershipEvent.CLOSED): Transition(OwnershipState.CLOSED),
+        (OwnershipState.CLOSED, OwnershipEvent.CLAIMED): Transition(
+            OwnershipState.CLOSED, (OwnershipAction.REJECT,)
+        ),
+        (OwnershipState.CLOSED, OwnershipEvent.RECLAIMED): Transition(
+            OwnershipState.CLOSED, (OwnershipAction.REJECT,)
+        ),
+        (OwnershipState.CLOSED, OwnershipEvent.DISCONNECTED): Transition(OwnershipState.CLOSED),
+        (OwnershipState.CLOSED, OwnershipEvent.CLOSED): Transition(OwnershipState.CLOSED),
+    }
+)
 
 
 @dataclass(slots=True)
 class SessionOwnership(Generic[Owner]):
-    """One subscription's owner, and how many news there were of it."""
+    """One session's owner, and the number of its latest update."""
 
     session_id: str
     state: OwnershipState = OwnershipState.UNOWNED
     owner: Owner | None = None
     number: int = 0
 
+    def apply(self, event: OwnershipEvent) -> tuple[OwnershipAction, ...]:
+        """Apply an event; the actions to carry out, in order."""
+        transition = TRANSITIONS.apply(self.state, event)
+        self.state = transition.state
+        return transition.actions
+
     def missed(self, seen: int | None) -> int | None:
-        """How many news one that comes back has not seen; None where that can't be told.
+        """How many updates a client that reconnects has missed; None where that is unknown.
 
-        A number beyond ours was given by an earlier life of this front.
+        A number beyond the latest was given before this front restarted.
         """
         if seen is None or seen > self.number:
             return None
@@ -91,59 +114,72 @@
     """What became of a claim."""
 
     given: bool
-    why: str = ""
-    loser: Owner | None = None
+    why: str = ""  # the reason of a rejection
+    loser: Owner | None = None  # the previous owner, where it loses the session
+
+
+class OwnershipUpdate(NamedTuple, Generic[Owner]):
+    """Whom to notify of an update of a session, and the update's number."""
+
+    owner: Owner | None
+    number: int
 
 
 @dataclass(slots=True)
 class SessionOwnerships(Generic[Owner]):
-    """All subscriptions that were ever on a connection, and each connection's own."""
+    """All sessions that were ever claimed, and the sessions of each connection."""
 
     held: dict[str, SessionOwnership[Owner]] = field(default_factory=dict)
     owned: dict[Owner, set[str]] = field(default_factory=dict)
 
-    def claim(self, id: str, owner: Owner, most: int) -> OwnershipClaim[Owner]:
-        """A connection claims a subscription that plays; it may own `most`."""
-        holding = self.held.get(id) or SessionOwnership(id)
-        again = holding.owner == owner
-        if not again and len(self.owned.get(owner, ())) >= most:
-            return OwnershipClaim(False, f"this connection holds {most} subscriptions, the most it may")
-        before = holding.owner
-        holding.state, acts = TRANSITIONS[
-            holding.state, OwnershipEvent.RECLAIMED if again else OwnershipEvent.CLAIMED
-        ]
-        loser = before if OwnershipAction.NOTIFY_DISPLACED in acts else None
-        if loser is not None:
-            self.owned[loser].discard(id)
-        if OwnershipAction.ASSIGN in acts:
-            self.held[id], holding.owner = holding, owner
-            self.owned.setdefault(owner, set()).add(id)
-        return OwnershipClaim(OwnershipAction.ASSIGN in acts, "", loser)
+    def claim(self, session_id: str, owner: Owner, max_sessions: int) -> OwnershipClaim[Owner]:
+        """Let a connection, which may own `max_sessions`, claim an established session."""
+        ownership = self.held.get(session_id) or SessionOwnership(session_id)
+        previous_owner = ownership.owner
+        is_reclaim = previous_owner == owner
+        if not is_reclaim and len(self.owned.get(owner, ())) >= max_sessions:
+            return OwnershipClaim(
+                False, f"this connection holds {max_sessions} subscriptions, the most it may"
+            )
+        actions = ownership.apply(OwnershipEvent.RECLAIMED if is_reclaim else OwnershipEvent.CLAIMED)
+        displaced = previous_owner if OwnershipAction.NOTIFY_DISPLACED in actions else None
+        if displaced is not None:
+            self.owned[displaced].discard(session_id)
+        is_granted = OwnershipAction.ASSIGN in actions
+        if is_granted:
+            self._assign(ownership, owner)
+        return OwnershipClaim(is_granted, "", displaced)
+
+    def _assign(self, ownership: SessionOwnership[Owner], owner: Owner) -> None:
+        ownership.owner = owner
+        self.held[ownership.session_id] = ownership
+        self.owned.setdefault(owner, set()).add(ownership.session_id)
 
     def left(self, owner: Owner) -> list[str]:
-        """A connection is gone; what it leaves behind."""
+        """Remove a connection that was lost; the sessions that it orphans."""
         orphans = sorted(self.owned.pop(owner, ()))
-        for id in orphans:
-            holding = self.held[id]
-            holding.state, _ = TRANSITIONS[holding.state, OwnershipEvent.DISCONNECTED]
-            holding.owner = None
+        for session_id in orphans:
+            ownership = self.held[session_id]
+            ownership.apply(OwnershipEvent.DISCONNECTED)
+            ownership.owner = None
         return orphans
 
-    def ended(self, id: str) -> Owner | None:
-        """A subscription has ended; who is to be told."""
-        holding = self.held.pop(id, None)
-        if holding is None:
+    def ended(self, session_id: str) -> Owner | None:
+        """Remove a session that is closed; the owner to notify."""
+        ownership = self.held.pop(session_id, None)
+        if ownership is None:
             return None
-        holding.state, acts = TRANSITIONS[holding.state, OwnershipEvent.CLOSED]
-        owner, holding.owner = holding.owner, None
+        actions = ownership.apply(OwnershipEvent.CLOSED)
+        owner = ownership.owner
+        ownership.owner = None
         if owner is not None:
-            self.owned[owner].discard(id)
-        return owner if OwnershipAction.NOTIFY_CLOSED in acts else None
-
-    def news(self, id: str) -> tuple[Owner | None, int]:
-        """There is news of a subscription: who is to be told, and the news' number."""
-        holding = self.held.get(id)
-        if holding is None:
-            return None, 0
-        holding.number += 1
-        return holding.owner, holding.number
+            self.owned[owner].discard(session_id)
+        return owner if OwnershipAction.NOTIFY_CLOSED in actions else None
+
+    def news(self, session_id: str) -> OwnershipUpdate[Owner]:
+        """Number an update of a session."""
+        ownership = self.held.get(session_id)
+        if ownership is None:
+            return OwnershipUpdate(None, 0)
+        ownership.number += 1
+        return OwnershipUpdate(ownership.owner, ownership.number)
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/signed_tokens.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/signed_tokens.py
@@ -1,46 +1,43 @@
-"""Tokens that hold what they promise, sealed with a keyed MAC: no state is kept for them, and an invented one
-is known."""
+"""Tokens signed with a keyed MAC: no state is kept for them, and a forged one is recognized."""
 
 from __future__ import annotations
 
 import base64
+import hmac
 from collections.abc import Callable, Sequence
 
+BASE64_GROUP = 4
+
 Mac = Callable[[bytes], bytes]
 
 
 def sign(raw: bytes, mac: Mac) -> str:
-    """Some bytes and their MAC as a token of letters, digits, `-`, `_` and one point."""
-    return f"{_text(raw)}.{_text(mac(raw))}"
+    """A token of the bytes and their MAC; it has only letters, digits, `-`, `_` and one point."""
+    return f"{_encode(raw)}.{_encode(mac(raw))}"
+
 
+def verify(token: str, macs: Sequence[Mac], max_chars: int) -> bytes | None:
+    """The bytes of a token signed under one of these keys; None for any other text.
 
-def verify(token: str, macs: Sequence[Mac], most_chars: int) -> bytes | None:
-    """The bytes of a token made under one of these keys; None for any other text."""
-    if len(token) > most_chars:
+    Every key is tried and compared in constant time, so that the time taken shows nothing about a MAC.
+    """
+    if len(token) > max_chars:
         return None
-    body, _, sealed = token.partition(".")
+    body, _, signature = token.partition(".")
     try:
-        raw, mark = _bytes(body), _bytes(sealed)
+        raw = _decode(body)
+        signed = _decode(signature)
     except ValueError:
         return None
-    known = False
+    is_known = False
     for mac in macs:
-        made = mac(raw)
-        known |= len(made) == len(mark) and _same(made, mark)
-    return raw if known else None
-
-
-def _same(one: bytes, other: bytes) -> bool:
-    """Equal, found in a time that does not tell how far."""
-    differs = 0
-    for a, b in zip(one, other, strict=True):
-        differs |= a ^ b
-    return differs == 0
+        is_known |= hmac.compare_digest(mac(raw), signed)
+    return raw if is_known else None
 
 
-def _text(raw: bytes) -> str:
+def _encode(raw: bytes) -> str:
     return base64.urlsafe_b64encode(raw).decode().rstrip("=")
 
 
-def _bytes(text: str) -> bytes:
-    return base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
+def _decode(text: str) -> bytes:
+    return base64.urlsafe_b64decode(text + "=" * (-len(text) % BASE64_GROUP))
--- a/packages/ingress/src/fennelcove/ingress/websocket_session.py
+++ b/packages/ingress/src/fennelcove/ingress/websocket_session.py
@@ -23,7 +23,8 @@
 from fennelcove.core.requests import ResponseKind, SessionRequest, SessionView
 from fennelcove.decisions.clients import access_tokens
 from fennelcove.decisions.clients.admission import reconnect_span_us
-from fennelcove.decisions.clients.rate_limit import MessageRateLimit, KeepaliveAction, KeepaliveMonitor
+from fennelcove.decisions.clients.keepalive import KeepaliveAction, KeepaliveMonitor
+from fennelcove.decisions.clients.rate_limit import MessageRateLimit
 from fennelcove.decisions.clients.conflating_queue import PutResult, ConflatingQueue
 from fennelcove.decisions.clients.access_tokens import PresentedToken, TokenStatus
 from fennelcove.ingress import websocket_routes
