--- a/packages/decisions-clients/src/fennelcove/decisions/clients/idempotency.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/idempotency.py
@@ -1,204 +1,250 @@
-"""Set-ups that a viewer marks with a key of its own: sent twice they count once, also across a restart.
+"""Idempotency keys of clients: a set-up sent twice under one key counts once, also across a restart.
 
-A viewer that hears nothing can't know whether its set-up ran. With a key it may send the same one again: it
-gets the session that there is, or the news that it is spent, and never a second one. A key stands for
-one set-up by one client; times are wall time, since a key outlives the process.
+A client that gets no response can't know whether its set-up ran. With a key it may send the same one again:
+it gets the established session, or a response that this session is closed, and never a second one. A key
+stands for one set-up by one client. Times are wall time in microseconds, since a key outlives the process.
 """
 
 from __future__ import annotations
 
+import itertools
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import NamedTuple
 
 import msgspec
 from msgspec import Struct
 
-RETENTION_US = 120_000_000  # as long as any viewer comes back for the same lesson's start
+from fennelcove.state_machine import Transition, TransitionTable
+
+RETENTION_US = 120_000_000  # as long as any client comes back for the start of the same content
 MAX_KEYS = 50_000
+# How many of the oldest keys one request looks at, so that it never holds the lock for long.
+EVICTION_SCAN = 2
+EVICTION_SCAN_WHEN_FULL = 64
 
 
 class KeyState(Enum):
     """What became of the set-up under a key."""
 
-    UNUSED = auto()  # none, or one that surely did nothing
+    UNUSED = auto()  # none, or one that provably did nothing
     IN_PROGRESS = auto()
     ESTABLISHED = auto()
-    CLOSED = auto()  # it played, and has ended
+    CLOSED = auto()  # the session was established, and is closed
     INDETERMINATE = auto()  # it may have run, and must not run again
 
 
 class KeyEvent(Enum):
-    """What happens to it."""
+    """What happens to the set-up."""
 
     REQUESTED = auto()
-    PLAYS = auto()
-    NOTHING = auto()  # it surely did nothing, or may be done again
+    PLAYS = auto()  # the session is established
+    NOTHING = auto()  # it provably did nothing, or may be repeated
     MAYBE = auto()  # it may have run and must not be repeated
     CLOSED = auto()
-    RESTARTED = auto()  # this front began a new life, and the set-up may be done again
-    RESTARTED_NOT_REPEATABLE = auto()  # the same, and it may not
+    RESTARTED = auto()  # this front restarted, and the set-up may be repeated
+    RESTARTED_NOT_REPEATABLE = auto()
 
 
 class KeyAction(Enum):
-    """What a viewer that asks is told."""
+    """How a request under a key is answered."""
 
     RUN = auto()
-    COME_BACK = auto()  # the first is under way
-    SHOW = auto()  # what plays
-    TELL_SPENT = auto()
-    TELL_BARRED = auto()
-    NONE = auto()
-
-
-TRANSITIONS: dict[tuple[KeyState, KeyEvent], tuple[KeyState, KeyAction]] = {
-    (KeyState.UNUSED, KeyEvent.REQUESTED): (KeyState.IN_PROGRESS, KeyAction.RUN),
-    (KeyState.UNUSED, KeyEvent.PLAYS): (KeyState.ESTABLISHED, KeyAction.NONE),
-    (KeyState.UNUSED, KeyEvent.NOTHING): (KeyState.UNUSED, KeyAction.NONE),
-    (KeyState.UNUSED, KeyEvent.MAYBE): (KeyState.INDETERMINATE, KeyAction.NONE),
-    (KeyState.UNUSED, KeyEvent.CLOSED): (KeyState.UNUSED, KeyAction.NONE),
-    (KeyState.UNUSED, KeyEvent.RESTARTED): (KeyState.UNUSED, KeyAction.NONE),
-    (KeyState.UNUSED, KeyEvent.RESTARTED_NOT_REPEATABLE): (KeyState.UNUSED, KeyAction.NONE),
-    (KeyState.IN_PROGRESS, KeyEvent.REQUESTED): (KeyState.IN_PROGRESS, KeyAction.COME_BACK),
-    (KeyState.IN_PROGRESS, KeyEvent.PLAYS): (KeyState.ESTABLISHED, KeyAction.NONE),
-    (KeyState.IN_PROGRESS, KeyEvent.NOTHING): (KeyState.UNUSED, KeyAction.NONE),
-    (KeyState.IN_PROGRESS, KeyEvent.MAYBE): (KeyState.INDETERMINATE, KeyAction.NONE),
-    # A set-up that was refused or given up ends as well: what it was worth its answer says.
-    (KeyState.IN_PROGRESS, KeyEvent.CLOSED): (KeyState.IN_PROGRESS, KeyAction.NONE),
-    (KeyState.IN_PROGRESS, KeyEvent.RESTARTED): (KeyState.UNUSED, KeyAction.NONE),
-    (KeyState.IN_PROGRESS, KeyEvent.RESTARTED_NOT_REPEATABLE): (KeyState.INDETERMINATE, KeyAction.NONE),
-    (KeyState.ESTABLISHED, KeyEvent.REQUESTED): (KeyState.ESTABLISHED, KeyAction.SHOW),
-    (KeyState.ESTABLISHED, KeyEvent.PLAYS): (KeyState.ESTABLISHED, KeyAction.NONE),
-    (KeyState.ESTABLISHED, KeyEvent.NOTHING): (KeyState.ESTABLISHED, KeyAction.NONE),
-    (KeyState.ESTABLISHED, KeyEvent.MAYBE): (KeyState.ESTABLISHED, KeyAction.NONE),
-    (KeyState.ESTABLISHED, KeyEvent.CLOSED): (KeyState.CLOSED, KeyAction.NONE),
-    # Its box may play it still: then it is adopted, and shown.
-    (KeyState.ESTABLISHED, KeyEvent.RESTARTED): (KeyState.ESTABLISHED, KeyAction.NONE),
-    (KeyState.ESTABLISHED, KeyEvent.RESTARTED_NOT_REPEATABLE): (KeyState.ESTABLISHED, KeyAction.NONE),
-    **{
-        (KeyState.CLOSED, event): (KeyState.CLOSED, KeyAction.NONE)
-        for event in KeyEvent
-        if event is not KeyEvent.REQUESTED
-    },
-    (KeyState.CLOSED, KeyEvent.REQUESTED): (KeyState.CLOSED, KeyAction.TELL_SPENT),
-    **{
-        (KeyState.INDETERMINATE, event): (KeyState.INDETERMINATE, KeyAction.NONE)
-        for event in KeyEvent
-        if event is not KeyEvent.REQUESTED
-    },
-    (KeyState.INDETERMINATE, KeyEvent.REQUESTED): (KeyState.INDETERMINATE, KeyAction.TELL_BARRED),
-}
+    COME_BACK = auto()  # with a Retry-After: the first one is in progress
+    SHOW = auto()  # with the established session
+    TELL_SPENT = auto()  # the session is closed
+    TELL_BARRED = auto()  # the first one may have run
+
+
+_NOT_REQUESTED = [event for event in KeyEvent if event is not KeyEvent.REQUESTED]
+
+TRANSITIONS: TransitionTable[KeyState, KeyEvent, KeyAction] = TransitionTable(
+    {
+        (KeyState.UNUSED, KeyEvent.REQUESTED): Transition(KeyState.IN_PROGRESS, (KeyAction.RUN,)),
+        (KeyState.UNUSED, KeyEvent.PLAYS): Transition(KeyState.ESTABLISHED),
+        (KeyState.UNUSED, KeyEvent.NOTHING): Transition(KeyState.UNUSED),
+        (KeyState.UNUSED, KeyEvent.MAYBE): Transition(KeyState.INDETERMINATE),
+        (KeyState.UNUSED, KeyEvent.CLOSED): Transition(KeyState.UNUSED),
+        (KeyState.UNUSED, KeyEvent.RESTARTED): Transition(KeyState.UNUSED),
+        (KeyState.UNUSED, KeyEvent.RESTARTED_NOT_REPEATABLE): Transition(KeyState.UNUSED),
+        (KeyState.IN_PROGRESS, KeyEvent.REQUESTED): Transition(KeyState.IN_PROGRESS, (KeyAction.COME_BACK,)),
+        (KeyState.IN_PROGRESS, KeyEvent.PLAYS): Transition(KeyState.ESTABLISHED),
+        (KeyState.IN_PROGRESS, KeyEvent.NOTHING): Transition(KeyState.UNUSED),
+        (KeyState.IN_PROGRESS, KeyEvent.MAYBE): Transition(KeyState.INDETERMINATE),
+        # A set-up that was rejected or given up is closed as well: its response decides about the key.
+        (KeyState.IN_PROGRESS, KeyEvent.CLOSED): Transition(KeyState.IN_PROGRESS),
+        (KeyState.IN_PROGRESS, KeyEvent.RESTARTED): Transition(KeyState.UNUSED),
+        (KeyState.IN_PROGRESS, KeyEvent.RESTARTED_NOT_REPEATABLE): Transition(KeyState.INDETERMINATE),
+        (KeyState.ESTABLISHED, KeyEvent.REQUESTED): Transition(KeyState.ESTABLISHED, (KeyAction.SHOW,)),
+        (KeyState.ESTABLISHED, KeyEvent.PLAYS): Transition(KeyState.ESTABLISHED),
+        (KeyState.ESTABLISHED, KeyEvent.NOTHING): Transition(KeyState.ESTABLISHED),
+        (KeyState.ESTABLISHED, KeyEvent.MAYBE): Transition(KeyState.ESTABLISHED),
+        (KeyState.ESTABLISHED, KeyEvent.CLOSED): Transition(KeyState.CLOSED),
+        # Its server may still play it: then the session is adopted, and returned to the client.
+        (KeyState.ESTABLISHED, KeyEvent.RESTARTED): Transition(KeyState.ESTABLISHED),
+        (KeyState.ESTABLISHED, KeyEvent.RESTARTED_NOT_REPEATABLE): Transition(KeyState.ESTABLISHED),
+        **{(KeyState.CLOSED, event): Transition(KeyState.CLOSED) for event in _NOT_REQUESTED},
+        (KeyState.CLOSED, KeyEvent.REQUESTED): Transition(KeyState.CLOSED, (KeyAction.TELL_SPENT,)),
+        **{(KeyState.INDETERMINATE, event): Transition(KeyState.INDETERMINATE) for event in _NOT_REQUESTED},
+        (KeyState.INDETERMINATE, KeyEvent.REQUESTED): Transition(
+            KeyState.INDETERMINATE, (KeyAction.TELL_BARRED,)
+        ),
+    }
+)
+
+# The states in which a session belongs to the key: it is not evicted, and the session's end concerns it.
+LIVE_STATES = frozenset({KeyState.IN_PROGRESS, KeyState.ESTABLISHED})
 
 
 class StoredKey(Struct, frozen=True, array_like=True):
-    """A key as a store keeps it."""
+    """A key as it is stored; encoded by the order of its fields."""
+
+    state: int
+    target: str
+    session_id: str
+    touched_wall_us: int
+    is_repeatable: bool
+
+
+class KeyName(NamedTuple):
+    """A key is known by the client that chose it."""
 
-    stage: int
-    what: str
-    subscription: str
-    wall_us: int
-    safe: bool
+    client: str
+    key: str
 
 
 @dataclass(slots=True)
 class IdempotencyKey:
     """One key of one client."""
 
-    request_digest: str  # what was asked for under it: another set-up must not pass for it
+    target: str  # what was requested under it: another set-up must not pass for it
     state: KeyState = KeyState.UNUSED
-    session: str = ""
+    session: str = ""  # the session's id
     touched_wall_us: int = 0
-    is_repeatable: bool = True  # a set-up that may have run may be done again
+    is_repeatable: bool = True  # a set-up that may have run may be repeated
+
+    @property
+    def is_live(self) -> bool:
+        """Whether a set-up is in progress or a session is established under the key."""
+        return self.state in LIVE_STATES
+
+    def apply(self, event: KeyEvent) -> tuple[KeyAction, ...]:
+        """Apply an event; how a request is to be answered, where the event is one."""
+        transition = TRANSITIONS.apply(self.state, event)
+        self.state = transition.state
+        return transition.actions
+
+    def is_expired(self, wall_us: int) -> bool:
+        """Whether it was touched too long ago; a clock that went back makes nothing older."""
+        return wall_us - self.touched_wall_us > RETENTION_US
+
+    def encode(self) -> bytes:
+        """The bytes that are stored."""
+        stored = StoredKey(
+            self.state.value, self.target, self.session, self.touched_wall_us, self.is_repeatable
+        )
+        return msgspec.msgpack.encode(stored)
+
+
+class KeyRequest(NamedTuple):
+    """How a request under a key is answered, and the key."""
+
+    action: KeyAction
+    key: IdempotencyKey
+
+
+class StoredEntry(NamedTuple):
+    """One key as it is stored."""
+
+    name: KeyName
+    raw: bytes
 
 
 @dataclass(slots=True)
 class IdempotencyTable:
-    """All keys, the one longest untouched first; past the bound it is forgotten, unless its set-up runs or
-    plays."""
+    """All keys, the least recently touched first; past the bound it is evicted, unless it is live.
+
+    Names of keys are pairs of client and key, as `KeyName`.
+    """
 
-    keys: OrderedDict[tuple[str, str], IdempotencyKey] = field(default_factory=OrderedDict)
-    names_by_session: dict[str, tuple[str, str]] = field(default_factory=dict)  # by subscription
+    keys: OrderedDict[KeyName, IdempotencyKey] = field(default_factory=OrderedDict)
+    names_by_session: dict[str, KeyName] = field(default_factory=dict)
 
-    def ask(
-        self, name: tuple[str, str], what: str, safe: bool, wall_us: int
-    ) -> tuple[KeyAction, IdempotencyKey] | None:
-        """One asks under a key; None where the key stands for something else."""
+    def ask(self, name: tuple[str, str], target: str, is_repeatable: bool, wall_us: int) -> KeyRequest | None:
+        """Request a set-up under a key; None where the key stands for another one."""
         self._evict_expired(wall_us)
-        repeat = self.keys.get(name)
-        if repeat is None:
-            repeat = self.keys[name] = IdempotencyKey(what, is_repeatable=safe)
-        elif repeat.request_digest != what:
-            if repeat.state is not KeyState.UNUSED:
+        key_name = KeyName(*name)
+        key = self.keys.get(key_name)
+        if key is None:
+            key = self.keys[key_name] = IdempotencyKey(target, is_repeatable=is_repeatable)
+        elif key.target != target:
+            if key.state is not KeyState.UNUSED:
                 return None
-            repeat.request_digest, repeat.is_repeatable = what, safe
-        self.keys.move_to_end(name)
-        repeat.touched_wall_us = wall_us
-        repeat.state, act = TRANSITIONS[repeat.state, KeyEvent.REQUESTED]
-        return act, repeat
-
-    def begins(self, name: tuple[str, str], session: str) -> None:
-        """The set-up under a key is this subscription."""
-        self.keys[name].session = session
-        self.names_by_session[session] = name
+            key.target = target
+            key.is_repeatable = is_repeatable
+        self.keys.move_to_end(key_name)
+        key.touched_wall_us = wall_us
+        (action,) = key.apply(KeyEvent.REQUESTED)
+        return KeyRequest(action, key)
+
+    def begins(self, name: tuple[str, str], session_id: str) -> None:
+        """Attach a session to the key that its set-up came under."""
+        key_name = KeyName(*name)
+        self.keys[key_name].session = session_id
+        self.names_by_session[session_id] = key_name
 
     def apply(self, name: tuple[str, str], event: KeyEvent, wall_us: int) -> None:
-        """Something happened to the set-up under a key."""
-        repeat = self.keys.get(name)
-        if repeat is None:
+        """Apply an event to the set-up under a key."""
+        key = self.keys.get(KeyName(*name))
+        if key is None:
             return
-        repeat.state, _ = TRANSITIONS[repeat.state, event]
-        repeat.touched_wall_us = wall_us
-        if repeat.state not in (KeyState.IN_PROGRESS, KeyState.ESTABLISHED):
-            self.names_by_session.pop(repeat.session, None)
-
-    def ended(self, session: str, wall_us: int) -> None:
-        """A subscription has ended."""
-        name = self.names_by_session.get(session)
+        key.apply(event)
+        key.touched_wall_us = wall_us
+        if not key.is_live:
+            self.names_by_session.pop(key.session, None)
+
+    def ended(self, session_id: str, wall_us: int) -> None:
+        """Apply the close of a session to its key, where it has one."""
+        name = self.names_by_session.get(session_id)
         if name is not None:
             self.apply(name, KeyEvent.CLOSED, wall_us)
 
     def _evict_expired(self, wall_us: int) -> None:
-        for name, repeat in list(self.keys.items())[: 2 if len(self.keys) <= MAX_KEYS else 64]:
-            idle = repeat.state not in (KeyState.IN_PROGRESS, KeyState.ESTABLISHED)
-            # A clock that went back makes nothing older.
-            if idle and (wall_us - repeat.touched_wall_us > RETENTION_US or len(self.keys) > MAX_KEYS):
+        scanned = EVICTION_SCAN if len(self.keys) <= MAX_KEYS else EVICTION_SCAN_WHEN_FULL
+        for name, key in list(itertools.islice(self.keys.items(), scanned)):
+            is_full = len(self.keys) > MAX_KEYS
+            if not key.is_live and (is_full or key.is_expired(wall_us)):
                 del self.keys[name]
 
-    def kept(self) -> list[tuple[tuple[str, str], bytes]]:
-        """What a store keeps: free keys stand for nothing."""
+    def kept(self) -> list[StoredEntry]:
+        """What is stored; unused keys stand for nothing."""
         return [
-            (
-                name,
-                msgspec.msgpack.encode(
-                    StoredKey(
-                        repeat.state.value,
-                        repeat.request_digest,
-                        repeat.session,
-                        repeat.touched_wall_us,
-                        repeat.is_repeatable,
-                    )
-                ),
-            )
-            for name, repeat in self.keys.items()
-            if repeat.state is not KeyState.UNUSED
+            StoredEntry(name, key.encode())
+            for name, key in self.keys.items()
+            if key.state is not KeyState.UNUSED
         ]
 
     def restore(self, name: tuple[str, str], raw: bytes, wall_us: int) -> bool:
-        """A key of an earlier life; False for what is none, or is long over."""
-        try:
-            kept: StoredKey = msgspec.msgpack.decode(raw, type=StoredKey)
-            stage = KeyState(kept.stage)
-        except (msgspec.MsgspecError, ValueError):
-            return False
-        if (
-            stage not in (KeyState.IN_PROGRESS, KeyState.ESTABLISHED)
-            and wall_us - kept.wall_us > RETENTION_US
-        ):
+        """Restore a key stored before a restart; False where it is malformed, expired or now unused."""
+        key = _decode(raw)
+        if key is None or (not key.is_live and key.is_expired(wall_us)):
             return False
-        repeat = self.keys[name] = IdempotencyKey(
-            kept.what, stage, kept.subscription, kept.wall_us, kept.safe
-        )
-        if kept.subscription:
-            self.names_by_session[kept.subscription] = name
-        self.apply(name, KeyEvent.RESTARTED if kept.safe else KeyEvent.RESTARTED_NOT_REPEATABLE, kept.wall_us)
-        return repeat.state is not KeyState.UNUSED
+        key_name = KeyName(*name)
+        self.keys[key_name] = key
+        if key.session:
+            self.names_by_session[key.session] = key_name
+        event = KeyEvent.RESTARTED if key.is_repeatable else KeyEvent.RESTARTED_NOT_REPEATABLE
+        self.apply(key_name, event, key.touched_wall_us)
+        return key.state is not KeyState.UNUSED
+
+
+def _decode(raw: bytes) -> IdempotencyKey | None:
+    try:
+        stored: StoredKey = msgspec.msgpack.decode(raw, type=StoredKey)
+        state = KeyState(stored.state)
+    except (msgspec.MsgspecError, ValueError):
+        return None
+    return IdempotencyKey(
+        stored.target, state, stored.session_id, stored.touched_wall_us, stored.is_repeatable
+    )
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/retry_storm.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/retry_storm.py
@@ -1,8 +1,8 @@
-"""Whether a front is in a retry storm, from what it alone sees: phases with hysteresis, as a state table.
+"""Detection of a retry storm from what one front alone sees: a state table with hysteresis.
 
-A peak is not a storm. What tells them apart is that a storm's arrivals come back: many more than this front's
-usual pace and chance explain, while a good part of the answers are refusals. Arrivals alone, or refusals
-alone, are an evening's start or a lost box.
+A peak is not a storm. A storm's requests are retries: there are many more than this front's usual rate and
+chance explain, while a good part of the responses are rejections. Many requests alone, or rejections alone,
+are the start of an evening or a lost server.
 """
 
 from __future__ import annotations
@@ -12,20 +12,19 @@
 from math import sqrt
 
 WINDOW_US = 500_000
-BASELINE_WEIGHT = (
-    1 / 64
-)  # of each calm window in the usual pace: half a minute, longer than a storm's first rise
-CROWD_FACTOR = 2.0  # the least whole factor past an evening's own swing, as in the module's rationing
-STANDARD_DEVIATIONS = 3.0  # chance in a count: three times the root of it
+# The weight of each calm window in the baseline: half a minute, longer than a storm's first rise.
+BASELINE_WEIGHT = 1 / 64
+CROWD_FACTOR = 2.0  # the least whole factor past an evening's own swing, as in the policy's quotas
+STANDARD_DEVIATIONS = 3.0  # of a count, whose standard deviation is its square root
 HIGH_REJECTED_FRACTION = 0.2
 LOW_REJECTED_FRACTION = 0.05
 RISING_WINDOWS = 2  # windows in a row that make a rise a storm
-CALM_WINDOWS = 6  # windows in a row that make it over: a storm that pauses for a breath has not ended
+CALM_WINDOWS = 6  # windows in a row that end it: a storm that pauses briefly has not ended
 SETTLING_WINDOWS = 6
 
 
 class StormState(Enum):
-    """How the front stands towards those who ask."""
+    """Whether the front is in a retry storm."""
 
     CALM = auto()
     RISING = auto()
@@ -36,15 +35,15 @@
 class StormSignal(Enum):
     """What one window shows."""
 
-    HOT = auto()  # far more than usual, and many refused
-    CROWD = auto()  # far more than usual
-    FULL = auto()  # many refused
+    HOT = auto()  # far more requests than usual, and many rejected
+    CROWD = auto()  # far more requests than usual
+    FULL = auto()  # many rejected
     COOL = auto()  # neither
 
 
 @dataclass(frozen=True, slots=True)
 class StormTransition:
-    """The next phase, once the sign has come so many windows in a row."""
+    """The next state, once a signal has come in so many windows in a row."""
 
     after_windows: int
     state: StormState
@@ -56,18 +55,18 @@
     (StormState.RISING, StormSignal.CROWD): StormTransition(CALM_WINDOWS, StormState.CALM),
     (StormState.RISING, StormSignal.FULL): StormTransition(CALM_WINDOWS, StormState.CALM),
     (StormState.RISING, StormSignal.COOL): StormTransition(RISING_WINDOWS, StormState.CALM),
-    # While the crowd comes the damping that keeps it from being refused must stay: its rest is no calm.
+    # While the crowd comes, the damping that keeps it from being rejected must stay in force.
     (StormState.STORM, StormSignal.FULL): StormTransition(CALM_WINDOWS, StormState.SETTLING),
     (StormState.STORM, StormSignal.COOL): StormTransition(CALM_WINDOWS, StormState.SETTLING),
-    # It starts again within a minute: no second rise is waited for.
+    # The storm starts again within a minute: no second rise is waited for.
     (StormState.SETTLING, StormSignal.HOT): StormTransition(1, StormState.STORM),
-    # Refusals that go on without a crowd are overload, and no storm: they must not hold the phase for ever.
+    # Rejections that go on without a crowd are overload and no storm: they must not hold the state for ever.
     (StormState.SETTLING, StormSignal.FULL): StormTransition(4 * SETTLING_WINDOWS, StormState.CALM),
     (StormState.SETTLING, StormSignal.COOL): StormTransition(SETTLING_WINDOWS, StormState.CALM),
 }
 
-# How fast each phase takes arrivals for usual. None is zero: what never ends becomes the usual pace, so that
-# no phase lasts for ever.
+# The weight of a window in the baseline, by state. None is zero: what never ends becomes the usual rate, so
+# that no state lasts for ever.
 BASELINE_WEIGHTS = {
     StormState.CALM: BASELINE_WEIGHT,
     StormState.RISING: BASELINE_WEIGHT / 4,
@@ -80,64 +79,76 @@
 class RetryWindow:
     """What was counted since the window began."""
 
-    asked: int = 0
-    let_in: int = 0
-    refused: int = 0  # of those let in, by the module: what damping turns away must not feed itself
+    asked: int = 0  # requests
+    let_in: int = 0  # requests admitted
+    refused: int = 0  # of those admitted, by the policy: what damping rejects must not feed itself
+
+    @property
+    def rejected_fraction(self) -> float:
+        """The fraction of the admitted requests that the policy rejected."""
+        return self.refused / self.let_in if self.let_in else 0.0
 
 
 @dataclass(slots=True)
 class RetryStormDetector:
-    """One front's phase. The caller hands in the time and holds the lock."""
+    """One front's state. The caller passes in the time and holds the lock."""
 
     window_started_us: int
     phase: StormState = StormState.CALM
     window: RetryWindow = field(default_factory=RetryWindow)
-    usual: float = 0.0  # arrivals in a window
-    seen: int = 0
-    sign: StormSignal = StormSignal.COOL
-    consecutive_windows: int = 0
-    changes: int = 0
-    entered_us: int = 0
+    usual: float = 0.0  # requests in a window
+    seen: int = 0  # calm windows so far
+    sign: StormSignal = StormSignal.COOL  # of the latest window
+    consecutive_windows: int = 0  # windows in a row with this signal
+    changes: int = 0  # transitions so far
+    entered_us: int = 0  # when the state was entered
 
     def advance(self, now_us: int) -> None:
-        """Close the windows that have passed; many at once after a stall count as empty ones, a bounded
-        few."""
+        """Close the windows that have passed; after a stall, a bounded number of empty ones."""
         passed = (now_us - self.window_started_us) // WINDOW_US
         for _ in range(min(passed, CALM_WINDOWS + SETTLING_WINDOWS)):
-            self._close(now_us)
+            self._close_window(now_us)
         if passed > 0:
             self.window_started_us += passed * WINDOW_US
 
-    def _close(self, now_us: int) -> None:
-        window, self.window = self.window, RetryWindow()
-        sign = self.classify(window)
-        self.consecutive_windows = self.consecutive_windows + 1 if sign is self.sign else 1
-        self.sign = sign
+    def _close_window(self, now_us: int) -> None:
+        window = self.window
+        self.window = RetryWindow()
+        signal = self.classify(window)
+        self.consecutive_windows = self.consecutive_windows + 1 if signal is self.sign else 1
+        self.sign = signal
+        self._update_baseline(window.asked)
+        transition = TRANSITIONS.get((self.phase, signal))
+        if transition is not None and self.consecutive_windows >= transition.after_windows:
+            self.phase = transition.state
+            self.consecutive_windows = 0
+            self.entered_us = now_us
+            self.changes += 1
+
+    def _update_baseline(self, requests: int) -> None:
         weight = BASELINE_WEIGHTS[self.phase]
-        if self.phase is StormState.CALM and sign is not StormSignal.HOT:
-            # The first windows count for more: a new front knows no past.
+        if self.phase is StormState.CALM and self.sign is not StormSignal.HOT:
+            # The first windows count for more: a front that has just started has no history.
             self.seen += 1
             weight = max(weight, 1 / (self.seen + 1))
-        self.usual += (window.asked - self.usual) * weight
-        rule = TRANSITIONS.get((self.phase, sign))
-        if rule is not None and self.consecutive_windows >= rule.after_windows:
-            self.phase, self.consecutive_windows, self.entered_us = rule.state, 0, now_us
-            self.changes += 1
+        self.usual += (requests - self.usual) * weight
 
     def classify(self, window: RetryWindow) -> StormSignal:
         """What a window shows."""
-        crowd = window.asked > CROWD_FACTOR * self.usual + STANDARD_DEVIATIONS * sqrt(self.usual + 1)
-        share = window.refused / window.let_in if window.let_in else 0.0
-        limit = (
-            HIGH_REJECTED_FRACTION
-            if self.phase in (StormState.CALM, StormState.RISING)
-            else LOW_REJECTED_FRACTION
+        has_crowd = window.asked > CROWD_FACTOR * self.usual + STANDARD_DEVIATIONS * sqrt(self.usual + 1)
+        has_rejections = (
+            window.refused >= STANDARD_DEVIATIONS and window.rejected_fraction > self._rejected_threshold()
         )
-        refused = window.refused >= STANDARD_DEVIATIONS and share > limit
-        if crowd and refused:
-            return StormSignal.HOT
-        return StormSignal.CROWD if crowd else StormSignal.FULL if refused else StormSignal.COOL
+        if has_crowd:
+            return StormSignal.HOT if has_rejections else StormSignal.CROWD
+        return StormSignal.FULL if has_rejections else StormSignal.COOL
+
+    def _rejected_threshold(self) -> float:
+        """Lower during a storm, so that it ends only once rejections have become rare."""
+        if self.phase in (StormState.CALM, StormState.RISING):
+            return HIGH_REJECTED_FRACTION
+        return LOW_REJECTED_FRACTION
 
     def damped(self) -> bool:
-        """Whether places are given out and kept."""
+        """Whether tickets are handed out and required."""
         return self.phase in (StormState.STORM, StormState.SETTLING)
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/seat_leases.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/seat_leases.py
@@ -1,8 +1,8 @@
-"""Seats that expire: taken once, renewed once for each key, kept through a move, given back once.
+"""Leases of seats: acquired once, renewed once under each key, kept through a migration, released once.
 
-The module counts seats while subscriptions play (rule 5). What is ruled on here is for how long one may be
-kept by a viewer that does not renew it: past its time it is given back and the subscription ends. Times are
-wall time in microseconds, since a seat outlives the process.
+The placement policy counts seats while sessions play (rule 5). This module decides for how long a client
+that does not renew may hold one: after that it is released and the session closed. Times are wall time in
+microseconds, since a lease outlives the process.
 """
 
 from __future__ import annotations
@@ -11,18 +11,20 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import NamedTuple
 
 import msgspec
 from msgspec import Struct
 
-MAX_RENEWAL_KEYS = 8  # renewals of one seat whose keys are known
-MAX_EXPIRED_PER_CALL = (
-    200  # seats given back in one go: ten thousand in a moment must not hold the lock for a second
-)
+from fennelcove.state_machine import Transition, TransitionTable
+
+MAX_RENEWAL_KEYS = 8  # renewals of one seat whose keys are remembered
+# Seats released in one call: ten thousand at one moment must not hold the lock for a second.
+MAX_EXPIRED_PER_CALL = 200
 
 
 class SeatState(Enum):
-    """Where one subscription's seat stands."""
+    """The state of one session's seat."""
 
     UNHELD = auto()
     HELD = auto()
@@ -35,7 +37,7 @@
     ACQUIRED = auto()
     RENEWED = auto()
     RENEWED_DUPLICATE = auto()  # under a key that it was renewed under already
-    MIGRATED = auto()  # its subscription plays on another box
+    MIGRATED = auto()  # its session plays at another server
     RELEASED = auto()
     EXPIRED = auto()
 
@@ -45,57 +47,92 @@
 
     COUNT = auto()
     EXTEND = auto()
-    KEEP = auto()
+    KEEP = auto()  # nothing changes
     FREE = auto()
     REFUSE = auto()
 
 
-TRANSITIONS: dict[tuple[SeatState, SeatEvent], tuple[SeatState, SeatAction]] = {
-    (SeatState.UNHELD, SeatEvent.ACQUIRED): (SeatState.HELD, SeatAction.COUNT),
-    (SeatState.UNHELD, SeatEvent.RENEWED): (SeatState.UNHELD, SeatAction.REFUSE),
-    (SeatState.UNHELD, SeatEvent.RENEWED_DUPLICATE): (SeatState.UNHELD, SeatAction.REFUSE),
-    (SeatState.UNHELD, SeatEvent.MIGRATED): (SeatState.UNHELD, SeatAction.KEEP),
-    (SeatState.UNHELD, SeatEvent.RELEASED): (SeatState.UNHELD, SeatAction.KEEP),
-    (SeatState.UNHELD, SeatEvent.EXPIRED): (SeatState.UNHELD, SeatAction.KEEP),
-    # Told twice, as by a box that greets after a restart: the seat is the same.
-    (SeatState.HELD, SeatEvent.ACQUIRED): (SeatState.HELD, SeatAction.KEEP),
-    (SeatState.HELD, SeatEvent.RENEWED): (SeatState.HELD, SeatAction.EXTEND),
-    (SeatState.HELD, SeatEvent.RENEWED_DUPLICATE): (SeatState.HELD, SeatAction.KEEP),
-    (SeatState.HELD, SeatEvent.MIGRATED): (SeatState.HELD, SeatAction.KEEP),
-    (SeatState.HELD, SeatEvent.RELEASED): (SeatState.RELEASED, SeatAction.FREE),
-    (SeatState.HELD, SeatEvent.EXPIRED): (SeatState.RELEASED, SeatAction.FREE),
-    # A renewal that crosses with the end: the seat may be somebody else's by now.
-    **{(SeatState.RELEASED, event): (SeatState.RELEASED, SeatAction.REFUSE) for event in SeatEvent},
-}
+# Each transition has exactly one action.
+TRANSITIONS: TransitionTable[SeatState, SeatEvent, SeatAction] = TransitionTable(
+    {
+        (SeatState.UNHELD, SeatEvent.ACQUIRED): Transition(SeatState.HELD, (SeatAction.COUNT,)),
+        (SeatState.UNHELD, SeatEvent.RENEWED): Transition(SeatState.UNHELD, (SeatAction.REFUSE,)),
+        (SeatState.UNHELD, SeatEvent.RENEWED_DUPLICATE): Transition(SeatState.UNHELD, (SeatAction.REFUSE,)),
+        (SeatState.UNHELD, SeatEvent.MIGRATED): Transition(SeatState.UNHELD, (SeatAction.KEEP,)),
+        (SeatState.UNHELD, SeatEvent.RELEASED): Transition(SeatState.UNHELD, (SeatAction.KEEP,)),
+        (SeatState.UNHELD, SeatEvent.EXPIRED): Transition(SeatState.UNHELD, (SeatAction.KEEP,)),
+        # Notified twice, as by a server that reports its sessions again: the seat is the same.
+        (SeatState.HELD, SeatEvent.ACQUIRED): Transition(SeatState.HELD, (SeatAction.KEEP,)),
+        (SeatState.HELD, SeatEvent.RENEWED): Transition(SeatState.HELD, (SeatAction.EXTEND,)),
+        (SeatState.HELD, SeatEvent.RENEWED_DUPLICATE): Transition(SeatState.HELD, (SeatAction.KEEP,)),
+        (SeatState.HELD, SeatEvent.MIGRATED): Transition(SeatState.HELD, (SeatAction.KEEP,)),
+        (SeatState.HELD, SeatEvent.RELEASED): Transition(SeatState.RELEASED, (SeatAction.FREE,)),
+        (SeatState.HELD, SeatEvent.EXPIRED): Transition(SeatState.RELEASED, (SeatAction.FREE,)),
+        # A renewal that crosses with the release: the seat may be somebody else's by now.
+        **{
+            (SeatState.RELEASED, event): Transition(SeatState.RELEASED, (SeatAction.REFUSE,))
+            for event in SeatEvent
+        },
+    }
+)
 
 
 class StoredSeat(Struct, frozen=True, array_like=True):
-    """A seat as a store keeps it."""
+    """A seat as it is stored; encoded by the order of its fields."""
 
     title: str
-    room: str
+    service_class: str
     until_us: int
-    keys: list[str]
+    renewal_keys: list[str]
+
+
+class SeatPool(NamedTuple):
+    """Seats are counted by title and service class."""
+
+    title: str
+    service_class: str
+
+
+NO_POOL = SeatPool("", "")
 
 
 @dataclass(slots=True, eq=False)
 class Seat:
-    """One subscription's seat."""
+    """One session's seat."""
 
     session_id: str
-    pool: tuple[str, str]  # title and room type
+    pool: SeatPool
     duration_us: int
-    until_us: int
+    until_us: int  # the wall time at which it expires
     state: SeatState = SeatState.UNHELD
     renewal_keys: list[str] = field(default_factory=list)
 
+    def encode(self) -> bytes:
+        """The bytes that are stored."""
+        return msgspec.msgpack.encode(StoredSeat(*self.pool, self.until_us, self.renewal_keys))
+
+
+class StoredEntry(NamedTuple):
+    """One seat as it is stored."""
+
+    session_id: str
+    raw: bytes
+
+
+class SeatDeadline(NamedTuple):
+    """When to look at a seat again; the sequence number keeps seats from being compared."""
+
+    due_us: int
+    sequence: int
+    seat: Seat
+
 
 @dataclass(frozen=True, slots=True)
 class SeatTransition:
-    """One thing that happened, for a ledger that can be read again."""
+    """One entry of a ledger that can be replayed."""
 
-    id: str
-    pool: tuple[str, str]
+    id: str  # the session's
+    pool: SeatPool
     event: SeatEvent
     act: SeatAction
 
@@ -105,92 +142,106 @@
 
     def __init__(self) -> None:
         self.held: dict[str, Seat] = {}
-        self.counts: Counter[tuple[str, str]] = Counter()
-        self.deadlines: list[tuple[int, int, Seat]] = []
+        self.counts: Counter[SeatPool] = Counter()
+        self.deadlines: list[SeatDeadline] = []
         self.push_count = 0
 
-    def take(self, id: str, pool: tuple[str, str], length_us: int, wall_us: int) -> SeatTransition:
-        """A subscription plays in a room type whose seats expire."""
-        seat = self.held.get(id) or Seat(id, pool, length_us, wall_us + length_us)
+    def take(self, session_id: str, pool: tuple[str, str], duration_us: int, wall_us: int) -> SeatTransition:
+        """Acquire a seat for a session that plays; a pool is a title and a service class, as `SeatPool`."""
+        seat = self.held.get(session_id)
+        if seat is None:
+            seat = Seat(session_id, SeatPool(*pool), duration_us, wall_us + duration_us)
         return self._apply(seat, SeatEvent.ACQUIRED, wall_us)
 
-    def renew(self, id: str, key: str, wall_us: int) -> SeatTransition:
-        """Its viewer wants to keep it; under one key it is renewed once."""
-        seat = self.held.get(id)
+    def renew(self, session_id: str, key: str, wall_us: int) -> SeatTransition:
+        """Renew a seat; under one key it is renewed once."""
+        seat = self.held.get(session_id)
         if seat is None:
-            return SeatTransition(id, ("", ""), SeatEvent.RENEWED, SeatAction.REFUSE)
-        again = bool(key) and key in seat.renewal_keys
-        step = self._apply(seat, SeatEvent.RENEWED_DUPLICATE if again else SeatEvent.RENEWED, wall_us)
-        if step.act is SeatAction.EXTEND and key:
+            return SeatTransition(session_id, NO_POOL, SeatEvent.RENEWED, SeatAction.REFUSE)
+        is_duplicate = bool(key) and key in seat.renewal_keys
+        event = SeatEvent.RENEWED_DUPLICATE if is_duplicate else SeatEvent.RENEWED
+        transition = self._apply(seat, event, wall_us)
+        if transition.act is SeatAction.EXTEND and key:
             seat.renewal_keys = [*seat.renewal_keys[1 - MAX_RENEWAL_KEYS :], key]
-        return step
+        return transition
 
-    def release(self, id: str, wall_us: int) -> SeatTransition | None:
-        """Its subscription has ended."""
-        seat = self.held.get(id)
-        return self._apply(seat, SeatEvent.RELEASED, wall_us) if seat is not None else None
+    def release(self, session_id: str, wall_us: int) -> SeatTransition | None:
+        """Release the seat of a session that is closed; None where it has none."""
+        seat = self.held.get(session_id)
+        if seat is None:
+            return None
+        return self._apply(seat, SeatEvent.RELEASED, wall_us)
 
     def expired(self, wall_us: int) -> list[SeatTransition]:
-        """Those whose time is up, a bounded number; the rest with the next call."""
-        found: list[SeatTransition] = []
-        while self.deadlines and self.deadlines[0][0] <= wall_us and len(found) < MAX_EXPIRED_PER_CALL:
-            _, _, seat = heapq.heappop(self.deadlines)
-            if seat.state is SeatState.HELD and seat.until_us <= wall_us:
-                found.append(self._apply(seat, SeatEvent.EXPIRED, wall_us))
-            elif seat.state is SeatState.HELD:
-                self._schedule(seat)  # renewed since: it waits for its newer time
-        return found
+        """Release the seats whose time is up, a bounded number; the rest with the next call."""
+        expired: list[SeatTransition] = []
+        while self.deadlines and self.deadlines[0].due_us <= wall_us and len(expired) < MAX_EXPIRED_PER_CALL:
+            seat = heapq.heappop(self.deadlines).seat
+            if seat.state is not SeatState.HELD:
+                continue
+            if seat.until_us <= wall_us:
+                expired.append(self._apply(seat, SeatEvent.EXPIRED, wall_us))
+            else:
+                self._schedule(seat)  # renewed since
+        return expired
 
     def _apply(self, seat: Seat, event: SeatEvent, wall_us: int) -> SeatTransition:
-        seat.state, act = TRANSITIONS[seat.state, event]
-        if act is SeatAction.COUNT:
-            self.held[seat.session_id] = seat
-            self.counts[seat.pool] += 1
-            self._schedule(seat)
-        elif act is SeatAction.EXTEND:
-            # Counted from now and not from the old end: asking often must not save up time.
+        transition = TRANSITIONS.apply(seat.state, event)
+        seat.state = transition.state
+        (action,) = transition.actions
+        if action is SeatAction.COUNT:
+            self._add(seat)
+        elif action is SeatAction.EXTEND:
+            # Counted from now and not from the old end: frequent renewals must not save up time.
             seat.until_us = max(seat.until_us, wall_us + seat.duration_us)
-        elif act is SeatAction.FREE:
-            del self.held[seat.session_id]
-            self.counts[seat.pool] -= 1
-            if not self.counts[seat.pool]:
-                del self.counts[seat.pool]
-        return SeatTransition(seat.session_id, seat.pool, event, act)
+        elif action is SeatAction.FREE:
+            self._remove(seat)
+        return SeatTransition(seat.session_id, seat.pool, event, action)
+
+    def _add(self, seat: Seat) -> None:
+        self.held[seat.session_id] = seat
+        self.counts[seat.pool] += 1
+        self._schedule(seat)
+
+    def _remove(self, seat: Seat) -> None:
+        del self.held[seat.session_id]
+        self.counts[seat.pool] -= 1
+        if not self.counts[seat.pool]:
+            del self.counts[seat.pool]
 
     def _schedule(self, seat: Seat) -> None:
         self.push_count += 1
-        heapq.heappush(self.deadlines, (seat.until_us, self.push_count, seat))
-
-    def kept(self) -> list[tuple[str, bytes]]:
-        """What a store keeps."""
-        return [
-            (
-                seat.session_id,
-                msgspec.msgpack.encode(
-                    StoredSeat(seat.pool[0], seat.pool[1], seat.until_us, seat.renewal_keys)
-                ),
-            )
-            for seat in self.held.values()
-        ]
-
-    def restore(self, id: str, raw: bytes, length_us: int, wall_us: int) -> bool:
-        """A seat of an earlier life, whose subscription plays on; it keeps its old time, and no more than a
-        clock that went back could give it."""
+        heapq.heappush(self.deadlines, SeatDeadline(seat.until_us, self.push_count, seat))
+
+    def kept(self) -> list[StoredEntry]:
+        """What is stored."""
+        return [StoredEntry(seat.session_id, seat.encode()) for seat in self.held.values()]
+
+    def restore(self, session_id: str, raw: bytes, duration_us: int, wall_us: int) -> bool:
+        """Restore a seat stored before a restart, whose session still plays; False where it is malformed.
+
+        It keeps its old expiry, limited to what it could have at this wall time, since the clock may have
+        gone back. A seat that is held already is the same one, and is not counted twice: also False.
+        """
         try:
-            kept: StoredSeat = msgspec.msgpack.decode(raw, type=StoredSeat)
+            stored: StoredSeat = msgspec.msgpack.decode(raw, type=StoredSeat)
         except msgspec.MsgspecError:
             return False
-        until_us = min(kept.until_us, wall_us + length_us)
-        # One that is held already is the same seat: made anew it was counted twice.
-        seat = self.held.get(id) or Seat(
-            id, (kept.title, kept.room), length_us, until_us, renewal_keys=kept.keys[-MAX_RENEWAL_KEYS:]
-        )
+        seat = self.held.get(session_id)
+        if seat is None:
+            pool = SeatPool(stored.title, stored.service_class)
+            until_us = min(stored.until_us, wall_us + duration_us)
+            renewal_keys = stored.renewal_keys[-MAX_RENEWAL_KEYS:]
+            seat = Seat(session_id, pool, duration_us, until_us, renewal_keys=renewal_keys)
         return self._apply(seat, SeatEvent.ACQUIRED, wall_us).act is SeatAction.COUNT
 
 
-def replay_counts(steps: list[SeatTransition]) -> Counter[tuple[str, str]]:
-    """The totals of a ledger read again from its steps."""
-    counts: Counter[tuple[str, str]] = Counter()
-    for step in steps:
-        counts[step.pool] += (step.act is SeatAction.COUNT) - (step.act is SeatAction.FREE)
+def replay_counts(ledger: list[SeatTransition]) -> Counter[SeatPool]:
+    """The seats held in each pool, counted again from the ledger."""
+    counts: Counter[SeatPool] = Counter()
+    for entry in ledger:
+        if entry.act is SeatAction.COUNT:
+            counts[entry.pool] += 1
+        elif entry.act is SeatAction.FREE:
+            counts[entry.pool] -= 1
     return +counts
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/waiting_room.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/waiting_room.py
@@ -1,9 +1,9 @@
-"""When those who are turned away should come back, and who may come in while a storm lasts.
+"""When rejected clients are to come back, and whom a front admits during a retry storm.
 
-Each one turned away gets a place: a time span in a queue that exists only as a promise. Places are given out
-at the pace at which this front's set-ups have lately been served, which rises as cold boxes warm up, so that
-the crowd comes back as room comes free. A place is a token with a MAC over what it promises to whom: no state
-is kept for it, a front that restarts with the same key honours it, and an invented one is known.
+Each rejected client is given a ticket: a time window in a virtual queue. Windows are handed out at the rate
+at which this front's set-ups have lately been served, which rises as servers warm up, so that the crowd comes
+back as capacity becomes available. A ticket is a signed token: no state is kept for it, a front that restarts
+with the same key accepts it, and a forged one is recognized.
 """
 
 from __future__ import annotations
@@ -17,74 +17,76 @@
 
 from fennelcove.decisions.clients import signed_tokens
 from fennelcove.decisions.clients.signed_tokens import Mac
+from fennelcove.decisions.clients.wait_window import WaitWindow
 
 LEAST_WAIT_US = 1_000_000  # Retry-After counts whole seconds
-# The pace may double each second: what it says of a time further off is worth nothing. Told up to 30 s, a
-# hall's crowd stayed away from boxes that had room (median wait 30 s, p90 120 s).
+# The rate may double each second, so an estimate further ahead is worth nothing. With waits of up to 30 s the
+# crowd of a zone stayed away from servers that had capacity (median wait 30 s, p90 120 s).
 MAX_WAIT_US = 8_000_000
-WINDOW_FRACTION = (
-    0.25  # of the wait is the span in which the holder may come: it spreads those whose clocks agree
-)
+# The window's length, as a fraction of the wait: it spreads clients whose clocks agree.
+WINDOW_FRACTION = 0.25
 SPAN_LEAST_US = 500_000
-MIN_RATE_PER_S = 0.5  # set-ups a second that are promised where nothing was served lately
-FIRST_TRY_FRACTION = (
-    0.5  # of the pace is kept for first tries, the rest for those who come back: neither starves
-)
-MAX_BURST_S = 2.0  # seconds of its pace that a class may save up
-GROWTH_PER_S = 2.0  # a second, while nothing is refused: room that is there must not wait for a slow guess
+MIN_RATE_PER_S = 0.5  # set-ups a second that are handed out where nothing was served lately
+# The fraction of the rate kept for first tries; the rest is for retries, so that neither starves.
+FIRST_TRY_FRACTION = 0.5
+MAX_BURST_S = 2.0  # seconds of its rate that a bucket may save up
+GROWTH_PER_S = 2.0  # while next to nothing is rejected: capacity must not wait for a slow estimate
 DECREASE_FACTOR = 0.7
-HEADROOM_FACTOR = 1.25  # times what is served, so that room that comes free is asked for at once
+HEADROOM_FACTOR = 1.25  # times what is served, so that capacity that becomes available is used at once
 MAX_RATE_PER_S = 1000.0
-MAX_COST = 4.0  # times a mean set-up: what the least benefit costs of the pace
-PRIORITY_WEIGHT_SAMPLES = 64  # requests over which the mean benefit is taken
-MAX_REJECTED_FRACTION = 0.2  # of those let in: from here on there is no room
+MAX_COST = 4.0  # times a mean set-up: what the lowest priority weight costs of the rate
+PRIORITY_WEIGHT_SAMPLES = 64  # requests over which the mean priority weight is taken
+MAX_REJECTED_FRACTION = 0.2  # of those admitted: from here on capacity is exhausted
+MIN_ADVANCE_S = 0.25
+SMOOTHING_S = 2  # time constant of the served rate
 MAX_QUEUES = 1024
 MAX_DOUBLINGS = 3
 MAX_TICKET_CHARS = 400
+US_PER_S = 1e6
 
 
 class QueueTicket(Struct, frozen=True, array_like=True):
-    """What was promised: whom, for what, and between which wall times in microseconds."""
+    """A client's window in the queue, in wall time; encoded by the order of its fields."""
 
     client: str
     title: str
     room_type: str
     earliest_us: int
     latest_us: int
-    vain: int = 0  # how often its holder has waited its time in vain
+    vain: int = 0  # how often its holder was rejected again after its wait
 
 
 class TicketStatus(Enum):
-    """How one that asks stands."""
+    """What a request shows about its place in the queue."""
 
     FIRST = auto()  # a first try
-    AGAIN = auto()  # a further try without a place
-    EARLY = auto()  # a place whose time has not come
-    DUE = auto()  # a place, in its time
-    LATE = auto()  # a place whose time has passed: better than none
-    INVENTED = auto()  # a token that nobody here made, or made for another
+    AGAIN = auto()  # a retry without a ticket
+    EARLY = auto()  # a ticket whose window has not begun
+    DUE = auto()  # a ticket, in its window
+    LATE = auto()  # a ticket whose window has passed: better than none
+    INVENTED = auto()  # a ticket not signed here, or given to another client
 
 
 class AvailableCapacity(Enum):
-    """What the module made of those let in lately."""
+    """How the placement policy dealt with the requests admitted lately."""
 
-    AVAILABLE = auto()  # it refused next to nobody
+    AVAILABLE = auto()  # it rejected next to none
     EXHAUSTED = auto()
 
 
 class QueueDecision(Enum):
-    """What the door does."""
+    """What becomes of a request."""
 
-    LET_IN = auto()  # ask the module
-    BY_PACE = auto()  # ask the module where the pace has room for one more, else as TURNED_AWAY says
-    GUEST_PLACE = auto()  # refused, with a place behind all others that nobody waits behind
-    KEEP_PLACE = auto()  # come back when the place says
-    NEW_PLACE = auto()  # refused, with a place behind all others
-    NEXT_PLACE = auto()  # refused, with a place among the next: it has waited its time
+    LET_IN = auto()  # pass it to the policy
+    BY_PACE = auto()  # pass it to the policy where the rate allows, else decide by `TURNED_AWAY`
+    GUEST_PLACE = auto()  # reject it, with a window at the queue's end that is not reserved
+    KEEP_PLACE = auto()  # reject it: it is to come back in its ticket's window
+    NEW_PLACE = auto()  # reject it, with a window reserved at the queue's end
+    NEXT_PLACE = auto()  # reject it, with an early window: it has waited before
 
 
-# While places are kept. Where there is room nobody waits but who can do it without harm: held to the pace
-# then, first tries were turned away for whom boxes had room (147 of 200 watched, 191 without any damping).
+# While tickets are in force. With capacity available only those wait who can do so without harm: held to the
+# rate, first tries were rejected that servers had capacity for (147 of 200 watched, 191 without any damping).
 TRANSITIONS: dict[tuple[TicketStatus, AvailableCapacity], QueueDecision] = {
     (TicketStatus.FIRST, AvailableCapacity.AVAILABLE): QueueDecision.LET_IN,
     (TicketStatus.AGAIN, AvailableCapacity.AVAILABLE): QueueDecision.BY_PACE,
@@ -93,17 +95,17 @@
     (TicketStatus.LATE, AvailableCapacity.AVAILABLE): QueueDecision.LET_IN,
     (TicketStatus.INVENTED, AvailableCapacity.AVAILABLE): QueueDecision.GUEST_PLACE,
     (TicketStatus.FIRST, AvailableCapacity.EXHAUSTED): QueueDecision.BY_PACE,
-    # One that comes again without its place has most likely been given one: a further one each time would
-    # hold places for nobody.
+    # A retry without a ticket has most likely been given one: a further one each time would reserve windows
+    # for nobody.
     (TicketStatus.AGAIN, AvailableCapacity.EXHAUSTED): QueueDecision.GUEST_PLACE,
     (TicketStatus.EARLY, AvailableCapacity.EXHAUSTED): QueueDecision.KEEP_PLACE,
-    # The module is asked for each whose time has come: it knows best what has room.
+    # The policy decides on each whose window has begun: it knows best where there is capacity.
     (TicketStatus.DUE, AvailableCapacity.EXHAUSTED): QueueDecision.LET_IN,
     (TicketStatus.LATE, AvailableCapacity.EXHAUSTED): QueueDecision.LET_IN,
     (TicketStatus.INVENTED, AvailableCapacity.EXHAUSTED): QueueDecision.GUEST_PLACE,
 }
 
-# For whom the pace has no room, and whom the module refuses.
+# For requests that the rate does not allow, and those that the policy rejects.
 TURNED_AWAY: dict[TicketStatus, QueueDecision] = {
     TicketStatus.FIRST: QueueDecision.NEW_PLACE,
     TicketStatus.AGAIN: QueueDecision.GUEST_PLACE,
@@ -112,14 +114,14 @@
 }
 
 
-def sign_ticket(place: QueueTicket, mac: Mac) -> str:
-    """A place as a token."""
-    return signed_tokens.sign(msgspec.json.encode(place), mac)
+def sign_ticket(ticket: QueueTicket, mac: Mac) -> str:
+    """The signed text of a ticket."""
+    return signed_tokens.sign(msgspec.json.encode(ticket), mac)
 
 
-def verify_ticket(token: str, macs: list[Mac]) -> QueueTicket | None:
-    """The place of a token made under one of these keys; None for any other text."""
-    raw = signed_tokens.verify(token, macs, MAX_TICKET_CHARS)
+def verify_ticket(text: str, macs: list[Mac]) -> QueueTicket | None:
+    """The ticket of a text signed under one of these keys; None for any other text."""
+    raw = signed_tokens.verify(text, macs, MAX_TICKET_CHARS)
     if raw is None:
         return None
     try:
@@ -129,33 +131,47 @@
 
 
 def ticket_status(
-    place: QueueTicket | None, token: bool, again: bool, asked: tuple[str, str, str], wall_us: int
+    ticket: QueueTicket | None,
+    has_token: bool,
+    is_retry: bool,
+    requested: tuple[str, str, str],
+    wall_us: int,
 ) -> TicketStatus:
-    """How one stands that asks for (client, title, room type)."""
-    if place is None:
-        return TicketStatus.INVENTED if token else TicketStatus.AGAIN if again else TicketStatus.FIRST
-    if (place.client, place.title, place.room_type) != asked:
+    """The status of a request.
+
+    Args:
+        ticket: the verified ticket that it presents.
+        has_token: whether it presents any text as a ticket.
+        is_retry: whether it is a further try.
+        requested: its client, title and service class, which a ticket must name.
+        wall_us: the wall time.
+    """
+    if ticket is None:
+        if has_token:
+            return TicketStatus.INVENTED
+        return TicketStatus.AGAIN if is_retry else TicketStatus.FIRST
+    if (ticket.client, ticket.title, ticket.room_type) != requested:
         return TicketStatus.INVENTED
-    if wall_us < place.earliest_us:
+    if wall_us < ticket.earliest_us:
         return TicketStatus.EARLY
-    return TicketStatus.DUE if wall_us <= place.latest_us else TicketStatus.LATE
+    return TicketStatus.DUE if wall_us <= ticket.latest_us else TicketStatus.LATE
 
 
 @dataclass(slots=True)
 class TokenBucket:
-    """What one class may still take, in set-ups; never below nothing."""
+    """The set-ups that one class of requests may still make; never below zero."""
 
     tokens: float = 0.0
 
-    def fill(self, more: float, most: float) -> float:
-        """Add; what is over is handed back."""
-        self.tokens += more
-        over = max(0.0, self.tokens - most)
-        self.tokens -= over
-        return over
+    def fill(self, added: float, capacity: float) -> float:
+        """Add tokens; what exceeds the bucket's capacity is returned."""
+        self.tokens += added
+        excess = max(0.0, self.tokens - capacity)
+        self.tokens -= excess
+        return excess
 
     def try_acquire(self, cost: float) -> bool:
-        """One set-up, at what it costs of the pace."""
+        """Take the tokens of one set-up; False where there are too few."""
         if self.tokens < cost:
             return False
         self.tokens -= cost
@@ -164,122 +180,137 @@
 
 @dataclass(slots=True)
 class WaitingQueue:
-    """The promise of one front for one title: its pace, and the time up to which places are given out.
+    """One front's virtual queue for one title: its rate, and the time up to which windows are handed out.
 
-    A queue for each title: held in one, those who wanted a title with room waited for those who did not (p90
-    of the wait 12.7 s, 6.0 s without damping). Times in microseconds.
+    Each title has a queue of its own: in a single one, those who wanted a title with capacity waited for
+    those who did not (p90 of the wait 12.7 s, 6.0 s without damping). Times in microseconds.
     """
 
     updated_us: int
-    pace: float = MIN_RATE_PER_S  # set-ups a second that are let in and promised
+    pace: float = MIN_RATE_PER_S  # set-ups a second that are admitted and handed out
     next_slot_us: int = 0
     served: int = 0
     let_in: float = 0.0
-    refused: float = 0.0  # of those let in, by the module
+    refused: float = 0.0  # of those admitted, by the policy
     is_rejecting: bool = False
-    served_per_s: float = 0.0  # set-ups served a second, smoothed
+    served_per_s: float = 0.0  # smoothed
     first_tries: TokenBucket = field(default_factory=TokenBucket)
     retries: TokenBucket = field(default_factory=TokenBucket)
-    mean_priority_weight: float = 0.0  # of those who ask, the mean
+    mean_priority_weight: float = 0.0
     request_count: int = 0
 
     def cost(self, priority_weight: float) -> float:
-        """What a set-up of this benefit costs of the pace; one of the mean benefit costs one.
+        """The tokens that a set-up of this priority weight costs; one of the mean weight costs one.
 
-        So room types share the pace as their benefits are to each other, and none is shut out.
+        So service classes share the rate in proportion to their weights, and none is shut out.
         """
         self.request_count += 1
-        self.mean_priority_weight += (priority_weight - self.mean_priority_weight) / min(
-            self.request_count, PRIORITY_WEIGHT_SAMPLES
-        )
-        return min(
-            MAX_COST,
-            max(
-                1 / MAX_COST, self.mean_priority_weight / priority_weight if priority_weight > 0 else MAX_COST
-            ),
-        )
+        samples = min(self.request_count, PRIORITY_WEIGHT_SAMPLES)
+        self.mean_priority_weight += (priority_weight - self.mean_priority_weight) / samples
+        if priority_weight <= 0:
+            return MAX_COST
+        return min(MAX_COST, max(1 / MAX_COST, self.mean_priority_weight / priority_weight))
 
     @property
     def room(self) -> AvailableCapacity:
-        """What the module made of those let in lately."""
+        """How the policy dealt with the requests admitted lately."""
         return AvailableCapacity.EXHAUSTED if self.is_rejecting else AvailableCapacity.AVAILABLE
 
     def advance(self, now_us: int) -> None:
-        """Time passes: the pace follows what can be served, and both classes' buckets fill.
-
-        What was served is no measure of what could be: in a calm it is what was asked for. So the pace
-        doubles each second while the module refuses next to nobody, and falls towards what was served while
-        it refuses.
-        """
-        seconds = (now_us - self.updated_us) / 1e6
-        if seconds < 0.25:
+        """Bring the queue up to now: the rate follows what can be served, and the buckets fill."""
+        elapsed_s = (now_us - self.updated_us) / US_PER_S
+        if elapsed_s < MIN_ADVANCE_S:
             return
-        rate = self.served / seconds
-        if self.let_in or self.refused or seconds >= MAX_BURST_S:
+        self._update_rate(elapsed_s)
+        self.updated_us = now_us
+        self.served = 0
+        # A title may be requested less than once in such a time: what came before counts on, by half.
+        self.let_in /= 2
+        self.refused /= 2
+        self._fill_buckets(min(elapsed_s, MAX_BURST_S))
+
+    def _update_rate(self, elapsed_s: float) -> None:
+        """Double the rate each second, or lower it towards what was served while the policy rejects.
+
+        What was served does not measure what could be: without a crowd it is what was requested.
+        """
+        if self.let_in or self.refused or elapsed_s >= MAX_BURST_S:
             self.is_rejecting = self.refused > MAX_REJECTED_FRACTION * self.let_in
-        self.served_per_s += (rate - self.served_per_s) * min(1.0, seconds / 2)
-        grown = self.pace * GROWTH_PER_S ** min(seconds, MAX_BURST_S)
-        self.pace = (
-            max(self.served_per_s * HEADROOM_FACTOR, self.pace * DECREASE_FACTOR)
-            if self.is_rejecting
-            else grown
-        )
-        self.pace = min(MAX_RATE_PER_S, max(MIN_RATE_PER_S, self.pace))
-        # One title is seldom asked for twice in such a span: what was before it counts on, by half.
-        self.updated_us, self.served = now_us, 0
-        self.let_in, self.refused = self.let_in / 2, self.refused / 2
-        gained, most = self.pace * min(seconds, MAX_BURST_S), max(MAX_COST, self.pace * MAX_BURST_S)
-        over = self.first_tries.fill(gained * FIRST_TRY_FRACTION, most)
-        over = self.retries.fill(gained * (1 - FIRST_TRY_FRACTION) + over, most)
-        # What one class leaves the other may have: no pace is lost while anybody waits.
-        self.first_tries.fill(over, most)
-
-    def admit(self, who: TicketStatus, cost: float = 1.0) -> bool:
-        """Whether the pace still has room for one of this standing."""
-        own, other = (
-            (self.first_tries, self.retries)
-            if who is TicketStatus.FIRST
-            else (self.retries, self.first_tries)
-        )
+        served_per_s = self.served / elapsed_s
+        self.served_per_s += (served_per_s - self.served_per_s) * min(1.0, elapsed_s / SMOOTHING_S)
+        if self.is_rejecting:
+            rate = max(self.served_per_s * HEADROOM_FACTOR, self.pace * DECREASE_FACTOR)
+        else:
+            rate = self.pace * GROWTH_PER_S ** min(elapsed_s, MAX_BURST_S)
+        self.pace = min(MAX_RATE_PER_S, max(MIN_RATE_PER_S, rate))
+
+    def _fill_buckets(self, elapsed_s: float) -> None:
+        gained = self.pace * elapsed_s
+        capacity = max(MAX_COST, self.pace * MAX_BURST_S)
+        excess = self.first_tries.fill(gained * FIRST_TRY_FRACTION, capacity)
+        excess = self.retries.fill(gained * (1 - FIRST_TRY_FRACTION) + excess, capacity)
+        # What one bucket can't hold the other may have: none of the rate is lost while anybody waits.
+        self.first_tries.fill(excess, capacity)
+
+    def admit(self, status: TicketStatus, cost: float = 1.0) -> bool:
+        """Whether the rate allows one more request of this status; if so its tokens are taken."""
+        own, other = self.first_tries, self.retries
+        if status is not TicketStatus.FIRST:
+            own, other = other, own
         if own.try_acquire(cost):
             return True
-        # Of the other class only what it has saved up over a second of its share is free to take.
-        return other.tokens > self.pace * FIRST_TRY_FRACTION + cost and other.try_acquire(cost)
+        # Of the other bucket only what it has saved up beyond a second of its part is free to take.
+        has_surplus = other.tokens > self.pace * FIRST_TRY_FRACTION + cost
+        return has_surplus and other.try_acquire(cost)
 
-    def soon(self, draw: float, vain: int) -> tuple[int, int]:
-        """The wait of one that has waited its time in vain, so many times: the least, doubled each time, the
-        half of it by chance.
+    def soon(self, draw: float, rejections: int) -> WaitWindow:
+        """An early window for one that was rejected again after its wait.
 
-        Sent to the end of the queue, those who did as they were told lost to those who had not; told the
-        least each time, they used up their tries (293 of 410 watched, 358 without damping).
+        The minimum wait, doubled for each such rejection, its upper half at random. At the queue's end those
+        who kept to their windows lost to those who had not; with the minimum each time they used up their
+        tries (293 of 410 watched, 358 without damping).
+
+        Args:
+            draw: a random number, from 0 up to 1.
+            rejections: how often it was rejected after its wait.
         """
-        most_us = min(MAX_WAIT_US, LEAST_WAIT_US << min(vain, MAX_DOUBLINGS))
-        wait_us = max(LEAST_WAIT_US, round(most_us * (0.5 + draw / 2)))
-        return wait_us, wait_us + SPAN_LEAST_US
+        max_wait_us = min(MAX_WAIT_US, LEAST_WAIT_US << min(rejections, MAX_DOUBLINGS))
+        wait_us = max(LEAST_WAIT_US, _jittered(max_wait_us, draw))
+        return WaitWindow(wait_us, wait_us + SPAN_LEAST_US)
 
     def promise(
-        self, now_us: int, most_us: int | None, draw: float, reserves: bool = True
-    ) -> tuple[int, int]:
-        """The earliest and latest wait of the next place, from now; without `reserves` it is nobody's.
-
-        One place after another at the pace. A client that heeds no wait beyond `most_us` is told a time
-        within it, spread over its upper half, since a longer one would be taken for none.
+        self, now_us: int, max_wait_us: int | None, draw: float, is_reserved: bool = True
+    ) -> WaitWindow:
+        """The window at the queue's end: one after another at the queue's rate.
+
+        Args:
+            now_us: the time.
+            max_wait_us: the longest Retry-After that the client accepts; None for any. A longer wait is
+                replaced by one within it, over its upper half, since the client would ignore the longer one.
+            draw: a random number, from 0 up to 1.
+            is_reserved: whether the window is the client's own; else the next one may get it as well.
         """
-        next_us = max(self.next_slot_us + round(1e6 / self.pace), now_us + LEAST_WAIT_US)
-        wait_us = next_us - now_us
-        if reserves:
-            self.next_slot_us = min(next_us, now_us + MAX_WAIT_US)
+        slot_us = max(self.next_slot_us + round(US_PER_S / self.pace), now_us + LEAST_WAIT_US)
+        if is_reserved:
+            self.next_slot_us = min(slot_us, now_us + MAX_WAIT_US)
+        wait_us = slot_us - now_us
         if wait_us > MAX_WAIT_US:
-            wait_us = round(MAX_WAIT_US * (0.5 + draw / 2))
-        if most_us is not None and wait_us > max(most_us, LEAST_WAIT_US):
-            wait_us = round(max(most_us, LEAST_WAIT_US) * (0.5 + draw / 2))
-            wait_us = max(LEAST_WAIT_US, wait_us)
-        span_us = max(SPAN_LEAST_US, round(wait_us * WINDOW_FRACTION))
-        return wait_us, wait_us + span_us
+            wait_us = _jittered(MAX_WAIT_US, draw)
+        if max_wait_us is not None:
+            accepted_us = max(max_wait_us, LEAST_WAIT_US)
+            if wait_us > accepted_us:
+                wait_us = max(LEAST_WAIT_US, _jittered(accepted_us, draw))
+        length_us = max(SPAN_LEAST_US, round(wait_us * WINDOW_FRACTION))
+        return WaitWindow(wait_us, wait_us + length_us)
+
+
+def _jittered(wait_us: int, draw: float) -> int:
+    """A wait spread at random over its upper half."""
+    return round(wait_us * (0.5 + draw / 2))
 
 
 class WaitingRoom:
-    """A queue for each title asked for lately, a bounded number; the one longest unused goes first."""
+    """A queue for each title requested lately, a bounded number; the least recently used is evicted."""
 
     def __init__(self) -> None:
         self.by_title: OrderedDict[str, WaitingQueue] = OrderedDict()
@@ -296,5 +327,5 @@
         return queue
 
     def waiting(self, now_us: int) -> dict[str, float]:
-        """For titles whose places reach past now, the pace."""
+        """The rates of titles whose windows reach past now."""
         return {title: queue.pace for title, queue in self.by_title.items() if queue.next_slot_us > now_us}
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -79,7 +79,8 @@
         )
         self.assertIs(self.check(late), CommandVerdict.GRANTED)
         self.assertIs(
-            self.check(late, wall_us=WALL + 2 * command_authorization.MAX_CLOCK_SKEW_US), CommandVerdict.REPLAYED
+            self.check(late, wall_us=WALL + 2 * command_authorization.MAX_CLOCK_SKEW_US),
+            CommandVerdict.REPLAYED,
         )
 
     def test_what_is_amiss_has_its_word(self) -> None:
@@ -153,7 +154,11 @@
         done, failed = CallOutcome("a", ReachStatus.DONE), CallOutcome("b", ReachStatus.REFUSED)
         for word in ReachStatus:
             found = reachability.ended([done, CallOutcome("c", word)], True)
-            expected = ExitCode.SOME_INDETERMINATE if word in reachability.INDETERMINATE_STATUSES else ExitCode.SOME_FAILED
+            expected = (
+                ExitCode.SOME_INDETERMINATE
+                if word in reachability.INDETERMINATE_STATUSES
+                else ExitCode.SOME_FAILED
+            )
             self.assertIs(found, ExitCode.ALL_DONE if word is ReachStatus.DONE else expected)
         self.assertIs(
             reachability.ended([failed, CallOutcome("c", ReachStatus.SILENT)], False), ExitCode.SOME_FAILED
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -17,6 +17,7 @@
     KeyAction,
     KeyEvent,
     IdempotencyTable,
+    KeyName,
     KeyState,
 )
 from fennelcove.settings.schema import StoreSettings
@@ -24,19 +25,26 @@
 from fennelcove.emulators.clients import Unanswered
 from tests.rig import WholePath, wait_for
 
-NAME = ("client", "key")
+NAME = KeyName("client", "key")
 
 
 class TableTest(unittest.TestCase):
     def test_it_is_total_and_a_set_up_runs_from_free_alone(self) -> None:
         self.assertEqual(set(TRANSITIONS), {(stage, cue) for stage in KeyState for cue in KeyEvent})
-        running = [stage for stage in KeyState if TRANSITIONS[stage, KeyEvent.REQUESTED][1] is KeyAction.RUN]
+        running = [
+            stage
+            for stage in KeyState
+            if TRANSITIONS.apply(stage, KeyEvent.REQUESTED).actions == (KeyAction.RUN,)
+        ]
         self.assertEqual(running, [KeyState.UNUSED])
         for stage in (KeyState.CLOSED, KeyState.INDETERMINATE):
             self.assertEqual(
-                {TRANSITIONS[stage, cue][0] for cue in KeyEvent}, {stage}, "there is no way back"
+                {TRANSITIONS.apply(stage, cue).state for cue in KeyEvent}, {stage}, "there is no way back"
             )
-        self.assertIs(TRANSITIONS[KeyState.IN_PROGRESS, KeyEvent.RESTARTED_NOT_REPEATABLE][0], KeyState.INDETERMINATE)
+        self.assertIs(
+            TRANSITIONS.apply(KeyState.IN_PROGRESS, KeyEvent.RESTARTED_NOT_REPEATABLE).state,
+            KeyState.INDETERMINATE,
+        )
 
     @given(st.lists(st.sampled_from(list(KeyEvent)), max_size=40), st.booleans())
     @settings(max_examples=200)
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -21,6 +21,7 @@
     SeatAction,
     SeatEvent,
     SeatLeases,
+    SeatPool,
     SeatState,
     SeatTransition,
     replay_counts,
@@ -29,17 +30,21 @@
 from fennelcove.emulators.sockets import SocketPlayer
 from tests.rig import WholePath, wait_for
 
-POOL, LONG = ("t1", "few"), 1000
+POOL, LONG = SeatPool("t1", "few"), 1000
 
 
 class SeatsTest(unittest.TestCase):
     def test_the_table_is_total_and_a_seat_is_counted_and_freed_once(self) -> None:
         self.assertEqual(set(TRANSITIONS), {(stage, cue) for stage in SeatState for cue in SeatEvent})
-        for (stage, cue), (after, act) in TRANSITIONS.items():
+        for stage, cue in TRANSITIONS:
+            transition = TRANSITIONS.apply(stage, cue)
+            after, (act,) = transition.state, transition.actions
             self.assertEqual(
                 act is SeatAction.COUNT, stage is SeatState.UNHELD and after is SeatState.HELD, cue
             )
-            self.assertEqual(act is SeatAction.FREE, stage is SeatState.HELD and after is SeatState.RELEASED, cue)
+            self.assertEqual(
+                act is SeatAction.FREE, stage is SeatState.HELD and after is SeatState.RELEASED, cue
+            )
 
     def test_ten_thousand_mixed_steps_agree_with_an_independent_count(self) -> None:
         chance, seats, steps, now = random.Random(4), SeatLeases(), list[SeatTransition](), 0
@@ -102,7 +107,8 @@
                 self.assertEqual(again.counts, seats.counts)
                 for name, seat in seats.held.items():
                     self.assertEqual(
-                        (again.held[name].until_us, again.held[name].renewal_keys), (seat.until_us, seat.renewal_keys)
+                        (again.held[name].until_us, again.held[name].renewal_keys),
+                        (seat.until_us, seat.renewal_keys),
                     )
                 seats = again
 
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -170,14 +170,15 @@
         }
         self.assertLessEqual(paced, set(waiting_room.TURNED_AWAY))
         self.assertIs(
-            waiting_room.TRANSITIONS[TicketStatus.INVENTED, AvailableCapacity.AVAILABLE], QueueDecision.GUEST_PLACE
+            waiting_room.TRANSITIONS[TicketStatus.INVENTED, AvailableCapacity.AVAILABLE],
+            QueueDecision.GUEST_PLACE,
         )
 
     def test_a_place_for_one_that_may_hold_one_already_moves_nobody_back(self) -> None:
         queue = WaitingQueue(0, pace=5.0)
         before = queue.promise(0, None, 0.5)[0]
         for _ in range(50):
-            queue.promise(0, None, 0.5, reserves=False)
+            queue.promise(0, None, 0.5, is_reserved=False)
         self.assertEqual(queue.promise(0, None, 0.5)[0] - before, SECOND // 5)
 
     @given(
