--- a/packages/decisions-operators/src/fennelcove/decisions/operators/command_authorization.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/command_authorization.py
@@ -1,35 +1,40 @@
-"""Which commands of operators a front carries out: sealed, for this front, fresh, not seen before, permitted.
+"""Authorization of operators' commands: signed, for this front, fresh, not replayed, and permitted.
 
-A command is sealed with a key that both sides hold, over all that it says: who it is for, method, path, body,
-when it was made and a number used once. So it can't be altered, sent to another front, or sent again.
+A command is signed with a key that both sides hold, over everything in it: the front it is for, method, path,
+body, when it was made, and a nonce. So it can't be altered, sent to another front, or sent again.
 """
 
 from __future__ import annotations
 
 import base64
+import hmac
 from collections import OrderedDict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 from fennelcove.decisions.clients.signed_tokens import Mac
 
 HEADER = "fennelcove-command"
-MAX_CLOCK_SKEW_US = 60_000_000  # clocks of operators' machines and fronts may differ by so much
+HEADER_PARTS = 4
+MAX_CLOCK_SKEW_US = 60_000_000  # between the machines of operators and fronts
 MAX_NONCES = 10_000
 MAX_NONCE_CHARS = 32
+MAX_TIME_DIGITS = 20
+MAC_BYTES = 16
 
 
 class CommandVerdict(Enum):
-    """What a front makes of a command."""
+    """Whether a command is authorized."""
 
     GRANTED = "granted"
-    UNSEALED = "unsealed"  # no seal, or none that can be read
-    WRONG_KEY = "wrong-key"  # made under no key of ours, or altered, or for another front
-    STALE = "stale"  # its time is too far from ours
+    UNSEALED = "unsealed"  # no signature, or a malformed one
+    WRONG_KEY = "wrong-key"  # signed under no key of this front, or altered, or for another front
+    STALE = "stale"  # made too long ago, or in the future
     REPLAYED = "replayed"
     NOT_PERMITTED = "not-permitted"
-    BUSY = "busy"  # more commands in the window than can be told apart
+    BUSY = "busy"  # more commands than nonces can be remembered
 
 
 REMEDIES: dict[CommandVerdict, str] = {
@@ -45,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SignedCommand:
-    """What is sealed."""
+    """Everything that the signature covers."""
 
     front: str
     method: str
@@ -55,21 +60,54 @@
     nonce: str
 
     def signed_bytes(self) -> bytes:
-        """The bytes under the seal; lengths keep two fields from being read as one."""
-        parts = [self.front, self.method, self.path, str(self.wall_us), self.nonce]
-        return b"".join(b"%d:%b" % (len(part), part) for part in [*(p.encode() for p in parts), self.body])
+        """The bytes that are signed; their lengths keep two fields from being read as one."""
+        texts = (self.front, self.method, self.path, str(self.wall_us), self.nonce)
+        parts = [text.encode() for text in texts]
+        parts.append(self.body)
+        return b"".join(b"%d:%b" % (len(part), part) for part in parts)
 
+    def signature(self, mac: Mac) -> str:
+        """The signature under a key's MAC, as text."""
+        return base64.urlsafe_b64encode(mac(self.signed_bytes())).decode().rstrip("=")
 
-def sign_command(command: SignedCommand, key: str, mac: Mac) -> str:
-    """The header field of a command, under a key of this name."""
-    mark = base64.urlsafe_b64encode(mac(command.signed_bytes())).decode().rstrip("=")
-    return f"{key}:{command.wall_us}:{command.nonce}:{mark}"
+
+def sign_command(command: SignedCommand, key_name: str, mac: Mac) -> str:
+    """The header field of a command, under the key of this name."""
+    return f"{key_name}:{command.wall_us}:{command.nonce}:{command.signature(mac)}"
+
+
+class CommandKey(NamedTuple):
+    """A key that signs commands."""
+
+    mac: Mac
+    may_change: bool  # whether it permits commands that change anything
+
+
+class CommandCheck(NamedTuple):
+    """The verdict on a command, and the name of its key; empty where the signature is malformed."""
+
+    verdict: CommandVerdict
+    key_name: str
+
+
+class _Signature(NamedTuple):
+    """The header field of a command."""
+
+    key_name: str
+    wall_us: int
+    nonce: str
+    signature: str
+
+
+MALFORMED = CommandCheck(CommandVerdict.UNSEALED, "")
 
 
 @dataclass(slots=True)
 class CommandAuthorizer:
-    """One front's memory of commands; the caller holds the lock. Keys are by name: a MAC, and whether it
-    may change anything."""
+    """One front's keys and the nonces of recent commands; the caller holds the lock.
+
+    Keys are by name: a MAC, and whether it permits changes, as `CommandKey`.
+    """
 
     front: str
     keys: Mapping[str, tuple[Mac, bool]]
@@ -77,50 +115,74 @@
 
     def check(
         self, header: str | None, method: str, path: str, body: bytes, changes: bool, wall_us: int
-    ) -> tuple[CommandVerdict, str]:
-        """Rule on one; the verdict, and the name of its key."""
-        parts = (header or "").split(":")
-        if len(parts) != 4 or not parts[1].isdigit() or len(parts[1]) > 20:
-            return CommandVerdict.UNSEALED, ""
-        key, told, nonce, mark = parts
-        if not 0 < len(nonce) <= MAX_NONCE_CHARS:
-            return CommandVerdict.UNSEALED, ""
-        held = self.keys.get(key)
-        command = SignedCommand(self.front, method, path, body, int(told), nonce)
-        # Without such a key one is made up, so that the answer takes as long.
-        mac = held[0] if held is not None else _unknown_key_mac
-        fits = _same(sign_command(command, key, mac).rpartition(":")[2], mark)
-        if held is None or not fits:
-            return CommandVerdict.WRONG_KEY, key
-        if abs(wall_us - command.wall_us) > MAX_CLOCK_SKEW_US:
-            return CommandVerdict.STALE, key
+    ) -> CommandCheck:
+        """Decide on a command.
+
+        Args:
+            header: its header field with the signature.
+            method: its HTTP method.
+            path: its path.
+            body: its body.
+            changes: whether it changes anything.
+            wall_us: the wall time in microseconds.
+        """
+        signature = _parse(header or "")
+        if signature is None:
+            return MALFORMED
+        command = SignedCommand(self.front, method, path, body, signature.wall_us, signature.nonce)
+        key = self._verified_key(command, signature)
+        if key is None:
+            verdict = CommandVerdict.WRONG_KEY
+        elif abs(wall_us - command.wall_us) > MAX_CLOCK_SKEW_US:
+            verdict = CommandVerdict.STALE
+        else:
+            verdict = self._use_nonce(signature, wall_us)
+            if verdict is CommandVerdict.GRANTED and changes and not key.may_change:
+                verdict = CommandVerdict.NOT_PERMITTED
+        return CommandCheck(verdict, signature.key_name)
+
+    def _verified_key(self, command: SignedCommand, signature: _Signature) -> CommandKey | None:
+        """The key under which the command is signed; None where it is not."""
+        pair = self.keys.get(signature.key_name)
+        key = CommandKey(*pair) if pair is not None else None
+        # Without such a key another one is used, so that the response takes as long.
+        mac = key.mac if key is not None else _unknown_key_mac
+        expected = command.signature(mac).encode()
+        presented = signature.signature.encode("utf-8", "replace")
+        return key if hmac.compare_digest(expected, presented) else None
+
+    def _use_nonce(self, signature: _Signature, wall_us: int) -> CommandVerdict:
+        """Remember the command's nonce: granted where it is new."""
         self._evict_expired(wall_us)
-        if f"{key}:{nonce}" in self.nonces:
-            return CommandVerdict.REPLAYED, key
+        nonce = f"{signature.key_name}:{signature.nonce}"
+        if nonce in self.nonces:
+            return CommandVerdict.REPLAYED
         if len(self.nonces) >= MAX_NONCES:
-            return CommandVerdict.BUSY, key
-        self.nonces[f"{key}:{nonce}"] = command.wall_us
-        if changes and not held[1]:
-            return CommandVerdict.NOT_PERMITTED, key
-        return CommandVerdict.GRANTED, key
+            return CommandVerdict.BUSY
+        self.nonces[nonce] = signature.wall_us
+        return CommandVerdict.GRANTED
 
     def _evict_expired(self, wall_us: int) -> None:
         while self.nonces:
-            name, at_us = next(iter(self.nonces.items()))
-            # Kept for both ends of the window: one made a minute ahead may come for two.
-            if wall_us - at_us <= 2 * MAX_CLOCK_SKEW_US:
+            nonce, made_wall_us = next(iter(self.nonces.items()))
+            # Remembered for twice the skew: a command made a minute ahead is fresh for two.
+            if wall_us - made_wall_us <= 2 * MAX_CLOCK_SKEW_US:
                 return
-            del self.nonces[name]
+            del self.nonces[nonce]
 
 
-def _unknown_key_mac(raw: bytes) -> bytes:
-    return bytes(16)
+def _parse(header: str) -> _Signature | None:
+    """The parts of a header field; None where it is malformed."""
+    parts = header.split(":")
+    if len(parts) != HEADER_PARTS:
+        return None
+    key_name, wall_us, nonce, signature = parts
+    if not wall_us.isdigit() or len(wall_us) > MAX_TIME_DIGITS:
+        return None
+    if not 0 < len(nonce) <= MAX_NONCE_CHARS:
+        return None
+    return _Signature(key_name, int(wall_us), nonce, signature)
 
 
-def _same(one: str, other: str) -> bool:
-    if len(one) != len(other):
-        return False
-    differs = 0
-    for a, b in zip(one.encode(), other.encode("utf-8", "replace"), strict=False):
-        differs |= a ^ b
-    return differs == 0
+def _unknown_key_mac(raw: bytes) -> bytes:
+    return bytes(MAC_BYTES)
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/convergence.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/convergence.py
@@ -1,49 +1,54 @@
-"""Waiting for many fronts to come to a state: who is there, who is not yet, and when to stop asking."""
+"""Waiting for many fronts to reach a state: which have, which have not yet, and when to stop polling."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import Never
 
 from fennelcove.decisions.operators.reachability import CallOutcome, ReachStatus
+from fennelcove.state_machine import Transition, TransitionTable
 
 POLL_INTERVAL_US = 500_000
-CONFIRMATIONS = 2  # answers in a row that say so: a front about to be handed work may be empty for a moment
+# Responses in a row that must match: a front about to be given work may be empty for a moment.
+CONFIRMATIONS = 2
 
 
 class ConvergenceState(Enum):
-    """How one front stands towards what is waited for."""
+    """Whether one front has reached the desired state."""
 
     UNSEEN = auto()
     NOT_YET = auto()
     THERE = auto()
-    MUTE = auto()  # its last answer did not come
+    MUTE = auto()  # the last poll got no response
 
 
 class ConvergenceEvent(Enum):
-    """What its newest answer says."""
+    """What the latest poll of a front shows."""
 
     MATCHED = auto()
     DIFFERED = auto()
     NO_RESPONSE = auto()
 
 
-TRANSITIONS: dict[tuple[ConvergenceState, ConvergenceEvent], ConvergenceState] = {
-    (ConvergenceState.UNSEEN, ConvergenceEvent.MATCHED): ConvergenceState.THERE,
-    (ConvergenceState.UNSEEN, ConvergenceEvent.DIFFERED): ConvergenceState.NOT_YET,
-    (ConvergenceState.UNSEEN, ConvergenceEvent.NO_RESPONSE): ConvergenceState.MUTE,
-    (ConvergenceState.NOT_YET, ConvergenceEvent.MATCHED): ConvergenceState.THERE,
-    (ConvergenceState.NOT_YET, ConvergenceEvent.DIFFERED): ConvergenceState.NOT_YET,
-    (ConvergenceState.NOT_YET, ConvergenceEvent.NO_RESPONSE): ConvergenceState.MUTE,
-    (ConvergenceState.THERE, ConvergenceEvent.MATCHED): ConvergenceState.THERE,
-    (ConvergenceState.THERE, ConvergenceEvent.DIFFERED): ConvergenceState.NOT_YET,
-    # One that was there and says nothing any more is not there: nobody knows.
-    (ConvergenceState.THERE, ConvergenceEvent.NO_RESPONSE): ConvergenceState.MUTE,
-    (ConvergenceState.MUTE, ConvergenceEvent.MATCHED): ConvergenceState.THERE,
-    (ConvergenceState.MUTE, ConvergenceEvent.DIFFERED): ConvergenceState.NOT_YET,
-    (ConvergenceState.MUTE, ConvergenceEvent.NO_RESPONSE): ConvergenceState.MUTE,
-}
+TRANSITIONS: TransitionTable[ConvergenceState, ConvergenceEvent, Never] = TransitionTable(
+    {
+        (ConvergenceState.UNSEEN, ConvergenceEvent.MATCHED): Transition(ConvergenceState.THERE),
+        (ConvergenceState.UNSEEN, ConvergenceEvent.DIFFERED): Transition(ConvergenceState.NOT_YET),
+        (ConvergenceState.UNSEEN, ConvergenceEvent.NO_RESPONSE): Transition(ConvergenceState.MUTE),
+        (ConvergenceState.NOT_YET, ConvergenceEvent.MATCHED): Transition(ConvergenceState.THERE),
+        (ConvergenceState.NOT_YET, ConvergenceEvent.DIFFERED): Transition(ConvergenceState.NOT_YET),
+        (ConvergenceState.NOT_YET, ConvergenceEvent.NO_RESPONSE): Transition(ConvergenceState.MUTE),
+        (ConvergenceState.THERE, ConvergenceEvent.MATCHED): Transition(ConvergenceState.THERE),
+        (ConvergenceState.THERE, ConvergenceEvent.DIFFERED): Transition(ConvergenceState.NOT_YET),
+        # A front that had converged and no longer responds may have changed: its state is unknown.
+        (ConvergenceState.THERE, ConvergenceEvent.NO_RESPONSE): Transition(ConvergenceState.MUTE),
+        (ConvergenceState.MUTE, ConvergenceEvent.MATCHED): Transition(ConvergenceState.THERE),
+        (ConvergenceState.MUTE, ConvergenceEvent.DIFFERED): Transition(ConvergenceState.NOT_YET),
+        (ConvergenceState.MUTE, ConvergenceEvent.NO_RESPONSE): Transition(ConvergenceState.MUTE),
+    }
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,13 +59,18 @@
     max_sessions: int | None = None
 
     def compare(self, outcome: CallOutcome) -> ConvergenceEvent:
-        """What an answer says about it."""
+        """Compare a front's status response with the desired state."""
         if outcome.word is not ReachStatus.DONE:
             return ConvergenceEvent.NO_RESPONSE
-        phase, held = outcome.said.get("phase"), outcome.said.get("held")
-        fits = self.phase in (None, phase)
-        fits &= self.max_sessions is None or (isinstance(held, int) and held <= self.max_sessions)
-        return ConvergenceEvent.MATCHED if fits else ConvergenceEvent.DIFFERED
+        has_phase = self.phase in (None, outcome.said.get("phase"))
+        if has_phase and self._allows_sessions(outcome.said.get("held")):
+            return ConvergenceEvent.MATCHED
+        return ConvergenceEvent.DIFFERED
+
+    def _allows_sessions(self, sessions: object) -> bool:
+        if self.max_sessions is None:
+            return True
+        return isinstance(sessions, int) and sessions <= self.max_sessions
 
 
 @dataclass(slots=True)
@@ -73,23 +83,24 @@
     consecutive_matches: dict[str, int] = field(default_factory=dict)
 
     def hear(self, outcomes: Iterable[CallOutcome]) -> None:
-        """One round of answers."""
+        """Record one round of polls."""
         for outcome in outcomes:
-            event, name = self.desired.compare(outcome), outcome.name
-            self.stages[name] = TRANSITIONS[self.stages.get(name, ConvergenceState.UNSEEN), event]
-            self.consecutive_matches[name] = (
-                self.consecutive_matches.get(name, 0) + 1 if event is ConvergenceEvent.MATCHED else 0
-            )
+            self._record(outcome.name, self.desired.compare(outcome))
+
+    def _record(self, front: str, event: ConvergenceEvent) -> None:
+        state = self.stages.get(front, ConvergenceState.UNSEEN)
+        self.stages[front] = TRANSITIONS.apply(state, event).state
+        has_matched = event is ConvergenceEvent.MATCHED
+        self.consecutive_matches[front] = self.consecutive_matches.get(front, 0) + 1 if has_matched else 0
 
     @property
     def there(self) -> bool:
-        """Whether every front is, and said so often enough."""
-        return bool(self.consecutive_matches) and all(
-            count >= CONFIRMATIONS for count in self.consecutive_matches.values()
-        )
+        """Whether every front has reached the desired state, in enough polls in a row."""
+        matches = self.consecutive_matches.values()
+        return bool(matches) and all(count >= CONFIRMATIONS for count in matches)
 
     def pause_us(self, now_us: int) -> int | None:
-        """How long until the next round; None where there is no use or no time for one."""
+        """How long until the next round; None where the wait is over."""
         if self.there or now_us >= self.deadline_us:
             return None
         return min(POLL_INTERVAL_US, self.deadline_us - now_us)
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/reachability.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/reachability.py
@@ -1,7 +1,7 @@
-"""What became of one front that was asked or told something: a word for each way in which it can fail.
+"""What became of a call to one front, with a status for each way in which it can fail.
 
-Whether a command took effect is known only from an answer. Where none came whole after it was sent, it may
-have: that is a word of its own, and never counted as done or as failed.
+Whether a command took effect is known only from a response. Where no complete response came after it was
+sent, it may have: such a call is indeterminate, and never counts as done or as failed.
 """
 
 from __future__ import annotations
@@ -9,32 +9,33 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from http import HTTPStatus
 
 
 class ReachStatus(Enum):
-    """One front's outcome."""
+    """The status of one call."""
 
     DONE = "done"
     UNRESOLVED = "unresolved"  # no such host
-    REFUSED = "refused"  # nobody listens there
+    REFUSED = "refused"  # nothing listens there
     UNREACHABLE = "unreachable"  # no connection within its time
-    SILENT = "silent"  # connected, and nothing came
-    CUT_SHORT = "cut-short"  # an answer began and did not end
-    GARBLED = "garbled"  # what came is no answer
+    SILENT = "silent"  # connected, and no response
+    CUT_SHORT = "cut-short"  # a response began and was not completed
+    GARBLED = "garbled"  # the response is malformed
     WRONG_KEY = "wrong-key"
     NOT_PERMITTED = "not-permitted"
-    OTHER_FRONT = "other-front"  # another name than the inventory's
-    DECLINED = "declined"  # it answered, and would not
-    NOT_ASKED = "not-asked"  # the whole time was over before its turn
+    OTHER_FRONT = "other-front"  # it has another name than in the inventory
+    DECLINED = "declined"  # it responded with an error
+    NOT_ASKED = "not-asked"  # the time for all calls was over before its turn
 
 
 class CallResult(Enum):
-    """How far it came."""
+    """How far the call came."""
 
     RESOLVING = auto()
     CONNECTING = auto()
     SENT = auto()
-    BYTES = auto()
+    BYTES = auto()  # a response began
 
 
 class CallFailure(Enum):
@@ -42,8 +43,8 @@
 
     NO_HOST = auto()
     REFUSED = auto()
-    TIME = auto()
-    HUNG_UP = auto()
+    TIME = auto()  # it timed out
+    HUNG_UP = auto()  # the front closed the connection
     NO_HTTP = auto()
 
 
@@ -69,13 +70,20 @@
     (CallResult.BYTES, CallFailure.HUNG_UP): ReachStatus.CUT_SHORT,
     (CallResult.BYTES, CallFailure.NO_HTTP): ReachStatus.GARBLED,
 }
-# Sent, and no whole answer: a command may have taken effect.
+
+# Sent without a complete response: a command may have taken effect.
 INDETERMINATE_STATUSES = frozenset({ReachStatus.SILENT, ReachStatus.CUT_SHORT, ReachStatus.GARBLED})
 
+SUCCESS_CODES = frozenset({HTTPStatus.OK, HTTPStatus.CREATED, HTTPStatus.NO_CONTENT})
+STATUS_BY_ERROR_CODE = {
+    HTTPStatus.UNAUTHORIZED: ReachStatus.WRONG_KEY,
+    HTTPStatus.FORBIDDEN: ReachStatus.NOT_PERMITTED,
+}
+
 
 @dataclass(frozen=True, slots=True)
 class CallOutcome:
-    """What became of one front; `said` is its answer's body."""
+    """What became of one call: the front's name, the status, and the body of its response."""
 
     name: str
     word: ReachStatus
@@ -85,40 +93,39 @@
 
     @property
     def unknown(self) -> bool:
-        """Whether it may have carried out what it was told."""
+        """Whether the front may have carried out the command."""
         return self.word in INDETERMINATE_STATUSES
 
 
-def answered(name: str, status: int, body: dict[str, object], took_us: int) -> CallOutcome:
-    """What a whole answer means."""
+def answered(name: str, http_status: int, body: dict[str, object], took_us: int) -> CallOutcome:
+    """The outcome of a call that got a complete response."""
     front = str(body.get("front", ""))
     detail = str(body.get("detail", ""))
-    if status in (200, 201, 204):
+    if http_status in SUCCESS_CODES:
         if front and front != name:
             return CallOutcome(name, ReachStatus.OTHER_FRONT, f"it calls itself {front}", body, took_us)
         return CallOutcome(name, ReachStatus.DONE, "", body, took_us)
-    if status == 401:
-        return CallOutcome(name, ReachStatus.WRONG_KEY, detail, body, took_us)
-    if status == 403:
-        return CallOutcome(name, ReachStatus.NOT_PERMITTED, detail, body, took_us)
-    return CallOutcome(name, ReachStatus.DECLINED, f"{status} {detail}".strip(), body, took_us)
+    if http_status in STATUS_BY_ERROR_CODE:
+        status = STATUS_BY_ERROR_CODE[HTTPStatus(http_status)]
+        return CallOutcome(name, status, detail, body, took_us)
+    return CallOutcome(name, ReachStatus.DECLINED, f"{http_status} {detail}".strip(), body, took_us)
 
 
 class ExitCode(Enum):
-    """How a whole call ended, as exit status."""
+    """The exit status of a command line call to many fronts."""
 
     ALL_DONE = 0
     SOME_FAILED = 1
     SOME_INDETERMINATE = 3
 
 
-def ended(outcomes: Iterable[CallOutcome], commands: bool) -> ExitCode:
-    """The exit status of a call; a question that got no answer has failed, a command may have been heard."""
+def ended(outcomes: Iterable[CallOutcome], is_command: bool) -> ExitCode:
+    """The exit status of calls to many fronts.
+
+    A query without a response has failed; a command without one may have taken effect.
+    """
     found = list(outcomes)
-    if commands and any(outcome.unknown for outcome in found):
+    if is_command and any(outcome.unknown for outcome in found):
         return ExitCode.SOME_INDETERMINATE
-    return (
-        ExitCode.ALL_DONE
-        if all(outcome.word is ReachStatus.DONE for outcome in found)
-        else ExitCode.SOME_FAILED
-    )
+    is_all_done = all(outcome.word is ReachStatus.DONE for outcome in found)
+    return ExitCode.ALL_DONE if is_all_done else ExitCode.SOME_FAILED
