--- a/packages/decisions-clients/src/fennelcove/decisions/clients/admission.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/admission.py
@@ -14,7 +14,7 @@
 
 
 class AdmissionState(Enum):
-    """Whether the front accepts new work."""
+    """Whether the front accepts new work; member names appear in the status response."""
 
     OPEN = auto()
     DRAINING = auto()  # an operator wants no new work here; sessions go on, and the front may be opened again
@@ -22,7 +22,7 @@
 
 
 class AdmissionEvent(Enum):
-    """What an operator or the shutdown does with the front."""
+    """What an operator or the shutdown does with the front; member names appear in logs."""
 
     DRAIN = auto()
     UNDRAIN = auto()
@@ -46,7 +46,7 @@
 
 
 class Entry(Enum):
-    """What asks for admission."""
+    """What asks for admission; member names appear in counters."""
 
     CONNECTION = auto()
     REQUEST = auto()  # a set-up that will wait for its response
@@ -54,7 +54,7 @@
 
 
 class AdmissionDecision(Enum):
-    """What becomes of it."""
+    """What becomes of it; member names appear in counters."""
 
     LET_IN = auto()
     FULL = auto()  # respond with 503 at once: a bound is reached
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/idempotency.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/idempotency.py
@@ -48,7 +48,7 @@
 
 
 class KeyAction(Enum):
-    """How a request under a key is answered."""
+    """How a request under a key is answered; member names appear in counters."""
 
     RUN = auto()
     COME_BACK = auto()  # with a Retry-After: the first one is in progress
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/retry_storm.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/retry_storm.py
@@ -24,7 +24,7 @@
 
 
 class StormState(Enum):
-    """Whether the front is in a retry storm."""
+    """Whether the front is in a retry storm; member names appear in the status response and in logs."""
 
     CALM = auto()
     RISING = auto()
@@ -33,7 +33,7 @@
 
 
 class StormSignal(Enum):
-    """What one window shows."""
+    """What one window shows; member names appear in the status response."""
 
     HOT = auto()  # far more requests than usual, and many rejected
     CROWD = auto()  # far more requests than usual
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/seat_leases.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/seat_leases.py
@@ -43,7 +43,7 @@
 
 
 class SeatAction(Enum):
-    """What follows."""
+    """What follows; member names appear in counters."""
 
     COUNT = auto()
     EXTEND = auto()
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/waiting_room.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/waiting_room.py
@@ -57,7 +57,7 @@
 
 
 class TicketStatus(Enum):
-    """What a request shows about its place in the queue."""
+    """What a request shows about its place in the queue; member names appear in responses and counters."""
 
     FIRST = auto()  # a first try
     AGAIN = auto()  # a retry without a ticket
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/convergence.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/convergence.py
@@ -16,7 +16,7 @@
 
 
 class ConvergenceState(Enum):
-    """Whether one front has reached the desired state."""
+    """Whether one front has reached the desired state; member names are printed by the command line."""
 
     UNSEEN = auto()
     NOT_YET = auto()
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/endpoint_list.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/endpoint_list.py
@@ -37,7 +37,7 @@
 
 
 class ListDecision(Enum):
-    """What became of a message."""
+    """What became of a message; member names appear in counters."""
 
     TAKEN = auto()
     OLD = auto()  # not newer than the version in force
