--- a/packages/decisions-clients/src/fennelcove/decisions/clients/count_min_sketch.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/count_min_sketch.py
@@ -23,11 +23,11 @@
 class CountMinSketch:
     """A count of names over a sliding window.
 
-    `hash` must return at least `HASH_BYTES_PER_ROW * DEPTH` bytes.
+    `hash_function` must return at least `HASH_BYTES_PER_ROW * DEPTH` bytes.
     """
 
-    def __init__(self, hash: Hash, now_us: int) -> None:
-        self.hash = hash
+    def __init__(self, hash_function: Hash, now_us: int) -> None:
+        self.hash_function = hash_function
         self.current = _empty_counters()
         self.previous = _empty_counters()
         self.window_started_us = now_us
@@ -49,7 +49,7 @@
         self.window_started_us += windows * WINDOW_US
 
     def _indexes(self, name: str) -> list[int]:
-        digest = self.hash(name.encode("utf-8", "replace"))
+        digest = self.hash_function(name.encode("utf-8", "replace"))
         return [row * WIDTH + _column(digest, row) for row in range(DEPTH)]
 
 
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/command_authorization.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/command_authorization.py
@@ -99,7 +99,7 @@
     signature: str
 
 
-MALFORMED = CommandCheck(CommandVerdict.UNSEALED, "")
+_MALFORMED = CommandCheck(CommandVerdict.UNSEALED, "")
 
 
 @dataclass(slots=True)
@@ -128,7 +128,7 @@
         """
         signature = _parse(header or "")
         if signature is None:
-            return MALFORMED
+            return _MALFORMED
         command = SignedCommand(self.front, method, path, body, signature.wall_us, signature.nonce)
         key = self._verified_key(command, signature)
         if key is None:
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/aimd_limit.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/aimd_limit.py
@@ -55,14 +55,14 @@
 
     def enter(self, server: str) -> bool:
         """Count one more set-up in flight; False where the limit is reached and it must not be sent."""
-        limit = self.servers.get(server)
-        if limit is None:
-            limit = self.servers[server] = AimdLimit()
+        server_limit = self.servers.get(server)
+        if server_limit is None:
+            server_limit = self.servers[server] = AimdLimit()
             self._evict_idle()
         self.servers.move_to_end(server)
-        if limit.in_flight >= int(limit.limit):
+        if server_limit.in_flight >= int(server_limit.limit):
             return False
-        limit.in_flight += 1
+        server_limit.in_flight += 1
         return True
 
     def leave(self, server: str, outcome: Outcome, sent_us: int, now_us: int) -> None:
@@ -70,19 +70,19 @@
 
         A set-up sent before the last decrease does not decrease the limit again: it met the same overload.
         """
-        limit = self.servers.get(server)
-        if limit is None:
+        server_limit = self.servers.get(server)
+        if server_limit is None:
             return
-        limit.in_flight = max(0, limit.in_flight - 1)
+        server_limit.in_flight = max(0, server_limit.in_flight - 1)
         if outcome is Outcome.SERVED:
-            limit.increase()
-        elif outcome in OVERLOAD_OUTCOMES and sent_us > limit.decreased_at_us:
-            limit.decrease(now_us)
+            server_limit.increase()
+        elif outcome in OVERLOAD_OUTCOMES and sent_us > server_limit.decreased_at_us:
+            server_limit.decrease(now_us)
 
     def _evict_idle(self) -> None:
         if len(self.servers) <= MAX_SERVERS:
             return
-        for server, limit in self.servers.items():
-            if limit.in_flight == 0:
+        for server, server_limit in self.servers.items():
+            if server_limit.in_flight == 0:
                 del self.servers[server]
                 return
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -151,13 +151,13 @@
             self.assertFalse(any(PresentedToken(standing).may(demand) for demand in Demand))
         held = AccessToken("v", 100, 1100)
         for at, standing in (
-            (99, "NOT_YET"),
-            (100, "VALID"),
-            (849, "VALID"),
-            (850, "RENEW"),
-            (1100, "EXPIRED"),
+            (99, TokenStatus.NOT_YET),
+            (100, TokenStatus.VALID),
+            (849, TokenStatus.VALID),
+            (850, TokenStatus.RENEW),
+            (1100, TokenStatus.EXPIRED),
         ):
-            self.assertIs(access_tokens.at(held, at), TokenStatus[standing])
+            self.assertIs(access_tokens.at(held, at), standing)
 
 
 if __name__ == "__main__":
