--- a/packages/decisions-clients/src/fennelcove/decisions/clients/rate_limit.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/rate_limit.py
@@ -1,63 +1,27 @@
-"""How much a connection may say, and when it must be asked whether it is still there."""
+"""A token bucket for the messages of one connection."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import Enum, auto
 
-# A player has a report a segment and a few requests; ten times that is none we know.
+# A player sends one report a segment and a few requests; ten times that is no player.
 MESSAGES_PER_S = 20.0
-MESSAGES_AT_ONCE = 100.0
-PINGS_IN_SILENCE = 3
+MAX_BURST_MESSAGES = 100.0
 
 
 @dataclass(slots=True)
 class MessageRateLimit:
-    """A bucket of messages; times in microseconds."""
+    """One connection's bucket; times in microseconds."""
 
-    now_us: int
-    level: float = MESSAGES_AT_ONCE
+    updated_us: int
+    tokens: float = MAX_BURST_MESSAGES
 
     def take(self, now_us: int) -> bool:
-        """One message or control frame more; False where it is too much."""
-        gained = max(0, now_us - self.now_us) / 1e6 * MESSAGES_PER_S
-        self.level = min(MESSAGES_AT_ONCE, self.level + gained)
-        self.now_us = max(now_us, self.now_us)
-        if self.level < 1.0:
+        """Count one more message or control frame; False where it exceeds the rate."""
+        gained = max(0, now_us - self.updated_us) / 1e6 * MESSAGES_PER_S
+        self.tokens = min(MAX_BURST_MESSAGES, self.tokens + gained)
+        self.updated_us = max(now_us, self.updated_us)
+        if self.tokens < 1.0:
             return False
-        self.level -= 1.0
+        self.tokens -= 1.0
         return True
-
-
-class KeepaliveAction(Enum):
-    """What to do about a connection that says nothing."""
-
-    WAIT = auto()
-    PING = auto()
-    CUT = auto()
-
-
-@dataclass(slots=True)
-class KeepaliveMonitor:
-    """One connection's last sign of life, and when it was last asked for one."""
-
-    silent_us: int
-    heard_us: int
-    asked_us: int = -1
-
-    def hear(self, now_us: int) -> None:
-        """Bytes came."""
-        self.heard_us = now_us
-        self.asked_us = -1
-
-    def check(self, now_us: int) -> tuple[KeepaliveAction, int]:
-        """What is due now, and in how long to look again, in microseconds."""
-        every_us = max(1, self.silent_us // PINGS_IN_SILENCE)
-        if now_us - self.heard_us >= self.silent_us:
-            return KeepaliveAction.CUT, 0
-        last_us = max(self.heard_us, self.asked_us)
-        due_us = min(last_us + every_us, self.heard_us + self.silent_us)
-        if now_us >= last_us + every_us:
-            self.asked_us = now_us
-            return KeepaliveAction.PING, min(every_us, self.heard_us + self.silent_us - now_us)
-        return KeepaliveAction.WAIT, due_us - now_us
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/convergence.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/convergence.py
@@ -1,49 +1,54 @@
-"""Waiting for many fronts to come to a state: who is there, who is not yet, and when to stop asking."""
+"""Waiting for many fronts to reach a state: which have, which have not yet, and when to stop polling."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import Never
 
 from fennelcove.decisions.operators.reachability import CallOutcome, ReachStatus
+from fennelcove.state_machine import Transition, TransitionTable
 
-PAUSE_US = 500_000
-SURE = 2  # answers in a row that say so: a front about to be handed work may be empty for a moment
+POLL_INTERVAL_US = 500_000
+# Responses in a row that must match: a front about to be given work may be empty for a moment.
+CONFIRMATIONS = 2
 
 
 class ConvergenceState(Enum):
-    """How one front stands towards what is waited for."""
+    """Whether one front has reached the desired state; member names are printed by the command line."""
 
     UNSEEN = auto()
     NOT_YET = auto()
     THERE = auto()
-    MUTE = auto()  # its last answer did not come
+    MUTE = auto()  # the last poll got no response
 
 
 class ConvergenceEvent(Enum):
-    """What its newest answer says."""
-
-    FITS = auto()
-    DIFFERS = auto()
-    NO_ANSWER = auto()
-
-
-TRANSITIONS: dict[tuple[ConvergenceState, ConvergenceEvent], ConvergenceState] = {
-    (ConvergenceState.UNSEEN, ConvergenceEvent.FITS): ConvergenceState.THERE,
-    (ConvergenceState.UNSEEN, ConvergenceEvent.DIFFERS): ConvergenceState.NOT_YET,
-    (ConvergenceState.UNSEEN, ConvergenceEvent.NO_ANSWER): ConvergenceState.MUTE,
-    (ConvergenceState.NOT_YET, ConvergenceEvent.FITS): ConvergenceState.THERE,
-    (ConvergenceState.NOT_YET, ConvergenceEvent.DIFFERS): ConvergenceState.NOT_YET,
-    (ConvergenceState.NOT_YET, ConvergenceEvent.NO_ANSWER): ConvergenceState.MUTE,
-    (ConvergenceState.THERE, ConvergenceEvent.FITS): ConvergenceState.THERE,
-    (ConvergenceState.THERE, ConvergenceEvent.DIFFERS): ConvergenceState.NOT_YET,
-    # One that was there and says nothing any more is not there: nobody knows.
-    (ConvergenceState.THERE, ConvergenceEvent.NO_ANSWER): ConvergenceState.MUTE,
-    (ConvergenceState.MUTE, ConvergenceEvent.FITS): ConvergenceState.THERE,
-    (ConvergenceState.MUTE, ConvergenceEvent.DIFFERS): ConvergenceState.NOT_YET,
-    (ConvergenceState.MUTE, ConvergenceEvent.NO_ANSWER): ConvergenceState.MUTE,
-}
+    """What the latest poll of a front shows."""
+
+    MATCHED = auto()
+    DIFFERED = auto()
+    NO_RESPONSE = auto()
+
+
+TRANSITIONS: TransitionTable[ConvergenceState, ConvergenceEvent, Never] = TransitionTable(
+    {
+        (ConvergenceState.UNSEEN, ConvergenceEvent.MATCHED): Transition(ConvergenceState.THERE),
+        (ConvergenceState.UNSEEN, ConvergenceEvent.DIFFERED): Transition(ConvergenceState.NOT_YET),
+        (ConvergenceState.UNSEEN, ConvergenceEvent.NO_RESPONSE): Transition(ConvergenceState.MUTE),
+        (ConvergenceState.NOT_YET, ConvergenceEvent.MATCHED): Transition(ConvergenceState.THERE),
+        (ConvergenceState.NOT_YET, ConvergenceEvent.DIFFERED): Transition(ConvergenceState.NOT_YET),
+        (ConvergenceState.NOT_YET, ConvergenceEvent.NO_RESPONSE): Transition(ConvergenceState.MUTE),
+        (ConvergenceState.THERE, ConvergenceEvent.MATCHED): Transition(ConvergenceState.THERE),
+        (ConvergenceState.THERE, ConvergenceEvent.DIFFERED): Transition(ConvergenceState.NOT_YET),
+        # A front that had converged and no longer responds may have changed: its state is unknown.
+        (ConvergenceState.THERE, ConvergenceEvent.NO_RESPONSE): Transition(ConvergenceState.MUTE),
+        (ConvergenceState.MUTE, ConvergenceEvent.MATCHED): Transition(ConvergenceState.THERE),
+        (ConvergenceState.MUTE, ConvergenceEvent.DIFFERED): Transition(ConvergenceState.NOT_YET),
+        (ConvergenceState.MUTE, ConvergenceEvent.NO_RESPONSE): Transition(ConvergenceState.MUTE),
+    }
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,41 +56,51 @@
     """The state waited for; None where it does not matter."""
 
     phase: str | None = None
-    held_most: int | None = None
+    max_sessions: int | None = None
 
-    def apply(self, outcome: CallOutcome) -> ConvergenceEvent:
-        """What an answer says about it."""
+    def compare(self, outcome: CallOutcome) -> ConvergenceEvent:
+        """Compare a front's status response with the desired state."""
         if outcome.word is not ReachStatus.DONE:
-            return ConvergenceEvent.NO_ANSWER
-        phase, held = outcome.said.get("phase"), outcome.said.get("held")
-        fits = self.phase in (None, phase)
-        fits &= self.held_most is None or (isinstance(held, int) and held <= self.held_most)
-        return ConvergenceEvent.FITS if fits else ConvergenceEvent.DIFFERS
+            return ConvergenceEvent.NO_RESPONSE
+        has_phase = self.phase in (None, outcome.said.get("phase"))
+        if has_phase and self._allows_sessions(outcome.said.get("held")):
+            return ConvergenceEvent.MATCHED
+        return ConvergenceEvent.DIFFERED
+
+    def _allows_sessions(self, sessions: object) -> bool:
+        if self.max_sessions is None:
+            return True
+        return isinstance(sessions, int) and sessions <= self.max_sessions
 
 
 @dataclass(slots=True)
 class ConvergenceWait:
     """All fronts that are waited for; times in microseconds."""
 
-    wanted: DesiredState
-    until_us: int
+    desired: DesiredState
+    deadline_us: int
     stages: dict[str, ConvergenceState] = field(default_factory=dict)
-    in_row: dict[str, int] = field(default_factory=dict)
+    consecutive_matches: dict[str, int] = field(default_factory=dict)
 
     def hear(self, outcomes: Iterable[CallOutcome]) -> None:
-        """One round of answers."""
+        """Record one round of polls."""
         for outcome in outcomes:
-            event, name = self.wanted.apply(outcome), outcome.name
-            self.stages[name] = TRANSITIONS[self.stages.get(name, ConvergenceState.UNSEEN), event]
-            self.in_row[name] = self.in_row.get(name, 0) + 1 if event is ConvergenceEvent.FITS else 0
+            self._record(outcome.name, self.desired.compare(outcome))
+
+    def _record(self, front: str, event: ConvergenceEvent) -> None:
+        state = self.stages.get(front, ConvergenceState.UNSEEN)
+        self.stages[front] = TRANSITIONS.apply(state, event).state
+        has_matched = event is ConvergenceEvent.MATCHED
+        self.consecutive_matches[front] = self.consecutive_matches.get(front, 0) + 1 if has_matched else 0
 
     @property
     def there(self) -> bool:
-        """Whether every front is, and said so often enough."""
-        return bool(self.in_row) and all(count >= SURE for count in self.in_row.values())
+        """Whether every front has reached the desired state, in enough polls in a row."""
+        matches = self.consecutive_matches.values()
+        return bool(matches) and all(count >= CONFIRMATIONS for count in matches)
 
     def pause_us(self, now_us: int) -> int | None:
-        """How long until the next round; None where there is no use or no time for one."""
-        if self.there or now_us >= self.until_us:
+        """How long until the next round; None where the wait is over."""
+        if self.there or now_us >= self.deadline_us:
             return None
-        return min(PAUSE_US, self.until_us - now_us)
+        return min(POLL_INTERVAL_US, self.deadline_us - now_us)
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
@@ -1,9 +1,9 @@
-"""What failed dials say of what stands at a box that tells nothing of its own.
+"""Whether the sessions at a server that reports nothing about them are lost, by how dials to it end.
 
-A refused connection comes from the machine: the process there is gone, and what it held with it. One that is
-not made in time says only that the path is silent: a partition looks the same from here, and what stands
-behind it stands on. Such a box is given up when the list has dropped it, or once nothing has been heard of it
-for as long as an end may go untold.
+A refused connection comes from the machine itself: the process there is gone, and its sessions with it. A
+connection that is not made in time shows only that the path is silent: behind a partition the sessions may
+go on. Such a server's sessions are lost once the endpoint list no longer names it, or once nothing has been
+received from it for as long as clients may go without notice of an end.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 
 from fennelcove.state_machine import Transition, TransitionTable, Unlisted
 
-# Of the 8 s in which a viewer must hear of an end, which is no earlier than the last sign of life.
+# Of the 8 s within which a client must be notified of an end, counted from the last byte received.
 UNCONFIRMED_LOSS_US = 7_000_000
 
 
@@ -23,75 +23,79 @@
 
     MADE = auto()
     REFUSED = auto()
-    SILENT = auto()
+    SILENT = auto()  # it timed out
 
 
 class EndpointKnowledge(Enum):
-    """What else is known of the box."""
+    """What else is known of the server."""
 
-    LISTED = auto()  # and heard of before: its path may be cut
-    UNHEARD = auto()  # nothing yet that an end could be counted from
-    DROPPED = auto()  # the list names it no more
+    LISTED = auto()  # listed, and something was received from it before: its path may be cut
+    NEVER_REACHED = auto()  # nothing was received that a time could be counted from
+    DELISTED = auto()  # the endpoint list no longer names it
 
 
 class LossState(Enum):
-    """How its dials stand."""
+    """What the latest dials show."""
 
-    REACHED = auto()
-    DOUBTED = auto()  # one has failed, which may be chance
+    REACHABLE = auto()
+    SUSPECTED = auto()  # one dial has failed, which may be chance
     REFUSING = auto()
-    SILENT = auto()
+    UNRESPONSIVE = auto()
 
 
 TRANSITIONS: TransitionTable[LossState, DialResult, Never] = TransitionTable(
     {
-        **{(state, DialResult.MADE): Transition(LossState.REACHED) for state in LossState},
-        (LossState.REACHED, DialResult.REFUSED): Transition(LossState.DOUBTED),
-        (LossState.REACHED, DialResult.SILENT): Transition(LossState.DOUBTED),
-        (LossState.DOUBTED, DialResult.REFUSED): Transition(LossState.REFUSING),
-        (LossState.DOUBTED, DialResult.SILENT): Transition(LossState.SILENT),
-        (LossState.SILENT, DialResult.REFUSED): Transition(LossState.REFUSING),
-        (LossState.REFUSING, DialResult.SILENT): Transition(LossState.SILENT),
+        **{(state, DialResult.MADE): Transition(LossState.REACHABLE) for state in LossState},
+        (LossState.REACHABLE, DialResult.REFUSED): Transition(LossState.SUSPECTED),
+        (LossState.REACHABLE, DialResult.SILENT): Transition(LossState.SUSPECTED),
+        (LossState.SUSPECTED, DialResult.REFUSED): Transition(LossState.REFUSING),
+        (LossState.SUSPECTED, DialResult.SILENT): Transition(LossState.UNRESPONSIVE),
+        (LossState.UNRESPONSIVE, DialResult.REFUSED): Transition(LossState.REFUSING),
+        (LossState.REFUSING, DialResult.SILENT): Transition(LossState.UNRESPONSIVE),
     },
     unlisted=Unlisted.IGNORE,
 )
 
-# How long after the last sign what stands there is over; None: as soon as the stage is reached.
-LOST_STATES: dict[tuple[LossState, EndpointKnowledge], int | None] = {
-    **{(LossState.REFUSING, known): None for known in EndpointKnowledge},
-    (LossState.SILENT, EndpointKnowledge.DROPPED): None,
-    (LossState.SILENT, EndpointKnowledge.UNHEARD): None,
-    (LossState.SILENT, EndpointKnowledge.LISTED): UNCONFIRMED_LOSS_US,
+# The states in which sessions are lost, and how long after the last byte received (None: at once).
+LOST_AFTER_US: dict[tuple[LossState, EndpointKnowledge], int | None] = {
+    **{(LossState.REFUSING, knowledge): None for knowledge in EndpointKnowledge},
+    (LossState.UNRESPONSIVE, EndpointKnowledge.DELISTED): None,
+    (LossState.UNRESPONSIVE, EndpointKnowledge.NEVER_REACHED): None,
+    (LossState.UNRESPONSIVE, EndpointKnowledge.LISTED): UNCONFIRMED_LOSS_US,
 }
 
 
 @dataclass(slots=True)
 class ConnectionLossTracker:
-    """One box; times in microseconds."""
+    """One server's dials; times in microseconds."""
 
-    stage: LossState = LossState.REACHED
-    heard_us: int | None = None  # the last sign of life
+    state: LossState = LossState.REACHABLE
+    last_received_us: int | None = None
 
-    def dialled(self, dial: DialResult, now_us: int) -> None:
-        """A dial has ended."""
-        self.stage = TRANSITIONS.apply(self.stage, dial).state
-        if dial is DialResult.MADE:
-            self.heard_us = now_us
+    def dialled(self, result: DialResult, now_us: int) -> None:
+        """Record how a dial ended."""
+        self.state = TRANSITIONS.apply(self.state, result).state
+        if result is DialResult.MADE:
+            self.last_received_us = now_us
 
     def heard(self, now_us: int) -> None:
-        """Anything has come from there."""
-        self.stage, self.heard_us = LossState.REACHED, now_us
+        """Record that something was received from the server."""
+        self.state = LossState.REACHABLE
+        self.last_received_us = now_us
 
     def over(self, listed: bool, now_us: int) -> bool:
-        """Whether what stands there is to be taken for ended."""
-        known = (
-            EndpointKnowledge.DROPPED
-            if not listed
-            else EndpointKnowledge.UNHEARD
-            if self.heard_us is None
-            else EndpointKnowledge.LISTED
-        )
-        if (self.stage, known) not in LOST_STATES:
+        """Whether the sessions at the server are to be treated as lost."""
+        reason = (self.state, self._knowledge(is_listed=listed))
+        if reason not in LOST_AFTER_US:
             return False
-        after_us = LOST_STATES[self.stage, known]
-        return after_us is None or self.heard_us is None or now_us - self.heard_us >= after_us
+        lost_after_us = LOST_AFTER_US[reason]
+        if lost_after_us is None or self.last_received_us is None:
+            return True
+        return now_us - self.last_received_us >= lost_after_us
+
+    def _knowledge(self, *, is_listed: bool) -> EndpointKnowledge:
+        if not is_listed:
+            return EndpointKnowledge.DELISTED
+        if self.last_received_us is None:
+            return EndpointKnowledge.NEVER_REACHED
+        return EndpointKnowledge.LISTED
