Names inside the placement policy are the load balancer's

Names of the old house style (known, judge, ease, lift, earning) kept newcomers from reading the decisions.

--- a/benchmarks/power_sim.py
+++ b/benchmarks/power_sim.py
@@ -278,7 +278,7 @@
         found = SetUp.FELL
         if box.up:
             self.used += box.is_cold(self.now_us)
-            rate_kb = front.rate(front.sessions[id], side.rungs[id])
+            rate_kb = front.rate_kb(front.sessions[id], side.rungs[id])
             found = box.set_up((id, join), rate_kb, self.now_us)
             if found is SetUp.FELL:
                 box.stop()
--- a/packages/interface/src/fennelcove/interface.py
+++ b/packages/interface/src/fennelcove/interface.py
@@ -169,7 +169,7 @@
 
     id: str
     attempt: int
-    took_us: int
+    duration_us: int
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -186,7 +186,7 @@
 
     server: str
     outcome: Outcome
-    took_us: int
+    duration_us: int
     report: LoadReport | None
 
 
@@ -218,7 +218,7 @@
     id: str
     attempt: int
     outcome: Outcome
-    finished: bool
+    is_finished: bool
     report: LoadReport | None
 
 
@@ -263,7 +263,7 @@
 
     server: str
     strikes: int
-    shut_for_us: int
+    suspended_for_us: int
     last_attempt_ago_us: int | None
 
 
@@ -271,8 +271,8 @@
 class BudgetSnapshot:
     """How long ago requests were taken and further joins sent in an earlier life of this front."""
 
-    taken_ago_us: tuple[int, ...]
-    further_ago_us: tuple[int, ...]
+    request_ages_us: tuple[int, ...]
+    retry_ages_us: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -290,7 +290,7 @@
 class TimerName(IntEnum):
     """The timers that a front may set."""
 
-    ASK_LIST = auto()
+    POLL_LIST = auto()
     PROBE = auto()
     HELD = auto()
 
@@ -298,11 +298,11 @@
 class Effects(Protocol):
     """What a front may ask of the program round it."""
 
-    def start_attempt(self, id: str, server: str, allow_us: int) -> None: ...
+    def start_attempt(self, id: str, server: str, timeout_us: int) -> None: ...
 
     def set_rung(self, id: str, rung: int) -> None: ...
 
-    def reject(self, id: str, wait_us: int) -> None: ...
+    def reject(self, id: str, retry_after_us: int) -> None: ...
 
     def fail(self, id: str) -> None: ...
 
@@ -310,7 +310,7 @@
 
     def probe(self, server: str) -> None: ...
 
-    def send_peer_message(self, front: int, said: PeerMessage) -> None: ...
+    def send_peer_message(self, front: int, message: PeerMessage) -> None: ...
 
     def set_timer(self, name: int, delay_us: int) -> None: ...
 
--- a/packages/placement/src/fennelcove/placement/health.py
+++ b/packages/placement/src/fennelcove/placement/health.py
@@ -9,42 +9,42 @@
 from fennelcove.placement.state import PolicyState
 
 
-def is_well(known: PolicyState, server: Server) -> bool:
-    if server.health is Health.SHUT and known.now_us >= server.shut_until_us:
+def is_well(state: PolicyState, server: Server) -> bool:
+    if server.health is Health.SHUT and state.now_us >= server.shut_until_us:
         server.health = Health.TRIAL
     joining = any(session.life is SessionState.JOINING for session in server.sessions)
     return server.health is Health.WELL or (server.health is Health.TRIAL and not joining)
 
 
-def judge(known: PolicyState, server: Server, outcome: Outcome) -> None:
-    server.health, effects = HEALTH.get((server.health, outcome), (server.health, ()))
+def record_outcome(state: PolicyState, server: Server, outcome: Outcome) -> None:
+    server.health, effects = HEALTH_TRANSITIONS.get((server.health, outcome), (server.health, ()))
     for effect in effects:
-        effect(known, server)
+        effect(state, server)
 
 
-def forgive(known: PolicyState, server: Server) -> None:
+def remove_strike(state: PolicyState, server: Server) -> None:
     server.strikes = max(0, server.strikes - 1)
 
 
-def pause(known: PolicyState, server: Server) -> None:
+def suspend(state: PolicyState, server: Server) -> None:
     latency_objective = min(service_class.latency_objective_us
-                            for service_class in known.settings.service_classes.values())
-    server.shut_until_us = known.now_us + min(latency_objective * 2 ** (server.strikes + 1),
-                                              known.settings.ramp_us)
+                            for service_class in state.settings.service_classes.values())
+    server.shut_until_us = state.now_us + min(latency_objective * 2 ** (server.strikes + 1),
+                                              state.settings.ramp_us)
     server.strikes = min(server.strikes + 1, 8)
     # Nobody else need try it to find the same, until a younger report says that it has room.
-    notify_block_keeper(known, server.cell, loads=(CellLoad(server.cell, inf, None, 0),))
+    notify_block_keeper(state, server.cell, loads=(CellLoad(server.cell, inf, None, 0),))
 
 
-def restart(known: PolicyState, server: Server) -> None:
+def mark_restarted(state: PolicyState, server: Server) -> None:
     """It may come back cold, before the list says so; turns are drawn anew, and this one stays used."""
-    server.started_us, server.last_attempt_us, server.link.asked = known.now_us, known.now_us, None
+    server.started_us, server.last_attempt_us, server.link.asked = state.now_us, state.now_us, None
 
 
-HEALTH: dict[tuple[Health, Outcome], tuple[Health, tuple[Callable[[PolicyState, Server], None], ...]]] = {
-    **{(health, Outcome.SERVED): (health if health is Health.SHUT else Health.WELL, (forgive,))
-       for health in Health}, **{(health, outcome): (Health.SHUT, (pause,))
+HEALTH_TRANSITIONS: dict[tuple[Health, Outcome], tuple[Health, tuple[Callable[[PolicyState, Server], None], ...]]] = {
+    **{(health, Outcome.SERVED): (health if health is Health.SHUT else Health.WELL, (remove_strike,))
+       for health in Health}, **{(health, outcome): (Health.SHUT, (suspend,))
        for health in (Health.WELL, Health.TRIAL)
        for outcome in (Outcome.SERVER_ERROR, Outcome.TURNED_AWAY, Outcome.NO_ANSWER)},
-    **{(health, outcome): (Health.SHUT, (restart,) if health is Health.SHUT else (restart, pause))
+    **{(health, outcome): (Health.SHUT, (mark_restarted,) if health is Health.SHUT else (mark_restarted, suspend))
        for health in Health for outcome in (Outcome.NO_CONNECTION, Outcome.CONNECTION_LOST)}, }
--- a/packages/placement/src/fennelcove/placement/records.py
+++ b/packages/placement/src/fennelcove/placement/records.py
@@ -21,7 +21,7 @@
 class Rack:
     uplink: LinkLoad
     servers: list[Server] = field(default_factory=list)
-    left: float = 0.0  # the uplink's residue for the request in hand
+    residual_uplink: float = 0.0  # the uplink's residue for the request in hand
 
 
 @dataclass(slots=True, eq=False)
@@ -42,11 +42,11 @@
     shut_until_us: int = 0
     sessions: dict[Session, None] = field(default_factory=dict)
     own_kb: float = 0.0
-    probe_at_us: int | None = None
-    probe_gap_us: int = 0
-    waiters: dict[Session, None] = field(default_factory=dict)  # of thousands held, those to tell
-    left: float = 0.0  # the residues for the request in hand
-    streams_left: float = 0.0
+    next_probe_us: int | None = None
+    probe_interval_us: int = 0
+    waiting_sessions: dict[Session, None] = field(default_factory=dict)  # of thousands held, those to tell
+    residual_link: float = 0.0  # the residues for the request in hand
+    residual_streams: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -54,7 +54,7 @@
     server: Server
     sent_us: int
     may_have_run: bool = True
-    erred: bool = False
+    has_server_error: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/placement/src/fennelcove/placement/session_transitions.py
+++ b/packages/placement/src/fennelcove/placement/session_transitions.py
@@ -8,37 +8,37 @@
 from fennelcove.placement.state import PolicyState
 
 
-def apply_event(known: PolicyState, session: Session, event: SessionEvent | None) -> None:
+def apply_event(state: PolicyState, session: Session, event: SessionEvent | None) -> None:
     while event is not None and (session.life, event) in TRANSITIONS:
         session.life, effect = row = TRANSITIONS[session.life, event]
-        event = effect(known, session) if effect else None
+        event = effect(state, session) if effect else None
         if row[0] is SessionState.ENDED:
-            known.sessions.pop(session.id, None)
+            state.sessions.pop(session.id, None)
 
 
-def place_session(known: PolicyState, session: Session) -> SessionEvent | None:
-    replicas = [server for cell in session.cells for server in known.replicas.get(cell, ())
-               if attempts.may_use_server(known, session, server)] if attempts.may_attempt(known,
+def place_session(state: PolicyState, session: Session) -> SessionEvent | None:
+    replicas = [server for cell in session.cells for server in state.replicas.get(cell, ())
+               if attempts.may_use_server(state, session, server)] if attempts.may_attempt(state,
                    session) else []
     # Where every holder looks ill, trying one beats turning the viewer away for certain.
-    replicas = [s for s in replicas if health.is_well(known, s)] or replicas
-    utilization.update_residuals(known, replicas)
-    if observations.poll_peers_first(known, session, replicas):
+    replicas = [s for s in replicas if health.is_well(state, s)] or replicas
+    utilization.update_residuals(state, replicas)
+    if observations.poll_peers_first(state, session, replicas):
         return None
-    if (found := server_selection.choose_server_and_rung(known, session,
-                                                         bitrate_adaptation.rationed_top(known, session,
+    if (found := server_selection.choose_server_and_rung(state, session,
+                                                         bitrate_adaptation.rationed_top_rung(state, session,
         replicas), replicas)) is None:
-        return SessionEvent.NO_ROOM if attempts.may_reject(known, session) else SessionEvent.STUCK
-    attempts.send_attempt(known, session, *found)
+        return SessionEvent.NO_ROOM if attempts.may_reject(state, session) else SessionEvent.STUCK
+    attempts.send_attempt(state, session, *found)
     return SessionEvent.PLACED
 
 
-def reject_session(known: PolicyState, session: Session) -> None:
-    known.effects.reject(session.id, known.settings.retry_after_us or 0)
+def reject_session(state: PolicyState, session: Session) -> None:
+    state.effects.reject(session.id, state.settings.retry_after_us or 0)
 
 
-def fail_session(known: PolicyState, session: Session) -> None:
-    known.effects.fail(session.id)
+def fail_session(state: PolicyState, session: Session) -> None:
+    state.effects.fail(session.id)
 
 
 TRANSITIONS: dict[tuple[SessionState, SessionEvent],
--- a/packages/simulator-adapter/src/fennelcove/simulator_adapter/codec.py
+++ b/packages/simulator-adapter/src/fennelcove/simulator_adapter/codec.py
@@ -180,7 +180,7 @@
         id=text(fields, "Job"),
         attempt=attempt_number(fields),
         outcome=choice(fields, "Reason", Outcome),
-        finished=flag(fields, "DoneFlag"),
+        is_finished=flag(fields, "DoneFlag"),
         report=load_report(fields, report_fields),
     )
 
@@ -190,7 +190,7 @@
     return ProbeCompleted(
         server=text(fields, "Server"),
         outcome=choice(fields, "Reason", Outcome),
-        took_us=micros(fields, "TookMs", 0),
+        duration_us=micros(fields, "TookMs", 0),
         report=load_report(fields, report_fields),
     )
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -44,7 +44,7 @@
     made.now_us = 100 * SECOND if warm else 0
     for server in made.servers.values():
         server.link.observe(0.0, made.now_us - 1)
-        made.met[server] = None
+        made.contacted[server] = None
     effects.calls.clear()
     return made, effects
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -15,15 +15,16 @@
                                   Scope, ServerState,
                                   SessionStarted, TimerFired, TimerName)
 from fennelcove.messages import encode, decode
-from fennelcove.placement import Health, LinkLoad, PlacementPolicy, SessionEvent, SessionState, utilization
+from fennelcove.placement import Health, LinkLoad, PlacementPolicy, SessionEvent, SessionState
+from fennelcove.placement.utilization import utilization_factor
 from tests.helpers import SECOND, Recorder, ask, end, entry, front, note, play
 
 
 class UtilizationTest(unittest.TestCase):
     def test_falls_with_room_and_is_infinite_when_short(self) -> None:
-        self.assertEqual(utilization(0.25), 2.0)
-        self.assertEqual(utilization(0.0), inf)
-        self.assertEqual(utilization(-0.1), inf)
+        self.assertEqual(utilization_factor(0.25), 2.0)
+        self.assertEqual(utilization_factor(0.0), inf)
+        self.assertEqual(utilization_factor(-0.1), inf)
 
     def test_server_takes_its_scarcest_resource(self) -> None:
         made, _ = front()
@@ -115,7 +116,7 @@
             made, effects = front(2, cross_zone_price=price)
             made.servers["s1"].zone = "there"
             made.servers["s0"].link.observe(0.7, made.now_us)
-            made.offered = 1.0
+            made.mean_offered_utility = 1.0
             ask(made)
             self.assertEqual(made.servers[effects.named("start_attempt")[0][2]].zone, zone)
 
@@ -124,7 +125,7 @@
     def test_three_requests_for_a_title_count_for_the_other_fronts_and_further_joins_do_not(self) -> None:
         # Further joins of one request passed for a crowd wherever servers failed, and kept its title small.
         made, _ = front(3, fronts=10)
-        sent_kb = lambda: sum(s.link.sent_kb - s.own_kb for s in made.servers.values())  # noqa: E731
+        sent_kb = lambda: sum(s.link.unreported_kb - s.own_kb for s in made.servers.values())  # noqa: E731
         ask(made)
         for join in range(2):
             end(made, Outcome.SERVER_ERROR, join=join, after=SECOND // 100)
@@ -141,21 +142,21 @@
         pipe = LinkLoad(1000.0)
         pipe.observe(0.2, 10)
         pipe.record_sent(300.0, 20)
-        self.assertAlmostEqual(pipe.asked_now(), 0.5)
+        self.assertAlmostEqual(pipe.utilization(), 0.5)
         pipe.observe(0.5, 20)
-        self.assertAlmostEqual(pipe.asked_now(), 0.5)
+        self.assertAlmostEqual(pipe.utilization(), 0.5)
 
     def test_an_older_report_does_not_undo_a_newer_one(self) -> None:
         pipe = LinkLoad(1000.0)
         pipe.observe(0.7, 20)
         pipe.observe(0.1, 10)
-        self.assertEqual(pipe.asked_now(), 0.7)
+        self.assertEqual(pipe.utilization(), 0.7)
 
     def test_note_at_a_set_up_does_not_show_the_newcomer(self) -> None:
         made, _ = front(1)
         play(made)
         note(made, ReportKind.LINK, 0.3, after=0)
-        self.assertAlmostEqual(made.servers["s0"].link.asked_now(), 0.3 + 400 / 3000)
+        self.assertAlmostEqual(made.servers["s0"].link.utilization(), 0.3 + 400 / 3000)
 
     def test_unheard_counts_as_average_and_above_it_where_no_server_turns_away(self) -> None:
         # Where none turns away: the mean of 0.2, 0.6, 0.25 and 0.75, and their mean distance from it.
@@ -163,7 +164,7 @@
             made, _ = front(3, guard=guard)
             for i, asked in enumerate((0.2, 0.6, None)):
                 made.servers[f"s{i}"].link.asked = asked
-            self.assertAlmostEqual(made.link_left(made.servers["s2"]), left)
+            self.assertAlmostEqual(made.residual_link(made.servers["s2"]), left)
 
     def test_a_backlog_found_late_goes_by_its_news_and_its_time_left(self) -> None:
         made, effects = front(2)  # a front that stood still finds both in one turn
@@ -185,16 +186,16 @@
         made, _ = front()
         made.handle(Handover(Request("old", "room", 5, 0, 3, 2, 0), "s0"), made.now_us)
         note(made, ReportKind.RUNG, 2.0, "old")
-        self.assertAlmostEqual(made.link_left(made.servers["s0"]), 0.9 - 0.4)
+        self.assertAlmostEqual(made.residual_link(made.servers["s0"]), 0.9 - 0.4)
 
     def test_short_note_marks_the_link_full_until_all_is_well(self) -> None:
         made, _ = front()
         play(made)
         server = made.sessions["a"].server
         note(made, ReportKind.DELIVERED, 0.9)
-        self.assertEqual(made.link_left(server), 0.0)
+        self.assertEqual(made.residual_link(server), 0.0)
         note(made, ReportKind.DELIVERED, 0.99)
-        self.assertGreater(made.link_left(server), 0.0)
+        self.assertGreater(made.residual_link(server), 0.0)
 
 
 class RungChangeTest(unittest.TestCase):
@@ -240,16 +241,16 @@
         server.link.observe(0.5, made.now_us)
         note(made, ReportKind.DELIVERED, 0.6)
         own = server.own_kb / server.rack.uplink.size_kb
-        self.assertGreater(made.uplink_asked(server.rack), 0.8)
+        self.assertGreater(made.uplink_utilization(server.rack), 0.8)
         made.now_us += 1000 * SECOND
-        self.assertAlmostEqual(made.uplink_asked(server.rack), own, places=3)
+        self.assertAlmostEqual(made.uplink_utilization(server.rack), own, places=3)
 
     def test_guesses_at_links_not_heard_fill_no_uplink(self) -> None:
         made, _ = front(6)
         for server in made.servers.values():
             server.link.asked = None
         play(made, first_cell=0, cell_count=1)
-        self.assertAlmostEqual(made.uplink_asked(made.racks[0]), made.servers["s0"].own_kb / 2500)
+        self.assertAlmostEqual(made.uplink_utilization(made.racks[0]), made.servers["s0"].own_kb / 2500)
 
     def test_full_link_lowers_what_plays(self) -> None:
         made, effects = front(1)
@@ -281,7 +282,7 @@
             made, _ = front(1)
             made.rng = Random(seed).random
             play(made)
-            made.lower([made.sessions["a"].server], 0.125)  # 50 of a step of 200
+            made.lower_rungs([made.sessions["a"].server], 0.125)  # 50 of a step of 200
             lowered += made.sessions["a"].rung < 2
         self.assertAlmostEqual(lowered / 200, 0.25, delta=0.08)
 
@@ -290,9 +291,9 @@
         play(made, "cheap", first_cell=0, cell_count=1)
         play(made, "dear", first_cell=1, cell_count=1)
         made.sessions["dear"].rung = 1
-        made.lower([made.servers["s1"]], 0.2)
+        made.lower_rungs([made.servers["s1"]], 0.2)
         self.assertEqual(made.sessions["dear"].rung, 1)
-        made.lower([made.servers["s0"]], 1 / 3)
+        made.lower_rungs([made.servers["s0"]], 1 / 3)
         self.assertEqual(made.sessions["cheap"].rung, 1)
 
     def test_report_of_a_failed_join_is_heard(self) -> None:
@@ -370,7 +371,7 @@
                                 cold_slack_us=tip_us)
                 server = made.servers["s0"]
                 server.started_us = made.now_us - age_us
-                open_turns += made.cold_turn(server)
+                open_turns += made.has_slow_start_turn(server)
             pace = streams / (10 * SECOND) * (0.5 + 0.5 * age_us / (10 * SECOND))
             self.assertLessEqual(open_turns, pace * tip_us + 1)
             self.assertGreater(open_turns, 0)
@@ -381,9 +382,9 @@
             made, _ = front(3, fronts=10)
             found = []
             for number, id in enumerate("abc"):
-                before = sum(server.link.asked_now() for server in made.servers.values())
+                before = sum(server.link.utilization() for server in made.servers.values())
                 play(made, id, title=5 if number < 2 else title)
-                found.append(sum(server.link.asked_now() for server in made.servers.values()) - before)
+                found.append(sum(server.link.utilization() for server in made.servers.values()) - before)
             return found
 
         first, second, third = grown(title=5)
@@ -401,7 +402,7 @@
 
     def test_a_saved_list_is_not_trusted_on_starts(self) -> None:
         made, effects = front(1, warm=False)
-        made.list_is_fresh, made.born_us = False, 1
+        made.list_is_fresh, made.created_us = False, 1
         made.handle(ListUpdate(ListMode.SAVED, (entry("s0", 0),)), 1)
         self.assertEqual(effects.calls, [("fetch_list",)])
         self.assertTrue(made.is_cold(made.servers["s0"]))
@@ -437,8 +438,8 @@
     def test_asks_for_the_list_again_after_a_pause(self) -> None:
         made, effects = front(must_ask=True, ask_within_us=8 * SECOND)
         made.handle(ListUpdate(ListMode.FAILED, ()), made.now_us)
-        self.assertEqual(effects.calls, [("set_timer", TimerName.ASK_LIST, SECOND)])
-        made.handle(TimerFired(TimerName.ASK_LIST), made.now_us + SECOND)
+        self.assertEqual(effects.calls, [("set_timer", TimerName.POLL_LIST, SECOND)])
+        made.handle(TimerFired(TimerName.POLL_LIST), made.now_us + SECOND)
         self.assertEqual(effects.calls[-1], ("watch_list",))
 
 
@@ -448,21 +449,21 @@
                         Outcome.CONNECTION_LOST):
             made, _ = front()
             server = made.servers["s0"]
-            made.judge(server, outcome)
+            made.record_outcome(server, outcome)
             self.assertFalse(made.is_well(server), outcome)
             made.now_us = server.shut_until_us
             self.assertTrue(made.is_well(server), outcome)
             self.assertIs(server.health, Health.TRIAL)
-            made.judge(server, Outcome.SERVED)
+            made.record_outcome(server, Outcome.SERVED)
             self.assertIs(server.health, Health.WELL)
 
     def test_pause_grows_with_strikes(self) -> None:
         made, _ = front()
         server = made.servers["s0"]
-        made.judge(server, Outcome.SERVER_ERROR)
+        made.record_outcome(server, Outcome.SERVER_ERROR)
         first = server.shut_until_us - made.now_us
         server.health = Health.TRIAL
-        made.judge(server, Outcome.SERVER_ERROR)
+        made.record_outcome(server, Outcome.SERVER_ERROR)
         self.assertEqual(server.shut_until_us - made.now_us, 2 * first)
 
     def test_what_every_server_answers_with_an_error_shuts_none(self) -> None:
@@ -483,7 +484,7 @@
 
     def test_all_holders_ill_is_still_tried(self) -> None:
         made, effects = front(1)
-        made.judge(made.servers["s0"], Outcome.SERVER_ERROR)
+        made.record_outcome(made.servers["s0"], Outcome.SERVER_ERROR)
         ask(made)
         self.assertEqual(effects.calls[-1][0], "start_attempt")
 
@@ -491,7 +492,7 @@
         made, _ = front(1)
         play(made)
         end(made, Outcome.SERVED, finished=True)
-        self.assertAlmostEqual(made.link_left(made.servers["s0"]), 0.9)
+        self.assertAlmostEqual(made.residual_link(made.servers["s0"]), 0.9)
         self.assertEqual(made.sessions, {})
 
     def test_client_gone_while_joining_is_owed_nothing(self) -> None:
@@ -507,7 +508,7 @@
         made, effects = front()
         play(made)
         effects.calls.clear()
-        made.step(made.sessions["a"], SessionEvent.CLIENT_GONE)
+        made.apply_event(made.sessions["a"], SessionEvent.CLIENT_GONE)
         self.assertIs(made.sessions["a"].life, SessionState.PLAYING)
         self.assertEqual(effects.calls, [])
 
@@ -567,26 +568,26 @@
         made, effects = front(fronts=50, **self.PROBED)
         play(made, top_rung=2)
         sub = made.sessions["a"]
-        made.carry_out({sub: 0})
+        made.set_rungs({sub: 0})
         effects.calls.clear()
         self.probed(made, sub.server.address, 0.2)
         self.assertEqual(effects.named("set_rung"), [("set_rung", "a", 2)])
-        raised_gap_us = sub.server.probe_gap_us
+        raised_gap_us = sub.server.probe_interval_us
         self.probed(made, sub.server.address, 1.0)
-        self.assertEqual(sub.server.probe_gap_us, 2 * raised_gap_us)
+        self.assertEqual(sub.server.probe_interval_us, 2 * raised_gap_us)
 
     def test_a_probe_that_does_not_pay_now_is_planned_anew(self) -> None:
         # Planned once only, a play whose link was marked full at its turn was never raised again.
         for price, sent in ((0.01, 1), (9.0, 0)):
             made, effects = front(probe_price=price, reports_unasked=False)
             play(made)
-            made.carry_out({made.sessions["a"]: 0})
+            made.set_rungs({made.sessions["a"]: 0})
             server = made.sessions["a"].server
             server.link.full_until_us = made.now_us + 60 * SECOND
             for full_until_us, probes in ((server.link.full_until_us, 0), (0, sent)):
                 server.link.full_until_us = full_until_us
-                assert server.probe_at_us is not None
-                made.handle(TimerFired(TimerName.PROBE), server.probe_at_us)
+                assert server.next_probe_us is not None
+                made.handle(TimerFired(TimerName.PROBE), server.next_probe_us)
                 self.assertEqual(len(effects.named("probe")), probes)
 
     def test_a_keeper_adds_joins_that_it_was_told_of_and_names_what_it_does_not_know(self) -> None:
@@ -616,10 +617,10 @@
         ask(made, cell_count=60)
         asks = [cell for _, _, said in effects.named("send_peer_message") for cell in said.asks]
         self.assertEqual(len(asks), 8)
-        self.assertEqual(sum(len(server.waiters) for server in made.servers.values()), 8)
+        self.assertEqual(sum(len(server.waiting_sessions) for server in made.servers.values()), 8)
         made.handle(TimerFired(TimerName.HELD), made.now_us + SECOND)
         self.assertEqual(made.waiting, {})
-        self.assertFalse(any(server.waiters for server in made.servers.values()))
+        self.assertFalse(any(server.waiting_sessions for server in made.servers.values()))
         effects.calls.clear()
         made.handle(PeerMessage(3, asks=tuple(range(60))), made.now_us)
         self.assertEqual([len(said.loads) for _, _, said in effects.named("send_peer_message")], [8])
@@ -653,27 +654,27 @@
     def test_a_raise_must_repay_its_change_in_the_time_left(self) -> None:
         made, effects = front(switch_cost_us=SECOND)
         play(made, watch_guess_us=SECOND)
-        made.carry_out({made.sessions["a"]: 0})
+        made.set_rungs({made.sessions["a"]: 0})
         effects.calls.clear()
-        made.lift(made.sessions["a"].server, 0)
+        made.raise_rungs(made.sessions["a"].server, 0)
         self.assertEqual(effects.named("set_rung"), [])
         made.sessions["a"].watch_guess_us = 60 * SECOND
-        made.lift(made.sessions["a"].server, None)
+        made.raise_rungs(made.sessions["a"].server, None)
         self.assertEqual(effects.named("set_rung"), [("set_rung", "a", 2)])  # both steps in one change
 
     def test_a_guess_that_has_run_out_leaves_some_part_of_itself(self) -> None:
         made, _ = front()
         play(made, watch_guess_us=10 * SECOND)
         made.now_us += 60 * SECOND
-        self.assertEqual(made.left_us(made.sessions["a"]), 5 * SECOND)
+        self.assertEqual(made.remaining_play_us(made.sessions["a"]), 5 * SECOND)
 
     def test_past_its_quota_a_tenants_request_counts_less(self) -> None:
         made, _ = front(quotas={"t": 0.2}, over_quota_worth=0.1)  # one in ten seconds for this front of two
-        shares = [made.inside(Request(str(i), "room", 5, 0, 3, 2, SECOND, "t")) for i in range(4)]
+        shares = [made.quota_share(Request(str(i), "room", 5, 0, 3, 2, SECOND, "t")) for i in range(4)]
         self.assertEqual((shares[0], round(shares[3], 2)), (1.0, 0.46))
-        again = made.inside(Request("r", "room", 5, 0, 3, 2, SECOND, "t", returned=True))
+        again = made.quota_share(Request("r", "room", 5, 0, 3, 2, SECOND, "t", returned=True))
         self.assertEqual(again, shares[3])
-        self.assertEqual(made.inside(Request("n", "room", 5, 0, 3, 2, SECOND)), 1.0)
+        self.assertEqual(made.quota_share(Request("n", "room", 5, 0, 3, 2, SECOND)), 1.0)
 
     def test_the_worst_served_room_type_counts_once_more(self) -> None:
         made, _ = front(worst_class_weight=0.5)
@@ -681,10 +682,10 @@
         made.settings.service_classes["other"] = other
         play(made, "a")
         play(made, "b", service_class="other")
-        made.carry_out({made.sessions["a"]: 0})
-        made.worths_at_us = -1
-        self.assertEqual(made.worth(made.sessions["b"].service_class), 2.0)
-        self.assertEqual(made.worth(made.sessions["a"].service_class), 1 + 0.5 * 3)
+        made.set_rungs({made.sessions["a"]: 0})
+        made.class_utilities_at_us = -1
+        self.assertEqual(made.class_utility(made.sessions["b"].service_class), 2.0)
+        self.assertEqual(made.class_utility(made.sessions["a"].service_class), 1 + 0.5 * 3)
 
     def test_the_lowest_rung_may_use_the_tenth_held_back(self) -> None:
         made, effects = front()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -422,7 +422,7 @@
         server = module.servers[self.known[0].address]
         with self.front.core.lock:
             for _ in range(2):
-                module.judge(server, Outcome.NO_ANSWER)
+                module.record_outcome(server, Outcome.NO_ANSWER)
             server.last_attempt_us = module.now_us
             module.further.extend([module.now_us] * 2)
             self.front.core.storms.weather.usual, self.front.core.storms.weather.seen = 7.5, 40
@@ -434,7 +434,7 @@
         server = module.servers[self.known[0].address]
         self.assertEqual(server.strikes, strikes)
         self.assertIsNotNone(server.last_attempt_us)
-        self.assertFalse(module.in_budget())
+        self.assertFalse(module.within_retry_budget())
         self.assertGreater(self.front.core.storms.weather.seen, 39)
 
     def test_a_box_that_started_anew_meanwhile_is_not_taken_for_what_it_was(self) -> None:
