Placement: modules with one job, plain records apart, tables by the state machine's types

Reports and replies now stand above the state machine, so that they call it by name; tests call functions in place of aliases.

--- a/packages/interface/src/fennelcove/interface.py
+++ b/packages/interface/src/fennelcove/interface.py
@@ -282,9 +282,22 @@
     name: int
 
 
-Event = (ListUpdate | Request | Handover | SessionStarted | AttemptCompleted | SessionReport | TopRungChanged
-         | MigrationRequested | ClientGone
-         | TimerFired | ServerSnapshot | BudgetSnapshot | ProbeCompleted | PeerMessage)
+Event = (
+    ListUpdate
+    | Request
+    | Handover
+    | SessionStarted
+    | AttemptCompleted
+    | SessionReport
+    | TopRungChanged
+    | MigrationRequested
+    | ClientGone
+    | TimerFired
+    | ServerSnapshot
+    | BudgetSnapshot
+    | ProbeCompleted
+    | PeerMessage
+)
 
 
 class TimerName(IntEnum):
--- a/packages/placement/src/fennelcove/placement/policy.py
+++ b/packages/placement/src/fennelcove/placement/policy.py
@@ -1,128 +1,130 @@
-"""One session front: a host calls handle(event, now_us) in order, and the front answers by its Effects."""
+"""The policy of one session front: a host calls handle(event, now_us) in order; it answers by its Effects."""
 
 from collections.abc import Callable
 from typing import Any
 
-from fennelcove.interface import (ClientGone, Effect, Event, Handover, AttemptCompleted, ListUpdate,
-                                  MigrationRequested, SessionReport,
-                                  Outcome, PeerMessage, ProbeCompleted, ServerSnapshot, Request,
-                                  BudgetSnapshot, SessionStarted, TimerFired,
+from fennelcove.interface import (AttemptCompleted, BudgetSnapshot, ClientGone, Effect, Event, Handover,
+                                  ListUpdate, MigrationRequested, Outcome, PeerMessage, ProbeCompleted,
+                                  Request, ServerSnapshot, SessionReport, SessionStarted, TimerFired,
                                   TimerName, TopRungChanged)
-from fennelcove.placement import (attempts, bitrate_adaptation, health, observations, quotas,
-                                  server_selection, session_transitions, slow_start, utilization)
+from fennelcove.placement import attempts, health, load_reports, server_list, server_selection, slow_start
+from fennelcove.placement.bitrate_adaptation import raise_rungs, set_rungs
+from fennelcove.placement.load_polling import plan_probe
+from fennelcove.placement.quotas import quota_share
 from fennelcove.placement.records import Session, SessionEvent, SessionState
+from fennelcove.placement.session_transitions import apply_event
 from fennelcove.placement.state import PolicyState, observe_load
 
-SESSION_EVENTS = (SessionStarted, AttemptCompleted, SessionReport, TopRungChanged,
-          ClientGone)  # subscription; passed over once it has ended
+SESSION_EVENTS = (SessionStarted, AttemptCompleted, SessionReport, TopRungChanged, ClientGone)
 NEVER_STARTED = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
 
 
 class PlacementPolicy(PolicyState):
-    # What hosts and watchers ask beside the events, each answered where it is decided.
-    weigh, factors, draw = utilization.update_residuals, staticmethod(
-        utilization.factors), server_selection.draw_server
-    lower_rungs, raise_rungs, set_rungs, apply_event = bitrate_adaptation.lower_rungs, bitrate_adaptation.raise_rungs, bitrate_adaptation.set_rungs, session_transitions.apply_event
-    is_cold, has_slow_start_turn, turns, quota_share = slow_start.is_warming_up, slow_start.has_slow_start_turn, slow_start.turns, quotas.quota_share
-    is_well, record_outcome, open_attempt, close_attempt = health.is_well, health.record_outcome, attempts.open_attempt, attempts.close_attempt
-    within_retry_budget, may_reject, held_due = attempts.within_retry_budget, attempts.may_reject, observations.on_poll_timeout
+    """Places sessions and adapts their rungs; beside the events, hosts use the queries named first."""
+
+    weigh = server_selection.update_residuals
+    factors = staticmethod(server_selection.utilization_factors)
+    draw = server_selection.draw_server
+    is_well = health.is_healthy
+    is_cold, turns = slow_start.is_warming_up, slow_start.elapsed_turns
+    open_attempt, close_attempt = attempts.open_attempt, attempts.close_attempt
+    may_reject = attempts.may_reject
+    held_due = load_reports.on_poll_timeout
 
     def handle(self, event: Event, now_us: int) -> None:
         self.now_us = now_us
         if not isinstance(event, SESSION_EVENTS):
             EVENT_HANDLERS[type(event)](self, event)
-        elif session := self.sessions.get(event.id):
+        elif session := self.sessions.get(event.id):  # else it has ended
             SESSION_EVENT_HANDLERS[type(event)](self, session, event)
 
     def on_request(self, event: Request) -> None:
         if self.settings.budget_free is not None:
             self.taken.append(self.now_us)
-        session = self.open_session(event)
-        session.share = self.quota_share(event)
-        self.mean_offered_utility += (session.service_class.priority_weight
-                         * self.settings.ladder_worth[session.top] - self.mean_offered_utility) / 16
-        self.apply_event(session, SessionEvent.TRY)
-
-    def open_session(self, event: Request) -> Session:
-        service_class, most = self.settings.service_classes[event.service_class], self.settings.cells
-        cells = tuple((event.first_cell + i) % most for i in range(min(event.cell_count, most)))
+        session = self.add_session(event)
+        session.share = quota_share(self, event)
+        utility = session.service_class.priority_weight * self.settings.ladder_worth[session.top]
+        self.mean_offered_utility += (utility - self.mean_offered_utility) / 16
+        apply_event(self, session, SessionEvent.TRY)
+
+    def add_session(self, event: Request) -> Session:
+        service_class = self.settings.service_classes[event.service_class]
+        cell_count = self.settings.cells
+        cells = tuple((event.first_cell + i) % cell_count for i in range(min(event.cell_count, cell_count)))
         session = self.sessions[event.id] = Session(
             event.id, service_class, event.title, cells, event.top_rung, self.now_us,
-                                                    self.now_us + event.timeout_us,
-            event.watch_guess_us, rung=min(service_class.floor, event.top_rung))
+            self.now_us + event.timeout_us, event.watch_guess_us)
+        session.rung = min(service_class.floor, event.top_rung)
         return session
 
     def on_handover(self, event: Handover) -> None:
-        session = self.open_session(event.request)
+        session = self.add_session(event.request)
         session.life, session.noted, session.started_us = SessionState.PLAYING, True, self.now_us
-        self.open_attempt(session, self.servers[event.server])
-        observations.plan_probe(self, session.server)
+        attempts.open_attempt(self, session, self.servers[event.server])
+        plan_probe(self, session.server)
 
     def on_migration_requested(self, event: MigrationRequested) -> None:
-        """A second home before the first ends; earlier joins go along, so that each guard counts them."""
+        """Place a session anew before it ends; earlier attempts go along, so that each rule counts them."""
         old = self.sessions[event.id]
-        past = [attempt for attempt in old.attempts if attempt.may_have_run and (
-            attempt is old.attempts[-1] or old.service_class.effect is not Effect.FREE)]
+        counted = old.attempts[-1:] if old.service_class.effect is Effect.FREE else old.attempts
+        past = [attempt for attempt in counted if attempt.may_have_run]
         session = self.sessions[event.new_id] = Session(
             event.new_id, old.service_class, old.title, old.cells, old.top, self.now_us,
             self.now_us + event.timeout_us, old.watch_guess_us, rung=old.rung, attempts=past)
-        self.apply_event(session, SessionEvent.TRY)
+        apply_event(self, session, SessionEvent.TRY)
 
     def on_budget_snapshot(self, event: BudgetSnapshot) -> None:
-        # A budget that began anew with each life would be a budget no longer.
-        self.taken.extendleft(self.now_us - ago for ago in reversed(event.request_ages_us))
-        self.further.extendleft(self.now_us - ago for ago in reversed(event.retry_ages_us))
+        self.taken.extendleft(self.now_us - age_us for age_us in reversed(event.request_ages_us))
+        self.further.extendleft(self.now_us - age_us for age_us in reversed(event.retry_ages_us))
 
     def on_session_started(self, session: Session, event: SessionStarted) -> None:
-        self.record_outcome(session.server, Outcome.SERVED)
-        # What every server answers with an error speaks of the request: such viewers shut all servers.
+        health.record_outcome(self, session.server, Outcome.SERVED)
+        # An error counts against its server once another has served the request: else it is the client's.
         for attempt in [attempt for attempt in session.attempts if attempt.has_server_error]:
             attempt.has_server_error = False
-            self.record_outcome(attempt.server, Outcome.SERVER_ERROR)
+            health.record_outcome(self, attempt.server, Outcome.SERVER_ERROR)
         session.started_us = self.now_us
-        self.apply_event(session, SessionEvent.STARTED)
-        observations.plan_probe(self, session.server)
+        apply_event(self, session, SessionEvent.STARTED)
+        plan_probe(self, session.server)
 
     def on_top_rung_changed(self, session: Session, event: TopRungChanged) -> None:
-        """What a viewer can't use leaves its link at once; raising it waits for room, as elsewhere."""
-        session.top = max(event.top_rung, session.service_class.floor)
+        session.top = max(event.top_rung, session.service_class.floor)  # a raise waits for capacity
         if session.life is SessionState.PLAYING and session.rung > session.top:
-            self.set_rungs({session: session.top})
+            set_rungs(self, {session: session.top})
 
     def on_attempt_completed(self, session: Session, event: AttemptCompleted) -> None:
         if event.attempt >= len(session.attempts):
             return
-        attempt, playing = session.attempts[event.attempt], session.life is SessionState.PLAYING
-        attempt.may_have_run, attempt.has_server_error = event.outcome not in NEVER_STARTED, event.outcome is Outcome.SERVER_ERROR
-        if event.outcome is Outcome.NOT_SENT and len(
-            session.attempts) > 1 and attempt.sent_us in self.further:
+        attempt, is_playing = session.attempts[event.attempt], session.life is SessionState.PLAYING
+        attempt.may_have_run = event.outcome not in NEVER_STARTED
+        attempt.has_server_error = event.outcome is Outcome.SERVER_ERROR
+        is_unsent_retry = event.outcome is Outcome.NOT_SENT and len(session.attempts) > 1
+        if is_unsent_retry and attempt.sent_us in self.further:
             self.further.remove(attempt.sent_us)
-        self.close_attempt(session, attempt)
-        if not attempt.has_server_error and (not playing or event.outcome is Outcome.CONNECTION_LOST):
-            self.record_outcome(attempt.server, event.outcome)
-        if playing:
+        attempts.close_attempt(self, session, attempt)
+        if not attempt.has_server_error and (not is_playing or event.outcome is Outcome.CONNECTION_LOST):
+            health.record_outcome(self, attempt.server, event.outcome)
+        if is_playing:
             self.typical_watch_us += (self.now_us - session.started_us - self.typical_watch_us) / 8
             for server in attempt.server.rack.servers:
-                self.raise_rungs(server, 0)  # what has ended makes room at once; notes may be late or stay out
+                raise_rungs(self, server, 0)  # capacity is free at once; reports may be late or stay out
         elif event.report:
-            # Most servers hold none of one front of many: such answers, as old as notes, are all it hears.
             observe_load(attempt.server, event.report, attempt.sent_us - self.settings.seen_after_us)
-        self.apply_event(session, SessionEvent.FINISHED if event.is_finished else SessionEvent.FAILED)
+        apply_event(self, session, SessionEvent.FINISHED if event.is_finished else SessionEvent.FAILED)
 
 
 TIMER_HANDLERS: dict[int, Callable[[PlacementPolicy], None]] = {
-    TimerName.POLL_LIST: observations.poll_endpoint_list, TimerName.PROBE: observations.on_probe_timer,
-    TimerName.HELD: PlacementPolicy.held_due}
-
+    TimerName.POLL_LIST: server_list.poll_endpoint_list, TimerName.PROBE: load_reports.on_probe_timer,
+    TimerName.HELD: load_reports.on_poll_timeout}
 EVENT_HANDLERS: dict[type, Callable[[PlacementPolicy, Any], None]] = {
     Request: PlacementPolicy.on_request, Handover: PlacementPolicy.on_handover,
-    MigrationRequested: PlacementPolicy.on_migration_requested, BudgetSnapshot: PlacementPolicy.on_budget_snapshot,
-    ListUpdate: observations.on_list, ServerSnapshot: observations.on_server_snapshot,
-    ProbeCompleted: observations.on_probe_completed,
-    PeerMessage: observations.on_peer_message, TimerFired: lambda front, event: TIMER_HANDLERS[event.name](front)}
-
+    MigrationRequested: PlacementPolicy.on_migration_requested,
+    BudgetSnapshot: PlacementPolicy.on_budget_snapshot, ServerSnapshot: server_list.on_server_snapshot,
+    ListUpdate: server_list.on_list, ProbeCompleted: load_reports.on_probe_completed,
+    PeerMessage: load_reports.on_peer_message,
+    TimerFired: lambda policy, event: TIMER_HANDLERS[event.name](policy)}
 SESSION_EVENT_HANDLERS: dict[type, Callable[[PlacementPolicy, Session, Any], None]] = {
-    SessionStarted: PlacementPolicy.on_session_started, AttemptCompleted: PlacementPolicy.on_attempt_completed,
-    SessionReport: observations.on_session_report,
-    TopRungChanged: PlacementPolicy.on_top_rung_changed, ClientGone: lambda front, session,
-    _: front.apply_event(session, SessionEvent.CLIENT_GONE)}
+    SessionStarted: PlacementPolicy.on_session_started, SessionReport: load_reports.on_session_report,
+    AttemptCompleted: PlacementPolicy.on_attempt_completed,
+    TopRungChanged: PlacementPolicy.on_top_rung_changed,
+    ClientGone: lambda policy, session, _: apply_event(policy, session, SessionEvent.CLIENT_GONE)}
--- /dev/null
+++ b/packages/placement/src/fennelcove/placement/server_list.py
@@ -0,0 +1,70 @@
+"""The server list: adds, updates and forgets servers, and polls for a list."""
+
+from fennelcove.interface import ListEntry, ListMode, ListUpdate, ServerSnapshot, ServerState, TimerName
+from fennelcove.placement.records import Health, Server
+from fennelcove.placement.state import LinkLoad, PolicyState
+
+
+def on_list(state: PolicyState, event: ListUpdate) -> None:
+    settings = state.settings
+    state.failed_list_polls = state.failed_list_polls + 1 if event.mode is ListMode.FAILED else 0
+    if event.mode is ListMode.FAILED:  # polled again at once, the one list service would stay overloaded
+        pause_us = max(1, (settings.ask_within_us or settings.ramp_us) // 8)
+        state.effects.set_timer(TimerName.POLL_LIST, pause_us * min(4, state.failed_list_polls))
+        return
+    state.list_is_fresh |= event.mode is ListMode.FULL or settings.must_ask
+    for server in state.servers.values() if event.mode is not ListMode.INCREMENTAL else ():
+        server.standing = ServerState.LEFT
+    streams = sum(settings.kind_streams.get(entry.kind, 0) for entry in event.entries)
+    state.kb_per_stream = state.kb_per_stream or (settings.all_links_kb / streams if streams else 0.0)
+    for entry in event.entries:
+        on_list_entry(state, entry)
+    update_racks(state)
+    if event.mode is ListMode.SAVED:
+        poll_endpoint_list(state)  # the saved list may be old: a full one is worth one call
+
+
+def update_racks(state: PolicyState) -> None:
+    """Set the servers of each rack, and forget those that left: replacements come under new addresses."""
+    oldest_us = state.now_us - state.settings.ramp_us
+    for rack in state.racks:
+        rack.servers.clear()
+    for server in list(state.servers.values()):
+        if server.standing is ServerState.ACTIVE or server.sessions:
+            server.rack.servers.append(server)
+        elif server.standing is ServerState.LEFT and server.started_us < oldest_us:
+            del state.servers[server.address]
+            state.replicas[server.cell].remove(server)
+            state.contacted.pop(server, None)
+
+
+def on_list_entry(state: PolicyState, entry: ListEntry) -> None:
+    server = state.servers.get(entry.address) or add_server(state, entry)
+    server.standing = entry.standing
+    if entry.started_us > server.started_us:  # a new process has no sessions and no faults of its last one
+        server.started_us, server.health, server.strikes = entry.started_us, Health.WELL, 0
+        server.link.asked = server.last_attempt_us = None
+
+
+def add_server(state: PolicyState, entry: ListEntry) -> Server:
+    rack = state.racks[entry.cell % state.settings.racks]
+    streams = state.settings.kind_streams.get(entry.kind, 0)
+    by_streams_kb = 0.0 if state.settings.sizes_listed else streams * state.kb_per_stream
+    link = LinkLoad(by_streams_kb or state.settings.kb_per_weight * entry.weight or 1.0)
+    server = Server(entry.address, entry.zone, entry.cell, rack, streams, link, entry.started_us)
+    state.servers[entry.address] = server
+    state.replicas.setdefault(entry.cell, []).append(server)
+    return server
+
+
+def poll_endpoint_list(state: PolicyState) -> None:
+    (state.effects.watch_list if state.settings.must_ask else state.effects.fetch_list)()
+
+
+def on_server_snapshot(state: PolicyState, event: ServerSnapshot) -> None:
+    if server := state.servers.get(event.server):
+        server.strikes = event.strikes
+        if event.suspended_for_us:
+            server.health, server.shut_until_us = Health.SHUT, state.now_us + event.suspended_for_us
+        if event.last_attempt_ago_us is not None and server.last_attempt_us is None:
+            server.last_attempt_us = state.now_us - event.last_attempt_ago_us
--- a/packages/placement/src/fennelcove/placement/server_selection.py
+++ b/packages/placement/src/fennelcove/placement/server_selection.py
@@ -1,37 +1,59 @@
-"""The draw: the highest rung that leaves a holder feasible, and one of the holders feasible there."""
+"""Server selection: the highest rung that some replica can serve, and a draw by utilization factors there."""
 
 from math import inf
 
-from fennelcove.placement.records import Server, Session
+from fennelcove.placement.records import Placement, ScoredServer, Server, Servers, Session
 from fennelcove.placement.state import HOLD_BACK, PolicyState
-from fennelcove.placement.utilization import factors
 
-THRESHOLD = 1.0  # r of the design page
+EXPONENT, THRESHOLD = 0.5, 1.0  # n and r of the design page
 
 
-def choose_server_and_rung(state: PolicyState, session: Session, top: int,
-                           replicas: list[Server]) -> tuple[Server, int] | None:
-    home = [s for s in replicas if s.zone == state.settings.zone]
-    near, far = highest_feasible_rung(state, session, top, home), highest_feasible_rung(state, session, top,
-        replicas)
-    if near is not None and far is not None:
-        # Crossing zones is priced by the second, so it must earn more than its price.
-        gain = state.settings.ladder_worth[far[1]] - state.settings.ladder_worth[near[1]]
-        return far if gain * session.service_class.priority_weight > state.settings.cross_zone_price * state.mean_offered_utility else near
-    return near or far
+def utilization_factor(residual_share: float) -> float:
+    return residual_share**-EXPONENT if residual_share > 0 else inf
 
 
-def highest_feasible_rung(state: PolicyState, session: Session, top: int,
-                          replicas: list[Server]) -> tuple[Server, int] | None:
-    for rung in range(top, session.service_class.floor - 1, -1):
-        spare = HOLD_BACK if rung == session.service_class.floor else 0.0
-        scored = [(s, *factors(s, state.rate_kb(session, rung), spare)) for s in replicas]
+def update_residuals(state: PolicyState, replicas: Servers) -> None:
+    """Set what is free of links, uplinks and streams once for all rungs: thousands may retry at once."""
+    rates = [state.rate_kb(session, session.rung) for session in state.playing_sessions()]
+    mean_rate_kb = sum(rates) / len(rates) if rates else inf
+    for server in replicas:
+        server.residual_link = state.residual_link(server)
+        others_kb = 0.0 if server.link.asked is None else state.others_kb(server)  # guesses fill no streams
+        streams = len(server.sessions) + others_kb / mean_rate_kb
+        server.residual_streams = 1 - (streams + 1) / server.streams_most if server.streams_most else 1.0
+    for rack in dict.fromkeys(server.rack for server in replicas):
+        rack.residual_uplink = 1 - HOLD_BACK - state.uplink_utilization(rack)
+
+
+def utilization_factors(server: Server, rate_kb: float, spare: float = 0.0) -> tuple[float, float]:
+    link = server.residual_link + spare - rate_kb / server.link.size_kb
+    uplink = server.rack.residual_uplink + spare - rate_kb / server.rack.uplink.size_kb
+    return utilization_factor(min(link, server.residual_streams)), utilization_factor(uplink)
+
+
+def choose_placement(state: PolicyState, session: Session, top: int, replicas: Servers) -> Placement | None:
+    in_zone = [server for server in replicas if server.zone == state.settings.zone]
+    near, far = place_highest(state, session, top, in_zone), place_highest(state, session, top, replicas)
+    if near is None or far is None:
+        return near or far
+    gain = state.settings.ladder_worth[far.rung] - state.settings.ladder_worth[near.rung]
+    price = state.settings.cross_zone_price * state.mean_offered_utility
+    return far if gain * session.service_class.priority_weight > price else near
+
+
+def place_highest(state: PolicyState, session: Session, top: int, replicas: Servers) -> Placement | None:
+    floor = session.service_class.floor
+    for rung in range(top, floor - 1, -1):
+        spare = HOLD_BACK if rung == floor else 0.0  # the lowest rung may use the reserve
+        rate_kb = state.rate_kb(session, rung)
+        scored = [(server, *utilization_factors(server, rate_kb, spare)) for server in replicas]
         if feasible := [row for row in scored if row[1] < inf and row[2] < inf]:
-            return draw_server(state, feasible), rung
+            return Placement(draw_server(state, feasible), rung)
     return None
 
 
-def draw_server(state: PolicyState, feasible: list[tuple[Server, float, float]]) -> Server:
-    if sum(row[2] for row in feasible) > THRESHOLD * sum(row[1] for row in feasible):
+def draw_server(state: PolicyState, feasible: list[ScoredServer]) -> Server:
+    """Draw uniformly where the network is the bottleneck, else by the inverse of the server's factor."""
+    if sum(network for _, _, network in feasible) > THRESHOLD * sum(factor for _, factor, _ in feasible):
         return state.random_source.choice(feasible)[0]
-    return state.random_source.choices(feasible, [1 / row[1] for row in feasible])[0][0]
+    return state.random_source.choices(feasible, [1 / factor for _, factor, _ in feasible])[0][0]
--- a/packages/placement/src/fennelcove/placement/session_transitions.py
+++ b/packages/placement/src/fennelcove/placement/session_transitions.py
@@ -1,35 +1,34 @@
-"""Lives: the table that moves subscriptions on, and the design's ordinary path to a join or an answer."""
+"""The state machine of sessions, and the ordinary path of a session to an attempt or an answer."""
 
-from collections.abc import Callable
-
-from fennelcove.placement import (attempts, bitrate_adaptation, health, observations, server_selection,
-                                  utilization)
-from fennelcove.placement.records import Session, SessionEvent, SessionState
+from fennelcove.placement import attempts, bitrate_adaptation, health, load_polling, server_selection
+from fennelcove.placement.records import Session, SessionAction, SessionEvent, SessionState
 from fennelcove.placement.state import PolicyState
+from fennelcove.state_machine import Transition, TransitionTable
 
 
 def apply_event(state: PolicyState, session: Session, event: SessionEvent | None) -> None:
-    while event is not None and (session.life, event) in TRANSITIONS:
-        session.life, effect = row = TRANSITIONS[session.life, event]
-        event = effect(state, session) if effect else None
-        if row[0] is SessionState.ENDED:
+    """Move a session on by an event, and by those that the actions return; an unlisted one is ignored."""
+    while event is not None and (transition := TRANSITIONS.find(session.life, event)) is not None:
+        session.life, event = transition.state, None
+        for action in transition.actions:
+            event = action(state, session)
+        if transition.state is SessionState.ENDED:
             state.sessions.pop(session.id, None)
 
 
 def place_session(state: PolicyState, session: Session) -> SessionEvent | None:
-    replicas = [server for cell in session.cells for server in state.replicas.get(cell, ())
-               if attempts.may_use_server(state, session, server)] if attempts.may_attempt(state,
-                   session) else []
-    # Where every holder looks ill, trying one beats turning the viewer away for certain.
-    replicas = [s for s in replicas if health.is_well(state, s)] or replicas
-    utilization.update_residuals(state, replicas)
-    if observations.poll_peers_first(state, session, replicas):
-        return None
-    if (found := server_selection.choose_server_and_rung(state, session,
-                                                         bitrate_adaptation.rationed_top_rung(state, session,
-        replicas), replicas)) is None:
+    cells = session.cells if attempts.may_attempt(state, session) else ()
+    replicas = [server for cell in cells for server in state.replicas.get(cell, ())
+                if attempts.may_use_server(state, session, server)]
+    replicas = [server for server in replicas if health.is_healthy(state, server)] or replicas  # or try any
+    server_selection.update_residuals(state, replicas)
+    if load_polling.poll_before_placement(state, session, replicas):
+        return None  # it waits for the loads
+    top_rung = bitrate_adaptation.rationed_top_rung(state, session, replicas)
+    placement = server_selection.choose_placement(state, session, top_rung, replicas)
+    if placement is None:
         return SessionEvent.NO_ROOM if attempts.may_reject(state, session) else SessionEvent.STUCK
-    attempts.send_attempt(state, session, *found)
+    attempts.send_attempt(state, session, placement.server, placement.rung)
     return SessionEvent.PLACED
 
 
@@ -41,17 +40,16 @@
     state.effects.fail(session.id)
 
 
-TRANSITIONS: dict[tuple[SessionState, SessionEvent],
-                  tuple[SessionState, Callable[[PolicyState, Session], SessionEvent | None] | None]] = {
-    (SessionState.WAITING, SessionEvent.TRY): (SessionState.WAITING, place_session),
-                      (SessionState.WAITING, SessionEvent.PLACED): (SessionState.JOINING, None),
-    (SessionState.WAITING, SessionEvent.NO_ROOM): (SessionState.ENDED, reject_session),
-                      (SessionState.WAITING, SessionEvent.STUCK): (SessionState.ENDED, fail_session),
-    (SessionState.WAITING, SessionEvent.CLIENT_GONE): (SessionState.ENDED, None),
-                      (SessionState.JOINING, SessionEvent.STARTED): (SessionState.PLAYING, None),
-    (SessionState.JOINING, SessionEvent.FAILED): (SessionState.WAITING, place_session),
-                      (SessionState.JOINING, SessionEvent.FINISHED): (SessionState.ENDED, None),
-    (SessionState.JOINING, SessionEvent.CLIENT_GONE): (SessionState.ABANDONED, None),
-                      **{(life, event): (SessionState.ENDED, None)
-       for life in (SessionState.ABANDONED, SessionState.PLAYING) for event in (SessionEvent.FAILED,
-                      SessionEvent.FINISHED)}, }
+TRANSITIONS: TransitionTable[SessionState, SessionEvent, SessionAction] = TransitionTable({
+    (SessionState.WAITING, SessionEvent.TRY): Transition(SessionState.WAITING, (place_session,)),
+    (SessionState.WAITING, SessionEvent.PLACED): Transition(SessionState.JOINING),
+    (SessionState.WAITING, SessionEvent.NO_ROOM): Transition(SessionState.ENDED, (reject_session,)),
+    (SessionState.WAITING, SessionEvent.STUCK): Transition(SessionState.ENDED, (fail_session,)),
+    (SessionState.WAITING, SessionEvent.CLIENT_GONE): Transition(SessionState.ENDED),
+    (SessionState.JOINING, SessionEvent.STARTED): Transition(SessionState.PLAYING),
+    (SessionState.JOINING, SessionEvent.FAILED): Transition(SessionState.WAITING, (place_session,)),
+    (SessionState.JOINING, SessionEvent.FINISHED): Transition(SessionState.ENDED),
+    (SessionState.JOINING, SessionEvent.CLIENT_GONE): Transition(SessionState.ABANDONED),
+    **{(status, event): Transition(SessionState.ENDED)
+       for status in (SessionState.ABANDONED, SessionState.PLAYING)
+       for event in (SessionEvent.FAILED, SessionEvent.FINISHED)}})
--- a/packages/simulator-adapter/src/fennelcove/simulator_adapter/__main__.py
+++ b/packages/simulator-adapter/src/fennelcove/simulator_adapter/__main__.py
@@ -125,8 +125,10 @@
             settings, report_fields = codec.facts(fields)
             lines = Lines(index, self.out)
             lines.report_fields = report_fields
-            self.fronts[index] = (PlacementPolicy(settings, codec.whole(fields, "Entropy"), lines, now_us),
-                                  lines)
+            self.fronts[index] = (
+                PlacementPolicy(settings, codec.whole(fields, "Entropy"), lines, now_us),
+                lines,
+            )
             return
         if name == "crash_now":
             self.fronts.pop(index, None)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,14 +9,34 @@
 from random import Random
 from typing import Any, ClassVar
 
-from fennelcove.interface import (CellLoad, ClientGone, Effect, Handover, AttemptCompleted, ListMode,
-                                  ListUpdate,
-                                  LoadReport, ReportKind, Outcome, PeerMessage, ProbeCompleted, Request,
-                                  Scope, ServerState,
-                                  SessionStarted, TimerFired, TimerName)
+from fennelcove.interface import (
+    CellLoad,
+    ClientGone,
+    Effect,
+    Handover,
+    AttemptCompleted,
+    ListMode,
+    ListUpdate,
+    LoadReport,
+    ReportKind,
+    Outcome,
+    PeerMessage,
+    ProbeCompleted,
+    Request,
+    Scope,
+    ServerState,
+    SessionStarted,
+    TimerFired,
+    TimerName,
+)
 from fennelcove.messages import encode, decode
 from fennelcove.placement import Health, LinkLoad, PlacementPolicy, SessionEvent, SessionState
-from fennelcove.placement.utilization import utilization_factor
+from fennelcove.placement.bitrate_adaptation import lower_rungs, raise_rungs, set_rungs
+from fennelcove.placement.health import record_outcome
+from fennelcove.placement.quotas import quota_share
+from fennelcove.placement.session_transitions import apply_event
+from fennelcove.placement.slow_start import has_slow_start_turn
+from fennelcove.placement.server_selection import utilization_factor
 from tests.helpers import SECOND, Recorder, ask, end, entry, front, note, play
 
 
@@ -34,7 +54,7 @@
         self.assertAlmostEqual(by_link, (1 - 0.1 - 0.5) ** -0.5)
         server.streams_most = 2
         made.weigh([server])
-        self.assertAlmostEqual(made.factors(server, 0.0)[0], 0.5 ** -0.5)
+        self.assertAlmostEqual(made.factors(server, 0.0)[0], 0.5**-0.5)
 
     def test_guesses_fill_no_streams(self) -> None:
         # By low rates, a guess at links not heard filled all streams: a fresh front throttled everybody.
@@ -48,7 +68,7 @@
         made, _ = front()
         made.racks[0].uplink.observe(0.5, made.now_us)
         made.weigh([made.servers["s0"]])
-        self.assertAlmostEqual(made.factors(made.servers["s0"], 250.0)[1], 0.3 ** -0.5)
+        self.assertAlmostEqual(made.factors(made.servers["s0"], 250.0)[1], 0.3**-0.5)
 
 
 class FreeTest(unittest.TestCase):
@@ -171,7 +191,7 @@
         news = (entry("s0", 0, standing=ServerState.LEAVING),)
         made.handle(ListUpdate(ListMode.INCREMENTAL, news), made.now_us)
         ask(made, timeout_us=SECOND // 10)
-        (_, _, server, allow_us), = effects.named("start_attempt")
+        ((_, _, server, allow_us),) = effects.named("start_attempt")
         self.assertEqual((server, allow_us), ("s1", SECOND // 10))
 
     def test_what_has_left_for_good_is_not_kept(self) -> None:
@@ -282,7 +302,7 @@
             made, _ = front(1)
             made.rng = Random(seed).random
             play(made)
-            made.lower_rungs([made.sessions["a"].server], 0.125)  # 50 of a step of 200
+            lower_rungs(made, [made.sessions["a"].server], 0.125)  # 50 of a step of 200
             lowered += made.sessions["a"].rung < 2
         self.assertAlmostEqual(lowered / 200, 0.25, delta=0.08)
 
@@ -291,17 +311,18 @@
         play(made, "cheap", first_cell=0, cell_count=1)
         play(made, "dear", first_cell=1, cell_count=1)
         made.sessions["dear"].rung = 1
-        made.lower_rungs([made.servers["s1"]], 0.2)
+        lower_rungs(made, [made.servers["s1"]], 0.2)
         self.assertEqual(made.sessions["dear"].rung, 1)
-        made.lower_rungs([made.servers["s0"]], 1 / 3)
+        lower_rungs(made, [made.servers["s0"]], 1 / 3)
         self.assertEqual(made.sessions["cheap"].rung, 1)
 
     def test_report_of_a_failed_join_is_heard(self) -> None:
         made, _ = front(1)
         made.servers["s0"].link.as_of_us = 0
         ask(made)
-        made.handle(AttemptCompleted("a", 0, Outcome.TURNED_AWAY, False, LoadReport(1.2, 0.8)),
-                    made.now_us + 1000)
+        made.handle(
+            AttemptCompleted("a", 0, Outcome.TURNED_AWAY, False, LoadReport(1.2, 0.8)), made.now_us + 1000
+        )
         server = made.servers["s0"]
         self.assertEqual((server.link.asked, server.rack.uplink.asked), (1.2, 0.8))
 
@@ -367,11 +388,12 @@
         for age_us in range(SECOND, 9 * SECOND, SECOND // 2):
             open_turns = 0
             for index in range(fronts):
-                made, _ = front(1, fronts=fronts, index=index, kind_streams={"kind": streams},
-                                cold_slack_us=tip_us)
+                made, _ = front(
+                    1, fronts=fronts, index=index, kind_streams={"kind": streams}, cold_slack_us=tip_us
+                )
                 server = made.servers["s0"]
                 server.started_us = made.now_us - age_us
-                open_turns += made.has_slow_start_turn(server)
+                open_turns += has_slow_start_turn(made, server)
             pace = streams / (10 * SECOND) * (0.5 + 0.5 * age_us / (10 * SECOND))
             self.assertLessEqual(open_turns, pace * tip_us + 1)
             self.assertGreater(open_turns, 0)
@@ -445,25 +467,30 @@
 
 class OutcomeTest(unittest.TestCase):
     def test_each_fault_shuts_the_server_for_a_pause(self) -> None:
-        for outcome in (Outcome.SERVER_ERROR, Outcome.NO_ANSWER, Outcome.TURNED_AWAY, Outcome.NO_CONNECTION,
-                        Outcome.CONNECTION_LOST):
+        for outcome in (
+            Outcome.SERVER_ERROR,
+            Outcome.NO_ANSWER,
+            Outcome.TURNED_AWAY,
+            Outcome.NO_CONNECTION,
+            Outcome.CONNECTION_LOST,
+        ):
             made, _ = front()
             server = made.servers["s0"]
-            made.record_outcome(server, outcome)
+            record_outcome(made, server, outcome)
             self.assertFalse(made.is_well(server), outcome)
             made.now_us = server.shut_until_us
             self.assertTrue(made.is_well(server), outcome)
             self.assertIs(server.health, Health.TRIAL)
-            made.record_outcome(server, Outcome.SERVED)
+            record_outcome(made, server, Outcome.SERVED)
             self.assertIs(server.health, Health.WELL)
 
     def test_pause_grows_with_strikes(self) -> None:
         made, _ = front()
         server = made.servers["s0"]
-        made.record_outcome(server, Outcome.SERVER_ERROR)
+        record_outcome(made, server, Outcome.SERVER_ERROR)
         first = server.shut_until_us - made.now_us
         server.health = Health.TRIAL
-        made.record_outcome(server, Outcome.SERVER_ERROR)
+        record_outcome(made, server, Outcome.SERVER_ERROR)
         self.assertEqual(server.shut_until_us - made.now_us, 2 * first)
 
     def test_what_every_server_answers_with_an_error_shuts_none(self) -> None:
@@ -484,7 +511,7 @@
 
     def test_all_holders_ill_is_still_tried(self) -> None:
         made, effects = front(1)
-        made.record_outcome(made.servers["s0"], Outcome.SERVER_ERROR)
+        record_outcome(made, made.servers["s0"], Outcome.SERVER_ERROR)
         ask(made)
         self.assertEqual(effects.calls[-1][0], "start_attempt")
 
@@ -508,7 +535,7 @@
         made, effects = front()
         play(made)
         effects.calls.clear()
-        made.apply_event(made.sessions["a"], SessionEvent.CLIENT_GONE)
+        apply_event(made, made.sessions["a"], SessionEvent.CLIENT_GONE)
         self.assertIs(made.sessions["a"].life, SessionState.PLAYING)
         self.assertEqual(effects.calls, [])
 
@@ -543,7 +570,7 @@
         # With an eighth of the objective alone, a viewer of 50 ms was answered after its time.
         made, effects = self.unheard(**self.PROBED)
         ask(made, timeout_us=SECOND // 20)
-        (_, name, delay_us), = effects.named("set_timer")
+        ((_, name, delay_us),) = effects.named("set_timer")
         self.assertEqual((name, delay_us), (TimerName.HELD, SECOND // 160))
         made.handle(TimerFired(name), made.now_us + delay_us)
         self.assertEqual(len(effects.named("start_attempt")), 1)
@@ -568,7 +595,7 @@
         made, effects = front(fronts=50, **self.PROBED)
         play(made, top_rung=2)
         sub = made.sessions["a"]
-        made.set_rungs({sub: 0})
+        set_rungs(made, {sub: 0})
         effects.calls.clear()
         self.probed(made, sub.server.address, 0.2)
         self.assertEqual(effects.named("set_rung"), [("set_rung", "a", 2)])
@@ -581,7 +608,7 @@
         for price, sent in ((0.01, 1), (9.0, 0)):
             made, effects = front(probe_price=price, reports_unasked=False)
             play(made)
-            made.set_rungs({made.sessions["a"]: 0})
+            set_rungs(made, {made.sessions["a"]: 0})
             server = made.sessions["a"].server
             server.link.full_until_us = made.now_us + 60 * SECOND
             for full_until_us, probes in ((server.link.full_until_us, 0), (0, sent)):
@@ -595,7 +622,7 @@
         made.servers["s1"].link.observe(0.3, made.now_us)
         made.handle(PeerMessage(2, attempts=((1, 200), (9, 200))), made.now_us + 1000)
         made.handle(PeerMessage(2, asks=(1, 2, 9)), made.now_us)
-        (_, to, said), = effects.named("send_peer_message")
+        ((_, to, said),) = effects.named("send_peer_message")
         self.assertEqual(to, 2)
         self.assertEqual([(load.cell, load.link) for load in said.loads], [(1, 0.5), (2, None)])
 
@@ -606,7 +633,7 @@
         self.assertEqual(effects.named("send_peer_message"), [asked])
         loads = tuple(CellLoad(cell, level, None, 0) for cell, level in enumerate((0.9, 0.0, 0.9)))
         made.handle(PeerMessage(0, loads=loads), made.now_us + 10_000)
-        (_, _, server, _), = effects.named("start_attempt")
+        ((_, _, server, _),) = effects.named("start_attempt")
         self.assertEqual(server, "s1")
         sent = ("send_peer_message", 0, PeerMessage(5, attempts=((1, 400),)))
         self.assertEqual(effects.named("send_peer_message")[-1], sent)
@@ -654,12 +681,12 @@
     def test_a_raise_must_repay_its_change_in_the_time_left(self) -> None:
         made, effects = front(switch_cost_us=SECOND)
         play(made, watch_guess_us=SECOND)
-        made.set_rungs({made.sessions["a"]: 0})
+        set_rungs(made, {made.sessions["a"]: 0})
         effects.calls.clear()
-        made.raise_rungs(made.sessions["a"].server, 0)
+        raise_rungs(made, made.sessions["a"].server, 0)
         self.assertEqual(effects.named("set_rung"), [])
         made.sessions["a"].watch_guess_us = 60 * SECOND
-        made.raise_rungs(made.sessions["a"].server, None)
+        raise_rungs(made, made.sessions["a"].server, None)
         self.assertEqual(effects.named("set_rung"), [("set_rung", "a", 2)])  # both steps in one change
 
     def test_a_guess_that_has_run_out_leaves_some_part_of_itself(self) -> None:
@@ -670,11 +697,11 @@
 
     def test_past_its_quota_a_tenants_request_counts_less(self) -> None:
         made, _ = front(quotas={"t": 0.2}, over_quota_worth=0.1)  # one in ten seconds for this front of two
-        shares = [made.quota_share(Request(str(i), "room", 5, 0, 3, 2, SECOND, "t")) for i in range(4)]
+        shares = [quota_share(made, Request(str(i), "room", 5, 0, 3, 2, SECOND, "t")) for i in range(4)]
         self.assertEqual((shares[0], round(shares[3], 2)), (1.0, 0.46))
-        again = made.quota_share(Request("r", "room", 5, 0, 3, 2, SECOND, "t", returned=True))
+        again = quota_share(made, Request("r", "room", 5, 0, 3, 2, SECOND, "t", returned=True))
         self.assertEqual(again, shares[3])
-        self.assertEqual(made.quota_share(Request("n", "room", 5, 0, 3, 2, SECOND)), 1.0)
+        self.assertEqual(quota_share(made, Request("n", "room", 5, 0, 3, 2, SECOND)), 1.0)
 
     def test_the_worst_served_room_type_counts_once_more(self) -> None:
         made, _ = front(worst_class_weight=0.5)
@@ -682,7 +709,7 @@
         made.settings.service_classes["other"] = other
         play(made, "a")
         play(made, "b", service_class="other")
-        made.set_rungs({made.sessions["a"]: 0})
+        set_rungs(made, {made.sessions["a"]: 0})
         made.class_utilities_at_us = -1
         self.assertEqual(made.class_utility(made.sessions["b"].service_class), 2.0)
         self.assertEqual(made.class_utility(made.sessions["a"].service_class), 1 + 0.5 * 3)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -30,6 +30,8 @@
 from fennelcove.interface import Outcome, ServerSnapshot, BudgetSnapshot
 from fennelcove.settings.schema import StoreSettings
 from fennelcove.emulators.disk import PowerCut, StandInDisk
+from fennelcove.placement.attempts import within_retry_budget
+from fennelcove.placement.health import record_outcome
 from fennelcove.store import journal, records
 from fennelcove.store.folder import Store, StoreError, verify
 from fennelcove.store.journal import Journal
@@ -422,7 +424,7 @@
         server = module.servers[self.known[0].address]
         with self.front.core.lock:
             for _ in range(2):
-                module.record_outcome(server, Outcome.NO_ANSWER)
+                record_outcome(module, server, Outcome.NO_ANSWER)
             server.last_attempt_us = module.now_us
             module.further.extend([module.now_us] * 2)
             self.front.core.storms.weather.usual, self.front.core.storms.weather.seen = 7.5, 40
@@ -434,7 +436,7 @@
         server = module.servers[self.known[0].address]
         self.assertEqual(server.strikes, strikes)
         self.assertIsNotNone(server.last_attempt_us)
-        self.assertFalse(module.within_retry_budget())
+        self.assertFalse(within_retry_budget(module))
         self.assertGreater(self.front.core.storms.weather.seen, 39)
 
     def test_a_box_that_started_anew_meanwhile_is_not_taken_for_what_it_was(self) -> None:
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -40,20 +40,28 @@
             "turn WallMs=2050.0\nestablished Front=4 Job=j1 Server=10.0.0.1:1 Try=0 TookMs=50.0\ncommit\n"
             "turn WallMs=9000.0\nreport_back Front=4 Job=j1 Reason=served TookMs=6950.0 Server=10.0.0.1:1 "
             "DoneFlag=1 Try=0 Feedback=0.2\ncancelled_by_client Front=4 Job=j1\ncommit\n"
-            "turn WallMs=9010.0\ncrash_now Front=4\ncommit\n")
+            "turn WallMs=9010.0\ncrash_now Front=4\ncommit\n"
+        )
         self.assertEqual((status, errors), (0, ""))
-        self.assertEqual(out, "done\nrate Front=4 Job=j1 Rung=1\n"
-                         "call_out Front=4 Job=j1 Server=10.0.0.1:1 AllowForMs=500.0\n" + 4 * "done\n")
+        self.assertEqual(
+            out,
+            "done\nrate Front=4 Job=j1 Rung=1\n"
+            "call_out Front=4 Job=j1 Server=10.0.0.1:1 AllowForMs=500.0\n" + 4 * "done\n",
+        )
 
     def test_malformed_input_is_named_with_what_can_be_done(self) -> None:
         turn = START + "turn WallMs=2\n"
-        for text, named in (("nonsense\n", "line 1"), ("turn WallMs=x\n", "WallMs"), ("turn\n", "WallMs"),
-                            ("turn WallMs=1\nup Front=1 Entropy=1 Facts={}\n", "LevelKb"),
-                            ("turn WallMs=1\nup Front=1 Entropy=1 Facts={\n", "Facts"),
-                            ("turn WallMs=1\nfired Front=1 Name=1\n", "Front"),
-                            (turn + ORDER.replace("Asset=2 ", ""), "Asset"),
-                            (turn + ORDER.replace("TierClass=r", "TierClass=q"), "TierClass"),
-                            (turn + "what Front=4\n", "what")):
+        for text, named in (
+            ("nonsense\n", "line 1"),
+            ("turn WallMs=x\n", "WallMs"),
+            ("turn\n", "WallMs"),
+            ("turn WallMs=1\nup Front=1 Entropy=1 Facts={}\n", "LevelKb"),
+            ("turn WallMs=1\nup Front=1 Entropy=1 Facts={\n", "Facts"),
+            ("turn WallMs=1\nfired Front=1 Name=1\n", "Front"),
+            (turn + ORDER.replace("Asset=2 ", ""), "Asset"),
+            (turn + ORDER.replace("TierClass=r", "TierClass=q"), "TierClass"),
+            (turn + "what Front=4\n", "what"),
+        ):
             status, _, errors = exchange(text)
             self.assertEqual(status, 1, text)
             said, cure = errors.splitlines()
