--- a/packages/placement/src/fennelcove/placement/health.py
+++ b/packages/placement/src/fennelcove/placement/health.py
@@ -34,8 +34,8 @@
 
 def suspend(state: PolicyState, server: Server) -> None:
     """Leave a server alone, for twice as long with each strike, and report it full to other fronts."""
-    shortest_us = min(item.latency_objective_us for item in state.settings.service_classes.values())
-    server.shut_until_us = state.now_us + min(shortest_us * 2 ** (server.strikes + 1), state.settings.ramp_us)
+    unit_us = min(item.latency_objective_us for item in state.settings.service_classes.values())
+    server.shut_until_us = state.now_us + min(unit_us * 2 ** (server.strikes + 1), state.settings.ramp_us)
     server.strikes = min(server.strikes + 1, MAX_STRIKES)
     notify_shard_owner(state, server.cell, loads=(CellLoad(server.cell, inf, None, 0),))
 
--- a/packages/placement/src/fennelcove/placement/load_polling.py
+++ b/packages/placement/src/fennelcove/placement/load_polling.py
@@ -39,9 +39,9 @@
         for server in awaited:
             state.effects.probe(server.address)
     elif state.settings.peer_price is not None:
-        others = [server for server in unheard if shard_owner(state, server.cell) != state.settings.index]
-        is_many = len(others) > MAX_POLLED_CELLS
-        drawn = state.random_source.sample(others, MAX_POLLED_CELLS) if is_many else others
+        rest = [server for server in unheard if shard_owner(state, server.cell) != state.settings.index]
+        is_many = len(rest) > MAX_POLLED_CELLS
+        drawn = state.random_source.sample(rest, MAX_POLLED_CELLS) if is_many else rest
         awaited = session.asked = dict.fromkeys(drawn)
         poll_shard_owners(state, [server.cell for server in awaited])
     for server in awaited:
--- a/packages/placement/src/fennelcove/placement/load_reports.py
+++ b/packages/placement/src/fennelcove/placement/load_reports.py
@@ -11,23 +11,23 @@
 def on_session_report(state: PolicyState, session: Session, event: SessionReport) -> None:
     if session.life is not SessionState.PLAYING:
         return
-    server, other_fronts = session.server, state.settings.fronts - 1
+    server, kind, other_fronts = session.server, event.kind, state.settings.fronts - 1
     seen_us = state.now_us - state.settings.seen_after_us
-    reported_us = seen_us if session.noted else session.attempts[-1].sent_us - 1  # the first lacks it yet
-    if event.kind is ReportKind.RUNG:
+    reported_us = seen_us if session.noted else session.attempts[-1].sent_us - 1  # the first lacks it
+    if kind is ReportKind.RUNG:
         state.change_rung(session, int(event.level))
-    elif event.kind is ReportKind.LINK:
+    elif kind is ReportKind.LINK:
         server.link.observe(event.level, reported_us)
-        adapt_rungs(state, server, other_fronts if session.noted else 0)  # the first is to this front alone
+        adapt_rungs(state, server, other_fronts if session.noted else 0)  # the first has no other reader
         session.noted = True
-    elif event.kind is ReportKind.UPLINK:
+    elif kind is ReportKind.UPLINK:
         server.rack.uplink.observe(event.level, reported_us)
         relieve_overload(state, state.uplink_utilization(server.rack), server.rack.servers, other_fronts)
     elif event.level < WHOLE:
         on_short_delivery(state, server, event.level)
     else:
         server.link.full_until_us = state.now_us
-    if event.kind is ReportKind.UPLINK or (event.kind is ReportKind.LINK and not state.settings.uplinks_told):
+    if kind is ReportKind.UPLINK or (kind is ReportKind.LINK and not state.settings.uplinks_told):
         notify_shard_owner(state, server.cell, loads=(load_of(state, server, with_sent=False),))
 
 
@@ -96,8 +96,8 @@
 def on_peer_message(state: PolicyState, event: PeerMessage) -> None:
     """Late, doubled or of another build, it changes loads only, and none of a server restarted since."""
     if event.asks and event.sender < state.settings.fronts:
-        loads = tuple(load_of(state, server, with_sent=True)
-                      for cell in event.asks[:MAX_POLLED_CELLS] for server in state.active(cell)[:1])
+        loads = tuple(load_of(state, server, with_sent=True) for cell in event.asks[:MAX_POLLED_CELLS]
+                      for server in state.active(cell)[:1])
         state.effects.send_peer_message(event.sender, PeerMessage(state.settings.index, loads=loads))
     for cell, rate_kb in event.attempts:
         for server in state.active(cell):
--- a/packages/placement/src/fennelcove/placement/state.py
+++ b/packages/placement/src/fennelcove/placement/state.py
@@ -51,13 +51,13 @@
         self.random_source = Random(seed)
         self.rng = self.random_source.random
         self.usual_report_age_us = settings.seen_after_us + settings.reports_every_us
-        uplink_kb = settings.uplink_kb or settings.all_links_kb or 1.0  # one of no stated size must not bind
+        uplink_kb = settings.uplink_kb or settings.all_links_kb or 1.0  # where none is stated, none may bind
         self.racks = [Rack(LinkLoad(uplink_kb)) for _ in range(settings.racks)]
         self.tenant_request_times_us = {tenant: deque[int](maxlen=1024) for tenant in settings.quotas}
         self.may_probe = settings.probe_price is not None and not settings.reports_unasked
         self.typical_watch_us = float(settings.ramp_us or MARK_US)  # not 0: ages are divided by it
         # Hooks that a host may replace: whose slow-start turn it is, and whether a session may use a server.
-        self.mine: Callable[[int], bool] = lambda turn: turn % settings.fronts == settings.index
+        self.mine: Callable[[int], bool] = lambda n: n % settings.fronts == settings.index
         self.free: Callable[[str, str], bool] = lambda session_id, address: True
 
     def residual_link(self, server: Server) -> float:
@@ -73,7 +73,7 @@
             samples = (reported or [0.5]) if self.settings.guard else [*reported, 0.25, 0.75]
             mean = sum(samples) / len(samples)
             # The emptiest of many guesses is mostly too low, and unless servers reject, all sessions pay.
-            spread = 0.0 if self.settings.guard else sum(abs(item - mean) for item in samples) / len(samples)
+            spread = 0.0 if self.settings.guard else sum(abs(x - mean) for x in samples) / len(samples)
             self.cached_mean, self.cached_mean_at_us = mean + spread, self.now_us
         return self.cached_mean
 
@@ -91,7 +91,7 @@
 
     def uplink_utilization(self, rack: Rack) -> float:
         own = sum(server.own_kb for server in rack.servers) / rack.uplink.size_kb
-        mean = self.mean_utilization() if self.settings.uplinks_told else 0.0  # guesses would stay for good
+        mean = self.mean_utilization() if self.settings.uplinks_told else 0.0  # guesses would stay
         others = mean * (1 - 1 / self.settings.fronts)
         return own if rack.uplink.asked is None else self.aged_utilization(rack.uplink, own, others)
 
@@ -140,5 +140,5 @@
         return max(expected_us - played_us, expected_us / 2)  # a guess that has run out leaves half of it
 
     def poll_deadline_us(self, session: Session) -> int:
-        timeout_us = session.timeout_us - session.taken_us  # a session waits an eighth of the shorter limit
+        timeout_us = session.timeout_us - session.taken_us  # it waits an eighth of the shorter limit
         return session.taken_us + min(session.service_class.latency_objective_us, timeout_us) // 8
