Simulator adapter: typed parts in place of tuples, short steps, the field's names

The host kept a front and its writer in a tuple and a list in progress in another, and decoded, checked and handled events in one function.

--- a/packages/simulator-adapter/src/fennelcove/simulator_adapter/__main__.py
+++ b/packages/simulator-adapter/src/fennelcove/simulator_adapter/__main__.py
@@ -1,9 +1,13 @@
-"""Runs the adapter: python -m fennelcove.simulator_adapter."""
+"""Runs placement policies against the simulator, on standard input and output.
+
+Start it with `python -m fennelcove.simulator_adapter`.
+"""
 
 from __future__ import annotations
 
 import sys
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TextIO
 
 from fennelcove.interface import Event, Handover, ListEntry, ListMode, ListUpdate, PeerMessage, Settings
@@ -12,181 +16,217 @@
 from fennelcove.simulator_adapter import codec
 from fennelcove.simulator_adapter.codec import Fields, WireError
 
+# Messages that are decoded alone.
 DECODERS: dict[str, Callable[[Fields], Event | None]] = {
-    "note_from": codec.peer_says,
-    "established": codec.started,
+    "note_from": codec.peer_message,
+    "established": codec.session_started,
     "cancelled_by_client": codec.client_gone,
     "fired": codec.timer_fired,
 }
-# These need the settings to tell what is well formed.
-CHECKED: dict[str, Callable[[Fields, Settings], Event | None]] = {
+# Messages that are checked against the settings.
+SETTINGS_DECODERS: dict[str, Callable[[Fields, Settings], Event | None]] = {
     "order": codec.request,
     "existing": codec.handover,
-    "interim": codec.note,
+    "interim": codec.session_report,
 }
-# These need the names of a report's values.
-REPORTED: dict[str, Callable[[Fields, tuple[str, ...]], Event]] = {
+# Messages that carry a load report, whose values the settings name.
+REPORT_DECODERS: dict[str, Callable[[Fields, tuple[str, ...]], Event]] = {
     "report_back": codec.attempt_completed,
-    "probe_result": codec.probed,
+    "probe_result": codec.probe_completed,
 }
 
 
-class Lines:
+class EffectWriter:
     """Collects one front's effects as lines of the reply."""
 
-    def __init__(self, front: int, out: list[str]) -> None:
+    def __init__(self, front: int, reply_lines: list[str]) -> None:
         self.front = front
-        self.out = out
-        self.report_fields: tuple[str, ...] = ()
+        self.reply_lines = reply_lines
+
+    def _write(self, message: str, fields: str) -> None:
+        self.reply_lines.append(f"{message} Front={self.front} {fields}\n")
 
-    def start_attempt(self, id: str, server: str, allow_us: int) -> None:
-        self.out.append(
-            f"call_out Front={self.front} Job={id} Server={server} AllowForMs={allow_us / 1000}\n"
-        )
+    def start_attempt(self, id: str, server: str, timeout_us: int) -> None:
+        """Send an attempt."""
+        self._write("call_out", f"Job={id} Server={server} AllowForMs={timeout_us / 1000}")
 
     def set_rung(self, id: str, rung: int) -> None:
-        self.out.append(f"rate Front={self.front} Job={id} Rung={rung}\n")
+        """Set a session's rung."""
+        self._write("rate", f"Job={id} Rung={rung}")
 
-    def reject(self, id: str, wait_us: int) -> None:
-        self.out.append(f"deny Front={self.front} Job={id} WaitMs={wait_us / 1000}\n")
+    def reject(self, id: str, retry_after_us: int) -> None:
+        """Reject a session."""
+        self._write("deny", f"Job={id} WaitMs={retry_after_us / 1000}")
 
     def fail(self, id: str) -> None:
-        self.out.append(f"give_up Front={self.front} Job={id}\n")
+        """Fail a session."""
+        self._write("give_up", f"Job={id}")
 
     def migrate(self, id: str) -> None:
-        self.out.append(f"migrate Front={self.front} Job={id}\n")
+        """Ask for a migration of a session."""
+        self._write("migrate", f"Job={id}")
 
     def probe(self, server: str) -> None:
-        self.out.append(f"inspect Front={self.front} Server={server}\n")
+        """Send a probe to a server."""
+        self._write("inspect", f"Server={server}")
 
-    def send_peer_message(self, front: int, said: PeerMessage) -> None:
-        for part in encode(said):
-            self.out.append(f"announce Front={self.front} Target={front} Msg={part.hex()}\n")
+    def send_peer_message(self, front: int, message: PeerMessage) -> None:
+        """Send a message to another front, in as many parts as its bytes need."""
+        for part in encode(message):
+            self._write("announce", f"Target={front} Msg={part.hex()}")
 
     def set_timer(self, name: int, delay_us: int) -> None:
-        self.out.append(f"after Front={self.front} SleepForMs={delay_us / 1000} Name={name}\n")
+        """Set a timer."""
+        self._write("after", f"SleepForMs={delay_us / 1000} Name={name}")
 
     def watch_list(self) -> None:
-        self.out.append(f"watch Front={self.front} Active=1\n")
+        """Subscribe to the server list."""
+        self._write("watch", "Active=1")
 
     def fetch_list(self) -> None:
-        self.out.append(f"list_all Front={self.front}\n")
+        """Request a full server list."""
+        self.reply_lines.append(f"list_all Front={self.front}\n")
+
+
+@dataclass(frozen=True, slots=True)
+class RunningFront:
+    """A front that the simulator has started."""
+
+    policy: PlacementPolicy
+    report_fields: tuple[str, ...]  # names of a load report's values, in the order of the wire
+
+
+@dataclass(frozen=True, slots=True)
+class PartialList:
+    """A server list whose entries are still coming in."""
+
+    buffer: int
+    size: int
+    entries: list[ListEntry]
 
 
 class Host:
-    """Deals each event to its front and collects what the fronts ask for."""
+    """Hands each event to its front and collects the effects of all fronts."""
 
     def __init__(self) -> None:
-        self.out: list[str] = []
-        self.fronts: dict[int, tuple[PlacementPolicy, Lines]] = {}
-        self.lists: dict[int, tuple[ListEntry, ...]] = {}
-        self.filling: tuple[int, int, list[ListEntry]] | None = None
-        self.now_us: int | None = None
-
-    def line(self, line: str) -> bool:
-        """Take one line; true when a reply is due."""
+        self._reply_lines: list[str] = []
+        self._fronts: dict[int, RunningFront] = {}
+        self._lists: dict[int, tuple[ListEntry, ...]] = {}
+        self._partial_list: PartialList | None = None
+        self._now_us: int | None = None  # time of the turn in progress
+
+    def receive_line(self, line: str) -> bool:
+        """Handle one line; whether a reply is due.
+
+        Raises:
+            WireError: the line is malformed, or not expected here.
+        """
         name, fields = codec.split(line)
-        if self.filling is not None:
-            self.fill(name, fields)
+        if self._partial_list is not None:
+            self._add_entry(self._partial_list, name, fields)
         elif name == "turn":
-            if self.now_us is not None:
+            if self._now_us is not None:
                 raise WireError("a turn inside a turn")
-            self.now_us = codec.micros(fields, "WallMs")
-        elif self.now_us is None:
+            self._now_us = codec.micros(fields, "WallMs")
+        elif self._now_us is None:
             raise WireError(f"message {name!r} outside a turn")
         elif name == "commit":
-            self.now_us = None
+            self._now_us = None
             return True
         elif name == "pool":
             size = codec.whole(fields, "RowsIn")
-            self.filling = (codec.whole(fields, "Buffer"), size, [])
-            self.close_list()
+            self._partial_list = PartialList(codec.whole(fields, "Buffer"), size, [])
+            self._store_complete_list(self._partial_list)
         else:
-            self.event(name, fields, self.now_us)
+            self._on_front_message(name, fields, self._now_us)
         return False
 
-    def fill(self, name: str, fields: Fields) -> None:
+    def take_reply(self) -> str:
+        """The reply to the turn that has ended; it is given once."""
+        self._reply_lines.append("done\n")
+        reply = "".join(self._reply_lines)
+        self._reply_lines.clear()
+        return reply
+
+    def _add_entry(self, partial: PartialList, name: str, fields: Fields) -> None:
         if name != "entry":
             raise WireError(f"message {name!r} where an entry was due")
-        assert self.filling is not None
-        self.filling[2].append(codec.entry(fields))
-        self.close_list()
-
-    def close_list(self) -> None:
-        assert self.filling is not None
-        buffer, size, entries = self.filling
-        if len(entries) >= size:
-            self.lists[buffer] = tuple(entries)
-            self.filling = None
-
-    def event(self, name: str, fields: Fields, now_us: int) -> None:
+        partial.entries.append(codec.entry(fields))
+        self._store_complete_list(partial)
+
+    def _store_complete_list(self, partial: PartialList) -> None:
+        if len(partial.entries) >= partial.size:
+            self._lists[partial.buffer] = tuple(partial.entries)
+            self._partial_list = None
+
+    def _on_front_message(self, name: str, fields: Fields, now_us: int) -> None:
         index = codec.whole(fields, "Front")
         if name == "up":
-            settings, report_fields = codec.facts(fields)
-            lines = Lines(index, self.out)
-            lines.report_fields = report_fields
-            self.fronts[index] = (
-                PlacementPolicy(settings, codec.whole(fields, "Entropy"), lines, now_us),
-                lines,
-            )
-            return
-        if name == "crash_now":
-            self.fronts.pop(index, None)
-            return
+            self._start_front(index, fields, now_us)
+        elif name == "crash_now":
+            self._fronts.pop(index, None)
+        else:
+            event = self._decode(name, fields, index)
+            if event is not None:
+                self._fronts[index].policy.handle(event, now_us)
+
+    def _start_front(self, index: int, fields: Fields, now_us: int) -> None:
+        settings, report_fields = codec.settings(fields)
+        writer = EffectWriter(index, self._reply_lines)
+        policy = PlacementPolicy(settings, codec.whole(fields, "Entropy"), writer, now_us)
+        self._fronts[index] = RunningFront(policy, report_fields)
+
+    def _decode(self, name: str, fields: Fields, index: int) -> Event | None:
+        """The event of a message; None for one that the front has no use for."""
         event: Event | None = None
         if name in DECODERS:
             event = DECODERS[name](fields)
         elif name == "directory_update":
-            event = self.list_update(fields)
-        elif name not in CHECKED and name not in REPORTED:
+            event = self._list_update(fields)
+        elif name not in SETTINGS_DECODERS and name not in REPORT_DECODERS:
             raise WireError(f"unknown message {name!r}")
-        if index not in self.fronts:
+        if index not in self._fronts:
             raise WireError(f"found no running front: {index}", "field Front")
-        front, lines = self.fronts[index]
-        if name in REPORTED:
-            event = REPORTED[name](fields, lines.report_fields)
-        elif name in CHECKED:
-            event = CHECKED[name](fields, front.settings)
-            if isinstance(event, Handover) and event.server not in front.servers:
-                raise WireError(f"found a server on no list of this front: {event.server!r}", "field Server")
-        if event is not None:
-            front.handle(event, now_us)
-
-    def list_update(self, fields: Fields) -> ListUpdate:
+        front = self._fronts[index]
+        if name in REPORT_DECODERS:
+            return REPORT_DECODERS[name](fields, front.report_fields)
+        if name in SETTINGS_DECODERS:
+            event = SETTINGS_DECODERS[name](fields, front.policy.settings)
+        if isinstance(event, Handover) and event.server not in front.policy.servers:
+            raise WireError(f"found a server on no list of this front: {event.server!r}", "field Server")
+        return event
+
+    def _list_update(self, fields: Fields) -> ListUpdate:
         mode = codec.choice(fields, "Mode", ListMode)
-        codec.whole(fields, "Epoch")
+        codec.whole(fields, "Epoch")  # not used, but must be well formed
         if mode is ListMode.FAILED:
             return ListUpdate(mode, ())
         buffer = codec.whole(fields, "Buffer")
-        if buffer not in self.lists:
+        if buffer not in self._lists:
             raise WireError(f"found no list: {buffer}", "field Buffer")
-        return ListUpdate(mode, self.lists[buffer])
-
-    def reply(self) -> str:
-        self.out.append("done\n")
-        reply = "".join(self.out)
-        self.out.clear()
-        return reply
+        return ListUpdate(mode, self._lists[buffer])
 
 
 def run(source: TextIO, sink: TextIO, errors: TextIO) -> int:
-    """Serve until the input ends; the exit status."""
+    """Serve until the input ends.
+
+    Returns:
+        The exit status: 1 where a line could not be used, else 0.
+    """
     host = Host()
-    count = 0
+    line_count = 0
     try:
         for raw in source:
-            count += 1
+            line_count += 1
             line = raw.rstrip("\n")
-            if not line:
-                continue
-            if host.line(line):
-                sink.write(host.reply())
+            if line and host.receive_line(line):
+                sink.write(host.take_reply())
                 sink.flush()
     except WireError as error:
-        print(f"fennelcove: line {count}: {error.lines()}", file=errors)
+        print(f"fennelcove: line {line_count}: {error.lines()}", file=errors)
         return 1
     except UnicodeDecodeError:
-        print(f"fennelcove: line {count + 1}: text is not UTF-8", file=errors)
+        print(f"fennelcove: line {line_count + 1}: text is not UTF-8", file=errors)
         return 1
     return 0
 
--- a/packages/simulator-adapter/src/fennelcove/simulator_adapter/codec.py
+++ b/packages/simulator-adapter/src/fennelcove/simulator_adapter/codec.py
@@ -1,4 +1,4 @@
-"""Turns the simulator's wire into the interface's types and effects back into lines."""
+"""Decodes the lines of the simulator's wire into the interface's types."""
 
 from __future__ import annotations
 
@@ -35,14 +35,14 @@
 
 
 class WireError(OperatorError):
-    """The simulator said something that this adapter can't read."""
+    """A line of the simulator that this adapter can't decode."""
 
     code = "simulator-line-unreadable"
     advice = "Look at the line named: the simulator and this adapter must be of one version"
 
 
 def split(line: str) -> tuple[str, Fields]:
-    """Part a line into its message name and its fields."""
+    """Split a line into its message name and its fields."""
     name, _, rest = line.partition(" ")
     fields: Fields = {}
     while rest:
@@ -57,7 +57,7 @@
 
 
 def text(fields: Fields, key: str) -> str:
-    """A field that must be there."""
+    """A required field."""
     try:
         return fields[key]
     except KeyError:
@@ -99,15 +99,15 @@
     return round(number(fields, key) * 1000)
 
 
-def at_least(fields: Fields, key: str, value: int, least: int = 0) -> int:
-    """A value that must not lie under its least."""
-    if value < least:
-        raise WireError(f"found a value under {least}: {fields[key]!r}", f"field {key}")
+def at_least(fields: Fields, key: str, value: int, min_value: int = 0) -> int:
+    """A value that must not be under a minimum."""
+    if value < min_value:
+        raise WireError(f"found a value under {min_value}: {fields[key]!r}", f"field {key}")
     return value
 
 
 def flag(fields: Fields, key: str) -> bool:
-    """A bool; absent means false."""
+    """A flag, 0 or 1; absent means 0."""
     raw = fields.get(key, "0")
     if raw not in ("0", "1"):
         raise WireError(f"found neither 1 nor 0: {raw!r}", f"field {key}")
@@ -137,7 +137,7 @@
 
 
 def request(fields: Fields, settings: Settings) -> Request:
-    """A subscription to be set up."""
+    """A client's request of a session."""
     if text(fields, "TierClass") not in settings.service_classes:
         raise WireError(f"found a name that the settings lack: {fields['TierClass']!r}", "field TierClass")
     if not 0 <= whole(fields, "TopRung") < len(settings.ladder_kb):
@@ -157,25 +157,25 @@
 
 
 def handover(fields: Fields, settings: Settings) -> Handover:
-    """A subscription that plays already."""
+    """A session that plays already."""
     return Handover(request(fields, settings), text(fields, "Server"))
 
 
 def attempt_number(fields: Fields) -> int:
-    """Which join of its subscription."""
+    """Index of an attempt among those of its session."""
     number = whole(fields, "Try")
     if number < 0:
         raise WireError(f"found a negative number: {number}", "field Try")
     return number
 
 
-def started(fields: Fields) -> SessionStarted:
-    """A viewer watches."""
+def session_started(fields: Fields) -> SessionStarted:
+    """A session that has started to play."""
     return SessionStarted(text(fields, "Job"), attempt_number(fields), micros(fields, "TookMs"))
 
 
 def attempt_completed(fields: Fields, report_fields: tuple[str, ...]) -> AttemptCompleted:
-    """A join's outcome, with the report that came along."""
+    """The outcome of an attempt, with the load report that came along."""
     return AttemptCompleted(
         id=text(fields, "Job"),
         attempt=attempt_number(fields),
@@ -185,8 +185,8 @@
     )
 
 
-def probed(fields: Fields, report_fields: tuple[str, ...]) -> ProbeCompleted:
-    """The end of a probe, with the report that came along."""
+def probe_completed(fields: Fields, report_fields: tuple[str, ...]) -> ProbeCompleted:
+    """The end of a probe, with the load report that came along."""
     return ProbeCompleted(
         server=text(fields, "Server"),
         outcome=choice(fields, "Reason", Outcome),
@@ -195,8 +195,8 @@
     )
 
 
-def peer_says(fields: Fields) -> PeerMessage | None:
-    """Another front's message; one that does not read as any is passed over: its sender is not ours."""
+def peer_message(fields: Fields) -> PeerMessage | None:
+    """Another front's message; None for bytes that are none of this project's."""
     raw = text(fields, "Msg")
     try:
         return decode(whole(fields, "Neighbour"), b"" if raw == "-" else bytes.fromhex(raw))
@@ -216,8 +216,8 @@
     return facts_reader.load_report(values)
 
 
-def note(fields: Fields, settings: Settings) -> SessionReport | None:
-    """A note; kinds that the interface doesn't know are skipped."""
+def session_report(fields: Fields, settings: Settings) -> SessionReport | None:
+    """A report on a playing session; None for a kind that the interface doesn't have."""
     kind, level = whole(fields, "Kind"), number(fields, "Level")
     job, server = text(fields, "Job"), text(fields, "Server")
     if kind not in ReportKind.__members__.values():
@@ -228,19 +228,19 @@
 
 
 def client_gone(fields: Fields) -> ClientGone:
-    """Nobody waits any more."""
+    """The client of a session has gone."""
     return ClientGone(text(fields, "Job"))
 
 
 def timer_fired(fields: Fields) -> TimerFired:
-    """A timer's time has come."""
+    """A timer that has fired."""
     name = whole(fields, "Name")
     if name not in TimerName.__members__.values():
         raise WireError(f"found no timer of a front: {name}", "field Name")
     return TimerFired(name)
 
 
-def facts(fields: Fields) -> tuple[Settings, tuple[str, ...]]:
+def settings(fields: Fields) -> tuple[Settings, tuple[str, ...]]:
     """The settings, and the names of a load report's values."""
     try:
         return facts_reader.read_settings(json.loads(text(fields, "Facts")))
