--- a/packages/interface/src/fennelcove/facts.py
+++ b/packages/interface/src/fennelcove/facts.py
@@ -1,4 +1,4 @@
-"""Reads the settings that a front is told at its start, on the simulator's wire and in a node's file."""
+"""Reads the settings that a front gets at its start, on the simulator's wire and in a node's file."""
 
 from __future__ import annotations
 
@@ -22,12 +22,12 @@
 
 
 def load_report(values: dict[str, float]) -> LoadReport:
-    """What a report's named values say; names that no front uses are passed over."""
+    """The load report of named values; names that no front uses are ignored."""
     return LoadReport(values.get("x0", values.get("util")), values.get("x1"))
 
 
 class SettingsReader:
-    """Reads typed values out of the start message's settings, naming what is amiss."""
+    """Reads typed values out of nested settings; an error names the field that can't be used."""
 
     def __init__(self, tree: Any, path: str = "Facts") -> None:
         if not isinstance(tree, dict):
@@ -36,18 +36,22 @@
         self.path = path
 
     def section(self, key: str) -> SettingsReader:
+        """The reader of a nested object; an empty one where it is absent."""
         return SettingsReader(self.tree.get(key, {}), f"{self.path}.{key}")
 
     def sections(self, key: str) -> list[SettingsReader]:
+        """The readers of a list of objects."""
         return [SettingsReader(item, f"{self.path}.{key}[{i}]") for i, item in enumerate(self.items(key))]
 
     def items(self, key: str) -> list[Any]:
+        """A list; an empty one where it is absent."""
         value = self.tree.get(key, [])
         if not isinstance(value, list):
             raise PlatformSettingsError("found no list", f"field {self.path}.{key}")
         return value
 
     def maybe(self, key: str) -> float | None:
+        """A finite number, or None where it is absent."""
         value = self.tree.get(key)
         if value is None:
             return None
@@ -56,6 +60,7 @@
         return float(value)
 
     def number(self, key: str, default: float | None = None) -> float:
+        """A finite number; without a default it is required."""
         value = self.maybe(key)
         if value is None:
             value = default
@@ -64,18 +69,22 @@
         return value
 
     def numbers(self, key: str) -> tuple[float, ...]:
+        """A list of finite numbers."""
         return tuple(SettingsReader({key: item}, self.path).number(key) for item in self.items(key))
 
     def micros(self, key: str) -> int:
+        """A time in microseconds, from milliseconds; 0 where it is absent."""
         return round(self.number(key, 0.0) * 1000)
 
     def text(self, key: str, default: str) -> str:
+        """A text."""
         value = self.tree.get(key, default)
         if not isinstance(value, str):
             raise PlatformSettingsError("found no text", f"field {self.path}.{key}")
         return value
 
     def choice(self, key: str, default: str, kind: Callable[[str], E]) -> E:
+        """A member of an enumeration, by its value."""
         value = self.text(key, default)
         try:
             return kind(value)
@@ -86,7 +95,7 @@
 
 
 def value_at(values: tuple[float, ...], index: int, default: float) -> float:
-    """A per-type value, where the settings give it."""
+    """A value for each service class or kind, where the settings give it."""
     return values[index] if index < len(values) else default
 
 
@@ -94,12 +103,11 @@
     """The settings, and the names of a load report's values; `tree` is parsed JSON, times in milliseconds.
 
     Raises:
-        FactsError: a value that is missing, of another type or out of its range.
+        PlatformSettingsError: a value is missing, of another type or out of its range.
     """
     root = SettingsReader(tree)
-    info, rules, allowed, prices, goal = (
-        root.section(key) for key in ("FamilyInfo", "Rules", "Allowed", "Prices", "Goal")
-    )
+    info, rules, allowed = root.section("FamilyInfo"), root.section("Rules"), root.section("Allowed")
+    prices, goal = root.section("Prices"), root.section("Goal")
     ladder, worth = info.numbers("LevelKb"), info.numbers("WorthByRung")
     if not ladder or len(worth) != len(ladder):
         raise PlatformSettingsError("found no ladder of rungs", "field Facts.FamilyInfo.LevelKb, WorthByRung")
@@ -167,7 +175,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectionSettings:
-    """What the settings say of connections and of the longest wait, in microseconds."""
+    """Limits of connections and of the longest wait, in microseconds; 0 where a setting is absent."""
 
     connect_us: int
     idle_us: int
@@ -175,10 +183,10 @@
 
 
 def connection_settings(tree: Any) -> ConnectionSettings:
-    """The part of the settings that transports need; 0 where a figure is absent.
+    """The part of the settings that transports need.
 
     Raises:
-        FactsError: as `read`.
+        PlatformSettingsError: as `read_settings`.
     """
     root = SettingsReader(tree)
     allowed = root.section("Allowed")
--- a/packages/interface/src/fennelcove/interface.py
+++ b/packages/interface/src/fennelcove/interface.py
@@ -1,4 +1,7 @@
-"""Wire-free types: what a front is told, and what it may ask for. Times are whole microseconds."""
+"""Types between the placement policy and its host: settings, events and effects.
+
+They know no wire. Times are whole microseconds, rates are kB a second.
+"""
 
 from __future__ import annotations
 
@@ -8,15 +11,15 @@
 
 
 class Effect(Enum):
-    """What a repeated set-up does to a viewer of the room type."""
+    """What a repeated set-up does to a client: whether it is idempotent."""
 
-    FREE = "free"
-    GUARDED = "guarded"
-    SINGLE_SHOT = "single_shot"
+    FREE = "free"  # harmless
+    GUARDED = "guarded"  # harmless where the idempotency key is recognised
+    SINGLE_SHOT = "single_shot"  # never to be sent twice
 
 
 class Scope(Enum):
-    """The servers that recognise a guarded set-up as a repeat."""
+    """The servers that recognise the idempotency key of a guarded set-up."""
 
     ALL = "all"
     ZONE = "zone"
@@ -24,116 +27,115 @@
 
 
 class Outcome(Enum):
-    """How a join ended."""
+    """How an attempt or a probe ended."""
 
     SERVED = "served"
     SERVER_ERROR = "server_error"
-    TURNED_AWAY = "turned_away"
+    TURNED_AWAY = "turned_away"  # the server rejected it
     NO_ANSWER = "no_answer"
     NO_CONNECTION = "no_connection"
     CONNECTION_LOST = "connection_lost"
-    CALLED_OFF = "called_off"
-    NOT_SENT = "not_sent"
+    CALLED_OFF = "called_off"  # its client has gone
+    NOT_SENT = "not_sent"  # the host could not send it
 
 
 class ServerState(Enum):
-    """What the list says of a server."""
+    """A server's state on the server list."""
 
     ACTIVE = "active"
-    LEAVING = "leaving"
+    LEAVING = "leaving"  # it drains
     LEFT = "left"
 
 
 class ListMode(Enum):
-    """How a list update relates to the list held so far."""
+    """How a list update relates to the list so far."""
 
-    INCREMENTAL = "INCREMENTAL"
+    INCREMENTAL = "INCREMENTAL"  # changed entries only
     FULL = "FULL"
-    SAVED = "SAVED"
-    FAILED = "FAILED"
+    SAVED = "SAVED"  # a full list of before a restart
+    FAILED = "FAILED"  # the request of a list failed
 
 
 class ReportKind(IntEnum):
-    """What a note on a playing subscription tells."""
+    """What a report on a playing session measures."""
 
-    DELIVERED = 1
-    RUNG = 2
-    LINK = 3
-    UPLINK = 4
+    DELIVERED = 1  # share of its rate that is delivered
+    RUNG = 2  # its rung
+    LINK = 3  # utilization of its server's link
+    UPLINK = 4  # utilization of its rack's uplink
 
 
 @dataclass(frozen=True, slots=True, eq=False)
 class ServiceClass:
-    """The terms of one room type."""
+    """The terms of one service class."""
 
-    latency_objective_us: int
-    priority_weight: float
+    latency_objective_us: int  # from a request to the start of its session
+    priority_weight: float  # utility of a session at full quality
     effect: Effect
     scope: Scope
-    key_ttl_us: int
-    scale: float
-    floor: int
-    seats: int
+    key_ttl_us: int  # how long servers keep an idempotency key
+    scale: float  # its rates over those of the ladder
+    floor: int  # lowest rung
+    seats: int  # sessions of a title at once; 0: any number
 
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Settings:
-    """What a front is told at its start; an optional figure that is absent is None."""
+    """Settings that a front gets at its start; an optional one that is absent is None."""
 
     service_classes: dict[str, ServiceClass]
-    fronts: int
-    index: int
-    zone: str
-    ladder_kb: tuple[float, ...]
-    ladder_worth: tuple[float, ...]
-    kind_streams: dict[str, int]
-    kb_per_weight: float
-    all_links_kb: float
-    sizes_listed: bool
-    racks: int
-    cells: int
-    uplink_kb: float
-    uplinks_told: bool
-    seen_after_us: int
-    reports_every_us: int
-    guard: float
-    cross_zone_price: float
-    send_cap: int | None
-    retry_after_us: int | None
-    must_ask: bool
-    ask_within_us: int | None
-    start_capacity: float
-    ramp_us: int
-    budget_free: float | None
-    budget_ratio: float
+    fronts: int  # how many there are
+    index: int  # of this one among them
+    zone: str  # where this front runs
+    ladder_kb: tuple[float, ...]  # rate of each rung, before a class's scale
+    ladder_worth: tuple[float, ...]  # utility of each rung, over that of full quality
+    kind_streams: dict[str, int]  # sessions that a server can serve at once, by its kind
+    kb_per_weight: float  # link capacity for each unit of a server's weight
+    all_links_kb: float  # link capacity of all servers
+    sizes_listed: bool  # the list gives weights
+    racks: int  # how many there are; a cell belongs to one
+    cells: int  # how many there are
+    uplink_kb: float  # capacity of a rack's uplink; 0: not stated
+    uplinks_told: bool  # load reports give the uplink's utilization
+    seen_after_us: int  # age of a report when it comes
+    reports_every_us: int  # interval of reports
+    guard: float  # threshold from which servers reject set-ups; 0: they reject none
+    cross_zone_price: float  # over the mean utility of a request
+    send_cap: int | None  # attempts of a session at most
+    retry_after_us: int | None  # longest Retry-After of a rejection
+    must_ask: bool  # a server list comes only when it is polled
+    ask_within_us: int | None  # how old the list may get
+    start_capacity: float  # of a server that has just started, over its full capacity
+    ramp_us: int  # how long a server warms up
+    budget_free: float | None  # retries within the span that need no requests; None: no retry budget
+    budget_ratio: float  # retries for each request within the span
     budget_span_us: int
-    probe_price: float | None = None  # of a subscription's benefit, for each; None: none may be sent
-    peer_price: float | None = None  # of a subscription's benefit, for each full message; None: none
-    reports_unasked: bool = True  # joins and plays bring reports
-    # Of each tenant, requests a second over all fronts that count in full.
-    quotas: dict[str, float] = field(default_factory=dict)
-    over_quota_worth: float = 1.0  # what a request past its tenant's quota counts, of its benefit
-    worst_class_weight: float = 0.0  # what the worst served room type counts, over what the whole counts
-    cold_slack_us: int = 0  # by how much past its pace a cold server falls over, as time at that pace
-    switch_cost_us: int = 0  # of a room type's benefit, for each change of rung while it plays
+    probe_price: float | None = None  # over a session's utility, for each probe; None: none may be sent
+    peer_price: float | None = None  # over a session's utility, for each full message; None: none may be sent
+    reports_unasked: bool = True  # attempts and sessions bring load reports
+    quotas: dict[str, float] = field(default_factory=dict)  # requests a second over all fronts, by tenant
+    over_quota_worth: float = 1.0  # what a request past its tenant's quota counts, over its utility
+    worst_class_weight: float = 0.0  # of the worst served class in the goal, over the weight of the whole
+    cold_slack_us: int = 0  # how far ahead of its slow-start pace a warming server may be
+    switch_cost_us: int = 0  # playing time that each change of rung costs
 
 
 @dataclass(frozen=True, slots=True, eq=False)
 class ListEntry:
-    """One server as the list names it."""
+    """One server on the list."""
 
     address: str
     zone: str
     kind: str
     cell: int
     standing: ServerState
-    weight: float
-    started_us: int
+    weight: float  # of its link; 1.0 where the list gives none
+    started_us: int  # 0: not known, long ago
 
 
 @dataclass(frozen=True, slots=True, eq=False)
 class ListUpdate:
-    """News of the server list; no entries come with a failed call."""
+    """An update of the server list; one that failed has no entries."""
 
     mode: ListMode
     entries: tuple[ListEntry, ...]
@@ -141,7 +143,7 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Request:
-    """A viewer asks for a subscription."""
+    """A client requests a session."""
 
     id: str
     service_class: str
@@ -150,14 +152,14 @@
     cell_count: int
     top_rung: int
     timeout_us: int
-    tenant: str = ""  # the customer that it counts for
-    returned: bool = False  # not the viewer's first try
+    tenant: str = ""  # whose quota it counts against
+    returned: bool = False  # the client has requested it before
     watch_guess_us: int | None = None  # from its start; of a handover, from now
 
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Handover:
-    """A subscription that already plays when the front starts."""
+    """A session that already plays when the front starts."""
 
     request: Request
     server: str
@@ -165,7 +167,7 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class SessionStarted:
-    """The viewer watches."""
+    """An attempt has succeeded: the session plays."""
 
     id: str
     attempt: int
@@ -174,7 +176,7 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class LoadReport:
-    """What an answer says of its server; a value that it does not give is None."""
+    """Utilization of a server's link and its rack's uplink; None where it is not reported."""
 
     link: float | None
     uplink: float | None
@@ -182,7 +184,7 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class ProbeCompleted:
-    """The end of a probe: it passed where the outcome is SERVED."""
+    """The end of a probe; it succeeded where the outcome is SERVED."""
 
     server: str
     outcome: Outcome
@@ -192,7 +194,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CellLoad:
-    """What a front knows of the server in a cell: shares asked, None where unknown, and their age."""
+    """What a front knows of the server in a cell: utilizations, None where unknown, and their age."""
 
     cell: int
     link: float | None
@@ -202,18 +204,20 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
-    """A message of another front: the cells that it asks about, what it knows of some, or what it has just
-    sent to some (cell, kB a second)."""
+    """A message of another front.
+
+    It polls for the loads of cells, answers with loads, or announces rates that were just sent to cells.
+    """
 
     sender: int
     asks: tuple[int, ...] = ()
     loads: tuple[CellLoad, ...] = ()
-    attempts: tuple[tuple[int, int], ...] = ()
+    attempts: tuple[tuple[int, int], ...] = ()  # pairs of a cell and kB a second
 
 
 @dataclass(frozen=True, slots=True, eq=False)
 class AttemptCompleted:
-    """A join is over; finished says that the subscription needs no further answer."""
+    """An attempt has ended; where `is_finished`, its session has ended too."""
 
     id: str
     attempt: int
@@ -224,7 +228,7 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class SessionReport:
-    """A figure about the server of a playing subscription."""
+    """A measurement of a playing session or of its server."""
 
     id: str
     server: str
@@ -234,7 +238,7 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class TopRungChanged:
-    """The viewer's best rung is another from now on, by its own measure or its server's word."""
+    """The highest rung that a client can use has changed, by its own measurement or its server's."""
 
     id: str
     top_rung: int
@@ -242,8 +246,10 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class MigrationRequested:
-    """A playing subscription wants a second home; it is told of under a new id, and ends under the old
-    one."""
+    """A playing session needs another server.
+
+    It is placed under a new id, and ends under the old one.
+    """
 
     id: str
     new_id: str
@@ -252,14 +258,14 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class ClientGone:
-    """Nobody waits for this subscription any more."""
+    """The client of a session that does not play yet has gone."""
 
     id: str
 
 
 @dataclass(frozen=True, slots=True, eq=False)
 class ServerSnapshot:
-    """Of a server's same life, known to an earlier life of this front; None for never."""
+    """What this front knew of a server before its own restart; the server has not restarted since."""
 
     server: str
     strikes: int
@@ -269,7 +275,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BudgetSnapshot:
-    """How long ago requests were taken and further joins sent in an earlier life of this front."""
+    """Ages of the requests and retries that this front counted before its restart."""
 
     request_ages_us: tuple[int, ...]
     retry_ages_us: tuple[int, ...]
@@ -277,7 +283,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TimerFired:
-    """A timer that the front asked for."""
+    """A timer of the policy has fired."""
 
     name: int
 
@@ -301,32 +307,42 @@
 
 
 class TimerName(IntEnum):
-    """The timers that a front may set."""
+    """The timers that a policy sets."""
 
-    POLL_LIST = auto()
-    PROBE = auto()
-    HELD = auto()
+    POLL_LIST = auto()  # poll for the server list again
+    PROBE = auto()  # a server's probe is due
+    HELD = auto()  # a session has waited long enough for polled loads
 
 
 class Effects(Protocol):
-    """What a front may ask of the program round it."""
+    """What a policy requests of its host."""
 
-    def start_attempt(self, id: str, server: str, timeout_us: int) -> None: ...
+    def start_attempt(self, id: str, server: str, timeout_us: int) -> None:
+        """Send an attempt to set a session up on a server."""
 
-    def set_rung(self, id: str, rung: int) -> None: ...
+    def set_rung(self, id: str, rung: int) -> None:
+        """Set a session's rung."""
 
-    def reject(self, id: str, retry_after_us: int) -> None: ...
+    def reject(self, id: str, retry_after_us: int) -> None:
+        """Answer a request with a rejection and its Retry-After."""
 
-    def fail(self, id: str) -> None: ...
+    def fail(self, id: str) -> None:
+        """Answer a request with an error: a rejection would not be safe."""
 
-    def migrate(self, id: str) -> None: ...
+    def migrate(self, id: str) -> None:
+        """Request the migration of a session."""
 
-    def probe(self, server: str) -> None: ...
+    def probe(self, server: str) -> None:
+        """Send a probe to a server."""
 
-    def send_peer_message(self, front: int, message: PeerMessage) -> None: ...
+    def send_peer_message(self, front: int, message: PeerMessage) -> None:
+        """Send a message to another front."""
 
-    def set_timer(self, name: int, delay_us: int) -> None: ...
+    def set_timer(self, name: int, delay_us: int) -> None:
+        """Have a `TimerFired` of a `TimerName` come after a delay."""
 
-    def watch_list(self) -> None: ...
+    def watch_list(self) -> None:
+        """Subscribe to the server list."""
 
-    def fetch_list(self) -> None: ...
+    def fetch_list(self) -> None:
+        """Request a full server list once."""
--- a/packages/placement/src/fennelcove/placement/state.py
+++ b/packages/placement/src/fennelcove/placement/state.py
@@ -51,7 +51,7 @@
         self.random_source = Random(seed)
         self.rng = self.random_source.random
         self.usual_report_age_us = settings.seen_after_us + settings.reports_every_us
-        uplink_kb = settings.uplink_kb or settings.all_links_kb or 1.0  # where none is stated, none may bind
+        uplink_kb = settings.uplink_kb or settings.all_links_kb or 1.0  # where none is stated, none binds
         self.racks = [Rack(LinkLoad(uplink_kb)) for _ in range(settings.racks)]
         self.tenant_request_times_us = {tenant: deque[int](maxlen=1024) for tenant in settings.quotas}
         self.may_probe = settings.probe_price is not None and not settings.reports_unasked
