--- a/packages/interface/src/fennelcove/facts.py
+++ b/packages/interface/src/fennelcove/facts.py
@@ -99,20 +99,15 @@
     return values[index] if index < len(values) else default
 
 
-def read_settings(tree: Any) -> tuple[Settings, tuple[str, ...]]:
-    """The settings, and the names of a load report's values; `tree` is parsed JSON, times in milliseconds.
+def read_service_classes(root: SettingsReader, *, rung_count: int) -> dict[str, ServiceClass]:
+    """The service classes by name.
 
     Raises:
         PlatformSettingsError: a value is missing, of another type or out of its range.
     """
-    root = SettingsReader(tree)
-    info, rules, allowed = root.section("FamilyInfo"), root.section("Rules"), root.section("Allowed")
-    prices, goal = root.section("Prices"), root.section("Goal")
-    ladder, worth = info.numbers("LevelKb"), info.numbers("WorthByRung")
-    if not ladder or len(worth) != len(ladder):
-        raise PlatformSettingsError("found no ladder of rungs", "field Facts.FamilyInfo.LevelKb, WorthByRung")
+    info = root.section("FamilyInfo")
     scale, floor, seats = (info.numbers(key) for key in ("ClassScale", "ClassFloor", "ClassSeats"))
-    if any(not 0 <= value < len(ladder) for value in floor):
+    if any(not 0 <= value < rung_count for value in floor):
         raise PlatformSettingsError("found rungs that the ladder lacks", "field Facts.FamilyInfo.ClassFloor")
     service_classes: dict[str, ServiceClass] = {}
     for i, lane in enumerate(root.sections("Lanes")):
@@ -128,6 +123,22 @@
         )
     if not service_classes:
         raise PlatformSettingsError("found no room types", "field Facts.Lanes")
+    return service_classes
+
+
+def read_settings(tree: Any) -> tuple[Settings, tuple[str, ...]]:
+    """The settings, and the names of a load report's values; `tree` is parsed JSON, times in milliseconds.
+
+    Raises:
+        PlatformSettingsError: a value is missing, of another type or out of its range.
+    """
+    root = SettingsReader(tree)
+    info, rules, allowed = root.section("FamilyInfo"), root.section("Rules"), root.section("Allowed")
+    prices, goal = root.section("Prices"), root.section("Goal")
+    ladder, worth = info.numbers("LevelKb"), info.numbers("WorthByRung")
+    if not ladder or len(worth) != len(ladder):
+        raise PlatformSettingsError("found no ladder of rungs", "field Facts.FamilyInfo.LevelKb, WorthByRung")
+    service_classes = read_service_classes(root, rung_count=len(ladder))
     kinds = [item for item in root.items("Kinds") if isinstance(item, str)]
     streams = info.numbers("KindStreams")
     fields_told = tuple(str(item) for item in root.section("LoadReport").items("Fields"))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,4 @@
-"""Builds fronts, servers and requests for the tests."""
+"""Builds policies, servers and requests for the tests."""
 
 from __future__ import annotations
 
@@ -57,7 +57,7 @@
 
 
 class Recorder:
-    """Effects that are only written down."""
+    """Records the effects of a policy."""
 
     def __init__(self) -> None:
         self.calls: list[tuple[Any, ...]] = []
@@ -76,41 +76,41 @@
 def front(
     servers: int = 3, service_class: dict[str, Any] | None = None, warm: bool = True, **settings: Any
 ) -> tuple[PlacementPolicy, Recorder]:
-    """A front at 100 s that has heard an empty link from each server, all long warm unless told otherwise."""
+    """A policy at 100 s with an empty link reported by each server, all long warm unless stated otherwise."""
     service_classes = {"room": replace(ROOM, **(service_class or {}))}
     effects = Recorder()
-    made = PlacementPolicy(replace(SETTINGS, service_classes=service_classes, **settings), 7, effects, 0)
-    made.handle(ListUpdate(ListMode.FULL, tuple(entry(f"s{i}", i) for i in range(servers))), 0)
-    made.now_us = 100 * SECOND if warm else 0
-    for server in made.servers.values():
-        server.link.observe(0.0, made.now_us - 1)
-        made.contacted[server] = None
+    policy = PlacementPolicy(replace(SETTINGS, service_classes=service_classes, **settings), 7, effects, 0)
+    policy.handle(ListUpdate(ListMode.FULL, tuple(entry(f"s{i}", i) for i in range(servers))), 0)
+    policy.now_us = 100 * SECOND if warm else 0
+    for server in policy.servers.values():
+        server.link.observe(0.0, policy.now_us - 1)
+        policy.contacted[server] = None
     effects.calls.clear()
-    return made, effects
+    return policy, effects
 
 
-def ask(made: PlacementPolicy, id: str = "a", at: int | None = None, **changes: Any) -> None:
+def ask(policy: PlacementPolicy, id: str = "a", at: int | None = None, **changes: Any) -> None:
     request = replace(Request(id, "room", 5, 0, 3, 2, 3 * SECOND), **changes)
-    made.handle(request, made.now_us if at is None else at)
+    policy.handle(request, policy.now_us if at is None else at)
 
 
 def end(
-    made: PlacementPolicy,
+    policy: PlacementPolicy,
     outcome: Outcome,
     id: str = "a",
     join: int = 0,
     after: int = SECOND // 10,
     finished: bool = False,
 ) -> None:
-    made.handle(AttemptCompleted(id, join, outcome, finished, None), made.now_us + after)
+    policy.handle(AttemptCompleted(id, join, outcome, finished, None), policy.now_us + after)
 
 
-def play(made: PlacementPolicy, id: str = "a", **changes: Any) -> None:
-    ask(made, id, **changes)
-    made.handle(
-        SessionStarted(id, len(made.sessions[id].attempts) - 1, SECOND // 10), made.now_us + SECOND // 10
+def play(policy: PlacementPolicy, id: str = "a", **changes: Any) -> None:
+    ask(policy, id, **changes)
+    policy.handle(
+        SessionStarted(id, len(policy.sessions[id].attempts) - 1, SECOND // 10), policy.now_us + SECOND // 10
     )
 
 
-def note(made: PlacementPolicy, kind: ReportKind, level: float, id: str = "a", after: int = SECOND) -> None:
-    made.handle(SessionReport(id, made.sessions[id].server.address, kind, level), made.now_us + after)
+def note(policy: PlacementPolicy, kind: ReportKind, level: float, id: str = "a", after: int = SECOND) -> None:
+    policy.handle(SessionReport(id, policy.sessions[id].server.address, kind, level), policy.now_us + after)
--- a/tests/test_top.py
+++ b/tests/test_top.py
@@ -1,4 +1,4 @@
-"""A viewer whose best rung changes while it plays."""
+"""A client whose highest rung changes while its session plays."""
 
 from __future__ import annotations
 
@@ -10,42 +10,42 @@
 
 class TopChangedTest(unittest.TestCase):
     def test_a_lower_top_lowers_the_rung_at_once_and_frees_the_link(self) -> None:
-        made, effects = front()
-        play(made)
-        sub = made.sessions["a"]
+        policy, effects = front()
+        play(policy)
+        sub = policy.sessions["a"]
         self.assertEqual(sub.rung, 2)
         before = sub.server.own_kb
-        made.handle(TopRungChanged("a", 0), made.now_us)
+        policy.handle(TopRungChanged("a", 0), policy.now_us)
         self.assertEqual((sub.rung, sub.top), (0, 0))
         self.assertEqual(effects.named("set_rung")[-1], ("set_rung", "a", 0))
         self.assertEqual(before - sub.server.own_kb, 300.0)
 
     def test_a_higher_top_changes_nothing_until_there_is_room_to_raise(self) -> None:
-        made, effects = front()
-        play(made, top_rung=0)
+        policy, effects = front()
+        play(policy, top_rung=0)
         count = len(effects.calls)
-        made.handle(TopRungChanged("a", 2), made.now_us)
-        self.assertEqual((made.sessions["a"].rung, made.sessions["a"].top), (0, 2))
+        policy.handle(TopRungChanged("a", 2), policy.now_us)
+        self.assertEqual((policy.sessions["a"].rung, policy.sessions["a"].top), (0, 2))
         self.assertEqual(len(effects.calls), count)
 
     def test_never_under_the_floor(self) -> None:
-        made, _ = front(service_class={"floor": 1})
-        play(made)
-        made.handle(TopRungChanged("a", 0), made.now_us)
-        self.assertEqual((made.sessions["a"].rung, made.sessions["a"].top), (1, 1))
-
-    def test_of_a_subscription_that_has_ended_nothing_is_made(self) -> None:
-        made, effects = front()
-        made.handle(TopRungChanged("gone", 0), made.now_us)
+        policy, _ = front(service_class={"floor": 1})
+        play(policy)
+        policy.handle(TopRungChanged("a", 0), policy.now_us)
+        self.assertEqual((policy.sessions["a"].rung, policy.sessions["a"].top), (1, 1))
+
+    def test_a_session_that_has_ended_is_ignored(self) -> None:
+        policy, effects = front()
+        policy.handle(TopRungChanged("gone", 0), policy.now_us)
         self.assertEqual(effects.calls, [])
 
 
 class NoWarmUpTest(unittest.TestCase):
     def test_settings_without_a_warm_up_are_no_division_by_nothing(self) -> None:
-        made, effects = front(ramp_us=0)
-        for server in made.servers.values():
+        policy, effects = front(ramp_us=0)
+        for server in policy.servers.values():
             server.started_us, server.link.asked = 1, None
-        ask(made)
+        ask(policy)
         self.assertEqual(len(effects.named("start_attempt")), 1)
 
 
