--- a/packages/placement/src/fennelcove/placement/__init__.py
+++ b/packages/placement/src/fennelcove/placement/__init__.py
@@ -4,5 +4,5 @@
 from fennelcove.placement.records import Attempt, Health, Server, Session, SessionEvent, SessionState
 from fennelcove.placement.state import HOLD_BACK, LIFT_MARGIN, MARK_US, WHOLE, LinkLoad
 
-__all__ = ["HOLD_BACK", "LIFT_MARGIN", "MARK_US", "WHOLE", "Attempt", "Health", "LinkLoad", "PlacementPolicy",
-           "Server", "Session", "SessionEvent", "SessionState"]
+__all__ = ["HOLD_BACK", "LIFT_MARGIN", "MARK_US", "WHOLE", "Attempt", "Health", "LinkLoad",
+           "PlacementPolicy", "Server", "Session", "SessionEvent", "SessionState"]
