--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -82,16 +82,16 @@
 def deciding() -> Callable[[], object]:
     clock = SystemClock()
     core = Core(parse(SETTINGS, FrontSettings, "bench"), clock, Timers(clock), log.silent)
-    core.book.port = core.lists = core.moves.port = NoPorts()
+    core.server_registry.port = core.discovery = core.migrations.port = NoPorts()
     entries = tuple(ListEntry(f"b{i}:1", "zone", "k", 0, ServerState.ACTIVE, 1.0, 0) for i in range(3))
     core.list_news(EndpointListUpdate(1, None, entries))
     says = ServerHints(0.4, 0.3)
 
     def decide() -> None:
-        session, step = core.ask(SessionRequest("t", "free"))
+        session, step = core.request_session(SessionRequest("t", "free"))
         assert session is not None and isinstance(step, SendAttempt)
         core.on_attempt_completed(session, 0, Outcome.SERVED, says, 1000)
-        core.answered(session)
+        core.on_response_sent(session)
         core.release(session.id, "done")
         while (order := core.take_order()[0]) is not None:
             core.order_over(order, True)
--- a/benchmarks/seats.py
+++ b/benchmarks/seats.py
@@ -135,8 +135,8 @@
     rig.start()
     program = FrontDaemon(front, log.silent, clock)
     program.start()
-    seats = program.core.seats.seats
-    while program.core.keeper.version is None:
+    seats = program.core.seat_leases.leases
+    while program.core.endpoint_tracker.version is None:
         time.sleep(0.01)
     clients = Clients(program.door.address, clock, steps)
     threads = [threading.Thread(target=clients.run, args=(i,)) for i in range(CLIENTS)]
--- a/benchmarks/store_cost.py
+++ b/benchmarks/store_cost.py
@@ -55,7 +55,7 @@
     if slow and program.keeper is not None:
         program.keeper.store.journal.files = program.keeper.store.files = SlowFiles(folder or "")
     program.start()
-    while program.core.keeper.version is None:
+    while program.core.endpoint_tracker.version is None:
         time.sleep(0.01)
     times: list[float] = []
 
--- a/benchmarks/storm_parts.py
+++ b/benchmarks/storm_parts.py
@@ -35,7 +35,7 @@
     front = msgspec.structs.replace(read("storm-hall").front, storm=StormSettings(damping=True))
     clock = ManualClock(10_000_000, 10**15)
     core = Core(front, clock, Timers(clock), lambda event, **fields: None, SessionIds(b"n" * 32))
-    core.storms.weather.phase = phase
+    core.retry_storms.weather.phase = phase
     return core, clock
 
 
@@ -58,15 +58,15 @@
         for i, ask in enumerate(asks):
             if i % 200 == 0:
                 clock.advance(10_000)
-                core.storms.weather.phase = phase
-            refused += core.storms.before(ask, clock.now_us()) is not None
+                core.retry_storms.weather.phase = phase
+            refused += core.retry_storms.before(ask, clock.now_us()) is not None
         traced_s = time.perf_counter() - began
         kept = tracemalloc.get_traced_memory()[0] - before
         tracemalloc.stop()
         core, clock = made(phase)
         began = time.perf_counter()
         for ask in asks:
-            core.storms.before(ask, clock.now_us())
+            core.retry_storms.before(ask, clock.now_us())
         us = (time.perf_counter() - began) / viewers * 1e6
         print(
             f"{phase.name.lower()}: {us:.1f} us a decision ({traced_s / viewers * 1e6:.1f} traced), "
@@ -85,9 +85,11 @@
         print(f"a place {name}: {(time.perf_counter() - began) / 20_000 * 1e6:.1f} us")
     core, clock = made(StormState.STORM)
     due = waiting_room.sign_ticket(QueueTicket("viewer", "knee-1", "recorded", 0, 2 * 10**15), mac(b"k" * 32))
-    core.storms.use_keys([b"k" * 32])
+    core.retry_storms.use_keys([b"k" * 32])
     shown = [
-        core.storms.before(SessionRequest("knee-1", "recorded", client="viewer", place=due), clock.now_us())
+        core.retry_storms.before(
+            SessionRequest("knee-1", "recorded", client="viewer", place=due), clock.now_us()
+        )
         for _ in range(1000)
     ]
     print(f"one place shown a thousand times: let in {sum(item is None for item in shown)}")
--- a/packages/core/src/fennelcove/core/client_notifier.py
+++ b/packages/core/src/fennelcove/core/client_notifier.py
@@ -33,7 +33,7 @@
     """It has ended."""
 
     id: str
-    why: str
+    reason: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +48,7 @@
     """Its lesson was changed."""
 
     id: str
-    change: str
+    change_id: str
     state: str
 
 
@@ -56,7 +56,7 @@
 class StormNotification:
     """The front's storm phase."""
 
-    phase: str
+    state: str
 
 
 Notification = (
@@ -82,9 +82,9 @@
     """What became of a claim: the state and numbers, or why not."""
 
     view: SessionView | None
-    number: int = 0
-    missed: int | None = None
-    why: str = ""
+    sequence: int = 0
+    missed_count: int | None = None
+    reason: str = ""
 
 
 class ClientNotifier:
@@ -94,31 +94,31 @@
     def __init__(
         self,
         context: CoreContext,
-        most: int,
-        passes_needed: bool,
+        max_sessions: int,
+        requires_token: bool,
         lifecycle: SessionLifecycle,
-        presence: SessionExpiry,
-        view: Callable[[Session], SessionView],
+        expiry: SessionExpiry,
+        view_of: Callable[[Session], SessionView],
     ) -> None:
         self.context = context
-        self.most = most
-        self.passes_needed = passes_needed
+        self.max_sessions = max_sessions
+        self.requires_token = requires_token
         self.lifecycle = lifecycle
-        self.presence = presence
-        self.view = view
-        self.holdings: SessionOwnerships[Mailbox] = SessionOwnerships()
+        self.expiry = expiry
+        self.view_of = view_of
+        self.ownerships: SessionOwnerships[Mailbox] = SessionOwnerships()
         self.mailboxes: set[Mailbox] = set()
 
-    def subscribe(self, mailbox: Mailbox) -> None:
+    def register(self, mailbox: Mailbox) -> None:
         """A connection opens."""
         with self.context.lock:
             self.mailboxes.add(mailbox)
 
-    def leave(self, mailbox: Mailbox) -> list[str]:
+    def unregister(self, mailbox: Mailbox) -> list[str]:
         """A connection is gone; what it leaves plays on until the silence limit, for whoever claims it."""
         with self.context.lock:
             self.mailboxes.discard(mailbox)
-            orphans = self.holdings.left(mailbox)
+            orphans = self.ownerships.left(mailbox)
             if orphans:
                 self.context.tally("orphaned")
             return orphans
@@ -128,71 +128,71 @@
         with self.context.lock:
             session = self.lifecycle.playing(id)
             if session is None:
-                return ClaimResult(None, why=self.lifecycle.ended.get(id, ""))
+                return ClaimResult(None, reason=self.lifecycle.close_reasons.get(id, ""))
             owner = session.ask.client if session.ask is not None else ""
-            if self.passes_needed and owner and owner != client:
-                return ClaimResult(None, why="it is another client's")
-            claim = self.holdings.claim(id, mailbox, self.most)
+            if self.requires_token and owner and owner != client:
+                return ClaimResult(None, reason="it is another client's")
+            claim = self.ownerships.claim(id, mailbox, self.max_sessions)
             if not claim.given:
-                return ClaimResult(None, why=claim.why)
+                return ClaimResult(None, reason=claim.why)
             if claim.loser is not None:
                 self.context.tally("taken")
-                claim.loser.put(TakeoverNotification(id), self.holdings.held[id].number)
-            self.presence.hear(id, self.context.now_us())
-            holding = self.holdings.held[id]
-            return ClaimResult(self.view(session), holding.number, holding.missed(seen))
+                claim.loser.put(TakeoverNotification(id), self.ownerships.held[id].number)
+            self.expiry.hear(id, self.context.now_us())
+            holding = self.ownerships.held[id]
+            return ClaimResult(self.view_of(session), holding.number, holding.missed(seen))
 
     def release(self, mailbox: Mailbox, id: str) -> bool:
         """A connection ends what it owns; it hears of the end by its answer alone."""
         with self.context.lock:
             if not self.owns(mailbox, id):
                 return False
-            self.holdings.ended(id)
+            self.ownerships.ended(id)
             return self.lifecycle.release(id, "released by its viewer")
 
-    def hear(self, mailbox: Mailbox) -> None:
+    def on_activity(self, mailbox: Mailbox) -> None:
         """A connection gave a sign of life: what it owns is watched."""
         with self.context.lock:
             now_us = self.context.now_us()
-            for id in self.holdings.owned.get(mailbox, ()):
-                self.presence.hear(id, now_us)
+            for id in self.ownerships.owned.get(mailbox, ()):
+                self.expiry.hear(id, now_us)
 
     def owns(self, mailbox: Mailbox, id: str) -> bool:
         """Whether a subscription is this connection's."""
-        return id in self.holdings.owned.get(mailbox, ())
+        return id in self.ownerships.owned.get(mailbox, ())
 
     # What the core's other parts tell.
 
-    def rung(self, session: Session) -> None:
+    def on_rung_changed(self, session: Session) -> None:
         """The rung in force, or the highest one, is another."""
-        owner, number = self.holdings.news(session.id)
+        owner, number = self.ownerships.news(session.id)
         if owner is not None:
-            owner.put(RungNotification(self.view(session)), number)
+            owner.put(RungNotification(self.view_of(session)), number)
 
-    def moved(self, session: Session) -> None:
+    def on_migrated(self, session: Session) -> None:
         """Another box plays it."""
-        owner, number = self.holdings.news(session.id)
+        owner, number = self.ownerships.news(session.id)
         if owner is not None:
-            owner.put(MigrationNotification(self.view(session)), number)
+            owner.put(MigrationNotification(self.view_of(session)), number)
 
-    def ended(self, session: Session) -> None:
+    def on_session_closed(self, session: Session) -> None:
         """It has ended."""
-        holding = self.holdings.held.get(session.id)
+        holding = self.ownerships.held.get(session.id)
         number = holding.number + 1 if holding is not None else 0
-        owner = self.holdings.ended(session.id)
+        owner = self.ownerships.ended(session.id)
         if owner is not None:
-            owner.put(EndNotification(session.id, session.ended_because or "released"), number)
+            owner.put(EndNotification(session.id, session.close_reason or "released"), number)
 
     def stitched(self, change: Change, state: str) -> None:
         """An author's change was made or taken back."""
-        for id in list(self.holdings.held):
+        for id in list(self.ownerships.held):
             session = self.lifecycle.held.get(id)
             if session is not None and change.target.meets(session.title, session.service_class, id):
-                owner, number = self.holdings.news(id)
+                owner, number = self.ownerships.news(id)
                 if owner is not None:
                     owner.put(ContentNotification(id, change.id, state), number)
 
-    def weather(self, phase: str) -> None:
+    def on_storm_state_changed(self, phase: str) -> None:
         """The storm phase is another: every connection hears of it."""
         for mailbox in self.mailboxes:
             mailbox.put(StormNotification(phase), 0)
--- a/packages/core/src/fennelcove/core/endpoint_discovery.py
+++ b/packages/core/src/fennelcove/core/endpoint_discovery.py
@@ -20,41 +20,41 @@
     def __init__(
         self,
         context: CoreContext,
-        keeper: EndpointListTracker,
-        front: PlacementPolicy,
-        book: ServerRegistry,
-        moves: SessionMigrations,
-        memories: SnapshotManager,
+        tracker: EndpointListTracker,
+        policy: PlacementPolicy,
+        server_registry: ServerRegistry,
+        migrations: SessionMigrations,
+        snapshots: SnapshotManager,
     ) -> None:
         self.context = context
-        self.keeper = keeper
-        self.front = front
-        self.book = book
-        self.moves = moves
-        self.memories = memories
+        self.tracker = tracker
+        self.policy = policy
+        self.server_registry = server_registry
+        self.migrations = migrations
+        self.snapshots = snapshots
         self.source: EndpointListSource
         self.hear: Callable[[ListUpdate], ListUpdate] = lambda update: update
-        self.taken_us = 0
+        self.accepted_us = 0
 
     def age_ms(self) -> float | None:
         """How old the list in force is; None before the first."""
-        if self.keeper.version is None:
+        if self.tracker.version is None:
             return None
-        return (self.context.now_us() - self.taken_us) / 1000
+        return (self.context.now_us() - self.accepted_us) / 1000
 
-    def news(self, news: EndpointListUpdate) -> ListDecision:
+    def on_list(self, news: EndpointListUpdate) -> ListDecision:
         """A message of the list service."""
         with self.context.lock:
-            first, verdict = self.keeper.version is None, self.keeper.rule(news)
+            first, verdict = self.tracker.version is None, self.tracker.rule(news)
             self.context.tally(f"lists_{verdict.ruling.name.lower()}")
             if verdict.update is not None:
                 now_us = self.context.now_us()
-                self.taken_us = now_us
-                self.front.handle(self.hear(verdict.update), now_us)
+                self.accepted_us = now_us
+                self.policy.handle(self.hear(verdict.update), now_us)
                 if first:
-                    self.book.greet_all(verdict.update, now_us)
-                self.memories.listed()
-                self.moves.listed(now_us)
+                    self.server_registry.greet_all(verdict.update, now_us)
+                self.snapshots.listed()
+                self.migrations.on_list(now_us)
                 self.context.notice("list_taken", version=news.version, boxes=len(verdict.update.entries))
             elif verdict.ruling is ListDecision.REFUSED:
                 self.context.notice("list_refused", version=news.version, reason=verdict.reason)
@@ -62,7 +62,7 @@
                 self.source.fetch()
             return verdict.ruling
 
-    def failed(self) -> None:
+    def on_list_unavailable(self) -> None:
         """A call that the module asked for, or the stream, failed."""
         with self.context.lock:
-            self.front.handle(ListUpdate(ListMode.FAILED, ()), self.context.now_us())
+            self.policy.handle(ListUpdate(ListMode.FAILED, ()), self.context.now_us())
--- a/packages/core/src/fennelcove/core/requests.py
+++ b/packages/core/src/fennelcove/core/requests.py
@@ -16,9 +16,9 @@
 
     PLAYING = "playing"
     THROTTLED = "throttled"
-    TERMINATED = "terminated"
-    SPENT = "spent"  # under this key a set-up has played and ended
-    REUSED = "reused"  # this key stands for another set-up
+    FAILED = "terminated"
+    KEY_SPENT = "spent"  # under this key a set-up has played and ended
+    KEY_REUSED = "reused"  # this key stands for another set-up
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,15 +27,15 @@
 
     title: str
     service_class: str
-    stated_top: int | None = None
+    requested_top_rung: int | None = None
     client_timeout_us: int | None = None
-    says: ClientHints = field(default_factory=ClientHints)
+    hints: ClientHints = field(default_factory=ClientHints)
     client: str = ""  # the viewer's own name for itself (CMCD sid)
     again: bool = False  # it marks this as a further try
     place: str | None = None
-    key: str = ""  # the viewer's own name for this set-up: sent twice it counts once
+    idempotency_key: str = ""  # the viewer's own name for this set-up: sent twice it counts once
     tenant: str = ""
-    watch_guess_us: int | None = None
+    expected_watch_us: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,8 +43,8 @@
     """How a join ended, what its box said in the answer, and how long it took."""
 
     outcome: Outcome
-    says: ServerHints | None
-    took_us: int
+    hints: ServerHints | None
+    duration_us: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,8 +53,8 @@
 
     server: str
     attempt: int
-    module_id: str
-    module_attempt: int
+    policy_id: str
+    policy_attempt: int
 
 
 @dataclass(slots=True, eq=False)
@@ -66,30 +66,32 @@
     title: str
     floor: int
     rates_kb: tuple[float, ...]
-    stated_top: int
-    asked_us: int
+    requested_top_rung: int
+    received_us: int
     give_up_us: int
-    stage: SessionState = SessionState.ASKED
+    state: SessionState = SessionState.ASKED
     top: int = 0
     rung: int = 0
-    attempts: int = 0
+    attempt_count: int = 0
     home: AttemptTarget | None = None  # where it plays
-    out: AttemptTarget | None = None  # where a join is out: the first home, or a second one while it moves
-    out_rung: int = 0
+    pending_target: AttemptTarget | None = (
+        None  # where a join is out: the first home, or a second one while it moves
+    )
+    pending_rung: int = 0
     adrift: bool = False  # its home is gone and another is being made
-    moves: int = 0
+    migration_count: int = 0
     out_sent_us: int = -1  # when the join that is out was sent; -1 for one that was not
     ask: SessionRequest | None = None
-    end: AttemptResult | None = None
-    server_may_hold: bool = False
-    playing_since_us: int = 0
-    ended_because: str = ""
+    last_result: AttemptResult | None = None
+    may_be_held_by_server: bool = False
+    established_us: int = 0
+    close_reason: str = ""
     step: NextStep | None = None
 
     @property
     def server(self) -> str:
         """The box of its home, or else of the join that is out."""
-        place = self.home or self.out
+        place = self.home or self.pending_target
         return place.server if place is not None else ""
 
 
@@ -101,19 +103,19 @@
     attempt: int
     server: str
     rung: int
-    allow_us: int
-    blocked: bool = False  # the box has as many under way as it may: not to be sent
+    timeout_us: int
+    is_blocked: bool = False  # the box has as many under way as it may: not to be sent
 
 
 @dataclass(frozen=True, slots=True)
 class SessionResponse:
     """Answer the viewer now; nothing more is owed."""
 
-    answer: ResponseKind
-    why: str
-    wait_us: int = 0
-    latest_us: int = 0  # of a place: the end of its span
-    place: str = ""
+    kind: ResponseKind
+    reason: str
+    retry_after_us: int = 0
+    retry_until_us: int = 0  # of a place: the end of its span
+    queue_ticket: str = ""
     standing: str = ""  # how the viewer stood, where places decided
 
 
@@ -132,7 +134,7 @@
     """Wait until the bell rings, and no longer than until then; nothing has left yet."""
 
     session: Session
-    until_us: int
+    deadline_us: int
     bell: Wakeup
 
 
@@ -148,10 +150,10 @@
     service_class: str
     server: str
     rung: int
-    top: int
+    top_rung: int
     rate_kb: float
-    poll_every_us: int
-    seat_us: int | None = None  # for how long its seat lasts, where that ends
+    poll_interval_us: int
+    seat_remaining_us: int | None = None  # for how long its seat lasts, where that ends
 
 
 class ServerGateway(Protocol):
--- a/packages/core/src/fennelcove/core/server_registry.py
+++ b/packages/core/src/fennelcove/core/server_registry.py
@@ -26,13 +26,13 @@
     """What the core holds of one box while something plays there, or may."""
 
     address: str
-    playing: dict[str, Session] = field(default_factory=dict)
-    feed: StreamLifecycle = field(default_factory=StreamLifecycle)
-    ear: DeliveryMonitor = field(default_factory=DeliveryMonitor)
+    sessions: dict[str, Session] = field(default_factory=dict)
+    stream: StreamLifecycle = field(default_factory=StreamLifecycle)
+    delivery: DeliveryMonitor = field(default_factory=DeliveryMonitor)
     generation: int = 0
-    opened_us: int = 0
+    stream_opened_us: int = 0
     idle_count: int = 0
-    blamed: bool = False
+    is_blamed: bool = False
 
 
 class ServerRegistry:
@@ -42,121 +42,125 @@
     def __init__(
         self,
         context: CoreContext,
-        opening: recovery_admission.RecoveryAdmission,
-        front: PlacementPolicy,
+        recovery: recovery_admission.RecoveryAdmission,
+        policy: PlacementPolicy,
         lifecycle: SessionLifecycle,
-        adoptions: SessionAdoption,
+        adoption: SessionAdoption,
     ) -> None:
         self.context = context
-        self.opening = opening
-        self.front = front
+        self.opening = recovery
+        self.policy = policy
         self.lifecycle = lifecycle
-        self.adoptions = adoptions
+        self.adoption = adoption
         self.port: ServerGateway
         self.lost: Callable[[Session], None] = lambda session: None
-        self.servers: dict[str, ServerRecord] = {}
-        self.generations = 0
-        self.greeted: frozenset[tuple[str, int]] = frozenset()
+        self.records: dict[str, ServerRecord] = {}
+        self.generation_count = 0
+        self.greeted_attempts: frozenset[tuple[str, int]] = frozenset()
         self.greeters: set[str] = set()  # boxes that have greeted this life of the front
         self.heard_up: Callable[[str, float | None], None] = lambda address, up_ms: None
-        self.open = threading.Event()
-        self.acts: dict[event_stream.StreamAction, Callable[[ServerRecord], None]] = {
-            event_stream.StreamAction.OPEN_FEED: self._open_feed,
-            event_stream.StreamAction.CLOSE_FEED: self._close_feed,
-            event_stream.StreamAction.PAUSE: self._pause_feed,
-            event_stream.StreamAction.LINGER: self._linger,
-            event_stream.StreamAction.FORGET: self._forget,
-            event_stream.StreamAction.LOSE_ALL: self._lose_all,
-            event_stream.StreamAction.LOSE_UNKNOWN: self._lose_unknown,
+        self.recovery_finished = threading.Event()
+        self.stream_actions: dict[event_stream.StreamAction, Callable[[ServerRecord], None]] = {
+            event_stream.StreamAction.OPEN_FEED: self._open_stream,
+            event_stream.StreamAction.CLOSE_FEED: self._close_stream,
+            event_stream.StreamAction.PAUSE: self._schedule_reopen,
+            event_stream.StreamAction.LINGER: self._schedule_expiry,
+            event_stream.StreamAction.FORGET: self._remove,
+            event_stream.StreamAction.LOSE_ALL: self._report_all_lost,
+            event_stream.StreamAction.LOSE_UNKNOWN: self._report_unknown_lost,
         }
 
-    def plays(self, session: Session) -> None:
+    def on_session_established(self, session: Session) -> None:
         """A subscription plays at its box from now on."""
-        server = self.servers.setdefault(session.server, ServerRecord(session.server))
-        server.playing[session.id] = session
-        if len(server.playing) == 1:
-            self.feed(server, server.feed.apply(event_stream.StreamEvent.HELD, self.context.now_us()))
+        server = self.records.setdefault(session.server, ServerRecord(session.server))
+        server.sessions[session.id] = session
+        if len(server.sessions) == 1:
+            self.run_stream_actions(
+                server, server.stream.apply(event_stream.StreamEvent.HELD, self.context.now_us())
+            )
 
-    def plays_no_more(self, session: Session) -> None:
+    def on_session_closed(self, session: Session) -> None:
         """It has ended there, if it played at all."""
-        server = self.servers.get(session.server)
-        if server is not None and server.playing.pop(session.id, None) is not None:
-            server.ear.forget(session.id)
-            if not server.playing:
-                self.feed(
-                    server, server.feed.apply(event_stream.StreamEvent.NONE_HELD, self.context.now_us())
+        server = self.records.get(session.server)
+        if server is not None and server.sessions.pop(session.id, None) is not None:
+            server.delivery.forget(session.id)
+            if not server.sessions:
+                self.run_stream_actions(
+                    server, server.stream.apply(event_stream.StreamEvent.NONE_HELD, self.context.now_us())
                 )
 
-    def hello(
+    def on_hello(
         self, address: str, generation: int, boot: str, held: Sequence[Held], up_ms: float | None = None
     ) -> None:
         """A box greets on its feed and names the joins that it holds for this front, and for how long it has
         been up."""
         with self.context.lock:
-            server = self._feed_of(address, generation)
+            server = self._record_of_stream(address, generation)
             if server is None:
                 return
             now_us = self.context.now_us()
             self.greeters.add(address)
             self.heard_up(address, up_ms)
-            self.greeted = frozenset((item.subscription, item.join) for item in held)
-            self.feed(server, server.feed.greet(boot, now_us))
+            self.greeted_attempts = frozenset((item.subscription, item.join) for item in held)
+            self.run_stream_actions(server, server.stream.greet(boot, now_us))
             for item in held:
-                session = self.adoptions.claim(address, item)
+                session = self.adoption.claim(address, item)
                 if session is not None:
-                    server.playing[session.id] = session
-            self._settle(server, now_us)
+                    server.sessions[session.id] = session
+            self._finish_greeting(server, now_us)
 
-    def _settle(self, server: ServerRecord, now_us: int) -> None:
+    def _finish_greeting(self, server: ServerRecord, now_us: int) -> None:
         self.opening.settled(server.address, now_us)
-        if not server.playing and self.servers.get(server.address) is server:
-            self.feed(server, server.feed.apply(event_stream.StreamEvent.NONE_HELD, now_us))
+        if not server.sessions and self.records.get(server.address) is server:
+            self.run_stream_actions(server, server.stream.apply(event_stream.StreamEvent.NONE_HELD, now_us))
         if self.opening.accounted:
-            self.open.set()
+            self.recovery_finished.set()
 
-    def report(self, address: str, generation: int, says: ServerHints, delivered: float | None) -> None:
+    def on_load_report(
+        self, address: str, generation: int, says: ServerHints, delivered: float | None
+    ) -> None:
         """A box reports its load, and what share of the rates it delivers."""
         with self.context.lock:
-            server = self._feed_of(address, generation)
-            carrier = next(iter(server.playing.values()), None) if server is not None else None
+            server = self._record_of_stream(address, generation)
+            carrier = next(iter(server.sessions.values()), None) if server is not None else None
             if server is not None and carrier is not None:
-                self.notes(carrier, says)
+                self.forward_hints(carrier, says)
                 if delivered is not None:
-                    self.note(carrier, ReportKind.DELIVERED, delivered)
+                    self.forward_report(carrier, ReportKind.DELIVERED, delivered)
 
-    def ended(self, address: str, generation: int, id: str, attempt: int) -> None:
+    def on_session_ended(self, address: str, generation: int, id: str, attempt: int) -> None:
         """A box says that it plays a subscription no more."""
         with self.context.lock:
             session = self.lifecycle.held.get(id)
             if (
-                self._feed_of(address, generation)
+                self._record_of_stream(address, generation)
                 and session is not None
                 and session.home is not None
                 and session.home.attempt == attempt
             ):
-                session.ended_because, session.server_may_hold = "ended at its box", False
+                session.close_reason, session.may_be_held_by_server = "ended at its box", False
                 self.lifecycle.apply(session, SessionEvent.RELEASED)
 
-    def cut(self, address: str, generation: int, refused: bool) -> None:
+    def on_stream_closed(self, address: str, generation: int, refused: bool) -> None:
         """A feed broke, fell silent or could not be opened."""
         with self.context.lock:
-            server = self._feed_of(address, generation)
+            server = self._record_of_stream(address, generation)
             if server is not None:
                 now_us = self.context.now_us()
                 event = event_stream.StreamEvent.REFUSED if refused else event_stream.StreamEvent.CUT
-                self.feed(server, server.feed.apply(event, now_us))
+                self.run_stream_actions(server, server.stream.apply(event, now_us))
                 if refused:
-                    self._settle(server, now_us)
+                    self._finish_greeting(server, now_us)
 
     def greet_all(self, update: ListUpdate, now_us: int) -> None:
         """Ask every box on the first list what it still holds for this front."""
         addresses = {entry.address for entry in update.entries if entry.standing is not ServerState.LEFT}
         self.opening.listed(addresses, now_us)
         for address in sorted(addresses):
-            server = self.servers.setdefault(address, ServerRecord(address))
-            self.feed(server, server.feed.apply(event_stream.StreamEvent.HELD, now_us))
+            server = self.records.setdefault(address, ServerRecord(address))
+            self.run_stream_actions(server, server.stream.apply(event_stream.StreamEvent.HELD, now_us))
 
-    def wait_open(self) -> None:
+    def wait_until_recovered(self) -> None:
         """Wait until this front knows what it holds, or for as long as that may take."""
         while True:
             with self.context.lock:
@@ -166,94 +170,94 @@
                 if left_us == 0:
                     self.opening.apply(recovery_admission.RecoveryEvent.TIME, self.context.now_us())
                     continue
-            self.open.wait(min(0.05, left_us / 1e6))
+            self.recovery_finished.wait(min(0.05, left_us / 1e6))
 
-    def notes(self, session: Session, says: ServerHints) -> None:
+    def forward_hints(self, session: Session, says: ServerHints) -> None:
         report = load_signals.load_report(says)
         if report is not None and report.link is not None:
-            self.note(session, ReportKind.LINK, report.link)
+            self.forward_report(session, ReportKind.LINK, report.link)
         if report is not None and report.uplink is not None:
-            self.note(session, ReportKind.UPLINK, report.uplink)
+            self.forward_report(session, ReportKind.UPLINK, report.uplink)
 
-    def note(self, session: Session, kind: ReportKind, level: float) -> None:
+    def forward_report(self, session: Session, kind: ReportKind, level: float) -> None:
         """Hand a note to the module."""
         place = session.home
         if place is not None and not session.adrift:
-            self.front.handle(
-                SessionReport(place.module_id, place.server, kind, level), self.context.now_us()
+            self.policy.handle(
+                SessionReport(place.policy_id, place.server, kind, level), self.context.now_us()
             )
 
-    def judge(self, server: ServerRecord, now_us: int) -> None:
+    def evaluate_delivery(self, server: ServerRecord, now_us: int) -> None:
         """The note of short delivery that viewers' hints amount to, and the one that it is over."""
-        window_us = self.front.settings.seen_after_us + self.front.settings.reports_every_us
-        short = server.ear.short_delivery(now_us - window_us)
-        carrier = next(iter(server.playing.values()))
+        window_us = self.policy.settings.seen_after_us + self.policy.settings.reports_every_us
+        short = server.delivery.short_delivery(now_us - window_us)
+        carrier = next(iter(server.sessions.values()))
         if short is not None:
-            server.blamed = True
+            server.is_blamed = True
             self.context.tally("boxes_blamed_by_viewers")
-            self.note(carrier, ReportKind.DELIVERED, short)
-        elif server.blamed:
-            server.blamed = False
-            self.note(carrier, ReportKind.DELIVERED, 1.0)
+            self.forward_report(carrier, ReportKind.DELIVERED, short)
+        elif server.is_blamed:
+            server.is_blamed = False
+            self.forward_report(carrier, ReportKind.DELIVERED, 1.0)
 
-    def _feed_of(self, address: str, generation: int) -> ServerRecord | None:
-        server = self.servers.get(address)
+    def _record_of_stream(self, address: str, generation: int) -> ServerRecord | None:
+        server = self.records.get(address)
         return server if server is not None and server.generation == generation else None
 
-    def feed(self, server: ServerRecord, acts: Iterable[event_stream.StreamAction]) -> None:
+    def run_stream_actions(self, server: ServerRecord, acts: Iterable[event_stream.StreamAction]) -> None:
         for act in acts:
-            self.acts[act](server)
+            self.stream_actions[act](server)
 
-    def _open_feed(self, server: ServerRecord) -> None:
-        self.generations += 1
-        server.generation, server.opened_us = self.generations, self.context.now_us()
+    def _open_stream(self, server: ServerRecord) -> None:
+        self.generation_count += 1
+        server.generation, server.stream_opened_us = self.generation_count, self.context.now_us()
         self.port.open_feed(server.address, server.generation)
 
-    def _close_feed(self, server: ServerRecord) -> None:
+    def _close_stream(self, server: ServerRecord) -> None:
         self.port.close_feed(server.address)
 
-    def _linger(self, server: ServerRecord) -> None:
+    def _schedule_expiry(self, server: ServerRecord) -> None:
         server.idle_count += 1
         since = server.idle_count
 
         def expire() -> None:
             with self.context.lock:
                 if (
-                    self.servers.get(server.address) is server
+                    self.records.get(server.address) is server
                     and server.idle_count == since
-                    and not server.playing
+                    and not server.sessions
                 ):
-                    self.feed(
-                        server, server.feed.apply(event_stream.StreamEvent.EXPIRED, self.context.now_us())
+                    self.run_stream_actions(
+                        server, server.stream.apply(event_stream.StreamEvent.EXPIRED, self.context.now_us())
                     )
 
         self.context.timers.after(event_stream.LINGER_US, expire)
 
-    def _forget(self, server: ServerRecord) -> None:
-        self.servers.pop(server.address, None)
+    def _remove(self, server: ServerRecord) -> None:
+        self.records.pop(server.address, None)
 
-    def _pause_feed(self, server: ServerRecord) -> None:
+    def _schedule_reopen(self, server: ServerRecord) -> None:
         def retry() -> None:
             with self.context.lock:
-                if self.servers.get(server.address) is server:
-                    self.feed(
-                        server, server.feed.apply(event_stream.StreamEvent.RETRY, self.context.now_us())
+                if self.records.get(server.address) is server:
+                    self.run_stream_actions(
+                        server, server.stream.apply(event_stream.StreamEvent.RETRY, self.context.now_us())
                     )
 
-        self.context.timers.after(server.feed.pause_us(self.context.rng.random()), retry)
+        self.context.timers.after(server.stream.pause_us(self.context.rng.random()), retry)
 
-    def _lose_all(self, server: ServerRecord) -> None:
-        if server.playing:
-            self.context.notice("box_lost", box=server.address, subscriptions=len(server.playing))
+    def _report_all_lost(self, server: ServerRecord) -> None:
+        if server.sessions:
+            self.context.notice("box_lost", box=server.address, subscriptions=len(server.sessions))
         else:
-            self._settle(server, self.context.now_us())
-        for session in list(server.playing.values()):
+            self._finish_greeting(server, self.context.now_us())
+        for session in list(server.sessions.values()):
             self.lost(session)
 
-    def _lose_unknown(self, server: ServerRecord) -> None:
-        for session in list(server.playing.values()):
+    def _report_unknown_lost(self, server: ServerRecord) -> None:
+        for session in list(server.sessions.values()):
             # What began while the greeting was under way is not in it and is not lost.
-            unknown = session.home is None or (session.id, session.home.attempt) not in self.greeted
-            if unknown and session.playing_since_us < server.opened_us:
-                session.ended_because = "its box knows it no more"
+            unknown = session.home is None or (session.id, session.home.attempt) not in self.greeted_attempts
+            if unknown and session.established_us < server.stream_opened_us:
+                session.close_reason = "its box knows it no more"
                 self.lost(session)
--- a/packages/core/src/fennelcove/core/session_actions.py
+++ b/packages/core/src/fennelcove/core/session_actions.py
@@ -24,113 +24,113 @@
     def __init__(
         self,
         context: CoreContext,
-        front: PlacementPolicy,
+        policy: PlacementPolicy,
         lifecycle: SessionLifecycle,
-        presence: SessionExpiry,
-        orders: CommandDispatcher,
-        book: ServerRegistry,
-        seats: SeatLeaseManager,
-        pushes: ClientNotifier,
+        expiry: SessionExpiry,
+        commands: CommandDispatcher,
+        server_registry: ServerRegistry,
+        seat_leases: SeatLeaseManager,
+        notifier: ClientNotifier,
     ) -> None:
         self.context = context
-        self.front = front
+        self.policy = policy
         self.lifecycle = lifecycle
-        self.presence = presence
-        self.orders = orders
-        self.book = book
-        self.seats = seats
-        self.pushes = pushes
-        self.over: tuple[Callable[[Session], None], ...] = ()
-        self.acts: Mapping[SessionAction, Callable[[Session], None]] = {
-            SessionAction.SEND_JOIN: self._send_attempt,
-            SessionAction.ANSWER_PLAYING: self._answer_playing,
-            SessionAction.ANSWER_THROTTLED: self._answer_rejected,
-            SessionAction.ANSWER_TERMINATED: self._answer_failed,
-            SessionAction.ANSWER_STOPPED: self._answer_stopped,
-            SessionAction.TELL_STARTED: self._tell_started,
-            SessionAction.TELL_FAILED: self._tell_failed,
-            SessionAction.TELL_FINISHED: self._tell_finished,
-            SessionAction.TELL_LOST: self._tell_lost,
-            SessionAction.TELL_GONE: self._tell_gone,
-            SessionAction.RELEASE_BOX: self._release_server,
-            SessionAction.FORGET: self.forget,
+        self.expiry = expiry
+        self.commands = commands
+        self.server_registry = server_registry
+        self.seat_leases = seat_leases
+        self.notifier = notifier
+        self.close_listeners: tuple[Callable[[Session], None], ...] = ()
+        self.handlers: Mapping[SessionAction, Callable[[Session], None]] = {
+            SessionAction.SEND_JOIN: self._keep_prepared_step,
+            SessionAction.ANSWER_PLAYING: self._respond_playing,
+            SessionAction.ANSWER_THROTTLED: self._count_rejected,
+            SessionAction.ANSWER_TERMINATED: self._count_failed,
+            SessionAction.ANSWER_STOPPED: self._respond_shutting_down,
+            SessionAction.TELL_STARTED: self._on_established,
+            SessionAction.TELL_FAILED: self._on_attempt_failed,
+            SessionAction.TELL_FINISHED: self._on_finished,
+            SessionAction.TELL_LOST: self._on_server_lost,
+            SessionAction.TELL_GONE: self._on_client_gone,
+            SessionAction.RELEASE_BOX: self._release_at_server,
+            SessionAction.FORGET: self.close,
         }
 
-    def _send_attempt(self, session: Session) -> None:
+    def _keep_prepared_step(self, session: Session) -> None:
         """The step itself is what the door takes."""
 
-    def _answer_playing(self, session: Session) -> None:
+    def _respond_playing(self, session: Session) -> None:
         session.step = SessionResponse(ResponseKind.PLAYING, "")
         self.context.tally("playing")
 
-    def _answer_rejected(self, session: Session) -> None:
+    def _count_rejected(self, session: Session) -> None:
         self.context.tally("throttled")
 
-    def _answer_failed(self, session: Session) -> None:
+    def _count_failed(self, session: Session) -> None:
         self.context.tally("terminated")
 
-    def _answer_stopped(self, session: Session) -> None:
-        policy_session = self.front.sessions.get(session.id)
-        if policy_session is not None and self.front.may_reject(policy_session):
+    def _respond_shutting_down(self, session: Session) -> None:
+        policy_session = self.policy.sessions.get(session.id)
+        if policy_session is not None and self.policy.may_reject(policy_session):
             # The time to come back is the one that the module would name.
-            wait_us = self.front.settings.retry_after_us or 0
+            wait_us = self.policy.settings.retry_after_us or 0
             session.step = SessionResponse(ResponseKind.THROTTLED, "this front is stopping", wait_us)
             self.context.tally("throttled")
         else:
             session.step = SessionResponse(
-                ResponseKind.TERMINATED, "this front is stopping and the join may have run"
+                ResponseKind.FAILED, "this front is stopping and the join may have run"
             )
             self.context.tally("terminated")
 
-    def _tell_started(self, session: Session) -> None:
+    def _on_established(self, session: Session) -> None:
         now_us = self.context.now_us()
-        end, place = session.end, session.out
+        end, place = session.last_result, session.pending_target
         assert end is not None and place is not None
-        session.home, session.out, session.rung = place, None, session.out_rung
-        self.front.handle(SessionStarted(place.module_id, place.module_attempt, end.took_us), now_us)
-        session.playing_since_us = now_us
-        self.presence.begin(session.id, now_us)
-        self.book.plays(session)
-        self.seats.plays(session)
-        if end.says is not None:
-            self.book.notes(session, end.says)
-            if end.says.most_kbit is not None:
-                top = load_signals.highest_rung(session.rates_kb, end.says.most_kbit, session.floor)
+        session.home, session.pending_target, session.rung = place, None, session.pending_rung
+        self.policy.handle(SessionStarted(place.policy_id, place.policy_attempt, end.duration_us), now_us)
+        session.established_us = now_us
+        self.expiry.begin(session.id, now_us)
+        self.server_registry.on_session_established(session)
+        self.seat_leases.on_session_established(session)
+        if end.hints is not None:
+            self.server_registry.forward_hints(session, end.hints)
+            if end.hints.most_kbit is not None:
+                top = load_signals.highest_rung(session.rates_kb, end.hints.most_kbit, session.floor)
                 if top < session.top:
-                    self.tell_top(session, top)
+                    self.set_top_rung(session, top)
 
-    def tell_top(self, session: Session, top: int) -> None:
+    def set_top_rung(self, session: Session, top: int) -> None:
         """The viewer's best rung is another."""
         session.top = top
-        self.pushes.rung(session)
+        self.notifier.on_rung_changed(session)
         if session.home is not None and not session.adrift:
-            self.front.handle(TopRungChanged(session.home.module_id, top), self.context.now_us())
+            self.policy.handle(TopRungChanged(session.home.policy_id, top), self.context.now_us())
 
-    def _tell_failed(self, session: Session) -> None:
-        assert session.end is not None and session.out is not None
-        place, session.out = session.out, None
-        self.lifecycle.tell_end(place, session.end, False)
+    def _on_attempt_failed(self, session: Session) -> None:
+        assert session.last_result is not None and session.pending_target is not None
+        place, session.pending_target = session.pending_target, None
+        self.lifecycle.report_attempt(place, session.last_result, False)
 
-    def _tell_finished(self, session: Session) -> None:
-        place = session.home or session.out
-        assert session.end is not None and place is not None
-        self.lifecycle.tell_end(place, session.end, True)
+    def _on_finished(self, session: Session) -> None:
+        place = session.home or session.pending_target
+        assert session.last_result is not None and place is not None
+        self.lifecycle.report_attempt(place, session.last_result, True)
 
-    def _tell_lost(self, session: Session) -> None:
-        session.ended_because = session.ended_because or "its box was lost"
+    def _on_server_lost(self, session: Session) -> None:
+        session.close_reason = session.close_reason or "its box was lost"
         self.context.tally("lost")
         if session.home is not None and not session.adrift:
-            self.lifecycle.tell_end(session.home, AttemptResult(Outcome.CONNECTION_LOST, None, 0), True)
+            self.lifecycle.report_attempt(session.home, AttemptResult(Outcome.CONNECTION_LOST, None, 0), True)
 
-    def _tell_gone(self, session: Session) -> None:
-        self.front.handle(ClientGone(session.id), self.context.now_us())
+    def _on_client_gone(self, session: Session) -> None:
+        self.policy.handle(ClientGone(session.id), self.context.now_us())
 
-    def _release_server(self, session: Session) -> None:
-        place = session.home or session.out
-        if session.server_may_hold and place is not None and not session.adrift:
-            self.orders.tell(place, session, None)
+    def _release_at_server(self, session: Session) -> None:
+        place = session.home or session.pending_target
+        if session.may_be_held_by_server and place is not None and not session.adrift:
+            self.commands.send(place, session, None)
 
-    def forget(self, session: Session) -> None:
+    def close(self, session: Session) -> None:
         """Hold nothing of it any more."""
-        for over in self.over:
+        for over in self.close_listeners:
             over(session)
--- a/packages/core/src/fennelcove/core/session_ids.py
+++ b/packages/core/src/fennelcove/core/session_ids.py
@@ -15,23 +15,23 @@
 
     def __init__(self, key: bytes | None = None) -> None:
         self.key = key or os.urandom(32)
-        self.boot = hashlib.blake2s(b"boot", key=self.key, digest_size=6).hexdigest()
-        self.count = 0
+        self.boot_id = hashlib.blake2s(b"boot", key=self.key, digest_size=6).hexdigest()
+        self.issued_count = 0
 
-    def next(self) -> str:
+    def next_id(self) -> str:
         """A new id, 24 hexadecimal characters behind the count."""
-        self.count += 1
-        return self._name(self.count)
+        self.issued_count += 1
+        return self._format_id(self.issued_count)
 
-    def _name(self, count: int) -> str:
+    def _format_id(self, count: int) -> str:
         mark = hashlib.blake2s(count.to_bytes(8, "big"), key=self.key, digest_size=12).hexdigest()
         return f"{count:x}-{mark}"
 
-    def is_mine(self, id: str) -> bool:
+    def is_issued_here(self, id: str) -> bool:
         """Whether the id was made in this life."""
         head = id.partition("-")[0]
         try:
             count = int(head, 16)
         except ValueError:
             return False
-        return 0 < count <= self.count and id == self._name(count)
+        return 0 < count <= self.issued_count and id == self._format_id(count)
--- a/packages/core/src/fennelcove/core/session_lifecycle.py
+++ b/packages/core/src/fennelcove/core/session_lifecycle.py
@@ -13,35 +13,35 @@
 from fennelcove.interface import AttemptCompleted
 from fennelcove.placement import PlacementPolicy
 
-ENDED_KEPT = 10_000  # ended subscriptions of which the reason is still told
+MAX_CLOSE_REASONS = 10_000  # ended subscriptions of which the reason is still told
 
 
 class SessionLifecycle:
     """What this front holds, by its own ids and by the module's. Attach `acts` before the first cue: they
     reach every part, and every part reaches this table."""
 
-    def __init__(self, context: CoreContext, front: PlacementPolicy) -> None:
+    def __init__(self, context: CoreContext, policy: PlacementPolicy) -> None:
         self.context = context
-        self.front = front
+        self.policy = policy
         self.held: dict[str, Session] = {}
         self.by_module: dict[str, Session] = {}  # the module calls a subscription that moves by another id
-        self.ended: OrderedDict[str, str] = OrderedDict()
-        self.acts: Mapping[SessionAction, Callable[[Session], None]] = {}
+        self.close_reasons: OrderedDict[str, str] = OrderedDict()
+        self.actions: Mapping[SessionAction, Callable[[Session], None]] = {}
 
-    def begin(self, session: Session) -> None:
+    def add(self, session: Session) -> None:
         """A subscription is held from now on."""
         self.held[session.id] = self.by_module[session.id] = session
 
     def playing(self, id: str) -> Session | None:
         """The subscription of that id, where it plays."""
         session = self.held.get(id)
-        return session if session is not None and session.stage is SessionState.PLAYING else None
+        return session if session is not None and session.state is SessionState.PLAYING else None
 
     def apply(self, session: Session, event: SessionEvent) -> None:
         """Move a subscription on by the table, and do what follows."""
-        session.stage, acts = session_lifecycle.transition(session.stage, event)
+        session.state, acts = session_lifecycle.transition(session.state, event)
         for act in acts:
-            self.acts[act](session)
+            self.actions[act](session)
 
     def release(self, id: str, why: str) -> bool:
         """End what plays; False where nothing does."""
@@ -49,26 +49,26 @@
             session = self.playing(id)
             if session is None:
                 return False
-            session.ended_because = why
+            session.close_reason = why
             self.apply(session, SessionEvent.RELEASED)
             return True
 
-    def tell_end(self, place: AttemptTarget, end: AttemptResult, finished: bool) -> None:
+    def report_attempt(self, place: AttemptTarget, end: AttemptResult, finished: bool) -> None:
         """The module hears how a join ended."""
-        report = load_signals.load_report(end.says) if end.says is not None and not finished else None
-        event = AttemptCompleted(place.module_id, place.module_attempt, end.outcome, finished, report)
-        self.front.handle(event, self.context.now_us())
+        report = load_signals.load_report(end.hints) if end.hints is not None and not finished else None
+        event = AttemptCompleted(place.policy_id, place.policy_attempt, end.outcome, finished, report)
+        self.policy.handle(event, self.context.now_us())
         if finished:
-            self.by_module.pop(place.module_id, None)
+            self.by_module.pop(place.policy_id, None)
 
-    def drop(self, session: Session) -> None:
+    def remove(self, session: Session) -> None:
         """A subscription is held no more."""
         self.held.pop(session.id, None)
         self.by_module.pop(session.id, None)
 
-    def remember(self, session: Session) -> None:
+    def remember_close_reason(self, session: Session) -> None:
         """Why it ended can still be asked for a while."""
-        if session.ended_because:
-            self.ended[session.id] = session.ended_because
-            if len(self.ended) > ENDED_KEPT:
-                self.ended.popitem(last=False)
+        if session.close_reason:
+            self.close_reasons[session.id] = session.close_reason
+            if len(self.close_reasons) > MAX_CLOSE_REASONS:
+                self.close_reasons.popitem(last=False)
--- a/packages/core/src/fennelcove/core/session_migrations.py
+++ b/packages/core/src/fennelcove/core/session_migrations.py
@@ -38,38 +38,38 @@
     def __init__(
         self,
         context: CoreContext,
-        at_once: int,
+        max_concurrent: int,
         grace_us: int,
-        front: PlacementPolicy,
+        policy: PlacementPolicy,
         lifecycle: SessionLifecycle,
-        orders: CommandDispatcher,
-        book: ServerRegistry,
-        storms: RetryStormGuard,
-        pushes: ClientNotifier,
+        commands: CommandDispatcher,
+        server_registry: ServerRegistry,
+        retry_storms: RetryStormGuard,
+        notifier: ClientNotifier,
     ) -> None:
         self.context = context
         self.grace_us = grace_us
-        self.turns = MigrationTurns(at_once, grace_us)
-        self.front = front
+        self.turns = MigrationTurns(max_concurrent, grace_us)
+        self.policy = policy
         self.lifecycle = lifecycle
-        self.orders = orders
-        self.book = book
-        self.storms = storms
-        self.pushes = pushes
+        self.commands = commands
+        self.server_registry = server_registry
+        self.retry_storms = retry_storms
+        self.notifier = notifier
         self.port: MigrationSender
         self.returned: Callable[[Session, int, Outcome], None] = lambda session, attempt, outcome: None
-        self.moves: dict[str, SessionMigration] = {}
+        self.migrations: dict[str, SessionMigration] = {}
         self.drained: dict[str, int] = {}  # boxes told to drain or gone, and when
         self.gone: set[str] = set()  # those of them that have left
-        self.acts: dict[MigrationAction, Callable[[Session, SessionMigration], None]] = {
+        self.actions: dict[MigrationAction, Callable[[Session, SessionMigration], None]] = {
             MigrationAction.QUEUE: self._queue,
-            MigrationAction.ASK_MODULE: self._ask_module,
+            MigrationAction.ASK_MODULE: self._request_target,
             MigrationAction.SWITCH: self._switch,
-            MigrationAction.TELL_FAILED: self._tell_failed,
-            MigrationAction.TELL_LOST: self._tell_lost,
-            MigrationAction.PAUSE: self._pause,
-            MigrationAction.STAY: self._stay,
-            MigrationAction.END: self._end,
+            MigrationAction.TELL_FAILED: self._report_failed,
+            MigrationAction.TELL_LOST: self._report_lost,
+            MigrationAction.PAUSE: self._schedule_retry,
+            MigrationAction.STAY: self._give_up,
+            MigrationAction.END: self._close_session,
         }
 
     def may_tell(self, server: str) -> bool:
@@ -77,53 +77,53 @@
         told_us = self.drained.get(server)
         return told_us is None or self.context.now_us() - told_us < self.grace_us
 
-    def listed(self, now_us: int) -> None:
+    def on_list(self, now_us: int) -> None:
         """A list was taken: which boxes drain, and whose subscriptions should go."""
-        servers = self.front.servers
+        servers = self.policy.servers
         for address, server in servers.items():
             if server.standing is ServerState.ACTIVE:
                 if self.drained.pop(address, None) is not None:
-                    self._tell_server(address, MigrationEvent.CALM)
+                    self._apply_to_server(address, MigrationEvent.CALM)
                 self.gone.discard(address)
             elif server.standing is ServerState.LEFT and address not in self.gone:
                 self.drained.setdefault(address, now_us)
                 self.gone.add(address)
-                self._tell_server(address, MigrationEvent.GONE)
+                self._apply_to_server(address, MigrationEvent.GONE)
             elif address not in self.drained:
                 self.drained[address] = now_us
-                self._tell_server(address, MigrationEvent.TOLD)
+                self._apply_to_server(address, MigrationEvent.TOLD)
         for address in [address for address in self.drained if address not in servers]:
             del self.drained[address]
             self.gone.discard(address)
 
-    def _tell_server(self, address: str, event: MigrationEvent) -> None:
-        server = self.book.servers.get(address)
-        for session in list(server.playing.values()) if server is not None else ():
+    def _apply_to_server(self, address: str, event: MigrationEvent) -> None:
+        server = self.server_registry.records.get(address)
+        for session in list(server.sessions.values()) if server is not None else ():
             self._apply(session, event)
 
-    def lost(self, session: Session) -> None:
+    def on_server_lost(self, session: Session) -> None:
         """Its box is gone with it; another may take it over where that is safe."""
-        if session.stage is not SessionState.PLAYING:
+        if session.state is not SessionState.PLAYING:
             return
-        effect = self.front.settings.service_classes[session.service_class].effect
+        effect = self.policy.settings.service_classes[session.service_class].effect
         if (
             session.home is None
             or not migration.may_rescue(effect, adopted=session.ask is None)
-            or session.home.module_id not in self.front.sessions
+            or session.home.policy_id not in self.policy.sessions
         ):
             self.lifecycle.apply(session, SessionCue.BOX_LOST)
             return
         self._apply(session, MigrationEvent.LOST)
 
-    def over(self, session: Session) -> None:
+    def on_session_closed(self, session: Session) -> None:
         """The subscription has ended; a join that is out elsewhere is taken back when it ends."""
-        held = self.moves.pop(session.id, None)
+        held = self.migrations.pop(session.id, None)
         if held is not None:
             if held.stage is migration.MigrationState.MAKING and not held.lost:
                 self.turns.finished()
             held.apply(MigrationEvent.ENDED)
 
-    def pump(self) -> None:
+    def run_due(self) -> None:
         """Give turns; called as turns come free, and every so often."""
         with self.context.lock:
             turn, over = self.turns.take(self.context.now_us())
@@ -142,42 +142,42 @@
             if event is MigrationEvent.LOST:  # moves are switched off by the settings: what is lost has ended
                 self.lifecycle.apply(session, SessionCue.BOX_LOST)
             return
-        held = self.moves.get(session.id)
+        held = self.migrations.get(session.id)
         if held is None:
-            priority_weight = self.front.settings.service_classes[session.service_class].priority_weight
-            held = self.moves[session.id] = SessionMigration(session.id, priority_weight)
+            priority_weight = self.policy.settings.service_classes[session.service_class].priority_weight
+            held = self.migrations[session.id] = SessionMigration(session.id, priority_weight)
         for act in held.apply(event):
-            self.acts[act](session, held)
+            self.actions[act](session, held)
 
     # What follows.
 
     def _queue(self, session: Session, held: SessionMigration) -> None:
         self.turns.add(held, self.context.now_us())
-        self.context.timers.after(0, self.pump)
+        self.context.timers.after(0, self.run_due)
 
-    def _ask_module(self, session: Session, held: SessionMigration) -> None:
+    def _request_target(self, session: Session, held: SessionMigration) -> None:
         assert session.home is not None
-        session.moves += 1
-        module_id = f"{session.id}~{session.moves}"
+        session.migration_count += 1
+        module_id = f"{session.id}~{session.migration_count}"
         self.lifecycle.by_module[module_id] = session
         self.context.tally("moves_tried")
         timeout_us = max(1, self.grace_us)
-        self.front.handle(
-            MigrationRequested(session.home.module_id, module_id, timeout_us), self.context.now_us()
+        self.policy.handle(
+            MigrationRequested(session.home.policy_id, module_id, timeout_us), self.context.now_us()
         )
 
-    def send(self, step: SendAttempt) -> None:
+    def send_attempt(self, step: SendAttempt) -> None:
         """The module names a second home: the join goes to the movers."""
         if not self.port.send(step):
             # The core is inside the module's own step: it hears of the end a moment later.
             end = AttemptResult(Outcome.NOT_SENT, None, 0)
             self.context.timers.after(0, lambda: self.on_attempt_completed(step, end))
 
-    def refused(self, session: Session, module_id: str) -> None:
+    def on_attempt_refused(self, session: Session, module_id: str) -> None:
         """The module finds no place now."""
         self.lifecycle.by_module.pop(module_id, None)
-        session.out = None
-        held = self.moves.get(session.id)
+        session.pending_target = None
+        held = self.migrations.get(session.id)
         if held is not None and not held.lost:
             self.turns.finished()
         self._apply(session, MigrationEvent.REFUSED)
@@ -186,46 +186,46 @@
         """A join of a move has ended."""
         with self.context.lock:
             session = step.session
-            out = session.out
+            out = session.pending_target
             self.context.tally(f"move_joins_{end.outcome.value}")
-            self.storms.on_attempt_completed(session, step.server, end.outcome, self.context.now_us())
+            self.retry_storms.on_attempt_completed(session, step.server, end.outcome, self.context.now_us())
             self.returned(session, step.attempt, end.outcome)
-            held = self.moves.get(session.id)
+            held = self.migrations.get(session.id)
             mine = out is not None and out.attempt == step.attempt
             if held is None or not mine or held.stage is not migration.MigrationState.MAKING:
                 # It ended meanwhile: whatever the box began is for nobody.
                 if attempt_exchange.may_need_release(end.outcome):
-                    self.orders.tell_at(step.server, session.id, step.attempt, None)
+                    self.commands.send_to(step.server, session.id, step.attempt, None)
                 if out is not None and mine:
-                    session.out = None
-                    self.lifecycle.tell_end(out, end, True)
+                    session.pending_target = None
+                    self.lifecycle.report_attempt(out, end, True)
                 return
-            session.end = end
+            session.last_result = end
             if end.outcome is Outcome.SERVED:
                 self._apply(session, MigrationEvent.MADE)
             else:
                 if attempt_exchange.may_need_release(end.outcome):
-                    self.orders.tell_at(step.server, session.id, step.attempt, None)
+                    self.commands.send_to(step.server, session.id, step.attempt, None)
                 self._apply(session, MigrationEvent.FAILED)
 
     def _switch(self, session: Session, held: SessionMigration) -> None:
-        old, new, end = session.home, session.out, session.end
+        old, new, end = session.home, session.pending_target, session.last_result
         assert old is not None and new is not None and end is not None
         now_us = self.context.now_us()
         if not session.adrift:
             self.turns.finished()
-        self.book.plays_no_more(session)
-        session.home, session.out, session.rung = new, None, session.out_rung
-        self.front.handle(SessionStarted(new.module_id, new.module_attempt, end.took_us), now_us)
-        session.playing_since_us = now_us
+        self.server_registry.on_session_closed(session)
+        session.home, session.pending_target, session.rung = new, None, session.pending_rung
+        self.policy.handle(SessionStarted(new.policy_id, new.policy_attempt, end.duration_us), now_us)
+        session.established_us = now_us
         if not session.adrift:
-            self.lifecycle.tell_end(old, AttemptResult(Outcome.SERVED, None, 0), True)
-            self.orders.tell(old, session, None)
+            self.lifecycle.report_attempt(old, AttemptResult(Outcome.SERVED, None, 0), True)
+            self.commands.send(old, session, None)
         session.adrift = False
-        self.book.plays(session)
-        if end.says is not None:
-            self.book.notes(session, end.says)
-        self.pushes.moved(session)
+        self.server_registry.on_session_established(session)
+        if end.hints is not None:
+            self.server_registry.forward_hints(session, end.hints)
+        self.notifier.on_migrated(session)
         self.context.tally("moves_made")
         self.context.notice(
             "subscription_moved",
@@ -235,30 +235,30 @@
             rung=session.rung,
             waited_ms=(now_us - held.since_us) / 1000 if held.since_us else 0.0,
         )
-        self.context.timers.after(0, self.pump)
+        self.context.timers.after(0, self.run_due)
 
-    def _tell_failed(self, session: Session, held: SessionMigration) -> None:
-        assert session.end is not None and session.out is not None
-        place, session.out = session.out, None
-        self.lifecycle.tell_end(place, session.end, False)
+    def _report_failed(self, session: Session, held: SessionMigration) -> None:
+        assert session.last_result is not None and session.pending_target is not None
+        place, session.pending_target = session.pending_target, None
+        self.lifecycle.report_attempt(place, session.last_result, False)
 
-    def _tell_lost(self, session: Session, held: SessionMigration) -> None:
-        if session.stage is not SessionState.PLAYING or session.home is None or session.adrift:
+    def _report_lost(self, session: Session, held: SessionMigration) -> None:
+        if session.state is not SessionState.PLAYING or session.home is None or session.adrift:
             return
-        self.book.plays_no_more(session)
+        self.server_registry.on_session_closed(session)
         session.adrift = True
         self.context.tally("adrift")
-        self.lifecycle.tell_end(session.home, AttemptResult(Outcome.CONNECTION_LOST, None, 0), True)
+        self.lifecycle.report_attempt(session.home, AttemptResult(Outcome.CONNECTION_LOST, None, 0), True)
 
-    def _pause(self, session: Session, held: SessionMigration) -> None:
+    def _schedule_retry(self, session: Session, held: SessionMigration) -> None:
         self.turns.put_back(held, self.context.now_us())
-        self.context.timers.after(migration.RETRY_US, self.pump)
+        self.context.timers.after(migration.RETRY_US, self.run_due)
 
-    def _stay(self, session: Session, held: SessionMigration) -> None:
+    def _give_up(self, session: Session, held: SessionMigration) -> None:
         self.context.tally("moves_given_up")
         self.context.notice("move_given_up", subscription=session.id, box=session.server)
 
-    def _end(self, session: Session, held: SessionMigration) -> None:
+    def _close_session(self, session: Session, held: SessionMigration) -> None:
         what = "was lost" if held.lost else "has left"
-        session.ended_because = f"its box {what}, and no other may take it"
+        session.close_reason = f"its box {what}, and no other may take it"
         self.lifecycle.apply(session, SessionCue.BOX_LOST)
--- a/packages/daemon/src/fennelcove/daemon/concurrency_limits.py
+++ b/packages/daemon/src/fennelcove/daemon/concurrency_limits.py
@@ -55,7 +55,7 @@
 
     def _servers(self) -> list[Listed]:
         """The boxes that the module knows, with the kinds that the list has told."""
-        front, kinds, now_us = self.core.front, self.core.keeper.cells, self.clock.now_us()
+        front, kinds, now_us = self.core.policy, self.core.endpoint_tracker.cells, self.clock.now_us()
         return [
             Listed(
                 server.address,
--- a/packages/daemon/src/fennelcove/daemon/front_daemon.py
+++ b/packages/daemon/src/fennelcove/daemon/front_daemon.py
@@ -88,12 +88,12 @@
         self.timers = Timers(self.clock, lambda error: notice("timer_failed", reason=repr(error)))
         self.core = Core(settings, self.clock, self.timers, notice, names)
         self.ledger = LedgerFile(settings.stitch.ledger, notice)
-        self.core.stitches.restore(self.ledger.load())
+        self.core.content.restore(self.ledger.load())
         if settings.storm.key_file is not None:
-            self.core.storms.use_keys(load(settings.storm.key_file, self.clock.wall_us() // 1000))
+            self.core.retry_storms.use_keys(load(settings.storm.key_file, self.clock.wall_us() // 1000))
         if settings.viewers.key_file is not None:
             keys = load(settings.viewers.key_file, self.clock.wall_us() // 1000)
-            self.core.passes = [mac(key) for key in keys]
+            self.core.token_keys = [mac(key) for key in keys]
         self.keeper: StoreWriter | None = None
         if settings.store is not None:
             store = Store(settings.store.folder, settings.store.most_mb, settings.name)
@@ -103,7 +103,7 @@
                 )
             for key in store.unsound:
                 notice("store_damaged", file="base.lmdb", key=repr(key), fault="altered")
-            self.core.memories.restore(store.values)
+            self.core.snapshots.restore(store.values)
             self.keeper = StoreWriter(store, self.clock, notice)
         self.comeback = self._comeback()
         self.background = Background(self.clock, notice)
@@ -117,8 +117,8 @@
         )
         self.senders = CommandSenders(self.core, self.pool, codec)
         self.movers = MigrationWorkers(self.core, self.joiner, settings.stitch.moves_at_once)
-        self.core.moves.port = self.movers
-        told = self.core.front.settings
+        self.core.migrations.port = self.movers
+        told = self.core.policy.settings
         silence_us = event_stream.idle_timeout_us(told.reports_every_us, told.seen_after_us)
         self.server_side = ServerEventStreams(
             self.core, self.senders, self.hints, settings.name, silence_us, codec, notice
@@ -132,29 +132,29 @@
             notice,
             settings.source,
         )
-        self.core.book.port, self.core.lists.source = self.server_side, self.list_side
+        self.core.server_registry.port, self.core.discovery.source = self.server_side, self.list_side
         self.probe_side: HealthChecker | None = None
         self.front_side: FrontMessaging | None = None
         shape = settings.shape
         if shape.probes is not None:
-            timeout_us, probed = round(shape.probes.timeout_ms * 1000), self.core.news.probed
+            timeout_us, probed = round(shape.probes.timeout_ms * 1000), self.core.probes.probed
             self.probe_side = HealthChecker(self.clock, self.hints, settings.name, timeout_us, codec, probed)
-            self.core.news.probes = self.probe_side
+            self.core.probes.probes = self.probe_side
         self.company = self._company()
         among = settings.company or shape.peers
         if among is not None:
-            index, heard = settings.instance.index, self.core.news.peer_says
+            index, heard = settings.instance.index, self.core.probes.peer_says
             beaten = self.company.hear if self.company is not None else None
             self.front_side = FrontMessaging(among.addresses, index, heard, beaten)
             if shape.peers is not None:
-                self.core.news.fronts = self.front_side
+                self.core.probes.fronts = self.front_side
             if self.company is not None:
                 self.company.post = self.front_side.beat
         self.overload = self._overload()
         self.budgets = self._budgets()
         self.vetoes: list[Callable[[str, str], bool]] = []  # what keeps the module from a box, in order
         core = self.core
-        core.front.free = lambda id, server: all(free(id, server) for free in self.vetoes)
+        core.policy.free = lambda id, server: all(free(id, server) for free in self.vetoes)
         self.releases = self._releases(end)
         self.watch_side: HealthChecker | None = None
         self.watch = self._watch(codec)
@@ -189,14 +189,16 @@
         told = settings.recovery
         if told is None:
             return None
-        found = RecoveryCoordinator(settings, told, core.front, core.book, self.clock, core.rng, self.notice)
+        found = RecoveryCoordinator(
+            settings, told, core.policy, core.server_registry, self.clock, core.rng, self.notice
+        )
         core.gates.insert(0, found.before)
-        core.lists.hear = found.hear_list
+        core.discovery.hear = found.hear_list
         core.shown["comeback"] = found.status
-        found.listed, found.opened = core.memories.listed, core.seats.opened
-        found.kept = core.memories.last_list()
+        found.listed, found.opened = core.snapshots.listed, core.seat_leases.on_recovered
+        found.kept = core.snapshots.last_list()
         if told.kept_list:
-            core.memories.entries = found.entries
+            core.snapshots.entries = found.entries
         return found
 
     def _overload(self) -> LoadSheddingCoordinator | None:
@@ -208,7 +210,7 @@
         fronts = company.company.living if company is not None else lambda: all_fronts
         life = self.clock.wall_us() // 1000
         found = LoadSheddingCoordinator(
-            settings.room_types, fronts, life, core.storms, self.clock, core.rng, core.lock, self.notice
+            settings.room_types, fronts, life, core.retry_storms, self.clock, core.rng, core.lock, self.notice
         )
         core.shown["overload"] = found.status
         if self.front_side is not None:
@@ -231,7 +233,7 @@
         life = self.clock.wall_us() // 1000
         found = SharedQuotaCoordinator(wholes, self.settings.instance, life, self.clock, core.rng, core.lock)
         core.may_attempt_again = lambda: found.take(Resource.FURTHER_JOIN)
-        core.news.may_probe = lambda: found.take(Resource.PROBE)
+        core.probes.may_probe = lambda: found.take(Resource.PROBE)
         self.list_side.turn_us = lambda: found.wait_us(Resource.LIST_CALL)
         core.shown["budgets"] = found.status
         if self.front_side is not None:
@@ -258,7 +260,7 @@
         core, told, company = self.core, self.settings.watchers, self.company
         if told is None:
             return None
-        instance, front = self.settings.instance, core.front
+        instance, front = self.settings.instance, core.policy
 
         def listed() -> list[str]:
             return [box for box, server in front.servers.items() if server.standing is ServerState.ACTIVE]
@@ -282,7 +284,7 @@
         )
         self.watch_side, found.ask = side, side.ask
         self.vetoes.append(found.free)
-        core.storms.attempted = found.attempted
+        core.retry_storms.attempted = found.attempted
         core.shown["watchers"] = found.status
         if self.front_side is not None:
             found.post, self.front_side.worded = self.front_side.word, found.hear
@@ -301,7 +303,7 @@
             return None
         running = lambda: self.stopping.phase is ShutdownState.RUNNING  # noqa: E731
         found = LimitService(self.settings, told, core, self.timers, self.clock, self.notice, running)
-        core.shown["slots"], core.memories.more = found.book.status, found.book.kept
+        core.shown["slots"], core.snapshots.more = found.book.status, found.book.kept
         self.vetoes.append(found.free)
         self.joiner.slots, self.pool.keeps = found.book, found.book.links
         if self.keeper is not None:
@@ -316,7 +318,7 @@
         if told is None:
             return None
         found = SlotScheduler(
-            core.context, told, self.settings.instance, core.catalogue, core.front, core.lifecycle, Wakeup
+            core.context, told, self.settings.instance, core.catalogue, core.policy, core.lifecycle, Wakeup
         )
         core.use_slots(found)
         self.vetoes.append(found.free)
@@ -360,13 +362,13 @@
         company = MembershipCoordinator(
             told, self.settings.instance, life, self.clock, core.lock, self.notice
         )
-        core.front.mine = company.mine
+        core.policy.mine = company.mine
         core.shown["company"] = company.status
-        core.memories.lives = company.lives
+        core.snapshots.lives = company.lives
         if self.comeback is not None:
             self.comeback.fronts = company.fronts
-        if core.watched is not None:
-            core.watched.other.mine = company.mine
+        if core.shadow_policy is not None:
+            core.shadow_policy.other.mine = company.mine
         return company
 
     def _beat(self) -> None:
@@ -416,14 +418,14 @@
         self._plan()
         self.background.start()
         if self.comeback is None:
-            self.core.book.wait_open()
-            self.core.seats.opened()
+            self.core.server_registry.wait_until_recovered()
+            self.core.seat_leases.on_recovered()
         else:
             self.timers.after(recovery_admission.SAVED_AFTER_US, self._stand_in)
         self.door.start()
         if self.releases is not None:
             self.releases.is_open = True
-        self.notice("front_started", address=self.door.address, boot=self.core.names.boot)
+        self.notice("front_started", address=self.door.address, boot=self.core.session_ids.boot_id)
 
     def _stand_in(self) -> None:
         assert self.comeback is not None
@@ -445,12 +447,12 @@
 
     def _remember(self) -> None:
         assert self.keeper is not None
-        self.keeper.keep(self.core.memories.gather())
+        self.keeper.keep(self.core.snapshots.gather())
 
     def _sweep(self) -> None:
-        self.core.sweep()
-        self.core.seats.sweep()
-        self.core.moves.pump()
+        self.core.close_silent_sessions()
+        self.core.seat_leases.close_expired()
+        self.core.migrations.run_due()
 
     def stop(self) -> None:
         """Answer everything held and end, within the stated time."""
@@ -471,7 +473,7 @@
     def _stop_accepting(self) -> None:
         if self.company is not None:
             self.company.leave()
-        self.core.stop_entries()
+        self.core.stop_admission()
         self.door.stop_accepting()
 
     def _close(self) -> None:
@@ -483,7 +485,7 @@
         self.timekeeper.join()
         self.movers.stop()
         if self.keeper is not None:
-            self.keeper.keep(self.core.memories.gather())
+            self.keeper.keep(self.core.snapshots.gather())
             self.keeper.stop(max(0, self.stopping.asked_us + self.stopping.stop_us - self.clock.now_us()))
         for side in (self.probe_side, self.watch_side, self.releases, self.front_side):
             if side is not None:
--- a/packages/daemon/src/fennelcove/daemon/rollouts.py
+++ b/packages/daemon/src/fennelcove/daemon/rollouts.py
@@ -170,7 +170,11 @@
     def mine(self) -> Mine:
         """What this front is now. What it turns away since it drains says nothing about its version."""
         with self.core.lock:
-            phase, counts, weather = self.core.gate.phase, Counter(self.core.counts), self.core.storms.weather
+            phase, counts, weather = (
+                self.core.admission_controller.phase,
+                Counter(self.core.counts),
+                self.core.retry_storms.weather,
+            )
             opening = self.opening()
             storm, level = WEATHER[weather.phase], self.level()
         away = counts["damped"] + counts["refused_request_full"] + counts["refused_subscription_full"]
@@ -201,11 +205,11 @@
         """All boxes by their cells. Where two share one, a cell names no box: then none may be taken out."""
         found: dict[int, ServerSight] = {}
         with self.core.lock:
-            servers = [s for s in self.core.front.servers.values() if s.standing is not ServerState.LEFT]
+            servers = [s for s in self.core.policy.servers.values() if s.standing is not ServerState.LEFT]
             cells = Counter(server.cell for server in servers)
             if not servers or max(cells.values()) > 1 or max(cells) > MOST_PLACE:
                 return {}
-            now_us = self.core.front.now_us = self.clock.now_us()
+            now_us = self.core.policy.now_us = self.clock.now_us()
             for server in servers:
                 found[server.cell] = self._sight(server, now_us)
             known = {server.address for server in servers}
@@ -214,7 +218,7 @@
         return found
 
     def _sight(self, server: Server, now_us: int) -> ServerSight:
-        front, core = self.core.front, self.core
+        front, core = self.core.policy, self.core
         warm = not front.is_cold(server)
         titles = frozenset(
             number
@@ -241,7 +245,7 @@
             self.notice("wanted_not_written", file=self.told.wanted, reason=str(error))
             return False
         self.notice("release_leaves", version=version)
-        self.core.turn(AdmissionEvent.DRAIN)
+        self.core.change_admission(AdmissionEvent.DRAIN)
         if not self.ending:
             self.ending = True
             if not self.timers.after(round(self.told.drain_ms * 1000), self.end):
@@ -251,7 +255,7 @@
     def take_server(self, cell: int) -> bool:
         """Tell whoever keeps the list that this box may be drained now: a line in a file beside `wanted`."""
         with self.core.lock:
-            found = [s.address for s in self.core.front.servers.values() if s.cell == cell]
+            found = [s.address for s in self.core.policy.servers.values() if s.cell == cell]
         if not found:
             return False
         try:
--- a/packages/ingress/src/fennelcove/ingress/http_server.py
+++ b/packages/ingress/src/fennelcove/ingress/http_server.py
@@ -23,7 +23,7 @@
 from fennelcove.websocket import handshake
 from fennelcove.wire.socket import PATH
 
-KEYED = {ResponseKind.SPENT: "spent", ResponseKind.REUSED: "reused-key"}
+KEYED = {ResponseKind.KEY_SPENT: "spent", ResponseKind.KEY_REUSED: "reused-key"}
 ACCEPT_PAUSE_US = 50_000  # keeps a failing accept from spinning
 
 
@@ -104,7 +104,7 @@
                 if self.closing.wait(ACCEPT_PAUSE_US):
                     return
                 continue
-            refusal = self.core.enter(Entry.CONNECTION)
+            refusal = self.core.try_admit(Entry.CONNECTION)
             if refusal is not None:
                 self._refuse(sock, refusal)
                 continue
@@ -117,9 +117,9 @@
         with suppress(OSError):
             while True:
                 sock, _ = self.listener.accept()
-                refusal = self.core.enter(Entry.CONNECTION)
+                refusal = self.core.try_admit(Entry.CONNECTION)
                 if refusal is None:
-                    self.core.leave()
+                    self.core.on_connection_closed()
                     sock.close()
                 else:
                     self._refuse(sock, refusal)
@@ -140,14 +140,15 @@
         except RuntimeError:  # the machine gives no more threads: the same answer as past our own bound
             self._end(thread)
             self._refuse(
-                sock, SessionResponse(ResponseKind.THROTTLED, "no thread to be had", self.core.come_back_us())
+                sock,
+                SessionResponse(ResponseKind.THROTTLED, "no thread to be had", self.core.retry_after_us()),
             )
 
     def _end(self, thread: threading.Thread) -> None:
         with self.idle:
             self.connections.pop(thread, None)
             self.idle.notify_all()
-        self.core.leave()
+        self.core.on_connection_closed()
 
     def _serve(self, connection: Connection) -> None:
         linger = False
@@ -167,7 +168,7 @@
                 received = connection.read()
             except ProtocolError as error:
                 if error.status == 503:
-                    full = SessionResponse(ResponseKind.THROTTLED, str(error), self.core.come_back_us())
+                    full = SessionResponse(ResponseKind.THROTTLED, str(error), self.core.retry_after_us())
                     reply = replies.refused(full, self.front, None, False)
                 else:
                     reply = replies.fault("malformed", str(error), error.status)
@@ -196,10 +197,10 @@
         if result.answered is None:
             return False
         session = result.session
-        kind = KEYED.get(result.answered.answer)
+        kind = KEYED.get(result.answered.kind)
         if kind is not None:
-            return connection.write(replies.fault(kind, result.answered.why).raw(close))
-        if session is not None and result.answered.answer is ResponseKind.PLAYING:
+            return connection.write(replies.fault(kind, result.answered.reason).raw(close))
+        if session is not None and result.answered.kind is ResponseKind.PLAYING:
             view = self.core.view(session)
             reply = replies.playing(session, view, result.hops, self.front, result.took_us)
         else:
--- a/packages/ingress/src/fennelcove/ingress/playback_routes.py
+++ b/packages/ingress/src/fennelcove/ingress/playback_routes.py
@@ -44,19 +44,19 @@
 
     def manifest(self, id: str, name: str, says: ClientHints, apart: bool) -> Reply | None:
         """A manifest; None where nothing plays under this id."""
-        view = self.core.hear_viewer(id, says)
+        view = self.core.on_client_report(id, says)
         if view is None:
             return None
-        listing = self.core.stitches.listing(id, apart)
+        listing = self.core.content.listing(id, apart)
         if listing is None:
             return replies.fault("unknown-title", "this title has no media; ask its box")
         kbit = {
             rung: round(kb * KBIT) for rung, kb in enumerate(self.core.catalogue.rates_kb(view.service_class))
         }
         fields = [FRESH, *replies.hints(view, "", self.front, None)]
-        target = self.core.stitches.target
+        target = self.core.content.target
         if name == "master.m3u8":
-            lesson = self.core.stitches.media[view.title]
+            lesson = self.core.content.media[view.title]
             text = hls.multivariant(max(kbit.values()) * 1000, kbit[view.rung] * 1000, lesson.codecs)
             return Reply(200, [HLS, *fields], text.encode())
         if name == "media.m3u8":
@@ -65,17 +65,17 @@
 
     def segment(self, id: str, seq: int, says: ClientHints) -> Reply | None:
         """Where a segment is to be had; None where nothing plays under this id."""
-        view = self.core.hear_viewer(id, says)
+        view = self.core.on_client_report(id, says)
         if view is None:
             return None
-        return self._sent(self.core.stitches.segment(id, seq), replies.hints(view, "", self.front, None))
+        return self._sent(self.core.content.segment(id, seq), replies.hints(view, "", self.front, None))
 
     def asset(self, id: str, change: str, says: ClientHints) -> Reply | None:
         """The playlist of a clip told apart; None where nothing plays under this id."""
-        view = self.core.hear_viewer(id, says)
+        view = self.core.on_client_report(id, says)
         if view is None:
             return None
-        found = self.core.stitches.asset(id, change)
+        found = self.core.content.asset(id, change)
         if found is None:
             return replies.fault("not-shown")
         fields = [HLS, FRESH, *replies.hints(view, "", self.front, None)]
@@ -83,19 +83,19 @@
 
     def asset_segment(self, id: str, change: str, number: int, says: ClientHints) -> Reply | None:
         """Where a segment of a clip told apart is to be had."""
-        view = self.core.hear_viewer(id, says)
+        view = self.core.on_client_report(id, says)
         if view is None:
             return None
-        fetch = self.core.stitches.asset_segment(id, change, number)
+        fetch = self.core.content.asset_segment(id, change, number)
         return self._sent(fetch, replies.hints(view, "", self.front, None))
 
     def init(self, id: str, rest: str, says: ClientHints) -> Reply | None:
         """Where an initialisation is to be had."""
-        view = self.core.hear_viewer(id, says)
+        view = self.core.on_client_report(id, says)
         match = _INIT.fullmatch(rest)
         if view is None:
             return None
-        fetch = self.core.stitches.init(id, match[1], int(match[2])) if match is not None else None
+        fetch = self.core.content.init(id, match[1], int(match[2])) if match is not None else None
         return self._sent(fetch, replies.hints(view, "", self.front, None))
 
     def _sent(self, fetch: Fetch | None, hints: list[tuple[str, str]]) -> Reply:
@@ -112,7 +112,7 @@
 
     def author(self, key: str, changes: bool) -> Author | Reply:
         """Whose key this is, or the answer to one who may not."""
-        author = self.core.stitches.author(key) if key else None
+        author = self.core.content.author(key) if key else None
         if author is None:
             reply = replies.fault("no-key", "send Authorization: Bearer and an author's key")
             reply.fields.append(("WWW-Authenticate", 'Bearer realm="changes"'))
@@ -128,7 +128,7 @@
             change = _change(order, author.name)
         except (msgspec.MsgspecError, ValueError, ZeroDivisionError) as error:
             return replies.fault("malformed", str(error))
-        verdict = self.core.stitches.submit(change)
+        verdict = self.core.content.submit(change)
         if verdict.ruling is Ruling.REFUSED:
             return _refused(verdict)
         if verdict.ruling is Ruling.MADE:
@@ -141,17 +141,17 @@
 
     def withdraw(self, id: str) -> Reply:
         """A change taken back, now or before."""
-        verdict = self.core.stitches.withdraw(id)
+        verdict = self.core.content.withdraw(id)
         if verdict.ruling is Ruling.UNKNOWN:
             return replies.fault("unknown-change", id[:80])
-        change = self.core.stitches.ledger.entries[id].change
+        change = self.core.content.ledger.entries[id].change
         self.keep(change, False, verdict.version)
         state = ChangeState(id=id, state=verdict.ruling.value, version=verdict.version)
         return Reply(200, [replies.JSON], msgspec.json.encode(state))
 
     def changes(self, title: str | None, id: str | None = None) -> Reply:
         """All changes, or one."""
-        found = self.core.stitches.changes(title)
+        found = self.core.content.changes(title)
         if id is None:
             return Reply(200, [replies.JSON], msgspec.json.encode([_state(seen) for seen in found]))
         one = [seen for seen in found if seen.entry.change.id == id]
--- a/packages/ingress/src/fennelcove/ingress/replies.py
+++ b/packages/ingress/src/fennelcove/ingress/replies.py
@@ -51,18 +51,18 @@
         room_type=view.service_class,
         box=view.server,
         rung=view.rung,
-        top_rung=view.top,
+        top_rung=view.top_rung,
         rate_kb=view.rate_kb,
-        poll_after_ms=view.poll_every_us / 1000,
+        poll_after_ms=view.poll_interval_us / 1000,
         joins=attempts,
-        seat_for_ms=UNSET if view.seat_us is None else view.seat_us / 1000,
+        seat_for_ms=UNSET if view.seat_remaining_us is None else view.seat_remaining_us / 1000,
     )
 
 
 def playing(session: Session, view: SessionView, hops: str, front: str, took_us: int) -> Reply:
     """201: the subscription plays."""
     fields = [JSON, ("Location", f"/v1/subscriptions/{view.id}"), *hints(view, hops, front, took_us)]
-    return Reply(201, fields, msgspec.json.encode(playing_state(view, session.attempts)))
+    return Reply(201, fields, msgspec.json.encode(playing_state(view, session.attempt_count)))
 
 
 def state(view: SessionView, front: str) -> Reply:
@@ -72,7 +72,7 @@
 
 def rung(view: SessionView, front: str) -> Reply:
     """200: the rung in force."""
-    body = Rung(rung=view.rung, top_rung=view.top, rate_kb=view.rate_kb)
+    body = Rung(rung=view.rung, top_rung=view.top_rung, rate_kb=view.rate_kb)
     return Reply(200, [JSON, *hints(view, "", front, None)], msgspec.json.encode(body))
 
 
@@ -90,17 +90,17 @@
 def refused(answered: SessionResponse, front: str, session: Session | None, timed_out: bool) -> Reply:
     """503 with a time to come back, or 502 and 504 where a join may have run and nothing may be promised."""
     instance = f"/v1/subscriptions/{session.id}" if session is not None else ""
-    if answered.answer is ResponseKind.THROTTLED:
+    if answered.kind is ResponseKind.THROTTLED:
         details = problem(
-            "throttled", answered.why, instance=instance, retry_after_ms=answered.wait_us / 1000
+            "throttled", answered.reason, instance=instance, retry_after_ms=answered.retry_after_us / 1000
         )
-        if answered.place:
+        if answered.queue_ticket:
             details = msgspec.structs.replace(
-                details, latest_ms=answered.latest_us / 1000, place=answered.place
+                details, latest_ms=answered.retry_until_us / 1000, place=answered.queue_ticket
             )
         reply = _problem(details)
-        reply.fields.append(("Retry-After", str(retry_after_s(answered.wait_us))))
+        reply.fields.append(("Retry-After", str(retry_after_s(answered.retry_after_us))))
         reply.fields.append(("CMSD-Dynamic", cmsd.write_hop(front, {"du": True})))
         return reply
     status = 504 if timed_out else 502
-    return _problem(problem("terminated", answered.why, status, instance, may_have_run=True))
+    return _problem(problem("terminated", answered.reason, status, instance, may_have_run=True))
--- a/packages/ingress/src/fennelcove/ingress/routes.py
+++ b/packages/ingress/src/fennelcove/ingress/routes.py
@@ -111,7 +111,7 @@
             return replies.fault("malformed", str(error))
         hints = self.hints(asked, body.cmcd)
         held = shown(self.core, asked.received.head.get(b"authorization"))
-        if not held.may(Demand.ASK) and self.core.passes_needed:
+        if not held.may(Demand.ASK) and self.core.requires_token:
             reply = replies.fault("no-pass", f"the pass is {access_tokens.WORDS[held.standing]}")
             reply.fields.append(("WWW-Authenticate", 'Bearer realm="subscriptions"'))
             return reply
@@ -119,11 +119,11 @@
         return found if isinstance(found, SessionRequest) else replies.fault(*found)
 
     def state(self, asked: Asked) -> Reply:
-        view = self.core.hear_viewer(asked.id, says(self.hints(asked)))
+        view = self.core.on_client_report(asked.id, says(self.hints(asked)))
         return self._gone(asked.id) if view is None else replies.state(view, self.front)
 
     def rung(self, asked: Asked) -> Reply:
-        view = self.core.hear_viewer(asked.id, says(self.hints(asked)))
+        view = self.core.on_client_report(asked.id, says(self.hints(asked)))
         return self._gone(asked.id) if view is None else replies.rung(view, self.front)
 
     def set_top(self, asked: Asked) -> Reply:
@@ -131,7 +131,7 @@
             body = _TOP.decode(asked.received.body)
         except msgspec.MsgspecError as error:
             return replies.fault("malformed", str(error))
-        view = self.core.hear_viewer(asked.id, says(self.hints(asked)), body.top_rung)
+        view = self.core.on_client_report(asked.id, says(self.hints(asked)), body.top_rung)
         return self._gone(asked.id) if view is None else replies.rung(view, self.front)
 
     def release(self, asked: Asked) -> Reply:
@@ -144,9 +144,9 @@
             body = _SEAT.decode(asked.received.body or b"{}")
         except msgspec.MsgspecError as error:
             return replies.fault("malformed", str(error))
-        if self.core.hear_viewer(asked.id, says(self.hints(asked))) is None:
+        if self.core.on_client_report(asked.id, says(self.hints(asked))) is None:
             return self._gone(asked.id)
-        left_us = self.core.seats.renew(asked.id, body.key or "")
+        left_us = self.core.seat_leases.renew(asked.id, body.key or "")
         if left_us is None:
             return replies.fault("no-seat")
         state = SeatState(subscription=asked.id, seat_for_ms=left_us / 1000)
@@ -214,7 +214,7 @@
         return Reply(200, [replies.JSON], asyncapi.text().encode())
 
     def _gone(self, id: str) -> Reply:
-        why = self.core.why_ended(id)
+        why = self.core.close_reason(id)
         return replies.fault("unknown-subscription", id[:80]) if why is None else replies.fault("ended", why)
 
 
@@ -226,7 +226,7 @@
 
 def shown(core: Core, authorization: bytes | None) -> PresentedToken:
     """The pass in a header field, and what it is worth."""
-    return access_tokens.show(bearer(authorization), core.passes, core.clock.wall_us())
+    return access_tokens.show(bearer(authorization), core.token_keys, core.clock.wall_us())
 
 
 def asked_for(
--- a/packages/ingress/src/fennelcove/ingress/session_setups.py
+++ b/packages/ingress/src/fennelcove/ingress/session_setups.py
@@ -49,32 +49,37 @@
         the viewer is owed an error and nothing is held."""
         session: Session | None = None
         counted = False
-        known = self.core.repeats.ask(ask)
+        known = self.core.idempotency.find_response(ask)
         if known is not None:
             return Result(known[0], known[1], repeated=True)
         answered: SessionResponse | None = None
         try:
-            session, step = self.core.ask(ask)
+            session, step = self.core.request_session(ask)
             if session is not None:
-                self.core.repeats.begins(ask, session)
+                self.core.idempotency.bind_session(ask, session)
             if session is None:
                 assert isinstance(step, SessionResponse)
                 self.notice(
                     "subscription_turned_away",
-                    why=step.why,
+                    why=step.reason,
                     standing=step.standing,
                     client=ask.client,
-                    wait_ms=step.wait_us / 1000,
-                    place=bool(step.place),
+                    wait_ms=step.retry_after_us / 1000,
+                    place=bool(step.queue_ticket),
                 )
                 answered = step
                 return Result(None, step)
             counted = True
             answered, hops, timed_out = self._attempts(session, step, viewer)
-            self.core.answered(session)
+            self.core.on_response_sent(session)
             counted = False
             return Result(
-                session, answered, hops, timed_out, self.clock.now_us() - session.asked_us, bool(ask.key)
+                session,
+                answered,
+                hops,
+                timed_out,
+                self.clock.now_us() - session.received_us,
+                bool(ask.idempotency_key),
             )
         except Exception as error:
             # Whatever failed here, the viewer is owed its one answer and the box its release.
@@ -82,10 +87,10 @@
             if session is not None:
                 self.core.discard(session)
                 if counted:
-                    self.core.answered(session)
+                    self.core.on_response_sent(session)
             return None
         finally:
-            self.core.repeats.over(ask, session, answered)
+            self.core.idempotency.on_response(ask, session, answered)
 
     def _attempts(
         self, session: Session, step: NextStep | None, viewer: socket.socket
@@ -100,14 +105,14 @@
         while isinstance(step, SendAttempt):
             run = self.joiner.run(step, viewer)
             if run.interrupted is WakeReason.HUNG_UP:
-                self.core.viewer_gone(session)
+                self.core.on_client_gone(session)
             elif run.interrupted is WakeReason.LATCH:
-                stopped = self.core.stopped(session)
+                stopped = self.core.on_shutdown(session)
                 answered = stopped if isinstance(stopped, SessionResponse) else None
             end = run.end
             hops, timed_out = run.hops, end.outcome is Outcome.NO_ANSWER
             following = self.core.on_attempt_completed(
-                session, step.attempt, end.outcome, end.says, end.took_us
+                session, step.attempt, end.outcome, end.hints, end.duration_us
             )
             self.notice(
                 "join_over",
@@ -115,7 +120,7 @@
                 join=step.attempt,
                 box=step.server,
                 outcome=end.outcome.value,
-                took_ms=end.took_us / 1000,
+                took_ms=end.duration_us / 1000,
             )
             if following is None:
                 return answered, "", False
@@ -126,7 +131,7 @@
     def _in_line(self, step: WaitForSlot, viewer: socket.socket) -> NextStep | None:
         """Wait for a slot; nothing has left, so that a hang-up ends it here and now."""
         assert self.core.slots is not None
-        left_us = step.until_us - self.clock.now_us()
+        left_us = step.deadline_us - self.clock.now_us()
         woken = wait_bell(step.bell.reader, left_us, self.joiner.halt, viewer)
         event = {
             WakeReason.HUNG_UP: WaiterEvent.HUNG_UP,
@@ -142,17 +147,17 @@
             return  # one that comes again and hangs up must not end what its first try began
         if not written and not result.keyed:
             # One with a key comes again and finds it, or the silence limit ends it.
-            self.core.viewer_gone(session)
+            self.core.on_client_gone(session)
         self.notice(
             "subscription_answered",
             subscription=session.id,
-            answer=answered.answer.value,
+            answer=answered.kind.value,
             room_type=session.service_class,
             title=session.title,
             box=session.server,
             rung=session.rung,
-            joins=session.attempts,
+            joins=session.attempt_count,
             took_ms=result.took_us / 1000,
-            why=answered.why,
+            why=answered.reason,
             written=written,
         )
--- a/packages/ingress/src/fennelcove/ingress/websocket_routes.py
+++ b/packages/ingress/src/fennelcove/ingress/websocket_routes.py
@@ -53,7 +53,7 @@
 
 
 def _shows(session: WebSocketSession, ref: str, token: str) -> bool:
-    shown = access_tokens.show(token, session.core.passes, session.core.clock.wall_us())
+    shown = access_tokens.show(token, session.core.token_keys, session.core.clock.wall_us())
     if shown.held is None or shown.standing not in (TokenStatus.VALID, TokenStatus.RENEW):
         session.fault(ref, "no-pass", f"the pass is {access_tokens.WORDS[shown.standing]}")
         return False
@@ -66,7 +66,7 @@
 
 def _may(session: WebSocketSession, ref: str, demand: Demand) -> bool:
     """Whether the pass, as old as it is by now, lets its holder in for this."""
-    if not session.core.passes_needed:
+    if not session.core.requires_token:
         return True
     shown = session.shown
     if shown.held is not None and shown.standing is not TokenStatus.INVENTED:
@@ -86,8 +86,8 @@
     if ref in session.under_way:
         session.fault(None, "malformed", f"ref {ref!r} is of a set-up under way; use a new one")
         return
-    held = len(session.core.pushes.holdings.owned.get(session, ()))
-    most = session.core.pushes.most
+    held = len(session.core.notifier.ownerships.owned.get(session, ()))
+    most = session.core.notifier.max_sessions
     if session.shown.held is not None:
         most = min(most, session.shown.held.most)
     if held + len(session.under_way) >= most:
@@ -105,38 +105,38 @@
     if not _may(session, message.ref, Demand.CLAIM):
         return
     id = message.subscription
-    claimed = session.core.pushes.claim(session, id, session.client(), message.seen)
+    claimed = session.core.notifier.claim(session, id, session.client(), message.seen)
     if claimed.view is None:
-        ended = session.core.why_ended(id)
+        ended = session.core.close_reason(id)
         if ended is not None:
             session.fault(message.ref, "ended", ended)
-        elif claimed.why:
-            session.fault(message.ref, "not-yours", claimed.why)
+        elif claimed.reason:
+            session.fault(message.ref, "not-yours", claimed.reason)
         else:
             session.fault(message.ref, "unknown-subscription", id)
         return
     session.say(
         wire.Resumed(
             ref=message.ref,
-            number=claimed.number,
+            number=claimed.sequence,
             state=playing_state(claimed.view),
-            missed=msgspec.UNSET if claimed.missed is None else claimed.missed,
+            missed=msgspec.UNSET if claimed.missed_count is None else claimed.missed_count,
         )
     )
 
 
 def _release(session: WebSocketSession, message: wire.Release) -> None:
-    if session.core.pushes.release(session, message.subscription):
+    if session.core.notifier.release(session, message.subscription):
         session.say(wire.Released(ref=message.ref, subscription=message.subscription))
     else:
         _not_mine(session, message.ref, message.subscription)
 
 
 def _set_top(session: WebSocketSession, message: wire.SetTop) -> None:
-    if not session.core.pushes.owns(session, message.subscription):
+    if not session.core.notifier.owns(session, message.subscription):
         _not_mine(session, message.ref, message.subscription)
         return
-    view = session.core.hear_viewer(message.subscription, ClientHints(), message.top_rung)
+    view = session.core.on_client_report(message.subscription, ClientHints(), message.top_rung)
     if view is None:
         _not_mine(session, message.ref, message.subscription)
         return
@@ -145,10 +145,10 @@
 
 def _renew_seat(session: WebSocketSession, message: wire.RenewSeat) -> None:
     id = message.subscription
-    if not session.core.pushes.owns(session, id):
+    if not session.core.notifier.owns(session, id):
         _not_mine(session, message.ref, id)
         return
-    left_us = session.core.seats.renew(id, message.key or "")
+    left_us = session.core.seat_leases.renew(id, message.key or "")
     if left_us is None:
         session.fault(message.ref, "no-seat")
         return
@@ -156,12 +156,12 @@
 
 
 def _report(session: WebSocketSession, message: wire.Report) -> None:
-    if session.core.pushes.owns(session, message.subscription):
-        session.core.hear_viewer(message.subscription, says(cmcd.read({}, {}, message.cmcd)))
+    if session.core.notifier.owns(session, message.subscription):
+        session.core.on_client_report(message.subscription, says(cmcd.read({}, {}, message.cmcd)))
 
 
 def _not_mine(session: WebSocketSession, ref: str, id: str) -> None:
-    why = session.core.why_ended(id)
+    why = session.core.close_reason(id)
     if why is not None:
         session.fault(ref, "ended", why)
     else:
--- a/packages/ingress/src/fennelcove/ingress/websocket_session.py
+++ b/packages/ingress/src/fennelcove/ingress/websocket_session.py
@@ -78,7 +78,7 @@
         self.under_way: dict[str, threading.Thread] = {}  # set-ups, by their ref
         now_us = clock.now_us()
         self.meter = MessageRateLimit(now_us)
-        self.silence = KeepaliveMonitor(core.presence.silent_us, now_us)
+        self.silence = KeepaliveMonitor(core.expiry.silent_us, now_us)
 
     # From any thread.
 
@@ -87,7 +87,7 @@
         with self.lock:
             kept = self.outbox.put(Line(told, session), matter)
         if kept is PutResult.OVER:
-            self.core.tally("sockets_cut_off")
+            self.core.increment("sockets_cut_off")
         self._ring()
 
     def _ring(self) -> None:
@@ -105,7 +105,7 @@
                     subscription=view.id,
                     number=number,
                     rung=view.rung,
-                    top_rung=view.top,
+                    top_rung=view.top_rung,
                     rate_kb=view.rate_kb,
                 ),
                 ("rung", view.id),
@@ -113,15 +113,15 @@
         elif isinstance(news, MigrationNotification):
             self._moved(news.view, number)
         elif isinstance(news, EndNotification):
-            self.say(wire.Ended(subscription=news.id, number=number, detail=news.why))
+            self.say(wire.Ended(subscription=news.id, number=number, detail=news.reason))
         elif isinstance(news, TakeoverNotification):
             self.say(wire.Taken(subscription=news.id, number=number))
         elif isinstance(news, ContentNotification):
-            told = wire.Stitched(subscription=news.id, number=number, change=news.change, state=news.state)
-            self.say(told, ("stitched", news.id, news.change))
+            told = wire.Stitched(subscription=news.id, number=number, change=news.change_id, state=news.state)
+            self.say(told, ("stitched", news.id, news.change_id))
         else:
             assert isinstance(news, StormNotification)
-            self.say(wire.Weather(phase=news.phase), "weather")
+            self.say(wire.Weather(phase=news.state), "weather")
 
     def _moved(self, view: SessionView, number: int) -> None:
         told = wire.Moved(
@@ -132,7 +132,7 @@
     def leave(self) -> None:
         """This front ends: say so, answer what is owed, close."""
         earliest_us, latest_us = reconnect_span_us(
-            len(self.core.pushes.mailboxes), self.core.gate.typical_wait_us
+            len(self.core.notifier.mailboxes), self.core.admission_controller.typical_wait_us
         )
         self.say(
             wire.Leaving(reconnect_after_ms=earliest_us / 1000, reconnect_before_ms=latest_us / 1000),
@@ -145,7 +145,7 @@
 
     def run(self, first: bytes) -> bool:
         """Serve until it is over; whether what the peer still sends must be read past."""
-        self.core.pushes.subscribe(self)
+        self.core.notifier.register(self)
         self.say(self.welcome(None))
         data: bytes | None = first or None
         while True:
@@ -211,7 +211,7 @@
         now_us = self.clock.now_us()
         if data:
             self.silence.hear(now_us)
-            self.core.pushes.hear(self)
+            self.core.notifier.on_activity(self)
         for event in self.conversation.receive(data):
             if isinstance(event, Closed):
                 return False
@@ -258,7 +258,7 @@
             lines = self.outbox.take()
         for line in lines:
             self._unheard(line)
-        self.core.pushes.leave(self)
+        self.core.notifier.unregister(self)
         with self.lock:
             self.gone = True
             self.bell.close()
@@ -280,10 +280,10 @@
         valid = held is not None and self.shown.standing in (TokenStatus.VALID, TokenStatus.RENEW)
         return wire.Welcome(
             front=self.front,
-            boot=self.core.names.boot,
-            subscriptions_most=self.core.pushes.most,
-            silent_ms=self.core.presence.silent_us / 1000,
-            pass_needed=self.core.passes_needed,
+            boot=self.core.session_ids.boot_id,
+            subscriptions_most=self.core.notifier.max_sessions,
+            silent_ms=self.core.expiry.silent_us / 1000,
+            pass_needed=self.core.requires_token,
             ref=ref,
             client=held.client if held is not None and valid else None,
             pass_for_ms=self.pass_for_ms() if valid else None,
@@ -301,7 +301,7 @@
             thread.start()
         except RuntimeError:  # the machine gives no more threads
             del self.under_way[ref]
-            wait_ms = self.core.come_back_us() / 1000
+            wait_ms = self.core.retry_after_us() / 1000
             self.say(wire.Throttled(ref=ref, detail="no thread to be had", retry_after_ms=wait_ms))
 
     def _set_up(self, ref: str, ask: SessionRequest) -> None:
@@ -318,30 +318,32 @@
     def _answer(self, ref: str, result: Result) -> None:
         answered, session = result.answered, result.session
         assert answered is not None
-        if answered.answer in (ResponseKind.SPENT, ResponseKind.REUSED):
-            self.fault(ref, "spent" if answered.answer is ResponseKind.SPENT else "reused-key", answered.why)
+        if answered.kind in (ResponseKind.KEY_SPENT, ResponseKind.KEY_REUSED):
+            self.fault(
+                ref, "spent" if answered.kind is ResponseKind.KEY_SPENT else "reused-key", answered.reason
+            )
             return
         tried = session.id if session is not None else None
-        if answered.answer is ResponseKind.THROTTLED:
-            placed = bool(answered.place)
+        if answered.kind is ResponseKind.THROTTLED:
+            placed = bool(answered.queue_ticket)
             told: msgspec.Struct = wire.Throttled(
                 ref=ref,
-                detail=answered.why,
-                retry_after_ms=answered.wait_us / 1000,
-                latest_ms=answered.latest_us / 1000 if placed else None,
-                place=answered.place or None,
+                detail=answered.reason,
+                retry_after_ms=answered.retry_after_us / 1000,
+                latest_ms=answered.retry_until_us / 1000 if placed else None,
+                place=answered.queue_ticket or None,
                 subscription=tried,
             )
-        elif answered.answer is ResponseKind.TERMINATED or session is None:
-            told = wire.Terminated(ref=ref, detail=answered.why, subscription=tried)
+        elif answered.kind is ResponseKind.FAILED or session is None:
+            told = wire.Terminated(ref=ref, detail=answered.reason, subscription=tried)
         else:
-            claimed = self.core.pushes.claim(self, session.id, self.client(), None)
+            claimed = self.core.notifier.claim(self, session.id, self.client(), None)
             if claimed.view is None:  # it ended in this very moment
-                told = wire.Terminated(ref=ref, detail=claimed.why or "it has ended")
+                told = wire.Terminated(ref=ref, detail=claimed.reason or "it has ended")
             else:
-                state = playing_state(claimed.view, session.attempts)
+                state = playing_state(claimed.view, session.attempt_count)
                 told = wire.ToldPlaying(
-                    ref=ref, number=claimed.number, state=state, took_ms=result.took_us / 1000
+                    ref=ref, number=claimed.sequence, state=state, took_ms=result.took_us / 1000
                 )
         playing = (
             isinstance(told, wire.ToldPlaying)
--- a/packages/upstream/src/fennelcove/upstream/attempts.py
+++ b/packages/upstream/src/fennelcove/upstream/attempts.py
@@ -108,12 +108,12 @@
 
     def run(self, step: SendAttempt, viewer: socket.socket | None) -> RunningAttempt:
         """Send the join and wait for its end, the viewer's hanging up, or this front's stopping."""
-        if step.blocked or not self.pool.enter(step.server):
+        if step.is_blocked or not self.pool.enter(step.server):
             return RunningAttempt(AttemptResult(Outcome.NOT_SENT, None, 0))
         if self.slots is None:
             return self._entered(step, viewer)
         shape = self.slots.shape(step.session.service_class, step.rung, step.server)
-        if not self.slots.take(step.server, shape, step.allow_us):
+        if not self.slots.take(step.server, shape, step.timeout_us):
             self.pool.leave(step.server, None)
             return RunningAttempt(AttemptResult(Outcome.NOT_SENT, None, 0))
         answered = None
@@ -140,7 +140,7 @@
     def _exchange(
         self, step: SendAttempt, viewer: socket.socket | None, began_us: int
     ) -> tuple[RunningAttempt, ServerConnection | None, bool]:
-        exchange, times = Exchange(), attempt_timeouts(step.allow_us)
+        exchange, times = Exchange(), attempt_timeouts(step.timeout_us)
         session = step.session
         link = (
             self.pool.idle_link(step.server)
--- a/packages/upstream/src/fennelcove/upstream/command_senders.py
+++ b/packages/upstream/src/fennelcove/upstream/command_senders.py
@@ -49,9 +49,9 @@
 
     def _run(self) -> None:
         while self._left_us() > 0:
-            order, wait_us = self.core.orders.take()
+            order, wait_us = self.core.commands.next_command()
             if order is not None:
-                self.core.orders.over(order, self._carry_out(order))
+                self.core.commands.on_command_completed(order, self._carry_out(order))
                 continue
             with self.ready:
                 if self.until_us is not None:
--- a/packages/upstream/src/fennelcove/upstream/endpoint_list_client.py
+++ b/packages/upstream/src/fennelcove/upstream/endpoint_list_client.py
@@ -114,7 +114,7 @@
             with self.changed:
                 if self.stopped:
                     return
-                version = self.core.keeper.version
+                version = self.core.endpoint_tracker.version
                 path = "/v1/list/stream" if version is None else f"/v1/list/stream?since={version}"
                 self.stream = EventStream(
                     self.address, path, self.limits, CARRY_OUT_US, endpoint_list.SILENCE_US
@@ -122,13 +122,13 @@
             try:
                 self.stream.run(self._take)
             except (Refused, Broken) as error:
-                failures = 0 if self.core.keeper.version != version else failures + 1
+                failures = 0 if self.core.endpoint_tracker.version != version else failures + 1
                 if not self.stopped:
                     self.notice("list_stream_broken", **error.fields(), failures=failures)
             if self.must_ask:
                 with self.changed:
                     self.stream_due = False
-                self.core.lists.failed()
+                self.core.discovery.on_list_unavailable()
             with self.changed:
                 pause_us = endpoint_list.pause_us(failures, self.rng.random())
                 self.changed.wait_for(lambda: self.stopped, pause_us / 1e6)
@@ -140,7 +140,7 @@
             except msgspec.MsgspecError as error:
                 self.notice("list_refused", **EndpointListUnreadableError(str(error), self.address).fields())
                 raise EventError(f"a list that is not as agreed: {error}") from None
-            self.core.lists.news(news(message, self.clock.now_us()))
+            self.core.discovery.on_list(news(message, self.clock.now_us()))
 
     def _fetches(self) -> None:
         failures = 0
@@ -155,13 +155,13 @@
                 return
             try:
                 message = self._fetch()
-                self.core.lists.news(news(message, self.clock.now_us()))
+                self.core.discovery.on_list(news(message, self.clock.now_us()))
                 failures = 0
             except (OSError, ProtocolError, msgspec.MsgspecError) as error:
                 failures += 1
                 told = EndpointListUnreachedError(str(error) or type(error).__name__, self.address)
                 self.notice("list_call_failed", **told.fields(), failures=failures)
-                self.core.lists.failed()
+                self.core.discovery.on_list_unavailable()
                 with self.changed:
                     pause_us = endpoint_list.pause_us(failures, self.rng.random())
                     self.changed.wait_for(lambda: self.stopped, pause_us / 1e6)
--- a/packages/upstream/src/fennelcove/upstream/migration_workers.py
+++ b/packages/upstream/src/fennelcove/upstream/migration_workers.py
@@ -43,4 +43,4 @@
     def _run(self) -> None:
         while (step := self.line.get()) is not None:
             run = self.joiner.run(step, None)
-            self.core.moves.on_attempt_completed(step, run.end)
+            self.core.migrations.on_attempt_completed(step, run.end)
--- a/packages/upstream/src/fennelcove/upstream/server_event_streams.py
+++ b/packages/upstream/src/fennelcove/upstream/server_event_streams.py
@@ -74,7 +74,9 @@
                 del self.feeds[server]
         # The core is in the middle of a step: it hears of it as of any other feed that broke, a moment later.
         self.notice("feeds_full", box=server)
-        self.core.timers.after(0, lambda: self.core.book.cut(server, generation, False))
+        self.core.timers.after(
+            0, lambda: self.core.server_registry.on_stream_closed(server, generation, False)
+        )
 
     def close_feed(self, server: str) -> None:
         with self.lock:
@@ -103,19 +105,21 @@
         with self.lock:
             if server in self.feeds and self.feeds[server].stream is stream:
                 del self.feeds[server]
-        self.core.book.cut(server, generation, refused)
+        self.core.server_registry.on_stream_closed(server, generation, refused)
 
     def _take(self, server: str, generation: int, event: ServerEvent) -> None:
         try:
             if event.name == HELLO:
                 hello = _HELLO.decode(event.data)
-                self.core.book.hello(server, generation, hello.boot, hello.held, hello.up_ms)
+                self.core.server_registry.on_hello(server, generation, hello.boot, hello.held, hello.up_ms)
             elif event.name == REPORT:
                 report = _REPORT.decode(event.data)
                 says = self.hints.says(None, report.cmsd)
-                self.core.book.report(server, generation, says or ServerHints(), report.delivered)
+                self.core.server_registry.on_load_report(
+                    server, generation, says or ServerHints(), report.delivered
+                )
             elif event.name == ENDED:
                 ended = _ENDED.decode(event.data)
-                self.core.book.ended(server, generation, ended.subscription, ended.join)
+                self.core.server_registry.on_session_ended(server, generation, ended.subscription, ended.join)
         except msgspec.MsgspecError as error:
             raise EventError(f"an event that is not as agreed: {error}") from None
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -92,7 +92,7 @@
         program = FrontDaemon(self.settings, log.silent)
         self.programs.append(program)
         program.start()
-        wait_for(lambda: program.core.keeper.version is not None, "a list")
+        wait_for(lambda: program.core.endpoint_tracker.version is not None, "a list")
         return program
 
     def end(self) -> None:
@@ -154,7 +154,7 @@
             ]
         )
         version = self.lists.version
-        wait_for(lambda: self.front.core.keeper.version == version, "the new list")
+        wait_for(lambda: self.front.core.endpoint_tracker.version == version, "the new list")
 
 
 def read_answers(sock: Any, count: int) -> list[tuple[int, bytes]]:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -47,14 +47,14 @@
         settings = parse(SETTINGS, FrontSettings, "test")
         self.core = Core(settings, self.clock, self.timers, log.silent, SessionIds(b"k" * 32))
         self.ports = Ports()
-        self.core.book.port = self.core.lists.source = self.core.moves.port = self.ports
+        self.core.server_registry.port = self.core.discovery.source = self.core.migrations.port = self.ports
         entries = tuple(ListEntry(f"b{i}:1", "zone", "k", i, ServerState.ACTIVE, 1.0, 0) for i in range(3))
-        self.core.lists.news(EndpointListUpdate(1, None, entries))
+        self.core.discovery.on_list(EndpointListUpdate(1, None, entries))
         for i in range(3):
-            self.core.book.hello(f"b{i}:1", i + 1, f"boot{i}", [])
+            self.core.server_registry.on_hello(f"b{i}:1", i + 1, f"boot{i}", [])
 
     def ask(self, room: str = "free", **changes: Any) -> tuple[Session, SendAttempt]:
-        session, step = self.core.ask(SessionRequest("t1", room, **changes))
+        session, step = self.core.request_session(SessionRequest("t1", room, **changes))
         assert session is not None and isinstance(step, SendAttempt)
         return session, step
 
@@ -64,14 +64,14 @@
     def play(self, room: str = "free", **changes: Any) -> Session:
         session, step = self.ask(room, **changes)
         answered = self.over(step, Outcome.SERVED)
-        assert isinstance(answered, SessionResponse) and answered.answer is ResponseKind.PLAYING
+        assert isinstance(answered, SessionResponse) and answered.kind is ResponseKind.PLAYING
         return session
 
     def orders(self) -> list[tuple[str, int | None]]:
         found = []
-        while (order := self.core.orders.take()[0]) is not None:
+        while (order := self.core.commands.next_command()[0]) is not None:
             found.append((order.id, order.rung))
-            self.core.orders.over(order, True)
+            self.core.commands.on_command_completed(order, True)
         return found
 
     def test_served_in_the_very_instant_of_the_timeout_counts_as_given_up(self) -> None:
@@ -80,52 +80,54 @@
         self.clock.advance(900 * MS)
         answered = self.over(step, Outcome.SERVED)
         assert isinstance(answered, SessionResponse)
-        self.assertIs(answered.answer, ResponseKind.THROTTLED)
+        self.assertIs(answered.kind, ResponseKind.THROTTLED)
         self.assertEqual(self.orders(), [(session.id, None)])
-        self.assertFalse(self.core.front.sessions)
+        self.assertFalse(self.core.policy.sessions)
 
     def test_served_one_microsecond_before_it_plays(self) -> None:
         _, step = self.ask(client_timeout_us=1000 * MS)
         self.clock.advance(900 * MS - 1)
         answered = self.over(step, Outcome.SERVED)
         assert isinstance(answered, SessionResponse)
-        self.assertIs(answered.answer, ResponseKind.PLAYING)
+        self.assertIs(answered.kind, ResponseKind.PLAYING)
 
     def test_a_second_end_of_one_join_says_nothing(self) -> None:
         session, step = self.ask()
         self.over(step, Outcome.SERVED)
         self.assertIsNone(self.over(step, Outcome.SERVED))
         self.assertIsNone(self.over(step, Outcome.CONNECTION_LOST))
-        self.assertIs(session.stage, SessionState.PLAYING)
+        self.assertIs(session.state, SessionState.PLAYING)
 
     def test_single_shot_is_never_sent_again_once_it_may_have_run(self) -> None:
         _, step = self.ask("once")
         answered = self.over(step, Outcome.NO_ANSWER)
         assert isinstance(answered, SessionResponse)
-        self.assertIs(answered.answer, ResponseKind.TERMINATED)
+        self.assertIs(answered.kind, ResponseKind.FAILED)
         _, step = self.ask("once")
         self.assertIsInstance(self.over(step, Outcome.NO_CONNECTION), SendAttempt)
 
     def test_an_abandoned_join_that_is_served_is_released(self) -> None:
         session, step = self.ask()
-        self.core.viewer_gone(session)
+        self.core.on_client_gone(session)
         self.assertIsNone(self.over(step, Outcome.SERVED))
         self.assertEqual(self.orders(), [(session.id, None)])
-        self.assertEqual((self.core.sessions, self.core.front.sessions), ({}, {}))
+        self.assertEqual((self.core.sessions, self.core.policy.sessions), ({}, {}))
 
     def test_what_began_while_a_greeting_was_under_way_is_not_lost_by_it(self) -> None:
         # A greeting made before the set-up ended does not name it; losing it would end a lesson that plays.
         first = self.play()
-        box = self.core.book.servers[first.server]
-        opened, generation = box.opened_us, box.generation
+        box = self.core.server_registry.records[first.server]
+        opened, generation = box.stream_opened_us, box.generation
         self.clock.advance(1)
         session, step = self.ask()
         while step.server != first.server:
             self.over(step, Outcome.SERVED)
             session, step = self.ask()
         self.over(step, Outcome.SERVED)
-        self.assertGreater(session.playing_since_us, opened)
-        self.core.book.hello(first.server, generation, "boot", [Held(first.id, 0, "t1", "free", 2)])
+        self.assertGreater(session.established_us, opened)
+        self.core.server_registry.on_hello(
+            first.server, generation, "boot", [Held(first.id, 0, "t1", "free", 2)]
+        )
         self.assertIn(session.id, self.core.sessions)
         self.assertIn(first.id, self.core.sessions)
 
@@ -136,19 +138,19 @@
             keeps = self.play()
         self.core.release(session.id, "done")
         self.orders()
-        generation = self.core.book.servers[keeps.server].generation
+        generation = self.core.server_registry.records[keeps.server].generation
         held = [Held(item.id, 0, "t1", "free", 2) for item in (session, keeps)]
-        self.core.book.hello(keeps.server, generation, "boot", held)
+        self.core.server_registry.on_hello(keeps.server, generation, "boot", held)
         self.assertEqual(self.orders(), [(session.id, None)])
         self.assertNotIn(session.id, self.core.sessions)
 
     def test_reports_of_a_feed_that_was_closed_count_for_nothing(self) -> None:
         session = self.play()
-        generation = self.core.book.servers[session.server].generation
-        self.core.book.report(session.server, generation - 1, ServerHints(link=1.5), None)
-        self.assertIsNone(self.core.front.servers[session.server].link.asked)
-        self.core.book.report(session.server, generation, ServerHints(link=0.4), None)
-        self.assertEqual(self.core.front.servers[session.server].link.asked, 0.4)
+        generation = self.core.server_registry.records[session.server].generation
+        self.core.server_registry.on_load_report(session.server, generation - 1, ServerHints(link=1.5), None)
+        self.assertIsNone(self.core.policy.servers[session.server].link.asked)
+        self.core.server_registry.on_load_report(session.server, generation, ServerHints(link=0.4), None)
+        self.assertEqual(self.core.policy.servers[session.server].link.asked, 0.4)
 
     def test_a_boxs_ceiling_lowers_the_rung_at_once(self) -> None:
         session, step = self.ask()
@@ -158,39 +160,39 @@
 
     def test_a_viewers_own_short_link_lowers_it_and_blames_no_box(self) -> None:
         session = self.play()
-        view = self.core.hear_viewer(session.id, ClientHints(measured_kbit=1000.0, starved=True))
+        view = self.core.on_client_report(session.id, ClientHints(measured_kbit=1000.0, starved=True))
         assert view is not None
         self.assertEqual(view.rung, 0)
-        self.assertEqual(self.core.front.servers[session.server].link.full_until_us, 0)
+        self.assertEqual(self.core.policy.servers[session.server].link.full_until_us, 0)
 
     def test_a_silent_viewer_is_let_go(self) -> None:
         session = self.play()
         self.clock.advance(59_999 * MS)
-        self.core.sweep()
+        self.core.close_silent_sessions()
         self.assertIn(session.id, self.core.sessions)
         self.clock.advance(1 * MS)
-        self.core.sweep()
-        self.assertEqual(self.core.why_ended(session.id), "its viewer fell silent")
+        self.core.close_silent_sessions()
+        self.assertEqual(self.core.close_reason(session.id), "its viewer fell silent")
         self.assertEqual(self.orders(), [(session.id, None)])
-        self.assertEqual((self.core.gate.held, self.core.front.sessions), (0, {}))
+        self.assertEqual((self.core.admission_controller.held, self.core.policy.sessions), (0, {}))
 
     def test_a_decision_that_fails_keeps_no_place_and_no_memory(self) -> None:
         # Each such request used to keep its place: after 4,000 of them a front refused everybody.
         def fails(_: object, now_us: int) -> None:
             raise ZeroDivisionError
 
-        self.core.front.handle = fails  # type: ignore[method-assign,assignment]
+        self.core.policy.handle = fails  # type: ignore[method-assign,assignment]
         with self.assertRaises(ZeroDivisionError):
-            self.core.ask(SessionRequest("t1", "free"))
-        gate = self.core.gate
+            self.core.request_session(SessionRequest("t1", "free"))
+        gate = self.core.admission_controller
         self.assertEqual((gate.waiting, gate.held, self.core.sessions), (0, 0, {}))
 
     def test_a_session_that_fails_while_it_plays_is_released(self) -> None:
         session = self.play()
         self.core.discard(session)
         self.assertEqual(self.orders(), [(session.id, None)])
-        self.assertEqual((self.core.gate.held, self.core.sessions), (0, {}))
-        self.assertEqual(self.core.book.servers[session.server].playing, {})
+        self.assertEqual((self.core.admission_controller.held, self.core.sessions), (0, {}))
+        self.assertEqual(self.core.server_registry.records[session.server].sessions, {})
 
     def test_a_box_on_which_nothing_plays_for_a_while_is_let_go(self) -> None:
         session = self.play()
@@ -198,19 +200,19 @@
         self.clock.advance(20_000 * MS)
         for call in self.timers.ready():
             call()
-        self.assertEqual(self.core.book.servers, {})
+        self.assertEqual(self.core.server_registry.records, {})
 
     def test_a_gap_in_the_changes_asks_for_a_whole_list(self) -> None:
-        self.core.lists.news(EndpointListUpdate(9, 8, ()))
+        self.core.discovery.on_list(EndpointListUpdate(9, 8, ()))
         self.assertIn(("fetch",), self.ports.calls)
 
     def test_an_id_of_another_life_is_not_mine(self) -> None:
         names = SessionIds(b"a" * 32)
-        mine = names.next()
-        self.assertTrue(names.is_mine(mine))
-        self.assertFalse(SessionIds(b"b" * 32).is_mine(mine))
+        mine = names.next_id()
+        self.assertTrue(names.is_issued_here(mine))
+        self.assertFalse(SessionIds(b"b" * 32).is_issued_here(mine))
         for other in ("", "zz", "1-" + "0" * 24, f"2{mine[1:]}"):
-            self.assertFalse(names.is_mine(other))
+            self.assertFalse(names.is_issued_here(other))
 
     def test_timers_come_in_order_and_one_fault_does_not_end_them(self) -> None:
         seen: list[object] = []
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -290,7 +290,7 @@
         program = FrontDaemon(settings, log.silent)
         self.programs.append(program)
         program.start()
-        wait_for(lambda: program.core.keeper.version is not None, "a list")
+        wait_for(lambda: program.core.endpoint_tracker.version is not None, "a list")
         return program
 
     def inventory(self, lines: list[tuple[str, str, str]]) -> str:
@@ -327,12 +327,14 @@
         rows = self.rows(result)
         self.assertEqual(result.exit_code, 3)
         for name, _, hall in self.lines:
-            phase = self.fronts[name].core.gate.phase
+            phase = self.fronts[name].core.admission_controller.phase
             self.assertIs(phase, AdmissionState.DRAINING if hall == "east" else AdmissionState.OPEN)
             self.assertEqual(name in rows, hall == "east")
         # The seal is for the inventory's name: the front that has another refuses, and does not drain.
         self.assertEqual(rows["front-named"]["outcome"], "wrong-key")
-        self.assertIs(self.fronts[f"front-{self.FRONTS:02}"].core.gate.phase, AdmissionState.OPEN)
+        self.assertIs(
+            self.fronts[f"front-{self.FRONTS:02}"].core.admission_controller.phase, AdmissionState.OPEN
+        )
         self.front = self.fronts["front-01"]
         playing = self.ask()
         self.assertEqual(playing.status, 503)
@@ -346,7 +348,7 @@
         for key, word in (("desk", "not-permitted"), ("wrong", "wrong-key")):
             result = self.run_("drain", "front-00", key=key)
             self.assertEqual((self.rows(result)["front-00"]["outcome"], result.exit_code), (word, 1))
-        self.assertIs(self.fronts["front-00"].core.gate.phase, AdmissionState.OPEN)
+        self.assertIs(self.fronts["front-00"].core.admission_controller.phase, AdmissionState.OPEN)
 
     def test_what_plays_goes_on_while_a_front_drains(self) -> None:
         id = self.ask().body["id"]
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -112,7 +112,7 @@
         player = self.player()
         with self.assertRaises(Exception):  # noqa: B017 - plain HTTP on a TLS port: reset or garbage
             player.ask("GET", "/v1/status", [], b"", 5.0)
-        wait_for(lambda: self.front.core.gate.connections == 0, "the connection's end")
+        wait_for(lambda: self.front.core.admission_controller.connections == 0, "the connection's end")
 
 
 class KeysCommandTest(WholePath):
--- a/tests/test_lessons.py
+++ b/tests/test_lessons.py
@@ -83,7 +83,7 @@
             self.assertEqual(self.call("DELETE", "/v1/changes/x", key).status, status)
         self.assertEqual(self.call("GET", "/v1/changes", None).status, 401)
         self.assertEqual(self.call("GET", "/v1/changes", "k2").status, 200)
-        self.assertEqual((self.front.core.stitches.ledger.version, self.ledger.exists()), (0, False))
+        self.assertEqual((self.front.core.content.ledger.version, self.ledger.exists()), (0, False))
 
     def test_refusals_carry_reason_and_cure(self) -> None:
         self.assertEqual(self.insert().status, 201)
@@ -112,7 +112,7 @@
             number = self.boxes.index(box)
             self.lists.publish(Known(box.address, "zone", "k", number, 1.0, "leaving"))
         version = self.lists.version
-        wait_for(lambda: self.front.core.keeper.version == version, "the drains")
+        wait_for(lambda: self.front.core.endpoint_tracker.version == version, "the drains")
         self.get(f"/v1/subscriptions/{id}/media.m3u8")
         where = self.where(id, 1)
         self.assertTrue("/media/slate/" in where or where.startswith(home), where)
@@ -148,9 +148,9 @@
         self.manifest(id)
         self.where(id, 0)
         before = self.manifest(id)
-        self.assertEqual(self.front.core.stitches.players[id].track.cursor.run is not None, True)
+        self.assertEqual(self.front.core.content.players[id].track.cursor.run is not None, True)
         wait_for(lambda: any(self.mark_of(box, id) for box in self.boxes), "the mark at its box")
-        wait_for(lambda: self.front.core.orders.orders.count == 0, "the last mark sent")
+        wait_for(lambda: self.front.core.commands.queue.count == 0, "the last mark sent")
         self.front.stop()
         self.front = self.new_front()
         after = self.manifest(id)
@@ -195,27 +195,27 @@
         self.assertEqual(self.get(f"{path}/asset/c2.m3u8").status, 404, "withdrawn before it was asked for")
         self.assertEqual(self.get(f"{path}/asset/c1/3.m4s").status, 404)
         wait_for(lambda: any(self.mark_of(box, id) for box in self.boxes), "the mark at its box")
-        wait_for(lambda: self.front.core.orders.orders.count == 0, "the last mark sent")
+        wait_for(lambda: self.front.core.commands.queue.count == 0, "the last mark sent")
         self.front.stop()
         self.front = self.new_front()
         self.assertFalse(any(segment.discontinuity for segment in self.manifest(id).segments))
         self.assertEqual(self.get(f"{path}/asset/c1/2.m4s").status, 307)
 
     def rung_of(self, id: str) -> int:
-        return self.front.core.stitches.players[id].track.begun["c1"]
+        return self.front.core.content.players[id].track.begun["c1"]
 
     def mark_of(self, box: StandInBox, id: str) -> bool:
         track = resume_tokens.read(box.marks.get((id, 0), ""))
-        return track is not None and track.cursor.seq == self.front.core.stitches.players[id].track.cursor.seq
+        return track is not None and track.cursor.seq == self.front.core.content.players[id].track.cursor.seq
 
     def test_changes_made_after_a_mark_do_not_reach_back_into_what_may_have_been_shown(self) -> None:
         id = self.ask().body["id"]
         self.manifest(id)
-        track = self.front.core.stitches.players[id].track
+        track = self.front.core.content.players[id].track
         copy = resume_tokens.read(resume_tokens.write(track))
         assert copy is not None
         self.insert(at="1.2")  # at the very edge of what the player was shown
-        self.front.core.stitches.players[id].track = copy
+        self.front.core.content.players[id].track = copy
         for seq in range(9):
             listed = self.manifest(id)
             where = self.where(id, seq)
@@ -229,7 +229,7 @@
             self.assertEqual(self.get(f"/v1/subscriptions/{id}/{path}").status, 404)
         self.get(f"/v1/subscriptions/{id}", method="DELETE")
         self.assertEqual(self.get(f"/v1/subscriptions/{id}/media.m3u8").status, 410)
-        self.assertEqual(self.front.core.stitches.players, {})
+        self.assertEqual(self.front.core.content.players, {})
 
     def test_the_authors_command_from_end_to_end(self) -> None:
         def run(*words: str, key: str = "k1") -> Any:
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -119,7 +119,7 @@
         self.assertEqual((len(found), statuses[0]), (10, 201))
         self.assertLessEqual(set(statuses), {201, 503})
         self.assertEqual(len(self.seen("set_up")), 1)
-        self.assertEqual(self.front.core.gate.held, 1)
+        self.assertEqual(self.front.core.admission_controller.held, 1)
 
     def test_a_viewer_that_never_heard_finds_it_through_the_other_door(self) -> None:
         for box in self.boxes:
@@ -128,7 +128,7 @@
         ask = {"room_type": "free", "title": "t1", "key": "k9", "cmcd": {"sid": "v"}}
         first.tell("set-up", ask=ask)
         self.wait_seen("set_up_over")
-        wait_for(lambda: self.front.core.pushes.holdings.held, "its start")
+        wait_for(lambda: self.front.core.notifier.ownerships.held, "its start")
         first.hang_up()
         wait_for(lambda: not self.front.sockets.sessions, "the connection's end")
         again = self.keyed("k9")
@@ -150,7 +150,7 @@
         self.wait_seen("set_up")
         keeper = self.front.keeper
         assert keeper is not None
-        keeper.keep(self.front.core.memories.gather())
+        keeper.keep(self.front.core.snapshots.gather())
         wait_for(
             lambda: not keeper.waiting.keys and any(b"k1" in key for key in list(keeper.store.values)),
             "the key kept",
@@ -161,7 +161,7 @@
         self.front.stop()
         self.settings = self.changed()
         self.front = self.new_front()
-        self.front.core.memories.restore(values)  # as the killed life left it, not as the stopped one did
+        self.front.core.snapshots.restore(values)  # as the killed life left it, not as the stopped one did
         heard = self.keyed("k1", "once")
         self.assertIn(heard.status, (502, 504))
         self.assertEqual(len(self.seen("set_up")), 1)
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -153,7 +153,7 @@
         return msgspec.structs.replace(base, room_types=rooms)
 
     def seats(self) -> int:
-        return self.front.core.seats.seats.counts[POOL]
+        return self.front.core.seat_leases.leases.counts[POOL]
 
     def post(self, path: str, body: bytes = b"{}") -> Any:
         return self.player().ask("POST", path, [("Content-Type", "application/json")], body, 5.0)
@@ -168,7 +168,7 @@
         self.assertEqual(socket.ask("renew-seat", subscription=ids[0])["type"], "seat")
 
         def renewed() -> bool:
-            self.assertIsNotNone(self.front.core.seats.renew(ids[0], ""))
+            self.assertIsNotNone(self.front.core.seat_leases.renew(ids[0], ""))
             return ids[1] not in self.front.core.sessions
 
         wait_for(renewed, "the end of the other")
@@ -193,11 +193,11 @@
         self.settings = self.lasting(60_000.0)
         self.front = self.new_front()
         ids = [self.ask("few").body["id"] for _ in range(2)]
-        before = {id: self.front.core.seats.seats.held[id].until_us for id in ids}
+        before = {id: self.front.core.seat_leases.leases.held[id].until_us for id in ids}
         self.front.stop()
         self.front = self.new_front()
         wait_for(lambda: self.seats() == 2, "both seats")
-        after = {id: seat.until_us for id, seat in self.front.core.seats.seats.held.items()}
+        after = {id: seat.until_us for id, seat in self.front.core.seat_leases.leases.held.items()}
         self.assertEqual(after, before)
         self.assertEqual(self.ask("few").status, 503)
 
--- a/tests/test_socket_door.py
+++ b/tests/test_socket_door.py
@@ -51,7 +51,7 @@
         return told
 
     def owners(self) -> dict[str, Any]:
-        return self.front.core.pushes.holdings.held
+        return self.front.core.notifier.ownerships.held
 
 
 class SocketDoorTest(SocketPath):
@@ -86,7 +86,7 @@
         self.assertIsNone(player.news("fault").get("ref"))
         for box in self.known:
             self.lists.publish(Known(box.address, "zone", "k", self.known.index(box), 1.0, "leaving"))
-        wait_for(lambda: self.front.core.keeper.version == self.lists.version, "the drains")
+        wait_for(lambda: self.front.core.endpoint_tracker.version == self.lists.version, "the drains")
         told = player.ask("set-up", ask={"room_type": "free", "title": "t1"})
         self.assertEqual(told["type"], "throttled")
         self.assertGreaterEqual(told["retry_after_ms"], 0)
@@ -148,8 +148,8 @@
         self.wait_seen("set_up")
         player.hang_up()
         self.wait_seen("released")
-        wait_for(lambda: self.front.core.gate.held == 0, "nothing held")
-        self.assertEqual(self.front.core.gate.waiting, 0)
+        wait_for(lambda: self.front.core.admission_controller.held == 0, "nothing held")
+        self.assertEqual(self.front.core.admission_controller.waiting, 0)
 
     def test_pings_and_releases_go_on_while_a_join_is_out(self) -> None:
         player = self.connect()
@@ -161,7 +161,7 @@
         self.assertEqual(player.answer(ref, 5.0)["type"], "playing")
 
     def test_a_connection_holds_no_more_than_it_may(self) -> None:
-        self.front.core.pushes.most = 2
+        self.front.core.notifier.max_sessions = 2
         player = self.connect()
         ids = [self.plays(player)["state"]["id"] for _ in range(2)]
         self.assertEqual(
@@ -219,7 +219,7 @@
             player.sock.sendall(raw)
             self.assertEqual(player.wait_closed().code, code)
         wait_for(lambda: not self.front.sockets.sessions, "no session left")
-        wait_for(lambda: not self.front.core.pushes.mailboxes, "no mailbox left")
+        wait_for(lambda: not self.front.core.notifier.mailboxes, "no mailbox left")
 
     def test_one_that_reads_nothing_is_cut_off_and_its_subscription_waits_for_it(self) -> None:
         player = self.connect()
@@ -285,13 +285,13 @@
 
     def test_both_doors_ask_the_one_core_alike(self) -> None:
         asked: list[SessionRequest] = []
-        ask = self.front.core.ask
+        ask = self.front.core.request_session
 
         def listening(what: SessionRequest) -> Any:
             asked.append(what)
             return ask(what)
 
-        self.front.core.ask = listening  # type: ignore[method-assign]
+        self.front.core.request_session = listening  # type: ignore[method-assign]
         bodies: list[dict[str, Any]] = [
             {"room_type": "free", "title": "t1"},
             {"room_type": "keyed", "title": "t1", "top_rung": 1, "client_timeout_ms": 900.0, "retry": True},
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -418,27 +418,27 @@
 
     def test_loads_strikes_and_spent_budget_outlive_the_process(self) -> None:
         self.ask()
-        module = self.front.core.front
+        module = self.front.core.policy
         server = module.servers[self.known[0].address]
         with self.front.core.lock:
             for _ in range(2):
                 module.judge(server, Outcome.NO_ANSWER)
             server.last_attempt_us = module.now_us
             module.further.extend([module.now_us] * 2)
-            self.front.core.storms.weather.usual, self.front.core.storms.weather.seen = 7.5, 40
+            self.front.core.retry_storms.weather.usual, self.front.core.retry_storms.weather.seen = 7.5, 40
             strikes = server.strikes
-        before = self.front.core.front
+        before = self.front.core.policy
         self.again()
-        module = self.front.core.front
+        module = self.front.core.policy
         self.assertIsNot(module, before)
         server = module.servers[self.known[0].address]
         self.assertEqual(server.strikes, strikes)
         self.assertIsNotNone(server.last_attempt_us)
         self.assertFalse(module.in_budget())
-        self.assertGreater(self.front.core.storms.weather.seen, 39)
+        self.assertGreater(self.front.core.retry_storms.weather.seen, 39)
 
     def test_a_box_that_started_anew_meanwhile_is_not_taken_for_what_it_was(self) -> None:
-        module = self.front.core.front
+        module = self.front.core.policy
         server = module.servers[self.known[0].address]
         with self.front.core.lock:
             server.strikes = 4
@@ -446,7 +446,7 @@
         self.known[0] = replace(self.known[0], started_us=self.clock.now_us())
         self.lists.publish(self.known[0])
         self.front = self.new_front()
-        self.assertEqual(self.front.core.front.servers[self.known[0].address].strikes, 0)
+        self.assertEqual(self.front.core.policy.servers[self.known[0].address].strikes, 0)
 
     def test_without_a_store_nothing_is_remembered_and_nothing_is_different(self) -> None:
         self.front.stop()
@@ -468,10 +468,10 @@
         core = Core(
             parse(SETTINGS, FrontSettings, "test"), clock, Timers(clock), lambda event, **fields: None
         )
-        core.front.handle(ServerSnapshot("nobody", 1, 1, 1), clock.now_us())
-        core.front.handle(BudgetSnapshot((30, 20, 10), (5,)), clock.now_us())
-        self.assertEqual(list(core.front.taken), [clock.now_us() - ago for ago in (30, 20, 10)])
-        self.assertEqual(list(core.front.further), [clock.now_us() - 5])
+        core.policy.handle(ServerSnapshot("nobody", 1, 1, 1), clock.now_us())
+        core.policy.handle(BudgetSnapshot((30, 20, 10), (5,)), clock.now_us())
+        self.assertEqual(list(core.policy.taken), [clock.now_us() - ago for ago in (30, 20, 10)])
+        self.assertEqual(list(core.policy.further), [clock.now_us() - 5])
 
 
 if __name__ == "__main__":
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -348,69 +348,77 @@
     def setUp(self) -> None:
         self.clock = ManualClock(10 * SECOND, 10**15)
         self.core = self.made(b"k")
-        self.core.storms.weather.phase = StormState.STORM
-        self.core.storms.queues.held["t1"] = WaitingQueue(10 * SECOND, pace=0.5, refusing=True)
+        self.core.retry_storms.weather.phase = StormState.STORM
+        self.core.retry_storms.queues.held["t1"] = WaitingQueue(10 * SECOND, pace=0.5, refusing=True)
 
     def made(self, key: bytes) -> Core:
         told = replace(parse(SETTINGS, FrontSettings, "test"), storm=StormSettings(damping=True))
         return Core(told, self.clock, Timers(self.clock), silent, SessionIds(key * 32))
 
     def ask(self, client: str, place: str | None = None, again: bool = True) -> SessionResponse:
-        session, step = self.core.ask(SessionRequest("t1", "free", client=client, again=again, place=place))
+        session, step = self.core.request_session(
+            SessionRequest("t1", "free", client=client, again=again, place=place)
+        )
         assert isinstance(step, SessionResponse)
-        self.assertEqual((self.core.gate.waiting, self.core.gate.held), (1 if session else 0, 0))
+        self.assertEqual(
+            (self.core.admission_controller.waiting, self.core.admission_controller.held),
+            (1 if session else 0, 0),
+        )
         if session is not None:
-            self.core.answered(session)
+            self.core.on_response_sent(session)
         return step
 
     def test_a_place_is_kept_while_it_is_early_honoured_when_due_and_once(self) -> None:
         first = self.ask("v")
         self.assertEqual(first.standing, "again")
-        early = self.ask("v", first.place)
-        self.assertEqual((early.standing, early.place, early.wait_us), ("early", first.place, first.wait_us))
-        self.clock.advance(first.wait_us)
-        self.core.storms.weather.began_us = self.clock.now_us()
-        let_in = self.ask("v", first.place)
-        self.assertEqual((let_in.standing, let_in.why), ("", "no holder has room"))  # the module was asked
-        self.assertEqual(self.ask("v", first.place).standing, "invented")
+        early = self.ask("v", first.queue_ticket)
+        self.assertEqual(
+            (early.standing, early.queue_ticket, early.retry_after_us),
+            ("early", first.queue_ticket, first.retry_after_us),
+        )
+        self.clock.advance(first.retry_after_us)
+        self.core.retry_storms.weather.began_us = self.clock.now_us()
+        let_in = self.ask("v", first.queue_ticket)
+        self.assertEqual((let_in.standing, let_in.reason), ("", "no holder has room"))  # the module was asked
+        self.assertEqual(self.ask("v", first.queue_ticket).standing, "invented")
 
     def test_one_that_waited_in_vain_is_among_the_next_and_one_of_more_benefit_pays_less(self) -> None:
-        queue = self.core.storms.queues.held["t1"]
+        queue = self.core.retry_storms.queues.held["t1"]
         for _ in range(40):
             queue.promise(self.clock.now_us(), None, 0.5)
         first = self.ask("v")
-        self.clock.advance(first.wait_us)
-        self.core.storms.weather.began_us = self.clock.now_us()
-        due = self.ask("v", first.place)
-        self.assertEqual((due.standing, due.why), ("", "no holder has room"))  # the module was asked
-        self.assertLessEqual(due.wait_us, 2 * waiting_room.LEAST_WAIT_US)
+        self.clock.advance(first.retry_after_us)
+        self.core.retry_storms.weather.began_us = self.clock.now_us()
+        due = self.ask("v", first.queue_ticket)
+        self.assertEqual((due.standing, due.reason), ("", "no holder has room"))  # the module was asked
+        self.assertLessEqual(due.retry_after_us, 2 * waiting_room.LEAST_WAIT_US)
         costs = [queue.cost(benefit) for benefit in (1.0, 3.0) * 200][-2:]
         self.assertAlmostEqual(costs[0] / costs[1], 3.0, delta=0.1)
 
     def test_while_there_is_room_a_first_try_is_let_in_past_any_pace(self) -> None:
         # Held to the pace, they were turned away for whom boxes had room: 147 of 200 watched, 191 without.
-        self.core.storms.queues.held["t1"].refusing = False
-        self.assertEqual(self.ask("new", again=False).why, "no holder has room")
+        self.core.retry_storms.queues.held["t1"].refusing = False
+        self.assertEqual(self.ask("new", again=False).reason, "no holder has room")
         self.assertEqual(self.ask("hasty").standing, "again")
 
     def test_another_viewers_place_and_a_made_up_one_are_worth_nothing(self) -> None:
-        place = self.ask("v").place
+        place = self.ask("v").queue_ticket
         self.assertEqual(self.ask("w", place).standing, "invented")
         self.assertEqual(self.ask("w", "bWFkZQ.dXA").standing, "invented")
         self.assertEqual(self.core.counts["storm_invented"], 2)
 
     def test_a_front_that_restarts_with_the_same_key_knows_the_places_of_its_last_life(self) -> None:
-        self.core.storms.use_keys([b"p" * 32])
-        place = self.ask("v").place
+        self.core.retry_storms.use_keys([b"p" * 32])
+        place = self.ask("v").queue_ticket
         self.core = self.made(b"n")
-        self.core.storms.weather.phase = StormState.STORM
-        self.core.storms.use_keys([b"q" * 32, b"p" * 32])
+        self.core.retry_storms.weather.phase = StormState.STORM
+        self.core.retry_storms.use_keys([b"q" * 32, b"p" * 32])
         self.assertEqual(self.ask("v", place).standing, "early")
 
     def test_in_calm_nobody_is_held_up(self) -> None:
-        self.core.storms.weather.phase = StormState.CALM
+        self.core.retry_storms.weather.phase = StormState.CALM
         for i in range(50):
-            self.assertEqual(self.ask(f"v{i % 3}").why, "no holder has room")
+            self.assertEqual(self.ask(f"v{i % 3}").reason, "no holder has room")
         self.assertNotIn("damped", self.core.counts)
 
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -107,7 +107,7 @@
         full.faults.full = True
         held = {record["box"] for record in self.seen("set_up")}
         self.assertIn(full.address, held)
-        server = self.front.core.front.servers[full.address]
+        server = self.front.core.policy.servers[full.address]
         wait_for(lambda: (server.link.asked or 0) >= 1.0, "the report of duress")
         before = len(self.seen("set_up", box=full.address))
         for _ in range(20):
@@ -121,7 +121,7 @@
             self.player().ask("POST", "/v1/subscriptions", [("Content-Type", "application/json")], BODY, 0.1)
         self.wait_seen("set_up_over", how="front_closed")
         self.wait_seen("released")
-        wait_for(lambda: not self.front.core.sessions and not self.front.core.front.sessions, "nothing held")
+        wait_for(lambda: not self.front.core.sessions and not self.front.core.policy.sessions, "nothing held")
         self.assertEqual(len(self.seen("set_up")), 1)
 
     def test_a_box_that_answers_after_the_front_gave_up_is_told_to_let_go(self) -> None:
@@ -155,13 +155,13 @@
         self.only(1)
         both = b",".join(twice % (address, state) for state in (b"leaving", b"active"))
         self.lists.send_raw(b'{"version":%d,"base":%d,"boxes":[%b]}' % (version + 2, version + 1, both))
-        wait_for(lambda: core.keeper.version == version + 2, "the list that names a box twice")
+        wait_for(lambda: core.endpoint_tracker.version == version + 2, "the list that names a box twice")
         self.assertEqual(self.ask().body["box"], self.boxes[1].address)
 
     def test_viewers_that_starve_together_mark_their_box_short(self) -> None:
         self.only(0)
         paths = [f"/v1/subscriptions/{self.ask(top_rung=0).body['id']}" for _ in range(2)]
-        link = self.front.core.front.servers[self.boxes[0].address].link
+        link = self.front.core.policy.servers[self.boxes[0].address].link
         for path in paths:
             self.assertEqual(self.get(path, [("CMCD-Status", "bs"), ("CMCD-Request", "mtp=400")]).status, 200)
         self.assertGreater(link.full_until_us, self.clock.now_us())
@@ -204,7 +204,10 @@
         self.assertLess(made["t_us"], released["t_us"], "broken before it was made")
         self.assertEqual(self.get(f"/v1/subscriptions/{id}", method="DELETE").status, 204)
         self.wait_seen("released", subscription=id, box=view.body["box"], held=True)
-        wait_for(lambda: not self.front.core.front.sessions and not self.front.core.by_module, "nothing held")
+        wait_for(
+            lambda: not self.front.core.policy.sessions and not self.front.core.sessions_by_policy_id,
+            "nothing held",
+        )
 
     def test_a_single_shot_subscription_stays_where_it_is(self) -> None:
         id = self.ask("once").body["id"]
@@ -213,10 +216,10 @@
         wait_for(lambda: self.front.core.counts.get("moves_given_up"), "the move given up")
         self.assertEqual(len(self.seen("set_up", subscription=id)), 1)
         self.assertEqual(self.get(f"/v1/subscriptions/{id}").body["box"], old.address)
-        wait_for(lambda: not self.front.core.moves.may_tell(old.address), "the end of the grace")
+        wait_for(lambda: not self.front.core.migrations.may_tell(old.address), "the end of the grace")
         # Past the grace the old box hears nothing more from this front, not even a release.
         self.assertEqual(self.get(f"/v1/subscriptions/{id}", method="DELETE").status, 204)
-        self.assertEqual(self.front.core.orders.orders.count, 0)
+        self.assertEqual(self.front.core.commands.queue.count, 0)
         self.assertEqual(self.seen("released", subscription=id), [])
 
     def test_a_single_shot_subscription_ends_when_its_box_leaves_the_list(self) -> None:
@@ -260,9 +263,9 @@
         ids = [self.ask("once").body["id"] for _ in range(3)]
         old = self.home(ids[0])
         self.drain(old)
-        wait_for(lambda: old.address in self.front.core.moves.drained, "the drain")
+        wait_for(lambda: old.address in self.front.core.migrations.drained, "the drain")
         self.drain(old, "active")
-        wait_for(lambda: old.address not in self.front.core.moves.drained, "the end of the drain")
+        wait_for(lambda: old.address not in self.front.core.migrations.drained, "the end of the drain")
         self.assertEqual(self.get(f"/v1/subscriptions/{ids[0]}", method="DELETE").status, 204)
         self.wait_seen("released", subscription=ids[0], held=True)
 
@@ -363,7 +366,7 @@
         self.assertEqual([join["join"] for join in joins], [0, 1, 2, 3, 4])
         self.assertEqual(len({join["box"] for join in joins}), 5)
         self.assertFalse(player.stray())
-        wait_for(lambda: not self.front.core.front.sessions, "nothing held")
+        wait_for(lambda: not self.front.core.policy.sessions, "nothing held")
 
 
 class BoundsTest(WholePath):
@@ -373,12 +376,12 @@
         held = [socket.create_connection((address[0], int(address[2]))) for _ in range(3)]
         for sock in held:
             self.addCleanup(sock.close)
-        wait_for(lambda: self.front.core.gate.connections == 3, "three connections")
+        wait_for(lambda: self.front.core.admission_controller.connections == 3, "three connections")
         refused = self.ask()
         self.assertEqual(refused.status, 503)
         self.assertTrue(refused.head.get(b"retry-after"))
         held[0].close()
-        wait_for(lambda: self.front.core.gate.connections < 3, "room")
+        wait_for(lambda: self.front.core.admission_controller.connections < 3, "room")
         self.assertEqual(self.ask().status, 201)
 
     def test_slow_senders_in_their_hundreds_keep_nobody_out(self) -> None:
@@ -399,16 +402,16 @@
         thread = threading.Thread(target=dribble)
         thread.start()
         try:
-            wait_for(lambda: self.front.core.gate.connections >= 250, "many at the door")
+            wait_for(lambda: self.front.core.admission_controller.connections >= 250, "many at the door")
             self.assertEqual(self.ask().status, 201)
-            wait_for(lambda: self.front.core.gate.connections <= 2, "the slow cut off")
+            wait_for(lambda: self.front.core.admission_controller.connections <= 2, "the slow cut off")
             self.assertEqual(self.ask().status, 201)
         finally:
             done.set()
             thread.join()
             for sock in socks:
                 sock.close()
-        wait_for(lambda: self.front.core.gate.buffered_bytes == 0, "every byte given back")
+        wait_for(lambda: self.front.core.admission_controller.buffered_bytes == 0, "every byte given back")
 
 
 class EndTest(WholePath):
