--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -15,7 +15,8 @@
 from fennelcove.clock import SystemClock
 from fennelcove.core.core import Core
 from fennelcove.clock.timers import Timers
-from fennelcove.core.requests import SessionRequest, SendAttempt
+from fennelcove.core.ports import CorePorts
+from fennelcove.core.requests import AttemptResult, SendAttempt, SessionRequest
 from fennelcove.decisions.servers.load_signals import ServerHints
 from fennelcove.decisions.servers.endpoint_list import EndpointListUpdate
 from fennelcove.hints import cmcd, cmsd
@@ -44,11 +45,11 @@
 class NoPorts:
     """The sides towards boxes and list, which nothing reaches here."""
 
-    def open_feed(self, box: str, generation: int) -> None: ...
+    def open_stream(self, server: str, generation: int) -> None: ...
 
-    def close_feed(self, box: str) -> None: ...
+    def close_stream(self, server: str) -> None: ...
 
-    def orders_ready(self) -> None: ...
+    def on_command_queued(self) -> None: ...
 
     def send(self, step: SendAttempt) -> bool:
         return True
@@ -81,20 +82,21 @@
 
 def deciding() -> Callable[[], object]:
     clock = SystemClock()
-    core = Core(parse(SETTINGS, FrontSettings, "bench"), clock, Timers(clock), log.silent)
-    core.server_registry.port = core.discovery = core.migrations.port = NoPorts()
+    ports = CorePorts(NoPorts(), NoPorts(), NoPorts())
+    core = Core(parse(SETTINGS, FrontSettings, "bench"), clock, Timers(clock), log.silent, ports)
     entries = tuple(ListEntry(f"b{i}:1", "zone", "k", 0, ServerState.ACTIVE, 1.0, 0) for i in range(3))
-    core.list_news(EndpointListUpdate(1, None, entries))
+    core.discovery.on_list(EndpointListUpdate(1, None, entries))
     says = ServerHints(0.4, 0.3)
 
     def decide() -> None:
-        session, step = core.request_session(SessionRequest("t", "free"))
+        outcome = core.request_session(SessionRequest("t", "free"))
+        session, step = outcome.session, outcome.step
         assert session is not None and isinstance(step, SendAttempt)
-        core.on_attempt_completed(session, 0, Outcome.SERVED, says, 1000)
-        core.on_response_sent(session)
+        core.on_attempt_completed(session, 0, AttemptResult(Outcome.SERVED, says, 1000))
+        core.on_response_ready(session)
         core.release(session.id, "done")
-        while (order := core.take_order()[0]) is not None:
-            core.order_over(order, True)
+        while (command := core.commands.next_command()[0]) is not None:
+            core.commands.on_command_completed(command, is_successful=True)
 
     return decide
 
--- a/benchmarks/storm_parts.py
+++ b/benchmarks/storm_parts.py
@@ -17,8 +17,10 @@
 
 import msgspec
 
+from benchmarks.parts import NoPorts
 from fennelcove.clock import ManualClock
 from fennelcove.core.core import Core
+from fennelcove.core.ports import CorePorts
 from fennelcove.core.session_ids import SessionIds
 from fennelcove.core.retry_storm_guard import mac
 from fennelcove.clock.timers import Timers
@@ -34,7 +36,8 @@
     """A core in a phase, with damping."""
     front = msgspec.structs.replace(read("storm-hall").front, storm=StormSettings(damping=True))
     clock = ManualClock(10_000_000, 10**15)
-    core = Core(front, clock, Timers(clock), lambda event, **fields: None, SessionIds(b"n" * 32))
+    ports = CorePorts(NoPorts(), NoPorts(), NoPorts())
+    core = Core(front, clock, Timers(clock), lambda event, **fields: None, ports, SessionIds(b"n" * 32))
     core.retry_storms.weather.phase = phase
     return core, clock
 
--- /dev/null
+++ b/packages/core/src/fennelcove/core/admission.py
@@ -0,0 +1,131 @@
+"""Admission control of one front: which connections, requests and sessions it accepts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from fennelcove.core.context import CoreContext
+from fennelcove.core.requests import ResponseKind, Session, SessionRequest, SessionResponse
+from fennelcove.decisions.clients.admission import (
+    AdmissionController,
+    AdmissionDecision,
+    AdmissionEvent,
+    Entry,
+)
+from fennelcove.placement import PlacementPolicy
+
+AdmissionRule = Callable[[SessionRequest, int], SessionResponse | None]
+"""Rejects a request at a time in microseconds, or passes it on with None."""
+
+REJECTION_REASONS = {
+    AdmissionDecision.FULL: "this front holds all that it can",
+    AdmissionDecision.DRAINING: "this front drains; another has room",
+    AdmissionDecision.CLOSING: "this front is stopping",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionStatus:
+    """Admission state of a front; the field names are those of its JSON."""
+
+    front: str
+    phase: str
+    held: int
+    waiting: int
+
+
+class Admission:
+    """Applies the bounds of the settings and, for requests, the admission rules in their order."""
+
+    def __init__(
+        self, context: CoreContext, front_name: str, controller: AdmissionController, policy: PlacementPolicy
+    ) -> None:
+        self.context = context
+        self.front_name = front_name
+        self.controller = controller
+        self.policy = policy
+        self._rules: list[AdmissionRule] = []
+
+    def add_rule(self, rule: AdmissionRule) -> None:
+        """Add a rule that is checked after the others."""
+        self._rules.append(rule)
+
+    def add_first_rule(self, rule: AdmissionRule) -> None:
+        """Add a rule that is checked before the others."""
+        self._rules.insert(0, rule)
+
+    def try_admit(self, entry: Entry) -> SessionResponse | None:
+        """Admit and count an entry; the rejection to answer with where it is not admitted."""
+        with self.context.lock:
+            decision = self.controller.ask(entry)
+            if decision is AdmissionDecision.LET_IN:
+                return None
+            self.context.tally(f"refused_{entry.name.lower()}_{decision.name.lower()}")
+            reason = REJECTION_REASONS[decision]
+            return SessionResponse(ResponseKind.THROTTLED, reason, self.retry_after_us())
+
+    def try_admit_request(self, request: SessionRequest, now_us: int) -> SessionResponse | None:
+        """Admit and count a request with the session that it asks for; the caller holds the core's lock."""
+        rejection = self.try_admit(Entry.REQUEST)
+        if rejection is not None:
+            return rejection
+        rejection = self.try_admit(Entry.SUBSCRIPTION)
+        if rejection is not None:
+            self.controller.request_answered(0)
+            return rejection
+        rejection = self._first_rejection(request, now_us)
+        if rejection is not None:
+            self.controller.request_answered(0)
+            self.controller.session_ended()
+            self.context.tally("damped")
+        return rejection
+
+    def _first_rejection(self, request: SessionRequest, now_us: int) -> SessionResponse | None:
+        for rule in self._rules:
+            rejection = rule(request, now_us)
+            if rejection is not None:
+                return rejection
+        return None
+
+    def retry_after_us(self) -> int:
+        """After how long a rejected client should try again; spread at random."""
+        with self.context.lock:
+            draw = self.context.rng.random()
+            return self.controller.come_back_us(draw, self.policy.settings.retry_after_us)
+
+    def stop(self) -> None:
+        """Admit nothing from now on: the front shuts down."""
+        with self.context.lock:
+            self.controller.turn(AdmissionEvent.STOP)
+
+    def change_state(self, event: AdmissionEvent) -> AdmissionStatus:
+        """Drain this front, or open it again, at an operator's command."""
+        with self.context.lock:
+            state = self.controller.turn(event).name.lower()
+            self.context.notice("turned", turn=event.name.lower(), phase=state)
+            return AdmissionStatus(self.front_name, state, self.controller.held, self.controller.waiting)
+
+    def reserve_buffer(self, more_bytes: int) -> bool:
+        """Count bytes that were read and not processed yet; False where they exceed the bound."""
+        with self.context.lock:
+            return self.controller.buffer(more_bytes)
+
+    def effective_timeout_us(self, limit_us: int) -> int:
+        """How long an idle or slow connection may stay open under the present load."""
+        with self.context.lock:
+            return self.controller.patience_us(limit_us)
+
+    def on_connection_closed(self) -> None:
+        """Uncount a connection that was admitted."""
+        with self.context.lock:
+            self.controller.connection_closed()
+
+    def on_request_answered(self, session: Session) -> None:
+        """Uncount an admitted request: its response is ready to be written."""
+        with self.context.lock:
+            self.controller.request_answered(self.context.now_us() - session.received_us)
+
+    def on_session_closed(self, session: Session) -> None:
+        """Uncount a session."""
+        self.controller.session_ended()
--- /dev/null
+++ b/packages/core/src/fennelcove/core/attempt_results.py
@@ -0,0 +1,87 @@
+"""Processes the results of a session's attempts until its client has a response."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from fennelcove.core.attempt_slots import AttemptSlots
+from fennelcove.core.context import CoreContext
+from fennelcove.core.requests import AttemptResult, NextStep, Session
+from fennelcove.core.retry_storm_guard import RetryStormGuard
+from fennelcove.core.session_lifecycle import SessionLifecycle
+from fennelcove.decisions.clients.session_lifecycle import SessionEvent, SessionState
+from fennelcove.decisions.servers import attempt_exchange
+from fennelcove.interface import Outcome
+
+AWAITING_RESULT = (SessionState.JOINING, SessionState.ABANDONED)
+
+ServedListener = Callable[[str, int], None]
+"""Receives the server that served an attempt and when that was sent, in microseconds."""
+
+
+class AttemptResults:
+    """Moves a session on by the result of its attempt, or by the end of the wait for it."""
+
+    def __init__(
+        self,
+        context: CoreContext,
+        lifecycle: SessionLifecycle,
+        retry_storms: RetryStormGuard,
+        slots: AttemptSlots,
+    ) -> None:
+        self.context = context
+        self.lifecycle = lifecycle
+        self.retry_storms = retry_storms
+        self.slots = slots
+        self._served_listener: ServedListener | None = None
+
+    def set_served_listener(self, listener: ServedListener) -> None:
+        """Notify this listener of each attempt that a server has served."""
+        self._served_listener = listener
+
+    def on_attempt_completed(self, session: Session, attempt: int, result: AttemptResult) -> NextStep | None:
+        """The pending attempt has ended.
+
+        Returns:
+            What to do next; None where nobody waits for a response, or the attempt is not the pending one.
+        """
+        with self.context.lock:
+            target = session.pending_target
+            if target is None or target.attempt != attempt or session.state not in AWAITING_RESULT:
+                return None
+            now_us = self.context.now_us()
+            event = self._event_of(session, result.outcome, now_us)
+            if result.outcome is Outcome.SERVED:
+                self._notify_served(session, target.server)
+            self.retry_storms.on_attempt_completed(session, target.server, result.outcome, now_us)
+            self.slots.release(session, attempt, result.outcome)
+            counted = Outcome.NO_ANSWER if event is SessionEvent.SERVED_LATE else result.outcome
+            session.last_result = AttemptResult(counted, result.hints, result.duration_us)
+            session.may_be_held_by_server = attempt_exchange.may_need_release(result.outcome)
+            self.context.tally(f"joins_{result.outcome.value}")
+            self.lifecycle.apply(session, event)
+            self.slots.start_waiting()
+            return session.take_step_if_ready()
+
+    def _event_of(self, session: Session, outcome: Outcome, now_us: int) -> SessionEvent:
+        if outcome is not Outcome.SERVED:
+            return SessionEvent.FAILED
+        # At the very instant of the deadline the timeout counts: the client surely still receives that
+        # response.
+        return SessionEvent.SERVED if now_us < session.give_up_us else SessionEvent.SERVED_LATE
+
+    def _notify_served(self, session: Session, server: str) -> None:
+        was_sent = session.out_sent_us >= 0
+        if was_sent and self._served_listener is not None:
+            self._served_listener(server, session.out_sent_us)
+
+    def on_client_gone(self, session: Session) -> None:
+        """The client closed its connection before the response, or the response could not be written."""
+        with self.context.lock:
+            self.lifecycle.apply(session, SessionEvent.VIEWER_GONE)
+
+    def on_shutdown(self, session: Session) -> NextStep | None:
+        """This front shuts down and waits no longer for the pending attempt; the response, if any."""
+        with self.context.lock:
+            self.lifecycle.apply(session, SessionEvent.STOPPED)
+            return session.take_step_if_ready()
--- a/packages/core/src/fennelcove/core/client_notifier.py
+++ b/packages/core/src/fennelcove/core/client_notifier.py
@@ -1,36 +1,36 @@
-"""The core's part that tells connections what happens to what they own; the core's lock is round it."""
+"""Notifies client connections of what happens to their sessions; the core's lock guards it."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
 from fennelcove.core.context import CoreContext
-from fennelcove.core.session_lifecycle import SessionLifecycle
 from fennelcove.core.requests import Session, SessionView
-from fennelcove.decisions.clients.session_ownership import SessionOwnerships
+from fennelcove.core.session_lifecycle import SessionLifecycle
+from fennelcove.core.session_views import SessionViews
 from fennelcove.decisions.clients.session_expiry import SessionExpiry
+from fennelcove.decisions.clients.session_ownership import SessionOwnerships
 from fennelcove.timeline.model import Change
 
 
 @dataclass(frozen=True, slots=True)
 class RungNotification:
-    """The rung or the highest one is another."""
+    """The session's rung, or its highest one, has changed."""
 
     view: SessionView
 
 
 @dataclass(frozen=True, slots=True)
 class MigrationNotification:
-    """Another box plays it."""
+    """Another server plays the session."""
 
     view: SessionView
 
 
 @dataclass(frozen=True, slots=True)
 class EndNotification:
-    """It has ended."""
+    """The session was closed."""
 
     id: str
     reason: str
@@ -38,14 +38,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TakeoverNotification:
-    """Another connection has it."""
+    """Another connection owns the session now."""
 
     id: str
 
 
 @dataclass(frozen=True, slots=True)
 class ContentNotification:
-    """Its lesson was changed."""
+    """An author changed what the session plays, or withdrew a change."""
 
     id: str
     change_id: str
@@ -54,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StormNotification:
-    """The front's storm phase."""
+    """The retry-storm state of the front has changed."""
 
     state: str
 
@@ -70,16 +70,23 @@
 
 
 class Mailbox(Protocol):
-    """One connection, as the core sees it. `put` never waits."""
+    """One client connection."""
 
-    def put(self, news: Notification, number: int) -> None: ...
+    def put(self, news: Notification, number: int) -> None:
+        """Queue a notification with its number within the session; never blocks."""
 
-    def __hash__(self) -> int: ...
+    def __hash__(self) -> int:
+        """Hash by identity."""
 
 
 @dataclass(frozen=True, slots=True)
 class ClaimResult:
-    """What became of a claim: the state and numbers, or why not."""
+    """The session that a connection claimed, or why it may not own it.
+
+    Attributes:
+        sequence: the number of the session's last notification.
+        missed_count: how many notifications the connection has not seen; None where that is unknown.
+    """
 
     view: SessionView | None
     sequence: int = 0
@@ -88,8 +95,12 @@
 
 
 class ClientNotifier:
-    """Who owns what, and who is told what. A connection owns `most` subscriptions; with passes in force what
-    one client's is no other may claim."""
+    """Knows which connection owns which session.
+
+    Attributes:
+        max_sessions: how many sessions one connection may own.
+        requires_token: whether only the client that requested a session may claim it.
+    """
 
     def __init__(
         self,
@@ -98,24 +109,24 @@
         requires_token: bool,
         lifecycle: SessionLifecycle,
         expiry: SessionExpiry,
-        view_of: Callable[[Session], SessionView],
+        views: SessionViews,
     ) -> None:
         self.context = context
         self.max_sessions = max_sessions
         self.requires_token = requires_token
         self.lifecycle = lifecycle
         self.expiry = expiry
-        self.view_of = view_of
+        self.views = views
         self.ownerships: SessionOwnerships[Mailbox] = SessionOwnerships()
         self.mailboxes: set[Mailbox] = set()
 
     def register(self, mailbox: Mailbox) -> None:
-        """A connection opens."""
+        """A connection opened."""
         with self.context.lock:
             self.mailboxes.add(mailbox)
 
     def unregister(self, mailbox: Mailbox) -> list[str]:
-        """A connection is gone; what it leaves plays on until the silence limit, for whoever claims it."""
+        """A connection closed; the ids of its sessions, which anybody may claim until they expire."""
         with self.context.lock:
             self.mailboxes.discard(mailbox)
             orphans = self.ownerships.left(mailbox)
@@ -123,76 +134,87 @@
                 self.context.tally("orphaned")
             return orphans
 
-    def claim(self, mailbox: Mailbox, id: str, client: str, seen: int | None) -> ClaimResult:
-        """A connection claims what plays; with passes, only its own client's."""
+    def claim(self, mailbox: Mailbox, session_id: str, client: str, seen_sequence: int | None) -> ClaimResult:
+        """Make a connection the owner of an established session; its former owner is notified.
+
+        Args:
+            mailbox: the connection.
+            session_id: the session.
+            client: the client that the connection's token names.
+            seen_sequence: the last notification of that session which the client has seen.
+        """
         with self.context.lock:
-            session = self.lifecycle.playing(id)
+            session = self.lifecycle.playing(session_id)
             if session is None:
-                return ClaimResult(None, reason=self.lifecycle.close_reasons.get(id, ""))
+                return ClaimResult(None, reason=self.lifecycle.close_reasons.get(session_id, ""))
             owner = session.ask.client if session.ask is not None else ""
             if self.requires_token and owner and owner != client:
                 return ClaimResult(None, reason="it is another client's")
-            claim = self.ownerships.claim(id, mailbox, self.max_sessions)
+            claim = self.ownerships.claim(session_id, mailbox, self.max_sessions)
             if not claim.given:
                 return ClaimResult(None, reason=claim.why)
+            ownership = self.ownerships.held[session_id]
             if claim.loser is not None:
                 self.context.tally("taken")
-                claim.loser.put(TakeoverNotification(id), self.ownerships.held[id].number)
-            self.expiry.hear(id, self.context.now_us())
-            holding = self.ownerships.held[id]
-            return ClaimResult(self.view_of(session), holding.number, holding.missed(seen))
+                claim.loser.put(TakeoverNotification(session_id), ownership.number)
+            self.expiry.hear(session_id, self.context.now_us())
+            view = self.views.view_of(session)
+            return ClaimResult(view, ownership.number, ownership.missed(seen_sequence))
 
-    def release(self, mailbox: Mailbox, id: str) -> bool:
-        """A connection ends what it owns; it hears of the end by its answer alone."""
+    def release(self, mailbox: Mailbox, session_id: str) -> bool:
+        """Close a session that the connection owns, without a notification; False where it owns none."""
         with self.context.lock:
-            if not self.owns(mailbox, id):
+            if not self.owns(mailbox, session_id):
                 return False
-            self.ownerships.ended(id)
-            return self.lifecycle.release(id, "released by its viewer")
+            self.ownerships.ended(session_id)
+            return self.lifecycle.release(session_id, "released by its viewer")
 
     def on_activity(self, mailbox: Mailbox) -> None:
-        """A connection gave a sign of life: what it owns is watched."""
+        """A connection is alive: its sessions do not expire."""
         with self.context.lock:
             now_us = self.context.now_us()
-            for id in self.ownerships.owned.get(mailbox, ()):
-                self.expiry.hear(id, now_us)
+            for session_id in self.ownerships.owned.get(mailbox, ()):
+                self.expiry.hear(session_id, now_us)
 
-    def owns(self, mailbox: Mailbox, id: str) -> bool:
-        """Whether a subscription is this connection's."""
-        return id in self.ownerships.owned.get(mailbox, ())
+    def owns(self, mailbox: Mailbox, session_id: str) -> bool:
+        """Whether a connection owns a session."""
+        return session_id in self.ownerships.owned.get(mailbox, ())
 
-    # What the core's other parts tell.
+    # Events of the core.
 
     def on_rung_changed(self, session: Session) -> None:
-        """The rung in force, or the highest one, is another."""
+        """A session's rung, or its highest one, has changed."""
         owner, number = self.ownerships.news(session.id)
         if owner is not None:
-            owner.put(RungNotification(self.view_of(session)), number)
+            owner.put(RungNotification(self.views.view_of(session)), number)
 
     def on_migrated(self, session: Session) -> None:
-        """Another box plays it."""
+        """Another server plays a session."""
         owner, number = self.ownerships.news(session.id)
         if owner is not None:
-            owner.put(MigrationNotification(self.view_of(session)), number)
+            owner.put(MigrationNotification(self.views.view_of(session)), number)
 
     def on_session_closed(self, session: Session) -> None:
-        """It has ended."""
-        holding = self.ownerships.held.get(session.id)
-        number = holding.number + 1 if holding is not None else 0
+        """A session was closed."""
+        ownership = self.ownerships.held.get(session.id)
+        number = ownership.number + 1 if ownership is not None else 0
         owner = self.ownerships.ended(session.id)
         if owner is not None:
             owner.put(EndNotification(session.id, session.close_reason or "released"), number)
 
     def stitched(self, change: Change, state: str) -> None:
-        """An author's change was made or taken back."""
-        for id in list(self.ownerships.held):
-            session = self.lifecycle.held.get(id)
-            if session is not None and change.target.meets(session.title, session.service_class, id):
-                owner, number = self.ownerships.news(id)
-                if owner is not None:
-                    owner.put(ContentNotification(id, change.id, state), number)
-
-    def on_storm_state_changed(self, phase: str) -> None:
-        """The storm phase is another: every connection hears of it."""
+        """An author's change was made, or withdrawn."""
+        for session_id in list(self.ownerships.held):
+            session = self.lifecycle.held.get(session_id)
+            if session is None:
+                continue
+            if not change.target.meets(session.title, session.service_class, session_id):
+                continue
+            owner, number = self.ownerships.news(session_id)
+            if owner is not None:
+                owner.put(ContentNotification(session_id, change.id, state), number)
+
+    def on_storm_state_changed(self, state: str) -> None:
+        """The retry-storm state of the front has changed: notify every connection."""
         for mailbox in self.mailboxes:
-            mailbox.put(StormNotification(phase), 0)
+            mailbox.put(StormNotification(state), 0)
--- a/packages/core/src/fennelcove/core/command_queue.py
+++ b/packages/core/src/fennelcove/core/command_queue.py
@@ -1,45 +1,54 @@
-"""The core's part that holds what boxes are to be told; the core's lock is round all of it."""
+"""Queues the commands to servers; the core's lock guards it."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from fennelcove.core.context import CoreContext
+from fennelcove.core.draining_servers import DrainingServers
+from fennelcove.core.ports import ServerGateway
 from fennelcove.core.requests import AttemptTarget, Session
 from fennelcove.decisions.servers.command_queue import Command, CommandQueue
 
 
 class CommandDispatcher:
-    """Orders in the lines of their boxes, `most` of them. Attach `may_tell` and `ready` first."""
+    """Queues commands by server and hands them out one at a time."""
 
-    def __init__(self, context: CoreContext, most: int) -> None:
+    def __init__(
+        self, context: CoreContext, max_commands: int, gateway: ServerGateway, draining: DrainingServers
+    ) -> None:
         self.context = context
-        self.queue = CommandQueue(most)
-        self.may_tell: Callable[[str], bool] = lambda server: True
-        self.ready: Callable[[], None] = lambda: None
+        self.gateway = gateway
+        self.draining = draining
+        self.queue = CommandQueue(max_commands)
 
-    def send(self, place: AttemptTarget, session: Session, rung: int | None) -> None:
-        """A box is to do this as soon as it can, unless it must hear nothing more from here."""
-        self.send_to(place.server, session.id, place.attempt, rung)
+    def send(self, target: AttemptTarget, session: Session, rung: int | None) -> None:
+        """Set the rung of an attempt's server, or release the attempt there where the rung is None."""
+        self.send_to(target.server, session.id, target.attempt, rung)
 
-    def send_to(self, server: str, id: str, attempt: int, rung: int | None) -> None:
-        """As `tell`, for what may have no session any more."""
-        self.put(Command(server, id, attempt, rung))
+    def send_to(self, server: str, session_id: str, attempt: int, rung: int | None) -> None:
+        """Like `send`, for an attempt whose session may be closed."""
+        self.put(Command(server, session_id, attempt, rung))
 
-    def put(self, order: Command) -> None:
-        """An order in the line of its box, unless the box must hear nothing more from here."""
-        if self.may_tell(order.server):
-            self.queue.add(order)
-            self.ready()
+    def put(self, command: Command) -> None:
+        """Queue a command, unless its server drains and its grace period is over."""
+        if self.draining.may_command(command.server):
+            self.queue.add(command)
+            self.gateway.on_command_queued()
 
     def next_command(self) -> tuple[Command | None, int | None]:
-        """The next order for a box, or how long to wait for one (None: until there is one)."""
+        """The next command that may be sent.
+
+        Returns:
+            The command, or None and for how long to wait for one, in microseconds (None: until one is
+            queued).
+        """
         with self.context.lock:
             now_us = self.context.now_us()
-            order = self.queue.take(now_us)
-            return order, None if order is not None else self.queue.wait_us(now_us)
+            command = self.queue.take(now_us)
+            if command is not None:
+                return command, None
+            return None, self.queue.wait_us(now_us)
 
-    def on_command_completed(self, order: Command, carried_out: bool) -> None:
-        """An order was carried out, or was not."""
+    def on_command_completed(self, command: Command, *, is_successful: bool) -> None:
+        """A command was carried out, or has failed."""
         with self.context.lock:
-            self.queue.done(order, carried_out, self.context.now_us())
+            self.queue.done(command, is_successful, self.context.now_us())
--- a/packages/core/src/fennelcove/core/context.py
+++ b/packages/core/src/fennelcove/core/context.py
@@ -1,5 +1,4 @@
-"""What every part of the core stands on, and what the settings sell. A part is handed these and the calls of
-other parts that it needs, never the core."""
+"""What every part of the core shares: clock, timers, log, random numbers, lock, counters and catalogue."""
 
 from __future__ import annotations
 
@@ -15,7 +14,12 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class CoreContext:
-    """The times, the chance and the log of one front, and the lock that is round all its parts."""
+    """The environment of one core.
+
+    Attributes:
+        lock: guards every part of the core.
+        counts: how often each counted event happened.
+    """
 
     clock: Clock
     timers: Timers
@@ -25,18 +29,25 @@
     counts: dict[str, int] = field(default_factory=dict)
 
     def now_us(self) -> int:
+        """The time of the monotonic clock, in microseconds."""
         return self.clock.now_us()
 
     def wall_us(self) -> int:
+        """The time of the wall clock, in microseconds since the epoch."""
         return self.clock.wall_us()
 
     def tally(self, name: str) -> None:
-        """Count something for the operator."""
+        """Count an event for the operators' status."""
         self.counts[name] = self.counts.get(name, 0) + 1
 
 
 class Catalogue:
-    """Room types and titles by name, and the rates of the ladder's rungs."""
+    """Service classes and titles by name, and the rates of the bitrate ladder.
+
+    Attributes:
+        titles: each title with its number in the settings.
+        ladder_kb: the rate of each rung in kB a second, before the scale of a service class.
+    """
 
     def __init__(self, settings: FrontSettings) -> None:
         self.service_classes: dict[str, RoomTypeSettings] = {
@@ -49,5 +60,6 @@
         self.cells = settings.fleet.cells
 
     def rates_kb(self, service_class: str) -> tuple[float, ...]:
-        """A room type's rates in kB a second, by rung."""
-        return tuple(self.service_classes[service_class].scale * kb for kb in self.ladder_kb)
+        """The rate of each rung for a service class, in kB a second."""
+        scale = self.service_classes[service_class].scale
+        return tuple(scale * kb for kb in self.ladder_kb)
--- /dev/null
+++ b/packages/core/src/fennelcove/core/draining_servers.py
@@ -0,0 +1,66 @@
+"""Which servers drain or have left, and since when; the core's lock guards it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from fennelcove.core.context import CoreContext
+from fennelcove.decisions.playback.migration import MigrationEvent
+from fennelcove.interface import ServerState
+from fennelcove.placement import Server
+
+
+@dataclass(frozen=True, slots=True)
+class DrainChange:
+    """What a new endpoint list means for the sessions of one server."""
+
+    address: str
+    event: MigrationEvent
+
+
+class DrainingServers:
+    """Remembers servers that should receive no new work.
+
+    Attributes:
+        grace_us: for how long a draining server still receives commands.
+    """
+
+    def __init__(self, context: CoreContext, grace_us: int) -> None:
+        self.context = context
+        self.grace_us = grace_us
+        self._since_us: dict[str, int] = {}
+        self._departed: set[str] = set()
+
+    def may_command(self, server: str) -> bool:
+        """Whether commands may still be sent to a server: not after its grace period."""
+        since_us = self._since_us.get(server)
+        return since_us is None or self.context.now_us() - since_us < self.grace_us
+
+    def update(self, servers: Mapping[str, Server], now_us: int) -> Iterator[DrainChange]:
+        """Record a new endpoint list, server by server.
+
+        Yields:
+            One change as soon as it is recorded; changes of later servers are not recorded yet.
+        """
+        for address, server in servers.items():
+            event = self._update_server(address, server.standing, now_us)
+            if event is not None:
+                yield DrainChange(address, event)
+        for address in [address for address in self._since_us if address not in servers]:
+            del self._since_us[address]
+            self._departed.discard(address)
+
+    def _update_server(self, address: str, state: ServerState, now_us: int) -> MigrationEvent | None:
+        if state is ServerState.ACTIVE:
+            self._departed.discard(address)
+            was_draining = self._since_us.pop(address, None) is not None
+            return MigrationEvent.CALM if was_draining else None
+        if state is ServerState.LEFT and address not in self._departed:
+            self._since_us.setdefault(address, now_us)
+            self._departed.add(address)
+            return MigrationEvent.GONE
+        if address not in self._since_us:
+            self._since_us[address] = now_us
+            return MigrationEvent.TOLD
+        return None
--- a/packages/core/src/fennelcove/core/endpoint_discovery.py
+++ b/packages/core/src/fennelcove/core/endpoint_discovery.py
@@ -1,25 +1,29 @@
-"""The core's part that takes lists of boxes in; the core's lock is round all of it."""
+"""Applies updates of the endpoint list; the core's lock guards it."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
-from fennelcove.core.server_registry import ServerRegistry
 from fennelcove.core.context import CoreContext
-from fennelcove.core.snapshot_manager import SnapshotManager
+from fennelcove.core.ports import EndpointListSource
+from fennelcove.core.server_registry import ServerRegistry
 from fennelcove.core.session_migrations import SessionMigrations
-from fennelcove.core.requests import EndpointListSource
+from fennelcove.core.snapshot_manager import SnapshotManager
 from fennelcove.decisions.servers.endpoint_list import EndpointListTracker, EndpointListUpdate, ListDecision
 from fennelcove.interface import ListMode, ListUpdate
 from fennelcove.placement import PlacementPolicy
 
+UpdateFilter = Callable[[ListUpdate], ListUpdate]
+"""Changes a list update before the policy receives it."""
+
 
 class EndpointDiscovery:
-    """The list in force and who hears of a new one. Attach `source` first."""
+    """Keeps the endpoint list in force and passes on each accepted update."""
 
     def __init__(
         self,
         context: CoreContext,
+        source: EndpointListSource,
         tracker: EndpointListTracker,
         policy: PlacementPolicy,
         server_registry: ServerRegistry,
@@ -27,42 +31,56 @@
         snapshots: SnapshotManager,
     ) -> None:
         self.context = context
+        self.source = source
         self.tracker = tracker
         self.policy = policy
         self.server_registry = server_registry
         self.migrations = migrations
         self.snapshots = snapshots
-        self.source: EndpointListSource
-        self.hear: Callable[[ListUpdate], ListUpdate] = lambda update: update
         self.accepted_us = 0
+        self._update_filter: UpdateFilter | None = None
+
+    def set_update_filter(self, update_filter: UpdateFilter) -> None:
+        """Pass each accepted update through this filter."""
+        self._update_filter = update_filter
+
+    @property
+    def version(self) -> int | None:
+        """The version of the list in force; None before the first."""
+        return self.tracker.version
 
     def age_ms(self) -> float | None:
-        """How old the list in force is; None before the first."""
+        """For how long the list has been in force; None before the first."""
         if self.tracker.version is None:
             return None
         return (self.context.now_us() - self.accepted_us) / 1000
 
-    def on_list(self, news: EndpointListUpdate) -> ListDecision:
-        """A message of the list service."""
+    def on_list(self, message: EndpointListUpdate) -> ListDecision:
+        """The list service sent a list, or changes to one."""
         with self.context.lock:
-            first, verdict = self.tracker.version is None, self.tracker.rule(news)
+            is_first = self.tracker.version is None
+            verdict = self.tracker.rule(message)
             self.context.tally(f"lists_{verdict.ruling.name.lower()}")
             if verdict.update is not None:
-                now_us = self.context.now_us()
-                self.accepted_us = now_us
-                self.policy.handle(self.hear(verdict.update), now_us)
-                if first:
-                    self.server_registry.greet_all(verdict.update, now_us)
-                self.snapshots.listed()
-                self.migrations.on_list(now_us)
-                self.context.notice("list_taken", version=news.version, boxes=len(verdict.update.entries))
+                self._accept(verdict.update, message.version, is_first=is_first)
             elif verdict.ruling is ListDecision.REFUSED:
-                self.context.notice("list_refused", version=news.version, reason=verdict.reason)
+                self.context.notice("list_refused", version=message.version, reason=verdict.reason)
             if verdict.ruling is ListDecision.GAP:
                 self.source.fetch()
             return verdict.ruling
 
+    def _accept(self, update: ListUpdate, version: int, *, is_first: bool) -> None:
+        now_us = self.context.now_us()
+        self.accepted_us = now_us
+        policy_update = update if self._update_filter is None else self._update_filter(update)
+        self.policy.handle(policy_update, now_us)
+        if is_first:
+            self.server_registry.greet_all(update, now_us)
+        self.snapshots.listed()
+        self.migrations.on_list(now_us)
+        self.context.notice("list_taken", version=version, boxes=len(update.entries))
+
     def on_list_unavailable(self) -> None:
-        """A call that the module asked for, or the stream, failed."""
+        """A call to the list service, or its stream, failed."""
         with self.context.lock:
             self.policy.handle(ListUpdate(ListMode.FAILED, ()), self.context.now_us())
--- a/packages/core/src/fennelcove/core/idempotency_store.py
+++ b/packages/core/src/fennelcove/core/idempotency_store.py
@@ -1,110 +1,133 @@
-"""The core's part that knows set-ups by their viewers' keys; the core's lock is round all of it."""
+"""Recognises repeated requests by their idempotency keys; the core's lock guards it."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
+from dataclasses import dataclass
 
 from fennelcove.core.context import CoreContext
+from fennelcove.core.requests import ResponseKind, Session, SessionRequest, SessionResponse
 from fennelcove.core.session_lifecycle import SessionLifecycle
-from fennelcove.core.requests import ResponseKind, SessionResponse, SessionRequest, Session
-from fennelcove.decisions.clients.idempotency import KeyAction, KeyEvent, IdempotencyKey, IdempotencyTable
+from fennelcove.decisions.clients.idempotency import IdempotencyKey, IdempotencyTable, KeyAction, KeyEvent
+from fennelcove.decisions.fleet.recovery_admission import RecoveryAdmission
 from fennelcove.interface import Effect
 from fennelcove.placement import PlacementPolicy
 
-KEY_PREFIX = b"repeat/"
+KEY_PREFIX = b"repeat/"  # of stored idempotency keys
 RETRY_AFTER_US = 1_000_000
 
 
+@dataclass(frozen=True, slots=True)
+class KnownResponse:
+    """The response to a repeated request, with the session that the first one established."""
+
+    session: Session | None
+    response: SessionResponse
+
+
 class IdempotencyStore:
-    """Keys of one front; `accounted` says whether every box has told what it holds."""
+    """The idempotency keys of one front."""
 
     def __init__(
         self,
         context: CoreContext,
         policy: PlacementPolicy,
         lifecycle: SessionLifecycle,
-        is_recovered: Callable[[], bool],
+        recovery: RecoveryAdmission,
     ) -> None:
         self.context = context
         self.policy = policy
         self.lifecycle = lifecycle
-        self.is_recovered = is_recovered
+        self.recovery = recovery
         self.table = IdempotencyTable()
 
-    def find_response(self, ask: SessionRequest) -> tuple[Session | None, SessionResponse] | None:
-        """A set-up with a key: what it is told, with what plays; None where it is to be run."""
-        if not ask.idempotency_key:
+    def find_response(self, request: SessionRequest) -> KnownResponse | None:
+        """The response to a request whose key is known; None where the request is to be run."""
+        if not request.idempotency_key:
             return None
         with self.context.lock:
-            what = f"{ask.title}/{ask.service_class}"
-            safe = self.policy.settings.service_classes[ask.service_class].effect is not Effect.SINGLE_SHOT
-            found = self.table.ask((ask.client, ask.idempotency_key), what, safe, self.context.wall_us())
+            what = f"{request.title}/{request.service_class}"
+            found = self.table.ask(
+                _key_of(request), what, self._is_repeatable(request), self.context.wall_us()
+            )
             if found is None:
-                return None, SessionResponse(ResponseKind.KEY_REUSED, "this key stands for another set-up")
-            act, repeat = found
-            if act is KeyAction.RUN:
+                return _rejection(ResponseKind.KEY_REUSED, "this key stands for another set-up")
+            action, key = found
+            if action is KeyAction.RUN:
                 return None
-            self.context.tally(f"repeats_{act.name.lower()}")
-            return self._response_for(act, repeat)
+            self.context.tally(f"repeats_{action.name.lower()}")
+            return self._known_response(action, key)
 
-    def _response_for(self, act: KeyAction, repeat: IdempotencyKey) -> tuple[Session | None, SessionResponse]:
-        if act is KeyAction.COME_BACK:
-            return None, SessionResponse(
-                ResponseKind.THROTTLED, "the same set-up is under way", RETRY_AFTER_US
-            )
-        if act is KeyAction.TELL_BARRED:
-            return None, SessionResponse(
-                ResponseKind.FAILED, "the same set-up may have run and must not be repeated"
-            )
-        session = self.lifecycle.playing(repeat.session)
-        if act is KeyAction.SHOW and session is not None:
-            return session, SessionResponse(ResponseKind.PLAYING, "")
-        if act is KeyAction.SHOW and not self.is_recovered():
-            # Its box may still greet this life of the front.
-            return None, SessionResponse(
-                ResponseKind.THROTTLED, "this front has just started", RETRY_AFTER_US
-            )
-        return None, SessionResponse(ResponseKind.KEY_SPENT, "the set-up under this key has played and ended")
+    def _known_response(self, action: KeyAction, key: IdempotencyKey) -> KnownResponse:
+        if action is KeyAction.COME_BACK:
+            return _rejection(ResponseKind.THROTTLED, "the same set-up is under way", RETRY_AFTER_US)
+        if action is KeyAction.TELL_BARRED:
+            return _rejection(ResponseKind.FAILED, "the same set-up may have run and must not be repeated")
+        session = self.lifecycle.playing(key.session)
+        if action is KeyAction.SHOW and session is not None:
+            return KnownResponse(session, SessionResponse(ResponseKind.PLAYING, ""))
+        if action is KeyAction.SHOW and not self.recovery.accounted:
+            # Its server may still report the session to this incarnation.
+            return _rejection(ResponseKind.THROTTLED, "this front has just started", RETRY_AFTER_US)
+        return _rejection(ResponseKind.KEY_SPENT, "the set-up under this key has played and ended")
 
-    def bind_session(self, ask: SessionRequest, session: Session) -> None:
-        """The set-up has its subscription."""
-        if ask.idempotency_key:
+    def bind_session(self, request: SessionRequest, session: Session) -> None:
+        """Record which session a request has created."""
+        if request.idempotency_key:
             with self.context.lock:
-                self.table.begins((ask.client, ask.idempotency_key), session.id)
+                self.table.begins(_key_of(request), session.id)
 
     def on_response(
-        self, ask: SessionRequest, session: Session | None, answered: SessionResponse | None
+        self, request: SessionRequest, session: Session | None, response: SessionResponse | None
     ) -> None:
-        """The set-up has its answer, or nobody waits for one any more."""
-        if not ask.idempotency_key:
+        """A request has ended, with its response or, where nobody waits for one, with None."""
+        if not request.idempotency_key:
             return
         with self.context.lock:
-            safe = self.policy.settings.service_classes[ask.service_class].effect is not Effect.SINGLE_SHOT
-            if answered is not None and answered.kind is ResponseKind.PLAYING:
-                event = KeyEvent.PLAYS
-            elif (
-                (answered is not None and answered.kind is ResponseKind.THROTTLED) or safe or session is None
-            ):
-                event = KeyEvent.NOTHING
-            else:
-                event = KeyEvent.MAYBE
-            self.table.apply((ask.client, ask.idempotency_key), event, self.context.wall_us())
+            event = self._event_of(request, session, response)
+            self.table.apply(_key_of(request), event, self.context.wall_us())
+
+    def _event_of(
+        self, request: SessionRequest, session: Session | None, response: SessionResponse | None
+    ) -> KeyEvent:
+        kind = response.kind if response is not None else None
+        if kind is ResponseKind.PLAYING:
+            return KeyEvent.PLAYS
+        has_not_run = kind is ResponseKind.THROTTLED or session is None
+        if has_not_run or self._is_repeatable(request):
+            return KeyEvent.NOTHING
+        return KeyEvent.MAYBE
+
+    def _is_repeatable(self, request: SessionRequest) -> bool:
+        """Whether a set-up of the request's service class may run twice."""
+        service_class = self.policy.settings.service_classes[request.service_class]
+        return service_class.effect is not Effect.SINGLE_SHOT
 
     def on_session_closed(self, session: Session) -> None:
-        """A subscription has ended."""
+        """Mark the session's key, if it has one, as spent."""
         self.table.ended(session.id, self.context.wall_us())
 
-    # For the store.
-
     def kept(self) -> list[tuple[bytes, bytes]]:
-        """What outlives this life."""
-        return [(KEY_PREFIX + f"{client}\0{key}".encode(), raw) for (client, key), raw in self.table.kept()]
+        """The idempotency keys, as keys and values for the store."""
+        return [
+            (KEY_PREFIX + f"{client}\0{key}".encode(), value) for (client, key), value in self.table.kept()
+        ]
 
     def restore(self, values: Mapping[bytes, bytes]) -> int:
-        """What an earlier life kept; how many keys still stand for something."""
-        wall_us, count = self.context.wall_us(), 0
-        for name, raw in values.items():
-            client, _, key = name.removeprefix(KEY_PREFIX).decode("utf-8", "replace").partition("\0")
+        """Read stored keys; how many of them are still valid."""
+        wall_us = self.context.wall_us()
+        restored_count = 0
+        for name, value in values.items():
             if name.startswith(KEY_PREFIX):
-                count += self.table.restore((client, key), raw, wall_us)
-        return count
+                stored = name.removeprefix(KEY_PREFIX).decode("utf-8", "replace")
+                client, _, key = stored.partition("\0")
+                restored_count += self.table.restore((client, key), value, wall_us)
+        return restored_count
+
+
+def _key_of(request: SessionRequest) -> tuple[str, str]:
+    return request.client, request.idempotency_key
+
+
+def _rejection(kind: ResponseKind, reason: str, retry_after_us: int = 0) -> KnownResponse:
+    return KnownResponse(None, SessionResponse(kind, reason, retry_after_us))
--- /dev/null
+++ b/packages/core/src/fennelcove/core/policy_effects.py
@@ -0,0 +1,165 @@
+"""Carries out what the placement policy decides; the core's lock is held by whoever calls the policy."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from fennelcove.core.attempt_slots import AttemptSlots
+from fennelcove.core.client_notifier import ClientNotifier
+from fennelcove.core.command_queue import CommandDispatcher
+from fennelcove.core.context import CoreContext
+from fennelcove.core.ports import EndpointListSource
+from fennelcove.core.probe_coordinator import ProbeCoordinator
+from fennelcove.core.requests import (
+    AttemptTarget,
+    ResponseKind,
+    SendAttempt,
+    Session,
+    SessionResponse,
+)
+from fennelcove.core.retry_storm_guard import RetryStormGuard
+from fennelcove.core.session_lifecycle import SessionLifecycle
+from fennelcove.core.session_migrations import SessionMigrations
+from fennelcove.decisions.clients.session_lifecycle import SessionEvent, SessionState
+from fennelcove.interface import PeerMessage, TimerFired
+from fennelcove.placement import PlacementPolicy
+
+NOT_SENT_US = -1
+"""When an attempt was sent that was blocked."""
+
+RetryBudget = Callable[[], bool]
+"""Takes one retry from the budget; False where it is spent."""
+
+
+@dataclass(frozen=True, slots=True)
+class EffectTargets:
+    """What the effects act on; made after the policy, which all of it needs."""
+
+    policy: PlacementPolicy
+    lifecycle: SessionLifecycle
+    commands: CommandDispatcher
+    probes: ProbeCoordinator
+    notifier: ClientNotifier
+    migrations: SessionMigrations
+    retry_storms: RetryStormGuard
+    slots: AttemptSlots
+    endpoint_list: EndpointListSource
+
+
+class PolicyEffects:
+    """Implements `fennelcove.interface.Effects`. Bind the targets before the policy's first event."""
+
+    def __init__(self, context: CoreContext) -> None:
+        self.context = context
+        self._targets: EffectTargets
+        self._retry_budget: RetryBudget | None = None
+
+    def bind(self, targets: EffectTargets) -> None:
+        """Let the effects act on these parts."""
+        self._targets = targets
+
+    def set_retry_budget(self, budget: RetryBudget) -> None:
+        """Let retries be sent only as far as this budget allows."""
+        self._retry_budget = budget
+
+    def start_attempt(self, id: str, server: str, allow_us: int) -> None:
+        """Send an attempt of a session to a server, to be ended after a time in microseconds."""
+        targets = self._targets
+        session = targets.lifecycle.by_module[id]
+        policy_attempt = len(targets.policy.sessions[id].attempts) - 1
+        target = AttemptTarget(server, session.attempt_count, id, policy_attempt)
+        session.pending_target = target
+        session.attempt_count += 1
+        self.context.tally("joins")
+        is_blocked = not self._may_send(session, target)
+        now_us = self.context.now_us()
+        session.out_sent_us = NOT_SENT_US if is_blocked else now_us
+        if session.home is not None:
+            targets.migrations.send_attempt(self._attempt(session, target, allow_us, is_blocked))
+            return
+        timeout_us = max(1, min(allow_us, session.give_up_us - now_us))
+        session.step = self._attempt(session, target, timeout_us, is_blocked)
+        targets.lifecycle.apply(session, SessionEvent.JOIN)
+
+    def _may_send(self, session: Session, target: AttemptTarget) -> bool:
+        """Whether budget, server limit and slots let the attempt go out; each is taken in this order."""
+        is_retry = session.attempt_count > 1
+        if is_retry and self._retry_budget is not None and not self._retry_budget():
+            return False
+        if not self._targets.retry_storms.enter(target.server):
+            return False
+        return self._targets.slots.acquire(session, target.server, target.attempt)
+
+    def _attempt(
+        self, session: Session, target: AttemptTarget, timeout_us: int, is_blocked: bool
+    ) -> SendAttempt:
+        return SendAttempt(
+            session, target.attempt, target.server, session.pending_rung, timeout_us, is_blocked
+        )
+
+    def set_rung(self, id: str, rung: int) -> None:
+        """Play a session at this rung, or its pending attempt where the id is that of a migration."""
+        session = self._targets.lifecycle.by_module[id]
+        if session.home is None or session.home.policy_id != id:
+            session.pending_rung = rung
+            return
+        has_changed = session.rung != rung
+        session.rung = rung
+        if session.state is not SessionState.PLAYING:
+            return
+        if has_changed:
+            self._targets.notifier.on_rung_changed(session)
+        if not session.adrift:
+            self._targets.commands.send(session.home, session, rung)
+
+    def reject(self, id: str, wait_us: int) -> None:
+        """Reject a session that no server may take; its client may retry after a time in microseconds."""
+        targets = self._targets
+        session = targets.lifecycle.by_module[id]
+        if session.home is not None:
+            targets.migrations.on_attempt_refused(session, id)
+            return
+        if targets.slots.is_waiting(session):
+            return
+        reason = "no further holder may be tried" if session.attempt_count else "no holder has room"
+        session.step = targets.retry_storms.refused(session, reason, wait_us)
+        targets.lifecycle.apply(session, SessionEvent.THROTTLE)
+
+    def fail(self, id: str) -> None:
+        """Fail a session whose attempt may have run and must not be repeated."""
+        session = self._targets.lifecycle.by_module[id]
+        if session.home is not None:
+            self._targets.migrations.on_attempt_refused(session, id)
+            return
+        session.step = SessionResponse(ResponseKind.FAILED, "a join may have run and must not be repeated")
+        self._targets.lifecycle.apply(session, SessionEvent.TERMINATE)
+
+    def migrate(self, id: str) -> None:
+        """Log that the policy would move a session."""
+        self.context.notice("move_asked", subscription=id)
+
+    def probe(self, server: str) -> None:
+        """Probe a server's load."""
+        self._targets.probes.probe(server)
+
+    def send_peer_message(self, front: int, said: PeerMessage) -> None:
+        """Send a message to another front; it may be lost."""
+        self._targets.probes.tell(front, said)
+
+    def set_timer(self, name: int, delay_us: int) -> None:
+        """Send the policy a timer event after a delay in microseconds."""
+        self.context.timers.after(delay_us, lambda: self._on_timer(name))
+
+    def _on_timer(self, name: int) -> None:
+        with self.context.lock:
+            self._targets.policy.handle(TimerFired(name), self.context.now_us())
+            self._targets.probes.moved()
+
+    def watch_list(self) -> None:
+        """Keep a stream of the endpoint list open."""
+        self._targets.endpoint_list.watch()
+
+    def fetch_list(self) -> None:
+        """Request the endpoint list once."""
+        self._targets.endpoint_list.fetch()
--- /dev/null
+++ b/packages/core/src/fennelcove/core/ports.py
@@ -0,0 +1,47 @@
+"""Interfaces through which the core sends commands to the network side; no call may block."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from fennelcove.core.requests import SendAttempt
+
+
+class ServerGateway(Protocol):
+    """Connections to media servers."""
+
+    def open_stream(self, server: str, generation: int) -> None:
+        """Open the server's event stream; its events carry this generation."""
+
+    def close_stream(self, server: str) -> None:
+        """Close the server's event stream, if one is open."""
+
+    def on_command_queued(self) -> None:
+        """A command may be ready in the command queue."""
+
+
+class EndpointListSource(Protocol):
+    """Connection to the service that lists the servers."""
+
+    def fetch(self) -> None:
+        """Request the whole list once."""
+
+    def watch(self) -> None:
+        """Keep a stream of list updates open."""
+
+
+class MigrationSender(Protocol):
+    """Runs the attempts of migrations."""
+
+    def send(self, step: SendAttempt) -> bool:
+        """Queue the attempt; False where the queue is full."""
+
+
+@dataclass(frozen=True, slots=True)
+class CorePorts:
+    """The outgoing side of one core."""
+
+    servers: ServerGateway
+    endpoint_list: EndpointListSource
+    migrations: MigrationSender
--- a/packages/core/src/fennelcove/core/requests.py
+++ b/packages/core/src/fennelcove/core/requests.py
@@ -1,4 +1,7 @@
-"""What passes between the core and what stands round it: asks, steps and views. Times in microseconds."""
+"""Requests, responses and sessions that pass between the core and the programs around it.
+
+Times are whole microseconds.
+"""
 
 from __future__ import annotations
 
@@ -6,41 +9,49 @@
 from enum import Enum
 from typing import Protocol
 
-from fennelcove.decisions.servers.load_signals import ServerHints, ClientHints
 from fennelcove.decisions.clients.session_lifecycle import SessionState
+from fennelcove.decisions.servers.load_signals import ClientHints, ServerHints
 from fennelcove.interface import Outcome
 
 
 class ResponseKind(Enum):
-    """How a request for a subscription was answered."""
+    """How a request for a session is answered; the values are those of the client API."""
 
     PLAYING = "playing"
     THROTTLED = "throttled"
     FAILED = "terminated"
-    KEY_SPENT = "spent"  # under this key a set-up has played and ended
-    KEY_REUSED = "reused"  # this key stands for another set-up
+    KEY_SPENT = "spent"  # the session under this idempotency key was established and has been closed
+    KEY_REUSED = "reused"  # this idempotency key belongs to another request
 
 
 @dataclass(frozen=True, slots=True)
 class SessionRequest:
-    """A viewer asks for a subscription; the names are known to the settings."""
+    """A client requests a session; title and service class are names that the settings know.
+
+    Attributes:
+        client: the client's own id (CMCD `sid`); empty where it gives none.
+        again: whether the client marks this as a retry.
+        place: the queue ticket of an earlier rejection.
+        idempotency_key: the client's own key for this request; sent twice, the request runs once.
+        expected_watch_us: for how long the client will watch, by its own estimate.
+    """
 
     title: str
     service_class: str
     requested_top_rung: int | None = None
     client_timeout_us: int | None = None
     hints: ClientHints = field(default_factory=ClientHints)
-    client: str = ""  # the viewer's own name for itself (CMCD sid)
-    again: bool = False  # it marks this as a further try
+    client: str = ""
+    again: bool = False
     place: str | None = None
-    idempotency_key: str = ""  # the viewer's own name for this set-up: sent twice it counts once
+    idempotency_key: str = ""
     tenant: str = ""
     expected_watch_us: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
-    """How a join ended, what its box said in the answer, and how long it took."""
+    """How an attempt ended, the load hints in the server's response, and how long it took."""
 
     outcome: Outcome
     hints: ServerHints | None
@@ -49,7 +60,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptTarget:
-    """One join's place: its box, its number on the wire, and what the module calls it."""
+    """Where one attempt goes.
+
+    Attributes:
+        attempt: its number within the session, as the server sees it.
+        policy_id: the id under which the placement policy knows the session.
+        policy_attempt: its number as the placement policy counts.
+    """
 
     server: str
     attempt: int
@@ -57,9 +74,27 @@
     policy_attempt: int
 
 
+class SessionStateError(RuntimeError):
+    """A session lacks what its state requires; a fault of this program, to be reported with the log."""
+
+
 @dataclass(slots=True, eq=False)
 class Session:
-    """One subscription at the door."""
+    """One session of a client, from its request until it is closed.
+
+    Attributes:
+        floor: the lowest rung that its service class allows.
+        rates_kb: the rate of each rung, in kB a second.
+        received_us: when the request was received.
+        give_up_us: when the front gives up to establish it.
+        top: the highest rung that the client's own measure allows.
+        attempt_count: how many attempts were started.
+        home: where it plays.
+        pending_target: where an attempt is pending, the first one or that of a migration.
+        adrift: whether its server is lost and a migration to another one is under way.
+        out_sent_us: when the pending attempt was sent; -1 where it was blocked.
+        step: what to do next; taken by whoever runs the session's request.
+    """
 
     id: str
     service_class: str
@@ -73,14 +108,12 @@
     top: int = 0
     rung: int = 0
     attempt_count: int = 0
-    home: AttemptTarget | None = None  # where it plays
-    pending_target: AttemptTarget | None = (
-        None  # where a join is out: the first home, or a second one while it moves
-    )
+    home: AttemptTarget | None = None
+    pending_target: AttemptTarget | None = None
     pending_rung: int = 0
-    adrift: bool = False  # its home is gone and another is being made
+    adrift: bool = False
     migration_count: int = 0
-    out_sent_us: int = -1  # when the join that is out was sent; -1 for one that was not
+    out_sent_us: int = -1
     ask: SessionRequest | None = None
     last_result: AttemptResult | None = None
     may_be_held_by_server: bool = False
@@ -90,48 +123,128 @@
 
     @property
     def server(self) -> str:
-        """The box of its home, or else of the join that is out."""
-        place = self.home or self.pending_target
-        return place.server if place is not None else ""
+        """The server where it plays, or else the one of its pending attempt; empty for neither."""
+        target = self.home or self.pending_target
+        return target.server if target is not None else ""
+
+    def required_result(self) -> AttemptResult:
+        """The result of its last attempt.
+
+        Raises:
+            SessionStateError: no attempt has ended yet.
+        """
+        if self.last_result is None:
+            raise SessionStateError(f"session {self.id} ({self.state.name}) has no attempt result")
+        return self.last_result
+
+    def required_home(self) -> AttemptTarget:
+        """Where it plays.
+
+        Raises:
+            SessionStateError: it is not established.
+        """
+        if self.home is None:
+            raise SessionStateError(f"session {self.id} ({self.state.name}) plays nowhere")
+        return self.home
+
+    def required_pending_target(self) -> AttemptTarget:
+        """The target of the pending attempt.
+
+        Raises:
+            SessionStateError: no attempt is pending.
+        """
+        if self.pending_target is None:
+            raise SessionStateError(f"session {self.id} ({self.state.name}) has no pending attempt")
+        return self.pending_target
+
+    def take_pending_target(self) -> AttemptTarget:
+        """Take the target of the pending attempt, which has ended.
+
+        Raises:
+            SessionStateError: no attempt is pending.
+        """
+        target = self.required_pending_target()
+        self.pending_target = None
+        return target
+
+    def play_at_pending_target(self) -> AttemptTarget:
+        """Play where the pending attempt was served, at the rung of that attempt.
+
+        Raises:
+            SessionStateError: no attempt is pending.
+        """
+        target = self.take_pending_target()
+        self.home = target
+        self.rung = self.pending_rung
+        return target
+
+    def take_step(self) -> NextStep:
+        """Take the next step, once.
+
+        Raises:
+            SessionStateError: there is none.
+        """
+        step = self.take_step_if_ready()
+        if step is None:
+            raise SessionStateError(f"session {self.id} ({self.state.name}) has no next step")
+        return step
+
+    def take_step_if_ready(self) -> NextStep | None:
+        """Take the next step, once; None where there is none."""
+        step, self.step = self.step, None
+        return step
 
 
 @dataclass(frozen=True, slots=True)
 class SendAttempt:
-    """Send this join now; report its end."""
+    """Send this attempt now and report its result.
+
+    Attributes:
+        is_blocked: a limit forbids it: report it as not sent.
+    """
 
     session: Session
     attempt: int
     server: str
     rung: int
     timeout_us: int
-    is_blocked: bool = False  # the box has as many under way as it may: not to be sent
+    is_blocked: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class SessionResponse:
-    """Answer the viewer now; nothing more is owed."""
+    """Answer the client now.
+
+    Attributes:
+        retry_after_us: after how long the client may retry.
+        retry_until_us: until when its queue ticket is valid, counted from now.
+        queue_ticket: a signed ticket to retry with.
+        standing: how the client's own ticket was judged, where tickets decide.
+    """
 
     kind: ResponseKind
     reason: str
     retry_after_us: int = 0
-    retry_until_us: int = 0  # of a place: the end of its span
+    retry_until_us: int = 0
     queue_ticket: str = ""
-    standing: str = ""  # how the viewer stood, where places decided
+    standing: str = ""
 
 
 class Wakeup(Protocol):
-    """What wakes a set-up that waits; its descriptor is readable from then on."""
+    """Wakes a request that waits for a slot; its descriptor is readable from then on."""
 
     reader: int
 
-    def ring(self) -> None: ...
+    def ring(self) -> None:
+        """Make the descriptor readable."""
 
-    def close(self) -> None: ...
+    def close(self) -> None:
+        """Close the descriptor."""
 
 
 @dataclass(frozen=True, slots=True)
 class WaitForSlot:
-    """Wait until the bell rings, and no longer than until then; nothing has left yet."""
+    """Wait for the wake-up, at most until the deadline; nothing has been sent yet."""
 
     session: Session
     deadline_us: int
@@ -143,7 +256,13 @@
 
 @dataclass(frozen=True, slots=True)
 class SessionView:
-    """What a viewer may know of its subscription."""
+    """What a client may know of its session.
+
+    Attributes:
+        rate_kb: the rate of its rung, in kB a second.
+        poll_interval_us: how often the client should poll to keep the session.
+        seat_remaining_us: for how long its seat lease lasts; None where that does not expire.
+    """
 
     id: str
     title: str
@@ -153,28 +272,11 @@
     top_rung: int
     rate_kb: float
     poll_interval_us: int
-    seat_remaining_us: int | None = None  # for how long its seat lasts, where that ends
-
-
-class ServerGateway(Protocol):
-    """What the core asks of the side that talks to boxes; none of it may wait."""
-
-    def open_feed(self, server: str, generation: int) -> None: ...
-
-    def close_feed(self, server: str) -> None: ...
-
-    def orders_ready(self) -> None: ...
-
-
-class EndpointListSource(Protocol):
-    """What the core asks of the side that talks to the list service; none of it may wait."""
-
-    def fetch(self) -> None: ...
-
-    def watch(self) -> None: ...
+    seat_remaining_us: int | None = None
 
 
 class EventLogger(Protocol):
-    """What the core tells for the log: one event name, with what belongs to it."""
+    """Writes one event, with its fields, to the log."""
 
-    def __call__(self, event: str, **fields: object) -> None: ...
+    def __call__(self, event: str, **fields: object) -> None:
+        """Log an event."""
--- /dev/null
+++ b/packages/core/src/fennelcove/core/server_reports.py
@@ -0,0 +1,53 @@
+"""Passes what servers and clients report about a server's load on to the policy."""
+
+from __future__ import annotations
+
+from fennelcove.core.context import CoreContext
+from fennelcove.core.requests import Session
+from fennelcove.core.server_record import ServerRecord
+from fennelcove.decisions.servers import load_signals
+from fennelcove.decisions.servers.load_signals import ServerHints
+from fennelcove.interface import ReportKind, SessionReport
+from fennelcove.placement import PlacementPolicy
+
+FULL_DELIVERY = 1.0  # share of the rates that a server delivers which keeps up
+
+
+class ServerReports:
+    """Reports load and delivery of servers to the policy; the core's lock guards it."""
+
+    def __init__(self, context: CoreContext, policy: PlacementPolicy) -> None:
+        self.context = context
+        self.policy = policy
+
+    def forward_hints(self, session: Session, hints: ServerHints) -> None:
+        """Report the load in a server's hints, by a session that plays there."""
+        report = load_signals.load_report(hints)
+        if report is None:
+            return
+        if report.link is not None:
+            self.forward(session, ReportKind.LINK, report.link)
+        if report.uplink is not None:
+            self.forward(session, ReportKind.UPLINK, report.uplink)
+
+    def forward(self, session: Session, kind: ReportKind, level: float) -> None:
+        """Report one figure about a session's server."""
+        target = session.home
+        if target is not None and not session.adrift:
+            report = SessionReport(target.policy_id, target.server, kind, level)
+            self.policy.handle(report, self.context.now_us())
+
+    def evaluate_delivery(self, server: ServerRecord, now_us: int) -> None:
+        """Report short delivery where the server's clients agree on it, and the end of it."""
+        session = server.any_session()
+        if session is None:
+            return
+        window_us = self.policy.settings.seen_after_us + self.policy.settings.reports_every_us
+        delivered_share = server.delivery.short_delivery(now_us - window_us)
+        if delivered_share is not None:
+            server.is_blamed = True
+            self.context.tally("boxes_blamed_by_viewers")
+            self.forward(session, ReportKind.DELIVERED, delivered_share)
+        elif server.is_blamed:
+            server.is_blamed = False
+            self.forward(session, ReportKind.DELIVERED, FULL_DELIVERY)
--- a/packages/core/src/fennelcove/core/session_adoption.py
+++ b/packages/core/src/fennelcove/core/session_adoption.py
@@ -1,26 +1,29 @@
-"""The core's part that rules on what boxes still hold for this front; the core's lock is round all of it."""
+"""Takes over, or releases, the sessions that servers still hold for this front; the core's lock guards it."""
 
 from __future__ import annotations
 
-from fennelcove.core.context import Catalogue, CoreContext
-from fennelcove.core.session_ids import SessionIds
 from fennelcove.core.command_queue import CommandDispatcher
-from fennelcove.core.seat_leases import SeatLeaseManager
 from fennelcove.core.content_insertion import ContentInsertion
-from fennelcove.core.session_lifecycle import SessionLifecycle
+from fennelcove.core.context import Catalogue, CoreContext
 from fennelcove.core.requests import AttemptResult, AttemptTarget, Session
-from fennelcove.decisions.recovery import reconciliation
-from fennelcove.decisions.clients.admission import Entry, AdmissionController
-from fennelcove.decisions.clients.admission import AdmissionDecision as Entered
+from fennelcove.core.seat_leases import SeatLeaseManager
+from fennelcove.core.session_ids import SessionIds
+from fennelcove.core.session_lifecycle import SessionLifecycle
+from fennelcove.decisions.clients.admission import AdmissionController, AdmissionDecision, Entry
 from fennelcove.decisions.clients.session_expiry import SessionExpiry
 from fennelcove.decisions.clients.session_lifecycle import SessionEvent, SessionState
-from fennelcove.interface import Handover, SessionReport, ReportKind, Outcome, Request
+from fennelcove.decisions.recovery import reconciliation
+from fennelcove.decisions.recovery.reconciliation import ClaimAction
+from fennelcove.interface import Handover, Outcome, ReportKind, Request, SessionReport
 from fennelcove.placement import PlacementPolicy
 from fennelcove.wire.boxes import Held
 
 
 class SessionAdoption:
-    """What an earlier life of this front set up plays on under this one, or is taken back."""
+    """Reconciles what a server reports with the sessions of this front.
+
+    Sessions of an earlier incarnation play on under this one.
+    """
 
     def __init__(
         self,
@@ -47,69 +50,90 @@
         self.content = content
 
     def claim(self, address: str, held: Held) -> Session | None:
-        """A box names a join that it holds: the subscription that plays there from now on, if one does."""
+        """A server reports an attempt that it holds.
+
+        Returns:
+            The session that plays there from now on; None where none does, or it was known already.
+        """
         session = self.lifecycle.held.get(held.subscription)
-        known = None
-        if session is not None:
-            place = session.home or session.pending_target
-            if session.pending_target is not None and session.pending_target.attempt == held.join:
-                place = session.pending_target
-            if place is not None:
-                stage = SessionState.JOINING if place is session.pending_target else session.state
-                known = reconciliation.KnownSession(stage, place.attempt, place.server)
-        service_class = self.catalogue.service_classes.get(held.room_type)
-        fits = service_class is not None and held.title in self.catalogue.titles
-        fits = (
-            fits
-            and service_class is not None
-            and service_class.floor <= held.rung < len(self.catalogue.ladder_kb)
-        )
-        free = fits and self._has_free_seat(held.title, held.room_type)
-        mine = self.session_ids.is_issued_here(held.subscription)
-        found = reconciliation.claim(address, held.join, known, mine, fits, free)
-        act = reconciliation.TRANSITIONS[found]
-        if act is reconciliation.ClaimAction.KEEP:
+        known = self._known_session(session, held) if session is not None else None
+        fits = self._fits_settings(held)
+        has_free_seat = fits and self._has_free_seat(held.title, held.room_type)
+        is_issued_here = self.session_ids.is_issued_here(held.subscription)
+        found = reconciliation.claim(address, held.join, known, is_issued_here, fits, has_free_seat)
+        action = reconciliation.TRANSITIONS[found]
+        if action is ClaimAction.KEEP:
             return None
         self.context.tally(f"claims_{found.name.lower()}")
-        if act is reconciliation.ClaimAction.ADOPT_INSTEAD and session is not None:
+        if action is ClaimAction.ADOPT_INSTEAD and session is not None:
             session.close_reason = "a later join of it was found"
             self.lifecycle.apply(session, SessionEvent.RELEASED)
-        if act is reconciliation.ClaimAction.RELEASE:
-            self.commands.send_to(address, held.subscription, held.join, None)
+        if action is ClaimAction.RELEASE:
+            self._release(address, held)
             return None
         return self._adopt(address, held)
 
+    def _known_session(self, session: Session, held: Held) -> reconciliation.KnownSession | None:
+        """What this front knows of the session that a server reports."""
+        pending = session.pending_target
+        is_pending = pending is not None and pending.attempt == held.join
+        target = pending if is_pending else session.home or pending
+        if target is None:
+            return None
+        state = SessionState.JOINING if target is pending else session.state
+        return reconciliation.KnownSession(state, target.attempt, target.server)
+
+    def _fits_settings(self, held: Held) -> bool:
+        service_class = self.catalogue.service_classes.get(held.room_type)
+        if service_class is None or held.title not in self.catalogue.titles:
+            return False
+        return service_class.floor <= held.rung < len(self.catalogue.ladder_kb)
+
     def _has_free_seat(self, title: str, service_class: str) -> bool:
         terms = self.policy.settings.service_classes[service_class]
         number, _ = self.catalogue.titles[title]
         return not terms.seats or self.policy.seats.get((number, terms), 0) < terms.seats
 
+    def _release(self, address: str, held: Held) -> None:
+        self.commands.send_to(address, held.subscription, held.join, None)
+
     def _adopt(self, address: str, held: Held) -> Session | None:
-        """Take over what an earlier life of this front set up; the module hears of it as of a handover."""
-        service_class, (number, title) = (
-            self.catalogue.service_classes[held.room_type],
-            self.catalogue.titles[held.title],
-        )
-        now_us = self.context.now_us()
-        listed = address in self.policy.servers
-        if not listed or self.admission_controller.ask(Entry.SUBSCRIPTION) is not Entered.LET_IN:
-            self.commands.send_to(address, held.subscription, held.join, None)
+        """Take over a session of an earlier incarnation; the policy receives it as a handover."""
+        is_listed = address in self.policy.servers
+        if not is_listed or self.admission_controller.ask(Entry.SUBSCRIPTION) is not AdmissionDecision.LET_IN:
+            self._release(address, held)
             return None
-        rates_kb = self.catalogue.rates_kb(held.room_type)
-        top = len(rates_kb) - 1
-        session = Session(
-            held.subscription, held.room_type, held.title, service_class.floor, rates_kb, top, now_us, now_us
-        )
-        session.state, session.top, session.rung = SessionState.PLAYING, top, held.rung
-        session.home, session.attempt_count = AttemptTarget(address, held.join, session.id, 0), held.join + 1
-        session.last_result, session.may_be_held_by_server = AttemptResult(Outcome.SERVED, None, 0), True
-        session.established_us = now_us
+        now_us = self.context.now_us()
+        session = self._established_session(address, held, now_us)
         self.lifecycle.add(session)
         self.seat_leases.on_session_established(session)
         self.expiry.begin(session.id, now_us)
-        request = Request(session.id, held.room_type, number, title.first_cell, title.cells, top, 1)
+        number, title = self.catalogue.titles[held.title]
+        request = Request(session.id, held.room_type, number, title.first_cell, title.cells, session.top, 1)
         self.policy.handle(Handover(request, address), now_us)
         self.policy.handle(SessionReport(session.id, address, ReportKind.RUNG, held.rung), now_us)
         self.content.adopt(session, held.mark)
         self.context.tally("adopted")
         return session
+
+    def _established_session(self, address: str, held: Held, now_us: int) -> Session:
+        rates_kb = self.catalogue.rates_kb(held.room_type)
+        top_rung = len(rates_kb) - 1
+        return Session(
+            held.subscription,
+            held.room_type,
+            held.title,
+            self.catalogue.service_classes[held.room_type].floor,
+            rates_kb,
+            top_rung,
+            now_us,
+            now_us,
+            state=SessionState.PLAYING,
+            top=top_rung,
+            rung=held.rung,
+            attempt_count=held.join + 1,
+            home=AttemptTarget(address, held.join, held.subscription, 0),
+            last_result=AttemptResult(Outcome.SERVED, None, 0),
+            may_be_held_by_server=True,
+            established_us=now_us,
+        )
--- a/packages/core/src/fennelcove/core/session_ids.py
+++ b/packages/core/src/fennelcove/core/session_ids.py
@@ -1,4 +1,4 @@
-"""Names for subscriptions that nobody can guess, and for one life of a process."""
+"""Session ids that cannot be guessed, and the id of one incarnation of a process."""
 
 from __future__ import annotations
 
@@ -7,10 +7,13 @@
 
 
 class SessionIds:
-    """Hands out ids: a count under a key of this life, so that none comes twice and none can be guessed.
+    """Issues ids: a count, authenticated under the key of this incarnation.
 
-    An id lets its holder see and release the subscription. The key is no decision's chance: it comes from the
-    system, not from the seed, or two lives of one front would give boxes the same ids.
+    Whoever has an id may see and release its session. The key comes from the operating system, not from the
+    seed of the settings: two incarnations of one front must not give servers the same ids.
+
+    Attributes:
+        boot_id: the id of this incarnation.
     """
 
     def __init__(self, key: bytes | None = None) -> None:
@@ -19,19 +22,19 @@
         self.issued_count = 0
 
     def next_id(self) -> str:
-        """A new id, 24 hexadecimal characters behind the count."""
+        """A new id: the count and 24 hexadecimal characters."""
         self.issued_count += 1
         return self._format_id(self.issued_count)
 
     def _format_id(self, count: int) -> str:
-        mark = hashlib.blake2s(count.to_bytes(8, "big"), key=self.key, digest_size=12).hexdigest()
-        return f"{count:x}-{mark}"
+        digest = hashlib.blake2s(count.to_bytes(8, "big"), key=self.key, digest_size=12).hexdigest()
+        return f"{count:x}-{digest}"
 
-    def is_issued_here(self, id: str) -> bool:
-        """Whether the id was made in this life."""
-        head = id.partition("-")[0]
+    def is_issued_here(self, session_id: str) -> bool:
+        """Whether the id was issued in this incarnation."""
+        head = session_id.partition("-")[0]
         try:
             count = int(head, 16)
         except ValueError:
             return False
-        return 0 < count <= self.issued_count and id == self._format_id(count)
+        return 0 < count <= self.issued_count and session_id == self._format_id(count)
--- a/packages/core/src/fennelcove/core/session_lifecycle.py
+++ b/packages/core/src/fennelcove/core/session_lifecycle.py
@@ -1,4 +1,4 @@
-"""The core's table of subscriptions and how one moves on; the core's lock is round all of it."""
+"""The sessions of one front and their state transitions; the core's lock guards them."""
 
 from __future__ import annotations
 
@@ -7,67 +7,94 @@
 
 from fennelcove.core.context import CoreContext
 from fennelcove.core.requests import AttemptResult, AttemptTarget, Session
-from fennelcove.decisions.servers import load_signals
 from fennelcove.decisions.clients import session_lifecycle
 from fennelcove.decisions.clients.session_lifecycle import SessionAction, SessionEvent, SessionState
+from fennelcove.decisions.servers import load_signals
 from fennelcove.interface import AttemptCompleted
 from fennelcove.placement import PlacementPolicy
 
-MAX_CLOSE_REASONS = 10_000  # ended subscriptions of which the reason is still told
+MAX_CLOSE_REASONS = 10_000
+
+ActionHandlers = Mapping[SessionAction, Callable[[Session], None]]
+"""What carries out each action of the transition table."""
 
 
 class SessionLifecycle:
-    """What this front holds, by its own ids and by the module's. Attach `acts` before the first cue: they
-    reach every part, and every part reaches this table."""
+    """Finds sessions by id and applies events to them. Bind the action handlers before the first event.
+
+    Attributes:
+        held: sessions by their id.
+        by_module: sessions by the id under which the policy knows them; a migration has one of its own.
+        close_reasons: why the sessions closed last were closed, by session id.
+    """
 
     def __init__(self, context: CoreContext, policy: PlacementPolicy) -> None:
         self.context = context
         self.policy = policy
         self.held: dict[str, Session] = {}
-        self.by_module: dict[str, Session] = {}  # the module calls a subscription that moves by another id
+        self.by_module: dict[str, Session] = {}
         self.close_reasons: OrderedDict[str, str] = OrderedDict()
-        self.actions: Mapping[SessionAction, Callable[[Session], None]] = {}
+        self._handlers: ActionHandlers = {}
+
+    def bind(self, handlers: ActionHandlers) -> None:
+        """Let these handlers carry out the actions of the transition table."""
+        self._handlers = handlers
 
     def add(self, session: Session) -> None:
-        """A subscription is held from now on."""
-        self.held[session.id] = self.by_module[session.id] = session
+        """Add a new session."""
+        self.held[session.id] = session
+        self.by_module[session.id] = session
 
-    def playing(self, id: str) -> Session | None:
-        """The subscription of that id, where it plays."""
-        session = self.held.get(id)
-        return session if session is not None and session.state is SessionState.PLAYING else None
+    def playing(self, session_id: str) -> Session | None:
+        """The session of that id, if it is established."""
+        session = self.held.get(session_id)
+        is_established = session is not None and session.state is SessionState.PLAYING
+        return session if is_established else None
 
     def apply(self, session: Session, event: SessionEvent) -> None:
-        """Move a subscription on by the table, and do what follows."""
-        session.state, acts = session_lifecycle.transition(session.state, event)
-        for act in acts:
-            self.actions[act](session)
+        """Move a session to its next state and carry out the actions of that transition."""
+        session.state, actions = session_lifecycle.transition(session.state, event)
+        for action in actions:
+            self._handlers[action](session)
 
-    def release(self, id: str, why: str) -> bool:
-        """End what plays; False where nothing does."""
+    def release(self, session_id: str, reason: str) -> bool:
+        """Close an established session; False where there is none of that id."""
         with self.context.lock:
-            session = self.playing(id)
+            session = self.playing(session_id)
             if session is None:
                 return False
-            session.close_reason = why
+            session.close_reason = reason
             self.apply(session, SessionEvent.RELEASED)
             return True
 
-    def report_attempt(self, place: AttemptTarget, end: AttemptResult, finished: bool) -> None:
-        """The module hears how a join ended."""
-        report = load_signals.load_report(end.hints) if end.hints is not None and not finished else None
-        event = AttemptCompleted(place.policy_id, place.policy_attempt, end.outcome, finished, report)
+    def report_attempt(self, target: AttemptTarget, result: AttemptResult, *, is_finished: bool) -> None:
+        """Report the result of an attempt to the policy.
+
+        Args:
+            target: where the attempt went.
+            result: how it ended.
+            is_finished: whether the policy has nothing more to decide about that session.
+        """
+        report = None
+        if result.hints is not None and not is_finished:
+            report = load_signals.load_report(result.hints)
+        event = AttemptCompleted(target.policy_id, target.policy_attempt, result.outcome, is_finished, report)
         self.policy.handle(event, self.context.now_us())
-        if finished:
-            self.by_module.pop(place.policy_id, None)
+        if is_finished:
+            self.by_module.pop(target.policy_id, None)
 
     def remove(self, session: Session) -> None:
-        """A subscription is held no more."""
+        """Remove a closed session."""
         self.held.pop(session.id, None)
         self.by_module.pop(session.id, None)
 
+    def close_reason(self, session_id: str) -> str | None:
+        """Why a session was closed, where that is still known."""
+        with self.context.lock:
+            return self.close_reasons.get(session_id)
+
     def remember_close_reason(self, session: Session) -> None:
-        """Why it ended can still be asked for a while."""
+        """Keep the reason for a while, so that clients can still ask for it."""
         if session.close_reason:
             self.close_reasons[session.id] = session.close_reason
             if len(self.close_reasons) > MAX_CLOSE_REASONS:
--- a/packages/core/src/fennelcove/core/session_migrations.py
+++ b/packages/core/src/fennelcove/core/session_migrations.py
@@ -1,67 +1,70 @@
-"""The core's part that moves subscriptions from box to box; the core's lock is round all of it."""
+"""Moves established sessions from server to server; the core's lock guards it."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Mapping
 
-from fennelcove.core.server_registry import ServerRegistry
-from fennelcove.core.context import CoreContext
-from fennelcove.core.command_queue import CommandDispatcher
+from fennelcove.core.attempt_slots import AttemptSlots
 from fennelcove.core.client_notifier import ClientNotifier
+from fennelcove.core.command_queue import CommandDispatcher
+from fennelcove.core.context import CoreContext
+from fennelcove.core.draining_servers import DrainingServers
+from fennelcove.core.ports import MigrationSender
+from fennelcove.core.requests import AttemptResult, AttemptTarget, SendAttempt, Session
 from fennelcove.core.retry_storm_guard import RetryStormGuard
+from fennelcove.core.server_registry import ServerRegistry
+from fennelcove.core.server_reports import ServerReports
 from fennelcove.core.session_lifecycle import SessionLifecycle
-from fennelcove.core.requests import AttemptResult, SendAttempt, Session
-from fennelcove.decisions.servers import attempt_exchange
+from fennelcove.decisions.clients.session_lifecycle import SessionEvent, SessionState
 from fennelcove.decisions.playback import migration
 from fennelcove.decisions.playback.migration import (
     MigrationAction,
     MigrationEvent,
-    SessionMigration,
+    MigrationState,
     MigrationTurns,
+    SessionMigration,
 )
-from fennelcove.decisions.clients.session_lifecycle import SessionEvent as SessionCue
-from fennelcove.decisions.clients.session_lifecycle import SessionState
-from fennelcove.interface import MigrationRequested, Outcome, ServerState, SessionStarted
+from fennelcove.decisions.servers import attempt_exchange
+from fennelcove.interface import MigrationRequested, Outcome, SessionStarted
 from fennelcove.placement import PlacementPolicy
 
 
-class MigrationSender(Protocol):
-    """Who carries out the joins of moves; `send` must not wait and says whether there was room for it."""
-
-    def send(self, step: SendAttempt) -> bool: ...
-
-
 class SessionMigrations:
-    """Every playing subscription's standing towards its box; `at_once` of them move. Attach `port` first."""
+    """Runs the migration of each session whose server drains, leaves or is lost.
+
+    Attributes:
+        migrations: the migration of each session that was ever to move, by session id.
+    """
 
     def __init__(
         self,
         context: CoreContext,
+        sender: MigrationSender,
         max_concurrent: int,
-        grace_us: int,
+        draining: DrainingServers,
         policy: PlacementPolicy,
         lifecycle: SessionLifecycle,
         commands: CommandDispatcher,
         server_registry: ServerRegistry,
+        reports: ServerReports,
         retry_storms: RetryStormGuard,
+        slots: AttemptSlots,
         notifier: ClientNotifier,
     ) -> None:
         self.context = context
-        self.grace_us = grace_us
-        self.turns = MigrationTurns(max_concurrent, grace_us)
+        self.sender = sender
+        self.draining = draining
+        self.turns = MigrationTurns(max_concurrent, draining.grace_us)
         self.policy = policy
         self.lifecycle = lifecycle
         self.commands = commands
         self.server_registry = server_registry
+        self.reports = reports
         self.retry_storms = retry_storms
+        self.slots = slots
         self.notifier = notifier
-        self.port: MigrationSender
-        self.returned: Callable[[Session, int, Outcome], None] = lambda session, attempt, outcome: None
         self.migrations: dict[str, SessionMigration] = {}
-        self.drained: dict[str, int] = {}  # boxes told to drain or gone, and when
-        self.gone: set[str] = set()  # those of them that have left
-        self.actions: dict[MigrationAction, Callable[[Session, SessionMigration], None]] = {
+        self._handlers: Mapping[MigrationAction, Callable[[Session, SessionMigration], None]] = {
             MigrationAction.QUEUE: self._queue,
             MigrationAction.ASK_MODULE: self._request_target,
             MigrationAction.SWITCH: self._switch,
@@ -72,193 +75,202 @@
             MigrationAction.END: self._close_session,
         }
 
-    def may_tell(self, server: str) -> bool:
-        """Whether a box may still hear from this front: not past the grace after it was told to drain."""
-        told_us = self.drained.get(server)
-        return told_us is None or self.context.now_us() - told_us < self.grace_us
-
     def on_list(self, now_us: int) -> None:
-        """A list was taken: which boxes drain, and whose subscriptions should go."""
-        servers = self.policy.servers
-        for address, server in servers.items():
-            if server.standing is ServerState.ACTIVE:
-                if self.drained.pop(address, None) is not None:
-                    self._apply_to_server(address, MigrationEvent.CALM)
-                self.gone.discard(address)
-            elif server.standing is ServerState.LEFT and address not in self.gone:
-                self.drained.setdefault(address, now_us)
-                self.gone.add(address)
-                self._apply_to_server(address, MigrationEvent.GONE)
-            elif address not in self.drained:
-                self.drained[address] = now_us
-                self._apply_to_server(address, MigrationEvent.TOLD)
-        for address in [address for address in self.drained if address not in servers]:
-            del self.drained[address]
-            self.gone.discard(address)
-
-    def _apply_to_server(self, address: str, event: MigrationEvent) -> None:
-        server = self.server_registry.records.get(address)
-        for session in list(server.sessions.values()) if server is not None else ():
-            self._apply(session, event)
+        """A new endpoint list is in force: sessions leave the servers that drain now."""
+        for change in self.draining.update(self.policy.servers, now_us):
+            server = self.server_registry.records.get(change.address)
+            sessions = list(server.sessions.values()) if server is not None else ()
+            for session in sessions:
+                self._apply(session, change.event)
 
     def on_server_lost(self, session: Session) -> None:
-        """Its box is gone with it; another may take it over where that is safe."""
+        """The server of a session is lost: move it where that is safe, or close it."""
         if session.state is not SessionState.PLAYING:
             return
+        if self._may_rescue(session):
+            self._apply(session, MigrationEvent.LOST)
+        else:
+            self.lifecycle.apply(session, SessionEvent.BOX_LOST)
+
+    def _may_rescue(self, session: Session) -> bool:
         effect = self.policy.settings.service_classes[session.service_class].effect
-        if (
-            session.home is None
-            or not migration.may_rescue(effect, adopted=session.ask is None)
-            or session.home.policy_id not in self.policy.sessions
-        ):
-            self.lifecycle.apply(session, SessionCue.BOX_LOST)
-            return
-        self._apply(session, MigrationEvent.LOST)
+        return (
+            session.home is not None
+            and migration.may_rescue(effect, adopted=session.ask is None)
+            and session.home.policy_id in self.policy.sessions
+        )
 
     def on_session_closed(self, session: Session) -> None:
-        """The subscription has ended; a join that is out elsewhere is taken back when it ends."""
-        held = self.migrations.pop(session.id, None)
-        if held is not None:
-            if held.stage is migration.MigrationState.MAKING and not held.lost:
+        """Forget a session's migration; a pending attempt is released at its server when it ends."""
+        state = self.migrations.pop(session.id, None)
+        if state is not None:
+            if state.stage is MigrationState.MAKING and not state.lost:
                 self.turns.finished()
-            held.apply(MigrationEvent.ENDED)
+            state.apply(MigrationEvent.ENDED)
 
     def run_due(self) -> None:
-        """Give turns; called as turns come free, and every so often."""
+        """Start migrations whose turn has come, and end those whose time is over; called periodically."""
         with self.context.lock:
-            turn, over = self.turns.take(self.context.now_us())
-            for due, event in [
-                *((due, MigrationEvent.TURN) for due in turn),
-                *((due, MigrationEvent.TIME) for due in over),
-            ]:
+            started, expired = self.turns.take(self.context.now_us())
+            for due in started:
                 session = self.lifecycle.held.get(due.id)
                 if session is not None:
-                    self._apply(session, event)
-                elif event is MigrationEvent.TURN:
+                    self._apply(session, MigrationEvent.TURN)
+                else:
                     self.turns.finished()
+            for due in expired:
+                session = self.lifecycle.held.get(due.id)
+                if session is not None:
+                    self._apply(session, MigrationEvent.TIME)
 
     def _apply(self, session: Session, event: MigrationEvent) -> None:
-        if not self.turns.at_once:
-            if event is MigrationEvent.LOST:  # moves are switched off by the settings: what is lost has ended
-                self.lifecycle.apply(session, SessionCue.BOX_LOST)
+        is_disabled = not self.turns.at_once
+        if is_disabled:
+            if event is MigrationEvent.LOST:
+                self.lifecycle.apply(session, SessionEvent.BOX_LOST)
             return
-        held = self.migrations.get(session.id)
-        if held is None:
-            priority_weight = self.policy.settings.service_classes[session.service_class].priority_weight
-            held = self.migrations[session.id] = SessionMigration(session.id, priority_weight)
-        for act in held.apply(event):
-            self.actions[act](session, held)
+        state = self.migrations.get(session.id)
+        if state is None:
+            service_class = self.policy.settings.service_classes[session.service_class]
+            state = SessionMigration(session.id, service_class.priority_weight)
+            self.migrations[session.id] = state
+        for action in state.apply(event):
+            self._handlers[action](session, state)
 
-    # What follows.
-
-    def _queue(self, session: Session, held: SessionMigration) -> None:
-        self.turns.add(held, self.context.now_us())
-        self.context.timers.after(0, self.run_due)
-
-    def _request_target(self, session: Session, held: SessionMigration) -> None:
-        assert session.home is not None
-        session.migration_count += 1
-        module_id = f"{session.id}~{session.migration_count}"
-        self.lifecycle.by_module[module_id] = session
-        self.context.tally("moves_tried")
-        timeout_us = max(1, self.grace_us)
-        self.policy.handle(
-            MigrationRequested(session.home.policy_id, module_id, timeout_us), self.context.now_us()
-        )
+    # Attempts of migrations.
 
     def send_attempt(self, step: SendAttempt) -> None:
-        """The module names a second home: the join goes to the movers."""
-        if not self.port.send(step):
-            # The core is inside the module's own step: it hears of the end a moment later.
-            end = AttemptResult(Outcome.NOT_SENT, None, 0)
-            self.context.timers.after(0, lambda: self.on_attempt_completed(step, end))
+        """The policy has chosen a server: send the attempt there."""
+        if not self.sender.send(step):
+            # The policy is in the middle of its own event; it receives the result a moment later.
+            result = AttemptResult(Outcome.NOT_SENT, None, 0)
+            self.context.timers.after(0, lambda: self.on_attempt_completed(step, result))
 
-    def on_attempt_refused(self, session: Session, module_id: str) -> None:
-        """The module finds no place now."""
-        self.lifecycle.by_module.pop(module_id, None)
+    def on_attempt_refused(self, session: Session, policy_id: str) -> None:
+        """The policy finds no server for now."""
+        self.lifecycle.by_module.pop(policy_id, None)
         session.pending_target = None
-        held = self.migrations.get(session.id)
-        if held is not None and not held.lost:
+        state = self.migrations.get(session.id)
+        if state is not None and not state.lost:
             self.turns.finished()
         self._apply(session, MigrationEvent.REFUSED)
 
-    def on_attempt_completed(self, step: SendAttempt, end: AttemptResult) -> None:
-        """A join of a move has ended."""
+    def on_attempt_completed(self, step: SendAttempt, result: AttemptResult) -> None:
+        """An attempt of a migration has ended."""
         with self.context.lock:
             session = step.session
-            out = session.pending_target
-            self.context.tally(f"move_joins_{end.outcome.value}")
-            self.retry_storms.on_attempt_completed(session, step.server, end.outcome, self.context.now_us())
-            self.returned(session, step.attempt, end.outcome)
-            held = self.migrations.get(session.id)
-            mine = out is not None and out.attempt == step.attempt
-            if held is None or not mine or held.stage is not migration.MigrationState.MAKING:
-                # It ended meanwhile: whatever the box began is for nobody.
-                if attempt_exchange.may_need_release(end.outcome):
-                    self.commands.send_to(step.server, session.id, step.attempt, None)
-                if out is not None and mine:
-                    session.pending_target = None
-                    self.lifecycle.report_attempt(out, end, True)
+            pending = session.pending_target
+            self.context.tally(f"move_joins_{result.outcome.value}")
+            now_us = self.context.now_us()
+            self.retry_storms.on_attempt_completed(session, step.server, result.outcome, now_us)
+            self.slots.release(session, step.attempt, result.outcome)
+            self.slots.start_waiting()
+            target = pending if pending is not None and pending.attempt == step.attempt else None
+            if target is None or not self._is_attempting(session):
+                self._discard_result(step, target, result)
                 return
-            session.last_result = end
-            if end.outcome is Outcome.SERVED:
+            session.last_result = result
+            if result.outcome is Outcome.SERVED:
                 self._apply(session, MigrationEvent.MADE)
             else:
-                if attempt_exchange.may_need_release(end.outcome):
-                    self.commands.send_to(step.server, session.id, step.attempt, None)
+                self._release_if_needed(step, result)
                 self._apply(session, MigrationEvent.FAILED)
 
-    def _switch(self, session: Session, held: SessionMigration) -> None:
-        old, new, end = session.home, session.pending_target, session.last_result
-        assert old is not None and new is not None and end is not None
+    def _is_attempting(self, session: Session) -> bool:
+        state = self.migrations.get(session.id)
+        return state is not None and state.stage is MigrationState.MAKING
+
+    def _discard_result(self, step: SendAttempt, target: AttemptTarget | None, result: AttemptResult) -> None:
+        """The migration ended before its attempt: nobody needs what the server began."""
+        self._release_if_needed(step, result)
+        if target is not None:
+            step.session.pending_target = None
+            self.lifecycle.report_attempt(target, result, is_finished=True)
+
+    def _release_if_needed(self, step: SendAttempt, result: AttemptResult) -> None:
+        if attempt_exchange.may_need_release(result.outcome):
+            self.commands.send_to(step.server, step.session.id, step.attempt, None)
+
+    # Actions of the transition table.
+
+    def _queue(self, session: Session, state: SessionMigration) -> None:
+        self.turns.add(state, self.context.now_us())
+        self.context.timers.after(0, self.run_due)
+
+    def _request_target(self, session: Session, state: SessionMigration) -> None:
+        current = session.required_home()
+        session.migration_count += 1
+        policy_id = f"{session.id}~{session.migration_count}"
+        self.lifecycle.by_module[policy_id] = session
+        self.context.tally("moves_tried")
+        timeout_us = max(1, self.draining.grace_us)
+        request = MigrationRequested(current.policy_id, policy_id, timeout_us)
+        self.policy.handle(request, self.context.now_us())
+
+    def _switch(self, session: Session, state: SessionMigration) -> None:
+        old = session.required_home()
+        result = session.required_result()
         now_us = self.context.now_us()
         if not session.adrift:
             self.turns.finished()
         self.server_registry.on_session_closed(session)
-        session.home, session.pending_target, session.rung = new, None, session.pending_rung
-        self.policy.handle(SessionStarted(new.policy_id, new.policy_attempt, end.duration_us), now_us)
+        new = session.play_at_pending_target()
+        started = SessionStarted(new.policy_id, new.policy_attempt, result.duration_us)
+        self.policy.handle(started, now_us)
         session.established_us = now_us
         if not session.adrift:
-            self.lifecycle.report_attempt(old, AttemptResult(Outcome.SERVED, None, 0), True)
+            served = AttemptResult(Outcome.SERVED, None, 0)
+            self.lifecycle.report_attempt(old, served, is_finished=True)
             self.commands.send(old, session, None)
         session.adrift = False
         self.server_registry.on_session_established(session)
-        if end.hints is not None:
-            self.server_registry.forward_hints(session, end.hints)
+        if result.hints is not None:
+            self.reports.forward_hints(session, result.hints)
         self.notifier.on_migrated(session)
         self.context.tally("moves_made")
+        self._log_migrated(session, old, new, state, now_us)
+        self.context.timers.after(0, self.run_due)
+
+    def _log_migrated(
+        self,
+        session: Session,
+        old: AttemptTarget,
+        new: AttemptTarget,
+        state: SessionMigration,
+        now_us: int,
+    ) -> None:
+        waited_ms = (now_us - state.since_us) / 1000 if state.since_us else 0.0
         self.context.notice(
             "subscription_moved",
             subscription=session.id,
             from_box=old.server,
             box=new.server,
             rung=session.rung,
-            waited_ms=(now_us - held.since_us) / 1000 if held.since_us else 0.0,
+            waited_ms=waited_ms,
         )
-        self.context.timers.after(0, self.run_due)
 
-    def _report_failed(self, session: Session, held: SessionMigration) -> None:
-        assert session.last_result is not None and session.pending_target is not None
-        place, session.pending_target = session.pending_target, None
-        self.lifecycle.report_attempt(place, session.last_result, False)
+    def _report_failed(self, session: Session, state: SessionMigration) -> None:
+        result = session.required_result()
+        self.lifecycle.report_attempt(session.take_pending_target(), result, is_finished=False)
 
-    def _report_lost(self, session: Session, held: SessionMigration) -> None:
+    def _report_lost(self, session: Session, state: SessionMigration) -> None:
         if session.state is not SessionState.PLAYING or session.home is None or session.adrift:
             return
         self.server_registry.on_session_closed(session)
         session.adrift = True
         self.context.tally("adrift")
-        self.lifecycle.report_attempt(session.home, AttemptResult(Outcome.CONNECTION_LOST, None, 0), True)
+        lost = AttemptResult(Outcome.CONNECTION_LOST, None, 0)
+        self.lifecycle.report_attempt(session.home, lost, is_finished=True)
 
-    def _schedule_retry(self, session: Session, held: SessionMigration) -> None:
-        self.turns.put_back(held, self.context.now_us())
+    def _schedule_retry(self, session: Session, state: SessionMigration) -> None:
+        self.turns.put_back(state, self.context.now_us())
         self.context.timers.after(migration.RETRY_US, self.run_due)
 
-    def _give_up(self, session: Session, held: SessionMigration) -> None:
+    def _give_up(self, session: Session, state: SessionMigration) -> None:
         self.context.tally("moves_given_up")
         self.context.notice("move_given_up", subscription=session.id, box=session.server)
 
-    def _close_session(self, session: Session, held: SessionMigration) -> None:
-        what = "was lost" if held.lost else "has left"
+    def _close_session(self, session: Session, state: SessionMigration) -> None:
+        what = "was lost" if state.lost else "has left"
         session.close_reason = f"its box {what}, and no other may take it"
-        self.lifecycle.apply(session, SessionCue.BOX_LOST)
+        self.lifecycle.apply(session, SessionEvent.BOX_LOST)
--- /dev/null
+++ b/packages/core/src/fennelcove/core/session_requests.py
@@ -0,0 +1,172 @@
+"""Turns admitted client requests into sessions."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from fennelcove.core.admission import Admission
+from fennelcove.core.attempt_slots import AttemptSlots
+from fennelcove.core.command_queue import CommandDispatcher
+from fennelcove.core.context import Catalogue, CoreContext
+from fennelcove.core.probe_coordinator import ProbeCoordinator
+from fennelcove.core.requests import NextStep, Session, SessionRequest
+from fennelcove.core.session_actions import SessionActions
+from fennelcove.core.session_ids import SessionIds
+from fennelcove.core.session_lifecycle import SessionLifecycle
+from fennelcove.decisions.clients import session_lifecycle
+from fennelcove.decisions.clients.session_lifecycle import SessionState
+from fennelcove.decisions.servers import load_signals
+from fennelcove.interface import Request
+from fennelcove.placement import PlacementPolicy
+from fennelcove.settings.schema import Title
+
+
+@dataclass(frozen=True, slots=True)
+class SessionTerms:
+    """What the settings and the client's hints make of a request.
+
+    Attributes:
+        rates_kb: the rate of each rung, in kB a second.
+        work_us: for how long the front may work on the response.
+    """
+
+    title_number: int
+    title: Title
+    rates_kb: tuple[float, ...]
+    floor_rung: int
+    requested_top_rung: int
+    top_rung: int
+    work_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestOutcome:
+    """What became of a request.
+
+    Attributes:
+        session: the session; None where the request was rejected.
+        step: what to do first; the response where the request was rejected.
+    """
+
+    session: Session | None
+    step: NextStep
+
+
+class SessionRequests:
+    """Creates a session for each admitted request and hands it to the placement policy."""
+
+    def __init__(
+        self,
+        context: CoreContext,
+        catalogue: Catalogue,
+        policy: PlacementPolicy,
+        session_ids: SessionIds,
+        admission: Admission,
+        lifecycle: SessionLifecycle,
+        slots: AttemptSlots,
+        probes: ProbeCoordinator,
+        commands: CommandDispatcher,
+        actions: SessionActions,
+    ) -> None:
+        self.context = context
+        self.catalogue = catalogue
+        self.policy = policy
+        self.session_ids = session_ids
+        self.admission = admission
+        self.lifecycle = lifecycle
+        self.slots = slots
+        self.probes = probes
+        self.commands = commands
+        self.actions = actions
+
+    def on_request(self, request: SessionRequest) -> RequestOutcome:
+        """A client requests a session.
+
+        Returns:
+            The session and what to do first, or the rejection alone.
+
+        Raises:
+            KeyError: a service class or title that the settings do not name.
+        """
+        terms = self._terms_of(request)
+        now_us = self.context.now_us()
+        with self.context.lock:
+            rejection = self.admission.try_admit_request(request, now_us)
+            if rejection is not None:
+                return RequestOutcome(None, rejection)
+            session = self._create_session(request, terms, now_us)
+            self.lifecycle.add(session)
+            self.context.tally("requests")
+            self._place(session, _policy_request(session, request, terms), now_us)
+            return RequestOutcome(session, session.take_step())
+
+    def _terms_of(self, request: SessionRequest) -> SessionTerms:
+        service_class = self.catalogue.service_classes[request.service_class]
+        title_number, title = self.catalogue.titles[request.title]
+        timeout_us = session_lifecycle.honest_timeout_us(
+            request.client_timeout_us, round(service_class.client_timeout_ms * 1000)
+        )
+        rates_kb = self.catalogue.rates_kb(request.service_class)
+        requested_top_rung = len(rates_kb) - 1
+        if request.requested_top_rung is not None:
+            requested_top_rung = min(request.requested_top_rung, requested_top_rung)
+        floor_rung = service_class.floor
+        top_rung = load_signals.top_rung(rates_kb, requested_top_rung, floor_rung, request.hints)
+        work_us = session_lifecycle.time_to_answer_us(timeout_us)
+        return SessionTerms(title_number, title, rates_kb, floor_rung, requested_top_rung, top_rung, work_us)
+
+    def _create_session(self, request: SessionRequest, terms: SessionTerms, now_us: int) -> Session:
+        return Session(
+            self.session_ids.next_id(),
+            request.service_class,
+            request.title,
+            terms.floor_rung,
+            terms.rates_kb,
+            terms.requested_top_rung,
+            now_us,
+            now_us + terms.work_us,
+            top=terms.top_rung,
+            ask=request,
+        )
+
+    def _place(self, session: Session, request: Request, now_us: int) -> None:
+        try:
+            is_enqueued = self.slots.enqueue(session, request)
+            if not is_enqueued:
+                self.policy.handle(request, now_us)
+            self.probes.wait(session)
+        except Exception:
+            # A request that failed keeps nothing: it would stay counted for ever, and a front that holds
+            # nothing would in the end reject everybody.
+            self.admission.controller.request_answered(0)
+            self.discard(session)
+            raise
+
+    def discard(self, session: Session) -> None:
+        """Remove every trace of a session that failed, whatever its state."""
+        with self.context.lock:
+            for target in (session.home, session.pending_target):
+                if target is not None and session.state is not SessionState.ENDED:
+                    self.policy.sessions.pop(target.policy_id, None)
+                    self.lifecycle.by_module.pop(target.policy_id, None)
+                    self.commands.send(target, session, None)
+            self.policy.sessions.pop(session.id, None)
+            self.slots.drop(session)
+            if self.lifecycle.held.get(session.id) is session:
+                self.actions.close(session)
+            session.state = SessionState.ENDED
+
+
+def _policy_request(session: Session, request: SessionRequest, terms: SessionTerms) -> Request:
+    return Request(
+        session.id,
+        request.service_class,
+        terms.title_number,
+        terms.title.first_cell,
+        terms.title.cells,
+        terms.top_rung,
+        terms.work_us,
+        request.tenant,
+        request.again,
+        request.expected_watch_us,
+    )
--- a/packages/daemon/src/fennelcove/daemon/front_daemon.py
+++ b/packages/daemon/src/fennelcove/daemon/front_daemon.py
@@ -12,6 +12,7 @@
 from fennelcove.core.recovery_coordinator import RecoveryCoordinator
 from fennelcove.core.membership_coordinator import MembershipCoordinator
 from fennelcove.core.core import Core
+from fennelcove.core.ports import CorePorts
 from fennelcove.core.session_ids import SessionIds
 from fennelcove.core.load_shedding_coordinator import LoadSheddingCoordinator
 from fennelcove.core.slot_scheduler import SlotScheduler
@@ -54,6 +55,7 @@
 from fennelcove.daemon.ledger_file import LedgerFile
 from fennelcove.daemon.rollouts import RolloutService
 from fennelcove.daemon.concurrency_limits import LimitService
+from fennelcove.settings.checks import module_settings
 from fennelcove.settings.schema import FrontSettings
 from fennelcove.store.folder import Store
 from fennelcove.store.keeper import StoreWriter
@@ -86,7 +88,27 @@
         threading.stack_size(limits.stack_kib * 1024)
         codec = DialLimits(limits.head_bytes, limits.head_count, limits.body_bytes, settings.source)
         self.timers = Timers(self.clock, lambda error: notice("timer_failed", reason=repr(error)))
-        self.core = Core(settings, self.clock, self.timers, notice, names)
+        self.halt = CancellationLatch()
+        self.pool = ConnectionPool(self.clock, limits.box_connections, round(limits.idle_ms * 1000))
+        self.hints = HintReader()
+        effects = {service_class.name: Effect(service_class.effect) for service_class in settings.room_types}
+        self.joiner = AttemptSender(
+            settings.name, self.clock, self.pool, self.hints, effects, codec, self.halt
+        )
+        self.senders = CommandSenders(self.clock, self.pool, codec)
+        self.movers = MigrationWorkers(self.joiner, settings.stitch.moves_at_once)
+        self.server_side = self._server_side(codec)
+        self.list_side = EndpointListClient(
+            self.clock,
+            settings.lists.address,
+            settings.lists.must_ask,
+            Random(settings.seed),
+            notice,
+            settings.source,
+        )
+        ports = CorePorts(self.server_side, self.list_side, self.movers)
+        self.core = Core(settings, self.clock, self.timers, notice, ports, names)
+        self.server_side.attach(self.core.server_registry)
         self.ledger = LedgerFile(settings.stitch.ledger, notice)
         self.core.content.restore(self.ledger.load())
         if settings.storm.key_file is not None:
@@ -107,32 +129,7 @@
             self.keeper = StoreWriter(store, self.clock, notice)
         self.comeback = self._comeback()
         self.background = Background(self.clock, notice)
-        self.core.shown["background"] = self.background.status
-        self.halt = CancellationLatch()
-        self.pool = ConnectionPool(self.clock, limits.box_connections, round(limits.idle_ms * 1000))
-        self.hints = HintReader()
-        effects = {service_class.name: Effect(service_class.effect) for service_class in settings.room_types}
-        self.joiner = AttemptSender(
-            settings.name, self.clock, self.pool, self.hints, effects, codec, self.halt
-        )
-        self.senders = CommandSenders(self.core, self.pool, codec)
-        self.movers = MigrationWorkers(self.core, self.joiner, settings.stitch.moves_at_once)
-        self.core.migrations.port = self.movers
-        told = self.core.policy.settings
-        silence_us = event_stream.idle_timeout_us(told.reports_every_us, told.seen_after_us)
-        self.server_side = ServerEventStreams(
-            self.core, self.senders, self.hints, settings.name, silence_us, codec, notice
-        )
-        self.list_side = EndpointListClient(
-            self.core,
-            self.clock,
-            settings.lists.address,
-            settings.lists.must_ask,
-            Random(settings.seed),
-            notice,
-            settings.source,
-        )
-        self.core.server_registry.port, self.core.discovery.source = self.server_side, self.list_side
+        self.core.status_reporter.add_section("background", self.background.status)
         self.probe_side: HealthChecker | None = None
         self.front_side: FrontMessaging | None = None
         shape = settings.shape
@@ -183,6 +180,15 @@
         self.timekeeper = threading.Thread(target=self.timers.run, name="timers")
         self.stopping = GracefulShutdown(round(limits.stop_ms * 1000))
 
+    def _server_side(self, codec: DialLimits) -> ServerEventStreams:
+        policy_settings = module_settings(self.settings)
+        silence_us = event_stream.idle_timeout_us(
+            policy_settings.reports_every_us, policy_settings.seen_after_us
+        )
+        return ServerEventStreams(
+            self.timers, self.senders, self.hints, self.settings.name, silence_us, codec, self.notice
+        )
+
     def _comeback(self) -> RecoveryCoordinator | None:
         """Off by default: without it who asks waits at the door until the front knows what it holds."""
         core, settings = self.core, self.settings
@@ -192,9 +198,9 @@
         found = RecoveryCoordinator(
             settings, told, core.policy, core.server_registry, self.clock, core.rng, self.notice
         )
-        core.gates.insert(0, found.before)
-        core.discovery.hear = found.hear_list
-        core.shown["comeback"] = found.status
+        core.admission.add_first_rule(found.before)
+        core.discovery.set_update_filter(found.hear_list)
+        core.status_reporter.add_section("comeback", found.status)
         found.listed, found.opened = core.snapshots.listed, core.seat_leases.on_recovered
         found.kept = core.snapshots.last_list()
         if told.kept_list:
@@ -212,7 +218,7 @@
         found = LoadSheddingCoordinator(
             settings.room_types, fronts, life, core.retry_storms, self.clock, core.rng, core.lock, self.notice
         )
-        core.shown["overload"] = found.status
+        core.status_reporter.add_section("overload", found.status)
         if self.front_side is not None:
             found.post, self.front_side.counted = self.front_side.summary, found.hear
         return found
@@ -232,10 +238,10 @@
             return None
         life = self.clock.wall_us() // 1000
         found = SharedQuotaCoordinator(wholes, self.settings.instance, life, self.clock, core.rng, core.lock)
-        core.may_attempt_again = lambda: found.take(Resource.FURTHER_JOIN)
+        core.use_retry_budget(lambda: found.take(Resource.FURTHER_JOIN))
         core.probes.may_probe = lambda: found.take(Resource.PROBE)
         self.list_side.turn_us = lambda: found.wait_us(Resource.LIST_CALL)
-        core.shown["budgets"] = found.status
+        core.status_reporter.add_section("budgets", found.status)
         if self.front_side is not None:
             found.post, self.front_side.spared = self.front_side.spare, found.hear
         return found
@@ -285,7 +291,7 @@
         self.watch_side, found.ask = side, side.ask
         self.vetoes.append(found.free)
         core.retry_storms.attempted = found.attempted
-        core.shown["watchers"] = found.status
+        core.status_reporter.add_section("watchers", found.status)
         if self.front_side is not None:
             found.post, self.front_side.worded = self.front_side.word, found.hear
         return found
@@ -303,7 +309,8 @@
             return None
         running = lambda: self.stopping.phase is ShutdownState.RUNNING  # noqa: E731
         found = LimitService(self.settings, told, core, self.timers, self.clock, self.notice, running)
-        core.shown["slots"], core.snapshots.more = found.book.status, found.book.kept
+        core.status_reporter.add_section("slots", found.book.status)
+        core.snapshots.more = found.book.kept
         self.vetoes.append(found.free)
         self.joiner.slots, self.pool.keeps = found.book, found.book.links
         if self.keeper is not None:
@@ -363,7 +370,7 @@
             told, self.settings.instance, life, self.clock, core.lock, self.notice
         )
         core.policy.mine = company.mine
-        core.shown["company"] = company.status
+        core.status_reporter.add_section("company", company.status)
         core.snapshots.lives = company.lives
         if self.comeback is not None:
             self.comeback.fronts = company.fronts
@@ -410,9 +417,9 @@
             self.timers.after(fleet_load.WINDOW_US, self._count)
         if self.fair is not None:
             self.timers.after(slot_scheduler.WINDOW_US, self._share)
-        self.senders.start()
-        self.movers.start()
-        self.list_side.start()
+        self.senders.start(self.core.commands, self.core.lifecycle)
+        self.movers.start(self.core.migrations)
+        self.list_side.start(self.core.discovery)
         if self.settings.lists.must_ask:
             self.list_side.watch()
         self._plan()
@@ -450,7 +457,7 @@
         self.keeper.keep(self.core.snapshots.gather())
 
     def _sweep(self) -> None:
-        self.core.close_silent_sessions()
+        self.core.client_reports.close_silent_sessions()
         self.core.seat_leases.close_expired()
         self.core.migrations.run_due()
 
@@ -473,7 +480,7 @@
     def _stop_accepting(self) -> None:
         if self.company is not None:
             self.company.leave()
-        self.core.stop_admission()
+        self.core.admission.stop()
         self.door.stop_accepting()
 
     def _close(self) -> None:
--- a/packages/daemon/src/fennelcove/daemon/rollouts.py
+++ b/packages/daemon/src/fennelcove/daemon/rollouts.py
@@ -132,8 +132,8 @@
             notice,
         )
         self.book.leave, self.book.take_server = self.leave, self.take_server
-        core.server_attempted = self.server_attempted
-        core.shown["releases"] = self.status
+        core.attempts.set_served_listener(self.server_attempted)
+        core.status_reporter.add_section("releases", self.status)
         self.thread = threading.Thread(target=self.book.run, name="releases")
 
     def _agreement(self, settings: FrontSettings, told: ReleaseSettings) -> RolloutAgreement:
@@ -222,7 +222,7 @@
         warm = not front.is_cold(server)
         titles = frozenset(
             number
-            for number, title in core.titles.values()
+            for number, title in core.catalogue.titles.values()
             if (server.cell - title.first_cell) % front.settings.cells < title.cells
         )
         size_kb = server.link.size_kb
@@ -245,7 +245,7 @@
             self.notice("wanted_not_written", file=self.told.wanted, reason=str(error))
             return False
         self.notice("release_leaves", version=version)
-        self.core.change_admission(AdmissionEvent.DRAIN)
+        self.core.admission.change_state(AdmissionEvent.DRAIN)
         if not self.ending:
             self.ending = True
             if not self.timers.after(round(self.told.drain_ms * 1000), self.end):
--- a/packages/ingress/src/fennelcove/ingress/connection.py
+++ b/packages/ingress/src/fennelcove/ingress/connection.py
@@ -104,9 +104,9 @@
             if begun and began_us is None:
                 began_us = now_us
             if began_us is None:
-                left_us = self.core.effective_timeout_us(self.limits.idle_us)
+                left_us = self.core.admission.effective_timeout_us(self.limits.idle_us)
             else:
-                left_us = began_us + self.core.effective_timeout_us(self.limits.message_us) - now_us
+                left_us = began_us + self.core.admission.effective_timeout_us(self.limits.message_us) - now_us
             woken = WakeReason.TIME if left_us <= 0 else wait(self.sock, left_us, self.closing)
             if woken is not WakeReason.READY:
                 if begun and woken is WakeReason.TIME:
@@ -151,7 +151,7 @@
             self.write(writer.CONTINUE)
 
     def _count(self, more: int) -> bool:
-        if more and not self.core.reserve_buffer(more):
+        if more and not self.core.admission.reserve_buffer(more):
             return False
         self.counted += more
         return True
--- a/packages/ingress/src/fennelcove/ingress/control.py
+++ b/packages/ingress/src/fennelcove/ingress/control.py
@@ -44,7 +44,7 @@
         """One command, answered."""
         with self.lock:
             verdict, key = self.commands.check(header, "POST", path, body, True, self.clock.wall_us())
-        self.core.increment(f"commands_{verdict.value}")
+        self.core.context.tally(f"commands_{verdict.value}")
         try:
             self.tell(wall_us=self.clock.wall_us(), key=key, command=what, verdict=verdict.value)
         except OSError as error:
@@ -56,7 +56,9 @@
                 kind, f"{verdict.value}: {command_authorization.REMEDIES[verdict]}", STATUS[verdict]
             )
         if what in TURNS:
-            return Reply(200, [replies.JSON], msgspec.json.encode(self.core.change_admission(TURNS[what])))
+            return Reply(
+                200, [replies.JSON], msgspec.json.encode(self.core.admission.change_state(TURNS[what]))
+            )
         if self.orders is None:
             return replies.fault("not-carried-out", "this front's settings have no releases section")
         return self.orders.carry(what, body)
--- a/packages/ingress/src/fennelcove/ingress/http_server.py
+++ b/packages/ingress/src/fennelcove/ingress/http_server.py
@@ -104,7 +104,7 @@
                 if self.closing.wait(ACCEPT_PAUSE_US):
                     return
                 continue
-            refusal = self.core.try_admit(Entry.CONNECTION)
+            refusal = self.core.admission.try_admit(Entry.CONNECTION)
             if refusal is not None:
                 self._refuse(sock, refusal)
                 continue
@@ -117,9 +117,9 @@
         with suppress(OSError):
             while True:
                 sock, _ = self.listener.accept()
-                refusal = self.core.try_admit(Entry.CONNECTION)
+                refusal = self.core.admission.try_admit(Entry.CONNECTION)
                 if refusal is None:
-                    self.core.on_connection_closed()
+                    self.core.admission.on_connection_closed()
                     sock.close()
                 else:
                     self._refuse(sock, refusal)
@@ -141,14 +141,16 @@
             self._end(thread)
             self._refuse(
                 sock,
-                SessionResponse(ResponseKind.THROTTLED, "no thread to be had", self.core.retry_after_us()),
+                SessionResponse(
+                    ResponseKind.THROTTLED, "no thread to be had", self.core.admission.retry_after_us()
+                ),
             )
 
     def _end(self, thread: threading.Thread) -> None:
         with self.idle:
             self.connections.pop(thread, None)
             self.idle.notify_all()
-        self.core.on_connection_closed()
+        self.core.admission.on_connection_closed()
 
     def _serve(self, connection: Connection) -> None:
         linger = False
@@ -168,7 +170,9 @@
                 received = connection.read()
             except ProtocolError as error:
                 if error.status == 503:
-                    full = SessionResponse(ResponseKind.THROTTLED, str(error), self.core.retry_after_us())
+                    full = SessionResponse(
+                        ResponseKind.THROTTLED, str(error), self.core.admission.retry_after_us()
+                    )
                     reply = replies.refused(full, self.front, None, False)
                 else:
                     reply = replies.fault("malformed", str(error), error.status)
@@ -201,7 +205,7 @@
         if kind is not None:
             return connection.write(replies.fault(kind, result.answered.reason).raw(close))
         if session is not None and result.answered.kind is ResponseKind.PLAYING:
-            view = self.core.view(session)
+            view = self.core.views.view_of(session)
             reply = replies.playing(session, view, result.hops, self.front, result.took_us)
         else:
             reply = replies.refused(result.answered, self.front, session, result.timed_out)
--- a/packages/ingress/src/fennelcove/ingress/routes.py
+++ b/packages/ingress/src/fennelcove/ingress/routes.py
@@ -194,7 +194,7 @@
         return author if isinstance(author, Reply) else self.lessons.changes(None, asked.rest)
 
     def counts(self, asked: Asked) -> Reply:
-        return Reply(200, [replies.JSON], msgspec.json.encode(self.core.status()))
+        return Reply(200, [replies.JSON], msgspec.json.encode(self.core.status().to_json_fields()))
 
     def command(self, asked: Asked) -> Reply:
         header = asked.received.head.get(command_authorization.HEADER.encode())
@@ -234,9 +234,9 @@
 ) -> SessionRequest | tuple[str, str]:
     """What a set-up asks for, through whichever door; or the problem's kind and detail."""
     title = body.title or hints.text("cid")
-    if body.room_type not in core.service_classes:
-        return "unknown-room-type", f"{body.room_type!r}; known: {', '.join(core.service_classes)}"
-    if title is None or title not in core.titles:
+    if body.room_type not in core.catalogue.service_classes:
+        return "unknown-room-type", f"{body.room_type!r}; known: {', '.join(core.catalogue.service_classes)}"
+    if title is None or title not in core.catalogue.titles:
         return "unknown-title", "name a title in the body or as CMCD cid" if title is None else repr(title)
     timeout_us = None if body.client_timeout_ms is None else round(body.client_timeout_ms * 1000)
     client = shown.held.client if shown.held is not None else hints.text("sid") or ""
--- a/packages/ingress/src/fennelcove/ingress/session_setups.py
+++ b/packages/ingress/src/fennelcove/ingress/session_setups.py
@@ -51,10 +51,11 @@
         counted = False
         known = self.core.idempotency.find_response(ask)
         if known is not None:
-            return Result(known[0], known[1], repeated=True)
+            return Result(known.session, known.response, repeated=True)
         answered: SessionResponse | None = None
         try:
-            session, step = self.core.request_session(ask)
+            outcome = self.core.request_session(ask)
+            session, step = outcome.session, outcome.step
             if session is not None:
                 self.core.idempotency.bind_session(ask, session)
             if session is None:
@@ -71,7 +72,7 @@
                 return Result(None, step)
             counted = True
             answered, hops, timed_out = self._attempts(session, step, viewer)
-            self.core.on_response_sent(session)
+            self.core.on_response_ready(session)
             counted = False
             return Result(
                 session,
@@ -87,7 +88,7 @@
             if session is not None:
                 self.core.discard(session)
                 if counted:
-                    self.core.on_response_sent(session)
+                    self.core.on_response_ready(session)
             return None
         finally:
             self.core.idempotency.on_response(ask, session, answered)
@@ -111,9 +112,7 @@
                 answered = stopped if isinstance(stopped, SessionResponse) else None
             end = run.end
             hops, timed_out = run.hops, end.outcome is Outcome.NO_ANSWER
-            following = self.core.on_attempt_completed(
-                session, step.attempt, end.outcome, end.hints, end.duration_us
-            )
+            following = self.core.on_attempt_completed(session, step.attempt, end)
             self.notice(
                 "join_over",
                 subscription=session.id,
@@ -130,7 +129,6 @@
 
     def _in_line(self, step: WaitForSlot, viewer: socket.socket) -> NextStep | None:
         """Wait for a slot; nothing has left, so that a hang-up ends it here and now."""
-        assert self.core.slots is not None
         left_us = step.deadline_us - self.clock.now_us()
         woken = wait_bell(step.bell.reader, left_us, self.joiner.halt, viewer)
         event = {
@@ -138,7 +136,7 @@
             WakeReason.LATCH: WaiterEvent.STOPPED,
             WakeReason.TIME: WaiterEvent.NO_TIME,
         }.get(woken)
-        return self.core.slots.waited(step, event)
+        return self.core.slots.on_wait_ended(step, event)
 
     def told(self, result: Result, written: bool) -> None:
         """The answer was handed on, or could not be: then what plays is released."""
--- a/packages/ingress/src/fennelcove/ingress/websocket_session.py
+++ b/packages/ingress/src/fennelcove/ingress/websocket_session.py
@@ -87,7 +87,7 @@
         with self.lock:
             kept = self.outbox.put(Line(told, session), matter)
         if kept is PutResult.OVER:
-            self.core.increment("sockets_cut_off")
+            self.core.context.tally("sockets_cut_off")
         self._ring()
 
     def _ring(self) -> None:
@@ -301,7 +301,7 @@
             thread.start()
         except RuntimeError:  # the machine gives no more threads
             del self.under_way[ref]
-            wait_ms = self.core.retry_after_us() / 1000
+            wait_ms = self.core.admission.retry_after_us() / 1000
             self.say(wire.Throttled(ref=ref, detail="no thread to be had", retry_after_ms=wait_ms))
 
     def _set_up(self, ref: str, ask: SessionRequest) -> None:
--- a/packages/upstream/src/fennelcove/upstream/command_senders.py
+++ b/packages/upstream/src/fennelcove/upstream/command_senders.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
-from fennelcove.core.core import Core
+from fennelcove.clock import Clock
+from fennelcove.core.command_queue import CommandDispatcher
+from fennelcove.core.session_lifecycle import SessionLifecycle
 from fennelcove.decisions.servers.command_queue import CARRY_OUT_US, Command
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import ProtocolError, ResponseHead
@@ -20,17 +22,19 @@
 class CommandSenders:
     """Owns the senders; `start` them once, `stop` ends them when what is in hand has gone out."""
 
-    def __init__(self, core: Core, pool: ConnectionPool, limits: DialLimits) -> None:
-        self.core = core
+    def __init__(self, clock: Clock, pool: ConnectionPool, limits: DialLimits) -> None:
+        self.clock = clock
         self.pool = pool
         self.limits = limits
         self.ready = threading.Condition()
         self.until_us: int | None = None  # once set, the senders end by then
-        self.threads = [threading.Thread(target=self._run, name=f"orders-{i}") for i in range(SENDERS)]
+        self.threads: list[threading.Thread] = []
 
-    def start(self) -> None:
-        """Start the threads."""
-        for thread in self.threads:
+    def start(self, commands: CommandDispatcher, lifecycle: SessionLifecycle) -> None:
+        """Start the threads, once; they take commands, and the rates of the sessions concerned."""
+        for i in range(SENDERS):
+            thread = threading.Thread(target=self._run, args=(commands, lifecycle), name=f"orders-{i}")
+            self.threads.append(thread)
             thread.start()
 
     def wake(self) -> None:
@@ -47,11 +51,12 @@
         for thread in self.threads:
             thread.join()
 
-    def _run(self) -> None:
+    def _run(self, commands: CommandDispatcher, lifecycle: SessionLifecycle) -> None:
         while self._left_us() > 0:
-            order, wait_us = self.core.commands.next_command()
-            if order is not None:
-                self.core.commands.on_command_completed(order, self._carry_out(order))
+            command, wait_us = commands.next_command()
+            if command is not None:
+                is_successful = self._carry_out(command, lifecycle)
+                commands.on_command_completed(command, is_successful=is_successful)
                 continue
             with self.ready:
                 if self.until_us is not None:
@@ -62,9 +67,9 @@
     def _left_us(self) -> int:
         """How long one order may take now."""
         until_us = self.until_us
-        return CARRY_OUT_US if until_us is None else min(CARRY_OUT_US, until_us - self.core.clock.now_us())
+        return CARRY_OUT_US if until_us is None else min(CARRY_OUT_US, until_us - self.clock.now_us())
 
-    def _carry_out(self, order: Command) -> bool:
+    def _carry_out(self, order: Command, lifecycle: SessionLifecycle) -> bool:
         if not self.pool.enter(order.server):
             return False
         link, keep = None, False
@@ -72,7 +77,7 @@
             link = self.pool.idle_link(order.server) or dial(
                 order.server, max(1, self._left_us()), self.limits
             )
-            keep = self._exchange(link, order)
+            keep = self._exchange(link, order, lifecycle)
             return True
         except (OSError, ProtocolError):
             return False
@@ -81,7 +86,7 @@
                 link.sock.close()
             self.pool.leave(order.server, link if keep else None)
 
-    def _exchange(self, link: ServerConnection, order: Command) -> bool:
+    def _exchange(self, link: ServerConnection, order: Command, lifecycle: SessionLifecycle) -> bool:
         path = join_path(order.id, order.attempt)
         fields = [("Content-Type", "application/json")]
         if order.mark is not None:
@@ -90,7 +95,7 @@
         elif order.rung is None:
             raw = writer.request("DELETE", path, order.server)
         else:
-            session = self.core.sessions.get(order.id)
+            session = lifecycle.held.get(order.id)
             rate_kb = session.rates_kb[order.rung] if session is not None else 0.0
             body = msgspec.json.encode(RungOrder(order.rung, rate_kb))
             raw = writer.request("PUT", f"{path}/rung", order.server, fields, body)
--- a/packages/upstream/src/fennelcove/upstream/endpoint_list_client.py
+++ b/packages/upstream/src/fennelcove/upstream/endpoint_list_client.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from fennelcove.clock import Clock
-from fennelcove.core.core import Core
+from fennelcove.core.endpoint_discovery import EndpointDiscovery
 from fennelcove.core.requests import EventLogger
 from fennelcove.decisions.servers import endpoint_list
 from fennelcove.decisions.servers.command_queue import CARRY_OUT_US
@@ -40,12 +40,13 @@
 
 
 class EndpointListClient:
-    """Owns two threads: one reads the stream, one makes calls. With `must_ask` the stream opens when asked
-    for."""
+    """Owns two threads: one reads the stream of updates, one makes calls.
+
+    With `must_ask` the stream opens on request. Implements `fennelcove.core.ports.EndpointListSource`.
+    """
 
     def __init__(
         self,
-        core: Core,
         clock: Clock,
         address: str,
         must_ask: bool,
@@ -53,7 +54,6 @@
         notice: EventLogger,
         source: str = "",
     ) -> None:
-        self.core = core
         self.clock = clock
         self.address = address
         self.must_ask = must_ask
@@ -66,13 +66,14 @@
         self.stopped = False
         self.stream: EventStream | None = None
         self.turn_us: Callable[[], int] = lambda: 0  # how long to wait before a call; 0 where it is counted
+        self.threads: list[threading.Thread] = []
+
+    def start(self, discovery: EndpointDiscovery) -> None:
+        """Start the threads, once; they report lists to the discovery."""
         self.threads = [
-            threading.Thread(target=self._streams, name="list-stream"),
-            threading.Thread(target=self._fetches, name="list-fetch"),
+            threading.Thread(target=self._streams, args=(discovery,), name="list-stream"),
+            threading.Thread(target=self._fetches, args=(discovery,), name="list-fetch"),
         ]
-
-    def start(self) -> None:
-        """Start the threads."""
         for thread in self.threads:
             thread.start()
 
@@ -87,11 +88,13 @@
             thread.join()
 
     def watch(self) -> None:
+        """Keep the stream open."""
         with self.changed:
             self.stream_due = True
             self.changed.notify_all()
 
     def fetch(self) -> None:
+        """Request the whole list once."""
         with self.changed:
             self.fetch_due = True
             self.changed.notify_all()
@@ -103,7 +106,7 @@
                 if self.changed.wait_for(lambda: self.stopped, left_us / 1e6):
                     return
 
-    def _streams(self) -> None:
+    def _streams(self, discovery: EndpointDiscovery) -> None:
         failures = 0
         while True:
             with self.changed:
@@ -114,35 +117,35 @@
             with self.changed:
                 if self.stopped:
                     return
-                version = self.core.endpoint_tracker.version
+                version = discovery.version
                 path = "/v1/list/stream" if version is None else f"/v1/list/stream?since={version}"
                 self.stream = EventStream(
                     self.address, path, self.limits, CARRY_OUT_US, endpoint_list.SILENCE_US
                 )
             try:
-                self.stream.run(self._take)
+                self.stream.run(lambda event: self._take(event, discovery))
             except (Refused, Broken) as error:
-                failures = 0 if self.core.endpoint_tracker.version != version else failures + 1
+                failures = 0 if discovery.version != version else failures + 1
                 if not self.stopped:
                     self.notice("list_stream_broken", **error.fields(), failures=failures)
             if self.must_ask:
                 with self.changed:
                     self.stream_due = False
-                self.core.discovery.on_list_unavailable()
+                discovery.on_list_unavailable()
             with self.changed:
                 pause_us = endpoint_list.pause_us(failures, self.rng.random())
                 self.changed.wait_for(lambda: self.stopped, pause_us / 1e6)
 
-    def _take(self, event: ServerEvent) -> None:
+    def _take(self, event: ServerEvent, discovery: EndpointDiscovery) -> None:
         if event.name == "list":
             try:
                 message = _MESSAGE.decode(event.data)
             except msgspec.MsgspecError as error:
                 self.notice("list_refused", **EndpointListUnreadableError(str(error), self.address).fields())
                 raise EventError(f"a list that is not as agreed: {error}") from None
-            self.core.discovery.on_list(news(message, self.clock.now_us()))
+            discovery.on_list(news(message, self.clock.now_us()))
 
-    def _fetches(self) -> None:
+    def _fetches(self, discovery: EndpointDiscovery) -> None:
         failures = 0
         while True:
             with self.changed:
@@ -155,13 +158,13 @@
                 return
             try:
                 message = self._fetch()
-                self.core.discovery.on_list(news(message, self.clock.now_us()))
+                discovery.on_list(news(message, self.clock.now_us()))
                 failures = 0
             except (OSError, ProtocolError, msgspec.MsgspecError) as error:
                 failures += 1
                 told = EndpointListUnreachedError(str(error) or type(error).__name__, self.address)
                 self.notice("list_call_failed", **told.fields(), failures=failures)
-                self.core.discovery.on_list_unavailable()
+                discovery.on_list_unavailable()
                 with self.changed:
                     pause_us = endpoint_list.pause_us(failures, self.rng.random())
                     self.changed.wait_for(lambda: self.stopped, pause_us / 1e6)
--- a/packages/upstream/src/fennelcove/upstream/migration_workers.py
+++ b/packages/upstream/src/fennelcove/upstream/migration_workers.py
@@ -1,32 +1,35 @@
-"""Carries out the joins of moves on a few threads of its own."""
+"""Runs the attempts of migrations on threads of its own."""
 
 from __future__ import annotations
 
 import queue
 import threading
 
-from fennelcove.core.core import Core
 from fennelcove.core.requests import SendAttempt
+from fennelcove.core.session_migrations import SessionMigrations
 from fennelcove.upstream.attempts import AttemptSender
 
 MOST_WAITING = 4096
 
 
 class MigrationWorkers:
-    """Owns the movers: `start` them once, `stop` ends them when the joins in hand are over."""
+    """Owns the worker threads; implements `fennelcove.core.ports.MigrationSender`."""
 
-    def __init__(self, core: Core, joiner: AttemptSender, count: int) -> None:
-        self.core = core
+    def __init__(self, joiner: AttemptSender, count: int) -> None:
         self.joiner = joiner
+        self.count = count
         self.line: queue.Queue[SendAttempt | None] = queue.Queue(MOST_WAITING)
-        self.threads = [threading.Thread(target=self._run, name=f"mover-{i}") for i in range(count)]
+        self.threads: list[threading.Thread] = []
 
-    def start(self) -> None:
-        """Start the threads."""
-        for thread in self.threads:
+    def start(self, migrations: SessionMigrations) -> None:
+        """Start the threads, once; they report results to the migrations."""
+        for i in range(self.count):
+            thread = threading.Thread(target=self._run, args=(migrations,), name=f"mover-{i}")
+            self.threads.append(thread)
             thread.start()
 
     def send(self, step: SendAttempt) -> bool:
+        """Queue an attempt; False where the queue is full."""
         try:
             self.line.put_nowait(step)
             return True
@@ -34,13 +37,13 @@
             return False
 
     def stop(self) -> None:
-        """End the threads; the front's halt has ended the joins that are out."""
+        """End the threads; the front's shutdown has ended the pending attempts."""
         for _ in self.threads:
             self.line.put(None)
         for thread in self.threads:
             thread.join()
 
-    def _run(self) -> None:
+    def _run(self, migrations: SessionMigrations) -> None:
         while (step := self.line.get()) is not None:
             run = self.joiner.run(step, None)
-            self.core.migrations.on_attempt_completed(step, run.end)
+            migrations.on_attempt_completed(step, run.end)
--- a/packages/upstream/src/fennelcove/upstream/server_event_streams.py
+++ b/packages/upstream/src/fennelcove/upstream/server_event_streams.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
-from fennelcove.core.core import Core
+from fennelcove.clock.timers import Timers
 from fennelcove.core.requests import EventLogger
+from fennelcove.core.server_registry import ServerRegistry
 from fennelcove.decisions.servers.command_queue import CARRY_OUT_US
 from fennelcove.decisions.servers.load_signals import ServerHints
 from fennelcove.upstream.attempts import HintReader
@@ -31,11 +32,14 @@
 
 
 class ServerEventStreams:
-    """What the core asks of boxes: feeds opened and closed, orders sent."""
+    """Event streams and commands of servers; implements `fennelcove.core.ports.ServerGateway`.
+
+    Attach the server registry before the first stream is opened.
+    """
 
     def __init__(
         self,
-        core: Core,
+        timers: Timers,
         senders: CommandSenders,
         hints: HintReader,
         front: str,
@@ -43,7 +47,8 @@
         limits: DialLimits,
         notice: EventLogger,
     ) -> None:
-        self.core = core
+        self.registry: ServerRegistry
+        self.timers = timers
         self.senders = senders
         self.hints = hints
         self.front = front
@@ -53,10 +58,16 @@
         self.feeds: dict[str, _Feed] = {}
         self.lock = threading.Lock()
 
-    def orders_ready(self) -> None:
+    def attach(self, registry: ServerRegistry) -> None:
+        """Report the events of servers to this registry."""
+        self.registry = registry
+
+    def on_command_queued(self) -> None:
+        """A command may be ready to be sent."""
         self.senders.wake()
 
-    def open_feed(self, server: str, generation: int) -> None:
+    def open_stream(self, server: str, generation: int) -> None:
+        """Open a server's event stream on a thread of its own."""
         stream = EventStream(
             server, f"/v1/feed?front={self.front}", self.limits, CARRY_OUT_US, self.silence_us
         )
@@ -74,11 +85,10 @@
                 del self.feeds[server]
         # The core is in the middle of a step: it hears of it as of any other feed that broke, a moment later.
         self.notice("feeds_full", box=server)
-        self.core.timers.after(
-            0, lambda: self.core.server_registry.on_stream_closed(server, generation, False)
-        )
+        self.timers.after(0, lambda: self.registry.on_stream_closed(server, generation, is_refused=False))
 
-    def close_feed(self, server: str) -> None:
+    def close_stream(self, server: str) -> None:
+        """Close a server's event stream, if one is open."""
         with self.lock:
             feed = self.feeds.get(server)
         if feed is not None:
@@ -105,21 +115,19 @@
         with self.lock:
             if server in self.feeds and self.feeds[server].stream is stream:
                 del self.feeds[server]
-        self.core.server_registry.on_stream_closed(server, generation, refused)
+        self.registry.on_stream_closed(server, generation, is_refused=refused)
 
     def _take(self, server: str, generation: int, event: ServerEvent) -> None:
         try:
             if event.name == HELLO:
                 hello = _HELLO.decode(event.data)
-                self.core.server_registry.on_hello(server, generation, hello.boot, hello.held, hello.up_ms)
+                self.registry.on_hello(server, generation, hello.boot, hello.held, hello.up_ms)
             elif event.name == REPORT:
                 report = _REPORT.decode(event.data)
                 says = self.hints.says(None, report.cmsd)
-                self.core.server_registry.on_load_report(
-                    server, generation, says or ServerHints(), report.delivered
-                )
+                self.registry.on_load_report(server, generation, says or ServerHints(), report.delivered)
             elif event.name == ENDED:
                 ended = _ENDED.decode(event.data)
-                self.core.server_registry.on_session_ended(server, generation, ended.subscription, ended.join)
+                self.registry.on_session_ended(server, generation, ended.subscription, ended.join)
         except msgspec.MsgspecError as error:
             raise EventError(f"an event that is not as agreed: {error}") from None
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -12,6 +12,7 @@
 
 from fennelcove import log
 from fennelcove.clock import SystemClock
+from fennelcove.core.ports import CorePorts
 from fennelcove.http1.messages import CodecLimits, ResponseHead
 from fennelcove.http1.reader import Gatherer, Reader
 from fennelcove.daemon.front_daemon import FrontDaemon
@@ -22,6 +23,7 @@
 from fennelcove.emulators.model import BoxModel, RackModel
 from fennelcove.emulators.recorder import Record, Recorder
 from fennelcove.emulators.clients import Heard, Player
+from tests.helpers import Recorder as EffectRecorder
 
 LONGEST_S = 20.0
 SETTINGS = """
@@ -41,6 +43,12 @@
 """
 
 
+def recorded_ports() -> CorePorts:
+    """Ports of a core whose calls reach nothing."""
+    port: Any = EffectRecorder()
+    return CorePorts(port, port, port)
+
+
 def wait_for(condition: Callable[[], Any], what: str) -> Any:
     """Wait until the condition holds; the limit only ends a test that would never end."""
     event = threading.Event()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,9 +8,11 @@
 from fennelcove import log
 from fennelcove.clock import ManualClock
 from fennelcove.core.core import Core
+from fennelcove.core.ports import CorePorts
 from fennelcove.core.session_ids import SessionIds
 from fennelcove.clock.timers import Timers
 from fennelcove.core.requests import (
+    AttemptResult,
     ResponseKind,
     SessionResponse,
     SessionRequest,
@@ -45,21 +47,24 @@
         self.clock = ManualClock(10_000 * MS)
         self.timers = Timers(self.clock)
         settings = parse(SETTINGS, FrontSettings, "test")
-        self.core = Core(settings, self.clock, self.timers, log.silent, SessionIds(b"k" * 32))
         self.ports = Ports()
-        self.core.server_registry.port = self.core.discovery.source = self.core.migrations.port = self.ports
+        ports = CorePorts(self.ports, self.ports, self.ports)
+        self.core = Core(settings, self.clock, self.timers, log.silent, ports, SessionIds(b"k" * 32))
         entries = tuple(ListEntry(f"b{i}:1", "zone", "k", i, ServerState.ACTIVE, 1.0, 0) for i in range(3))
         self.core.discovery.on_list(EndpointListUpdate(1, None, entries))
         for i in range(3):
             self.core.server_registry.on_hello(f"b{i}:1", i + 1, f"boot{i}", [])
 
     def ask(self, room: str = "free", **changes: Any) -> tuple[Session, SendAttempt]:
-        session, step = self.core.request_session(SessionRequest("t1", room, **changes))
+        outcome = self.core.request_session(SessionRequest("t1", room, **changes))
+        session, step = outcome.session, outcome.step
         assert session is not None and isinstance(step, SendAttempt)
         return session, step
 
     def over(self, step: SendAttempt, outcome: Outcome, says: ServerHints | None = None) -> NextStep | None:
-        return self.core.on_attempt_completed(step.session, step.attempt, outcome, says, 5 * MS)
+        return self.core.on_attempt_completed(
+            step.session, step.attempt, AttemptResult(outcome, says, 5 * MS)
+        )
 
     def play(self, room: str = "free", **changes: Any) -> Session:
         session, step = self.ask(room, **changes)
@@ -71,7 +76,7 @@
         found = []
         while (order := self.core.commands.next_command()[0]) is not None:
             found.append((order.id, order.rung))
-            self.core.commands.on_command_completed(order, True)
+            self.core.commands.on_command_completed(order, is_successful=True)
         return found
 
     def test_served_in_the_very_instant_of_the_timeout_counts_as_given_up(self) -> None:
@@ -168,10 +173,10 @@
     def test_a_silent_viewer_is_let_go(self) -> None:
         session = self.play()
         self.clock.advance(59_999 * MS)
-        self.core.close_silent_sessions()
+        self.core.client_reports.close_silent_sessions()
         self.assertIn(session.id, self.core.sessions)
         self.clock.advance(1 * MS)
-        self.core.close_silent_sessions()
+        self.core.client_reports.close_silent_sessions()
         self.assertEqual(self.core.close_reason(session.id), "its viewer fell silent")
         self.assertEqual(self.orders(), [(session.id, None)])
         self.assertEqual((self.core.admission_controller.held, self.core.policy.sessions), (0, {}))
--- a/tests/test_fair_door.py
+++ b/tests/test_fair_door.py
@@ -27,7 +27,7 @@
         self.recorder.records.clear()
 
     def slots(self) -> Any:
-        return self.front.core.slots
+        return self.front.core.slots.scheduler
 
     def test_set_ups_past_the_slots_wait_and_no_more_are_out(self) -> None:
         self.begin_fair(50)
@@ -108,7 +108,7 @@
         self.boxes[0].pace = Pace(60)
         box = self.boxes[0].address
         # A life that begins has no part of a box until its first look: who comes before is refused.
-        status: Any = self.front.core.status
+        status: Any = lambda: self.front.core.status().to_json_fields()  # noqa: E731
         wait_for(lambda: status()["slots"]["boxes"].get(box, {}).get("here"), "a part")
         self.ask()
         threads = [threading.Thread(target=self.ask) for _ in range(8)]
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -188,7 +188,7 @@
     def test_a_watched_front_answers_as_ever_and_tells_its_counts(self) -> None:
         self.begin(watch=ShapeSettings(switch_cost_ms=500, goal=Goal(worst_room_type=0.5)))
         self.assertEqual(self.ask().status, 201)
-        told = self.front.core.status()["watch"]
+        told = self.front.core.status().to_json_fields()["watch"]
         assert isinstance(told, dict)
         self.assertGreaterEqual(told["same"], 1)
 
--- a/tests/test_slots_front.py
+++ b/tests/test_slots_front.py
@@ -18,7 +18,7 @@
     BOXES = 1
 
     def shown(self) -> Any:
-        return self.front.core.status()["slots"]
+        return self.front.core.status().to_json_fields()["slots"]
 
     def test_no_more_are_out_than_the_number_and_the_rest_is_refused_at_once(self) -> None:
         self.begin(slots=SlotSettings(start=2, most=2))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -462,11 +462,15 @@
         from fennelcove.clock.timers import Timers
         from fennelcove.settings.reader import parse
         from fennelcove.settings.schema import FrontSettings
-        from tests.rig import SETTINGS
+        from tests.rig import SETTINGS, recorded_ports
 
         clock = ManualClock(100 * SECOND, 10**15)
         core = Core(
-            parse(SETTINGS, FrontSettings, "test"), clock, Timers(clock), lambda event, **fields: None
+            parse(SETTINGS, FrontSettings, "test"),
+            clock,
+            Timers(clock),
+            lambda event, **fields: None,
+            recorded_ports(),
         )
         core.policy.handle(ServerSnapshot("nobody", 1, 1, 1), clock.now_us())
         core.policy.handle(BudgetSnapshot((30, 20, 10), (5,)), clock.now_us())
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -38,7 +38,7 @@
 from fennelcove.settings.reader import parse
 from fennelcove.settings.schema import FrontSettings, StormSettings
 from fennelcove.emulators.recorder import Record
-from tests.rig import SETTINGS
+from tests.rig import SETTINGS, recorded_ports
 
 SECOND = 1_000_000
 KEY, OTHER = mac(b"k" * 32), mac(b"o" * 32)
@@ -353,19 +353,20 @@
 
     def made(self, key: bytes) -> Core:
         told = replace(parse(SETTINGS, FrontSettings, "test"), storm=StormSettings(damping=True))
-        return Core(told, self.clock, Timers(self.clock), silent, SessionIds(key * 32))
+        return Core(told, self.clock, Timers(self.clock), silent, recorded_ports(), SessionIds(key * 32))
 
     def ask(self, client: str, place: str | None = None, again: bool = True) -> SessionResponse:
-        session, step = self.core.request_session(
+        outcome = self.core.request_session(
             SessionRequest("t1", "free", client=client, again=again, place=place)
         )
+        session, step = outcome.session, outcome.step
         assert isinstance(step, SessionResponse)
         self.assertEqual(
             (self.core.admission_controller.waiting, self.core.admission_controller.held),
             (1 if session else 0, 0),
         )
         if session is not None:
-            self.core.on_response_sent(session)
+            self.core.on_response_ready(session)
         return step
 
     def test_a_place_is_kept_while_it_is_early_honoured_when_due_and_once(self) -> None:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -205,7 +205,7 @@
         self.assertEqual(self.get(f"/v1/subscriptions/{id}", method="DELETE").status, 204)
         self.wait_seen("released", subscription=id, box=view.body["box"], held=True)
         wait_for(
-            lambda: not self.front.core.policy.sessions and not self.front.core.sessions_by_policy_id,
+            lambda: not self.front.core.policy.sessions and not self.front.core.lifecycle.by_module,
             "nothing held",
         )
 
@@ -216,7 +216,7 @@
         wait_for(lambda: self.front.core.counts.get("moves_given_up"), "the move given up")
         self.assertEqual(len(self.seen("set_up", subscription=id)), 1)
         self.assertEqual(self.get(f"/v1/subscriptions/{id}").body["box"], old.address)
-        wait_for(lambda: not self.front.core.migrations.may_tell(old.address), "the end of the grace")
+        wait_for(lambda: not self.front.core.draining.may_command(old.address), "the end of the grace")
         # Past the grace the old box hears nothing more from this front, not even a release.
         self.assertEqual(self.get(f"/v1/subscriptions/{id}", method="DELETE").status, 204)
         self.assertEqual(self.front.core.commands.queue.count, 0)
@@ -332,7 +332,7 @@
     def test_a_budget_of_the_whole_fleet_holds_at_one_front_alone(self) -> None:
         self.begin(rules={"ramp_ms": 0.0}, overload=OverloadSettings(enabled=False, further_joins_s=0.001))
         self.assertEqual(self.joins_that_reached_boxes(3), [2, 1, 1])
-        told = self.front.core.status()["budgets"]
+        told = self.front.core.status().to_json_fields()["budgets"]
         assert isinstance(told, dict)
         self.assertEqual(told["further_join"]["spent"], 1)
 
