--- a/packages/core/src/fennelcove/core/command_queue.py
+++ b/packages/core/src/fennelcove/core/command_queue.py
@@ -5,8 +5,10 @@
 from fennelcove.core.context import CoreContext
 from fennelcove.core.draining_servers import DrainingServers
 from fennelcove.core.ports import ServerGateway
-from fennelcove.core.requests import AttemptTarget, Session
+from fennelcove.core.requests import AttemptTarget, SendAttempt, Session
+from fennelcove.decisions.servers import attempt_exchange
 from fennelcove.decisions.servers.command_queue import Command, CommandQueue
+from fennelcove.interface import Outcome
 
 
 class CommandDispatcher:
@@ -28,6 +30,11 @@
         """Like `send`, for an attempt whose session may be closed."""
         self.put(Command(server, session_id, attempt, rung))
 
+    def release_after(self, step: SendAttempt, outcome: Outcome) -> None:
+        """Release an attempt that nobody needs, where its server may hold it after this outcome."""
+        if attempt_exchange.may_need_release(outcome):
+            self.send_to(step.server, step.session.id, step.attempt, None)
+
     def put(self, command: Command) -> None:
         """Queue a command, unless its server drains and its grace period is over."""
         if self.draining.may_command(command.server):
--- a/packages/core/src/fennelcove/core/draining_servers.py
+++ b/packages/core/src/fennelcove/core/draining_servers.py
@@ -32,6 +32,10 @@
         self._since_us: dict[str, int] = {}
         self._departed: set[str] = set()
 
+    def is_draining(self, server: str) -> bool:
+        """Whether a server drains or has left."""
+        return server in self._since_us
+
     def may_command(self, server: str) -> bool:
         """Whether commands may still be sent to a server: not after its grace period."""
         since_us = self._since_us.get(server)
--- a/packages/core/src/fennelcove/core/server_registry.py
+++ b/packages/core/src/fennelcove/core/server_registry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from fennelcove.core.context import CoreContext
@@ -11,12 +11,12 @@
 from fennelcove.core.requests import Session
 from fennelcove.core.server_record import ServerRecord
 from fennelcove.core.server_reports import ServerReports
+from fennelcove.core.server_streams import ServerStreams
 from fennelcove.core.session_adoption import SessionAdoption
 from fennelcove.core.session_lifecycle import SessionLifecycle
 from fennelcove.decisions.clients.session_lifecycle import SessionEvent
 from fennelcove.decisions.fleet import recovery_admission
-from fennelcove.decisions.servers import event_stream
-from fennelcove.decisions.servers.event_stream import StreamAction, StreamEvent
+from fennelcove.decisions.servers.event_stream import StreamEvent
 from fennelcove.decisions.servers.load_signals import ServerHints
 from fennelcove.interface import ListUpdate, ReportKind, ServerState
 from fennelcove.wire.boxes import Held
@@ -53,27 +53,17 @@
         reports: ServerReports,
     ) -> None:
         self.context = context
-        self.gateway = gateway
         self.opening = recovery
         self.lifecycle = lifecycle
         self.adoption = adoption
         self.reports = reports
         self.records: dict[str, ServerRecord] = {}
-        self.generation_count = 0
+        self.streams = ServerStreams(context, gateway, self.records, self)
         self.greeted_attempts: frozenset[tuple[str, int]] = frozenset()
         self.greeters: set[str] = set()
         self.heard_up: Callable[[str, float | None], None] = lambda address, up_ms: None
         self.recovery_finished = threading.Event()
         self._loss_handler: ServerLossHandler
-        self._stream_handlers: dict[StreamAction, Callable[[ServerRecord], None]] = {
-            StreamAction.OPEN_FEED: self._open_stream,
-            StreamAction.CLOSE_FEED: self._close_stream,
-            StreamAction.PAUSE: self._schedule_reopen,
-            StreamAction.LINGER: self._schedule_expiry,
-            StreamAction.FORGET: self._remove,
-            StreamAction.LOSE_ALL: self._report_all_lost,
-            StreamAction.LOSE_UNKNOWN: self._report_unknown_lost,
-        }
 
     def bind_loss_handler(self, handler: ServerLossHandler) -> None:
         """Report lost sessions to this handler."""
@@ -90,7 +80,7 @@
         server = self.records.setdefault(session.server, ServerRecord(session.server))
         server.sessions[session.id] = session
         if len(server.sessions) == 1:
-            self._apply(server, StreamEvent.HELD)
+            self.streams.apply(server, StreamEvent.HELD)
 
     def on_session_closed(self, session: Session) -> None:
         """A session plays at its server no more, if it ever did."""
@@ -99,7 +89,7 @@
             return
         server.delivery.forget(session.id)
         if not server.sessions:
-            self._apply(server, StreamEvent.NONE_HELD)
+            self.streams.apply(server, StreamEvent.NONE_HELD)
 
     def greet_all(self, update: ListUpdate, now_us: int) -> None:
         """Open the streams of all servers of a list: each reports what it still holds for this front."""
@@ -107,7 +97,7 @@
         self.opening.listed(addresses, now_us)
         for address in sorted(addresses):
             server = self.records.setdefault(address, ServerRecord(address))
-            self._run(server, server.stream.apply(StreamEvent.HELD, now_us))
+            self.streams.apply(server, StreamEvent.HELD)
 
     def wait_until_recovered(self) -> None:
         """Block until every server has reported its sessions, or the time for that is over."""
@@ -135,7 +125,7 @@
             self.greeters.add(address)
             self.heard_up(address, up_ms)
             self.greeted_attempts = frozenset((item.subscription, item.join) for item in held)
-            self._run(server, server.stream.greet(boot, now_us))
+            self.streams.greet(server, boot)
             for item in held:
                 session = self.adoption.claim(address, item)
                 if session is not None:
@@ -175,7 +165,7 @@
                 return
             now_us = self.context.now_us()
             event = StreamEvent.REFUSED if is_refused else StreamEvent.CUT
-            self._run(server, server.stream.apply(event, now_us))
+            self.streams.apply(server, event)
             if is_refused:
                 self._finish_greeting(server, now_us)
 
@@ -186,52 +176,14 @@
     def _finish_greeting(self, server: ServerRecord, now_us: int) -> None:
         self.opening.settled(server.address, now_us)
         if not server.sessions and self.records.get(server.address) is server:
-            self._run(server, server.stream.apply(StreamEvent.NONE_HELD, now_us))
+            self.streams.apply(server, StreamEvent.NONE_HELD)
         if self.opening.accounted:
             self.recovery_finished.set()
 
-    # The stream's state machine.
+    # Losses, reported by the streams.
 
-    def _apply(self, server: ServerRecord, event: StreamEvent) -> None:
-        self._run(server, server.stream.apply(event, self.context.now_us()))
-
-    def _run(self, server: ServerRecord, actions: Iterable[StreamAction]) -> None:
-        for action in actions:
-            self._stream_handlers[action](server)
-
-    def _open_stream(self, server: ServerRecord) -> None:
-        self.generation_count += 1
-        server.generation = self.generation_count
-        server.stream_opened_us = self.context.now_us()
-        self.gateway.open_stream(server.address, server.generation)
-
-    def _close_stream(self, server: ServerRecord) -> None:
-        self.gateway.close_stream(server.address)
-
-    def _schedule_expiry(self, server: ServerRecord) -> None:
-        server.idle_count += 1
-        idle_count = server.idle_count
-
-        def expire() -> None:
-            with self.context.lock:
-                is_current = self.records.get(server.address) is server and server.idle_count == idle_count
-                if is_current and not server.sessions:
-                    self._apply(server, StreamEvent.EXPIRED)
-
-        self.context.timers.after(event_stream.LINGER_US, expire)
-
-    def _schedule_reopen(self, server: ServerRecord) -> None:
-        def reopen() -> None:
-            with self.context.lock:
-                if self.records.get(server.address) is server:
-                    self._apply(server, StreamEvent.RETRY)
-
-        self.context.timers.after(server.stream.pause_us(self.context.rng.random()), reopen)
-
-    def _remove(self, server: ServerRecord) -> None:
-        self.records.pop(server.address, None)
-
-    def _report_all_lost(self, server: ServerRecord) -> None:
+    def on_all_lost(self, server: ServerRecord) -> None:
+        """A server is lost with all its sessions."""
         if server.sessions:
             self.context.notice("box_lost", box=server.address, subscriptions=len(server.sessions))
         else:
@@ -239,7 +191,8 @@
         for session in list(server.sessions.values()):
             self._loss_handler.on_server_lost(session)
 
-    def _report_unknown_lost(self, server: ServerRecord) -> None:
+    def on_unreported_lost(self, server: ServerRecord) -> None:
+        """A server has restarted: it lost the sessions that it does not report."""
         for session in list(server.sessions.values()):
             target = session.home
             is_unknown = target is None or (session.id, target.attempt) not in self.greeted_attempts
--- a/packages/core/src/fennelcove/core/session_migrations.py
+++ b/packages/core/src/fennelcove/core/session_migrations.py
@@ -24,7 +24,6 @@
     MigrationTurns,
     SessionMigration,
 )
-from fennelcove.decisions.servers import attempt_exchange
 from fennelcove.interface import MigrationRequested, Outcome, SessionStarted
 from fennelcove.placement import PlacementPolicy
 
@@ -166,31 +165,25 @@
             self.slots.release(session, step.attempt, result.outcome)
             self.slots.start_waiting()
             target = pending if pending is not None and pending.attempt == step.attempt else None
-            if target is None or not self._is_attempting(session):
+            state = self.migrations.get(session.id)
+            is_attempting = state is not None and state.stage is MigrationState.MAKING
+            if target is None or not is_attempting:
                 self._discard_result(step, target, result)
                 return
             session.last_result = result
             if result.outcome is Outcome.SERVED:
                 self._apply(session, MigrationEvent.MADE)
             else:
-                self._release_if_needed(step, result)
+                self.commands.release_after(step, result.outcome)
                 self._apply(session, MigrationEvent.FAILED)
 
-    def _is_attempting(self, session: Session) -> bool:
-        state = self.migrations.get(session.id)
-        return state is not None and state.stage is MigrationState.MAKING
-
     def _discard_result(self, step: SendAttempt, target: AttemptTarget | None, result: AttemptResult) -> None:
         """The migration ended before its attempt: nobody needs what the server began."""
-        self._release_if_needed(step, result)
+        self.commands.release_after(step, result.outcome)
         if target is not None:
             step.session.pending_target = None
             self.lifecycle.report_attempt(target, result, is_finished=True)
 
-    def _release_if_needed(self, step: SendAttempt, result: AttemptResult) -> None:
-        if attempt_exchange.may_need_release(result.outcome):
-            self.commands.send_to(step.server, step.session.id, step.attempt, None)
-
     # Actions of the transition table.
 
     def _queue(self, session: Session, state: SessionMigration) -> None:
@@ -228,25 +221,18 @@
             self.reports.forward_hints(session, result.hints)
         self.notifier.on_migrated(session)
         self.context.tally("moves_made")
-        self._log_migrated(session, old, new, state, now_us)
+        self._log_migrated(session, old.server, state)
         self.context.timers.after(0, self.run_due)
 
-    def _log_migrated(
-        self,
-        session: Session,
-        old: AttemptTarget,
-        new: AttemptTarget,
-        state: SessionMigration,
-        now_us: int,
-    ) -> None:
-        waited_ms = (now_us - state.since_us) / 1000 if state.since_us else 0.0
+    def _log_migrated(self, session: Session, old_server: str, state: SessionMigration) -> None:
+        waited_us = session.established_us - state.since_us if state.since_us else 0
         self.context.notice(
             "subscription_moved",
             subscription=session.id,
-            from_box=old.server,
-            box=new.server,
+            from_box=old_server,
+            box=session.server,
             rung=session.rung,
-            waited_ms=waited_ms,
+            waited_ms=waited_us / 1000,
         )
 
     def _report_failed(self, session: Session, state: SessionMigration) -> None:
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -196,7 +196,7 @@
             },
         )
         with self.front.core.lock:
-            self.front.core.set_rung(values["subscription"], 0)
+            self.front.core.effects.set_rung(values["subscription"], 0)
         self.assertEqual(client.call("on-release", values)["type"], "released")
 
     def test_a_front_that_says_more_than_its_description_is_caught(self) -> None:
--- a/tests/test_socket_door.py
+++ b/tests/test_socket_door.py
@@ -96,7 +96,7 @@
         id = self.plays(player)["state"]["id"]
         session = self.front.core.sessions[id]
         with self.front.core.lock:
-            self.front.core.set_rung(id, 1 if session.rung != 1 else 0)
+            self.front.core.effects.set_rung(id, 1 if session.rung != 1 else 0)
         first = player.news("rung")
         self.assertEqual((first["subscription"], first["number"]), (id, 1))
         old = session.server
@@ -116,8 +116,8 @@
         first.hang_up()
         wait_for(lambda: self.owners()[id].owner is None, "the orphan")
         with self.front.core.lock:
-            self.front.core.set_rung(id, 1)
-            self.front.core.set_rung(id, 0)
+            self.front.core.effects.set_rung(id, 1)
+            self.front.core.effects.set_rung(id, 0)
         second = self.connect()
         told = second.ask("resume", subscription=id, seen=0)
         self.assertEqual((told["type"], told["missed"], told["state"]["rung"]), ("resumed", 2, 0))
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -263,9 +263,9 @@
         ids = [self.ask("once").body["id"] for _ in range(3)]
         old = self.home(ids[0])
         self.drain(old)
-        wait_for(lambda: old.address in self.front.core.migrations.drained, "the drain")
+        wait_for(lambda: self.front.core.draining.is_draining(old.address), "the drain")
         self.drain(old, "active")
-        wait_for(lambda: old.address not in self.front.core.migrations.drained, "the end of the drain")
+        wait_for(lambda: not self.front.core.draining.is_draining(old.address), "the end of the drain")
         self.assertEqual(self.get(f"/v1/subscriptions/{ids[0]}", method="DELETE").status, 204)
         self.wait_seen("released", subscription=ids[0], held=True)
 
