--- a/packages/errors/src/fennelcove/errors/__main__.py
+++ b/packages/errors/src/fennelcove/errors/__main__.py
@@ -20,6 +20,7 @@
 """
 # Whoever calls acts on these; no operator hears of them under their names.
 APART = {
+    "fennelcove.core.requests.SessionStateError": "a fault of the program, which is logged",
     "fennelcove.ingress.connection.TooSlow": "the connection is answered 408 and closed",
     "fennelcove.fleet.asker._Ended": "one front's part of a command: shown as that front's row of the table",
     "fennelcove.hints.fields.FieldError": "the header field is passed over, as its specification has it",
