Log events of sessions, servers and endpoint lists are named by the field's terms

Cause: list_taken, list_refused, box_lost, subscription_moved, move_given_up, move_asked and turned used withdrawn words.

--- a/packages/cli/src/fennelcove/log.py
+++ b/packages/cli/src/fennelcove/log.py
@@ -15,14 +15,14 @@
 WARNINGS = frozenset(
     {
         "accept_failed",
-        "box_lost",
+        "server_lost",
         "feed_broken",
         "feeds_full",
         "list_call_failed",
-        "list_refused",
+        "endpoint_list_rejected",
         "ledger_line_passed_over",
         "list_stream_broken",
-        "move_given_up",
+        "migration_abandoned",
     }
 )
 ERRORS = frozenset({"connection_failed", "subscription_failed", "timer_failed"})
--- a/packages/core/src/fennelcove/core/admission.py
+++ b/packages/core/src/fennelcove/core/admission.py
@@ -103,7 +103,7 @@
         """Drain this front, or open it again, at an operator's command."""
         with self.context.lock:
             state = self.controller.turn(event).name.lower()
-            self.context.notice("turned", turn=event.name.lower(), phase=state)
+            self.context.notice("admission_state_changed", turn=event.name.lower(), phase=state)
             return AdmissionStatus(self.front_name, state, self.controller.held, self.controller.waiting)
 
     def reserve_buffer(self, more_bytes: int) -> bool:
--- a/packages/core/src/fennelcove/core/endpoint_discovery.py
+++ b/packages/core/src/fennelcove/core/endpoint_discovery.py
@@ -64,7 +64,7 @@
             if verdict.update is not None:
                 self._accept(verdict.update, message.version, is_first=is_first)
             elif verdict.ruling is ListDecision.REFUSED:
-                self.context.notice("list_refused", version=message.version, reason=verdict.reason)
+                self.context.notice("endpoint_list_rejected", version=message.version, reason=verdict.reason)
             if verdict.ruling is ListDecision.GAP:
                 self.source.fetch()
             return verdict.ruling
@@ -78,7 +78,7 @@
             self.server_registry.greet_all(update, now_us)
         self.snapshots.listed()
         self.migrations.on_list(now_us)
-        self.context.notice("list_taken", version=version, boxes=len(update.entries))
+        self.context.notice("endpoint_list_accepted", version=version, boxes=len(update.entries))
 
     def on_list_unavailable(self) -> None:
         """A call to the list service, or its stream, failed."""
--- a/packages/core/src/fennelcove/core/policy_effects.py
+++ b/packages/core/src/fennelcove/core/policy_effects.py
@@ -137,7 +137,7 @@
 
     def migrate(self, id: str) -> None:
         """Log that the policy would move a session."""
-        self.context.notice("move_asked", subscription=id)
+        self.context.notice("migration_suggested", subscription=id)
 
     def probe(self, server: str) -> None:
         """Probe a server's load."""
--- a/packages/core/src/fennelcove/core/server_registry.py
+++ b/packages/core/src/fennelcove/core/server_registry.py
@@ -185,7 +185,7 @@
     def on_all_lost(self, server: ServerRecord) -> None:
         """A server is lost with all its sessions."""
         if server.sessions:
-            self.context.notice("box_lost", box=server.address, subscriptions=len(server.sessions))
+            self.context.notice("server_lost", box=server.address, subscriptions=len(server.sessions))
         else:
             self._finish_greeting(server, self.context.now_us())
         for session in list(server.sessions.values()):
--- a/packages/core/src/fennelcove/core/session_migrations.py
+++ b/packages/core/src/fennelcove/core/session_migrations.py
@@ -227,7 +227,7 @@
     def _log_migrated(self, session: Session, old_server: str, state: SessionMigration) -> None:
         waited_us = session.established_us - state.since_us if state.since_us else 0
         self.context.notice(
-            "subscription_moved",
+            "session_migrated",
             subscription=session.id,
             from_box=old_server,
             box=session.server,
@@ -254,7 +254,7 @@
 
     def _give_up(self, session: Session, state: SessionMigration) -> None:
         self.context.tally("moves_given_up")
-        self.context.notice("move_given_up", subscription=session.id, box=session.server)
+        self.context.notice("migration_abandoned", subscription=session.id, box=session.server)
 
     def _close_session(self, session: Session, state: SessionMigration) -> None:
         what = "was lost" if state.lost else "has left"
--- a/packages/upstream/src/fennelcove/upstream/endpoint_list_client.py
+++ b/packages/upstream/src/fennelcove/upstream/endpoint_list_client.py
@@ -141,7 +141,9 @@
             try:
                 message = _MESSAGE.decode(event.data)
             except msgspec.MsgspecError as error:
-                self.notice("list_refused", **EndpointListUnreadableError(str(error), self.address).fields())
+                self.notice(
+                    "endpoint_list_rejected", **EndpointListUnreadableError(str(error), self.address).fields()
+                )
                 raise EventError(f"a list that is not as agreed: {error}") from None
             discovery.on_list(news(message, self.clock.now_us()))
 
