--- a/packages/core/src/fennelcove/core/__init__.py
+++ b/packages/core/src/fennelcove/core/__init__.py
@@ -1,1 +1,1 @@
-"""The one core behind every door: events in, verdicts out, one lock round one Front of the module."""
+"""The core of one front: events of clients and servers in, commands out, under one lock."""
--- a/packages/core/src/fennelcove/core/assembly.py
+++ b/packages/core/src/fennelcove/core/assembly.py
@@ -116,9 +116,13 @@
         self.probes = ProbeCoordinator(context, self.policy)
         self.seat_leases = SeatLeaseManager(context, self.catalogue, self.lifecycle)
         self.views = SessionViews(self.expiry, self.seat_leases)
-        max_sessions = settings.websocket.subscriptions
         self.notifier = ClientNotifier(
-            context, max_sessions, self.requires_token, self.lifecycle, self.expiry, self.views
+            context,
+            self.lifecycle,
+            self.expiry,
+            self.views,
+            max_sessions=settings.websocket.subscriptions,
+            requires_token=self.requires_token,
         )
         self.content = ContentInsertion(
             context,
--- a/packages/core/src/fennelcove/core/client_notifier.py
+++ b/packages/core/src/fennelcove/core/client_notifier.py
@@ -105,11 +105,12 @@
     def __init__(
         self,
         context: CoreContext,
-        max_sessions: int,
-        requires_token: bool,
         lifecycle: SessionLifecycle,
         expiry: SessionExpiry,
         views: SessionViews,
+        *,
+        max_sessions: int,
+        requires_token: bool,
     ) -> None:
         self.context = context
         self.max_sessions = max_sessions
--- a/packages/core/src/fennelcove/core/policy_effects.py
+++ b/packages/core/src/fennelcove/core/policy_effects.py
@@ -76,10 +76,10 @@
         now_us = self.context.now_us()
         session.out_sent_us = NOT_SENT_US if is_blocked else now_us
         if session.home is not None:
-            targets.migrations.send_attempt(self._attempt(session, target, allow_us, is_blocked))
+            targets.migrations.send_attempt(_send_attempt(session, target, allow_us, is_blocked=is_blocked))
             return
         timeout_us = max(1, min(allow_us, session.give_up_us - now_us))
-        session.step = self._attempt(session, target, timeout_us, is_blocked)
+        session.step = _send_attempt(session, target, timeout_us, is_blocked=is_blocked)
         targets.lifecycle.apply(session, SessionEvent.JOIN)
 
     def _may_send(self, session: Session, target: AttemptTarget) -> bool:
@@ -91,13 +91,6 @@
             return False
         return self._targets.slots.acquire(session, target.server, target.attempt)
 
-    def _attempt(
-        self, session: Session, target: AttemptTarget, timeout_us: int, is_blocked: bool
-    ) -> SendAttempt:
-        return SendAttempt(
-            session, target.attempt, target.server, session.pending_rung, timeout_us, is_blocked
-        )
-
     def set_rung(self, id: str, rung: int) -> None:
         """Play a session at this rung, or its pending attempt where the id is that of a migration."""
         session = self._targets.lifecycle.by_module[id]
@@ -163,3 +156,9 @@
     def fetch_list(self) -> None:
         """Request the endpoint list once."""
         self._targets.endpoint_list.fetch()
+
+
+def _send_attempt(
+    session: Session, target: AttemptTarget, timeout_us: int, *, is_blocked: bool
+) -> SendAttempt:
+    return SendAttempt(session, target.attempt, target.server, session.pending_rung, timeout_us, is_blocked)
--- a/packages/core/src/fennelcove/core/requests.py
+++ b/packages/core/src/fennelcove/core/requests.py
@@ -30,8 +30,8 @@
 
     Attributes:
         client: the client's own id (CMCD `sid`); empty where it gives none.
-        again: whether the client marks this as a retry.
-        place: the queue ticket of an earlier rejection.
+        is_retry: whether the client marks this as a retry.
+        queue_ticket: the queue ticket of an earlier rejection.
         idempotency_key: the client's own key for this request; sent twice, the request runs once.
         expected_watch_us: for how long the client will watch, by its own estimate.
     """
@@ -83,17 +83,17 @@
     """One session of a client, from its request until it is closed.
 
     Attributes:
-        floor: the lowest rung that its service class allows.
+        floor_rung: the lowest rung that its service class allows.
         rates_kb: the rate of each rung, in kB a second.
         received_us: when the request was received.
-        give_up_us: when the front gives up to establish it.
-        top: the highest rung that the client's own measure allows.
+        deadline_us: when the front stops trying to establish it.
+        top_rung: the highest rung that the client's own measure allows.
         attempt_count: how many attempts were started.
-        home: where it plays.
+        current_target: where it plays.
         pending_target: where an attempt is pending, the first one or that of a migration.
-        adrift: whether its server is lost and a migration to another one is under way.
-        out_sent_us: when the pending attempt was sent; -1 where it was blocked.
-        step: what to do next; taken by whoever runs the session's request.
+        is_orphaned: whether its server is lost and a migration to another one is under way.
+        attempt_sent_us: when the pending attempt was sent; -1 where it was blocked.
+        next_step: what to do next; taken by whoever runs the session's request.
     """
 
     id: str
@@ -137,7 +137,7 @@
             raise SessionStateError(f"session {self.id} ({self.state.name}) has no attempt result")
         return self.last_result
 
-    def required_home(self) -> AttemptTarget:
+    def required_current_target(self) -> AttemptTarget:
         """Where it plays.
 
         Raises:
@@ -219,7 +219,7 @@
         retry_after_us: after how long the client may retry.
         retry_until_us: until when its queue ticket is valid, counted from now.
         queue_ticket: a signed ticket to retry with.
-        standing: how the client's own ticket was judged, where tickets decide.
+        ticket_status: how the client's own ticket was judged, where tickets decide.
     """
 
     kind: ResponseKind
--- a/packages/core/src/fennelcove/core/server_registry.py
+++ b/packages/core/src/fennelcove/core/server_registry.py
@@ -37,9 +37,9 @@
     The core's lock guards it.
 
     Attributes:
-        opening: the recovery of this front's sessions after its start.
-        greeters: the servers that have reported their sessions to this incarnation.
-        heard_up: receives a server's address and its uptime in milliseconds, where it reports that.
+        recovery: the recovery of this front's sessions after its start.
+        greeted_servers: the servers that have reported their sessions to this incarnation.
+        on_uptime: receives a server's address and its uptime in milliseconds, where it reports that.
         greeted_attempts: session ids and attempts in the greeting that is being processed.
     """
 
--- a/packages/core/src/fennelcove/core/session_lifecycle.py
+++ b/packages/core/src/fennelcove/core/session_lifecycle.py
@@ -23,8 +23,8 @@
     """Finds sessions by id and applies events to them. Bind the action handlers before the first event.
 
     Attributes:
-        held: sessions by their id.
-        by_module: sessions by the id under which the policy knows them; a migration has one of its own.
+        sessions: sessions by their id.
+        by_policy_id: sessions by the id under which the policy knows them; a migration has one of its own.
         close_reasons: why the sessions closed last were closed, by session id.
     """
 
--- a/packages/core/src/fennelcove/core/session_migrations.py
+++ b/packages/core/src/fennelcove/core/session_migrations.py
@@ -191,7 +191,7 @@
         self.context.timers.after(0, self.run_due)
 
     def _request_target(self, session: Session, state: SessionMigration) -> None:
-        current = session.required_home()
+        current = session.required_current_target()
         session.migration_count += 1
         policy_id = f"{session.id}~{session.migration_count}"
         self.lifecycle.by_module[policy_id] = session
@@ -201,7 +201,7 @@
         self.policy.handle(request, self.context.now_us())
 
     def _switch(self, session: Session, state: SessionMigration) -> None:
-        old = session.required_home()
+        old = session.required_current_target()
         result = session.required_result()
         now_us = self.context.now_us()
         if not session.adrift:
