A test holds the names and the order of the status JSON

Cause: the status has a type now; its JSON is fixed. Change: one test over the sixteen names; none changed.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -79,6 +79,13 @@
             self.core.commands.on_command_completed(order, is_successful=True)
         return found
 
+    def test_the_status_keeps_the_names_and_the_order_of_its_json(self) -> None:
+        self.core.status_reporter.add_section("zeta", lambda: 1)
+        self.core.status_reporter.add_section("alpha", lambda: None)
+        names = "front boot phase connections waiting held boxes_playing orders_waiting sockets list_version"
+        names += " list_age_ms storm counts watch zeta alpha"
+        self.assertEqual(list(self.core.status().to_json_fields()), names.split())
+
     def test_served_in_the_very_instant_of_the_timeout_counts_as_given_up(self) -> None:
         session, step = self.ask(client_timeout_us=1000 * MS)
         self.assertEqual(session.give_up_us, self.clock.now_us() + 900 * MS)
