--- a/packages/core/src/fennelcove/core/session_adoption.py
+++ b/packages/core/src/fennelcove/core/session_adoption.py
@@ -56,7 +56,7 @@
             The session that plays there from now on; None where none does, or it was known already.
         """
         session = self.lifecycle.held.get(held.subscription)
-        known = self._known_session(session, held) if session is not None else None
+        known = _known_session(session, held) if session is not None else None
         fits = self._fits_settings(held)
         has_free_seat = fits and self._has_free_seat(held.title, held.room_type)
         is_issued_here = self.session_ids.is_issued_here(held.subscription)
@@ -73,16 +73,6 @@
             return None
         return self._adopt(address, held)
 
-    def _known_session(self, session: Session, held: Held) -> reconciliation.KnownSession | None:
-        """What this front knows of the session that a server reports."""
-        pending = session.pending_target
-        is_pending = pending is not None and pending.attempt == held.join
-        target = pending if is_pending else session.home or pending
-        if target is None:
-            return None
-        state = SessionState.JOINING if target is pending else session.state
-        return reconciliation.KnownSession(state, target.attempt, target.server)
-
     def _fits_settings(self, held: Held) -> bool:
         service_class = self.catalogue.service_classes.get(held.room_type)
         if service_class is None or held.title not in self.catalogue.titles:
@@ -137,3 +127,14 @@
             may_be_held_by_server=True,
             established_us=now_us,
         )
+
+
+def _known_session(session: Session, held: Held) -> reconciliation.KnownSession | None:
+    """What this front knows of the session that a server reports."""
+    pending = session.pending_target
+    is_pending = pending is not None and pending.attempt == held.join
+    target = pending if is_pending else session.home or pending
+    if target is None:
+        return None
+    state = SessionState.JOINING if target is pending else session.state
+    return reconciliation.KnownSession(state, target.attempt, target.server)
--- a/packages/core/src/fennelcove/core/session_migrations.py
+++ b/packages/core/src/fennelcove/core/session_migrations.py
@@ -86,19 +86,11 @@
         """The server of a session is lost: move it where that is safe, or close it."""
         if session.state is not SessionState.PLAYING:
             return
-        if self._may_rescue(session):
+        if _may_rescue(session, self.policy):
             self._apply(session, MigrationEvent.LOST)
         else:
             self.lifecycle.apply(session, SessionEvent.BOX_LOST)
 
-    def _may_rescue(self, session: Session) -> bool:
-        effect = self.policy.settings.service_classes[session.service_class].effect
-        return (
-            session.home is not None
-            and migration.may_rescue(effect, adopted=session.ask is None)
-            and session.home.policy_id in self.policy.sessions
-        )
-
     def on_session_closed(self, session: Session) -> None:
         """Forget a session's migration; a pending attempt is released at its server when it ends."""
         state = self.migrations.pop(session.id, None)
@@ -260,3 +252,13 @@
         what = "was lost" if state.lost else "has left"
         session.close_reason = f"its box {what}, and no other may take it"
         self.lifecycle.apply(session, SessionEvent.BOX_LOST)
+
+
+def _may_rescue(session: Session, policy: PlacementPolicy) -> bool:
+    """Whether another server may take over a session whose server is lost."""
+    effect = policy.settings.service_classes[session.service_class].effect
+    return (
+        session.home is not None
+        and migration.may_rescue(effect, adopted=session.ask is None)
+        and session.home.policy_id in policy.sessions
+    )
