--- a/packages/core/src/fennelcove/core/session_actions.py
+++ b/packages/core/src/fennelcove/core/session_actions.py
@@ -1,136 +1,153 @@
-"""The core's part that carries out what the table of subscriptions says; the core's lock is round it."""
+"""Carries out the actions of the session transition table; the core's lock guards it."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
-from fennelcove.core.server_registry import ServerRegistry
-from fennelcove.core.context import CoreContext
-from fennelcove.core.command_queue import CommandDispatcher
 from fennelcove.core.client_notifier import ClientNotifier
+from fennelcove.core.command_queue import CommandDispatcher
+from fennelcove.core.context import CoreContext
+from fennelcove.core.requests import AttemptResult, ResponseKind, Session, SessionResponse
 from fennelcove.core.seat_leases import SeatLeaseManager
-from fennelcove.core.session_lifecycle import SessionLifecycle
-from fennelcove.core.requests import ResponseKind, SessionResponse, AttemptResult, Session
-from fennelcove.decisions.servers import load_signals
+from fennelcove.core.server_registry import ServerRegistry
+from fennelcove.core.server_reports import ServerReports
+from fennelcove.core.session_lifecycle import ActionHandlers, SessionLifecycle
 from fennelcove.decisions.clients.session_expiry import SessionExpiry
 from fennelcove.decisions.clients.session_lifecycle import SessionAction
+from fennelcove.decisions.servers import load_signals
+from fennelcove.decisions.servers.load_signals import ServerHints
 from fennelcove.interface import ClientGone, Outcome, SessionStarted, TopRungChanged
 from fennelcove.placement import PlacementPolicy
 
+CloseListener = Callable[[Session], None]
+"""Receives a session that has been closed."""
+
 
 class SessionActions:
-    """The acts of one front. Attach `over`: who hears of an end, in that order."""
+    """The action handlers of one front's sessions.
+
+    Attributes:
+        handlers: what carries out each action.
+        close_listeners: receive each closed session, in this order.
+    """
 
     def __init__(
         self,
         context: CoreContext,
-        front: PlacementPolicy,
+        policy: PlacementPolicy,
         lifecycle: SessionLifecycle,
-        presence: SessionExpiry,
-        orders: CommandDispatcher,
-        book: ServerRegistry,
-        seats: SeatLeaseManager,
-        pushes: ClientNotifier,
+        expiry: SessionExpiry,
+        commands: CommandDispatcher,
+        server_registry: ServerRegistry,
+        seat_leases: SeatLeaseManager,
+        notifier: ClientNotifier,
+        reports: ServerReports,
+        close_listeners: tuple[CloseListener, ...],
     ) -> None:
         self.context = context
-        self.front = front
+        self.policy = policy
         self.lifecycle = lifecycle
-        self.presence = presence
-        self.orders = orders
-        self.book = book
-        self.seats = seats
-        self.pushes = pushes
-        self.over: tuple[Callable[[Session], None], ...] = ()
-        self.acts: Mapping[SessionAction, Callable[[Session], None]] = {
-            SessionAction.SEND_JOIN: self._send_attempt,
-            SessionAction.ANSWER_PLAYING: self._answer_playing,
-            SessionAction.ANSWER_THROTTLED: self._answer_rejected,
-            SessionAction.ANSWER_TERMINATED: self._answer_failed,
-            SessionAction.ANSWER_STOPPED: self._answer_stopped,
-            SessionAction.TELL_STARTED: self._tell_started,
-            SessionAction.TELL_FAILED: self._tell_failed,
-            SessionAction.TELL_FINISHED: self._tell_finished,
-            SessionAction.TELL_LOST: self._tell_lost,
-            SessionAction.TELL_GONE: self._tell_gone,
-            SessionAction.RELEASE_BOX: self._release_server,
-            SessionAction.FORGET: self.forget,
+        self.expiry = expiry
+        self.commands = commands
+        self.server_registry = server_registry
+        self.seat_leases = seat_leases
+        self.notifier = notifier
+        self.reports = reports
+        self.close_listeners = close_listeners
+        self.handlers: ActionHandlers = {
+            SessionAction.SEND_JOIN: self._keep_step,
+            SessionAction.ANSWER_PLAYING: self._respond_playing,
+            SessionAction.ANSWER_THROTTLED: self._count_rejected,
+            SessionAction.ANSWER_TERMINATED: self._count_failed,
+            SessionAction.ANSWER_STOPPED: self._respond_shutting_down,
+            SessionAction.TELL_STARTED: self._on_established,
+            SessionAction.TELL_FAILED: self._on_attempt_failed,
+            SessionAction.TELL_FINISHED: self._on_finished,
+            SessionAction.TELL_LOST: self._on_server_lost,
+            SessionAction.TELL_GONE: self._on_client_gone,
+            SessionAction.RELEASE_BOX: self._release_at_server,
+            SessionAction.FORGET: self.close,
         }
 
-    def _send_attempt(self, session: Session) -> None:
-        """The step itself is what the door takes."""
+    def _keep_step(self, session: Session) -> None:
+        """The attempt is the session's next step already; whoever runs the request takes it."""
 
-    def _answer_playing(self, session: Session) -> None:
+    def _respond_playing(self, session: Session) -> None:
         session.step = SessionResponse(ResponseKind.PLAYING, "")
         self.context.tally("playing")
 
-    def _answer_rejected(self, session: Session) -> None:
+    def _count_rejected(self, session: Session) -> None:
         self.context.tally("throttled")
 
-    def _answer_failed(self, session: Session) -> None:
+    def _count_failed(self, session: Session) -> None:
         self.context.tally("terminated")
 
-    def _answer_stopped(self, session: Session) -> None:
-        policy_session = self.front.sessions.get(session.id)
-        if policy_session is not None and self.front.may_reject(policy_session):
-            # The time to come back is the one that the module would name.
-            wait_us = self.front.settings.retry_after_us or 0
-            session.step = SessionResponse(ResponseKind.THROTTLED, "this front is stopping", wait_us)
-            self.context.tally("throttled")
+    def _respond_shutting_down(self, session: Session) -> None:
+        policy_session = self.policy.sessions.get(session.id)
+        if policy_session is not None and self.policy.may_reject(policy_session):
+            # The same time to retry after as the policy would give.
+            retry_after_us = self.policy.settings.retry_after_us or 0
+            session.step = SessionResponse(ResponseKind.THROTTLED, "this front is stopping", retry_after_us)
+            self._count_rejected(session)
         else:
             session.step = SessionResponse(
-                ResponseKind.TERMINATED, "this front is stopping and the join may have run"
+                ResponseKind.FAILED, "this front is stopping and the join may have run"
             )
-            self.context.tally("terminated")
+            self._count_failed(session)
 
-    def _tell_started(self, session: Session) -> None:
+    def _on_established(self, session: Session) -> None:
         now_us = self.context.now_us()
-        end, place = session.end, session.out
-        assert end is not None and place is not None
-        session.home, session.out, session.rung = place, None, session.out_rung
-        self.front.handle(SessionStarted(place.module_id, place.module_attempt, end.took_us), now_us)
-        session.playing_since_us = now_us
-        self.presence.begin(session.id, now_us)
-        self.book.plays(session)
-        self.seats.plays(session)
-        if end.says is not None:
-            self.book.notes(session, end.says)
-            if end.says.most_kbit is not None:
-                top = load_signals.highest_rung(session.rates_kb, end.says.most_kbit, session.floor)
-                if top < session.top:
-                    self.tell_top(session, top)
-
-    def tell_top(self, session: Session, top: int) -> None:
-        """The viewer's best rung is another."""
-        session.top = top
-        self.pushes.rung(session)
+        result = session.required_result()
+        target = session.play_at_pending_target()
+        started = SessionStarted(target.policy_id, target.policy_attempt, result.duration_us)
+        self.policy.handle(started, now_us)
+        session.established_us = now_us
+        self.expiry.begin(session.id, now_us)
+        self.server_registry.on_session_established(session)
+        self.seat_leases.on_session_established(session)
+        if result.hints is not None:
+            self._apply_server_hints(session, result.hints)
+
+    def _apply_server_hints(self, session: Session, hints: ServerHints) -> None:
+        self.reports.forward_hints(session, hints)
+        if hints.most_kbit is None:
+            return
+        top_rung = load_signals.highest_rung(session.rates_kb, hints.most_kbit, session.floor)
+        if top_rung < session.top:
+            self.set_top_rung(session, top_rung)
+
+    def set_top_rung(self, session: Session, top_rung: int) -> None:
+        """Change the highest rung of an established session; notifies client and policy."""
+        session.top = top_rung
+        self.notifier.on_rung_changed(session)
         if session.home is not None and not session.adrift:
-            self.front.handle(TopRungChanged(session.home.module_id, top), self.context.now_us())
+            self.policy.handle(TopRungChanged(session.home.policy_id, top_rung), self.context.now_us())
 
-    def _tell_failed(self, session: Session) -> None:
-        assert session.end is not None and session.out is not None
-        place, session.out = session.out, None
-        self.lifecycle.tell_end(place, session.end, False)
+    def _on_attempt_failed(self, session: Session) -> None:
+        result = session.required_result()
+        self.lifecycle.report_attempt(session.take_pending_target(), result, is_finished=False)
 
-    def _tell_finished(self, session: Session) -> None:
-        place = session.home or session.out
-        assert session.end is not None and place is not None
-        self.lifecycle.tell_end(place, session.end, True)
+    def _on_finished(self, session: Session) -> None:
+        result = session.required_result()
+        target = session.home or session.required_pending_target()
+        self.lifecycle.report_attempt(target, result, is_finished=True)
 
-    def _tell_lost(self, session: Session) -> None:
-        session.ended_because = session.ended_because or "its box was lost"
+    def _on_server_lost(self, session: Session) -> None:
+        session.close_reason = session.close_reason or "its box was lost"
         self.context.tally("lost")
         if session.home is not None and not session.adrift:
-            self.lifecycle.tell_end(session.home, AttemptResult(Outcome.CONNECTION_LOST, None, 0), True)
+            lost = AttemptResult(Outcome.CONNECTION_LOST, None, 0)
+            self.lifecycle.report_attempt(session.home, lost, is_finished=True)
 
-    def _tell_gone(self, session: Session) -> None:
-        self.front.handle(ClientGone(session.id), self.context.now_us())
+    def _on_client_gone(self, session: Session) -> None:
+        self.policy.handle(ClientGone(session.id), self.context.now_us())
 
-    def _release_server(self, session: Session) -> None:
-        place = session.home or session.out
-        if session.server_may_hold and place is not None and not session.adrift:
-            self.orders.tell(place, session, None)
+    def _release_at_server(self, session: Session) -> None:
+        target = session.home or session.pending_target
+        if session.may_be_held_by_server and target is not None and not session.adrift:
+            self.commands.send(target, session, None)
 
-    def forget(self, session: Session) -> None:
-        """Hold nothing of it any more."""
-        for over in self.over:
-            over(session)
+    def close(self, session: Session) -> None:
+        """Remove every trace of a session, part by part."""
+        for on_session_closed in self.close_listeners:
+            on_session_closed(session)
--- a/packages/daemon/src/fennelcove/daemon/front_daemon.py
+++ b/packages/daemon/src/fennelcove/daemon/front_daemon.py
@@ -12,6 +12,7 @@
 from fennelcove.core.recovery_coordinator import RecoveryCoordinator
 from fennelcove.core.membership_coordinator import MembershipCoordinator
 from fennelcove.core.core import Core
+from fennelcove.core.ports import CorePorts
 from fennelcove.core.session_ids import SessionIds
 from fennelcove.core.load_shedding_coordinator import LoadSheddingCoordinator
 from fennelcove.core.slot_scheduler import SlotScheduler
@@ -54,6 +55,7 @@
 from fennelcove.daemon.ledger_file import LedgerFile
 from fennelcove.daemon.rollouts import RolloutService
 from fennelcove.daemon.concurrency_limits import LimitService
+from fennelcove.settings.checks import module_settings
 from fennelcove.settings.schema import FrontSettings
 from fennelcove.store.folder import Store
 from fennelcove.store.keeper import StoreWriter
@@ -86,14 +88,34 @@
         threading.stack_size(limits.stack_kib * 1024)
         codec = DialLimits(limits.head_bytes, limits.head_count, limits.body_bytes, settings.source)
         self.timers = Timers(self.clock, lambda error: notice("timer_failed", reason=repr(error)))
-        self.core = Core(settings, self.clock, self.timers, notice, names)
+        self.halt = CancellationLatch()
+        self.pool = ConnectionPool(self.clock, limits.box_connections, round(limits.idle_ms * 1000))
+        self.hints = HintReader()
+        effects = {service_class.name: Effect(service_class.effect) for service_class in settings.room_types}
+        self.joiner = AttemptSender(
+            settings.name, self.clock, self.pool, self.hints, effects, codec, self.halt
+        )
+        self.senders = CommandSenders(self.clock, self.pool, codec)
+        self.movers = MigrationWorkers(self.joiner, settings.stitch.moves_at_once)
+        self.server_side = self._server_side(codec)
+        self.list_side = EndpointListClient(
+            self.clock,
+            settings.lists.address,
+            settings.lists.must_ask,
+            Random(settings.seed),
+            notice,
+            settings.source,
+        )
+        ports = CorePorts(self.server_side, self.list_side, self.movers)
+        self.core = Core(settings, self.clock, self.timers, notice, ports, names)
+        self.server_side.attach(self.core.server_registry)
         self.ledger = LedgerFile(settings.stitch.ledger, notice)
-        self.core.stitches.restore(self.ledger.load())
+        self.core.content.restore(self.ledger.load())
         if settings.storm.key_file is not None:
-            self.core.storms.use_keys(load(settings.storm.key_file, self.clock.wall_us() // 1000))
+            self.core.retry_storms.use_keys(load(settings.storm.key_file, self.clock.wall_us() // 1000))
         if settings.viewers.key_file is not None:
             keys = load(settings.viewers.key_file, self.clock.wall_us() // 1000)
-            self.core.passes = [mac(key) for key in keys]
+            self.core.token_keys = [mac(key) for key in keys]
         self.keeper: StoreWriter | None = None
         if settings.store is not None:
             store = Store(settings.store.folder, settings.store.most_mb, settings.name)
@@ -103,58 +125,33 @@
                 )
             for key in store.unsound:
                 notice("store_damaged", file="base.lmdb", key=repr(key), fault="altered")
-            self.core.memories.restore(store.values)
+            self.core.snapshots.restore(store.values)
             self.keeper = StoreWriter(store, self.clock, notice)
         self.comeback = self._comeback()
         self.background = Background(self.clock, notice)
-        self.core.shown["background"] = self.background.status
-        self.halt = CancellationLatch()
-        self.pool = ConnectionPool(self.clock, limits.box_connections, round(limits.idle_ms * 1000))
-        self.hints = HintReader()
-        effects = {service_class.name: Effect(service_class.effect) for service_class in settings.room_types}
-        self.joiner = AttemptSender(
-            settings.name, self.clock, self.pool, self.hints, effects, codec, self.halt
-        )
-        self.senders = CommandSenders(self.core, self.pool, codec)
-        self.movers = MigrationWorkers(self.core, self.joiner, settings.stitch.moves_at_once)
-        self.core.moves.port = self.movers
-        told = self.core.front.settings
-        silence_us = event_stream.idle_timeout_us(told.reports_every_us, told.seen_after_us)
-        self.server_side = ServerEventStreams(
-            self.core, self.senders, self.hints, settings.name, silence_us, codec, notice
-        )
-        self.list_side = EndpointListClient(
-            self.core,
-            self.clock,
-            settings.lists.address,
-            settings.lists.must_ask,
-            Random(settings.seed),
-            notice,
-            settings.source,
-        )
-        self.core.book.port, self.core.lists.source = self.server_side, self.list_side
+        self.core.status_reporter.add_section("background", self.background.status)
         self.probe_side: HealthChecker | None = None
         self.front_side: FrontMessaging | None = None
         shape = settings.shape
         if shape.probes is not None:
-            timeout_us, probed = round(shape.probes.timeout_ms * 1000), self.core.news.probed
+            timeout_us, probed = round(shape.probes.timeout_ms * 1000), self.core.probes.probed
             self.probe_side = HealthChecker(self.clock, self.hints, settings.name, timeout_us, codec, probed)
-            self.core.news.probes = self.probe_side
+            self.core.probes.probes = self.probe_side
         self.company = self._company()
         among = settings.company or shape.peers
         if among is not None:
-            index, heard = settings.instance.index, self.core.news.peer_says
+            index, heard = settings.instance.index, self.core.probes.peer_says
             beaten = self.company.hear if self.company is not None else None
             self.front_side = FrontMessaging(among.addresses, index, heard, beaten)
             if shape.peers is not None:
-                self.core.news.fronts = self.front_side
+                self.core.probes.fronts = self.front_side
             if self.company is not None:
                 self.company.post = self.front_side.beat
         self.overload = self._overload()
         self.budgets = self._budgets()
         self.vetoes: list[Callable[[str, str], bool]] = []  # what keeps the module from a box, in order
         core = self.core
-        core.front.free = lambda id, server: all(free(id, server) for free in self.vetoes)
+        core.policy.free = lambda id, server: all(free(id, server) for free in self.vetoes)
         self.releases = self._releases(end)
         self.watch_side: HealthChecker | None = None
         self.watch = self._watch(codec)
@@ -183,20 +180,31 @@
         self.timekeeper = threading.Thread(target=self.timers.run, name="timers")
         self.stopping = GracefulShutdown(round(limits.stop_ms * 1000))
 
+    def _server_side(self, codec: DialLimits) -> ServerEventStreams:
+        policy_settings = module_settings(self.settings)
+        silence_us = event_stream.idle_timeout_us(
+            policy_settings.reports_every_us, policy_settings.seen_after_us
+        )
+        return ServerEventStreams(
+            self.timers, self.senders, self.hints, self.settings.name, silence_us, codec, self.notice
+        )
+
     def _comeback(self) -> RecoveryCoordinator | None:
         """Off by default: without it who asks waits at the door until the front knows what it holds."""
         core, settings = self.core, self.settings
         told = settings.recovery
         if told is None:
             return None
-        found = RecoveryCoordinator(settings, told, core.front, core.book, self.clock, core.rng, self.notice)
-        core.gates.insert(0, found.before)
-        core.lists.hear = found.hear_list
-        core.shown["comeback"] = found.status
-        found.listed, found.opened = core.memories.listed, core.seats.opened
-        found.kept = core.memories.last_list()
+        found = RecoveryCoordinator(
+            settings, told, core.policy, core.server_registry, self.clock, core.rng, self.notice
+        )
+        core.admission.add_first_rule(found.before)
+        core.discovery.set_update_filter(found.hear_list)
+        core.status_reporter.add_section("comeback", found.status)
+        found.listed, found.opened = core.snapshots.listed, core.seat_leases.on_recovered
+        found.kept = core.snapshots.last_list()
         if told.kept_list:
-            core.memories.entries = found.entries
+            core.snapshots.entries = found.entries
         return found
 
     def _overload(self) -> LoadSheddingCoordinator | None:
@@ -208,9 +216,9 @@
         fronts = company.company.living if company is not None else lambda: all_fronts
         life = self.clock.wall_us() // 1000
         found = LoadSheddingCoordinator(
-            settings.room_types, fronts, life, core.storms, self.clock, core.rng, core.lock, self.notice
+            settings.room_types, fronts, life, core.retry_storms, self.clock, core.rng, core.lock, self.notice
         )
-        core.shown["overload"] = found.status
+        core.status_reporter.add_section("overload", found.status)
         if self.front_side is not None:
             found.post, self.front_side.counted = self.front_side.summary, found.hear
         return found
@@ -230,10 +238,10 @@
             return None
         life = self.clock.wall_us() // 1000
         found = SharedQuotaCoordinator(wholes, self.settings.instance, life, self.clock, core.rng, core.lock)
-        core.may_attempt_again = lambda: found.take(Resource.FURTHER_JOIN)
-        core.news.may_probe = lambda: found.take(Resource.PROBE)
+        core.use_retry_budget(lambda: found.take(Resource.FURTHER_JOIN))
+        core.probes.may_probe = lambda: found.take(Resource.PROBE)
         self.list_side.turn_us = lambda: found.wait_us(Resource.LIST_CALL)
-        core.shown["budgets"] = found.status
+        core.status_reporter.add_section("budgets", found.status)
         if self.front_side is not None:
             found.post, self.front_side.spared = self.front_side.spare, found.hear
         return found
@@ -258,7 +266,7 @@
         core, told, company = self.core, self.settings.watchers, self.company
         if told is None:
             return None
-        instance, front = self.settings.instance, core.front
+        instance, front = self.settings.instance, core.policy
 
         def listed() -> list[str]:
             return [box for box, server in front.servers.items() if server.standing is ServerState.ACTIVE]
@@ -282,8 +290,8 @@
         )
         self.watch_side, found.ask = side, side.ask
         self.vetoes.append(found.free)
-        core.storms.attempted = found.attempted
-        core.shown["watchers"] = found.status
+        core.retry_storms.attempted = found.attempted
+        core.status_reporter.add_section("watchers", found.status)
         if self.front_side is not None:
             found.post, self.front_side.worded = self.front_side.word, found.hear
         return found
@@ -301,7 +309,8 @@
             return None
         running = lambda: self.stopping.phase is ShutdownState.RUNNING  # noqa: E731
         found = LimitService(self.settings, told, core, self.timers, self.clock, self.notice, running)
-        core.shown["slots"], core.memories.more = found.book.status, found.book.kept
+        core.status_reporter.add_section("slots", found.book.status)
+        core.snapshots.more = found.book.kept
         self.vetoes.append(found.free)
         self.joiner.slots, self.pool.keeps = found.book, found.book.links
         if self.keeper is not None:
@@ -316,7 +325,7 @@
         if told is None:
             return None
         found = SlotScheduler(
-            core.context, told, self.settings.instance, core.catalogue, core.front, core.lifecycle, Wakeup
+            core.context, told, self.settings.instance, core.catalogue, core.policy, core.lifecycle, Wakeup
         )
         core.use_slots(found)
         self.vetoes.append(found.free)
@@ -360,13 +369,13 @@
         company = MembershipCoordinator(
             told, self.settings.instance, life, self.clock, core.lock, self.notice
         )
-        core.front.mine = company.mine
-        core.shown["company"] = company.status
-        core.memories.lives = company.lives
+        core.policy.mine = company.mine
+        core.status_reporter.add_section("company", company.status)
+        core.snapshots.lives = company.lives
         if self.comeback is not None:
             self.comeback.fronts = company.fronts
-        if core.watched is not None:
-            core.watched.other.mine = company.mine
+        if core.shadow_policy is not None:
+            core.shadow_policy.other.mine = company.mine
         return company
 
     def _beat(self) -> None:
@@ -408,22 +417,22 @@
             self.timers.after(fleet_load.WINDOW_US, self._count)
         if self.fair is not None:
             self.timers.after(slot_scheduler.WINDOW_US, self._share)
-        self.senders.start()
-        self.movers.start()
-        self.list_side.start()
+        self.senders.start(self.core.commands, self.core.lifecycle)
+        self.movers.start(self.core.migrations)
+        self.list_side.start(self.core.discovery)
         if self.settings.lists.must_ask:
             self.list_side.watch()
         self._plan()
         self.background.start()
         if self.comeback is None:
-            self.core.book.wait_open()
-            self.core.seats.opened()
+            self.core.server_registry.wait_until_recovered()
+            self.core.seat_leases.on_recovered()
         else:
             self.timers.after(recovery_admission.SAVED_AFTER_US, self._stand_in)
         self.door.start()
         if self.releases is not None:
             self.releases.is_open = True
-        self.notice("front_started", address=self.door.address, boot=self.core.names.boot)
+        self.notice("front_started", address=self.door.address, boot=self.core.session_ids.boot_id)
 
     def _stand_in(self) -> None:
         assert self.comeback is not None
@@ -445,12 +454,12 @@
 
     def _remember(self) -> None:
         assert self.keeper is not None
-        self.keeper.keep(self.core.memories.gather())
+        self.keeper.keep(self.core.snapshots.gather())
 
     def _sweep(self) -> None:
-        self.core.sweep()
-        self.core.seats.sweep()
-        self.core.moves.pump()
+        self.core.client_reports.close_silent_sessions()
+        self.core.seat_leases.close_expired()
+        self.core.migrations.run_due()
 
     def stop(self) -> None:
         """Answer everything held and end, within the stated time."""
@@ -471,7 +480,7 @@
     def _stop_accepting(self) -> None:
         if self.company is not None:
             self.company.leave()
-        self.core.stop_entries()
+        self.core.admission.stop()
         self.door.stop_accepting()
 
     def _close(self) -> None:
@@ -483,7 +492,7 @@
         self.timekeeper.join()
         self.movers.stop()
         if self.keeper is not None:
-            self.keeper.keep(self.core.memories.gather())
+            self.keeper.keep(self.core.snapshots.gather())
             self.keeper.stop(max(0, self.stopping.asked_us + self.stopping.stop_us - self.clock.now_us()))
         for side in (self.probe_side, self.watch_side, self.releases, self.front_side):
             if side is not None:
--- a/packages/daemon/src/fennelcove/daemon/rollouts.py
+++ b/packages/daemon/src/fennelcove/daemon/rollouts.py
@@ -132,8 +132,8 @@
             notice,
         )
         self.book.leave, self.book.take_server = self.leave, self.take_server
-        core.server_attempted = self.server_attempted
-        core.shown["releases"] = self.status
+        core.attempts.set_served_listener(self.server_attempted)
+        core.status_reporter.add_section("releases", self.status)
         self.thread = threading.Thread(target=self.book.run, name="releases")
 
     def _agreement(self, settings: FrontSettings, told: ReleaseSettings) -> RolloutAgreement:
@@ -172,7 +172,11 @@
     def mine(self) -> Mine:
         """What this front is now. What it turns away since it drains says nothing about its version."""
         with self.core.lock:
-            phase, counts, weather = self.core.gate.phase, Counter(self.core.counts), self.core.storms.weather
+            phase, counts, weather = (
+                self.core.admission_controller.phase,
+                Counter(self.core.counts),
+                self.core.retry_storms.weather,
+            )
             opening = self.opening()
             storm, level = WEATHER[weather.phase], self.level()
         away = counts["damped"] + counts["refused_request_full"] + counts["refused_subscription_full"]
@@ -205,11 +209,11 @@
         """All boxes by their cells. Where two share one, a cell names no box: then none may be taken out."""
         found: dict[int, ServerSight] = {}
         with self.core.lock:
-            servers = [s for s in self.core.front.servers.values() if s.standing is not ServerState.LEFT]
+            servers = [s for s in self.core.policy.servers.values() if s.standing is not ServerState.LEFT]
             cells = Counter(server.cell for server in servers)
             if not servers or max(cells.values()) > 1 or max(cells) > MOST_PLACE:
                 return {}
-            now_us = self.core.front.now_us = self.clock.now_us()
+            now_us = self.core.policy.now_us = self.clock.now_us()
             for server in servers:
                 found[server.cell] = self._sight(server, now_us)
             known = {server.address for server in servers}
@@ -218,11 +222,11 @@
         return found
 
     def _sight(self, server: Server, now_us: int) -> ServerSight:
-        front, core = self.core.front, self.core
+        front, core = self.core.policy, self.core
         warm = not front.is_cold(server)
         titles = frozenset(
             number
-            for number, title in core.titles.values()
+            for number, title in core.catalogue.titles.values()
             if (server.cell - title.first_cell) % front.settings.cells < title.cells
         )
         size_kb = server.link.size_kb
@@ -245,7 +249,7 @@
             self.notice("wanted_not_written", file=self.told.wanted, reason=str(error))
             return False
         self.notice("release_leaves", version=version)
-        self.core.turn(AdmissionEvent.DRAIN)
+        self.core.admission.change_state(AdmissionEvent.DRAIN)
         if not self.ending:
             self.ending = True
             if not self.timers.after(round(self.told.drain_ms * 1000), self.end):
@@ -255,7 +259,7 @@
     def take_server(self, cell: int) -> bool:
         """Tell whoever keeps the list that this box may be drained now: a line in a file beside `wanted`."""
         with self.core.lock:
-            found = [s.address for s in self.core.front.servers.values() if s.cell == cell]
+            found = [s.address for s in self.core.policy.servers.values() if s.cell == cell]
         if not found:
             return False
         try:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -12,6 +12,7 @@
 
 from fennelcove import log
 from fennelcove.clock import SystemClock
+from fennelcove.core.ports import CorePorts
 from fennelcove.http1.messages import CodecLimits, ResponseHead
 from fennelcove.http1.reader import Gatherer, Reader
 from fennelcove.daemon.front_daemon import FrontDaemon
@@ -22,6 +23,7 @@
 from fennelcove.emulators.model import BoxModel, RackModel
 from fennelcove.emulators.recorder import Record, Recorder
 from fennelcove.emulators.clients import Heard, Player
+from tests.helpers import Recorder as EffectRecorder
 
 LONGEST_S = 20.0
 SETTINGS = """
@@ -41,6 +43,12 @@
 """
 
 
+def recorded_ports() -> CorePorts:
+    """Ports of a core whose calls reach nothing."""
+    port: Any = EffectRecorder()
+    return CorePorts(port, port, port)
+
+
 def wait_for(condition: Callable[[], Any], what: str) -> Any:
     """Wait until the condition holds; the limit only ends a test that would never end."""
     event = threading.Event()
@@ -92,7 +100,7 @@
         program = FrontDaemon(self.settings, log.silent)
         self.programs.append(program)
         program.start()
-        wait_for(lambda: program.core.keeper.version is not None, "a list")
+        wait_for(lambda: program.core.endpoint_tracker.version is not None, "a list")
         return program
 
     def end(self) -> None:
@@ -154,7 +162,7 @@
             ]
         )
         version = self.lists.version
-        wait_for(lambda: self.front.core.keeper.version == version, "the new list")
+        wait_for(lambda: self.front.core.endpoint_tracker.version == version, "the new list")
 
 
 def read_answers(sock: Any, count: int) -> list[tuple[int, bytes]]:
--- a/tests/test_slots_front.py
+++ b/tests/test_slots_front.py
@@ -18,7 +18,7 @@
     BOXES = 1
 
     def shown(self) -> Any:
-        return self.front.core.status()["slots"]
+        return self.front.core.status().to_json_fields()["slots"]
 
     def test_no_more_are_out_than_the_number_and_the_rest_is_refused_at_once(self) -> None:
         self.begin(slots=SlotSettings(start=2, most=2))
@@ -52,7 +52,7 @@
             self.ask()
             wait_for(lambda: self.shown()["boxes"], "a box listed")
             self.front.stop()
-            values = self.front.core.memories.kept
+            values = self.front.core.snapshots.kept
             raw = values[persisted.KEY + self.boxes[0].address.encode()]
             self.assertEqual(persisted.recall(raw, "k", 0, 16, self.clock.wall_us()), 16)
 
