--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -159,9 +159,13 @@
     def test_reports_of_a_feed_that_was_closed_count_for_nothing(self) -> None:
         session = self.play()
         generation = self.core.server_registry.records[session.server].generation
-        self.core.server_registry.on_load_report(session.server, generation - 1, ServerHints(link_utilization=1.5), None)
+        self.core.server_registry.on_load_report(
+            session.server, generation - 1, ServerHints(link_utilization=1.5), None
+        )
         self.assertIsNone(self.core.policy.servers[session.server].link.asked)
-        self.core.server_registry.on_load_report(session.server, generation, ServerHints(link_utilization=0.4), None)
+        self.core.server_registry.on_load_report(
+            session.server, generation, ServerHints(link_utilization=0.4), None
+        )
         self.assertEqual(self.core.policy.servers[session.server].link.asked, 0.4)
 
     def test_a_boxs_ceiling_lowers_the_rung_at_once(self) -> None:
