--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -90,7 +90,7 @@
             store = Store(folder, 256, "benchmark")
             for start in range(0, size, 1000):
                 store.commit([(b"key%d" % i, os.urandom(100)) for i in range(start, start + 1000)])
-            grown = store.journal.size
+            grown = store.journal.byte_count
             store.close()
             began = time.perf_counter()
             store = Store(folder, 256, "benchmark")
--- a/benchmarks/slots_worlds.py
+++ b/benchmarks/slots_worlds.py
@@ -23,7 +23,7 @@
 from typing import Any
 from unittest import mock
 
-from fennelcove.decisions.fleet.shared_quotas import DRIFT, QuotaRequest, QuotaTransfer, Quota
+from fennelcove.decisions.fleet.shared_quotas import CLOCK_DRIFT, QuotaRequest, QuotaTransfer, Quota
 from fennelcove.concurrency_limits.quorum import QuorumAgreement, QuorumVote
 from fennelcove.concurrency_limits.adaptive_limit import LimitSettings
 from fennelcove.concurrency_limits.quota_loans import LOAN_US, QuotaLoans
@@ -177,7 +177,7 @@
         """What is out and what might be, against what counted; and that against the majority's."""
         counts = max((m.servers[BOX].agreed.whole for m in self.members.values()), default=0)
         self.counted.append((self.now_us, counts))
-        since_us = self.now_us - round(LOAN_US * (1 + DRIFT) ** 2)
+        since_us = self.now_us - round(LOAN_US * (1 + CLOCK_DRIFT) ** 2)
         while self.counted[0][0] < since_us and self.counted[1:] and self.counted[1][0] <= since_us:
             self.counted.pop(0)
         limit = max(counted for _, counted in self.counted)
@@ -201,9 +201,9 @@
 
 
 def from_receipt(self: Quota, sender: int, loan: QuotaTransfer, now_us: int) -> None:
-    if loan.life == self.life and self.sent.pop(loan.number, None) is not None:
+    if loan.life == self.incarnation and self.sent.pop(loan.number, None) is not None:
         self.borrowed[sender] = (loan.rate, now_us + self.loan_us)
-        self.answers[sender] = loan.number
+        self.loan_sequences[sender] = loan.number
 
 
 def past_end(self: QuotaLoans, now_us: int, allow_us: int = 0) -> int:
--- a/benchmarks/store_cost.py
+++ b/benchmarks/store_cost.py
@@ -25,14 +25,14 @@
 from fennelcove.settings.schema import StoreSettings
 from fennelcove.emulators.recorder import Recorder
 from fennelcove.emulators.clients import Player
-from fennelcove.store.files import RealFiles
+from fennelcove.store.files import LocalFiles
 
 JSON = ("Content-Type", "application/json")
 CLIENTS = 4
 SLOW_S = 2.0
 
 
-class SlowFiles(RealFiles):
+class SlowFiles(LocalFiles):
     """A disk whose sync takes long."""
 
     def sync(self, name: str) -> None:
--- a/benchmarks/worlds.py
+++ b/benchmarks/worlds.py
@@ -22,7 +22,12 @@
 from fennelcove.decisions.fleet.membership import Heartbeat, Membership, Peer, MembershipSettings
 
 BEAT_US = 500_000
-TERMS = {"fronts": 3, "beat_us": BEAT_US, "lease_us": 2 * BEAT_US, "word_us": 2 * BEAT_US}
+TERMS = {
+    "fronts": 3,
+    "heartbeat_interval_us": BEAT_US,
+    "lease_us": 2 * BEAT_US,
+    "departure_report_us": 2 * BEAT_US,
+}
 HORIZON_US = 12 * BEAT_US  # times further back differ in nothing
 CUTS: tuple[frozenset[int], ...] = (frozenset(), frozenset({0}), frozenset({1}), frozenset({0, 1, 2}))
 
@@ -30,7 +35,7 @@
 class Hasty(Membership):
     """A planted fault: it repeats beats while its own word may still be acted on."""
 
-    def _repeats(self, peer: Peer, now_us: int) -> bool:
+    def _may_acknowledge(self, peer: Peer, now_us: int) -> bool:
         return True
 
 
@@ -38,7 +43,7 @@
     """A planted fault: a word that somebody is gone stands for ever."""
 
     def gone(self, now_us: int) -> frozenset[int]:
-        words = [index for peer in self.peers.values() for index in peer.gone]
+        words = [index for peer in self.peers.values() for index in peer.departed]
         return frozenset(i for i in self.peers if words.count(i) + 1 >= self.terms.majority and i in words)
 
 
@@ -104,7 +109,7 @@
         """Without names of beats and lives, and without the hour."""
         everyone = {**self.members, **self.still}
         lives = {index: member.life for index, member in everyone.items()}
-        numbers = {index: member.number for index, member in everyone.items()}
+        numbers = {index: member.sequence for index, member in everyone.items()}
 
         def ago(at_us: int) -> int:
             return min(HORIZON_US, self.now_us - at_us)
@@ -115,19 +120,19 @@
                     other,
                     peer.standing.value,
                     peer.life - lives.get(other, 0),
-                    peer.number - numbers.get(other, 0),
-                    ago(peer.heard_us),
-                    ago(peer.born_us),
-                    ago(peer.called_us),
-                    ago(member.sent_us.get(peer.repeated, -HORIZON_US)),
-                    tuple(sorted(peer.gone)),
-                    ago(member.sent_us.get(peer.gone_by, -HORIZON_US)),
-                    peer.returns,
-                    ago(peer.returned_us),
+                    peer.sequence - numbers.get(other, 0),
+                    ago(peer.last_heartbeat_us),
+                    ago(peer.incarnation_seen_us),
+                    ago(peer.reported_departed_us),
+                    ago(member.heartbeat_sent_us.get(peer.acknowledged_sequence, -HORIZON_US)),
+                    tuple(sorted(peer.departed)),
+                    ago(member.heartbeat_sent_us.get(peer.departed_sequence, -HORIZON_US)),
+                    peer.rejoin_count,
+                    ago(peer.rejoined_us),
                 )
                 for other, peer in sorted(member.peers.items())
             )
-            return index, index in self.still, max(0, member.speaks_us - self.now_us), peers
+            return index, index in self.still, max(0, member.quiet_until_us - self.now_us), peers
 
         air = tuple(
             (
--- a/packages/core/src/fennelcove/core/snapshot_manager.py
+++ b/packages/core/src/fennelcove/core/snapshot_manager.py
@@ -153,7 +153,7 @@
 
     def _ruled(
         self, key: bytes, raw: bytes, now_us: int, wall_us: int
-    ) -> tuple[RecordVerdict, snapshot.RecoveredState | None]:
+    ) -> tuple[RecordVerdict, snapshot.RecoveredServer | None]:
         address = key[len(SERVER) :].decode("utf-8", "replace")
         server = self.module.servers.get(address)
         started_us = None if server is None else wall_us - (now_us - server.started_us)
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/membership.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/membership.py
@@ -22,15 +22,19 @@
 
 HEARTBEAT_INTERVAL_US = 250_000
 LEASE_US = 2_000_000
-WORD_US = 2_000_000  # how long a word that a front is gone may be acted on, from the beat that it answers
-DRIFT = 0.05  # by how much two clocks may differ in pace, and a process be held up between look and act
-KEPT = 0.5  # of its equal share, what a front may take whoever hears it
+DEPARTURE_REPORT_US = (
+    2_000_000  # how long a word that a front is gone may be acted on, from the beat that it answers
+)
+CLOCK_DRIFT = 0.05  # by how much two clocks may differ in pace, and a process be held up between look and act
+RESERVED_FRACTION = 0.5  # of its equal share, what a front may take whoever hears it
 SUSPECT_AFTER_HEARTBEATS = 3
-FLAPS = 3  # returns within `FLAP_US` after which a front has to be steady for longer before it is repeated
-FLAP_US = 30_000_000
+MAX_FLAPS = (
+    3  # returns within `FLAP_US` after which a front has to be steady for longer before it is repeated
+)
+FLAP_WINDOW_US = 30_000_000
 DUPLICATE_WINDOW_US = 5_000_000  # two lives under one index within so long are two processes
-MAX_HEARTBEATS = 64  # own beats whose times are known
-MOST_BIDS = 3
+MAX_REMEMBERED_HEARTBEATS = 64  # own beats whose times are known
+MAX_INCARNATION_BIDS = 3
 
 
 class PeerState(Enum):
@@ -48,46 +52,48 @@
 class MembershipEvent(Enum):
     """What happens to it."""
 
-    HEARD = auto()
-    NEW_LIFE = auto()
-    OTHER_LIFE = auto()  # one that was heard before the present one
-    FAREWELL = auto()
-    LATE = auto()  # beats are missing
-    LAPSED = auto()
-    FREE = auto()  # no word of this front's is in force any more, or the twin was last heard long ago
+    HEARTBEAT_RECEIVED = auto()
+    NEW_INCARNATION = auto()
+    OLDER_INCARNATION = auto()  # one that was heard before the present one
+    LEAVE_ANNOUNCED = auto()
+    HEARTBEATS_MISSED = auto()  # beats are missing
+    LEASE_EXPIRED = auto()
+    QUARANTINE_ENDED = (
+        auto()
+    )  # no word of this front's is in force any more, or the twin was last heard long ago
 
 
 TRANSITIONS: dict[tuple[PeerState, MembershipEvent], PeerState] = {
-    (PeerState.UNHEARD, MembershipEvent.HEARD): PeerState.ALIVE,
-    (PeerState.UNHEARD, MembershipEvent.NEW_LIFE): PeerState.ALIVE,
-    (PeerState.UNHEARD, MembershipEvent.FAREWELL): PeerState.LEFT,
-    (PeerState.UNHEARD, MembershipEvent.LAPSED): PeerState.SILENT,
+    (PeerState.UNHEARD, MembershipEvent.HEARTBEAT_RECEIVED): PeerState.ALIVE,
+    (PeerState.UNHEARD, MembershipEvent.NEW_INCARNATION): PeerState.ALIVE,
+    (PeerState.UNHEARD, MembershipEvent.LEAVE_ANNOUNCED): PeerState.LEFT,
+    (PeerState.UNHEARD, MembershipEvent.LEASE_EXPIRED): PeerState.SILENT,
     # The last life may still hold a lease where its process was not the one that ended.
-    (PeerState.ALIVE, MembershipEvent.NEW_LIFE): PeerState.BACK,
-    (PeerState.ALIVE, MembershipEvent.FAREWELL): PeerState.LEFT,
-    (PeerState.ALIVE, MembershipEvent.OTHER_LIFE): PeerState.TWIN,
-    (PeerState.ALIVE, MembershipEvent.LATE): PeerState.SUSPECT,
-    (PeerState.ALIVE, MembershipEvent.LAPSED): PeerState.SILENT,
-    (PeerState.SUSPECT, MembershipEvent.HEARD): PeerState.ALIVE,
-    (PeerState.SUSPECT, MembershipEvent.NEW_LIFE): PeerState.BACK,
-    (PeerState.SUSPECT, MembershipEvent.OTHER_LIFE): PeerState.TWIN,
-    (PeerState.SUSPECT, MembershipEvent.FAREWELL): PeerState.LEFT,
-    (PeerState.SUSPECT, MembershipEvent.LAPSED): PeerState.SILENT,
-    (PeerState.SILENT, MembershipEvent.HEARD): PeerState.BACK,
-    (PeerState.SILENT, MembershipEvent.NEW_LIFE): PeerState.BACK,
-    (PeerState.SILENT, MembershipEvent.OTHER_LIFE): PeerState.TWIN,
-    (PeerState.SILENT, MembershipEvent.FAREWELL): PeerState.LEFT,
+    (PeerState.ALIVE, MembershipEvent.NEW_INCARNATION): PeerState.BACK,
+    (PeerState.ALIVE, MembershipEvent.LEAVE_ANNOUNCED): PeerState.LEFT,
+    (PeerState.ALIVE, MembershipEvent.OLDER_INCARNATION): PeerState.TWIN,
+    (PeerState.ALIVE, MembershipEvent.HEARTBEATS_MISSED): PeerState.SUSPECT,
+    (PeerState.ALIVE, MembershipEvent.LEASE_EXPIRED): PeerState.SILENT,
+    (PeerState.SUSPECT, MembershipEvent.HEARTBEAT_RECEIVED): PeerState.ALIVE,
+    (PeerState.SUSPECT, MembershipEvent.NEW_INCARNATION): PeerState.BACK,
+    (PeerState.SUSPECT, MembershipEvent.OLDER_INCARNATION): PeerState.TWIN,
+    (PeerState.SUSPECT, MembershipEvent.LEAVE_ANNOUNCED): PeerState.LEFT,
+    (PeerState.SUSPECT, MembershipEvent.LEASE_EXPIRED): PeerState.SILENT,
+    (PeerState.SILENT, MembershipEvent.HEARTBEAT_RECEIVED): PeerState.BACK,
+    (PeerState.SILENT, MembershipEvent.NEW_INCARNATION): PeerState.BACK,
+    (PeerState.SILENT, MembershipEvent.OLDER_INCARNATION): PeerState.TWIN,
+    (PeerState.SILENT, MembershipEvent.LEAVE_ANNOUNCED): PeerState.LEFT,
     # A beat that was late on its way says nothing after a farewell; only another life does.
-    (PeerState.LEFT, MembershipEvent.NEW_LIFE): PeerState.BACK,
-    (PeerState.BACK, MembershipEvent.FREE): PeerState.ALIVE,
-    (PeerState.BACK, MembershipEvent.FAREWELL): PeerState.LEFT,
-    (PeerState.BACK, MembershipEvent.OTHER_LIFE): PeerState.TWIN,
-    (PeerState.BACK, MembershipEvent.LAPSED): PeerState.SILENT,
-    (PeerState.TWIN, MembershipEvent.FREE): PeerState.BACK,
-    (PeerState.TWIN, MembershipEvent.LAPSED): PeerState.SILENT,
+    (PeerState.LEFT, MembershipEvent.NEW_INCARNATION): PeerState.BACK,
+    (PeerState.BACK, MembershipEvent.QUARANTINE_ENDED): PeerState.ALIVE,
+    (PeerState.BACK, MembershipEvent.LEAVE_ANNOUNCED): PeerState.LEFT,
+    (PeerState.BACK, MembershipEvent.OLDER_INCARNATION): PeerState.TWIN,
+    (PeerState.BACK, MembershipEvent.LEASE_EXPIRED): PeerState.SILENT,
+    (PeerState.TWIN, MembershipEvent.QUARANTINE_ENDED): PeerState.BACK,
+    (PeerState.TWIN, MembershipEvent.LEASE_EXPIRED): PeerState.SILENT,
 }
-GONE = (PeerState.SILENT, PeerState.LEFT)
-ACKNOWLEDGED = (PeerState.ALIVE, PeerState.SUSPECT)
+DEPARTED_STATES = (PeerState.SILENT, PeerState.LEFT)
+ACKNOWLEDGED_STATES = (PeerState.ALIVE, PeerState.SUSPECT)
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,10 +102,10 @@
 
     fronts: int
     index: int
-    beat_us: int = HEARTBEAT_INTERVAL_US
+    heartbeat_interval_us: int = HEARTBEAT_INTERVAL_US
     lease_us: int = LEASE_US
-    word_us: int = WORD_US
-    kept: float = KEPT
+    departure_report_us: int = DEPARTURE_REPORT_US
+    reserved_fraction: float = RESERVED_FRACTION
 
     @property
     def majority(self) -> int:
@@ -107,9 +113,9 @@
         return self.fronts // 2 + 1
 
     @property
-    def lapse_us(self) -> int:
+    def expiry_us(self) -> int:
         """A front silent for so long holds no lease by this one's repeating."""
-        return round(self.lease_us * (1 + DRIFT)) + self.beat_us
+        return round(self.lease_us * (1 + CLOCK_DRIFT)) + self.heartbeat_interval_us
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,16 +136,18 @@
 
     standing: PeerState = PeerState.UNHEARD
     life: int = 0
-    number: int = 0
-    heard_us: int = 0
-    other_us: int = 0  # when another life than the present one was last heard
-    born_us: int = 0  # when the present life was first heard
-    called_us: int = -(1 << 60)  # when this front last called it gone
-    repeated: int = 0  # the newest beat of ours that it has repeated in its present life, by number
-    gone: frozenset[int] = frozenset()  # whom it calls gone
-    gone_by: int = 0  # the beat of ours that this word answers
-    returns: int = 0
-    returned_us: int = 0
+    sequence: int = 0
+    last_heartbeat_us: int = 0
+    other_incarnation_us: int = 0  # when another life than the present one was last heard
+    incarnation_seen_us: int = 0  # when the present life was first heard
+    reported_departed_us: int = -(1 << 60)  # when this front last called it gone
+    acknowledged_sequence: int = (
+        0  # the newest beat of ours that it has repeated in its present life, by number
+    )
+    departed: frozenset[int] = frozenset()  # whom it calls gone
+    departed_sequence: int = 0  # the beat of ours that this word answers
+    rejoin_count: int = 0
+    rejoined_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,46 +166,52 @@
     terms: MembershipSettings
     life: int
     now_us: int
-    number: int = 0
-    sent_us: OrderedDict[int, int] = field(default_factory=OrderedDict)
+    sequence: int = 0
+    heartbeat_sent_us: OrderedDict[int, int] = field(default_factory=OrderedDict)
     peers: dict[int, Peer] = field(default_factory=dict)
-    changes: list[PeerChange] = field(default_factory=list)
-    speaks_us: int = 0  # until then a new life repeats nothing: it may have called somebody gone before
+    pending_changes: list[PeerChange] = field(default_factory=list)
+    quiet_until_us: int = 0  # until then a new life repeats nothing: it may have called somebody gone before
     leaving: bool = False
-    outbid: int = 0  # how often a higher life was known for this index
+    incarnation_bids: int = 0  # how often a higher life was known for this index
     outbid_life: int = 0  # the latest that others knew before this one
 
     def __post_init__(self) -> None:
         terms = self.terms
-        self.peers = {i: Peer(heard_us=self.now_us) for i in range(terms.fronts) if i != terms.index}
-        self.speaks_us = self.now_us + round(max(terms.lease_us, terms.word_us) * (1 + DRIFT)) + terms.beat_us
+        self.peers = {i: Peer(last_heartbeat_us=self.now_us) for i in range(terms.fronts) if i != terms.index}
+        self.quiet_until_us = (
+            self.now_us
+            + round(max(terms.lease_us, terms.departure_report_us) * (1 + CLOCK_DRIFT))
+            + terms.heartbeat_interval_us
+        )
 
     # What is sent.
 
     def beat(self, now_us: int) -> dict[int, Heartbeat]:
         """The next beat, for each other front; to be sent now."""
         self.advance(now_us)
-        self.number += 1
-        self.sent_us[self.number] = now_us
-        if len(self.sent_us) > MAX_HEARTBEATS:
-            self.sent_us.popitem(last=False)
+        self.sequence += 1
+        self.heartbeat_sent_us[self.sequence] = now_us
+        if len(self.heartbeat_sent_us) > MAX_REMEMBERED_HEARTBEATS:
+            self.heartbeat_sent_us.popitem(last=False)
         called: tuple[int, ...] = ()
-        if now_us >= self.speaks_us:
-            called = tuple(i for i, peer in self.peers.items() if peer.standing in GONE)
+        if now_us >= self.quiet_until_us:
+            called = tuple(i for i, peer in self.peers.items() if peer.standing in DEPARTED_STATES)
             for i in called:
-                self.peers[i].called_us = now_us
-        return {i: self._for(peer, called, now_us) for i, peer in self.peers.items()}
+                self.peers[i].reported_departed_us = now_us
+        return {i: self._heartbeat_for(peer, called, now_us) for i, peer in self.peers.items()}
 
-    def _for(self, peer: Peer, called: tuple[int, ...], now_us: int) -> Heartbeat:
-        if not self._repeats(peer, now_us):
-            return Heartbeat(self.life, self.number, peer.life, leaving=self.leaving)
-        return Heartbeat(self.life, self.number, peer.life, peer.number, self.leaving, called)
+    def _heartbeat_for(self, peer: Peer, called: tuple[int, ...], now_us: int) -> Heartbeat:
+        if not self._may_acknowledge(peer, now_us):
+            return Heartbeat(self.life, self.sequence, peer.life, leaving=self.leaving)
+        return Heartbeat(self.life, self.sequence, peer.life, peer.sequence, self.leaving, called)
 
-    def _repeats(self, peer: Peer, now_us: int) -> bool:
+    def _may_acknowledge(self, peer: Peer, now_us: int) -> bool:
         # A word given in a beat may be acted on until it lapses by the clock of whoever it was given to; what
         # is repeated here before that would let its subject act as well.
-        word_over = now_us >= peer.called_us + round(self.terms.word_us * (1 + DRIFT))
-        return now_us >= self.speaks_us and peer.standing in ACKNOWLEDGED and word_over
+        word_over = now_us >= peer.reported_departed_us + round(
+            self.terms.departure_report_us * (1 + CLOCK_DRIFT)
+        )
+        return now_us >= self.quiet_until_us and peer.standing in ACKNOWLEDGED_STATES and word_over
 
     # What is heard.
 
@@ -210,69 +224,78 @@
         if beat.heard_life != self.life:
             self.outbid_life = max(self.outbid_life, beat.heard_life)
         if beat.heard_life > self.life:
-            self._outbid(beat.heard_life)
+            self._raise_incarnation(beat.heard_life)
         if beat.life < peer.life:
             # Late ones of a life that is over come for a moment; two processes under one index go on.
-            peer.other_us = now_us
-            if now_us - peer.born_us > DUPLICATE_WINDOW_US or peer.standing is PeerState.TWIN:
-                self._apply(sender, peer, MembershipEvent.OTHER_LIFE, now_us)
+            peer.other_incarnation_us = now_us
+            if now_us - peer.incarnation_seen_us > DUPLICATE_WINDOW_US or peer.standing is PeerState.TWIN:
+                self._apply(sender, peer, MembershipEvent.OLDER_INCARNATION, now_us)
             return
-        if beat.life == peer.life and beat.number <= peer.number:
+        if beat.life == peer.life and beat.number <= peer.sequence:
             return  # doubled, or overtaken by a newer one
         new = beat.life > peer.life
         if new:
             if peer.life:
-                peer.other_us = now_us
-            peer.life, peer.born_us = beat.life, now_us
-            peer.repeated, peer.gone, peer.gone_by = 0, frozenset(), 0
-        peer.number, peer.heard_us = beat.number, now_us
-        if beat.heard_life == self.life and beat.heard_number in self.sent_us:  # 0 is none of them
-            peer.repeated = max(peer.repeated, beat.heard_number)
-            if beat.heard_number >= peer.gone_by:
-                peer.gone, peer.gone_by = frozenset(beat.gone), beat.heard_number
+                peer.other_incarnation_us = now_us
+            peer.life, peer.incarnation_seen_us = beat.life, now_us
+            peer.acknowledged_sequence, peer.departed, peer.departed_sequence = 0, frozenset(), 0
+        peer.sequence, peer.last_heartbeat_us = beat.number, now_us
+        if beat.heard_life == self.life and beat.heard_number in self.heartbeat_sent_us:  # 0 is none of them
+            peer.acknowledged_sequence = max(peer.acknowledged_sequence, beat.heard_number)
+            if beat.heard_number >= peer.departed_sequence:
+                peer.departed, peer.departed_sequence = frozenset(beat.gone), beat.heard_number
         if beat.leaving:
-            self._apply(sender, peer, MembershipEvent.FAREWELL, now_us)
+            self._apply(sender, peer, MembershipEvent.LEAVE_ANNOUNCED, now_us)
         else:
-            self._apply(sender, peer, MembershipEvent.NEW_LIFE if new else MembershipEvent.HEARD, now_us)
-
-    def _outbid(self, known: int) -> None:
+            self._apply(
+                sender,
+                peer,
+                MembershipEvent.NEW_INCARNATION if new else MembershipEvent.HEARTBEAT_RECEIVED,
+                now_us,
+            )
+
+    def _raise_incarnation(self, known: int) -> None:
         """Others know a later life under this index: a clock that went back gave this one too low a number. A
         second process would bid against it for ever, so only a few times; then others see that it is one."""
-        if self.outbid < MOST_BIDS:
-            self.outbid += 1
+        if self.incarnation_bids < MAX_INCARNATION_BIDS:
+            self.incarnation_bids += 1
             self.life = known + 1
             # The count of beats goes on: begun anew, what was repeated of the last life passed for new.
-            self.sent_us.clear()
+            self.heartbeat_sent_us.clear()
 
     def advance(self, now_us: int) -> None:
         """Time passes."""
         self.now_us = now_us
         for index, peer in self.peers.items():
-            silent_us = now_us - peer.heard_us
-            if silent_us >= self.terms.lapse_us:
-                self._apply(index, peer, MembershipEvent.LAPSED, now_us)
-            elif silent_us >= SUSPECT_AFTER_HEARTBEATS * self.terms.beat_us:
-                self._apply(index, peer, MembershipEvent.LATE, now_us)
-            if peer.standing in (PeerState.BACK, PeerState.TWIN) and now_us >= self._free_us(peer):
-                self._apply(index, peer, MembershipEvent.FREE, now_us)
-
-    def _free_us(self, peer: Peer) -> int:
+            silent_us = now_us - peer.last_heartbeat_us
+            if silent_us >= self.terms.expiry_us:
+                self._apply(index, peer, MembershipEvent.LEASE_EXPIRED, now_us)
+            elif silent_us >= SUSPECT_AFTER_HEARTBEATS * self.terms.heartbeat_interval_us:
+                self._apply(index, peer, MembershipEvent.HEARTBEATS_MISSED, now_us)
+            if peer.standing in (PeerState.BACK, PeerState.TWIN) and now_us >= self._quarantine_end_us(peer):
+                self._apply(index, peer, MembershipEvent.QUARANTINE_ENDED, now_us)
+
+    def _quarantine_end_us(self, peer: Peer) -> int:
         """When one that is back may be repeated: the word that it is gone has lapsed, and one that comes and
         goes has stayed for the longer the more often it went."""
-        other_over_us = peer.other_us + self.terms.lapse_us if peer.other_us else 0
+        other_over_us = peer.other_incarnation_us + self.terms.expiry_us if peer.other_incarnation_us else 0
         if peer.standing is PeerState.TWIN:
-            return max(peer.other_us + DUPLICATE_WINDOW_US, other_over_us)
-        steady_us = peer.returned_us + self.terms.lease_us * max(0, peer.returns - FLAPS)
-        return max(steady_us, other_over_us, peer.called_us + round(self.terms.word_us * (1 + DRIFT)))
+            return max(peer.other_incarnation_us + DUPLICATE_WINDOW_US, other_over_us)
+        steady_us = peer.rejoined_us + self.terms.lease_us * max(0, peer.rejoin_count - MAX_FLAPS)
+        return max(
+            steady_us,
+            other_over_us,
+            peer.reported_departed_us + round(self.terms.departure_report_us * (1 + CLOCK_DRIFT)),
+        )
 
     def _apply(self, index: int, peer: Peer, event: MembershipEvent, now_us: int) -> None:
         now = TRANSITIONS.get((peer.standing, event), peer.standing)
         if now is peer.standing:
             return
         if now is PeerState.BACK:
-            recent = now_us - peer.returned_us < FLAP_US
-            peer.returns, peer.returned_us = (peer.returns + 1 if recent else 1), now_us
-        self.changes.append(PeerChange(index, peer.standing, now))
+            recent = now_us - peer.rejoined_us < FLAP_WINDOW_US
+            peer.rejoin_count, peer.rejoined_us = (peer.rejoin_count + 1 if recent else 1), now_us
+        self.pending_changes.append(PeerChange(index, peer.standing, now))
         peer.standing = now
 
     # What follows.
@@ -281,7 +304,7 @@
         """Whether a majority has lately repeated this front's beats."""
         fresh = 1  # this front hears itself
         for peer in self.peers.values():
-            sent_us = self.sent_us.get(peer.repeated)
+            sent_us = self.heartbeat_sent_us.get(peer.acknowledged_sequence)
             fresh += sent_us is not None and now_us - sent_us < self.terms.lease_us
         return fresh >= self.terms.majority and not self.leaving
 
@@ -289,15 +312,15 @@
         """The fronts that a majority calls gone, by words that are still in force."""
         words: dict[int, int] = {}
         for peer in self.peers.values():
-            sent_us = self.sent_us.get(peer.gone_by)
-            if sent_us is not None and now_us - sent_us < self.terms.word_us:
-                for index in peer.gone:
+            sent_us = self.heartbeat_sent_us.get(peer.departed_sequence)
+            if sent_us is not None and now_us - sent_us < self.terms.departure_report_us:
+                for index in peer.departed:
                     words[index] = words.get(index, 0) + 1
-        mine = now_us >= self.speaks_us
+        mine = now_us >= self.quiet_until_us
         return frozenset(
             index
             for index, peer in self.peers.items()
-            if words.get(index, 0) + (mine and peer.standing in GONE) >= self.terms.majority
+            if words.get(index, 0) + (mine and peer.standing in DEPARTED_STATES) >= self.terms.majority
         )
 
     def share(self, now_us: int) -> float:
@@ -306,9 +329,9 @@
         if terms.fronts == 1:
             return 1.0
         if not self.leased(now_us):
-            return terms.kept / terms.fronts
+            return terms.reserved_fraction / terms.fronts
         gone = len(self.gone(now_us))
-        return (1 - terms.kept * gone / terms.fronts) / (terms.fronts - gone)
+        return (1 - terms.reserved_fraction * gone / terms.fronts) / (terms.fronts - gone)
 
     def mine(self, turn: int, now_us: int) -> bool:
         """Whether a turn that goes round all fronts is this one's, whatever the others believe.
@@ -320,8 +343,8 @@
         """
         owner, round_ = turn % self.terms.fronts, turn // self.terms.fronts
         if owner == self.terms.index:
-            return self._kept(owner, round_) or self.leased(now_us)
-        if self._kept(owner, round_) or not self.leased(now_us):
+            return self._is_reserved_turn(owner, round_) or self.leased(now_us)
+        if self._is_reserved_turn(owner, round_) or not self.leased(now_us):
             return False
         gone = self.gone(now_us)
         if owner not in gone:
@@ -329,8 +352,8 @@
         others = (i for i in range(self.terms.fronts) if i not in gone)
         return max(others, key=lambda i: crc32(f"{turn}/{i}".encode())) == self.terms.index
 
-    def _kept(self, owner: int, round_: int) -> bool:
-        return crc32(f"{owner}/{round_}".encode()) < self.terms.kept * 2**32
+    def _is_reserved_turn(self, owner: int, round_: int) -> bool:
+        return crc32(f"{owner}/{round_}".encode()) < self.terms.reserved_fraction * 2**32
 
     def living(self) -> int:
         """How many fronts this one takes to be alive, itself among them; no share hangs on it."""
@@ -338,11 +361,11 @@
 
     def alive(self) -> list[int]:
         """Which they are, by index."""
-        here = (*ACKNOWLEDGED, PeerState.BACK)
+        here = (*ACKNOWLEDGED_STATES, PeerState.BACK)
         others = [index for index, peer in self.peers.items() if peer.standing in here]
         return sorted([self.terms.index, *others])
 
     def news(self) -> list[PeerChange]:
         """What has changed since the last call."""
-        found, self.changes = self.changes, []
+        found, self.pending_changes = self.pending_changes, []
         return found
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/shared_quotas.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/shared_quotas.py
@@ -22,14 +22,14 @@
 from math import ceil, exp, floor
 
 LOAN_US = 2_000_000
-DRIFT = 0.05  # by how much two clocks may differ in pace
-KEPT = 0.1  # of its part, what a front never lends: a new life has that at once
-SPARE = 0.25  # of what it needs, what a lender keeps beside it
-SAVED_S = 0.5  # of its rate, what may be saved up; one thing at least
-NEED_US = 2_000_000  # over which need is counted
-ASK_US = 500_000  # how often a busy front asks
-MOST_ASKED = 8  # others at a time
-MOST_SENT = 32
+CLOCK_DRIFT = 0.05  # by how much two clocks may differ in pace
+RESERVED_FRACTION = 0.1  # of its part, what a front never lends: a new life has that at once
+LENDER_HEADROOM = 0.25  # of what it needs, what a lender keeps beside it
+BURST_S = 0.5  # of its rate, what may be saved up; one thing at least
+DEMAND_WINDOW_US = 2_000_000  # over which need is counted
+REQUEST_INTERVAL_US = 500_000  # how often a busy front asks
+MAX_REQUESTS_PER_ROUND = 8  # others at a time
+MAX_PENDING_REQUESTS = 32
 
 
 class Resource(IntEnum):
@@ -67,64 +67,68 @@
 
     rate: float
     until_us: int
-    ask: tuple[int, int]  # the life and number it answers: a doubled ask is the same loan
+    request_id: tuple[int, int]  # the life and number it answers: a doubled ask is the same loan
 
 
 @dataclass(slots=True)
 class Quota:
     """One front's part of one thing. The caller hands in times and chance, and carries messages."""
 
-    thing: Resource
+    resource: Resource
     whole: float
-    fronts: int
+    front_count: int
     index: int
-    life: int
+    incarnation: int
     now_us: int
-    born_us: int = 0
+    started_us: int = 0
     tokens: float = 1.0  # a front that starts must not wait for its first list
     need: float = 0.0
-    number: int = 0
-    asked_us: int = -ASK_US
+    sequence: int = 0
+    asked_us: int = -REQUEST_INTERVAL_US
     sent: OrderedDict[int, tuple[int, QuotaRequest, int]] = field(default_factory=OrderedDict)  # unanswered
     lent: dict[int, LentQuota] = field(default_factory=dict)
     borrowed: dict[int, tuple[float, int]] = field(default_factory=dict)
     spent: int = 0
     denied: int = 0
     loan_us: int = LOAN_US
-    kept: float = KEPT
+    kept: float = RESERVED_FRACTION
     grain: float = 0.0  # what is lent is this or a multiple of it: a slot has no halves; 0: anything
-    ask_us: int = ASK_US
+    ask_us: int = REQUEST_INTERVAL_US
     tries: int = 1  # others asked for each that is missing
     again_us: int = LOAN_US // 2  # for how long the same others are asked before new ones are
     cleared: bool = False  # every other front has said that it uses nothing of a last life's
-    answers: dict[int, int] = field(default_factory=dict)  # the number of the ask by which each lends
+    loan_sequences: dict[int, int] = field(default_factory=dict)  # the number of the ask by which each lends
 
     def __post_init__(self) -> None:
-        self.born_us = self.now_us
+        self.started_us = self.now_us
 
     @property
-    def part(self) -> float:
+    def equal_share(self) -> float:
         """The equal share."""
-        return self.whole / self.fronts
+        return self.whole / self.front_count
 
     @property
-    def stays(self) -> float:
+    def reserved(self) -> float:
         """What is never lent."""
-        return self._whole_grains(self.part * self.kept)
+        return self._round_down(self.equal_share * self.kept)
 
-    def _whole_grains(self, rate: float) -> float:
+    def _round_down(self, rate: float) -> float:
         return floor(rate / self.grain + 1e-9) * self.grain if self.grain else rate
 
     @property
-    def wary_until_us(self) -> int:
+    def recovering_until_us(self) -> int:
         """Until then a last life's loans may still be spent by others."""
-        return self.born_us if self.cleared else self.born_us + round(self.loan_us * (1 + DRIFT) ** 2)
+        return (
+            self.started_us
+            if self.cleared
+            else self.started_us + round(self.loan_us * (1 + CLOCK_DRIFT) ** 2)
+        )
 
     def rate(self, now_us: int) -> float:
         """What this front may spend a second now, saved things apart."""
         lent = sum(loan.rate for loan in self.lent.values() if now_us < loan.until_us)
         # With a whole that was lowered more may be out than the part is now.
-        own = self.stays if now_us < self.wary_until_us else max(0.0, self.part - lent)
+        own = self.reserved if now_us < self.recovering_until_us else max(0.0, self.equal_share - lent)
         return own + sum(rate for rate, until_us in self.borrowed.values() if now_us < until_us)
 
     def lasting(self, now_us: int, end_us: int) -> float:
@@ -134,26 +138,26 @@
 
     def advance(self, now_us: int) -> None:
         """Time passes; each loan counts for as long as it lasts, however seldom this is called."""
-        ends = [self.wary_until_us, *(loan.until_us for loan in self.lent.values())]
+        ends = [self.recovering_until_us, *(loan.until_us for loan in self.lent.values())]
         ends += [until_us for _, until_us in self.borrowed.values()]
         at_us = self.now_us
         for end_us in [*sorted(end for end in ends if at_us < end < now_us), now_us]:
             self.tokens += self.rate(at_us) * max(0, end_us - at_us) / 1e6
             at_us = max(at_us, end_us)
         # Saved up by a loan and spent after its end, things would come on top of the lender's.
-        self._cap(now_us)
-        self.need *= exp(-max(0, now_us - self.now_us) / NEED_US)
+        self._cap_tokens(now_us)
+        self.need *= exp(-max(0, now_us - self.now_us) / DEMAND_WINDOW_US)
         self.now_us = max(self.now_us, now_us)
         self.lent = {peer: loan for peer, loan in self.lent.items() if now_us < loan.until_us}
         self.borrowed = {peer: loan for peer, loan in self.borrowed.items() if now_us < loan[1]}
 
-    def _cap(self, now_us: int) -> None:
-        self.tokens = min(self.tokens, max(1.0, SAVED_S * self.rate(now_us)))
+    def _cap_tokens(self, now_us: int) -> None:
+        self.tokens = min(self.tokens, max(1.0, BURST_S * self.rate(now_us)))
 
     def take(self, now_us: int) -> bool:
         """One more is wanted; whether it may be."""
         self.advance(now_us)
-        self.need += 1e6 / NEED_US
+        self.need += 1e6 / DEMAND_WINDOW_US
         if self.tokens < 1:
             self.denied += 1
             return False
@@ -183,70 +187,72 @@
         self.advance(now_us)
         short = self.need - self.lasting(now_us, until_us)
         if others is None:
-            others = [(self.index + 1 + step) % self.fronts for step in range(self.fronts - 1)]
+            others = [(self.index + 1 + step) % self.front_count for step in range(self.front_count - 1)]
         if not others or short <= 0:
             return []
         self.asked_us = now_us
-        many = ceil(short / max(self.part - self.stays, self.grain)) * self.tries
-        many = min(MOST_ASKED, len(others), many)
+        many = ceil(short / max(self.equal_share - self.reserved, self.grain)) * self.tries
+        many = min(MAX_REQUESTS_PER_ROUND, len(others), many)
         # Asked again under the same number, one whose answer was lost does not lend twice: a third of all
         # messages lost cost a third of what had been lent.
         found = [(to, said) for to, said, at_us in self.sent.values() if now_us - at_us < self.again_us]
         first = int(draw * len(others))
         for step in range(many - len(found)):
             other = others[(first + step) % len(others)]
-            self.number += 1
-            said = QuotaRequest(self.life, self.number, self.thing, short)
-            self.sent[self.number] = other, said, now_us
+            self.sequence += 1
+            said = QuotaRequest(self.incarnation, self.sequence, self.resource, short)
+            self.sent[self.sequence] = other, said, now_us
             found.append((other, said))
-        while len(self.sent) > MOST_SENT:
+        while len(self.sent) > MAX_PENDING_REQUESTS:
             self.sent.popitem(last=False)
         return found[:many]
 
     def hear_ask(self, sender: int, ask: QuotaRequest, now_us: int) -> QuotaTransfer | None:
         """Another asks: what it is lent."""
         self.advance(now_us)
-        if now_us < self.wary_until_us or sender == self.index or not 0 <= sender < self.fronts:
+        if now_us < self.recovering_until_us or sender == self.index or not 0 <= sender < self.front_count:
             return None
         known = self.lent.get(sender)
         if known is not None:
             # One loan to each at a time. The same ask again is the same loan; another waits for its end.
-            same = known.ask == (ask.life, ask.number)
+            same = known.request_id == (ask.life, ask.number)
             return QuotaTransfer(ask.life, ask.number, ask.thing, known.rate) if same else None
         lent = sum(loan.rate for loan in self.lent.values())
-        spare = self.part - self.stays - lent - self.need * (1 + SPARE)
-        rate = self._whole_grains(min(spare, ask.rate))
+        spare = self.equal_share - self.reserved - lent - self.need * (1 + LENDER_HEADROOM)
+        rate = self._round_down(min(spare, ask.rate))
         if rate <= 0:
             return None
-        until_us = now_us + round(self.loan_us * (1 + DRIFT))
+        until_us = now_us + round(self.loan_us * (1 + CLOCK_DRIFT))
         # What is lent is given up before it is told, with what was saved of it.
         self.lent[sender] = LentQuota(rate, until_us, (ask.life, ask.number))
-        self._cap(now_us)
+        self._cap_tokens(now_us)
         return QuotaTransfer(ask.life, ask.number, ask.thing, rate)
 
     def hear_loan(self, sender: int, loan: QuotaTransfer, now_us: int) -> None:
         """Another lends. Late or doubled, it counts from the ask that it answers."""
         self.advance(now_us)
         asked = self.sent.get(loan.number)
-        if loan.life != self.life or asked is None or asked[0] != sender:
+        if loan.life != self.incarnation or asked is None or asked[0] != sender:
             return
         del self.sent[loan.number]
         until_us = asked[2] + self.loan_us
         if now_us < until_us:
             self.borrowed[sender] = (min(loan.rate, asked[1].rate), until_us)
-            self.answers[sender] = loan.number
+            self.loan_sequences[sender] = loan.number
 
     def give_back(self, lender: int) -> QuotaTransfer | None:
         """What another lends is not needed any more: what to tell it. From now on it is not counted here."""
         loan = self.borrowed.pop(lender, None)
         return (
-            QuotaTransfer(self.life, self.answers.pop(lender), self.thing, 0.0) if loan is not None else None
+            QuotaTransfer(self.incarnation, self.loan_sequences.pop(lender), self.resource, 0.0)
+            if loan is not None
+            else None
         )
 
     def cancel(self) -> list[tuple[int, QuotaTransfer]]:
         """What was asked for is not needed any more: what to tell, as an answer may have been lost."""
         found = [
-            (to, QuotaTransfer(self.life, number, self.thing, 0.0))
+            (to, QuotaTransfer(self.incarnation, number, self.resource, 0.0))
             for number, (to, _, _) in self.sent.items()
         ]
         self.sent.clear()
@@ -255,12 +261,12 @@
     def forget(self, lender: int) -> None:
         """It has begun anew: what it lent before, and may still be on its way, is not used any more."""
         self.borrowed.pop(lender, None)
-        self.answers.pop(lender, None)
+        self.loan_sequences.pop(lender, None)
         for number in [number for number, (to, _, _) in self.sent.items() if to == lender]:
             del self.sent[number]
 
     def hear_back(self, sender: int, loan: QuotaTransfer) -> None:
         """A borrower needs no more what it was lent by that ask. Lost, the loan lapses in its time."""
         known = self.lent.get(sender)
-        if known is not None and known.ask == (loan.life, loan.number):
+        if known is not None and known.request_id == (loan.life, loan.number):
             del self.lent[sender]
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/shedding.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/shedding.py
@@ -15,11 +15,13 @@
 from fennelcove.decisions.fleet.fleet_load import FleetTotals
 from fennelcove.decisions.clients.waiting_room import TicketStatus
 
-FEW = 8  # requests in a summary's time that say nothing
-UNMET_TIGHT = 0.15
-UNMET_FULL = 0.4
-UNMET_DROWNED = 0.7
-FALLS = 8  # windows without need before a step down: a crowd that draws breath has not gone
+MIN_REQUESTS = 8  # requests in a summary's time that say nothing
+UNMET_ELEVATED = 0.15
+UNMET_HIGH = 0.4
+UNMET_CRITICAL = 0.7
+CALM_WINDOWS_PER_STEP_DOWN = (
+    8  # windows without need before a step down: a crowd that draws breath has not gone
+)
 
 
 class SheddingLevel(IntEnum):
@@ -34,10 +36,10 @@
 class LoadSignal(Enum):
     """What a summary's time shows."""
 
-    EASY = auto()
-    TIGHT = auto()
-    FULL = auto()
-    DROWNED = auto()
+    NORMAL = auto()
+    ELEVATED = auto()
+    HIGH = auto()
+    CRITICAL = auto()
 
 
 class SheddingAction(Enum):
@@ -49,11 +51,11 @@
 
 
 # The step that each sign asks for; up at once, down one step after `FALLS` windows.
-WANTED: dict[LoadSignal, SheddingLevel] = {
-    LoadSignal.EASY: SheddingLevel.NONE,
-    LoadSignal.TIGHT: SheddingLevel.REPEATS,
-    LoadSignal.FULL: SheddingLevel.LEAST,
-    LoadSignal.DROWNED: SheddingLevel.FIRSTS,
+TARGET_LEVELS: dict[LoadSignal, SheddingLevel] = {
+    LoadSignal.NORMAL: SheddingLevel.NONE,
+    LoadSignal.ELEVATED: SheddingLevel.REPEATS,
+    LoadSignal.HIGH: SheddingLevel.LEAST,
+    LoadSignal.CRITICAL: SheddingLevel.FIRSTS,
 }
 
 ACTIONS: dict[tuple[SheddingLevel, TicketStatus], SheddingAction] = {
@@ -80,13 +82,13 @@
 }
 
 
-def read(totals: FleetTotals) -> LoadSignal:
+def load_signal(totals: FleetTotals) -> LoadSignal:
     """What the fleet's figures show."""
-    if totals.asked < FEW or totals.unmet < UNMET_TIGHT:
-        return LoadSignal.EASY
-    if totals.unmet < UNMET_FULL:
-        return LoadSignal.TIGHT
-    return LoadSignal.FULL if totals.unmet < UNMET_DROWNED else LoadSignal.DROWNED
+    if totals.asked < MIN_REQUESTS or totals.unmet < UNMET_ELEVATED:
+        return LoadSignal.NORMAL
+    if totals.unmet < UNMET_HIGH:
+        return LoadSignal.ELEVATED
+    return LoadSignal.HIGH if totals.unmet < UNMET_CRITICAL else LoadSignal.CRITICAL
 
 
 @dataclass(slots=True)
@@ -94,22 +96,22 @@
     """Where one front stands on it."""
 
     level: SheddingLevel = SheddingLevel.NONE
-    calm: int = 0  # windows in a row that asked for a lower step
+    calm_windows: int = 0  # windows in a row that asked for a lower step
     changes: int = 0
 
     def window(self, totals: FleetTotals) -> bool:
         """One more window is closed; whether the step has changed."""
-        wanted = WANTED[read(totals)]
+        wanted = TARGET_LEVELS[load_signal(totals)]
         if wanted >= self.level:
-            self.calm = 0
+            self.calm_windows = 0
             if wanted is self.level:
                 return False
             self.level = wanted
         else:
-            self.calm += 1
-            if self.calm < FALLS:
+            self.calm_windows += 1
+            if self.calm_windows < CALM_WINDOWS_PER_STEP_DOWN:
                 return False
-            self.level, self.calm = SheddingLevel(self.level - 1), 0
+            self.level, self.calm_windows = SheddingLevel(self.level - 1), 0
         self.changes += 1
         return True
 
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/slow_start_allocation.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/slow_start_allocation.py
@@ -10,12 +10,12 @@
 from dataclasses import dataclass, field
 from math import exp
 
-SPAN_US = 2_000_000  # over which demand is counted: a viewer's pause between two tries
-OVER = 1.5  # times the pace is let in: not each finds its turn open
-LEAST = 0.1  # of those who step back are let in all the same, so that none is shut out whole
-MOST_TITLES = 1024
+DEMAND_WINDOW_US = 2_000_000  # over which demand is counted: a viewer's pause between two tries
+OVERADMISSION_FACTOR = 1.5  # times the pace is let in: not each finds its turn open
+MIN_ADMITTED_FRACTION = 0.1  # of those who step back are let in all the same, so that none is shut out whole
+MAX_TITLES = 1024
 LEAST_WAIT_US = 1_000_000  # Retry-After counts whole seconds
-LONGEST_WAIT_US = 30_000_000
+MAX_RETRY_AFTER_US = 30_000_000
 
 
 @dataclass(slots=True)
@@ -23,37 +23,39 @@
     """What is asked for one title, by benefit, and what was promised to those sent away."""
 
     now_us: int
-    counts: dict[float, float] = field(default_factory=dict)
-    promised: float = 0.0
+    requests_by_weight: dict[float, float] = field(default_factory=dict)
+    promised_turns: float = 0.0
 
     def advance(self, now_us: int, pace: float) -> None:
         """Time passes: counts fade, promises fall due at the pace."""
         seconds = max(0, now_us - self.now_us) / 1e6
-        fade = exp(-seconds * 1e6 / SPAN_US)
-        self.counts = {
+        fade = exp(-seconds * 1e6 / DEMAND_WINDOW_US)
+        self.requests_by_weight = {
             priority_weight: count * fade
-            for priority_weight, count in self.counts.items()
+            for priority_weight, count in self.requests_by_weight.items()
             if count * fade > 0.01
         }
-        self.promised = max(0.0, self.promised - pace * seconds)
+        self.promised_turns = max(0.0, self.promised_turns - pace * seconds)
         self.now_us = max(now_us, self.now_us)
 
-    def ask(self, priority_weight: float) -> None:
+    def record_request(self, priority_weight: float) -> None:
         """One more asks."""
-        self.counts[priority_weight] = self.counts.get(priority_weight, 0.0) + 1.0
+        self.requests_by_weight[priority_weight] = self.requests_by_weight.get(priority_weight, 0.0) + 1.0
 
-    def part(self, priority_weight: float, pace: float) -> float:
+    def admitted_fraction(self, priority_weight: float, pace: float) -> float:
         """The share of those of this benefit that may be let in at a pace of set-ups a second."""
-        per_s = 1e6 / SPAN_US
-        greater = sum(count for other, count in self.counts.items() if other > priority_weight) * per_s
-        own = max(self.counts.get(priority_weight, 0.0) * per_s, 1e-9)
-        return min(1.0, max(LEAST, (OVER * pace - greater) / own))
-
-    def wait_us(self, pace: float, most_us: int | None, draw: float) -> int:
+        per_s = 1e6 / DEMAND_WINDOW_US
+        greater = (
+            sum(count for other, count in self.requests_by_weight.items() if other > priority_weight) * per_s
+        )
+        own = max(self.requests_by_weight.get(priority_weight, 0.0) * per_s, 1e-9)
+        return min(1.0, max(MIN_ADMITTED_FRACTION, (OVERADMISSION_FACTOR * pace - greater) / own))
+
+    def retry_after_us(self, pace: float, most_us: int | None, draw: float) -> int:
         """When one that is sent away should come again: behind those before it, within what may be told."""
-        self.promised += 1.0
-        longest = LONGEST_WAIT_US if most_us is None else max(LEAST_WAIT_US, most_us)
-        wait_us = self.promised / pace * 1e6 if pace > 0 else longest
+        self.promised_turns += 1.0
+        longest = MAX_RETRY_AFTER_US if most_us is None else max(LEAST_WAIT_US, most_us)
+        wait_us = self.promised_turns / pace * 1e6 if pace > 0 else longest
         if wait_us > longest:
             wait_us = longest * (0.5 + draw / 2)
         return max(LEAST_WAIT_US, round(wait_us))
@@ -63,7 +65,7 @@
     """One front's demands, a bounded number of titles; the one longest unasked is forgotten first."""
 
     def __init__(self) -> None:
-        self.titles: OrderedDict[str, TitleDemand] = OrderedDict()
+        self.demands: OrderedDict[str, TitleDemand] = OrderedDict()
 
     def ask(
         self, title: str, priority_weight: float, pace: float, most_us: int | None, now_us: int, draw: float
@@ -73,14 +75,14 @@
         Returns:
             None where it is let in, or the wait to tell it, in microseconds.
         """
-        demand = self.titles.get(title)
+        demand = self.demands.get(title)
         if demand is None:
-            demand = self.titles[title] = TitleDemand(now_us)
-            if len(self.titles) > MOST_TITLES:
-                self.titles.popitem(last=False)
-        self.titles.move_to_end(title)
+            demand = self.demands[title] = TitleDemand(now_us)
+            if len(self.demands) > MAX_TITLES:
+                self.demands.popitem(last=False)
+        self.demands.move_to_end(title)
         demand.advance(now_us, pace)
-        demand.ask(priority_weight)
-        if draw < demand.part(priority_weight, pace):
+        demand.record_request(priority_weight)
+        if draw < demand.admitted_fraction(priority_weight, pace):
             return None
-        return demand.wait_us(pace, most_us, draw)
+        return demand.retry_after_us(pace, most_us, draw)
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/snapshot_trust.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/snapshot_trust.py
@@ -16,8 +16,8 @@
 from dataclasses import dataclass
 from enum import Enum, IntEnum, auto
 
-KEPT_US = 600_000_000  # past it what a box or a crowd did says nothing
-SLACK_US = 1_500_000  # two accounts of one moment differ by a list's and a clock's error
+MAX_AGE_US = 600_000_000  # past it what a box or a crowd did says nothing
+CLOCK_TOLERANCE_US = 1_500_000  # two accounts of one moment differ by a list's and a clock's error
 
 
 class FactKind(Enum):
@@ -35,7 +35,7 @@
 
     SELF = 0  # this front
     FRONTS = 1  # most fronts
-    BOX = 2  # this front, and the box that the fact is about
+    SERVER = 2  # this front, and the box that the fact is about
     ALL = 3  # fronts and boxes
 
 
@@ -52,12 +52,12 @@
 
     USE = 0
     AT_LEAST = 1  # it may be more by now
-    ASK = 2  # only once whoever it is about has spoken
+    CONFIRM = 2  # only once whoever it is about has spoken
     DROP = 3
 
 
 # Each row: by loss from SELF to ALL, and in it by age from FRESH to OLD.
-U, L, A, D = SnapshotUse.USE, SnapshotUse.AT_LEAST, SnapshotUse.ASK, SnapshotUse.DROP
+U, L, A, D = SnapshotUse.USE, SnapshotUse.AT_LEAST, SnapshotUse.CONFIRM, SnapshotUse.DROP
 TRUST_RULES: dict[FactKind, tuple[tuple[SnapshotUse, SnapshotUse, SnapshotUse], ...]] = {
     # What a box did wrong says nothing of its next process, and nothing where no clock tells since when.
     FactKind.STRIKES: ((U, D, D), (U, D, D), (D, D, D), (D, D, D)),
@@ -81,29 +81,33 @@
 class Evidence:
     """What a start has found so far; counts of what was heard, wall times in microseconds."""
 
-    servers: int = 0
-    servers_new: int = 0  # whose processes began after the folder's last word
-    fronts: int = 0  # others that were heard
-    fronts_new: int = 0  # in another life than the folder knows
-    kept_life: int = 0  # this front's life that wrote the folder; 0 where it does not say
-    known_life: int = 0  # the latest life under its index that others have heard of, before this one
+    observed_servers: int = 0
+    restarted_servers: int = 0  # whose processes began after the folder's last word
+    observed_fronts: int = 0  # others that were heard
+    restarted_fronts: int = 0  # in another life than the folder knows
+    saved_incarnation: int = 0  # this front's life that wrote the folder; 0 where it does not say
+    latest_known_incarnation: int = (
+        0  # the latest life under its index that others have heard of, before this one
+    )
     written_us: int = 0  # the folder's last word; 0 for no folder
     wall_us: int = 0
 
 
 def loss(found: Evidence) -> LossKind:
     """What died, by the evidence: more than half of those heard. Of what was not heard nothing is claimed."""
-    servers = 2 * found.servers_new > found.servers
-    fronts = 2 * found.fronts_new > found.fronts
-    if servers and (fronts or not found.fronts):
+    servers = 2 * found.restarted_servers > found.observed_servers
+    fronts = 2 * found.restarted_fronts > found.observed_fronts
+    if servers and (fronts or not found.observed_fronts):
         return LossKind.ALL
     return LossKind.FRONTS if fronts else LossKind.SELF
 
 
 def age(found: Evidence) -> SnapshotAge:
     """How old the folder is."""
-    if not found.written_us or (found.kept_life and found.known_life > found.kept_life):
+    if not found.written_us or (
+        found.saved_incarnation and found.latest_known_incarnation > found.saved_incarnation
+    ):
         return SnapshotAge.OLD
-    if found.written_us > found.wall_us + SLACK_US:
+    if found.written_us > found.wall_us + CLOCK_TOLERANCE_US:
         return SnapshotAge.UNKNOWN
-    return SnapshotAge.OLD if found.wall_us - found.written_us > KEPT_US else SnapshotAge.FRESH
+    return SnapshotAge.OLD if found.wall_us - found.written_us > MAX_AGE_US else SnapshotAge.FRESH
--- a/packages/decisions-recovery/src/fennelcove/decisions/recovery/reconciliation.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/reconciliation.py
@@ -54,7 +54,7 @@
 class KnownSession:
     """What this front holds under the id that a box names."""
 
-    stage: SessionState
+    state: SessionState
     attempt: int
     server: str
 
@@ -73,7 +73,7 @@
         seat_free: one more of its title and room type may be held.
     """
     if known is not None and known.attempt == attempt and known.server == server:
-        return SessionClaim.CURRENT if known.stage is SessionState.PLAYING else SessionClaim.IN_FLIGHT
+        return SessionClaim.CURRENT if known.state is SessionState.PLAYING else SessionClaim.IN_FLIGHT
     if mine:
         return SessionClaim.ENDED_HERE if known is None else SessionClaim.OVERTAKEN
     if not fits:
--- a/packages/decisions-recovery/src/fennelcove/decisions/recovery/snapshot.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/snapshot.py
@@ -16,7 +16,7 @@
 import msgspec
 from msgspec import Struct
 
-from fennelcove.decisions.fleet.snapshot_trust import KEPT_US, SLACK_US
+from fennelcove.decisions.fleet.snapshot_trust import MAX_AGE_US, CLOCK_TOLERANCE_US
 
 MOST_TIMES = 4096
 
@@ -106,7 +106,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RecoveredState:
+class RecoveredServer:
     """A box's memory as ages in microseconds, fit for the module; None for never."""
 
     strikes: int
@@ -132,7 +132,7 @@
 
 def rule(
     memory: ServerMemory | None, started_us: int | None, wall_us: int
-) -> tuple[RecordVerdict, RecoveredState | None]:
+) -> tuple[RecordVerdict, RecoveredServer | None]:
     """What a memory of a box is worth.
 
     Args:
@@ -146,13 +146,13 @@
     if started_us is None:
         return RecordVerdict.NOT_LISTED, None
     newest_us = memory.heard_us
-    if newest_us > wall_us + SLACK_US:
+    if newest_us > wall_us + CLOCK_TOLERANCE_US:
         return RecordVerdict.CLOCK_BACK, None
-    if started_us > memory.started_us + SLACK_US and started_us > newest_us:
+    if started_us > memory.started_us + CLOCK_TOLERANCE_US and started_us > newest_us:
         return RecordVerdict.NEW_LIFE, None
-    if wall_us - newest_us > KEPT_US:
+    if wall_us - newest_us > MAX_AGE_US:
         return RecordVerdict.TOO_OLD, None
-    return RecordVerdict.USED, RecoveredState(
+    return RecordVerdict.USED, RecoveredServer(
         memory.strikes,
         max(0, memory.shut_until_us - wall_us),
         max(0, wall_us - memory.joined_us) if memory.joined_us else None,
--- a/packages/decisions-recovery/src/fennelcove/decisions/recovery/write_behind.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/write_behind.py
@@ -10,25 +10,25 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-MOST_WAITING = 20_000  # keys
-MOST_BATCH = 2000
-GROUP_US = 50_000  # writes that come within it share one sync
-FIRST_PAUSE_US = 500_000
-LONGEST_PAUSE_US = 30_000_000
+MAX_PENDING_KEYS = 20_000  # keys
+MAX_BATCH_KEYS = 2000
+GROUP_COMMIT_US = 50_000  # writes that come within it share one sync
+INITIAL_BACKOFF_US = 500_000
+MAX_BACKOFF_US = 30_000_000
 
 
 class WriterState(Enum):
     """How the disk does."""
 
     WRITING = auto()
-    FULL = auto()  # it said so: tried again after a pause
-    BROKEN = auto()  # it said something else: tried again as well, an operator may mend it
+    DISK_FULL = auto()  # it said so: tried again after a pause
+    FAILING = auto()  # it said something else: tried again as well, an operator may mend it
 
 
 class WriterEvent(Enum):
     """What became of a write."""
 
-    DONE = auto()
+    WRITTEN = auto()
     NO_SPACE = auto()
     FAILED = auto()
 
@@ -36,34 +36,34 @@
 class WriterAction(Enum):
     """What follows."""
 
-    TELL_FULL = auto()
-    TELL_BROKEN = auto()
-    TELL_WELL = auto()
-    PAUSE = auto()  # twice as long each time
+    LOG_DISK_FULL = auto()
+    LOG_WRITE_FAILED = auto()
+    LOG_RECOVERED = auto()
+    BACK_OFF = auto()  # twice as long each time
 
 
 TRANSITIONS: dict[tuple[WriterState, WriterEvent], tuple[WriterState, tuple[WriterAction, ...]]] = {
-    (WriterState.WRITING, WriterEvent.DONE): (WriterState.WRITING, ()),
+    (WriterState.WRITING, WriterEvent.WRITTEN): (WriterState.WRITING, ()),
     (WriterState.WRITING, WriterEvent.NO_SPACE): (
-        WriterState.FULL,
-        (WriterAction.TELL_FULL, WriterAction.PAUSE),
+        WriterState.DISK_FULL,
+        (WriterAction.LOG_DISK_FULL, WriterAction.BACK_OFF),
     ),
     (WriterState.WRITING, WriterEvent.FAILED): (
-        WriterState.BROKEN,
-        (WriterAction.TELL_BROKEN, WriterAction.PAUSE),
+        WriterState.FAILING,
+        (WriterAction.LOG_WRITE_FAILED, WriterAction.BACK_OFF),
     ),
-    (WriterState.FULL, WriterEvent.DONE): (WriterState.WRITING, (WriterAction.TELL_WELL,)),
-    (WriterState.FULL, WriterEvent.NO_SPACE): (WriterState.FULL, (WriterAction.PAUSE,)),
-    (WriterState.FULL, WriterEvent.FAILED): (
-        WriterState.BROKEN,
-        (WriterAction.TELL_BROKEN, WriterAction.PAUSE),
+    (WriterState.DISK_FULL, WriterEvent.WRITTEN): (WriterState.WRITING, (WriterAction.LOG_RECOVERED,)),
+    (WriterState.DISK_FULL, WriterEvent.NO_SPACE): (WriterState.DISK_FULL, (WriterAction.BACK_OFF,)),
+    (WriterState.DISK_FULL, WriterEvent.FAILED): (
+        WriterState.FAILING,
+        (WriterAction.LOG_WRITE_FAILED, WriterAction.BACK_OFF),
     ),
-    (WriterState.BROKEN, WriterEvent.DONE): (WriterState.WRITING, (WriterAction.TELL_WELL,)),
-    (WriterState.BROKEN, WriterEvent.NO_SPACE): (
-        WriterState.FULL,
-        (WriterAction.TELL_FULL, WriterAction.PAUSE),
+    (WriterState.FAILING, WriterEvent.WRITTEN): (WriterState.WRITING, (WriterAction.LOG_RECOVERED,)),
+    (WriterState.FAILING, WriterEvent.NO_SPACE): (
+        WriterState.DISK_FULL,
+        (WriterAction.LOG_DISK_FULL, WriterAction.BACK_OFF),
     ),
-    (WriterState.BROKEN, WriterEvent.FAILED): (WriterState.BROKEN, (WriterAction.PAUSE,)),
+    (WriterState.FAILING, WriterEvent.FAILED): (WriterState.FAILING, (WriterAction.BACK_OFF,)),
 }
 
 
@@ -72,51 +72,51 @@
     """What is to be written, and when; the caller holds the lock and hands in times in microseconds."""
 
     state: WriterState = WriterState.WRITING
-    keys: OrderedDict[bytes, bytes | None] = field(default_factory=OrderedDict)
-    since_us: int = -1
-    pause_us: int = FIRST_PAUSE_US
-    not_before_us: int = 0
-    dropped: int = 0
+    pending: OrderedDict[bytes, bytes | None] = field(default_factory=OrderedDict)
+    pending_since_us: int = -1
+    backoff_us: int = INITIAL_BACKOFF_US
+    retry_at_us: int = 0
+    dropped_count: int = 0
 
     def put(self, key: bytes, value: bytes | None, now_us: int) -> None:
         """To be kept; past the bound the one that has waited longest is given up."""
-        if not self.keys:
-            self.since_us = now_us
-        self.keys[key] = value
-        if len(self.keys) > MOST_WAITING:
-            self.keys.popitem(last=False)
-            self.dropped += 1
+        if not self.pending:
+            self.pending_since_us = now_us
+        self.pending[key] = value
+        if len(self.pending) > MAX_PENDING_KEYS:
+            self.pending.popitem(last=False)
+            self.dropped_count += 1
 
     def wait_us(self, now_us: int) -> int | None:
         """In how long the next batch is due; None while nothing waits."""
-        if not self.keys:
+        if not self.pending:
             return None
-        return max(0, self.since_us + GROUP_US - now_us, self.not_before_us - now_us)
+        return max(0, self.pending_since_us + GROUP_COMMIT_US - now_us, self.retry_at_us - now_us)
 
-    def take(self, now_us: int) -> list[tuple[bytes, bytes | None]]:
+    def next_batch(self, now_us: int) -> list[tuple[bytes, bytes | None]]:
         """The next batch."""
         found: list[tuple[bytes, bytes | None]] = []
-        while self.keys and len(found) < MOST_BATCH:
-            found.append(self.keys.popitem(last=False))
-        self.since_us = now_us
+        while self.pending and len(found) < MAX_BATCH_KEYS:
+            found.append(self.pending.popitem(last=False))
+        self.pending_since_us = now_us
         return found
 
-    def back(self, batch: list[tuple[bytes, bytes | None]]) -> None:
+    def requeue(self, batch: list[tuple[bytes, bytes | None]]) -> None:
         """A batch was not written: it waits again, unless something newer does."""
         for key, value in reversed(batch):
-            if key not in self.keys:
-                self.keys[key] = value
-                self.keys.move_to_end(key, last=False)
-        while len(self.keys) > MOST_WAITING:
-            self.keys.popitem(last=False)
-            self.dropped += 1
-
-    def over(self, event: WriterEvent, now_us: int) -> tuple[WriterAction, ...]:
+            if key not in self.pending:
+                self.pending[key] = value
+                self.pending.move_to_end(key, last=False)
+        while len(self.pending) > MAX_PENDING_KEYS:
+            self.pending.popitem(last=False)
+            self.dropped_count += 1
+
+    def on_write_completed(self, event: WriterEvent, now_us: int) -> tuple[WriterAction, ...]:
         """What became of a write."""
         self.state, acts = TRANSITIONS[self.state, event]
-        if WriterAction.PAUSE in acts:
-            self.not_before_us = now_us + self.pause_us
-            self.pause_us = min(LONGEST_PAUSE_US, 2 * self.pause_us)
+        if WriterAction.BACK_OFF in acts:
+            self.retry_at_us = now_us + self.backoff_us
+            self.backoff_us = min(MAX_BACKOFF_US, 2 * self.backoff_us)
         else:
-            self.pause_us, self.not_before_us = FIRST_PAUSE_US, 0
+            self.backoff_us, self.retry_at_us = INITIAL_BACKOFF_US, 0
         return acts
--- a/packages/store/src/fennelcove/store/base.py
+++ b/packages/store/src/fennelcove/store/base.py
@@ -12,11 +12,11 @@
 import lmdb
 
 from fennelcove.errors import OperatorError
-from fennelcove.store.records import CHECK_BYTES, FORMAT, Entry, check
+from fennelcove.store.records import CHECKSUM_BYTES, FORMAT_VERSION, Entry, checksum
 
-META = b"\x00number"
+SEQUENCE_KEY = b"\x00number"
 FILE = "base.lmdb"
-ANEW = "move it away to begin anew"
+RECREATE_ADVICE = "move it away to begin anew"
 
 
 class BaseFileError(OperatorError):
@@ -34,7 +34,7 @@
     def __init__(self, folder: str, most_bytes: int, read_only: bool = False) -> None:
         path = Path(folder) / FILE
         try:
-            self.env = lmdb.open(
+            self.environment = lmdb.open(
                 str(path),
                 map_size=most_bytes,
                 subdir=False,
@@ -45,14 +45,14 @@
                 mode=0o600,
             )
         except lmdb.Error as error:
-            raise BaseFileError(f"found no usable base ({error})", str(path), ANEW) from None
-        with self.env.begin() as view:
-            raw = view.get(META)
-        found = int.from_bytes(raw[:4], "big") if raw else FORMAT
-        if found != FORMAT:
-            self.env.close()
-            raise BaseFileError(f"found format {found}, this is {FORMAT}", str(path), ANEW)
-        self.number = int.from_bytes(raw[4:12], "big") if raw else 0
+            raise BaseFileError(f"found no usable base ({error})", str(path), RECREATE_ADVICE) from None
+        with self.environment.begin() as view:
+            raw = view.get(SEQUENCE_KEY)
+        found = int.from_bytes(raw[:4], "big") if raw else FORMAT_VERSION
+        if found != FORMAT_VERSION:
+            self.environment.close()
+            raise BaseFileError(f"found format {found}, this is {FORMAT_VERSION}", str(path), RECREATE_ADVICE)
+        self.sequence = int.from_bytes(raw[4:12], "big") if raw else 0
 
     def apply(self, entries: Iterable[Entry], number: int) -> None:
         """Take in changes, up to and with a number, in one transaction.
@@ -61,38 +61,38 @@
             OSError: the base is full or can't be written; nothing of it is in force.
         """
         try:
-            with self.env.begin(write=True) as change:
+            with self.environment.begin(write=True) as change:
                 for key, value in entries:
                     if value is None:
                         change.delete(key)
                     else:
-                        change.put(key, check(key + value) + value)
-                change.put(META, FORMAT.to_bytes(4, "big") + number.to_bytes(8, "big"))
+                        change.put(key, checksum(key + value) + value)
+                change.put(SEQUENCE_KEY, FORMAT_VERSION.to_bytes(4, "big") + number.to_bytes(8, "big"))
         except lmdb.Error as error:
             raise OSError(28 if isinstance(error, lmdb.MapFullError) else 5, str(error)) from None
-        self.number = number
+        self.sequence = number
 
     def items(self) -> Iterator[tuple[bytes, bytes | None]]:
         """Every key with its value; None where the value is not what was written."""
-        with self.env.begin() as view:
+        with self.environment.begin() as view:
             for key, raw in view.cursor():
-                if key == META:
+                if key == SEQUENCE_KEY:
                     continue
-                value = bytes(raw[CHECK_BYTES:])
-                yield bytes(key), value if check(bytes(key) + value) == raw[:CHECK_BYTES] else None
+                value = bytes(raw[CHECKSUM_BYTES:])
+                yield bytes(key), value if checksum(bytes(key) + value) == raw[:CHECKSUM_BYTES] else None
 
     def copy(self, path: str) -> None:
         """A compacted copy, whole, into one file."""
         try:
-            self.env.copy(path, compact=True)
+            self.environment.copy(path, compact=True)
         except lmdb.Error as error:
             raise BaseFileError(f"found no way to write it ({error})", str(path)) from None
 
     def size(self) -> int:
         """Bytes of its pages in use."""
-        info = self.env.info()
-        return int((info["last_pgno"] + 1) * self.env.stat()["psize"])
+        info = self.environment.info()
+        return int((info["last_pgno"] + 1) * self.environment.stat()["psize"])
 
     def close(self) -> None:
         """Give the environment back."""
-        self.env.close()
+        self.environment.close()
--- a/packages/store/src/fennelcove/store/files.py
+++ b/packages/store/src/fennelcove/store/files.py
@@ -26,7 +26,7 @@
     def remove(self, name: str) -> None: ...
 
 
-class RealFiles:
+class LocalFiles:
     """A folder of this machine.
 
     Raises:
@@ -35,7 +35,7 @@
 
     def __init__(self, folder: str) -> None:
         self.folder = Path(folder)
-        self.open: dict[str, int] = {}
+        self.descriptors: dict[str, int] = {}
 
     def names(self) -> list[str]:
         return sorted(item.name for item in self.folder.iterdir())
@@ -44,10 +44,10 @@
         return (self.folder / name).read_bytes()
 
     def _descriptor(self, name: str) -> int:
-        if name not in self.open:
+        if name not in self.descriptors:
             flags = os.O_RDWR | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
-            self.open[name] = os.open(self.folder / name, flags, 0o600)
-        return self.open[name]
+            self.descriptors[name] = os.open(self.folder / name, flags, 0o600)
+        return self.descriptors[name]
 
     def append(self, name: str, raw: bytes) -> None:
         left = memoryview(raw)
@@ -68,16 +68,16 @@
             os.close(descriptor)
 
     def remove(self, name: str) -> None:
-        self._shut(name)
+        self._close_descriptor(name)
         (self.folder / name).unlink()
 
-    def _shut(self, name: str) -> None:
-        descriptor = self.open.pop(name, None)
+    def _close_descriptor(self, name: str) -> None:
+        descriptor = self.descriptors.pop(name, None)
         if descriptor is not None:
             os.close(descriptor)
 
     def close(self) -> None:
         """Give every descriptor back."""
-        for name in list(self.open):
+        for name in list(self.descriptors):
             with suppress(OSError):
-                self._shut(name)
+                self._close_descriptor(name)
--- a/packages/store/src/fennelcove/store/journal.py
+++ b/packages/store/src/fennelcove/store/journal.py
@@ -10,17 +10,25 @@
 from dataclasses import dataclass, field
 
 from fennelcove.store.files import Files
-from fennelcove.store.records import FORMAT, Batch, Damage, Entry, FrameFault, frame, read
+from fennelcove.store.records import (
+    FORMAT_VERSION,
+    Batch,
+    Damage,
+    Entry,
+    FrameFault,
+    encode_frame,
+    decode_frames,
+)
 
 PREFIX, SUFFIX = "journal-", ".log"
 
 
-def name(after: int) -> str:
+def file_name(after: int) -> str:
     """The file whose first batch follows this number."""
     return f"{PREFIX}{after:020d}{SUFFIX}"
 
 
-def after_of(file: str) -> int | None:
+def preceding_sequence(file: str) -> int | None:
     """The number before a file's first batch; None for what is no journal."""
     digits = file.removeprefix(PREFIX).removesuffix(SUFFIX)
     whole = file == f"{PREFIX}{digits}{SUFFIX}"
@@ -28,20 +36,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Found:
+class RecoveredJournal:
     """What a folder's journals hold past a number: batches, and what stopped the reading, file by file."""
 
     batches: list[Batch]
     damages: list[tuple[str, Damage]] = field(default_factory=list)
 
 
-def recover(files: Files, after: int) -> Found:
+def recover(files: Files, after: int) -> RecoveredJournal:
     """Every whole batch past `after`, without a gap."""
     batches: list[Batch] = []
     damages: list[tuple[str, Damage]] = []
     last = after
     for file in files.names():
-        begins = after_of(file)
+        begins = preceding_sequence(file)
         if begins is None:
             continue
         if begins > last:
@@ -50,7 +58,7 @@
             )
             break
         stopped = False
-        for item in read(files.read(file), begins):
+        for item in decode_frames(files.read(file), begins):
             if isinstance(item, Damage):
                 damages.append((file, item))
                 stopped = item.fault is not FrameFault.CUT_SHORT
@@ -59,7 +67,7 @@
                 last = item.number
         if stopped:
             break
-    return Found(batches, damages)
+    return RecoveredJournal(batches, damages)
 
 
 class Journal:
@@ -68,19 +76,19 @@
     def __init__(self, files: Files, after: int) -> None:
         self.files = files
         self.number = after
-        self.file = name(after)
-        self.size = 0
+        self.file_name = file_name(after)
+        self.byte_count = 0
 
-    def begin(self) -> None:
+    def create(self) -> None:
         """Begin this file, empty; whatever lies under its name was never acknowledged.
 
         Raises:
             OSError: the disk says no.
         """
-        if self.file in self.files.names():
-            self.files.cut(self.file, 0)
-        self.files.append(self.file, b"")
-        self.files.sync(self.file)
+        if self.file_name in self.files.names():
+            self.files.cut(self.file_name, 0)
+        self.files.append(self.file_name, b"")
+        self.files.sync(self.file_name)
         self.files.sync_folder()
 
     def commit(self, entries: Sequence[Entry]) -> int:
@@ -90,13 +98,13 @@
             OSError: it is not in force. What was written of it is cut off again, so that the next one does
                 not follow a torn one.
         """
-        raw = frame(Batch(FORMAT, self.number + 1, list(entries)))
+        raw = encode_frame(Batch(FORMAT_VERSION, self.number + 1, list(entries)))
         try:
-            self.files.append(self.file, raw)
-            self.files.sync(self.file)
+            self.files.append(self.file_name, raw)
+            self.files.sync(self.file_name)
         except OSError:
-            self.files.cut(self.file, self.size)
+            self.files.cut(self.file_name, self.byte_count)
             raise
-        self.size += len(raw)
+        self.byte_count += len(raw)
         self.number += 1
         return self.number
--- a/packages/store/src/fennelcove/store/keeper.py
+++ b/packages/store/src/fennelcove/store/keeper.py
@@ -20,17 +20,17 @@
     def __init__(self, store: Store, clock: Clock, notice: EventLogger) -> None:
         self.store = store
         self.clock = clock
-        self.notice = notice
-        self.waiting = WriteBehindQueue()
-        self.changed = threading.Condition()
-        self.stopped = False
-        self.writes = 0
+        self.log_event = notice
+        self.queue = WriteBehindQueue()
+        self.condition = threading.Condition()
+        self.is_stopping = False
+        self.write_count = 0
         self.thread = threading.Thread(target=self._run, name="keeper")
-        self.acts: dict[WriterAction, Callable[[], None]] = {
-            WriterAction.TELL_FULL: lambda: self.notice("store_full", folder=store.folder),
-            WriterAction.TELL_BROKEN: lambda: self.notice("store_broken", folder=store.folder),
-            WriterAction.TELL_WELL: lambda: self.notice("store_well", folder=store.folder),
-            WriterAction.PAUSE: lambda: None,
+        self.action_handlers: dict[WriterAction, Callable[[], None]] = {
+            WriterAction.LOG_DISK_FULL: lambda: self.log_event("store_full", folder=store.folder),
+            WriterAction.LOG_WRITE_FAILED: lambda: self.log_event("store_broken", folder=store.folder),
+            WriterAction.LOG_RECOVERED: lambda: self.log_event("store_well", folder=store.folder),
+            WriterAction.BACK_OFF: lambda: None,
         }
 
     def start(self) -> None:
@@ -39,51 +39,51 @@
 
     def keep(self, entries: list[tuple[bytes, bytes | None]]) -> None:
         """To be written soon."""
-        with self.changed:
+        with self.condition:
             now_us = self.clock.now_us()
             for key, value in entries:
-                self.waiting.put(key, value, now_us)
-            self.changed.notify()
+                self.queue.put(key, value, now_us)
+            self.condition.notify()
 
     def stop(self, timeout_us: int) -> None:
         """Write what waits and end; a disk that hangs is not waited for."""
-        with self.changed:
-            self.stopped = True
-            self.changed.notify()
+        with self.condition:
+            self.is_stopping = True
+            self.condition.notify()
         self.thread.join(timeout_us / 1e6)
         if self.thread.is_alive():
-            self.notice("store_left", folder=self.store.folder)
+            self.log_event("store_left", folder=self.store.folder)
             return
         self.store.close()
 
     def _run(self) -> None:
         while True:
-            with self.changed:
-                while not self.stopped:
-                    wait_us = self.waiting.wait_us(self.clock.now_us())
+            with self.condition:
+                while not self.is_stopping:
+                    wait_us = self.queue.wait_us(self.clock.now_us())
                     if wait_us == 0:
                         break
-                    self.changed.wait(IDLE_S if wait_us is None else wait_us / 1e6)
-                batch = self.waiting.take(self.clock.now_us())
-                if not batch and self.stopped:
+                    self.condition.wait(IDLE_S if wait_us is None else wait_us / 1e6)
+                batch = self.queue.next_batch(self.clock.now_us())
+                if not batch and self.is_stopping:
                     return
             event = self._write(batch)
-            with self.changed:
-                if event is not WriterEvent.DONE:
-                    self.waiting.back(batch)
-                acts = self.waiting.over(event, self.clock.now_us())
-                last = self.stopped and (event is not WriterEvent.DONE or not self.waiting.keys)
+            with self.condition:
+                if event is not WriterEvent.WRITTEN:
+                    self.queue.requeue(batch)
+                acts = self.queue.on_write_completed(event, self.clock.now_us())
+                last = self.is_stopping and (event is not WriterEvent.WRITTEN or not self.queue.pending)
             for act in acts:
-                self.acts[act]()
+                self.action_handlers[act]()
             if last:
                 return
 
     def _write(self, batch: list[tuple[bytes, bytes | None]]) -> WriterEvent:
         try:
             self.store.commit(batch)
-            self.writes += 1
+            self.write_count += 1
             if self.store.heavy:
                 self.store.fold()
-            return WriterEvent.DONE
+            return WriterEvent.WRITTEN
         except OSError as error:
             return WriterEvent.NO_SPACE if error.errno in (errno.ENOSPC, errno.EDQUOT) else WriterEvent.FAILED
--- a/packages/store/src/fennelcove/store/records.py
+++ b/packages/store/src/fennelcove/store/records.py
@@ -14,10 +14,10 @@
 import msgspec
 from msgspec import Struct
 
-FORMAT = 1
-CHECK_BYTES = 16
-HEAD_BYTES = 4 + CHECK_BYTES
-MOST_FRAME = 8_000_000
+FORMAT_VERSION = 1
+CHECKSUM_BYTES = 16
+HEADER_BYTES = 4 + CHECKSUM_BYTES
+MAX_FRAME_BYTES = 8_000_000
 
 Entry = tuple[bytes, bytes | None]  # a key, and its value; None takes it out
 
@@ -52,36 +52,36 @@
     detail: str = ""
 
 
-def check(raw: bytes) -> bytes:
+def checksum(raw: bytes) -> bytes:
     """A checksum that no accident passes."""
-    return blake3.blake3(raw).digest(CHECK_BYTES)
+    return blake3.blake3(raw).digest(CHECKSUM_BYTES)
 
 
-def frame(batch: Batch) -> bytes:
+def encode_frame(batch: Batch) -> bytes:
     """A batch as it is written."""
     body = _ENCODER.encode(batch)
     length = len(body).to_bytes(4, "big")
-    return length + check(length + body) + body
+    return length + checksum(length + body) + body
 
 
-def read(raw: bytes, after: int) -> Iterator[Batch | Damage]:
+def decode_frames(raw: bytes, after: int) -> Iterator[Batch | Damage]:
     """The batches of a journal, in order, numbered on from `after`; last, what stopped the reading, if
     anything did."""
     at = 0
     while at < len(raw):
-        if len(raw) - at < HEAD_BYTES:
+        if len(raw) - at < HEADER_BYTES:
             yield Damage(at, FrameFault.CUT_SHORT, "in a head")
             return
         length = int.from_bytes(raw[at : at + 4], "big")
-        end = at + HEAD_BYTES + length
-        if length > MOST_FRAME:
+        end = at + HEADER_BYTES + length
+        if length > MAX_FRAME_BYTES:
             yield Damage(at, FrameFault.ALTERED, f"a length of {length}")
             return
         if end > len(raw):
             yield Damage(at, FrameFault.CUT_SHORT, "in a body")
             return
-        body = raw[at + HEAD_BYTES : end]
-        if check(raw[at : at + 4] + body) != raw[at + 4 : at + HEAD_BYTES]:
+        body = raw[at + HEADER_BYTES : end]
+        if checksum(raw[at : at + 4] + body) != raw[at + 4 : at + HEADER_BYTES]:
             yield Damage(at, FrameFault.ALTERED)
             return
         try:
@@ -89,8 +89,8 @@
         except msgspec.MsgspecError as error:
             yield Damage(at, FrameFault.OTHER_FORMAT, str(error))
             return
-        if batch.format != FORMAT:
-            yield Damage(at, FrameFault.OTHER_FORMAT, f"{batch.format}, this is {FORMAT}")
+        if batch.format != FORMAT_VERSION:
+            yield Damage(at, FrameFault.OTHER_FORMAT, f"{batch.format}, this is {FORMAT_VERSION}")
             return
         if batch.number != after + 1:
             yield Damage(at, FrameFault.OUT_OF_ORDER, f"{batch.number} after {after}")
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -9,8 +9,8 @@
 
 from fennelcove.clock import SystemClock
 from fennelcove.decisions.recovery.background_scheduler import (
-    DEBT_US,
-    SAVED_US,
+    MAX_DEBT_US,
+    MAX_SAVED_US,
     TaskPriority,
     BackgroundScheduler,
     BackgroundTask,
@@ -76,10 +76,10 @@
         for task in tasks:
             self.assertGreater(task.runs, 0)
             # Past its deadline it goes before all that are not; only others as late can be before it.
-            self.assertLessEqual(task.latest_us, task.late_us + longest)
-        self.assertGreaterEqual(schedule.level_us, -DEBT_US)
-        if not any(task.latest_us >= task.late_us for task in tasks):
-            self.assertLessEqual(taken, schedule.share * passed + SAVED_US + longest)
+            self.assertLessEqual(task.latest_us, task.max_delay_us + longest)
+        self.assertGreaterEqual(schedule.budget_us, -MAX_DEBT_US)
+        if not any(task.latest_us >= task.max_delay_us for task in tasks):
+            self.assertLessEqual(taken, schedule.time_share * passed + MAX_SAVED_US + longest)
 
     def test_a_dear_task_waits_for_its_budget_and_a_cheap_one_does_not(self) -> None:
         dear = BackgroundTask("dear", TaskPriority.VIEWERS, 100 * MS, 10_000 * MS)
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -98,7 +98,7 @@
         purses = tuple(
             (
                 i,
-                min(self.now_us - p.born_us, 3 * STEP_US),
+                min(self.now_us - p.started_us, 3 * STEP_US),
                 tuple(sorted((to, loan.rate, loan.until_us - self.now_us) for to, loan in p.lent.items())),
                 tuple(
                     sorted(
@@ -110,7 +110,7 @@
             )
             for i, p in sorted(self.purses.items())
         )
-        now = {i: (p.life, p.number) for i, p in self.purses.items()}
+        now = {i: (p.incarnation, p.sequence) for i, p in self.purses.items()}
         air = tuple(
             sorted(
                 (
@@ -151,7 +151,7 @@
     """A planted fault: a loan counts from when it is heard."""
 
     def hear_loan(self, sender: int, loan: QuotaTransfer, now_us: int) -> None:
-        if loan.life == self.life:
+        if loan.life == self.incarnation:
             self.borrowed[sender] = (loan.rate, now_us + shared_quotas.LOAN_US)
 
 
@@ -159,8 +159,8 @@
     """A planted fault: a new life takes its whole part at once."""
 
     @property
-    def wary_until_us(self) -> int:
-        return self.born_us
+    def recovering_until_us(self) -> int:
+        return self.started_us
 
 
 class TakesBack(Quota):
@@ -207,7 +207,7 @@
                     world.air.pop()
                 else:
                     world.deliver(len(world.air) - 1, chance.random() < 0.1)
-        saved = max(4.0, shared_quotas.SAVED_S * WHOLE)
+        saved = max(4.0, shared_quotas.BURST_S * WHOLE)
         for at, from_us in enumerate(spent):
             within = [time for time in spent[at:] if time < from_us + 1_000_000]
             self.assertLessEqual(len(within), WHOLE + saved + births)
@@ -223,7 +223,7 @@
         world.air = [(0, to, said) for to, said in busy.ask(0.0, world.now_us)]
         while world.air:
             world.deliver(0, keep=False)
-        self.assertGreater(busy.rate(world.now_us), 2 * busy.part)
+        self.assertGreater(busy.rate(world.now_us), 2 * busy.equal_share)
         self.assertAlmostEqual(world.whole(), WHOLE)
         self.assertEqual(busy.wait_us(world.now_us), 0)
 
@@ -242,7 +242,7 @@
     def test_only_the_chosen_probe_and_the_next_takes_over(self) -> None:
         everyone = range(8)
         first = chosen_checkers("box", everyone)
-        self.assertEqual(len(first), health_checks.WATCHERS)
+        self.assertEqual(len(first), health_checks.CHECKERS_PER_SERVER)
         rest = [front for front in everyone if front != first[0]]
         after = chosen_checkers("box", rest)
         self.assertEqual(after[:2], first[1:])
@@ -252,7 +252,7 @@
 
     def test_names_of_fronts_change_nothing_but_who_watches(self) -> None:
         for names in (range(5), range(20, 25), (3, 1, 4, 15, 9)):
-            self.assertEqual(len(set(chosen_checkers("box", names))), health_checks.WATCHERS)
+            self.assertEqual(len(set(chosen_checkers("box", names))), health_checks.CHECKERS_PER_SERVER)
             self.assertEqual(chosen_checkers("box", names), chosen_checkers("box", reversed(list(names))))
 
     def test_one_bad_path_shuts_a_box_for_nobody_else_and_two_words_do(self) -> None:
@@ -265,7 +265,7 @@
         self.assertFalse(book.gone("box", everyone, 0))
         book.hear(two, "box", True, 1, 0)
         self.assertTrue(book.gone("box", everyone, 0))
-        self.assertFalse(book.gone("box", everyone, health_checks.WORD_US + 1))
+        self.assertFalse(book.gone("box", everyone, health_checks.REPORT_LIFETIME_US + 1))
         book.hear(two, "box", False, 2, 0)
         book.hear(two, "box", True, 1, 0)  # late
         self.assertFalse(book.gone("box", everyone, 0))
@@ -279,8 +279,8 @@
                 asked.append(now)
                 book.probed("box", ProbeResult.FAILED, now)
         gaps = [b - a for a, b in pairwise(asked)]
-        self.assertLess(gaps[0], health_checks.CALM_US)
-        self.assertEqual(gaps[-1], health_checks.MOST_US)
+        self.assertLess(gaps[0], health_checks.HEALTHY_PROBE_INTERVAL_US)
+        self.assertEqual(gaps[-1], health_checks.MAX_PROBE_INTERVAL_US)
         self.assertEqual(gaps, sorted(gaps))
         self.assertTrue(book.gone("box", (0,), asked[-1]))
 
@@ -310,7 +310,7 @@
         book, now = HealthCheckAssignment(0, 1), 1
         self.assertEqual(book.due(["box"], (0,), 0.0, now), ["box"])
         book.probed("box", ProbeResult.ANSWERED, now)
-        now += health_checks.DOUBT_US
+        now += health_checks.SUSPECT_PROBE_INTERVAL_US
         word = book.failed("box", now)
         assert word is not None
         self.assertEqual(
@@ -321,7 +321,9 @@
         self.assertEqual(book.due(["box"], (0,), 0.0, now), ["box"])
         for _ in range(100):
             book.urge("box", now)
-            self.assertEqual(book.due(["box"], (0,), 0.0, now + health_checks.DOUBT_US - 1), [])
+            self.assertEqual(
+                book.due(["box"], (0,), 0.0, now + health_checks.SUSPECT_PROBE_INTERVAL_US - 1), []
+            )
         book.probed("box", ProbeResult.FAILED, now)
         self.assertIsNone(book.tells("box", now))
 
@@ -333,8 +335,8 @@
             book.hear(front, "box", True, 1, 0)
         self.assertTrue(book.gone("box", everyone, 0))
         book.served("box", 0)
-        self.assertFalse(book.gone("box", everyone, health_checks.SERVED_US))
-        self.assertTrue(book.gone("box", everyone, health_checks.SERVED_US + 1))
+        self.assertFalse(book.gone("box", everyone, health_checks.RECENTLY_SERVED_US))
+        self.assertTrue(book.gone("box", everyone, health_checks.RECENTLY_SERVED_US + 1))
 
     def test_a_box_that_is_well_again_is_told_for_as_long_as_an_ill_word_may_stand(self) -> None:
         # A single word that it is well may be lost, and the ill one before it stood on.
@@ -344,10 +346,10 @@
             book.probed("box", ProbeResult.FAILED, now)
         self.assertIsNotNone(book.tells("box", now))
         book.probed("box", ProbeResult.ANSWERED, now)
-        for after in (1, health_checks.WORD_US - 1):
+        for after in (1, health_checks.REPORT_LIFETIME_US - 1):
             said = book.tells("box", now + after)
-            self.assertIs(said.tells if said else None, health_checks.HealthVerdict.WELL)
-        self.assertIsNone(book.tells("box", now + health_checks.WORD_US))
+            self.assertIs(said.tells if said else None, health_checks.HealthVerdict.HEALTHY)
+        self.assertIsNone(book.tells("box", now + health_checks.REPORT_LIFETIME_US))
 
     def test_words_that_were_altered_are_refused(self) -> None:
         raw = messages.pack_word(HealthReport(7, health_checks.HealthVerdict.ILL, 1 << 60))
--- a/tests/test_comeback.py
+++ b/tests/test_comeback.py
@@ -31,19 +31,21 @@
         start.settled("y", 30)
         self.assertIs(start.phase, RecoveryState.OPEN)
         late = RecoveryAdmission(0)
-        self.assertEqual(late.left_us(recovery_admission.LIST_WAIT_US), 0)
-        late.apply(RecoveryEvent.TIME, recovery_admission.LIST_WAIT_US)
+        self.assertEqual(late.left_us(recovery_admission.ENDPOINT_LIST_TIMEOUT_US), 0)
+        late.apply(RecoveryEvent.TIME, recovery_admission.ENDPOINT_LIST_TIMEOUT_US)
         self.assertIs(late.phase, RecoveryState.OPEN)
 
     def test_a_box_that_stays_silent_holds_back_only_what_needs_its_account_and_not_for_ever(self) -> None:
         start = RecoveryAdmission(0, True, 4 * SECOND)
         start.listed({"x", "silent"}, 10)
         start.settled("x", 20)
-        start.advance(False, 20 + recovery_admission.GREET_WAIT_US)
+        start.advance(False, 20 + recovery_admission.GREETING_TIMEOUT_US)
         self.assertIs(start.phase, RecoveryState.SETTLING)
-        self.assertIsNot(start.entry(RequestKind.PLAIN), AdmissionDecision.WAIT)
-        self.assertIs(start.entry(RequestKind.ACCOUNTED), AdmissionDecision.WAIT)
-        start.advance(False, 20 + recovery_admission.GREET_WAIT_US + recovery_admission.SETTLE_US)
+        self.assertIsNot(start.entry(RequestKind.PLAIN), AdmissionDecision.RETRY_LATER)
+        self.assertIs(start.entry(RequestKind.ACCOUNTED), AdmissionDecision.RETRY_LATER)
+        start.advance(
+            False, 20 + recovery_admission.GREETING_TIMEOUT_US + recovery_admission.SETTLING_TIMEOUT_US
+        )
         self.assertIs(start.entry(RequestKind.ACCOUNTED), AdmissionDecision.IN)
 
     def test_from_every_phase_the_door_opens_whoever_stays_silent(self) -> None:
@@ -67,11 +69,11 @@
         self.assertEqual(count, 5**6)
 
     def test_nothing_with_accounts_comes_in_before_they_are_settled(self) -> None:
-        for (phase, kind), let in recovery_admission.ENTRY.items():
+        for (phase, kind), let in recovery_admission.ADMISSION_RULES.items():
             settled = phase in (RecoveryState.RATIONED, RecoveryState.OPEN)
             if kind is RequestKind.ACCOUNTED and not settled:
-                self.assertIs(let, AdmissionDecision.WAIT)
-        self.assertEqual(set(recovery_admission.ENTRY), set(product(RecoveryState, RequestKind)))
+                self.assertIs(let, AdmissionDecision.RETRY_LATER)
+        self.assertEqual(set(recovery_admission.ADMISSION_RULES), set(product(RecoveryState, RequestKind)))
 
     def test_boxes_that_fall_again_and_again_do_not_ration_for_ever(self) -> None:
         start = RecoveryAdmission(0, True, 4 * SECOND)
@@ -79,7 +81,7 @@
         start.settled("x", 20)
         self.assertTrue(start.advance(True, 30))
         self.assertIs(start.phase, RecoveryState.RATIONED)
-        start.apply(RecoveryEvent.TIME, 30 + recovery_admission.RATIONED_RAMPS * 4 * SECOND)
+        start.apply(RecoveryEvent.TIME, 30 + recovery_admission.MAX_RATIONED_SLOW_STARTS * 4 * SECOND)
         self.assertIs(start.phase, RecoveryState.OPEN)
 
 
@@ -96,18 +98,31 @@
                 self.assertGreaterEqual(worse, snapshot_trust.use(fact, LossKind.SELF, age))
 
     def test_a_fleet_that_was_lost_is_told_from_a_front_by_what_is_heard(self) -> None:
-        self.assertIs(snapshot_trust.loss(Evidence(servers=9, servers_new=1, fronts=5)), LossKind.SELF)
         self.assertIs(
-            snapshot_trust.loss(Evidence(servers=9, servers_new=8, fronts=5, fronts_new=5)), LossKind.ALL
+            snapshot_trust.loss(Evidence(observed_servers=9, restarted_servers=1, observed_fronts=5)),
+            LossKind.SELF,
+        )
+        self.assertIs(
+            snapshot_trust.loss(
+                Evidence(observed_servers=9, restarted_servers=8, observed_fronts=5, restarted_fronts=5)
+            ),
+            LossKind.ALL,
+        )
+        self.assertIs(snapshot_trust.loss(Evidence(observed_servers=9, restarted_servers=8)), LossKind.ALL)
+        self.assertIs(
+            snapshot_trust.loss(Evidence(observed_servers=9, observed_fronts=5, restarted_fronts=4)),
+            LossKind.FRONTS,
         )
-        self.assertIs(snapshot_trust.loss(Evidence(servers=9, servers_new=8)), LossKind.ALL)
-        self.assertIs(snapshot_trust.loss(Evidence(servers=9, fronts=5, fronts_new=4)), LossKind.FRONTS)
         self.assertIs(snapshot_trust.loss(Evidence()), LossKind.SELF)
 
     def test_a_folder_is_old_where_others_know_a_later_life_and_unknown_where_a_clock_went_back(self) -> None:
-        fresh = Evidence(written_us=100 * SECOND, wall_us=103 * SECOND, kept_life=7, known_life=7)
+        fresh = Evidence(
+            written_us=100 * SECOND, wall_us=103 * SECOND, saved_incarnation=7, latest_known_incarnation=7
+        )
         self.assertIs(snapshot_trust.age(fresh), SnapshotAge.FRESH)
-        copied = Evidence(written_us=100 * SECOND, wall_us=103 * SECOND, kept_life=7, known_life=9)
+        copied = Evidence(
+            written_us=100 * SECOND, wall_us=103 * SECOND, saved_incarnation=7, latest_known_incarnation=9
+        )
         self.assertIs(snapshot_trust.age(copied), SnapshotAge.OLD)
         back = Evidence(written_us=3700 * SECOND, wall_us=100 * SECOND)
         self.assertIs(snapshot_trust.age(back), SnapshotAge.UNKNOWN)
@@ -130,30 +145,32 @@
     def test_the_lesser_benefit_steps_back_by_what_the_greater_needs(self) -> None:
         demand = TitleDemand(0)
         for _ in range(20):
-            demand.ask(3.0)
-            demand.ask(1.0)
-        asked = 20 * SECOND / slow_start_allocation.SPAN_US
-        self.assertEqual(demand.part(3.0, asked), 1.0)
-        self.assertLess(demand.part(1.0, asked), 0.6)
-        self.assertEqual(demand.part(1.0, asked / 10), slow_start_allocation.LEAST)
-        self.assertEqual(demand.part(1.0, 10 * asked), 1.0)
+            demand.record_request(3.0)
+            demand.record_request(1.0)
+        asked = 20 * SECOND / slow_start_allocation.DEMAND_WINDOW_US
+        self.assertEqual(demand.admitted_fraction(3.0, asked), 1.0)
+        self.assertLess(demand.admitted_fraction(1.0, asked), 0.6)
+        self.assertEqual(
+            demand.admitted_fraction(1.0, asked / 10), slow_start_allocation.MIN_ADMITTED_FRACTION
+        )
+        self.assertEqual(demand.admitted_fraction(1.0, 10 * asked), 1.0)
 
     def test_waits_that_are_told_follow_the_pace_and_stay_within_what_may_be_told(self) -> None:
         demand = TitleDemand(0)
-        waits = [demand.wait_us(2.0, None, 0.5) for _ in range(10)]
+        waits = [demand.retry_after_us(2.0, None, 0.5) for _ in range(10)]
         self.assertEqual(waits, sorted(waits))
         self.assertEqual(waits[-1], 5 * SECOND)
         demand.advance(4 * SECOND, 2.0)
-        self.assertLess(demand.wait_us(2.0, None, 0.5), waits[-1])
-        capped = [demand.wait_us(0.1, 2 * SECOND, draw / 10) for draw in range(10)]
+        self.assertLess(demand.retry_after_us(2.0, None, 0.5), waits[-1])
+        capped = [demand.retry_after_us(0.1, 2 * SECOND, draw / 10) for draw in range(10)]
         self.assertLessEqual(max(capped), 2 * SECOND)
         self.assertGreaterEqual(min(capped), SECOND)
 
     def test_titles_are_bounded(self) -> None:
         held = SlowStartAllocation()
-        for number in range(slow_start_allocation.MOST_TITLES + 50):
+        for number in range(slow_start_allocation.MAX_TITLES + 50):
             held.ask(f"t{number}", 1.0, 1.0, None, 0, 0.0)
-        self.assertEqual(len(held.titles), slow_start_allocation.MOST_TITLES)
+        self.assertEqual(len(held.demands), slow_start_allocation.MAX_TITLES)
 
 
 if __name__ == "__main__":
--- a/tests/test_company.py
+++ b/tests/test_company.py
@@ -175,7 +175,7 @@
         world = World(3)
         world.begin()
         world.run(LONG)
-        for _ in range(membership.FLAPS + 3):
+        for _ in range(membership.MAX_FLAPS + 3):
             flapping = apart({2}, {0, 1})
             while world.members[0].peers[2].standing is not PeerState.SILENT:
                 world.step(flapping)
--- a/tests/test_flood_days.py
+++ b/tests/test_flood_days.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from fennelcove.scenarios.script import Crowd, Day, read
-from fennelcove.decisions.fleet.shared_quotas import SAVED_S
+from fennelcove.decisions.fleet.shared_quotas import BURST_S
 from tests.fleetdays import played
 
 SHORT = {"from_s": 5.0, "to_s": 9.0}
@@ -43,7 +43,7 @@
         told = day.front.overload
         assert told is not None
         times = further(records)
-        saved = max(day.fronts, SAVED_S * told.further_joins_s)
+        saved = max(day.fronts, BURST_S * told.further_joins_s)
         for from_us in times:
             within = [time for time in times if from_us <= time < from_us + 4_000_000]
             # Each front's first is on top, and what a box sees is later than what was sent, by its slowness.
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -38,7 +38,7 @@
             held = FleetLoadEstimator(1, 0)
             for front, summary in order:
                 held.hear(front, summary, 0)
-            results.append({front: held.others[front][0] for front in held.others})
+            results.append({front: held.peer_summaries[front][0] for front in held.peer_summaries})
         self.assertEqual(results[0], results[1])
         self.assertEqual(results[0], results[2])
 
@@ -47,9 +47,9 @@
         for _ in range(10):
             held.asked(1)
         held.advance(WINDOW)
-        self.assertEqual(held.totals(4, WINDOW).rows, ((0, 0, 0), (40, 0, 0)))
+        self.assertEqual(held.totals(4, WINDOW).class_loads, ((0, 0, 0), (40, 0, 0)))
         held.hear(1, LoadSummary(1, 1, ((6, 6, 0), (0, 0, 0))), WINDOW)
-        self.assertEqual(held.totals(4, WINDOW).rows, ((6, 6, 0), (30, 0, 0)))
+        self.assertEqual(held.totals(4, WINDOW).class_loads, ((6, 6, 0), (30, 0, 0)))
         self.assertEqual(held.totals(4, WINDOW + 2 * fleet_load.STALE_US).heard, 0)
 
     def test_one_that_tells_a_hundred_times_more_is_taken_at_a_bound(self) -> None:
@@ -59,7 +59,7 @@
         held.advance(WINDOW)
         for front, asked in ((1, 10), (2, 12), (3, 1000)):
             held.hear(front, said(1, asked, 0), WINDOW)
-        self.assertLessEqual(held.totals(4, WINDOW).asked, 10 + 10 + 12 + fleet_load.MOST_TIMES * 11)
+        self.assertLessEqual(held.totals(4, WINDOW).asked, 10 + 10 + 12 + fleet_load.MAX_MEDIAN_MULTIPLE * 11)
 
     def test_a_summary_survives_its_bytes_and_cut_ones_are_refused(self) -> None:
         summary = LoadSummary(1 << 40, 9, ((1, 2, 3), (40_000, 5, 6)))
@@ -86,12 +86,12 @@
             ladder = SheddingPolicy()
             ladder.window(worst)
             top = ladder.level
-            self.assertIs(top, shedding.WANTED[shedding.read(worst)])
+            self.assertIs(top, shedding.TARGET_LEVELS[shedding.load_signal(worst)])
             windows = 0
             while ladder.level is not SheddingLevel.NONE:
                 ladder.window(figures(100, 99))
                 windows += 1
-            self.assertEqual(windows, top * shedding.FALLS)
+            self.assertEqual(windows, top * shedding.CALM_WINDOWS_PER_STEP_DOWN)
 
     def test_figures_that_waver_do_not_make_it_swing(self) -> None:
         ladder, chance = SheddingPolicy(), Random(4)
@@ -100,7 +100,7 @@
         self.assertLess(ladder.changes, 12)
 
     def test_few_requests_say_nothing(self) -> None:
-        self.assertIs(shedding.read(figures(shedding.FEW - 1, 0)), LoadSignal.EASY)
+        self.assertIs(shedding.load_signal(figures(shedding.MIN_REQUESTS - 1, 0)), LoadSignal.NORMAL)
 
 
 if __name__ == "__main__":
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -152,7 +152,7 @@
         assert keeper is not None
         keeper.keep(self.front.core.memories.gather())
         wait_for(
-            lambda: not keeper.waiting.keys and any(b"k1" in key for key in list(keeper.store.values)),
+            lambda: not keeper.queue.pending and any(b"k1" in key for key in list(keeper.store.values)),
             "the key kept",
         )
         values = dict(keeper.store.values)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -63,9 +63,9 @@
 
     def renew(self, number: int) -> None:
         self.journal = Journal(self.disk, number)
-        self.journal.begin()
+        self.journal.create()
         for file in self.disk.names():
-            if journal.after_of(file) is not None and file != self.journal.file:
+            if journal.preceding_sequence(file) is not None and file != self.journal.file_name:
                 self.disk.remove(file)
         self.disk.sync_folder()
 
@@ -114,7 +114,7 @@
     def test_a_disk_that_runs_full_keeps_what_it_took_and_goes_on_later(self) -> None:
         disk = StandInDisk(most=400)
         log = Journal(disk, 0)
-        log.begin()
+        log.create()
         made = 0
         with self.assertRaises(OSError) as caught:
             for _ in range(100):
@@ -128,7 +128,7 @@
 
 class RecordsTest(unittest.TestCase):
     def raw(self, count: int) -> bytes:
-        return b"".join(records.frame(Batch(1, n, [(b"k%d" % n, b"v")])) for n in range(1, count + 1))
+        return b"".join(records.encode_frame(Batch(1, n, [(b"k%d" % n, b"v")])) for n in range(1, count + 1))
 
     @given(st.integers(0, 2000), st.integers(1, 255))
     @settings(max_examples=200, deadline=None)
@@ -136,7 +136,7 @@
         raw = bytearray(self.raw(8))
         at %= len(raw)
         raw[at] ^= flip
-        *good, last = records.read(bytes(raw), 0)
+        *good, last = records.decode_frames(bytes(raw), 0)
         assert isinstance(last, Damage)
         self.assertLessEqual(last.at, at)
         self.assertEqual(
@@ -147,7 +147,7 @@
     @given(st.binary(max_size=300))
     @settings(max_examples=200, deadline=None)
     def test_any_bytes_are_read_without_an_error(self, raw: bytes) -> None:
-        for item in records.read(raw, 0):
+        for item in records.decode_frames(raw, 0):
             self.assertIsInstance(item, Damage)
 
     def test_another_format_and_a_gap_are_told(self) -> None:
@@ -155,7 +155,7 @@
             (Batch(2, 1, []), FrameFault.OTHER_FORMAT),
             (Batch(1, 3, []), FrameFault.OUT_OF_ORDER),
         ):
-            (found,) = records.read(records.frame(batch), 0)
+            (found,) = records.decode_frames(records.encode_frame(batch), 0)
             assert isinstance(found, Damage)
             self.assertIs(found.fault, fault)
 
@@ -207,7 +207,7 @@
         store.commit([(b"box/%d" % i, b"value-%d" % i * 20) for i in range(5)])
         store.fold()
         store.commit([(b"late", b"in the journal")])
-        file = store.journal.file
+        file = store.journal.file_name
         store.close()
         base = Path(self.folder) / "base.lmdb"
         raw = bytearray(base.read_bytes())
@@ -286,7 +286,7 @@
         disk, told = self.Disk(), list[str]()
         disk.faults = [errno.ENOSPC]
         keeper = StoreWriter(disk, SystemClock(), lambda event, **fields: told.append(event))  # type: ignore[arg-type]
-        keeper.waiting.pause_us = 1000
+        keeper.queue.backoff_us = 1000
         keeper.start()
         keeper.keep([(b"a", b"1")])
         keeper.keep([(b"a", b"2"), (b"b", b"1")])
@@ -310,9 +310,9 @@
             set(write_behind.TRANSITIONS), {(state, cue) for state in WriterState for cue in WriterEvent}
         )
         for state in WriterState:
-            self.assertIs(write_behind.TRANSITIONS[state, WriterEvent.DONE][0], WriterState.WRITING)
+            self.assertIs(write_behind.TRANSITIONS[state, WriterEvent.WRITTEN][0], WriterState.WRITING)
             for cue in (WriterEvent.NO_SPACE, WriterEvent.FAILED):
-                self.assertIn(WriterAction.PAUSE, write_behind.TRANSITIONS[state, cue][1])
+                self.assertIn(WriterAction.BACK_OFF, write_behind.TRANSITIONS[state, cue][1])
 
     @given(
         st.lists(
@@ -331,22 +331,24 @@
                 waiting.put(name, value, now_us)
                 newest[name] = value
                 continue
-            batch = waiting.take(now_us)
+            batch = waiting.next_batch(now_us)
             if what == "take":
                 disk.update(batch)
-                waiting.over(WriterEvent.DONE, now_us)
+                waiting.on_write_completed(WriterEvent.WRITTEN, now_us)
             else:
-                waiting.back(batch)
-                waiting.over(WriterEvent.NO_SPACE if what == "full" else WriterEvent.FAILED, now_us)
-                self.assertLessEqual(waiting.pause_us, write_behind.LONGEST_PAUSE_US)
-        disk.update(waiting.take(now_us))
+                waiting.requeue(batch)
+                waiting.on_write_completed(
+                    WriterEvent.NO_SPACE if what == "full" else WriterEvent.FAILED, now_us
+                )
+                self.assertLessEqual(waiting.backoff_us, write_behind.MAX_BACKOFF_US)
+        disk.update(waiting.next_batch(now_us))
         self.assertEqual(disk, newest)
 
     def test_the_table_of_what_waits_is_bounded(self) -> None:
         waiting = WriteBehindQueue()
-        for i in range(write_behind.MOST_WAITING + 500):
+        for i in range(write_behind.MAX_PENDING_KEYS + 500):
             waiting.put(b"%d" % i, b"", 0)
-        self.assertEqual((len(waiting.keys), waiting.dropped), (write_behind.MOST_WAITING, 500))
+        self.assertEqual((len(waiting.pending), waiting.dropped_count), (write_behind.MAX_PENDING_KEYS, 500))
 
 
 class RecoveryTest(unittest.TestCase):
@@ -365,7 +367,7 @@
     def test_each_verdict(self) -> None:
         verdict, recalled = self.rule(self.memory())
         self.assertIs(verdict, RecordVerdict.USED)
-        self.assertEqual(recalled, snapshot.RecoveredState(3, SECOND, 7 * SECOND))
+        self.assertEqual(recalled, snapshot.RecoveredServer(3, SECOND, 7 * SECOND))
         self.assertIs(self.rule(None)[0], RecordVerdict.UNREADABLE)
         self.assertIs(self.rule(self.memory(), None)[0], RecordVerdict.NOT_LISTED)
         self.assertIs(self.rule(self.memory(), self.WALL - 2 * SECOND)[0], RecordVerdict.NEW_LIFE)
@@ -373,7 +375,7 @@
         self.assertIs(self.rule(self.memory(), later_s=3600)[0], RecordVerdict.TOO_OLD)
         self.assertIs(self.rule(self.memory(), later_s=-3600)[0], RecordVerdict.CLOCK_BACK)
         _, recalled = self.rule(self.memory(joined_us=0, shut_until_us=0))
-        self.assertEqual(recalled, snapshot.RecoveredState(3, 0, None))
+        self.assertEqual(recalled, snapshot.RecoveredServer(3, 0, None))
 
     @given(
         st.integers(-(10**10), 10**10),
