--- a/benchmarks/slots_worlds.py
+++ b/benchmarks/slots_worlds.py
@@ -227,7 +227,7 @@
     "from-receipt": (Quota, "hear_loan", from_receipt),  # a loan counts from when it is heard
     "unwary": (
         Quota,
-        "wary_until_us",
+        "recovering_until_us",
         property(lambda self: self.born_us),
     ),  # a new life takes its whole part
     "past-end": (QuotaLoans, "most", past_end),  # a borrowed slot carries joins that outlast the loan
--- a/packages/core/src/fennelcove/core/membership_coordinator.py
+++ b/packages/core/src/fennelcove/core/membership_coordinator.py
@@ -7,7 +7,8 @@
 
 from fennelcove.clock import Clock
 from fennelcove.core.requests import EventLogger
-from fennelcove.decisions.fleet.membership import Heartbeat, Membership, PeerState, MembershipSettings
+from fennelcove.decisions.fleet.membership import Heartbeat, Membership, MembershipSettings
+from fennelcove.decisions.fleet.peer_states import PeerState
 from fennelcove.settings.schema import CompanySettings, Instance
 
 Post = Callable[[dict[int, Heartbeat]], None]
@@ -84,13 +85,13 @@
                 "leased": company.leased(now_us),
                 "gone": sorted(company.gone(now_us)),
                 "share": round(company.share(now_us), 4),
-                "standings": {str(i): peer.standing.name.lower() for i, peer in company.peers.items()},
+                "standings": {str(i): peer.standing.value for i, peer in company.peers.items()},
             }
 
     def _tell(self) -> None:
         for change in self.company.news():
             if change.now in SHOWN:
-                was, now = change.was.name.lower(), change.now.name.lower()
+                was, now = change.was.value, change.now.value
                 self.notice("front_heard_of", other=change.index, was=was, now=now)
         leased = self.company.leased(self.clock.now_us())
         if leased is not self.was_leased:
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/__init__.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""What fronts rule on as one fleet, each from what it hears of the others: nothing here trusts a silence."""
+"""Decisions that fronts take as one fleet, each from the messages it receives from the others."""
--- a/tests/test_company.py
+++ b/tests/test_company.py
@@ -12,7 +12,8 @@
 from benchmarks.worlds import Hasty, Trusting
 from fennelcove import messages
 from fennelcove.decisions.fleet import membership
-from fennelcove.decisions.fleet.membership import Heartbeat, Membership, PeerState, MembershipSettings
+from fennelcove.decisions.fleet.membership import Heartbeat, Membership, MembershipSettings
+from fennelcove.decisions.fleet.peer_states import PeerState
 
 BEAT = membership.HEARTBEAT_INTERVAL_US
 LONG = 2 * membership.LEASE_US
