--- a/benchmarks/slots_worlds.py
+++ b/benchmarks/slots_worlds.py
@@ -23,7 +23,13 @@
 from typing import Any
 from unittest import mock
 
-from fennelcove.decisions.fleet.shared_quotas import CLOCK_DRIFT, QuotaRequest, QuotaTransfer, Quota
+from fennelcove.decisions.fleet.shared_quotas import (
+    CLOCK_DRIFT,
+    BorrowedQuota,
+    Quota,
+    QuotaRequest,
+    QuotaTransfer,
+)
 from fennelcove.concurrency_limits.quorum import QuorumAgreement, QuorumVote
 from fennelcove.concurrency_limits.adaptive_limit import LimitSettings
 from fennelcove.concurrency_limits.quota_loans import LOAN_US, QuotaLoans
@@ -202,7 +208,7 @@
 
 def from_receipt(self: Quota, sender: int, loan: QuotaTransfer, now_us: int) -> None:
     if loan.life == self.incarnation and self.sent.pop(loan.number, None) is not None:
-        self.borrowed[sender] = (loan.rate, now_us + self.loan_us)
+        self.borrowed[sender] = BorrowedQuota(loan.rate, now_us + self.loan_us)
         self.loan_sequences[sender] = loan.number
 
 
@@ -228,7 +234,7 @@
     "unwary": (
         Quota,
         "recovering_until_us",
-        property(lambda self: self.born_us),
+        property(lambda self: self.started_us),
     ),  # a new life takes its whole part
     "past-end": (QuotaLoans, "most", past_end),  # a borrowed slot carries joins that outlast the loan
     "any-word": (QuorumAgreement, "advance", any_word),  # one word raises the number
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -14,7 +14,13 @@
 
 from fennelcove import messages
 from fennelcove.decisions.fleet import shared_quotas, health_checks
-from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Quota, Resource
+from fennelcove.decisions.fleet.shared_quotas import (
+    BorrowedQuota,
+    Quota,
+    QuotaRequest,
+    QuotaTransfer,
+    Resource,
+)
 from fennelcove.decisions.fleet.health_checks import (
     ProbeResult,
     HealthCheckAssignment,
@@ -152,7 +158,7 @@
 
     def hear_loan(self, sender: int, loan: QuotaTransfer, now_us: int) -> None:
         if loan.life == self.incarnation:
-            self.borrowed[sender] = (loan.rate, now_us + shared_quotas.LOAN_US)
+            self.borrowed[sender] = BorrowedQuota(loan.rate, now_us + shared_quotas.LOAN_US)
 
 
 class Unwary(Quota):
