--- a/benchmarks/fleet_sums.py
+++ b/benchmarks/fleet_sums.py
@@ -98,12 +98,12 @@
             # One path in fifty is bad all day: that alone must shut a box for nobody else.
             path = Random(f"{seed} {i} {box}").random() < 0.02
             seen = ProbeResult.FAILED if ill or path else ProbeResult.ANSWERED
-            was_ill, number = books[i].probed(box, seen, sea.now_us)
+            report = books[i].probed(box, seen, sea.now_us)
             judge(i, box)
             if shared:
                 for to in range(fronts):
                     if to != i:
-                        sea.send(i, to, partial(hear, to, i, box, was_ill, number))
+                        sea.send(i, to, partial(hear, to, i, box, report.is_unhealthy, report.sequence))
 
     def hear(to: int, sender: int, box: str, ill: bool, number: int) -> None:
         books[to].hear(sender, box, ill, number, sea.now_us)
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/fleet_load.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/fleet_load.py
@@ -1,9 +1,9 @@
-"""What a fleet as a whole is asked, serves and turns away, from short summaries that fronts tell each other.
+"""The load of the fleet as a whole, estimated from short summaries that fronts exchange.
 
-A summary says what one front saw in the last seconds, by room type, and has a number. The newest of each
-front counts: so they merge alike in whatever order, and however often, they come. A front that is not heard
-is taken to see what this one sees, so that with no word from anybody the fleet is this front times all that
-there may be. One that tells many times more than the others is taken at a bound.
+A summary counts what one front saw in the last windows, by service class, and has a sequence number. The
+newest summary of each front counts, so summaries merge alike in whatever order, and however often, they
+arrive. A front with no recent summary is assumed to see what this one sees; with no summary at all, the
+fleet's load is this front's times the number of fronts. A summary far larger than the others is capped.
 """
 
 from __future__ import annotations
@@ -12,84 +12,144 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from statistics import median
+from typing import NamedTuple
 
 WINDOW_US = 500_000
-WINDOWS_PER_SUMMARY = 4  # that a summary covers: a viewer's pause between two tries
-STALE_US = 3 * WINDOW_US * WINDOWS_PER_SUMMARY // 2  # a summary older than this says nothing any more
-MAX_MEDIAN_MULTIPLE = (
-    8  # the median of all: the busiest of four fronts with a third of all viewers is far under it
-)
-MAX_COUNT = 65_535
+WINDOWS_PER_SUMMARY = 4  # together the time between two attempts of a client
+STALE_US = 3 * WINDOW_US * WINDOWS_PER_SUMMARY // 2  # age from which a summary does not count
+MAX_MEDIAN_MULTIPLE = 8  # the busiest of four fronts, with a third of all clients, is far below it
+MAX_COUNT = 65_535  # of a counter in a summary: two bytes
+MIN_SUMMARIES_FOR_CAP = 3
 
-ClassLoad = tuple[int, int, int]  # asked, served, turned away
-NO_LOAD: ClassLoad = (0, 0, 0)
+
+class ClassLoad(NamedTuple):
+    """The counts of one service class."""
+
+    requested: int
+    served: int
+    rejected: int
+
+    def scaled(self, factor: float) -> ClassLoad:
+        """The counts times a factor, rounded."""
+        return ClassLoad(*(round(count * factor) for count in self))
+
+    def capped(self) -> ClassLoad:
+        """The counts as far as a summary can hold them."""
+        return ClassLoad(*(min(count, MAX_COUNT) for count in self))
+
+
+NO_LOAD = ClassLoad(0, 0, 0)
 
 
 @dataclass(frozen=True, slots=True)
 class LoadSummary:
-    """What one front saw in `WINDOWS` windows, by room type in the settings' order."""
+    """What one front saw in `WINDOWS_PER_SUMMARY` windows, by service class in the settings' order."""
 
-    life: int
-    number: int
+    life: int  # the sender's incarnation
+    number: int  # the sequence number in it
     rows: tuple[ClassLoad, ...]
 
 
+class ReceivedSummary(NamedTuple):
+    """A peer's newest summary and when it arrived."""
+
+    summary: LoadSummary
+    received_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class FleetTotals:
-    """The fleet's figures as one front knows them."""
+    """The fleet's load as one front estimates it."""
 
     class_loads: tuple[ClassLoad, ...]
-    heard: int  # other fronts whose summary is young enough
+    heard: int  # peers with a recent summary
 
     @property
     def asked(self) -> int:
-        """Of all room types."""
-        return sum(row[0] for row in self.class_loads)
+        """Requests of all service classes."""
+        return sum(requested for requested, _, _ in self.class_loads)
 
     @property
     def unmet(self) -> float:
-        """The share of what was asked that was not served."""
-        served = sum(row[1] for row in self.class_loads)
-        return max(0.0, 1 - served / self.asked) if self.asked else 0.0
+        """The fraction of requests that were not served."""
+        requested = self.asked
+        if not requested:
+            return 0.0
+        served = sum(served for _, served, _ in self.class_loads)
+        return max(0.0, 1 - served / requested)
 
 
-def sum_loads(rows: Sequence[tuple[ClassLoad, ...]], size: int) -> tuple[ClassLoad, ...]:
-    """Row by row; missing ones count as nothing."""
-    padded = [row + (NO_LOAD,) * (size - len(row)) for row in rows]
+def sum_loads(loads: Sequence[tuple[ClassLoad, ...]], class_count: int) -> tuple[ClassLoad, ...]:
+    """The sums by service class; missing classes count as no load."""
+    padded = [row + (NO_LOAD,) * (class_count - len(row)) for row in loads]
     return tuple(
-        (sum(row[i][0] for row in padded), sum(row[i][1] for row in padded), sum(row[i][2] for row in padded))
-        for i in range(size)
+        ClassLoad(
+            sum(row[index][0] for row in padded),
+            sum(row[index][1] for row in padded),
+            sum(row[index][2] for row in padded),
+        )
+        for index in range(class_count)
     )
 
 
+def _total_requested(loads: tuple[ClassLoad, ...]) -> int:
+    return sum(requested for requested, _, _ in loads)
+
+
+def _cap_outliers(
+    own: tuple[ClassLoad, ...], peers: list[tuple[ClassLoad, ...]]
+) -> list[tuple[ClassLoad, ...]]:
+    """The peers' loads, each scaled down to a multiple of the median of all."""
+    requested = [_total_requested(loads) for loads in [own, *peers]]
+    if len(requested) < MIN_SUMMARIES_FOR_CAP:
+        return peers
+    cap = MAX_MEDIAN_MULTIPLE * max(1.0, median(requested))
+    return [
+        loads if count <= cap else tuple(ClassLoad(*load).scaled(cap / count) for load in loads)
+        for loads, count in zip(peers, requested[1:], strict=True)
+    ]
+
+
+@dataclass(slots=True)
+class _OpenCounts:
+    """The counts of one service class in the window that is open."""
+
+    requested: int = 0
+    served: int = 0
+    rejected: int = 0
+
+
 @dataclass(slots=True)
 class FleetLoadEstimator:
-    """One front's own counts, and what it has heard. The caller hands in times and holds the lock."""
+    """One front's own counts and its peers' summaries. The caller supplies times and holds the lock."""
 
-    class_count: int  # room types
+    class_count: int
     window_start_us: int
     incarnation: int = 0
     sequence: int = 0
-    open_window: list[list[int]] = field(default_factory=list)
+    open_window: list[_OpenCounts] = field(default_factory=list)
     closed_windows: deque[tuple[ClassLoad, ...]] = field(
         default_factory=lambda: deque(maxlen=WINDOWS_PER_SUMMARY)
     )
-    peer_summaries: dict[int, tuple[LoadSummary, int]] = field(default_factory=dict)
+    peer_summaries: dict[int, ReceivedSummary] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        self.open_window = [[0, 0, 0] for _ in range(self.class_count)]
+        self._open_window()
+
+    def _open_window(self) -> None:
+        self.open_window = [_OpenCounts() for _ in range(self.class_count)]
 
     def asked(self, service_class: int) -> None:
-        """One asks."""
-        self.open_window[service_class][0] += 1
+        """Count a request."""
+        self.open_window[service_class].requested += 1
 
     def served(self, service_class: int) -> None:
-        """One plays."""
-        self.open_window[service_class][1] += 1
+        """Count a session that was established."""
+        self.open_window[service_class].served += 1
 
     def turned(self, service_class: int) -> None:
-        """One is sent away, at the door or by the module."""
-        self.open_window[service_class][2] += 1
+        """Count a rejection, at ingress or by the placement policy."""
+        self.open_window[service_class].rejected += 1
 
     def advance(self, now_us: int) -> bool:
         """Close the windows that have passed; whether one has."""
@@ -97,8 +157,12 @@
         if passed <= 0:
             return False
         for _ in range(min(passed, WINDOWS_PER_SUMMARY)):
-            self.closed_windows.append(tuple((row[0], row[1], row[2]) for row in self.open_window))
-            self.open_window = [[0, 0, 0] for _ in range(self.class_count)]
+            self.closed_windows.append(
+                tuple(
+                    ClassLoad(counts.requested, counts.served, counts.rejected) for counts in self.open_window
+                )
+            )
+            self._open_window()
         self.window_start_us += passed * WINDOW_US
         self.sequence += 1
         return True
@@ -108,36 +172,29 @@
         return sum_loads(list(self.closed_windows), self.class_count)
 
     def summary(self) -> LoadSummary:
-        """What to tell the others."""
-        rows = tuple(
-            (min(row[0], MAX_COUNT), min(row[1], MAX_COUNT), min(row[2], MAX_COUNT))
-            for row in self.own_load()
-        )
-        return LoadSummary(self.incarnation, self.sequence, rows)
+        """The summary to send to the other fronts."""
+        loads = tuple(load.capped() for load in self.own_load())
+        return LoadSummary(self.incarnation, self.sequence, loads)
 
-    def hear(self, sender: int, said: LoadSummary, now_us: int) -> bool:
-        """A summary has come; whether it is news."""
+    def hear(self, sender: int, summary: LoadSummary, now_us: int) -> bool:
+        """Handle a peer's summary; whether it is newer than the known one."""
         known = self.peer_summaries.get(sender)
-        if known is not None and (said.life, said.number) <= (known[0].life, known[0].number):
-            return False  # doubled, late, or last minute's told again
-        self.peer_summaries[sender] = (said, now_us)
+        if known is not None:
+            known_version = (known.summary.life, known.summary.number)
+            if (summary.life, summary.number) <= known_version:
+                return False  # duplicated or delayed
+        self.peer_summaries[sender] = ReceivedSummary(summary, now_us)
         return True
 
     def totals(self, fronts: int, now_us: int) -> FleetTotals:
-        """The whole fleet's figures, where there may be so many fronts."""
+        """The load of a fleet of so many fronts."""
         own = self.own_load()
-        young = [said.rows for said, at_us in self.peer_summaries.values() if now_us - at_us <= STALE_US]
-        asked = [sum(row[0] for row in rows) for rows in [own, *young]]
-        if len(asked) > 2:
-            most = MAX_MEDIAN_MULTIPLE * max(1.0, median(asked))
-            young = [
-                rows if count <= most else _scaled(rows, most / count)
-                for rows, count in zip(young, asked[1:], strict=True)
-            ]
-        unheard = max(0, fronts - 1 - len(young))
-        rows = sum_loads([own, *young, *[own] * unheard], self.class_count)
-        return FleetTotals(rows, len(young))
-
-
-def _scaled(rows: tuple[ClassLoad, ...], factor: float) -> tuple[ClassLoad, ...]:
-    return tuple((round(row[0] * factor), round(row[1] * factor), round(row[2] * factor)) for row in rows)
+        recent = [
+            summary.rows
+            for summary, received_us in self.peer_summaries.values()
+            if now_us - received_us <= STALE_US
+        ]
+        peers = _cap_outliers(own, recent)
+        unknown_fronts = max(0, fronts - 1 - len(peers))
+        loads = sum_loads([own, *peers, *[own] * unknown_fronts], self.class_count)
+        return FleetTotals(loads, len(peers))
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/health_checks.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/health_checks.py
@@ -1,10 +1,11 @@
-"""Who watches a server, how often, and when its watchers' words amount to its being gone.
-
-A box is watched by a few fronts, chosen by a rendezvous hash over the fronts taken to live; the others hear.
-So what a box sees of probes grows with its trouble, not with the fleet. A front whose own path is bad can
-shut a box for itself alone: gone, for all, is what a stated number of watchers say, by words that are young.
-Fronts that disagree on who lives may have more watchers for a box for a while, never fewer living ones than
-each of them counts. Times are in microseconds.
+"""Health checks of servers, divided among the fronts, and when a server counts as down for all of them.
+
+A server is checked by a few fronts, chosen by a rendezvous hash over the fronts that are taken to be alive;
+the others rely on their reports. So the probes that a server receives grow with its trouble, not with the
+fleet. A front whose own network path is bad can avoid a server for itself alone: down for all is what a
+quorum of its checkers reports, by reports that are recent. Fronts that disagree on which fronts are alive may
+have more checkers for a server for a while, never fewer that are alive than each of them counts. Times are in
+microseconds.
 """
 
 from __future__ import annotations
@@ -15,25 +16,28 @@
 from enum import Enum, IntEnum, auto
 from hashlib import blake2b
 from heapq import nsmallest
+from typing import NamedTuple
 from zlib import crc32
 
+from fennelcove.state_machine import Transition, TransitionTable
+
 CHECKERS_PER_SERVER = 3
-UNHEALTHY_QUORUM = 2  # watchers whose word makes a box gone for all
-HEALTHY_PROBE_INTERVAL_US = 4_000_000  # between two probes of one watcher while a box is well
+UNHEALTHY_QUORUM = 2  # checkers whose reports take a server out of service for all
+HEALTHY_PROBE_INTERVAL_US = 4_000_000  # of one checker
 SUSPECT_PROBE_INTERVAL_US = 500_000
 MAX_PROBE_INTERVAL_US = 4_000_000
-# A word older than this says nothing; a watcher repeats its own at every probe. Longer than two of the
-# longest gaps, for one that is lost: with 8 s between probes and 6 s for a word, a dead box was well again.
+# A checker repeats its report at every probe. Longer than two of the longest intervals, for a report that is
+# lost: with 8 s between probes and 6 s for a report, a server that was down became healthy again.
 REPORT_LIFETIME_US = 2 * MAX_PROBE_INTERVAL_US + 1_000_000
-RECENTLY_SERVED_US = 1_000_000  # what served this front so lately is not gone for it, whoever says so
+RECENTLY_SERVED_US = 1_000_000  # a server that served this front so recently is not down for it
 MAX_SERVERS = 10_000
 
 
 class ProbeView(Enum):
-    """What one watcher makes of a box."""
+    """A server's health as one checker sees it."""
 
     HEALTHY = auto()
-    SUSPECT = auto()  # one probe has failed: asked again soon
+    SUSPECT = auto()  # one probe has failed: the next follows soon
     UNHEALTHY = auto()
 
 
@@ -44,171 +48,217 @@
     FAILED = auto()
 
 
-TRANSITIONS: dict[tuple[ProbeView, ProbeResult], ProbeView] = {
-    **{(sight, ProbeResult.ANSWERED): ProbeView.HEALTHY for sight in ProbeView},
-    (ProbeView.HEALTHY, ProbeResult.FAILED): ProbeView.SUSPECT,
-    (ProbeView.SUSPECT, ProbeResult.FAILED): ProbeView.UNHEALTHY,
-    (ProbeView.UNHEALTHY, ProbeResult.FAILED): ProbeView.UNHEALTHY,
-}
+TRANSITIONS: TransitionTable[ProbeView, ProbeResult, None] = TransitionTable(
+    {
+        **{(view, ProbeResult.ANSWERED): Transition(ProbeView.HEALTHY) for view in ProbeView},
+        (ProbeView.HEALTHY, ProbeResult.FAILED): Transition(ProbeView.SUSPECT),
+        (ProbeView.SUSPECT, ProbeResult.FAILED): Transition(ProbeView.UNHEALTHY),
+        (ProbeView.UNHEALTHY, ProbeResult.FAILED): Transition(ProbeView.UNHEALTHY),
+    }
+)
 
 
 def rendezvous_weight(server: str, front: int) -> bytes:
-    """By what fronts are ranked for a box; alike in every process."""
+    """The weight by which fronts are ranked for a server; the same in every process."""
     return blake2b(f"{server}\0{front}".encode(), digest_size=8).digest()
 
 
-def chosen_checkers(server: str, living: Iterable[int], most: int = CHECKERS_PER_SERVER) -> tuple[int, ...]:
-    """The watchers of a box among the fronts that live."""
-    return tuple(nsmallest(most, living, key=lambda front: (rendezvous_weight(server, front), front)))
+def chosen_checkers(
+    server: str, live_fronts: Iterable[int], max_checkers: int = CHECKERS_PER_SERVER
+) -> tuple[int, ...]:
+    """The checkers of a server among the fronts that are alive."""
+    return tuple(
+        nsmallest(max_checkers, live_fronts, key=lambda front: (rendezvous_weight(server, front), front))
+    )
 
 
 class HealthVerdict(IntEnum):
-    """What a front says of a box."""
+    """What a front reports of a server."""
 
     HEALTHY = 0
-    ILL = 1
-    FAILED_ME = 2  # no verdict: a join was not answered there, and its watchers should look at once
+    ILL = 1  # unhealthy
+    FAILED_ME = 2  # no verdict: an attempt was not answered there, and its checkers should probe at once
 
 
 @dataclass(frozen=True, slots=True)
 class HealthReport:
-    """What one front tells the others of a box; the highest number of a watcher's verdicts counts."""
+    """The message by which one front reports a server's health to the others."""
 
-    server: int  # see `mark`
+    server: int  # its hash, see `mark`
     tells: HealthVerdict
-    number: int
+    number: int  # the sequence number: of one checker's reports the highest counts
 
 
 def mark(server: str) -> int:
-    """A box's address in four bytes; two that fell on one mark would be shut together, never opened."""
+    """The hash of a server's address, in four bytes.
+
+    Two servers with the same hash are taken out of service together, and back together.
+    """
     return crc32(server.encode())
 
 
+class CheckerReport(NamedTuple):
+    """The newest verdict of one checker."""
+
+    is_unhealthy: bool
+    sequence: int
+    received_us: int
+
+
 @dataclass(slots=True)
 class WatchedServer:
-    """One front's watch of one box, and what the box's other watchers say of it."""
+    """One front's own checks of a server, and the reports of its other checkers."""
 
     view: ProbeView = ProbeView.HEALTHY
     probe_interval_us: int = HEALTHY_PROBE_INTERVAL_US
-    probe_due_us: int = 0
-    reports: dict[int, tuple[bool, int, int]] = field(default_factory=dict)  # ill, number, when heard
-    unhealthy_report_until_us: int = 0  # so long others may hold an ill word of this front
-    served_us: int | None = None  # when it last served a join of this front
-    check_requested_us: int = -SUSPECT_PROBE_INTERVAL_US  # when this front last asked its watchers to look
+    probe_due_us: int = 0  # 0 before the first probe is planned
+    reports: dict[int, CheckerReport] = field(default_factory=dict)
+    unhealthy_report_until_us: int = 0  # until then others may hold an unhealthy report of this front
+    served_us: int | None = None  # when it last served an attempt of this front
+    check_requested_us: int = -SUSPECT_PROBE_INTERVAL_US  # when this front last asked for probes of it
     probed_us: int = -SUSPECT_PROBE_INTERVAL_US  # when this front last probed it
 
+    def on_probe_completed(self, result: ProbeResult, now_us: int) -> None:
+        """Take in a probe's result and plan the next probe."""
+        self.view = TRANSITIONS.apply(self.view, result).state
+        if self.view is ProbeView.HEALTHY:
+            self.probe_interval_us = HEALTHY_PROBE_INTERVAL_US
+        elif self.view is ProbeView.SUSPECT:
+            self.probe_interval_us = SUSPECT_PROBE_INTERVAL_US
+        else:
+            self.probe_interval_us = min(2 * self.probe_interval_us, MAX_PROBE_INTERVAL_US)
+        if result is ProbeResult.FAILED:
+            self.probe_due_us = min(self.probe_due_us, now_us + self.probe_interval_us)
+
 
 class HealthCheckAssignment:
-    """All boxes of one front. The caller hands in times, chance and who lives, and carries words."""
+    """The health checks of one front.
+
+    The caller supplies times, randomness and the fronts that are alive, and transports reports.
+    """
 
-    def __init__(self, index: int, fronts: int, first: int = 0) -> None:
+    def __init__(self, index: int, front_count: int, first_sequence: int = 0) -> None:
         self.index = index
-        self.front_count = fronts
+        self.front_count = front_count
         self.servers: OrderedDict[str, WatchedServer] = OrderedDict()
-        self.sequence = first  # above all of an earlier life, whose words others may still hold
+        # Above all of an earlier incarnation, whose reports others may still hold.
+        self.sequence = first_sequence
 
     def _watched(self, server: str) -> WatchedServer:
-        found = self.servers.get(server)
-        if found is None:
-            found = self.servers[server] = WatchedServer()
+        watched = self.servers.get(server)
+        if watched is None:
+            watched = self.servers[server] = WatchedServer()
             if len(self.servers) > MAX_SERVERS:
                 self.servers.popitem(last=False)
         self.servers.move_to_end(server)
-        return found
+        return watched
 
-    def due(self, servers: Iterable[str], living: Iterable[int], draw: float, now_us: int) -> list[str]:
-        """The boxes that this front should probe now."""
-        here = sorted(set(living) | {self.index})
-        found = []
+    # Probing.
+
+    def due(self, servers: Iterable[str], live_fronts: Iterable[int], draw: float, now_us: int) -> list[str]:
+        """The servers that this front should probe now; each is planned again from now.
+
+        Args:
+            servers: the servers of the endpoint list.
+            live_fronts: the indices of the fronts that are alive.
+            draw: a random number from 0 to 1.
+            now_us: the present time.
+        """
+        candidates = sorted(set(live_fronts) | {self.index})
+        due_servers = []
         for server in servers:
-            if self.index not in chosen_checkers(server, here):
+            if self.index not in chosen_checkers(server, candidates):
                 continue
-            watch = self._watched(server)
-            if not watch.probe_due_us:
-                # A watch that begins is spread over its gap: after a partition all would begin at once.
-                watch.probe_due_us = now_us + round(draw * SUSPECT_PROBE_INTERVAL_US)
-            if now_us >= watch.probe_due_us:
-                watch.probe_due_us, watch.probed_us = now_us + watch.probe_interval_us, now_us
-                found.append(server)
-        return found
-
-    def probed(self, server: str, seen: ProbeResult, now_us: int) -> tuple[bool, int]:
-        """A probe has ended; the word to tell the other fronts: whether the box is ill, and its number."""
-        watch = self._watched(server)
-        watch.view = TRANSITIONS[watch.view, seen]
-        if watch.view is ProbeView.HEALTHY:
-            watch.probe_interval_us = HEALTHY_PROBE_INTERVAL_US
-        elif watch.view is ProbeView.SUSPECT:
-            watch.probe_interval_us = SUSPECT_PROBE_INTERVAL_US
-        else:
-            watch.probe_interval_us = min(2 * watch.probe_interval_us, MAX_PROBE_INTERVAL_US)
-        watch.probe_due_us = (
-            min(watch.probe_due_us, now_us + watch.probe_interval_us)
-            if seen is ProbeResult.FAILED
-            else watch.probe_due_us
-        )
+            watched = self._watched(server)
+            if not watched.probe_due_us:
+                # First probes are spread over an interval: after a partition all would begin at once.
+                watched.probe_due_us = now_us + round(draw * SUSPECT_PROBE_INTERVAL_US)
+            if now_us >= watched.probe_due_us:
+                watched.probe_due_us = now_us + watched.probe_interval_us
+                watched.probed_us = now_us
+                due_servers.append(server)
+        return due_servers
+
+    def probed(self, server: str, result: ProbeResult, now_us: int) -> CheckerReport:
+        """Handle the end of a probe of this front; its own report from now on."""
+        watched = self._watched(server)
+        watched.on_probe_completed(result, now_us)
         self.sequence += 1
-        word = (watch.view is ProbeView.UNHEALTHY, self.sequence, now_us)
-        watch.reports[self.index] = word
-        return word[0], word[1]
+        is_unhealthy = watched.view is ProbeView.UNHEALTHY
+        report = CheckerReport(is_unhealthy, self.sequence, now_us)
+        watched.reports[self.index] = report
+        return report
 
     def tells(self, server: str, now_us: int) -> HealthReport | None:
-        """What the others have to hear after a probe: that a box is ill, or is so no more. Nothing where none
-        of them can hold an ill word of this front, so that a calm fleet says nothing."""
-        watch = self._watched(server)
-        ill = watch.view is ProbeView.UNHEALTHY
-        if ill:
-            watch.unhealthy_report_until_us = now_us + REPORT_LIFETIME_US
-        tells = HealthVerdict.ILL if ill else HealthVerdict.HEALTHY
-        return (
-            HealthReport(mark(server), tells, self.sequence)
-            if now_us < watch.unhealthy_report_until_us
-            else None
-        )
+        """The report to send after a probe: that a server is unhealthy, or is so no more.
+
+        None where no other front can hold an unhealthy report of this one: a calm fleet sends nothing.
+        """
+        watched = self._watched(server)
+        verdict = HealthVerdict.HEALTHY
+        if watched.view is ProbeView.UNHEALTHY:
+            verdict = HealthVerdict.ILL
+            watched.unhealthy_report_until_us = now_us + REPORT_LIFETIME_US
+        if now_us >= watched.unhealthy_report_until_us:
+            return None
+        return HealthReport(mark(server), verdict, self.sequence)
+
+    # Attempts.
 
     def failed(self, server: str, now_us: int) -> HealthReport | None:
-        """A join of this front was not answered there: the watchers are asked to look, so that it is found
-        out in a probe's time and not at the next calm one. Once in a while is enough from one front."""
-        watch = self._watched(server)
-        if now_us < watch.check_requested_us + SUSPECT_PROBE_INTERVAL_US:
+        """Handle an attempt of this front that was not answered; the message that asks for probes, if due.
+
+        So an outage is found within the time of a probe and not at the next regular one. One message from one
+        front in a while is enough.
+        """
+        watched = self._watched(server)
+        if now_us < watched.check_requested_us + SUSPECT_PROBE_INTERVAL_US:
             return None
-        watch.check_requested_us = now_us
+        watched.check_requested_us = now_us
         self.urge(server, now_us)
         return HealthReport(mark(server), HealthVerdict.FAILED_ME, self.sequence)
 
     def urge(self, server: str, now_us: int) -> None:
-        """Some front's join failed there. However many say so, a watcher probes no more than each `DOUBT_US`,
-        and one that knows the box for ill goes on at its own pace."""
-        watch = self._watched(server)
-        if watch.view is ProbeView.HEALTHY and watch.probe_due_us:
-            watch.probe_due_us = max(
-                now_us, min(watch.probe_due_us, watch.probed_us + SUSPECT_PROBE_INTERVAL_US)
-            )
+        """Bring the next probe forward, as some front's attempt failed there.
+
+        However many fronts ask, a checker probes at most every `SUSPECT_PROBE_INTERVAL_US`, and one to which
+        the server is unhealthy already keeps its own interval.
+        """
+        watched = self._watched(server)
+        if watched.view is ProbeView.HEALTHY and watched.probe_due_us:
+            earliest_us = watched.probed_us + SUSPECT_PROBE_INTERVAL_US
+            watched.probe_due_us = max(now_us, min(watched.probe_due_us, earliest_us))
 
     def served(self, server: str, now_us: int) -> None:
-        """A join of this front was served there: its own eyes go before what others say."""
+        """Handle an attempt of this front that was served: that outweighs the reports of others."""
         self._watched(server).served_us = now_us
 
-    def hear(self, sender: int, server: str, ill: bool, number: int, now_us: int) -> None:
-        """Another front's word; one that is doubled or overtaken says nothing."""
+    # Reports of others.
+
+    def hear(self, sender: int, server: str, is_unhealthy: bool, sequence: int, now_us: int) -> None:
+        """Handle another front's report; one that is duplicated or overtaken is ignored."""
         if not 0 <= sender < self.front_count or sender == self.index:
             return
-        watch = self._watched(server)
-        known = watch.reports.get(sender)
-        if known is None or number > known[1] or now_us - known[2] > REPORT_LIFETIME_US:
-            watch.reports[sender] = (ill, number, now_us)
-
-    def gone(self, server: str, living: Iterable[int], now_us: int) -> bool:
-        """Whether enough of the box's watchers say so."""
-        watch = self.servers.get(server)
-        if watch is None or (watch.served_us is not None and now_us - watch.served_us <= RECENTLY_SERVED_US):
+        watched = self._watched(server)
+        known = watched.reports.get(sender)
+        is_newer = (
+            known is None or sequence > known.sequence or now_us - known.received_us > REPORT_LIFETIME_US
+        )
+        if is_newer:
+            watched.reports[sender] = CheckerReport(is_unhealthy, sequence, now_us)
+
+    def gone(self, server: str, live_fronts: Iterable[int], now_us: int) -> bool:
+        """Whether a quorum of the server's checkers reports it as unhealthy."""
+        watched = self.servers.get(server)
+        if watched is None:
             return False
-        here = set(living) | {self.index}
-        entitled = chosen_checkers(server, here)
-        words = {
-            front: ill
-            for front, (ill, _, heard_us) in watch.reports.items()
-            if front in entitled and now_us - heard_us <= REPORT_LIFETIME_US
-        }
-        # With fewer fronts alive than have to agree, all of them have to.
-        return sum(words.values()) >= min(UNHEALTHY_QUORUM, len(entitled))
+        if watched.served_us is not None and now_us - watched.served_us <= RECENTLY_SERVED_US:
+            return False
+        checkers = chosen_checkers(server, set(live_fronts) | {self.index})
+        unhealthy_count = sum(
+            report.is_unhealthy
+            for front, report in watched.reports.items()
+            if front in checkers and now_us - report.received_us <= REPORT_LIFETIME_US
+        )
+        # With fewer fronts alive than the quorum, all of them have to agree.
+        return unhealthy_count >= min(UNHEALTHY_QUORUM, len(checkers))
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/membership.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/membership.py
@@ -106,8 +106,8 @@
     life: int = 0  # its incarnation
     sequence: int = 0  # of its newest heartbeat
     last_heartbeat_us: int = 0
-    other_incarnation_us: int = 0  # when an incarnation other than the present one was last heard
-    incarnation_seen_us: int = 0  # when the present incarnation was first heard
+    other_incarnation_us: int = 0  # when an incarnation other than the present one was last seen
+    incarnation_seen_us: int = 0  # when the present incarnation was first seen
     reported_departed_us: int = NEVER_US  # when this front last reported it as departed
     acknowledged_sequence: int = 0  # the newest heartbeat of ours that its present incarnation acknowledged
     departed: frozenset[int] = frozenset()  # the fronts that it reports as departed
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/peer_states.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/peer_states.py
@@ -15,7 +15,7 @@
     SUSPECT = "suspect"  # some heartbeats are missing
     SILENT = "silent"  # unreachable for longer than any lease it can hold: reported as departed
     LEFT = "left"  # it announced that it shuts down: reported as departed
-    BACK = "back"  # rejoining: heard again, but a report that it departed may still be acted on
+    BACK = "back"  # rejoining: reachable again, but a report that it departed may still be acted on
     TWIN = "twin"  # duplicate: two processes run under its index, and neither is acknowledged
 
 
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/recovery_admission.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/recovery_admission.py
@@ -1,8 +1,9 @@
-"""In which order service returns after a start: what is waited for, how long, and who may come in meanwhile.
+"""Admission while a front recovers after a start: what it waits for, and whom it admits meanwhile.
 
-No phase lasts longer than its limit, whoever stays silent: no front waits for one that is gone, and none for
-another front. What still plays is settled first; then what may be set up again; then what is paid once or
-has seats, when its accounts are safe; and while most boxes are cold, by benefit.
+No state lasts longer than its limit, whichever servers stay silent, and no front waits for another front.
+First the sessions that are still established are reconciled; then sessions that can be set up again are
+admitted; then those that are paid once or hold seats, once their accounts are settled. While most servers are
+warming up, requests are admitted by priority weight. Times are in microseconds.
 """
 
 from __future__ import annotations
@@ -10,64 +11,67 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
+from fennelcove.state_machine import Transition, TransitionTable, Unlisted
+
 
 class RecoveryState(Enum):
-    """How far a start has come."""
+    """How far the recovery has come; status pages show the names."""
 
-    DARK = auto()  # no list
-    ASKING = auto()  # boxes are asked what they hold
-    SETTLING = auto()  # some have not said
-    RATIONED = auto()  # most are cold
+    DARK = auto()  # no endpoint list yet
+    ASKING = auto()  # servers are asked which sessions they hold
+    SETTLING = auto()  # some servers have not answered
+    RATIONED = auto()  # most servers are warming up
     OPEN = auto()
 
 
 class RecoveryEvent(Enum):
-    """What moves it on."""
+    """An event that moves the recovery on."""
 
     ENDPOINTS_LISTED = auto()
-    ALL_SERVERS_SETTLED = auto()  # the last box has said what it holds, or surely holds nothing
-    TIME = auto()
-    MOSTLY_WARMING_UP = auto()  # most places are on cold boxes
+    ALL_SERVERS_SETTLED = auto()  # each has named its sessions, or certainly holds none
+    TIME = auto()  # the time limit of the state has passed
+    MOSTLY_WARMING_UP = auto()  # more than half of the fleet's capacity
     MOSTLY_WARM = auto()
 
 
-TRANSITIONS: dict[tuple[RecoveryState, RecoveryEvent], RecoveryState] = {
-    (RecoveryState.DARK, RecoveryEvent.ENDPOINTS_LISTED): RecoveryState.ASKING,
-    # Without a list the front can only throttle, but it answers: that is better than a refused connection.
-    (RecoveryState.DARK, RecoveryEvent.TIME): RecoveryState.OPEN,
-    (RecoveryState.ASKING, RecoveryEvent.ALL_SERVERS_SETTLED): RecoveryState.OPEN,
-    (RecoveryState.ASKING, RecoveryEvent.TIME): RecoveryState.SETTLING,
-    (RecoveryState.SETTLING, RecoveryEvent.ALL_SERVERS_SETTLED): RecoveryState.OPEN,
-    (RecoveryState.SETTLING, RecoveryEvent.TIME): RecoveryState.OPEN,
-    (RecoveryState.OPEN, RecoveryEvent.MOSTLY_WARMING_UP): RecoveryState.RATIONED,
-    (
-        RecoveryState.OPEN,
-        RecoveryEvent.ENDPOINTS_LISTED,
-    ): RecoveryState.ASKING,  # it was opened for want of a list
-    (RecoveryState.RATIONED, RecoveryEvent.MOSTLY_WARM): RecoveryState.OPEN,
-    (RecoveryState.RATIONED, RecoveryEvent.TIME): RecoveryState.OPEN,
-}
+TRANSITIONS: TransitionTable[RecoveryState, RecoveryEvent, None] = TransitionTable(
+    {
+        (RecoveryState.DARK, RecoveryEvent.ENDPOINTS_LISTED): Transition(RecoveryState.ASKING),
+        # Without a list the front can only reject, but it answers: that is better than a refused connection.
+        (RecoveryState.DARK, RecoveryEvent.TIME): Transition(RecoveryState.OPEN),
+        (RecoveryState.ASKING, RecoveryEvent.ALL_SERVERS_SETTLED): Transition(RecoveryState.OPEN),
+        (RecoveryState.ASKING, RecoveryEvent.TIME): Transition(RecoveryState.SETTLING),
+        (RecoveryState.SETTLING, RecoveryEvent.ALL_SERVERS_SETTLED): Transition(RecoveryState.OPEN),
+        (RecoveryState.SETTLING, RecoveryEvent.TIME): Transition(RecoveryState.OPEN),
+        (RecoveryState.OPEN, RecoveryEvent.MOSTLY_WARMING_UP): Transition(RecoveryState.RATIONED),
+        # It was opened for want of a list.
+        (RecoveryState.OPEN, RecoveryEvent.ENDPOINTS_LISTED): Transition(RecoveryState.ASKING),
+        (RecoveryState.RATIONED, RecoveryEvent.MOSTLY_WARM): Transition(RecoveryState.OPEN),
+        (RecoveryState.RATIONED, RecoveryEvent.TIME): Transition(RecoveryState.OPEN),
+    },
+    unlisted=Unlisted.IGNORE,
+)
 
 
 class RequestKind(Enum):
-    """What a room type needs before it may be set up."""
+    """What a service class needs before a session of it may be set up."""
 
     PLAIN = auto()
-    ACCOUNTED = auto()  # paid once, or with seats: whoever holds one must be known first
+    ACCOUNTED = auto()  # paid once, or with seats: existing sessions must be known first
 
 
 class AdmissionDecision(Enum):
-    """What becomes of one that asks."""
+    """What happens to a request."""
 
-    IN = auto()
-    RATIONED = auto()  # by benefit, as long as its holders are cold
-    RETRY_LATER = auto()  # refused at once, with a time to come back
+    IN = auto()  # admitted
+    RATIONED = auto()  # admitted by priority weight while the title's replicas are warming up
+    RETRY_LATER = auto()  # rejected at once, with a Retry-After
 
 
 ADMISSION_RULES: dict[tuple[RecoveryState, RequestKind], AdmissionDecision] = {
     **{
-        (phase, kind): AdmissionDecision.RETRY_LATER
-        for phase in (RecoveryState.DARK, RecoveryState.ASKING)
+        (state, kind): AdmissionDecision.RETRY_LATER
+        for state in (RecoveryState.DARK, RecoveryState.ASKING)
         for kind in RequestKind
     },
     (RecoveryState.SETTLING, RequestKind.PLAIN): AdmissionDecision.RATIONED,
@@ -76,67 +80,83 @@
     **{(RecoveryState.OPEN, kind): AdmissionDecision.IN for kind in RequestKind},
 }
 
+GATED_STATES = (RecoveryState.SETTLING, RecoveryState.RATIONED)
+SETTLED_STATES = (RecoveryState.RATIONED, RecoveryState.OPEN)
+
 ENDPOINT_LIST_TIMEOUT_US = 3_000_000
-SAVED_AFTER_US = 1_000_000  # so long the list service has before the kept list stands in
-GREETING_TIMEOUT_US = 1_000_000  # a box that hangs must not keep the front away for long
-SETTLING_TIMEOUT_US = 10_000_000  # past it what plays at a silent box is lost by the rule of its feed as well
-MAX_RATIONED_SLOW_STARTS = 2  # a fleet whose boxes fall again and again is not rationed for ever
+SAVED_AFTER_US = 1_000_000  # how long the discovery service has before the saved endpoint list is used
+GREETING_TIMEOUT_US = 1_000_000  # a server that hangs must not keep the front closed for long
+SETTLING_TIMEOUT_US = 10_000_000  # after it, sessions on a silent server are lost by its event stream's rule
+MAX_RATIONED_SLOW_STARTS = 2  # a fleet whose servers crash again and again is not rationed for ever
+MAX_HISTORY = 16
 
 
 @dataclass(slots=True)
 class RecoveryAdmission:
-    """The start of one front; times in microseconds. Not `ordered`: who asks waits at the door until it is
-    open, accounts are settled while it is, and nobody is rationed."""
+    """The recovery of one front.
+
+    Where it is not gated, requests wait until the front is open, sessions are reconciled while it is, and
+    nothing is rationed.
+    """
 
     state_entered_us: int
     is_gated: bool = False
     slow_start_us: int = 0
     phase: RecoveryState = RecoveryState.DARK
-    due: set[str] = field(default_factory=set)
+    due: set[str] = field(default_factory=set)  # servers that have not named their sessions
     has_endpoint_list: bool = False
-    entered: list[tuple[RecoveryState, int]] = field(
-        default_factory=list
-    )  # each phase, and when; a bounded few
+    entered: list[tuple[RecoveryState, int]] = field(default_factory=list)  # the last states, and when
 
     def apply(self, event: RecoveryEvent, now_us: int) -> bool:
-        """Move on; whether it did."""
-        after = TRANSITIONS.get((self.phase, event), self.phase)
-        if event is RecoveryEvent.ENDPOINTS_LISTED and self.has_endpoint_list:
+        """Handle an event; whether the state has changed."""
+        state = TRANSITIONS.apply(self.phase, event).state
+        if event is RecoveryEvent.ENDPOINTS_LISTED:
+            if self.has_endpoint_list:
+                return False
+            self.has_endpoint_list = True
+        if not self.is_gated and state in GATED_STATES:
+            state = RecoveryState.OPEN
+        if state is self.phase:
             return False
-        self.has_endpoint_list |= event is RecoveryEvent.ENDPOINTS_LISTED
-        if not self.is_gated and after in (RecoveryState.SETTLING, RecoveryState.RATIONED):
-            after = RecoveryState.OPEN
-        if after is self.phase:
-            return False
-        self.phase, self.state_entered_us = after, now_us
-        self.entered = [*self.entered[-15:], (after, now_us)]
+        self.phase = state
+        self.state_entered_us = now_us
+        self.entered = [*self.entered[1 - MAX_HISTORY :], (state, now_us)]
         return True
 
     def listed(self, servers: set[str], now_us: int) -> None:
-        """The first list names these boxes."""
+        """Handle an endpoint list; only the first counts."""
         if not self.has_endpoint_list:
             self.due = set(servers)
             self.apply(RecoveryEvent.ENDPOINTS_LISTED, now_us)
-            self.settled("", now_us)
+            self._check_settled(now_us)
 
     def settled(self, server: str, now_us: int) -> None:
-        """A box has said what it holds, or holds nothing."""
+        """Handle that a server has named its sessions, or holds none."""
         self.due.discard(server)
+        self._check_settled(now_us)
+
+    def _check_settled(self, now_us: int) -> None:
         if not self.due:
             self.apply(RecoveryEvent.ALL_SERVERS_SETTLED, now_us)
 
-    def advance(self, cold: bool, now_us: int) -> bool:
-        """Time passes; `cold` where most places are on cold boxes. Whether a phase has ended."""
-        moved = False
+    def advance(self, is_warming_up: bool, now_us: int) -> bool:
+        """Move the clock; whether the state has changed.
+
+        Args:
+            is_warming_up: more than half of the fleet's capacity is on servers that are warming up.
+            now_us: the present time.
+        """
+        has_timed_out = False
         if self.phase is not RecoveryState.OPEN and self.left_us(now_us) == 0:
-            moved = self.apply(RecoveryEvent.TIME, now_us)
-        return (
-            self.apply(RecoveryEvent.MOSTLY_WARMING_UP if cold else RecoveryEvent.MOSTLY_WARM, now_us)
-            or moved
-        )
+            has_timed_out = self.apply(RecoveryEvent.TIME, now_us)
+        event = RecoveryEvent.MOSTLY_WARMING_UP if is_warming_up else RecoveryEvent.MOSTLY_WARM
+        return self.apply(event, now_us) or has_timed_out
 
     def left_us(self, now_us: int) -> int:
-        """How long this phase may still take."""
+        """How long the present state may still last."""
+        return max(0, self.state_entered_us + self._time_limit_us() - now_us)
+
+    def _time_limit_us(self) -> int:
         limits = {
             RecoveryState.DARK: ENDPOINT_LIST_TIMEOUT_US,
             RecoveryState.ASKING: GREETING_TIMEOUT_US,
@@ -144,13 +164,13 @@
             RecoveryState.RATIONED: MAX_RATIONED_SLOW_STARTS * self.slow_start_us,
             RecoveryState.OPEN: 0,
         }
-        return max(0, self.state_entered_us + limits[self.phase] - now_us)
+        return limits[self.phase]
 
     def entry(self, kind: RequestKind) -> AdmissionDecision:
-        """What becomes of one that asks now."""
+        """What happens to a request that arrives now."""
         return ADMISSION_RULES[self.phase, kind] if self.is_gated else AdmissionDecision.IN
 
     @property
     def accounted(self) -> bool:
-        """Whether what plays is known as well as it will be."""
-        return self.phase in (RecoveryState.RATIONED, RecoveryState.OPEN)
+        """Whether established sessions are known as well as they ever will be."""
+        return self.phase in SETTLED_STATES
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/shared_quotas.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/shared_quotas.py
@@ -17,7 +17,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
 from math import ceil, exp, floor
@@ -34,6 +34,7 @@
 MAX_PENDING_REQUESTS = 32
 MICROSECONDS_PER_SECOND = 1e6
 ROUNDING_TOLERANCE = 1e-9
+RELEASED = 0.0  # the rate of a transfer that gives a loan back
 
 
 class Resource(IntEnum):
@@ -96,6 +97,20 @@
     sent_us: int
 
 
+def _round_down(rate: float, granularity: float) -> float:
+    if not granularity:
+        return rate
+    return floor(rate / granularity + ROUNDING_TOLERANCE) * granularity
+
+
+def _other_fronts(index: int, front_count: int) -> list[int]:
+    return [(index + 1 + step) % front_count for step in range(front_count - 1)]
+
+
+def _recent_requests(pending: Iterable[PendingRequest], after_us: int) -> list[tuple[int, QuotaRequest]]:
+    return [(request.lender, request.request) for request in pending if request.sent_us > after_us]
+
+
 @dataclass(slots=True)
 class Quota:
     """One front's quota of one resource. The caller supplies times and randomness, and sends messages."""
@@ -136,12 +151,7 @@
     @property
     def reserved(self) -> float:
         """The rate that is never lent."""
-        return self._round_down(self.equal_share * self.kept)
-
-    def _round_down(self, rate: float) -> float:
-        if not self.grain:
-            return rate
-        return floor(rate / self.grain + ROUNDING_TOLERANCE) * self.grain
+        return _round_down(self.equal_share * self.kept, self.grain)
 
     @property
     def recovering_until_us(self) -> int:
@@ -230,7 +240,7 @@
         self.advance(now_us)
         shortfall = self.need - self.lasting(now_us, until_us)
         if others is None:
-            others = self._other_fronts()
+            others = _other_fronts(self.index, self.front_count)
         if not others or shortfall <= 0:
             return []
         self.asked_us = now_us
@@ -238,11 +248,7 @@
         request_count = min(MAX_REQUESTS_PER_ROUND, len(others), peers_needed)
         # Repeated under the same number, a request whose answer was lost does not borrow twice: before this,
         # losing a third of all messages cost a third of what had been lent.
-        requests = [
-            (pending.lender, pending.request)
-            for pending in self.sent.values()
-            if now_us - pending.sent_us < self.again_us
-        ]
+        requests = _recent_requests(self.sent.values(), now_us - self.again_us)
         first = int(draw * len(others))
         for step in range(request_count - len(requests)):
             lender = others[(first + step) % len(others)]
@@ -251,9 +257,6 @@
             self.sent.popitem(last=False)
         return requests[:request_count]
 
-    def _other_fronts(self) -> list[int]:
-        return [(self.index + 1 + step) % self.front_count for step in range(self.front_count - 1)]
-
     def _new_request(self, lender: int, rate: float, now_us: int) -> QuotaRequest:
         self.sequence += 1
         request = QuotaRequest(self.incarnation, self.sequence, self.resource, rate)
@@ -277,19 +280,17 @@
         loan = self.borrowed.pop(lender, None)
         if loan is None:
             return None
-        return self._release_message(self.loan_sequences.pop(lender))
+        return QuotaTransfer(self.incarnation, self.loan_sequences.pop(lender), self.resource, RELEASED)
 
     def cancel(self) -> list[tuple[int, QuotaTransfer]]:
         """Cancel the pending requests; the messages to send, as an answer may have been lost."""
         releases = [
-            (pending.lender, self._release_message(sequence)) for sequence, pending in self.sent.items()
+            (pending.lender, QuotaTransfer(self.incarnation, sequence, self.resource, RELEASED))
+            for sequence, pending in self.sent.items()
         ]
         self.sent.clear()
         return releases
 
-    def _release_message(self, sequence: int) -> QuotaTransfer:
-        return QuotaTransfer(self.incarnation, sequence, self.resource, 0.0)
-
     def forget(self, lender: int) -> None:
         """Drop the loans of a peer that has restarted, also those that may still be on their way."""
         self.borrowed.pop(lender, None)
@@ -311,7 +312,9 @@
             # One loan to each peer at a time. A repeated request is the same loan; another waits for its end.
             is_repeated = known.request_id == request_id
             return QuotaTransfer(*request_id, request.thing, known.rate) if is_repeated else None
-        rate = self._round_down(min(self._spare_rate(), request.rate))
+        lent = sum(loan.rate for loan in self.lent.values())
+        spare = self.equal_share - self.reserved - lent - self.need * (1 + LENDER_HEADROOM)
+        rate = _round_down(min(spare, request.rate), self.grain)
         if rate <= 0:
             return None
         # The loan is deducted, with what was saved of it, before the borrower learns of it.
@@ -320,10 +323,6 @@
         self._cap_tokens(now_us)
         return QuotaTransfer(*request_id, request.thing, rate)
 
-    def _spare_rate(self) -> float:
-        lent = sum(loan.rate for loan in self.lent.values())
-        return self.equal_share - self.reserved - lent - self.need * (1 + LENDER_HEADROOM)
-
     def hear_back(self, sender: int, loan: QuotaTransfer) -> None:
         """Handle a borrower's release of its loan. Where this message is lost, the loan expires in time."""
         known = self.lent.get(sender)
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/shedding.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/shedding.py
@@ -1,10 +1,11 @@
-"""Who is turned away first when the fleet has not room for all: one ladder, climbed by what all are asked.
-
-Never what plays. First those who do not wait as they were told, then first tries of the lesser benefits, then
-first tries where somebody waits whose time has come. What is turned away is answered at once, with a place
-that every front honours. Fronts that hear the same figures stand on the same step; one that is cut off takes
-the others for its own likes. Steps are taken up fast and down slowly, and the share by which benefits step
-back follows the pace that boxes are found to take, so that a step without a crowd empties itself.
+"""Load shedding by the fleet: the level that its load calls for, and what each level rejects.
+
+Established sessions are never shed. The first to be rejected are clients that retry before their Retry-After
+has passed, then first attempts of low priority weight, then first attempts while clients with a due queue
+ticket wait. A rejection is immediate, and carries a ticket that every front honours. Fronts that receive the
+same figures reach the same level; one that is cut off assumes that the others see what it sees. The level
+rises at once and falls slowly. The fraction that is admitted by priority follows the rate that servers are
+found to accept, so that a level without a crowd empties itself.
 """
 
 from __future__ import annotations
@@ -12,29 +13,27 @@
 from dataclasses import dataclass
 from enum import Enum, IntEnum, auto
 
-from fennelcove.decisions.fleet.fleet_load import FleetTotals
 from fennelcove.decisions.clients.waiting_room import TicketStatus
+from fennelcove.decisions.fleet.fleet_load import FleetTotals
 
-MIN_REQUESTS = 8  # requests in a summary's time that say nothing
-UNMET_ELEVATED = 0.15
+MIN_REQUESTS = 8  # in a summary's time; fewer are no signal
+UNMET_ELEVATED = 0.15  # fractions of requests that were not served
 UNMET_HIGH = 0.4
 UNMET_CRITICAL = 0.7
-CALM_WINDOWS_PER_STEP_DOWN = (
-    8  # windows without need before a step down: a crowd that draws breath has not gone
-)
+CALM_WINDOWS_PER_STEP_DOWN = 8  # a crowd that pauses for a moment has not gone
 
 
 class SheddingLevel(IntEnum):
-    """The step that the fleet stands on."""
+    """How much is shed, from nothing upwards; status pages show the names."""
 
     NONE = 0
-    REPEATS = 1  # those who come before their time are kept to it
-    LEAST = 2  # first tries step back by benefit
-    FIRSTS = 3  # first tries wait while places fall due
+    REPEATS = 1  # retries before their time are rejected
+    LEAST = 2  # and first attempts are admitted by priority
+    FIRSTS = 3  # and first attempts wait while tickets are due
 
 
 class LoadSignal(Enum):
-    """What a summary's time shows."""
+    """How overloaded the fleet is, by the fraction of requests that were not served."""
 
     NORMAL = auto()
     ELEVATED = auto()
@@ -43,14 +42,14 @@
 
 
 class SheddingAction(Enum):
-    """What becomes of one that asks."""
+    """What happens to a request."""
 
     PASS = auto()
-    BY_BENEFIT = auto()
-    TURN = auto()
+    BY_BENEFIT = auto()  # admitted by its priority weight
+    TURN = auto()  # rejected
 
 
-# The step that each sign asks for; up at once, down one step after `FALLS` windows.
+# The level that each signal calls for: reached at once from below, step by step from above.
 TARGET_LEVELS: dict[LoadSignal, SheddingLevel] = {
     LoadSignal.NORMAL: SheddingLevel.NONE,
     LoadSignal.ELEVATED: SheddingLevel.REPEATS,
@@ -59,7 +58,7 @@
 }
 
 ACTIONS: dict[tuple[SheddingLevel, TicketStatus], SheddingAction] = {
-    **{(SheddingLevel.NONE, who): SheddingAction.PASS for who in TicketStatus},
+    **{(SheddingLevel.NONE, status): SheddingAction.PASS for status in TicketStatus},
     (SheddingLevel.REPEATS, TicketStatus.FIRST): SheddingAction.PASS,
     (SheddingLevel.REPEATS, TicketStatus.DUE): SheddingAction.PASS,
     (SheddingLevel.REPEATS, TicketStatus.LATE): SheddingAction.PASS,
@@ -72,7 +71,7 @@
     (SheddingLevel.LEAST, TicketStatus.AGAIN): SheddingAction.TURN,
     (SheddingLevel.LEAST, TicketStatus.EARLY): SheddingAction.TURN,
     (SheddingLevel.LEAST, TicketStatus.INVENTED): SheddingAction.TURN,
-    # One whose place has come is never passed over for one without.
+    # A client whose ticket is due is never passed over for one without a ticket.
     (SheddingLevel.FIRSTS, TicketStatus.FIRST): SheddingAction.BY_BENEFIT,
     (SheddingLevel.FIRSTS, TicketStatus.DUE): SheddingAction.PASS,
     (SheddingLevel.FIRSTS, TicketStatus.LATE): SheddingAction.BY_BENEFIT,
@@ -83,38 +82,44 @@
 
 
 def load_signal(totals: FleetTotals) -> LoadSignal:
-    """What the fleet's figures show."""
-    if totals.asked < MIN_REQUESTS or totals.unmet < UNMET_ELEVATED:
+    """The signal that the fleet's load gives."""
+    unmet = totals.unmet
+    if totals.asked < MIN_REQUESTS or unmet < UNMET_ELEVATED:
         return LoadSignal.NORMAL
-    if totals.unmet < UNMET_HIGH:
+    if unmet < UNMET_HIGH:
         return LoadSignal.ELEVATED
-    return LoadSignal.HIGH if totals.unmet < UNMET_CRITICAL else LoadSignal.CRITICAL
+    if unmet < UNMET_CRITICAL:
+        return LoadSignal.HIGH
+    return LoadSignal.CRITICAL
 
 
 @dataclass(slots=True)
 class SheddingPolicy:
-    """Where one front stands on it."""
+    """The level of one front, moved once each window."""
 
     level: SheddingLevel = SheddingLevel.NONE
-    calm_windows: int = 0  # windows in a row that asked for a lower step
+    calm_windows: int = 0  # in a row, that called for a lower level
     changes: int = 0
 
     def window(self, totals: FleetTotals) -> bool:
-        """One more window is closed; whether the step has changed."""
-        wanted = TARGET_LEVELS[load_signal(totals)]
-        if wanted >= self.level:
-            self.calm_windows = 0
-            if wanted is self.level:
-                return False
-            self.level = wanted
-        else:
-            self.calm_windows += 1
-            if self.calm_windows < CALM_WINDOWS_PER_STEP_DOWN:
-                return False
-            self.level, self.calm_windows = SheddingLevel(self.level - 1), 0
+        """Handle the end of a window; whether the level has changed."""
+        level = self._next_level(TARGET_LEVELS[load_signal(totals)])
+        if level is self.level:
+            return False
+        self.level = level
         self.changes += 1
         return True
 
-    def act(self, who: TicketStatus) -> SheddingAction:
-        """What becomes of one that stands so."""
-        return ACTIONS[self.level, who]
+    def _next_level(self, target: SheddingLevel) -> SheddingLevel:
+        if target >= self.level:
+            self.calm_windows = 0
+            return target
+        self.calm_windows += 1
+        if self.calm_windows < CALM_WINDOWS_PER_STEP_DOWN:
+            return self.level
+        self.calm_windows = 0
+        return SheddingLevel(self.level - 1)
+
+    def act(self, status: TicketStatus) -> SheddingAction:
+        """What happens to a request with a ticket of this status."""
+        return ACTIONS[self.level, status]
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/slow_start_allocation.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/slow_start_allocation.py
@@ -1,7 +1,9 @@
-"""Who of many gets the few turns that cold boxes give: by benefit, and what the others are promised.
+"""Allocation of the few session slots that servers offer in slow start: by priority weight.
 
-The module places whoever it is asked for. While turns are scarce, whoever comes first would have them, and
-hasty viewers come first. Here the lesser benefits step back by as much as the greater ones need.
+The placement policy places whatever it is asked to. While slots are scarce, the clients that retry fastest
+would take them all. Here requests of low priority weight step back by as much as those of higher weight need,
+and each rejected request gets a Retry-After behind those before it. Times are in microseconds, rates in
+session slots a second.
 """
 
 from __future__ import annotations
@@ -10,79 +12,104 @@
 from dataclasses import dataclass, field
 from math import exp
 
-DEMAND_WINDOW_US = 2_000_000  # over which demand is counted: a viewer's pause between two tries
-OVERADMISSION_FACTOR = 1.5  # times the pace is let in: not each finds its turn open
-MIN_ADMITTED_FRACTION = 0.1  # of those who step back are let in all the same, so that none is shut out whole
+DEMAND_WINDOW_US = 2_000_000  # the time between two attempts of a client
+OVERADMISSION_FACTOR = 1.5  # not every admitted request finds its slot free
+MIN_ADMITTED_FRACTION = 0.1  # of each weight, so that none is shut out entirely
 MAX_TITLES = 1024
 LEAST_WAIT_US = 1_000_000  # Retry-After counts whole seconds
 MAX_RETRY_AFTER_US = 30_000_000
+NEGLIGIBLE_COUNT = 0.01
+NEGLIGIBLE_RATE = 1e-9
+MICROSECONDS_PER_SECOND = 1e6
 
 
 @dataclass(slots=True)
 class TitleDemand:
-    """What is asked for one title, by benefit, and what was promised to those sent away."""
+    """The demand for one title by priority weight, and the slots promised to rejected requests."""
 
     now_us: int
-    requests_by_weight: dict[float, float] = field(default_factory=dict)
-    promised_turns: float = 0.0
+    requests_by_weight: dict[float, float] = field(default_factory=dict)  # decaying counts
+    promised_slots: float = 0.0
 
-    def advance(self, now_us: int, pace: float) -> None:
-        """Time passes: counts fade, promises fall due at the pace."""
-        seconds = max(0, now_us - self.now_us) / 1e6
-        fade = exp(-seconds * 1e6 / DEMAND_WINDOW_US)
+    def advance(self, now_us: int, rate: float) -> None:
+        """Move the clock: counts decay, and promises fall due at the rate of slots."""
+        seconds = max(0, now_us - self.now_us) / MICROSECONDS_PER_SECOND
+        decay = exp(-seconds * MICROSECONDS_PER_SECOND / DEMAND_WINDOW_US)
         self.requests_by_weight = {
-            priority_weight: count * fade
-            for priority_weight, count in self.requests_by_weight.items()
-            if count * fade > 0.01
+            weight: count * decay
+            for weight, count in self.requests_by_weight.items()
+            if count * decay > NEGLIGIBLE_COUNT
         }
-        self.promised_turns = max(0.0, self.promised_turns - pace * seconds)
+        self.promised_slots = max(0.0, self.promised_slots - rate * seconds)
         self.now_us = max(now_us, self.now_us)
 
     def record_request(self, priority_weight: float) -> None:
-        """One more asks."""
+        """Count a request."""
         self.requests_by_weight[priority_weight] = self.requests_by_weight.get(priority_weight, 0.0) + 1.0
 
-    def admitted_fraction(self, priority_weight: float, pace: float) -> float:
-        """The share of those of this benefit that may be let in at a pace of set-ups a second."""
-        per_s = 1e6 / DEMAND_WINDOW_US
-        greater = (
-            sum(count for other, count in self.requests_by_weight.items() if other > priority_weight) * per_s
+    def admitted_fraction(self, priority_weight: float, rate: float) -> float:
+        """The fraction of the requests of this weight that may be admitted."""
+        per_second = MICROSECONDS_PER_SECOND / DEMAND_WINDOW_US
+        higher_counts = (
+            count for weight, count in self.requests_by_weight.items() if weight > priority_weight
         )
-        own = max(self.requests_by_weight.get(priority_weight, 0.0) * per_s, 1e-9)
-        return min(1.0, max(MIN_ADMITTED_FRACTION, (OVERADMISSION_FACTOR * pace - greater) / own))
-
-    def retry_after_us(self, pace: float, most_us: int | None, draw: float) -> int:
-        """When one that is sent away should come again: behind those before it, within what may be told."""
-        self.promised_turns += 1.0
-        longest = MAX_RETRY_AFTER_US if most_us is None else max(LEAST_WAIT_US, most_us)
-        wait_us = self.promised_turns / pace * 1e6 if pace > 0 else longest
-        if wait_us > longest:
-            wait_us = longest * (0.5 + draw / 2)
+        higher_rate = sum(higher_counts) * per_second
+        own_rate = max(self.requests_by_weight.get(priority_weight, 0.0) * per_second, NEGLIGIBLE_RATE)
+        left_over = OVERADMISSION_FACTOR * rate - higher_rate
+        return min(1.0, max(MIN_ADMITTED_FRACTION, left_over / own_rate))
+
+    def retry_after_us(self, rate: float, max_us: int | None, draw: float) -> int:
+        """The Retry-After of a rejected request: behind those before it, within the limit.
+
+        Args:
+            rate: slots a second.
+            max_us: the largest Retry-After permitted; None for the default.
+            draw: a random number from 0 to 1, which spreads the requests that exceed the limit.
+        """
+        self.promised_slots += 1.0
+        limit_us = MAX_RETRY_AFTER_US if max_us is None else max(LEAST_WAIT_US, max_us)
+        wait_us: float = limit_us
+        if rate > 0:
+            wait_us = self.promised_slots / rate * MICROSECONDS_PER_SECOND
+        if wait_us > limit_us:
+            wait_us = limit_us * (0.5 + draw / 2)
         return max(LEAST_WAIT_US, round(wait_us))
 
 
 class SlowStartAllocation:
-    """One front's demands, a bounded number of titles; the one longest unasked is forgotten first."""
+    """The demand for each title at one front, for the titles requested last."""
 
     def __init__(self) -> None:
         self.demands: OrderedDict[str, TitleDemand] = OrderedDict()
 
     def ask(
-        self, title: str, priority_weight: float, pace: float, most_us: int | None, now_us: int, draw: float
+        self, title: str, priority_weight: float, rate: float, max_us: int | None, now_us: int, draw: float
     ) -> int | None:
-        """One asks for a title whose holders are cold and give this front `pace` turns a second together.
+        """Handle a request for a title whose replicas are warming up.
+
+        Args:
+            title: the title.
+            priority_weight: the weight of the request's service class.
+            rate: the slots a second that the replicas give this front together.
+            max_us: the largest Retry-After permitted; None for the default.
+            now_us: the present time.
+            draw: a random number from 0 to 1.
 
         Returns:
-            None where it is let in, or the wait to tell it, in microseconds.
+            None where it is admitted, or its Retry-After in microseconds.
         """
+        demand = self._demand(title, now_us)
+        demand.advance(now_us, rate)
+        demand.record_request(priority_weight)
+        if draw < demand.admitted_fraction(priority_weight, rate):
+            return None
+        return demand.retry_after_us(rate, max_us, draw)
+
+    def _demand(self, title: str, now_us: int) -> TitleDemand:
         demand = self.demands.get(title)
         if demand is None:
             demand = self.demands[title] = TitleDemand(now_us)
             if len(self.demands) > MAX_TITLES:
                 self.demands.popitem(last=False)
         self.demands.move_to_end(title)
-        demand.advance(now_us, pace)
-        demand.record_request(priority_weight)
-        if draw < demand.admitted_fraction(priority_weight, pace):
-            return None
-        return demand.retry_after_us(pace, most_us, draw)
+        return demand
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/snapshot_trust.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/snapshot_trust.py
@@ -1,14 +1,13 @@
-"""What a front that has just started believes of its folder: each kind of fact by what died meanwhile, and by
-its age as far as clocks can tell.
+"""How far a front that has restarted trusts its snapshot: by kind of fact, by what else was lost, and by age.
 
-Facts that others know better are not asked of the folder at all: what plays and who has a seat is told by the
-boxes, since when a box is up by itself and by the list, whichever says less, and how many fronts there are
-by the settings, of which only a majority that hears may take away (`company`). What was promised to viewers,
-keys and places, stands by its own time whatever died.
+The snapshot is not consulted for facts that others know better: servers name the sessions that they hold,
+servers and the endpoint list give their start times, of which the later counts, and the settings give the
+number of fronts, which only a majority may lower (`membership`). Tickets and idempotency keys that clients
+hold stay valid by their own times, whatever was lost.
 
-That a whole fleet was lost is told by evidence, never by a flag: boxes whose processes began after the last
-word of the folder, other fronts in new lives. A folder that others know a later life than is not the newest:
-it was restored from a copy.
+The loss of a whole fleet is inferred from evidence, never from a flag: servers whose processes started after
+the snapshot was written, and other fronts in new incarnations. A snapshot of an incarnation older than one
+that the others know is not the newest: it was restored from a copy.
 """
 
 from __future__ import annotations
@@ -16,98 +15,125 @@
 from dataclasses import dataclass
 from enum import Enum, IntEnum, auto
 
-MAX_AGE_US = 600_000_000  # past it what a box or a crowd did says nothing
-CLOCK_TOLERANCE_US = 1_500_000  # two accounts of one moment differ by a list's and a clock's error
+MAX_AGE_US = 600_000_000  # beyond it, past behaviour of a server or a crowd is no evidence
+CLOCK_TOLERANCE_US = 1_500_000  # two accounts of one moment differ by the errors of a list and a clock
 
 
 class FactKind(Enum):
-    """What the folder may know that something can have made untrue."""
+    """A fact of the snapshot that a loss can have made untrue."""
 
-    STRIKES = auto()  # how often a box failed
-    LAST_JOIN = auto()  # when this front last gave a box work
-    BUDGET = auto()  # further joins spent
-    PACE = auto()  # the usual arrivals
-    LIST = auto()  # which boxes there are
+    STRIKES = auto()  # how often a server failed
+    LAST_JOIN = auto()  # when this front last sent a server an attempt
+    BUDGET = auto()  # retries spent
+    PACE = auto()  # the usual arrival rate
+    LIST = auto()  # the endpoint list
 
 
 class LossKind(IntEnum):
-    """What died, as far as the evidence goes; each says more than the one before."""
+    """What was lost as far as the evidence goes; each kind includes the one before. Logs show the names."""
 
     SELF = 0  # this front
     FRONTS = 1  # most fronts
-    SERVER = 2  # this front, and the box that the fact is about
-    ALL = 3  # fronts and boxes
+    SERVER = 2  # this front, and the server that the fact is about
+    ALL = 3  # fronts and servers
 
 
 class SnapshotAge(IntEnum):
-    """How old a fact is."""
+    """How old the snapshot is; logs show the names."""
 
     FRESH = 0
-    UNKNOWN = 1  # a clock went back, or there is none to compare with
-    OLD = 2  # past its time, or from a copy of an older folder
+    UNKNOWN = 1  # a clock went back
+    OLD = 2  # beyond its time, or from a copy of an older snapshot
 
 
 class SnapshotUse(IntEnum):
-    """What is done with it; each trusts less than the one before."""
+    """How a fact is used; each value trusts it less than the one before."""
 
     USE = 0
-    AT_LEAST = 1  # it may be more by now
-    CONFIRM = 2  # only once whoever it is about has spoken
+    AT_LEAST = 1  # as a lower bound
+    CONFIRM = 2  # only once its subject has confirmed it
     DROP = 3
 
 
-# Each row: by loss from SELF to ALL, and in it by age from FRESH to OLD.
-U, L, A, D = SnapshotUse.USE, SnapshotUse.AT_LEAST, SnapshotUse.CONFIRM, SnapshotUse.DROP
-TRUST_RULES: dict[FactKind, tuple[tuple[SnapshotUse, SnapshotUse, SnapshotUse], ...]] = {
-    # What a box did wrong says nothing of its next process, and nothing where no clock tells since when.
-    FactKind.STRIKES: ((U, D, D), (U, D, D), (D, D, D), (D, D, D)),
-    # A process that began anew carries nothing of its last life: its turns are counted from its start.
-    FactKind.LAST_JOIN: ((U, D, D), (U, D, D), (D, D, D), (D, D, D)),
-    # A budget must not come back by a clock: without an age all of it counts as spent just now.
-    FactKind.BUDGET: ((U, L, U), (U, L, U), (U, L, U), (U, L, U)),
-    # With other fronts gone more come to each: taken for the usual, the crowd after a loss would be a storm.
-    FactKind.PACE: ((U, U, D), (L, L, D), (U, U, D), (L, L, D)),
-    # Boxes of a kept list are asked before they get work; a copy from long ago names others' machines.
-    FactKind.LIST: ((A, A, D), (A, A, D), (A, A, D), (A, A, D)),
+@dataclass(frozen=True, slots=True)
+class UseByAge:
+    """How a fact is used after one kind of loss."""
+
+    fresh: SnapshotUse
+    unknown: SnapshotUse
+    old: SnapshotUse
+
+    def at(self, age: SnapshotAge) -> SnapshotUse:
+        """The use at an age."""
+        if age is SnapshotAge.FRESH:
+            return self.fresh
+        return self.unknown if age is SnapshotAge.UNKNOWN else self.old
+
+
+_TRUST_FRESH = UseByAge(SnapshotUse.USE, SnapshotUse.DROP, SnapshotUse.DROP)
+_TRUST_UNLESS_OLD = UseByAge(SnapshotUse.USE, SnapshotUse.USE, SnapshotUse.DROP)
+_LOWER_BOUND_UNLESS_OLD = UseByAge(SnapshotUse.AT_LEAST, SnapshotUse.AT_LEAST, SnapshotUse.DROP)
+_LOWER_BOUND_IF_UNKNOWN = UseByAge(SnapshotUse.USE, SnapshotUse.AT_LEAST, SnapshotUse.USE)
+_CONFIRM_UNLESS_OLD = UseByAge(SnapshotUse.CONFIRM, SnapshotUse.CONFIRM, SnapshotUse.DROP)
+_DROP = UseByAge(SnapshotUse.DROP, SnapshotUse.DROP, SnapshotUse.DROP)
+
+
+# Each row: by loss, from SELF to ALL.
+TRUST_RULES: dict[FactKind, tuple[UseByAge, ...]] = {
+    # Failures of a server do not concern its next process, nor any where no clock shows since when.
+    FactKind.STRIKES: (_TRUST_FRESH, _TRUST_FRESH, _DROP, _DROP),
+    # A restarted process has none of its previous sessions: its slow start counts from its start.
+    FactKind.LAST_JOIN: (_TRUST_FRESH, _TRUST_FRESH, _DROP, _DROP),
+    # A budget must not refill by a clock: without an age all of it counts as spent just now.
+    FactKind.BUDGET: (_LOWER_BOUND_IF_UNKNOWN,) * len(LossKind),
+    # With other fronts lost, more clients come to each: as the usual rate, that crowd would hide a storm.
+    FactKind.PACE: (
+        _TRUST_UNLESS_OLD,
+        _LOWER_BOUND_UNLESS_OLD,
+        _TRUST_UNLESS_OLD,
+        _LOWER_BOUND_UNLESS_OLD,
+    ),
+    # Servers of a saved list are asked before they get sessions; an old copy names machines of others.
+    FactKind.LIST: (_CONFIRM_UNLESS_OLD,) * len(LossKind),
 }
 
 
 def use(fact: FactKind, loss: LossKind, age: SnapshotAge) -> SnapshotUse:
-    """What becomes of a fact out of the folder."""
-    return TRUST_RULES[fact][loss][age]
+    """How a fact of the snapshot is used."""
+    return TRUST_RULES[fact][loss].at(age)
 
 
 @dataclass(frozen=True, slots=True)
 class Evidence:
-    """What a start has found so far; counts of what was heard, wall times in microseconds."""
+    """What a start has observed so far; wall times in microseconds."""
 
     observed_servers: int = 0
-    restarted_servers: int = 0  # whose processes began after the folder's last word
-    observed_fronts: int = 0  # others that were heard
-    restarted_fronts: int = 0  # in another life than the folder knows
-    saved_incarnation: int = 0  # this front's life that wrote the folder; 0 where it does not say
-    latest_known_incarnation: int = (
-        0  # the latest life under its index that others have heard of, before this one
-    )
-    written_us: int = 0  # the folder's last word; 0 for no folder
+    restarted_servers: int = 0  # whose processes started after the snapshot was written
+    observed_fronts: int = 0  # other fronts that sent something
+    restarted_fronts: int = 0  # in another incarnation than the snapshot knows
+    saved_incarnation: int = 0  # of this front, that wrote the snapshot; 0 where it is not recorded
+    latest_known_incarnation: int = 0  # that others knew under this front's index before this one
+    written_us: int = 0  # when the snapshot was written; 0 for no snapshot
     wall_us: int = 0
 
 
-def loss(found: Evidence) -> LossKind:
-    """What died, by the evidence: more than half of those heard. Of what was not heard nothing is claimed."""
-    servers = 2 * found.restarted_servers > found.observed_servers
-    fronts = 2 * found.restarted_fronts > found.observed_fronts
-    if servers and (fronts or not found.observed_fronts):
+def loss(evidence: Evidence) -> LossKind:
+    """What was lost: more than half of those observed. Of what was not observed nothing is concluded."""
+    servers_lost = 2 * evidence.restarted_servers > evidence.observed_servers
+    fronts_lost = 2 * evidence.restarted_fronts > evidence.observed_fronts
+    if servers_lost and (fronts_lost or not evidence.observed_fronts):
         return LossKind.ALL
-    return LossKind.FRONTS if fronts else LossKind.SELF
+    return LossKind.FRONTS if fronts_lost else LossKind.SELF
 
 
-def age(found: Evidence) -> SnapshotAge:
-    """How old the folder is."""
-    if not found.written_us or (
-        found.saved_incarnation and found.latest_known_incarnation > found.saved_incarnation
-    ):
+def age(evidence: Evidence) -> SnapshotAge:
+    """How old the snapshot is."""
+    if not evidence.written_us:
+        return SnapshotAge.OLD
+    is_copy = evidence.latest_known_incarnation > evidence.saved_incarnation
+    if evidence.saved_incarnation and is_copy:
         return SnapshotAge.OLD
-    if found.written_us > found.wall_us + CLOCK_TOLERANCE_US:
+    if evidence.written_us > evidence.wall_us + CLOCK_TOLERANCE_US:
         return SnapshotAge.UNKNOWN
-    return SnapshotAge.OLD if found.wall_us - found.written_us > MAX_AGE_US else SnapshotAge.FRESH
+    is_expired = evidence.wall_us - evidence.written_us > MAX_AGE_US
+    return SnapshotAge.OLD if is_expired else SnapshotAge.FRESH
--- a/packages/messages/src/fennelcove/messages.py
+++ b/packages/messages/src/fennelcove/messages.py
@@ -6,7 +6,7 @@
 import struct
 
 from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Resource
-from fennelcove.decisions.fleet.fleet_load import LoadSummary
+from fennelcove.decisions.fleet.fleet_load import ClassLoad, LoadSummary
 from fennelcove.decisions.fleet.membership import Heartbeat
 from fennelcove.decisions.fleet.health_checks import HealthVerdict, HealthReport
 from fennelcove.interface import CellLoad, PeerMessage
@@ -111,7 +111,7 @@
     ):
         return None
     _, life, number = COUNTED.unpack_from(raw)
-    rows = tuple((asked, served, turned) for asked, served, turned in ROW.iter_unpack(raw[COUNTED.size :]))
+    rows = tuple(ClassLoad(*counts) for counts in ROW.iter_unpack(raw[COUNTED.size :]))
     return LoadSummary(life, number, rows)
 
 
