Recovery decisions: transition table of the writer, whole names, ordinary doc comments

The writer's table is a TransitionTable with three shared transitions; the three decoders of records share one; a task's deadline is a property; dropping keys beyond the limit stood twice. Stored fields keep their names and order: they are stored by position, and 'store export' shows them as keys.

--- a/packages/decisions-recovery/src/fennelcove/decisions/recovery/__init__.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/__init__.py
@@ -1,1 +1,1 @@
-"""What outlives a process, and how a new one takes it up."""
+"""Decisions on state that outlives a process, and on how the next process recovers from it."""
--- a/packages/decisions-recovery/src/fennelcove/decisions/recovery/background_scheduler.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/background_scheduler.py
@@ -1,8 +1,9 @@
-"""Which background work runs when: priorities, deadlines, and a bound on what all of it takes.
+"""Scheduling of background work: priorities, deadlines, and a limit on the time that all of it takes.
 
-Sweeps, memories and certificates share one thread. Each task has a pace and a time by which it must have run.
-Until then it waits for the budget, a share of the time that passes; past it, it runs whatever the budget
-says, and the others wait for what that cost. So a bound holds on the whole, and nothing starves.
+Sweeps, snapshots and certificate checks share one thread. Each task has an interval and a deadline. Until its
+deadline a due task waits for the budget, a share of the time that passes; past it, it runs whatever the
+budget is, and the other tasks wait for what that cost. So the limit holds on the whole, and no task starves.
+Times are in microseconds.
 """
 
 from __future__ import annotations
@@ -10,90 +11,96 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-TIME_SHARE = 0.1  # of the time: what background work may take from those who answer viewers
-MAX_SAVED_US = 50_000  # the most that is saved up while nothing is due
-MAX_DEBT_US = 1_000_000  # the most that is owed: a task that hung once must not stop the rest for long
+TIME_SHARE = 0.1  # that background work may take from the threads that answer clients
+MAX_SAVED_US = 50_000  # of budget, while nothing is due
+MAX_DEBT_US = 1_000_000  # of budget: a task that hung once must not stop the rest for long
 RUN_TIME_SMOOTHING = 8
 MAX_WAIT_US = 60_000_000
 
 
 class TaskPriority(IntEnum):
-    """Of two tasks that may run, the lower number goes first."""
+    """The order of tasks that may run: the lowest number goes first."""
 
-    VIEWERS = 0  # what somebody waits for
+    VIEWERS = 0  # a client waits for it
     MEMORY = 1
     HOUSEKEEPING = 2
 
 
 @dataclass(slots=True, eq=False)
 class BackgroundTask:
-    """Work that comes again; times in microseconds."""
+    """Work that is repeated at an interval."""
 
     name: str
     priority: TaskPriority
     interval_us: int
-    max_delay_us: int  # past its time by so much it runs whatever the budget says
+    max_delay_us: int  # past its time by so much, it runs whatever the budget is
     due_us: int = 0
-    usual_us: float = 0.0  # what a run takes
+    usual_us: float = 0.0  # smoothed duration of a run
     runs: int = 0
-    skipped: int = 0  # times it was due again before it had run
-    latest_us: int = 0  # how late it began at worst
+    skipped: int = 0  # times that it was due again before it had run
+    latest_us: int = 0  # the longest delay of a run
+
+    @property
+    def deadline_us(self) -> int:
+        """When it runs whatever the budget is."""
+        return self.due_us + self.max_delay_us
 
 
 @dataclass(frozen=True, slots=True)
 class ScheduledTask:
-    """A task to run now, or how long to wait."""
+    """The task to run now, or how long to wait."""
 
     task: BackgroundTask | None
     wait_us: int = 0
 
 
 class BackgroundScheduler:
-    """All tasks of one thread; the caller hands in the time."""
+    """The tasks of one thread; the caller supplies times."""
 
-    def __init__(self, now_us: int, share: float = TIME_SHARE) -> None:
-        self.time_share = share
+    def __init__(self, now_us: int, time_share: float = TIME_SHARE) -> None:
+        self.time_share = time_share
         self.tasks: list[BackgroundTask] = []
         self.budget_us = float(MAX_SAVED_US)
         self.accrued_at_us = now_us
 
     def add(self, task: BackgroundTask, now_us: int) -> None:
-        """One more; first due at once."""
+        """Add a task, which is due at once."""
         task.due_us = now_us
         self.tasks.append(task)
 
     def _accrue(self, now_us: int) -> None:
-        passed = max(0, now_us - self.accrued_at_us)
+        passed_us = max(0, now_us - self.accrued_at_us)
         self.accrued_at_us = max(now_us, self.accrued_at_us)
-        self.budget_us = min(float(MAX_SAVED_US), self.budget_us + passed * self.time_share)
+        self.budget_us = min(float(MAX_SAVED_US), self.budget_us + passed_us * self.time_share)
 
     def pick(self, now_us: int) -> ScheduledTask:
-        """What to do now."""
+        """The next task to run: one past its deadline, or else one that the budget permits."""
         self._accrue(now_us)
         due = [task for task in self.tasks if task.due_us <= now_us]
-        late = [task for task in due if now_us >= task.due_us + task.max_delay_us]
-        if late:
-            return ScheduledTask(min(late, key=lambda task: (task.due_us + task.max_delay_us, task.priority)))
-        fitting = [task for task in due if task.usual_us <= self.budget_us]
-        if fitting:
-            return ScheduledTask(min(fitting, key=lambda task: (task.priority, task.due_us)))
+        overdue = [task for task in due if now_us >= task.deadline_us]
+        if overdue:
+            return ScheduledTask(min(overdue, key=lambda task: (task.deadline_us, task.priority)))
+        affordable = [task for task in due if task.usual_us <= self.budget_us]
+        if affordable:
+            return ScheduledTask(min(affordable, key=lambda task: (task.priority, task.due_us)))
         return ScheduledTask(None, self._wait_us(due, now_us))
 
     def _wait_us(self, due: list[BackgroundTask], now_us: int) -> int:
-        waits = [task.due_us - now_us for task in self.tasks if task.due_us > now_us]
-        waits += [task.due_us + task.max_delay_us - now_us for task in due]
+        waits_us = [task.due_us - now_us for task in self.tasks if task.due_us > now_us]
+        waits_us += [task.deadline_us - now_us for task in due]
         if self.time_share > 0:
-            waits += [round((task.usual_us - self.budget_us) / self.time_share) + 1 for task in due]
-        return max(1, min([*waits, MAX_WAIT_US]))
+            waits_us += [round((task.usual_us - self.budget_us) / self.time_share) + 1 for task in due]
+        return max(1, min([*waits_us, MAX_WAIT_US]))
 
-    def over(self, task: BackgroundTask, began_us: int, now_us: int) -> None:
-        """A run has ended. What was due again meanwhile is skipped: catching up would make it worse."""
+    def over(self, task: BackgroundTask, started_us: int, now_us: int) -> None:
+        """Handle the end of a run; runs that were missed meanwhile are skipped, as catching up adds load."""
         self._accrue(now_us)
-        took_us = max(0, now_us - began_us)
-        self.budget_us = max(-float(MAX_DEBT_US), self.budget_us - took_us)
-        task.usual_us += (took_us - task.usual_us) / (RUN_TIME_SMOOTHING if task.runs else 1)
+        run_us = max(0, now_us - started_us)
+        self.budget_us = max(-float(MAX_DEBT_US), self.budget_us - run_us)
+        smoothing = RUN_TIME_SMOOTHING if task.runs else 1
+        task.usual_us += (run_us - task.usual_us) / smoothing
         task.runs += 1
-        task.latest_us = max(task.latest_us, began_us - task.due_us)
+        task.latest_us = max(task.latest_us, started_us - task.due_us)
         missed = max(0, (now_us - task.due_us) // task.interval_us)
         task.skipped += max(0, missed - 1)
-        task.due_us = max(task.due_us + task.interval_us, began_us + task.interval_us)
+        task.due_us = max(task.due_us, started_us) + task.interval_us
--- a/packages/decisions-recovery/src/fennelcove/decisions/recovery/reconciliation.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/reconciliation.py
@@ -1,9 +1,9 @@
-"""What a front that has just started takes over: boxes play on while a front is away, and say what they hold.
+"""Reconciliation of the sessions that servers name after a front has restarted.
 
-A front keeps no state on disk (yet); the servers' greetings are its memory. Each attempt that a server names
-is kept,
-taken over under its old id, or released, so that viewers' polls go on being answered, seats are counted once,
-and nothing plays for nobody. In which order service returns meanwhile is ruled on in `fleet/comeback.py`.
+Sessions stay established while a front is away, and servers name the sessions that they hold when it greets
+them. Each attempt that a server names is kept, adopted under its old id, or released, so that clients' polls
+are answered, seats are counted once, and no session is served that nobody watches. In which order service is
+resumed meanwhile is decided in `fennelcove.decisions.fleet.recovery_admission`.
 """
 
 from __future__ import annotations
@@ -15,25 +15,25 @@
 
 
 class SessionClaim(Enum):
-    """What a join that a box names is to this front."""
+    """What an attempt that a server names is to this front; status counters show the names."""
 
-    CURRENT = auto()  # plays there, by this front's own knowledge
-    IN_FLIGHT = auto()  # the join that is out now
-    OVERTAKEN = auto()  # a join that was given up; another came after it
-    ENDED_HERE = auto()  # of this life, and over
-    ORPHAN = auto()  # of an earlier life
-    ORPHAN_OLDER = auto()  # of an earlier life, and a later join of it is known already
-    ORPHAN_NEWER = auto()  # of an earlier life, and an older join of it was taken over
-    UNFIT = auto()  # of an earlier life, and the settings know its title, room type or rung no more
-    SURPLUS = auto()  # of an earlier life, and its seats are all taken
+    CURRENT = auto()  # established there, by this front's own state
+    IN_FLIGHT = auto()  # the attempt that is in flight now
+    OVERTAKEN = auto()  # an attempt that was given up and followed by another
+    ENDED_HERE = auto()  # of this incarnation, and closed
+    ORPHAN = auto()  # of an earlier incarnation
+    ORPHAN_OLDER = auto()  # of an earlier incarnation, and a later attempt of its session is known
+    ORPHAN_NEWER = auto()  # of an earlier incarnation, and an older attempt of its session was adopted
+    UNFIT = auto()  # of an earlier incarnation, and no longer permitted by the settings
+    SURPLUS = auto()  # of an earlier incarnation, and all seats are taken
 
 
 class ClaimAction(Enum):
-    """What follows."""
+    """What to do with a claim."""
 
     KEEP = auto()
     ADOPT = auto()
-    ADOPT_INSTEAD = auto()  # release the older one first
+    ADOPT_INSTEAD = auto()  # adopt it, and release the older attempt first
     RELEASE = auto()
 
 
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KnownSession:
-    """What this front holds under the id that a box names."""
+    """What this front knows of the session that a server names."""
 
     state: SessionState
     attempt: int
@@ -60,24 +60,30 @@
 
 
 def claim(
-    server: str, attempt: int, known: KnownSession | None, mine: bool, fits: bool, seat_free: bool
+    server: str,
+    attempt: int,
+    known: KnownSession | None,
+    is_own_incarnation: bool,
+    is_servable: bool,
+    has_free_seat: bool,
 ) -> SessionClaim:
-    """Sort one join that a box names.
+    """Classify one attempt that a server names.
 
     Args:
-        box: the address of the box that names it.
-        join: its number.
-        known: what is held under its id, if anything.
-        mine: the id was made in this life.
-        fits: the settings know its title, its room type, and its rung is none under the floor.
-        seat_free: one more of its title and room type may be held.
+        server: the address of the server that names it.
+        attempt: its number.
+        known: what this front knows of its session, if anything.
+        is_own_incarnation: the session's id was made in this incarnation.
+        is_servable: the settings have its title and service class, and permit its bitrate rung.
+        has_free_seat: one more session of its title and service class may be held.
     """
     if known is not None and known.attempt == attempt and known.server == server:
-        return SessionClaim.CURRENT if known.state is SessionState.PLAYING else SessionClaim.IN_FLIGHT
-    if mine:
+        is_established = known.state is SessionState.PLAYING
+        return SessionClaim.CURRENT if is_established else SessionClaim.IN_FLIGHT
+    if is_own_incarnation:
         return SessionClaim.ENDED_HERE if known is None else SessionClaim.OVERTAKEN
-    if not fits:
+    if not is_servable:
         return SessionClaim.UNFIT
     if known is not None:
         return SessionClaim.ORPHAN_NEWER if attempt > known.attempt else SessionClaim.ORPHAN_OLDER
-    return SessionClaim.ORPHAN if seat_free else SessionClaim.SURPLUS
+    return SessionClaim.ORPHAN if has_free_seat else SessionClaim.SURPLUS
--- a/packages/decisions-recovery/src/fennelcove/decisions/recovery/snapshot.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/snapshot.py
@@ -1,10 +1,13 @@
-"""What a front remembers of its last life: what is worth keeping, how old it is, and when it is dropped.
+"""The records of a front's snapshot: their format, and which of them are still used after a restart.
 
-Kept are how often a box failed and when it was last given work, what was spent of the join budget, and the
-usual pace. All are stamped with wall time, since the monotonic clock may begin anew; what is read back is an
-age. Loads are not kept: what boxes still play is told by them at greeting and counted again, and together
-with the load that it was part of it was counted twice (0.70 of answers played within two seconds of a
-restart, 0.75 without a store, 0.77 with one that keeps no loads).
+A snapshot holds how often each server failed and when it last got an attempt, what was spent of the retry
+budget, and the usual arrival rate. All times are wall times, since the monotonic clock may start anew; what
+is read back is an age. Loads are not saved: servers name the sessions that they hold, and these are counted
+again; together with a saved load that included them they counted twice (0.70 of answers were served within
+two seconds of a restart, 0.75 without a store, 0.77 with one that saves no loads).
+
+The records are stored by position (`array_like`). The attribute names of `ServerMemory` and `FrontMemory` are
+keys of the JSON lines of `fennelcove store export`, and so are fixed as well.
 """
 
 from __future__ import annotations
@@ -12,41 +15,47 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
+from typing import TypeVar
 
 import msgspec
 from msgspec import Struct
 
-from fennelcove.decisions.fleet.snapshot_trust import MAX_AGE_US, CLOCK_TOLERANCE_US
+from fennelcove.decisions.fleet.snapshot_trust import CLOCK_TOLERANCE_US, MAX_AGE_US
+
+FORMAT = 2  # of the records; a snapshot without a format has the first
+UNSUPPORTED_FORMAT = 0
+FORMAT_KEY = b"format"
+MOST_TIMES = 4096  # of each kind in a front's record
 
-MOST_TIMES = 4096
+RecordT = TypeVar("RecordT")
 
 
 class ServerMemory(Struct, frozen=True, array_like=True):
-    """One box; wall times in microseconds, 0 for never."""
+    """The record of a server; wall times in microseconds, 0 for never."""
 
     started_us: int  # its process
     strikes: int
-    shut_until_us: int
-    joined_us: int  # when this front last gave it work
+    shut_until_us: int  # until when it is excluded
+    joined_us: int  # when this front last sent it an attempt
     heard_us: int  # when any of this was last known
 
 
 class FrontMemory(Struct, frozen=True, array_like=True):
-    """The front itself; wall times in microseconds."""
+    """The record of the front itself; wall times in microseconds."""
 
     written_us: int
-    taken_us: list[int]  # requests in the budget's span
-    further_us: list[int]  # further joins in it
+    taken_us: list[int]  # requests in the retry budget's window
+    further_us: list[int]  # retries in it
     usual: float  # arrivals in half a second
-    seen: int  # windows that the usual pace was learned from
+    seen: int  # windows that the usual arrival rate was learned from
     # From here on of format 2; a record of format 1 ends before.
-    life: int = 0  # of this front, as the others know it; 0 where it has no company
-    lives: list[int] = []  # of all fronts by index, as last heard
+    life: int = 0  # the incarnation of this front; 0 where it has no peers
+    lives: list[int] = []  # the incarnations of all fronts by index, as last heard
     list_version: int = -1
 
 
 class KeptServer(Struct, frozen=True, array_like=True):
-    """A box of the list in force."""
+    """A server of the endpoint list in force."""
 
     address: str
     zone: str
@@ -58,121 +67,121 @@
 
 
 class KeptList(Struct, frozen=True, array_like=True):
-    """The list in force, for a start at which no list service answers."""
+    """The endpoint list in force, for a start at which no discovery service answers."""
 
     version: int
     boxes: list[KeptServer]
 
 
-FORMAT = 2  # of what is kept; a folder that does not say has the first
-
-
 def format_of(values: Mapping[bytes, bytes]) -> int:
-    """Which format a folder's records have; 0 for one that is newer than this program or can't be read."""
-    raw = values.get(b"format")
+    """The format of a snapshot's records; `UNSUPPORTED_FORMAT` for a newer or unreadable one."""
+    raw = values.get(FORMAT_KEY)
     if raw is None:
         return 1
-    return int(raw) if raw.isdigit() and 1 <= int(raw) <= FORMAT else 0
+    is_supported = raw.isdigit() and 1 <= int(raw) <= FORMAT
+    return int(raw) if is_supported else UNSUPPORTED_FORMAT
 
 
 def migrated(values: Mapping[bytes, bytes]) -> dict[bytes, bytes]:
-    """A folder's records in today's format.
+    """A snapshot's records in the present format.
 
-    Records of format 1 stand as they are: what format 2 adds is at their end, and read as not known. One of a
-    newer program is not guessed at: what it learned is learned anew.
+    Records of format 1 stay as they are: the fields that format 2 adds are at their end, and are read as
+    unknown. A snapshot of a newer program is not used at all: what it learned is learned anew.
     """
-    if format_of(values) == 0:
+    if format_of(values) == UNSUPPORTED_FORMAT:
         return {}
-    return {key: raw for key, raw in values.items() if key != b"format"}
+    return {key: raw for key, raw in values.items() if key != FORMAT_KEY}
 
 
-def read_list(raw: bytes) -> KeptList | None:
-    """As `read_box`."""
+def _decode(raw: bytes, record_type: type[RecordT]) -> RecordT | None:
     try:
-        return msgspec.msgpack.decode(raw, type=KeptList)
+        return msgspec.msgpack.decode(raw, type=record_type)
     except msgspec.MsgspecError:
         return None
 
 
+def read_server(raw: bytes) -> ServerMemory | None:
+    """Decode the record of a server; None for what is none."""
+    return _decode(raw, ServerMemory)
+
+
+def read_front(raw: bytes) -> FrontMemory | None:
+    """Decode the record of the front; None for what is none."""
+    return _decode(raw, FrontMemory)
+
+
+def read_list(raw: bytes) -> KeptList | None:
+    """Decode the record of the endpoint list; None for what is none."""
+    return _decode(raw, KeptList)
+
+
 class RecordVerdict(Enum):
-    """What becomes of a box's memory."""
+    """Whether the record of a server is used, and if not, why; logs show the names."""
 
     USED = auto()
     NOT_LISTED = auto()
-    NEW_LIFE = auto()  # its process started anew: it carries nothing of the last
+    NEW_LIFE = auto()  # its process has restarted, and has nothing of the previous one
     TOO_OLD = auto()
-    CLOCK_BACK = auto()  # it was written later than now: no age can be told
+    CLOCK_BACK = auto()  # it was written later than now: its age is unknown
     UNREADABLE = auto()
 
 
 @dataclass(frozen=True, slots=True)
 class RecoveredServer:
-    """A box's memory as ages in microseconds, fit for the module; None for never."""
+    """The record of a server as ages in microseconds; None for never."""
 
     strikes: int
     shut_for_us: int
     last_attempt_ago_us: int | None
 
 
-def read_server(raw: bytes) -> ServerMemory | None:
-    """A memory as it was kept; None for what is none."""
-    try:
-        return msgspec.msgpack.decode(raw, type=ServerMemory)
-    except msgspec.MsgspecError:
-        return None
-
-
-def read_front(raw: bytes) -> FrontMemory | None:
-    """As `read_box`."""
-    try:
-        return msgspec.msgpack.decode(raw, type=FrontMemory)
-    except msgspec.MsgspecError:
-        return None
-
-
 def rule(
-    memory: ServerMemory | None, started_us: int | None, wall_us: int
+    record: ServerMemory | None, started_us: int | None, wall_us: int
 ) -> tuple[RecordVerdict, RecoveredServer | None]:
-    """What a memory of a box is worth.
+    """Whether the record of a server is used, and what it yields.
 
     Args:
-        memory: as it was kept.
-        started_us: the wall time at which the list says that the box's process started; None where it
-            lists no such box, 0 where that is long ago.
-        wall_us: now.
+        record: the record; None for one that can't be read.
+        started_us: the wall time at which the server's process started by the endpoint list; None where the
+            list has no such server, 0 where that is long ago.
+        wall_us: the present wall time.
     """
-    if memory is None:
+    if record is None:
         return RecordVerdict.UNREADABLE, None
     if started_us is None:
         return RecordVerdict.NOT_LISTED, None
-    newest_us = memory.heard_us
-    if newest_us > wall_us + CLOCK_TOLERANCE_US:
+    if record.heard_us > wall_us + CLOCK_TOLERANCE_US:
         return RecordVerdict.CLOCK_BACK, None
-    if started_us > memory.started_us + CLOCK_TOLERANCE_US and started_us > newest_us:
+    if started_us > record.started_us + CLOCK_TOLERANCE_US and started_us > record.heard_us:
         return RecordVerdict.NEW_LIFE, None
-    if wall_us - newest_us > MAX_AGE_US:
+    if wall_us - record.heard_us > MAX_AGE_US:
         return RecordVerdict.TOO_OLD, None
-    return RecordVerdict.USED, RecoveredServer(
-        memory.strikes,
-        max(0, memory.shut_until_us - wall_us),
-        max(0, wall_us - memory.joined_us) if memory.joined_us else None,
-    )
+    return RecordVerdict.USED, _recovered(record, wall_us)
+
+
+def _recovered(record: ServerMemory, wall_us: int) -> RecoveredServer:
+    last_attempt_ago_us = None
+    if record.joined_us:
+        last_attempt_ago_us = max(0, wall_us - record.joined_us)
+    return RecoveredServer(record.strikes, max(0, record.shut_until_us - wall_us), last_attempt_ago_us)
 
 
-def spent(times_us: Sequence[int], wall_us: int, span_us: int) -> list[int]:
-    """How long ago, in microseconds, what still counts in a budget's span was spent; the oldest first.
+def spent(times_us: Sequence[int], wall_us: int, window_us: int) -> list[int]:
+    """The ages, in microseconds, of what still counts in a budget's window; the oldest first.
 
-    What a clock that went back puts into the future counts as spent now: a budget must not come back by it.
+    What a clock that went back puts into the future counts as spent now: a budget must not refill by it.
     """
-    ages = [max(0, wall_us - at) for at in times_us]
-    return sorted((age for age in ages if age < span_us), reverse=True)
+    ages_us = [max(0, wall_us - time_us) for time_us in times_us]
+    return sorted((age_us for age_us in ages_us if age_us < window_us), reverse=True)
 
 
-def changed(new: Iterable[tuple[bytes, bytes]], kept: dict[bytes, bytes]) -> list[tuple[bytes, bytes | None]]:
-    """What has to be written so that the kept is the new; what is no longer there is taken out."""
+def changed(
+    new: Iterable[tuple[bytes, bytes]], saved: dict[bytes, bytes]
+) -> list[tuple[bytes, bytes | None]]:
+    """The changes that turn the saved records into the new ones; None deletes a key."""
     wanted = dict(new)
-    found: list[tuple[bytes, bytes | None]] = [
-        (key, raw) for key, raw in wanted.items() if kept.get(key) != raw
+    changes: list[tuple[bytes, bytes | None]] = [
+        (key, raw) for key, raw in wanted.items() if saved.get(key) != raw
     ]
-    found += [(key, None) for key in kept if key not in wanted]
-    return found
+    changes += [(key, None) for key in saved if key not in wanted]
+    return changes
--- a/packages/decisions-recovery/src/fennelcove/decisions/recovery/write_behind.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/write_behind.py
@@ -1,7 +1,8 @@
-"""What the writer behind a store does when its disk is slow, full or broken, as a state table.
+"""The queue between a store and its writer thread, and what the writer does when its disk is full or broken.
 
-Nothing that answers a viewer waits for the disk. What is to be kept waits in a bounded table in which the
-newest value of a key replaces the older; when the disk comes back, the newest is what is written.
+Nothing that answers a client waits for the disk. Changes wait in a bounded table in which the newest value of
+a key replaces the older one; once the disk works again, the newest value is what is written. Times are in
+microseconds.
 """
 
 from __future__ import annotations
@@ -10,23 +11,27 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-MAX_PENDING_KEYS = 20_000  # keys
+from fennelcove.state_machine import Transition, TransitionTable
+
+MAX_PENDING_KEYS = 20_000
 MAX_BATCH_KEYS = 2000
-GROUP_COMMIT_US = 50_000  # writes that come within it share one sync
+GROUP_COMMIT_US = 50_000  # changes within it share one sync
 INITIAL_BACKOFF_US = 500_000
 MAX_BACKOFF_US = 30_000_000
 
+Change = tuple[bytes, bytes | None]  # a key and its value; None deletes the key
+
 
 class WriterState(Enum):
-    """How the disk does."""
+    """The state of the disk, as far as the last write shows."""
 
     WRITING = auto()
-    DISK_FULL = auto()  # it said so: tried again after a pause
-    FAILING = auto()  # it said something else: tried again as well, an operator may mend it
+    DISK_FULL = auto()  # retried after a pause
+    FAILING = auto()  # any other error: retried as well, as an operator may mend it
 
 
 class WriterEvent(Enum):
-    """What became of a write."""
+    """The result of a write."""
 
     WRITTEN = auto()
     NO_SPACE = auto()
@@ -34,42 +39,38 @@
 
 
 class WriterAction(Enum):
-    """What follows."""
+    """What to do after a write."""
 
     LOG_DISK_FULL = auto()
     LOG_WRITE_FAILED = auto()
     LOG_RECOVERED = auto()
-    BACK_OFF = auto()  # twice as long each time
-
-
-TRANSITIONS: dict[tuple[WriterState, WriterEvent], tuple[WriterState, tuple[WriterAction, ...]]] = {
-    (WriterState.WRITING, WriterEvent.WRITTEN): (WriterState.WRITING, ()),
-    (WriterState.WRITING, WriterEvent.NO_SPACE): (
-        WriterState.DISK_FULL,
-        (WriterAction.LOG_DISK_FULL, WriterAction.BACK_OFF),
-    ),
-    (WriterState.WRITING, WriterEvent.FAILED): (
-        WriterState.FAILING,
-        (WriterAction.LOG_WRITE_FAILED, WriterAction.BACK_OFF),
-    ),
-    (WriterState.DISK_FULL, WriterEvent.WRITTEN): (WriterState.WRITING, (WriterAction.LOG_RECOVERED,)),
-    (WriterState.DISK_FULL, WriterEvent.NO_SPACE): (WriterState.DISK_FULL, (WriterAction.BACK_OFF,)),
-    (WriterState.DISK_FULL, WriterEvent.FAILED): (
-        WriterState.FAILING,
-        (WriterAction.LOG_WRITE_FAILED, WriterAction.BACK_OFF),
-    ),
-    (WriterState.FAILING, WriterEvent.WRITTEN): (WriterState.WRITING, (WriterAction.LOG_RECOVERED,)),
-    (WriterState.FAILING, WriterEvent.NO_SPACE): (
-        WriterState.DISK_FULL,
-        (WriterAction.LOG_DISK_FULL, WriterAction.BACK_OFF),
-    ),
-    (WriterState.FAILING, WriterEvent.FAILED): (WriterState.FAILING, (WriterAction.BACK_OFF,)),
-}
+    BACK_OFF = auto()  # each pause is twice as long as the one before
+
+
+_DISK_FULL = Transition(WriterState.DISK_FULL, (WriterAction.LOG_DISK_FULL, WriterAction.BACK_OFF))
+_FAILING = Transition(WriterState.FAILING, (WriterAction.LOG_WRITE_FAILED, WriterAction.BACK_OFF))
+_RECOVERED = Transition(WriterState.WRITING, (WriterAction.LOG_RECOVERED,))
+
+TRANSITIONS: TransitionTable[WriterState, WriterEvent, WriterAction] = TransitionTable(
+    {
+        (WriterState.WRITING, WriterEvent.WRITTEN): Transition(WriterState.WRITING),
+        (WriterState.WRITING, WriterEvent.NO_SPACE): _DISK_FULL,
+        (WriterState.WRITING, WriterEvent.FAILED): _FAILING,
+        (WriterState.DISK_FULL, WriterEvent.WRITTEN): _RECOVERED,
+        (WriterState.DISK_FULL, WriterEvent.NO_SPACE): Transition(
+            WriterState.DISK_FULL, (WriterAction.BACK_OFF,)
+        ),
+        (WriterState.DISK_FULL, WriterEvent.FAILED): _FAILING,
+        (WriterState.FAILING, WriterEvent.WRITTEN): _RECOVERED,
+        (WriterState.FAILING, WriterEvent.NO_SPACE): _DISK_FULL,
+        (WriterState.FAILING, WriterEvent.FAILED): Transition(WriterState.FAILING, (WriterAction.BACK_OFF,)),
+    }
+)
 
 
 @dataclass(slots=True)
 class WriteBehindQueue:
-    """What is to be written, and when; the caller holds the lock and hands in times in microseconds."""
+    """The changes to write, and when; the caller holds the lock and supplies times."""
 
     state: WriterState = WriterState.WRITING
     pending: OrderedDict[bytes, bytes | None] = field(default_factory=OrderedDict)
@@ -79,44 +80,47 @@
     dropped_count: int = 0
 
     def put(self, key: bytes, value: bytes | None, now_us: int) -> None:
-        """To be kept; past the bound the one that has waited longest is given up."""
+        """Add a change; beyond the limit, the key that has waited longest is dropped."""
         if not self.pending:
             self.pending_since_us = now_us
         self.pending[key] = value
-        if len(self.pending) > MAX_PENDING_KEYS:
+        self._drop_excess()
+
+    def _drop_excess(self) -> None:
+        while len(self.pending) > MAX_PENDING_KEYS:
             self.pending.popitem(last=False)
             self.dropped_count += 1
 
     def wait_us(self, now_us: int) -> int | None:
-        """In how long the next batch is due; None while nothing waits."""
+        """The time until the next batch is due; None while nothing is pending."""
         if not self.pending:
             return None
         return max(0, self.pending_since_us + GROUP_COMMIT_US - now_us, self.retry_at_us - now_us)
 
-    def next_batch(self, now_us: int) -> list[tuple[bytes, bytes | None]]:
-        """The next batch."""
-        found: list[tuple[bytes, bytes | None]] = []
-        while self.pending and len(found) < MAX_BATCH_KEYS:
-            found.append(self.pending.popitem(last=False))
+    def next_batch(self, now_us: int) -> list[Change]:
+        """Remove the next batch from the queue."""
+        batch: list[Change] = []
+        while self.pending and len(batch) < MAX_BATCH_KEYS:
+            batch.append(self.pending.popitem(last=False))
         self.pending_since_us = now_us
-        return found
+        return batch
 
-    def requeue(self, batch: list[tuple[bytes, bytes | None]]) -> None:
-        """A batch was not written: it waits again, unless something newer does."""
+    def requeue(self, batch: list[Change]) -> None:
+        """Put back a batch that was not written, except for keys with a newer change."""
         for key, value in reversed(batch):
             if key not in self.pending:
                 self.pending[key] = value
                 self.pending.move_to_end(key, last=False)
-        while len(self.pending) > MAX_PENDING_KEYS:
-            self.pending.popitem(last=False)
-            self.dropped_count += 1
+        self._drop_excess()
 
     def on_write_completed(self, event: WriterEvent, now_us: int) -> tuple[WriterAction, ...]:
-        """What became of a write."""
-        self.state, acts = TRANSITIONS[self.state, event]
-        if WriterAction.BACK_OFF in acts:
+        """Handle the result of a write; the actions to carry out, in order."""
+        transition = TRANSITIONS.apply(self.state, event)
+        self.state = transition.state
+        if WriterAction.BACK_OFF in transition.actions:
             self.retry_at_us = now_us + self.backoff_us
             self.backoff_us = min(MAX_BACKOFF_US, 2 * self.backoff_us)
         else:
-            self.backoff_us, self.retry_at_us = INITIAL_BACKOFF_US, 0
-        return acts
+            self.backoff_us = INITIAL_BACKOFF_US
+            self.retry_at_us = 0
+        return transition.actions
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -310,9 +310,10 @@
             set(write_behind.TRANSITIONS), {(state, cue) for state in WriterState for cue in WriterEvent}
         )
         for state in WriterState:
-            self.assertIs(write_behind.TRANSITIONS[state, WriterEvent.WRITTEN][0], WriterState.WRITING)
+            after = write_behind.TRANSITIONS.apply(state, WriterEvent.WRITTEN)
+            self.assertIs(after.state, WriterState.WRITING)
             for cue in (WriterEvent.NO_SPACE, WriterEvent.FAILED):
-                self.assertIn(WriterAction.BACK_OFF, write_behind.TRANSITIONS[state, cue][1])
+                self.assertIn(WriterAction.BACK_OFF, write_behind.TRANSITIONS.apply(state, cue).actions)
 
     @given(
         st.lists(
