Store: lock, frames and batches by step, documented interface, log events by the field's terms

The folder's lock is a class; decoding a frame is two steps (header and checksum, batch); damage of a file is a named type; the writer waits for a batch in a function of its own.

--- a/packages/decisions-recovery/src/fennelcove/decisions/recovery/snapshot.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/snapshot.py
@@ -21,6 +21,7 @@
 from msgspec import Struct
 
 from fennelcove.decisions.fleet.snapshot_trust import CLOCK_TOLERANCE_US, MAX_AGE_US
+from fennelcove.decisions.recovery.write_behind import Change
 
 FORMAT = 2  # of the records; a snapshot without a format has the first
 UNSUPPORTED_FORMAT = 0
@@ -175,13 +176,9 @@
     return sorted((age_us for age_us in ages_us if age_us < window_us), reverse=True)
 
 
-def changed(
-    new: Iterable[tuple[bytes, bytes]], saved: dict[bytes, bytes]
-) -> list[tuple[bytes, bytes | None]]:
+def changed(new: Iterable[tuple[bytes, bytes]], saved: dict[bytes, bytes]) -> list[Change]:
     """The changes that turn the saved records into the new ones; None deletes a key."""
     wanted = dict(new)
-    changes: list[tuple[bytes, bytes | None]] = [
-        (key, raw) for key, raw in wanted.items() if saved.get(key) != raw
-    ]
+    changes: list[Change] = [(key, raw) for key, raw in wanted.items() if saved.get(key) != raw]
     changes += [(key, None) for key in saved if key not in wanted]
     return changes
--- a/packages/store/src/fennelcove/store/__init__.py
+++ b/packages/store/src/fennelcove/store/__init__.py
@@ -1,1 +1,1 @@
-"""What a front keeps across its lives: a journal of changes and a base that it is folded into."""
+"""State that a front persists across restarts: a journal, and a base file that it is folded into."""
--- a/packages/store/src/fennelcove/store/base.py
+++ b/packages/store/src/fennelcove/store/base.py
@@ -1,21 +1,27 @@
-"""The base: everything up to a number, in an lmdb environment, each value with its checksum.
+"""The base file: all changes up to a sequence number, in an LMDB environment, each value with its checksum.
 
-lmdb writes new pages and changes its root last, so a crash leaves the old root or the new one; the checksum
-is for what a disk does later.
+LMDB writes new pages first and changes its root last, so a crash leaves the old root or the new one; the
+checksums detect what a disk alters later.
 """
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 
 import lmdb
 
+from fennelcove.decisions.recovery.write_behind import Change
 from fennelcove.errors import OperatorError
-from fennelcove.store.records import CHECKSUM_BYTES, FORMAT_VERSION, Entry, checksum
+from fennelcove.store.records import CHECKSUM_BYTES, FORMAT_VERSION, checksum
 
-SEQUENCE_KEY = b"\x00number"
+SEQUENCE_KEY = b"\x00number"  # holds the format and the sequence number
+FORMAT_BYTES = 4
+SEQUENCE_BYTES = 8
 FILE = "base.lmdb"
+FILE_MODE = 0o600
+MAX_READERS = 8
 RECREATE_ADVICE = "move it away to begin anew"
 
 
@@ -29,70 +35,92 @@
 
 
 class BaseFile:
-    """One environment. `most_bytes` bounds its file."""
+    """An open base file."""
 
-    def __init__(self, folder: str, most_bytes: int, read_only: bool = False) -> None:
+    def __init__(self, folder: str, max_bytes: int, *, read_only: bool = False) -> None:
+        """Open the base file of a folder.
+
+        Args:
+            folder: the store's folder.
+            max_bytes: the largest size of the file.
+            read_only: open an existing file without the right to write.
+
+        Raises:
+            BaseFileError: it can't be opened, or has another format.
+        """
         path = Path(folder) / FILE
         try:
             self.environment = lmdb.open(
                 str(path),
-                map_size=most_bytes,
+                map_size=max_bytes,
                 subdir=False,
                 lock=True,
                 readonly=read_only,
                 create=not read_only,
-                max_readers=8,
-                mode=0o600,
+                max_readers=MAX_READERS,
+                mode=FILE_MODE,
             )
         except lmdb.Error as error:
             raise BaseFileError(f"found no usable base ({error})", str(path), RECREATE_ADVICE) from None
-        with self.environment.begin() as view:
-            raw = view.get(SEQUENCE_KEY)
-        found = int.from_bytes(raw[:4], "big") if raw else FORMAT_VERSION
+        self.sequence = self._read_sequence(str(path))
+
+    def _read_sequence(self, path: str) -> int:
+        with self.environment.begin() as transaction:
+            raw = transaction.get(SEQUENCE_KEY)
+        if not raw:
+            return 0
+        found = int.from_bytes(raw[:FORMAT_BYTES], "big")
         if found != FORMAT_VERSION:
             self.environment.close()
-            raise BaseFileError(f"found format {found}, this is {FORMAT_VERSION}", str(path), RECREATE_ADVICE)
-        self.sequence = int.from_bytes(raw[4:12], "big") if raw else 0
+            raise BaseFileError(f"found format {found}, this is {FORMAT_VERSION}", path, RECREATE_ADVICE)
+        return int.from_bytes(raw[FORMAT_BYTES : FORMAT_BYTES + SEQUENCE_BYTES], "big")
 
-    def apply(self, entries: Iterable[Entry], number: int) -> None:
-        """Take in changes, up to and with a number, in one transaction.
+    def apply(self, entries: Iterable[Change], sequence: int) -> None:
+        """Apply changes, up to and including a sequence number, in one transaction.
 
         Raises:
-            OSError: the base is full or can't be written; nothing of it is in force.
+            OSError: the file is full or can't be written; none of the changes is in force.
         """
+        version = FORMAT_VERSION.to_bytes(FORMAT_BYTES, "big") + sequence.to_bytes(SEQUENCE_BYTES, "big")
         try:
-            with self.environment.begin(write=True) as change:
+            with self.environment.begin(write=True) as transaction:
                 for key, value in entries:
                     if value is None:
-                        change.delete(key)
+                        transaction.delete(key)
                     else:
-                        change.put(key, checksum(key + value) + value)
-                change.put(SEQUENCE_KEY, FORMAT_VERSION.to_bytes(4, "big") + number.to_bytes(8, "big"))
+                        transaction.put(key, checksum(key + value) + value)
+                transaction.put(SEQUENCE_KEY, version)
         except lmdb.Error as error:
-            raise OSError(28 if isinstance(error, lmdb.MapFullError) else 5, str(error)) from None
-        self.sequence = number
+            code = errno.ENOSPC if isinstance(error, lmdb.MapFullError) else errno.EIO
+            raise OSError(code, str(error)) from None
+        self.sequence = sequence
 
     def items(self) -> Iterator[tuple[bytes, bytes | None]]:
         """Every key with its value; None where the value is not what was written."""
-        with self.environment.begin() as view:
-            for key, raw in view.cursor():
+        with self.environment.begin() as transaction:
+            for key, raw in transaction.cursor():
                 if key == SEQUENCE_KEY:
                     continue
                 value = bytes(raw[CHECKSUM_BYTES:])
-                yield bytes(key), value if checksum(bytes(key) + value) == raw[:CHECKSUM_BYTES] else None
+                is_sound = checksum(bytes(key) + value) == raw[:CHECKSUM_BYTES]
+                yield bytes(key), value if is_sound else None
 
     def copy(self, path: str) -> None:
-        """A compacted copy, whole, into one file."""
+        """Write a compacted copy into one file.
+
+        Raises:
+            BaseFileError: it can't be written.
+        """
         try:
             self.environment.copy(path, compact=True)
         except lmdb.Error as error:
             raise BaseFileError(f"found no way to write it ({error})", str(path)) from None
 
     def size(self) -> int:
-        """Bytes of its pages in use."""
+        """The bytes of the pages in use."""
         info = self.environment.info()
         return int((info["last_pgno"] + 1) * self.environment.stat()["psize"])
 
     def close(self) -> None:
-        """Give the environment back."""
+        """Close the environment."""
         self.environment.close()
--- a/packages/store/src/fennelcove/store/files.py
+++ b/packages/store/src/fennelcove/store/files.py
@@ -1,4 +1,4 @@
-"""The files below the journal: real ones, and the interface that a simulated disk stands in for."""
+"""The files below the journal: the interface, which a simulated disk implements as well, and real files."""
 
 from __future__ import annotations
 
@@ -7,60 +7,77 @@
 from pathlib import Path
 from typing import Protocol
 
+FILE_MODE = 0o600
+
 
 class Files(Protocol):
-    """One folder. Whatever is not synced may be lost, in part and in any order."""
+    """The files of one folder. What is not synced may be lost, in part and in any order."""
 
-    def names(self) -> list[str]: ...
+    def names(self) -> list[str]:
+        """The names of all files, sorted."""
 
-    def read(self, name: str) -> bytes: ...
+    def read(self, name: str) -> bytes:
+        """The content of a file."""
 
-    def append(self, name: str, raw: bytes) -> None: ...
+    def append(self, name: str, raw: bytes) -> None:
+        """Write bytes at the end of a file, which is created where there is none."""
 
-    def cut(self, name: str, size: int) -> None: ...
+    def cut(self, name: str, size: int) -> None:
+        """Truncate a file to so many bytes."""
 
-    def sync(self, name: str) -> None: ...
+    def sync(self, name: str) -> None:
+        """Flush the content of a file to the disk."""
 
-    def sync_folder(self) -> None: ...
+    def sync_folder(self) -> None:
+        """Flush the names of all files to the disk."""
 
-    def remove(self, name: str) -> None: ...
+    def remove(self, name: str) -> None:
+        """Delete a file."""
 
 
 class LocalFiles:
-    """A folder of this machine.
+    """The files of a local folder; see `Files`.
 
     Raises:
-        OSError: from every call, as the machine says.
+        OSError: from every method, as the operating system reports it.
     """
 
     def __init__(self, folder: str) -> None:
+        """Use the files of a folder, which exists."""
         self.folder = Path(folder)
         self.descriptors: dict[str, int] = {}
 
     def names(self) -> list[str]:
+        """The names of all files, sorted."""
         return sorted(item.name for item in self.folder.iterdir())
 
     def read(self, name: str) -> bytes:
+        """The content of a file."""
         return (self.folder / name).read_bytes()
 
     def _descriptor(self, name: str) -> int:
         if name not in self.descriptors:
             flags = os.O_RDWR | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
-            self.descriptors[name] = os.open(self.folder / name, flags, 0o600)
+            self.descriptors[name] = os.open(self.folder / name, flags, FILE_MODE)
         return self.descriptors[name]
 
     def append(self, name: str, raw: bytes) -> None:
-        left = memoryview(raw)
-        while left:
-            left = left[os.write(self._descriptor(name), left) :]
+        """Write bytes at the end of a file, which is created where there is none."""
+        remaining = memoryview(raw)
+        while remaining:
+            written = os.write(self._descriptor(name), remaining)
+            remaining = remaining[written:]
 
     def cut(self, name: str, size: int) -> None:
+        """Truncate a file to so many bytes."""
         os.ftruncate(self._descriptor(name), size)
 
     def sync(self, name: str) -> None:
+        """Flush the content of a file to the disk."""
         os.fsync(self._descriptor(name))
 
     def sync_folder(self) -> None:
+        """Flush the names of all files to the disk."""
         descriptor = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
         try:
             os.fsync(descriptor)
@@ -68,6 +85,7 @@
             os.close(descriptor)
 
     def remove(self, name: str) -> None:
+        """Delete a file."""
         self._close_descriptor(name)
         (self.folder / name).unlink()
 
@@ -77,7 +95,7 @@
             os.close(descriptor)
 
     def close(self) -> None:
-        """Give every descriptor back."""
+        """Close all descriptors."""
         for name in list(self.descriptors):
             with suppress(OSError):
                 self._close_descriptor(name)
--- a/packages/store/src/fennelcove/store/folder.py
+++ b/packages/store/src/fennelcove/store/folder.py
@@ -1,21 +1,24 @@
-"""A store's folder: one holder at a time, base and journal read together, folded together when it is time."""
+"""A store's folder: locked by one process, its base and journal read together and folded together in time."""
 
 from __future__ import annotations
 
 import fcntl
 import os
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from pathlib import Path
 
+from fennelcove.decisions.recovery.write_behind import Change
 from fennelcove.errors import OperatorError
 from fennelcove.store import journal
 from fennelcove.store.base import FILE, BaseFile, BaseFileError
 from fennelcove.store.files import LocalFiles
-from fennelcove.store.journal import RecoveredJournal, Journal
-from fennelcove.store.records import Damage, Entry, FrameFault
+from fennelcove.store.journal import Journal, RecoveredJournal
+from fennelcove.store.records import Batch, Damage, FrameFault
 
 LOCK_FILE_NAME = "lock"
-JOURNAL_FOLD_BYTES = 4_000_000  # of journal: from here on it is folded into the base
+LOCK_FILE_MODE = 0o600
+MAX_HOLDER_BYTES = 200
+JOURNAL_FOLD_BYTES = 4_000_000  # a journal of this size is folded into the base
 MEGABYTE = 1_000_000
 
 
@@ -28,46 +31,68 @@
     )
 
 
-class Store:
-    """An open folder. Belongs to one thread at a time.
+class FolderLock:
+    """An exclusive lock on a folder, by a lock file that names its holder."""
 
-    Raises:
-        StoreError: from its constructor: held by another, not a folder, not writable, or not ours.
-    """
+    def __init__(self, folder: str) -> None:
+        """Create the folder where there is none, and lock it.
 
-    def __init__(self, folder: str, most_mb: int, replica: str) -> None:
-        self.folder = folder
-        self.max_mb = most_mb
-        here = Path(folder)
+        Raises:
+            StoreError: the folder is not writable, or locked by another process.
+        """
+        path = Path(folder)
         try:
-            here.mkdir(parents=True, exist_ok=True)
-            self.lock_descriptor = os.open(
-                here / LOCK_FILE_NAME, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600
-            )
+            path.mkdir(parents=True, exist_ok=True)
+            flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+            self.descriptor = os.open(path / LOCK_FILE_NAME, flags, LOCK_FILE_MODE)
         except OSError as error:
             raise StoreError(f"found no folder that can be written ({error.strerror})", folder) from None
         try:
-            fcntl.flock(self.lock_descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.flock(self.descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
-            other = (
-                os.pread(self.lock_descriptor, 200, 0).decode("utf-8", "replace").strip() or "another process"
-            )
-            os.close(self.lock_descriptor)
+            holder = self._holder()
+            self.release()
             raise StoreError(
-                f"found it held by {other}", folder, "give each front a folder of its own"
+                f"found it held by {holder}", folder, "give each front a folder of its own"
             ) from None
-        try:
-            os.ftruncate(self.lock_descriptor, 0)
-            os.pwrite(self.lock_descriptor, f"{replica}, process {os.getpid()}\n".encode(), 0)
-            self.base = BaseFile(folder, most_mb * MEGABYTE)
-        except BaseFileError as error:
-            os.close(self.lock_descriptor)
-            raise StoreError(error.sentence, folder, error.cure) from None
-        except OSError as error:
-            os.close(self.lock_descriptor)
-            raise StoreError(str(error), folder) from None
+
+    def _holder(self) -> str:
+        raw = os.pread(self.descriptor, MAX_HOLDER_BYTES, 0)
+        return raw.decode("utf-8", "replace").strip() or "another process"
+
+    def write_holder(self, holder: str) -> None:
+        """Name the holder in the lock file.
+
+        Raises:
+            OSError: the file can't be written.
+        """
+        os.ftruncate(self.descriptor, 0)
+        os.pwrite(self.descriptor, f"{holder}, process {os.getpid()}\n".encode(), 0)
+
+    def release(self) -> None:
+        """Unlock the folder."""
+        os.close(self.descriptor)
+
+
+class Store:
+    """An open folder. It belongs to one thread at a time."""
+
+    def __init__(self, folder: str, max_mb: int, holder: str) -> None:
+        """Lock a folder, and recover what it holds.
+
+        Args:
+            folder: its path; it is created where there is none.
+            max_mb: the largest size of the base file, in megabytes.
+            holder: the name of this front, for the lock file.
+
+        Raises:
+            StoreError: it is held by another, not a folder, not writable, or not ours.
+        """
+        self.folder = folder
+        self.lock = FolderLock(folder)
+        self.base = self._open_base(max_mb, holder)
         self.files = LocalFiles(folder)
-        self.unsound: list[bytes] = []
+        self.unsound: list[bytes] = []  # keys whose values in the base are corrupt
         self.values: dict[bytes, bytes] = {}
         try:
             self.found = self._load()
@@ -77,55 +102,67 @@
             self.close()
             raise StoreError(f"found it not writable ({error.strerror})", folder) from None
 
+    def _open_base(self, max_mb: int, holder: str) -> BaseFile:
+        try:
+            self.lock.write_holder(holder)
+            return BaseFile(self.folder, max_mb * MEGABYTE)
+        except BaseFileError as error:
+            self.lock.release()
+            raise StoreError(error.sentence, self.folder, error.cure) from None
+        except OSError as error:
+            self.lock.release()
+            raise StoreError(str(error), self.folder) from None
+
     def _load(self) -> RecoveredJournal:
         for key, value in self.base.items():
             if value is None:
                 self.unsound.append(key)
             else:
                 self.values[key] = value
-        found = journal.recover(self.files, self.base.sequence)
-        for batch in found.batches:
-            for key, value in batch.entries:
-                self._apply_entry(key, value)
-        return found
-
-    def _apply_entry(self, key: bytes, value: bytes | None) -> None:
-        if value is None:
-            self.values.pop(key, None)
-        else:
-            self.values[key] = value
+        recovered = journal.recover(self.files, self.base.sequence)
+        for batch in recovered.batches:
+            self._apply_entries(batch.entries)
+        return recovered
+
+    def _apply_entries(self, entries: Iterable[Change]) -> None:
+        for key, value in entries:
+            if value is None:
+                self.values.pop(key, None)
+            else:
+                self.values[key] = value
 
     def _fold_recovered(self) -> None:
-        """Fold what was found into the base and begin an empty journal, the old ones last."""
-        merged: dict[bytes, bytes | None] = {}
-        for batch in self.found.batches:
-            merged.update(batch.entries)
-        number = self.found.batches[-1].number if self.found.batches else self.base.sequence
-        self.base.apply(
-            [*merged.items(), *((key, None) for key in self.unsound if key not in merged)], number
-        )
-        self._start_journal(number)
-
-    def _start_journal(self, number: int) -> None:
-        fresh = Journal(self.files, number)
+        """Fold the recovered batches into the base, and start an empty journal."""
+        batches = self.found.batches
+        merged = _merge(batches)
+        sequence = batches[-1].number if batches else self.base.sequence
+        deleted: list[Change] = [(key, None) for key in self.unsound if key not in merged]
+        self.base.apply([*merged.items(), *deleted], sequence)
+        self._start_journal(sequence)
+
+    def _start_journal(self, sequence: int) -> None:
+        """Create an empty journal file, and then delete the others."""
+        fresh = Journal(self.files, sequence)
         fresh.create()
         self.journal = fresh
         for file in self.files.names():
-            begins = journal.preceding_sequence(file)
-            if begins is not None and file != fresh.file_name:
+            is_journal = journal.preceding_sequence(file) is not None
+            if is_journal and file != fresh.file_name:
                 self.files.remove(file)
         self.files.sync_folder()
 
-    def commit(self, entries: Sequence[Entry]) -> int:
-        """Make changes together; once this returns they are never lost.
+    def commit(self, entries: Sequence[Change]) -> int:
+        """Make changes together; once this returns they are durable.
+
+        Returns:
+            The sequence number of their batch.
 
         Raises:
-            OSError: nothing of them is in force.
+            OSError: none of them is in force.
         """
-        number = self.journal.commit(entries)
-        for key, value in entries:
-            self._apply_entry(key, value)
-        return number
+        sequence = self.journal.commit(entries)
+        self._apply_entries(entries)
+        return sequence
 
     @property
     def heavy(self) -> bool:
@@ -133,30 +170,36 @@
         return self.journal.byte_count >= JOURNAL_FOLD_BYTES
 
     def fold(self) -> None:
-        """Take the journal into the base and begin an empty one.
+        """Apply the journal to the base, and start an empty one.
 
         Raises:
-            OSError: the journal stands as it was.
+            OSError: the journal is as it was.
         """
-        number = self.journal.number
-        merged: dict[bytes, bytes | None] = {}
-        for batch in journal.recover(self.files, self.base.sequence).batches:
-            merged.update(batch.entries)
-        self.base.apply(merged.items(), number)
-        self._start_journal(number)
+        sequence = self.journal.number
+        batches = journal.recover(self.files, self.base.sequence).batches
+        self.base.apply(_merge(batches).items(), sequence)
+        self._start_journal(sequence)
 
     def close(self) -> None:
-        """Give the folder back; a clean end needs no repair, and a missing one loses nothing."""
+        """Close all files and unlock the folder; a store that is not closed loses nothing."""
         self.base.close()
         self.files.close()
-        os.close(self.lock_descriptor)
+        self.lock.release()
+
+
+def _merge(batches: Iterable[Batch]) -> dict[bytes, bytes | None]:
+    """The newest value of each key."""
+    merged: dict[bytes, bytes | None] = {}
+    for batch in batches:
+        merged.update(batch.entries)
+    return merged
 
 
 def verify(folder: str) -> list[str]:
-    """Each bad record of a folder that nobody holds, with its place.
+    """Each bad record of a folder that no process holds, with its place.
 
     Raises:
-        StoreError: there is none, or it can't be read.
+        StoreError: there is no store, or it can't be read.
     """
     if not (Path(folder) / FILE).exists():
         raise StoreError("found no store there", folder)
@@ -166,15 +209,19 @@
         raise StoreError(error.happened, error.where, error.cure) from None
     files = LocalFiles(folder)
     try:
-        told = [f"{FILE}: {key!r}: altered" for key, value in base.items() if value is None]
+        problems = [f"{FILE}: {key!r}: altered" for key, value in base.items() if value is None]
         for file, damage in journal.recover(files, base.sequence).damages:
-            told.append(f"{file}: byte {damage.at}: {_describe(damage)}")
-        return told
+            problems.append(f"{file}: byte {damage.at}: {_describe(damage)}")
+        return problems
     finally:
         base.close()
         files.close()
 
 
 def _describe(damage: Damage) -> str:
-    tail = "; the end of a write that never was whole" if damage.fault is FrameFault.CUT_SHORT else ""
-    return f"{damage.fault.value}{f' ({damage.detail})' if damage.detail else ''}{tail}"
+    description = damage.fault.value
+    if damage.detail:
+        description += f" ({damage.detail})"
+    if damage.fault is FrameFault.CUT_SHORT:
+        description += "; the end of a write that never was whole"
+    return description
--- a/packages/store/src/fennelcove/store/journal.py
+++ b/packages/store/src/fennelcove/store/journal.py
@@ -1,89 +1,101 @@
-"""The journal: batches appended and synced, in files that each begin after a number in their name.
+"""The journal: batches appended and synced to files, each named by the sequence number that precedes it.
 
-A new file is begun when the base has taken in all before it; the old one goes only after that. So at every
-moment base and journals together hold everything that was acknowledged.
+A new file is created once the base has applied all before it; the old one is deleted only after that. So at
+every moment base and journal together hold everything that was acknowledged.
 """
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
+from fennelcove.decisions.recovery.write_behind import Change
 from fennelcove.store.files import Files
 from fennelcove.store.records import (
     FORMAT_VERSION,
     Batch,
     Damage,
-    Entry,
     FrameFault,
-    encode_frame,
     decode_frames,
+    encode_frame,
 )
 
 PREFIX, SUFFIX = "journal-", ".log"
+SEQUENCE_DIGITS = 20
 
 
 def file_name(after: int) -> str:
-    """The file whose first batch follows this number."""
-    return f"{PREFIX}{after:020d}{SUFFIX}"
+    """The name of the file whose first batch follows this sequence number."""
+    return f"{PREFIX}{after:0{SEQUENCE_DIGITS}d}{SUFFIX}"
 
 
 def preceding_sequence(file: str) -> int | None:
-    """The number before a file's first batch; None for what is no journal."""
+    """The sequence number before a file's first batch; None for what is no journal file."""
     digits = file.removeprefix(PREFIX).removesuffix(SUFFIX)
-    whole = file == f"{PREFIX}{digits}{SUFFIX}"
-    return int(digits) if whole and digits.isdigit() and len(digits) == 20 else None
+    has_affixes = file == f"{PREFIX}{digits}{SUFFIX}"
+    is_number = digits.isdigit() and len(digits) == SEQUENCE_DIGITS
+    return int(digits) if has_affixes and is_number else None
+
+
+class FileDamage(NamedTuple):
+    """What stopped the reading of a journal file."""
+
+    file: str
+    damage: Damage
 
 
 @dataclass(frozen=True, slots=True)
 class RecoveredJournal:
-    """What a folder's journals hold past a number: batches, and what stopped the reading, file by file."""
+    """The batches that a folder's journal files hold past a sequence number, and the damage found."""
 
     batches: list[Batch]
-    damages: list[tuple[str, Damage]] = field(default_factory=list)
+    damages: list[FileDamage] = field(default_factory=list)
 
 
 def recover(files: Files, after: int) -> RecoveredJournal:
-    """Every whole batch past `after`, without a gap."""
-    batches: list[Batch] = []
-    damages: list[tuple[str, Damage]] = []
+    """Read every whole batch past the sequence number `after`, without a gap."""
+    recovered = RecoveredJournal([])
     last = after
     for file in files.names():
-        begins = preceding_sequence(file)
-        if begins is None:
+        preceding = preceding_sequence(file)
+        if preceding is None:
             continue
-        if begins > last:
-            damages.append(
-                (file, Damage(0, FrameFault.OUT_OF_ORDER, f"begins after {begins}, found up to {last}"))
-            )
+        if preceding > last:
+            gap = f"begins after {preceding}, found up to {last}"
+            recovered.damages.append(FileDamage(file, Damage(0, FrameFault.OUT_OF_ORDER, gap)))
             break
-        stopped = False
-        for item in decode_frames(files.read(file), begins):
+        damage: Damage | None = None
+        for item in decode_frames(files.read(file), preceding):
             if isinstance(item, Damage):
-                damages.append((file, item))
-                stopped = item.fault is not FrameFault.CUT_SHORT
+                damage = item
             elif item.number == last + 1:
-                batches.append(item)
+                recovered.batches.append(item)
                 last = item.number
-        if stopped:
+        if damage is None:
+            continue
+        recovered.damages.append(FileDamage(file, damage))
+        # A frame that is cut short is the end of a write that was never acknowledged.
+        if damage.fault is not FrameFault.CUT_SHORT:
             break
-    return RecoveredJournal(batches, damages)
+    return recovered
 
 
 class Journal:
-    """The file that is written now."""
+    """The journal file that is written now."""
 
     def __init__(self, files: Files, after: int) -> None:
+        """Use the file whose first batch follows a sequence number; `create` it before the first commit."""
         self.files = files
-        self.number = after
+        self.number = after  # the sequence number of the newest batch
         self.file_name = file_name(after)
         self.byte_count = 0
 
     def create(self) -> None:
-        """Begin this file, empty; whatever lies under its name was never acknowledged.
+        """Create the file, empty; a file that has its name already was never acknowledged.
 
         Raises:
-            OSError: the disk says no.
+            OSError: the disk failed.
         """
         if self.file_name in self.files.names():
             self.files.cut(self.file_name, 0)
@@ -91,12 +103,15 @@
         self.files.sync(self.file_name)
         self.files.sync_folder()
 
-    def commit(self, entries: Sequence[Entry]) -> int:
-        """Append one batch and sync it: once this returns it is never lost; its number.
+    def commit(self, entries: Sequence[Change]) -> int:
+        """Append one batch and sync it: once this returns it is durable.
+
+        Returns:
+            Its sequence number.
 
         Raises:
-            OSError: it is not in force. What was written of it is cut off again, so that the next one does
-                not follow a torn one.
+            OSError: it is not in force. What was written of it is truncated, so that the next batch does not
+                follow a torn one.
         """
         raw = encode_frame(Batch(FORMAT_VERSION, self.number + 1, list(entries)))
         try:
--- a/packages/store/src/fennelcove/store/keeper.py
+++ b/packages/store/src/fennelcove/store/keeper.py
@@ -8,37 +8,43 @@
 
 from fennelcove.clock import Clock
 from fennelcove.core.requests import EventLogger
-from fennelcove.decisions.recovery.write_behind import WriterAction, WriterEvent, WriteBehindQueue
+from fennelcove.decisions.recovery.write_behind import Change, WriteBehindQueue, WriterAction, WriterEvent
 from fennelcove.store.folder import Store
 
 IDLE_S = 60.0
+MICROSECONDS_PER_SECOND = 1e6
+NO_SPACE_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 
 
 class StoreWriter:
-    """Owns an open store. `keep` never waits; `stop` writes what waits, within a limit, and closes."""
+    """The thread that owns an open store."""
 
-    def __init__(self, store: Store, clock: Clock, notice: EventLogger) -> None:
+    def __init__(self, store: Store, clock: Clock, log_event: EventLogger) -> None:
+        """Take over an open store; `start` runs the thread."""
         self.store = store
         self.clock = clock
-        self.log_event = notice
+        self.log_event = log_event
         self.queue = WriteBehindQueue()
         self.condition = threading.Condition()
         self.is_stopping = False
         self.write_count = 0
-        self.thread = threading.Thread(target=self._run, name="keeper")
+        self.thread = threading.Thread(target=self._run, name="store-writer")
         self.action_handlers: dict[WriterAction, Callable[[], None]] = {
-            WriterAction.LOG_DISK_FULL: lambda: self.log_event("store_full", folder=store.folder),
-            WriterAction.LOG_WRITE_FAILED: lambda: self.log_event("store_broken", folder=store.folder),
-            WriterAction.LOG_RECOVERED: lambda: self.log_event("store_well", folder=store.folder),
-            WriterAction.BACK_OFF: lambda: None,
+            WriterAction.LOG_DISK_FULL: lambda: self._log("store_space_exhausted"),
+            WriterAction.LOG_WRITE_FAILED: lambda: self._log("store_write_failed"),
+            WriterAction.LOG_RECOVERED: lambda: self._log("store_write_recovered"),
+            WriterAction.BACK_OFF: lambda: None,  # the queue holds back the next batch
         }
 
+    def _log(self, event: str) -> None:
+        self.log_event(event, folder=self.store.folder)
+
     def start(self) -> None:
         """Start the thread."""
         self.thread.start()
 
-    def keep(self, entries: list[tuple[bytes, bytes | None]]) -> None:
-        """To be written soon."""
+    def keep(self, entries: list[Change]) -> None:
+        """Queue changes; never waits for the disk."""
         with self.condition:
             now_us = self.clock.now_us()
             for key, value in entries:
@@ -46,44 +52,51 @@
             self.condition.notify()
 
     def stop(self, timeout_us: int) -> None:
-        """Write what waits and end; a disk that hangs is not waited for."""
+        """Write what is queued and close the store; a disk that hangs is left after the timeout."""
         with self.condition:
             self.is_stopping = True
             self.condition.notify()
-        self.thread.join(timeout_us / 1e6)
+        self.thread.join(timeout_us / MICROSECONDS_PER_SECOND)
         if self.thread.is_alive():
-            self.log_event("store_left", folder=self.store.folder)
+            self._log("store_shutdown_timed_out")
             return
         self.store.close()
 
     def _run(self) -> None:
-        while True:
-            with self.condition:
-                while not self.is_stopping:
-                    wait_us = self.queue.wait_us(self.clock.now_us())
-                    if wait_us == 0:
-                        break
-                    self.condition.wait(IDLE_S if wait_us is None else wait_us / 1e6)
-                batch = self.queue.next_batch(self.clock.now_us())
-                if not batch and self.is_stopping:
-                    return
+        is_finished = False
+        while not is_finished:
+            batch = self._next_batch()
+            if batch is None:
+                return
             event = self._write(batch)
             with self.condition:
                 if event is not WriterEvent.WRITTEN:
                     self.queue.requeue(batch)
-                acts = self.queue.on_write_completed(event, self.clock.now_us())
-                last = self.is_stopping and (event is not WriterEvent.WRITTEN or not self.queue.pending)
-            for act in acts:
-                self.action_handlers[act]()
-            if last:
-                return
+                actions = self.queue.on_write_completed(event, self.clock.now_us())
+                is_drained = event is not WriterEvent.WRITTEN or not self.queue.pending
+                is_finished = self.is_stopping and is_drained
+            for action in actions:
+                self.action_handlers[action]()
+
+    def _next_batch(self) -> list[Change] | None:
+        """Wait for the next batch; None once the writer is stopping and nothing is queued."""
+        with self.condition:
+            while not self.is_stopping:
+                wait_us = self.queue.wait_us(self.clock.now_us())
+                if wait_us == 0:
+                    break
+                self.condition.wait(IDLE_S if wait_us is None else wait_us / MICROSECONDS_PER_SECOND)
+            batch = self.queue.next_batch(self.clock.now_us())
+            if not batch and self.is_stopping:
+                return None
+            return batch
 
-    def _write(self, batch: list[tuple[bytes, bytes | None]]) -> WriterEvent:
+    def _write(self, batch: list[Change]) -> WriterEvent:
         try:
             self.store.commit(batch)
             self.write_count += 1
             if self.store.heavy:
                 self.store.fold()
-            return WriterEvent.WRITTEN
         except OSError as error:
-            return WriterEvent.NO_SPACE if error.errno in (errno.ENOSPC, errno.EDQUOT) else WriterEvent.FAILED
+            return WriterEvent.NO_SPACE if error.errno in NO_SPACE_ERRORS else WriterEvent.FAILED
+        return WriterEvent.WRITTEN
--- a/packages/store/src/fennelcove/store/records.py
+++ b/packages/store/src/fennelcove/store/records.py
@@ -1,7 +1,7 @@
-"""Frames of the journal: one batch each, with its length and checksum, free of I/O.
+"""Frames of the journal: one batch of changes each, with its length and checksum; free of I/O.
 
-A frame is read whole or not at all, so a batch is in force whole or not at all. What follows the first frame
-that is cut short or altered is not used: what is recovered is always a beginning of what was committed.
+A frame is read whole or not at all, so a batch is in force whole or not at all. Nothing after the first frame
+that is cut short or altered is used: what is recovered is always a prefix of what was committed.
 """
 
 from __future__ import annotations
@@ -14,20 +14,21 @@
 import msgspec
 from msgspec import Struct
 
+from fennelcove.decisions.recovery.write_behind import Change
+
 FORMAT_VERSION = 1
 CHECKSUM_BYTES = 16
-HEADER_BYTES = 4 + CHECKSUM_BYTES
+LENGTH_BYTES = 4
+HEADER_BYTES = LENGTH_BYTES + CHECKSUM_BYTES
 MAX_FRAME_BYTES = 8_000_000
 
-Entry = tuple[bytes, bytes | None]  # a key, and its value; None takes it out
-
 
 class Batch(Struct, frozen=True, array_like=True):
-    """Changes that are made together, numbered from 1 on."""
+    """Changes that are made together, with sequence numbers from 1; stored by position."""
 
     format: int
     number: int
-    entries: list[tuple[bytes, bytes | None]]
+    entries: list[Change]
 
 
 _DECODER: msgspec.msgpack.Decoder[Batch] = msgspec.msgpack.Decoder(Batch)
@@ -35,7 +36,7 @@
 
 
 class FrameFault(Enum):
-    """What is amiss with a frame."""
+    """What is wrong with a frame; reports show the values."""
 
     CUT_SHORT = "cut short"
     ALTERED = "altered"
@@ -53,47 +54,67 @@
 
 
 def checksum(raw: bytes) -> bytes:
-    """A checksum that no accident passes."""
+    """A checksum that no accidental change passes."""
     return blake3.blake3(raw).digest(CHECKSUM_BYTES)
 
 
 def encode_frame(batch: Batch) -> bytes:
-    """A batch as it is written."""
+    """The bytes of a batch as it is written."""
     body = _ENCODER.encode(batch)
-    length = len(body).to_bytes(4, "big")
+    length = len(body).to_bytes(LENGTH_BYTES, "big")
     return length + checksum(length + body) + body
 
 
+def _decode_body(raw: bytes, start: int) -> bytes | Damage:
+    """The body of the frame that starts there, once its length and checksum are verified."""
+    if len(raw) - start < HEADER_BYTES:
+        return Damage(start, FrameFault.CUT_SHORT, "in a head")
+    length_field = raw[start : start + LENGTH_BYTES]
+    length = int.from_bytes(length_field, "big")
+    body_start = start + HEADER_BYTES
+    if length > MAX_FRAME_BYTES:
+        return Damage(start, FrameFault.ALTERED, f"a length of {length}")
+    if body_start + length > len(raw):
+        return Damage(start, FrameFault.CUT_SHORT, "in a body")
+    body = raw[body_start : body_start + length]
+    if checksum(length_field + body) != raw[start + LENGTH_BYTES : body_start]:
+        return Damage(start, FrameFault.ALTERED)
+    return body
+
+
+def _decode_batch(body: bytes, start: int, sequence: int) -> Batch | Damage:
+    """The batch of a verified body, where it has the expected format and sequence number."""
+    try:
+        batch = _DECODER.decode(body)
+    except msgspec.MsgspecError as error:
+        return Damage(start, FrameFault.OTHER_FORMAT, str(error))
+    if batch.format != FORMAT_VERSION:
+        return Damage(start, FrameFault.OTHER_FORMAT, f"{batch.format}, this is {FORMAT_VERSION}")
+    if batch.number != sequence:
+        return Damage(start, FrameFault.OUT_OF_ORDER, f"{batch.number} after {sequence - 1}")
+    return batch
+
+
 def decode_frames(raw: bytes, after: int) -> Iterator[Batch | Damage]:
-    """The batches of a journal, in order, numbered on from `after`; last, what stopped the reading, if
-    anything did."""
-    at = 0
-    while at < len(raw):
-        if len(raw) - at < HEADER_BYTES:
-            yield Damage(at, FrameFault.CUT_SHORT, "in a head")
-            return
-        length = int.from_bytes(raw[at : at + 4], "big")
-        end = at + HEADER_BYTES + length
-        if length > MAX_FRAME_BYTES:
-            yield Damage(at, FrameFault.ALTERED, f"a length of {length}")
-            return
-        if end > len(raw):
-            yield Damage(at, FrameFault.CUT_SHORT, "in a body")
-            return
-        body = raw[at + HEADER_BYTES : end]
-        if checksum(raw[at : at + 4] + body) != raw[at + 4 : at + HEADER_BYTES]:
-            yield Damage(at, FrameFault.ALTERED)
-            return
-        try:
-            batch = _DECODER.decode(body)
-        except msgspec.MsgspecError as error:
-            yield Damage(at, FrameFault.OTHER_FORMAT, str(error))
-            return
-        if batch.format != FORMAT_VERSION:
-            yield Damage(at, FrameFault.OTHER_FORMAT, f"{batch.format}, this is {FORMAT_VERSION}")
-            return
-        if batch.number != after + 1:
-            yield Damage(at, FrameFault.OUT_OF_ORDER, f"{batch.number} after {after}")
+    """Decode the batches of a journal file.
+
+    Args:
+        raw: the file's bytes.
+        after: the sequence number before the first batch.
+
+    Yields:
+        The batches in order; last, the damage that stopped the reading, if there is one.
+    """
+    start = 0
+    sequence = after
+    while start < len(raw):
+        body = _decode_body(raw, start)
+        if isinstance(body, Damage):
+            yield body
             return
+        sequence += 1
+        batch = _decode_batch(body, start, sequence)
         yield batch
-        after, at = batch.number, end
+        if isinstance(batch, Damage):
+            return
+        start += HEADER_BYTES + len(body)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -292,7 +292,7 @@
         keeper.keep([(b"a", b"2"), (b"b", b"1")])
         wait_for(lambda: disk.kept == {b"a": b"2", b"b": b"1"}, "both")
         keeper.stop(5 * SECOND)
-        self.assertEqual((told, disk.closed), (["store_full", "store_well"], True))
+        self.assertEqual((told, disk.closed), (["store_space_exhausted", "store_write_recovered"], True))
 
     def test_what_waits_is_written_at_the_end_and_a_dead_disk_does_not_hold_it_up(self) -> None:
         for faults, kept in (([], {b"a": b"1"}), ([errno.EIO], {})):
