--- a/benchmarks/slots_worlds.py
+++ b/benchmarks/slots_worlds.py
@@ -230,7 +230,7 @@
 
 
 FAULTS: dict[str, tuple[type, str, Any]] = {
-    "from-receipt": (Quota, "hear_loan", from_receipt),  # a loan counts from when it is heard
+    "from-receipt": (Quota, Quota.hear_loan.__name__, from_receipt),  # a loan counts from when it is heard
     "unwary": (
         Quota,
         "recovering_until_us",
