--- a/benchmarks/slots_worlds.py
+++ b/benchmarks/slots_worlds.py
@@ -23,7 +23,13 @@
 from typing import Any
 from unittest import mock
 
-from fennelcove.decisions.fleet.shared_quotas import DRIFT, QuotaRequest, QuotaTransfer, Quota
+from fennelcove.decisions.fleet.shared_quotas import (
+    CLOCK_DRIFT,
+    BorrowedQuota,
+    Quota,
+    QuotaRequest,
+    QuotaTransfer,
+)
 from fennelcove.concurrency_limits.quorum import QuorumAgreement, QuorumVote
 from fennelcove.concurrency_limits.adaptive_limit import LimitSettings
 from fennelcove.concurrency_limits.quota_loans import LOAN_US, QuotaLoans
@@ -177,7 +183,7 @@
         """What is out and what might be, against what counted; and that against the majority's."""
         counts = max((m.servers[BOX].agreed.whole for m in self.members.values()), default=0)
         self.counted.append((self.now_us, counts))
-        since_us = self.now_us - round(LOAN_US * (1 + DRIFT) ** 2)
+        since_us = self.now_us - round(LOAN_US * (1 + CLOCK_DRIFT) ** 2)
         while self.counted[0][0] < since_us and self.counted[1:] and self.counted[1][0] <= since_us:
             self.counted.pop(0)
         limit = max(counted for _, counted in self.counted)
@@ -201,9 +207,9 @@
 
 
 def from_receipt(self: Quota, sender: int, loan: QuotaTransfer, now_us: int) -> None:
-    if loan.life == self.life and self.sent.pop(loan.number, None) is not None:
-        self.borrowed[sender] = (loan.rate, now_us + self.loan_us)
-        self.answers[sender] = loan.number
+    if loan.life == self.incarnation and self.sent.pop(loan.number, None) is not None:
+        self.borrowed[sender] = BorrowedQuota(loan.rate, now_us + self.loan_us)
+        self.loan_sequences[sender] = loan.number
 
 
 def past_end(self: QuotaLoans, now_us: int, allow_us: int = 0) -> int:
@@ -224,11 +230,11 @@
 
 
 FAULTS: dict[str, tuple[type, str, Any]] = {
-    "from-receipt": (Quota, "hear_loan", from_receipt),  # a loan counts from when it is heard
+    "from-receipt": (Quota, Quota.hear_loan.__name__, from_receipt),  # a loan counts from when it is heard
     "unwary": (
         Quota,
-        "wary_until_us",
-        property(lambda self: self.born_us),
+        "recovering_until_us",
+        property(lambda self: self.started_us),
     ),  # a new life takes its whole part
     "past-end": (QuotaLoans, "most", past_end),  # a borrowed slot carries joins that outlast the loan
     "any-word": (QuorumAgreement, "advance", any_word),  # one word raises the number
--- a/packages/messages/src/fennelcove/messages.py
+++ b/packages/messages/src/fennelcove/messages.py
@@ -9,7 +9,7 @@
 import math
 import struct
 
-from fennelcove.decisions.fleet.fleet_load import LoadSummary
+from fennelcove.decisions.fleet.fleet_load import ClassLoad, LoadSummary
 from fennelcove.decisions.fleet.health_checks import HealthReport, HealthVerdict
 from fennelcove.decisions.fleet.membership import Heartbeat
 from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Resource
@@ -135,9 +135,7 @@
         return None
     _, incarnation, sequence = SUMMARY_HEAD.unpack_from(raw)
     body = raw[SUMMARY_HEAD.size :]
-    rows = tuple(
-        (requested, served, rejected) for requested, served, rejected in SUMMARY_ROW.iter_unpack(body)
-    )
+    rows = tuple(ClassLoad(*counts) for counts in SUMMARY_ROW.iter_unpack(body))
     return LoadSummary(incarnation, sequence, rows)
 
 
--- a/tests/test_company.py
+++ b/tests/test_company.py
@@ -12,7 +12,8 @@
 from benchmarks.worlds import Hasty, Trusting
 from fennelcove import messages
 from fennelcove.decisions.fleet import membership
-from fennelcove.decisions.fleet.membership import Heartbeat, Membership, PeerState, MembershipSettings
+from fennelcove.decisions.fleet.membership import Heartbeat, Membership, MembershipSettings
+from fennelcove.decisions.fleet.peer_states import PeerState
 
 BEAT = membership.HEARTBEAT_INTERVAL_US
 LONG = 2 * membership.LEASE_US
@@ -175,7 +176,7 @@
         world = World(3)
         world.begin()
         world.run(LONG)
-        for _ in range(membership.FLAPS + 3):
+        for _ in range(membership.MAX_FLAPS + 3):
             flapping = apart({2}, {0, 1})
             while world.members[0].peers[2].standing is not PeerState.SILENT:
                 world.step(flapping)
