--- a/packages/errors/src/fennelcove/errors/__main__.py
+++ b/packages/errors/src/fennelcove/errors/__main__.py
@@ -25,7 +25,7 @@
     "fennelcove.hints.fields.FieldError": "the header field is passed over, as its specification has it",
     "fennelcove.http1.messages.ProtocolError": "a status for the peer, or told under the code of who asked",
     "fennelcove.isup.messages.ProtocolError": "ends the link to the server, which is dialled again",
-    "fennelcove.node.request_validation.InvalidRequestError": "answered 451 to its viewer",
+    "fennelcove.node.setup_request.InvalidRequestError": "answered 451 to its viewer",
     "fennelcove.rtsp.messages.ProtocolError": "answered with its status to its viewer",
     "fennelcove.emulators.disk.PowerCut": "stand-ins only: the test that cuts the power catches it",
     "fennelcove.emulators.clients.Unanswered": "stand-ins only: goes into the recording",
--- a/packages/node/src/fennelcove/node/deadlines.py
+++ b/packages/node/src/fennelcove/node/deadlines.py
@@ -1,4 +1,4 @@
-"""By when each set-up that is open must have its answer: in order, and with one timer for them all."""
+"""Deadlines of the answers to set-up requests, in order and with one timer for all of them."""
 
 from __future__ import annotations
 
@@ -9,51 +9,55 @@
 from fennelcove.clock.timers import Timers
 from fennelcove.node.model import Session
 
-LOOK_US = 1_000_000  # a timer set for longer would outlive what it was set for: client timeouts reach an hour
+# A timer set for longer would outlive the requests that it was set for: client timeouts reach an hour.
+MAX_TIMER_US = 1_000_000
 
 
 class Deadlines:
-    """Those of one node; its lock is held."""
+    """Answer deadlines of one node; used with its lock held."""
 
-    def __init__(self, clock: Clock, timers: Timers, due: Callable[[], None]) -> None:
+    def __init__(self, clock: Clock, timers: Timers, on_timer: Callable[[], None]) -> None:
+        """Create an empty queue; `on_timer` is called when a deadline may have passed."""
         self.clock = clock
         self.timers = timers
-        self.due = due  # called when one may have come
-        self.order: list[tuple[int, bytes]] = []
-        self.look_at_us: int | None = None  # when the timer falls due, where one is set
+        self.on_timer = on_timer
+        # Tuples for the sake of bisection: the deadline in microseconds, and the session's id.
+        self.entries: list[tuple[int, bytes]] = []
+        self.timer_at_us: int | None = None  # when the timer falls due, where one is set
 
     def add(self, session: Session, after_us: int) -> bool:
-        """False where no timer can be had, and with it no certain answer."""
-        session.answer_by_us = self.clock.now_us() + after_us
-        if not self._look(session.answer_by_us):
+        """Set a session's deadline; False where no timer can be had, and with it no certain answer."""
+        session.answer_deadline_us = self.clock.now_us() + after_us
+        if not self._ensure_timer(session.answer_deadline_us):
             return False
-        insort(self.order, (session.answer_by_us, session.id))
+        insort(self.entries, (session.answer_deadline_us, session.id))
         return True
 
     def drop(self, session: Session) -> None:
-        """It has its answer, or wants none."""
-        entry = (session.answer_by_us, session.id)
-        at = bisect_left(self.order, entry)
-        if at < len(self.order) and self.order[at] == entry:
-            del self.order[at]
-
-    def passed(self) -> list[bytes]:
-        """Take out those that have come, and look again for the next."""
+        """Remove a session that is answered or closed; without effect where it has no deadline."""
+        entry = (session.answer_deadline_us, session.id)
+        index = bisect_left(self.entries, entry)
+        if index < len(self.entries) and self.entries[index] == entry:
+            del self.entries[index]
+
+    def take_passed(self) -> list[bytes]:
+        """Remove and return the ids of the sessions whose deadline has passed, and set the next timer."""
         now_us = self.clock.now_us()
-        if self.look_at_us is not None and self.look_at_us <= now_us:
-            self.look_at_us = None
-        at = bisect_left(self.order, (now_us + 1, b""))
-        found, self.order[:at] = [id for _, id in self.order[:at]], []
-        if self.order:
-            self._look(self.order[0][0])
-        return found
-
-    def _look(self, at_us: int) -> bool:
+        if self.timer_at_us is not None and self.timer_at_us <= now_us:
+            self.timer_at_us = None
+        passed_count = bisect_left(self.entries, (now_us + 1, b""))
+        passed = [id for _, id in self.entries[:passed_count]]
+        del self.entries[:passed_count]
+        if self.entries:
+            self._ensure_timer(self.entries[0][0])
+        return passed
+
+    def _ensure_timer(self, at_us: int) -> bool:
         now_us = self.clock.now_us()
-        at_us = min(at_us, now_us + LOOK_US)
-        if self.look_at_us is not None and self.look_at_us <= at_us:
+        at_us = min(at_us, now_us + MAX_TIMER_US)
+        if self.timer_at_us is not None and self.timer_at_us <= at_us:
             return True
-        if not self.timers.after(at_us - now_us, self.due):
+        if not self.timers.after(at_us - now_us, self.on_timer):
             return False
-        self.look_at_us = at_us
+        self.timer_at_us = at_us
         return True
--- /dev/null
+++ b/packages/node/src/fennelcove/node/discovery_updates.py
@@ -0,0 +1,62 @@
+"""Application of the discovery service's updates to the node's table of servers."""
+
+from __future__ import annotations
+
+from fennelcove.interface import ListMode, ServerState
+from fennelcove.node.discovery_events import DiscoveryEvent
+from fennelcove.node.handovers import HandoverManager
+from fennelcove.node.model import Server
+from fennelcove.node.node_context import NodeContext
+from fennelcove.node.server_monitor import ServerMonitor
+from fennelcove.node.server_pool import ServerPool
+from fennelcove.node.session_states import SessionActions
+
+
+class DiscoveryUpdateHandler:
+    """Applies updates of the list of servers; used with the node's lock held."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        pool: ServerPool,
+        monitor: ServerMonitor,
+        handovers: HandoverManager,
+        actions: SessionActions,
+    ) -> None:
+        """Apply updates to the context's table of servers."""
+        self._context = context
+        self._pool = pool
+        self._monitor = monitor
+        self._handovers = handovers
+        self._actions = actions
+
+    def on_event(self, event: DiscoveryEvent) -> None:
+        """Apply a whole list or a change of it."""
+        # All of it is in the table before any session ends by it: the policy may then attempt any server.
+        moved = self._update_table(event)
+        self._actions.tell(event.update)
+        for server in moved:
+            self._pool.close_outdated(server)
+        for entry in event.update.entries:
+            self._monitor.on_started(self._context.servers[entry.address], entry.started_us)
+        self._handovers.resolve_waiting()
+        for server in list(self._context.servers.values()):
+            if not server.listed and server.links and self._monitor.is_replaced(server):
+                self._pool.close_outdated(server, only_dials=True)
+            self._monitor.forget_if_removed(server)
+
+    def _update_table(self, event: DiscoveryEvent) -> list[Server]:
+        """Bring the table up to date; the servers whose address has changed."""
+        servers = self._context.servers
+        if event.update.mode is not ListMode.INCREMENTAL:
+            for server in servers.values():
+                server.listed = False
+        moved = []
+        for entry in event.update.entries:
+            address = event.dials[entry.address]
+            server = servers.setdefault(entry.address, Server(entry.address, address))
+            if server.address != address:
+                moved.append(server)
+            server.address = address
+            server.listed = entry.standing is not ServerState.LEFT
+        return moved
--- /dev/null
+++ b/packages/node/src/fennelcove/node/handovers.py
@@ -0,0 +1,100 @@
+"""Hand-over of sessions that play at a server already, as after a restart of another node."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from fennelcove.interface import Handover, Outcome, Request
+from fennelcove.isup.messages import Cause
+from fennelcove.node.address import Address
+from fennelcove.node.attempt_dispatcher import AttemptDispatcher
+from fennelcove.node.model import Attempt, Server, Session, SessionState
+from fennelcove.node.node_context import NodeContext
+from fennelcove.node.server_messages import ServerMessageHandler
+from fennelcove.node.server_monitor import ServerMonitor
+from fennelcove.node.server_pool import ServerPool
+from fennelcove.node.session_states import SessionActions, release_message
+
+SERVER_TIMEOUT_US = 2_000_000  # how long a session waits for a list that names its server
+MAX_WAITING = 1_024  # sessions whose server is not known
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingHandover:
+    """A session handed over whose server is not known yet."""
+
+    deadline_us: int
+    request: Request
+
+
+class HandoverManager:
+    """Takes over sessions; used with the node's lock held."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        pool: ServerPool,
+        monitor: ServerMonitor,
+        attempts: AttemptDispatcher,
+        messages: ServerMessageHandler,
+        actions: SessionActions,
+    ) -> None:
+        """Start with no session waiting."""
+        self._context = context
+        self._pool = pool
+        self._monitor = monitor
+        self._attempts = attempts
+        self._messages = messages
+        self._actions = actions
+        self.waiting: dict[Session, WaitingHandover] = {}
+
+    def adopt(self, session: Session, request: Request, server: str) -> bool:
+        """Take over a session; False where its server is not known yet."""
+        is_known = self._monitor.is_known(server)
+        if not is_known and len(self.waiting) >= MAX_WAITING:
+            self._actions.to_viewer(session, release_message(session, Cause.RESET))
+            return False
+        # Ignored, it was left established for good: with no list that names its server, nobody was
+        # notified of its end.
+        owner = self._context.servers[server] if is_known else Server(server, Address("", 0), listed=False)
+        self._establish(session, owner)
+        if not is_known:
+            deadline_us = self._context.now_us() + SERVER_TIMEOUT_US
+            self.waiting[session] = WaitingHandover(deadline_us, request)
+            return False
+        self._attach(session, request, owner)
+        return True
+
+    def resolve_waiting(self) -> None:
+        """Attach sessions whose server is known by now, and close those that have waited too long."""
+        for session, handover in list(self.waiting.items()):
+            if session.attempt is None:
+                raise RuntimeError(f"session {session.key} was handed over without a server")
+            placeholder = session.attempt.server
+            if self._monitor.is_known(placeholder.name):
+                del self.waiting[session]
+                server = self._context.servers[placeholder.name]
+                server.unsent.extend(placeholder.unsent)  # closed meanwhile, it still plays at its server
+                if session.state is SessionState.ESTABLISHED:
+                    session.attempt.server = server
+                    self._attach(session, handover.request, server)
+            elif self._context.now_us() >= handover.deadline_us:
+                del self.waiting[session]
+                self._attempts.on_completed(session, Outcome.CONNECTION_LOST, None)
+
+    def _establish(self, session: Session, server: Server) -> None:
+        session.attempt = Attempt(server, 0, self._context.now_us(), 0)
+        session.attempts = 1
+        session.state = SessionState.ESTABLISHED
+        session.description = b""
+        self._context.sessions[session.id] = session
+        if session.viewer is not None:
+            session.viewer.standing[session] = None
+
+    def _attach(self, session: Session, request: Request, server: Server) -> None:
+        """Attach a session to its server, and handle what the server has already sent of it."""
+        server.established[session] = None
+        self._actions.tell(Handover(request, server.name))
+        self._messages.replay(session)
+        if not server.links and not self._pool.is_full:
+            self._pool.create(server).start()
--- a/packages/node/src/fennelcove/node/model.py
+++ b/packages/node/src/fennelcove/node/model.py
@@ -1,4 +1,4 @@
-"""What the node holds, by lifetime: an attempt, a session, a server, and their connections."""
+"""Records of the node: an attempt, a session, a server, and the interfaces of their connections."""
 
 from __future__ import annotations
 
@@ -11,119 +11,159 @@
 from fennelcove.interface import LoadReport, Outcome
 from fennelcove.node.address import Address
 
-SessionState = Enum("SessionState", "OPEN JOINING STANDING OVER")
-ConnectionState = Enum("ConnectionState", "DIALLING OPEN CLOSED")
+MAX_UNSENT_MESSAGES = 256  # per server without an open connection; the oldest are dropped first
+
+
+class SessionState(Enum):
+    """Where a session is between its set-up request and its end."""
+
+    PENDING = 1  # waits for the placement policy's decision
+    ATTEMPTING = 2  # an attempt is under way at a server
+    ESTABLISHED = 3  # plays at a server
+    CLOSED = 4
+
+
+class ConnectionState(Enum):
+    """State of a connection to a server."""
+
+    DIALLING = 1
+    OPEN = 2
+    CLOSED = 3
 
 
 class ServerLink(Protocol):
-    """A link to a server, as whoever has something to send there knows it."""
+    """A connection to a server, as its users see it."""
 
     server: Server
     address: Address
     phase: ConnectionState
-    carried: Session | None  # whose set-up is out
-    given_up: set[bytes]
-    heard_us: int
+    carried: Session | None  # the session whose set-up request is in flight
+    given_up: set[bytes]  # ids of abandoned set-ups for which an answer may still arrive
+    heard_us: int  # when data was last received
     opened_us: int
-    tested_us: int | None
+    tested_us: int | None  # when the unanswered liveness probe was sent
 
     @property
-    def idle(self) -> bool: ...
+    def idle(self) -> bool:
+        """Open, with no set-up request in flight."""
+        ...
 
-    def carry(self, session: Session) -> None: ...
+    def carry(self, session: Session) -> None:
+        """Send the session's set-up request, now or once the connection is open."""
+        ...
 
-    def ended(self) -> bool: ...
+    def ended(self) -> bool:
+        """Whether the kernel has seen the server's end of the stream or a reset."""
+        ...
 
-    def send(self, data: bytes) -> bool: ...
+    def send(self, data: bytes) -> bool:
+        """Send a message without waiting; False where the connection has failed."""
+        ...
 
-    def test(self) -> None: ...
+    def test(self) -> None:
+        """Send a liveness probe."""
+        ...
 
-    def answer_test(self) -> None: ...
+    def answer_test(self) -> None:
+        """Answer a liveness probe of the server."""
+        ...
 
-    def give_up(self, session: Session) -> None: ...
+    def give_up(self, session: Session) -> None:
+        """Abandon the session's set-up request."""
+        ...
 
-    def done(self) -> None: ...
+    def done(self) -> None:
+        """Record that the server has answered the set-up request in flight."""
+        ...
 
-    def close(self, outcome: Outcome) -> None: ...
+    def close(self, outcome: Outcome) -> None:
+        """Close the connection; the attempt in flight on it ends with `outcome`."""
+        ...
 
 
 class ClientLink(Protocol):
-    """A viewer's connection, as whoever has something to say there knows it."""
+    """A connection from a client, as its users see it."""
 
-    peer: str
-    open: dict[Session, None]
-    standing: dict[Session, None]
-    figures: dict[str, None]  # of the viewers that lately spoke here; many clients may share an address
-    withdrawn: set[bytes]  # set-ups taken back before anything was begun for them
+    peer: str  # the client's address
+    open: dict[Session, None]  # set-up requests without an answer
+    standing: dict[Session, None]  # established sessions
+    figures: dict[str, None]  # ids of the clients lately seen here; many may share an address
+    withdrawn: set[bytes]  # set-up requests cancelled before any work was begun for them
     closed: bool
 
-    def left(self) -> bool: ...
+    def left(self) -> bool:
+        """Whether the client has closed the connection, as far as the kernel knows."""
+        ...
 
-    def send(self, data: bytes) -> bool: ...
+    def send(self, data: bytes) -> bool:
+        """Send a message without waiting; False where not all of it was accepted."""
+        ...
 
-    def shut(self) -> None: ...
+    def shut(self) -> None:
+        """Close the connection."""
+        ...
 
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """One join, on the link that carries it."""
+    """One attempt to set a session up at a server."""
 
     server: Server
     number: int
     sent_us: int
-    allow_us: int
-    link: ServerLink | None = None
+    allow_us: int  # timeout, counted from `sent_us`
+    link: ServerLink | None = None  # the connection in use until the session is established
     outcome: Outcome = Outcome.NO_ANSWER
     report: LoadReport | None = None
 
 
 @dataclass(slots=True, eq=False)
 class Session:
-    """From its set-up until it is over; `viewer` is the connection of its set-up while that is open."""
+    """A client's session, from its set-up request until it is closed."""
 
     id: bytes
-    name: str  # the id as its viewer wrote it
+    name: str  # the id as the client wrote it
     cseq: str
     service_class: str
     title: str
-    description: bytes
-    viewer: ClientLink | None
+    description: bytes  # the body of the set-up request
+    viewer: ClientLink | None  # the connection of the set-up request, while that is open
     peer: str
-    state: SessionState = SessionState.OPEN
+    state: SessionState = SessionState.PENDING
     rung: int | None = None
     attempt: Attempt | None = None
     attempts: int = 0
-    answer: bytes = b""
-    wait_us: int = 0  # what a throttled viewer is told to keep away for
-    answer_by_us: int = 0
-    figure: str = ""  # its viewer's
+    answer: bytes = b""  # the body of the server's answer
+    retry_after_us: int = 0  # sent to a client that is rejected; 0 for none
+    answer_deadline_us: int = 0
+    client_id: str = ""
 
     @property
     def key(self) -> str:
-        """What the module calls it."""
+        """The session's id in the placement policy."""
         return self.id.hex()
 
 
 @dataclass(slots=True, eq=False)
 class Server:
-    """A host of the notice board: another one may get its address once it has gone."""
+    """A server of the discovery service's list; its address may pass to another server once it has gone."""
 
     name: str
     address: Address
     listed: bool = True
-    started_us: int = 0  # its process, as the board tells; 0 for long ago
+    started_us: int = 0  # start of its process by the list, Unix time; 0 for long ago
     links: dict[ServerLink, None] = field(default_factory=dict)
-    standing: dict[Session, None] = field(default_factory=dict)
-    # What could not be sent for want of an open link; the next one that opens takes it along.
-    unsent: deque[bytes] = field(default_factory=lambda: deque(maxlen=256))
-    seen: Counter[Outcome] = field(default_factory=Counter)  # how joins and what they started ended here
+    established: dict[Session, None] = field(default_factory=dict)
+    # Messages for which no connection was open; sent as soon as one is.
+    unsent: deque[bytes] = field(default_factory=lambda: deque(maxlen=MAX_UNSENT_MESSAGES))
+    outcome_counts: Counter[Outcome] = field(default_factory=Counter)  # of attempts and sessions here
     parting: ConnectionLossTracker = field(default_factory=ConnectionLossTracker)
-    dial_at_us: int = 0  # not before, while dials fail
-    left_us: int = 0  # when its last link ended
-    # A connection was closed before its end was read: what the server told there last comes on the next one.
+    dial_at_us: int = 0  # no dial before this time, while dials fail
+    left_us: int = 0  # when its last connection closed
+    # A connection was closed before it was read to its end: the server repeats its last messages on the next.
     dial_anew: bool = False
 
     @property
     def needs_link(self) -> bool:
-        """What ends there is told on any open link, and on the next that is opened."""
-        return bool(self.standing or self.unsent)
+        """Whether a connection must be open, for the ends of sessions or for unsent messages."""
+        return bool(self.established or self.unsent)
--- /dev/null
+++ b/packages/node/src/fennelcove/node/node_context.py
@@ -0,0 +1,39 @@
+"""The state that the parts of a node share."""
+
+from __future__ import annotations
+
+from fennelcove.clock import Clock
+from fennelcove.clock.timers import Timers
+from fennelcove.node.client_connection import ConnectionTable
+from fennelcove.node.config import Config
+from fennelcove.node.descriptor_budget import DescriptorBudget, DescriptorUse
+from fennelcove.node.log import EventLogger
+from fennelcove.node.model import Server, Session
+
+
+class NodeContext:
+    """Configuration, clocks and tables of one node; used with its lock held."""
+
+    def __init__(
+        self,
+        config: Config,
+        clock: Clock,
+        timers: Timers,
+        logger: EventLogger,
+        descriptors: DescriptorBudget,
+    ) -> None:
+        """Start with empty tables."""
+        self.config = config
+        self.clock = clock
+        self.timers = timers
+        self.logger = logger
+        self.descriptors = descriptors
+        self.connections = ConnectionTable(descriptors.most[DescriptorUse.CLIENT])
+        self.sessions: dict[bytes, Session] = {}
+        self.servers: dict[str, Server] = {}
+        self.last_us = 0
+
+    def now_us(self) -> int:
+        """Unix time, to which rules and servers' starts refer; it never goes back."""
+        self.last_us = max(self.last_us, self.clock.wall_us())
+        return self.last_us
--- a/packages/node/src/fennelcove/node/outcome_mapping.py
+++ b/packages/node/src/fennelcove/node/outcome_mapping.py
@@ -1,40 +1,51 @@
-"""What servers' messages mean to the decision module."""
+"""Translation of servers' messages into the placement policy's types."""
 
 from __future__ import annotations
 
 import math
 
 from fennelcove.facts import load_report
-from fennelcove.interface import LoadReport, ReportKind, Outcome
+from fennelcove.interface import LoadReport, Outcome, ReportKind
 from fennelcove.isup.messages import Cause, Code, Message
 
-NOTES = {
+REPORT_KINDS = {
     "quality": ReportKind.DELIVERED,
     "profile": ReportKind.RUNG,
     "nic": ReportKind.LINK,
     "tor": ReportKind.UPLINK,
 }
-BEFORE: dict[int | None, Outcome] = {
+# The outcome of an attempt, by the cause of the release that ends it.
+ATTEMPT_OUTCOMES: dict[int | None, Outcome] = {
     Cause.FULL: Outcome.TURNED_AWAY,
     Cause.ERROR: Outcome.SERVER_ERROR,
     Cause.MOOT: Outcome.NOT_SENT,
 }
-AFTER: dict[int | None, Outcome] = {Cause.OK: Outcome.SERVED, Cause.CALLED_OFF: Outcome.CALLED_OFF}
+# The outcome of an established session, by the cause of the release that ends it.
+SESSION_OUTCOMES: dict[int | None, Outcome] = {
+    Cause.OK: Outcome.SERVED,
+    Cause.CALLED_OFF: Outcome.CALLED_OFF,
+}
+
+
+def release_outcome(message: Message, *, is_established: bool) -> Outcome:
+    """What a release means; an unknown cause counts as a lost connection."""
+    outcomes = SESSION_OUTCOMES if is_established else ATTEMPT_OUTCOMES
+    return outcomes.get(message.cause, Outcome.CONNECTION_LOST)
 
 
-def load(message: Message) -> LoadReport | None:
-    """The report that came along; one that can't be read is none."""
+def parse_load_report(message: Message) -> LoadReport | None:
+    """The load report in a message; None where there is none or it is malformed."""
     values: dict[str, float] = {}
     for part in filter(None, message.text(Code.REPORT).split(";")):
         name, _, raw = part.partition(":")
-        value = figure(raw)
+        value = parse_number(raw)
         if value is None:
             return None
         values[name] = value
     return load_report(values) if values else None
 
 
-def figure(raw: str) -> float | None:
+def parse_number(raw: str) -> float | None:
     """A finite number, or None."""
     try:
         value = float(raw)
--- a/packages/node/src/fennelcove/node/policy_effects.py
+++ b/packages/node/src/fennelcove/node/policy_effects.py
@@ -1,4 +1,4 @@
-"""What the decision module asks of the node: each of its effects as an input to the table of states."""
+"""Effects of the placement policy on the node: each becomes an event of a session's state machine."""
 
 from __future__ import annotations
 
@@ -9,63 +9,73 @@
 from fennelcove.interface import PeerMessage, TimerFired
 from fennelcove.node import session_states
 from fennelcove.node.model import Attempt, Server, Session
-from fennelcove.node.session_states import SessionEvent, SessionActions
+from fennelcove.node.session_states import SessionActions, SessionEvent
 
 
-class Stock(SessionActions, Protocol):
-    """What the node holds by the module's names, and what its wishes are carried out with."""
+class EffectTarget(SessionActions, Protocol):
+    """What the effects act on."""
 
     sessions: dict[bytes, Session]
     servers: dict[str, Server]
     timers: Timers
-    fetch: Callable[[], None]
+    fetch: Callable[[], None]  # requests the whole list of servers
 
-    def due(self, call: Callable[[], None]) -> None: ...
+    def due(self, call: Callable[[], None]) -> None:
+        """Call with the node's lock held."""
+        ...
 
 
 class PolicyEffects:
-    """The module's `Effects`; called with the desk's lock held."""
+    """The placement policy's `Effects`; called with the node's lock held."""
 
-    def __init__(self, desk: Stock) -> None:
-        self.desk = desk
-
-    def _session(self, id: str) -> Session:
-        return self.desk.sessions[bytes.fromhex(id)]
+    def __init__(self, target: EffectTarget) -> None:
+        self._target = target
 
     def start_attempt(self, id: str, server: str, allow_us: int) -> None:
+        """Attempt to set the session up at this server."""
+        target = self._target
         session = self._session(id)
-        session.attempt = Attempt(self.desk.servers[server], session.attempts, self.desk.now_us(), allow_us)
+        session.attempt = Attempt(target.servers[server], session.attempts, target.now_us(), allow_us)
         session.attempts += 1
-        session_states.apply_event(self.desk, session, SessionEvent.JOIN)
+        session_states.apply_event(target, session, SessionEvent.ATTEMPT_STARTED)
 
     def set_rung(self, id: str, rung: int) -> None:
+        """Change the session's rung of the bitrate ladder."""
         session = self._session(id)
         session.rung = rung
-        session_states.apply_event(self.desk, session, SessionEvent.RUNG)
+        session_states.apply_event(self._target, session, SessionEvent.RUNG_CHANGED)
 
     def reject(self, id: str, wait_us: int) -> None:
+        """Reject the session, to be retried after `wait_us`; 0 for no time given."""
         session = self._session(id)
-        session.wait_us = wait_us
-        session_states.apply_event(self.desk, session, SessionEvent.THROTTLE)
+        session.retry_after_us = wait_us
+        session_states.apply_event(self._target, session, SessionEvent.REJECTED)
 
     def fail(self, id: str) -> None:
-        session_states.apply_event(self.desk, self._session(id), SessionEvent.TERMINATE)
+        """Fail the session."""
+        session_states.apply_event(self._target, self._session(id), SessionEvent.FAILED)
 
     def migrate(self, id: str) -> None:
-        session_states.apply_event(self.desk, self._session(id), SessionEvent.MOVE)
+        """Move the session to another server."""
+        session_states.apply_event(self._target, self._session(id), SessionEvent.MIGRATED)
 
     def set_timer(self, name: int, delay_us: int) -> None:
-        desk = self.desk
-        desk.timers.after(delay_us, lambda: desk.due(lambda: desk.tell(TimerFired(name))))
+        """Notify the policy after a delay."""
+        target = self._target
+        target.timers.after(delay_us, lambda: target.due(lambda: target.tell(TimerFired(name))))
 
     def fetch_list(self) -> None:
-        self.desk.fetch()
+        """Request the whole list of servers."""
+        self._target.fetch()
 
     def watch_list(self) -> None:
-        """The board is always watched."""
+        """Do nothing: the list is always watched."""
 
     def probe(self, server: str) -> None:
-        """This protocol's test shows a connection and no load: there is nothing to probe with."""
+        """Do nothing: this protocol's probe shows a connection and no load."""
 
     def send_peer_message(self, front: int, said: PeerMessage) -> None:
-        """Fronts of this protocol don't speak with each other."""
+        """Do nothing: fronts of this protocol exchange no messages."""
+
+    def _session(self, id: str) -> Session:
+        return self._target.sessions[bytes.fromhex(id)]
--- a/packages/node/src/fennelcove/node/request_validation.py
+++ b/packages/node/src/fennelcove/node/request_validation.py
@@ -1,191 +1,187 @@
-"""What a viewer's message means: checked whole before anything behind the door sees it."""
+"""Handlers of clients' messages: each is validated, then acted on or answered with an error status."""
 
 from __future__ import annotations
 
-import math
 import re
 from typing import Protocol
 
-from fennelcove.interface import Request, Settings
+from fennelcove.interface import Request
 from fennelcove.node import session_states
 from fennelcove.node.config import Config
-from fennelcove.node.model import ClientLink, SessionState, Session
-from fennelcove.node.session_states import SessionEvent, SessionActions
+from fennelcove.node.model import ClientLink, Session, SessionState
+from fennelcove.node.session_states import SessionActions, SessionEvent
+from fennelcove.node.setup_request import InvalidRequestError, SetupRequest, expects_answer, parse_setup
 from fennelcove.rtsp import messages, writer
 
-_ID = re.compile(r"[0-9a-fA-F]{16}")
-_TITLE = re.compile(r"rtsp://media/([0-9a-f]{1,16})")
-_WHOLE = re.compile(r"[0-9]{1,9}")
-MOST_WAIT_MS = 3_600_000
-MOST_OPEN_HERE = 256  # set-ups open on one connection
-MOST_FIGURES = 64  # of viewers, remembered of one connection
-MOST_HELD = 10_000  # set-ups and subscriptions of a node
+MAX_PENDING_PER_CONNECTION = 256  # set-up requests without an answer
+MAX_CLIENT_IDS = 64  # remembered of one connection
+MAX_SESSIONS = 10_000  # of one node, in all states
+STATUS_OK = 200
+STATUS_BAD_REQUEST = 400
+STATUS_INVALID_SETUP = 451
+STATUS_SESSION_NOT_FOUND = 454
+STATUS_SESSION_EXISTS = 455
+STATUS_UNKNOWN_METHOD = 501
+STATUS_UNAVAILABLE = 503
+_SESSION_ID = re.compile(r"[0-9a-fA-F]{16}")
 
 
 class Counter(SessionActions, Protocol):
-    """What stands behind the door; its lock is held."""
+    """The operations that clients' messages need; the node's lock is held."""
 
     config: Config
     stopping: bool
     sessions: dict[bytes, Session]
 
-    def deliver(self, viewer: ClientLink) -> None: ...
+    def deliver(self, viewer: ClientLink) -> None:
+        """Send the client's pending notifications."""
+        ...
 
-    def seated(self, viewer: ClientLink) -> bool: ...
+    def seated(self, viewer: ClientLink) -> bool:
+        """Whether a session may be open on this connection."""
+        ...
 
-    def take(self, session: Session, request: Request) -> None: ...
+    def take(self, session: Session, request: Request) -> None:
+        """Accept a set-up request."""
+        ...
 
-    def adopt(self, session: Session, request: Request, server: str) -> bool: ...
+    def adopt(self, session: Session, request: Request, server: str) -> bool:
+        """Take over a session that plays at a server already."""
+        ...
 
 
-class InvalidRequestError(Exception):
-    """A set-up that can't be used."""
+def hear(manager: Counter, client: ClientLink, message: messages.Message, is_abandoned: bool = False) -> None:
+    """Act on one message of a client; the node's lock is held.
 
-
-def hear(desk: Counter, viewer: ClientLink, message: messages.Message, gone: bool = False) -> None:
-    """Act on one message; the desk's lock is held. `gone`: nobody waits for an answer to it by now."""
+    Args:
+        manager: What the message acts on.
+        client: The connection that it came on.
+        message: The message.
+        is_abandoned: Nobody waits for an answer to it any more.
+    """
     if isinstance(message, messages.Answer):
-        return  # a release that was heard
-    echo = [
-        (name, message.fields[name.lower()]) for name in ("CSeq", "Session") if name.lower() in message.fields
-    ]
+        return  # the client's acknowledgement of a release
+    if message.method == "OPTIONS":  # a health check of the platform, not of a client
+        status = STATUS_UNAVAILABLE if manager.stopping else STATUS_OK
+        client.send(writer.answer(status, *_echo_fields(message)))
+        return
+    manager.deliver(client)
     session = message.fields.get("session", "")
-    if message.method != "OPTIONS":  # tests come from the platform, not from viewers
-        desk.deliver(viewer)
-    if message.method == "OPTIONS":
-        viewer.send(writer.answer(503 if desk.stopping else 200, *echo))
-    elif _ID.fullmatch(session) is None:
-        viewer.send(writer.answer(400, *echo))
-    elif message.method == "SETUP" and gone and waits(message):
-        viewer.withdrawn.add(bytes.fromhex(session))
+    if _SESSION_ID.fullmatch(session) is None:
+        client.send(writer.answer(STATUS_BAD_REQUEST, *_echo_fields(message)))
+    elif message.method == "SETUP" and is_abandoned and expects_answer(message):
+        client.withdrawn.add(bytes.fromhex(session))
     elif message.method == "SETUP":
-        set_up(desk, viewer, message, session)
+        set_up(manager, client, message, session)
     elif message.method == "TEARDOWN":
-        found = tear_down(desk, viewer, bytes.fromhex(session))
-        viewer.send(writer.answer(200 if found else 454, *echo))
+        is_found = tear_down(manager, client, bytes.fromhex(session))
+        status = STATUS_OK if is_found else STATUS_SESSION_NOT_FOUND
+        client.send(writer.answer(status, *_echo_fields(message)))
     else:
-        viewer.send(writer.answer(501, *echo))
-
+        client.send(writer.answer(STATUS_UNKNOWN_METHOD, *_echo_fields(message)))
 
-def waits(message: messages.Request) -> bool:
-    """Whether an answer to this set-up is owed; what plays already is only named."""
-    routing = message.fields.get("routing-data", "")
-    return not any(part.startswith("at:") and part != "at:" for part in routing.split(";"))
 
-
-def set_up(desk: Counter, viewer: ClientLink, message: messages.Request, session: str) -> None:
-    """A subscription to set up, or one that plays already."""
+def set_up(manager: Counter, client: ClientLink, message: messages.Request, name: str) -> None:
+    """Set up a session, or take over one that plays already; `name` is its id as the client wrote it."""
     cseq = message.fields.get("cseq", "1")
-    echo = (("CSeq", cseq), ("Session", session))
-    id = bytes.fromhex(session)
-    held = desk.sessions.get(id)
+    echo = (("CSeq", cseq), ("Session", name))
+    id = bytes.fromhex(name)
+    existing = manager.sessions.get(id)
     try:
-        routing = parts(message.fields.get("routing-data", ""))
-        at = routing.get("at", "")
-        request = checked(desk.config.settings, message, id.hex(), routing)
+        setup = parse_setup(manager.config.settings, message, id.hex())
     except InvalidRequestError:
-        viewer.send(writer.answer(451, *echo))
+        client.send(writer.answer(STATUS_INVALID_SETUP, *echo))
         return
-    if held is not None:
-        if at:
-            return  # it may name what is held already
-        if held.viewer is viewer and held.state is not SessionState.STANDING:
-            # One answer is owed under this id; a refusal here would be taken for it.
-            viewer.shut()
-            return
-        viewer.send(writer.answer(455, *echo))
+    if existing is not None:
+        _on_duplicate_setup(client, existing, setup, echo)
         return
-    title = message.address.rpartition("/")[2]
-    sub = Session(id, session, cseq, request.service_class, title, message.body, viewer, viewer.peer)
-    sub.figure = routing.get("viewer", "")[:16]
-    viewer.figures.pop(sub.figure, None)  # the latest last
-    viewer.figures[sub.figure] = None
-    if len(viewer.figures) > MOST_FIGURES:
-        del viewer.figures[next(iter(viewer.figures))]
-    if at:
-        if not desk.seated(viewer):
-            sub.viewer = None  # what stands belongs to no connection, and this one may have to go for others
-        if len(desk.sessions) < MOST_HELD:
-            desk.adopt(sub, request, at)
-    elif len(viewer.open) >= MOST_OPEN_HERE or len(desk.sessions) >= MOST_HELD:
-        viewer.send(writer.answer(503, *echo))
-    elif not desk.seated(viewer):
-        wait_us = desk.config.settings.retry_after_us
-        come_back = (("Come-Back-Ms", str(max(1, wait_us // 1000))),) if wait_us else ()
-        viewer.send(writer.answer(503, *echo, *come_back))
+    session = Session(
+        id=id,
+        name=name,
+        cseq=cseq,
+        service_class=setup.request.service_class,
+        title=message.address.rpartition("/")[2],
+        description=message.body,
+        viewer=client,
+        peer=client.peer,
+        client_id=setup.client_id,
+    )
+    _remember_client_id(client, setup.client_id)
+    if setup.current_server:
+        _take_over(manager, client, session, setup)
     else:
-        desk.take(sub, request)
+        _accept_setup(manager, client, session, setup, echo)
 
 
-def checked(settings: Settings, message: messages.Request, key: str, routing: dict[str, str]) -> Request:
-    """The set-up as the module takes it.
+def tear_down(manager: Counter, client: ClientLink, id: bytes) -> bool:
+    """Cancel a set-up request, or end an established session, which any connection may do.
 
-    Raises:
-        Unfit: a field that is missing, of another form or out of its range.
+    Returns:
+        Whether there was something to cancel or to end.
     """
-    title = _TITLE.fullmatch(message.address)
-    service_class = message.fields.get("call-kind", "")
-    if title is None or service_class not in settings.service_classes:
-        raise InvalidRequestError
-    return Request(
-        id=key,
-        service_class=service_class,
-        title=int(title[1], 16),
-        first_cell=whole(routing, "home", 0, settings.cells - 1),
-        cell_count=whole(routing, "copies", 1, settings.cells),
-        top_rung=whole(routing, "top", 0, len(settings.ladder_kb) - 1),
-        timeout_us=0 if "at" in routing else wait_us(message.fields.get("answer-within", "")),
-        returned=routing.get("again", "0") == "1",
-    )
+    was_withdrawn = id in client.withdrawn
+    client.withdrawn.discard(id)
+    session = manager.sessions.get(id)
+    if session is None:
+        return was_withdrawn
+    if session.viewer is not client and session.state is not SessionState.ESTABLISHED:
+        return was_withdrawn
+    return session_states.apply_event(manager, session, SessionEvent.CLIENT_GONE)
+
+
+def viewer_gone(manager: Counter, client: ClientLink) -> None:
+    """Act on a connection's end: its set-up requests are cancelled, its established sessions play on."""
+    for session in list(client.open):
+        session_states.apply_event(manager, session, SessionEvent.CLIENT_GONE)
+    for session in client.standing:
+        session.viewer = None
+    client.standing.clear()
 
 
-def parts(raw: str) -> dict[str, str]:
-    """`name:value` parts, each name once.
+def _echo_fields(message: messages.Request) -> list[tuple[str, str]]:
+    """The fields that an answer repeats, as far as the message has them."""
+    names = ("CSeq", "Session")
+    return [(name, message.fields[name.lower()]) for name in names if name.lower() in message.fields]
 
-    Raises:
-        Unfit: another form.
-    """
-    found: dict[str, str] = {}
-    for part in raw.split(";"):
-        name, colon, value = part.partition(":")
-        if not colon or name in found:
-            raise InvalidRequestError
-        found[name] = value
-    return found
+
+def _on_duplicate_setup(
+    client: ClientLink, existing: Session, setup: SetupRequest, echo: tuple[tuple[str, str], ...]
+) -> None:
+    if setup.current_server:
+        return  # a session may be handed over that is held already
+    if existing.viewer is client and existing.state is not SessionState.ESTABLISHED:
+        # One answer is pending under this id; an error status here would be taken for it.
+        client.shut()
+        return
+    client.send(writer.answer(STATUS_SESSION_EXISTS, *echo))
 
 
-def whole(routing: dict[str, str], name: str, least: int, most: int) -> int:
-    raw = routing.get(name, "")
-    if _WHOLE.fullmatch(raw) is None or not least <= int(raw) <= most:
-        raise InvalidRequestError
-    return int(raw)
+def _remember_client_id(client: ClientLink, client_id: str) -> None:
+    client.figures.pop(client_id, None)  # moved to the end: the latest is last
+    client.figures[client_id] = None
+    if len(client.figures) > MAX_CLIENT_IDS:
+        del client.figures[next(iter(client.figures))]
 
 
-def wait_us(raw: str) -> int:
-    """How long the viewer waits, from milliseconds."""
-    try:
-        value = float(raw)
-    except ValueError:
-        raise InvalidRequestError from None
-    if not math.isfinite(value) or not 0 < value <= MOST_WAIT_MS:
-        raise InvalidRequestError
-    return round(value * 1000)
-
-
-def tear_down(desk: Counter, viewer: ClientLink, id: bytes) -> bool:
-    """The viewer gives up a set-up, or ends what stands; what stands may be ended on any connection."""
-    withdrawn = id in viewer.withdrawn
-    viewer.withdrawn.discard(id)
-    session = desk.sessions.get(id)
-    if session is None or (session.viewer is not viewer and session.state is not SessionState.STANDING):
-        return withdrawn
-    return session_states.apply_event(desk, session, SessionEvent.VIEWER_GONE)
-
-
-def viewer_gone(desk: Counter, viewer: ClientLink) -> None:
-    """A connection has ended: nobody waits for what is open on it, and what stands on it stands on."""
-    for session in list(viewer.open):
-        session_states.apply_event(desk, session, SessionEvent.VIEWER_GONE)
-    for session in viewer.standing:
+def _take_over(manager: Counter, client: ClientLink, session: Session, setup: SetupRequest) -> None:
+    if not manager.seated(client):
+        # An established session needs no connection, and this one may have to be closed to admit others.
         session.viewer = None
-    viewer.standing.clear()
+    if len(manager.sessions) < MAX_SESSIONS:
+        manager.adopt(session, setup.request, setup.current_server)
+
+
+def _accept_setup(
+    manager: Counter,
+    client: ClientLink,
+    session: Session,
+    setup: SetupRequest,
+    echo: tuple[tuple[str, str], ...],
+) -> None:
+    if len(client.open) >= MAX_PENDING_PER_CONNECTION or len(manager.sessions) >= MAX_SESSIONS:
+        client.send(writer.answer(STATUS_UNAVAILABLE, *echo))
+    elif not manager.seated(client):
+        retry_after = session_states.retry_after_fields(manager.config.settings.retry_after_us or 0)
+        client.send(writer.answer(STATUS_UNAVAILABLE, *echo, *retry_after))
+    else:
+        manager.take(session, setup.request)
--- a/packages/node/src/fennelcove/node/server_pool.py
+++ b/packages/node/src/fennelcove/node/server_pool.py
@@ -1,83 +1,107 @@
-"""The pool of connections to servers: which one carries a set-up, which one goes to make room."""
+"""The pool of connections to servers: which one carries a set-up, which one is closed to make room."""
 
 from __future__ import annotations
 
-import threading
-
-from fennelcove.clock import Clock
-from fennelcove.node.config import Config
-from fennelcove.node.descriptor_budget import DescriptorBudget, DescriptorUse
-from fennelcove.node.server_connection import ServerConnection, ConnectionOwner
-from fennelcove.node.model import ServerLink, ConnectionState, Server, Session
 from fennelcove.interface import Outcome
+from fennelcove.node.descriptor_budget import DescriptorUse
+from fennelcove.node.model import ConnectionState, Server, ServerLink, Session
+from fennelcove.node.node_context import NodeContext
+from fennelcove.node.server_connection import ConnectionOwner, ServerConnection
+
+# In this time each server with established sessions gets its turn, well within 8 s of a session's end.
+TURNS_US = 4_000_000
+MAX_ABANDONED = 64  # set-ups, one after another on a connection whose server answers none of them
 
-TURNS_US = 4_000_000  # in which each server with something standing has its turn, well within 8 s of an end
-MOST_GIVEN_UP = 64  # set-ups, one after another on a link whose server answers none of them
 
+class ServerPool:
+    """The connections from one node to servers; used with its lock held."""
 
-class ServerPool(ConnectionOwner):
-    """What of an instance has to do with connections to servers; its lock is held."""
+    def __init__(self, context: NodeContext, owner: ConnectionOwner) -> None:
+        """Start without connections; `owner` gets the events of those that are opened."""
+        self._context = context
+        self._owner = owner
 
-    config: Config
-    clock: Clock
-    lock: threading.Lock
-    last_us: int
-    servers: dict[str, Server]
-    descriptors: DescriptorBudget
+    @property
+    def connection_count(self) -> int:
+        """Connections that are not closed."""
+        return self._context.descriptors.promised[DescriptorUse.SERVER]
 
     @property
-    def links(self) -> int:
-        """Links that are not closed."""
-        return self.descriptors.promised[DescriptorUse.SERVER]
+    def max_connections(self) -> int:
+        """The servers' part of the node's descriptors."""
+        return self._context.descriptors.most[DescriptorUse.SERVER]
 
     @property
-    def most_links(self) -> int:
-        return self.descriptors.most[DescriptorUse.SERVER]
-
-    def now_us(self) -> int:
-        """The Unix clock, by which rules are judged and servers' starts are told; it never goes back."""
-        self.last_us = max(self.last_us, self.clock.wall_us())
-        return self.last_us
-
-    def idle(self, server: Server, session: Session) -> list[ServerLink]:
-        """The server's links that a set-up may go out on, the one heard last at the end. Not one that the
-        server is ending or is about to: a set-up lost there fails for good where it may not be repeated."""
-        since_us = self.now_us() - self.config.terms.idle_us * 3 // 4
-        here = [link for link in server.links if link.idle and link.address == server.address]
-        fit = [link for link in here if link.heard_us >= since_us and not link.ended()]
-        # Where a set-up under this id was given up, the answer to it may be on its way.
-        fit = [link for link in fit if session.id not in link.given_up and len(link.given_up) < MOST_GIVEN_UP]
-        return sorted(fit, key=lambda link: link.heard_us)
-
-    def spare(self, turn_us: int = 0) -> bool:
-        """Close an idle link to make room for another, where there is one: the one silent longest of those
-        that nothing needs, or else one that has been there for a turn."""
-        now_us = self.now_us()
-        idle = [link for server in self.servers.values() for link in server.links if link.idle]
-        free = [link for link in idle if not (link.server.needs_link and len(link.server.links) == 1)]
-        if free:
-            min(free, key=lambda link: link.heard_us).close(Outcome.CONNECTION_LOST)
+    def is_full(self) -> bool:
+        """Whether no further connection may be opened."""
+        return self.connection_count >= self.max_connections
+
+    def create(self, server: Server) -> ServerConnection:
+        """A new connection, to be started by the caller."""
+        return ServerConnection(self._owner, server)
+
+    def find_idle(self, server: Server, session: Session) -> list[ServerLink]:
+        """Connections on which the session's set-up may be sent, the one last heard from at the end.
+
+        None of them is being closed by the server or is about to be: a set-up lost there fails for good
+        where it may not be repeated.
+        """
+        since_us = self._context.now_us() - self._context.config.terms.idle_us * 3 // 4
+        idle = [link for link in server.links if link.idle and link.address == server.address]
+        live = [link for link in idle if link.heard_us >= since_us and not link.ended()]
+        # Where a set-up under this id was abandoned, the answer to it may be on its way.
+        usable = [
+            link for link in live if session.id not in link.given_up and len(link.given_up) < MAX_ABANDONED
+        ]
+        return sorted(usable, key=lambda link: link.heard_us)
+
+    def close_idle(self, min_age_us: int = 0) -> bool:
+        """Close an idle connection to make room for another.
+
+        The one silent longest of those that no server needs is closed, or else the oldest, if it has been
+        open for `min_age_us`.
+
+        Returns:
+            Whether one was closed.
+        """
+        now_us = self._context.now_us()
+        servers = self._context.servers.values()
+        idle = [link for server in servers for link in server.links if link.idle]
+        unneeded = [link for link in idle if not (link.server.needs_link and len(link.server.links) == 1)]
+        if unneeded:
+            min(unneeded, key=lambda link: link.heard_us).close(Outcome.CONNECTION_LOST)
             return True
-        out = min(idle, key=lambda link: link.opened_us, default=None)
-        if out is None or now_us - out.opened_us < turn_us:
+        oldest = min(idle, key=lambda link: link.opened_us, default=None)
+        if oldest is None or now_us - oldest.opened_us < min_age_us:
             return False
-        out.close(Outcome.CONNECTION_LOST)
+        oldest.close(Outcome.CONNECTION_LOST)
         return True
 
-    def reach(self, waiting: list[Server]) -> None:
-        """Links to servers that need one, within the servers' part of the descriptors. Where they are more
-        than that, they take turns: a server tells what has ended on the next connection that is opened."""
-        turn_us = TURNS_US * self.most_links // (self.most_links + len(waiting))
+    def make_room(self) -> bool:
+        """Whether a connection may be opened, after an idle one was closed where that was necessary."""
+        if self.is_full:
+            self.close_idle()
+        return not self.is_full
+
+    def connect_waiting(self, waiting: list[Server]) -> None:
+        """Connect to servers that need it, in turns where they are more than the connections allowed.
+
+        A server repeats on the next connection which sessions have ended.
+        """
+        turn_us = TURNS_US * self.max_connections // (self.max_connections + len(waiting))
         for server in sorted(waiting, key=lambda server: server.left_us):
-            if self.links >= self.most_links and not self.spare(turn_us):
+            if self.is_full and not self.close_idle(turn_us):
                 return
-            ServerConnection(self, server).start()
+            self.create(server).start()
+
+    def close_outdated(self, server: Server, *, only_dials: bool = False) -> None:
+        """Close connections that lead to another process than the list now means.
 
-    def redial(self, server: Server, dials_only: bool = False) -> None:
-        """Close what leads to another process than the list now means: a dial under way to a server that has
-        gone reaches the one in its place, whose signs of life then held what had played at the first."""
+        A dial under way to a server that has gone would reach the one in its place, whose signs of life
+        would then keep sessions of the first open.
+        """
         for link in list(server.links):
             if link.phase is ConnectionState.DIALLING:
                 link.close(Outcome.NOT_SENT)
-            elif link.idle and not dials_only:
+            elif link.idle and not only_dials:
                 link.close(Outcome.CONNECTION_LOST)
--- /dev/null
+++ b/packages/node/src/fennelcove/node/session_messenger.py
@@ -0,0 +1,55 @@
+"""Messages on sessions to clients and servers, and removal of closed sessions."""
+
+from __future__ import annotations
+
+from fennelcove.node.deadlines import Deadlines
+from fennelcove.node.model import ConnectionState, Session
+from fennelcove.node.node_context import NodeContext
+
+
+class SessionMessenger:
+    """Sends without waiting; used with the node's lock held."""
+
+    def __init__(self, context: NodeContext, deadlines: Deadlines) -> None:
+        """Use the context's connections; `deadlines` are those of unanswered set-up requests."""
+        self._context = context
+        self._deadlines = deadlines
+
+    def answer(self, session: Session, data: bytes) -> bool:
+        """Answer the set-up request, on its own connection only.
+
+        Returns:
+            False where its client has not got all of it. The kernel accepts data for a client that has closed
+            as well, and the session would be established for nobody.
+        """
+        self._deadlines.drop(session)
+        return session.viewer is not None and not session.viewer.left() and session.viewer.send(data)
+
+    def send_to_client(self, session: Session, data: bytes) -> None:
+        """Send on the set-up's connection, or another of the same client's, or keep it for the next one."""
+        client = session.viewer
+        if client is None or client.left():
+            client = self._context.connections.other(session.peer, session.client_id)
+        if client is None or not client.send(data):
+            self._context.connections.defer(session.peer, data, self._context.now_us())
+
+    def send_to_server(self, session: Session, data: bytes) -> None:
+        """Send on an open connection to the session's server, or keep it for the next one."""
+        if session.attempt is None:
+            return
+        server = session.attempt.server
+        for link in list(server.links):
+            # Lost on a connection that has ended, a message left its session established for nobody.
+            if link.phase is ConnectionState.OPEN and not link.ended() and link.send(data):
+                return
+        server.unsent.append(data)
+
+    def forget(self, session: Session) -> None:
+        """Remove a closed session from every table."""
+        self._context.sessions.pop(session.id, None)
+        self._deadlines.drop(session)
+        if session.viewer is not None:
+            session.viewer.open.pop(session, None)
+            session.viewer.standing.pop(session, None)
+        if session.attempt is not None:
+            session.attempt.server.established.pop(session, None)
--- a/packages/node/src/fennelcove/node/session_states.py
+++ b/packages/node/src/fennelcove/node/session_states.py
@@ -1,181 +1,246 @@
-"""Where a subscription of the node stands, what moves it on, and what is done then."""
+"""The state machine of a session: its transitions, and the actions carried out on each of them."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from enum import Enum
+from enum import Enum, auto
 from typing import Protocol
 
-from fennelcove.interface import ClientGone, Event, AttemptCompleted, Outcome, SessionStarted
+from fennelcove.interface import AttemptCompleted, ClientGone, Event, Outcome, SessionStarted
 from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause, Code, Kind
-from fennelcove.node.model import SessionState, Session
+from fennelcove.node.model import Attempt, Session, SessionState
 from fennelcove.rtsp import writer as rtsp
+from fennelcove.state_machine import Transition, TransitionTable, Unlisted
 
-SessionEvent = Enum("SessionEvent", "JOIN ANSWERED ENDED THROTTLE TERMINATE RUNG MOVE VIEWER_GONE STOP")
+STATUS_OK = 200
+STATUS_REJECTED = 453
+STATUS_FAILED = 500
+RETRY_AFTER_FIELD = "Come-Back-Ms"
+TEARDOWN_CSEQ = "2"
+REDIRECT_CSEQ = "4"
+# What a server's end of a session means to its client; any other outcome is a reset.
+RELEASE_CAUSES = {Outcome.SERVED: Cause.OK}
+
+
+class SessionEvent(Enum):
+    """What moves a session from one state to the next."""
+
+    ATTEMPT_STARTED = auto()
+    SETUP_ANSWERED = auto()
+    ATTEMPT_ENDED = auto()  # the attempt has failed, or the session that it established has ended
+    REJECTED = auto()
+    FAILED = auto()
+    RUNG_CHANGED = auto()
+    MIGRATED = auto()
+    CLIENT_GONE = auto()
+    ABORTED = auto()  # the node shuts down, or the placement policy has failed on the session
 
 
 class SessionActions(Protocol):
-    """What effects are carried out with; the node's lock is held."""
+    """The operations by which transitions act on the node; called with the node's lock held."""
 
-    def now_us(self) -> int: ...
+    def now_us(self) -> int:
+        """Unix time; never goes back."""
+        ...
 
-    def tell(self, event: Event) -> None: ...
+    def tell(self, event: Event) -> None:
+        """Notify the placement policy."""
+        ...
 
-    def carry(self, session: Session) -> None: ...
+    def carry(self, session: Session) -> None:
+        """Dispatch the session's current attempt."""
+        ...
 
-    def answer(self, session: Session, data: bytes) -> bool: ...
+    def answer(self, session: Session, data: bytes) -> bool:
+        """Answer the set-up request; False where its client has not got all of the answer."""
+        ...
 
-    def to_viewer(self, session: Session, data: bytes) -> None: ...
+    def to_viewer(self, session: Session, data: bytes) -> None:
+        """Send to the client on any of its connections, or on its next one."""
+        ...
 
-    def to_server(self, session: Session, data: bytes) -> None: ...
+    def to_server(self, session: Session, data: bytes) -> None:
+        """Send to the session's server, now or on its next connection."""
+        ...
 
-    def forget(self, session: Session) -> None: ...
+    def forget(self, session: Session) -> None:
+        """Remove the session from every table."""
+        ...
 
 
-Effect = Callable[[SessionActions, Session], None]
+Action = Callable[[SessionActions, Session], None]
 
-# What a server's release means to the viewer who is owed one.
-RELEASES = {Outcome.SERVED: Cause.OK}
 
+def apply_event(actions: SessionActions, session: Session, event: SessionEvent) -> bool:
+    """Apply an event to a session and carry out the actions of the transition.
 
-def apply_event(hands: SessionActions, session: Session, given: SessionEvent) -> bool:
-    """Move on; False where the input means nothing here, as what crosses with an end does."""
-    row = TABLE.get((session.state, given))
-    if row is None:
+    Returns:
+        False where the event has no meaning in the session's state, as where it crosses the session's end.
+    """
+    transition = TRANSITIONS.find(session.state, event)
+    if transition is None:
         return False
-    session.state, effect = row
-    effect(hands, session)
+    session.state = transition.state
+    for action in transition.actions:
+        action(actions, session)
     return True
 
 
-def nothing(hands: SessionActions, session: Session) -> None:
-    """The effect of a row that only keeps its state."""
+def release_message(session: Session, cause: Cause) -> bytes:
+    """The message that notifies a client of its session's end."""
+    return rtsp.request(
+        "TEARDOWN",
+        f"rtsp://media/{session.title}",
+        ("CSeq", TEARDOWN_CSEQ),
+        ("Session", session.name),
+        ("Reason", f"cause={int(cause)}"),
+    )
 
 
-def carry(hands: SessionActions, session: Session) -> None:
+def retry_after_fields(retry_after_us: int) -> tuple[tuple[str, str], ...]:
+    """The header field by which a client is asked to retry later; none for 0."""
+    if not retry_after_us:
+        return ()
+    return ((RETRY_AFTER_FIELD, str(max(1, retry_after_us // 1000))),)
+
+
+def _dispatch_attempt(actions: SessionActions, session: Session) -> None:
     if session.viewer is not None and session.viewer.left():
         # Its end lies unread while its thread waits for the lock, perhaps for long.
-        apply_event(hands, session, SessionEvent.VIEWER_GONE)
+        apply_event(actions, session, SessionEvent.CLIENT_GONE)
     else:
-        hands.carry(session)
+        actions.carry(session)
 
 
-def start(hands: SessionActions, session: Session) -> None:
-    """The server's description goes to the viewer as it is."""
-    attempt = session.attempt
-    assert attempt is not None
-    answer = rtsp.answer(200, ("CSeq", session.cseq), ("Session", session.name), body=session.answer)
-    heard = hands.answer(session, answer)
+def _establish(actions: SessionActions, session: Session) -> None:
+    """Answer the client with the server's description, unchanged."""
+    attempt = _attempt_of(session)
+    is_delivered = actions.answer(session, _setup_answer(session, STATUS_OK, body=session.answer))
     if session.viewer is not None:
         session.viewer.open.pop(session, None)
         session.viewer.standing[session] = None
     session.description = session.answer = b""
     attempt.link = None
-    attempt.server.standing[session] = None
-    hands.tell(SessionStarted(session.key, attempt.number, hands.now_us() - attempt.sent_us))
-    if not heard:
-        # Its connection broke under the answer: left standing, it would fill the server's link for nobody.
-        apply_event(hands, session, SessionEvent.VIEWER_GONE)
+    attempt.server.established[session] = None
+    actions.tell(SessionStarted(session.key, attempt.number, actions.now_us() - attempt.sent_us))
+    if not is_delivered:
+        # Its connection broke under the answer: kept, the session would load the server for nobody.
+        apply_event(actions, session, SessionEvent.CLIENT_GONE)
 
 
-def over(hands: SessionActions, session: Session, finished: bool) -> None:
-    attempt = session.attempt
-    assert attempt is not None
-    attempt.link = None
-    attempt.server.seen[attempt.outcome] += 1
-    if finished:
-        hands.forget(session)
-    hands.tell(AttemptCompleted(session.key, attempt.number, attempt.outcome, finished, attempt.report))
+def _on_attempt_failed(actions: SessionActions, session: Session) -> None:
+    _complete_attempt(actions, session, is_finished=False)
 
 
-def on_attempt_completed(hands: SessionActions, session: Session) -> None:
-    over(hands, session, False)
+def _on_session_ended(actions: SessionActions, session: Session) -> None:
+    """Close a session that has ended at its server, and notify the client unless it ended it itself."""
+    outcome = _attempt_of(session).outcome
+    if outcome is not Outcome.CALLED_OFF:
+        cause = RELEASE_CAUSES.get(outcome, Cause.RESET)
+        actions.to_viewer(session, release_message(session, cause))
+    _complete_attempt(actions, session, is_finished=True)
 
 
-def end(hands: SessionActions, session: Session) -> None:
-    """What stood is over at its server; its viewer is owed a release, unless it ended it itself."""
-    assert session.attempt is not None
-    if session.attempt.outcome is not Outcome.CALLED_OFF:
-        cause = RELEASES.get(session.attempt.outcome, Cause.RESET)
-        hands.to_viewer(session, release(session, cause))
-    over(hands, session, True)
+def _release_at_server(actions: SessionActions, session: Session) -> None:
+    """End an established session at its server, which does not know yet that the client has ended it."""
+    actions.to_server(session, isup.release(session.id, Cause.OK))
+    _attempt_of(session).outcome = Outcome.CALLED_OFF
+    _complete_attempt(actions, session, is_finished=True)
 
 
-def release(session: Session, cause: Cause) -> bytes:
-    fields = (("CSeq", "2"), ("Session", session.name), ("Reason", f"cause={int(cause)}"))
-    return rtsp.request("TEARDOWN", f"rtsp://media/{session.title}", *fields)
+def _abandon_attempt(actions: SessionActions, session: Session) -> None:
+    """Give up the attempt in flight: nobody waits for its answer any more."""
+    attempt = _attempt_of(session)
+    if attempt.link is not None:
+        attempt.link.give_up(session)
+    attempt.outcome = Outcome.CALLED_OFF
+    actions.tell(ClientGone(session.key))
+    _complete_attempt(actions, session, is_finished=True)
 
 
-def leave(hands: SessionActions, session: Session) -> None:
-    """The viewer has ended what stood: its server must let go of it."""
-    assert session.attempt is not None
-    hands.to_server(session, isup.release(session.id, Cause.OK))
-    session.attempt.outcome = Outcome.CALLED_OFF
-    over(hands, session, True)
+def _forget_pending(actions: SessionActions, session: Session) -> None:
+    actions.forget(session)
+    actions.tell(ClientGone(session.key))
 
 
-def give_up(hands: SessionActions, session: Session) -> None:
-    """Nobody waits for the answer any more."""
-    assert session.attempt is not None
-    if session.attempt.link is not None:
-        session.attempt.link.give_up(session)
-    session.attempt.outcome = Outcome.CALLED_OFF
-    hands.tell(ClientGone(session.key))
-    over(hands, session, True)
+def _reject(actions: SessionActions, session: Session) -> None:
+    fields = retry_after_fields(session.retry_after_us)
+    actions.answer(session, _setup_answer(session, STATUS_REJECTED, *fields))
+    actions.forget(session)
 
 
-def gone(hands: SessionActions, session: Session) -> None:
-    hands.forget(session)
-    hands.tell(ClientGone(session.key))
+def _fail(actions: SessionActions, session: Session) -> None:
+    actions.answer(session, _setup_answer(session, STATUS_FAILED))
+    actions.forget(session)
 
 
-def reject_session(hands: SessionActions, session: Session) -> None:
-    wait = (("Come-Back-Ms", str(max(1, session.wait_us // 1000))),) if session.wait_us else ()
-    hands.answer(session, rtsp.answer(453, ("CSeq", session.cseq), ("Session", session.name), *wait))
-    hands.forget(session)
+def _abort_pending(actions: SessionActions, session: Session) -> None:
+    """Answer without the placement policy, which may have failed on the session and still holds it."""
+    _fail(actions, session)
+    actions.tell(ClientGone(session.key))
 
 
-def fail_session(hands: SessionActions, session: Session) -> None:
-    hands.answer(session, rtsp.answer(500, ("CSeq", session.cseq), ("Session", session.name)))
-    hands.forget(session)
+def _abort_attempt(actions: SessionActions, session: Session) -> None:
+    """Answer with a failure: it is unknown whether the attempt in flight took effect."""
+    actions.answer(session, _setup_answer(session, STATUS_FAILED))
+    _abandon_attempt(actions, session)
 
 
-def abandon(hands: SessionActions, session: Session) -> None:
-    """Answered past the module, which may have failed on it and holds it still."""
-    fail_session(hands, session)
-    hands.tell(ClientGone(session.key))
+def _send_rung(actions: SessionActions, session: Session) -> None:
+    rung = b"%d" % (session.rung or 0)
+    actions.to_server(session, isup.message(Kind.RUNG, session.id, (Code.RUNG, rung)))
 
 
-def cut_short(hands: SessionActions, session: Session) -> None:
-    """The node ends: one answer is owed all the same, and nobody can tell whether the join ran."""
-    hands.answer(session, rtsp.answer(500, ("CSeq", session.cseq), ("Session", session.name)))
-    give_up(hands, session)
+def _migrate(actions: SessionActions, session: Session) -> None:
+    """Ask the client to set the session up anew, and end the present one."""
+    fields = (("CSeq", REDIRECT_CSEQ), ("Session", session.name))
+    actions.to_viewer(session, rtsp.request("REDIRECT", f"rtsp://media/{session.title}", *fields))
+    _release_at_server(actions, session)
 
 
-def change_rung(hands: SessionActions, session: Session) -> None:
-    hands.to_server(session, isup.message(Kind.RUNG, session.id, (Code.RUNG, b"%d" % (session.rung or 0))))
-
-
-def move(hands: SessionActions, session: Session) -> None:
-    fields = (("CSeq", "4"), ("Session", session.name))
-    hands.to_viewer(session, rtsp.request("REDIRECT", f"rtsp://media/{session.title}", *fields))
-    leave(hands, session)
-
-
-TABLE: dict[tuple[SessionState, SessionEvent], tuple[SessionState, Effect]] = {
-    (SessionState.OPEN, SessionEvent.JOIN): (SessionState.JOINING, carry),
-    (SessionState.OPEN, SessionEvent.RUNG): (SessionState.OPEN, nothing),  # goes out with the set-up
-    (SessionState.OPEN, SessionEvent.THROTTLE): (SessionState.OVER, reject_session),
-    (SessionState.OPEN, SessionEvent.TERMINATE): (SessionState.OVER, fail_session),
-    (SessionState.OPEN, SessionEvent.VIEWER_GONE): (SessionState.OVER, gone),
-    (SessionState.JOINING, SessionEvent.ANSWERED): (SessionState.STANDING, start),
-    (SessionState.JOINING, SessionEvent.ENDED): (SessionState.OPEN, on_attempt_completed),
-    (SessionState.JOINING, SessionEvent.VIEWER_GONE): (SessionState.OVER, give_up),
-    (SessionState.OPEN, SessionEvent.STOP): (SessionState.OVER, abandon),
-    (SessionState.JOINING, SessionEvent.STOP): (SessionState.OVER, cut_short),
-    (SessionState.STANDING, SessionEvent.RUNG): (SessionState.STANDING, change_rung),
-    (SessionState.STANDING, SessionEvent.MOVE): (SessionState.OVER, move),
-    (SessionState.STANDING, SessionEvent.ENDED): (SessionState.OVER, end),
-    (SessionState.STANDING, SessionEvent.VIEWER_GONE): (SessionState.OVER, leave),
-}
+def _complete_attempt(actions: SessionActions, session: Session, *, is_finished: bool) -> None:
+    attempt = _attempt_of(session)
+    attempt.link = None
+    attempt.server.outcome_counts[attempt.outcome] += 1
+    if is_finished:
+        actions.forget(session)
+    actions.tell(AttemptCompleted(session.key, attempt.number, attempt.outcome, is_finished, attempt.report))
+
+
+def _setup_answer(session: Session, status: int, *fields: tuple[str, str], body: bytes = b"") -> bytes:
+    return rtsp.answer(status, ("CSeq", session.cseq), ("Session", session.name), *fields, body=body)
+
+
+def _attempt_of(session: Session) -> Attempt:
+    if session.attempt is None:
+        raise RuntimeError(f"session {session.key} has no attempt in state {session.state.name}")
+    return session.attempt
+
+
+def _row(state: SessionState, *actions: Action) -> Transition[SessionState, Action]:
+    return Transition(state, actions)
+
+
+TRANSITIONS = TransitionTable[SessionState, SessionEvent, Action](
+    {
+        (SessionState.PENDING, SessionEvent.ATTEMPT_STARTED): _row(
+            SessionState.ATTEMPTING, _dispatch_attempt
+        ),
+        # The rung is sent with the set-up request.
+        (SessionState.PENDING, SessionEvent.RUNG_CHANGED): _row(SessionState.PENDING),
+        (SessionState.PENDING, SessionEvent.REJECTED): _row(SessionState.CLOSED, _reject),
+        (SessionState.PENDING, SessionEvent.FAILED): _row(SessionState.CLOSED, _fail),
+        (SessionState.PENDING, SessionEvent.CLIENT_GONE): _row(SessionState.CLOSED, _forget_pending),
+        (SessionState.PENDING, SessionEvent.ABORTED): _row(SessionState.CLOSED, _abort_pending),
+        (SessionState.ATTEMPTING, SessionEvent.SETUP_ANSWERED): _row(SessionState.ESTABLISHED, _establish),
+        (SessionState.ATTEMPTING, SessionEvent.ATTEMPT_ENDED): _row(SessionState.PENDING, _on_attempt_failed),
+        (SessionState.ATTEMPTING, SessionEvent.CLIENT_GONE): _row(SessionState.CLOSED, _abandon_attempt),
+        (SessionState.ATTEMPTING, SessionEvent.ABORTED): _row(SessionState.CLOSED, _abort_attempt),
+        (SessionState.ESTABLISHED, SessionEvent.RUNG_CHANGED): _row(SessionState.ESTABLISHED, _send_rung),
+        (SessionState.ESTABLISHED, SessionEvent.MIGRATED): _row(SessionState.CLOSED, _migrate),
+        (SessionState.ESTABLISHED, SessionEvent.ATTEMPT_ENDED): _row(SessionState.CLOSED, _on_session_ended),
+        (SessionState.ESTABLISHED, SessionEvent.CLIENT_GONE): _row(SessionState.CLOSED, _release_at_server),
+    },
+    unlisted=Unlisted.IGNORE,
+)
--- a/packages/node/src/fennelcove/node/state_dump.py
+++ b/packages/node/src/fennelcove/node/state_dump.py
@@ -1,7 +1,6 @@
-"""What the module believes of each server beside what the node has seen of it: one log line a server, and
-one of the account of descriptors.
+"""Periodic dump of each server's state, as the placement policy and the node see it, and of descriptors.
 
-Off unless the environment sets FENNELCOVE_TRACE to a number of milliseconds between two rounds of lines.
+Off unless the environment sets FENNELCOVE_TRACE to the number of milliseconds between two dumps.
 """
 
 from __future__ import annotations
@@ -16,12 +15,13 @@
 from fennelcove.node.model import Server
 from fennelcove.placement import PlacementPolicy
 
-MOST_ROUNDS = 1_000  # standard output counts as memory
-LEAST_MS = 100
+INTERVAL_VARIABLE = "FENNELCOVE_TRACE"
+MAX_DUMPS = 1_000  # standard output counts as memory
+MIN_INTERVAL_MS = 100
 
 
-class StateDumper(Protocol):
-    """What is traced."""
+class DumpedNode(Protocol):
+    """What is dumped."""
 
     lock: threading.Lock
     notice: EventLogger
@@ -30,47 +30,49 @@
     descriptors: DescriptorBudget
 
 
-def start(desk: StateDumper) -> None:
-    """Begin to trace, where it is asked for."""
-    raw = os.environ.get("FENNELCOVE_TRACE", "")
-    if raw.isdecimal() and int(raw) > 0:
-        gap_ms = max(LEAST_MS, int(raw))
-        threading.Thread(target=_rounds, args=(desk, gap_ms), name="trace", daemon=True).start()
+def start(node: DumpedNode) -> None:
+    """Start to dump, where the environment asks for it."""
+    raw = os.environ.get(INTERVAL_VARIABLE, "")
+    if not raw.isdecimal() or int(raw) <= 0:
+        return
+    interval_ms = max(MIN_INTERVAL_MS, int(raw))
+    threading.Thread(target=_dump_periodically, args=(node, interval_ms), name="trace", daemon=True).start()
 
 
-def _rounds(desk: StateDumper, gap_ms: int) -> None:
-    for _ in range(MOST_ROUNDS):
-        time.sleep(gap_ms / 1000)
-        with desk.lock:
-            found = lines(desk)
+def lines(node: DumpedNode) -> list[dict[str, object]]:
+    """The fields of one log line for each server; the node's lock is held."""
+    return [_server_fields(node, server) for server in node.servers.values()]
+
+
+def _dump_periodically(node: DumpedNode, interval_ms: int) -> None:
+    for _ in range(MAX_DUMPS):
+        time.sleep(interval_ms / 1000)
+        with node.lock:
+            found = lines(node)
         for line in found:
-            desk.notice("trace", **line)
-        desk.notice("descriptors", **desk.descriptors.told())
-
-
-def lines(desk: StateDumper) -> list[dict[str, object]]:
-    """One for each server; the desk's lock is held."""
-    found: list[dict[str, object]] = []
-    for server in desk.servers.values():
-        line: dict[str, object] = {
-            "server": server.name,
-            "listed": server.listed,
-            "links": len(server.links),
-            "standing": len(server.standing),
-            "seen": {outcome.name: count for outcome, count in server.seen.items()},
-        }
-        held = desk.front.servers.get(server.name)
-        if held is not None:
-            asked = held.link.asked
-            line |= {
-                "zone": held.zone,
-                "health": held.health.name,
-                "strikes": held.strikes,
-                "cold": desk.front.is_cold(held),
-                "asked": None if asked is None else round(asked, 3),
-                "taken_for": round(desk.front.link_asked(held), 3),
-                "own": round(held.own_kb / held.link.size_kb, 3),
-                "subs": len(held.sessions),
-            }
-        found.append(line)
-    return found
+            node.notice("trace", **line)
+        node.notice("descriptors", **node.descriptors.told())
+
+
+def _server_fields(node: DumpedNode, server: Server) -> dict[str, object]:
+    fields: dict[str, object] = {
+        "server": server.name,
+        "listed": server.listed,
+        "links": len(server.links),
+        "standing": len(server.established),
+        "seen": {outcome.name: count for outcome, count in server.outcome_counts.items()},
+    }
+    entry = node.front.servers.get(server.name)
+    if entry is None:
+        return fields
+    asked = entry.link.asked
+    return fields | {
+        "zone": entry.zone,
+        "health": entry.health.name,
+        "strikes": entry.strikes,
+        "cold": node.front.is_cold(entry),
+        "asked": None if asked is None else round(asked, 3),
+        "taken_for": round(node.front.link_asked(entry), 3),
+        "own": round(entry.own_kb / entry.link.size_kb, 3),
+        "subs": len(entry.sessions),
+    }
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -214,7 +214,7 @@
         caller.sock.close()
         eventually(lambda: inside.gate.reached("viewer"), "the end read, and not acted on")
         tried.say(released(tried.of(Kind.SET_UP)[0], Cause.FULL))
-        eventually(lambda: inside.desk.servers[tried.name].seen, "the refusal heard")
+        eventually(lambda: inside.desk.servers[tried.name].outcome_counts, "the refusal heard")
         with inside.gate:
             self.assertFalse(inside.desk.servers[other.name].links or inside.desk.sessions)
         inside.gate.free("viewer")
@@ -256,7 +256,7 @@
         caller.sock.close()
         eventually(lambda: inside.gate.reached("viewer"), "the end read, and not acted on")
         server.say(answered(sent))
-        eventually(lambda: sub.state in (SessionState.STANDING, SessionState.OVER), "the answer heard")
+        eventually(lambda: sub.state in (SessionState.ESTABLISHED, SessionState.CLOSED), "the answer heard")
         inside.gate.free("viewer")
         thread.join(noderig.WAIT_S)
         [release] = eventually(lambda: server.of(Kind.RELEASE), "its end at the server")
@@ -481,8 +481,8 @@
             self.assertIn(viewer.answer().status, (200, 453))
         waits = inside.desk.deadlines
         with inside.gate:
-            self.assertFalse(waits.order)
-            looks = [at for at, _, call in inside.timers.due if call is waits.due]
+            self.assertFalse(waits.entries)
+            looks = [at for at, _, call in inside.timers.due if call is waits.on_timer]
         self.assertLessEqual(len(looks), 1)
 
 
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -18,7 +18,7 @@
 from fennelcove.isup.messages import Cause, Code, Kind, Message
 from fennelcove.isup.reader import Reader
 from fennelcove.log import silent
-from fennelcove.node import config, session_manager, request_validation
+from fennelcove.node import config, request_validation, server_messages, session_manager
 from fennelcove.node.server_connection import ServerConnection
 from fennelcove.node.client_connection import ClientConnection
 from fennelcove.rtsp import messages as rtsp
@@ -430,7 +430,9 @@
         eventually(lambda: server.of(Kind.SET_UP), "a connection")
         note = isup.message(Kind.NOTE, bytes.fromhex(ID), (Code.NOTE_NAME, b"nic"), (Code.FIGURE, b"0.5"))
         test = isup.message(Kind.TEST, bytes(8), (Code.CAUSE, b"\0"))
-        server.say(note * session_manager.MOST_EARLY_EACH + isup.release(bytes.fromhex(ID), Cause.OK) + test)
+        server.say(
+            note * server_messages.MAX_EARLY_MESSAGES + isup.release(bytes.fromhex(ID), Cause.OK) + test
+        )
         eventually(lambda: server.of(Kind.TESTED), "the answer to a test behind them")
         viewer.set_up(ID, routing="home:0;copies:4;top:2;at:s0")
         self.assertEqual(viewer.request().fields["reason"], "cause=16")
--- a/tests/test_node_desk.py
+++ b/tests/test_node_desk.py
@@ -19,6 +19,8 @@
 from fennelcove.log import silent
 from fennelcove.node import (
     config,
+    server_messages,
+    server_monitor,
     session_manager,
     request_validation,
     session_states,
@@ -168,7 +170,7 @@
         self.assertEqual(far.recv(4096), b"")
         [answer] = self.viewer.said
         self.assertTrue(answer.startswith(b"RTSP/1.0 453 "))
-        self.assertEqual(self.desk.servers["s0"].seen, {Outcome.NOT_SENT: 1})
+        self.assertEqual(self.desk.servers["s0"].outcome_counts, {Outcome.NOT_SENT: 1})
 
     def test_a_dial_that_is_in_time_carries_its_set_up(self) -> None:
         link, listener = self.dialling()
@@ -185,7 +187,7 @@
         with mock.patch.object(socket, "socket", side_effect=OSError(errno.EMFILE, "too many open files")):
             self.assertIsNone(link._dial())
         self.assertFalse(self.desk.servers["s0"].links or self.desk.links)
-        self.assertEqual(self.desk.servers["s0"].seen, {Outcome.NOT_SENT: 1})
+        self.assertEqual(self.desk.servers["s0"].outcome_counts, {Outcome.NOT_SENT: 1})
 
     def test_a_dial_that_was_given_up_counts_until_it_ends(self) -> None:
         # It holds its descriptor: with silent servers, dials went past the node's part of the descriptors.
@@ -211,10 +213,10 @@
         link, far = self.link()
         self.set_up()
         self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
-        self.clock.advance(session_manager.QUIET_US + 1)
+        self.clock.advance(server_monitor.PROBE_AFTER_US + 1)
         self.desk.round()
         self.assertEqual([message.kind for message in self.heard(far)], [Kind.SET_UP, Kind.TEST])
-        self.clock.advance(session_manager.SILENT_US + 1)
+        self.clock.advance(server_monitor.PROBE_TIMEOUT_US + 1)
         with mock.patch("threading.Thread"):
             self.desk.round()
         self.assertIs(link.phase, ConnectionState.CLOSED)
@@ -228,7 +230,7 @@
         fields["routing-data"] = "home:0;copies:4;top:2;at:s0"
         request_validation.hear(self.desk, self.viewer, rtsp.Request("SETUP", "rtsp://media/7f", fields, b""))
         self.assertIs(self.desk.sessions[ID], sub)
-        self.assertEqual((sub.state, len(self.viewer.said)), (SessionState.STANDING, said))
+        self.assertEqual((sub.state, len(self.viewer.said)), (SessionState.ESTABLISHED, said))
 
     def test_a_join_that_can_t_be_timed_is_not_sent(self) -> None:
         # Without its limit it would outlast its viewer on a server that says nothing.
@@ -249,7 +251,9 @@
         self.set_up()
         self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
         self.assertEqual([message.kind for message in self.heard(far)], [Kind.SET_UP, Kind.RELEASE])
-        self.assertFalse(self.desk.sessions or self.desk.front.sessions or self.desk.servers["s0"].standing)
+        self.assertFalse(
+            self.desk.sessions or self.desk.front.sessions or self.desk.servers["s0"].established
+        )
 
     def test_an_end_with_no_connection_open_waits_for_the_next(self) -> None:
         # After a reset its viewer was never told, and waited for good.
@@ -285,12 +289,12 @@
     def test_no_table_grows_with_what_has_passed(self) -> None:
         # Memory that grows is priced. Each round brings new sessions, servers and peers, and ends them all.
         def everything() -> None:
-            rows = [{**HOST, "host": f"s{self.desk.last_us}-{number}"} for number in range(4)]
-            rev = self.desk.last_us
+            rows = [{**HOST, "host": f"s{self.desk.context.last_us}-{number}"} for number in range(4)]
+            rev = self.desk.context.last_us
             self.told(rev, *rows)
             for number, end in enumerate((Cause.OK, Cause.RESET, Cause.FULL, Cause.ERROR, None)):
-                id = (self.desk.last_us * 8 + number).to_bytes(8, "big")
-                viewer = Said(self.desk, f"peer {self.desk.last_us}")
+                id = (self.desk.context.last_us * 8 + number).to_bytes(8, "big")
+                viewer = Said(self.desk, f"peer {self.desk.context.last_us}")
                 self.addCleanup(viewer.sock.close)
                 self.desk.connections.add(viewer)
                 fields = {"cseq": "1", "session": id.hex(), "call-kind": "recorded", "answer-within": "8000"}
@@ -339,12 +343,12 @@
     def test_a_join_whose_wait_is_over_is_given_up_on_the_wire_first(self) -> None:
         link, far = self.link()
         sub = self.set_up()
-        self.assertIs(sub.state, SessionState.JOINING)
+        self.assertIs(sub.state, SessionState.ATTEMPTING)
         self.pass_time(8_000_000)
         sent, given_up = self.heard(far)
         self.assertEqual((sent.kind, given_up.kind, given_up.cause), (Kind.SET_UP, Kind.RELEASE, Cause.OK))
         self.assertIs(link.phase, ConnectionState.CLOSED)
-        self.assertEqual(self.desk.servers["s0"].seen, {Outcome.NO_ANSWER: 1})
+        self.assertEqual(self.desk.servers["s0"].outcome_counts, {Outcome.NO_ANSWER: 1})
         [answer] = self.viewer.said
         self.assertTrue(answer.startswith(b"RTSP/1.0 453 "))
         self.assertFalse(self.desk.sessions)
@@ -356,7 +360,7 @@
         late = Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"late"})
         self.desk.hear(link, late)
         self.assertEqual(len(self.viewer.said), 1)
-        self.assertFalse(self.desk.early)
+        self.assertFalse(self.desk.messages.early)
 
     def test_an_answer_without_its_description_is_none(self) -> None:
         link, _ = self.link()
@@ -376,14 +380,14 @@
 
     def test_early_messages_are_bounded_and_forgotten(self) -> None:
         link, _ = self.link()
-        for number in range(session_manager.MOST_EARLY + 10):
-            for _ in range(session_manager.MOST_EARLY_EACH + 1 if number == 0 else 1):
+        for number in range(server_messages.MAX_EARLY_SESSIONS + 10):
+            for _ in range(server_messages.MAX_EARLY_MESSAGES + 1 if number == 0 else 1):
                 self.desk.hear(link, Message(Kind.NOTE, number.to_bytes(8, "big"), {}))
-        self.assertEqual(len(self.desk.early), session_manager.MOST_EARLY)
-        self.assertEqual(len(self.desk.early[bytes(8)]), session_manager.MOST_EARLY_EACH)
-        self.clock.advance(session_manager.EARLY_US + 1)
+        self.assertEqual(len(self.desk.messages.early), server_messages.MAX_EARLY_SESSIONS)
+        self.assertEqual(len(self.desk.messages.early[bytes(8)]), server_messages.MAX_EARLY_MESSAGES)
+        self.clock.advance(server_messages.EARLY_MESSAGE_US + 1)
         self.desk.round()
-        self.assertFalse(self.desk.early)
+        self.assertFalse(self.desk.messages.early)
 
     def test_links_stay_within_their_part_of_the_descriptors(self) -> None:
         links = [self.link()[0] for _ in range(self.desk.most_links)]
@@ -391,7 +395,7 @@
             link.carried = Session(bytes(8), "", "", "", "", b"", None, "")
         self.ask()
         self.assertEqual(self.desk.links, self.desk.most_links)
-        self.assertEqual(self.desk.servers["s0"].seen, {Outcome.NOT_SENT: 1})
+        self.assertEqual(self.desk.servers["s0"].outcome_counts, {Outcome.NOT_SENT: 1})
 
     def test_nothing_is_left_of_what_is_over(self) -> None:
         link, _ = self.link()
@@ -400,7 +404,7 @@
         self.assertIn(sub, self.viewer.standing)
         self.desk.hear(link, Message(Kind.RELEASE, ID, {Code.CAUSE: bytes([Cause.OK])}))
         server = self.desk.servers["s0"]
-        self.assertFalse(self.desk.sessions or self.viewer.standing or self.viewer.open or server.standing)
+        self.assertFalse(self.desk.sessions or self.viewer.standing or self.viewer.open or server.established)
         self.assertFalse(self.desk.front.sessions)
 
     def test_a_gone_server_is_forgotten_with_its_links(self) -> None:
@@ -420,10 +424,10 @@
         for told in DiscoveryStream.parse({"rev": 2, "notices": [notice(2, rows)]}).notices:
             self.desk.board_says(told)
         self.desk.round()
-        self.assertIs(sub.state, SessionState.STANDING)  # its link stands yet
+        self.assertIs(sub.state, SessionState.ESTABLISHED)  # its link stands yet
         link.close(Outcome.CONNECTION_LOST)
         self.desk.round()
-        self.assertIs(sub.state, SessionState.OVER)
+        self.assertIs(sub.state, SessionState.CLOSED)
         self.assertIn(b"Reason: cause=41", self.viewer.said[-1])
         self.assertEqual(self.desk.links, 0)
 
@@ -446,30 +450,30 @@
         server.dial_at_us = 1 << 62
         self.clock.advance(6_900_000)
         self.desk.round()
-        self.assertIs(sub.state, SessionState.STANDING)
+        self.assertIs(sub.state, SessionState.ESTABLISHED)
         self.clock.advance(200_000)
         self.desk.round()
-        self.assertIs(sub.state, SessionState.OVER)
+        self.assertIs(sub.state, SessionState.CLOSED)
 
     def test_a_server_whose_machine_refuses_is_gone(self) -> None:
         server, sub = self.standing_without_a_link()
         self.desk.dial_failed(server, refused=True)
-        self.assertIs(sub.state, SessionState.STANDING)
+        self.assertIs(sub.state, SessionState.ESTABLISHED)
         self.desk.dial_failed(server, refused=True)
-        self.assertIs(sub.state, SessionState.OVER)
+        self.assertIs(sub.state, SessionState.CLOSED)
 
     def test_a_server_off_the_list_that_is_silent_is_gone(self) -> None:
         server, sub = self.standing_without_a_link()
         for _ in range(2):
             self.desk.dial_failed(server, refused=False)
         server.dial_at_us = 1 << 62
-        self.assertIs(sub.state, SessionState.STANDING)
+        self.assertIs(sub.state, SessionState.ESTABLISHED)
         for told in DiscoveryStream.parse(
             {"rev": 2, "notices": [notice(2, [{**HOST, "health": "removed"}])]}
         ).notices:
             self.desk.board_says(told)
         self.desk.round()
-        self.assertIs(sub.state, SessionState.OVER)
+        self.assertIs(sub.state, SessionState.CLOSED)
 
     def test_a_node_that_ends_answers_what_is_open(self) -> None:
         _, far = self.link()
@@ -483,7 +487,7 @@
         link, far = self.link()
         sub = self.set_up()
         self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
-        session_states.apply_event(self.desk, sub, session_states.SessionEvent.MOVE)
+        session_states.apply_event(self.desk, sub, session_states.SessionEvent.MIGRATED)
         self.assertTrue(self.viewer.said[-1].startswith(b"REDIRECT rtsp://media/7f RTSP/1.0"))
         self.assertEqual([message.kind for message in self.heard(far)], [Kind.SET_UP, Kind.RELEASE])
         self.assertFalse(self.desk.sessions)
@@ -493,7 +497,7 @@
         sub = self.set_up()
         self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
         link.close(Outcome.CONNECTION_LOST)
-        session_states.apply_event(self.desk, sub, session_states.SessionEvent.VIEWER_GONE)
+        session_states.apply_event(self.desk, sub, session_states.SessionEvent.CLIENT_GONE)
         self.assertEqual(list(self.desk.servers["s0"].unsent), [isup.release(ID, Cause.OK)])
 
     def test_the_trace_sets_belief_beside_what_was_seen(self) -> None:
--- a/tests/test_node_owed.py
+++ b/tests/test_node_owed.py
@@ -29,7 +29,7 @@
         caller.sock.close()
         eventually(lambda: inside.gate.reached("viewer"), "the end read, and not acted on")
         server.say(released(server.of(Kind.SET_UP)[0], Cause.OK))
-        eventually(lambda: sub.state is SessionState.OVER, "the end at the server heard")
+        eventually(lambda: sub.state is SessionState.CLOSED, "the end at the server heard")
         inside.gate.free("viewer")
         thread.join(noderig.WAIT_S)
         following = inside.connect()
@@ -85,9 +85,9 @@
         inside = Inside(self, StandInServer("s0", 0))
         caller, far = inside.meet()
         inside.read(far)
-        for number, id in enumerate(many(request_validation.MOST_FIGURES + 9)):
+        for number, id in enumerate(many(request_validation.MAX_CLIENT_IDS + 9)):
             caller.set_up(id, routing=f"home:0;copies:4;top:2;viewer:{number:016x}")
             caller.answer()
         self.assertEqual(
-            list(far.figures), [f"{n:016x}" for n in range(9, request_validation.MOST_FIGURES + 9)]
+            list(far.figures), [f"{n:016x}" for n in range(9, request_validation.MAX_CLIENT_IDS + 9)]
         )
