The node's session actions and client operations have the field's names

Cause: tell, carry, to_viewer, take, adopt, seated and due had to be explained. Change: notify_policy, dispatch_attempt, answer_setup, send_to_client, send_to_server, forget_session, deliver_pending, may_hold_sessions, admit, take_over, run_locked; Session.viewer is Session.client. Names that the connection and discovery files use stay until both halves of the package are joined.

--- a/packages/node/src/fennelcove/node/attempt_dispatcher.py
+++ b/packages/node/src/fennelcove/node/attempt_dispatcher.py
@@ -72,7 +72,7 @@
         Its client may have closed just as the connection was made, with its thread still waiting for the
         lock; the session is then closed.
         """
-        if session.viewer is None or not session.viewer.left():
+        if session.client is None or not session.client.left():
             return True
         session_states.apply_event(self._actions, session, SessionEvent.CLIENT_GONE)
         return False
--- a/packages/node/src/fennelcove/node/discovery_updates.py
+++ b/packages/node/src/fennelcove/node/discovery_updates.py
@@ -34,7 +34,7 @@
         """Apply a whole list or a change of it."""
         # All of it is in the table before any session ends by it: the policy may then attempt any server.
         moved = self._update_table(event)
-        self._actions.tell(event.update)
+        self._actions.notify_policy(event.update)
         for server in moved:
             self._pool.close_outdated(server)
         for entry in event.update.entries:
--- a/packages/node/src/fennelcove/node/handovers.py
+++ b/packages/node/src/fennelcove/node/handovers.py
@@ -48,11 +48,11 @@
         self._actions = actions
         self.waiting: dict[Session, WaitingHandover] = {}
 
-    def adopt(self, session: Session, request: Request, server: str) -> bool:
+    def take_over(self, session: Session, request: Request, server: str) -> bool:
         """Take over a session; False where its server is not known yet."""
         is_known = self._monitor.is_known(server)
         if not is_known and len(self.waiting) >= MAX_WAITING:
-            self._actions.to_viewer(session, release_message(session, Cause.RESET))
+            self._actions.send_to_client(session, release_message(session, Cause.RESET))
             return False
         # Ignored, it was left established for good: with no list that names its server, nobody was
         # notified of its end.
@@ -88,13 +88,13 @@
         session.state = SessionState.ESTABLISHED
         session.description = b""
         self._context.sessions[session.id] = session
-        if session.viewer is not None:
-            session.viewer.standing[session] = None
+        if session.client is not None:
+            session.client.standing[session] = None
 
     def _attach(self, session: Session, request: Request, server: Server) -> None:
         """Attach a session to its server, and handle what the server has already sent of it."""
         server.established[session] = None
-        self._actions.tell(Handover(request, server.name))
+        self._actions.notify_policy(Handover(request, server.name))
         self._messages.replay(session)
         if not server.links and not self._pool.is_full:
             self._pool.create(server).start()
--- a/packages/node/src/fennelcove/node/model.py
+++ b/packages/node/src/fennelcove/node/model.py
@@ -127,7 +127,7 @@
     service_class: str
     title: str
     description: bytes  # the body of the set-up request
-    viewer: ClientLink | None  # the connection of the set-up request, while that is open
+    client: ClientLink | None  # the connection of the set-up request, while that is open
     peer: str
     state: SessionState = SessionState.PENDING
     rung: int | None = None
--- a/packages/node/src/fennelcove/node/policy_effects.py
+++ b/packages/node/src/fennelcove/node/policy_effects.py
@@ -20,7 +20,7 @@
     timers: Timers
     fetch: Callable[[], None]  # requests the whole list of servers
 
-    def due(self, call: Callable[[], None]) -> None:
+    def run_locked(self, call: Callable[[], None]) -> None:
         """Call with the node's lock held."""
         ...
 
@@ -62,7 +62,9 @@
     def set_timer(self, name: int, delay_us: int) -> None:
         """Notify the policy after a delay."""
         target = self._target
-        target.timers.after(delay_us, lambda: target.due(lambda: target.tell(TimerFired(name))))
+        target.timers.after(
+            delay_us, lambda: target.run_locked(lambda: target.notify_policy(TimerFired(name)))
+        )
 
     def fetch_list(self) -> None:
         """Request the whole list of servers."""
--- a/packages/node/src/fennelcove/node/request_validation.py
+++ b/packages/node/src/fennelcove/node/request_validation.py
@@ -33,19 +33,19 @@
     stopping: bool
     sessions: dict[bytes, Session]
 
-    def deliver(self, viewer: ClientLink) -> None:
+    def deliver_pending(self, client: ClientLink, /) -> None:
         """Send the client's pending notifications."""
         ...
 
-    def seated(self, viewer: ClientLink) -> bool:
+    def may_hold_sessions(self, client: ClientLink, /) -> bool:
         """Whether a session may be open on this connection."""
         ...
 
-    def take(self, session: Session, request: Request) -> None:
+    def admit(self, session: Session, request: Request) -> None:
         """Accept a set-up request."""
         ...
 
-    def adopt(self, session: Session, request: Request, server: str) -> bool:
+    def take_over(self, session: Session, request: Request, server: str) -> bool:
         """Take over a session that plays at a server already."""
         ...
 
@@ -65,7 +65,7 @@
         status = STATUS_UNAVAILABLE if manager.stopping else STATUS_OK
         client.send(writer.answer(status, *_echo_fields(message)))
         return
-    manager.deliver(client)
+    manager.deliver_pending(client)
     session = message.fields.get("session", "")
     if _SESSION_ID.fullmatch(session) is None:
         client.send(writer.answer(STATUS_BAD_REQUEST, *_echo_fields(message)))
@@ -102,7 +102,7 @@
         service_class=setup.request.service_class,
         title=message.address.rpartition("/")[2],
         description=message.body,
-        viewer=client,
+        client=client,
         peer=client.peer,
         client_id=setup.client_id,
     )
@@ -124,7 +124,7 @@
     session = manager.sessions.get(id)
     if session is None:
         return was_withdrawn
-    if session.viewer is not client and session.state is not SessionState.ESTABLISHED:
+    if session.client is not client and session.state is not SessionState.ESTABLISHED:
         return was_withdrawn
     return session_states.apply_event(manager, session, SessionEvent.CLIENT_GONE)
 
@@ -134,7 +134,7 @@
     for session in list(client.open):
         session_states.apply_event(manager, session, SessionEvent.CLIENT_GONE)
     for session in client.standing:
-        session.viewer = None
+        session.client = None
     client.standing.clear()
 
 
@@ -149,7 +149,7 @@
 ) -> None:
     if setup.current_server:
         return  # a session may be handed over that is held already
-    if existing.viewer is client and existing.state is not SessionState.ESTABLISHED:
+    if existing.client is client and existing.state is not SessionState.ESTABLISHED:
         # One answer is pending under this id; an error status here would be taken for it.
         client.shut()
         return
@@ -164,11 +164,11 @@
 
 
 def _take_over(manager: Counter, client: ClientLink, session: Session, setup: SetupRequest) -> None:
-    if not manager.seated(client):
+    if not manager.may_hold_sessions(client):
         # An established session needs no connection, and this one may have to be closed to admit others.
-        session.viewer = None
+        session.client = None
     if len(manager.sessions) < MAX_SESSIONS:
-        manager.adopt(session, setup.request, setup.current_server)
+        manager.take_over(session, setup.request, setup.current_server)
 
 
 def _accept_setup(
@@ -180,8 +180,8 @@
 ) -> None:
     if len(client.open) >= MAX_PENDING_PER_CONNECTION or len(manager.sessions) >= MAX_SESSIONS:
         client.send(writer.answer(STATUS_UNAVAILABLE, *echo))
-    elif not manager.seated(client):
+    elif not manager.may_hold_sessions(client):
         retry_after = session_states.retry_after_fields(manager.config.settings.retry_after_us or 0)
         client.send(writer.answer(STATUS_UNAVAILABLE, *echo, *retry_after))
     else:
-        manager.take(session, setup.request)
+        manager.admit(session, setup.request)
--- a/packages/node/src/fennelcove/node/server_messages.py
+++ b/packages/node/src/fennelcove/node/server_messages.py
@@ -111,4 +111,4 @@
             if not 0 <= value < len(self._context.config.settings.ladder_kb):
                 return
             session.rung = int(value)
-        self._actions.tell(SessionReport(session.key, session.attempt.server.name, kind, value))
+        self._actions.notify_policy(SessionReport(session.key, session.attempt.server.name, kind, value))
--- a/packages/node/src/fennelcove/node/session_admission.py
+++ b/packages/node/src/fennelcove/node/session_admission.py
@@ -25,12 +25,12 @@
     def admit(self, session: Session, request: Request) -> None:
         """Register a session, and pass its valid set-up request to the policy."""
         self._context.sessions[session.id] = session
-        if session.viewer is not None:
-            session.viewer.open[session] = None
+        if session.client is not None:
+            session.client.open[session] = None
         if self._is_shut_down:
             self._answer_at_shutdown(session)  # the process is gone before a server could answer
         elif self._deadlines.add(session, request.timeout_us + ANSWER_GRACE_US):
-            self._actions.tell(request)
+            self._actions.notify_policy(request)
         else:
             session_states.apply_event(self._actions, session, SessionEvent.REJECTED)
 
@@ -62,5 +62,5 @@
             return session_states.apply_event(self._actions, session, SessionEvent.ABORTED)
         session.retry_after_us = self._context.config.settings.retry_after_us or 0
         session_states.apply_event(self._actions, session, SessionEvent.REJECTED)
-        self._actions.tell(ClientGone(session.key))
+        self._actions.notify_policy(ClientGone(session.key))
         return True
--- a/packages/node/src/fennelcove/node/session_manager.py
+++ b/packages/node/src/fennelcove/node/session_manager.py
@@ -1,7 +1,7 @@
 """The front node behind its one lock: the placement policy, and the sessions, servers and connections.
 
 Nothing here waits: what is sent is handed to the kernel or given up, and the threads of the connections wait
-outside. All calls are made with the lock held, but for those of `due`, which acquires it.
+outside. All calls are made with the lock held, but for those of `run_locked`, which acquires it.
 """
 
 from __future__ import annotations
@@ -72,7 +72,7 @@
         """The number of connections to servers that are allowed."""
         return self.pool.max_connections
 
-    def due(self, call: Callable[[], None]) -> None:
+    def run_locked(self, call: Callable[[], None]) -> None:
         """Call with the lock held; for timers."""
         with self.lock:
             call()
@@ -93,7 +93,7 @@
         self.messenger = SessionMessenger(context, self.deadlines)
         self.admission = SessionAdmission(context, self.deadlines, self)
         self.pool = ServerPool(context, self)
-        self.attempts = AttemptDispatcher(context, self.pool, self, self.due)
+        self.attempts = AttemptDispatcher(context, self.pool, self, self.run_locked)
         self.messages = ServerMessageHandler(context, self.attempts, self)
         self.monitor = ServerMonitor(context, self.front, self.pool, self.attempts)
         self.handovers = HandoverManager(context, self.pool, self.monitor, self.attempts, self.messages, self)
@@ -101,17 +101,17 @@
 
     def _bind_entry_points(self) -> None:
         # Of sessions' transitions (`SessionActions`).
-        self.tell = self.notifier.notify
-        self.carry = self.attempts.dispatch
-        self.answer = self.messenger.answer
-        self.to_viewer = self.messenger.send_to_client
-        self.to_server = self.messenger.send_to_server
-        self.forget = self.messenger.forget
+        self.notify_policy = self.notifier.notify
+        self.dispatch_attempt = self.attempts.dispatch
+        self.answer_setup = self.messenger.answer_setup
+        self.send_to_client = self.messenger.send_to_client
+        self.send_to_server = self.messenger.send_to_server
+        self.forget_session = self.messenger.forget_session
         # Of connections from clients (`request_validation.Counter`).
-        self.deliver = self.connections.deliver
-        self.seated = self.connections.seated
-        self.take = self.admission.admit
-        self.adopt = self.handovers.adopt
+        self.deliver_pending = self.connections.deliver
+        self.may_hold_sessions = self.connections.seated
+        self.admit = self.admission.admit
+        self.take_over = self.handovers.take_over
         # Of connections to servers (`ConnectionOwner`).
         self.hear = self.messages.on_message
         self.on_attempt_completed = self.attempts.on_completed
@@ -125,4 +125,4 @@
         self.time_over = self.attempts.on_timeout
 
     def _on_deadline_timer(self) -> None:
-        self.due(self.admission.answer_overdue)
+        self.run_locked(self.admission.answer_overdue)
--- a/packages/node/src/fennelcove/node/session_messenger.py
+++ b/packages/node/src/fennelcove/node/session_messenger.py
@@ -15,7 +15,7 @@
         self._context = context
         self._deadlines = deadlines
 
-    def answer(self, session: Session, data: bytes) -> bool:
+    def answer_setup(self, session: Session, data: bytes) -> bool:
         """Answer the set-up request, on its own connection only.
 
         Returns:
@@ -23,11 +23,11 @@
             as well, and the session would be established for nobody.
         """
         self._deadlines.drop(session)
-        return session.viewer is not None and not session.viewer.left() and session.viewer.send(data)
+        return session.client is not None and not session.client.left() and session.client.send(data)
 
     def send_to_client(self, session: Session, data: bytes) -> None:
         """Send on the set-up's connection, or another of the same client's, or keep it for the next one."""
-        client = session.viewer
+        client = session.client
         if client is None or client.left():
             client = self._context.connections.other(session.peer, session.client_id)
         if client is None or not client.send(data):
@@ -44,12 +44,12 @@
                 return
         server.unsent.append(data)
 
-    def forget(self, session: Session) -> None:
+    def forget_session(self, session: Session) -> None:
         """Remove a closed session from every table."""
         self._context.sessions.pop(session.id, None)
         self._deadlines.drop(session)
-        if session.viewer is not None:
-            session.viewer.open.pop(session, None)
-            session.viewer.standing.pop(session, None)
+        if session.client is not None:
+            session.client.open.pop(session, None)
+            session.client.standing.pop(session, None)
         if session.attempt is not None:
             session.attempt.server.established.pop(session, None)
--- a/packages/node/src/fennelcove/node/session_states.py
+++ b/packages/node/src/fennelcove/node/session_states.py
@@ -44,27 +44,27 @@
         """Unix time; never goes back."""
         ...
 
-    def tell(self, event: Event) -> None:
+    def notify_policy(self, event: Event) -> None:
         """Notify the placement policy."""
         ...
 
-    def carry(self, session: Session) -> None:
+    def dispatch_attempt(self, session: Session) -> None:
         """Dispatch the session's current attempt."""
         ...
 
-    def answer(self, session: Session, data: bytes) -> bool:
+    def answer_setup(self, session: Session, data: bytes) -> bool:
         """Answer the set-up request; False where its client has not got all of the answer."""
         ...
 
-    def to_viewer(self, session: Session, data: bytes) -> None:
+    def send_to_client(self, session: Session, data: bytes) -> None:
         """Send to the client on any of its connections, or on its next one."""
         ...
 
-    def to_server(self, session: Session, data: bytes) -> None:
+    def send_to_server(self, session: Session, data: bytes) -> None:
         """Send to the session's server, now or on its next connection."""
         ...
 
-    def forget(self, session: Session) -> None:
+    def forget_session(self, session: Session) -> None:
         """Remove the session from every table."""
         ...
 
@@ -106,24 +106,24 @@
 
 
 def _dispatch_attempt(actions: SessionActions, session: Session) -> None:
-    if session.viewer is not None and session.viewer.left():
+    if session.client is not None and session.client.left():
         # Its end lies unread while its thread waits for the lock, perhaps for long.
         apply_event(actions, session, SessionEvent.CLIENT_GONE)
     else:
-        actions.carry(session)
+        actions.dispatch_attempt(session)
 
 
 def _establish(actions: SessionActions, session: Session) -> None:
     """Answer the client with the server's description, unchanged."""
     attempt = _attempt_of(session)
-    is_delivered = actions.answer(session, _setup_answer(session, STATUS_OK, body=session.answer))
-    if session.viewer is not None:
-        session.viewer.open.pop(session, None)
-        session.viewer.standing[session] = None
+    is_delivered = actions.answer_setup(session, _setup_answer(session, STATUS_OK, body=session.answer))
+    if session.client is not None:
+        session.client.open.pop(session, None)
+        session.client.standing[session] = None
     session.description = session.answer = b""
     attempt.link = None
     attempt.server.established[session] = None
-    actions.tell(SessionStarted(session.key, attempt.number, actions.now_us() - attempt.sent_us))
+    actions.notify_policy(SessionStarted(session.key, attempt.number, actions.now_us() - attempt.sent_us))
     if not is_delivered:
         # Its connection broke under the answer: kept, the session would load the server for nobody.
         apply_event(actions, session, SessionEvent.CLIENT_GONE)
@@ -138,13 +138,13 @@
     outcome = _attempt_of(session).outcome
     if outcome is not Outcome.CALLED_OFF:
         cause = RELEASE_CAUSES.get(outcome, Cause.RESET)
-        actions.to_viewer(session, release_message(session, cause))
+        actions.send_to_client(session, release_message(session, cause))
     _complete_attempt(actions, session, is_finished=True)
 
 
 def _release_at_server(actions: SessionActions, session: Session) -> None:
     """End an established session at its server, which does not know yet that the client has ended it."""
-    actions.to_server(session, isup.release(session.id, Cause.OK))
+    actions.send_to_server(session, isup.release(session.id, Cause.OK))
     _attempt_of(session).outcome = Outcome.CALLED_OFF
     _complete_attempt(actions, session, is_finished=True)
 
@@ -155,47 +155,47 @@
     if attempt.link is not None:
         attempt.link.give_up(session)
     attempt.outcome = Outcome.CALLED_OFF
-    actions.tell(ClientGone(session.key))
+    actions.notify_policy(ClientGone(session.key))
     _complete_attempt(actions, session, is_finished=True)
 
 
 def _forget_pending(actions: SessionActions, session: Session) -> None:
-    actions.forget(session)
-    actions.tell(ClientGone(session.key))
+    actions.forget_session(session)
+    actions.notify_policy(ClientGone(session.key))
 
 
 def _reject(actions: SessionActions, session: Session) -> None:
     fields = retry_after_fields(session.retry_after_us)
-    actions.answer(session, _setup_answer(session, STATUS_REJECTED, *fields))
-    actions.forget(session)
+    actions.answer_setup(session, _setup_answer(session, STATUS_REJECTED, *fields))
+    actions.forget_session(session)
 
 
 def _fail(actions: SessionActions, session: Session) -> None:
-    actions.answer(session, _setup_answer(session, STATUS_FAILED))
-    actions.forget(session)
+    actions.answer_setup(session, _setup_answer(session, STATUS_FAILED))
+    actions.forget_session(session)
 
 
 def _abort_pending(actions: SessionActions, session: Session) -> None:
     """Answer without the placement policy, which may have failed on the session and still holds it."""
     _fail(actions, session)
-    actions.tell(ClientGone(session.key))
+    actions.notify_policy(ClientGone(session.key))
 
 
 def _abort_attempt(actions: SessionActions, session: Session) -> None:
     """Answer with a failure: it is unknown whether the attempt in flight took effect."""
-    actions.answer(session, _setup_answer(session, STATUS_FAILED))
+    actions.answer_setup(session, _setup_answer(session, STATUS_FAILED))
     _abandon_attempt(actions, session)
 
 
 def _send_rung(actions: SessionActions, session: Session) -> None:
     rung = b"%d" % (session.rung or 0)
-    actions.to_server(session, isup.message(Kind.RUNG, session.id, (Code.RUNG, rung)))
+    actions.send_to_server(session, isup.message(Kind.RUNG, session.id, (Code.RUNG, rung)))
 
 
 def _migrate(actions: SessionActions, session: Session) -> None:
     """Ask the client to set the session up anew, and end the present one."""
     fields = (("CSeq", REDIRECT_CSEQ), ("Session", session.name))
-    actions.to_viewer(session, rtsp.request("REDIRECT", f"rtsp://media/{session.title}", *fields))
+    actions.send_to_client(session, rtsp.request("REDIRECT", f"rtsp://media/{session.title}", *fields))
     _release_at_server(actions, session)
 
 
@@ -204,8 +204,10 @@
     attempt.link = None
     attempt.server.outcome_counts[attempt.outcome] += 1
     if is_finished:
-        actions.forget(session)
-    actions.tell(AttemptCompleted(session.key, attempt.number, attempt.outcome, is_finished, attempt.report))
+        actions.forget_session(session)
+    actions.notify_policy(
+        AttemptCompleted(session.key, attempt.number, attempt.outcome, is_finished, attempt.report)
+    )
 
 
 def _setup_answer(session: Session, status: int, *fields: tuple[str, str], body: bytes = b"") -> bytes:
