A session's current attempt is asked for in one place

Cause: three places checked that a session has an attempt, each with an error of its own. Change: Session.current_attempt.

--- a/packages/node/src/fennelcove/node/attempt_dispatcher.py
+++ b/packages/node/src/fennelcove/node/attempt_dispatcher.py
@@ -28,9 +28,7 @@
 
     def dispatch(self, session: Session) -> None:
         """Send the session's set-up on an idle connection or a new one; its timeout runs from now."""
-        attempt = session.attempt
-        if attempt is None:
-            raise RuntimeError(f"session {session.key} has no attempt to dispatch")
+        attempt = session.current_attempt
         if not self._start_timeout(session, attempt):
             # An attempt without a timeout would outlast its client.
             self.on_completed(session, Outcome.NOT_SENT, None)
--- a/packages/node/src/fennelcove/node/handovers.py
+++ b/packages/node/src/fennelcove/node/handovers.py
@@ -68,15 +68,14 @@
     def resolve_waiting(self) -> None:
         """Attach sessions whose server is known by now, and close those that have waited too long."""
         for session, handover in list(self.waiting.items()):
-            if session.attempt is None:
-                raise RuntimeError(f"session {session.key} was handed over without a server")
-            placeholder = session.attempt.server
+            attempt = session.current_attempt
+            placeholder = attempt.server
             if self._monitor.is_known(placeholder.name):
                 del self.waiting[session]
                 server = self._context.servers[placeholder.name]
                 server.unsent.extend(placeholder.unsent)  # closed meanwhile, it still plays at its server
                 if session.state is SessionState.ESTABLISHED:
-                    session.attempt.server = server
+                    attempt.server = server
                     self._attach(session, handover.request, server)
             elif self._context.now_us() >= handover.deadline_us:
                 del self.waiting[session]
--- a/packages/node/src/fennelcove/node/model.py
+++ b/packages/node/src/fennelcove/node/model.py
@@ -143,6 +143,17 @@
         """The session's id in the placement policy."""
         return self.id.hex()
 
+    @property
+    def current_attempt(self) -> Attempt:
+        """The attempt in flight, or the one that established the session.
+
+        Raises:
+            RuntimeError: there is none; the caller has mistaken the session's state.
+        """
+        if self.attempt is None:
+            raise RuntimeError(f"session {self.key} has no attempt in state {self.state.name}")
+        return self.attempt
+
 
 @dataclass(slots=True, eq=False)
 class Server:
--- a/packages/node/src/fennelcove/node/session_states.py
+++ b/packages/node/src/fennelcove/node/session_states.py
@@ -9,7 +9,7 @@
 from fennelcove.interface import AttemptCompleted, ClientGone, Event, Outcome, SessionStarted
 from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause, Code, Kind
-from fennelcove.node.model import Attempt, Session, SessionState
+from fennelcove.node.model import Session, SessionState
 from fennelcove.rtsp import writer as rtsp
 from fennelcove.state_machine import Transition, TransitionTable, Unlisted
 
@@ -115,7 +115,7 @@
 
 def _establish(actions: SessionActions, session: Session) -> None:
     """Answer the client with the server's description, unchanged."""
-    attempt = _attempt_of(session)
+    attempt = session.current_attempt
     is_delivered = actions.answer_setup(session, _setup_answer(session, STATUS_OK, body=session.answer))
     if session.client is not None:
         session.client.open.pop(session, None)
@@ -135,7 +135,7 @@
 
 def _on_session_ended(actions: SessionActions, session: Session) -> None:
     """Close a session that has ended at its server, and notify the client unless it ended it itself."""
-    outcome = _attempt_of(session).outcome
+    outcome = session.current_attempt.outcome
     if outcome is not Outcome.CALLED_OFF:
         cause = RELEASE_CAUSES.get(outcome, Cause.RESET)
         actions.send_to_client(session, release_message(session, cause))
@@ -145,13 +145,13 @@
 def _release_at_server(actions: SessionActions, session: Session) -> None:
     """End an established session at its server, which does not know yet that the client has ended it."""
     actions.send_to_server(session, isup.release(session.id, Cause.OK))
-    _attempt_of(session).outcome = Outcome.CALLED_OFF
+    session.current_attempt.outcome = Outcome.CALLED_OFF
     _complete_attempt(actions, session, is_finished=True)
 
 
 def _abandon_attempt(actions: SessionActions, session: Session) -> None:
     """Give up the attempt in flight: nobody waits for its answer any more."""
-    attempt = _attempt_of(session)
+    attempt = session.current_attempt
     if attempt.link is not None:
         attempt.link.give_up(session)
     attempt.outcome = Outcome.CALLED_OFF
@@ -200,7 +200,7 @@
 
 
 def _complete_attempt(actions: SessionActions, session: Session, *, is_finished: bool) -> None:
-    attempt = _attempt_of(session)
+    attempt = session.current_attempt
     attempt.link = None
     attempt.server.outcome_counts[attempt.outcome] += 1
     if is_finished:
@@ -214,12 +214,6 @@
     return rtsp.answer(status, ("CSeq", session.cseq), ("Session", session.name), *fields, body=body)
 
 
-def _attempt_of(session: Session) -> Attempt:
-    if session.attempt is None:
-        raise RuntimeError(f"session {session.key} has no attempt in state {session.state.name}")
-    return session.attempt
-
-
 def _row(state: SessionState, *actions: Action) -> Transition[SessionState, Action]:
     return Transition(state, actions)
 
