--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -141,7 +141,7 @@
         assert flat(stored) == expected
         assert msgspec.msgpack.encode(stored).hex() == raw
         # A set-up that still ran may be done again: its key stands for nothing after a restart.
-        was_running = KeyState(stored.stage) is KeyState.RUNNING
+        was_running = KeyState(stored.state) is KeyState.RUNNING
         restored = IdempotencyTable().restore((client, key), bytes.fromhex(raw), RECORD["wall_us"])
         assert restored is not was_running
 
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -399,7 +399,7 @@
 
     def test_while_there_is_room_a_first_try_is_let_in_past_any_pace(self) -> None:
         # Held to the pace, they were turned away for whom boxes had room: 147 of 200 watched, 191 without.
-        self.core.retry_storms.queues.by_title["t1"].refusing = False
+        self.core.retry_storms.queues.by_title["t1"].is_rejecting = False
         self.assertEqual(self.ask("new", again=False).reason, "no holder has room")
         self.assertEqual(self.ask("hasty").standing, "again")
 
