--- /dev/null
+++ b/packages/core/src/fennelcove/core/learned_limit_messages.py
@@ -0,0 +1,92 @@
+"""Encoding and dispatch of the messages by which fronts agree on concurrency limits."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from fennelcove import limit_messages
+from fennelcove.concurrency_limits.replica import Replica, ReplicaMessages
+from fennelcove.decisions.fleet.shared_quotas import QuotaTransfer
+
+
+@dataclass(frozen=True, slots=True)
+class OutgoingMessage:
+    """An encoded message and the index of the front that receives it."""
+
+    front: int
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class MessageOutcome:
+    """The effect of a received message.
+
+    Attributes:
+        reply: The encoded answer to send to the sender, if there is one.
+        has_more_capacity: Whether this front may have more attempts in flight than before.
+    """
+
+    reply: bytes | None = None
+    has_more_capacity: bool = False
+
+
+class LimitMessageHandler:
+    """Translates between a replica and the bytes exchanged with other fronts; the caller holds the lock."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+
+    def encode_window(self, messages: Sequence[ReplicaMessages], now_us: int) -> list[OutgoingMessage]:
+        """Encode a window's messages, then start notices for the fronts that have not confirmed one yet."""
+        replica = self._replica
+        outgoing = []
+        for front in sorted({taker for message in messages for taker in message.takers}):
+            addressed = [message for message in messages if front in message.takers]
+            payloads = limit_messages.encode(replica.life, replica.number, addressed, now_us)
+            outgoing += [OutgoingMessage(front, payload) for payload in payloads]
+        start_notice = limit_messages.pack_life(limit_messages.BEGUN, replica.life)
+        outgoing += [OutgoingMessage(front, start_notice) for front in replica.begun()]
+        return outgoing
+
+    def on_message(self, sender: int, payload: bytes, now_us: int) -> MessageOutcome | None:
+        """Apply a message of one of `limit_messages.KINDS`; None where it is malformed."""
+        kind = payload[0] if payload else 0
+        if kind in (limit_messages.ROWS, limit_messages.WORDS):
+            return self._on_observations(sender, payload, now_us)
+        if kind in (limit_messages.ASK, limit_messages.LOAN):
+            return self._on_quota_exchange(sender, payload, now_us)
+        return self._on_incarnation(sender, payload, kind, now_us)
+
+    def _on_observations(self, sender: int, payload: bytes, now_us: int) -> MessageOutcome | None:
+        decoded = limit_messages.decode(payload, now_us)
+        if decoded is None:
+            return None
+        incarnation, sequence, messages = decoded
+        # A list, not a generator: every message is applied, also after the first that changes something.
+        changes = [self._replica.hear(sender, incarnation, sequence, message, now_us) for message in messages]
+        return MessageOutcome(has_more_capacity=any(changes))
+
+    def _on_quota_exchange(self, sender: int, payload: bytes, now_us: int) -> MessageOutcome | None:
+        decoded = limit_messages.unpack_trade(payload)
+        if decoded is None:
+            return None
+        server_key, message = decoded
+        if isinstance(message, QuotaTransfer):
+            return MessageOutcome(
+                has_more_capacity=self._replica.hear_loan(sender, server_key, message, now_us)
+            )
+        transfer = self._replica.hear_ask(sender, server_key, message, now_us)
+        if transfer is None:
+            return MessageOutcome()
+        return MessageOutcome(reply=limit_messages.pack_trade(server_key, transfer))
+
+    def _on_incarnation(self, sender: int, payload: bytes, kind: int, now_us: int) -> MessageOutcome | None:
+        incarnation = limit_messages.unpack_life(payload)
+        if incarnation is None:
+            return None
+        if kind == limit_messages.CLEAR:
+            return MessageOutcome(has_more_capacity=self._replica.hear_clear(sender, incarnation))
+        if self._replica.hear_begun(sender, now_us):
+            return MessageOutcome(reply=limit_messages.pack_life(limit_messages.CLEAR, incarnation))
+        return MessageOutcome()
--- /dev/null
+++ b/packages/core/src/fennelcove/core/learned_limit_status.py
@@ -0,0 +1,70 @@
+"""The `slots` section of a front's status."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from fennelcove.concurrency_limits.replica import Replica, ServerLimits
+from fennelcove.concurrency_limits.workload_shape import name_of
+
+MAX_SERVERS_SHOWN = 64
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimitStatus:
+    """One server's concurrency limit; the field names are keys of the status JSON."""
+
+    whole: int
+    stands: str
+    phase: str | None
+    gradient: float | None
+    here: int
+    out: int
+    waiting: int
+    borrowed: int
+    lent: int
+    links: int
+    holds_ms: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class LimitStatus:
+    """All listed servers' limits; the field names are keys of the status JSON."""
+
+    uncleared: int
+    boxes: dict[str, ServerLimitStatus]
+
+
+def limit_status(
+    replica: Replica, server_keys: Mapping[str, int], service_classes: tuple[str, ...], now_us: int
+) -> LimitStatus:
+    """Collect the figures of the first servers by address, at most `MAX_SERVERS_SHOWN`."""
+    shown = sorted(server_keys.items())[:MAX_SERVERS_SHOWN]
+    servers = {
+        address: _server_status(replica.servers[server_key], replica, service_classes, now_us)
+        for address, server_key in shown
+    }
+    return LimitStatus(len(replica.unclear), servers)
+
+
+def _server_status(
+    server: ServerLimits, replica: Replica, service_classes: tuple[str, ...], now_us: int
+) -> ServerLimitStatus:
+    learner, lot = server.learner, server.lot
+    return ServerLimitStatus(
+        whole=server.agreed.whole,
+        stands=server.agreed.stand.name.lower(),
+        phase=learner.phase.name.lower() if learner is not None else None,
+        gradient=round(learner.now, 2) if learner is not None else None,
+        here=lot.most(now_us),
+        out=lot.out,
+        waiting=lot.waiting,
+        borrowed=len(lot.purse.borrowed),
+        lent=len(lot.purse.lent),
+        links=replica.links(server.name, now_us),
+        holds_ms={
+            name_of(shape, service_classes): round(hold_us / 1000)
+            for shape, hold_us in sorted(server.holds.items())
+        },
+    )
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -545,9 +545,9 @@
             book.take("box:1", 0, 1_000_000)
         book.clock.now += 500_000  # type: ignore[attr-defined]
         book.window()
-        self.assertEqual(book.member.servers[book.names["box:1"]].lot.waiting, 3)
+        self.assertEqual(book.replica.servers[book.server_keys["box:1"]].lot.waiting, 3)
         book.wants("box:1", 0)
-        self.assertEqual(book.member.servers[book.names["box:1"]].lot.waiting, 0)
+        self.assertEqual(book.replica.servers[book.server_keys["box:1"]].lot.waiting, 0)
 
     def test_a_box_that_no_list_names_takes_none_and_one_that_is_gone_neither(self) -> None:
         book = self.fleet(1)[0]
@@ -561,13 +561,13 @@
 
     def test_what_is_kept_is_taken_up_by_the_next_life(self) -> None:
         book = self.fleet(1)[0]
-        book.member.servers[book.names["box:1"]].agreed.whole = 50
+        book.replica.servers[book.server_keys["box:1"]].agreed.whole = 50
         values = dict(book.kept())
         after = learned_book(0, 1)
         after.clock.now += 500_000  # type: ignore[attr-defined]
         after.restore(values)
         after.window()
-        found = after.member.servers[after.names["box:1"]].agreed.whole
+        found = after.replica.servers[after.server_keys["box:1"]].agreed.whole
         self.assertGreater(found, 45)
         self.assertLessEqual(found, 50)
 
