--- /dev/null
+++ b/packages/core/src/fennelcove/core/slot_requests.py
@@ -0,0 +1,115 @@
+"""What the slot scheduler keeps of a session set-up, and how set-ups, tenants and servers are classified."""
+
+from __future__ import annotations
+
+import zlib
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from fennelcove.core.context import Catalogue
+from fennelcove.core.requests import Session, Wakeup
+from fennelcove.fair_queueing.service_time import Shape
+from fennelcove.fair_queueing.wait_queue import Waiter
+from fennelcove.interface import Request
+from fennelcove.placement import PlacementPolicy
+from fennelcove.placement.slow_start import is_warming_up
+
+LADDER_BANDS = 2  # the lower and the upper half of the bitrate ladder
+MAX_TENANT_NAMES = 256
+
+
+@dataclass(slots=True, eq=False)
+class SlotRequest:
+    """A set-up that waits for a slot, or holds one.
+
+    Attributes:
+        session: The session that is set up.
+        request: What the placement policy is asked once a slot is free.
+        waiter: Its place in the wait queue.
+        wakeup: Wakes the thread that waits; None while the set-up has not waited.
+        is_placing: Whether the placement policy is choosing a server for it right now.
+    """
+
+    session: Session
+    request: Request
+    waiter: Waiter
+    wakeup: Wakeup | None = None
+    is_placing: bool = False
+
+    def wake(self) -> None:
+        """Wake the thread that waits for it, if there is one."""
+        if self.wakeup is not None:
+            self.wakeup.ring()
+
+
+@dataclass(frozen=True, slots=True)
+class SlotInUse:
+    """A slot that an attempt holds."""
+
+    server: str
+    shape: Shape
+    title: str
+    tenant: int
+
+
+class AttemptKey(NamedTuple):
+    """An attempt as the wait queue knows it: its session's id and its number."""
+
+    session_id: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedWorkload:
+    """A set-up's workload shape and the addresses of the servers that could take it."""
+
+    shape: Shape
+    servers: tuple[str, ...]
+
+
+def tenant_key(tenant: str) -> int:
+    """Return the number that stands for a tenant in messages between fronts; never 0."""
+    return zlib.crc32(tenant.encode()) or 1
+
+
+def server_key(server: str) -> int:
+    """Return the number that stands for a server in messages between fronts."""
+    return zlib.crc32(server.encode())
+
+
+def expected_workload(
+    session: Session, request: Request, catalogue: Catalogue, policy: PlacementPolicy
+) -> ExpectedWorkload:
+    """Return what is known of a set-up before a server is chosen."""
+    cells = {(request.first_cell + offset) % catalogue.cells for offset in range(request.cell_count)}
+    servers = [server for cell in sorted(cells) for server in policy.active(cell)]
+    has_warm_server = any(not is_warming_up(policy, server) for server in servers)
+    shape = session.service_class, _ladder_band(session), has_warm_server
+    return ExpectedWorkload(shape, tuple(server.address for server in servers))
+
+
+def established_shape(session: Session) -> Shape:
+    """Return the workload shape of a further attempt of a session whose set-up is over."""
+    return session.service_class, _ladder_band(session), True
+
+
+def _ladder_band(session: Session) -> int:
+    return LADDER_BANDS * session.top // len(session.rates_kb)
+
+
+class TenantNames:
+    """Names of tenants by key, for the status alone; bounded, the oldest goes first."""
+
+    def __init__(self) -> None:
+        self._names: OrderedDict[int, str] = OrderedDict()
+
+    def remember(self, tenant: int, name: str) -> None:
+        """Store a tenant's name."""
+        self._names[tenant] = name
+        if len(self._names) > MAX_TENANT_NAMES:
+            self._names.popitem(last=False)
+
+    def name_of(self, tenant: int) -> str:
+        """Return a tenant's name, or its key in hexadecimal digits where the name is not known."""
+        return self._names.get(tenant, f"{tenant:08x}")
--- /dev/null
+++ b/packages/core/src/fennelcove/core/slot_status.py
@@ -0,0 +1,38 @@
+"""The `fair` section of a front's status."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from fennelcove.core.slot_requests import TenantNames
+from fennelcove.fair_queueing.wait_queue import WaitQueue
+
+MAX_TENANTS_SHOWN = 8
+
+
+@dataclass(frozen=True, slots=True)
+class SlotStatus:
+    """Slots in use and requests that wait; the field names are keys of the status JSON."""
+
+    out: int
+    waiting: int
+    heard: int
+    long_ms: float
+    tenants: dict[str, float]
+
+
+def slot_status(queue: WaitQueue, names: TenantNames, now_us: int) -> SlotStatus:
+    """Collect the figures; of the tenants those that use the most slots."""
+    used: dict[str, float] = {}
+    for server_usage in queue.servers.values():
+        for tenant in server_usage.active(now_us):
+            name = names.name_of(tenant)
+            used[name] = used.get(name, 0.0) + server_usage.used(tenant, now_us)
+    largest = sorted(used.items(), key=lambda item: -item[1])[:MAX_TENANTS_SHOWN]
+    return SlotStatus(
+        out=sum(server_usage.out for server_usage in queue.servers.values()),
+        waiting=queue.count,
+        heard=queue.heard,
+        long_ms=round(queue.holds.long_us() / 1000, 1),
+        tenants={name: round(slots, 2) for name, slots in largest},
+    )
