Content insertion: choosing a segment's server is a module of its own

ContentInsertion had 25 methods. The choice of a segment's source is SegmentLocator in segment_sources (Fetch with it); what a player tried, an interstitial's rendition and segment are typed; long functions are split.

--- /dev/null
+++ b/packages/core/src/fennelcove/core/segment_sources.py
@@ -0,0 +1,159 @@
+"""Where a player's segments and initialisation segments are fetched."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from fennelcove.core.context import Catalogue, CoreContext
+from fennelcove.core.requests import Session
+from fennelcove.decisions.playback import segment_routing
+from fennelcove.decisions.playback.segment_routing import Offer, Pick, Source
+from fennelcove.interface import ServerState
+from fennelcove.placement import PlacementPolicy, Server
+from fennelcove.timeline.model import Media, Shown
+
+MAX_SERVERS_TRIED = 8
+NO_CAPACITY = float("inf")  # the utility factor of a server that cannot take the stream
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """Where a segment or initialisation segment is fetched.
+
+    Attributes:
+        source: The kind of source; where `url` is empty, the reason why there is none.
+        url: The URL to fetch.
+    """
+
+    source: Source
+    url: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class _SegmentPath:
+    """The part of a segment's URL that follows the server's address."""
+
+    media: str
+    rung: int
+    number: int
+    extra_query: str = ""
+
+
+class SegmentLocator:
+    """Chooses the server of each segment by what the placement policy knows; the caller holds the lock."""
+
+    def __init__(
+        self,
+        context: CoreContext,
+        catalogue: Catalogue,
+        policy: PlacementPolicy,
+        media: dict[str, Media],
+        slate: str | None,
+    ) -> None:
+        self._context = context
+        self._catalogue = catalogue
+        self._policy = policy
+        self._media = media
+        self._slate = slate
+
+    def is_playable(self, clip: str) -> bool:
+        """Return whether a clip can be shown now, if need be by the slate in its place."""
+        return self._slate is not None or bool(self._usable_replicas(clip))
+
+    def segment(self, session: Session, shown: Shown, tried: list[str]) -> Fetch:
+        """Choose the source of a segment and add its server to `tried`, those tried for it before."""
+        pick = self._pick(session, shown, tried)
+        self._context.tally(f"segments_{pick.source.name.lower()}")
+        if not pick.server:
+            return Fetch(pick.source)
+        if len(tried) < MAX_SERVERS_TRIED:
+            tried.append(pick.server)
+        path = self._path(pick.source, shown, session.floor)
+        attempt = session.home.attempt if session.home is not None else 0
+        query = f"subscription={session.id}&join={attempt}{path.extra_query}"
+        url = f"http://{pick.server}/media/{path.media}/{path.rung}/{path.number}.m4s?{query}"
+        return Fetch(pick.source, url)
+
+    def initialization(self, session: Session, shown: Shown) -> Fetch:
+        """Choose the source of the initialisation segment of a rendition."""
+        pick = self._pick(session, shown, ())
+        if not pick.server:
+            return Fetch(pick.source)
+        return Fetch(pick.source, f"http://{pick.server}/media/{shown.media}/{shown.rung}/init.mp4")
+
+    def _pick(self, session: Session, shown: Shown, tried: Sequence[str]) -> Pick:
+        offer = self._offer(session, shown)
+        if shown.media == session.title:
+            return segment_routing.pick_lesson(offer)
+        return segment_routing.pick_clip(offer, tuple(tried))
+
+    def _path(self, source: Source, shown: Shown, floor: int) -> _SegmentPath:
+        if source is Source.LOWER:
+            return _SegmentPath(shown.media, self._lower_rung(shown, floor), shown.number)
+        if source is Source.SLATE:
+            duration = f"&duration={float(shown.duration):.6f}"
+            return _SegmentPath(self._slate or "", shown.rung, 0, duration)
+        return _SegmentPath(shown.media, shown.rung, shown.number)
+
+    def _lower_rung(self, shown: Shown, floor: int) -> int:
+        """Return the media's next lower rung, not below `floor`; the same rung where there is none."""
+        lower = [rung for rung in self._media[shown.media].rungs if floor <= rung < shown.rung]
+        return max(lower, default=shown.rung)
+
+    def _offer(self, session: Session, shown: Shown) -> Offer:
+        """Collect the servers that could serve a segment now."""
+        home = self._home(session)
+        if shown.media == session.title:
+            return Offer(home, True, (), (), None)
+        replicas = self._usable_replicas(shown.media)
+        has_home_replica = any(server.address == home for server in replicas)
+        lower_rung = self._lower_rung(shown, session.floor)
+        at_lower_rung: list[str] = []
+        if lower_rung < shown.rung:
+            at_lower_rung = self._ordered(replicas, session.rates_kb[lower_rung])
+        slate_server = self._slate_server(home)
+        at_rung = self._ordered(replicas, session.rates_kb[shown.rung])
+        return Offer(home, has_home_replica, at_rung, at_lower_rung, slate_server)
+
+    def _home(self, session: Session) -> str | None:
+        """Return the server that plays the session; None while it migrates or where the server has left."""
+        if session.home is None or session.adrift:
+            return None
+        server = self._policy.servers.get(session.home.server)
+        if server is None or server.standing is ServerState.LEFT:
+            return None
+        return session.home.server
+
+    def _slate_server(self, home: str | None) -> str | None:
+        if self._slate is None:
+            return None
+        usable = [server.address for server in self._usable_replicas(self._slate)]
+        if home in usable:
+            return home
+        return usable[0] if usable else None
+
+    def _usable_replicas(self, title: str) -> list[Server]:
+        """Return the active and healthy servers that store a title."""
+        _, title_settings = self._catalogue.titles[title]
+        cells = {
+            (title_settings.first_cell + offset) % self._catalogue.cells
+            for offset in range(title_settings.cells)
+        }
+        return [
+            server
+            for cell in sorted(cells)
+            for server in self._policy.replicas.get(cell, ())
+            if server.standing is ServerState.ACTIVE and self._policy.is_well(server)
+        ]
+
+    def _ordered(self, replicas: list[Server], rate_kb: float) -> list[str]:
+        """Return the servers with capacity for a stream, one drawn by the policy first."""
+        policy = self._policy
+        policy.weigh(replicas)
+        scored = [(server, *policy.factors(server, rate_kb)) for server in replicas]
+        feasible = [row for row in scored if row[1] < NO_CAPACITY and row[2] < NO_CAPACITY]
+        if not feasible:
+            return []
+        first = policy.draw(feasible)
+        return [first.address, *(row[0].address for row in feasible if row[0] is not first)]
--- a/packages/ingress/src/fennelcove/ingress/playback_routes.py
+++ b/packages/ingress/src/fennelcove/ingress/playback_routes.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from fennelcove.core.core import Core
-from fennelcove.core.content_insertion import Fetch, Seen
+from fennelcove.core.content_insertion import Seen
+from fennelcove.core.segment_sources import Fetch
 from fennelcove.decisions.servers.load_signals import KBIT, ClientHints
 from fennelcove.decisions.playback.splices import Refusal, Ruling, Verdict, seconds
 from fennelcove.decisions.playback.segment_routing import Source
