--- a/packages/core/src/fennelcove/core/rollout_coordinator.py
+++ b/packages/core/src/fennelcove/core/rollout_coordinator.py
@@ -1,8 +1,8 @@
-"""The core's part that agrees with other fronts on who may be out. It is handed what it needs.
+"""Runs this front's part in the agreement on which fronts and servers may be out of service.
 
-All that happens to it goes through one bounded line that one thread works off: a promise has to be safe in
-the folder before it is sent, and whoever waits for a disk must hold neither the core's lock nor its timers.
-What finds the line full is lost, as any message may be.
+All events go through one bounded queue that one thread works off: a promise has to be durable before it is
+sent, and a thread that waits for the disk must hold neither the core's lock nor its timers. Events that find
+the queue full are lost, as any message may be.
 """
 
 from __future__ import annotations
@@ -11,23 +11,31 @@
 import threading
 from collections.abc import Callable, Mapping
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from random import Random
 
 from fennelcove.clock import Clock
 from fennelcove.core.requests import EventLogger
-from fennelcove.rollouts.coordinator import Act, RolloutAgreement, Answer, Command, Do, Memory, Mine, Post
+from fennelcove.rollouts.coordinator import Act, Answer, Command, Do, Memory, Mine, Post, RolloutAgreement
 from fennelcove.rollouts.disruption_budget import Location
 from fennelcove.rollouts.messages import Kind, Said
 
-MOST_WAITING = 1024
-ANSWER_US = 4_500_000  # how long an operator's word is waited for; the agreement calls it lost before
-LOOK_US = 20_000  # how often its answer is looked for
+MAX_QUEUED_EVENTS = 1024
+ANSWER_TIMEOUT_US = 4_500_000  # for an operator's command; the agreement gives it up before
+ANSWER_POLL_US = 20_000
+
+Event = Callable[[int], Post]  # takes the time, returns the messages to send
 
 
 @dataclass(frozen=True, slots=True)
 class ServerSight:
-    """What this front sees of a box."""
+    """What this front observes of a server.
+
+    Attributes:
+        place: Where it is, for the disruption budgets.
+        serving: Whether it serves.
+        as_of_us: When that was observed.
+    """
 
     place: Location
     serving: bool
@@ -36,14 +44,41 @@
 
 @dataclass(slots=True, eq=False)
 class Reply:
-    """What whoever asked waits for."""
+    """The answer that an operator's request waits for."""
 
     answer: Answer = Answer.PENDING
     ready: threading.Event = field(default_factory=threading.Event)
 
+    def set(self, answer: Answer) -> None:
+        """Set the answer and wake who waits."""
+        self.answer = answer
+        self.ready.set()
+
+
+@dataclass(frozen=True, slots=True)
+class PendingCommand:
+    """An operator's command that no majority has accepted yet."""
+
+    number: int
+    reply: Reply
+    deadline_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class QueueStatus:
+    """This coordinator's part of the status; the field names are keys of the status JSON."""
+
+    unsafe: bool
+    lost: int
+
 
 class RolloutCoordinator:
-    """One front's part. Attach `post`, `leave`, `take_box` before `run`, which belongs to its thread."""
+    """One front's part in the agreement.
+
+    The owner assigns the callbacks `post` (sends a message to a front), `leave` (ends this front, to restart
+    it with a version; False where that is impossible) and `take_server` (takes a server out of service; False
+    where that is impossible) before its thread calls `run`.
+    """
 
     def __init__(
         self,
@@ -57,168 +92,170 @@
         notice: EventLogger,
     ) -> None:
         self.agreement = agreement
-        self.beat_us = beat_us
-        self.mine = mine
-        self.servers = servers
-        self.keep = keep  # whether it is safe now
         self.clock = clock
-        self.rng = rng
-        self.notice = notice
-        self.post: Callable[[int, Said], None] = lambda front, said: None
-        # Go out and come back with this version; False where that can't be done.
-        self.leave: Callable[[int], bool] = lambda version: False
-        self.take_server: Callable[[int], bool] = lambda cell: False
-        self.line: queue.Queue[Callable[[int], Post]] = queue.Queue(MOST_WAITING)
-        self.followed: list[tuple[int, Reply, int]] = []  # operators' words that no majority has taken yet
-        self.unsafe: Memory | None = None  # not in the folder yet: until it is, nothing is said
-        self.lost = 0
-        self.shown: dict[str, object] = {}
-        self.stopped = False
-
-    # Whatever thread.
+        self._heartbeat_interval_us = beat_us
+        self._own_state = mine
+        self._observe_servers = servers
+        self._persist = keep  # returns whether the memory is durable
+        self._rng = rng
+        self._log = notice
+        self.post: Callable[[int, Said], None] = lambda _front, _message: None
+        self.leave: Callable[[int], bool] = lambda _version: False
+        self.take_server: Callable[[int], bool] = lambda _cell: False
+        self._events: queue.Queue[Event] = queue.Queue(MAX_QUEUED_EVENTS)
+        self._pending: list[PendingCommand] = []
+        self._unsaved: Memory | None = None  # not durable yet; nothing is sent until it is
+        self._lost_count = 0
+        self._agreement_status: dict[str, object] = {}
+        self._is_stopped = False
+
+    # Any thread.
 
     def hear(self, sender: int, said: Said) -> None:
-        """Another front says something."""
+        """Handle another front's message."""
         self._put(lambda now_us: self.agreement.hear(sender, said, now_us))
 
     def command(self, told: Command) -> Answer:
-        """An operator's word about a plan; returns when a majority has taken it or that is given up."""
+        """Submit an operator's command about a plan; return when a majority accepts it or it is given up."""
         reply = Reply()
 
-        def carry(now_us: int) -> Post:
-            number, _, post = self.agreement.command(told, now_us)
-            self._follow(number, reply, now_us + ANSWER_US)
-            return post
+        def submit(now_us: int) -> Post:
+            number, _, messages = self.agreement.command(told, now_us)
+            self._follow(PendingCommand(number, reply, now_us + ANSWER_TIMEOUT_US))
+            return messages
 
-        return self._waited(reply, carry)
+        return self._wait_for(reply, submit)
 
     def want_out(self, version: int) -> Answer:
-        """An operator wants this front out when it may be, to come back with this version."""
-        return self._at_once(lambda now_us: self.agreement.want_out(version, now_us))
+        """Request that this front goes out of service when it may, to restart with a version."""
+        return self._run_now(lambda now_us: self.agreement.want_out(version, now_us))
 
     def want_server(self, cell: int) -> Answer:
-        """An operator wants a box out when it may be."""
-        return self._at_once(lambda now_us: self.agreement.want_server(cell, now_us))
+        """Request that a server goes out of service when it may."""
+        return self._run_now(lambda now_us: self.agreement.want_server(cell, now_us))
 
     def write_off(self, kind: Kind, place: int) -> Answer:
-        """An operator says that a place does not come back."""
+        """Declare that a front or server will not come back."""
 
-        def carry(now_us: int) -> Post:
+        def declare(now_us: int) -> Post:
             self.agreement.write_off(kind, place, now_us)
             return []
 
-        return self._at_once(carry)
+        return self._run_now(declare)
 
     def anew(self) -> Answer:
-        """An operator says that nobody knows more of a plan than this front does."""
+        """Declare that no front knows more of any rollout plan than this one."""
 
-        def carry(now_us: int) -> Post:
+        def declare(now_us: int) -> Post:
             self.agreement.anew()
             return []
 
-        return self._at_once(carry)
+        return self._run_now(declare)
 
     def status(self) -> dict[str, object]:
-        """Figures for an operator, as of the last beat."""
-        return {**self.shown, "unsafe": self.unsafe is not None, "lost": self.lost}
+        """Return the figures of the status JSON, as of the last heartbeat."""
+        status = QueueStatus(unsafe=self._unsaved is not None, lost=self._lost_count)
+        return {**self._agreement_status, **asdict(status)}
 
     def stop(self) -> None:
-        """End `run` soon."""
-        self.stopped = True
+        """Make `run` return soon."""
+        self._is_stopped = True
 
-    def _put(self, call: Callable[[int], Post]) -> bool:
+    def _put(self, event: Event) -> bool:
+        """Queue an event; return False and count it as lost where the queue is full."""
         try:
-            self.line.put_nowait(call)
+            self._events.put_nowait(event)
         except queue.Full:
-            self.lost += 1
+            self._lost_count += 1
             return False
         return True
 
-    def _at_once(self, call: Callable[[int], Post]) -> Answer:
+    def _run_now(self, event: Event) -> Answer:
+        """Queue an event and wait until it is processed."""
         reply = Reply()
 
-        def carry(now_us: int) -> Post:
-            post = call(now_us)
-            self._told(reply, Answer.DONE)
-            return post
+        def process(now_us: int) -> Post:
+            messages = event(now_us)
+            reply.set(Answer.DONE)
+            return messages
 
-        return self._waited(reply, carry)
+        return self._wait_for(reply, process)
 
-    def _waited(self, reply: Reply, carry: Callable[[int], Post]) -> Answer:
-        if not self._put(carry):
+    def _wait_for(self, reply: Reply, event: Event) -> Answer:
+        if not self._put(event):
             return Answer.BUSY
-        reply.ready.wait(ANSWER_US / 1e6)
+        reply.ready.wait(ANSWER_TIMEOUT_US / 1e6)
         return Answer.LOST if reply.answer is Answer.PENDING else reply.answer
 
-    def _follow(self, number: int, reply: Reply, until_us: int) -> None:
-        """Look again and again what became of an operator's word."""
-        answer = self.agreement.answer(number)
-        if answer is Answer.PENDING and self.clock.now_us() < until_us:
-            self.followed.append((number, reply, until_us))
-        else:
-            self.shown = self.agreement.status(self.clock.now_us())
-            self._told(reply, Answer.LOST if answer is Answer.PENDING else answer)
-
-    @staticmethod
-    def _told(reply: Reply, answer: Answer) -> None:
-        reply.answer = answer
-        reply.ready.set()
-
-    # Its own thread.
+    # The coordinator's own thread.
 
     def run(self) -> None:
-        """Work off what comes, and beat."""
+        """Process events and send heartbeats until `stop`."""
         due_us = self.clock.now_us()
-        while not self.stopped:
+        while not self._is_stopped:
             wait_us = due_us - self.clock.now_us()
             if wait_us <= 0:
-                self._carry(self._beat)
-                # One that was held up does not make up for beats: they would come all at once.
-                due_us = max(due_us + self.beat_us, self.clock.now_us())
+                self._process(self._heartbeat)
+                # Missed heartbeats are not made up for: they would be sent all at once.
+                due_us = max(due_us + self._heartbeat_interval_us, self.clock.now_us())
                 continue
-            if self.followed:
-                wait_us = min(wait_us, LOOK_US)
+            if self._pending:
+                wait_us = min(wait_us, ANSWER_POLL_US)
             with suppress(queue.Empty):
-                self._carry(self.line.get(timeout=wait_us / 1e6))
-            followed, self.followed = self.followed, []
-            for number, reply, until_us in followed:
-                self._follow(number, reply, until_us)
-
-    def _beat(self, now_us: int) -> Post:
-        sights = self.servers()
+                self._process(self._events.get(timeout=wait_us / 1e6))
+            pending, self._pending = self._pending, []
+            for command in pending:
+                self._follow(command)
+
+    def _follow(self, command: PendingCommand) -> None:
+        """Answer an operator's command, or keep it pending where its result is not known."""
+        answer = self.agreement.answer(command.number)
+        if answer is Answer.PENDING and self.clock.now_us() < command.deadline_us:
+            self._pending.append(command)
+            return
+        self._agreement_status = self.agreement.status(self.clock.now_us())
+        command.reply.set(Answer.LOST if answer is Answer.PENDING else answer)
+
+    def _heartbeat(self, now_us: int) -> Post:
+        sights = self._observe_servers()
         self.agreement.servers_are({cell: sight.place for cell, sight in sights.items()}, now_us)
         for cell, sight in sights.items():
             self.agreement.see_server(cell, sight.serving, sight.as_of_us, now_us)
-        post = self.agreement.beat(self.mine(), now_us, self.rng.random())
-        self.shown = self.agreement.status(now_us)
-        return post
+        messages = self.agreement.beat(self._own_state(), now_us, self._rng.random())
+        self._agreement_status = self.agreement.status(now_us)
+        return messages
 
-    def _carry(self, call: Callable[[int], Post]) -> None:
+    def _process(self, event: Event) -> None:
         try:
-            self._carried(call)
+            self._apply(event)
         except Exception as error:  # one message's fault must not end the agreement with all others
-            self.notice("releases_failed", reason=repr(error))
-
-    def _carried(self, call: Callable[[int], Post]) -> None:
-        post = call(self.clock.now_us())
-        told = self.agreement.keep()
-        if told is not None:
-            self.unsafe = told
-        if self.unsafe is not None:
-            if not self.keep(self.unsafe):
+            self._log("releases_failed", reason=repr(error))
+
+    def _apply(self, event: Event) -> None:
+        """Process an event, make its promises durable, and only then send messages and act."""
+        messages = event(self.clock.now_us())
+        memory = self.agreement.keep()
+        if memory is not None:
+            self._unsaved = memory
+        if self._unsaved is not None:
+            if not self._persist(self._unsaved):
                 return
-            self.unsafe = None
-        for front, said in post:
-            self.post(front, said)
-        for act in self.agreement.acts():
-            self._act(act)
-
-    def _act(self, act: Act) -> None:
-        if act.do is Do.NOTE:
-            self.notice("release", told=act.text)
-        elif act.do is Do.STAY:
-            self.notice("release_stays", kind=act.kind.name.lower(), place=act.place)
-        elif self.agreement.begin(act.kind, act.place, self.clock.now_us()):
-            gone = self.leave(act.version) if act.kind is Kind.FRONT else self.take_server(act.place)
-            if not gone:
-                self._carry(lambda now_us: self.agreement.let_go(act.kind, act.place, now_us))
+            self._unsaved = None
+        for front, message in messages:
+            self.post(front, message)
+        for action in self.agreement.acts():
+            self._act(action)
+
+    def _act(self, action: Act) -> None:
+        if action.do is Do.NOTE:
+            self._log("release", told=action.text)
+        elif action.do is Do.STAY:
+            self._log("release_stays", kind=action.kind.name.lower(), place=action.place)
+        elif self.agreement.begin(action.kind, action.place, self.clock.now_us()):
+            self._take_out(action)
+
+    def _take_out(self, action: Act) -> None:
+        """Take this front or a server out of service; give the permit back where that is impossible."""
+        is_out = self.leave(action.version) if action.kind is Kind.FRONT else self.take_server(action.place)
+        if not is_out:
+            self._process(lambda now_us: self.agreement.let_go(action.kind, action.place, now_us))
--- a/tests/test_release_side.py
+++ b/tests/test_release_side.py
@@ -15,7 +15,7 @@
 
 from fennelcove import rollout_messages
 from fennelcove.clock import ManualClock
-from fennelcove.core.rollout_coordinator import MOST_WAITING, RolloutCoordinator
+from fennelcove.core.rollout_coordinator import MAX_QUEUED_EVENTS, RolloutCoordinator
 from fennelcove.scenarios.faults import OUT, STRUCK
 from fennelcove.scenarios.outages import outs
 from fennelcove.daemon.rollouts import Promises
@@ -114,30 +114,30 @@
         self.clock, self.disk = ManualClock(10_000_000), Disk()
         self.book = book(self.disk, self.clock)
         self.clock.advance(5_000_000)  # past the time in which a new life promises nothing
-        self.book._carry(self.book._beat)
+        self.book._process(self.book._heartbeat)
         for other in (1, 2):
             word = messages.Word(5 + other, 1, 7, 1, Stands.SERVING, 1)
-            self.book._carry(lambda now_us, o=other, w=word: self.book.agreement.hear(o, w, now_us))
+            self.book._process(lambda now_us, o=other, w=word: self.book.agreement.hear(o, w, now_us))
         self.disk.log.clear()
 
     def test_a_promise_is_in_the_folder_before_its_yes_is_sent(self) -> None:
         ask = messages.Ask(6, 1, Kind.FRONT, 1)
-        self.book._carry(lambda now_us: self.book.agreement.hear(1, ask, now_us))
+        self.book._process(lambda now_us: self.book.agreement.hear(1, ask, now_us))
         self.assertEqual(self.disk.log, ["kept", "Vote"])
 
     def test_what_the_folder_does_not_take_is_not_said_until_it_does(self) -> None:
         self.disk.well = False
         ask = messages.Ask(6, 1, Kind.FRONT, 1)
-        self.book._carry(lambda now_us: self.book.agreement.hear(1, ask, now_us))
-        self.book._carry(self.book._beat)
+        self.book._process(lambda now_us: self.book.agreement.hear(1, ask, now_us))
+        self.book._process(self.book._heartbeat)
         self.assertEqual(self.disk.log, ["not kept", "not kept"])
         self.assertTrue(self.book.status()["unsafe"])
         self.disk.well = True
-        self.book._carry(self.book._beat)
+        self.book._process(self.book._heartbeat)
         self.assertEqual(self.disk.log[2:], ["kept", "Word", "Word"])
 
     def test_a_full_line_loses_what_comes_and_says_busy_to_an_operator(self) -> None:
-        for number in range(MOST_WAITING + 5):
+        for number in range(MAX_QUEUED_EVENTS + 5):
             self.book.hear(1, messages.Taken(1, number))
         self.assertEqual(self.book.status()["lost"], 5)
         self.assertIs(self.book.command(Command(Wish.HALT, 0)), Answer.BUSY)
@@ -145,11 +145,11 @@
     def test_a_front_that_can_not_go_stays_and_its_permit_is_given_up(self) -> None:
         # Otherwise a file that can't be written held the only place for ever.
         self.book.agreement.want_out(2, self.clock.now_us())
-        self.book._carry(self.book._beat)
+        self.book._process(self.book._heartbeat)
         asked = next(iter(self.book.agreement.askers[Kind.FRONT].wanted.values()))
         for other in (1, 2):
             vote = messages.Vote(7, asked.number, Verdict.YES)
-            self.book._carry(lambda now_us, o=other, v=vote: self.book.agreement.hear(o, v, now_us))
+            self.book._process(lambda now_us, o=other, v=vote: self.book.agreement.hear(o, v, now_us))
         self.assertEqual(self.book.agreement.askers[Kind.FRONT].wanted, {})
 
     def test_an_order_is_answered_when_the_book_runs_and_no_majority_is_there(self) -> None:
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -349,7 +349,7 @@
         self.clock = ManualClock(10 * SECOND, 10**15)
         self.core = self.made(b"k")
         self.core.storms.weather.phase = StormState.STORM
-        self.core.storms.queues.held["t1"] = WaitingQueue(10 * SECOND, pace=0.5, refusing=True)
+        self.core.storms.waiting_room.held["t1"] = WaitingQueue(10 * SECOND, pace=0.5, refusing=True)
 
     def made(self, key: bytes) -> Core:
         told = replace(parse(SETTINGS, FrontSettings, "test"), storm=StormSettings(damping=True))
@@ -375,7 +375,7 @@
         self.assertEqual(self.ask("v", first.place).standing, "invented")
 
     def test_one_that_waited_in_vain_is_among_the_next_and_one_of_more_benefit_pays_less(self) -> None:
-        queue = self.core.storms.queues.held["t1"]
+        queue = self.core.storms.waiting_room.held["t1"]
         for _ in range(40):
             queue.promise(self.clock.now_us(), None, 0.5)
         first = self.ask("v")
@@ -389,7 +389,7 @@
 
     def test_while_there_is_room_a_first_try_is_let_in_past_any_pace(self) -> None:
         # Held to the pace, they were turned away for whom boxes had room: 147 of 200 watched, 191 without.
-        self.core.storms.queues.held["t1"].refusing = False
+        self.core.storms.waiting_room.held["t1"].refusing = False
         self.assertEqual(self.ask("new", again=False).why, "no holder has room")
         self.assertEqual(self.ask("hasty").standing, "again")
 
