--- a/packages/cli/src/fennelcove/cli/store.py
+++ b/packages/cli/src/fennelcove/cli/store.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from fennelcove.cli.telling import fail
-from fennelcove.core.snapshot_manager import SERVER, FRONT
+from fennelcove.core.snapshot_records import FRONT, SERVER
 from fennelcove.decisions.recovery import snapshot
 from fennelcove.store.base import FILE, BaseFileError
 from fennelcove.store.folder import Store, StoreError, verify
--- a/packages/core/src/fennelcove/core/membership_coordinator.py
+++ b/packages/core/src/fennelcove/core/membership_coordinator.py
@@ -1,22 +1,37 @@
-"""The core's part that knows which fronts live. It is handed what it needs, and the lock that is round it."""
+"""Which fronts are alive: sends and receives heartbeats, under the core's lock."""
 
 from __future__ import annotations
 
 import threading
 from collections.abc import Callable
+from dataclasses import asdict, dataclass
 
 from fennelcove.clock import Clock
+from fennelcove.core.front_incarnations import FrontIncarnations
 from fennelcove.core.requests import EventLogger
-from fennelcove.decisions.fleet.membership import Heartbeat, Membership, PeerState, MembershipSettings
+from fennelcove.decisions.fleet.membership import Heartbeat, Membership, MembershipSettings, PeerState
 from fennelcove.settings.schema import CompanySettings, Instance
 
-Post = Callable[[dict[int, Heartbeat]], None]
-SHOWN = {PeerState.SILENT, PeerState.LEFT, PeerState.BACK, PeerState.TWIN}  # what goes into the log
+LOGGED_STATES = {PeerState.SILENT, PeerState.LEFT, PeerState.BACK, PeerState.TWIN}
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipStatus:
+    """The `company` section of the status; the field names are keys of the status JSON."""
+
+    living: int
+    fronts: int
+    leased: bool
+    gone: list[int]
+    share: float
+    standings: dict[str, str]
 
 
 class MembershipCoordinator:
-    """One front among others: beats on a timer, and the part of a cold box that is this front's. Attach
-    `post` before `begin`."""
+    """One front among others.
+
+    The owner assigns `post` (sends a heartbeat to each front) and calls `beat` at the settings' interval.
+    """
 
     def __init__(
         self,
@@ -27,72 +42,78 @@
         lock: threading.RLock,
         notice: EventLogger,
     ) -> None:
-        beat_us, lease_us = round(told.beat_ms * 1000), round(told.lease_ms * 1000)
-        terms = MembershipSettings(instance.fronts, instance.index, beat_us, lease_us, lease_us, told.kept)
-        self.clock = clock
-        self.lock = lock
-        self.notice = notice
-        self.company = Membership(terms, life, clock.now_us())
-        self.post: Post = lambda beats: None
-        self.was_leased = False
+        interval_us, lease_us = round(told.beat_ms * 1000), round(told.lease_ms * 1000)
+        settings = MembershipSettings(
+            instance.fronts, instance.index, interval_us, lease_us, lease_us, told.kept
+        )
+        self._clock = clock
+        self._lock = lock
+        self._log = notice
+        self.company = Membership(settings, life, clock.now_us())
+        self.post: Callable[[dict[int, Heartbeat]], None] = lambda _heartbeats: None
+        self._had_lease = False
 
     def mine(self, turn: int) -> bool:
-        """As `rules.Front.mine`, by what is heard of the others."""
-        with self.lock:
-            return self.company.mine(turn, self.clock.now_us())
+        """Return whether a turn of a server in slow start is this front's, as `PlacementPolicy.mine` asks."""
+        with self._lock:
+            return self.company.mine(turn, self._clock.now_us())
 
     def fronts(self) -> float:
-        """As how many fronts this one has to reckon."""
-        with self.lock:
-            return 1 / self.company.share(self.clock.now_us())
+        """Return the number of fronts among which this one's share counts."""
+        with self._lock:
+            return 1 / self.company.share(self._clock.now_us())
 
     def beat(self) -> None:
-        """Tell the others; called every beat. What is sent waits for nobody."""
-        with self.lock:
-            beats = self.company.beat(self.clock.now_us())
-            self._tell()
-        self.post(beats)
+        """Send a heartbeat to each front; returns without waiting for them."""
+        with self._lock:
+            heartbeats = self.company.beat(self._clock.now_us())
+            self._log_changes()
+        self.post(heartbeats)
 
     def hear(self, sender: int, beat: Heartbeat) -> None:
-        """Another front's beat has come."""
-        with self.lock:
-            self.company.hear(sender, beat, self.clock.now_us())
-            self._tell()
+        """Handle another front's heartbeat."""
+        with self._lock:
+            self.company.hear(sender, beat, self._clock.now_us())
+            self._log_changes()
 
     def leave(self) -> None:
-        """This front ends: the others need not wait until they miss it."""
-        with self.lock:
+        """Announce that this front ends, so that the others need not wait for a timeout."""
+        with self._lock:
             self.company.leaving = True
         self.beat()
 
-    def lives(self) -> tuple[int, int, list[int]]:
-        """This front's life, the latest known under its index before it, and all by index; 0 for unheard."""
-        with self.lock:
-            company = self.company
-            size = range(company.terms.fronts)
-            known = [company.peers[i].life if i in company.peers else company.life for i in size]
-            return company.life, company.outbid_life, known
+    def lives(self) -> FrontIncarnations:
+        """Return the known incarnations of all fronts."""
+        with self._lock:
+            membership = self.company
+            known = tuple(
+                membership.peers[index].life if index in membership.peers else membership.life
+                for index in range(membership.terms.fronts)
+            )
+            return FrontIncarnations(membership.life, membership.outbid_life, known)
 
     def status(self) -> dict[str, object]:
-        """Figures for an operator."""
-        with self.lock:
-            now_us = self.clock.now_us()
-            company = self.company
-            return {
-                "living": company.living(),
-                "fronts": company.terms.fronts,
-                "leased": company.leased(now_us),
-                "gone": sorted(company.gone(now_us)),
-                "share": round(company.share(now_us), 4),
-                "standings": {str(i): peer.standing.name.lower() for i, peer in company.peers.items()},
-            }
-
-    def _tell(self) -> None:
+        """Return the figures of the `company` section of the status JSON."""
+        with self._lock:
+            now_us, membership = self._clock.now_us(), self.company
+            status = MembershipStatus(
+                living=membership.living(),
+                fronts=membership.terms.fronts,
+                leased=membership.leased(now_us),
+                gone=sorted(membership.gone(now_us)),
+                share=round(membership.share(now_us), 4),
+                standings={
+                    str(index): peer.standing.name.lower() for index, peer in membership.peers.items()
+                },
+            )
+            return asdict(status)
+
+    def _log_changes(self) -> None:
         for change in self.company.news():
-            if change.now in SHOWN:
+            if change.now in LOGGED_STATES:
                 was, now = change.was.name.lower(), change.now.name.lower()
-                self.notice("front_heard_of", other=change.index, was=was, now=now)
-        leased = self.company.leased(self.clock.now_us())
-        if leased is not self.was_leased:
-            self.was_leased = leased
-            self.notice("lease", held=leased, living=self.company.living())
+                self._log("front_heard_of", other=change.index, was=was, now=now)
+        has_lease = self.company.leased(self._clock.now_us())
+        if has_lease is not self._had_lease:
+            self._had_lease = has_lease
+            self._log("lease", held=has_lease, living=self.company.living())
--- a/packages/core/src/fennelcove/core/snapshot_manager.py
+++ b/packages/core/src/fennelcove/core/snapshot_manager.py
@@ -1,35 +1,53 @@
-"""The core's part that remembers: what is gathered for the store, and what of it is told to a new module."""
+"""Snapshots of a front: what is collected for the store, and what of it a new incarnation uses."""
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
-import msgspec
-
+from fennelcove.core import snapshot_records
 from fennelcove.core.context import CoreContext
+from fennelcove.core.front_incarnations import FrontIncarnations
 from fennelcove.core.idempotency_store import IdempotencyStore
 from fennelcove.core.seat_leases import SeatLeaseManager
+from fennelcove.core.snapshot_records import FORMAT, FRONT, LIST, SERVER
+from fennelcove.decisions.clients.retry_storm import RetryStormDetector
 from fennelcove.decisions.fleet import snapshot_trust
-from fennelcove.decisions.fleet.snapshot_trust import SnapshotAge, Evidence, FactKind, LossKind, SnapshotUse
+from fennelcove.decisions.fleet.snapshot_trust import Evidence, FactKind, LossKind, SnapshotAge, SnapshotUse
 from fennelcove.decisions.recovery import snapshot
-from fennelcove.decisions.recovery.snapshot import (
-    ServerMemory,
-    FrontMemory,
-    KeptServer,
-    KeptList,
-    RecordVerdict,
-)
-from fennelcove.decisions.clients.retry_storm import RetryStormDetector
-from fennelcove.interface import ListEntry, ServerSnapshot, BudgetSnapshot, ServerState
-from fennelcove.placement import PlacementPolicy, Server
+from fennelcove.decisions.recovery.snapshot import FrontMemory, RecordVerdict, RecoveredState
+from fennelcove.interface import BudgetSnapshot, ListEntry, ServerSnapshot
+from fennelcove.placement import PlacementPolicy
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotAssessment:
+    """What was lost with the previous incarnation, and how old its snapshot is."""
+
+    loss: LossKind
+    age: SnapshotAge
+
+    def use_of(self, fact: FactKind) -> SnapshotUse:
+        """Return how far a kind of fact may be used."""
+        return snapshot_trust.use(fact, self.loss, self.age)
+
 
-SERVER, FRONT, LIST, FORMAT = b"box/", b"front", b"list", b"format"
-_ENCODER = msgspec.msgpack.Encoder()
+@dataclass(frozen=True, slots=True)
+class ServerRecord:
+    """A server's stored record: whether it still applies, and what it holds where it does."""
+
+    address: str
+    verdict: RecordVerdict
+    state: RecoveredState | None
 
 
 class SnapshotManager:
-    """Memories of one front; the core's lock is round it. `version` tells the list in force, None before the
-    first."""
+    """The snapshots of one front; the core's lock is held around every call that does not take it.
+
+    The owner assigns `lives` (returns the known incarnations), `more` (returns the records of other parts)
+    and `entries` (the endpoint list in force, where it is to be stored).
+    """
 
     def __init__(
         self,
@@ -40,197 +58,178 @@
         repeats: IdempotencyStore,
         version: Callable[[], int | None],
     ) -> None:
-        self.context = context
-        self.module = module
-        self.weather = weather
-        self.seats = seats
-        self.repeats = repeats
-        self.version = version
-        self.kept: dict[bytes, bytes] = {}
-        self.unread: dict[bytes, bytes] = {}
-        self.front: FrontMemory | None = None
-        # What the others say of lives: this front's, the latest known under its index before, all by index.
-        self.lives: Callable[[], tuple[int, int, list[int]]] = lambda: (0, 0, [])
-        self.more: Callable[[], list[tuple[bytes, bytes]]] = list  # what other parts want kept
-        self.entries: dict[str, ListEntry] | None = None  # the list in force, where it is to be kept
+        """Create a manager.
+
+        Args:
+            context: What all parts of the core share.
+            module: The placement policy.
+            weather: The detector of retry storms.
+            seats: The seat leases.
+            repeats: The idempotency keys.
+            version: Returns the version of the endpoint list in force, None before the first.
+        """
+        self._context = context
+        self._policy = module
+        self._detector = weather
+        self._seats = seats
+        self._idempotency = repeats
+        self._list_version = version
+        self.stored: dict[bytes, bytes] = {}  # the records as the store has them
+        self._unclaimed: dict[bytes, bytes] = {}  # servers' records, until a list names the servers
+        self._front: FrontMemory | None = None
+        self.lives: Callable[[], FrontIncarnations] = FrontIncarnations
+        self.more: Callable[[], list[tuple[bytes, bytes]]] = list
+        self.entries: dict[str, ListEntry] | None = None
+
+    # Restoring.
 
     def restore(self, values: Mapping[bytes, bytes]) -> None:
-        """What the last life kept. Boxes wait for the first list: only it tells which still are what they
-        were."""
-        with self.context.lock:
+        """Take over the records of the previous incarnation.
+
+        Servers' records wait for the first endpoint list, which shows whether the servers are still the same.
+        """
+        with self._context.lock:
             values = snapshot.migrated(values)
-            self.kept = dict(values)
-            self.unread = {key: raw for key, raw in values.items() if key.startswith(SERVER)}
-            self.seats.restore(values)
-            keys = self.repeats.restore(values)
-            if keys:
-                self.context.notice("keys_remembered", count=keys)
-            front = self.front = snapshot.read_front(values.get(FRONT, b""))
-            if front is None:
-                return
-            wall_us, settings = self.context.wall_us(), self.module.settings
-            taken = snapshot.spent(front.taken_us, wall_us, settings.budget_span_us)
-            further = snapshot.spent(front.further_us, wall_us, settings.budget_span_us)
-            if (
-                snapshot_trust.use(FactKind.BUDGET, LossKind.SELF, self.evidence(0, 0)[1])
-                is SnapshotUse.AT_LEAST
-            ):
-                taken, further = [], [0 for _ in front.further_us]
-            self.module.handle(BudgetSnapshot(tuple(taken), tuple(further)), self.context.now_us())
-            weather = self.weather
-            weather.usual, weather.seen = front.usual, front.seen
+            self.stored = dict(values)
+            self._unclaimed = {key: record for key, record in values.items() if key.startswith(SERVER)}
+            self._seats.restore(values)
+            key_count = self._idempotency.restore(values)
+            if key_count:
+                self._context.notice("keys_remembered", count=key_count)
+            self._front = snapshot.read_front(values.get(FRONT, b""))
+            if self._front is not None:
+                self._restore_budgets(self._front)
+                self._detector.usual, self._detector.seen = self._front.usual, self._front.seen
+
+    def _restore_budgets(self, front: FrontMemory) -> None:
+        wall_us, span_us = self._context.wall_us(), self._policy.settings.budget_span_us
+        taken = snapshot.spent(front.taken_us, wall_us, span_us)
+        further = snapshot.spent(front.further_us, wall_us, span_us)
+        age = self._assess(0, 0).age
+        if snapshot_trust.use(FactKind.BUDGET, LossKind.SELF, age) is SnapshotUse.AT_LEAST:
+            # Times out of an old snapshot are not known well enough: everything counts as spent just now.
+            taken, further = [], [0 for _ in front.further_us]
+        self._policy.handle(BudgetSnapshot(tuple(taken), tuple(further)), self._context.now_us())
 
     def last_list(self) -> tuple[ListEntry, ...]:
-        """The list that the last life kept, as far as it may still be asked; empty where there is none."""
-        with self.context.lock:
-            kept = snapshot.read_list(self.kept.get(LIST, b""))
-            _, age = self.evidence(0, 0)
-            if kept is None or snapshot_trust.use(FactKind.LIST, LossKind.SELF, age) is SnapshotUse.DROP:
+        """Return the endpoint list of the previous incarnation; empty where there is none to be used."""
+        with self._context.lock:
+            stored_list = snapshot.read_list(self.stored.get(LIST, b""))
+            age = self._assess(0, 0).age
+            if stored_list is None:
+                return ()
+            if snapshot_trust.use(FactKind.LIST, LossKind.SELF, age) is SnapshotUse.DROP:
                 return ()
-            return tuple(
-                ListEntry(
-                    server.address,
-                    server.zone,
-                    server.kind,
-                    server.cell,
-                    ServerState(server.standing),
-                    server.weight,
-                    0,
-                )
-                for server in kept.boxes
+            return tuple(snapshot_records.list_entry(server) for server in stored_list.boxes)
+
+    def listed(self) -> None:
+        """Restore the servers that an endpoint list names; each is restored once."""
+        unclaimed, self._unclaimed = self._unclaimed, {}
+        now_us, wall_us = self._context.now_us(), self._context.wall_us()
+        records = [self._judge(key, record, now_us, wall_us) for key, record in unclaimed.items()]
+        restarted = sum(record.verdict is RecordVerdict.NEW_LIFE for record in records)
+        listed = sum(record.verdict is not RecordVerdict.NOT_LISTED for record in records)
+        assessment = self._assess(listed, restarted)
+        if self._front is not None:
+            self._context.notice(
+                "evidence",
+                loss=assessment.loss.name.lower(),
+                folder=assessment.age.name.lower(),
+                boxes=listed,
+                new=restarted,
             )
+            self._restore_usual_load(assessment)
+        for record in records:
+            if record.state is not None:
+                self._restore_server(record.address, record.state, assessment, now_us)
+        counts = Counter(record.verdict.name.lower() for record in records)
+        if counts:
+            self._context.notice("boxes_remembered", **counts)
 
-    def evidence(self, servers: int, new: int) -> tuple[LossKind, SnapshotAge]:
-        """What died and how old the folder is, by what was heard until now."""
-        front, (_, known, lives) = self.front, self.lives()
-        before = front.lives if front is not None else []
-        heard = [(life, was) for life, was in zip(lives, before, strict=False) if life and was]
-        found = Evidence(
+    def _judge(self, key: bytes, record: bytes, now_us: int, wall_us: int) -> ServerRecord:
+        address = snapshot_records.address_of(key)
+        server = self._policy.servers.get(address)
+        started_us = None if server is None else wall_us - (now_us - server.started_us)
+        verdict, state = snapshot.rule(snapshot.read_server(record), started_us, wall_us)
+        return ServerRecord(address, verdict, state)
+
+    def _restore_server(
+        self, address: str, state: RecoveredState, assessment: SnapshotAssessment, now_us: int
+    ) -> None:
+        # The record is of a process that is still the same, whatever else was lost.
+        loss = LossKind.SELF if assessment.loss is LossKind.SELF else LossKind.FRONTS
+        known = SnapshotAssessment(loss, assessment.age)
+        has_strikes = known.use_of(FactKind.STRIKES) is SnapshotUse.USE
+        has_last_attempt = known.use_of(FactKind.LAST_JOIN) is SnapshotUse.USE
+        restored = ServerSnapshot(
+            address,
+            state.strikes if has_strikes else 0,
+            state.shut_for_us if has_strikes else 0,
+            state.last_attempt_ago_us if has_last_attempt else None,
+        )
+        self._policy.handle(restored, now_us)
+
+    def _restore_usual_load(self, assessment: SnapshotAssessment) -> None:
+        """Keep the usual load, or learn it anew, from where it was or from nothing."""
+        use = assessment.use_of(FactKind.PACE)
+        if use is SnapshotUse.USE:
+            return
+        self._detector.seen = 0
+        if use is SnapshotUse.DROP:
+            self._detector.usual = 0.0
+
+    def _assess(self, servers: int, restarted_servers: int) -> SnapshotAssessment:
+        """Return what was lost and how old the snapshot is, by what was heard until now."""
+        front, incarnations = self._front, self.lives()
+        stored = front.lives if front is not None else []
+        heard = [
+            (now, before)
+            for now, before in zip(incarnations.by_front, stored, strict=False)
+            if now and before
+        ]
+        evidence = Evidence(
             servers,
-            new,
+            restarted_servers,
             len(heard),
-            sum(life > was for life, was in heard),
+            sum(now > before for now, before in heard),
             front.life if front is not None else 0,
-            known,
+            incarnations.latest_before,
             front.written_us if front is not None else 0,
-            self.context.wall_us(),
+            self._context.wall_us(),
         )
-        return snapshot_trust.loss(found), snapshot_trust.age(found)
+        return SnapshotAssessment(snapshot_trust.loss(evidence), snapshot_trust.age(evidence))
 
-    def listed(self) -> None:
-        """A list has come: boxes that it names are remembered, once."""
-        unread, self.unread = self.unread, {}
-        counts: dict[RecordVerdict, int] = {}
-        now_us, wall_us = self.context.now_us(), self.context.wall_us()
-        ruled = {key: self._ruled(key, raw, now_us, wall_us) for key, raw in unread.items()}
-        new = sum(verdict is RecordVerdict.NEW_LIFE for verdict, _ in ruled.values())
-        listed = sum(verdict is not RecordVerdict.NOT_LISTED for verdict, _ in ruled.values())
-        loss, age = self.evidence(listed, new)
-        if self.front is not None:
-            self.context.notice(
-                "evidence", loss=loss.name.lower(), folder=age.name.lower(), boxes=listed, new=new
-            )
-            self._believe_pace(loss, age)
-        for key, (verdict, recalled) in ruled.items():
-            address = key[len(SERVER) :].decode("utf-8", "replace")
-            counts[verdict] = counts.get(verdict, 0) + 1
-            if recalled is not None:
-                # What is recalled is of a process that lived through it, whatever else was lost.
-                lived = LossKind.SELF if loss is LossKind.SELF else LossKind.FRONTS
-                strikes = snapshot_trust.use(FactKind.STRIKES, lived, age) is SnapshotUse.USE
-                attempted = snapshot_trust.use(FactKind.LAST_JOIN, lived, age) is SnapshotUse.USE
-                told = ServerSnapshot(
-                    address,
-                    recalled.strikes if strikes else 0,
-                    recalled.shut_for_us if strikes else 0,
-                    recalled.last_attempt_ago_us if attempted else None,
-                )
-                self.module.handle(told, now_us)
-        if counts:
-            self.context.notice(
-                "boxes_remembered", **{verdict.name.lower(): n for verdict, n in counts.items()}
-            )
-
-    def _ruled(
-        self, key: bytes, raw: bytes, now_us: int, wall_us: int
-    ) -> tuple[RecordVerdict, snapshot.RecoveredState | None]:
-        address = key[len(SERVER) :].decode("utf-8", "replace")
-        server = self.module.servers.get(address)
-        started_us = None if server is None else wall_us - (now_us - server.started_us)
-        return snapshot.rule(snapshot.read_server(raw), started_us, wall_us)
-
-    def _believe_pace(self, loss: LossKind, age: SnapshotAge) -> None:
-        """The usual pace: where it may be more by now it is learned anew from where it was."""
-        weather = self.weather
-        believed = snapshot_trust.use(FactKind.PACE, loss, age)
-        if believed is not SnapshotUse.USE:
-            weather.seen = 0
-            weather.usual = 0.0 if believed is SnapshotUse.DROP else weather.usual
+    # Storing.
 
     def gather(self) -> list[tuple[bytes, bytes | None]]:
-        """What has changed since the last time; called every so often."""
-        with self.context.lock:
-            if self.version() is None:
-                return []  # before the first list nothing is known that was not kept already
-            now_us, wall_us = self.context.now_us(), self.context.wall_us()
-            new = [
-                (SERVER + server.address.encode(), _ENCODER.encode(_server(server, now_us, wall_us)))
-                for server in self.module.servers.values()
-            ]
-            new += self.repeats.kept()
-            new += self.seats.kept()
-            new += self.more()
-            new.append((FRONT, _ENCODER.encode(self._front(now_us, wall_us))))
-            new.append((FORMAT, str(snapshot.FORMAT).encode()))
-            if self.entries is not None:
-                new.append((LIST, _ENCODER.encode(self._list(now_us, wall_us))))
-            found = snapshot.changed(new, self.kept)
-            self.kept = dict(new)
-            return found
-
-    def _front(self, now_us: int, wall_us: int) -> FrontMemory:
-        front, weather = self.module, self.weather
-        taken = [wall_us - (now_us - at) for at in front.taken][-snapshot.MOST_TIMES :]
-        further = [wall_us - (now_us - at) for at in front.further][-snapshot.MOST_TIMES :]
-        life, _, lives = self.lives()
-        version = self.version()
-        return FrontMemory(
-            wall_us // 1_000_000 * 1_000_000,
-            taken,
-            further,
-            weather.usual,
-            weather.seen,
-            life,
-            lives,
-            -1 if version is None else version,
-        )
-
-    def _list(self, now_us: int, wall_us: int) -> KeptList:
-        servers = [
-            KeptServer(
-                entry.address,
-                entry.zone,
-                entry.kind,
-                entry.cell,
-                entry.standing.value,
-                entry.weight,
-                round((wall_us - (now_us - entry.started_us)) / 1e6) * 1_000_000 if entry.started_us else 0,
+        """Return the records that changed since the last call; None as the value of one to be deleted."""
+        with self._context.lock:
+            if self._list_version() is None:
+                return []  # before the first list nothing is known that is not stored already
+            records = self._records()
+            changed = snapshot.changed(records, self.stored)
+            self.stored = dict(records)
+            return changed
+
+    def _records(self) -> list[tuple[bytes, bytes]]:
+        now_us, wall_us = self._context.now_us(), self._context.wall_us()
+        version = self._list_version()
+        records = [
+            (
+                snapshot_records.server_key(server.address),
+                snapshot_records.server_record(server, now_us, wall_us),
             )
-            for entry in (self.entries or {}).values()
+            for server in self._policy.servers.values()
         ]
-        return KeptList(self.version() or 0, servers)
-
-
-def _server(server: Server, now_us: int, wall_us: int) -> ServerMemory:
-    def wall(at_us: int) -> int:
-        # Whole milliseconds: the same moment, told twice by two clocks, must not look like news.
-        return round((wall_us - (now_us - at_us)) / 1000) * 1000
-
-    return ServerMemory(
-        wall(server.started_us),
-        server.strikes,
-        wall(server.shut_until_us) if server.shut_until_us > now_us else 0,
-        wall(server.last_attempt_us) if server.last_attempt_us is not None else 0,
-        # To the minute: the moment itself would be news each second of every box.
-        wall_us // 60_000_000 * 60_000_000,
-    )
+        records += self._idempotency.kept()
+        records += self._seats.kept()
+        records += self.more()
+        front = snapshot_records.front_record(
+            self._policy, self._detector, self.lives(), version, now_us, wall_us
+        )
+        records.append((FRONT, front))
+        records.append((FORMAT, str(snapshot.FORMAT).encode()))
+        if self.entries is not None:
+            entries = self.entries.values()
+            records.append((LIST, snapshot_records.list_record(entries, version, now_us, wall_us)))
+        return records
--- a/tests/test_slots_front.py
+++ b/tests/test_slots_front.py
@@ -52,7 +52,7 @@
             self.ask()
             wait_for(lambda: self.shown()["boxes"], "a box listed")
             self.front.stop()
-            values = self.front.core.memories.kept
+            values = self.front.core.memories.stored
             raw = values[persisted.KEY + self.boxes[0].address.encode()]
             self.assertEqual(persisted.recall(raw, "k", 0, 16, self.clock.wall_us()), 16)
 
