Recovery, quota, shedding, health-check and probe coordinators: field's names, typed status

Private names are the field's, each status section is a frozen record, conditionals in arguments are named steps, and recovery's admission, capacity and list steps are functions of their own.

--- a/packages/core/src/fennelcove/core/health_check_coordinator.py
+++ b/packages/core/src/fennelcove/core/health_check_coordinator.py
@@ -1,30 +1,42 @@
-"""The core's part that watches boxes with the other fronts. It is handed what it needs, and the lock that is
-round it."""
+"""Checks the health of servers together with the other fronts; takes the core's lock."""
 
 from __future__ import annotations
 
 import threading
 from collections.abc import Callable, Iterable
+from dataclasses import asdict, dataclass
 from random import Random
 
 from fennelcove.clock import Clock
 from fennelcove.core.requests import EventLogger
 from fennelcove.decisions.fleet import health_checks
 from fennelcove.decisions.fleet.health_checks import (
-    ProbeResult,
-    HealthVerdict,
     HealthCheckAssignment,
     HealthReport,
+    HealthVerdict,
+    ProbeResult,
 )
 from fennelcove.interface import Outcome, ProbeCompleted
 
-LOOK_US = 100_000  # how often it is looked whether a probe is due
+LOOK_US = 100_000  # interval of calls of `look`
 UNANSWERED = (Outcome.NO_ANSWER, Outcome.NO_CONNECTION, Outcome.CONNECTION_LOST)
 
 
+@dataclass(frozen=True, slots=True)
+class HealthCheckStatus:
+    """The `watchers` section of the status; the field names are keys of the status JSON."""
+
+    gone: list[str]
+    probes: int
+    kept_away: int
+
+
 class HealthCheckCoordinator:
-    """One front's watches. Attach `post` and `ask`; call `look` every `LOOK_US`, `probed` once for each probe
-    that `ask` has taken."""
+    """One front's health checks.
+
+    The owner assigns `post` (sends a report to the other fronts) and `ask` (starts a probe of a server; False
+    where it cannot). It calls `look` every `LOOK_US`, and `probed` once for each probe that was started.
+    """
 
     def __init__(
         self,
@@ -38,75 +50,87 @@
         lock: threading.RLock,
         notice: EventLogger,
     ) -> None:
-        self.watchers = HealthCheckAssignment(index, fronts, first)
-        self.listed = listed
-        self.living = living
-        self.clock = clock
-        self.rng = rng
-        self.lock = lock
-        self.notice = notice
-        self.servers: dict[int, str] = {}  # on the list, by their marks
-        self.shut: set[str] = set()  # what was gone for all at the last look
-        self.probes = self.kept_away = 0
-        self.post: Callable[[HealthReport], None] = lambda said: None
-        self.ask: Callable[[str], bool] = lambda server: False
+        self._checks = HealthCheckAssignment(index, fronts, first)
+        self._listed_servers = listed
+        self._living_fronts = living
+        self._clock = clock
+        self._rng = rng
+        self._lock = lock
+        self._log = notice
+        self._servers: dict[int, str] = {}  # the listed servers by key
+        self._gone: set[str] = set()  # servers that the fronts agreed were gone, at the last look
+        self._probe_count = 0
+        self._rejection_count = 0
+        self.post: Callable[[HealthReport], None] = lambda _report: None
+        self.ask: Callable[[str], bool] = lambda _server: False
 
     def look(self) -> None:
-        """Probe what is due. What is asked waits for nobody; a probe for which there is no room is left out:
-        the box's other watchers stand in."""
-        with self.lock:
-            now_us = self.clock.now_us()
-            self.servers = {health_checks.mark(server): server for server in self.listed()}
-            living = list(self.living())
-            due = self.watchers.due(self.servers.values(), living, self.rng.random(), now_us)
-            gone = {server for server in self.servers.values() if self.watchers.gone(server, living, now_us)}
-            for server in sorted(gone ^ self.shut):
-                self.notice("box_gone_for_all" if server in gone else "box_back_for_all", box=server)
-            self.shut = gone
+        """Start the probes that are due; returns without waiting for them.
+
+        A probe that cannot be started is left out: the other fronts that check the server make up for it.
+        """
+        with self._lock:
+            now_us = self._clock.now_us()
+            self._servers = {health_checks.mark(server): server for server in self._listed_servers()}
+            living = list(self._living_fronts())
+            due = self._checks.due(self._servers.values(), living, self._rng.random(), now_us)
+            self._update_gone(living, now_us)
         for server in due:
-            self.probes += self.ask(server)
+            is_started = self.ask(server)
+            self._probe_count += is_started
+
+    def _update_gone(self, living: list[int], now_us: int) -> None:
+        """Update which servers the fronts agree are gone, and log the changes."""
+        gone = {server for server in self._servers.values() if self._checks.gone(server, living, now_us)}
+        for server in sorted(gone ^ self._gone):
+            event = "box_gone_for_all" if server in gone else "box_back_for_all"
+            self._log(event, box=server)
+        self._gone = gone
 
     def probed(self, event: ProbeCompleted) -> None:
-        """A probe is over."""
-        with self.lock:
-            now_us = self.clock.now_us()
-            seen = ProbeResult.ANSWERED if event.outcome is Outcome.SERVED else ProbeResult.FAILED
-            self.watchers.probed(event.server, seen, now_us)
-            said = self.watchers.tells(event.server, now_us)
-        if said is not None:
-            self.post(said)
+        """Handle the end of a probe."""
+        with self._lock:
+            now_us = self._clock.now_us()
+            result = ProbeResult.ANSWERED if event.outcome is Outcome.SERVED else ProbeResult.FAILED
+            self._checks.probed(event.server, result, now_us)
+            report = self._checks.tells(event.server, now_us)
+        if report is not None:
+            self.post(report)
 
     def hear(self, sender: int, said: HealthReport) -> None:
-        """Another front's word has come."""
-        with self.lock:
-            server = self.servers.get(said.server)
+        """Handle another front's report."""
+        with self._lock:
+            server = self._servers.get(said.server)
             if server is None:
                 return
+            now_us = self._clock.now_us()
             if said.tells is HealthVerdict.FAILED_ME:
-                self.watchers.urge(server, self.clock.now_us())
+                self._checks.urge(server, now_us)
             else:
-                self.watchers.hear(
-                    sender, server, said.tells is HealthVerdict.ILL, said.number, self.clock.now_us()
-                )
+                is_ill = said.tells is HealthVerdict.ILL
+                self._checks.hear(sender, server, is_ill, said.number, now_us)
 
     def attempted(self, server: str, outcome: Outcome) -> None:
-        """A join of this front has ended there."""
-        with self.lock:
-            now_us = self.clock.now_us()
+        """Count the end of an attempt of this front at a server."""
+        with self._lock:
+            now_us = self._clock.now_us()
             if outcome is Outcome.SERVED:
-                self.watchers.served(server, now_us)
-            said = self.watchers.failed(server, now_us) if outcome in UNANSWERED else None
-        if said is not None:
-            self.post(said)
+                self._checks.served(server, now_us)
+            report = self._checks.failed(server, now_us) if outcome in UNANSWERED else None
+        if report is not None:
+            self.post(report)
 
     def free(self, id: str, server: str) -> bool:
-        """As `rules.Front.free`: whether a join may go there."""
-        with self.lock:
-            gone = self.watchers.gone(server, self.living(), self.clock.now_us())
-            self.kept_away += gone
-            return not gone
+        """Return whether an attempt may go to a server, as `PlacementPolicy.free` asks."""
+        with self._lock:
+            is_gone = self._checks.gone(server, self._living_fronts(), self._clock.now_us())
+            self._rejection_count += is_gone
+            return not is_gone
 
     def status(self) -> dict[str, object]:
-        """Figures for an operator."""
-        with self.lock:
-            return {"gone": sorted(self.shut), "probes": self.probes, "kept_away": self.kept_away}
+        """Return the figures of the `watchers` section of the status JSON."""
+        with self._lock:
+            status = HealthCheckStatus(
+                gone=sorted(self._gone), probes=self._probe_count, kept_away=self._rejection_count
+            )
+            return asdict(status)
--- a/packages/core/src/fennelcove/core/load_shedding_coordinator.py
+++ b/packages/core/src/fennelcove/core/load_shedding_coordinator.py
@@ -1,26 +1,48 @@
-"""The core's part that sheds load as one of a fleet. It is handed what it needs; the core's lock is round
-it."""
+"""Sheds load by the figures of the whole fleet; takes the core's lock."""
 
 from __future__ import annotations
 
 import threading
 from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass
 from random import Random
 
 from fennelcove.clock import Clock
+from fennelcove.core.requests import EventLogger, SessionRequest
 from fennelcove.core.retry_storm_guard import RetryStormGuard
-from fennelcove.core.requests import SessionRequest, EventLogger
-from fennelcove.decisions.fleet.fleet_load import FleetLoadEstimator, LoadSummary
-from fennelcove.decisions.fleet.slow_start_allocation import SlowStartAllocation
-from fennelcove.decisions.fleet.shedding import SheddingAction, SheddingPolicy, SheddingLevel
 from fennelcove.decisions.clients import waiting_room
-from fennelcove.decisions.clients.waiting_room import WaitingQueue, QueueDecision, TicketStatus
+from fennelcove.decisions.clients.waiting_room import QueueDecision, TicketStatus, WaitingQueue
+from fennelcove.decisions.fleet.fleet_load import FleetLoadEstimator, FleetTotals, LoadSummary
+from fennelcove.decisions.fleet.shedding import SheddingAction, SheddingLevel, SheddingPolicy
+from fennelcove.decisions.fleet.slow_start_allocation import SlowStartAllocation
 from fennelcove.settings.schema import RoomTypeSettings
 
 
+@dataclass(frozen=True, slots=True)
+class SheddingClass:
+    """A service class as load shedding sees it."""
+
+    number: int
+    priority_weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoadSheddingStatus:
+    """The `overload` section of the status; the field names are keys of the status JSON."""
+
+    level: str
+    changes: int
+    asked: int
+    unmet: float
+    heard: int
+
+
 class LoadSheddingCoordinator:
-    """One front's counts, what it hears of the others', and the step of the ladder. Attach `post` where there
-    are others; call `window` every `burden.WINDOW_US`."""
+    """One front's load, the summaries of the others, and the level of shedding.
+
+    It takes over the decisions of the retry-storm guard. The owner assigns `post` (sends a summary to the
+    other fronts) and calls `window` every `fleet_load.WINDOW_US`.
+    """
 
     def __init__(
         self,
@@ -33,78 +55,95 @@
         lock: threading.RLock,
         notice: EventLogger,
     ) -> None:
-        self.service_classes = {
-            service_class.name: (i, service_class.benefit) for i, service_class in enumerate(service_classes)
+        self._service_classes = {
+            service_class.name: SheddingClass(number, service_class.benefit)
+            for number, service_class in enumerate(service_classes)
         }
-        self.fronts = fronts
-        self.clock = clock
-        self.rng = rng
-        self.lock = lock
-        self.notice = notice
-        self.burden = FleetLoadEstimator(len(service_classes), clock.now_us(), life)
+        self._front_count = fronts
+        self._clock = clock
+        self._rng = rng
+        self._lock = lock
+        self._log = notice
+        self._load = FleetLoadEstimator(len(service_classes), clock.now_us(), life)
         self.ladder = SheddingPolicy()
-        self.ration = SlowStartAllocation()
-        self.post: Callable[[LoadSummary], None] = lambda said: None
-        storms.ruler, storms.ended, storms.sheds = self.rule, self.ended, self.sheds
+        self._allocation = SlowStartAllocation()
+        self.post: Callable[[LoadSummary], None] = lambda _summary: None
+        storms.ruler = self._decide
+        storms.ended = self._on_request_ended
+        storms.sheds = self._is_shedding
 
-    def sheds(self) -> bool:
-        """Whether those who are turned away get places."""
+    def _is_shedding(self) -> bool:
+        """Return whether rejected requests get tickets."""
         return self.ladder.level is not SheddingLevel.NONE
 
-    def rule(self, ask: SessionRequest, who: TicketStatus, queue: WaitingQueue, now_us: int) -> QueueDecision:
-        """One asks, who stands so."""
-        service_class, priority_weight = self.service_classes[ask.service_class]
-        self.burden.asked(service_class)
-        act = self.ladder.act(who)
-        if act is SheddingAction.BY_BENEFIT:
-            # The title's pace grows as long as the module refuses nobody, so that nobody steps back for good.
-            kept_s = self.ration.ask(ask.title, priority_weight, queue.pace, None, now_us, self.rng.random())
-            act = SheddingAction.PASS if kept_s is None else SheddingAction.TURN
-        if act is SheddingAction.PASS:
+    def _decide(
+        self, request: SessionRequest, status: TicketStatus, queue: WaitingQueue, now_us: int
+    ) -> QueueDecision:
+        """Admit or shed a request."""
+        service_class = self._service_classes[request.service_class]
+        self._load.asked(service_class.number)
+        action = self.ladder.act(status)
+        if action is SheddingAction.BY_BENEFIT:
+            action = self._action_by_priority(request.title, service_class, queue, now_us)
+        if action is SheddingAction.PASS:
             return QueueDecision.LET_IN
-        self.burden.turned(service_class)
-        return (
-            QueueDecision.KEEP_PLACE
-            if who is TicketStatus.EARLY
-            else waiting_room.TURNED_AWAY.get(who, QueueDecision.GUEST_PLACE)
+        self._load.turned(service_class.number)
+        if status is TicketStatus.EARLY:
+            return QueueDecision.KEEP_PLACE
+        return waiting_room.TURNED_AWAY.get(status, QueueDecision.GUEST_PLACE)
+
+    def _action_by_priority(
+        self, title: str, service_class: SheddingClass, queue: WaitingQueue, now_us: int
+    ) -> SheddingAction:
+        # The title's pace grows as long as the placement policy rejects nobody, so no class is shed for good.
+        wait_s = self._allocation.ask(
+            title, service_class.priority_weight, queue.pace, None, now_us, self._rng.random()
         )
+        return SheddingAction.PASS if wait_s is None else SheddingAction.TURN
 
-    def ended(self, service_class: str, served: bool) -> None:
-        """What was let in plays, or was refused by the module."""
-        number, _ = self.service_classes[service_class]
-        (self.burden.served if served else self.burden.turned)(number)
+    def _on_request_ended(self, service_class: str, was_served: bool) -> None:
+        """Count an admitted request that was served, or that the placement policy rejected."""
+        number = self._service_classes[service_class].number
+        if was_served:
+            self._load.served(number)
+        else:
+            self._load.turned(number)
 
     def window(self) -> None:
-        """A window has passed: stand where the fleet's figures say, and tell the others."""
-        with self.lock:
-            now_us = self.clock.now_us()
-            if not self.burden.advance(now_us):
+        """Close a window: set the level by the fleet's figures and send this front's to the others."""
+        with self._lock:
+            now_us = self._clock.now_us()
+            if not self._load.advance(now_us):
                 return
-            totals = self.burden.totals(self.fronts(), now_us)
+            totals = self._load.totals(self._front_count(), now_us)
             if self.ladder.window(totals):
-                self.notice(
-                    "overload",
-                    level=self.ladder.level.name.lower(),
-                    asked=totals.asked,
-                    unmet=round(totals.unmet, 3),
-                    heard=totals.heard,
-                )
-            said = self.burden.summary()
-        self.post(said)
+                self._log_level(totals)
+            summary = self._load.summary()
+        self.post(summary)
+
+    def _log_level(self, totals: FleetTotals) -> None:
+        self._log(
+            "overload",
+            level=self.ladder.level.name.lower(),
+            asked=totals.asked,
+            unmet=round(totals.unmet, 3),
+            heard=totals.heard,
+        )
 
     def hear(self, sender: int, said: LoadSummary) -> None:
-        """Another front's summary has come."""
-        with self.lock:
-            self.burden.hear(sender, said, self.clock.now_us())
+        """Handle another front's summary."""
+        with self._lock:
+            self._load.hear(sender, said, self._clock.now_us())
 
     def status(self) -> dict[str, object]:
-        """Figures for an operator."""
-        with self.lock:
-            totals = self.burden.totals(self.fronts(), self.clock.now_us())
-            return {
-                "level": self.ladder.level.name.lower(),
-                "changes": self.ladder.changes,
-                "asked": totals.asked,
-                "unmet": round(totals.unmet, 3),
-                "heard": totals.heard,
-            }
+        """Return the figures of the `overload` section of the status JSON."""
+        with self._lock:
+            totals = self._load.totals(self._front_count(), self._clock.now_us())
+            status = LoadSheddingStatus(
+                level=self.ladder.level.name.lower(),
+                changes=self.ladder.changes,
+                asked=totals.asked,
+                unmet=round(totals.unmet, 3),
+                heard=totals.heard,
+            )
+            return asdict(status)
--- a/packages/core/src/fennelcove/core/probe_coordinator.py
+++ b/packages/core/src/fennelcove/core/probe_coordinator.py
@@ -1,5 +1,4 @@
-"""The core's part that asks boxes and fronts for news and lets a set-up wait for it; the core's lock is round
-it."""
+"""Asks servers and fronts for their load, and lets set-ups wait for the answers; takes the core's lock."""
 
 from __future__ import annotations
 
@@ -14,67 +13,73 @@
 
 
 class ProbeSender(Protocol):
-    """What asks boxes for their load."""
+    """Asks servers for their load."""
 
-    def ask(self, server: str) -> bool: ...
+    def ask(self, server: str) -> bool:
+        """Start a probe of a server without waiting for it; return False where that is impossible."""
 
 
 class PeerMessenger(Protocol):
-    """What carries messages to other fronts."""
+    """Sends messages to other fronts."""
 
-    def tell(self, front: int, said: PeerMessage) -> None: ...
+    def tell(self, front: int, said: PeerMessage) -> None:
+        """Send a message, or lose it, without waiting."""
 
 
 class ProbeCoordinator:
-    """One front's questions, and who waits for the answers. Attach `probes` and `fronts` where configured."""
+    """One front's requests for load, and the set-ups that wait for the answers.
+
+    The owner assigns `probes` and `fronts` where they are configured, and `may_probe`, which acquires the
+    quota of a probe.
+    """
 
     def __init__(self, context: CoreContext, front: PlacementPolicy) -> None:
-        self.context = context
-        self.front = front
-        self.decided = threading.Condition(context.lock)
+        self._context = context
+        self._policy = front
+        self._decided = threading.Condition(context.lock)
         self.probes: ProbeSender | None = None
         self.fronts: PeerMessenger | None = None
         self.may_probe: Callable[[], bool] = lambda: True
 
     def wait(self, session: Session) -> None:
-        """The module may hold a request while it asks; past its time it decides by what it knows."""
-        clock, front = self.context.clock, self.front
-        policy_session = front.sessions.get(session.id)
+        """Wait while the policy holds a set-up for answers; past its time it decides by what it knows."""
+        policy_session = self._policy.sessions.get(session.id)
         while session.step is None and policy_session is not None:
-            left_us = front.poll_deadline_us(policy_session) - clock.now_us()
+            now_us = self._context.now_us()
+            left_us = self._policy.poll_deadline_us(policy_session) - now_us
             if left_us <= 0:
-                front.handle(TimerFired(TimerName.HELD), clock.now_us())
+                self._policy.handle(TimerFired(TimerName.HELD), self._context.now_us())
                 return
-            self.decided.wait(left_us / 1e6)
+            self._decided.wait(left_us / 1e6)
 
     def moved(self) -> None:
-        """Something was decided that a set-up may wait for."""
-        self.decided.notify_all()
+        """Wake the set-ups that wait, as the policy may have decided on one."""
+        self._decided.notify_all()
 
     def probe(self, server: str) -> None:
-        """Ask this box for its load."""
-        self.context.tally("probes")
+        """Ask a server for its load."""
+        self._context.tally("probes")
         if self.probes is None or not self.may_probe() or not self.probes.ask(server):
-            # Told later: the module is in the middle of a step.
+            # Reported later, as the policy is in the middle of handling an event.
             failed = ProbeCompleted(server, Outcome.NOT_SENT, 0, None)
-            self.context.timers.after(0, lambda: self.probed(failed))
+            self._context.timers.after(0, lambda: self.probed(failed))
 
     def tell(self, front: int, said: PeerMessage) -> None:
-        """Say this to another front, or lose it."""
-        self.context.tally("messages")
+        """Send a message to another front, or lose it."""
+        self._context.tally("messages")
         if self.fronts is not None:
             self.fronts.tell(front, said)
 
     def probed(self, event: ProbeCompleted) -> None:
-        """A probe is over."""
-        with self.context.lock:
-            self.context.tally(f"probes_{event.outcome.value}")
-            self.front.handle(event, self.context.now_us())
+        """Handle the end of a probe."""
+        with self._context.lock:
+            self._context.tally(f"probes_{event.outcome.value}")
+            self._policy.handle(event, self._context.now_us())
             self.moved()
 
     def peer_says(self, event: PeerMessage) -> None:
-        """Another front's message has come."""
-        with self.context.lock:
-            self.context.tally("messages_heard")
-            self.front.handle(event, self.context.now_us())
+        """Handle another front's message."""
+        with self._context.lock:
+            self._context.tally("messages_heard")
+            self._policy.handle(event, self._context.now_us())
             self.moved()
--- a/packages/core/src/fennelcove/core/recovery_coordinator.py
+++ b/packages/core/src/fennelcove/core/recovery_coordinator.py
@@ -1,24 +1,28 @@
-"""The core's part that brings service back in order after a start. It is handed what it needs; the core's
-lock is round it."""
+"""Brings service back in order after a start: admission, the age of servers, and the stored endpoint list.
+
+The core's lock is held around every call.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import asdict, dataclass, replace
 from random import Random
 
 from fennelcove.clock import Clock
+from fennelcove.core.requests import EventLogger, ResponseKind, SessionRequest, SessionResponse
 from fennelcove.core.server_registry import ServerRegistry
-from fennelcove.core.requests import ResponseKind, SessionResponse, SessionRequest, EventLogger
-from fennelcove.decisions.fleet.recovery_admission import RequestKind, AdmissionDecision, RecoveryState
+from fennelcove.decisions.fleet.recovery_admission import AdmissionDecision, RecoveryState, RequestKind
 from fennelcove.decisions.fleet.slow_start_allocation import LEAST_WAIT_US, SlowStartAllocation
 from fennelcove.interface import Effect, ListEntry, ListMode, ListUpdate, ServerState
 from fennelcove.placement import PlacementPolicy
 from fennelcove.settings.schema import FrontSettings, RecoverySettings
 
-LOOK_US = 250_000  # how often it is counted how many places are cold
-AGAIN_US = 1_000_000  # and up to as much again, so that not all fronts ask a box at once
-WORDS = {
+CAPACITY_CHECK_INTERVAL_US = 250_000
+START_TOLERANCE_US = 250_000  # by how much two reports of one server's start may differ
+POLL_INTERVAL_US = 1_000_000  # and up to as much again, so that not all fronts poll a server at once
+PACE_SPAN_US = 1_000_000
+REJECTION_REASONS = {
     RecoveryState.DARK: "this front has no list of boxes yet",
     RecoveryState.ASKING: "this front asks its boxes what plays",
     RecoveryState.SETTLING: "some boxes have not said what plays there",
@@ -26,8 +30,36 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class FleetCapacity:
+    """Places for streams at active servers, and how many of them are at servers in slow start."""
+
+    places: int
+    warming_up: int
+
+    def is_mostly_warming_up(self) -> bool:
+        """Return whether more than half of the places are at servers in slow start."""
+        return 2 * self.warming_up > self.places
+
+
+@dataclass(frozen=True, slots=True)
+class RecoveryStatus:
+    """The `comeback` section of the status; the field names are keys of the status JSON."""
+
+    phase: str
+    left_ms: float
+    boxes_due: int
+    kept_list: bool
+    entered: list[list[str | float]]  # each state's name, and for how many ms it was entered
+
+
 class RecoveryCoordinator:
-    """Who comes in while a start is under way, what boxes say of their age, and the list that was kept."""
+    """Admission while a start is under way, what servers report of their age, and the stored list.
+
+    The owner assigns `fronts` (the number of fronts that share a server in slow start), `kept` (the stored
+    list), and the callbacks `listed` (an endpoint list is in force) and `opened` (every session is accounted
+    for). It calls `look` often, and `stand_in` where no list has come for a while.
+    """
 
     def __init__(
         self,
@@ -39,163 +71,193 @@
         rng: Random,
         notice: EventLogger,
     ) -> None:
-        self.told = told
-        self.front = front
-        self.book = book
-        self.clock = clock
-        self.rng = rng
-        self.notice = notice
-        self.service_classes = {service_class.name: service_class for service_class in settings.room_types}
-        self.titles = {title.name: title for title in settings.titles}
-        self.cells = settings.fleet.cells
-        self.most_us = front.settings.retry_after_us
-        self.ration = SlowStartAllocation()
-        self.fronts: Callable[[], float] = lambda: settings.instance.fronts  # that share a cold box
+        self._settings = told
+        self._policy = front
+        self._registry = book
+        self._clock = clock
+        self._rng = rng
+        self._log = notice
+        self._service_classes = {service_class.name: service_class for service_class in settings.room_types}
+        self._titles = {title.name: title for title in settings.titles}
+        self._cell_count = settings.fleet.cells
+        self._max_wait_us = front.settings.retry_after_us
+        self._allocation = SlowStartAllocation()
         self.state = book.opening
-        self.looked_us = -LOOK_US
-        self.shown = RecoveryState.DARK
-        self.entries: dict[str, ListEntry] = {}  # the list in force, for the store
-        self.started: dict[str, int] = {}  # since when boxes are up, by their own word
-        self.kept: tuple[ListEntry, ...] = ()  # the list of the last life
-        self.stands_in = False
-        self.again_us = 0  # when absent boxes are asked again
-        self.listed: Callable[[], None] = lambda: None  # memories of boxes wait for a list
-        self.opened: Callable[[], None] = lambda: None  # accounts are settled
-        self.was_accounted = False
+        self._logged_state = RecoveryState.DARK
+        self._was_accounted = False
+        self._capacity_checked_us = -CAPACITY_CHECK_INTERVAL_US
+        self.fronts: Callable[[], float] = lambda: settings.instance.fronts
+        self.entries: dict[str, ListEntry] = {}  # the list in force, by address
+        self._reported_starts: dict[str, int] = {}  # when servers started, by their own reports
+        self.kept: tuple[ListEntry, ...] = ()
+        self._uses_stored_list = False
+        self._next_poll_us = 0  # of servers of the stored list that have not answered
+        self.listed: Callable[[], None] = lambda: None
+        self.opened: Callable[[], None] = lambda: None
         book.heard_up = self.heard_up
 
-    # The door.
+    # Admission.
 
     def before(self, ask: SessionRequest, now_us: int) -> SessionResponse | None:
-        """One asks: the refusal to give at once, or None where it is let in."""
+        """Return the rejection to give a request at once, or None where it is admitted."""
         self.look(now_us)
-        service_class = self.service_classes[ask.service_class]
-        accounted = service_class.seats > 0 or service_class.effect == Effect.SINGLE_SHOT.value
-        let = self.state.entry(RequestKind.ACCOUNTED if accounted else RequestKind.PLAIN)
-        if let is AdmissionDecision.IN:
+        service_class = self._service_classes[ask.service_class]
+        is_accounted = service_class.seats > 0 or service_class.effect == Effect.SINGLE_SHOT.value
+        decision = self.state.entry(RequestKind.ACCOUNTED if is_accounted else RequestKind.PLAIN)
+        if decision is AdmissionDecision.IN:
             return None
         wait_us: int | None = LEAST_WAIT_US
-        if let is AdmissionDecision.RATIONED:
-            pace = self._pace(ask.title)
-            if pace is None or not self.told.by_benefit:
-                return None
-            wait_us = self.ration.ask(
-                ask.title, service_class.benefit, pace, self.most_us, now_us, self.rng.random()
-            )
+        if decision is AdmissionDecision.RATIONED:
+            wait_us = self._rationed_wait_us(ask.title, service_class.benefit, now_us)
         if wait_us is None:
             return None
-        return SessionResponse(ResponseKind.THROTTLED, WORDS[self.state.phase], wait_us)
-
-    def _pace(self, title: str) -> float | None:
-        """The turns a second that a title's holders give this front; None where one of them is warm."""
-        told, total = self.titles[title], 0.0
-        fronts = max(1.0, self.fronts())
-        for i in range(min(told.cells, self.cells)):
-            for server in self.front.replicas.get((told.first_cell + i) % self.cells, ()):
+        return SessionResponse(ResponseKind.THROTTLED, REJECTION_REASONS[self.state.phase], wait_us)
+
+    def _rationed_wait_us(self, title: str, priority_weight: float, now_us: int) -> int | None:
+        """Return how long a request has to wait while servers warm up; None where it is admitted."""
+        pace = self._slow_start_pace(title)
+        if pace is None or not self._settings.by_benefit:
+            return None
+        draw = self._rng.random()
+        return self._allocation.ask(title, priority_weight, pace, self._max_wait_us, now_us, draw)
+
+    def _slow_start_pace(self, title: str) -> float | None:
+        """Return the set-ups a second that a title's replicas take of this front.
+
+        None where one of them is not in slow start.
+        """
+        title_settings, total = self._titles[title], 0.0
+        front_count = max(1.0, self.fronts())
+        for offset in range(min(title_settings.cells, self._cell_count)):
+            cell = (title_settings.first_cell + offset) % self._cell_count
+            for server in self._policy.replicas.get(cell, ()):
                 if server.standing is not ServerState.ACTIVE:
                     continue
-                if not self.front.is_cold(server):
+                if not self._policy.is_cold(server):
                     return None
-                now_us = self.clock.now_us()
-                # The pace is what the turns of the next second will be.
-                total += self.front.turns(server, now_us + 1_000_000) - self.front.turns(server, now_us)
-        return total / fronts
+                now_us = self._clock.now_us()
+                turns_by_then = self._policy.turns(server, now_us + PACE_SPAN_US)
+                total += turns_by_then - self._policy.turns(server, now_us)
+        return total / front_count
 
     def look(self, now_us: int) -> None:
-        """Move on by time, and by how many places are cold."""
-        due = self.state.phase is not RecoveryState.OPEN and self.state.left_us(now_us) == 0
-        if now_us - self.looked_us < LOOK_US and not due:
-            return  # counted anew for each request, a fleet's boxes would cost more than its answer
-        self.looked_us, self.front.now_us = now_us, now_us
-        cold = places = 0
-        for server in self.front.servers.values():
-            if server.standing is ServerState.ACTIVE:
-                places += server.streams_most
-                cold += server.streams_most * self.front.is_cold(server)
-        self.state.advance(2 * cold > places, now_us)
-        self._ask_again(now_us)
-        if self.state.accounted and not self.was_accounted:
-            self.was_accounted = True
+        """Advance the state by time and by how much capacity is warming up."""
+        is_due = self.state.phase is not RecoveryState.OPEN and self.state.left_us(now_us) == 0
+        if now_us - self._capacity_checked_us < CAPACITY_CHECK_INTERVAL_US and not is_due:
+            return  # computed for each request, a fleet's capacity would cost more than the response
+        self._capacity_checked_us, self._policy.now_us = now_us, now_us
+        capacity = self._capacity()
+        self.state.advance(capacity.is_mostly_warming_up(), now_us)
+        self._poll_absent_servers(now_us)
+        if self.state.accounted and not self._was_accounted:
+            self._was_accounted = True
             self.opened()
-        if self.state.phase is not self.shown:
-            was, self.shown = self.shown, self.state.phase
-            self.notice(
-                "comeback", phase=self.shown.name.lower(), was=was.name.lower(), cold=cold, places=places
-            )
-            if self.stands_in and was is RecoveryState.ASKING:
-                self._tell_kept()
+        if self.state.phase is not self._logged_state:
+            self._on_state_changed(capacity)
 
-    # The list.
+    def _capacity(self) -> FleetCapacity:
+        places = warming_up = 0
+        for server in self._policy.servers.values():
+            if server.standing is not ServerState.ACTIVE:
+                continue
+            places += server.streams_most
+            if self._policy.is_cold(server):
+                warming_up += server.streams_most
+        return FleetCapacity(places, warming_up)
+
+    def _on_state_changed(self, capacity: FleetCapacity) -> None:
+        state_before, self._logged_state = self._logged_state, self.state.phase
+        self._log(
+            "comeback",
+            phase=self._logged_state.name.lower(),
+            was=state_before.name.lower(),
+            cold=capacity.warming_up,
+            places=capacity.places,
+        )
+        if self._uses_stored_list and state_before is RecoveryState.ASKING:
+            self._apply_stored_list()
+
+    # The endpoint list.
 
     def hear_list(self, update: ListUpdate) -> ListUpdate:
-        """A list has come: of two words on a box's start the younger counts, and the box's own stands beside
-        every list. One restored from a copy took boxes for warm that had just begun."""
+        """Correct an endpoint list by what servers report of their start, the later of two times counting.
+
+        A list restored from a copy shows servers as long started that have just restarted.
+        """
         if update.mode is ListMode.FULL:
             self.entries.clear()
-            self.stands_in = False
-        entries = tuple(self._younger(entry) for entry in update.entries)
+            self._uses_stored_list = False
+        entries = tuple(self._with_latest_start(entry) for entry in update.entries)
         self.entries.update((entry.address, entry) for entry in entries)
         for entry in entries:
             if entry.standing is ServerState.LEFT:
                 self.entries.pop(entry.address, None)
-                self.started.pop(entry.address, None)
+                self._reported_starts.pop(entry.address, None)
         return replace(update, entries=entries)
 
-    def _younger(self, entry: ListEntry) -> ListEntry:
-        own = self.started.get(entry.address, 0)
-        return replace(entry, started_us=own) if own > entry.started_us else entry
+    def _with_latest_start(self, entry: ListEntry) -> ListEntry:
+        reported_us = self._reported_starts.get(entry.address, 0)
+        return replace(entry, started_us=reported_us) if reported_us > entry.started_us else entry
 
     def heard_up(self, address: str, up_ms: float | None) -> None:
-        """A box says for how long it has been up; None where it says nothing."""
-        now_us = self.clock.now_us()
+        """Handle a server's report of its uptime; None where it reports none."""
+        now_us = self._clock.now_us()
         if up_ms is not None:
-            self.started[address] = max(1, now_us - round(up_ms * 1000))
-        entry = self.entries.get(address)
-        if self.stands_in and self.state.phase is not RecoveryState.ASKING:
-            entry = next((kept for kept in self.kept if kept.address == address), None)
-            if entry is not None and address not in self.started:
-                entry = replace(entry, started_us=now_us)
+            self._reported_starts[address] = max(1, now_us - round(up_ms * 1000))
+        entry = self._entry(address, now_us)
         if entry is None:
             return
-        younger = self._younger(entry)
-        known = self.front.servers.get(address)
-        if known is None or younger.started_us > known.started_us + LOOK_US:
-            self.front.handle(ListUpdate(ListMode.INCREMENTAL, (younger,)), now_us)
+        corrected = self._with_latest_start(entry)
+        known = self._policy.servers.get(address)
+        if known is None or corrected.started_us > known.started_us + START_TOLERANCE_US:
+            self._policy.handle(ListUpdate(ListMode.INCREMENTAL, (corrected,)), now_us)
+
+    def _entry(self, address: str, now_us: int) -> ListEntry | None:
+        """Return a server's entry of the list in use; a stored one without a reported start begins now."""
+        if not self._uses_stored_list or self.state.phase is RecoveryState.ASKING:
+            return self.entries.get(address)
+        stored = next((entry for entry in self.kept if entry.address == address), None)
+        if stored is not None and address not in self._reported_starts:
+            return replace(stored, started_us=now_us)
+        return stored
 
     def stand_in(self) -> None:
-        """No list has come for a while: the boxes of the last one are asked, and those that answer count."""
-        if not self.kept or self.entries or not self.told.kept_list:
+        """Use the stored list in place of one that does not come: its servers count once they answer."""
+        if not self.kept or self.entries or not self._settings.kept_list:
             return
-        self.stands_in = True
-        self.notice("kept_list", boxes=len(self.kept))
-        self.book.greet_all(ListUpdate(ListMode.SAVED, self.kept), self.clock.now_us())
+        self._uses_stored_list = True
+        self._log("kept_list", boxes=len(self.kept))
+        self._registry.greet_all(ListUpdate(ListMode.SAVED, self.kept), self._clock.now_us())
 
-    def _ask_again(self, now_us: int) -> None:
-        """Boxes of the kept list that were down when asked: no list will tell when they are back."""
-        if not self.stands_in or self.state.phase is RecoveryState.ASKING or now_us < self.again_us:
+    def _poll_absent_servers(self, now_us: int) -> None:
+        """Poll servers of the stored list that have not answered, as no list reports their return."""
+        is_polling = self._uses_stored_list and self.state.phase is not RecoveryState.ASKING
+        if not is_polling or now_us < self._next_poll_us:
             return
-        self.again_us = now_us + round(AGAIN_US * (1 + self.rng.random()))
-        absent = tuple(entry for entry in self.kept if entry.address not in self.book.greeters)
-        self.book.greet_all(ListUpdate(ListMode.SAVED, absent), now_us)
+        self._next_poll_us = now_us + round(POLL_INTERVAL_US * (1 + self._rng.random()))
+        absent = tuple(entry for entry in self.kept if entry.address not in self._registry.greeters)
+        self._registry.greet_all(ListUpdate(ListMode.SAVED, absent), now_us)
 
-    def _tell_kept(self) -> None:
-        now_us = self.clock.now_us()
+    def _apply_stored_list(self) -> None:
+        """Put the answering servers of the stored list in force."""
+        now_us = self._clock.now_us()
         answered = tuple(
-            replace(entry, started_us=self.started.get(entry.address, now_us))
+            replace(entry, started_us=self._reported_starts.get(entry.address, now_us))
             for entry in self.kept
-            if entry.address in self.book.greeters
+            if entry.address in self._registry.greeters
         )
         if answered:
-            self.front.handle(ListUpdate(ListMode.FULL, answered), now_us)
+            self._policy.handle(ListUpdate(ListMode.FULL, answered), now_us)
             self.listed()
 
     def status(self) -> dict[str, object]:
-        """Figures for an operator."""
-        now_us = self.clock.now_us()
-        return {
-            "phase": self.state.phase.name.lower(),
-            "left_ms": self.state.left_us(now_us) / 1000,
-            "boxes_due": len(self.state.due),
-            "kept_list": self.stands_in,
-            "entered": [[phase.name.lower(), (now_us - at) / 1000] for phase, at in self.state.entered],
-        }
+        """Return the figures of the `comeback` section of the status JSON."""
+        now_us = self._clock.now_us()
+        status = RecoveryStatus(
+            phase=self.state.phase.name.lower(),
+            left_ms=self.state.left_us(now_us) / 1000,
+            boxes_due=len(self.state.due),
+            kept_list=self._uses_stored_list,
+            entered=[[state.name.lower(), (now_us - at_us) / 1000] for state, at_us in self.state.entered],
+        )
+        return asdict(status)
--- a/packages/core/src/fennelcove/core/shared_quota_coordinator.py
+++ b/packages/core/src/fennelcove/core/shared_quota_coordinator.py
@@ -1,21 +1,35 @@
-"""The core's part that spends from the fleet's budgets. It is handed what it needs; the core's lock is round
-it."""
+"""Spends from quotas that all fronts share, and exchanges them with other fronts; takes the core's lock."""
 
 from __future__ import annotations
 
 import threading
 from collections.abc import Callable, Mapping
+from dataclasses import asdict, dataclass
 from random import Random
 
 from fennelcove.clock import Clock
-from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Quota, Resource
+from fennelcove.decisions.fleet.shared_quotas import Quota, QuotaRequest, QuotaTransfer, Resource
 from fennelcove.settings.schema import Instance
 
-TURN_US = 250_000  # how often it is looked whether more is needed
+TURN_US = 250_000  # interval of calls of `turn`
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaStatus:
+    """One resource in the `budgets` section of the status; the field names are keys of the status JSON."""
+
+    rate: float
+    spent: int
+    denied: int
+    lent_to: int
+    borrowed_from: int
 
 
 class SharedQuotaCoordinator:
-    """One front's parts. Attach `post` where others can be asked; call `turn` every `TURN_US`."""
+    """One front's quotas.
+
+    The owner assigns `post` (sends a message to a front) and calls `turn` every `TURN_US`.
+    """
 
     def __init__(
         self,
@@ -26,62 +40,70 @@
         rng: Random,
         lock: threading.RLock,
     ) -> None:
-        self.clock = clock
-        self.rng = rng
-        self.lock = lock
+        self._clock = clock
+        self._rng = rng
+        self._lock = lock
         now_us = clock.now_us()
-        self.purses = {
-            thing: Quota(thing, whole, instance.fronts, instance.index, life, now_us)
-            for thing, whole in wholes.items()
+        self._quotas = {
+            resource: Quota(resource, whole, instance.fronts, instance.index, life, now_us)
+            for resource, whole in wholes.items()
         }
-        self.post: Callable[[int, QuotaRequest | QuotaTransfer], None] = lambda front, said: None
+        self.post: Callable[[int, QuotaRequest | QuotaTransfer], None] = lambda _front, _message: None
 
     def take(self, thing: Resource) -> bool:
-        """One more is wanted; True where nothing limits it."""
-        with self.lock:
-            purse = self.purses.get(thing)
-            return purse is None or purse.take(self.clock.now_us())
+        """Acquire one unit of a resource; True where nothing limits it."""
+        with self._lock:
+            quota = self._quotas.get(thing)
+            return quota is None or quota.take(self._clock.now_us())
 
     def wait_us(self, thing: Resource) -> int:
-        """How long to wait before one is taken; 0 where it was taken."""
-        with self.lock:
-            purse, now_us = self.purses.get(thing), self.clock.now_us()
-            if purse is None or purse.take(now_us):
+        """Acquire one unit of a resource and return 0, or return how long to wait before the next try."""
+        with self._lock:
+            quota, now_us = self._quotas.get(thing), self._clock.now_us()
+            if quota is None or quota.take(now_us):
                 return 0
-            return max(1, purse.wait_us(now_us))
+            return max(1, quota.wait_us(now_us))
 
     def turn(self) -> None:
-        """Ask others for what is short. What is sent waits for nobody."""
-        with self.lock:
-            now_us = self.clock.now_us()
-            found = [ask for purse in self.purses.values() for ask in purse.ask(self.rng.random(), now_us)]
-        for front, ask in found:
-            self.post(front, ask)
+        """Request quota that is short from other fronts; returns without waiting for them."""
+        with self._lock:
+            now_us = self._clock.now_us()
+            requests = [
+                addressed
+                for quota in self._quotas.values()
+                for addressed in quota.ask(self._rng.random(), now_us)
+            ]
+        for front, request in requests:
+            self.post(front, request)
 
     def hear(self, sender: int, said: QuotaRequest | QuotaTransfer) -> None:
-        """Another front asks, or lends."""
-        with self.lock:
-            purse, now_us = self.purses.get(said.thing), self.clock.now_us()
-            if purse is None:
+        """Handle another front's request for quota, or its transfer."""
+        with self._lock:
+            quota, now_us = self._quotas.get(said.thing), self._clock.now_us()
+            if quota is None:
                 return
             if isinstance(said, QuotaTransfer):
-                purse.hear_loan(sender, said, now_us)
+                quota.hear_loan(sender, said, now_us)
                 return
-            loan = purse.hear_ask(sender, said, now_us)
-        if loan is not None:
-            self.post(sender, loan)
+            transfer = quota.hear_ask(sender, said, now_us)
+        if transfer is not None:
+            self.post(sender, transfer)
 
     def status(self) -> dict[str, object]:
-        """Figures for an operator."""
-        with self.lock:
-            now_us = self.clock.now_us()
+        """Return the figures of the `budgets` section of the status JSON, by resource."""
+        with self._lock:
+            now_us = self._clock.now_us()
             return {
-                thing.name.lower(): {
-                    "rate": round(purse.rate(now_us), 3),
-                    "spent": purse.spent,
-                    "denied": purse.denied,
-                    "lent_to": len(purse.lent),
-                    "borrowed_from": len(purse.borrowed),
-                }
-                for thing, purse in self.purses.items()
+                resource.name.lower(): asdict(_quota_status(quota, now_us))
+                for resource, quota in self._quotas.items()
             }
+
+
+def _quota_status(quota: Quota, now_us: int) -> QuotaStatus:
+    return QuotaStatus(
+        rate=round(quota.rate(now_us), 3),
+        spent=quota.spent,
+        denied=quota.denied,
+        lent_to=len(quota.lent),
+        borrowed_from=len(quota.borrowed),
+    )
