Playlists and workloads of set-ups are modules of their own; classes under 20 methods

ContentInsertion and SlotScheduler still had more than 20 methods: extending playlists is player_playlists, describing a set-up for the wait queue is WorkloadEstimator.

--- a/packages/core/src/fennelcove/core/content_insertion.py
+++ b/packages/core/src/fennelcove/core/content_insertion.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import hmac
-from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import NamedTuple
 
 import blake3
@@ -12,26 +12,23 @@
 from fennelcove.core.client_notifier import ClientNotifier
 from fennelcove.core.command_queue import CommandDispatcher
 from fennelcove.core.context import Catalogue, CoreContext
+from fennelcove.core.player_playlists import (
+    InterstitialSegment,
+    Player,
+    PlaylistBuilder,
+    interstitial_segment,
+)
 from fennelcove.core.requests import Session
 from fennelcove.core.segment_sources import Fetch, SegmentLocator
 from fennelcove.core.session_lifecycle import SessionLifecycle
 from fennelcove.decisions.playback import playlist_cursor, resume_tokens
-from fennelcove.decisions.playback.playlist_cursor import PlaylistTrack, Viewpoint
+from fennelcove.decisions.playback.playlist_cursor import PlaylistTrack
 from fennelcove.decisions.playback.splices import Entry, Ledger, Ruling, Scene, Verdict
 from fennelcove.decisions.servers.command_queue import Command
-from fennelcove.manifests.hls import Interstitial, Listing, target_duration
+from fennelcove.manifests.hls import Listing, target_duration
 from fennelcove.placement import PlacementPolicy
 from fennelcove.settings.schema import Author, StitchSettings
-from fennelcove.timeline.model import Change, Media, Shown, Target
-
-NO_SEQUENCE = -1  # of a segment that is not part of the player's own playlist
-
-
-class InterstitialSegment(NamedTuple):
-    """A segment of an interstitial: the change that inserts it, and the segment's number."""
-
-    change: str
-    number: int
+from fennelcove.timeline.model import Change, Media, Target
 
 
 class ClipRendition(NamedTuple):
@@ -41,21 +38,6 @@
     rung: int
 
 
-@dataclass(slots=True, eq=False)
-class Player:
-    """One session's playlist, and the servers tried for its latest segments."""
-
-    track: PlaylistTrack
-    tried: dict[int | InterstitialSegment, list[str]] = field(default_factory=dict)
-
-    def servers_tried(self, segment: int | InterstitialSegment) -> list[str]:
-        """Return the list of servers tried for a segment; the lists of old segments are dropped."""
-        tried = self.tried.setdefault(segment, [])
-        while len(self.tried) > playlist_cursor.KEPT:
-            del self.tried[next(iter(self.tried))]
-        return tried
-
-
 @dataclass(frozen=True, slots=True)
 class Seen:
     """A change and its reach.
@@ -115,6 +97,7 @@
         self.ledger = Ledger()
         self.players: dict[str, Player] = {}
         self._locator = SegmentLocator(context, catalogue, front, self.media, settings.slate)
+        self._playlists = PlaylistBuilder(self.media, self.ledger, self._locator.is_playable)
 
     # Authors.
 
@@ -218,7 +201,7 @@
             if player is None:
                 player = self.players[id] = Player(playlist_cursor.begin(media, wall_us, apart))
             track = player.track
-            if self._extend(session, track, wall_us):
+            if self._playlists.extend(session, track, wall_us):
                 self._save_resume_token(session, track)
             shown, joints = track.window()
             return Listing(
@@ -228,54 +211,10 @@
                 media.live,
                 track.began_wall_us,
                 self.media,
-                self._interstitials(track, shown),
+                self._playlists.interstitials(track, shown),
                 track.cursor.breaks if track.ended else (),
             )
 
-    def _extend(self, session: Session, track: PlaylistTrack, wall_us: int) -> int:
-        """Add the segments due by now; return how many were added.
-
-        After a restart it extends twice: by the changes of the resume token's time, then by those of now.
-        """
-        added = 0
-        for _ in range(2):
-            replayed_version = track.replays()
-            viewpoint = self._viewpoint(session, track, wall_us, replayed_version)
-            version = self.ledger.version if replayed_version is None else replayed_version
-            added += track.extend(viewpoint, version)
-            if replayed_version is None:
-                break
-        return added
-
-    def _viewpoint(
-        self, session: Session, track: PlaylistTrack, wall_us: int, at_version: int | None
-    ) -> Viewpoint:
-        changes = tuple(self.ledger.standing(session.title, at_version))
-        return Viewpoint(
-            self.media,
-            session.title,
-            session.service_class,
-            session.id,
-            changes,
-            session.rung,
-            session.floor,
-            wall_us,
-            track.began_wall_us,
-            self._locator.is_playable,
-            track.apart,
-        )
-
-    def _interstitials(self, track: PlaylistTrack, shown: list[Shown]) -> dict[str, Interstitial]:
-        """Return a playlist's interstitials by change; a withdrawn one stays where it has begun."""
-        announced = (change for item in shown for change in item.breaks)
-        found = {}
-        for change in (*announced, *track.cursor.breaks):
-            entry = self.ledger.entries.get(change)
-            if entry is None or (entry.withdrawn is not None and change not in track.begun):
-                continue
-            found[change] = Interstitial(change, self.media[entry.change.clip or ""])
-        return found
-
     # Segments.
 
     def segment(self, id: str, seq: int) -> Fetch | None:
@@ -320,7 +259,7 @@
             clip = self.media[entry.change.clip or ""]
             if number >= (clip.count or 0):
                 return None
-            shown = _interstitial_segment(clip, number, rung, change)
+            shown = interstitial_segment(clip, number, rung, change)
             tried = player.servers_tried(InterstitialSegment(change, number))
             return self._locator.segment(session, shown, tried)
 
@@ -330,19 +269,11 @@
             session, player = self._lifecycle.held.get(id), self.players.get(id)
             if session is None or player is None:
                 return None
-            for shown in (*player.track.shown, *self._begun_interstitials(player.track)):
+            for shown in (*player.track.shown, *self._playlists.begun_interstitials(player.track)):
                 if shown.media == media and shown.rung == rung:
                     return self._locator.initialization(session, shown)
             return None
 
-    def _begun_interstitials(self, track: PlaylistTrack) -> Iterator[Shown]:
-        """Yield the first segment of each interstitial that a player has begun."""
-        for change, rung in track.begun.items():
-            entry = self.ledger.entries.get(change)
-            clip = self.media.get(entry.change.clip or "") if entry is not None else None
-            if clip is not None:
-                yield _interstitial_segment(clip, 0, rung, change)
-
     # Sessions.
 
     def adopt(self, session: Session, mark: str) -> None:
@@ -361,16 +292,3 @@
             home = session.home
             token = resume_tokens.write(track)
             self._commands.put(Command(home.server, session.id, home.attempt, None, token))
-
-
-def _interstitial_segment(clip: Media, number: int, rung: int, change: str) -> Shown:
-    return Shown(
-        NO_SEQUENCE,
-        clip.name,
-        number,
-        rung,
-        clip.start(number),
-        clip.each,
-        playlist_cursor.BEGINNING,
-        change,
-    )
--- /dev/null
+++ b/packages/core/src/fennelcove/core/player_playlists.py
@@ -0,0 +1,122 @@
+"""Players' playlists: which segments they have by now, and which interstitials they announce."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from fennelcove.core.requests import Session
+from fennelcove.decisions.playback import playlist_cursor
+from fennelcove.decisions.playback.playlist_cursor import PlaylistTrack, Viewpoint
+from fennelcove.decisions.playback.splices import Ledger
+from fennelcove.manifests.hls import Interstitial
+from fennelcove.timeline.model import Media, Shown
+
+NO_SEQUENCE = -1  # of a segment that is not part of the player's own playlist
+
+
+class InterstitialSegment(NamedTuple):
+    """A segment of an interstitial: the change that inserts it, and the segment's number."""
+
+    change: str
+    number: int
+
+
+@dataclass(slots=True, eq=False)
+class Player:
+    """One session's playlist, and the servers tried for its latest segments."""
+
+    track: PlaylistTrack
+    tried: dict[int | InterstitialSegment, list[str]] = field(default_factory=dict)
+
+    def servers_tried(self, segment: int | InterstitialSegment) -> list[str]:
+        """Return the list of servers tried for a segment; the lists of old segments are dropped."""
+        tried = self.tried.setdefault(segment, [])
+        while len(self.tried) > playlist_cursor.KEPT:
+            del self.tried[next(iter(self.tried))]
+        return tried
+
+
+class PlaylistBuilder:
+    """Extends players' playlists by the ledger of changes; the caller holds the lock."""
+
+    def __init__(
+        self, media: Mapping[str, Media], ledger: Ledger, is_playable: Callable[[str], bool]
+    ) -> None:
+        """Create a builder.
+
+        Args:
+            media: The configured media by title.
+            ledger: The changes.
+            is_playable: Returns whether a clip can be shown now.
+        """
+        self._media = media
+        self._ledger = ledger
+        self._is_playable = is_playable
+
+    def extend(self, session: Session, track: PlaylistTrack, wall_us: int) -> int:
+        """Add the segments due by now; return how many were added.
+
+        After a restart it extends twice: by the changes of the resume token's time, then by those of now.
+        """
+        added = 0
+        for _ in range(2):
+            replayed_version = track.replays()
+            viewpoint = self._viewpoint(session, track, wall_us, replayed_version)
+            version = self._ledger.version if replayed_version is None else replayed_version
+            added += track.extend(viewpoint, version)
+            if replayed_version is None:
+                break
+        return added
+
+    def _viewpoint(
+        self, session: Session, track: PlaylistTrack, wall_us: int, at_version: int | None
+    ) -> Viewpoint:
+        changes = tuple(self._ledger.standing(session.title, at_version))
+        return Viewpoint(
+            self._media,
+            session.title,
+            session.service_class,
+            session.id,
+            changes,
+            session.rung,
+            session.floor,
+            wall_us,
+            track.began_wall_us,
+            self._is_playable,
+            track.apart,
+        )
+
+    def interstitials(self, track: PlaylistTrack, shown: list[Shown]) -> dict[str, Interstitial]:
+        """Return a playlist's interstitials by change; a withdrawn one stays where it has begun."""
+        announced = (change for item in shown for change in item.breaks)
+        found = {}
+        for change in (*announced, *track.cursor.breaks):
+            entry = self._ledger.entries.get(change)
+            if entry is None or (entry.withdrawn is not None and change not in track.begun):
+                continue
+            found[change] = Interstitial(change, self._media[entry.change.clip or ""])
+        return found
+
+    def begun_interstitials(self, track: PlaylistTrack) -> Iterator[Shown]:
+        """Yield the first segment of each interstitial that a player has begun."""
+        for change, rung in track.begun.items():
+            entry = self._ledger.entries.get(change)
+            clip = self._media.get(entry.change.clip or "") if entry is not None else None
+            if clip is not None:
+                yield interstitial_segment(clip, 0, rung, change)
+
+
+def interstitial_segment(clip: Media, number: int, rung: int, change: str) -> Shown:
+    """Return a segment of an interstitial as the routing of segments takes it."""
+    return Shown(
+        NO_SEQUENCE,
+        clip.name,
+        number,
+        rung,
+        clip.start(number),
+        clip.each,
+        playlist_cursor.BEGINNING,
+        change,
+    )
--- a/packages/core/src/fennelcove/core/slot_requests.py
+++ b/packages/core/src/fennelcove/core/slot_requests.py
@@ -4,13 +4,14 @@
 
 import zlib
 from collections import OrderedDict
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import NamedTuple
 
 from fennelcove.core.context import Catalogue
 from fennelcove.core.requests import Session, Wakeup
-from fennelcove.fair_queueing.service_time import Shape
-from fennelcove.fair_queueing.wait_queue import Waiter
+from fennelcove.fair_queueing.service_time import ServiceTimeEstimate, Shape
+from fennelcove.fair_queueing.wait_queue import Waiter, WaitQueue
 from fennelcove.interface import Request
 from fennelcove.placement import PlacementPolicy
 from fennelcove.placement.slow_start import is_warming_up
@@ -113,3 +114,47 @@
     def name_of(self, tenant: int) -> str:
         """Return a tenant's name, or its key in hexadecimal digits where the name is not known."""
         return self._names.get(tenant, f"{tenant:08x}")
+
+
+def queued_waiters(queue: WaitQueue) -> Iterator[Waiter]:
+    """Yield all waiters of a queue."""
+    return (waiter for by_id in queue.waiting.values() for waiter in by_id.values())
+
+
+class WorkloadEstimator:
+    """Describes set-ups for the wait queue: tenant, workload shape, servers, and expected hold time."""
+
+    def __init__(self, queue: WaitQueue, catalogue: Catalogue, policy: PlacementPolicy) -> None:
+        self.tenant_names = TenantNames()
+        self._queue = queue
+        self._catalogue = catalogue
+        self._policy = policy
+
+    def new_request(self, session: Session, request: Request, now_us: int) -> SlotRequest:
+        """Return a set-up as the wait queue takes it."""
+        tenant = self.tenant_of(session)
+        if session.ask is not None:
+            self.tenant_names.remember(tenant, session.ask.tenant if tenant else "others")
+        workload = expected_workload(session, request, self._catalogue, self._policy)
+        waiter = Waiter(
+            session.id,
+            tenant,
+            workload.shape,
+            session.title,
+            workload.servers,
+            now_us,
+            session.give_up_us,
+            self._queue.holds.guess(workload.shape, session.title),
+        )
+        return SlotRequest(session, request, waiter)
+
+    def tenant_of(self, session: Session) -> int:
+        """Return the key of a session's tenant, as far as the settings know it."""
+        name = session.ask.tenant if session.ask is not None else ""
+        return self._queue.terms.known(tenant_key(name))
+
+    def expected_hold(self, session: Session, slot_request: SlotRequest | None) -> ServiceTimeEstimate:
+        """Return for how long an attempt will hold its slot; `slot_request` is its set-up, if under way."""
+        if slot_request is not None:
+            return slot_request.waiter.guess
+        return self._queue.holds.guess(established_shape(session), session.title)
--- a/packages/core/src/fennelcove/core/slot_scheduler.py
+++ b/packages/core/src/fennelcove/core/slot_scheduler.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import asdict, replace
 
 from fennelcove.core.context import Catalogue, CoreContext
@@ -18,18 +18,17 @@
     AttemptKey,
     SlotInUse,
     SlotRequest,
-    TenantNames,
+    WorkloadEstimator,
     established_shape,
-    expected_workload,
+    queued_waiters,
     server_key,
     tenant_key,
 )
 from fennelcove.core.slot_status import slot_status
 from fennelcove.decisions.clients.session_lifecycle import SessionEvent
-from fennelcove.fair_queueing.service_time import ServiceTimeEstimate
 from fennelcove.fair_queueing.usage_gossip import WINDOW_US, UsageGossip, UsageReport
 from fennelcove.fair_queueing.virtual_time import TenantTerms
-from fennelcove.fair_queueing.wait_queue import Waiter, WaitQueue
+from fennelcove.fair_queueing.wait_queue import WaitQueue
 from fennelcove.fair_queueing.waiter import WaiterAction, WaiterEvent
 from fennelcove.interface import Outcome, Request
 from fennelcove.placement import PlacementPolicy
@@ -81,7 +80,6 @@
     ) -> None:
         self._context = context
         self._slots_per_server = told.slots
-        self._catalogue = catalogue
         self._policy = front
         self._lifecycle = lifecycle
         self._new_wakeup = bell
@@ -100,14 +98,14 @@
         self._requests: dict[str, SlotRequest] = {}  # by session
         self._in_use: dict[AttemptKey, SlotInUse] = {}
         self._servers: dict[int, str] = {}  # by key
-        self._tenant_names = TenantNames()
+        self._workloads = WorkloadEstimator(self._queue, catalogue, front)
 
     # Calls of the core.
 
     def ask(self, session: Session, request: Request) -> None:
         """Admit a set-up: ask the policy, or let it wait; either way the session gets its next step."""
         now_us = self._context.now_us()
-        slot_request = self._new_request(session, request, now_us)
+        slot_request = self._workloads.new_request(session, request, now_us)
         waiter = slot_request.waiter
         self._requests[session.id] = slot_request
         if not waiter.servers:
@@ -146,14 +144,16 @@
         now_us, slot_request = self._context.now_us(), self._requests.get(session.id)
         if slot_request is not None and slot_request.is_placing:
             return self._queue.open_to(slot_request.waiter, server, now_us)
-        return self._queue.free(server, self._expected_hold(session).long, now_us)
+        expected_hold = self._workloads.expected_hold(session, slot_request)
+        return self._queue.free(server, expected_hold.long, now_us)
 
     def take(self, session: Session, server: str, attempt: int) -> bool:
         """Acquire a slot for an attempt that is about to be sent; False where none is free."""
         now_us, slot_request = self._context.now_us(), self._requests.get(session.id)
-        tenant = self._tenant_of(session)
+        tenant = self._workloads.tenant_of(session)
         shape = slot_request.waiter.shape if slot_request is not None else established_shape(session)
-        key, expected_hold = AttemptKey(session.id, attempt), self._expected_hold(session)
+        key = AttemptKey(session.id, attempt)
+        expected_hold = self._workloads.expected_hold(session, slot_request)
         if not self._queue.take(server, key, tenant, expected_hold, now_us):
             self._context.tally("slots_missed")
             return False
@@ -196,7 +196,7 @@
     def pump(self) -> None:
         """Give slots that have come free to the set-ups that wait for them."""
         now_us = self._context.now_us()
-        wanted = dict.fromkeys(server for waiter in self._waiters() for server in waiter.servers)
+        wanted = dict.fromkeys(server for waiter in queued_waiters(self._queue) for server in waiter.servers)
         for server in wanted:
             while (waiter := self._queue.next(server, now_us)) is not None:
                 self._place(self._requests[waiter.id])
@@ -209,39 +209,10 @@
 
     # The queue.
 
-    def _new_request(self, session: Session, request: Request, now_us: int) -> SlotRequest:
-        tenant = self._tenant_of(session)
-        if session.ask is not None:
-            self._tenant_names.remember(tenant, session.ask.tenant if tenant else "others")
-        workload = expected_workload(session, request, self._catalogue, self._policy)
-        waiter = Waiter(
-            session.id,
-            tenant,
-            workload.shape,
-            session.title,
-            workload.servers,
-            now_us,
-            session.give_up_us,
-            self._queue.holds.guess(workload.shape, session.title),
-        )
-        return SlotRequest(session, request, waiter)
-
-    def _tenant_of(self, session: Session) -> int:
-        name = session.ask.tenant if session.ask is not None else ""
-        return self._queue.terms.known(tenant_key(name))
-
-    def _expected_hold(self, session: Session) -> ServiceTimeEstimate:
-        slot_request = self._requests.get(session.id)
-        if slot_request is not None:
-            return slot_request.waiter.guess
-        return self._queue.holds.guess(established_shape(session), session.title)
-
-    def _waiters(self) -> Iterator[Waiter]:
-        return (waiter for by_id in self._queue.waiting.values() for waiter in by_id.values())
-
     def _publish_demand(self, servers: Iterable[str]) -> None:
         for server in servers:
-            self.wants(server, sum(server in waiter.servers for waiter in self._waiters()))
+            waiting = sum(server in waiter.servers for waiter in queued_waiters(self._queue))
+            self.wants(server, waiting)
 
     def _enqueue(self, slot_request: SlotRequest, now_us: int) -> None:
         decision = self._queue.ask(slot_request.waiter, now_us)
@@ -336,4 +307,4 @@
     def status(self) -> dict[str, object]:
         """Return the figures of the `fair` section of the status JSON."""
         with self._context.lock:
-            return asdict(slot_status(self._queue, self._tenant_names, self._context.now_us()))
+            return asdict(slot_status(self._queue, self._workloads.tenant_names, self._context.now_us()))
