--- a/packages/core/src/fennelcove/core/health_check_coordinator.py
+++ b/packages/core/src/fennelcove/core/health_check_coordinator.py
@@ -83,7 +83,7 @@
         """Update which servers the fronts agree are gone, and log the changes."""
         gone = {server for server in self._servers.values() if self._checks.gone(server, living, now_us)}
         for server in sorted(gone ^ self._gone):
-            event = "box_gone_for_all" if server in gone else "box_back_for_all"
+            event = "server_marked_gone" if server in gone else "server_marked_back"
             self._log(event, box=server)
         self._gone = gone
 
--- a/packages/core/src/fennelcove/core/learned_limits.py
+++ b/packages/core/src/fennelcove/core/learned_limits.py
@@ -257,7 +257,7 @@
         for action in LOGGED_ACTIONS:
             increase = counts.get(action, 0) - self._logged_counts.get(action, 0)
             if increase > 0:
-                self._log("slots_judged", act=action.name.lower(), boxes=increase)
+                self._log("concurrency_limits_adjusted", act=action.name.lower(), boxes=increase)
         self._logged_counts = counts
 
     # Messages of other fronts; without the lock.
--- a/packages/core/src/fennelcove/core/load_shedding_coordinator.py
+++ b/packages/core/src/fennelcove/core/load_shedding_coordinator.py
@@ -123,7 +123,7 @@
 
     def _log_level(self, totals: FleetTotals) -> None:
         self._log(
-            "overload",
+            "shedding_level_changed",
             level=self.ladder.level.name.lower(),
             asked=totals.asked,
             unmet=round(totals.unmet, 3),
--- a/packages/core/src/fennelcove/core/membership_coordinator.py
+++ b/packages/core/src/fennelcove/core/membership_coordinator.py
@@ -112,8 +112,8 @@
         for change in self.company.news():
             if change.now in LOGGED_STATES:
                 was, now = change.was.name.lower(), change.now.name.lower()
-                self._log("front_heard_of", other=change.index, was=was, now=now)
+                self._log("peer_state_changed", other=change.index, was=was, now=now)
         has_lease = self.company.leased(self._clock.now_us())
         if has_lease is not self._had_lease:
             self._had_lease = has_lease
-            self._log("lease", held=has_lease, living=self.company.living())
+            self._log("lease_changed", held=has_lease, living=self.company.living())
--- a/packages/core/src/fennelcove/core/recovery_coordinator.py
+++ b/packages/core/src/fennelcove/core/recovery_coordinator.py
@@ -168,7 +168,7 @@
     def _on_state_changed(self, capacity: FleetCapacity) -> None:
         state_before, self._logged_state = self._logged_state, self.state.phase
         self._log(
-            "comeback",
+            "recovery_state_changed",
             phase=self._logged_state.name.lower(),
             was=state_before.name.lower(),
             cold=capacity.warming_up,
@@ -226,7 +226,7 @@
         if not self.kept or self.entries or not self._settings.kept_list:
             return
         self._uses_stored_list = True
-        self._log("kept_list", boxes=len(self.kept))
+        self._log("stored_list_used", boxes=len(self.kept))
         self._registry.greet_all(ListUpdate(ListMode.SAVED, self.kept), self._clock.now_us())
 
     def _poll_absent_servers(self, now_us: int) -> None:
--- a/packages/core/src/fennelcove/core/rollout_coordinator.py
+++ b/packages/core/src/fennelcove/core/rollout_coordinator.py
@@ -229,7 +229,7 @@
         try:
             self._apply(event)
         except Exception as error:  # one message's fault must not end the agreement with all others
-            self._log("releases_failed", reason=repr(error))
+            self._log("rollout_event_failed", reason=repr(error))
 
     def _apply(self, event: Event) -> None:
         """Process an event, make its promises durable, and only then send messages and act."""
@@ -248,9 +248,9 @@
 
     def _act(self, action: Act) -> None:
         if action.do is Do.NOTE:
-            self._log("release", told=action.text)
+            self._log("rollout_plan_changed", told=action.text)
         elif action.do is Do.STAY:
-            self._log("release_stays", kind=action.kind.name.lower(), place=action.place)
+            self._log("rollout_removal_cancelled", kind=action.kind.name.lower(), place=action.place)
         elif self.agreement.begin(action.kind, action.place, self.clock.now_us()):
             self._take_out(action)
 
--- a/packages/core/src/fennelcove/core/slot_scheduler.py
+++ b/packages/core/src/fennelcove/core/slot_scheduler.py
@@ -234,7 +234,7 @@
             if slot_request.wakeup is None:
                 raise  # the thread that asks handles it
             # This is another set-up's thread, which must not fail with this one.
-            self._context.notice("slot_failed", subscription=session.id, reason=repr(error))
+            self._context.notice("slot_placement_failed", subscription=session.id, reason=repr(error))
             self._policy.sessions.pop(session.id, None)
             self._reject(slot_request, WaiterEvent.NO_TIME)
         slot_request.is_placing = False
--- a/packages/core/src/fennelcove/core/snapshot_manager.py
+++ b/packages/core/src/fennelcove/core/snapshot_manager.py
@@ -95,7 +95,7 @@
             self._seats.restore(values)
             key_count = self._idempotency.restore(values)
             if key_count:
-                self._context.notice("keys_remembered", count=key_count)
+                self._context.notice("idempotency_keys_restored", count=key_count)
             self._front = snapshot.read_front(values.get(FRONT, b""))
             if self._front is not None:
                 self._restore_budgets(self._front)
@@ -132,7 +132,7 @@
         assessment = self._assess(listed, restarted)
         if self._front is not None:
             self._context.notice(
-                "evidence",
+                "snapshot_assessed",
                 loss=assessment.loss.name.lower(),
                 folder=assessment.age.name.lower(),
                 boxes=listed,
@@ -144,7 +144,7 @@
                 self._restore_server(record.address, record.state, assessment, now_us)
         counts = Counter(record.verdict.name.lower() for record in records)
         if counts:
-            self._context.notice("boxes_remembered", **counts)
+            self._context.notice("server_records_restored", **counts)
 
     def _judge(self, key: bytes, record: bytes, now_us: int, wall_us: int) -> ServerRecord:
         address = snapshot_records.address_of(key)
