--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -350,7 +350,9 @@
         self.clock = ManualClock(10 * SECOND, 10**15)
         self.core = self.made(b"k")
         self.core.retry_storms.weather.phase = StormState.STORM
-        self.core.retry_storms.queues.by_title["t1"] = WaitingQueue(10 * SECOND, pace=0.5, is_rejecting=True)
+        self.core.retry_storms.waiting_room.by_title["t1"] = WaitingQueue(
+            10 * SECOND, pace=0.5, is_rejecting=True
+        )
 
     def made(self, key: bytes) -> Core:
         told = replace(parse(SETTINGS, FrontSettings, "test"), storm=StormSettings(damping=True))
@@ -385,7 +387,7 @@
         self.assertEqual(self.ask("v", first.queue_ticket).standing, "invented")
 
     def test_one_that_waited_in_vain_is_among_the_next_and_one_of_more_benefit_pays_less(self) -> None:
-        queue = self.core.retry_storms.queues.by_title["t1"]
+        queue = self.core.retry_storms.waiting_room.by_title["t1"]
         for _ in range(40):
             queue.promise(self.clock.now_us(), None, 0.5)
         first = self.ask("v")
@@ -399,7 +401,7 @@
 
     def test_while_there_is_room_a_first_try_is_let_in_past_any_pace(self) -> None:
         # Held to the pace, they were turned away for whom boxes had room: 147 of 200 watched, 191 without.
-        self.core.retry_storms.queues.by_title["t1"].is_rejecting = False
+        self.core.retry_storms.waiting_room.by_title["t1"].is_rejecting = False
         self.assertEqual(self.ask("new", again=False).reason, "no holder has room")
         self.assertEqual(self.ask("hasty").standing, "again")
 
