--- a/packages/node/src/fennelcove/isup/messages.py
+++ b/packages/node/src/fennelcove/isup/messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-MOST_BYTES = 16_384  # of one message: the platform's bound
+MAX_MESSAGE_BYTES = 16_384  # of one message: the platform's bound
 SESSION_BYTES = 8
 
 
--- a/packages/node/src/fennelcove/isup/reader.py
+++ b/packages/node/src/fennelcove/isup/reader.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fennelcove.isup.messages import MOST_BYTES, SESSION_BYTES, Kind, Message, ProtocolError
+from fennelcove.isup.messages import MAX_MESSAGE_BYTES, SESSION_BYTES, Kind, Message, ProtocolError
 
 _KINDS = {int(kind): kind for kind in Kind}
 
@@ -27,18 +27,18 @@
         if self.failure is not None:
             raise self.failure
         try:
-            return self._next()
+            return self._read_message()
         except ProtocolError as error:
             self.failure = error
             self.buffer.clear()
             raise
 
-    def _next(self) -> Message | None:
+    def _read_message(self) -> Message | None:
         if len(self.buffer) < 3:
             return None
         length = int.from_bytes(self.buffer[:2], "big")
         # Both are known from the first bytes: noise must not wait for a message that never ends.
-        if not 1 + SESSION_BYTES <= length <= MOST_BYTES - 2:
+        if not 1 + SESSION_BYTES <= length <= MAX_MESSAGE_BYTES - 2:
             raise ProtocolError(f"a message of {length} bytes")
         kind = _KINDS.get(self.buffer[2])
         if kind is None:
@@ -47,10 +47,10 @@
             return None
         raw = bytes(self.buffer[3 : 2 + length])
         del self.buffer[: 2 + length]
-        return Message(kind, raw[:SESSION_BYTES], _parameters(raw, SESSION_BYTES))
+        return Message(kind, raw[:SESSION_BYTES], _parse_parameters(raw, SESSION_BYTES))
 
 
-def _parameters(raw: bytes, at: int) -> dict[int, bytes]:
+def _parse_parameters(raw: bytes, at: int) -> dict[int, bytes]:
     found: dict[int, bytes] = {}
     while at < len(raw):
         end = at + 3 + int.from_bytes(raw[at + 1 : at + 3], "big")
--- a/packages/node/src/fennelcove/isup/writer.py
+++ b/packages/node/src/fennelcove/isup/writer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fennelcove.isup.messages import MOST_BYTES, SESSION_BYTES, Cause, Code, Kind
+from fennelcove.isup.messages import MAX_MESSAGE_BYTES, SESSION_BYTES, Cause, Code, Kind
 
 
 def message(kind: Kind, session: bytes, *parameters: tuple[Code, bytes]) -> bytes:
@@ -15,7 +15,7 @@
         raise ValueError(f"a session of {len(session)} bytes")
     body = b"".join(bytes([code]) + len(value).to_bytes(2, "big") + value for code, value in parameters)
     length = 1 + SESSION_BYTES + len(body)
-    if length + 2 > MOST_BYTES:
+    if length + 2 > MAX_MESSAGE_BYTES:
         raise ValueError(f"a message of {length + 2} bytes")
     return length.to_bytes(2, "big") + bytes([kind]) + session + body
 
--- a/packages/node/src/fennelcove/node/__main__.py
+++ b/packages/node/src/fennelcove/node/__main__.py
@@ -6,7 +6,7 @@
 from contextlib import suppress
 
 
-def leave(number: int, frame: object) -> None:
+def exit_at_once(number: int, frame: object) -> None:
     """End at once: before it listens, a node owes nobody anything, and its file may never come."""
     os._exit(0)
 
@@ -16,7 +16,7 @@
     # It stays pending until the node runs; SIGTERM and SIGINT are heeded here until the node blocks them too.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, leave)
+        signal.signal(number, exit_at_once)
     from fennelcove.node.program import main
 
     status = main()
--- a/packages/node/src/fennelcove/node/config.py
+++ b/packages/node/src/fennelcove/node/config.py
@@ -11,13 +11,13 @@
 from fennelcove.facts import PlatformSettingsError, ConnectionSettings
 from fennelcove.interface import Settings
 from fennelcove.node.address import Address, parse_address
-from fennelcove.node.discovery_events import DiscoveryStream, DiscoveryError
+from fennelcove.node.discovery_events import DiscoveryBatch, DiscoveryError
 
-CONNECT_US = 250_000  # where the settings name no limit
-IDLE_US = 30_000_000
-SOCKETS = 256
+DEFAULT_CONNECT_TIMEOUT_US = 250_000  # where the settings name no limit
+DEFAULT_IDLE_TIMEOUT_US = 30_000_000
+DEFAULT_SOCKET_LIMIT = 256
 # What a file of another form raises somewhere; RecursionError: nested past what the parser follows.
-UNUSABLE = (
+UNUSABLE_ERRORS = (
     OSError,
     ValueError,
     TypeError,
@@ -50,19 +50,21 @@
     listen: Address
     seed: int
     sockets: int
-    board: Address
-    known: DiscoveryStream
+    discovery_address: Address
+    initial_batch: DiscoveryBatch
     settings: Settings
     terms: ConnectionSettings
-    told: dict[str, dict[str, Any]]  # `limits` and `settings` as the file has them, to name what differs
+    raw_sections: dict[
+        str, dict[str, Any]
+    ]  # `limits` and `settings` as the file has them, to name what differs
 
-    def differs(self, fresh: Config) -> list[str]:
+    def fields_changed_in(self, fresh: Config) -> list[str]:
         """The fields, as the file names them, in which a fresh file differs from this one beyond `board`,
         `known` and `seed`, which are another's at each reading. Of the settings what is read counts."""
         found = [name for name in ("name", "listen") if getattr(self, name) != getattr(fresh, name)]
         settings_differ = asdict(self.settings) != asdict(fresh.settings) or self.terms != fresh.terms
         for part in ("limits", "settings") if settings_differ else ("limits",):
-            was, now = self.told[part], fresh.told[part]
+            was, now = self.raw_sections[part], fresh.raw_sections[part]
             found += [
                 f"{part}.{key}" for key in sorted(was.keys() | now.keys()) if was.get(key) != now.get(key)
             ]
@@ -79,7 +81,7 @@
         with open(path, encoding="utf-8") as file:
             tree = json.load(file)
         return parse(tree)
-    except UNUSABLE as error:
+    except UNUSABLE_ERRORS as error:
         raise ConfigError(f"{type(error).__name__}: {error}", path or "EDGE_CONFIG") from None
 
 
@@ -91,7 +93,7 @@
         ConfigForeign: it is another node's, or asks for what takes a restart.
     """
     fresh = load(path)
-    if differs := running.differs(fresh):
+    if differs := running.fields_changed_in(fresh):
         raise ConfigMismatchError(f"differs from what the node runs by in {', '.join(differs)}", path)
     return fresh
 
@@ -112,10 +114,14 @@
         name=str(tree.get("name", "")),
         listen=parse_address(tree.get("listen")),
         seed=int(seed, 16) if isinstance(seed, str) else int(seed),
-        sockets=max(32, int(limits.number("sockets", SOCKETS))),
-        board=parse_address(tree.get("board")),
-        known=DiscoveryStream.parse(tree.get("known", {"rev": 0, "notices": []})),
+        sockets=max(32, int(limits.number("sockets", DEFAULT_SOCKET_LIMIT))),
+        discovery_address=parse_address(tree.get("board")),
+        initial_batch=DiscoveryBatch.parse(tree.get("known", {"rev": 0, "notices": []})),
         settings=settings,
-        terms=ConnectionSettings(terms.connect_us or CONNECT_US, terms.idle_us or IDLE_US, terms.longest_us),
-        told={"limits": limits.tree, "settings": tree["settings"]},
+        terms=ConnectionSettings(
+            terms.connect_us or DEFAULT_CONNECT_TIMEOUT_US,
+            terms.idle_us or DEFAULT_IDLE_TIMEOUT_US,
+            terms.longest_us,
+        ),
+        raw_sections={"limits": limits.tree, "settings": tree["settings"]},
     )
--- a/packages/node/src/fennelcove/node/descriptor_budget.py
+++ b/packages/node/src/fennelcove/node/descriptor_budget.py
@@ -15,8 +15,8 @@
 from enum import Enum
 from types import TracebackType
 
-STANDARD = 3  # input, output and error
-LEAST_SERVERS, LEAST_CLIENTS = 1, 2
+STANDARD_STREAM_COUNT = 3  # input, output and error
+MIN_SERVER_DESCRIPTORS, MIN_CLIENT_DESCRIPTORS = 1, 2
 
 
 class DescriptorUse(Enum):
@@ -30,15 +30,15 @@
     CLIENT = "client"
 
 
-RESERVED = {DescriptorUse.FILE: 2, DescriptorUse.DISCOVERY: 2, DescriptorUse.ACCEPT: 1}
+FIXED_LIMITS = {DescriptorUse.FILE: 2, DescriptorUse.DISCOVERY: 2, DescriptorUse.ACCEPT: 1}
 
 
-def inherited() -> int:
+def count_open_descriptors() -> int:
     """How many this process holds already."""
     try:
         return len(os.listdir("/proc/self/fd")) - 1  # one was the folder's own
     except OSError:
-        return STANDARD
+        return STANDARD_STREAM_COUNT
 
 
 def limited(sockets: int) -> int:
@@ -50,13 +50,13 @@
 class DescriptorBudget:
     """The owner of the account. The parts add up to the limit at most."""
 
-    def __init__(self, limit: int, fixed: int = STANDARD + 1) -> None:
+    def __init__(self, limit: int, fixed: int = STANDARD_STREAM_COUNT + 1) -> None:
         self.limit = limit
-        servers = max(LEAST_SERVERS, limit // 3)
-        left = limit - fixed - sum(RESERVED.values()) - servers
-        clients = max(LEAST_CLIENTS, min(limit // 2, left))
+        servers = max(MIN_SERVER_DESCRIPTORS, limit // 3)
+        left = limit - fixed - sum(FIXED_LIMITS.values()) - servers
+        clients = max(MIN_CLIENT_DESCRIPTORS, min(limit // 2, left))
         self.most = {
-            **RESERVED,
+            **FIXED_LIMITS,
             DescriptorUse.FIXED: fixed,
             DescriptorUse.SERVER: servers,
             DescriptorUse.CLIENT: clients,
@@ -66,20 +66,20 @@
         self.promised = dict.fromkeys(DescriptorUse, 0)
         self.changed = threading.Condition()
 
-    def room(self, use: DescriptorUse) -> bool:
+    def has_capacity(self, use: DescriptorUse) -> bool:
         """Whether another may be promised; it may have to wait for one that is being closed."""
         with self.changed:
             return self.promised[use] < self.most[use]
 
-    def promise(self, use: DescriptorUse) -> Descriptor:
+    def reserve(self, use: DescriptorUse) -> Descriptor:
         """One that is to be opened."""
         return Descriptor(self, use)
 
-    def opened(self, use: DescriptorUse, file: socket.socket | None = None) -> Descriptor:
+    def register_open(self, use: DescriptorUse, file: socket.socket | None = None) -> Descriptor:
         """One that is open, or is opened and closed by whoever holds this."""
         made = Descriptor(self, use)
         with self.changed:
-            made.counted, made.file = True, file
+            made.is_counted, made.sock = True, file
             self.held[use] += 1
         return made
 
@@ -95,11 +95,11 @@
     """One descriptor, from the promise of it to its close."""
 
     def __init__(self, owner: DescriptorBudget, use: DescriptorUse) -> None:
-        self.owner = owner
+        self.budget = owner
         self.use = use
-        self.file: socket.socket | None = None
-        self.live = True
-        self.counted = False
+        self.sock: socket.socket | None = None
+        self.is_reserved = True
+        self.is_counted = False
         with owner.changed:
             owner.promised[use] += 1
 
@@ -117,22 +117,22 @@
         Raises:
             OSError: there is none, or none came free in time.
         """
-        owner = self.owner
+        owner = self.budget
         with owner.changed:
             if not owner.changed.wait_for(lambda: owner.held[self.use] < owner.most[self.use], wait_us / 1e6):
                 raise OSError(errno.EMFILE, "no descriptor came free in time")
             owner.held[self.use] += 1
-            self.counted = True
+            self.is_counted = True
         try:
-            self.file = make()
+            self.sock = make()
         except OSError:
-            self._uncount()
+            self._close_and_uncount()
             raise
-        return self.file
+        return self.sock
 
-    def move(self, use: DescriptorUse, wait_us: int) -> bool:
+    def reassign(self, use: DescriptorUse, wait_us: int) -> bool:
         """Count it to another use, once there is room for it there; False where none came in time."""
-        owner = self.owner
+        owner = self.budget
         with owner.changed:
             if not owner.changed.wait_for(lambda: owner.held[use] < owner.most[use], wait_us / 1e6):
                 return False
@@ -143,22 +143,22 @@
             owner.changed.notify_all()
             return True
 
-    def leave(self) -> None:
+    def release_reservation(self) -> None:
         """It is about to be closed: another may be promised, and is opened after that."""
-        with self.owner.changed:
-            self.owner.promised[self.use] -= self.live
-            self.live = False
+        with self.budget.changed:
+            self.budget.promised[self.use] -= self.is_reserved
+            self.is_reserved = False
 
     def close(self) -> None:
         """Close and uncount it in one; again means nothing."""
-        self.leave()
-        self._uncount()
+        self.release_reservation()
+        self._close_and_uncount()
 
-    def _uncount(self) -> None:
-        with self.owner.changed:
-            file, self.file = self.file, None
+    def _close_and_uncount(self) -> None:
+        with self.budget.changed:
+            file, self.sock = self.sock, None
             if file is not None:
                 file.close()
-            self.owner.held[self.use] -= self.counted
-            self.counted = False
-            self.owner.changed.notify_all()
+            self.budget.held[self.use] -= self.is_counted
+            self.is_counted = False
+            self.budget.changed.notify_all()
--- a/packages/node/src/fennelcove/node/log.py
+++ b/packages/node/src/fennelcove/node/log.py
@@ -11,7 +11,7 @@
 EventLogger = Callable[..., None]
 
 
-def notices(name: str) -> EventLogger:
+def event_logger(name: str) -> EventLogger:
     """A function that logs one event with its fields."""
 
     def notice(event: str, **fields: object) -> None:
--- a/packages/node/src/fennelcove/node/server_connection.py
+++ b/packages/node/src/fennelcove/node/server_connection.py
@@ -24,7 +24,7 @@
 
 READ_BYTES = 16_384
 DIAL_AGAIN_US = 300_000  # between two dials for what stands at a server
-NO_SESSION = bytes(8)
+NO_SESSION_ID = bytes(8)
 
 
 class ConnectionOwner(Protocol):
@@ -47,7 +47,7 @@
     def dial_failed(self, server: Server, refused: bool) -> None: ...
 
 
-def receive_limit(sock: socket.socket, limit_us: int) -> None:
+def set_receive_timeout(sock: socket.socket, limit_us: int) -> None:
     """Bound each read by the kernel, and leave sends to say at once that they would wait."""
     seconds, micros = divmod(max(1000, limit_us), 1_000_000)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", seconds, micros))
@@ -65,7 +65,7 @@
     """One connection to a server. All but `run` is called with the desk's lock held."""
 
     def __init__(self, desk: ConnectionOwner, server: Server) -> None:
-        self.desk = desk
+        self.manager = desk
         self.server = server
         self.address = server.address  # a server may be listed anew elsewhere while this stands
         self.phase = ConnectionState.DIALLING
@@ -74,9 +74,9 @@
         self.given_up: set[bytes] = set()  # ids for which an answer may still come here
         self.heard_us = self.opened_us = desk.now_us()
         self.tested_us: int | None = None
-        self.dials = False  # its thread is dialling: it holds a descriptor, whatever the phase
-        self.place = desk.descriptors.promise(DescriptorUse.SERVER)
-        self.read_out = False  # all that the server has written here has been heard
+        self.is_dialling = False  # its thread is dialling: it holds a descriptor, whatever the phase
+        self.descriptor = desk.descriptors.reserve(DescriptorUse.SERVER)
+        self.is_read_to_end = False  # all that the server has written here has been heard
         server.links[self] = None
 
     @property
@@ -95,22 +95,22 @@
 
     def start(self) -> None:
         """Begin to dial; a thread that can't be had is a connection that can't be made."""
-        self.dials = True
+        self.is_dialling = True
         try:
-            threading.Thread(target=self.run, name="link", daemon=True).start()
+            threading.Thread(target=self.run, name="server", daemon=True).start()
         except RuntimeError:
-            self.dials = False
+            self.is_dialling = False
             self.close(Outcome.NOT_SENT)
 
     def carry(self, session: Session) -> None:
         """Send this subscription's set-up, at once or as soon as the connection stands."""
         self.carried = session
         if self.phase is ConnectionState.OPEN:
-            self._set_up(session)
+            self._send_set_up(session)
 
-    def _set_up(self, session: Session) -> None:
+    def _send_set_up(self, session: Session) -> None:
         assert session.attempt is not None
-        left_us = session.attempt.sent_us + session.attempt.allow_us - self.desk.now_us()
+        left_us = session.attempt.sent_us + session.attempt.allow_us - self.manager.now_us()
         parameters = [
             (Code.ROOM, session.service_class.encode()),
             (Code.TITLE, session.title.encode()),
@@ -131,12 +131,12 @@
 
     def test(self) -> None:
         """Ask for a sign of life."""
-        self.tested_us = self.desk.now_us()
-        self.send(writer.message(Kind.TEST, NO_SESSION, (Code.CAUSE, b"\0")))
+        self.tested_us = self.manager.now_us()
+        self.send(writer.message(Kind.TEST, NO_SESSION_ID, (Code.CAUSE, b"\0")))
 
     def answer_test(self) -> None:
         """This end is alive as well."""
-        self.send(writer.message(Kind.TESTED, NO_SESSION, (Code.CAUSE, b"\1")))
+        self.send(writer.message(Kind.TESTED, NO_SESSION_ID, (Code.CAUSE, b"\1")))
 
     def give_up(self, session: Session) -> None:
         """The set-up out here is wanted no longer; what still comes for it is passed over."""
@@ -154,89 +154,89 @@
         """End the link; the set-up that is out on it has come to this."""
         if self.phase is ConnectionState.CLOSED:
             return
-        if self.phase is ConnectionState.OPEN and not self.read_out:
+        if self.phase is ConnectionState.OPEN and not self.is_read_to_end:
             self.server.dial_anew = True
         self.phase = ConnectionState.CLOSED
         self.server.links.pop(self, None)
-        self.server.left_us = self.desk.now_us()
-        if not self.dials:
-            self.place.leave()
+        self.server.left_us = self.manager.now_us()
+        if not self.is_dialling:
+            self.descriptor.release_reservation()
         session, self.carried = self.carried, None
         if self.sock is not None:
             with suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)  # wakes the thread, which closes the descriptor
         if session is not None:
-            self.desk.on_attempt_completed(session, outcome, None)
+            self.manager.on_attempt_completed(session, outcome, None)
 
-    def _dial_over(self) -> None:
+    def _on_dial_finished(self) -> None:
         """A dial that was given up keeps its descriptor until it ends: not counted, dials to servers that are
         silent went past the node's part of the descriptors."""
-        self.dials = False
+        self.is_dialling = False
         if self.phase is ConnectionState.CLOSED:
-            self.place.leave()
+            self.descriptor.release_reservation()
 
-    def _begin(self) -> None:
+    def _on_opened(self) -> None:
         """Send what has waited for the connection."""
         unsent = self.server.unsent
         if self.ended():
             # Closed by its server while new: a set-up written now would pass for one that may have run.
-            self._put_back(Outcome.NO_CONNECTION)
+            self._complete_attempt(Outcome.NO_CONNECTION)
             return
         # The set-up that is carried has not been sent either where one of these can't be.
         while unsent and self.send(unsent[0], Outcome.NOT_SENT):
             unsent.popleft()
-        if not self.desk.takes_attempts(self.server) or self.address != self.server.address:
+        if not self.manager.takes_attempts(self.server) or self.address != self.server.address:
             # The list has changed while this was dialled: a slow dial may outlast the grace, and
             # behind the address may be another server by now. The link stays for what stands there.
-            self._put_back(Outcome.NOT_SENT)
+            self._complete_attempt(Outcome.NOT_SENT)
         elif self.carried is not None:
             session, self.carried = self.carried, None
-            if self.desk.wanted(session):
+            if self.manager.wanted(session):
                 self.carried = session
-                self._set_up(session)
+                self._send_set_up(session)
 
-    def _put_back(self, outcome: Outcome) -> None:
+    def _complete_attempt(self, outcome: Outcome) -> None:
         session, self.carried = self.carried, None
         if session is not None:
-            self.desk.on_attempt_completed(session, outcome, None)
+            self.manager.on_attempt_completed(session, outcome, None)
 
     def run(self) -> None:
         """Dial, then read until the link ends."""
-        sock = self._dial()
+        sock = self._connect()
         if sock is None:
             return
         try:
-            self._read(sock)
+            self._receive(sock)
         except (OSError, ProtocolError):
             pass  # broken, or what comes can't be read: either way nothing more can be had from it
         finally:
-            with self.desk.lock:
+            with self.manager.lock:
                 self.close(Outcome.CONNECTION_LOST)
                 self.sock = None
-            self.place.close()
+            self.descriptor.close()
 
-    def _read(self, sock: socket.socket) -> None:
+    def _receive(self, sock: socket.socket) -> None:
         reader = Reader()
         while data := sock.recv(READ_BYTES):
             reader.feed(data)
-            with self.desk.lock:
-                self.heard_us, self.tested_us = self.desk.now_us(), None
+            with self.manager.lock:
+                self.heard_us, self.tested_us = self.manager.now_us(), None
                 self.server.parting.heard(self.heard_us)
                 # Read out where it has been closed meanwhile as well: the end of what stands may be among it.
                 while (message := reader.next()) is not None:
-                    self.desk.hear(self, message)
-        self.read_out = True
+                    self.manager.hear(self, message)
+        self.is_read_to_end = True
 
-    def _dial(self) -> socket.socket | None:
-        connect_us = self.desk.config.terms.connect_us
+    def _connect(self) -> socket.socket | None:
+        connect_us = self.manager.config.terms.connect_us
         try:
-            sock = self.place.open(lambda: socket.socket(socket.AF_INET, socket.SOCK_STREAM), connect_us)
+            sock = self.descriptor.open(lambda: socket.socket(socket.AF_INET, socket.SOCK_STREAM), connect_us)
         except OSError:
             # No descriptor: that says nothing of the server. Left as it was, the link stayed in its tables
             # for good, and while it did no other was opened to a server at which something stands.
-            with self.desk.lock:
-                self._dial_over()
-                self.server.dial_at_us = self.desk.now_us() + DIAL_AGAIN_US
+            with self.manager.lock:
+                self._on_dial_finished()
+                self.server.dial_at_us = self.manager.now_us() + DIAL_AGAIN_US
                 self.close(Outcome.NOT_SENT)
             return None
         address = self.address
@@ -246,20 +246,20 @@
             sock.settimeout(None)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as error:
-            self.place.close()
-            with self.desk.lock:
-                self._dial_over()
+            self.descriptor.close()
+            with self.manager.lock:
+                self._on_dial_finished()
                 if self.phase is ConnectionState.DIALLING:
                     self.close(Outcome.NO_CONNECTION)
-                    self.desk.dial_failed(self.server, isinstance(error, ConnectionRefusedError))
+                    self.manager.dial_failed(self.server, isinstance(error, ConnectionRefusedError))
             return None
-        with self.desk.lock:
-            self._dial_over()
+        with self.manager.lock:
+            self._on_dial_finished()
             if self.phase is ConnectionState.DIALLING:
-                self.phase, self.sock, self.heard_us = ConnectionState.OPEN, sock, self.desk.now_us()
+                self.phase, self.sock, self.heard_us = ConnectionState.OPEN, sock, self.manager.now_us()
                 self.opened_us = self.heard_us
                 self.server.parting.dialled(DialResult.MADE, self.heard_us)
-                self._begin()
+                self._on_opened()
                 return sock
-        self.place.close()
+        self.descriptor.close()
         return None
--- a/packages/node/src/fennelcove/rtsp/messages.py
+++ b/packages/node/src/fennelcove/rtsp/messages.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-MOST_BYTES = 16_384  # of one message, head and body together: the platform's bound
-MOST_FIELDS = 32
+MAX_MESSAGE_BYTES = 16_384  # of one message, head and body together: the platform's bound
+MAX_FIELDS = 32
 
 Fields = dict[str, str]
 
--- a/packages/node/src/fennelcove/rtsp/reader.py
+++ b/packages/node/src/fennelcove/rtsp/reader.py
@@ -4,13 +4,21 @@
 
 import re
 
-from fennelcove.rtsp.messages import MOST_BYTES, MOST_FIELDS, Answer, Fields, Message, ProtocolError, Request
+from fennelcove.rtsp.messages import (
+    MAX_MESSAGE_BYTES,
+    MAX_FIELDS,
+    Answer,
+    Fields,
+    Message,
+    ProtocolError,
+    Request,
+)
 
-_REQUEST = re.compile(rb"([A-Z_]{1,32}) ([\x21-\x7e]{1,512}) RTSP/1\.0")
-_ANSWER = re.compile(rb"RTSP/1\.0 ([1-5][0-9]{2})(?: [\t\x20-\x7e]*)?")
+_REQUEST_LINE = re.compile(rb"([A-Z_]{1,32}) ([\x21-\x7e]{1,512}) RTSP/1\.0")
+_STATUS_LINE = re.compile(rb"RTSP/1\.0 ([1-5][0-9]{2})(?: [\t\x20-\x7e]*)?")
 _FIELD = re.compile(rb"([A-Za-z][A-Za-z0-9-]{0,63}):[ \t]*([\t\x20-\x7e]*)")
 _LENGTH = re.compile(r"[0-9]{1,9}")
-_LONE = re.compile(rb"(?:^|[^\r])\n|\r[^\n]")
+_BARE_LINE_BREAK = re.compile(rb"(?:^|[^\r])\n|\r[^\n]")
 
 
 class Reader:
@@ -19,12 +27,12 @@
     def __init__(self) -> None:
         self.buffer = bytearray()
         self.head: tuple[bytes, Fields] | None = None
-        self.length = 0
-        self.looked = 0
+        self.body_length = 0
+        self.scanned_bytes = 0
         self.failure: ProtocolError | None = None
 
     @property
-    def between(self) -> bool:
+    def is_between_messages(self) -> bool:
         """Nothing of a message has been read."""
         return self.head is None and not self.buffer
 
@@ -41,57 +49,57 @@
         if self.failure is not None:
             raise self.failure
         try:
-            if self.head is None and not self._head():
+            if self.head is None and not self._read_head():
                 return None
-            return self._body()
+            return self._read_body()
         except ProtocolError as error:
             self.failure = error
             self.buffer.clear()
             raise
 
-    def _head(self) -> bool:
-        end = self.buffer.find(b"\r\n\r\n", max(0, self.looked - 3))
+    def _read_head(self) -> bool:
+        end = self.buffer.find(b"\r\n\r\n", max(0, self.scanned_bytes - 3))
         known = len(self.buffer) if end < 0 else end
         # A line feed alone ends a line for some readers and not for others: two messages could hide in one.
-        if _LONE.search(self.buffer, max(0, self.looked - 2), known):
+        if _BARE_LINE_BREAK.search(self.buffer, max(0, self.scanned_bytes - 2), known):
             raise ProtocolError(400, "a line that does not end with CR LF")
-        if known > MOST_BYTES:
-            raise ProtocolError(413, f"a head longer than {MOST_BYTES} bytes")
+        if known > MAX_MESSAGE_BYTES:
+            raise ProtocolError(413, f"a head longer than {MAX_MESSAGE_BYTES} bytes")
         if end < 0:
-            self.looked = len(self.buffer)
+            self.scanned_bytes = len(self.buffer)
             return False
         lines = bytes(self.buffer[:end]).split(b"\r\n")
         del self.buffer[: end + 4]
-        self.looked = 0
-        if _REQUEST.fullmatch(lines[0]) is None and _ANSWER.fullmatch(lines[0]) is None:
+        self.scanned_bytes = 0
+        if _REQUEST_LINE.fullmatch(lines[0]) is None and _STATUS_LINE.fullmatch(lines[0]) is None:
             raise ProtocolError(400, "a first line of neither request nor answer")
-        found = _fields(lines[1:])
+        found = _parse_fields(lines[1:])
         length = found.get("content-length", "0")
         # Refused at its head: what was declared too long is never gathered.
         if _LENGTH.fullmatch(length) is None:
             raise ProtocolError(400, "a Content-Length that is no count")
-        self.length = int(length)
-        if known + self.length > MOST_BYTES:
-            raise ProtocolError(413, f"a message longer than {MOST_BYTES} bytes")
+        self.body_length = int(length)
+        if known + self.body_length > MAX_MESSAGE_BYTES:
+            raise ProtocolError(413, f"a message longer than {MAX_MESSAGE_BYTES} bytes")
         self.head = (lines[0], found)
         return True
 
-    def _body(self) -> Message | None:
-        if len(self.buffer) < self.length or self.head is None:
+    def _read_body(self) -> Message | None:
+        if len(self.buffer) < self.body_length or self.head is None:
             return None
         (first, fields), self.head = self.head, None
-        body = bytes(self.buffer[: self.length])
-        del self.buffer[: self.length]
-        if match := _REQUEST.fullmatch(first):
+        body = bytes(self.buffer[: self.body_length])
+        del self.buffer[: self.body_length]
+        if match := _REQUEST_LINE.fullmatch(first):
             return Request(match[1].decode(), match[2].decode(), fields, body)
-        match = _ANSWER.fullmatch(first)
+        match = _STATUS_LINE.fullmatch(first)
         assert match is not None
         return Answer(int(match[1]), fields, body)
 
 
-def _fields(lines: list[bytes]) -> Fields:
-    if len(lines) > MOST_FIELDS:
-        raise ProtocolError(400, f"more than {MOST_FIELDS} fields")
+def _parse_fields(lines: list[bytes]) -> Fields:
+    if len(lines) > MAX_FIELDS:
+        raise ProtocolError(400, f"more than {MAX_FIELDS} fields")
     found: Fields = {}
     for line in lines:
         match = _FIELD.fullmatch(line)
--- a/tests/clientrig.py
+++ b/tests/clientrig.py
@@ -19,8 +19,8 @@
 from fennelcove.clock.timers import Timers
 from fennelcove.log import silent
 from fennelcove.node import config, session_manager
-from fennelcove.node.server_connection import receive_limit
-from fennelcove.node.client_connection import MESSAGE_US, ClientConnection
+from fennelcove.node.server_connection import set_receive_timeout
+from fennelcove.node.client_connection import MESSAGE_TIMEOUT_US, ClientConnection
 from tests.noderig import SETTINGS, WAIT_S, Caller, NodeRig, StandInServer, eventually, notice
 
 
@@ -76,7 +76,7 @@
         self.desk = session_manager.SessionManager(config.parse(tree), clock, self.timers, silent)
         self.gate = Gate()
         self.desk.lock = self.gate  # type: ignore[assignment]
-        for told in self.desk.config.known.notices:
+        for told in self.desk.config.initial_batch.events:
             self.desk.board_says(told)
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 << 20)  # handed on to each connection
@@ -88,7 +88,7 @@
         """A connection and the node's end of it, in its table; nothing is read yet."""
         caller = Caller(self.listener.getsockname())
         sock, peer = self.listener.accept()
-        receive_limit(sock, MESSAGE_US)
+        set_receive_timeout(sock, MESSAGE_TIMEOUT_US)
         viewer = ClientConnection(self.desk, sock, peer[0])
         with self.gate:
             assert self.desk.connections.add(viewer)
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -225,14 +225,14 @@
         server = StandInServer("s0", 0)
         inside = Inside(self, server)
         caller, far = inside.meet()
-        inside.gate.hold("link")
+        inside.gate.hold("server")
         thread = inside.read(far)
         caller.set_up(ID)
-        eventually(lambda: inside.gate.reached("link"), "a connection that is made")
+        eventually(lambda: inside.gate.reached("server"), "a connection that is made")
         inside.gate.hold("viewer")
         caller.sock.close()
         eventually(lambda: inside.gate.reached("viewer"), "the end read, and not acted on")
-        inside.gate.free("link")
+        inside.gate.free("server")
         [link] = inside.desk.servers["s0"].links
         eventually(lambda: link.phase is ConnectionState.OPEN, "the connection in use")
         with inside.gate:
@@ -341,7 +341,7 @@
     def test_room_is_not_made_by_closing_what_has_just_spoken(self) -> None:
         server = StandInServer("s0", 0)
         inside = Inside(self, server, sockets=32)
-        pairs = [inside.meet() for _ in range(inside.desk.connections.most)]
+        pairs = [inside.meet() for _ in range(inside.desk.connections.max_connections)]
         unread, read, idle = (far for _, far in pairs[:3])
         inside.gate.hold("viewer")
         inside.read(read)
--- a/tests/test_node_codecs.py
+++ b/tests/test_node_codecs.py
@@ -62,7 +62,7 @@
             (line + b"A: b\r\n" * 40 + b"\r\n", 400),
             (b"GET / HTTP/1.1\r\n\r\n", 400),
             (b"\x00\xff\r\n\r\n", 400),
-            (b"S" * (rtsp.MOST_BYTES + 1), 413),
+            (b"S" * (rtsp.MAX_MESSAGE_BYTES + 1), 413),
         ):
             with self.subTest(data[:60]):
                 reader = rtsp_reader.Reader()
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -111,18 +111,18 @@
         known = {"rev": 1, "notices": [notice(1, list(rows), whole=True)]}
         clock = SystemClock()
         self.timers = Timers(clock)
-        self.desk = session_manager.SessionManager(
+        self.manager = session_manager.SessionManager(
             config.parse({**TREE, "known": known, "settings": settings}), clock, self.timers, silent
         )
-        with self.desk.lock:
-            for told in self.desk.config.known.notices:
-                self.desk.board_says(told)
+        with self.manager.lock:
+            for told in self.manager.config.initial_batch.events:
+                self.manager.board_says(told)
         threading.Thread(target=self.timers.run, daemon=True).start()
         with socket.create_server(("127.0.0.1", 0)) as listener:
             self.caller = Caller(listener.getsockname())
             sock, peer = listener.accept()
-        self.viewer = ClientConnection(self.desk, sock, peer[0])
-        self.desk.connections.add(self.viewer)
+        self.viewer = ClientConnection(self.manager, sock, peer[0])
+        self.manager.connections.add(self.viewer)
         threading.Thread(target=self.viewer.run, daemon=True).start()
 
     def set_up(self, id: str, body: bytes = b"what") -> None:
@@ -130,18 +130,18 @@
         fields = {"cseq": "1", "session": id, "call-kind": "recorded", "answer-within": "8000"}
         fields["routing-data"] = "home:0;copies:4;top:2"
         request_validation.hear(
-            self.desk, self.viewer, rtsp.Request("SETUP", "rtsp://media/7f", fields, body)
+            self.manager, self.viewer, rtsp.Request("SETUP", "rtsp://media/7f", fields, body)
         )
 
     def link(self) -> ServerConnection:
-        [link] = self.desk.servers["s0"].links
+        [link] = self.manager.servers["s0"].links
         assert isinstance(link, ServerConnection)
         return link
 
     def dialled(self) -> socket.socket | None:
         """The connection that a thread has just made, and with which it waits for the lock."""
         for frame in sys._current_frames().values():
-            if frame.f_code is ServerConnection._dial.__code__:
+            if frame.f_code is ServerConnection._connect.__code__:
                 sock = frame.f_locals.get("sock")
                 with suppress(OSError):  # it has just closed it
                     if sock is not None and sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY):
@@ -151,8 +151,8 @@
 
     def close(self) -> None:
         self.timers.stop()
-        with self.desk.lock:
-            for server in self.desk.servers.values():
+        with self.manager.lock:
+            for server in self.manager.servers.values():
                 server.listed = False
         self.caller.sock.close()
 
@@ -184,7 +184,7 @@
     def answer_after(self, reset: bool) -> None:
         server = StandInServer("s0", 0)
         front = self.idle(server)
-        with front.desk.lock:  # the connection's thread does not get to read its end
+        with front.manager.lock:  # the connection's thread does not get to read its end
             link = front.link()
             if reset:
                 reset_on_close(server.sockets[0])
@@ -207,8 +207,8 @@
         # Its server closes it while the set-up is on its way, and nothing proves then that it never ran.
         server = StandInServer("s0", 0)
         front = self.idle(server)
-        with front.desk.lock:
-            front.link().heard_us -= front.desk.config.terms.idle_us * 3 // 4 + 1
+        with front.manager.lock:
+            front.link().heard_us -= front.manager.config.terms.idle_us * 3 // 4 + 1
             front.set_up(ID)
         self.assertEqual(front.caller.answer().status, 200)
         self.assertEqual(len(server.sockets), 2)
@@ -224,9 +224,9 @@
             sock.sendall(answered(sent) + released(sent, Cause.OK))
             self.assertEqual(front.caller.answer().status, 200)
             self.assertEqual(front.caller.request().method, "TEARDOWN")
-        with front.desk.lock:
+        with front.manager.lock:
             front.set_up(THIRD)
-            older, newer = front.desk.servers["s0"].links
+            older, newer = front.manager.servers["s0"].links
             self.assertGreater(older.heard_us, newer.heard_us)
             self.assertIsNotNone(older.carried)
 
@@ -237,7 +237,7 @@
     def new_connection_ends(self, reset: bool) -> None:
         peer = Peer()
         front = self.front(peer.row())
-        with front.desk.lock:
+        with front.manager.lock:
             front.set_up(ID)
             sock = eventually(front.dialled, "a connection that is made")
             far = peer.accept()
@@ -262,7 +262,7 @@
         far.sendall(answered(sent) + released(sent, Cause.OK))
         self.assertEqual(front.caller.answer().status, 200)
         self.assertEqual(front.caller.request().method, "TEARDOWN")
-        with front.desk.lock:
+        with front.manager.lock:
             sock = front.link().sock
             assert sock is not None
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
@@ -279,19 +279,19 @@
         far.sendall(answered(read_one(far)))
         self.assertEqual(front.caller.answer().status, 200)
         far.close()
-        eventually(lambda: not front.desk.servers["s0"].links, "the end of the connection")
+        eventually(lambda: not front.manager.servers["s0"].links, "the end of the connection")
         front.caller.tear_down(ID)
         self.assertEqual(front.caller.answer().status, 200)
-        with front.desk.lock:
-            front.desk.round()
+        with front.manager.lock:
+            front.manager.round()
             sock = eventually(front.dialled, "a connection that is made")
             far = peer.accept()
             reset_on_close(far)
             far.close()
             eventually(lambda: waits(sock, POLLRDHUP), "the end of the connection")
-        eventually(lambda: not front.desk.servers["s0"].links, "the end of the new connection")
-        with front.desk.lock:
-            front.desk.round()
+        eventually(lambda: not front.manager.servers["s0"].links, "the end of the new connection")
+        with front.manager.lock:
+            front.manager.round()
         sent = read_one(peer.accept())
         self.assertEqual((sent.kind, sent.session.hex(), sent.cause), (Kind.RELEASE, ID, Cause.OK))
 
@@ -357,15 +357,15 @@
         far = peer.accept()
         far.sendall(answered(read_one(far)))
         self.assertEqual(front.caller.answer().status, 200)
-        with front.desk.lock:
+        with front.manager.lock:
             sock = front.link().sock
             assert sock is not None
             far.close()
             eventually(lambda: waits(sock, POLLRDHUP), "the end of the connection")
-            request_validation.tear_down(front.desk, front.viewer, bytes.fromhex(ID))
-        eventually(lambda: not front.desk.servers["s0"].links, "the end of the connection")
-        with front.desk.lock:
-            front.desk.round()
+            request_validation.tear_down(front.manager, front.viewer, bytes.fromhex(ID))
+        eventually(lambda: not front.manager.servers["s0"].links, "the end of the connection")
+        with front.manager.lock:
+            front.manager.round()
         sent = read_one(peer.accept())
         self.assertEqual((sent.kind, sent.session.hex(), sent.cause), (Kind.RELEASE, ID, Cause.OK))
 
--- a/tests/test_node_descriptors.py
+++ b/tests/test_node_descriptors.py
@@ -31,7 +31,7 @@
 from fennelcove.node.session_manager import SessionManager
 from fennelcove.node.server_connection import ServerConnection
 from fennelcove.node.model import ConnectionState
-from fennelcove.node.client_connection import HEAD_START_US, ClientConnection
+from fennelcove.node.client_connection import EVICTION_GRACE_US, ClientConnection
 from fennelcove.rtsp import writer as rtsp_writer
 from tests.noderig import (
     WAIT_S,
@@ -81,11 +81,11 @@
 
     def move(self, board: str) -> None:
         """A new configuration names this board."""
-        before = len(self.lines("reloaded"))
+        before = len(self.lines("config_reloaded"))
         self.config["board"] = board
         self.write()
         self.signal(signal.SIGHUP)
-        eventually(lambda: len(self.lines("reloaded")) > before, "the new configuration read")
+        eventually(lambda: len(self.lines("config_reloaded")) > before, "the new configuration read")
 
     def close(self) -> None:
         self.watched = False
@@ -144,7 +144,7 @@
         clock = SystemClock()
         desk = SessionManager(config.parse(tree), clock, Timers(clock), silent)
         with desk.lock:
-            for told in desk.config.known.notices:
+            for told in desk.config.initial_batch.events:
                 desk.board_says(told)
             row = desk.servers["s0"]
             for _ in range(desk.most_links):
@@ -168,12 +168,12 @@
         made = program_of({**TREE, "limits": {"sockets": LEAST}})
         self.addCleanup(made.listener.close)
         threads: list[Callable[[], None]] = []  # that read connections; each is run only when told
-        most = made.desk.connections.most
+        most = made.manager.connections.max_connections
         real = threading.Thread
 
         def thread(target: Callable[[], None], name: str = "", daemon: bool = True) -> Any:
             made_thread = real(target=target, name=name, daemon=daemon)
-            if name != "viewer":
+            if name != "client":
                 return made_thread
             threads.append(target)
             return mock.Mock()
@@ -182,7 +182,7 @@
             near, far = socket.socketpair()
             self.addCleanup(far.close)
             with mock.patch.object(socket.socket, "setsockopt"):
-                made.take(near, "127.0.0.1")
+                made.admit_connection(near, "127.0.0.1")
 
         with mock.patch.object(program.threading, "Thread", thread):
             for _ in range(most):
@@ -195,7 +195,7 @@
             threads[0]()  # the one that was shut for it: its thread closes it
             last.join()
             self.assertEqual(len(threads), most + 1)
-        for viewer in list(made.desk.connections.viewers):
+        for viewer in list(made.manager.connections.connections):
             viewer.shut()
             viewer.run()
 
@@ -262,7 +262,7 @@
         first, second = StandInServer("s0", 0, reply), StandInServer("s1", 1)
         rig = self.process(first, sockets=LEAST, limit=LEAST)
         rig.move(nowhere())
-        eventually(lambda: rig.lines("board_call_failed"), "discovery that is down")
+        eventually(lambda: rig.lines("discovery_poll_failed"), "discovery that is down")
         busy = list[Caller]()
         for number, id in enumerate(ids(LEAST // 3)):  # so many connections the pages let clients hold
             busy.append(self.caller(rig))
@@ -297,8 +297,8 @@
     def test_whose_first_bytes_have_come_is_not_closed_for_room(self) -> None:
         made, far = self.program_full_of_silent()
         far[0].sendall(b"OPTIONS")  # the oldest; no thread has read it yet
-        with made.desk.lock:
-            self.assertTrue(made.desk.connections.add(self.fresh(made)))
+        with made.manager.lock:
+            self.assertTrue(made.manager.connections.add(self.fresh(made)))
         far[0].setblocking(False)
         self.assertRaises(BlockingIOError, far[0].recv, 1)  # open yet
         self.assertEqual(far[1].recv(1), b"")
@@ -306,14 +306,14 @@
     def test_whose_message_is_in_hand_is_not_closed_for_room(self) -> None:
         # Its thread has read the bytes and waits for the lock: neither the kernel nor any table shows them.
         made, far = self.program_full_of_silent()
-        first = next(iter(made.desk.connections.viewers))
+        first = next(iter(made.manager.connections.connections))
         far[0].sendall(rtsp_writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")))
-        eventually(lambda: first.unread, "a message that has come")
+        eventually(lambda: first.has_unread_data, "a message that has come")
         reading = threading.Thread(target=first.run)
-        with made.desk.lock:
+        with made.manager.lock:
             reading.start()
-            eventually(lambda: not first.unread, "a message that has been read")
-            made.desk.connections.add(self.fresh(made))
+            eventually(lambda: not first.has_unread_data, "a message that has been read")
+            made.manager.connections.add(self.fresh(made))
         self.assertEqual(far[0].recv(12), b"RTSP/1.0 200")
         self.assertEqual(far[1].recv(1), b"")
         far[0].close()
@@ -322,7 +322,7 @@
     def test_whose_message_is_on_its_way_out_of_the_kernel_is_not_closed_for_room(self) -> None:
         # Its thread has the bytes and waits inside recv for the interpreter, which who makes room holds.
         made, far = self.program_full_of_silent()
-        first = next(iter(made.desk.connections.viewers))
+        first = next(iter(made.manager.connections.connections))
         reading = threading.Thread(target=first.run)
         reading.start()
         sender = (
@@ -343,7 +343,7 @@
             fresh = self.fresh(made)
             self.addCleanup(sys.setswitchinterval, sys.getswitchinterval())
             sys.setswitchinterval(WAIT_S)
-            with made.desk.lock:
+            with made.manager.lock:
                 # From here on this thread keeps the interpreter, until it makes a call that may wait.
                 flags[0] = 2
                 while not flags[1]:
@@ -351,7 +351,7 @@
                 until = time.perf_counter() + HELD_S
                 while time.perf_counter() < until:
                     pass
-                made.desk.connections.add(fresh)
+                made.manager.connections.add(fresh)
             sys.setswitchinterval(0.005)
             child.wait()
             flags.close()
@@ -362,17 +362,23 @@
 
     def test_who_has_only_just_come_is_given_time_to_speak(self) -> None:
         made, _ = self.program_full_of_silent()
-        oldest = next(iter(made.desk.connections.viewers))
-        with made.desk.lock:
-            for age_us, wait_us in ((0, HEAD_START_US), (HEAD_START_US, 0), (HEAD_START_US - 1, 1)):
-                self.assertEqual(made.desk.connections.wait_us(oldest.since_us + age_us), wait_us)
+        oldest = next(iter(made.manager.connections.connections))
+        with made.manager.lock:
+            for age_us, wait_us in (
+                (0, EVICTION_GRACE_US),
+                (EVICTION_GRACE_US, 0),
+                (EVICTION_GRACE_US - 1, 1),
+            ):
+                self.assertEqual(
+                    made.manager.connections.admission_delay_us(oldest.accepted_us + age_us), wait_us
+                )
 
     def fresh(self, made: program.NodeProgram) -> ClientConnection:
         """A connection that has just been accepted."""
         with socket.create_server(("127.0.0.1", 0)) as listener:
             self.enterContext(socket.create_connection(listener.getsockname()))
-            viewer = ClientConnection(made.desk, listener.accept()[0], "127.0.0.1")
-        self.addCleanup(viewer.place.close)
+            viewer = ClientConnection(made.manager, listener.accept()[0], "127.0.0.1")
+        self.addCleanup(viewer.descriptor.close)
         return viewer
 
     def program_full_of_silent(self) -> tuple[program.NodeProgram, list[socket.socket]]:
@@ -380,12 +386,12 @@
         made, far = program_of({**TREE, "limits": {"sockets": LEAST}}), list[socket.socket]()
         self.addCleanup(made.listener.close)
         with socket.create_server(("127.0.0.1", 0)) as listener:
-            for _ in range(made.desk.connections.most):
+            for _ in range(made.manager.connections.max_connections):
                 far.append(self.enterContext(socket.create_connection(listener.getsockname())))
-                viewer = ClientConnection(made.desk, listener.accept()[0], "127.0.0.1")
-                self.addCleanup(viewer.place.close)
-                with made.desk.lock:
-                    self.assertTrue(made.desk.connections.add(viewer))
+                viewer = ClientConnection(made.manager, listener.accept()[0], "127.0.0.1")
+                self.addCleanup(viewer.descriptor.close)
+                with made.manager.lock:
+                    self.assertTrue(made.manager.connections.add(viewer))
         return made, far
 
 
@@ -425,24 +431,24 @@
     def test_what_gets_no_thread_is_closed_and_uncounted_once(self) -> None:
         made = program_of(TREE)
         self.addCleanup(made.listener.close)
-        before = made.desk.descriptors.told()
+        before = made.manager.descriptors.told()
         with (
             socket.create_server(("127.0.0.1", 0)) as listener,
             socket.create_connection(listener.getsockname()) as far,
             mock.patch.object(threading.Thread, "start", side_effect=RuntimeError("can't start new thread")),
         ):
             near, _ = listener.accept()
-            made.take(near, "127.0.0.1")
+            made.admit_connection(near, "127.0.0.1")
             self.assertEqual(far.recv(1), b"")
-            with made.desk.lock:
-                for told in made.config.known.notices:
-                    made.desk.board_says(told)
-                link = ServerConnection(made.desk, made.desk.servers["s0"])
+            with made.manager.lock:
+                for told in made.config.initial_batch.events:
+                    made.manager.board_says(told)
+                link = ServerConnection(made.manager, made.manager.servers["s0"])
                 link.start()
                 link.close(Outcome.CONNECTION_LOST)
         self.assertEqual(near.fileno(), -1)
-        self.assertEqual(made.desk.descriptors.told(), before)
-        self.assertFalse(made.desk.links or made.desk.connections.viewers)
+        self.assertEqual(made.manager.descriptors.told(), before)
+        self.assertFalse(made.manager.links or made.manager.connections.connections)
 
     def test_the_account_is_what_the_process_holds(self) -> None:
         # Breaks, evictions, moves and dials that fail: whatever is forgotten or counted twice stays for good.
--- a/tests/test_node_desk.py
+++ b/tests/test_node_desk.py
@@ -28,7 +28,7 @@
 from fennelcove.node.address import Address
 from fennelcove.node.config import ConfigError
 from fennelcove.node.server_connection import ServerConnection
-from fennelcove.node.discovery_events import DiscoveryStream, DiscoveryError
+from fennelcove.node.discovery_events import DiscoveryBatch, DiscoveryError
 from fennelcove.node.model import ConnectionState, Server, SessionState, Session
 from fennelcove.node.client_connection import ConnectionTable, ClientConnection
 from fennelcove.rtsp import messages as rtsp
@@ -102,7 +102,7 @@
         self.clock = ManualClock(wall_from_us=1_000_000_000)
         self.timers = Timers(self.clock)
         self.desk = session_manager.SessionManager(config.parse(TREE), self.clock, self.timers, silent)
-        for told in self.desk.config.known.notices:
+        for told in self.desk.config.initial_batch.events:
             self.desk.board_says(told)
         self.viewer = Said(self.desk)
         self.addCleanup(self.viewer.sock.close)
@@ -151,7 +151,7 @@
 
     def told(self, rev: int, *rows: dict[str, Any]) -> None:
         """The board tells of servers."""
-        for event in DiscoveryStream.parse({"rev": rev, "notices": [notice(rev, list(rows))]}).notices:
+        for event in DiscoveryBatch.parse({"rev": rev, "notices": [notice(rev, list(rows))]}).events:
             self.desk.board_says(event)
 
     def test_a_dial_that_outlasts_a_drain_carries_no_set_up(self) -> None:
@@ -159,7 +159,7 @@
         link, listener = self.dialling()
         dial = f"127.0.0.1:{listener.getsockname()[1]}"
         self.told(2, {**HOST, "dial": dial, "health": "draining"})
-        sock = link._dial()
+        sock = link._connect()
         assert sock is not None
         self.addCleanup(sock.close)
         far, _ = listener.accept()
@@ -172,7 +172,7 @@
 
     def test_a_dial_that_is_in_time_carries_its_set_up(self) -> None:
         link, listener = self.dialling()
-        sock = link._dial()
+        sock = link._connect()
         assert sock is not None
         self.addCleanup(sock.close)
         far, _ = listener.accept()
@@ -183,7 +183,7 @@
         # Its link stayed in the tables as one that dials: no other was ever opened to its server.
         link, _ = self.dialling()
         with mock.patch.object(socket, "socket", side_effect=OSError(errno.EMFILE, "too many open files")):
-            self.assertIsNone(link._dial())
+            self.assertIsNone(link._connect())
         self.assertFalse(self.desk.servers["s0"].links or self.desk.links)
         self.assertEqual(self.desk.servers["s0"].seen, {Outcome.NOT_SENT: 1})
 
@@ -193,7 +193,7 @@
         self.pass_time(8_000_000)
         self.assertIs(link.phase, ConnectionState.CLOSED)
         self.assertEqual(self.desk.links, 1)
-        self.assertIsNone(link._dial())
+        self.assertIsNone(link._connect())
         self.assertEqual(self.desk.links, 0)
 
     def test_a_link_ends_before_the_server_ends_it_and_stays_for_what_stands(self) -> None:
@@ -267,20 +267,21 @@
         self.assertEqual(len(test.said), 1)
         release, _ = fresh.said
         self.assertTrue(release.startswith(b"TEARDOWN ") and ID.hex().encode() in release)
-        self.assertFalse(self.desk.connections.pending)
+        self.assertFalse(self.desk.connections.pending_notifications)
 
     def test_what_is_owed_is_bounded_and_forgiven(self) -> None:
         table = self.desk.connections
-        for number in range(client_connection.MOST_PENDING + 1):
-            for _ in range(client_connection.MOST_PENDING_EACH + 1):
+        for number in range(client_connection.MAX_PENDING_PEERS + 1):
+            for _ in range(client_connection.MAX_PENDING_PER_PEER + 1):
                 table.defer(str(number), b"x", self.desk.now_us())
-        self.assertEqual(len(table.pending), client_connection.MOST_PENDING)
+        self.assertEqual(len(table.pending_notifications), client_connection.MAX_PENDING_PEERS)
         self.assertEqual(
-            {len(said) for said in table.pending.values()}, {client_connection.MOST_PENDING_EACH}
+            {len(said) for said in table.pending_notifications.values()},
+            {client_connection.MAX_PENDING_PER_PEER},
         )
-        self.clock.advance(client_connection.PENDING_US + 1)
+        self.clock.advance(client_connection.NOTIFICATION_TTL_US + 1)
         self.desk.round()
-        self.assertFalse(table.pending)
+        self.assertFalse(table.pending_notifications)
 
     def test_no_table_grows_with_what_has_passed(self) -> None:
         # Memory that grows is priced. Each round brings new sessions, servers and peers, and ends them all.
@@ -312,7 +313,7 @@
             for server in self.desk.servers.values():
                 for link in list(server.links):
                     link.close(Outcome.CONNECTION_LOST)
-                    link._dial_over()
+                    link._on_dial_finished()
 
         for _ in range(20):
             everything()
@@ -405,9 +406,9 @@
 
     def test_a_gone_server_is_forgotten_with_its_links(self) -> None:
         link, _ = self.link()
-        gone = DiscoveryStream.parse({"rev": 2, "notices": [notice(2, [{**HOST, "health": "removed"}])]})
+        gone = DiscoveryBatch.parse({"rev": 2, "notices": [notice(2, [{**HOST, "health": "removed"}])]})
         self.clock.advance(5_000_000)
-        for told in gone.notices:
+        for told in gone.events:
             self.desk.board_says(told)
         self.assertFalse(self.desk.servers)
         self.assertIs(link.phase, ConnectionState.CLOSED)
@@ -417,7 +418,7 @@
         sub = self.set_up()
         self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
         rows = [{**HOST, "health": "removed"}, {**HOST, "host": "s1"}]
-        for told in DiscoveryStream.parse({"rev": 2, "notices": [notice(2, rows)]}).notices:
+        for told in DiscoveryBatch.parse({"rev": 2, "notices": [notice(2, rows)]}).events:
             self.desk.board_says(told)
         self.desk.round()
         self.assertIs(sub.state, SessionState.STANDING)  # its link stands yet
@@ -464,9 +465,9 @@
             self.desk.dial_failed(server, refused=False)
         server.dial_at_us = 1 << 62
         self.assertIs(sub.state, SessionState.STANDING)
-        for told in DiscoveryStream.parse(
+        for told in DiscoveryBatch.parse(
             {"rev": 2, "notices": [notice(2, [{**HOST, "health": "removed"}])]}
-        ).notices:
+        ).events:
             self.desk.board_says(told)
         self.desk.round()
         self.assertIs(sub.state, SessionState.OVER)
@@ -514,11 +515,11 @@
             self.addCleanup(viewer.sock.close)
         table = ConnectionTable(3)
         old, busy, mute, fresh = viewers
-        old.spoke = busy.spoke = True
+        old.has_sent_message = busy.has_sent_message = True
         busy.open[Session(bytes(8), "", "", "", "", b"", None, "")] = None
         self.assertTrue(all(table.add(viewer) for viewer in (old, busy, mute)))
         self.assertTrue(table.add(fresh))
-        self.assertEqual(list(table.viewers), [old, busy, fresh])
+        self.assertEqual(list(table.connections), [old, busy, fresh])
         self.assertIs(table.other("0"), old)
         self.assertIsNone(table.other("2"))
 
--- a/tests/test_node_dials.py
+++ b/tests/test_node_dials.py
@@ -15,7 +15,7 @@
 from fennelcove.isup.messages import Cause, Code, Kind, Message
 from fennelcove.node.descriptor_budget import DescriptorUse
 from fennelcove.node import request_validation
-from fennelcove.node.discovery_events import DiscoveryStream
+from fennelcove.node.discovery_events import DiscoveryBatch
 from tests.noderig import SETTINGS, NodeRig, StandInServer, answered, eventually, notice, released
 from tests.test_node_connections import (
     ID,
@@ -35,13 +35,13 @@
 
 class DialTest(RigTest):
     def told(self, front: FrontHere, *rows: dict[str, Any]) -> None:
-        for event in DiscoveryStream.parse({"rev": 2, "notices": [notice(2, list(rows))]}).notices:
-            front.desk.board_says(event)
+        for event in DiscoveryBatch.parse({"rev": 2, "notices": [notice(2, list(rows))]}).events:
+            front.manager.board_says(event)
 
     def dialled(self, peer: Peer, meanwhile: Callable[[FrontHere], None]) -> tuple[FrontHere, socket.socket]:
         """A set-up's connection is made, and its thread gets the lock only after this has happened."""
         front = self.front(peer.row())
-        with front.desk.lock:
+        with front.manager.lock:
             front.set_up(ID)
             eventually(front.dialled, "a connection that is made")
             meanwhile(front)
@@ -49,32 +49,32 @@
 
     def nothing_sent(self, front: FrontHere, far: socket.socket) -> None:
         """Whatever is written on the connection until it ends is no set-up."""
-        with front.desk.lock:
-            front.desk.stopping = True
+        with front.manager.lock:
+            front.manager.stopping = True
         eventually(lambda: front.dialled() is None, "the thread has had the lock")
         far.shutdown(socket.SHUT_WR)
         self.assertEqual([m for m in read_all(far) if m.kind is Kind.SET_UP], [])
 
     def test_a_client_that_leaves_while_its_connection_is_made(self) -> None:
         def leaves(front: FrontHere) -> None:
-            request_validation.tear_down(front.desk, front.viewer, bytes.fromhex(ID))
+            request_validation.tear_down(front.manager, front.viewer, bytes.fromhex(ID))
 
         front, far = self.dialled(Peer(), leaves)
         self.nothing_sent(front, far)
-        self.assertFalse(front.desk.sessions or front.desk.front.sessions)
+        self.assertFalse(front.manager.sessions or front.manager.front.sessions)
 
     def test_a_client_that_closes_while_its_connection_is_made(self) -> None:
         front, far = self.dialled(
-            Peer(), lambda front: request_validation.viewer_gone(front.desk, front.viewer)
+            Peer(), lambda front: request_validation.viewer_gone(front.manager, front.viewer)
         )
         self.nothing_sent(front, far)
-        self.assertFalse(front.desk.sessions or front.desk.front.sessions)
+        self.assertFalse(front.manager.sessions or front.manager.front.sessions)
 
     def test_a_join_whose_time_is_over_while_its_connection_is_made(self) -> None:
         def passes(front: FrontHere) -> None:
-            sub = front.desk.sessions[bytes.fromhex(ID)]
+            sub = front.manager.sessions[bytes.fromhex(ID)]
             assert sub.attempt is not None
-            front.desk.time_over(sub, sub.attempt)
+            front.manager.time_over(sub, sub.attempt)
 
         front, far = self.dialled(Peer(), passes)
         self.nothing_sent(front, far)
@@ -99,7 +99,7 @@
         far.sendall(answered(sent) + released(sent, Cause.OK))
         self.assertEqual(front.caller.answer().status, 200)
         self.assertEqual(front.caller.request().method, "TEARDOWN")
-        with front.desk.lock:
+        with front.manager.lock:
             self.told(front, back.row())
             front.set_up(ID)
         self.assertEqual(read_one(back.accept()).session.hex(), ID)
@@ -120,13 +120,13 @@
 
     def give_up(self, front: FrontHere) -> None:
         """The wait for the set-up is over that is out on the first connection; the lock is held."""
-        sub = front.desk.sessions[bytes.fromhex(OTHER)]
+        sub = front.manager.sessions[bytes.fromhex(OTHER)]
         assert sub.attempt is not None
-        front.desk.time_over(sub, sub.attempt)
+        front.manager.time_over(sub, sub.attempt)
 
     def test_an_end_told_on_a_connection_that_is_being_closed_is_heard(self) -> None:
         front, first, _ = self.standing_and_out(Peer())
-        with front.desk.lock:
+        with front.manager.lock:
             first.sendall(isup.release(bytes.fromhex(ID), Cause.OK))
             self.give_up(front)
         self.assertEqual(front.caller.answer().fields["session"], OTHER)
@@ -137,9 +137,9 @@
         # What was on its way there is told again on the next connection; with a second open none came.
         peer = Peer()
         front, first, second = self.standing_and_out(peer)
-        with front.desk.lock:
+        with front.manager.lock:
             self.give_up(front)
-            front.desk.round()
+            front.manager.round()
         peer.listener.settimeout(3)
         third = peer.accept()
         third.sendall(isup.release(bytes.fromhex(ID), Cause.OK))
@@ -158,8 +158,8 @@
         far.sendall(answered(sent) + released(sent, Cause.OK))
         self.assertEqual(front.caller.answer().status, 200)
         self.assertEqual(front.caller.request().method, "TEARDOWN")
-        with front.desk.lock:
-            born_ms = front.desk.now_us() // 1000 + 1
+        with front.manager.lock:
+            born_ms = front.manager.now_us() // 1000 + 1
             self.told(front, {**peer.row(), "born_ms": born_ms})
         far.settimeout(3)
         self.assertEqual(far.recv(4096), b"")
@@ -170,13 +170,13 @@
         rows = [peer.row(name, cell) for cell, (name, peer) in enumerate(peers.items())]
         front = self.front(*rows, settings=SETTINGS)
         front.caller.set_up(ID)
-        sub = eventually(lambda: front.desk.sessions.get(bytes.fromhex(ID)), "the set-up")
+        sub = eventually(lambda: front.manager.sessions.get(bytes.fromhex(ID)), "the set-up")
         late = peers.pop(sub.attempt.server.name).accept()
         sent = read_one(late)
         [other] = peers.values()
-        with front.desk.lock:
+        with front.manager.lock:
             late.sendall(answered(sent) + answered(sent))
-            front.desk.time_over(sub, sub.attempt)
+            front.manager.time_over(sub, sub.attempt)
         given_up = read_one(late)
         self.assertEqual((given_up.kind, given_up.session, given_up.cause), (Kind.RELEASE, sub.id, Cause.OK))
         self.assertEqual(read_all(late), [])
@@ -190,7 +190,7 @@
     def test_room_is_made_at_a_server_where_nothing_stands(self) -> None:
         peers = [Peer() for _ in range(3)]
         front = self.front(*(peer.row(f"s{cell}", cell) for cell, peer in enumerate(peers)))
-        front.desk.descriptors.most[DescriptorUse.SERVER] = 2
+        front.manager.descriptors.most[DescriptorUse.SERVER] = 2
         here = []
         for cell, id in enumerate((ID, OTHER, THIRD)):
             front.caller.set_up(id, routing=f"home:{cell};copies:1;top:2")
@@ -203,8 +203,8 @@
                 self.assertEqual(front.caller.request().method, "TEARDOWN")
         here[1].settimeout(3)
         self.assertEqual(here[1].recv(4096), b"")
-        with front.desk.lock:
-            self.assertEqual([link.idle for link in front.desk.servers["s0"].links], [True])
+        with front.manager.lock:
+            self.assertEqual([link.idle for link in front.manager.servers["s0"].links], [True])
 
 
 class OnceNode(NodeRig):
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -97,7 +97,7 @@
         with mock.patch.object(BoardRig, "LOG", str(pipe)):
             self.rig(board, StandInServer("s0", 0))
         os.set_blocking(reader, True)
-        self.assertIn(b"ready", os.read(reader, 4096))  # its last word that anybody hears
+        self.assertIn(b"node_started", os.read(reader, 4096))  # its last word that anybody hears
         os.close(reader)
         for _ in range(3):
             board.next().close()
@@ -270,8 +270,8 @@
             board.next().body(b"down", 503)
         board.next().tell(1)
         board.next()
-        self.assertEqual(len(rig.log("board_call_failed")), 1)
-        self.assertEqual([line["failures"] for line in rig.log("board_reached")], [5])
+        self.assertEqual(len(rig.log("discovery_poll_failed")), 1)
+        self.assertEqual([line["failures"] for line in rig.log("discovery_poll_recovered")], [5])
 
     def test_a_board_that_is_down_from_the_start_is_found_when_it_comes(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as free:
@@ -281,7 +281,7 @@
         board.address = f"127.0.0.1:{nowhere}"
         first, second = StandInServer("s0", 0), StandInServer("s1", 0)
         rig = self.rig(board, first)
-        eventually(lambda: rig.log("board_call_failed"), "a failed call")
+        eventually(lambda: rig.log("discovery_poll_failed"), "a failed call")
         self.served(rig)
         late = HeldBoard(nowhere)
         self.addCleanup(late.close)
--- a/tests/test_node_discovery_thread.py
+++ b/tests/test_node_discovery_thread.py
@@ -49,7 +49,7 @@
         self.desk = session_manager.SessionManager(
             config.parse({**TREE, "seed": seed}), clock, Timers(clock), silent
         )
-        for first in self.desk.config.known.notices:
+        for first in self.desk.config.initial_batch.events:
             self.desk.board_says(first)
         watch = DiscoveryClient(self.desk, clock, parse_address(board.address), rev)
         thread = threading.Thread(target=watch.run, daemon=True)
@@ -72,7 +72,7 @@
         with mock.patch.object(self.desk, "lock", gate), gate.inner:
             poll.tell(2, notice(2, [DRAINING]))
             self.assertTrue(gate.wanted.wait(20))  # the answer is read whole, and waits for the lock
-            watch.move(parse_address(new.address))
+            watch.change_address(parse_address(new.address))
         poll = new.next()
         self.assertEqual((poll.watch, self.standing()), (1, ServerState.ACTIVE))
 
@@ -106,7 +106,7 @@
     def test_an_open_poll_does_not_keep_the_ask_for_everything_back(self) -> None:
         board = HeldBoard()
         watch = self.watch(board)
-        with mock.patch.object(discovery, "ANSWER_US", 60_000_000):
+        with mock.patch.object(discovery, "RESPONSE_GRACE_US", 60_000_000):
             board.next().close()
             board.next()  # held for good
             watch.resync()
@@ -117,27 +117,27 @@
         board, new = HeldBoard(), HeldBoard()
         self.addCleanup(new.close)
         board.address = f"127.0.0.1:{listener.getsockname()[1]}"
-        with mock.patch.object(discovery, "CONNECT_US", 60_000_000):
+        with mock.patch.object(discovery, "CONNECT_TIMEOUT_US", 60_000_000):
             watch = self.watch(board)
             eventually(lambda: dialled(listener, fillers), "a dial that hangs")
-            watch.move(parse_address(new.address))
+            watch.change_address(parse_address(new.address))
             self.assertEqual(new.next().watch, 1)
 
     def test_a_move_ends_the_pause_after_a_failure(self) -> None:
         board, new = HeldBoard(), HeldBoard()
         self.addCleanup(new.close)
         told: list[str] = []
-        with mock.patch.multiple(discovery, PAUSE_US=60_000_000, PAUSE_MOST_US=60_000_000):
+        with mock.patch.multiple(discovery, BACKOFF_BASE_US=60_000_000, BACKOFF_MAX_US=60_000_000):
             watch = self.watch(board)
             self.desk.notice = lambda event, **fields: told.append(event)
             poll = board.next()
             poll.close()
-            eventually(lambda: told == ["board_call_failed"], "the failure")
-            watch.move(parse_address(new.address))
+            eventually(lambda: told == ["discovery_poll_failed"], "the failure")
+            watch.change_address(parse_address(new.address))
             poll = new.next()
             self.assertEqual(poll.watch, 1)
             poll.close()  # the first failure there, whatever there was before
-            eventually(lambda: told == ["board_call_failed"] * 2, "the failure of the other board")
+            eventually(lambda: told == ["discovery_poll_failed"] * 2, "the failure of the other board")
 
     def test_two_moves_in_a_row_end_at_the_second_and_are_no_failures(self) -> None:
         boards = [HeldBoard() for _ in range(3)]
@@ -147,7 +147,7 @@
         boards[0].next()
         for board in boards[1:]:
             self.addCleanup(board.close)
-            watch.move(parse_address(board.address))
+            watch.change_address(parse_address(board.address))
         boards[2].next().tell(2, notice(2, [DRAINING]))
         self.assertEqual((boards[2].next().watch, self.standing()), (2, ServerState.LEAVING))
         self.assertEqual(told, [])
@@ -159,15 +159,15 @@
         told: list[str] = []
         self.desk.notice = lambda event, **fields: told.append(event)
         board.next()
-        watch.move(parse_address(other.address))
-        watch.move(parse_address(board.address))
+        watch.change_address(parse_address(other.address))
+        watch.change_address(parse_address(board.address))
         self.assertEqual((board.next().watch, told), (1, []))
 
     def test_a_move_to_the_same_address_leaves_the_open_poll(self) -> None:
         board = HeldBoard()
         watch = self.watch(board)
         poll = board.next()
-        watch.move(parse_address(board.address))
+        watch.change_address(parse_address(board.address))
         poll.tell(2, notice(2, [DRAINING]))
         fresh = board.next()
         self.assertEqual((fresh.watch, self.standing(), board.accepted), (2, ServerState.LEAVING, 1))
@@ -197,7 +197,7 @@
 class PauseTest(unittest.TestCase):
     def test_pauses_grow_to_a_bound_and_differ_from_one_process_to_the_next(self) -> None:
         rows = [
-            [discovery.pause_us(n, draws) for n in range(1, 40)] for draws in map(random.Random, range(50))
+            [discovery.backoff_us(n, draws) for n in range(1, 40)] for draws in map(random.Random, range(50))
         ]
         for n, column in enumerate(zip(*rows, strict=True)):
             self.assertGreater(len(set(column)), 40)  # spread
@@ -205,7 +205,7 @@
             self.assertTrue(0.7 < mean_us / min(100_000 * 2**n, 500_000) < 1.3, mean_us)
             self.assertLess(max(column), 1_000_000)
         self.assertLessEqual(max(row[0] for row in rows), 150_000)
-        self.assertEqual(rows[3][0], discovery.pause_us(1, random.Random(3)))  # the seed's alone
+        self.assertEqual(rows[3][0], discovery.backoff_us(1, random.Random(3)))  # the seed's alone
 
     def test_a_board_that_is_down_is_asked_less_and_less(self) -> None:
         # 200 processes asked one that was down 10 times a second each, in step.
--- a/tests/test_node_reload.py
+++ b/tests/test_node_reload.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from fennelcove.node.program import RELOADS
+from fennelcove.node.program import RELOAD_ATTEMPTS
 from tests.nodeprocess import BRIEF, Gate, Rig, run
 from tests.noderig import StandInBoard, StandInServer, eventually
 
@@ -27,9 +27,11 @@
         fresh = rig.path.with_suffix(".other")
         fresh.write_text(json.dumps(tree))
         fresh.replace(rig.path)
-        before = len(rig.told("reloaded", "reload_failed"))
+        before = len(rig.told("config_reloaded", "config_reload_failed"))
         rig.signal(signal.SIGHUP)
-        lines = eventually(lambda: rig.told("reloaded", "reload_failed")[before:], "a line of the log")
+        lines = eventually(
+            lambda: rig.told("config_reloaded", "config_reload_failed")[before:], "a line of the log"
+        )
         return dict(lines[0])
 
     def test_a_file_that_is_not_this_node_s_is_refused_whole(self) -> None:
@@ -58,7 +60,7 @@
 
                 line = self.handed(rig, foreign)
                 self.assertEqual(
-                    (line["event"], line.get("code")), ("reload_failed", "node-configuration-foreign")
+                    (line["event"], line.get("code")), ("config_reload_failed", "node-configuration-foreign")
                 )
                 self.assertTrue(
                     line["reason"].endswith(f"differs from what the node runs by in {field}"), line
@@ -76,15 +78,15 @@
         rig.path.unlink()
         gate = Gate(rig.path)
         rig.signal(signal.SIGHUP)
-        for _ in range(RELOADS):  # each try of one signal reads the same
+        for _ in range(RELOAD_ATTEMPTS):  # each try of one signal reads the same
             held = gate.held()
             gate.renew()
             gate.let(held, "{")
-        eventually(lambda: rig.told("reload_failed"), "its line")
+        eventually(lambda: rig.told("config_reload_failed"), "its line")
         rig.signal(signal.SIGHUP)
         gate.let(gate.held(), json.dumps(rig.config))
-        eventually(lambda: rig.told("reloaded"), "the good file")
-        self.assertEqual(len(rig.told("reload_failed")), 1)
+        eventually(lambda: rig.told("config_reloaded"), "the good file")
+        self.assertEqual(len(rig.told("config_reload_failed")), 1)
 
     def test_a_file_caught_half_written_is_read_again(self) -> None:
         rig = self.rig()
@@ -94,8 +96,8 @@
         held = gate.held()
         rig.write()  # the whole one is in its place before the half has been read
         gate.let(held, "{")
-        eventually(lambda: rig.told("reloaded"), "the whole file")
-        self.assertEqual(rig.told("reload_failed"), [])
+        eventually(lambda: rig.told("config_reloaded"), "the whole file")
+        self.assertEqual(rig.told("config_reload_failed"), [])
 
     def test_the_node_s_own_file_with_another_board_is_taken(self) -> None:
         rig = self.rig()
@@ -105,7 +107,7 @@
             tree.update(board=board.address, seed="0f", known={"rev": 0, "notices": []})
             tree["settings"]["NotRead"] = 7  # says nothing that the node runs by
 
-        self.assertEqual(self.handed(rig, own)["event"], "reloaded")
+        self.assertEqual(self.handed(rig, own)["event"], "config_reloaded")
         eventually(lambda: board.polls > 2, "polls at the new board")
 
 
@@ -160,7 +162,9 @@
             with self.subTest(name):
                 rig.path.write_text(text)
                 rig.signal(signal.SIGHUP)
-                lines = eventually(lambda count=count: rig.told("reload_failed")[count - 1 :], "its line")
+                lines = eventually(
+                    lambda count=count: rig.told("config_reload_failed")[count - 1 :], "its line"
+                )
                 self.assertEqual(lines[0].get("code"), "node-configuration-unusable")
         polls = rig.board.polls
         eventually(lambda: rig.board.polls > polls + 2, "polls at the node's own board")
--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -215,7 +215,7 @@
         held = gate.held()  # the node is in the middle of reading, and nothing comes
         self.addCleanup(os.close, held)
         rig.signal(signal.SIGTERM)
-        eventually(lambda: rig.told("stopping"), "the log's word of the signal")
+        eventually(lambda: rig.told("shutdown_started"), "the log's word of the signal")
         # On a connection that stays open as on a new one.
         self.assertEqual((options(caller), rig.test()), (503, 503))
         self.assertEqual(rig.process.wait(20), 0)
@@ -229,7 +229,7 @@
             self.assertEqual(options(caller), 200)
         since = time.monotonic()
         rig.signal(signal.SIGTERM)
-        eventually(lambda: rig.told("stopping"), "the log's word of the signal")
+        eventually(lambda: rig.told("shutdown_started"), "the log's word of the signal")
         rig.freeze()
         callers += [rig.caller() for _ in range(8)]  # these stay in the listener's backlog
         for number, caller in enumerate(callers, 1):
@@ -263,7 +263,7 @@
         tree = {"listen": "127.0.0.1:1", "board": "127.0.0.1:2", "settings": SETTINGS}
         made = config.parse({**tree, "known": {"rev": 1, "notices": [first]}})
         self.desk = session_manager.SessionManager(made, clock, Timers(clock), silent)
-        for told in made.known.notices:
+        for told in made.initial_batch.events:
             self.desk.board_says(told)
         with socket.create_server(("127.0.0.1", 0)) as listener:
             self.caller = Caller(listener.getsockname())
@@ -282,7 +282,7 @@
             eventually(lambda: self.unread() == 0, "the thread's read")
             self.assertEqual(self.desk.end(), 0)
             # As at the node's own end: that its read side is shut is no sign that the viewer has left.
-            self.viewer.finish()
+            self.viewer.finish_reading()
         self.caller.sock.settimeout(5)
         answer = self.caller.answer()
         self.assertEqual((answer.status, answer.fields["come-back-ms"]), (453, "500"))
@@ -326,7 +326,7 @@
         cut.set_up("00000000000000a2")
         eventually(lambda: len(held) == 2, "the second")
         rig.signal(signal.SIGTERM)
-        eventually(lambda: rig.told("stopping"), "the log's word of the signal")
+        eventually(lambda: rig.told("shutdown_started"), "the log's word of the signal")
         server.sockets[0].sendall(answered(held[0]))
         got = [served.answer(), cut.answer()]
         told = [(answer.fields["session"], answer.status) for answer in got]
--- a/tests/test_node_standing.py
+++ b/tests/test_node_standing.py
@@ -34,7 +34,7 @@
 from fennelcove.node.address import Address
 from fennelcove.node.discovery_client import DiscoveryClient
 from fennelcove.node.server_connection import ServerConnection, ConnectionState
-from fennelcove.node.program import stop_us
+from fennelcove.node.program import shutdown_wait_us
 from fennelcove.rtsp import messages as rtsp
 from fennelcove.placement import PlacementPolicy
 from tests.helpers import SECOND, Recorder
@@ -48,9 +48,9 @@
         for longest_us in (0, 50_000, 150_000, 500_000, 1_500_000, 3_000_000, 5_000_000, 3_600_000_000):
             with self.subTest(longest_us):
                 counted_us = min(longest_us or 3_000_000, 3_000_000)
-                self.assertGreater(stop_us(longest_us), 700_000)
-                self.assertGreaterEqual(stop_us(longest_us), counted_us)
-                self.assertLess(stop_us(longest_us), counted_us + 700_000)
+                self.assertGreater(shutdown_wait_us(longest_us), 700_000)
+                self.assertGreaterEqual(shutdown_wait_us(longest_us), counted_us)
+                self.assertLess(shutdown_wait_us(longest_us), counted_us + 700_000)
 
 
 class ColdTest(unittest.TestCase):
@@ -103,7 +103,7 @@
         self.clock = ManualClock(wall_from_us=1_000_000_000)
         self.timers = Timers(self.clock)
         self.desk = session_manager.SessionManager(config.parse(tree), self.clock, self.timers, silent)
-        for told in self.desk.config.known.notices:
+        for told in self.desk.config.initial_batch.events:
             self.desk.board_says(told)
         self.viewer = Said(self.desk)
         self.addCleanup(self.viewer.sock.close)
@@ -203,7 +203,7 @@
         threading.Thread(target=serve, args=(listener,), daemon=True).start()
         clock = SystemClock()
         made = session_manager.SessionManager(config.parse(TREE), clock, Timers(clock), silent)
-        for first in made.config.known.notices:
+        for first in made.config.initial_batch.events:
             made.board_says(first)
         watch = DiscoveryClient(made, clock, Address("127.0.0.1", listener.getsockname()[1]), 1)
         self.addCleanup(watch.stop)
@@ -232,7 +232,7 @@
         }
         clock = ManualClock(wall_from_us=1_000_000_000)
         made = session_manager.SessionManager(config.parse(tree), clock, Timers(clock), silent)
-        for told in made.config.known.notices:
+        for told in made.config.initial_batch.events:
             made.board_says(told)
         viewer = Said(made)
         self.addCleanup(viewer.sock.close)
