Dialling, discovery polls and descriptor counting are short functions

ServerConnection._connect, DiscoveryClient.run and _poll did several things each, and the poll was three loose values. A poll and its connection are frozen dataclasses; asking the kernel for the peer's end is one function; a descriptor opens its own TCP socket. The order of calls on sockets and locks is unchanged. The test that looks for the frame holding a new connection names _on_connected, where the lock is awaited.

--- a/packages/node/src/fennelcove/node/descriptor_budget.py
+++ b/packages/node/src/fennelcove/node/descriptor_budget.py
@@ -1,7 +1,8 @@
-"""The account of the process's file descriptors: each use has its part; whoever opens one counts it first.
+"""Budget of file descriptors: each use has a limit, and each descriptor is counted before it is opened.
 
-A descriptor lives until its `close`, not until the `shutdown` before it: counted only to there, what came in
-its place was opened beside it. Its own lock is the innermost: nothing is called with it held but `close`.
+A descriptor counts until its `close`, not until the `shutdown` before that: counted only until the shutdown,
+the descriptor that replaced it was opened beside it. The budget's lock is the innermost of the process: while
+it is held, nothing is called but `close` on a socket.
 """
 
 from __future__ import annotations
@@ -11,21 +12,22 @@
 import resource
 import socket
 import threading
-from collections.abc import Callable
 from enum import Enum
 from types import TracebackType
 
 STANDARD_STREAM_COUNT = 3  # input, output and error
 MIN_SERVER_DESCRIPTORS, MIN_CLIENT_DESCRIPTORS = 1, 2
+SERVER_SHARE_DIVISOR = 3  # servers get a third of the limit,
+CLIENT_SHARE_DIVISOR = 2  # clients at most half of it
 
 
 class DescriptorUse(Enum):
-    """What descriptors are held for."""
+    """What a descriptor is used for."""
 
-    FIXED = "fixed"  # what was there at the start, and the listening socket
+    FIXED = "fixed"  # those open at the start, and the listening socket
     FILE = "file"  # the configuration, and whatever the interpreter reads meanwhile
-    DISCOVERY = "discovery"  # a poll, and the one that a move ends
-    ACCEPT = "accept"  # a connection that has been accepted, until there is room for it
+    DISCOVERY = "discovery"  # a poll, and the one that a change of address ends
+    ACCEPT = "accept"  # a connection that has been accepted, until it is admitted
     SERVER = "server"
     CLIENT = "client"
 
@@ -34,27 +36,27 @@
 
 
 def count_open_descriptors() -> int:
-    """How many this process holds already."""
+    """Return how many descriptors this process holds."""
     try:
-        return len(os.listdir("/proc/self/fd")) - 1  # one was the folder's own
+        return len(os.listdir("/proc/self/fd")) - 1  # one was the directory's own
     except OSError:
         return STANDARD_STREAM_COUNT
 
 
 def limited(sockets: int) -> int:
-    """The limit of the configuration, or the process's own where that is lower."""
+    """Return the configured limit, or the process's own limit if that is lower."""
     own = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     return sockets if own == resource.RLIM_INFINITY else min(sockets, own)
 
 
 class DescriptorBudget:
-    """The owner of the account. The parts add up to the limit at most."""
+    """Counts descriptors by use. The limits of all uses add up to the limit of the process at most."""
 
     def __init__(self, limit: int, fixed: int = STANDARD_STREAM_COUNT + 1) -> None:
         self.limit = limit
-        servers = max(MIN_SERVER_DESCRIPTORS, limit // 3)
-        left = limit - fixed - sum(FIXED_LIMITS.values()) - servers
-        clients = max(MIN_CLIENT_DESCRIPTORS, min(limit // 2, left))
+        servers = max(MIN_SERVER_DESCRIPTORS, limit // SERVER_SHARE_DIVISOR)
+        remaining = limit - fixed - sum(FIXED_LIMITS.values()) - servers
+        clients = max(MIN_CLIENT_DESCRIPTORS, min(limit // CLIENT_SHARE_DIVISOR, remaining))
         self.most = {
             **FIXED_LIMITS,
             DescriptorUse.FIXED: fixed,
@@ -62,103 +64,118 @@
             DescriptorUse.CLIENT: clients,
         }
         self.held = dict.fromkeys(DescriptorUse, 0) | {DescriptorUse.FIXED: fixed}
-        # Those that are held or about to be, without those that are about to be closed.
+        # Those open or about to be opened, without those that are about to be closed.
         self.promised = dict.fromkeys(DescriptorUse, 0)
         self.changed = threading.Condition()
 
     def has_capacity(self, use: DescriptorUse) -> bool:
-        """Whether another may be promised; it may have to wait for one that is being closed."""
+        """Whether another may be reserved; to open it may still mean a wait for one that is being closed."""
         with self.changed:
             return self.promised[use] < self.most[use]
 
     def reserve(self, use: DescriptorUse) -> Descriptor:
-        """One that is to be opened."""
+        """Return a descriptor that is to be opened."""
         return Descriptor(self, use)
 
-    def register_open(self, use: DescriptorUse, file: socket.socket | None = None) -> Descriptor:
-        """One that is open, or is opened and closed by whoever holds this."""
-        made = Descriptor(self, use)
+    def register_open(self, use: DescriptorUse, sock: socket.socket | None = None) -> Descriptor:
+        """Return a descriptor that is open already, or is opened and closed by the caller meanwhile.
+
+        Args:
+            use: what it is used for.
+            sock: the open socket, closed with the descriptor; None if the caller closes the file.
+        """
+        descriptor = Descriptor(self, use)
         with self.changed:
-            made.is_counted, made.sock = True, file
+            descriptor.is_counted, descriptor.sock = True, sock
             self.held[use] += 1
-        return made
+        return descriptor
 
     def told(self) -> dict[str, int]:
-        """For the trace."""
+        """Return the limit and the numbers of open descriptors, as the state dump logs them."""
         with self.changed:
-            return {"limit": self.limit, "all": sum(self.held.values())} | {
-                use.value: count for use, count in self.held.items()
-            }
+            totals = {"limit": self.limit, "all": sum(self.held.values())}
+            return totals | {use.value: count for use, count in self.held.items()}
 
 
 class Descriptor:
-    """One descriptor, from the promise of it to its close."""
+    """One descriptor, from its reservation to its close; as a context manager it closes itself."""
 
-    def __init__(self, owner: DescriptorBudget, use: DescriptorUse) -> None:
-        self.budget = owner
+    def __init__(self, budget: DescriptorBudget, use: DescriptorUse) -> None:
+        self.budget = budget
         self.use = use
         self.sock: socket.socket | None = None
         self.is_reserved = True
         self.is_counted = False
-        with owner.changed:
-            owner.promised[use] += 1
+        with budget.changed:
+            budget.promised[use] += 1
 
     def __enter__(self) -> Descriptor:
+        """Return the descriptor itself."""
         return self
 
     def __exit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
+        """Close the descriptor."""
         self.close()
 
-    def open(self, make: Callable[[], socket.socket], wait_us: int) -> socket.socket:
-        """Open it, once one that is being closed has been.
+    def open_socket(self, timeout_us: int) -> socket.socket:
+        """Open a TCP socket, after waiting for a descriptor that is being closed if the use is at its limit.
 
         Raises:
-            OSError: there is none, or none came free in time.
+            OSError: the system has no descriptor, or none was closed in time.
         """
-        owner = self.budget
-        with owner.changed:
-            if not owner.changed.wait_for(lambda: owner.held[self.use] < owner.most[self.use], wait_us / 1e6):
+        budget = self.budget
+        with budget.changed:
+            if not self._wait_for_capacity(self.use, timeout_us):
                 raise OSError(errno.EMFILE, "no descriptor came free in time")
-            owner.held[self.use] += 1
+            budget.held[self.use] += 1
             self.is_counted = True
         try:
-            self.sock = make()
+            self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError:
             self._close_and_uncount()
             raise
         return self.sock
 
-    def reassign(self, use: DescriptorUse, wait_us: int) -> bool:
-        """Count it to another use, once there is room for it there; False where none came in time."""
-        owner = self.budget
-        with owner.changed:
-            if not owner.changed.wait_for(lambda: owner.held[use] < owner.most[use], wait_us / 1e6):
+    def reassign(self, use: DescriptorUse, timeout_us: int) -> bool:
+        """Count the descriptor under another use, as soon as that is below its limit.
+
+        Returns:
+            False if the other use stayed at its limit until the timeout.
+        """
+        budget = self.budget
+        with budget.changed:
+            if not self._wait_for_capacity(use, timeout_us):
                 return False
-            for counts in (owner.held, owner.promised):
+            for counts in (budget.held, budget.promised):
                 counts[self.use] -= 1
                 counts[use] += 1
             self.use = use
-            owner.changed.notify_all()
+            budget.changed.notify_all()
             return True
 
+    def _wait_for_capacity(self, use: DescriptorUse, timeout_us: int) -> bool:
+        """Wait until the use is below its limit; the budget's lock is held."""
+        budget = self.budget
+        return budget.changed.wait_for(lambda: budget.held[use] < budget.most[use], timeout_us / 1e6)
+
     def release_reservation(self) -> None:
-        """It is about to be closed: another may be promised, and is opened after that."""
+        """Let another be reserved, because this one is about to be closed; the other is opened after that."""
         with self.budget.changed:
             self.budget.promised[self.use] -= self.is_reserved
             self.is_reserved = False
 
     def close(self) -> None:
-        """Close and uncount it in one; again means nothing."""
+        """Close the socket and uncount it in one step; closing again has no effect."""
         self.release_reservation()
         self._close_and_uncount()
 
     def _close_and_uncount(self) -> None:
         with self.budget.changed:
-            file, self.sock = self.sock, None
-            if file is not None:
-                file.close()
+            sock, self.sock = self.sock, None
+            if sock is not None:
+                sock.close()
             self.budget.held[self.use] -= self.is_counted
             self.is_counted = False
             self.budget.changed.notify_all()
--- a/packages/node/src/fennelcove/node/discovery_client.py
+++ b/packages/node/src/fennelcove/node/discovery_client.py
@@ -1,4 +1,4 @@
-"""Watches the notice board: one thread that asks for what comes after the last event it has."""
+"""Watches the discovery service: one thread that long-polls for events after the last one applied."""
 
 from __future__ import annotations
 
@@ -6,207 +6,271 @@
 import socket
 import threading
 from contextlib import nullcontext, suppress
+from dataclasses import dataclass
 from random import Random
 
 from fennelcove.clock import Clock
 from fennelcove.errors import OperatorError
 from fennelcove.http1 import writer
-from fennelcove.http1.messages import CodecLimits, ResponseHead
+from fennelcove.http1.messages import CodecLimits, ResponseHead, Whole
 from fennelcove.http1.reader import Gatherer, Reader
 from fennelcove.node.address import Address
 from fennelcove.node.descriptor_budget import Descriptor, DescriptorUse
-from fennelcove.node.session_manager import SessionManager
 from fennelcove.node.discovery_events import DiscoveryBatch, DiscoveryError
+from fennelcove.node.session_manager import SessionManager
 
-LONG_POLL_MS = 1_000  # a board that goes silent is noticed soon after so long
+LONG_POLL_MS = 1_000  # how long the service may hold a poll; one that goes silent is noticed soon after
 RESPONSE_GRACE_US = 400_000  # beyond it
 CONNECT_TIMEOUT_US = 500_000
-BACKOFF_BASE_US = (
-    100_000  # after a failure, about; then twice as long after each, so that no fleet keeps one down,
-)
-BACKOFF_MAX_US = 500_000  # up to about this: one that is back has its news heard while they are news
+# The backoff after a failure doubles with each, so that no fleet overloads a service that recovers,
+BACKOFF_BASE_US = 100_000
+BACKOFF_MAX_US = 500_000  # up to this, so that events of a service that is back still arrive in time
+BACKOFF_MAX_DOUBLINGS = 10
+BACKOFF_MIN_FACTOR, BACKOFF_MAX_FACTOR = 0.5, 1.5  # jitter
 MAX_RESPONSE_BYTES = 1 << 20
 READ_BYTES = 65_536
+HTTP_OK = 200
 
 
 class DiscoveryUnreachableError(OperatorError):
-    """No whole answer of the notice board came."""
+    """No whole response came from the discovery service (the platform's notice board)."""
 
     code = "board-unreached"
     advice = "See that the board runs and can be reached; the node asks again and goes on by its list"
 
 
-def backoff_us(failures: int, draws: Random) -> int:
-    """How long to wait after so many failures in a row: half as much more or less, since all processes of a
-    fleet lose the same board in the same moment."""
-    return round(min(BACKOFF_BASE_US << min(failures - 1, 10), BACKOFF_MAX_US) * draws.uniform(0.5, 1.5))
+def backoff_us(failures: int, rng: Random) -> int:
+    """Return how long to wait after so many failures in a row, in microseconds.
+
+    It is drawn from half to one and a half times the nominal backoff, since every process of a fleet loses
+    the same service at the same moment.
+    """
+    doublings = min(failures - 1, BACKOFF_MAX_DOUBLINGS)
+    nominal_us = min(BACKOFF_BASE_US << doublings, BACKOFF_MAX_US)
+    return round(nominal_us * rng.uniform(BACKOFF_MIN_FACTOR, BACKOFF_MAX_FACTOR))
+
+
+@dataclass(frozen=True, slots=True)
+class _Poll:
+    """What one poll asks for, and the generation in which it was started."""
+
+    generation: int
+    address: Address
+    revision: int
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _Connection:
+    """The connection that polls are sent on."""
+
+    descriptor: Descriptor
+    sock: socket.socket
+    responses: Gatherer
 
 
 class DiscoveryClient:
-    """Owns the poll's connection. `move`, `resync` and `stop` may be called from any thread.
+    """Owns the connection to the discovery service. All methods but `run` may be called from any thread.
 
-    What they change is guarded by `changed`, which may be taken with the desk's lock held and never the other
-    way round. Each move or ask for everything begins a turn; answers to polls of earlier ones are dropped.
+    What they change is guarded by `changed`, which may be acquired with the manager's lock held and never the
+    other way round. Each change of address or request for a full update begins a generation; responses to
+    polls of earlier generations are dropped.
     """
 
-    def __init__(self, desk: SessionManager, clock: Clock, board: Address, rev: int) -> None:
-        self.manager = desk
+    def __init__(self, manager: SessionManager, clock: Clock, address: Address, revision: int) -> None:
+        self.manager = manager
         self.clock = clock
-        self.address = board
-        self.revision = rev
+        self.address = address
+        self.revision = revision  # of the last event that has been applied; 0 to request a full update
         self.generation = 0
-        self.rng = Random(desk.config.seed)
-        # Where what is told of everything leaves numbers out, one that is left out later says nothing.
-        self.is_feed_gapless = not desk.config.initial_batch.has_gap_after(0)
+        self.rng = Random(manager.config.seed)
+        # If a full update leaves revisions out, a revision left out later means nothing.
+        self.is_feed_gapless = not manager.config.initial_batch.has_gap_after(0)
         self.changed = threading.Condition()
         self.is_stopped = False
-        self.sock: socket.socket | None = None
-        self.descriptor: Descriptor | None = None
-        self.responses: Gatherer | None = None
+        self.connection: _Connection | None = None
 
-    def change_address(self, board: Address) -> None:
-        """Go on at another address, with the same numbers; at the same one the open poll goes on."""
+    def change_address(self, address: Address) -> None:
+        """Continue at another address with the same revision; at the same one the open poll continues."""
         with self.changed:
-            if board != self.address:
-                self.address = board
+            if address != self.address:
+                self.address = address
                 self._begin_generation()
             self.changed.notify_all()
 
     def resync(self) -> None:
-        """Ask for everything anew."""
+        """Request a full update."""
         with self.changed:
             self.revision = 0
             self._begin_generation()
 
-    def _begin_generation(self) -> None:
-        self.generation += 1
-        self._interrupt()
-        self.changed.notify_all()
-
     def stop(self) -> None:
+        """End `run`, and the open poll."""
         with self.changed:
             self.is_stopped = True
             self._interrupt()
             self.changed.notify_all()
 
+    def _begin_generation(self) -> None:
+        self.generation += 1
+        self._interrupt()
+        self.changed.notify_all()
+
     def _interrupt(self) -> None:
-        if self.sock is not None:
+        """Wake the thread if it waits on the connection; it closes the descriptor."""
+        if self.connection is not None:
             with suppress(OSError):
-                self.sock.shutdown(socket.SHUT_RDWR)
+                self.connection.sock.shutdown(socket.SHUT_RDWR)
+
+    def _is_superseded(self, poll: _Poll) -> bool:
+        return self.generation != poll.generation
 
     def run(self) -> None:
-        """Ask until stopped."""
+        """Poll until stopped; the body of the client's thread."""
         failures = 0
         while not self.is_stopped:
             with self.changed:
-                turn, address, rev = self.generation, self.address, self.revision
+                poll = _Poll(self.generation, self.address, self.revision)
             try:
-                self._poll(turn, address, rev)
+                self._execute(poll)
                 if failures:
                     self._log("discovery_poll_recovered", failures=failures)
                 failures = 0
-            except Exception as error:  # whatever it is: with this thread the list would end for good
+            except Exception as error:  # without this thread the server list would never change again
                 self._close()
-                with self.changed:
-                    if self.is_stopped or self.generation != turn:
-                        failures = 0  # broken off by ourselves
-                        continue
-                failures += 1
-                if failures == 1:  # a board that is down for long must not fill the log
-                    self._log_failure(error, address)
-                with self.changed:
-                    if not self.is_stopped and self.generation == turn:
-                        self.changed.wait(backoff_us(failures, self.rng) / 1e6)
-                    if self.generation != turn:
-                        failures = 0  # those were another address's
+                failures = self._on_poll_failed(poll, error, failures)
         self._close()
 
+    def _on_poll_failed(self, poll: _Poll, error: Exception, earlier_failures: int) -> int:
+        """Log the first failure in a row, and wait for the backoff.
+
+        Returns:
+            The number of failures in a row, at the address that the next poll goes to.
+        """
+        with self.changed:
+            if self.is_stopped or self._is_superseded(poll):
+                return 0  # interrupted by this client itself
+        failures = earlier_failures + 1
+        if failures == 1:  # a service that is down for long must not fill the log
+            self._log_failure(error, poll.address)
+        with self.changed:
+            if not self.is_stopped and not self._is_superseded(poll):
+                self.changed.wait(backoff_us(failures, self.rng) / 1e6)
+            return 0 if self._is_superseded(poll) else failures
+
     def _log_failure(self, error: Exception, address: Address) -> None:
         where = f"{address.host}:{address.port}"
-        unreached = DiscoveryUnreachableError(f"{type(error).__name__}: {error}", where)
-        told = error if isinstance(error, DiscoveryError) else unreached
-        self._log("discovery_poll_failed", **told.fields())
+        unreachable = DiscoveryUnreachableError(f"{type(error).__name__}: {error}", where)
+        reported = error if isinstance(error, DiscoveryError) else unreachable
+        self._log("discovery_poll_failed", **reported.fields())
 
     def _log(self, event: str, **fields: object) -> None:
-        with suppress(OSError, ValueError):  # a log that nobody reads any more ends no asking
+        with suppress(OSError, ValueError):  # polling goes on after the log's reader has gone
             self.manager.notice(event, **fields)
 
-    def _poll(self, turn: int, address: Address, rev: int) -> None:
-        if self.sock is not None and not self._is_connection_clean():
+    def _execute(self, poll: _Poll) -> None:
+        """Send one poll and apply the response.
+
+        Raises:
+            OSError: the service can't be reached, or does not answer in time or with status 200.
+            DiscoveryError: the response can't be used.
+        """
+        connection = self._open_connection(poll)
+        self._send_request(connection, poll)
+        response = self._receive_response(connection)
+        assert isinstance(response.head, ResponseHead)
+        if response.head.status != HTTP_OK:
+            raise ConnectionError(f"answered {response.head.status}")
+        self._apply(poll, DiscoveryBatch.parse(json.loads(response.body)))
+        if not response.head.keep_alive or self._is_superseded(poll):
             self._close()
-        if self.sock is None:
-            self._connect(turn, address)
-        assert self.responses is not None and self.sock is not None
-        target = f"/board/poll?watch={rev}&linger={LONG_POLL_MS}"
-        self.sock.settimeout(CONNECT_TIMEOUT_US / 1e6)
-        self.sock.sendall(writer.request("GET", target, f"{address.host}:{address.port}"))
-        until_us = self.clock.now_us() + LONG_POLL_MS * 1000 + RESPONSE_GRACE_US
-        while (whole := self.responses.next()) is None:
-            left_us = until_us - self.clock.now_us()
-            if left_us <= 0:
-                raise TimeoutError("the board is silent")
-            self.sock.settimeout(left_us / 1e6)
-            data = self.sock.recv(READ_BYTES)
-            self.responses.reader.feed(data)
-            if not data and self.responses.reader.between:
-                raise ConnectionResetError("closed before its answer")
-        assert isinstance(whole.head, ResponseHead)
-        if whole.head.status != 200:
-            raise ConnectionError(f"answered {whole.head.status}")
-        self._apply(turn, rev, DiscoveryBatch.parse(json.loads(whole.body)))
-        if not whole.head.keep_alive or self.generation != turn:
+
+    def _open_connection(self, poll: _Poll) -> _Connection:
+        """Return the connection of the poll before, or a new one."""
+        connection = self.connection
+        if connection is not None and _is_clean(connection):
+            return connection
+        if connection is not None:
             self._close()
+        return self._connect(poll)
 
-    def _connect(self, turn: int, address: Address) -> None:
-        place = self.manager.descriptors.reserve(DescriptorUse.DISCOVERY)
+    def _connect(self, poll: _Poll) -> _Connection:
+        descriptor = self.manager.descriptors.reserve(DescriptorUse.DISCOVERY)
         try:
-            sock = place.open(lambda: socket.socket(socket.AF_INET, socket.SOCK_STREAM), CONNECT_TIMEOUT_US)
+            sock = descriptor.open_socket(CONNECT_TIMEOUT_US)
         except OSError:
-            place.close()
+            descriptor.close()
             raise
+        responses = Gatherer(Reader(False, CodecLimits(body_bytes=MAX_RESPONSE_BYTES)))
+        connection = _Connection(descriptor, sock, responses)
         with self.changed:
-            # Known before it connects: a move need not wait for an address that hangs.
-            self.descriptor, self.sock = place, sock
-            self.responses = Gatherer(Reader(False, CodecLimits(body_bytes=MAX_RESPONSE_BYTES)))
-            if self.is_stopped or self.generation != turn:
-                raise ConnectionError("the board has moved")
+            # Known before it connects: a change of address need not wait for an address that hangs.
+            self.connection = connection
+            if self.is_stopped or self._is_superseded(poll):
+                raise ConnectionError("the discovery address has changed")
         sock.settimeout(CONNECT_TIMEOUT_US / 1e6)
-        sock.connect((address.host, address.port))
+        sock.connect((poll.address.host, poll.address.port))
+        return connection
 
-    def _is_connection_clean(self) -> bool:
-        """Whether nothing has come since the last answer: a second copy of it would be taken for the next,
-        and each answer from then on for that of the poll after its own."""
-        assert self.responses is not None and self.sock is not None
-        self.sock.settimeout(0)
-        try:
-            self.sock.recv(1)
-        except BlockingIOError:
-            return self.responses.reader.between
-        except OSError:
-            pass
-        return False
-
-    def _apply(self, turn: int, rev: int, board: DiscoveryBatch) -> None:
-        """Apply one answer in one hold of the lock, unless a move or an ask for everything has come first: a
-        request in between saw a server gone and the one in its place not there yet."""
-        news = board.events_after(rev, self.is_feed_gapless)
-        if rev == 0:
-            self.is_feed_gapless = not board.has_gap_after(0)
-        with self.manager.lock if news else nullcontext(), self.changed:
-            if self.generation != turn:
-                raise ConnectionError("the board has moved")
-            if news is None:  # asked after its high number for good, it would hear of no change any more
+    def _send_request(self, connection: _Connection, poll: _Poll) -> None:
+        target = f"/board/poll?watch={poll.revision}&linger={LONG_POLL_MS}"
+        request = writer.request("GET", target, f"{poll.address.host}:{poll.address.port}")
+        connection.sock.settimeout(CONNECT_TIMEOUT_US / 1e6)
+        connection.sock.sendall(request)
+
+    def _receive_response(self, connection: _Connection) -> Whole:
+        sock, responses = connection.sock, connection.responses
+        deadline_us = self.clock.now_us() + LONG_POLL_MS * 1000 + RESPONSE_GRACE_US
+        while (response := responses.next()) is None:
+            remaining_us = deadline_us - self.clock.now_us()
+            if remaining_us <= 0:
+                raise TimeoutError("the discovery service is silent")
+            sock.settimeout(remaining_us / 1e6)
+            data = sock.recv(READ_BYTES)
+            responses.reader.feed(data)
+            if not data and responses.reader.between:
+                raise ConnectionResetError("closed before its response")
+        return response
+
+    def _apply(self, poll: _Poll, batch: DiscoveryBatch) -> None:
+        """Apply a response while the manager's lock is held once, unless the poll has been superseded.
+
+        If the lock was released in between, a request saw a server gone and its replacement not there yet.
+        """
+        events = batch.events_after(poll.revision, self.is_feed_gapless)
+        if poll.revision == 0:
+            self.is_feed_gapless = not batch.has_gap_after(0)
+        with self.manager.lock if events else nullcontext(), self.changed:
+            if self._is_superseded(poll):
+                raise ConnectionError("the discovery address has changed")
+            if events is None:  # polling on after its high revision would never return a change again
                 self.revision = 0
                 raise DiscoveryError(
-                    f"found events up to {board.last_revision} that do not follow upon {rev}", "field rev"
+                    f"found events up to {batch.last_revision} that do not follow upon {poll.revision}",
+                    "field rev",
                 )
-            for notice in news:
-                self.manager.board_says(notice)
-            if self.generation == turn:  # the module may have asked for everything meanwhile
-                self.revision = board.last_revision
+            for event in events:
+                self.manager.board_says(event)
+            if not self._is_superseded(poll):  # the placement policy may have requested a full update
+                self.revision = batch.last_revision
 
     def _close(self) -> None:
         with self.changed:
-            place, self.descriptor, self.sock, self.responses = self.descriptor, None, None, None
-        if place is not None:
-            place.close()
+            connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.descriptor.close()
+
+
+def _is_clean(connection: _Connection) -> bool:
+    """Whether nothing has arrived since the last response.
+
+    A second copy of it would be taken for the response to the next poll, and from then on each response for
+    that of the poll after its own.
+    """
+    connection.sock.settimeout(0)
+    try:
+        connection.sock.recv(1)
+    except BlockingIOError:
+        return connection.responses.reader.between
+    except OSError:
+        pass
+    return False
--- a/packages/node/src/fennelcove/node/server_connection.py
+++ b/packages/node/src/fennelcove/node/server_connection.py
@@ -1,7 +1,7 @@
-"""Links to servers: one thread each, one set-up out on each, and what a link's end proves.
+"""Connections to servers: one thread each, and at most one set-up in flight on each.
 
-A server's answer may be spoilt, cut off or never come, and then the link is of no further use for whatever
-else is out on it: with one set-up to a link, the one that was spoilt is the only one that is lost.
+A server's answer may be corrupted, cut off or missing, and then the connection is unusable for everything
+else in flight on it. With one set-up per connection, only the set-up whose answer was bad is lost.
 """
 
 from __future__ import annotations
@@ -20,81 +20,118 @@
 from fennelcove.isup.reader import Reader
 from fennelcove.node.config import Config
 from fennelcove.node.descriptor_budget import DescriptorBudget, DescriptorUse
-from fennelcove.node.model import ServerLink, ConnectionState, Server, Session
+from fennelcove.node.model import Attempt, ConnectionState, Server, ServerLink, Session
 
 READ_BYTES = 16_384
-DIAL_AGAIN_US = 300_000  # between two dials for what stands at a server
+DIAL_AGAIN_US = 300_000  # delay between two dials for the sessions that are established at a server
+MIN_RECEIVE_TIMEOUT_US = 1_000
 NO_SESSION_ID = bytes(8)
+KEEPALIVE_REQUEST_CAUSE = b"\0"
+KEEPALIVE_ANSWER_CAUSE = b"\1"
 
 
 class ConnectionOwner(Protocol):
-    """Who is told what comes over a link, and what has become of it."""
+    """Receives the messages and the state changes of connections to servers.
+
+    Every method but `now_us` is called with `lock` held.
+    """
 
     config: Config
     lock: threading.Lock
     descriptors: DescriptorBudget
 
-    def now_us(self) -> int: ...
+    def now_us(self) -> int:
+        """Return the Unix time in microseconds; it never goes back."""
+        ...
 
-    def hear(self, link: ServerLink, message: Message) -> None: ...
+    def hear(self, link: ServerLink, message: Message) -> None:
+        """Handle a message from a server."""
+        ...
 
-    def on_attempt_completed(self, session: Session, outcome: Outcome, report: LoadReport | None) -> None: ...
+    def on_attempt_completed(self, session: Session, outcome: Outcome, report: LoadReport | None) -> None:
+        """Handle the outcome of a session's current attempt."""
+        ...
 
-    def takes_attempts(self, server: Server) -> bool: ...
+    def takes_attempts(self, server: Server) -> bool:
+        """Whether the server list allows new attempts at this server."""
+        ...
 
-    def wanted(self, session: Session) -> bool: ...
+    def wanted(self, session: Session) -> bool:
+        """Whether the client of a set-up that waited for its connection is still there."""
+        ...
 
-    def dial_failed(self, server: Server, refused: bool) -> None: ...
+    def dial_failed(self, server: Server, refused: bool) -> None:
+        """Handle a connection to a server that could not be made."""
+        ...
 
 
-def set_receive_timeout(sock: socket.socket, limit_us: int) -> None:
-    """Bound each read by the kernel, and leave sends to say at once that they would wait."""
-    seconds, micros = divmod(max(1000, limit_us), 1_000_000)
+def set_receive_timeout(sock: socket.socket, timeout_us: int) -> None:
+    """Let the kernel bound each receive; sends stay non-blocking by `MSG_DONTWAIT`."""
+    seconds, micros = divmod(max(MIN_RECEIVE_TIMEOUT_US, timeout_us), 1_000_000)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", seconds, micros))
 
 
 def send_now(sock: socket.socket, data: bytes) -> bool:
-    """Hand all of it to the kernel; False where it would have to wait, or the connection is broken."""
+    """Send without waiting.
+
+    Returns:
+        Whether the kernel accepted all of it. False if it would have to wait, or the connection is broken.
+    """
     try:
         return sock.send(data, socket.MSG_DONTWAIT) == len(data)
     except OSError:
         return False
 
 
+def poll_peer_events(sock: socket.socket) -> int:
+    """Ask the kernel, without reading, whether the peer has closed or reset the connection.
+
+    Returns:
+        The poll events that are set among POLLRDHUP, POLLERR, POLLHUP and POLLNVAL; 0 if there are none.
+
+    Raises:
+        ValueError: the socket is closed.
+    """
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    events = 0
+    for _, found in poll.poll(0):
+        events |= found
+    return events
+
+
 class ServerConnection:
-    """One connection to a server. All but `run` is called with the desk's lock held."""
+    """One connection to a server. Every method but `run` is called with the manager's lock held."""
 
-    def __init__(self, desk: ConnectionOwner, server: Server) -> None:
-        self.manager = desk
+    def __init__(self, manager: ConnectionOwner, server: Server) -> None:
+        self.manager = manager
         self.server = server
-        self.address = server.address  # a server may be listed anew elsewhere while this stands
+        self.address = server.address  # the server may be listed at another address while this is open
         self.phase = ConnectionState.DIALLING
         self.sock: socket.socket | None = None
-        self.carried: Session | None = None  # whose set-up is out
-        self.given_up: set[bytes] = set()  # ids for which an answer may still come here
-        self.heard_us = self.opened_us = desk.now_us()
+        self.carried: Session | None = None  # the session whose set-up is in flight
+        self.given_up: set[bytes] = set()  # ids of abandoned set-ups that may still be answered here
+        self.heard_us = self.opened_us = manager.now_us()
         self.tested_us: int | None = None
-        self.is_dialling = False  # its thread is dialling: it holds a descriptor, whatever the phase
-        self.descriptor = desk.descriptors.reserve(DescriptorUse.SERVER)
-        self.is_read_to_end = False  # all that the server has written here has been heard
+        self.is_dialling = False  # its thread is dialling: it holds a descriptor, whatever the state
+        self.descriptor = manager.descriptors.reserve(DescriptorUse.SERVER)
+        self.is_read_to_end = False  # every message that the server has sent here has been handled
         server.links[self] = None
 
     @property
     def idle(self) -> bool:
-        """Open, with no set-up out."""
+        """Whether it is open with no set-up in flight."""
         return self.phase is ConnectionState.OPEN and self.carried is None
 
     def ended(self) -> bool:
-        """Whether the server's end of the stream or a reset has come in, though its thread has not read it
-        yet. What is written then is lost, and a lost set-up may have run."""
-        if self.sock is None:
-            return False
-        poll = select.poll()
-        poll.register(self.sock, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        """Whether the server has closed or reset the stream, though the thread may not have read that yet.
+
+        Data sent after that is lost, and a lost set-up may have run.
+        """
+        return self.sock is not None and poll_peer_events(self.sock) != 0
 
     def start(self) -> None:
-        """Begin to dial; a thread that can't be had is a connection that can't be made."""
+        """Start to dial. If no thread can be started, the connection is closed at once."""
         self.is_dialling = True
         try:
             threading.Thread(target=self.run, name="server", daemon=True).start()
@@ -103,55 +140,71 @@
             self.close(Outcome.NOT_SENT)
 
     def carry(self, session: Session) -> None:
-        """Send this subscription's set-up, at once or as soon as the connection stands."""
+        """Send this session's set-up, now or as soon as the connection is open."""
         self.carried = session
         if self.phase is ConnectionState.OPEN:
             self._send_set_up(session)
 
     def _send_set_up(self, session: Session) -> None:
         assert session.attempt is not None
-        left_us = session.attempt.sent_us + session.attempt.allow_us - self.manager.now_us()
+        parameters = self._set_up_parameters(session, session.attempt)
+        # If the kernel accepts only a part of it, nothing more is sent: no server receives it whole.
+        self.send(writer.message(Kind.SET_UP, session.id, *parameters), Outcome.NOT_SENT)
+
+    def _set_up_parameters(self, session: Session, attempt: Attempt) -> list[tuple[Code, bytes]]:
+        deadline_us = attempt.sent_us + attempt.allow_us
+        remaining_ms = max(1, (deadline_us - self.manager.now_us()) // 1000)
         parameters = [
             (Code.ROOM, session.service_class.encode()),
             (Code.TITLE, session.title.encode()),
-            (Code.WAIT_MS, b"%d" % max(1, left_us // 1000)),
+            (Code.WAIT_MS, b"%d" % remaining_ms),
         ]
         if session.rung is not None:
             parameters.append((Code.RUNG, b"%d" % session.rung))
         parameters.append((Code.DESCRIPTION, session.description))
-        # Of a set-up that the kernel took in part or not at all no more is sent: no server gets it whole.
-        self.send(writer.message(Kind.SET_UP, session.id, *parameters), Outcome.NOT_SENT)
+        return parameters
 
     def send(self, data: bytes, unsent: Outcome = Outcome.CONNECTION_LOST) -> bool:
-        """Send a short message; a server that takes none in is not waited for: False, and the set-up that
-        the link carries has come to `unsent`."""
+        """Send a short message without waiting; a server that does not accept it is disconnected.
+
+        Args:
+            data: the whole message.
+            unsent: the outcome of the set-up in flight, if the message can't be sent.
+
+        Returns:
+            Whether the connection is still open.
+        """
         if self.phase is ConnectionState.OPEN and self.sock is not None and not send_now(self.sock, data):
             self.close(unsent)
         return self.phase is ConnectionState.OPEN
 
     def test(self) -> None:
-        """Ask for a sign of life."""
+        """Send a keepalive request."""
         self.tested_us = self.manager.now_us()
-        self.send(writer.message(Kind.TEST, NO_SESSION_ID, (Code.CAUSE, b"\0")))
+        self.send(writer.message(Kind.TEST, NO_SESSION_ID, (Code.CAUSE, KEEPALIVE_REQUEST_CAUSE)))
 
     def answer_test(self) -> None:
-        """This end is alive as well."""
-        self.send(writer.message(Kind.TESTED, NO_SESSION_ID, (Code.CAUSE, b"\1")))
+        """Answer the server's keepalive request."""
+        self.send(writer.message(Kind.TESTED, NO_SESSION_ID, (Code.CAUSE, KEEPALIVE_ANSWER_CAUSE)))
 
     def give_up(self, session: Session) -> None:
-        """The set-up out here is wanted no longer; what still comes for it is passed over."""
+        """Abandon the set-up in flight; an answer that still arrives for it is ignored."""
         if self.carried is session:
             self.carried = None
             self.given_up.add(session.id)
             self.send(writer.release(session.id, Cause.OK))
 
     def done(self) -> None:
-        """The server has told of the set-up out here, and so has read all that was given up before."""
+        """Record that the server has answered the set-up in flight, and so has read every earlier release."""
         self.carried = None
         self.given_up.clear()
 
     def close(self, outcome: Outcome) -> None:
-        """End the link; the set-up that is out on it has come to this."""
+        """Close the connection.
+
+        Args:
+            outcome: the outcome of the set-up in flight, if there is one.
+        """
         if self.phase is ConnectionState.CLOSED:
             return
         if self.phase is ConnectionState.OPEN and not self.is_read_to_end:
@@ -168,91 +221,60 @@
         if session is not None:
             self.manager.on_attempt_completed(session, outcome, None)
 
-    def _on_dial_finished(self) -> None:
-        """A dial that was given up keeps its descriptor until it ends: not counted, dials to servers that are
-        silent went past the node's part of the descriptors."""
-        self.is_dialling = False
-        if self.phase is ConnectionState.CLOSED:
-            self.descriptor.release_reservation()
-
-    def _on_opened(self) -> None:
-        """Send what has waited for the connection."""
-        unsent = self.server.unsent
-        if self.ended():
-            # Closed by its server while new: a set-up written now would pass for one that may have run.
-            self._complete_attempt(Outcome.NO_CONNECTION)
-            return
-        # The set-up that is carried has not been sent either where one of these can't be.
-        while unsent and self.send(unsent[0], Outcome.NOT_SENT):
-            unsent.popleft()
-        if not self.manager.takes_attempts(self.server) or self.address != self.server.address:
-            # The list has changed while this was dialled: a slow dial may outlast the grace, and
-            # behind the address may be another server by now. The link stays for what stands there.
-            self._complete_attempt(Outcome.NOT_SENT)
-        elif self.carried is not None:
-            session, self.carried = self.carried, None
-            if self.manager.wanted(session):
-                self.carried = session
-                self._send_set_up(session)
-
-    def _complete_attempt(self, outcome: Outcome) -> None:
-        session, self.carried = self.carried, None
-        if session is not None:
-            self.manager.on_attempt_completed(session, outcome, None)
-
     def run(self) -> None:
-        """Dial, then read until the link ends."""
+        """Dial, then receive until the connection ends; the body of the connection's thread."""
         sock = self._connect()
         if sock is None:
             return
         try:
             self._receive(sock)
         except (OSError, ProtocolError):
-            pass  # broken, or what comes can't be read: either way nothing more can be had from it
+            pass  # broken, or unreadable: either way nothing more can be received
         finally:
             with self.manager.lock:
                 self.close(Outcome.CONNECTION_LOST)
                 self.sock = None
             self.descriptor.close()
 
-    def _receive(self, sock: socket.socket) -> None:
-        reader = Reader()
-        while data := sock.recv(READ_BYTES):
-            reader.feed(data)
-            with self.manager.lock:
-                self.heard_us, self.tested_us = self.manager.now_us(), None
-                self.server.parting.heard(self.heard_us)
-                # Read out where it has been closed meanwhile as well: the end of what stands may be among it.
-                while (message := reader.next()) is not None:
-                    self.manager.hear(self, message)
-        self.is_read_to_end = True
-
     def _connect(self) -> socket.socket | None:
-        connect_us = self.manager.config.terms.connect_us
+        """Open the socket and connect it; None if there is no connection to receive from."""
+        timeout_us = self.manager.config.terms.connect_us
         try:
-            sock = self.descriptor.open(lambda: socket.socket(socket.AF_INET, socket.SOCK_STREAM), connect_us)
+            sock = self.descriptor.open_socket(timeout_us)
         except OSError:
-            # No descriptor: that says nothing of the server. Left as it was, the link stayed in its tables
-            # for good, and while it did no other was opened to a server at which something stands.
-            with self.manager.lock:
-                self._on_dial_finished()
-                self.server.dial_at_us = self.manager.now_us() + DIAL_AGAIN_US
-                self.close(Outcome.NOT_SENT)
+            self._on_no_descriptor()
             return None
-        address = self.address
         try:
-            sock.settimeout(connect_us / 1e6)
-            sock.connect((address.host, address.port))
+            sock.settimeout(timeout_us / 1e6)
+            sock.connect((self.address.host, self.address.port))
             sock.settimeout(None)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as error:
-            self.descriptor.close()
-            with self.manager.lock:
-                self._on_dial_finished()
-                if self.phase is ConnectionState.DIALLING:
-                    self.close(Outcome.NO_CONNECTION)
-                    self.manager.dial_failed(self.server, isinstance(error, ConnectionRefusedError))
+            self._on_connect_failed(error)
             return None
+        return self._on_connected(sock)
+
+    def _on_no_descriptor(self) -> None:
+        """Close the connection; a missing descriptor proves nothing about the server.
+
+        Without the close the connection stayed in its tables for good, and meanwhile no other was opened to a
+        server with established sessions.
+        """
+        with self.manager.lock:
+            self._on_dial_finished()
+            self.server.dial_at_us = self.manager.now_us() + DIAL_AGAIN_US
+            self.close(Outcome.NOT_SENT)
+
+    def _on_connect_failed(self, error: OSError) -> None:
+        self.descriptor.close()
+        with self.manager.lock:
+            self._on_dial_finished()
+            if self.phase is ConnectionState.DIALLING:
+                self.close(Outcome.NO_CONNECTION)
+                self.manager.dial_failed(self.server, isinstance(error, ConnectionRefusedError))
+
+    def _on_connected(self, sock: socket.socket) -> socket.socket | None:
+        """Open the connection; None if it was closed while its thread dialled."""
         with self.manager.lock:
             self._on_dial_finished()
             if self.phase is ConnectionState.DIALLING:
@@ -263,3 +285,61 @@
                 return sock
         self.descriptor.close()
         return None
+
+    def _on_dial_finished(self) -> None:
+        """Release the descriptor's reservation if the connection was closed while its thread dialled.
+
+        An abandoned dial holds its descriptor until it ends. Not counted until then, dials to unreachable
+        servers exceeded the node's budget of descriptors.
+        """
+        self.is_dialling = False
+        if self.phase is ConnectionState.CLOSED:
+            self.descriptor.release_reservation()
+
+    def _on_opened(self) -> None:
+        """Send what has waited for the connection."""
+        if self.ended():
+            # Closed by its server while new: a set-up sent now would count as one that may have run.
+            self._complete_attempt(Outcome.NO_CONNECTION)
+            return
+        self._send_queued_messages()
+        if not self.manager.takes_attempts(self.server) or self.address != self.server.address:
+            # The list has changed during the dial: a slow dial may outlast the grace period, and another
+            # server may be behind the address by now. The connection stays for the established sessions.
+            self._complete_attempt(Outcome.NOT_SENT)
+        elif self.carried is not None:
+            self._send_waiting_set_up()
+
+    def _send_queued_messages(self) -> None:
+        unsent = self.server.unsent
+        # If one of these can't be sent, the waiting set-up has not been sent either.
+        while unsent and self.send(unsent[0], Outcome.NOT_SENT):
+            unsent.popleft()
+
+    def _send_waiting_set_up(self) -> None:
+        session, self.carried = self.carried, None
+        if session is not None and self.manager.wanted(session):
+            self.carried = session
+            self._send_set_up(session)
+
+    def _complete_attempt(self, outcome: Outcome) -> None:
+        """Report the outcome of the set-up that waited, if there is one; the connection stays open."""
+        session, self.carried = self.carried, None
+        if session is not None:
+            self.manager.on_attempt_completed(session, outcome, None)
+
+    def _receive(self, sock: socket.socket) -> None:
+        """Handle messages until the server closes the stream."""
+        reader = Reader()
+        while data := sock.recv(READ_BYTES):
+            reader.feed(data)
+            with self.manager.lock:
+                self._handle_messages(reader)
+        self.is_read_to_end = True
+
+    def _handle_messages(self, reader: Reader) -> None:
+        self.heard_us, self.tested_us = self.manager.now_us(), None
+        self.server.parting.heard(self.heard_us)
+        # Read to the end even if the connection was closed meanwhile: a session's release may be among them.
+        while (message := reader.next()) is not None:
+            self.manager.hear(self, message)
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -141,7 +141,7 @@
     def dialled(self) -> socket.socket | None:
         """The connection that a thread has just made, and with which it waits for the lock."""
         for frame in sys._current_frames().values():
-            if frame.f_code is ServerConnection._connect.__code__:
+            if frame.f_code is ServerConnection._on_connected.__code__:
                 sock = frame.f_locals.get("sock")
                 with suppress(OSError):  # it has just closed it
                     if sock is not None and sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY):
