Clients' connections in short functions; queued notifications have their own module

ClientConnection._receive did the deadline, the socket's timeout and the processing in one loop, and the table kept queues of loose tuples. Both ends' checks use poll_peer_events. The test of the queues' bounds reads them at their new place, with the same expectations.

--- a/packages/node/src/fennelcove/node/client_connection.py
+++ b/packages/node/src/fennelcove/node/client_connection.py
@@ -1,42 +1,38 @@
-"""Viewers' connections: one thread each, whole messages in, and a limit on every wait."""
+"""Connections of clients: one thread each, whole messages in, and a limit on every wait."""
 
 from __future__ import annotations
 
 import select
 import socket
 import threading
-from collections import deque
 from contextlib import suppress
 from typing import Protocol
 
 from fennelcove.clock import Clock
 from fennelcove.node import request_validation
 from fennelcove.node.descriptor_budget import DescriptorBudget, DescriptorUse
-from fennelcove.node.receive_queue import ReceiveQueue
-from fennelcove.node.server_connection import set_receive_timeout, send_now
 from fennelcove.node.model import ClientLink, Session
+from fennelcove.node.pending_notifications import PendingNotifications
+from fennelcove.node.receive_queue import ReceiveQueue
+from fennelcove.node.server_connection import poll_peer_events, send_now, set_receive_timeout
 from fennelcove.rtsp import writer
 from fennelcove.rtsp.messages import ProtocolError
 
 READ_BYTES = 16_384
-MESSAGE_TIMEOUT_US = (
-    2_000_000  # from a connection's start, or a message's first byte, until the message is whole
-)
-IDLE_TIMEOUT_US = 10_000_000  # with nothing open or standing
-DRAIN_TIMEOUT_US = 500_000  # of what still comes after the end, for one read and for all of them
-DRAIN_READ_BYTES = 65_536  # a read
-NOTIFICATION_TTL_US = 8_000_000  # what a viewer must hear of an end is kept so long for its next connection,
-MAX_PENDING_PEERS = 64  # of so many peers,
-MAX_PENDING_PER_PEER = 256  # and so much for each
-# Who has only just come has its first message on the way: none goes to make room before so long. At the least
-# limit the places for new ones still pass on 150 a second, so hundreds that say nothing are gone within 3 s.
+MESSAGE_TIMEOUT_US = 2_000_000  # from accept, or a message's first byte, until the message is whole
+IDLE_TIMEOUT_US = 10_000_000  # without an open or established session
+DRAIN_TIMEOUT_US = 500_000  # for one read of what still arrives after the end, and for all of them
+DRAIN_READ_BYTES = 65_536
+# The first message of a new connection is still on its way: none is evicted before so long. At the lowest
+# limit 150 connections a second still pass, so hundreds that send nothing are gone within 3 s.
 EVICTION_GRACE_US = 20_000
-MIN_RESERVED_FOR_NEW = 3  # places that busy connections leave to new ones, at least,
+MIN_RESERVED_FOR_NEW = 3  # places that connections in use leave to new ones, at least,
 RESERVED_FOR_NEW_DIVISOR = 8  # and one in so many
+PEER_GONE_EVENTS = select.POLLRDHUP | select.POLLERR
 
 
 class ClientSessions(request_validation.Counter, Protocol):
-    """What viewers' connections lead to."""
+    """The session manager, as connections of clients use it."""
 
     lock: threading.Lock
     clock: Clock
@@ -45,73 +41,76 @@
 
 
 class ClientConnection:
-    """One connection. All but `run` is called with the desk's lock held."""
+    """One connection of a client. Every method but `run` is called with the manager's lock held."""
 
-    def __init__(self, desk: ClientSessions, sock: socket.socket, peer: str) -> None:
-        self.manager = desk
+    def __init__(self, manager: ClientSessions, sock: socket.socket, peer: str) -> None:
+        self.manager = manager
         self.sock = sock
-        self.descriptor = desk.descriptors.register_open(DescriptorUse.ACCEPT, sock)
+        self.descriptor = manager.descriptors.register_open(DescriptorUse.ACCEPT, sock)
         self.peer = peer
         self.open: dict[Session, None] = {}
         self.standing: dict[Session, None] = {}
         self.receive_queue = ReceiveQueue()
+        self.receive_timeout_us = 0
         self.figures: dict[str, None] = {}
         self.withdrawn: set[bytes] = set()
-        self.accepted_us = desk.clock.now_us()
+        self.accepted_us = manager.clock.now_us()
         self.has_sent_message = False
-        self.is_busy = False  # its thread acts on what was read, and looks at `closed` before it reads again
-        self.is_ended_by_client = False  # its viewer has closed
-        self.is_finishing = False  # the node ends, and has shut the reading side by itself
+        # Its thread processes what it has read, and checks `closed` before it reads again.
+        self.is_busy = False
+        self.is_ended_by_client = False
+        self.is_finishing = False  # the node shuts down, and has shut the reading side itself
         self.closed = False
 
     @property
     def is_unused(self) -> bool:
-        """Nothing hangs on it: it may be closed."""
+        """Whether it has no open and no established session: it may be closed."""
         return not self.open and not self.standing
 
     @property
     def has_unread_data(self) -> bool:
-        """Something has come that its thread has not read yet."""
+        """Whether data has arrived that its thread has not read yet."""
         try:
             return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
             return False
 
     def send(self, data: bytes) -> bool:
-        """A viewer that lets the kernel's buffer fill with short messages is cut off, not waited for; False
-        where it has not got all of this one."""
+        """Send a message without waiting; a client that lets the kernel's buffer fill up is disconnected.
+
+        Returns:
+            Whether the kernel accepted all of the message.
+        """
         if not self.closed and not send_now(self.sock, data):
             self.shut()
         return not self.closed
 
     def left(self) -> bool:
-        """Whether its viewer has closed, as far as the kernel knows: bytes may lie unread before the end."""
+        """Whether the client has closed, as far as the kernel knows; data may be unread before the end."""
         if self.is_ended_by_client or self.closed:
             return True
-        if self.is_finishing:  # this end of the stream is the node's own, and says nothing of its viewer
+        if self.is_finishing:  # the end of this stream is the node's own, and proves nothing of the client
             return False
-        poll = select.poll()
         try:
-            poll.register(self.sock, select.POLLRDHUP)
-            return any(events & (select.POLLRDHUP | select.POLLERR) for _, events in poll.poll(0))
+            return bool(poll_peer_events(self.sock) & PEER_GONE_EVENTS)
         except (OSError, ValueError):
             return False
 
     def shut(self) -> None:
-        """End it; its thread does the rest."""
+        """Disconnect the client; the connection's thread closes the descriptor."""
         self.closed = True
-        if not self.is_busy:  # else its thread sees `closed` by itself, and a read side shut can't be drained
+        if not self.is_busy:  # else its thread sees `closed` itself, and a shut reading side can't be drained
             with suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
 
     def finish_reading(self) -> None:
-        """Let its thread read what has come already and then find the end."""
+        """Let the thread read what has arrived already, and then find the end."""
         self.is_finishing = True
         with suppress(OSError):
             self.sock.shutdown(socket.SHUT_RD)
 
     def run(self) -> None:
-        """Read until the connection ends."""
+        """Receive until the connection ends; the body of the connection's thread."""
         try:
             self._receive()
         except OSError:
@@ -129,57 +128,75 @@
             self.descriptor.close()
 
     def _drain(self) -> None:
-        """A socket closed with bytes unread resets its connection, and the reset destroys the answer that was
-        just written: say that nothing more comes, and read what still does, for a while."""
-        self.is_busy = False  # whoever needs the room may cut it short
-        until_us = self.manager.clock.now_us() + DRAIN_TIMEOUT_US
+        """Shut the sending side, and read for a while what still arrives.
+
+        A socket closed with unread data resets its connection, and the reset destroys the answer that was
+        just sent.
+        """
+        self.is_busy = False  # an eviction may cut it short
+        deadline_us = self.manager.clock.now_us() + DRAIN_TIMEOUT_US
         with suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
             set_receive_timeout(self.sock, DRAIN_TIMEOUT_US)
-            while self.sock.recv(DRAIN_READ_BYTES) and self.manager.clock.now_us() < until_us:
+            while self.sock.recv(DRAIN_READ_BYTES) and self.manager.clock.now_us() < deadline_us:
                 pass
 
     def _receive(self) -> None:
-        inbox = self.receive_queue
-        limit_us = 0
-        until_us = self.manager.clock.now_us() + MESSAGE_TIMEOUT_US
+        """Process what arrives until the connection ends or is overdue."""
+        deadline_us = self.manager.clock.now_us() + MESSAGE_TIMEOUT_US
         while not self.closed and not self.is_ended_by_client:
-            left_us = until_us - self.manager.clock.now_us()
-            if left_us <= 0 and (not inbox.is_empty or not self.has_sent_message or self.is_unused):
-                # Never said anything whole, stopped in the middle of it, or has nothing left here.
+            remaining_us = deadline_us - self.manager.clock.now_us()
+            if remaining_us <= 0 and self._may_time_out():
                 data = self._receive_at_deadline()
                 if data is None:
                     return
             else:
-                if left_us <= 0:
-                    left_us = IDLE_TIMEOUT_US
-                    until_us += IDLE_TIMEOUT_US
-                # Set anew only where it matters: most reads find the limit that they need.
-                if not left_us <= limit_us <= left_us + MESSAGE_TIMEOUT_US // 2:
-                    limit_us = left_us
-                    set_receive_timeout(self.sock, limit_us)
+                if remaining_us <= 0:
+                    remaining_us = IDLE_TIMEOUT_US
+                    deadline_us += IDLE_TIMEOUT_US
+                self._limit_receive(remaining_us)
                 data = self._receive_or_time_out()
                 if data is None:
                     continue
             if not data:
                 self.is_ended_by_client = True
                 return
-            began = inbox.is_empty
-            inbox.feed(data)
-            began |= self._process_messages()
-            inbox.raise_failure()
-            if inbox.is_empty:
-                until_us = self.manager.clock.now_us() + IDLE_TIMEOUT_US
-            elif began and self.has_sent_message:
-                until_us = self.manager.clock.now_us() + MESSAGE_TIMEOUT_US
+            deadline_us = self._process(data, deadline_us)
+
+    def _may_time_out(self) -> bool:
+        """Whether it sent no whole message, stopped in the middle of one, or has no sessions left."""
+        return not self.receive_queue.is_empty or not self.has_sent_message or self.is_unused
+
+    def _limit_receive(self, remaining_us: int) -> None:
+        """Set the socket's timeout only where it matters: most reads find one that is close enough."""
+        if not remaining_us <= self.receive_timeout_us <= remaining_us + MESSAGE_TIMEOUT_US // 2:
+            self.receive_timeout_us = remaining_us
+            set_receive_timeout(self.sock, remaining_us)
+
+    def _process(self, data: bytes, deadline_us: int) -> int:
+        """Process what was read, and return the new deadline.
+
+        Raises:
+            ProtocolError: the data can't be read.
+        """
+        queue = self.receive_queue
+        begins_message = queue.is_empty
+        queue.feed(data)
+        has_processed = self._process_messages()
+        queue.raise_failure()
+        if queue.is_empty:
+            return self.manager.clock.now_us() + IDLE_TIMEOUT_US
+        if (begins_message or has_processed) and self.has_sent_message:
+            return self.manager.clock.now_us() + MESSAGE_TIMEOUT_US
+        return deadline_us
 
     def _receive_or_time_out(self) -> bytes | None:
-        """What comes next; None where nothing has in time."""
-        self.is_busy = False  # before the look at `closed`: whoever shuts it looks after setting that
+        """Return what arrives next; empty at the end of the stream, None if nothing arrives in time."""
+        self.is_busy = False  # before `closed` is checked: `shut` checks `is_busy` after it has set `closed`
         try:
             if self.closed:
                 return None
-            # Only looked at: taken out before `busy` is set, what has come would be seen nowhere.
+            # Only peeked: data taken out of the kernel before `is_busy` is set would be seen nowhere.
             self.sock.recv(1, socket.MSG_PEEK)
             self.is_busy = True
             return self.sock.recv(READ_BYTES)
@@ -189,15 +206,17 @@
             self.is_busy = True
 
     def _receive_at_deadline(self) -> bytes | None:
-        """What has come just as the limit struck, to be acted on; None where nothing has, and then nothing
-        will be: its viewer sends it once more elsewhere, and is served there."""
+        """Return what has arrived just at the deadline, to be processed; None if nothing has.
+
+        Then nothing will be processed any more: the client sends it again on another connection.
+        """
         with self.manager.lock:
             data = self._receive_available()
             self.closed |= data is None
         return data
 
     def _receive_available(self) -> bytes | None:
-        """What has come by now; None where nothing has, and empty where the end has."""
+        """Return what has arrived by now; None if nothing has, and empty at the end of the stream."""
         try:
             return self.sock.recv(READ_BYTES, socket.MSG_DONTWAIT)
         except BlockingIOError:
@@ -206,135 +225,161 @@
             return b""
 
     def _process_messages(self) -> bool:
-        """Act on what has come, one message a turn of the lock: a flood on one connection must not hold up
-        the others. Before each, look what has come behind it: nothing may be begun for a viewer that has
-        left, or has given up, while the messages before that were acted on or waited for the lock."""
-        inbox = self.receive_queue
-        acted = False
-        while inbox.messages:
+        """Process the queued messages, with the lock held once for each.
+
+        A flood on one connection must not block the others. Before each message, what has arrived behind it
+        is read: nothing may be started for a client that has left or withdrawn while the messages before that
+        were processed or waited for the lock.
+
+        Returns:
+            Whether a message was processed.
+        """
+        queue = self.receive_queue
+        has_processed = False
+        while queue.messages:
             with self.manager.lock:
-                more = self._receive_following()
-                if not more:
-                    acted = self.has_sent_message = True
-                    message = inbox.pop()
-                    gone = self.is_ended_by_client or self.closed or inbox.is_withdrawn(message)
-                    request_validation.hear(self.manager, self, message, gone)
-            if more:
-                inbox.feed(more)
-        return acted
+                following = self._receive_following()
+                if not following:
+                    has_processed = self.has_sent_message = True
+                    self._process_next()
+            if following:
+                queue.feed(following)
+        return has_processed
+
+    def _process_next(self) -> None:
+        queue = self.receive_queue
+        message = queue.pop()
+        is_moot = self.is_ended_by_client or self.closed or queue.is_withdrawn(message)
+        request_validation.hear(self.manager, self, message, is_moot)
 
     def _receive_following(self) -> bytes | None:
-        """What has come behind the messages that are being acted on; an end is acted on at once."""
+        """Return what has arrived behind the messages being processed; an end is handled at once."""
         if self.is_ended_by_client or self.closed:
             return None
-        more = self._receive_available() if not self.receive_queue.is_full else b"" if self.left() else None
-        if more == b"" and self.is_finishing:
+        if self.receive_queue.is_full:
+            following = b"" if self.left() else None
+        else:
+            following = self._receive_available()
+        if following != b"":
+            return following
+        if self.is_finishing:
             return None
-        if more == b"":
-            self.is_ended_by_client = True
-            request_validation.viewer_gone(self.manager, self)
-        return more
+        self.is_ended_by_client = True
+        request_validation.viewer_gone(self.manager, self)
+        return following
 
 
 class ConnectionTable:
-    """The open connections, oldest first, bounded."""
+    """The open connections of clients, oldest first, bounded. The manager's lock guards it."""
 
-    def __init__(self, most: int) -> None:
-        self.max_connections = most
-        self.max_connections_in_use = max(
-            1, most - max(MIN_RESERVED_FOR_NEW, most // RESERVED_FOR_NEW_DIVISOR)
-        )  # for those that carry something
+    def __init__(self, max_connections: int) -> None:
+        self.max_connections = max_connections
+        reserved = max(MIN_RESERVED_FOR_NEW, max_connections // RESERVED_FOR_NEW_DIVISOR)
+        self.max_connections_in_use = max(1, max_connections - reserved)
         self.connections: dict[ClientConnection, None] = {}
         self.connections_by_peer: dict[str, dict[ClientConnection, None]] = {}
-        self.pending_notifications: dict[str, deque[tuple[int, bytes]]] = {}
+        self.pending_notifications = PendingNotifications()
 
-    def add(self, viewer: ClientConnection) -> bool:
-        """False where there is no room for it, even with others closed that nothing hangs on."""
+    def add(self, connection: ClientConnection) -> bool:
+        """Add a connection, after an unused one has been evicted if the table is full.
+
+        Returns:
+            False if the table is full of connections in use.
+        """
         if len(self.connections) >= self.max_connections:
-            # None but those that never stop sending: one of them goes all the same.
-            out = self._eviction_candidate() or next(
-                (v for v in self.connections if v.is_unused and not v.closed), None
-            )
-            if out is None:
+            # With none but those that never stop sending, one of them is evicted all the same.
+            evicted = self._eviction_candidate() or self._oldest_unused()
+            if evicted is None:
                 return False
-            out.shut()
-            self.remove(out)
-        self.connections[viewer] = None
-        self.connections_by_peer.setdefault(viewer.peer, {})[viewer] = None
+            self._evict(evicted)
+        self.connections[connection] = None
+        self.connections_by_peer.setdefault(connection.peer, {})[connection] = None
         return True
 
+    def _oldest_unused(self) -> ClientConnection | None:
+        candidates = (each for each in self.connections if each.is_unused and not each.closed)
+        return next(candidates, None)
+
     def _eviction_candidate(self) -> ClientConnection | None:
-        """Who goes to make room: those that are only drained first, then those that have said nothing, since
-        some open connections by the hundred and never do. One from which something has come is about to
-        carry it, and what waits to be read would go without an answer."""
-        spare = [v for v in self.connections if v.is_unused and (v.closed or not v.is_busy)]
-        spare.sort(key=lambda v: (not v.closed, v.has_sent_message))
-        # `unread` first: what is taken out meanwhile has set `busy` before.
-        return next((v for v in spare if v.closed or not (v.has_unread_data or v.is_busy)), None)
+        """Return the connection to evict: first one that is only drained, then one that has sent nothing.
+
+        Some clients open connections by the hundred and never send. A connection with unread data is about to
+        be in use, and evicting it would leave that data without an answer.
+        """
+        candidates = [
+            each for each in self.connections if each.is_unused and (each.closed or not each.is_busy)
+        ]
+        candidates.sort(key=lambda each: (not each.closed, each.has_sent_message))
+        return next((each for each in candidates if each.closed or _has_nothing_to_process(each)), None)
+
+    def _evict(self, connection: ClientConnection) -> None:
+        connection.shut()
+        self.remove(connection)
 
     def evict_one(self) -> None:
-        """Close one that may go, where there is one."""
-        out = self._eviction_candidate()
-        if out is not None:
-            out.shut()
-            self.remove(out)
+        """Evict a connection that is not in use, if there is one."""
+        candidate = self._eviction_candidate()
+        if candidate is not None:
+            self._evict(candidate)
 
     def admission_delay_us(self, now_us: int) -> int:
-        """How long a new connection waits before another goes for it."""
+        """Return how long a new connection waits before another is evicted for it, in microseconds."""
         if len(self.connections) < self.max_connections:
             return 0
-        out = self._eviction_candidate()
-        if out is None:  # those that carry nothing are being read just now
+        candidate = self._eviction_candidate()
+        if candidate is None:  # those that are not in use are being read just now
             return EVICTION_GRACE_US
-        return (
-            0 if out.has_sent_message or out.closed else max(0, out.accepted_us + EVICTION_GRACE_US - now_us)
-        )
+        if candidate.has_sent_message or candidate.closed:
+            return 0
+        return max(0, candidate.accepted_us + EVICTION_GRACE_US - now_us)
 
-    def seated(self, viewer: ClientLink) -> bool:
-        """Whether something may be open on this connection: were all of them busy, a new one would have to be
-        closed without an answer, and so would the platform's test."""
-        return (
-            bool(viewer.open or viewer.standing)
-            or sum(not v.is_unused for v in self.connections) < self.max_connections_in_use
-        )
+    def seated(self, connection: ClientLink) -> bool:
+        """Whether this connection may hold sessions.
 
-    def remove(self, viewer: ClientConnection) -> None:
-        self.connections.pop(viewer, None)
-        same = self.connections_by_peer.get(viewer.peer)
-        if same is not None:
-            same.pop(viewer, None)
-            if not same:
-                del self.connections_by_peer[viewer.peer]
+        If every connection did, a new one would have to be closed without an answer, and so would the
+        platform's health check.
+        """
+        if connection.open or connection.standing:
+            return True
+        return sum(not each.is_unused for each in self.connections) < self.max_connections_in_use
+
+    def remove(self, connection: ClientConnection) -> None:
+        """Remove a connection; removing it again has no effect."""
+        self.connections.pop(connection, None)
+        same_peer = self.connections_by_peer.get(connection.peer)
+        if same_peer is not None:
+            same_peer.pop(connection, None)
+            if not same_peer:
+                del self.connections_by_peer[connection.peer]
 
     def other(self, peer: str, figure: str = "") -> ClientConnection | None:
-        """Any open connection of this peer's; one on which this viewer has spoken, where there is one, or
-        else one that has spoken at all: clients that share an address must not get each other's ends."""
-        same = sorted(
+        """Return an open connection of this peer, or None.
+
+        One on which this client has sent a request comes first, then one that has sent any message: clients
+        that share an address must not receive each other's notifications.
+        """
+        same_peer = sorted(
             self.connections_by_peer.get(peer, ()),
-            key=lambda v: (figure not in v.figures, not v.has_sent_message),
+            key=lambda each: (figure not in each.figures, not each.has_sent_message),
         )
-        return next((v for v in same if not v.left()), None)
+        return next((each for each in same_peer if not each.left()), None)
 
     def defer(self, peer: str, data: bytes, now_us: int) -> None:
-        """Keep this for the peer's next connection. With none open just then, as after a reset, the end of
-        what stood was told to nobody, and its viewer waited for good."""
-        if peer in self.pending_notifications or len(self.pending_notifications) < MAX_PENDING_PEERS:
-            self.pending_notifications.setdefault(peer, deque(maxlen=MAX_PENDING_PER_PEER)).append(
-                (now_us, data)
-            )
-
-    def deliver(self, viewer: ClientLink) -> None:
-        """Send what is owed to this connection's peer; what it can't be sent stays for the next."""
-        said = self.pending_notifications.get(viewer.peer, deque())
-        while said and not viewer.left() and viewer.send(said[0][1]):
-            said.popleft()
-        if not said:
-            self.pending_notifications.pop(viewer.peer, None)
+        """Queue a message for the peer's next connection."""
+        self.pending_notifications.defer(peer, data, now_us)
+
+    def deliver(self, connection: ClientLink) -> None:
+        """Send what is queued for this connection's peer."""
+        self.pending_notifications.deliver(connection)
 
     def expire(self, now_us: int) -> None:
-        """What is owed for too long does nobody any good."""
-        for peer, said in list(self.pending_notifications.items()):
-            while said and now_us - said[0][0] > NOTIFICATION_TTL_US:
-                said.popleft()
-            if not said:
-                del self.pending_notifications[peer]
+        """Drop the messages that have been queued for too long."""
+        self.pending_notifications.expire(now_us)
+
+
+def _has_nothing_to_process(connection: ClientConnection) -> bool:
+    """Whether it has no unread data and its thread is not processing any.
+
+    The unread data is checked first: data that its thread takes out meanwhile has set `is_busy` before.
+    """
+    return not (connection.has_unread_data or connection.is_busy)
--- a/tests/test_node_desk.py
+++ b/tests/test_node_desk.py
@@ -23,7 +23,7 @@
     request_validation,
     session_states,
     state_dump,
-    client_connection,
+    pending_notifications,
 )
 from fennelcove.node.address import Address
 from fennelcove.node.config import ConfigError
@@ -267,21 +267,21 @@
         self.assertEqual(len(test.said), 1)
         release, _ = fresh.said
         self.assertTrue(release.startswith(b"TEARDOWN ") and ID.hex().encode() in release)
-        self.assertFalse(self.desk.connections.pending_notifications)
+        self.assertFalse(self.desk.connections.pending_notifications.by_peer)
 
     def test_what_is_owed_is_bounded_and_forgiven(self) -> None:
         table = self.desk.connections
-        for number in range(client_connection.MAX_PENDING_PEERS + 1):
-            for _ in range(client_connection.MAX_PENDING_PER_PEER + 1):
+        for number in range(pending_notifications.MAX_PENDING_PEERS + 1):
+            for _ in range(pending_notifications.MAX_PENDING_PER_PEER + 1):
                 table.defer(str(number), b"x", self.desk.now_us())
-        self.assertEqual(len(table.pending_notifications), client_connection.MAX_PENDING_PEERS)
+        self.assertEqual(len(table.pending_notifications.by_peer), pending_notifications.MAX_PENDING_PEERS)
         self.assertEqual(
-            {len(said) for said in table.pending_notifications.values()},
-            {client_connection.MAX_PENDING_PER_PEER},
+            {len(said) for said in table.pending_notifications.by_peer.values()},
+            {pending_notifications.MAX_PENDING_PER_PEER},
         )
-        self.clock.advance(client_connection.NOTIFICATION_TTL_US + 1)
+        self.clock.advance(pending_notifications.NOTIFICATION_TTL_US + 1)
         self.desk.round()
-        self.assertFalse(table.pending_notifications)
+        self.assertFalse(table.pending_notifications.by_peer)
 
     def test_no_table_grows_with_what_has_passed(self) -> None:
         # Memory that grows is priced. Each round brings new sessions, servers and peers, and ends them all.
