Start, reload and graceful shutdown of the front node are separate pieces

program.py owned the listening socket, admission, reloads and the drain in one class. ClientListener, ConfigReloader and start_thread are modules of their own, in the layers of the import contract; NodeProgram keeps the start, the signals and the shutdown. The descriptor tests call the listener where they called the program.

--- a/tests/test_node_descriptors.py
+++ b/tests/test_node_descriptors.py
@@ -166,7 +166,7 @@
 
     def test_a_client_is_not_taken_in_before_the_one_that_went_for_it_is_closed(self) -> None:
         made = program_of({**TREE, "limits": {"sockets": LEAST}})
-        self.addCleanup(made.listener.close)
+        self.addCleanup(made.listener.sock.close)
         threads: list[Callable[[], None]] = []  # that read connections; each is run only when told
         most = made.manager.connections.max_connections
         real = threading.Thread
@@ -182,9 +182,9 @@
             near, far = socket.socketpair()
             self.addCleanup(far.close)
             with mock.patch.object(socket.socket, "setsockopt"):
-                made.admit_connection(near, "127.0.0.1")
+                made.listener.admit(near, "127.0.0.1")
 
-        with mock.patch.object(program.threading, "Thread", thread):
+        with mock.patch.object(threading, "Thread", thread):
             for _ in range(most):
                 take()
             self.assertEqual(len(threads), most)
@@ -384,7 +384,7 @@
     def program_full_of_silent(self) -> tuple[program.NodeProgram, list[socket.socket]]:
         """A node whose clients' part is taken by connections that no thread reads, and their other ends."""
         made, far = program_of({**TREE, "limits": {"sockets": LEAST}}), list[socket.socket]()
-        self.addCleanup(made.listener.close)
+        self.addCleanup(made.listener.sock.close)
         with socket.create_server(("127.0.0.1", 0)) as listener:
             for _ in range(made.manager.connections.max_connections):
                 far.append(self.enterContext(socket.create_connection(listener.getsockname())))
@@ -430,7 +430,7 @@
 class AccountTest(Rigged):
     def test_what_gets_no_thread_is_closed_and_uncounted_once(self) -> None:
         made = program_of(TREE)
-        self.addCleanup(made.listener.close)
+        self.addCleanup(made.listener.sock.close)
         before = made.manager.descriptors.told()
         with (
             socket.create_server(("127.0.0.1", 0)) as listener,
@@ -438,7 +438,7 @@
             mock.patch.object(threading.Thread, "start", side_effect=RuntimeError("can't start new thread")),
         ):
             near, _ = listener.accept()
-            made.admit_connection(near, "127.0.0.1")
+            made.listener.admit(near, "127.0.0.1")
             self.assertEqual(far.recv(1), b"")
             with made.manager.lock:
                 for told in made.config.initial_batch.events:
--- a/tests/test_node_reload.py
+++ b/tests/test_node_reload.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from fennelcove.node.program import RELOAD_ATTEMPTS
+from fennelcove.node.config_reloader import MAX_ATTEMPTS
 from tests.nodeprocess import BRIEF, Gate, Rig, run
 from tests.noderig import StandInBoard, StandInServer, eventually
 
@@ -78,7 +78,7 @@
         rig.path.unlink()
         gate = Gate(rig.path)
         rig.signal(signal.SIGHUP)
-        for _ in range(RELOAD_ATTEMPTS):  # each try of one signal reads the same
+        for _ in range(MAX_ATTEMPTS):  # each try of one signal reads the same
             held = gate.held()
             gate.renew()
             gate.let(held, "{")
