--- a/packages/node/src/fennelcove/node/__main__.py
+++ b/packages/node/src/fennelcove/node/__main__.py
@@ -7,7 +7,7 @@
 
 
 def exit_at_once(number: int, frame: object) -> None:
-    """End at once: before it listens, a node owes nobody anything, and its file may never come."""
+    """End the process: before it listens, no request is pending, and its file may never come."""
     os._exit(0)
 
 
--- a/packages/node/src/fennelcove/node/address.py
+++ b/packages/node/src/fennelcove/node/address.py
@@ -1,4 +1,4 @@
-"""Addresses as the platform writes them."""
+"""Network addresses as the platform writes them."""
 
 from __future__ import annotations
 
@@ -8,17 +8,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Address:
-    """Where to connect or listen."""
+    """A host and port to connect to or to listen on."""
 
     host: str
     port: int
 
 
 def parse_address(raw: Any) -> Address:
-    """An address in the form `host:port`.
+    """Parse an address of the form `host:port`.
 
     Raises:
-        ValueError: it is in another form.
+        ValueError: it has another form.
     """
     host, _, port = raw.rpartition(":") if isinstance(raw, str) else ("", "", "")
     if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
--- a/packages/node/src/fennelcove/node/config.py
+++ b/packages/node/src/fennelcove/node/config.py
@@ -1,4 +1,4 @@
-"""What a front node is told at its start, read from the file that the platform names."""
+"""A front node's configuration, read from the file that the platform names."""
 
 from __future__ import annotations
 
@@ -13,10 +13,11 @@
 from fennelcove.node.address import Address, parse_address
 from fennelcove.node.discovery_events import DiscoveryBatch, DiscoveryError
 
-DEFAULT_CONNECT_TIMEOUT_US = 250_000  # where the settings name no limit
+DEFAULT_CONNECT_TIMEOUT_US = 250_000  # if the settings name no limit
 DEFAULT_IDLE_TIMEOUT_US = 30_000_000
 DEFAULT_SOCKET_LIMIT = 256
-# What a file of another form raises somewhere; RecursionError: nested past what the parser follows.
+MIN_SOCKET_LIMIT = 32
+# Raised by files of another form; RecursionError if nested deeper than the parser follows.
 UNUSABLE_ERRORS = (
     OSError,
     ValueError,
@@ -54,13 +55,14 @@
     initial_batch: DiscoveryBatch
     settings: Settings
     terms: ConnectionSettings
-    raw_sections: dict[
-        str, dict[str, Any]
-    ]  # `limits` and `settings` as the file has them, to name what differs
+    # `limits` and `settings` as the file has them, to name the keys that differ.
+    raw_sections: dict[str, dict[str, Any]]
 
     def fields_changed_in(self, fresh: Config) -> list[str]:
-        """The fields, as the file names them, in which a fresh file differs from this one beyond `board`,
-        `known` and `seed`, which are another's at each reading. Of the settings what is read counts."""
+        """Return the fields that differ in a fresh file, by their names in the file.
+
+        `board`, `known` and `seed` may differ at each reading. Settings that are not read don't count.
+        """
         found = [name for name in ("name", "listen") if getattr(self, name) != getattr(fresh, name)]
         settings_differ = asdict(self.settings) != asdict(fresh.settings) or self.terms != fresh.terms
         for part in ("limits", "settings") if settings_differ else ("limits",):
@@ -86,23 +88,24 @@
 
 
 def reload(path: str, running: Config) -> Config:
-    """Read the file of a node that runs: whole, or nothing of it.
+    """Read the file again while the node runs.
 
     Raises:
         ConfigError: as `load`.
-        ConfigForeign: it is another node's, or asks for what takes a restart.
+        ConfigMismatchError: it is another node's, or changes a field that takes a restart.
     """
     fresh = load(path)
-    if differs := running.fields_changed_in(fresh):
-        raise ConfigMismatchError(f"differs from what the node runs by in {', '.join(differs)}", path)
+    changed = running.fields_changed_in(fresh)
+    if changed:
+        raise ConfigMismatchError(f"differs from what the node runs by in {', '.join(changed)}", path)
     return fresh
 
 
 def parse(tree: Any) -> Config:
-    """The configuration out of its parsed JSON.
+    """Return the configuration in a parsed JSON tree.
 
     Raises:
-        ConfigError, FactsError, BoardError, ValueError: a field that can't be used.
+        ConfigError, PlatformSettingsError, DiscoveryError, ValueError: a field can't be used.
     """
     if not isinstance(tree, dict):
         raise ConfigError("found no object")
@@ -114,7 +117,7 @@
         name=str(tree.get("name", "")),
         listen=parse_address(tree.get("listen")),
         seed=int(seed, 16) if isinstance(seed, str) else int(seed),
-        sockets=max(32, int(limits.number("sockets", DEFAULT_SOCKET_LIMIT))),
+        sockets=max(MIN_SOCKET_LIMIT, int(limits.number("sockets", DEFAULT_SOCKET_LIMIT))),
         discovery_address=parse_address(tree.get("board")),
         initial_batch=DiscoveryBatch.parse(tree.get("known", {"rev": 0, "notices": []})),
         settings=settings,
--- a/packages/node/src/fennelcove/node/discovery_events.py
+++ b/packages/node/src/fennelcove/node/discovery_events.py
@@ -1,4 +1,4 @@
-"""The notice board's events: the list of servers and its changes, without I/O."""
+"""Events of the discovery service (the platform's notice board): server lists and changes, without I/O."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 
 SERVER_STATES = {"up": ServerState.ACTIVE, "draining": ServerState.LEAVING, "removed": ServerState.LEFT}
 MAX_SERVERS = 100_000
-MAX_NUMBER = 1e18  # beyond it, or not a number at all, what is counted from it is no whole number any more
+MAX_NUMBER = 1e18  # beyond it, or with NaN, no whole number can be computed from the value
 
 
 class DiscoveryError(OperatorError):
-    """The notice board's answer is not what one tells; nothing of it was used."""
+    """The discovery service's response is malformed; nothing of it was used."""
 
     code = "board-unreadable"
     advice = "See what the board answers; the node goes on by the last list that it could read"
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DiscoveryEvent:
-    """One event: an update of the list, with the address of each of its servers."""
+    """An update of the server list, with the address of each of its servers."""
 
     revision: int
     update: ListUpdate
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DiscoveryBatch:
-    """Events up to a number; `others` are the numbers of those that are not about servers."""
+    """Events up to a revision; `other_revisions` are those of events that are not about servers."""
 
     revision: int
     events: tuple[DiscoveryEvent, ...]
@@ -40,10 +40,10 @@
 
     @classmethod
     def parse(cls, tree: Any) -> DiscoveryBatch:
-        """Whole or not at all.
+        """Parse a JSON tree: all of it, or none.
 
         Raises:
-            BoardError: it is malformed anywhere.
+            DiscoveryError: it is malformed anywhere.
         """
         notices, rev = _typed_field(tree, "notices", list), _typed_field(tree, "rev", int)
         if rev < 0:
@@ -55,18 +55,25 @@
 
     @property
     def last_revision(self) -> int:
-        """The number to ask after next."""
+        """The revision to poll after next."""
         return max(self.revision, *(notice.revision for notice in self.events), 0)
 
     def has_gap_after(self, watch: int) -> bool:
-        """Whether a number between `watch` and the last is not among those told."""
+        """Whether a revision after `watch`, up to the last, is missing from the batch."""
         numbers = {notice.revision for notice in self.events} | self.other_revisions
         return sum(watch < rev <= self.last_revision for rev in numbers) != self.last_revision - watch
 
     def events_after(self, watch: int, gapless: bool) -> tuple[DiscoveryEvent, ...] | None:
-        """What is new to who has all events up to `watch`, each once and in the order of their numbers; None
-        where it does not follow: the numbers began anew, one is missing from those that leave none out, or
-        there are changes of a list never told."""
+        """Return the events after revision `watch`, each once and in order.
+
+        Args:
+            watch: the last revision that has been applied; 0 if none has.
+            gapless: whether the service leaves no revision out.
+
+        Returns:
+            The events; None if they do not follow upon `watch`: the revisions were restarted, one is missing,
+            or they change a list that was never received.
+        """
         told: dict[int, DiscoveryEvent] = {}
         for notice in self.events:
             if notice.revision > watch:
@@ -81,8 +88,11 @@
 
 
 def _merge_into_full_update(news: tuple[DiscoveryEvent, ...]) -> DiscoveryEvent:
-    """A whole list and the changes after it as one whole list: told one by one, a server that only a change
-    names was off the list for a moment, and what is known of it and the connections to it were given up."""
+    """Return a full update and the changes after it as one full update.
+
+    Applied one by one, a server that only a change names was off the list for a moment, and its state and
+    connections were dropped.
+    """
     if len(news) == 1:
         return news[0]
     entries = {entry.address: entry for notice in news for entry in notice.update.entries}
--- a/packages/node/src/fennelcove/node/log.py
+++ b/packages/node/src/fennelcove/node/log.py
@@ -1,4 +1,4 @@
-"""The node's log: one JSON line an event on standard output, by the standard library alone."""
+"""The node's log: one JSON line per event on standard output, by the standard library alone."""
 
 from __future__ import annotations
 
@@ -12,13 +12,13 @@
 
 
 def event_logger(name: str) -> EventLogger:
-    """A function that logs one event with its fields."""
+    """Return a function that logs one event with its fields, under this node's name."""
 
-    def notice(event: str, **fields: object) -> None:
+    def log_event(event: str, **fields: object) -> None:
         line = {"at": round(time.time(), 3), "node": name, "event": event, **fields}
-        # Any thread tells here, and it must not end because nobody takes the log any more.
+        # Any thread logs here, and it must not end because the log's reader has gone.
         with suppress(OSError, ValueError):
             sys.stdout.write(json.dumps(line, default=str) + "\n")
             sys.stdout.flush()
 
-    return notice
+    return log_event
--- a/packages/node/src/fennelcove/node/receive_queue.py
+++ b/packages/node/src/fennelcove/node/receive_queue.py
@@ -1,4 +1,4 @@
-"""What has come over a viewer's connection and was not acted on yet, in order, with what takes it back."""
+"""Queue of a client connection's received messages that have not been processed yet, in order."""
 
 from __future__ import annotations
 
@@ -8,30 +8,30 @@
 from fennelcove.rtsp.messages import Message, ProtocolError, Request
 from fennelcove.rtsp.reader import Reader
 
-MAX_UNPROCESSED_BYTES = 65_536  # read ahead of what is acted on
+MAX_UNPROCESSED_BYTES = 65_536  # read ahead of the message being processed
 
 
 class ReceiveQueue:
-    """One connection's."""
+    """The queue of one connection; it knows which queued set-ups a later message withdraws."""
 
     def __init__(self) -> None:
         self.reader = Reader()
         self.messages: deque[Message] = deque()
-        self.teardown_counts: Counter[str] = Counter()  # among the messages, by session
-        self.unprocessed_bytes = 0  # bytes fed since nothing was left to act on
+        self.teardown_counts: Counter[str] = Counter()  # among the messages, by session id
+        self.unprocessed_bytes = 0  # fed since the queue was last empty
 
     @property
     def is_empty(self) -> bool:
-        """Nothing is left here, not even a part of a message."""
+        """Whether nothing is queued, not even a part of a message."""
         return self.reader.is_between_messages and not self.messages
 
     @property
     def is_full(self) -> bool:
-        """No more may be read before some of it was acted on."""
+        """Whether no more may be read before queued messages have been processed."""
         return self.unprocessed_bytes >= MAX_UNPROCESSED_BYTES
 
     def feed(self, data: bytes) -> None:
-        """Add what was read; what can't be read is raised by `check`, after all that came before it."""
+        """Add what was read; `raise_failure` raises what is unreadable, after all messages before it."""
         self.unprocessed_bytes += len(data)
         if self.reader.failure is None:
             self.reader.feed(data)
@@ -42,7 +42,11 @@
                     self.teardown_counts[_session_name(message)] += 1
 
     def pop(self) -> Message:
-        """The next message."""
+        """Remove and return the next message.
+
+        Raises:
+            IndexError: no message is queued.
+        """
         message = self.messages.popleft()
         if _is_teardown(message):
             session = _session_name(message)
@@ -54,12 +58,14 @@
         return message
 
     def is_withdrawn(self, message: Message) -> bool:
-        """Whether the session of this message is given up by one that has come after it."""
+        """Whether a message that is still queued tears this message's session down."""
         return bool(self.teardown_counts) and _session_name(message) in self.teardown_counts
 
     def raise_failure(self) -> None:
-        """Raises:
-        ProtocolError: nothing that comes can be read any more.
+        """Raise the reader's failure, if there is one.
+
+        Raises:
+            ProtocolError: the stream can't be read any further.
         """
         if self.reader.failure is not None:
             raise self.reader.failure
