--- a/packages/node/src/fennelcove/isup/__init__.py
+++ b/packages/node/src/fennelcove/isup/__init__.py
@@ -1,1 +1,1 @@
-"""The servers' side of the platform's protocol (binary messages) as a codec without I/O."""
+"""Codec of the servers' side of the platform's protocol (binary messages), without I/O."""
--- a/packages/node/src/fennelcove/isup/messages.py
+++ b/packages/node/src/fennelcove/isup/messages.py
@@ -1,4 +1,4 @@
-"""What passes between a node and servers: a kind, a session and parameters."""
+"""Messages between a node and servers: a kind, a session id and parameters."""
 
 from __future__ import annotations
 
@@ -43,9 +43,9 @@
 
 
 class Cause(IntEnum):
-    """Why a set-up or a session ends."""
+    """The reason for which a set-up or a session ends."""
 
-    OK = 16  # from a node before the answer: the set-up is given up
+    OK = 16  # from a node before the answer: the set-up is abandoned
     CALLED_OFF = 31
     FULL = 34
     RESET = 41
@@ -63,10 +63,10 @@
 
     @property
     def cause(self) -> int | None:
-        """The cause, or None where it is absent or not one byte."""
+        """The cause, or None if it is absent or not one byte."""
         value = self.parameters.get(Code.CAUSE, b"")
         return value[0] if len(value) == 1 else None
 
     def text(self, code: Code) -> str:
-        """A text parameter; empty where it is absent, with what is not ASCII replaced."""
+        """Return a text parameter, with non-ASCII bytes replaced; empty if it is absent."""
         return self.parameters.get(code, b"").decode("ascii", "replace")
--- a/packages/node/src/fennelcove/isup/reader.py
+++ b/packages/node/src/fennelcove/isup/reader.py
@@ -1,4 +1,4 @@
-"""Reads messages off a stream of bytes: feed bytes, then take messages until None says more are needed."""
+"""Reads messages off a stream of bytes: feed bytes, then call `next` until it returns None."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class Reader:
-    """One direction of one connection; after a ProtocolError every further call raises it again."""
+    """Reads one direction of one connection; after a ProtocolError each further call raises it again."""
 
     def __init__(self) -> None:
         self.buffer = bytearray()
@@ -19,7 +19,7 @@
         self.buffer += data
 
     def next(self) -> Message | None:
-        """The next message, or None while more bytes are needed.
+        """Return the next message, or None while more bytes are needed.
 
         Raises:
             ProtocolError: bytes that are no message; nothing more can be read.
--- a/packages/node/src/fennelcove/isup/writer.py
+++ b/packages/node/src/fennelcove/isup/writer.py
@@ -6,7 +6,7 @@
 
 
 def message(kind: Kind, session: bytes, *parameters: tuple[Code, bytes]) -> bytes:
-    """A whole message.
+    """Encode a message.
 
     Raises:
         ValueError: a session that is not 8 bytes, or a message past its bound.
@@ -21,5 +21,5 @@
 
 
 def release(session: bytes, cause: Cause) -> bytes:
-    """A session's end, or a set-up that is given up."""
+    """Encode the end of a session, or the abandonment of a set-up."""
     return message(Kind.RELEASE, session, (Code.CAUSE, bytes([cause])))
--- a/packages/node/src/fennelcove/rtsp/__init__.py
+++ b/packages/node/src/fennelcove/rtsp/__init__.py
@@ -1,1 +1,1 @@
-"""The viewers' side of the platform's protocol (RTSP/1.0) as a codec without I/O."""
+"""Codec of the clients' side of the platform's protocol (RTSP/1.0), without I/O."""
--- a/packages/node/src/fennelcove/rtsp/messages.py
+++ b/packages/node/src/fennelcove/rtsp/messages.py
@@ -1,4 +1,4 @@
-"""What passes between viewers and a node, and how a message is refused."""
+"""Messages between clients and a node, and the error that refuses one."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     """A message that must not be acted on; the connection can't be read any further.
 
     Attributes:
-        status: the answer that says so (RFC 2326, section 11).
+        status: the status code of the response that refuses it (RFC 2326, section 11).
     """
 
     def __init__(self, status: int, reason: str) -> None:
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Request:
-    """A request with its fields, names in lower case."""
+    """A request; the names of its header fields are in lower case."""
 
     method: str
     address: str
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Answer:
-    """An answer with its fields, names in lower case."""
+    """A response; the names of its header fields are in lower case."""
 
     status: int
     fields: Fields
--- a/packages/node/src/fennelcove/rtsp/reader.py
+++ b/packages/node/src/fennelcove/rtsp/reader.py
@@ -1,4 +1,4 @@
-"""Reads messages off a stream of bytes: feed bytes, then take messages until None says more are needed."""
+"""Reads messages off a stream of bytes: feed bytes, then call `next` until it returns None."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class Reader:
-    """One direction of one connection; after a ProtocolError every further call raises it again."""
+    """Reads one direction of one connection; after a ProtocolError each further call raises it again."""
 
     def __init__(self) -> None:
         self.buffer = bytearray()
@@ -33,7 +33,7 @@
 
     @property
     def is_between_messages(self) -> bool:
-        """Nothing of a message has been read."""
+        """Whether no part of a message is buffered."""
         return self.head is None and not self.buffer
 
     def feed(self, data: bytes) -> None:
@@ -41,7 +41,7 @@
         self.buffer += data
 
     def next(self) -> Message | None:
-        """The next message, or None while more bytes are needed.
+        """Return the next message, or None while more bytes are needed.
 
         Raises:
             ProtocolError: the message is refused; nothing more can be read.
--- a/packages/node/src/fennelcove/rtsp/writer.py
+++ b/packages/node/src/fennelcove/rtsp/writer.py
@@ -1,4 +1,4 @@
-"""Writes messages as bytes; a field that could end its line early is refused, whoever handed it in."""
+"""Writes messages as bytes; a header field that could end its line early is refused."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 def answer(status: int, *fields: tuple[str, str], body: bytes = b"") -> bytes:
-    """A whole answer.
+    """Encode a response.
 
     Raises:
         ValueError: a field that would break its line.
@@ -40,7 +40,7 @@
 
 
 def request(method: str, address: str, *fields: tuple[str, str], body: bytes = b"") -> bytes:
-    """A whole request.
+    """Encode a request.
 
     Raises:
         ValueError: a field or address that would break its line.
