--- a/benchmarks/fleet_sums.py
+++ b/benchmarks/fleet_sums.py
@@ -51,20 +51,20 @@
 
     def want(i: int, rate: float) -> None:
         wanted[0] += 1
-        if purses[i].take(sea.now_us):
+        if purses[i].try_acquire(sea.now_us):
             met[0] += 1
             seconds[sea.now_us // 1_000_000] += 1
         sea.after(round(sea.chance.expovariate(rate) * 1e6), lambda: want(i, rate))
 
     def ask(i: int) -> None:
         sea.after(250_000, lambda: ask(i))
-        for to, asked in purses[i].ask(sea.chance.random(), sea.now_us) if lends else ():
+        for to, asked in purses[i].next_requests(sea.chance.random(), sea.now_us) if lends else ():
             sea.send(i, to, partial(lend, i, to, asked))
 
     def lend(i: int, to: int, asked: QuotaRequest) -> None:
-        loan = purses[to].hear_ask(i, asked, sea.now_us)
+        loan = purses[to].on_request(i, asked, sea.now_us)
         if loan is not None:
-            sea.send(to, i, lambda: purses[i].hear_loan(to, loan, sea.now_us))
+            sea.send(to, i, lambda: purses[i].on_transfer(to, loan, sea.now_us))
 
     for i in range(fronts):
         rate = 0.8 * whole * (0.9 / busy if i < busy else 0.1 / (fronts - busy))
@@ -92,13 +92,13 @@
 
     def look(i: int) -> None:
         sea.after(250_000, lambda: look(i))
-        for box in books[i].due(mine[i], living[i], sea.chance.random(), sea.now_us):
+        for box in books[i].due_probes(mine[i], living[i], sea.chance.random(), sea.now_us):
             probes[box] += 1
             ill = box in dead and sea.now_us >= 5_000_000
             # One path in fifty is bad all day: that alone must shut a box for nobody else.
             path = Random(f"{seed} {i} {box}").random() < 0.02
             seen = ProbeResult.FAILED if ill or path else ProbeResult.ANSWERED
-            report = books[i].probed(box, seen, sea.now_us)
+            report = books[i].on_probe_completed(box, seen, sea.now_us)
             judge(i, box)
             if shared:
                 for to in range(fronts):
@@ -106,11 +106,11 @@
                         sea.send(i, to, partial(hear, to, i, box, report.is_unhealthy, report.sequence))
 
     def hear(to: int, sender: int, box: str, ill: bool, number: int) -> None:
-        books[to].hear(sender, box, ill, number, sea.now_us)
+        books[to].on_report(sender, box, ill, number, sea.now_us)
         judge(to, box)
 
     def judge(i: int, box: str) -> None:
-        if books[i].gone(box, living[i], sea.now_us):
+        if books[i].is_down(box, living[i], sea.now_us):
             if box in dead and sea.now_us >= 5_000_000:
                 found[box].setdefault(i, sea.now_us)
             elif box not in dead:
--- a/benchmarks/power_sim.py
+++ b/benchmarks/power_sim.py
@@ -64,7 +64,7 @@
 
     def listed(self) -> ListEntry:
         standing = ServerState.ACTIVE if self.model.up else ServerState.LEFT
-        return dataclasses.replace(self.entry, standing=standing, started_us=self.model.started_us or 0)
+        return dataclasses.replace(self.entry, state=standing, started_us=self.model.started_us or 0)
 
 
 @dataclass
@@ -210,18 +210,20 @@
         if self.kept is not None:
             terms = MembershipSettings(self.fronts, side.index, BEAT_US, LEASE_US, LEASE_US, self.kept)
             company = side.company = Membership(terms, self.now_us, self.now_us)
-            front.mine = lambda turn: company.mine(turn, self.now_us)
+            front.owns_turn = lambda turn: company.owns_turn(turn, self.now_us)
             self.after(self.chance.randrange(BEAT_US), partial(self.beat, side, company))
         if self.halves:
-            many, own, all_ = len(self.halls), side.index // len(self.halls), front.mine
-            front.mine = lambda turn: (turn % (self.fronts // many) == own if self.is_cut() else all_(turn))
+            many, own, all_ = len(self.halls), side.index // len(self.halls), front.owns_turn
+            front.owns_turn = lambda turn: (
+                turn % (self.fronts // many) == own if self.is_cut() else all_(turn)
+            )
         self.tell_list(side)
 
     def beat(self, side: Side, company: Membership) -> None:
         if side.company is not company:
             return
         self.after(BEAT_US, partial(self.beat, side, company))
-        for to, said in company.beat(self.now_us).items():
+        for to, said in company.next_heartbeats(self.now_us).items():
             across = self.is_cut() and self.sides[to].hall != side.hall
             if self.chance.random() >= 0.05 and not across:
                 self.after(self.chance.randrange(1_000, 30_000), partial(self.hear, to, side.index, said))
@@ -229,7 +231,7 @@
     def hear(self, to: int, sender: int, said: Heartbeat) -> None:
         company = self.sides[to].company
         if company is not None:
-            company.hear(sender, said, self.now_us)
+            company.on_heartbeat(sender, said, self.now_us)
 
     def tell_list(self, side: Side) -> None:
         if side.front is not None:
@@ -284,7 +286,7 @@
                 box.stop()
                 self.pushed += 1
         if found is not SetUp.STARTED:
-            outcome = Outcome.TURNED_AWAY if found is SetUp.TURNED_AWAY else Outcome.NO_CONNECTION
+            outcome = Outcome.REJECTED if found is SetUp.TURNED_AWAY else Outcome.NO_CONNECTION
             front.handle(AttemptCompleted(id, join, outcome, False, None), self.now_us)
             return
         side.asking.pop(id, None)
--- a/benchmarks/release_sim.py
+++ b/benchmarks/release_sim.py
@@ -36,7 +36,7 @@
 from fennelcove.rollouts.plan_execution import PlanExecution
 from fennelcove.rollouts.rollout_plan import RolloutEvent
 from fennelcove.rollouts.messages import (
-    Kind,
+    PlaceKind,
     RolloutPhase,
     Plan,
     HaltReason,
@@ -183,7 +183,9 @@
         places = DisruptionMap({i: Location(i % HALLS, 1.0, LOAD) for i in range(size)})
         self.halls = {i: i % HALLS for i in range(size)}
         self.chance = Random(day.seed + 1)
-        rules = [PermitSettings(Kind.FRONT, size, i, limit, health_timeout_us=1 << 60) for i in range(size)]
+        rules = [
+            PermitSettings(PlaceKind.FRONT, size, i, limit, health_timeout_us=1 << 60) for i in range(size)
+        ]
         self.voters = [Grantor(rule, places, -10 * SECOND, True) for rule in rules]
         self.askers = [Requester(rule, 1, count(1)) for rule in rules]
         self.words = {i: Heartbeat(1, 1, version=1) for i in range(size)}
--- a/benchmarks/release_world.py
+++ b/benchmarks/release_world.py
@@ -14,24 +14,24 @@
 from random import Random
 
 from fennelcove.rollouts.coordinator import (
-    Act,
+    Action,
     RolloutAgreement,
     Command,
-    Do,
-    Memory,
-    Mine,
+    ActionKind,
+    PersistedState,
+    FrontStatus,
     RolloutSettings,
-    Wish,
+    CommandKind,
 )
 from fennelcove.rollouts.leader_election import Role
 from fennelcove.rollouts.disruption_budget import DisruptionLimit, FleetLimits, DisruptionMap, Location
 from fennelcove.rollouts.messages import (
     ACTIVE_PHASES,
-    Kind,
+    PlaceKind,
     RolloutPhase,
     Plan,
     RolloutRecord,
-    Said,
+    RolloutMessage,
     ServingState,
 )
 
@@ -74,11 +74,11 @@
     ends_us: int = 0  # when what it is doing is over
     life: int = 0
     folder: bool = True
-    memory: Memory | None = None
+    memory: PersistedState | None = None
     offset_us: int = 0
     pace: float = 1.0
     off: bool = False
-    todo: list[Act] = field(default_factory=list)  # what it was told to do and has not got to
+    todo: list[Action] = field(default_factory=list)  # what it was told to do and has not got to
 
     def clock(self, now_us: int) -> int:
         """Its own time."""
@@ -96,10 +96,10 @@
     halls: int = 1
     fronts: list[Front] = field(default_factory=list)
     boxes: dict[int, Box] = field(default_factory=dict)
-    air: list[tuple[int, int, int, Said]] = field(default_factory=list)  # when, from, to
+    air: list[tuple[int, int, int, RolloutMessage]] = field(default_factory=list)  # when, from, to
     records: dict[tuple[int, int], RolloutRecord] = field(default_factory=dict)  # all that were ever told
     agreed: list[tuple[int, RolloutRecord]] = field(default_factory=list)  # those a majority took, and when
-    wished: set[tuple[int, Wish]] = field(default_factory=set)  # fences of commands that were given
+    wished: set[tuple[int, CommandKind]] = field(default_factory=set)  # fences of commands that were given
     led: dict[int, tuple[int, int]] = field(default_factory=dict)  # front and life of each term
     begun: set[tuple[int, int, int, int]] = field(default_factory=set)
     found: list[str] = field(default_factory=list)
@@ -120,7 +120,7 @@
                 front.offset_us = chance.randrange(3_600_000_000)
                 front.pace = 1 + chance.uniform(-0.02, 0.02)
                 front.folder = chance.random() < 0.7
-            front.memory = Memory()
+            front.memory = PersistedState()
             self.fronts.append(front)
             self.born(front)
         self.boxes = {cell: Box() for cell in BOXES}
@@ -132,7 +132,7 @@
         places = tuple(Location(index % self.halls) for index in range(self.size))
         now_us = front.clock(self.now_us)
         front.agreed = RolloutAgreement(terms, self.limits, places, front.life, now_us, front.memory)
-        front.agreed.servers_are(BOXES, now_us)
+        front.agreed.update_servers(BOXES, now_us)
         front.paused = False
 
     def crash(self, front: Front) -> None:
@@ -146,16 +146,16 @@
     # One beat.
 
     def call(
-        self, front: Front, what: Callable[[RolloutAgreement, int], list[tuple[int, Said]]]
-    ) -> list[tuple[int, Said]]:
+        self, front: Front, what: Callable[[RolloutAgreement, int], list[tuple[int, RolloutMessage]]]
+    ) -> list[tuple[int, RolloutMessage]]:
         """A call of a front's, and all that follows of it."""
         agreed, now_us = front.agreed, front.clock(self.now_us)
         assert agreed is not None
         post = what(agreed, now_us)
-        kept = agreed.keep()
+        kept = agreed.state_to_persist()
         if kept is not None:
             front.memory = kept
-        front.todo += agreed.acts()
+        front.todo += agreed.take_actions()
         if not self.slow:
             self.do(front)
         self.look(front)
@@ -168,9 +168,9 @@
         if agreed is None:
             return
         for act in todo:
-            if act.do is Do.DRAIN_FRONT and agreed.begin(act.kind, act.place, now_us):
+            if act.action_kind is ActionKind.DRAIN_FRONT and agreed.begin(act.kind, act.place, now_us):
                 self.leave(front, act.version)
-            elif act.do is Do.DRAIN_SERVER and agreed.begin(act.kind, act.place, now_us):
+            elif act.action_kind is ActionKind.DRAIN_SERVER and agreed.begin(act.kind, act.place, now_us):
                 self.take_box(front, act.place)
 
     def leave(self, front: Front, version: int) -> None:
@@ -180,7 +180,7 @@
             front.ends_us = min(front.ends_us, self.now_us + BEAT_US)
             return
         assert front.agreed is not None
-        asked = front.agreed.requesters[Kind.FRONT].requests[front.index]
+        asked = front.agreed.requesters[PlaceKind.FRONT].requests[front.index]
         key = (0, front.index, front.life, asked.number)
         if key in self.begun:
             self.found.append(f"permit {key} twice")
@@ -247,7 +247,7 @@
         if record.revision < before.revision and moving:
             self.found.append(f"{record.revision} agreed after {before.revision}")
         if before.phase is RolloutPhase.HALTED and moving and record.revision > before.revision:
-            moves = {Wish.ON, Wish.BACK, Wish.START, Wish.CHANGE}
+            moves = {CommandKind.RESUME, CommandKind.ROLL_BACK, CommandKind.START, CommandKind.CHANGE}
             fences = {fence for fence, wish in self.wished if wish in moves}
             if record.fence <= before.fence or record.fence - 1 not in fences:
                 self.found.append(f"{before.revision} was halted and moved as {record.revision}")
@@ -291,13 +291,13 @@
             self.agreed.clear()
             self.led.clear()
             self.records.clear()
-        todo: list[tuple[int, list[tuple[int, Said]]]] = []
+        todo: list[tuple[int, list[tuple[int, RolloutMessage]]]] = []
         for front in self.fronts:
             self.act(front)
             if front.agreed is not None and not front.paused:
                 self.sights(front)
-                mine = Mine(front.stands, front.version, serving_for_s=self.now_us // 1_000_000)
-                todo.append((front.index, self.call(front, lambda a, t, m=mine: a.beat(m, t, draw))))
+                mine = FrontStatus(front.stands, front.version, serving_for_s=self.now_us // 1_000_000)
+                todo.append((front.index, self.call(front, lambda a, t, m=mine: a.tick(m, t, draw))))
         due = [item for item in self.air if item[0] <= self.now_us]
         self.air = [item for item in self.air if item[0] > self.now_us]
         for _, sender, to, said in due:
@@ -316,12 +316,12 @@
             todo = following
         self.count()
 
-    def hear(self, sender: int, to: int, said: Said) -> list[tuple[int, Said]]:
+    def hear(self, sender: int, to: int, said: RolloutMessage) -> list[tuple[int, RolloutMessage]]:
         """A message comes, where somebody is there."""
         front = self.fronts[to]
         if front.agreed is None or front.paused:
             return []
-        return self.call(front, lambda agreed, now_us: agreed.hear(sender, said, now_us))
+        return self.call(front, lambda agreed, now_us: agreed.on_message(sender, said, now_us))
 
     def sights(self, front: Front) -> None:
         """It looks at all boxes; a drain is seen after a while that differs by front, within `SHOW_US`."""
@@ -329,9 +329,11 @@
         after_us = (front.index + 1) * SHOW_US // (self.size + 1)
         now_us = front.clock(self.now_us)
         for cell, box in self.boxes.items():
-            front.agreed.see_server(cell, box.serves(self.now_us, after_us), now_us, now_us)
+            front.agreed.observe_server(cell, box.serves(self.now_us, after_us), now_us, now_us)
 
-    def command(self, front: Front, wish: Wish, plan: Plan | None = None, fence: int | None = None) -> None:
+    def command(
+        self, front: Front, wish: CommandKind, plan: Plan | None = None, fence: int | None = None
+    ) -> None:
         """An operator's word, by the fence that this front knows, or an old one."""
         if front.agreed is None or front.paused:
             return
@@ -346,9 +348,9 @@
         if front.agreed is None or front.paused:
             return
         if cell is None:
-            self.call(front, lambda agreed, now_us: agreed.want_out(front.version, now_us))
+            self.call(front, lambda agreed, now_us: agreed.request_front_drain(front.version, now_us))
         else:
-            self.call(front, lambda agreed, now_us: agreed.want_server(cell, now_us))
+            self.call(front, lambda agreed, now_us: agreed.request_server_drain(cell, now_us))
 
     # Breadth first.
 
@@ -378,7 +380,7 @@
             one.paused = not one.paused
         elif what:
             front = self.fronts[int(what[-1])]
-            if front.agreed is None or front.paused or front.agreed.requesters[Kind.FRONT].requests:
+            if front.agreed is None or front.paused or front.agreed.requesters[PlaceKind.FRONT].requests:
                 return False
             self.want(front)
         return True
--- a/benchmarks/release_worlds.py
+++ b/benchmarks/release_worlds.py
@@ -22,7 +22,7 @@
 
 from benchmarks.release_world import BEAT_US, BOXES, LIMITS, PLAN, World
 from fennelcove.rollouts import leader_election
-from fennelcove.rollouts.coordinator import Wish
+from fennelcove.rollouts.coordinator import CommandKind
 from fennelcove.rollouts.front_permits import FrontPermits
 from fennelcove.rollouts.leader_election import Role
 from fennelcove.rollouts.record_acceptor import Acceptor
@@ -149,11 +149,19 @@
             world.want(some, chance.choice(list(BOXES)) if draw < 0.5 else None)
     elif draw < 0.5:
         plan = replace(PLAN, wanted=chance.choice((2, 3)), before=front.version)
-        world.command(front, Wish.START, plan, old)
+        world.command(front, CommandKind.START, plan, old)
     else:
-        wish = chance.choice((Wish.HALT, Wish.ON, Wish.ON, Wish.BACK, Wish.CHANGE))
+        wish = chance.choice(
+            (
+                CommandKind.HALT,
+                CommandKind.RESUME,
+                CommandKind.RESUME,
+                CommandKind.ROLL_BACK,
+                CommandKind.CHANGE,
+            )
+        )
         another = replace(PLAN, wanted=4, before=front.version)
-        world.command(front, wish, another if wish is Wish.CHANGE else None, old)
+        world.command(front, wish, another if wish is CommandKind.CHANGE else None, old)
 
 
 def heal(world: World, chance: Random) -> None:
@@ -168,7 +176,7 @@
             # So many may have lost their folders that only an operator knows that nobody knows more.
             for front in world.fronts:
                 if front.agreed is not None:
-                    front.agreed.anew()
+                    front.agreed.accept_record_as_complete()
         world.beat(chance.random())
         records = [front.agreed.record() for front in world.fronts if front.agreed is not None]
         rests = all(r == records[0] and r.phase not in ACTIVE_PHASES for r in records)
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -21,7 +21,7 @@
 from fennelcove.scenarios.player import DayPlayer
 from fennelcove.scenarios.script import Day, Trouble, read
 from fennelcove.emulators.recorder import Record
-from fennelcove.store.folder import Store
+from fennelcove.store.directory import Store
 
 AFTER_US = 2_000_000
 
@@ -95,7 +95,7 @@
             began = time.perf_counter()
             store = Store(folder, 256, "benchmark")
             from_journal = time.perf_counter() - began
-            pages = store.base.size()
+            pages = store.base.byte_count()
             store.close()
             began = time.perf_counter()
             Store(folder, 256, "benchmark").close()
--- a/benchmarks/slots_worlds.py
+++ b/benchmarks/slots_worlds.py
@@ -72,7 +72,7 @@
             self.born(index)
         for member in self.members.values():
             member.unclear.clear()
-            member.servers[BOX].lot.purse.cleared = True
+            member.servers[BOX].lot.purse.is_cleared = True
 
     def born(self, index: int) -> None:
         self.lives += 1
@@ -207,9 +207,9 @@
 
 
 def from_receipt(self: Quota, sender: int, loan: QuotaTransfer, now_us: int) -> None:
-    if loan.life == self.incarnation and self.sent.pop(loan.number, None) is not None:
+    if loan.incarnation == self.incarnation and self.pending_requests.pop(loan.sequence, None) is not None:
         self.borrowed[sender] = BorrowedQuota(loan.rate, now_us + self.loan_us)
-        self.loan_sequences[sender] = loan.number
+        self.loan_sequences[sender] = loan.sequence
 
 
 def past_end(self: QuotaLoans, now_us: int, allow_us: int = 0) -> int:
@@ -230,7 +230,7 @@
 
 
 FAULTS: dict[str, tuple[type, str, Any]] = {
-    "from-receipt": (Quota, Quota.hear_loan.__name__, from_receipt),  # a loan counts from when it is heard
+    "from-receipt": (Quota, Quota.on_transfer.__name__, from_receipt),  # a loan counts from when it is heard
     "unwary": (
         Quota,
         "recovering_until_us",
--- a/benchmarks/storm_parts.py
+++ b/benchmarks/storm_parts.py
@@ -22,7 +22,7 @@
 from fennelcove.core.core import Core
 from fennelcove.core.ports import CorePorts
 from fennelcove.core.session_ids import SessionIds
-from fennelcove.core.retry_storm_guard import mac
+from fennelcove.core.retry_storm_guard import keyed_mac
 from fennelcove.clock.timers import Timers
 from fennelcove.core.requests import SessionRequest
 from fennelcove.scenarios.script import read
@@ -38,7 +38,7 @@
     clock = ManualClock(10_000_000, 10**15)
     ports = CorePorts(NoPorts(), NoPorts(), NoPorts())
     core = Core(front, clock, Timers(clock), lambda event, **fields: None, ports, SessionIds(b"n" * 32))
-    core.retry_storms.weather.phase = phase
+    core.retry_storms.detector.state = phase
     return core, clock
 
 
@@ -51,7 +51,7 @@
     for phase in (StormState.CALM, StormState.STORM):
         core, clock = made(phase)
         asks = [
-            SessionRequest("knee-1", "recorded", client=f"viewer-{i}", again=bool(i % 3))
+            SessionRequest("knee-1", "recorded", client=f"viewer-{i}", is_retry=bool(i % 3))
             for i in range(viewers)
         ]
         tracemalloc.start()
@@ -61,21 +61,21 @@
         for i, ask in enumerate(asks):
             if i % 200 == 0:
                 clock.advance(10_000)
-                core.retry_storms.weather.phase = phase
-            refused += core.retry_storms.before(ask, clock.now_us()) is not None
+                core.retry_storms.detector.state = phase
+            refused += core.retry_storms.check_request(ask, clock.now_us()) is not None
         traced_s = time.perf_counter() - began
         kept = tracemalloc.get_traced_memory()[0] - before
         tracemalloc.stop()
         core, clock = made(phase)
         began = time.perf_counter()
         for ask in asks:
-            core.retry_storms.before(ask, clock.now_us())
+            core.retry_storms.check_request(ask, clock.now_us())
         us = (time.perf_counter() - began) / viewers * 1e6
         print(
             f"{phase.name.lower()}: {us:.1f} us a decision ({traced_s / viewers * 1e6:.1f} traced), "
             f"{refused} answered with a place, {kept} bytes kept in all, {kept / viewers:.2f} a viewer"
         )
-    key, chance = mac(b"k" * 32), Random(1)
+    key, chance = keyed_mac(b"k" * 32), Random(1)
     place = QueueTicket("viewer", "knee-1", "recorded", chance.randrange(10**15), 10**15)
     token = waiting_room.sign_ticket(place, key)
     for name, call in (
@@ -87,11 +87,13 @@
             call()
         print(f"a place {name}: {(time.perf_counter() - began) / 20_000 * 1e6:.1f} us")
     core, clock = made(StormState.STORM)
-    due = waiting_room.sign_ticket(QueueTicket("viewer", "knee-1", "recorded", 0, 2 * 10**15), mac(b"k" * 32))
+    due = waiting_room.sign_ticket(
+        QueueTicket("viewer", "knee-1", "recorded", 0, 2 * 10**15), keyed_mac(b"k" * 32)
+    )
     core.retry_storms.use_keys([b"k" * 32])
     shown = [
-        core.retry_storms.before(
-            SessionRequest("knee-1", "recorded", client="viewer", place=due), clock.now_us()
+        core.retry_storms.check_request(
+            SessionRequest("knee-1", "recorded", client="viewer", queue_ticket=due), clock.now_us()
         )
         for _ in range(1000)
     ]
--- a/benchmarks/worlds.py
+++ b/benchmarks/worlds.py
@@ -42,9 +42,9 @@
 class Trusting(Membership):
     """A planted fault: a word that somebody is gone stands for ever."""
 
-    def gone(self, now_us: int) -> frozenset[int]:
+    def departed_fronts(self, now_us: int) -> frozenset[int]:
         words = [index for peer in self.peers.values() for index in peer.departed]
-        return frozenset(i for i in self.peers if words.count(i) + 1 >= self.terms.majority and i in words)
+        return frozenset(i for i in self.peers if words.count(i) + 1 >= self.settings.majority and i in words)
 
 
 KINDS: dict[str, type[Membership]] = {"": Membership, "hasty": Hasty, "trusting": Trusting}
@@ -70,7 +70,7 @@
         """One beat of all that run, and what comes of it."""
         self.now_us += BEAT_US
         for sender, member in self.members.items():
-            for to, said in member.beat(self.now_us).items():
+            for to, said in member.next_heartbeats(self.now_us).items():
                 if sender not in apart and to not in apart:
                     self.air.append((self.now_us + late_us, sender, to, said))
         due = [item for item in self.air if item[0] <= self.now_us]
@@ -78,13 +78,13 @@
         for _, sender, to, said in due:
             self.sum()
             if to in self.members:
-                self.members[to].hear(sender, said, self.now_us)
+                self.members[to].on_heartbeat(sender, said, self.now_us)
         self.sum()
 
     def sum(self) -> None:
         """One that stands still may go on at any moment with what it believes."""
         everyone = [*self.members.values(), *self.still.values()]
-        self.largest = max(self.largest, sum(member.share(self.now_us) for member in everyone))
+        self.largest = max(self.largest, sum(member.allowed_share(self.now_us) for member in everyone))
 
     def next(self) -> Iterator[World]:
         for fault, apart, late_us in product(("", "dies", "stands"), CUTS, (0, 2 * BEAT_US)):
@@ -108,7 +108,7 @@
     def key(self) -> object:
         """Without names of beats and lives, and without the hour."""
         everyone = {**self.members, **self.still}
-        lives = {index: member.life for index, member in everyone.items()}
+        lives = {index: member.incarnation for index, member in everyone.items()}
         numbers = {index: member.sequence for index, member in everyone.items()}
 
         def ago(at_us: int) -> int:
@@ -118,8 +118,8 @@
             peers = tuple(
                 (
                     other,
-                    peer.standing.value,
-                    peer.life - lives.get(other, 0),
+                    peer.state.value,
+                    peer.incarnation - lives.get(other, 0),
                     peer.sequence - numbers.get(other, 0),
                     ago(peer.last_heartbeat_us),
                     ago(peer.incarnation_seen_us),
@@ -139,11 +139,11 @@
                 at_us - self.now_us,
                 sender,
                 to,
-                said.life - lives.get(sender, 0),
-                said.number - numbers.get(sender, 0),
-                said.heard_life - lives.get(to, 0),
-                said.heard_number - numbers.get(to, 0),
-                said.gone,
+                said.incarnation - lives.get(sender, 0),
+                said.sequence - numbers.get(sender, 0),
+                said.acknowledged_incarnation - lives.get(to, 0),
+                said.acknowledged_sequence - numbers.get(to, 0),
+                said.departed,
             )
             for at_us, sender, to, said in self.air
         )
--- a/packages/cli/src/fennelcove/cli/fleet.py
+++ b/packages/cli/src/fennelcove/cli/fleet.py
@@ -16,10 +16,10 @@
 from fennelcove.cli.main import LazyGroup
 from fennelcove.cli.telling import fail
 from fennelcove.clock import SystemClock
-from fennelcove.core.retry_storm_guard import mac
+from fennelcove.core.retry_storm_guard import keyed_mac
 from fennelcove.decisions.operators import command_authorization, reachability
 from fennelcove.decisions.operators.command_authorization import SignedCommand
-from fennelcove.decisions.operators.reachability import CallOutcome, ReachStatus
+from fennelcove.decisions.operators.reachability import CallOutcome, CallStatus
 from fennelcove.decisions.operators.convergence import ConvergenceWait, DesiredState
 from fennelcove.fleet import inventory
 from fennelcove.fleet.asker import Call, Fields, Times, ask_all
@@ -53,7 +53,7 @@
         """Ask all, show all, and end with the status that belongs to it."""
         outcomes: dict[str, CallOutcome] = {}
         for outcome in ask_all(lines, call, self.times, self.clock, self.at_once):
-            outcomes[outcome.name] = outcome
+            outcomes[outcome.front] = outcome
             if not self.as_json and sys.stderr.isatty():
                 click.echo(f"\r{len(outcomes)} of {len(lines)}", nl=False, err=True)
         ordered = [outcomes[line.name] for line in lines]
@@ -61,29 +61,29 @@
         if self.as_json:
             for outcome in ordered:
                 row: dict[str, object] = {
-                    "front": outcome.name,
-                    "outcome": outcome.word.value,
+                    "front": outcome.front,
+                    "outcome": outcome.status.value,
                     "detail": outcome.detail,
                 }
-                row |= {"took_ms": outcome.took_us / 1000, "said": outcome.said}
+                row |= {"took_ms": outcome.took_us / 1000, "said": outcome.body}
                 click.echo(msgspec.json.encode(row).decode())
         else:
             self._table(ordered, show, heads)
-            failed = [outcome for outcome in ordered if outcome.word is not ReachStatus.DONE]
-            unknown = [outcome for outcome in failed if commands and outcome.unknown]
+            failed = [outcome for outcome in ordered if outcome.status is not CallStatus.DONE]
+            unknown = [outcome for outcome in failed if commands and outcome.is_indeterminate]
             click.echo(
                 f"{len(ordered) - len(failed)} of {len(ordered)} done, {len(failed) - len(unknown)} failed"
                 + (f", {len(unknown)} unknown: they may have done it" if unknown else "")
             )
-        sys.exit(reachability.ended(ordered, commands).value)
+        sys.exit(reachability.exit_code(ordered, commands).value)
 
     def _table(self, ordered: list[CallOutcome], show: Show, heads: list[str]) -> None:
         table = Table(box=None, pad_edge=False)
         for head in ["front", "outcome", *heads, "detail"]:
             table.add_column(head, overflow="fold")
         for outcome in ordered:
-            told = show(outcome) if outcome.word is ReachStatus.DONE else [""] * len(heads)
-            table.add_row(outcome.name, outcome.word.value, *told, outcome.detail)
+            told = show(outcome) if outcome.status is CallStatus.DONE else [""] * len(heads)
+            table.add_row(outcome.front, outcome.status.value, *told, outcome.detail)
         Console(width=None if sys.stdout.isatty() else 140).print(table)
 
 
@@ -122,7 +122,7 @@
 
 
 def _status(outcome: CallOutcome) -> list[str]:
-    said = outcome.said
+    said = outcome.body
     storm = said.get("storm")
     weather = str(storm.get("phase", "")) if isinstance(storm, dict) else ""
     return [str(said.get(name, "")) for name in ("phase", "held", "waiting", "list_version")] + [weather]
@@ -150,31 +150,31 @@
     lines, call = tool.chosen(selectors), Call("GET", "/v1/status")
     waiting = ConvergenceWait(DesiredState(phase, held_most), tool.clock.now_us() + round(for_s * 1e6))
     while True:
-        waiting.hear(ask_all(lines, call, tool.times, tool.clock, tool.at_once))
-        pause_us = waiting.pause_us(tool.clock.now_us())
+        waiting.observe(ask_all(lines, call, tool.times, tool.clock, tool.at_once))
+        pause_us = waiting.poll_delay_us(tool.clock.now_us())
         if pause_us is None:
             break
         threading.Event().wait(pause_us / 1e6)
     for line in lines:
-        click.echo(f"{line.name}: {waiting.stages[line.name].name.lower().replace('_', ' ')}")
-    sys.exit(0 if waiting.there else 1)
+        click.echo(f"{line.name}: {waiting.states[line.name].name.lower().replace('_', ' ')}")
+    sys.exit(0 if waiting.has_converged else 1)
 
 
 def _turned(outcome: CallOutcome) -> list[str]:
-    return [str(outcome.said.get(name, "")) for name in ("phase", "held")]
+    return [str(outcome.body.get(name, "")) for name in ("phase", "held")]
 
 
 def sealed(tool: Fleet, what: str, key: str, file: str, body: bytes = b"{}") -> Call:
     """A command with a seal for each front, or one line and exit status 2."""
     try:
-        seal = mac(load(file, tool.clock.wall_us() // 1000)[0])
+        seal = keyed_mac(load(file, tool.clock.wall_us() // 1000)[0])
     except KeyFileError as error:
         fail(error)
     path = f"/v1/control/{what}"
 
     def fields(line: FrontLine) -> Fields:
         command = SignedCommand(line.name, "POST", path, body, tool.clock.wall_us(), secrets.token_hex(12))
-        return [(command_authorization.HEADER, command_authorization.sign_command(command, key, seal))]
+        return [(command_authorization.HEADER_NAME, command_authorization.sign_command(command, key, seal))]
 
     return Call("POST", path, body, fields)
 
--- a/packages/cli/src/fennelcove/cli/keys.py
+++ b/packages/cli/src/fennelcove/cli/keys.py
@@ -10,7 +10,7 @@
 
 from fennelcove.cli.telling import FileUnusable, fail
 from fennelcove.clock import SystemClock
-from fennelcove.core.retry_storm_guard import mac
+from fennelcove.core.retry_storm_guard import keyed_mac
 from fennelcove.decisions.clients import access_tokens
 from fennelcove.daemon.key_file import KeyFileError, load, rotate
 
@@ -100,4 +100,4 @@
     except KeyFileError as error:
         fail(error)
     held = access_tokens.AccessToken(client, now_us - 5_000_000, now_us + round(minutes * 60e6), most, titles)
-    click.echo(access_tokens.seal(held, mac(newest)))
+    click.echo(access_tokens.sign_access_token(held, keyed_mac(newest)))
--- a/packages/cli/src/fennelcove/cli/releases.py
+++ b/packages/cli/src/fennelcove/cli/releases.py
@@ -12,7 +12,7 @@
 from fennelcove.cli.fleet import FILE, KEY, Fleet, sealed
 from fennelcove.cli.telling import FleetSilent, fail
 from fennelcove.decisions.operators import reachability
-from fennelcove.decisions.operators.reachability import CallOutcome, ReachStatus
+from fennelcove.decisions.operators.reachability import CallOutcome, CallStatus
 from fennelcove.fleet.asker import Call, ask, ask_all
 from fennelcove.fleet.inventory import FrontLine
 from fennelcove.wire.orders import PlanOrder
@@ -23,7 +23,7 @@
 
 
 def _told(outcome: CallOutcome) -> dict[str, Any]:
-    said = outcome.said.get("releases", outcome.said)
+    said = outcome.body.get("releases", outcome.body)
     return said if isinstance(said, dict) else {}
 
 
@@ -63,8 +63,8 @@
 def _order(tool: Fleet, what: str, key: str, file: str, fence: int | None, fields: dict[str, Any]) -> None:
     """Tell one front: who leads first, then whoever answers, as long as none may have taken it."""
     lines = tool.chosen(())
-    seen = {one.name: one for one in ask_all(lines, STATUS, tool.times, tool.clock, tool.at_once)}
-    up = [line for line in lines if seen[line.name].word is ReachStatus.DONE and _told(seen[line.name])]
+    seen = {one.front: one for one in ask_all(lines, STATUS, tool.times, tool.clock, tool.at_once)}
+    up = [line for line in lines if seen[line.name].status is CallStatus.DONE and _told(seen[line.name])]
     if not up:
         fail(
             FleetSilent("found no front that answers and has releases"),
@@ -86,20 +86,20 @@
         if not _untaken(outcome):
             break
     for outcome in outcomes:
-        said = f"{outcome.name}: {outcome.word.value} {outcome.detail}".rstrip()
-        if outcome.word is ReachStatus.DONE:
+        said = f"{outcome.front}: {outcome.status.value} {outcome.detail}".rstrip()
+        if outcome.status is CallStatus.DONE:
             told = _told(outcome)
             said += f"; plan {told.get('plan')} is {told.get('phase')}, fence {told.get('fence')}"
         click.echo(said)
     last = outcomes[-1]
-    sys.exit(reachability.ended([last], True).value)
+    sys.exit(reachability.exit_code([last], True).value)
 
 
 def _untaken(outcome: CallOutcome) -> bool:
     """Whether it surely has not taken the order, and another may: it is busy, or could not be reached."""
-    if outcome.word is ReachStatus.DECLINED:
+    if outcome.status is CallStatus.DECLINED:
         return "busy" in outcome.detail
-    return outcome.word in (ReachStatus.REFUSED, ReachStatus.UNREACHABLE, ReachStatus.UNRESOLVED)
+    return outcome.status in (CallStatus.REFUSED, CallStatus.UNREACHABLE, CallStatus.UNRESOLVED)
 
 
 PLAN = (
--- a/packages/cli/src/fennelcove/cli/serve.py
+++ b/packages/cli/src/fennelcove/cli/serve.py
@@ -18,7 +18,7 @@
 from fennelcove.daemon.key_file import KeyFileError
 from fennelcove.settings.checks import load_front
 from fennelcove.settings.reader import SettingsError, load
-from fennelcove.store.folder import StoreError
+from fennelcove.store.directory import StoreError
 from fennelcove.settings.schema import Name, SomeCount, SomeFigure, SomeMillis, Strict
 from fennelcove.emulators.media_server import StandInBox
 from fennelcove.emulators.model import BoxModel, RackModel
--- a/packages/cli/src/fennelcove/cli/store.py
+++ b/packages/cli/src/fennelcove/cli/store.py
@@ -11,16 +11,16 @@
 import msgspec
 
 from fennelcove.cli.telling import fail
-from fennelcove.core.snapshot_records import FRONT, SERVER
+from fennelcove.core.snapshot_records import FRONT_KEY, SERVER_KEY_PREFIX
 from fennelcove.decisions.recovery import snapshot
-from fennelcove.store.base import FILE, BaseFileError
-from fennelcove.store.folder import Store, StoreError, verify
+from fennelcove.store.base import BASE_FILE_NAME, BaseFileError
+from fennelcove.store.directory import Store, StoreError, verify_folder
 
 BAD = 1
 
 
 def _open(folder: str) -> Store:
-    if not (Path(folder) / FILE).exists():
+    if not (Path(folder) / BASE_FILE_NAME).exists():
         fail(StoreError("found no store there", folder))
     try:
         return Store(folder, _size_mb(folder), "fennelcove store")
@@ -29,18 +29,18 @@
 
 
 def _size_mb(folder: str) -> int:
-    return max(64, (Path(folder) / FILE).stat().st_size // 1_000_000 + 1)
+    return max(64, (Path(folder) / BASE_FILE_NAME).stat().st_size // 1_000_000 + 1)
 
 
 def _rows(store: Store) -> list[dict[str, Any]]:
     rows: list[dict[str, Any]] = []
     for key, raw in sorted(store.values.items()):
         found: msgspec.Struct | None
-        if key.startswith(SERVER):
+        if key.startswith(SERVER_KEY_PREFIX):
             kind, found = "box", snapshot.read_server(raw)
         else:
-            kind, found = ("front" if key == FRONT else "unknown"), snapshot.read_front(raw)
-        name = key.removeprefix(SERVER).decode("utf-8", "replace")
+            kind, found = ("front" if key == FRONT_KEY else "unknown"), snapshot.read_front(raw)
+        name = key.removeprefix(SERVER_KEY_PREFIX).decode("utf-8", "replace")
         row: dict[str, Any] = {"kind": kind, "name": name, "bytes": len(raw)}
         if found is not None:
             row |= msgspec.structs.asdict(found)
@@ -77,7 +77,9 @@
                 )
             else:
                 click.echo(f"{row['kind']} {row['name']}: {row['bytes']} bytes")
-        click.echo(f"{len(held.values)} records up to batch {held.journal.number}, {held.base.size()} bytes")
+        click.echo(
+            f"{len(held.values)} records up to batch {held.journal.sequence}, {held.base.byte_count()} bytes"
+        )
     finally:
         held.close()
 
@@ -87,7 +89,7 @@
 def verify_(folder: str) -> None:
     """Name each bad record of FOLDER. Exit status 1 where there is one."""
     try:
-        told = verify(folder)
+        told = verify_folder(folder)
     except StoreError as error:
         fail(error)
     for line in told:
@@ -101,20 +103,20 @@
 def compact(folder: str) -> None:
     """Write the base of FOLDER anew without what is free in it."""
     held = _open(folder)
-    fresh = Path(folder) / f"{FILE}.compact"
+    fresh = Path(folder) / f"{BASE_FILE_NAME}.compact"
     try:
-        held.fold()
-        before = (Path(folder) / FILE).stat().st_size
+        held.checkpoint()
+        before = (Path(folder) / BASE_FILE_NAME).stat().st_size
         fresh.unlink(missing_ok=True)
-        held.base.copy(str(fresh))
+        held.base.copy_to(str(fresh))
     except BaseFileError as error:
         fail(error)
     except OSError as error:
         fail(StoreError(f"found no way to write there ({error})", folder))
     finally:
         held.close()
-    fresh.replace(Path(folder) / FILE)
-    click.echo(f"{before} bytes before, {(Path(folder) / FILE).stat().st_size} now")
+    fresh.replace(Path(folder) / BASE_FILE_NAME)
+    click.echo(f"{before} bytes before, {(Path(folder) / BASE_FILE_NAME).stat().st_size} now")
 
 
 @store.command()
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/quota_loans.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/quota_loans.py
@@ -51,26 +51,26 @@
             self.life,
             self.now_us,
             loan_us=self.loan_us,
-            kept=KEPT,
-            grain=1.0,
-            ask_us=ASK_US,
-            again_us=AGAIN_US,
-            tries=TRIES,
+            reserved_fraction=KEPT,
+            granularity=1.0,
+            request_interval_us=ASK_US,
+            request_reuse_us=AGAIN_US,
+            request_fanout=TRIES,
         )
-        self.purse.asked_us = self.now_us - ASK_US
+        self.purse.requested_us = self.now_us - ASK_US
 
     def set_whole(self, whole: int, now_us: int) -> None:
         """Another number counts here: what is at home follows at once, loans end when they end."""
         home = float(home_slots(self.server, whole, self.fronts, self.index) * self.fronts)
         self.homes = homes_of(self.server, whole, self.fronts, self.index)
-        if home != self.purse.whole:
+        if home != self.purse.total_rate:
             self.purse.advance(now_us)
-            self.purse.whole = home
+            self.purse.total_rate = home
 
     def most(self, now_us: int, allow_us: int = 0) -> int:
         """How many joins may be out, where the next would last so long at most."""
         self.allow_us = allow_us or self.allow_us
-        return floor(self.purse.lasting(now_us, now_us + allow_us) + 1e-9)
+        return floor(self.purse.lasting_rate(now_us, now_us + allow_us) + 1e-9)
 
     def sent(self, now_us: int, allow_us: int) -> None:
         """A join has left; it lasts so long at most."""
@@ -85,7 +85,7 @@
 
     def _need(self, now_us: int) -> None:
         self.purse.advance(now_us)
-        self.purse.need = float(self.out + self.waiting)
+        self.purse.demand = float(self.out + self.waiting)
 
     def ask(self, draw: float, now_us: int) -> list[tuple[int, QuotaRequest]]:
         """Whom to ask for more now, if anybody."""
@@ -93,21 +93,21 @@
             return []
         self._need(now_us)
         # One loan at a time from each: asked for one at a time, a busy front would get one from each.
-        self.purse.need = float(self.out + max(self.waiting, (self.out + 1) // 2))
-        return self.purse.ask(draw, now_us, now_us + self.allow_us, self.homes)
+        self.purse.demand = float(self.out + max(self.waiting, (self.out + 1) // 2))
+        return self.purse.next_requests(draw, now_us, now_us + self.allow_us, self.homes)
 
     def backs(self, now_us: int) -> list[tuple[int, QuotaTransfer]]:
         """What to give back, and to whom: loans that carry no join any more, and those that nobody needs.
         What is out stays within the rest until its end."""
         found = [(to, back) for to, back, _ in self.given]
         again = [(to, back, left - 1) for to, back, left in self.given if left > 1]
-        found += (cancelled := self.purse.cancel() if not self.waiting else [])
+        found += (cancelled := self.purse.cancel_requests() if not self.waiting else [])
         again += [(to, back, SAID - 1) for to, back in cancelled]
         for lender, (_, until_us) in sorted(self.purse.borrowed.items()):
             useless = until_us < now_us + self.allow_us
             left = self._without(lender, now_us, now_us + self.allow_us)
             if (useless or left >= self.out + self.waiting) and self._spares(lender, now_us):
-                given = self.purse.give_back(lender)
+                given = self.purse.release(lender)
                 assert given is not None
                 found.append((lender, given))
                 again.append((lender, given, SAID - 1))
@@ -117,11 +117,11 @@
     @property
     def owes(self) -> bool:
         """Whether there may be something to give back."""
-        return bool(self.purse.borrowed or self.purse.sent or self.given)
+        return bool(self.purse.borrowed or self.purse.pending_requests or self.given)
 
     def _without(self, lender: int, now_us: int, until_us: int) -> float:
         loan = self.purse.borrowed.pop(lender)
-        found = self.purse.lasting(now_us, until_us)
+        found = self.purse.lasting_rate(now_us, until_us)
         self.purse.borrowed[lender] = loan
         return found
 
@@ -134,19 +134,19 @@
         self.purse.advance(now_us)
         if lender in self.purse.borrowed and not self._spares(lender, now_us):
             return False
-        self.purse.forget(lender)
+        self.purse.forget_lender(lender)
         return True
 
     def hear_ask(self, sender: int, ask: QuotaRequest, now_us: int) -> QuotaTransfer | None:
         """Another asks: what it is lent."""
         self._need(now_us)
-        return self.purse.hear_ask(sender, ask, now_us)
+        return self.purse.on_request(sender, ask, now_us)
 
     def hear_loan(self, sender: int, loan: QuotaTransfer, now_us: int) -> bool:
         """Another lends, or gives back; whether there may be more here now."""
         if not loan.rate:
-            self.purse.hear_back(sender, loan)
+            self.purse.on_release(sender, loan)
             return True
         known = self.purse.borrowed.get(sender)
-        self.purse.hear_loan(sender, loan, now_us)
+        self.purse.on_transfer(sender, loan, now_us)
         return self.purse.borrowed.get(sender) != known
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/replica.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/replica.py
@@ -97,7 +97,7 @@
             return False
         self.unclear.discard(sender)
         for server in self.servers.values():
-            server.lot.purse.cleared = not self.unclear
+            server.lot.purse.is_cleared = not self.unclear
         return not self.unclear
 
     # Which boxes there are.
@@ -123,7 +123,7 @@
         server = ServerLimits(name, kind, born_us, agreed, lot)
         if self.index in panel:
             server.learner = AdaptiveLimit(self.terms, whole, now_us)
-        lot.purse.cleared = not self.unclear
+        lot.purse.is_cleared = not self.unclear
         lot.set_whole(whole, now_us)
         self.servers[name] = server
         return True
--- a/packages/core/src/fennelcove/core/admission.py
+++ b/packages/core/src/fennelcove/core/admission.py
@@ -11,7 +11,7 @@
     AdmissionController,
     AdmissionDecision,
     AdmissionEvent,
-    Entry,
+    AdmissionRequest,
 )
 from fennelcove.placement import PlacementPolicy
 
@@ -55,30 +55,30 @@
         """Add a rule that is checked before the others."""
         self._rules.insert(0, rule)
 
-    def try_admit(self, entry: Entry) -> SessionResponse | None:
+    def try_admit(self, entry: AdmissionRequest) -> SessionResponse | None:
         """Admit and count an entry; the rejection to answer with where it is not admitted."""
         with self.context.lock:
-            decision = self.controller.ask(entry)
+            decision = self.controller.admit(entry)
             if decision is AdmissionDecision.LET_IN:
                 return None
-            self.context.tally(f"refused_{entry.name.lower()}_{decision.name.lower()}")
+            self.context.increment(f"refused_{entry.name.lower()}_{decision.name.lower()}")
             reason = REJECTION_REASONS[decision]
-            return SessionResponse(ResponseKind.THROTTLED, reason, self.retry_after_us())
+            return SessionResponse(ResponseKind.REJECTED, reason, self.retry_after_us())
 
     def try_admit_request(self, request: SessionRequest, now_us: int) -> SessionResponse | None:
         """Admit and count a request with the session that it asks for; the caller holds the core's lock."""
-        rejection = self.try_admit(Entry.REQUEST)
+        rejection = self.try_admit(AdmissionRequest.REQUEST)
         if rejection is not None:
             return rejection
-        rejection = self.try_admit(Entry.SUBSCRIPTION)
+        rejection = self.try_admit(AdmissionRequest.SUBSCRIPTION)
         if rejection is not None:
-            self.controller.request_answered(0)
+            self.controller.on_request_answered(0)
             return rejection
         rejection = self._first_rejection(request, now_us)
         if rejection is not None:
-            self.controller.request_answered(0)
-            self.controller.session_ended()
-            self.context.tally("damped")
+            self.controller.on_request_answered(0)
+            self.controller.on_session_closed()
+            self.context.increment("damped")
         return rejection
 
     def _first_rejection(self, request: SessionRequest, now_us: int) -> SessionResponse | None:
@@ -92,40 +92,42 @@
         """After how long a rejected client should try again; spread at random."""
         with self.context.lock:
             draw = self.context.rng.random()
-            return self.controller.come_back_us(draw, self.policy.settings.retry_after_us)
+            return self.controller.retry_after_us(draw, self.policy.settings.retry_after_us)
 
     def stop(self) -> None:
         """Admit nothing from now on: the front shuts down."""
         with self.context.lock:
-            self.controller.turn(AdmissionEvent.STOP)
+            self.controller.apply(AdmissionEvent.STOP)
 
     def change_state(self, event: AdmissionEvent) -> AdmissionStatus:
         """Drain this front, or open it again, at an operator's command."""
         with self.context.lock:
-            state = self.controller.turn(event).name.lower()
-            self.context.notice("admission_state_changed", turn=event.name.lower(), phase=state)
-            return AdmissionStatus(self.front_name, state, self.controller.held, self.controller.waiting)
+            state = self.controller.apply(event).name.lower()
+            self.context.log_event("admission_state_changed", turn=event.name.lower(), phase=state)
+            return AdmissionStatus(
+                self.front_name, state, self.controller.sessions, self.controller.pending_requests
+            )
 
     def reserve_buffer(self, more_bytes: int) -> bool:
         """Count bytes that were read and not processed yet; False where they exceed the bound."""
         with self.context.lock:
-            return self.controller.buffer(more_bytes)
+            return self.controller.reserve_buffer(more_bytes)
 
     def effective_timeout_us(self, limit_us: int) -> int:
         """How long an idle or slow connection may stay open under the present load."""
         with self.context.lock:
-            return self.controller.patience_us(limit_us)
+            return self.controller.connection_timeout_us(limit_us)
 
     def on_connection_closed(self) -> None:
         """Uncount a connection that was admitted."""
         with self.context.lock:
-            self.controller.connection_closed()
+            self.controller.on_connection_closed()
 
     def on_request_answered(self, session: Session) -> None:
         """Uncount an admitted request: its response is ready to be written."""
         with self.context.lock:
-            self.controller.request_answered(self.context.now_us() - session.received_us)
+            self.controller.on_request_answered(self.context.now_us() - session.received_us)
 
     def on_session_closed(self, session: Session) -> None:
         """Uncount a session."""
-        self.controller.session_ended()
+        self.controller.on_session_closed()
--- a/packages/core/src/fennelcove/core/assembly.py
+++ b/packages/core/src/fennelcove/core/assembly.py
@@ -110,7 +110,7 @@
         )
         self.expiry = SessionExpiry(round(limits.silent_ms * 1000))
         self.lifecycle = SessionLifecycle(context, self.policy)
-        self.sessions = self.lifecycle.held
+        self.sessions = self.lifecycle.sessions
         self.draining = DrainingServers(context, round(settings.rules.drain_grace_ms * 1000))
         self.commands = CommandDispatcher(context, limits.held, self.ports.servers, self.draining)
         self.probes = ProbeCoordinator(context, self.policy)
@@ -186,7 +186,7 @@
         self.snapshots = SnapshotManager(
             context,
             policy,
-            self.retry_storms.weather,
+            self.retry_storms.detector,
             self.seat_leases,
             self.idempotency,
             lambda: self.endpoint_tracker.version,
@@ -204,7 +204,7 @@
     def _build_actions(self) -> None:
         context, lifecycle = self.context, self.lifecycle
         self.admission = Admission(context, self.settings.name, self.admission_controller, self.policy)
-        self.admission.add_rule(self.retry_storms.before)
+        self.admission.add_rule(self.retry_storms.check_request)
         self.actions = SessionActions(
             context,
             self.policy,
@@ -267,14 +267,14 @@
             self.lifecycle.remove,
             self._end_expiry,
             self.migrations.on_session_closed,
-            self.content.over,
+            self.content.on_session_closed,
             self.lifecycle.remember_close_reason,
             self.server_registry.on_session_closed,
             self.slots.on_session_closed,
         )
 
     def _end_expiry(self, session: Session) -> None:
-        self.expiry.end(session.id)
+        self.expiry.remove(session.id)
 
     def _bind(self) -> None:
         """Close the circles: these parts call others that need them."""
--- a/packages/core/src/fennelcove/core/attempt_results.py
+++ b/packages/core/src/fennelcove/core/attempt_results.py
@@ -13,7 +13,7 @@
 from fennelcove.decisions.servers import attempt_exchange
 from fennelcove.interface import Outcome
 
-AWAITING_RESULT = (SessionState.JOINING, SessionState.ABANDONED)
+AWAITING_RESULT = (SessionState.ATTEMPTING, SessionState.ABANDONED)
 
 ServedListener = Callable[[str, int], None]
 """Receives the server that served an attempt and when that was sent, in microseconds."""
@@ -55,33 +55,35 @@
                 self._notify_served(session, target.server)
             self.retry_storms.on_attempt_completed(session, target.server, result.outcome, now_us)
             self.slots.release(session, attempt, result.outcome)
-            counted = Outcome.NO_ANSWER if event is SessionEvent.SERVED_LATE else result.outcome
+            counted = Outcome.NO_ANSWER if event is SessionEvent.ATTEMPT_SERVED_LATE else result.outcome
             session.last_result = AttemptResult(counted, result.hints, result.duration_us)
             session.may_be_held_by_server = attempt_exchange.may_need_release(result.outcome)
-            self.context.tally(f"joins_{result.outcome.value}")
+            self.context.increment(f"joins_{result.outcome.value}")
             self.lifecycle.apply(session, event)
             self.slots.start_waiting()
             return session.take_step_if_ready()
 
     def _event_of(self, session: Session, outcome: Outcome, now_us: int) -> SessionEvent:
         if outcome is not Outcome.SERVED:
-            return SessionEvent.FAILED
+            return SessionEvent.ATTEMPT_FAILED
         # At the very instant of the deadline the timeout counts: the client surely still receives that
         # response.
-        return SessionEvent.SERVED if now_us < session.give_up_us else SessionEvent.SERVED_LATE
+        return (
+            SessionEvent.ATTEMPT_SERVED if now_us < session.deadline_us else SessionEvent.ATTEMPT_SERVED_LATE
+        )
 
     def _notify_served(self, session: Session, server: str) -> None:
-        was_sent = session.out_sent_us >= 0
+        was_sent = session.attempt_sent_us >= 0
         if was_sent and self._served_listener is not None:
-            self._served_listener(server, session.out_sent_us)
+            self._served_listener(server, session.attempt_sent_us)
 
     def on_client_gone(self, session: Session) -> None:
         """The client closed its connection before the response, or the response could not be written."""
         with self.context.lock:
-            self.lifecycle.apply(session, SessionEvent.VIEWER_GONE)
+            self.lifecycle.apply(session, SessionEvent.CLIENT_DISCONNECTED)
 
     def on_shutdown(self, session: Session) -> NextStep | None:
         """This front shuts down and waits no longer for the pending attempt; the response, if any."""
         with self.context.lock:
-            self.lifecycle.apply(session, SessionEvent.STOPPED)
+            self.lifecycle.apply(session, SessionEvent.FRONT_STOPPED)
             return session.take_step_if_ready()
--- a/packages/core/src/fennelcove/core/attempt_slots.py
+++ b/packages/core/src/fennelcove/core/attempt_slots.py
@@ -18,26 +18,26 @@
         """Let a request wait for its slot; False where slots are not scheduled."""
         if self.scheduler is None:
             return False
-        self.scheduler.ask(session, request)
+        self.scheduler.admit(session, request)
         return True
 
     def acquire(self, session: Session, server: str, attempt: int) -> bool:
         """Take a slot for an attempt; False where the server has none free."""
-        return self.scheduler is None or self.scheduler.take(session, server, attempt)
+        return self.scheduler is None or self.scheduler.try_acquire(session, server, attempt)
 
     def release(self, session: Session, attempt: int, outcome: Outcome) -> None:
         """Return the slot of an attempt that has ended."""
         if self.scheduler is not None:
-            self.scheduler.give_back(session, attempt, outcome)
+            self.scheduler.release(session, attempt, outcome)
 
     def start_waiting(self) -> None:
         """Start the requests for which slots are free now."""
         if self.scheduler is not None:
-            self.scheduler.pump()
+            self.scheduler.assign_free_slots()
 
     def is_waiting(self, session: Session) -> bool:
         """Whether a session that found no server waits for a slot instead of being rejected."""
-        return self.scheduler is not None and self.scheduler.waits_on(session)
+        return self.scheduler is not None and self.scheduler.waits_for_other_servers(session)
 
     def on_wait_ended(self, step: WaitForSlot, event: WaiterEvent | None) -> NextStep | None:
         """A request was woken, or waits no longer for the reason given; what to do next.
@@ -47,14 +47,14 @@
         """
         if self.scheduler is None:
             raise SessionStateError(f"session {step.session.id} waits for a slot, but none are scheduled")
-        return self.scheduler.waited(step, event)
+        return self.scheduler.end_wait(step, event)
 
     def drop(self, session: Session) -> None:
         """Remove a session that failed, together with its slots."""
         if self.scheduler is not None:
-            self.scheduler.drop(session)
+            self.scheduler.discard(session)
 
     def on_session_closed(self, session: Session) -> None:
         """Remove the session's request from the queue."""
         if self.scheduler is not None:
-            self.scheduler.over(session)
+            self.scheduler.on_set_up_ended(session)
--- a/packages/core/src/fennelcove/core/client_notifier.py
+++ b/packages/core/src/fennelcove/core/client_notifier.py
@@ -130,9 +130,9 @@
         """A connection closed; the ids of its sessions, which anybody may claim until they expire."""
         with self.context.lock:
             self.mailboxes.discard(mailbox)
-            orphans = self.ownerships.left(mailbox)
+            orphans = self.ownerships.on_disconnected(mailbox)
             if orphans:
-                self.context.tally("orphaned")
+                self.context.increment("orphaned")
             return orphans
 
     def claim(self, mailbox: Mailbox, session_id: str, client: str, seen_sequence: int | None) -> ClaimResult:
@@ -145,73 +145,73 @@
             seen_sequence: the last notification of that session which the client has seen.
         """
         with self.context.lock:
-            session = self.lifecycle.playing(session_id)
+            session = self.lifecycle.find_established(session_id)
             if session is None:
                 return ClaimResult(None, reason=self.lifecycle.close_reasons.get(session_id, ""))
-            owner = session.ask.client if session.ask is not None else ""
+            owner = session.request.client if session.request is not None else ""
             if self.requires_token and owner and owner != client:
                 return ClaimResult(None, reason="it is another client's")
             claim = self.ownerships.claim(session_id, mailbox, self.max_sessions)
-            if not claim.given:
-                return ClaimResult(None, reason=claim.why)
-            ownership = self.ownerships.held[session_id]
-            if claim.loser is not None:
-                self.context.tally("taken")
-                claim.loser.put(TakeoverNotification(session_id), ownership.number)
-            self.expiry.hear(session_id, self.context.now_us())
+            if not claim.is_granted:
+                return ClaimResult(None, reason=claim.reason)
+            ownership = self.ownerships.by_session[session_id]
+            if claim.displaced_owner is not None:
+                self.context.increment("taken")
+                claim.displaced_owner.put(TakeoverNotification(session_id), ownership.update_count)
+            self.expiry.on_activity(session_id, self.context.now_us())
             view = self.views.view_of(session)
-            return ClaimResult(view, ownership.number, ownership.missed(seen_sequence))
+            return ClaimResult(view, ownership.update_count, ownership.missed_updates(seen_sequence))
 
     def release(self, mailbox: Mailbox, session_id: str) -> bool:
         """Close a session that the connection owns, without a notification; False where it owns none."""
         with self.context.lock:
             if not self.owns(mailbox, session_id):
                 return False
-            self.ownerships.ended(session_id)
+            self.ownerships.on_session_closed(session_id)
             return self.lifecycle.release(session_id, "released by its viewer")
 
     def on_activity(self, mailbox: Mailbox) -> None:
         """A connection is alive: its sessions do not expire."""
         with self.context.lock:
             now_us = self.context.now_us()
-            for session_id in self.ownerships.owned.get(mailbox, ()):
-                self.expiry.hear(session_id, now_us)
+            for session_id in self.ownerships.by_owner.get(mailbox, ()):
+                self.expiry.on_activity(session_id, now_us)
 
     def owns(self, mailbox: Mailbox, session_id: str) -> bool:
         """Whether a connection owns a session."""
-        return session_id in self.ownerships.owned.get(mailbox, ())
+        return session_id in self.ownerships.by_owner.get(mailbox, ())
 
     # Events of the core.
 
     def on_rung_changed(self, session: Session) -> None:
         """A session's rung, or its highest one, has changed."""
-        owner, number = self.ownerships.news(session.id)
+        owner, number = self.ownerships.on_update(session.id)
         if owner is not None:
             owner.put(RungNotification(self.views.view_of(session)), number)
 
     def on_migrated(self, session: Session) -> None:
         """Another server plays a session."""
-        owner, number = self.ownerships.news(session.id)
+        owner, number = self.ownerships.on_update(session.id)
         if owner is not None:
             owner.put(MigrationNotification(self.views.view_of(session)), number)
 
     def on_session_closed(self, session: Session) -> None:
         """A session was closed."""
-        ownership = self.ownerships.held.get(session.id)
-        number = ownership.number + 1 if ownership is not None else 0
-        owner = self.ownerships.ended(session.id)
+        ownership = self.ownerships.by_session.get(session.id)
+        number = ownership.update_count + 1 if ownership is not None else 0
+        owner = self.ownerships.on_session_closed(session.id)
         if owner is not None:
             owner.put(EndNotification(session.id, session.close_reason or "released"), number)
 
-    def stitched(self, change: Change, state: str) -> None:
+    def on_content_changed(self, change: Change, state: str) -> None:
         """An author's change was made, or withdrawn."""
-        for session_id in list(self.ownerships.held):
-            session = self.lifecycle.held.get(session_id)
+        for session_id in list(self.ownerships.by_session):
+            session = self.lifecycle.sessions.get(session_id)
             if session is None:
                 continue
             if not change.target.meets(session.title, session.service_class, session_id):
                 continue
-            owner, number = self.ownerships.news(session_id)
+            owner, number = self.ownerships.on_update(session_id)
             if owner is not None:
                 owner.put(ContentNotification(session_id, change.id, state), number)
 
--- a/packages/core/src/fennelcove/core/client_reports.py
+++ b/packages/core/src/fennelcove/core/client_reports.py
@@ -42,11 +42,11 @@
     ) -> SessionView | None:
         """A client reported; its session now, or None where that is not established."""
         with self.context.lock:
-            session = self.lifecycle.playing(session_id)
+            session = self.lifecycle.find_established(session_id)
             if session is None:
                 return None
             now_us = self.context.now_us()
-            self.expiry.hear(session_id, now_us)
+            self.expiry.on_activity(session_id, now_us)
             if requested_top_rung is not None:
                 session.requested_top_rung = min(requested_top_rung, len(session.rates_kb) - 1)
             self._observe(session, hints, now_us)
@@ -55,29 +55,29 @@
     def _observe(self, session: Session, hints: ClientHints, now_us: int) -> None:
         """A client that starves counts against its server first, and against its rung otherwise."""
         server = self._server_of(session)
-        starving_share = load_signals.starving_share(hints, session.rates_kb[session.rung])
+        starving_share = load_signals.starving_delivered_fraction(hints, session.rates_kb[session.rung])
         if server is not None:
-            server.delivery.hear(session.id, starving_share, now_us)
+            server.delivery.observe(session.id, starving_share, now_us)
             self.reports.evaluate_delivery(server, now_us)
         if starving_share is None or server is None or not server.is_blamed:
             self._adjust_top_rung(session, hints)
 
     def _server_of(self, session: Session) -> ServerRecord | None:
-        return None if session.adrift else self.server_registry.records.get(session.server)
+        return None if session.is_orphaned else self.server_registry.records.get(session.server)
 
     def _adjust_top_rung(self, session: Session, hints: ClientHints) -> None:
         top_rung = load_signals.adjusted_top_rung(
-            session.rates_kb, session.requested_top_rung, session.top, session.floor, hints
+            session.rates_kb, session.requested_top_rung, session.top_rung, session.floor_rung, hints
         )
-        if top_rung != session.top:
+        if top_rung != session.top_rung:
             self.actions.set_top_rung(session, top_rung)
 
     def close_silent_sessions(self) -> None:
         """Close the sessions whose clients have been silent for too long; called periodically."""
         with self.context.lock:
-            for session_id in self.expiry.silent(self.context.now_us()):
-                session = self.lifecycle.held.get(session_id)
+            for session_id in self.expiry.pop_expired(self.context.now_us()):
+                session = self.lifecycle.sessions.get(session_id)
                 if session is not None:
                     session.close_reason = "its viewer fell silent"
-                    self.context.tally("silent")
+                    self.context.increment("silent")
                     self.lifecycle.apply(session, SessionEvent.RELEASED)
--- a/packages/core/src/fennelcove/core/command_queue.py
+++ b/packages/core/src/fennelcove/core/command_queue.py
@@ -28,14 +28,14 @@
 
     def send_to(self, server: str, session_id: str, attempt: int, rung: int | None) -> None:
         """Like `send`, for an attempt whose session may be closed."""
-        self.put(Command(server, session_id, attempt, rung))
+        self.enqueue(Command(server, session_id, attempt, rung))
 
     def release_after(self, step: SendAttempt, outcome: Outcome) -> None:
         """Release an attempt that nobody needs, where its server may hold it after this outcome."""
         if attempt_exchange.may_need_release(outcome):
             self.send_to(step.server, step.session.id, step.attempt, None)
 
-    def put(self, command: Command) -> None:
+    def enqueue(self, command: Command) -> None:
         """Queue a command, unless its server drains and its grace period is over."""
         if self.draining.may_command(command.server):
             self.queue.add(command)
@@ -50,7 +50,7 @@
         """
         with self.context.lock:
             now_us = self.context.now_us()
-            command = self.queue.take(now_us)
+            command = self.queue.pop_ready(now_us)
             if command is not None:
                 return command, None
             return None, self.queue.wait_us(now_us)
@@ -58,4 +58,4 @@
     def on_command_completed(self, command: Command, *, is_successful: bool) -> None:
         """A command was carried out, or has failed."""
         with self.context.lock:
-            self.queue.done(command, is_successful, self.context.now_us())
+            self.queue.complete(command, is_successful, self.context.now_us())
--- a/packages/core/src/fennelcove/core/content_insertion.py
+++ b/packages/core/src/fennelcove/core/content_insertion.py
@@ -39,7 +39,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Seen:
+class ChangeReach:
     """A change and its reach.
 
     Attributes:
@@ -49,8 +49,8 @@
     """
 
     entry: Entry
-    shown: int
-    ahead: int
+    shown_count: int
+    ahead_count: int
 
 
 def configured_media(catalogue: Catalogue) -> dict[str, Media]:
@@ -81,27 +81,27 @@
         context: CoreContext,
         settings: StitchSettings,
         catalogue: Catalogue,
-        front: PlacementPolicy,
+        policy: PlacementPolicy,
         lifecycle: SessionLifecycle,
-        orders: CommandDispatcher,
-        pushes: ClientNotifier,
+        commands: CommandDispatcher,
+        notifier: ClientNotifier,
     ) -> None:
         self._context = context
         self._authors = settings.authors
         self._catalogue = catalogue
         self._lifecycle = lifecycle
-        self._commands = orders
-        self._notifier = pushes
+        self._commands = commands
+        self._notifier = notifier
         self.media = configured_media(catalogue)
-        self.target = target_duration(self.media.values())
+        self.target_duration_s = target_duration(self.media.values())
         self.ledger = Ledger()
         self.players: dict[str, Player] = {}
-        self._locator = SegmentLocator(context, catalogue, front, self.media, settings.slate)
+        self._locator = SegmentLocator(context, catalogue, policy, self.media, settings.slate)
         self._playlists = PlaylistBuilder(self.media, self.ledger, self._locator.is_playable)
 
     # Authors.
 
-    def author(self, key: str) -> Author | None:
+    def author_of_key(self, key: str) -> Author | None:
         """Return whose key this is; every hash is compared, and each in constant time."""
         hashed = blake3.blake3(key.encode()).hexdigest()
         found = None
@@ -114,18 +114,18 @@
         """Decide on a change; an accepted one is in force at once."""
         with self._context.lock:
             verdict = self.ledger.submit(change, self._scene(change.target))
-            self._context.tally(f"changes_{verdict.ruling.value}")
+            self._context.increment(f"changes_{verdict.ruling.value}")
             if verdict.ruling is Ruling.MADE:
-                self._notifier.stitched(change, "made")
+                self._notifier.on_content_changed(change, "made")
             return verdict
 
-    def withdraw(self, id: str) -> Verdict:
+    def withdraw(self, change_id: str) -> Verdict:
         """Withdraw a change."""
         with self._context.lock:
-            verdict = self.ledger.withdraw(id)
-            self._context.tally(f"changes_{verdict.ruling.value}")
+            verdict = self.ledger.withdraw(change_id)
+            self._context.increment(f"changes_{verdict.ruling.value}")
             if verdict.ruling is Ruling.WITHDRAWN:
-                self._notifier.stitched(self.ledger.entries[id].change, "withdrawn")
+                self._notifier.on_content_changed(self.ledger.entries[change_id].change, "withdrawn")
             return verdict
 
     def restore(self, entries: Iterable[tuple[Change, bool]]) -> None:
@@ -141,7 +141,7 @@
                 elif change.id not in self.ledger.entries:
                     self.ledger.put(change)
 
-    def changes(self, title: str | None = None) -> list[Seen]:
+    def list_changes(self, title: str | None = None) -> list[ChangeReach]:
         """Return the changes, or those of one title, the oldest first, each with its reach."""
         with self._context.lock:
             return [
@@ -152,11 +152,11 @@
 
     def _scene(self, target: Target) -> Scene:
         """Collect what the ledger has to know of the sessions that a change is meant for."""
-        session = self._lifecycle.held.get(target.subscription) if target.subscription else None
+        session = self._lifecycle.sessions.get(target.subscription) if target.subscription else None
         is_playing = target.subscription is None or (session is not None and session.title == target.title)
         player = self.players.get(session.id) if session is not None else None
         position = player.track.cursor.lesson if player is not None else None
-        floor = session.floor if session is not None else self._highest_floor(target.room_type)
+        floor = session.floor_rung if session is not None else self._highest_floor(target.room_type)
         return Scene(self.media, floor, self._context.wall_us(), position, is_playing)
 
     def _highest_floor(self, service_class: str | None) -> int:
@@ -168,10 +168,10 @@
         ]
         return max(floors, default=0)
 
-    def _reach(self, entry: Entry) -> Seen:
+    def _reach(self, entry: Entry) -> ChangeReach:
         shown = ahead = 0
         for id, player in self.players.items():
-            session = self._lifecycle.held[id]
+            session = self._lifecycle.sessions[id]
             if not entry.change.target.meets(session.title, session.service_class, id):
                 continue
             if player.track.names(entry.change.id):
@@ -180,11 +180,11 @@
             first_segment = entry.change.first(self.media[session.title])
             if first_segment is None or first_segment >= player.track.cursor.lesson:
                 ahead += 1
-        return Seen(entry, shown, ahead)
+        return ChangeReach(entry, shown, ahead)
 
     # Playlists.
 
-    def listing(self, id: str, apart: bool = False) -> Listing | None:
+    def playlist(self, session_id: str, with_interstitials: bool = False) -> Listing | None:
         """Return a player's playlist as of now; None where nothing plays or the title has no media.
 
         Args:
@@ -193,13 +193,15 @@
                 as it plays.
         """
         with self._context.lock:
-            session = self._lifecycle.playing(id)
+            session = self._lifecycle.find_established(session_id)
             if session is None or session.title not in self.media:
                 return None
             media, wall_us = self.media[session.title], self._context.wall_us()
-            player = self.players.get(id)
+            player = self.players.get(session_id)
             if player is None:
-                player = self.players[id] = Player(playlist_cursor.begin(media, wall_us, apart))
+                player = self.players[session_id] = Player(
+                    playlist_cursor.begin(media, wall_us, with_interstitials)
+                )
             track = player.track
             if self._playlists.extend(session, track, wall_us):
                 self._save_resume_token(session, track)
@@ -217,10 +219,10 @@
 
     # Segments.
 
-    def segment(self, id: str, seq: int) -> Fetch | None:
+    def locate_segment(self, session_id: str, seq: int) -> Fetch | None:
         """Return where a player fetches a segment of its playlist; None for one that it was not shown."""
         with self._context.lock:
-            session, player = self._lifecycle.held.get(id), self.players.get(id)
+            session, player = self._lifecycle.sessions.get(session_id), self.players.get(session_id)
             if session is None or player is None:
                 return None
             is_repeated = seq <= player.track.fetched
@@ -232,26 +234,26 @@
                 tried.clear()
             return self._locator.segment(session, shown, tried)
 
-    def asset(self, id: str, change: str) -> ClipRendition | None:
+    def interstitial_rendition(self, session_id: str, change: str) -> ClipRendition | None:
         """Return an interstitial's clip and rung; None for one that was not announced to this player."""
         with self._context.lock:
-            session, player = self._lifecycle.held.get(id), self.players.get(id)
+            session, player = self._lifecycle.sessions.get(session_id), self.players.get(session_id)
             entry = self.ledger.entries.get(change)
             if session is None or player is None or entry is None or entry.change.clip not in self.media:
                 return None
             clip, track = self.media[entry.change.clip], player.track
             is_new = change not in track.begun
-            rung = track.asset(change, clip, session.rung, session.floor, entry.withdrawn is not None)
+            rung = track.asset(change, clip, session.rung, session.floor_rung, entry.withdrawn is not None)
             if rung is None:
                 return None
             if is_new:
                 self._save_resume_token(session, track)
             return ClipRendition(clip, rung)
 
-    def asset_segment(self, id: str, change: str, number: int) -> Fetch | None:
+    def locate_interstitial_segment(self, session_id: str, change: str, number: int) -> Fetch | None:
         """Return where a player fetches a segment of an interstitial, once it has the clip's playlist."""
         with self._context.lock:
-            session, player = self._lifecycle.held.get(id), self.players.get(id)
+            session, player = self._lifecycle.sessions.get(session_id), self.players.get(session_id)
             entry = self.ledger.entries.get(change)
             rung = player.track.begun.get(change) if player is not None else None
             if session is None or player is None or entry is None or rung is None:
@@ -263,10 +265,10 @@
             tried = player.servers_tried(InterstitialSegment(change, number))
             return self._locator.segment(session, shown, tried)
 
-    def init(self, id: str, media: str, rung: int) -> Fetch | None:
+    def locate_initialization(self, session_id: str, media: str, rung: int) -> Fetch | None:
         """Return where a player fetches the initialisation segment of a rendition that it was shown."""
         with self._context.lock:
-            session, player = self._lifecycle.held.get(id), self.players.get(id)
+            session, player = self._lifecycle.sessions.get(session_id), self.players.get(session_id)
             if session is None or player is None:
                 return None
             for shown in (*player.track.shown, *self._playlists.begun_interstitials(player.track)):
@@ -276,19 +278,19 @@
 
     # Sessions.
 
-    def adopt(self, session: Session, mark: str) -> None:
+    def resume_playlist(self, session: Session, token: str) -> None:
         """Resume the playlist of a session of an earlier incarnation, by the token that its server kept."""
-        track = resume_tokens.read(mark)
+        track = resume_tokens.read(token)
         if track is not None and session.title in self.media:
             self.players[session.id] = Player(track)
 
-    def over(self, session: Session) -> None:
+    def on_session_closed(self, session: Session) -> None:
         """Forget the player of a session that has ended."""
         self.players.pop(session.id, None)
 
     def _save_resume_token(self, session: Session, track: PlaylistTrack) -> None:
         """Have the session's server store how far the playlist is."""
-        if session.home is not None and not session.adrift:
-            home = session.home
+        if session.current_target is not None and not session.is_orphaned:
+            home = session.current_target
             token = resume_tokens.write(track)
-            self._commands.put(Command(home.server, session.id, home.attempt, None, token))
+            self._commands.enqueue(Command(home.server, session.id, home.attempt, None, token))
--- a/packages/core/src/fennelcove/core/context.py
+++ b/packages/core/src/fennelcove/core/context.py
@@ -23,7 +23,7 @@
 
     clock: Clock
     timers: Timers
-    notice: EventLogger
+    log_event: EventLogger
     rng: Random
     lock: threading.RLock = field(default_factory=threading.RLock)
     counts: dict[str, int] = field(default_factory=dict)
@@ -36,7 +36,7 @@
         """The time of the wall clock, in microseconds since the epoch."""
         return self.clock.wall_us()
 
-    def tally(self, name: str) -> None:
+    def increment(self, name: str) -> None:
         """Count an event for the operators' status."""
         self.counts[name] = self.counts.get(name, 0) + 1
 
@@ -57,7 +57,7 @@
             title.name: (number, title) for number, title in enumerate(settings.titles)
         }
         self.ladder_kb = tuple(rung.kb for rung in settings.ladder)
-        self.cells = settings.fleet.cells
+        self.cell_count = settings.fleet.cells
 
     def rates_kb(self, service_class: str) -> tuple[float, ...]:
         """The rate of each rung for a service class, in kB a second."""
--- a/packages/core/src/fennelcove/core/draining_servers.py
+++ b/packages/core/src/fennelcove/core/draining_servers.py
@@ -48,7 +48,7 @@
             One change as soon as it is recorded; changes of later servers are not recorded yet.
         """
         for address, server in servers.items():
-            event = self._update_server(address, server.standing, now_us)
+            event = self._update_server(address, server.state, now_us)
             if event is not None:
                 yield DrainChange(address, event)
         for address in [address for address in self._since_us if address not in servers]:
--- a/packages/core/src/fennelcove/core/endpoint_discovery.py
+++ b/packages/core/src/fennelcove/core/endpoint_discovery.py
@@ -59,15 +59,17 @@
         """The list service sent a list, or changes to one."""
         with self.context.lock:
             is_first = self.tracker.version is None
-            verdict = self.tracker.rule(message)
-            self.context.tally(f"lists_{verdict.ruling.name.lower()}")
+            verdict = self.tracker.apply(message)
+            self.context.increment(f"lists_{verdict.decision.name.lower()}")
             if verdict.update is not None:
                 self._accept(verdict.update, message.version, is_first=is_first)
-            elif verdict.ruling is ListDecision.REFUSED:
-                self.context.notice("endpoint_list_rejected", version=message.version, reason=verdict.reason)
-            if verdict.ruling is ListDecision.GAP:
+            elif verdict.decision is ListDecision.REFUSED:
+                self.context.log_event(
+                    "endpoint_list_rejected", version=message.version, reason=verdict.reason
+                )
+            if verdict.decision is ListDecision.GAP:
                 self.source.fetch()
-            return verdict.ruling
+            return verdict.decision
 
     def _accept(self, update: ListUpdate, version: int, *, is_first: bool) -> None:
         now_us = self.context.now_us()
@@ -75,10 +77,10 @@
         policy_update = update if self._update_filter is None else self._update_filter(update)
         self.policy.handle(policy_update, now_us)
         if is_first:
-            self.server_registry.greet_all(update, now_us)
-        self.snapshots.listed()
+            self.server_registry.request_greetings(update, now_us)
+        self.snapshots.on_list_received()
         self.migrations.on_list(now_us)
-        self.context.notice("endpoint_list_accepted", version=version, boxes=len(update.entries))
+        self.context.log_event("endpoint_list_accepted", version=version, boxes=len(update.entries))
 
     def on_list_unavailable(self) -> None:
         """A call to the list service, or its stream, failed."""
--- a/packages/core/src/fennelcove/core/front_status.py
+++ b/packages/core/src/fennelcove/core/front_status.py
@@ -105,10 +105,10 @@
             return FrontStatus(
                 front=self.front_name,
                 boot_id=self.boot_id,
-                admission_state=self.admission_controller.phase.name.lower(),
+                admission_state=self.admission_controller.state.name.lower(),
                 connection_count=self.admission_controller.connections,
-                waiting_count=self.admission_controller.waiting,
-                session_count=self.admission_controller.held,
+                waiting_count=self.admission_controller.pending_requests,
+                session_count=self.admission_controller.sessions,
                 active_server_count=self.server_registry.active_count(),
                 queued_command_count=self.commands.queue.count,
                 websocket_count=len(self.notifier.mailboxes),
--- a/packages/core/src/fennelcove/core/idempotency_store.py
+++ b/packages/core/src/fennelcove/core/idempotency_store.py
@@ -47,7 +47,7 @@
             return None
         with self.context.lock:
             what = f"{request.title}/{request.service_class}"
-            found = self.table.ask(
+            found = self.table.request(
                 _key_of(request), what, self._is_repeatable(request), self.context.wall_us()
             )
             if found is None:
@@ -55,27 +55,27 @@
             action, key = found
             if action is KeyAction.RUN:
                 return None
-            self.context.tally(f"repeats_{action.name.lower()}")
+            self.context.increment(f"repeats_{action.name.lower()}")
             return self._known_response(action, key)
 
     def _known_response(self, action: KeyAction, key: IdempotencyKey) -> KnownResponse:
         if action is KeyAction.COME_BACK:
-            return _rejection(ResponseKind.THROTTLED, "the same set-up is under way", RETRY_AFTER_US)
+            return _rejection(ResponseKind.REJECTED, "the same set-up is under way", RETRY_AFTER_US)
         if action is KeyAction.TELL_BARRED:
             return _rejection(ResponseKind.FAILED, "the same set-up may have run and must not be repeated")
-        session = self.lifecycle.playing(key.session)
+        session = self.lifecycle.find_established(key.session_id)
         if action is KeyAction.SHOW and session is not None:
             return KnownResponse(session, SessionResponse(ResponseKind.PLAYING, ""))
-        if action is KeyAction.SHOW and not self.recovery.accounted:
+        if action is KeyAction.SHOW and not self.recovery.is_settled:
             # Its server may still report the session to this incarnation.
-            return _rejection(ResponseKind.THROTTLED, "this front has just started", RETRY_AFTER_US)
+            return _rejection(ResponseKind.REJECTED, "this front has just started", RETRY_AFTER_US)
         return _rejection(ResponseKind.KEY_SPENT, "the set-up under this key has played and ended")
 
     def bind_session(self, request: SessionRequest, session: Session) -> None:
         """Record which session a request has created."""
         if request.idempotency_key:
             with self.context.lock:
-                self.table.begins(_key_of(request), session.id)
+                self.table.attach_session(_key_of(request), session.id)
 
     def on_response(
         self, request: SessionRequest, session: Session | None, response: SessionResponse | None
@@ -92,11 +92,11 @@
     ) -> KeyEvent:
         kind = response.kind if response is not None else None
         if kind is ResponseKind.PLAYING:
-            return KeyEvent.PLAYS
-        has_not_run = kind is ResponseKind.THROTTLED or session is None
+            return KeyEvent.ESTABLISHED
+        has_not_run = kind is ResponseKind.REJECTED or session is None
         if has_not_run or self._is_repeatable(request):
-            return KeyEvent.NOTHING
-        return KeyEvent.MAYBE
+            return KeyEvent.FAILED_SAFELY
+        return KeyEvent.OUTCOME_UNKNOWN
 
     def _is_repeatable(self, request: SessionRequest) -> bool:
         """Whether a set-up of the request's service class may run twice."""
@@ -105,12 +105,13 @@
 
     def on_session_closed(self, session: Session) -> None:
         """Mark the session's key, if it has one, as spent."""
-        self.table.ended(session.id, self.context.wall_us())
+        self.table.on_session_closed(session.id, self.context.wall_us())
 
-    def kept(self) -> list[tuple[bytes, bytes]]:
+    def persisted_entries(self) -> list[tuple[bytes, bytes]]:
         """The idempotency keys, as keys and values for the store."""
         return [
-            (KEY_PREFIX + f"{client}\0{key}".encode(), value) for (client, key), value in self.table.kept()
+            (KEY_PREFIX + f"{client}\0{key}".encode(), value)
+            for (client, key), value in self.table.encode_entries()
         ]
 
     def restore(self, values: Mapping[bytes, bytes]) -> int:
--- a/packages/core/src/fennelcove/core/learned_limit_messages.py
+++ b/packages/core/src/fennelcove/core/learned_limit_messages.py
@@ -45,16 +45,16 @@
             addressed = [message for message in messages if front in message.takers]
             payloads = limit_messages.encode(replica.life, replica.number, addressed, now_us)
             outgoing += [OutgoingMessage(front, payload) for payload in payloads]
-        start_notice = limit_messages.pack_life(limit_messages.BEGUN, replica.life)
+        start_notice = limit_messages.encode_incarnation(limit_messages.INCARNATION_BEGUN, replica.life)
         outgoing += [OutgoingMessage(front, start_notice) for front in replica.begun()]
         return outgoing
 
     def on_message(self, sender: int, payload: bytes, now_us: int) -> MessageOutcome | None:
         """Apply a message of one of `limit_messages.KINDS`; None where it is malformed."""
         kind = payload[0] if payload else 0
-        if kind in (limit_messages.ROWS, limit_messages.WORDS):
+        if kind in (limit_messages.COUNTS_REPORT, limit_messages.LIMIT_VOTES):
             return self._on_observations(sender, payload, now_us)
-        if kind in (limit_messages.ASK, limit_messages.LOAN):
+        if kind in (limit_messages.SLOT_REQUEST, limit_messages.SLOT_TRANSFER):
             return self._on_quota_exchange(sender, payload, now_us)
         return self._on_incarnation(sender, payload, kind, now_us)
 
@@ -68,7 +68,7 @@
         return MessageOutcome(has_more_capacity=any(changes))
 
     def _on_quota_exchange(self, sender: int, payload: bytes, now_us: int) -> MessageOutcome | None:
-        decoded = limit_messages.unpack_trade(payload)
+        decoded = limit_messages.decode_slot_message(payload)
         if decoded is None:
             return None
         server_key, message = decoded
@@ -79,14 +79,16 @@
         transfer = self._replica.hear_ask(sender, server_key, message, now_us)
         if transfer is None:
             return MessageOutcome()
-        return MessageOutcome(reply=limit_messages.pack_trade(server_key, transfer))
+        return MessageOutcome(reply=limit_messages.encode_slot_message(server_key, transfer))
 
     def _on_incarnation(self, sender: int, payload: bytes, kind: int, now_us: int) -> MessageOutcome | None:
-        incarnation = limit_messages.unpack_life(payload)
+        incarnation = limit_messages.decode_incarnation(payload)
         if incarnation is None:
             return None
-        if kind == limit_messages.CLEAR:
+        if kind == limit_messages.SLOTS_CLEARED:
             return MessageOutcome(has_more_capacity=self._replica.hear_clear(sender, incarnation))
         if self._replica.hear_begun(sender, now_us):
-            return MessageOutcome(reply=limit_messages.pack_life(limit_messages.CLEAR, incarnation))
+            return MessageOutcome(
+                reply=limit_messages.encode_incarnation(limit_messages.SLOTS_CLEARED, incarnation)
+            )
         return MessageOutcome()
--- a/packages/core/src/fennelcove/core/learned_limits.py
+++ b/packages/core/src/fennelcove/core/learned_limits.py
@@ -24,7 +24,7 @@
 from fennelcove.core.requests import EventLogger
 from fennelcove.settings.schema import Instance, RoomTypeSettings, SlotSettings
 
-TRADE_US = quota_loans.ASK_US  # interval of requests for quota and of returns
+QUOTA_EXCHANGE_INTERVAL_US = quota_loans.ASK_US  # interval of requests for quota and of returns
 LIST_REFRESH_US = 20_000  # least interval between two reads of the server list
 LOGGED_ACTIONS = (
     LimitAction.RISE,
@@ -36,7 +36,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Listed:
+class ListedServer:
     """A server as the endpoint list has it now.
 
     Attributes:
@@ -48,8 +48,8 @@
 
     address: str
     kind: str
-    born_us: int
-    cold: bool
+    started_us: int
+    is_warming_up: bool
 
 
 class LearnedLimits:
@@ -63,31 +63,31 @@
 
     def __init__(
         self,
-        told: SlotSettings,
+        settings: SlotSettings,
         service_classes: Sequence[RoomTypeSettings],
-        rungs: int,
+        rung_count: int,
         instance: Instance,
-        life: int,
+        incarnation: int,
         clock: Clock,
         rng: Random,
         lock: threading.RLock,
-        notice: EventLogger,
+        log: EventLogger,
     ) -> None:
         self.clock = clock
         self._service_class_numbers = {
             service_class.name: number for number, service_class in enumerate(service_classes)
         }
-        self._rung_count = rungs
+        self._rung_count = rung_count
         self._rng = rng
         self._lock = lock
-        self._log = notice
+        self._log = log
         timeouts_ms = [service_class.client_timeout_ms for service_class in service_classes]
         shortest_us = min(timeouts_ms) * 1000
-        self.longest_us = round(max(timeouts_ms) * 1000)
-        max_wait_us = max(1, round(told.wait_share * shortest_us))
-        limits = LimitSettings(told.start, told.least, told.most, max_wait_us)
-        loan_us = round(told.loan_ms * 1000)
-        self.replica = Replica(limits, instance.fronts, instance.index, life, clock.now_us(), loan_us)
+        self.longest_timeout_us = round(max(timeouts_ms) * 1000)
+        max_wait_us = max(1, round(settings.wait_share * shortest_us))
+        limits = LimitSettings(settings.start, settings.least, settings.most, max_wait_us)
+        loan_us = round(settings.loan_ms * 1000)
+        self.replica = Replica(limits, instance.fronts, instance.index, incarnation, clock.now_us(), loan_us)
         self.server_keys: dict[str, int] = {}  # by address
         self._messages = LimitMessageHandler(self.replica)
         self._snapshots = LimitSnapshots(self.replica, clock)
@@ -96,19 +96,19 @@
         self._queued: dict[str, int] = {}  # requests waiting at each server, where there is a queue
         self._rejected: dict[str, int] = {}  # attempts without a slot in this window, by server
         self._logged_counts: dict[LimitAction, int] = {}
-        self.servers: Callable[[], Iterable[Listed]] = lambda: ()
-        self.post: Callable[[int, bytes], None] = lambda _front, _payload: None
-        self.changed: Callable[[], None] = lambda: None
-        self.soon: Callable[[], object] = lambda: None
+        self.list_servers: Callable[[], Iterable[ListedServer]] = lambda: ()
+        self.send: Callable[[int, bytes], None] = lambda _front, _payload: None
+        self.on_capacity_increased: Callable[[], None] = lambda: None
+        self.schedule_quota_exchange: Callable[[], object] = lambda: None
 
     # Attempts of this front; the lock may be held or not.
 
-    def shape(self, service_class: str, rung: int, server: str) -> int:
+    def workload_shape(self, service_class: str, rung: int, server: str) -> int:
         """Return the workload shape of an attempt at a server."""
         number = self._service_class_numbers.get(service_class, 0)
         return shape_of(number, rung, self._rung_count, server not in self._warming_up)
 
-    def free(self, server: str) -> bool:
+    def has_free_slot(self, server: str) -> bool:
         """Return whether an attempt may start there now, however long it lasts.
 
         A refusal counts as demand, so that this front requests quota from the others.
@@ -118,13 +118,13 @@
             if server_key is None:
                 return False
             in_flight = self.replica.servers[server_key].lot.out
-            if in_flight < self.replica.most(server_key, self.clock.now_us(), self.longest_us):
+            if in_flight < self.replica.most(server_key, self.clock.now_us(), self.longest_timeout_us):
                 return True
             self._rejected[server] = self._rejected.get(server, 0) + 1
         self._publish_demand(server)
         return False
 
-    def take(self, server: str, shape: int, allow_us: int) -> bool:
+    def try_acquire(self, server: str, shape: int, allow_us: int) -> bool:
         """Acquire a slot for an attempt that lasts `allow_us` at most; return False where none is free."""
         with self._lock:
             server_key = self.server_keys.get(server)
@@ -138,7 +138,7 @@
             self.replica.sent(server_key, shape, now_us, allow_us)
             return True
 
-    def ended(self, server: str, shape: int, held_us: int, answered: bool | None) -> None:
+    def on_attempt_ended(self, server: str, shape: int, held_us: int, answered: bool | None) -> None:
         """Release an attempt's slot.
 
         Args:
@@ -153,7 +153,7 @@
             if server_key is not None:
                 self.replica.ended(server_key, shape, held_us, answered)
 
-    def most(self, server: str, allow_us: int) -> int:
+    def max_in_flight(self, server: str, allow_us: int) -> int:
         """Return how many attempts this front may have in flight at a server, those in flight included.
 
         The next may last `allow_us`. A server that is not listed takes none.
@@ -164,19 +164,19 @@
                 return 0
             return self.replica.most(server_key, self.clock.now_us(), allow_us)
 
-    def wants(self, server: str, waiting: int) -> None:
+    def set_waiting_count(self, server: str, waiting: int) -> None:
         """Set the number of requests that wait for a slot at a server."""
         with self._lock:
             self._queued[server] = waiting
         self._publish_demand(server)
 
-    def links(self, server: str) -> int:
+    def target_connection_count(self, server: str) -> int:
         """Return how many connections to keep to a server, idle ones included."""
         with self._lock:
             server_key = self.server_keys.get(server)
             return 0 if server_key is None else self.replica.links(server_key, self.clock.now_us())
 
-    def hold_us(self, server: str, shape: int) -> int | None:
+    def median_hold_us(self, server: str, shape: int) -> int | None:
         """Return the median time that such an attempt holds its slot; None where it is not known."""
         with self._lock:
             median_us = self.replica.hold_us(self.server_keys.get(server, -1), shape)
@@ -199,11 +199,11 @@
             has_grown = waiting > self.replica.servers[server_key].lot.waiting
             self.replica.wants(server_key, waiting)
         if has_grown:
-            self.soon()
+            self.schedule_quota_exchange()
 
     # Timers; without the lock.
 
-    def window(self) -> None:
+    def close_window(self) -> None:
         """Close an observation window: adjust the limits and send the result to the other fronts."""
         with self._lock:
             now_us = self.clock.now_us()
@@ -219,28 +219,30 @@
             self._log_actions()
             outgoing = self._messages.encode_window(messages, now_us)
         for message in outgoing:
-            self.post(message.front, message.payload)
+            self.send(message.front, message.payload)
         if has_risen:
-            self.changed()
+            self.on_capacity_increased()
 
-    def trade(self) -> None:
+    def exchange_quota(self) -> None:
         """Request quota that is short, and return what is not needed."""
         with self._lock:
             outgoing = self.replica.trade(self._rng.random(), self.clock.now_us())
         for front, server_key, message in outgoing:
-            self.post(front, limit_messages.pack_trade(server_key, message))
+            self.send(front, limit_messages.encode_slot_message(server_key, message))
 
     def _refresh_servers(self, now_us: int) -> None:
         """Bring the replica's servers in line with the endpoint list."""
         server_keys: dict[str, int] = {}
         warming_up = []
-        for server in self.servers():
-            if server.cold:
+        for server in self.list_servers():
+            if server.is_warming_up:
                 warming_up.append(server.address)
             server_key = crc32(f"{server.address} {server.kind}".encode())
             server_keys[server.address] = server_key
-            limit = self._snapshots.claim(server.address, server.kind, server.born_us, now_us)
-            self.replica.listed(server_key, server.kind, server.born_us, now_us, limit, server.cold)
+            limit = self._snapshots.claim(server.address, server.kind, server.started_us, now_us)
+            self.replica.listed(
+                server_key, server.kind, server.started_us, now_us, limit, server.is_warming_up
+            )
         listed = set(server_keys.values())
         self.replica.gone([key for key in self.replica.servers if key not in listed])
         self.server_keys, self._listed_us = server_keys, now_us
@@ -262,16 +264,16 @@
 
     # Messages of other fronts; without the lock.
 
-    def hear(self, sender: int, raw: bytes) -> bool:
+    def on_message(self, sender: int, payload: bytes) -> bool:
         """Handle a message of one of `limit_messages.KINDS`; return whether it was well formed."""
         with self._lock:
-            outcome = self._messages.on_message(sender, raw, self.clock.now_us())
+            outcome = self._messages.on_message(sender, payload, self.clock.now_us())
         if outcome is None:
             return False
         if outcome.reply is not None:
-            self.post(sender, outcome.reply)
+            self.send(sender, outcome.reply)
         if outcome.has_more_capacity:
-            self.changed()
+            self.on_capacity_increased()
         return True
 
     # Persistence and status.
@@ -281,7 +283,7 @@
         with self._lock:
             self._snapshots.restore(values)
 
-    def kept(self) -> list[tuple[bytes, bytes]]:
+    def snapshot_records(self) -> list[tuple[bytes, bytes]]:
         """Return the store records of listed servers."""
         with self._lock:
             return self._snapshots.records(self.server_keys)
--- a/packages/core/src/fennelcove/core/load_shedding_coordinator.py
+++ b/packages/core/src/fennelcove/core/load_shedding_coordinator.py
@@ -47,103 +47,103 @@
     def __init__(
         self,
         service_classes: Sequence[RoomTypeSettings],
-        fronts: Callable[[], int],
-        life: int,
-        storms: RetryStormGuard,
+        front_count: Callable[[], int],
+        incarnation: int,
+        storm_guard: RetryStormGuard,
         clock: Clock,
         rng: Random,
         lock: threading.RLock,
-        notice: EventLogger,
+        log: EventLogger,
     ) -> None:
         self._service_classes = {
             service_class.name: SheddingClass(number, service_class.benefit)
             for number, service_class in enumerate(service_classes)
         }
-        self._front_count = fronts
+        self._front_count = front_count
         self._clock = clock
         self._rng = rng
         self._lock = lock
-        self._log = notice
-        self._load = FleetLoadEstimator(len(service_classes), clock.now_us(), life)
-        self.ladder = SheddingPolicy()
+        self._log = log
+        self._load = FleetLoadEstimator(len(service_classes), clock.now_us(), incarnation)
+        self.policy = SheddingPolicy()
         self._allocation = SlowStartAllocation()
-        self.post: Callable[[LoadSummary], None] = lambda _summary: None
-        storms.ruler = self._decide
-        storms.ended = self._on_request_ended
-        storms.sheds = self._is_shedding
+        self.broadcast: Callable[[LoadSummary], None] = lambda _summary: None
+        storm_guard.admission_rule = self._decide
+        storm_guard.on_request_ended = self._on_request_ended
+        storm_guard.is_shedding = self._is_shedding
 
     def _is_shedding(self) -> bool:
         """Return whether rejected requests get tickets."""
-        return self.ladder.level is not SheddingLevel.NONE
+        return self.policy.level is not SheddingLevel.NONE
 
     def _decide(
         self, request: SessionRequest, status: TicketStatus, queue: WaitingQueue, now_us: int
     ) -> QueueDecision:
         """Admit or shed a request."""
         service_class = self._service_classes[request.service_class]
-        self._load.asked(service_class.number)
-        action = self.ladder.act(status)
-        if action is SheddingAction.BY_BENEFIT:
+        self._load.record_requested(service_class.number)
+        action = self.policy.action_for(status)
+        if action is SheddingAction.BY_PRIORITY:
             action = self._action_by_priority(request.title, service_class, queue, now_us)
-        if action is SheddingAction.PASS:
-            return QueueDecision.LET_IN
-        self._load.turned(service_class.number)
+        if action is SheddingAction.ADMIT:
+            return QueueDecision.ADMIT
+        self._load.record_rejected(service_class.number)
         if status is TicketStatus.EARLY:
-            return QueueDecision.KEEP_PLACE
-        return waiting_room.TURNED_AWAY.get(status, QueueDecision.GUEST_PLACE)
+            return QueueDecision.KEEP_TICKET
+        return waiting_room.REJECTED_DECISIONS.get(status, QueueDecision.UNRESERVED_TICKET)
 
     def _action_by_priority(
         self, title: str, service_class: SheddingClass, queue: WaitingQueue, now_us: int
     ) -> SheddingAction:
         # The title's pace grows as long as the placement policy rejects nobody, so no class is shed for good.
-        wait_s = self._allocation.ask(
-            title, service_class.priority_weight, queue.pace, None, now_us, self._rng.random()
+        wait_s = self._allocation.retry_after_us(
+            title, service_class.priority_weight, queue.rate_per_s, None, now_us, self._rng.random()
         )
-        return SheddingAction.PASS if wait_s is None else SheddingAction.TURN
+        return SheddingAction.ADMIT if wait_s is None else SheddingAction.REJECT
 
     def _on_request_ended(self, service_class: str, was_served: bool) -> None:
         """Count an admitted request that was served, or that the placement policy rejected."""
         number = self._service_classes[service_class].number
         if was_served:
-            self._load.served(number)
+            self._load.record_served(number)
         else:
-            self._load.turned(number)
+            self._load.record_rejected(number)
 
-    def window(self) -> None:
+    def close_window(self) -> None:
         """Close a window: set the level by the fleet's figures and send this front's to the others."""
         with self._lock:
             now_us = self._clock.now_us()
             if not self._load.advance(now_us):
                 return
             totals = self._load.totals(self._front_count(), now_us)
-            if self.ladder.window(totals):
+            if self.policy.on_window_closed(totals):
                 self._log_level(totals)
             summary = self._load.summary()
-        self.post(summary)
+        self.broadcast(summary)
 
     def _log_level(self, totals: FleetTotals) -> None:
         self._log(
             "shedding_level_changed",
-            level=self.ladder.level.name.lower(),
-            asked=totals.asked,
-            unmet=round(totals.unmet, 3),
-            heard=totals.heard,
+            level=self.policy.level.name.lower(),
+            asked=totals.requested,
+            unmet=round(totals.unmet_fraction, 3),
+            heard=totals.reporting_peers,
         )
 
-    def hear(self, sender: int, said: LoadSummary) -> None:
+    def on_summary(self, sender: int, summary: LoadSummary) -> None:
         """Handle another front's summary."""
         with self._lock:
-            self._load.hear(sender, said, self._clock.now_us())
+            self._load.on_summary(sender, summary, self._clock.now_us())
 
     def status(self) -> dict[str, object]:
         """Return the figures of the `overload` section of the status JSON."""
         with self._lock:
             totals = self._load.totals(self._front_count(), self._clock.now_us())
             status = LoadSheddingStatus(
-                level=self.ladder.level.name.lower(),
-                changes=self.ladder.changes,
-                asked=totals.asked,
-                unmet=round(totals.unmet, 3),
-                heard=totals.heard,
+                level=self.policy.level.name.lower(),
+                changes=self.policy.change_count,
+                asked=totals.requested,
+                unmet=round(totals.unmet_fraction, 3),
+                heard=totals.reporting_peers,
             )
             return asdict(status)
--- a/packages/core/src/fennelcove/core/membership_coordinator.py
+++ b/packages/core/src/fennelcove/core/membership_coordinator.py
@@ -13,7 +13,7 @@
 from fennelcove.decisions.fleet.peer_states import PeerState
 from fennelcove.settings.schema import CompanySettings, Instance
 
-LOGGED_STATES = {PeerState.SILENT, PeerState.LEFT, PeerState.BACK, PeerState.TWIN}
+LOGGED_STATES = {PeerState.UNREACHABLE, PeerState.LEFT, PeerState.REJOINING, PeerState.DUPLICATE}
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,83 +36,86 @@
 
     def __init__(
         self,
-        told: CompanySettings,
+        company_settings: CompanySettings,
         instance: Instance,
-        life: int,
+        incarnation: int,
         clock: Clock,
         lock: threading.RLock,
-        notice: EventLogger,
+        log: EventLogger,
     ) -> None:
-        interval_us, lease_us = round(told.beat_ms * 1000), round(told.lease_ms * 1000)
+        interval_us, lease_us = (
+            round(company_settings.beat_ms * 1000),
+            round(company_settings.lease_ms * 1000),
+        )
         settings = MembershipSettings(
-            instance.fronts, instance.index, interval_us, lease_us, lease_us, told.kept
+            instance.fronts, instance.index, interval_us, lease_us, lease_us, company_settings.kept
         )
         self._clock = clock
         self._lock = lock
-        self._log = notice
-        self.company = Membership(settings, life, clock.now_us())
-        self.post: Callable[[dict[int, Heartbeat]], None] = lambda _heartbeats: None
+        self._log = log
+        self.membership = Membership(settings, incarnation, clock.now_us())
+        self.broadcast: Callable[[dict[int, Heartbeat]], None] = lambda _heartbeats: None
         self._had_lease = False
 
-    def mine(self, turn: int) -> bool:
+    def is_own_turn(self, turn: int) -> bool:
         """Return whether a turn of a server in slow start is this front's, as `PlacementPolicy.mine` asks."""
         with self._lock:
-            return self.company.mine(turn, self._clock.now_us())
+            return self.membership.owns_turn(turn, self._clock.now_us())
 
-    def fronts(self) -> float:
+    def effective_front_count(self) -> float:
         """Return the number of fronts among which this one's share counts."""
         with self._lock:
-            return 1 / self.company.share(self._clock.now_us())
+            return 1 / self.membership.allowed_share(self._clock.now_us())
 
-    def beat(self) -> None:
+    def send_heartbeats(self) -> None:
         """Send a heartbeat to each front; returns without waiting for them."""
         with self._lock:
-            heartbeats = self.company.beat(self._clock.now_us())
+            heartbeats = self.membership.next_heartbeats(self._clock.now_us())
             self._log_changes()
-        self.post(heartbeats)
+        self.broadcast(heartbeats)
 
-    def hear(self, sender: int, beat: Heartbeat) -> None:
+    def on_heartbeat(self, sender: int, heartbeat: Heartbeat) -> None:
         """Handle another front's heartbeat."""
         with self._lock:
-            self.company.hear(sender, beat, self._clock.now_us())
+            self.membership.on_heartbeat(sender, heartbeat, self._clock.now_us())
             self._log_changes()
 
-    def leave(self) -> None:
+    def announce_leave(self) -> None:
         """Announce that this front ends, so that the others need not wait for a timeout."""
         with self._lock:
-            self.company.leaving = True
-        self.beat()
+            self.membership.is_leaving = True
+        self.send_heartbeats()
 
-    def lives(self) -> FrontIncarnations:
+    def known_incarnations(self) -> FrontIncarnations:
         """Return the known incarnations of all fronts."""
         with self._lock:
-            membership = self.company
+            membership = self.membership
             known = tuple(
-                membership.peers[index].life if index in membership.peers else membership.life
-                for index in range(membership.terms.fronts)
+                membership.peers[index].incarnation if index in membership.peers else membership.incarnation
+                for index in range(membership.settings.front_count)
             )
-            return FrontIncarnations(membership.life, membership.outbid_life, known)
+            return FrontIncarnations(membership.incarnation, membership.latest_known_incarnation, known)
 
     def status(self) -> dict[str, object]:
         """Return the figures of the `company` section of the status JSON."""
         with self._lock:
-            now_us, membership = self._clock.now_us(), self.company
+            now_us, membership = self._clock.now_us(), self.membership
             status = MembershipStatus(
-                living=membership.living(),
-                fronts=membership.terms.fronts,
-                leased=membership.leased(now_us),
-                gone=sorted(membership.gone(now_us)),
-                share=round(membership.share(now_us), 4),
-                standings={str(index): peer.standing.value for index, peer in membership.peers.items()},
+                living=membership.live_front_count(),
+                fronts=membership.settings.front_count,
+                leased=membership.has_lease(now_us),
+                gone=sorted(membership.departed_fronts(now_us)),
+                share=round(membership.allowed_share(now_us), 4),
+                standings={str(index): peer.state.value for index, peer in membership.peers.items()},
             )
             return asdict(status)
 
     def _log_changes(self) -> None:
-        for change in self.company.news():
-            if change.now in LOGGED_STATES:
-                was, now = change.was.value, change.now.value
+        for change in self.membership.take_changes():
+            if change.current in LOGGED_STATES:
+                was, now = change.previous.value, change.current.value
                 self._log("peer_state_changed", other=change.index, was=was, now=now)
-        has_lease = self.company.leased(self._clock.now_us())
+        has_lease = self.membership.has_lease(self._clock.now_us())
         if has_lease is not self._had_lease:
             self._had_lease = has_lease
-            self._log("lease_changed", held=has_lease, living=self.company.living())
+            self._log("lease_changed", held=has_lease, living=self.membership.live_front_count())
--- a/packages/core/src/fennelcove/core/player_playlists.py
+++ b/packages/core/src/fennelcove/core/player_playlists.py
@@ -81,7 +81,7 @@
             session.id,
             changes,
             session.rung,
-            session.floor,
+            session.floor_rung,
             wall_us,
             track.began_wall_us,
             self._is_playable,
--- a/packages/core/src/fennelcove/core/policy_effects.py
+++ b/packages/core/src/fennelcove/core/policy_effects.py
@@ -66,71 +66,73 @@
     def start_attempt(self, id: str, server: str, allow_us: int) -> None:
         """Send an attempt of a session to a server, to be ended after a time in microseconds."""
         targets = self._targets
-        session = targets.lifecycle.by_module[id]
+        session = targets.lifecycle.by_policy_id[id]
         policy_attempt = len(targets.policy.sessions[id].attempts) - 1
         target = AttemptTarget(server, session.attempt_count, id, policy_attempt)
         session.pending_target = target
         session.attempt_count += 1
-        self.context.tally("joins")
+        self.context.increment("joins")
         is_blocked = not self._may_send(session, target)
         now_us = self.context.now_us()
-        session.out_sent_us = NOT_SENT_US if is_blocked else now_us
-        if session.home is not None:
+        session.attempt_sent_us = NOT_SENT_US if is_blocked else now_us
+        if session.current_target is not None:
             targets.migrations.send_attempt(_send_attempt(session, target, allow_us, is_blocked=is_blocked))
             return
-        timeout_us = max(1, min(allow_us, session.give_up_us - now_us))
-        session.step = _send_attempt(session, target, timeout_us, is_blocked=is_blocked)
-        targets.lifecycle.apply(session, SessionEvent.JOIN)
+        timeout_us = max(1, min(allow_us, session.deadline_us - now_us))
+        session.next_step = _send_attempt(session, target, timeout_us, is_blocked=is_blocked)
+        targets.lifecycle.apply(session, SessionEvent.ATTEMPT_STARTED)
 
     def _may_send(self, session: Session, target: AttemptTarget) -> bool:
         """Whether budget, server limit and slots let the attempt go out; each is taken in this order."""
         is_retry = session.attempt_count > 1
         if is_retry and self._retry_budget is not None and not self._retry_budget():
             return False
-        if not self._targets.retry_storms.enter(target.server):
+        if not self._targets.retry_storms.try_start_set_up(target.server):
             return False
         return self._targets.slots.acquire(session, target.server, target.attempt)
 
     def set_rung(self, id: str, rung: int) -> None:
         """Play a session at this rung, or its pending attempt where the id is that of a migration."""
-        session = self._targets.lifecycle.by_module[id]
-        if session.home is None or session.home.policy_id != id:
+        session = self._targets.lifecycle.by_policy_id[id]
+        if session.current_target is None or session.current_target.policy_id != id:
             session.pending_rung = rung
             return
         has_changed = session.rung != rung
         session.rung = rung
-        if session.state is not SessionState.PLAYING:
+        if session.state is not SessionState.ESTABLISHED:
             return
         if has_changed:
             self._targets.notifier.on_rung_changed(session)
-        if not session.adrift:
-            self._targets.commands.send(session.home, session, rung)
+        if not session.is_orphaned:
+            self._targets.commands.send(session.current_target, session, rung)
 
     def reject(self, id: str, wait_us: int) -> None:
         """Reject a session that no server may take; its client may retry after a time in microseconds."""
         targets = self._targets
-        session = targets.lifecycle.by_module[id]
-        if session.home is not None:
+        session = targets.lifecycle.by_policy_id[id]
+        if session.current_target is not None:
             targets.migrations.on_attempt_refused(session, id)
             return
         if targets.slots.is_waiting(session):
             return
         reason = "no further holder may be tried" if session.attempt_count else "no holder has room"
-        session.step = targets.retry_storms.refused(session, reason, wait_us)
-        targets.lifecycle.apply(session, SessionEvent.THROTTLE)
+        session.next_step = targets.retry_storms.reject(session, reason, wait_us)
+        targets.lifecycle.apply(session, SessionEvent.SETUP_REJECTED)
 
     def fail(self, id: str) -> None:
         """Fail a session whose attempt may have run and must not be repeated."""
-        session = self._targets.lifecycle.by_module[id]
-        if session.home is not None:
+        session = self._targets.lifecycle.by_policy_id[id]
+        if session.current_target is not None:
             self._targets.migrations.on_attempt_refused(session, id)
             return
-        session.step = SessionResponse(ResponseKind.FAILED, "a join may have run and must not be repeated")
-        self._targets.lifecycle.apply(session, SessionEvent.TERMINATE)
+        session.next_step = SessionResponse(
+            ResponseKind.FAILED, "a join may have run and must not be repeated"
+        )
+        self._targets.lifecycle.apply(session, SessionEvent.SETUP_FAILED)
 
     def migrate(self, id: str) -> None:
         """Log that the policy would move a session."""
-        self.context.notice("migration_suggested", subscription=id)
+        self.context.log_event("migration_suggested", subscription=id)
 
     def probe(self, server: str) -> None:
         """Probe a server's load."""
@@ -138,7 +140,7 @@
 
     def send_peer_message(self, front: int, said: PeerMessage) -> None:
         """Send a message to another front; it may be lost."""
-        self._targets.probes.tell(front, said)
+        self._targets.probes.send_peer_message(front, said)
 
     def set_timer(self, name: int, delay_us: int) -> None:
         """Send the policy a timer event after a delay in microseconds."""
@@ -147,7 +149,7 @@
     def _on_timer(self, name: int) -> None:
         with self.context.lock:
             self._targets.policy.handle(TimerFired(name), self.context.now_us())
-            self._targets.probes.moved()
+            self._targets.probes.wake_waiting()
 
     def watch_list(self) -> None:
         """Keep a stream of the endpoint list open."""
--- a/packages/core/src/fennelcove/core/probe_coordinator.py
+++ b/packages/core/src/fennelcove/core/probe_coordinator.py
@@ -33,53 +33,53 @@
     quota of a probe.
     """
 
-    def __init__(self, context: CoreContext, front: PlacementPolicy) -> None:
+    def __init__(self, context: CoreContext, policy: PlacementPolicy) -> None:
         self._context = context
-        self._policy = front
+        self._policy = policy
         self._decided = threading.Condition(context.lock)
-        self.probes: ProbeSender | None = None
-        self.fronts: PeerMessenger | None = None
+        self.probe_sender: ProbeSender | None = None
+        self.peer_messenger: PeerMessenger | None = None
         self.may_probe: Callable[[], bool] = lambda: True
 
-    def wait(self, session: Session) -> None:
+    def wait_for_decision(self, session: Session) -> None:
         """Wait while the policy holds a set-up for answers; past its time it decides by what it knows."""
         policy_session = self._policy.sessions.get(session.id)
-        while session.step is None and policy_session is not None:
+        while session.next_step is None and policy_session is not None:
             now_us = self._context.now_us()
             left_us = self._policy.poll_deadline_us(policy_session) - now_us
             if left_us <= 0:
-                self._policy.handle(TimerFired(TimerName.HELD), self._context.now_us())
+                self._policy.handle(TimerFired(TimerName.POLL_DEADLINE), self._context.now_us())
                 return
             self._decided.wait(left_us / 1e6)
 
-    def moved(self) -> None:
+    def wake_waiting(self) -> None:
         """Wake the set-ups that wait, as the policy may have decided on one."""
         self._decided.notify_all()
 
     def probe(self, server: str) -> None:
         """Ask a server for its load."""
-        self._context.tally("probes")
-        if self.probes is None or not self.may_probe() or not self.probes.ask(server):
+        self._context.increment("probes")
+        if self.probe_sender is None or not self.may_probe() or not self.probe_sender.ask(server):
             # Reported later, as the policy is in the middle of handling an event.
             failed = ProbeCompleted(server, Outcome.NOT_SENT, 0, None)
-            self._context.timers.after(0, lambda: self.probed(failed))
+            self._context.timers.after(0, lambda: self.on_probe_completed(failed))
 
-    def tell(self, front: int, said: PeerMessage) -> None:
+    def send_peer_message(self, front: int, message: PeerMessage) -> None:
         """Send a message to another front, or lose it."""
-        self._context.tally("messages")
-        if self.fronts is not None:
-            self.fronts.tell(front, said)
+        self._context.increment("messages")
+        if self.peer_messenger is not None:
+            self.peer_messenger.tell(front, message)
 
-    def probed(self, event: ProbeCompleted) -> None:
+    def on_probe_completed(self, event: ProbeCompleted) -> None:
         """Handle the end of a probe."""
         with self._context.lock:
-            self._context.tally(f"probes_{event.outcome.value}")
+            self._context.increment(f"probes_{event.outcome.value}")
             self._policy.handle(event, self._context.now_us())
-            self.moved()
+            self.wake_waiting()
 
-    def peer_says(self, event: PeerMessage) -> None:
+    def on_peer_message(self, event: PeerMessage) -> None:
         """Handle another front's message."""
         with self._context.lock:
-            self._context.tally("messages_heard")
+            self._context.increment("messages_heard")
             self._policy.handle(event, self._context.now_us())
-            self.moved()
+            self.wake_waiting()
--- a/packages/core/src/fennelcove/core/recovery_coordinator.py
+++ b/packages/core/src/fennelcove/core/recovery_coordinator.py
@@ -13,7 +13,7 @@
 from fennelcove.core.requests import EventLogger, ResponseKind, SessionRequest, SessionResponse
 from fennelcove.core.server_registry import ServerRegistry
 from fennelcove.decisions.fleet.recovery_admission import AdmissionDecision, RecoveryState, RequestKind
-from fennelcove.decisions.fleet.slow_start_allocation import LEAST_WAIT_US, SlowStartAllocation
+from fennelcove.decisions.fleet.slow_start_allocation import MIN_RETRY_AFTER_US, SlowStartAllocation
 from fennelcove.interface import Effect, ListEntry, ListMode, ListUpdate, ServerState
 from fennelcove.placement import PlacementPolicy
 from fennelcove.settings.schema import FrontSettings, RecoverySettings
@@ -64,54 +64,54 @@
     def __init__(
         self,
         settings: FrontSettings,
-        told: RecoverySettings,
-        front: PlacementPolicy,
-        book: ServerRegistry,
+        recovery_settings: RecoverySettings,
+        policy: PlacementPolicy,
+        registry: ServerRegistry,
         clock: Clock,
         rng: Random,
-        notice: EventLogger,
+        log: EventLogger,
     ) -> None:
-        self._settings = told
-        self._policy = front
-        self._registry = book
+        self._settings = recovery_settings
+        self._policy = policy
+        self._registry = registry
         self._clock = clock
         self._rng = rng
-        self._log = notice
+        self._log = log
         self._service_classes = {service_class.name: service_class for service_class in settings.room_types}
         self._titles = {title.name: title for title in settings.titles}
         self._cell_count = settings.fleet.cells
-        self._max_wait_us = front.settings.retry_after_us
+        self._max_wait_us = policy.settings.retry_after_us
         self._allocation = SlowStartAllocation()
-        self.state = book.opening
+        self.state = registry.recovery
         self._logged_state = RecoveryState.DARK
         self._was_accounted = False
         self._capacity_checked_us = -CAPACITY_CHECK_INTERVAL_US
-        self.fronts: Callable[[], float] = lambda: settings.instance.fronts
-        self.entries: dict[str, ListEntry] = {}  # the list in force, by address
+        self.front_count: Callable[[], float] = lambda: settings.instance.fronts
+        self.list_entries: dict[str, ListEntry] = {}  # the list in force, by address
         self._reported_starts: dict[str, int] = {}  # when servers started, by their own reports
-        self.kept: tuple[ListEntry, ...] = ()
+        self.stored_list: tuple[ListEntry, ...] = ()
         self._uses_stored_list = False
         self._next_poll_us = 0  # of servers of the stored list that have not answered
-        self.listed: Callable[[], None] = lambda: None
-        self.opened: Callable[[], None] = lambda: None
-        book.heard_up = self.heard_up
+        self.on_list_applied: Callable[[], None] = lambda: None
+        self.on_sessions_accounted: Callable[[], None] = lambda: None
+        registry.on_uptime = self.on_uptime_reported
 
     # Admission.
 
-    def before(self, ask: SessionRequest, now_us: int) -> SessionResponse | None:
+    def check_request(self, request: SessionRequest, now_us: int) -> SessionResponse | None:
         """Return the rejection to give a request at once, or None where it is admitted."""
-        self.look(now_us)
-        service_class = self._service_classes[ask.service_class]
+        self.advance(now_us)
+        service_class = self._service_classes[request.service_class]
         is_accounted = service_class.seats > 0 or service_class.effect == Effect.SINGLE_SHOT.value
-        decision = self.state.entry(RequestKind.ACCOUNTED if is_accounted else RequestKind.PLAIN)
-        if decision is AdmissionDecision.IN:
+        decision = self.state.decide(RequestKind.ACCOUNTED if is_accounted else RequestKind.PLAIN)
+        if decision is AdmissionDecision.ADMIT:
             return None
-        wait_us: int | None = LEAST_WAIT_US
-        if decision is AdmissionDecision.RATIONED:
-            wait_us = self._rationed_wait_us(ask.title, service_class.benefit, now_us)
+        wait_us: int | None = MIN_RETRY_AFTER_US
+        if decision is AdmissionDecision.BY_PRIORITY:
+            wait_us = self._rationed_wait_us(request.title, service_class.benefit, now_us)
         if wait_us is None:
             return None
-        return SessionResponse(ResponseKind.THROTTLED, REJECTION_REASONS[self.state.phase], wait_us)
+        return SessionResponse(ResponseKind.REJECTED, REJECTION_REASONS[self.state.state], wait_us)
 
     def _rationed_wait_us(self, title: str, priority_weight: float, now_us: int) -> int | None:
         """Return how long a request has to wait while servers warm up; None where it is admitted."""
@@ -119,7 +119,7 @@
         if pace is None or not self._settings.by_benefit:
             return None
         draw = self._rng.random()
-        return self._allocation.ask(title, priority_weight, pace, self._max_wait_us, now_us, draw)
+        return self._allocation.retry_after_us(title, priority_weight, pace, self._max_wait_us, now_us, draw)
 
     def _slow_start_pace(self, title: str) -> float | None:
         """Return the set-ups a second that a title's replicas take of this front.
@@ -127,46 +127,46 @@
         None where one of them is not in slow start.
         """
         title_settings, total = self._titles[title], 0.0
-        front_count = max(1.0, self.fronts())
+        front_count = max(1.0, self.front_count())
         for offset in range(min(title_settings.cells, self._cell_count)):
             cell = (title_settings.first_cell + offset) % self._cell_count
             for server in self._policy.replicas.get(cell, ()):
-                if server.standing is not ServerState.ACTIVE:
+                if server.state is not ServerState.ACTIVE:
                     continue
-                if not self._policy.is_cold(server):
+                if not self._policy.is_warming_up(server):
                     return None
                 now_us = self._clock.now_us()
-                turns_by_then = self._policy.turns(server, now_us + PACE_SPAN_US)
-                total += turns_by_then - self._policy.turns(server, now_us)
+                turns_by_then = self._policy.elapsed_turns(server, now_us + PACE_SPAN_US)
+                total += turns_by_then - self._policy.elapsed_turns(server, now_us)
         return total / front_count
 
-    def look(self, now_us: int) -> None:
+    def advance(self, now_us: int) -> None:
         """Advance the state by time and by how much capacity is warming up."""
-        is_due = self.state.phase is not RecoveryState.OPEN and self.state.left_us(now_us) == 0
+        is_due = self.state.state is not RecoveryState.OPEN and self.state.remaining_us(now_us) == 0
         if now_us - self._capacity_checked_us < CAPACITY_CHECK_INTERVAL_US and not is_due:
             return  # computed for each request, a fleet's capacity would cost more than the response
         self._capacity_checked_us, self._policy.now_us = now_us, now_us
         capacity = self._capacity()
         self.state.advance(capacity.is_mostly_warming_up(), now_us)
         self._poll_absent_servers(now_us)
-        if self.state.accounted and not self._was_accounted:
+        if self.state.is_settled and not self._was_accounted:
             self._was_accounted = True
-            self.opened()
-        if self.state.phase is not self._logged_state:
+            self.on_sessions_accounted()
+        if self.state.state is not self._logged_state:
             self._on_state_changed(capacity)
 
     def _capacity(self) -> FleetCapacity:
         places = warming_up = 0
         for server in self._policy.servers.values():
-            if server.standing is not ServerState.ACTIVE:
+            if server.state is not ServerState.ACTIVE:
                 continue
-            places += server.streams_most
-            if self._policy.is_cold(server):
-                warming_up += server.streams_most
+            places += server.max_streams
+            if self._policy.is_warming_up(server):
+                warming_up += server.max_streams
         return FleetCapacity(places, warming_up)
 
     def _on_state_changed(self, capacity: FleetCapacity) -> None:
-        state_before, self._logged_state = self._logged_state, self.state.phase
+        state_before, self._logged_state = self._logged_state, self.state.state
         self._log(
             "recovery_state_changed",
             phase=self._logged_state.name.lower(),
@@ -179,19 +179,19 @@
 
     # The endpoint list.
 
-    def hear_list(self, update: ListUpdate) -> ListUpdate:
+    def correct_list(self, update: ListUpdate) -> ListUpdate:
         """Correct an endpoint list by what servers report of their start, the later of two times counting.
 
         A list restored from a copy shows servers as long started that have just restarted.
         """
         if update.mode is ListMode.FULL:
-            self.entries.clear()
+            self.list_entries.clear()
             self._uses_stored_list = False
         entries = tuple(self._with_latest_start(entry) for entry in update.entries)
-        self.entries.update((entry.address, entry) for entry in entries)
+        self.list_entries.update((entry.address, entry) for entry in entries)
         for entry in entries:
-            if entry.standing is ServerState.LEFT:
-                self.entries.pop(entry.address, None)
+            if entry.state is ServerState.LEFT:
+                self.list_entries.pop(entry.address, None)
                 self._reported_starts.pop(entry.address, None)
         return replace(update, entries=entries)
 
@@ -199,7 +199,7 @@
         reported_us = self._reported_starts.get(entry.address, 0)
         return replace(entry, started_us=reported_us) if reported_us > entry.started_us else entry
 
-    def heard_up(self, address: str, up_ms: float | None) -> None:
+    def on_uptime_reported(self, address: str, up_ms: float | None) -> None:
         """Handle a server's report of its uptime; None where it reports none."""
         now_us = self._clock.now_us()
         if up_ms is not None:
@@ -214,50 +214,52 @@
 
     def _entry(self, address: str, now_us: int) -> ListEntry | None:
         """Return a server's entry of the list in use; a stored one without a reported start begins now."""
-        if not self._uses_stored_list or self.state.phase is RecoveryState.ASKING:
-            return self.entries.get(address)
-        stored = next((entry for entry in self.kept if entry.address == address), None)
+        if not self._uses_stored_list or self.state.state is RecoveryState.ASKING:
+            return self.list_entries.get(address)
+        stored = next((entry for entry in self.stored_list if entry.address == address), None)
         if stored is not None and address not in self._reported_starts:
             return replace(stored, started_us=now_us)
         return stored
 
-    def stand_in(self) -> None:
+    def use_stored_list(self) -> None:
         """Use the stored list in place of one that does not come: its servers count once they answer."""
-        if not self.kept or self.entries or not self._settings.kept_list:
+        if not self.stored_list or self.list_entries or not self._settings.kept_list:
             return
         self._uses_stored_list = True
-        self._log("stored_list_used", boxes=len(self.kept))
-        self._registry.greet_all(ListUpdate(ListMode.SAVED, self.kept), self._clock.now_us())
+        self._log("stored_list_used", boxes=len(self.stored_list))
+        self._registry.request_greetings(ListUpdate(ListMode.SAVED, self.stored_list), self._clock.now_us())
 
     def _poll_absent_servers(self, now_us: int) -> None:
         """Poll servers of the stored list that have not answered, as no list reports their return."""
-        is_polling = self._uses_stored_list and self.state.phase is not RecoveryState.ASKING
+        is_polling = self._uses_stored_list and self.state.state is not RecoveryState.ASKING
         if not is_polling or now_us < self._next_poll_us:
             return
         self._next_poll_us = now_us + round(POLL_INTERVAL_US * (1 + self._rng.random()))
-        absent = tuple(entry for entry in self.kept if entry.address not in self._registry.greeters)
-        self._registry.greet_all(ListUpdate(ListMode.SAVED, absent), now_us)
+        absent = tuple(
+            entry for entry in self.stored_list if entry.address not in self._registry.greeted_servers
+        )
+        self._registry.request_greetings(ListUpdate(ListMode.SAVED, absent), now_us)
 
     def _apply_stored_list(self) -> None:
         """Put the answering servers of the stored list in force."""
         now_us = self._clock.now_us()
         answered = tuple(
             replace(entry, started_us=self._reported_starts.get(entry.address, now_us))
-            for entry in self.kept
-            if entry.address in self._registry.greeters
+            for entry in self.stored_list
+            if entry.address in self._registry.greeted_servers
         )
         if answered:
             self._policy.handle(ListUpdate(ListMode.FULL, answered), now_us)
-            self.listed()
+            self.on_list_applied()
 
     def status(self) -> dict[str, object]:
         """Return the figures of the `comeback` section of the status JSON."""
         now_us = self._clock.now_us()
         status = RecoveryStatus(
-            phase=self.state.phase.name.lower(),
-            left_ms=self.state.left_us(now_us) / 1000,
-            boxes_due=len(self.state.due),
+            phase=self.state.state.name.lower(),
+            left_ms=self.state.remaining_us(now_us) / 1000,
+            boxes_due=len(self.state.unsettled_servers),
             kept_list=self._uses_stored_list,
-            entered=[[state.name.lower(), (now_us - at_us) / 1000] for state, at_us in self.state.entered],
+            entered=[[state.name.lower(), (now_us - at_us) / 1000] for state, at_us in self.state.history],
         )
         return asdict(status)
--- a/packages/core/src/fennelcove/core/requests.py
+++ b/packages/core/src/fennelcove/core/requests.py
@@ -18,7 +18,7 @@
     """How a request for a session is answered; the values are those of the client API."""
 
     PLAYING = "playing"
-    THROTTLED = "throttled"
+    REJECTED = "throttled"
     FAILED = "terminated"
     KEY_SPENT = "spent"  # the session under this idempotency key was established and has been closed
     KEY_REUSED = "reused"  # this idempotency key belongs to another request
@@ -42,8 +42,8 @@
     client_timeout_us: int | None = None
     hints: ClientHints = field(default_factory=ClientHints)
     client: str = ""
-    again: bool = False
-    place: str | None = None
+    is_retry: bool = False
+    queue_ticket: str | None = None
     idempotency_key: str = ""
     tenant: str = ""
     expected_watch_us: int | None = None
@@ -99,32 +99,32 @@
     id: str
     service_class: str
     title: str
-    floor: int
+    floor_rung: int
     rates_kb: tuple[float, ...]
     requested_top_rung: int
     received_us: int
-    give_up_us: int
-    state: SessionState = SessionState.ASKED
-    top: int = 0
+    deadline_us: int
+    state: SessionState = SessionState.REQUESTED
+    top_rung: int = 0
     rung: int = 0
     attempt_count: int = 0
-    home: AttemptTarget | None = None
+    current_target: AttemptTarget | None = None
     pending_target: AttemptTarget | None = None
     pending_rung: int = 0
-    adrift: bool = False
+    is_orphaned: bool = False
     migration_count: int = 0
-    out_sent_us: int = -1
-    ask: SessionRequest | None = None
+    attempt_sent_us: int = -1
+    request: SessionRequest | None = None
     last_result: AttemptResult | None = None
     may_be_held_by_server: bool = False
     established_us: int = 0
     close_reason: str = ""
-    step: NextStep | None = None
+    next_step: NextStep | None = None
 
     @property
     def server(self) -> str:
         """The server where it plays, or else the one of its pending attempt; empty for neither."""
-        target = self.home or self.pending_target
+        target = self.current_target or self.pending_target
         return target.server if target is not None else ""
 
     def required_result(self) -> AttemptResult:
@@ -143,9 +143,9 @@
         Raises:
             SessionStateError: it is not established.
         """
-        if self.home is None:
+        if self.current_target is None:
             raise SessionStateError(f"session {self.id} ({self.state.name}) plays nowhere")
-        return self.home
+        return self.current_target
 
     def required_pending_target(self) -> AttemptTarget:
         """The target of the pending attempt.
@@ -174,7 +174,7 @@
             SessionStateError: no attempt is pending.
         """
         target = self.take_pending_target()
-        self.home = target
+        self.current_target = target
         self.rung = self.pending_rung
         return target
 
@@ -191,7 +191,7 @@
 
     def take_step_if_ready(self) -> NextStep | None:
         """Take the next step, once; None where there is none."""
-        step, self.step = self.step, None
+        step, self.next_step = self.next_step, None
         return step
 
 
@@ -227,7 +227,7 @@
     retry_after_us: int = 0
     retry_until_us: int = 0
     queue_ticket: str = ""
-    standing: str = ""
+    ticket_status: str = ""
 
 
 class Wakeup(Protocol):
@@ -248,7 +248,7 @@
 
     session: Session
     deadline_us: int
-    bell: Wakeup
+    wakeup: Wakeup
 
 
 NextStep = SendAttempt | SessionResponse | WaitForSlot
--- a/packages/core/src/fennelcove/core/retry_storm_guard.py
+++ b/packages/core/src/fennelcove/core/retry_storm_guard.py
@@ -32,7 +32,7 @@
 AdmissionRule = Callable[[SessionRequest, TicketStatus, WaitingQueue, int], QueueDecision]
 
 
-def mac(key: bytes) -> Callable[[bytes], bytes]:
+def keyed_mac(key: bytes) -> Callable[[bytes], bytes]:
     """Return a function that computes a MAC of `MAC_BYTES` bytes under a key of 32 bytes."""
     return lambda data: blake3.blake3(data, key=key).digest(MAC_BYTES)
 
@@ -60,10 +60,10 @@
         self,
         context: CoreContext,
         settings: StormSettings,
-        own: bytes,
+        incarnation_key: bytes,
         catalogue: Catalogue,
-        front: PlacementPolicy,
-        turned: Callable[[str], None],
+        policy: PlacementPolicy,
+        on_state_changed: Callable[[str], None],
     ) -> None:
         """Create a guard.
 
@@ -78,64 +78,66 @@
         self._context = context
         self._settings = settings
         self._catalogue = catalogue
-        self._policy = front
-        self._on_state_changed = turned
+        self._policy = policy
+        self._on_state_changed = on_state_changed
         now_us = context.now_us()
-        self.weather = RetryStormDetector(now_us)
+        self.detector = RetryStormDetector(now_us)
         self.waiting_room = WaitingRoom()
         self._limits = AimdLimits()
-        self._client_counts = CountMinSketch(_derived_mac(b"clients", own), now_us)
-        self._ticket_counts = CountMinSketch(_derived_mac(b"tokens", own), now_us)
-        self._macs = [_derived_mac(b"places", own)]  # the first signs tickets, all verify
-        self.ruler: AdmissionRule | None = None
-        self.ended: Callable[[str, bool], None] = lambda _service_class, _was_served: None
-        self.sheds: Callable[[], bool] = lambda: False
-        self.attempted: Callable[[str, Outcome], None] = lambda _server, _outcome: None
+        self._client_counts = CountMinSketch(_derived_mac(b"clients", incarnation_key), now_us)
+        self._ticket_counts = CountMinSketch(_derived_mac(b"tokens", incarnation_key), now_us)
+        self._macs = [_derived_mac(b"places", incarnation_key)]  # the first signs tickets, all verify
+        self.admission_rule: AdmissionRule | None = None
+        self.on_request_ended: Callable[[str, bool], None] = lambda _service_class, _was_served: None
+        self.is_shedding: Callable[[], bool] = lambda: False
+        self.on_server_attempt_ended: Callable[[str, Outcome], None] = lambda _server, _outcome: None
 
     def use_keys(self, keys: Sequence[bytes]) -> None:
         """Use keys that outlive this process; the first signs tickets, all verify them."""
         if keys:
-            self._macs = [mac(key) for key in keys]
+            self._macs = [keyed_mac(key) for key in keys]
 
     # Admission.
 
-    def before(self, ask: SessionRequest, now_us: int) -> SessionResponse | None:
+    def check_request(self, request: SessionRequest, now_us: int) -> SessionResponse | None:
         """Return the response to give a request at once, or None where the placement policy decides."""
-        queue = self._advance(ask.title, now_us)
-        window = self.weather.window
-        window.asked += 1
-        tries = self._client_counts.add(ask.client, now_us) if ask.client else 1
-        ticket = self._ticket_of(ask)
-        status = self._ticket_status(ask, ticket, ask.again or tries > 1, now_us)
-        self._context.tally(f"storm_{status.name.lower()}")
-        decision = self._decide(ask, status, queue, now_us)
-        if decision is QueueDecision.LET_IN:
-            window.let_in += 1
-            queue.let_in += 1
+        queue = self._advance(request.title, now_us)
+        window = self.detector.window
+        window.request_count += 1
+        tries = self._client_counts.add(request.client, now_us) if request.client else 1
+        ticket = self._ticket_of(request)
+        status = self._ticket_status(request, ticket, request.is_retry or tries > 1, now_us)
+        self._context.increment(f"storm_{status.name.lower()}")
+        decision = self._decide(request, status, queue, now_us)
+        if decision is QueueDecision.ADMIT:
+            window.admitted_count += 1
+            queue.admitted_count += 1
             return None
-        if decision is QueueDecision.KEEP_PLACE and ticket is not None:
-            response = self._not_yet_due(ask, ticket)
+        if decision is QueueDecision.KEEP_TICKET and ticket is not None:
+            response = self._not_yet_due(request, ticket)
         else:
             reason = "many ask at once; this is your place"
-            response = self._with_ticket(ask, queue, reason, now_us, decision, ticket)
-        return replace(response, standing=status.name.lower())
+            response = self._with_ticket(request, queue, reason, now_us, decision, ticket)
+        return replace(response, ticket_status=status.name.lower())
 
     def _advance(self, title: str, now_us: int) -> WaitingQueue:
         """Move the detector on by time, log a new state, and return the title's queue."""
-        state, closed_window = self.weather.phase, self.weather.window
-        self.weather.advance(now_us)
-        queue = self.waiting_room.of(title, now_us)
-        if self.weather.phase is not state:
-            self._on_state_changed(self.weather.phase.name.lower())
-            self._log_state(state, queue.pace, closed_window.asked, closed_window.refused)
+        state, closed_window = self.detector.state, self.detector.window
+        self.detector.advance(now_us)
+        queue = self.waiting_room.queue_for(title, now_us)
+        if self.detector.state is not state:
+            self._on_state_changed(self.detector.state.name.lower())
+            self._log_state(
+                state, queue.rate_per_s, closed_window.request_count, closed_window.rejected_count
+            )
         return queue
 
     def _log_state(self, state_before: StormState, pace: float, asked: int, refused: int) -> None:
-        self._context.notice(
+        self._context.log_event(
             "storm_phase",
-            phase=self.weather.phase.name.lower(),
+            phase=self.detector.state.name.lower(),
             was=state_before.name.lower(),
-            usual=round(self.weather.usual, 1),
+            usual=round(self.detector.baseline, 1),
             pace=round(pace, 1),
             asked=asked,
             refused=refused,
@@ -144,29 +146,29 @@
     def _decide(
         self, ask: SessionRequest, status: TicketStatus, queue: WaitingQueue, now_us: int
     ) -> QueueDecision:
-        decision = QueueDecision.LET_IN
-        if self.ruler is not None:
-            decision = self.ruler(ask, status, queue, now_us)
-        elif self._settings.damping and self.weather.damped():
-            decision = waiting_room.TRANSITIONS[status, queue.room]
-        if decision is not QueueDecision.BY_PACE:
+        decision = QueueDecision.ADMIT
+        if self.admission_rule is not None:
+            decision = self.admission_rule(ask, status, queue, now_us)
+        elif self._settings.damping and self.detector.is_damping():
+            decision = waiting_room.DECISIONS[status, queue.capacity]
+        if decision is not QueueDecision.ADMIT_AT_RATE:
             return decision
         service_class = self._catalogue.service_classes[ask.service_class]
         if queue.admit(status, queue.cost(service_class.benefit)):
-            return QueueDecision.LET_IN
-        return waiting_room.TURNED_AWAY[status]
+            return QueueDecision.ADMIT
+        return waiting_room.REJECTED_DECISIONS[status]
 
     def _ticket_of(self, ask: SessionRequest) -> QueueTicket | None:
-        return waiting_room.verify_ticket(ask.place, self._macs) if ask.place else None
+        return waiting_room.verify_ticket(ask.queue_ticket, self._macs) if ask.queue_ticket else None
 
     def _ticket_status(
         self, ask: SessionRequest, ticket: QueueTicket | None, is_retry: bool, now_us: int
     ) -> TicketStatus:
         requested = (ask.client, ask.title, ask.service_class)
         wall_us = self._context.wall_us()
-        status = waiting_room.ticket_status(ticket, bool(ask.place), is_retry, requested, wall_us)
+        status = waiting_room.ticket_status(ticket, bool(ask.queue_ticket), is_retry, requested, wall_us)
         is_usable = status in (TicketStatus.DUE, TicketStatus.LATE)
-        if is_usable and self._ticket_counts.add(ask.place or "", now_us) > 1:
+        if is_usable and self._ticket_counts.add(ask.queue_ticket or "", now_us) > 1:
             return TicketStatus.INVENTED  # the ticket was used before, or passed on to others
         return status
 
@@ -177,10 +179,10 @@
         wall_us = self._context.wall_us()
         # With the short time that was left as its wait, a client that came too early came again and again and
         # used up its tries (10 of 38 observed); Retry-After cannot express such times either.
-        wait_us = max(waiting_room.LEAST_WAIT_US, ticket.earliest_us - wall_us)
-        latest_us = max(wait_us + waiting_room.SPAN_LEAST_US, ticket.latest_us - wall_us)
+        wait_us = max(waiting_room.MIN_WAIT_US, ticket.earliest_us - wall_us)
+        latest_us = max(wait_us + waiting_room.MIN_WINDOW_US, ticket.latest_us - wall_us)
         reason = "your place is not due yet"
-        return SessionResponse(ResponseKind.THROTTLED, reason, wait_us, latest_us, ask.place or "")
+        return SessionResponse(ResponseKind.REJECTED, reason, wait_us, latest_us, ask.queue_ticket or "")
 
     def _with_ticket(
         self,
@@ -193,80 +195,80 @@
     ) -> SessionResponse:
         """Return a rejection with a new ticket."""
         draw, vain_tries = self._context.rng.random(), 0
-        if decision is QueueDecision.NEXT_PLACE:
+        if decision is QueueDecision.EARLY_TICKET:
             vain_tries = ticket.vain + 1 if ticket is not None else 1
-            wait_us, latest_us = queue.soon(draw, vain_tries)
+            wait_us, latest_us = queue.early_window(draw, vain_tries)
         else:
             max_wait_us = self._policy.settings.retry_after_us
-            is_new = decision is QueueDecision.NEW_PLACE
-            wait_us, latest_us = queue.promise(now_us, max_wait_us, draw, is_new)
+            is_new = decision is QueueDecision.NEW_TICKET
+            wait_us, latest_us = queue.reserve_window(now_us, max_wait_us, draw, is_new)
         wall_us = self._context.wall_us()
         new_ticket = QueueTicket(
             ask.client, ask.title, ask.service_class, wall_us + wait_us, wall_us + latest_us, vain_tries
         )
         token = waiting_room.sign_ticket(new_ticket, self._macs[0])
-        return SessionResponse(ResponseKind.THROTTLED, reason, wait_us, latest_us, token)
+        return SessionResponse(ResponseKind.REJECTED, reason, wait_us, latest_us, token)
 
-    def refused(self, session: Session, why: str, wait_us: int) -> SessionResponse:
+    def reject(self, session: Session, reason: str, wait_us: int) -> SessionResponse:
         """Return the response to a request that the policy rejects; during a storm it has a ticket."""
-        self.weather.window.refused += 1
+        self.detector.window.rejected_count += 1
         now_us = self._context.now_us()
-        queue = self.waiting_room.of(session.title, now_us)
-        queue.refused += 1
-        self.ended(session.service_class, False)
-        ask = session.ask
+        queue = self.waiting_room.queue_for(session.title, now_us)
+        queue.rejected_count += 1
+        self.on_request_ended(session.service_class, False)
+        ask = session.request
         if ask is None or not self._gives_tickets():
-            return SessionResponse(ResponseKind.THROTTLED, why, wait_us)
+            return SessionResponse(ResponseKind.REJECTED, reason, wait_us)
         ticket = self._ticket_of(ask)
-        decision = waiting_room.TURNED_AWAY[_rejected_status(ask, ticket)]
-        return self._with_ticket(ask, queue, why, now_us, decision, ticket)
+        decision = waiting_room.REJECTED_DECISIONS[_rejected_status(ask, ticket)]
+        return self._with_ticket(ask, queue, reason, now_us, decision, ticket)
 
     def _gives_tickets(self) -> bool:
-        return self.sheds() or (self._settings.damping and self.weather.damped())
+        return self.is_shedding() or (self._settings.damping and self.detector.is_damping())
 
     # Attempts.
 
-    def enter(self, server: str) -> bool:
+    def try_start_set_up(self, server: str) -> bool:
         """Count a set-up at a server; return False where it has as many under way as it may."""
-        if not self._settings.box_limits or self._limits.enter(server):
+        if not self._settings.box_limits or self._limits.try_acquire(server):
             return True
-        self._context.tally("joins_held_back")
+        self._context.increment("joins_held_back")
         return False
 
     def on_attempt_completed(self, session: Session, server: str, outcome: Outcome, now_us: int) -> None:
         """Count the end of a set-up at a server."""
-        if session.out_sent_us >= 0:
-            self._limits.leave(server, outcome, session.out_sent_us, now_us)
-        session.out_sent_us = -1
+        if session.attempt_sent_us >= 0:
+            self._limits.release(server, outcome, session.attempt_sent_us, now_us)
+        session.attempt_sent_us = -1
         was_served = outcome is Outcome.SERVED
-        self.waiting_room.of(session.title, now_us).served += was_served
+        self.waiting_room.queue_for(session.title, now_us).served_count += was_served
         if was_served:
-            self.ended(session.service_class, True)
-        self.attempted(server, outcome)
+            self.on_request_ended(session.service_class, True)
+        self.on_server_attempt_ended(server, outcome)
 
     def status(self) -> dict[str, object]:
         """Return the figures of the `storm` section of the status JSON."""
-        detector = self.weather
-        paces = self.waiting_room.waiting(self._context.now_us())
+        detector = self.detector
+        paces = self.waiting_room.backlogged_rates(self._context.now_us())
         status = StormStatus(
-            phase=detector.phase.name.lower(),
-            usual=round(detector.usual, 2),
-            changes=detector.changes,
+            phase=detector.state.name.lower(),
+            usual=round(detector.baseline, 2),
+            changes=detector.transition_count,
             paces={title: round(pace, 2) for title, pace in paces.items()},
-            sign=detector.sign.name.lower(),
+            sign=detector.signal.name.lower(),
         )
         return asdict(status)
 
 
 def _derived_mac(purpose: bytes, key: bytes) -> Callable[[bytes], bytes]:
     """Return a MAC under a key of its own for a purpose."""
-    return mac(blake3.blake3(purpose, key=key).digest())
+    return keyed_mac(blake3.blake3(purpose, key=key).digest())
 
 
 def _rejected_status(ask: SessionRequest, ticket: QueueTicket | None) -> TicketStatus:
     """Return the status of an admitted request that the policy rejects."""
     if ticket is not None:
         return TicketStatus.DUE  # it was admitted, so its ticket's time had come
-    if ask.again or ask.place:
+    if ask.is_retry or ask.queue_ticket:
         return TicketStatus.AGAIN
     return TicketStatus.FIRST
--- a/packages/core/src/fennelcove/core/rollout_coordinator.py
+++ b/packages/core/src/fennelcove/core/rollout_coordinator.py
@@ -16,19 +16,28 @@
 
 from fennelcove.clock import Clock
 from fennelcove.core.requests import EventLogger
-from fennelcove.rollouts.coordinator import Act, Answer, Command, Do, Memory, Mine, Post, RolloutAgreement
+from fennelcove.rollouts.coordinator import (
+    Action,
+    CommandOutcome,
+    Command,
+    ActionKind,
+    PersistedState,
+    FrontStatus,
+    Outbox,
+    RolloutAgreement,
+)
 from fennelcove.rollouts.disruption_budget import Location
-from fennelcove.rollouts.messages import Kind, Said
+from fennelcove.rollouts.messages import PlaceKind, RolloutMessage
 
 MAX_QUEUED_EVENTS = 1024
 ANSWER_TIMEOUT_US = 4_500_000  # for an operator's command; the agreement gives it up before
 ANSWER_POLL_US = 20_000
 
-Event = Callable[[int], Post]  # takes the time, returns the messages to send
+Event = Callable[[int], Outbox]  # takes the time, returns the messages to send
 
 
 @dataclass(frozen=True, slots=True)
-class ServerSight:
+class ServerObservation:
     """What this front observes of a server.
 
     Attributes:
@@ -37,19 +46,19 @@
         as_of_us: When that was observed.
     """
 
-    place: Location
-    serving: bool
-    as_of_us: int
+    location: Location
+    is_serving: bool
+    observed_us: int
 
 
 @dataclass(slots=True, eq=False)
 class Reply:
     """The answer that an operator's request waits for."""
 
-    answer: Answer = Answer.PENDING
+    answer: CommandOutcome = CommandOutcome.PENDING
     ready: threading.Event = field(default_factory=threading.Event)
 
-    def set(self, answer: Answer) -> None:
+    def set(self, answer: CommandOutcome) -> None:
         """Set the answer and wake who waits."""
         self.answer = answer
         self.ready.set()
@@ -83,71 +92,71 @@
     def __init__(
         self,
         agreement: RolloutAgreement,
-        beat_us: int,
-        mine: Callable[[], Mine],
-        servers: Callable[[], Mapping[int, ServerSight]],
-        keep: Callable[[Memory], bool],
+        heartbeat_interval_us: int,
+        own_state: Callable[[], FrontStatus],
+        observe_servers: Callable[[], Mapping[int, ServerObservation]],
+        persist: Callable[[PersistedState], bool],
         clock: Clock,
         rng: Random,
-        notice: EventLogger,
+        log: EventLogger,
     ) -> None:
         self.agreement = agreement
         self.clock = clock
-        self._heartbeat_interval_us = beat_us
-        self._own_state = mine
-        self._observe_servers = servers
-        self._persist = keep  # returns whether the memory is durable
+        self._heartbeat_interval_us = heartbeat_interval_us
+        self._own_state = own_state
+        self._observe_servers = observe_servers
+        self._persist = persist  # returns whether the memory is durable
         self._rng = rng
-        self._log = notice
-        self.post: Callable[[int, Said], None] = lambda _front, _message: None
-        self.leave: Callable[[int], bool] = lambda _version: False
-        self.take_server: Callable[[int], bool] = lambda _cell: False
+        self._log = log
+        self.send: Callable[[int, RolloutMessage], None] = lambda _front, _message: None
+        self.leave_service: Callable[[int], bool] = lambda _version: False
+        self.take_server_out: Callable[[int], bool] = lambda _cell: False
         self._events: queue.Queue[Event] = queue.Queue(MAX_QUEUED_EVENTS)
         self._pending: list[PendingCommand] = []
-        self._unsaved: Memory | None = None  # not durable yet; nothing is sent until it is
+        self._unsaved: PersistedState | None = None  # not durable yet; nothing is sent until it is
         self._lost_count = 0
         self._agreement_status: dict[str, object] = {}
         self._is_stopped = False
 
     # Any thread.
 
-    def hear(self, sender: int, said: Said) -> None:
+    def on_message(self, sender: int, message: RolloutMessage) -> None:
         """Handle another front's message."""
-        self._put(lambda now_us: self.agreement.hear(sender, said, now_us))
+        self._put(lambda now_us: self.agreement.on_message(sender, message, now_us))
 
-    def command(self, told: Command) -> Answer:
+    def submit_command(self, command: Command) -> CommandOutcome:
         """Submit an operator's command about a plan; return when a majority accepts it or it is given up."""
         reply = Reply()
 
-        def submit(now_us: int) -> Post:
-            number, _, messages = self.agreement.command(told, now_us)
+        def submit(now_us: int) -> Outbox:
+            number, _, messages = self.agreement.command(command, now_us)
             self._follow(PendingCommand(number, reply, now_us + ANSWER_TIMEOUT_US))
             return messages
 
         return self._wait_for(reply, submit)
 
-    def want_out(self, version: int) -> Answer:
+    def request_front_out(self, version: int) -> CommandOutcome:
         """Request that this front goes out of service when it may, to restart with a version."""
-        return self._run_now(lambda now_us: self.agreement.want_out(version, now_us))
+        return self._run_now(lambda now_us: self.agreement.request_front_drain(version, now_us))
 
-    def want_server(self, cell: int) -> Answer:
+    def request_server_out(self, cell: int) -> CommandOutcome:
         """Request that a server goes out of service when it may."""
-        return self._run_now(lambda now_us: self.agreement.want_server(cell, now_us))
+        return self._run_now(lambda now_us: self.agreement.request_server_drain(cell, now_us))
 
-    def write_off(self, kind: Kind, place: int) -> Answer:
+    def write_off(self, kind: PlaceKind, place: int) -> CommandOutcome:
         """Declare that a front or server will not come back."""
 
-        def declare(now_us: int) -> Post:
+        def declare(now_us: int) -> Outbox:
             self.agreement.write_off(kind, place, now_us)
             return []
 
         return self._run_now(declare)
 
-    def anew(self) -> Answer:
+    def declare_latest(self) -> CommandOutcome:
         """Declare that no front knows more of any rollout plan than this one."""
 
-        def declare(now_us: int) -> Post:
-            self.agreement.anew()
+        def declare(now_us: int) -> Outbox:
+            self.agreement.accept_record_as_complete()
             return []
 
         return self._run_now(declare)
@@ -170,22 +179,22 @@
             return False
         return True
 
-    def _run_now(self, event: Event) -> Answer:
+    def _run_now(self, event: Event) -> CommandOutcome:
         """Queue an event and wait until it is processed."""
         reply = Reply()
 
-        def process(now_us: int) -> Post:
+        def process(now_us: int) -> Outbox:
             messages = event(now_us)
-            reply.set(Answer.DONE)
+            reply.set(CommandOutcome.DONE)
             return messages
 
         return self._wait_for(reply, process)
 
-    def _wait_for(self, reply: Reply, event: Event) -> Answer:
+    def _wait_for(self, reply: Reply, event: Event) -> CommandOutcome:
         if not self._put(event):
-            return Answer.BUSY
+            return CommandOutcome.BUSY
         reply.ready.wait(ANSWER_TIMEOUT_US / 1e6)
-        return Answer.LOST if reply.answer is Answer.PENDING else reply.answer
+        return CommandOutcome.LOST if reply.answer is CommandOutcome.PENDING else reply.answer
 
     # The coordinator's own thread.
 
@@ -209,19 +218,19 @@
 
     def _follow(self, command: PendingCommand) -> None:
         """Answer an operator's command, or keep it pending where its result is not known."""
-        answer = self.agreement.answer(command.number)
-        if answer is Answer.PENDING and self.clock.now_us() < command.deadline_us:
+        answer = self.agreement.command_outcome(command.number)
+        if answer is CommandOutcome.PENDING and self.clock.now_us() < command.deadline_us:
             self._pending.append(command)
             return
         self._agreement_status = self.agreement.status(self.clock.now_us())
-        command.reply.set(Answer.LOST if answer is Answer.PENDING else answer)
+        command.reply.set(CommandOutcome.LOST if answer is CommandOutcome.PENDING else answer)
 
-    def _heartbeat(self, now_us: int) -> Post:
+    def _heartbeat(self, now_us: int) -> Outbox:
         sights = self._observe_servers()
-        self.agreement.servers_are({cell: sight.place for cell, sight in sights.items()}, now_us)
+        self.agreement.update_servers({cell: sight.location for cell, sight in sights.items()}, now_us)
         for cell, sight in sights.items():
-            self.agreement.see_server(cell, sight.serving, sight.as_of_us, now_us)
-        messages = self.agreement.beat(self._own_state(), now_us, self._rng.random())
+            self.agreement.observe_server(cell, sight.is_serving, sight.observed_us, now_us)
+        messages = self.agreement.tick(self._own_state(), now_us, self._rng.random())
         self._agreement_status = self.agreement.status(now_us)
         return messages
 
@@ -234,7 +243,7 @@
     def _apply(self, event: Event) -> None:
         """Process an event, make its promises durable, and only then send messages and act."""
         messages = event(self.clock.now_us())
-        memory = self.agreement.keep()
+        memory = self.agreement.state_to_persist()
         if memory is not None:
             self._unsaved = memory
         if self._unsaved is not None:
@@ -242,20 +251,24 @@
                 return
             self._unsaved = None
         for front, message in messages:
-            self.post(front, message)
-        for action in self.agreement.acts():
+            self.send(front, message)
+        for action in self.agreement.take_actions():
             self._act(action)
 
-    def _act(self, action: Act) -> None:
-        if action.do is Do.NOTE:
+    def _act(self, action: Action) -> None:
+        if action.action_kind is ActionKind.LOG:
             self._log("rollout_plan_changed", told=action.text)
-        elif action.do is Do.STAY:
+        elif action.action_kind is ActionKind.CANCEL:
             self._log("rollout_removal_cancelled", kind=action.kind.name.lower(), place=action.place)
         elif self.agreement.begin(action.kind, action.place, self.clock.now_us()):
             self._take_out(action)
 
-    def _take_out(self, action: Act) -> None:
+    def _take_out(self, action: Action) -> None:
         """Take this front or a server out of service; give the permit back where that is impossible."""
-        is_out = self.leave(action.version) if action.kind is Kind.FRONT else self.take_server(action.place)
+        is_out = (
+            self.leave_service(action.version)
+            if action.kind is PlaceKind.FRONT
+            else self.take_server_out(action.place)
+        )
         if not is_out:
-            self._process(lambda now_us: self.agreement.let_go(action.kind, action.place, now_us))
+            self._process(lambda now_us: self.agreement.release(action.kind, action.place, now_us))
--- a/packages/core/src/fennelcove/core/seat_leases.py
+++ b/packages/core/src/fennelcove/core/seat_leases.py
@@ -35,19 +35,19 @@
         stored = self.pending_restore.pop(session.id, None)
         if stored is not None and self.leases.restore(session.id, stored, duration_us, wall_us):
             return
-        self.leases.take(session.id, (session.title, session.service_class), duration_us, wall_us)
+        self.leases.acquire(session.id, (session.title, session.service_class), duration_us, wall_us)
 
     def remaining_us(self, session_id: str) -> int | None:
         """For how long a session's lease lasts; None where it has none."""
-        lease = self.leases.held.get(session_id)
-        return None if lease is None else max(0, lease.until_us - self.context.wall_us())
+        lease = self.leases.seats.get(session_id)
+        return None if lease is None else max(0, lease.expires_wall_us - self.context.wall_us())
 
     def renew(self, session_id: str, key: str) -> int | None:
         """Renew a session's lease; for how long it lasts now, or None where it has none."""
         with self.context.lock:
             decision = self.leases.renew(session_id, key, self.context.wall_us())
-            self.context.tally(f"seats_{decision.act.name.lower()}")
-            return None if decision.act is SeatAction.REFUSE else self.remaining_us(session_id)
+            self.context.increment(f"seats_{decision.action.name.lower()}")
+            return None if decision.action is SeatAction.REFUSE else self.remaining_us(session_id)
 
     def on_session_closed(self, session: Session) -> None:
         """Release the session's lease."""
@@ -56,13 +56,13 @@
     def close_expired(self) -> None:
         """Close the sessions whose leases have expired; called periodically."""
         with self.context.lock:
-            for expired in self.leases.expired(self.context.wall_us()):
-                self.context.tally("seats_expired")
-                self.lifecycle.release(expired.id, "its seat was not renewed")
+            for expired in self.leases.pop_expired(self.context.wall_us()):
+                self.context.increment("seats_expired")
+                self.lifecycle.release(expired.session_id, "its seat was not renewed")
 
-    def kept(self) -> list[tuple[bytes, bytes]]:
+    def persisted_entries(self) -> list[tuple[bytes, bytes]]:
         """The leases, as keys and values for the store."""
-        leased = [(KEY_PREFIX + id.encode(), value) for id, value in self.leases.kept()]
+        leased = [(KEY_PREFIX + id.encode(), value) for id, value in self.leases.encode_entries()]
         pending = [(KEY_PREFIX + id.encode(), value) for id, value in self.pending_restore.items()]
         return leased + pending
 
--- a/packages/core/src/fennelcove/core/segment_sources.py
+++ b/packages/core/src/fennelcove/core/segment_sources.py
@@ -64,13 +64,13 @@
     def segment(self, session: Session, shown: Shown, tried: list[str]) -> Fetch:
         """Choose the source of a segment and add its server to `tried`, those tried for it before."""
         pick = self._pick(session, shown, tried)
-        self._context.tally(f"segments_{pick.source.name.lower()}")
+        self._context.increment(f"segments_{pick.source.name.lower()}")
         if not pick.server:
             return Fetch(pick.source)
         if len(tried) < MAX_SERVERS_TRIED:
             tried.append(pick.server)
-        path = self._path(pick.source, shown, session.floor)
-        attempt = session.home.attempt if session.home is not None else 0
+        path = self._path(pick.source, shown, session.floor_rung)
+        attempt = session.current_target.attempt if session.current_target is not None else 0
         query = f"subscription={session.id}&join={attempt}{path.extra_query}"
         url = f"http://{pick.server}/media/{path.media}/{path.rung}/{path.number}.m4s?{query}"
         return Fetch(pick.source, url)
@@ -108,7 +108,7 @@
             return Offer(home, True, (), (), None)
         replicas = self._usable_replicas(shown.media)
         has_home_replica = any(server.address == home for server in replicas)
-        lower_rung = self._lower_rung(shown, session.floor)
+        lower_rung = self._lower_rung(shown, session.floor_rung)
         at_lower_rung: list[str] = []
         if lower_rung < shown.rung:
             at_lower_rung = self._ordered(replicas, session.rates_kb[lower_rung])
@@ -118,12 +118,12 @@
 
     def _home(self, session: Session) -> str | None:
         """Return the server that plays the session; None while it migrates or where the server has left."""
-        if session.home is None or session.adrift:
+        if session.current_target is None or session.is_orphaned:
             return None
-        server = self._policy.servers.get(session.home.server)
-        if server is None or server.standing is ServerState.LEFT:
+        server = self._policy.servers.get(session.current_target.server)
+        if server is None or server.state is ServerState.LEFT:
             return None
-        return session.home.server
+        return session.current_target.server
 
     def _slate_server(self, home: str | None) -> str | None:
         if self._slate is None:
@@ -137,23 +137,23 @@
         """Return the active and healthy servers that store a title."""
         _, title_settings = self._catalogue.titles[title]
         cells = {
-            (title_settings.first_cell + offset) % self._catalogue.cells
+            (title_settings.first_cell + offset) % self._catalogue.cell_count
             for offset in range(title_settings.cells)
         }
         return [
             server
             for cell in sorted(cells)
             for server in self._policy.replicas.get(cell, ())
-            if server.standing is ServerState.ACTIVE and self._policy.is_well(server)
+            if server.state is ServerState.ACTIVE and self._policy.is_healthy(server)
         ]
 
     def _ordered(self, replicas: list[Server], rate_kb: float) -> list[str]:
         """Return the servers with capacity for a stream, one drawn by the policy first."""
         policy = self._policy
-        policy.weigh(replicas)
-        scored = [(server, *policy.factors(server, rate_kb)) for server in replicas]
+        policy.update_residuals(replicas)
+        scored = [(server, *policy.utilization_factors(server, rate_kb)) for server in replicas]
         feasible = [row for row in scored if row[1] < NO_CAPACITY and row[2] < NO_CAPACITY]
         if not feasible:
             return []
-        first = policy.draw(feasible)
+        first = policy.draw_server(feasible)
         return [first.address, *(row[0].address for row in feasible if row[0] is not first)]
--- a/packages/core/src/fennelcove/core/server_registry.py
+++ b/packages/core/src/fennelcove/core/server_registry.py
@@ -53,15 +53,15 @@
         reports: ServerReports,
     ) -> None:
         self.context = context
-        self.opening = recovery
+        self.recovery = recovery
         self.lifecycle = lifecycle
         self.adoption = adoption
         self.reports = reports
         self.records: dict[str, ServerRecord] = {}
         self.streams = ServerStreams(context, gateway, self.records, self)
         self.greeted_attempts: frozenset[tuple[str, int]] = frozenset()
-        self.greeters: set[str] = set()
-        self.heard_up: Callable[[str, float | None], None] = lambda address, up_ms: None
+        self.greeted_servers: set[str] = set()
+        self.on_uptime: Callable[[str, float | None], None] = lambda address, up_ms: None
         self.recovery_finished = threading.Event()
         self._loss_handler: ServerLossHandler
 
@@ -80,7 +80,7 @@
         server = self.records.setdefault(session.server, ServerRecord(session.server))
         server.sessions[session.id] = session
         if len(server.sessions) == 1:
-            self.streams.apply(server, StreamEvent.HELD)
+            self.streams.apply(server, StreamEvent.SESSIONS_HELD)
 
     def on_session_closed(self, session: Session) -> None:
         """A session plays at its server no more, if it ever did."""
@@ -89,25 +89,25 @@
             return
         server.delivery.forget(session.id)
         if not server.sessions:
-            self.streams.apply(server, StreamEvent.NONE_HELD)
+            self.streams.apply(server, StreamEvent.NO_SESSIONS_HELD)
 
-    def greet_all(self, update: ListUpdate, now_us: int) -> None:
+    def request_greetings(self, update: ListUpdate, now_us: int) -> None:
         """Open the streams of all servers of a list: each reports what it still holds for this front."""
-        addresses = {entry.address for entry in update.entries if entry.standing is not ServerState.LEFT}
-        self.opening.listed(addresses, now_us)
+        addresses = {entry.address for entry in update.entries if entry.state is not ServerState.LEFT}
+        self.recovery.on_endpoints_listed(addresses, now_us)
         for address in sorted(addresses):
             server = self.records.setdefault(address, ServerRecord(address))
-            self.streams.apply(server, StreamEvent.HELD)
+            self.streams.apply(server, StreamEvent.SESSIONS_HELD)
 
     def wait_until_recovered(self) -> None:
         """Block until every server has reported its sessions, or the time for that is over."""
         while True:
             with self.context.lock:
-                left_us = self.opening.left_us(self.context.now_us())
-                if self.opening.accounted:
+                left_us = self.recovery.remaining_us(self.context.now_us())
+                if self.recovery.is_settled:
                     return
                 if left_us == 0:
-                    self.opening.apply(recovery_admission.RecoveryEvent.TIME, self.context.now_us())
+                    self.recovery.apply(recovery_admission.RecoveryEvent.TIMED_OUT, self.context.now_us())
                     continue
             self.recovery_finished.wait(min(RECOVERY_POLL_S, left_us / 1e6))
 
@@ -122,8 +122,8 @@
             if server is None:
                 return
             now_us = self.context.now_us()
-            self.greeters.add(address)
-            self.heard_up(address, up_ms)
+            self.greeted_servers.add(address)
+            self.on_uptime(address, up_ms)
             self.greeted_attempts = frozenset((item.subscription, item.join) for item in held)
             self.streams.greet(server, boot)
             for item in held:
@@ -150,8 +150,8 @@
         with self.context.lock:
             if self._record_of_stream(address, generation) is None:
                 return
-            session = self.lifecycle.held.get(session_id)
-            if session is None or session.home is None or session.home.attempt != attempt:
+            session = self.lifecycle.sessions.get(session_id)
+            if session is None or session.current_target is None or session.current_target.attempt != attempt:
                 return
             session.close_reason = "ended at its box"
             session.may_be_held_by_server = False
@@ -164,7 +164,7 @@
             if server is None:
                 return
             now_us = self.context.now_us()
-            event = StreamEvent.REFUSED if is_refused else StreamEvent.CUT
+            event = StreamEvent.REFUSED if is_refused else StreamEvent.DISCONNECTED
             self.streams.apply(server, event)
             if is_refused:
                 self._finish_greeting(server, now_us)
@@ -174,10 +174,10 @@
         return server if server is not None and server.generation == generation else None
 
     def _finish_greeting(self, server: ServerRecord, now_us: int) -> None:
-        self.opening.settled(server.address, now_us)
+        self.recovery.on_server_settled(server.address, now_us)
         if not server.sessions and self.records.get(server.address) is server:
-            self.streams.apply(server, StreamEvent.NONE_HELD)
-        if self.opening.accounted:
+            self.streams.apply(server, StreamEvent.NO_SESSIONS_HELD)
+        if self.recovery.is_settled:
             self.recovery_finished.set()
 
     # Losses, reported by the streams.
@@ -185,7 +185,7 @@
     def on_all_lost(self, server: ServerRecord) -> None:
         """A server is lost with all its sessions."""
         if server.sessions:
-            self.context.notice("server_lost", box=server.address, subscriptions=len(server.sessions))
+            self.context.log_event("server_lost", box=server.address, subscriptions=len(server.sessions))
         else:
             self._finish_greeting(server, self.context.now_us())
         for session in list(server.sessions.values()):
@@ -194,7 +194,7 @@
     def on_unreported_lost(self, server: ServerRecord) -> None:
         """A server has restarted: it lost the sessions that it does not report."""
         for session in list(server.sessions.values()):
-            target = session.home
+            target = session.current_target
             is_unknown = target is None or (session.id, target.attempt) not in self.greeted_attempts
             # A session that was established while the greeting was under way is not in it, and not lost.
             if is_unknown and session.established_us < server.stream_opened_us:
--- a/packages/core/src/fennelcove/core/server_reports.py
+++ b/packages/core/src/fennelcove/core/server_reports.py
@@ -32,8 +32,8 @@
 
     def forward(self, session: Session, kind: ReportKind, level: float) -> None:
         """Report one figure about a session's server."""
-        target = session.home
-        if target is not None and not session.adrift:
+        target = session.current_target
+        if target is not None and not session.is_orphaned:
             report = SessionReport(target.policy_id, target.server, kind, level)
             self.policy.handle(report, self.context.now_us())
 
@@ -42,11 +42,11 @@
         session = server.any_session()
         if session is None:
             return
-        window_us = self.policy.settings.seen_after_us + self.policy.settings.reports_every_us
-        delivered_share = server.delivery.short_delivery(now_us - window_us)
+        window_us = self.policy.settings.report_delay_us + self.policy.settings.report_interval_us
+        delivered_share = server.delivery.delivered_fraction(now_us - window_us)
         if delivered_share is not None:
             server.is_blamed = True
-            self.context.tally("boxes_blamed_by_viewers")
+            self.context.increment("boxes_blamed_by_viewers")
             self.forward(session, ReportKind.DELIVERED, delivered_share)
         elif server.is_blamed:
             server.is_blamed = False
--- a/packages/core/src/fennelcove/core/server_streams.py
+++ b/packages/core/src/fennelcove/core/server_streams.py
@@ -37,13 +37,13 @@
         self.records = records
         self.generation_count = 0
         self._handlers: Mapping[StreamAction, Callable[[ServerRecord], None]] = {
-            StreamAction.OPEN_FEED: self._open,
-            StreamAction.CLOSE_FEED: self._close,
-            StreamAction.PAUSE: self._schedule_reopen,
-            StreamAction.LINGER: self._schedule_expiry,
-            StreamAction.FORGET: self._remove,
-            StreamAction.LOSE_ALL: loss_handler.on_all_lost,
-            StreamAction.LOSE_UNKNOWN: loss_handler.on_unreported_lost,
+            StreamAction.OPEN_STREAM: self._open,
+            StreamAction.CLOSE_STREAM: self._close,
+            StreamAction.SCHEDULE_RETRY: self._schedule_reopen,
+            StreamAction.SCHEDULE_CLOSE: self._schedule_expiry,
+            StreamAction.DISCARD: self._remove,
+            StreamAction.FAIL_ALL_SESSIONS: loss_handler.on_all_lost,
+            StreamAction.FAIL_UNLISTED_SESSIONS: loss_handler.on_unreported_lost,
         }
 
     def apply(self, server: ServerRecord, event: StreamEvent) -> None:
@@ -52,7 +52,7 @@
 
     def greet(self, server: ServerRecord, boot: str) -> None:
         """A server has opened its stream under this boot id."""
-        self._run(server, server.stream.greet(boot, self.context.now_us()))
+        self._run(server, server.stream.on_hello(boot, self.context.now_us()))
 
     def _run(self, server: ServerRecord, actions: Iterable[StreamAction]) -> None:
         for action in actions:
@@ -71,9 +71,9 @@
         def reopen() -> None:
             with self.context.lock:
                 if self.records.get(server.address) is server:
-                    self.apply(server, StreamEvent.RETRY)
+                    self.apply(server, StreamEvent.RETRY_DUE)
 
-        self.context.timers.after(server.stream.pause_us(self.context.rng.random()), reopen)
+        self.context.timers.after(server.stream.backoff_us(self.context.rng.random()), reopen)
 
     def _schedule_expiry(self, server: ServerRecord) -> None:
         server.idle_count += 1
--- a/packages/core/src/fennelcove/core/session_actions.py
+++ b/packages/core/src/fennelcove/core/session_actions.py
@@ -55,42 +55,44 @@
         self.reports = reports
         self.close_listeners = close_listeners
         self.handlers: ActionHandlers = {
-            SessionAction.SEND_JOIN: self._keep_step,
-            SessionAction.ANSWER_PLAYING: self._respond_playing,
-            SessionAction.ANSWER_THROTTLED: self._count_rejected,
-            SessionAction.ANSWER_TERMINATED: self._count_failed,
-            SessionAction.ANSWER_STOPPED: self._respond_shutting_down,
-            SessionAction.TELL_STARTED: self._on_established,
-            SessionAction.TELL_FAILED: self._on_attempt_failed,
-            SessionAction.TELL_FINISHED: self._on_finished,
-            SessionAction.TELL_LOST: self._on_server_lost,
-            SessionAction.TELL_GONE: self._on_client_gone,
-            SessionAction.RELEASE_BOX: self._release_at_server,
-            SessionAction.FORGET: self.close,
+            SessionAction.SEND_ATTEMPT: self._keep_step,
+            SessionAction.RESPOND_ESTABLISHED: self._respond_playing,
+            SessionAction.RESPOND_REJECTED: self._count_rejected,
+            SessionAction.RESPOND_FAILED: self._count_failed,
+            SessionAction.RESPOND_STOPPED: self._respond_shutting_down,
+            SessionAction.NOTIFY_POLICY_SERVED: self._on_established,
+            SessionAction.NOTIFY_POLICY_ATTEMPT_FAILED: self._on_attempt_failed,
+            SessionAction.NOTIFY_POLICY_CLOSED: self._on_finished,
+            SessionAction.NOTIFY_POLICY_SERVER_LOST: self._on_server_lost,
+            SessionAction.NOTIFY_POLICY_CLIENT_GONE: self._on_client_gone,
+            SessionAction.RELEASE_SERVER: self._release_at_server,
+            SessionAction.DISCARD: self.close,
         }
 
     def _keep_step(self, session: Session) -> None:
         """The attempt is the session's next step already; whoever runs the request takes it."""
 
     def _respond_playing(self, session: Session) -> None:
-        session.step = SessionResponse(ResponseKind.PLAYING, "")
-        self.context.tally("playing")
+        session.next_step = SessionResponse(ResponseKind.PLAYING, "")
+        self.context.increment("playing")
 
     def _count_rejected(self, session: Session) -> None:
-        self.context.tally("throttled")
+        self.context.increment("throttled")
 
     def _count_failed(self, session: Session) -> None:
-        self.context.tally("terminated")
+        self.context.increment("terminated")
 
     def _respond_shutting_down(self, session: Session) -> None:
         policy_session = self.policy.sessions.get(session.id)
         if policy_session is not None and self.policy.may_reject(policy_session):
             # The same time to retry after as the policy would give.
             retry_after_us = self.policy.settings.retry_after_us or 0
-            session.step = SessionResponse(ResponseKind.THROTTLED, "this front is stopping", retry_after_us)
+            session.next_step = SessionResponse(
+                ResponseKind.REJECTED, "this front is stopping", retry_after_us
+            )
             self._count_rejected(session)
         else:
-            session.step = SessionResponse(
+            session.next_step = SessionResponse(
                 ResponseKind.FAILED, "this front is stopping and the join may have run"
             )
             self._count_failed(session)
@@ -102,7 +104,7 @@
         started = SessionStarted(target.policy_id, target.policy_attempt, result.duration_us)
         self.policy.handle(started, now_us)
         session.established_us = now_us
-        self.expiry.begin(session.id, now_us)
+        self.expiry.add(session.id, now_us)
         self.server_registry.on_session_established(session)
         self.seat_leases.on_session_established(session)
         if result.hints is not None:
@@ -110,18 +112,20 @@
 
     def _apply_server_hints(self, session: Session, hints: ServerHints) -> None:
         self.reports.forward_hints(session, hints)
-        if hints.most_kbit is None:
+        if hints.max_kbit is None:
             return
-        top_rung = load_signals.highest_rung(session.rates_kb, hints.most_kbit, session.floor)
-        if top_rung < session.top:
+        top_rung = load_signals.highest_fitting_rung(session.rates_kb, hints.max_kbit, session.floor_rung)
+        if top_rung < session.top_rung:
             self.set_top_rung(session, top_rung)
 
     def set_top_rung(self, session: Session, top_rung: int) -> None:
         """Change the highest rung of an established session; notifies client and policy."""
-        session.top = top_rung
+        session.top_rung = top_rung
         self.notifier.on_rung_changed(session)
-        if session.home is not None and not session.adrift:
-            self.policy.handle(TopRungChanged(session.home.policy_id, top_rung), self.context.now_us())
+        if session.current_target is not None and not session.is_orphaned:
+            self.policy.handle(
+                TopRungChanged(session.current_target.policy_id, top_rung), self.context.now_us()
+            )
 
     def _on_attempt_failed(self, session: Session) -> None:
         result = session.required_result()
@@ -129,22 +133,22 @@
 
     def _on_finished(self, session: Session) -> None:
         result = session.required_result()
-        target = session.home or session.required_pending_target()
+        target = session.current_target or session.required_pending_target()
         self.lifecycle.report_attempt(target, result, is_finished=True)
 
     def _on_server_lost(self, session: Session) -> None:
         session.close_reason = session.close_reason or "its box was lost"
-        self.context.tally("lost")
-        if session.home is not None and not session.adrift:
+        self.context.increment("lost")
+        if session.current_target is not None and not session.is_orphaned:
             lost = AttemptResult(Outcome.CONNECTION_LOST, None, 0)
-            self.lifecycle.report_attempt(session.home, lost, is_finished=True)
+            self.lifecycle.report_attempt(session.current_target, lost, is_finished=True)
 
     def _on_client_gone(self, session: Session) -> None:
         self.policy.handle(ClientGone(session.id), self.context.now_us())
 
     def _release_at_server(self, session: Session) -> None:
-        target = session.home or session.pending_target
-        if session.may_be_held_by_server and target is not None and not session.adrift:
+        target = session.current_target or session.pending_target
+        if session.may_be_held_by_server and target is not None and not session.is_orphaned:
             self.commands.send(target, session, None)
 
     def close(self, session: Session) -> None:
