--- a/packages/core/src/fennelcove/core/session_adoption.py
+++ b/packages/core/src/fennelcove/core/session_adoption.py
@@ -9,7 +9,7 @@
 from fennelcove.core.seat_leases import SeatLeaseManager
 from fennelcove.core.session_ids import SessionIds
 from fennelcove.core.session_lifecycle import SessionLifecycle
-from fennelcove.decisions.clients.admission import AdmissionController, AdmissionDecision, Entry
+from fennelcove.decisions.clients.admission import AdmissionController, AdmissionDecision, AdmissionRequest
 from fennelcove.decisions.clients.session_expiry import SessionExpiry
 from fennelcove.decisions.clients.session_lifecycle import SessionEvent, SessionState
 from fennelcove.decisions.recovery import reconciliation
@@ -55,16 +55,16 @@
         Returns:
             The session that plays there from now on; None where none does, or it was known already.
         """
-        session = self.lifecycle.held.get(held.subscription)
+        session = self.lifecycle.sessions.get(held.subscription)
         known = _known_session(session, held) if session is not None else None
         fits = self._fits_settings(held)
         has_free_seat = fits and self._has_free_seat(held.title, held.room_type)
         is_issued_here = self.session_ids.is_issued_here(held.subscription)
-        found = reconciliation.claim(address, held.join, known, is_issued_here, fits, has_free_seat)
-        action = reconciliation.TRANSITIONS[found]
+        found = reconciliation.classify_claim(address, held.join, known, is_issued_here, fits, has_free_seat)
+        action = reconciliation.CLAIM_ACTIONS[found]
         if action is ClaimAction.KEEP:
             return None
-        self.context.tally(f"claims_{found.name.lower()}")
+        self.context.increment(f"claims_{found.name.lower()}")
         if action is ClaimAction.ADOPT_INSTEAD and session is not None:
             session.close_reason = "a later join of it was found"
             self.lifecycle.apply(session, SessionEvent.RELEASED)
@@ -90,20 +90,25 @@
     def _adopt(self, address: str, held: Held) -> Session | None:
         """Take over a session of an earlier incarnation; the policy receives it as a handover."""
         is_listed = address in self.policy.servers
-        if not is_listed or self.admission_controller.ask(Entry.SUBSCRIPTION) is not AdmissionDecision.LET_IN:
+        if (
+            not is_listed
+            or self.admission_controller.admit(AdmissionRequest.SUBSCRIPTION) is not AdmissionDecision.LET_IN
+        ):
             self._release(address, held)
             return None
         now_us = self.context.now_us()
         session = self._established_session(address, held, now_us)
         self.lifecycle.add(session)
         self.seat_leases.on_session_established(session)
-        self.expiry.begin(session.id, now_us)
+        self.expiry.add(session.id, now_us)
         number, title = self.catalogue.titles[held.title]
-        request = Request(session.id, held.room_type, number, title.first_cell, title.cells, session.top, 1)
+        request = Request(
+            session.id, held.room_type, number, title.first_cell, title.cells, session.top_rung, 1
+        )
         self.policy.handle(Handover(request, address), now_us)
         self.policy.handle(SessionReport(session.id, address, ReportKind.RUNG, held.rung), now_us)
-        self.content.adopt(session, held.mark)
-        self.context.tally("adopted")
+        self.content.resume_playlist(session, held.mark)
+        self.context.increment("adopted")
         return session
 
     def _established_session(self, address: str, held: Held, now_us: int) -> Session:
@@ -118,11 +123,11 @@
             top_rung,
             now_us,
             now_us,
-            state=SessionState.PLAYING,
-            top=top_rung,
+            state=SessionState.ESTABLISHED,
+            top_rung=top_rung,
             rung=held.rung,
             attempt_count=held.join + 1,
-            home=AttemptTarget(address, held.join, held.subscription, 0),
+            current_target=AttemptTarget(address, held.join, held.subscription, 0),
             last_result=AttemptResult(Outcome.SERVED, None, 0),
             may_be_held_by_server=True,
             established_us=now_us,
@@ -133,8 +138,8 @@
     """What this front knows of the session that a server reports."""
     pending = session.pending_target
     is_pending = pending is not None and pending.attempt == held.join
-    target = pending if is_pending else session.home or pending
+    target = pending if is_pending else session.current_target or pending
     if target is None:
         return None
-    state = SessionState.JOINING if target is pending else session.state
+    state = SessionState.ATTEMPTING if target is pending else session.state
     return reconciliation.KnownSession(state, target.attempt, target.server)
--- a/packages/core/src/fennelcove/core/session_lifecycle.py
+++ b/packages/core/src/fennelcove/core/session_lifecycle.py
@@ -31,8 +31,8 @@
     def __init__(self, context: CoreContext, policy: PlacementPolicy) -> None:
         self.context = context
         self.policy = policy
-        self.held: dict[str, Session] = {}
-        self.by_module: dict[str, Session] = {}
+        self.sessions: dict[str, Session] = {}
+        self.by_policy_id: dict[str, Session] = {}
         self.close_reasons: OrderedDict[str, str] = OrderedDict()
         self._handlers: ActionHandlers = {}
 
@@ -42,13 +42,13 @@
 
     def add(self, session: Session) -> None:
         """Add a new session."""
-        self.held[session.id] = session
-        self.by_module[session.id] = session
+        self.sessions[session.id] = session
+        self.by_policy_id[session.id] = session
 
-    def playing(self, session_id: str) -> Session | None:
+    def find_established(self, session_id: str) -> Session | None:
         """The session of that id, if it is established."""
-        session = self.held.get(session_id)
-        is_established = session is not None and session.state is SessionState.PLAYING
+        session = self.sessions.get(session_id)
+        is_established = session is not None and session.state is SessionState.ESTABLISHED
         return session if is_established else None
 
     def apply(self, session: Session, event: SessionEvent) -> None:
@@ -60,7 +60,7 @@
     def release(self, session_id: str, reason: str) -> bool:
         """Close an established session; False where there is none of that id."""
         with self.context.lock:
-            session = self.playing(session_id)
+            session = self.find_established(session_id)
             if session is None:
                 return False
             session.close_reason = reason
@@ -81,12 +81,12 @@
         event = AttemptCompleted(target.policy_id, target.policy_attempt, result.outcome, is_finished, report)
         self.policy.handle(event, self.context.now_us())
         if is_finished:
-            self.by_module.pop(target.policy_id, None)
+            self.by_policy_id.pop(target.policy_id, None)
 
     def remove(self, session: Session) -> None:
         """Remove a closed session."""
-        self.held.pop(session.id, None)
-        self.by_module.pop(session.id, None)
+        self.sessions.pop(session.id, None)
+        self.by_policy_id.pop(session.id, None)
 
     def close_reason(self, session_id: str) -> str | None:
         """Why a session was closed, where that is still known."""
--- a/packages/core/src/fennelcove/core/session_migrations.py
+++ b/packages/core/src/fennelcove/core/session_migrations.py
@@ -84,12 +84,12 @@
 
     def on_server_lost(self, session: Session) -> None:
         """The server of a session is lost: move it where that is safe, or close it."""
-        if session.state is not SessionState.PLAYING:
+        if session.state is not SessionState.ESTABLISHED:
             return
         if _may_rescue(session, self.policy):
             self._apply(session, MigrationEvent.LOST)
         else:
-            self.lifecycle.apply(session, SessionEvent.BOX_LOST)
+            self.lifecycle.apply(session, SessionEvent.SERVER_LOST)
 
     def on_session_closed(self, session: Session) -> None:
         """Forget a session's migration; a pending attempt is released at its server when it ends."""
@@ -104,13 +104,13 @@
         with self.context.lock:
             started, expired = self.turns.take(self.context.now_us())
             for due in started:
-                session = self.lifecycle.held.get(due.id)
+                session = self.lifecycle.sessions.get(due.id)
                 if session is not None:
                     self._apply(session, MigrationEvent.TURN)
                 else:
                     self.turns.finished()
             for due in expired:
-                session = self.lifecycle.held.get(due.id)
+                session = self.lifecycle.sessions.get(due.id)
                 if session is not None:
                     self._apply(session, MigrationEvent.TIME)
 
@@ -118,7 +118,7 @@
         is_disabled = not self.turns.at_once
         if is_disabled:
             if event is MigrationEvent.LOST:
-                self.lifecycle.apply(session, SessionEvent.BOX_LOST)
+                self.lifecycle.apply(session, SessionEvent.SERVER_LOST)
             return
         state = self.migrations.get(session.id)
         if state is None:
@@ -139,7 +139,7 @@
 
     def on_attempt_refused(self, session: Session, policy_id: str) -> None:
         """The policy finds no server for now."""
-        self.lifecycle.by_module.pop(policy_id, None)
+        self.lifecycle.by_policy_id.pop(policy_id, None)
         session.pending_target = None
         state = self.migrations.get(session.id)
         if state is not None and not state.lost:
@@ -151,7 +151,7 @@
         with self.context.lock:
             session = step.session
             pending = session.pending_target
-            self.context.tally(f"move_joins_{result.outcome.value}")
+            self.context.increment(f"move_joins_{result.outcome.value}")
             now_us = self.context.now_us()
             self.retry_storms.on_attempt_completed(session, step.server, result.outcome, now_us)
             self.slots.release(session, step.attempt, result.outcome)
@@ -186,8 +186,8 @@
         current = session.required_current_target()
         session.migration_count += 1
         policy_id = f"{session.id}~{session.migration_count}"
-        self.lifecycle.by_module[policy_id] = session
-        self.context.tally("moves_tried")
+        self.lifecycle.by_policy_id[policy_id] = session
+        self.context.increment("moves_tried")
         timeout_us = max(1, self.draining.grace_us)
         request = MigrationRequested(current.policy_id, policy_id, timeout_us)
         self.policy.handle(request, self.context.now_us())
@@ -196,29 +196,29 @@
         old = session.required_current_target()
         result = session.required_result()
         now_us = self.context.now_us()
-        if not session.adrift:
+        if not session.is_orphaned:
             self.turns.finished()
         self.server_registry.on_session_closed(session)
         new = session.play_at_pending_target()
         started = SessionStarted(new.policy_id, new.policy_attempt, result.duration_us)
         self.policy.handle(started, now_us)
         session.established_us = now_us
-        if not session.adrift:
+        if not session.is_orphaned:
             served = AttemptResult(Outcome.SERVED, None, 0)
             self.lifecycle.report_attempt(old, served, is_finished=True)
             self.commands.send(old, session, None)
-        session.adrift = False
+        session.is_orphaned = False
         self.server_registry.on_session_established(session)
         if result.hints is not None:
             self.reports.forward_hints(session, result.hints)
         self.notifier.on_migrated(session)
-        self.context.tally("moves_made")
+        self.context.increment("moves_made")
         self._log_migrated(session, old.server, state)
         self.context.timers.after(0, self.run_due)
 
     def _log_migrated(self, session: Session, old_server: str, state: SessionMigration) -> None:
         waited_us = session.established_us - state.since_us if state.since_us else 0
-        self.context.notice(
+        self.context.log_event(
             "session_migrated",
             subscription=session.id,
             from_box=old_server,
@@ -232,33 +232,37 @@
         self.lifecycle.report_attempt(session.take_pending_target(), result, is_finished=False)
 
     def _report_lost(self, session: Session, state: SessionMigration) -> None:
-        if session.state is not SessionState.PLAYING or session.home is None or session.adrift:
+        if (
+            session.state is not SessionState.ESTABLISHED
+            or session.current_target is None
+            or session.is_orphaned
+        ):
             return
         self.server_registry.on_session_closed(session)
-        session.adrift = True
-        self.context.tally("adrift")
+        session.is_orphaned = True
+        self.context.increment("adrift")
         lost = AttemptResult(Outcome.CONNECTION_LOST, None, 0)
-        self.lifecycle.report_attempt(session.home, lost, is_finished=True)
+        self.lifecycle.report_attempt(session.current_target, lost, is_finished=True)
 
     def _schedule_retry(self, session: Session, state: SessionMigration) -> None:
         self.turns.put_back(state, self.context.now_us())
         self.context.timers.after(migration.RETRY_US, self.run_due)
 
     def _give_up(self, session: Session, state: SessionMigration) -> None:
-        self.context.tally("moves_given_up")
-        self.context.notice("migration_abandoned", subscription=session.id, box=session.server)
+        self.context.increment("moves_given_up")
+        self.context.log_event("migration_abandoned", subscription=session.id, box=session.server)
 
     def _close_session(self, session: Session, state: SessionMigration) -> None:
         what = "was lost" if state.lost else "has left"
         session.close_reason = f"its box {what}, and no other may take it"
-        self.lifecycle.apply(session, SessionEvent.BOX_LOST)
+        self.lifecycle.apply(session, SessionEvent.SERVER_LOST)
 
 
 def _may_rescue(session: Session, policy: PlacementPolicy) -> bool:
     """Whether another server may take over a session whose server is lost."""
     effect = policy.settings.service_classes[session.service_class].effect
     return (
-        session.home is not None
-        and migration.may_rescue(effect, adopted=session.ask is None)
-        and session.home.policy_id in policy.sessions
+        session.current_target is not None
+        and migration.may_rescue(effect, adopted=session.request is None)
+        and session.current_target.policy_id in policy.sessions
     )
--- a/packages/core/src/fennelcove/core/session_requests.py
+++ b/packages/core/src/fennelcove/core/session_requests.py
@@ -96,14 +96,14 @@
                 return RequestOutcome(None, rejection)
             session = self._create_session(request, terms, now_us)
             self.lifecycle.add(session)
-            self.context.tally("requests")
+            self.context.increment("requests")
             self._place(session, _policy_request(session, request, terms), now_us)
             return RequestOutcome(session, session.take_step())
 
     def _terms_of(self, request: SessionRequest) -> SessionTerms:
         service_class = self.catalogue.service_classes[request.service_class]
         title_number, title = self.catalogue.titles[request.title]
-        timeout_us = session_lifecycle.honest_timeout_us(
+        timeout_us = session_lifecycle.effective_timeout_us(
             request.client_timeout_us, round(service_class.client_timeout_ms * 1000)
         )
         rates_kb = self.catalogue.rates_kb(request.service_class)
@@ -112,7 +112,7 @@
             requested_top_rung = min(request.requested_top_rung, requested_top_rung)
         floor_rung = service_class.floor
         top_rung = load_signals.top_rung(rates_kb, requested_top_rung, floor_rung, request.hints)
-        work_us = session_lifecycle.time_to_answer_us(timeout_us)
+        work_us = session_lifecycle.processing_time_us(timeout_us)
         return SessionTerms(title_number, title, rates_kb, floor_rung, requested_top_rung, top_rung, work_us)
 
     def _create_session(self, request: SessionRequest, terms: SessionTerms, now_us: int) -> Session:
@@ -125,8 +125,8 @@
             terms.requested_top_rung,
             now_us,
             now_us + terms.work_us,
-            top=terms.top_rung,
-            ask=request,
+            top_rung=terms.top_rung,
+            request=request,
         )
 
     def _place(self, session: Session, request: Request, now_us: int) -> None:
@@ -134,27 +134,27 @@
             is_enqueued = self.slots.enqueue(session, request)
             if not is_enqueued:
                 self.policy.handle(request, now_us)
-            self.probes.wait(session)
+            self.probes.wait_for_decision(session)
         except Exception:
             # A request that failed keeps nothing: it would stay counted for ever, and a front that holds
             # nothing would in the end reject everybody.
-            self.admission.controller.request_answered(0)
+            self.admission.controller.on_request_answered(0)
             self.discard(session)
             raise
 
     def discard(self, session: Session) -> None:
         """Remove every trace of a session that failed, whatever its state."""
         with self.context.lock:
-            for target in (session.home, session.pending_target):
-                if target is not None and session.state is not SessionState.ENDED:
+            for target in (session.current_target, session.pending_target):
+                if target is not None and session.state is not SessionState.CLOSED:
                     self.policy.sessions.pop(target.policy_id, None)
-                    self.lifecycle.by_module.pop(target.policy_id, None)
+                    self.lifecycle.by_policy_id.pop(target.policy_id, None)
                     self.commands.send(target, session, None)
             self.policy.sessions.pop(session.id, None)
             self.slots.drop(session)
-            if self.lifecycle.held.get(session.id) is session:
+            if self.lifecycle.sessions.get(session.id) is session:
                 self.actions.close(session)
-            session.state = SessionState.ENDED
+            session.state = SessionState.CLOSED
 
 
 def _policy_request(session: Session, request: SessionRequest, terms: SessionTerms) -> Request:
@@ -167,6 +167,6 @@
         terms.top_rung,
         terms.work_us,
         request.tenant,
-        request.again,
+        request.is_retry,
         request.expected_watch_us,
     )
--- a/packages/core/src/fennelcove/core/session_views.py
+++ b/packages/core/src/fennelcove/core/session_views.py
@@ -22,8 +22,8 @@
             session.service_class,
             session.server,
             session.rung,
-            session.top,
+            session.top_rung,
             session.rates_kb[session.rung],
-            self.expiry.poll_every_us(),
+            self.expiry.poll_interval_us(),
             self.seat_leases.remaining_us(session.id),
         )
--- a/packages/core/src/fennelcove/core/shared_quota_coordinator.py
+++ b/packages/core/src/fennelcove/core/shared_quota_coordinator.py
@@ -11,7 +11,7 @@
 from fennelcove.decisions.fleet.shared_quotas import Quota, QuotaRequest, QuotaTransfer, Resource
 from fennelcove.settings.schema import Instance
 
-TURN_US = 250_000  # interval of calls of `turn`
+EXCHANGE_INTERVAL_US = 250_000  # interval of calls of `turn`
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,9 +33,9 @@
 
     def __init__(
         self,
-        wholes: Mapping[Resource, float],
+        total_rates: Mapping[Resource, float],
         instance: Instance,
-        life: int,
+        incarnation: int,
         clock: Clock,
         rng: Random,
         lock: threading.RLock,
@@ -45,49 +45,49 @@
         self._lock = lock
         now_us = clock.now_us()
         self._quotas = {
-            resource: Quota(resource, whole, instance.fronts, instance.index, life, now_us)
-            for resource, whole in wholes.items()
+            resource: Quota(resource, whole, instance.fronts, instance.index, incarnation, now_us)
+            for resource, whole in total_rates.items()
         }
-        self.post: Callable[[int, QuotaRequest | QuotaTransfer], None] = lambda _front, _message: None
+        self.send: Callable[[int, QuotaRequest | QuotaTransfer], None] = lambda _front, _message: None
 
-    def take(self, thing: Resource) -> bool:
+    def try_acquire(self, resource: Resource) -> bool:
         """Acquire one unit of a resource; True where nothing limits it."""
         with self._lock:
-            quota = self._quotas.get(thing)
-            return quota is None or quota.take(self._clock.now_us())
+            quota = self._quotas.get(resource)
+            return quota is None or quota.try_acquire(self._clock.now_us())
 
-    def wait_us(self, thing: Resource) -> int:
+    def acquire_wait_us(self, resource: Resource) -> int:
         """Acquire one unit of a resource and return 0, or return how long to wait before the next try."""
         with self._lock:
-            quota, now_us = self._quotas.get(thing), self._clock.now_us()
-            if quota is None or quota.take(now_us):
+            quota, now_us = self._quotas.get(resource), self._clock.now_us()
+            if quota is None or quota.try_acquire(now_us):
                 return 0
             return max(1, quota.wait_us(now_us))
 
-    def turn(self) -> None:
+    def exchange_quota(self) -> None:
         """Request quota that is short from other fronts; returns without waiting for them."""
         with self._lock:
             now_us = self._clock.now_us()
             requests = [
                 addressed
                 for quota in self._quotas.values()
-                for addressed in quota.ask(self._rng.random(), now_us)
+                for addressed in quota.next_requests(self._rng.random(), now_us)
             ]
         for front, request in requests:
-            self.post(front, request)
+            self.send(front, request)
 
-    def hear(self, sender: int, said: QuotaRequest | QuotaTransfer) -> None:
+    def on_message(self, sender: int, message: QuotaRequest | QuotaTransfer) -> None:
         """Handle another front's request for quota, or its transfer."""
         with self._lock:
-            quota, now_us = self._quotas.get(said.thing), self._clock.now_us()
+            quota, now_us = self._quotas.get(message.resource), self._clock.now_us()
             if quota is None:
                 return
-            if isinstance(said, QuotaTransfer):
-                quota.hear_loan(sender, said, now_us)
+            if isinstance(message, QuotaTransfer):
+                quota.on_transfer(sender, message, now_us)
                 return
-            transfer = quota.hear_ask(sender, said, now_us)
+            transfer = quota.on_request(sender, message, now_us)
         if transfer is not None:
-            self.post(sender, transfer)
+            self.send(sender, transfer)
 
     def status(self) -> dict[str, object]:
         """Return the figures of the `budgets` section of the status JSON, by resource."""
@@ -102,8 +102,8 @@
 def _quota_status(quota: Quota, now_us: int) -> QuotaStatus:
     return QuotaStatus(
         rate=round(quota.rate(now_us), 3),
-        spent=quota.spent,
-        denied=quota.denied,
+        spent=quota.spent_count,
+        denied=quota.denied_count,
         lent_to=len(quota.lent),
         borrowed_from=len(quota.borrowed),
     )
--- a/packages/core/src/fennelcove/core/slot_requests.py
+++ b/packages/core/src/fennelcove/core/slot_requests.py
@@ -83,8 +83,8 @@
     session: Session, request: Request, catalogue: Catalogue, policy: PlacementPolicy
 ) -> ExpectedWorkload:
     """Return what is known of a set-up before a server is chosen."""
-    cells = {(request.first_cell + offset) % catalogue.cells for offset in range(request.cell_count)}
-    servers = [server for cell in sorted(cells) for server in policy.active(cell)]
+    cells = {(request.first_cell + offset) % catalogue.cell_count for offset in range(request.cell_count)}
+    servers = [server for cell in sorted(cells) for server in policy.active_replicas(cell)]
     has_warm_server = any(not is_warming_up(policy, server) for server in servers)
     shape = session.service_class, _ladder_band(session), has_warm_server
     return ExpectedWorkload(shape, tuple(server.address for server in servers))
@@ -96,7 +96,7 @@
 
 
 def _ladder_band(session: Session) -> int:
-    return LADDER_BANDS * session.top // len(session.rates_kb)
+    return LADDER_BANDS * session.top_rung // len(session.rates_kb)
 
 
 class TenantNames:
@@ -133,8 +133,8 @@
     def new_request(self, session: Session, request: Request, now_us: int) -> SlotRequest:
         """Return a set-up as the wait queue takes it."""
         tenant = self.tenant_of(session)
-        if session.ask is not None:
-            self.tenant_names.remember(tenant, session.ask.tenant if tenant else "others")
+        if session.request is not None:
+            self.tenant_names.remember(tenant, session.request.tenant if tenant else "others")
         workload = expected_workload(session, request, self._catalogue, self._policy)
         waiter = Waiter(
             session.id,
@@ -143,14 +143,14 @@
             session.title,
             workload.servers,
             now_us,
-            session.give_up_us,
+            session.deadline_us,
             self._queue.holds.guess(workload.shape, session.title),
         )
         return SlotRequest(session, request, waiter)
 
     def tenant_of(self, session: Session) -> int:
         """Return the key of a session's tenant, as far as the settings know it."""
-        name = session.ask.tenant if session.ask is not None else ""
+        name = session.request.tenant if session.request is not None else ""
         return self._queue.terms.known(tenant_key(name))
 
     def expected_hold(self, session: Session, slot_request: SlotRequest | None) -> ServiceTimeEstimate:
--- a/packages/core/src/fennelcove/core/slot_scheduler.py
+++ b/packages/core/src/fennelcove/core/slot_scheduler.py
@@ -71,38 +71,38 @@
     def __init__(
         self,
         context: CoreContext,
-        told: FairSettings,
+        settings: FairSettings,
         instance: Instance,
         catalogue: Catalogue,
-        front: PlacementPolicy,
+        policy: PlacementPolicy,
         lifecycle: SessionLifecycle,
-        bell: Callable[[], Wakeup],
+        new_wakeup: Callable[[], Wakeup],
     ) -> None:
         self._context = context
-        self._slots_per_server = told.slots
-        self._policy = front
+        self._slots_per_server = settings.slots
+        self._policy = policy
         self._lifecycle = lifecycle
-        self._new_wakeup = bell
-        self.part: Callable[[str, int], int] = lambda server, _now_us: equal_quota(
-            told.slots, instance, server
+        self._new_wakeup = new_wakeup
+        self.quota_of: Callable[[str, int], int] = lambda server, _now_us: equal_quota(
+            settings.slots, instance, server
         )
-        self.wants: Callable[[str, int], None] = lambda _server, _waiting: None
-        self.post: Callable[[UsageReport], None] = lambda _report: None
+        self.publish_waiting_count: Callable[[str, int], None] = lambda _server, _waiting: None
+        self.broadcast: Callable[[UsageReport], None] = lambda _report: None
         self._gossip = UsageGossip(life=context.wall_us() // 1000)
-        weights = {tenant_key(tenant.name): tenant.weight for tenant in told.weights}
-        terms = TenantTerms(weights, told.strangers)
-        max_wait_us = round(told.wait_ms * 1000)
+        weights = {tenant_key(tenant.name): tenant.weight for tenant in settings.weights}
+        terms = TenantTerms(weights, settings.strangers)
+        max_wait_us = round(settings.wait_ms * 1000)
         self._queue = WaitQueue(
-            lambda server, now_us: self.part(server, now_us), terms, max_wait_us, told.waiting
+            lambda server, now_us: self.quota_of(server, now_us), terms, max_wait_us, settings.waiting
         )
         self._requests: dict[str, SlotRequest] = {}  # by session
         self._in_use: dict[AttemptKey, SlotInUse] = {}
         self._servers: dict[int, str] = {}  # by key
-        self._workloads = WorkloadEstimator(self._queue, catalogue, front)
+        self._workloads = WorkloadEstimator(self._queue, catalogue, policy)
 
     # Calls of the core.
 
-    def ask(self, session: Session, request: Request) -> None:
+    def admit(self, session: Session, request: Request) -> None:
         """Admit a set-up: ask the policy, or let it wait; either way the session gets its next step."""
         now_us = self._context.now_us()
         slot_request = self._workloads.new_request(session, request, now_us)
@@ -113,13 +113,13 @@
             self._place(slot_request)
             return
         self._enqueue(slot_request, now_us)
-        if session.step is None:
+        if session.next_step is None:
             slot_request.wakeup = self._new_wakeup()
-            session.step = WaitForSlot(session, self._queue.due_us(waiter), slot_request.wakeup)
-            self._context.tally("slots_waited")
+            session.next_step = WaitForSlot(session, self._queue.due_us(waiter), slot_request.wakeup)
+            self._context.increment("slots_waited")
         self._publish_demand(waiter.servers)
 
-    def waits_on(self, session: Session) -> bool:
+    def waits_for_other_servers(self, session: Session) -> bool:
         """Return whether a set-up waits for other servers, now that the policy found no free one suitable."""
         slot_request = self._requests.get(session.id)
         if slot_request is None or not slot_request.is_placing:
@@ -136,9 +136,9 @@
         slot_request.waiter = retry
         return True
 
-    def free(self, id: str, server: str) -> bool:
+    def may_use_server(self, policy_session_id: str, server: str) -> bool:
         """Return whether the policy may choose a server for an attempt of a session now."""
-        session = self._lifecycle.by_module.get(id)
+        session = self._lifecycle.by_policy_id.get(policy_session_id)
         if session is None:
             return True
         now_us, slot_request = self._context.now_us(), self._requests.get(session.id)
@@ -147,7 +147,7 @@
         expected_hold = self._workloads.expected_hold(session, slot_request)
         return self._queue.free(server, expected_hold.long, now_us)
 
-    def take(self, session: Session, server: str, attempt: int) -> bool:
+    def try_acquire(self, session: Session, server: str, attempt: int) -> bool:
         """Acquire a slot for an attempt that is about to be sent; False where none is free."""
         now_us, slot_request = self._context.now_us(), self._requests.get(session.id)
         tenant = self._workloads.tenant_of(session)
@@ -155,14 +155,14 @@
         key = AttemptKey(session.id, attempt)
         expected_hold = self._workloads.expected_hold(session, slot_request)
         if not self._queue.take(server, key, tenant, expected_hold, now_us):
-            self._context.tally("slots_missed")
+            self._context.increment("slots_missed")
             return False
         self._in_use[key] = SlotInUse(server, shape, session.title, tenant)
         if slot_request is not None:
             slot_request.waiter.apply(WaiterEvent.PLACED)
         return True
 
-    def give_back(self, session: Session, attempt: int, outcome: Outcome) -> None:
+    def release(self, session: Session, attempt: int, outcome: Outcome) -> None:
         """Release the slot of an attempt that is over; nothing happens where it held none."""
         key, now_us = AttemptKey(session.id, attempt), self._context.now_us()
         slot = self._in_use.pop(key, None)
@@ -181,19 +181,19 @@
             if outcome is Outcome.SERVED:
                 del self._requests[session.id]
 
-    def over(self, session: Session) -> None:
+    def on_set_up_ended(self, session: Session) -> None:
         """Forget the set-up of a session that plays or has ended."""
         slot_request = self._requests.pop(session.id, None)
         if slot_request is not None:
             self._queue.leave(slot_request.waiter, WaiterEvent.HUNG_UP)
 
-    def drop(self, session: Session) -> None:
+    def discard(self, session: Session) -> None:
         """Release everything a session holds, after a fault in the middle of one of its steps."""
-        self.over(session)
+        self.on_set_up_ended(session)
         for key in [key for key in self._in_use if key.session_id == session.id]:
-            self.give_back(session, key.attempt, Outcome.NOT_SENT)
+            self.release(session, key.attempt, Outcome.NOT_SENT)
 
-    def pump(self) -> None:
+    def assign_free_slots(self) -> None:
         """Give slots that have come free to the set-ups that wait for them."""
         now_us = self._context.now_us()
         wanted = dict.fromkeys(server for waiter in queued_waiters(self._queue) for server in waiter.servers)
@@ -202,17 +202,17 @@
                 self._place(self._requests[waiter.id])
                 self._publish_demand(waiter.servers)
 
-    def risen(self) -> None:
+    def on_quota_increased(self) -> None:
         """Handle that this front's quota of some server may have grown."""
         with self._context.lock:
-            self.pump()
+            self.assign_free_slots()
 
     # The queue.
 
     def _publish_demand(self, servers: Iterable[str]) -> None:
         for server in servers:
             waiting = sum(server in waiter.servers for waiter in queued_waiters(self._queue))
-            self.wants(server, waiting)
+            self.publish_waiting_count(server, waiting)
 
     def _enqueue(self, slot_request: SlotRequest, now_us: int) -> None:
         decision = self._queue.ask(slot_request.waiter, now_us)
@@ -227,18 +227,18 @@
         """Let the placement policy choose a server for a set-up whose turn it is."""
         session, now_us = slot_request.session, self._context.now_us()
         slot_request.is_placing = True
-        timeout_us = max(1, session.give_up_us - now_us)
+        timeout_us = max(1, session.deadline_us - now_us)
         try:
             self._policy.handle(replace(slot_request.request, timeout_us=timeout_us), now_us)
         except Exception as error:
             if slot_request.wakeup is None:
                 raise  # the thread that asks handles it
             # This is another set-up's thread, which must not fail with this one.
-            self._context.notice("slot_placement_failed", subscription=session.id, reason=repr(error))
+            self._context.log_event("slot_placement_failed", subscription=session.id, reason=repr(error))
             self._policy.sessions.pop(session.id, None)
             self._reject(slot_request, WaiterEvent.NO_TIME)
         slot_request.is_placing = False
-        if session.step is not None:
+        if session.next_step is not None:
             slot_request.wake()
 
     def _reject(self, slot_request: SlotRequest, event: WaiterEvent, wait_us: int | None = None) -> None:
@@ -251,14 +251,14 @@
         wait_us = round(wait_us * (1 + self._context.rng.random()))
         if max_wait_us is not None:
             wait_us = min(wait_us, max_wait_us)
-        self._context.tally(f"slots_refused_{event.name.lower()}")
-        session.step = SessionResponse(ResponseKind.THROTTLED, REJECTION_REASONS[event], wait_us)
-        self._lifecycle.apply(session, SessionEvent.THROTTLE)
+        self._context.increment(f"slots_refused_{event.name.lower()}")
+        session.next_step = SessionResponse(ResponseKind.REJECTED, REJECTION_REASONS[event], wait_us)
+        self._lifecycle.apply(session, SessionEvent.SETUP_REJECTED)
         slot_request.wake()
 
     # The thread that waits.
 
-    def waited(self, step: WaitForSlot, event: WaiterEvent | None) -> NextStep | None:
+    def end_wait(self, step: WaitForSlot, event: WaiterEvent | None) -> NextStep | None:
         """End a wait and return the next step; None where the client has hung up.
 
         Args:
@@ -268,22 +268,22 @@
         with self._context.lock:
             session = step.session
             slot_request = self._requests.get(session.id)
-            if session.step is None and slot_request is not None:
+            if session.next_step is None and slot_request is not None:
                 if event is WaiterEvent.HUNG_UP:
-                    self._context.tally("slots_hung_up")
+                    self._context.increment("slots_hung_up")
                     self._queue.leave(slot_request.waiter, event)
-                    self._lifecycle.apply(session, SessionEvent.THROTTLE)
+                    self._lifecycle.apply(session, SessionEvent.SETUP_REJECTED)
                 else:
                     self._reject(slot_request, event or WaiterEvent.NO_TIME)
             if slot_request is not None:
                 self._publish_demand(slot_request.waiter.servers)
-            next_step, session.step = session.step, None
-            step.bell.close()
+            next_step, session.next_step = session.next_step, None
+            step.wakeup.close()
             return next_step
 
     # Other fronts.
 
-    def window(self) -> None:
+    def close_window(self) -> None:
         """Close a window: send the other fronts what each tenant used; returns without waiting for them."""
         with self._context.lock:
             now_us = self._context.now_us()
@@ -291,15 +291,15 @@
             # Rebuilt from the queue, which is bounded; a table of its own grew with every server ever used.
             self._servers = {server_key(server): server for server in self._queue.servers}
             report = self._gossip.window()
-            self.pump()  # the usage of other fronts decays by itself
+            self.assign_free_slots()  # the usage of other fronts decays by itself
         if report is not None:
-            self.post(report)
+            self.broadcast(report)
 
-    def hear(self, sender: int, said: UsageReport) -> None:
+    def on_usage_report(self, sender: int, report: UsageReport) -> None:
         """Apply another front's usage report."""
         with self._context.lock:
             now_us = self._context.now_us()
-            for row in self._gossip.hear(sender, said, self._slots_per_server, now_us):
+            for row in self._gossip.hear(sender, report, self._slots_per_server, now_us):
                 server = self._servers.get(row.server)
                 if server is not None:
                     self._queue.advance(server, row.tenant, row.given_us, now_us)
--- a/packages/core/src/fennelcove/core/snapshot_manager.py
+++ b/packages/core/src/fennelcove/core/snapshot_manager.py
@@ -11,12 +11,12 @@
 from fennelcove.core.front_incarnations import FrontIncarnations
 from fennelcove.core.idempotency_store import IdempotencyStore
 from fennelcove.core.seat_leases import SeatLeaseManager
-from fennelcove.core.snapshot_records import FORMAT, FRONT, LIST, SERVER
+from fennelcove.core.snapshot_records import FORMAT_KEY, FRONT_KEY, LIST_KEY, SERVER_KEY_PREFIX
 from fennelcove.decisions.clients.retry_storm import RetryStormDetector
 from fennelcove.decisions.fleet import snapshot_trust
 from fennelcove.decisions.fleet.snapshot_trust import Evidence, FactKind, LossKind, SnapshotAge, SnapshotUse
 from fennelcove.decisions.recovery import snapshot
-from fennelcove.decisions.recovery.snapshot import FrontMemory, RecordVerdict, RecoveredServer
+from fennelcove.decisions.recovery.snapshot import FrontRecord, RecordVerdict, RecoveredServer
 from fennelcove.interface import BudgetSnapshot, ListEntry, ServerSnapshot
 from fennelcove.placement import PlacementPolicy
 
@@ -30,7 +30,7 @@
 
     def use_of(self, fact: FactKind) -> SnapshotUse:
         """Return how far a kind of fact may be used."""
-        return snapshot_trust.use(fact, self.loss, self.age)
+        return snapshot_trust.snapshot_use(fact, self.loss, self.age)
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,11 +52,11 @@
     def __init__(
         self,
         context: CoreContext,
-        module: PlacementPolicy,
-        weather: RetryStormDetector,
-        seats: SeatLeaseManager,
-        repeats: IdempotencyStore,
-        version: Callable[[], int | None],
+        policy: PlacementPolicy,
+        detector: RetryStormDetector,
+        seat_leases: SeatLeaseManager,
+        idempotency: IdempotencyStore,
+        list_version: Callable[[], int | None],
     ) -> None:
         """Create a manager.
 
@@ -69,17 +69,17 @@
             version: Returns the version of the endpoint list in force, None before the first.
         """
         self._context = context
-        self._policy = module
-        self._detector = weather
-        self._seats = seats
-        self._idempotency = repeats
-        self._list_version = version
+        self._policy = policy
+        self._detector = detector
+        self._seats = seat_leases
+        self._idempotency = idempotency
+        self._list_version = list_version
         self.stored: dict[bytes, bytes] = {}  # the records as the store has them
         self._unclaimed: dict[bytes, bytes] = {}  # servers' records, until a list names the servers
-        self._front: FrontMemory | None = None
-        self.lives: Callable[[], FrontIncarnations] = FrontIncarnations
-        self.more: Callable[[], list[tuple[bytes, bytes]]] = list
-        self.entries: dict[str, ListEntry] | None = None
+        self._front: FrontRecord | None = None
+        self.known_incarnations: Callable[[], FrontIncarnations] = FrontIncarnations
+        self.collect_other_records: Callable[[], list[tuple[bytes, bytes]]] = list
+        self.list_entries: dict[str, ListEntry] | None = None
 
     # Restoring.
 
@@ -89,40 +89,45 @@
         Servers' records wait for the first endpoint list, which shows whether the servers are still the same.
         """
         with self._context.lock:
-            values = snapshot.migrated(values)
+            values = snapshot.migrate_records(values)
             self.stored = dict(values)
-            self._unclaimed = {key: record for key, record in values.items() if key.startswith(SERVER)}
+            self._unclaimed = {
+                key: record for key, record in values.items() if key.startswith(SERVER_KEY_PREFIX)
+            }
             self._seats.restore(values)
             key_count = self._idempotency.restore(values)
             if key_count:
-                self._context.notice("idempotency_keys_restored", count=key_count)
-            self._front = snapshot.read_front(values.get(FRONT, b""))
+                self._context.log_event("idempotency_keys_restored", count=key_count)
+            self._front = snapshot.read_front(values.get(FRONT_KEY, b""))
             if self._front is not None:
                 self._restore_budgets(self._front)
-                self._detector.usual, self._detector.seen = self._front.usual, self._front.seen
-
-    def _restore_budgets(self, front: FrontMemory) -> None:
-        wall_us, span_us = self._context.wall_us(), self._policy.settings.budget_span_us
-        taken = snapshot.spent(front.taken_us, wall_us, span_us)
-        further = snapshot.spent(front.further_us, wall_us, span_us)
+                self._detector.baseline, self._detector.calm_window_count = (
+                    self._front.usual,
+                    self._front.seen,
+                )
+
+    def _restore_budgets(self, front: FrontRecord) -> None:
+        wall_us, span_us = self._context.wall_us(), self._policy.settings.retry_window_us
+        taken = snapshot.budget_ages_us(front.taken_us, wall_us, span_us)
+        further = snapshot.budget_ages_us(front.further_us, wall_us, span_us)
         age = self._assess(0, 0).age
-        if snapshot_trust.use(FactKind.BUDGET, LossKind.SELF, age) is SnapshotUse.AT_LEAST:
+        if snapshot_trust.snapshot_use(FactKind.RETRY_BUDGET, LossKind.SELF, age) is SnapshotUse.LOWER_BOUND:
             # Times out of an old snapshot are not known well enough: everything counts as spent just now.
             taken, further = [], [0 for _ in front.further_us]
         self._policy.handle(BudgetSnapshot(tuple(taken), tuple(further)), self._context.now_us())
 
-    def last_list(self) -> tuple[ListEntry, ...]:
+    def stored_list(self) -> tuple[ListEntry, ...]:
         """Return the endpoint list of the previous incarnation; empty where there is none to be used."""
         with self._context.lock:
-            stored_list = snapshot.read_list(self.stored.get(LIST, b""))
+            stored_list = snapshot.read_list(self.stored.get(LIST_KEY, b""))
             age = self._assess(0, 0).age
             if stored_list is None:
                 return ()
-            if snapshot_trust.use(FactKind.LIST, LossKind.SELF, age) is SnapshotUse.DROP:
+            if snapshot_trust.snapshot_use(FactKind.ENDPOINT_LIST, LossKind.SELF, age) is SnapshotUse.DROP:
                 return ()
-            return tuple(snapshot_records.list_entry(server) for server in stored_list.boxes)
+            return tuple(snapshot_records.list_entry(server) for server in stored_list.servers)
 
-    def listed(self) -> None:
+    def on_list_received(self) -> None:
         """Restore the servers that an endpoint list names; each is restored once."""
         unclaimed, self._unclaimed = self._unclaimed, {}
         now_us, wall_us = self._context.now_us(), self._context.wall_us()
@@ -131,7 +136,7 @@
         listed = sum(record.verdict is not RecordVerdict.NOT_LISTED for record in records)
         assessment = self._assess(listed, restarted)
         if self._front is not None:
-            self._context.notice(
+            self._context.log_event(
                 "snapshot_assessed",
                 loss=assessment.loss.name.lower(),
                 folder=assessment.age.name.lower(),
@@ -144,13 +149,13 @@
                 self._restore_server(record.address, record.state, assessment, now_us)
         counts = Counter(record.verdict.name.lower() for record in records)
         if counts:
-            self._context.notice("server_records_restored", **counts)
+            self._context.log_event("server_records_restored", **counts)
 
     def _judge(self, key: bytes, record: bytes, now_us: int, wall_us: int) -> ServerRecord:
         address = snapshot_records.address_of(key)
         server = self._policy.servers.get(address)
         started_us = None if server is None else wall_us - (now_us - server.started_us)
-        verdict, state = snapshot.rule(snapshot.read_server(record), started_us, wall_us)
+        verdict, state = snapshot.evaluate_record(snapshot.read_server(record), started_us, wall_us)
         return ServerRecord(address, verdict, state)
 
     def _restore_server(
@@ -160,7 +165,7 @@
         loss = LossKind.SELF if assessment.loss is LossKind.SELF else LossKind.FRONTS
         known = SnapshotAssessment(loss, assessment.age)
         has_strikes = known.use_of(FactKind.STRIKES) is SnapshotUse.USE
-        has_last_attempt = known.use_of(FactKind.LAST_JOIN) is SnapshotUse.USE
+        has_last_attempt = known.use_of(FactKind.LAST_ATTEMPT) is SnapshotUse.USE
         restored = ServerSnapshot(
             address,
             state.strikes if has_strikes else 0,
@@ -171,16 +176,16 @@
 
     def _restore_usual_load(self, assessment: SnapshotAssessment) -> None:
         """Keep the usual load, or learn it anew, from where it was or from nothing."""
-        use = assessment.use_of(FactKind.PACE)
+        use = assessment.use_of(FactKind.ARRIVAL_RATE)
         if use is SnapshotUse.USE:
             return
-        self._detector.seen = 0
+        self._detector.calm_window_count = 0
         if use is SnapshotUse.DROP:
-            self._detector.usual = 0.0
+            self._detector.baseline = 0.0
 
     def _assess(self, servers: int, restarted_servers: int) -> SnapshotAssessment:
         """Return what was lost and how old the snapshot is, by what was heard until now."""
-        front, incarnations = self._front, self.lives()
+        front, incarnations = self._front, self.known_incarnations()
         stored = front.lives if front is not None else []
         heard = [
             (now, before)
@@ -197,17 +202,17 @@
             front.written_us if front is not None else 0,
             self._context.wall_us(),
         )
-        return SnapshotAssessment(snapshot_trust.loss(evidence), snapshot_trust.age(evidence))
+        return SnapshotAssessment(snapshot_trust.infer_loss(evidence), snapshot_trust.snapshot_age(evidence))
 
     # Storing.
 
-    def gather(self) -> list[tuple[bytes, bytes | None]]:
+    def collect_changes(self) -> list[tuple[bytes, bytes | None]]:
         """Return the records that changed since the last call; None as the value of one to be deleted."""
         with self._context.lock:
             if self._list_version() is None:
                 return []  # before the first list nothing is known that is not stored already
             records = self._records()
-            changed = snapshot.changed(records, self.stored)
+            changed = snapshot.record_changes(records, self.stored)
             self.stored = dict(records)
             return changed
 
@@ -221,15 +226,15 @@
             )
             for server in self._policy.servers.values()
         ]
-        records += self._idempotency.kept()
-        records += self._seats.kept()
-        records += self.more()
+        records += self._idempotency.persisted_entries()
+        records += self._seats.persisted_entries()
+        records += self.collect_other_records()
         front = snapshot_records.front_record(
-            self._policy, self._detector, self.lives(), version, now_us, wall_us
+            self._policy, self._detector, self.known_incarnations(), version, now_us, wall_us
         )
-        records.append((FRONT, front))
-        records.append((FORMAT, str(snapshot.FORMAT).encode()))
-        if self.entries is not None:
-            entries = self.entries.values()
-            records.append((LIST, snapshot_records.list_record(entries, version, now_us, wall_us)))
+        records.append((FRONT_KEY, front))
+        records.append((FORMAT_KEY, str(snapshot.FORMAT_VERSION).encode()))
+        if self.list_entries is not None:
+            entries = self.list_entries.values()
+            records.append((LIST_KEY, snapshot_records.list_record(entries, version, now_us, wall_us)))
         return records
--- a/packages/core/src/fennelcove/core/snapshot_records.py
+++ b/packages/core/src/fennelcove/core/snapshot_records.py
@@ -12,11 +12,16 @@
 from fennelcove.core.front_incarnations import FrontIncarnations
 from fennelcove.decisions.clients.retry_storm import RetryStormDetector
 from fennelcove.decisions.recovery import snapshot
-from fennelcove.decisions.recovery.snapshot import FrontMemory, KeptList, KeptServer, ServerMemory
+from fennelcove.decisions.recovery.snapshot import (
+    FrontRecord,
+    EndpointListRecord,
+    EndpointRecord,
+    ServerRecord,
+)
 from fennelcove.interface import ListEntry, ServerState
 from fennelcove.placement import PlacementPolicy, Server
 
-SERVER, FRONT, LIST, FORMAT = b"box/", b"front", b"list", b"format"
+SERVER_KEY_PREFIX, FRONT_KEY, LIST_KEY, FORMAT_KEY = b"box/", b"front", b"list", b"format"
 MILLISECOND_US = 1000
 SECOND_US = 1_000_000
 MINUTE_US = 60 * SECOND_US
@@ -26,12 +31,12 @@
 
 def server_key(address: str) -> bytes:
     """Return the key of a server's record."""
-    return SERVER + address.encode()
+    return SERVER_KEY_PREFIX + address.encode()
 
 
 def address_of(key: bytes) -> str:
     """Return the address that a server's record belongs to."""
-    return key[len(SERVER) :].decode("utf-8", "replace")
+    return key[len(SERVER_KEY_PREFIX) :].decode("utf-8", "replace")
 
 
 def server_record(server: Server, now_us: int, wall_us: int) -> bytes:
@@ -42,7 +47,7 @@
         return round((wall_us - (now_us - at_us)) / MILLISECOND_US) * MILLISECOND_US
 
     last_attempt_us = server.last_attempt_us
-    record = ServerMemory(
+    record = ServerRecord(
         to_wall_us(server.started_us),
         server.strikes,
         to_wall_us(server.shut_until_us) if server.shut_until_us > now_us else 0,
@@ -64,14 +69,14 @@
     """Encode the front's spent budgets, usual load and known incarnations."""
 
     def to_wall_us(times_us: Iterable[int]) -> list[int]:
-        return [wall_us - (now_us - at_us) for at_us in times_us][-snapshot.MOST_TIMES :]
+        return [wall_us - (now_us - at_us) for at_us in times_us][-snapshot.MAX_BUDGET_TIMES :]
 
-    record = FrontMemory(
+    record = FrontRecord(
         wall_us // SECOND_US * SECOND_US,
-        to_wall_us(policy.taken),
-        to_wall_us(policy.further),
-        detector.usual,
-        detector.seen,
+        to_wall_us(policy.request_times),
+        to_wall_us(policy.retry_times),
+        detector.baseline,
+        detector.calm_window_count,
         incarnations.own,
         list(incarnations.by_front),
         NO_LIST_VERSION if list_version is None else list_version,
@@ -82,25 +87,25 @@
 def list_record(entries: Iterable[ListEntry], list_version: int | None, now_us: int, wall_us: int) -> bytes:
     """Encode the endpoint list in force."""
     servers = [_list_row(entry, now_us, wall_us) for entry in entries]
-    return _ENCODER.encode(KeptList(list_version or 0, servers))
+    return _ENCODER.encode(EndpointListRecord(list_version or 0, servers))
 
 
-def _list_row(entry: ListEntry, now_us: int, wall_us: int) -> KeptServer:
+def _list_row(entry: ListEntry, now_us: int, wall_us: int) -> EndpointRecord:
     started_us = 0  # long ago
     if entry.started_us:
         started_us = round((wall_us - (now_us - entry.started_us)) / SECOND_US) * SECOND_US
-    return KeptServer(
+    return EndpointRecord(
         entry.address,
         entry.zone,
         entry.kind,
         entry.cell,
-        entry.standing.value,
+        entry.state.value,
         entry.weight,
         started_us,
     )
 
 
-def list_entry(server: KeptServer) -> ListEntry:
+def list_entry(server: EndpointRecord) -> ListEntry:
     """Return a stored server as an entry of an endpoint list, as one that started long ago."""
     return ListEntry(
         server.address,
--- a/packages/daemon/src/fennelcove/daemon/background.py
+++ b/packages/daemon/src/fennelcove/daemon/background.py
@@ -49,10 +49,10 @@
         """Figures for an operator, by task."""
         return {
             task.name: {
-                "runs": task.runs,
-                "usual_ms": round(task.usual_us / 1000, 3),
-                "latest_ms": task.latest_us / 1000,
-                "skipped": task.skipped,
+                "runs": task.run_count,
+                "usual_ms": round(task.mean_run_us / 1000, 3),
+                "latest_ms": task.max_lateness_us / 1000,
+                "skipped": task.skipped_count,
             }
             for task in self.calls
         }
@@ -62,7 +62,7 @@
             with self.changed:
                 if self.stopped:
                     return
-                pick = self.schedule.pick(self.clock.now_us())
+                pick = self.schedule.next_task(self.clock.now_us())
                 if pick.task is None:
                     self.changed.wait(pick.wait_us / 1e6)
                     continue
@@ -71,4 +71,4 @@
                 self.calls[pick.task]()
             except Exception as error:  # one task that fails must not end the others
                 self.notice("background_failed", task=pick.task.name, reason=repr(error))
-            self.schedule.over(pick.task, began_us, self.clock.now_us())
+            self.schedule.on_run_completed(pick.task, began_us, self.clock.now_us())
--- a/packages/daemon/src/fennelcove/daemon/concurrency_limits.py
+++ b/packages/daemon/src/fennelcove/daemon/concurrency_limits.py
@@ -6,7 +6,7 @@
 
 from fennelcove.clock import Clock
 from fennelcove.core.core import Core
-from fennelcove.core.learned_limits import TRADE_US, LearnedLimits, Listed
+from fennelcove.core.learned_limits import QUOTA_EXCHANGE_INTERVAL_US, LearnedLimits, ListedServer
 from fennelcove.clock.timers import Timers
 from fennelcove.core.requests import EventLogger
 from fennelcove.settings.schema import FrontSettings, SlotSettings
@@ -41,27 +41,27 @@
             core.lock,
             notice,
         )
-        self.book.servers = self._servers
-        self.book.soon = lambda: timers.after(0, self.book.trade)
+        self.book.list_servers = self._servers
+        self.book.schedule_quota_exchange = lambda: timers.after(0, self.book.exchange_quota)
 
     def free(self, id: str, server: str) -> bool:
         """As the module asks: whether a subscription may join there now."""
-        return self.book.free(server)
+        return self.book.has_free_slot(server)
 
     def start(self) -> None:
         """Begin to learn and to trade."""
         self.timers.after(0, self._window)
-        self.timers.after(TRADE_US, self._trade)
+        self.timers.after(QUOTA_EXCHANGE_INTERVAL_US, self._trade)
 
-    def _servers(self) -> list[Listed]:
+    def _servers(self) -> list[ListedServer]:
         """The boxes that the module knows, with the kinds that the list has told."""
         front, keeper, now_us = self.core.policy, self.core.endpoint_tracker, self.clock.now_us()
         return [
-            Listed(
+            ListedServer(
                 server.address,
                 keeper.kind_of(server.address),
                 server.started_us,
-                bool(server.started_us) and now_us - server.started_us < front.settings.ramp_us,
+                bool(server.started_us) and now_us - server.started_us < front.settings.warm_up_us,
             )
             for server in front.servers.values()
         ]
@@ -69,9 +69,9 @@
     def _window(self) -> None:
         if self.running():
             self.timers.after(WINDOW_US, self._window)
-            self.book.window()
+            self.book.close_window()
 
     def _trade(self) -> None:
         if self.running():
-            self.timers.after(TRADE_US, self._trade)
-            self.book.trade()
+            self.timers.after(QUOTA_EXCHANGE_INTERVAL_US, self._trade)
+            self.book.exchange_quota()
--- a/packages/daemon/src/fennelcove/daemon/front_daemon.py
+++ b/packages/daemon/src/fennelcove/daemon/front_daemon.py
@@ -16,7 +16,7 @@
 from fennelcove.core.session_ids import SessionIds
 from fennelcove.core.load_shedding_coordinator import LoadSheddingCoordinator
 from fennelcove.core.slot_scheduler import SlotScheduler
-from fennelcove.core.retry_storm_guard import mac
+from fennelcove.core.retry_storm_guard import keyed_mac
 from fennelcove.clock.timers import Timers
 from fennelcove.core.requests import EventLogger
 from fennelcove.core import health_check_coordinator
@@ -57,8 +57,8 @@
 from fennelcove.daemon.concurrency_limits import LimitService
 from fennelcove.settings.checks import module_settings
 from fennelcove.settings.schema import FrontSettings
-from fennelcove.store.folder import Store
-from fennelcove.store.keeper import StoreWriter
+from fennelcove.store.directory import Store
+from fennelcove.store.writer import StoreWriter
 
 SWEEP_US = 250_000
 REMEMBER_US = 1_000_000
@@ -115,15 +115,19 @@
             self.core.retry_storms.use_keys(load(settings.storm.key_file, self.clock.wall_us() // 1000))
         if settings.viewers.key_file is not None:
             keys = load(settings.viewers.key_file, self.clock.wall_us() // 1000)
-            self.core.token_keys = [mac(key) for key in keys]
+            self.core.token_keys = [keyed_mac(key) for key in keys]
         self.keeper: StoreWriter | None = None
         if settings.store is not None:
             store = Store(settings.store.folder, settings.store.most_mb, settings.name)
-            for file, damage in store.found.damages:
+            for file, damage in store.recovered.damages:
                 notice(
-                    "store_damaged", file=file, at=damage.at, fault=damage.fault.value, detail=damage.detail
+                    "store_damaged",
+                    file=file,
+                    at=damage.offset,
+                    fault=damage.fault.value,
+                    detail=damage.detail,
                 )
-            for key in store.unsound:
+            for key in store.corrupt_keys:
                 notice("store_damaged", file="base.lmdb", key=repr(key), fault="altered")
             self.core.snapshots.restore(store.values)
             self.keeper = StoreWriter(store, self.clock, notice)
@@ -134,24 +138,24 @@
         self.front_side: FrontMessaging | None = None
         shape = settings.shape
         if shape.probes is not None:
-            timeout_us, probed = round(shape.probes.timeout_ms * 1000), self.core.probes.probed
+            timeout_us, probed = round(shape.probes.timeout_ms * 1000), self.core.probes.on_probe_completed
             self.probe_side = HealthChecker(self.clock, self.hints, settings.name, timeout_us, codec, probed)
-            self.core.probes.probes = self.probe_side
+            self.core.probes.probe_sender = self.probe_side
         self.company = self._company()
         among = settings.company or shape.peers
         if among is not None:
-            index, heard = settings.instance.index, self.core.probes.peer_says
-            beaten = self.company.hear if self.company is not None else None
+            index, heard = settings.instance.index, self.core.probes.on_peer_message
+            beaten = self.company.on_heartbeat if self.company is not None else None
             self.front_side = FrontMessaging(among.addresses, index, heard, beaten)
             if shape.peers is not None:
-                self.core.probes.fronts = self.front_side
+                self.core.probes.peer_messenger = self.front_side
             if self.company is not None:
-                self.company.post = self.front_side.beat
+                self.company.broadcast = self.front_side.beat
         self.overload = self._overload()
         self.budgets = self._budgets()
         self.vetoes: list[Callable[[str, str], bool]] = []  # what keeps the module from a box, in order
         core = self.core
-        core.policy.free = lambda id, server: all(free(id, server) for free in self.vetoes)
+        core.policy.may_use = lambda id, server: all(free(id, server) for free in self.vetoes)
         self.releases = self._releases(end)
         self.watch_side: HealthChecker | None = None
         self.watch = self._watch(codec)
@@ -183,7 +187,7 @@
     def _server_side(self, codec: DialLimits) -> ServerEventStreams:
         policy_settings = module_settings(self.settings)
         silence_us = event_stream.idle_timeout_us(
-            policy_settings.reports_every_us, policy_settings.seen_after_us
+            policy_settings.report_interval_us, policy_settings.report_delay_us
         )
         return ServerEventStreams(
             self.timers, self.senders, self.hints, self.settings.name, silence_us, codec, self.notice
@@ -198,13 +202,16 @@
         found = RecoveryCoordinator(
             settings, told, core.policy, core.server_registry, self.clock, core.rng, self.notice
         )
-        core.admission.add_first_rule(found.before)
-        core.discovery.set_update_filter(found.hear_list)
+        core.admission.add_first_rule(found.check_request)
+        core.discovery.set_update_filter(found.correct_list)
         core.status_reporter.add_section("comeback", found.status)
-        found.listed, found.opened = core.snapshots.listed, core.seat_leases.on_recovered
-        found.kept = core.snapshots.last_list()
+        found.on_list_applied, found.on_sessions_accounted = (
+            core.snapshots.on_list_received,
+            core.seat_leases.on_recovered,
+        )
+        found.stored_list = core.snapshots.stored_list()
         if told.kept_list:
-            core.snapshots.entries = found.entries
+            core.snapshots.list_entries = found.list_entries
         return found
 
     def _overload(self) -> LoadSheddingCoordinator | None:
@@ -213,14 +220,14 @@
         if settings.overload is None or not settings.overload.enabled:
             return None
         all_fronts = settings.instance.fronts
-        fronts = company.company.living if company is not None else lambda: all_fronts
+        fronts = company.membership.live_front_count if company is not None else lambda: all_fronts
         life = self.clock.wall_us() // 1000
         found = LoadSheddingCoordinator(
             settings.room_types, fronts, life, core.retry_storms, self.clock, core.rng, core.lock, self.notice
         )
         core.status_reporter.add_section("overload", found.status)
         if self.front_side is not None:
-            found.post, self.front_side.counted = self.front_side.summary, found.hear
+            found.broadcast, self.front_side.counted = self.front_side.summary, found.on_summary
         return found
 
     def _budgets(self) -> SharedQuotaCoordinator | None:
@@ -238,12 +245,12 @@
             return None
         life = self.clock.wall_us() // 1000
         found = SharedQuotaCoordinator(wholes, self.settings.instance, life, self.clock, core.rng, core.lock)
-        core.use_retry_budget(lambda: found.take(Resource.FURTHER_JOIN))
-        core.probes.may_probe = lambda: found.take(Resource.PROBE)
-        self.list_side.turn_us = lambda: found.wait_us(Resource.LIST_CALL)
+        core.use_retry_budget(lambda: found.try_acquire(Resource.FURTHER_JOIN))
+        core.probes.may_probe = lambda: found.try_acquire(Resource.PROBE)
+        self.list_side.turn_us = lambda: found.acquire_wait_us(Resource.LIST_CALL)
         core.status_reporter.add_section("budgets", found.status)
         if self.front_side is not None:
-            found.post, self.front_side.spared = self.front_side.spare, found.hear
+            found.send, self.front_side.spared = self.front_side.spare, found.on_message
         return found
 
     def _releases(self, end: Callable[[], None]) -> RolloutService | None:
@@ -253,12 +260,12 @@
             return None
         found = RolloutService(self.settings, told, core, self.timers, self.clock, self.notice, end)
         if self.overload is not None:
-            ladder = self.overload.ladder
+            ladder = self.overload.policy
             found.level = lambda: ladder.level.value
         if self.comeback is not None:
             state = self.comeback.state
-            found.opening = lambda: state.phase
-        found.book.post, self.front_side.agreed = self.front_side.agree, found.book.hear
+            found.opening = lambda: state.state
+        found.book.send, self.front_side.agreed = self.front_side.agree, found.book.on_message
         return found
 
     def _watch(self, codec: DialLimits) -> HealthCheckCoordinator | None:
@@ -269,10 +276,10 @@
         instance, front = self.settings.instance, core.policy
 
         def listed() -> list[str]:
-            return [box for box, server in front.servers.items() if server.standing is ServerState.ACTIVE]
+            return [box for box, server in front.servers.items() if server.state is ServerState.ACTIVE]
 
         def living() -> Iterable[int]:
-            return company.company.alive() if company is not None else range(instance.fronts)
+            return company.membership.live_fronts() if company is not None else range(instance.fronts)
 
         found = HealthCheckCoordinator(
             instance.index,
@@ -286,37 +293,42 @@
             self.notice,
         )
         side = HealthChecker(
-            self.clock, self.hints, self.settings.name, round(told.timeout_ms * 1000), codec, found.probed
+            self.clock,
+            self.hints,
+            self.settings.name,
+            round(told.timeout_ms * 1000),
+            codec,
+            found.on_probe_completed,
         )
-        self.watch_side, found.ask = side, side.ask
-        self.vetoes.append(found.free)
-        core.retry_storms.attempted = found.attempted
+        self.watch_side, found.start_probe = side, side.ask
+        self.vetoes.append(found.may_use_server)
+        core.retry_storms.on_server_attempt_ended = found.on_attempt_ended
         core.status_reporter.add_section("watchers", found.status)
         if self.front_side is not None:
-            found.post, self.front_side.worded = self.front_side.word, found.hear
+            found.broadcast, self.front_side.worded = self.front_side.word, found.on_report
         return found
 
     def _look_out(self) -> None:
         assert self.watch is not None
-        if self.stopping.phase is ShutdownState.RUNNING:
-            self.timers.after(health_check_coordinator.LOOK_US, self._look_out)
-            self.watch.look()
+        if self.stopping.state is ShutdownState.RUNNING:
+            self.timers.after(health_check_coordinator.CHECK_INTERVAL_US, self._look_out)
+            self.watch.run_checks()
 
     def _slots(self) -> LimitService | None:
         """Off by default: without it each front has so many joins out at a box as it keeps connections."""
         told, core = self.settings.slots, self.core
         if told is None:
             return None
-        running = lambda: self.stopping.phase is ShutdownState.RUNNING  # noqa: E731
+        running = lambda: self.stopping.state is ShutdownState.RUNNING  # noqa: E731
         found = LimitService(self.settings, told, core, self.timers, self.clock, self.notice, running)
         core.status_reporter.add_section("slots", found.book.status)
-        core.snapshots.more = found.book.kept
+        core.snapshots.collect_other_records = found.book.snapshot_records
         self.vetoes.append(found.free)
-        self.joiner.slots, self.pool.keeps = found.book, found.book.links
+        self.joiner.slots, self.pool.keeps = found.book, found.book.target_connection_count
         if self.keeper is not None:
             found.book.restore(self.keeper.store.values)
         if self.front_side is not None:
-            found.book.post, self.front_side.slotted = self.front_side.slots, found.book.hear
+            found.book.send, self.front_side.slotted = self.front_side.slots, found.book.on_message
         return found
 
     def _fair(self) -> SlotScheduler | None:
@@ -328,37 +340,40 @@
             core.context, told, self.settings.instance, core.catalogue, core.policy, core.lifecycle, Wakeup
         )
         core.use_slots(found)
-        self.vetoes.append(found.free)
+        self.vetoes.append(found.may_use_server)
         if self.slots is not None:
             learned = self.slots.book
-            found.part = lambda server, now_us: learned.most(server, learned.longest_us)
-            found.wants, learned.changed = learned.wants, found.risen
+            found.quota_of = lambda server, now_us: learned.max_in_flight(server, learned.longest_timeout_us)
+            found.publish_waiting_count, learned.on_capacity_increased = (
+                learned.set_waiting_count,
+                found.on_quota_increased,
+            )
         if self.front_side is not None:
-            found.post, self.front_side.gave = self.front_side.give, found.hear
+            found.broadcast, self.front_side.gave = self.front_side.give, found.on_usage_report
         return found
 
     def _share(self) -> None:
         assert self.fair is not None
-        if self.stopping.phase is ShutdownState.RUNNING:
+        if self.stopping.state is ShutdownState.RUNNING:
             self.timers.after(slot_scheduler.WINDOW_US, self._share)
-            self.fair.window()
+            self.fair.close_window()
 
     def _spare(self) -> None:
         assert self.budgets is not None
-        if self.stopping.phase is ShutdownState.RUNNING:
-            self.timers.after(shared_quota_coordinator.TURN_US, self._spare)
-            self.budgets.turn()
+        if self.stopping.state is ShutdownState.RUNNING:
+            self.timers.after(shared_quota_coordinator.EXCHANGE_INTERVAL_US, self._spare)
+            self.budgets.exchange_quota()
 
     def _count(self) -> None:
         assert self.overload is not None
-        if self.stopping.phase is ShutdownState.RUNNING:
+        if self.stopping.state is ShutdownState.RUNNING:
             self.timers.after(fleet_load.WINDOW_US, self._count)
-            self.overload.window()
+            self.overload.close_window()
 
     def _look(self) -> None:
         assert self.comeback is not None
         with self.core.lock:
-            self.comeback.look(self.clock.now_us())
+            self.comeback.advance(self.clock.now_us())
 
     def _company(self) -> MembershipCoordinator | None:
         """Off by default: without it each front counts on all others that its settings name."""
@@ -369,25 +384,25 @@
         company = MembershipCoordinator(
             told, self.settings.instance, life, self.clock, core.lock, self.notice
         )
-        core.policy.mine = company.mine
+        core.policy.owns_turn = company.is_own_turn
         core.status_reporter.add_section("company", company.status)
-        core.snapshots.lives = company.lives
+        core.snapshots.known_incarnations = company.known_incarnations
         if self.comeback is not None:
-            self.comeback.fronts = company.fronts
+            self.comeback.front_count = company.effective_front_count
         if core.shadow_policy is not None:
-            core.shadow_policy.other.mine = company.mine
+            core.shadow_policy.other.owns_turn = company.is_own_turn
         return company
 
     def _beat(self) -> None:
         assert self.company is not None and self.settings.company is not None
-        if self.stopping.phase is ShutdownState.RUNNING:
+        if self.stopping.state is ShutdownState.RUNNING:
             self.timers.after(round(self.settings.company.beat_ms * 1000), self._beat)
-            self.company.beat()
+            self.company.send_heartbeats()
 
     def _control(self) -> OperatorCommands:
         wall_ms = self.clock.wall_us() // 1000
         told = self.settings.control
-        keys = {key.name: (mac(load(key.key_file, wall_ms)[0]), key.may_change) for key in told.keys}
+        keys = {key.name: (keyed_mac(load(key.key_file, wall_ms)[0]), key.may_change) for key in told.keys}
         found = OperatorCommands(
             self.core, self.clock, CommandAuthorizer(self.settings.name, keys), AuditFile(told.audit).tell
         )
@@ -406,7 +421,7 @@
         if self.releases is not None:
             self.releases.start()
         if self.watch is not None:
-            self.timers.after(health_check_coordinator.LOOK_US, self._look_out)
+            self.timers.after(health_check_coordinator.CHECK_INTERVAL_US, self._look_out)
         if self.company is not None:
             self.timers.after(0, self._beat)
         if self.budgets is not None:
@@ -428,7 +443,7 @@
             self.core.server_registry.wait_until_recovered()
             self.core.seat_leases.on_recovered()
         else:
-            self.timers.after(recovery_admission.SAVED_AFTER_US, self._stand_in)
+            self.timers.after(recovery_admission.SAVED_LIST_FALLBACK_US, self._stand_in)
         self.door.start()
         if self.releases is not None:
             self.releases.is_open = True
@@ -437,24 +452,24 @@
     def _stand_in(self) -> None:
         assert self.comeback is not None
         with self.core.lock:
-            self.comeback.stand_in()
+            self.comeback.use_stored_list()
 
     def _plan(self) -> None:
         """What goes on in the background."""
         plan = self.background.add
-        plan("sweep", TaskPriority.VIEWERS, SWEEP_US, SWEEP_US, self._sweep)
+        plan("sweep", TaskPriority.CLIENT_FACING, SWEEP_US, SWEEP_US, self._sweep)
         plan("trim", TaskPriority.HOUSEKEEPING, TRIM_US, TRIM_US, self.pool.trim)
         if self.comeback is not None:
-            plan("comeback", TaskPriority.VIEWERS, SWEEP_US, SWEEP_US, self._look)
+            plan("comeback", TaskPriority.CLIENT_FACING, SWEEP_US, SWEEP_US, self._look)
         if self.keeper is not None:
-            plan("memories", TaskPriority.MEMORY, REMEMBER_US, REMEMBER_US, self._remember)
+            plan("memories", TaskPriority.SNAPSHOT, REMEMBER_US, REMEMBER_US, self._remember)
         if self.tls is not None:
             tls = self.tls
             plan("certificate", TaskPriority.HOUSEKEEPING, LOOK_US, LOOK_US, lambda: void(tls.check()))
 
     def _remember(self) -> None:
         assert self.keeper is not None
-        self.keeper.keep(self.core.snapshots.gather())
+        self.keeper.enqueue(self.core.snapshots.collect_changes())
 
     def _sweep(self) -> None:
         self.core.client_reports.close_silent_sessions()
@@ -466,20 +481,20 @@
         began_us = self.clock.now_us()
         acts = {
             ShutdownAction.STOP_ACCEPTING: self._stop_accepting,
-            ShutdownAction.GIVE_UP_JOINS: self.halt.set,
-            ShutdownAction.CLOSE_ALL: self._close,
+            ShutdownAction.CANCEL_ATTEMPTS: self.halt.set,
+            ShutdownAction.CLOSE_CONNECTIONS: self._close,
         }
-        event = ShutdownEvent.ASKED
-        while self.stopping.phase is not ShutdownState.OVER:
+        event = ShutdownEvent.REQUESTED
+        while self.stopping.state is not ShutdownState.STOPPED:
             for act in self.stopping.apply(event, self.clock.now_us()):
                 acts[act]()
-            idle = self.door.wait_idle(self.stopping.left_us(self.clock.now_us()))
-            event = ShutdownEvent.IDLE if idle else ShutdownEvent.TIME
+            idle = self.door.wait_idle(self.stopping.remaining_us(self.clock.now_us()))
+            event = ShutdownEvent.IDLE if idle else ShutdownEvent.DEADLINE_REACHED
         self.notice("front_stopped", took_ms=(self.clock.now_us() - began_us) / 1000, counts=self.core.counts)
 
     def _stop_accepting(self) -> None:
         if self.company is not None:
-            self.company.leave()
+            self.company.announce_leave()
         self.core.admission.stop()
         self.door.stop_accepting()
 
@@ -492,13 +507,15 @@
         self.timekeeper.join()
         self.movers.stop()
         if self.keeper is not None:
-            self.keeper.keep(self.core.snapshots.gather())
-            self.keeper.stop(max(0, self.stopping.asked_us + self.stopping.stop_us - self.clock.now_us()))
+            self.keeper.enqueue(self.core.snapshots.collect_changes())
+            self.keeper.stop(
+                max(0, self.stopping.requested_us + self.stopping.time_limit_us - self.clock.now_us())
+            )
         for side in (self.probe_side, self.watch_side, self.releases, self.front_side):
             if side is not None:
                 side.stop()
         self.server_side.stop()
-        self.senders.stop(self.stopping.asked_us + self.stopping.stop_us)
+        self.senders.stop(self.stopping.requested_us + self.stopping.time_limit_us)
         self.pool.close()
         self.halt.close()
 
--- a/packages/daemon/src/fennelcove/daemon/rollouts.py
+++ b/packages/daemon/src/fennelcove/daemon/rollouts.py
@@ -15,19 +15,19 @@
 
 from fennelcove.clock import Clock
 from fennelcove.core.core import Core
-from fennelcove.core.rollout_coordinator import ServerSight, RolloutCoordinator
+from fennelcove.core.rollout_coordinator import ServerObservation, RolloutCoordinator
 from fennelcove.clock.timers import Timers
 from fennelcove.core.requests import EventLogger
 from fennelcove.decisions.fleet.recovery_admission import RecoveryState as Opening
 from fennelcove.decisions.clients.admission import AdmissionState, AdmissionEvent
 from fennelcove.decisions.clients.retry_storm import StormState as Weather
 from fennelcove.interface import ServerState
-from fennelcove.rollouts.coordinator import RolloutAgreement, Memory, Mine, RolloutSettings
+from fennelcove.rollouts.coordinator import RolloutAgreement, PersistedState, FrontStatus, RolloutSettings
 from fennelcove.rollouts.disruption_budget import DisruptionLimit, FleetLimits, Location
 from fennelcove.rollouts.messages import ServingState
 from fennelcove.placement import Server
 from fennelcove.settings.schema import FrontSettings, ReleaseSettings
-from fennelcove.store.folder import Store
+from fennelcove.store.directory import Store
 
 KEY = b"releases"
 FOLDER = "promises"  # in the front's store: a store of its own, written at once
@@ -42,7 +42,7 @@
     """What is safe in the folder."""
 
     life: int
-    memory: Memory
+    memory: PersistedState
 
 
 _DECODER: msgspec.msgpack.Decoder[Kept] = msgspec.msgpack.Decoder(Kept)
@@ -61,7 +61,7 @@
     def __init__(self, settings: FrontSettings, wall_us: int, notice: EventLogger) -> None:
         self.notice = notice
         self.store: Store | None = None
-        self.memory: Memory | None = None
+        self.memory: PersistedState | None = None
         self.life = wall_us // 1000
         if settings.store is None:
             return
@@ -77,14 +77,14 @@
         # A clock that went back must not begin a life that the others hold to be over.
         self.life, self.memory = max(self.life, kept.life + 1), kept.memory
 
-    def keep(self, memory: Memory) -> bool:
+    def keep(self, memory: PersistedState) -> bool:
         """Whether it is safe now."""
         if self.store is None:
             return True
         try:
             self.store.commit([(KEY, _ENCODER.encode(Kept(self.life, memory)))])
-            if self.store.heavy:
-                self.store.fold()
+            if self.store.needs_checkpoint:
+                self.store.checkpoint()
         except OSError as error:
             self.notice("promises_not_kept", reason=str(error))
             return False
@@ -131,7 +131,7 @@
             Random(f"{settings.seed}/releases"),
             notice,
         )
-        self.book.leave, self.book.take_server = self.leave, self.take_server
+        self.book.leave_service, self.book.take_server_out = self.leave, self.take_server
         core.attempts.set_served_listener(self.server_attempted)
         core.status_reporter.add_section("releases", self.status)
         self.thread = threading.Thread(target=self.book.run, name="releases")
@@ -169,16 +169,16 @@
 
     # What it is and sees; called on the thread of releases.
 
-    def mine(self) -> Mine:
+    def mine(self) -> FrontStatus:
         """What this front is now. What it turns away since it drains says nothing about its version."""
         with self.core.lock:
             phase, counts, weather = (
-                self.core.admission_controller.phase,
+                self.core.admission_controller.state,
                 Counter(self.core.counts),
-                self.core.retry_storms.weather,
+                self.core.retry_storms.detector,
             )
             opening = self.opening()
-            storm, level = WEATHER[weather.phase], self.level()
+            storm, level = WEATHER[weather.state], self.level()
         away = counts["damped"] + counts["refused_request_full"] + counts["refused_subscription_full"]
         stands = ServingState.SERVING if phase is AdmissionState.OPEN else ServingState.DRAINING
         if stands is ServingState.SERVING and (
@@ -189,7 +189,7 @@
         if stands is ServingState.SERVING and self.served_from_us is None:
             self.served_from_us = now_us
         since_us = now_us if self.served_from_us is None else self.served_from_us
-        return Mine(
+        return FrontStatus(
             stands,
             self.told.version,
             (now_us - since_us) // 1_000_000,
@@ -205,11 +205,11 @@
         """A box has answered a join well that was sent then; the core's lock is round it."""
         self.joined_us[address] = max(sent_us, self.joined_us.get(address, 0))
 
-    def servers(self) -> Mapping[int, ServerSight]:
+    def servers(self) -> Mapping[int, ServerObservation]:
         """All boxes by their cells. Where two share one, a cell names no box: then none may be taken out."""
-        found: dict[int, ServerSight] = {}
+        found: dict[int, ServerObservation] = {}
         with self.core.lock:
-            servers = [s for s in self.core.policy.servers.values() if s.standing is not ServerState.LEFT]
+            servers = [s for s in self.core.policy.servers.values() if s.state is not ServerState.LEFT]
             cells = Counter(server.cell for server in servers)
             if not servers or max(cells.values()) > 1 or max(cells) > MOST_PLACE:
                 return {}
@@ -221,23 +221,23 @@
                 del self.joined_us[address]
         return found
 
-    def _sight(self, server: Server, now_us: int) -> ServerSight:
+    def _sight(self, server: Server, now_us: int) -> ServerObservation:
         front, core = self.core.policy, self.core
-        warm = not front.is_cold(server)
+        warm = not front.is_warming_up(server)
         titles = frozenset(
             number
             for number, title in core.catalogue.titles.values()
-            if (server.cell - title.first_cell) % front.settings.cells < title.cells
+            if (server.cell - title.first_cell) % front.settings.cell_count < title.cells
         )
-        size_kb = server.link.size_kb
-        load_kb = min(size_kb, (server.link.asked or 0.0) * size_kb)
+        size_kb = server.link.capacity_kb
+        load_kb = min(size_kb, (server.link.report or 0.0) * size_kb)
         place = Location(zone(server.zone), size_kb, load_kb, titles, warm)
         attempted_us = self.joined_us.get(server.address)
-        well = warm and server.standing is ServerState.ACTIVE and now_us >= server.shut_until_us
+        well = warm and server.state is ServerState.ACTIVE and now_us >= server.shut_until_us
         if well and attempted_us is not None and attempted_us >= server.started_us:
-            return ServerSight(place, True, attempted_us)
+            return ServerObservation(place, True, attempted_us)
         # Nothing but an answer to what was sent tells of a time: a report may have lain anywhere.
-        return ServerSight(place, False, now_us if not well else server.started_us)
+        return ServerObservation(place, False, now_us if not well else server.started_us)
 
     # How it goes out.
 
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/admission.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/admission.py
@@ -45,7 +45,7 @@
 )
 
 
-class Entry(Enum):
+class AdmissionRequest(Enum):
     """What asks for admission; member names appear in counters."""
 
     CONNECTION = auto()
@@ -73,17 +73,17 @@
 
 
 # The decisions by the front's state, before any bound is looked at.
-ADMISSION_RULES: dict[tuple[AdmissionState, Entry], AdmissionDecision] = {
-    (AdmissionState.OPEN, Entry.CONNECTION): AdmissionDecision.LET_IN,
-    (AdmissionState.OPEN, Entry.REQUEST): AdmissionDecision.LET_IN,
-    (AdmissionState.OPEN, Entry.SUBSCRIPTION): AdmissionDecision.LET_IN,
+ADMISSION_RULES: dict[tuple[AdmissionState, AdmissionRequest], AdmissionDecision] = {
+    (AdmissionState.OPEN, AdmissionRequest.CONNECTION): AdmissionDecision.LET_IN,
+    (AdmissionState.OPEN, AdmissionRequest.REQUEST): AdmissionDecision.LET_IN,
+    (AdmissionState.OPEN, AdmissionRequest.SUBSCRIPTION): AdmissionDecision.LET_IN,
     # Clients with sessions here still poll, fetch and release.
-    (AdmissionState.DRAINING, Entry.CONNECTION): AdmissionDecision.LET_IN,
-    (AdmissionState.DRAINING, Entry.REQUEST): AdmissionDecision.DRAINING,
-    (AdmissionState.DRAINING, Entry.SUBSCRIPTION): AdmissionDecision.DRAINING,
-    (AdmissionState.STOPPING, Entry.CONNECTION): AdmissionDecision.CLOSING,
-    (AdmissionState.STOPPING, Entry.REQUEST): AdmissionDecision.CLOSING,
-    (AdmissionState.STOPPING, Entry.SUBSCRIPTION): AdmissionDecision.CLOSING,
+    (AdmissionState.DRAINING, AdmissionRequest.CONNECTION): AdmissionDecision.LET_IN,
+    (AdmissionState.DRAINING, AdmissionRequest.REQUEST): AdmissionDecision.DRAINING,
+    (AdmissionState.DRAINING, AdmissionRequest.SUBSCRIPTION): AdmissionDecision.DRAINING,
+    (AdmissionState.STOPPING, AdmissionRequest.CONNECTION): AdmissionDecision.CLOSING,
+    (AdmissionState.STOPPING, AdmissionRequest.REQUEST): AdmissionDecision.CLOSING,
+    (AdmissionState.STOPPING, AdmissionRequest.SUBSCRIPTION): AdmissionDecision.CLOSING,
 }
 
 WAIT_SMOOTHING = 16  # requests over which the average wait is taken, as the policy does with its averages
@@ -103,17 +103,17 @@
 
     def __init__(self, limits: AdmissionLimits) -> None:
         self.limits = limits
-        self.phase = AdmissionState.OPEN
+        self.state = AdmissionState.OPEN
         self.connections = 0
-        self.waiting = 0
-        self.held = 0
+        self.pending_requests = 0
+        self.sessions = 0
         self.buffered_bytes = 0
-        self.typical_wait_us = 0.0
+        self.average_wait_us = 0.0
         self.rejected_count = 0
 
-    def ask(self, entry: Entry) -> AdmissionDecision:
+    def admit(self, entry: AdmissionRequest) -> AdmissionDecision:
         """Decide, and count what is admitted."""
-        decision = ADMISSION_RULES[self.phase, entry]
+        decision = ADMISSION_RULES[self.state, entry]
         if decision is AdmissionDecision.LET_IN and not self._has_capacity(entry):
             decision = AdmissionDecision.FULL
         if decision is AdmissionDecision.LET_IN:
@@ -122,49 +122,49 @@
             self.rejected_count += 1
         return decision
 
-    def _has_capacity(self, entry: Entry) -> bool:
+    def _has_capacity(self, entry: AdmissionRequest) -> bool:
         if self.buffered_bytes >= self.limits.buffered_bytes:
             return False
-        if entry is Entry.CONNECTION:
+        if entry is AdmissionRequest.CONNECTION:
             return self.connections < self.limits.connections
-        if entry is Entry.REQUEST:
-            return self.waiting < self.limits.pending_requests
-        return self.held < self.limits.sessions
+        if entry is AdmissionRequest.REQUEST:
+            return self.pending_requests < self.limits.pending_requests
+        return self.sessions < self.limits.sessions
 
-    def _count(self, entry: Entry) -> None:
-        if entry is Entry.CONNECTION:
+    def _count(self, entry: AdmissionRequest) -> None:
+        if entry is AdmissionRequest.CONNECTION:
             self.connections += 1
-        elif entry is Entry.REQUEST:
-            self.waiting += 1
+        elif entry is AdmissionRequest.REQUEST:
+            self.pending_requests += 1
         else:
-            self.held += 1
+            self.sessions += 1
 
-    def connection_closed(self) -> None:
+    def on_connection_closed(self) -> None:
         """Count an admitted connection as closed."""
         self.connections -= 1
 
-    def request_answered(self, waited_us: int) -> None:
+    def on_request_answered(self, waited_us: int) -> None:
         """Count an admitted request as answered, after this wait."""
-        self.waiting -= 1
-        self.typical_wait_us += (waited_us - self.typical_wait_us) / WAIT_SMOOTHING
+        self.pending_requests -= 1
+        self.average_wait_us += (waited_us - self.average_wait_us) / WAIT_SMOOTHING
 
-    def session_ended(self) -> None:
+    def on_session_closed(self) -> None:
         """Count an admitted session as closed."""
-        self.held -= 1
+        self.sessions -= 1
 
-    def buffer(self, more_bytes: int) -> bool:
+    def reserve_buffer(self, more_bytes: int) -> bool:
         """Count bytes read and not yet processed (negative: processed); False where they must be dropped."""
         if more_bytes > 0 and self.buffered_bytes + more_bytes > self.limits.buffered_bytes:
             return False
         self.buffered_bytes += more_bytes
         return True
 
-    def turn(self, event: AdmissionEvent) -> AdmissionState:
+    def apply(self, event: AdmissionEvent) -> AdmissionState:
         """Drain, reopen or stop the front; its state from now on."""
-        self.phase = STATE_TRANSITIONS.apply(self.phase, event).state
-        return self.phase
+        self.state = STATE_TRANSITIONS.apply(self.state, event).state
+        return self.state
 
-    def come_back_us(self, draw: float, max_wait_us: int | None) -> int:
+    def retry_after_us(self, draw: float, max_wait_us: int | None) -> int:
         """The Retry-After of a rejected request, in microseconds.
 
         It is the time in which those that wait now will have been served, spread by as much again, so that
@@ -174,12 +174,12 @@
             draw: a random number, from 0 up to 1.
             max_wait_us: the longest wait that clients accept; None for any.
         """
-        wait_us = max(MIN_RETRY_AFTER_US, 2 * self.typical_wait_us) * (1 + draw)
+        wait_us = max(MIN_RETRY_AFTER_US, 2 * self.average_wait_us) * (1 + draw)
         if max_wait_us is not None:
             wait_us = min(wait_us, max(max_wait_us, MIN_RETRY_AFTER_US))
         return round(wait_us)
 
-    def patience_us(self, limit_us: int) -> int:
+    def connection_timeout_us(self, limit_us: int) -> int:
         """How long an idle or slow connection may stay: less as the connections run out.
 
         Otherwise a few hundred connections that send a byte a second would keep out everybody else. The
@@ -198,7 +198,7 @@
     return max(1, -(-wait_us // US_PER_S))
 
 
-def reconnect_span_us(connections: int, average_wait_us: float) -> WaitWindow:
+def reconnect_window_us(connections: int, average_wait_us: float) -> WaitWindow:
     """When the clients of a stopping front should reconnect elsewhere.
 
     The window is the time in which a front serves that many set-ups one after another, so that as many
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/conflating_queue.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/conflating_queue.py
@@ -21,7 +21,7 @@
 
     QUEUED = auto()
     REPLACED = auto()  # it took the place of an older item with the same key
-    OVER = auto()  # the queue has overflowed: the connection must be closed
+    OVERFLOWED = auto()  # the queue has overflowed: the connection must be closed
 
 
 class ConflatingQueue(Generic[Item]):
@@ -31,23 +31,23 @@
         self.max_items = max_items
         self.items: OrderedDict[Hashable, Item] = OrderedDict()
         self.next_key = 0
-        self.over = False
+        self.has_overflowed = False
 
     def put(self, item: Item, key: Hashable | None = None) -> PutResult:
         """Enqueue an item; it replaces a waiting one with the same key, at the older one's position."""
-        if self.over:
-            return PutResult.OVER
+        if self.has_overflowed:
+            return PutResult.OVERFLOWED
         if key is not None and key in self.items:
             self.items[key] = item
             return PutResult.REPLACED
         if len(self.items) >= self.max_items:
-            self.over = True
-            return PutResult.OVER
+            self.has_overflowed = True
+            return PutResult.OVERFLOWED
         self.next_key += 1
         self.items[key if key is not None else self.next_key] = item
         return PutResult.QUEUED
 
-    def take(self) -> list[Item]:
+    def drain(self) -> list[Item]:
         """Remove and return all items."""
         items = list(self.items.values())
         self.items.clear()
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/idempotency.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/idempotency.py
@@ -39,9 +39,9 @@
     """What happens to the set-up."""
 
     REQUESTED = auto()
-    PLAYS = auto()  # the session is established
-    NOTHING = auto()  # it provably did nothing, or may be repeated
-    MAYBE = auto()  # it may have run and must not be repeated
+    ESTABLISHED = auto()  # the session is established
+    FAILED_SAFELY = auto()  # it provably did nothing, or may be repeated
+    OUTCOME_UNKNOWN = auto()  # it may have run and must not be repeated
     CLOSED = auto()
     RESTARTED = auto()  # this front restarted, and the set-up may be repeated
     RESTARTED_NOT_REPEATABLE = auto()
@@ -62,24 +62,24 @@
 TRANSITIONS: TransitionTable[KeyState, KeyEvent, KeyAction] = TransitionTable(
     {
         (KeyState.UNUSED, KeyEvent.REQUESTED): Transition(KeyState.IN_PROGRESS, (KeyAction.RUN,)),
-        (KeyState.UNUSED, KeyEvent.PLAYS): Transition(KeyState.ESTABLISHED),
-        (KeyState.UNUSED, KeyEvent.NOTHING): Transition(KeyState.UNUSED),
-        (KeyState.UNUSED, KeyEvent.MAYBE): Transition(KeyState.INDETERMINATE),
+        (KeyState.UNUSED, KeyEvent.ESTABLISHED): Transition(KeyState.ESTABLISHED),
+        (KeyState.UNUSED, KeyEvent.FAILED_SAFELY): Transition(KeyState.UNUSED),
+        (KeyState.UNUSED, KeyEvent.OUTCOME_UNKNOWN): Transition(KeyState.INDETERMINATE),
         (KeyState.UNUSED, KeyEvent.CLOSED): Transition(KeyState.UNUSED),
         (KeyState.UNUSED, KeyEvent.RESTARTED): Transition(KeyState.UNUSED),
         (KeyState.UNUSED, KeyEvent.RESTARTED_NOT_REPEATABLE): Transition(KeyState.UNUSED),
         (KeyState.IN_PROGRESS, KeyEvent.REQUESTED): Transition(KeyState.IN_PROGRESS, (KeyAction.COME_BACK,)),
-        (KeyState.IN_PROGRESS, KeyEvent.PLAYS): Transition(KeyState.ESTABLISHED),
-        (KeyState.IN_PROGRESS, KeyEvent.NOTHING): Transition(KeyState.UNUSED),
-        (KeyState.IN_PROGRESS, KeyEvent.MAYBE): Transition(KeyState.INDETERMINATE),
+        (KeyState.IN_PROGRESS, KeyEvent.ESTABLISHED): Transition(KeyState.ESTABLISHED),
+        (KeyState.IN_PROGRESS, KeyEvent.FAILED_SAFELY): Transition(KeyState.UNUSED),
+        (KeyState.IN_PROGRESS, KeyEvent.OUTCOME_UNKNOWN): Transition(KeyState.INDETERMINATE),
         # A set-up that was rejected or given up is closed as well: its response decides about the key.
         (KeyState.IN_PROGRESS, KeyEvent.CLOSED): Transition(KeyState.IN_PROGRESS),
         (KeyState.IN_PROGRESS, KeyEvent.RESTARTED): Transition(KeyState.UNUSED),
         (KeyState.IN_PROGRESS, KeyEvent.RESTARTED_NOT_REPEATABLE): Transition(KeyState.INDETERMINATE),
         (KeyState.ESTABLISHED, KeyEvent.REQUESTED): Transition(KeyState.ESTABLISHED, (KeyAction.SHOW,)),
-        (KeyState.ESTABLISHED, KeyEvent.PLAYS): Transition(KeyState.ESTABLISHED),
-        (KeyState.ESTABLISHED, KeyEvent.NOTHING): Transition(KeyState.ESTABLISHED),
-        (KeyState.ESTABLISHED, KeyEvent.MAYBE): Transition(KeyState.ESTABLISHED),
+        (KeyState.ESTABLISHED, KeyEvent.ESTABLISHED): Transition(KeyState.ESTABLISHED),
+        (KeyState.ESTABLISHED, KeyEvent.FAILED_SAFELY): Transition(KeyState.ESTABLISHED),
+        (KeyState.ESTABLISHED, KeyEvent.OUTCOME_UNKNOWN): Transition(KeyState.ESTABLISHED),
         (KeyState.ESTABLISHED, KeyEvent.CLOSED): Transition(KeyState.CLOSED),
         # Its server may still play it: then the session is adopted, and returned to the client.
         (KeyState.ESTABLISHED, KeyEvent.RESTARTED): Transition(KeyState.ESTABLISHED),
@@ -120,7 +120,7 @@
 
     target: str  # what was requested under it: another set-up must not pass for it
     state: KeyState = KeyState.UNUSED
-    session: str = ""  # the session's id
+    session_id: str = ""  # the session's id
     touched_wall_us: int = 0
     is_repeatable: bool = True  # a set-up that may have run may be repeated
 
@@ -142,7 +142,7 @@
     def encode(self) -> bytes:
         """The bytes that are stored."""
         stored = StoredKey(
-            self.state.value, self.target, self.session, self.touched_wall_us, self.is_repeatable
+            self.state.value, self.target, self.session_id, self.touched_wall_us, self.is_repeatable
         )
         return msgspec.msgpack.encode(stored)
 
@@ -171,7 +171,9 @@
     keys: OrderedDict[KeyName, IdempotencyKey] = field(default_factory=OrderedDict)
     names_by_session: dict[str, KeyName] = field(default_factory=dict)
 
-    def ask(self, name: tuple[str, str], target: str, is_repeatable: bool, wall_us: int) -> KeyRequest | None:
+    def request(
+        self, name: tuple[str, str], target: str, is_repeatable: bool, wall_us: int
+    ) -> KeyRequest | None:
         """Request a set-up under a key; None where the key stands for another one."""
         self._evict_expired(wall_us)
         key_name = KeyName(*name)
@@ -188,10 +190,10 @@
         (action,) = key.apply(KeyEvent.REQUESTED)
         return KeyRequest(action, key)
 
-    def begins(self, name: tuple[str, str], session_id: str) -> None:
+    def attach_session(self, name: tuple[str, str], session_id: str) -> None:
         """Attach a session to the key that its set-up came under."""
         key_name = KeyName(*name)
-        self.keys[key_name].session = session_id
+        self.keys[key_name].session_id = session_id
         self.names_by_session[session_id] = key_name
 
     def apply(self, name: tuple[str, str], event: KeyEvent, wall_us: int) -> None:
@@ -202,9 +204,9 @@
         key.apply(event)
         key.touched_wall_us = wall_us
         if not key.is_live:
-            self.names_by_session.pop(key.session, None)
+            self.names_by_session.pop(key.session_id, None)
 
-    def ended(self, session_id: str, wall_us: int) -> None:
+    def on_session_closed(self, session_id: str, wall_us: int) -> None:
         """Apply the close of a session to its key, where it has one."""
         name = self.names_by_session.get(session_id)
         if name is not None:
@@ -217,7 +219,7 @@
             if not key.is_live and (is_full or key.is_expired(wall_us)):
                 del self.keys[name]
 
-    def kept(self) -> list[StoredEntry]:
+    def encode_entries(self) -> list[StoredEntry]:
         """What is stored; unused keys stand for nothing."""
         return [
             StoredEntry(name, key.encode())
@@ -232,8 +234,8 @@
             return False
         key_name = KeyName(*name)
         self.keys[key_name] = key
-        if key.session:
-            self.names_by_session[key.session] = key_name
+        if key.session_id:
+            self.names_by_session[key.session_id] = key_name
         event = KeyEvent.RESTARTED if key.is_repeatable else KeyEvent.RESTARTED_NOT_REPEATABLE
         self.apply(key_name, event, key.touched_wall_us)
         return key.state is not KeyState.UNUSED
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/keepalive.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/keepalive.py
@@ -15,7 +15,7 @@
 
     WAIT = auto()
     PING = auto()
-    CUT = auto()  # close it
+    CLOSE = auto()  # close it
 
 
 class KeepaliveCheck(NamedTuple):
@@ -33,7 +33,7 @@
     last_received_us: int
     last_ping_us: int = NEVER_US
 
-    def hear(self, now_us: int) -> None:
+    def on_received(self, now_us: int) -> None:
         """Record that bytes were received."""
         self.last_received_us = now_us
         self.last_ping_us = NEVER_US
@@ -43,7 +43,7 @@
         interval_us = max(1, self.timeout_us // PINGS_PER_TIMEOUT)
         deadline_us = self.last_received_us + self.timeout_us
         if now_us >= deadline_us:
-            return KeepaliveCheck(KeepaliveAction.CUT, 0)
+            return KeepaliveCheck(KeepaliveAction.CLOSE, 0)
         ping_due_us = max(self.last_received_us, self.last_ping_us) + interval_us
         if now_us >= ping_due_us:
             self.last_ping_us = now_us
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/rate_limit.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/rate_limit.py
@@ -16,7 +16,7 @@
     updated_us: int
     tokens: float = MAX_BURST_MESSAGES
 
-    def take(self, now_us: int) -> bool:
+    def try_acquire(self, now_us: int) -> bool:
         """Count one more message or control frame; False where it exceeds the rate."""
         gained = max(0, now_us - self.updated_us) / 1e6 * MESSAGES_PER_S
         self.tokens = min(MAX_BURST_MESSAGES, self.tokens + gained)
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/retry_storm.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/retry_storm.py
@@ -79,14 +79,14 @@
 class RetryWindow:
     """What was counted since the window began."""
 
-    asked: int = 0  # requests
-    let_in: int = 0  # requests admitted
-    refused: int = 0  # of those admitted, by the policy: what damping rejects must not feed itself
+    request_count: int = 0  # requests
+    admitted_count: int = 0  # requests admitted
+    rejected_count: int = 0  # of those admitted, by the policy: what damping rejects must not feed itself
 
     @property
     def rejected_fraction(self) -> float:
         """The fraction of the admitted requests that the policy rejected."""
-        return self.refused / self.let_in if self.let_in else 0.0
+        return self.rejected_count / self.admitted_count if self.admitted_count else 0.0
 
 
 @dataclass(slots=True)
@@ -94,13 +94,13 @@
     """One front's state. The caller passes in the time and holds the lock."""
 
     window_started_us: int
-    phase: StormState = StormState.CALM
+    state: StormState = StormState.CALM
     window: RetryWindow = field(default_factory=RetryWindow)
-    usual: float = 0.0  # requests in a window
-    seen: int = 0  # calm windows so far
-    sign: StormSignal = StormSignal.COOL  # of the latest window
+    baseline: float = 0.0  # requests in a window
+    calm_window_count: int = 0  # calm windows so far
+    signal: StormSignal = StormSignal.COOL  # of the latest window
     consecutive_windows: int = 0  # windows in a row with this signal
-    changes: int = 0  # transitions so far
+    transition_count: int = 0  # transitions so far
     entered_us: int = 0  # when the state was entered
 
     def advance(self, now_us: int) -> None:
@@ -115,29 +115,32 @@
         window = self.window
         self.window = RetryWindow()
         signal = self.classify(window)
-        self.consecutive_windows = self.consecutive_windows + 1 if signal is self.sign else 1
-        self.sign = signal
-        self._update_baseline(window.asked)
-        transition = TRANSITIONS.get((self.phase, signal))
+        self.consecutive_windows = self.consecutive_windows + 1 if signal is self.signal else 1
+        self.signal = signal
+        self._update_baseline(window.request_count)
+        transition = TRANSITIONS.get((self.state, signal))
         if transition is not None and self.consecutive_windows >= transition.after_windows:
-            self.phase = transition.state
+            self.state = transition.state
             self.consecutive_windows = 0
             self.entered_us = now_us
-            self.changes += 1
+            self.transition_count += 1
 
     def _update_baseline(self, requests: int) -> None:
-        weight = BASELINE_WEIGHTS[self.phase]
-        if self.phase is StormState.CALM and self.sign is not StormSignal.HOT:
+        weight = BASELINE_WEIGHTS[self.state]
+        if self.state is StormState.CALM and self.signal is not StormSignal.HOT:
             # The first windows count for more: a front that has just started has no history.
-            self.seen += 1
-            weight = max(weight, 1 / (self.seen + 1))
-        self.usual += (requests - self.usual) * weight
+            self.calm_window_count += 1
+            weight = max(weight, 1 / (self.calm_window_count + 1))
+        self.baseline += (requests - self.baseline) * weight
 
     def classify(self, window: RetryWindow) -> StormSignal:
         """What a window shows."""
-        has_crowd = window.asked > CROWD_FACTOR * self.usual + STANDARD_DEVIATIONS * sqrt(self.usual + 1)
+        has_crowd = window.request_count > CROWD_FACTOR * self.baseline + STANDARD_DEVIATIONS * sqrt(
+            self.baseline + 1
+        )
         has_rejections = (
-            window.refused >= STANDARD_DEVIATIONS and window.rejected_fraction > self._rejected_threshold()
+            window.rejected_count >= STANDARD_DEVIATIONS
+            and window.rejected_fraction > self._rejected_threshold()
         )
         if has_crowd:
             return StormSignal.HOT if has_rejections else StormSignal.CROWD
@@ -145,10 +148,10 @@
 
     def _rejected_threshold(self) -> float:
         """Lower during a storm, so that it ends only once rejections have become rare."""
-        if self.phase in (StormState.CALM, StormState.RISING):
+        if self.state in (StormState.CALM, StormState.RISING):
             return HIGH_REJECTED_FRACTION
         return LOW_REJECTED_FRACTION
 
-    def damped(self) -> bool:
+    def is_damping(self) -> bool:
         """Whether tickets are handed out and required."""
-        return self.phase in (StormState.STORM, StormState.SETTLING)
+        return self.state in (StormState.STORM, StormState.SETTLING)
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/seat_leases.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/seat_leases.py
@@ -103,13 +103,13 @@
     session_id: str
     pool: SeatPool
     duration_us: int
-    until_us: int  # the wall time at which it expires
+    expires_wall_us: int  # the wall time at which it expires
     state: SeatState = SeatState.UNHELD
     renewal_keys: list[str] = field(default_factory=list)
 
     def encode(self) -> bytes:
         """The bytes that are stored."""
-        return msgspec.msgpack.encode(StoredSeat(*self.pool, self.until_us, self.renewal_keys))
+        return msgspec.msgpack.encode(StoredSeat(*self.pool, self.expires_wall_us, self.renewal_keys))
 
 
 class StoredEntry(NamedTuple):
@@ -131,55 +131,57 @@
 class SeatTransition:
     """One entry of a ledger that can be replayed."""
 
-    id: str  # the session's
+    session_id: str  # the session's
     pool: SeatPool
     event: SeatEvent
-    act: SeatAction
+    action: SeatAction
 
 
 class SeatLeases:
     """All seats of one front."""
 
     def __init__(self) -> None:
-        self.held: dict[str, Seat] = {}
+        self.seats: dict[str, Seat] = {}
         self.counts: Counter[SeatPool] = Counter()
         self.deadlines: list[SeatDeadline] = []
         self.push_count = 0
 
-    def take(self, session_id: str, pool: tuple[str, str], duration_us: int, wall_us: int) -> SeatTransition:
+    def acquire(
+        self, session_id: str, pool: tuple[str, str], duration_us: int, wall_us: int
+    ) -> SeatTransition:
         """Acquire a seat for a session that plays; a pool is a title and a service class, as `SeatPool`."""
-        seat = self.held.get(session_id)
+        seat = self.seats.get(session_id)
         if seat is None:
             seat = Seat(session_id, SeatPool(*pool), duration_us, wall_us + duration_us)
         return self._apply(seat, SeatEvent.ACQUIRED, wall_us)
 
     def renew(self, session_id: str, key: str, wall_us: int) -> SeatTransition:
         """Renew a seat; under one key it is renewed once."""
-        seat = self.held.get(session_id)
+        seat = self.seats.get(session_id)
         if seat is None:
             return SeatTransition(session_id, NO_POOL, SeatEvent.RENEWED, SeatAction.REFUSE)
         is_duplicate = bool(key) and key in seat.renewal_keys
         event = SeatEvent.RENEWED_DUPLICATE if is_duplicate else SeatEvent.RENEWED
         transition = self._apply(seat, event, wall_us)
-        if transition.act is SeatAction.EXTEND and key:
+        if transition.action is SeatAction.EXTEND and key:
             seat.renewal_keys = [*seat.renewal_keys[1 - MAX_RENEWAL_KEYS :], key]
         return transition
 
     def release(self, session_id: str, wall_us: int) -> SeatTransition | None:
         """Release the seat of a session that is closed; None where it has none."""
-        seat = self.held.get(session_id)
+        seat = self.seats.get(session_id)
         if seat is None:
             return None
         return self._apply(seat, SeatEvent.RELEASED, wall_us)
 
-    def expired(self, wall_us: int) -> list[SeatTransition]:
+    def pop_expired(self, wall_us: int) -> list[SeatTransition]:
         """Release the seats whose time is up, a bounded number; the rest with the next call."""
         expired: list[SeatTransition] = []
         while self.deadlines and self.deadlines[0].due_us <= wall_us and len(expired) < MAX_EXPIRED_PER_CALL:
             seat = heapq.heappop(self.deadlines).seat
             if seat.state is not SeatState.HELD:
                 continue
-            if seat.until_us <= wall_us:
+            if seat.expires_wall_us <= wall_us:
                 expired.append(self._apply(seat, SeatEvent.EXPIRED, wall_us))
             else:
                 self._schedule(seat)  # renewed since
@@ -193,29 +195,29 @@
             self._add(seat)
         elif action is SeatAction.EXTEND:
             # Counted from now and not from the old end: frequent renewals must not save up time.
-            seat.until_us = max(seat.until_us, wall_us + seat.duration_us)
+            seat.expires_wall_us = max(seat.expires_wall_us, wall_us + seat.duration_us)
         elif action is SeatAction.FREE:
             self._remove(seat)
         return SeatTransition(seat.session_id, seat.pool, event, action)
 
     def _add(self, seat: Seat) -> None:
-        self.held[seat.session_id] = seat
+        self.seats[seat.session_id] = seat
         self.counts[seat.pool] += 1
         self._schedule(seat)
 
     def _remove(self, seat: Seat) -> None:
-        del self.held[seat.session_id]
+        del self.seats[seat.session_id]
         self.counts[seat.pool] -= 1
         if not self.counts[seat.pool]:
             del self.counts[seat.pool]
 
     def _schedule(self, seat: Seat) -> None:
         self.push_count += 1
-        heapq.heappush(self.deadlines, SeatDeadline(seat.until_us, self.push_count, seat))
+        heapq.heappush(self.deadlines, SeatDeadline(seat.expires_wall_us, self.push_count, seat))
 
-    def kept(self) -> list[StoredEntry]:
+    def encode_entries(self) -> list[StoredEntry]:
         """What is stored."""
-        return [StoredEntry(seat.session_id, seat.encode()) for seat in self.held.values()]
+        return [StoredEntry(seat.session_id, seat.encode()) for seat in self.seats.values()]
 
     def restore(self, session_id: str, raw: bytes, duration_us: int, wall_us: int) -> bool:
         """Restore a seat stored before a restart, whose session still plays; False where it is malformed.
@@ -227,21 +229,21 @@
             stored: StoredSeat = msgspec.msgpack.decode(raw, type=StoredSeat)
         except msgspec.MsgspecError:
             return False
-        seat = self.held.get(session_id)
+        seat = self.seats.get(session_id)
         if seat is None:
             pool = SeatPool(stored.title, stored.service_class)
             until_us = min(stored.until_us, wall_us + duration_us)
             renewal_keys = stored.renewal_keys[-MAX_RENEWAL_KEYS:]
             seat = Seat(session_id, pool, duration_us, until_us, renewal_keys=renewal_keys)
-        return self._apply(seat, SeatEvent.ACQUIRED, wall_us).act is SeatAction.COUNT
+        return self._apply(seat, SeatEvent.ACQUIRED, wall_us).action is SeatAction.COUNT
 
 
 def replay_counts(ledger: list[SeatTransition]) -> Counter[SeatPool]:
     """The seats held in each pool, counted again from the ledger."""
     counts: Counter[SeatPool] = Counter()
     for entry in ledger:
-        if entry.act is SeatAction.COUNT:
+        if entry.action is SeatAction.COUNT:
             counts[entry.pool] += 1
-        elif entry.act is SeatAction.FREE:
+        elif entry.action is SeatAction.FREE:
             counts[entry.pool] -= 1
     return +counts
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/session_expiry.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/session_expiry.py
@@ -33,22 +33,22 @@
     """
 
     def __init__(self, timeout_us: int) -> None:
-        self.silent_us = timeout_us
+        self.timeout_us = timeout_us
         self.entries: dict[str, ExpiryEntry] = {}
         self.deadlines: list[ExpiryDeadline] = []
         self.push_count = 0
 
-    def begin(self, session_id: str, now_us: int) -> None:
+    def add(self, session_id: str, now_us: int) -> None:
         """Add a session that is established from now on."""
         entry = self.entries[session_id] = ExpiryEntry(session_id, now_us)
         self._schedule(entry)
 
-    def hear(self, session_id: str, now_us: int) -> None:
+    def on_activity(self, session_id: str, now_us: int) -> None:
         """Record activity of a session's client."""
         if session_id in self.entries:
             self.entries[session_id].last_activity_us = now_us
 
-    def end(self, session_id: str) -> None:
+    def remove(self, session_id: str) -> None:
         """Remove a session that is closed."""
         entry = self.entries.pop(session_id, None)
         if entry is not None:
@@ -56,23 +56,23 @@
 
     def _schedule(self, entry: ExpiryEntry) -> None:
         self.push_count += 1
-        due_us = entry.last_activity_us + self.silent_us
+        due_us = entry.last_activity_us + self.timeout_us
         heapq.heappush(self.deadlines, ExpiryDeadline(due_us, self.push_count, entry))
 
-    def silent(self, now_us: int) -> list[str]:
+    def pop_expired(self, now_us: int) -> list[str]:
         """Remove and return the sessions that have been silent for too long."""
         expired: list[str] = []
         while self.deadlines and self.deadlines[0].due_us <= now_us:
             entry = heapq.heappop(self.deadlines).entry
             if entry.is_closed:
                 continue
-            if entry.last_activity_us + self.silent_us <= now_us:
-                self.end(entry.session_id)
+            if entry.last_activity_us + self.timeout_us <= now_us:
+                self.remove(entry.session_id)
                 expired.append(entry.session_id)
             else:
                 self._schedule(entry)
         return expired
 
-    def poll_every_us(self) -> int:
+    def poll_interval_us(self) -> int:
         """How often clients are to poll, so that a lost response or two expire nothing."""
-        return max(1, self.silent_us // POLLS_PER_TIMEOUT)
+        return max(1, self.timeout_us // POLLS_PER_TIMEOUT)
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/session_lifecycle.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/session_lifecycle.py
@@ -15,85 +15,93 @@
 class SessionState(Enum):
     """The state of a session at the front."""
 
-    ASKED = auto()  # a response is pending, no attempt is in flight
-    JOINING = auto()  # a response is pending, one attempt is in flight
-    PLAYING = auto()  # established: responded to, and played by a server
+    REQUESTED = auto()  # a response is pending, no attempt is in flight
+    ATTEMPTING = auto()  # a response is pending, one attempt is in flight
+    ESTABLISHED = auto()  # established: responded to, and played by a server
     ABANDONED = auto()  # nobody waits any more, one attempt is in flight
-    ENDED = auto()
+    CLOSED = auto()
 
 
 class SessionEvent(Enum):
     """What happens to a session."""
 
-    JOIN = auto()  # the policy: start an attempt
-    THROTTLE = auto()  # the policy: reject the set-up, which is safe
-    TERMINATE = auto()  # the policy: fail the set-up, since a rejection would not be safe
-    SERVED = auto()  # the server began to play, in time
-    SERVED_LATE = auto()  # the server began to play after its attempt had been given up
-    FAILED = auto()  # the attempt ended otherwise
-    VIEWER_GONE = auto()  # the client disconnected
+    ATTEMPT_STARTED = auto()  # the policy: start an attempt
+    SETUP_REJECTED = auto()  # the policy: reject the set-up, which is safe
+    SETUP_FAILED = auto()  # the policy: fail the set-up, since a rejection would not be safe
+    ATTEMPT_SERVED = auto()  # the server began to play, in time
+    ATTEMPT_SERVED_LATE = auto()  # the server began to play after its attempt had been given up
+    ATTEMPT_FAILED = auto()  # the attempt ended otherwise
+    CLIENT_DISCONNECTED = auto()  # the client disconnected
     RELEASED = auto()  # released by the client or its server, or expired
-    BOX_LOST = auto()  # its server is gone, or no longer knows the session
-    STOPPED = auto()  # this front stops and can wait no longer
+    SERVER_LOST = auto()  # its server is gone, or no longer knows the session
+    FRONT_STOPPED = auto()  # this front stops and can wait no longer
 
 
 class SessionAction(Enum):
     """What the core carries out, in order."""
 
-    SEND_JOIN = auto()
-    ANSWER_PLAYING = auto()
-    ANSWER_THROTTLED = auto()
-    ANSWER_TERMINATED = auto()
-    ANSWER_STOPPED = auto()
-    TELL_STARTED = auto()  # notify the policy: the attempt was served
-    TELL_FAILED = auto()  # notify the policy: the attempt failed
-    TELL_FINISHED = auto()  # notify the policy: the session has finished
-    TELL_LOST = auto()  # notify the policy: its server was lost
-    TELL_GONE = auto()  # notify the policy: its client is gone
-    RELEASE_BOX = auto()
-    FORGET = auto()  # discard the session
+    SEND_ATTEMPT = auto()
+    RESPOND_ESTABLISHED = auto()
+    RESPOND_REJECTED = auto()
+    RESPOND_FAILED = auto()
+    RESPOND_STOPPED = auto()
+    NOTIFY_POLICY_SERVED = auto()  # notify the policy: the attempt was served
+    NOTIFY_POLICY_ATTEMPT_FAILED = auto()  # notify the policy: the attempt failed
+    NOTIFY_POLICY_CLOSED = auto()  # notify the policy: the session has finished
+    NOTIFY_POLICY_SERVER_LOST = auto()  # notify the policy: its server was lost
+    NOTIFY_POLICY_CLIENT_GONE = auto()  # notify the policy: its client is gone
+    RELEASE_SERVER = auto()
+    DISCARD = auto()  # discard the session
 
 
 RESPONSES = frozenset(
     {
-        SessionAction.ANSWER_PLAYING,
-        SessionAction.ANSWER_THROTTLED,
-        SessionAction.ANSWER_TERMINATED,
-        SessionAction.ANSWER_STOPPED,
+        SessionAction.RESPOND_ESTABLISHED,
+        SessionAction.RESPOND_REJECTED,
+        SessionAction.RESPOND_FAILED,
+        SessionAction.RESPOND_STOPPED,
     }
 )
 
-_REJECT = (SessionAction.ANSWER_THROTTLED, SessionAction.FORGET)
-_FAIL = (SessionAction.ANSWER_TERMINATED, SessionAction.FORGET)
-_GIVE_UP_ATTEMPT = (SessionAction.RELEASE_BOX, SessionAction.TELL_FAILED)
-_FINISH = (SessionAction.RELEASE_BOX, SessionAction.TELL_FINISHED, SessionAction.FORGET)
-_LOSE = (SessionAction.TELL_LOST, SessionAction.FORGET)
+_REJECT = (SessionAction.RESPOND_REJECTED, SessionAction.DISCARD)
+_FAIL = (SessionAction.RESPOND_FAILED, SessionAction.DISCARD)
+_GIVE_UP_ATTEMPT = (SessionAction.RELEASE_SERVER, SessionAction.NOTIFY_POLICY_ATTEMPT_FAILED)
+_FINISH = (SessionAction.RELEASE_SERVER, SessionAction.NOTIFY_POLICY_CLOSED, SessionAction.DISCARD)
+_LOSE = (SessionAction.NOTIFY_POLICY_SERVER_LOST, SessionAction.DISCARD)
 
 TRANSITIONS: TransitionTable[SessionState, SessionEvent, SessionAction] = TransitionTable(
     {
-        (SessionState.ASKED, SessionEvent.JOIN): Transition(SessionState.JOINING, (SessionAction.SEND_JOIN,)),
-        (SessionState.ASKED, SessionEvent.THROTTLE): Transition(SessionState.ENDED, _REJECT),
-        (SessionState.ASKED, SessionEvent.TERMINATE): Transition(SessionState.ENDED, _FAIL),
-        (SessionState.JOINING, SessionEvent.SERVED): Transition(
-            SessionState.PLAYING, (SessionAction.TELL_STARTED, SessionAction.ANSWER_PLAYING)
+        (SessionState.REQUESTED, SessionEvent.ATTEMPT_STARTED): Transition(
+            SessionState.ATTEMPTING, (SessionAction.SEND_ATTEMPT,)
+        ),
+        (SessionState.REQUESTED, SessionEvent.SETUP_REJECTED): Transition(SessionState.CLOSED, _REJECT),
+        (SessionState.REQUESTED, SessionEvent.SETUP_FAILED): Transition(SessionState.CLOSED, _FAIL),
+        (SessionState.ATTEMPTING, SessionEvent.ATTEMPT_SERVED): Transition(
+            SessionState.ESTABLISHED, (SessionAction.NOTIFY_POLICY_SERVED, SessionAction.RESPOND_ESTABLISHED)
         ),
         # The server plays for an attempt that no longer counts: released before another attempt starts.
-        (SessionState.JOINING, SessionEvent.SERVED_LATE): Transition(SessionState.ASKED, _GIVE_UP_ATTEMPT),
-        (SessionState.JOINING, SessionEvent.FAILED): Transition(SessionState.ASKED, _GIVE_UP_ATTEMPT),
-        (SessionState.JOINING, SessionEvent.VIEWER_GONE): Transition(
-            SessionState.ABANDONED, (SessionAction.TELL_GONE,)
+        (SessionState.ATTEMPTING, SessionEvent.ATTEMPT_SERVED_LATE): Transition(
+            SessionState.REQUESTED, _GIVE_UP_ATTEMPT
+        ),
+        (SessionState.ATTEMPTING, SessionEvent.ATTEMPT_FAILED): Transition(
+            SessionState.REQUESTED, _GIVE_UP_ATTEMPT
         ),
-        (SessionState.JOINING, SessionEvent.STOPPED): Transition(
-            SessionState.ABANDONED, (SessionAction.ANSWER_STOPPED, SessionAction.TELL_GONE)
+        (SessionState.ATTEMPTING, SessionEvent.CLIENT_DISCONNECTED): Transition(
+            SessionState.ABANDONED, (SessionAction.NOTIFY_POLICY_CLIENT_GONE,)
+        ),
+        (SessionState.ATTEMPTING, SessionEvent.FRONT_STOPPED): Transition(
+            SessionState.ABANDONED, (SessionAction.RESPOND_STOPPED, SessionAction.NOTIFY_POLICY_CLIENT_GONE)
         ),
         # Nobody plays it: what the server began would hold capacity until the server's own time limit.
-        (SessionState.ABANDONED, SessionEvent.SERVED): Transition(SessionState.ENDED, _FINISH),
-        (SessionState.ABANDONED, SessionEvent.SERVED_LATE): Transition(SessionState.ENDED, _FINISH),
-        (SessionState.ABANDONED, SessionEvent.FAILED): Transition(SessionState.ENDED, _FINISH),
-        (SessionState.PLAYING, SessionEvent.RELEASED): Transition(SessionState.ENDED, _FINISH),
-        (SessionState.PLAYING, SessionEvent.VIEWER_GONE): Transition(SessionState.ENDED, _FINISH),
+        (SessionState.ABANDONED, SessionEvent.ATTEMPT_SERVED): Transition(SessionState.CLOSED, _FINISH),
+        (SessionState.ABANDONED, SessionEvent.ATTEMPT_SERVED_LATE): Transition(SessionState.CLOSED, _FINISH),
+        (SessionState.ABANDONED, SessionEvent.ATTEMPT_FAILED): Transition(SessionState.CLOSED, _FINISH),
+        (SessionState.ESTABLISHED, SessionEvent.RELEASED): Transition(SessionState.CLOSED, _FINISH),
+        (SessionState.ESTABLISHED, SessionEvent.CLIENT_DISCONNECTED): Transition(
+            SessionState.CLOSED, _FINISH
+        ),
         # A server that lost it needs no release; one that is only unreachable ends it by its own time limit.
-        (SessionState.PLAYING, SessionEvent.BOX_LOST): Transition(SessionState.ENDED, _LOSE),
+        (SessionState.ESTABLISHED, SessionEvent.SERVER_LOST): Transition(SessionState.CLOSED, _LOSE),
     },
     unlisted=Unlisted.IGNORE,
 )
@@ -108,12 +116,12 @@
     return found.state, found.actions
 
 
-def time_to_answer_us(client_timeout_us: int) -> int:
+def processing_time_us(client_timeout_us: int) -> int:
     """How long the front may work on a request whose client waits so long."""
     return max(1, round(client_timeout_us * (1 - RESPONSE_RESERVE_FRACTION)))
 
 
-def honest_timeout_us(stated_us: int | None, service_class_timeout_us: int) -> int:
+def effective_timeout_us(stated_us: int | None, service_class_timeout_us: int) -> int:
     """The client time-out that counts: the stated one, up to that of the service class; else the latter."""
     if stated_us is None:
         return service_class_timeout_us
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/session_ownership.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/session_ownership.py
@@ -91,7 +91,7 @@
     session_id: str
     state: OwnershipState = OwnershipState.UNOWNED
     owner: Owner | None = None
-    number: int = 0
+    update_count: int = 0
 
     def apply(self, event: OwnershipEvent) -> tuple[OwnershipAction, ...]:
         """Apply an event; the actions to carry out, in order."""
@@ -99,23 +99,23 @@
         self.state = transition.state
         return transition.actions
 
-    def missed(self, seen: int | None) -> int | None:
+    def missed_updates(self, seen: int | None) -> int | None:
         """How many updates a client that reconnects has missed; None where that is unknown.
 
         A number beyond the latest was given before this front restarted.
         """
-        if seen is None or seen > self.number:
+        if seen is None or seen > self.update_count:
             return None
-        return self.number - seen
+        return self.update_count - seen
 
 
 @dataclass(frozen=True, slots=True)
 class OwnershipClaim(Generic[Owner]):
     """What became of a claim."""
 
-    given: bool
-    why: str = ""  # the reason of a rejection
-    loser: Owner | None = None  # the previous owner, where it loses the session
+    is_granted: bool
+    reason: str = ""  # the reason of a rejection
+    displaced_owner: Owner | None = None  # the previous owner, where it loses the session
 
 
 class OwnershipUpdate(NamedTuple, Generic[Owner]):
@@ -129,22 +129,22 @@
 class SessionOwnerships(Generic[Owner]):
     """All sessions that were ever claimed, and the sessions of each connection."""
 
-    held: dict[str, SessionOwnership[Owner]] = field(default_factory=dict)
-    owned: dict[Owner, set[str]] = field(default_factory=dict)
+    by_session: dict[str, SessionOwnership[Owner]] = field(default_factory=dict)
+    by_owner: dict[Owner, set[str]] = field(default_factory=dict)
 
     def claim(self, session_id: str, owner: Owner, max_sessions: int) -> OwnershipClaim[Owner]:
         """Let a connection, which may own `max_sessions`, claim an established session."""
-        ownership = self.held.get(session_id) or SessionOwnership(session_id)
+        ownership = self.by_session.get(session_id) or SessionOwnership(session_id)
         previous_owner = ownership.owner
         is_reclaim = previous_owner == owner
-        if not is_reclaim and len(self.owned.get(owner, ())) >= max_sessions:
+        if not is_reclaim and len(self.by_owner.get(owner, ())) >= max_sessions:
             return OwnershipClaim(
                 False, f"this connection holds {max_sessions} subscriptions, the most it may"
             )
         actions = ownership.apply(OwnershipEvent.RECLAIMED if is_reclaim else OwnershipEvent.CLAIMED)
         displaced = previous_owner if OwnershipAction.NOTIFY_DISPLACED in actions else None
         if displaced is not None:
-            self.owned[displaced].discard(session_id)
+            self.by_owner[displaced].discard(session_id)
         is_granted = OwnershipAction.ASSIGN in actions
         if is_granted:
             self._assign(ownership, owner)
@@ -152,34 +152,34 @@
 
     def _assign(self, ownership: SessionOwnership[Owner], owner: Owner) -> None:
         ownership.owner = owner
-        self.held[ownership.session_id] = ownership
-        self.owned.setdefault(owner, set()).add(ownership.session_id)
+        self.by_session[ownership.session_id] = ownership
+        self.by_owner.setdefault(owner, set()).add(ownership.session_id)
 
-    def left(self, owner: Owner) -> list[str]:
+    def on_disconnected(self, owner: Owner) -> list[str]:
         """Remove a connection that was lost; the sessions that it orphans."""
-        orphans = sorted(self.owned.pop(owner, ()))
+        orphans = sorted(self.by_owner.pop(owner, ()))
         for session_id in orphans:
-            ownership = self.held[session_id]
+            ownership = self.by_session[session_id]
             ownership.apply(OwnershipEvent.DISCONNECTED)
             ownership.owner = None
         return orphans
 
-    def ended(self, session_id: str) -> Owner | None:
+    def on_session_closed(self, session_id: str) -> Owner | None:
         """Remove a session that is closed; the owner to notify."""
-        ownership = self.held.pop(session_id, None)
+        ownership = self.by_session.pop(session_id, None)
         if ownership is None:
             return None
         actions = ownership.apply(OwnershipEvent.CLOSED)
         owner = ownership.owner
         ownership.owner = None
         if owner is not None:
-            self.owned[owner].discard(session_id)
+            self.by_owner[owner].discard(session_id)
         return owner if OwnershipAction.NOTIFY_CLOSED in actions else None
 
-    def news(self, session_id: str) -> OwnershipUpdate[Owner]:
+    def on_update(self, session_id: str) -> OwnershipUpdate[Owner]:
         """Number an update of a session."""
-        ownership = self.held.get(session_id)
+        ownership = self.by_session.get(session_id)
         if ownership is None:
             return OwnershipUpdate(None, 0)
-        ownership.number += 1
-        return OwnershipUpdate(ownership.owner, ownership.number)
+        ownership.update_count += 1
+        return OwnershipUpdate(ownership.owner, ownership.update_count)
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/waiting_room.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/waiting_room.py
@@ -19,13 +19,13 @@
 from fennelcove.decisions.clients.signed_tokens import Mac
 from fennelcove.decisions.clients.wait_window import WaitWindow
 
-LEAST_WAIT_US = 1_000_000  # Retry-After counts whole seconds
+MIN_WAIT_US = 1_000_000  # Retry-After counts whole seconds
 # The rate may double each second, so an estimate further ahead is worth nothing. With waits of up to 30 s the
 # crowd of a zone stayed away from servers that had capacity (median wait 30 s, p90 120 s).
 MAX_WAIT_US = 8_000_000
 # The window's length, as a fraction of the wait: it spreads clients whose clocks agree.
 WINDOW_FRACTION = 0.25
-SPAN_LEAST_US = 500_000
+MIN_WINDOW_US = 500_000
 MIN_RATE_PER_S = 0.5  # set-ups a second that are handed out where nothing was served lately
 # The fraction of the rate kept for first tries; the rest is for retries, so that neither starves.
 FIRST_TRY_FRACTION = 0.5
@@ -77,40 +77,40 @@
 class QueueDecision(Enum):
     """What becomes of a request."""
 
-    LET_IN = auto()  # pass it to the policy
-    BY_PACE = auto()  # pass it to the policy where the rate allows, else decide by `TURNED_AWAY`
-    GUEST_PLACE = auto()  # reject it, with a window at the queue's end that is not reserved
-    KEEP_PLACE = auto()  # reject it: it is to come back in its ticket's window
-    NEW_PLACE = auto()  # reject it, with a window reserved at the queue's end
-    NEXT_PLACE = auto()  # reject it, with an early window: it has waited before
+    ADMIT = auto()  # pass it to the policy
+    ADMIT_AT_RATE = auto()  # pass it to the policy where the rate allows, else decide by `TURNED_AWAY`
+    UNRESERVED_TICKET = auto()  # reject it, with a window at the queue's end that is not reserved
+    KEEP_TICKET = auto()  # reject it: it is to come back in its ticket's window
+    NEW_TICKET = auto()  # reject it, with a window reserved at the queue's end
+    EARLY_TICKET = auto()  # reject it, with an early window: it has waited before
 
 
 # While tickets are in force. With capacity available only those wait who can do so without harm: held to the
 # rate, first tries were rejected that servers had capacity for (147 of 200 watched, 191 without any damping).
-TRANSITIONS: dict[tuple[TicketStatus, AvailableCapacity], QueueDecision] = {
-    (TicketStatus.FIRST, AvailableCapacity.AVAILABLE): QueueDecision.LET_IN,
-    (TicketStatus.AGAIN, AvailableCapacity.AVAILABLE): QueueDecision.BY_PACE,
-    (TicketStatus.EARLY, AvailableCapacity.AVAILABLE): QueueDecision.KEEP_PLACE,
-    (TicketStatus.DUE, AvailableCapacity.AVAILABLE): QueueDecision.LET_IN,
-    (TicketStatus.LATE, AvailableCapacity.AVAILABLE): QueueDecision.LET_IN,
-    (TicketStatus.INVENTED, AvailableCapacity.AVAILABLE): QueueDecision.GUEST_PLACE,
-    (TicketStatus.FIRST, AvailableCapacity.EXHAUSTED): QueueDecision.BY_PACE,
+DECISIONS: dict[tuple[TicketStatus, AvailableCapacity], QueueDecision] = {
+    (TicketStatus.FIRST, AvailableCapacity.AVAILABLE): QueueDecision.ADMIT,
+    (TicketStatus.AGAIN, AvailableCapacity.AVAILABLE): QueueDecision.ADMIT_AT_RATE,
+    (TicketStatus.EARLY, AvailableCapacity.AVAILABLE): QueueDecision.KEEP_TICKET,
+    (TicketStatus.DUE, AvailableCapacity.AVAILABLE): QueueDecision.ADMIT,
+    (TicketStatus.LATE, AvailableCapacity.AVAILABLE): QueueDecision.ADMIT,
+    (TicketStatus.INVENTED, AvailableCapacity.AVAILABLE): QueueDecision.UNRESERVED_TICKET,
+    (TicketStatus.FIRST, AvailableCapacity.EXHAUSTED): QueueDecision.ADMIT_AT_RATE,
     # A retry without a ticket has most likely been given one: a further one each time would reserve windows
     # for nobody.
-    (TicketStatus.AGAIN, AvailableCapacity.EXHAUSTED): QueueDecision.GUEST_PLACE,
-    (TicketStatus.EARLY, AvailableCapacity.EXHAUSTED): QueueDecision.KEEP_PLACE,
+    (TicketStatus.AGAIN, AvailableCapacity.EXHAUSTED): QueueDecision.UNRESERVED_TICKET,
+    (TicketStatus.EARLY, AvailableCapacity.EXHAUSTED): QueueDecision.KEEP_TICKET,
     # The policy decides on each whose window has begun: it knows best where there is capacity.
-    (TicketStatus.DUE, AvailableCapacity.EXHAUSTED): QueueDecision.LET_IN,
-    (TicketStatus.LATE, AvailableCapacity.EXHAUSTED): QueueDecision.LET_IN,
-    (TicketStatus.INVENTED, AvailableCapacity.EXHAUSTED): QueueDecision.GUEST_PLACE,
+    (TicketStatus.DUE, AvailableCapacity.EXHAUSTED): QueueDecision.ADMIT,
+    (TicketStatus.LATE, AvailableCapacity.EXHAUSTED): QueueDecision.ADMIT,
+    (TicketStatus.INVENTED, AvailableCapacity.EXHAUSTED): QueueDecision.UNRESERVED_TICKET,
 }
 
 # For requests that the rate does not allow, and those that the policy rejects.
-TURNED_AWAY: dict[TicketStatus, QueueDecision] = {
-    TicketStatus.FIRST: QueueDecision.NEW_PLACE,
-    TicketStatus.AGAIN: QueueDecision.GUEST_PLACE,
-    TicketStatus.DUE: QueueDecision.NEXT_PLACE,
-    TicketStatus.LATE: QueueDecision.NEXT_PLACE,
+REJECTED_DECISIONS: dict[TicketStatus, QueueDecision] = {
+    TicketStatus.FIRST: QueueDecision.NEW_TICKET,
+    TicketStatus.AGAIN: QueueDecision.UNRESERVED_TICKET,
+    TicketStatus.DUE: QueueDecision.EARLY_TICKET,
+    TicketStatus.LATE: QueueDecision.EARLY_TICKET,
 }
 
 
@@ -187,11 +187,11 @@
     """
 
     updated_us: int
-    pace: float = MIN_RATE_PER_S  # set-ups a second that are admitted and handed out
+    rate_per_s: float = MIN_RATE_PER_S  # set-ups a second that are admitted and handed out
     next_slot_us: int = 0
-    served: int = 0
-    let_in: float = 0.0
-    refused: float = 0.0  # of those admitted, by the policy
+    served_count: int = 0
+    admitted_count: float = 0.0
+    rejected_count: float = 0.0  # of those admitted, by the policy
     is_rejecting: bool = False
     served_per_s: float = 0.0  # smoothed
     first_tries: TokenBucket = field(default_factory=TokenBucket)
@@ -212,7 +212,7 @@
         return min(MAX_COST, max(1 / MAX_COST, self.mean_priority_weight / priority_weight))
 
     @property
-    def room(self) -> AvailableCapacity:
+    def capacity(self) -> AvailableCapacity:
         """How the policy dealt with the requests admitted lately."""
         return AvailableCapacity.EXHAUSTED if self.is_rejecting else AvailableCapacity.AVAILABLE
 
@@ -223,10 +223,10 @@
             return
         self._update_rate(elapsed_s)
         self.updated_us = now_us
-        self.served = 0
+        self.served_count = 0
         # A title may be requested less than once in such a time: what came before counts on, by half.
-        self.let_in /= 2
-        self.refused /= 2
+        self.admitted_count /= 2
+        self.rejected_count /= 2
         self._fill_buckets(min(elapsed_s, MAX_BURST_S))
 
     def _update_rate(self, elapsed_s: float) -> None:
@@ -234,19 +234,19 @@
 
         What was served does not measure what could be: without a crowd it is what was requested.
         """
-        if self.let_in or self.refused or elapsed_s >= MAX_BURST_S:
-            self.is_rejecting = self.refused > MAX_REJECTED_FRACTION * self.let_in
-        served_per_s = self.served / elapsed_s
+        if self.admitted_count or self.rejected_count or elapsed_s >= MAX_BURST_S:
+            self.is_rejecting = self.rejected_count > MAX_REJECTED_FRACTION * self.admitted_count
+        served_per_s = self.served_count / elapsed_s
         self.served_per_s += (served_per_s - self.served_per_s) * min(1.0, elapsed_s / SMOOTHING_S)
         if self.is_rejecting:
-            rate = max(self.served_per_s * HEADROOM_FACTOR, self.pace * DECREASE_FACTOR)
+            rate = max(self.served_per_s * HEADROOM_FACTOR, self.rate_per_s * DECREASE_FACTOR)
         else:
-            rate = self.pace * GROWTH_PER_S ** min(elapsed_s, MAX_BURST_S)
-        self.pace = min(MAX_RATE_PER_S, max(MIN_RATE_PER_S, rate))
+            rate = self.rate_per_s * GROWTH_PER_S ** min(elapsed_s, MAX_BURST_S)
+        self.rate_per_s = min(MAX_RATE_PER_S, max(MIN_RATE_PER_S, rate))
 
     def _fill_buckets(self, elapsed_s: float) -> None:
-        gained = self.pace * elapsed_s
-        capacity = max(MAX_COST, self.pace * MAX_BURST_S)
+        gained = self.rate_per_s * elapsed_s
+        capacity = max(MAX_COST, self.rate_per_s * MAX_BURST_S)
         excess = self.first_tries.fill(gained * FIRST_TRY_FRACTION, capacity)
         excess = self.retries.fill(gained * (1 - FIRST_TRY_FRACTION) + excess, capacity)
         # What one bucket can't hold the other may have: none of the rate is lost while anybody waits.
@@ -260,10 +260,10 @@
         if own.try_acquire(cost):
             return True
         # Of the other bucket only what it has saved up beyond a second of its part is free to take.
-        has_surplus = other.tokens > self.pace * FIRST_TRY_FRACTION + cost
+        has_surplus = other.tokens > self.rate_per_s * FIRST_TRY_FRACTION + cost
         return has_surplus and other.try_acquire(cost)
 
-    def soon(self, draw: float, rejections: int) -> WaitWindow:
+    def early_window(self, draw: float, rejections: int) -> WaitWindow:
         """An early window for one that was rejected again after its wait.
 
         The minimum wait, doubled for each such rejection, its upper half at random. At the queue's end those
@@ -274,11 +274,11 @@
             draw: a random number, from 0 up to 1.
             rejections: how often it was rejected after its wait.
         """
-        max_wait_us = min(MAX_WAIT_US, LEAST_WAIT_US << min(rejections, MAX_DOUBLINGS))
-        wait_us = max(LEAST_WAIT_US, _jittered(max_wait_us, draw))
-        return WaitWindow(wait_us, wait_us + SPAN_LEAST_US)
+        max_wait_us = min(MAX_WAIT_US, MIN_WAIT_US << min(rejections, MAX_DOUBLINGS))
+        wait_us = max(MIN_WAIT_US, _jittered(max_wait_us, draw))
+        return WaitWindow(wait_us, wait_us + MIN_WINDOW_US)
 
-    def promise(
+    def reserve_window(
         self, now_us: int, max_wait_us: int | None, draw: float, is_reserved: bool = True
     ) -> WaitWindow:
         """The window at the queue's end: one after another at the queue's rate.
@@ -290,17 +290,17 @@
             draw: a random number, from 0 up to 1.
             is_reserved: whether the window is the client's own; else the next one may get it as well.
         """
-        slot_us = max(self.next_slot_us + round(US_PER_S / self.pace), now_us + LEAST_WAIT_US)
+        slot_us = max(self.next_slot_us + round(US_PER_S / self.rate_per_s), now_us + MIN_WAIT_US)
         if is_reserved:
             self.next_slot_us = min(slot_us, now_us + MAX_WAIT_US)
         wait_us = slot_us - now_us
         if wait_us > MAX_WAIT_US:
             wait_us = _jittered(MAX_WAIT_US, draw)
         if max_wait_us is not None:
-            accepted_us = max(max_wait_us, LEAST_WAIT_US)
+            accepted_us = max(max_wait_us, MIN_WAIT_US)
             if wait_us > accepted_us:
-                wait_us = max(LEAST_WAIT_US, _jittered(accepted_us, draw))
-        length_us = max(SPAN_LEAST_US, round(wait_us * WINDOW_FRACTION))
+                wait_us = max(MIN_WAIT_US, _jittered(accepted_us, draw))
+        length_us = max(MIN_WINDOW_US, round(wait_us * WINDOW_FRACTION))
         return WaitWindow(wait_us, wait_us + length_us)
 
 
@@ -315,7 +315,7 @@
     def __init__(self) -> None:
         self.by_title: OrderedDict[str, WaitingQueue] = OrderedDict()
 
-    def of(self, title: str, now_us: int) -> WaitingQueue:
+    def queue_for(self, title: str, now_us: int) -> WaitingQueue:
         """The queue of a title, brought up to now."""
         queue = self.by_title.get(title)
         if queue is None:
@@ -326,6 +326,8 @@
         queue.advance(now_us)
         return queue
 
-    def waiting(self, now_us: int) -> dict[str, float]:
+    def backlogged_rates(self, now_us: int) -> dict[str, float]:
         """The rates of titles whose windows reach past now."""
-        return {title: queue.pace for title, queue in self.by_title.items() if queue.next_slot_us > now_us}
+        return {
+            title: queue.rate_per_s for title, queue in self.by_title.items() if queue.next_slot_us > now_us
+        }
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/fleet_load.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/fleet_load.py
@@ -45,9 +45,9 @@
 class LoadSummary:
     """What one front saw in `WINDOWS_PER_SUMMARY` windows, by service class in the settings' order."""
 
-    life: int  # the sender's incarnation
-    number: int  # the sequence number in it
-    rows: tuple[ClassLoad, ...]
+    incarnation: int  # the sender's incarnation
+    sequence: int  # the sequence number in it
+    class_loads: tuple[ClassLoad, ...]
 
 
 class ReceivedSummary(NamedTuple):
@@ -62,17 +62,17 @@
     """The fleet's load as one front estimates it."""
 
     class_loads: tuple[ClassLoad, ...]
-    heard: int  # peers with a recent summary
+    reporting_peers: int  # peers with a recent summary
 
     @property
-    def asked(self) -> int:
+    def requested(self) -> int:
         """Requests of all service classes."""
         return sum(requested for requested, _, _ in self.class_loads)
 
     @property
-    def unmet(self) -> float:
+    def unmet_fraction(self) -> float:
         """The fraction of requests that were not served."""
-        requested = self.asked
+        requested = self.requested
         if not requested:
             return 0.0
         served = sum(served for _, served, _ in self.class_loads)
@@ -139,15 +139,15 @@
     def _open_window(self) -> None:
         self.open_window = [_OpenCounts() for _ in range(self.class_count)]
 
-    def asked(self, service_class: int) -> None:
+    def record_requested(self, service_class: int) -> None:
         """Count a request."""
         self.open_window[service_class].requested += 1
 
-    def served(self, service_class: int) -> None:
+    def record_served(self, service_class: int) -> None:
         """Count a session that was established."""
         self.open_window[service_class].served += 1
 
-    def turned(self, service_class: int) -> None:
+    def record_rejected(self, service_class: int) -> None:
         """Count a rejection, at ingress or by the placement policy."""
         self.open_window[service_class].rejected += 1
 
@@ -176,12 +176,12 @@
         loads = tuple(load.capped() for load in self.own_load())
         return LoadSummary(self.incarnation, self.sequence, loads)
 
-    def hear(self, sender: int, summary: LoadSummary, now_us: int) -> bool:
+    def on_summary(self, sender: int, summary: LoadSummary, now_us: int) -> bool:
         """Handle a peer's summary; whether it is newer than the known one."""
         known = self.peer_summaries.get(sender)
         if known is not None:
-            known_version = (known.summary.life, known.summary.number)
-            if (summary.life, summary.number) <= known_version:
+            known_version = (known.summary.incarnation, known.summary.sequence)
+            if (summary.incarnation, summary.sequence) <= known_version:
                 return False  # duplicated or delayed
         self.peer_summaries[sender] = ReceivedSummary(summary, now_us)
         return True
@@ -190,7 +190,7 @@
         """The load of a fleet of so many fronts."""
         own = self.own_load()
         recent = [
-            summary.rows
+            summary.class_loads
             for summary, received_us in self.peer_summaries.values()
             if now_us - received_us <= STALE_US
         ]
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/health_checks.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/health_checks.py
@@ -76,20 +76,20 @@
     """What a front reports of a server."""
 
     HEALTHY = 0
-    ILL = 1  # unhealthy
-    FAILED_ME = 2  # no verdict: an attempt was not answered there, and its checkers should probe at once
+    UNHEALTHY = 1  # unhealthy
+    ATTEMPT_FAILED = 2  # no verdict: an attempt was not answered there, and its checkers should probe at once
 
 
 @dataclass(frozen=True, slots=True)
 class HealthReport:
     """The message by which one front reports a server's health to the others."""
 
-    server: int  # its hash, see `mark`
-    tells: HealthVerdict
-    number: int  # the sequence number: of one checker's reports the highest counts
+    server_hash: int  # its hash, see `mark`
+    verdict: HealthVerdict
+    sequence: int  # the sequence number: of one checker's reports the highest counts
 
 
-def mark(server: str) -> int:
+def hash_address(server: str) -> int:
     """The hash of a server's address, in four bytes.
 
     Two servers with the same hash are taken out of service together, and back together.
@@ -155,7 +155,9 @@
 
     # Probing.
 
-    def due(self, servers: Iterable[str], live_fronts: Iterable[int], draw: float, now_us: int) -> list[str]:
+    def due_probes(
+        self, servers: Iterable[str], live_fronts: Iterable[int], draw: float, now_us: int
+    ) -> list[str]:
         """The servers that this front should probe now; each is planned again from now.
 
         Args:
@@ -179,7 +181,7 @@
                 due_servers.append(server)
         return due_servers
 
-    def probed(self, server: str, result: ProbeResult, now_us: int) -> CheckerReport:
+    def on_probe_completed(self, server: str, result: ProbeResult, now_us: int) -> CheckerReport:
         """Handle the end of a probe of this front; its own report from now on."""
         watched = self._watched(server)
         watched.on_probe_completed(result, now_us)
@@ -189,7 +191,7 @@
         watched.reports[self.index] = report
         return report
 
-    def tells(self, server: str, now_us: int) -> HealthReport | None:
+    def report(self, server: str, now_us: int) -> HealthReport | None:
         """The report to send after a probe: that a server is unhealthy, or is so no more.
 
         None where no other front can hold an unhealthy report of this one: a calm fleet sends nothing.
@@ -197,15 +199,15 @@
         watched = self._watched(server)
         verdict = HealthVerdict.HEALTHY
         if watched.view is ProbeView.UNHEALTHY:
-            verdict = HealthVerdict.ILL
+            verdict = HealthVerdict.UNHEALTHY
             watched.unhealthy_report_until_us = now_us + REPORT_LIFETIME_US
         if now_us >= watched.unhealthy_report_until_us:
             return None
-        return HealthReport(mark(server), verdict, self.sequence)
+        return HealthReport(hash_address(server), verdict, self.sequence)
 
     # Attempts.
 
-    def failed(self, server: str, now_us: int) -> HealthReport | None:
+    def on_attempt_failed(self, server: str, now_us: int) -> HealthReport | None:
         """Handle an attempt of this front that was not answered; the message that asks for probes, if due.
 
         So an outage is found within the time of a probe and not at the next regular one. One message from one
@@ -215,10 +217,10 @@
         if now_us < watched.check_requested_us + SUSPECT_PROBE_INTERVAL_US:
             return None
         watched.check_requested_us = now_us
-        self.urge(server, now_us)
-        return HealthReport(mark(server), HealthVerdict.FAILED_ME, self.sequence)
+        self.on_probe_requested(server, now_us)
+        return HealthReport(hash_address(server), HealthVerdict.ATTEMPT_FAILED, self.sequence)
 
-    def urge(self, server: str, now_us: int) -> None:
+    def on_probe_requested(self, server: str, now_us: int) -> None:
         """Bring the next probe forward, as some front's attempt failed there.
 
         However many fronts ask, a checker probes at most every `SUSPECT_PROBE_INTERVAL_US`, and one to which
@@ -229,13 +231,13 @@
             earliest_us = watched.probed_us + SUSPECT_PROBE_INTERVAL_US
             watched.probe_due_us = max(now_us, min(watched.probe_due_us, earliest_us))
 
-    def served(self, server: str, now_us: int) -> None:
+    def on_attempt_served(self, server: str, now_us: int) -> None:
         """Handle an attempt of this front that was served: that outweighs the reports of others."""
         self._watched(server).served_us = now_us
 
     # Reports of others.
 
-    def hear(self, sender: int, server: str, is_unhealthy: bool, sequence: int, now_us: int) -> None:
+    def on_report(self, sender: int, server: str, is_unhealthy: bool, sequence: int, now_us: int) -> None:
         """Handle another front's report; one that is duplicated or overtaken is ignored."""
         if not 0 <= sender < self.front_count or sender == self.index:
             return
@@ -247,7 +249,7 @@
         if is_newer:
             watched.reports[sender] = CheckerReport(is_unhealthy, sequence, now_us)
 
-    def gone(self, server: str, live_fronts: Iterable[int], now_us: int) -> bool:
+    def is_down(self, server: str, live_fronts: Iterable[int], now_us: int) -> bool:
         """Whether a quorum of the server's checkers reports it as unhealthy."""
         watched = self.servers.get(server)
         if watched is None:
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/membership.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/membership.py
@@ -53,7 +53,7 @@
 class MembershipSettings:
     """The settings of one front's membership; see the module's text."""
 
-    fronts: int
+    front_count: int
     index: int
     heartbeat_interval_us: int = HEARTBEAT_INTERVAL_US
     lease_us: int = LEASE_US
@@ -63,7 +63,7 @@
     @property
     def majority(self) -> int:
         """The smallest number of fronts, this one among them, that is more than half of all."""
-        return self.fronts // 2 + 1
+        return self.front_count // 2 + 1
 
     @property
     def expiry_us(self) -> int:
@@ -90,20 +90,20 @@
 class Heartbeat:
     """The message that one front sends another at each interval."""
 
-    life: int  # the sender's incarnation, higher than any before it
-    number: int  # the sequence number of this heartbeat in it
-    heard_life: int = 0  # the recipient's incarnation, as the sender knows it
-    heard_number: int = 0  # the recipient's newest heartbeat in it, acknowledged; 0: none is
-    leaving: bool = False
-    gone: tuple[int, ...] = ()  # the fronts that the sender reports as departed
+    incarnation: int  # the sender's incarnation, higher than any before it
+    sequence: int  # the sequence number of this heartbeat in it
+    acknowledged_incarnation: int = 0  # the recipient's incarnation, as the sender knows it
+    acknowledged_sequence: int = 0  # the recipient's newest heartbeat in it, acknowledged; 0: none is
+    is_leaving: bool = False
+    departed: tuple[int, ...] = ()  # the fronts that the sender reports as departed
 
 
 @dataclass(slots=True)
 class Peer:
     """What this front knows of another."""
 
-    standing: PeerState = PeerState.UNHEARD
-    life: int = 0  # its incarnation
+    state: PeerState = PeerState.UNHEARD
+    incarnation: int = 0  # its incarnation
     sequence: int = 0  # of its newest heartbeat
     last_heartbeat_us: int = 0
     other_incarnation_us: int = 0  # when an incarnation other than the present one was last seen
@@ -117,9 +117,9 @@
 
     def begin_incarnation(self, incarnation: int, now_us: int) -> None:
         """Start over with a new incarnation; what the previous one acknowledged and reported is void."""
-        if self.life:
+        if self.incarnation:
             self.other_incarnation_us = now_us
-        self.life = incarnation
+        self.incarnation = incarnation
         self.incarnation_seen_us = now_us
         self.acknowledged_sequence = 0
         self.departed = frozenset()
@@ -127,10 +127,10 @@
 
     def accept_acknowledgement(self, heartbeat: Heartbeat) -> None:
         """Take in what a heartbeat acknowledges and reports."""
-        self.acknowledged_sequence = max(self.acknowledged_sequence, heartbeat.heard_number)
-        if heartbeat.heard_number >= self.departed_sequence:
-            self.departed = frozenset(heartbeat.gone)
-            self.departed_sequence = heartbeat.heard_number
+        self.acknowledged_sequence = max(self.acknowledged_sequence, heartbeat.acknowledged_sequence)
+        if heartbeat.acknowledged_sequence >= self.departed_sequence:
+            self.departed = frozenset(heartbeat.departed)
+            self.departed_sequence = heartbeat.acknowledged_sequence
 
     def count_rejoin(self, now_us: int) -> None:
         """Count one more rejoin, or the first one of a new window."""
@@ -147,7 +147,7 @@
         other_expired_us = 0
         if self.other_incarnation_us:
             other_expired_us = self.other_incarnation_us + settings.expiry_us
-        if self.standing is PeerState.TWIN:
+        if self.state is PeerState.DUPLICATE:
             return max(self.other_incarnation_us + DUPLICATE_WINDOW_US, other_expired_us)
         excess_flaps = max(0, self.rejoin_count - MAX_FLAPS)
         steady_us = self.rejoined_us + settings.lease_us * excess_flaps
@@ -159,34 +159,34 @@
     """A change of a peer's state, for the log."""
 
     index: int
-    was: PeerState
-    now: PeerState
+    previous: PeerState
+    current: PeerState
 
 
 @dataclass(slots=True)
 class Membership:
     """One front's view of all fronts. The caller supplies times, transports heartbeats and holds the lock."""
 
-    terms: MembershipSettings
-    life: int  # this front's incarnation
+    settings: MembershipSettings
+    incarnation: int  # this front's incarnation
     now_us: int
     sequence: int = 0  # of this front's newest heartbeat
     heartbeat_sent_us: OrderedDict[int, int] = field(default_factory=OrderedDict)  # by sequence number
     peers: dict[int, Peer] = field(default_factory=dict)
     pending_changes: list[PeerChange] = field(default_factory=list)
     quiet_until_us: int = 0  # until then the previous incarnation's promises may still be in force
-    leaving: bool = False
+    is_leaving: bool = False
     incarnation_bids: int = 0  # how often a higher incarnation was known for this index
-    outbid_life: int = 0  # the latest incarnation that others knew before this one
+    latest_known_incarnation: int = 0  # the latest incarnation that others knew before this one
 
     def __post_init__(self) -> None:
-        indices = (index for index in range(self.terms.fronts) if index != self.terms.index)
+        indices = (index for index in range(self.settings.front_count) if index != self.settings.index)
         self.peers = {index: Peer(last_heartbeat_us=self.now_us) for index in indices}
-        self.quiet_until_us = self.now_us + self.terms.restart_quiet_us
+        self.quiet_until_us = self.now_us + self.settings.restart_quiet_us
 
     # Sending.
 
-    def beat(self, now_us: int) -> dict[int, Heartbeat]:
+    def next_heartbeats(self, now_us: int) -> dict[int, Heartbeat]:
         """The next heartbeat for each peer, by index; to be sent now."""
         self.advance(now_us)
         self.sequence += 1
@@ -199,46 +199,51 @@
     def _report_departed(self, now_us: int) -> tuple[int, ...]:
         if now_us < self.quiet_until_us:
             return ()
-        departed = tuple(index for index, peer in self.peers.items() if peer.standing in DEPARTED_STATES)
+        departed = tuple(index for index, peer in self.peers.items() if peer.state in DEPARTED_STATES)
         for index in departed:
             self.peers[index].reported_departed_us = now_us
         return departed
 
     def _heartbeat_for(self, peer: Peer, departed: tuple[int, ...], now_us: int) -> Heartbeat:
         if not self._may_acknowledge(peer, now_us):
-            return Heartbeat(self.life, self.sequence, peer.life, leaving=self.leaving)
-        return Heartbeat(self.life, self.sequence, peer.life, peer.sequence, self.leaving, departed)
+            return Heartbeat(self.incarnation, self.sequence, peer.incarnation, is_leaving=self.is_leaving)
+        return Heartbeat(
+            self.incarnation, self.sequence, peer.incarnation, peer.sequence, self.is_leaving, departed
+        )
 
     def _may_acknowledge(self, peer: Peer, now_us: int) -> bool:
         # A departure report may be acted on until it expires by the clock of its recipient. Acknowledging the
         # reported front before that would let it act as well.
-        report_expired = now_us >= peer.reported_departed_us + self.terms.report_expiry_us
-        return now_us >= self.quiet_until_us and peer.standing in ACKNOWLEDGED_STATES and report_expired
+        report_expired = now_us >= peer.reported_departed_us + self.settings.report_expiry_us
+        return now_us >= self.quiet_until_us and peer.state in ACKNOWLEDGED_STATES and report_expired
 
     # Receiving.
 
-    def hear(self, sender: int, heartbeat: Heartbeat, now_us: int) -> None:
+    def on_heartbeat(self, sender: int, heartbeat: Heartbeat, now_us: int) -> None:
         """Handle a heartbeat of a peer."""
         peer = self.peers.get(sender)
         if peer is None:
             return
         self.advance(now_us)
-        self._compare_own_incarnation(heartbeat.heard_life)
-        if heartbeat.life < peer.life:
+        self._compare_own_incarnation(heartbeat.acknowledged_incarnation)
+        if heartbeat.incarnation < peer.incarnation:
             self._on_older_incarnation(sender, peer, now_us)
             return
-        if heartbeat.life == peer.life and heartbeat.number <= peer.sequence:
+        if heartbeat.incarnation == peer.incarnation and heartbeat.sequence <= peer.sequence:
             return  # duplicated, or overtaken by a newer one
-        is_new_incarnation = heartbeat.life > peer.life
+        is_new_incarnation = heartbeat.incarnation > peer.incarnation
         if is_new_incarnation:
-            peer.begin_incarnation(heartbeat.life, now_us)
-        peer.sequence = heartbeat.number
+            peer.begin_incarnation(heartbeat.incarnation, now_us)
+        peer.sequence = heartbeat.sequence
         peer.last_heartbeat_us = now_us
         # The number 0 acknowledges nothing, and is the number of no heartbeat.
-        if heartbeat.heard_life == self.life and heartbeat.heard_number in self.heartbeat_sent_us:
+        if (
+            heartbeat.acknowledged_incarnation == self.incarnation
+            and heartbeat.acknowledged_sequence in self.heartbeat_sent_us
+        ):
             peer.accept_acknowledgement(heartbeat)
         event = MembershipEvent.HEARTBEAT_RECEIVED
-        if heartbeat.leaving:
+        if heartbeat.is_leaving:
             event = MembershipEvent.LEAVE_ANNOUNCED
         elif is_new_incarnation:
             event = MembershipEvent.NEW_INCARNATION
@@ -248,7 +253,7 @@
         # Delayed heartbeats of an ended incarnation arrive for a moment; two processes under one index go on.
         peer.other_incarnation_us = now_us
         is_past_delays = now_us - peer.incarnation_seen_us > DUPLICATE_WINDOW_US
-        if is_past_delays or peer.standing is PeerState.TWIN:
+        if is_past_delays or peer.state is PeerState.DUPLICATE:
             self._apply(sender, peer, MembershipEvent.OLDER_INCARNATION, now_us)
 
     def _compare_own_incarnation(self, known: int) -> None:
@@ -257,12 +262,12 @@
         A higher one is known where a clock that went back gave this incarnation too low a number. A second
         process would outbid this one for ever, so it bids only a few times; then others see a duplicate.
         """
-        if known == self.life:
+        if known == self.incarnation:
             return
-        self.outbid_life = max(self.outbid_life, known)
-        if known > self.life and self.incarnation_bids < MAX_INCARNATION_BIDS:
+        self.latest_known_incarnation = max(self.latest_known_incarnation, known)
+        if known > self.incarnation and self.incarnation_bids < MAX_INCARNATION_BIDS:
             self.incarnation_bids += 1
-            self.life = known + 1
+            self.incarnation = known + 1
             # The sequence goes on: started over, acknowledgements of the last incarnation would pass for new.
             self.heartbeat_sent_us.clear()
 
@@ -271,59 +276,59 @@
         self.now_us = now_us
         for index, peer in self.peers.items():
             silent_us = now_us - peer.last_heartbeat_us
-            if silent_us >= self.terms.expiry_us:
+            if silent_us >= self.settings.expiry_us:
                 self._apply(index, peer, MembershipEvent.LEASE_EXPIRED, now_us)
-            elif silent_us >= SUSPECT_AFTER_HEARTBEATS * self.terms.heartbeat_interval_us:
+            elif silent_us >= SUSPECT_AFTER_HEARTBEATS * self.settings.heartbeat_interval_us:
                 self._apply(index, peer, MembershipEvent.HEARTBEATS_MISSED, now_us)
-            if peer.standing in QUARANTINED_STATES and now_us >= peer.quarantine_end_us(self.terms):
+            if peer.state in QUARANTINED_STATES and now_us >= peer.quarantine_end_us(self.settings):
                 self._apply(index, peer, MembershipEvent.QUARANTINE_ENDED, now_us)
 
     def _apply(self, index: int, peer: Peer, event: MembershipEvent, now_us: int) -> None:
-        state = PEER_TRANSITIONS.apply(peer.standing, event).state
-        if state is peer.standing:
+        state = PEER_TRANSITIONS.apply(peer.state, event).state
+        if state is peer.state:
             return
-        if state is PeerState.BACK:
+        if state is PeerState.REJOINING:
             peer.count_rejoin(now_us)
-        self.pending_changes.append(PeerChange(index, peer.standing, state))
-        peer.standing = state
+        self.pending_changes.append(PeerChange(index, peer.state, state))
+        peer.state = state
 
     # Decisions.
 
-    def leased(self, now_us: int) -> bool:
+    def has_lease(self, now_us: int) -> bool:
         """Whether a majority has acknowledged this front's heartbeats within the lease."""
         acknowledged_by = 1  # this front acknowledges itself
         for peer in self.peers.values():
             sent_us = self.heartbeat_sent_us.get(peer.acknowledged_sequence)
-            acknowledged_by += sent_us is not None and now_us - sent_us < self.terms.lease_us
-        return acknowledged_by >= self.terms.majority and not self.leaving
+            acknowledged_by += sent_us is not None and now_us - sent_us < self.settings.lease_us
+        return acknowledged_by >= self.settings.majority and not self.is_leaving
 
-    def gone(self, now_us: int) -> frozenset[int]:
+    def departed_fronts(self, now_us: int) -> frozenset[int]:
         """The fronts that a majority reports as departed, by reports that are still in force."""
         reports: dict[int, int] = {}
         for peer in self.peers.values():
             sent_us = self.heartbeat_sent_us.get(peer.departed_sequence)
-            if sent_us is not None and now_us - sent_us < self.terms.departure_report_us:
+            if sent_us is not None and now_us - sent_us < self.settings.departure_report_us:
                 for index in peer.departed:
                     reports[index] = reports.get(index, 0) + 1
         may_report = now_us >= self.quiet_until_us
         return frozenset(
             index
             for index, peer in self.peers.items()
-            if reports.get(index, 0) + (may_report and peer.standing in DEPARTED_STATES)
-            >= self.terms.majority
+            if reports.get(index, 0) + (may_report and peer.state in DEPARTED_STATES)
+            >= self.settings.majority
         )
 
-    def share(self, now_us: int) -> float:
+    def allowed_share(self, now_us: int) -> float:
         """The share of any common resource that this front may use now, whatever the others believe."""
-        fronts, reserved = self.terms.fronts, self.terms.reserved_fraction
+        fronts, reserved = self.settings.front_count, self.settings.reserved_fraction
         if fronts == 1:
             return 1.0
-        if not self.leased(now_us):
+        if not self.has_lease(now_us):
             return reserved / fronts
-        departed = len(self.gone(now_us))
+        departed = len(self.departed_fronts(now_us))
         return (1 - reserved * departed / fronts) / (fronts - departed)
 
-    def mine(self, turn: int, now_us: int) -> bool:
+    def owns_turn(self, turn: int, now_us: int) -> bool:
         """Whether a turn that rotates over all fronts is this one's, whatever the others believe.
 
         Turns keep their numbers whichever fronts are alive: when they were distributed anew with each change,
@@ -331,31 +336,31 @@
         nobody else's. Each other turn of a departed front goes to the remaining front that ranks first for
         that very turn, so that two lease holders that differ on who departed never take the same one.
         """
-        fronts = self.terms.fronts
+        fronts = self.settings.front_count
         owner, round_number = turn % fronts, turn // fronts
-        is_reserved = self.terms.is_reserved_turn(owner, round_number)
-        if owner == self.terms.index:
-            return is_reserved or self.leased(now_us)
-        if is_reserved or not self.leased(now_us):
+        is_reserved = self.settings.is_reserved_turn(owner, round_number)
+        if owner == self.settings.index:
+            return is_reserved or self.has_lease(now_us)
+        if is_reserved or not self.has_lease(now_us):
             return False
-        departed = self.gone(now_us)
+        departed = self.departed_fronts(now_us)
         if owner not in departed:
             return False
         remaining = (index for index in range(fronts) if index not in departed)
-        return max(remaining, key=lambda index: crc32(f"{turn}/{index}".encode())) == self.terms.index
+        return max(remaining, key=lambda index: crc32(f"{turn}/{index}".encode())) == self.settings.index
 
     # Reporting.
 
-    def living(self) -> int:
+    def live_front_count(self) -> int:
         """How many fronts this one takes to be alive, itself among them; no share depends on it."""
-        return len(self.alive())
+        return len(self.live_fronts())
 
-    def alive(self) -> list[int]:
+    def live_fronts(self) -> list[int]:
         """The indices of the fronts that this one takes to be alive, itself among them."""
-        others = [index for index, peer in self.peers.items() if peer.standing in LIVE_STATES]
-        return sorted([self.terms.index, *others])
+        others = [index for index, peer in self.peers.items() if peer.state in LIVE_STATES]
+        return sorted([self.settings.index, *others])
 
-    def news(self) -> list[PeerChange]:
+    def take_changes(self) -> list[PeerChange]:
         """The changes of peers' states since the last call."""
         found, self.pending_changes = self.pending_changes, []
         return found
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/peer_states.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/peer_states.py
@@ -13,10 +13,10 @@
     UNHEARD = "unheard"  # no heartbeat since this front started
     ALIVE = "alive"
     SUSPECT = "suspect"  # some heartbeats are missing
-    SILENT = "silent"  # unreachable for longer than any lease it can hold: reported as departed
+    UNREACHABLE = "silent"  # unreachable for longer than any lease it can hold: reported as departed
     LEFT = "left"  # it announced that it shuts down: reported as departed
-    BACK = "back"  # rejoining: reachable again, but a report that it departed may still be acted on
-    TWIN = "twin"  # duplicate: two processes run under its index, and neither is acknowledged
+    REJOINING = "back"  # rejoining: reachable again, but a report that it departed may still be acted on
+    DUPLICATE = "twin"  # duplicate: two processes run under its index, and neither is acknowledged
 
 
 class MembershipEvent(Enum):
@@ -31,10 +31,10 @@
     QUARANTINE_ENDED = auto()  # no report of this front is in force, or the duplicate has been quiet for long
 
 
-DEPARTED_STATES = (PeerState.SILENT, PeerState.LEFT)
+DEPARTED_STATES = (PeerState.UNREACHABLE, PeerState.LEFT)
 ACKNOWLEDGED_STATES = (PeerState.ALIVE, PeerState.SUSPECT)
-QUARANTINED_STATES = (PeerState.BACK, PeerState.TWIN)
-LIVE_STATES = (*ACKNOWLEDGED_STATES, PeerState.BACK)
+QUARANTINED_STATES = (PeerState.REJOINING, PeerState.DUPLICATE)
+LIVE_STATES = (*ACKNOWLEDGED_STATES, PeerState.REJOINING)
 
 
 def _next_states() -> dict[tuple[PeerState, MembershipEvent], PeerState]:
@@ -43,30 +43,30 @@
         (state.UNHEARD, event.HEARTBEAT_RECEIVED): state.ALIVE,
         (state.UNHEARD, event.NEW_INCARNATION): state.ALIVE,
         (state.UNHEARD, event.LEAVE_ANNOUNCED): state.LEFT,
-        (state.UNHEARD, event.LEASE_EXPIRED): state.SILENT,
+        (state.UNHEARD, event.LEASE_EXPIRED): state.UNREACHABLE,
         # The previous incarnation may still hold a lease, where its process is not the one that ended.
-        (state.ALIVE, event.NEW_INCARNATION): state.BACK,
+        (state.ALIVE, event.NEW_INCARNATION): state.REJOINING,
         (state.ALIVE, event.LEAVE_ANNOUNCED): state.LEFT,
-        (state.ALIVE, event.OLDER_INCARNATION): state.TWIN,
+        (state.ALIVE, event.OLDER_INCARNATION): state.DUPLICATE,
         (state.ALIVE, event.HEARTBEATS_MISSED): state.SUSPECT,
-        (state.ALIVE, event.LEASE_EXPIRED): state.SILENT,
+        (state.ALIVE, event.LEASE_EXPIRED): state.UNREACHABLE,
         (state.SUSPECT, event.HEARTBEAT_RECEIVED): state.ALIVE,
-        (state.SUSPECT, event.NEW_INCARNATION): state.BACK,
-        (state.SUSPECT, event.OLDER_INCARNATION): state.TWIN,
+        (state.SUSPECT, event.NEW_INCARNATION): state.REJOINING,
+        (state.SUSPECT, event.OLDER_INCARNATION): state.DUPLICATE,
         (state.SUSPECT, event.LEAVE_ANNOUNCED): state.LEFT,
-        (state.SUSPECT, event.LEASE_EXPIRED): state.SILENT,
-        (state.SILENT, event.HEARTBEAT_RECEIVED): state.BACK,
-        (state.SILENT, event.NEW_INCARNATION): state.BACK,
-        (state.SILENT, event.OLDER_INCARNATION): state.TWIN,
-        (state.SILENT, event.LEAVE_ANNOUNCED): state.LEFT,
+        (state.SUSPECT, event.LEASE_EXPIRED): state.UNREACHABLE,
+        (state.UNREACHABLE, event.HEARTBEAT_RECEIVED): state.REJOINING,
+        (state.UNREACHABLE, event.NEW_INCARNATION): state.REJOINING,
+        (state.UNREACHABLE, event.OLDER_INCARNATION): state.DUPLICATE,
+        (state.UNREACHABLE, event.LEAVE_ANNOUNCED): state.LEFT,
         # A heartbeat that was delayed on its way does not undo a leave; only a new incarnation does.
-        (state.LEFT, event.NEW_INCARNATION): state.BACK,
-        (state.BACK, event.QUARANTINE_ENDED): state.ALIVE,
-        (state.BACK, event.LEAVE_ANNOUNCED): state.LEFT,
-        (state.BACK, event.OLDER_INCARNATION): state.TWIN,
-        (state.BACK, event.LEASE_EXPIRED): state.SILENT,
-        (state.TWIN, event.QUARANTINE_ENDED): state.BACK,
-        (state.TWIN, event.LEASE_EXPIRED): state.SILENT,
+        (state.LEFT, event.NEW_INCARNATION): state.REJOINING,
+        (state.REJOINING, event.QUARANTINE_ENDED): state.ALIVE,
+        (state.REJOINING, event.LEAVE_ANNOUNCED): state.LEFT,
+        (state.REJOINING, event.OLDER_INCARNATION): state.DUPLICATE,
+        (state.REJOINING, event.LEASE_EXPIRED): state.UNREACHABLE,
+        (state.DUPLICATE, event.QUARANTINE_ENDED): state.REJOINING,
+        (state.DUPLICATE, event.LEASE_EXPIRED): state.UNREACHABLE,
     }
 
 
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/recovery_admission.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/recovery_admission.py
@@ -29,7 +29,7 @@
 
     ENDPOINTS_LISTED = auto()
     ALL_SERVERS_SETTLED = auto()  # each has named its sessions, or certainly holds none
-    TIME = auto()  # the time limit of the state has passed
+    TIMED_OUT = auto()  # the time limit of the state has passed
     MOSTLY_WARMING_UP = auto()  # more than half of the fleet's capacity
     MOSTLY_WARM = auto()
 
@@ -38,16 +38,16 @@
     {
         (RecoveryState.DARK, RecoveryEvent.ENDPOINTS_LISTED): Transition(RecoveryState.ASKING),
         # Without a list the front can only reject, but it answers: that is better than a refused connection.
-        (RecoveryState.DARK, RecoveryEvent.TIME): Transition(RecoveryState.OPEN),
+        (RecoveryState.DARK, RecoveryEvent.TIMED_OUT): Transition(RecoveryState.OPEN),
         (RecoveryState.ASKING, RecoveryEvent.ALL_SERVERS_SETTLED): Transition(RecoveryState.OPEN),
-        (RecoveryState.ASKING, RecoveryEvent.TIME): Transition(RecoveryState.SETTLING),
+        (RecoveryState.ASKING, RecoveryEvent.TIMED_OUT): Transition(RecoveryState.SETTLING),
         (RecoveryState.SETTLING, RecoveryEvent.ALL_SERVERS_SETTLED): Transition(RecoveryState.OPEN),
-        (RecoveryState.SETTLING, RecoveryEvent.TIME): Transition(RecoveryState.OPEN),
+        (RecoveryState.SETTLING, RecoveryEvent.TIMED_OUT): Transition(RecoveryState.OPEN),
         (RecoveryState.OPEN, RecoveryEvent.MOSTLY_WARMING_UP): Transition(RecoveryState.RATIONED),
         # It was opened for want of a list.
         (RecoveryState.OPEN, RecoveryEvent.ENDPOINTS_LISTED): Transition(RecoveryState.ASKING),
         (RecoveryState.RATIONED, RecoveryEvent.MOSTLY_WARM): Transition(RecoveryState.OPEN),
-        (RecoveryState.RATIONED, RecoveryEvent.TIME): Transition(RecoveryState.OPEN),
+        (RecoveryState.RATIONED, RecoveryEvent.TIMED_OUT): Transition(RecoveryState.OPEN),
     },
     unlisted=Unlisted.IGNORE,
 )
@@ -63,8 +63,8 @@
 class AdmissionDecision(Enum):
     """What happens to a request."""
 
-    IN = auto()  # admitted
-    RATIONED = auto()  # admitted by priority weight while the title's replicas are warming up
+    ADMIT = auto()  # admitted
+    BY_PRIORITY = auto()  # admitted by priority weight while the title's replicas are warming up
     RETRY_LATER = auto()  # rejected at once, with a Retry-After
 
 
@@ -74,17 +74,19 @@
         for state in (RecoveryState.DARK, RecoveryState.ASKING)
         for kind in RequestKind
     },
-    (RecoveryState.SETTLING, RequestKind.PLAIN): AdmissionDecision.RATIONED,
+    (RecoveryState.SETTLING, RequestKind.PLAIN): AdmissionDecision.BY_PRIORITY,
     (RecoveryState.SETTLING, RequestKind.ACCOUNTED): AdmissionDecision.RETRY_LATER,
-    **{(RecoveryState.RATIONED, kind): AdmissionDecision.RATIONED for kind in RequestKind},
-    **{(RecoveryState.OPEN, kind): AdmissionDecision.IN for kind in RequestKind},
+    **{(RecoveryState.RATIONED, kind): AdmissionDecision.BY_PRIORITY for kind in RequestKind},
+    **{(RecoveryState.OPEN, kind): AdmissionDecision.ADMIT for kind in RequestKind},
 }
 
 GATED_STATES = (RecoveryState.SETTLING, RecoveryState.RATIONED)
 SETTLED_STATES = (RecoveryState.RATIONED, RecoveryState.OPEN)
 
 ENDPOINT_LIST_TIMEOUT_US = 3_000_000
-SAVED_AFTER_US = 1_000_000  # how long the discovery service has before the saved endpoint list is used
+SAVED_LIST_FALLBACK_US = (
+    1_000_000  # how long the discovery service has before the saved endpoint list is used
+)
 GREETING_TIMEOUT_US = 1_000_000  # a server that hangs must not keep the front closed for long
 SETTLING_TIMEOUT_US = 10_000_000  # after it, sessions on a silent server are lost by its event stream's rule
 MAX_RATIONED_SLOW_STARTS = 2  # a fleet whose servers crash again and again is not rationed for ever
@@ -102,41 +104,41 @@
     state_entered_us: int
     is_gated: bool = False
     slow_start_us: int = 0
-    phase: RecoveryState = RecoveryState.DARK
-    due: set[str] = field(default_factory=set)  # servers that have not named their sessions
+    state: RecoveryState = RecoveryState.DARK
+    unsettled_servers: set[str] = field(default_factory=set)  # servers that have not named their sessions
     has_endpoint_list: bool = False
-    entered: list[tuple[RecoveryState, int]] = field(default_factory=list)  # the last states, and when
+    history: list[tuple[RecoveryState, int]] = field(default_factory=list)  # the last states, and when
 
     def apply(self, event: RecoveryEvent, now_us: int) -> bool:
         """Handle an event; whether the state has changed."""
-        state = TRANSITIONS.apply(self.phase, event).state
+        state = TRANSITIONS.apply(self.state, event).state
         if event is RecoveryEvent.ENDPOINTS_LISTED:
             if self.has_endpoint_list:
                 return False
             self.has_endpoint_list = True
         if not self.is_gated and state in GATED_STATES:
             state = RecoveryState.OPEN
-        if state is self.phase:
+        if state is self.state:
             return False
-        self.phase = state
+        self.state = state
         self.state_entered_us = now_us
-        self.entered = [*self.entered[1 - MAX_HISTORY :], (state, now_us)]
+        self.history = [*self.history[1 - MAX_HISTORY :], (state, now_us)]
         return True
 
-    def listed(self, servers: set[str], now_us: int) -> None:
+    def on_endpoints_listed(self, servers: set[str], now_us: int) -> None:
         """Handle an endpoint list; only the first counts."""
         if not self.has_endpoint_list:
-            self.due = set(servers)
+            self.unsettled_servers = set(servers)
             self.apply(RecoveryEvent.ENDPOINTS_LISTED, now_us)
             self._check_settled(now_us)
 
-    def settled(self, server: str, now_us: int) -> None:
+    def on_server_settled(self, server: str, now_us: int) -> None:
         """Handle that a server has named its sessions, or holds none."""
-        self.due.discard(server)
+        self.unsettled_servers.discard(server)
         self._check_settled(now_us)
 
     def _check_settled(self, now_us: int) -> None:
-        if not self.due:
+        if not self.unsettled_servers:
             self.apply(RecoveryEvent.ALL_SERVERS_SETTLED, now_us)
 
     def advance(self, is_warming_up: bool, now_us: int) -> bool:
@@ -147,12 +149,12 @@
             now_us: the present time.
         """
         has_timed_out = False
-        if self.phase is not RecoveryState.OPEN and self.left_us(now_us) == 0:
-            has_timed_out = self.apply(RecoveryEvent.TIME, now_us)
+        if self.state is not RecoveryState.OPEN and self.remaining_us(now_us) == 0:
+            has_timed_out = self.apply(RecoveryEvent.TIMED_OUT, now_us)
         event = RecoveryEvent.MOSTLY_WARMING_UP if is_warming_up else RecoveryEvent.MOSTLY_WARM
         return self.apply(event, now_us) or has_timed_out
 
-    def left_us(self, now_us: int) -> int:
+    def remaining_us(self, now_us: int) -> int:
         """How long the present state may still last."""
         return max(0, self.state_entered_us + self._time_limit_us() - now_us)
 
@@ -164,13 +166,13 @@
             RecoveryState.RATIONED: MAX_RATIONED_SLOW_STARTS * self.slow_start_us,
             RecoveryState.OPEN: 0,
         }
-        return limits[self.phase]
+        return limits[self.state]
 
-    def entry(self, kind: RequestKind) -> AdmissionDecision:
+    def decide(self, kind: RequestKind) -> AdmissionDecision:
         """What happens to a request that arrives now."""
-        return ADMISSION_RULES[self.phase, kind] if self.is_gated else AdmissionDecision.IN
+        return ADMISSION_RULES[self.state, kind] if self.is_gated else AdmissionDecision.ADMIT
 
     @property
-    def accounted(self) -> bool:
+    def is_settled(self) -> bool:
         """Whether established sessions are known as well as they ever will be."""
-        return self.phase in SETTLED_STATES
+        return self.state in SETTLED_STATES
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/shared_quotas.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/shared_quotas.py
@@ -50,9 +50,9 @@
 class QuotaRequest:
     """The message by which a front requests more of a resource."""
 
-    life: int  # the borrower's incarnation
-    number: int  # the sequence number of this request in it
-    thing: Resource
+    incarnation: int  # the borrower's incarnation
+    sequence: int  # the sequence number of this request in it
+    resource: Resource
     rate: float
 
 
@@ -60,9 +60,9 @@
 class QuotaTransfer:
     """The answer: a rate that is lent from when the request of this number was sent; 0 gives it back."""
 
-    life: int  # the borrower's incarnation
-    number: int
-    thing: Resource
+    incarnation: int  # the borrower's incarnation
+    sequence: int
+    resource: Resource
     rate: float
 
 
@@ -116,28 +116,30 @@
     """One front's quota of one resource. The caller supplies times and randomness, and sends messages."""
 
     resource: Resource
-    whole: float  # the rate of the whole fleet
+    total_rate: float  # the rate of the whole fleet
     front_count: int
     index: int
     incarnation: int
     now_us: int
     started_us: int = 0
     tokens: float = 1.0  # a front that starts must not wait for its first endpoint list
-    need: float = 0.0  # the demand, units a second over the demand window
+    demand: float = 0.0  # the demand, units a second over the demand window
     sequence: int = 0  # of the newest request
-    asked_us: int = -REQUEST_INTERVAL_US
-    sent: OrderedDict[int, PendingRequest] = field(default_factory=OrderedDict)
+    requested_us: int = -REQUEST_INTERVAL_US
+    pending_requests: OrderedDict[int, PendingRequest] = field(default_factory=OrderedDict)
     lent: dict[int, LentQuota] = field(default_factory=dict)
     borrowed: dict[int, BorrowedQuota] = field(default_factory=dict)
-    spent: int = 0
-    denied: int = 0
+    spent_count: int = 0
+    denied_count: int = 0
     loan_us: int = LOAN_US
-    kept: float = RESERVED_FRACTION
-    grain: float = 0.0  # loans are multiples of it: a slot has no halves; 0: any rate
-    ask_us: int = REQUEST_INTERVAL_US
-    tries: int = 1  # peers that are asked for each unit that is missing
-    again_us: int = LOAN_US // 2  # for how long requests are repeated to the same peers before new ones
-    cleared: bool = False  # every peer has confirmed that it uses no loan of a previous incarnation
+    reserved_fraction: float = RESERVED_FRACTION
+    granularity: float = 0.0  # loans are multiples of it: a slot has no halves; 0: any rate
+    request_interval_us: int = REQUEST_INTERVAL_US
+    request_fanout: int = 1  # peers that are asked for each unit that is missing
+    request_reuse_us: int = (
+        LOAN_US // 2
+    )  # for how long requests are repeated to the same peers before new ones
+    is_cleared: bool = False  # every peer has confirmed that it uses no loan of a previous incarnation
     loan_sequences: dict[int, int] = field(default_factory=dict)  # of the request by which each peer lends
 
     def __post_init__(self) -> None:
@@ -146,17 +148,17 @@
     @property
     def equal_share(self) -> float:
         """The rate that each front has without loans."""
-        return self.whole / self.front_count
+        return self.total_rate / self.front_count
 
     @property
     def reserved(self) -> float:
         """The rate that is never lent."""
-        return _round_down(self.equal_share * self.kept, self.grain)
+        return _round_down(self.equal_share * self.reserved_fraction, self.granularity)
 
     @property
     def recovering_until_us(self) -> int:
         """Until when peers may still use loans of a previous incarnation."""
-        if self.cleared:
+        if self.is_cleared:
             return self.started_us
         return self.started_us + round(self.loan_us * (1 + CLOCK_DRIFT) ** 2)
 
@@ -169,7 +171,7 @@
         own = self.reserved if now_us < self.recovering_until_us else max(0.0, self.equal_share - lent)
         return own + sum(rate for rate, until_us in self.borrowed.values() if now_us < until_us)
 
-    def lasting(self, now_us: int, end_us: int) -> float:
+    def lasting_rate(self, now_us: int, end_us: int) -> float:
         """The part of the present rate that lasts until `end_us`."""
         ends = (rate for rate, until_us in self.borrowed.values() if now_us < until_us < end_us)
         return self.rate(now_us) - sum(ends)
@@ -178,7 +180,7 @@
         """Move the clock; each loan counts for exactly as long as it lasts, however seldom this is called."""
         self._accrue_tokens(now_us)
         self._cap_tokens(now_us)
-        self.need *= exp(-max(0, now_us - self.now_us) / DEMAND_WINDOW_US)
+        self.demand *= exp(-max(0, now_us - self.now_us) / DEMAND_WINDOW_US)
         self.now_us = max(self.now_us, now_us)
         self.lent = {peer: loan for peer, loan in self.lent.items() if now_us < loan.until_us}
         self.borrowed = {peer: loan for peer, loan in self.borrowed.items() if now_us < loan.until_us}
@@ -197,15 +199,15 @@
         # Tokens saved up by a loan and used after its end would come on top of the lender's.
         self.tokens = min(self.tokens, max(1.0, BURST_S * self.rate(now_us)))
 
-    def take(self, now_us: int) -> bool:
+    def try_acquire(self, now_us: int) -> bool:
         """Acquire one unit, if the quota permits it."""
         self.advance(now_us)
-        self.need += MICROSECONDS_PER_SECOND / DEMAND_WINDOW_US
+        self.demand += MICROSECONDS_PER_SECOND / DEMAND_WINDOW_US
         if self.tokens < 1:
-            self.denied += 1
+            self.denied_count += 1
             return False
         self.tokens -= 1
-        self.spent += 1
+        self.spent_count += 1
         return True
 
     def wait_us(self, now_us: int) -> int:
@@ -221,7 +223,7 @@
 
     # Borrowing.
 
-    def ask(
+    def next_requests(
         self, draw: float, now_us: int, until_us: int = 0, others: Sequence[int] | None = None
     ) -> list[tuple[int, QuotaRequest]]:
         """The requests to send now: as many as would suffice if each peer lent all that it may.
@@ -235,96 +237,100 @@
         Returns:
             Each request with its recipient.
         """
-        if now_us < self.asked_us + self.ask_us:
+        if now_us < self.requested_us + self.request_interval_us:
             return []
         self.advance(now_us)
-        shortfall = self.need - self.lasting(now_us, until_us)
+        shortfall = self.demand - self.lasting_rate(now_us, until_us)
         if others is None:
             others = _other_fronts(self.index, self.front_count)
         if not others or shortfall <= 0:
             return []
-        self.asked_us = now_us
-        peers_needed = ceil(shortfall / max(self.equal_share - self.reserved, self.grain)) * self.tries
+        self.requested_us = now_us
+        peers_needed = (
+            ceil(shortfall / max(self.equal_share - self.reserved, self.granularity)) * self.request_fanout
+        )
         request_count = min(MAX_REQUESTS_PER_ROUND, len(others), peers_needed)
         # Repeated under the same number, a request whose answer was lost does not borrow twice: before this,
         # losing a third of all messages cost a third of what had been lent.
-        requests = _recent_requests(self.sent.values(), now_us - self.again_us)
+        requests = _recent_requests(self.pending_requests.values(), now_us - self.request_reuse_us)
         first = int(draw * len(others))
         for step in range(request_count - len(requests)):
             lender = others[(first + step) % len(others)]
             requests.append((lender, self._new_request(lender, shortfall, now_us)))
-        while len(self.sent) > MAX_PENDING_REQUESTS:
-            self.sent.popitem(last=False)
+        while len(self.pending_requests) > MAX_PENDING_REQUESTS:
+            self.pending_requests.popitem(last=False)
         return requests[:request_count]
 
     def _new_request(self, lender: int, rate: float, now_us: int) -> QuotaRequest:
         self.sequence += 1
         request = QuotaRequest(self.incarnation, self.sequence, self.resource, rate)
-        self.sent[self.sequence] = PendingRequest(lender, request, now_us)
+        self.pending_requests[self.sequence] = PendingRequest(lender, request, now_us)
         return request
 
-    def hear_loan(self, sender: int, loan: QuotaTransfer, now_us: int) -> None:
+    def on_transfer(self, sender: int, loan: QuotaTransfer, now_us: int) -> None:
         """Handle a peer's loan. Delayed or duplicated, it counts from the request that it answers."""
         self.advance(now_us)
-        pending = self.sent.get(loan.number)
-        if loan.life != self.incarnation or pending is None or pending.lender != sender:
+        pending = self.pending_requests.get(loan.sequence)
+        if loan.incarnation != self.incarnation or pending is None or pending.lender != sender:
             return
-        del self.sent[loan.number]
+        del self.pending_requests[loan.sequence]
         until_us = pending.sent_us + self.loan_us
         if now_us < until_us:
             self.borrowed[sender] = BorrowedQuota(min(loan.rate, pending.request.rate), until_us)
-            self.loan_sequences[sender] = loan.number
+            self.loan_sequences[sender] = loan.sequence
 
-    def give_back(self, lender: int) -> QuotaTransfer | None:
+    def release(self, lender: int) -> QuotaTransfer | None:
         """Release a peer's loan, which is not counted from now on; the message to send, if there is one."""
         loan = self.borrowed.pop(lender, None)
         if loan is None:
             return None
         return QuotaTransfer(self.incarnation, self.loan_sequences.pop(lender), self.resource, RELEASED)
 
-    def cancel(self) -> list[tuple[int, QuotaTransfer]]:
+    def cancel_requests(self) -> list[tuple[int, QuotaTransfer]]:
         """Cancel the pending requests; the messages to send, as an answer may have been lost."""
         releases = [
             (pending.lender, QuotaTransfer(self.incarnation, sequence, self.resource, RELEASED))
-            for sequence, pending in self.sent.items()
+            for sequence, pending in self.pending_requests.items()
         ]
-        self.sent.clear()
+        self.pending_requests.clear()
         return releases
 
-    def forget(self, lender: int) -> None:
+    def forget_lender(self, lender: int) -> None:
         """Drop the loans of a peer that has restarted, also those that may still be on their way."""
         self.borrowed.pop(lender, None)
         self.loan_sequences.pop(lender, None)
-        for sequence in [sequence for sequence, pending in self.sent.items() if pending.lender == lender]:
-            del self.sent[sequence]
+        for sequence in [
+            sequence for sequence, pending in self.pending_requests.items() if pending.lender == lender
+        ]:
+            del self.pending_requests[sequence]
 
     # Lending.
 
-    def hear_ask(self, sender: int, request: QuotaRequest, now_us: int) -> QuotaTransfer | None:
+    def on_request(self, sender: int, request: QuotaRequest, now_us: int) -> QuotaTransfer | None:
         """Handle a peer's request; the loan to answer with, if there is one."""
         self.advance(now_us)
         is_peer = sender != self.index and 0 <= sender < self.front_count
         if now_us < self.recovering_until_us or not is_peer:
             return None
-        request_id = RequestId(request.life, request.number)
+        request_id = RequestId(request.incarnation, request.sequence)
         known = self.lent.get(sender)
         if known is not None:
             # One loan to each peer at a time. A repeated request is the same loan; another waits for its end.
             is_repeated = known.request_id == request_id
-            return QuotaTransfer(*request_id, request.thing, known.rate) if is_repeated else None
+            return QuotaTransfer(*request_id, request.resource, known.rate) if is_repeated else None
         lent = sum(loan.rate for loan in self.lent.values())
-        spare = self.equal_share - self.reserved - lent - self.need * (1 + LENDER_HEADROOM)
-        rate = _round_down(min(spare, request.rate), self.grain)
+        spare = self.equal_share - self.reserved - lent - self.demand * (1 + LENDER_HEADROOM)
+        rate = _round_down(min(spare, request.rate), self.granularity)
         if rate <= 0:
             return None
         # The loan is deducted, with what was saved of it, before the borrower learns of it.
         until_us = now_us + round(self.loan_us * (1 + CLOCK_DRIFT))
         self.lent[sender] = LentQuota(rate, until_us, request_id)
         self._cap_tokens(now_us)
-        return QuotaTransfer(*request_id, request.thing, rate)
+        return QuotaTransfer(*request_id, request.resource, rate)
 
-    def hear_back(self, sender: int, loan: QuotaTransfer) -> None:
+    def on_release(self, sender: int, loan: QuotaTransfer) -> None:
         """Handle a borrower's release of its loan. Where this message is lost, the loan expires in time."""
         known = self.lent.get(sender)
-        if known is not None and known.request_id == RequestId(loan.life, loan.number):
+        if known is not None and known.request_id == RequestId(loan.incarnation, loan.sequence):
             del self.lent[sender]
