--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/shedding.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/shedding.py
@@ -44,9 +44,9 @@
 class SheddingAction(Enum):
     """What happens to a request."""
 
-    PASS = auto()
-    BY_BENEFIT = auto()  # admitted by its priority weight
-    TURN = auto()  # rejected
+    ADMIT = auto()
+    BY_PRIORITY = auto()  # admitted by its priority weight
+    REJECT = auto()  # rejected
 
 
 # The level that each signal calls for: reached at once from below, step by step from above.
@@ -58,33 +58,33 @@
 }
 
 ACTIONS: dict[tuple[SheddingLevel, TicketStatus], SheddingAction] = {
-    **{(SheddingLevel.NONE, status): SheddingAction.PASS for status in TicketStatus},
-    (SheddingLevel.REPEATS, TicketStatus.FIRST): SheddingAction.PASS,
-    (SheddingLevel.REPEATS, TicketStatus.DUE): SheddingAction.PASS,
-    (SheddingLevel.REPEATS, TicketStatus.LATE): SheddingAction.PASS,
-    (SheddingLevel.REPEATS, TicketStatus.AGAIN): SheddingAction.BY_BENEFIT,
-    (SheddingLevel.REPEATS, TicketStatus.EARLY): SheddingAction.TURN,
-    (SheddingLevel.REPEATS, TicketStatus.INVENTED): SheddingAction.TURN,
-    (SheddingLevel.LEAST, TicketStatus.FIRST): SheddingAction.BY_BENEFIT,
-    (SheddingLevel.LEAST, TicketStatus.DUE): SheddingAction.PASS,
-    (SheddingLevel.LEAST, TicketStatus.LATE): SheddingAction.PASS,
-    (SheddingLevel.LEAST, TicketStatus.AGAIN): SheddingAction.TURN,
-    (SheddingLevel.LEAST, TicketStatus.EARLY): SheddingAction.TURN,
-    (SheddingLevel.LEAST, TicketStatus.INVENTED): SheddingAction.TURN,
+    **{(SheddingLevel.NONE, status): SheddingAction.ADMIT for status in TicketStatus},
+    (SheddingLevel.REPEATS, TicketStatus.FIRST): SheddingAction.ADMIT,
+    (SheddingLevel.REPEATS, TicketStatus.DUE): SheddingAction.ADMIT,
+    (SheddingLevel.REPEATS, TicketStatus.LATE): SheddingAction.ADMIT,
+    (SheddingLevel.REPEATS, TicketStatus.AGAIN): SheddingAction.BY_PRIORITY,
+    (SheddingLevel.REPEATS, TicketStatus.EARLY): SheddingAction.REJECT,
+    (SheddingLevel.REPEATS, TicketStatus.INVENTED): SheddingAction.REJECT,
+    (SheddingLevel.LEAST, TicketStatus.FIRST): SheddingAction.BY_PRIORITY,
+    (SheddingLevel.LEAST, TicketStatus.DUE): SheddingAction.ADMIT,
+    (SheddingLevel.LEAST, TicketStatus.LATE): SheddingAction.ADMIT,
+    (SheddingLevel.LEAST, TicketStatus.AGAIN): SheddingAction.REJECT,
+    (SheddingLevel.LEAST, TicketStatus.EARLY): SheddingAction.REJECT,
+    (SheddingLevel.LEAST, TicketStatus.INVENTED): SheddingAction.REJECT,
     # A client whose ticket is due is never passed over for one without a ticket.
-    (SheddingLevel.FIRSTS, TicketStatus.FIRST): SheddingAction.BY_BENEFIT,
-    (SheddingLevel.FIRSTS, TicketStatus.DUE): SheddingAction.PASS,
-    (SheddingLevel.FIRSTS, TicketStatus.LATE): SheddingAction.BY_BENEFIT,
-    (SheddingLevel.FIRSTS, TicketStatus.AGAIN): SheddingAction.TURN,
-    (SheddingLevel.FIRSTS, TicketStatus.EARLY): SheddingAction.TURN,
-    (SheddingLevel.FIRSTS, TicketStatus.INVENTED): SheddingAction.TURN,
+    (SheddingLevel.FIRSTS, TicketStatus.FIRST): SheddingAction.BY_PRIORITY,
+    (SheddingLevel.FIRSTS, TicketStatus.DUE): SheddingAction.ADMIT,
+    (SheddingLevel.FIRSTS, TicketStatus.LATE): SheddingAction.BY_PRIORITY,
+    (SheddingLevel.FIRSTS, TicketStatus.AGAIN): SheddingAction.REJECT,
+    (SheddingLevel.FIRSTS, TicketStatus.EARLY): SheddingAction.REJECT,
+    (SheddingLevel.FIRSTS, TicketStatus.INVENTED): SheddingAction.REJECT,
 }
 
 
 def load_signal(totals: FleetTotals) -> LoadSignal:
     """The signal that the fleet's load gives."""
-    unmet = totals.unmet
-    if totals.asked < MIN_REQUESTS or unmet < UNMET_ELEVATED:
+    unmet = totals.unmet_fraction
+    if totals.requested < MIN_REQUESTS or unmet < UNMET_ELEVATED:
         return LoadSignal.NORMAL
     if unmet < UNMET_HIGH:
         return LoadSignal.ELEVATED
@@ -99,15 +99,15 @@
 
     level: SheddingLevel = SheddingLevel.NONE
     calm_windows: int = 0  # in a row, that called for a lower level
-    changes: int = 0
+    change_count: int = 0
 
-    def window(self, totals: FleetTotals) -> bool:
+    def on_window_closed(self, totals: FleetTotals) -> bool:
         """Handle the end of a window; whether the level has changed."""
         level = self._next_level(TARGET_LEVELS[load_signal(totals)])
         if level is self.level:
             return False
         self.level = level
-        self.changes += 1
+        self.change_count += 1
         return True
 
     def _next_level(self, target: SheddingLevel) -> SheddingLevel:
@@ -120,6 +120,6 @@
         self.calm_windows = 0
         return SheddingLevel(self.level - 1)
 
-    def act(self, status: TicketStatus) -> SheddingAction:
+    def action_for(self, status: TicketStatus) -> SheddingAction:
         """What happens to a request with a ticket of this status."""
         return ACTIONS[self.level, status]
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/slow_start_allocation.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/slow_start_allocation.py
@@ -16,7 +16,7 @@
 OVERADMISSION_FACTOR = 1.5  # not every admitted request finds its slot free
 MIN_ADMITTED_FRACTION = 0.1  # of each weight, so that none is shut out entirely
 MAX_TITLES = 1024
-LEAST_WAIT_US = 1_000_000  # Retry-After counts whole seconds
+MIN_RETRY_AFTER_US = 1_000_000  # Retry-After counts whole seconds
 MAX_RETRY_AFTER_US = 30_000_000
 NEGLIGIBLE_COUNT = 0.01
 NEGLIGIBLE_RATE = 1e-9
@@ -67,13 +67,13 @@
             draw: a random number from 0 to 1, which spreads the requests that exceed the limit.
         """
         self.promised_slots += 1.0
-        limit_us = MAX_RETRY_AFTER_US if max_us is None else max(LEAST_WAIT_US, max_us)
+        limit_us = MAX_RETRY_AFTER_US if max_us is None else max(MIN_RETRY_AFTER_US, max_us)
         wait_us: float = limit_us
         if rate > 0:
             wait_us = self.promised_slots / rate * MICROSECONDS_PER_SECOND
         if wait_us > limit_us:
             wait_us = limit_us * (0.5 + draw / 2)
-        return max(LEAST_WAIT_US, round(wait_us))
+        return max(MIN_RETRY_AFTER_US, round(wait_us))
 
 
 class SlowStartAllocation:
@@ -82,7 +82,7 @@
     def __init__(self) -> None:
         self.demands: OrderedDict[str, TitleDemand] = OrderedDict()
 
-    def ask(
+    def retry_after_us(
         self, title: str, priority_weight: float, rate: float, max_us: int | None, now_us: int, draw: float
     ) -> int | None:
         """Handle a request for a title whose replicas are warming up.
--- a/packages/decisions-fleet/src/fennelcove/decisions/fleet/snapshot_trust.py
+++ b/packages/decisions-fleet/src/fennelcove/decisions/fleet/snapshot_trust.py
@@ -23,10 +23,10 @@
     """A fact of the snapshot that a loss can have made untrue."""
 
     STRIKES = auto()  # how often a server failed
-    LAST_JOIN = auto()  # when this front last sent a server an attempt
-    BUDGET = auto()  # retries spent
-    PACE = auto()  # the usual arrival rate
-    LIST = auto()  # the endpoint list
+    LAST_ATTEMPT = auto()  # when this front last sent a server an attempt
+    RETRY_BUDGET = auto()  # retries spent
+    ARRIVAL_RATE = auto()  # the usual arrival rate
+    ENDPOINT_LIST = auto()  # the endpoint list
 
 
 class LossKind(IntEnum):
@@ -50,7 +50,7 @@
     """How a fact is used; each value trusts it less than the one before."""
 
     USE = 0
-    AT_LEAST = 1  # as a lower bound
+    LOWER_BOUND = 1  # as a lower bound
     CONFIRM = 2  # only once its subject has confirmed it
     DROP = 3
 
@@ -72,8 +72,8 @@
 
 _TRUST_FRESH = UseByAge(SnapshotUse.USE, SnapshotUse.DROP, SnapshotUse.DROP)
 _TRUST_UNLESS_OLD = UseByAge(SnapshotUse.USE, SnapshotUse.USE, SnapshotUse.DROP)
-_LOWER_BOUND_UNLESS_OLD = UseByAge(SnapshotUse.AT_LEAST, SnapshotUse.AT_LEAST, SnapshotUse.DROP)
-_LOWER_BOUND_IF_UNKNOWN = UseByAge(SnapshotUse.USE, SnapshotUse.AT_LEAST, SnapshotUse.USE)
+_LOWER_BOUND_UNLESS_OLD = UseByAge(SnapshotUse.LOWER_BOUND, SnapshotUse.LOWER_BOUND, SnapshotUse.DROP)
+_LOWER_BOUND_IF_UNKNOWN = UseByAge(SnapshotUse.USE, SnapshotUse.LOWER_BOUND, SnapshotUse.USE)
 _CONFIRM_UNLESS_OLD = UseByAge(SnapshotUse.CONFIRM, SnapshotUse.CONFIRM, SnapshotUse.DROP)
 _DROP = UseByAge(SnapshotUse.DROP, SnapshotUse.DROP, SnapshotUse.DROP)
 
@@ -83,22 +83,22 @@
     # Failures of a server do not concern its next process, nor any where no clock shows since when.
     FactKind.STRIKES: (_TRUST_FRESH, _TRUST_FRESH, _DROP, _DROP),
     # A restarted process has none of its previous sessions: its slow start counts from its start.
-    FactKind.LAST_JOIN: (_TRUST_FRESH, _TRUST_FRESH, _DROP, _DROP),
+    FactKind.LAST_ATTEMPT: (_TRUST_FRESH, _TRUST_FRESH, _DROP, _DROP),
     # A budget must not refill by a clock: without an age all of it counts as spent just now.
-    FactKind.BUDGET: (_LOWER_BOUND_IF_UNKNOWN,) * len(LossKind),
+    FactKind.RETRY_BUDGET: (_LOWER_BOUND_IF_UNKNOWN,) * len(LossKind),
     # With other fronts lost, more clients come to each: as the usual rate, that crowd would hide a storm.
-    FactKind.PACE: (
+    FactKind.ARRIVAL_RATE: (
         _TRUST_UNLESS_OLD,
         _LOWER_BOUND_UNLESS_OLD,
         _TRUST_UNLESS_OLD,
         _LOWER_BOUND_UNLESS_OLD,
     ),
     # Servers of a saved list are asked before they get sessions; an old copy names machines of others.
-    FactKind.LIST: (_CONFIRM_UNLESS_OLD,) * len(LossKind),
+    FactKind.ENDPOINT_LIST: (_CONFIRM_UNLESS_OLD,) * len(LossKind),
 }
 
 
-def use(fact: FactKind, loss: LossKind, age: SnapshotAge) -> SnapshotUse:
+def snapshot_use(fact: FactKind, loss: LossKind, age: SnapshotAge) -> SnapshotUse:
     """How a fact of the snapshot is used."""
     return TRUST_RULES[fact][loss].at(age)
 
@@ -117,7 +117,7 @@
     wall_us: int = 0
 
 
-def loss(evidence: Evidence) -> LossKind:
+def infer_loss(evidence: Evidence) -> LossKind:
     """What was lost: more than half of those observed. Of what was not observed nothing is concluded."""
     servers_lost = 2 * evidence.restarted_servers > evidence.observed_servers
     fronts_lost = 2 * evidence.restarted_fronts > evidence.observed_fronts
@@ -126,7 +126,7 @@
     return LossKind.FRONTS if fronts_lost else LossKind.SELF
 
 
-def age(evidence: Evidence) -> SnapshotAge:
+def snapshot_age(evidence: Evidence) -> SnapshotAge:
     """How old the snapshot is."""
     if not evidence.written_us:
         return SnapshotAge.OLD
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/command_authorization.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/command_authorization.py
@@ -16,7 +16,7 @@
 
 from fennelcove.decisions.clients.signed_tokens import Mac
 
-HEADER = "fennelcove-command"
+HEADER_NAME = "fennelcove-command"
 HEADER_PARTS = 4
 MAX_CLOCK_SKEW_US = 60_000_000  # between the machines of operators and fronts
 MAX_NONCES = 10_000
@@ -29,7 +29,7 @@
     """Whether a command is authorized."""
 
     GRANTED = "granted"
-    UNSEALED = "unsealed"  # no signature, or a malformed one
+    UNSIGNED = "unsealed"  # no signature, or a malformed one
     WRONG_KEY = "wrong-key"  # signed under no key of this front, or altered, or for another front
     STALE = "stale"  # made too long ago, or in the future
     REPLAYED = "replayed"
@@ -39,7 +39,7 @@
 
 REMEDIES: dict[CommandVerdict, str] = {
     CommandVerdict.GRANTED: "",
-    CommandVerdict.UNSEALED: "seal it: fennelcove fleet does",
+    CommandVerdict.UNSIGNED: "seal it: fennelcove fleet does",
     CommandVerdict.WRONG_KEY: "use a key of this front's settings, and its own name",
     CommandVerdict.STALE: "set the clocks: they differ by over a minute",
     CommandVerdict.REPLAYED: "make a new command; one counts once",
@@ -99,7 +99,7 @@
     signature: str
 
 
-_MALFORMED = CommandCheck(CommandVerdict.UNSEALED, "")
+_MALFORMED = CommandCheck(CommandVerdict.UNSIGNED, "")
 
 
 @dataclass(slots=True)
@@ -113,7 +113,7 @@
     keys: Mapping[str, tuple[Mac, bool]]
     nonces: OrderedDict[str, int] = field(default_factory=OrderedDict)
 
-    def check(
+    def authorize(
         self, header: str | None, method: str, path: str, body: bytes, changes: bool, wall_us: int
     ) -> CommandCheck:
         """Decide on a command.
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/convergence.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/convergence.py
@@ -7,7 +7,7 @@
 from enum import Enum, auto
 from typing import Never
 
-from fennelcove.decisions.operators.reachability import CallOutcome, ReachStatus
+from fennelcove.decisions.operators.reachability import CallOutcome, CallStatus
 from fennelcove.state_machine import Transition, TransitionTable
 
 POLL_INTERVAL_US = 500_000
@@ -60,10 +60,10 @@
 
     def compare(self, outcome: CallOutcome) -> ConvergenceEvent:
         """Compare a front's status response with the desired state."""
-        if outcome.word is not ReachStatus.DONE:
+        if outcome.status is not CallStatus.DONE:
             return ConvergenceEvent.NO_RESPONSE
-        has_phase = self.phase in (None, outcome.said.get("phase"))
-        if has_phase and self._allows_sessions(outcome.said.get("held")):
+        has_phase = self.phase in (None, outcome.body.get("phase"))
+        if has_phase and self._allows_sessions(outcome.body.get("held")):
             return ConvergenceEvent.MATCHED
         return ConvergenceEvent.DIFFERED
 
@@ -79,28 +79,28 @@
 
     desired: DesiredState
     deadline_us: int
-    stages: dict[str, ConvergenceState] = field(default_factory=dict)
+    states: dict[str, ConvergenceState] = field(default_factory=dict)
     consecutive_matches: dict[str, int] = field(default_factory=dict)
 
-    def hear(self, outcomes: Iterable[CallOutcome]) -> None:
+    def observe(self, outcomes: Iterable[CallOutcome]) -> None:
         """Record one round of polls."""
         for outcome in outcomes:
-            self._record(outcome.name, self.desired.compare(outcome))
+            self._record(outcome.front, self.desired.compare(outcome))
 
     def _record(self, front: str, event: ConvergenceEvent) -> None:
-        state = self.stages.get(front, ConvergenceState.UNSEEN)
-        self.stages[front] = TRANSITIONS.apply(state, event).state
+        state = self.states.get(front, ConvergenceState.UNSEEN)
+        self.states[front] = TRANSITIONS.apply(state, event).state
         has_matched = event is ConvergenceEvent.MATCHED
         self.consecutive_matches[front] = self.consecutive_matches.get(front, 0) + 1 if has_matched else 0
 
     @property
-    def there(self) -> bool:
+    def has_converged(self) -> bool:
         """Whether every front has reached the desired state, in enough polls in a row."""
         matches = self.consecutive_matches.values()
         return bool(matches) and all(count >= CONFIRMATIONS for count in matches)
 
-    def pause_us(self, now_us: int) -> int | None:
+    def poll_delay_us(self, now_us: int) -> int | None:
         """How long until the next round; None where the wait is over."""
-        if self.there or now_us >= self.deadline_us:
+        if self.has_converged or now_us >= self.deadline_us:
             return None
         return min(POLL_INTERVAL_US, self.deadline_us - now_us)
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/graceful_shutdown.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/graceful_shutdown.py
@@ -21,48 +21,48 @@
     RUNNING = auto()
     DRAINING = auto()  # no new work, attempts in flight may complete
     RESPONDING = auto()  # attempts are given up, responses are sent
-    OVER = auto()  # stopped
+    STOPPED = auto()  # stopped
 
 
 class ShutdownEvent(Enum):
     """What advances it."""
 
-    ASKED = auto()  # requested, by a signal or an operator
+    REQUESTED = auto()  # requested, by a signal or an operator
     IDLE = auto()  # no response is pending any more
-    TIME = auto()  # the time limit of the state is reached
+    DEADLINE_REACHED = auto()  # the time limit of the state is reached
 
 
 class ShutdownAction(Enum):
     """What the caller carries out."""
 
     STOP_ACCEPTING = auto()
-    GIVE_UP_JOINS = auto()  # cancel the attempts in flight
-    CLOSE_ALL = auto()  # close all connections
+    CANCEL_ATTEMPTS = auto()  # cancel the attempts in flight
+    CLOSE_CONNECTIONS = auto()  # close all connections
 
 
 TRANSITIONS: TransitionTable[ShutdownState, ShutdownEvent, ShutdownAction] = TransitionTable(
     {
-        (ShutdownState.RUNNING, ShutdownEvent.ASKED): Transition(
+        (ShutdownState.RUNNING, ShutdownEvent.REQUESTED): Transition(
             ShutdownState.DRAINING, (ShutdownAction.STOP_ACCEPTING,)
         ),
         (ShutdownState.DRAINING, ShutdownEvent.IDLE): Transition(
-            ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)
+            ShutdownState.STOPPED, (ShutdownAction.CLOSE_CONNECTIONS,)
         ),
-        (ShutdownState.DRAINING, ShutdownEvent.TIME): Transition(
-            ShutdownState.RESPONDING, (ShutdownAction.GIVE_UP_JOINS,)
+        (ShutdownState.DRAINING, ShutdownEvent.DEADLINE_REACHED): Transition(
+            ShutdownState.RESPONDING, (ShutdownAction.CANCEL_ATTEMPTS,)
         ),
         # A second signal comes from an operator who will wait no longer.
-        (ShutdownState.DRAINING, ShutdownEvent.ASKED): Transition(
-            ShutdownState.RESPONDING, (ShutdownAction.GIVE_UP_JOINS,)
+        (ShutdownState.DRAINING, ShutdownEvent.REQUESTED): Transition(
+            ShutdownState.RESPONDING, (ShutdownAction.CANCEL_ATTEMPTS,)
         ),
         (ShutdownState.RESPONDING, ShutdownEvent.IDLE): Transition(
-            ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)
+            ShutdownState.STOPPED, (ShutdownAction.CLOSE_CONNECTIONS,)
         ),
-        (ShutdownState.RESPONDING, ShutdownEvent.TIME): Transition(
-            ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)
+        (ShutdownState.RESPONDING, ShutdownEvent.DEADLINE_REACHED): Transition(
+            ShutdownState.STOPPED, (ShutdownAction.CLOSE_CONNECTIONS,)
         ),
-        (ShutdownState.RESPONDING, ShutdownEvent.ASKED): Transition(
-            ShutdownState.OVER, (ShutdownAction.CLOSE_ALL,)
+        (ShutdownState.RESPONDING, ShutdownEvent.REQUESTED): Transition(
+            ShutdownState.STOPPED, (ShutdownAction.CLOSE_CONNECTIONS,)
         ),
     },
     unlisted=Unlisted.IGNORE,
@@ -76,19 +76,19 @@
 class GracefulShutdown:
     """The shutdown of one front, which may take `stop_us`; times in microseconds."""
 
-    stop_us: int
-    phase: ShutdownState = ShutdownState.RUNNING
-    asked_us: int = 0  # when it was requested
+    time_limit_us: int
+    state: ShutdownState = ShutdownState.RUNNING
+    requested_us: int = 0  # when it was requested
 
     def apply(self, event: ShutdownEvent, now_us: int) -> tuple[ShutdownAction, ...]:
         """Apply an event; the actions to carry out, in order. An event out of place changes nothing."""
-        transition = TRANSITIONS.apply(self.phase, event)
-        if self.phase is ShutdownState.RUNNING and event is ShutdownEvent.ASKED:
-            self.asked_us = now_us
-        self.phase = transition.state
+        transition = TRANSITIONS.apply(self.state, event)
+        if self.state is ShutdownState.RUNNING and event is ShutdownEvent.REQUESTED:
+            self.requested_us = now_us
+        self.state = transition.state
         return transition.actions
 
-    def left_us(self, now_us: int) -> int:
+    def remaining_us(self, now_us: int) -> int:
         """How long the current state may still take."""
-        end_us = self.asked_us + round(self.stop_us * _END_FRACTIONS.get(self.phase, 0.0))
+        end_us = self.requested_us + round(self.time_limit_us * _END_FRACTIONS.get(self.state, 0.0))
         return max(0, end_us - now_us)
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/reachability.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/reachability.py
@@ -12,7 +12,7 @@
 from http import HTTPStatus
 
 
-class ReachStatus(Enum):
+class CallStatus(Enum):
     """The status of one call."""
 
     DONE = "done"
@@ -29,55 +29,55 @@
     NOT_ASKED = "not-asked"  # the time for all calls was over before its turn
 
 
-class CallResult(Enum):
+class CallProgress(Enum):
     """How far the call came."""
 
     RESOLVING = auto()
     CONNECTING = auto()
     SENT = auto()
-    BYTES = auto()  # a response began
+    RESPONSE_STARTED = auto()  # a response began
 
 
 class CallFailure(Enum):
     """What ended it."""
 
-    NO_HOST = auto()
-    REFUSED = auto()
-    TIME = auto()  # it timed out
-    HUNG_UP = auto()  # the front closed the connection
-    NO_HTTP = auto()
-
-
-STATUS_BY_FAILURE: dict[tuple[CallResult, CallFailure], ReachStatus] = {
-    (CallResult.RESOLVING, CallFailure.NO_HOST): ReachStatus.UNRESOLVED,
-    (CallResult.RESOLVING, CallFailure.REFUSED): ReachStatus.UNRESOLVED,
-    (CallResult.RESOLVING, CallFailure.TIME): ReachStatus.UNRESOLVED,
-    (CallResult.RESOLVING, CallFailure.HUNG_UP): ReachStatus.UNRESOLVED,
-    (CallResult.RESOLVING, CallFailure.NO_HTTP): ReachStatus.GARBLED,
-    (CallResult.CONNECTING, CallFailure.NO_HOST): ReachStatus.UNRESOLVED,
-    (CallResult.CONNECTING, CallFailure.REFUSED): ReachStatus.REFUSED,
-    (CallResult.CONNECTING, CallFailure.TIME): ReachStatus.UNREACHABLE,
-    (CallResult.CONNECTING, CallFailure.HUNG_UP): ReachStatus.REFUSED,
-    (CallResult.CONNECTING, CallFailure.NO_HTTP): ReachStatus.GARBLED,
-    (CallResult.SENT, CallFailure.NO_HOST): ReachStatus.SILENT,
-    (CallResult.SENT, CallFailure.REFUSED): ReachStatus.SILENT,
-    (CallResult.SENT, CallFailure.TIME): ReachStatus.SILENT,
-    (CallResult.SENT, CallFailure.HUNG_UP): ReachStatus.SILENT,
-    (CallResult.SENT, CallFailure.NO_HTTP): ReachStatus.GARBLED,
-    (CallResult.BYTES, CallFailure.NO_HOST): ReachStatus.CUT_SHORT,
-    (CallResult.BYTES, CallFailure.REFUSED): ReachStatus.CUT_SHORT,
-    (CallResult.BYTES, CallFailure.TIME): ReachStatus.CUT_SHORT,
-    (CallResult.BYTES, CallFailure.HUNG_UP): ReachStatus.CUT_SHORT,
-    (CallResult.BYTES, CallFailure.NO_HTTP): ReachStatus.GARBLED,
+    HOST_NOT_FOUND = auto()
+    CONNECTION_REFUSED = auto()
+    TIMED_OUT = auto()  # it timed out
+    CONNECTION_CLOSED = auto()  # the front closed the connection
+    MALFORMED_RESPONSE = auto()
+
+
+STATUS_BY_FAILURE: dict[tuple[CallProgress, CallFailure], CallStatus] = {
+    (CallProgress.RESOLVING, CallFailure.HOST_NOT_FOUND): CallStatus.UNRESOLVED,
+    (CallProgress.RESOLVING, CallFailure.CONNECTION_REFUSED): CallStatus.UNRESOLVED,
+    (CallProgress.RESOLVING, CallFailure.TIMED_OUT): CallStatus.UNRESOLVED,
+    (CallProgress.RESOLVING, CallFailure.CONNECTION_CLOSED): CallStatus.UNRESOLVED,
+    (CallProgress.RESOLVING, CallFailure.MALFORMED_RESPONSE): CallStatus.GARBLED,
+    (CallProgress.CONNECTING, CallFailure.HOST_NOT_FOUND): CallStatus.UNRESOLVED,
+    (CallProgress.CONNECTING, CallFailure.CONNECTION_REFUSED): CallStatus.REFUSED,
+    (CallProgress.CONNECTING, CallFailure.TIMED_OUT): CallStatus.UNREACHABLE,
+    (CallProgress.CONNECTING, CallFailure.CONNECTION_CLOSED): CallStatus.REFUSED,
+    (CallProgress.CONNECTING, CallFailure.MALFORMED_RESPONSE): CallStatus.GARBLED,
+    (CallProgress.SENT, CallFailure.HOST_NOT_FOUND): CallStatus.SILENT,
+    (CallProgress.SENT, CallFailure.CONNECTION_REFUSED): CallStatus.SILENT,
+    (CallProgress.SENT, CallFailure.TIMED_OUT): CallStatus.SILENT,
+    (CallProgress.SENT, CallFailure.CONNECTION_CLOSED): CallStatus.SILENT,
+    (CallProgress.SENT, CallFailure.MALFORMED_RESPONSE): CallStatus.GARBLED,
+    (CallProgress.RESPONSE_STARTED, CallFailure.HOST_NOT_FOUND): CallStatus.CUT_SHORT,
+    (CallProgress.RESPONSE_STARTED, CallFailure.CONNECTION_REFUSED): CallStatus.CUT_SHORT,
+    (CallProgress.RESPONSE_STARTED, CallFailure.TIMED_OUT): CallStatus.CUT_SHORT,
+    (CallProgress.RESPONSE_STARTED, CallFailure.CONNECTION_CLOSED): CallStatus.CUT_SHORT,
+    (CallProgress.RESPONSE_STARTED, CallFailure.MALFORMED_RESPONSE): CallStatus.GARBLED,
 }
 
 # Sent without a complete response: a command may have taken effect.
-INDETERMINATE_STATUSES = frozenset({ReachStatus.SILENT, ReachStatus.CUT_SHORT, ReachStatus.GARBLED})
+INDETERMINATE_STATUSES = frozenset({CallStatus.SILENT, CallStatus.CUT_SHORT, CallStatus.GARBLED})
 
 SUCCESS_CODES = frozenset({HTTPStatus.OK, HTTPStatus.CREATED, HTTPStatus.NO_CONTENT})
 STATUS_BY_ERROR_CODE = {
-    HTTPStatus.UNAUTHORIZED: ReachStatus.WRONG_KEY,
-    HTTPStatus.FORBIDDEN: ReachStatus.NOT_PERMITTED,
+    HTTPStatus.UNAUTHORIZED: CallStatus.WRONG_KEY,
+    HTTPStatus.FORBIDDEN: CallStatus.NOT_PERMITTED,
 }
 
 
@@ -85,30 +85,30 @@
 class CallOutcome:
     """What became of one call: the front's name, the status, and the body of its response."""
 
-    name: str
-    word: ReachStatus
+    front: str
+    status: CallStatus
     detail: str = ""
-    said: dict[str, object] = field(default_factory=dict)
+    body: dict[str, object] = field(default_factory=dict)
     took_us: int = 0
 
     @property
-    def unknown(self) -> bool:
+    def is_indeterminate(self) -> bool:
         """Whether the front may have carried out the command."""
-        return self.word in INDETERMINATE_STATUSES
+        return self.status in INDETERMINATE_STATUSES
 
 
-def answered(name: str, http_status: int, body: dict[str, object], took_us: int) -> CallOutcome:
+def outcome_of_response(name: str, http_status: int, body: dict[str, object], took_us: int) -> CallOutcome:
     """The outcome of a call that got a complete response."""
     front = str(body.get("front", ""))
     detail = str(body.get("detail", ""))
     if http_status in SUCCESS_CODES:
         if front and front != name:
-            return CallOutcome(name, ReachStatus.OTHER_FRONT, f"it calls itself {front}", body, took_us)
-        return CallOutcome(name, ReachStatus.DONE, "", body, took_us)
+            return CallOutcome(name, CallStatus.OTHER_FRONT, f"it calls itself {front}", body, took_us)
+        return CallOutcome(name, CallStatus.DONE, "", body, took_us)
     if http_status in STATUS_BY_ERROR_CODE:
         status = STATUS_BY_ERROR_CODE[HTTPStatus(http_status)]
         return CallOutcome(name, status, detail, body, took_us)
-    return CallOutcome(name, ReachStatus.DECLINED, f"{http_status} {detail}".strip(), body, took_us)
+    return CallOutcome(name, CallStatus.DECLINED, f"{http_status} {detail}".strip(), body, took_us)
 
 
 class ExitCode(Enum):
@@ -119,13 +119,13 @@
     SOME_INDETERMINATE = 3
 
 
-def ended(outcomes: Iterable[CallOutcome], is_command: bool) -> ExitCode:
+def exit_code(outcomes: Iterable[CallOutcome], is_command: bool) -> ExitCode:
     """The exit status of calls to many fronts.
 
     A query without a response has failed; a command without one may have taken effect.
     """
     found = list(outcomes)
-    if is_command and any(outcome.unknown for outcome in found):
+    if is_command and any(outcome.is_indeterminate for outcome in found):
         return ExitCode.SOME_INDETERMINATE
-    is_all_done = all(outcome.word is ReachStatus.DONE for outcome in found)
+    is_all_done = all(outcome.status is CallStatus.DONE for outcome in found)
     return ExitCode.ALL_DONE if is_all_done else ExitCode.SOME_FAILED
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/shadow_policy.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/shadow_policy.py
@@ -81,9 +81,10 @@
             self.counts[DecisionKind.WOULD_ASK] += 1
             # No reply will come: it decides by what it knows, as it would where a reply is lost.
             self.other.now_us = max(
-                (self.other.poll_deadline_us(session) for session in self.other.waiting), default=now_us
+                (self.other.poll_deadline_us(session) for session in self.other.polling_sessions),
+                default=now_us,
             )
-            self.other.held_due()
+            self.other.on_poll_timeout()
             self.other.now_us = now_us
         decisions = (self.decided.attempts, self.decided.rungs, self.would.attempts, self.would.rungs)
         for id in dict.fromkeys(id for decided in decisions for id in decided):
@@ -130,13 +131,13 @@
             session.service_class,
             session.title,
             session.cells,
-            session.top,
-            session.taken_us,
-            session.timeout_us,
+            session.top_rung,
+            session.requested_us,
+            session.deadline_us,
         )
-        copy.watch_guess_us, copy.life, copy.rung = session.watch_guess_us, session.life, session.rung
-        copy.noted, copy.started_us, copy.asked = session.noted, session.started_us, {}
-        copy.share = theirs.share if theirs is not None else session.share
+        copy.expected_play_us, copy.state, copy.rung = session.expected_play_us, session.state, session.rung
+        copy.has_report, copy.started_us, copy.awaited = session.has_report, session.started_us, {}
+        copy.quota_share = theirs.quota_share if theirs is not None else session.quota_share
         self.other.sessions[id] = copy
         for attempt in session.attempts:
             server = self.other.servers.get(attempt.server.address)
@@ -150,6 +151,6 @@
 
 def random_of(front: PlacementPolicy) -> Random:
     """The one source of chance of a front."""
-    source = getattr(front.rng, "__self__")  # noqa: B009
+    source = getattr(front.draw_uniform, "__self__")  # noqa: B009
     assert isinstance(source, Random)
     return source
--- a/packages/decisions-recovery/src/fennelcove/decisions/recovery/background_scheduler.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/background_scheduler.py
@@ -21,8 +21,8 @@
 class TaskPriority(IntEnum):
     """The order of tasks that may run: the lowest number goes first."""
 
-    VIEWERS = 0  # a client waits for it
-    MEMORY = 1
+    CLIENT_FACING = 0  # a client waits for it
+    SNAPSHOT = 1
     HOUSEKEEPING = 2
 
 
@@ -35,10 +35,10 @@
     interval_us: int
     max_delay_us: int  # past its time by so much, it runs whatever the budget is
     due_us: int = 0
-    usual_us: float = 0.0  # smoothed duration of a run
-    runs: int = 0
-    skipped: int = 0  # times that it was due again before it had run
-    latest_us: int = 0  # the longest delay of a run
+    mean_run_us: float = 0.0  # smoothed duration of a run
+    run_count: int = 0
+    skipped_count: int = 0  # times that it was due again before it had run
+    max_lateness_us: int = 0  # the longest delay of a run
 
     @property
     def deadline_us(self) -> int:
@@ -73,14 +73,14 @@
         self.accrued_at_us = max(now_us, self.accrued_at_us)
         self.budget_us = min(float(MAX_SAVED_US), self.budget_us + passed_us * self.time_share)
 
-    def pick(self, now_us: int) -> ScheduledTask:
+    def next_task(self, now_us: int) -> ScheduledTask:
         """The next task to run: one past its deadline, or else one that the budget permits."""
         self._accrue(now_us)
         due = [task for task in self.tasks if task.due_us <= now_us]
         overdue = [task for task in due if now_us >= task.deadline_us]
         if overdue:
             return ScheduledTask(min(overdue, key=lambda task: (task.deadline_us, task.priority)))
-        affordable = [task for task in due if task.usual_us <= self.budget_us]
+        affordable = [task for task in due if task.mean_run_us <= self.budget_us]
         if affordable:
             return ScheduledTask(min(affordable, key=lambda task: (task.priority, task.due_us)))
         return ScheduledTask(None, self._wait_us(due, now_us))
@@ -89,18 +89,18 @@
         waits_us = [task.due_us - now_us for task in self.tasks if task.due_us > now_us]
         waits_us += [task.deadline_us - now_us for task in due]
         if self.time_share > 0:
-            waits_us += [round((task.usual_us - self.budget_us) / self.time_share) + 1 for task in due]
+            waits_us += [round((task.mean_run_us - self.budget_us) / self.time_share) + 1 for task in due]
         return max(1, min([*waits_us, MAX_WAIT_US]))
 
-    def over(self, task: BackgroundTask, started_us: int, now_us: int) -> None:
+    def on_run_completed(self, task: BackgroundTask, started_us: int, now_us: int) -> None:
         """Handle the end of a run; runs that were missed meanwhile are skipped, as catching up adds load."""
         self._accrue(now_us)
         run_us = max(0, now_us - started_us)
         self.budget_us = max(-float(MAX_DEBT_US), self.budget_us - run_us)
-        smoothing = RUN_TIME_SMOOTHING if task.runs else 1
-        task.usual_us += (run_us - task.usual_us) / smoothing
-        task.runs += 1
-        task.latest_us = max(task.latest_us, started_us - task.due_us)
+        smoothing = RUN_TIME_SMOOTHING if task.run_count else 1
+        task.mean_run_us += (run_us - task.mean_run_us) / smoothing
+        task.run_count += 1
+        task.max_lateness_us = max(task.max_lateness_us, started_us - task.due_us)
         missed = max(0, (now_us - task.due_us) // task.interval_us)
-        task.skipped += max(0, missed - 1)
+        task.skipped_count += max(0, missed - 1)
         task.due_us = max(task.due_us, started_us) + task.interval_us
--- a/packages/decisions-recovery/src/fennelcove/decisions/recovery/reconciliation.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/reconciliation.py
@@ -37,7 +37,7 @@
     RELEASE = auto()
 
 
-TRANSITIONS: dict[SessionClaim, ClaimAction] = {
+CLAIM_ACTIONS: dict[SessionClaim, ClaimAction] = {
     SessionClaim.CURRENT: ClaimAction.KEEP,
     SessionClaim.IN_FLIGHT: ClaimAction.KEEP,
     SessionClaim.OVERTAKEN: ClaimAction.RELEASE,
@@ -59,7 +59,7 @@
     server: str
 
 
-def claim(
+def classify_claim(
     server: str,
     attempt: int,
     known: KnownSession | None,
@@ -78,7 +78,7 @@
         has_free_seat: one more session of its title and service class may be held.
     """
     if known is not None and known.attempt == attempt and known.server == server:
-        is_established = known.state is SessionState.PLAYING
+        is_established = known.state is SessionState.ESTABLISHED
         return SessionClaim.CURRENT if is_established else SessionClaim.IN_FLIGHT
     if is_own_incarnation:
         return SessionClaim.ENDED_HERE if known is None else SessionClaim.OVERTAKEN
--- a/packages/decisions-recovery/src/fennelcove/decisions/recovery/snapshot.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/snapshot.py
@@ -23,15 +23,15 @@
 from fennelcove.decisions.fleet.snapshot_trust import CLOCK_TOLERANCE_US, MAX_AGE_US
 from fennelcove.decisions.recovery.write_behind import Change
 
-FORMAT = 2  # of the records; a snapshot without a format has the first
+FORMAT_VERSION = 2  # of the records; a snapshot without a format has the first
 UNSUPPORTED_FORMAT = 0
 FORMAT_KEY = b"format"
-MOST_TIMES = 4096  # of each kind in a front's record
+MAX_BUDGET_TIMES = 4096  # of each kind in a front's record
 
 RecordT = TypeVar("RecordT")
 
 
-class ServerMemory(Struct, frozen=True, array_like=True):
+class ServerRecord(Struct, frozen=True, array_like=True):
     """The record of a server; wall times in microseconds, 0 for never."""
 
     started_us: int  # its process
@@ -41,7 +41,7 @@
     heard_us: int  # when any of this was last known
 
 
-class FrontMemory(Struct, frozen=True, array_like=True):
+class FrontRecord(Struct, frozen=True, array_like=True):
     """The record of the front itself; wall times in microseconds."""
 
     written_us: int
@@ -55,7 +55,7 @@
     list_version: int = -1
 
 
-class KeptServer(Struct, frozen=True, array_like=True):
+class EndpointRecord(Struct, frozen=True, array_like=True):
     """A server of the endpoint list in force."""
 
     address: str
@@ -67,11 +67,11 @@
     started_us: int  # wall time; 0 for long ago
 
 
-class KeptList(Struct, frozen=True, array_like=True):
+class EndpointListRecord(Struct, frozen=True, array_like=True):
     """The endpoint list in force, for a start at which no discovery service answers."""
 
     version: int
-    boxes: list[KeptServer]
+    servers: list[EndpointRecord]
 
 
 def format_of(values: Mapping[bytes, bytes]) -> int:
@@ -79,11 +79,11 @@
     raw = values.get(FORMAT_KEY)
     if raw is None:
         return 1
-    is_supported = raw.isdigit() and 1 <= int(raw) <= FORMAT
+    is_supported = raw.isdigit() and 1 <= int(raw) <= FORMAT_VERSION
     return int(raw) if is_supported else UNSUPPORTED_FORMAT
 
 
-def migrated(values: Mapping[bytes, bytes]) -> dict[bytes, bytes]:
+def migrate_records(values: Mapping[bytes, bytes]) -> dict[bytes, bytes]:
     """A snapshot's records in the present format.
 
     Records of format 1 stay as they are: the fields that format 2 adds are at their end, and are read as
@@ -101,19 +101,19 @@
         return None
 
 
-def read_server(raw: bytes) -> ServerMemory | None:
+def read_server(raw: bytes) -> ServerRecord | None:
     """Decode the record of a server; None for what is none."""
-    return _decode(raw, ServerMemory)
+    return _decode(raw, ServerRecord)
 
 
-def read_front(raw: bytes) -> FrontMemory | None:
+def read_front(raw: bytes) -> FrontRecord | None:
     """Decode the record of the front; None for what is none."""
-    return _decode(raw, FrontMemory)
+    return _decode(raw, FrontRecord)
 
 
-def read_list(raw: bytes) -> KeptList | None:
+def read_list(raw: bytes) -> EndpointListRecord | None:
     """Decode the record of the endpoint list; None for what is none."""
-    return _decode(raw, KeptList)
+    return _decode(raw, EndpointListRecord)
 
 
 class RecordVerdict(Enum):
@@ -136,8 +136,8 @@
     last_attempt_ago_us: int | None
 
 
-def rule(
-    record: ServerMemory | None, started_us: int | None, wall_us: int
+def evaluate_record(
+    record: ServerRecord | None, started_us: int | None, wall_us: int
 ) -> tuple[RecordVerdict, RecoveredServer | None]:
     """Whether the record of a server is used, and what it yields.
 
@@ -160,14 +160,14 @@
     return RecordVerdict.USED, _recovered(record, wall_us)
 
 
-def _recovered(record: ServerMemory, wall_us: int) -> RecoveredServer:
+def _recovered(record: ServerRecord, wall_us: int) -> RecoveredServer:
     last_attempt_ago_us = None
     if record.joined_us:
         last_attempt_ago_us = max(0, wall_us - record.joined_us)
     return RecoveredServer(record.strikes, max(0, record.shut_until_us - wall_us), last_attempt_ago_us)
 
 
-def spent(times_us: Sequence[int], wall_us: int, window_us: int) -> list[int]:
+def budget_ages_us(times_us: Sequence[int], wall_us: int, window_us: int) -> list[int]:
     """The ages, in microseconds, of what still counts in a budget's window; the oldest first.
 
     What a clock that went back puts into the future counts as spent now: a budget must not refill by it.
@@ -176,7 +176,7 @@
     return sorted((age_us for age_us in ages_us if age_us < window_us), reverse=True)
 
 
-def changed(new: Iterable[tuple[bytes, bytes]], saved: dict[bytes, bytes]) -> list[Change]:
+def record_changes(new: Iterable[tuple[bytes, bytes]], saved: dict[bytes, bytes]) -> list[Change]:
     """The changes that turn the saved records into the new ones; None deletes a key."""
     wanted = dict(new)
     changes: list[Change] = [(key, raw) for key, raw in wanted.items() if saved.get(key) != raw]
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/aimd_limit.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/aimd_limit.py
@@ -17,7 +17,7 @@
 DECREASE_FACTOR = 0.7
 MAX_SERVERS = 10_000
 NEVER_DECREASED_US = -1
-OVERLOAD_OUTCOMES = (Outcome.NO_ANSWER, Outcome.TURNED_AWAY, Outcome.SERVER_ERROR, Outcome.CONNECTION_LOST)
+OVERLOAD_OUTCOMES = (Outcome.NO_ANSWER, Outcome.REJECTED, Outcome.SERVER_ERROR, Outcome.CONNECTION_LOST)
 
 
 @dataclass(slots=True)
@@ -53,7 +53,7 @@
     def __init__(self) -> None:
         self.servers: OrderedDict[str, AimdLimit] = OrderedDict()
 
-    def enter(self, server: str) -> bool:
+    def try_acquire(self, server: str) -> bool:
         """Count one more set-up in flight; False where the limit is reached and it must not be sent."""
         server_limit = self.servers.get(server)
         if server_limit is None:
@@ -65,7 +65,7 @@
         server_limit.in_flight += 1
         return True
 
-    def leave(self, server: str, outcome: Outcome, sent_us: int, now_us: int) -> None:
+    def release(self, server: str, outcome: Outcome, sent_us: int, now_us: int) -> None:
         """Count a set-up as completed, and adjust the limit by its outcome.
 
         A set-up sent before the last decrease does not decrease the limit again: it met the same overload.
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/attempt_exchange.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/attempt_exchange.py
@@ -31,15 +31,15 @@
     """What happened on the socket."""
 
     CONNECTED = auto()
-    REFUSED = auto()  # refused, unreachable, or no descriptor left
-    WROTE = auto()  # the last byte of the request was handed to the kernel
-    BYTES = auto()  # the first bytes of a response
+    CONNECT_FAILED = auto()  # refused, unreachable, or no descriptor left
+    REQUEST_WRITTEN = auto()  # the last byte of the request was handed to the kernel
+    RESPONSE_STARTED = auto()  # the first bytes of a response
     CLOSED = auto()  # closed or reset by the server
     TIMED_OUT = auto()
-    GARBAGE = auto()  # a response that is not HTTP
-    STARTED = auto()  # the server plays
-    TURNED_AWAY = auto()  # the server rejected the attempt without looking at it
-    ERROR = auto()  # any other response
+    MALFORMED_RESPONSE = auto()  # a response that is not HTTP
+    PLAYBACK_STARTED = auto()  # the server plays
+    REJECTED = auto()  # the server rejected the attempt without looking at it
+    SERVER_ERROR = auto()  # any other response
 
 
 def _completed(outcome: Outcome) -> Transition[ExchangeState, Outcome]:
@@ -50,36 +50,36 @@
 TRANSITIONS: TransitionTable[ExchangeState, ExchangeEvent, Outcome] = TransitionTable(
     {
         (ExchangeState.CONNECTING, ExchangeEvent.CONNECTED): Transition(ExchangeState.WRITING),
-        (ExchangeState.CONNECTING, ExchangeEvent.REFUSED): _completed(Outcome.NO_CONNECTION),
+        (ExchangeState.CONNECTING, ExchangeEvent.CONNECT_FAILED): _completed(Outcome.NO_CONNECTION),
         (ExchangeState.CONNECTING, ExchangeEvent.TIMED_OUT): _completed(Outcome.NO_CONNECTION),
         (ExchangeState.CONNECTING, ExchangeEvent.CLOSED): _completed(Outcome.NO_CONNECTION),
-        (ExchangeState.WRITING, ExchangeEvent.WROTE): Transition(ExchangeState.WAITING),
+        (ExchangeState.WRITING, ExchangeEvent.REQUEST_WRITTEN): Transition(ExchangeState.WAITING),
         # The server has a part of the request at most, and its framing shows that: it can't have acted on it.
         (ExchangeState.WRITING, ExchangeEvent.CLOSED): _completed(Outcome.NO_CONNECTION),
         (ExchangeState.WRITING, ExchangeEvent.TIMED_OUT): _completed(Outcome.NO_CONNECTION),
-        (ExchangeState.WAITING, ExchangeEvent.BYTES): Transition(ExchangeState.READING),
+        (ExchangeState.WAITING, ExchangeEvent.RESPONSE_STARTED): Transition(ExchangeState.READING),
         (ExchangeState.WAITING, ExchangeEvent.CLOSED): _completed(Outcome.CONNECTION_LOST),
         (ExchangeState.WAITING, ExchangeEvent.TIMED_OUT): _completed(Outcome.NO_ANSWER),
-        (ExchangeState.WAITING, ExchangeEvent.GARBAGE): _completed(Outcome.SERVER_ERROR),
+        (ExchangeState.WAITING, ExchangeEvent.MALFORMED_RESPONSE): _completed(Outcome.SERVER_ERROR),
         (ExchangeState.READING, ExchangeEvent.CLOSED): _completed(Outcome.CONNECTION_LOST),
         (ExchangeState.READING, ExchangeEvent.TIMED_OUT): _completed(Outcome.NO_ANSWER),
-        (ExchangeState.READING, ExchangeEvent.STARTED): _completed(Outcome.SERVED),
-        (ExchangeState.READING, ExchangeEvent.TURNED_AWAY): _completed(Outcome.TURNED_AWAY),
-        (ExchangeState.READING, ExchangeEvent.ERROR): _completed(Outcome.SERVER_ERROR),
-        (ExchangeState.READING, ExchangeEvent.GARBAGE): _completed(Outcome.SERVER_ERROR),
+        (ExchangeState.READING, ExchangeEvent.PLAYBACK_STARTED): _completed(Outcome.SERVED),
+        (ExchangeState.READING, ExchangeEvent.REJECTED): _completed(Outcome.REJECTED),
+        (ExchangeState.READING, ExchangeEvent.SERVER_ERROR): _completed(Outcome.SERVER_ERROR),
+        (ExchangeState.READING, ExchangeEvent.MALFORMED_RESPONSE): _completed(Outcome.SERVER_ERROR),
     },
     unlisted=Unlisted.IGNORE,
 )
 
 
-class Exchange:
+class AttemptExchange:
     """The request and response of one attempt."""
 
     def __init__(self) -> None:
         self.state = ExchangeState.CONNECTING
         self.outcome: Outcome | None = None
 
-    def see(self, event: ExchangeEvent) -> Outcome | None:
+    def apply(self, event: ExchangeEvent) -> Outcome | None:
         """Apply a socket event; the attempt's outcome once there is one."""
         transition = TRANSITIONS.apply(self.state, event)
         self.state = transition.state
@@ -95,7 +95,7 @@
         Outcome.SERVER_ERROR,
         Outcome.NO_ANSWER,
         Outcome.CONNECTION_LOST,
-        Outcome.CALLED_OFF,
+        Outcome.CANCELLED,
     )
 
 
@@ -115,7 +115,7 @@
 
     connect_us: int
     first_byte_us: int
-    whole_us: int
+    total_us: int
 
 
 def attempt_timeouts(allowed_us: int) -> AttemptTimeouts:
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/command_queue.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/command_queue.py
@@ -14,7 +14,7 @@
 INITIAL_BACKOFF_US = 100_000
 MAX_BACKOFF_US = 2_000_000
 MAX_TRIES = 6
-CARRY_OUT_US = 1_000_000  # a server that needs longer for a command is tried again later
+COMMAND_TIMEOUT_US = 1_000_000  # a server that needs longer for a command is tried again later
 BACKOFF = Backoff(INITIAL_BACKOFF_US, MAX_BACKOFF_US)
 
 
@@ -35,26 +35,26 @@
     """
 
     server: str
-    id: str
+    session_id: str
     attempt: int
     rung: int | None
-    mark: str | None = None
+    resume_token: str | None = None
     tries: int = 0
 
     @property
     def key(self) -> CommandKey:
         """What the command is about."""
-        return CommandKey(self.id, self.attempt, self.mark is not None)
+        return CommandKey(self.session_id, self.attempt, self.resume_token is not None)
 
     @property
     def is_release(self) -> bool:
         """Whether the command releases its attempt."""
-        return self.rung is None and self.mark is None
+        return self.rung is None and self.resume_token is None
 
     def replace_with(self, newer: Command) -> None:
         """Take over what a newer command with the same key asks for; a release changes nothing."""
-        if newer.mark is not None:
-            self.mark, self.tries = newer.mark, 0
+        if newer.resume_token is not None:
+            self.resume_token, self.tries = newer.resume_token, 0
         elif self.rung is not None:
             self.rung, self.tries = newer.rung, 0
 
@@ -107,7 +107,7 @@
         self.count -= 1
         self.dropped_count += 1
 
-    def take(self, now_us: int) -> Command | None:
+    def pop_ready(self, now_us: int) -> Command | None:
         """The next command to send, which is in flight from now on; None where all must wait."""
         for server, queue in self.by_server.items():
             if queue.is_ready(now_us):
@@ -127,7 +127,7 @@
         ]
         return max(0, min(times) - now_us) if times else None
 
-    def done(self, command: Command, has_succeeded: bool, now_us: int) -> None:
+    def complete(self, command: Command, has_succeeded: bool, now_us: int) -> None:
         """Complete a command that was in flight: it succeeded, or is tried again after a backoff.
 
         It is dropped after `MAX_TRIES` tries, and where a newer command with its key waits.
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
@@ -21,9 +21,9 @@
 class DialResult(Enum):
     """How a dial ended."""
 
-    MADE = auto()
+    CONNECTED = auto()
     REFUSED = auto()
-    SILENT = auto()  # it timed out
+    TIMED_OUT = auto()  # it timed out
 
 
 class EndpointKnowledge(Enum):
@@ -45,13 +45,13 @@
 
 TRANSITIONS: TransitionTable[LossState, DialResult, Never] = TransitionTable(
     {
-        **{(state, DialResult.MADE): Transition(LossState.REACHABLE) for state in LossState},
+        **{(state, DialResult.CONNECTED): Transition(LossState.REACHABLE) for state in LossState},
         (LossState.REACHABLE, DialResult.REFUSED): Transition(LossState.SUSPECTED),
-        (LossState.REACHABLE, DialResult.SILENT): Transition(LossState.SUSPECTED),
+        (LossState.REACHABLE, DialResult.TIMED_OUT): Transition(LossState.SUSPECTED),
         (LossState.SUSPECTED, DialResult.REFUSED): Transition(LossState.REFUSING),
-        (LossState.SUSPECTED, DialResult.SILENT): Transition(LossState.UNRESPONSIVE),
+        (LossState.SUSPECTED, DialResult.TIMED_OUT): Transition(LossState.UNRESPONSIVE),
         (LossState.UNRESPONSIVE, DialResult.REFUSED): Transition(LossState.REFUSING),
-        (LossState.REFUSING, DialResult.SILENT): Transition(LossState.UNRESPONSIVE),
+        (LossState.REFUSING, DialResult.TIMED_OUT): Transition(LossState.UNRESPONSIVE),
     },
     unlisted=Unlisted.IGNORE,
 )
@@ -72,18 +72,18 @@
     state: LossState = LossState.REACHABLE
     last_received_us: int | None = None
 
-    def dialled(self, result: DialResult, now_us: int) -> None:
+    def on_dial_completed(self, result: DialResult, now_us: int) -> None:
         """Record how a dial ended."""
         self.state = TRANSITIONS.apply(self.state, result).state
-        if result is DialResult.MADE:
+        if result is DialResult.CONNECTED:
             self.last_received_us = now_us
 
-    def heard(self, now_us: int) -> None:
+    def on_received(self, now_us: int) -> None:
         """Record that something was received from the server."""
         self.state = LossState.REACHABLE
         self.last_received_us = now_us
 
-    def over(self, listed: bool, now_us: int) -> bool:
+    def is_lost(self, listed: bool, now_us: int) -> bool:
         """Whether the sessions at the server are to be treated as lost."""
         reason = (self.state, self._knowledge(is_listed=listed))
         if reason not in LOST_AFTER_US:
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/endpoint_list.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/endpoint_list.py
@@ -13,7 +13,9 @@
 from fennelcove.interface import ListEntry, ListMode, ListUpdate, ServerState
 
 MAX_SERVERS = 10_000
-SILENCE_US = 10_000_000  # the service sends a heartbeat every second: the connection is dead by then
+STREAM_IDLE_TIMEOUT_US = (
+    10_000_000  # the service sends a heartbeat every second: the connection is dead by then
+)
 INITIAL_BACKOFF_US = 100_000
 MAX_BACKOFF_US = 5_000_000
 BACKOFF = Backoff(INITIAL_BACKOFF_US, MAX_BACKOFF_US)
@@ -49,7 +51,7 @@
 class ListVerdict:
     """The decision on a message, with the reason of a refusal or the update to pass on."""
 
-    ruling: ListDecision
+    decision: ListDecision
     reason: str = ""
     update: ListUpdate | None = None
 
@@ -79,8 +81,8 @@
 
 
 def _merge_pair(entry: ListEntry, other: ListEntry) -> ListEntry:
-    state = max(entry.standing, other.standing, key=_DRAIN_PROGRESS.__getitem__)
-    return replace(entry, standing=state, started_us=max(entry.started_us, other.started_us))
+    state = max(entry.state, other.state, key=_DRAIN_PROGRESS.__getitem__)
+    return replace(entry, state=state, started_us=max(entry.started_us, other.started_us))
 
 
 class EndpointListTracker:
@@ -90,7 +92,7 @@
         self.version: int | None = None
         self.placements: dict[str, ServerPlacement] = {}
 
-    def rule(self, message: EndpointListUpdate) -> ListVerdict:
+    def apply(self, message: EndpointListUpdate) -> ListVerdict:
         """Decide on a message; only one that is taken changes anything."""
         for check in (self._check_order, _check_size, _check_has_active, self._check_placements):
             verdict = check(message)
@@ -134,12 +136,12 @@
 def _check_has_active(message: EndpointListUpdate) -> ListVerdict | None:
     # A full list without an active server would end every session. A fault of the list service is far
     # likelier than a fleet that is gone, and attempts will show it if it is.
-    if message.is_full and not any(entry.standing is ServerState.ACTIVE for entry in message.entries):
+    if message.is_full and not any(entry.state is ServerState.ACTIVE for entry in message.entries):
         return _refused("a full list without an active server; the last list stays in force")
     return None
 
 
-def pause_us(failures: int, draw: float) -> int:
+def backoff_us(failures: int, draw: float) -> int:
     """How long to wait before calling the list service again.
 
     Args:
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/event_stream.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/event_stream.py
@@ -37,49 +37,67 @@
 class StreamEvent(Enum):
     """What happens to the stream."""
 
-    HELD = auto()  # the first session is established at the server
-    NONE_HELD = auto()  # the last session is closed
+    SESSIONS_HELD = auto()  # the first session is established at the server
+    NO_SESSIONS_HELD = auto()  # the last session is closed
     HELLO = auto()  # the server's first message: same process as before
     HELLO_RESTARTED = auto()  # the server's first message: another process
     REFUSED = auto()
-    CUT = auto()  # it broke, or was silent past its limit
-    RETRY = auto()  # the backoff is over
+    DISCONNECTED = auto()  # it broke, or was silent past its limit
+    RETRY_DUE = auto()  # the backoff is over
     EXPIRED = auto()  # there have been no sessions for a while
 
 
 class StreamAction(Enum):
     """What the caller carries out."""
 
-    OPEN_FEED = auto()
-    CLOSE_FEED = auto()
-    PAUSE = auto()  # schedule a retry
-    LINGER = auto()  # schedule the end of lingering
-    FORGET = auto()  # discard what is held about the server: no sessions and no stream
-    LOSE_UNKNOWN = auto()  # sessions that the server's first message does not name are lost
-    LOSE_ALL = auto()
+    OPEN_STREAM = auto()
+    CLOSE_STREAM = auto()
+    SCHEDULE_RETRY = auto()  # schedule a retry
+    SCHEDULE_CLOSE = auto()  # schedule the end of lingering
+    DISCARD = auto()  # discard what is held about the server: no sessions and no stream
+    FAIL_UNLISTED_SESSIONS = auto()  # sessions that the server's first message does not name are lost
+    FAIL_ALL_SESSIONS = auto()
 
 
 TRANSITIONS: TransitionTable[StreamState, StreamEvent, StreamAction] = TransitionTable(
     {
-        (StreamState.CLOSED, StreamEvent.HELD): Transition(StreamState.OPENING, (StreamAction.OPEN_FEED,)),
-        (StreamState.OPENING, StreamEvent.HELLO): Transition(StreamState.OPEN, (StreamAction.LOSE_UNKNOWN,)),
+        (StreamState.CLOSED, StreamEvent.SESSIONS_HELD): Transition(
+            StreamState.OPENING, (StreamAction.OPEN_STREAM,)
+        ),
+        (StreamState.OPENING, StreamEvent.HELLO): Transition(
+            StreamState.OPEN, (StreamAction.FAIL_UNLISTED_SESSIONS,)
+        ),
         (StreamState.OPENING, StreamEvent.HELLO_RESTARTED): Transition(
-            StreamState.OPEN, (StreamAction.LOSE_UNKNOWN,)
+            StreamState.OPEN, (StreamAction.FAIL_UNLISTED_SESSIONS,)
+        ),
+        (StreamState.OPENING, StreamEvent.REFUSED): Transition(
+            StreamState.BROKEN, (StreamAction.SCHEDULE_RETRY,)
+        ),
+        (StreamState.OPENING, StreamEvent.DISCONNECTED): Transition(
+            StreamState.BROKEN, (StreamAction.SCHEDULE_RETRY,)
+        ),
+        (StreamState.OPENING, StreamEvent.NO_SESSIONS_HELD): Transition(
+            StreamState.CLOSED, (StreamAction.CLOSE_STREAM, StreamAction.DISCARD)
         ),
-        (StreamState.OPENING, StreamEvent.REFUSED): Transition(StreamState.BROKEN, (StreamAction.PAUSE,)),
-        (StreamState.OPENING, StreamEvent.CUT): Transition(StreamState.BROKEN, (StreamAction.PAUSE,)),
-        (StreamState.OPENING, StreamEvent.NONE_HELD): Transition(
-            StreamState.CLOSED, (StreamAction.CLOSE_FEED, StreamAction.FORGET)
+        (StreamState.OPEN, StreamEvent.DISCONNECTED): Transition(
+            StreamState.BROKEN, (StreamAction.SCHEDULE_RETRY,)
         ),
-        (StreamState.OPEN, StreamEvent.CUT): Transition(StreamState.BROKEN, (StreamAction.PAUSE,)),
-        (StreamState.OPEN, StreamEvent.NONE_HELD): Transition(StreamState.LINGERING, (StreamAction.LINGER,)),
-        (StreamState.LINGERING, StreamEvent.HELD): Transition(StreamState.OPEN),
+        (StreamState.OPEN, StreamEvent.NO_SESSIONS_HELD): Transition(
+            StreamState.LINGERING, (StreamAction.SCHEDULE_CLOSE,)
+        ),
+        (StreamState.LINGERING, StreamEvent.SESSIONS_HELD): Transition(StreamState.OPEN),
         (StreamState.LINGERING, StreamEvent.EXPIRED): Transition(
-            StreamState.CLOSED, (StreamAction.CLOSE_FEED, StreamAction.FORGET)
+            StreamState.CLOSED, (StreamAction.CLOSE_STREAM, StreamAction.DISCARD)
+        ),
+        (StreamState.LINGERING, StreamEvent.DISCONNECTED): Transition(
+            StreamState.CLOSED, (StreamAction.DISCARD,)
+        ),
+        (StreamState.BROKEN, StreamEvent.RETRY_DUE): Transition(
+            StreamState.OPENING, (StreamAction.OPEN_STREAM,)
+        ),
+        (StreamState.BROKEN, StreamEvent.NO_SESSIONS_HELD): Transition(
+            StreamState.CLOSED, (StreamAction.DISCARD,)
         ),
-        (StreamState.LINGERING, StreamEvent.CUT): Transition(StreamState.CLOSED, (StreamAction.FORGET,)),
-        (StreamState.BROKEN, StreamEvent.RETRY): Transition(StreamState.OPENING, (StreamAction.OPEN_FEED,)),
-        (StreamState.BROKEN, StreamEvent.NONE_HELD): Transition(StreamState.CLOSED, (StreamAction.FORGET,)),
     },
     unlisted=Unlisted.IGNORE,
 )
@@ -106,12 +124,12 @@
             # It is still tried again: sessions that are placed there later need their stream.
             self.refusals = 0
             self.disconnected_since_us = now_us
-            return (*transition.actions, StreamAction.LOSE_ALL)
+            return (*transition.actions, StreamAction.FAIL_ALL_SESSIONS)
         return transition.actions
 
     def _count(self, event: StreamEvent, now_us: int) -> None:
         """Count failures, and note since when nothing was received; before the state changes."""
-        is_first_session = event is StreamEvent.HELD and self.state is StreamState.CLOSED
+        is_first_session = event is StreamEvent.SESSIONS_HELD and self.state is StreamState.CLOSED
         if is_first_session or event in (StreamEvent.HELLO, StreamEvent.HELLO_RESTARTED):
             self.refusals = 0
             self.failures = 0
@@ -119,7 +137,7 @@
         elif event is StreamEvent.REFUSED:
             self.refusals += 1
             self.failures += 1
-        elif event is StreamEvent.CUT:
+        elif event is StreamEvent.DISCONNECTED:
             self.failures += 1
             if self.state is StreamState.OPEN:
                 self.disconnected_since_us = now_us
@@ -127,14 +145,14 @@
     def _proves_loss(self, now_us: int) -> bool:
         return self.refusals >= REFUSALS_PROVING_LOSS or now_us - self.disconnected_since_us >= MARK_US
 
-    def greet(self, incarnation: str, now_us: int) -> tuple[StreamAction, ...]:
+    def on_hello(self, incarnation: str, now_us: int) -> tuple[StreamAction, ...]:
         """Apply the server's first message on the stream, which names the incarnation of its process."""
         has_restarted = self.incarnation is not None and incarnation != self.incarnation
         self.incarnation = incarnation
         event = StreamEvent.HELLO_RESTARTED if has_restarted else StreamEvent.HELLO
         return self.apply(event, now_us)
 
-    def pause_us(self, draw: float) -> int:
+    def backoff_us(self, draw: float) -> int:
         """How long to wait before opening the stream again, with `draw` from 0 up to 1 as jitter."""
         return BACKOFF.jittered_delay_us(self.failures - 1, draw)
 
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/load_signals.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/load_signals.py
@@ -13,14 +13,14 @@
 from statistics import median
 
 from fennelcove.interface import LoadReport
-from fennelcove.placement import HOLD_BACK, LIFT_MARGIN, WHOLE
+from fennelcove.placement import RESERVE, RAISE_MARGIN, FULL_DELIVERY
 
-KBIT = 8  # kilobits in a kilobyte: hints count kilobits, the bitrate ladder counts kilobytes
+KBIT_PER_KB = 8  # kilobits in a kilobyte: hints count kilobits, the bitrate ladder counts kilobytes
 FULL_UTILIZATION = 1.0
 MAX_CLIENTS = 256  # remembered for each server
 MIN_STARVING_CLIENTS = 2  # one client alone may be short because of its own last mile
-MAX_STARVING_FRACTION = WHOLE * (1 - HOLD_BACK)
-MIN_STARVING_FRACTION = HOLD_BACK
+MAX_STARVING_FRACTION = FULL_DELIVERY * (1 - RESERVE)
+MIN_STARVING_FRACTION = RESERVE
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +30,7 @@
     link_utilization: float | None = None
     uplink_utilization: float | None = None
     is_in_duress: bool = False
-    most_kbit: float | None = None
+    max_kbit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,12 +56,12 @@
     return LoadReport(link, hints.uplink_utilization)
 
 
-def highest_rung(rates_kb: Sequence[float], kbit: float, floor: int) -> int:
+def highest_fitting_rung(rates_kb: Sequence[float], kbit: float, floor: int) -> int:
     """The highest rung that fits into a rate; the floor where none does.
 
     A service class is never played under its floor.
     """
-    fitting = [rung for rung, rate_kb in enumerate(rates_kb) if rate_kb * KBIT <= kbit]
+    fitting = [rung for rung, rate_kb in enumerate(rates_kb) if rate_kb * KBIT_PER_KB <= kbit]
     highest = fitting[-1] if fitting else 0
     return max(floor, highest)
 
@@ -80,10 +80,10 @@
     """
     top = min(stated, len(rates_kb) - 1)
     if hints.top_kbit is not None and hints.top_kbit > 0:
-        top = min(top, highest_rung(rates_kb, hints.top_kbit, floor))
+        top = min(top, highest_fitting_rung(rates_kb, hints.top_kbit, floor))
     if hints.measured_kbit is not None and hints.measured_kbit > 0:
-        usable_kbit = hints.measured_kbit * (1 - HOLD_BACK)
-        top = min(top, highest_rung(rates_kb, usable_kbit, floor))
+        usable_kbit = hints.measured_kbit * (1 - RESERVE)
+        top = min(top, highest_fitting_rung(rates_kb, usable_kbit, floor))
     return max(top, min(floor, stated))
 
 
@@ -98,7 +98,7 @@
     top = top_rung(rates_kb, stated, floor, hints)
     if top <= current or hints.measured_kbit is None:
         return top
-    with_margin = ClientHints(hints.top_kbit, hints.measured_kbit * (1 - LIFT_MARGIN), hints.is_starved)
+    with_margin = ClientHints(hints.top_kbit, hints.measured_kbit * (1 - RAISE_MARGIN), hints.is_starved)
     return max(current, top_rung(rates_kb, stated, floor, with_margin))
 
 
@@ -116,7 +116,7 @@
 
     observations: OrderedDict[str, DeliveryObservation] = field(default_factory=OrderedDict)
 
-    def hear(self, session_id: str, delivered_fraction: float | None, now_us: int) -> None:
+    def observe(self, session_id: str, delivered_fraction: float | None, now_us: int) -> None:
         """Record that a client starves at this fraction of its rate, or with None that it does not."""
         self.observations[session_id] = DeliveryObservation(now_us, delivered_fraction)
         self.observations.move_to_end(session_id)
@@ -127,7 +127,7 @@
         """Drop the observation of a session that is closed."""
         self.observations.pop(session_id, None)
 
-    def short_delivery(self, since_us: int) -> float | None:
+    def delivered_fraction(self, since_us: int) -> float | None:
         """The delivered fraction, where the server and not its clients' own links must be the cause.
 
         That is where more than half of the clients observed since then starve, and more than one.
@@ -143,11 +143,11 @@
         return median(starving)
 
 
-def starving_share(hints: ClientHints, rate_kb: float) -> float | None:
+def starving_delivered_fraction(hints: ClientHints, rate_kb: float) -> float | None:
     """The fraction of its rate that a starving client receives; None while it does not starve."""
     if not hints.is_starved:
         return None
     if hints.measured_kbit is None or rate_kb <= 0:
         return MAX_STARVING_FRACTION  # it does not report how much it receives: short by the tenth held back
-    fraction = hints.measured_kbit / (rate_kb * KBIT)
+    fraction = hints.measured_kbit / (rate_kb * KBIT_PER_KB)
     return max(MIN_STARVING_FRACTION, min(MAX_STARVING_FRACTION, fraction))
--- a/packages/emulators/src/fennelcove/emulators/dishonest_front.py
+++ b/packages/emulators/src/fennelcove/emulators/dishonest_front.py
@@ -75,9 +75,13 @@
         found = limit_messages.encode(self.life, number, told, self.clock.now_us())
         for box in self.boxes:
             found.append(
-                limit_messages.pack_trade(box, QuotaTransfer(self.life, number, Resource.SLOT, float(MOST)))
+                limit_messages.encode_slot_message(
+                    box, QuotaTransfer(self.life, number, Resource.SLOT, float(MOST))
+                )
             )
             found.append(
-                limit_messages.pack_trade(box, QuotaRequest(self.life, number, Resource.SLOT, float(MOST)))
+                limit_messages.encode_slot_message(
+                    box, QuotaRequest(self.life, number, Resource.SLOT, float(MOST))
+                )
             )
         return found
--- a/packages/emulators/src/fennelcove/emulators/disk.py
+++ b/packages/emulators/src/fennelcove/emulators/disk.py
@@ -51,7 +51,7 @@
         if self.cut_at is not None and self.calls > self.cut_at:
             raise PowerCut
 
-    def names(self) -> list[str]:
+    def list_names(self) -> list[str]:
         """As a folder lists them."""
         return sorted(self.files)
 
@@ -70,7 +70,7 @@
         if len(raw) > room:
             raise OSError(errno.ENOSPC, "No space left on device")
 
-    def cut(self, name: str, size: int) -> None:
+    def truncate(self, name: str, size: int) -> None:
         """Shorten."""
         self._call()
         self.files[name].pending.append((size, None))
--- a/packages/fleet/src/fennelcove/fleet/asker.py
+++ b/packages/fleet/src/fennelcove/fleet/asker.py
@@ -13,7 +13,7 @@
 
 from fennelcove.clock import Clock
 from fennelcove.decisions.operators import reachability
-from fennelcove.decisions.operators.reachability import CallFailure, CallOutcome, CallResult, ReachStatus
+from fennelcove.decisions.operators.reachability import CallFailure, CallOutcome, CallProgress, CallStatus
 from fennelcove.fleet.inventory import FrontLine
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead
@@ -45,7 +45,7 @@
 
 
 class _Ended(Exception):
-    def __init__(self, seen: CallResult, failure: CallFailure, detail: str) -> None:
+    def __init__(self, seen: CallProgress, failure: CallFailure, detail: str) -> None:
         super().__init__(detail)
         self.seen = seen
         self.failure = failure
@@ -59,7 +59,7 @@
     except _Ended as error:
         word = reachability.STATUS_BY_FAILURE[error.seen, error.failure]
         return CallOutcome(line.name, word, str(error), {}, clock.now_us() - began_us)
-    return reachability.answered(line.name, status, body, clock.now_us() - began_us)
+    return reachability.outcome_of_response(line.name, status, body, clock.now_us() - began_us)
 
 
 def _resolved(address: str, limit_us: int) -> Any:
@@ -78,9 +78,9 @@
     thread.start()
     thread.join(max(0.001, limit_us / 1e6))
     if thread.is_alive():
-        raise _Ended(CallResult.RESOLVING, CallFailure.TIME, "no address in its time")
+        raise _Ended(CallProgress.RESOLVING, CallFailure.TIMED_OUT, "no address in its time")
     if not found:
-        raise _Ended(CallResult.RESOLVING, CallFailure.NO_HOST, wrong[0] if wrong else "no address")
+        raise _Ended(CallProgress.RESOLVING, CallFailure.HOST_NOT_FOUND, wrong[0] if wrong else "no address")
     return found[0]
 
 
@@ -90,11 +90,11 @@
     left_us = min(times.connect_us, until_us - clock.now_us())
     family, kind, protocol, _, where = _resolved(line.address, left_us)
     sock = socket.socket(family, kind, protocol)
-    seen = CallResult.CONNECTING
+    seen = CallProgress.CONNECTING
     try:
         sock.settimeout(max(0.001, min(times.connect_us, until_us - clock.now_us()) / 1e6))
         sock.connect(where)
-        seen = CallResult.SENT
+        seen = CallProgress.SENT
         limit_us = min(until_us, clock.now_us() + times.answer_us)
         fields = [*call.fields(line)]
         if call.body:
@@ -109,24 +109,26 @@
             sock.settimeout(left_us / 1e6)
             data = sock.recv(READ_BYTES)
             if not data:
-                raise _Ended(seen, CallFailure.HUNG_UP, "it hung up")
-            seen = CallResult.BYTES
+                raise _Ended(seen, CallFailure.CONNECTION_CLOSED, "it hung up")
+            seen = CallProgress.RESPONSE_STARTED
             gatherer.reader.feed(data)
     except TimeoutError:
-        raise _Ended(seen, CallFailure.TIME, "in its time") from None
+        raise _Ended(seen, CallFailure.TIMED_OUT, "in its time") from None
     except ConnectionRefusedError:
-        raise _Ended(seen, CallFailure.REFUSED, "nobody listens") from None
+        raise _Ended(seen, CallFailure.CONNECTION_REFUSED, "nobody listens") from None
     except ProtocolError as error:
-        raise _Ended(CallResult.BYTES, CallFailure.NO_HTTP, str(error)) from None
+        raise _Ended(CallProgress.RESPONSE_STARTED, CallFailure.MALFORMED_RESPONSE, str(error)) from None
     except OSError as error:
-        raise _Ended(seen, CallFailure.HUNG_UP, str(error)) from None
+        raise _Ended(seen, CallFailure.CONNECTION_CLOSED, str(error)) from None
     finally:
         sock.close()
     assert isinstance(whole.head, ResponseHead)
     try:
         body = msgspec.json.decode(whole.body) if whole.body else {}
     except msgspec.DecodeError:
-        raise _Ended(CallResult.BYTES, CallFailure.NO_HTTP, "an answer that is no JSON") from None
+        raise _Ended(
+            CallProgress.RESPONSE_STARTED, CallFailure.MALFORMED_RESPONSE, "an answer that is no JSON"
+        ) from None
     return whole.head.status, body if isinstance(body, dict) else {}
 
 
@@ -148,7 +150,7 @@
                 return
             if clock.now_us() >= until_us:
                 done.put(
-                    CallOutcome(line.name, ReachStatus.NOT_ASKED, "the whole time was over before its turn")
+                    CallOutcome(line.name, CallStatus.NOT_ASKED, "the whole time was over before its turn")
                 )
             else:
                 done.put(ask(line, call, times, clock, until_us))
--- a/packages/ingress/src/fennelcove/ingress/control.py
+++ b/packages/ingress/src/fennelcove/ingress/control.py
@@ -18,7 +18,7 @@
 
 TURNS = {"drain": AdmissionEvent.DRAIN, "undrain": AdmissionEvent.UNDRAIN}
 STATUS = {
-    CommandVerdict.UNSEALED: 401,
+    CommandVerdict.UNSIGNED: 401,
     CommandVerdict.WRONG_KEY: 401,
     CommandVerdict.STALE: 401,
     CommandVerdict.REPLAYED: 409,
@@ -43,8 +43,8 @@
     def take(self, header: str | None, path: str, what: str, body: bytes) -> Reply:
         """One command, answered."""
         with self.lock:
-            verdict, key = self.commands.check(header, "POST", path, body, True, self.clock.wall_us())
-        self.core.context.tally(f"commands_{verdict.value}")
+            verdict, key = self.commands.authorize(header, "POST", path, body, True, self.clock.wall_us())
+        self.core.context.increment(f"commands_{verdict.value}")
         try:
             self.tell(wall_us=self.clock.wall_us(), key=key, command=what, verdict=verdict.value)
         except OSError as error:
--- a/packages/ingress/src/fennelcove/ingress/http_server.py
+++ b/packages/ingress/src/fennelcove/ingress/http_server.py
@@ -10,7 +10,7 @@
 from fennelcove.clock import Clock
 from fennelcove.core.core import Core
 from fennelcove.core.requests import ResponseKind, SessionResponse, SessionRequest, EventLogger
-from fennelcove.decisions.clients.admission import Entry
+from fennelcove.decisions.clients.admission import AdmissionRequest
 from fennelcove.ingress import replies
 from fennelcove.ingress.connection import Connection, ConnectionLimits, ConnectionRejecter, TooSlow
 from fennelcove.ingress.control import OperatorCommands
@@ -104,7 +104,7 @@
                 if self.closing.wait(ACCEPT_PAUSE_US):
                     return
                 continue
-            refusal = self.core.admission.try_admit(Entry.CONNECTION)
+            refusal = self.core.admission.try_admit(AdmissionRequest.CONNECTION)
             if refusal is not None:
                 self._refuse(sock, refusal)
                 continue
@@ -117,7 +117,7 @@
         with suppress(OSError):
             while True:
                 sock, _ = self.listener.accept()
-                refusal = self.core.admission.try_admit(Entry.CONNECTION)
+                refusal = self.core.admission.try_admit(AdmissionRequest.CONNECTION)
                 if refusal is None:
                     self.core.admission.on_connection_closed()
                     sock.close()
@@ -142,7 +142,7 @@
             self._refuse(
                 sock,
                 SessionResponse(
-                    ResponseKind.THROTTLED, "no thread to be had", self.core.admission.retry_after_us()
+                    ResponseKind.REJECTED, "no thread to be had", self.core.admission.retry_after_us()
                 ),
             )
 
@@ -171,7 +171,7 @@
             except ProtocolError as error:
                 if error.status == 503:
                     full = SessionResponse(
-                        ResponseKind.THROTTLED, str(error), self.core.admission.retry_after_us()
+                        ResponseKind.REJECTED, str(error), self.core.admission.retry_after_us()
                     )
                     reply = replies.refused(full, self.front, None, False)
                 else:
--- a/packages/ingress/src/fennelcove/ingress/playback_routes.py
+++ b/packages/ingress/src/fennelcove/ingress/playback_routes.py
@@ -10,9 +10,9 @@
 import msgspec
 
 from fennelcove.core.core import Core
-from fennelcove.core.content_insertion import Seen
+from fennelcove.core.content_insertion import ChangeReach
 from fennelcove.core.segment_sources import Fetch
-from fennelcove.decisions.servers.load_signals import KBIT, ClientHints
+from fennelcove.decisions.servers.load_signals import KBIT_PER_KB, ClientHints
 from fennelcove.decisions.playback.splices import Refusal, Ruling, Verdict, seconds
 from fennelcove.decisions.playback.segment_routing import Source
 from fennelcove.ingress import replies
@@ -48,14 +48,15 @@
         view = self.core.on_client_report(id, says)
         if view is None:
             return None
-        listing = self.core.content.listing(id, apart)
+        listing = self.core.content.playlist(id, apart)
         if listing is None:
             return replies.fault("unknown-title", "this title has no media; ask its box")
         kbit = {
-            rung: round(kb * KBIT) for rung, kb in enumerate(self.core.catalogue.rates_kb(view.service_class))
+            rung: round(kb * KBIT_PER_KB)
+            for rung, kb in enumerate(self.core.catalogue.rates_kb(view.service_class))
         }
         fields = [FRESH, *replies.hints(view, "", self.front, None)]
-        target = self.core.content.target
+        target = self.core.content.target_duration_s
         if name == "master.m3u8":
             lesson = self.core.content.media[view.title]
             text = hls.multivariant(max(kbit.values()) * 1000, kbit[view.rung] * 1000, lesson.codecs)
@@ -69,14 +70,16 @@
         view = self.core.on_client_report(id, says)
         if view is None:
             return None
-        return self._sent(self.core.content.segment(id, seq), replies.hints(view, "", self.front, None))
+        return self._sent(
+            self.core.content.locate_segment(id, seq), replies.hints(view, "", self.front, None)
+        )
 
     def asset(self, id: str, change: str, says: ClientHints) -> Reply | None:
         """The playlist of a clip told apart; None where nothing plays under this id."""
         view = self.core.on_client_report(id, says)
         if view is None:
             return None
-        found = self.core.content.asset(id, change)
+        found = self.core.content.interstitial_rendition(id, change)
         if found is None:
             return replies.fault("not-shown")
         fields = [HLS, FRESH, *replies.hints(view, "", self.front, None)]
@@ -87,7 +90,7 @@
         view = self.core.on_client_report(id, says)
         if view is None:
             return None
-        fetch = self.core.content.asset_segment(id, change, number)
+        fetch = self.core.content.locate_interstitial_segment(id, change, number)
         return self._sent(fetch, replies.hints(view, "", self.front, None))
 
     def init(self, id: str, rest: str, says: ClientHints) -> Reply | None:
@@ -96,7 +99,11 @@
         match = _INIT.fullmatch(rest)
         if view is None:
             return None
-        fetch = self.core.content.init(id, match[1], int(match[2])) if match is not None else None
+        fetch = (
+            self.core.content.locate_initialization(id, match[1], int(match[2]))
+            if match is not None
+            else None
+        )
         return self._sent(fetch, replies.hints(view, "", self.front, None))
 
     def _sent(self, fetch: Fetch | None, hints: list[tuple[str, str]]) -> Reply:
@@ -113,7 +120,7 @@
 
     def author(self, key: str, changes: bool) -> Author | Reply:
         """Whose key this is, or the answer to one who may not."""
-        author = self.core.content.author(key) if key else None
+        author = self.core.content.author_of_key(key) if key else None
         if author is None:
             reply = replies.fault("no-key", "send Authorization: Bearer and an author's key")
             reply.fields.append(("WWW-Authenticate", 'Bearer realm="changes"'))
@@ -152,7 +159,7 @@
 
     def changes(self, title: str | None, id: str | None = None) -> Reply:
         """All changes, or one."""
-        found = self.core.content.changes(title)
+        found = self.core.content.list_changes(title)
         if id is None:
             return Reply(200, [replies.JSON], msgspec.json.encode([_state(seen) for seen in found]))
         one = [seen for seen in found if seen.entry.change.id == id]
@@ -193,7 +200,7 @@
     return None if at is None else str(at)
 
 
-def _state(seen: Seen) -> ChangeState:
+def _state(seen: ChangeReach) -> ChangeState:
     change, entry = seen.entry.change, seen.entry
     return ChangeState(
         id=change.id,
@@ -208,6 +215,6 @@
         at=_time(change.at),
         until=_time(change.until),
         wall=None if change.wall_us is None else iso(change.wall_us),
-        players_shown=seen.shown,
-        players_ahead=seen.ahead,
+        players_shown=seen.shown_count,
+        players_ahead=seen.ahead_count,
     )
--- a/packages/ingress/src/fennelcove/ingress/replies.py
+++ b/packages/ingress/src/fennelcove/ingress/replies.py
@@ -9,7 +9,7 @@
 
 from fennelcove.core.requests import ResponseKind, SessionResponse, Session, SessionView
 from fennelcove.decisions.clients.admission import retry_after_s
-from fennelcove.decisions.servers.load_signals import KBIT
+from fennelcove.decisions.servers.load_signals import KBIT_PER_KB
 from fennelcove.hints import cmsd
 from fennelcove.http1 import writer
 from fennelcove.wire.sessions import Playing, Problem, Rung, problem
@@ -78,7 +78,7 @@
 
 def hints(view: SessionView, hops: str, front: str, took_us: int | None) -> list[tuple[str, str]]:
     """CMSD of an answer: the object's rate, then each hop's word, the front's own last (CTA-5006)."""
-    kbit = round(view.rate_kb * KBIT)
+    kbit = round(view.rate_kb * KBIT_PER_KB)
     own: dict[str, int | float | str | bool | bytes] = {"mb": kbit}
     if took_us is not None:
         own["rd"] = took_us // 1000
@@ -90,7 +90,7 @@
 def refused(answered: SessionResponse, front: str, session: Session | None, timed_out: bool) -> Reply:
     """503 with a time to come back, or 502 and 504 where a join may have run and nothing may be promised."""
     instance = f"/v1/subscriptions/{session.id}" if session is not None else ""
-    if answered.kind is ResponseKind.THROTTLED:
+    if answered.kind is ResponseKind.REJECTED:
         details = problem(
             "throttled", answered.reason, instance=instance, retry_after_ms=answered.retry_after_us / 1000
         )
--- a/packages/ingress/src/fennelcove/ingress/routes.py
+++ b/packages/ingress/src/fennelcove/ingress/routes.py
@@ -14,7 +14,7 @@
 from fennelcove.decisions.operators import command_authorization
 from fennelcove.decisions.clients import access_tokens
 from fennelcove.decisions.servers.load_signals import ClientHints
-from fennelcove.decisions.clients.access_tokens import Demand, PresentedToken
+from fennelcove.decisions.clients.access_tokens import Permission, PresentedToken
 from fennelcove.ingress import replies
 from fennelcove.ingress.replies import Reply
 from fennelcove.ingress.connection import Received
@@ -111,8 +111,8 @@
             return replies.fault("malformed", str(error))
         hints = self.hints(asked, body.cmcd)
         held = shown(self.core, asked.received.head.get(b"authorization"))
-        if not held.may(Demand.ASK) and self.core.requires_token:
-            reply = replies.fault("no-pass", f"the pass is {access_tokens.WORDS[held.standing]}")
+        if not held.has_permission(Permission.CREATE_SESSION) and self.core.requires_token:
+            reply = replies.fault("no-pass", f"the pass is {access_tokens.STATUS_DESCRIPTIONS[held.status]}")
             reply.fields.append(("WWW-Authenticate", 'Bearer realm="subscriptions"'))
             return reply
         found = asked_for(self.core, body, hints, held)
@@ -197,7 +197,7 @@
         return Reply(200, [replies.JSON], msgspec.json.encode(self.core.status().to_json_fields()))
 
     def command(self, asked: Asked) -> Reply:
-        header = asked.received.head.get(command_authorization.HEADER.encode())
+        header = asked.received.head.get(command_authorization.HEADER_NAME.encode())
         told = None if header is None else header.decode("latin-1")
         path = f"/v1/control/{asked.rest}"
         return self.control.take(told, path, asked.rest, asked.received.body)
@@ -226,7 +226,7 @@
 
 def shown(core: Core, authorization: bytes | None) -> PresentedToken:
     """The pass in a header field, and what it is worth."""
-    return access_tokens.show(bearer(authorization), core.token_keys, core.clock.wall_us())
+    return access_tokens.verify_access_token(bearer(authorization), core.token_keys, core.clock.wall_us())
 
 
 def asked_for(
@@ -239,9 +239,9 @@
     if title is None or title not in core.catalogue.titles:
         return "unknown-title", "name a title in the body or as CMCD cid" if title is None else repr(title)
     timeout_us = None if body.client_timeout_ms is None else round(body.client_timeout_ms * 1000)
-    client = shown.held.client if shown.held is not None else hints.text("sid") or ""
-    if shown.held is not None and shown.held.titles and title not in shown.held.titles:
-        return "not-entitled", f"it names {', '.join(shown.held.titles)}"
+    client = shown.token.client if shown.token is not None else hints.text("sid") or ""
+    if shown.token is not None and shown.token.titles and title not in shown.token.titles:
+        return "not-entitled", f"it names {', '.join(shown.token.titles)}"
     key = body.key or ""
     guess_us = None if body.watch_ms is None else round(body.watch_ms * 1000)
     return SessionRequest(
--- a/packages/ingress/src/fennelcove/ingress/session_setups.py
+++ b/packages/ingress/src/fennelcove/ingress/session_setups.py
@@ -63,7 +63,7 @@
                 self.notice(
                     "subscription_turned_away",
                     why=step.reason,
-                    standing=step.standing,
+                    standing=step.ticket_status,
                     client=ask.client,
                     wait_ms=step.retry_after_us / 1000,
                     place=bool(step.queue_ticket),
@@ -130,7 +130,7 @@
     def _in_line(self, step: WaitForSlot, viewer: socket.socket) -> NextStep | None:
         """Wait for a slot; nothing has left, so that a hang-up ends it here and now."""
         left_us = step.deadline_us - self.clock.now_us()
-        woken = wait_bell(step.bell.reader, left_us, self.joiner.halt, viewer)
+        woken = wait_bell(step.wakeup.reader, left_us, self.joiner.halt, viewer)
         event = {
             WakeReason.HUNG_UP: WaiterEvent.HUNG_UP,
             WakeReason.LATCH: WaiterEvent.STOPPED,
--- a/packages/ingress/src/fennelcove/ingress/websocket_routes.py
+++ b/packages/ingress/src/fennelcove/ingress/websocket_routes.py
@@ -10,7 +10,7 @@
 from fennelcove.core.requests import SessionRequest
 from fennelcove.decisions.clients import access_tokens
 from fennelcove.decisions.servers.load_signals import ClientHints
-from fennelcove.decisions.clients.access_tokens import Demand, TokenStatus
+from fennelcove.decisions.clients.access_tokens import Permission, TokenStatus
 from fennelcove.ingress.replies import playing_state
 from fennelcove.ingress.routes import asked_for, says
 from fennelcove.hints import cmcd
@@ -53,43 +53,43 @@
 
 
 def _shows(session: WebSocketSession, ref: str, token: str) -> bool:
-    shown = access_tokens.show(token, session.core.token_keys, session.core.clock.wall_us())
-    if shown.held is None or shown.standing not in (TokenStatus.VALID, TokenStatus.RENEW):
-        session.fault(ref, "no-pass", f"the pass is {access_tokens.WORDS[shown.standing]}")
+    shown = access_tokens.verify_access_token(token, session.core.token_keys, session.core.clock.wall_us())
+    if shown.token is None or shown.status not in (TokenStatus.VALID, TokenStatus.EXPIRING):
+        session.fault(ref, "no-pass", f"the pass is {access_tokens.STATUS_DESCRIPTIONS[shown.status]}")
         return False
-    if not access_tokens.renews(session.shown.held, shown.held):
+    if not access_tokens.may_replace(session.shown.token, shown.token):
         session.fault(ref, "not-permitted", "the pass is another client's; open a connection of its own")
         return False
     session.shown, session.told_pass_ends = shown, False
     return True
 
 
-def _may(session: WebSocketSession, ref: str, demand: Demand) -> bool:
+def _may(session: WebSocketSession, ref: str, demand: Permission) -> bool:
     """Whether the pass, as old as it is by now, lets its holder in for this."""
     if not session.core.requires_token:
         return True
     shown = session.shown
-    if shown.held is not None and shown.standing is not TokenStatus.INVENTED:
+    if shown.token is not None and shown.status is not TokenStatus.FORGED:
         session.shown = shown = access_tokens.PresentedToken(
-            access_tokens.at(shown.held, session.core.clock.wall_us()), shown.held
+            access_tokens.status_at(shown.token, session.core.clock.wall_us()), shown.token
         )
-    if not shown.may(demand):
-        session.fault(ref, "no-pass", f"the pass is {access_tokens.WORDS[shown.standing]}")
+    if not shown.has_permission(demand):
+        session.fault(ref, "no-pass", f"the pass is {access_tokens.STATUS_DESCRIPTIONS[shown.status]}")
         return False
     return True
 
 
 def _set_up(session: WebSocketSession, message: wire.AskSetUp) -> None:
     ref = message.ref
-    if not _may(session, ref, Demand.ASK):
+    if not _may(session, ref, Permission.CREATE_SESSION):
         return
     if ref in session.under_way:
         session.fault(None, "malformed", f"ref {ref!r} is of a set-up under way; use a new one")
         return
-    held = len(session.core.notifier.ownerships.owned.get(session, ()))
+    held = len(session.core.notifier.ownerships.by_owner.get(session, ()))
     most = session.core.notifier.max_sessions
-    if session.shown.held is not None:
-        most = min(most, session.shown.held.most)
+    if session.shown.token is not None:
+        most = min(most, session.shown.token.most)
     if held + len(session.under_way) >= most:
         session.fault(ref, "not-permitted", f"{most} subscriptions at a time; release one")
         return
@@ -102,7 +102,7 @@
 
 
 def _resume(session: WebSocketSession, message: wire.Resume) -> None:
-    if not _may(session, message.ref, Demand.CLAIM):
+    if not _may(session, message.ref, Permission.CLAIM_SESSION):
         return
     id = message.subscription
     claimed = session.core.notifier.claim(session, id, session.client(), message.seen)
--- a/packages/ingress/src/fennelcove/ingress/websocket_session.py
+++ b/packages/ingress/src/fennelcove/ingress/websocket_session.py
@@ -22,7 +22,7 @@
 )
 from fennelcove.core.requests import ResponseKind, SessionRequest, SessionView
 from fennelcove.decisions.clients import access_tokens
-from fennelcove.decisions.clients.admission import reconnect_span_us
+from fennelcove.decisions.clients.admission import reconnect_window_us
 from fennelcove.decisions.clients.keepalive import KeepaliveAction, KeepaliveMonitor
 from fennelcove.decisions.clients.rate_limit import MessageRateLimit
 from fennelcove.decisions.clients.conflating_queue import PutResult, ConflatingQueue
@@ -79,7 +79,7 @@
         self.under_way: dict[str, threading.Thread] = {}  # set-ups, by their ref
         now_us = clock.now_us()
         self.meter = MessageRateLimit(now_us)
-        self.silence = KeepaliveMonitor(core.expiry.silent_us, now_us)
+        self.silence = KeepaliveMonitor(core.expiry.timeout_us, now_us)
 
     # From any thread.
 
@@ -87,8 +87,8 @@
         """A message for the player; past the bound the connection is cut off."""
         with self.lock:
             kept = self.outbox.put(Line(told, session), matter)
-        if kept is PutResult.OVER:
-            self.core.context.tally("sockets_cut_off")
+        if kept is PutResult.OVERFLOWED:
+            self.core.context.increment("sockets_cut_off")
         self._ring()
 
     def _ring(self) -> None:
@@ -132,8 +132,8 @@
 
     def leave(self) -> None:
         """This front ends: say so, answer what is owed, close."""
-        earliest_us, latest_us = reconnect_span_us(
-            len(self.core.notifier.mailboxes), self.core.admission_controller.typical_wait_us
+        earliest_us, latest_us = reconnect_window_us(
+            len(self.core.notifier.mailboxes), self.core.admission_controller.average_wait_us
         )
         self.say(
             wire.Leaving(reconnect_after_ms=earliest_us / 1000, reconnect_before_ms=latest_us / 1000),
@@ -158,7 +158,7 @@
             if not self._flush():
                 return False
             pulse, wait_us = self._pulse()
-            if pulse is KeepaliveAction.CUT:
+            if pulse is KeepaliveAction.CLOSE:
                 return False
             woken = wait(self.sock, wait_us, self.bell)
             if woken is WakeReason.LATCH:
@@ -176,14 +176,14 @@
         if pulse is KeepaliveAction.PING:
             self.conversation.ping()
             if not self._flush():
-                return KeepaliveAction.CUT, 0
+                return KeepaliveAction.CLOSE, 0
         if self.conversation.state is State.CLOSING:
             # The peer has our close: it answers within the limit of a message, or is cut.
             left_us = self.closing_until_us - now_us
-            return (KeepaliveAction.CUT, 0) if left_us <= 0 else (KeepaliveAction.WAIT, left_us)
-        held = self.shown.held
+            return (KeepaliveAction.CLOSE, 0) if left_us <= 0 else (KeepaliveAction.WAIT, left_us)
+        held = self.shown.token
         if held is not None and not self.told_pass_ends:
-            until_us = access_tokens.notice_us(held) - self.core.clock.wall_us()
+            until_us = access_tokens.renewal_due_us(held) - self.core.clock.wall_us()
             if until_us <= 0:
                 self.told_pass_ends = True
                 self.say(wire.PassEnds(in_ms=self.pass_for_ms()))
@@ -200,7 +200,7 @@
 
     def _may_close(self) -> None:
         """A front that ends closes connections to which it owes nothing more."""
-        if self.outbox.over:
+        if self.outbox.has_overflowed:
             self._close(CloseCode.TRY_LATER, "this connection reads too slowly")
         elif self.leaving and not self.under_way:
             # What says when to come back was put in line before, and may be there only since the last flush.
@@ -211,12 +211,12 @@
         """Bytes of the peer; False once it is over."""
         now_us = self.clock.now_us()
         if data:
-            self.silence.hear(now_us)
+            self.silence.on_received(now_us)
             self.core.notifier.on_activity(self)
         for event in self.conversation.receive(data):
             if isinstance(event, Closed):
                 return False
-            if isinstance(event, Message | Pinged) and not self.meter.take(now_us):
+            if isinstance(event, Message | Pinged) and not self.meter.try_acquire(now_us):
                 self._close(CloseCode.POLICY, "too many messages")
                 return True
             if isinstance(event, Message):
@@ -229,7 +229,7 @@
     def _flush(self) -> bool:
         """Send what waits; False where the peer is gone or reads too slowly."""
         with self.lock:
-            lines = self.outbox.take()
+            lines = self.outbox.drain()
         for line in lines:
             self.conversation.send(_ENCODER.encode(line.told).decode())
         raw = self.conversation.take()
@@ -256,7 +256,7 @@
         for thread in list(self.under_way.values()):
             thread.join()
         with self.lock:
-            lines = self.outbox.take()
+            lines = self.outbox.drain()
         for line in lines:
             self._unheard(line)
         self.core.notifier.unregister(self)
@@ -272,18 +272,18 @@
 
     def pass_for_ms(self) -> float:
         """How long the pass is still good for."""
-        held = self.shown.held
+        held = self.shown.token
         return max(0.0, (held.until_us - self.core.clock.wall_us()) / 1000) if held is not None else 0.0
 
     def welcome(self, ref: str | None) -> wire.Welcome:
         """Who this front is, and what it needs."""
-        held = self.shown.held
-        valid = held is not None and self.shown.standing in (TokenStatus.VALID, TokenStatus.RENEW)
+        held = self.shown.token
+        valid = held is not None and self.shown.status in (TokenStatus.VALID, TokenStatus.EXPIRING)
         return wire.Welcome(
             front=self.front,
             boot=self.core.session_ids.boot_id,
             subscriptions_most=self.core.notifier.max_sessions,
-            silent_ms=self.core.expiry.silent_us / 1000,
+            silent_ms=self.core.expiry.timeout_us / 1000,
             pass_needed=self.core.requires_token,
             ref=ref,
             client=held.client if held is not None and valid else None,
@@ -292,7 +292,7 @@
 
     def client(self) -> str:
         """Whose pass was shown."""
-        return self.shown.held.client if self.shown.held is not None else ""
+        return self.shown.token.client if self.shown.token is not None else ""
 
     def begin(self, ref: str, ask: SessionRequest) -> None:
         """Run a set-up beside this thread, so that pings and releases go on meanwhile."""
@@ -325,7 +325,7 @@
             )
             return
         tried = session.id if session is not None else None
-        if answered.kind is ResponseKind.THROTTLED:
+        if answered.kind is ResponseKind.REJECTED:
             placed = bool(answered.queue_ticket)
             told: msgspec.Struct = wire.Throttled(
                 ref=ref,
--- a/packages/interface/src/fennelcove/interface.py
+++ b/packages/interface/src/fennelcove/interface.py
@@ -31,11 +31,11 @@
 
     SERVED = "served"
     SERVER_ERROR = "server_error"
-    TURNED_AWAY = "turned_away"  # the server rejected it
+    REJECTED = "turned_away"  # the server rejected it
     NO_ANSWER = "no_answer"
     NO_CONNECTION = "no_connection"
     CONNECTION_LOST = "connection_lost"
-    CALLED_OFF = "called_off"  # its client has gone
+    CANCELLED = "called_off"  # its client has gone
     NOT_SENT = "not_sent"  # the host could not send it
 
 
@@ -74,8 +74,8 @@
     effect: Effect
     scope: Scope
     key_ttl_us: int  # how long servers keep an idempotency key
-    scale: float  # its rates over those of the ladder
-    floor: int  # lowest rung
+    rate_scale: float  # its rates over those of the ladder
+    min_rung: int  # lowest rung
     seats: int  # sessions of a title at once; 0: any number
 
 
@@ -84,40 +84,40 @@
     """Settings that a front gets at its start; an optional one that is absent is None."""
 
     service_classes: dict[str, ServiceClass]
-    fronts: int  # how many there are
-    index: int  # of this one among them
+    front_count: int  # how many there are
+    front_index: int  # of this one among them
     zone: str  # where this front runs
     ladder_kb: tuple[float, ...]  # rate of each rung, before a class's scale
-    ladder_worth: tuple[float, ...]  # utility of each rung, over that of full quality
-    kind_streams: dict[str, int]  # sessions that a server can serve at once, by its kind
+    rung_utilities: tuple[float, ...]  # utility of each rung, over that of full quality
+    streams_by_kind: dict[str, int]  # sessions that a server can serve at once, by its kind
     kb_per_weight: float  # link capacity for each unit of a server's weight
-    all_links_kb: float  # link capacity of all servers
-    sizes_listed: bool  # the list gives weights
-    racks: int  # how many there are; a cell belongs to one
-    cells: int  # how many there are
+    total_links_kb: float  # link capacity of all servers
+    has_listed_sizes: bool  # the list gives weights
+    rack_count: int  # how many there are; a cell belongs to one
+    cell_count: int  # how many there are
     uplink_kb: float  # capacity of a rack's uplink; 0: not stated
-    uplinks_told: bool  # load reports give the uplink's utilization
-    seen_after_us: int  # age of a report when it comes
-    reports_every_us: int  # interval of reports
-    guard: float  # threshold from which servers reject set-ups; 0: they reject none
+    reports_uplinks: bool  # load reports give the uplink's utilization
+    report_delay_us: int  # age of a report when it comes
+    report_interval_us: int  # interval of reports
+    rejects_at: float  # threshold from which servers reject set-ups; 0: they reject none
     cross_zone_price: float  # over the mean utility of a request
-    send_cap: int | None  # attempts of a session at most
+    max_attempts: int | None  # attempts of a session at most
     retry_after_us: int | None  # longest Retry-After of a rejection
-    must_ask: bool  # a server list comes only when it is polled
-    ask_within_us: int | None  # how old the list may get
+    must_poll_list: bool  # a server list comes only when it is polled
+    list_poll_window_us: int | None  # how old the list may get
     start_capacity: float  # of a server that has just started, over its full capacity
-    ramp_us: int  # how long a server warms up
-    budget_free: float | None  # retries within the span that need no requests; None: no retry budget
-    budget_ratio: float  # retries for each request within the span
-    budget_span_us: int
+    warm_up_us: int  # how long a server warms up
+    retry_base: float | None  # retries within the span that need no requests; None: no retry budget
+    retry_ratio: float  # retries for each request within the span
+    retry_window_us: int
     probe_price: float | None = None  # over a session's utility, for each probe; None: none may be sent
     peer_price: float | None = None  # over a session's utility, for each full message; None: none may be sent
-    reports_unasked: bool = True  # attempts and sessions bring load reports
+    has_unsolicited_reports: bool = True  # attempts and sessions bring load reports
     quotas: dict[str, float] = field(default_factory=dict)  # requests a second over all fronts, by tenant
-    over_quota_worth: float = 1.0  # what a request past its tenant's quota counts, over its utility
+    over_quota_utility: float = 1.0  # what a request past its tenant's quota counts, over its utility
     worst_class_weight: float = 0.0  # of the worst served class in the goal, over the weight of the whole
-    cold_slack_us: int = 0  # how far ahead of its slow-start pace a warming server may be
-    switch_cost_us: int = 0  # playing time that each change of rung costs
+    slow_start_slack_us: int = 0  # how far ahead of its slow-start pace a warming server may be
+    rung_switch_cost_us: int = 0  # playing time that each change of rung costs
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -128,7 +128,7 @@
     zone: str
     kind: str
     cell: int
-    standing: ServerState
+    state: ServerState
     weight: float  # of its link; 1.0 where the list gives none
     started_us: int  # 0: not known, long ago
 
@@ -153,8 +153,8 @@
     top_rung: int
     timeout_us: int
     tenant: str = ""  # whose quota it counts against
-    returned: bool = False  # the client has requested it before
-    watch_guess_us: int | None = None  # from its start; of a handover, from now
+    is_repeat: bool = False  # the client has requested it before
+    expected_play_us: int | None = None  # from its start; of a handover, from now
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -210,9 +210,9 @@
     """
 
     sender: int
-    asks: tuple[int, ...] = ()
+    polled_cells: tuple[int, ...] = ()
     loads: tuple[CellLoad, ...] = ()
-    attempts: tuple[tuple[int, int], ...] = ()  # pairs of a cell and kB a second
+    sent_rates: tuple[tuple[int, int], ...] = ()  # pairs of a cell and kB a second
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -311,7 +311,7 @@
 
     POLL_LIST = auto()  # poll for the server list again
     PROBE = auto()  # a server's probe is due
-    HELD = auto()  # a session has waited long enough for polled loads
+    POLL_DEADLINE = auto()  # a session has waited long enough for polled loads
 
 
 class Effects(Protocol):
--- a/packages/messages/src/fennelcove/limit_messages.py
+++ b/packages/messages/src/fennelcove/limit_messages.py
@@ -17,8 +17,8 @@
 MAX_BYTES = 256
 # The first byte of a message: rows of counts, votes on limits, request and transfer of slots, an incarnation
 # has begun, none of the earlier incarnations' slots are in use.
-ROWS, WORDS, ASK, LOAN, BEGUN, CLEAR = range(64, 70)
-KINDS = frozenset((ROWS, WORDS, ASK, LOAN, BEGUN, CLEAR))
+COUNTS_REPORT, LIMIT_VOTES, SLOT_REQUEST, SLOT_TRANSFER, INCARNATION_BEGUN, SLOTS_CLEARED = range(64, 70)
+KINDS = frozenset((COUNTS_REPORT, LIMIT_VOTES, SLOT_REQUEST, SLOT_TRANSFER, INCARNATION_BEGUN, SLOTS_CLEARED))
 HEAD = struct.Struct(">BQI")  # kind, incarnation, sequence; then rows
 ROW_HEAD = struct.Struct(">BB")  # kind, length of the rest
 # Server, its age in s, shape, requested, denied, lost; then service times, END_OF_CLASSES, waiting times.
@@ -41,8 +41,8 @@
     """Encode what a replica reports, into messages of 256 bytes at most each."""
     counts = [_encode_counts(report, row, now_us) for report in reports for row in report.rows]
     votes = [_encode_vote(report, report.word, now_us) for report in reports if report.word is not None]
-    messages = _fill_messages(HEAD.pack(ROWS, incarnation, sequence), counts)
-    return messages + _fill_messages(HEAD.pack(WORDS, incarnation, sequence), votes)
+    messages = _fill_messages(HEAD.pack(COUNTS_REPORT, incarnation, sequence), counts)
+    return messages + _fill_messages(HEAD.pack(LIMIT_VOTES, incarnation, sequence), votes)
 
 
 def _fill_messages(head: bytes, rows: Sequence[bytes]) -> list[bytes]:
@@ -97,10 +97,10 @@
 
     None where it is malformed; rows of an unknown kind are skipped.
     """
-    if not HEAD.size < len(raw) <= MAX_BYTES or raw[0] not in (ROWS, WORDS):
+    if not HEAD.size < len(raw) <= MAX_BYTES or raw[0] not in (COUNTS_REPORT, LIMIT_VOTES):
         return None
     kind, incarnation, sequence = HEAD.unpack_from(raw)
-    decode_body = _decode_counts if kind == ROWS else _decode_vote
+    decode_body = _decode_counts if kind == COUNTS_REPORT else _decode_vote
     reports: list[ReplicaMessages] = []
     for body in _row_bodies(raw[HEAD.size :]):
         if body is None:
@@ -160,31 +160,31 @@
     return ReplicaMessages((), server, _started_us(age_s, now_us), word=QuorumVote(whole, limits))
 
 
-def pack_trade(server: int, message: QuotaRequest | QuotaTransfer) -> bytes:
+def encode_slot_message(server: int, message: QuotaRequest | QuotaTransfer) -> bytes:
     """Encode a request for slots of a server, or their transfer; a transfer of none returns them."""
-    kind = ASK if isinstance(message, QuotaRequest) else LOAN
+    kind = SLOT_REQUEST if isinstance(message, QuotaRequest) else SLOT_TRANSFER
     slots = min(MAX_SLOTS, int(message.rate))
-    return SLOTS.pack(kind, message.life, message.number, server, slots)
+    return SLOTS.pack(kind, message.incarnation, message.sequence, server, slots)
 
 
-def unpack_trade(raw: bytes) -> tuple[int, QuotaRequest | QuotaTransfer] | None:
+def decode_slot_message(raw: bytes) -> tuple[int, QuotaRequest | QuotaTransfer] | None:
     """Decode the server and the request or transfer; None where it is malformed."""
-    if len(raw) != SLOTS.size or raw[0] not in (ASK, LOAN):
+    if len(raw) != SLOTS.size or raw[0] not in (SLOT_REQUEST, SLOT_TRANSFER):
         return None
     kind, incarnation, number, server, slots = SLOTS.unpack(raw)
-    if kind == LOAN:
+    if kind == SLOT_TRANSFER:
         return server, QuotaTransfer(incarnation, number, Resource.SLOT, float(slots))
     return (server, QuotaRequest(incarnation, number, Resource.SLOT, float(slots))) if slots else None
 
 
-def pack_life(kind: int, incarnation: int) -> bytes:
+def encode_incarnation(kind: int, incarnation: int) -> bytes:
     """Encode that an incarnation has begun (`BEGUN`), or uses no earlier one's slots any more (`CLEAR`)."""
     return INCARNATION.pack(kind, incarnation)
 
 
-def unpack_life(raw: bytes) -> int | None:
+def decode_incarnation(raw: bytes) -> int | None:
     """Decode the incarnation; None where it is malformed."""
-    if len(raw) != INCARNATION.size or raw[0] not in (BEGUN, CLEAR):
+    if len(raw) != INCARNATION.size or raw[0] not in (INCARNATION_BEGUN, SLOTS_CLEARED):
         return None
     _, incarnation = INCARNATION.unpack(raw)
     return int(incarnation)
--- a/packages/messages/src/fennelcove/messages.py
+++ b/packages/messages/src/fennelcove/messages.py
@@ -15,19 +15,36 @@
 from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Resource
 from fennelcove.interface import CellLoad, PeerMessage
 
-MOST_BYTES = 256
-MOST_CELLS = 1 << 16  # a cell has two bytes
+MAX_BYTES = 256
+MAX_CELLS = 1 << 16  # a cell has two bytes
 KIND_BYTES = 1
 # The first byte of a message: cells whose load is requested, known loads, attempts sent, heartbeat, summary
 # of a front's load, request and transfer of a quota, health report.
-ASKS, LOADS, JOINS, BEAT, SUMMARY, ASK, LOAN = 1, 2, 3, 4, 5, 6, 7
-WORD = 60
-KINDS = (ASKS, LOADS, JOINS, BEAT, SUMMARY, ASK, LOAN, WORD)
+LOAD_REQUEST, LOAD_REPORT, ATTEMPTS, HEARTBEAT, LOAD_SUMMARY, QUOTA_REQUEST, QUOTA_TRANSFER = (
+    1,
+    2,
+    3,
+    4,
+    5,
+    6,
+    7,
+)
+HEALTH_REPORT_KIND = 60
+KINDS = (
+    LOAD_REQUEST,
+    LOAD_REPORT,
+    ATTEMPTS,
+    HEARTBEAT,
+    LOAD_SUMMARY,
+    QUOTA_REQUEST,
+    QUOTA_TRANSFER,
+    HEALTH_REPORT_KIND,
+)
 
 CELL = struct.Struct(">H")
 LOAD = struct.Struct(">HBBB")  # cell, link and uplink in hundredths, age in tenths of a second
 ATTEMPT = struct.Struct(">HH")  # cell, kB a second
-ROWS_BY_KIND = {ASKS: CELL, LOADS: LOAD, JOINS: ATTEMPT}
+ROWS_BY_KIND = {LOAD_REQUEST: CELL, LOAD_REPORT: LOAD, ATTEMPTS: ATTEMPT}
 MAX_RATE_KB = 65_535
 AGE_UNIT_US = 100_000
 MAX_AGE = 255  # in units
@@ -44,20 +61,20 @@
 HEALTH_REPORT = struct.Struct(">BIBQ")  # kind, key of the server, verdict, number
 HEALTH_VERDICTS = frozenset(HealthVerdict)
 RESOURCES = frozenset(Resource)
-MAX_SUMMARY_ROWS = (MOST_BYTES - SUMMARY_HEAD.size) // SUMMARY_ROW.size
-MAX_GONE = (MOST_BYTES - HEARTBEAT_HEAD.size) // CELL.size
+MAX_SUMMARY_ROWS = (MAX_BYTES - SUMMARY_HEAD.size) // SUMMARY_ROW.size
+MAX_GONE = (MAX_BYTES - HEARTBEAT_HEAD.size) // CELL.size
 
 
 def encode(message: PeerMessage) -> list[bytes]:
     """Encode a message about servers, into messages of 256 bytes at most each."""
     rows_by_kind = {
-        ASKS: [CELL.pack(cell) for cell in message.asks],
-        LOADS: [_encode_load(load) for load in message.loads],
-        JOINS: [ATTEMPT.pack(cell, min(rate_kb, MAX_RATE_KB)) for cell, rate_kb in message.attempts],
+        LOAD_REQUEST: [CELL.pack(cell) for cell in message.polled_cells],
+        LOAD_REPORT: [_encode_load(load) for load in message.loads],
+        ATTEMPTS: [ATTEMPT.pack(cell, min(rate_kb, MAX_RATE_KB)) for cell, rate_kb in message.sent_rates],
     }
     encoded: list[bytes] = []
     for kind, rows in rows_by_kind.items():
-        max_rows = (MOST_BYTES - KIND_BYTES) // ROWS_BY_KIND[kind].size
+        max_rows = (MAX_BYTES - KIND_BYTES) // ROWS_BY_KIND[kind].size
         for first in range(0, len(rows), max_rows):
             encoded.append(bytes([kind]) + b"".join(rows[first : first + max_rows]))
     return encoded
@@ -77,17 +94,17 @@
 
 def decode(sender: int, raw: bytes) -> PeerMessage | None:
     """Decode a message about servers; None where it is malformed, or of an unknown version."""
-    if not KIND_BYTES < len(raw) <= MOST_BYTES:
+    if not KIND_BYTES < len(raw) <= MAX_BYTES:
         return None
     kind, body = raw[0], raw[KIND_BYTES:]
     if kind not in ROWS_BY_KIND or len(body) % ROWS_BY_KIND[kind].size:
         return None
     rows = list(ROWS_BY_KIND[kind].iter_unpack(body))
-    if kind == ASKS:
-        return PeerMessage(sender, asks=tuple(cell for (cell,) in rows))
-    if kind == LOADS:
+    if kind == LOAD_REQUEST:
+        return PeerMessage(sender, polled_cells=tuple(cell for (cell,) in rows))
+    if kind == LOAD_REPORT:
         return PeerMessage(sender, loads=tuple(_decode_load(*row) for row in rows))
-    return PeerMessage(sender, attempts=tuple(rows))
+    return PeerMessage(sender, sent_rates=tuple(rows))
 
 
 def _decode_load(cell: int, link: int, uplink: int, age: int) -> CellLoad:
@@ -98,23 +115,23 @@
     return None if level == UNKNOWN_LEVEL else level / LEVEL_UNITS
 
 
-def pack_beat(heartbeat: Heartbeat) -> bytes:
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
     """Encode a heartbeat."""
-    gone = b"".join(CELL.pack(index) for index in heartbeat.gone[:MAX_GONE])
+    gone = b"".join(CELL.pack(index) for index in heartbeat.departed[:MAX_GONE])
     head = HEARTBEAT_HEAD.pack(
-        BEAT,
-        heartbeat.life,
-        heartbeat.number,
-        heartbeat.heard_life,
-        heartbeat.heard_number,
-        heartbeat.leaving,
+        HEARTBEAT,
+        heartbeat.incarnation,
+        heartbeat.sequence,
+        heartbeat.acknowledged_incarnation,
+        heartbeat.acknowledged_sequence,
+        heartbeat.is_leaving,
     )
     return head + gone
 
 
-def unpack_beat(raw: bytes) -> Heartbeat | None:
+def decode_heartbeat(raw: bytes) -> Heartbeat | None:
     """Decode a heartbeat; None where it is malformed."""
-    if not _has_whole_rows(raw, HEARTBEAT_HEAD, CELL) or raw[0] != BEAT:
+    if not _has_whole_rows(raw, HEARTBEAT_HEAD, CELL) or raw[0] != HEARTBEAT:
         return None
     _, incarnation, sequence, acked_incarnation, acked_sequence, is_leaving = HEARTBEAT_HEAD.unpack_from(raw)
     if is_leaving > 1:
@@ -123,15 +140,15 @@
     return Heartbeat(incarnation, sequence, acked_incarnation, acked_sequence, bool(is_leaving), gone)
 
 
-def pack_summary(summary: LoadSummary) -> bytes:
+def encode_load_summary(summary: LoadSummary) -> bytes:
     """Encode a summary of a front's load."""
-    rows = b"".join(SUMMARY_ROW.pack(*row) for row in summary.rows[:MAX_SUMMARY_ROWS])
-    return SUMMARY_HEAD.pack(SUMMARY, summary.life, summary.number) + rows
+    rows = b"".join(SUMMARY_ROW.pack(*row) for row in summary.class_loads[:MAX_SUMMARY_ROWS])
+    return SUMMARY_HEAD.pack(LOAD_SUMMARY, summary.incarnation, summary.sequence) + rows
 
 
-def unpack_summary(raw: bytes) -> LoadSummary | None:
+def decode_load_summary(raw: bytes) -> LoadSummary | None:
     """Decode a summary of another front's load; None where it is malformed."""
-    if not _has_whole_rows(raw, SUMMARY_HEAD, SUMMARY_ROW) or raw[0] != SUMMARY:
+    if not _has_whole_rows(raw, SUMMARY_HEAD, SUMMARY_ROW) or raw[0] != LOAD_SUMMARY:
         return None
     _, incarnation, sequence = SUMMARY_HEAD.unpack_from(raw)
     body = raw[SUMMARY_HEAD.size :]
@@ -140,34 +157,34 @@
 
 
 def _has_whole_rows(raw: bytes, head: struct.Struct, row: struct.Struct) -> bool:
-    return head.size <= len(raw) <= MOST_BYTES and not (len(raw) - head.size) % row.size
+    return head.size <= len(raw) <= MAX_BYTES and not (len(raw) - head.size) % row.size
 
 
-def pack_budget(message: QuotaRequest | QuotaTransfer) -> bytes:
+def encode_quota_message(message: QuotaRequest | QuotaTransfer) -> bytes:
     """Encode a request for a quota, or its transfer."""
-    kind = ASK if isinstance(message, QuotaRequest) else LOAN
-    return QUOTA.pack(kind, message.life, message.number, message.thing, message.rate)
+    kind = QUOTA_REQUEST if isinstance(message, QuotaRequest) else QUOTA_TRANSFER
+    return QUOTA.pack(kind, message.incarnation, message.sequence, message.resource, message.rate)
 
 
-def unpack_budget(raw: bytes) -> QuotaRequest | QuotaTransfer | None:
+def decode_quota_message(raw: bytes) -> QuotaRequest | QuotaTransfer | None:
     """Decode a request for a quota, or its transfer; None where it is malformed."""
-    if len(raw) != QUOTA.size or raw[0] not in (ASK, LOAN):
+    if len(raw) != QUOTA.size or raw[0] not in (QUOTA_REQUEST, QUOTA_TRANSFER):
         return None
     kind, incarnation, number, resource, rate = QUOTA.unpack(raw)
     if resource not in RESOURCES or not math.isfinite(rate) or rate <= 0:
         return None
-    message_type = QuotaRequest if kind == ASK else QuotaTransfer
+    message_type = QuotaRequest if kind == QUOTA_REQUEST else QuotaTransfer
     return message_type(incarnation, number, Resource(resource), rate)
 
 
-def pack_word(report: HealthReport) -> bytes:
+def encode_health_report(report: HealthReport) -> bytes:
     """Encode a report on a server's health."""
-    return HEALTH_REPORT.pack(WORD, report.server, report.tells, report.number)
+    return HEALTH_REPORT.pack(HEALTH_REPORT_KIND, report.server_hash, report.verdict, report.sequence)
 
 
-def unpack_word(raw: bytes) -> HealthReport | None:
+def decode_health_report(raw: bytes) -> HealthReport | None:
     """Decode a report on a server's health; None where it is malformed."""
-    if len(raw) != HEALTH_REPORT.size or raw[0] != WORD:
+    if len(raw) != HEALTH_REPORT.size or raw[0] != HEALTH_REPORT_KIND:
         return None
     _, server, verdict, number = HEALTH_REPORT.unpack(raw)
     return HealthReport(server, HealthVerdict(verdict), number) if verdict in HEALTH_VERDICTS else None
--- a/packages/messages/src/fennelcove/rollout_messages.py
+++ b/packages/messages/src/fennelcove/rollout_messages.py
@@ -14,7 +14,7 @@
     MAX_PROMISED_PLACES,
     HaltReason,
     Heartbeat,
-    Kind,
+    PlaceKind,
     LeaderVote,
     LeaderVoteRequest,
     OpenRequest,
@@ -27,7 +27,7 @@
     RolloutOrder,
     RolloutPhase,
     RolloutRecord,
-    Said,
+    RolloutMessage,
     ServingState,
 )
 
@@ -67,13 +67,13 @@
 FIELD_BOUNDS = {"B": 0xFF, "H": 0xFFFF, "I": 0xFFFF_FFFF, "Q": 0xFFFF_FFFF_FFFF_FFFF}
 
 
-def encode(message: Said) -> bytes:
+def encode(message: RolloutMessage) -> bytes:
     """Encode a message, into 256 bytes at most."""
     kind, encoder = ENCODERS[type(message)]
     return bytes([kind]) + encoder(message)
 
 
-def decode(raw: bytes) -> Said | None:
+def decode(raw: bytes) -> RolloutMessage | None:
     """Decode a message; None where it is malformed, or of an unknown version."""
     if not KIND_BYTES < len(raw) <= MAX_BYTES or raw[0] not in DECODERS:
         return None
@@ -126,7 +126,7 @@
     incarnation, sequence, acked_incarnation, acked_sequence, *state = HEARTBEAT_FIELDS.unpack_from(raw)
     serving_state, *counts, is_record_known = state
     open_requests = tuple(
-        OpenRequest(Kind(kind), _checked_place(place), number, _checked_flag(is_granted))
+        OpenRequest(PlaceKind(kind), _checked_place(place), number, _checked_flag(is_granted))
         for kind, place, number, is_granted in OPEN_REQUEST_FIELDS.iter_unpack(rows)
     )
     # The fields in the order in which `Heartbeat` declares them.
@@ -157,7 +157,7 @@
 
 def _decode_permit_request(raw: bytes) -> PermitRequest:
     incarnation, number, kind, place, term, turn = PERMIT_REQUEST_FIELDS.unpack(raw)
-    return PermitRequest(incarnation, number, Kind(kind), _checked_place(place), term, turn)
+    return PermitRequest(incarnation, number, PlaceKind(kind), _checked_place(place), term, turn)
 
 
 def _encode_permit_vote(vote: PermitVote) -> bytes:
@@ -259,7 +259,7 @@
     ProposalAck: (PROPOSAL_ACK, _encode_proposal_ack),
     RolloutOrder: (ROLLOUT_ORDER, _encode_rollout_order),
 }
-DECODERS: dict[int, Callable[[bytes], Said]] = {
+DECODERS: dict[int, Callable[[bytes], RolloutMessage]] = {
     HEARTBEAT: _decode_heartbeat,
     PERMIT_REQUEST: _decode_permit_request,
     PERMIT_VOTE: _decode_permit_vote,
--- a/packages/messages/src/fennelcove/usage_messages.py
+++ b/packages/messages/src/fennelcove/usage_messages.py
@@ -6,7 +6,7 @@
 
 from fennelcove.fair_queueing.usage_gossip import Row, UsageReport
 
-GIVEN = 48
+USAGE_REPORT = 48
 MAX_BYTES = 256
 HEAD = struct.Struct(">BQI")  # kind, incarnation, sequence
 ROW = struct.Struct(">IIQ")  # server, tenant, service time in microseconds since the incarnation began
@@ -16,14 +16,14 @@
 def encode(report: UsageReport) -> list[bytes]:
     """Encode a report, into messages of 256 bytes at most each."""
     rows = [ROW.pack(row.server, row.tenant, row.given_us) for row in report.rows]
-    head = HEAD.pack(GIVEN, report.life, report.number)
+    head = HEAD.pack(USAGE_REPORT, report.life, report.number)
     return [head + b"".join(rows[first : first + MAX_ROWS]) for first in range(0, len(rows), MAX_ROWS)]
 
 
 def decode(raw: bytes) -> UsageReport | None:
     """Decode one message; None where it is malformed, or of an unknown version."""
     has_whole_rows = HEAD.size < len(raw) <= MAX_BYTES and not (len(raw) - HEAD.size) % ROW.size
-    if not has_whole_rows or raw[0] != GIVEN:
+    if not has_whole_rows or raw[0] != USAGE_REPORT:
         return None
     _, incarnation, sequence = HEAD.unpack_from(raw)
     rows = tuple(Row(*row) for row in ROW.iter_unpack(raw[HEAD.size :]))
--- a/packages/node/src/fennelcove/node/attempt_dispatcher.py
+++ b/packages/node/src/fennelcove/node/attempt_dispatcher.py
@@ -36,10 +36,10 @@
         idle = self._pool.find_idle(attempt.server, session)
         if idle:
             attempt.link = idle[-1]
-            attempt.link.carry(session)
+            attempt.link.dispatch(session)
         elif self._pool.make_room():
             connection = attempt.link = self._pool.create(attempt.server)
-            connection.carry(session)
+            connection.dispatch(session)
             connection.start()
         else:
             self.on_completed(session, Outcome.NOT_SENT, None)
@@ -49,10 +49,10 @@
         link = attempt.link
         if session.attempt is not attempt or session.state is not SessionState.ATTEMPTING or link is None:
             return
-        if link.phase is ConnectionState.DIALLING:
+        if link.state is ConnectionState.DIALLING:
             link.close(Outcome.NO_CONNECTION)
             return
-        link.give_up(session)
+        link.abandon(session)
         # An answer that never comes, or stops short, leaves nothing that can be read behind it.
         link.close(Outcome.NO_ANSWER)
         self.on_completed(session, Outcome.NO_ANSWER, None)
@@ -70,7 +70,7 @@
         Its client may have closed just as the connection was made, with its thread still waiting for the
         lock; the session is then closed.
         """
-        if session.client is None or not session.client.left():
+        if session.client is None or not session.client.has_left():
             return True
         session_states.apply_event(self._actions, session, SessionEvent.CLIENT_GONE)
         return False
@@ -79,4 +79,4 @@
         def on_timer() -> None:
             self._run_locked(lambda: self.on_timeout(session, attempt))
 
-        return self._context.timers.after(attempt.allow_us, on_timer)
+        return self._context.timers.after(attempt.timeout_us, on_timer)
--- a/packages/node/src/fennelcove/node/client_connection.py
+++ b/packages/node/src/fennelcove/node/client_connection.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from fennelcove.clock import Clock
-from fennelcove.node import request_validation
+from fennelcove.node import client_requests
 from fennelcove.node.descriptor_budget import DescriptorBudget, DescriptorUse
 from fennelcove.node.model import ClientLink, Session
 from fennelcove.node.pending_notifications import PendingNotifications
@@ -31,7 +31,7 @@
 PEER_GONE_EVENTS = select.POLLRDHUP | select.POLLERR
 
 
-class ClientSessions(request_validation.Counter, Protocol):
+class ClientSessions(client_requests.SessionService, Protocol):
     """The session manager, as connections of clients use it."""
 
     lock: threading.Lock
@@ -48,24 +48,24 @@
         self.sock = sock
         self.descriptor = manager.descriptors.register_open(DescriptorUse.ACCEPT, sock)
         self.peer = peer
-        self.open: dict[Session, None] = {}
-        self.standing: dict[Session, None] = {}
+        self.open_sessions: dict[Session, None] = {}
+        self.established_sessions: dict[Session, None] = {}
         self.receive_queue = ReceiveQueue()
         self.receive_timeout_us = 0
-        self.figures: dict[str, None] = {}
-        self.withdrawn: set[bytes] = set()
+        self.recent_clients: dict[str, None] = {}
+        self.withdrawn_ids: set[bytes] = set()
         self.accepted_us = manager.clock.now_us()
         self.has_sent_message = False
         # Its thread processes what it has read, and checks `closed` before it reads again.
         self.is_busy = False
         self.is_ended_by_client = False
         self.is_finishing = False  # the node shuts down, and has shut the reading side itself
-        self.closed = False
+        self.is_closed = False
 
     @property
     def is_unused(self) -> bool:
         """Whether it has no open and no established session: it may be closed."""
-        return not self.open and not self.standing
+        return not self.open_sessions and not self.established_sessions
 
     @property
     def has_unread_data(self) -> bool:
@@ -81,13 +81,13 @@
         Returns:
             Whether the kernel accepted all of the message.
         """
-        if not self.closed and not send_now(self.sock, data):
-            self.shut()
-        return not self.closed
+        if not self.is_closed and not send_now(self.sock, data):
+            self.disconnect()
+        return not self.is_closed
 
-    def left(self) -> bool:
+    def has_left(self) -> bool:
         """Whether the client has closed, as far as the kernel knows; data may be unread before the end."""
-        if self.is_ended_by_client or self.closed:
+        if self.is_ended_by_client or self.is_closed:
             return True
         if self.is_finishing:  # the end of this stream is the node's own, and proves nothing of the client
             return False
@@ -96,9 +96,9 @@
         except (OSError, ValueError):
             return False
 
-    def shut(self) -> None:
+    def disconnect(self) -> None:
         """Disconnect the client; the connection's thread closes the descriptor."""
-        self.closed = True
+        self.is_closed = True
         if not self.is_busy:  # else its thread sees `closed` itself, and a shut reading side can't be drained
             with suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
@@ -117,11 +117,11 @@
             self.is_ended_by_client = True  # broken
         except ProtocolError as error:
             with self.manager.lock:
-                self.send(writer.answer(error.status))
+                self.send(writer.response(error.status))
         finally:
             with self.manager.lock:
-                self.closed = True
-                request_validation.viewer_gone(self.manager, self)
+                self.is_closed = True
+                client_requests.on_client_gone(self.manager, self)
             self._drain()
             with self.manager.lock:
                 self.manager.connections.remove(self)
@@ -144,7 +144,7 @@
     def _receive(self) -> None:
         """Process what arrives until the connection ends or is overdue."""
         deadline_us = self.manager.clock.now_us() + MESSAGE_TIMEOUT_US
-        while not self.closed and not self.is_ended_by_client:
+        while not self.is_closed and not self.is_ended_by_client:
             remaining_us = deadline_us - self.manager.clock.now_us()
             if remaining_us <= 0 and self._may_time_out():
                 data = self._receive_at_deadline()
@@ -194,7 +194,7 @@
         """Return what arrives next; empty at the end of the stream, None if nothing arrives in time."""
         self.is_busy = False  # before `closed` is checked: `shut` checks `is_busy` after it has set `closed`
         try:
-            if self.closed:
+            if self.is_closed:
                 return None
             # Only peeked: data taken out of the kernel before `is_busy` is set would be seen nowhere.
             self.sock.recv(1, socket.MSG_PEEK)
@@ -212,7 +212,7 @@
         """
         with self.manager.lock:
             data = self._receive_available()
-            self.closed |= data is None
+            self.is_closed |= data is None
         return data
 
     def _receive_available(self) -> bytes | None:
@@ -249,15 +249,15 @@
     def _process_next(self) -> None:
         queue = self.receive_queue
         message = queue.pop()
-        is_moot = self.is_ended_by_client or self.closed or queue.is_withdrawn(message)
-        request_validation.hear(self.manager, self, message, is_moot)
+        is_moot = self.is_ended_by_client or self.is_closed or queue.is_withdrawn(message)
+        client_requests.on_client_message(self.manager, self, message, is_moot)
 
     def _receive_following(self) -> bytes | None:
         """Return what has arrived behind the messages being processed; an end is handled at once."""
-        if self.is_ended_by_client or self.closed:
+        if self.is_ended_by_client or self.is_closed:
             return None
         if self.receive_queue.is_full:
-            following = b"" if self.left() else None
+            following = b"" if self.has_left() else None
         else:
             following = self._receive_available()
         if following != b"":
@@ -265,7 +265,7 @@
         if self.is_finishing:
             return None
         self.is_ended_by_client = True
-        request_validation.viewer_gone(self.manager, self)
+        client_requests.on_client_gone(self.manager, self)
         return following
 
 
@@ -297,7 +297,7 @@
         return True
 
     def _oldest_unused(self) -> ClientConnection | None:
-        candidates = (each for each in self.connections if each.is_unused and not each.closed)
+        candidates = (each for each in self.connections if each.is_unused and not each.is_closed)
         return next(candidates, None)
 
     def _eviction_candidate(self) -> ClientConnection | None:
@@ -307,13 +307,13 @@
         be in use, and evicting it would leave that data without an answer.
         """
         candidates = [
-            each for each in self.connections if each.is_unused and (each.closed or not each.is_busy)
+            each for each in self.connections if each.is_unused and (each.is_closed or not each.is_busy)
         ]
-        candidates.sort(key=lambda each: (not each.closed, each.has_sent_message))
-        return next((each for each in candidates if each.closed or _has_nothing_to_process(each)), None)
+        candidates.sort(key=lambda each: (not each.is_closed, each.has_sent_message))
+        return next((each for each in candidates if each.is_closed or _has_nothing_to_process(each)), None)
 
     def _evict(self, connection: ClientConnection) -> None:
-        connection.shut()
+        connection.disconnect()
         self.remove(connection)
 
     def evict_one(self) -> None:
@@ -329,17 +329,17 @@
         candidate = self._eviction_candidate()
         if candidate is None:  # those that are not in use are being read just now
             return EVICTION_GRACE_US
-        if candidate.has_sent_message or candidate.closed:
+        if candidate.has_sent_message or candidate.is_closed:
             return 0
         return max(0, candidate.accepted_us + EVICTION_GRACE_US - now_us)
 
-    def seated(self, connection: ClientLink) -> bool:
+    def may_hold_sessions(self, connection: ClientLink) -> bool:
         """Whether this connection may hold sessions.
 
         If every connection did, a new one would have to be closed without an answer, and so would the
         platform's health check.
         """
-        if connection.open or connection.standing:
+        if connection.open_sessions or connection.established_sessions:
             return True
         return sum(not each.is_unused for each in self.connections) < self.max_connections_in_use
 
@@ -352,7 +352,7 @@
             if not same_peer:
                 del self.connections_by_peer[connection.peer]
 
-    def other(self, peer: str, figure: str = "") -> ClientConnection | None:
+    def find_connection(self, peer: str, figure: str = "") -> ClientConnection | None:
         """Return an open connection of this peer, or None.
 
         One on which this client has sent a request comes first, then one that has sent any message: clients
@@ -360,9 +360,9 @@
         """
         same_peer = sorted(
             self.connections_by_peer.get(peer, ()),
-            key=lambda each: (figure not in each.figures, not each.has_sent_message),
+            key=lambda each: (figure not in each.recent_clients, not each.has_sent_message),
         )
-        return next((each for each in same_peer if not each.left()), None)
+        return next((each for each in same_peer if not each.has_left()), None)
 
     def defer(self, peer: str, data: bytes, now_us: int) -> None:
         """Queue a message for the peer's next connection."""
--- a/packages/node/src/fennelcove/node/request_validation.py
+++ b/packages/node/src/fennelcove/node/client_requests.py
@@ -26,11 +26,11 @@
 _SESSION_ID = re.compile(r"[0-9a-fA-F]{16}")
 
 
-class Counter(SessionActions, Protocol):
+class SessionService(SessionActions, Protocol):
     """The operations that clients' messages need; the node's lock is held."""
 
     config: Config
-    stopping: bool
+    is_shutting_down: bool
     sessions: dict[bytes, Session]
 
     def deliver_pending(self, client: ClientLink, /) -> None:
@@ -50,7 +50,9 @@
         ...
 
 
-def hear(manager: Counter, client: ClientLink, message: messages.Message, is_abandoned: bool = False) -> None:
+def on_client_message(
+    manager: SessionService, client: ClientLink, message: messages.Message, is_abandoned: bool = False
+) -> None:
     """Act on one message of a client; the node's lock is held.
 
     Args:
@@ -59,29 +61,29 @@
         message: The message.
         is_abandoned: Nobody waits for an answer to it any more.
     """
-    if isinstance(message, messages.Answer):
+    if isinstance(message, messages.Response):
         return  # the client's acknowledgement of a release
     if message.method == "OPTIONS":  # a health check of the platform, not of a client
-        status = STATUS_UNAVAILABLE if manager.stopping else STATUS_OK
-        client.send(writer.answer(status, *_echo_fields(message)))
+        status = STATUS_UNAVAILABLE if manager.is_shutting_down else STATUS_OK
+        client.send(writer.response(status, *_echo_fields(message)))
         return
     manager.deliver_pending(client)
     session = message.fields.get("session", "")
     if _SESSION_ID.fullmatch(session) is None:
-        client.send(writer.answer(STATUS_BAD_REQUEST, *_echo_fields(message)))
+        client.send(writer.response(STATUS_BAD_REQUEST, *_echo_fields(message)))
     elif message.method == "SETUP" and is_abandoned and expects_answer(message):
-        client.withdrawn.add(bytes.fromhex(session))
+        client.withdrawn_ids.add(bytes.fromhex(session))
     elif message.method == "SETUP":
         set_up(manager, client, message, session)
     elif message.method == "TEARDOWN":
         is_found = tear_down(manager, client, bytes.fromhex(session))
         status = STATUS_OK if is_found else STATUS_SESSION_NOT_FOUND
-        client.send(writer.answer(status, *_echo_fields(message)))
+        client.send(writer.response(status, *_echo_fields(message)))
     else:
-        client.send(writer.answer(STATUS_UNKNOWN_METHOD, *_echo_fields(message)))
+        client.send(writer.response(STATUS_UNKNOWN_METHOD, *_echo_fields(message)))
 
 
-def set_up(manager: Counter, client: ClientLink, message: messages.Request, name: str) -> None:
+def set_up(manager: SessionService, client: ClientLink, message: messages.Request, name: str) -> None:
     """Set up a session, or take over one that plays already; `name` is its id as the client wrote it."""
     cseq = message.fields.get("cseq", "1")
     echo = (("CSeq", cseq), ("Session", name))
@@ -90,7 +92,7 @@
     try:
         setup = parse_setup(manager.config.settings, message, id.hex())
     except InvalidRequestError:
-        client.send(writer.answer(STATUS_INVALID_SETUP, *echo))
+        client.send(writer.response(STATUS_INVALID_SETUP, *echo))
         return
     if existing is not None:
         _on_duplicate_setup(client, existing, setup, echo)
@@ -100,7 +102,7 @@
         name=name,
         cseq=cseq,
         service_class=setup.request.service_class,
-        title=message.address.rpartition("/")[2],
+        title=message.uri.rpartition("/")[2],
         description=message.body,
         client=client,
         peer=client.peer,
@@ -113,14 +115,14 @@
         _accept_setup(manager, client, session, setup, echo)
 
 
-def tear_down(manager: Counter, client: ClientLink, id: bytes) -> bool:
+def tear_down(manager: SessionService, client: ClientLink, id: bytes) -> bool:
     """Cancel a set-up request, or end an established session, which any connection may do.
 
     Returns:
         Whether there was something to cancel or to end.
     """
-    was_withdrawn = id in client.withdrawn
-    client.withdrawn.discard(id)
+    was_withdrawn = id in client.withdrawn_ids
+    client.withdrawn_ids.discard(id)
     session = manager.sessions.get(id)
     if session is None:
         return was_withdrawn
@@ -129,13 +131,13 @@
     return session_states.apply_event(manager, session, SessionEvent.CLIENT_GONE)
 
 
-def viewer_gone(manager: Counter, client: ClientLink) -> None:
+def on_client_gone(manager: SessionService, client: ClientLink) -> None:
     """Act on a connection's end: its set-up requests are cancelled, its established sessions play on."""
-    for session in list(client.open):
+    for session in list(client.open_sessions):
         session_states.apply_event(manager, session, SessionEvent.CLIENT_GONE)
-    for session in client.standing:
+    for session in client.established_sessions:
         session.client = None
-    client.standing.clear()
+    client.established_sessions.clear()
 
 
 def _echo_fields(message: messages.Request) -> list[tuple[str, str]]:
@@ -151,19 +153,19 @@
         return  # a session may be handed over that is held already
     if existing.client is client and existing.state is not SessionState.ESTABLISHED:
         # One answer is pending under this id; an error status here would be taken for it.
-        client.shut()
+        client.disconnect()
         return
-    client.send(writer.answer(STATUS_SESSION_EXISTS, *echo))
+    client.send(writer.response(STATUS_SESSION_EXISTS, *echo))
 
 
 def _remember_client_id(client: ClientLink, client_id: str) -> None:
-    client.figures.pop(client_id, None)  # moved to the end: the latest is last
-    client.figures[client_id] = None
-    if len(client.figures) > MAX_CLIENT_IDS:
-        del client.figures[next(iter(client.figures))]
+    client.recent_clients.pop(client_id, None)  # moved to the end: the latest is last
+    client.recent_clients[client_id] = None
+    if len(client.recent_clients) > MAX_CLIENT_IDS:
+        del client.recent_clients[next(iter(client.recent_clients))]
 
 
-def _take_over(manager: Counter, client: ClientLink, session: Session, setup: SetupRequest) -> None:
+def _take_over(manager: SessionService, client: ClientLink, session: Session, setup: SetupRequest) -> None:
     if not manager.may_hold_sessions(client):
         # An established session needs no connection, and this one may have to be closed to admit others.
         session.client = None
@@ -172,16 +174,16 @@
 
 
 def _accept_setup(
-    manager: Counter,
+    manager: SessionService,
     client: ClientLink,
     session: Session,
     setup: SetupRequest,
     echo: tuple[tuple[str, str], ...],
 ) -> None:
-    if len(client.open) >= MAX_PENDING_PER_CONNECTION or len(manager.sessions) >= MAX_SESSIONS:
-        client.send(writer.answer(STATUS_UNAVAILABLE, *echo))
+    if len(client.open_sessions) >= MAX_PENDING_PER_CONNECTION or len(manager.sessions) >= MAX_SESSIONS:
+        client.send(writer.response(STATUS_UNAVAILABLE, *echo))
     elif not manager.may_hold_sessions(client):
         retry_after = session_states.retry_after_fields(manager.config.settings.retry_after_us or 0)
-        client.send(writer.answer(STATUS_UNAVAILABLE, *echo, *retry_after))
+        client.send(writer.response(STATUS_UNAVAILABLE, *echo, *retry_after))
     else:
         manager.admit(session, setup.request)
--- a/packages/node/src/fennelcove/node/config.py
+++ b/packages/node/src/fennelcove/node/config.py
@@ -50,11 +50,11 @@
     name: str
     listen: Address
     seed: int
-    sockets: int
+    socket_limit: int
     discovery_address: Address
     initial_batch: DiscoveryBatch
     settings: Settings
-    terms: ConnectionSettings
+    connection_settings: ConnectionSettings
     # `limits` and `settings` as the file has them, to name the keys that differ.
     raw_sections: dict[str, dict[str, Any]]
 
@@ -64,7 +64,10 @@
         `board`, `known` and `seed` may differ at each reading. Settings that are not read don't count.
         """
         found = [name for name in ("name", "listen") if getattr(self, name) != getattr(fresh, name)]
-        settings_differ = asdict(self.settings) != asdict(fresh.settings) or self.terms != fresh.terms
+        settings_differ = (
+            asdict(self.settings) != asdict(fresh.settings)
+            or self.connection_settings != fresh.connection_settings
+        )
         for part in ("limits", "settings") if settings_differ else ("limits",):
             was, now = self.raw_sections[part], fresh.raw_sections[part]
             found += [
@@ -117,11 +120,11 @@
         name=str(tree.get("name", "")),
         listen=parse_address(tree.get("listen")),
         seed=int(seed, 16) if isinstance(seed, str) else int(seed),
-        sockets=max(MIN_SOCKET_LIMIT, int(limits.number("sockets", DEFAULT_SOCKET_LIMIT))),
+        socket_limit=max(MIN_SOCKET_LIMIT, int(limits.number("sockets", DEFAULT_SOCKET_LIMIT))),
         discovery_address=parse_address(tree.get("board")),
         initial_batch=DiscoveryBatch.parse(tree.get("known", {"rev": 0, "notices": []})),
         settings=settings,
-        terms=ConnectionSettings(
+        connection_settings=ConnectionSettings(
             terms.connect_us or DEFAULT_CONNECT_TIMEOUT_US,
             terms.idle_us or DEFAULT_IDLE_TIMEOUT_US,
             terms.longest_us,
--- a/packages/node/src/fennelcove/node/descriptor_budget.py
+++ b/packages/node/src/fennelcove/node/descriptor_budget.py
@@ -43,7 +43,7 @@
         return STANDARD_STREAM_COUNT
 
 
-def limited(sockets: int) -> int:
+def effective_limit(sockets: int) -> int:
     """Return the configured limit, or the process's own limit if that is lower."""
     own = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     return sockets if own == resource.RLIM_INFINITY else min(sockets, own)
@@ -57,21 +57,21 @@
         servers = max(MIN_SERVER_DESCRIPTORS, limit // SERVER_SHARE_DIVISOR)
         remaining = limit - fixed - sum(FIXED_LIMITS.values()) - servers
         clients = max(MIN_CLIENT_DESCRIPTORS, min(limit // CLIENT_SHARE_DIVISOR, remaining))
-        self.most = {
+        self.limits = {
             **FIXED_LIMITS,
             DescriptorUse.FIXED: fixed,
             DescriptorUse.SERVER: servers,
             DescriptorUse.CLIENT: clients,
         }
-        self.held = dict.fromkeys(DescriptorUse, 0) | {DescriptorUse.FIXED: fixed}
+        self.open_counts = dict.fromkeys(DescriptorUse, 0) | {DescriptorUse.FIXED: fixed}
         # Those open or about to be opened, without those that are about to be closed.
-        self.promised = dict.fromkeys(DescriptorUse, 0)
+        self.reserved_counts = dict.fromkeys(DescriptorUse, 0)
         self.changed = threading.Condition()
 
     def has_capacity(self, use: DescriptorUse) -> bool:
         """Whether another may be reserved; to open it may still mean a wait for one that is being closed."""
         with self.changed:
-            return self.promised[use] < self.most[use]
+            return self.reserved_counts[use] < self.limits[use]
 
     def reserve(self, use: DescriptorUse) -> Descriptor:
         """Return a descriptor that is to be opened."""
@@ -87,14 +87,14 @@
         descriptor = Descriptor(self, use)
         with self.changed:
             descriptor.is_counted, descriptor.sock = True, sock
-            self.held[use] += 1
+            self.open_counts[use] += 1
         return descriptor
 
-    def told(self) -> dict[str, int]:
+    def counts_by_use(self) -> dict[str, int]:
         """Return the limit and the numbers of open descriptors, as the state dump logs them."""
         with self.changed:
-            totals = {"limit": self.limit, "all": sum(self.held.values())}
-            return totals | {use.value: count for use, count in self.held.items()}
+            totals = {"limit": self.limit, "all": sum(self.open_counts.values())}
+            return totals | {use.value: count for use, count in self.open_counts.items()}
 
 
 class Descriptor:
@@ -107,7 +107,7 @@
         self.is_reserved = True
         self.is_counted = False
         with budget.changed:
-            budget.promised[use] += 1
+            budget.reserved_counts[use] += 1
 
     def __enter__(self) -> Descriptor:
         """Return the descriptor itself."""
@@ -129,7 +129,7 @@
         with budget.changed:
             if not self._wait_for_capacity(self.use, timeout_us):
                 raise OSError(errno.EMFILE, "no descriptor came free in time")
-            budget.held[self.use] += 1
+            budget.open_counts[self.use] += 1
             self.is_counted = True
         try:
             self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -148,7 +148,7 @@
         with budget.changed:
             if not self._wait_for_capacity(use, timeout_us):
                 return False
-            for counts in (budget.held, budget.promised):
+            for counts in (budget.open_counts, budget.reserved_counts):
                 counts[self.use] -= 1
                 counts[use] += 1
             self.use = use
@@ -158,12 +158,12 @@
     def _wait_for_capacity(self, use: DescriptorUse, timeout_us: int) -> bool:
         """Wait until the use is below its limit; the budget's lock is held."""
         budget = self.budget
-        return budget.changed.wait_for(lambda: budget.held[use] < budget.most[use], timeout_us / 1e6)
+        return budget.changed.wait_for(lambda: budget.open_counts[use] < budget.limits[use], timeout_us / 1e6)
 
     def release_reservation(self) -> None:
         """Let another be reserved, because this one is about to be closed; the other is opened after that."""
         with self.budget.changed:
-            self.budget.promised[self.use] -= self.is_reserved
+            self.budget.reserved_counts[self.use] -= self.is_reserved
             self.is_reserved = False
 
     def close(self) -> None:
@@ -176,6 +176,6 @@
             sock, self.sock = self.sock, None
             if sock is not None:
                 sock.close()
-            self.budget.held[self.use] -= self.is_counted
+            self.budget.open_counts[self.use] -= self.is_counted
             self.is_counted = False
             self.budget.changed.notify_all()
--- a/packages/node/src/fennelcove/node/discovery_client.py
+++ b/packages/node/src/fennelcove/node/discovery_client.py
@@ -165,7 +165,7 @@
 
     def _log(self, event: str, **fields: object) -> None:
         with suppress(OSError, ValueError):  # polling goes on after the log's reader has gone
-            self.manager.notice(event, **fields)
+            self.manager.logger(event, **fields)
 
     def _execute(self, poll: _Poll) -> None:
         """Send one poll and apply the response.
@@ -249,7 +249,7 @@
                     "field rev",
                 )
             for event in events:
-                self.manager.board_says(event)
+                self.manager.on_discovery_event(event)
             if not self._is_superseded(poll):  # the placement policy may have requested a full update
                 self.revision = batch.last_revision
 
--- a/packages/node/src/fennelcove/node/discovery_events.py
+++ b/packages/node/src/fennelcove/node/discovery_events.py
@@ -27,7 +27,7 @@
 
     revision: int
     update: ListUpdate
-    dials: dict[str, Address]
+    addresses: dict[str, Address]
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,8 +96,8 @@
     if len(news) == 1:
         return news[0]
     entries = {entry.address: entry for notice in news for entry in notice.update.entries}
-    dials = {name: dial for notice in news for name, dial in notice.dials.items()}
-    listed = tuple(entry for entry in entries.values() if entry.standing is not ServerState.LEFT)
+    dials = {name: dial for notice in news for name, dial in notice.addresses.items()}
+    listed = tuple(entry for entry in entries.values() if entry.state is not ServerState.LEFT)
     return DiscoveryEvent(news[-1].revision, ListUpdate(ListMode.FULL, listed), dials)
 
 
@@ -132,7 +132,7 @@
         zone=_typed_field(tree, "site", str),
         kind=_typed_field(tree, "class", str),
         cell=_typed_field(tree, "block", int),
-        standing=standing,
+        state=standing,
         weight=_number_field(tree, "share", 1.0),
         started_us=round(_number_field(tree, "born_ms", 0.0) * 1000),
     )
--- a/packages/node/src/fennelcove/node/discovery_updates.py
+++ b/packages/node/src/fennelcove/node/discovery_updates.py
@@ -53,10 +53,10 @@
                 server.listed = False
         moved = []
         for entry in event.update.entries:
-            address = event.dials[entry.address]
+            address = event.addresses[entry.address]
             server = servers.setdefault(entry.address, Server(entry.address, address))
             if server.address != address:
                 moved.append(server)
             server.address = address
-            server.listed = entry.standing is not ServerState.LEFT
+            server.listed = entry.state is not ServerState.LEFT
         return moved
--- a/packages/node/src/fennelcove/node/handovers.py
+++ b/packages/node/src/fennelcove/node/handovers.py
@@ -88,7 +88,7 @@
         session.description = b""
         self._context.sessions[session.id] = session
         if session.client is not None:
-            session.client.standing[session] = None
+            session.client.established_sessions[session] = None
 
     def _attach(self, session: Session, request: Request, server: Server) -> None:
         """Attach a session to its server, and handle what the server has already sent of it."""
--- a/packages/node/src/fennelcove/node/model.py
+++ b/packages/node/src/fennelcove/node/model.py
@@ -36,23 +36,23 @@
 
     server: Server
     address: Address
-    phase: ConnectionState
-    carried: Session | None  # the session whose set-up request is in flight
-    given_up: set[bytes]  # ids of abandoned set-ups for which an answer may still arrive
-    heard_us: int  # when data was last received
+    state: ConnectionState
+    dispatched_session: Session | None  # the session whose set-up request is in flight
+    abandoned_ids: set[bytes]  # ids of abandoned set-ups for which an answer may still arrive
+    last_received_us: int  # when data was last received
     opened_us: int
-    tested_us: int | None  # when the unanswered liveness probe was sent
+    keepalive_sent_us: int | None  # when the unanswered liveness probe was sent
 
     @property
-    def idle(self) -> bool:
+    def is_idle(self) -> bool:
         """Open, with no set-up request in flight."""
         ...
 
-    def carry(self, session: Session) -> None:
+    def dispatch(self, session: Session) -> None:
         """Send the session's set-up request, now or once the connection is open."""
         ...
 
-    def ended(self) -> bool:
+    def is_ended_by_server(self) -> bool:
         """Whether the kernel has seen the server's end of the stream or a reset."""
         ...
 
@@ -60,19 +60,19 @@
         """Send a message without waiting; False where the connection has failed."""
         ...
 
-    def test(self) -> None:
+    def send_keepalive(self) -> None:
         """Send a liveness probe."""
         ...
 
-    def answer_test(self) -> None:
+    def answer_keepalive(self) -> None:
         """Answer a liveness probe of the server."""
         ...
 
-    def give_up(self, session: Session) -> None:
+    def abandon(self, session: Session) -> None:
         """Abandon the session's set-up request."""
         ...
 
-    def done(self) -> None:
+    def on_set_up_completed(self) -> None:
         """Record that the server has answered the set-up request in flight."""
         ...
 
@@ -85,13 +85,13 @@
     """A connection from a client, as its users see it."""
 
     peer: str  # the client's address
-    open: dict[Session, None]  # set-up requests without an answer
-    standing: dict[Session, None]  # established sessions
-    figures: dict[str, None]  # ids of the clients lately seen here; many may share an address
-    withdrawn: set[bytes]  # set-up requests cancelled before any work was begun for them
-    closed: bool
+    open_sessions: dict[Session, None]  # set-up requests without an answer
+    established_sessions: dict[Session, None]  # established sessions
+    recent_clients: dict[str, None]  # ids of the clients lately seen here; many may share an address
+    withdrawn_ids: set[bytes]  # set-up requests cancelled before any work was begun for them
+    is_closed: bool
 
-    def left(self) -> bool:
+    def has_left(self) -> bool:
         """Whether the client has closed the connection, as far as the kernel knows."""
         ...
 
@@ -99,7 +99,7 @@
         """Send a message without waiting; False where not all of it was accepted."""
         ...
 
-    def shut(self) -> None:
+    def disconnect(self) -> None:
         """Close the connection."""
         ...
 
@@ -111,7 +111,7 @@
     server: Server
     number: int
     sent_us: int
-    allow_us: int  # timeout, counted from `sent_us`
+    timeout_us: int  # timeout, counted from `sent_us`
     link: ServerLink | None = None  # the connection in use until the session is established
     outcome: Outcome = Outcome.NO_ANSWER
     report: LoadReport | None = None
@@ -168,11 +168,11 @@
     # Messages for which no connection was open; sent as soon as one is.
     unsent: deque[bytes] = field(default_factory=lambda: deque(maxlen=MAX_UNSENT_MESSAGES))
     outcome_counts: Counter[Outcome] = field(default_factory=Counter)  # of attempts and sessions here
-    parting: ConnectionLossTracker = field(default_factory=ConnectionLossTracker)
-    dial_at_us: int = 0  # no dial before this time, while dials fail
-    left_us: int = 0  # when its last connection closed
+    connection_loss: ConnectionLossTracker = field(default_factory=ConnectionLossTracker)
+    next_dial_us: int = 0  # no dial before this time, while dials fail
+    last_closed_us: int = 0  # when its last connection closed
     # A connection was closed before it was read to its end: the server repeats its last messages on the next.
-    dial_anew: bool = False
+    needs_redial: bool = False
 
     @property
     def needs_link(self) -> bool:
--- a/packages/node/src/fennelcove/node/node_context.py
+++ b/packages/node/src/fennelcove/node/node_context.py
@@ -28,7 +28,7 @@
         self.timers = timers
         self.logger = logger
         self.descriptors = descriptors
-        self.connections = ConnectionTable(descriptors.most[DescriptorUse.CLIENT])
+        self.connections = ConnectionTable(descriptors.limits[DescriptorUse.CLIENT])
         self.sessions: dict[bytes, Session] = {}
         self.servers: dict[str, Server] = {}
         self.last_us = 0
--- a/packages/node/src/fennelcove/node/outcome_mapping.py
+++ b/packages/node/src/fennelcove/node/outcome_mapping.py
@@ -16,14 +16,14 @@
 }
 # The outcome of an attempt, by the cause of the release that ends it.
 ATTEMPT_OUTCOMES: dict[int | None, Outcome] = {
-    Cause.FULL: Outcome.TURNED_AWAY,
+    Cause.FULL: Outcome.REJECTED,
     Cause.ERROR: Outcome.SERVER_ERROR,
     Cause.MOOT: Outcome.NOT_SENT,
 }
 # The outcome of an established session, by the cause of the release that ends it.
 SESSION_OUTCOMES: dict[int | None, Outcome] = {
     Cause.OK: Outcome.SERVED,
-    Cause.CALLED_OFF: Outcome.CALLED_OFF,
+    Cause.CALLED_OFF: Outcome.CANCELLED,
 }
 
 
--- a/packages/node/src/fennelcove/node/pending_notifications.py
+++ b/packages/node/src/fennelcove/node/pending_notifications.py
@@ -40,7 +40,7 @@
     def deliver(self, connection: ClientLink) -> None:
         """Send what is queued for this connection's peer; what can't be sent stays for the next one."""
         queue = self.by_peer.get(connection.peer, deque())
-        while queue and not connection.left() and connection.send(queue[0].data):
+        while queue and not connection.has_left() and connection.send(queue[0].data):
             queue.popleft()
         if not queue:
             self.by_peer.pop(connection.peer, None)
--- a/packages/node/src/fennelcove/node/policy_effects.py
+++ b/packages/node/src/fennelcove/node/policy_effects.py
@@ -18,7 +18,7 @@
     sessions: dict[bytes, Session]
     servers: dict[str, Server]
     timers: Timers
-    fetch: Callable[[], None]  # requests the whole list of servers
+    request_full_list: Callable[[], None]  # requests the whole list of servers
 
     def run_locked(self, call: Callable[[], None]) -> None:
         """Call with the node's lock held."""
@@ -68,7 +68,7 @@
 
     def fetch_list(self) -> None:
         """Request the whole list of servers."""
-        self._target.fetch()
+        self._target.request_full_list()
 
     def watch_list(self) -> None:
         """Do nothing: the list is always watched."""
--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -12,7 +12,7 @@
 from fennelcove.node import config, log, state_dump
 from fennelcove.node.client_listener import ClientListener
 from fennelcove.node.config_reloader import ConfigReloader
-from fennelcove.node.descriptor_budget import DescriptorBudget, count_open_descriptors, limited
+from fennelcove.node.descriptor_budget import DescriptorBudget, count_open_descriptors, effective_limit
 from fennelcove.node.discovery_client import DiscoveryClient
 from fennelcove.node.session_manager import SessionManager
 from fennelcove.node.thread_start import start_thread
@@ -36,12 +36,14 @@
         self.clock = SystemClock()
         self.timers = Timers(self.clock, self.on_timer_failed)
         listening_sockets = 1
-        budget = DescriptorBudget(limited(self.config.sockets), count_open_descriptors() + listening_sockets)
+        budget = DescriptorBudget(
+            effective_limit(self.config.socket_limit), count_open_descriptors() + listening_sockets
+        )
         self.manager = SessionManager(self.config, self.clock, self.timers, self.log, budget)
         self.discovery = DiscoveryClient(
             self.manager, self.clock, self.config.discovery_address, self.config.initial_batch.revision
         )
-        self.manager.fetch = self.discovery.resync
+        self.manager.request_full_list = self.discovery.resync
         self.reloader = ConfigReloader(path, self.config, budget, self.log, self.discovery.change_address)
         self.listener = ClientListener(self.manager, self.clock, self.log)
 
@@ -68,7 +70,7 @@
         threading.stack_size(STACK_BYTES)
         with self.manager.lock:
             for event in self.config.initial_batch.events:
-                self.manager.board_says(event)
+                self.manager.on_discovery_event(event)
         # Blocked before any thread starts, so that each one inherits it and only the main thread receives
         # them; and before it listens, since what is accepted from then on must be served until the shutdown's
         # end.
@@ -100,18 +102,18 @@
             time.sleep(MAINTENANCE_INTERVAL_US / 1e6)
             try:
                 with self.manager.lock:
-                    self.manager.round()
+                    self.manager.run_maintenance()
             except Exception as error:  # one round's fault must not end all later ones
                 self.log("maintenance_failed", reason=f"{type(error).__name__}: {error}")
 
     def _shut_down(self) -> None:
         """Fail health checks from now on, but serve sessions and answer requests until the wait is over."""
         with self.manager.lock:
-            self.manager.stopping = True
+            self.manager.is_shutting_down = True
         self.log("shutdown_started", held=len(self.manager.sessions))
-        time.sleep(shutdown_wait_us(self.config.terms.longest_us) / 1e6)
+        time.sleep(shutdown_wait_us(self.config.connection_settings.longest_us) / 1e6)
         with self.manager.lock:
-            unanswered = self.manager.end()
+            unanswered = self.manager.shut_down()
         self.listener.drain()
         self.log("shutdown_completed", held=len(self.manager.sessions), unanswered=unanswered)
 
--- a/packages/node/src/fennelcove/node/server_connection.py
+++ b/packages/node/src/fennelcove/node/server_connection.py
@@ -23,7 +23,7 @@
 from fennelcove.node.model import Attempt, ConnectionState, Server, ServerLink, Session
 
 READ_BYTES = 16_384
-DIAL_AGAIN_US = 300_000  # delay between two dials for the sessions that are established at a server
+REDIAL_DELAY_US = 300_000  # delay between two dials for the sessions that are established at a server
 MIN_RECEIVE_TIMEOUT_US = 1_000
 NO_SESSION_ID = bytes(8)
 KEEPALIVE_REQUEST_CAUSE = b"\0"
@@ -44,7 +44,7 @@
         """Return the Unix time in microseconds; it never goes back."""
         ...
 
-    def hear(self, link: ServerLink, message: Message) -> None:
+    def on_server_message(self, link: ServerLink, message: Message) -> None:
         """Handle a message from a server."""
         ...
 
@@ -52,15 +52,15 @@
         """Handle the outcome of a session's current attempt."""
         ...
 
-    def takes_attempts(self, server: Server) -> bool:
+    def accepts_attempts(self, server: Server) -> bool:
         """Whether the server list allows new attempts at this server."""
         ...
 
-    def wanted(self, session: Session) -> bool:
+    def is_still_wanted(self, session: Session) -> bool:
         """Whether the client of a set-up that waited for its connection is still there."""
         ...
 
-    def dial_failed(self, server: Server, refused: bool) -> None:
+    def on_dial_failed(self, server: Server, refused: bool) -> None:
         """Handle a connection to a server that could not be made."""
         ...
 
@@ -107,23 +107,23 @@
         self.manager = manager
         self.server = server
         self.address = server.address  # the server may be listed at another address while this is open
-        self.phase = ConnectionState.DIALLING
+        self.state = ConnectionState.DIALLING
         self.sock: socket.socket | None = None
-        self.carried: Session | None = None  # the session whose set-up is in flight
-        self.given_up: set[bytes] = set()  # ids of abandoned set-ups that may still be answered here
-        self.heard_us = self.opened_us = manager.now_us()
-        self.tested_us: int | None = None
+        self.dispatched_session: Session | None = None  # the session whose set-up is in flight
+        self.abandoned_ids: set[bytes] = set()  # ids of abandoned set-ups that may still be answered here
+        self.last_received_us = self.opened_us = manager.now_us()
+        self.keepalive_sent_us: int | None = None
         self.is_dialling = False  # its thread is dialling: it holds a descriptor, whatever the state
         self.descriptor = manager.descriptors.reserve(DescriptorUse.SERVER)
         self.is_read_to_end = False  # every message that the server has sent here has been handled
         server.links[self] = None
 
     @property
-    def idle(self) -> bool:
+    def is_idle(self) -> bool:
         """Whether it is open with no set-up in flight."""
-        return self.phase is ConnectionState.OPEN and self.carried is None
+        return self.state is ConnectionState.OPEN and self.dispatched_session is None
 
-    def ended(self) -> bool:
+    def is_ended_by_server(self) -> bool:
         """Whether the server has closed or reset the stream, though the thread may not have read that yet.
 
         Data sent after that is lost, and a lost set-up may have run.
@@ -139,10 +139,10 @@
             self.is_dialling = False
             self.close(Outcome.NOT_SENT)
 
-    def carry(self, session: Session) -> None:
+    def dispatch(self, session: Session) -> None:
         """Send this session's set-up, now or as soon as the connection is open."""
-        self.carried = session
-        if self.phase is ConnectionState.OPEN:
+        self.dispatched_session = session
+        if self.state is ConnectionState.OPEN:
             self._send_set_up(session)
 
     def _send_set_up(self, session: Session) -> None:
@@ -152,7 +152,7 @@
         self.send(writer.message(Kind.SET_UP, session.id, *parameters), Outcome.NOT_SENT)
 
     def _set_up_parameters(self, session: Session, attempt: Attempt) -> list[tuple[Code, bytes]]:
-        deadline_us = attempt.sent_us + attempt.allow_us
+        deadline_us = attempt.sent_us + attempt.timeout_us
         remaining_ms = max(1, (deadline_us - self.manager.now_us()) // 1000)
         parameters = [
             (Code.ROOM, session.service_class.encode()),
@@ -174,30 +174,30 @@
         Returns:
             Whether the connection is still open.
         """
-        if self.phase is ConnectionState.OPEN and self.sock is not None and not send_now(self.sock, data):
+        if self.state is ConnectionState.OPEN and self.sock is not None and not send_now(self.sock, data):
             self.close(unsent)
-        return self.phase is ConnectionState.OPEN
+        return self.state is ConnectionState.OPEN
 
-    def test(self) -> None:
+    def send_keepalive(self) -> None:
         """Send a keepalive request."""
-        self.tested_us = self.manager.now_us()
+        self.keepalive_sent_us = self.manager.now_us()
         self.send(writer.message(Kind.TEST, NO_SESSION_ID, (Code.CAUSE, KEEPALIVE_REQUEST_CAUSE)))
 
-    def answer_test(self) -> None:
+    def answer_keepalive(self) -> None:
         """Answer the server's keepalive request."""
         self.send(writer.message(Kind.TESTED, NO_SESSION_ID, (Code.CAUSE, KEEPALIVE_ANSWER_CAUSE)))
 
-    def give_up(self, session: Session) -> None:
+    def abandon(self, session: Session) -> None:
         """Abandon the set-up in flight; an answer that still arrives for it is ignored."""
-        if self.carried is session:
-            self.carried = None
-            self.given_up.add(session.id)
+        if self.dispatched_session is session:
+            self.dispatched_session = None
+            self.abandoned_ids.add(session.id)
             self.send(writer.release(session.id, Cause.OK))
 
-    def done(self) -> None:
+    def on_set_up_completed(self) -> None:
         """Record that the server has answered the set-up in flight, and so has read every earlier release."""
-        self.carried = None
-        self.given_up.clear()
+        self.dispatched_session = None
+        self.abandoned_ids.clear()
 
     def close(self, outcome: Outcome) -> None:
         """Close the connection.
@@ -205,16 +205,16 @@
         Args:
             outcome: the outcome of the set-up in flight, if there is one.
         """
-        if self.phase is ConnectionState.CLOSED:
+        if self.state is ConnectionState.CLOSED:
             return
-        if self.phase is ConnectionState.OPEN and not self.is_read_to_end:
-            self.server.dial_anew = True
-        self.phase = ConnectionState.CLOSED
+        if self.state is ConnectionState.OPEN and not self.is_read_to_end:
+            self.server.needs_redial = True
+        self.state = ConnectionState.CLOSED
         self.server.links.pop(self, None)
-        self.server.left_us = self.manager.now_us()
+        self.server.last_closed_us = self.manager.now_us()
         if not self.is_dialling:
             self.descriptor.release_reservation()
-        session, self.carried = self.carried, None
+        session, self.dispatched_session = self.dispatched_session, None
         if self.sock is not None:
             with suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)  # wakes the thread, which closes the descriptor
@@ -238,7 +238,7 @@
 
     def _connect(self) -> socket.socket | None:
         """Open the socket and connect it; None if there is no connection to receive from."""
-        timeout_us = self.manager.config.terms.connect_us
+        timeout_us = self.manager.config.connection_settings.connect_us
         try:
             sock = self.descriptor.open_socket(timeout_us)
         except OSError:
@@ -262,25 +262,29 @@
         """
         with self.manager.lock:
             self._on_dial_finished()
-            self.server.dial_at_us = self.manager.now_us() + DIAL_AGAIN_US
+            self.server.next_dial_us = self.manager.now_us() + REDIAL_DELAY_US
             self.close(Outcome.NOT_SENT)
 
     def _on_connect_failed(self, error: OSError) -> None:
         self.descriptor.close()
         with self.manager.lock:
             self._on_dial_finished()
-            if self.phase is ConnectionState.DIALLING:
+            if self.state is ConnectionState.DIALLING:
                 self.close(Outcome.NO_CONNECTION)
-                self.manager.dial_failed(self.server, isinstance(error, ConnectionRefusedError))
+                self.manager.on_dial_failed(self.server, isinstance(error, ConnectionRefusedError))
 
     def _on_connected(self, sock: socket.socket) -> socket.socket | None:
         """Open the connection; None if it was closed while its thread dialled."""
         with self.manager.lock:
             self._on_dial_finished()
-            if self.phase is ConnectionState.DIALLING:
-                self.phase, self.sock, self.heard_us = ConnectionState.OPEN, sock, self.manager.now_us()
-                self.opened_us = self.heard_us
-                self.server.parting.dialled(DialResult.MADE, self.heard_us)
+            if self.state is ConnectionState.DIALLING:
+                self.state, self.sock, self.last_received_us = (
+                    ConnectionState.OPEN,
+                    sock,
+                    self.manager.now_us(),
+                )
+                self.opened_us = self.last_received_us
+                self.server.connection_loss.on_dial_completed(DialResult.CONNECTED, self.last_received_us)
                 self._on_opened()
                 return sock
         self.descriptor.close()
@@ -293,21 +297,21 @@
         servers exceeded the node's budget of descriptors.
         """
         self.is_dialling = False
-        if self.phase is ConnectionState.CLOSED:
+        if self.state is ConnectionState.CLOSED:
             self.descriptor.release_reservation()
 
     def _on_opened(self) -> None:
         """Send what has waited for the connection."""
-        if self.ended():
+        if self.is_ended_by_server():
             # Closed by its server while new: a set-up sent now would count as one that may have run.
             self._complete_attempt(Outcome.NO_CONNECTION)
             return
         self._send_queued_messages()
-        if not self.manager.takes_attempts(self.server) or self.address != self.server.address:
+        if not self.manager.accepts_attempts(self.server) or self.address != self.server.address:
             # The list has changed during the dial: a slow dial may outlast the grace period, and another
             # server may be behind the address by now. The connection stays for the established sessions.
             self._complete_attempt(Outcome.NOT_SENT)
-        elif self.carried is not None:
+        elif self.dispatched_session is not None:
             self._send_waiting_set_up()
 
     def _send_queued_messages(self) -> None:
@@ -317,14 +321,14 @@
             unsent.popleft()
 
     def _send_waiting_set_up(self) -> None:
-        session, self.carried = self.carried, None
-        if session is not None and self.manager.wanted(session):
-            self.carried = session
+        session, self.dispatched_session = self.dispatched_session, None
+        if session is not None and self.manager.is_still_wanted(session):
+            self.dispatched_session = session
             self._send_set_up(session)
 
     def _complete_attempt(self, outcome: Outcome) -> None:
         """Report the outcome of the set-up that waited, if there is one; the connection stays open."""
-        session, self.carried = self.carried, None
+        session, self.dispatched_session = self.dispatched_session, None
         if session is not None:
             self.manager.on_attempt_completed(session, outcome, None)
 
@@ -338,8 +342,8 @@
         self.is_read_to_end = True
 
     def _handle_messages(self, reader: Reader) -> None:
-        self.heard_us, self.tested_us = self.manager.now_us(), None
-        self.server.parting.heard(self.heard_us)
+        self.last_received_us, self.keepalive_sent_us = self.manager.now_us(), None
+        self.server.connection_loss.on_received(self.last_received_us)
         # Read to the end even if the connection was closed meanwhile: a session's release may be among them.
         while (message := reader.next()) is not None:
-            self.manager.hear(self, message)
+            self.manager.on_server_message(self, message)
--- a/packages/node/src/fennelcove/node/server_messages.py
+++ b/packages/node/src/fennelcove/node/server_messages.py
@@ -44,7 +44,7 @@
         """
         session = self._context.sessions.get(message.session)
         if message.kind is Kind.TEST:
-            link.answer_test()
+            link.answer_keepalive()
         if session is None and message.kind in (Kind.NOTE, Kind.RELEASE):
             # At a start a server reports the rungs of all its sessions as soon as a connection is open, and
             # most clients have not named theirs by then: ignored, all would be taken for the lowest rung.
@@ -90,16 +90,16 @@
         if description is None:
             link.close(Outcome.CONNECTION_LOST)
             return
-        if link.carried is session:
-            link.done()
+        if link.dispatched_session is session:
+            link.on_set_up_completed()
         session.answer = description
         session_states.apply_event(self._actions, session, SessionEvent.SETUP_ANSWERED)
 
     def _on_release(self, link: ServerLink, session: Session, message: Message) -> None:
         is_established = session.state is SessionState.ESTABLISHED
         outcome = outcome_mapping.release_outcome(message, is_established=is_established)
-        if link.carried is session:
-            link.done()
+        if link.dispatched_session is session:
+            link.on_set_up_completed()
         self._attempts.on_completed(session, outcome, outcome_mapping.parse_load_report(message))
 
     def _on_report(self, session: Session, message: Message) -> None:
--- a/packages/node/src/fennelcove/node/server_monitor.py
+++ b/packages/node/src/fennelcove/node/server_monitor.py
@@ -7,7 +7,7 @@
 from fennelcove.node.attempt_dispatcher import AttemptDispatcher
 from fennelcove.node.model import ConnectionState, Server
 from fennelcove.node.node_context import NodeContext
-from fennelcove.node.server_connection import DIAL_AGAIN_US
+from fennelcove.node.server_connection import REDIAL_DELAY_US
 from fennelcove.node.server_pool import ServerPool
 from fennelcove.placement import PlacementPolicy
 
@@ -35,7 +35,7 @@
     def accepts_attempts(self, server: Server) -> bool:
         """Whether the list, as far as it is known, lets new sessions go to this server."""
         entry = self._policy.servers.get(server.name)
-        return entry is not None and entry.standing is ServerState.ACTIVE
+        return entry is not None and entry.state is ServerState.ACTIVE
 
     def is_known(self, name: str) -> bool:
         """Whether both the policy and the node have a server of this name."""
@@ -50,16 +50,18 @@
     def on_dial_failed(self, server: Server, refused: bool) -> None:
         """Record that a connection could not be made."""
         now_us = self._context.now_us()
-        server.parting.dialled(DialResult.REFUSED if refused else DialResult.SILENT, now_us)
-        server.dial_at_us = self._context.now_us() + DIAL_AGAIN_US
+        server.connection_loss.on_dial_completed(
+            DialResult.REFUSED if refused else DialResult.TIMED_OUT, now_us
+        )
+        server.next_dial_us = self._context.now_us() + REDIAL_DELAY_US
         self.close_if_lost(server)
 
     def close_if_lost(self, server: Server) -> None:
         """Close the sessions at a server that is gone: their clients must be notified."""
-        if any(link.phase is ConnectionState.OPEN for link in server.links):
+        if any(link.state is ConnectionState.OPEN for link in server.links):
             return
         # Taken for gone after two dials that timed out, a zone that was only cut off lost all its clients.
-        if server.parting.over(server.listed, self._context.now_us()):
+        if server.connection_loss.is_lost(server.listed, self._context.now_us()):
             self.close_sessions(server)
 
     def close_sessions(self, server: Server) -> None:
@@ -78,7 +80,7 @@
         server.started_us = started_us
         for link in list(server.links):
             # A machine that vanished ended none of its connections: a set-up on one of them is reset.
-            if link.idle and link.heard_us < started_us:
+            if link.is_idle and link.last_received_us < started_us:
                 link.close(Outcome.CONNECTION_LOST)
         for session in list(server.established):
             if session.attempt is not None and session.attempt.sent_us < started_us:
@@ -91,7 +93,7 @@
         if server.listed or server.established or server.name in self._policy.servers:
             return
         for link in list(server.links):
-            if link.carried is None:
+            if link.dispatched_session is None:
                 link.close(Outcome.CONNECTION_LOST)
         if not server.links:
             del self._context.servers[server.name]
@@ -104,7 +106,7 @@
             if server.established:
                 self.close_if_lost(server)
             if self._is_dial_due(server, now_us):
-                server.dial_anew = False
+                server.needs_redial = False
                 # A dial would reach the one that came in its place, whose answers prove nothing of it.
                 if self.is_replaced(server):
                     self.close_sessions(server)
@@ -115,21 +117,23 @@
 
     def _check_connections(self, server: Server, now_us: int) -> None:
         """Probe quiet connections, and close dead ones, and unused ones before the server does."""
-        unused_after_us = self._context.config.terms.idle_us * 3 // 4
+        unused_after_us = self._context.config.connection_settings.idle_us * 3 // 4
         for link in list(server.links):
-            if link.phase is not ConnectionState.OPEN:
+            if link.state is not ConnectionState.OPEN:
                 continue
-            quiet_us = now_us - link.heard_us
-            is_dead = link.tested_us is not None and now_us - link.tested_us > PROBE_TIMEOUT_US
-            is_unused = link.idle and not server.established and quiet_us > unused_after_us
+            quiet_us = now_us - link.last_received_us
+            is_dead = (
+                link.keepalive_sent_us is not None and now_us - link.keepalive_sent_us > PROBE_TIMEOUT_US
+            )
+            is_unused = link.is_idle and not server.established and quiet_us > unused_after_us
             if is_dead or is_unused:
                 link.close(Outcome.CONNECTION_LOST)
-            elif quiet_us > PROBE_AFTER_US and server.established and link.tested_us is None:
-                link.test()
+            elif quiet_us > PROBE_AFTER_US and server.established and link.keepalive_sent_us is None:
+                link.send_keepalive()
 
     def _is_dial_due(self, server: Server, now_us: int) -> bool:
         # The ends of sessions come on any open connection, or on the next that is opened. One that was
         # closed unread may have carried them, and with others open no next one ever came.
-        server.dial_anew = server.dial_anew and bool(server.established)
-        needs_another = server.dial_anew and not self._pool.is_full
-        return server.needs_link and (not server.links or needs_another) and now_us >= server.dial_at_us
+        server.needs_redial = server.needs_redial and bool(server.established)
+        needs_another = server.needs_redial and not self._pool.is_full
+        return server.needs_link and (not server.links or needs_another) and now_us >= server.next_dial_us
--- a/packages/node/src/fennelcove/node/server_pool.py
+++ b/packages/node/src/fennelcove/node/server_pool.py
@@ -24,12 +24,12 @@
     @property
     def connection_count(self) -> int:
         """Connections that are not closed."""
-        return self._context.descriptors.promised[DescriptorUse.SERVER]
+        return self._context.descriptors.reserved_counts[DescriptorUse.SERVER]
 
     @property
     def max_connections(self) -> int:
         """The servers' part of the node's descriptors."""
-        return self._context.descriptors.most[DescriptorUse.SERVER]
+        return self._context.descriptors.limits[DescriptorUse.SERVER]
 
     @property
     def is_full(self) -> bool:
@@ -46,14 +46,16 @@
         None of them is being closed by the server or is about to be: a set-up lost there fails for good
         where it may not be repeated.
         """
-        since_us = self._context.now_us() - self._context.config.terms.idle_us * 3 // 4
-        idle = [link for link in server.links if link.idle and link.address == server.address]
-        live = [link for link in idle if link.heard_us >= since_us and not link.ended()]
+        since_us = self._context.now_us() - self._context.config.connection_settings.idle_us * 3 // 4
+        idle = [link for link in server.links if link.is_idle and link.address == server.address]
+        live = [link for link in idle if link.last_received_us >= since_us and not link.is_ended_by_server()]
         # Where a set-up under this id was abandoned, the answer to it may be on its way.
         usable = [
-            link for link in live if session.id not in link.given_up and len(link.given_up) < MAX_ABANDONED
+            link
+            for link in live
+            if session.id not in link.abandoned_ids and len(link.abandoned_ids) < MAX_ABANDONED
         ]
-        return sorted(usable, key=lambda link: link.heard_us)
+        return sorted(usable, key=lambda link: link.last_received_us)
 
     def close_idle(self, min_age_us: int = 0) -> bool:
         """Close an idle connection to make room for another.
@@ -66,10 +68,10 @@
         """
         now_us = self._context.now_us()
         servers = self._context.servers.values()
-        idle = [link for server in servers for link in server.links if link.idle]
+        idle = [link for server in servers for link in server.links if link.is_idle]
         unneeded = [link for link in idle if not (link.server.needs_link and len(link.server.links) == 1)]
         if unneeded:
-            min(unneeded, key=lambda link: link.heard_us).close(Outcome.CONNECTION_LOST)
+            min(unneeded, key=lambda link: link.last_received_us).close(Outcome.CONNECTION_LOST)
             return True
         oldest = min(idle, key=lambda link: link.opened_us, default=None)
         if oldest is None or now_us - oldest.opened_us < min_age_us:
@@ -89,7 +91,7 @@
         A server repeats on the next connection which sessions have ended.
         """
         turn_us = TURNS_US * self.max_connections // (self.max_connections + len(waiting))
-        for server in sorted(waiting, key=lambda server: server.left_us):
+        for server in sorted(waiting, key=lambda server: server.last_closed_us):
             if self.is_full and not self.close_idle(turn_us):
                 return
             self.create(server).start()
@@ -101,7 +103,7 @@
         would then keep sessions of the first open.
         """
         for link in list(server.links):
-            if link.phase is ConnectionState.DIALLING:
+            if link.state is ConnectionState.DIALLING:
                 link.close(Outcome.NOT_SENT)
-            elif link.idle and not only_dials:
+            elif link.is_idle and not only_dials:
                 link.close(Outcome.CONNECTION_LOST)
--- a/packages/node/src/fennelcove/node/session_admission.py
+++ b/packages/node/src/fennelcove/node/session_admission.py
@@ -26,7 +26,7 @@
         """Register a session, and pass its valid set-up request to the policy."""
         self._context.sessions[session.id] = session
         if session.client is not None:
-            session.client.open[session] = None
+            session.client.open_sessions[session] = None
         if self._is_shut_down:
             self._answer_at_shutdown(session)  # the process is gone before a server could answer
         elif self._deadlines.add(session, request.timeout_us + ANSWER_GRACE_US):
--- a/packages/node/src/fennelcove/node/session_manager.py
+++ b/packages/node/src/fennelcove/node/session_manager.py
@@ -14,7 +14,7 @@
 from fennelcove.node.attempt_dispatcher import AttemptDispatcher
 from fennelcove.node.config import Config
 from fennelcove.node.deadlines import Deadlines
-from fennelcove.node.descriptor_budget import DescriptorBudget, limited
+from fennelcove.node.descriptor_budget import DescriptorBudget, effective_limit
 from fennelcove.node.discovery_updates import DiscoveryUpdateHandler
 from fennelcove.node.handovers import HandoverManager
 from fennelcove.node.log import EventLogger
@@ -48,27 +48,27 @@
         self.config = config
         self.clock = clock
         self.timers = timers
-        self.notice = notice
-        self.descriptors = descriptors or DescriptorBudget(limited(config.sockets))
+        self.logger = notice
+        self.descriptors = descriptors or DescriptorBudget(effective_limit(config.socket_limit))
         self.lock = threading.Lock()
-        self.stopping = False
-        self.fetch: Callable[[], None] = lambda: None  # requests the whole list of servers
+        self.is_shutting_down = False
+        self.request_full_list: Callable[[], None] = lambda: None  # requests the whole list of servers
         self.context = NodeContext(config, clock, timers, notice, self.descriptors)
         self.sessions = self.context.sessions
         self.servers = self.context.servers
         self.connections = self.context.connections
         self.now_us = self.context.now_us
-        self.front = PlacementPolicy(config.settings, config.seed, PolicyEffects(self), self.now_us())
+        self.policy = PlacementPolicy(config.settings, config.seed, PolicyEffects(self), self.now_us())
         self._create_parts()
         self._bind_entry_points()
 
     @property
-    def links(self) -> int:
+    def server_connection_count(self) -> int:
         """Connections to servers that are not closed."""
         return self.pool.connection_count
 
     @property
-    def most_links(self) -> int:
+    def max_server_connections(self) -> int:
         """The number of connections to servers that are allowed."""
         return self.pool.max_connections
 
@@ -77,7 +77,7 @@
         with self.lock:
             call()
 
-    def round(self) -> None:
+    def run_maintenance(self) -> None:
         """Expire what is too old, and check the servers; called periodically."""
         now_us = self.now_us()
         self.messages.expire(now_us)
@@ -89,13 +89,13 @@
     def _create_parts(self) -> None:
         context = self.context
         self.deadlines = Deadlines(self.clock, self.timers, self._on_deadline_timer)
-        self.notifier = PolicyNotifier(context, self.front, self)
+        self.notifier = PolicyNotifier(context, self.policy, self)
         self.messenger = SessionMessenger(context, self.deadlines)
         self.admission = SessionAdmission(context, self.deadlines, self)
         self.pool = ServerPool(context, self)
         self.attempts = AttemptDispatcher(context, self.pool, self, self.run_locked)
         self.messages = ServerMessageHandler(context, self.attempts, self)
-        self.monitor = ServerMonitor(context, self.front, self.pool, self.attempts)
+        self.monitor = ServerMonitor(context, self.policy, self.pool, self.attempts)
         self.handovers = HandoverManager(context, self.pool, self.monitor, self.attempts, self.messages, self)
         self.updates = DiscoveryUpdateHandler(context, self.pool, self.monitor, self.handovers, self)
 
@@ -107,22 +107,22 @@
         self.send_to_client = self.messenger.send_to_client
         self.send_to_server = self.messenger.send_to_server
         self.forget_session = self.messenger.forget_session
-        # Of connections from clients (`request_validation.Counter`).
+        # Of connections from clients (`client_requests.Counter`).
         self.deliver_pending = self.connections.deliver
-        self.may_hold_sessions = self.connections.seated
+        self.may_hold_sessions = self.connections.may_hold_sessions
         self.admit = self.admission.admit
         self.take_over = self.handovers.take_over
         # Of connections to servers (`ConnectionOwner`).
-        self.hear = self.messages.on_message
+        self.on_server_message = self.messages.on_message
         self.on_attempt_completed = self.attempts.on_completed
-        self.takes_attempts = self.monitor.accepts_attempts
-        self.wanted = self.attempts.is_wanted
-        self.dial_failed = self.monitor.on_dial_failed
+        self.accepts_attempts = self.monitor.accepts_attempts
+        self.is_still_wanted = self.attempts.is_wanted
+        self.on_dial_failed = self.monitor.on_dial_failed
         # Of the discovery client and the program.
-        self.board_says = self.updates.on_event
-        self.end = self.admission.shut_down
-        self.spare = self.pool.close_idle
-        self.time_over = self.attempts.on_timeout
+        self.on_discovery_event = self.updates.on_event
+        self.shut_down = self.admission.shut_down
+        self.close_idle_connection = self.pool.close_idle
+        self.on_attempt_timeout = self.attempts.on_timeout
 
     def _on_deadline_timer(self) -> None:
         self.run_locked(self.admission.answer_overdue)
--- a/packages/node/src/fennelcove/node/session_messenger.py
+++ b/packages/node/src/fennelcove/node/session_messenger.py
@@ -23,13 +23,13 @@
             as well, and the session would be established for nobody.
         """
         self._deadlines.drop(session)
-        return session.client is not None and not session.client.left() and session.client.send(data)
+        return session.client is not None and not session.client.has_left() and session.client.send(data)
 
     def send_to_client(self, session: Session, data: bytes) -> None:
         """Send on the set-up's connection, or another of the same client's, or keep it for the next one."""
         client = session.client
-        if client is None or client.left():
-            client = self._context.connections.other(session.peer, session.client_id)
+        if client is None or client.has_left():
+            client = self._context.connections.find_connection(session.peer, session.client_id)
         if client is None or not client.send(data):
             self._context.connections.defer(session.peer, data, self._context.now_us())
 
@@ -40,7 +40,7 @@
         server = session.attempt.server
         for link in list(server.links):
             # Lost on a connection that has ended, a message left its session established for nobody.
-            if link.phase is ConnectionState.OPEN and not link.ended() and link.send(data):
+            if link.state is ConnectionState.OPEN and not link.is_ended_by_server() and link.send(data):
                 return
         server.unsent.append(data)
 
@@ -49,7 +49,7 @@
         self._context.sessions.pop(session.id, None)
         self._deadlines.drop(session)
         if session.client is not None:
-            session.client.open.pop(session, None)
-            session.client.standing.pop(session, None)
+            session.client.open_sessions.pop(session, None)
+            session.client.established_sessions.pop(session, None)
         if session.attempt is not None:
             session.attempt.server.established.pop(session, None)
--- a/packages/node/src/fennelcove/node/session_states.py
+++ b/packages/node/src/fennelcove/node/session_states.py
@@ -106,7 +106,7 @@
 
 
 def _dispatch_attempt(actions: SessionActions, session: Session) -> None:
-    if session.client is not None and session.client.left():
+    if session.client is not None and session.client.has_left():
         # Its end lies unread while its thread waits for the lock, perhaps for long.
         apply_event(actions, session, SessionEvent.CLIENT_GONE)
     else:
@@ -118,8 +118,8 @@
     attempt = session.current_attempt
     is_delivered = actions.answer_setup(session, _setup_answer(session, STATUS_OK, body=session.answer))
     if session.client is not None:
-        session.client.open.pop(session, None)
-        session.client.standing[session] = None
+        session.client.open_sessions.pop(session, None)
+        session.client.established_sessions[session] = None
     session.description = session.answer = b""
     attempt.link = None
     attempt.server.established[session] = None
@@ -136,7 +136,7 @@
 def _on_session_ended(actions: SessionActions, session: Session) -> None:
     """Close a session that has ended at its server, and notify the client unless it ended it itself."""
     outcome = session.current_attempt.outcome
-    if outcome is not Outcome.CALLED_OFF:
+    if outcome is not Outcome.CANCELLED:
         cause = RELEASE_CAUSES.get(outcome, Cause.RESET)
         actions.send_to_client(session, release_message(session, cause))
     _complete_attempt(actions, session, is_finished=True)
@@ -145,7 +145,7 @@
 def _release_at_server(actions: SessionActions, session: Session) -> None:
     """End an established session at its server, which does not know yet that the client has ended it."""
     actions.send_to_server(session, isup.release(session.id, Cause.OK))
-    session.current_attempt.outcome = Outcome.CALLED_OFF
+    session.current_attempt.outcome = Outcome.CANCELLED
     _complete_attempt(actions, session, is_finished=True)
 
 
@@ -153,8 +153,8 @@
     """Give up the attempt in flight: nobody waits for its answer any more."""
     attempt = session.current_attempt
     if attempt.link is not None:
-        attempt.link.give_up(session)
-    attempt.outcome = Outcome.CALLED_OFF
+        attempt.link.abandon(session)
+    attempt.outcome = Outcome.CANCELLED
     actions.notify_policy(ClientGone(session.key))
     _complete_attempt(actions, session, is_finished=True)
 
@@ -211,7 +211,7 @@
 
 
 def _setup_answer(session: Session, status: int, *fields: tuple[str, str], body: bytes = b"") -> bytes:
-    return rtsp.answer(status, ("CSeq", session.cseq), ("Session", session.name), *fields, body=body)
+    return rtsp.response(status, ("CSeq", session.cseq), ("Session", session.name), *fields, body=body)
 
 
 def _row(state: SessionState, *actions: Action) -> Transition[SessionState, Action]:
--- a/packages/node/src/fennelcove/node/setup_request.py
+++ b/packages/node/src/fennelcove/node/setup_request.py
@@ -35,7 +35,7 @@
         InvalidRequestError: a field is missing, malformed or out of its range.
     """
     routing = _parse_routing(message.fields.get("routing-data", ""))
-    title = _TITLE_ADDRESS.fullmatch(message.address)
+    title = _TITLE_ADDRESS.fullmatch(message.uri)
     service_class = message.fields.get("call-kind", "")
     if title is None or service_class not in settings.service_classes:
         raise InvalidRequestError
@@ -43,11 +43,11 @@
         id=key,
         service_class=service_class,
         title=int(title[1], 16),
-        first_cell=_parse_whole(routing, "home", 0, settings.cells - 1),
-        cell_count=_parse_whole(routing, "copies", 1, settings.cells),
+        first_cell=_parse_whole(routing, "home", 0, settings.cell_count - 1),
+        cell_count=_parse_whole(routing, "copies", 1, settings.cell_count),
         top_rung=_parse_whole(routing, "top", 0, len(settings.ladder_kb) - 1),
         timeout_us=0 if "at" in routing else _parse_timeout_us(message.fields.get("answer-within", "")),
-        returned=routing.get("again", "0") == "1",
+        is_repeat=routing.get("again", "0") == "1",
     )
     return SetupRequest(
         request=request,
--- a/packages/node/src/fennelcove/node/state_dump.py
+++ b/packages/node/src/fennelcove/node/state_dump.py
@@ -24,8 +24,8 @@
     """What is dumped."""
 
     lock: threading.Lock
-    notice: EventLogger
-    front: PlacementPolicy
+    logger: EventLogger
+    policy: PlacementPolicy
     servers: dict[str, Server]
     descriptors: DescriptorBudget
 
@@ -50,8 +50,8 @@
         with node.lock:
             found = lines(node)
         for line in found:
-            node.notice("trace", **line)
-        node.notice("descriptors", **node.descriptors.told())
+            node.logger("trace", **line)
+        node.logger("descriptors", **node.descriptors.counts_by_use())
 
 
 def _server_fields(node: DumpedNode, server: Server) -> dict[str, object]:
@@ -62,17 +62,17 @@
         "standing": len(server.established),
         "seen": {outcome.name: count for outcome, count in server.outcome_counts.items()},
     }
-    entry = node.front.servers.get(server.name)
+    entry = node.policy.servers.get(server.name)
     if entry is None:
         return fields
-    asked = entry.link.asked
+    asked = entry.link.report
     return fields | {
         "zone": entry.zone,
         "health": entry.health.name,
         "strikes": entry.strikes,
-        "cold": node.front.is_cold(entry),
+        "cold": node.policy.is_warming_up(entry),
         "asked": None if asked is None else round(asked, 3),
-        "taken_for": round(node.front.link_asked(entry), 3),
-        "own": round(entry.own_kb / entry.link.size_kb, 3),
+        "taken_for": round(node.policy.link_utilization(entry), 3),
+        "own": round(entry.own_kb / entry.link.capacity_kb, 3),
         "subs": len(entry.sessions),
     }
--- a/packages/node/src/fennelcove/rtsp/messages.py
+++ b/packages/node/src/fennelcove/rtsp/messages.py
@@ -27,13 +27,13 @@
     """A request; the names of its header fields are in lower case."""
 
     method: str
-    address: str
+    uri: str
     fields: Fields
     body: bytes
 
 
 @dataclass(frozen=True, slots=True, eq=False)
-class Answer:
+class Response:
     """A response; the names of its header fields are in lower case."""
 
     status: int
@@ -41,4 +41,4 @@
     body: bytes
 
 
-Message = Request | Answer
+Message = Request | Response
--- a/packages/node/src/fennelcove/rtsp/reader.py
+++ b/packages/node/src/fennelcove/rtsp/reader.py
@@ -7,7 +7,7 @@
 from fennelcove.rtsp.messages import (
     MAX_MESSAGE_BYTES,
     MAX_FIELDS,
-    Answer,
+    Response,
     Fields,
     Message,
     ProtocolError,
@@ -94,7 +94,7 @@
             return Request(match[1].decode(), match[2].decode(), fields, body)
         match = _STATUS_LINE.fullmatch(first)
         assert match is not None
-        return Answer(int(match[1]), fields, body)
+        return Response(int(match[1]), fields, body)
 
 
 def _parse_fields(lines: list[bytes]) -> Fields:
