--- a/packages/node/src/fennelcove/rtsp/writer.py
+++ b/packages/node/src/fennelcove/rtsp/writer.py
@@ -30,7 +30,7 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-def answer(status: int, *fields: tuple[str, str], body: bytes = b"") -> bytes:
+def response(status: int, *fields: tuple[str, str], body: bytes = b"") -> bytes:
     """Encode a response.
 
     Raises:
--- a/packages/placement/src/fennelcove/placement/attempts.py
+++ b/packages/placement/src/fennelcove/placement/attempts.py
@@ -10,8 +10,8 @@
 
 def may_attempt(state: PolicyState, session: Session) -> bool:
     """Whether any attempt may be sent now (rules 1, 2, 5 and 6)."""
-    service_class, max_attempts = session.service_class, state.settings.send_cap
-    is_impossible = (state.now_us >= session.timeout_us or session.top < service_class.floor
+    service_class, max_attempts = session.service_class, state.settings.max_attempts
+    is_impossible = (state.now_us >= session.deadline_us or session.top_rung < service_class.min_rung
                      or (max_attempts and len(session.attempts) >= max_attempts)
                      or 0 < service_class.seats <= state.seats.get((session.title, service_class), 0)
                      or (service_class.effect is Effect.SINGLE_SHOT and may_have_run(session)))
@@ -24,20 +24,20 @@
 
 def within_retry_budget(state: PolicyState) -> bool:
     settings = state.settings
-    if settings.budget_free is None:
+    if settings.retry_base is None:
         return True
-    for times_us in (state.taken, state.further):
-        while times_us and times_us[0] < state.now_us - settings.budget_span_us:
+    for times_us in (state.request_times, state.retry_times):
+        while times_us and times_us[0] < state.now_us - settings.retry_window_us:
             times_us.popleft()
-    return len(state.further) + 1 <= settings.budget_free + settings.budget_ratio * len(state.taken)
+    return len(state.retry_times) + 1 <= settings.retry_base + settings.retry_ratio * len(state.request_times)
 
 
 def may_use_server(state: PolicyState, session: Session, server: Server) -> bool:
     """Whether this server may get an attempt of the session (rules 2, 3 and 4)."""
     is_paced = is_warming_up(state, server) and not has_slow_start_turn(state, server)
     is_repeat = any(attempt.server is server for attempt in session.attempts)
-    is_usable = server.standing is ServerState.ACTIVE and not is_paced and not is_repeat
-    if not is_usable or not state.free(session.id, server.address):
+    is_usable = server.state is ServerState.ACTIVE and not is_paced and not is_repeat
+    if not is_usable or not state.may_use(session.id, server.address):
         return False
     return session.service_class.effect is not Effect.GUARDED or all(
         is_repeat_safe(state, session.service_class, attempt, server)
@@ -71,8 +71,8 @@
 
 
 def send_attempt(state: PolicyState, session: Session, server: Server, rung: int) -> None:
-    if session.attempts and state.settings.budget_free is not None:
-        state.further.append(state.now_us)
+    if session.attempts and state.settings.retry_base is not None:
+        state.retry_times.append(state.now_us)
     session.rung, server.last_attempt_us = rung, state.now_us
     rate_kb = state.rate_kb(session, rung)
     open_attempt(state, session, server)
@@ -86,5 +86,5 @@
 def attempt_timeout_us(state: PolicyState, session: Session) -> int:
     """Half of what is left to the latency objective, so that another replica can still meet it."""
     objective_us = session.service_class.latency_objective_us
-    left_us = max(session.taken_us + objective_us - state.now_us, objective_us // 2)
-    return max(1, min(left_us // 2, session.timeout_us - state.now_us))
+    left_us = max(session.requested_us + objective_us - state.now_us, objective_us // 2)
+    return max(1, min(left_us // 2, session.deadline_us - state.now_us))
--- a/packages/placement/src/fennelcove/placement/bitrate_adaptation.py
+++ b/packages/placement/src/fennelcove/placement/bitrate_adaptation.py
@@ -1,32 +1,32 @@
 """Bitrate adaptation: rungs of new sessions, lowered where a link is overloaded, raised into lasting room."""
 
 from fennelcove.placement.records import Server, Session, SessionState
-from fennelcove.placement.state import HOLD_BACK, LIFT_MARGIN, PolicyState, record_sent
+from fennelcove.placement.state import RESERVE, RAISE_MARGIN, PolicyState, record_sent
 
 
 def rationed_top_rung(state: PolicyState, session: Session, replicas: list[Server]) -> int:
     """The top rung of a new session, while others there, or anywhere, wait for steps of twice its utility."""
     others = [other for server in replicas for other in server.sessions] or state.sessions.values()
     wanted = max((utility_per_kb(state, other, other.rung + 1) for other in others
-                  if other.life is SessionState.PLAYING and other.rung < other.top), default=0.0)
-    floor = session.service_class.floor
-    return next((rung for rung in range(session.top, floor, -1)
-                 if utility_per_kb(state, session, rung) >= wanted / 2), min(session.top, floor))
+                  if other.state is SessionState.PLAYING and other.rung < other.top_rung), default=0.0)
+    floor = session.service_class.min_rung
+    return next((rung for rung in range(session.top_rung, floor, -1)
+                 if utility_per_kb(state, session, rung) >= wanted / 2), min(session.top_rung, floor))
 
 
 def utility_per_kb(state: PolicyState, session: Session, rung: int, *, is_lowering: bool = False) -> float:
     """Utility of the step up to a rung for each kB a second; lowering it costs a switch as well."""
-    gain = state.settings.ladder_worth[rung] - state.settings.ladder_worth[rung - 1]
+    gain = state.settings.rung_utilities[rung] - state.settings.rung_utilities[rung - 1]
     if is_lowering:
-        gain += state.settings.switch_cost_us / max(state.remaining_play_us(session), 1.0)
+        gain += state.settings.rung_switch_cost_us / max(state.remaining_play_us(session), 1.0)
     rate_kb = state.rate_kb(session, rung) - state.rate_kb(session, rung - 1)
-    return state.class_utility(session.service_class) * session.share * gain / max(rate_kb, 1e-9)
+    return state.class_utility(session.service_class) * session.quota_share * gain / max(rate_kb, 1e-9)
 
 
 def repays_switch(state: PolicyState, session: Session, rung: int, price: float = 0.0) -> bool:
     """Whether a raise yields more in the time left than the switch, and a price per typical play."""
-    gain = state.settings.ladder_worth[rung] - state.settings.ladder_worth[session.rung]
-    cost_us = state.settings.switch_cost_us + price * state.typical_watch_us
+    gain = state.settings.rung_utilities[rung] - state.settings.rung_utilities[session.rung]
+    cost_us = state.settings.rung_switch_cost_us + price * state.typical_watch_us
     return gain * state.remaining_play_us(session) > cost_us
 
 
@@ -40,7 +40,7 @@
     """Take this front's part of an overload off: short delivery costs more than a rung."""
     if load <= 1:
         return
-    excess = 1 - (1 - HOLD_BACK) / load
+    excess = 1 - (1 - RESERVE) / load
     for server in servers if other_fronts else ():  # they got the same report, and relieve it now too
         record_sent(server, -excess * state.others_kb(server), state.now_us)
     lower_rungs(state, servers, excess)
@@ -48,7 +48,7 @@
 
 def adapt_rungs(state: PolicyState, server: Server, other_fronts: int | None) -> None:
     """Answer a report of a server's load that other fronts got too; None: a probe of this front's own."""
-    relieve_overload(state, state.link_asked(server), [server], other_fronts or 0)
+    relieve_overload(state, state.link_utilization(server), [server], other_fronts or 0)
     relieve_overload(state, state.uplink_utilization(server.rack), server.rack.servers, other_fronts or 0)
     raise_rungs(state, server, other_fronts)
 
@@ -58,9 +58,9 @@
     playing = state.playing_sessions()
     steps = sorted((utility_per_kb(state, session, rung, is_lowering=True), index, -rung, rung, session)
                    for index, session in enumerate(playing)
-                   for rung in range(session.service_class.floor + 1, session.rung + 1))
+                   for rung in range(session.service_class.min_rung + 1, session.rung + 1))
     excess_kb = excess * sum(state.rate_kb(session, session.rung) for session in playing)
-    chance, rungs = state.rng(), dict[Session, int]()
+    chance, rungs = state.draw_uniform(), dict[Session, int]()
     for _, _, _, rung, session in steps:
         step_kb = state.rate_kb(session, rung) - state.rate_kb(session, rung - 1)
         if excess_kb <= chance * step_kb:
@@ -74,19 +74,19 @@
 def raise_rungs(state: PolicyState, server: Server, other_fronts: int | None) -> None:
     """Give lasting capacity to the steps of most utility; this front's part is its share of the load."""
     uplink, own_kb, others_kb = server.rack.uplink, server.own_kb, state.others_kb(server)
-    link_kb = (state.residual_link(server) - LIFT_MARGIN) * server.link.size_kb
-    uplink_load_kb = state.uplink_utilization(server.rack) * uplink.size_kb
-    uplink_kb = (1 - HOLD_BACK - LIFT_MARGIN) * uplink.size_kb - uplink_load_kb
+    link_kb = (state.residual_link(server) - RAISE_MARGIN) * server.link.capacity_kb
+    uplink_load_kb = state.uplink_utilization(server.rack) * uplink.capacity_kb
+    uplink_kb = (1 - RESERVE - RAISE_MARGIN) * uplink.capacity_kb - uplink_load_kb
     residual_kb = budget_kb = min(link_kb, uplink_kb)
     if other_fronts is not None:  # they too raise into what this report shows
         link_share = own_kb / max(own_kb + others_kb, 1.0)
         budget_kb = min(link_kb * link_share, uplink_kb * own_kb / max(own_kb, uplink_load_kb, 1.0))
     steps = sorted(((utility_per_kb(state, session, rung), index, -rung, rung, session)
                     for index, session in enumerate(server.sessions)
-                    if session.life is SessionState.PLAYING
-                    for rung in range(session.rung + 1, session.top + 1)
-                    if repays_switch(state, session, session.top)), reverse=True)
-    chance, rungs, spent_kb = state.rng(), dict[Session, int](), 0.0
+                    if session.state is SessionState.PLAYING
+                    for rung in range(session.rung + 1, session.top_rung + 1)
+                    if repays_switch(state, session, session.top_rung)), reverse=True)
+    chance, rungs, spent_kb = state.draw_uniform(), dict[Session, int](), 0.0
     for _, _, _, rung, session in steps:
         step_kb = state.rate_kb(session, rung) - state.rate_kb(session, rung - 1)
         fits = step_kb < residual_kb - spent_kb and chance * step_kb < budget_kb - spent_kb
--- a/packages/placement/src/fennelcove/placement/health.py
+++ b/packages/placement/src/fennelcove/placement/health.py
@@ -10,14 +10,14 @@
 
 MAX_STRIKES = 8
 CLOSED = (Health.WELL, Health.TRIAL)  # as a circuit breaker: attempts are sent
-FAULTS = (Outcome.SERVER_ERROR, Outcome.TURNED_AWAY, Outcome.NO_ANSWER)
+FAULTS = (Outcome.SERVER_ERROR, Outcome.REJECTED, Outcome.NO_ANSWER)
 CONNECTION_FAULTS = (Outcome.NO_CONNECTION, Outcome.CONNECTION_LOST)
 
 
 def is_healthy(state: PolicyState, server: Server) -> bool:
     if server.health is Health.SHUT and state.now_us >= server.shut_until_us:
         server.health = Health.TRIAL
-    is_tried = any(session.life is SessionState.JOINING for session in server.sessions)
+    is_tried = any(session.state is SessionState.JOINING for session in server.sessions)
     return server.health is Health.WELL or (server.health is Health.TRIAL and not is_tried)
 
 
@@ -35,7 +35,7 @@
 def suspend(state: PolicyState, server: Server) -> None:
     """Leave a server alone, for twice as long with each strike, and report it full to other fronts."""
     unit_us = min(item.latency_objective_us for item in state.settings.service_classes.values())
-    server.shut_until_us = state.now_us + min(unit_us * 2 ** (server.strikes + 1), state.settings.ramp_us)
+    server.shut_until_us = state.now_us + min(unit_us * 2 ** (server.strikes + 1), state.settings.warm_up_us)
     server.strikes = min(server.strikes + 1, MAX_STRIKES)
     notify_shard_owner(state, server.cell, loads=(CellLoad(server.cell, inf, None, 0),))
 
@@ -43,7 +43,7 @@
 def mark_restarted(state: PolicyState, server: Server) -> None:
     """Let a server warm up before the list reports its restart; the turn that it took stays used."""
     server.started_us = server.last_attempt_us = state.now_us
-    server.link.asked = None
+    server.link.report = None
 
 
 HEALTH_TRANSITIONS: TransitionTable[Health, Outcome, HealthAction] = TransitionTable({
--- a/packages/placement/src/fennelcove/placement/load_polling.py
+++ b/packages/placement/src/fennelcove/placement/load_polling.py
@@ -2,7 +2,7 @@
 
 from fennelcove.interface import CellLoad, PeerMessage, TimerName
 from fennelcove.placement.records import Loads, SentRates, Server, Session
-from fennelcove.placement.state import HOLD_BACK, MARK_US, PolicyState
+from fennelcove.placement.state import RESERVE, MARK_US, PolicyState
 
 MAX_PROBES = 2  # for a session: of two known replicas the better is nearly as good as of all
 MAX_POLLED_CELLS = 8  # in a message: a title may be on all servers, and thousands may be requested
@@ -10,57 +10,57 @@
 
 
 def shard_owner(state: PolicyState, cell: int) -> int:
-    return cell // CELLS_PER_SHARD % state.settings.fronts
+    return cell // CELLS_PER_SHARD % state.settings.front_count
 
 
 def notify_shard_owner(state: PolicyState, cell: int, loads: Loads = (), rates: SentRates = ()) -> None:
-    owner, index = shard_owner(state, cell), state.settings.index
+    owner, index = shard_owner(state, cell), state.settings.front_index
     if state.settings.peer_price is not None and owner != index:
-        state.effects.send_peer_message(owner, PeerMessage(index, loads=loads, attempts=rates))
+        state.effects.send_peer_message(owner, PeerMessage(index, loads=loads, sent_rates=rates))
 
 
 def load_of(state: PolicyState, server: Server, *, with_sent: bool) -> CellLoad:
     links = (server.link, server.rack.uplink)
-    shares = [link.utilization() if with_sent and link.asked is not None else link.asked for link in links]
-    reported_us = min((link.as_of_us for link in links if link.asked is not None), default=state.now_us)
+    shares = [link.utilization() if with_sent and link.report is not None else link.report for link in links]
+    reported_us = min((link.as_of_us for link in links if link.report is not None), default=state.now_us)
     return CellLoad(server.cell, shares[0], shares[1], state.now_us - reported_us)
 
 
 def poll_before_placement(state: PolicyState, session: Session, replicas: list[Server]) -> bool:
     """Poll for loads of replicas without a young report, once; whether the session waits for them."""
-    if session.asked is not None:
+    if session.awaited is not None:
         return False
-    awaited = session.asked = dict[Server, None]()
-    since_us = state.now_us - state.settings.seen_after_us
-    unheard = [server for server in replicas if server.link.asked is None or server.link.as_of_us < since_us]
+    awaited = session.awaited = dict[Server, None]()
+    since_us = state.now_us - state.settings.report_delay_us
+    unheard = [server for server in replicas if server.link.report is None or server.link.as_of_us < since_us]
     if state.may_probe and not is_fleet_full(state):
         drawn = state.random_source.sample(unheard, min(MAX_PROBES, len(unheard)))
-        awaited = session.asked = dict.fromkeys(drawn)
+        awaited = session.awaited = dict.fromkeys(drawn)
         for server in awaited:
             state.effects.probe(server.address)
     elif state.settings.peer_price is not None:
-        rest = [server for server in unheard if shard_owner(state, server.cell) != state.settings.index]
+        rest = [server for server in unheard if shard_owner(state, server.cell) != state.settings.front_index]
         is_many = len(rest) > MAX_POLLED_CELLS
         drawn = state.random_source.sample(rest, MAX_POLLED_CELLS) if is_many else rest
-        awaited = session.asked = dict.fromkeys(drawn)
+        awaited = session.awaited = dict.fromkeys(drawn)
         poll_shard_owners(state, [server.cell for server in awaited])
     for server in awaited:
-        server.waiting_sessions[session] = state.waiting[session] = None
+        server.waiting_sessions[session] = state.polling_sessions[session] = None
     if awaited:
-        state.effects.set_timer(TimerName.HELD, state.poll_deadline_us(session) - state.now_us)
+        state.effects.set_timer(TimerName.POLL_DEADLINE, state.poll_deadline_us(session) - state.now_us)
     return bool(awaited)
 
 
 def poll_shard_owners(state: PolicyState, cells: list[int]) -> None:
     for owner in sorted({shard_owner(state, cell) for cell in cells}):
         owned = tuple(cell for cell in cells if shard_owner(state, cell) == owner)
-        state.effects.send_peer_message(owner, PeerMessage(state.settings.index, asks=owned))
+        state.effects.send_peer_message(owner, PeerMessage(state.settings.front_index, polled_cells=owned))
 
 
 def is_fleet_full(state: PolicyState) -> bool:
     """Whether most servers with a recent report were full: polling then costs more than it finds."""
     seen = [s for s in state.contacted if state.now_us - max(s.link.as_of_us, s.link.full_until_us) < MARK_US]
-    full = sum(state.residual_link(server) <= 0 or state.uplink_utilization(server.rack) >= 1 - HOLD_BACK
+    full = sum(state.residual_link(server) <= 0 or state.uplink_utilization(server.rack) >= 1 - RESERVE
                for server in seen)
     return full > len(seen) / 2
 
@@ -68,6 +68,6 @@
 def plan_probe(state: PolicyState, server: Server) -> None:
     """Plan a probe once a typical play, twice as long after each that raised nothing: each has a price."""
     if state.may_probe and server.sessions and server.next_probe_us is None:
-        interval_us = server.probe_interval_us or int(state.rng() * state.typical_watch_us)
+        interval_us = server.probe_interval_us or int(state.draw_uniform() * state.typical_watch_us)
         server.next_probe_us = state.now_us + interval_us
         state.effects.set_timer(TimerName.PROBE, interval_us)
--- a/packages/placement/src/fennelcove/placement/load_reports.py
+++ b/packages/placement/src/fennelcove/placement/load_reports.py
@@ -5,47 +5,47 @@
 from fennelcove.placement.load_polling import MAX_POLLED_CELLS, load_of, notify_shard_owner, plan_probe
 from fennelcove.placement.records import Rack, Server, Session, SessionEvent, SessionState
 from fennelcove.placement.session_transitions import apply_event
-from fennelcove.placement.state import HOLD_BACK, MARK_US, WHOLE, PolicyState, observe_load, record_sent
+from fennelcove.placement.state import RESERVE, MARK_US, FULL_DELIVERY, PolicyState, observe_load, record_sent
 
 
 def on_session_report(state: PolicyState, session: Session, event: SessionReport) -> None:
-    if session.life is not SessionState.PLAYING:
+    if session.state is not SessionState.PLAYING:
         return
-    server, kind, other_fronts = session.server, event.kind, state.settings.fronts - 1
-    seen_us = state.now_us - state.settings.seen_after_us
-    reported_us = seen_us if session.noted else session.attempts[-1].sent_us - 1  # the first lacks it
+    server, kind, other_fronts = session.server, event.kind, state.settings.front_count - 1
+    seen_us = state.now_us - state.settings.report_delay_us
+    reported_us = seen_us if session.has_report else session.attempts[-1].sent_us - 1  # the first lacks it
     if kind is ReportKind.RUNG:
         state.change_rung(session, int(event.level))
     elif kind is ReportKind.LINK:
         server.link.observe(event.level, reported_us)
-        adapt_rungs(state, server, other_fronts if session.noted else 0)  # the first has no other reader
-        session.noted = True
+        adapt_rungs(state, server, other_fronts if session.has_report else 0)  # the first has no other reader
+        session.has_report = True
     elif kind is ReportKind.UPLINK:
         server.rack.uplink.observe(event.level, reported_us)
         relieve_overload(state, state.uplink_utilization(server.rack), server.rack.servers, other_fronts)
-    elif event.level < WHOLE:
+    elif event.level < FULL_DELIVERY:
         on_short_delivery(state, server, event.level)
     else:
         server.link.full_until_us = state.now_us
-    if kind is ReportKind.UPLINK or (kind is ReportKind.LINK and not state.settings.uplinks_told):
+    if kind is ReportKind.UPLINK or (kind is ReportKind.LINK and not state.settings.reports_uplinks):
         notify_shard_owner(state, server.cell, loads=(load_of(state, server, with_sent=False),))
 
 
 def on_short_delivery(state: PolicyState, server: Server, delivered: float) -> None:
-    other_fronts, rack = state.settings.fronts - 1, server.rack
-    load, seen_us = 1 / max(delivered, HOLD_BACK), state.now_us - state.settings.seen_after_us
+    other_fronts, rack = state.settings.front_count - 1, server.rack
+    load, seen_us = 1 / max(delivered, RESERVE), state.now_us - state.settings.report_delay_us
     server.link.full_until_us = state.now_us + MARK_US
-    if server.link.as_of_us < seen_us - state.settings.reports_every_us:
+    if server.link.as_of_us < seen_us - state.settings.report_interval_us:
         server.link.observe(load, seen_us)  # no report comes in time: this is the only measure
         relieve_overload(state, load, [server], other_fronts)
-    elif not state.settings.uplinks_told and is_uplink_short(state, rack):
+    elif not state.settings.reports_uplinks and is_uplink_short(state, rack):
         rack.uplink.observe(load, seen_us)
         relieve_overload(state, state.uplink_utilization(rack), rack.servers, other_fronts)
 
 
 def is_uplink_short(state: PolicyState, rack: Rack) -> bool:
     """Whether most links of a rack deliver short with capacity left, so that its uplink must be short."""
-    short = sum(state.now_us < server.link.full_until_us and (server.link.asked or 0.0) < 1 - HOLD_BACK
+    short = sum(state.now_us < server.link.full_until_us and (server.link.report or 0.0) < 1 - RESERVE
                 for server in rack.servers)
     return 2 * short > len(rack.servers)
 
@@ -53,16 +53,16 @@
 def on_load_received(state: PolicyState, server: Server) -> None:
     waiting, server.waiting_sessions = server.waiting_sessions, {}
     for session in waiting:
-        awaited = session.asked or {}
+        awaited = session.awaited or {}
         awaited.pop(server)
         if not awaited:
             apply_event(state, session, SessionEvent.TRY)
 
 
 def on_poll_timeout(state: PolicyState) -> None:
-    for session in [item for item in state.waiting if state.now_us >= state.poll_deadline_us(item)]:
-        del state.waiting[session]
-        for server in session.asked or ():
+    for session in [item for item in state.polling_sessions if state.now_us >= state.poll_deadline_us(item)]:
+        del state.polling_sessions[session]
+        for server in session.awaited or ():
             server.waiting_sessions.pop(session)
         apply_event(state, session, SessionEvent.TRY)
 
@@ -71,8 +71,8 @@
     price, now_us = state.settings.probe_price or 0.0, state.now_us
     for server in [s for s in state.contacted if s.next_probe_us is not None and s.next_probe_us <= now_us]:
         server.next_probe_us = None
-        playing = [session for session in server.sessions if session.life is SessionState.PLAYING]
-        is_worthwhile = any(repays_switch(state, session, session.top, price) for session in playing)
+        playing = [session for session in server.sessions if session.state is SessionState.PLAYING]
+        is_worthwhile = any(repays_switch(state, session, session.top_rung, price) for session in playing)
         if now_us >= server.link.full_until_us and is_worthwhile:
             state.effects.probe(server.address)
         else:
@@ -83,7 +83,7 @@
     if (server := state.servers.get(event.server)) is None:
         return
     if event.report:
-        observe_load(server, event.report, state.now_us - event.duration_us - state.settings.seen_after_us)
+        observe_load(server, event.report, state.now_us - event.duration_us - state.settings.report_delay_us)
         rungs = sum(session.rung for session in server.sessions)
         adapt_rungs(state, server, None)
         has_raised = sum(session.rung for session in server.sessions) > rungs
@@ -95,15 +95,15 @@
 
 def on_peer_message(state: PolicyState, event: PeerMessage) -> None:
     """Late, doubled or of another build, it changes loads only, and none of a server restarted since."""
-    if event.asks and event.sender < state.settings.fronts:
-        loads = tuple(load_of(state, server, with_sent=True) for cell in event.asks[:MAX_POLLED_CELLS]
-                      for server in state.active(cell)[:1])
-        state.effects.send_peer_message(event.sender, PeerMessage(state.settings.index, loads=loads))
-    for cell, rate_kb in event.attempts:
-        for server in state.active(cell):
+    if event.polled_cells and event.sender < state.settings.front_count:
+        loads = tuple(load_of(state, server, with_sent=True) for cell in event.polled_cells[:MAX_POLLED_CELLS]
+                      for server in state.active_replicas(cell)[:1])
+        state.effects.send_peer_message(event.sender, PeerMessage(state.settings.front_index, loads=loads))
+    for cell, rate_kb in event.sent_rates:
+        for server in state.active_replicas(cell):
             record_sent(server, rate_kb, state.now_us)
     for load in event.loads:
-        for server in state.active(load.cell):
+        for server in state.active_replicas(load.cell):
             if state.now_us - load.age_us > server.started_us:
                 observe_load(server, load, state.now_us - load.age_us)
             on_load_received(state, server)
--- a/packages/placement/src/fennelcove/placement/policy.py
+++ b/packages/placement/src/fennelcove/placement/policy.py
@@ -16,20 +16,20 @@
 from fennelcove.placement.state import PolicyState, observe_load
 
 SESSION_EVENTS = (SessionStarted, AttemptCompleted, SessionReport, TopRungChanged, ClientGone)
-NEVER_STARTED = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
+NEVER_STARTED = (Outcome.REJECTED, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
 
 
 class PlacementPolicy(PolicyState):
     """Places sessions and adapts their rungs; beside the events, hosts use the queries named first."""
 
-    weigh = server_selection.update_residuals
-    factors = staticmethod(server_selection.utilization_factors)
-    draw = server_selection.draw_server
-    is_well = health.is_healthy
-    is_cold, turns = slow_start.is_warming_up, slow_start.elapsed_turns
+    update_residuals = server_selection.update_residuals
+    utilization_factors = staticmethod(server_selection.utilization_factors)
+    draw_server = server_selection.draw_server
+    is_healthy = health.is_healthy
+    is_warming_up, elapsed_turns = slow_start.is_warming_up, slow_start.elapsed_turns
     open_attempt, close_attempt = attempts.open_attempt, attempts.close_attempt
     may_reject = attempts.may_reject
-    held_due = load_reports.on_poll_timeout
+    on_poll_timeout = load_reports.on_poll_timeout
 
     def handle(self, event: Event, now_us: int) -> None:
         self.now_us = now_us
@@ -39,27 +39,27 @@
             SESSION_EVENT_HANDLERS[type(event)](self, session, event)
 
     def on_request(self, event: Request) -> None:
-        if self.settings.budget_free is not None:
-            self.taken.append(self.now_us)
+        if self.settings.retry_base is not None:
+            self.request_times.append(self.now_us)
         session = self.add_session(event)
-        session.share = quota_share(self, event)
-        utility = session.service_class.priority_weight * self.settings.ladder_worth[session.top]
+        session.quota_share = quota_share(self, event)
+        utility = session.service_class.priority_weight * self.settings.rung_utilities[session.top_rung]
         self.mean_offered_utility += (utility - self.mean_offered_utility) / 16
         apply_event(self, session, SessionEvent.TRY)
 
     def add_session(self, event: Request) -> Session:
         service_class = self.settings.service_classes[event.service_class]
-        cell_count = self.settings.cells
+        cell_count = self.settings.cell_count
         cells = tuple((event.first_cell + i) % cell_count for i in range(min(event.cell_count, cell_count)))
         session = self.sessions[event.id] = Session(
             event.id, service_class, event.title, cells, event.top_rung, self.now_us,
-            self.now_us + event.timeout_us, event.watch_guess_us)
-        session.rung = min(service_class.floor, event.top_rung)
+            self.now_us + event.timeout_us, event.expected_play_us)
+        session.rung = min(service_class.min_rung, event.top_rung)
         return session
 
     def on_handover(self, event: Handover) -> None:
         session = self.add_session(event.request)
-        session.life, session.noted, session.started_us = SessionState.PLAYING, True, self.now_us
+        session.state, session.has_report, session.started_us = SessionState.PLAYING, True, self.now_us
         attempts.open_attempt(self, session, self.servers[event.server])
         plan_probe(self, session.server)
 
@@ -69,13 +69,13 @@
         counted = old.attempts[-1:] if old.service_class.effect is Effect.FREE else old.attempts
         past = [attempt for attempt in counted if attempt.may_have_run]
         session = self.sessions[event.new_id] = Session(
-            event.new_id, old.service_class, old.title, old.cells, old.top, self.now_us,
-            self.now_us + event.timeout_us, old.watch_guess_us, rung=old.rung, attempts=past)
+            event.new_id, old.service_class, old.title, old.cells, old.top_rung, self.now_us,
+            self.now_us + event.timeout_us, old.expected_play_us, rung=old.rung, attempts=past)
         apply_event(self, session, SessionEvent.TRY)
 
     def on_budget_snapshot(self, event: BudgetSnapshot) -> None:
-        self.taken.extendleft(self.now_us - age_us for age_us in reversed(event.request_ages_us))
-        self.further.extendleft(self.now_us - age_us for age_us in reversed(event.retry_ages_us))
+        self.request_times.extendleft(self.now_us - age_us for age_us in reversed(event.request_ages_us))
+        self.retry_times.extendleft(self.now_us - age_us for age_us in reversed(event.retry_ages_us))
 
     def on_session_started(self, session: Session, event: SessionStarted) -> None:
         health.record_outcome(self, session.server, Outcome.SERVED)
@@ -88,19 +88,19 @@
         plan_probe(self, session.server)
 
     def on_top_rung_changed(self, session: Session, event: TopRungChanged) -> None:
-        session.top = max(event.top_rung, session.service_class.floor)  # a raise waits for capacity
-        if session.life is SessionState.PLAYING and session.rung > session.top:
-            set_rungs(self, {session: session.top})
+        session.top_rung = max(event.top_rung, session.service_class.min_rung)  # a raise waits for capacity
+        if session.state is SessionState.PLAYING and session.rung > session.top_rung:
+            set_rungs(self, {session: session.top_rung})
 
     def on_attempt_completed(self, session: Session, event: AttemptCompleted) -> None:
         if event.attempt >= len(session.attempts):
             return
-        attempt, is_playing = session.attempts[event.attempt], session.life is SessionState.PLAYING
+        attempt, is_playing = session.attempts[event.attempt], session.state is SessionState.PLAYING
         attempt.may_have_run = event.outcome not in NEVER_STARTED
         attempt.has_server_error = event.outcome is Outcome.SERVER_ERROR
         is_unsent_retry = event.outcome is Outcome.NOT_SENT and len(session.attempts) > 1
-        if is_unsent_retry and attempt.sent_us in self.further:
-            self.further.remove(attempt.sent_us)
+        if is_unsent_retry and attempt.sent_us in self.retry_times:
+            self.retry_times.remove(attempt.sent_us)
         attempts.close_attempt(self, session, attempt)
         if not attempt.has_server_error and (not is_playing or event.outcome is Outcome.CONNECTION_LOST):
             health.record_outcome(self, attempt.server, event.outcome)
@@ -109,13 +109,13 @@
             for server in attempt.server.rack.servers:
                 raise_rungs(self, server, 0)  # capacity is free at once; reports may be late or stay out
         elif event.report:
-            observe_load(attempt.server, event.report, attempt.sent_us - self.settings.seen_after_us)
+            observe_load(attempt.server, event.report, attempt.sent_us - self.settings.report_delay_us)
         apply_event(self, session, SessionEvent.FINISHED if event.is_finished else SessionEvent.FAILED)
 
 
 TIMER_HANDLERS: dict[int, Callable[[PlacementPolicy], None]] = {
     TimerName.POLL_LIST: server_list.poll_endpoint_list, TimerName.PROBE: load_reports.on_probe_timer,
-    TimerName.HELD: load_reports.on_poll_timeout}
+    TimerName.POLL_DEADLINE: load_reports.on_poll_timeout}
 EVENT_HANDLERS: dict[type, Callable[[PlacementPolicy, Any], None]] = {
     Request: PlacementPolicy.on_request, Handover: PlacementPolicy.on_handover,
     MigrationRequested: PlacementPolicy.on_migration_requested,
--- a/packages/placement/src/fennelcove/placement/quotas.py
+++ b/packages/placement/src/fennelcove/placement/quotas.py
@@ -14,13 +14,13 @@
     """What a request counts: less, as more of its tenant come than this front's part of the quota."""
     if (times_us := state.tenant_request_times_us.get(event.tenant)) is None:
         return 1.0
-    if not event.returned:
+    if not event.is_repeat:
         times_us.append(state.now_us)
     while times_us and times_us[0] < state.now_us - MARK_US:
         times_us.popleft()
-    quota = state.settings.quotas[event.tenant] / state.settings.fronts * MARK_US / 1_000_000
+    quota = state.settings.quotas[event.tenant] / state.settings.front_count * MARK_US / 1_000_000
     within = min(1.0, (quota + 1) / (len(times_us) + 1))
-    return within + (1 - within) * state.settings.over_quota_worth
+    return within + (1 - within) * state.settings.over_quota_utility
 
 
 def anticipate_title_surge(state: PolicyState, session: Session, rate_kb: float) -> None:
@@ -30,6 +30,6 @@
     if len(state.title_request_times_us) > MAX_TRACKED_TITLES:
         del state.title_request_times_us[next(iter(state.title_request_times_us))]
     if len(times_us) == SURGE_REQUESTS and state.now_us - times_us[0] < state.usual_report_age_us:
-        replicas = [server for cell in session.cells for server in state.active(cell)]
+        replicas = [server for cell in session.cells for server in state.active_replicas(cell)]
         for server in replicas:
-            record_sent(server, rate_kb * (state.settings.fronts - 1) / len(replicas), state.now_us)
+            record_sent(server, rate_kb * (state.settings.front_count - 1) / len(replicas), state.now_us)
--- a/packages/placement/src/fennelcove/placement/records.py
+++ b/packages/placement/src/fennelcove/placement/records.py
@@ -63,10 +63,10 @@
     zone: str
     cell: int
     rack: Rack
-    streams_most: int  # sessions that it can serve at once; 0 where the list gives none
+    max_streams: int  # sessions that it can serve at once; 0 where the list gives none
     link: LinkLoad
     started_us: int
-    standing: ServerState = ServerState.ACTIVE
+    state: ServerState = ServerState.ACTIVE
     last_attempt_us: int | None = None
     health: Health = Health.WELL
     strikes: int = 0  # faults in a row, less those made good; each doubles the suspension
@@ -98,16 +98,16 @@
     service_class: ServiceClass
     title: int
     cells: tuple[int, ...]  # where replicas of the title are
-    top: int  # highest rung that its client can use
-    taken_us: int  # when it was requested
-    timeout_us: int  # when the client gives up
-    watch_guess_us: int | None = None  # how long it is expected to play
-    share: float = 1.0  # part of its utility that counts, by its tenant's quota
-    life: SessionState = SessionState.WAITING
+    top_rung: int  # highest rung that its client can use
+    requested_us: int  # when it was requested
+    deadline_us: int  # when the client gives up
+    expected_play_us: int | None = None  # how long it is expected to play
+    quota_share: float = 1.0  # part of its utility that counts, by its tenant's quota
+    state: SessionState = SessionState.WAITING
     rung: int = 0
     attempts: list[Attempt] = field(default_factory=list)
-    noted: bool = False  # a report on its link has come
-    asked: dict[Server, None] | None = None  # servers whose load it awaits; None before it polls
+    has_report: bool = False  # a report on its link has come
+    awaited: dict[Server, None] | None = None  # servers whose load it awaits; None before it polls
     started_us: int = 0
 
     @property
@@ -138,8 +138,8 @@
 class LinkReport:
     """The last report on a server's link or a rack's uplink, in shares of its size, and later sends."""
 
-    size_kb: float
-    asked: float | None = None  # reported share
+    capacity_kb: float
+    report: float | None = None  # reported share
     as_of_us: int = 0  # when the report was true
     full_until_us: int = 0  # until when short delivery marks the link as full
     # Sends since the report, by time, in kB a second; a link that is never reported must not grow for ever.
@@ -160,9 +160,9 @@
     contacted: dict[Server, None] = field(default_factory=dict)  # servers that got an attempt or a session
     sessions: dict[str, Session] = field(default_factory=dict)  # by id
     seats: dict[tuple[int, ServiceClass], int] = field(default_factory=dict)  # sessions by title and class
-    waiting: dict[Session, None] = field(default_factory=dict)  # sessions that await polled loads
-    taken: deque[int] = field(default_factory=deque)  # times of requests, for the retry budget
-    further: deque[int] = field(default_factory=deque)  # times of retries, for the retry budget
+    polling_sessions: dict[Session, None] = field(default_factory=dict)  # sessions that await polled loads
+    request_times: deque[int] = field(default_factory=deque)  # times of requests, for the retry budget
+    retry_times: deque[int] = field(default_factory=deque)  # times of retries, for the retry budget
     title_request_times_us: dict[int, deque[int]] = field(default_factory=dict)  # latest, by title
     list_is_fresh: bool = False  # a server list later than the saved one has come
     failed_list_polls: int = 0  # in a row
--- a/packages/placement/src/fennelcove/placement/server_list.py
+++ b/packages/placement/src/fennelcove/placement/server_list.py
@@ -9,14 +9,14 @@
     settings = state.settings
     state.failed_list_polls = state.failed_list_polls + 1 if event.mode is ListMode.FAILED else 0
     if event.mode is ListMode.FAILED:  # polled again at once, the one list service would stay overloaded
-        pause_us = max(1, (settings.ask_within_us or settings.ramp_us) // 8)
+        pause_us = max(1, (settings.list_poll_window_us or settings.warm_up_us) // 8)
         state.effects.set_timer(TimerName.POLL_LIST, pause_us * min(4, state.failed_list_polls))
         return
-    state.list_is_fresh |= event.mode is ListMode.FULL or settings.must_ask
+    state.list_is_fresh |= event.mode is ListMode.FULL or settings.must_poll_list
     for server in state.servers.values() if event.mode is not ListMode.INCREMENTAL else ():
-        server.standing = ServerState.LEFT
-    streams = sum(settings.kind_streams.get(entry.kind, 0) for entry in event.entries)
-    state.kb_per_stream = state.kb_per_stream or (settings.all_links_kb / streams if streams else 0.0)
+        server.state = ServerState.LEFT
+    streams = sum(settings.streams_by_kind.get(entry.kind, 0) for entry in event.entries)
+    state.kb_per_stream = state.kb_per_stream or (settings.total_links_kb / streams if streams else 0.0)
     for entry in event.entries:
         on_list_entry(state, entry)
     update_racks(state)
@@ -26,13 +26,13 @@
 
 def update_racks(state: PolicyState) -> None:
     """Set the servers of each rack, and forget those that left: replacements come under new addresses."""
-    oldest_us = state.now_us - state.settings.ramp_us
+    oldest_us = state.now_us - state.settings.warm_up_us
     for rack in state.racks:
         rack.servers.clear()
     for server in list(state.servers.values()):
-        if server.standing is ServerState.ACTIVE or server.sessions:
+        if server.state is ServerState.ACTIVE or server.sessions:
             server.rack.servers.append(server)
-        elif server.standing is ServerState.LEFT and server.started_us < oldest_us:
+        elif server.state is ServerState.LEFT and server.started_us < oldest_us:
             del state.servers[server.address]
             state.replicas[server.cell].remove(server)
             state.contacted.pop(server, None)
@@ -40,16 +40,16 @@
 
 def on_list_entry(state: PolicyState, entry: ListEntry) -> None:
     server = state.servers.get(entry.address) or add_server(state, entry)
-    server.standing = entry.standing
+    server.state = entry.state
     if entry.started_us > server.started_us:  # a new process has no sessions and no faults of its last one
         server.started_us, server.health, server.strikes = entry.started_us, Health.WELL, 0
-        server.link.asked = server.last_attempt_us = None
+        server.link.report = server.last_attempt_us = None
 
 
 def add_server(state: PolicyState, entry: ListEntry) -> Server:
-    rack = state.racks[entry.cell % state.settings.racks]
-    streams = state.settings.kind_streams.get(entry.kind, 0)
-    by_streams_kb = 0.0 if state.settings.sizes_listed else streams * state.kb_per_stream
+    rack = state.racks[entry.cell % state.settings.rack_count]
+    streams = state.settings.streams_by_kind.get(entry.kind, 0)
+    by_streams_kb = 0.0 if state.settings.has_listed_sizes else streams * state.kb_per_stream
     link = LinkLoad(by_streams_kb or state.settings.kb_per_weight * entry.weight or 1.0)
     server = Server(entry.address, entry.zone, entry.cell, rack, streams, link, entry.started_us)
     state.servers[entry.address] = server
@@ -58,7 +58,7 @@
 
 
 def poll_endpoint_list(state: PolicyState) -> None:
-    (state.effects.watch_list if state.settings.must_ask else state.effects.fetch_list)()
+    (state.effects.watch_list if state.settings.must_poll_list else state.effects.fetch_list)()
 
 
 def on_server_snapshot(state: PolicyState, event: ServerSnapshot) -> None:
--- a/packages/placement/src/fennelcove/placement/server_selection.py
+++ b/packages/placement/src/fennelcove/placement/server_selection.py
@@ -3,7 +3,7 @@
 from math import inf
 
 from fennelcove.placement.records import Placement, ScoredServer, Server, Servers, Session
-from fennelcove.placement.state import HOLD_BACK, PolicyState
+from fennelcove.placement.state import RESERVE, PolicyState
 
 EXPONENT, THRESHOLD = 0.5, 1.0  # n and r of the design page
 
@@ -18,16 +18,16 @@
     mean_rate_kb = sum(rates) / len(rates) if rates else inf
     for server in replicas:
         server.residual_link = state.residual_link(server)
-        others_kb = 0.0 if server.link.asked is None else state.others_kb(server)  # guesses fill no streams
+        others_kb = 0.0 if server.link.report is None else state.others_kb(server)  # guesses fill no streams
         streams = len(server.sessions) + others_kb / mean_rate_kb
-        server.residual_streams = 1 - (streams + 1) / server.streams_most if server.streams_most else 1.0
+        server.residual_streams = 1 - (streams + 1) / server.max_streams if server.max_streams else 1.0
     for rack in dict.fromkeys(server.rack for server in replicas):
-        rack.residual_uplink = 1 - HOLD_BACK - state.uplink_utilization(rack)
+        rack.residual_uplink = 1 - RESERVE - state.uplink_utilization(rack)
 
 
 def utilization_factors(server: Server, rate_kb: float, spare: float = 0.0) -> tuple[float, float]:
-    link = server.residual_link + spare - rate_kb / server.link.size_kb
-    uplink = server.rack.residual_uplink + spare - rate_kb / server.rack.uplink.size_kb
+    link = server.residual_link + spare - rate_kb / server.link.capacity_kb
+    uplink = server.rack.residual_uplink + spare - rate_kb / server.rack.uplink.capacity_kb
     return utilization_factor(min(link, server.residual_streams)), utilization_factor(uplink)
 
 
@@ -36,15 +36,15 @@
     near, far = place_highest(state, session, top, in_zone), place_highest(state, session, top, replicas)
     if near is None or far is None:
         return near or far
-    gain = state.settings.ladder_worth[far.rung] - state.settings.ladder_worth[near.rung]
+    gain = state.settings.rung_utilities[far.rung] - state.settings.rung_utilities[near.rung]
     price = state.settings.cross_zone_price * state.mean_offered_utility
     return far if gain * session.service_class.priority_weight > price else near
 
 
 def place_highest(state: PolicyState, session: Session, top: int, replicas: Servers) -> Placement | None:
-    floor = session.service_class.floor
+    floor = session.service_class.min_rung
     for rung in range(top, floor - 1, -1):
-        spare = HOLD_BACK if rung == floor else 0.0  # the lowest rung may use the reserve
+        spare = RESERVE if rung == floor else 0.0  # the lowest rung may use the reserve
         rate_kb = state.rate_kb(session, rung)
         scored = [(server, *utilization_factors(server, rate_kb, spare)) for server in replicas]
         if feasible := [row for row in scored if row[1] < inf and row[2] < inf]:
--- a/packages/placement/src/fennelcove/placement/session_transitions.py
+++ b/packages/placement/src/fennelcove/placement/session_transitions.py
@@ -8,8 +8,8 @@
 
 def apply_event(state: PolicyState, session: Session, event: SessionEvent | None) -> None:
     """Move a session on by an event, and by those that the actions return; an unlisted one is ignored."""
-    while event is not None and (transition := TRANSITIONS.find(session.life, event)) is not None:
-        session.life, event = transition.state, None
+    while event is not None and (transition := TRANSITIONS.find(session.state, event)) is not None:
+        session.state, event = transition.state, None
         for action in transition.actions:
             event = action(state, session)
         if transition.state is SessionState.ENDED:
--- a/packages/placement/src/fennelcove/placement/state.py
+++ b/packages/placement/src/fennelcove/placement/state.py
@@ -8,9 +8,9 @@
 from fennelcove.interface import CellLoad, Effects, LoadReport, ServerState, ServiceClass, Settings
 from fennelcove.placement.records import LinkReport, PolicyRecords, Rack, Server, Session, SessionState
 
-HOLD_BACK = 0.1  # share of each capacity kept in reserve, as true rates spread (design page)
-LIFT_MARGIN = 1.5 * HOLD_BACK  # stays free beyond the reserve when raising, or rungs would flutter
-WHOLE = 0.98  # delivery under this share costs utility: the bound of the reports themselves
+RESERVE = 0.1  # share of each capacity kept in reserve, as true rates spread (design page)
+RAISE_MARGIN = 1.5 * RESERVE  # stays free beyond the reserve when raising, or rungs would flutter
+FULL_DELIVERY = 0.98  # delivery under this share costs utility: the bound of the reports themselves
 MARK_US = 10_000_000  # how long a report of short delivery marks its link as full (design page)
 
 
@@ -18,9 +18,9 @@
     """Load of a server's link or a rack's uplink in shares of its size: the last report and later sends."""
 
     def observe(self, asked: float | None, as_of_us: int) -> None:
-        if asked is None or (self.asked is not None and as_of_us < self.as_of_us):
+        if asked is None or (self.report is not None and as_of_us < self.as_of_us):
             return  # an older report must not undo a newer one
-        self.asked, self.as_of_us = asked, as_of_us
+        self.report, self.as_of_us = asked, as_of_us
         while self.unreported and self.unreported[0][0] <= as_of_us:  # a new sum would cost thousands
             self.unreported_kb -= self.unreported.popleft()[1]
         self.unreported_kb = self.unreported_kb if self.unreported else 0.0
@@ -32,7 +32,7 @@
         self.unreported_kb += rate_kb
 
     def utilization(self) -> float:
-        return max(0.0, (self.asked or 0.0) + self.unreported_kb / self.size_kb)
+        return max(0.0, (self.report or 0.0) + self.unreported_kb / self.capacity_kb)
 
 
 def observe_load(server: Server, report: LoadReport | CellLoad, as_of_us: int) -> None:
@@ -49,31 +49,31 @@
     def __init__(self, settings: Settings, seed: int, effects: Effects, now_us: int) -> None:
         super().__init__(settings, effects, created_us=now_us, now_us=now_us)
         self.random_source = Random(seed)
-        self.rng = self.random_source.random
-        self.usual_report_age_us = settings.seen_after_us + settings.reports_every_us
-        uplink_kb = settings.uplink_kb or settings.all_links_kb or 1.0  # where none is stated, none binds
-        self.racks = [Rack(LinkLoad(uplink_kb)) for _ in range(settings.racks)]
+        self.draw_uniform = self.random_source.random
+        self.usual_report_age_us = settings.report_delay_us + settings.report_interval_us
+        uplink_kb = settings.uplink_kb or settings.total_links_kb or 1.0  # where none is stated, none binds
+        self.racks = [Rack(LinkLoad(uplink_kb)) for _ in range(settings.rack_count)]
         self.tenant_request_times_us = {tenant: deque[int](maxlen=1024) for tenant in settings.quotas}
-        self.may_probe = settings.probe_price is not None and not settings.reports_unasked
-        self.typical_watch_us = float(settings.ramp_us or MARK_US)  # not 0: ages are divided by it
+        self.may_probe = settings.probe_price is not None and not settings.has_unsolicited_reports
+        self.typical_watch_us = float(settings.warm_up_us or MARK_US)  # not 0: ages are divided by it
         # Hooks that a host may replace: whose slow-start turn it is, and whether a session may use a server.
-        self.mine: Callable[[int], bool] = lambda n: n % settings.fronts == settings.index
-        self.free: Callable[[str, str], bool] = lambda session_id, address: True
+        self.owns_turn: Callable[[int], bool] = lambda n: n % settings.front_count == settings.front_index
+        self.may_use: Callable[[str, str], bool] = lambda session_id, address: True
 
     def residual_link(self, server: Server) -> float:
         is_marked_full = self.now_us < server.link.full_until_us
-        return 0.0 if is_marked_full else 1 - HOLD_BACK - self.link_asked(server)
+        return 0.0 if is_marked_full else 1 - RESERVE - self.link_utilization(server)
 
     def mean_utilization(self) -> float:
         """What a link without a report is taken to carry; computed once for all decisions of an instant."""
         if self.cached_mean_at_us != self.now_us:
-            active = [server.link for server in self.contacted if server.standing is ServerState.ACTIVE]
-            reported = [min(1.0, link.utilization()) for link in active if link.asked is not None]
+            active = [server.link for server in self.contacted if server.state is ServerState.ACTIVE]
+            reported = [min(1.0, link.utilization()) for link in active if link.report is not None]
             # Nothing reported: the middle, as in the paper. Else no single report may count for all servers.
-            samples = (reported or [0.5]) if self.settings.guard else [*reported, 0.25, 0.75]
+            samples = (reported or [0.5]) if self.settings.rejects_at else [*reported, 0.25, 0.75]
             mean = sum(samples) / len(samples)
             # The emptiest of many guesses is mostly too low, and unless servers reject, all sessions pay.
-            spread = 0.0 if self.settings.guard else sum(abs(x - mean) for x in samples) / len(samples)
+            spread = 0.0 if self.settings.rejects_at else sum(abs(x - mean) for x in samples) / len(samples)
             self.cached_mean, self.cached_mean_at_us = mean + spread, self.now_us
         return self.cached_mean
 
@@ -83,23 +83,23 @@
         weight = exp(-overdue_us / self.typical_watch_us)
         return weight * link.utilization() + (1 - weight) * min(1.0, own + others)
 
-    def link_asked(self, server: Server) -> float:
+    def link_utilization(self, server: Server) -> float:
         link, mean = server.link, self.mean_utilization()
-        own = server.own_kb / link.size_kb
-        others = mean * (1 - 1 / self.settings.fronts)
-        return max(own, mean if link.asked is None else self.aged_utilization(link, own, others))
+        own = server.own_kb / link.capacity_kb
+        others = mean * (1 - 1 / self.settings.front_count)
+        return max(own, mean if link.report is None else self.aged_utilization(link, own, others))
 
     def uplink_utilization(self, rack: Rack) -> float:
-        own = sum(server.own_kb for server in rack.servers) / rack.uplink.size_kb
-        mean = self.mean_utilization() if self.settings.uplinks_told else 0.0  # guesses would stay
-        others = mean * (1 - 1 / self.settings.fronts)
-        return own if rack.uplink.asked is None else self.aged_utilization(rack.uplink, own, others)
+        own = sum(server.own_kb for server in rack.servers) / rack.uplink.capacity_kb
+        mean = self.mean_utilization() if self.settings.reports_uplinks else 0.0  # guesses would stay
+        others = mean * (1 - 1 / self.settings.front_count)
+        return own if rack.uplink.report is None else self.aged_utilization(rack.uplink, own, others)
 
     def others_kb(self, server: Server) -> float:
-        return max(0.0, self.link_asked(server) * server.link.size_kb - server.own_kb)
+        return max(0.0, self.link_utilization(server) * server.link.capacity_kb - server.own_kb)
 
     def rate_kb(self, session: Session, rung: int) -> float:
-        return session.service_class.scale * self.settings.ladder_kb[rung]
+        return session.service_class.rate_scale * self.settings.ladder_kb[rung]
 
     def record_rate_change(self, session: Session, rate_kb: float) -> None:
         session.server.own_kb += rate_kb
@@ -109,11 +109,11 @@
         self.record_rate_change(session, self.rate_kb(session, rung) - self.rate_kb(session, session.rung))
         session.rung = rung
 
-    def active(self, cell: int) -> list[Server]:
-        return [server for server in self.replicas.get(cell, ()) if server.standing is ServerState.ACTIVE]
+    def active_replicas(self, cell: int) -> list[Server]:
+        return [server for server in self.replicas.get(cell, ()) if server.state is ServerState.ACTIVE]
 
     def playing_sessions(self) -> list[Session]:
-        return [session for session in self.sessions.values() if session.life is SessionState.PLAYING]
+        return [session for session in self.sessions.values() if session.state is SessionState.PLAYING]
 
     def class_utility(self, service_class: ServiceClass) -> float:
         if self.class_utilities_at_us != self.now_us:
@@ -126,19 +126,19 @@
         offered, earned = dict.fromkeys(weights, 0.0), dict.fromkeys(weights, 0.0)
         for session in self.sessions.values() if self.settings.worst_class_weight else ():
             weight = session.service_class.priority_weight
-            offered[session.service_class] += weight * self.settings.ladder_worth[session.top]
-            earned[session.service_class] += weight * self.settings.ladder_worth[session.rung]
+            offered[session.service_class] += weight * self.settings.rung_utilities[session.top_rung]
+            earned[session.service_class] += weight * self.settings.rung_utilities[session.rung]
         if held := [item for item in weights if offered[item]]:
             worst = min(held, key=lambda item: earned[item] / offered[item])
             weights[worst] *= 1 + self.settings.worst_class_weight / (offered[worst] / sum(offered.values()))
         return weights
 
     def remaining_play_us(self, session: Session) -> float:
-        if (expected_us := session.watch_guess_us) is None:
+        if (expected_us := session.expected_play_us) is None:
             return self.typical_watch_us
         played_us = self.now_us - session.started_us
         return max(expected_us - played_us, expected_us / 2)  # a guess that has run out leaves half of it
 
     def poll_deadline_us(self, session: Session) -> int:
-        timeout_us = session.timeout_us - session.taken_us  # it waits an eighth of the shorter limit
-        return session.taken_us + min(session.service_class.latency_objective_us, timeout_us) // 8
+        timeout_us = session.deadline_us - session.requested_us  # it waits an eighth of the shorter limit
+        return session.requested_us + min(session.service_class.latency_objective_us, timeout_us) // 8
--- a/packages/rollouts/src/fennelcove/rollouts/coordinator.py
+++ b/packages/rollouts/src/fennelcove/rollouts/coordinator.py
@@ -16,7 +16,7 @@
 from fennelcove.rollouts.heartbeat_sender import HeartbeatSender
 from fennelcove.rollouts.messages import (
     Heartbeat,
-    Kind,
+    PlaceKind,
     LeaderVote,
     LeaderVoteRequest,
     PermitRequest,
@@ -25,7 +25,7 @@
     ProposalAck,
     RolloutOrder,
     RolloutRecord,
-    Said,
+    RolloutMessage,
     ServingState,
 )
 from fennelcove.rollouts.order_handler import OrderHandler
@@ -35,31 +35,31 @@
 from fennelcove.rollouts.rollout_controller import RolloutController
 from fennelcove.rollouts.status import disruption_status, plan_status, request_status
 from fennelcove.rollouts.types import (
-    Act,
-    Answer,
+    Action,
+    CommandOutcome,
     Command,
-    Do,
+    ActionKind,
     LocalFront,
-    Memory,
-    Mine,
-    Post,
+    PersistedState,
+    FrontStatus,
+    Outbox,
     RolloutSettings,
     StoredPermit,
-    Wish,
+    CommandKind,
 )
 
 __all__ = [
-    "Act",
-    "Answer",
+    "Action",
+    "ActionKind",
     "Command",
-    "Do",
-    "Memory",
-    "Mine",
-    "Post",
+    "CommandKind",
+    "CommandOutcome",
+    "FrontStatus",
+    "Outbox",
+    "PersistedState",
     "RolloutAgreement",
     "RolloutSettings",
     "StoredPermit",
-    "Wish",
 ]
 
 
@@ -81,7 +81,7 @@
         fronts: tuple[Location, ...],
         incarnation: int,
         now_us: int,
-        memory: Memory | None = None,
+        memory: PersistedState | None = None,
     ) -> None:
         """Start an incarnation.
 
@@ -96,25 +96,25 @@
         self.settings = settings
         self.incarnation = incarnation
         self.is_superseded = False
-        self.persisted: Memory | None = memory
+        self.persisted: PersistedState | None = memory
         self.actions = ActionQueue()
         self.zones = {index: location.zone for index, location in enumerate(fronts)}
-        self.front = LocalFront(settings.front_index, incarnation, Mine(ServingState.STARTING))
-        restored = memory or Memory(sure=False, whole=False)
-        permit_settings = {kind: settings.permit_settings(kind, limits) for kind in Kind}
-        maps = {Kind.FRONT: DisruptionMap(dict(enumerate(fronts))), Kind.BOX: DisruptionMap({})}
+        self.front = LocalFront(settings.front_index, incarnation, FrontStatus(ServingState.STARTING))
+        restored = memory or PersistedState(sure=False, whole=False)
+        permit_settings = {kind: settings.permit_settings(kind, limits) for kind in PlaceKind}
+        maps = {PlaceKind.FRONT: DisruptionMap(dict(enumerate(fronts))), PlaceKind.BOX: DisruptionMap({})}
         self.grantors = {
-            kind: restore_grantor(permit_settings[kind], maps[kind], restored, now_us) for kind in Kind
+            kind: restore_grantor(permit_settings[kind], maps[kind], restored, now_us) for kind in PlaceKind
         }
         numbers = RequestNumbers()
-        self.requesters = {kind: Requester(permit_settings[kind], incarnation, numbers) for kind in Kind}
+        self.requesters = {kind: Requester(permit_settings[kind], incarnation, numbers) for kind in PlaceKind}
         self._connect(numbers, restored, now_us)
 
-    def _connect(self, numbers: RequestNumbers, restored: Memory, now_us: int) -> None:
+    def _connect(self, numbers: RequestNumbers, restored: PersistedState, now_us: int) -> None:
         """Make the parts that work on the grantors and requesters."""
         front, actions = self.front, self.actions
         requesters, grantors = self.requesters, self.grantors
-        front_grantor = grantors[Kind.FRONT]
+        front_grantor = grantors[PlaceKind.FRONT]
         acceptor = Acceptor(front_grantor.settings, now_us, restored.term, restored.record, restored.sure)
         peers = [index for index in self.zones if index != front.index]
         self.acceptor = acceptor
@@ -122,12 +122,14 @@
         self.permits = FrontPermits(
             front, peers, requesters, grantors, acceptor, self.heartbeats, actions, acceptor.record
         )
-        orders = OrderHandler(front, self.settings.front_count, requesters[Kind.FRONT], acceptor, actions)
+        orders = OrderHandler(
+            front, self.settings.front_count, requesters[PlaceKind.FRONT], acceptor, actions
+        )
         self.controller = RolloutController(
             self.settings, self.zones, self.incarnation, acceptor, front_grantor, orders.apply, actions.log
         )
         self.election = self.controller.election
-        self.handlers: dict[type, Callable[[int, Any, int], Post]] = {
+        self.handlers: dict[type, Callable[[int, Any, int], Outbox]] = {
             Heartbeat: self._on_heartbeat,
             PermitRequest: self.permits.on_request,
             PermitVote: self.permits.on_vote,
@@ -138,7 +140,7 @@
             RolloutOrder: orders.on_order,
         }
 
-    def beat(self, status: Mine, now_us: int, jitter: float) -> Post:
+    def tick(self, status: FrontStatus, now_us: int, jitter: float) -> Outbox:
         """What to send at a heartbeat interval; `status`: this front's, `jitter`: random, from 0 to 1."""
         self.front.status, self.front.jitter = status, jitter
         self.permits.expire_orders(now_us)
@@ -149,7 +151,7 @@
         self.permits.cancel_outdated()
         return post
 
-    def hear(self, sender: int, message: Said, now_us: int) -> Post:
+    def on_message(self, sender: int, message: RolloutMessage, now_us: int) -> Outbox:
         """Take in another front's message; what to send for it."""
         if sender not in self.zones or sender == self.settings.front_index:
             return []
@@ -159,7 +161,7 @@
         self.permits.cancel_outdated()
         return post
 
-    def _on_heartbeat(self, sender: int, heartbeat: Heartbeat, now_us: int) -> Post:
+    def _on_heartbeat(self, sender: int, heartbeat: Heartbeat, now_us: int) -> Outbox:
         if heartbeat.acked_incarnation > self.incarnation and not self.is_superseded:
             self.is_superseded = True
             self.actions.log(f"incarnation {heartbeat.acked_incarnation} runs under this front's index")
@@ -175,63 +177,63 @@
             return [(sender, Proposal(record, heartbeat.incarnation))]
         return []
 
-    def command(self, command: Command, now_us: int) -> tuple[int, Answer, Post]:
+    def command(self, command: Command, now_us: int) -> tuple[int, CommandOutcome, Outbox]:
         """Begin to carry out an operator's command: its number, its outcome so far, and what to send."""
         number, post = self.controller.command(command, now_us)
         self.permits.cancel_outdated()
         return number, self.controller.commands.outcome(number), post
 
-    def answer(self, number: int) -> Answer:
+    def command_outcome(self, number: int) -> CommandOutcome:
         """The outcome of a command; one that is no longer remembered counts as lost."""
         return self.controller.commands.outcome(number)
 
-    def want_out(self, version: int, now_us: int) -> Post:
+    def request_front_drain(self, version: int, now_us: int) -> Outbox:
         """Request a permit to drain this front, by an operator's command."""
-        self.requesters[Kind.FRONT].request_permit(self.settings.front_index, now_us, version)
+        self.requesters[PlaceKind.FRONT].request_permit(self.settings.front_index, now_us, version)
         return []
 
-    def want_server(self, cell: int, now_us: int) -> Post:
+    def request_server_drain(self, cell: int, now_us: int) -> Outbox:
         """Request a permit to drain a server, by an operator's command."""
-        self.requesters[Kind.BOX].request_permit(cell, now_us)
+        self.requesters[PlaceKind.BOX].request_permit(cell, now_us)
         return []
 
-    def write_off(self, kind: Kind, place: int, now_us: int) -> None:
+    def write_off(self, kind: PlaceKind, place: int, now_us: int) -> None:
         """Do not count a place until it is observed to serve again, by an operator's command."""
         self.grantors[kind].write_off(place, now_us)
 
-    def anew(self) -> None:
+    def accept_record_as_complete(self) -> None:
         """Take the known record for complete, by an operator's command; an active plan is halted."""
         self.election.step_down()
         self.acceptor.accept_as_complete()
 
-    def begin(self, kind: Kind, place: int, now_us: int) -> bool:
+    def begin(self, kind: PlaceKind, place: int, now_us: int) -> bool:
         """Whether a drain may begin now; called directly before it does."""
         if self.is_superseded:
             return False
-        if kind is Kind.FRONT and self.front.status.serving_state is not ServingState.SERVING:
+        if kind is PlaceKind.FRONT and self.front.status.serving_state is not ServingState.SERVING:
             return True  # it takes no capacity away
         return self.requesters[kind].begin(place, now_us)
 
-    def let_go(self, kind: Kind, place: int, now_us: int) -> Post:
+    def release(self, kind: PlaceKind, place: int, now_us: int) -> Outbox:
         """The place serves (again): its permit ends, used or not."""
         return self.heartbeats.send(now_us) if self.requesters[kind].on_returned(place) else []
 
-    def servers_are(self, servers: Mapping[int, Location], now_us: int) -> None:
+    def update_servers(self, servers: Mapping[int, Location], now_us: int) -> None:
         """Replace the known servers, by first cell, with their present loads."""
-        self.grantors[Kind.BOX].advance(now_us)
-        self.grantors[Kind.BOX].update_map(DisruptionMap(servers))
+        self.grantors[PlaceKind.BOX].advance(now_us)
+        self.grantors[PlaceKind.BOX].update_map(DisruptionMap(servers))
 
-    def see_server(self, cell: int, serving: bool, as_of_us: int, now_us: int) -> None:
+    def observe_server(self, cell: int, serving: bool, as_of_us: int, now_us: int) -> None:
         """Take in whether a server served at `as_of_us`, was warmed up and was not told to drain."""
-        self.grantors[Kind.BOX].observe(cell, as_of_us, now_us, is_serving=serving)
+        self.grantors[PlaceKind.BOX].observe(cell, as_of_us, now_us, is_serving=serving)
         if serving:
-            self.requesters[Kind.BOX].on_server_observed(cell, as_of_us)
+            self.requesters[PlaceKind.BOX].on_server_observed(cell, as_of_us)
 
-    def acts(self) -> list[Act]:
+    def take_actions(self) -> list[Action]:
         """What to do, since the last call."""
         return self.actions.take()
 
-    def keep(self) -> Memory | None:
+    def state_to_persist(self) -> PersistedState | None:
         """The state to persist now; None where it is the same as at the last call."""
         memory = take_changed_state(self.acceptor, self.grantors)
         if memory is None or memory == self.persisted:
--- a/packages/rollouts/src/fennelcove/rollouts/front_permits.py
+++ b/packages/rollouts/src/fennelcove/rollouts/front_permits.py
@@ -8,7 +8,7 @@
 from fennelcove.rollouts.action_queue import ActionQueue
 from fennelcove.rollouts.heartbeat_sender import HeartbeatSender
 from fennelcove.rollouts.messages import (
-    Kind,
+    PlaceKind,
     PermitRequest,
     PermitVote,
     RolloutPhase,
@@ -20,7 +20,7 @@
 from fennelcove.rollouts.plan_execution import ORDER_EXPIRY_US
 from fennelcove.rollouts.record_acceptor import Acceptor
 from fennelcove.rollouts.rollout_plan import target_version
-from fennelcove.rollouts.types import Act, Do, LocalFront, Post
+from fennelcove.rollouts.types import Action, ActionKind, LocalFront, Outbox
 
 EXPIRING_STATES = (RequestState.WANTED, RequestState.ASKING)
 
@@ -34,30 +34,30 @@
 
     front: LocalFront
     peers: Collection[int]
-    requesters: Mapping[Kind, Requester]
-    grantors: Mapping[Kind, Grantor]
+    requesters: Mapping[PlaceKind, Requester]
+    grantors: Mapping[PlaceKind, Grantor]
     acceptor: Acceptor
     heartbeats: HeartbeatSender
     actions: ActionQueue
     compared_record: RolloutRecord  # that the requests were last compared with
 
-    def send_requests(self, now_us: int) -> Post:
+    def send_requests(self, now_us: int) -> Outbox:
         """The requests to send at a heartbeat interval, and what follows of this front's own votes."""
-        post: Post = []
+        post: Outbox = []
         for kind, requester in self.requesters.items():
-            if kind is Kind.FRONT and self.front.status.serving_state is not ServingState.SERVING:
+            if kind is PlaceKind.FRONT and self.front.status.serving_state is not ServingState.SERVING:
                 continue  # a front that does not serve needs no permit
             request = requester.next_request(now_us)
             if request is not None:
                 post += self._send(request, now_us)
         return post
 
-    def _send(self, request: PermitRequest, now_us: int) -> Post:
-        post: Post = [(index, request) for index in self.peers]
+    def _send(self, request: PermitRequest, now_us: int) -> Outbox:
+        post: Outbox = [(index, request) for index in self.peers]
         own_vote = self._vote_on(self.front.index, request, now_us)
         return post + self.on_vote(self.front.index, own_vote, now_us)
 
-    def on_request(self, sender: int, request: PermitRequest, now_us: int) -> Post:
+    def on_request(self, sender: int, request: PermitRequest, now_us: int) -> Outbox:
         """Vote on the request of another front."""
         return [(sender, self._vote_on(sender, request, now_us))]
 
@@ -68,29 +68,29 @@
         is_stale = revision != NO_REVISION and (is_older or not self.acceptor.is_record_known)
         return self.grantors[request.kind].on_permit_request(sender, request, now_us, is_stale=is_stale)
 
-    def on_vote(self, sender: int, vote: PermitVote, now_us: int) -> Post:
+    def on_vote(self, sender: int, vote: PermitVote, now_us: int) -> Outbox:
         """Count a vote; where a request changes by it, the grantors are sent heartbeats at once."""
         for kind, requester in self.requesters.items():
             asking = RequestState.ASKING
             counted = [one.place for one in requester.requests.values() if one.state is asking]
             granted = requester.on_vote(sender, vote, self.grantors[kind], self.front.jitter, now_us)
             if granted is not None:
-                do = Do.DRAIN_FRONT if kind is Kind.FRONT else Do.DRAIN_SERVER
-                self.actions.add(Act(do, kind, granted.place, granted.version))
+                do = ActionKind.DRAIN_FRONT if kind is PlaceKind.FRONT else ActionKind.DRAIN_SERVER
+                self.actions.add(Action(do, kind, granted.place, granted.version))
             if any(requester.requests[place].state is not asking for place in counted):
                 return self.heartbeats.send(now_us)
         return []
 
     def expire_orders(self, now_us: int) -> None:
         """Give up what was ordered by a leader that does not order it any more."""
-        requester = self.requesters[Kind.FRONT]
+        requester = self.requesters[PlaceKind.FRONT]
         requester.advance(now_us)
         for request in list(requester.requests.values()):
             is_ordered = request.revision != NO_REVISION
             is_expired = is_ordered and now_us >= request.wanted_us + ORDER_EXPIRY_US
             if is_expired and request.state in EXPIRING_STATES:
                 requester.cancel(request.place)
-                self.actions.add(Act(Do.STAY, Kind.FRONT, request.place))
+                self.actions.add(Action(ActionKind.CANCEL, PlaceKind.FRONT, request.place))
 
     def cancel_outdated(self) -> None:
         """Give up what the record does not want any more, unless its drain has begun."""
@@ -101,7 +101,7 @@
         for kind, requester in self.requesters.items():
             for request in list(requester.requests.values()):
                 if self._is_outdated(request, record) and requester.cancel(request.place):
-                    self.actions.add(Act(Do.STAY, kind, request.place))
+                    self.actions.add(Action(ActionKind.CANCEL, kind, request.place))
 
     @staticmethod
     def _is_outdated(request: PendingRequest, record: RolloutRecord) -> bool:
--- a/packages/rollouts/src/fennelcove/rollouts/heartbeat_sender.py
+++ b/packages/rollouts/src/fennelcove/rollouts/heartbeat_sender.py
@@ -6,11 +6,11 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field, replace
 
-from fennelcove.rollouts.messages import MAX_OPEN_REQUESTS, Heartbeat, Kind
+from fennelcove.rollouts.messages import MAX_OPEN_REQUESTS, Heartbeat, PlaceKind
 from fennelcove.rollouts.permit_grantor import Grantor
 from fennelcove.rollouts.permit_requester import Requester, RequestNumbers
 from fennelcove.rollouts.record_acceptor import Acceptor
-from fennelcove.rollouts.types import LocalFront, Post
+from fennelcove.rollouts.types import LocalFront, Outbox
 
 MAX_SENT_HEARTBEATS = 256  # own heartbeats whose times are known
 
@@ -22,8 +22,8 @@
     front: LocalFront
     peers: Collection[int]
     numbers: RequestNumbers
-    requesters: Mapping[Kind, Requester]
-    grantors: Mapping[Kind, Grantor]
+    requesters: Mapping[PlaceKind, Requester]
+    grantors: Mapping[PlaceKind, Grantor]
     acceptor: Acceptor
     _sequence: int = 0
     _sent_us: OrderedDict[int, int] = field(default_factory=OrderedDict)
@@ -32,7 +32,7 @@
         """When a heartbeat was sent; None where that is not remembered."""
         return self._sent_us.get(sequence)
 
-    def send(self, now_us: int) -> Post:
+    def send(self, now_us: int) -> Outbox:
         """A heartbeat for each peer; this front's own grantors take it in at once."""
         self._sequence += 1
         self._sent_us[self._sequence] = now_us
@@ -41,7 +41,7 @@
         own = self._heartbeat()
         for grantor in self.grantors.values():
             grantor.on_heartbeat(self.front.index, own, now_us, now_us)
-        received = self.grantors[Kind.FRONT].heartbeats
+        received = self.grantors[PlaceKind.FRONT].heartbeats
         return [(index, self._acknowledging(own, received.get(index))) for index in self.peers]
 
     @staticmethod
--- a/packages/rollouts/src/fennelcove/rollouts/messages.py
+++ b/packages/rollouts/src/fennelcove/rollouts/messages.py
@@ -19,7 +19,7 @@
 MAX_OPEN_REQUESTS = 16  # in a heartbeat, eight bytes each
 
 
-class Kind(IntEnum):
+class PlaceKind(IntEnum):
     """The kind of place that a permit is for. The names appear in status JSON."""
 
     FRONT = 0
@@ -78,7 +78,7 @@
 class OpenRequest:
     """A permit request that its sender has not released."""
 
-    kind: Kind
+    kind: PlaceKind
     place: int
     number: int  # of the request, 1 to 2**32-1
     is_granted: bool
@@ -122,7 +122,7 @@
 
     incarnation: int  # 8 bytes
     number: int  # 4 bytes
-    kind: Kind
+    kind: PlaceKind
     place: int  # 2 bytes
     term: int = 0
     turn: int = 0
@@ -225,7 +225,7 @@
     version: int
 
 
-Said = (
+RolloutMessage = (
     Heartbeat
     | PermitRequest
     | PermitVote
--- a/packages/rollouts/src/fennelcove/rollouts/order_handler.py
+++ b/packages/rollouts/src/fennelcove/rollouts/order_handler.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 
 from fennelcove.rollouts.action_queue import ActionQueue
-from fennelcove.rollouts.messages import Kind, RolloutOrder, ServingState
+from fennelcove.rollouts.messages import PlaceKind, RolloutOrder, ServingState
 from fennelcove.rollouts.permit_requester import Requester, RequestState
 from fennelcove.rollouts.record_acceptor import Acceptor
-from fennelcove.rollouts.types import Act, Do, LocalFront, Post
+from fennelcove.rollouts.types import Action, ActionKind, LocalFront, Outbox
 
 
 @dataclass(slots=True)
@@ -22,7 +22,7 @@
     actions: ActionQueue  # shared with the coordinator
     ordered_version: int | None = None  # that this front was last ordered to return with
 
-    def on_order(self, sender: int, order: RolloutOrder, now_us: int) -> Post:
+    def on_order(self, sender: int, order: RolloutOrder, now_us: int) -> Outbox:
         """Apply an order that is for this incarnation, of the term's leader, and not out of date."""
         revision = (order.term, order.turn)
         is_from_leader = sender == order.term % self.front_count
@@ -45,4 +45,4 @@
         if (self.ordered_version or current) != version:
             # The front does not serve: its drain takes no capacity away, and its return needs no permit.
             self.ordered_version = version
-            self.actions.add(Act(Do.DRAIN_FRONT, Kind.FRONT, index, version))
+            self.actions.add(Action(ActionKind.DRAIN_FRONT, PlaceKind.FRONT, index, version))
--- a/packages/rollouts/src/fennelcove/rollouts/pending_command.py
+++ b/packages/rollouts/src/fennelcove/rollouts/pending_command.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from fennelcove.rollouts.types import Answer, Command
+from fennelcove.rollouts.types import CommandOutcome, Command
 
 MAX_OUTCOMES = 16
 COMMAND_TIMEOUT_US = 4_000_000  # after which a command that no majority has accepted counts as lost
@@ -27,22 +27,22 @@
 
     pending: PendingCommand | None = None
     _last_number: int = 0
-    _outcomes: OrderedDict[int, Answer] = field(default_factory=OrderedDict)
+    _outcomes: OrderedDict[int, CommandOutcome] = field(default_factory=OrderedDict)
 
     def start(self, command: Command, now_us: int) -> int:
         """Put a command in progress; its number."""
         self._last_number += 1
         self.pending = PendingCommand(self._last_number, command, now_us)
-        self._set_outcome(self._last_number, Answer.PENDING)
+        self._set_outcome(self._last_number, CommandOutcome.PENDING)
         return self._last_number
 
     def refuse(self) -> int:
         """Refuse a command as busy; its number."""
         self._last_number += 1
-        self._set_outcome(self._last_number, Answer.BUSY)
+        self._set_outcome(self._last_number, CommandOutcome.BUSY)
         return self._last_number
 
-    def finish(self, outcome: Answer) -> None:
+    def finish(self, outcome: CommandOutcome) -> None:
         """End the command in progress, if there is one."""
         if self.pending is not None:
             self._set_outcome(self.pending.number, outcome)
@@ -51,13 +51,13 @@
     def expire(self, now_us: int) -> None:
         """End the command in progress as lost, where its time is over."""
         if self.pending is not None and now_us >= self.pending.since_us + COMMAND_TIMEOUT_US:
-            self.finish(Answer.LOST)
+            self.finish(CommandOutcome.LOST)
 
-    def outcome(self, number: int) -> Answer:
+    def outcome(self, number: int) -> CommandOutcome:
         """The outcome of a command; one that is no longer remembered counts as lost."""
-        return self._outcomes.get(number, Answer.LOST)
+        return self._outcomes.get(number, CommandOutcome.LOST)
 
-    def _set_outcome(self, number: int, outcome: Answer) -> None:
+    def _set_outcome(self, number: int, outcome: CommandOutcome) -> None:
         self._outcomes[number] = outcome
         if len(self._outcomes) > MAX_OUTCOMES:
             self._outcomes.popitem(last=False)
--- a/packages/rollouts/src/fennelcove/rollouts/permit_grantor.py
+++ b/packages/rollouts/src/fennelcove/rollouts/permit_grantor.py
@@ -25,7 +25,7 @@
 from fennelcove.rollouts.messages import (
     MAX_PROMISED_PLACES,
     Heartbeat,
-    Kind,
+    PlaceKind,
     PermitRequest,
     PermitVerdict,
     PermitVote,
@@ -135,7 +135,7 @@
         """Whether this request shows that the entry's one is over."""
         if entry.state is PermitState.FREE or entry.state is PermitState.WRITTEN_OFF:
             return True
-        if self.settings.kind is Kind.FRONT:
+        if self.settings.kind is PlaceKind.FRONT:
             # A front requests for itself, while it serves, one request at a time.
             entry_request = (entry.incarnation, entry.request_number)
             is_newer = entry_request < (request.incarnation, request.number)
@@ -179,16 +179,16 @@
                 return
         self.heartbeats[sender] = heartbeat
         self.advance(now_us)
-        for place in [sender] if self.settings.kind is Kind.FRONT else list(self.entries):
+        for place in [sender] if self.settings.kind is PlaceKind.FRONT else list(self.entries):
             entry = self.entries.get(place)
             if entry is not None and entry.requester == sender and entry.state in PROMISED_STATES:
                 self._update_from_heartbeat(place, entry, heartbeat)
-        if self.settings.kind is Kind.FRONT and as_of_us is not None:
+        if self.settings.kind is PlaceKind.FRONT and as_of_us is not None:
             is_serving = heartbeat.serving_state is ServingState.SERVING
             self.observe(sender, as_of_us, now_us, is_serving=is_serving)
 
     def _update_from_heartbeat(self, place: int, entry: PermitEntry, heartbeat: Heartbeat) -> None:
-        is_front = self.settings.kind is Kind.FRONT
+        is_front = self.settings.kind is PlaceKind.FRONT
         is_serving = heartbeat.serving_state is ServingState.SERVING
         if entry.incarnation < heartbeat.incarnation:
             # The requester's incarnation has ended. It may still have had a server drained.
@@ -221,7 +221,7 @@
 
     def _free_from_us(self, place: int, entry: PermitEntry) -> int:
         """From when on an observation that the place serves shows that it is not about to drain."""
-        is_front = self.settings.kind is Kind.FRONT
+        is_front = self.settings.kind is PlaceKind.FRONT
         drain_visible_us = self.settings.drain_visible_us
         if entry.state is PermitState.UNKNOWN:
             if is_front and self._may_have_request(place):
@@ -235,7 +235,7 @@
 
     def _may_have_request(self, front_index: int) -> bool:
         heartbeat = self.heartbeats.get(front_index)
-        return heartbeat is None or any(one.kind is Kind.FRONT for one in heartbeat.open_requests)
+        return heartbeat is None or any(one.kind is PlaceKind.FRONT for one in heartbeat.open_requests)
 
     def write_off(self, place: int, now_us: int) -> None:
         """Do not count a place until it is observed to serve again."""
--- a/packages/rollouts/src/fennelcove/rollouts/permit_settings.py
+++ b/packages/rollouts/src/fennelcove/rollouts/permit_settings.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from fennelcove.rollouts.disruption_budget import DisruptionLimit
-from fennelcove.rollouts.messages import Kind
+from fennelcove.rollouts.messages import PlaceKind
 
 # By how much two clocks may differ in rate, and a process be delayed between a check and its action.
 MAX_CLOCK_DRIFT = 0.05
@@ -15,7 +15,7 @@
 class PermitSettings:
     """The settings of permits for one kind of place, the same at all fronts but for `front_index`."""
 
-    kind: Kind
+    kind: PlaceKind
     front_count: int
     front_index: int
     limit: DisruptionLimit
--- a/packages/rollouts/src/fennelcove/rollouts/persisted_state.py
+++ b/packages/rollouts/src/fennelcove/rollouts/persisted_state.py
@@ -5,16 +5,16 @@
 from collections.abc import Mapping
 
 from fennelcove.rollouts.disruption_budget import DisruptionMap
-from fennelcove.rollouts.messages import Kind
+from fennelcove.rollouts.messages import PlaceKind
 from fennelcove.rollouts.permit_entry import PROMISED_STATES, PermitEntry, PermitState
 from fennelcove.rollouts.permit_grantor import Grantor
 from fennelcove.rollouts.permit_settings import PermitSettings
 from fennelcove.rollouts.record_acceptor import Acceptor
-from fennelcove.rollouts.types import Memory, StoredPermit
+from fennelcove.rollouts.types import PersistedState, StoredPermit
 
 
 def restore_grantor(
-    settings: PermitSettings, disruption_map: DisruptionMap, memory: Memory, now_us: int
+    settings: PermitSettings, disruption_map: DisruptionMap, memory: PersistedState, now_us: int
 ) -> Grantor:
     """A grantor with the promises and the written-off places of the previous incarnation."""
     entries = {
@@ -28,14 +28,14 @@
     return Grantor(settings, disruption_map, now_us, memory.whole, entries)
 
 
-def take_changed_state(acceptor: Acceptor, grantors: Mapping[Kind, Grantor]) -> Memory | None:
+def take_changed_state(acceptor: Acceptor, grantors: Mapping[PlaceKind, Grantor]) -> PersistedState | None:
     """The state to persist, and mark it as taken; None where nothing has changed since the last call."""
     books: list[Acceptor | Grantor] = [*grantors.values(), acceptor]
     if not any(book.has_unsaved_changes for book in books):
         return None
     for book in books:
         book.has_unsaved_changes = False
-    return Memory(
+    return PersistedState(
         acceptor.term,
         acceptor.record,
         acceptor.is_record_known,
--- a/packages/rollouts/src/fennelcove/rollouts/plan_execution.py
+++ b/packages/rollouts/src/fennelcove/rollouts/plan_execution.py
@@ -15,7 +15,7 @@
     ACTIVE_PHASES,
     HaltReason,
     Heartbeat,
-    Kind,
+    PlaceKind,
     RolloutPhase,
     RolloutRecord,
     ServingState,
@@ -128,7 +128,7 @@
     @staticmethod
     def _is_leaving(heartbeat: Heartbeat) -> bool:
         """Whether a front drains, or is permitted to."""
-        has_permit = any(one.kind is Kind.FRONT and one.is_granted for one in heartbeat.open_requests)
+        has_permit = any(one.kind is PlaceKind.FRONT and one.is_granted for one in heartbeat.open_requests)
         return has_permit or heartbeat.serving_state is ServingState.DRAINING
 
     def fronts_to_order(self, fleet: FleetView, now_us: int) -> list[int]:
--- a/packages/rollouts/src/fennelcove/rollouts/rollout_controller.py
+++ b/packages/rollouts/src/fennelcove/rollouts/rollout_controller.py
@@ -18,7 +18,7 @@
     ProposalAck,
     RolloutOrder,
     RolloutRecord,
-    Said,
+    RolloutMessage,
     ServingState,
 )
 from fennelcove.rollouts.pending_command import CommandTracker, PendingCommand
@@ -26,18 +26,25 @@
 from fennelcove.rollouts.plan_execution import Finding, PlanExecution
 from fennelcove.rollouts.record_acceptor import Acceptor
 from fennelcove.rollouts.rollout_plan import RolloutEvent, next_record, target_version
-from fennelcove.rollouts.types import Answer, Command, Mine, Post, RolloutSettings, Wish
+from fennelcove.rollouts.types import (
+    CommandOutcome,
+    Command,
+    FrontStatus,
+    Outbox,
+    RolloutSettings,
+    CommandKind,
+)
 
 # Over so many heartbeat intervals the fronts that miss a leader become candidates.
 ELECTION_SPREAD_HEARTBEATS = 8
 COMMAND_EVENTS = {
-    Wish.START: RolloutEvent.START,
-    Wish.CHANGE: RolloutEvent.CHANGE,
-    Wish.HALT: RolloutEvent.HALT,
-    Wish.ON: RolloutEvent.RESUME,
-    Wish.BACK: RolloutEvent.ROLL_BACK,
+    CommandKind.START: RolloutEvent.START,
+    CommandKind.CHANGE: RolloutEvent.CHANGE,
+    CommandKind.HALT: RolloutEvent.HALT,
+    CommandKind.RESUME: RolloutEvent.RESUME,
+    CommandKind.ROLL_BACK: RolloutEvent.ROLL_BACK,
 }
-HALTING_COMMANDS = (Wish.HALT, Wish.CHANGE)
+HALTING_COMMANDS = (CommandKind.HALT, CommandKind.CHANGE)
 
 
 class RolloutController:
@@ -79,13 +86,13 @@
         self.acceptor = acceptor
         self.election = LeaderElection(grantor.settings, incarnation, acceptor)
         self.commands = CommandTracker()
-        self.status = Mine(ServingState.STARTING)
+        self.status = FrontStatus(ServingState.STARTING)
         self.jitter = 0.5
         self.execution: PlanExecution | None = None
         self.unavailable_since_us: dict[int, int] = {}
         self.election_at_us: int | None = None  # when to become a candidate, unless a leader is seen
 
-    def tick(self, status: Mine, now_us: int, jitter: float) -> Post:
+    def tick(self, status: FrontStatus, now_us: int, jitter: float) -> Outbox:
         """What to send at a heartbeat interval; `jitter`: random, from 0 to below 1."""
         self.status, self.jitter = status, jitter
         unavailable = self.grantor.unavailable_places(now_us)
@@ -97,7 +104,7 @@
         self.commands.expire(now_us)
         return self._tick_in_role(now_us)
 
-    def _tick_in_role(self, now_us: int) -> Post:
+    def _tick_in_role(self, now_us: int) -> Outbox:
         role = self.election.role
         if role is Role.PROPOSER:
             return self._proposals(self.election.proposal)
@@ -111,7 +118,7 @@
             return self._to_all_peers(LeaderVoteRequest(self.incarnation, self.election.term))
         return self._tick_follower(now_us)
 
-    def _tick_follower(self, now_us: int) -> Post:
+    def _tick_follower(self, now_us: int) -> Outbox:
         """Become a candidate where a command is pending, or the leader of an active plan is missed."""
         if self.commands.pending is not None:
             return self._start_election(now_us)
@@ -129,17 +136,17 @@
         self.election_at_us = None
         return self._start_election(now_us)
 
-    def _start_election(self, now_us: int) -> Post:
+    def _start_election(self, now_us: int) -> Outbox:
         vote_request = self.election.start_election(now_us)
         if vote_request is None:
             return []
         vote = self.acceptor.on_vote_request(vote_request, now_us)
         return self._to_all_peers(vote_request) + self.on_vote(self.settings.front_index, vote, now_us)
 
-    def _to_all_peers(self, message: Said) -> Post:
+    def _to_all_peers(self, message: RolloutMessage) -> Outbox:
         return [(index, message) for index in self.zones if index != self.settings.front_index]
 
-    def _proposals(self, record: RolloutRecord) -> Post:
+    def _proposals(self, record: RolloutRecord) -> Outbox:
         """A proposal for each peer whose incarnation is known."""
         own_index = self.settings.front_index
         return [
@@ -148,7 +155,7 @@
             if index != own_index
         ]
 
-    def _publish(self, record: RolloutRecord, now_us: int) -> Post:
+    def _publish(self, record: RolloutRecord, now_us: int) -> Outbox:
         """Propose a record to all fronts, this one among them."""
         post = self._proposals(record)
         ack = self.acceptor.on_proposal(record, now_us)
@@ -156,7 +163,7 @@
             post += self.on_ack(self.settings.front_index, ack, now_us)
         return post
 
-    def _on_agreed(self, now_us: int) -> Post:
+    def _on_agreed(self, now_us: int) -> Outbox:
         """A majority has accepted what this front proposed."""
         record = self.election.proposal
         self.log(f"plan {record.plan.number} {record.phase.name.lower()}")
@@ -166,10 +173,10 @@
             self.execution.on_record_agreed(record, now_us)
         pending = self.commands.pending
         if pending is not None and pending.revision == record.revision:
-            self.commands.finish(Answer.DONE)
+            self.commands.finish(CommandOutcome.DONE)
         return self._propose_pending(now_us)
 
-    def _advance_plan(self, execution: PlanExecution, now_us: int) -> Post:
+    def _advance_plan(self, execution: PlanExecution, now_us: int) -> Outbox:
         fleet = view_fleet(self.grantor, self.unavailable_since_us, now_us)
         finding = execution.evaluate(fleet, now_us)
         if finding is None:
@@ -178,7 +185,7 @@
 
     def _propose_finding(
         self, record: RolloutRecord, finding: Finding, fleet: FleetView, now_us: int
-    ) -> Post:
+    ) -> Outbox:
         updated_count = len(fleet.fronts_with(target_version(record)))
         changed = next_record(record, finding.event, updated_count, reason=finding.reason)
         if changed is None:
@@ -186,7 +193,7 @@
         proposed = self.election.propose(changed, now_us)
         return self._publish(proposed, now_us) if proposed is not None else []
 
-    def _send_orders(self, execution: PlanExecution, fleet: FleetView, now_us: int) -> Post:
+    def _send_orders(self, execution: PlanExecution, fleet: FleetView, now_us: int) -> Outbox:
         record, version = execution.record, target_version(execution.record)
         ordered = execution.fronts_to_order(fleet, now_us)
         own_index = self.settings.front_index
@@ -199,7 +206,7 @@
             if index != own_index
         ]
 
-    def command(self, command: Command, now_us: int) -> tuple[int, Post]:
+    def command(self, command: Command, now_us: int) -> tuple[int, Outbox]:
         """Begin to carry out an operator's command: its number, and what to send."""
         is_draining = self.status.serving_state is ServingState.DRAINING
         if self.commands.pending is not None or is_draining or not self.acceptor.may_vote(now_us):
@@ -208,18 +215,18 @@
         is_leader = self.election.role is Role.LEADER
         return number, self._propose_pending(now_us) if is_leader else self._start_election(now_us)
 
-    def _propose_pending(self, now_us: int) -> Post:
+    def _propose_pending(self, now_us: int) -> Outbox:
         """Propose the pending command, where this front leads and has not yet."""
         pending = self.commands.pending
         if pending is None or pending.revision is not None or self.election.role is not Role.LEADER:
             return []
         if pending.command.fence != self.election.proposal.fence:
-            self.commands.finish(Answer.STALE)
+            self.commands.finish(CommandOutcome.STALE)
             return []
         changed = self._commanded_record(pending, now_us)
         proposed = self.election.propose(changed, now_us) if changed is not None else None
         if proposed is None:
-            self.commands.finish(Answer.WRONG)
+            self.commands.finish(CommandOutcome.WRONG)
             return []
         pending.revision = proposed.revision
         return self._publish(proposed, now_us)
@@ -227,29 +234,29 @@
     def _commanded_record(self, pending: PendingCommand, now_us: int) -> RolloutRecord | None:
         record, command = self.election.proposal, pending.command
         plan = command.plan if command.plan is not None else record.plan
-        is_back = command.wish is Wish.BACK or record.back
+        is_back = command.command_kind is CommandKind.ROLL_BACK or record.back
         version = plan.before if is_back else plan.wanted
         fleet = view_fleet(self.grantor, self.unavailable_since_us, now_us)
         updated_count = len(fleet.fronts_with(version))
-        reason = HaltReason.OPERATOR if command.wish in HALTING_COMMANDS else HaltReason.NONE
-        return next_record(record, COMMAND_EVENTS[command.wish], updated_count, command.plan, reason)
+        reason = HaltReason.OPERATOR if command.command_kind in HALTING_COMMANDS else HaltReason.NONE
+        return next_record(record, COMMAND_EVENTS[command.command_kind], updated_count, command.plan, reason)
 
-    def on_vote_request(self, sender: int, vote_request: LeaderVoteRequest, now_us: int) -> Post:
+    def on_vote_request(self, sender: int, vote_request: LeaderVoteRequest, now_us: int) -> Outbox:
         """Answer a candidate."""
         return [(sender, self.acceptor.on_vote_request(vote_request, now_us))]
 
-    def on_vote(self, sender: int, vote: LeaderVote, now_us: int) -> Post:
+    def on_vote(self, sender: int, vote: LeaderVote, now_us: int) -> Outbox:
         """Count a vote; with a majority, what to propose."""
         record = self.election.on_vote(sender, vote, now_us)
         return self._publish(record, now_us) if record is not None else []
 
-    def on_proposal(self, sender: int, proposal: Proposal, now_us: int) -> Post:
+    def on_proposal(self, sender: int, proposal: Proposal, now_us: int) -> Outbox:
         """Take in a record, and acknowledge it where it counts."""
         if proposal.receiver_incarnation != self.incarnation:
             return []
         ack = self.acceptor.on_proposal(proposal.record, now_us)
         return [(sender, ack)] if ack is not None else []
 
-    def on_ack(self, sender: int, ack: ProposalAck, now_us: int) -> Post:
+    def on_ack(self, sender: int, ack: ProposalAck, now_us: int) -> Outbox:
         """Count an acknowledgement; with a majority, what follows of it."""
         return self._on_agreed(now_us) if self.election.on_ack(sender, ack, now_us) else []
--- a/packages/rollouts/src/fennelcove/rollouts/status.py
+++ b/packages/rollouts/src/fennelcove/rollouts/status.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 
 from fennelcove.rollouts.leader_election import LeaderElection, Role
-from fennelcove.rollouts.messages import Kind
+from fennelcove.rollouts.messages import PlaceKind
 from fennelcove.rollouts.permit_grantor import Grantor
 from fennelcove.rollouts.permit_requester import Requester
 from fennelcove.rollouts.record_acceptor import Acceptor
@@ -29,7 +29,7 @@
     }
 
 
-def disruption_status(grantors: Mapping[Kind, Grantor], now_us: int) -> dict[str, dict[str, list[int]]]:
+def disruption_status(grantors: Mapping[PlaceKind, Grantor], now_us: int) -> dict[str, dict[str, list[int]]]:
     """The places that are unavailable, promised and written off, by kind."""
     return {
         kind.name.lower(): {
@@ -41,7 +41,7 @@
     }
 
 
-def request_status(requesters: Mapping[Kind, Requester]) -> list[dict[str, object]]:
+def request_status(requesters: Mapping[PlaceKind, Requester]) -> list[dict[str, object]]:
     """This front's own requests."""
     return [
         {"kind": kind.name.lower(), "place": request.place, "stage": request.state.name.lower()}
--- a/packages/rollouts/src/fennelcove/rollouts/types.py
+++ b/packages/rollouts/src/fennelcove/rollouts/types.py
@@ -10,13 +10,13 @@
 
 from fennelcove.rollouts.disruption_budget import FleetLimits
 from fennelcove.rollouts.permit_settings import PermitSettings
-from fennelcove.rollouts.messages import Kind, Plan, RolloutRecord, Said, ServingState
+from fennelcove.rollouts.messages import PlaceKind, Plan, RolloutRecord, RolloutMessage, ServingState
 
-Post = list[tuple[int, Said]]  # messages to send, each with the index of the front that it is for
+Outbox = list[tuple[int, RolloutMessage]]  # messages to send, each with the index of the front that it is for
 
 
 @dataclass(frozen=True, slots=True)
-class Mine:
+class FrontStatus:
     """The state of this front; counters are of this incarnation and only grow."""
 
     serving_state: ServingState
@@ -36,41 +36,41 @@
 
     index: int
     incarnation: int
-    status: Mine
+    status: FrontStatus
     jitter: float = 0.5  # random, from 0 to below 1
 
 
-class Do(Enum):
+class ActionKind(Enum):
     """What this front has to do."""
 
     DRAIN_FRONT = auto()  # call `begin`; where it permits that, drain and return with `version`
     DRAIN_SERVER = auto()  # call `begin`; where it permits that, have the server drained
-    STAY = auto()  # a drain that was requested is cancelled
-    NOTE = auto()  # write `text` to the log
+    CANCEL = auto()  # a drain that was requested is cancelled
+    LOG = auto()  # write `text` to the log
 
 
 @dataclass(frozen=True, slots=True)
-class Act:
+class Action:
     """One action, to be carried out once."""
 
-    do: Do
-    kind: Kind = Kind.FRONT
+    action_kind: ActionKind
+    kind: PlaceKind = PlaceKind.FRONT
     place: int = 0
     version: int = 0
     text: str = ""
 
 
-class Wish(Enum):
+class CommandKind(Enum):
     """The commands that an operator can give about a plan."""
 
     START = auto()
     CHANGE = auto()  # replaces the active plan; the new one is halted until `ON`
     HALT = auto()
-    ON = auto()
-    BACK = auto()
+    RESUME = auto()
+    ROLL_BACK = auto()
 
 
-class Answer(Enum):
+class CommandOutcome(Enum):
     """The outcome of a command. The names appear in HTTP answers."""
 
     PENDING = auto()  # no majority has accepted it yet
@@ -85,7 +85,7 @@
 class Command:
     """A command of an operator, with the fence that the operator saw in the status."""
 
-    wish: Wish
+    command_kind: CommandKind
     fence: int
     plan: Plan | None = None  # of START and CHANGE; the leader assigns its number
 
@@ -94,7 +94,7 @@
 class StoredPermit:
     """A place that is promised, as it is persisted."""
 
-    kind: Kind
+    kind: PlaceKind
     place: int
     asker: int  # index of the front that requested it
     life: int  # the requester's incarnation
@@ -102,7 +102,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Memory:
+class PersistedState:
     """What has to be persisted for the next incarnation.
 
     Without it the next incarnation waits before it promises anything.
@@ -113,7 +113,7 @@
     sure: bool = True  # whether `record` is known to be the last one that this front accepted
     whole: bool = True  # whether `promises` are all that this front may have promised
     promises: tuple[StoredPermit, ...] = ()
-    off: tuple[tuple[Kind, int], ...] = ()  # places that are written off
+    off: tuple[tuple[PlaceKind, int], ...] = ()  # places that are written off
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,9 +128,9 @@
     server_timeout_us: int = 5_000_000  # a server without an observation for so long is unavailable
     drain_visible_us: int = 5_000_000  # until when all fronts see that a server drains
 
-    def permit_settings(self, kind: Kind, limits: FleetLimits) -> PermitSettings:
+    def permit_settings(self, kind: PlaceKind, limits: FleetLimits) -> PermitSettings:
         """The settings of permits for one kind of place."""
-        if kind is Kind.FRONT:
+        if kind is PlaceKind.FRONT:
             limit, health_timeout_us, drain_visible_us = limits.fronts, self.front_timeout_us, 0
         else:
             limit, health_timeout_us = limits.servers, self.server_timeout_us
--- a/packages/scenarios/src/fennelcove/scenarios/fronts.py
+++ b/packages/scenarios/src/fennelcove/scenarios/fronts.py
@@ -34,7 +34,7 @@
 from fennelcove.settings.writer import write
 from fennelcove.emulators.recorder import Recorder
 from fennelcove.emulators.clients import Player, Unanswered
-from fennelcove.store.folder import verify
+from fennelcove.store.directory import verify_folder
 
 START_S = 30.0
 TORN_BYTES = 40  # off the end of a journal: what a disk had not written when its power went
@@ -339,7 +339,7 @@
     def check_store(self) -> None:
         """Write down what is amiss with its store while nobody holds it."""
         if self.store.exists():
-            for fault in verify(str(self.store)):
+            for fault in verify_folder(str(self.store)):
                 self.recorder.note("store_fault", front=self.name, fault=fault)
 
     def spoil(self, how: str) -> None:
--- a/packages/scenarios/src/fennelcove/scenarios/supervisor.py
+++ b/packages/scenarios/src/fennelcove/scenarios/supervisor.py
@@ -165,7 +165,7 @@
         call = Call("GET", "/v1/status")
         found: list[dict[str, Any]] = []
         for outcome in ask_all(self.lines, call, TIMES, self.rig.clock, len(self.lines)):
-            told = outcome.said.get("releases")
+            told = outcome.body.get("releases")
             if isinstance(told, dict) and "fence" in told:
                 found.append(told)
         return max(found, key=lambda told: (told["fence"], bool(told["leads"])), default={})
--- a/packages/settings/src/fennelcove/settings/checks.py
+++ b/packages/settings/src/fennelcove/settings/checks.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 
 from fennelcove.interface import Effect, ServiceClass, Scope, Settings
-from fennelcove.messages import MOST_CELLS
+from fennelcove.messages import MAX_CELLS
 from fennelcove.settings.reader import SettingsError, load
 from fennelcove.settings.schema import FrontSettings, ShapeSettings
 
@@ -160,9 +160,9 @@
             yield f"{at}.tenants[{i}].name: found {name!r} a second time; give each its own name"
     if not shape.reports_unasked and shape.probes is None:
         yield f"{at}.probes: found none where no report comes unasked; state them, or reports-unasked true"
-    if shape.peers is not None and front.fleet.cells > MOST_CELLS:
+    if shape.peers is not None and front.fleet.cells > MAX_CELLS:
         yield (
-            f"{at}.peers: found {front.fleet.cells} fleet.cells; messages name {MOST_CELLS} at most, "
+            f"{at}.peers: found {front.fleet.cells} fleet.cells; messages name {MAX_CELLS} at most, "
             "so leave peers out"
         )
     if shape.peers is not None and len(shape.peers.addresses) != front.instance.fronts:
@@ -194,8 +194,8 @@
             effect=Effect(room.effect),
             scope=Scope(room.scope),
             key_ttl_us=round(room.key_ttl_ms * 1000),
-            scale=room.scale,
-            floor=room.floor,
+            rate_scale=room.scale,
+            min_rung=room.floor,
             seats=room.seats,
         )
         for room in front.room_types
@@ -204,38 +204,38 @@
     ask_within = front.lists.ask_within_ms
     return Settings(
         service_classes=rooms,
-        fronts=front.instance.fronts,
-        index=front.instance.index,
+        front_count=front.instance.fronts,
+        front_index=front.instance.index,
         zone=front.instance.zone,
         ladder_kb=tuple(rung.kb for rung in front.ladder),
-        ladder_worth=tuple(rung.worth for rung in front.ladder),
-        kind_streams={kind.name: kind.streams for kind in fleet.kinds},
+        rung_utilities=tuple(rung.worth for rung in front.ladder),
+        streams_by_kind={kind.name: kind.streams for kind in fleet.kinds},
         kb_per_weight=fleet.kb_per_weight,
-        all_links_kb=fleet.all_links_kb,
-        sizes_listed=fleet.sizes_listed,
-        racks=fleet.racks,
-        cells=fleet.cells,
+        total_links_kb=fleet.all_links_kb,
+        has_listed_sizes=fleet.sizes_listed,
+        rack_count=fleet.racks,
+        cell_count=fleet.cells,
         uplink_kb=fleet.uplink_kb,
-        uplinks_told=fleet.uplinks_told,
-        seen_after_us=round(fleet.seen_after_ms * 1000),
-        reports_every_us=round(fleet.reports_every_ms * 1000),
-        guard=fleet.guard,
+        reports_uplinks=fleet.uplinks_told,
+        report_delay_us=round(fleet.seen_after_ms * 1000),
+        report_interval_us=round(fleet.reports_every_ms * 1000),
+        rejects_at=fleet.guard,
         cross_zone_price=front.cross_zone_price,
-        send_cap=rules.join_cap,
+        max_attempts=rules.join_cap,
         retry_after_us=None if front.max_retry_after_ms is None else round(front.max_retry_after_ms * 1000),
-        must_ask=front.lists.must_ask,
-        ask_within_us=None if ask_within is None else round(ask_within * 1000),
+        must_poll_list=front.lists.must_ask,
+        list_poll_window_us=None if ask_within is None else round(ask_within * 1000),
         start_capacity=rules.start_capacity,
-        ramp_us=round(rules.ramp_ms * 1000),
-        cold_slack_us=round((rules.fall_multiple - 1) * rules.tip_after_ms * 1000),
-        budget_free=rules.budget_free,
-        budget_ratio=rules.budget_ratio,
-        budget_span_us=round(rules.budget_span_ms * 1000),
+        warm_up_us=round(rules.ramp_ms * 1000),
+        slow_start_slack_us=round((rules.fall_multiple - 1) * rules.tip_after_ms * 1000),
+        retry_base=rules.budget_free,
+        retry_ratio=rules.budget_ratio,
+        retry_window_us=round(rules.budget_span_ms * 1000),
         probe_price=None if shape.probes is None else shape.probes.price,
         peer_price=None if shape.peers is None else shape.peers.price,
-        reports_unasked=shape.reports_unasked,
+        has_unsolicited_reports=shape.reports_unasked,
         quotas={tenant.name: tenant.quota_per_s for tenant in shape.tenants},
-        over_quota_worth=shape.over_quota_worth,
+        over_quota_utility=shape.over_quota_worth,
         worst_class_weight=shape.goal.worst_room_type / shape.goal.whole,
-        switch_cost_us=round(shape.switch_cost_ms * 1000),
+        rung_switch_cost_us=round(shape.switch_cost_ms * 1000),
     )
--- a/packages/simulator-adapter/src/fennelcove/simulator_adapter/codec.py
+++ b/packages/simulator-adapter/src/fennelcove/simulator_adapter/codec.py
@@ -130,7 +130,7 @@
         zone=text(fields, "FailureDomain"),
         kind=text(fields, "Hw"),
         cell=whole(fields, "Place"),
-        standing=choice(fields, "State", ServerState),
+        state=choice(fields, "State", ServerState),
         weight=number(fields, "Share", 1.0),
         started_us=micros(fields, "CameUpMs", 0),
     )
@@ -151,8 +151,8 @@
         top_rung=whole(fields, "TopRung"),
         timeout_us=micros(fields, "BudgetMs", 0),
         tenant=fields.get("Party", ""),
-        returned=flag(fields, "Returned"),
-        watch_guess_us=at_least(fields, "CostGuessMs", micros(fields, "CostGuessMs", 0)) or None,
+        is_repeat=flag(fields, "Returned"),
+        expected_play_us=at_least(fields, "CostGuessMs", micros(fields, "CostGuessMs", 0)) or None,
     )
 
 
--- a/packages/store/src/fennelcove/store/base.py
+++ b/packages/store/src/fennelcove/store/base.py
@@ -19,7 +19,7 @@
 SEQUENCE_KEY = b"\x00number"  # holds the format and the sequence number
 FORMAT_BYTES = 4
 SEQUENCE_BYTES = 8
-FILE = "base.lmdb"
+BASE_FILE_NAME = "base.lmdb"
 FILE_MODE = 0o600
 MAX_READERS = 8
 RECREATE_ADVICE = "move it away to begin anew"
@@ -48,7 +48,7 @@
         Raises:
             BaseFileError: it can't be opened, or has another format.
         """
-        path = Path(folder) / FILE
+        path = Path(folder) / BASE_FILE_NAME
         try:
             self.environment = lmdb.open(
                 str(path),
@@ -105,7 +105,7 @@
                 is_sound = checksum(bytes(key) + value) == raw[:CHECKSUM_BYTES]
                 yield bytes(key), value if is_sound else None
 
-    def copy(self, path: str) -> None:
+    def copy_to(self, path: str) -> None:
         """Write a compacted copy into one file.
 
         Raises:
@@ -116,7 +116,7 @@
         except lmdb.Error as error:
             raise BaseFileError(f"found no way to write it ({error})", str(path)) from None
 
-    def size(self) -> int:
+    def byte_count(self) -> int:
         """The bytes of the pages in use."""
         info = self.environment.info()
         return int((info["last_pgno"] + 1) * self.environment.stat()["psize"])
--- a/packages/store/src/fennelcove/store/folder.py
+++ b/packages/store/src/fennelcove/store/directory.py
@@ -10,7 +10,7 @@
 from fennelcove.decisions.recovery.write_behind import Change
 from fennelcove.errors import OperatorError
 from fennelcove.store import journal
-from fennelcove.store.base import FILE, BaseFile, BaseFileError
+from fennelcove.store.base import BASE_FILE_NAME, BaseFile, BaseFileError
 from fennelcove.store.files import LocalFiles
 from fennelcove.store.journal import Journal, RecoveredJournal
 from fennelcove.store.records import Batch, Damage, FrameFault
@@ -92,10 +92,10 @@
         self.lock = FolderLock(folder)
         self.base = self._open_base(max_mb, holder)
         self.files = LocalFiles(folder)
-        self.unsound: list[bytes] = []  # keys whose values in the base are corrupt
+        self.corrupt_keys: list[bytes] = []  # keys whose values in the base are corrupt
         self.values: dict[bytes, bytes] = {}
         try:
-            self.found = self._load()
+            self.recovered = self._load()
             self.journal = Journal(self.files, self.base.sequence)
             self._fold_recovered()
         except OSError as error:
@@ -116,7 +116,7 @@
     def _load(self) -> RecoveredJournal:
         for key, value in self.base.items():
             if value is None:
-                self.unsound.append(key)
+                self.corrupt_keys.append(key)
             else:
                 self.values[key] = value
         recovered = journal.recover(self.files, self.base.sequence)
@@ -133,10 +133,10 @@
 
     def _fold_recovered(self) -> None:
         """Fold the recovered batches into the base, and start an empty journal."""
-        batches = self.found.batches
+        batches = self.recovered.batches
         merged = _merge(batches)
         sequence = batches[-1].number if batches else self.base.sequence
-        deleted: list[Change] = [(key, None) for key in self.unsound if key not in merged]
+        deleted: list[Change] = [(key, None) for key in self.corrupt_keys if key not in merged]
         self.base.apply([*merged.items(), *deleted], sequence)
         self._start_journal(sequence)
 
@@ -145,7 +145,7 @@
         fresh = Journal(self.files, sequence)
         fresh.create()
         self.journal = fresh
-        for file in self.files.names():
+        for file in self.files.list_names():
             is_journal = journal.preceding_sequence(file) is not None
             if is_journal and file != fresh.file_name:
                 self.files.remove(file)
@@ -165,17 +165,17 @@
         return sequence
 
     @property
-    def heavy(self) -> bool:
+    def needs_checkpoint(self) -> bool:
         """Whether the journal should be folded."""
         return self.journal.byte_count >= JOURNAL_FOLD_BYTES
 
-    def fold(self) -> None:
+    def checkpoint(self) -> None:
         """Apply the journal to the base, and start an empty one.
 
         Raises:
             OSError: the journal is as it was.
         """
-        sequence = self.journal.number
+        sequence = self.journal.sequence
         batches = journal.recover(self.files, self.base.sequence).batches
         self.base.apply(_merge(batches).items(), sequence)
         self._start_journal(sequence)
@@ -195,13 +195,13 @@
     return merged
 
 
-def verify(folder: str) -> list[str]:
+def verify_folder(folder: str) -> list[str]:
     """Each bad record of a folder that no process holds, with its place.
 
     Raises:
         StoreError: there is no store, or it can't be read.
     """
-    if not (Path(folder) / FILE).exists():
+    if not (Path(folder) / BASE_FILE_NAME).exists():
         raise StoreError("found no store there", folder)
     try:
         base = BaseFile(folder, MEGABYTE, read_only=True)
@@ -209,9 +209,9 @@
         raise StoreError(error.happened, error.where, error.cure) from None
     files = LocalFiles(folder)
     try:
-        problems = [f"{FILE}: {key!r}: altered" for key, value in base.items() if value is None]
+        problems = [f"{BASE_FILE_NAME}: {key!r}: altered" for key, value in base.items() if value is None]
         for file, damage in journal.recover(files, base.sequence).damages:
-            problems.append(f"{file}: byte {damage.at}: {_describe(damage)}")
+            problems.append(f"{file}: byte {damage.offset}: {_describe(damage)}")
         return problems
     finally:
         base.close()
--- a/packages/store/src/fennelcove/store/files.py
+++ b/packages/store/src/fennelcove/store/files.py
@@ -13,7 +13,7 @@
 class Files(Protocol):
     """The files of one folder. What is not synced may be lost, in part and in any order."""
 
-    def names(self) -> list[str]:
+    def list_names(self) -> list[str]:
         """The names of all files, sorted."""
 
     def read(self, name: str) -> bytes:
@@ -22,7 +22,7 @@
     def append(self, name: str, raw: bytes) -> None:
         """Write bytes at the end of a file, which is created where there is none."""
 
-    def cut(self, name: str, size: int) -> None:
+    def truncate(self, name: str, size: int) -> None:
         """Truncate a file to so many bytes."""
 
     def sync(self, name: str) -> None:
@@ -47,7 +47,7 @@
         self.folder = Path(folder)
         self.descriptors: dict[str, int] = {}
 
-    def names(self) -> list[str]:
+    def list_names(self) -> list[str]:
         """The names of all files, sorted."""
         return sorted(item.name for item in self.folder.iterdir())
 
@@ -68,7 +68,7 @@
             written = os.write(self._descriptor(name), remaining)
             remaining = remaining[written:]
 
-    def cut(self, name: str, size: int) -> None:
+    def truncate(self, name: str, size: int) -> None:
         """Truncate a file to so many bytes."""
         os.ftruncate(self._descriptor(name), size)
 
--- a/packages/store/src/fennelcove/store/journal.py
+++ b/packages/store/src/fennelcove/store/journal.py
@@ -57,7 +57,7 @@
     """Read every whole batch past the sequence number `after`, without a gap."""
     recovered = RecoveredJournal([])
     last = after
-    for file in files.names():
+    for file in files.list_names():
         preceding = preceding_sequence(file)
         if preceding is None:
             continue
@@ -87,7 +87,7 @@
     def __init__(self, files: Files, after: int) -> None:
         """Use the file whose first batch follows a sequence number; `create` it before the first commit."""
         self.files = files
-        self.number = after  # the sequence number of the newest batch
+        self.sequence = after  # the sequence number of the newest batch
         self.file_name = file_name(after)
         self.byte_count = 0
 
@@ -97,8 +97,8 @@
         Raises:
             OSError: the disk failed.
         """
-        if self.file_name in self.files.names():
-            self.files.cut(self.file_name, 0)
+        if self.file_name in self.files.list_names():
+            self.files.truncate(self.file_name, 0)
         self.files.append(self.file_name, b"")
         self.files.sync(self.file_name)
         self.files.sync_folder()
@@ -113,13 +113,13 @@
             OSError: it is not in force. What was written of it is truncated, so that the next batch does not
                 follow a torn one.
         """
-        raw = encode_frame(Batch(FORMAT_VERSION, self.number + 1, list(entries)))
+        raw = encode_frame(Batch(FORMAT_VERSION, self.sequence + 1, list(entries)))
         try:
             self.files.append(self.file_name, raw)
             self.files.sync(self.file_name)
         except OSError:
-            self.files.cut(self.file_name, self.byte_count)
+            self.files.truncate(self.file_name, self.byte_count)
             raise
         self.byte_count += len(raw)
-        self.number += 1
-        return self.number
+        self.sequence += 1
+        return self.sequence
--- a/packages/store/src/fennelcove/store/records.py
+++ b/packages/store/src/fennelcove/store/records.py
@@ -48,7 +48,7 @@
 class Damage:
     """Where reading had to stop, in bytes from the file's start, and why."""
 
-    at: int
+    offset: int
     fault: FrameFault
     detail: str = ""
 
--- a/packages/store/src/fennelcove/store/keeper.py
+++ b/packages/store/src/fennelcove/store/writer.py
@@ -9,7 +9,7 @@
 from fennelcove.clock import Clock
 from fennelcove.core.requests import EventLogger
 from fennelcove.decisions.recovery.write_behind import Change, WriteBehindQueue, WriterAction, WriterEvent
-from fennelcove.store.folder import Store
+from fennelcove.store.directory import Store
 
 IDLE_S = 60.0
 MICROSECONDS_PER_SECOND = 1e6
@@ -43,7 +43,7 @@
         """Start the thread."""
         self.thread.start()
 
-    def keep(self, entries: list[Change]) -> None:
+    def enqueue(self, entries: list[Change]) -> None:
         """Queue changes; never waits for the disk."""
         with self.condition:
             now_us = self.clock.now_us()
@@ -95,8 +95,8 @@
         try:
             self.store.commit(batch)
             self.write_count += 1
-            if self.store.heavy:
-                self.store.fold()
+            if self.store.needs_checkpoint:
+                self.store.checkpoint()
         except OSError as error:
             return WriterEvent.NO_SPACE if error.errno in NO_SPACE_ERRORS else WriterEvent.FAILED
         return WriterEvent.WRITTEN
--- a/packages/upstream/src/fennelcove/upstream/attempts.py
+++ b/packages/upstream/src/fennelcove/upstream/attempts.py
@@ -15,7 +15,7 @@
 from fennelcove.core.requests import AttemptResult, SendAttempt
 from fennelcove.decisions.servers.load_signals import ServerHints
 from fennelcove.decisions.servers.attempt_exchange import (
-    Exchange,
+    AttemptExchange,
     ExchangeEvent,
     attempt_timeouts,
     may_reuse_connection,
@@ -72,11 +72,11 @@
 class Slots(Protocol):
     """What a joiner asks where the joins at a box have a number of their own; none of it waits."""
 
-    def shape(self, service_class: str, rung: int, server: str) -> int: ...
+    def workload_shape(self, service_class: str, rung: int, server: str) -> int: ...
 
-    def take(self, server: str, shape: int, allow_us: int) -> bool: ...
+    def try_acquire(self, server: str, shape: int, allow_us: int) -> bool: ...
 
-    def ended(self, server: str, shape: int, held_us: int, answered: bool | None) -> None: ...
+    def on_attempt_ended(self, server: str, shape: int, held_us: int, answered: bool | None) -> None: ...
 
 
 # What an end says of a box's pace: it answered, or did not; the rest says nothing of it.
@@ -112,8 +112,8 @@
             return RunningAttempt(AttemptResult(Outcome.NOT_SENT, None, 0))
         if self.slots is None:
             return self._entered(step, viewer)
-        shape = self.slots.shape(step.session.service_class, step.rung, step.server)
-        if not self.slots.take(step.server, shape, step.timeout_us):
+        shape = self.slots.workload_shape(step.session.service_class, step.rung, step.server)
+        if not self.slots.try_acquire(step.server, shape, step.timeout_us):
             self.pool.leave(step.server, None)
             return RunningAttempt(AttemptResult(Outcome.NOT_SENT, None, 0))
         answered = None
@@ -123,7 +123,7 @@
             answered = ANSWERED.get(run.end.outcome)
             return run
         finally:
-            self.slots.ended(step.server, shape, self.clock.now_us() - began_us, answered)
+            self.slots.on_attempt_ended(step.server, shape, self.clock.now_us() - began_us, answered)
 
     def _entered(self, step: SendAttempt, viewer: socket.socket | None) -> RunningAttempt:
         began_us = self.clock.now_us()
@@ -140,7 +140,7 @@
     def _exchange(
         self, step: SendAttempt, viewer: socket.socket | None, began_us: int
     ) -> tuple[RunningAttempt, ServerConnection | None, bool]:
-        exchange, times = Exchange(), attempt_timeouts(step.timeout_us)
+        exchange, times = AttemptExchange(), attempt_timeouts(step.timeout_us)
         session = step.session
         link = (
             self.pool.idle_link(step.server)
@@ -151,12 +151,12 @@
             try:
                 link = dial(step.server, times.connect_us, self.limits)
             except TimeoutError:
-                exchange.see(ExchangeEvent.TIMED_OUT)
+                exchange.apply(ExchangeEvent.TIMED_OUT)
             except OSError:
-                exchange.see(ExchangeEvent.REFUSED)
+                exchange.apply(ExchangeEvent.CONNECT_FAILED)
         if link is None:
             return self._run(exchange, began_us), None, False
-        exchange.see(ExchangeEvent.CONNECTED)
+        exchange.apply(ExchangeEvent.CONNECTED)
         order = JoinOrder(
             front=self.front,
             title=session.title,
@@ -168,22 +168,22 @@
         path, body = join_path(session.id, step.attempt), msgspec.json.encode(order)
         raw = writer.request("PUT", path, step.server, fields, body)
         try:
-            link.sock.settimeout(max(0.001, (began_us + times.whole_us - self.clock.now_us()) / 1e6))
+            link.sock.settimeout(max(0.001, (began_us + times.total_us - self.clock.now_us()) / 1e6))
             link.sock.sendall(raw)
-            exchange.see(ExchangeEvent.WROTE)
+            exchange.apply(ExchangeEvent.REQUEST_WRITTEN)
         except TimeoutError:
-            exchange.see(ExchangeEvent.TIMED_OUT)
+            exchange.apply(ExchangeEvent.TIMED_OUT)
         except OSError:
-            exchange.see(ExchangeEvent.CLOSED)
+            exchange.apply(ExchangeEvent.CLOSED)
         if exchange.outcome is not None:
             return self._run(exchange, began_us), link, False
-        first_us, whole_us = began_us + times.first_byte_us, began_us + times.whole_us
+        first_us, whole_us = began_us + times.first_byte_us, began_us + times.total_us
         return self._await(link, exchange, began_us, first_us, whole_us, viewer)
 
     def _await(
         self,
         link: ServerConnection,
-        exchange: Exchange,
+        exchange: AttemptExchange,
         began_us: int,
         first_us: int,
         whole_us: int,
@@ -193,43 +193,43 @@
         while True:
             woken = wait(link.sock, limit_us - self.clock.now_us(), self.halt, viewer)
             if woken in (WakeReason.HUNG_UP, WakeReason.LATCH):
-                end = AttemptResult(Outcome.CALLED_OFF, None, self.clock.now_us() - began_us)
+                end = AttemptResult(Outcome.CANCELLED, None, self.clock.now_us() - began_us)
                 return RunningAttempt(end, woken), link, False
             if woken is WakeReason.TIME:
-                exchange.see(ExchangeEvent.TIMED_OUT)
+                exchange.apply(ExchangeEvent.TIMED_OUT)
                 return self._run(exchange, began_us), link, False
             try:
                 data = link.sock.recv(READ_BYTES)
             except OSError:
                 data = b""
             if data:
-                exchange.see(ExchangeEvent.BYTES)
+                exchange.apply(ExchangeEvent.RESPONSE_STARTED)
                 limit_us = whole_us
             link.answers.reader.feed(data)
             try:
                 whole = link.answers.next()
             except ProtocolError:
-                exchange.see(ExchangeEvent.GARBAGE if data else ExchangeEvent.CLOSED)
+                exchange.apply(ExchangeEvent.MALFORMED_RESPONSE if data else ExchangeEvent.CLOSED)
                 return self._run(exchange, began_us), link, False
             if whole is not None:
                 return self._answer(whole, link, exchange, began_us)
             if not data:
-                exchange.see(ExchangeEvent.CLOSED)
+                exchange.apply(ExchangeEvent.CLOSED)
                 return self._run(exchange, began_us), link, False
 
     def _answer(
-        self, whole: Whole, link: ServerConnection, exchange: Exchange, began_us: int
+        self, whole: Whole, link: ServerConnection, exchange: AttemptExchange, began_us: int
     ) -> tuple[RunningAttempt, ServerConnection, bool]:
         head = whole.head
         assert isinstance(head, ResponseHead)
         dynamic = text(head, cmsd.DYNAMIC.encode())
         says = self.hints.says(text(head, cmsd.STATIC.encode()), dynamic)
-        exchange.see(_meaning(head, whole.body))
+        exchange.apply(_meaning(head, whole.body))
         keep = head.keep_alive and link.answers.reader.between
         return self._run(exchange, began_us, says, dynamic or ""), link, keep
 
     def _run(
-        self, exchange: Exchange, began_us: int, says: ServerHints | None = None, hops: str = ""
+        self, exchange: AttemptExchange, began_us: int, says: ServerHints | None = None, hops: str = ""
     ) -> RunningAttempt:
         assert exchange.outcome is not None
         return RunningAttempt(
@@ -239,12 +239,12 @@
 
 def _meaning(head: ResponseHead, body: bytes) -> ExchangeEvent:
     if head.status == 201:
-        return ExchangeEvent.STARTED
+        return ExchangeEvent.PLAYBACK_STARTED
     if head.status == 503:
         # A 503 alone may come from anything on the way, after the box ran it: only the box's own word proves.
         try:
             if _PROBLEM.decode(body).type == TURNED_AWAY:
-                return ExchangeEvent.TURNED_AWAY
+                return ExchangeEvent.REJECTED
         except msgspec.MsgspecError:
             pass
-    return ExchangeEvent.ERROR
+    return ExchangeEvent.SERVER_ERROR
--- a/packages/upstream/src/fennelcove/upstream/command_senders.py
+++ b/packages/upstream/src/fennelcove/upstream/command_senders.py
@@ -9,7 +9,7 @@
 from fennelcove.clock import Clock
 from fennelcove.core.command_queue import CommandDispatcher
 from fennelcove.core.session_lifecycle import SessionLifecycle
-from fennelcove.decisions.servers.command_queue import CARRY_OUT_US, Command
+from fennelcove.decisions.servers.command_queue import COMMAND_TIMEOUT_US, Command
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import ProtocolError, ResponseHead
 from fennelcove.upstream.connection_pool import DialLimits, ServerConnection, ConnectionPool, dial
@@ -67,7 +67,11 @@
     def _left_us(self) -> int:
         """How long one order may take now."""
         until_us = self.until_us
-        return CARRY_OUT_US if until_us is None else min(CARRY_OUT_US, until_us - self.clock.now_us())
+        return (
+            COMMAND_TIMEOUT_US
+            if until_us is None
+            else min(COMMAND_TIMEOUT_US, until_us - self.clock.now_us())
+        )
 
     def _carry_out(self, order: Command, lifecycle: SessionLifecycle) -> bool:
         if not self.pool.enter(order.server):
@@ -87,15 +91,15 @@
             self.pool.leave(order.server, link if keep else None)
 
     def _exchange(self, link: ServerConnection, order: Command, lifecycle: SessionLifecycle) -> bool:
-        path = join_path(order.id, order.attempt)
+        path = join_path(order.session_id, order.attempt)
         fields = [("Content-Type", "application/json")]
-        if order.mark is not None:
-            body = msgspec.json.encode(Mark(order.mark))
+        if order.resume_token is not None:
+            body = msgspec.json.encode(Mark(order.resume_token))
             raw = writer.request("PUT", f"{path}/mark", order.server, fields, body)
         elif order.rung is None:
             raw = writer.request("DELETE", path, order.server)
         else:
-            session = lifecycle.held.get(order.id)
+            session = lifecycle.sessions.get(order.session_id)
             rate_kb = session.rates_kb[order.rung] if session is not None else 0.0
             body = msgspec.json.encode(RungOrder(order.rung, rate_kb))
             raw = writer.request("PUT", f"{path}/rung", order.server, fields, body)
--- a/packages/upstream/src/fennelcove/upstream/endpoint_list_client.py
+++ b/packages/upstream/src/fennelcove/upstream/endpoint_list_client.py
@@ -12,7 +12,7 @@
 from fennelcove.core.endpoint_discovery import EndpointDiscovery
 from fennelcove.core.requests import EventLogger
 from fennelcove.decisions.servers import endpoint_list
-from fennelcove.decisions.servers.command_queue import CARRY_OUT_US
+from fennelcove.decisions.servers.command_queue import COMMAND_TIMEOUT_US
 from fennelcove.errors import OperatorError
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import ProtocolError, ResponseHead
@@ -120,7 +120,7 @@
                 version = discovery.version
                 path = "/v1/list/stream" if version is None else f"/v1/list/stream?since={version}"
                 self.stream = EventStream(
-                    self.address, path, self.limits, CARRY_OUT_US, endpoint_list.SILENCE_US
+                    self.address, path, self.limits, COMMAND_TIMEOUT_US, endpoint_list.STREAM_IDLE_TIMEOUT_US
                 )
             try:
                 self.stream.run(lambda event: self._take(event, discovery))
@@ -133,7 +133,7 @@
                     self.stream_due = False
                 discovery.on_list_unavailable()
             with self.changed:
-                pause_us = endpoint_list.pause_us(failures, self.rng.random())
+                pause_us = endpoint_list.backoff_us(failures, self.rng.random())
                 self.changed.wait_for(lambda: self.stopped, pause_us / 1e6)
 
     def _take(self, event: ServerEvent, discovery: EndpointDiscovery) -> None:
@@ -168,13 +168,13 @@
                 self.notice("list_call_failed", **told.fields(), failures=failures)
                 discovery.on_list_unavailable()
                 with self.changed:
-                    pause_us = endpoint_list.pause_us(failures, self.rng.random())
+                    pause_us = endpoint_list.backoff_us(failures, self.rng.random())
                     self.changed.wait_for(lambda: self.stopped, pause_us / 1e6)
 
     def _fetch(self) -> ListMessage:
-        link = dial(self.address, CARRY_OUT_US, self.limits)
+        link = dial(self.address, COMMAND_TIMEOUT_US, self.limits)
         with link.sock as sock:
-            sock.settimeout(CARRY_OUT_US / 1e6)
+            sock.settimeout(COMMAND_TIMEOUT_US / 1e6)
             sock.sendall(writer.request("GET", "/v1/list", self.address))
             whole = link.answer()
         assert isinstance(whole.head, ResponseHead)
--- a/packages/upstream/src/fennelcove/upstream/front_messaging.py
+++ b/packages/upstream/src/fennelcove/upstream/front_messaging.py
@@ -13,8 +13,8 @@
 from fennelcove.interface import PeerMessage
 from fennelcove import usage_messages, messages, rollout_messages, limit_messages
 from fennelcove.fair_queueing.usage_gossip import UsageReport
-from fennelcove.messages import MOST_BYTES, encode, decode
-from fennelcove.rollouts.messages import Said
+from fennelcove.messages import MAX_BYTES, encode, decode
+from fennelcove.rollouts.messages import RolloutMessage
 
 LOOK_S = 0.25  # how often the listening thread looks whether it should end
 
@@ -36,7 +36,7 @@
         self.counted: Callable[[int, LoadSummary], None] | None = None
         self.worded: Callable[[int, HealthReport], None] | None = None
         self.spared: Callable[[int, QuotaRequest | QuotaTransfer], None] | None = None
-        self.agreed: Callable[[int, Said], None] | None = None
+        self.agreed: Callable[[int, RolloutMessage], None] | None = None
         self.slotted: Callable[[int, bytes], bool] | None = None
         self.gave: Callable[[int, UsageReport], None] | None = None
         self.stopped = False
@@ -62,25 +62,25 @@
     def beat(self, beats: dict[int, Heartbeat]) -> None:
         """Send a sign of life to each of these fronts, or lose it."""
         for front, beat in beats.items():
-            self._send(front, messages.pack_beat(beat))
+            self._send(front, messages.encode_heartbeat(beat))
 
     def summary(self, said: LoadSummary) -> None:
         """Tell all other fronts what this one is asked."""
-        raw = messages.pack_summary(said)
+        raw = messages.encode_load_summary(said)
         for front in self.indices.values():
             self._send(front, raw)
 
     def spare(self, front: int, said: QuotaRequest | QuotaTransfer) -> None:
         """Ask another front for a part of its budget, or lend of this one's."""
-        self._send(front, messages.pack_budget(said))
+        self._send(front, messages.encode_quota_message(said))
 
-    def agree(self, front: int, said: Said) -> None:
+    def agree(self, front: int, said: RolloutMessage) -> None:
         """Tell another front something about who is out."""
         self._send(front, rollout_messages.encode(said))
 
     def word(self, said: HealthReport) -> None:
         """Tell all other fronts what this one finds of a box."""
-        raw = messages.pack_word(said)
+        raw = messages.encode_health_report(said)
         for front in self.indices.values():
             self._send(front, raw)
 
@@ -109,7 +109,7 @@
     def _run(self) -> None:
         while not self.stopped:
             try:
-                raw, address = self.sock.recvfrom(MOST_BYTES + 1)
+                raw, address = self.sock.recvfrom(MAX_BYTES + 1)
             except TimeoutError:
                 continue
             except OSError:
@@ -121,18 +121,18 @@
 
     def _take(self, sender: int, raw: bytes) -> bool:
         kind = raw[0] if raw else 0
-        if kind == messages.BEAT and self.beaten is not None:
-            beat = messages.unpack_beat(raw)
+        if kind == messages.HEARTBEAT and self.beaten is not None:
+            beat = messages.decode_heartbeat(raw)
             if beat is not None:
                 self.beaten(sender, beat)
             return beat is not None
-        if kind == messages.SUMMARY and self.counted is not None:
-            summary = messages.unpack_summary(raw)
+        if kind == messages.LOAD_SUMMARY and self.counted is not None:
+            summary = messages.decode_load_summary(raw)
             if summary is not None:
                 self.counted(sender, summary)
             return summary is not None
-        if kind in (messages.ASK, messages.LOAN) and self.spared is not None:
-            spared = messages.unpack_budget(raw)
+        if kind in (messages.QUOTA_REQUEST, messages.QUOTA_TRANSFER) and self.spared is not None:
+            spared = messages.decode_quota_message(raw)
             if spared is not None:
                 self.spared(sender, spared)
             return spared is not None
@@ -141,14 +141,14 @@
             if agreed is not None:
                 self.agreed(sender, agreed)
             return agreed is not None
-        if kind == messages.WORD and self.worded is not None:
-            word = messages.unpack_word(raw)
+        if kind == messages.HEALTH_REPORT_KIND and self.worded is not None:
+            word = messages.decode_health_report(raw)
             if word is not None:
                 self.worded(sender, word)
             return word is not None
         if kind in limit_messages.KINDS and self.slotted is not None:
             return self.slotted(sender, raw)
-        if kind == usage_messages.GIVEN and self.gave is not None:
+        if kind == usage_messages.USAGE_REPORT and self.gave is not None:
             given = usage_messages.decode(raw)
             if given is not None:
                 self.gave(sender, given)
--- a/packages/upstream/src/fennelcove/upstream/server_event_streams.py
+++ b/packages/upstream/src/fennelcove/upstream/server_event_streams.py
@@ -10,7 +10,7 @@
 from fennelcove.clock.timers import Timers
 from fennelcove.core.requests import EventLogger
 from fennelcove.core.server_registry import ServerRegistry
-from fennelcove.decisions.servers.command_queue import CARRY_OUT_US
+from fennelcove.decisions.servers.command_queue import COMMAND_TIMEOUT_US
 from fennelcove.decisions.servers.load_signals import ServerHints
 from fennelcove.upstream.attempts import HintReader
 from fennelcove.upstream.command_senders import CommandSenders
@@ -69,7 +69,7 @@
     def open_stream(self, server: str, generation: int) -> None:
         """Open a server's event stream on a thread of its own."""
         stream = EventStream(
-            server, f"/v1/feed?front={self.front}", self.limits, CARRY_OUT_US, self.silence_us
+            server, f"/v1/feed?front={self.front}", self.limits, COMMAND_TIMEOUT_US, self.silence_us
         )
         thread = threading.Thread(target=self._run, args=(server, generation, stream), name=f"feed-{server}")
         with self.lock:
--- a/tests/clientrig.py
+++ b/tests/clientrig.py
@@ -77,7 +77,7 @@
         self.gate = Gate()
         self.desk.lock = self.gate  # type: ignore[assignment]
         for told in self.desk.config.initial_batch.events:
-            self.desk.board_says(told)
+            self.desk.on_discovery_event(told)
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 << 20)  # handed on to each connection
         threading.Thread(target=self.timers.run, daemon=True).start()
--- a/tests/coldfleet.py
+++ b/tests/coldfleet.py
@@ -28,7 +28,7 @@
 ANSWER_US = SECOND // 20
 # How joins end where they are to fail, and whether their set-up reached the server at all.
 FAILURES = {
-    Outcome.TURNED_AWAY: True,
+    Outcome.REJECTED: True,
     Outcome.SERVER_ERROR: True,
     Outcome.CONNECTION_LOST: True,
     Outcome.NO_ANSWER: True,
@@ -211,7 +211,7 @@
             "lumped": -(-self.now_us // SECOND) * SECOND,
             "held": max(self.now_us, BORN_US + self.case.quiet_us + SECOND),
         }[self.case.dial]
-        outcome, arrives = Outcome.CALLED_OFF, True
+        outcome, arrives = Outcome.CANCELLED, True
         if self.random.random() < (self.case.fail_part if server in self.born else 2 * self.case.fail_part):
             outcome = self.random.choice(self.case.failures)
             arrives = FAILURES[outcome]
@@ -227,7 +227,7 @@
     def over(self, index: int, front: PlacementPolicy, id: str, number: int, outcome: Outcome) -> None:
         if self.made[index] is not front:
             return  # it has ended since
-        front.handle(AttemptCompleted(id, number, outcome, outcome is Outcome.CALLED_OFF, None), self.now_us)
+        front.handle(AttemptCompleted(id, number, outcome, outcome is Outcome.CANCELLED, None), self.now_us)
         self.join(index, front, id)
 
     def worst(self) -> Worst:
--- a/tests/noderig.py
+++ b/tests/noderig.py
@@ -217,9 +217,9 @@
             self.reader.feed(data)
         return message
 
-    def answer(self) -> rtsp.Answer:
+    def answer(self) -> rtsp.Response:
         message = self.next()
-        assert isinstance(message, rtsp.Answer), message
+        assert isinstance(message, rtsp.Response), message
         return message
 
     def request(self) -> rtsp.Request:
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -25,14 +25,14 @@
     """Run a schedule in simulated time; the time passed and the time taken."""
     now_us = taken = 0
     while now_us < for_us:
-        pick = schedule.pick(now_us)
+        pick = schedule.next_task(now_us)
         if pick.task is None:
             now_us += pick.wait_us
             continue
         began_us = now_us
         now_us += costs[pick.task.name]
         taken += costs[pick.task.name]
-        schedule.over(pick.task, began_us, now_us)
+        schedule.on_run_completed(pick.task, began_us, now_us)
     return now_us, taken
 
 
@@ -44,11 +44,11 @@
         return schedule
 
     def test_what_somebody_waits_for_goes_first_and_what_is_past_its_time_before_that(self) -> None:
-        viewers = BackgroundTask("v", TaskPriority.VIEWERS, 100 * MS, 100 * MS)
+        viewers = BackgroundTask("v", TaskPriority.CLIENT_FACING, 100 * MS, 100 * MS)
         house = BackgroundTask("h", TaskPriority.HOUSEKEEPING, 100 * MS, 50 * MS)
         schedule = self.made(house, viewers)
-        self.assertIs(schedule.pick(0).task, viewers)
-        self.assertIs(schedule.pick(60 * MS).task, house)
+        self.assertIs(schedule.next_task(0).task, viewers)
+        self.assertIs(schedule.next_task(60 * MS).task, house)
 
     @given(
         st.lists(
@@ -74,33 +74,33 @@
         passed, taken = played(schedule, costs, 20_000 * MS)
         longest = sum(costs.values())
         for task in tasks:
-            self.assertGreater(task.runs, 0)
+            self.assertGreater(task.run_count, 0)
             # Past its deadline it goes before all that are not; only others as late can be before it.
-            self.assertLessEqual(task.latest_us, task.max_delay_us + longest)
+            self.assertLessEqual(task.max_lateness_us, task.max_delay_us + longest)
         self.assertGreaterEqual(schedule.budget_us, -MAX_DEBT_US)
-        if not any(task.latest_us >= task.max_delay_us for task in tasks):
+        if not any(task.max_lateness_us >= task.max_delay_us for task in tasks):
             self.assertLessEqual(taken, schedule.time_share * passed + MAX_SAVED_US + longest)
 
     def test_a_dear_task_waits_for_its_budget_and_a_cheap_one_does_not(self) -> None:
-        dear = BackgroundTask("dear", TaskPriority.VIEWERS, 100 * MS, 10_000 * MS)
+        dear = BackgroundTask("dear", TaskPriority.CLIENT_FACING, 100 * MS, 10_000 * MS)
         cheap = BackgroundTask("cheap", TaskPriority.HOUSEKEEPING, 100 * MS, 10_000 * MS)
         schedule = self.made(dear, cheap)
         passed, taken = played(schedule, {"dear": 40 * MS, "cheap": MS // 10}, 30_000 * MS)
         self.assertLess(taken / passed, 0.12)
-        self.assertGreater(cheap.runs, 2 * dear.runs)
-        self.assertGreater(dear.skipped, 0)
+        self.assertGreater(cheap.run_count, 2 * dear.run_count)
+        self.assertGreater(dear.skipped_count, 0)
 
     def test_one_that_hung_once_does_not_stop_the_rest_for_long(self) -> None:
         hung, other = (
-            BackgroundTask("hung", TaskPriority.MEMORY, 1000 * MS, 500 * MS),
-            BackgroundTask("o", TaskPriority.MEMORY, 1000 * MS, 500 * MS),
+            BackgroundTask("hung", TaskPriority.SNAPSHOT, 1000 * MS, 500 * MS),
+            BackgroundTask("o", TaskPriority.SNAPSHOT, 1000 * MS, 500 * MS),
         )
         schedule = self.made(hung, other)
-        schedule.over(hung, 0, 60_000 * MS)
+        schedule.on_run_completed(hung, 0, 60_000 * MS)
         now_us = 60_000 * MS
-        self.assertIs(schedule.pick(now_us).task, other)
-        schedule.over(other, now_us, now_us + MS)
-        self.assertLess(schedule.pick(now_us + 2 * MS).wait_us, 1000 * MS)
+        self.assertIs(schedule.next_task(now_us).task, other)
+        schedule.on_run_completed(other, now_us, now_us + MS)
+        self.assertLess(schedule.next_task(now_us + 2 * MS).wait_us, 1000 * MS)
 
 
 class BackgroundTest(unittest.TestCase):
@@ -111,8 +111,8 @@
         def fail() -> None:
             raise ValueError("no")
 
-        background.add("bad", TaskPriority.VIEWERS, MS, MS, fail)
-        background.add("good", TaskPriority.MEMORY, MS, MS, lambda: runs.append(1))
+        background.add("bad", TaskPriority.CLIENT_FACING, MS, MS, fail)
+        background.add("good", TaskPriority.SNAPSHOT, MS, MS, lambda: runs.append(1))
         background.start()
         wait_for(lambda: len(runs) > 3 and len(told) > 3, "both")
         background.stop()
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -52,7 +52,7 @@
             index,
             self.lives,
             self.now_us,
-            need=WHOLE if index == 0 else 0.0,
+            demand=WHOLE if index == 0 else 0.0,
         )
 
     def whole(self) -> float:
@@ -64,11 +64,11 @@
         if purse is None:
             return
         if isinstance(said, QuotaRequest):
-            loan = purse.hear_ask(sender, said, self.now_us)
+            loan = purse.on_request(sender, said, self.now_us)
             if loan is not None:
                 self.air.append((taker, sender, loan))
         else:
-            purse.hear_loan(sender, said, self.now_us)
+            purse.on_transfer(sender, said, self.now_us)
 
     def steps(self) -> Iterator[World]:
         """Every world that may come next: time passes, a message comes once or again or is lost, a front
@@ -94,9 +94,9 @@
             for to in (1, 2):
                 after = copy.deepcopy(self)
                 purse = after.purses[0]
-                purse.need = WHOLE
+                purse.demand = WHOLE
                 draw = (to - 1) / 2
-                found = purse.ask(draw, after.now_us)
+                found = purse.next_requests(draw, after.now_us)
                 after.air += [(0, other, said) for other, said in found[:1]]
                 yield after
 
@@ -111,8 +111,8 @@
                         (at, rate, u - self.now_us) for at, (rate, u) in p.borrowed.items() if u > self.now_us
                     )
                 ),
-                tuple((to, self.now_us - at_us) for to, _, at_us in p.sent.values()),
-                min(self.now_us - p.asked_us, STEP_US),
+                tuple((to, self.now_us - at_us) for to, _, at_us in p.pending_requests.values()),
+                min(self.now_us - p.requested_us, STEP_US),
             )
             for i, p in sorted(self.purses.items())
         )
@@ -123,8 +123,8 @@
                     a,
                     b,
                     type(s).__name__,
-                    s.life == now.get(a if isinstance(s, QuotaRequest) else b, (0, 0))[0],
-                    s.number - now.get(a if isinstance(s, QuotaRequest) else b, (0, 0))[1],
+                    s.incarnation == now.get(a if isinstance(s, QuotaRequest) else b, (0, 0))[0],
+                    s.sequence - now.get(a if isinstance(s, QuotaRequest) else b, (0, 0))[1],
                     s.rate,
                 )
                 for a, b, s in self.air
@@ -156,8 +156,8 @@
 class FromReceipt(Quota):
     """A planted fault: a loan counts from when it is heard."""
 
-    def hear_loan(self, sender: int, loan: QuotaTransfer, now_us: int) -> None:
-        if loan.life == self.incarnation:
+    def on_transfer(self, sender: int, loan: QuotaTransfer, now_us: int) -> None:
+        if loan.incarnation == self.incarnation:
             self.borrowed[sender] = BorrowedQuota(loan.rate, now_us + shared_quotas.LOAN_US)
 
 
@@ -201,9 +201,11 @@
         for _ in range(400):
             world.now_us += 25_000
             for index, purse in list(world.purses.items()):
-                while chance.random() < (0.8 if index == 0 else 0.1) and purse.take(world.now_us):
+                while chance.random() < (0.8 if index == 0 else 0.1) and purse.try_acquire(world.now_us):
                     spent.append(world.now_us)
-                world.air += [(index, to, said) for to, said in purse.ask(chance.random(), world.now_us)]
+                world.air += [
+                    (index, to, said) for to, said in purse.next_requests(chance.random(), world.now_us)
+                ]
             if chance.random() < 0.01:
                 world.born(chance.randrange(4))
                 births += 1
@@ -225,8 +227,8 @@
         world.now_us = 2 * shared_quotas.LOAN_US
         busy = world.purses[0]
         busy.advance(world.now_us)
-        busy.need = WHOLE
-        world.air = [(0, to, said) for to, said in busy.ask(0.0, world.now_us)]
+        busy.demand = WHOLE
+        world.air = [(0, to, said) for to, said in busy.next_requests(0.0, world.now_us)]
         while world.air:
             world.deliver(0, keep=False)
         self.assertGreater(busy.rate(world.now_us), 2 * busy.equal_share)
@@ -238,10 +240,10 @@
             QuotaRequest(1 << 40, 7, Resource.PROBE, 2.5),
             QuotaTransfer(1 << 41, 9, Resource.LIST_CALL, 0.125),
         ):
-            raw = messages.pack_budget(said)
-            self.assertEqual(messages.unpack_budget(raw), said)
+            raw = messages.encode_quota_message(said)
+            self.assertEqual(messages.decode_quota_message(raw), said)
             for cut in range(len(raw)):
-                self.assertIsNone(messages.unpack_budget(raw[:cut]))
+                self.assertIsNone(messages.decode_quota_message(raw[:cut]))
 
 
 class WatchersTest(unittest.TestCase):
@@ -253,8 +255,8 @@
         after = chosen_checkers("box", rest)
         self.assertEqual(after[:2], first[1:])
         book = HealthCheckAssignment(after[2], 8)
-        self.assertEqual(book.due(["box"], everyone, 0.0, 1), [])
-        self.assertEqual(book.due(["box"], rest, 0.0, 1), ["box"])
+        self.assertEqual(book.due_probes(["box"], everyone, 0.0, 1), [])
+        self.assertEqual(book.due_probes(["box"], rest, 0.0, 1), ["box"])
 
     def test_names_of_fronts_change_nothing_but_who_watches(self) -> None:
         for names in (range(5), range(20, 25), (3, 1, 4, 15, 9)):
@@ -266,29 +268,29 @@
         one, two, _ = chosen_checkers("box", everyone)
         other = next(front for front in everyone if front not in chosen_checkers("box", everyone))
         book = HealthCheckAssignment(other, 6)
-        book.hear(one, "box", True, 1, 0)
-        book.hear(other, "box", True, 1, 0)  # its own voice from outside is nobody's
-        self.assertFalse(book.gone("box", everyone, 0))
-        book.hear(two, "box", True, 1, 0)
-        self.assertTrue(book.gone("box", everyone, 0))
-        self.assertFalse(book.gone("box", everyone, health_checks.REPORT_LIFETIME_US + 1))
-        book.hear(two, "box", False, 2, 0)
-        book.hear(two, "box", True, 1, 0)  # late
-        self.assertFalse(book.gone("box", everyone, 0))
+        book.on_report(one, "box", True, 1, 0)
+        book.on_report(other, "box", True, 1, 0)  # its own voice from outside is nobody's
+        self.assertFalse(book.is_down("box", everyone, 0))
+        book.on_report(two, "box", True, 1, 0)
+        self.assertTrue(book.is_down("box", everyone, 0))
+        self.assertFalse(book.is_down("box", everyone, health_checks.REPORT_LIFETIME_US + 1))
+        book.on_report(two, "box", False, 2, 0)
+        book.on_report(two, "box", True, 1, 0)  # late
+        self.assertFalse(book.is_down("box", everyone, 0))
 
     def test_a_probe_that_fails_is_repeated_soon_and_a_dead_box_is_asked_ever_more_seldom(self) -> None:
         book, now, asked = HealthCheckAssignment(0, 1), 1, []
-        book.due(["box"], (0,), 0.0, now)
+        book.due_probes(["box"], (0,), 0.0, now)
         for _ in range(400):
             now += 100_000
-            if book.due(["box"], (0,), 0.0, now):
+            if book.due_probes(["box"], (0,), 0.0, now):
                 asked.append(now)
-                book.probed("box", ProbeResult.FAILED, now)
+                book.on_probe_completed("box", ProbeResult.FAILED, now)
         gaps = [b - a for a, b in pairwise(asked)]
         self.assertLess(gaps[0], health_checks.HEALTHY_PROBE_INTERVAL_US)
         self.assertEqual(gaps[-1], health_checks.MAX_PROBE_INTERVAL_US)
         self.assertEqual(gaps, sorted(gaps))
-        self.assertTrue(book.gone("box", (0,), asked[-1]))
+        self.assertTrue(book.is_down("box", (0,), asked[-1]))
 
     def test_a_dead_box_stays_gone_for_others_between_two_probes(self) -> None:
         # A word that ended before its watcher's next probe made the fleet join there again each time.
@@ -300,12 +302,12 @@
         gone = []
         while now < 60_000_000:
             for front, book in books.items():
-                if book.due(["box"], everyone, 0.0, now):
-                    book.probed("box", ProbeResult.FAILED, now)
-                    said = book.tells("box", now)
-                    if said is not None and said.tells is health_checks.HealthVerdict.ILL:
-                        hearer.hear(front, "box", True, said.number, now)
-            gone.append(hearer.gone("box", everyone, now))
+                if book.due_probes(["box"], everyone, 0.0, now):
+                    book.on_probe_completed("box", ProbeResult.FAILED, now)
+                    said = book.report("box", now)
+                    if said is not None and said.verdict is health_checks.HealthVerdict.UNHEALTHY:
+                        hearer.on_report(front, "box", True, said.sequence, now)
+            gone.append(hearer.is_down("box", everyone, now))
             now += 100_000
         first = gone.index(True)
         self.assertLess(first, 60)
@@ -314,61 +316,64 @@
     def test_a_failed_join_brings_the_next_probe_forward_and_many_bring_no_more(self) -> None:
         # Calm probes are seconds apart: most fronts had tried a box that stood still before it was found out.
         book, now = HealthCheckAssignment(0, 1), 1
-        self.assertEqual(book.due(["box"], (0,), 0.0, now), ["box"])
-        book.probed("box", ProbeResult.ANSWERED, now)
+        self.assertEqual(book.due_probes(["box"], (0,), 0.0, now), ["box"])
+        book.on_probe_completed("box", ProbeResult.ANSWERED, now)
         now += health_checks.SUSPECT_PROBE_INTERVAL_US
-        word = book.failed("box", now)
+        word = book.on_attempt_failed("box", now)
         assert word is not None
         self.assertEqual(
-            word, HealthReport(health_checks.mark("box"), health_checks.HealthVerdict.FAILED_ME, 1)
+            word,
+            HealthReport(health_checks.hash_address("box"), health_checks.HealthVerdict.ATTEMPT_FAILED, 1),
         )
-        self.assertEqual(messages.unpack_word(messages.pack_word(word)), word)
-        self.assertIsNone(book.failed("box", now + 1))
-        self.assertEqual(book.due(["box"], (0,), 0.0, now), ["box"])
+        self.assertEqual(messages.decode_health_report(messages.encode_health_report(word)), word)
+        self.assertIsNone(book.on_attempt_failed("box", now + 1))
+        self.assertEqual(book.due_probes(["box"], (0,), 0.0, now), ["box"])
         for _ in range(100):
-            book.urge("box", now)
+            book.on_probe_requested("box", now)
             self.assertEqual(
-                book.due(["box"], (0,), 0.0, now + health_checks.SUSPECT_PROBE_INTERVAL_US - 1), []
+                book.due_probes(["box"], (0,), 0.0, now + health_checks.SUSPECT_PROBE_INTERVAL_US - 1), []
             )
-        book.probed("box", ProbeResult.FAILED, now)
-        self.assertIsNone(book.tells("box", now))
+        book.on_probe_completed("box", ProbeResult.FAILED, now)
+        self.assertIsNone(book.report("box", now))
 
     def test_what_served_this_front_just_now_is_not_gone_for_it(self) -> None:
         everyone = range(5)
         other = next(front for front in everyone if front not in chosen_checkers("box", everyone))
         book = HealthCheckAssignment(other, 5)
         for front in chosen_checkers("box", everyone):
-            book.hear(front, "box", True, 1, 0)
-        self.assertTrue(book.gone("box", everyone, 0))
-        book.served("box", 0)
-        self.assertFalse(book.gone("box", everyone, health_checks.RECENTLY_SERVED_US))
-        self.assertTrue(book.gone("box", everyone, health_checks.RECENTLY_SERVED_US + 1))
+            book.on_report(front, "box", True, 1, 0)
+        self.assertTrue(book.is_down("box", everyone, 0))
+        book.on_attempt_served("box", 0)
+        self.assertFalse(book.is_down("box", everyone, health_checks.RECENTLY_SERVED_US))
+        self.assertTrue(book.is_down("box", everyone, health_checks.RECENTLY_SERVED_US + 1))
 
     def test_a_box_that_is_well_again_is_told_for_as_long_as_an_ill_word_may_stand(self) -> None:
         # A single word that it is well may be lost, and the ill one before it stood on.
         book, now = HealthCheckAssignment(0, 1), 1
         for _ in range(2):
-            book.due(["box"], (0,), 0.0, now)
-            book.probed("box", ProbeResult.FAILED, now)
-        self.assertIsNotNone(book.tells("box", now))
-        book.probed("box", ProbeResult.ANSWERED, now)
+            book.due_probes(["box"], (0,), 0.0, now)
+            book.on_probe_completed("box", ProbeResult.FAILED, now)
+        self.assertIsNotNone(book.report("box", now))
+        book.on_probe_completed("box", ProbeResult.ANSWERED, now)
         for after in (1, health_checks.REPORT_LIFETIME_US - 1):
-            said = book.tells("box", now + after)
-            self.assertIs(said.tells if said else None, health_checks.HealthVerdict.HEALTHY)
-        self.assertIsNone(book.tells("box", now + health_checks.REPORT_LIFETIME_US))
+            said = book.report("box", now + after)
+            self.assertIs(said.verdict if said else None, health_checks.HealthVerdict.HEALTHY)
+        self.assertIsNone(book.report("box", now + health_checks.REPORT_LIFETIME_US))
 
     def test_words_that_were_altered_are_refused(self) -> None:
-        raw = messages.pack_word(HealthReport(7, health_checks.HealthVerdict.ILL, 1 << 60))
-        self.assertIsNone(messages.unpack_word(raw[:-1]))
-        self.assertIsNone(messages.unpack_word(raw[:5] + b"\x09" + raw[6:]))
-        self.assertIsNone(messages.unpack_word(b""))
+        raw = messages.encode_health_report(HealthReport(7, health_checks.HealthVerdict.UNHEALTHY, 1 << 60))
+        self.assertIsNone(messages.decode_health_report(raw[:-1]))
+        self.assertIsNone(messages.decode_health_report(raw[:5] + b"\x09" + raw[6:]))
+        self.assertIsNone(messages.decode_health_report(b""))
 
     def test_with_all_watchers_dead_the_next_begin_within_a_look(self) -> None:
         everyone = set(range(7))
         now = 10_000_000
         dead = set(chosen_checkers("box", everyone))
         living = everyone - dead
-        begun = [front for front in living if HealthCheckAssignment(front, 7).due(["box"], living, 0.0, now)]
+        begun = [
+            front for front in living if HealthCheckAssignment(front, 7).due_probes(["box"], living, 0.0, now)
+        ]
         self.assertEqual(sorted(begun), sorted(chosen_checkers("box", living)))
 
 
--- a/tests/test_comeback.py
+++ b/tests/test_comeback.py
@@ -25,28 +25,28 @@
 class ComebackTest(unittest.TestCase):
     def test_a_door_that_waits_does_so_for_list_and_boxes_but_never_for_ever(self) -> None:
         start = RecoveryAdmission(0)
-        start.listed({"x", "y"}, 10)
-        start.settled("x", 20)
-        self.assertIs(start.phase, RecoveryState.ASKING)
-        start.settled("y", 30)
-        self.assertIs(start.phase, RecoveryState.OPEN)
+        start.on_endpoints_listed({"x", "y"}, 10)
+        start.on_server_settled("x", 20)
+        self.assertIs(start.state, RecoveryState.ASKING)
+        start.on_server_settled("y", 30)
+        self.assertIs(start.state, RecoveryState.OPEN)
         late = RecoveryAdmission(0)
-        self.assertEqual(late.left_us(recovery_admission.ENDPOINT_LIST_TIMEOUT_US), 0)
-        late.apply(RecoveryEvent.TIME, recovery_admission.ENDPOINT_LIST_TIMEOUT_US)
-        self.assertIs(late.phase, RecoveryState.OPEN)
+        self.assertEqual(late.remaining_us(recovery_admission.ENDPOINT_LIST_TIMEOUT_US), 0)
+        late.apply(RecoveryEvent.TIMED_OUT, recovery_admission.ENDPOINT_LIST_TIMEOUT_US)
+        self.assertIs(late.state, RecoveryState.OPEN)
 
     def test_a_box_that_stays_silent_holds_back_only_what_needs_its_account_and_not_for_ever(self) -> None:
         start = RecoveryAdmission(0, True, 4 * SECOND)
-        start.listed({"x", "silent"}, 10)
-        start.settled("x", 20)
+        start.on_endpoints_listed({"x", "silent"}, 10)
+        start.on_server_settled("x", 20)
         start.advance(False, 20 + recovery_admission.GREETING_TIMEOUT_US)
-        self.assertIs(start.phase, RecoveryState.SETTLING)
-        self.assertIsNot(start.entry(RequestKind.PLAIN), AdmissionDecision.RETRY_LATER)
-        self.assertIs(start.entry(RequestKind.ACCOUNTED), AdmissionDecision.RETRY_LATER)
+        self.assertIs(start.state, RecoveryState.SETTLING)
+        self.assertIsNot(start.decide(RequestKind.PLAIN), AdmissionDecision.RETRY_LATER)
+        self.assertIs(start.decide(RequestKind.ACCOUNTED), AdmissionDecision.RETRY_LATER)
         start.advance(
             False, 20 + recovery_admission.GREETING_TIMEOUT_US + recovery_admission.SETTLING_TIMEOUT_US
         )
-        self.assertIs(start.entry(RequestKind.ACCOUNTED), AdmissionDecision.IN)
+        self.assertIs(start.decide(RequestKind.ACCOUNTED), AdmissionDecision.ADMIT)
 
     def test_from_every_phase_the_door_opens_whoever_stays_silent(self) -> None:
         """Every order of inputs up to six long, then silence: no phase outlasts its limit."""
@@ -57,14 +57,14 @@
             for move in order:
                 now_us += SECOND // 3
                 if move == "listed":
-                    start.listed(set(boxes), now_us)
+                    start.on_endpoints_listed(set(boxes), now_us)
                 elif move in boxes:
-                    start.settled(move, now_us)
+                    start.on_server_settled(move, now_us)
                 start.advance(move == "cold", now_us)
             for _ in range(3):
                 now_us += 30 * SECOND
                 start.advance(False, now_us)
-            self.assertIs(start.phase, RecoveryState.OPEN, order)
+            self.assertIs(start.state, RecoveryState.OPEN, order)
             count += 1
         self.assertEqual(count, 5**6)
 
@@ -77,12 +77,12 @@
 
     def test_boxes_that_fall_again_and_again_do_not_ration_for_ever(self) -> None:
         start = RecoveryAdmission(0, True, 4 * SECOND)
-        start.listed({"x"}, 10)
-        start.settled("x", 20)
+        start.on_endpoints_listed({"x"}, 10)
+        start.on_server_settled("x", 20)
         self.assertTrue(start.advance(True, 30))
-        self.assertIs(start.phase, RecoveryState.RATIONED)
-        start.apply(RecoveryEvent.TIME, 30 + recovery_admission.MAX_RATIONED_SLOW_STARTS * 4 * SECOND)
-        self.assertIs(start.phase, RecoveryState.OPEN)
+        self.assertIs(start.state, RecoveryState.RATIONED)
+        start.apply(RecoveryEvent.TIMED_OUT, 30 + recovery_admission.MAX_RATIONED_SLOW_STARTS * 4 * SECOND)
+        self.assertIs(start.state, RecoveryState.OPEN)
 
 
 class TrustTest(unittest.TestCase):
@@ -91,54 +91,59 @@
         for fact, rows in snapshot_trust.TRUST_RULES.items():
             self.assertEqual(len(rows), len(LossKind))
             for loss, age in product(LossKind, SnapshotAge):
-                if fact is not FactKind.BUDGET:  # an old budget is spent by its own span
-                    older = snapshot_trust.use(fact, loss, SnapshotAge(min(age + 1, SnapshotAge.OLD)))
-                    self.assertGreaterEqual(older, snapshot_trust.use(fact, loss, age))
-                worse = snapshot_trust.use(fact, LossKind.ALL, age)
-                self.assertGreaterEqual(worse, snapshot_trust.use(fact, LossKind.SELF, age))
+                if fact is not FactKind.RETRY_BUDGET:  # an old budget is spent by its own span
+                    older = snapshot_trust.snapshot_use(
+                        fact, loss, SnapshotAge(min(age + 1, SnapshotAge.OLD))
+                    )
+                    self.assertGreaterEqual(older, snapshot_trust.snapshot_use(fact, loss, age))
+                worse = snapshot_trust.snapshot_use(fact, LossKind.ALL, age)
+                self.assertGreaterEqual(worse, snapshot_trust.snapshot_use(fact, LossKind.SELF, age))
 
     def test_a_fleet_that_was_lost_is_told_from_a_front_by_what_is_heard(self) -> None:
         self.assertIs(
-            snapshot_trust.loss(Evidence(observed_servers=9, restarted_servers=1, observed_fronts=5)),
+            snapshot_trust.infer_loss(Evidence(observed_servers=9, restarted_servers=1, observed_fronts=5)),
             LossKind.SELF,
         )
         self.assertIs(
-            snapshot_trust.loss(
+            snapshot_trust.infer_loss(
                 Evidence(observed_servers=9, restarted_servers=8, observed_fronts=5, restarted_fronts=5)
             ),
             LossKind.ALL,
         )
-        self.assertIs(snapshot_trust.loss(Evidence(observed_servers=9, restarted_servers=8)), LossKind.ALL)
         self.assertIs(
-            snapshot_trust.loss(Evidence(observed_servers=9, observed_fronts=5, restarted_fronts=4)),
+            snapshot_trust.infer_loss(Evidence(observed_servers=9, restarted_servers=8)), LossKind.ALL
+        )
+        self.assertIs(
+            snapshot_trust.infer_loss(Evidence(observed_servers=9, observed_fronts=5, restarted_fronts=4)),
             LossKind.FRONTS,
         )
-        self.assertIs(snapshot_trust.loss(Evidence()), LossKind.SELF)
+        self.assertIs(snapshot_trust.infer_loss(Evidence()), LossKind.SELF)
 
     def test_a_folder_is_old_where_others_know_a_later_life_and_unknown_where_a_clock_went_back(self) -> None:
         fresh = Evidence(
             written_us=100 * SECOND, wall_us=103 * SECOND, saved_incarnation=7, latest_known_incarnation=7
         )
-        self.assertIs(snapshot_trust.age(fresh), SnapshotAge.FRESH)
+        self.assertIs(snapshot_trust.snapshot_age(fresh), SnapshotAge.FRESH)
         copied = Evidence(
             written_us=100 * SECOND, wall_us=103 * SECOND, saved_incarnation=7, latest_known_incarnation=9
         )
-        self.assertIs(snapshot_trust.age(copied), SnapshotAge.OLD)
+        self.assertIs(snapshot_trust.snapshot_age(copied), SnapshotAge.OLD)
         back = Evidence(written_us=3700 * SECOND, wall_us=100 * SECOND)
-        self.assertIs(snapshot_trust.age(back), SnapshotAge.UNKNOWN)
+        self.assertIs(snapshot_trust.snapshot_age(back), SnapshotAge.UNKNOWN)
         self.assertIs(
-            snapshot_trust.use(FactKind.STRIKES, LossKind.SELF, SnapshotAge.UNKNOWN), SnapshotUse.DROP
+            snapshot_trust.snapshot_use(FactKind.STRIKES, LossKind.SELF, SnapshotAge.UNKNOWN),
+            SnapshotUse.DROP,
         )
-        self.assertIs(snapshot_trust.age(Evidence(wall_us=SECOND)), SnapshotAge.OLD)
+        self.assertIs(snapshot_trust.snapshot_age(Evidence(wall_us=SECOND)), SnapshotAge.OLD)
 
     def test_records_of_the_first_format_are_read_and_newer_ones_are_not_guessed_at(self) -> None:
         first = msgspec.msgpack.encode([5 * SECOND, [1], [2], 3.5, 9])
-        old = snapshot.migrated({b"front": first})
+        old = snapshot.migrate_records({b"front": first})
         front = snapshot.read_front(old[b"front"])
         assert front is not None
         self.assertEqual((front.usual, front.seen, front.life, front.list_version), (3.5, 9, 0, -1))
-        self.assertEqual(snapshot.migrated({b"front": first, b"format": b"3"}), {})
-        self.assertEqual(snapshot.migrated({b"front": first, b"format": b"2"}), {b"front": first})
+        self.assertEqual(snapshot.migrate_records({b"front": first, b"format": b"3"}), {})
+        self.assertEqual(snapshot.migrate_records({b"front": first, b"format": b"2"}), {b"front": first})
 
 
 class RationTest(unittest.TestCase):
@@ -169,7 +174,7 @@
     def test_titles_are_bounded(self) -> None:
         held = SlowStartAllocation()
         for number in range(slow_start_allocation.MAX_TITLES + 50):
-            held.ask(f"t{number}", 1.0, 1.0, None, 0, 0.0)
+            held.retry_after_us(f"t{number}", 1.0, 1.0, None, 0, 0.0)
         self.assertEqual(len(held.demands), slow_start_allocation.MAX_TITLES)
 
 
--- a/tests/test_company.py
+++ b/tests/test_company.py
@@ -44,16 +44,16 @@
         """One beat of all; `cut` and `lost` hold pairs of indices whose messages do not pass."""
         self.now_us += us
         posted = [
-            (member.terms.index, to, beat)
+            (member.settings.index, to, beat)
             for member in [*self.members.values(), *self.extra]
-            for to, beat in member.beat(self.now_us).items()
+            for to, beat in member.next_heartbeats(self.now_us).items()
         ]
         for sender, to, beat in posted:
             if (sender, to) in cut or (sender, to) in lost:  # type: ignore[operator]
                 continue
             for member in [*self.members.values(), *self.extra]:
-                if member.terms.index == to:
-                    member.hear(sender, beat, self.now_us)
+                if member.settings.index == to:
+                    member.on_heartbeat(sender, beat, self.now_us)
 
     def run(self, us: int, cut: object = frozenset()) -> None:
         for _ in range(us // BEAT):
@@ -61,7 +61,7 @@
 
     def whole(self) -> float:
         """The shares of all that run."""
-        return sum(member.share(self.now_us) for member in [*self.members.values(), *self.extra])
+        return sum(member.allowed_share(self.now_us) for member in [*self.members.values(), *self.extra])
 
 
 def apart(one: set[int], other: set[int]) -> set[tuple[int, int]]:
@@ -73,10 +73,12 @@
         world = World(5)
         world.begin()
         world.run(LONG)
-        self.assertEqual({member.share(world.now_us) for member in world.members.values()}, {1 / 5})
+        self.assertEqual({member.allowed_share(world.now_us) for member in world.members.values()}, {1 / 5})
         for turn in range(50):
             mine = [
-                member.terms.index for member in world.members.values() if member.mine(turn, world.now_us)
+                member.settings.index
+                for member in world.members.values()
+                if member.owns_turn(turn, world.now_us)
             ]
             self.assertEqual(mine, [turn % 5])
 
@@ -87,9 +89,13 @@
         del world.members[1], world.members[4]
         world.run(2 * LONG)
         for member in world.members.values():
-            self.assertAlmostEqual(member.share(world.now_us), (1 - 0.5 * 2 / 5) / 3)
+            self.assertAlmostEqual(member.allowed_share(world.now_us), (1 - 0.5 * 2 / 5) / 3)
         taken = [
-            [member.terms.index for member in world.members.values() if member.mine(turn, world.now_us)]
+            [
+                member.settings.index
+                for member in world.members.values()
+                if member.owns_turn(turn, world.now_us)
+            ]
             for turn in range(2000)
         ]
         self.assertTrue(all(len(mine) <= 1 for mine in taken))
@@ -100,7 +106,7 @@
         world = World(12)
         world.begin(7)
         world.run(4 * LONG)
-        self.assertAlmostEqual(world.members[7].share(world.now_us), 0.5 / 12)
+        self.assertAlmostEqual(world.members[7].allowed_share(world.now_us), 0.5 / 12)
 
     def test_halves_of_a_partition_never_take_the_whole_each(self) -> None:
         world = World(6)
@@ -123,9 +129,9 @@
         stopped = world.members.pop(2)
         world.run(2 * LONG)
         # The moment it goes on, before it has heard anything.
-        total = world.whole() + stopped.share(world.now_us)
+        total = world.whole() + stopped.allowed_share(world.now_us)
         self.assertLessEqual(total, 1 + 1e-9)
-        self.assertFalse(stopped.leased(world.now_us))
+        self.assertFalse(stopped.has_lease(world.now_us))
 
     def test_a_new_life_repeats_nothing_until_the_promises_of_the_last_have_lapsed(self) -> None:
         world = World(3)
@@ -133,10 +139,10 @@
         world.run(LONG)
         world.members[0] = world.new(0)
         world.step()
-        beats = world.members[0].beat(world.now_us)
-        self.assertEqual([beat.heard_number for beat in beats.values()], [0, 0])
+        beats = world.members[0].next_heartbeats(world.now_us)
+        self.assertEqual([beat.acknowledged_sequence for beat in beats.values()], [0, 0])
         world.run(LONG)
-        self.assertTrue(all(member.leased(world.now_us) for member in world.members.values()))
+        self.assertTrue(all(member.has_lease(world.now_us) for member in world.members.values()))
 
     def test_two_processes_under_one_index_are_seen_and_share_one_front_between_them(self) -> None:
         world = World(5)
@@ -147,8 +153,8 @@
         for tick in range(120):
             world.step()
             self.assertLessEqual(world.whole(), 1 + (0.5 / 5 if tick * BEAT <= LONG else 0) + 1e-9)
-        seen = world.members[0].peers[3].standing
-        self.assertIs(seen, PeerState.TWIN)
+        seen = world.members[0].peers[3].state
+        self.assertIs(seen, PeerState.DUPLICATE)
 
     def test_a_clock_that_went_back_does_not_make_a_new_life_an_old_one(self) -> None:
         world = World(3)
@@ -157,19 +163,19 @@
         world.run(LONG)
         world.members[1] = world.new(1, life=7)
         world.run(2 * LONG)
-        self.assertTrue(world.members[1].leased(world.now_us))
-        self.assertGreater(world.members[1].life, 100)
+        self.assertTrue(world.members[1].has_lease(world.now_us))
+        self.assertGreater(world.members[1].incarnation, 100)
 
     def test_a_farewell_is_believed_at_once_and_a_late_beat_behind_it_is_not(self) -> None:
         world = World(3)
         world.begin()
         world.run(LONG)
-        late = world.members[2].beat(world.now_us)[0]
-        world.members[2].leaving = True
+        late = world.members[2].next_heartbeats(world.now_us)[0]
+        world.members[2].is_leaving = True
         world.step()
-        self.assertIs(world.members[0].peers[2].standing, PeerState.LEFT)
-        world.members[0].hear(2, late, world.now_us)
-        self.assertIs(world.members[0].peers[2].standing, PeerState.LEFT)
+        self.assertIs(world.members[0].peers[2].state, PeerState.LEFT)
+        world.members[0].on_heartbeat(2, late, world.now_us)
+        self.assertIs(world.members[0].peers[2].state, PeerState.LEFT)
 
     def test_one_that_comes_and_goes_has_to_be_steady_for_longer_each_time(self) -> None:
         waits = []
@@ -178,21 +184,21 @@
         world.run(LONG)
         for _ in range(membership.MAX_FLAPS + 3):
             flapping = apart({2}, {0, 1})
-            while world.members[0].peers[2].standing is not PeerState.SILENT:
+            while world.members[0].peers[2].state is not PeerState.UNREACHABLE:
                 world.step(flapping)
             since_us = world.now_us
-            while world.members[0].peers[2].standing is not PeerState.ALIVE:
+            while world.members[0].peers[2].state is not PeerState.ALIVE:
                 world.step()
             waits.append(world.now_us - since_us)
         self.assertGreater(waits[-1], waits[0])
 
     def test_a_beat_survives_its_bytes_and_altered_ones_are_refused_or_other_beats(self) -> None:
         beat = Heartbeat(1 << 40, 7, 1 << 41, 9, True, (3, 200))
-        raw = messages.pack_beat(beat)
-        self.assertEqual(messages.unpack_beat(raw), beat)
+        raw = messages.encode_heartbeat(beat)
+        self.assertEqual(messages.decode_heartbeat(raw), beat)
         self.assertIsNone(messages.decode(0, raw))
         for cut in range(len(raw)):
-            self.assertNotEqual(messages.unpack_beat(raw[:cut]), beat)
+            self.assertNotEqual(messages.decode_heartbeat(raw[:cut]), beat)
 
     @settings(max_examples=100, deadline=None)
     @given(st.integers(0, 1 << 30), st.integers(3, 6))
@@ -233,22 +239,22 @@
             index = chance.choice(sorted(paused))
             world.members[index] = paused.pop(index)
         for member in world.members.values():
-            for to, beat in member.beat(world.now_us).items():
+            for to, beat in member.next_heartbeats(world.now_us).items():
                 copies = chance.choice((0, 1, 1, 1, 2))
-                for _ in range(copies if (member.terms.index, to) not in cut else 0):
+                for _ in range(copies if (member.settings.index, to) not in cut else 0):
                     delay = 0 if chance.random() < 0.7 else chance.randrange(12) * BEAT
-                    air.append((world.now_us + delay, member.terms.index, to, beat))
+                    air.append((world.now_us + delay, member.settings.index, to, beat))
         for item in [item for item in air if item[0] <= world.now_us]:
             air.remove(item)
             if item[2] in world.members:
-                world.members[item[2]].hear(item[1], item[3], world.now_us)
+                world.members[item[2]].on_heartbeat(item[1], item[3], world.now_us)
             # One that is paused may go on in the middle of all this, with what it believed.
             everyone = [*world.members.values(), *paused.values()]
             if turns:
                 turn = chance.randrange(1000)
-                total = float(sum(member.mine(turn, world.now_us) for member in everyone))
+                total = float(sum(member.owns_turn(turn, world.now_us) for member in everyone))
             else:
-                total = sum(member.share(world.now_us) for member in everyone)
+                total = sum(member.allowed_share(world.now_us) for member in everyone)
             most = max(most, total)
     return most
 
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -32,7 +32,7 @@
 from fennelcove.decisions.clients.seat_leases import SeatLeases, StoredSeat
 from fennelcove.decisions.playback import resume_tokens
 from fennelcove.decisions.recovery import snapshot
-from fennelcove.store.folder import Store
+from fennelcove.store.directory import Store
 
 FIXTURES = Path(__file__).parent / "fixtures" / "tree-775be88"
 RECORD: dict[str, Any] = json.loads((FIXTURES / "record.json").read_text("utf-8"))
@@ -69,14 +69,17 @@
 
 CODECS: dict[str, tuple[Callable[[bytes], Any], Callable[[Any], bytes]]] = {
     "peer": (lambda raw: messages.decode(3, raw), lambda read: messages.encode(read)[0]),
-    "beat": (messages.unpack_beat, messages.pack_beat),
-    "summary": (messages.unpack_summary, messages.pack_summary),
-    "budget": (messages.unpack_budget, messages.pack_budget),
-    "word": (messages.unpack_word, messages.pack_word),
+    "beat": (messages.decode_heartbeat, messages.encode_heartbeat),
+    "summary": (messages.decode_load_summary, messages.encode_load_summary),
+    "budget": (messages.decode_quota_message, messages.encode_quota_message),
+    "word": (messages.decode_health_report, messages.encode_health_report),
     "rollout": (rollout_messages.decode, rollout_messages.encode),
     "usage": (usage_messages.decode, lambda read: usage_messages.encode(read)[0]),
     "limits": (lambda raw: limit_messages.decode(raw, NOW_US), encode_limits),
-    "limit_transfer": (limit_messages.unpack_trade, lambda read: limit_messages.pack_trade(*read)),
+    "limit_transfer": (
+        limit_messages.decode_slot_message,
+        lambda read: limit_messages.encode_slot_message(*read),
+    ),
 }
 
 
@@ -96,8 +99,8 @@
 
 def test_an_incarnation_that_begins_or_ends_is_read_and_sent_alike() -> None:
     for raw, expected in MESSAGES["limit_incarnation"]:
-        assert limit_messages.unpack_life(bytes.fromhex(raw)) == expected
-        assert limit_messages.pack_life(bytes.fromhex(raw)[0], expected).hex() == raw
+        assert limit_messages.decode_incarnation(bytes.fromhex(raw)) == expected
+        assert limit_messages.encode_incarnation(bytes.fromhex(raw)[0], expected).hex() == raw
 
 
 def test_a_store_of_the_earlier_version_is_opened_with_all_its_records(tmp_path: Path) -> None:
@@ -116,7 +119,7 @@
     assert flat(snapshot.read_server(stored[b"box/" + address])) == expected["box"]
     assert flat(snapshot.read_front(stored[b"front"])) == expected["front"]
     assert flat(snapshot.read_list(stored[b"list"])) == expected["list"]
-    assert snapshot.format_of(stored) == snapshot.FORMAT
+    assert snapshot.format_of(stored) == snapshot.FORMAT_VERSION
     limits = msgspec.msgpack.decode(stored[b"slots/" + address], type=KeptSlots)
     assert flat(limits) == expected["slots"]
     assert msgspec.msgpack.encode(limits) == stored[b"slots/" + address]
@@ -141,7 +144,7 @@
         assert flat(stored) == expected
         assert msgspec.msgpack.encode(stored).hex() == raw
         # A set-up that still ran may be done again: its key stands for nothing after a restart.
-        was_running = KeyState(stored.state) is KeyState.RUNNING
+        was_running = KeyState(stored.state) is KeyState.IN_PROGRESS
         restored = IdempotencyTable().restore((client, key), bytes.fromhex(raw), RECORD["wall_us"])
         assert restored is not was_running
 
@@ -172,10 +175,10 @@
     assert waiting_room.sign_ticket(ticket, mac) == token
 
     token, expected = RECORD["tokens"]["pass"]
-    shown = access_tokens.show(token, [mac], RECORD["wall_us"])
-    assert shown.held is not None
-    assert flat(shown.held) == expected
-    assert access_tokens.seal(shown.held, mac) == token
+    shown = access_tokens.verify_access_token(token, [mac], RECORD["wall_us"])
+    assert shown.token is not None
+    assert flat(shown.token) == expected
+    assert access_tokens.sign_access_token(shown.token, mac) == token
 
     text, expected = RECORD["tokens"]["resume"]
     track = resume_tokens.read(text)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -75,7 +75,7 @@
     def orders(self) -> list[tuple[str, int | None]]:
         found = []
         while (order := self.core.commands.next_command()[0]) is not None:
-            found.append((order.id, order.rung))
+            found.append((order.session_id, order.rung))
             self.core.commands.on_command_completed(order, is_successful=True)
         return found
 
@@ -88,11 +88,11 @@
 
     def test_served_in_the_very_instant_of_the_timeout_counts_as_given_up(self) -> None:
         session, step = self.ask(client_timeout_us=1000 * MS)
-        self.assertEqual(session.give_up_us, self.clock.now_us() + 900 * MS)
+        self.assertEqual(session.deadline_us, self.clock.now_us() + 900 * MS)
         self.clock.advance(900 * MS)
         answered = self.over(step, Outcome.SERVED)
         assert isinstance(answered, SessionResponse)
-        self.assertIs(answered.kind, ResponseKind.THROTTLED)
+        self.assertIs(answered.kind, ResponseKind.REJECTED)
         self.assertEqual(self.orders(), [(session.id, None)])
         self.assertFalse(self.core.policy.sessions)
 
@@ -108,7 +108,7 @@
         self.over(step, Outcome.SERVED)
         self.assertIsNone(self.over(step, Outcome.SERVED))
         self.assertIsNone(self.over(step, Outcome.CONNECTION_LOST))
-        self.assertIs(session.state, SessionState.PLAYING)
+        self.assertIs(session.state, SessionState.ESTABLISHED)
 
     def test_single_shot_is_never_sent_again_once_it_may_have_run(self) -> None:
         _, step = self.ask("once")
@@ -162,16 +162,16 @@
         self.core.server_registry.on_load_report(
             session.server, generation - 1, ServerHints(link_utilization=1.5), None
         )
-        self.assertIsNone(self.core.policy.servers[session.server].link.asked)
+        self.assertIsNone(self.core.policy.servers[session.server].link.report)
         self.core.server_registry.on_load_report(
             session.server, generation, ServerHints(link_utilization=0.4), None
         )
-        self.assertEqual(self.core.policy.servers[session.server].link.asked, 0.4)
+        self.assertEqual(self.core.policy.servers[session.server].link.report, 0.4)
 
     def test_a_boxs_ceiling_lowers_the_rung_at_once(self) -> None:
         session, step = self.ask()
-        self.over(step, Outcome.SERVED, ServerHints(most_kbit=1700.0))
-        self.assertEqual((session.top, session.rung), (1, 1))
+        self.over(step, Outcome.SERVED, ServerHints(max_kbit=1700.0))
+        self.assertEqual((session.top_rung, session.rung), (1, 1))
         self.assertEqual(self.orders(), [(session.id, 1)])
 
     def test_a_viewers_own_short_link_lowers_it_and_blames_no_box(self) -> None:
@@ -190,7 +190,7 @@
         self.core.client_reports.close_silent_sessions()
         self.assertEqual(self.core.close_reason(session.id), "its viewer fell silent")
         self.assertEqual(self.orders(), [(session.id, None)])
-        self.assertEqual((self.core.admission_controller.held, self.core.policy.sessions), (0, {}))
+        self.assertEqual((self.core.admission_controller.sessions, self.core.policy.sessions), (0, {}))
 
     def test_a_decision_that_fails_keeps_no_place_and_no_memory(self) -> None:
         # Each such request used to keep its place: after 4,000 of them a front refused everybody.
@@ -201,13 +201,13 @@
         with self.assertRaises(ZeroDivisionError):
             self.core.request_session(SessionRequest("t1", "free"))
         gate = self.core.admission_controller
-        self.assertEqual((gate.waiting, gate.held, self.core.sessions), (0, 0, {}))
+        self.assertEqual((gate.pending_requests, gate.sessions, self.core.sessions), (0, 0, {}))
 
     def test_a_session_that_fails_while_it_plays_is_released(self) -> None:
         session = self.play()
         self.core.discard(session)
         self.assertEqual(self.orders(), [(session.id, None)])
-        self.assertEqual((self.core.admission_controller.held, self.core.sessions), (0, {}))
+        self.assertEqual((self.core.admission_controller.sessions, self.core.sessions), (0, {}))
         self.assertEqual(self.core.server_registry.records[session.server].sessions, {})
 
     def test_a_box_on_which_nothing_plays_for_a_while_is_let_go(self) -> None:
