--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -37,86 +37,90 @@
     def test_whatever_happens_in_whatever_order_nobody_is_answered_twice(
         self, cues: list[SessionEvent]
     ) -> None:
-        stage, answers, joins_out, played, gone = SessionState.ASKED, 0, 0, 0, False
+        stage, answers, joins_out, played, gone = SessionState.REQUESTED, 0, 0, 0, False
         for cue in cues:
             before = stage
             stage, acts = session_lifecycle.transition(stage, cue)
             answers += len(session_lifecycle.RESPONSES.intersection(acts))
-            joins_out += SessionAction.SEND_JOIN in acts
-            if before in (SessionState.JOINING, SessionState.ABANDONED) and stage not in (
-                SessionState.JOINING,
+            joins_out += SessionAction.SEND_ATTEMPT in acts
+            if before in (SessionState.ATTEMPTING, SessionState.ABANDONED) and stage not in (
+                SessionState.ATTEMPTING,
                 SessionState.ABANDONED,
             ):
                 joins_out -= 1
             self.assertLessEqual(joins_out, 1)
-            played += stage is SessionState.PLAYING and before is not SessionState.PLAYING
-            gone |= before is SessionState.JOINING and cue is SessionEvent.VIEWER_GONE
-            if stage is SessionState.ENDED and before is not SessionState.ENDED:
-                self.assertIs(acts[-1], SessionAction.FORGET)
+            played += stage is SessionState.ESTABLISHED and before is not SessionState.ESTABLISHED
+            gone |= before is SessionState.ATTEMPTING and cue is SessionEvent.CLIENT_DISCONNECTED
+            if stage is SessionState.CLOSED and before is not SessionState.CLOSED:
+                self.assertIs(acts[-1], SessionAction.DISCARD)
                 self.assertTrue(answers or gone, "ended without a word")
         self.assertLessEqual(answers, 1)
         self.assertLessEqual(played, 1)
 
     def test_what_plays_for_nobody_is_released(self) -> None:
-        for cue in (SessionEvent.SERVED, SessionEvent.SERVED_LATE, SessionEvent.FAILED):
+        for cue in (
+            SessionEvent.ATTEMPT_SERVED,
+            SessionEvent.ATTEMPT_SERVED_LATE,
+            SessionEvent.ATTEMPT_FAILED,
+        ):
             self.assertIn(
-                SessionAction.RELEASE_BOX, session_lifecycle.transition(SessionState.ABANDONED, cue)[1]
+                SessionAction.RELEASE_SERVER, session_lifecycle.transition(SessionState.ABANDONED, cue)[1]
             )
         self.assertEqual(
-            session_lifecycle.transition(SessionState.JOINING, SessionEvent.SERVED_LATE)[1][0],
-            SessionAction.RELEASE_BOX,
+            session_lifecycle.transition(SessionState.ATTEMPTING, SessionEvent.ATTEMPT_SERVED_LATE)[1][0],
+            SessionAction.RELEASE_SERVER,
         )
 
     def test_the_viewer_may_shorten_its_patience_and_not_stretch_it(self) -> None:
-        self.assertEqual(session_lifecycle.honest_timeout_us(None, 5), 5)
-        self.assertEqual(session_lifecycle.honest_timeout_us(3, 5), 3)
-        self.assertEqual(session_lifecycle.honest_timeout_us(9, 5), 5)
-        self.assertEqual(session_lifecycle.time_to_answer_us(1000), 900)
+        self.assertEqual(session_lifecycle.effective_timeout_us(None, 5), 5)
+        self.assertEqual(session_lifecycle.effective_timeout_us(3, 5), 3)
+        self.assertEqual(session_lifecycle.effective_timeout_us(9, 5), 5)
+        self.assertEqual(session_lifecycle.processing_time_us(1000), 900)
 
 
 class JoinsTest(unittest.TestCase):
     def end(self, *seen: ExchangeEvent) -> Outcome | None:
-        exchange = attempt_exchange.Exchange()
+        exchange = attempt_exchange.AttemptExchange()
         for one in seen:
-            exchange.see(one)
+            exchange.apply(one)
         return exchange.outcome
 
     def test_what_each_event_proves(self) -> None:
-        sent = (ExchangeEvent.CONNECTED, ExchangeEvent.WROTE)
+        sent = (ExchangeEvent.CONNECTED, ExchangeEvent.REQUEST_WRITTEN)
         for seen, outcome in (
-            ((ExchangeEvent.REFUSED,), Outcome.NO_CONNECTION),
+            ((ExchangeEvent.CONNECT_FAILED,), Outcome.NO_CONNECTION),
             ((ExchangeEvent.TIMED_OUT,), Outcome.NO_CONNECTION),
             ((ExchangeEvent.CONNECTED, ExchangeEvent.CLOSED), Outcome.NO_CONNECTION),
             ((*sent, ExchangeEvent.CLOSED), Outcome.CONNECTION_LOST),
             ((*sent, ExchangeEvent.TIMED_OUT), Outcome.NO_ANSWER),
-            ((*sent, ExchangeEvent.BYTES, ExchangeEvent.CLOSED), Outcome.CONNECTION_LOST),
-            ((*sent, ExchangeEvent.BYTES, ExchangeEvent.TIMED_OUT), Outcome.NO_ANSWER),
-            ((*sent, ExchangeEvent.BYTES, ExchangeEvent.TURNED_AWAY), Outcome.TURNED_AWAY),
-            ((*sent, ExchangeEvent.BYTES, ExchangeEvent.ERROR), Outcome.SERVER_ERROR),
-            ((*sent, ExchangeEvent.BYTES, ExchangeEvent.GARBAGE), Outcome.SERVER_ERROR),
-            ((*sent, ExchangeEvent.BYTES, ExchangeEvent.STARTED), Outcome.SERVED),
+            ((*sent, ExchangeEvent.RESPONSE_STARTED, ExchangeEvent.CLOSED), Outcome.CONNECTION_LOST),
+            ((*sent, ExchangeEvent.RESPONSE_STARTED, ExchangeEvent.TIMED_OUT), Outcome.NO_ANSWER),
+            ((*sent, ExchangeEvent.RESPONSE_STARTED, ExchangeEvent.REJECTED), Outcome.REJECTED),
+            ((*sent, ExchangeEvent.RESPONSE_STARTED, ExchangeEvent.SERVER_ERROR), Outcome.SERVER_ERROR),
+            ((*sent, ExchangeEvent.RESPONSE_STARTED, ExchangeEvent.MALFORMED_RESPONSE), Outcome.SERVER_ERROR),
+            ((*sent, ExchangeEvent.RESPONSE_STARTED, ExchangeEvent.PLAYBACK_STARTED), Outcome.SERVED),
         ):
             self.assertIs(self.end(*seen), outcome)
 
     @given(st.lists(st.sampled_from(list(ExchangeEvent)), max_size=10))
     def test_once_over_nothing_changes_it(self, seen: list[ExchangeEvent]) -> None:
-        exchange = attempt_exchange.Exchange()
+        exchange = attempt_exchange.AttemptExchange()
         first: Outcome | None = None
         for one in seen:
-            outcome = exchange.see(one)
+            outcome = exchange.apply(one)
             first = first or outcome
             self.assertIs(outcome, first)
         self.assertEqual(first is not None, exchange.state is ExchangeState.COMPLETED)
 
     def test_only_what_surely_never_ran_needs_no_release(self) -> None:
         free = {outcome for outcome in Outcome if not attempt_exchange.may_need_release(outcome)}
-        self.assertEqual(free, {Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT})
+        self.assertEqual(free, {Outcome.REJECTED, Outcome.NO_CONNECTION, Outcome.NOT_SENT})
         self.assertFalse(attempt_exchange.may_reuse_connection(Effect.SINGLE_SHOT))
 
     @given(st.integers(-5, 10**9))
     def test_times_fit_into_each_other(self, allow_us: int) -> None:
         times = attempt_exchange.attempt_timeouts(allow_us)
-        self.assertTrue(0 < times.connect_us <= times.first_byte_us <= times.whole_us <= max(1, allow_us))
+        self.assertTrue(0 < times.connect_us <= times.first_byte_us <= times.total_us <= max(1, allow_us))
 
 
 class HearingTest(unittest.TestCase):
@@ -142,22 +146,24 @@
 
     def test_one_starving_viewer_blames_no_box_and_a_majority_does(self) -> None:
         ear = load_signals.DeliveryMonitor()
-        ear.hear("a", 0.5, 10)
-        self.assertIsNone(ear.short_delivery(0))
-        ear.hear("b", 0.7, 11)
-        self.assertAlmostEqual(ear.short_delivery(0) or 0, 0.6)
-        ear.hear("c", None, 12)
-        ear.hear("d", None, 12)
-        self.assertIsNone(ear.short_delivery(0))
-        self.assertIsNone(ear.short_delivery(12))
+        ear.observe("a", 0.5, 10)
+        self.assertIsNone(ear.delivered_fraction(0))
+        ear.observe("b", 0.7, 11)
+        self.assertAlmostEqual(ear.delivered_fraction(0) or 0, 0.6)
+        ear.observe("c", None, 12)
+        ear.observe("d", None, 12)
+        self.assertIsNone(ear.delivered_fraction(0))
+        self.assertIsNone(ear.delivered_fraction(12))
         for i in range(1000):
-            ear.hear(f"x{i}", None, 20)
+            ear.observe(f"x{i}", None, 20)
         self.assertEqual(len(ear.observations), load_signals.MAX_CLIENTS)
 
     def test_starving_share_stays_between_its_bounds(self) -> None:
-        self.assertIsNone(load_signals.starving_share(ClientHints(measured_kbit=1), 100))
+        self.assertIsNone(load_signals.starving_delivered_fraction(ClientHints(measured_kbit=1), 100))
         for kbit in (None, 0.0, 1.0, 800.0, 1e9):
-            share = load_signals.starving_share(ClientHints(measured_kbit=kbit, is_starved=True), 100)
+            share = load_signals.starving_delivered_fraction(
+                ClientHints(measured_kbit=kbit, is_starved=True), 100
+            )
             assert share is not None
             self.assertTrue(0.1 <= share < 0.98)
 
@@ -171,14 +177,14 @@
 class ListingTest(unittest.TestCase):
     def setUp(self) -> None:
         self.keeper = endpoint_list.EndpointListTracker()
-        self.assertIs(self.rule(5, None, entry("a"), entry("b")).ruling, endpoint_list.ListDecision.TAKEN)
+        self.assertIs(self.rule(5, None, entry("a"), entry("b")).decision, endpoint_list.ListDecision.TAKEN)
 
     def rule(self, version: int, base: int | None, *entries: ListEntry) -> endpoint_list.ListVerdict:
-        return self.keeper.rule(endpoint_list.EndpointListUpdate(version, base, entries))
+        return self.keeper.apply(endpoint_list.EndpointListUpdate(version, base, entries))
 
     def test_order(self) -> None:
-        self.assertIs(self.rule(5, None, entry("a")).ruling, endpoint_list.ListDecision.OLD)
-        self.assertIs(self.rule(7, 6, entry("a")).ruling, endpoint_list.ListDecision.GAP)
+        self.assertIs(self.rule(5, None, entry("a")).decision, endpoint_list.ListDecision.OLD)
+        self.assertIs(self.rule(7, 6, entry("a")).decision, endpoint_list.ListDecision.GAP)
         taken = self.rule(6, 5, entry("a", ServerState.LEAVING))
         assert taken.update is not None
         self.assertIs(taken.update.mode, ListMode.INCREMENTAL)
@@ -189,22 +195,20 @@
         )
         assert taken.update is not None
         found = {item.address: item for item in taken.update.entries}
-        self.assertEqual(
-            (len(found), found["a"].standing, found["a"].started_us), (2, ServerState.LEAVING, 9)
-        )
+        self.assertEqual((len(found), found["a"].state, found["a"].started_us), (2, ServerState.LEAVING, 9))
 
     def test_a_list_that_names_none_or_a_box_in_two_places_changes_nothing(self) -> None:
         for news in ((), (entry("a", ServerState.LEFT),), (entry("a"), entry("a", cell=2))):
             verdict = self.rule(9, None, *news)
-            self.assertIs(verdict.ruling, endpoint_list.ListDecision.REFUSED)
+            self.assertIs(verdict.decision, endpoint_list.ListDecision.REFUSED)
             self.assertTrue(verdict.reason)
-        self.assertIs(self.rule(6, 5, entry("a", cell=3)).ruling, endpoint_list.ListDecision.REFUSED)
+        self.assertIs(self.rule(6, 5, entry("a", cell=3)).decision, endpoint_list.ListDecision.REFUSED)
         self.assertEqual(self.keeper.version, 5)
 
     def test_pauses_grow_and_stay_bounded(self) -> None:
-        pauses = [endpoint_list.pause_us(failures, 0.0) for failures in range(200)]
+        pauses = [endpoint_list.backoff_us(failures, 0.0) for failures in range(200)]
         self.assertEqual(pauses, sorted(pauses))
-        self.assertLessEqual(endpoint_list.pause_us(500, 1.0), endpoint_list.MAX_BACKOFF_US)
+        self.assertLessEqual(endpoint_list.backoff_us(500, 1.0), endpoint_list.MAX_BACKOFF_US)
 
 
 class AdmissionTest(unittest.TestCase):
@@ -216,103 +220,112 @@
     def test_each_bound_refuses_at_once_and_opens_again(self) -> None:
         gate = self.gate()
         for kind, most in (
-            (admission.Entry.CONNECTION, 4),
-            (admission.Entry.REQUEST, 2),
-            (admission.Entry.SUBSCRIPTION, 3),
+            (admission.AdmissionRequest.CONNECTION, 4),
+            (admission.AdmissionRequest.REQUEST, 2),
+            (admission.AdmissionRequest.SUBSCRIPTION, 3),
         ):
-            rulings = [gate.ask(kind) for _ in range(most + 1)]
+            rulings = [gate.admit(kind) for _ in range(most + 1)]
             self.assertEqual(
                 rulings, [admission.AdmissionDecision.LET_IN] * most + [admission.AdmissionDecision.FULL]
             )
-        gate.connection_closed()
-        self.assertIs(gate.ask(admission.Entry.CONNECTION), admission.AdmissionDecision.LET_IN)
-        gate.turn(admission.AdmissionEvent.STOP)
-        self.assertIs(gate.ask(admission.Entry.REQUEST), admission.AdmissionDecision.CLOSING)
+        gate.on_connection_closed()
+        self.assertIs(gate.admit(admission.AdmissionRequest.CONNECTION), admission.AdmissionDecision.LET_IN)
+        gate.apply(admission.AdmissionEvent.STOP)
+        self.assertIs(gate.admit(admission.AdmissionRequest.REQUEST), admission.AdmissionDecision.CLOSING)
 
     def test_bytes_are_bounded_over_all_connections(self) -> None:
         gate = self.gate()
-        self.assertTrue(gate.buffer(100))
-        self.assertFalse(gate.buffer(1))
-        self.assertIs(gate.ask(admission.Entry.CONNECTION), admission.AdmissionDecision.FULL)
-        self.assertTrue(gate.buffer(-100))
-        self.assertIs(gate.ask(admission.Entry.CONNECTION), admission.AdmissionDecision.LET_IN)
+        self.assertTrue(gate.reserve_buffer(100))
+        self.assertFalse(gate.reserve_buffer(1))
+        self.assertIs(gate.admit(admission.AdmissionRequest.CONNECTION), admission.AdmissionDecision.FULL)
+        self.assertTrue(gate.reserve_buffer(-100))
+        self.assertIs(gate.admit(admission.AdmissionRequest.CONNECTION), admission.AdmissionDecision.LET_IN)
 
     def test_patience_falls_as_connections_run_out(self) -> None:
         gate = self.gate()
         seen = []
         for _ in range(4):
-            gate.ask(admission.Entry.CONNECTION)
-            seen.append(gate.patience_us(1000))
+            gate.admit(admission.AdmissionRequest.CONNECTION)
+            seen.append(gate.connection_timeout_us(1000))
         self.assertEqual(seen, [1000, 1000, 550, 100])
 
     def test_times_to_come_back_spread_and_keep_to_the_clients_limit(self) -> None:
         gate = self.gate()
-        self.assertEqual(gate.come_back_us(0.0, None), SECOND)
-        self.assertEqual(gate.come_back_us(0.5, 1_200_000), 1_200_000)
+        self.assertEqual(gate.retry_after_us(0.0, None), SECOND)
+        self.assertEqual(gate.retry_after_us(0.5, 1_200_000), 1_200_000)
         self.assertEqual([admission.retry_after_s(us) for us in (0, 1, SECOND, SECOND + 1)], [1, 1, 1, 2])
 
 
 class FeedsTest(unittest.TestCase):
     def test_refused_again_and_again_proves_a_loss_and_one_cut_does_not(self) -> None:
         feed = event_stream.StreamLifecycle()
-        self.assertEqual(feed.apply(event_stream.StreamEvent.HELD, 0), (event_stream.StreamAction.OPEN_FEED,))
-        feed.greet("one", 1)
-        self.assertEqual(feed.apply(event_stream.StreamEvent.CUT, 2), (event_stream.StreamAction.PAUSE,))
+        self.assertEqual(
+            feed.apply(event_stream.StreamEvent.SESSIONS_HELD, 0), (event_stream.StreamAction.OPEN_STREAM,)
+        )
+        feed.on_hello("one", 1)
+        self.assertEqual(
+            feed.apply(event_stream.StreamEvent.DISCONNECTED, 2), (event_stream.StreamAction.SCHEDULE_RETRY,)
+        )
         acts: tuple[event_stream.StreamAction, ...] = ()
         for _ in range(event_stream.REFUSALS_PROVING_LOSS):
-            self.assertNotIn(event_stream.StreamAction.LOSE_ALL, acts)
+            self.assertNotIn(event_stream.StreamAction.FAIL_ALL_SESSIONS, acts)
             self.assertEqual(
-                feed.apply(event_stream.StreamEvent.RETRY, 3), (event_stream.StreamAction.OPEN_FEED,)
+                feed.apply(event_stream.StreamEvent.RETRY_DUE, 3), (event_stream.StreamAction.OPEN_STREAM,)
             )
             acts = feed.apply(event_stream.StreamEvent.REFUSED, 4)
-        self.assertIn(event_stream.StreamAction.LOSE_ALL, acts)
+        self.assertIn(event_stream.StreamAction.FAIL_ALL_SESSIONS, acts)
 
     def test_silence_as_long_as_a_mark_proves_a_loss(self) -> None:
         feed = event_stream.StreamLifecycle()
-        feed.apply(event_stream.StreamEvent.HELD, 0)
+        feed.apply(event_stream.StreamEvent.SESSIONS_HELD, 0)
         self.assertNotIn(
-            event_stream.StreamAction.LOSE_ALL, feed.apply(event_stream.StreamEvent.CUT, MARK_US - 1)
+            event_stream.StreamAction.FAIL_ALL_SESSIONS,
+            feed.apply(event_stream.StreamEvent.DISCONNECTED, MARK_US - 1),
+        )
+        feed.apply(event_stream.StreamEvent.RETRY_DUE, MARK_US)
+        self.assertIn(
+            event_stream.StreamAction.FAIL_ALL_SESSIONS,
+            feed.apply(event_stream.StreamEvent.DISCONNECTED, MARK_US),
         )
-        feed.apply(event_stream.StreamEvent.RETRY, MARK_US)
-        self.assertIn(event_stream.StreamAction.LOSE_ALL, feed.apply(event_stream.StreamEvent.CUT, MARK_US))
 
     def test_another_life_of_the_box_loses_what_it_does_not_name(self) -> None:
         feed = event_stream.StreamLifecycle()
-        feed.apply(event_stream.StreamEvent.HELD, 0)
-        self.assertEqual(feed.greet("one", 1), (event_stream.StreamAction.LOSE_UNKNOWN,))
-        feed.apply(event_stream.StreamEvent.CUT, 2)
-        feed.apply(event_stream.StreamEvent.RETRY, 3)
-        self.assertEqual(feed.greet("two", 4), (event_stream.StreamAction.LOSE_UNKNOWN,))
+        feed.apply(event_stream.StreamEvent.SESSIONS_HELD, 0)
+        self.assertEqual(feed.on_hello("one", 1), (event_stream.StreamAction.FAIL_UNLISTED_SESSIONS,))
+        feed.apply(event_stream.StreamEvent.DISCONNECTED, 2)
+        feed.apply(event_stream.StreamEvent.RETRY_DUE, 3)
+        self.assertEqual(feed.on_hello("two", 4), (event_stream.StreamAction.FAIL_UNLISTED_SESSIONS,))
         self.assertEqual(
-            feed.apply(event_stream.StreamEvent.NONE_HELD, 5), (event_stream.StreamAction.LINGER,)
+            feed.apply(event_stream.StreamEvent.NO_SESSIONS_HELD, 5),
+            (event_stream.StreamAction.SCHEDULE_CLOSE,),
         )
-        self.assertEqual(feed.apply(event_stream.StreamEvent.HELD, 6), ())
+        self.assertEqual(feed.apply(event_stream.StreamEvent.SESSIONS_HELD, 6), ())
         self.assertEqual(feed.apply(event_stream.StreamEvent.EXPIRED, 7), ())
-        feed.apply(event_stream.StreamEvent.NONE_HELD, 8)
+        feed.apply(event_stream.StreamEvent.NO_SESSIONS_HELD, 8)
         self.assertEqual(
             feed.apply(event_stream.StreamEvent.EXPIRED, 9),
-            (event_stream.StreamAction.CLOSE_FEED, event_stream.StreamAction.FORGET),
+            (event_stream.StreamAction.CLOSE_STREAM, event_stream.StreamAction.DISCARD),
         )
-        self.assertEqual(feed.apply(event_stream.StreamEvent.RETRY, 10), ())
+        self.assertEqual(feed.apply(event_stream.StreamEvent.RETRY_DUE, 10), ())
 
     def test_pauses_are_bounded(self) -> None:
         feed = event_stream.StreamLifecycle(failures=500)
-        self.assertLessEqual(feed.pause_us(1.0), event_stream.MAX_BACKOFF_US)
+        self.assertLessEqual(feed.backoff_us(1.0), event_stream.MAX_BACKOFF_US)
 
 
 class PresenceTest(unittest.TestCase):
     def test_only_the_silent_are_named_and_once(self) -> None:
         watch = session_expiry.SessionExpiry(300)
         for id in "abc":
-            watch.begin(id, 0)
-        watch.hear("a", 200)
-        watch.end("b")
-        self.assertEqual(watch.silent(299), [])
-        self.assertEqual(watch.silent(300), ["c"])
-        self.assertEqual(watch.silent(499), [])
-        self.assertEqual(watch.silent(500), ["a"])
-        self.assertEqual((watch.silent(10**9), watch.entries, watch.deadlines), ([], {}, []))
-        self.assertEqual(watch.poll_every_us(), 100)
+            watch.add(id, 0)
+        watch.on_activity("a", 200)
+        watch.remove("b")
+        self.assertEqual(watch.pop_expired(299), [])
+        self.assertEqual(watch.pop_expired(300), ["c"])
+        self.assertEqual(watch.pop_expired(499), [])
+        self.assertEqual(watch.pop_expired(500), ["a"])
+        self.assertEqual((watch.pop_expired(10**9), watch.entries, watch.deadlines), ([], {}, []))
+        self.assertEqual(watch.poll_interval_us(), 100)
 
 
 def order(box: str, id: str, rung: int | None, join: int = 0) -> command_queue.Command:
@@ -324,31 +337,31 @@
         orders = command_queue.CommandQueue(10)
         for rung in (1, 2, None, 3):
             orders.add(order("x", "a", rung))
-        taken = orders.take(0)
+        taken = orders.pop_ready(0)
         assert taken is not None
         self.assertIsNone(taken.rung)
-        self.assertIsNone(orders.take(0))
+        self.assertIsNone(orders.pop_ready(0))
 
     def test_a_box_that_hangs_holds_one_sender_and_boxes_take_turns(self) -> None:
         orders = command_queue.CommandQueue(10)
         for box in "xxxy":
             orders.add(order(box, f"{box}{orders.count}", 1))
-        first, second = orders.take(0), orders.take(0)
+        first, second = orders.pop_ready(0), orders.pop_ready(0)
         assert first is not None and second is not None
-        self.assertEqual((first.server, second.server, orders.take(0)), ("x", "y", None))
-        orders.done(first, False, 0)
-        self.assertIsNone(orders.take(0))
+        self.assertEqual((first.server, second.server, orders.pop_ready(0)), ("x", "y", None))
+        orders.complete(first, False, 0)
+        self.assertIsNone(orders.pop_ready(0))
         self.assertEqual(orders.wait_us(0), command_queue.INITIAL_BACKOFF_US)
-        self.assertIs(orders.take(command_queue.INITIAL_BACKOFF_US), first)
+        self.assertIs(orders.pop_ready(command_queue.INITIAL_BACKOFF_US), first)
 
     def test_tries_end_and_nothing_is_left_behind(self) -> None:
         orders, now_us = command_queue.CommandQueue(10), 0
         orders.add(order("x", "a", None))
         for _ in range(command_queue.MAX_TRIES):
             now_us += command_queue.MAX_BACKOFF_US
-            taken = orders.take(now_us)
+            taken = orders.pop_ready(now_us)
             assert taken is not None
-            orders.done(taken, False, now_us)
+            orders.complete(taken, False, now_us)
         self.assertEqual((orders.count, orders.dropped_count, len(orders.by_server)), (0, 1, 0))
 
     def test_past_the_bound_rungs_go_before_releases(self) -> None:
@@ -356,14 +369,14 @@
         orders.add(order("x", "a", None))
         orders.add(order("x", "b", 1))
         orders.add(order("x", "c", None))
-        left = {taken.id for taken in self.drain(orders)}
+        left = {taken.session_id for taken in self.drain(orders)}
         self.assertEqual((left, orders.dropped_count), ({"a", "c"}, 1))
 
     def drain(self, orders: command_queue.CommandQueue) -> list[command_queue.Command]:
         found = []
-        while (taken := orders.take(0)) is not None:
+        while (taken := orders.pop_ready(0)) is not None:
             found.append(taken)
-            orders.done(taken, True, 0)
+            orders.complete(taken, True, 0)
         self.assertEqual((orders.count, len(orders.by_server)), (0, 0))
         return found
 
@@ -381,28 +394,29 @@
     def test_each_way_through_ends_by_the_stated_time(self) -> None:
         stop = graceful_shutdown.GracefulShutdown(1000)
         self.assertEqual(
-            stop.apply(graceful_shutdown.ShutdownEvent.ASKED, 50),
+            stop.apply(graceful_shutdown.ShutdownEvent.REQUESTED, 50),
             (graceful_shutdown.ShutdownAction.STOP_ACCEPTING,),
         )
-        self.assertEqual(stop.left_us(50), 750)
+        self.assertEqual(stop.remaining_us(50), 750)
         self.assertEqual(
-            stop.apply(graceful_shutdown.ShutdownEvent.TIME, 800),
-            (graceful_shutdown.ShutdownAction.GIVE_UP_JOINS,),
+            stop.apply(graceful_shutdown.ShutdownEvent.DEADLINE_REACHED, 800),
+            (graceful_shutdown.ShutdownAction.CANCEL_ATTEMPTS,),
         )
-        self.assertEqual(stop.left_us(800), 250)
+        self.assertEqual(stop.remaining_us(800), 250)
         self.assertEqual(
-            stop.apply(graceful_shutdown.ShutdownEvent.TIME, 1050),
-            (graceful_shutdown.ShutdownAction.CLOSE_ALL,),
+            stop.apply(graceful_shutdown.ShutdownEvent.DEADLINE_REACHED, 1050),
+            (graceful_shutdown.ShutdownAction.CLOSE_CONNECTIONS,),
         )
-        self.assertEqual(stop.apply(graceful_shutdown.ShutdownEvent.ASKED, 1051), ())
+        self.assertEqual(stop.apply(graceful_shutdown.ShutdownEvent.REQUESTED, 1051), ())
 
     def test_idle_ends_it_at_once(self) -> None:
         stop = graceful_shutdown.GracefulShutdown(1000)
-        stop.apply(graceful_shutdown.ShutdownEvent.ASKED, 0)
+        stop.apply(graceful_shutdown.ShutdownEvent.REQUESTED, 0)
         self.assertEqual(
-            stop.apply(graceful_shutdown.ShutdownEvent.IDLE, 1), (graceful_shutdown.ShutdownAction.CLOSE_ALL,)
+            stop.apply(graceful_shutdown.ShutdownEvent.IDLE, 1),
+            (graceful_shutdown.ShutdownAction.CLOSE_CONNECTIONS,),
         )
-        self.assertIs(stop.phase, graceful_shutdown.ShutdownState.OVER)
+        self.assertIs(stop.state, graceful_shutdown.ShutdownState.STOPPED)
 
 
 class MoveTest(unittest.TestCase):
@@ -518,10 +532,10 @@
         fits: bool = True,
         seat: bool = True,
     ) -> SessionClaim:
-        return reconciliation.claim("x", 2, known, mine, fits, seat)
+        return reconciliation.classify_claim("x", 2, known, mine, fits, seat)
 
     def test_every_join_that_a_box_names_has_one_meaning(self) -> None:
-        playing, joining = SessionState.PLAYING, SessionState.JOINING
+        playing, joining = SessionState.ESTABLISHED, SessionState.ATTEMPTING
         for claim, found in (
             (SessionClaim.CURRENT, self.claim(reconciliation.KnownSession(playing, 2, "x"), mine=True)),
             (SessionClaim.IN_FLIGHT, self.claim(reconciliation.KnownSession(joining, 2, "x"), mine=True)),
@@ -534,7 +548,7 @@
             (SessionClaim.SURPLUS, self.claim(seat=False)),
         ):
             self.assertIs(found, claim)
-        self.assertEqual(set(reconciliation.TRANSITIONS), set(SessionClaim))
+        self.assertEqual(set(reconciliation.CLAIM_ACTIONS), set(SessionClaim))
 
 
 if __name__ == "__main__":
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -18,10 +18,15 @@
 
 from fennelcove import log
 from fennelcove.cli.main import main
-from fennelcove.core.retry_storm_guard import mac
+from fennelcove.core.retry_storm_guard import keyed_mac
 from fennelcove.decisions.operators import command_authorization, reachability, convergence
 from fennelcove.decisions.clients.admission import ADMISSION_RULES as ENTRIES
-from fennelcove.decisions.clients.admission import STATE_TRANSITIONS, Entry, AdmissionState, AdmissionEvent
+from fennelcove.decisions.clients.admission import (
+    STATE_TRANSITIONS,
+    AdmissionRequest,
+    AdmissionState,
+    AdmissionEvent,
+)
 from fennelcove.decisions.operators.command_authorization import (
     SignedCommand,
     CommandAuthorizer,
@@ -31,8 +36,8 @@
     ExitCode,
     CallFailure,
     CallOutcome,
-    CallResult,
-    ReachStatus,
+    CallProgress,
+    CallStatus,
 )
 from fennelcove.daemon import key_file
 from fennelcove.daemon.audit_file import AuditFile, check
@@ -40,7 +45,7 @@
 from fennelcove.settings.schema import ControlSettings, OperatorKey
 from tests.rig import WholePath, wait_for
 
-KEY, OTHER = mac(b"k" * 32), mac(b"o" * 32)
+KEY, OTHER = keyed_mac(b"k" * 32), keyed_mac(b"o" * 32)
 WALL = 10**15
 
 
@@ -67,7 +72,7 @@
             "changes": True,
             "wall_us": WALL,
         }
-        return self.commands.check(header, **(told | changes))[0]
+        return self.commands.authorize(header, **(told | changes))[0]
 
     def test_one_counts_once(self) -> None:
         header = command_authorization.sign_command(self.made(), "ops", KEY)
@@ -93,7 +98,7 @@
             f"ops:{10**30}:n:m",
             "ops:1:" + "n" * 40 + ":m",
         ):
-            self.assertIs(self.check(header), CommandVerdict.UNSEALED)
+            self.assertIs(self.check(header), CommandVerdict.UNSIGNED)
         stranger = command_authorization.sign_command(self.made(front="front-2"), "ops", KEY)
         self.assertIs(self.check(stranger), CommandVerdict.WRONG_KEY, "meant for another front")
         self.assertIs(
@@ -138,7 +143,7 @@
             wall_us = WALL + seconds * 1_000_000
             command = self.made(nonce=str(nonce), wall_us=WALL + 60_000_000)
             header = command_authorization.sign_command(command, "ops", KEY)
-            verdict, _ = commands.check(header, "POST", command.path, b"{}", True, wall_us)
+            verdict, _ = commands.authorize(header, "POST", command.path, b"{}", True, wall_us)
             if verdict is CommandVerdict.GRANTED:
                 self.assertNotIn(str(nonce), granted)
                 granted.add(str(nonce))
@@ -146,29 +151,31 @@
 
 class ReachTest(unittest.TestCase):
     def test_tables_are_total(self) -> None:
-        self.assertEqual(set(reachability.STATUS_BY_FAILURE), set(itertools.product(CallResult, CallFailure)))
+        self.assertEqual(
+            set(reachability.STATUS_BY_FAILURE), set(itertools.product(CallProgress, CallFailure))
+        )
         self.assertEqual(set(STATE_TRANSITIONS), set(itertools.product(AdmissionState, AdmissionEvent)))
-        self.assertEqual(set(ENTRIES), set(itertools.product(AdmissionState, Entry)))
+        self.assertEqual(set(ENTRIES), set(itertools.product(AdmissionState, AdmissionRequest)))
 
     def test_a_command_that_was_not_answered_is_neither_done_nor_failed(self) -> None:
-        done, failed = CallOutcome("a", ReachStatus.DONE), CallOutcome("b", ReachStatus.REFUSED)
-        for word in ReachStatus:
-            found = reachability.ended([done, CallOutcome("c", word)], True)
+        done, failed = CallOutcome("a", CallStatus.DONE), CallOutcome("b", CallStatus.REFUSED)
+        for word in CallStatus:
+            found = reachability.exit_code([done, CallOutcome("c", word)], True)
             expected = (
                 ExitCode.SOME_INDETERMINATE
                 if word in reachability.INDETERMINATE_STATUSES
                 else ExitCode.SOME_FAILED
             )
-            self.assertIs(found, ExitCode.ALL_DONE if word is ReachStatus.DONE else expected)
+            self.assertIs(found, ExitCode.ALL_DONE if word is CallStatus.DONE else expected)
         self.assertIs(
-            reachability.ended([failed, CallOutcome("c", ReachStatus.SILENT)], False), ExitCode.SOME_FAILED
+            reachability.exit_code([failed, CallOutcome("c", CallStatus.SILENT)], False), ExitCode.SOME_FAILED
         )
 
 
 class WaitTest(unittest.TestCase):
     def said(self, name: str, held: int | None) -> CallOutcome:
-        word = ReachStatus.SILENT if held is None else ReachStatus.DONE
-        return CallOutcome(name, word, said={"phase": "draining", "held": held})
+        word = CallStatus.SILENT if held is None else CallStatus.DONE
+        return CallOutcome(name, word, body={"phase": "draining", "held": held})
 
     @given(st.lists(st.tuples(st.sampled_from(["a", "b"]), st.sampled_from([None, 0, 1])), max_size=20))
     @settings(max_examples=150)
@@ -180,12 +187,12 @@
         wait = convergence.ConvergenceWait(convergence.DesiredState("draining", 0), 10)
         told: dict[str, list[int | None]] = {}
         for name, held in script:
-            wait.hear([self.said(name, held)])
+            wait.observe([self.said(name, held)])
             told.setdefault(name, []).append(held)
         sure = bool(told) and all(answers[-2:] == [0, 0] for answers in told.values())
-        self.assertEqual(wait.there, sure)
-        self.assertIsNone(wait.pause_us(10))
-        self.assertEqual(wait.pause_us(0) is None, sure)
+        self.assertEqual(wait.has_converged, sure)
+        self.assertIsNone(wait.poll_delay_us(10))
+        self.assertEqual(wait.poll_delay_us(0) is None, sure)
 
 
 class AuditTest(unittest.TestCase):
@@ -332,13 +339,13 @@
         rows = self.rows(result)
         self.assertEqual(result.exit_code, 3)
         for name, _, hall in self.lines:
-            phase = self.fronts[name].core.admission_controller.phase
+            phase = self.fronts[name].core.admission_controller.state
             self.assertIs(phase, AdmissionState.DRAINING if hall == "east" else AdmissionState.OPEN)
             self.assertEqual(name in rows, hall == "east")
         # The seal is for the inventory's name: the front that has another refuses, and does not drain.
         self.assertEqual(rows["front-named"]["outcome"], "wrong-key")
         self.assertIs(
-            self.fronts[f"front-{self.FRONTS:02}"].core.admission_controller.phase, AdmissionState.OPEN
+            self.fronts[f"front-{self.FRONTS:02}"].core.admission_controller.state, AdmissionState.OPEN
         )
         self.front = self.fronts["front-01"]
         playing = self.ask()
@@ -353,7 +360,7 @@
         for key, word in (("desk", "not-permitted"), ("wrong", "wrong-key")):
             result = self.run_("drain", "front-00", key=key)
             self.assertEqual((self.rows(result)["front-00"]["outcome"], result.exit_code), (word, 1))
-        self.assertIs(self.fronts["front-00"].core.admission_controller.phase, AdmissionState.OPEN)
+        self.assertIs(self.fronts["front-00"].core.admission_controller.state, AdmissionState.OPEN)
 
     def test_what_plays_goes_on_while_a_front_drains(self) -> None:
         id = self.ask().body["id"]
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -13,9 +13,9 @@
 from click.testing import CliRunner
 
 from fennelcove.cli.main import main
-from fennelcove.core.retry_storm_guard import mac
+from fennelcove.core.retry_storm_guard import keyed_mac
 from fennelcove.decisions.clients import access_tokens
-from fennelcove.decisions.clients.access_tokens import Demand, AccessToken, PresentedToken, TokenStatus
+from fennelcove.decisions.clients.access_tokens import Permission, AccessToken, PresentedToken, TokenStatus
 from fennelcove.ingress.tls import TlsError, TlsKeys
 from fennelcove.daemon import certificates, key_file
 from fennelcove.settings.schema import TlsSettings
@@ -139,25 +139,25 @@
             self.assertEqual(self.run_("pass", file, "--client", "v")[0], 2)
             self.assertEqual(self.run_("pass-key", file)[0], 0)
             status, token = self.run_("pass", file, "--client", "v", "--minutes", "5", "--most", "3")
-            key = mac(key_file.load(file, 10**13)[0])
-            shown = access_tokens.show(token.strip(), [key], 0)
-            assert shown.held is not None
-            self.assertEqual((status, shown.held.client, shown.held.most), (0, "v", 3))
+            key = keyed_mac(key_file.load(file, 10**13)[0])
+            shown = access_tokens.verify_access_token(token.strip(), [key], 0)
+            assert shown.token is not None
+            self.assertEqual((status, shown.token.client, shown.token.most), (0, "v", 3))
 
     def test_the_table_of_passes_is_total_and_lets_nobody_in_unknown(self) -> None:
-        self.assertEqual(set(access_tokens.ACCESS_RULES), {(s, d) for s in TokenStatus for d in Demand})
-        self.assertEqual(set(access_tokens.WORDS), set(TokenStatus))
-        for standing in (TokenStatus.MISSING, TokenStatus.INVENTED, TokenStatus.NOT_YET):
-            self.assertFalse(any(PresentedToken(standing).may(demand) for demand in Demand))
+        self.assertEqual(set(access_tokens.ACCESS_RULES), {(s, d) for s in TokenStatus for d in Permission})
+        self.assertEqual(set(access_tokens.STATUS_DESCRIPTIONS), set(TokenStatus))
+        for standing in (TokenStatus.MISSING, TokenStatus.FORGED, TokenStatus.NOT_YET):
+            self.assertFalse(any(PresentedToken(standing).has_permission(demand) for demand in Permission))
         held = AccessToken("v", 100, 1100)
         for at, standing in (
             (99, TokenStatus.NOT_YET),
             (100, TokenStatus.VALID),
             (849, TokenStatus.VALID),
-            (850, TokenStatus.RENEW),
+            (850, TokenStatus.EXPIRING),
             (1100, TokenStatus.EXPIRED),
         ):
-            self.assertIs(access_tokens.at(held, at), standing)
+            self.assertIs(access_tokens.status_at(held, at), standing)
 
 
 if __name__ == "__main__":
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -219,7 +219,7 @@
             self.assertFalse(inside.desk.servers[other.name].links or inside.desk.sessions)
         inside.gate.free("viewer")
         thread.join(noderig.WAIT_S)
-        self.assertFalse(inside.desk.front.sessions)
+        self.assertFalse(inside.desk.policy.sessions)
 
     def test_a_dial_that_is_made_as_its_viewer_leaves_carries_no_set_up(self) -> None:
         server = StandInServer("s0", 0)
@@ -234,10 +234,10 @@
         eventually(lambda: inside.gate.reached("viewer"), "the end read, and not acted on")
         inside.gate.free("server")
         [link] = inside.desk.servers["s0"].links
-        eventually(lambda: link.phase is ConnectionState.OPEN, "the connection in use")
+        eventually(lambda: link.state is ConnectionState.OPEN, "the connection in use")
         with inside.gate:
-            self.assertFalse(inside.desk.sessions or link.carried)
-            self.assertFalse(inside.desk.front.sessions)
+            self.assertFalse(inside.desk.sessions or link.dispatched_session)
+            self.assertFalse(inside.desk.policy.sessions)
         inside.gate.free("viewer")
         thread.join(noderig.WAIT_S)
         server.say(isup.message(Kind.TEST, bytes(8), (Code.CAUSE, b"\0")))
@@ -328,7 +328,7 @@
         caller.set_up(ID)
         eventually(lambda: inside.gate.reached("viewer"), "the set-up read")
         with inside.gate:
-            far.shut()
+            far.disconnect()
         inside.gate.free("viewer")
         self.assertIsNone(caller.next())
         caller.sock.close()
@@ -350,7 +350,7 @@
         pairs[0][0].set_up(ID)
         arrived(pairs[0][0].sock)
         inside.meet()
-        self.assertEqual([far.closed for far in (unread, read, idle)], [False, False, True])
+        self.assertEqual([far.is_closed for far in (unread, read, idle)], [False, False, True])
         inside.gate.free("viewer")
         inside.read(unread)
         for caller, _ in pairs[:2]:
@@ -367,7 +367,7 @@
         viewer.send(writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")))
         found = list[str]()
         while (message := viewer.next()) is not None and message.fields.get("cseq") != "3":
-            kind = message.status if isinstance(message, rtsp.Answer) else message.method
+            kind = message.status if isinstance(message, rtsp.Response) else message.method
             found.append(f"{kind} {message.fields['cseq']}")
         return found
 
--- a/tests/test_node_codecs.py
+++ b/tests/test_node_codecs.py
@@ -36,20 +36,20 @@
     def test_cut_anywhere_it_reads_the_same(self, cut: int) -> None:
         first, second = rtsp_all(EXAMPLE * 2, cut)
         assert isinstance(first, rtsp.Request) and isinstance(second, rtsp.Request)
-        self.assertEqual((first.method, first.address), ("SETUP", "rtsp://media/7f3a9c21e0b4d655"))
+        self.assertEqual((first.method, first.uri), ("SETUP", "rtsp://media/7f3a9c21e0b4d655"))
         self.assertEqual(first.fields["answer-within"], "1500")
         self.assertEqual((first.body, second.body), (BODY, BODY))
 
     def test_what_is_written_is_read(self) -> None:
-        written = rtsp_writer.answer(453, ("CSeq", "1"), ("Come-Back-Ms", "500"), body=b"x\r\n\r\ny")
+        written = rtsp_writer.response(453, ("CSeq", "1"), ("Come-Back-Ms", "500"), body=b"x\r\n\r\ny")
         [answer] = rtsp_all(written, 9)
-        assert isinstance(answer, rtsp.Answer)
+        assert isinstance(answer, rtsp.Response)
         self.assertEqual((answer.status, answer.fields["come-back-ms"]), (453, "500"))
         self.assertEqual(answer.body, b"x\r\n\r\ny")
 
     def test_a_field_can_t_break_its_line(self) -> None:
         with self.assertRaises(ValueError):
-            rtsp_writer.answer(200, ("Session", "a\r\nSession: b"))
+            rtsp_writer.response(200, ("Session", "a\r\nSession: b"))
 
     def test_refusals(self) -> None:
         line = b"SETUP rtsp://media/1 RTSP/1.0\r\n"
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -18,7 +18,7 @@
 from fennelcove.isup.messages import Cause, Code, Kind, Message
 from fennelcove.isup.reader import Reader
 from fennelcove.log import silent
-from fennelcove.node import config, request_validation, server_messages, session_manager
+from fennelcove.node import config, client_requests, server_messages, session_manager
 from fennelcove.node.server_connection import ServerConnection
 from fennelcove.node.client_connection import ClientConnection
 from fennelcove.rtsp import messages as rtsp
@@ -116,7 +116,7 @@
         )
         with self.manager.lock:
             for told in self.manager.config.initial_batch.events:
-                self.manager.board_says(told)
+                self.manager.on_discovery_event(told)
         threading.Thread(target=self.timers.run, daemon=True).start()
         with socket.create_server(("127.0.0.1", 0)) as listener:
             self.caller = Caller(listener.getsockname())
@@ -129,7 +129,7 @@
         """As the viewer's thread once it has read this; the lock is held."""
         fields = {"cseq": "1", "session": id, "call-kind": "recorded", "answer-within": "8000"}
         fields["routing-data"] = "home:0;copies:4;top:2"
-        request_validation.hear(
+        client_requests.on_client_message(
             self.manager, self.viewer, rtsp.Request("SETUP", "rtsp://media/7f", fields, body)
         )
 
@@ -208,7 +208,7 @@
         server = StandInServer("s0", 0)
         front = self.idle(server)
         with front.manager.lock:
-            front.link().heard_us -= front.manager.config.terms.idle_us * 3 // 4 + 1
+            front.link().last_received_us -= front.manager.config.connection_settings.idle_us * 3 // 4 + 1
             front.set_up(ID)
         self.assertEqual(front.caller.answer().status, 200)
         self.assertEqual(len(server.sockets), 2)
@@ -227,8 +227,8 @@
         with front.manager.lock:
             front.set_up(THIRD)
             older, newer = front.manager.servers["s0"].links
-            self.assertGreater(older.heard_us, newer.heard_us)
-            self.assertIsNotNone(older.carried)
+            self.assertGreater(older.last_received_us, newer.last_received_us)
+            self.assertIsNotNone(older.dispatched_session)
 
 
 class ProofTest(RigTest):
@@ -283,7 +283,7 @@
         front.caller.tear_down(ID)
         self.assertEqual(front.caller.answer().status, 200)
         with front.manager.lock:
-            front.manager.round()
+            front.manager.run_maintenance()
             sock = eventually(front.dialled, "a connection that is made")
             far = peer.accept()
             reset_on_close(far)
@@ -291,7 +291,7 @@
             eventually(lambda: waits(sock, POLLRDHUP), "the end of the connection")
         eventually(lambda: not front.manager.servers["s0"].links, "the end of the new connection")
         with front.manager.lock:
-            front.manager.round()
+            front.manager.run_maintenance()
         sent = read_one(peer.accept())
         self.assertEqual((sent.kind, sent.session.hex(), sent.cause), (Kind.RELEASE, ID, Cause.OK))
 
@@ -362,10 +362,10 @@
             assert sock is not None
             far.close()
             eventually(lambda: waits(sock, POLLRDHUP), "the end of the connection")
-            request_validation.tear_down(front.manager, front.viewer, bytes.fromhex(ID))
+            client_requests.tear_down(front.manager, front.viewer, bytes.fromhex(ID))
         eventually(lambda: not front.manager.servers["s0"].links, "the end of the connection")
         with front.manager.lock:
-            front.manager.round()
+            front.manager.run_maintenance()
         sent = read_one(peer.accept())
         self.assertEqual((sent.kind, sent.session.hex(), sent.cause), (Kind.RELEASE, ID, Cause.OK))
 
--- a/tests/test_node_descriptors.py
+++ b/tests/test_node_descriptors.py
@@ -145,21 +145,27 @@
         desk = SessionManager(config.parse(tree), clock, Timers(clock), silent)
         with desk.lock:
             for told in desk.config.initial_batch.events:
-                desk.board_says(told)
+                desk.on_discovery_event(told)
             row = desk.servers["s0"]
-            for _ in range(desk.most_links):
+            for _ in range(desk.max_server_connections):
                 ServerConnection(desk, row).start()
         eventually(
-            lambda: [link.phase for link in row.links] == [ConnectionState.OPEN] * desk.most_links, "links"
+            lambda: [link.state for link in row.links]
+            == [ConnectionState.OPEN] * desk.max_server_connections,
+            "links",
         )
-        eventually(lambda: len(server.sockets) == desk.most_links, "the server's ends")
+        eventually(lambda: len(server.sockets) == desk.max_server_connections, "the server's ends")
         # A closed link's thread needs the lock before its descriptor goes: held here, it can't.
         with desk.lock:
-            desk.spare()
+            desk.close_idle_connection()
             ServerConnection(desk, row).start()
             time.sleep(HELD_S)
-            self.assertEqual(len(server.sockets), desk.most_links, "dialled beside one not yet closed")
-        eventually(lambda: len(server.sockets) == desk.most_links + 1, "the dial, once there is room")
+            self.assertEqual(
+                len(server.sockets), desk.max_server_connections, "dialled beside one not yet closed"
+            )
+        eventually(
+            lambda: len(server.sockets) == desk.max_server_connections + 1, "the dial, once there is room"
+        )
         with desk.lock:
             for link in list(row.links):
                 link.close(Outcome.CONNECTION_LOST)
@@ -196,7 +202,7 @@
             last.join()
             self.assertEqual(len(threads), most + 1)
         for viewer in list(made.manager.connections.connections):
-            viewer.shut()
+            viewer.disconnect()
             viewer.run()
 
 
@@ -431,7 +437,7 @@
     def test_what_gets_no_thread_is_closed_and_uncounted_once(self) -> None:
         made = program_of(TREE)
         self.addCleanup(made.listener.sock.close)
-        before = made.manager.descriptors.told()
+        before = made.manager.descriptors.counts_by_use()
         with (
             socket.create_server(("127.0.0.1", 0)) as listener,
             socket.create_connection(listener.getsockname()) as far,
@@ -442,13 +448,13 @@
             self.assertEqual(far.recv(1), b"")
             with made.manager.lock:
                 for told in made.config.initial_batch.events:
-                    made.manager.board_says(told)
+                    made.manager.on_discovery_event(told)
                 link = ServerConnection(made.manager, made.manager.servers["s0"])
                 link.start()
                 link.close(Outcome.CONNECTION_LOST)
         self.assertEqual(near.fileno(), -1)
-        self.assertEqual(made.manager.descriptors.told(), before)
-        self.assertFalse(made.manager.links or made.manager.connections.connections)
+        self.assertEqual(made.manager.descriptors.counts_by_use(), before)
+        self.assertFalse(made.manager.server_connection_count or made.manager.connections.connections)
 
     def test_the_account_is_what_the_process_holds(self) -> None:
         # Breaks, evictions, moves and dials that fail: whatever is forgotten or counted twice stays for good.
--- a/tests/test_node_desk.py
+++ b/tests/test_node_desk.py
@@ -22,7 +22,7 @@
     server_messages,
     server_monitor,
     session_manager,
-    request_validation,
+    client_requests,
     session_states,
     state_dump,
     pending_notifications,
@@ -74,7 +74,7 @@
     """A viewer's connection that breaks under whatever is sent."""
 
     def send(self, data: bytes) -> bool:
-        self.closed = True
+        self.is_closed = True
         return False
 
 
@@ -105,7 +105,7 @@
         self.timers = Timers(self.clock)
         self.desk = session_manager.SessionManager(config.parse(TREE), self.clock, self.timers, silent)
         for told in self.desk.config.initial_batch.events:
-            self.desk.board_says(told)
+            self.desk.on_discovery_event(told)
         self.viewer = Said(self.desk)
         self.addCleanup(self.viewer.sock.close)
 
@@ -113,7 +113,7 @@
         """An open link to the one server, and the server's end of it."""
         made = ServerConnection(self.desk, self.desk.servers["s0"])
         made.sock, far = socket.socketpair()
-        made.phase = ConnectionState.OPEN
+        made.state = ConnectionState.OPEN
         self.addCleanup(made.sock.close)
         self.addCleanup(far.close)
         return made, far
@@ -125,7 +125,7 @@
     def ask(self) -> None:
         fields = {"cseq": "1", "session": ID.hex(), "call-kind": "recorded", "answer-within": "8000"}
         fields["routing-data"] = "home:0;copies:4;top:2"
-        request_validation.hear(
+        client_requests.on_client_message(
             self.desk, self.viewer, rtsp.Request("SETUP", "rtsp://media/7f", fields, b"what")
         )
 
@@ -154,7 +154,7 @@
     def told(self, rev: int, *rows: dict[str, Any]) -> None:
         """The board tells of servers."""
         for event in DiscoveryBatch.parse({"rev": rev, "notices": [notice(rev, list(rows))]}).events:
-            self.desk.board_says(event)
+            self.desk.on_discovery_event(event)
 
     def test_a_dial_that_outlasts_a_drain_carries_no_set_up(self) -> None:
         # Guards the grace after a list change where the settings let a dial take longer than it.
@@ -186,49 +186,51 @@
         link, _ = self.dialling()
         with mock.patch.object(socket, "socket", side_effect=OSError(errno.EMFILE, "too many open files")):
             self.assertIsNone(link._connect())
-        self.assertFalse(self.desk.servers["s0"].links or self.desk.links)
+        self.assertFalse(self.desk.servers["s0"].links or self.desk.server_connection_count)
         self.assertEqual(self.desk.servers["s0"].outcome_counts, {Outcome.NOT_SENT: 1})
 
     def test_a_dial_that_was_given_up_counts_until_it_ends(self) -> None:
         # It holds its descriptor: with silent servers, dials went past the node's part of the descriptors.
         link, listener = self.dialling()
         self.pass_time(8_000_000)
-        self.assertIs(link.phase, ConnectionState.CLOSED)
-        self.assertEqual(self.desk.links, 1)
+        self.assertIs(link.state, ConnectionState.CLOSED)
+        self.assertEqual(self.desk.server_connection_count, 1)
         self.assertIsNone(link._connect())
-        self.assertEqual(self.desk.links, 0)
+        self.assertEqual(self.desk.server_connection_count, 0)
 
     def test_a_link_ends_before_the_server_ends_it_and_stays_for_what_stands(self) -> None:
         # A set-up that met the server's own close would be a lost connection, and shut its server.
         link, _ = self.link()
         self.clock.advance(44_000_000)
-        self.desk.round()
-        self.assertIs(link.phase, ConnectionState.OPEN)
+        self.desk.run_maintenance()
+        self.assertIs(link.state, ConnectionState.OPEN)
         self.clock.advance(2_000_000)
-        self.desk.round()
-        self.assertIs(link.phase, ConnectionState.CLOSED)
+        self.desk.run_maintenance()
+        self.assertIs(link.state, ConnectionState.CLOSED)
 
     def test_a_link_behind_which_something_stands_is_tested_and_closed_when_silent(self) -> None:
         # A machine that vanished says nothing: its link looks open for good, and its viewers would wait.
         link, far = self.link()
         self.set_up()
-        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        self.desk.on_server_message(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
         self.clock.advance(server_monitor.PROBE_AFTER_US + 1)
-        self.desk.round()
+        self.desk.run_maintenance()
         self.assertEqual([message.kind for message in self.heard(far)], [Kind.SET_UP, Kind.TEST])
         self.clock.advance(server_monitor.PROBE_TIMEOUT_US + 1)
         with mock.patch("threading.Thread"):
-            self.desk.round()
-        self.assertIs(link.phase, ConnectionState.CLOSED)
+            self.desk.run_maintenance()
+        self.assertIs(link.state, ConnectionState.CLOSED)
 
     def test_what_is_held_already_may_be_named_again(self) -> None:
         link, _ = self.link()
         sub = self.set_up()
-        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        self.desk.on_server_message(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
         said = len(self.viewer.said)
         fields = {"cseq": "1", "session": ID.hex(), "call-kind": "recorded"}
         fields["routing-data"] = "home:0;copies:4;top:2;at:s0"
-        request_validation.hear(self.desk, self.viewer, rtsp.Request("SETUP", "rtsp://media/7f", fields, b""))
+        client_requests.on_client_message(
+            self.desk, self.viewer, rtsp.Request("SETUP", "rtsp://media/7f", fields, b"")
+        )
         self.assertIs(self.desk.sessions[ID], sub)
         self.assertEqual((sub.state, len(self.viewer.said)), (SessionState.ESTABLISHED, said))
 
@@ -249,25 +251,27 @@
         self.viewer = Cut(self.desk)
         self.addCleanup(self.viewer.sock.close)
         self.set_up()
-        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        self.desk.on_server_message(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
         self.assertEqual([message.kind for message in self.heard(far)], [Kind.SET_UP, Kind.RELEASE])
         self.assertFalse(
-            self.desk.sessions or self.desk.front.sessions or self.desk.servers["s0"].established
+            self.desk.sessions or self.desk.policy.sessions or self.desk.servers["s0"].established
         )
 
     def test_an_end_with_no_connection_open_waits_for_the_next(self) -> None:
         # After a reset its viewer was never told, and waited for good.
         link, _ = self.link()
         self.set_up()
-        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
-        self.viewer.closed = True
-        request_validation.viewer_gone(self.desk, self.viewer)
-        self.desk.hear(link, Message(Kind.RELEASE, ID, {Code.CAUSE: bytes([Cause.OK])}))
+        self.desk.on_server_message(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        self.viewer.is_closed = True
+        client_requests.on_client_gone(self.desk, self.viewer)
+        self.desk.on_server_message(link, Message(Kind.RELEASE, ID, {Code.CAUSE: bytes([Cause.OK])}))
         test, fresh = Said(self.desk), Said(self.desk)
         for viewer, method in ((test, "OPTIONS"), (fresh, "TEARDOWN")):
             self.addCleanup(viewer.sock.close)
             fields = {"cseq": "2", "session": "00000000000000a1"}
-            request_validation.hear(self.desk, viewer, rtsp.Request(method, "rtsp://media/x", fields, b""))
+            client_requests.on_client_message(
+                self.desk, viewer, rtsp.Request(method, "rtsp://media/x", fields, b"")
+            )
         self.assertEqual(len(test.said), 1)
         release, _ = fresh.said
         self.assertTrue(release.startswith(b"TEARDOWN ") and ID.hex().encode() in release)
@@ -284,7 +288,7 @@
             {pending_notifications.MAX_PENDING_PER_PEER},
         )
         self.clock.advance(pending_notifications.NOTIFICATION_TTL_US + 1)
-        self.desk.round()
+        self.desk.run_maintenance()
         self.assertFalse(table.pending_notifications.by_peer)
 
     def test_no_table_grows_with_what_has_passed(self) -> None:
@@ -301,19 +305,19 @@
                 fields = {"cseq": "1", "session": id.hex(), "call-kind": "recorded", "answer-within": "8000"}
                 fields["routing-data"] = "home:0;copies:4;top:2"
                 with mock.patch("threading.Thread"):
-                    request_validation.hear(
+                    client_requests.on_client_message(
                         self.desk, viewer, rtsp.Request("SETUP", "rtsp://media/7f", fields, b"")
                     )
                     self.say(id, number, end)
-                self.desk.hear(self.link()[0], Message(Kind.NOTE, bytes(reversed(id)), {}))
-                viewer.closed = number % 2 == 0
+                self.desk.on_server_message(self.link()[0], Message(Kind.NOTE, bytes(reversed(id)), {}))
+                viewer.is_closed = number % 2 == 0
                 self.desk.connections.remove(viewer)
-                request_validation.viewer_gone(self.desk, viewer)
+                client_requests.on_client_gone(self.desk, viewer)
                 for sub in list(self.desk.sessions.values()):
                     self.desk.on_attempt_completed(sub, Outcome.SERVED, None)
             self.told(rev + 1, *({**row, "health": "removed"} for row in rows))
             self.pass_time(20_000_000)
-            self.desk.round()
+            self.desk.run_maintenance()
             for server in self.desk.servers.values():
                 for link in list(server.links):
                     link.close(Outcome.CONNECTION_LOST)
@@ -337,8 +341,8 @@
         ):
             link = sub.attempt.link
             if number < 2:
-                self.desk.hear(link, Message(Kind.ANSWER, id, {Code.DESCRIPTION: b"x"}))
-            self.desk.hear(link, Message(Kind.RELEASE, id, {Code.CAUSE: bytes([end])}))
+                self.desk.on_server_message(link, Message(Kind.ANSWER, id, {Code.DESCRIPTION: b"x"}))
+            self.desk.on_server_message(link, Message(Kind.RELEASE, id, {Code.CAUSE: bytes([end])}))
             sub = self.desk.sessions.get(id)
 
     def test_a_join_whose_wait_is_over_is_given_up_on_the_wire_first(self) -> None:
@@ -348,7 +352,7 @@
         self.pass_time(8_000_000)
         sent, given_up = self.heard(far)
         self.assertEqual((sent.kind, given_up.kind, given_up.cause), (Kind.SET_UP, Kind.RELEASE, Cause.OK))
-        self.assertIs(link.phase, ConnectionState.CLOSED)
+        self.assertIs(link.state, ConnectionState.CLOSED)
         self.assertEqual(self.desk.servers["s0"].outcome_counts, {Outcome.NO_ANSWER: 1})
         [answer] = self.viewer.said
         self.assertTrue(answer.startswith(b"RTSP/1.0 453 "))
@@ -359,22 +363,22 @@
         self.set_up()
         self.pass_time(8_000_000)
         late = Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"late"})
-        self.desk.hear(link, late)
+        self.desk.on_server_message(link, late)
         self.assertEqual(len(self.viewer.said), 1)
         self.assertFalse(self.desk.messages.early)
 
     def test_an_answer_without_its_description_is_none(self) -> None:
         link, _ = self.link()
         self.set_up()
-        self.desk.hear(link, Message(Kind.ANSWER, ID, {}))
-        self.assertIs(link.phase, ConnectionState.CLOSED)
+        self.desk.on_server_message(link, Message(Kind.ANSWER, ID, {}))
+        self.assertIs(link.state, ConnectionState.CLOSED)
         self.assertFalse(any(said.startswith(b"RTSP/1.0 200") for said in self.viewer.said))
 
     def test_a_fault_of_the_module_answers_its_viewer(self) -> None:
         def broken(*_: object) -> None:
             raise KeyError("s0")
 
-        self.desk.front.handle = broken  # type: ignore[method-assign]
+        self.desk.policy.handle = broken  # type: ignore[method-assign]
         self.ask()
         [answer] = self.viewer.said
         self.assertTrue(answer.startswith(b"RTSP/1.0 500 "))
@@ -383,103 +387,108 @@
         link, _ = self.link()
         for number in range(server_messages.MAX_EARLY_SESSIONS + 10):
             for _ in range(server_messages.MAX_EARLY_MESSAGES + 1 if number == 0 else 1):
-                self.desk.hear(link, Message(Kind.NOTE, number.to_bytes(8, "big"), {}))
+                self.desk.on_server_message(link, Message(Kind.NOTE, number.to_bytes(8, "big"), {}))
         self.assertEqual(len(self.desk.messages.early), server_messages.MAX_EARLY_SESSIONS)
         self.assertEqual(len(self.desk.messages.early[bytes(8)]), server_messages.MAX_EARLY_MESSAGES)
         self.clock.advance(server_messages.EARLY_MESSAGE_US + 1)
-        self.desk.round()
+        self.desk.run_maintenance()
         self.assertFalse(self.desk.messages.early)
 
     def test_links_stay_within_their_part_of_the_descriptors(self) -> None:
-        links = [self.link()[0] for _ in range(self.desk.most_links)]
+        links = [self.link()[0] for _ in range(self.desk.max_server_connections)]
         for link in links:
-            link.carried = Session(bytes(8), "", "", "", "", b"", None, "")
+            link.dispatched_session = Session(bytes(8), "", "", "", "", b"", None, "")
         self.ask()
-        self.assertEqual(self.desk.links, self.desk.most_links)
+        self.assertEqual(self.desk.server_connection_count, self.desk.max_server_connections)
         self.assertEqual(self.desk.servers["s0"].outcome_counts, {Outcome.NOT_SENT: 1})
 
     def test_nothing_is_left_of_what_is_over(self) -> None:
         link, _ = self.link()
         sub = self.set_up()
-        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
-        self.assertIn(sub, self.viewer.standing)
-        self.desk.hear(link, Message(Kind.RELEASE, ID, {Code.CAUSE: bytes([Cause.OK])}))
+        self.desk.on_server_message(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        self.assertIn(sub, self.viewer.established_sessions)
+        self.desk.on_server_message(link, Message(Kind.RELEASE, ID, {Code.CAUSE: bytes([Cause.OK])}))
         server = self.desk.servers["s0"]
-        self.assertFalse(self.desk.sessions or self.viewer.standing or self.viewer.open or server.established)
-        self.assertFalse(self.desk.front.sessions)
+        self.assertFalse(
+            self.desk.sessions
+            or self.viewer.established_sessions
+            or self.viewer.open_sessions
+            or server.established
+        )
+        self.assertFalse(self.desk.policy.sessions)
 
     def test_a_gone_server_is_forgotten_with_its_links(self) -> None:
         link, _ = self.link()
         gone = DiscoveryBatch.parse({"rev": 2, "notices": [notice(2, [{**HOST, "health": "removed"}])]})
         self.clock.advance(5_000_000)
         for told in gone.events:
-            self.desk.board_says(told)
+            self.desk.on_discovery_event(told)
         self.assertFalse(self.desk.servers)
-        self.assertIs(link.phase, ConnectionState.CLOSED)
+        self.assertIs(link.state, ConnectionState.CLOSED)
 
     def test_a_successor_at_its_address_is_not_taken_for_a_vanished_server(self) -> None:
         link, _ = self.link()
         sub = self.set_up()
-        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        self.desk.on_server_message(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
         rows = [{**HOST, "health": "removed"}, {**HOST, "host": "s1"}]
         for told in DiscoveryBatch.parse({"rev": 2, "notices": [notice(2, rows)]}).events:
-            self.desk.board_says(told)
-        self.desk.round()
+            self.desk.on_discovery_event(told)
+        self.desk.run_maintenance()
         self.assertIs(sub.state, SessionState.ESTABLISHED)  # its link stands yet
         link.close(Outcome.CONNECTION_LOST)
-        self.desk.round()
+        self.desk.run_maintenance()
         self.assertIs(sub.state, SessionState.CLOSED)
         self.assertIn(b"Reason: cause=41", self.viewer.said[-1])
-        self.assertEqual(self.desk.links, 0)
+        self.assertEqual(self.desk.server_connection_count, 0)
 
     def standing_without_a_link(self) -> tuple[Server, Session]:
         """A subscription that stands at a server which was heard and whose one link has just broken."""
         link, _ = self.link()
         sub = self.set_up()
-        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        self.desk.on_server_message(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
         server = self.desk.servers["s0"]
-        server.parting.heard(self.desk.now_us())
+        server.connection_loss.on_received(self.desk.now_us())
         link.close(Outcome.CONNECTION_LOST)
         return server, sub
 
     def test_a_server_that_is_only_cut_off_keeps_what_stands_there(self) -> None:
         # Two dials that timed out passed for a death: 571 viewers of a zone that was cut off were sent away.
         server, sub = self.standing_without_a_link()
-        server.dial_at_us = 1 << 62
+        server.next_dial_us = 1 << 62
         for _ in range(3):
-            self.desk.dial_failed(server, refused=False)
-        server.dial_at_us = 1 << 62
+            self.desk.on_dial_failed(server, refused=False)
+        server.next_dial_us = 1 << 62
         self.clock.advance(6_900_000)
-        self.desk.round()
+        self.desk.run_maintenance()
         self.assertIs(sub.state, SessionState.ESTABLISHED)
         self.clock.advance(200_000)
-        self.desk.round()
+        self.desk.run_maintenance()
         self.assertIs(sub.state, SessionState.CLOSED)
 
     def test_a_server_whose_machine_refuses_is_gone(self) -> None:
         server, sub = self.standing_without_a_link()
-        self.desk.dial_failed(server, refused=True)
+        self.desk.on_dial_failed(server, refused=True)
         self.assertIs(sub.state, SessionState.ESTABLISHED)
-        self.desk.dial_failed(server, refused=True)
+        self.desk.on_dial_failed(server, refused=True)
         self.assertIs(sub.state, SessionState.CLOSED)
 
     def test_a_server_off_the_list_that_is_silent_is_gone(self) -> None:
         server, sub = self.standing_without_a_link()
         for _ in range(2):
-            self.desk.dial_failed(server, refused=False)
-        server.dial_at_us = 1 << 62
+            self.desk.on_dial_failed(server, refused=False)
+        server.next_dial_us = 1 << 62
         self.assertIs(sub.state, SessionState.ESTABLISHED)
         for told in DiscoveryBatch.parse(
             {"rev": 2, "notices": [notice(2, [{**HOST, "health": "removed"}])]}
         ).events:
-            self.desk.board_says(told)
-        self.desk.round()
+            self.desk.on_discovery_event(told)
+        self.desk.run_maintenance()
         self.assertIs(sub.state, SessionState.CLOSED)
 
     def test_a_node_that_ends_answers_what_is_open(self) -> None:
         _, far = self.link()
         self.set_up()
-        self.assertEqual(self.desk.end(), 1)
+        self.assertEqual(self.desk.shut_down(), 1)
         [answer] = self.viewer.said
         self.assertTrue(answer.startswith(b"RTSP/1.0 500 "))
         self.assertEqual([message.kind for message in self.heard(far)], [Kind.SET_UP, Kind.RELEASE])
@@ -487,7 +496,7 @@
     def test_a_move_is_told_to_the_viewer_and_ends_at_the_server(self) -> None:
         link, far = self.link()
         sub = self.set_up()
-        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        self.desk.on_server_message(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
         session_states.apply_event(self.desk, sub, session_states.SessionEvent.MIGRATED)
         self.assertTrue(self.viewer.said[-1].startswith(b"REDIRECT rtsp://media/7f RTSP/1.0"))
         self.assertEqual([message.kind for message in self.heard(far)], [Kind.SET_UP, Kind.RELEASE])
@@ -496,7 +505,7 @@
     def test_a_release_finds_the_next_link(self) -> None:
         link, _ = self.link()
         sub = self.set_up()
-        self.desk.hear(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
+        self.desk.on_server_message(link, Message(Kind.ANSWER, ID, {Code.DESCRIPTION: b"x"}))
         link.close(Outcome.CONNECTION_LOST)
         session_states.apply_event(self.desk, sub, session_states.SessionEvent.CLIENT_GONE)
         self.assertEqual(list(self.desk.servers["s0"].unsent), [isup.release(ID, Cause.OK)])
@@ -504,9 +513,9 @@
     def test_the_trace_sets_belief_beside_what_was_seen(self) -> None:
         link, _ = self.link()
         self.set_up()
-        self.desk.hear(link, Message(Kind.RELEASE, ID, {Code.CAUSE: bytes([Cause.FULL])}))
+        self.desk.on_server_message(link, Message(Kind.RELEASE, ID, {Code.CAUSE: bytes([Cause.FULL])}))
         [line] = state_dump.lines(self.desk)
-        self.assertEqual((line["server"], line["health"], line["seen"]), ("s0", "SHUT", {"TURNED_AWAY": 1}))
+        self.assertEqual((line["server"], line["health"], line["seen"]), ("s0", "SHUT", {"REJECTED": 1}))
 
 
 class ConnectionTableTest(unittest.TestCase):
@@ -520,12 +529,12 @@
         table = ConnectionTable(3)
         old, busy, mute, fresh = viewers
         old.has_sent_message = busy.has_sent_message = True
-        busy.open[Session(bytes(8), "", "", "", "", b"", None, "")] = None
+        busy.open_sessions[Session(bytes(8), "", "", "", "", b"", None, "")] = None
         self.assertTrue(all(table.add(viewer) for viewer in (old, busy, mute)))
         self.assertTrue(table.add(fresh))
         self.assertEqual(list(table.connections), [old, busy, fresh])
-        self.assertIs(table.other("0"), old)
-        self.assertIsNone(table.other("2"))
+        self.assertIs(table.find_connection("0"), old)
+        self.assertIsNone(table.find_connection("2"))
 
 
 class ConfigTest(unittest.TestCase):
--- a/tests/test_node_dials.py
+++ b/tests/test_node_dials.py
@@ -14,7 +14,7 @@
 from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause, Code, Kind, Message
 from fennelcove.node.descriptor_budget import DescriptorUse
-from fennelcove.node import request_validation
+from fennelcove.node import client_requests
 from fennelcove.node.discovery_events import DiscoveryBatch
 from tests.noderig import SETTINGS, NodeRig, StandInServer, answered, eventually, notice, released
 from tests.test_node_connections import (
@@ -36,7 +36,7 @@
 class DialTest(RigTest):
     def told(self, front: FrontHere, *rows: dict[str, Any]) -> None:
         for event in DiscoveryBatch.parse({"rev": 2, "notices": [notice(2, list(rows))]}).events:
-            front.manager.board_says(event)
+            front.manager.on_discovery_event(event)
 
     def dialled(self, peer: Peer, meanwhile: Callable[[FrontHere], None]) -> tuple[FrontHere, socket.socket]:
         """A set-up's connection is made, and its thread gets the lock only after this has happened."""
@@ -50,31 +50,31 @@
     def nothing_sent(self, front: FrontHere, far: socket.socket) -> None:
         """Whatever is written on the connection until it ends is no set-up."""
         with front.manager.lock:
-            front.manager.stopping = True
+            front.manager.is_shutting_down = True
         eventually(lambda: front.dialled() is None, "the thread has had the lock")
         far.shutdown(socket.SHUT_WR)
         self.assertEqual([m for m in read_all(far) if m.kind is Kind.SET_UP], [])
 
     def test_a_client_that_leaves_while_its_connection_is_made(self) -> None:
         def leaves(front: FrontHere) -> None:
-            request_validation.tear_down(front.manager, front.viewer, bytes.fromhex(ID))
+            client_requests.tear_down(front.manager, front.viewer, bytes.fromhex(ID))
 
         front, far = self.dialled(Peer(), leaves)
         self.nothing_sent(front, far)
-        self.assertFalse(front.manager.sessions or front.manager.front.sessions)
+        self.assertFalse(front.manager.sessions or front.manager.policy.sessions)
 
     def test_a_client_that_closes_while_its_connection_is_made(self) -> None:
         front, far = self.dialled(
-            Peer(), lambda front: request_validation.viewer_gone(front.manager, front.viewer)
+            Peer(), lambda front: client_requests.on_client_gone(front.manager, front.viewer)
         )
         self.nothing_sent(front, far)
-        self.assertFalse(front.manager.sessions or front.manager.front.sessions)
+        self.assertFalse(front.manager.sessions or front.manager.policy.sessions)
 
     def test_a_join_whose_time_is_over_while_its_connection_is_made(self) -> None:
         def passes(front: FrontHere) -> None:
             sub = front.manager.sessions[bytes.fromhex(ID)]
             assert sub.attempt is not None
-            front.manager.time_over(sub, sub.attempt)
+            front.manager.on_attempt_timeout(sub, sub.attempt)
 
         front, far = self.dialled(Peer(), passes)
         self.nothing_sent(front, far)
@@ -122,7 +122,7 @@
         """The wait for the set-up is over that is out on the first connection; the lock is held."""
         sub = front.manager.sessions[bytes.fromhex(OTHER)]
         assert sub.attempt is not None
-        front.manager.time_over(sub, sub.attempt)
+        front.manager.on_attempt_timeout(sub, sub.attempt)
 
     def test_an_end_told_on_a_connection_that_is_being_closed_is_heard(self) -> None:
         front, first, _ = self.standing_and_out(Peer())
@@ -139,7 +139,7 @@
         front, first, second = self.standing_and_out(peer)
         with front.manager.lock:
             self.give_up(front)
-            front.manager.round()
+            front.manager.run_maintenance()
         peer.listener.settimeout(3)
         third = peer.accept()
         third.sendall(isup.release(bytes.fromhex(ID), Cause.OK))
@@ -176,7 +176,7 @@
         [other] = peers.values()
         with front.manager.lock:
             late.sendall(answered(sent) + answered(sent))
-            front.manager.time_over(sub, sub.attempt)
+            front.manager.on_attempt_timeout(sub, sub.attempt)
         given_up = read_one(late)
         self.assertEqual((given_up.kind, given_up.session, given_up.cause), (Kind.RELEASE, sub.id, Cause.OK))
         self.assertEqual(read_all(late), [])
@@ -190,7 +190,7 @@
     def test_room_is_made_at_a_server_where_nothing_stands(self) -> None:
         peers = [Peer() for _ in range(3)]
         front = self.front(*(peer.row(f"s{cell}", cell) for cell, peer in enumerate(peers)))
-        front.manager.descriptors.most[DescriptorUse.SERVER] = 2
+        front.manager.descriptors.limits[DescriptorUse.SERVER] = 2
         here = []
         for cell, id in enumerate((ID, OTHER, THIRD)):
             front.caller.set_up(id, routing=f"home:{cell};copies:1;top:2")
@@ -204,7 +204,7 @@
         here[1].settimeout(3)
         self.assertEqual(here[1].recv(4096), b"")
         with front.manager.lock:
-            self.assertEqual([link.idle for link in front.manager.servers["s0"].links], [True])
+            self.assertEqual([link.is_idle for link in front.manager.servers["s0"].links], [True])
 
 
 class OnceNode(NodeRig):
--- a/tests/test_node_discovery_thread.py
+++ b/tests/test_node_discovery_thread.py
@@ -36,8 +36,8 @@
         self.inner.acquire()
 
     def __exit__(self, *_: object) -> None:
-        servers = self.desk.front.servers.values()
-        self.seen.append([server.address for server in servers if server.standing is ServerState.ACTIVE])
+        servers = self.desk.policy.servers.values()
+        self.seen.append([server.address for server in servers if server.state is ServerState.ACTIVE])
         self.inner.release()
 
 
@@ -50,7 +50,7 @@
             config.parse({**TREE, "seed": seed}), clock, Timers(clock), silent
         )
         for first in self.desk.config.initial_batch.events:
-            self.desk.board_says(first)
+            self.desk.on_discovery_event(first)
         watch = DiscoveryClient(self.desk, clock, parse_address(board.address), rev)
         thread = threading.Thread(target=watch.run, daemon=True)
         thread.start()
@@ -60,7 +60,7 @@
         return watch
 
     def standing(self) -> ServerState:
-        return self.desk.front.servers["s0"].standing
+        return self.desk.policy.servers["s0"].state
 
     def test_an_answer_of_the_old_board_is_not_applied_after_the_move(self) -> None:
         # Read before the move and applied after it: the old board tells nothing further.
@@ -129,7 +129,7 @@
         told: list[str] = []
         with mock.patch.multiple(discovery, BACKOFF_BASE_US=60_000_000, BACKOFF_MAX_US=60_000_000):
             watch = self.watch(board)
-            self.desk.notice = lambda event, **fields: told.append(event)
+            self.desk.logger = lambda event, **fields: told.append(event)
             poll = board.next()
             poll.close()
             eventually(lambda: told == ["discovery_poll_failed"], "the failure")
@@ -143,7 +143,7 @@
         boards = [HeldBoard() for _ in range(3)]
         watch = self.watch(boards[0])
         told: list[str] = []
-        self.desk.notice = lambda event, **fields: told.append(event)
+        self.desk.logger = lambda event, **fields: told.append(event)
         boards[0].next()
         for board in boards[1:]:
             self.addCleanup(board.close)
@@ -157,7 +157,7 @@
         self.addCleanup(other.close)
         watch = self.watch(board)
         told: list[str] = []
-        self.desk.notice = lambda event, **fields: told.append(event)
+        self.desk.logger = lambda event, **fields: told.append(event)
         board.next()
         watch.change_address(parse_address(other.address))
         watch.change_address(parse_address(board.address))
@@ -178,20 +178,20 @@
         poll = board.next()
         answer = [notice(2, [DRAINING]), notice(3, [{**HOST, "host": "s1"}])]
         faults = iter((None, KeyError("s1")))
-        says = self.desk.board_says
+        says = self.desk.on_discovery_event
 
         def breaking(told: Any) -> None:
             if fault := next(faults, None):
                 raise fault
             says(told)
 
-        with mock.patch.object(self.desk, "board_says", breaking):
+        with mock.patch.object(self.desk, "on_discovery_event", breaking):
             poll.tell(3, *answer)
             poll = board.next()
             self.assertEqual(poll.watch, 1)  # half of it stands, and all of it is told once more
             poll.tell(3, *answer)
             self.assertEqual(board.next().watch, 3)
-        self.assertEqual(set(self.desk.front.servers), {"s0", "s1"})
+        self.assertEqual(set(self.desk.policy.servers), {"s0", "s1"})
 
 
 class PauseTest(unittest.TestCase):
--- a/tests/test_node_owed.py
+++ b/tests/test_node_owed.py
@@ -6,7 +6,7 @@
 
 from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause, Code, Kind
-from fennelcove.node import request_validation
+from fennelcove.node import client_requests
 from fennelcove.node.model import SessionState
 from tests import noderig
 from tests.clientrig import Inside, Stopped, arrived, holds, taken
@@ -85,9 +85,9 @@
         inside = Inside(self, StandInServer("s0", 0))
         caller, far = inside.meet()
         inside.read(far)
-        for number, id in enumerate(many(request_validation.MAX_CLIENT_IDS + 9)):
+        for number, id in enumerate(many(client_requests.MAX_CLIENT_IDS + 9)):
             caller.set_up(id, routing=f"home:0;copies:4;top:2;viewer:{number:016x}")
             caller.answer()
         self.assertEqual(
-            list(far.figures), [f"{n:016x}" for n in range(9, request_validation.MAX_CLIENT_IDS + 9)]
+            list(far.recent_clients), [f"{n:016x}" for n in range(9, client_requests.MAX_CLIENT_IDS + 9)]
         )
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -105,7 +105,7 @@
             if number % 3 and (sub := front.sessions.get(str(number))) is not None and sub.attempts:
                 front.handle(SessionStarted(sub.id, 0, 1000), now_us + 1000)
             elif sub := front.sessions.get(str(number)):
-                outcome = draws.choice((Outcome.SERVER_ERROR, Outcome.TURNED_AWAY, Outcome.CONNECTION_LOST))
+                outcome = draws.choice((Outcome.SERVER_ERROR, Outcome.REJECTED, Outcome.CONNECTION_LOST))
                 report = LoadReport(draws.random(), None)
                 front.handle(AttemptCompleted(sub.id, 0, outcome, False, report), now_us + 1000)
             yield said.calls
--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -241,7 +241,7 @@
         for number, caller in enumerate(callers, 1):
             answers = []
             while (message := caller.next()) is not None:
-                assert isinstance(message, rtsp.Answer)
+                assert isinstance(message, rtsp.Response)
                 answers.append((message.fields.get("session"), message.status))
             told.append((number, sorted(answers, key=lambda answer: answer[0] or "")))
         refused = [
@@ -264,7 +264,7 @@
         made = config.parse({**tree, "known": {"rev": 1, "notices": [first]}})
         self.desk = session_manager.SessionManager(made, clock, Timers(clock), silent)
         for told in made.initial_batch.events:
-            self.desk.board_says(told)
+            self.desk.on_discovery_event(told)
         with socket.create_server(("127.0.0.1", 0)) as listener:
             self.caller = Caller(listener.getsockname())
             self.sock, _ = listener.accept()
@@ -280,7 +280,7 @@
         with self.desk.lock:
             self.caller.set_up("9b1f03aa5c7e2d41")  # on loopback it is in the other end's buffer on return
             eventually(lambda: self.unread() == 0, "the thread's read")
-            self.assertEqual(self.desk.end(), 0)
+            self.assertEqual(self.desk.shut_down(), 0)
             # As at the node's own end: that its read side is shut is no sign that the viewer has left.
             self.viewer.finish_reading()
         self.caller.sock.settimeout(5)
@@ -297,8 +297,8 @@
                 sub = Session(id, id.hex(), "1", "recorded", "7f", b"", self.viewer, "127.0.0.1")
                 sub.attempts = joins
                 self.desk.sessions[id] = sub
-                self.viewer.open[sub] = None
-            self.assertEqual(self.desk.end(), 2)
+                self.viewer.open_sessions[sub] = None
+            self.assertEqual(self.desk.shut_down(), 2)
         self.caller.sock.settimeout(5)
         for _ in range(2):
             answer = self.caller.answer()
--- a/tests/test_node_standing.py
+++ b/tests/test_node_standing.py
@@ -30,7 +30,7 @@
 )
 from fennelcove.isup.messages import Cause, Code, Kind, Message
 from fennelcove.log import silent
-from fennelcove.node import config, session_manager, request_validation
+from fennelcove.node import config, session_manager, client_requests
 from fennelcove.node.address import Address
 from fennelcove.node.discovery_client import DiscoveryClient
 from fennelcove.node.server_connection import ServerConnection, ConnectionState
@@ -76,7 +76,7 @@
                 front.handle(Request(str(now_us), "recorded", 5, 0, 1, 0, 3 * SECOND), now_us)
                 if str(now_us) in front.sessions:
                     sent.append(now_us)
-                    front.handle(AttemptCompleted(str(now_us), 0, Outcome.CALLED_OFF, True, None), now_us)
+                    front.handle(AttemptCompleted(str(now_us), 0, Outcome.CANCELLED, True, None), now_us)
         self.assertGreater(len(sent), 20)
         for at_us in sent:
             warmed = 0.5 + 0.5 * (at_us - 100 * SECOND) / ramp_us
@@ -104,14 +104,20 @@
         self.timers = Timers(self.clock)
         self.desk = session_manager.SessionManager(config.parse(tree), self.clock, self.timers, silent)
         for told in self.desk.config.initial_batch.events:
-            self.desk.board_says(told)
+            self.desk.on_discovery_event(told)
         self.viewer = Said(self.desk)
         self.addCleanup(self.viewer.sock.close)
 
     def out(self) -> ServerConnection | None:
         """The link on which a set-up is out."""
         return next(
-            (link for server in self.desk.servers.values() for link in server.links if link.carried), None
+            (
+                link
+                for server in self.desk.servers.values()
+                for link in server.links
+                if link.dispatched_session
+            ),
+            None,
         )
 
     def joins_after(self, end: str) -> int:
@@ -124,7 +130,7 @@
             mock.patch("threading.Thread"),
             mock.patch("fennelcove.node.server_connection.send_now", return_value=True),
         ):
-            request_validation.hear(
+            client_requests.on_client_message(
                 self.desk, self.viewer, rtsp.Request("SETUP", "rtsp://media/7f", fields, b"what")
             )
             while (link := self.out()) is not None:
@@ -136,7 +142,7 @@
         if end == "not connected":
             link.close(Outcome.NO_CONNECTION)
             return
-        link.phase = ConnectionState.OPEN
+        link.state = ConnectionState.OPEN
         if end == "closed":
             link.close(Outcome.CONNECTION_LOST)
         elif end == "silent":
@@ -144,9 +150,9 @@
             for call in self.timers.ready():
                 call()
         elif end == "answer that can't be used":
-            self.desk.hear(link, Message(Kind.ANSWER, ID, {}))
+            self.desk.on_server_message(link, Message(Kind.ANSWER, ID, {}))
         else:
-            self.desk.hear(link, Message(Kind.RELEASE, ID, {Code.CAUSE: bytes([Cause[end]])}))
+            self.desk.on_server_message(link, Message(Kind.RELEASE, ID, {Code.CAUSE: bytes([Cause[end]])}))
 
     def test_each_end_of_a_join(self) -> None:
         for end, joins, status in (
@@ -171,10 +177,10 @@
         fields = {"cseq": "1", "session": ID.hex(), "call-kind": "recorded", "answer-within": "8000"}
         fields["routing-data"] = "home:0;copies:4;top:2"
         with mock.patch("threading.Thread"):
-            request_validation.hear(
+            client_requests.on_client_message(
                 self.desk, self.viewer, rtsp.Request("SETUP", "rtsp://media/7f", fields, b"what")
             )
-        self.assertEqual(self.desk.end(), 1)
+        self.assertEqual(self.desk.shut_down(), 1)
         [answer] = self.viewer.said
         self.assertTrue(answer.startswith(b"RTSP/1.0 500 "))
 
@@ -204,11 +210,11 @@
         clock = SystemClock()
         made = session_manager.SessionManager(config.parse(TREE), clock, Timers(clock), silent)
         for first in made.config.initial_batch.events:
-            made.board_says(first)
+            made.on_discovery_event(first)
         watch = DiscoveryClient(made, clock, Address("127.0.0.1", listener.getsockname()[1]), 1)
         self.addCleanup(watch.stop)
         threading.Thread(target=watch.run, daemon=True).start()
-        eventually(lambda: made.front.servers["s0"].standing is ServerState.LEAVING, "the news")
+        eventually(lambda: made.policy.servers["s0"].state is ServerState.LEAVING, "the news")
         self.assertEqual(len(asked), 3)
         self.assertTrue(all(b"/board/poll?watch=1&" in request for request in asked))
 
@@ -233,7 +239,7 @@
         clock = ManualClock(wall_from_us=1_000_000_000)
         made = session_manager.SessionManager(config.parse(tree), clock, Timers(clock), silent)
         for told in made.config.initial_batch.events:
-            made.board_says(told)
+            made.on_discovery_event(told)
         viewer = Said(made)
         self.addCleanup(viewer.sock.close)
         with (
@@ -244,12 +250,14 @@
                 id = number.to_bytes(8, "big")
                 fields = {"cseq": "1", "session": id.hex(), "call-kind": room, "answer-within": "8000"}
                 fields["routing-data"] = "home:0;copies:3;top:2"
-                request_validation.hear(made, viewer, rtsp.Request("SETUP", "rtsp://media/7f", fields, b""))
+                client_requests.on_client_message(
+                    made, viewer, rtsp.Request("SETUP", "rtsp://media/7f", fields, b"")
+                )
                 for server in made.servers.values():
-                    for link in [link for link in server.links if link.carried]:
-                        link.phase = ConnectionState.OPEN
+                    for link in [link for link in server.links if link.dispatched_session]:
+                        link.state = ConnectionState.OPEN
                         answer = Message(Kind.ANSWER, id, {Code.DESCRIPTION: server.name.encode()})
-                        made.hear(link, answer)
+                        made.on_server_message(link, answer)
         return viewer.said
 
     def test_other_names_in_the_settings_change_nothing(self) -> None:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -37,7 +37,7 @@
             chance.shuffle(order)
             held = FleetLoadEstimator(1, 0)
             for front, summary in order:
-                held.hear(front, summary, 0)
+                held.on_summary(front, summary, 0)
             results.append({front: held.peer_summaries[front][0] for front in held.peer_summaries})
         self.assertEqual(results[0], results[1])
         self.assertEqual(results[0], results[2])
@@ -45,29 +45,31 @@
     def test_fronts_that_are_not_heard_are_taken_for_ones_own_likes(self) -> None:
         held = FleetLoadEstimator(2, 0)
         for _ in range(10):
-            held.asked(1)
+            held.record_requested(1)
         held.advance(WINDOW)
         self.assertEqual(held.totals(4, WINDOW).class_loads, ((0, 0, 0), (40, 0, 0)))
-        held.hear(1, LoadSummary(1, 1, ((6, 6, 0), (0, 0, 0))), WINDOW)
+        held.on_summary(1, LoadSummary(1, 1, ((6, 6, 0), (0, 0, 0))), WINDOW)
         self.assertEqual(held.totals(4, WINDOW).class_loads, ((6, 6, 0), (30, 0, 0)))
-        self.assertEqual(held.totals(4, WINDOW + 2 * fleet_load.STALE_US).heard, 0)
+        self.assertEqual(held.totals(4, WINDOW + 2 * fleet_load.STALE_US).reporting_peers, 0)
 
     def test_one_that_tells_a_hundred_times_more_is_taken_at_a_bound(self) -> None:
         held = FleetLoadEstimator(1, 0)
         for _ in range(10):
-            held.asked(0)
+            held.record_requested(0)
         held.advance(WINDOW)
         for front, asked in ((1, 10), (2, 12), (3, 1000)):
-            held.hear(front, said(1, asked, 0), WINDOW)
-        self.assertLessEqual(held.totals(4, WINDOW).asked, 10 + 10 + 12 + fleet_load.MAX_MEDIAN_MULTIPLE * 11)
+            held.on_summary(front, said(1, asked, 0), WINDOW)
+        self.assertLessEqual(
+            held.totals(4, WINDOW).requested, 10 + 10 + 12 + fleet_load.MAX_MEDIAN_MULTIPLE * 11
+        )
 
     def test_a_summary_survives_its_bytes_and_cut_ones_are_refused(self) -> None:
         summary = LoadSummary(1 << 40, 9, ((1, 2, 3), (40_000, 5, 6)))
-        raw = messages.pack_summary(summary)
-        self.assertEqual(messages.unpack_summary(raw), summary)
+        raw = messages.encode_load_summary(summary)
+        self.assertEqual(messages.decode_load_summary(raw), summary)
         self.assertIsNone(messages.decode(0, raw))
         for cut in range(len(raw)):
-            self.assertNotEqual(messages.unpack_summary(raw[:cut]), summary)
+            self.assertNotEqual(messages.decode_load_summary(raw[:cut]), summary)
 
 
 def figures(asked: int, served: int) -> FleetTotals:
@@ -79,25 +81,25 @@
         for level in SheddingLevel:
             for who in TicketStatus:
                 self.assertIn((level, who), shedding.ACTIONS)
-            self.assertIs(shedding.ACTIONS[level, TicketStatus.DUE], SheddingAction.PASS)
+            self.assertIs(shedding.ACTIONS[level, TicketStatus.DUE], SheddingAction.ADMIT)
 
     def test_it_is_climbed_at_once_and_left_again_step_by_step(self) -> None:
         for worst in (figures(100, 70), figures(100, 45), figures(100, 10)):
             ladder = SheddingPolicy()
-            ladder.window(worst)
+            ladder.on_window_closed(worst)
             top = ladder.level
             self.assertIs(top, shedding.TARGET_LEVELS[shedding.load_signal(worst)])
             windows = 0
             while ladder.level is not SheddingLevel.NONE:
-                ladder.window(figures(100, 99))
+                ladder.on_window_closed(figures(100, 99))
                 windows += 1
             self.assertEqual(windows, top * shedding.CALM_WINDOWS_PER_STEP_DOWN)
 
     def test_figures_that_waver_do_not_make_it_swing(self) -> None:
         ladder, chance = SheddingPolicy(), Random(4)
         for _ in range(400):
-            ladder.window(figures(100, chance.choice((55, 65, 80))))
-        self.assertLess(ladder.changes, 12)
+            ladder.on_window_closed(figures(100, chance.choice((55, 65, 80))))
+        self.assertLess(ladder.change_count, 12)
 
     def test_few_requests_say_nothing(self) -> None:
         self.assertIs(shedding.load_signal(figures(shedding.MIN_REQUESTS - 1, 0)), LoadSignal.NORMAL)
--- a/tests/test_release_side.py
+++ b/tests/test_release_side.py
@@ -22,21 +22,21 @@
 from fennelcove.rollouts import messages
 from fennelcove.rollouts.coordinator import (
     RolloutAgreement,
-    Answer,
+    CommandOutcome,
     Command,
-    Memory,
-    Mine,
+    PersistedState,
+    FrontStatus,
     RolloutSettings,
-    Wish,
+    CommandKind,
 )
 from fennelcove.rollouts.disruption_budget import DisruptionLimit, FleetLimits, Location
 from fennelcove.rollouts.messages import (
-    Kind,
+    PlaceKind,
     RolloutPhase,
     Plan,
     HaltReason,
     RolloutRecord,
-    Said,
+    RolloutMessage,
     ServingState,
     PermitVerdict,
 )
@@ -50,7 +50,7 @@
 two = st.integers(0, 0xFFFF)
 one = st.integers(0, 0xFF)
 place = st.integers(0, 0x7FFF)
-kind = st.sampled_from(list(Kind))
+kind = st.sampled_from(list(PlaceKind))
 flag = st.booleans()
 opened = st.builds(messages.OpenRequest, kind, place, four, flag)
 plans = st.builds(Plan, four, four, four, two, two, four, four, two, two, two, two, one, one)
@@ -72,7 +72,7 @@
     st.lists(opened, max_size=messages.MAX_OPEN_REQUESTS).map(tuple),
 )
 held = st.lists(place, max_size=messages.MAX_PROMISED_PLACES).map(tuple)
-SAID: st.SearchStrategy[Said] = st.one_of(
+SAID: st.SearchStrategy[RolloutMessage] = st.one_of(
     words,
     st.builds(messages.PermitRequest, eight, four, kind, place, four, four),
     st.builds(messages.PermitVote, eight, four, st.sampled_from(list(PermitVerdict)), held),
@@ -86,7 +86,7 @@
 
 class MessagesTest(unittest.TestCase):
     @given(SAID)
-    def test_each_comes_back_as_it_was_and_fits(self, said: Said) -> None:
+    def test_each_comes_back_as_it_was_and_fits(self, said: RolloutMessage) -> None:
         raw = rollout_messages.encode(said)
         self.assertLessEqual(len(raw), rollout_messages.MAX_BYTES)
         self.assertEqual(rollout_messages.decode(raw), said)
@@ -96,7 +96,9 @@
         rollout_messages.decode(raw)
 
     @given(SAID, st.data())
-    def test_one_cut_short_is_not_another_of_its_kind(self, said: Said, data: st.DataObject) -> None:
+    def test_one_cut_short_is_not_another_of_its_kind(
+        self, said: RolloutMessage, data: st.DataObject
+    ) -> None:
         raw = rollout_messages.encode(said)
         read = rollout_messages.decode(raw[: data.draw(st.integers(0, len(raw) - 1))])
         # Rows at the end may be missing whole: what is left is a shorter message, never another figure.
@@ -114,23 +116,23 @@
         self.well = True
         self.log: list[str] = []
 
-    def keep(self, memory: Memory) -> bool:
+    def keep(self, memory: PersistedState) -> bool:
         self.log.append("kept" if self.well else "not kept")
         return self.well
 
-    def post(self, front: int, said: Said) -> None:
+    def post(self, front: int, said: RolloutMessage) -> None:
         self.log.append(type(said).__name__)
 
 
 def book(disk: Disk, clock: ManualClock) -> RolloutCoordinator:
     limits = FleetLimits(DisruptionLimit(1, 1), DisruptionLimit(1, 1))
-    known = Memory(sure=True, whole=True)
+    known = PersistedState(sure=True, whole=True)
     agreement = RolloutAgreement(RolloutSettings(3, 0), limits, (Location(0),) * 3, 7, clock.now_us(), known)
-    mine = Mine(ServingState.SERVING, 1)
+    mine = FrontStatus(ServingState.SERVING, 1)
     found = RolloutCoordinator(
         agreement, 250_000, lambda: mine, dict, disk.keep, clock, Random(1), lambda name, **_: None
     )
-    found.post = disk.post
+    found.send = disk.post
     return found
 
 
@@ -142,18 +144,18 @@
         self.book._process(self.book._heartbeat)
         for other in (1, 2):
             word = messages.Heartbeat(5 + other, 1, 7, 1, ServingState.SERVING, 1)
-            self.book._process(lambda now_us, o=other, w=word: self.book.agreement.hear(o, w, now_us))
+            self.book._process(lambda now_us, o=other, w=word: self.book.agreement.on_message(o, w, now_us))
         self.disk.log.clear()
 
     def test_a_promise_is_in_the_folder_before_its_yes_is_sent(self) -> None:
-        ask = messages.PermitRequest(6, 1, Kind.FRONT, 1)
-        self.book._process(lambda now_us: self.book.agreement.hear(1, ask, now_us))
+        ask = messages.PermitRequest(6, 1, PlaceKind.FRONT, 1)
+        self.book._process(lambda now_us: self.book.agreement.on_message(1, ask, now_us))
         self.assertEqual(self.disk.log, ["kept", "PermitVote"])
 
     def test_what_the_folder_does_not_take_is_not_said_until_it_does(self) -> None:
         self.disk.well = False
-        ask = messages.PermitRequest(6, 1, Kind.FRONT, 1)
-        self.book._process(lambda now_us: self.book.agreement.hear(1, ask, now_us))
+        ask = messages.PermitRequest(6, 1, PlaceKind.FRONT, 1)
+        self.book._process(lambda now_us: self.book.agreement.on_message(1, ask, now_us))
         self.book._process(self.book._heartbeat)
         self.assertEqual(self.disk.log, ["not kept", "not kept"])
         self.assertTrue(self.book.status()["unsafe"])
@@ -163,19 +165,19 @@
 
     def test_a_full_line_loses_what_comes_and_says_busy_to_an_operator(self) -> None:
         for number in range(MAX_QUEUED_EVENTS + 5):
-            self.book.hear(1, messages.ProposalAck(1, number))
+            self.book.on_message(1, messages.ProposalAck(1, number))
         self.assertEqual(self.book.status()["lost"], 5)
-        self.assertIs(self.book.command(Command(Wish.HALT, 0)), Answer.BUSY)
+        self.assertIs(self.book.submit_command(Command(CommandKind.HALT, 0)), CommandOutcome.BUSY)
 
     def test_a_front_that_can_not_go_stays_and_its_permit_is_given_up(self) -> None:
         # Otherwise a file that can't be written held the only place for ever.
-        self.book.agreement.want_out(2, self.clock.now_us())
+        self.book.agreement.request_front_drain(2, self.clock.now_us())
         self.book._process(self.book._heartbeat)
-        asked = next(iter(self.book.agreement.requesters[Kind.FRONT].requests.values()))
+        asked = next(iter(self.book.agreement.requesters[PlaceKind.FRONT].requests.values()))
         for other in (1, 2):
             vote = messages.PermitVote(7, asked.number, PermitVerdict.GRANTED)
-            self.book._process(lambda now_us, o=other, v=vote: self.book.agreement.hear(o, v, now_us))
-        self.assertEqual(self.book.agreement.requesters[Kind.FRONT].requests, {})
+            self.book._process(lambda now_us, o=other, v=vote: self.book.agreement.on_message(o, v, now_us))
+        self.assertEqual(self.book.agreement.requesters[PlaceKind.FRONT].requests, {})
 
     def test_an_order_is_answered_when_the_book_runs_and_no_majority_is_there(self) -> None:
         from fennelcove.clock import SystemClock
@@ -186,7 +188,9 @@
         thread.start()
         try:
             wait_for(lambda: "Heartbeat" in self.disk.log, "a beat")
-            self.assertIn(alone.command(Command(Wish.HALT, 0)), (Answer.BUSY, Answer.LOST))
+            self.assertIn(
+                alone.submit_command(Command(CommandKind.HALT, 0)), (CommandOutcome.BUSY, CommandOutcome.LOST)
+            )
         finally:
             alone.stop()
             thread.join()
@@ -197,7 +201,7 @@
         with tempfile.TemporaryDirectory() as folder:
             told = FrontSettings(**{**fields(), "store": StoreSettings(folder=folder)})
             first = Promises(told, 5_000_000_000, lambda name, **_: None)
-            memory = Memory(term=4, off=((Kind.BOX, 3),))
+            memory = PersistedState(term=4, off=((PlaceKind.BOX, 3),))
             self.assertTrue(first.keep(memory))
             first.close()
             then = Promises(told, 1_000_000_000, lambda name, **_: None)
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -13,7 +13,7 @@
 from benchmarks.release_world import BEAT_US, PLAN, World
 from benchmarks.release_worlds import planted, search, walk
 from fennelcove.rollouts import plan_execution, rollout_plan
-from fennelcove.rollouts.coordinator import Answer, Command, Memory, Wish
+from fennelcove.rollouts.coordinator import CommandOutcome, Command, PersistedState, CommandKind
 from fennelcove.rollouts.canary_analysis import WINDOW_US, CanaryAnalysis
 from fennelcove.rollouts.place_health import PlaceHealth
 from fennelcove.rollouts.fleet_view import FleetView
@@ -29,13 +29,13 @@
 from fennelcove.rollouts.messages import (
     ACTIVE_PHASES,
     PermitRequest,
-    Kind,
+    PlaceKind,
     OpenRequest,
     RolloutOrder,
     RolloutPhase,
     HaltReason,
     RolloutRecord,
-    Said,
+    RolloutMessage,
     LeaderVoteRequest,
     ServingState,
     ProposalAck,
@@ -49,14 +49,14 @@
 
 
 def voter(
-    kind: Kind = Kind.FRONT, limit: DisruptionLimit = LIMIT, many: int = 5, remembers: bool = True
+    kind: PlaceKind = PlaceKind.FRONT, limit: DisruptionLimit = LIMIT, many: int = 5, remembers: bool = True
 ) -> Grantor:
     rules = PermitSettings(
         kind,
         many,
         0,
         limit,
-        drain_visible_us=0 if kind is Kind.FRONT else 3_000_000,
+        drain_visible_us=0 if kind is PlaceKind.FRONT else 3_000_000,
         health_timeout_us=1 << 40,
     )
     book = Grantor(rules, DisruptionMap({i: Location(i) for i in range(many)}), 0, remembers)
@@ -65,7 +65,7 @@
     return book
 
 
-def ask(place: int, number: int = 1, life: int = 1, kind: Kind = Kind.FRONT) -> PermitRequest:
+def ask(place: int, number: int = 1, life: int = 1, kind: PlaceKind = PlaceKind.FRONT) -> PermitRequest:
     return PermitRequest(life, number, kind, place)
 
 
@@ -94,7 +94,9 @@
         book = voter()
         self.assertIs(book.on_permit_request(1, ask(1), AFTER).verdict, PermitVerdict.GRANTED)
         self.assertIs(book.on_permit_request(2, ask(2), AFTER).verdict, PermitVerdict.BUSY)
-        held = Heartbeat(1, 1, last_request_number=1, open_requests=(OpenRequest(Kind.FRONT, 1, 1, True),))
+        held = Heartbeat(
+            1, 1, last_request_number=1, open_requests=(OpenRequest(PlaceKind.FRONT, 1, 1, True),)
+        )
         book.on_heartbeat(1, held, AFTER, AFTER)
         late = AFTER + 1_000_000_000
         self.assertIs(book.on_permit_request(2, ask(2), late).verdict, PermitVerdict.LIMIT_REACHED)
@@ -141,16 +143,17 @@
 
     def test_a_box_that_is_about_to_drain_is_seen_to_serve_and_is_not_free(self) -> None:
         """Guards against a promise that lapses before the drain can be seen by all."""
-        book = voter(Kind.BOX)
-        book.on_permit_request(1, ask(3, kind=Kind.BOX), AFTER)
+        book = voter(PlaceKind.BOX)
+        book.on_permit_request(1, ask(3, kind=PlaceKind.BOX), AFTER)
         book.observe(3, AFTER + 2_200_000, AFTER + 2_200_000, is_serving=True)
         self.assertIs(
-            book.on_permit_request(2, ask(4, kind=Kind.BOX), AFTER + 2_200_000).verdict,
+            book.on_permit_request(2, ask(4, kind=PlaceKind.BOX), AFTER + 2_200_000).verdict,
             PermitVerdict.LIMIT_REACHED,
         )
         book.observe(3, AFTER + 6_000_000, AFTER + 6_000_000, is_serving=True)
         self.assertIs(
-            book.on_permit_request(2, ask(4, kind=Kind.BOX), AFTER + 6_000_000).verdict, PermitVerdict.GRANTED
+            book.on_permit_request(2, ask(4, kind=PlaceKind.BOX), AFTER + 6_000_000).verdict,
+            PermitVerdict.GRANTED,
         )
 
     def test_what_crashed_counts_and_what_is_written_off_does_not(self) -> None:
@@ -166,7 +169,11 @@
         def granted() -> int:
             rules = [
                 PermitSettings(
-                    Kind.FRONT, 3, i, DisruptionLimit(2, 3, capacity_margin=0.0), health_timeout_us=1 << 40
+                    PlaceKind.FRONT,
+                    3,
+                    i,
+                    DisruptionLimit(2, 3, capacity_margin=0.0),
+                    health_timeout_us=1 << 40,
                 )
                 for i in range(3)
             ]
@@ -201,7 +208,7 @@
             self.assertEqual(granted(), 3)
 
     def test_a_permit_is_not_begun_after_its_window_nor_counted_with_what_the_voices_name(self) -> None:
-        rules = PermitSettings(Kind.FRONT, 3, 0, LIMIT, health_timeout_us=1 << 40)
+        rules = PermitSettings(PlaceKind.FRONT, 3, 0, LIMIT, health_timeout_us=1 << 40)
         for begun_us, named, expected in ((0, (), True), (3_000_000, (), False), (0, (1,), False)):
             asker = Requester(rules, 1, iter(range(1, 9)))
             asker.request_permit(0, AFTER)
@@ -258,10 +265,10 @@
 
     def test_a_plan_ends_with_all_changed_and_goes_back_with_none(self) -> None:
         world = self.world = fleet()
-        world.command(world.fronts[2], Wish.START, PLAN)
+        world.command(world.fronts[2], CommandKind.START, PLAN)
         self.assertIs(ends(world).phase, RolloutPhase.DONE)
         self.assertEqual({front.version for front in world.fronts}, {2})
-        world.command(world.fronts[0], Wish.BACK)
+        world.command(world.fronts[0], CommandKind.ROLL_BACK)
         self.assertIs(ends(world).phase, RolloutPhase.UNDONE)
         self.assertEqual({front.version for front in world.fronts}, {1})
 
@@ -269,7 +276,7 @@
         for at in range(0, 60, 4):
             with self.subTest(at):
                 world = self.world = fleet()
-                world.command(world.fronts[2], Wish.START, PLAN)
+                world.command(world.fronts[2], CommandKind.START, PLAN)
                 run(world, 2 + at)
                 dead = world.fronts[leader(world)]
                 world.crash(dead)
@@ -284,7 +291,7 @@
 
     def test_a_minority_begins_nothing_and_the_rest_goes_on(self) -> None:
         world = self.world = fleet()
-        world.command(world.fronts[2], Wish.START, replace(PLAN, out_ms=60_000))
+        world.command(world.fronts[2], CommandKind.START, replace(PLAN, out_ms=60_000))
         run(world, 8)
         cut = frozenset({leader(world), (leader(world) + 1) % 5})
         before = {front.index: front.stands for front in world.fronts}
@@ -297,21 +304,23 @@
 
     def test_two_operators_at_once_and_one_who_comes_late(self) -> None:
         world = self.world = fleet()
-        world.command(world.fronts[0], Wish.START, PLAN)
-        world.command(world.fronts[1], Wish.START, replace(PLAN, wanted=3))
+        world.command(world.fronts[0], CommandKind.START, PLAN)
+        world.command(world.fronts[1], CommandKind.START, replace(PLAN, wanted=3))
         record = ends(world)
         self.assertEqual((record.phase, record.plan.number), (RolloutPhase.DONE, 1))
         agreed = world.fronts[3].agreed
         assert agreed is not None
-        number, _, post = agreed.command(Command(Wish.BACK, 0), world.fronts[3].clock(world.now_us))
+        number, _, post = agreed.command(
+            Command(CommandKind.ROLL_BACK, 0), world.fronts[3].clock(world.now_us)
+        )
         world.air += [(world.now_us, 3, to, said) for to, said in post]
         run(world, 8)
-        self.assertIs(agreed.answer(number), Answer.STALE)
+        self.assertIs(agreed.command_outcome(number), CommandOutcome.STALE)
         self.assertEqual({front.version for front in world.fronts}, {record.plan.wanted})
 
     def test_a_front_that_hangs_halts_the_plan_until_it_is_written_off(self) -> None:
         world = self.world = fleet()
-        world.command(world.fronts[2], Wish.START, PLAN)
+        world.command(world.fronts[2], CommandKind.START, PLAN)
         while not any(front.by_permit for front in world.fronts):
             run(world, 1)
         world.hang = True
@@ -323,23 +332,23 @@
         hung.off = True
         for front in world.fronts:
             if front.agreed is not None:
-                front.agreed.write_off(Kind.FRONT, hung.index, front.clock(world.now_us))
+                front.agreed.write_off(PlaceKind.FRONT, hung.index, front.clock(world.now_us))
         world.hang, hung.ends_us = False, 1 << 60
         living = next(front for front in world.fronts if front.agreed is not None)
-        world.command(living, Wish.ON)
+        world.command(living, CommandKind.RESUME)
         self.assertIs(ends(world).phase, RolloutPhase.DONE)
 
     def test_a_version_that_is_refused_halts_it_and_the_way_back_is_open(self) -> None:
         world = self.world = fleet()
         world.refuse = True
-        world.command(world.fronts[2], Wish.START, PLAN)
+        world.command(world.fronts[2], CommandKind.START, PLAN)
         self.assertIs(ends(world).reason, HaltReason.WRONG)
-        world.command(world.fronts[1], Wish.BACK)
+        world.command(world.fronts[1], CommandKind.ROLL_BACK)
         self.assertIs(ends(world).phase, RolloutPhase.UNDONE)
 
     def test_a_hall_lost_in_a_wave_halts_it_and_takes_nobody_more(self) -> None:
         world = self.world = fleet(size=7, halls=3)
-        world.command(world.fronts[2], Wish.START, PLAN)
+        world.command(world.fronts[2], CommandKind.START, PLAN)
         run(world, 12)
         for front in world.fronts:
             if front.index % 3 == 1 and front.agreed is not None:
@@ -351,11 +360,11 @@
 
     def test_a_plan_changed_under_way_is_halted_and_goes_on_to_the_new_one(self) -> None:
         world = self.world = fleet()
-        world.command(world.fronts[2], Wish.START, PLAN)
+        world.command(world.fronts[2], CommandKind.START, PLAN)
         run(world, 12)
-        world.command(world.fronts[4], Wish.CHANGE, replace(PLAN, wanted=3))
+        world.command(world.fronts[4], CommandKind.CHANGE, replace(PLAN, wanted=3))
         self.assertEqual((ends(world).phase, ends(world).plan.wanted), (RolloutPhase.HALTED, 3))
-        world.command(world.fronts[4], Wish.ON)
+        world.command(world.fronts[4], CommandKind.RESUME)
         self.assertIs(ends(world).phase, RolloutPhase.DONE)
         self.assertEqual({front.version for front in world.fronts}, {3})
 
@@ -369,26 +378,28 @@
             world.crash(world.fronts[3])
             world.fronts[4].ends_us = world.fronts[3].ends_us = 1 << 60
             run(world, 8)
-            world.command(world.fronts[2], Wish.START, PLAN)
+            world.command(world.fronts[2], CommandKind.START, PLAN)
             run(world, 3)
             record = max((f.agreed.record() for f in world.fronts if f.agreed), key=lambda r: r.revision)
             chosen = next(f for f in world.fronts[:3] if f.index != leader(world))
             agreed = chosen.agreed
             assert agreed is not None
-            world.command(world.fronts[leader(world)], Wish.HALT)
+            world.command(world.fronts[leader(world)], CommandKind.HALT)
             chosen.paused = True
             for front in world.fronts[3:]:
                 front.ends_us = world.now_us
             run(world, 24)
             chosen.paused = False
             order = RolloutOrder(agreed.incarnation, record.term, record.turn, 2)
-            world.call(chosen, lambda one, now_us: one.hear(record.term % 5, order, now_us))
+            world.call(chosen, lambda one, now_us: one.on_message(record.term % 5, order, now_us))
             # Its ask meets voters before it has heard of the halt itself.
-            asked = PermitRequest(agreed.incarnation, 1, Kind.FRONT, chosen.index, record.term, record.turn)
+            asked = PermitRequest(
+                agreed.incarnation, 1, PlaceKind.FRONT, chosen.index, record.term, record.turn
+            )
             voters = [front for front in world.fronts if front is not chosen]
-            votes: list[tuple[int, Said]] = []
+            votes: list[tuple[int, RolloutMessage]] = []
             for front in voters:
-                votes += world.call(front, lambda one, now_us: one.hear(chosen.index, asked, now_us))
+                votes += world.call(front, lambda one, now_us: one.on_message(chosen.index, asked, now_us))
             run(world, 16)
             self.assertEqual(world.granted, 0)
             return sum(
@@ -403,7 +414,7 @@
         """Taken, it would count for a leader that another has followed."""
         for name, taken in (("", None), ("anything", ProposalAck(8, 1))):
             with planted(name):
-                book = Acceptor(PermitSettings(Kind.FRONT, 3, 0, LIMIT), 0, is_record_known=True)
+                book = Acceptor(PermitSettings(PlaceKind.FRONT, 3, 0, LIMIT), 0, is_record_known=True)
                 self.assertTrue(book.on_vote_request(LeaderVoteRequest(1, 10), AFTER).is_granted)
                 self.assertEqual(book.on_proposal(RolloutRecord(8, 1), AFTER), taken)
                 self.assertEqual(book.record.revision, (8, 1))
@@ -411,11 +422,11 @@
     def test_where_those_who_halted_forgot_an_operator_who_says_so_moves_nothing(self) -> None:
         """One with its folder knows the plan as moving; the two that took the halt have lost theirs."""
         world = self.world = fleet(size=3)
-        world.command(world.fronts[0], Wish.START, PLAN)
+        world.command(world.fronts[0], CommandKind.START, PLAN)
         run(world, 2)
         old = world.fronts[1].memory
         assert old is not None and old.record.phase is RolloutPhase.MOVING
-        world.command(world.fronts[0], Wish.HALT)
+        world.command(world.fronts[0], CommandKind.HALT)
         run(world, 4)
         for front in world.fronts:
             world.crash(front)
@@ -427,7 +438,7 @@
         run(world, 40)
         for front in world.fronts:
             if front.agreed is not None:
-                front.agreed.anew()
+                front.agreed.accept_record_as_complete()
         granted = world.granted
         record = ends(world)
         run(world, 40)
@@ -442,11 +453,11 @@
         world.born(world.fronts[1])
         run(world, 8)
         now_us = world.fronts[1].clock(world.now_us)
-        asked = PermitRequest(1, 99, Kind.FRONT, 0)
-        self.assertNotEqual(old.hear(0, asked, now_us), [])
-        old.hear(0, Heartbeat(1, 1 << 20, acked_incarnation=2), now_us)
-        self.assertEqual(old.hear(0, asked, now_us), [])
-        self.assertFalse(old.begin(Kind.FRONT, 1, now_us))
+        asked = PermitRequest(1, 99, PlaceKind.FRONT, 0)
+        self.assertNotEqual(old.on_message(0, asked, now_us), [])
+        old.on_message(0, Heartbeat(1, 1 << 20, acked_incarnation=2), now_us)
+        self.assertEqual(old.on_message(0, asked, now_us), [])
+        self.assertFalse(old.begin(PlaceKind.FRONT, 1, now_us))
 
     def test_a_halted_plan_leaves_its_row_by_an_operator_alone(self) -> None:
         for back in (False, True):
@@ -468,7 +479,7 @@
 
     def test_who_forgot_gives_no_voice_until_enough_others_told_it(self) -> None:
         world = self.world = fleet(size=3)
-        world.command(world.fronts[0], Wish.START, PLAN)
+        world.command(world.fronts[0], CommandKind.START, PLAN)
         record = ends(world)
         front = world.fronts[1]
         world.crash(front)
@@ -486,7 +497,7 @@
         run(world, 16)
         self.assertTrue(agreed.acceptor.is_record_known)
         self.assertEqual(agreed.record(), record)
-        self.assertEqual(Memory().record, RolloutRecord())
+        self.assertEqual(PersistedState().record, RolloutRecord())
 
 
 class EvidenceTest(unittest.TestCase):
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -52,38 +52,38 @@
         repeats, runs, doubtful = IdempotencyTable(), 0, False
         for i, cue in enumerate(cues):
             if cue is KeyEvent.REQUESTED:
-                found = repeats.ask(NAME, "t/r", safe, i)
+                found = repeats.request(NAME, "t/r", safe, i)
                 assert found is not None
                 if found[0] is KeyAction.RUN:
                     self.assertFalse(doubtful)
                     runs += 1
-                    repeats.begins(NAME, f"s{runs}")
+                    repeats.attach_session(NAME, f"s{runs}")
                 continue
             before = repeats.keys[NAME].state if NAME in repeats.keys else KeyState.UNUSED
             repeats.apply(NAME, cue, i)
             doubtful |= before is KeyState.IN_PROGRESS and cue in (
-                KeyEvent.MAYBE,
-                KeyEvent.PLAYS,
+                KeyEvent.OUTCOME_UNKNOWN,
+                KeyEvent.ESTABLISHED,
                 KeyEvent.RESTARTED_NOT_REPEATABLE,
             )
 
     def test_keys_are_forgotten_in_time_and_in_number_and_what_runs_is_not(self) -> None:
         repeats = IdempotencyTable()
-        repeats.ask(("c", "runs"), "t/r", True, 0)
+        repeats.request(("c", "runs"), "t/r", True, 0)
         for i in range(200):
-            repeats.ask(("c", f"k{i}"), "t/r", True, i)
-            repeats.apply(("c", f"k{i}"), KeyEvent.MAYBE, i)
+            repeats.request(("c", f"k{i}"), "t/r", True, i)
+            repeats.apply(("c", f"k{i}"), KeyEvent.OUTCOME_UNKNOWN, i)
         for i in range(200):
-            repeats.ask(("d", f"k{i}"), "t/r", True, RETENTION_US + 1000 + i)
+            repeats.request(("d", f"k{i}"), "t/r", True, RETENTION_US + 1000 + i)
         self.assertIn(("c", "runs"), repeats.keys)
         self.assertLess(sum(name[0] == "c" for name in repeats.keys), 60)
 
     def test_a_key_for_something_else(self) -> None:
         repeats = IdempotencyTable()
-        repeats.ask(NAME, "t/r", True, 0)
-        self.assertIsNone(repeats.ask(NAME, "other/r", True, 0))
-        repeats.apply(NAME, KeyEvent.NOTHING, 0)
-        self.assertIsNotNone(repeats.ask(NAME, "other/r", True, 0))
+        repeats.request(NAME, "t/r", True, 0)
+        self.assertIsNone(repeats.request(NAME, "other/r", True, 0))
+        repeats.apply(NAME, KeyEvent.FAILED_SAFELY, 0)
+        self.assertIsNotNone(repeats.request(NAME, "other/r", True, 0))
 
     def test_bytes_that_are_no_key(self) -> None:
         repeats = IdempotencyTable()
@@ -127,7 +127,7 @@
         self.assertEqual((len(found), statuses[0]), (10, 201))
         self.assertLessEqual(set(statuses), {201, 503})
         self.assertEqual(len(self.seen("set_up")), 1)
-        self.assertEqual(self.front.core.admission_controller.held, 1)
+        self.assertEqual(self.front.core.admission_controller.sessions, 1)
 
     def test_a_viewer_that_never_heard_finds_it_through_the_other_door(self) -> None:
         for box in self.boxes:
@@ -136,7 +136,7 @@
         ask = {"room_type": "free", "title": "t1", "key": "k9", "cmcd": {"sid": "v"}}
         first.tell("set-up", ask=ask)
         self.wait_seen("set_up_over")
-        wait_for(lambda: self.front.core.notifier.ownerships.held, "its start")
+        wait_for(lambda: self.front.core.notifier.ownerships.by_session, "its start")
         first.hang_up()
         wait_for(lambda: not self.front.sockets.sessions, "the connection's end")
         again = self.keyed("k9")
@@ -158,7 +158,7 @@
         self.wait_seen("set_up")
         keeper = self.front.keeper
         assert keeper is not None
-        keeper.keep(self.front.core.snapshots.gather())
+        keeper.enqueue(self.front.core.snapshots.collect_changes())
         wait_for(
             lambda: not keeper.queue.pending and any(b"k1" in key for key in list(keeper.store.values)),
             "the key kept",
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -49,36 +49,36 @@
     def test_server_takes_its_scarcest_resource(self) -> None:
         policy, _ = front()
         server = policy.servers["s0"]
-        policy.weigh([server])
-        by_link, _ = policy.factors(server, 500.0)
+        policy.update_residuals([server])
+        by_link, _ = policy.utilization_factors(server, 500.0)
         self.assertAlmostEqual(by_link, (1 - 0.1 - 0.5) ** -0.5)
-        server.streams_most = 2
-        policy.weigh([server])
-        self.assertAlmostEqual(policy.factors(server, 0.0)[0], 0.5**-0.5)
+        server.max_streams = 2
+        policy.update_residuals([server])
+        self.assertAlmostEqual(policy.utilization_factors(server, 0.0)[0], 0.5**-0.5)
 
     def test_guesses_fill_no_streams(self) -> None:
         # By low rates, a guess at links not heard filled all streams: a fresh front throttled everybody.
-        policy, effects = front(3, kind_streams={"kind": 4})
+        policy, effects = front(3, streams_by_kind={"kind": 4})
         for server in policy.servers.values():
-            server.link.asked = None
+            server.link.report = None
         ask(policy)
         self.assertEqual(effects.calls[-1][0], "start_attempt")
 
     def test_network_takes_the_uplink(self) -> None:
         policy, _ = front()
         policy.racks[0].uplink.observe(0.5, policy.now_us)
-        policy.weigh([policy.servers["s0"]])
-        self.assertAlmostEqual(policy.factors(policy.servers["s0"], 250.0)[1], 0.3**-0.5)
+        policy.update_residuals([policy.servers["s0"]])
+        self.assertAlmostEqual(policy.utilization_factors(policy.servers["s0"], 250.0)[1], 0.3**-0.5)
 
 
 class HostHookTest(unittest.TestCase):
     def test_a_host_may_keep_a_join_from_a_server(self) -> None:
         # A host that knows of slots, or of a box gone for all, would be asked for what it then refuses.
         policy, effects = front(3)
-        policy.free = lambda id, address: address == "s2"
+        policy.may_use = lambda id, address: address == "s2"
         ask(policy)
         self.assertEqual([call[2] for call in effects.named("start_attempt")], ["s2"])
-        policy.free = lambda id, address: False
+        policy.may_use = lambda id, address: False
         ask(policy, "b")
         self.assertEqual(effects.calls[-1][:2], ("reject", "b"))
 
@@ -87,13 +87,13 @@
     def test_uniform_when_the_network_is_the_bottleneck(self) -> None:
         policy, _ = front()
         rows = [(policy.servers["s0"], 1.0, 9.0), (policy.servers["s1"], 8.0, 9.0)]
-        drawn = Counter(policy.draw(rows).address for _ in range(2000))
+        drawn = Counter(policy.draw_server(rows).address for _ in range(2000))
         self.assertAlmostEqual(drawn["s0"] / 2000, 0.5, delta=0.05)
 
     def test_by_inverse_uf_when_servers_are(self) -> None:
         policy, _ = front()
         rows = [(policy.servers["s0"], 1.0, 0.5), (policy.servers["s1"], 3.0, 0.5)]
-        drawn = Counter(policy.draw(rows).address for _ in range(2000))
+        drawn = Counter(policy.draw_server(rows).address for _ in range(2000))
         self.assertAlmostEqual(drawn["s0"] / 2000, 0.75, delta=0.05)
 
 
@@ -111,7 +111,7 @@
         self.assertEqual(effects.named("set_rung"), [("set_rung", "a", 0)])
 
     def test_one_front_one_server_and_an_uplink_of_no_stated_size(self) -> None:
-        policy, effects = front(1, fronts=1, uplink_kb=0.0)
+        policy, effects = front(1, front_count=1, uplink_kb=0.0)
         ask(policy)
         self.assertEqual(effects.named("set_rung"), [("set_rung", "a", 2)])
         ask(policy, "gone", first_cell=3, cell_count=1)
@@ -125,7 +125,7 @@
         self.assertEqual(effects.calls, [("reject", "a", 2 * SECOND)])
 
     def test_newcomer_leaves_out_steps_when_others_wait_for_better_ones(self) -> None:
-        policy, effects = front(1, ladder_worth=(0.5, 0.9, 1.0))
+        policy, effects = front(1, rung_utilities=(0.5, 0.9, 1.0))
         play(policy)
         policy.sessions["a"].rung = 0
         ask(policy, "b")
@@ -144,7 +144,7 @@
 class TitleSurgeTest(unittest.TestCase):
     def test_three_requests_for_a_title_count_for_the_other_fronts_and_further_joins_do_not(self) -> None:
         # Further joins of one request passed for a crowd wherever servers failed, and kept its title small.
-        policy, _ = front(3, fronts=10)
+        policy, _ = front(3, front_count=10)
         sent_kb = lambda: sum(s.link.unreported_kb - s.own_kb for s in policy.servers.values())  # noqa: E731
         ask(policy)
         for join in range(2):
@@ -181,14 +181,14 @@
     def test_unheard_counts_as_average_and_above_it_where_no_server_turns_away(self) -> None:
         # Where none turns away: the mean of 0.2, 0.6, 0.25 and 0.75, and their mean distance from it.
         for guard, left in ((1.0, 0.9 - 0.4), (0.0, 0.9 - 0.45 - 0.225)):
-            policy, _ = front(3, guard=guard)
+            policy, _ = front(3, rejects_at=guard)
             for i, asked in enumerate((0.2, 0.6, None)):
-                policy.servers[f"s{i}"].link.asked = asked
+                policy.servers[f"s{i}"].link.report = asked
             self.assertAlmostEqual(policy.residual_link(policy.servers["s2"]), left)
 
     def test_a_backlog_found_late_goes_by_its_news_and_its_time_left(self) -> None:
         policy, effects = front(2)  # a front that stood still finds both in one turn
-        news = (entry("s0", 0, standing=ServerState.LEAVING),)
+        news = (entry("s0", 0, state=ServerState.LEAVING),)
         policy.handle(ListUpdate(ListMode.INCREMENTAL, news), policy.now_us)
         ask(policy, timeout_us=SECOND // 10)
         ((_, _, server, allow_us),) = effects.named("start_attempt")
@@ -197,7 +197,7 @@
     def test_what_has_left_for_good_is_not_kept(self) -> None:
         policy, _ = front(3)
         play(policy, first_cell=1, cell_count=1)
-        left = tuple(entry(f"s{i}", i, standing=ServerState.LEFT) for i in (0, 1))
+        left = tuple(entry(f"s{i}", i, state=ServerState.LEFT) for i in (0, 1))
         policy.handle(ListUpdate(ListMode.INCREMENTAL, left), policy.now_us)
         self.assertEqual(list(policy.servers), ["s1", "s2"])  # what plays there still ends there
         self.assertEqual(policy.replicas[0], [])
@@ -231,36 +231,36 @@
     def test_short_delivery_on_a_link_with_room_is_the_uplink_s(self) -> None:
         # Where no report tells of uplinks, racks stayed short for good behind links with room.
         for told, rung in ((False, 1), (True, 2)):
-            policy, _ = front(1, uplinks_told=told)
+            policy, _ = front(1, reports_uplinks=told)
             play(policy)
             policy.servers["s0"].link.observe(0.5, policy.now_us)
             note(policy, ReportKind.DELIVERED, 0.6)
             self.assertEqual(policy.sessions["a"].rung, rung)
-            self.assertEqual(policy.servers["s0"].rack.uplink.asked is not None, not told)
+            self.assertEqual(policy.servers["s0"].rack.uplink.report is not None, not told)
 
     def test_one_server_s_own_trouble_is_not_its_rack_s(self) -> None:
         # Bursts of a neighbour on a few machines held down all that played in their racks.
-        policy, _ = front(6, uplinks_told=False)
+        policy, _ = front(6, reports_uplinks=False)
         play(policy)
         server = policy.sessions["a"].server
         self.assertEqual(len(server.rack.servers), 3)
         server.link.observe(0.5, policy.now_us)
         note(policy, ReportKind.DELIVERED, 0.6)
-        self.assertIsNone(server.rack.uplink.asked)
+        self.assertIsNone(server.rack.uplink.report)
         another = next(s for s in server.rack.servers if s is not server)
         another.link.full_until_us = policy.now_us + 10 * SECOND
         another.link.observe(0.5, policy.now_us)
         note(policy, ReportKind.DELIVERED, 0.6)
-        self.assertIsNotNone(server.rack.uplink.asked)
+        self.assertIsNotNone(server.rack.uplink.report)
 
     def test_a_short_uplink_that_nothing_tells_of_fades(self) -> None:
         # One short moment held a rack down for the rest of a day: no report would ever say that it was over.
-        policy, _ = front(1, uplinks_told=False)
+        policy, _ = front(1, reports_uplinks=False)
         play(policy)
         server = policy.servers["s0"]
         server.link.observe(0.5, policy.now_us)
         note(policy, ReportKind.DELIVERED, 0.6)
-        own = server.own_kb / server.rack.uplink.size_kb
+        own = server.own_kb / server.rack.uplink.capacity_kb
         self.assertGreater(policy.uplink_utilization(server.rack), 0.8)
         policy.now_us += 1000 * SECOND
         self.assertAlmostEqual(policy.uplink_utilization(server.rack), own, places=3)
@@ -268,7 +268,7 @@
     def test_guesses_at_links_not_heard_fill_no_uplink(self) -> None:
         policy, _ = front(6)
         for server in policy.servers.values():
-            server.link.asked = None
+            server.link.report = None
         play(policy, first_cell=0, cell_count=1)
         self.assertAlmostEqual(policy.uplink_utilization(policy.racks[0]), policy.servers["s0"].own_kb / 2500)
 
@@ -281,7 +281,7 @@
     def test_a_shared_note_is_not_answered_twice(self) -> None:
         policy, effects = front(1)
         play(policy)
-        policy.sessions["a"].noted = True
+        policy.sessions["a"].has_report = True
         note(policy, ReportKind.LINK, 1.3)
         lowered = len(effects.named("set_rung"))
         note(policy, ReportKind.LINK, 1.3, after=SECOND // 2)
@@ -300,14 +300,14 @@
         lowered = 0
         for seed in range(200):
             policy, _ = front(1)
-            policy.rng = Random(seed).random
+            policy.draw_uniform = Random(seed).random
             play(policy)
             lower_rungs(policy, [policy.sessions["a"].server], 0.125)  # 50 of a step of 200
             lowered += policy.sessions["a"].rung < 2
         self.assertAlmostEqual(lowered / 200, 0.25, delta=0.08)
 
     def test_what_earns_more_than_all_else_held_is_lowered_last(self) -> None:
-        policy, _ = front(2, ladder_worth=(0.1, 0.8, 1.0))
+        policy, _ = front(2, rung_utilities=(0.1, 0.8, 1.0))
         play(policy, "cheap", first_cell=0, cell_count=1)
         play(policy, "dear", first_cell=1, cell_count=1)
         policy.sessions["dear"].rung = 1
@@ -321,10 +321,10 @@
         policy.servers["s0"].link.as_of_us = 0
         ask(policy)
         policy.handle(
-            AttemptCompleted("a", 0, Outcome.TURNED_AWAY, False, LoadReport(1.2, 0.8)), policy.now_us + 1000
+            AttemptCompleted("a", 0, Outcome.REJECTED, False, LoadReport(1.2, 0.8)), policy.now_us + 1000
         )
         server = policy.servers["s0"]
-        self.assertEqual((server.link.asked, server.rack.uplink.asked), (1.2, 0.8))
+        self.assertEqual((server.link.report, server.rack.uplink.report), (1.2, 0.8))
 
     def test_one_join_out_and_each_holder_once(self) -> None:
         policy, effects = front(2)
@@ -362,7 +362,7 @@
 
     def test_nothing_new_to_a_draining_or_vanished_server(self) -> None:
         policy, effects = front(2)
-        leaving = entry("s0", 0, standing=ServerState.LEAVING)
+        leaving = entry("s0", 0, state=ServerState.LEAVING)
         policy.handle(ListUpdate(ListMode.INCREMENTAL, (leaving,)), policy.now_us)
         ask(policy)
         self.assertEqual(effects.named("start_attempt")[0][2], "s1")
@@ -378,7 +378,7 @@
             ask(policy, str(tick), start_us + tick * SECOND // 10, top_rung=0)
             sent = len(effects.named("start_attempt"))
             if str(tick) in policy.sessions:
-                end(policy, Outcome.CALLED_OFF, str(tick), after=0, finished=True)
+                end(policy, Outcome.CANCELLED, str(tick), after=0, finished=True)
         self.assertGreater(sent, 3)
         self.assertLessEqual(sent, 20 / 2)
 
@@ -389,7 +389,11 @@
             open_turns = 0
             for index in range(fronts):
                 policy, _ = front(
-                    1, fronts=fronts, index=index, kind_streams={"kind": streams}, cold_slack_us=tip_us
+                    1,
+                    front_count=fronts,
+                    front_index=index,
+                    streams_by_kind={"kind": streams},
+                    slow_start_slack_us=tip_us,
                 )
                 server = policy.servers["s0"]
                 server.started_us = policy.now_us - age_us
@@ -401,7 +405,7 @@
     def test_a_title_asked_for_again_and_again_before_a_report_counts_for_the_other_fronts(self) -> None:
         # 198 fronts gave its few holders one or two each before one of them heard of the others.
         def grown(title: int) -> list[float]:
-            policy, _ = front(3, fronts=10)
+            policy, _ = front(3, front_count=10)
             found = []
             for number, id in enumerate("abc"):
                 before = sum(server.link.utilization() for server in policy.servers.values())
@@ -419,18 +423,18 @@
         play(policy)
         server = policy.sessions["a"].server
         end(policy, Outcome.CONNECTION_LOST, finished=True)
-        self.assertTrue(policy.is_cold(server))
-        self.assertIsNone(server.link.asked)
+        self.assertTrue(policy.is_warming_up(server))
+        self.assertIsNone(server.link.report)
 
     def test_a_saved_list_is_not_trusted_on_starts(self) -> None:
         policy, effects = front(1, warm=False)
         policy.list_is_fresh, policy.created_us = False, 1
         policy.handle(ListUpdate(ListMode.SAVED, (entry("s0", 0),)), 1)
         self.assertEqual(effects.calls, [("fetch_list",)])
-        self.assertTrue(policy.is_cold(policy.servers["s0"]))
+        self.assertTrue(policy.is_warming_up(policy.servers["s0"]))
 
     def test_floor_and_seats(self) -> None:
-        policy, effects = front(service_class={"floor": 1, "seats": 1})
+        policy, effects = front(service_class={"min_rung": 1, "seats": 1})
         ask(policy, "low", top_rung=0)
         self.assertEqual(effects.calls[-1][0], "reject")
         play(policy)
@@ -444,7 +448,7 @@
         self.assertEqual(effects.calls[-1][0], "start_attempt")
 
     def test_join_budget(self) -> None:
-        policy, effects = front(budget_free=1.0, budget_span_us=10 * SECOND)
+        policy, effects = front(retry_base=1.0, retry_window_us=10 * SECOND)
         for id in ("a", "b"):
             ask(policy, id)
             end(policy, Outcome.SERVER_ERROR, id)
@@ -452,13 +456,13 @@
         self.assertEqual(effects.calls[-1], ("reject", "b", 2 * SECOND))
 
     def test_send_cap(self) -> None:
-        policy, effects = front(send_cap=1)
+        policy, effects = front(max_attempts=1)
         ask(policy)
         end(policy, Outcome.SERVER_ERROR)
         self.assertEqual(effects.calls[-1][0], "reject")
 
     def test_asks_for_the_list_again_after_a_pause(self) -> None:
-        policy, effects = front(must_ask=True, ask_within_us=8 * SECOND)
+        policy, effects = front(must_poll_list=True, list_poll_window_us=8 * SECOND)
         policy.handle(ListUpdate(ListMode.FAILED, ()), policy.now_us)
         self.assertEqual(effects.calls, [("set_timer", TimerName.POLL_LIST, SECOND)])
         policy.handle(TimerFired(TimerName.POLL_LIST), policy.now_us + SECOND)
@@ -470,16 +474,16 @@
         for outcome in (
             Outcome.SERVER_ERROR,
             Outcome.NO_ANSWER,
-            Outcome.TURNED_AWAY,
+            Outcome.REJECTED,
             Outcome.NO_CONNECTION,
             Outcome.CONNECTION_LOST,
         ):
             policy, _ = front()
             server = policy.servers["s0"]
             record_outcome(policy, server, outcome)
-            self.assertFalse(policy.is_well(server), outcome)
+            self.assertFalse(policy.is_healthy(server), outcome)
             policy.now_us = server.shut_until_us
-            self.assertTrue(policy.is_well(server), outcome)
+            self.assertTrue(policy.is_healthy(server), outcome)
             self.assertIs(server.health, Health.TRIAL)
             record_outcome(policy, server, Outcome.SERVED)
             self.assertIs(server.health, Health.WELL)
@@ -536,12 +540,12 @@
         play(policy)
         effects.calls.clear()
         apply_event(policy, policy.sessions["a"], SessionEvent.CLIENT_GONE)
-        self.assertIs(policy.sessions["a"].life, SessionState.PLAYING)
+        self.assertIs(policy.sessions["a"].state, SessionState.PLAYING)
         self.assertEqual(effects.calls, [])
 
 
 class LoadPollingTest(unittest.TestCase):
-    PROBED: ClassVar[dict[str, Any]] = {"probe_price": 0.01, "reports_unasked": False}
+    PROBED: ClassVar[dict[str, Any]] = {"probe_price": 0.01, "has_unsolicited_reports": False}
 
     def probed(
         self, policy: PlacementPolicy, server: str, link: float, outcome: Outcome = Outcome.SERVED
@@ -551,7 +555,7 @@
     def unheard(self, **settings: Any) -> tuple[PlacementPolicy, Recorder]:
         policy, effects = front(**settings)
         for server in policy.servers.values():
-            server.link.asked = None
+            server.link.report = None
         return policy, effects
 
     def test_two_holders_are_probed_and_the_request_waits_for_both(self) -> None:
@@ -571,7 +575,7 @@
         policy, effects = self.unheard(**self.PROBED)
         ask(policy, timeout_us=SECOND // 20)
         ((_, name, delay_us),) = effects.named("set_timer")
-        self.assertEqual((name, delay_us), (TimerName.HELD, SECOND // 160))
+        self.assertEqual((name, delay_us), (TimerName.POLL_DEADLINE, SECOND // 160))
         policy.handle(TimerFired(name), policy.now_us + delay_us)
         self.assertEqual(len(effects.named("start_attempt")), 1)
 
@@ -581,18 +585,18 @@
         policy.handle(ClientGone("a"), policy.now_us)
         for _, server in effects.named("probe"):
             self.probed(policy, server, 0.0)
-        policy.handle(TimerFired(TimerName.HELD), policy.now_us + SECOND)
+        policy.handle(TimerFired(TimerName.POLL_DEADLINE), policy.now_us + SECOND)
         self.assertEqual((policy.sessions, effects.named("start_attempt")), ({}, []))
 
     def test_none_is_probed_while_all_heard_lately_is_full(self) -> None:
         policy, effects = front(**self.PROBED)
         for server in policy.servers.values():
-            server.link.asked, server.link.as_of_us = 1.2, policy.now_us - 2 * SECOND
+            server.link.report, server.link.as_of_us = 1.2, policy.now_us - 2 * SECOND
         ask(policy)
         self.assertEqual([call[0] for call in effects.calls], ["reject"])
 
     def test_what_a_probe_finds_free_is_raised_into_by_the_front_that_asked(self) -> None:
-        policy, effects = front(fronts=50, **self.PROBED)
+        policy, effects = front(front_count=50, **self.PROBED)
         play(policy, top_rung=2)
         sub = policy.sessions["a"]
         set_rungs(policy, {sub: 0})
@@ -606,7 +610,7 @@
     def test_a_probe_that_does_not_pay_now_is_planned_anew(self) -> None:
         # Planned once only, a play whose link was marked full at its turn was never raised again.
         for price, sent in ((0.01, 1), (9.0, 0)):
-            policy, effects = front(probe_price=price, reports_unasked=False)
+            policy, effects = front(probe_price=price, has_unsolicited_reports=False)
             play(policy)
             set_rungs(policy, {policy.sessions["a"]: 0})
             server = policy.sessions["a"].server
@@ -618,52 +622,54 @@
                 self.assertEqual(len(effects.named("probe")), probes)
 
     def test_a_shard_owner_adds_reported_attempts_and_names_unknown_loads(self) -> None:
-        policy, effects = self.unheard(fronts=3, peer_price=0.01)
+        policy, effects = self.unheard(front_count=3, peer_price=0.01)
         policy.servers["s1"].link.observe(0.3, policy.now_us)
-        policy.handle(PeerMessage(2, attempts=((1, 200), (9, 200))), policy.now_us + 1000)
-        policy.handle(PeerMessage(2, asks=(1, 2, 9)), policy.now_us)
+        policy.handle(PeerMessage(2, sent_rates=((1, 200), (9, 200))), policy.now_us + 1000)
+        policy.handle(PeerMessage(2, polled_cells=(1, 2, 9)), policy.now_us)
         ((_, to, said),) = effects.named("send_peer_message")
         self.assertEqual(to, 2)
         self.assertEqual([(load.cell, load.link) for load in said.loads], [(1, 0.5), (2, None)])
 
     def test_a_request_waits_for_the_shard_owner_and_then_uses_its_loads(self) -> None:
-        policy, effects = self.unheard(fronts=9, index=5, peer_price=0.01)
+        policy, effects = self.unheard(front_count=9, front_index=5, peer_price=0.01)
         ask(policy)
-        asked = ("send_peer_message", 0, PeerMessage(5, asks=(0, 1, 2)))
+        asked = ("send_peer_message", 0, PeerMessage(5, polled_cells=(0, 1, 2)))
         self.assertEqual(effects.named("send_peer_message"), [asked])
         loads = tuple(CellLoad(cell, level, None, 0) for cell, level in enumerate((0.9, 0.0, 0.9)))
         policy.handle(PeerMessage(0, loads=loads), policy.now_us + 10_000)
         ((_, _, server, _),) = effects.named("start_attempt")
         self.assertEqual(server, "s1")
-        sent = ("send_peer_message", 0, PeerMessage(5, attempts=((1, 400),)))
+        sent = ("send_peer_message", 0, PeerMessage(5, sent_rates=((1, 400),)))
         self.assertEqual(effects.named("send_peer_message")[-1], sent)
 
     def test_a_title_that_lies_everywhere_is_asked_about_at_a_few(self) -> None:
         # 6,000 at once, each asking of every cell and each reply searched for among all, took over 10 s.
-        policy, effects = self.unheard(servers=60, fronts=90, index=80, cells=60, peer_price=0.01)
+        policy, effects = self.unheard(
+            servers=60, front_count=90, front_index=80, cell_count=60, peer_price=0.01
+        )
         ask(policy, cell_count=60)
-        asks = [cell for _, _, said in effects.named("send_peer_message") for cell in said.asks]
+        asks = [cell for _, _, said in effects.named("send_peer_message") for cell in said.polled_cells]
         self.assertEqual(len(asks), 8)
         self.assertEqual(sum(len(server.waiting_sessions) for server in policy.servers.values()), 8)
-        policy.handle(TimerFired(TimerName.HELD), policy.now_us + SECOND)
-        self.assertEqual(policy.waiting, {})
+        policy.handle(TimerFired(TimerName.POLL_DEADLINE), policy.now_us + SECOND)
+        self.assertEqual(policy.polling_sessions, {})
         self.assertFalse(any(server.waiting_sessions for server in policy.servers.values()))
         effects.calls.clear()
-        policy.handle(PeerMessage(3, asks=tuple(range(60))), policy.now_us)
+        policy.handle(PeerMessage(3, polled_cells=tuple(range(60))), policy.now_us)
         self.assertEqual([len(said.loads) for _, _, said in effects.named("send_peer_message")], [8])
 
     def test_a_fault_is_sent_to_the_shard_owner_and_fills_the_server_for_others(self) -> None:
-        policy, effects = front(fronts=9, index=5, peer_price=0.01)
+        policy, effects = front(front_count=9, front_index=5, peer_price=0.01)
         ask(policy)
         end(policy, Outcome.NO_ANSWER)
         told = [said.loads for _, _, said in effects.named("send_peer_message") if said.loads]
         self.assertEqual([load.link for loads in told for load in loads], [inf])
 
     def test_a_load_of_before_a_server_s_restart_is_ignored(self) -> None:
-        policy, _ = self.unheard(fronts=9, index=5, peer_price=0.01)
+        policy, _ = self.unheard(front_count=9, front_index=5, peer_price=0.01)
         policy.servers["s0"].started_us = policy.now_us - SECOND
         policy.handle(PeerMessage(0, loads=(CellLoad(0, 0.5, None, 2 * SECOND),)), policy.now_us)
-        self.assertIsNone(policy.servers["s0"].link.asked)
+        self.assertIsNone(policy.servers["s0"].link.report)
 
     def test_bytes_there_and_back_and_malformed_ones(self) -> None:
         said = PeerMessage(3, loads=tuple(CellLoad(cell, 0.5, None, 300_000) for cell in range(60)))
@@ -671,35 +677,37 @@
         self.assertLessEqual(max(map(len, parts)), 256)
         back = [decode(3, part) for part in parts]
         self.assertEqual(tuple(load for part in back if part for load in part.loads), said.loads)
-        most = PeerMessage(1, attempts=((7, 65_535),))
-        self.assertEqual(decode(1, encode(PeerMessage(1, attempts=((7, 99_999),)))[0]), most)
+        most = PeerMessage(1, sent_rates=((7, 65_535),))
+        self.assertEqual(decode(1, encode(PeerMessage(1, sent_rates=((7, 99_999),)))[0]), most)
         for raw in (b"", b"\x01", b"\x02abc", b"\x09ab", bytes(257)):
             self.assertIsNone(decode(3, raw), raw)
 
 
 class UtilityTest(unittest.TestCase):
     def test_a_raise_must_repay_its_change_in_the_time_left(self) -> None:
-        policy, effects = front(switch_cost_us=SECOND)
-        play(policy, watch_guess_us=SECOND)
+        policy, effects = front(rung_switch_cost_us=SECOND)
+        play(policy, expected_play_us=SECOND)
         set_rungs(policy, {policy.sessions["a"]: 0})
         effects.calls.clear()
         raise_rungs(policy, policy.sessions["a"].server, 0)
         self.assertEqual(effects.named("set_rung"), [])
-        policy.sessions["a"].watch_guess_us = 60 * SECOND
+        policy.sessions["a"].expected_play_us = 60 * SECOND
         raise_rungs(policy, policy.sessions["a"].server, None)
         self.assertEqual(effects.named("set_rung"), [("set_rung", "a", 2)])  # both steps in one change
 
     def test_a_guess_that_has_run_out_leaves_some_part_of_itself(self) -> None:
         policy, _ = front()
-        play(policy, watch_guess_us=10 * SECOND)
+        play(policy, expected_play_us=10 * SECOND)
         policy.now_us += 60 * SECOND
         self.assertEqual(policy.remaining_play_us(policy.sessions["a"]), 5 * SECOND)
 
     def test_past_its_quota_a_tenants_request_counts_less(self) -> None:
-        policy, _ = front(quotas={"t": 0.2}, over_quota_worth=0.1)  # one in ten seconds for this front of two
+        policy, _ = front(
+            quotas={"t": 0.2}, over_quota_utility=0.1
+        )  # one in ten seconds for this front of two
         shares = [quota_share(policy, Request(str(i), "room", 5, 0, 3, 2, SECOND, "t")) for i in range(4)]
         self.assertEqual((shares[0], round(shares[3], 2)), (1.0, 0.46))
-        again = quota_share(policy, Request("r", "room", 5, 0, 3, 2, SECOND, "t", returned=True))
+        again = quota_share(policy, Request("r", "room", 5, 0, 3, 2, SECOND, "t", is_repeat=True))
         self.assertEqual(again, shares[3])
         self.assertEqual(quota_share(policy, Request("n", "room", 5, 0, 3, 2, SECOND)), 1.0)
 
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -56,13 +56,13 @@
                 f"s{chance.randrange(300)}",
             )
             if what == "take":
-                steps.append(seats.take(id, POOL, LONG, now))
+                steps.append(seats.acquire(id, POOL, LONG, now))
                 playing.setdefault(id, now + LONG)
             elif what in ("renew", "again"):
                 step = seats.renew(id, f"k{i}" if what == "renew" else "same", now)
                 steps.append(step)
-                self.assertEqual(step.act is SeatAction.REFUSE, id not in playing)
-                if step.act is SeatAction.EXTEND:
+                self.assertEqual(step.action is SeatAction.REFUSE, id not in playing)
+                if step.action is SeatAction.EXTEND:
                     playing[id] = max(playing[id], now + LONG)
             elif what == "release":
                 found = seats.release(id, now)
@@ -70,14 +70,14 @@
                 steps += [found] if found is not None else []
                 playing.pop(id, None)
             else:
-                while gone := seats.expired(now):
+                while gone := seats.pop_expired(now):
                     steps += gone
                 for id in [id for id, until in playing.items() if until <= now]:
                     del playing[id]
             if what != "tick":
-                for id in [id for id, until in playing.items() if until <= now and id not in seats.held]:
+                for id in [id for id, until in playing.items() if until <= now and id not in seats.seats]:
                     del playing[id]
-            self.assertEqual(set(seats.held), set(playing))
+            self.assertEqual(set(seats.seats), set(playing))
             self.assertEqual(seats.counts[POOL], len(playing))
         self.assertEqual(replay_counts(steps), +Counter({POOL: len(playing)}))
         self.assertLess(len(seats.deadlines), 20_000)
@@ -94,48 +94,48 @@
         for what, number in script:
             now, id = now + 10, f"s{number}"
             if what == "take":
-                seats.take(id, POOL, LONG, now)
+                seats.acquire(id, POOL, LONG, now)
             elif what == "renew":
                 seats.renew(id, "k", now)
             elif what == "release":
                 seats.release(id, now)
             else:
                 again = SeatLeases()
-                for name, raw in seats.kept():
+                for name, raw in seats.encode_entries():
                     self.assertTrue(again.restore(name, raw, LONG, now))
                     self.assertFalse(again.restore(name, raw, LONG, now), "told twice")
                 self.assertEqual(again.counts, seats.counts)
-                for name, seat in seats.held.items():
+                for name, seat in seats.seats.items():
                     self.assertEqual(
-                        (again.held[name].until_us, again.held[name].renewal_keys),
-                        (seat.until_us, seat.renewal_keys),
+                        (again.seats[name].expires_wall_us, again.seats[name].renewal_keys),
+                        (seat.expires_wall_us, seat.renewal_keys),
                     )
                 seats = again
 
     def test_one_key_renews_once_and_asking_often_saves_nothing_up(self) -> None:
         seats = SeatLeases()
-        seats.take("a", POOL, LONG, 0)
-        self.assertIs(seats.renew("a", "k", 500).act, SeatAction.EXTEND)
-        self.assertIs(seats.renew("a", "k", 900).act, SeatAction.KEEP)
-        self.assertEqual(seats.held["a"].until_us, 1500)
+        seats.acquire("a", POOL, LONG, 0)
+        self.assertIs(seats.renew("a", "k", 500).action, SeatAction.EXTEND)
+        self.assertIs(seats.renew("a", "k", 900).action, SeatAction.KEEP)
+        self.assertEqual(seats.seats["a"].expires_wall_us, 1500)
         for _ in range(50):
             seats.renew("a", "", 1000)
-        self.assertEqual(seats.held["a"].until_us, 2000)
+        self.assertEqual(seats.seats["a"].expires_wall_us, 2000)
 
     def test_a_clock_that_went_back_gives_no_longer_seat(self) -> None:
         seats = SeatLeases()
-        seats.take("a", POOL, LONG, 10**9)
+        seats.acquire("a", POOL, LONG, 10**9)
         again = SeatLeases()
-        again.restore("a", seats.kept()[0][1], LONG, 5)
-        self.assertEqual(again.held["a"].until_us, 5 + LONG)
+        again.restore("a", seats.encode_entries()[0][1], LONG, 5)
+        self.assertEqual(again.seats["a"].expires_wall_us, 5 + LONG)
         self.assertFalse(again.restore("b", b"none", LONG, 5))
 
     def test_ten_thousand_ends_in_one_tick_come_in_bounded_parts(self) -> None:
         seats = SeatLeases()
         for i in range(10_000):
-            seats.take(f"s{i}", POOL, LONG, 0)
+            seats.acquire(f"s{i}", POOL, LONG, 0)
         parts = []
-        while gone := seats.expired(LONG):
+        while gone := seats.pop_expired(LONG):
             parts.append(len(gone))
         self.assertEqual((sum(parts), max(parts), seats.counts[POOL]), (10_000, MAX_EXPIRED_PER_CALL, 0))
         self.assertEqual(decisions.replay_counts([]), Counter())
@@ -199,11 +199,11 @@
         self.settings = self.lasting(60_000.0)
         self.front = self.new_front()
         ids = [self.ask("few").body["id"] for _ in range(2)]
-        before = {id: self.front.core.seat_leases.leases.held[id].until_us for id in ids}
+        before = {id: self.front.core.seat_leases.leases.seats[id].expires_wall_us for id in ids}
         self.front.stop()
         self.front = self.new_front()
         wait_for(lambda: self.seats() == 2, "both seats")
-        after = {id: seat.until_us for id, seat in self.front.core.seat_leases.leases.held.items()}
+        after = {id: seat.expires_wall_us for id, seat in self.front.core.seat_leases.leases.seats.items()}
         self.assertEqual(after, before)
         self.assertEqual(self.ask("few").status, 503)
 
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -52,8 +52,8 @@
 class ShapeSettingsTest(unittest.TestCase):
     def test_every_default_is_as_if_no_shape_were_stated(self) -> None:
         told = module_settings(parse(FILE, FrontSettings, "test"))
-        plain = {"probe_price": None, "peer_price": None, "reports_unasked": True, "quotas": {}}
-        plain |= {"over_quota_worth": 1.0, "worst_class_weight": 0.0, "switch_cost_us": 0}
+        plain = {"probe_price": None, "peer_price": None, "has_unsolicited_reports": True, "quotas": {}}
+        plain |= {"over_quota_utility": 1.0, "worst_class_weight": 0.0, "rung_switch_cost_us": 0}
         self.assertEqual({name: getattr(told, name) for name in plain}, plain)
 
     def test_what_the_file_states_reaches_the_module_in_microseconds(self) -> None:
@@ -63,9 +63,11 @@
           (peers (price 0.012) (addresses "127.0.0.1:9"))))"""
         told = module_settings(parse(FILE.rstrip()[:-1] + shape, FrontSettings, "test"))
         self.assertEqual(
-            (told.switch_cost_us, told.worst_class_weight, told.quotas), (650_000, 0.5, {"a": 18.0})
+            (told.rung_switch_cost_us, told.worst_class_weight, told.quotas), (650_000, 0.5, {"a": 18.0})
+        )
+        self.assertEqual(
+            (told.probe_price, told.peer_price, told.has_unsolicited_reports), (0.01, 0.012, False)
         )
-        self.assertEqual((told.probe_price, told.peer_price, told.reports_unasked), (0.01, 0.012, False))
 
     def test_each_contradiction_names_its_place(self) -> None:
         front = parse(FILE, FrontSettings, "test")
@@ -109,17 +111,20 @@
         self.assertEqual({kind for kind, count in made.counts.items() if count}, {DecisionKind.SAME})
 
     def test_what_is_decided_is_what_a_front_alone_decides(self) -> None:
-        both = self.watched(switch_cost_us=SECOND, quotas={"t": 0.1}, over_quota_worth=0.1), self.watched()
+        both = (
+            self.watched(rung_switch_cost_us=SECOND, quotas={"t": 0.1}, over_quota_utility=0.1),
+            self.watched(),
+        )
         for made, _ in both:
             self.day(made)
         self.assertEqual(both[0][1].calls, both[1][1].calls)
 
     def test_where_another_shape_would_decide_otherwise_is_counted_by_kind(self) -> None:
-        made, effects = self.watched(peer_price=0.01, fronts=9, index=5)
+        made, effects = self.watched(peer_price=0.01, front_count=9, front_index=5)
         for server in made.servers.values():
-            server.link.asked = 0.85  # it goes by what it knows; the other by its guess of nine fronts
+            server.link.report = 0.85  # it goes by what it knows; the other by its guess of nine fronts
         for server in made.other.servers.values():
-            server.link.asked = None
+            server.link.report = None
         ask(made)
         self.assertEqual((made.counts[DecisionKind.WOULD_ASK], made.counts[DecisionKind.OTHER_RUNG]), (1, 1))
         self.assertEqual(effects.named("send_peer_message"), [])  # counted, not carried out
@@ -141,7 +146,7 @@
     def test_a_throttled_answer_that_another_shape_would_not_give(self) -> None:
         made, effects = self.watched()
         for server in made.servers.values():
-            server.link.asked = 2.0
+            server.link.report = 2.0
         ask(made)
         self.assertEqual(effects.calls[-1][0], "reject")
         self.assertEqual(made.counts[DecisionKind.WOULD_JOIN], 1)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -15,7 +15,7 @@
 
 from benchmarks import slots_sim, slots_worlds
 from fennelcove import limit_messages
-from fennelcove.core.learned_limits import LearnedLimits, Listed
+from fennelcove.core.learned_limits import LearnedLimits, ListedServer
 from fennelcove.scenarios import slots as day_slots
 from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Resource
 from fennelcove.settings.schema import Instance, RoomTypeSettings, SlotSettings
@@ -328,7 +328,7 @@
     def lots(self, fronts: int, whole: int) -> list[QuotaLoans]:
         found = [QuotaLoans(0, fronts, i, 1, 0) for i in range(fronts)]
         for lot in found:
-            lot.purse.cleared = True
+            lot.purse.is_cleared = True
             lot.set_whole(whole, 0)
         return found
 
@@ -366,7 +366,7 @@
         lot.set_whole(9, 0)
         self.assertEqual(lot.most(0), 0)
         self.assertEqual(lot.most(round(LOAN_US * 1.2)), 3)
-        lot.purse.cleared = True
+        lot.purse.is_cleared = True
         self.assertEqual(lot.most(0), 3)
 
 
@@ -407,7 +407,7 @@
     def test_links_follow_what_is_used(self) -> None:
         member = self.member()
         member.unclear.clear()
-        member.servers[7].lot.purse.cleared = True
+        member.servers[7].lot.purse.is_cleared = True
         self.assertEqual(member.links(7, MINUTE), 1)
         for _ in range(3):
             member.sent(7, 0, MINUTE, 1_000_000)
@@ -480,11 +480,13 @@
     def test_no_bytes_do_harm(self, raw: bytes) -> None:
         for kind in limit_messages.KINDS:
             book = learned_book()
-            book.hear(1, bytes([kind]) + raw)
+            book.on_message(1, bytes([kind]) + raw)
 
     def test_trades_survive_their_bytes(self) -> None:
         for said in (QuotaRequest(1 << 40, 7, Resource.SLOT, 3.0), QuotaTransfer(5, 9, Resource.SLOT, 0.0)):
-            self.assertEqual(limit_messages.unpack_trade(limit_messages.pack_trade(12, said)), (12, said))
+            self.assertEqual(
+                limit_messages.decode_slot_message(limit_messages.encode_slot_message(12, said)), (12, said)
+            )
 
 
 def learned_book(index: int = 0, fronts: int = 3) -> LearnedLimits:
@@ -494,7 +496,7 @@
     book = LearnedLimits(
         told, rooms, 4, instance, 1, clock, Random(1), threading.RLock(), lambda event, **_: None
     )
-    book.servers = lambda: [Listed("box:1", "big", 0, False)]
+    book.list_servers = lambda: [ListedServer("box:1", "big", 0, False)]
     return book
 
 
@@ -514,72 +516,74 @@
     def fleet(self, fronts: int = 3) -> list[LearnedLimits]:
         books = [learned_book(i, fronts) for i in range(fronts)]
         for i, book in enumerate(books):
-            book.post = lambda to, raw, i=i: books[to].hear(i, raw)  # type: ignore[misc]
+            book.send = lambda to, raw, i=i: books[to].on_message(i, raw)  # type: ignore[misc]
         for _ in range(2):
             for book in books:
                 book.clock.now += 500_000  # type: ignore[attr-defined]
-                book.window()
+                book.close_window()
         return books
 
     def test_fronts_clear_each_other_lend_and_never_take_one_too_many(self) -> None:
         books = self.fleet()
-        shape = books[0].shape("live", 3, "box:1")
+        shape = books[0].workload_shape("live", 3, "box:1")
         taken = 0
         for _ in range(8):
-            while books[0].take("box:1", shape, 1_000_000):
+            while books[0].try_acquire("box:1", shape, 1_000_000):
                 taken += 1
-            self.assertFalse(books[0].free("box:1"))
+            self.assertFalse(books[0].has_free_slot("box:1"))
             books[0].clock.now += 150_000  # type: ignore[attr-defined]
-            books[0].trade()
+            books[0].exchange_quota()
         self.assertGreaterEqual(taken, 7)
-        while books[1].take("box:1", shape, 1_000_000) or books[2].take("box:1", shape, 1_000_000):
+        while books[1].try_acquire("box:1", shape, 1_000_000) or books[2].try_acquire(
+            "box:1", shape, 1_000_000
+        ):
             taken += 1
         self.assertEqual(taken, 9)
-        books[0].ended("box:1", shape, 100_000, True)
-        self.assertTrue(books[0].take("box:1", shape, 1_000_000))
+        books[0].on_attempt_ended("box:1", shape, 100_000, True)
+        self.assertTrue(books[0].try_acquire("box:1", shape, 1_000_000))
 
     def test_a_line_is_not_forgotten_with_those_that_were_passed_over(self) -> None:
         book = self.fleet(1)[0]
-        book.wants("box:1", 3)
-        while book.free("box:1"):
-            book.take("box:1", 0, 1_000_000)
+        book.set_waiting_count("box:1", 3)
+        while book.has_free_slot("box:1"):
+            book.try_acquire("box:1", 0, 1_000_000)
         book.clock.now += 500_000  # type: ignore[attr-defined]
-        book.window()
+        book.close_window()
         self.assertEqual(book.replica.servers[book.server_keys["box:1"]].lot.waiting, 3)
-        book.wants("box:1", 0)
+        book.set_waiting_count("box:1", 0)
         self.assertEqual(book.replica.servers[book.server_keys["box:1"]].lot.waiting, 0)
 
     def test_a_box_that_no_list_names_takes_none_and_one_that_is_gone_neither(self) -> None:
         book = self.fleet(1)[0]
-        self.assertTrue(book.free("box:1"))
-        self.assertFalse(book.free("box:2"))
-        book.servers = lambda: []
+        self.assertTrue(book.has_free_slot("box:1"))
+        self.assertFalse(book.has_free_slot("box:2"))
+        book.list_servers = lambda: []
         book.clock.now += 500_000  # type: ignore[attr-defined]
-        book.window()
-        self.assertFalse(book.free("box:1"))
+        book.close_window()
+        self.assertFalse(book.has_free_slot("box:1"))
         self.assertEqual(book.status()["boxes"], {})
 
     def test_what_is_kept_is_taken_up_by_the_next_life(self) -> None:
         book = self.fleet(1)[0]
         book.replica.servers[book.server_keys["box:1"]].agreed.whole = 50
-        values = dict(book.kept())
+        values = dict(book.snapshot_records())
         after = learned_book(0, 1)
         after.clock.now += 500_000  # type: ignore[attr-defined]
         after.restore(values)
-        after.window()
+        after.close_window()
         found = after.replica.servers[after.server_keys["box:1"]].agreed.whole
         self.assertGreater(found, 45)
         self.assertLessEqual(found, 50)
 
     def test_holds_of_joins_that_say_nothing_are_not_learned(self) -> None:
         book = self.fleet(1)[0]
-        shape = book.shape("live", 0, "box:1")
+        shape = book.workload_shape("live", 0, "box:1")
         for answered in (None, None, True):
-            book.take("box:1", shape, 1_000_000)
-            book.ended("box:1", shape, 40_000 if answered else 1, answered)
+            book.try_acquire("box:1", shape, 1_000_000)
+            book.on_attempt_ended("box:1", shape, 40_000 if answered else 1, answered)
         book.clock.now += 500_000  # type: ignore[attr-defined]
-        book.window()
-        found = book.hold_us("box:1", shape)
+        book.close_window()
+        found = book.median_hold_us("box:1", shape)
         assert found is not None
         self.assertGreater(found, 30_000)
 
--- a/tests/test_socket_door.py
+++ b/tests/test_socket_door.py
@@ -13,7 +13,7 @@
 from websockets.exceptions import ConnectionClosed
 from websockets.sync.client import connect
 
-from fennelcove.core.retry_storm_guard import mac
+from fennelcove.core.retry_storm_guard import keyed_mac
 from fennelcove.core.requests import SessionRequest
 from fennelcove.decisions.clients import access_tokens
 from fennelcove.decisions.clients.access_tokens import AccessToken
@@ -51,7 +51,7 @@
         return told
 
     def owners(self) -> dict[str, Any]:
-        return self.front.core.notifier.ownerships.held
+        return self.front.core.notifier.ownerships.by_session
 
 
 class SocketDoorTest(SocketPath):
@@ -148,8 +148,8 @@
         self.wait_seen("set_up")
         player.hang_up()
         self.wait_seen("released")
-        wait_for(lambda: self.front.core.admission_controller.held == 0, "nothing held")
-        self.assertEqual(self.front.core.admission_controller.waiting, 0)
+        wait_for(lambda: self.front.core.admission_controller.sessions == 0, "nothing held")
+        self.assertEqual(self.front.core.admission_controller.pending_requests, 0)
 
     def test_pings_and_releases_go_on_while_a_join_is_out(self) -> None:
         player = self.connect()
@@ -337,7 +337,7 @@
         self.addCleanup(folder.cleanup)
         path = str(Path(folder.name) / "passes.keys")
         key_file.rotate(path, 1)
-        self.mac = mac(key_file.load(path, 1)[0])
+        self.mac = keyed_mac(key_file.load(path, 1)[0])
         self.begin(
             viewers=ViewerSettings(key_file=path),
             websocket=WebSocketSettings(origins=["https://own.example"]),
@@ -345,7 +345,7 @@
 
     def made(self, client: str = "v", for_s: float = 100.0, most: int = 8) -> str:
         now_us = self.clock.wall_us()
-        return access_tokens.seal(
+        return access_tokens.sign_access_token(
             AccessToken(client, now_us - 1_000_000, now_us + round(for_s * 1e6), most), self.mac
         )
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -26,16 +26,16 @@
     WriterState,
     WriteBehindQueue,
 )
-from fennelcove.decisions.recovery.snapshot import ServerMemory, RecordVerdict
+from fennelcove.decisions.recovery.snapshot import ServerRecord, RecordVerdict
 from fennelcove.interface import Outcome, ServerSnapshot, BudgetSnapshot
 from fennelcove.settings.schema import StoreSettings
 from fennelcove.emulators.disk import PowerCut, StandInDisk
 from fennelcove.placement.attempts import within_retry_budget
 from fennelcove.placement.health import record_outcome
 from fennelcove.store import journal, records
-from fennelcove.store.folder import Store, StoreError, verify
+from fennelcove.store.directory import Store, StoreError, verify_folder
 from fennelcove.store.journal import Journal
-from fennelcove.store.keeper import StoreWriter
+from fennelcove.store.writer import StoreWriter
 from fennelcove.store.records import Batch, Damage, FrameFault
 from tests.rig import WholePath, wait_for
 
@@ -58,15 +58,15 @@
         self.renew(last)
         for step in steps:
             if step == "c":
-                self.acknowledged = self.journal.commit([(b"key%d" % self.journal.number, b"v" * 20)])
+                self.acknowledged = self.journal.commit([(b"key%d" % self.journal.sequence, b"v" * 20)])
             else:
-                self.base[0] = self.journal.number
-                self.renew(self.journal.number)
+                self.base[0] = self.journal.sequence
+                self.renew(self.journal.sequence)
 
     def renew(self, number: int) -> None:
         self.journal = Journal(self.disk, number)
         self.journal.create()
-        for file in self.disk.names():
+        for file in self.disk.list_names():
             if journal.preceding_sequence(file) is not None and file != self.journal.file_name:
                 self.disk.remove(file)
         self.disk.sync_folder()
@@ -140,7 +140,7 @@
         raw[at] ^= flip
         *good, last = records.decode_frames(bytes(raw), 0)
         assert isinstance(last, Damage)
-        self.assertLessEqual(last.at, at)
+        self.assertLessEqual(last.offset, at)
         self.assertEqual(
             [item.number for item in good if isinstance(item, Batch)], list(range(1, len(good) + 1))
         )
@@ -174,7 +174,7 @@
     def test_what_is_committed_is_there_in_the_next_life_folded_or_not(self) -> None:
         store = self.opened()
         store.commit([(b"a", b"1"), (b"b", b"2")])
-        store.fold()
+        store.checkpoint()
         store.commit([(b"b", None), (b"c", b"3")])
         store.close()
         for _ in range(2):
@@ -182,7 +182,7 @@
             self.assertEqual(store.values, {b"a": b"1", b"c": b"3"})
             self.assertEqual(len([name for name in os.listdir(self.folder) if name.startswith("journal")]), 1)
             store.close()
-        self.assertEqual(verify(self.folder), [])
+        self.assertEqual(verify_folder(self.folder), [])
 
     def test_a_second_holder_is_refused_with_the_firsts_name(self) -> None:
         store = self.opened()
@@ -199,7 +199,7 @@
             with self.assertRaises(StoreError):
                 Store(folder, 8, "front-t")
         with self.assertRaises(StoreError):
-            verify(str(Path(self.folder) / "none"))
+            verify_folder(str(Path(self.folder) / "none"))
         (Path(self.folder) / "base.lmdb").write_bytes(b"no base" * 1000)
         with self.assertRaises(StoreError):
             self.opened()
@@ -207,7 +207,7 @@
     def test_bad_records_are_named_by_their_place_and_never_used(self) -> None:
         store = self.opened()
         store.commit([(b"box/%d" % i, b"value-%d" % i * 20) for i in range(5)])
-        store.fold()
+        store.checkpoint()
         store.commit([(b"late", b"in the journal")])
         file = store.journal.file_name
         store.close()
@@ -218,7 +218,7 @@
         base.write_bytes(bytes(raw))
         log = Path(self.folder) / file
         log.write_bytes(log.read_bytes()[:-3])
-        told = verify(self.folder)
+        told = verify_folder(self.folder)
         self.assertEqual(len(told), 2)
         self.assertIn("box/3", told[0])
         self.assertIn(f"{file}: byte 0: cut short", told[1])
@@ -226,17 +226,17 @@
         self.assertEqual((run.exit_code, run.output.splitlines()[-1]), (1, "2 bad"))
         store = self.opened()
         self.assertEqual(sorted(store.values), [b"box/0", b"box/1", b"box/2", b"box/4"])
-        self.assertEqual(store.unsound, [b"box/3"])
+        self.assertEqual(store.corrupt_keys, [b"box/3"])
         store.close()
-        self.assertEqual(verify(self.folder), [], "the next life begins sound")
+        self.assertEqual(verify_folder(self.folder), [], "the next life begins sound")
 
     def test_a_base_that_is_full_refuses_and_keeps_what_it_has(self) -> None:
         store = Store(self.folder, 1, "front-t")
         store.commit([(b"a", b"1")])
-        store.fold()
+        store.checkpoint()
         store.commit([(b"k%d" % i, os.urandom(4000)) for i in range(400)])
         with self.assertRaises(OSError) as caught:
-            store.fold()
+            store.checkpoint()
         self.assertEqual(caught.exception.errno, errno.ENOSPC)
         self.assertEqual(len(store.values), 401)
         store.close()
@@ -246,7 +246,7 @@
 
     def test_the_commands(self) -> None:
         store = self.opened()
-        memory = ServerMemory(SECOND, 1, 0, 3 * SECOND, 3 * SECOND)
+        memory = ServerRecord(SECOND, 1, 0, 3 * SECOND, 3 * SECOND)
         import msgspec
 
         store.commit([(b"box/127.0.0.1:9", msgspec.msgpack.encode(memory)), (b"x", b"y")])
@@ -268,7 +268,7 @@
         """In a store's place: says what it is told to."""
 
         folder = "x"
-        heavy = False
+        needs_checkpoint = False
 
         def __init__(self) -> None:
             self.faults: list[int] = []
@@ -290,8 +290,8 @@
         keeper = StoreWriter(disk, SystemClock(), lambda event, **fields: told.append(event))  # type: ignore[arg-type]
         keeper.queue.backoff_us = 1000
         keeper.start()
-        keeper.keep([(b"a", b"1")])
-        keeper.keep([(b"a", b"2"), (b"b", b"1")])
+        keeper.enqueue([(b"a", b"1")])
+        keeper.enqueue([(b"a", b"2"), (b"b", b"1")])
         wait_for(lambda: disk.kept == {b"a": b"2", b"b": b"1"}, "both")
         keeper.stop(5 * SECOND)
         self.assertEqual((told, disk.closed), (["store_space_exhausted", "store_write_recovered"], True))
@@ -302,7 +302,7 @@
             disk.faults = list(faults)
             keeper = StoreWriter(disk, SystemClock(), lambda event, **fields: None)  # type: ignore[arg-type]
             keeper.start()
-            keeper.keep([(b"a", b"1")])
+            keeper.enqueue([(b"a", b"1")])
             keeper.stop(5 * SECOND)
             self.assertEqual(disk.kept, kept)
             self.assertFalse(keeper.thread.is_alive())
@@ -357,15 +357,15 @@
 class RecoveryTest(unittest.TestCase):
     WALL = 1_800_000_000 * SECOND
 
-    def memory(self, **changes: Any) -> ServerMemory:
+    def memory(self, **changes: Any) -> ServerRecord:
         started, joined, heard = (self.WALL - seconds * SECOND for seconds in (900, 7, 5))
-        base = ServerMemory(started, 3, self.WALL + SECOND, joined, heard)
-        return ServerMemory(
+        base = ServerRecord(started, 3, self.WALL + SECOND, joined, heard)
+        return ServerRecord(
             **{name: changes.get(name, getattr(base, name)) for name in base.__struct_fields__}
         )
 
-    def rule(self, memory: ServerMemory | None, started_us: int | None = 0, later_s: float = 0.0) -> Any:
-        return snapshot.rule(memory, started_us, self.WALL + round(later_s * SECOND))
+    def rule(self, memory: ServerRecord | None, started_us: int | None = 0, later_s: float = 0.0) -> Any:
+        return snapshot.evaluate_record(memory, started_us, self.WALL + round(later_s * SECOND))
 
     def test_each_verdict(self) -> None:
         verdict, recalled = self.rule(self.memory())
@@ -388,12 +388,12 @@
     @settings(max_examples=150)
     def test_a_budget_never_comes_back_by_a_clock(self, shift: int, times: list[int], span: int) -> None:
         wall_us = 10**10
-        ages = snapshot.spent(times, wall_us + shift, span)
+        ages = snapshot.budget_ages_us(times, wall_us + shift, span)
         self.assertTrue(all(0 <= age < max(span, 1) for age in ages))
         self.assertEqual(ages, sorted(ages, reverse=True))
         if span and shift <= 0:
             # A clock that went back: whatever still counted counts on.
-            self.assertGreaterEqual(len(ages), len(snapshot.spent(times, wall_us, span)))
+            self.assertGreaterEqual(len(ages), len(snapshot.budget_ages_us(times, wall_us, span)))
 
     def test_bytes_that_are_no_memory(self) -> None:
         for raw in (b"", b"x", b"\x90", b"\x93abc"):
@@ -401,7 +401,7 @@
             self.assertIsNone(snapshot.read_front(raw))
 
     def test_only_what_changed_is_written(self) -> None:
-        found = snapshot.changed([(b"a", b"1"), (b"b", b"2")], {b"a": b"1", b"b": b"0", b"c": b"3"})
+        found = snapshot.record_changes([(b"a", b"1"), (b"b", b"2")], {b"a": b"1", b"b": b"0", b"c": b"3"})
         self.assertEqual(found, [(b"b", b"2"), (b"c", None)])
 
 
@@ -418,7 +418,7 @@
 
     def again(self) -> None:
         self.front.stop()
-        self.assertEqual(verify(self.store.folder), [])
+        self.assertEqual(verify_folder(self.store.folder), [])
         self.front = self.new_front()
 
     def test_loads_strikes_and_spent_budget_outlive_the_process(self) -> None:
@@ -429,8 +429,11 @@
             for _ in range(2):
                 record_outcome(module, server, Outcome.NO_ANSWER)
             server.last_attempt_us = module.now_us
-            module.further.extend([module.now_us] * 2)
-            self.front.core.retry_storms.weather.usual, self.front.core.retry_storms.weather.seen = 7.5, 40
+            module.retry_times.extend([module.now_us] * 2)
+            (
+                self.front.core.retry_storms.detector.baseline,
+                self.front.core.retry_storms.detector.calm_window_count,
+            ) = 7.5, 40
             strikes = server.strikes
         before = self.front.core.policy
         self.again()
@@ -440,7 +443,7 @@
         self.assertEqual(server.strikes, strikes)
         self.assertIsNotNone(server.last_attempt_us)
         self.assertFalse(within_retry_budget(module))
-        self.assertGreater(self.front.core.retry_storms.weather.seen, 39)
+        self.assertGreater(self.front.core.retry_storms.detector.calm_window_count, 39)
 
     def test_a_box_that_started_anew_meanwhile_is_not_taken_for_what_it_was(self) -> None:
         module = self.front.core.policy
@@ -479,8 +482,8 @@
         )
         core.policy.handle(ServerSnapshot("nobody", 1, 1, 1), clock.now_us())
         core.policy.handle(BudgetSnapshot((30, 20, 10), (5,)), clock.now_us())
-        self.assertEqual(list(core.policy.taken), [clock.now_us() - ago for ago in (30, 20, 10)])
-        self.assertEqual(list(core.policy.further), [clock.now_us() - 5])
+        self.assertEqual(list(core.policy.request_times), [clock.now_us() - ago for ago in (30, 20, 10)])
+        self.assertEqual(list(core.policy.retry_times), [clock.now_us() - 5])
 
 
 if __name__ == "__main__":
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -17,7 +17,7 @@
 from fennelcove.clock import ManualClock
 from fennelcove.core.core import Core
 from fennelcove.core.session_ids import SessionIds
-from fennelcove.core.retry_storm_guard import mac
+from fennelcove.core.retry_storm_guard import keyed_mac
 from fennelcove.clock.timers import Timers
 from fennelcove.core.requests import SessionResponse, SessionRequest
 from fennelcove.scenarios import plots, replays
@@ -41,7 +41,7 @@
 from tests.rig import SETTINGS, recorded_ports
 
 SECOND = 1_000_000
-KEY, OTHER = mac(b"k" * 32), mac(b"o" * 32)
+KEY, OTHER = keyed_mac(b"k" * 32), keyed_mac(b"o" * 32)
 ASKED = ("viewer", "title", "room")
 STEPS = st.tuples(st.integers(0, 3 * SECOND), st.integers(0, 40), st.booleans(), st.floats(0, 0.99))
 
@@ -53,11 +53,11 @@
 
     def window(self, asked: int, refused: int = 0, let_in: int | None = None) -> StormState:
         window = self.weather.window
-        window.asked, window.refused = asked, refused
-        window.let_in = asked if let_in is None else let_in
+        window.request_count, window.rejected_count = asked, refused
+        window.admitted_count = asked if let_in is None else let_in
         self.now_us += retry_storm.WINDOW_US
         self.weather.advance(self.now_us)
-        return self.weather.phase
+        return self.weather.state
 
     def calm(self, pace: int = 4, windows: int = 20) -> None:
         for _ in range(windows):
@@ -92,11 +92,11 @@
             for i in range(240):
                 pace = 4 * (1 + (i / 60 if evening % 2 else 0.5 * (i % 20 > 10)))
                 asked = sum(chance.random() < pace / 40 for _ in range(40))
-                weather.window.asked = weather.window.let_in = asked
-                weather.window.refused = sum(chance.random() < 0.05 for _ in range(asked))
+                weather.window.request_count = weather.window.admitted_count = asked
+                weather.window.rejected_count = sum(chance.random() < 0.05 for _ in range(asked))
                 now_us += retry_storm.WINDOW_US
                 weather.advance(now_us)
-                alarms += weather.phase is StormState.STORM
+                alarms += weather.state is StormState.STORM
         self.assertEqual(alarms, 0)
 
     def test_no_state_fails_to_come_back_to_calm(self) -> None:
@@ -104,7 +104,7 @@
         for phase, (asked, refused) in product(StormState, ((0, 0), (4, 0), (4, 4), (400, 0), (400, 400))):
             self.weather, self.now_us = RetryStormDetector(0), 0
             self.calm()
-            self.weather.phase = phase
+            self.weather.state = phase
             for _ in range(5000):
                 if self.window(asked, refused) is StormState.CALM:
                     break
@@ -114,7 +114,7 @@
     def test_a_stall_is_so_many_empty_windows_and_no_more(self) -> None:
         self.calm()
         self.weather.advance(self.now_us + 10**12)
-        self.assertIs(self.weather.phase, StormState.CALM)
+        self.assertIs(self.weather.state, StormState.CALM)
 
     def test_the_table_has_no_row_that_stays(self) -> None:
         for (phase, _), rule in retry_storm.TRANSITIONS.items():
@@ -122,7 +122,7 @@
             self.assertGreater(rule.after_windows, 0)
         self.assertTrue(all(weight > 0 for weight in retry_storm.BASELINE_WEIGHTS.values()))
         self.assertEqual(
-            set(waiting_room.TRANSITIONS), {(who, room) for who in TicketStatus for room in AvailableCapacity}
+            set(waiting_room.DECISIONS), {(who, room) for who in TicketStatus for room in AvailableCapacity}
         )
         self.assertEqual(len(StormSignal), 4)
 
@@ -164,22 +164,24 @@
         self.assertIs(waiting_room.ticket_status(None, False, False, ASKED, 0), TicketStatus.FIRST)
         self.assertIs(waiting_room.ticket_status(None, False, True, ASKED, 0), TicketStatus.AGAIN)
         self.assertIs(waiting_room.ticket_status(None, True, True, ASKED, 0), TicketStatus.INVENTED)
-        self.assertEqual(len(waiting_room.TRANSITIONS), len(TicketStatus) * len(AvailableCapacity))
+        self.assertEqual(len(waiting_room.DECISIONS), len(TicketStatus) * len(AvailableCapacity))
         paced = {
-            who for (who, _), ruling in waiting_room.TRANSITIONS.items() if ruling is QueueDecision.BY_PACE
+            who
+            for (who, _), ruling in waiting_room.DECISIONS.items()
+            if ruling is QueueDecision.ADMIT_AT_RATE
         }
-        self.assertLessEqual(paced, set(waiting_room.TURNED_AWAY))
+        self.assertLessEqual(paced, set(waiting_room.REJECTED_DECISIONS))
         self.assertIs(
-            waiting_room.TRANSITIONS[TicketStatus.INVENTED, AvailableCapacity.AVAILABLE],
-            QueueDecision.GUEST_PLACE,
+            waiting_room.DECISIONS[TicketStatus.INVENTED, AvailableCapacity.AVAILABLE],
+            QueueDecision.UNRESERVED_TICKET,
         )
 
     def test_a_place_for_one_that_may_hold_one_already_moves_nobody_back(self) -> None:
-        queue = WaitingQueue(0, pace=5.0)
-        before = queue.promise(0, None, 0.5)[0]
+        queue = WaitingQueue(0, rate_per_s=5.0)
+        before = queue.reserve_window(0, None, 0.5)[0]
         for _ in range(50):
-            queue.promise(0, None, 0.5, is_reserved=False)
-        self.assertEqual(queue.promise(0, None, 0.5)[0] - before, SECOND // 5)
+            queue.reserve_window(0, None, 0.5, is_reserved=False)
+        self.assertEqual(queue.reserve_window(0, None, 0.5)[0] - before, SECOND // 5)
 
     @given(
         st.lists(st.tuples(st.integers(0, 3 * SECOND), st.integers(0, 40), st.booleans(), st.floats(0, 0.99)))
@@ -192,26 +194,26 @@
         queue = WaitingQueue(now_us)
         for gap, served, first, draw in steps:
             now_us += gap
-            queue.served += served
-            queue.let_in, queue.refused = 1.0, float(first)
+            queue.served_count += served
+            queue.admitted_count, queue.rejected_count = 1.0, float(first)
             queue.advance(now_us)
             queue.admit(TicketStatus.FIRST if first else TicketStatus.DUE, queue.cost(draw * 10))
             self.assertTrue(1 / waiting_room.MAX_COST <= queue.cost(draw) <= waiting_room.MAX_COST)
-            wait, latest = queue.soon(draw, served)
-            self.assertTrue(waiting_room.LEAST_WAIT_US <= wait < latest)
+            wait, latest = queue.early_window(draw, served)
+            self.assertTrue(waiting_room.MIN_WAIT_US <= wait < latest)
             self.assertLessEqual(wait, waiting_room.MAX_WAIT_US)
             for most_us in (None, 2 * SECOND):
-                earliest, latest = queue.promise(now_us, most_us, draw)
-                self.assertGreaterEqual(earliest, waiting_room.LEAST_WAIT_US)
+                earliest, latest = queue.reserve_window(now_us, most_us, draw)
+                self.assertGreaterEqual(earliest, waiting_room.MIN_WAIT_US)
                 self.assertLess(earliest, latest)
                 self.assertLessEqual(earliest, waiting_room.MAX_WAIT_US if most_us is None else most_us)
             self.assertGreaterEqual(min(queue.first_tries.tokens, queue.retries.tokens), 0.0)
 
     def test_neither_first_tries_nor_those_who_come_back_starve(self) -> None:
-        queue, taken = WaitingQueue(0, pace=10.0), {TicketStatus.FIRST: 0, TicketStatus.DUE: 0}
+        queue, taken = WaitingQueue(0, rate_per_s=10.0), {TicketStatus.FIRST: 0, TicketStatus.DUE: 0}
         for i in range(1, 401):
-            queue.served += 2 if i % 2 else 3
-            queue.let_in, queue.refused = 4.0, 2.0
+            queue.served_count += 2 if i % 2 else 3
+            queue.admitted_count, queue.rejected_count = 4.0, 2.0
             queue.advance(i * SECOND // 4)
             for who in (TicketStatus.DUE, TicketStatus.FIRST) * 10:
                 taken[who] += queue.admit(who)
@@ -222,24 +224,24 @@
     def test_the_pace_finds_room_within_seconds_and_falls_to_what_is_served(self) -> None:
         # Held to what a calm had asked for, it kept out viewers for whom there was room: 138 of 200 watched,
         # 185 without.
-        queue = WaitingQueue(0, pace=2.0)
+        queue = WaitingQueue(0, rate_per_s=2.0)
         for i in range(1, 17):
-            queue.let_in = 4.0
+            queue.admitted_count = 4.0
             queue.advance(i * SECOND // 4)
-        self.assertGreater(queue.pace, 30)
+        self.assertGreater(queue.rate_per_s, 30)
         for i in range(17, 40):
-            queue.served += 2
-            queue.let_in, queue.refused = 4.0, 2.0
+            queue.served_count += 2
+            queue.admitted_count, queue.rejected_count = 4.0, 2.0
             queue.advance(i * SECOND // 4)
-        self.assertTrue(9.0 < queue.pace < 10.1, queue.pace)
+        self.assertTrue(9.0 < queue.rate_per_s < 10.1, queue.rate_per_s)
 
     def test_a_crowd_is_told_to_come_back_at_the_pace_and_not_in_one_moment(self) -> None:
-        queue = WaitingQueue(0, pace=20.0)
-        waits = [queue.promise(0, None, 0.5)[0] for _ in range(130)]
+        queue = WaitingQueue(0, rate_per_s=20.0)
+        waits = [queue.reserve_window(0, None, 0.5)[0] for _ in range(130)]
         seconds = [sum(1 for wait in waits if at * SECOND <= wait < (at + 1) * SECOND) for at in range(1, 20)]
         self.assertLessEqual(max(seconds), 21)
         # Further off than can be foreseen, they are spread over the second half of what can be.
-        far = [queue.promise(0, None, (i % 50) / 50)[0] for i in range(400)][50:]
+        far = [queue.reserve_window(0, None, (i % 50) / 50)[0] for i in range(400)][50:]
         self.assertGreaterEqual(min(far), waiting_room.MAX_WAIT_US // 2)
         self.assertLessEqual(max(far), waiting_room.MAX_WAIT_US)
         thirds = [sum(1 for wait in far if at * SECOND <= wait < (at + 1) * SECOND) for at in range(4, 8)]
@@ -250,16 +252,16 @@
     def test_many_failures_at_once_cut_once_and_growth_is_slow_after(self) -> None:
         limits = AimdLimits()
         entered = 0
-        while limits.enter("b"):
+        while limits.try_acquire("b"):
             entered += 1
         for _ in range(entered):
-            limits.leave("b", Outcome.NO_ANSWER, 0, 10)
+            limits.release("b", Outcome.NO_ANSWER, 0, 10)
         held = limits.servers["b"]
         self.assertAlmostEqual(held.limit, entered * 0.7)
         self.assertEqual(held.in_flight, 0)
         before = held.limit
-        limits.enter("b")
-        limits.leave("b", Outcome.SERVED, 20, 30)
+        limits.try_acquire("b")
+        limits.release("b", Outcome.SERVED, 20, 30)
         self.assertLess(held.limit - before, 0.2)
 
     @given(st.lists(st.tuples(st.booleans(), st.sampled_from(list(Outcome)))))
@@ -267,9 +269,9 @@
         limits, out = AimdLimits(), 0
         for now_us, (enter, outcome) in enumerate(steps, 1):
             if enter:
-                out += limits.enter("b")
+                out += limits.try_acquire("b")
             elif out:
-                limits.leave("b", outcome, now_us - 1, now_us)
+                limits.release("b", outcome, now_us - 1, now_us)
                 out -= 1
         if "b" in limits.servers:
             self.assertGreaterEqual(limits.servers["b"].limit, MIN_LIMIT)
@@ -278,8 +280,8 @@
     def test_boxes_long_unheard_are_forgotten(self) -> None:
         limits = AimdLimits()
         for i in range(10_050):
-            limits.enter(f"b{i}")
-            limits.leave(f"b{i}", Outcome.SERVED, 0, 0)
+            limits.try_acquire(f"b{i}")
+            limits.release(f"b{i}", Outcome.SERVED, 0, 0)
         self.assertLessEqual(len(limits.servers), 10_001)
 
 
@@ -349,9 +351,9 @@
     def setUp(self) -> None:
         self.clock = ManualClock(10 * SECOND, 10**15)
         self.core = self.made(b"k")
-        self.core.retry_storms.weather.phase = StormState.STORM
+        self.core.retry_storms.detector.state = StormState.STORM
         self.core.retry_storms.waiting_room.by_title["t1"] = WaitingQueue(
-            10 * SECOND, pace=0.5, is_rejecting=True
+            10 * SECOND, rate_per_s=0.5, is_rejecting=True
         )
 
     def made(self, key: bytes) -> Core:
@@ -360,12 +362,12 @@
 
     def ask(self, client: str, place: str | None = None, again: bool = True) -> SessionResponse:
         outcome = self.core.request_session(
-            SessionRequest("t1", "free", client=client, again=again, place=place)
+            SessionRequest("t1", "free", client=client, is_retry=again, queue_ticket=place)
         )
         session, step = outcome.session, outcome.step
         assert isinstance(step, SessionResponse)
         self.assertEqual(
-            (self.core.admission_controller.waiting, self.core.admission_controller.held),
+            (self.core.admission_controller.pending_requests, self.core.admission_controller.sessions),
             (1 if session else 0, 0),
         )
         if session is not None:
@@ -374,28 +376,30 @@
 
     def test_a_place_is_kept_while_it_is_early_honoured_when_due_and_once(self) -> None:
         first = self.ask("v")
-        self.assertEqual(first.standing, "again")
+        self.assertEqual(first.ticket_status, "again")
         early = self.ask("v", first.queue_ticket)
         self.assertEqual(
-            (early.standing, early.queue_ticket, early.retry_after_us),
+            (early.ticket_status, early.queue_ticket, early.retry_after_us),
             ("early", first.queue_ticket, first.retry_after_us),
         )
         self.clock.advance(first.retry_after_us)
-        self.core.retry_storms.weather.window_started_us = self.clock.now_us()
+        self.core.retry_storms.detector.window_started_us = self.clock.now_us()
         let_in = self.ask("v", first.queue_ticket)
-        self.assertEqual((let_in.standing, let_in.reason), ("", "no holder has room"))  # the module was asked
-        self.assertEqual(self.ask("v", first.queue_ticket).standing, "invented")
+        self.assertEqual(
+            (let_in.ticket_status, let_in.reason), ("", "no holder has room")
+        )  # the module was asked
+        self.assertEqual(self.ask("v", first.queue_ticket).ticket_status, "invented")
 
     def test_one_that_waited_in_vain_is_among_the_next_and_one_of_more_benefit_pays_less(self) -> None:
         queue = self.core.retry_storms.waiting_room.by_title["t1"]
         for _ in range(40):
-            queue.promise(self.clock.now_us(), None, 0.5)
+            queue.reserve_window(self.clock.now_us(), None, 0.5)
         first = self.ask("v")
         self.clock.advance(first.retry_after_us)
-        self.core.retry_storms.weather.window_started_us = self.clock.now_us()
+        self.core.retry_storms.detector.window_started_us = self.clock.now_us()
         due = self.ask("v", first.queue_ticket)
-        self.assertEqual((due.standing, due.reason), ("", "no holder has room"))  # the module was asked
-        self.assertLessEqual(due.retry_after_us, 2 * waiting_room.LEAST_WAIT_US)
+        self.assertEqual((due.ticket_status, due.reason), ("", "no holder has room"))  # the module was asked
+        self.assertLessEqual(due.retry_after_us, 2 * waiting_room.MIN_WAIT_US)
         costs = [queue.cost(benefit) for benefit in (1.0, 3.0) * 200][-2:]
         self.assertAlmostEqual(costs[0] / costs[1], 3.0, delta=0.1)
 
@@ -403,24 +407,24 @@
         # Held to the pace, they were turned away for whom boxes had room: 147 of 200 watched, 191 without.
         self.core.retry_storms.waiting_room.by_title["t1"].is_rejecting = False
         self.assertEqual(self.ask("new", again=False).reason, "no holder has room")
-        self.assertEqual(self.ask("hasty").standing, "again")
+        self.assertEqual(self.ask("hasty").ticket_status, "again")
 
     def test_another_viewers_place_and_a_made_up_one_are_worth_nothing(self) -> None:
         place = self.ask("v").queue_ticket
-        self.assertEqual(self.ask("w", place).standing, "invented")
-        self.assertEqual(self.ask("w", "bWFkZQ.dXA").standing, "invented")
+        self.assertEqual(self.ask("w", place).ticket_status, "invented")
+        self.assertEqual(self.ask("w", "bWFkZQ.dXA").ticket_status, "invented")
         self.assertEqual(self.core.counts["storm_invented"], 2)
 
     def test_a_front_that_restarts_with_the_same_key_knows_the_places_of_its_last_life(self) -> None:
         self.core.retry_storms.use_keys([b"p" * 32])
         place = self.ask("v").queue_ticket
         self.core = self.made(b"n")
-        self.core.retry_storms.weather.phase = StormState.STORM
+        self.core.retry_storms.detector.state = StormState.STORM
         self.core.retry_storms.use_keys([b"q" * 32, b"p" * 32])
-        self.assertEqual(self.ask("v", place).standing, "early")
+        self.assertEqual(self.ask("v", place).ticket_status, "early")
 
     def test_in_calm_nobody_is_held_up(self) -> None:
-        self.core.retry_storms.weather.phase = StormState.CALM
+        self.core.retry_storms.detector.state = StormState.CALM
         for i in range(50):
             self.assertEqual(self.ask(f"v{i % 3}").reason, "no holder has room")
         self.assertNotIn("damped", self.core.counts)
--- a/tests/test_top.py
+++ b/tests/test_top.py
@@ -16,7 +16,7 @@
         self.assertEqual(sub.rung, 2)
         before = sub.server.own_kb
         policy.handle(TopRungChanged("a", 0), policy.now_us)
-        self.assertEqual((sub.rung, sub.top), (0, 0))
+        self.assertEqual((sub.rung, sub.top_rung), (0, 0))
         self.assertEqual(effects.named("set_rung")[-1], ("set_rung", "a", 0))
         self.assertEqual(before - sub.server.own_kb, 300.0)
 
@@ -25,14 +25,14 @@
         play(policy, top_rung=0)
         count = len(effects.calls)
         policy.handle(TopRungChanged("a", 2), policy.now_us)
-        self.assertEqual((policy.sessions["a"].rung, policy.sessions["a"].top), (0, 2))
+        self.assertEqual((policy.sessions["a"].rung, policy.sessions["a"].top_rung), (0, 2))
         self.assertEqual(len(effects.calls), count)
 
     def test_never_under_the_floor(self) -> None:
-        policy, _ = front(service_class={"floor": 1})
+        policy, _ = front(service_class={"min_rung": 1})
         play(policy)
         policy.handle(TopRungChanged("a", 0), policy.now_us)
-        self.assertEqual((policy.sessions["a"].rung, policy.sessions["a"].top), (1, 1))
+        self.assertEqual((policy.sessions["a"].rung, policy.sessions["a"].top_rung), (1, 1))
 
     def test_a_session_that_has_ended_is_ignored(self) -> None:
         policy, effects = front()
@@ -42,9 +42,9 @@
 
 class NoWarmUpTest(unittest.TestCase):
     def test_settings_without_a_warm_up_are_no_division_by_nothing(self) -> None:
-        policy, effects = front(ramp_us=0)
+        policy, effects = front(warm_up_us=0)
         for server in policy.servers.values():
-            server.started_us, server.link.asked = 1, None
+            server.started_us, server.link.report = 1, None
         ask(policy)
         self.assertEqual(len(effects.named("start_attempt")), 1)
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -108,7 +108,7 @@
         held = {record["box"] for record in self.seen("set_up")}
         self.assertIn(full.address, held)
         server = self.front.core.policy.servers[full.address]
-        wait_for(lambda: (server.link.asked or 0) >= 1.0, "the report of duress")
+        wait_for(lambda: (server.link.report or 0) >= 1.0, "the report of duress")
         before = len(self.seen("set_up", box=full.address))
         for _ in range(20):
             self.assertEqual(self.ask(top_rung=0).status, 201)
@@ -205,7 +205,7 @@
         self.assertEqual(self.get(f"/v1/subscriptions/{id}", method="DELETE").status, 204)
         self.wait_seen("released", subscription=id, box=view.body["box"], held=True)
         wait_for(
-            lambda: not self.front.core.policy.sessions and not self.front.core.lifecycle.by_module,
+            lambda: not self.front.core.policy.sessions and not self.front.core.lifecycle.by_policy_id,
             "nothing held",
         )
 
--- a/tests/test_workspace.py
+++ b/tests/test_workspace.py
@@ -80,7 +80,7 @@
 class KindsTest(unittest.TestCase):
     def test_no_two_kinds_of_message_between_fronts_share_a_first_byte(self) -> None:
         # Releases and slots both began at 32: with both in use a word of the one was read as the other's.
-        kinds = [*messages.KINDS, *rollout_messages.KINDS, *limit_messages.KINDS, usage_messages.GIVEN]
+        kinds = [*messages.KINDS, *rollout_messages.KINDS, *limit_messages.KINDS, usage_messages.USAGE_REPORT]
         self.assertEqual(len(set(messages.KINDS)), 8)
         self.assertEqual(len(kinds), len(set(kinds)))
         self.assertLess(max(kinds), 256)
