--- a/benchmarks/slots_sim.py
+++ b/benchmarks/slots_sim.py
@@ -100,7 +100,7 @@
         if rule in ("learned", "alone"):
             alone = rule == "alone"
             start = max(1, START // fronts) if alone else START
-            terms = LimitSettings(start=start, least=1 if alone else 2, wait_us=TIMEOUT_US // 50)
+            terms = LimitSettings(start=start, min_limit=1 if alone else 2, max_wait_us=TIMEOUT_US // 50)
             for i in range(fronts):
                 self.members.append(Replica(terms, 1 if alone else fronts, 0 if alone else i, 1, 0))
                 for name in range(boxes):
--- a/benchmarks/slots_worlds.py
+++ b/benchmarks/slots_worlds.py
@@ -114,12 +114,12 @@
         word, member = QuorumVote(whole), self.members[index]
         self.numbers += 1
         agreed = member.servers[BOX].agreed
-        agreed.hear(index, member.life, self.numbers, word, self.now_us)
+        agreed.on_vote(index, member.life, self.numbers, word, self.now_us)
         member._settle(member.servers[BOX], self.now_us)
         self.back()
         for to in self.members:
             if to != index:
-                self.send(index, to, ReplicaMessages((to,), BOX, 0, word=word))
+                self.send(index, to, ReplicaMessages((to,), BOX, 0, vote=word))
 
     def back(self) -> None:
         said = sorted(self.said.values(), reverse=True)
@@ -211,7 +211,7 @@
 
 
 def any_word(self: QuorumAgreement, now_us: int) -> int:
-    self.whole = max([self.whole, *(word.whole for word in self.young(now_us))])
+    self.whole = max([self.whole, *(word.limit for word in self.valid_votes(now_us))])
     return self.whole
 
 
@@ -234,10 +234,10 @@
     "any-word": (QuorumAgreement, "advance", any_word),  # one word raises the number
     "clears-early": (
         QuotaLoans,
-        "hear_begun",
+        "on_incarnation_started",
         clears_early,
     ),  # answers a new life and goes on using its last one's
-    "backs-used": (QuotaLoans, "_spares", spares),  # gives back a slot that carries a join
+    "backs-used": (QuotaLoans, "_is_dispensable", spares),  # gives back a slot that carries a join
 }
 
 
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/__init__.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/__init__.py
@@ -1,1 +1,1 @@
-"""How many joins a box takes, learned by the fleet: pure decisions, no I/O, no clock, no chance."""
+"""Concurrency limits of servers, learned and shared by a fleet: no I/O, no clock, no random source."""
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/erlang.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/erlang.py
@@ -4,10 +4,10 @@
 
 from math import exp
 
-MOST = 4096
+MAX_SLOTS = 4096
 
 
-def delayed(slots: int, offered: float) -> float:
+def waiting_probability(slots: int, offered: float) -> float:
     """The share of arrivals that find all slots taken (Erlang C).
 
     Args:
@@ -21,7 +21,7 @@
     return blocked / (1 - offered / slots * (1 - blocked))
 
 
-def needed(rate: float, hold_s: float, wait_s: float, late: float) -> int:
+def required_slots(rate: float, hold_s: float, wait_s: float, late: float) -> int:
     """The least number of slots at which no more than a share `late` waits longer than `wait_s`.
 
     Args:
@@ -30,7 +30,7 @@
     """
     offered = rate * hold_s
     slots, blocked = 0, 1.0
-    while slots < MOST:
+    while slots < MAX_SLOTS:
         slots += 1
         blocked = offered * blocked / (slots + offered * blocked)
         if offered >= slots:
--- /dev/null
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/latency_samples.py
@@ -0,0 +1,145 @@
+"""Service times of one server, collected until they suffice and compared with a recent baseline.
+
+The baseline of a shape is the lowest median service time of the last minute, in buckets of some seconds. Both
+are kept per shape, so that neither a change of what is requested nor one slow shape among fast ones looks
+like an overloaded server.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from math import log, sqrt
+
+from fennelcove.concurrency_limits.latency_histogram import (
+    ROW_SPAN_US,
+    ObservedLatency,
+    class_of,
+    quantile_us,
+)
+
+MIN_SAMPLES = 12  # completed attempts, below which measurements are not conclusive
+MIN_SHAPE_SAMPLES = 4
+BUCKET_US = 6_000_000
+BUCKETS = 10  # the baseline covers a minute
+MEDIAN_ERROR_FACTOR = 1.25  # standard error of a median, in those of a mean
+QUARTILE_RANGE_SIGMAS = 1.35  # width of the middle half of a normal distribution, in standard deviations
+
+
+@dataclass(frozen=True, slots=True)
+class BaselineBucket:
+    """The median service times of one bucket, by shape."""
+
+    closed_us: int
+    median_us: Mapping[int, float]
+
+
+@dataclass(slots=True)
+class LatencySamples:
+    """Measurements of one server since the last action, and its baseline. The caller passes in times."""
+
+    by_shape: dict[int, ObservedLatency] = field(default_factory=dict)  # since the last action
+    span_us: int = 0  # which these cover
+    median_service_us: dict[int, float] = field(default_factory=dict)  # by shape
+    open_bucket: dict[int, ObservedLatency] = field(default_factory=dict)
+    bucket_opened_us: int = 0
+    baselines: deque[BaselineBucket] = field(default_factory=lambda: deque(maxlen=BUCKETS))
+
+    @property
+    def completed(self) -> float:
+        """Attempts that ended."""
+        return sum(latency.completed for latency in self.by_shape.values())
+
+    @property
+    def unanswered(self) -> float:
+        """Attempts that ended without an answer."""
+        return sum(latency.unanswered for latency in self.by_shape.values())
+
+    def add(self, observed: Mapping[int, ObservedLatency], now_us: int) -> None:
+        """Add the measurements of one row's span. Spans must not overlap: each attempt counts once."""
+        self.span_us += ROW_SPAN_US
+        for shape, latency in observed.items():
+            self.by_shape.setdefault(shape, ObservedLatency()).add(latency)
+            self.open_bucket.setdefault(shape, ObservedLatency()).add(latency)
+        medians = {shape: quantile_us(latency.service_times, 0.5) for shape, latency in self.by_shape.items()}
+        self.median_service_us = {shape: median for shape, median in medians.items() if median is not None}
+        if self._has_first_bucket() or now_us - self.bucket_opened_us >= BUCKET_US:
+            self.close_bucket(now_us)
+
+    def _has_first_bucket(self) -> bool:
+        """Whether the first bucket is full enough to be closed early."""
+        completed = sum(latency.completed for latency in self.open_bucket.values())
+        return not self.baselines and completed >= 2 * MIN_SAMPLES
+
+    def clear(self) -> None:
+        """Discard the measurements; the baseline stays."""
+        self.by_shape = {}
+        self.span_us = 0
+
+    def discard_baseline(self, now_us: int) -> None:
+        """Start the baseline again with the open bucket."""
+        self.baselines.clear()
+        self.close_bucket(now_us)
+
+    def close_bucket(self, now_us: int) -> None:
+        """Add the open bucket to the baseline, and open another."""
+        while self.baselines and now_us - self.baselines[0].closed_us >= BUCKET_US * BUCKETS:
+            self.baselines.popleft()
+        medians_us = {}
+        for shape, latency in self.open_bucket.items():
+            median = quantile_us(latency.service_times, 0.5)
+            if median is not None and latency.completed >= MIN_SAMPLES:
+                # The lowest of ten medians is too low by chance alone.
+                medians_us[shape] = median * (1 + median_uncertainty(latency))
+        self.baselines.append(BaselineBucket(now_us, medians_us))
+        self.open_bucket = {}
+        self.bucket_opened_us = now_us
+
+    def baseline_us(self, shape: int) -> float | None:
+        """The lowest median service time of a shape in the baseline, None where it has none."""
+        medians_us = [bucket.median_us[shape] for bucket in self.baselines if shape in bucket.median_us]
+        return min(medians_us) if medians_us else None
+
+    def gradient(self) -> float | None:
+        """How many times longer than the baseline service times are; None where that is not known.
+
+        Shapes are weighted by their completed attempts. Weighted by slot time, the few long ones, whose
+        median is uncertain, would outweigh all others.
+        """
+        total = weight = 0.0
+        for shape, median_us in self.median_service_us.items():
+            baseline_us = self.baseline_us(shape)
+            completed = self.by_shape[shape].completed
+            if baseline_us is not None and completed >= MIN_SHAPE_SAMPLES:
+                total += completed * median_us / baseline_us
+                weight += completed
+        return total / weight if weight else None
+
+    def uncertainty(self) -> float:
+        """The relative uncertainty of the medians, weighted by completed attempts; there must be some."""
+        weighted = sum(latency.completed * median_uncertainty(latency) for latency in self.by_shape.values())
+        return weighted / self.completed
+
+    def late_share(self, max_wait_us: int) -> float:
+        """The share of requests for a slot that waited longer than `max_wait_us`, or got none."""
+        requested = sum(latency.requested for latency in self.by_shape.values())
+        if not requested:
+            return 0.0
+        first_late_class = class_of(max_wait_us)
+        late = sum(_late_count(latency, first_late_class) for latency in self.by_shape.values())
+        return min(1.0, late / requested)
+
+
+def _late_count(latency: ObservedLatency, first_late_class: int) -> float:
+    late = sum(count for number, count in latency.waiting_times.items() if number >= first_late_class)
+    return latency.denied + late
+
+
+def median_uncertainty(latency: ObservedLatency) -> float:
+    """The relative uncertainty of a median service time, by the quartiles as of a lognormal."""
+    low_us = quantile_us(latency.service_times, 0.25)
+    high_us = quantile_us(latency.service_times, 0.75)
+    if not low_us or not high_us:
+        return 1.0
+    return MEDIAN_ERROR_FACTOR * log(high_us / low_us) / QUARTILE_RANGE_SIGMAS / sqrt(latency.completed)
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/persisted.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/persisted.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
-from fennelcove.concurrency_limits.adaptive_limit import aged
+from fennelcove.concurrency_limits.limit_decay import decayed_limit
 
 KEY = b"slots/"
-BORN_WITHIN_US = 5_000_000  # two fronts learn a box's birth from answers that took a while
-OLDEST_US = 7 * 86_400_000_000
+START_TOLERANCE_US = 5_000_000  # two fronts learn a box's birth from answers that took a while
+MAX_AGE_US = 7 * 86_400_000_000
 
 
 class KeptSlots(msgspec.Struct, frozen=True, array_like=True):
@@ -35,14 +35,14 @@
     except msgspec.MsgspecError:
         return None
     age_us = wall_us - kept.written_us
-    same = kept.kind == kind and same_birth(kept.born_us, born_us)
-    if not same or kept.whole < 1 or not 0 <= age_us <= OLDEST_US:
+    same = kept.kind == kind and is_same_start(kept.born_us, born_us)
+    if not same or kept.whole < 1 or not 0 <= age_us <= MAX_AGE_US:
         return None
-    return min(kept.whole, aged(kept.whole, start, age_us))
+    return min(kept.whole, decayed_limit(kept.whole, start, age_us))
 
 
-def same_birth(one_us: int, other_us: int) -> bool:
+def is_same_start(one_us: int, other_us: int) -> bool:
     """Whether two births may be one; 0 is long ago, and only that."""
     if not one_us or not other_us:
         return one_us == other_us
-    return abs(one_us - other_us) <= BORN_WITHIN_US
+    return abs(one_us - other_us) <= START_TOLERANCE_US
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/quorum.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/quorum.py
@@ -1,16 +1,17 @@
-"""Which whole number counts where fronts differ on it.
+"""The limit in force for one server, out of the votes of several fronts.
 
-Each box has a panel, the same for all by its name: up to fifteen fronts that are told its figures and say,
-each, how many joins it takes. A front goes by what a **majority of the panel** says at least, by words that
-are young; there is one such majority in any partition, so that nobody rises in two halves, and fewer than
-half who lie raise nothing. Less counts sooner: the median of whoever is heard, majority or not.
+Each server has a panel, which every front computes alike from the server's key: up to fifteen fronts that
+receive its histograms and vote on its limit. A front adopts the limit that a majority of the panel votes for
+at least, by votes that are still valid. Any partition has one such majority at most, so no two sides of it
+raise the limit, and dishonest members raise nothing unless they are a majority. A lower limit needs no
+majority: the median of the votes received is enough.
 
-With every front on another number the parts still add up to no more than the largest: slot k has one home
-front, the same for all, and exists there while k is under the number that counts *there*. Nothing has to be
-handed over when a number changes.
+Where fronts have different limits in force, their shares still add up to no more than the largest: slot k has
+one home front, the same for all, and exists there while k is below the limit in force there. Nothing has to
+be transferred when a limit changes.
 
-A front that hears no majority goes on with what counted last, lowered by whom it hears, and gives up half of
-what is above the first number in ten minutes.
+A front that receives no majority keeps the last limit in force, lowers it with the votes that it receives,
+and lets what exceeds the initial limit decay (`limit_decay`).
 """
 
 from __future__ import annotations
@@ -20,135 +21,176 @@
 from enum import Enum, auto
 from zlib import crc32
 
-from fennelcove.concurrency_limits.adaptive_limit import aged
+from fennelcove.concurrency_limits.limit_decay import decayed_limit
+from fennelcove.state_machine import Transition, TransitionTable
 
-PANEL = 15
-WORD_US = 4_000_000  # how long a word counts
-MOST_PARTS = 6  # shapes of which a word says what they need
+PANEL_SIZE = 15
+VOTE_VALIDITY_US = 4_000_000
+MAX_SHAPE_LIMITS = 6  # shapes for which a vote has a limit
 
 
 class AgreementState(Enum):
-    """How this front stands to the panel."""
+    """Whether this front receives a majority of the panel. The names are part of the status page."""
 
-    ALONE = auto()  # no majority yet, in this life
-    LED = auto()
-    CUT = auto()  # there was one
+    ALONE = auto()  # no majority yet, in this incarnation
+    LED = auto()  # a majority
+    CUT = auto()  # no majority any more
 
 
 class AgreementSignal(Enum):
-    """Who is heard."""
+    """How many votes of the panel are valid."""
 
-    NOBODY = auto()
-    SOME = auto()
+    NO_VOTES = auto()
+    MINORITY = auto()
     MAJORITY = auto()
 
 
 class AgreementAction(Enum):
-    """What follows for the number in force."""
+    """What to do with the limit in force."""
 
-    AGE = auto()
-    LOWER = auto()  # to the median of whoever is heard, if that is less
-    TAKE = auto()
+    DECAY = auto()
+    LOWER_TO_MEDIAN = auto()  # of the valid votes, if that is lower; decay besides
+    ADOPT_MAJORITY = auto()
 
 
-TRANSITIONS: dict[tuple[AgreementState, AgreementSignal], tuple[AgreementState, AgreementAction]] = {
-    (AgreementState.ALONE, AgreementSignal.NOBODY): (AgreementState.ALONE, AgreementAction.AGE),
-    (AgreementState.ALONE, AgreementSignal.SOME): (AgreementState.ALONE, AgreementAction.LOWER),
-    (AgreementState.ALONE, AgreementSignal.MAJORITY): (AgreementState.LED, AgreementAction.TAKE),
-    (AgreementState.LED, AgreementSignal.NOBODY): (AgreementState.CUT, AgreementAction.AGE),
-    (AgreementState.LED, AgreementSignal.SOME): (AgreementState.CUT, AgreementAction.LOWER),
-    (AgreementState.LED, AgreementSignal.MAJORITY): (AgreementState.LED, AgreementAction.TAKE),
-    (AgreementState.CUT, AgreementSignal.NOBODY): (AgreementState.CUT, AgreementAction.AGE),
-    (AgreementState.CUT, AgreementSignal.SOME): (AgreementState.CUT, AgreementAction.LOWER),
-    (AgreementState.CUT, AgreementSignal.MAJORITY): (AgreementState.LED, AgreementAction.TAKE),
-}
+_S, _E, _A = AgreementState, AgreementSignal, AgreementAction
+TRANSITIONS: TransitionTable[AgreementState, AgreementSignal, AgreementAction] = TransitionTable(
+    {
+        (_S.ALONE, _E.NO_VOTES): Transition(_S.ALONE, (_A.DECAY,)),
+        (_S.ALONE, _E.MINORITY): Transition(_S.ALONE, (_A.LOWER_TO_MEDIAN,)),
+        (_S.ALONE, _E.MAJORITY): Transition(_S.LED, (_A.ADOPT_MAJORITY,)),
+        (_S.LED, _E.NO_VOTES): Transition(_S.CUT, (_A.DECAY,)),
+        (_S.LED, _E.MINORITY): Transition(_S.CUT, (_A.LOWER_TO_MEDIAN,)),
+        (_S.LED, _E.MAJORITY): Transition(_S.LED, (_A.ADOPT_MAJORITY,)),
+        (_S.CUT, _E.NO_VOTES): Transition(_S.CUT, (_A.DECAY,)),
+        (_S.CUT, _E.MINORITY): Transition(_S.CUT, (_A.LOWER_TO_MEDIAN,)),
+        (_S.CUT, _E.MAJORITY): Transition(_S.LED, (_A.ADOPT_MAJORITY,)),
+    }
+)
 
 
 def panel_of(server: int, fronts: int) -> tuple[int, ...]:
-    """The fronts that judge a box, by rendezvous hash."""
-    if fronts <= PANEL:
+    """The indexes of the fronts that vote on a server's limit, by rendezvous hashing."""
+    if fronts <= PANEL_SIZE:
         return tuple(range(fronts))
-    return tuple(sorted(range(fronts), key=lambda i: crc32(f"{server}/{i}".encode()))[:PANEL])
+    by_hash = sorted(range(fronts), key=lambda front: crc32(f"{server}/{front}".encode()))
+    return tuple(sorted(by_hash[:PANEL_SIZE]))
 
 
-def home_slots(server: int, whole: int, fronts: int, index: int) -> int:
-    """How many of the slots 0 to whole - 1 are at home at a front: slot k is at `(box + k) % fronts`."""
-    return len(range((index - server) % fronts, whole, fronts))
+def home_slots(server: int, limit: int, fronts: int, index: int) -> int:
+    """How many of a server's slots have their home at a front.
 
+    Slot k, of 0 to `limit` - 1, has its home at the front `(server + k) % fronts`.
+    """
+    first_slot = (index - server) % fronts
+    return len(range(first_slot, limit, fronts))
 
-def homes_of(server: int, whole: int, fronts: int, index: int) -> tuple[int, ...]:
-    """The other fronts at which some are at home."""
-    return tuple(i for slot in range(min(whole, fronts)) if (i := (server + slot) % fronts) != index)
+
+def other_homes(server: int, limit: int, fronts: int, index: int) -> tuple[int, ...]:
+    """The fronts, except `index`, at which some of a server's slots have their home."""
+    homes = ((server + slot) % fronts for slot in range(min(limit, fronts)))
+    return tuple(home for home in homes if home != index)
 
 
 @dataclass(frozen=True, slots=True)
 class QuorumVote:
-    """What one front of the panel says of a box."""
+    """What one front of the panel proposes for a server."""
+
+    limit: int
+    shape_limits: tuple[tuple[int, int], ...] = ()  # shape, slots that it requires
+
+
+@dataclass(frozen=True, slots=True)
+class _ReceivedVote:
+    """The newest vote of one front."""
+
+    incarnation: int  # of the sender
+    sequence: int  # in that incarnation
+    vote: QuorumVote
+    received_us: int
 
-    whole: int
-    parts: tuple[tuple[int, int], ...] = ()  # shape, slots that it needs
+    def is_valid(self, now_us: int) -> bool:
+        return now_us - self.received_us <= VOTE_VALIDITY_US
 
 
 @dataclass(slots=True)
 class QuorumAgreement:
-    """What counts at one front for one box. The caller hands in times."""
+    """The limit of one server that is in force at one front. The caller passes in times."""
 
     panel: tuple[int, ...]
-    whole: int  # in force
-    start: int
+    whole: int  # the limit in force
+    initial_limit: int
     now_us: int
     stand: AgreementState = AgreementState.ALONE
-    words: dict[int, tuple[int, int, QuorumVote, int]] = field(default_factory=dict)
-    led_us: int = 0  # when a majority last counted
+    votes: dict[int, _ReceivedVote] = field(default_factory=dict)  # by sender
+    last_majority_us: int = 0  # also when the limit last decayed
 
     def __post_init__(self) -> None:
-        self.led_us = self.now_us
+        """Start the decay now."""
+        self.last_majority_us = self.now_us
 
     @property
     def majority(self) -> int:
-        """Of the panel, whoever lives."""
+        """How many votes are a majority of the panel, whether or not all of its members are running."""
         return len(self.panel) // 2 + 1
 
-    def hear(self, sender: int, life: int, number: int, word: QuorumVote, now_us: int) -> bool:
-        """A word has come; whether it says something new. Only the panel's count."""
-        known = self.words.get(sender)
-        if sender not in self.panel or (known is not None and (life, number) <= known[:2]):
+    def on_vote(self, sender: int, incarnation: int, sequence: int, vote: QuorumVote, now_us: int) -> bool:
+        """Handle a vote. Those of fronts outside the panel, repeated and late ones are ignored.
+
+        Returns:
+            Whether the limit in force may change by it.
+        """
+        if sender not in self.panel:
+            return False
+        known = self.votes.get(sender)
+        if known is not None and (incarnation, sequence) <= (known.incarnation, known.sequence):
             return False
-        self.words[sender] = (life, number, word, now_us)
-        return known is None or known[2].whole != word.whole or now_us - known[3] > WORD_US
+        self.votes[sender] = _ReceivedVote(incarnation, sequence, vote, now_us)
+        return known is None or known.vote.limit != vote.limit or not known.is_valid(now_us)
 
-    def young(self, now_us: int) -> list[QuorumVote]:
-        """The words that count."""
-        return [word for _, _, word, heard_us in self.words.values() if now_us - heard_us <= WORD_US]
+    def valid_votes(self, now_us: int) -> list[QuorumVote]:
+        """The votes that were received recently enough to count."""
+        return [received.vote for received in self.votes.values() if received.is_valid(now_us)]
 
     def advance(self, now_us: int) -> int:
-        """The number in force from now on."""
-        said = sorted((word.whole for word in self.young(now_us)), reverse=True)
-        sign = (
-            AgreementSignal.NOBODY
-            if not said
-            else AgreementSignal.SOME
-            if len(said) < self.majority
-            else AgreementSignal.MAJORITY
-        )
-        self.stand, act = TRANSITIONS[self.stand, sign]
-        median = said[len(said) // 2] if said else self.whole
-        if act is AgreementAction.TAKE:
-            # At least a majority of the panel says so much: more counts by that alone, less by the median.
-            self.whole = max(said[self.majority - 1], min(self.whole, median))
-            self.led_us = now_us
-        elif act is AgreementAction.LOWER:
-            self.whole = min(self.whole, median)
-        if act is not AgreementAction.TAKE:
-            kept = aged(self.whole, self.start, now_us - self.led_us)
-            if kept < self.whole:
-                self.whole, self.led_us = kept, now_us
+        """Update the limit in force by the votes that are valid now, and return it."""
+        limits = sorted((vote.limit for vote in self.valid_votes(now_us)), reverse=True)
+        transition = TRANSITIONS.apply(self.stand, self._signal(len(limits)))
+        self.stand = transition.state
+        for action in transition.actions:
+            self._carry_out(action, limits, now_us)
         return self.whole
 
-    def parts(self, now_us: int) -> Mapping[int, int]:
-        """What each shape needs: the median of whoever names it."""
-        named: dict[int, list[int]] = {}
-        for word in self.young(now_us):
-            for shape, slots in word.parts:
-                named.setdefault(shape, []).append(slots)
-        return {shape: sorted(said)[len(said) // 2] for shape, said in named.items()}
+    def _signal(self, vote_count: int) -> AgreementSignal:
+        if vote_count == 0:
+            return AgreementSignal.NO_VOTES
+        if vote_count < self.majority:
+            return AgreementSignal.MINORITY
+        return AgreementSignal.MAJORITY
+
+    def _carry_out(self, action: AgreementAction, limits: list[int], now_us: int) -> None:
+        """Carry out an action; `limits` are those voted for, in descending order."""
+        if action is AgreementAction.ADOPT_MAJORITY:
+            # A majority votes for this limit or a higher one: that alone raises, the median lowers.
+            majority_limit = limits[self.majority - 1]
+            median = limits[len(limits) // 2]
+            self.whole = max(majority_limit, min(self.whole, median))
+            self.last_majority_us = now_us
+            return
+        if action is AgreementAction.LOWER_TO_MEDIAN:
+            self.whole = min(self.whole, limits[len(limits) // 2])
+        self._decay(now_us)
+
+    def _decay(self, now_us: int) -> None:
+        decayed = decayed_limit(self.whole, self.initial_limit, now_us - self.last_majority_us)
+        if decayed < self.whole:
+            self.whole = decayed
+            self.last_majority_us = now_us
+
+    def shape_limits(self, now_us: int) -> Mapping[int, int]:
+        """The slots that each shape requires: the median of the valid votes that name it."""
+        votes_by_shape: dict[int, list[int]] = {}
+        for vote in self.valid_votes(now_us):
+            for shape, slots in vote.shape_limits:
+                votes_by_shape.setdefault(shape, []).append(slots)
+        return {shape: sorted(slots)[len(slots) // 2] for shape, slots in votes_by_shape.items()}
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/replica.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/replica.py
@@ -12,7 +12,7 @@
 from statistics import median_low
 
 from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer
-from fennelcove.concurrency_limits.quorum import MOST_PARTS, QuorumAgreement, QuorumVote, panel_of
+from fennelcove.concurrency_limits.quorum import MAX_SHAPE_LIMITS, QuorumAgreement, QuorumVote, panel_of
 from fennelcove.concurrency_limits.latency_histogram import (
     WINDOW_US,
     GossipedHistograms,
@@ -21,17 +21,18 @@
     class_of,
     quantile_us,
 )
-from fennelcove.concurrency_limits.persisted import BORN_WITHIN_US, same_birth
-from fennelcove.concurrency_limits.adaptive_limit import AdaptiveLimit, LimitSettings, part_of
+from fennelcove.concurrency_limits.persisted import START_TOLERANCE_US, is_same_start
+from fennelcove.concurrency_limits.adaptive_limit import AdaptiveLimit, LimitSettings
+from fennelcove.concurrency_limits.workload_shape import shape_share
 from fennelcove.concurrency_limits.quota_loans import LOAN_US, QuotaLoans
 
-MOST_SERVERS = 10_000
-MOST_ROWS = 12  # of one box that are told
-KIND_PART = 0.5  # of its kind's number, what a box begins with
-SMALL = 32  # a fleet in which words go to everybody
-MOST_BEGUN = 64
-OLD_US = 65_535_000_000  # an age from which on a box is told as one of long ago
-USERS_US = 60_000_000  # for how long a front that told of a box is told about it
+MAX_SERVERS = 10_000
+MAX_ROWS = 12  # of one box that are told
+INITIAL_SHARE_OF_KIND = 0.5  # of its kind's number, what a box begins with
+SMALL_FLEET = 32  # a fleet in which words go to everybody
+MAX_INCARNATION_RECIPIENTS = 64
+MAX_REPORTED_AGE_US = 65_535_000_000  # an age from which on a box is told as one of long ago
+REPORTER_VALIDITY_US = 60_000_000  # for how long a front that told of a box is told about it
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,26 +41,26 @@
 
     takers: tuple[int, ...]
     server: int
-    born_us: int  # of the box, by the sender's clock; 0 for long ago
+    started_us: int  # of the box, by the sender's clock; 0 for long ago
     rows: tuple[Row, ...] = ()
-    word: QuorumVote | None = None
+    vote: QuorumVote | None = None
 
 
 @dataclass(slots=True)
 class ServerLimits:
     """What one front holds of one box."""
 
-    name: int
+    key: int
     kind: str
     born_us: int
     agreed: QuorumAgreement
     lot: QuotaLoans
-    own: OwnHistograms = field(default_factory=OwnHistograms)
-    heard: GossipedHistograms = field(default_factory=GossipedHistograms)  # of the panel's members alone
+    own_histograms: OwnHistograms = field(default_factory=OwnHistograms)
+    gossip: GossipedHistograms = field(default_factory=GossipedHistograms)  # of the panel's members alone
     learner: AdaptiveLimit | None = None
-    users: dict[int, int] = field(default_factory=dict)  # who told of it, and when
+    reporters: dict[int, int] = field(default_factory=dict)  # who told of it, and when
     holds: dict[int, float] = field(default_factory=dict)  # medians by shape
-    busiest: int = 0  # joins out at a time, of late
+    peak_in_flight: int = 0  # joins out at a time, of late
 
 
 @dataclass(slots=True)
@@ -83,13 +84,13 @@
 
     def begun(self) -> tuple[int, ...]:
         """Whom to tell that this life has begun, until they have answered; some at a time."""
-        return tuple(sorted(self.unclear)[:MOST_BEGUN])
+        return tuple(sorted(self.unclear)[:MAX_INCARNATION_RECIPIENTS])
 
     def hear_begun(self, sender: int, now_us: int) -> bool:
         """Another begins anew: whether nothing it lent before is used here, to be answered then."""
         if not 0 <= sender < self.fronts or sender == self.index:
             return False
-        return all([server.lot.hear_begun(sender, now_us) for server in self.servers.values()])
+        return all([server.lot.on_incarnation_started(sender, now_us) for server in self.servers.values()])
 
     def hear_clear(self, sender: int, life: int) -> bool:
         """One answers; whether all have, and what is at home here may be used and lent."""
@@ -107,9 +108,13 @@
     ) -> bool:
         """A box is there; whether it is a new one. With `kept` it begins there, else where its kind is."""
         known = self.servers.get(name)
-        if known is not None and known.kind == kind and (not born_us or same_birth(known.born_us, born_us)):
+        if (
+            known is not None
+            and known.kind == kind
+            and (not born_us or is_same_start(known.born_us, born_us))
+        ):
             return False  # a list that no longer says when it began means the same box
-        if known is None and len(self.servers) >= MOST_SERVERS:
+        if known is None and len(self.servers) >= MAX_SERVERS:
             return False
         whole = kept if kept is not None else self.terms.start if cold else self._of_kind(kind, now_us)
         panel = panel_of(name, self.fronts)
@@ -124,7 +129,7 @@
         if self.index in panel:
             server.learner = AdaptiveLimit(self.terms, whole, now_us)
         lot.purse.cleared = not self.unclear
-        lot.set_whole(whole, now_us)
+        lot.set_limit(whole, now_us)
         self.servers[name] = server
         return True
 
@@ -137,9 +142,13 @@
         known = [
             server.agreed.whole
             for server in self.servers.values()
-            if server.kind == kind and server.learner is not None and server.learner.own
+            if server.kind == kind and server.learner is not None and server.learner.has_own_figures
         ]
-        return max(self.terms.start, round(KIND_PART * median_low(known))) if known else self.terms.start
+        return (
+            max(self.terms.start, round(INITIAL_SHARE_OF_KIND * median_low(known)))
+            if known
+            else self.terms.start
+        )
 
     # What is asked of it.
 
@@ -152,19 +161,21 @@
         mine = server.lot.most(now_us, allow_us)
         if shape is None or mine < 2:
             return mine
-        return part_of(mine, self._own_parts(server, mine, now_us), shape)
+        return shape_share(mine, self._own_parts(server, mine, now_us), shape)
 
     def _own_parts(self, server: ServerLimits, mine: int, now_us: int) -> Mapping[int, int]:
         """This front's share of what each shape needs, rounded up."""
         whole = max(1, server.agreed.whole)
-        return {shape: -(-slots * mine // whole) for shape, slots in server.agreed.parts(now_us).items()}
+        return {
+            shape: -(-slots * mine // whole) for shape, slots in server.agreed.shape_limits(now_us).items()
+        }
 
     def links(self, name: int, now_us: int) -> int:
         """How many connections to keep to a box, idle ones included."""
         server = self.servers.get(name)
         if server is None:
             return 0
-        return max(server.lot.out, min(server.lot.most(now_us), server.busiest + 1))
+        return max(server.lot.out, min(server.lot.most(now_us), server.peak_in_flight + 1))
 
     def hold_us(self, name: int, shape: int) -> float | None:
         """How long such a join holds a slot there, in the middle: by the box's own figures, else its kind's,
@@ -187,28 +198,28 @@
     def sent(self, name: int, shape: int, now_us: int, allow_us: int, waited_us: int = 0) -> None:
         """A join has left; it lasts `allow_us` at most, and waited so long for its slot."""
         if (server := self.servers.get(name)) is not None:
-            server.lot.sent(now_us, allow_us)
-            server.busiest = max(server.busiest, server.lot.out)
-            tally = server.own.tally(shape)
-            tally.asked += 1
+            server.lot.on_attempt_started(now_us, allow_us)
+            server.peak_in_flight = max(server.peak_in_flight, server.lot.out)
+            tally = server.own_histograms.current_of(shape)
+            tally.requested += 1
             if waited_us > 0:
-                tally.wait(class_of(waited_us))
+                tally.add_waiting_time(class_of(waited_us))
 
     def ended(self, name: int, shape: int, held_us: int, answered: bool | None) -> None:
         """It is over, and its slot is back; None where that says nothing of the box's pace."""
         if (server := self.servers.get(name)) is not None:
-            server.lot.ended()
+            server.lot.on_attempt_ended()
             if answered is None:
                 return
-            tally = server.own.tally(shape)
-            tally.hold(class_of(held_us))
-            tally.lost += not answered
+            tally = server.own_histograms.current_of(shape)
+            tally.add_service_time(class_of(held_us))
+            tally.unanswered += not answered
 
     def denied(self, name: int, shape: int) -> None:
         """One was given up for want of a slot."""
         if (server := self.servers.get(name)) is not None:
-            tally = server.own.tally(shape)
-            tally.asked += 1
+            tally = server.own_histograms.current_of(shape)
+            tally.requested += 1
             tally.denied += 1
 
     # Windows.
@@ -226,58 +237,60 @@
         return told
 
     def _turn(self, server: ServerLimits, windows: int, now_us: int) -> Iterator[ReplicaMessages]:
-        server.own.close(windows)
-        server.busiest = max(server.lot.out, server.busiest - windows)
-        rows = server.own.rows(MOST_ROWS)
+        server.own_histograms.close_windows(windows)
+        server.peak_in_flight = max(server.lot.out, server.peak_in_flight - windows)
+        rows = server.own_histograms.rows(MAX_ROWS)
         for row in rows:
-            if (median := quantile_us(dict(row.holds), 0.5)) is not None:
+            if (median := quantile_us(dict(row.service_times), 0.5)) is not None:
                 server.holds[row.shape] = median
         if rows:
             others = tuple(i for i in server.agreed.panel if i != self.index)
             if others:
-                yield ReplicaMessages(others, server.name, server.born_us, rows=rows)
+                yield ReplicaMessages(others, server.key, server.born_us, rows=rows)
         if server.learner is not None:
             for row in rows:
-                server.heard.hear(self.index, self.life, self.number, row, now_us)
-            server.heard.forget(now_us)
+                server.gossip.on_row(self.index, self.life, self.number, row, now_us)
+            server.gossip.remove_stale(now_us)
             word = self._learn(server, server.learner, now_us)
             takers = self._takers(server, now_us)
             if takers:
-                yield ReplicaMessages(takers, server.name, server.born_us, word=word)
+                yield ReplicaMessages(takers, server.key, server.born_us, vote=word)
         self._settle(server, now_us)
 
     def _learn(self, server: ServerLimits, learner: AdaptiveLimit, now_us: int) -> QuorumVote:
-        seen = server.heard.merged(now_us)
-        learner.window(seen, server.agreed.whole, now_us)
-        server.holds.update(learner.medians)
-        parts = sorted(learner.parts.items(), key=lambda part: (-part[1], part[0]))[:MOST_PARTS]
-        word = QuorumVote(learner.whole, tuple(parts))
-        server.agreed.hear(self.index, self.life, self.number, word, now_us)
+        seen = server.gossip.merged(now_us)
+        learner.on_window_closed(seen, server.agreed.whole, now_us)
+        server.holds.update(learner.samples.median_service_us)
+        parts = sorted(learner.shape_limits.items(), key=lambda part: (-part[1], part[0]))[:MAX_SHAPE_LIMITS]
+        word = QuorumVote(learner.limit, tuple(parts))
+        server.agreed.on_vote(self.index, self.life, self.number, word, now_us)
         return word
 
     def _takers(self, server: ServerLimits, now_us: int) -> tuple[int, ...]:
-        if self.fronts <= SMALL:
+        if self.fronts <= SMALL_FLEET:
             return tuple(i for i in range(self.fronts) if i != self.index)
-        server.users = {i: at_us for i, at_us in server.users.items() if now_us - at_us <= USERS_US}
-        return tuple(sorted({*server.agreed.panel, *server.users} - {self.index}))
+        server.reporters = {
+            i: at_us for i, at_us in server.reporters.items() if now_us - at_us <= REPORTER_VALIDITY_US
+        }
+        return tuple(sorted({*server.agreed.panel, *server.reporters} - {self.index}))
 
     def _settle(self, server: ServerLimits, now_us: int) -> bool:
         before = server.agreed.whole
-        server.lot.set_whole(server.agreed.advance(now_us), now_us)
+        server.lot.set_limit(server.agreed.advance(now_us), now_us)
         return server.agreed.whole > before
 
     # What is heard.
 
     def hear(self, sender: int, life: int, number: int, told: ReplicaMessages, now_us: int) -> bool:
         """Another front tells of a box; whether more may be out there now."""
-        server = self._named(sender, told.server, told.born_us, now_us)
+        server = self._named(sender, told.server, told.started_us, now_us)
         if server is None:
             return False
         if told.rows and server.learner is not None:
-            server.users[sender] = now_us
+            server.reporters[sender] = now_us
             for row in told.rows:
-                server.heard.hear(sender, life, number, row, now_us)
-        if told.word is not None and server.agreed.hear(sender, life, number, told.word, now_us):
+                server.gossip.on_row(sender, life, number, row, now_us)
+        if told.vote is not None and server.agreed.on_vote(sender, life, number, told.vote, now_us):
             return self._settle(server, now_us)
         return False
 
@@ -285,9 +298,9 @@
         server = self.servers.get(name)
         if server is None or not 0 <= sender < self.fronts or sender == self.index:
             return None
-        mine_us = server.born_us if now_us - server.born_us < OLD_US - BORN_WITHIN_US else 0
-        told_us = born_us if now_us - born_us < OLD_US - BORN_WITHIN_US else 0
-        return server if same_birth(mine_us, told_us) else None
+        mine_us = server.born_us if now_us - server.born_us < MAX_REPORTED_AGE_US - START_TOLERANCE_US else 0
+        told_us = born_us if now_us - born_us < MAX_REPORTED_AGE_US - START_TOLERANCE_US else 0
+        return server if is_same_start(mine_us, told_us) else None
 
     def trade(
         self, draw: float, now_us: int, names: Iterable[int] | None = None
@@ -297,17 +310,17 @@
         for name in self.servers if names is None else names:
             lot = self.servers[name].lot
             if lot.waiting:
-                found += [(to, name, ask) for to, ask in lot.ask(draw, now_us)]
-            if lot.owes:
-                found += [(to, name, back) for to, back in lot.backs(now_us)]
+                found += [(to, name, ask) for to, ask in lot.request_slots(draw, now_us)]
+            if lot.may_return:
+                found += [(to, name, back) for to, back in lot.return_slots(now_us)]
         return found
 
     def hear_ask(self, sender: int, name: int, ask: QuotaRequest, now_us: int) -> QuotaTransfer | None:
         """Another asks for slots: what it is lent."""
         server = self.servers.get(name)
-        return server.lot.hear_ask(sender, ask, now_us) if server is not None else None
+        return server.lot.on_request(sender, ask, now_us) if server is not None else None
 
     def hear_loan(self, sender: int, name: int, loan: QuotaTransfer, now_us: int) -> bool:
         """Another lends or gives back; whether more may be out there now."""
         server = self.servers.get(name)
-        return server is not None and server.lot.hear_loan(sender, loan, now_us)
+        return server is not None and server.lot.on_transfer(sender, loan, now_us)
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/workload_shape.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/workload_shape.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
-MOST_ROOMS = 8
+from collections.abc import Mapping
+
+MAX_SERVICE_CLASSES = 8
 BANDS = 3  # low, middle and high rungs
-MOST_SHAPES = MOST_ROOMS * BANDS * 2
+MAX_SHAPES = MAX_SERVICE_CLASSES * BANDS * 2
 BAND_NAMES = ("low", "middle", "high")
 
 
@@ -21,7 +23,7 @@
         ready: the title is at hand at the box, and the box is warm.
     """
     band = min(BANDS - 1, max(0, rung) * BANDS // max(1, rungs))
-    return (min(service_class, MOST_ROOMS - 1) * BANDS + band) * 2 + ready
+    return (min(service_class, MAX_SERVICE_CLASSES - 1) * BANDS + band) * 2 + ready
 
 
 def name_of(shape: int, service_classes: tuple[str, ...]) -> str:
@@ -33,3 +35,23 @@
         else f"room type {service_class}"
     )
     return f"{name} {BAND_NAMES[rest // 2]} {'ready' if rest % 2 else 'cold'}"
+
+
+def shape_share(slots: int, shape_limits: Mapping[int, int], shape: int) -> int:
+    """How many of `slots` the attempts of one shape may use.
+
+    It is what the other shapes do not require, and at least its share by requirement. So a slow shape never
+    uses all slots while fast ones require some.
+
+    Args:
+        slots: all that there are.
+        shape_limits: the slots that each shape requires.
+        shape: one that `shape_limits` does not name requires one.
+    """
+    required = shape_limits.get(shape, 1)
+    total = sum(shape_limits.values())
+    if shape not in shape_limits:
+        total += required
+    residual = slots - (total - required)
+    fair_share = slots * required // max(1, total)
+    return max(1, min(slots, max(residual, fair_share)))
--- a/packages/messages/src/fennelcove/limit_messages.py
+++ b/packages/messages/src/fennelcove/limit_messages.py
@@ -9,9 +9,9 @@
 import struct
 from collections.abc import Iterator, Sequence
 
-from fennelcove.concurrency_limits.latency_histogram import LAST, Classes, Row
+from fennelcove.concurrency_limits.latency_histogram import LAST_CLASS, ClassCounts, Row
 from fennelcove.concurrency_limits.quorum import QuorumVote
-from fennelcove.concurrency_limits.replica import OLD_US, ReplicaMessages
+from fennelcove.concurrency_limits.replica import MAX_REPORTED_AGE_US, ReplicaMessages
 from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Resource
 
 MAX_BYTES = 256
@@ -31,7 +31,7 @@
 OF_SERVER = 1  # the one kind of row that is known
 END_OF_CLASSES = 255
 US_PER_S = 1_000_000
-OLD_S = OLD_US // US_PER_S
+OLD_S = MAX_REPORTED_AGE_US // US_PER_S
 MAX_SERVICE_CLASSES, MAX_WAITING_CLASSES = 40, 24  # of a row: the most frequent ones
 MAX_COUNT = 255
 MAX_SLOTS = 65_535
@@ -40,7 +40,7 @@
 def encode(incarnation: int, sequence: int, reports: Sequence[ReplicaMessages], now_us: int) -> list[bytes]:
     """Encode what a replica reports, into messages of 256 bytes at most each."""
     counts = [_encode_counts(report, row, now_us) for report in reports for row in report.rows]
-    votes = [_encode_vote(report, report.word, now_us) for report in reports if report.word is not None]
+    votes = [_encode_vote(report, report.vote, now_us) for report in reports if report.vote is not None]
     messages = _fill_messages(HEAD.pack(ROWS, incarnation, sequence), counts)
     return messages + _fill_messages(HEAD.pack(WORDS, incarnation, sequence), votes)
 
@@ -71,7 +71,7 @@
     return ROW_HEAD.pack(OF_SERVER, len(body)) + body
 
 
-def _encode_classes(classes: Classes, max_classes: int) -> bytes:
+def _encode_classes(classes: ClassCounts, max_classes: int) -> bytes:
     most_frequent = sorted(classes, key=lambda pair: (-pair[1], pair[0]))[:max_classes]
     return b"".join(
         CLASS_COUNT.pack(number, min(MAX_COUNT, count)) for number, count in sorted(most_frequent)
@@ -79,16 +79,16 @@
 
 
 def _encode_counts(report: ReplicaMessages, row: Row, now_us: int) -> bytes:
-    age_s = _age_s(report.born_us, now_us)
-    head = COUNTS.pack(report.server, age_s, row.shape, row.asked, row.denied, row.lost)
-    service_times = _encode_classes(row.holds, MAX_SERVICE_CLASSES)
-    waiting_times = _encode_classes(row.waits, MAX_WAITING_CLASSES)
+    age_s = _age_s(report.started_us, now_us)
+    head = COUNTS.pack(report.server, age_s, row.shape, row.requested, row.denied, row.unanswered)
+    service_times = _encode_classes(row.service_times, MAX_SERVICE_CLASSES)
+    waiting_times = _encode_classes(row.waiting_times, MAX_WAITING_CLASSES)
     return _encode_row(head + service_times + bytes([END_OF_CLASSES]) + waiting_times)
 
 
 def _encode_vote(report: ReplicaMessages, vote: QuorumVote, now_us: int) -> bytes:
-    head = VOTE.pack(report.server, _age_s(report.born_us, now_us), min(MAX_SLOTS, vote.whole))
-    limits = b"".join(SHAPE_LIMIT.pack(shape, min(MAX_SLOTS, slots)) for shape, slots in vote.parts)
+    head = VOTE.pack(report.server, _age_s(report.started_us, now_us), min(MAX_SLOTS, vote.limit))
+    limits = b"".join(SHAPE_LIMIT.pack(shape, min(MAX_SLOTS, slots)) for shape, slots in vote.shape_limits)
     return _encode_row(head + limits)
 
 
@@ -145,9 +145,9 @@
     return ReplicaMessages((), server, _started_us(age_s, now_us), rows=(row,))
 
 
-def _decode_classes(raw: bytes) -> Classes | None:
+def _decode_classes(raw: bytes) -> ClassCounts | None:
     classes = tuple(CLASS_COUNT.iter_unpack(raw))
-    return classes if all(number <= LAST for number, _ in classes) else None
+    return classes if all(number <= LAST_CLASS for number, _ in classes) else None
 
 
 def _decode_vote(body: bytes, now_us: int) -> ReplicaMessages | None:
@@ -157,7 +157,7 @@
     if not whole:
         return None
     limits = tuple((shape, slots) for shape, slots in SHAPE_LIMIT.iter_unpack(body[VOTE.size :]))
-    return ReplicaMessages((), server, _started_us(age_s, now_us), word=QuorumVote(whole, limits))
+    return ReplicaMessages((), server, _started_us(age_s, now_us), vote=QuorumVote(whole, limits))
 
 
 def pack_trade(server: int, message: QuotaRequest | QuotaTransfer) -> bytes:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -21,11 +21,11 @@
 from fennelcove.settings.schema import Instance, RoomTypeSettings, SlotSettings
 from fennelcove.concurrency_limits import erlang, persisted, adaptive_limit
 from fennelcove.concurrency_limits.quorum import (
-    WORD_US,
+    VOTE_VALIDITY_US,
     QuorumAgreement,
     QuorumVote,
     home_slots,
-    homes_of,
+    other_homes,
     panel_of,
 )
 from fennelcove.concurrency_limits.latency_histogram import (
@@ -34,20 +34,20 @@
     Row,
     ObservedLatency,
     class_of,
-    edges_us,
+    class_bounds_us,
     quantile_us,
 )
-from fennelcove.concurrency_limits.adaptive_limit import (
+from fennelcove.concurrency_limits.adaptive_limit import AdaptiveLimit, LimitSettings
+from fennelcove.concurrency_limits.limit_decay import HALF_LIFE_US, decayed_limit
+from fennelcove.concurrency_limits.limit_transitions import (
+    TRANSITIONS,
     LimitAction,
-    AdaptiveLimit,
+    LimitSignal,
     LimitState,
-    LimitSettings,
-    aged,
-    part_of,
 )
 from fennelcove.concurrency_limits.quota_loans import LOAN_US, QuotaLoans
 from fennelcove.concurrency_limits.replica import Replica, ReplicaMessages
-from fennelcove.concurrency_limits.workload_shape import MOST_SHAPES, name_of, shape_of
+from fennelcove.concurrency_limits.workload_shape import MAX_SHAPES, name_of, shape_of, shape_share
 
 MINUTE = 60_000_000
 
@@ -65,7 +65,7 @@
 class CountsTest(unittest.TestCase):
     def test_a_time_lies_between_the_edges_of_its_class(self) -> None:
         for us in (0, 999, 1000, 1001, 54_321, 1_000_000, 30_000_000):
-            low, high = edges_us(class_of(us))
+            low, high = class_bounds_us(class_of(us))
             self.assertLessEqual(low, us + 1)
             self.assertGreaterEqual(high * 1.000001, us)
 
@@ -84,9 +84,11 @@
             chance.shuffle(order)
             heard = GossipedHistograms()
             for one in order:
-                heard.hear(*one, now_us=0)
+                heard.on_row(*one, now_us=0)
             merged = heard.merged(0)
-            found.append({shape: (s.asked, sorted(s.holds.items())) for shape, s in sorted(merged.items())})
+            found.append(
+                {shape: (s.requested, sorted(s.service_times.items())) for shape, s in sorted(merged.items())}
+            )
         # Rows of one shape are the newest of each front; sums of floats in another order differ by rounding.
         for other in found[1:]:
             self.assertEqual(other.keys(), found[0].keys())
@@ -99,36 +101,36 @@
     def test_one_that_tells_a_hundred_times_more_does_not_move_the_median_out_of_the_others(self) -> None:
         heard = GossipedHistograms()
         for front, hold_ms in ((0, 90), (1, 100), (2, 110)):
-            heard.hear(front, 1, 1, row(hold_ms, 20), 0)
-        heard.hear(3, 1, 1, row(30_000, 2000, asked=60_000), 0)
+            heard.on_row(front, 1, 1, row(hold_ms, 20), 0)
+        heard.on_row(3, 1, 1, row(30_000, 2000, asked=60_000), 0)
         merged = heard.merged(0)[0]
-        median = quantile_us(merged.holds, 0.5)
+        median = quantile_us(merged.service_times, 0.5)
         assert median is not None
         self.assertLess(median, 140_000)
-        self.assertLessEqual(merged.asked, 2 * 60)
+        self.assertLessEqual(merged.requested, 2 * 60)
 
     def test_windows_that_are_over_are_forgotten(self) -> None:
         own = OwnHistograms()
-        own.tally(0).hold(5)
-        own.close(1)
+        own.current_of(0).add_service_time(5)
+        own.close_windows(1)
         self.assertEqual(len(own.rows(9)), 1)
-        own.close(4)
+        own.close_windows(4)
         self.assertEqual(own.rows(9), ())
 
 
 class ErlangTest(unittest.TestCase):
     def test_known_values(self) -> None:
-        self.assertAlmostEqual(erlang.delayed(10, 8.0), 0.4092, places=3)
-        self.assertAlmostEqual(erlang.delayed(1, 0.5), 0.5)
-        self.assertEqual(erlang.delayed(4, 4.0), 1.0)
+        self.assertAlmostEqual(erlang.waiting_probability(10, 8.0), 0.4092, places=3)
+        self.assertAlmostEqual(erlang.waiting_probability(1, 0.5), 0.5)
+        self.assertEqual(erlang.waiting_probability(4, 4.0), 1.0)
 
     @settings(max_examples=60, deadline=None)
     @given(st.floats(0.1, 200), st.floats(0.01, 2))
     def test_what_is_needed_is_enough_and_one_fewer_is_not(self, rate: float, hold_s: float) -> None:
-        slots = erlang.needed(rate, hold_s, 0.0, 0.05)
-        self.assertLessEqual(erlang.delayed(slots, rate * hold_s), 0.05)
+        slots = erlang.required_slots(rate, hold_s, 0.0, 0.05)
+        self.assertLessEqual(erlang.waiting_probability(slots, rate * hold_s), 0.05)
         if slots > 1:
-            self.assertGreater(erlang.delayed(slots - 1, rate * hold_s), 0.05)
+            self.assertGreater(erlang.waiting_probability(slots - 1, rate * hold_s), 0.05)
 
 
 class Driver:
@@ -144,34 +146,34 @@
         acts = []
         for _ in range(round(seconds * 2)):
             self.now_us += 500_000
-            acts.append(self.learner.window(figures or {}, self.learner.whole, self.now_us))
+            acts.append(self.learner.on_window_closed(figures or {}, self.learner.limit, self.now_us))
         return [act for act in acts if act is not LimitAction.KEEP]
 
 
 class LearnerTest(unittest.TestCase):
     def test_every_phase_has_an_act_for_what_figures_may_say(self) -> None:
-        read = set(adaptive_limit.LimitSignal) - {
-            adaptive_limit.LimitSignal.ALONE,
-            adaptive_limit.LimitSignal.RESTED,
-            adaptive_limit.LimitSignal.STUCK,
+        read = set(LimitSignal) - {
+            LimitSignal.NOT_AGREED,
+            LimitSignal.BACKOFF_ENDED,
+            LimitSignal.FALL_DID_NOT_HELP,
         }
         for phase in LimitState:
             for sign in read:
-                self.assertIn((phase, sign), adaptive_limit.TRANSITIONS)
+                self.assertIn((phase, sign), TRANSITIONS)
         self.assertEqual(set(adaptive_limit.ACTIONS), set(LimitAction))
 
     def test_it_rises_in_small_steps_and_stops_where_nobody_waits(self) -> None:
         driver = Driver(8)
         driver.run(6, {0: seen(100, 100)})
-        wholes = [driver.learner.whole]
+        wholes = [driver.learner.limit]
         for _ in range(40):
             busy = {0: seen(100, 600, waits=True)}  # 30 joins in a hold time and some: 40 and more are needed
             driver.run(0.5, busy)
-            if driver.learner.whole != wholes[-1]:
-                wholes.append(driver.learner.whole)
+            if driver.learner.limit != wholes[-1]:
+                wholes.append(driver.learner.limit)
         self.assertGreater(wholes[-1], 30)
         for before, after in pairwise(wholes):
-            self.assertLessEqual(after - before, max(1, before // adaptive_limit.FAR_STEP))
+            self.assertLessEqual(after - before, max(1, before // adaptive_limit.FAR_RISE_DIVISOR))
         self.assertEqual(driver.run(20, {0: seen(100, 60)}), [])
 
     def test_a_rise_that_makes_holds_longer_is_taken_back_and_none_follows_at_once(self) -> None:
@@ -180,21 +182,21 @@
         driver.run(6, {0: seen(100, 600)})
         while driver.learner.phase is not LimitState.PROVING:
             driver.run(0.5, busy)
-        before = driver.learner.before
+        before = driver.learner.previous_limit
         acts = driver.run(5, {0: seen(220, 600, waits=True)})
         self.assertEqual(acts[0], LimitAction.TAKE_BACK)
-        self.assertLessEqual(driver.learner.whole, before)
+        self.assertLessEqual(driver.learner.limit, before)
         self.assertNotIn(LimitAction.RISE, acts)
 
     def test_it_falls_within_seconds_and_never_under_the_least(self) -> None:
         driver = Driver(64)
         driver.run(10, {0: seen(100, 400)})
         for _ in range(16):
-            driver.run(0.5, {0: seen(100 * driver.learner.whole / 16, 400)})  # its knee is at 16 now
-        self.assertLessEqual(driver.learner.whole, 32)
+            driver.run(0.5, {0: seen(100 * driver.learner.limit / 16, 400)})  # its knee is at 16 now
+        self.assertLessEqual(driver.learner.limit, 32)
         for factor in (2, 4, 8, 16, 32, 64):
             driver.run(8, {0: seen(400 * factor, 400)})
-            self.assertGreaterEqual(driver.learner.whole, driver.learner.terms.least)
+            self.assertGreaterEqual(driver.learner.limit, driver.learner.settings.min_limit)
 
     def test_a_box_made_slow_by_others_is_not_fallen_for_without_end(self) -> None:
         driver = Driver(40)
@@ -202,7 +204,7 @@
         acts = driver.run(60, {0: seen(300, 400)})  # whatever is out, from now on
         self.assertIn(LimitAction.LEARN_ANEW, acts)
         self.assertLessEqual(acts.count(LimitAction.FALL), 3)
-        self.assertGreaterEqual(driver.learner.whole, 30)
+        self.assertGreaterEqual(driver.learner.limit, 30)
 
     def test_one_slow_shape_among_fast_is_no_slow_box(self) -> None:
         driver = Driver(40)
@@ -212,10 +214,10 @@
 
     def test_a_slow_shape_leaves_what_the_others_need(self) -> None:
         parts = {0: 10, 1: 30}
-        self.assertEqual(part_of(40, parts, 1), 30)
-        self.assertEqual(part_of(20, parts, 1), 15)
-        self.assertEqual(part_of(60, parts, 1), 50)  # what is idle is used
-        self.assertEqual(part_of(1, parts, 1), 1)
+        self.assertEqual(shape_share(40, parts, 1), 30)
+        self.assertEqual(shape_share(20, parts, 1), 15)
+        self.assertEqual(shape_share(60, parts, 1), 50)  # what is idle is used
+        self.assertEqual(shape_share(1, parts, 1), 1)
 
     def test_joins_that_are_not_answered_bring_it_down_however_short_the_rest_are(self) -> None:
         driver = Driver(40)
@@ -223,17 +225,17 @@
         acts = driver.run(30, {0: seen(100, 100, lost=50)})
         self.assertEqual(acts[0], LimitAction.HALVE)
         self.assertNotIn(LimitAction.LEARN_ANEW, acts)
-        self.assertLess(driver.learner.whole, 10)
+        self.assertLess(driver.learner.limit, 10)
 
     def test_a_quiet_hour_ages_it_to_the_first_number_and_not_under(self) -> None:
         driver = Driver(100, start=16)
         driver.run(20, {0: seen(100, 400)})
         driver.run(600, None)
-        self.assertLess(driver.learner.whole, 75)
+        self.assertLess(driver.learner.limit, 75)
         driver.run(3000, None)
-        self.assertLessEqual(driver.learner.whole, 20)
-        self.assertGreaterEqual(driver.learner.whole, 16)
-        self.assertEqual(aged(5, 16, MINUTE), 5)
+        self.assertLessEqual(driver.learner.limit, 20)
+        self.assertGreaterEqual(driver.learner.limit, 16)
+        self.assertEqual(decayed_limit(5, 16, MINUTE), 5)
 
     def test_a_heavy_tail_alone_brings_no_fall(self) -> None:
         chance, driver, falls = Random(5), Driver(40), 0
@@ -251,15 +253,15 @@
         acts = driver.run(45, {0: seen(140, 400, waits=True)})
         self.assertIn(LimitAction.DIP, acts)
         self.assertIn(LimitAction.TAKE_BACK, acts)
-        self.assertEqual(driver.learner.whole, 40)
+        self.assertEqual(driver.learner.limit, 40)
 
     def test_what_the_others_do_not_want_is_given_up(self) -> None:
         learner, now = AdaptiveLimit(LimitSettings(), 16, MINUTE), MINUTE
-        learner.whole, learner.phase, learner.acted_us = 22, LimitState.PROVING, now
+        learner.limit, learner.phase, learner.last_action_us = 22, LimitState.PROVING, now
         for _ in range(20):
             now += 500_000
-            learner.window({}, 16, now)
-        self.assertEqual(learner.whole, 16)
+            learner.on_window_closed({}, 16, now)
+        self.assertEqual(learner.limit, 16)
 
 
 class AgreedTest(unittest.TestCase):
@@ -269,39 +271,39 @@
     def test_a_majority_raises_and_fewer_do_not(self) -> None:
         agreed = self.agreed()
         for sender in (0, 1):
-            agreed.hear(sender, 1, 1, QuorumVote(20), MINUTE)
+            agreed.on_vote(sender, 1, 1, QuorumVote(20), MINUTE)
         self.assertEqual(agreed.advance(MINUTE), 10)
-        agreed.hear(2, 1, 1, QuorumVote(15), MINUTE)
+        agreed.on_vote(2, 1, 1, QuorumVote(15), MINUTE)
         self.assertEqual(agreed.advance(MINUTE), 15)
 
     def test_a_liar_neither_raises_nor_lowers(self) -> None:
         for lie in (1, 10_000):
             agreed = self.agreed()
             for sender in range(4):
-                agreed.hear(sender, 1, 1, QuorumVote(20), MINUTE)
-            agreed.hear(4, 1, 1, QuorumVote(lie), MINUTE)
+                agreed.on_vote(sender, 1, 1, QuorumVote(20), MINUTE)
+            agreed.on_vote(4, 1, 1, QuorumVote(lie), MINUTE)
             self.assertEqual(agreed.advance(MINUTE), 20)
 
     def test_the_smaller_half_falls_with_whom_it_hears_and_never_rises(self) -> None:
         agreed = self.agreed()
         for sender in range(5):
-            agreed.hear(sender, 1, 1, QuorumVote(20), MINUTE)
+            agreed.on_vote(sender, 1, 1, QuorumVote(20), MINUTE)
         agreed.advance(MINUTE)
-        now = MINUTE + WORD_US + 1
+        now = MINUTE + VOTE_VALIDITY_US + 1
         for sender in (0, 1):
-            agreed.hear(sender, 1, 2, QuorumVote(40), now)
+            agreed.on_vote(sender, 1, 2, QuorumVote(40), now)
         self.assertEqual(agreed.advance(now), 20)
         for sender in (0, 1):
-            agreed.hear(sender, 1, 3, QuorumVote(6), now)
+            agreed.on_vote(sender, 1, 3, QuorumVote(6), now)
         self.assertEqual(agreed.advance(now), 6)
 
     def test_doubled_late_and_foreign_words_say_nothing(self) -> None:
         agreed = self.agreed(3)
         for sender in range(3):
-            agreed.hear(sender, 2, 5, QuorumVote(8), MINUTE)
+            agreed.on_vote(sender, 2, 5, QuorumVote(8), MINUTE)
         for life, number in ((2, 5), (2, 4), (1, 99)):
-            self.assertFalse(agreed.hear(0, life, number, QuorumVote(30), MINUTE))
-        self.assertFalse(agreed.hear(9, 9, 9, QuorumVote(30), MINUTE))
+            self.assertFalse(agreed.on_vote(0, life, number, QuorumVote(30), MINUTE))
+        self.assertFalse(agreed.on_vote(9, 9, 9, QuorumVote(30), MINUTE))
         self.assertEqual(agreed.advance(MINUTE), 8)
 
     @settings(max_examples=100, deadline=None)
@@ -316,7 +318,7 @@
         same = [home_slots(box, 50, fronts, i) for i in range(fronts)]
         self.assertEqual(sum(same), 50)
         others = {i for i in range(1, fronts) if same[i]}
-        self.assertEqual(set(homes_of(box, 50, fronts, 0)), others)
+        self.assertEqual(set(other_homes(box, 50, fronts, 0)), others)
 
     def test_a_panel_is_the_same_for_all_and_bounded(self) -> None:
         self.assertEqual(panel_of(5, 12), tuple(range(12)))
@@ -329,7 +331,7 @@
         found = [QuotaLoans(0, fronts, i, 1, 0) for i in range(fronts)]
         for lot in found:
             lot.purse.cleared = True
-            lot.set_whole(whole, 0)
+            lot.set_limit(whole, 0)
         return found
 
     def test_three_of_twelve_get_what_the_others_have_to_spare_and_give_it_back(self) -> None:
@@ -339,31 +341,31 @@
             for busy in lots[:3]:
                 busy.waiting = 20 - busy.out
                 busy.most(now, 1_000_000)
-                for to, ask in busy.ask(now / 1e7, now):
-                    loan = lots[to].hear_ask(busy.index, ask, now)
+                for to, ask in busy.request_slots(now / 1e7, now):
+                    loan = lots[to].on_request(busy.index, ask, now)
                     if loan is not None:
-                        busy.hear_loan(to, loan, now)
+                        busy.on_transfer(to, loan, now)
         self.assertGreater(sum(lot.most(now) for lot in lots[:3]), 36)
         self.assertLessEqual(sum(lot.most(now) for lot in lots), 48)
         for busy in lots[:3]:
             busy.waiting = 0
-            for to, back in busy.backs(now):
-                lots[to].hear_loan(busy.index, back, now)
+            for to, back in busy.return_slots(now):
+                lots[to].on_transfer(busy.index, back, now)
         self.assertEqual(sum(lot.most(now) for lot in lots), 48)
 
     def test_a_borrowed_slot_carries_only_what_ends_in_time(self) -> None:
         lots = self.lots(3, 6)
         lots[0].waiting = 4
-        for to, ask in lots[0].ask(0.0, 0):
-            loan = lots[to].hear_ask(0, ask, 0)
+        for to, ask in lots[0].request_slots(0.0, 0):
+            loan = lots[to].on_request(0, ask, 0)
             assert loan is not None
-            lots[0].hear_loan(to, loan, 0)
+            lots[0].on_transfer(to, loan, 0)
         self.assertEqual(lots[0].most(0, LOAN_US), 6)
         self.assertEqual(lots[0].most(1, LOAN_US), 2)
 
     def test_a_new_life_waits_until_all_have_answered_or_loans_are_over(self) -> None:
         lot = QuotaLoans(0, 3, 0, 2, 0)
-        lot.set_whole(9, 0)
+        lot.set_limit(9, 0)
         self.assertEqual(lot.most(0), 0)
         self.assertEqual(lot.most(round(LOAN_US * 1.2)), 3)
         lot.purse.cleared = True
@@ -385,10 +387,10 @@
         self.assertEqual(member.servers[7].agreed.whole, 9)
         self.assertEqual(member.servers[7].holds, {})
         for sender in (1, 2):
-            member.hear(sender, 1, 1, ReplicaMessages((0,), 7, 0, word=QuorumVote(40)), MINUTE)
+            member.hear(sender, 1, 1, ReplicaMessages((0,), 7, 0, vote=QuorumVote(40)), MINUTE)
         self.assertEqual(member.servers[7].agreed.whole, 9)
         member.hear(1, 1, 1, ReplicaMessages((0,), 7, 0, rows=(row(100, 9),)), MINUTE)
-        self.assertEqual(member.servers[7].heard.rows, {})
+        self.assertEqual(member.servers[7].gossip.rows, {})
 
     def test_a_box_begins_at_half_of_what_its_kind_takes(self) -> None:
         member = self.member()
@@ -398,7 +400,7 @@
             member.servers[name].agreed.whole = whole
             learner = member.servers[name].learner
             assert learner is not None
-            learner.own = True
+            learner.has_own_figures = True
         member.listed(10, "kind", 0, MINUTE)
         member.listed(11, "other", 0, MINUTE)
         self.assertEqual(member.servers[10].agreed.whole, 30)
@@ -430,7 +432,7 @@
         found = {
             shape_of(room, rung, 5, ready) for room in range(20) for rung in range(5) for ready in (0, 1)
         }
-        self.assertEqual(len(found), MOST_SHAPES)
+        self.assertEqual(len(found), MAX_SHAPES)
         self.assertEqual(name_of(shape_of(1, 4, 5, True), ("news", "live")), "live high ready")
 
 
@@ -460,16 +462,16 @@
             self.assertEqual(read[:2], (1 << 40, 9))
             found += read[2]
         self.assertEqual(sum(len(one.rows) for one in found), 24)
-        self.assertEqual([one.word for one in found if one.word], [QuorumVote(77, ((3, 5),))] * 12)
+        self.assertEqual([one.vote for one in found if one.vote], [QuorumVote(77, ((3, 5),))] * 12)
         self.assertEqual(found[0].rows[0], self.told(1)[0].rows[0])
-        self.assertEqual({one.born_us for one in found}, {0, self.now_us - MINUTE})
+        self.assertEqual({one.started_us for one in found}, {0, self.now_us - MINUTE})
 
     def test_rows_of_a_later_version_are_passed_over_and_cut_ones_refused(self) -> None:
         raw = limit_messages.encode(1, 2, self.told(1)[:1], self.now_us)[1]  # words: short
         later = raw[: limit_messages.HEAD.size] + bytes([9, 3, 1, 2, 3]) + raw[limit_messages.HEAD.size :]
         read = limit_messages.decode(later, self.now_us)
         assert read is not None
-        self.assertEqual([one.word for one in read[2]], [QuorumVote(77, ((3, 5),))])
+        self.assertEqual([one.vote for one in read[2]], [QuorumVote(77, ((3, 5),))])
         for part in limit_messages.encode(1, 2, self.told(1), self.now_us):
             for cut in range(len(part)):
                 read = limit_messages.decode(part[:cut], self.now_us)
@@ -589,7 +591,7 @@
         wall = 10**15
         raw = msgspec.msgpack.encode(persisted.KeptSlots("big", wall - 10**9, 80, wall))
         self.assertEqual(persisted.recall(raw, "big", wall - 10**9, 16, wall), 80)
-        later = persisted.recall(raw, "big", wall - 10**9, 16, wall + adaptive_limit.AGE_US)
+        later = persisted.recall(raw, "big", wall - 10**9, 16, wall + HALF_LIFE_US)
         self.assertEqual(later, 48)
         self.assertIsNone(persisted.recall(raw, "big", wall - 10**8, 16, wall))
         self.assertIsNone(persisted.recall(raw, "small", wall - 10**9, 16, wall))
