--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/quota_loans.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/quota_loans.py
@@ -1,9 +1,10 @@
-"""One front's part of a server's slots, lent by the idle to the busy as budgets are.
+"""One front's share of a server's slots, lent by idle fronts to busy ones as other quotas are.
 
-The slots at home here are this front's part; loans, their ends and what a new life may do are
-`decisions/fleet/budgets`' own. Three things differ. A slot has no halves. A join holds it until its end, so a
-borrowed slot carries only a join that ends before the loan does, and what is out is never lent. And it is
-given back as soon as nobody waits: a box of twelve slots and twelve fronts would else be twelve lines of one.
+The slots that have their home here are this front's share; loans, their ends and what a restarted front may
+do follow `fennelcove.decisions.fleet.shared_quotas`. Three things differ. A slot has no halves. An attempt
+uses it until it ends, so a borrowed slot is used only for an attempt that ends before the loan does, and a
+slot in use is never lent. And it is returned as soon as nothing waits for it: else the twelve slots of a
+server and twelve fronts would become twelve queues of one slot each.
 """
 
 from __future__ import annotations
@@ -15,18 +16,28 @@
 from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Quota, Resource
 from fennelcove.concurrency_limits.quorum import home_slots, other_homes
 
-LOAN_US = 10_000_000  # longer than a join may take, or a loan carries none
-UNLENT_SHARE = 0.2  # of the slots at home, what is never lent: a new life that nobody answers has that
-ASK_US = 100_000
-RESPONSE_TIMEOUT_US = 150_000  # an answer that is not there by then is lost, or there is none
-REQUESTS_PER_SLOT = 3  # homes asked for each slot that is missing: one that has none says nothing
-RETURN_ATTEMPTS = 3  # times that something is said to be given back: lost, it stands idle for a loan's time
+LOAN_US = 10_000_000  # must be longer than an attempt may last, or a loan is of no use to any
+UNLENT_SHARE = 0.2  # of the home slots, what is never lent: what a restarted front has until others answer
+ASK_US = 100_000  # between two requests
+RESPONSE_TIMEOUT_US = 150_000  # after which another front is asked
+REQUESTS_PER_SLOT = 3  # fronts asked for each missing slot: one that has none does not answer
+RETURN_ATTEMPTS = 3  # a return whose message is lost leaves the slot idle until the loan ends
 MAX_PENDING_RETURNS = 64
+ROUNDING = 1e-9  # sums of slots are floats
+
+
+@dataclass(frozen=True, slots=True)
+class PendingReturn:
+    """A return of slots that is sent again, as its message may be lost."""
+
+    lender: int
+    transfer: QuotaTransfer
+    attempts_left: int
 
 
 @dataclass(slots=True)
 class QuotaLoans:
-    """One front's part of one box. The caller hands in times and chance, and carries messages."""
+    """One front's share of one server's slots. The caller passes in times and random numbers, and sends."""
 
     server: int
     fronts: int
@@ -34,17 +45,16 @@
     incarnation: int
     now_us: int
     loan_us: int = LOAN_US
-    out: int = 0
-    waiting: int = 0
-    last_end_us: int = 0  # when the last of what is out ends at the latest
-    max_duration_us: int = 0  # how long the last join may last
-    other_homes: tuple[int, ...] = ()  # the other fronts that have slots
-    pending_returns: deque[tuple[int, QuotaTransfer, int]] = field(
-        default_factory=lambda: deque(maxlen=MAX_PENDING_RETURNS)
-    )
+    out: int = 0  # attempts in flight
+    waiting: int = 0  # attempts that wait for a slot
+    last_end_us: int = 0  # by when all attempts in flight have ended
+    max_duration_us: int = 0  # of the last attempt that was considered
+    other_homes: tuple[int, ...] = ()  # the other fronts that have slots of the server
+    pending_returns: deque[PendingReturn] = field(default_factory=lambda: deque(maxlen=MAX_PENDING_RETURNS))
     purse: Quota = field(init=False)
 
     def __post_init__(self) -> None:
+        """Create the quota, with requests possible at once."""
         self.purse = Quota(
             Resource.SLOT,
             0.0,
@@ -61,26 +71,27 @@
         )
         self.purse.asked_us = self.now_us - ASK_US
 
-    def set_limit(self, whole: int, now_us: int) -> None:
-        """Another number counts here: what is at home follows at once, loans end when they end."""
-        home = float(home_slots(self.server, whole, self.fronts, self.index) * self.fronts)
-        self.other_homes = other_homes(self.server, whole, self.fronts, self.index)
-        if home != self.purse.whole:
+    def set_limit(self, limit: int, now_us: int) -> None:
+        """Set the server's limit in force. The home slots follow at once, loans run to their ends."""
+        # A quota divides its whole by the number of fronts again.
+        whole = float(home_slots(self.server, limit, self.fronts, self.index) * self.fronts)
+        self.other_homes = other_homes(self.server, limit, self.fronts, self.index)
+        if whole != self.purse.whole:
             self.purse.advance(now_us)
-            self.purse.whole = home
+            self.purse.whole = whole
 
-    def most(self, now_us: int, allow_us: int = 0) -> int:
-        """How many joins may be out, where the next would last so long at most."""
-        self.max_duration_us = allow_us or self.max_duration_us
-        return floor(self.purse.lasting(now_us, now_us + allow_us) + 1e-9)
+    def most(self, now_us: int, max_duration_us: int = 0) -> int:
+        """How many attempts may be in flight, if the next one lasts for `max_duration_us` at most."""
+        self.max_duration_us = max_duration_us or self.max_duration_us
+        return floor(self.purse.lasting(now_us, now_us + max_duration_us) + ROUNDING)
 
-    def on_attempt_started(self, now_us: int, allow_us: int) -> None:
-        """A join has left; it lasts so long at most."""
+    def on_attempt_started(self, now_us: int, max_duration_us: int) -> None:
+        """Count an attempt in flight, which lasts for `max_duration_us` at most."""
         self.out += 1
-        self.last_end_us = max(self.last_end_us, now_us + allow_us)
+        self.last_end_us = max(self.last_end_us, now_us + max_duration_us)
 
     def on_attempt_ended(self) -> None:
-        """One is over."""
+        """Count the end of an attempt."""
         self.out = max(0, self.out - 1)
         if not self.out:
             self.last_end_us = 0
@@ -90,65 +101,89 @@
         self.purse.need = float(self.out + self.waiting)
 
     def request_slots(self, draw: float, now_us: int) -> list[tuple[int, QuotaRequest]]:
-        """Whom to ask for more now, if anybody."""
+        """The requests to send now, with their recipients; `draw` is a random number from 0 to 1."""
         if not self.waiting:
             return []
         self._update_need(now_us)
-        # One loan at a time from each: asked for one at a time, a busy front would get one from each.
-        self.purse.need = float(self.out + max(self.waiting, (self.out + 1) // 2))
+        # A front lends once at a time. Requested one by one, a busy front would get one slot from each.
+        missing = max(self.waiting, (self.out + 1) // 2)
+        self.purse.need = float(self.out + missing)
         return self.purse.ask(draw, now_us, now_us + self.max_duration_us, self.other_homes)
 
     def return_slots(self, now_us: int) -> list[tuple[int, QuotaTransfer]]:
-        """What to give back, and to whom: loans that carry no join any more, and those that nobody needs.
-        What is out stays within the rest until its end."""
-        found = [(to, back) for to, back, _ in self.pending_returns]
-        again = [(to, back, left - 1) for to, back, left in self.pending_returns if left > 1]
-        found += (cancelled := self.purse.cancel() if not self.waiting else [])
-        again += [(to, back, RETURN_ATTEMPTS - 1) for to, back in cancelled]
-        for lender, (_, until_us) in sorted(self.purse.borrowed.items()):
-            useless = until_us < now_us + self.max_duration_us
-            left = self._lasting_without(lender, now_us, now_us + self.max_duration_us)
-            if (useless or left >= self.out + self.waiting) and self._is_dispensable(lender, now_us):
-                given = self.purse.give_back(lender)
-                assert given is not None
-                found.append((lender, given))
-                again.append((lender, given, RETURN_ATTEMPTS - 1))
-        self.pending_returns = deque(again, MAX_PENDING_RETURNS)
-        return found
+        """The returns to send now, with their recipients.
+
+        Returned are loans that end too soon for an attempt, and those that are not required. The attempts in
+        flight fit in the rest until they have ended.
+        """
+        repeated = list(self.pending_returns)
+        first = [] if self.waiting else self.purse.cancel()
+        for lender in sorted(self.purse.borrowed):
+            if not self._should_return(lender, now_us):
+                continue
+            transfer = self.purse.give_back(lender)
+            if transfer is not None:
+                first.append((lender, transfer))
+        self._schedule_repetition(repeated, first)
+        return [(pending.lender, pending.transfer) for pending in repeated] + first
+
+    def _schedule_repetition(
+        self, repeated: list[PendingReturn], first: list[tuple[int, QuotaTransfer]]
+    ) -> None:
+        pending = [
+            PendingReturn(sent.lender, sent.transfer, sent.attempts_left - 1)
+            for sent in repeated
+            if sent.attempts_left > 1
+        ]
+        pending += [PendingReturn(lender, transfer, RETURN_ATTEMPTS - 1) for lender, transfer in first]
+        self.pending_returns = deque(pending, MAX_PENDING_RETURNS)
+
+    def _should_return(self, lender: int, now_us: int) -> bool:
+        next_end_us = now_us + self.max_duration_us
+        _, loan_end_us = self.purse.borrowed[lender]
+        ends_too_soon = loan_end_us < next_end_us
+        is_required = self._lasting_without(lender, now_us, next_end_us) < self.out + self.waiting
+        return (ends_too_soon or not is_required) and self._is_dispensable(lender, now_us)
 
     @property
     def may_return(self) -> bool:
-        """Whether there may be something to give back."""
+        """Whether `return_slots` may have something to return."""
         return bool(self.purse.borrowed or self.purse.sent or self.pending_returns)
 
     def _lasting_without(self, lender: int, now_us: int, until_us: int) -> float:
+        """The slots that this front has until then, without those of a lender."""
         loan = self.purse.borrowed.pop(lender)
-        found = self.purse.lasting(now_us, until_us)
+        lasting = self.purse.lasting(now_us, until_us)
         self.purse.borrowed[lender] = loan
-        return found
+        return lasting
 
     def _is_dispensable(self, lender: int, now_us: int) -> bool:
-        return self._lasting_without(lender, now_us, max(now_us, self.last_end_us)) >= self.out
+        """Whether the attempts in flight do without the slots of a lender until they have ended."""
+        end_us = max(now_us, self.last_end_us)
+        return self._lasting_without(lender, now_us, end_us) >= self.out
 
     def on_incarnation_started(self, lender: int, now_us: int) -> bool:
-        """Another has begun anew and does not know what it lent: whether nothing of that is used here, from
-        now on."""
+        """Handle the restart of another front, which does not know what it has lent.
+
+        Returns:
+            Whether none of its slots are used here, from now on.
+        """
         self.purse.advance(now_us)
         if lender in self.purse.borrowed and not self._is_dispensable(lender, now_us):
             return False
         self.purse.forget(lender)
         return True
 
-    def on_request(self, sender: int, ask: QuotaRequest, now_us: int) -> QuotaTransfer | None:
-        """Another asks: what it is lent."""
+    def on_request(self, sender: int, request: QuotaRequest, now_us: int) -> QuotaTransfer | None:
+        """Handle another front's request; returns the loan to send, None where there is none."""
         self._update_need(now_us)
-        return self.purse.hear_ask(sender, ask, now_us)
+        return self.purse.hear_ask(sender, request, now_us)
 
-    def on_transfer(self, sender: int, loan: QuotaTransfer, now_us: int) -> bool:
-        """Another lends, or gives back; whether there may be more here now."""
-        if not loan.rate:
-            self.purse.hear_back(sender, loan)
+    def on_transfer(self, sender: int, transfer: QuotaTransfer, now_us: int) -> bool:
+        """Handle another front's loan or return; returns whether there may be more slots here now."""
+        if not transfer.rate:
+            self.purse.hear_back(sender, transfer)
             return True
         known = self.purse.borrowed.get(sender)
-        self.purse.hear_loan(sender, loan, now_us)
+        self.purse.hear_loan(sender, transfer, now_us)
         return self.purse.borrowed.get(sender) != known
