Concurrency limits: erlang, workload_shape and persisted in the terms of the field

Erlang's B and C formulas stood twice each, the shape's number was taken apart with bare factors. Each formula stands once, the factors have names, and every public item has its arguments documented.

--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/erlang.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/erlang.py
@@ -1,41 +1,59 @@
-"""How many slots keep waiting short: Erlang's formula for arrivals at random and a line that waits."""
+"""The slots that keep waiting times short, by Erlang's formula for Poisson arrivals and one queue."""
 
 from __future__ import annotations
 
 from math import exp
 
 MAX_SLOTS = 4096
+MIN_HOLD_S = 1e-9  # avoids a division by zero
 
 
-def waiting_probability(slots: int, offered: float) -> float:
-    """The share of arrivals that find all slots taken (Erlang C).
+def _next_blocking(blocking: float, slots: int, offered_load: float) -> float:
+    """Erlang B for `slots`, from its value for one slot fewer: no factorial of a large number."""
+    return offered_load * blocking / (slots + offered_load * blocking)
+
+
+def _queueing(blocking: float, slots: int, offered_load: float) -> float:
+    """Erlang C, from Erlang B; the load must be below the number of slots."""
+    return blocking / (1 - offered_load / slots * (1 - blocking))
+
+
+def waiting_probability(slots: int, offered_load: float) -> float:
+    """The share of arrivals that find all slots in use (Erlang C).
 
     Args:
-        offered: arrivals in a mean hold time.
+        slots: how many there are.
+        offered_load: arrivals in a mean service time.
     """
-    if offered >= slots:
+    if offered_load >= slots:
         return 1.0
-    blocked = 1.0  # Erlang B, slot by slot: no factorial of a large number
+    blocking = 1.0
     for count in range(1, slots + 1):
-        blocked = offered * blocked / (count + offered * blocked)
-    return blocked / (1 - offered / slots * (1 - blocked))
+        blocking = _next_blocking(blocking, count, offered_load)
+    return _queueing(blocking, slots, offered_load)
 
 
-def required_slots(rate: float, hold_s: float, wait_s: float, late: float) -> int:
-    """The least number of slots at which no more than a share `late` waits longer than `wait_s`.
+def required_slots(arrivals_per_s: float, hold_s: float, max_wait_s: float, late_share: float) -> int:
+    """The least number of slots at which no more than `late_share` of the arrivals wait for too long.
 
     Args:
-        rate: arrivals a second.
-        hold_s: mean hold time of a slot.
+        arrivals_per_s: arrival rate.
+        hold_s: mean service time.
+        max_wait_s: the wait that is not too long.
+        late_share: the share of arrivals that may wait for longer.
+
+    Returns:
+        The number of slots, at most `MAX_SLOTS`.
     """
-    offered = rate * hold_s
-    slots, blocked = 0, 1.0
+    offered_load = arrivals_per_s * hold_s
+    slots = 0
+    blocking = 1.0
     while slots < MAX_SLOTS:
         slots += 1
-        blocked = offered * blocked / (slots + offered * blocked)
-        if offered >= slots:
+        blocking = _next_blocking(blocking, slots, offered_load)
+        if offered_load >= slots:
             continue
-        waits = blocked / (1 - offered / slots * (1 - blocked))
-        if waits * exp(-(slots - offered) * wait_s / max(hold_s, 1e-9)) <= late:
+        still_waiting = exp(-(slots - offered_load) * max_wait_s / max(hold_s, MIN_HOLD_S))
+        if _queueing(blocking, slots, offered_load) * still_waiting <= late_share:
             break
     return slots
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/persisted.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/persisted.py
@@ -1,4 +1,4 @@
-"""What outlives the process: a box's number, with its age and whose it was."""
+"""The stored record of a server's limit, from which a restarted front begins."""
 
 from __future__ import annotations
 
@@ -6,13 +6,20 @@
 
 from fennelcove.concurrency_limits.limit_decay import decayed_limit
 
-KEY = b"slots/"
-START_TOLERANCE_US = 5_000_000  # two fronts learn a box's birth from answers that took a while
+KEY = b"slots/"  # the prefix of the records' keys; the server's address follows
+START_TOLERANCE_US = 5_000_000  # two fronts learn a server's start from responses that took a while
 MAX_AGE_US = 7 * 86_400_000_000
 
 
 class KeptSlots(msgspec.Struct, frozen=True, array_like=True):
-    """A box's number as it stood; times by the wall clock, a birth of 0 for long ago."""
+    """A server's limit as it was stored; times by the wall clock.
+
+    Attributes:
+        kind: of the server's hardware.
+        born_us: when the server started, 0 where that was long ago.
+        whole: the limit in force.
+        written_us: when the record was written.
+    """
 
     kind: str
     born_us: int
@@ -23,26 +30,32 @@
 _DECODER: msgspec.msgpack.Decoder[KeptSlots] = msgspec.msgpack.Decoder(KeptSlots)
 
 
-def recall(raw: bytes, kind: str, born_us: int, start: int, wall_us: int) -> int | None:
-    """The number to begin with; None where there is none, or it was another box's, or nobody's for long.
+def recall(raw: bytes, kind: str, started_us: int, initial_limit: int, wall_us: int) -> int | None:
+    """The limit to begin with, out of a stored record.
 
     Args:
-        kind: of the box that stands at the address now.
-        born_us: its birth by the wall clock, 0 for long ago.
+        raw: the record.
+        kind: of the server that has the address now.
+        started_us: when that server started by the wall clock, 0 where that was long ago.
+        initial_limit: towards which the limit decays with the record's age.
+        wall_us: the time by the wall clock.
+
+    Returns:
+        The limit; None where the record is malformed, too old, or another server's.
     """
     try:
-        kept = _DECODER.decode(raw)
+        stored = _DECODER.decode(raw)
     except msgspec.MsgspecError:
         return None
-    age_us = wall_us - kept.written_us
-    same = kept.kind == kind and is_same_start(kept.born_us, born_us)
-    if not same or kept.whole < 1 or not 0 <= age_us <= MAX_AGE_US:
+    age_us = wall_us - stored.written_us
+    is_same_server = stored.kind == kind and is_same_start(stored.born_us, started_us)
+    if not is_same_server or stored.whole < 1 or not 0 <= age_us <= MAX_AGE_US:
         return None
-    return min(kept.whole, decayed_limit(kept.whole, start, age_us))
+    return min(stored.whole, decayed_limit(stored.whole, initial_limit, age_us))
 
 
 def is_same_start(one_us: int, other_us: int) -> bool:
-    """Whether two births may be one; 0 is long ago, and only that."""
+    """Whether two starts of servers may be one; 0 is long ago, and equals only itself."""
     if not one_us or not other_us:
         return one_us == other_us
     return abs(one_us - other_us) <= START_TOLERANCE_US
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/workload_shape.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/workload_shape.py
@@ -1,7 +1,8 @@
-"""What a join is like: room type, band of rungs, and whether the box has the title at hand and is warm.
+"""The shape of an attempt: its service class, its band of bitrates, and whether the server is ready for it.
 
-Hold times are compared within a shape alone: a box that gets more cold titles is not a slower box. There are
-a few dozen at most, so that a summary's rows stay few; room types past the eighth share the last name.
+Service times are compared within a shape only: a server that gets more attempts for titles that it must fetch
+first is not a slower server. There are a few dozen shapes at most, so that a server's rows stay few; service
+classes from the eighth on share one.
 """
 
 from __future__ import annotations
@@ -9,32 +10,36 @@
 from collections.abc import Mapping
 
 MAX_SERVICE_CLASSES = 8
-BANDS = 3  # low, middle and high rungs
-MAX_SHAPES = MAX_SERVICE_CLASSES * BANDS * 2
+BANDS = 3  # low, middle and high rungs of the bitrate ladder
+SHAPES_PER_BAND = 2  # not ready, ready
+SHAPES_PER_CLASS = BANDS * SHAPES_PER_BAND
+MAX_SHAPES = MAX_SERVICE_CLASSES * SHAPES_PER_CLASS
 BAND_NAMES = ("low", "middle", "high")
 
 
-def shape_of(service_class: int, rung: int, rungs: int, ready: bool) -> int:
-    """The shape's number.
+def shape_of(service_class: int, rung: int, rung_count: int, is_ready: bool) -> int:
+    """The number of a shape.
 
     Args:
-        room: of the room type, in the settings' order.
-        rung: of the join, of so many `rungs` of the ladder.
-        ready: the title is at hand at the box, and the box is warm.
+        service_class: its index, in the order of the settings.
+        rung: of the attempt, from 0.
+        rung_count: the rungs of the bitrate ladder.
+        is_ready: the server has the title at hand, and is not warming up.
     """
-    band = min(BANDS - 1, max(0, rung) * BANDS // max(1, rungs))
-    return (min(service_class, MAX_SERVICE_CLASSES - 1) * BANDS + band) * 2 + ready
+    band = min(BANDS - 1, max(0, rung) * BANDS // max(1, rung_count))
+    bounded_class = min(service_class, MAX_SERVICE_CLASSES - 1)
+    return (bounded_class * BANDS + band) * SHAPES_PER_BAND + is_ready
 
 
 def name_of(shape: int, service_classes: tuple[str, ...]) -> str:
-    """A shape for an operator to read."""
-    service_class, rest = divmod(shape, BANDS * 2)
-    name = (
-        service_classes[service_class]
-        if service_class < len(service_classes)
-        else f"room type {service_class}"
-    )
-    return f"{name} {BAND_NAMES[rest // 2]} {'ready' if rest % 2 else 'cold'}"
+    """The name of a shape, for the status page."""
+    service_class, rest = divmod(shape, SHAPES_PER_CLASS)
+    band, is_ready = divmod(rest, SHAPES_PER_BAND)
+    if service_class < len(service_classes):
+        class_name = service_classes[service_class]
+    else:
+        class_name = f"room type {service_class}"
+    return f"{class_name} {BAND_NAMES[band]} {'ready' if is_ready else 'cold'}"
 
 
 def shape_share(slots: int, shape_limits: Mapping[int, int], shape: int) -> int:
