--- a/benchmarks/slots_worlds.py
+++ b/benchmarks/slots_worlds.py
@@ -115,7 +115,7 @@
         self.numbers += 1
         agreed = member.servers[BOX].agreed
         agreed.on_vote(index, member.life, self.numbers, word, self.now_us)
-        member._settle(member.servers[BOX], self.now_us)
+        member.servers[BOX].update_limit(self.now_us)
         self.back()
         for to in self.members:
             if to != index:
@@ -171,7 +171,7 @@
             for to in member.begun():
                 self.send(index, to, member.life)
         else:
-            member._settle(member.servers[BOX], self.now_us)
+            member.servers[BOX].update_limit(self.now_us)
 
     def check(self) -> None:
         """What is out and what might be, against what counted; and that against the majority's."""
--- a/packages/messages/src/fennelcove/limit_messages.py
+++ b/packages/messages/src/fennelcove/limit_messages.py
@@ -11,7 +11,8 @@
 
 from fennelcove.concurrency_limits.latency_histogram import LAST_CLASS, ClassCounts, Row
 from fennelcove.concurrency_limits.quorum import QuorumVote
-from fennelcove.concurrency_limits.replica import MAX_REPORTED_AGE_US, ReplicaMessages
+from fennelcove.concurrency_limits.replica import ReplicaMessages
+from fennelcove.concurrency_limits.server_limits import MAX_REPORTED_AGE_US
 from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Resource
 
 MAX_BYTES = 256
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -383,7 +383,7 @@
         member.servers[7].agreed.whole = 40
         member.servers[7].holds[0] = 1.0
         self.assertFalse(member.listed(7, "kind", 0, MINUTE))
-        self.assertTrue(member.listed(7, "kind", MINUTE, MINUTE, cold=True))
+        self.assertTrue(member.listed(7, "kind", MINUTE, MINUTE, is_warming_up=True))
         self.assertEqual(member.servers[7].agreed.whole, 9)
         self.assertEqual(member.servers[7].holds, {})
         for sender in (1, 2):
