Concurrency limits: the slots required are computed with the samples, actions are public

What the samples require is computed in latency_samples; the actions are methods with a doc comment each.

--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/adaptive_limit.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/adaptive_limit.py
@@ -22,7 +22,6 @@
 from dataclasses import dataclass, field
 from math import ceil
 
-from fennelcove.concurrency_limits import erlang
 from fennelcove.concurrency_limits.latency_histogram import ROW_SPAN_US, ObservedLatency
 from fennelcove.concurrency_limits.latency_samples import MIN_SAMPLES, LatencySamples
 from fennelcove.concurrency_limits.limit_decay import decayed_limit
@@ -52,7 +51,6 @@
 SETTLE_FACTOR = 1.5  # of the longest median service time
 AGREEMENT_TIMEOUT_US = 6_000_000  # after which a proposal that is not in force is given up
 MIN_BACKOFF_US, MAX_BACKOFF_US = 8_000_000, 32_000_000  # after a rise that was reverted
-US_PER_S = 1e6
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,7 +155,8 @@
         self.last_conclusive_us = now_us
         if self.samples.unanswered > MAX_UNANSWERED_SHARE * completed:
             return LimitSignal.UNANSWERED
-        required = self._update_required_slots()
+        required = self.samples.required_slots(self.settings.max_wait_us, MAX_LATE_SHARE)
+        self.shape_limits = required.by_shape
         gradient = self.samples.gradient()
         if gradient is None:
             return None
@@ -168,7 +167,7 @@
             is_stale = now_us - self.baseline_seen_us >= PROBE_INTERVAL_US
             return LimitSignal.BASELINE_STALE if is_stale else LimitSignal.NEAR_KNEE
         self.baseline_seen_us = now_us
-        return self._capacity_signal(required, agreed)
+        return self._capacity_signal(required.total, agreed)
 
     def _overload_signal(self, gradient: float) -> LimitSignal:
         has_fallen = self.phase is LimitState.FELL
@@ -184,27 +183,6 @@
             required = ceil(SPLIT_FACTOR * required)
         return LimitSignal.SLOTS_SHORT if required > agreed else LimitSignal.HEALTHY
 
-    def _update_required_slots(self) -> int:
-        """The slots that keep waits as short as configured; also sets `shape_limits`."""
-        span_s = self.samples.span_us / US_PER_S
-        max_wait_s = self.settings.max_wait_us / US_PER_S
-        used = {
-            shape: latency
-            for shape, latency in self.samples.by_shape.items()
-            if latency.completed and latency.requested
-        }
-        rates = {shape: latency.requested / span_s for shape, latency in used.items()}
-        means_s = {shape: latency.mean_service_time_us / US_PER_S for shape, latency in used.items()}
-        self.shape_limits = {
-            shape: erlang.required_slots(rates[shape], means_s[shape], max_wait_s, MAX_LATE_SHARE)
-            for shape in used
-        }
-        total_rate = sum(rates.values())
-        if not total_rate:
-            return 0
-        mean_s = sum(rates[shape] * means_s[shape] for shape in used) / total_rate
-        return erlang.required_slots(total_rate, mean_s, max_wait_s, MAX_LATE_SHARE)
-
     # Actions. Each takes the limit in force and the time.
 
     def _record_action(self, now_us: int) -> None:
@@ -213,24 +191,24 @@
         if self.phase not in STATES_TO_AGREE:
             self._settle(now_us)
 
-    def _keep(self, agreed: int, now_us: int) -> None:
-        """Leave the limit: only the state changes."""
-
-    def _age(self, agreed: int, now_us: int) -> None:
+    def decay(self, agreed: int, now_us: int) -> None:
+        """Let the limit decay for want of conclusive measurements."""
         unconfirmed_us = now_us - max(self.last_action_us, self.last_conclusive_us)
         decayed = decayed_limit(agreed, self.settings.start, unconfirmed_us)
         if decayed < agreed:
             self.limit = decayed
             self._record_action(now_us)
 
-    def _rise(self, agreed: int, now_us: int) -> None:
+    def rise(self, agreed: int, now_us: int) -> None:
+        """Start the trial of a higher limit."""
         self.previous_limit = agreed
         divisor = FAR_RISE_DIVISOR if self.now < FAR_FROM_KNEE_GRADIENT else NEAR_RISE_DIVISOR
         self.limit = min(self.settings.max_limit, agreed + max(1, agreed // divisor))
         self.backoff_us = MIN_BACKOFF_US
         self._record_action(now_us)
 
-    def _take_back(self, agreed: int, now_us: int) -> None:
+    def end_trial(self, agreed: int, now_us: int) -> None:
+        """End the trial of a higher limit, or a probe, and return to the limit before."""
         if self.phase is LimitState.RESTING:  # after a rise
             self.backoff_us = min(MAX_BACKOFF_US, 2 * self.backoff_us)
             self.limit = min(agreed, self.previous_limit)
@@ -240,11 +218,13 @@
             self.baseline_seen_us = now_us
         self._record_action(now_us)
 
-    def _fall(self, agreed: int, now_us: int) -> None:
+    def fall(self, agreed: int, now_us: int) -> None:
+        """Lower the limit by how far the gradient is beyond the healthy one."""
         ratio = min(GENTLEST_FALL_RATIO, HEALTHY_GRADIENT / self.gradient_at_fall)
         self._fall_to(max(STEEPEST_FALL_RATIO, ratio), agreed, now_us)
 
-    def _halve(self, agreed: int, now_us: int) -> None:
+    def halve(self, agreed: int, now_us: int) -> None:
+        """Lower the limit as far as one fall may."""
         self._fall_to(STEEPEST_FALL_RATIO, agreed, now_us)
 
     def _fall_to(self, ratio: float, agreed: int, now_us: int) -> None:
@@ -252,31 +232,38 @@
         self.previous_limit = max(self.previous_limit, agreed)
         self._record_action(now_us)
 
-    def _learn_anew(self, agreed: int, now_us: int) -> None:
+    def relearn_baseline(self, agreed: int, now_us: int) -> None:
+        """Undo the falls and discard the baseline: fewer attempts did not help."""
         self.samples.discard_baseline(now_us)
         self.limit = max(agreed, self.previous_limit)
         self.backoff_us = MIN_BACKOFF_US
         self._record_action(now_us)
 
-    def _dip(self, agreed: int, now_us: int) -> None:
+    def probe(self, agreed: int, now_us: int) -> None:
+        """Lower the limit for a while, to measure the baseline."""
         self.samples.close_bucket(now_us)
         self.previous_limit = agreed
         self.limit = max(self.settings.min_limit, round(agreed * PROBE_RATIO))
         self._record_action(now_us)
 
-    def _follow(self, agreed: int, now_us: int) -> None:
+    def follow(self, agreed: int, now_us: int) -> None:
+        """Adopt the limit in force."""
         self.limit = agreed
         self._record_action(now_us)
 
 
+def _keep(_limit: AdaptiveLimit, _agreed: int, _now_us: int) -> None:
+    """Leave the limit: only the state changes."""
+
+
 ACTIONS: dict[LimitAction, Callable[[AdaptiveLimit, int, int], None]] = {
-    LimitAction.KEEP: AdaptiveLimit._keep,
-    LimitAction.AGE: AdaptiveLimit._age,
-    LimitAction.RISE: AdaptiveLimit._rise,
-    LimitAction.TAKE_BACK: AdaptiveLimit._take_back,
-    LimitAction.FALL: AdaptiveLimit._fall,
-    LimitAction.HALVE: AdaptiveLimit._halve,
-    LimitAction.LEARN_ANEW: AdaptiveLimit._learn_anew,
-    LimitAction.DIP: AdaptiveLimit._dip,
-    LimitAction.FOLLOW: AdaptiveLimit._follow,
+    LimitAction.KEEP: _keep,
+    LimitAction.AGE: AdaptiveLimit.decay,
+    LimitAction.RISE: AdaptiveLimit.rise,
+    LimitAction.TAKE_BACK: AdaptiveLimit.end_trial,
+    LimitAction.FALL: AdaptiveLimit.fall,
+    LimitAction.HALVE: AdaptiveLimit.halve,
+    LimitAction.LEARN_ANEW: AdaptiveLimit.relearn_baseline,
+    LimitAction.DIP: AdaptiveLimit.probe,
+    LimitAction.FOLLOW: AdaptiveLimit.follow,
 }
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/latency_samples.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/latency_samples.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from math import log, sqrt
 
+from fennelcove.concurrency_limits import erlang
 from fennelcove.concurrency_limits.latency_histogram import (
     ROW_SPAN_US,
     ObservedLatency,
@@ -24,6 +25,7 @@
 BUCKET_US = 6_000_000
 BUCKETS = 10  # the baseline covers a minute
 MEDIAN_ERROR_FACTOR = 1.25  # standard error of a median, in those of a mean
+US_PER_S = 1e6
 QUARTILE_RANGE_SIGMAS = 1.35  # width of the middle half of a normal distribution, in standard deviations
 
 
@@ -35,6 +37,14 @@
     median_us: Mapping[int, float]
 
 
+@dataclass(frozen=True, slots=True)
+class RequiredSlots:
+    """The slots of a server that keep waiting times short."""
+
+    total: int
+    by_shape: dict[int, int]  # if each shape had slots of its own
+
+
 @dataclass(slots=True)
 class LatencySamples:
     """Measurements of one server since the last action, and its baseline. The caller passes in times."""
@@ -130,6 +140,28 @@
         late = sum(_late_count(latency, first_late_class) for latency in self.by_shape.values())
         return min(1.0, late / requested)
 
+    def required_slots(self, max_wait_us: int, max_late_share: float) -> RequiredSlots:
+        """The slots with which no more than a share of the requests waits longer than `max_wait_us`."""
+        span_s = self.span_us / US_PER_S
+        max_wait_s = max_wait_us / US_PER_S
+        used = {
+            shape: latency
+            for shape, latency in self.by_shape.items()
+            if latency.completed and latency.requested
+        }
+        rates = {shape: latency.requested / span_s for shape, latency in used.items()}
+        means_s = {shape: latency.mean_service_time_us / US_PER_S for shape, latency in used.items()}
+        by_shape = {
+            shape: erlang.required_slots(rates[shape], means_s[shape], max_wait_s, max_late_share)
+            for shape in used
+        }
+        total_rate = sum(rates.values())
+        if not total_rate:
+            return RequiredSlots(0, by_shape)
+        mean_s = sum(rates[shape] * means_s[shape] for shape in used) / total_rate
+        total = erlang.required_slots(total_rate, mean_s, max_wait_s, max_late_share)
+        return RequiredSlots(total, by_shape)
+
 
 def _late_count(latency: ObservedLatency, first_late_class: int) -> float:
     late = sum(count for number, count in latency.waiting_times.items() if number >= first_late_class)
