--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/adaptive_limit.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/adaptive_limit.py
@@ -82,7 +82,7 @@
     sampled_us: int = 0  # the end of the last samples; in the future, while a proposal settles
     samples: LatencySamples = field(default_factory=LatencySamples)
     shape_limits: dict[int, int] = field(default_factory=dict)  # the slots that each shape requires
-    has_own_figures: bool = False  # measurements of this server were conclusive once
+    is_measured: bool = False  # measurements of this server were conclusive once
     acts: dict[LimitAction, int] = field(default_factory=dict)  # how often each action was carried out
 
     def __post_init__(self) -> None:
@@ -151,7 +151,7 @@
         if completed < MIN_SAMPLES:
             has_timed_out = self.samples.span_us >= MAX_SAMPLING_US
             return LimitSignal.TOO_FEW_SAMPLES if has_timed_out else None
-        self.has_own_figures = True
+        self.is_measured = True
         self.last_conclusive_us = now_us
         if self.samples.unanswered > MAX_UNANSWERED_SHARE * completed:
             return LimitSignal.UNANSWERED
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/server_limits.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/server_limits.py
@@ -173,7 +173,7 @@
     limits = [
         server.agreed.whole
         for server in servers
-        if server.kind == kind and server.learner is not None and server.learner.has_own_figures
+        if server.kind == kind and server.learner is not None and server.learner.is_measured
     ]
     if not limits:
         return min_limit
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -400,7 +400,7 @@
             member.servers[name].agreed.whole = whole
             learner = member.servers[name].learner
             assert learner is not None
-            learner.has_own_figures = True
+            learner.is_measured = True
         member.listed(10, "kind", 0, MINUTE)
         member.listed(11, "other", 0, MINUTE)
         self.assertEqual(member.servers[10].agreed.whole, 30)
