Concurrency limits: the small worlds' planted faults follow renames of what they replace

They named methods by strings, which a renaming program does not see; three of the six are not played by a test, so a stale name would have gone unnoticed. Only the property is still named by a string.

--- a/benchmarks/slots_worlds.py
+++ b/benchmarks/slots_worlds.py
@@ -224,20 +224,28 @@
 
 
 FAULTS: dict[str, tuple[type, str, Any]] = {
-    "from-receipt": (Quota, "hear_loan", from_receipt),  # a loan counts from when it is heard
+    "from-receipt": (Quota, Quota.hear_loan.__name__, from_receipt),  # a loan counts from when it is heard
     "unwary": (
         Quota,
         "wary_until_us",
         property(lambda self: self.born_us),
     ),  # a new life takes its whole part
-    "past-end": (QuotaLoans, "most", past_end),  # a borrowed slot carries joins that outlast the loan
-    "any-word": (QuorumAgreement, "advance", any_word),  # one word raises the number
+    "past-end": (
+        QuotaLoans,
+        QuotaLoans.most.__name__,
+        past_end,
+    ),  # a borrowed slot carries joins that outlast the loan
+    "any-word": (QuorumAgreement, QuorumAgreement.advance.__name__, any_word),  # one word raises the number
     "clears-early": (
         QuotaLoans,
-        "on_incarnation_started",
+        QuotaLoans.on_incarnation_started.__name__,
         clears_early,
     ),  # answers a new life and goes on using its last one's
-    "backs-used": (QuotaLoans, "_is_dispensable", spares),  # gives back a slot that carries a join
+    "backs-used": (
+        QuotaLoans,
+        QuotaLoans._is_dispensable.__name__,
+        spares,
+    ),  # gives back a slot that carries a join
 }
 
 
