--- a/benchmarks/slots_worlds.py
+++ b/benchmarks/slots_worlds.py
@@ -120,12 +120,12 @@
         word, member = QuorumVote(whole), self.members[index]
         self.numbers += 1
         agreed = member.servers[BOX].agreed
-        agreed.hear(index, member.life, self.numbers, word, self.now_us)
-        member._settle(member.servers[BOX], self.now_us)
+        agreed.on_vote(index, member.life, self.numbers, word, self.now_us)
+        member.servers[BOX].update_limit(self.now_us)
         self.back()
         for to in self.members:
             if to != index:
-                self.send(index, to, ReplicaMessages((to,), BOX, 0, word=word))
+                self.send(index, to, ReplicaMessages((to,), BOX, 0, vote=word))
 
     def back(self) -> None:
         said = sorted(self.said.values(), reverse=True)
@@ -177,7 +177,7 @@
             for to in member.begun():
                 self.send(index, to, member.life)
         else:
-            member._settle(member.servers[BOX], self.now_us)
+            member.servers[BOX].update_limit(self.now_us)
 
     def check(self) -> None:
         """What is out and what might be, against what counted; and that against the majority's."""
@@ -217,7 +217,7 @@
 
 
 def any_word(self: QuorumAgreement, now_us: int) -> int:
-    self.whole = max([self.whole, *(word.whole for word in self.young(now_us))])
+    self.whole = max([self.whole, *(word.limit for word in self.valid_votes(now_us))])
     return self.whole
 
 
@@ -236,14 +236,22 @@
         "recovering_until_us",
         property(lambda self: self.started_us),
     ),  # a new life takes its whole part
-    "past-end": (QuotaLoans, "most", past_end),  # a borrowed slot carries joins that outlast the loan
-    "any-word": (QuorumAgreement, "advance", any_word),  # one word raises the number
+    "past-end": (
+        QuotaLoans,
+        QuotaLoans.most.__name__,
+        past_end,
+    ),  # a borrowed slot carries joins that outlast the loan
+    "any-word": (QuorumAgreement, QuorumAgreement.advance.__name__, any_word),  # one word raises the number
     "clears-early": (
         QuotaLoans,
-        "hear_begun",
+        QuotaLoans.on_incarnation_started.__name__,
         clears_early,
     ),  # answers a new life and goes on using its last one's
-    "backs-used": (QuotaLoans, "_spares", spares),  # gives back a slot that carries a join
+    "backs-used": (
+        QuotaLoans,
+        QuotaLoans._is_dispensable.__name__,
+        spares,
+    ),  # gives back a slot that carries a join
 }
 
 
--- a/packages/core/src/fennelcove/core/learned_limit_status.py
+++ b/packages/core/src/fennelcove/core/learned_limit_status.py
@@ -5,7 +5,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from fennelcove.concurrency_limits.replica import Replica, ServerLimits
+from fennelcove.concurrency_limits.replica import Replica
+from fennelcove.concurrency_limits.server_limits import ServerLimits
 from fennelcove.concurrency_limits.workload_shape import name_of
 
 MAX_SERVERS_SHOWN = 64
@@ -62,7 +63,7 @@
         waiting=lot.waiting,
         borrowed=len(lot.purse.borrowed),
         lent=len(lot.purse.lent),
-        links=replica.links(server.name, now_us),
+        links=replica.links(server.key, now_us),
         holds_ms={
             name_of(shape, service_classes): round(hold_us / 1000)
             for shape, hold_us in sorted(server.holds.items())
