--- a/packages/clock/src/fennelcove/clock/__init__.py
+++ b/packages/clock/src/fennelcove/clock/__init__.py
@@ -7,9 +7,11 @@
 
 
 class Clock(Protocol):
-    """Hands out the time to everything that needs it."""
+    """A source of time."""
 
-    def now_us(self) -> int: ...
+    def now_us(self) -> int:
+        """Microseconds since some fixed moment; never goes back."""
+        ...
 
     def wall_us(self) -> int:
         """Microseconds since 1970, for what people and manifests call a time; it may be set back."""
@@ -17,16 +19,20 @@
 
 
 class SystemClock:
-    """The machine's monotonic clock; every process of one machine reads the same. Its wall clock may be set
-    off by so many microseconds, for days that try what a wrong one does."""
+    """The machine's monotonic clock; every process of one machine reads the same.
+
+    Its wall clock may be set off by some microseconds, for scenarios that try what a wrong clock does.
+    """
 
     def __init__(self, wall_off_us: int = 0) -> None:
         self.wall_off_us = wall_off_us
 
     def now_us(self) -> int:
+        """As `Clock.now_us`."""
         return time.monotonic_ns() // 1000
 
     def wall_us(self) -> int:
+        """As `Clock.wall_us`, with the set-off added."""
         return time.time_ns() // 1000 + self.wall_off_us
 
 
@@ -38,9 +44,11 @@
         self._wall_from_us = wall_from_us
 
     def now_us(self) -> int:
+        """As `Clock.now_us`."""
         return self._now_us
 
     def wall_us(self) -> int:
+        """As `Clock.wall_us`, moved with the monotonic time."""
         return self._wall_from_us + self._now_us
 
     def advance(self, by_us: int) -> None:
--- a/packages/core/src/fennelcove/core/rollout_coordinator.py
+++ b/packages/core/src/fennelcove/core/rollout_coordinator.py
@@ -237,7 +237,8 @@
     def _process(self, event: Event) -> None:
         try:
             self._apply(event)
-        except Exception as error:  # one message's fault must not end the agreement with all others
+        # One message's fault must not end the agreement with all others.
+        except Exception as error:  # noqa: BLE001 - top of a thread, logged
             self._log("rollout_event_failed", reason=repr(error))
 
     def _apply(self, event: Event) -> None:
--- a/packages/node/src/fennelcove/isup/reader.py
+++ b/packages/node/src/fennelcove/isup/reader.py
@@ -6,6 +6,8 @@
 
 _KINDS = {int(kind): kind for kind in Kind}
 
+LEADING_BYTES = 3  # the length of a message and its kind
+
 
 class Reader:
     """Reads one direction of one connection; after a ProtocolError each further call raises it again."""
@@ -34,7 +36,7 @@
             raise
 
     def _read_message(self) -> Message | None:
-        if len(self.buffer) < 3:
+        if len(self.buffer) < LEADING_BYTES:
             return None
         length = int.from_bytes(self.buffer[:2], "big")
         # Both are known from the first bytes: noise must not wait for a message that never ends.
--- a/packages/node/src/fennelcove/node/address.py
+++ b/packages/node/src/fennelcove/node/address.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+MAX_PORT = 65_535
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
@@ -21,6 +23,6 @@
         ValueError: it has another form.
     """
     host, _, port = raw.rpartition(":") if isinstance(raw, str) else ("", "", "")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+    if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
         raise ValueError(f"no address: {raw!r}")
     return Address(host, int(port))
--- a/packages/node/src/fennelcove/node/config_reloader.py
+++ b/packages/node/src/fennelcove/node/config_reloader.py
@@ -49,7 +49,8 @@
             self.requested.clear()
             try:
                 self._reload()
-            except Exception as error:  # one file's fault must not end the reading of all later ones
+            # One file's fault must not end the reading of all later ones.
+            except Exception as error:  # noqa: BLE001 - top of a thread, logged
                 self.log("config_reload_failed", reason=f"{type(error).__name__}: {error}")
 
     def _reload(self) -> None:
--- a/packages/node/src/fennelcove/node/discovery_client.py
+++ b/packages/node/src/fennelcove/node/discovery_client.py
@@ -135,7 +135,8 @@
                 if failures:
                     self._log("discovery_poll_recovered", failures=failures)
                 failures = 0
-            except Exception as error:  # without this thread the server list would never change again
+            # Without this thread the server list would never change again.
+            except Exception as error:  # noqa: BLE001 - top of a thread, logged
                 self._close()
                 failures = self._on_poll_failed(poll, error, failures)
         self._close()
--- a/packages/node/src/fennelcove/node/policy_notifier.py
+++ b/packages/node/src/fennelcove/node/policy_notifier.py
@@ -42,7 +42,7 @@
         """
         try:
             self._policy.handle(event, self._context.now_us())
-        except Exception as error:
+        except Exception as error:  # noqa: BLE001 - a fault of the policy, logged and answered
             self._context.logger(
                 "decision_failed", event_type=type(event).__name__, reason=f"{type(error).__name__}: {error}"
             )
--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -103,7 +103,8 @@
             try:
                 with self.manager.lock:
                     self.manager.run_maintenance()
-            except Exception as error:  # one round's fault must not end all later ones
+            # One round's fault must not end all later ones.
+            except Exception as error:  # noqa: BLE001 - top of a thread, logged
                 self.log("maintenance_failed", reason=f"{type(error).__name__}: {error}")
 
     def _shut_down(self) -> None:
--- a/packages/placement/src/fennelcove/placement/__init__.py
+++ b/packages/placement/src/fennelcove/placement/__init__.py
@@ -4,17 +4,5 @@
 from fennelcove.placement.records import Attempt, Health, Server, Session, SessionEvent, SessionState
 from fennelcove.placement.state import RESERVE, RAISE_MARGIN, MARK_US, FULL_DELIVERY, LinkLoad
 
-__all__ = [
-           "FULL_DELIVERY",
-           "MARK_US",
-           "RAISE_MARGIN",
-           "RESERVE",
-           "Attempt",
-           "Health",
-           "LinkLoad",
-           "PlacementPolicy",
-           "Server",
-           "Session",
-           "SessionEvent",
-           "SessionState",
-]
+__all__ = ["FULL_DELIVERY", "MARK_US", "RAISE_MARGIN", "RESERVE", "Attempt", "Health", "LinkLoad",
+           "PlacementPolicy", "Server", "Session", "SessionEvent", "SessionState"]
