--- a/benchmarks/fair_sim.py
+++ b/benchmarks/fair_sim.py
@@ -256,7 +256,7 @@
     def _asks_plain(self, front: Front, waiter: Asked) -> None:
         if not self._place_plain(front, waiter) and self.case.variant == "line":
             front.plain.append(waiter)
-            self.events.after(front.line.most_wait_us, lambda: self._due_plain(front, waiter))
+            self.events.after(front.line.max_wait_us, lambda: self._due_plain(front, waiter))
 
     def _due_plain(self, front: Front, waiter: Asked) -> None:
         if waiter in front.plain:
@@ -286,8 +286,8 @@
     def _begins(self, front: Front, box: str, waiter: Asked) -> int:
         self.out[front.index, box] += 1
         self.most_out[front.index, box] = max(self.most_out[front.index, box], self.out[front.index, box])
-        if waiter.asked_us > HOG_FROM_US:
-            self._score(waiter.owner).waits_us.append(self.events.now_us - waiter.asked_us)
+        if waiter.arrived_us > HOG_FROM_US:
+            self._score(waiter.owner).waits_us.append(self.events.now_us - waiter.arrived_us)
         times = self.slow_now if waiter.slow else 1
         return min(JOIN_MOST_US, max(1000, round(times * HOLD_US * self.chance.lognormvariate(-0.08, 0.4))))
 
@@ -296,8 +296,8 @@
         score = self._score(waiter.owner)
         if self.events.now_us > HOG_FROM_US:
             score.slot_us += held_us
-        took_us = self.events.now_us - waiter.asked_us
-        score.served += waiter.asked_us > HOG_FROM_US and took_us <= TIMEOUT_US
+        took_us = self.events.now_us - waiter.arrived_us
+        score.served += waiter.arrived_us > HOG_FROM_US and took_us <= TIMEOUT_US
 
     def figures(self) -> dict[str, float]:
         """What the neighbours got, and the hog."""
--- a/packages/fair-queueing/src/fennelcove/fair_queueing/__init__.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/__init__.py
@@ -1,2 +1,5 @@
-"""Whose turn it is at a box: slot-time shared out among tenants, over all fronts. No I/O, no clock, no
-chance."""
+"""Weighted fair queueing of server slots among tenants, across all fronts.
+
+The package takes decisions only: no I/O, no clock, no threads and no randomness. Callers pass in times and
+hold their own lock.
+"""
--- a/packages/fair-queueing/src/fennelcove/fair_queueing/service_time.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/service_time.py
@@ -1,8 +1,9 @@
-"""For how long a set-up will hold its slot, learned from those before it, and which holds are long.
+"""Estimates of service time: for how long an attempt will hold its slot, and which holds are long.
 
-A shape (room type, band of rungs, warm or cold) has a mean and a spread, and each title of it its own. A
-hold is long by what is usual for tenants, each counted once: one that comes ten times over with slow titles
-does not make slow the usual, and where all are slow nothing is long. What nothing is known of counts as long.
+Each request shape (service class, bitrate band, warm or cold replicas) has a running mean and deviation, and
+so has each title within a shape. A hold is long relative to what is typical over tenants, each counted once:
+one tenant that sends many requests for slow titles does not make slow holds typical, and where all holds are
+slow, none is long. A request without any history counts as long.
 """
 
 from __future__ import annotations
@@ -11,83 +12,88 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
-LEARNS = 1 / 4  # a tenfold change is followed within four holds
-WORST_FADES = 1 / 64  # of the longest of a shape, with each that is shorter
-LONG_TIMES = 4.0  # of the usual: a hold that keeps a slot for as long as four others
-LEAST_USUAL_US = 5_000  # under it times are those of threads that wake up
-FIRST_US = 100_000  # a guess where nothing is known
-MOST_TITLES = 1024
-MOST_TENANTS = 64
-MOST_SHAPES = 64
+LEARNING_RATE = 1 / 4  # a tenfold change is followed within four holds
+MAX_DECAY = 1 / 64  # the recent maximum of a shape decays by this with each shorter hold
+LONG_FACTOR = 4.0  # a hold is long if it blocks a slot for as long as this many typical ones
+MIN_TYPICAL_US = 5_000  # shorter times measure thread wake-ups, not servers
+DEFAULT_SERVICE_TIME_US = 100_000  # the estimate without any history
+MAX_TITLES = 1024
+MAX_TENANTS = 64
+MAX_SHAPES = 64
 
 Key = TypeVar("Key")
-Shape = tuple[str, int, bool]  # room type, band of rungs, some holder is warm
+Shape = tuple[str, int, bool]  # service class, bitrate band, whether some replica is warm
 
 
 @dataclass(frozen=True, slots=True)
 class ServiceTimeEstimate:
-    """What is expected of a hold, in microseconds."""
+    """The expected service time of one hold, in microseconds."""
 
-    us: int
-    most_us: int  # with its spread: for what must still fit
+    expected_us: int
+    upper_bound_us: int  # mean and two deviations: to check that an attempt fits before a deadline
     long: bool
 
 
 @dataclass(slots=True)
-class Mean:
-    """A mean that follows, and its mean spread."""
+class RunningMean:
+    """Exponentially weighted mean and mean deviation of service times, with a decaying maximum."""
 
-    value: float
-    spread: float
-    worst: float  # of late
+    mean_us: float
+    mean_deviation_us: float
+    recent_max_us: float
 
-    def learn(self, found: float) -> None:
-        self.worst = max(found, self.worst * (1 - WORST_FADES))
-        self.spread += (abs(found - self.value) - self.spread) * LEARNS
-        self.value += (found - self.value) * LEARNS
+    def observe(self, service_time_us: float) -> None:
+        """Add one measured service time."""
+        self.recent_max_us = max(service_time_us, self.recent_max_us * (1 - MAX_DECAY))
+        deviation_us = abs(service_time_us - self.mean_us)
+        self.mean_deviation_us += (deviation_us - self.mean_deviation_us) * LEARNING_RATE
+        self.mean_us += (service_time_us - self.mean_us) * LEARNING_RATE
 
 
 @dataclass(slots=True)
 class ServiceTimeEstimator:
-    """What one front has learned of hold times; every table is bounded, the oldest goes first."""
+    """Service times measured by one front. Each table is bounded and evicts its oldest entry."""
 
-    shapes: OrderedDict[Shape, Mean] = field(default_factory=OrderedDict)
-    titles: OrderedDict[tuple[Shape, str], Mean] = field(default_factory=OrderedDict)
-    tenants: OrderedDict[int, Mean] = field(default_factory=OrderedDict)
+    shapes: OrderedDict[Shape, RunningMean] = field(default_factory=OrderedDict)
+    titles: OrderedDict[tuple[Shape, str], RunningMean] = field(default_factory=OrderedDict)
+    tenants: OrderedDict[int, RunningMean] = field(default_factory=OrderedDict)
 
     def guess(self, shape: Shape, title: str) -> ServiceTimeEstimate:
-        """What a set-up will take."""
-        known = self.titles.get((shape, title))
-        mean = known or self.shapes.get(shape)
+        """Estimate the service time of a request for a title."""
+        title_mean = self.titles.get((shape, title))
+        mean = title_mean or self.shapes.get(shape)
         if mean is None:
-            return ServiceTimeEstimate(FIRST_US, 2 * FIRST_US, True)
-        most_us = mean.value + 2 * mean.spread
-        # Of a title that nobody asked for yet the worst of its shape is feared.
-        feared_us = mean.value if known is not None else mean.worst
+            return ServiceTimeEstimate(DEFAULT_SERVICE_TIME_US, 2 * DEFAULT_SERVICE_TIME_US, True)
+        # A title without history may be as slow as the slowest recent one of its shape.
+        pessimistic_us = mean.mean_us if title_mean is not None else mean.recent_max_us
+        upper_bound_us = mean.mean_us + 2 * mean.mean_deviation_us
         return ServiceTimeEstimate(
-            max(1, round(mean.value)), max(1, round(most_us)), feared_us > self.long_us()
+            expected_us=max(1, round(mean.mean_us)),
+            upper_bound_us=max(1, round(upper_bound_us)),
+            long=pessimistic_us > self.long_us(),
         )
 
     def long_us(self) -> float:
-        """From where on a hold is long."""
-        usual = sorted(mean.value for mean in self.tenants.values())
-        if not usual:
+        """The service time above which a hold is long, in microseconds."""
+        tenant_means = sorted(mean.mean_us for mean in self.tenants.values())
+        if not tenant_means:
             return 0.0
-        return LONG_TIMES * max(LEAST_USUAL_US, usual[(len(usual) - 1) // 2])
+        lower_median_us = tenant_means[(len(tenant_means) - 1) // 2]
+        return LONG_FACTOR * max(MIN_TYPICAL_US, lower_median_us)
 
     def learn(self, shape: Shape, title: str, tenant: int, held_us: int) -> None:
-        """A slot was held for so long."""
-        _learn(self.shapes, shape, held_us, MOST_SHAPES)
-        _learn(self.titles, (shape, title), held_us, MOST_TITLES)
-        _learn(self.tenants, tenant, held_us, MOST_TENANTS)
-
-
-def _learn(table: OrderedDict[Key, Mean], key: Key, held_us: int, most: int) -> None:
-    found = table.get(key)
-    if found is None:
-        table[key] = Mean(held_us, held_us / 2, held_us)
-        if len(table) > most:
-            table.popitem(last=False)
-    else:
-        found.learn(held_us)
+        """Record for how long a finished attempt held its slot."""
+        _observe(self.shapes, shape, held_us, MAX_SHAPES)
+        _observe(self.titles, (shape, title), held_us, MAX_TITLES)
+        _observe(self.tenants, tenant, held_us, MAX_TENANTS)
+
+
+def _observe(table: OrderedDict[Key, RunningMean], key: Key, held_us: int, max_entries: int) -> None:
+    mean = table.get(key)
+    if mean is not None:
+        mean.observe(held_us)
         table.move_to_end(key)
+        return
+    table[key] = RunningMean(mean_us=held_us, mean_deviation_us=held_us / 2, recent_max_us=held_us)
+    if len(table) > max_entries:
+        table.popitem(last=False)
--- a/packages/fair-queueing/src/fennelcove/fair_queueing/usage_gossip.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/usage_gossip.py
@@ -1,9 +1,9 @@
-"""What fronts tell each other of the slot-time that each tenant got at each server.
+"""Gossip between fronts about the slot time that each tenant used at each server.
 
-A front tells sums that only grow, under its life. Of each the greatest counts, so they merge alike in
-whatever order and however often they come, and what is lost is in the next. What is heard for the first time
-of a life is a beginning and moves nothing; what grew faster than all slots of the box could give is taken at
-that bound.
+A front reports totals that only grow within its incarnation. The receiver keeps the greatest of each, so
+reports merge to the same result in any order and number, and a lost report is made up for by the next one.
+The first total received of an incarnation is a baseline and adds no usage; growth is capped at what all slots
+of the server could have granted in that time.
 """
 
 from __future__ import annotations
@@ -11,19 +11,19 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-WINDOW_US = 250_000
-TOLD_WINDOWS = 4  # a row is told so often after it grew: what is lost once need not be lost
-YOUNG_US = 2_000_000
-MOST_ROWS = 60  # told in one window, the largest first
-MOST_KEPT = 512  # sums of one's own, and of each other front
-REST = 0  # the tenant that stands for all whose own row was dropped
+WINDOW_US = 250_000  # the time between two reports
+REPEAT_WINDOWS = 4  # an entry is sent this many times after it grew, against lost messages
+FRESHNESS_US = 2_000_000  # a front that reported within this time counts as present
+MAX_ROWS = 60  # sent in one window, the largest first
+MAX_ENTRIES = 512  # totals of this front, and of each other front
+OTHER_TENANTS = 0  # the tenant number for all tenants whose own entry was evicted
 
-Key = tuple[int, int]  # box, tenant
+UsageKey = tuple[int, int]  # server, tenant
 
 
 @dataclass(frozen=True, slots=True)
-class Row:
-    """One box's slot-time for one tenant since the teller's life began, in microseconds."""
+class UsageRow:
+    """Slot time of one tenant at one server since the sender's incarnation began, in microseconds."""
 
     server: int
     tenant: int
@@ -32,116 +32,146 @@
 
 @dataclass(frozen=True, slots=True)
 class UsageReport:
-    """What one front tells; a window's rows may come in several messages."""
+    """What one front sends in a window; its rows may arrive in several messages."""
 
-    life: int
-    number: int
-    rows: tuple[Row, ...]
+    incarnation: int
+    sequence: int
+    rows: tuple[UsageRow, ...]
 
 
 @dataclass(slots=True)
-class Sum:
-    """One own row."""
+class LocalUsage:
+    """A total of this front, in microseconds."""
 
-    given_us: int = 0
-    told_us: int = 0  # of it
-    lately_us: int = 0  # by it the largest are found
-    windows: int = 0  # that it is still to be told in
+    used_us: int = 0
+    reported_us: int = 0  # the part of `used_us` that was sent
+    recent_us: int = 0  # ranks the entries for a report
+    windows_left: int = 0  # in how many more windows it is sent
 
 
 @dataclass(slots=True)
-class Heard:
-    """Another front's row: the greatest that was heard, and what was taken of it."""
+class RemoteUsage:
+    """A total of another front, in microseconds."""
 
-    given_us: int
-    first_us: int  # of it, when it was heard for the first time
-    first_at_us: int
-    taken_us: int = 0
+    max_used_us: int  # the greatest total received
+    baseline_us: int  # the total when it was first received
+    baseline_at_us: int
+    applied_us: int = 0  # the growth since the baseline that was passed on to the scheduler
 
+    def growth_us(self, slots: int, now_us: int) -> int:
+        """Return the growth since the baseline, at most what `slots` slots could have granted."""
+        possible_us = slots * (now_us - self.baseline_at_us)
+        return min(self.max_used_us - self.baseline_us, possible_us)
 
-@dataclass(slots=True)
-class Teller:
-    """Another front: only its latest life counts."""
 
-    life: int
-    at_us: int = 0
-    rows: OrderedDict[Key, Heard] = field(default_factory=OrderedDict)
+@dataclass(slots=True)
+class RemoteFront:
+    """Totals of another front, of its latest incarnation only."""
+
+    incarnation: int
+    last_report_us: int = 0
+    usage: OrderedDict[UsageKey, RemoteUsage] = field(default_factory=OrderedDict)
+
+    def merge(self, row: UsageRow, slots: int, now_us: int) -> int:
+        """Merge a received total; return the growth that was not applied yet, in microseconds."""
+        key = row.server, row.tenant
+        known = self.usage.get(key)
+        if known is None:
+            self.usage[key] = RemoteUsage(row.given_us, row.given_us, now_us)
+            if len(self.usage) > MAX_ENTRIES:
+                self.usage.popitem(last=False)
+            return 0
+        known.max_used_us = max(known.max_used_us, row.given_us)
+        self.usage.move_to_end(key)
+        growth_us = known.growth_us(slots, now_us)
+        new_us = max(0, growth_us - known.applied_us)
+        known.applied_us += new_us
+        return new_us
 
 
 @dataclass(slots=True)
 class UsageGossip:
-    """One front's own sums and what it has heard. The caller hands in times and holds the lock."""
+    """Totals of one front and those received from others. The caller passes in times and holds the lock."""
 
     life: int = 0
-    number: int = 0
-    own: OrderedDict[Key, Sum] = field(default_factory=OrderedDict)
-    others: dict[int, Teller] = field(default_factory=dict)
+    sequence: int = 0
+    local_usage: OrderedDict[UsageKey, LocalUsage] = field(default_factory=OrderedDict)
+    remote_fronts: dict[int, RemoteFront] = field(default_factory=dict)
 
-    def gave(self, server: int, tenant: int, us: int) -> None:
-        """This front gave so much."""
+    def gave(self, server: int, tenant: int, used_us: int) -> None:
+        """Record slot time that this front granted to a tenant at a server."""
         key = server, tenant
-        if key not in self.own and len(self.own) >= MOST_KEPT:
-            self._fold()
-        row = self.own.setdefault(key, Sum())
-        self.own.move_to_end(key)
-        row.given_us += us
-        row.lately_us += us
-        row.windows = TOLD_WINDOWS
-
-    def _fold(self) -> None:
-        """The one that was given nothing for longest joins the rest of its box; its sum must not count
-        twice, so only what was not told yet goes along."""
-        (server, tenant), gone = self.own.popitem(last=False)
-        if tenant == REST:
-            return
-        if (server, REST) not in self.own:
-            self.own.popitem(last=False)  # room for it
-        rest = self.own.setdefault((server, REST), Sum())
-        rest.given_us += gone.given_us - gone.told_us
-        rest.lately_us += gone.lately_us
-        rest.windows = max(rest.windows, gone.windows)
-        self.own.move_to_end((server, REST))
+        if key not in self.local_usage and len(self.local_usage) >= MAX_ENTRIES:
+            self._evict_oldest()
+        total = self.local_usage.setdefault(key, LocalUsage())
+        self.local_usage.move_to_end(key)
+        total.used_us += used_us
+        total.recent_us += used_us
+        total.windows_left = REPEAT_WINDOWS
 
     def window(self) -> UsageReport | None:
-        """What to tell now, the largest first and the rest with the next; None where nothing grew."""
-        due = [(key, row) for key, row in self.own.items() if row.windows > 0]
+        """Return the report of this window, the largest entries first; None where there is nothing to send.
+
+        Entries that do not fit go into the next report.
+        """
+        due = [(key, total) for key, total in self.local_usage.items() if total.windows_left > 0]
         if not due:
             return None
-        due.sort(key=lambda item: -item[1].lately_us)
-        self.number += 1
-        for _, row in due[:MOST_ROWS]:
-            row.windows -= 1
-            row.told_us = row.given_us
-            row.lately_us = row.lately_us // 2 if row.windows else 0
-        rows = tuple(Row(server, tenant, row.given_us) for (server, tenant), row in due[:MOST_ROWS])
-        return UsageReport(self.life, self.number, rows)
-
-    def hear(self, sender: int, said: UsageReport, slots: int, now_us: int) -> list[Row]:
-        """Another front's word has come: by how much each tenant was given more, at each box. `slots` is the
-        most that one box can have out."""
-        teller = self.others.get(sender)
-        if teller is None or said.life > teller.life:
-            teller = self.others[sender] = Teller(said.life)
-        if said.life < teller.life:
-            return []  # a life that is over
-        teller.at_us = max(teller.at_us, now_us)
-        found = []
-        for row in said.rows:
-            key = row.server, row.tenant
-            before = teller.rows.get(key)
-            if before is None:
-                teller.rows[key] = Heard(row.given_us, row.given_us, now_us)
-                if len(teller.rows) > MOST_KEPT:
-                    teller.rows.popitem(last=False)
-                continue
-            before.given_us = max(before.given_us, row.given_us)
-            teller.rows.move_to_end(key)
-            most_us = min(before.given_us - before.first_us, slots * (now_us - before.first_at_us))
-            if most_us > before.taken_us:
-                found.append(Row(row.server, row.tenant, most_us - before.taken_us))
-                before.taken_us = most_us
-        return found
+        due.sort(key=lambda item: -item[1].recent_us)
+        self.sequence += 1
+        sent = due[:MAX_ROWS]
+        for _, total in sent:
+            total.windows_left -= 1
+            total.reported_us = total.used_us
+            total.recent_us = total.recent_us // 2 if total.windows_left else 0
+        rows = tuple(UsageRow(server, tenant, total.used_us) for (server, tenant), total in sent)
+        return UsageReport(self.life, self.sequence, rows)
+
+    def hear(self, sender: int, report: UsageReport, slots: int, now_us: int) -> list[UsageRow]:
+        """Merge a report of another front.
+
+        Args:
+            sender: the number of the other front.
+            report: what it sent.
+            slots: the greatest number of slots that one server can have in use.
+            now_us: the time of receipt.
+
+        Returns:
+            How much the usage of each tenant grew at each server since the report before; empty for a report
+            of an earlier incarnation.
+        """
+        front = self.remote_fronts.get(sender)
+        if front is None or report.incarnation > front.incarnation:
+            front = self.remote_fronts[sender] = RemoteFront(report.incarnation)
+        if report.incarnation < front.incarnation:
+            return []
+        front.last_report_us = max(front.last_report_us, now_us)
+        growth = []
+        for row in report.rows:
+            new_us = front.merge(row, slots, now_us)
+            if new_us > 0:
+                growth.append(UsageRow(row.server, row.tenant, new_us))
+        return growth
 
     def heard(self, now_us: int) -> int:
-        """Other fronts whose word is young."""
-        return sum(1 for teller in self.others.values() if now_us - teller.at_us <= YOUNG_US)
+        """Count the other fronts that reported recently."""
+        return sum(
+            1 for front in self.remote_fronts.values() if now_us - front.last_report_us <= FRESHNESS_US
+        )
+
+    def _evict_oldest(self) -> None:
+        """Merge the least recently used entry into the one for other tenants of its server.
+
+        Only what was not reported yet is moved along: receivers have applied the rest already.
+        """
+        (server, tenant), evicted = self.local_usage.popitem(last=False)
+        if tenant == OTHER_TENANTS:
+            return
+        shared_key = server, OTHER_TENANTS
+        if shared_key not in self.local_usage:
+            self.local_usage.popitem(last=False)  # makes space for the shared entry
+        shared = self.local_usage.setdefault(shared_key, LocalUsage())
+        shared.used_us += evicted.used_us - evicted.reported_us
+        shared.recent_us += evicted.recent_us
+        shared.windows_left = max(shared.windows_left, evicted.windows_left)
+        self.local_usage.move_to_end(shared_key)
--- a/packages/fair-queueing/src/fennelcove/fair_queueing/virtual_time.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/virtual_time.py
@@ -1,14 +1,15 @@
-"""What one box gave to each tenant: start-time fair queueing of slot-time by weights.
-
-A tenant's tag is the slot-time that it was given over its weight, on the clock of the box that only grants
-move on (`virtual`). Whose tag is least has the next slot; who was idle begins at the clock and has saved
-nothing up, so that idle parts are used by others and won back with the next slot that comes free. A hold is
-charged by a guess when it begins, charged on when it lasts longer, and corrected when it ends.
-
-Beside the tags stands what a tenant had of late, here and at other fronts. By it a tenant is within its part
-of the whole fleet or over it, and who is within goes first: one that comes to all fronts gets no more than
-one that comes to a single front, and one that hops finds what it had there before it. It fades, so that
-nobody goes without for an hour's plenty.
+"""Start-time fair queueing of the slot time of one server, by tenant weights.
+
+The finish tag of a tenant is the slot time that it was charged divided by its weight, on the server's virtual
+clock, which advances only when a slot is acquired. The tenant with the lowest start tag gets the next slot. A
+tenant that was idle starts at the current virtual time and has accumulated no credit, so idle shares are lent
+to others and reclaimed with the next slot that becomes free. A hold is charged its expected service time when
+it starts, charged further while it runs longer, and corrected when it ends.
+
+Next to the tags each tenant has its recent usage, at this front and at others. It decides whether the tenant
+is within its share of the whole fleet; tenants within their share go first. So a tenant that sends requests
+to all fronts gets no more than one that uses a single front, and one that moves between fronts takes its
+usage along. Usage decays exponentially, so an earlier surplus is held against a tenant for a short time only.
 """
 
 from __future__ import annotations
@@ -17,172 +18,197 @@
 from dataclasses import dataclass, field
 from math import exp
 
-MOST_TENANTS = 64  # with a tag of their own at one box; more share one
-REST = 0  # the tag number of those that share one
-ACTIVE_US = 2_000_000  # a tenant that had a slot so lately counts among those that share
-LATELY_US = 500_000  # what was had longer ago fades: so long at most an hour's plenty is held against one
-FORGET_US = 10_000_000  # an account that nobody added to for so long is no more
+MAX_TENANTS = 64  # with an account of their own at one server; all others share one
+OTHER_TENANTS = 0  # the number of the shared account
+ACTIVE_WINDOW_US = 2_000_000  # a tenant that had a slot within this time counts as active
+USAGE_DECAY_US = 500_000  # the time constant by which recent usage decays
+ACCOUNT_EXPIRY_US = 10_000_000  # an account without any use for this time may be removed
 
 
 @dataclass(frozen=True, slots=True)
 class TenantTerms:
-    """Weights of the tenants that are named, by their numbers; what all others weigh together beside them."""
+    """Weights of the configured tenants by number, and one weight for all others together."""
 
     weights: Mapping[int, float] = field(default_factory=dict)
-    strangers: float = 1.0
+    unlisted_weight: float = 1.0
 
     def known(self, tenant: int) -> int:
-        """Whom it counts for. Where some are named all others are one: a new name for each set-up had no
-        past, and was as good as a neighbour that had had nothing."""
-        return tenant if not self.weights or tenant in self.weights else REST
+        """Return the tenant number under which usage of `tenant` is accounted.
+
+        Where weights are configured, all unlisted tenants share one account. Otherwise a client that uses a
+        new tenant name for each request would always look like a tenant without any usage.
+        """
+        return tenant if not self.weights or tenant in self.weights else OTHER_TENANTS
 
     def weight(self, tenant: int) -> float:
-        """A tenant's weight now."""
+        """Return the weight of a tenant; all are equal where none is configured."""
         if not self.weights:
             return 1.0
-        return self.weights.get(tenant, self.strangers)
+        return self.weights.get(tenant, self.unlisted_weight)
 
 
 @dataclass(slots=True)
-class Hold:
-    """One slot that is out."""
+class SlotHold:
+    """One slot in use."""
 
     tenant: int
-    account: int  # whose tag it was charged to
+    account_key: int  # the account that it was charged to
     since_us: int
     charged_us: int
-    long: bool
+    is_long: bool
 
 
 @dataclass(slots=True)
-class Lately:
-    """Slot-time of late: what is older than `LATELY_US` fades."""
+class DecayingUsage:
+    """Slot time that decays exponentially with `USAGE_DECAY_US`, in microseconds."""
 
-    us: float = 0.0
-    at_us: int = 0
+    usage_us: float = 0.0
+    updated_us: int = 0
 
-    def add(self, us: float, now_us: int) -> None:
-        self.us = self.at(now_us) + us
-        self.at_us = now_us
+    def add(self, used_us: float, now_us: int) -> None:
+        """Add slot time that was used until now; negative for a correction."""
+        self.usage_us = self.usage_at(now_us) + used_us
+        self.updated_us = now_us
 
-    def at(self, now_us: int) -> float:
-        return self.us * exp((self.at_us - now_us) / LATELY_US)
+    def usage_at(self, now_us: int) -> float:
+        """Return what is left of the usage at a time."""
+        return self.usage_us * exp((self.updated_us - now_us) / USAGE_DECAY_US)
 
 
 @dataclass(slots=True)
 class TenantAccount:
-    """One tenant at one box."""
+    """Charges and recent usage of one tenant at one server."""
 
-    tag: float
-    touched_us: int
-    out: int = 0
-    here: Lately = field(default_factory=Lately)
-    elsewhere: Lately = field(default_factory=Lately)  # by other fronts
+    finish_tag: float
+    last_used_us: int
+    slots_in_use: int = 0
+    local_usage: DecayingUsage = field(default_factory=DecayingUsage)
+    remote_usage: DecayingUsage = field(default_factory=DecayingUsage)  # granted by other fronts
 
-    def charge(self, us: float, weight: float, now_us: int) -> None:
-        """So much slot-time more, or less."""
-        self.tag += us / weight
-        self.here.add(us, now_us)
+    def charge(self, used_us: float, weight: float, now_us: int) -> None:
+        """Charge slot time, or refund it where it is negative."""
+        self.finish_tag += used_us / weight
+        self.local_usage.add(used_us, now_us)
 
 
 class VirtualTimeScheduler:
-    """The tags of one box. The caller hands in times and holds the lock."""
+    """Accounts and slots in use of one server. The caller passes in times and holds the lock."""
 
-    def __init__(self, terms: TenantTerms) -> None:
-        self.terms = terms
-        self.virtual = 0.0
+    def __init__(self, tenant_weights: TenantTerms) -> None:
+        self.tenant_weights = tenant_weights
+        self.virtual_time = 0.0
         self.accounts: dict[int, TenantAccount] = {}
-        self.holds: dict[tuple[str, int], Hold] = {}
+        self.holds: dict[tuple[str, int], SlotHold] = {}
 
     @property
     def out(self) -> int:
-        """Slots that are out."""
+        """The number of slots in use."""
         return len(self.holds)
 
-    def start(self, tenant: int, now_us: int) -> float:
-        """Where the next hold of a tenant would begin: the least of those that wait has the turn."""
-        self._charge_on(now_us)
-        account = self.accounts.get(self._key(tenant))
-        return self.virtual if account is None else max(self.virtual, account.tag)
-
-    def _key(self, tenant: int) -> int:
-        return tenant if tenant in self.accounts or len(self.accounts) < MOST_TENANTS else REST
-
-    def _charge_on(self, now_us: int) -> None:
-        """A hold that lasts longer than it was charged for costs its tenant now, not when it ends: a box that
-        never answers would else be free."""
-        for hold in self.holds.values():
-            more_us = now_us - hold.since_us - hold.charged_us
-            if more_us > 0:
-                hold.charged_us += more_us
-                weight = self.terms.weight(hold.tenant)
-                self.accounts[hold.account].charge(more_us, weight, now_us)
-
-    def _open(self, tenant: int, now_us: int) -> int:
-        """The account to charge; what carries no word any more makes room."""
-        if tenant not in self.accounts and len(self.accounts) >= MOST_TENANTS:
-            for key, account in list(self.accounts.items()):
-                late = now_us - account.touched_us > FORGET_US
-                if not account.out and (account.tag <= self.virtual or late):
-                    del self.accounts[key]
-        if tenant not in self.accounts and len(self.accounts) >= MOST_TENANTS:
-            self._fold()
-        key = self._key(tenant)
-        if key not in self.accounts:
-            self.accounts[key] = TenantAccount(self.virtual, now_us)
-        self.accounts[key].touched_us = now_us
-        return key
-
-    def _fold(self) -> None:
-        """The smallest joins those that share one tag, the greatest of theirs."""
-        idle = [(account.tag, key) for key, account in self.accounts.items() if not account.out and key]
-        if idle:
-            tag, key = min(idle)
-            del self.accounts[key]
-            rest = self.accounts.setdefault(REST, TenantAccount(tag, 0))
-            rest.tag = max(rest.tag, tag)
-
-    def take(self, key: tuple[str, int], tenant: int, guess_us: int, long: bool, now_us: int) -> None:
-        """A slot goes out, charged by a guess."""
-        self._charge_on(now_us)
-        account_key = self._open(tenant, now_us)
+    def start_tag(self, tenant: int, now_us: int) -> float:
+        """Return the virtual time at which the next hold of a tenant would start; the lowest goes first."""
+        self._charge_elapsed(now_us)
+        account = self.accounts.get(self._account_key(tenant))
+        return self.virtual_time if account is None else max(self.virtual_time, account.finish_tag)
+
+    def acquire(
+        self, key: tuple[str, int], tenant: int, expected_us: int, is_long: bool, now_us: int
+    ) -> None:
+        """Put a slot in use and charge the expected service time to its tenant."""
+        self._charge_elapsed(now_us)
+        account_key = self._ensure_account(tenant, now_us)
         account = self.accounts[account_key]
-        self.virtual = account.tag = max(self.virtual, account.tag)
-        account.charge(guess_us, self.terms.weight(tenant), now_us)
-        account.out += 1
-        self.holds[key] = Hold(tenant, account_key, now_us, guess_us, long)
+        self.virtual_time = account.finish_tag = max(self.virtual_time, account.finish_tag)
+        account.charge(expected_us, self.tenant_weights.weight(tenant), now_us)
+        account.slots_in_use += 1
+        self.holds[key] = SlotHold(tenant, account_key, now_us, expected_us, is_long)
 
-    def give_back(self, key: tuple[str, int], now_us: int) -> Hold | None:
-        """A slot is back, and its charge is what it was held; None for one that is not out."""
+    def release(self, key: tuple[str, int], now_us: int) -> SlotHold | None:
+        """Free a slot and correct its charge to the measured time; None for a slot that is not in use."""
         hold = self.holds.pop(key, None)
         if hold is None:
             return None
-        account = self.accounts[hold.account]
-        account.out -= 1
-        account.touched_us = now_us
-        account.charge(now_us - hold.since_us - hold.charged_us, self.terms.weight(hold.tenant), now_us)
+        account = self.accounts[hold.account_key]
+        account.slots_in_use -= 1
+        account.last_used_us = now_us
+        correction_us = now_us - hold.since_us - hold.charged_us
+        account.charge(correction_us, self.tenant_weights.weight(hold.tenant), now_us)
         return hold
 
-    def advance(self, tenant: int, given_us: int, now_us: int) -> None:
-        """Other fronts gave it so much slot-time at this box."""
-        self.accounts[self._open(tenant, now_us)].elsewhere.add(given_us, now_us)
+    def add_remote_usage(self, tenant: int, used_us: int, now_us: int) -> None:
+        """Record slot time that other fronts granted to a tenant at this server."""
+        account_key = self._ensure_account(tenant, now_us)
+        self.accounts[account_key].remote_usage.add(used_us, now_us)
 
-    def long(self, over_us: float, now_us: int, tenant: int | None = None) -> int:
-        """How many of the holds that are out, of all or of one tenant, are long: by their guess or by now."""
+    def long_hold_count(self, long_threshold_us: float, now_us: int, tenant: int | None = None) -> int:
+        """Count the holds, of one tenant or of all, that were expected to be long or have become long."""
         return sum(
             1
             for hold in self.holds.values()
-            if (hold.long or now_us - hold.since_us > over_us) and tenant in (None, hold.tenant)
+            if (hold.is_long or now_us - hold.since_us > long_threshold_us) and tenant in (None, hold.tenant)
         )
 
     def used(self, tenant: int, now_us: int) -> float:
-        """How many slots a tenant had of late, on the mean, at all fronts that are heard."""
-        account = self.accounts.get(self._key(tenant))
-        return (
-            0.0 if account is None else (account.here.at(now_us) + account.elsewhere.at(now_us)) / LATELY_US
-        )
+        """Return the mean number of slots that a tenant had in use recently, over all known fronts."""
+        account = self.accounts.get(self._account_key(tenant))
+        if account is None:
+            return 0.0
+        usage_us = account.local_usage.usage_at(now_us) + account.remote_usage.usage_at(now_us)
+        return usage_us / USAGE_DECAY_US
 
     def active(self, now_us: int) -> list[int]:
-        """The tenants that had slots here of late."""
-        late_us = now_us - ACTIVE_US
-        return [key for key, account in self.accounts.items() if account.out or account.touched_us > late_us]
+        """Return the tenants that use a slot here or did so recently."""
+        active_since_us = now_us - ACTIVE_WINDOW_US
+        return [
+            key
+            for key, account in self.accounts.items()
+            if account.slots_in_use or account.last_used_us > active_since_us
+        ]
+
+    def _account_key(self, tenant: int) -> int:
+        has_own_account = tenant in self.accounts or len(self.accounts) < MAX_TENANTS
+        return tenant if has_own_account else OTHER_TENANTS
+
+    def _charge_elapsed(self, now_us: int) -> None:
+        """Charge holds that run longer than expected now, not when they end.
+
+        A server that never answers would otherwise cost its tenant nothing.
+        """
+        for hold in self.holds.values():
+            uncharged_us = now_us - hold.since_us - hold.charged_us
+            if uncharged_us > 0:
+                hold.charged_us += uncharged_us
+                weight = self.tenant_weights.weight(hold.tenant)
+                self.accounts[hold.account_key].charge(uncharged_us, weight, now_us)
+
+    def _ensure_account(self, tenant: int, now_us: int) -> int:
+        """Return the key of the account to charge for a tenant; create it, and make space where needed."""
+        if tenant not in self.accounts and len(self.accounts) >= MAX_TENANTS:
+            self._remove_stale_accounts(now_us)
+        if tenant not in self.accounts and len(self.accounts) >= MAX_TENANTS:
+            self._merge_smallest_account()
+        key = self._account_key(tenant)
+        if key not in self.accounts:
+            self.accounts[key] = TenantAccount(self.virtual_time, now_us)
+        self.accounts[key].last_used_us = now_us
+        return key
+
+    def _remove_stale_accounts(self, now_us: int) -> None:
+        """Remove accounts whose tag no longer delays their tenant, or that were not used for long."""
+        for key, account in list(self.accounts.items()):
+            is_expired = now_us - account.last_used_us > ACCOUNT_EXPIRY_US
+            if not account.slots_in_use and (account.finish_tag <= self.virtual_time or is_expired):
+                del self.accounts[key]
+
+    def _merge_smallest_account(self) -> None:
+        """Merge the idle account with the lowest tag into the shared one, which keeps the highest tag."""
+        idle = [
+            (account.finish_tag, key)
+            for key, account in self.accounts.items()
+            if not account.slots_in_use and key != OTHER_TENANTS
+        ]
+        if idle:
+            finish_tag, key = min(idle)
+            del self.accounts[key]
+            shared = self.accounts.setdefault(OTHER_TENANTS, TenantAccount(finish_tag, 0))
+            shared.finish_tag = max(shared.finish_tag, finish_tag)
--- a/packages/fair-queueing/src/fennelcove/fair_queueing/waiter.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/waiter.py
@@ -1,69 +1,80 @@
-"""The life of one set-up's wish for a slot: what may happen to it, and what follows.
+"""State machine of one session request that needs a slot.
 
-It waits before the module hears of it, so nothing has left while it waits: giving it up needs no release, no
-room type is run twice by it, and its answer is due in the same moment.
+A request waits before it is passed to the placement policy, so nothing has been sent while it waits: dropping
+it needs no release at any server, and its final response can be sent at once.
 """
 
 from __future__ import annotations
 
 from enum import Enum, auto
 
+from fennelcove.state_machine import Transition, TransitionTable, Unlisted
+
 
 class WaiterState(Enum):
-    """Where a wish stands."""
+    """State of a request that needs a slot."""
 
     NEW = auto()
     WAITING = auto()
-    PLACING = auto()  # it has the turn: the module picks a box
-    HOLDING = auto()  # its join is out
-    OVER = auto()
+    PLACING = auto()  # a slot was granted: the placement policy picks a server
+    HOLDING = auto()  # its attempt is in flight and holds the slot
+    CLOSED = auto()
 
 
 class WaiterEvent(Enum):
-    """What happens to it."""
+    """Event of a request that needs a slot."""
 
-    NO_SLOT = auto()  # every slot that it could use is out
-    NO_TIME = auto()  # slot, join and answer would not fit any more
-    CROWDED = auto()  # too many wait, and most of them are its tenant's
-    TURN = auto()
-    PLACED = auto()  # the module picked a box, and the slot there is taken
-    NO_BOX = auto()  # the module finds no place at the boxes that are free
-    AGAIN = auto()  # there are others, where all slots are out: it waits for those
-    HUNG_UP = auto()
-    STOPPED = auto()
-    RETURNED = auto()  # its join is over
+    NO_SLOT = auto()  # every slot that it could use is taken
+    NO_TIME = auto()  # wait, attempt and response would not fit before its deadline
+    CROWDED = auto()  # the queue is full, and its tenant has the most requests in it
+    TURN = auto()  # a slot is granted
+    PLACED = auto()  # the placement policy picked a server, and the slot there is acquired
+    NO_BOX = auto()  # the placement policy finds no place at the servers with a free slot
+    AGAIN = auto()  # it is queued again, for the servers whose slots are all taken
+    HUNG_UP = auto()  # the client disconnected
+    STOPPED = auto()  # the front shuts down
+    RETURNED = auto()  # its attempt completed and released the slot
 
 
 class WaiterAction(Enum):
-    """What follows."""
+    """What the caller has to do after an event."""
 
     WAIT = auto()
-    PLACE = auto()  # the module is asked now
-    REFUSE = auto()  # a final answer, at once, with a time to come back
-    DROP = auto()  # nobody waits for an answer
-    CHARGE = auto()
-    CORRECT = auto()
+    PLACE = auto()  # pass the request to the placement policy now
+    REFUSE = auto()  # send the final response at once, with Retry-After
+    DROP = auto()  # no client waits for a response
+    CHARGE = auto()  # charge the expected service time to the tenant
+    CORRECT = auto()  # replace the charge by the measured service time
     NOTHING = auto()
 
 
-TRANSITIONS: dict[tuple[WaiterState, WaiterEvent], tuple[WaiterState, WaiterAction]] = {
-    (WaiterState.NEW, WaiterEvent.TURN): (WaiterState.PLACING, WaiterAction.PLACE),
-    (WaiterState.NEW, WaiterEvent.NO_SLOT): (WaiterState.WAITING, WaiterAction.WAIT),
-    (WaiterState.NEW, WaiterEvent.NO_TIME): (WaiterState.OVER, WaiterAction.REFUSE),
-    (WaiterState.NEW, WaiterEvent.CROWDED): (WaiterState.OVER, WaiterAction.REFUSE),
-    (WaiterState.WAITING, WaiterEvent.TURN): (WaiterState.PLACING, WaiterAction.PLACE),
-    (WaiterState.WAITING, WaiterEvent.NO_TIME): (WaiterState.OVER, WaiterAction.REFUSE),
-    (WaiterState.WAITING, WaiterEvent.CROWDED): (WaiterState.OVER, WaiterAction.REFUSE),
-    (WaiterState.WAITING, WaiterEvent.STOPPED): (WaiterState.OVER, WaiterAction.REFUSE),
-    (WaiterState.WAITING, WaiterEvent.HUNG_UP): (WaiterState.OVER, WaiterAction.DROP),
-    (WaiterState.PLACING, WaiterEvent.PLACED): (WaiterState.HOLDING, WaiterAction.CHARGE),
-    (WaiterState.PLACING, WaiterEvent.NO_BOX): (WaiterState.OVER, WaiterAction.NOTHING),
-    (WaiterState.OVER, WaiterEvent.AGAIN): (WaiterState.NEW, WaiterAction.NOTHING),
-    (WaiterState.HOLDING, WaiterEvent.RETURNED): (WaiterState.PLACING, WaiterAction.CORRECT),
-    # One that holds a slot is told of hang-ups and stops by its join's end alone: the box has it until then.
-}
-
-
-def transition(stage: WaiterState, event: WaiterEvent) -> tuple[WaiterState, WaiterAction]:
-    """The next stage and what to do; a cue that comes too late or twice changes nothing."""
-    return TRANSITIONS.get((stage, event), (stage, WaiterAction.NOTHING))
+_STATE, _EVENT, _ACTION = WaiterState, WaiterEvent, WaiterAction
+
+# A request that holds a slot leaves that state only when its attempt completes, not when the client
+# disconnects or the front shuts down: the server is busy with it until then. Events that arrive late or twice
+# have no row and change nothing.
+TRANSITIONS: TransitionTable[WaiterState, WaiterEvent, WaiterAction] = TransitionTable(
+    {
+        (_STATE.NEW, _EVENT.TURN): Transition(_STATE.PLACING, (_ACTION.PLACE,)),
+        (_STATE.NEW, _EVENT.NO_SLOT): Transition(_STATE.WAITING, (_ACTION.WAIT,)),
+        (_STATE.NEW, _EVENT.NO_TIME): Transition(_STATE.CLOSED, (_ACTION.REFUSE,)),
+        (_STATE.NEW, _EVENT.CROWDED): Transition(_STATE.CLOSED, (_ACTION.REFUSE,)),
+        (_STATE.WAITING, _EVENT.TURN): Transition(_STATE.PLACING, (_ACTION.PLACE,)),
+        (_STATE.WAITING, _EVENT.NO_TIME): Transition(_STATE.CLOSED, (_ACTION.REFUSE,)),
+        (_STATE.WAITING, _EVENT.CROWDED): Transition(_STATE.CLOSED, (_ACTION.REFUSE,)),
+        (_STATE.WAITING, _EVENT.STOPPED): Transition(_STATE.CLOSED, (_ACTION.REFUSE,)),
+        (_STATE.WAITING, _EVENT.HUNG_UP): Transition(_STATE.CLOSED, (_ACTION.DROP,)),
+        (_STATE.PLACING, _EVENT.PLACED): Transition(_STATE.HOLDING, (_ACTION.CHARGE,)),
+        (_STATE.PLACING, _EVENT.NO_BOX): Transition(_STATE.CLOSED),
+        (_STATE.CLOSED, _EVENT.AGAIN): Transition(_STATE.NEW),
+        (_STATE.HOLDING, _EVENT.RETURNED): Transition(_STATE.PLACING, (_ACTION.CORRECT,)),
+    },
+    unlisted=Unlisted.IGNORE,
+)
+
+
+def transition(state: WaiterState, event: WaiterEvent) -> tuple[WaiterState, WaiterAction]:
+    """Return the next state and the action to carry out, `NOTHING` where there is none."""
+    following = TRANSITIONS.apply(state, event)
+    action = following.actions[0] if following.actions else WaiterAction.NOTHING
+    return following.state, action
--- a/packages/messages/src/fennelcove/usage_messages.py
+++ b/packages/messages/src/fennelcove/usage_messages.py
@@ -4,7 +4,7 @@
 
 import struct
 
-from fennelcove.fair_queueing.usage_gossip import Row, UsageReport
+from fennelcove.fair_queueing.usage_gossip import UsageRow, UsageReport
 
 GIVEN = 48
 MAX_BYTES = 256
@@ -16,7 +16,7 @@
 def encode(report: UsageReport) -> list[bytes]:
     """Encode a report, into messages of 256 bytes at most each."""
     rows = [ROW.pack(row.server, row.tenant, row.given_us) for row in report.rows]
-    head = HEAD.pack(GIVEN, report.life, report.number)
+    head = HEAD.pack(GIVEN, report.incarnation, report.sequence)
     return [head + b"".join(rows[first : first + MAX_ROWS]) for first in range(0, len(rows), MAX_ROWS)]
 
 
@@ -26,5 +26,5 @@
     if not has_whole_rows or raw[0] != GIVEN:
         return None
     _, incarnation, sequence = HEAD.unpack_from(raw)
-    rows = tuple(Row(*row) for row in ROW.iter_unpack(raw[HEAD.size :]))
+    rows = tuple(UsageRow(*row) for row in ROW.iter_unpack(raw[HEAD.size :]))
     return UsageReport(incarnation, sequence, rows)
--- a/tests/test_fair.py
+++ b/tests/test_fair.py
@@ -13,10 +13,19 @@
 from benchmarks.fair_sim import Case, World
 from fennelcove.fair_queueing import usage_gossip
 from fennelcove.fair_queueing import waiter as waiter_states
-from fennelcove.fair_queueing.service_time import FIRST_US, ServiceTimeEstimate, ServiceTimeEstimator
-from fennelcove.fair_queueing.wait_queue import WaitQueue, Waiter, kept
-from fennelcove.fair_queueing.virtual_time import MOST_TENANTS, REST, VirtualTimeScheduler, TenantTerms
-from fennelcove.fair_queueing.usage_gossip import UsageReport, Row, UsageGossip
+from fennelcove.fair_queueing.service_time import (
+    DEFAULT_SERVICE_TIME_US,
+    ServiceTimeEstimate,
+    ServiceTimeEstimator,
+)
+from fennelcove.fair_queueing.wait_queue import WaitQueue, Waiter, reserved_slots
+from fennelcove.fair_queueing.virtual_time import (
+    MAX_TENANTS,
+    OTHER_TENANTS,
+    VirtualTimeScheduler,
+    TenantTerms,
+)
+from fennelcove.fair_queueing.usage_gossip import UsageReport, UsageRow, UsageGossip
 from fennelcove.fair_queueing.waiter import WaiterAction, WaiterEvent, WaiterState
 
 SECOND = 1_000_000
@@ -31,7 +40,7 @@
 
 def served(weights: dict[int, float], holds: dict[int, int], slots: int, seconds: float) -> dict[int, int]:
     """The slot-time of tenants who all want more than there is, at one box; each has one wish waiting."""
-    line = WaitQueue(lambda box, now_us: slots, TenantTerms(weights), most_wait_us=10**9)
+    line = WaitQueue(lambda box, now_us: slots, TenantTerms(weights), max_wait_us=10**9)
     got, out, now_us, number = dict.fromkeys(weights, 0), list[tuple[int, str, int]](), 0, 0
     while now_us < seconds * SECOND:
         for tenant in weights:
@@ -74,50 +83,50 @@
     def test_who_was_idle_has_saved_nothing_up(self) -> None:
         shares = VirtualTimeScheduler(TenantTerms())
         for i in range(50):
-            shares.take((f"{i}", 0), 1, 100_000, False, i * 100_000)
-            shares.give_back((f"{i}", 0), (i + 1) * 100_000)
+            shares.acquire((f"{i}", 0), 1, 100_000, False, i * 100_000)
+            shares.release((f"{i}", 0), (i + 1) * 100_000)
         now_us = 50 * 100_000
-        self.assertEqual(shares.start(2, now_us), shares.virtual)
-        self.assertLessEqual(shares.start(1, now_us) - shares.start(2, now_us), 100_000)
+        self.assertEqual(shares.start_tag(2, now_us), shares.virtual_time)
+        self.assertLessEqual(shares.start_tag(1, now_us) - shares.start_tag(2, now_us), 100_000)
 
     def test_a_hold_that_does_not_end_is_charged_while_it_lasts(self) -> None:
         # A slot leaked by a box that never answers would be free of charge until it ends.
         shares = VirtualTimeScheduler(TenantTerms())
-        shares.take(("leaked", 0), 1, 100_000, False, 0)
-        soon = shares.start(1, SECOND)
-        self.assertGreaterEqual(shares.start(1, 5 * SECOND), soon + 4 * SECOND)
+        shares.acquire(("leaked", 0), 1, 100_000, False, 0)
+        soon = shares.start_tag(1, SECOND)
+        self.assertGreaterEqual(shares.start_tag(1, 5 * SECOND), soon + 4 * SECOND)
 
     def test_a_slot_given_back_twice_counts_once(self) -> None:
         shares = VirtualTimeScheduler(TenantTerms())
-        shares.take(("a", 0), 1, 100_000, False, 0)
-        self.assertIsNotNone(shares.give_back(("a", 0), 50_000))
-        self.assertIsNone(shares.give_back(("a", 0), 60_000))
+        shares.acquire(("a", 0), 1, 100_000, False, 0)
+        self.assertIsNotNone(shares.release(("a", 0), 50_000))
+        self.assertIsNone(shares.release(("a", 0), 60_000))
         self.assertEqual(shares.out, 0)
 
     def test_a_thousand_names_do_not_grow_the_table(self) -> None:
         shares, chance = VirtualTimeScheduler(TenantTerms()), Random(1)
         for i in range(5000):
             now_us = i * 1000
-            shares.take((f"{i}", 0), 1 + chance.randrange(1000), 50_000, False, now_us)
+            shares.acquire((f"{i}", 0), 1 + chance.randrange(1000), 50_000, False, now_us)
             if i >= 8:
-                shares.give_back((f"{i - 8}", 0), now_us)
-        self.assertLessEqual(len(shares.accounts), MOST_TENANTS + 1)
+                shares.release((f"{i - 8}", 0), now_us)
+        self.assertLessEqual(len(shares.accounts), MAX_TENANTS + 1)
         self.assertEqual(shares.out, 8)
-        self.assertEqual(sum(account.out for account in shares.accounts.values()), 8)
+        self.assertEqual(sum(account.slots_in_use for account in shares.accounts.values()), 8)
 
     def test_where_tenants_are_named_strangers_are_one(self) -> None:
         terms = TenantTerms({7: 2.0}, 0.5)
-        self.assertEqual((terms.known(7), terms.known(8), terms.known(9)), (7, REST, REST))
-        self.assertEqual((terms.weight(7), terms.weight(REST)), (2.0, 0.5))
+        self.assertEqual((terms.known(7), terms.known(8), terms.known(9)), (7, OTHER_TENANTS, OTHER_TENANTS))
+        self.assertEqual((terms.weight(7), terms.weight(OTHER_TENANTS)), (2.0, 0.5))
 
     def test_other_weights_count_from_when_they_are_told(self) -> None:
         line = WaitQueue(lambda box, now_us: 1, TenantTerms({1: 1.0, 2: 1.0}))
         line.take("b", ("a", 0), 1, ServiceTimeEstimate(100_000, 100_000, False), 0)
-        before = line.shares("b").accounts[1].tag
-        line.use(TenantTerms({1: 4.0, 2: 1.0}))
+        before = line.scheduler("b").accounts[1].finish_tag
+        line.set_tenant_weights(TenantTerms({1: 4.0, 2: 1.0}))
         line.give_back("b", ("a", 0), 100_000)
         line.take("b", ("c", 0), 1, ServiceTimeEstimate(100_000, 100_000, False), 100_000)
-        self.assertAlmostEqual(line.shares("b").accounts[1].tag - before, 25_000)
+        self.assertAlmostEqual(line.scheduler("b").accounts[1].finish_tag - before, 25_000)
 
 
 class HoldsTest(unittest.TestCase):
@@ -130,7 +139,8 @@
 
     def test_what_nothing_is_known_of_is_long(self) -> None:
         self.assertEqual(
-            ServiceTimeEstimator().guess(SHAPE, "new"), ServiceTimeEstimate(FIRST_US, 2 * FIRST_US, True)
+            ServiceTimeEstimator().guess(SHAPE, "new"),
+            ServiceTimeEstimate(DEFAULT_SERVICE_TIME_US, 2 * DEFAULT_SERVICE_TIME_US, True),
         )
 
     def test_one_that_comes_with_slow_titles_does_not_make_slow_the_usual(self) -> None:
@@ -146,7 +156,7 @@
         holds = self.learned({"fast": 50_000}, {1: "fast", 2: "fast"})
         for _ in range(8):
             holds.learn(SHAPE, "fast", 1, 500_000)
-        self.assertGreater(holds.guess(SHAPE, "fast").us, 400_000)
+        self.assertGreater(holds.guess(SHAPE, "fast").expected_us, 400_000)
 
     def test_titles_and_tenants_are_bounded(self) -> None:
         holds = ServiceTimeEstimator()
@@ -175,22 +185,22 @@
 
     def test_long_holds_never_have_all_slots(self) -> None:
         line = self.line(4)
-        stages = [self.ask(line, f"{i}", 1, long=True).stage for i in range(6)]
-        self.assertEqual(stages.count(WaiterState.HOLDING), 4 - kept(4))
-        self.assertIs(self.ask(line, "short", 2).stage, WaiterState.HOLDING)
+        stages = [self.ask(line, f"{i}", 1, long=True).state for i in range(6)]
+        self.assertEqual(stages.count(WaiterState.HOLDING), 4 - reserved_slots(4))
+        self.assertIs(self.ask(line, "short", 2).state, WaiterState.HOLDING)
 
     def test_one_that_hangs_up_frees_its_place_and_no_slot(self) -> None:
         line = self.line()
         held = [self.ask(line, f"{i}", 1) for i in range(2)]
         waits = self.ask(line, "waits", 1)
-        self.assertIs(waits.stage, WaiterState.WAITING)
+        self.assertIs(waits.state, WaiterState.WAITING)
         self.assertIs(line.leave(waits, WaiterEvent.HUNG_UP), WaiterAction.DROP)
-        self.assertEqual((line.count, line.shares("b").out), (0, 2))
+        self.assertEqual((line.count, line.scheduler("b").out), (0, 2))
         self.assertIs(line.leave(held[0], WaiterEvent.HUNG_UP), WaiterAction.NOTHING)
-        self.assertEqual(line.shares("b").out, 2)
+        self.assertEqual(line.scheduler("b").out, 2)
 
     def test_waiting_in_vain_is_refused_at_once_with_a_time(self) -> None:
-        line = self.line(most_wait_us=100_000)
+        line = self.line(max_wait_us=100_000)
         rulings = [line.ask(waiter(f"{i}", 1, 50_000), 0) for i in range(2)]
         for i in range(2):
             line.take("b", (f"{i}", 0), 1, ServiceTimeEstimate(50_000, 50_000, False), 0)
@@ -200,29 +210,29 @@
         self.assertTrue(all(ruling.wait_us >= 100_000 for ruling in refused))
 
     def test_no_wish_outlasts_its_answer(self) -> None:
-        line = self.line(most_wait_us=10**9)
+        line = self.line(max_wait_us=10**9)
         for i in range(2):
             self.ask(line, f"{i}", 1)
         wish = waiter("tight", 2, 50_000)
-        wish.answer_by_us = 120_000
+        wish.deadline_us = 120_000
         line.ask(wish, 0)
         self.assertEqual(line.due_us(wish), 70_000)
-        self.assertEqual(line.overdue(70_000), [wish])
+        self.assertEqual(line.expired(70_000), [wish])
 
     def test_a_full_line_sheds_the_newest_of_whoever_has_most_in_it(self) -> None:
-        line = self.line(most_waiting=4, most_wait_us=10**9)
+        line = self.line(max_waiting=4, max_wait_us=10**9)
         for i in range(2):
             self.ask(line, f"{i}", 1)
         hog = [self.ask(line, f"hog-{i}", 1) for i in range(4)]
-        self.assertIs(self.ask(line, "hog-late", 1).stage, WaiterState.OVER)
-        self.assertIs(self.ask(line, "other", 2).stage, WaiterState.WAITING)
-        self.assertIs(hog[-1].stage, WaiterState.OVER)
+        self.assertIs(self.ask(line, "hog-late", 1).state, WaiterState.CLOSED)
+        self.assertIs(self.ask(line, "other", 2).state, WaiterState.WAITING)
+        self.assertIs(hog[-1].state, WaiterState.CLOSED)
         self.assertEqual(line.count, 4)
 
     def test_every_stage_and_cue_is_settled_and_what_is_over_stays_over(self) -> None:
         for cue in set(WaiterEvent) - {WaiterEvent.AGAIN}:
             self.assertEqual(
-                waiter_states.transition(WaiterState.OVER, cue), (WaiterState.OVER, WaiterAction.NOTHING)
+                waiter_states.transition(WaiterState.CLOSED, cue), (WaiterState.CLOSED, WaiterAction.NOTHING)
             )
         # A wish that waits must end by each of these, or it would be owed an answer for ever.
         for cue in (
@@ -238,7 +248,7 @@
     @given(st.integers(0, 1 << 30), st.permutations(range(1, 6)))
     def test_names_do_not_matter(self, seed: int, names: list[int]) -> None:
         def order(names: list[int]) -> list[str]:
-            chance, line, found = Random(seed), WaitQueue(lambda box, now_us: 2, most_wait_us=10**9), []
+            chance, line, found = Random(seed), WaitQueue(lambda box, now_us: 2, max_wait_us=10**9), []
             out: list[str] = []
             for i in range(60):
                 now_us, tenant = i * 10_000, names[chance.randrange(5)]
@@ -282,8 +292,8 @@
             hears = UsageGossip()
             for said in order:
                 hears.hear(1, said, 10**9, SECOND)
-            teller = hears.others[1]
-            ends.append((teller.life, {key: r.given_us for key, r in teller.rows.items()}))
+            teller = hears.remote_fronts[1]
+            ends.append((teller.incarnation, {key: r.max_used_us for key, r in teller.usage.items()}))
         self.assertEqual(ends[0], ends[1])
         self.assertEqual(ends[0], ends[2])
 
@@ -306,16 +316,16 @@
 
     def test_one_that_tells_more_than_all_slots_could_give_is_taken_at_that(self) -> None:
         hears = UsageGossip()
-        hears.hear(1, UsageReport(1, 1, (Row(1, 1, 0),)), 4, 0)
-        found = hears.hear(1, UsageReport(1, 2, (Row(1, 1, 10**12),)), 4, SECOND)
-        self.assertEqual(found, [Row(1, 1, 4 * SECOND)])
+        hears.hear(1, UsageReport(1, 1, (UsageRow(1, 1, 0),)), 4, 0)
+        found = hears.hear(1, UsageReport(1, 2, (UsageRow(1, 1, 10**12),)), 4, SECOND)
+        self.assertEqual(found, [UsageRow(1, 1, 4 * SECOND)])
 
     def test_sums_of_a_thousand_names_are_bounded(self) -> None:
         teller = UsageGossip()
         for i in range(5000):
             teller.gave(1, i + 1, 10)
-        self.assertLessEqual(len(teller.own), usage_gossip.MOST_KEPT)
-        self.assertLessEqual(len((teller.window() or UsageReport(0, 0, ())).rows), usage_gossip.MOST_ROWS)
+        self.assertLessEqual(len(teller.local_usage), usage_gossip.MAX_ENTRIES)
+        self.assertLessEqual(len((teller.window() or UsageReport(0, 0, ())).rows), usage_gossip.MAX_ROWS)
 
 
 class WorldTest(unittest.TestCase):
--- a/tests/test_fair_door.py
+++ b/tests/test_fair_door.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from fennelcove import usage_messages
-from fennelcove.fair_queueing.usage_gossip import UsageReport, Row
+from fennelcove.fair_queueing.usage_gossip import UsageReport, UsageRow
 from fennelcove.settings.checks import amiss
 from fennelcove.settings.schema import FairSettings, SlotSettings, Weight
 from fennelcove.emulators.media_server import Pace
@@ -132,7 +132,7 @@
 
 class MessagesTest(unittest.TestCase):
     def test_words_survive_their_bytes_and_cut_ones_are_refused(self) -> None:
-        rows = tuple(Row(i, i + 1, i * 10**12) for i in range(40))
+        rows = tuple(UsageRow(i, i + 1, i * 10**12) for i in range(40))
         parts = usage_messages.encode(UsageReport(1 << 40, 7, rows))
         heard = [usage_messages.decode(part) for part in parts]
         self.assertEqual(tuple(row for said in heard if said for row in said.rows), rows)
--- a/tests/test_fair_worlds.py
+++ b/tests/test_fair_worlds.py
@@ -12,8 +12,8 @@
 
 from fennelcove.fair_queueing import wait_queue as line_module
 from fennelcove.fair_queueing.service_time import ServiceTimeEstimate
-from fennelcove.fair_queueing.wait_queue import WaitQueue, Waiter, kept
-from fennelcove.fair_queueing.virtual_time import Hold, VirtualTimeScheduler
+from fennelcove.fair_queueing.wait_queue import WaitQueue, Waiter, reserved_slots
+from fennelcove.fair_queueing.virtual_time import SlotHold, VirtualTimeScheduler
 from fennelcove.fair_queueing.waiter import WaiterAction, WaiterEvent, WaiterState
 
 SHAPE = ("room", 0, True)
@@ -32,7 +32,7 @@
         shares: type[VirtualTimeScheduler] = VirtualTimeScheduler,
     ) -> None:
         self.slots, self.now_us, self.number = slots, 0, 0
-        self.line = kind(lambda box, now_us: slots, most_wait_us=10**9)
+        self.line = kind(lambda box, now_us: slots, max_wait_us=10**9)
         self.line.servers["b"] = shares(self.line.terms)
         for tenant in TENANTS:
             for _ in range(3):
@@ -47,11 +47,11 @@
     def __deepcopy__(self, memo: dict[int, object]) -> World:
         twin = copy.copy(self)
         slots = self.slots
-        part = self.line.part
-        self.line.part = lambda box, now_us: slots
-        memo[id(self.line.part)] = self.line.part
+        part = self.line.slot_limit
+        self.line.slot_limit = lambda box, now_us: slots
+        memo[id(self.line.slot_limit)] = self.line.slot_limit
         twin.line = copy.deepcopy(self.line, memo)
-        self.line.part = part
+        self.line.slot_limit = part
         twin.out = [memo.get(id(one), one) for one in self.out]  # type: ignore[misc]
         twin.passed, twin.most = dict(self.passed), dict(self.most)
         twin.waits_us, twin.since = dict(self.waits_us), dict(self.since)
@@ -109,7 +109,7 @@
             self.fault = "more out than slots"
         if line.count and not self.out:
             self.fault = "somebody waits at an idle box"
-        if any(wish.stage not in (WaiterState.HOLDING, WaiterState.PLACING) for wish in self.out):
+        if any(wish.state not in (WaiterState.HOLDING, WaiterState.PLACING) for wish in self.out):
             self.fault = "a slot is out for a wish that has none"
 
     def _back(self, which: int) -> None:
@@ -126,7 +126,7 @@
         that crosses; and what is out counts as the others' until it is back."""
         shares = self.line.servers["b"]
         for tenant in self.passed:
-            lead = shares.start(tenant, self.now_us) - shares.virtual
+            lead = shares.start_tag(tenant, self.now_us) - shares.virtual_time
             most = (len(TENANTS) - 1) * (lead + LONG_US) + self.slots * LONG_US
             self.most[tenant] = max(self.most.get(tenant, 0.0), most)
             if self.passed[tenant] > self.most[tenant]:
@@ -141,7 +141,7 @@
             self.fault = "a turn without a slot"
         wish.apply(WaiterEvent.PLACED)
         self.out.append(wish)
-        if sum(one.guess.long for one in self.out) > max(1, self.slots - kept(self.slots)):
+        if sum(one.guess.long for one in self.out) > max(1, self.slots - reserved_slots(self.slots)):
             self.fault = "long holds have the last slot"
         self.since[wish.id] = self.now_us
         self.passed.pop(wish.tenant, None)
@@ -156,7 +156,7 @@
 
     def key(self) -> object:
         shares = self.line.servers["b"]
-        tags = {t: round((shares.start(t, self.now_us) - shares.virtual) / STEP_US) for t in TENANTS}
+        tags = {t: round((shares.start_tag(t, self.now_us) - shares.virtual_time) / STEP_US) for t in TENANTS}
         out = sorted((one.tenant, one.guess.long) for one in self.out)
         waits = [tuple(one.guess.long for one in self.line.waiting.get(t, {}).values()) for t in TENANTS]
         passed = [round(self.passed.get(t, -STEP_US) / STEP_US) for t in TENANTS]
@@ -198,8 +198,8 @@
     def next(self, box: str, now_us: int) -> Waiter | None:
         if not self.count or not self.free(box, False, now_us):
             return None
-        shares = self.shares(box)
-        tenant = max(self.waiting, key=lambda one: shares.start(one, now_us))
+        shares = self.scheduler(box)
+        tenant = max(self.waiting, key=lambda one: shares.start_tag(one, now_us))
         found = next(iter(self.waiting[tenant].values()))
         if not self.open_to(found, box, now_us):
             return None
@@ -212,19 +212,19 @@
     """A planted fault: long holds have all slots."""
 
     def free(self, box: str, long: bool, now_us: int) -> bool:
-        return super().free(box, False, now_us)
+        return WaitQueue.free(self, box, False, now_us)
 
-    def _within(self, waiter: Waiter, now_us: int) -> bool:
+    def _is_within_share(self, waiter: Waiter, now_us: int) -> bool:
         return True
 
 
 class Twice(VirtualTimeScheduler):
     """A planted fault: a slot that is not out is given back all the same."""
 
-    def give_back(self, key: tuple[str, int], now_us: int) -> Hold | None:
+    def release(self, key: tuple[str, int], now_us: int) -> SlotHold | None:
         if key not in self.holds and self.holds:
             key = next(iter(self.holds))
-        return super().give_back(key, now_us)
+        return super().release(key, now_us)
 
 
 class WorldsTest(unittest.TestCase):
@@ -249,7 +249,7 @@
 
     def test_one_slot_kept_from_long_holds_for_good_is_found(self) -> None:
         # As it was at first: a box with a single slot never took a set-up of which nothing was known.
-        with mock.patch.object(line_module, "kept", lambda part: 1):
+        with mock.patch.object(line_module, "reserved_slots", lambda part: 1):
             self.assertEqual(search(World(1), 100)[1], "somebody is refused at an idle box")
 
 
