Fair queueing: slots and shares are a module of their own beside the wait queue

Cause: WaitQueue had twenty methods on two subjects, slots in use and waiting requests, and returned bare tuples. Change: slot_allocator holds schedulers, free slots and fair shares (SlotShare); wait_queue keeps who waits and who is next, ranked by a named tuple; the assert on a missing scheduler is gone. Signatures used by other packages are unchanged. A test that patches the reserve of slots patches it in its new module.

--- a/tests/test_fair.py
+++ b/tests/test_fair.py
@@ -18,7 +18,8 @@
     ServiceTimeEstimate,
     ServiceTimeEstimator,
 )
-from fennelcove.fair_queueing.wait_queue import WaitQueue, Waiter, reserved_slots
+from fennelcove.fair_queueing.slot_allocator import reserved_slots
+from fennelcove.fair_queueing.wait_queue import WaitQueue, Waiter
 from fennelcove.fair_queueing.virtual_time import (
     MAX_TENANTS,
     OTHER_TENANTS,
--- a/tests/test_fair_worlds.py
+++ b/tests/test_fair_worlds.py
@@ -10,9 +10,10 @@
 from random import Random
 from unittest import mock
 
-from fennelcove.fair_queueing import wait_queue as line_module
+from fennelcove.fair_queueing import slot_allocator
 from fennelcove.fair_queueing.service_time import ServiceTimeEstimate
-from fennelcove.fair_queueing.wait_queue import WaitQueue, Waiter, reserved_slots
+from fennelcove.fair_queueing.slot_allocator import reserved_slots
+from fennelcove.fair_queueing.wait_queue import WaitQueue, Waiter
 from fennelcove.fair_queueing.virtual_time import SlotHold, VirtualTimeScheduler
 from fennelcove.fair_queueing.waiter import WaiterAction, WaiterEvent, WaiterState
 
@@ -249,7 +250,7 @@
 
     def test_one_slot_kept_from_long_holds_for_good_is_found(self) -> None:
         # As it was at first: a box with a single slot never took a set-up of which nothing was known.
-        with mock.patch.object(line_module, "reserved_slots", lambda part: 1):
+        with mock.patch.object(slot_allocator, "reserved_slots", lambda part: 1):
             self.assertEqual(search(World(1), 100)[1], "somebody is refused at an idle box")
 
 
