--- a/packages/fair-queueing/src/fennelcove/fair_queueing/service_time.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/service_time.py
@@ -63,7 +63,7 @@
         title_mean = self.titles.get((shape, title))
         mean = title_mean or self.shapes.get(shape)
         if mean is None:
-            return ServiceTimeEstimate(DEFAULT_SERVICE_TIME_US, 2 * DEFAULT_SERVICE_TIME_US, True)
+            return ServiceTimeEstimate(DEFAULT_SERVICE_TIME_US, 2 * DEFAULT_SERVICE_TIME_US, long=True)
         # A title without history may be as slow as the slowest recent one of its shape.
         pessimistic_us = mean.mean_us if title_mean is not None else mean.recent_max_us
         upper_bound_us = mean.mean_us + 2 * mean.mean_deviation_us
--- a/packages/fair-queueing/src/fennelcove/fair_queueing/slot_allocator.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/slot_allocator.py
@@ -63,7 +63,8 @@
         """Acquire a slot for an attempt; False where none is free for it."""
         if not self.free(server, estimate.long, now_us):
             return False
-        self.scheduler(server).acquire(key, tenant, estimate.expected_us, estimate.long, now_us)
+        scheduler = self.scheduler(server)
+        scheduler.acquire(key, tenant, estimate.expected_us, now_us, is_long=estimate.long)
         return True
 
     def give_back(self, server: str, key: tuple[str, int], now_us: int) -> SlotHold | None:
--- a/packages/fair-queueing/src/fennelcove/fair_queueing/virtual_time.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/virtual_time.py
@@ -95,6 +95,11 @@
     """Accounts and slots in use of one server. The caller passes in times and holds the lock."""
 
     def __init__(self, tenant_weights: TenantTerms) -> None:
+        """Start at virtual time zero, without any account.
+
+        Args:
+            tenant_weights: the weights by which slot time is charged.
+        """
         self.tenant_weights = tenant_weights
         self.virtual_time = 0.0
         self.accounts: dict[int, TenantAccount] = {}
@@ -112,7 +117,7 @@
         return self.virtual_time if account is None else max(self.virtual_time, account.finish_tag)
 
     def acquire(
-        self, key: tuple[str, int], tenant: int, expected_us: int, is_long: bool, now_us: int
+        self, key: tuple[str, int], tenant: int, expected_us: int, now_us: int, *, is_long: bool
     ) -> None:
         """Put a slot in use and charge the expected service time to its tenant."""
         self._charge_elapsed(now_us)
--- a/tests/test_fair.py
+++ b/tests/test_fair.py
@@ -84,7 +84,7 @@
     def test_who_was_idle_has_saved_nothing_up(self) -> None:
         shares = VirtualTimeScheduler(TenantTerms())
         for i in range(50):
-            shares.acquire((f"{i}", 0), 1, 100_000, False, i * 100_000)
+            shares.acquire((f"{i}", 0), 1, 100_000, i * 100_000, is_long=False)
             shares.release((f"{i}", 0), (i + 1) * 100_000)
         now_us = 50 * 100_000
         self.assertEqual(shares.start_tag(2, now_us), shares.virtual_time)
@@ -93,13 +93,13 @@
     def test_a_hold_that_does_not_end_is_charged_while_it_lasts(self) -> None:
         # A slot leaked by a box that never answers would be free of charge until it ends.
         shares = VirtualTimeScheduler(TenantTerms())
-        shares.acquire(("leaked", 0), 1, 100_000, False, 0)
+        shares.acquire(("leaked", 0), 1, 100_000, 0, is_long=False)
         soon = shares.start_tag(1, SECOND)
         self.assertGreaterEqual(shares.start_tag(1, 5 * SECOND), soon + 4 * SECOND)
 
     def test_a_slot_given_back_twice_counts_once(self) -> None:
         shares = VirtualTimeScheduler(TenantTerms())
-        shares.acquire(("a", 0), 1, 100_000, False, 0)
+        shares.acquire(("a", 0), 1, 100_000, 0, is_long=False)
         self.assertIsNotNone(shares.release(("a", 0), 50_000))
         self.assertIsNone(shares.release(("a", 0), 60_000))
         self.assertEqual(shares.out, 0)
@@ -108,7 +108,7 @@
         shares, chance = VirtualTimeScheduler(TenantTerms()), Random(1)
         for i in range(5000):
             now_us = i * 1000
-            shares.acquire((f"{i}", 0), 1 + chance.randrange(1000), 50_000, False, now_us)
+            shares.acquire((f"{i}", 0), 1 + chance.randrange(1000), 50_000, now_us, is_long=False)
             if i >= 8:
                 shares.release((f"{i - 8}", 0), now_us)
         self.assertLessEqual(len(shares.accounts), MAX_TENANTS + 1)
