Fair queueing: its tests and simulation call the queue and the random generator by name

Cause: tests and benchmarks/fair_sim.py still said line and chance for what the package calls a queue and rng. Change: local names and one module docstring; the usage codec's slicing has a step a line. No assertion changed.

--- a/benchmarks/fair_sim.py
+++ b/benchmarks/fair_sim.py
@@ -78,10 +78,10 @@
 
 @dataclass
 class Front:
-    """One front: its line, what it tells, who waits in the plain line."""
+    """One front: its queue, what it tells, who waits in the plain queue."""
 
     index: int
-    line: WaitQueue
+    queue: WaitQueue
     told: UsageGossip
     plain: list[Asked] = field(default_factory=list)
 
@@ -91,7 +91,7 @@
 
     def __init__(self, case: Case) -> None:
         self.case = case
-        self.chance = Random(f"{case.seed}/{case.day}")
+        self.rng = Random(f"{case.seed}/{case.day}")
         self.events = Events()
         self.ids = count()
         self.scores: dict[int, Score] = {}
@@ -128,7 +128,7 @@
         if case.tell:
             for front in self.fronts:
                 self.events.after(
-                    int(self.chance.random() * usage_gossip.WINDOW_US), lambda f=front: self._tell(f)
+                    int(self.rng.random() * usage_gossip.WINDOW_US), lambda f=front: self._tell(f)
                 )
         if case.day == "shift":
             self.events.after(int(case.seconds * 5e5), self._shift)
@@ -140,41 +140,41 @@
 
     def _arrivals(self, tenant: int, rate_s: float, from_us: int, hog: bool = False) -> None:
         def come() -> None:
-            self.events.after(max(1, round(self.chance.expovariate(rate_s) * 1e6)), come)
+            self.events.after(max(1, round(self.rng.expovariate(rate_s) * 1e6)), come)
             self._asks(tenant, hog)
 
-        self.events.after(from_us + round(self.chance.expovariate(rate_s) * 1e6), come)
+        self.events.after(from_us + round(self.rng.expovariate(rate_s) * 1e6), come)
 
     def _front(self, tenant: int, hog: bool) -> Front:
         case, now_us = self.case, self.events.now_us
         if case.day in ("spread", "pair") and not hog:
-            return self.fronts[self.chance.randrange(max(1, case.fronts // 3))]
+            return self.fronts[self.rng.randrange(max(1, case.fronts // 3))]
         if case.day == "hop" and hog:
             here = now_us // 500_000 % case.fronts  # all of it at one front, then at the next
-            return self.fronts[here if self.chance.random() < 0.5 else self.chance.randrange(case.fronts)]
-        return self.fronts[self.chance.randrange(case.fronts)]
+            return self.fronts[here if self.rng.random() < 0.5 else self.rng.randrange(case.fronts)]
+        return self.fronts[self.rng.randrange(case.fronts)]
 
     def _asks(self, tenant: int, hog: bool) -> None:
         case, now_us = self.case, self.events.now_us
         front = self._front(tenant, hog)
-        line = front.line
-        title = self.chance.randrange(case.boxes * 2)
-        slow = (hog and case.day != "pair" and self.chance.random() < 0.5) or case.day == "slow"
+        queue = front.queue
+        title = self.rng.randrange(case.boxes * 2)
+        slow = (hog and case.day != "pair" and self.rng.random() < 0.5) or case.day == "slow"
         boxes = tuple(f"box-{(title + i) % case.boxes}" for i in range(2))
         named = tenant
         if hog and case.day == "names":
-            named = 1000 + self.chance.randrange(1000)
+            named = 1000 + self.rng.randrange(1000)
         shape = ("room", 0, True)
         name = f"{'slow' if slow else 'title'}-{title}"
         waiter = Asked(
             str(next(self.ids)),
-            line.terms.known(named),
+            queue.terms.known(named),
             shape,
             name,
             boxes,
             now_us,
             now_us + TIMEOUT_US,
-            line.holds.guess(shape, name),
+            queue.holds.guess(shape, name),
             owner=tenant,
             slow=slow,
         )
@@ -190,36 +190,36 @@
     # The package.
 
     def _asks_fair(self, front: Front, waiter: Asked) -> None:
-        ruling = front.line.ask(waiter, self.events.now_us)
+        ruling = front.queue.ask(waiter, self.events.now_us)
         if ruling.act is WaiterAction.PLACE:
             self._place(front, waiter)
         elif ruling.act is WaiterAction.WAIT:
-            due_us = front.line.due_us(waiter)
+            due_us = front.queue.due_us(waiter)
             self.events.after(max(0, due_us - self.events.now_us), lambda: self._due(front, waiter))
 
     def _due(self, front: Front, waiter: Asked) -> None:
-        front.line.leave(waiter, WaiterEvent.NO_TIME)
+        front.queue.leave(waiter, WaiterEvent.NO_TIME)
 
     def _place(self, front: Front, waiter: Asked) -> None:
-        now_us, line = self.events.now_us, front.line
-        free = [box for box in waiter.servers if line.open_to(waiter, box, now_us)]
+        now_us, queue = self.events.now_us, front.queue
+        free = [box for box in waiter.servers if queue.open_to(waiter, box, now_us)]
         if not free:
             waiter.apply(WaiterEvent.NO_BOX)
             return
-        box = min(free, key=lambda name: (self.out[front.index, name], self.chance.random()))
+        box = min(free, key=lambda name: (self.out[front.index, name], self.rng.random()))
         key = waiter.id, 0
-        line.take(box, key, waiter.tenant, waiter.guess, now_us)
+        queue.take(box, key, waiter.tenant, waiter.guess, now_us)
         waiter.apply(WaiterEvent.PLACED)
         held_us = self._begins(front, box, waiter)
 
         def over() -> None:
-            hold = line.give_back(box, key, self.events.now_us)
+            hold = queue.give_back(box, key, self.events.now_us)
             waiter.apply(WaiterEvent.RETURNED)
             assert hold is not None
-            line.holds.learn(waiter.shape, waiter.title, waiter.tenant, held_us)
+            queue.holds.learn(waiter.shape, waiter.title, waiter.tenant, held_us)
             front.told.gave(int(box[4:]), waiter.tenant, held_us)
             self._ends(front, box, waiter, held_us)
-            while (following := line.next(box, self.events.now_us)) is not None:
+            while (following := queue.next(box, self.events.now_us)) is not None:
                 assert isinstance(following, Asked)
                 self._place(front, following)
 
@@ -227,23 +227,23 @@
 
     def _tell(self, front: Front) -> None:
         self.events.after(usage_gossip.WINDOW_US, lambda: self._tell(front))
-        front.line.heard = front.told.heard(self.events.now_us)
+        front.queue.heard = front.told.heard(self.events.now_us)
         said = front.told.window()
         if said is None or self.case.variant != "fair":
             return
         first = front.index // GROUP * GROUP
         for other in self.fronts[first : first + GROUP]:
-            if other is not front and self.chance.random() >= self.case.lost:
-                late_us = int(self.chance.uniform(1_000, 30_000))
+            if other is not front and self.rng.random() >= self.case.lost:
+                late_us = int(self.rng.uniform(1_000, 30_000))
                 self.events.after(late_us, lambda other=other: self._hear(other, front.index, said))
 
     def _hear(self, front: Front, sender: int, said: UsageReport) -> None:
         now_us = self.events.now_us
         names = [f"box-{i}" for i in range(self.case.boxes)]
         for row in front.told.hear(sender, said, PART, now_us):
-            front.line.advance(names[row.server], row.tenant, row.given_us, now_us)
+            front.queue.advance(names[row.server], row.tenant, row.given_us, now_us)
 
-    # Today's, with a line and with a limit.
+    # Today's, with a queue and with a limit.
 
     def _may(self, front: Front, box: str, waiter: Asked) -> bool:
         if self.out[front.index, box] >= PART:
@@ -256,7 +256,7 @@
     def _asks_plain(self, front: Front, waiter: Asked) -> None:
         if not self._place_plain(front, waiter) and self.case.variant == "line":
             front.plain.append(waiter)
-            self.events.after(front.line.max_wait_us, lambda: self._due_plain(front, waiter))
+            self.events.after(front.queue.max_wait_us, lambda: self._due_plain(front, waiter))
 
     def _due_plain(self, front: Front, waiter: Asked) -> None:
         if waiter in front.plain:
@@ -266,7 +266,7 @@
         free = [box for box in waiter.servers if self._may(front, box, waiter)]
         if not free:
             return False
-        box = min(free, key=lambda name: (self.out[front.index, name], self.chance.random()))
+        box = min(free, key=lambda name: (self.out[front.index, name], self.rng.random()))
         self.by_tenant[front.index, box, waiter.tenant] += 1
         held_us = self._begins(front, box, waiter)
 
@@ -289,7 +289,7 @@
         if waiter.arrived_us > HOG_FROM_US:
             self._score(waiter.owner).waits_us.append(self.events.now_us - waiter.arrived_us)
         times = self.slow_now if waiter.slow else 1
-        return min(JOIN_MOST_US, max(1000, round(times * HOLD_US * self.chance.lognormvariate(-0.08, 0.4))))
+        return min(JOIN_MOST_US, max(1000, round(times * HOLD_US * self.rng.lognormvariate(-0.08, 0.4))))
 
     def _ends(self, front: Front, box: str, waiter: Waiter, held_us: int) -> None:
         self.out[front.index, box] -= 1
--- a/packages/messages/src/fennelcove/usage_messages.py
+++ b/packages/messages/src/fennelcove/usage_messages.py
@@ -4,12 +4,12 @@
 
 import struct
 
-from fennelcove.fair_queueing.usage_gossip import UsageRow, UsageReport
+from fennelcove.fair_queueing.usage_gossip import UsageReport, UsageRow
 
 GIVEN = 48
 MAX_BYTES = 256
 HEAD = struct.Struct(">BQI")  # kind, incarnation, sequence
-ROW = struct.Struct(">IIQ")  # server, tenant, service time in microseconds since the incarnation began
+ROW = struct.Struct(">IIQ")  # server number, tenant, service time in microseconds since the incarnation began
 MAX_ROWS = (MAX_BYTES - HEAD.size) // ROW.size
 
 
@@ -17,7 +17,8 @@
     """Encode a report, into messages of 256 bytes at most each."""
     rows = [ROW.pack(row.server, row.tenant, row.given_us) for row in report.rows]
     head = HEAD.pack(GIVEN, report.incarnation, report.sequence)
-    return [head + b"".join(rows[first : first + MAX_ROWS]) for first in range(0, len(rows), MAX_ROWS)]
+    starts = range(0, len(rows), MAX_ROWS)
+    return [head + b"".join(rows[start : start + MAX_ROWS]) for start in starts]
 
 
 def decode(raw: bytes) -> UsageReport | None:
--- a/tests/test_fair.py
+++ b/tests/test_fair.py
@@ -1,5 +1,5 @@
-"""Slots shared out among tenants: bounds between any two who both want more, names that do not matter, words
-of other fronts that merge alike, and small worlds searched for one in which somebody goes without."""
+"""Fair queueing of slots: bounds between any two backlogged tenants, independence of tenant numbers, reports
+of other fronts that merge alike in any order, and simulated fleets with one tenant that overloads them."""
 
 from __future__ import annotations
 
@@ -41,22 +41,22 @@
 
 def served(weights: dict[int, float], holds: dict[int, int], slots: int, seconds: float) -> dict[int, int]:
     """The slot-time of tenants who all want more than there is, at one box; each has one wish waiting."""
-    line = WaitQueue(lambda box, now_us: slots, TenantTerms(weights), max_wait_us=10**9)
+    queue = WaitQueue(lambda box, now_us: slots, TenantTerms(weights), max_wait_us=10**9)
     got, out, now_us, number = dict.fromkeys(weights, 0), list[tuple[int, str, int]](), 0, 0
     while now_us < seconds * SECOND:
         for tenant in weights:
-            while len(line.waiting.get(tenant, {})) < 1:
+            while len(queue.waiting.get(tenant, {})) < 1:
                 number += 1
                 wish = waiter(f"{number}", tenant, holds[tenant], now_us)
-                if line.ask(wish, now_us).act is WaiterAction.PLACE:
-                    line.take("b", (wish.id, 0), tenant, wish.guess, now_us)
+                if queue.ask(wish, now_us).act is WaiterAction.PLACE:
+                    queue.take("b", (wish.id, 0), tenant, wish.guess, now_us)
                     out.append((now_us + holds[tenant], wish.id, tenant))
         now_us, name, tenant = min(out)
         out.remove((now_us, name, tenant))
         got[tenant] += holds[tenant]
-        line.give_back("b", (name, 0), now_us)
-        while (following := line.next("b", now_us)) is not None:
-            line.take("b", (following.id, 0), following.tenant, following.guess, now_us)
+        queue.give_back("b", (name, 0), now_us)
+        while (following := queue.next("b", now_us)) is not None:
+            queue.take("b", (following.id, 0), following.tenant, following.guess, now_us)
             out.append((now_us + holds[following.tenant], following.id, following.tenant))
     return got
 
@@ -105,10 +105,10 @@
         self.assertEqual(shares.out, 0)
 
     def test_a_thousand_names_do_not_grow_the_table(self) -> None:
-        shares, chance = VirtualTimeScheduler(TenantTerms()), Random(1)
+        shares, rng = VirtualTimeScheduler(TenantTerms()), Random(1)
         for i in range(5000):
             now_us = i * 1000
-            shares.acquire((f"{i}", 0), 1 + chance.randrange(1000), 50_000, now_us, is_long=False)
+            shares.acquire((f"{i}", 0), 1 + rng.randrange(1000), 50_000, now_us, is_long=False)
             if i >= 8:
                 shares.release((f"{i - 8}", 0), now_us)
         self.assertLessEqual(len(shares.accounts), MAX_TENANTS + 1)
@@ -121,13 +121,13 @@
         self.assertEqual((terms.weight(7), terms.weight(OTHER_TENANTS)), (2.0, 0.5))
 
     def test_other_weights_count_from_when_they_are_told(self) -> None:
-        line = WaitQueue(lambda box, now_us: 1, TenantTerms({1: 1.0, 2: 1.0}))
-        line.take("b", ("a", 0), 1, ServiceTimeEstimate(100_000, 100_000, False), 0)
-        before = line.scheduler("b").accounts[1].finish_tag
-        line.set_tenant_weights(TenantTerms({1: 4.0, 2: 1.0}))
-        line.give_back("b", ("a", 0), 100_000)
-        line.take("b", ("c", 0), 1, ServiceTimeEstimate(100_000, 100_000, False), 100_000)
-        self.assertAlmostEqual(line.scheduler("b").accounts[1].finish_tag - before, 25_000)
+        queue = WaitQueue(lambda box, now_us: 1, TenantTerms({1: 1.0, 2: 1.0}))
+        queue.take("b", ("a", 0), 1, ServiceTimeEstimate(100_000, 100_000, False), 0)
+        before = queue.scheduler("b").accounts[1].finish_tag
+        queue.set_tenant_weights(TenantTerms({1: 4.0, 2: 1.0}))
+        queue.give_back("b", ("a", 0), 100_000)
+        queue.take("b", ("c", 0), 1, ServiceTimeEstimate(100_000, 100_000, False), 100_000)
+        self.assertAlmostEqual(queue.scheduler("b").accounts[1].finish_tag - before, 25_000)
 
 
 class HoldsTest(unittest.TestCase):
@@ -169,66 +169,66 @@
 
 
 class LineTest(unittest.TestCase):
-    def line(self, slots: int = 2, **changes: int) -> WaitQueue:
-        line = WaitQueue(lambda box, now_us: slots, **changes)  # type: ignore[arg-type]
+    def queue(self, slots: int = 2, **changes: int) -> WaitQueue:
+        queue = WaitQueue(lambda box, now_us: slots, **changes)  # type: ignore[arg-type]
         for tenant in (1, 2):
             for _ in range(8):
-                line.holds.learn(SHAPE, "fast", tenant, 50_000)
-        return line
+                queue.holds.learn(SHAPE, "fast", tenant, 50_000)
+        return queue
 
-    def ask(self, line: WaitQueue, name: str, tenant: int, long: bool = False, now_us: int = 0) -> Waiter:
+    def ask(self, queue: WaitQueue, name: str, tenant: int, long: bool = False, now_us: int = 0) -> Waiter:
         wish = waiter(name, tenant, 500_000 if long else 50_000, now_us)
         wish.guess = replace(wish.guess, long=long)
-        if line.ask(wish, now_us).act is WaiterAction.PLACE:
-            self.assertTrue(line.take("b", (name, 0), tenant, wish.guess, now_us))
+        if queue.ask(wish, now_us).act is WaiterAction.PLACE:
+            self.assertTrue(queue.take("b", (name, 0), tenant, wish.guess, now_us))
             wish.apply(WaiterEvent.PLACED)
         return wish
 
     def test_long_holds_never_have_all_slots(self) -> None:
-        line = self.line(4)
-        stages = [self.ask(line, f"{i}", 1, long=True).state for i in range(6)]
+        queue = self.queue(4)
+        stages = [self.ask(queue, f"{i}", 1, long=True).state for i in range(6)]
         self.assertEqual(stages.count(WaiterState.HOLDING), 4 - reserved_slots(4))
-        self.assertIs(self.ask(line, "short", 2).state, WaiterState.HOLDING)
+        self.assertIs(self.ask(queue, "short", 2).state, WaiterState.HOLDING)
 
     def test_one_that_hangs_up_frees_its_place_and_no_slot(self) -> None:
-        line = self.line()
-        held = [self.ask(line, f"{i}", 1) for i in range(2)]
-        waits = self.ask(line, "waits", 1)
+        queue = self.queue()
+        held = [self.ask(queue, f"{i}", 1) for i in range(2)]
+        waits = self.ask(queue, "waits", 1)
         self.assertIs(waits.state, WaiterState.WAITING)
-        self.assertIs(line.leave(waits, WaiterEvent.HUNG_UP), WaiterAction.DROP)
-        self.assertEqual((line.count, line.scheduler("b").out), (0, 2))
-        self.assertIs(line.leave(held[0], WaiterEvent.HUNG_UP), WaiterAction.NOTHING)
-        self.assertEqual(line.scheduler("b").out, 2)
+        self.assertIs(queue.leave(waits, WaiterEvent.HUNG_UP), WaiterAction.DROP)
+        self.assertEqual((queue.count, queue.scheduler("b").out), (0, 2))
+        self.assertIs(queue.leave(held[0], WaiterEvent.HUNG_UP), WaiterAction.NOTHING)
+        self.assertEqual(queue.scheduler("b").out, 2)
 
     def test_waiting_in_vain_is_refused_at_once_with_a_time(self) -> None:
-        line = self.line(max_wait_us=100_000)
-        rulings = [line.ask(waiter(f"{i}", 1, 50_000), 0) for i in range(2)]
+        queue = self.queue(max_wait_us=100_000)
+        rulings = [queue.ask(waiter(f"{i}", 1, 50_000), 0) for i in range(2)]
         for i in range(2):
-            line.take("b", (f"{i}", 0), 1, ServiceTimeEstimate(50_000, 50_000, False), 0)
-        rulings = [line.ask(waiter(f"w{i}", 1, 50_000), 0) for i in range(12)]
+            queue.take("b", (f"{i}", 0), 1, ServiceTimeEstimate(50_000, 50_000, False), 0)
+        rulings = [queue.ask(waiter(f"w{i}", 1, 50_000), 0) for i in range(12)]
         refused = [ruling for ruling in rulings if ruling.act is WaiterAction.REFUSE]
         self.assertTrue(0 < len(refused) < 12)
         self.assertTrue(all(ruling.wait_us >= 100_000 for ruling in refused))
 
     def test_no_wish_outlasts_its_answer(self) -> None:
-        line = self.line(max_wait_us=10**9)
+        queue = self.queue(max_wait_us=10**9)
         for i in range(2):
-            self.ask(line, f"{i}", 1)
+            self.ask(queue, f"{i}", 1)
         wish = waiter("tight", 2, 50_000)
         wish.deadline_us = 120_000
-        line.ask(wish, 0)
-        self.assertEqual(line.due_us(wish), 70_000)
-        self.assertEqual(line.expired(70_000), [wish])
+        queue.ask(wish, 0)
+        self.assertEqual(queue.due_us(wish), 70_000)
+        self.assertEqual(queue.expired(70_000), [wish])
 
     def test_a_full_line_sheds_the_newest_of_whoever_has_most_in_it(self) -> None:
-        line = self.line(max_waiting=4, max_wait_us=10**9)
+        queue = self.queue(max_waiting=4, max_wait_us=10**9)
         for i in range(2):
-            self.ask(line, f"{i}", 1)
-        hog = [self.ask(line, f"hog-{i}", 1) for i in range(4)]
-        self.assertIs(self.ask(line, "hog-late", 1).state, WaiterState.CLOSED)
-        self.assertIs(self.ask(line, "other", 2).state, WaiterState.WAITING)
+            self.ask(queue, f"{i}", 1)
+        hog = [self.ask(queue, f"hog-{i}", 1) for i in range(4)]
+        self.assertIs(self.ask(queue, "hog-late", 1).state, WaiterState.CLOSED)
+        self.assertIs(self.ask(queue, "other", 2).state, WaiterState.WAITING)
         self.assertIs(hog[-1].state, WaiterState.CLOSED)
-        self.assertEqual(line.count, 4)
+        self.assertEqual(queue.count, 4)
 
     def test_every_stage_and_cue_is_settled_and_what_is_over_stays_over(self) -> None:
         for cue in set(WaiterEvent) - {WaiterEvent.AGAIN}:
@@ -249,18 +249,18 @@
     @given(st.integers(0, 1 << 30), st.permutations(range(1, 6)))
     def test_names_do_not_matter(self, seed: int, names: list[int]) -> None:
         def order(names: list[int]) -> list[str]:
-            chance, line, found = Random(seed), WaitQueue(lambda box, now_us: 2, max_wait_us=10**9), []
+            rng, queue, found = Random(seed), WaitQueue(lambda box, now_us: 2, max_wait_us=10**9), []
             out: list[str] = []
             for i in range(60):
-                now_us, tenant = i * 10_000, names[chance.randrange(5)]
-                wish = waiter(f"{i}", tenant, 20_000 + 10_000 * chance.randrange(5), now_us)
-                if line.ask(wish, now_us).act is WaiterAction.PLACE:
-                    line.take("b", (wish.id, 0), tenant, wish.guess, now_us)
+                now_us, tenant = i * 10_000, names[rng.randrange(5)]
+                wish = waiter(f"{i}", tenant, 20_000 + 10_000 * rng.randrange(5), now_us)
+                if queue.ask(wish, now_us).act is WaiterAction.PLACE:
+                    queue.take("b", (wish.id, 0), tenant, wish.guess, now_us)
                     out.append(wish.id)
-                if out and chance.random() < 0.6:
-                    line.give_back("b", (out.pop(0), 0), now_us)
-                    while (following := line.next("b", now_us)) is not None:
-                        line.take("b", (following.id, 0), following.tenant, following.guess, now_us)
+                if out and rng.random() < 0.6:
+                    queue.give_back("b", (out.pop(0), 0), now_us)
+                    while (following := queue.next("b", now_us)) is not None:
+                        queue.take("b", (following.id, 0), following.tenant, following.guess, now_us)
                         out.append(following.id)
                         found.append(following.id)
             return found
@@ -269,14 +269,14 @@
 
 
 class ToldTest(unittest.TestCase):
-    def words(self, chance: Random) -> list[UsageReport]:
+    def words(self, rng: Random) -> list[UsageReport]:
         """What one front tells in two lives."""
         found = []
         for life in (1, 2):
             teller = UsageGossip(life)
             for _ in range(8):
-                for _ in range(chance.randrange(4)):
-                    teller.gave(chance.randrange(3), chance.randrange(1, 4), chance.randrange(1, 50_000))
+                for _ in range(rng.randrange(4)):
+                    teller.gave(rng.randrange(3), rng.randrange(1, 4), rng.randrange(1, 50_000))
                 if (said := teller.window()) is not None:
                     found.append(said)
         return found
@@ -284,12 +284,12 @@
     @QUICK
     @given(st.integers(0, 1 << 30))
     def test_words_merge_alike_in_any_order_and_number(self, seed: int) -> None:
-        chance = Random(seed)
-        words = self.words(chance)
+        rng = Random(seed)
+        words = self.words(rng)
         ends = []
         for _ in range(3):
-            order = words + chance.choices(words, k=6)
-            chance.shuffle(order)
+            order = words + rng.choices(words, k=6)
+            rng.shuffle(order)
             hears = UsageGossip()
             for said in order:
                 hears.hear(1, said, 10**9, SECOND)
@@ -301,7 +301,7 @@
     def test_what_grew_is_told_once_whatever_is_lost_or_doubled(self) -> None:
         # Fails where a doubled word is added twice, or a lost one is lost for good.
         for seed in range(20):
-            chance, teller, hears = Random(seed), UsageGossip(1), UsageGossip(2)
+            rng, teller, hears = Random(seed), UsageGossip(1), UsageGossip(2)
             teller.gave(1, 1, 1)
             first = teller.window()
             assert first is not None
@@ -311,7 +311,7 @@
                 teller.gave(1, 1, 20_000)
                 said = teller.window()
                 assert said is not None
-                for _ in range(chance.choice((0, 1, 1, 2)) if i < 59 else 1):
+                for _ in range(rng.choice((0, 1, 1, 2)) if i < 59 else 1):
                     whole += sum(row.given_us for row in hears.hear(1, said, 4, i * 250_000))
             self.assertEqual(whole, 59 * 20_000)
 
--- a/tests/test_fair_worlds.py
+++ b/tests/test_fair_worlds.py
@@ -33,11 +33,11 @@
         shares: type[VirtualTimeScheduler] = VirtualTimeScheduler,
     ) -> None:
         self.slots, self.now_us, self.number = slots, 0, 0
-        self.line = kind(lambda box, now_us: slots, max_wait_us=10**9)
-        self.line.servers["b"] = shares(self.line.terms)
+        self.queue = kind(lambda box, now_us: slots, max_wait_us=10**9)
+        self.queue.servers["b"] = shares(self.queue.terms)
         for tenant in TENANTS:
             for _ in range(3):
-                self.line.holds.learn(SHAPE, "title", tenant, SHORT_US)
+                self.queue.holds.learn(SHAPE, "title", tenant, SHORT_US)
         self.out: list[Waiter] = []
         self.passed: dict[int, float] = {}  # slot-time others began and ended while a tenant waited
         self.waits_us: dict[int, int] = {}
@@ -48,11 +48,11 @@
     def __deepcopy__(self, memo: dict[int, object]) -> World:
         twin = copy.copy(self)
         slots = self.slots
-        part = self.line.slot_limit
-        self.line.slot_limit = lambda box, now_us: slots
-        memo[id(self.line.slot_limit)] = self.line.slot_limit
-        twin.line = copy.deepcopy(self.line, memo)
-        self.line.slot_limit = part
+        part = self.queue.slot_limit
+        self.queue.slot_limit = lambda box, now_us: slots
+        memo[id(self.queue.slot_limit)] = self.queue.slot_limit
+        twin.queue = copy.deepcopy(self.queue, memo)
+        self.queue.slot_limit = part
         twin.out = [memo.get(id(one), one) for one in self.out]  # type: ignore[misc]
         twin.passed, twin.most = dict(self.passed), dict(self.most)
         twin.waits_us, twin.since = dict(self.waits_us), dict(self.since)
@@ -61,11 +61,11 @@
     def choices(self) -> list[tuple[str, int]]:
         """What may happen now."""
         choices: list[tuple[str, int]] = [("time", 0)]
-        choices += [("ask", tenant) for tenant in TENANTS if len(self.line.waiting.get(tenant, {})) < 2]
-        choices += [("long", 1)] if len(self.line.waiting.get(1, {})) < 2 else []
+        choices += [("ask", tenant) for tenant in TENANTS if len(self.queue.waiting.get(tenant, {})) < 2]
+        choices += [("long", 1)] if len(self.queue.waiting.get(1, {})) < 2 else []
         choices += [("back", i) for i in range(len(self.out))]
         choices += [("again", 0)] if self.out else []
-        choices += [("gone", tenant) for tenant in self.line.waiting]
+        choices += [("gone", tenant) for tenant in self.queue.waiting]
         return choices
 
     def steps(self) -> Iterator[World]:
@@ -77,7 +77,7 @@
 
     def act(self, what: str, which: int) -> None:
         """One thing happens."""
-        line = self.line
+        queue = self.queue
         self._leads()
         if what == "time":
             self.now_us += STEP_US
@@ -89,7 +89,7 @@
             us = LONG_US if what == "long" else SHORT_US
             guess = ServiceTimeEstimate(us, us, what == "long")
             wish = Waiter(f"{self.number}", which, SHAPE, "title", ("b",), self.now_us, 10**9, guess)
-            act = line.ask(wish, self.now_us).act
+            act = queue.ask(wish, self.now_us).act
             if act is WaiterAction.PLACE:
                 self._takes(wish)
             elif act is WaiterAction.REFUSE and not self.out:
@@ -99,23 +99,23 @@
         elif what == "back":
             self._back(which)
         elif what == "again":
-            line.give_back("b", ("never", 0), self.now_us)
+            queue.give_back("b", ("never", 0), self.now_us)
             self._pump()
         else:
-            mine = line.waiting[which]
-            line.leave(next(iter(mine.values())), WaiterEvent.HUNG_UP)
-            if all(one.guess.long for one in line.waiting.get(which, {}).values()):
+            mine = queue.waiting[which]
+            queue.leave(next(iter(mine.values())), WaiterEvent.HUNG_UP)
+            if all(one.guess.long for one in queue.waiting.get(which, {}).values()):
                 self.passed.pop(which, None)
-        if len(line.servers["b"].holds) > self.slots or len(self.out) > self.slots:
+        if len(queue.servers["b"].holds) > self.slots or len(self.out) > self.slots:
             self.fault = "more out than slots"
-        if line.count and not self.out:
+        if queue.count and not self.out:
             self.fault = "somebody waits at an idle box"
         if any(wish.state not in (WaiterState.HOLDING, WaiterState.PLACING) for wish in self.out):
             self.fault = "a slot is out for a wish that has none"
 
     def _back(self, which: int) -> None:
         wish = self.out.pop(which)
-        self.line.give_back("b", (wish.id, 0), self.now_us)
+        self.queue.give_back("b", (wish.id, 0), self.now_us)
         since_us = self.since.pop(wish.id)
         for tenant, wait in self.passed.items():
             if tenant != wish.tenant and since_us >= self.waits_us[tenant]:
@@ -125,7 +125,7 @@
     def _leads(self) -> None:
         """Each other may get what a tenant is ahead (by a hold of its own that lasts on, too), and one hold
         that crosses; and what is out counts as the others' until it is back."""
-        shares = self.line.servers["b"]
+        shares = self.queue.servers["b"]
         for tenant in self.passed:
             lead = shares.start_tag(tenant, self.now_us) - shares.virtual_time
             most = (len(TENANTS) - 1) * (lead + LONG_US) + self.slots * LONG_US
@@ -134,11 +134,11 @@
                 self.fault = "a tenant is passed over for longer than its bound"
 
     def _pump(self) -> None:
-        while (wish := self.line.next("b", self.now_us)) is not None:
+        while (wish := self.queue.next("b", self.now_us)) is not None:
             self._takes(wish)
 
     def _takes(self, wish: Waiter) -> None:
-        if not self.line.take("b", (wish.id, 0), wish.tenant, wish.guess, self.now_us):
+        if not self.queue.take("b", (wish.id, 0), wish.tenant, wish.guess, self.now_us):
             self.fault = "a turn without a slot"
         wish.apply(WaiterEvent.PLACED)
         self.out.append(wish)
@@ -147,7 +147,7 @@
         self.since[wish.id] = self.now_us
         self.passed.pop(wish.tenant, None)
         # A long one waits for what long ones may have, and by no bound but its own time.
-        if any(not one.guess.long for one in self.line.waiting.get(wish.tenant, {}).values()):
+        if any(not one.guess.long for one in self.queue.waiting.get(wish.tenant, {}).values()):
             self._waits(wish.tenant)
         self._leads()
 
@@ -156,10 +156,10 @@
         self.waits_us[tenant] = self.now_us
 
     def key(self) -> object:
-        shares = self.line.servers["b"]
+        shares = self.queue.servers["b"]
         tags = {t: round((shares.start_tag(t, self.now_us) - shares.virtual_time) / STEP_US) for t in TENANTS}
         out = sorted((one.tenant, one.guess.long) for one in self.out)
-        waits = [tuple(one.guess.long for one in self.line.waiting.get(t, {}).values()) for t in TENANTS]
+        waits = [tuple(one.guess.long for one in self.queue.waiting.get(t, {}).values()) for t in TENANTS]
         passed = [round(self.passed.get(t, -STEP_US) / STEP_US) for t in TENANTS]
         return tuple(tags.values()), tuple(out), tuple(waits), tuple(passed)
 
@@ -183,10 +183,10 @@
 
 def walk(world: World, seed: int, steps: int) -> str:
     """The fault that so many steps at random come to; farther than all worlds can be searched."""
-    chance = Random(seed)
+    rng = Random(seed)
     for _ in range(steps):
         choices = world.choices()
-        (found,) = chance.choices(choices, [OFTEN.get(what, 1.0) for what, _ in choices])
+        (found,) = rng.choices(choices, [OFTEN.get(what, 1.0) for what, _ in choices])
         world.act(*found)
         if world.fault:
             break
