--- a/packages/messages/src/fennelcove/usage_messages.py
+++ b/packages/messages/src/fennelcove/usage_messages.py
@@ -4,20 +4,21 @@
 
 import struct
 
-from fennelcove.fair_queueing.usage_gossip import Row, UsageReport
+from fennelcove.fair_queueing.usage_gossip import UsageReport, UsageRow
 
 USAGE_REPORT = 48
 MAX_BYTES = 256
 HEAD = struct.Struct(">BQI")  # kind, incarnation, sequence
-ROW = struct.Struct(">IIQ")  # server, tenant, service time in microseconds since the incarnation began
+ROW = struct.Struct(">IIQ")  # server number, tenant, service time in microseconds since the incarnation began
 MAX_ROWS = (MAX_BYTES - HEAD.size) // ROW.size
 
 
 def encode(report: UsageReport) -> list[bytes]:
     """Encode a report, into messages of 256 bytes at most each."""
     rows = [ROW.pack(row.server, row.tenant, row.given_us) for row in report.rows]
-    head = HEAD.pack(USAGE_REPORT, report.life, report.number)
-    return [head + b"".join(rows[first : first + MAX_ROWS]) for first in range(0, len(rows), MAX_ROWS)]
+    head = HEAD.pack(USAGE_REPORT, report.incarnation, report.sequence)
+    starts = range(0, len(rows), MAX_ROWS)
+    return [head + b"".join(rows[start : start + MAX_ROWS]) for start in starts]
 
 
 def decode(raw: bytes) -> UsageReport | None:
@@ -26,5 +27,5 @@
     if not has_whole_rows or raw[0] != USAGE_REPORT:
         return None
     _, incarnation, sequence = HEAD.unpack_from(raw)
-    rows = tuple(Row(*row) for row in ROW.iter_unpack(raw[HEAD.size :]))
+    rows = tuple(UsageRow(*row) for row in ROW.iter_unpack(raw[HEAD.size :]))
     return UsageReport(incarnation, sequence, rows)
