--- a/packages/playback/src/fennelcove/decisions/playback/migration.py
+++ b/packages/playback/src/fennelcove/decisions/playback/migration.py
@@ -19,9 +19,9 @@
     """How a subscription stands towards its box."""
 
     SETTLED = auto()
-    DUE = auto()  # it should move and waits for its turn
+    PENDING = auto()  # it should move and waits for its turn
     MAKING = auto()  # a join elsewhere is out
-    OVER = auto()
+    CLOSED = auto()
 
 
 class MigrationEvent(Enum):
@@ -54,32 +54,32 @@
 
 Row = tuple[MigrationState, tuple[MigrationAction, ...]]
 
-TABLE: dict[tuple[MigrationState, MigrationEvent], Row] = {
-    (MigrationState.SETTLED, MigrationEvent.TOLD): (MigrationState.DUE, (MigrationAction.QUEUE,)),
+TRANSITIONS: dict[tuple[MigrationState, MigrationEvent], Row] = {
+    (MigrationState.SETTLED, MigrationEvent.TOLD): (MigrationState.PENDING, (MigrationAction.QUEUE,)),
     # Asked first and told then: the module copies what plays before it forgets it. It is told in the same
     # instant, or it would take the box that comes back under its old address for a warm one.
     (MigrationState.SETTLED, MigrationEvent.LOST): (
         MigrationState.MAKING,
         (MigrationAction.ASK_MODULE, MigrationAction.TELL_LOST),
     ),
-    (MigrationState.SETTLED, MigrationEvent.GONE): (MigrationState.DUE, (MigrationAction.QUEUE,)),
-    (MigrationState.DUE, MigrationEvent.GONE): (MigrationState.DUE, ()),
+    (MigrationState.SETTLED, MigrationEvent.GONE): (MigrationState.PENDING, (MigrationAction.QUEUE,)),
+    (MigrationState.PENDING, MigrationEvent.GONE): (MigrationState.PENDING, ()),
     (MigrationState.MAKING, MigrationEvent.GONE): (MigrationState.MAKING, ()),
-    (MigrationState.DUE, MigrationEvent.TURN): (MigrationState.MAKING, (MigrationAction.ASK_MODULE,)),
-    (MigrationState.DUE, MigrationEvent.CALM): (MigrationState.SETTLED, ()),
-    (MigrationState.DUE, MigrationEvent.LOST): (
+    (MigrationState.PENDING, MigrationEvent.TURN): (MigrationState.MAKING, (MigrationAction.ASK_MODULE,)),
+    (MigrationState.PENDING, MigrationEvent.CALM): (MigrationState.SETTLED, ()),
+    (MigrationState.PENDING, MigrationEvent.LOST): (
         MigrationState.MAKING,
         (MigrationAction.ASK_MODULE, MigrationAction.TELL_LOST),
     ),
-    (MigrationState.DUE, MigrationEvent.TIME): (MigrationState.SETTLED, (MigrationAction.STAY,)),
-    (MigrationState.DUE, MigrationEvent.ENDED): (MigrationState.OVER, ()),
+    (MigrationState.PENDING, MigrationEvent.TIME): (MigrationState.SETTLED, (MigrationAction.STAY,)),
+    (MigrationState.PENDING, MigrationEvent.ENDED): (MigrationState.CLOSED, ()),
     (MigrationState.MAKING, MigrationEvent.MADE): (MigrationState.SETTLED, (MigrationAction.SWITCH,)),
     (MigrationState.MAKING, MigrationEvent.LOST): (MigrationState.MAKING, (MigrationAction.TELL_LOST,)),
     (MigrationState.MAKING, MigrationEvent.FAILED): (MigrationState.MAKING, (MigrationAction.TELL_FAILED,)),
-    (MigrationState.MAKING, MigrationEvent.REFUSED): (MigrationState.DUE, (MigrationAction.PAUSE,)),
+    (MigrationState.MAKING, MigrationEvent.REFUSED): (MigrationState.PENDING, (MigrationAction.PAUSE,)),
     # The join that is out is taken back by whoever hears of its end.
-    (MigrationState.MAKING, MigrationEvent.ENDED): (MigrationState.OVER, ()),
-    (MigrationState.SETTLED, MigrationEvent.ENDED): (MigrationState.OVER, ()),
+    (MigrationState.MAKING, MigrationEvent.ENDED): (MigrationState.CLOSED, ()),
+    (MigrationState.SETTLED, MigrationEvent.ENDED): (MigrationState.CLOSED, ()),
 }
 
 RETRY_US = 200_000
@@ -100,13 +100,13 @@
     stage: MigrationState = MigrationState.SETTLED
     lost: bool = False
     gone: bool = False
-    until_us: int = 0
-    not_before_us: int = 0
+    deadline_us: int = 0
+    retry_at_us: int = 0
     since_us: int = 0
 
     def apply(self, event: MigrationEvent) -> tuple[MigrationAction, ...]:
         """Move on; what follows, in order."""
-        row = TABLE.get((self.stage, event))
+        row = TRANSITIONS.get((self.stage, event))
         if row is None:
             return ()
         self.lost = self.lost or event is MigrationEvent.LOST
@@ -117,39 +117,39 @@
         self.stage, acts = row
         if self.lost and event is MigrationEvent.REFUSED:
             # Nothing plays any more and there is no place: waiting would only look like playing.
-            self.stage = MigrationState.OVER
+            self.stage = MigrationState.CLOSED
             return (MigrationAction.END,)
         if self.gone and event is MigrationEvent.TIME:
             # Staying would leave its player asking for segments that nobody may name to it.
-            self.stage = MigrationState.OVER
+            self.stage = MigrationState.CLOSED
             return (MigrationAction.END,)
         if event is MigrationEvent.MADE:
-            self.lost, self.until_us = False, 0
+            self.lost, self.deadline_us = False, 0
         return acts
 
 
 class MigrationTurns:
     """Who moves next: those whose time ends first, of them those of most benefit; so many at once."""
 
-    def __init__(self, at_once: int, grace_us: int) -> None:
-        self.at_once = at_once
+    def __init__(self, max_concurrent: int, grace_us: int) -> None:
+        self.at_once = max_concurrent
         # A tenth of the grace is kept, as everywhere: the last join must end inside it.
         self.grace_us = round(grace_us * 0.9)
-        self.making = 0
+        self.active_count = 0
         self.count = 0
         self.queue: list[tuple[int, float, int, SessionMigration]] = []
 
-    def add(self, move: SessionMigration, now_us: int) -> None:
+    def add(self, migration: SessionMigration, now_us: int) -> None:
         """A move is due from now on."""
-        move.until_us, move.since_us = now_us + self.grace_us, now_us
+        migration.deadline_us, migration.since_us = now_us + self.grace_us, now_us
         self.count += 1
-        heapq.heappush(self.queue, (move.until_us, -move.priority_weight, self.count, move))
+        heapq.heappush(self.queue, (migration.deadline_us, -migration.priority_weight, self.count, migration))
 
-    def put_back(self, move: SessionMigration, now_us: int) -> None:
+    def put_back(self, migration: SessionMigration, now_us: int) -> None:
         """No place now: try again a little later, within its time."""
-        move.not_before_us = now_us + RETRY_US
+        migration.retry_at_us = now_us + RETRY_US
         self.count += 1
-        heapq.heappush(self.queue, (move.until_us, -move.priority_weight, self.count, move))
+        heapq.heappush(self.queue, (migration.deadline_us, -migration.priority_weight, self.count, migration))
 
     def take(self, now_us: int) -> tuple[list[SessionMigration], list[SessionMigration]]:
         """Those whose turn it is, and those whose time is over."""
@@ -160,20 +160,20 @@
         )
         while self.queue:
             item = heapq.heappop(self.queue)
-            move = item[3]
-            if move.stage is not MigrationState.DUE:
+            migration = item[3]
+            if migration.stage is not MigrationState.PENDING:
                 continue
-            if move.until_us <= now_us:
-                over.append(move)
-            elif move.not_before_us > now_us or self.making + len(turn) >= self.at_once:
+            if migration.deadline_us <= now_us:
+                over.append(migration)
+            elif migration.retry_at_us > now_us or self.active_count + len(turn) >= self.at_once:
                 later.append(item)
             else:
-                turn.append(move)
+                turn.append(migration)
         for item in later:
             heapq.heappush(self.queue, item)
-        self.making += len(turn)
+        self.active_count += len(turn)
         return turn, over
 
     def finished(self) -> None:
         """One that had its turn is done with it."""
-        self.making -= 1
+        self.active_count -= 1
--- a/packages/playback/src/fennelcove/decisions/playback/playlist_cursor.py
+++ b/packages/playback/src/fennelcove/decisions/playback/playlist_cursor.py
@@ -11,42 +11,45 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from fractions import Fraction
+from typing import NamedTuple
 
-from fennelcove.timeline.model import Change, Kind, Media, Shown, Stretch
+from fennelcove.timeline.model import Change, Kind, Media, Shown, PeriodStart
 
-AHEAD = (
+LOOKAHEAD_SEGMENTS = (
     3  # segments shown beyond the last one fetched: what a player needs to keep its buffer (RFC 8216, 6.3.3)
 )
-WINDOW = 6  # segments kept in manifests behind the last one fetched
-REPLAYED = 2 * AHEAD  # segments that may have been shown past a mark: one mark late, and one lost
+WINDOW_SEGMENTS = 6  # segments kept in manifests behind the last one fetched
+MAX_REPLAYED_SEGMENTS = (
+    2 * LOOKAHEAD_SEGMENTS
+)  # segments that may have been shown past a mark: one mark late, and one lost
 KEPT = 64  # segments that a late player may still fetch
-LIVE_BEHIND = 3  # target durations behind the edge at which a live player begins (RFC 8216, 6.3.3)
+LIVE_DELAY_SEGMENTS = 3  # target durations behind the edge at which a live player begins (RFC 8216, 6.3.3)
 
-BEGINNING = Stretch(0, 0, Fraction(0))
+BEGINNING = PeriodStart(0, 0, Fraction(0))
 
 
 @dataclass(frozen=True, slots=True)
-class Run:
+class ClipProgress:
     """A clip under way."""
 
-    change: str
-    media: str
-    next: int
-    count: int
+    change_id: str
+    clip: str
+    next_segment: int
+    segment_count: int
 
 
 @dataclass(frozen=True, slots=True)
 class PlaylistCursor:
     """Where a player's timeline goes on."""
 
-    seq: int = 0
+    next_sequence_number: int = 0
     lesson: int = 0  # the lesson's next segment
     start: Fraction = Fraction(0)
-    run: Run | None = None
+    clip_progress: ClipProgress | None = None
     source: str = ""  # of the segment that would go on without a joint: change, media and number
     rung: int = -1
-    stretch: Stretch = BEGINNING
-    done: frozenset[str] = frozenset()  # changes met at this boundary, and moments met anywhere
+    period: PeriodStart = BEGINNING
+    applied_change_ids: frozenset[str] = frozenset()  # changes met at this boundary, and moments met anywhere
     breaks: tuple[str, ...] = ()  # of those, the ones told apart before the next segment
 
 
@@ -57,29 +60,31 @@
     media: Mapping[str, Media]
     title: str
     service_class: str
-    session: str
+    session_id: str
     changes: tuple[Change, ...]
     rung: int
-    floor: int
+    floor_rung: int
     wall_us: int
     began_wall_us: int
-    playable: Callable[[str], bool]  # whether any box, or the slate, can serve this clip
-    apart: bool = False  # clips are told apart from the lesson, as interstitials
+    is_clip_available: Callable[[str], bool]  # whether any box, or the slate, can serve this clip
+    uses_interstitials: bool = False  # clips are told apart from the lesson, as interstitials
 
 
-def rung_of(media: Media, rung: int, floor: int) -> int:
+def fitting_rung(media: Media, rung: int, floor: int) -> int:
     """The rung at which a media is shown: the one in force, or the next lower that it has, never under the
     floor."""
     fitting = [have for have in media.rungs if floor <= have <= rung]
     return max(fitting) if fitting else max(rung, floor)
 
 
-def _due(cursor: PlaylistCursor, view: Viewpoint) -> Change | None:
+def _due_change(cursor: PlaylistCursor, view: Viewpoint) -> Change | None:
     """The change that acts before the lesson's next segment, the narrowest target first."""
     lesson = view.media[view.title]
     found = []
     for change in view.changes:
-        if change.id in cursor.done or not change.target.meets(view.title, view.service_class, view.session):
+        if change.id in cursor.applied_change_ids or not change.target.meets(
+            view.title, view.service_class, view.session_id
+        ):
             continue
         first = change.first(lesson)
         if first is None:
@@ -98,23 +103,28 @@
     )
 
 
-def _enter(cursor: PlaylistCursor, change: Change, view: Viewpoint) -> PlaylistCursor:
+def _apply_change(cursor: PlaylistCursor, change: Change, view: Viewpoint) -> PlaylistCursor:
     """Begin a change: its clip, and past the stretch that it takes out."""
     lesson = view.media[view.title]
     after = change.after(lesson)
     moved = cursor.lesson if after is None else max(cursor.lesson, after)
-    done = cursor.done | {change.id}
+    done = cursor.applied_change_ids | {change.id}
     if change.kind is Kind.CUT:
-        return replace(cursor, lesson=moved, done=done)
+        return replace(cursor, lesson=moved, applied_change_ids=done)
     clip = view.media.get(change.clip or "")
-    if clip is None or clip.count is None or not view.playable(clip.name):
+    if clip is None or clip.count is None or not view.is_clip_available(clip.name):
         # Nothing can serve the clip: the unstitched lesson is better than a hole.
-        return replace(cursor, done=done)
-    if view.apart:
+        return replace(cursor, applied_change_ids=done)
+    if view.uses_interstitials:
         # What a clip replaces is left out of the lesson: a player that had to skip it would stop fetching,
         # and its manifest would wait for the fetch.
-        return replace(cursor, lesson=moved, done=done, breaks=(*cursor.breaks, change.id))
-    return replace(cursor, lesson=moved, done=done, run=Run(change.id, clip.name, 0, clip.count))
+        return replace(cursor, lesson=moved, applied_change_ids=done, breaks=(*cursor.breaks, change.id))
+    return replace(
+        cursor,
+        lesson=moved,
+        applied_change_ids=done,
+        clip_progress=ClipProgress(change.id, clip.name, 0, clip.count),
+    )
 
 
 def advance(cursor: PlaylistCursor, view: Viewpoint) -> tuple[PlaylistCursor, Shown | None]:
@@ -125,147 +135,186 @@
     lost.
     """
     lesson = view.media[view.title]
-    while cursor.run is None and (change := _due(cursor, view)) is not None:
-        cursor = _enter(cursor, change, view)
-    if cursor.run is not None:
-        run = cursor.run
-        shown = _show(cursor, view.media[run.media], run.next, run.change, view)
-        later = replace(run, next=run.next + 1) if run.next + 1 < run.count else None
-        return replace(_past(cursor, shown), run=later), shown
+    while cursor.clip_progress is None and (change := _due_change(cursor, view)) is not None:
+        cursor = _apply_change(cursor, change, view)
+    if cursor.clip_progress is not None:
+        run = cursor.clip_progress
+        shown = _next_segment(cursor, view.media[run.clip], run.next_segment, run.change_id, view)
+        later = (
+            replace(run, next_segment=run.next_segment + 1)
+            if run.next_segment + 1 < run.segment_count
+            else None
+        )
+        return replace(_cursor_after(cursor, shown), clip_progress=later), shown
     if cursor.lesson >= lesson.ready(view.wall_us):
         return cursor, None
-    shown = _show(cursor, lesson, cursor.lesson, "", view)
-    moments = frozenset(c.id for c in view.changes if c.id in cursor.done and c.first(lesson) is None)
-    return replace(_past(cursor, shown), lesson=cursor.lesson + 1, done=moments), shown
+    shown = _next_segment(cursor, lesson, cursor.lesson, "", view)
+    moments = frozenset(
+        c.id for c in view.changes if c.id in cursor.applied_change_ids and c.first(lesson) is None
+    )
+    return replace(_cursor_after(cursor, shown), lesson=cursor.lesson + 1, applied_change_ids=moments), shown
 
 
-def _show(cursor: PlaylistCursor, media: Media, number: int, change: str, view: Viewpoint) -> Shown:
+def _next_segment(cursor: PlaylistCursor, media: Media, number: int, change: str, view: Viewpoint) -> Shown:
     # A lesson that goes on after a stretch was taken out jumps in its own time: that is a joint as well.
     follows = cursor.source == f"{change}/{media.name}@{number}"
-    rung = rung_of(media, view.rung, view.floor)
+    rung = fitting_rung(media, view.rung, view.floor_rung)
     same = follows and rung == cursor.rung
     return Shown(
-        seq=cursor.seq,
+        sequence_number=cursor.next_sequence_number,
         media=media.name,
         number=number,
         rung=rung,
         start=cursor.start,
         duration=media.each,
-        stretch=cursor.stretch if same else Stretch(cursor.seq, number, cursor.start),
+        period=cursor.period if same else PeriodStart(cursor.next_sequence_number, number, cursor.start),
         change=change,
-        joint=bool(cursor.source) and not follows,
+        is_discontinuity=bool(cursor.source) and not follows,
         breaks=cursor.breaks,
     )
 
 
-def _past(cursor: PlaylistCursor, shown: Shown) -> PlaylistCursor:
+def _cursor_after(cursor: PlaylistCursor, shown: Shown) -> PlaylistCursor:
     source = f"{shown.change}/{shown.media}@{shown.number + 1}"
     return replace(
         cursor,
-        seq=shown.seq + 1,
+        next_sequence_number=shown.sequence_number + 1,
         start=shown.end,
         source=source,
         rung=shown.rung,
-        stretch=shown.stretch,
+        period=shown.period,
         breaks=(),
     )
 
 
+@dataclass(frozen=True, slots=True)
+class ReplayLimit:
+    """Up to where a restored track must be extended by the changes of an earlier ledger version.
+
+    Segments listed after the resume token was written are unknown to the front, but there were at most
+    MAX_REPLAYED_SEGMENTS of them, and the same changes give the same segments again.
+    """
+
+    next_sequence_number: int
+    ledger_version: int
+
+
+class PlaylistWindow(NamedTuple):
+    """The segments that a manifest lists, and the discontinuity sequence number of the first."""
+
+    segments: list[Shown]
+    discontinuity_sequence: int
+
+
 @dataclass(slots=True)
 class PlaylistTrack:
-    """One player's timeline: what it was shown and has fetched."""
+    """One player's timeline: the segments that were listed for it, and how far it has fetched them."""
 
     began_wall_us: int
     cursor: PlaylistCursor = field(default_factory=PlaylistCursor)
     shown: deque[Shown] = field(default_factory=deque)
     fetched: int = -1  # the highest sequence number fetched
-    joints_gone: int = 0
+    dropped_discontinuities: int = 0
     ended: bool = False
     version: int = 0
-    # After a restart: the mark's next segment and the ledger's version then. What was shown past the mark is
-    # not known, but at most so many segments were, and under that version's changes they come out the same
-    # again.
-    replay: tuple[int, int] | None = None
-    apart: bool = False  # for the track's life: a player can't change timelines in the middle
-    begun: dict[str, int] = field(default_factory=dict)  # clips told apart that were asked for: their rungs
+    replay: ReplayLimit | None = None
+    apart: bool = False  # constant for a track: a player can't change timelines in the middle
+    begun: dict[str, int] = field(default_factory=dict)  # rung of each interstitial requested, by change
 
     def replays(self) -> int | None:
-        """The ledger's version by which the next segment must be chosen, where that is not the newest."""
-        if self.replay is None or self.cursor.seq >= self.replay[0] + REPLAYED:
+        """The ledger version that the next segment must be chosen by; None for the newest."""
+        if self.replay is None:
             return None
-        return self.replay[1]
+        if self.cursor.next_sequence_number >= self.replay.next_sequence_number + MAX_REPLAYED_SEGMENTS:
+            return None
+        return self.replay.ledger_version
 
     def extend(self, view: Viewpoint, version: int) -> int:
-        """Show as far ahead as a player may fetch; how many segments are new."""
+        """Lists segments as far ahead as a player may fetch.
+
+        Args:
+            view: what the segments are chosen by; its changes must be those of `replays()`.
+            version: the ledger's newest version.
+
+        Returns:
+            The number of new segments.
+        """
         count = 0
         self.version = version
-        replaying = self.replays()
-        while not self.ended and self.cursor.seq <= self.fetched + AHEAD:
-            if replaying is not None and self.replays() is None:
-                break  # from here on the newest changes count: the caller comes again with them
-            self.cursor, shown = advance(self.cursor, view)
-            if shown is None:
-                lesson = view.media[view.title]
-                self.ended = not lesson.live and self.cursor.lesson >= (lesson.count or 0)
+        was_replaying = self.replays() is not None
+        while not self.ended and self.cursor.next_sequence_number <= self.fetched + LOOKAHEAD_SEGMENTS:
+            if was_replaying and self.replays() is None:
+                break  # from here on the newest changes apply: the caller extends again with them
+            self.cursor, segment = advance(self.cursor, view)
+            if segment is None:
+                title_media = view.media[view.title]
+                self.ended = not title_media.live and self.cursor.lesson >= (title_media.count or 0)
                 break
-            self.shown.append(shown)
+            self.shown.append(segment)
             count += 1
         while len(self.shown) > KEPT:
-            self._drop()
+            self._drop_oldest()
         return count
 
-    def _drop(self) -> None:
-        gone = self.shown.popleft()
-        self.joints_gone += gone.joint
-
-    def window(self) -> tuple[list[Shown], int]:
-        """What manifests name now, and the discontinuity sequence number of its first segment."""
-        first = max(0, self.fetched + 1 - WINDOW)
-        # A shorter list than three segments would let a player fall off its end (RFC 8216, section 6.2.2).
-        first = min(first, max(0, self.cursor.seq - AHEAD))
-        listed = [shown for shown in self.shown if shown.seq >= first]
-        before = sum(shown.joint for shown in self.shown if shown.seq < first)
-        own = int(bool(listed) and listed[0].joint)
-        return listed, self.joints_gone + before + own
-
-    def fetch(self, seq: int) -> Shown | None:
-        """A player fetches a segment; None for one never shown or long gone."""
-        for shown in self.shown:
-            if shown.seq == seq:
-                self.fetched = max(self.fetched, seq)
-                return shown
+    def _drop_oldest(self) -> None:
+        dropped = self.shown.popleft()
+        self.dropped_discontinuities += dropped.is_discontinuity
+
+    def window(self) -> PlaylistWindow:
+        """The part of the track that manifests list now."""
+        first = max(0, self.fetched + 1 - WINDOW_SEGMENTS)
+        # A playlist of under three segments would let a player fall off its end (RFC 8216, section 6.2.2).
+        first = min(first, max(0, self.cursor.next_sequence_number - LOOKAHEAD_SEGMENTS))
+        listed = [segment for segment in self.shown if segment.sequence_number >= first]
+        before = sum(segment.is_discontinuity for segment in self.shown if segment.sequence_number < first)
+        own = int(bool(listed) and listed[0].is_discontinuity)
+        return PlaylistWindow(listed, self.dropped_discontinuities + before + own)
+
+    def fetch(self, sequence_number: int) -> Shown | None:
+        """Records that a player fetches a segment; None for one that was never listed or was dropped."""
+        for segment in self.shown:
+            if segment.sequence_number == sequence_number:
+                self.fetched = max(self.fetched, sequence_number)
+                return segment
         return None
 
-    def names(self, change: str) -> bool:
-        """Whether what was shown lately holds this change, stitched in or told apart."""
-        return change in self.cursor.breaks or any(
-            change == shown.change or change in shown.breaks for shown in self.shown
-        )
+    def names(self, change_id: str) -> bool:
+        """Whether a retained segment belongs to this change, or has it as an interstitial before it."""
+        if change_id in self.cursor.breaks:
+            return True
+        return any(change_id == segment.change or change_id in segment.breaks for segment in self.shown)
 
-    def asset(self, change: str, clip: Media, rung: int, floor: int, withdrawn: bool) -> int | None:
-        """A player asks for a clip told apart: the rung at which it has it; None where it was not told of it.
+    def asset(self, change_id: str, clip: Media, rung: int, floor: int, withdrawn: bool) -> int | None:
+        """The rung at which a player is given an interstitial's clip; None if it was not listed for it.
 
-        One that was withdrawn before the player asked is not begun; one begun is played to its end, at the
-        rung that its playlist named first.
+        A clip that was withdrawn before the player requested it is not started. One that was started is
+        played to its end, at the rung that its playlist named first.
         """
-        if change in self.begun:
-            return self.begun[change]
-        if withdrawn or not self.names(change):
+        if change_id in self.begun:
+            return self.begun[change_id]
+        if withdrawn or not self.names(change_id):
             return None
         while len(self.begun) >= KEPT:
-            del self.begun[next(iter(self.begun))]
-        self.begun[change] = rung_of(clip, rung, floor)
-        return self.begun[change]
+            oldest = next(iter(self.begun))
+            del self.begun[oldest]
+        self.begun[change_id] = fitting_rung(clip, rung, floor)
+        return self.begun[change_id]
 
 
-def live_start(media: Media, wall_us: int) -> int:
-    """Where a player that joins a live lesson begins."""
-    return max(0, media.ready(wall_us) - LIVE_BEHIND)
+def live_start_segment(media: Media, wall_us: int) -> int:
+    """The segment at which a player that joins a live title begins."""
+    return max(0, media.ready(wall_us) - LIVE_DELAY_SEGMENTS)
 
 
 def begin(media: Media, wall_us: int, apart: bool = False) -> PlaylistTrack:
-    """A new player's track."""
+    """The track of a new player.
+
+    Args:
+        media: the title's media.
+        wall_us: now.
+        apart: clips are listed as interstitials rather than spliced into the title.
+    """
     track = PlaylistTrack(wall_us, apart=apart)
     if media.live:
-        track.cursor = PlaylistCursor(lesson=live_start(media, wall_us))
+        track.cursor = PlaylistCursor(lesson=live_start_segment(media, wall_us))
     return track
--- a/packages/playback/src/fennelcove/decisions/playback/resume_tokens.py
+++ b/packages/playback/src/fennelcove/decisions/playback/resume_tokens.py
@@ -1,5 +1,8 @@
-"""A track as a short text that a box keeps for the front: what a restarted front needs to go on without a
-break."""
+"""Resume tokens: a player's track as a short text that a media server stores for the front.
+
+A front that restarts reads the token back and continues the player's timeline without a break. A token is a
+JSON array, so the order of the fields below is part of the stored format; their names are not.
+"""
 
 from __future__ import annotations
 
@@ -9,136 +12,167 @@
 import msgspec
 from msgspec import Struct
 
-from fennelcove.decisions.playback.playlist_cursor import WINDOW, PlaylistCursor, Run, PlaylistTrack
-from fennelcove.timeline.model import Shown, Stretch
+from fennelcove.decisions.playback.playlist_cursor import (
+    WINDOW_SEGMENTS,
+    ClipProgress,
+    PlaylistCursor,
+    PlaylistTrack,
+    ReplayLimit,
+)
+from fennelcove.timeline.model import PeriodStart, Shown
+
+MAX_TOKEN_CHARS = 8192
 
-MOST_CHARS = 8192
+_PeriodRecord = tuple[int, int, str]  # sequence number, segment number, start in seconds
+_ClipRecord = tuple[str, str, int, int]  # change, clip, next segment, segment count
 
 
-class _Shown(Struct, frozen=True, array_like=True):
-    seq: int
+class _SegmentRecord(Struct, frozen=True, array_like=True):
+    sequence_number: int
     media: str
-    number: int
+    segment_number: int
     rung: int
-    start: str
-    duration: str
-    stretch: tuple[int, int, str]
-    change: str
-    joint: bool
-    breaks: tuple[str, ...] = ()
+    start_s: str
+    duration_s: str
+    period: _PeriodRecord
+    change_id: str
+    is_discontinuity: bool
+    interstitial_ids: tuple[str, ...] = ()
 
 
-class _Mark(Struct, frozen=True, array_like=True):
-    version: int
+class _TrackRecord(Struct, frozen=True, array_like=True):
+    ledger_version: int
     began_wall_us: int
-    fetched: int
-    joints_gone: int
-    ended: bool
-    seq: int
-    lesson: int
-    start: str
-    run: tuple[str, str, int, int] | None
-    source: str
+    last_fetched: int
+    dropped_discontinuities: int
+    is_ended: bool
+    next_sequence_number: int
+    next_title_segment: int
+    start_s: str
+    clip_progress: _ClipRecord | None
+    continuation_key: str
     rung: int
-    stretch: tuple[int, int, str]
-    done: list[str]
-    shown: list[_Shown]
-    apart: bool = False
-    begun: dict[str, int] = {}
-    breaks: tuple[str, ...] = ()
-
+    period: _PeriodRecord
+    applied_change_ids: list[str]
+    segments: list[_SegmentRecord]
+    uses_interstitials: bool = False
+    interstitial_rungs: dict[str, int] = {}
+    interstitial_ids: tuple[str, ...] = ()
 
-_DECODER: msgspec.json.Decoder[_Mark] = msgspec.json.Decoder(_Mark)
 
-
-def _stretch(held: Stretch) -> tuple[int, int, str]:
-    return held.seq, held.number, str(held.start)
+_DECODER: msgspec.json.Decoder[_TrackRecord] = msgspec.json.Decoder(_TrackRecord)
 
 
 def write(track: PlaylistTrack) -> str:
-    """The mark of a track; what is long fetched is left out."""
+    """Encodes a track as a token; segments that have left the playlist's window are left out."""
     cursor = track.cursor
-    kept = [item for item in track.shown if item.seq > track.fetched - WINDOW]
-    gone = track.joints_gone + sum(item.joint for item in track.shown if item.seq <= track.fetched - WINDOW)
-    run = None
-    if cursor.run is not None:
-        run = (cursor.run.change, cursor.run.media, cursor.run.next, cursor.run.count)
-    shown = [
-        _Shown(
-            item.seq,
-            item.media,
-            item.number,
-            item.rung,
-            str(item.start),
-            str(item.duration),
-            _stretch(item.stretch),
-            item.change,
-            item.joint,
-            item.breaks,
-        )
-        for item in kept
-    ]
-    mark = _Mark(
-        track.version,
-        track.began_wall_us,
-        track.fetched,
-        gone,
-        track.ended,
-        cursor.seq,
-        cursor.lesson,
-        str(cursor.start),
-        run,
-        cursor.source,
-        cursor.rung,
-        _stretch(cursor.stretch),
-        sorted(cursor.done),
-        shown,
-        track.apart,
-        track.begun,
-        cursor.breaks,
+    oldest = track.fetched - WINDOW_SEGMENTS
+    kept = [segment for segment in track.shown if segment.sequence_number > oldest]
+    dropped = sum(segment.is_discontinuity for segment in track.shown if segment.sequence_number <= oldest)
+    record = _TrackRecord(
+        ledger_version=track.version,
+        began_wall_us=track.began_wall_us,
+        last_fetched=track.fetched,
+        dropped_discontinuities=track.dropped_discontinuities + dropped,
+        is_ended=track.ended,
+        next_sequence_number=cursor.next_sequence_number,
+        next_title_segment=cursor.lesson,
+        start_s=str(cursor.start),
+        clip_progress=_encode_clip_progress(cursor.clip_progress),
+        continuation_key=cursor.source,
+        rung=cursor.rung,
+        period=_encode_period(cursor.period),
+        applied_change_ids=sorted(cursor.applied_change_ids),
+        segments=[_encode_segment(segment) for segment in kept],
+        uses_interstitials=track.apart,
+        interstitial_rungs=track.begun,
+        interstitial_ids=cursor.breaks,
     )
-    return msgspec.json.encode(mark).decode()
+    return msgspec.json.encode(record).decode()
 
 
 def read(text: str) -> PlaylistTrack | None:
-    """The track of a mark; None for what is none of ours, so that a box can't make a front fail."""
-    if not text or len(text) > MOST_CHARS:
+    """Decodes a token; None for an empty or malformed one, so that no server can make a front fail."""
+    if not text or len(text) > MAX_TOKEN_CHARS:
         return None
     try:
-        mark = _DECODER.decode(text)
-        stretch = Stretch(mark.stretch[0], mark.stretch[1], Fraction(mark.stretch[2]))
-        run = Run(*mark.run) if mark.run is not None else None
-        cursor = PlaylistCursor(
-            mark.seq,
-            mark.lesson,
-            Fraction(mark.start),
-            run,
-            mark.source,
-            mark.rung,
-            stretch,
-            frozenset(mark.done),
-            mark.breaks,
-        )
-        shown = deque(
-            Shown(
-                item.seq,
-                item.media,
-                item.number,
-                item.rung,
-                Fraction(item.start),
-                Fraction(item.duration),
-                Stretch(item.stretch[0], item.stretch[1], Fraction(item.stretch[2])),
-                item.change,
-                item.joint,
-                item.breaks,
-            )
-            for item in mark.shown
-        )
+        record = _DECODER.decode(text)
+        return _decode_track(record)
     except (msgspec.MsgspecError, ValueError, ZeroDivisionError):
         return None
+
+
+def _encode_period(period: PeriodStart) -> _PeriodRecord:
+    return period.sequence_number, period.number, str(period.start)
+
+
+def _decode_period(record: _PeriodRecord) -> PeriodStart:
+    sequence_number, segment_number, start_s = record
+    return PeriodStart(sequence_number, segment_number, Fraction(start_s))
+
+
+def _encode_clip_progress(progress: ClipProgress | None) -> _ClipRecord | None:
+    if progress is None:
+        return None
+    return progress.change_id, progress.clip, progress.next_segment, progress.segment_count
+
+
+def _encode_segment(segment: Shown) -> _SegmentRecord:
+    return _SegmentRecord(
+        sequence_number=segment.sequence_number,
+        media=segment.media,
+        segment_number=segment.number,
+        rung=segment.rung,
+        start_s=str(segment.start),
+        duration_s=str(segment.duration),
+        period=_encode_period(segment.period),
+        change_id=segment.change,
+        is_discontinuity=segment.is_discontinuity,
+        interstitial_ids=segment.breaks,
+    )
+
+
+def _decode_segment(record: _SegmentRecord) -> Shown:
+    return Shown(
+        record.sequence_number,
+        record.media,
+        record.segment_number,
+        record.rung,
+        Fraction(record.start_s),
+        Fraction(record.duration_s),
+        _decode_period(record.period),
+        record.change_id,
+        record.is_discontinuity,
+        record.interstitial_ids,
+    )
+
+
+def _decode_cursor(record: _TrackRecord) -> PlaylistCursor:
+    progress = ClipProgress(*record.clip_progress) if record.clip_progress is not None else None
+    return PlaylistCursor(
+        record.next_sequence_number,
+        record.next_title_segment,
+        Fraction(record.start_s),
+        progress,
+        record.continuation_key,
+        record.rung,
+        _decode_period(record.period),
+        frozenset(record.applied_change_ids),
+        record.interstitial_ids,
+    )
+
+
+def _decode_track(record: _TrackRecord) -> PlaylistTrack:
     track = PlaylistTrack(
-        mark.began_wall_us, cursor, shown, mark.fetched, mark.joints_gone, mark.ended, mark.version
+        record.began_wall_us,
+        _decode_cursor(record),
+        deque(_decode_segment(segment) for segment in record.segments),
+        record.last_fetched,
+        record.dropped_discontinuities,
+        record.is_ended,
+        record.ledger_version,
     )
-    track.replay = (cursor.seq, mark.version)
-    track.apart, track.begun = mark.apart, dict(mark.begun)
+    track.replay = ReplayLimit(record.next_sequence_number, record.ledger_version)
+    track.apart = record.uses_interstitials
+    track.begun = dict(record.interstitial_rungs)
     return track
--- a/packages/playback/src/fennelcove/decisions/playback/segment_routing.py
+++ b/packages/playback/src/fennelcove/decisions/playback/segment_routing.py
@@ -1,9 +1,8 @@
-"""Where a shown segment is fetched from, and what stands in when its server drains, dies or lacks it.
+"""Which server a listed segment is fetched from, and the fallbacks where that server can't serve it.
 
-The lesson comes from the subscription's own box, where its place is. A stitched segment comes from there too
-if the box holds the clip; else from another holder, a lower rendition, the slate that every box holds, in
-that order. The unstitched lesson, last of all, can only be chosen before a segment is shown
-(`tracks.advance`).
+A segment of the title comes from the session's own server. A segment of a spliced clip comes from there too
+if that server stores the clip; else from another replica, then at a lower rung, then from the slate. That a
+clip is skipped altogether can only be decided before its segment is listed (`playlist_cursor.advance`).
 """
 
 from __future__ import annotations
@@ -14,77 +13,75 @@
 
 
 class Source(Enum):
-    """Where a segment comes from, the best first."""
+    """Where a segment comes from, the most preferred first.
 
-    HOME = auto()
-    OTHER = auto()
-    LOWER = auto()
+    The members' names are part of the names of counters in the status.
+    """
+
+    HOME = auto()  # the session's own server
+    OTHER = auto()  # another replica, at the listed rung
+    LOWER = auto()  # a replica at a lower rung
     SLATE = auto()
-    WAIT = auto()  # its home is being made; ask again in a moment
+    WAIT = auto()  # the session has no server at the moment; the player should retry
     NONE = auto()
 
 
-class Fault(Enum):
-    """What speaks against a source."""
-
-    NOT_HELD = auto()  # no usable box holds the media at this rung
-    OUT = auto()  # the home is gone, or has left the list
-    TRIED = auto()  # the player comes again for the same segment: it got nothing whole there
-
-
-# For stitched segments; for those of the lesson there is no other place than a home.
-TABLE: dict[tuple[Source, Fault], Source] = {
-    **{(Source.HOME, fault): Source.OTHER for fault in Fault},
-    **{(Source.OTHER, fault): Source.LOWER for fault in Fault},
-    **{(Source.LOWER, fault): Source.SLATE for fault in Fault},
-    **{(Source.SLATE, fault): Source.NONE for fault in Fault},
-}
+FALLBACK_ORDER = (Source.HOME, Source.OTHER, Source.LOWER, Source.SLATE)
 
 
 @dataclass(frozen=True, slots=True)
 class Offer:
-    """What could serve a segment now; boxes by address."""
+    """The servers that could serve a segment now, by address."""
 
-    home: str | None  # None while a home is being made
-    home_holds: bool
-    others: Sequence[str]  # usable holders at this rung, the first to be taken first
-    lower: Sequence[str]  # usable holders at a lower rung that the clip has
-    slate: str | None  # a usable box for the slate, where there is a slate
+    home_server: str | None  # None while the session is being moved
+    home_has_media: bool
+    replicas: Sequence[str]  # usable replicas at this rung, in order of preference
+    lower_rung_replicas: Sequence[str]  # usable replicas at a lower rung that the clip has
+    slate_server: str | None  # a usable server for the slate, where there is a slate
 
 
 @dataclass(frozen=True, slots=True)
-class Pick:
-    """The source and its box."""
+class SegmentRoute:
+    """The source of a segment and its server; no server for WAIT and NONE."""
 
     source: Source
     server: str = ""
 
 
-def pick_lesson(offer: Offer) -> Pick:
-    """Where the lesson's segment is fetched."""
-    return Pick(Source.HOME, offer.home) if offer.home is not None else Pick(Source.WAIT)
+def pick_lesson(candidates: Offer) -> SegmentRoute:
+    """Routes a segment of the title, which only the session's own server may serve."""
+    if candidates.home_server is None:
+        return SegmentRoute(Source.WAIT)
+    return SegmentRoute(Source.HOME, candidates.home_server)
 
 
-def pick_clip(offer: Offer, tried: Sequence[str]) -> Pick:
-    """Where a stitched segment is fetched by a player that got nothing whole from the boxes tried."""
-    source = Source.HOME
-    while source is not Source.NONE:
-        server, fault = _ask(source, offer, tried)
+def pick_clip(candidates: Offer, failed_servers: Sequence[str]) -> SegmentRoute:
+    """Routes a segment of a spliced clip.
+
+    Args:
+        candidates: the servers that could serve it.
+        failed_servers: those from which the player has tried to fetch this segment without success.
+    """
+    for source in FALLBACK_ORDER:
+        server = _find_server(source, candidates, failed_servers)
         if server is not None:
-            return Pick(source, server)
-        source = TABLE[source, fault]
-    return Pick(Source.WAIT if offer.home is None else Source.NONE)
+            return SegmentRoute(source, server)
+    return SegmentRoute(Source.WAIT if candidates.home_server is None else Source.NONE)
 
 
-def _ask(source: Source, offer: Offer, tried: Sequence[str]) -> tuple[str | None, Fault]:
-    if source is Source.HOME:
-        if offer.home is None:
-            return None, Fault.OUT
-        if not offer.home_holds:
-            return None, Fault.NOT_HELD
-        return (None, Fault.TRIED) if offer.home in tried else (offer.home, Fault.TRIED)
+def _find_server(source: Source, candidates: Offer, failed_servers: Sequence[str]) -> str | None:
     if source is Source.SLATE:
-        return offer.slate, Fault.NOT_HELD
-    servers = offer.others if source is Source.OTHER else offer.lower
-    left = [server for server in servers if server not in tried]
-    return (left[0] if left else None), (Fault.TRIED if servers else Fault.NOT_HELD)
+        return candidates.slate_server  # also where it failed before: there is nothing behind it
+    if source is Source.HOME:
+        servers = _home_servers(candidates)
+    elif source is Source.OTHER:
+        servers = candidates.replicas
+    else:
+        servers = candidates.lower_rung_replicas
+    return next((server for server in servers if server not in failed_servers), None)
+
+
+def _home_servers(candidates: Offer) -> Sequence[str]:
+    if candidates.home_server is None or not candidates.home_has_media:
+        return ()
+    return (candidates.home_server,)
--- a/packages/playback/src/fennelcove/manifests/dash.py
+++ b/packages/playback/src/fennelcove/manifests/dash.py
@@ -6,16 +6,16 @@
 from itertools import groupby
 from xml.sax.saxutils import quoteattr
 
-from fennelcove.manifests.exact_time import iso, micros, period
+from fennelcove.manifests.exact_time import iso, to_microseconds, format_duration
 from fennelcove.manifests.hls import Listing
 from fennelcove.timeline.model import Shown
 
 
-def _stretches(shown: list[Shown]) -> list[list[Shown]]:
-    return [list(group) for _, group in groupby(shown, lambda item: item.stretch.seq)]
+def _group_by_period(segments: list[Shown]) -> list[list[Shown]]:
+    return [list(group) for _, group in groupby(segments, lambda item: item.period.sequence_number)]
 
 
-def manifest(listing: Listing, target: int, kbit: dict[int, int], buffer_s: int) -> str:
+def manifest(listing: Listing, target_duration_s: int, rung_kbit: dict[int, int], buffer_s: int) -> str:
     """The MPD of one player: dynamic while it may grow, with its whole length once it has ended.
 
     Args:
@@ -24,44 +24,53 @@
         kbit: each rung's rate in kilobits a second.
         buffer_s: seconds of media that players keep at least.
     """
-    shown = listing.shown
-    end_us = micros(shown[-1].end) if shown else 0
-    head = [
+    segments = listing.shown
+    end_us = to_microseconds(segments[-1].end) if segments else 0
+    lines = [
         '<?xml version="1.0" encoding="UTF-8"?>',
         '<MPD xmlns="urn:mpeg:dash:schema:mpd:2011" profiles="urn:mpeg:dash:profile:isoff-live:2011"',
         f' type="dynamic" availabilityStartTime="{iso(listing.began_wall_us)}"',
         f' publishTime="{iso(listing.began_wall_us + end_us)}"',
-        f' minBufferTime="PT{buffer_s}S" suggestedPresentationDelay="PT0S" maxSegmentDuration="PT{target}S"',
+        f' minBufferTime="PT{buffer_s}S" suggestedPresentationDelay="PT0S"'
+        f' maxSegmentDuration="PT{target_duration_s}S"',
     ]
     if listing.ended:
-        head.append(f' mediaPresentationDuration="{period(end_us)}">')
+        lines.append(f' mediaPresentationDuration="{format_duration(end_us)}">')
     else:
-        head.append(f' minimumUpdatePeriod="PT{target}S">')
+        lines.append(f' minimumUpdatePeriod="PT{target_duration_s}S">')
     # An absolute start for each Period, and ticks inside it: neither is a sum that could drift.
-    stretches = _stretches(shown)
-    for i, stretch in enumerate(stretches):
-        last = i + 1 == len(stretches)
-        closed = None if last and not listing.ended else stretch[-1]
-        head.append(_period(stretch, listing, kbit, closed))
-    head.append("</MPD>")
-    return "\n".join(head) + "\n"
+    periods = _group_by_period(segments)
+    for index, period_segments in enumerate(periods):
+        is_last = index + 1 == len(periods)
+        last_segment = None if is_last and not listing.ended else period_segments[-1]
+        lines.append(_period(period_segments, listing, rung_kbit, last_segment))
+    lines.append("</MPD>")
+    return "\n".join(lines) + "\n"
 
 
-def _period(stretch: list[Shown], listing: Listing, kbit: dict[int, int], closed: Shown | None) -> str:
-    first = stretch[0]
-    media, began = listing.media[first.media], first.stretch
-    # Named by where the stretch began, also once its first segments have left the window.
-    start_us = micros(began.start)
-    length = f' duration="{period(micros(closed.end) - start_us)}"' if closed is not None else ""
-    timeline = f'<S t="{first.number * media.ticks}" d="{media.ticks}" r="{len(stretch) - 1}"/>'
-    offset = began.number * media.ticks
+def _period(
+    segments: list[Shown], listing: Listing, rung_kbit: dict[int, int], last_segment: Shown | None
+) -> str:
+    first = segments[0]
+    media, period_start = listing.media[first.media], first.period
+    # Named by where the period began, also once its first segments have left the window.
+    start_us = to_microseconds(period_start.start)
+    length = (
+        f' duration="{format_duration(to_microseconds(last_segment.end) - start_us)}"'
+        if last_segment is not None
+        else ""
+    )
+    timeline = (
+        f'<S t="{first.number * media.segment_ticks}" d="{media.segment_ticks}" r="{len(segments) - 1}"/>'
+    )
+    offset = period_start.number * media.segment_ticks
     init = quoteattr(f"init/{first.media}/{first.rung}.mp4")
     return (
-        f'<Period id="p{began.seq}" start="{period(start_us)}"{length}>'
+        f'<Period id="p{period_start.sequence_number}" start="{format_duration(start_us)}"{length}>'
         '<AdaptationSet contentType="video" mimeType="video/mp4" segmentAlignment="true" startWithSAP="1">'
         f'<SegmentTemplate timescale="{media.timescale}" presentationTimeOffset="{offset}"'
-        f' startNumber="{first.seq}" initialization={init} media="seg/$Number$.m4s">'
+        f' startNumber="{first.sequence_number}" initialization={init} media="seg/$Number$.m4s">'
         f"<SegmentTimeline>{timeline}</SegmentTimeline></SegmentTemplate>"
-        f'<Representation id="r{first.rung}" bandwidth="{kbit[first.rung] * 1000}"'
+        f'<Representation id="r{first.rung}" bandwidth="{rung_kbit[first.rung] * 1000}"'
         f" codecs={quoteattr(media.codecs)}/></AdaptationSet></Period>"
     )
--- a/packages/playback/src/fennelcove/manifests/hls.py
+++ b/packages/playback/src/fennelcove/manifests/hls.py
@@ -12,10 +12,10 @@
 from fractions import Fraction
 from math import ceil
 
-from fennelcove.manifests.exact_time import iso, micros, span
+from fennelcove.manifests.exact_time import iso, to_microseconds, duration_between
 from fennelcove.timeline.model import Media, Shown
 
-STITCH_CLASS = "urn:fennelcove:stitch"
+SPLICE_CLASS = "urn:fennelcove:stitch"
 INTERSTITIAL_CLASS = "com.apple.hls.interstitial"  # the successor draft of RFC 8216, appendix D
 
 
@@ -32,7 +32,7 @@
     """What a manifest is written from: the window of a track, and what stays the same for its life."""
 
     shown: list[Shown]
-    joints: int  # the discontinuity sequence number of the first
+    discontinuity_sequence: int  # the discontinuity sequence number of the first
     ended: bool
     live: bool
     began_wall_us: int
@@ -46,72 +46,77 @@
     return max((ceil(item.each) for item in media), default=1)
 
 
-def multivariant(bandwidth: int, average: int, codecs: str) -> str:
+def multivariant(bandwidth: int, average_bandwidth: int, codecs: str) -> str:
     """The multivariant playlist; rates in bits a second."""
     return (
         "#EXTM3U\n#EXT-X-VERSION:7\n#EXT-X-INDEPENDENT-SEGMENTS\n"
-        f'#EXT-X-STREAM-INF:BANDWIDTH={bandwidth},AVERAGE-BANDWIDTH={average},CODECS="{codecs}"\n'
+        f'#EXT-X-STREAM-INF:BANDWIDTH={bandwidth},AVERAGE-BANDWIDTH={average_bandwidth},CODECS="{codecs}"\n'
         "media.m3u8\n"
     )
 
 
-def media_playlist(listing: Listing, target: int) -> str:
+def media_playlist(listing: Listing, target_duration_s: int) -> str:
     """The media playlist of one player."""
-    shown = listing.shown
-    lines = ["#EXTM3U", "#EXT-X-VERSION:7", f"#EXT-X-TARGETDURATION:{target}"]
-    lines.append(f"#EXT-X-MEDIA-SEQUENCE:{shown[0].seq if shown else 0}")
-    lines.append(f"#EXT-X-DISCONTINUITY-SEQUENCE:{listing.joints}")
+    segments = listing.shown
+    lines = ["#EXTM3U", "#EXT-X-VERSION:7", f"#EXT-X-TARGETDURATION:{target_duration_s}"]
+    lines.append(f"#EXT-X-MEDIA-SEQUENCE:{segments[0].sequence_number if segments else 0}")
+    lines.append(f"#EXT-X-DISCONTINUITY-SEQUENCE:{listing.discontinuity_sequence}")
     lines.append("#EXT-X-INDEPENDENT-SEGMENTS")
     if not listing.live:
         lines.append("#EXT-X-START:TIME-OFFSET=0,PRECISE=YES")
     rendition: tuple[str, int] | None = None
-    for i, item in enumerate(shown):
-        if item.joint and i > 0:
+    for index, segment in enumerate(segments):
+        if segment.is_discontinuity and index > 0:
             lines.append("#EXT-X-DISCONTINUITY")
-        if (item.media, item.rung) != rendition:
-            rendition = (item.media, item.rung)
-            lines.append(f'#EXT-X-MAP:URI="init/{item.media}/{item.rung}.mp4"')
-        if i == 0 or item.joint or item.breaks:
-            lines.append(f"#EXT-X-PROGRAM-DATE-TIME:{iso(listing.began_wall_us + micros(item.start))}")
-        if item.change and (item.number == 0 or i == 0):
-            lines.append(_date_range(item, listing))
-        lines += _interstitials(item.breaks, item.start, listing)
-        lines.append(f"#EXTINF:{span(item.start, item.end)},")
-        lines.append(f"seg/{item.seq}.m4s")
+        if (segment.media, segment.rung) != rendition:
+            rendition = (segment.media, segment.rung)
+            lines.append(f'#EXT-X-MAP:URI="init/{segment.media}/{segment.rung}.mp4"')
+        if index == 0 or segment.is_discontinuity or segment.breaks:
+            lines.append(
+                f"#EXT-X-PROGRAM-DATE-TIME:{iso(listing.began_wall_us + to_microseconds(segment.start))}"
+            )
+        if segment.change and (segment.number == 0 or index == 0):
+            lines.append(_date_range(segment, listing))
+        lines += _interstitials(segment.breaks, segment.start, listing)
+        lines.append(f"#EXTINF:{duration_between(segment.start, segment.end)},")
+        lines.append(f"seg/{segment.sequence_number}.m4s")
     if listing.ended:
-        lines += _interstitials(listing.after, shown[-1].end if shown else Fraction(0), listing)
+        lines += _interstitials(listing.after, segments[-1].end if segments else Fraction(0), listing)
         lines.append("#EXT-X-ENDLIST")
     return "\n".join(lines) + "\n"
 
 
-def _date_range(item: Shown, listing: Listing) -> str:
+def _date_range(segment: Shown, listing: Listing) -> str:
     """What a stitched clip is, for players that show it apart (RFC 8216, section 4.3.2.7)."""
-    clip = listing.media[item.media]
-    began = item.start - clip.start(item.number)
-    ends = began + clip.start(clip.count or 0)
-    at = iso(listing.began_wall_us + micros(began))
-    lasts = span(began, ends)
-    return f'#EXT-X-DATERANGE:ID="{item.change}",CLASS="{STITCH_CLASS}",START-DATE="{at}",DURATION={lasts}'
+    clip = listing.media[segment.media]
+    start_s = segment.start - clip.start(segment.number)
+    end_s = start_s + clip.start(clip.count or 0)
+    start_date = iso(listing.began_wall_us + to_microseconds(start_s))
+    duration = duration_between(start_s, end_s)
+    return (
+        f'#EXT-X-DATERANGE:ID="{segment.change}",CLASS="{SPLICE_CLASS}",START-DATE="{start_date}",'
+        f"DURATION={duration}"
+    )
 
 
-def _interstitials(changes: Iterable[str], at: Fraction, listing: Listing) -> list[str]:
+def _interstitials(change_ids: Iterable[str], start_s: Fraction, listing: Listing) -> list[str]:
     """EXT-X-DATERANGE of each clip told apart here (the successor draft of RFC 8216, appendix D)."""
-    began = iso(listing.began_wall_us + micros(at))
+    start_date = iso(listing.began_wall_us + to_microseconds(start_s))
     return [
-        f'#EXT-X-DATERANGE:ID="{item.change}",CLASS="{INTERSTITIAL_CLASS}",START-DATE="{began}",'
-        f"DURATION={span(Fraction(0), item.clip.start(item.clip.count or 0))},"
+        f'#EXT-X-DATERANGE:ID="{item.change}",CLASS="{INTERSTITIAL_CLASS}",START-DATE="{start_date}",'
+        f"DURATION={duration_between(Fraction(0), item.clip.start(item.clip.count or 0))},"
         f'X-ASSET-URI="asset/{item.change}.m3u8",X-RESUME-OFFSET=0.0'
-        for item in map(listing.breaks.get, changes)
+        for item in map(listing.breaks.get, change_ids)
         if item is not None
     ]
 
 
-def asset_playlist(change: str, clip: Media, rung: int) -> str:
+def asset_playlist(change_id: str, clip: Media, rung: int) -> str:
     """The media playlist of a clip told apart, whole; its URIs start from its own."""
     lines = ["#EXTM3U", "#EXT-X-VERSION:7", f"#EXT-X-TARGETDURATION:{ceil(clip.each)}"]
     lines += ["#EXT-X-PLAYLIST-TYPE:VOD", "#EXT-X-INDEPENDENT-SEGMENTS"]
     lines.append(f'#EXT-X-MAP:URI="../init/{clip.name}/{rung}.mp4"')
     for number in range(clip.count or 0):
-        lines.append(f"#EXTINF:{span(clip.start(number), clip.start(number + 1))},")
-        lines.append(f"{change}/{number}.m4s")
+        lines.append(f"#EXTINF:{duration_between(clip.start(number), clip.start(number + 1))},")
+        lines.append(f"{change_id}/{number}.m4s")
     return "\n".join([*lines, "#EXT-X-ENDLIST"]) + "\n"
--- a/packages/playback/src/fennelcove/timeline/model.py
+++ b/packages/playback/src/fennelcove/timeline/model.py
@@ -14,7 +14,7 @@
 
     name: str
     timescale: int
-    ticks: int
+    segment_ticks: int
     count: int | None
     rungs: tuple[int, ...]
     codecs: str
@@ -28,13 +28,13 @@
     @property
     def each(self) -> Fraction:
         """A segment's duration in seconds."""
-        return Fraction(self.ticks, self.timescale)
+        return Fraction(self.segment_ticks, self.timescale)
 
     def start(self, number: int) -> Fraction:
         """Where a segment begins in its own media, in seconds."""
-        return Fraction(number * self.ticks, self.timescale)
+        return Fraction(number * self.segment_ticks, self.timescale)
 
-    def boundary(self, at: Fraction) -> int:
+    def first_segment_at_or_after(self, at: Fraction) -> int:
         """The first segment that begins at or after this time."""
         return -(-at // self.each)
 
@@ -70,7 +70,7 @@
             and self.subscription in (None, subscription)
         )
 
-    def may_meet(self, other: Target) -> bool:
+    def may_overlap(self, other: Target) -> bool:
         """Whether some subscription might see changes to both."""
 
         def both(mine: str | None, theirs: str | None) -> bool:
@@ -99,9 +99,11 @@
     def first(self, media: Media) -> int | None:
         """The lesson's segment before which it acts; None for a moment that each player meets elsewhere."""
         if self.at is not None:
-            return media.boundary(self.at)
+            return media.first_segment_at_or_after(self.at)
         if media.live and self.wall_us is not None:
-            return media.boundary(Fraction(max(0, self.wall_us - media.live_from_us), 1_000_000))
+            return media.first_segment_at_or_after(
+                Fraction(max(0, self.wall_us - media.live_from_us), 1_000_000)
+            )
         return None
 
     def after(self, media: Media) -> int | None:
@@ -109,14 +111,14 @@
         first = self.first(media)
         if first is None or self.until is None:
             return first
-        return max(first, media.boundary(self.until))
+        return max(first, media.first_segment_at_or_after(self.until))
 
 
 @dataclass(frozen=True, slots=True)
-class Stretch:
+class PeriodStart:
     """Where a run of segments of one source at one rung began: manifests must name it alike from then on."""
 
-    seq: int
+    sequence_number: int
     number: int
     start: Fraction
 
@@ -125,15 +127,15 @@
 class Shown:
     """One segment as a player was told of it; its start is on the player's own timeline, from 0."""
 
-    seq: int
+    sequence_number: int
     media: str
     number: int
     rung: int
     start: Fraction
     duration: Fraction
-    stretch: Stretch
+    period: PeriodStart
     change: str = ""
-    joint: bool = False  # another source than the segment before: a discontinuity
+    is_discontinuity: bool = False  # another source than the segment before: a discontinuity
     breaks: tuple[str, ...] = ()  # changes whose clips are told apart, and play before this segment
 
     @property
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -486,7 +486,13 @@
 
 class SourceTest(unittest.TestCase):
     def offer(self, **changes: Any) -> segment_routing.Offer:
-        base = {"home": "h", "home_holds": True, "others": ("o", "p"), "lower": ("l",), "slate": "s"}
+        base = {
+            "home_server": "h",
+            "home_has_media": True,
+            "replicas": ("o", "p"),
+            "lower_rung_replicas": ("l",),
+            "slate_server": "s",
+        }
         return segment_routing.Offer(**{**base, **changes})
 
     def test_sources_in_their_order(self) -> None:
@@ -495,19 +501,25 @@
             (self.offer(), (), (source.HOME, "h")),
             (self.offer(), ("h",), (source.OTHER, "o")),
             (self.offer(), ("h", "o"), (source.OTHER, "p")),
-            (self.offer(home_holds=False), (), (source.OTHER, "o")),
-            (self.offer(home=None), (), (source.OTHER, "o")),
-            (self.offer(others=()), ("h",), (source.LOWER, "l")),
-            (self.offer(others=(), lower=()), ("h",), (source.SLATE, "s")),
-            (self.offer(others=(), lower=(), slate=None), ("h",), (source.NONE, "")),
-            (self.offer(home=None, others=(), lower=(), slate=None), (), (source.WAIT, "")),
+            (self.offer(home_has_media=False), (), (source.OTHER, "o")),
+            (self.offer(home_server=None), (), (source.OTHER, "o")),
+            (self.offer(replicas=()), ("h",), (source.LOWER, "l")),
+            (self.offer(replicas=(), lower_rung_replicas=()), ("h",), (source.SLATE, "s")),
+            (self.offer(replicas=(), lower_rung_replicas=(), slate_server=None), ("h",), (source.NONE, "")),
+            (
+                self.offer(home_server=None, replicas=(), lower_rung_replicas=(), slate_server=None),
+                (),
+                (source.WAIT, ""),
+            ),
         ):
             found = segment_routing.pick_clip(offer, tried)
             self.assertEqual((found.source, found.server), pick)
 
     def test_the_lesson_comes_from_its_place_or_waits_for_one(self) -> None:
         self.assertEqual(segment_routing.pick_lesson(self.offer()).server, "h")
-        self.assertIs(segment_routing.pick_lesson(self.offer(home=None)).source, segment_routing.Source.WAIT)
+        self.assertIs(
+            segment_routing.pick_lesson(self.offer(home_server=None)).source, segment_routing.Source.WAIT
+        )
 
 
 class AdoptionTest(unittest.TestCase):
--- a/tests/test_lessons.py
+++ b/tests/test_lessons.py
@@ -148,7 +148,7 @@
         self.manifest(id)
         self.where(id, 0)
         before = self.manifest(id)
-        self.assertEqual(self.front.core.stitches.players[id].track.cursor.run is not None, True)
+        self.assertEqual(self.front.core.stitches.players[id].track.cursor.clip_progress is not None, True)
         wait_for(lambda: any(self.mark_of(box, id) for box in self.boxes), "the mark at its box")
         wait_for(lambda: self.front.core.orders.orders.count == 0, "the last mark sent")
         self.front.stop()
@@ -206,7 +206,11 @@
 
     def mark_of(self, box: StandInBox, id: str) -> bool:
         track = resume_tokens.read(box.marks.get((id, 0), ""))
-        return track is not None and track.cursor.seq == self.front.core.stitches.players[id].track.cursor.seq
+        return (
+            track is not None
+            and track.cursor.next_sequence_number
+            == self.front.core.stitches.players[id].track.cursor.next_sequence_number
+        )
 
     def test_changes_made_after_a_mark_do_not_reach_back_into_what_may_have_been_shown(self) -> None:
         id = self.ask().body["id"]
--- a/tests/test_stitch.py
+++ b/tests/test_stitch.py
@@ -18,7 +18,7 @@
 from fennelcove.decisions.playback.splices import Ledger, Refusal, Ruling, Scene
 from fennelcove.decisions.playback.playlist_cursor import PlaylistTrack, Viewpoint
 from fennelcove.manifests import dash, hls
-from fennelcove.manifests.exact_time import micros
+from fennelcove.manifests.exact_time import to_microseconds
 from fennelcove.decisions.playback import resume_tokens
 from fennelcove.timeline.model import Change, Kind, Media, Shown, Target
 
@@ -71,8 +71,8 @@
     found: list[Shown] = []
     for _ in range(400):
         track.extend(view(ledger, **changes), ledger.version)
-        found += [item for item in track.shown if item.seq == len(found)][:1]
-        if track.ended and len(found) == track.cursor.seq:
+        found += [item for item in track.shown if item.sequence_number == len(found)][:1]
+        if track.ended and len(found) == track.cursor.next_sequence_number:
             return found
         track.fetch(len(found) - 1)
     raise AssertionError("never ended")
@@ -96,34 +96,34 @@
             (change("a", target=Target("nowhere")), Refusal.UNKNOWN_TITLE),
             (change("a", clip="nothing"), Refusal.UNKNOWN_CLIP),
             (change("a", clip="live"), Refusal.UNKNOWN_CLIP),
-            (change("a", at=None), Refusal.NO_TIME),
-            (change("a", wall_us=WALL), Refusal.NO_TIME),
-            (change("a", at=-1), Refusal.NO_TIME),
-            (change("a", until=20), Refusal.NO_TIME),
-            (change("a", kind=Kind.REPLACE), Refusal.NO_TIME),
-            (change("a", kind=Kind.CUT, at="2.1", until="2.5"), Refusal.EMPTY_STRETCH),
+            (change("a", at=None), Refusal.INVALID_TIME),
+            (change("a", wall_us=WALL), Refusal.INVALID_TIME),
+            (change("a", at=-1), Refusal.INVALID_TIME),
+            (change("a", until=20), Refusal.INVALID_TIME),
+            (change("a", kind=Kind.REPLACE), Refusal.INVALID_TIME),
+            (change("a", kind=Kind.CUT, at="2.1", until="2.5"), Refusal.EMPTY_RANGE),
             (change("a", kind=Kind.CUT, at=10, until=900), Refusal.PAST_END),
             (change("a", at="80.2"), Refusal.PAST_END),
-            (change("a", at=None, wall_us=WALL - 1), Refusal.BEFORE_EDGE),
-            (change("a", at=100, target=live), Refusal.BEFORE_EDGE),
-            (change("a", clip="odd"), Refusal.RENDITIONS),
-            (change("a", clip="high"), Refusal.RENDITIONS),
+            (change("a", at=None, wall_us=WALL - 1), Refusal.BEFORE_LIVE_EDGE),
+            (change("a", at=100, target=live), Refusal.BEFORE_LIVE_EDGE),
+            (change("a", clip="odd"), Refusal.INCOMPATIBLE_RENDITIONS),
+            (change("a", clip="high"), Refusal.INCOMPATIBLE_RENDITIONS),
         ):
             self.assertIs(self.refused(made), refusal, made)
         self.assertEqual(self.ledger.version, 0)
-        self.assertIs(self.refused(change("a"), shown=6), Refusal.ALREADY_SHOWN)
-        self.assertIs(self.refused(change("a"), playing=False), Refusal.UNKNOWN_SUBSCRIPTION)
+        self.assertIs(self.refused(change("a"), next_title_segment=6), Refusal.ALREADY_LISTED)
+        self.assertIs(self.refused(change("a"), is_session_known=False), Refusal.UNKNOWN_SESSION)
 
     def test_a_live_change_keeps_one_whole_segment_clear_of_the_edge(self) -> None:
         # Fifty segments are ready at 100 s; the one now being written must not be touched either.
         target = Target("live")
         self.assertIs(self.refused(change("a", at=102 - Fraction(1, 10**9), target=target)), None)
-        self.assertIs(self.refused(change("b", at=100, target=target)), Refusal.BEFORE_EDGE)
+        self.assertIs(self.refused(change("b", at=100, target=target)), Refusal.BEFORE_LIVE_EDGE)
 
     def test_a_repeat_stands_and_an_id_is_never_given_twice(self) -> None:
         self.assertIsNone(self.refused(change("a")))
         again = self.ledger.submit(change("a"), scene())
-        self.assertEqual((again.ruling, again.version, self.ledger.version), (Ruling.STANDS, 1, 1))
+        self.assertEqual((again.ruling, again.version, self.ledger.version), (Ruling.UNCHANGED, 1, 1))
         self.assertIs(self.refused(change("a", at=30)), Refusal.ID_TAKEN)
         self.ledger.withdraw("a")
         self.assertIs(self.refused(change("a")), Refusal.ID_TAKEN)
@@ -146,7 +146,7 @@
         self.assertIsNone(self.refused(change("e", at=50, target=Target("lesson", "two"))))
 
     def test_bounded(self) -> None:
-        for i in range(splices.MOST_A_TITLE):
+        for i in range(splices.MAX_CHANGES_PER_TITLE):
             self.ledger.put(change(f"x{i}", at=None, wall_us=WALL + i))
         self.assertIs(self.refused(change("a")), Refusal.TOO_MANY)
 
@@ -175,7 +175,8 @@
         self.assertEqual(lesson, [*range(10), *range(15, 20), *range(30, 40)])
         self.assertEqual([item.change for item in shown[:4]], ["", "", "a", ""])
         self.assertEqual(
-            [item.media for item in shown if item.joint], ["note", "lesson", "rest", "lesson", "lesson"]
+            [item.media for item in shown if item.is_discontinuity],
+            ["note", "lesson", "rest", "lesson", "lesson"],
         )
 
     def test_a_change_taken_back_while_half_the_players_watch_its_clip(self) -> None:
@@ -191,18 +192,18 @@
         self.ledger.put(change("a", at=4))
         self.assertEqual({item.rung for item in whole(self.ledger, rung=1) if item.change}, {0})
         self.assertEqual({item.rung for item in whole(self.ledger, rung=2) if item.change}, {2})
-        self.assertEqual(playlist_cursor.rung_of(HIGH, 1, 1), 1)
+        self.assertEqual(playlist_cursor.fitting_rung(HIGH, 1, 1), 1)
 
     def test_a_clip_that_nothing_can_serve_leaves_the_lesson_unstitched(self) -> None:
         self.ledger.put(change("a", at=4))
-        shown = whole(self.ledger, playable=lambda name: False)
+        shown = whole(self.ledger, is_clip_available=lambda name: False)
         self.assertEqual([item.number for item in shown], list(range(40)))
-        self.assertFalse(any(item.joint for item in shown))
+        self.assertFalse(any(item.is_discontinuity for item in shown))
 
     def test_a_moment_meets_each_player_where_it_is_and_once(self) -> None:
         self.ledger.put(change("a", at=None, clip="note", wall_us=WALL + 10_000_000))
         shown = whole(self.ledger)
-        self.assertEqual([item.seq for item in shown if item.change], [5])
+        self.assertEqual([item.sequence_number for item in shown if item.change], [5])
         late = playlist_cursor.begin(LESSON, WALL + 11_000_000)
         self.assertFalse(
             any(item.change for item in whole(self.ledger, late, began_wall_us=late.began_wall_us))
@@ -266,7 +267,9 @@
         elif what == "withdraw":
             ledger.withdraw(f"c{one}")
         elif what == "fetch":
-            for seq in range(track.fetched + 1, min(track.cursor.seq, track.fetched + 1 + one)):
+            for seq in range(
+                track.fetched + 1, min(track.cursor.next_sequence_number, track.fetched + 1 + one)
+            ):
                 self.assertIsNotNone(track.fetch(seq))
         return one if what == "rung" else rung
 
@@ -303,11 +306,11 @@
         begun: dict[str, int] = {}
         for i, (what, one, two) in enumerate([*script, *[("fetch", 3, 0)] * 60]):
             rung = self.happens(ledger, track, i, what, one, two, rung)
-            track.extend(view(ledger, rung=rung, apart=True), ledger.version)
+            track.extend(view(ledger, rung=rung, uses_interstitials=True), ledger.version)
             track = resume_tokens.read(resume_tokens.write(track)) or self.fail("a mark that can't be read")
             track.replay = None
             for item in track.shown:
-                numbers[item.seq] = item.number
+                numbers[item.sequence_number] = item.number
                 self.assertEqual((item.media, item.change), ("lesson", ""))
                 for id in item.breaks:
                     at = told.setdefault(id, (str(item.start), str(item.number)))
@@ -335,9 +338,9 @@
         ledger.put(change("a", at=4))
         ledger.put(change("b", at=4 * 2.002, kind=Kind.REPLACE, until=8 * 2.002, clip="note"))
         track = playlist_cursor.begin(LESSON, WALL, apart=True)
-        track.extend(view(ledger, apart=True), 1)
+        track.extend(view(ledger, uses_interstitials=True), 1)
         track.fetch(2)
-        track.extend(view(ledger, apart=True), 1)
+        track.extend(view(ledger, uses_interstitials=True), 1)
         shown, joints = track.window()
         breaks = {"a": hls.Interstitial("a", REST), "b": hls.Interstitial("b", NOTE)}
         listing = hls.Listing(shown, joints, False, False, WALL, MEDIA, breaks)
@@ -360,7 +363,9 @@
         """The decimals add up to the rounded ends, however many there are."""
         total = sum(Fraction(line[8:-1]) for line in text.splitlines() if line.startswith("#EXTINF:"))
         if shown:
-            self.assertEqual(total * 1_000_000, micros(shown[-1].end) - micros(shown[0].start))
+            self.assertEqual(
+                total * 1_000_000, to_microseconds(shown[-1].end) - to_microseconds(shown[0].start)
+            )
 
     def periods(self, text: str, shown: list[Shown]) -> None:
         mpd = MPEGDASHParser.parse(text)
@@ -375,7 +380,7 @@
             if period.duration:
                 start, length = Fraction(period.start[2:-1]), Fraction(period.duration[2:-1])
                 ends = f"PT{float(start + length):.6f}S"
-        self.assertEqual(numbers, [item.seq for item in shown])
+        self.assertEqual(numbers, [item.sequence_number for item in shown])
 
     def test_periods_keep_their_names_as_the_window_slides(self) -> None:
         ledger = Ledger()
@@ -388,7 +393,7 @@
             listing = hls.Listing(shown, joints, track.ended, False, WALL, MEDIA)
             for period in MPEGDASHParser.parse(dash.manifest(listing, TARGET, {0: 1, 1: 1}, 4)).periods:
                 self.assertEqual(names.setdefault(period.id, period.start), period.start)
-            track.fetch(track.cursor.seq - 1)
+            track.fetch(track.cursor.next_sequence_number - 1)
         self.assertEqual(list(names), ["p0", "p5", "p8"])
 
     def test_clips_are_told_and_interstitials_have_their_own_form(self) -> None:
@@ -399,7 +404,7 @@
         shown, joints = track.window()
         parsed = m3u8.loads(hls.media_playlist(hls.Listing(shown, joints, False, False, WALL, MEDIA), TARGET))
         marked = [item for segment in parsed.segments for item in segment.dateranges]
-        self.assertEqual([(item.id, item.class_) for item in marked], [("a", hls.STITCH_CLASS)])
+        self.assertEqual([(item.id, item.class_) for item in marked], [("a", hls.SPLICE_CLASS)])
         self.assertAlmostEqual(float(marked[0].duration), 3 * 120_007 / 90_000, places=5)
         variants = m3u8.loads(hls.multivariant(2_000_000, 1_600_000, "avc1.64001f,mp4a.40.2"))
         self.assertEqual(variants.playlists[0].stream_info.bandwidth, 2_000_000)
