Playback: the migration's states are a transition table, its queue has typed entries

Cause: transitions in bare tuples, a heap of tuples, a condition that two states shared. Change: TransitionTable, NamedTuples for the queue's entries and what it returns, one method for each decision, doc comments.

--- a/packages/playback/src/fennelcove/decisions/playback/migration.py
+++ b/packages/playback/src/fennelcove/decisions/playback/migration.py
@@ -1,9 +1,9 @@
-"""When a playing subscription moves to another box, and what becomes of it where none is found.
+"""Migration of an established session to another server, and what happens where none is found.
 
-Make before break: the new home is set up while the old one plays, then the player's next segment comes from
-there. The module chooses the home by the design's factors and keeps every guard of a further join; this
-module keeps the order, the number under way, and the time: past the drain grace the old box hears nothing
-more from this front.
+Make before break: the new server is set up while the old one plays, then the player's next segment comes from
+the new one. The placement policy selects the server and keeps every guard of a retry; this module keeps the
+order of migrations, their number at once, and their deadline: after the drain grace the front sends nothing
+more to the old server.
 """
 
 from __future__ import annotations
@@ -11,89 +11,114 @@
 import heapq
 from dataclasses import dataclass
 from enum import Enum, auto
+from typing import NamedTuple
 
 from fennelcove.interface import Effect
+from fennelcove.state_machine import Transition, TransitionTable
 
 
 class MigrationState(Enum):
-    """How a subscription stands towards its box."""
+    """Whether a session is being moved to another server."""
 
     SETTLED = auto()
     PENDING = auto()  # it should move and waits for its turn
-    MAKING = auto()  # a join elsewhere is out
+    MAKING = auto()  # an attempt on another server is under way
     CLOSED = auto()
 
 
 class MigrationEvent(Enum):
-    """What happens."""
+    """What happens to a session or its server."""
 
-    TOLD = auto()  # the list: its box drains
-    GONE = auto()  # the list: its box has left; no player may be sent there any more
-    CALM = auto()  # the list: its box is in service again
-    LOST = auto()  # its box is gone, with its play
-    TURN = auto()
-    MADE = auto()
-    FAILED = auto()  # the join elsewhere failed; the module says what next
-    REFUSED = auto()  # the module finds no place now
-    TIME = auto()  # the grace is over
-    ENDED = auto()  # the subscription ended meanwhile
+    TOLD = auto()  # the endpoint list: its server is draining
+    GONE = auto()  # the endpoint list: its server was removed; no player may be sent there any more
+    CALM = auto()  # the endpoint list: its server is in service again
+    LOST = auto()  # its server failed, and the session's playback with it
+    TURN = auto()  # the queue gave it a turn
+    MADE = auto()  # it is established on another server
+    FAILED = auto()  # the attempt failed; the policy decides what follows
+    REFUSED = auto()  # the policy finds no server now
+    TIME = auto()  # the grace has expired
+    ENDED = auto()  # the session ended meanwhile
 
 
 class MigrationAction(Enum):
-    """What follows."""
-
-    QUEUE = auto()
-    ASK_MODULE = auto()
-    SWITCH = auto()
-    TELL_FAILED = auto()
-    TELL_LOST = auto()
-    PAUSE = auto()
-    STAY = auto()  # it plays on where it is; the box will end it when it goes
-    END = auto()  # nothing plays and no home was found
-
-
-Row = tuple[MigrationState, tuple[MigrationAction, ...]]
-
-TRANSITIONS: dict[tuple[MigrationState, MigrationEvent], Row] = {
-    (MigrationState.SETTLED, MigrationEvent.TOLD): (MigrationState.PENDING, (MigrationAction.QUEUE,)),
-    # Asked first and told then: the module copies what plays before it forgets it. It is told in the same
-    # instant, or it would take the box that comes back under its old address for a warm one.
-    (MigrationState.SETTLED, MigrationEvent.LOST): (
-        MigrationState.MAKING,
-        (MigrationAction.ASK_MODULE, MigrationAction.TELL_LOST),
-    ),
-    (MigrationState.SETTLED, MigrationEvent.GONE): (MigrationState.PENDING, (MigrationAction.QUEUE,)),
-    (MigrationState.PENDING, MigrationEvent.GONE): (MigrationState.PENDING, ()),
-    (MigrationState.MAKING, MigrationEvent.GONE): (MigrationState.MAKING, ()),
-    (MigrationState.PENDING, MigrationEvent.TURN): (MigrationState.MAKING, (MigrationAction.ASK_MODULE,)),
-    (MigrationState.PENDING, MigrationEvent.CALM): (MigrationState.SETTLED, ()),
-    (MigrationState.PENDING, MigrationEvent.LOST): (
-        MigrationState.MAKING,
-        (MigrationAction.ASK_MODULE, MigrationAction.TELL_LOST),
-    ),
-    (MigrationState.PENDING, MigrationEvent.TIME): (MigrationState.SETTLED, (MigrationAction.STAY,)),
-    (MigrationState.PENDING, MigrationEvent.ENDED): (MigrationState.CLOSED, ()),
-    (MigrationState.MAKING, MigrationEvent.MADE): (MigrationState.SETTLED, (MigrationAction.SWITCH,)),
-    (MigrationState.MAKING, MigrationEvent.LOST): (MigrationState.MAKING, (MigrationAction.TELL_LOST,)),
-    (MigrationState.MAKING, MigrationEvent.FAILED): (MigrationState.MAKING, (MigrationAction.TELL_FAILED,)),
-    (MigrationState.MAKING, MigrationEvent.REFUSED): (MigrationState.PENDING, (MigrationAction.PAUSE,)),
-    # The join that is out is taken back by whoever hears of its end.
-    (MigrationState.MAKING, MigrationEvent.ENDED): (MigrationState.CLOSED, ()),
-    (MigrationState.SETTLED, MigrationEvent.ENDED): (MigrationState.CLOSED, ()),
-}
+    """What the caller must do."""
+
+    QUEUE = auto()  # add it to the queue
+    ASK_MODULE = auto()  # have the policy select a server
+    SWITCH = auto()  # send the player to the new server
+    TELL_FAILED = auto()  # notify the policy of the failed attempt
+    TELL_LOST = auto()  # notify the policy of the lost server
+    PAUSE = auto()  # add it to the queue again for a later retry
+    STAY = auto()  # it plays on where it is; the server will end it when it stops
+    END = auto()  # end the session: nothing plays and no server was found
+
+
+TRANSITIONS: TransitionTable[MigrationState, MigrationEvent, MigrationAction] = TransitionTable(
+    {
+        (MigrationState.SETTLED, MigrationEvent.TOLD): Transition(
+            MigrationState.PENDING, (MigrationAction.QUEUE,)
+        ),
+        # The policy selects a server first and is notified of the loss second: it copies the session's state
+        # before it discards it. Both happen in the same instant, or the policy would take a server that
+        # restarts under its old address for a warmed-up one.
+        (MigrationState.SETTLED, MigrationEvent.LOST): Transition(
+            MigrationState.MAKING, (MigrationAction.ASK_MODULE, MigrationAction.TELL_LOST)
+        ),
+        (MigrationState.SETTLED, MigrationEvent.GONE): Transition(
+            MigrationState.PENDING, (MigrationAction.QUEUE,)
+        ),
+        (MigrationState.SETTLED, MigrationEvent.ENDED): Transition(MigrationState.CLOSED),
+        (MigrationState.PENDING, MigrationEvent.GONE): Transition(MigrationState.PENDING),
+        (MigrationState.PENDING, MigrationEvent.TURN): Transition(
+            MigrationState.MAKING, (MigrationAction.ASK_MODULE,)
+        ),
+        (MigrationState.PENDING, MigrationEvent.CALM): Transition(MigrationState.SETTLED),
+        (MigrationState.PENDING, MigrationEvent.LOST): Transition(
+            MigrationState.MAKING, (MigrationAction.ASK_MODULE, MigrationAction.TELL_LOST)
+        ),
+        (MigrationState.PENDING, MigrationEvent.TIME): Transition(
+            MigrationState.SETTLED, (MigrationAction.STAY,)
+        ),
+        (MigrationState.PENDING, MigrationEvent.ENDED): Transition(MigrationState.CLOSED),
+        (MigrationState.MAKING, MigrationEvent.GONE): Transition(MigrationState.MAKING),
+        (MigrationState.MAKING, MigrationEvent.MADE): Transition(
+            MigrationState.SETTLED, (MigrationAction.SWITCH,)
+        ),
+        (MigrationState.MAKING, MigrationEvent.LOST): Transition(
+            MigrationState.MAKING, (MigrationAction.TELL_LOST,)
+        ),
+        (MigrationState.MAKING, MigrationEvent.FAILED): Transition(
+            MigrationState.MAKING, (MigrationAction.TELL_FAILED,)
+        ),
+        (MigrationState.MAKING, MigrationEvent.REFUSED): Transition(
+            MigrationState.PENDING, (MigrationAction.PAUSE,)
+        ),
+        # The attempt under way is cancelled by whoever receives its result.
+        (MigrationState.MAKING, MigrationEvent.ENDED): Transition(MigrationState.CLOSED),
+    }
+)
 
 RETRY_US = 200_000
+GRACE_FRACTION = 0.9  # the rest of the drain grace is left for the last attempt to complete in
 
 
-def may_rescue(effect: Effect, adopted: bool = False) -> bool:
-    """Whether what a dead box played may be set up elsewhere: a single-shot room type is paid for once. Of
-    one that an earlier life of this front set up nobody knows when: its key may be recognised no more."""
-    return effect is Effect.FREE or (effect is Effect.GUARDED and not adopted)
+def may_rescue(effect: Effect, *, adopted: bool = False) -> bool:
+    """Whether a session lost with its server may be established on another one.
+
+    Args:
+        effect: what a repeated set-up of its service class does; a single-shot one must not be repeated.
+        adopted: the session was recovered after a restart of the front. Its set-up time is unknown then, so
+            its idempotency key may have expired.
+    """
+    if effect is Effect.FREE:
+        return True
+    return effect is Effect.GUARDED and not adopted
 
 
 @dataclass(slots=True, eq=False)
 class SessionMigration:
-    """One subscription's standing; times in microseconds."""
+    """The migration state of one session; times in microseconds of the monotonic clock."""
 
     id: str
     priority_weight: float
@@ -105,75 +130,101 @@
     since_us: int = 0
 
     def apply(self, event: MigrationEvent) -> tuple[MigrationAction, ...]:
-        """Move on; what follows, in order."""
-        row = TRANSITIONS.get((self.stage, event))
-        if row is None:
+        """Moves to the next state; returns the actions to carry out, in order."""
+        transition = TRANSITIONS.find(self.stage, event)
+        if transition is None:
             return ()
-        self.lost = self.lost or event is MigrationEvent.LOST
-        self.gone = (self.gone or event is MigrationEvent.GONE) and event not in (
-            MigrationEvent.MADE,
-            MigrationEvent.CALM,
-        )
-        self.stage, acts = row
-        if self.lost and event is MigrationEvent.REFUSED:
-            # Nothing plays any more and there is no place: waiting would only look like playing.
-            self.stage = MigrationState.CLOSED
-            return (MigrationAction.END,)
-        if self.gone and event is MigrationEvent.TIME:
-            # Staying would leave its player asking for segments that nobody may name to it.
+        self._record_server_state(event)
+        if self._has_nothing_to_play(event):
             self.stage = MigrationState.CLOSED
             return (MigrationAction.END,)
+        self.stage = transition.state
         if event is MigrationEvent.MADE:
-            self.lost, self.deadline_us = False, 0
-        return acts
+            self.lost = False
+            self.deadline_us = 0
+        return transition.actions
+
+    def _record_server_state(self, event: MigrationEvent) -> None:
+        if event is MigrationEvent.LOST:
+            self.lost = True
+        elif event is MigrationEvent.GONE:
+            self.gone = True
+        elif event in (MigrationEvent.MADE, MigrationEvent.CALM):
+            self.gone = False
+
+    def _has_nothing_to_play(self, event: MigrationEvent) -> bool:
+        """Whether the session must end, as no server is left that its player may be sent to."""
+        if event is MigrationEvent.REFUSED:
+            return self.lost  # nothing plays any more: to wait for a server would only look like playing
+        if event is MigrationEvent.TIME:
+            return self.gone  # its player would request segments that no server may be named for
+        return False
+
+
+class _QueueEntry(NamedTuple):
+    """Ordered by deadline, then by falling priority weight, then by time of entry."""
+
+    deadline_us: int
+    negative_weight: float
+    sequence: int
+    migration: SessionMigration
+
+
+class ReadyMigrations(NamedTuple):
+    """The migrations that may start now, and those whose grace has expired."""
+
+    ready: list[SessionMigration]
+    expired: list[SessionMigration]
 
 
 class MigrationTurns:
-    """Who moves next: those whose time ends first, of them those of most benefit; so many at once."""
+    """The pending migrations, earliest deadline first, of which a limited number run at once."""
 
     def __init__(self, max_concurrent: int, grace_us: int) -> None:
         self.at_once = max_concurrent
-        # A tenth of the grace is kept, as everywhere: the last join must end inside it.
-        self.grace_us = round(grace_us * 0.9)
+        self.grace_us = round(grace_us * GRACE_FRACTION)
         self.active_count = 0
-        self.count = 0
-        self.queue: list[tuple[int, float, int, SessionMigration]] = []
+        self._entry_count = 0
+        self._entries: list[_QueueEntry] = []
 
     def add(self, migration: SessionMigration, now_us: int) -> None:
-        """A move is due from now on."""
-        migration.deadline_us, migration.since_us = now_us + self.grace_us, now_us
-        self.count += 1
-        heapq.heappush(self.queue, (migration.deadline_us, -migration.priority_weight, self.count, migration))
+        """Adds a migration, whose grace begins now."""
+        migration.deadline_us = now_us + self.grace_us
+        migration.since_us = now_us
+        self._push(migration)
 
     def put_back(self, migration: SessionMigration, now_us: int) -> None:
-        """No place now: try again a little later, within its time."""
+        """Adds a migration again that found no server, for a retry a little later; its deadline stays."""
         migration.retry_at_us = now_us + RETRY_US
-        self.count += 1
-        heapq.heappush(self.queue, (migration.deadline_us, -migration.priority_weight, self.count, migration))
-
-    def take(self, now_us: int) -> tuple[list[SessionMigration], list[SessionMigration]]:
-        """Those whose turn it is, and those whose time is over."""
-        turn, over, later = (
-            list[SessionMigration](),
-            list[SessionMigration](),
-            list[tuple[int, float, int, SessionMigration]](),
-        )
-        while self.queue:
-            item = heapq.heappop(self.queue)
-            migration = item[3]
+        self._push(migration)
+
+    def take(self, now_us: int) -> ReadyMigrations:
+        """Removes and returns the migrations that may start now and those whose grace has expired."""
+        ready: list[SessionMigration] = []
+        expired: list[SessionMigration] = []
+        deferred: list[_QueueEntry] = []
+        while self._entries:
+            entry = heapq.heappop(self._entries)
+            migration = entry.migration
             if migration.stage is not MigrationState.PENDING:
                 continue
+            is_full = self.active_count + len(ready) >= self.at_once
             if migration.deadline_us <= now_us:
-                over.append(migration)
-            elif migration.retry_at_us > now_us or self.active_count + len(turn) >= self.at_once:
-                later.append(item)
+                expired.append(migration)
+            elif is_full or migration.retry_at_us > now_us:
+                deferred.append(entry)
             else:
-                turn.append(migration)
-        for item in later:
-            heapq.heappush(self.queue, item)
-        self.active_count += len(turn)
-        return turn, over
+                ready.append(migration)
+        for entry in deferred:
+            heapq.heappush(self._entries, entry)
+        self.active_count += len(ready)
+        return ReadyMigrations(ready, expired)
 
     def finished(self) -> None:
-        """One that had its turn is done with it."""
+        """Ends the turn of one migration that `take` returned as ready."""
         self.active_count -= 1
+
+    def _push(self, migration: SessionMigration) -> None:
+        self._entry_count += 1
+        entry = _QueueEntry(migration.deadline_us, -migration.priority_weight, self._entry_count, migration)
+        heapq.heappush(self._entries, entry)
