--- a/packages/playback/src/fennelcove/decisions/playback/__init__.py
+++ b/packages/playback/src/fennelcove/decisions/playback/__init__.py
@@ -1,1 +1,1 @@
-"""What the front rules about what players are shown, and from where."""
+"""Decisions on what is listed for each player, and from which server it is fetched."""
--- a/packages/playback/src/fennelcove/decisions/playback/migration.py
+++ b/packages/playback/src/fennelcove/decisions/playback/migration.py
@@ -221,7 +221,7 @@
         return ReadyMigrations(ready, expired)
 
     def finished(self) -> None:
-        """Ends the turn of one migration that `take` returned as ready."""
+        """Ends the turn of one migration that was returned as ready."""
         self.active_count -= 1
 
     def _push(self, migration: SessionMigration) -> None:
--- a/packages/playback/src/fennelcove/decisions/playback/playlist_cursor.py
+++ b/packages/playback/src/fennelcove/decisions/playback/playlist_cursor.py
@@ -1,8 +1,9 @@
-"""What one player is shown, segment by segment: a cursor that only goes forward over lesson and changes.
+"""One player's timeline, segment by segment: a cursor that only moves forward over a title and its changes.
 
-Each segment that a manifest has named is shown for good. A change acts where the cursor has not been; one
-taken back while its clip plays is played to its end. So sequence numbers never go back, nothing fetched is
-denied, and each segment begins exactly where its neighbour ends, whatever authors do meanwhile.
+A segment that a manifest has listed never changes. A change applies only where the cursor has not been yet;
+one that is withdrawn while its clip plays is played to its end. So sequence numbers never go back, no fetched
+segment is denied later, and each segment begins exactly where the one before it ends, whatever authors do
+meanwhile.
 """
 
 from __future__ import annotations
@@ -13,15 +14,13 @@
 from fractions import Fraction
 from typing import NamedTuple
 
-from fennelcove.timeline.model import Change, Kind, Media, Shown, PeriodStart
+from fennelcove.timeline.model import MICROSECONDS_PER_SECOND, Change, Kind, Media, PeriodStart, Shown
 
-LOOKAHEAD_SEGMENTS = (
-    3  # segments shown beyond the last one fetched: what a player needs to keep its buffer (RFC 8216, 6.3.3)
-)
-WINDOW_SEGMENTS = 6  # segments kept in manifests behind the last one fetched
-MAX_REPLAYED_SEGMENTS = (
-    2 * LOOKAHEAD_SEGMENTS
-)  # segments that may have been shown past a mark: one mark late, and one lost
+# Segments listed beyond the last one fetched: what a player needs to keep its buffer (RFC 8216, 6.3.3).
+LOOKAHEAD_SEGMENTS = 3
+WINDOW_SEGMENTS = 6  # segments listed behind the last one fetched
+# Segments that may have been listed after the newest resume token: one token late, and one lost.
+MAX_REPLAYED_SEGMENTS = 2 * LOOKAHEAD_SEGMENTS
 KEPT = 64  # segments that a late player may still fetch
 LIVE_DELAY_SEGMENTS = 3  # target durations behind the edge at which a live player begins (RFC 8216, 6.3.3)
 
@@ -30,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClipProgress:
-    """A clip under way."""
+    """A spliced clip of which some segments are still to be listed."""
 
     change_id: str
     clip: str
@@ -40,22 +39,22 @@
 
 @dataclass(frozen=True, slots=True)
 class PlaylistCursor:
-    """Where a player's timeline goes on."""
+    """The position from which a player's timeline continues."""
 
     next_sequence_number: int = 0
-    lesson: int = 0  # the lesson's next segment
-    start: Fraction = Fraction(0)
+    lesson: int = 0  # the title's next segment
+    start: Fraction = Fraction(0)  # seconds on the player's own timeline
     clip_progress: ClipProgress | None = None
-    source: str = ""  # of the segment that would go on without a joint: change, media and number
+    source: str = ""  # key of the one segment that would follow without a discontinuity
     rung: int = -1
     period: PeriodStart = BEGINNING
-    applied_change_ids: frozenset[str] = frozenset()  # changes met at this boundary, and moments met anywhere
-    breaks: tuple[str, ...] = ()  # of those, the ones told apart before the next segment
+    applied_change_ids: frozenset[str] = frozenset()  # those at this segment, and all applied by wall time
+    breaks: tuple[str, ...] = ()  # of those, the interstitials to be listed before the next segment
 
 
 @dataclass(frozen=True, slots=True)
 class Viewpoint:
-    """What the choice of the next segment needs beside the cursor."""
+    """What the next segment is chosen by, beside the cursor."""
 
     media: Mapping[str, Media]
     title: str
@@ -66,100 +65,128 @@
     floor_rung: int
     wall_us: int
     began_wall_us: int
-    is_clip_available: Callable[[str], bool]  # whether any box, or the slate, can serve this clip
-    uses_interstitials: bool = False  # clips are told apart from the lesson, as interstitials
+    is_clip_available: Callable[[str], bool]  # whether a server, or the slate, can serve this clip
+    uses_interstitials: bool = False  # clips are listed as interstitials rather than spliced in
 
 
-def fitting_rung(media: Media, rung: int, floor: int) -> int:
-    """The rung at which a media is shown: the one in force, or the next lower that it has, never under the
-    floor."""
-    fitting = [have for have in media.rungs if floor <= have <= rung]
-    return max(fitting) if fitting else max(rung, floor)
+def fitting_rung(media: Media, rung: int, floor_rung: int) -> int:
+    """The rung at which media is listed: the session's, or the next lower one that the media has.
 
+    Where the media has none from the floor up to the session's rung, the higher of these two is listed.
+    """
+    fitting = [available for available in media.rungs if floor_rung <= available <= rung]
+    return max(fitting) if fitting else max(rung, floor_rung)
 
-def _due_change(cursor: PlaylistCursor, view: Viewpoint) -> Change | None:
-    """The change that acts before the lesson's next segment, the narrowest target first."""
-    lesson = view.media[view.title]
-    found = []
-    for change in view.changes:
-        if change.id in cursor.applied_change_ids or not change.target.meets(
-            view.title, view.service_class, view.session_id
-        ):
-            continue
-        first = change.first(lesson)
-        if first is None:
-            assert change.wall_us is not None
-            met_us = view.began_wall_us + int(cursor.start * 1_000_000)
-            due = view.began_wall_us <= change.wall_us <= met_us
-        else:
-            due = first == cursor.lesson
-        if due:
-            found.append(change)
-    if not found:
-        return None
-    return min(
-        found,
-        key=lambda change: (change.target.subscription is None, change.target.room_type is None, change.id),
+
+def advance(cursor: PlaylistCursor, view: Viewpoint) -> tuple[PlaylistCursor, Shown | None]:
+    """Chooses the next segment.
+
+    Returns:
+        The cursor after it, and the segment; None at the title's end or at the live edge. The cursor may have
+        moved then all the same: a range that is cut out at the title's end leaves no segment to list.
+    """
+    cursor = _apply_due_changes(cursor, view)
+    if cursor.clip_progress is not None:
+        return _advance_in_clip(cursor, cursor.clip_progress, view)
+    title_media = view.media[view.title]
+    if cursor.lesson >= title_media.ready(view.wall_us):
+        return cursor, None
+    return _advance_in_title(cursor, title_media, view)
+
+
+def _advance_in_clip(
+    cursor: PlaylistCursor, progress: ClipProgress, view: Viewpoint
+) -> tuple[PlaylistCursor, Shown]:
+    clip = view.media[progress.clip]
+    segment = _next_segment(cursor, clip, progress.next_segment, progress.change_id, view)
+    following = progress.next_segment + 1
+    remaining = replace(progress, next_segment=following) if following < progress.segment_count else None
+    return replace(_cursor_after(cursor, segment), clip_progress=remaining), segment
+
+
+def _advance_in_title(
+    cursor: PlaylistCursor, title_media: Media, view: Viewpoint
+) -> tuple[PlaylistCursor, Shown]:
+    segment = _next_segment(cursor, title_media, cursor.lesson, "", view)
+    # A change by wall time stays due at later segments: those applied are kept, so that none applies twice.
+    applied_by_wall_time = frozenset(
+        change.id
+        for change in view.changes
+        if change.id in cursor.applied_change_ids and change.first(title_media) is None
+    )
+    moved = replace(
+        _cursor_after(cursor, segment),
+        lesson=cursor.lesson + 1,
+        applied_change_ids=applied_by_wall_time,
     )
+    return moved, segment
+
+
+def _apply_due_changes(cursor: PlaylistCursor, view: Viewpoint) -> PlaylistCursor:
+    while cursor.clip_progress is None:
+        change = _due_change(cursor, view)
+        if change is None:
+            break
+        cursor = _apply_change(cursor, change, view)
+    return cursor
+
+
+def _due_change(cursor: PlaylistCursor, view: Viewpoint) -> Change | None:
+    """The change that applies before the title's next segment, the narrowest target first."""
+    due = [change for change in view.changes if _is_due(change, cursor, view)]
+    return min(due, key=_precedence) if due else None
+
+
+def _precedence(change: Change) -> tuple[bool, bool, str]:
+    target = change.target
+    return target.subscription is None, target.room_type is None, change.id
+
+
+def _is_due(change: Change, cursor: PlaylistCursor, view: Viewpoint) -> bool:
+    if change.id in cursor.applied_change_ids:
+        return False
+    if not change.target.meets(view.title, view.service_class, view.session_id):
+        return False
+    first = change.first(view.media[view.title])
+    if first is not None:
+        return first == cursor.lesson
+    if change.wall_us is None:
+        raise ValueError(f"change {change.id!r} has neither a media time nor a wall time")
+    position_wall_us = view.began_wall_us + int(cursor.start * MICROSECONDS_PER_SECOND)
+    return view.began_wall_us <= change.wall_us <= position_wall_us
 
 
 def _apply_change(cursor: PlaylistCursor, change: Change, view: Viewpoint) -> PlaylistCursor:
-    """Begin a change: its clip, and past the stretch that it takes out."""
-    lesson = view.media[view.title]
-    after = change.after(lesson)
-    moved = cursor.lesson if after is None else max(cursor.lesson, after)
-    done = cursor.applied_change_ids | {change.id}
+    """Starts a change's clip and skips the range of the title that it takes out."""
+    resume = change.after(view.media[view.title])
+    title_segment = cursor.lesson if resume is None else max(cursor.lesson, resume)
+    applied = replace(cursor, applied_change_ids=cursor.applied_change_ids | {change.id})
     if change.kind is Kind.CUT:
-        return replace(cursor, lesson=moved, applied_change_ids=done)
+        return replace(applied, lesson=title_segment)
     clip = view.media.get(change.clip or "")
     if clip is None or clip.count is None or not view.is_clip_available(clip.name):
-        # Nothing can serve the clip: the unstitched lesson is better than a hole.
-        return replace(cursor, applied_change_ids=done)
+        return applied  # no server can serve the clip: the title without the change is better than a gap
     if view.uses_interstitials:
-        # What a clip replaces is left out of the lesson: a player that had to skip it would stop fetching,
-        # and its manifest would wait for the fetch.
-        return replace(cursor, lesson=moved, applied_change_ids=done, breaks=(*cursor.breaks, change.id))
-    return replace(
-        cursor,
-        lesson=moved,
-        applied_change_ids=done,
-        clip_progress=ClipProgress(change.id, clip.name, 0, clip.count),
-    )
+        # The range that a clip replaces is left out of the title: a player that had to skip it would stop
+        # fetching, and its manifest would wait for the fetch.
+        return replace(applied, lesson=title_segment, breaks=(*cursor.breaks, change.id))
+    progress = ClipProgress(change.id, clip.name, 0, clip.count)
+    return replace(applied, lesson=title_segment, clip_progress=progress)
 
 
-def advance(cursor: PlaylistCursor, view: Viewpoint) -> tuple[PlaylistCursor, Shown | None]:
-    """The next segment, or none at the end of the lesson or at the live edge; the cursor may go on all the
-    same.
-
-    A stretch cut out at the lesson's end leaves nothing to show: the cursor that was past it must not be
-    lost.
-    """
-    lesson = view.media[view.title]
-    while cursor.clip_progress is None and (change := _due_change(cursor, view)) is not None:
-        cursor = _apply_change(cursor, change, view)
-    if cursor.clip_progress is not None:
-        run = cursor.clip_progress
-        shown = _next_segment(cursor, view.media[run.clip], run.next_segment, run.change_id, view)
-        later = (
-            replace(run, next_segment=run.next_segment + 1)
-            if run.next_segment + 1 < run.segment_count
-            else None
-        )
-        return replace(_cursor_after(cursor, shown), clip_progress=later), shown
-    if cursor.lesson >= lesson.ready(view.wall_us):
-        return cursor, None
-    shown = _next_segment(cursor, lesson, cursor.lesson, "", view)
-    moments = frozenset(
-        c.id for c in view.changes if c.id in cursor.applied_change_ids and c.first(lesson) is None
-    )
-    return replace(_cursor_after(cursor, shown), lesson=cursor.lesson + 1, applied_change_ids=moments), shown
+def _segment_key(change_id: str, media_name: str, segment_number: int) -> str:
+    """Identifies a segment of one source; part of resume tokens, so its form is fixed."""
+    return f"{change_id}/{media_name}@{segment_number}"
 
 
-def _next_segment(cursor: PlaylistCursor, media: Media, number: int, change: str, view: Viewpoint) -> Shown:
-    # A lesson that goes on after a stretch was taken out jumps in its own time: that is a joint as well.
-    follows = cursor.source == f"{change}/{media.name}@{number}"
+def _next_segment(
+    cursor: PlaylistCursor, media: Media, number: int, change_id: str, view: Viewpoint
+) -> Shown:
+    # A title that continues after a range was taken out jumps in its own time: a discontinuity as well.
+    is_continuous = cursor.source == _segment_key(change_id, media.name, number)
     rung = fitting_rung(media, view.rung, view.floor_rung)
-    same = follows and rung == cursor.rung
+    is_same_period = is_continuous and rung == cursor.rung
+    new_period = PeriodStart(cursor.next_sequence_number, number, cursor.start)
     return Shown(
         sequence_number=cursor.next_sequence_number,
         media=media.name,
@@ -167,22 +194,21 @@
         rung=rung,
         start=cursor.start,
         duration=media.each,
-        period=cursor.period if same else PeriodStart(cursor.next_sequence_number, number, cursor.start),
-        change=change,
-        is_discontinuity=bool(cursor.source) and not follows,
+        period=cursor.period if is_same_period else new_period,
+        change=change_id,
+        is_discontinuity=bool(cursor.source) and not is_continuous,
         breaks=cursor.breaks,
     )
 
 
-def _cursor_after(cursor: PlaylistCursor, shown: Shown) -> PlaylistCursor:
-    source = f"{shown.change}/{shown.media}@{shown.number + 1}"
+def _cursor_after(cursor: PlaylistCursor, segment: Shown) -> PlaylistCursor:
     return replace(
         cursor,
-        next_sequence_number=shown.sequence_number + 1,
-        start=shown.end,
-        source=source,
-        rung=shown.rung,
-        period=shown.period,
+        next_sequence_number=segment.sequence_number + 1,
+        start=segment.end,
+        source=_segment_key(segment.change, segment.media, segment.number + 1),
+        rung=segment.rung,
+        period=segment.period,
         breaks=(),
     )
 
@@ -233,7 +259,7 @@
         """Lists segments as far ahead as a player may fetch.
 
         Args:
-            view: what the segments are chosen by; its changes must be those of `replays()`.
+            view: what the segments are chosen by; its changes must be those of the replayed ledger version, if any.
             version: the ledger's newest version.
 
         Returns:
--- a/packages/playback/src/fennelcove/decisions/playback/splices.py
+++ b/packages/playback/src/fennelcove/decisions/playback/splices.py
@@ -1,7 +1,7 @@
-"""Which changes to a lesson can be made, and which are refused whole, each with its reason.
+"""Which changes to a title are accepted, and which are rejected, each with its reason.
 
-A change is taken or refused by what the lesson is and what stands already; who has been shown what is a
-matter of each player's track, which no change reaches back into.
+A change is accepted or rejected as a whole, by the title's media and the changes in force. What each player
+has been listed is a matter of its track (`playlist_cursor`), where no change applies in retrospect.
 """
 
 from __future__ import annotations
@@ -14,11 +14,14 @@
 from fennelcove.timeline.model import Change, Kind, Media
 
 MAX_CHANGES_PER_TITLE = 1000
-MAX_LEDGER_ENTRIES = 20_000  # withdrawn ones included: an author's repeat must find its first
+MAX_LEDGER_ENTRIES = 20_000  # withdrawn ones included: a repeated submission must find the first one
+MAX_TIME_CHARS = 40
+MAX_TIME_PARTS = 3  # hours, minutes, seconds
+SECONDS_PER_MINUTE = 60
 
 
 class Refusal(Enum):
-    """Why a change is not made."""
+    """Why a change is rejected; the values are part of the HTTP interface."""
 
     UNKNOWN_TITLE = "unknown-title"
     UNKNOWN_CLIP = "unknown-clip"
@@ -35,10 +38,10 @@
 
 
 class Ruling(Enum):
-    """What became of it."""
+    """The result of a submission or withdrawal; the values are part of the HTTP interface."""
 
     MADE = "made"
-    UNCHANGED = "stands"  # the same change again: nothing new
+    UNCHANGED = "stands"  # the same change was submitted before
     REFUSED = "refused"
     WITHDRAWN = "withdrawn"
     UNKNOWN = "unknown"
@@ -46,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """A ruling; where it is a refusal, the reason and what would do."""
+    """What became of a change; where it was rejected, the reason and what the author can do."""
 
     ruling: Ruling
     version: int
@@ -56,21 +59,29 @@
 
 @dataclass(frozen=True, slots=True)
 class Scene:
-    """What a ruling needs to know beside the ledger."""
+    """What a change is checked against, beside the ledger."""
 
     media: Mapping[str, Media]
-    floor_rung: int  # the highest floor of the room types concerned
+    floor_rung: int  # the highest floor of the service classes concerned
     wall_us: int
-    next_title_segment: int | None = None  # the subscription's next lesson segment, where one is the target
-    is_session_known: bool = True  # the target subscription is known
+    next_title_segment: int | None = None  # of the target session, where there is one
+    is_session_known: bool = True
 
 
-Check = Callable[["Ledger", Change, Scene], "tuple[Refusal, str] | None"]
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """The reason for which a check rejects a change, and what the author can do."""
+
+    reason: Refusal
+    remedy: str
+
+
+Check = Callable[["Ledger", Change, Scene], Rejection | None]
 
 
 @dataclass(slots=True)
 class Entry:
-    """One change in the ledger."""
+    """One change, and the ledger versions at which it was accepted and withdrawn."""
 
     change: Change
     version: int
@@ -79,36 +90,39 @@
 
 @dataclass(slots=True)
 class Ledger:
-    """All changes, by id; a version for each step. Pure state: who keeps it across restarts stands
-    elsewhere."""
+    """All changes, by id, with a version that grows by one at each step; state in memory alone."""
 
     entries: dict[str, Entry] = field(default_factory=dict)
     version: int = 0
     by_title: dict[str, dict[str, Entry]] = field(default_factory=dict)
 
     def submit(self, change: Change, context: Scene) -> Verdict:
-        """Make a change, find it made, or refuse it whole."""
-        held = self.entries.get(change.id)
-        if held is not None:
-            if held.change == change and held.withdrawn is None:
-                return Verdict(Ruling.UNCHANGED, held.version)
-            cure = "the same id stood for another change or was withdrawn; use a new id"
-            return Verdict(Ruling.REFUSED, self.version, Refusal.ID_TAKEN, cure)
+        """Accepts a change, finds that it was accepted before, or rejects it as a whole."""
+        entry = self.entries.get(change.id)
+        if entry is not None:
+            return self._resubmit(entry, change)
         for check in CHECKS:
-            found = check(self, change, context)
-            if found is not None:
-                return Verdict(Ruling.REFUSED, self.version, *found)
+            rejection = check(self, change, context)
+            if rejection is not None:
+                return Verdict(Ruling.REFUSED, self.version, rejection.reason, rejection.remedy)
         self.put(change)
         return Verdict(Ruling.MADE, self.version)
 
+    def _resubmit(self, entry: Entry, change: Change) -> Verdict:
+        if entry.change == change and entry.withdrawn is None:
+            return Verdict(Ruling.UNCHANGED, entry.version)
+        remedy = "the same id stood for another change or was withdrawn; use a new id"
+        return Verdict(Ruling.REFUSED, self.version, Refusal.ID_TAKEN, remedy)
+
     def put(self, change: Change) -> None:
-        """Enter a change that was ruled on."""
+        """Adds a change without any check."""
         self.version += 1
-        entry = self.entries[change.id] = Entry(change, self.version)
+        entry = Entry(change, self.version)
+        self.entries[change.id] = entry
         self.by_title.setdefault(change.target.title, {})[change.id] = entry
 
     def withdraw(self, change_id: str) -> Verdict:
-        """Take a change back. Players that were shown its first segment play it to its end."""
+        """Withdraws a change. Players for which its first segment was listed play it to its end."""
         entry = self.entries.get(change_id)
         if entry is None:
             return Verdict(Ruling.UNKNOWN, self.version)
@@ -119,7 +133,7 @@
         return Verdict(Ruling.WITHDRAWN, self.version)
 
     def standing(self, title: str, at_version: int | None = None) -> Iterable[Change]:
-        """The changes to a title in force, now or as of an earlier version."""
+        """The changes to a title in force, now or as of an earlier version of the ledger."""
         if at_version is None:
             return [entry.change for entry in self.by_title.get(title, {}).values()]
         return [
@@ -131,110 +145,114 @@
         ]
 
 
-def _check_references(ledger: Ledger, change: Change, scene: Scene) -> tuple[Refusal, str] | None:
-    if change.target.title not in scene.media:
-        return Refusal.UNKNOWN_TITLE, "name a title that has media"
-    if not scene.is_session_known:
-        return Refusal.UNKNOWN_SESSION, "name a subscription that plays here, or a title"
+def _check_references(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
+    if change.target.title not in context.media:
+        return Rejection(Refusal.UNKNOWN_TITLE, "name a title that has media")
+    if not context.is_session_known:
+        return Rejection(Refusal.UNKNOWN_SESSION, "name a subscription that plays here, or a title")
     if change.kind is not Kind.CUT:
-        clip = scene.media.get(change.clip or "")
+        clip = context.media.get(change.clip or "")
         if clip is None or clip.live:
-            return Refusal.UNKNOWN_CLIP, "name a recorded title that has media"
+            return Rejection(Refusal.UNKNOWN_CLIP, "name a recorded title that has media")
     return None
 
 
-def _check_times(ledger: Ledger, change: Change, scene: Scene) -> tuple[Refusal, str] | None:
+def _check_times(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
     if (change.at is None) == (change.wall_us is None):
-        return Refusal.INVALID_TIME, "give either a media time or a wall time"
+        return Rejection(Refusal.INVALID_TIME, "give either a media time or a wall time")
     if change.kind is Kind.INSERT and change.until is not None:
-        return Refusal.INVALID_TIME, "an insertion has no end in the lesson; leave it out, or replace"
+        return Rejection(
+            Refusal.INVALID_TIME, "an insertion has no end in the lesson; leave it out, or replace"
+        )
     if change.kind is not Kind.INSERT and (change.until is None or change.at is None):
-        return Refusal.INVALID_TIME, "a stretch needs both its ends, as media times"
+        return Rejection(Refusal.INVALID_TIME, "a stretch needs both its ends, as media times")
     if change.at is not None and change.at < 0:
-        return Refusal.INVALID_TIME, "media times begin at 0"
+        return Rejection(Refusal.INVALID_TIME, "media times begin at 0")
     return None
 
 
-def _check_range(ledger: Ledger, change: Change, scene: Scene) -> tuple[Refusal, str] | None:
-    media = scene.media[change.target.title]
-    first, after = change.first(media), change.after(media)
-    if change.kind is not Kind.INSERT and first is not None and after is not None and after <= first:
-        return Refusal.EMPTY_RANGE, f"no segment begins in it; a segment is {float(media.each):g} s long"
+def _check_range(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
+    media = context.media[change.target.title]
+    first, resume = change.first(media), change.after(media)
+    if change.kind is Kind.INSERT or first is None or resume is None:
+        return None
+    if resume <= first:
+        remedy = f"no segment begins in it; a segment is {float(media.each):g} s long"
+        return Rejection(Refusal.EMPTY_RANGE, remedy)
     return None
 
 
-def _check_end(ledger: Ledger, change: Change, scene: Scene) -> tuple[Refusal, str] | None:
-    media = scene.media[change.target.title]
-    first, after = change.first(media), change.after(media)
-    if (
-        media.count is not None
-        and first is not None
-        and after is not None
-        and max(first, after) > media.count
-    ):
-        return Refusal.PAST_END, f"the lesson ends at {float(media.start(media.count)):g} s"
+def _check_end(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
+    media = context.media[change.target.title]
+    first, resume = change.first(media), change.after(media)
+    if media.count is None or first is None or resume is None:
+        return None
+    if max(first, resume) > media.count:
+        return Rejection(Refusal.PAST_END, f"the lesson ends at {float(media.start(media.count)):g} s")
     return None
 
 
-def _check_not_listed(ledger: Ledger, change: Change, scene: Scene) -> tuple[Refusal, str] | None:
-    media = scene.media[change.target.title]
+def _check_not_listed(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
+    media = context.media[change.target.title]
     first = change.first(media)
     if first is None:
-        if change.wall_us is not None and change.wall_us < scene.wall_us:
-            return Refusal.BEFORE_LIVE_EDGE, "that moment has passed"
+        if change.wall_us is not None and change.wall_us < context.wall_us:
+            return Rejection(Refusal.BEFORE_LIVE_EDGE, "that moment has passed")
         return None
     if media.live:
         # The segment at the edge is being written and may be listed at any instant: one more is kept clear.
-        earliest = media.ready(scene.wall_us) + 1
+        earliest = media.ready(context.wall_us) + 1
         if first < earliest:
-            return Refusal.BEFORE_LIVE_EDGE, f"the earliest time is now {float(media.start(earliest)):g} s"
-    if scene.next_title_segment is not None and first < scene.next_title_segment:
-        return (
+            return Rejection(
+                Refusal.BEFORE_LIVE_EDGE, f"the earliest time is now {float(media.start(earliest)):g} s"
+            )
+    if context.next_title_segment is not None and first < context.next_title_segment:
+        return Rejection(
             Refusal.ALREADY_LISTED,
-            f"the player was shown the lesson up to {float(media.start(scene.next_title_segment)):g} s",
+            f"the player was shown the lesson up to {float(media.start(context.next_title_segment)):g} s",
         )
     return None
 
 
-def _check_overlaps(ledger: Ledger, change: Change, scene: Scene) -> tuple[Refusal, str] | None:
-    media = scene.media[change.target.title]
-    first, after = change.first(media), change.after(media)
+def _check_overlaps(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
+    media = context.media[change.target.title]
     for other in ledger.standing(change.target.title):
-        if not change.target.may_overlap(other.target):
-            continue
-        there, beyond = other.first(media), other.after(media)
-        if first is None or after is None or there is None or beyond is None:
-            clash = change.wall_us is not None and change.wall_us == other.wall_us
-        elif first == there:
-            clash = True  # which comes first would be chance
-        else:
-            clash = first < beyond and there < after
-        if clash:
-            return (
-                Refusal.OVERLAPS,
-                f"it meets {other.id!r} of {other.author!r}; withdraw that, or go around it",
-            )
+        if change.target.may_overlap(other.target) and _overlap(change, other, media):
+            remedy = f"it meets {other.id!r} of {other.author!r}; withdraw that, or go around it"
+            return Rejection(Refusal.OVERLAPS, remedy)
     return None
 
 
-def _check_renditions(ledger: Ledger, change: Change, scene: Scene) -> tuple[Refusal, str] | None:
+def _overlap(change: Change, other: Change, media: Media) -> bool:
+    first, resume = change.first(media), change.after(media)
+    other_first, other_resume = other.first(media), other.after(media)
+    if first is None or resume is None or other_first is None or other_resume is None:
+        return change.wall_us is not None and change.wall_us == other.wall_us
+    if first == other_first:
+        return True  # which of them applies first would be arbitrary
+    return first < other_resume and other_first < resume
+
+
+def _check_renditions(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
     if change.kind is Kind.CUT:
         return None
-    media, clip = scene.media[change.target.title], scene.media[change.clip or ""]
+    media, clip = context.media[change.target.title], context.media[change.clip or ""]
     if clip.codecs != media.codecs:
-        return Refusal.INCOMPATIBLE_RENDITIONS, f"the lesson is in {media.codecs}, the clip in {clip.codecs}"
-    if scene.floor_rung not in clip.rungs:
-        return (
+        return Rejection(
+            Refusal.INCOMPATIBLE_RENDITIONS, f"the lesson is in {media.codecs}, the clip in {clip.codecs}"
+        )
+    if context.floor_rung not in clip.rungs:
+        return Rejection(
             Refusal.INCOMPATIBLE_RENDITIONS,
-            f"the clip needs rung {scene.floor_rung}, the floor of the room types concerned",
+            f"the clip needs rung {context.floor_rung}, the floor of the room types concerned",
         )
     return None
 
 
-def _check_limits(ledger: Ledger, change: Change, scene: Scene) -> tuple[Refusal, str] | None:
-    held = len(ledger.by_title.get(change.target.title, ()))
-    if held >= MAX_CHANGES_PER_TITLE or len(ledger.entries) >= MAX_LEDGER_ENTRIES:
-        return Refusal.TOO_MANY, "withdraw some that are over"
+def _check_limits(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
+    title_changes = len(ledger.by_title.get(change.target.title, ()))
+    if title_changes >= MAX_CHANGES_PER_TITLE or len(ledger.entries) >= MAX_LEDGER_ENTRIES:
+        return Rejection(Refusal.TOO_MANY, "withdraw some that are over")
     return None
 
 
@@ -251,19 +269,19 @@
 
 
 def seconds(text: str) -> Fraction:
-    """A media time as authors write it: `12.5`, `37/3`, `1:02:03.25`.
+    """Parses a media time as authors write it: `12.5`, `37/3`, `1:02:03.25`.
 
     Raises:
-        ValueError: anything else.
+        ValueError: the text has another form.
     """
-    if len(text) > 40:
-        raise ValueError("a time of more than 40 characters")
+    if len(text) > MAX_TIME_CHARS:
+        raise ValueError(f"a time of more than {MAX_TIME_CHARS} characters")
     parts = text.split(":")
-    if len(parts) > 3:
+    if len(parts) > MAX_TIME_PARTS:
         raise ValueError(f"no time: {text!r}")
     total = Fraction(0)
     for part in parts:
         if "e" in part.lower() or not part.strip():
             raise ValueError(f"no time: {text!r}")
-        total = total * 60 + Fraction(part)
+        total = total * SECONDS_PER_MINUTE + Fraction(part)
     return total
--- a/packages/playback/src/fennelcove/manifests/__init__.py
+++ b/packages/playback/src/fennelcove/manifests/__init__.py
@@ -1,1 +1,1 @@
-"""Manifests of what one player is shown: HLS and MPEG-DASH, written without I/O."""
+"""Writers of HLS playlists and MPEG-DASH manifests for one player; no I/O."""
--- a/packages/playback/src/fennelcove/manifests/dash.py
+++ b/packages/playback/src/fennelcove/manifests/dash.py
@@ -1,5 +1,4 @@
-"""MPEG-DASH manifests (ISO/IEC 23009-1): a Period for each stretch of one source at one rung, exact in its
-ticks."""
+"""MPEG-DASH manifests (ISO/IEC 23009-1): a Period for each run of segments of one source at one rung."""
 
 from __future__ import annotations
 
@@ -16,13 +15,13 @@
 
 
 def manifest(listing: Listing, target_duration_s: int, rung_kbit: dict[int, int], buffer_s: int) -> str:
-    """The MPD of one player: dynamic while it may grow, with its whole length once it has ended.
+    """The MPD of one player: without a duration while it may grow, with its duration once it has ended.
 
     Args:
-        listing: the window of the player's track.
-        target: seconds that no segment exceeds.
-        kbit: each rung's rate in kilobits a second.
-        buffer_s: seconds of media that players keep at least.
+        listing: what is listed for the player.
+        target_duration_s: seconds that no segment exceeds.
+        rung_kbit: each rung's rate, in kilobits a second.
+        buffer_s: seconds of media that players should buffer at least.
     """
     segments = listing.shown
     end_us = to_microseconds(segments[-1].end) if segments else 0
--- a/packages/playback/src/fennelcove/manifests/hls.py
+++ b/packages/playback/src/fennelcove/manifests/hls.py
@@ -1,8 +1,8 @@
-"""HLS playlists (RFC 8216 and its successor draft): one variant whose segments come at the rung in force.
+"""HLS playlists (RFC 8216 and its successor draft) of a single variant.
 
-The front shapes the session, so a player is not offered rungs: each segment is shown at the rung in force
-when it was first listed, with EXT-X-MAP where the rendition changes and EXT-X-DISCONTINUITY where the source
-does.
+The front chooses the rung of the session, so a player is offered no variants: each segment is listed at the
+session's rung of the moment, with EXT-X-MAP where the rendition changes and EXT-X-DISCONTINUITY where the
+source does.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Interstitial:
-    """A clip told apart from the lesson, which goes on after it where it was left."""
+    """A clip that is played as an interstitial, after which the title continues where it was left."""
 
     change: str
     clip: Media
@@ -29,25 +29,28 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """What a manifest is written from: the window of a track, and what stays the same for its life."""
+    """What a manifest is written from."""
 
-    shown: list[Shown]
-    discontinuity_sequence: int  # the discontinuity sequence number of the first
-    ended: bool
-    live: bool
-    began_wall_us: int
-    media: Mapping[str, Media]
-    breaks: Mapping[str, Interstitial] = field(default_factory=dict)  # clips told apart, by change
-    after: tuple[str, ...] = ()  # of those, the ones after the last segment
+    shown: list[Shown]  # the segments to list
+    discontinuity_sequence: int  # the discontinuity sequence number of the first segment
+    ended: bool  # no segment will follow
+    live: bool  # the title is live
+    began_wall_us: int  # the wall time at which the player's timeline began
+    media: Mapping[str, Media]  # by title
+    breaks: Mapping[str, Interstitial] = field(default_factory=dict)  # the interstitials, by change
+    after: tuple[str, ...] = ()  # ids of the changes whose interstitials are played after the last segment
 
 
 def target_duration(media: Iterable[Media]) -> int:
-    """Whole seconds that no segment of any media exceeds: the tag must never change (RFC 8216, 4.3.3.1)."""
+    """Whole seconds that no segment of any media exceeds.
+
+    It covers all media, as EXT-X-TARGETDURATION must never change (RFC 8216, section 4.3.3.1).
+    """
     return max((ceil(item.each) for item in media), default=1)
 
 
 def multivariant(bandwidth: int, average_bandwidth: int, codecs: str) -> str:
-    """The multivariant playlist; rates in bits a second."""
+    """The multivariant playlist; bandwidths in bits a second."""
     return (
         "#EXTM3U\n#EXT-X-VERSION:7\n#EXT-X-INDEPENDENT-SEGMENTS\n"
         f'#EXT-X-STREAM-INF:BANDWIDTH={bandwidth},AVERAGE-BANDWIDTH={average_bandwidth},CODECS="{codecs}"\n'
@@ -56,7 +59,7 @@
 
 
 def media_playlist(listing: Listing, target_duration_s: int) -> str:
-    """The media playlist of one player."""
+    """The media playlist of one player; `target_duration_s` as of `target_duration`."""
     segments = listing.shown
     lines = ["#EXTM3U", "#EXT-X-VERSION:7", f"#EXT-X-TARGETDURATION:{target_duration_s}"]
     lines.append(f"#EXT-X-MEDIA-SEQUENCE:{segments[0].sequence_number if segments else 0}")
@@ -87,7 +90,7 @@
 
 
 def _date_range(segment: Shown, listing: Listing) -> str:
-    """What a stitched clip is, for players that show it apart (RFC 8216, section 4.3.2.7)."""
+    """EXT-X-DATERANGE of a spliced clip, for players that mark it (RFC 8216, section 4.3.2.7)."""
     clip = listing.media[segment.media]
     start_s = segment.start - clip.start(segment.number)
     end_s = start_s + clip.start(clip.count or 0)
@@ -100,7 +103,7 @@
 
 
 def _interstitials(change_ids: Iterable[str], start_s: Fraction, listing: Listing) -> list[str]:
-    """EXT-X-DATERANGE of each clip told apart here (the successor draft of RFC 8216, appendix D)."""
+    """EXT-X-DATERANGE of each interstitial (the successor draft of RFC 8216, appendix D)."""
     start_date = iso(listing.began_wall_us + to_microseconds(start_s))
     return [
         f'#EXT-X-DATERANGE:ID="{item.change}",CLASS="{INTERSTITIAL_CLASS}",START-DATE="{start_date}",'
@@ -112,7 +115,7 @@
 
 
 def asset_playlist(change_id: str, clip: Media, rung: int) -> str:
-    """The media playlist of a clip told apart, whole; its URIs start from its own."""
+    """The complete media playlist of an interstitial's clip; its URIs are relative to its own."""
     lines = ["#EXTM3U", "#EXT-X-VERSION:7", f"#EXT-X-TARGETDURATION:{ceil(clip.each)}"]
     lines += ["#EXT-X-PLAYLIST-TYPE:VOD", "#EXT-X-INDEPENDENT-SEGMENTS"]
     lines.append(f'#EXT-X-MAP:URI="../init/{clip.name}/{rung}.mp4"')
--- a/packages/playback/src/fennelcove/timeline/__init__.py
+++ b/packages/playback/src/fennelcove/timeline/__init__.py
@@ -1,2 +1,1 @@
-"""One model of what plays when: media cut into segments, changes to it, and what one player was shown. No
-I/O."""
+"""The model of a timeline: media cut into segments, changes to it, and the segments listed for one player."""
