--- a/packages/playback/src/fennelcove/decisions/playback/migration.py
+++ b/packages/playback/src/fennelcove/decisions/playback/migration.py
@@ -181,6 +181,7 @@
     """The pending migrations, earliest deadline first, of which a limited number run at once."""
 
     def __init__(self, max_concurrent: int, grace_us: int) -> None:
+        """A queue of which up to `max_concurrent` migrations run at once, each within `grace_us` of entry."""
         self.at_once = max_concurrent
         self.grace_us = round(grace_us * GRACE_FRACTION)
         self.active_count = 0
--- a/packages/playback/src/fennelcove/decisions/playback/playlist_cursor.py
+++ b/packages/playback/src/fennelcove/decisions/playback/playlist_cursor.py
@@ -78,40 +78,40 @@
     return max(fitting) if fitting else max(rung, floor_rung)
 
 
-def advance(cursor: PlaylistCursor, view: Viewpoint) -> tuple[PlaylistCursor, Shown | None]:
+def advance(cursor: PlaylistCursor, context: Viewpoint) -> tuple[PlaylistCursor, Shown | None]:
     """Chooses the next segment.
 
     Returns:
         The cursor after it, and the segment; None at the title's end or at the live edge. The cursor may have
         moved then all the same: a range that is cut out at the title's end leaves no segment to list.
     """
-    cursor = _apply_due_changes(cursor, view)
+    cursor = _apply_due_changes(cursor, context)
     if cursor.clip_progress is not None:
-        return _advance_in_clip(cursor, cursor.clip_progress, view)
-    title_media = view.media[view.title]
-    if cursor.lesson >= title_media.ready(view.wall_us):
+        return _advance_in_clip(cursor, cursor.clip_progress, context)
+    title_media = context.media[context.title]
+    if cursor.lesson >= title_media.ready(context.wall_us):
         return cursor, None
-    return _advance_in_title(cursor, title_media, view)
+    return _advance_in_title(cursor, title_media, context)
 
 
 def _advance_in_clip(
-    cursor: PlaylistCursor, progress: ClipProgress, view: Viewpoint
+    cursor: PlaylistCursor, progress: ClipProgress, context: Viewpoint
 ) -> tuple[PlaylistCursor, Shown]:
-    clip = view.media[progress.clip]
-    segment = _next_segment(cursor, clip, progress.next_segment, progress.change_id, view)
+    clip = context.media[progress.clip]
+    segment = _next_segment(cursor, clip, progress.next_segment, progress.change_id, context)
     following = progress.next_segment + 1
     remaining = replace(progress, next_segment=following) if following < progress.segment_count else None
     return replace(_cursor_after(cursor, segment), clip_progress=remaining), segment
 
 
 def _advance_in_title(
-    cursor: PlaylistCursor, title_media: Media, view: Viewpoint
+    cursor: PlaylistCursor, title_media: Media, context: Viewpoint
 ) -> tuple[PlaylistCursor, Shown]:
-    segment = _next_segment(cursor, title_media, cursor.lesson, "", view)
+    segment = _next_segment(cursor, title_media, cursor.lesson, "", context)
     # A change by wall time stays due at later segments: those applied are kept, so that none applies twice.
     applied_by_wall_time = frozenset(
         change.id
-        for change in view.changes
+        for change in context.changes
         if change.id in cursor.applied_change_ids and change.first(title_media) is None
     )
     moved = replace(
@@ -122,18 +122,18 @@
     return moved, segment
 
 
-def _apply_due_changes(cursor: PlaylistCursor, view: Viewpoint) -> PlaylistCursor:
+def _apply_due_changes(cursor: PlaylistCursor, context: Viewpoint) -> PlaylistCursor:
     while cursor.clip_progress is None:
-        change = _due_change(cursor, view)
+        change = _due_change(cursor, context)
         if change is None:
             break
-        cursor = _apply_change(cursor, change, view)
+        cursor = _apply_change(cursor, change, context)
     return cursor
 
 
-def _due_change(cursor: PlaylistCursor, view: Viewpoint) -> Change | None:
+def _due_change(cursor: PlaylistCursor, context: Viewpoint) -> Change | None:
     """The change that applies before the title's next segment, the narrowest target first."""
-    due = [change for change in view.changes if _is_due(change, cursor, view)]
+    due = [change for change in context.changes if _is_due(change, cursor, context)]
     return min(due, key=_precedence) if due else None
 
 
@@ -142,31 +142,31 @@
     return target.subscription is None, target.room_type is None, change.id
 
 
-def _is_due(change: Change, cursor: PlaylistCursor, view: Viewpoint) -> bool:
+def _is_due(change: Change, cursor: PlaylistCursor, context: Viewpoint) -> bool:
     if change.id in cursor.applied_change_ids:
         return False
-    if not change.target.meets(view.title, view.service_class, view.session_id):
+    if not change.target.meets(context.title, context.service_class, context.session_id):
         return False
-    first = change.first(view.media[view.title])
+    first = change.first(context.media[context.title])
     if first is not None:
         return first == cursor.lesson
     if change.wall_us is None:
         raise ValueError(f"change {change.id!r} has neither a media time nor a wall time")
-    position_wall_us = view.began_wall_us + int(cursor.start * MICROSECONDS_PER_SECOND)
-    return view.began_wall_us <= change.wall_us <= position_wall_us
+    position_wall_us = context.began_wall_us + int(cursor.start * MICROSECONDS_PER_SECOND)
+    return context.began_wall_us <= change.wall_us <= position_wall_us
 
 
-def _apply_change(cursor: PlaylistCursor, change: Change, view: Viewpoint) -> PlaylistCursor:
+def _apply_change(cursor: PlaylistCursor, change: Change, context: Viewpoint) -> PlaylistCursor:
     """Starts a change's clip and skips the range of the title that it takes out."""
-    resume = change.after(view.media[view.title])
+    resume = change.after(context.media[context.title])
     title_segment = cursor.lesson if resume is None else max(cursor.lesson, resume)
     applied = replace(cursor, applied_change_ids=cursor.applied_change_ids | {change.id})
     if change.kind is Kind.CUT:
         return replace(applied, lesson=title_segment)
-    clip = view.media.get(change.clip or "")
-    if clip is None or clip.count is None or not view.is_clip_available(clip.name):
+    clip = context.media.get(change.clip or "")
+    if clip is None or clip.count is None or not context.is_clip_available(clip.name):
         return applied  # no server can serve the clip: the title without the change is better than a gap
-    if view.uses_interstitials:
+    if context.uses_interstitials:
         # The range that a clip replaces is left out of the title: a player that had to skip it would stop
         # fetching, and its manifest would wait for the fetch.
         return replace(applied, lesson=title_segment, breaks=(*cursor.breaks, change.id))
@@ -180,11 +180,11 @@
 
 
 def _next_segment(
-    cursor: PlaylistCursor, media: Media, number: int, change_id: str, view: Viewpoint
+    cursor: PlaylistCursor, media: Media, number: int, change_id: str, context: Viewpoint
 ) -> Shown:
     # A title that continues after a range was taken out jumps in its own time: a discontinuity as well.
     is_continuous = cursor.source == _segment_key(change_id, media.name, number)
-    rung = fitting_rung(media, view.rung, view.floor_rung)
+    rung = fitting_rung(media, context.rung, context.floor_rung)
     is_same_period = is_continuous and rung == cursor.rung
     new_period = PeriodStart(cursor.next_sequence_number, number, cursor.start)
     return Shown(
@@ -255,25 +255,26 @@
             return None
         return self.replay.ledger_version
 
-    def extend(self, view: Viewpoint, version: int) -> int:
+    def extend(self, context: Viewpoint, ledger_version: int) -> int:
         """Lists segments as far ahead as a player may fetch.
 
         Args:
-            view: what the segments are chosen by; its changes must be those of the replayed ledger version, if any.
-            version: the ledger's newest version.
+            context: what the segments are chosen by; while a track is replayed, its changes must be those of
+                the replayed ledger version.
+            ledger_version: the ledger's newest version.
 
         Returns:
             The number of new segments.
         """
         count = 0
-        self.version = version
+        self.version = ledger_version
         was_replaying = self.replays() is not None
         while not self.ended and self.cursor.next_sequence_number <= self.fetched + LOOKAHEAD_SEGMENTS:
             if was_replaying and self.replays() is None:
                 break  # from here on the newest changes apply: the caller extends again with them
-            self.cursor, segment = advance(self.cursor, view)
+            self.cursor, segment = advance(self.cursor, context)
             if segment is None:
-                title_media = view.media[view.title]
+                title_media = context.media[context.title]
                 self.ended = not title_media.live and self.cursor.lesson >= (title_media.count or 0)
                 break
             self.shown.append(segment)
--- a/packages/playback/src/fennelcove/timeline/model.py
+++ b/packages/playback/src/fennelcove/timeline/model.py
@@ -35,9 +35,9 @@
         """Where a segment begins, in seconds of media time."""
         return Fraction(number * self.segment_ticks, self.timescale)
 
-    def first_segment_at_or_after(self, at: Fraction) -> int:
-        """The first segment that begins at or after a media time, given in seconds."""
-        return -(-at // self.each)
+    def first_segment_at_or_after(self, media_time_s: Fraction) -> int:
+        """The first segment that begins at or after a media time."""
+        return -(-media_time_s // self.each)
 
     def ready(self, wall_us: int) -> int:
         """The number of segments available at a wall time."""
@@ -67,12 +67,12 @@
     room_type: str | None = None
     subscription: str | None = None
 
-    def meets(self, title: str, room_type: str, subscription: str) -> bool:
+    def meets(self, title: str, service_class: str, session_id: str) -> bool:
         """Whether the change applies to this session."""
         return (
             self.title == title
-            and self.room_type in (None, room_type)
-            and self.subscription in (None, subscription)
+            and self.room_type in (None, service_class)
+            and self.subscription in (None, session_id)
         )
 
     def may_overlap(self, other: Target) -> bool:
@@ -97,7 +97,7 @@
     target: Target  # the sessions that it applies to
     kind: Kind  # what it does
     clip: str | None  # the title that is spliced in; None for a cut
-    # Media time from which on it applies, in seconds; None where `wall_us` is given.
+    # Media time from which on it applies, in seconds; None where a wall time is given.
     at: Fraction | None = None
     # Media time at which the title continues, in seconds; None for an insertion.
     until: Fraction | None = None
