--- a/packages/playback/src/fennelcove/manifests/exact_time.py
+++ b/packages/playback/src/fennelcove/manifests/exact_time.py
@@ -1,34 +1,37 @@
-"""Exact times as the decimals that manifests hold, so that rounding never adds up."""
+"""Exact times as the decimals of manifests, rounded so that rounding errors never add up."""
 
 from __future__ import annotations
 
 from datetime import UTC, datetime, timedelta
 from fractions import Fraction
 
-MICRO = 1_000_000
+from fennelcove.timeline.model import MICROSECONDS_PER_SECOND
 
 
-def micros(at: Fraction) -> int:
-    """A point in time rounded to whole microseconds, halves to even."""
-    return round(at * MICRO)
+def to_microseconds(time_s: Fraction) -> int:
+    """Rounds a point in time, in seconds, to whole microseconds, halves to even."""
+    return round(time_s * MICROSECONDS_PER_SECOND)
 
 
-def decimal(us: int) -> str:
-    """Microseconds as seconds with six decimals."""
-    return f"{us // MICRO}.{us % MICRO:06d}"
+def to_decimal_seconds(us: int) -> str:
+    """Formats microseconds as seconds with six decimals."""
+    return f"{us // MICROSECONDS_PER_SECOND}.{us % MICROSECONDS_PER_SECOND:06d}"
 
 
-def span(start: Fraction, end: Fraction) -> str:
-    """A duration as the difference of its rounded ends: a thousand of them sum to their rounded whole."""
-    return decimal(micros(end) - micros(start))
+def duration_between(start_s: Fraction, end_s: Fraction) -> str:
+    """Formats the duration between two times as the difference of the rounded times.
+
+    So the durations of adjacent segments sum to the rounded whole, however many there are.
+    """
+    return to_decimal_seconds(to_microseconds(end_s) - to_microseconds(start_s))
 
 
 def iso(wall_us: int) -> str:
-    """A wall time as RFC 3339 has it, in UTC with microseconds."""
-    at = datetime(1970, 1, 1, tzinfo=UTC) + timedelta(microseconds=wall_us)
-    return at.strftime("%Y-%m-%dT%H:%M:%S.%fZ")
+    """Formats a wall time as RFC 3339 requires, in UTC with microseconds."""
+    wall_time = datetime(1970, 1, 1, tzinfo=UTC) + timedelta(microseconds=wall_us)
+    return wall_time.strftime("%Y-%m-%dT%H:%M:%S.%fZ")
 
 
-def period(us: int) -> str:
-    """A duration as XML schema's xs:duration."""
-    return f"PT{decimal(us)}S"
+def format_duration(us: int) -> str:
+    """Formats a duration in microseconds as XML Schema's xs:duration."""
+    return f"PT{to_decimal_seconds(us)}S"
