--- a/packages/playback/src/fennelcove/decisions/playback/splices.py
+++ b/packages/playback/src/fennelcove/decisions/playback/splices.py
@@ -76,9 +76,6 @@
     remedy: str
 
 
-Check = Callable[["Ledger", Change, Scene], Rejection | None]
-
-
 @dataclass(slots=True)
 class Entry:
     """One change, and the ledger versions at which it was accepted and withdrawn."""
@@ -256,6 +253,8 @@
     return None
 
 
+Check = Callable[[Ledger, Change, Scene], Rejection | None]
+
 CHECKS: tuple[Check, ...] = (
     _check_references,
     _check_times,
