--- a/benchmarks/fair_sim.py
+++ b/benchmarks/fair_sim.py
@@ -29,7 +29,7 @@
 from benchmarks.events import Events
 from fennelcove.fair_queueing import usage_gossip
 from fennelcove.fair_queueing.wait_queue import WaitQueue, Waiter
-from fennelcove.fair_queueing.virtual_time import TenantTerms
+from fennelcove.fair_queueing.virtual_time import TenantWeights
 from fennelcove.fair_queueing.usage_gossip import UsageReport, UsageGossip
 from fennelcove.fair_queueing.waiter import WaiterAction, WaiterEvent
 
@@ -103,7 +103,7 @@
         # Against invented names an operator names who is known.
         named = {tenant: 1.0 for tenant in range(2, TENANTS + 1)} if case.day == "names" else {}
         self.fronts = [
-            Front(i, WaitQueue(lambda box, now_us: PART, TenantTerms(named)), UsageGossip(life=1))
+            Front(i, WaitQueue(lambda box, now_us: PART, TenantWeights(named)), UsageGossip(incarnation=1))
             for i in range(case.fronts)
         ]
 
@@ -168,13 +168,13 @@
         name = f"{'slow' if slow else 'title'}-{title}"
         waiter = Asked(
             str(next(self.ids)),
-            queue.terms.known(named),
+            queue.tenant_weights.accounted_tenant(named),
             shape,
             name,
             boxes,
             now_us,
             now_us + TIMEOUT_US,
-            queue.holds.guess(shape, name),
+            queue.service_times.estimate(shape, name),
             owner=tenant,
             slow=slow,
         )
@@ -190,36 +190,36 @@
     # The package.
 
     def _asks_fair(self, front: Front, waiter: Asked) -> None:
-        ruling = front.queue.ask(waiter, self.events.now_us)
-        if ruling.act is WaiterAction.PLACE:
+        ruling = front.queue.request_slot(waiter, self.events.now_us)
+        if ruling.action is WaiterAction.PLACE:
             self._place(front, waiter)
-        elif ruling.act is WaiterAction.WAIT:
-            due_us = front.queue.due_us(waiter)
+        elif ruling.action is WaiterAction.WAIT:
+            due_us = front.queue.wait_deadline_us(waiter)
             self.events.after(max(0, due_us - self.events.now_us), lambda: self._due(front, waiter))
 
     def _due(self, front: Front, waiter: Asked) -> None:
-        front.queue.leave(waiter, WaiterEvent.NO_TIME)
+        front.queue.cancel(waiter, WaiterEvent.NO_TIME)
 
     def _place(self, front: Front, waiter: Asked) -> None:
         now_us, queue = self.events.now_us, front.queue
-        free = [box for box in waiter.servers if queue.open_to(waiter, box, now_us)]
+        free = [box for box in waiter.servers if queue.may_acquire(waiter, box, now_us)]
         if not free:
-            waiter.apply(WaiterEvent.NO_BOX)
+            waiter.apply(WaiterEvent.NO_SERVER)
             return
         box = min(free, key=lambda name: (self.out[front.index, name], self.rng.random()))
         key = waiter.id, 0
-        queue.take(box, key, waiter.tenant, waiter.guess, now_us)
+        queue.try_acquire(box, key, waiter.tenant, waiter.estimate, now_us)
         waiter.apply(WaiterEvent.PLACED)
         held_us = self._begins(front, box, waiter)
 
         def over() -> None:
-            hold = queue.give_back(box, key, self.events.now_us)
-            waiter.apply(WaiterEvent.RETURNED)
+            hold = queue.release(box, key, self.events.now_us)
+            waiter.apply(WaiterEvent.SLOT_RELEASED)
             assert hold is not None
-            queue.holds.learn(waiter.shape, waiter.title, waiter.tenant, held_us)
-            front.told.gave(int(box[4:]), waiter.tenant, held_us)
+            queue.service_times.observe(waiter.shape, waiter.title, waiter.tenant, held_us)
+            front.told.record_usage(int(box[4:]), waiter.tenant, held_us)
             self._ends(front, box, waiter, held_us)
-            while (following := queue.next(box, self.events.now_us)) is not None:
+            while (following := queue.grant_next(box, self.events.now_us)) is not None:
                 assert isinstance(following, Asked)
                 self._place(front, following)
 
@@ -227,8 +227,8 @@
 
     def _tell(self, front: Front) -> None:
         self.events.after(usage_gossip.WINDOW_US, lambda: self._tell(front))
-        front.queue.heard = front.told.heard(self.events.now_us)
-        said = front.told.window()
+        front.queue.reporting_front_count = front.told.reporting_front_count(self.events.now_us)
+        said = front.told.next_report()
         if said is None or self.case.variant != "fair":
             return
         first = front.index // GROUP * GROUP
@@ -240,8 +240,8 @@
     def _hear(self, front: Front, sender: int, said: UsageReport) -> None:
         now_us = self.events.now_us
         names = [f"box-{i}" for i in range(self.case.boxes)]
-        for row in front.told.hear(sender, said, PART, now_us):
-            front.queue.advance(names[row.server], row.tenant, row.given_us, now_us)
+        for row in front.told.on_report(sender, said, PART, now_us):
+            front.queue.add_remote_usage(names[row.server], row.tenant, row.used_us, now_us)
 
     # Today's, with a queue and with a limit.
 
--- a/benchmarks/manifests.py
+++ b/benchmarks/manifests.py
@@ -10,11 +10,11 @@
 from fractions import Fraction
 
 from fennelcove.decisions.playback import playlist_cursor
-from fennelcove.decisions.playback.splices import Ledger
-from fennelcove.decisions.playback.playlist_cursor import Viewpoint
+from fennelcove.decisions.playback.splices import ChangeLedger
+from fennelcove.decisions.playback.playlist_cursor import SelectionContext
 from fennelcove.manifests import dash, hls
 from fennelcove.decisions.playback import resume_tokens
-from fennelcove.timeline.model import Change, Kind, Media, Target
+from fennelcove.timeline.model import Change, ChangeKind, Media, ChangeTarget
 
 LESSON = Media("lesson", 30_000, 60_060, 450, (0, 1, 2), "avc1")
 REST = Media("rest", 90_000, 120_007, 3, (0, 1, 2), "avc1")
@@ -25,28 +25,28 @@
 def main() -> None:
     print(f"Python {sys.version.split()[0]}; a lesson of 450 segments of 2.002 s, clips of 3")
     for count in (1, 20, 200):
-        ledger = Ledger()
+        ledger = ChangeLedger()
         for i in range(count):
-            at = Fraction(450 * (2 * i + 1), 2 * count) * LESSON.each
-            ledger.put(Change(f"c{i}", "a", Target("lesson"), Kind.INSERT, "rest", at))
-        track, rounds, size, mpd_size, mark_size = playlist_cursor.begin(LESSON, 0), 0, 0, 0, 0
+            at = Fraction(450 * (2 * i + 1), 2 * count) * LESSON.segment_duration_s
+            ledger.add(Change(f"c{i}", "a", ChangeTarget("lesson"), ChangeKind.INSERT, "rest", at))
+        track, rounds, size, mpd_size, mark_size = playlist_cursor.new_track(LESSON, 0), 0, 0, 0, 0
         spent = {"extend": 0.0, "hls": 0.0, "dash": 0.0}
-        while not track.ended:
+        while not track.is_ended:
             began = time.perf_counter()
-            changes = tuple(ledger.standing("lesson"))
-            view = Viewpoint(MEDIA, "lesson", "room", "s", changes, 1, 0, 0, 0, lambda name: True)
+            changes = tuple(ledger.active_changes("lesson"))
+            view = SelectionContext(MEDIA, "lesson", "room", "s", changes, 1, 0, 0, 0, lambda name: True)
             track.extend(view, ledger.version)
             shown, joints = track.window()
-            listing = hls.Listing(shown, joints, track.ended, False, 0, MEDIA)
+            listing = hls.MediaListing(shown, joints, track.is_ended, False, 0, MEDIA)
             extended = time.perf_counter()
             size += len(hls.media_playlist(listing, 3))
             written = time.perf_counter()
-            mpd_size += len(dash.manifest(listing, 3, KBIT, 4))
+            mpd_size += len(dash.media_presentation(listing, 3, KBIT, 4))
             spent["dash"] += time.perf_counter() - written
             spent["hls"] += written - extended
             spent["extend"] += extended - began
-            mark_size = max(mark_size, len(resume_tokens.write(track)))
-            track.fetch(track.fetched + 1)
+            mark_size = max(mark_size, len(resume_tokens.encode(track)))
+            track.on_segment_requested(track.last_fetched + 1)
             rounds += 1
         each = {name: seconds / rounds * 1e6 for name, seconds in spent.items()}
         both = 1e6 / (each["extend"] + each["hls"])
--- a/benchmarks/slots_sim.py
+++ b/benchmarks/slots_sim.py
@@ -31,7 +31,7 @@
 from fennelcove.concurrency_limits import quota_loans
 from fennelcove.concurrency_limits.latency_histogram import WINDOW_US
 from fennelcove.concurrency_limits.adaptive_limit import LimitSettings
-from fennelcove.concurrency_limits.replica import Replica, ReplicaMessages
+from fennelcove.concurrency_limits.replica import Replica, LimitReport
 
 END_S = 150.0
 WARM_US = 30_000_000
@@ -104,9 +104,9 @@
             for i in range(fronts):
                 self.members.append(Replica(terms, 1 if alone else fronts, 0 if alone else i, 1, 0))
                 for name in range(boxes):
-                    self.members[i].listed(name, f"kind-{name % len(KNEES)}", 0, 0)
+                    self.members[i].on_server_listed(name, f"kind-{name % len(KNEES)}", 0, 0)
                 self.at(self.noise.randrange(WINDOW_US), self._windows(i))
-                self.at(self.noise.randrange(quota_loans.ASK_US), partial(self._trading, i))
+                self.at(self.noise.randrange(quota_loans.REQUEST_INTERVAL_US), partial(self._trading, i))
         self.at(0, self._arrive)
         self.at(WARM_US, self._count)
         if day == "shift":
@@ -152,7 +152,7 @@
 
     def _most(self, front: int, at: int) -> int:
         if self.rule == "learned" or self.rule == "alone":
-            return self.members[front].most(at, self.now_us, TIMEOUT_US)
+            return self.members[front].max_in_flight(at, self.now_us, TIMEOUT_US)
         return int(self.rule)
 
     def _pump(self, front: int, at: int) -> None:
@@ -160,7 +160,7 @@
         while line and self.here.get((front, at), 0) < self._most(front, at):
             self._send(line.popleft())
         if self.members:
-            self.members[front].wants(at, len(line))
+            self.members[front].set_waiting(at, len(line))
         if line and not line[0].timer:
             line[0].timer = True
             left_us = max(0, line[0].wished_us + GIVE_UP_US - self.now_us)
@@ -174,7 +174,7 @@
             self.denied += 1
             self.waits.append(TIMEOUT_US)
             if self.members:
-                self.members[front].denied(at, join.shape)
+                self.members[front].on_attempt_denied(at, join.shape)
         self._pump(front, at)
 
     def _send(self, join: Join) -> None:
@@ -185,7 +185,9 @@
         self.here[key] = self.here.get(key, 0) + 1
         if self.members:
             allow_us = join.wished_us + TIMEOUT_US - self.now_us
-            self.members[join.front].sent(join.box, join.shape, self.now_us, allow_us, waited_us)
+            self.members[join.front].on_attempt_started(
+                join.box, join.shape, self.now_us, allow_us, waited_us
+            )
         box = self.boxes[join.box]
         if not box.down:
             box.advance(self.now_us)
@@ -213,7 +215,7 @@
         self.here[join.front, join.box] -= 1
         self.answered += answered
         if self.members:
-            self.members[join.front].ended(join.box, join.shape, held_us, answered)
+            self.members[join.front].on_attempt_ended(join.box, join.shape, held_us, answered)
         self._pump(join.front, join.box)
 
     # Boxes.
@@ -272,13 +274,13 @@
         def turn() -> None:
             self.after(WINDOW_US, turn)
             member = self.members[i]
-            told = member.turn(self.now_us)
+            told = member.close_windows(self.now_us)
             if self.rule == "learned":
-                for to in member.begun():
+                for to in member.incarnation_recipients():
                     self._send_to(partial(self._begun, i, to))
-                number = member.number
-                for to in sorted({taker for said in told for taker in said.takers}):
-                    mine = [said for said in told if to in said.takers]
+                number = member.sequence
+                for to in sorted({taker for said in told for taker in said.recipients}):
+                    mine = [said for said in told if to in said.recipients]
                     for at in range(0, len(mine), 6):  # what fits a datagram
                         self._send_to(partial(self._hear, to, i, number, mine[at : at + 6]))
             self._pump_all(i)
@@ -288,37 +290,37 @@
         return turn
 
     def _begun(self, sender: int, to: int) -> None:
-        if self.members[to].hear_begun(sender, self.now_us):
+        if self.members[to].on_incarnation_started(sender, self.now_us):
             self._send_to(lambda: self._clear(to, sender))
 
     def _clear(self, sender: int, to: int) -> None:
-        if self.members[to].hear_clear(sender, 1):
+        if self.members[to].on_incarnation_acknowledged(sender, 1):
             self._pump_all(to)
 
-    def _hear(self, to: int, sender: int, number: int, told: list[ReplicaMessages]) -> None:
-        if any([self.members[to].hear(sender, 1, number, said, self.now_us) for said in told]):
+    def _hear(self, to: int, sender: int, number: int, told: list[LimitReport]) -> None:
+        if any([self.members[to].on_report(sender, 1, number, said, self.now_us) for said in told]):
             self._pump_all(to)
 
     def _trading(self, i: int) -> None:
-        self.after(quota_loans.ASK_US, lambda: self._trading(i))
+        self.after(quota_loans.REQUEST_INTERVAL_US, lambda: self._trading(i))
         self._trade(i)
 
     def _trade(self, i: int, names: tuple[int, ...] | None = None) -> None:
         if self.rule != "learned":
             return
-        for to, name, said in self.members[i].trade(self.noise.random(), self.now_us, names):
+        for to, name, said in self.members[i].exchange_slots(self.noise.random(), self.now_us, names):
             if isinstance(said, QuotaRequest):
                 self._send_to(partial(self._asked, i, to, name, said))
             else:
                 self._send_to(partial(self._lent, i, to, name, said))
 
     def _asked(self, sender: int, to: int, name: int, ask: QuotaRequest) -> None:
-        loan = self.members[to].hear_ask(sender, name, ask, self.now_us)
+        loan = self.members[to].on_request(sender, name, ask, self.now_us)
         if loan is not None:
             self._send_to(partial(self._lent, to, sender, name, loan))
 
     def _lent(self, sender: int, to: int, name: int, loan: QuotaTransfer) -> None:
-        if self.members[to].hear_loan(sender, name, loan, self.now_us) and (to, name) in self.lines:
+        if self.members[to].on_transfer(sender, name, loan, self.now_us) and (to, name) in self.lines:
             self._pump(to, name)
 
     def _pump_all(self, i: int) -> None:
@@ -329,9 +331,9 @@
     def number(self, at: int) -> float:
         """How many joins may be out there."""
         if self.rule == "learned":
-            return median(member.servers[at].agreed.whole for member in self.members)
+            return median(member.servers[at].agreement.limit for member in self.members)
         if self.rule == "alone":
-            return sum(member.servers[at].agreed.whole for member in self.members)
+            return sum(member.servers[at].agreement.limit for member in self.members)
         return int(self.rule) * self.fronts
 
     def _measure(self) -> None:
--- a/benchmarks/slots_worlds.py
+++ b/benchmarks/slots_worlds.py
@@ -33,7 +33,7 @@
 from fennelcove.concurrency_limits.quorum import QuorumAgreement, QuorumVote
 from fennelcove.concurrency_limits.adaptive_limit import LimitSettings
 from fennelcove.concurrency_limits.quota_loans import LOAN_US, QuotaLoans
-from fennelcove.concurrency_limits.replica import Replica, ReplicaMessages
+from fennelcove.concurrency_limits.replica import Replica, LimitReport
 
 BOX = 7
 START = 4
@@ -43,7 +43,7 @@
 LIE = 60
 
 Message = (
-    QuotaRequest | QuotaTransfer | ReplicaMessages | int
+    QuotaRequest | QuotaTransfer | LimitReport | int
 )  # a number is a life that begins, or is answered where negative
 
 
@@ -71,22 +71,22 @@
         for index in range(self.size):
             self.born(index)
         for member in self.members.values():
-            member.unclear.clear()
-            member.servers[BOX].lot.purse.is_cleared = True
+            member.unacknowledged.clear()
+            member.servers[BOX].loans.quota.is_cleared = True
 
     def born(self, index: int) -> None:
         self.lives += 1
         member = Replica(LimitSettings(start=START), self.size, index, self.lives, self.now_us)
-        member.listed(BOX, "kind", 0, self.now_us)
+        member.on_server_listed(BOX, "kind", 0, self.now_us)
         self.members[index] = member
 
     def send(self, sender: int, taker: int, said: Message) -> None:
         self.numbers += 1
         if len(self.air) < MOST_AIR and (sender in self.cut) == (taker in self.cut):
-            self.air.append((sender, taker, self.members[sender].life, self.numbers, said))
+            self.air.append((sender, taker, self.members[sender].incarnation, self.numbers, said))
 
     def trade(self, index: int) -> None:
-        for to, _, said in self.members[index].trade(self.chance.random(), self.now_us):
+        for to, _, said in self.members[index].exchange_slots(self.chance.random(), self.now_us):
             self.send(index, to, said)
 
     def deliver(self) -> None:
@@ -100,17 +100,17 @@
         if member is None or to in self.still or self.chance.random() < 0.1:
             return
         now_us = self.now_us
-        if isinstance(said, ReplicaMessages):
-            member.hear(sender, life, number, said, now_us)
+        if isinstance(said, LimitReport):
+            member.on_report(sender, life, number, said, now_us)
         elif isinstance(said, QuotaRequest):
-            loan = member.hear_ask(sender, BOX, said, now_us)
+            loan = member.on_request(sender, BOX, said, now_us)
             if loan is not None:
                 self.send(to, sender, loan)
         elif isinstance(said, QuotaTransfer):
-            member.hear_loan(sender, BOX, said, now_us)
+            member.on_transfer(sender, BOX, said, now_us)
         elif said < 0:
-            member.hear_clear(sender, -said)
-        elif member.hear_begun(sender, now_us):
+            member.on_incarnation_acknowledged(sender, -said)
+        elif member.on_incarnation_started(sender, now_us):
             self.send(to, sender, -said)
 
     def say(self, index: int) -> None:
@@ -119,13 +119,13 @@
         self.said[index] = max(whole, self.said.get(index, 0))
         word, member = QuorumVote(whole), self.members[index]
         self.numbers += 1
-        agreed = member.servers[BOX].agreed
-        agreed.on_vote(index, member.life, self.numbers, word, self.now_us)
+        agreed = member.servers[BOX].agreement
+        agreed.on_vote(index, member.incarnation, self.numbers, word, self.now_us)
         member.servers[BOX].update_limit(self.now_us)
         self.back()
         for to in self.members:
             if to != index:
-                self.send(index, to, ReplicaMessages((to,), BOX, 0, vote=word))
+                self.send(index, to, LimitReport((to,), BOX, 0, vote=word))
 
     def back(self) -> None:
         said = sorted(self.said.values(), reverse=True)
@@ -139,7 +139,7 @@
             self.now_us += self.chance.choice(TICKS)
             for front, end_us in self.joins:
                 if end_us <= self.now_us and front in self.members:
-                    self.members[front].ended(BOX, 0, ALLOW_US, True)
+                    self.members[front].on_attempt_ended(BOX, 0, ALLOW_US, True)
             self.joins = [join for join in self.joins if join[1] > self.now_us]
         elif act == "comes":
             self.deliver()
@@ -164,31 +164,31 @@
     def one(self, act: str, index: int) -> None:
         member = self.members[index]
         if act == "wants":
-            member.wants(BOX, self.chance.choice((0, 0, 1, 4)))
+            member.set_waiting(BOX, self.chance.choice((0, 0, 1, 4)))
             self.trade(index)
         elif act == "sends":
             # To those that waited it is all one: as many as may be.
-            while member.servers[BOX].lot.out < member.most(BOX, self.now_us, ALLOW_US):
-                member.sent(BOX, 0, self.now_us, ALLOW_US)
+            while member.servers[BOX].loans.in_flight < member.max_in_flight(BOX, self.now_us, ALLOW_US):
+                member.on_attempt_started(BOX, 0, self.now_us, ALLOW_US)
                 self.joins.append((index, self.now_us + ALLOW_US))
         elif act == "says":
             self.say(index)
         elif act == "begun":
-            for to in member.begun():
-                self.send(index, to, member.life)
+            for to in member.incarnation_recipients():
+                self.send(index, to, member.incarnation)
         else:
             member.servers[BOX].update_limit(self.now_us)
 
     def check(self) -> None:
         """What is out and what might be, against what counted; and that against the majority's."""
-        counts = max((m.servers[BOX].agreed.whole for m in self.members.values()), default=0)
+        counts = max((m.servers[BOX].agreement.limit for m in self.members.values()), default=0)
         self.counted.append((self.now_us, counts))
         since_us = self.now_us - round(LOAN_US * (1 + CLOCK_DRIFT) ** 2)
         while self.counted[0][0] < since_us and self.counted[1:] and self.counted[1][0] <= since_us:
             self.counted.pop(0)
         limit = max(counted for _, counted in self.counted)
         out = [sum(front == index for front, _ in self.joins) for index in range(self.size)]
-        might = sum(max(out[i], member.most(BOX, self.now_us)) for i, member in self.members.items())
+        might = sum(max(out[i], member.max_in_flight(BOX, self.now_us)) for i, member in self.members.items())
         if might > limit:
             self.worst = self.worst or f"{might} might be out, {limit} counted"
         if counts > max(self.backed, START):
@@ -213,12 +213,12 @@
 
 
 def past_end(self: QuotaLoans, now_us: int, allow_us: int = 0) -> int:
-    return int(self.purse.rate(now_us) + 1e-9)
+    return int(self.quota.rate(now_us) + 1e-9)
 
 
 def any_word(self: QuorumAgreement, now_us: int) -> int:
-    self.whole = max([self.whole, *(word.limit for word in self.valid_votes(now_us))])
-    return self.whole
+    self.limit = max([self.limit, *(word.limit for word in self.valid_votes(now_us))])
+    return self.limit
 
 
 def clears_early(self: QuotaLoans, lender: int, now_us: int) -> bool:
@@ -238,7 +238,7 @@
     ),  # a new life takes its whole part
     "past-end": (
         QuotaLoans,
-        QuotaLoans.most.__name__,
+        QuotaLoans.max_in_flight.__name__,
         past_end,
     ),  # a borrowed slot carries joins that outlast the loan
     "any-word": (QuorumAgreement, QuorumAgreement.advance.__name__, any_word),  # one word raises the number
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/adaptive_limit.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/adaptive_limit.py
@@ -70,20 +70,22 @@
     settings: LimitSettings
     limit: int
     now_us: int
-    phase: LimitState = LimitState.STEADY
+    state: LimitState = LimitState.STEADY
     previous_limit: int = 0  # from which a rise or a probe began
     last_action_us: int = 0
     in_force_us: int = 0  # when the last proposal came into force, 0 where it has not
     backoff_us: int = MIN_BACKOFF_US
     gradient_at_fall: float = 1.0
-    now: float = 1.0  # the last gradient
+    last_gradient: float = 1.0  # the last gradient
     baseline_seen_us: int = 0  # when the server was last healthy, or its baseline was measured
     last_conclusive_us: int = 0  # when measurements were last conclusive
     sampled_us: int = 0  # the end of the last samples; in the future, while a proposal settles
     samples: LatencySamples = field(default_factory=LatencySamples)
     shape_limits: dict[int, int] = field(default_factory=dict)  # the slots that each shape requires
     is_measured: bool = False  # measurements of this server were conclusive once
-    acts: dict[LimitAction, int] = field(default_factory=dict)  # how often each action was carried out
+    action_counts: dict[LimitAction, int] = field(
+        default_factory=dict
+    )  # how often each action was carried out
 
     def __post_init__(self) -> None:
         """Start all timers now."""
@@ -109,34 +111,34 @@
             signal = self._sample_signal(agreed, now_us)
         if signal is None:
             return LimitAction.KEEP
-        transition = TRANSITIONS.apply(self.phase, signal)
-        self.phase = transition.state
+        transition = TRANSITIONS.apply(self.state, signal)
+        self.state = transition.state
         (action,) = transition.actions
         ACTIONS[action](self, agreed, now_us)
-        self.acts[action] = self.acts.get(action, 0) + 1
+        self.action_counts[action] = self.action_counts.get(action, 0) + 1
         self.samples.clear()
         return action
 
     # Signals.
 
     def _is_sampling(self) -> bool:
-        return self.phase not in STATES_TO_AGREE or bool(self.in_force_us)
+        return self.state not in STATES_TO_AGREE or bool(self.in_force_us)
 
     def _is_in_force(self, agreed: int) -> bool:
-        return agreed >= self.limit if self.phase is LimitState.PROVING else agreed <= self.limit
+        return agreed >= self.limit if self.state is LimitState.PROVING else agreed <= self.limit
 
     def _agreement_signal(self, agreed: int, now_us: int) -> LimitSignal | None:
         """What follows from the limit in force and from time alone."""
         has_timed_out = now_us - self.last_action_us >= AGREEMENT_TIMEOUT_US
         not_agreed = LimitSignal.NOT_AGREED if has_timed_out else None
-        if self.phase is LimitState.STEADY and agreed != self.limit:
+        if self.state is LimitState.STEADY and agreed != self.limit:
             return not_agreed
         if not self._is_sampling():
             if not self._is_in_force(agreed):
                 return not_agreed
             self.in_force_us = now_us
             self._settle(now_us)
-        if self.phase is LimitState.RESTING and now_us - self.last_action_us >= self.backoff_us:
+        if self.state is LimitState.RESTING and now_us - self.last_action_us >= self.backoff_us:
             return LimitSignal.BACKOFF_ENDED
         return None
 
@@ -160,7 +162,7 @@
         gradient = self.samples.gradient()
         if gradient is None:
             return None
-        self.now = gradient
+        self.last_gradient = gradient
         if gradient > KNEE_GRADIENT * (1 + self.samples.uncertainty()):
             return self._overload_signal(gradient)
         if gradient > HEALTHY_GRADIENT:
@@ -170,7 +172,7 @@
         return self._capacity_signal(required.total, agreed)
 
     def _overload_signal(self, gradient: float) -> LimitSignal:
-        has_fallen = self.phase is LimitState.FELL
+        has_fallen = self.state is LimitState.FELL
         has_not_helped = has_fallen and gradient > IMPROVED_RATIO * self.gradient_at_fall
         self.gradient_at_fall = gradient
         return LimitSignal.FALL_DID_NOT_HELP if has_not_helped else LimitSignal.OVERLOADED
@@ -188,7 +190,7 @@
     def _record_action(self, now_us: int) -> None:
         self.last_action_us = now_us
         self.in_force_us = 0
-        if self.phase not in STATES_TO_AGREE:
+        if self.state not in STATES_TO_AGREE:
             self._settle(now_us)
 
     def decay(self, agreed: int, now_us: int) -> None:
@@ -202,14 +204,14 @@
     def rise(self, agreed: int, now_us: int) -> None:
         """Start the trial of a higher limit."""
         self.previous_limit = agreed
-        divisor = FAR_RISE_DIVISOR if self.now < FAR_FROM_KNEE_GRADIENT else NEAR_RISE_DIVISOR
+        divisor = FAR_RISE_DIVISOR if self.last_gradient < FAR_FROM_KNEE_GRADIENT else NEAR_RISE_DIVISOR
         self.limit = min(self.settings.max_limit, agreed + max(1, agreed // divisor))
         self.backoff_us = MIN_BACKOFF_US
         self._record_action(now_us)
 
     def end_trial(self, agreed: int, now_us: int) -> None:
         """End the trial of a higher limit, or a probe, and return to the limit before."""
-        if self.phase is LimitState.RESTING:  # after a rise
+        if self.state is LimitState.RESTING:  # after a rise
             self.backoff_us = min(MAX_BACKOFF_US, 2 * self.backoff_us)
             self.limit = min(agreed, self.previous_limit)
         else:  # after a probe
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/latency_histogram.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/latency_histogram.py
@@ -46,7 +46,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Row:
+class HistogramRow:
     """What one front measured of one server and shape in `ROW_SPAN_US`."""
 
     shape: int
@@ -83,9 +83,9 @@
         _add_counts(self.service_times, other.service_times)
         _add_counts(self.waiting_times, other.waiting_times)
 
-    def to_row(self, shape: int) -> Row:
+    def to_row(self, shape: int) -> HistogramRow:
         """The counts as a row, each limited to what a message can hold."""
-        return Row(
+        return HistogramRow(
             shape=shape,
             requested=min(self.requested, MAX_REQUESTED),
             denied=min(self.denied, MAX_REQUESTED),
@@ -121,7 +121,7 @@
             self.closed.append(self.current)
             self.current = {}
 
-    def rows(self, max_rows: int) -> tuple[Row, ...]:
+    def rows(self, max_rows: int) -> tuple[HistogramRow, ...]:
         """The rows of the closed windows, those with the longest total service time first."""
         totals: dict[int, LatencyHistogram] = {}
         for window in self.closed:
@@ -197,7 +197,7 @@
 
     incarnation: int  # of the sender
     sequence: int  # in that incarnation
-    row: Row
+    row: HistogramRow
     received_us: int
 
     def is_valid(self, now_us: int) -> bool:
@@ -210,7 +210,7 @@
 
     rows: dict[tuple[int, int], _ReceivedRow] = field(default_factory=dict)  # by sender and shape
 
-    def on_row(self, sender: int, incarnation: int, sequence: int, row: Row, now_us: int) -> bool:
+    def on_row(self, sender: int, incarnation: int, sequence: int, row: HistogramRow, now_us: int) -> bool:
         """Handle a row. A duplicate, a late one or one of an earlier incarnation is ignored.
 
         Returns:
@@ -232,14 +232,14 @@
         Where three or more fronts report, none weighs more than a third, or than the next: its counts are
         scaled down, so that a median stays between the others' quartiles whatever it reports.
         """
-        rows_by_shape: dict[int, list[Row]] = {}
+        rows_by_shape: dict[int, list[HistogramRow]] = {}
         for (_, shape), received in self.rows.items():
             if received.is_valid(now_us):
                 rows_by_shape.setdefault(shape, []).append(received.row)
         return {shape: _merge(rows) for shape, rows in rows_by_shape.items()}
 
 
-def _merge(rows: list[Row]) -> ObservedLatency:
+def _merge(rows: list[HistogramRow]) -> ObservedLatency:
     merged = ObservedLatency()
     completed = [total_count(row.service_times) for row in rows]
     requested = [float(row.requested) for row in rows]
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/persisted.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/persisted.py
@@ -6,12 +6,12 @@
 
 from fennelcove.concurrency_limits.limit_decay import decayed_limit
 
-KEY = b"slots/"  # the prefix of the records' keys; the server's address follows
+KEY_PREFIX = b"slots/"  # the prefix of the records' keys; the server's address follows
 START_TOLERANCE_US = 5_000_000  # two fronts learn a server's start from responses that took a while
 MAX_AGE_US = 7 * 86_400_000_000
 
 
-class KeptSlots(msgspec.Struct, frozen=True, array_like=True):
+class StoredLimit(msgspec.Struct, frozen=True, array_like=True):
     """A server's limit as it was stored; times by the wall clock.
 
     Attributes:
@@ -27,10 +27,10 @@
     written_us: int
 
 
-_DECODER: msgspec.msgpack.Decoder[KeptSlots] = msgspec.msgpack.Decoder(KeptSlots)
+_DECODER: msgspec.msgpack.Decoder[StoredLimit] = msgspec.msgpack.Decoder(StoredLimit)
 
 
-def recall(raw: bytes, kind: str, started_us: int, initial_limit: int, wall_us: int) -> int | None:
+def restore_limit(raw: bytes, kind: str, started_us: int, initial_limit: int, wall_us: int) -> int | None:
     """The limit to begin with, out of a stored record.
 
     Args:
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/quorum.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/quorum.py
@@ -118,10 +118,10 @@
     """The limit of one server that is in force at one front. The caller passes in times."""
 
     panel: tuple[int, ...]
-    whole: int  # the limit in force
+    limit: int  # the limit in force
     initial_limit: int
     now_us: int
-    stand: AgreementState = AgreementState.ALONE
+    state: AgreementState = AgreementState.ALONE
     votes: dict[int, _ReceivedVote] = field(default_factory=dict)  # by sender
     last_majority_us: int = 0  # also when the limit last decayed
 
@@ -155,11 +155,11 @@
     def advance(self, now_us: int) -> int:
         """Update the limit in force by the votes that are valid now, and return it."""
         limits = sorted((vote.limit for vote in self.valid_votes(now_us)), reverse=True)
-        transition = TRANSITIONS.apply(self.stand, self._signal(len(limits)))
-        self.stand = transition.state
+        transition = TRANSITIONS.apply(self.state, self._signal(len(limits)))
+        self.state = transition.state
         for action in transition.actions:
             self._carry_out(action, limits, now_us)
-        return self.whole
+        return self.limit
 
     def _signal(self, vote_count: int) -> AgreementSignal:
         if vote_count == 0:
@@ -174,17 +174,17 @@
             # A majority votes for this limit or a higher one: that alone raises, the median lowers.
             majority_limit = limits[self.majority - 1]
             median = limits[len(limits) // 2]
-            self.whole = max(majority_limit, min(self.whole, median))
+            self.limit = max(majority_limit, min(self.limit, median))
             self.last_majority_us = now_us
             return
         if action is AgreementAction.LOWER_TO_MEDIAN:
-            self.whole = min(self.whole, limits[len(limits) // 2])
+            self.limit = min(self.limit, limits[len(limits) // 2])
         self._decay(now_us)
 
     def _decay(self, now_us: int) -> None:
-        decayed = decayed_limit(self.whole, self.initial_limit, now_us - self.last_majority_us)
-        if decayed < self.whole:
-            self.whole = decayed
+        decayed = decayed_limit(self.limit, self.initial_limit, now_us - self.last_majority_us)
+        if decayed < self.limit:
+            self.limit = decayed
             self.last_majority_us = now_us
 
     def shape_limits(self, now_us: int) -> Mapping[int, int]:
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/quota_loans.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/quota_loans.py
@@ -18,7 +18,7 @@
 
 LOAN_US = 10_000_000  # must be longer than an attempt may last, or a loan is of no use to any
 UNLENT_SHARE = 0.2  # of the home slots, what is never lent: what a restarted front has until others answer
-ASK_US = 100_000  # between two requests
+REQUEST_INTERVAL_US = 100_000  # between two requests
 RESPONSE_TIMEOUT_US = 150_000  # after which another front is asked
 REQUESTS_PER_SLOT = 3  # fronts asked for each missing slot: one that has none does not answer
 RETURN_ATTEMPTS = 3  # a return whose message is lost leaves the slot idle until the loan ends
@@ -45,17 +45,17 @@
     incarnation: int
     now_us: int
     loan_us: int = LOAN_US
-    out: int = 0  # attempts in flight
+    in_flight: int = 0  # attempts in flight
     waiting: int = 0  # attempts that wait for a slot
     last_end_us: int = 0  # by when all attempts in flight have ended
     max_duration_us: int = 0  # of the last attempt that was considered
     other_homes: tuple[int, ...] = ()  # the other fronts that have slots of the server
     pending_returns: deque[PendingReturn] = field(default_factory=lambda: deque(maxlen=MAX_PENDING_RETURNS))
-    purse: Quota = field(init=False)
+    quota: Quota = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the quota, with requests possible at once."""
-        self.purse = Quota(
+        self.quota = Quota(
             Resource.SLOT,
             0.0,
             self.fronts,
@@ -65,40 +65,40 @@
             loan_us=self.loan_us,
             reserved_fraction=UNLENT_SHARE,
             granularity=1.0,
-            request_interval_us=ASK_US,
+            request_interval_us=REQUEST_INTERVAL_US,
             request_reuse_us=RESPONSE_TIMEOUT_US,
             request_fanout=REQUESTS_PER_SLOT,
         )
-        self.purse.requested_us = self.now_us - ASK_US
+        self.quota.requested_us = self.now_us - REQUEST_INTERVAL_US
 
     def set_limit(self, limit: int, now_us: int) -> None:
         """Set the server's limit in force. The home slots follow at once, loans run to their ends."""
         # A quota divides its whole by the number of fronts again.
         whole = float(home_slots(self.server, limit, self.fronts, self.index) * self.fronts)
         self.other_homes = other_homes(self.server, limit, self.fronts, self.index)
-        if whole != self.purse.total_rate:
-            self.purse.advance(now_us)
-            self.purse.total_rate = whole
+        if whole != self.quota.total_rate:
+            self.quota.advance(now_us)
+            self.quota.total_rate = whole
 
-    def most(self, now_us: int, max_duration_us: int = 0) -> int:
+    def max_in_flight(self, now_us: int, max_duration_us: int = 0) -> int:
         """How many attempts may be in flight, if the next one lasts for `max_duration_us` at most."""
         self.max_duration_us = max_duration_us or self.max_duration_us
-        return floor(self.purse.lasting_rate(now_us, now_us + max_duration_us) + ROUNDING)
+        return floor(self.quota.lasting_rate(now_us, now_us + max_duration_us) + ROUNDING)
 
     def on_attempt_started(self, now_us: int, max_duration_us: int) -> None:
         """Count an attempt in flight, which lasts for `max_duration_us` at most."""
-        self.out += 1
+        self.in_flight += 1
         self.last_end_us = max(self.last_end_us, now_us + max_duration_us)
 
     def on_attempt_ended(self) -> None:
         """Count the end of an attempt."""
-        self.out = max(0, self.out - 1)
-        if not self.out:
+        self.in_flight = max(0, self.in_flight - 1)
+        if not self.in_flight:
             self.last_end_us = 0
 
     def _update_need(self, now_us: int) -> None:
-        self.purse.advance(now_us)
-        self.purse.demand = float(self.out + self.waiting)
+        self.quota.advance(now_us)
+        self.quota.demand = float(self.in_flight + self.waiting)
 
     def request_slots(self, draw: float, now_us: int) -> list[tuple[int, QuotaRequest]]:
         """The requests to send now, with their recipients; `draw` is a random number from 0 to 1."""
@@ -106,9 +106,9 @@
             return []
         self._update_need(now_us)
         # A front lends once at a time. Requested one by one, a busy front would get one slot from each.
-        missing = max(self.waiting, (self.out + 1) // 2)
-        self.purse.demand = float(self.out + missing)
-        return self.purse.next_requests(draw, now_us, now_us + self.max_duration_us, self.other_homes)
+        missing = max(self.waiting, (self.in_flight + 1) // 2)
+        self.quota.demand = float(self.in_flight + missing)
+        return self.quota.next_requests(draw, now_us, now_us + self.max_duration_us, self.other_homes)
 
     def return_slots(self, now_us: int) -> list[tuple[int, QuotaTransfer]]:
         """The returns to send now, with their recipients.
@@ -117,11 +117,11 @@
         flight fit in the rest until they have ended.
         """
         repeated = list(self.pending_returns)
-        first = [] if self.waiting else self.purse.cancel_requests()
-        for lender in sorted(self.purse.borrowed):
+        first = [] if self.waiting else self.quota.cancel_requests()
+        for lender in sorted(self.quota.borrowed):
             if not self._should_return(lender, now_us):
                 continue
-            transfer = self.purse.release(lender)
+            transfer = self.quota.release(lender)
             if transfer is not None:
                 first.append((lender, transfer))
         self._schedule_repetition(repeated, first)
@@ -140,27 +140,27 @@
 
     def _should_return(self, lender: int, now_us: int) -> bool:
         next_end_us = now_us + self.max_duration_us
-        _, loan_end_us = self.purse.borrowed[lender]
+        _, loan_end_us = self.quota.borrowed[lender]
         ends_too_soon = loan_end_us < next_end_us
-        is_required = self._lasting_without(lender, now_us, next_end_us) < self.out + self.waiting
+        is_required = self._lasting_without(lender, now_us, next_end_us) < self.in_flight + self.waiting
         return (ends_too_soon or not is_required) and self._is_dispensable(lender, now_us)
 
     @property
     def may_return(self) -> bool:
         """Whether `return_slots` may have something to return."""
-        return bool(self.purse.borrowed or self.purse.pending_requests or self.pending_returns)
+        return bool(self.quota.borrowed or self.quota.pending_requests or self.pending_returns)
 
     def _lasting_without(self, lender: int, now_us: int, until_us: int) -> float:
         """The slots that this front has until then, without those of a lender."""
-        loan = self.purse.borrowed.pop(lender)
-        lasting = self.purse.lasting_rate(now_us, until_us)
-        self.purse.borrowed[lender] = loan
+        loan = self.quota.borrowed.pop(lender)
+        lasting = self.quota.lasting_rate(now_us, until_us)
+        self.quota.borrowed[lender] = loan
         return lasting
 
     def _is_dispensable(self, lender: int, now_us: int) -> bool:
         """Whether the attempts in flight do without the slots of a lender until they have ended."""
         end_us = max(now_us, self.last_end_us)
-        return self._lasting_without(lender, now_us, end_us) >= self.out
+        return self._lasting_without(lender, now_us, end_us) >= self.in_flight
 
     def on_incarnation_started(self, lender: int, now_us: int) -> bool:
         """Handle the restart of another front, which does not know what it has lent.
@@ -168,22 +168,22 @@
         Returns:
             Whether none of its slots are used here, from now on.
         """
-        self.purse.advance(now_us)
-        if lender in self.purse.borrowed and not self._is_dispensable(lender, now_us):
+        self.quota.advance(now_us)
+        if lender in self.quota.borrowed and not self._is_dispensable(lender, now_us):
             return False
-        self.purse.forget_lender(lender)
+        self.quota.forget_lender(lender)
         return True
 
     def on_request(self, sender: int, request: QuotaRequest, now_us: int) -> QuotaTransfer | None:
         """Handle another front's request; returns the loan to send, None where there is none."""
         self._update_need(now_us)
-        return self.purse.on_request(sender, request, now_us)
+        return self.quota.on_request(sender, request, now_us)
 
     def on_transfer(self, sender: int, transfer: QuotaTransfer, now_us: int) -> bool:
         """Handle another front's loan or return; returns whether there may be more slots here now."""
         if not transfer.rate:
-            self.purse.on_release(sender, transfer)
+            self.quota.on_release(sender, transfer)
             return True
-        known = self.purse.borrowed.get(sender)
-        self.purse.on_transfer(sender, transfer, now_us)
-        return self.purse.borrowed.get(sender) != known
+        known = self.quota.borrowed.get(sender)
+        self.quota.on_transfer(sender, transfer, now_us)
+        return self.quota.borrowed.get(sender) != known
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/replica.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/replica.py
@@ -13,7 +13,7 @@
 
 from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer
 from fennelcove.concurrency_limits.adaptive_limit import AdaptiveLimit, LimitSettings
-from fennelcove.concurrency_limits.latency_histogram import WINDOW_US, Row
+from fennelcove.concurrency_limits.latency_histogram import WINDOW_US, HistogramRow
 from fennelcove.concurrency_limits.persisted import is_same_start
 from fennelcove.concurrency_limits.quorum import QuorumAgreement, QuorumVote, panel_of
 from fennelcove.concurrency_limits.quota_loans import LOAN_US, QuotaLoans
@@ -24,13 +24,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReplicaMessages:
+class LimitReport:
     """A report about one server, and the fronts to send it to."""
 
-    takers: tuple[int, ...]
+    recipients: tuple[int, ...]
     server: int
     started_us: int  # of the server, by the sender's clock; 0 where that was long ago
-    rows: tuple[Row, ...] = ()
+    rows: tuple[HistogramRow, ...] = ()
     vote: QuorumVote | None = None
 
 
@@ -38,27 +38,29 @@
 class Replica:
     """One front's concurrency limits. Call `turn` every `WINDOW_US`."""
 
-    terms: LimitSettings
+    settings: LimitSettings
     fronts: int
     index: int
-    life: int  # this incarnation of the front
+    incarnation: int  # this incarnation of the front
     now_us: int
     loan_us: int = LOAN_US
-    number: int = 0  # sequence number of the last reports
+    sequence: int = 0  # sequence number of the last reports
     servers: dict[int, ServerLimits] = field(default_factory=dict)
-    unclear: set[int] = field(default_factory=set)  # fronts that may use what an earlier incarnation lent
+    unacknowledged: set[int] = field(
+        default_factory=set
+    )  # fronts that may use what an earlier incarnation lent
 
     def __post_init__(self) -> None:
         """Assume that all other fronts use loans of an earlier incarnation."""
-        self.unclear = set(range(self.fronts)) - {self.index}
+        self.unacknowledged = set(range(self.fronts)) - {self.index}
 
     # Incarnations.
 
-    def begun(self) -> tuple[int, ...]:
+    def incarnation_recipients(self) -> tuple[int, ...]:
         """The fronts to notify that this incarnation has started, until they acknowledge it."""
-        return tuple(sorted(self.unclear)[:MAX_INCARNATION_RECIPIENTS])
+        return tuple(sorted(self.unacknowledged)[:MAX_INCARNATION_RECIPIENTS])
 
-    def hear_begun(self, sender: int, now_us: int) -> bool:
+    def on_incarnation_started(self, sender: int, now_us: int) -> bool:
         """Handle the restart of another front.
 
         Returns:
@@ -67,24 +69,24 @@
         if not _is_other_front(sender, self.fronts, self.index):
             return False
         # Not lazily: each server's loans are to be forgotten as soon as they can be.
-        return all([server.lot.on_incarnation_started(sender, now_us) for server in self.servers.values()])
+        return all([server.loans.on_incarnation_started(sender, now_us) for server in self.servers.values()])
 
-    def hear_clear(self, sender: int, incarnation: int) -> bool:
+    def on_incarnation_acknowledged(self, sender: int, incarnation: int) -> bool:
         """Handle an acknowledgement of this incarnation.
 
         Returns:
             Whether all fronts have acknowledged it: the home slots may be used and lent from now on.
         """
-        if incarnation != self.life or sender not in self.unclear:
+        if incarnation != self.incarnation or sender not in self.unacknowledged:
             return False
-        self.unclear.discard(sender)
+        self.unacknowledged.discard(sender)
         for server in self.servers.values():
-            server.lot.purse.is_cleared = not self.unclear
-        return not self.unclear
+            server.loans.quota.is_cleared = not self.unacknowledged
+        return not self.unacknowledged
 
     # The list of servers.
 
-    def listed(
+    def on_server_listed(
         self,
         key: int,
         kind: str,
@@ -110,15 +112,15 @@
         if known is None:
             if len(self.servers) >= MAX_SERVERS:
                 return False
-        elif known.kind == kind and (not started_us or is_same_start(known.born_us, started_us)):
+        elif known.kind == kind and (not started_us or is_same_start(known.started_us, started_us)):
             return False  # the same server, also where the list does not have its start any more
         limit = stored_limit
         if limit is None:
-            limit = self.terms.start
+            limit = self.settings.start
             if not is_warming_up:
-                limit = initial_limit_of_kind(self.servers.values(), kind, self.terms.start)
+                limit = initial_limit_of_kind(self.servers.values(), kind, self.settings.start)
         # Loans and attempts in flight at an address outlive the server there: its successor takes them over.
-        loans = None if known is None else known.lot
+        loans = None if known is None else known.loans
         self.servers[key] = self._new_server(key, kind, started_us, limit, loans, now_us)
         return True
 
@@ -126,24 +128,24 @@
         self, key: int, kind: str, started_us: int, limit: int, loans: QuotaLoans | None, now_us: int
     ) -> ServerLimits:
         panel = panel_of(key, self.fronts)
-        agreement = QuorumAgreement(panel, limit, self.terms.start, now_us)
+        agreement = QuorumAgreement(panel, limit, self.settings.start, now_us)
         if loans is None:
-            loans = QuotaLoans(key, self.fronts, self.index, self.life, now_us, self.loan_us)
-        loans.purse.is_cleared = not self.unclear
+            loans = QuotaLoans(key, self.fronts, self.index, self.incarnation, now_us, self.loan_us)
+        loans.quota.is_cleared = not self.unacknowledged
         loans.set_limit(limit, now_us)
         server = ServerLimits(key, kind, started_us, agreement, loans)
         if self.index in panel:
-            server.learner = AdaptiveLimit(self.terms, limit, now_us)
+            server.adaptive_limit = AdaptiveLimit(self.settings, limit, now_us)
         return server
 
-    def gone(self, keys: Iterable[int]) -> None:
+    def remove_servers(self, keys: Iterable[int]) -> None:
         """Remove servers that are not listed any more."""
         for key in keys:
             self.servers.pop(key, None)
 
     # Queries.
 
-    def most(self, key: int, now_us: int, max_duration_us: int = 0, shape: int | None = None) -> int:
+    def max_in_flight(self, key: int, now_us: int, max_duration_us: int = 0, shape: int | None = None) -> int:
         """How many attempts this front may have in flight at a server, in all or of one shape.
 
         The next one lasts for `max_duration_us` at most. An unknown server has no slots.
@@ -151,43 +153,45 @@
         server = self.servers.get(key)
         return 0 if server is None else server.max_in_flight(now_us, max_duration_us, shape)
 
-    def links(self, key: int, now_us: int) -> int:
+    def connection_target(self, key: int, now_us: int) -> int:
         """How many connections to keep open to a server, idle ones included."""
         server = self.servers.get(key)
         return 0 if server is None else server.connection_target(now_us)
 
-    def hold_us(self, key: int, shape: int) -> float | None:
+    def median_service_us(self, key: int, shape: int) -> float | None:
         """The median service time of a shape at a server: its own, else its kind's, else any server's."""
         server = self.servers.get(key)
-        if server is not None and shape in server.holds:
-            return server.holds[shape]
+        if server is not None and shape in server.median_service_us:
+            return server.median_service_us[shape]
         kind = server.kind if server is not None else ""
-        measured = [other for other in self.servers.values() if shape in other.holds]
+        measured = [other for other in self.servers.values() if shape in other.median_service_us]
         of_kind = [other for other in measured if other.kind == kind]
-        medians_us = [other.holds[shape] for other in of_kind or measured]
+        medians_us = [other.median_service_us[shape] for other in of_kind or measured]
         return median_low(medians_us) if medians_us else None
 
     # Attempts at this front. Those at an unknown server are ignored.
 
-    def wants(self, key: int, waiting: int) -> None:
+    def set_waiting(self, key: int, waiting: int) -> None:
         """Set how many attempts wait for a slot at a server."""
         server = self.servers.get(key)
         if server is not None:
-            server.lot.waiting = waiting
+            server.loans.waiting = waiting
 
-    def sent(self, key: int, shape: int, now_us: int, max_duration_us: int, waited_us: int = 0) -> None:
+    def on_attempt_started(
+        self, key: int, shape: int, now_us: int, max_duration_us: int, waited_us: int = 0
+    ) -> None:
         """Count an attempt in flight, which waited for its slot and lasts for `max_duration_us` at most."""
         server = self.servers.get(key)
         if server is not None:
             server.on_attempt_started(shape, now_us, max_duration_us, waited_us)
 
-    def ended(self, key: int, shape: int, held_us: int, answered: bool | None) -> None:
+    def on_attempt_ended(self, key: int, shape: int, held_us: int, answered: bool | None) -> None:
         """Count the end of an attempt; `answered` is None where it does not measure the server."""
         server = self.servers.get(key)
         if server is not None:
             server.on_attempt_ended(shape, held_us, answered)
 
-    def denied(self, key: int, shape: int) -> None:
+    def on_attempt_denied(self, key: int, shape: int) -> None:
         """Count an attempt that got no slot in time."""
         server = self.servers.get(key)
         if server is not None:
@@ -195,21 +199,21 @@
 
     # Reports.
 
-    def turn(self, now_us: int) -> list[ReplicaMessages]:
+    def close_windows(self, now_us: int) -> list[LimitReport]:
         """Close the windows that have passed, update all limits, and return the reports to send."""
         windows = (now_us - self.now_us) // WINDOW_US
         if windows <= 0:
             return []
         self.now_us += windows * WINDOW_US
-        self.number += 1
-        origin = ReportOrigin(self.index, self.life, self.number)
-        reports: list[ReplicaMessages] = []
+        self.sequence += 1
+        origin = ReportOrigin(self.index, self.incarnation, self.sequence)
+        reports: list[LimitReport] = []
         for server in self.servers.values():
             reports += _close_windows(server, windows, origin, self.fronts, now_us)
         return reports
 
-    def hear(
-        self, sender: int, incarnation: int, sequence: int, report: ReplicaMessages, now_us: int
+    def on_report(
+        self, sender: int, incarnation: int, sequence: int, report: LimitReport, now_us: int
     ) -> bool:
         """Handle another front's report; returns whether more attempts may be in flight now."""
         server = self.servers.get(report.server)
@@ -224,7 +228,7 @@
 
     # Loans.
 
-    def trade(
+    def exchange_slots(
         self, draw: float, now_us: int, keys: Iterable[int] | None = None
     ) -> list[tuple[int, int, QuotaRequest | QuotaTransfer]]:
         """The requests for slots and the returns to send now, of all servers or of some.
@@ -239,22 +243,22 @@
         """
         messages: list[tuple[int, int, QuotaRequest | QuotaTransfer]] = []
         for key in self.servers if keys is None else keys:
-            loans = self.servers[key].lot
+            loans = self.servers[key].loans
             if loans.waiting:
                 messages += [(to, key, request) for to, request in loans.request_slots(draw, now_us)]
             if loans.may_return:
                 messages += [(to, key, transfer) for to, transfer in loans.return_slots(now_us)]
         return messages
 
-    def hear_ask(self, sender: int, key: int, request: QuotaRequest, now_us: int) -> QuotaTransfer | None:
+    def on_request(self, sender: int, key: int, request: QuotaRequest, now_us: int) -> QuotaTransfer | None:
         """Handle another front's request for slots; returns the loan to send, None where there is none."""
         server = self.servers.get(key)
-        return server.lot.on_request(sender, request, now_us) if server is not None else None
+        return server.loans.on_request(sender, request, now_us) if server is not None else None
 
-    def hear_loan(self, sender: int, key: int, transfer: QuotaTransfer, now_us: int) -> bool:
+    def on_transfer(self, sender: int, key: int, transfer: QuotaTransfer, now_us: int) -> bool:
         """Handle another front's loan or return; returns whether more attempts may be in flight now."""
         server = self.servers.get(key)
-        return server is not None and server.lot.on_transfer(sender, transfer, now_us)
+        return server is not None and server.loans.on_transfer(sender, transfer, now_us)
 
 
 def _is_other_front(sender: int, fronts: int, index: int) -> bool:
@@ -263,17 +267,17 @@
 
 def _close_windows(
     server: ServerLimits, windows: int, origin: ReportOrigin, fronts: int, now_us: int
-) -> list[ReplicaMessages]:
+) -> list[LimitReport]:
     """Close a server's windows, update its limit, and return the reports to send about it."""
-    reports: list[ReplicaMessages] = []
+    reports: list[LimitReport] = []
     rows = server.close_windows(windows)
-    panel = tuple(front for front in server.agreed.panel if front != origin.front)
+    panel = tuple(front for front in server.agreement.panel if front != origin.front)
     if rows and panel:
-        reports.append(ReplicaMessages(panel, server.key, server.born_us, rows=rows))
-    if server.learner is not None:
-        vote = server.propose(server.learner, rows, origin, now_us)
+        reports.append(LimitReport(panel, server.key, server.started_us, rows=rows))
+    if server.adaptive_limit is not None:
+        vote = server.propose(server.adaptive_limit, rows, origin, now_us)
         recipients = server.vote_recipients(fronts, origin.front, now_us)
         if recipients:
-            reports.append(ReplicaMessages(recipients, server.key, server.born_us, vote=vote))
+            reports.append(LimitReport(recipients, server.key, server.started_us, vote=vote))
     server.update_limit(now_us)
     return reports
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/server_limits.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/server_limits.py
@@ -10,7 +10,7 @@
 from fennelcove.concurrency_limits.latency_histogram import (
     GossipedHistograms,
     OwnHistograms,
-    Row,
+    HistogramRow,
     class_of,
     quantile_us,
 )
@@ -41,47 +41,47 @@
 
     key: int  # the same at every front
     kind: str
-    born_us: int  # when the server started, 0 where that was long ago
-    agreed: QuorumAgreement
-    lot: QuotaLoans
+    started_us: int  # when the server started, 0 where that was long ago
+    agreement: QuorumAgreement
+    loans: QuotaLoans
     own_histograms: OwnHistograms = field(default_factory=OwnHistograms)
     gossip: GossipedHistograms = field(default_factory=GossipedHistograms)  # kept by the panel's fronts only
-    learner: AdaptiveLimit | None = None  # as above
+    adaptive_limit: AdaptiveLimit | None = None  # as above
     reporters: dict[int, int] = field(default_factory=dict)  # by front, when it last reported measurements
-    holds: dict[int, float] = field(default_factory=dict)  # median service times in us, by shape
+    median_service_us: dict[int, float] = field(default_factory=dict)  # median service times in us, by shape
     peak_in_flight: int = 0  # lowered by one in each window
 
     # Limits.
 
     def max_in_flight(self, now_us: int, max_duration_us: int, shape: int | None) -> int:
         """How many attempts this front may have in flight, in all or of one shape."""
-        slots = self.lot.most(now_us, max_duration_us)
+        slots = self.loans.max_in_flight(now_us, max_duration_us)
         if shape is None or slots <= 1:
             return slots
         return shape_share(slots, self._own_shape_limits(slots, now_us), shape)
 
     def _own_shape_limits(self, slots: int, now_us: int) -> Mapping[int, int]:
         """This front's share of the slots that each shape requires, rounded up."""
-        limit = max(1, self.agreed.whole)
-        required = self.agreed.shape_limits(now_us)
+        limit = max(1, self.agreement.limit)
+        required = self.agreement.shape_limits(now_us)
         return {shape: -(-required_slots * slots // limit) for shape, required_slots in required.items()}
 
     def connection_target(self, now_us: int) -> int:
         """How many connections to keep open, idle ones included."""
-        return max(self.lot.out, min(self.lot.most(now_us), self.peak_in_flight + 1))
+        return max(self.loans.in_flight, min(self.loans.max_in_flight(now_us), self.peak_in_flight + 1))
 
     def update_limit(self, now_us: int) -> bool:
         """Bring the panel's limit into force here; returns whether it is higher than before."""
-        before = self.agreed.whole
-        self.lot.set_limit(self.agreed.advance(now_us), now_us)
-        return self.agreed.whole > before
+        before = self.agreement.limit
+        self.loans.set_limit(self.agreement.advance(now_us), now_us)
+        return self.agreement.limit > before
 
     # Attempts.
 
     def on_attempt_started(self, shape: int, now_us: int, max_duration_us: int, waited_us: int) -> None:
         """Count an attempt in flight, which waited for its slot for `waited_us`."""
-        self.lot.on_attempt_started(now_us, max_duration_us)
-        self.peak_in_flight = max(self.peak_in_flight, self.lot.out)
+        self.loans.on_attempt_started(now_us, max_duration_us)
+        self.peak_in_flight = max(self.peak_in_flight, self.loans.in_flight)
         histogram = self.own_histograms.current_of(shape)
         histogram.requested += 1
         if waited_us > 0:
@@ -89,7 +89,7 @@
 
     def on_attempt_ended(self, shape: int, held_us: int, answered: bool | None) -> None:
         """Count the end of an attempt; `answered` is None where it does not measure the server."""
-        self.lot.on_attempt_ended()
+        self.loans.on_attempt_ended()
         if answered is None:
             return
         histogram = self.own_histograms.current_of(shape)
@@ -104,33 +104,33 @@
 
     # Measurements and votes.
 
-    def close_windows(self, windows: int) -> tuple[Row, ...]:
+    def close_windows(self, windows: int) -> tuple[HistogramRow, ...]:
         """Close the windows that have passed, and return the rows to report."""
         self.own_histograms.close_windows(windows)
-        self.peak_in_flight = max(self.lot.out, self.peak_in_flight - windows)
+        self.peak_in_flight = max(self.loans.in_flight, self.peak_in_flight - windows)
         rows = self.own_histograms.rows(MAX_ROWS)
         for row in rows:
             median_us = quantile_us(dict(row.service_times), 0.5)
             if median_us is not None:
-                self.holds[row.shape] = median_us
+                self.median_service_us[row.shape] = median_us
         return rows
 
     def propose(
-        self, learner: AdaptiveLimit, rows: Iterable[Row], origin: ReportOrigin, now_us: int
+        self, learner: AdaptiveLimit, rows: Iterable[HistogramRow], origin: ReportOrigin, now_us: int
     ) -> QuorumVote:
         """Update this front's proposal by all measurements, its own rows included, and vote for it."""
         self._add_rows(rows, origin, now_us)
         self.gossip.remove_stale(now_us)
-        learner.on_window_closed(self.gossip.merged(now_us), self.agreed.whole, now_us)
-        self.holds.update(learner.samples.median_service_us)
+        learner.on_window_closed(self.gossip.merged(now_us), self.agreement.limit, now_us)
+        self.median_service_us.update(learner.samples.median_service_us)
         largest_first = sorted(learner.shape_limits.items(), key=lambda limit: (-limit[1], limit[0]))
         vote = QuorumVote(learner.limit, tuple(largest_first[:MAX_SHAPE_LIMITS]))
         self._add_vote(vote, origin, now_us)
         return vote
 
-    def on_rows(self, rows: Iterable[Row], origin: ReportOrigin, now_us: int) -> None:
+    def on_rows(self, rows: Iterable[HistogramRow], origin: ReportOrigin, now_us: int) -> None:
         """Handle the measurements of another front; only the panel's fronts use them."""
-        if self.learner is None:
+        if self.adaptive_limit is None:
             return
         self.reporters[origin.front] = now_us
         self._add_rows(rows, origin, now_us)
@@ -139,12 +139,12 @@
         """Handle the vote of another front; returns whether the limit in force is higher than before."""
         return self._add_vote(vote, origin, now_us) and self.update_limit(now_us)
 
-    def _add_rows(self, rows: Iterable[Row], origin: ReportOrigin, now_us: int) -> None:
+    def _add_rows(self, rows: Iterable[HistogramRow], origin: ReportOrigin, now_us: int) -> None:
         for row in rows:
             self.gossip.on_row(origin.front, origin.incarnation, origin.sequence, row, now_us)
 
     def _add_vote(self, vote: QuorumVote, origin: ReportOrigin, now_us: int) -> bool:
-        return self.agreed.on_vote(origin.front, origin.incarnation, origin.sequence, vote, now_us)
+        return self.agreement.on_vote(origin.front, origin.incarnation, origin.sequence, vote, now_us)
 
     def vote_recipients(self, fronts: int, index: int, now_us: int) -> tuple[int, ...]:
         """The other fronts to send this front's vote to: all of a small fleet, else the server's users."""
@@ -155,11 +155,13 @@
             for front, reported_us in self.reporters.items()
             if now_us - reported_us <= REPORTER_VALIDITY_US
         }
-        return tuple(sorted({*self.agreed.panel, *self.reporters} - {index}))
+        return tuple(sorted({*self.agreement.panel, *self.reporters} - {index}))
 
     def is_same_server(self, started_us: int, now_us: int) -> bool:
         """Whether a report is of this server, and not of another one at its address."""
-        return is_same_start(_reported_start_us(self.born_us, now_us), _reported_start_us(started_us, now_us))
+        return is_same_start(
+            _reported_start_us(self.started_us, now_us), _reported_start_us(started_us, now_us)
+        )
 
 
 def _reported_start_us(started_us: int, now_us: int) -> int:
@@ -171,9 +173,9 @@
 def initial_limit_of_kind(servers: Iterable[ServerLimits], kind: str, min_limit: int) -> int:
     """The limit of a new server, by the limits of the measured servers of its kind."""
     limits = [
-        server.agreed.whole
+        server.agreement.limit
         for server in servers
-        if server.kind == kind and server.learner is not None and server.learner.is_measured
+        if server.kind == kind and server.adaptive_limit is not None and server.adaptive_limit.is_measured
     ]
     if not limits:
         return min_limit
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/workload_shape.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/workload_shape.py
@@ -10,9 +10,9 @@
 from collections.abc import Mapping
 
 MAX_SERVICE_CLASSES = 8
-BANDS = 3  # low, middle and high rungs of the bitrate ladder
+BAND_COUNT = 3  # low, middle and high rungs of the bitrate ladder
 SHAPES_PER_BAND = 2  # not ready, ready
-SHAPES_PER_CLASS = BANDS * SHAPES_PER_BAND
+SHAPES_PER_CLASS = BAND_COUNT * SHAPES_PER_BAND
 MAX_SHAPES = MAX_SERVICE_CLASSES * SHAPES_PER_CLASS
 BAND_NAMES = ("low", "middle", "high")
 
@@ -26,12 +26,12 @@
         rung_count: the rungs of the bitrate ladder.
         is_ready: the server has the title at hand, and is not warming up.
     """
-    band = min(BANDS - 1, max(0, rung) * BANDS // max(1, rung_count))
+    band = min(BAND_COUNT - 1, max(0, rung) * BAND_COUNT // max(1, rung_count))
     bounded_class = min(service_class, MAX_SERVICE_CLASSES - 1)
-    return (bounded_class * BANDS + band) * SHAPES_PER_BAND + is_ready
+    return (bounded_class * BAND_COUNT + band) * SHAPES_PER_BAND + is_ready
 
 
-def name_of(shape: int, service_classes: tuple[str, ...]) -> str:
+def shape_name(shape: int, service_classes: tuple[str, ...]) -> str:
     """The name of a shape, for the status page."""
     service_class, rest = divmod(shape, SHAPES_PER_CLASS)
     band, is_ready = divmod(rest, SHAPES_PER_BAND)
--- a/packages/core/src/fennelcove/core/client_notifier.py
+++ b/packages/core/src/fennelcove/core/client_notifier.py
@@ -209,7 +209,7 @@
             session = self.lifecycle.sessions.get(session_id)
             if session is None:
                 continue
-            if not change.target.meets(session.title, session.service_class, session_id):
+            if not change.target.matches(session.title, session.service_class, session_id):
                 continue
             owner, number = self.ownerships.on_update(session_id)
             if owner is not None:
--- a/packages/core/src/fennelcove/core/content_insertion.py
+++ b/packages/core/src/fennelcove/core/content_insertion.py
@@ -23,12 +23,18 @@
 from fennelcove.core.session_lifecycle import SessionLifecycle
 from fennelcove.decisions.playback import playlist_cursor, resume_tokens
 from fennelcove.decisions.playback.playlist_cursor import PlaylistTrack
-from fennelcove.decisions.playback.splices import Entry, Ledger, Ruling, Scene, Verdict
+from fennelcove.decisions.playback.splices import (
+    LedgerEntry,
+    ChangeLedger,
+    ChangeStatus,
+    ValidationContext,
+    ChangeResult,
+)
 from fennelcove.decisions.servers.command_queue import Command
-from fennelcove.manifests.hls import Listing, target_duration
+from fennelcove.manifests.hls import MediaListing, target_duration
 from fennelcove.placement import PlacementPolicy
 from fennelcove.settings.schema import Author, StitchSettings
-from fennelcove.timeline.model import Change, Media, Target
+from fennelcove.timeline.model import Change, Media, ChangeTarget
 
 
 class ClipRendition(NamedTuple):
@@ -48,7 +54,7 @@
         ahead: How many have it still before them.
     """
 
-    entry: Entry
+    entry: LedgerEntry
     shown_count: int
     ahead_count: int
 
@@ -94,7 +100,7 @@
         self._notifier = notifier
         self.media = configured_media(catalogue)
         self.target_duration_s = target_duration(self.media.values())
-        self.ledger = Ledger()
+        self.ledger = ChangeLedger()
         self.players: dict[str, Player] = {}
         self._locator = SegmentLocator(context, catalogue, policy, self.media, settings.slate)
         self._playlists = PlaylistBuilder(self.media, self.ledger, self._locator.is_playable)
@@ -110,21 +116,21 @@
                 found = author
         return found
 
-    def submit(self, change: Change) -> Verdict:
+    def submit(self, change: Change) -> ChangeResult:
         """Decide on a change; an accepted one is in force at once."""
         with self._context.lock:
             verdict = self.ledger.submit(change, self._scene(change.target))
-            self._context.increment(f"changes_{verdict.ruling.value}")
-            if verdict.ruling is Ruling.MADE:
+            self._context.increment(f"changes_{verdict.status.value}")
+            if verdict.status is ChangeStatus.ACCEPTED:
                 self._notifier.on_content_changed(change, "made")
             return verdict
 
-    def withdraw(self, change_id: str) -> Verdict:
+    def withdraw(self, change_id: str) -> ChangeResult:
         """Withdraw a change."""
         with self._context.lock:
             verdict = self.ledger.withdraw(change_id)
-            self._context.increment(f"changes_{verdict.ruling.value}")
-            if verdict.ruling is Ruling.WITHDRAWN:
+            self._context.increment(f"changes_{verdict.status.value}")
+            if verdict.status is ChangeStatus.WITHDRAWN:
                 self._notifier.on_content_changed(self.ledger.entries[change_id].change, "withdrawn")
             return verdict
 
@@ -139,7 +145,7 @@
                 if not was_made:
                     self.ledger.withdraw(change.id)
                 elif change.id not in self.ledger.entries:
-                    self.ledger.put(change)
+                    self.ledger.add(change)
 
     def list_changes(self, title: str | None = None) -> list[ChangeReach]:
         """Return the changes, or those of one title, the oldest first, each with its reach."""
@@ -150,14 +156,14 @@
                 if title in (None, entry.change.target.title)
             ]
 
-    def _scene(self, target: Target) -> Scene:
+    def _scene(self, target: ChangeTarget) -> ValidationContext:
         """Collect what the ledger has to know of the sessions that a change is meant for."""
-        session = self._lifecycle.sessions.get(target.subscription) if target.subscription else None
-        is_playing = target.subscription is None or (session is not None and session.title == target.title)
+        session = self._lifecycle.sessions.get(target.session_id) if target.session_id else None
+        is_playing = target.session_id is None or (session is not None and session.title == target.title)
         player = self.players.get(session.id) if session is not None else None
-        position = player.track.cursor.lesson if player is not None else None
-        floor = session.floor_rung if session is not None else self._highest_floor(target.room_type)
-        return Scene(self.media, floor, self._context.wall_us(), position, is_playing)
+        position = player.track.cursor.next_title_segment if player is not None else None
+        floor = session.floor_rung if session is not None else self._highest_floor(target.service_class)
+        return ValidationContext(self.media, floor, self._context.wall_us(), position, is_playing)
 
     def _highest_floor(self, service_class: str | None) -> int:
         """Return the highest lowest rung of a service class, or of all classes."""
@@ -168,23 +174,23 @@
         ]
         return max(floors, default=0)
 
-    def _reach(self, entry: Entry) -> ChangeReach:
+    def _reach(self, entry: LedgerEntry) -> ChangeReach:
         shown = ahead = 0
         for id, player in self.players.items():
             session = self._lifecycle.sessions[id]
-            if not entry.change.target.meets(session.title, session.service_class, id):
+            if not entry.change.target.matches(session.title, session.service_class, id):
                 continue
-            if player.track.names(entry.change.id):
+            if player.track.lists_change(entry.change.id):
                 shown += 1
                 continue
-            first_segment = entry.change.first(self.media[session.title])
-            if first_segment is None or first_segment >= player.track.cursor.lesson:
+            first_segment = entry.change.first_segment(self.media[session.title])
+            if first_segment is None or first_segment >= player.track.cursor.next_title_segment:
                 ahead += 1
         return ChangeReach(entry, shown, ahead)
 
     # Playlists.
 
-    def playlist(self, session_id: str, with_interstitials: bool = False) -> Listing | None:
+    def playlist(self, session_id: str, with_interstitials: bool = False) -> MediaListing | None:
         """Return a player's playlist as of now; None where nothing plays or the title has no media.
 
         Args:
@@ -200,21 +206,21 @@
             player = self.players.get(session_id)
             if player is None:
                 player = self.players[session_id] = Player(
-                    playlist_cursor.begin(media, wall_us, with_interstitials)
+                    playlist_cursor.new_track(media, wall_us, with_interstitials)
                 )
             track = player.track
             if self._playlists.extend(session, track, wall_us):
                 self._save_resume_token(session, track)
             shown, joints = track.window()
-            return Listing(
+            return MediaListing(
                 shown,
                 joints,
-                track.ended,
-                media.live,
+                track.is_ended,
+                media.is_live,
                 track.began_wall_us,
                 self.media,
                 self._playlists.interstitials(track, shown),
-                track.cursor.breaks if track.ended else (),
+                track.cursor.interstitial_ids if track.is_ended else (),
             )
 
     # Segments.
@@ -225,8 +231,8 @@
             session, player = self._lifecycle.sessions.get(session_id), self.players.get(session_id)
             if session is None or player is None:
                 return None
-            is_repeated = seq <= player.track.fetched
-            shown = player.track.fetch(seq)
+            is_repeated = seq <= player.track.last_fetched
+            shown = player.track.on_segment_requested(seq)
             if shown is None:
                 return None
             tried = player.servers_tried(seq)
@@ -242,8 +248,10 @@
             if session is None or player is None or entry is None or entry.change.clip not in self.media:
                 return None
             clip, track = self.media[entry.change.clip], player.track
-            is_new = change not in track.begun
-            rung = track.asset(change, clip, session.rung, session.floor_rung, entry.withdrawn is not None)
+            is_new = change not in track.interstitial_rungs
+            rung = track.interstitial_rung(
+                change, clip, session.rung, session.floor_rung, entry.withdrawn_version is not None
+            )
             if rung is None:
                 return None
             if is_new:
@@ -255,11 +263,11 @@
         with self._context.lock:
             session, player = self._lifecycle.sessions.get(session_id), self.players.get(session_id)
             entry = self.ledger.entries.get(change)
-            rung = player.track.begun.get(change) if player is not None else None
+            rung = player.track.interstitial_rungs.get(change) if player is not None else None
             if session is None or player is None or entry is None or rung is None:
                 return None
             clip = self.media[entry.change.clip or ""]
-            if number >= (clip.count or 0):
+            if number >= (clip.segment_count or 0):
                 return None
             shown = interstitial_segment(clip, number, rung, change)
             tried = player.servers_tried(InterstitialSegment(change, number))
@@ -271,7 +279,7 @@
             session, player = self._lifecycle.sessions.get(session_id), self.players.get(session_id)
             if session is None or player is None:
                 return None
-            for shown in (*player.track.shown, *self._playlists.begun_interstitials(player.track)):
+            for shown in (*player.track.segments, *self._playlists.begun_interstitials(player.track)):
                 if shown.media == media and shown.rung == rung:
                     return self._locator.initialization(session, shown)
             return None
@@ -280,7 +288,7 @@
 
     def resume_playlist(self, session: Session, token: str) -> None:
         """Resume the playlist of a session of an earlier incarnation, by the token that its server kept."""
-        track = resume_tokens.read(token)
+        track = resume_tokens.decode(token)
         if track is not None and session.title in self.media:
             self.players[session.id] = Player(track)
 
@@ -292,5 +300,5 @@
         """Have the session's server store how far the playlist is."""
         if session.current_target is not None and not session.is_orphaned:
             home = session.current_target
-            token = resume_tokens.write(track)
+            token = resume_tokens.encode(track)
             self._commands.enqueue(Command(home.server, session.id, home.attempt, None, token))
--- a/packages/core/src/fennelcove/core/draining_servers.py
+++ b/packages/core/src/fennelcove/core/draining_servers.py
@@ -59,12 +59,12 @@
         if state is ServerState.ACTIVE:
             self._departed.discard(address)
             was_draining = self._since_us.pop(address, None) is not None
-            return MigrationEvent.CALM if was_draining else None
+            return MigrationEvent.SERVER_IN_SERVICE if was_draining else None
         if state is ServerState.LEFT and address not in self._departed:
             self._since_us.setdefault(address, now_us)
             self._departed.add(address)
-            return MigrationEvent.GONE
+            return MigrationEvent.SERVER_DELISTED
         if address not in self._since_us:
             self._since_us[address] = now_us
-            return MigrationEvent.TOLD
+            return MigrationEvent.SERVER_DRAINING
         return None
--- a/packages/core/src/fennelcove/core/learned_limit_messages.py
+++ b/packages/core/src/fennelcove/core/learned_limit_messages.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from fennelcove import limit_messages
-from fennelcove.concurrency_limits.replica import Replica, ReplicaMessages
+from fennelcove.concurrency_limits.replica import Replica, LimitReport
 from fennelcove.decisions.fleet.shared_quotas import QuotaTransfer
 
 
@@ -37,16 +37,18 @@
     def __init__(self, replica: Replica) -> None:
         self._replica = replica
 
-    def encode_window(self, messages: Sequence[ReplicaMessages], now_us: int) -> list[OutgoingMessage]:
+    def encode_window(self, messages: Sequence[LimitReport], now_us: int) -> list[OutgoingMessage]:
         """Encode a window's messages, then start notices for the fronts that have not confirmed one yet."""
         replica = self._replica
         outgoing = []
-        for front in sorted({taker for message in messages for taker in message.takers}):
-            addressed = [message for message in messages if front in message.takers]
-            payloads = limit_messages.encode(replica.life, replica.number, addressed, now_us)
+        for front in sorted({taker for message in messages for taker in message.recipients}):
+            addressed = [message for message in messages if front in message.recipients]
+            payloads = limit_messages.encode(replica.incarnation, replica.sequence, addressed, now_us)
             outgoing += [OutgoingMessage(front, payload) for payload in payloads]
-        start_notice = limit_messages.encode_incarnation(limit_messages.INCARNATION_BEGUN, replica.life)
-        outgoing += [OutgoingMessage(front, start_notice) for front in replica.begun()]
+        start_notice = limit_messages.encode_incarnation(
+            limit_messages.INCARNATION_BEGUN, replica.incarnation
+        )
+        outgoing += [OutgoingMessage(front, start_notice) for front in replica.incarnation_recipients()]
         return outgoing
 
     def on_message(self, sender: int, payload: bytes, now_us: int) -> MessageOutcome | None:
@@ -64,7 +66,9 @@
             return None
         incarnation, sequence, messages = decoded
         # A list, not a generator: every message is applied, also after the first that changes something.
-        changes = [self._replica.hear(sender, incarnation, sequence, message, now_us) for message in messages]
+        changes = [
+            self._replica.on_report(sender, incarnation, sequence, message, now_us) for message in messages
+        ]
         return MessageOutcome(has_more_capacity=any(changes))
 
     def _on_quota_exchange(self, sender: int, payload: bytes, now_us: int) -> MessageOutcome | None:
@@ -74,9 +78,9 @@
         server_key, message = decoded
         if isinstance(message, QuotaTransfer):
             return MessageOutcome(
-                has_more_capacity=self._replica.hear_loan(sender, server_key, message, now_us)
+                has_more_capacity=self._replica.on_transfer(sender, server_key, message, now_us)
             )
-        transfer = self._replica.hear_ask(sender, server_key, message, now_us)
+        transfer = self._replica.on_request(sender, server_key, message, now_us)
         if transfer is None:
             return MessageOutcome()
         return MessageOutcome(reply=limit_messages.encode_slot_message(server_key, transfer))
@@ -86,8 +90,10 @@
         if incarnation is None:
             return None
         if kind == limit_messages.SLOTS_CLEARED:
-            return MessageOutcome(has_more_capacity=self._replica.hear_clear(sender, incarnation))
-        if self._replica.hear_begun(sender, now_us):
+            return MessageOutcome(
+                has_more_capacity=self._replica.on_incarnation_acknowledged(sender, incarnation)
+            )
+        if self._replica.on_incarnation_started(sender, now_us):
             return MessageOutcome(
                 reply=limit_messages.encode_incarnation(limit_messages.SLOTS_CLEARED, incarnation)
             )
--- a/packages/core/src/fennelcove/core/learned_limit_snapshots.py
+++ b/packages/core/src/fennelcove/core/learned_limit_snapshots.py
@@ -25,9 +25,9 @@
     def restore(self, values: Mapping[bytes, bytes]) -> None:
         """Take over the records of the previous incarnation; each waits until its server is listed."""
         self._unclaimed = {
-            key[len(persisted.KEY) :].decode("utf-8", "replace"): record
+            key[len(persisted.KEY_PREFIX) :].decode("utf-8", "replace"): record
             for key, record in values.items()
-            if key.startswith(persisted.KEY)
+            if key.startswith(persisted.KEY_PREFIX)
         }
 
     def claim(self, address: str, kind: str, started_us: int, now_us: int) -> int | None:
@@ -37,7 +37,7 @@
             return None
         wall_us = self._clock.wall_us()
         started_wall_us = _to_wall_us(started_us, now_us, wall_us)
-        return persisted.recall(record, kind, started_wall_us, self._replica.terms.start, wall_us)
+        return persisted.restore_limit(record, kind, started_wall_us, self._replica.settings.start, wall_us)
 
     def records(self, server_keys: Mapping[str, int]) -> list[tuple[bytes, bytes]]:
         """Return the store records of listed servers.
@@ -48,14 +48,14 @@
         records = []
         for address, server_key in server_keys.items():
             server = self._replica.servers[server_key]
-            started_wall_us = _to_wall_us(server.born_us, now_us, wall_us)
-            record = persisted.KeptSlots(
+            started_wall_us = _to_wall_us(server.started_us, now_us, wall_us)
+            record = persisted.StoredLimit(
                 server.kind,
                 round(started_wall_us / SECOND_US) * SECOND_US,
-                server.agreed.whole,
+                server.agreement.limit,
                 wall_us // MINUTE_US * MINUTE_US,
             )
-            records.append((persisted.KEY + address.encode(), msgspec.msgpack.encode(record)))
+            records.append((persisted.KEY_PREFIX + address.encode(), msgspec.msgpack.encode(record)))
         return records
 
 
--- a/packages/core/src/fennelcove/core/learned_limit_status.py
+++ b/packages/core/src/fennelcove/core/learned_limit_status.py
@@ -7,7 +7,7 @@
 
 from fennelcove.concurrency_limits.replica import Replica
 from fennelcove.concurrency_limits.server_limits import ServerLimits
-from fennelcove.concurrency_limits.workload_shape import name_of
+from fennelcove.concurrency_limits.workload_shape import shape_name
 
 MAX_SERVERS_SHOWN = 64
 
@@ -46,26 +46,26 @@
         address: _server_status(replica.servers[server_key], replica, service_classes, now_us)
         for address, server_key in shown
     }
-    return LimitStatus(len(replica.unclear), servers)
+    return LimitStatus(len(replica.unacknowledged), servers)
 
 
 def _server_status(
     server: ServerLimits, replica: Replica, service_classes: tuple[str, ...], now_us: int
 ) -> ServerLimitStatus:
-    learner, lot = server.learner, server.lot
+    learner, lot = server.adaptive_limit, server.loans
     return ServerLimitStatus(
-        whole=server.agreed.whole,
-        stands=server.agreed.stand.name.lower(),
-        phase=learner.phase.name.lower() if learner is not None else None,
-        gradient=round(learner.now, 2) if learner is not None else None,
-        here=lot.most(now_us),
-        out=lot.out,
+        whole=server.agreement.limit,
+        stands=server.agreement.state.name.lower(),
+        phase=learner.state.name.lower() if learner is not None else None,
+        gradient=round(learner.last_gradient, 2) if learner is not None else None,
+        here=lot.max_in_flight(now_us),
+        out=lot.in_flight,
         waiting=lot.waiting,
-        borrowed=len(lot.purse.borrowed),
-        lent=len(lot.purse.lent),
-        links=replica.links(server.key, now_us),
+        borrowed=len(lot.quota.borrowed),
+        lent=len(lot.quota.lent),
+        links=replica.connection_target(server.key, now_us),
         holds_ms={
-            name_of(shape, service_classes): round(hold_us / 1000)
-            for shape, hold_us in sorted(server.holds.items())
+            shape_name(shape, service_classes): round(hold_us / 1000)
+            for shape, hold_us in sorted(server.median_service_us.items())
         },
     )
--- a/packages/core/src/fennelcove/core/learned_limits.py
+++ b/packages/core/src/fennelcove/core/learned_limits.py
@@ -24,7 +24,7 @@
 from fennelcove.core.requests import EventLogger
 from fennelcove.settings.schema import Instance, RoomTypeSettings, SlotSettings
 
-QUOTA_EXCHANGE_INTERVAL_US = quota_loans.ASK_US  # interval of requests for quota and of returns
+QUOTA_EXCHANGE_INTERVAL_US = quota_loans.REQUEST_INTERVAL_US  # interval of requests for quota and of returns
 LIST_REFRESH_US = 20_000  # least interval between two reads of the server list
 LOGGED_ACTIONS = (
     LimitAction.RISE,
@@ -117,8 +117,10 @@
             server_key = self._server_key(server)
             if server_key is None:
                 return False
-            in_flight = self.replica.servers[server_key].lot.out
-            if in_flight < self.replica.most(server_key, self.clock.now_us(), self.longest_timeout_us):
+            in_flight = self.replica.servers[server_key].loans.in_flight
+            if in_flight < self.replica.max_in_flight(
+                server_key, self.clock.now_us(), self.longest_timeout_us
+            ):
                 return True
             self._rejected[server] = self._rejected.get(server, 0) + 1
         self._publish_demand(server)
@@ -131,11 +133,11 @@
             if server_key is None:
                 return False
             now_us = self.clock.now_us()
-            in_flight = self.replica.servers[server_key].lot.out
-            if in_flight >= self.replica.most(server_key, now_us, allow_us):
-                self.replica.denied(server_key, shape)
+            in_flight = self.replica.servers[server_key].loans.in_flight
+            if in_flight >= self.replica.max_in_flight(server_key, now_us, allow_us):
+                self.replica.on_attempt_denied(server_key, shape)
                 return False
-            self.replica.sent(server_key, shape, now_us, allow_us)
+            self.replica.on_attempt_started(server_key, shape, now_us, allow_us)
             return True
 
     def on_attempt_ended(self, server: str, shape: int, held_us: int, answered: bool | None) -> None:
@@ -151,7 +153,7 @@
         with self._lock:
             server_key = self.server_keys.get(server)
             if server_key is not None:
-                self.replica.ended(server_key, shape, held_us, answered)
+                self.replica.on_attempt_ended(server_key, shape, held_us, answered)
 
     def max_in_flight(self, server: str, allow_us: int) -> int:
         """Return how many attempts this front may have in flight at a server, those in flight included.
@@ -162,7 +164,7 @@
             server_key = self._server_key(server)
             if server_key is None:
                 return 0
-            return self.replica.most(server_key, self.clock.now_us(), allow_us)
+            return self.replica.max_in_flight(server_key, self.clock.now_us(), allow_us)
 
     def set_waiting_count(self, server: str, waiting: int) -> None:
         """Set the number of requests that wait for a slot at a server."""
@@ -174,12 +176,14 @@
         """Return how many connections to keep to a server, idle ones included."""
         with self._lock:
             server_key = self.server_keys.get(server)
-            return 0 if server_key is None else self.replica.links(server_key, self.clock.now_us())
+            return (
+                0 if server_key is None else self.replica.connection_target(server_key, self.clock.now_us())
+            )
 
     def median_hold_us(self, server: str, shape: int) -> int | None:
         """Return the median time that such an attempt holds its slot; None where it is not known."""
         with self._lock:
-            median_us = self.replica.hold_us(self.server_keys.get(server, -1), shape)
+            median_us = self.replica.median_service_us(self.server_keys.get(server, -1), shape)
             return None if median_us is None else round(median_us)
 
     def _server_key(self, server: str) -> int | None:
@@ -196,8 +200,8 @@
             if server_key is None:
                 return
             waiting = max(self._queued.get(server, 0), self._rejected.get(server, 0))
-            has_grown = waiting > self.replica.servers[server_key].lot.waiting
-            self.replica.wants(server_key, waiting)
+            has_grown = waiting > self.replica.servers[server_key].loans.waiting
+            self.replica.set_waiting(server_key, waiting)
         if has_grown:
             self.schedule_quota_exchange()
 
@@ -211,10 +215,10 @@
             rejected, self._rejected = self._rejected, {}
             for server in rejected:
                 self._publish_demand(server)
-            limits_before = {key: server.agreed.whole for key, server in self.replica.servers.items()}
-            messages = self.replica.turn(now_us)
+            limits_before = {key: server.agreement.limit for key, server in self.replica.servers.items()}
+            messages = self.replica.close_windows(now_us)
             has_risen = any(
-                server.agreed.whole > limits_before[key] for key, server in self.replica.servers.items()
+                server.agreement.limit > limits_before[key] for key, server in self.replica.servers.items()
             )
             self._log_actions()
             outgoing = self._messages.encode_window(messages, now_us)
@@ -226,7 +230,7 @@
     def exchange_quota(self) -> None:
         """Request quota that is short, and return what is not needed."""
         with self._lock:
-            outgoing = self.replica.trade(self._rng.random(), self.clock.now_us())
+            outgoing = self.replica.exchange_slots(self._rng.random(), self.clock.now_us())
         for front, server_key, message in outgoing:
             self.send(front, limit_messages.encode_slot_message(server_key, message))
 
@@ -240,11 +244,11 @@
             server_key = crc32(f"{server.address} {server.kind}".encode())
             server_keys[server.address] = server_key
             limit = self._snapshots.claim(server.address, server.kind, server.started_us, now_us)
-            self.replica.listed(
+            self.replica.on_server_listed(
                 server_key, server.kind, server.started_us, now_us, limit, server.is_warming_up
             )
         listed = set(server_keys.values())
-        self.replica.gone([key for key in self.replica.servers if key not in listed])
+        self.replica.remove_servers([key for key in self.replica.servers if key not in listed])
         self.server_keys, self._listed_us = server_keys, now_us
         self._warming_up = frozenset(warming_up)
         self._queued = {server: count for server, count in self._queued.items() if server in server_keys}
@@ -253,8 +257,8 @@
         """Log how often limits were adjusted since the last window, at servers that this front evaluates."""
         counts: dict[LimitAction, int] = {}
         for server in self.replica.servers.values():
-            if server.learner is not None:
-                for action, count in server.learner.acts.items():
+            if server.adaptive_limit is not None:
+                for action, count in server.adaptive_limit.action_counts.items():
                     counts[action] = counts.get(action, 0) + count
         for action in LOGGED_ACTIONS:
             increase = counts.get(action, 0) - self._logged_counts.get(action, 0)
--- a/packages/core/src/fennelcove/core/player_playlists.py
+++ b/packages/core/src/fennelcove/core/player_playlists.py
@@ -8,10 +8,10 @@
 
 from fennelcove.core.requests import Session
 from fennelcove.decisions.playback import playlist_cursor
-from fennelcove.decisions.playback.playlist_cursor import PlaylistTrack, Viewpoint
-from fennelcove.decisions.playback.splices import Ledger
+from fennelcove.decisions.playback.playlist_cursor import PlaylistTrack, SelectionContext
+from fennelcove.decisions.playback.splices import ChangeLedger
 from fennelcove.manifests.hls import Interstitial
-from fennelcove.timeline.model import Media, Shown
+from fennelcove.timeline.model import Media, ListedSegment
 
 NO_SEQUENCE = -1  # of a segment that is not part of the player's own playlist
 
@@ -33,7 +33,7 @@
     def servers_tried(self, segment: int | InterstitialSegment) -> list[str]:
         """Return the list of servers tried for a segment; the lists of old segments are dropped."""
         tried = self.tried.setdefault(segment, [])
-        while len(self.tried) > playlist_cursor.KEPT:
+        while len(self.tried) > playlist_cursor.RETAINED_SEGMENTS:
             del self.tried[next(iter(self.tried))]
         return tried
 
@@ -42,7 +42,7 @@
     """Extends players' playlists by the ledger of changes; the caller holds the lock."""
 
     def __init__(
-        self, media: Mapping[str, Media], ledger: Ledger, is_playable: Callable[[str], bool]
+        self, media: Mapping[str, Media], ledger: ChangeLedger, is_playable: Callable[[str], bool]
     ) -> None:
         """Create a builder.
 
@@ -62,7 +62,7 @@
         """
         added = 0
         for _ in range(2):
-            replayed_version = track.replays()
+            replayed_version = track.replay_version()
             viewpoint = self._viewpoint(session, track, wall_us, replayed_version)
             version = self._ledger.version if replayed_version is None else replayed_version
             added += track.extend(viewpoint, version)
@@ -72,9 +72,9 @@
 
     def _viewpoint(
         self, session: Session, track: PlaylistTrack, wall_us: int, at_version: int | None
-    ) -> Viewpoint:
-        changes = tuple(self._ledger.standing(session.title, at_version))
-        return Viewpoint(
+    ) -> SelectionContext:
+        changes = tuple(self._ledger.active_changes(session.title, at_version))
+        return SelectionContext(
             self._media,
             session.title,
             session.service_class,
@@ -85,38 +85,40 @@
             wall_us,
             track.began_wall_us,
             self._is_playable,
-            track.apart,
+            track.uses_interstitials,
         )
 
-    def interstitials(self, track: PlaylistTrack, shown: list[Shown]) -> dict[str, Interstitial]:
+    def interstitials(self, track: PlaylistTrack, shown: list[ListedSegment]) -> dict[str, Interstitial]:
         """Return a playlist's interstitials by change; a withdrawn one stays where it has begun."""
-        announced = (change for item in shown for change in item.breaks)
+        announced = (change for item in shown for change in item.interstitial_ids)
         found = {}
-        for change in (*announced, *track.cursor.breaks):
+        for change in (*announced, *track.cursor.interstitial_ids):
             entry = self._ledger.entries.get(change)
-            if entry is None or (entry.withdrawn is not None and change not in track.begun):
+            if entry is None or (
+                entry.withdrawn_version is not None and change not in track.interstitial_rungs
+            ):
                 continue
             found[change] = Interstitial(change, self._media[entry.change.clip or ""])
         return found
 
-    def begun_interstitials(self, track: PlaylistTrack) -> Iterator[Shown]:
+    def begun_interstitials(self, track: PlaylistTrack) -> Iterator[ListedSegment]:
         """Yield the first segment of each interstitial that a player has begun."""
-        for change, rung in track.begun.items():
+        for change, rung in track.interstitial_rungs.items():
             entry = self._ledger.entries.get(change)
             clip = self._media.get(entry.change.clip or "") if entry is not None else None
             if clip is not None:
                 yield interstitial_segment(clip, 0, rung, change)
 
 
-def interstitial_segment(clip: Media, number: int, rung: int, change: str) -> Shown:
+def interstitial_segment(clip: Media, number: int, rung: int, change: str) -> ListedSegment:
     """Return a segment of an interstitial as the routing of segments takes it."""
-    return Shown(
+    return ListedSegment(
         NO_SEQUENCE,
         clip.name,
         number,
         rung,
-        clip.start(number),
-        clip.each,
-        playlist_cursor.BEGINNING,
+        clip.segment_start_s(number),
+        clip.segment_duration_s,
+        playlist_cursor.FIRST_PERIOD,
         change,
     )
--- a/packages/core/src/fennelcove/core/segment_sources.py
+++ b/packages/core/src/fennelcove/core/segment_sources.py
@@ -8,10 +8,10 @@
 from fennelcove.core.context import Catalogue, CoreContext
 from fennelcove.core.requests import Session
 from fennelcove.decisions.playback import segment_routing
-from fennelcove.decisions.playback.segment_routing import Offer, Pick, Source
+from fennelcove.decisions.playback.segment_routing import SegmentCandidates, SegmentRoute, SegmentSource
 from fennelcove.interface import ServerState
 from fennelcove.placement import PlacementPolicy, Server
-from fennelcove.timeline.model import Media, Shown
+from fennelcove.timeline.model import Media, ListedSegment
 
 MAX_SERVERS_TRIED = 8
 NO_CAPACITY = float("inf")  # the utility factor of a server that cannot take the stream
@@ -26,7 +26,7 @@
         url: The URL to fetch.
     """
 
-    source: Source
+    source: SegmentSource
     url: str = ""
 
 
@@ -61,7 +61,7 @@
         """Return whether a clip can be shown now, if need be by the slate in its place."""
         return self._slate is not None or bool(self._usable_replicas(clip))
 
-    def segment(self, session: Session, shown: Shown, tried: list[str]) -> Fetch:
+    def segment(self, session: Session, shown: ListedSegment, tried: list[str]) -> Fetch:
         """Choose the source of a segment and add its server to `tried`, those tried for it before."""
         pick = self._pick(session, shown, tried)
         self._context.increment(f"segments_{pick.source.name.lower()}")
@@ -75,37 +75,37 @@
         url = f"http://{pick.server}/media/{path.media}/{path.rung}/{path.number}.m4s?{query}"
         return Fetch(pick.source, url)
 
-    def initialization(self, session: Session, shown: Shown) -> Fetch:
+    def initialization(self, session: Session, shown: ListedSegment) -> Fetch:
         """Choose the source of the initialisation segment of a rendition."""
         pick = self._pick(session, shown, ())
         if not pick.server:
             return Fetch(pick.source)
         return Fetch(pick.source, f"http://{pick.server}/media/{shown.media}/{shown.rung}/init.mp4")
 
-    def _pick(self, session: Session, shown: Shown, tried: Sequence[str]) -> Pick:
+    def _pick(self, session: Session, shown: ListedSegment, tried: Sequence[str]) -> SegmentRoute:
         offer = self._offer(session, shown)
         if shown.media == session.title:
-            return segment_routing.pick_lesson(offer)
-        return segment_routing.pick_clip(offer, tuple(tried))
-
-    def _path(self, source: Source, shown: Shown, floor: int) -> _SegmentPath:
-        if source is Source.LOWER:
-            return _SegmentPath(shown.media, self._lower_rung(shown, floor), shown.number)
-        if source is Source.SLATE:
-            duration = f"&duration={float(shown.duration):.6f}"
+            return segment_routing.route_title_segment(offer)
+        return segment_routing.route_clip_segment(offer, tuple(tried))
+
+    def _path(self, source: SegmentSource, shown: ListedSegment, floor: int) -> _SegmentPath:
+        if source is SegmentSource.LOWER:
+            return _SegmentPath(shown.media, self._lower_rung(shown, floor), shown.segment_number)
+        if source is SegmentSource.SLATE:
+            duration = f"&duration={float(shown.duration_s):.6f}"
             return _SegmentPath(self._slate or "", shown.rung, 0, duration)
-        return _SegmentPath(shown.media, shown.rung, shown.number)
+        return _SegmentPath(shown.media, shown.rung, shown.segment_number)
 
-    def _lower_rung(self, shown: Shown, floor: int) -> int:
+    def _lower_rung(self, shown: ListedSegment, floor: int) -> int:
         """Return the media's next lower rung, not below `floor`; the same rung where there is none."""
         lower = [rung for rung in self._media[shown.media].rungs if floor <= rung < shown.rung]
         return max(lower, default=shown.rung)
 
-    def _offer(self, session: Session, shown: Shown) -> Offer:
+    def _offer(self, session: Session, shown: ListedSegment) -> SegmentCandidates:
         """Collect the servers that could serve a segment now."""
         home = self._home(session)
         if shown.media == session.title:
-            return Offer(home, True, (), (), None)
+            return SegmentCandidates(home, True, (), (), None)
         replicas = self._usable_replicas(shown.media)
         has_home_replica = any(server.address == home for server in replicas)
         lower_rung = self._lower_rung(shown, session.floor_rung)
@@ -114,7 +114,7 @@
             at_lower_rung = self._ordered(replicas, session.rates_kb[lower_rung])
         slate_server = self._slate_server(home)
         at_rung = self._ordered(replicas, session.rates_kb[shown.rung])
-        return Offer(home, has_home_replica, at_rung, at_lower_rung, slate_server)
+        return SegmentCandidates(home, has_home_replica, at_rung, at_lower_rung, slate_server)
 
     def _home(self, session: Session) -> str | None:
         """Return the server that plays the session; None while it migrates or where the server has left."""
--- a/packages/core/src/fennelcove/core/session_migrations.py
+++ b/packages/core/src/fennelcove/core/session_migrations.py
@@ -21,7 +21,7 @@
     MigrationAction,
     MigrationEvent,
     MigrationState,
-    MigrationTurns,
+    MigrationQueue,
     SessionMigration,
 )
 from fennelcove.interface import MigrationRequested, Outcome, SessionStarted
@@ -53,7 +53,7 @@
         self.context = context
         self.sender = sender
         self.draining = draining
-        self.turns = MigrationTurns(max_concurrent, draining.grace_us)
+        self.turns = MigrationQueue(max_concurrent, draining.grace_us)
         self.policy = policy
         self.lifecycle = lifecycle
         self.commands = commands
@@ -64,14 +64,14 @@
         self.notifier = notifier
         self.migrations: dict[str, SessionMigration] = {}
         self._handlers: Mapping[MigrationAction, Callable[[Session, SessionMigration], None]] = {
-            MigrationAction.QUEUE: self._queue,
-            MigrationAction.ASK_MODULE: self._request_target,
-            MigrationAction.SWITCH: self._switch,
-            MigrationAction.TELL_FAILED: self._report_failed,
-            MigrationAction.TELL_LOST: self._report_lost,
-            MigrationAction.PAUSE: self._schedule_retry,
-            MigrationAction.STAY: self._give_up,
-            MigrationAction.END: self._close_session,
+            MigrationAction.ENQUEUE: self._queue,
+            MigrationAction.SELECT_SERVER: self._request_target,
+            MigrationAction.SWITCH_SERVER: self._switch,
+            MigrationAction.REPORT_ATTEMPT_FAILED: self._report_failed,
+            MigrationAction.REPORT_SERVER_LOST: self._report_lost,
+            MigrationAction.RETRY_LATER: self._schedule_retry,
+            MigrationAction.KEEP_SERVER: self._give_up,
+            MigrationAction.END_SESSION: self._close_session,
         }
 
     def on_list(self, now_us: int) -> None:
@@ -87,7 +87,7 @@
         if session.state is not SessionState.ESTABLISHED:
             return
         if _may_rescue(session, self.policy):
-            self._apply(session, MigrationEvent.LOST)
+            self._apply(session, MigrationEvent.SERVER_LOST)
         else:
             self.lifecycle.apply(session, SessionEvent.SERVER_LOST)
 
@@ -95,29 +95,29 @@
         """Forget a session's migration; a pending attempt is released at its server when it ends."""
         state = self.migrations.pop(session.id, None)
         if state is not None:
-            if state.stage is MigrationState.MAKING and not state.lost:
-                self.turns.finished()
-            state.apply(MigrationEvent.ENDED)
+            if state.state is MigrationState.ESTABLISHING and not state.is_server_lost:
+                self.turns.on_turn_finished()
+            state.apply(MigrationEvent.SESSION_ENDED)
 
     def run_due(self) -> None:
         """Start migrations whose turn has come, and end those whose time is over; called periodically."""
         with self.context.lock:
-            started, expired = self.turns.take(self.context.now_us())
+            started, expired = self.turns.take_ready(self.context.now_us())
             for due in started:
-                session = self.lifecycle.sessions.get(due.id)
+                session = self.lifecycle.sessions.get(due.session_id)
                 if session is not None:
-                    self._apply(session, MigrationEvent.TURN)
+                    self._apply(session, MigrationEvent.TURN_GRANTED)
                 else:
-                    self.turns.finished()
+                    self.turns.on_turn_finished()
             for due in expired:
-                session = self.lifecycle.sessions.get(due.id)
+                session = self.lifecycle.sessions.get(due.session_id)
                 if session is not None:
-                    self._apply(session, MigrationEvent.TIME)
+                    self._apply(session, MigrationEvent.GRACE_EXPIRED)
 
     def _apply(self, session: Session, event: MigrationEvent) -> None:
-        is_disabled = not self.turns.at_once
+        is_disabled = not self.turns.max_concurrent
         if is_disabled:
-            if event is MigrationEvent.LOST:
+            if event is MigrationEvent.SERVER_LOST:
                 self.lifecycle.apply(session, SessionEvent.SERVER_LOST)
             return
         state = self.migrations.get(session.id)
@@ -142,9 +142,9 @@
         self.lifecycle.by_policy_id.pop(policy_id, None)
         session.pending_target = None
         state = self.migrations.get(session.id)
-        if state is not None and not state.lost:
-            self.turns.finished()
-        self._apply(session, MigrationEvent.REFUSED)
+        if state is not None and not state.is_server_lost:
+            self.turns.on_turn_finished()
+        self._apply(session, MigrationEvent.NO_SERVER_FOUND)
 
     def on_attempt_completed(self, step: SendAttempt, result: AttemptResult) -> None:
         """An attempt of a migration has ended."""
@@ -158,16 +158,16 @@
             self.slots.start_waiting()
             target = pending if pending is not None and pending.attempt == step.attempt else None
             state = self.migrations.get(session.id)
-            is_attempting = state is not None and state.stage is MigrationState.MAKING
+            is_attempting = state is not None and state.state is MigrationState.ESTABLISHING
             if target is None or not is_attempting:
                 self._discard_result(step, target, result)
                 return
             session.last_result = result
             if result.outcome is Outcome.SERVED:
-                self._apply(session, MigrationEvent.MADE)
+                self._apply(session, MigrationEvent.ESTABLISHED)
             else:
                 self.commands.release_after(step, result.outcome)
-                self._apply(session, MigrationEvent.FAILED)
+                self._apply(session, MigrationEvent.ATTEMPT_FAILED)
 
     def _discard_result(self, step: SendAttempt, target: AttemptTarget | None, result: AttemptResult) -> None:
         """The migration ended before its attempt: nobody needs what the server began."""
@@ -197,7 +197,7 @@
         result = session.required_result()
         now_us = self.context.now_us()
         if not session.is_orphaned:
-            self.turns.finished()
+            self.turns.on_turn_finished()
         self.server_registry.on_session_closed(session)
         new = session.play_at_pending_target()
         started = SessionStarted(new.policy_id, new.policy_attempt, result.duration_us)
@@ -217,7 +217,7 @@
         self.context.timers.after(0, self.run_due)
 
     def _log_migrated(self, session: Session, old_server: str, state: SessionMigration) -> None:
-        waited_us = session.established_us - state.since_us if state.since_us else 0
+        waited_us = session.established_us - state.enqueued_at_us if state.enqueued_at_us else 0
         self.context.log_event(
             "session_migrated",
             subscription=session.id,
@@ -245,15 +245,15 @@
         self.lifecycle.report_attempt(session.current_target, lost, is_finished=True)
 
     def _schedule_retry(self, session: Session, state: SessionMigration) -> None:
-        self.turns.put_back(state, self.context.now_us())
-        self.context.timers.after(migration.RETRY_US, self.run_due)
+        self.turns.retry_later(state, self.context.now_us())
+        self.context.timers.after(migration.RETRY_DELAY_US, self.run_due)
 
     def _give_up(self, session: Session, state: SessionMigration) -> None:
         self.context.increment("moves_given_up")
         self.context.log_event("migration_abandoned", subscription=session.id, box=session.server)
 
     def _close_session(self, session: Session, state: SessionMigration) -> None:
-        what = "was lost" if state.lost else "has left"
+        what = "was lost" if state.is_server_lost else "has left"
         session.close_reason = f"its box {what}, and no other may take it"
         self.lifecycle.apply(session, SessionEvent.SERVER_LOST)
 
@@ -263,6 +263,6 @@
     effect = policy.settings.service_classes[session.service_class].effect
     return (
         session.current_target is not None
-        and migration.may_rescue(effect, adopted=session.request is None)
+        and migration.may_reestablish(effect, is_adopted=session.request is None)
         and session.current_target.policy_id in policy.sessions
     )
--- a/packages/core/src/fennelcove/core/slot_requests.py
+++ b/packages/core/src/fennelcove/core/slot_requests.py
@@ -10,7 +10,7 @@
 
 from fennelcove.core.context import Catalogue
 from fennelcove.core.requests import Session, Wakeup
-from fennelcove.fair_queueing.service_time import ServiceTimeEstimate, Shape
+from fennelcove.fair_queueing.service_time import ServiceTimeEstimate, RequestShape
 from fennelcove.fair_queueing.wait_queue import Waiter, WaitQueue
 from fennelcove.interface import Request
 from fennelcove.placement import PlacementPolicy
@@ -49,7 +49,7 @@
     """A slot that an attempt holds."""
 
     server: str
-    shape: Shape
+    shape: RequestShape
     title: str
     tenant: int
 
@@ -65,7 +65,7 @@
 class ExpectedWorkload:
     """A set-up's workload shape and the addresses of the servers that could take it."""
 
-    shape: Shape
+    shape: RequestShape
     servers: tuple[str, ...]
 
 
@@ -90,7 +90,7 @@
     return ExpectedWorkload(shape, tuple(server.address for server in servers))
 
 
-def established_shape(session: Session) -> Shape:
+def established_shape(session: Session) -> RequestShape:
     """Return the workload shape of a further attempt of a session whose set-up is over."""
     return session.service_class, _ladder_band(session), True
 
@@ -118,7 +118,7 @@
 
 def queued_waiters(queue: WaitQueue) -> Iterator[Waiter]:
     """Yield all waiters of a queue."""
-    return (waiter for by_id in queue.waiting.values() for waiter in by_id.values())
+    return (waiter for by_id in queue.waiting_by_tenant.values() for waiter in by_id.values())
 
 
 class WorkloadEstimator:
@@ -144,17 +144,17 @@
             workload.servers,
             now_us,
             session.deadline_us,
-            self._queue.holds.guess(workload.shape, session.title),
+            self._queue.service_times.estimate(workload.shape, session.title),
         )
         return SlotRequest(session, request, waiter)
 
     def tenant_of(self, session: Session) -> int:
         """Return the key of a session's tenant, as far as the settings know it."""
         name = session.request.tenant if session.request is not None else ""
-        return self._queue.terms.known(tenant_key(name))
+        return self._queue.tenant_weights.accounted_tenant(tenant_key(name))
 
     def expected_hold(self, session: Session, slot_request: SlotRequest | None) -> ServiceTimeEstimate:
         """Return for how long an attempt will hold its slot; `slot_request` is its set-up, if under way."""
         if slot_request is not None:
-            return slot_request.waiter.guess
-        return self._queue.holds.guess(established_shape(session), session.title)
+            return slot_request.waiter.estimate
+        return self._queue.service_times.estimate(established_shape(session), session.title)
--- a/packages/core/src/fennelcove/core/slot_scheduler.py
+++ b/packages/core/src/fennelcove/core/slot_scheduler.py
@@ -27,7 +27,7 @@
 from fennelcove.core.slot_status import slot_status
 from fennelcove.decisions.clients.session_lifecycle import SessionEvent
 from fennelcove.fair_queueing.usage_gossip import WINDOW_US, UsageGossip, UsageReport
-from fennelcove.fair_queueing.virtual_time import TenantTerms
+from fennelcove.fair_queueing.virtual_time import TenantWeights
 from fennelcove.fair_queueing.wait_queue import WaitQueue
 from fennelcove.fair_queueing.waiter import WaiterAction, WaiterEvent
 from fennelcove.interface import Outcome, Request
@@ -88,9 +88,9 @@
         )
         self.publish_waiting_count: Callable[[str, int], None] = lambda _server, _waiting: None
         self.broadcast: Callable[[UsageReport], None] = lambda _report: None
-        self._gossip = UsageGossip(life=context.wall_us() // 1000)
+        self._gossip = UsageGossip(incarnation=context.wall_us() // 1000)
         weights = {tenant_key(tenant.name): tenant.weight for tenant in settings.weights}
-        terms = TenantTerms(weights, settings.strangers)
+        terms = TenantWeights(weights, settings.strangers)
         max_wait_us = round(settings.wait_ms * 1000)
         self._queue = WaitQueue(
             lambda server, now_us: self.quota_of(server, now_us), terms, max_wait_us, settings.waiting
@@ -109,13 +109,15 @@
         waiter = slot_request.waiter
         self._requests[session.id] = slot_request
         if not waiter.servers:
-            waiter.apply(WaiterEvent.TURN)
+            waiter.apply(WaiterEvent.SLOT_GRANTED)
             self._place(slot_request)
             return
         self._enqueue(slot_request, now_us)
         if session.next_step is None:
             slot_request.wakeup = self._new_wakeup()
-            session.next_step = WaitForSlot(session, self._queue.due_us(waiter), slot_request.wakeup)
+            session.next_step = WaitForSlot(
+                session, self._queue.wait_deadline_us(waiter), slot_request.wakeup
+            )
             self._context.increment("slots_waited")
         self._publish_demand(waiter.servers)
 
@@ -125,13 +127,15 @@
         if slot_request is None or not slot_request.is_placing:
             return False
         now_us, waiter = self._context.now_us(), slot_request.waiter
-        busy = tuple(server for server in waiter.servers if not self._queue.open_to(waiter, server, now_us))
-        waiter.apply(WaiterEvent.NO_BOX)
+        busy = tuple(
+            server for server in waiter.servers if not self._queue.may_acquire(waiter, server, now_us)
+        )
+        waiter.apply(WaiterEvent.NO_SERVER)
         if not busy:
             return False
         retry = replace(waiter, servers=busy)
-        retry.apply(WaiterEvent.AGAIN)
-        if self._queue.ask(retry, now_us).act is not WaiterAction.WAIT:
+        retry.apply(WaiterEvent.REQUEUED)
+        if self._queue.request_slot(retry, now_us).action is not WaiterAction.WAIT:
             return False
         slot_request.waiter = retry
         return True
@@ -143,9 +147,9 @@
             return True
         now_us, slot_request = self._context.now_us(), self._requests.get(session.id)
         if slot_request is not None and slot_request.is_placing:
-            return self._queue.open_to(slot_request.waiter, server, now_us)
+            return self._queue.may_acquire(slot_request.waiter, server, now_us)
         expected_hold = self._workloads.expected_hold(session, slot_request)
-        return self._queue.free(server, expected_hold.long, now_us)
+        return self._queue.has_free_slot(server, expected_hold.is_long, now_us)
 
     def try_acquire(self, session: Session, server: str, attempt: int) -> bool:
         """Acquire a slot for an attempt that is about to be sent; False where none is free."""
@@ -154,7 +158,7 @@
         shape = slot_request.waiter.shape if slot_request is not None else established_shape(session)
         key = AttemptKey(session.id, attempt)
         expected_hold = self._workloads.expected_hold(session, slot_request)
-        if not self._queue.take(server, key, tenant, expected_hold, now_us):
+        if not self._queue.try_acquire(server, key, tenant, expected_hold, now_us):
             self._context.increment("slots_missed")
             return False
         self._in_use[key] = SlotInUse(server, shape, session.title, tenant)
@@ -168,16 +172,16 @@
         slot = self._in_use.pop(key, None)
         if slot is None:
             return
-        hold = self._queue.give_back(slot.server, key, now_us)
+        hold = self._queue.release(slot.server, key, now_us)
         if hold is None:
             return
-        held_us = now_us - hold.since_us
+        held_us = now_us - hold.acquired_us
         if outcome in MEASURED_OUTCOMES:
-            self._queue.holds.learn(slot.shape, slot.title, slot.tenant, held_us)
-        self._gossip.gave(server_key(slot.server), slot.tenant, held_us)
+            self._queue.service_times.observe(slot.shape, slot.title, slot.tenant, held_us)
+        self._gossip.record_usage(server_key(slot.server), slot.tenant, held_us)
         slot_request = self._requests.get(session.id)
         if slot_request is not None:
-            slot_request.waiter.apply(WaiterEvent.RETURNED)
+            slot_request.waiter.apply(WaiterEvent.SLOT_RELEASED)
             if outcome is Outcome.SERVED:
                 del self._requests[session.id]
 
@@ -185,7 +189,7 @@
         """Forget the set-up of a session that plays or has ended."""
         slot_request = self._requests.pop(session.id, None)
         if slot_request is not None:
-            self._queue.leave(slot_request.waiter, WaiterEvent.HUNG_UP)
+            self._queue.cancel(slot_request.waiter, WaiterEvent.HUNG_UP)
 
     def discard(self, session: Session) -> None:
         """Release everything a session holds, after a fault in the middle of one of its steps."""
@@ -198,7 +202,7 @@
         now_us = self._context.now_us()
         wanted = dict.fromkeys(server for waiter in queued_waiters(self._queue) for server in waiter.servers)
         for server in wanted:
-            while (waiter := self._queue.next(server, now_us)) is not None:
+            while (waiter := self._queue.grant_next(server, now_us)) is not None:
                 self._place(self._requests[waiter.id])
                 self._publish_demand(waiter.servers)
 
@@ -215,13 +219,13 @@
             self.publish_waiting_count(server, waiting)
 
     def _enqueue(self, slot_request: SlotRequest, now_us: int) -> None:
-        decision = self._queue.ask(slot_request.waiter, now_us)
-        if decision.crowded is not None:
-            self._reject(self._requests[decision.crowded.id], WaiterEvent.CROWDED)
-        if decision.act is WaiterAction.PLACE:
+        decision = self._queue.request_slot(slot_request.waiter, now_us)
+        if decision.evicted is not None:
+            self._reject(self._requests[decision.evicted.id], WaiterEvent.CROWDED)
+        if decision.action is WaiterAction.PLACE:
             self._place(slot_request)
-        elif decision.act is WaiterAction.REFUSE:
-            self._reject(slot_request, WaiterEvent.NO_TIME, decision.wait_us)
+        elif decision.action is WaiterAction.REJECT:
+            self._reject(slot_request, WaiterEvent.NO_TIME, decision.retry_after_us)
 
     def _place(self, slot_request: SlotRequest) -> None:
         """Let the placement policy choose a server for a set-up whose turn it is."""
@@ -245,8 +249,8 @@
         """Answer a set-up for which no attempt was sent, at once and with a time for the next try."""
         session, now_us = slot_request.session, self._context.now_us()
         if wait_us is None:
-            wait_us = self._queue.come_back_us(slot_request.waiter, now_us)
-        self._queue.leave(slot_request.waiter, event)
+            wait_us = self._queue.retry_after_us(slot_request.waiter, now_us)
+        self._queue.cancel(slot_request.waiter, event)
         max_wait_us = self._policy.settings.retry_after_us
         wait_us = round(wait_us * (1 + self._context.rng.random()))
         if max_wait_us is not None:
@@ -271,7 +275,7 @@
             if session.next_step is None and slot_request is not None:
                 if event is WaiterEvent.HUNG_UP:
                     self._context.increment("slots_hung_up")
-                    self._queue.leave(slot_request.waiter, event)
+                    self._queue.cancel(slot_request.waiter, event)
                     self._lifecycle.apply(session, SessionEvent.SETUP_REJECTED)
                 else:
                     self._reject(slot_request, event or WaiterEvent.NO_TIME)
@@ -287,10 +291,10 @@
         """Close a window: send the other fronts what each tenant used; returns without waiting for them."""
         with self._context.lock:
             now_us = self._context.now_us()
-            self._queue.heard = self._gossip.heard(now_us)
+            self._queue.reporting_front_count = self._gossip.reporting_front_count(now_us)
             # Rebuilt from the queue, which is bounded; a table of its own grew with every server ever used.
-            self._servers = {server_key(server): server for server in self._queue.servers}
-            report = self._gossip.window()
+            self._servers = {server_key(server): server for server in self._queue.schedulers}
+            report = self._gossip.next_report()
             self.assign_free_slots()  # the usage of other fronts decays by itself
         if report is not None:
             self.broadcast(report)
@@ -299,10 +303,10 @@
         """Apply another front's usage report."""
         with self._context.lock:
             now_us = self._context.now_us()
-            for row in self._gossip.hear(sender, report, self._slots_per_server, now_us):
+            for row in self._gossip.on_report(sender, report, self._slots_per_server, now_us):
                 server = self._servers.get(row.server)
                 if server is not None:
-                    self._queue.advance(server, row.tenant, row.given_us, now_us)
+                    self._queue.add_remote_usage(server, row.tenant, row.used_us, now_us)
 
     def status(self) -> dict[str, object]:
         """Return the figures of the `fair` section of the status JSON."""
--- a/packages/core/src/fennelcove/core/slot_status.py
+++ b/packages/core/src/fennelcove/core/slot_status.py
@@ -24,15 +24,15 @@
 def slot_status(queue: WaitQueue, names: TenantNames, now_us: int) -> SlotStatus:
     """Collect the figures; of the tenants those that use the most slots."""
     used: dict[str, float] = {}
-    for server_usage in queue.servers.values():
-        for tenant in server_usage.active(now_us):
+    for server_usage in queue.schedulers.values():
+        for tenant in server_usage.active_tenants(now_us):
             name = names.name_of(tenant)
-            used[name] = used.get(name, 0.0) + server_usage.used(tenant, now_us)
+            used[name] = used.get(name, 0.0) + server_usage.mean_slots_used(tenant, now_us)
     largest = sorted(used.items(), key=lambda item: -item[1])[:MAX_TENANTS_SHOWN]
     return SlotStatus(
-        out=sum(server_usage.out for server_usage in queue.servers.values()),
-        waiting=queue.count,
-        heard=queue.heard,
-        long_ms=round(queue.holds.long_us() / 1000, 1),
+        out=sum(server_usage.slots_in_use for server_usage in queue.schedulers.values()),
+        waiting=queue.waiting_count,
+        heard=queue.reporting_front_count,
+        long_ms=round(queue.service_times.long_threshold_us() / 1000, 1),
         tenants={name: round(slots, 2) for name, slots in largest},
     )
--- a/packages/daemon/src/fennelcove/daemon/ledger_file.py
+++ b/packages/daemon/src/fennelcove/daemon/ledger_file.py
@@ -15,7 +15,7 @@
 from msgspec import Struct
 
 from fennelcove.core.requests import EventLogger
-from fennelcove.timeline.model import Change, Kind, Target
+from fennelcove.timeline.model import Change, ChangeKind, ChangeTarget
 
 
 class _Line(Struct, frozen=True, kw_only=True):
@@ -84,12 +84,12 @@
             id=change.id,
             author=change.author,
             title=target.title,
-            room_type=target.room_type,
-            subscription=target.subscription,
+            room_type=target.service_class,
+            subscription=target.session_id,
             kind=change.kind.value,
             clip=change.clip,
-            at=_text(change.at),
-            until=_text(change.until),
+            at=_text(change.start_s),
+            until=_text(change.end_s),
             wall_us=change.wall_us,
         )
         body = msgspec.json.encode(line)
@@ -111,8 +111,8 @@
     return Change(
         line.id,
         line.author,
-        Target(line.title, line.room_type, line.subscription),
-        Kind(line.kind),
+        ChangeTarget(line.title, line.room_type, line.subscription),
+        ChangeKind(line.kind),
         line.clip,
         _fraction(line.at),
         _fraction(line.until),
--- a/packages/emulators/src/fennelcove/emulators/dishonest_front.py
+++ b/packages/emulators/src/fennelcove/emulators/dishonest_front.py
@@ -12,8 +12,8 @@
 from fennelcove.clock import Clock
 from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Resource
 from fennelcove.concurrency_limits.quorum import QuorumVote
-from fennelcove.concurrency_limits.latency_histogram import Row
-from fennelcove.concurrency_limits.replica import ReplicaMessages
+from fennelcove.concurrency_limits.latency_histogram import HistogramRow
+from fennelcove.concurrency_limits.replica import LimitReport
 
 EVERY_S = 0.2
 MOST = 4096
@@ -62,11 +62,11 @@
 
     def _lies(self, number: int) -> list[bytes]:
         told = [
-            ReplicaMessages(
+            LimitReport(
                 (),
                 box,
                 0,
-                (Row(shape, 60_000, 60_000, 0, self.chance.choice((SLOW, FAST)), ()),),
+                (HistogramRow(shape, 60_000, 60_000, 0, self.chance.choice((SLOW, FAST)), ()),),
                 QuorumVote(self.chance.choice((1, MOST))),
             )
             for box in self.boxes
--- a/packages/fair-queueing/src/fennelcove/fair_queueing/service_time.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/service_time.py
@@ -22,7 +22,7 @@
 MAX_SHAPES = 64
 
 Key = TypeVar("Key")
-Shape = tuple[str, int, bool]  # service class, bitrate band, whether some replica is warm
+RequestShape = tuple[str, int, bool]  # service class, bitrate band, whether some replica is warm
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +31,7 @@
 
     expected_us: int
     upper_bound_us: int  # mean and two deviations: to check that an attempt fits before a deadline
-    long: bool
+    is_long: bool
 
 
 @dataclass(slots=True)
@@ -54,26 +54,26 @@
 class ServiceTimeEstimator:
     """Service times measured by one front. Each table is bounded and evicts its oldest entry."""
 
-    shapes: OrderedDict[Shape, RunningMean] = field(default_factory=OrderedDict)
-    titles: OrderedDict[tuple[Shape, str], RunningMean] = field(default_factory=OrderedDict)
+    shapes: OrderedDict[RequestShape, RunningMean] = field(default_factory=OrderedDict)
+    titles: OrderedDict[tuple[RequestShape, str], RunningMean] = field(default_factory=OrderedDict)
     tenants: OrderedDict[int, RunningMean] = field(default_factory=OrderedDict)
 
-    def guess(self, shape: Shape, title: str) -> ServiceTimeEstimate:
+    def estimate(self, shape: RequestShape, title: str) -> ServiceTimeEstimate:
         """Estimate the service time of a request for a title."""
         title_mean = self.titles.get((shape, title))
         mean = title_mean or self.shapes.get(shape)
         if mean is None:
-            return ServiceTimeEstimate(DEFAULT_SERVICE_TIME_US, 2 * DEFAULT_SERVICE_TIME_US, long=True)
+            return ServiceTimeEstimate(DEFAULT_SERVICE_TIME_US, 2 * DEFAULT_SERVICE_TIME_US, is_long=True)
         # A title without history may be as slow as the slowest recent one of its shape.
         pessimistic_us = mean.mean_us if title_mean is not None else mean.recent_max_us
         upper_bound_us = mean.mean_us + 2 * mean.mean_deviation_us
         return ServiceTimeEstimate(
             expected_us=max(1, round(mean.mean_us)),
             upper_bound_us=max(1, round(upper_bound_us)),
-            long=pessimistic_us > self.long_us(),
+            is_long=pessimistic_us > self.long_threshold_us(),
         )
 
-    def long_us(self) -> float:
+    def long_threshold_us(self) -> float:
         """The service time above which a hold is long, in microseconds."""
         tenant_means = sorted(mean.mean_us for mean in self.tenants.values())
         if not tenant_means:
@@ -81,7 +81,7 @@
         lower_median_us = tenant_means[(len(tenant_means) - 1) // 2]
         return LONG_FACTOR * max(MIN_TYPICAL_US, lower_median_us)
 
-    def learn(self, shape: Shape, title: str, tenant: int, held_us: int) -> None:
+    def observe(self, shape: RequestShape, title: str, tenant: int, held_us: int) -> None:
         """Record for how long a finished attempt held its slot."""
         _observe(self.shapes, shape, held_us, MAX_SHAPES)
         _observe(self.titles, (shape, title), held_us, MAX_TITLES)
--- a/packages/fair-queueing/src/fennelcove/fair_queueing/slot_allocator.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/slot_allocator.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from fennelcove.fair_queueing.service_time import ServiceTimeEstimate, ServiceTimeEstimator
-from fennelcove.fair_queueing.virtual_time import SlotHold, TenantTerms, VirtualTimeScheduler
+from fennelcove.fair_queueing.virtual_time import SlotHold, TenantWeights, VirtualTimeScheduler
 
 LONG_HOLD_RESERVE_DIVISOR = 4  # one slot in this many, and one at least, is never used for a long hold
 MAX_SERVERS = 4096  # with a scheduler; the oldest one without a slot in use is evicted
@@ -25,54 +25,60 @@
     """Slots in use and tenant accounts by server. The caller passes in times and holds the lock."""
 
     slot_limit: Callable[[str, int], int]  # the slots of this front at a server at a time
-    terms: TenantTerms = field(default_factory=TenantTerms)
-    holds: ServiceTimeEstimator = field(default_factory=ServiceTimeEstimator, kw_only=True)
-    servers: dict[str, VirtualTimeScheduler] = field(default_factory=dict, kw_only=True)
-    heard: int = field(default=0, kw_only=True)  # the number of other fronts that reported recently
+    tenant_weights: TenantWeights = field(default_factory=TenantWeights)
+    service_times: ServiceTimeEstimator = field(default_factory=ServiceTimeEstimator, kw_only=True)
+    schedulers: dict[str, VirtualTimeScheduler] = field(default_factory=dict, kw_only=True)
+    reporting_front_count: int = field(
+        default=0, kw_only=True
+    )  # the number of other fronts that reported recently
 
     def scheduler(self, server: str) -> VirtualTimeScheduler:
         """Return the scheduler of a server; create it where there is none."""
-        scheduler = self.servers.get(server)
+        scheduler = self.schedulers.get(server)
         if scheduler is None:
-            if len(self.servers) >= MAX_SERVERS:
+            if len(self.schedulers) >= MAX_SERVERS:
                 self._evict_idle_scheduler()
-            scheduler = self.servers[server] = VirtualTimeScheduler(self.terms)
+            scheduler = self.schedulers[server] = VirtualTimeScheduler(self.tenant_weights)
         return scheduler
 
-    def set_tenant_weights(self, terms: TenantTerms) -> None:
+    def set_tenant_weights(self, terms: TenantWeights) -> None:
         """Use other weights from now on; what was charged before is not changed."""
-        self.terms = terms
-        for scheduler in self.servers.values():
+        self.tenant_weights = terms
+        for scheduler in self.schedulers.values():
             scheduler.tenant_weights = terms
 
-    def free(self, server: str, is_long: bool, now_us: int) -> bool:
+    def has_free_slot(self, server: str, is_long: bool, now_us: int) -> bool:
         """Whether a hold of this kind could start at a server now, for any tenant."""
         slots = self.slot_limit(server, now_us)
-        scheduler = self.servers.get(server)
-        slots_in_use = 0 if scheduler is None else scheduler.out
+        scheduler = self.schedulers.get(server)
+        slots_in_use = 0 if scheduler is None else scheduler.slots_in_use
         if slots_in_use >= slots:
             return False
         if not is_long:
             return True
-        long_holds = 0 if scheduler is None else scheduler.long_hold_count(self.holds.long_us(), now_us)
+        long_holds = (
+            0
+            if scheduler is None
+            else scheduler.long_hold_count(self.service_times.long_threshold_us(), now_us)
+        )
         return long_holds < slots - reserved_slots(slots)
 
-    def take(
+    def try_acquire(
         self, server: str, key: tuple[str, int], tenant: int, estimate: ServiceTimeEstimate, now_us: int
     ) -> bool:
         """Acquire a slot for an attempt; False where none is free for it."""
-        if not self.free(server, estimate.long, now_us):
+        if not self.has_free_slot(server, estimate.is_long, now_us):
             return False
         scheduler = self.scheduler(server)
-        scheduler.acquire(key, tenant, estimate.expected_us, now_us, is_long=estimate.long)
+        scheduler.acquire(key, tenant, estimate.expected_us, now_us, is_long=estimate.is_long)
         return True
 
-    def give_back(self, server: str, key: tuple[str, int], now_us: int) -> SlotHold | None:
+    def release(self, server: str, key: tuple[str, int], now_us: int) -> SlotHold | None:
         """Release the slot of a completed attempt; None where it holds none."""
-        scheduler = self.servers.get(server)
+        scheduler = self.schedulers.get(server)
         return scheduler.release(key, now_us) if scheduler is not None else None
 
-    def advance(self, server: str, tenant: int, used_us: int, now_us: int) -> None:
+    def add_remote_usage(self, server: str, tenant: int, used_us: int, now_us: int) -> None:
         """Record slot time that other fronts granted to a tenant at a server."""
         self.scheduler(server).add_remote_usage(tenant, used_us, now_us)
 
@@ -85,32 +91,34 @@
         used_slots = {tenant: 0.0}
         for server in servers:
             total_slots += self.slot_limit(server, now_us)
-            scheduler = self.servers.get(server)
+            scheduler = self.schedulers.get(server)
             if scheduler is None:
                 continue
-            for active in scheduler.active(now_us):
-                used_slots[active] = used_slots.get(active, 0.0) + scheduler.used(active, now_us)
-        weights = {known: self.terms.weight(known) for known in used_slots}
-        slots_per_weight = total_slots * (1 + self.heard) / sum(weights.values())
+            for active in scheduler.active_tenants(now_us):
+                used_slots[active] = used_slots.get(active, 0.0) + scheduler.mean_slots_used(active, now_us)
+        weights = {known: self.tenant_weights.weight(known) for known in used_slots}
+        slots_per_weight = total_slots * (1 + self.reporting_front_count) / sum(weights.values())
         return {known for known, used in used_slots.items() if used < slots_per_weight * weights[known]}
 
     def fair_share(self, servers: tuple[str, ...], tenant: int, now_us: int) -> SlotShare:
         """Return the share of a tenant in this front's slots, among the recently active tenants."""
         total_slots = 0
-        weights = {tenant: self.terms.weight(tenant)}
+        weights = {tenant: self.tenant_weights.weight(tenant)}
         for server in servers:
             total_slots += self.slot_limit(server, now_us)
-            scheduler = self.servers.get(server)
+            scheduler = self.schedulers.get(server)
             if scheduler is None:
                 continue
-            for active in scheduler.active(now_us):
-                weights[active] = self.terms.weight(active)
+            for active in scheduler.active_tenants(now_us):
+                weights[active] = self.tenant_weights.weight(active)
         return SlotShare(total_slots * weights[tenant] / sum(weights.values()), total_slots)
 
     def _evict_idle_scheduler(self) -> None:
-        idle = next((server for server, scheduler in self.servers.items() if not scheduler.out), None)
+        idle = next(
+            (server for server, scheduler in self.schedulers.items() if not scheduler.slots_in_use), None
+        )
         if idle is not None:
-            del self.servers[idle]
+            del self.schedulers[idle]
 
 
 def reserved_slots(slots: int) -> int:
--- a/packages/fair-queueing/src/fennelcove/fair_queueing/usage_gossip.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/usage_gossip.py
@@ -27,7 +27,7 @@
 
     server: int
     tenant: int
-    given_us: int
+    used_us: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,11 +77,11 @@
         key = row.server, row.tenant
         known = self.usage.get(key)
         if known is None:
-            self.usage[key] = RemoteUsage(row.given_us, row.given_us, now_us)
+            self.usage[key] = RemoteUsage(row.used_us, row.used_us, now_us)
             if len(self.usage) > MAX_ENTRIES:
                 self.usage.popitem(last=False)
             return 0
-        known.max_used_us = max(known.max_used_us, row.given_us)
+        known.max_used_us = max(known.max_used_us, row.used_us)
         self.usage.move_to_end(key)
         growth_us = known.growth_us(slots, now_us)
         new_us = max(0, growth_us - known.applied_us)
@@ -93,12 +93,12 @@
 class UsageGossip:
     """Totals of one front and those received from others. The caller passes in times and holds the lock."""
 
-    life: int = 0
+    incarnation: int = 0
     sequence: int = 0
     local_usage: OrderedDict[UsageKey, LocalUsage] = field(default_factory=OrderedDict)
     remote_fronts: dict[int, RemoteFront] = field(default_factory=dict)
 
-    def gave(self, server: int, tenant: int, used_us: int) -> None:
+    def record_usage(self, server: int, tenant: int, used_us: int) -> None:
         """Record slot time that this front granted to a tenant at a server."""
         key = server, tenant
         if key not in self.local_usage and len(self.local_usage) >= MAX_ENTRIES:
@@ -109,7 +109,7 @@
         total.recent_us += used_us
         total.windows_left = REPEAT_WINDOWS
 
-    def window(self) -> UsageReport | None:
+    def next_report(self) -> UsageReport | None:
         """Return the report of this window, the largest entries first; None where there is nothing to send.
 
         Entries that do not fit go into the next report.
@@ -125,9 +125,9 @@
             total.reported_us = total.used_us
             total.recent_us = total.recent_us // 2 if total.windows_left else 0
         rows = tuple(UsageRow(server, tenant, total.used_us) for (server, tenant), total in sent)
-        return UsageReport(self.life, self.sequence, rows)
+        return UsageReport(self.incarnation, self.sequence, rows)
 
-    def hear(self, sender: int, report: UsageReport, slots: int, now_us: int) -> list[UsageRow]:
+    def on_report(self, sender: int, report: UsageReport, slots: int, now_us: int) -> list[UsageRow]:
         """Merge a report of another front.
 
         Args:
@@ -153,7 +153,7 @@
                 growth.append(UsageRow(row.server, row.tenant, new_us))
         return growth
 
-    def heard(self, now_us: int) -> int:
+    def reporting_front_count(self, now_us: int) -> int:
         """Count the other fronts that reported recently."""
         return sum(
             1 for front in self.remote_fronts.values() if now_us - front.last_report_us <= FRESHNESS_US
--- a/packages/fair-queueing/src/fennelcove/fair_queueing/virtual_time.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/virtual_time.py
@@ -26,13 +26,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TenantTerms:
+class TenantWeights:
     """Weights of the configured tenants by number, and one weight for all others together."""
 
     weights: Mapping[int, float] = field(default_factory=dict)
     unlisted_weight: float = 1.0
 
-    def known(self, tenant: int) -> int:
+    def accounted_tenant(self, tenant: int) -> int:
         """Return the tenant number under which usage of `tenant` is accounted.
 
         Where weights are configured, all unlisted tenants share one account. Otherwise a client that uses a
@@ -53,7 +53,7 @@
 
     tenant: int
     account_key: int  # the account that it was charged to
-    since_us: int
+    acquired_us: int
     charged_us: int
     is_long: bool
 
@@ -94,7 +94,7 @@
 class VirtualTimeScheduler:
     """Accounts and slots in use of one server. The caller passes in times and holds the lock."""
 
-    def __init__(self, tenant_weights: TenantTerms) -> None:
+    def __init__(self, tenant_weights: TenantWeights) -> None:
         """Start at virtual time zero, without any account.
 
         Args:
@@ -106,7 +106,7 @@
         self.holds: dict[tuple[str, int], SlotHold] = {}
 
     @property
-    def out(self) -> int:
+    def slots_in_use(self) -> int:
         """The number of slots in use."""
         return len(self.holds)
 
@@ -136,7 +136,7 @@
         account = self.accounts[hold.account_key]
         account.slots_in_use -= 1
         account.last_used_us = now_us
-        correction_us = now_us - hold.since_us - hold.charged_us
+        correction_us = now_us - hold.acquired_us - hold.charged_us
         account.charge(correction_us, self.tenant_weights.weight(hold.tenant), now_us)
         return hold
 
@@ -150,10 +150,11 @@
         return sum(
             1
             for hold in self.holds.values()
-            if (hold.is_long or now_us - hold.since_us > long_threshold_us) and tenant in (None, hold.tenant)
+            if (hold.is_long or now_us - hold.acquired_us > long_threshold_us)
+            and tenant in (None, hold.tenant)
         )
 
-    def used(self, tenant: int, now_us: int) -> float:
+    def mean_slots_used(self, tenant: int, now_us: int) -> float:
         """Return the mean number of slots that a tenant had in use recently, over all known fronts."""
         account = self.accounts.get(self._account_key(tenant))
         if account is None:
@@ -161,7 +162,7 @@
         usage_us = account.local_usage.usage_at(now_us) + account.remote_usage.usage_at(now_us)
         return usage_us / USAGE_DECAY_US
 
-    def active(self, now_us: int) -> list[int]:
+    def active_tenants(self, now_us: int) -> list[int]:
         """Return the tenants that use a slot here or did so recently."""
         active_since_us = now_us - ACTIVE_WINDOW_US
         return [
@@ -180,7 +181,7 @@
         A server that never answers would otherwise cost its tenant nothing.
         """
         for hold in self.holds.values():
-            uncharged_us = now_us - hold.since_us - hold.charged_us
+            uncharged_us = now_us - hold.acquired_us - hold.charged_us
             if uncharged_us > 0:
                 hold.charged_us += uncharged_us
                 weight = self.tenant_weights.weight(hold.tenant)
--- a/packages/fair-queueing/src/fennelcove/fair_queueing/wait_queue.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/wait_queue.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from fennelcove.fair_queueing.service_time import ServiceTimeEstimate, Shape
+from fennelcove.fair_queueing.service_time import ServiceTimeEstimate, RequestShape
 from fennelcove.fair_queueing.slot_allocator import SlotAllocator
 from fennelcove.fair_queueing.virtual_time import VirtualTimeScheduler
 from fennelcove.fair_queueing.waiter import WaiterAction, WaiterEvent, WaiterState, transition
@@ -29,12 +29,12 @@
 
     id: str
     tenant: int
-    shape: Shape
+    shape: RequestShape
     title: str
     servers: tuple[str, ...]  # the replicas of its title
     arrived_us: int
     deadline_us: int  # the client accepts no response after this
-    guess: ServiceTimeEstimate
+    estimate: ServiceTimeEstimate
     sequence: int = 0
     state: WaiterState = WaiterState.NEW
 
@@ -48,9 +48,9 @@
 class QueueDecision:
     """What to do with a new request, and the waiting request that it evicted."""
 
-    act: WaiterAction
-    wait_us: int = 0  # Retry-After of a rejected request
-    crowded: Waiter | None = None
+    action: WaiterAction
+    retry_after_us: int = 0  # Retry-After of a rejected request
+    evicted: Waiter | None = None
 
 
 class _Rank(NamedTuple):
@@ -70,47 +70,51 @@
 
     max_wait_us: int = 200_000
     max_waiting: int = 256
-    waiting: dict[int, dict[str, Waiter]] = field(default_factory=dict)  # by tenant and id, the oldest first
-    count: int = 0  # of waiting requests
+    waiting_by_tenant: dict[int, dict[str, Waiter]] = field(
+        default_factory=dict
+    )  # by tenant and id, the oldest first
+    waiting_count: int = 0  # of waiting requests
     sequence: int = 0
 
-    def open_to(self, waiter: Waiter, server: str, now_us: int) -> bool:
+    def may_acquire(self, waiter: Waiter, server: str, now_us: int) -> bool:
         """Whether a request may acquire a slot at a server now."""
-        return self.free(server, waiter.guess.long, now_us) and self._is_within_share(waiter, now_us)
+        return self.has_free_slot(server, waiter.estimate.is_long, now_us) and self._is_within_share(
+            waiter, now_us
+        )
 
-    def ask(self, waiter: Waiter, now_us: int) -> QueueDecision:
+    def request_slot(self, waiter: Waiter, now_us: int) -> QueueDecision:
         """Decide on a new request: grant a slot, let it wait, or reject it."""
         self.sequence += 1
         waiter.sequence = self.sequence
-        if any(self.open_to(waiter, server, now_us) for server in waiter.servers):
+        if any(self.may_acquire(waiter, server, now_us) for server in waiter.servers):
             # It overtakes nobody: a waiting request that could use this slot would have been granted it.
-            return QueueDecision(waiter.apply(WaiterEvent.TURN))
+            return QueueDecision(waiter.apply(WaiterEvent.SLOT_GRANTED))
         expected_us = self.expected_wait_us(waiter, now_us)
         retry_after_us = max(MIN_RETRY_AFTER_US, expected_us)
-        if now_us + expected_us > self.due_us(waiter):
+        if now_us + expected_us > self.wait_deadline_us(waiter):
             return QueueDecision(waiter.apply(WaiterEvent.NO_TIME), retry_after_us)
         evicted = None
-        if self.count >= self.max_waiting:
+        if self.waiting_count >= self.max_waiting:
             evicted = self._eviction_victim(waiter)
             if evicted is waiter:
                 return QueueDecision(waiter.apply(WaiterEvent.CROWDED), retry_after_us)
             self._remove(evicted)
             evicted.apply(WaiterEvent.CROWDED)
-        self.waiting.setdefault(waiter.tenant, {})[waiter.id] = waiter
-        self.count += 1
+        self.waiting_by_tenant.setdefault(waiter.tenant, {})[waiter.id] = waiter
+        self.waiting_count += 1
         return QueueDecision(waiter.apply(WaiterEvent.NO_SLOT), 0, evicted)
 
-    def due_us(self, waiter: Waiter) -> int:
+    def wait_deadline_us(self, waiter: Waiter) -> int:
         """Return the time until which a request may wait."""
-        latest_start_us = waiter.deadline_us - waiter.guess.upper_bound_us
+        latest_start_us = waiter.deadline_us - waiter.estimate.upper_bound_us
         return min(waiter.arrived_us + self.max_wait_us, latest_start_us)
 
     def expected_wait_us(self, waiter: Waiter, now_us: int) -> int:
         """Estimate the wait of a request: the work ahead of it by the tags, over the slots it may use."""
-        own_queued_us = _expected_work_us(self.waiting.get(waiter.tenant, {}).values())
+        own_queued_us = _expected_work_us(self.waiting_by_tenant.get(waiter.tenant, {}).values())
         share = self.fair_share(waiter.servers, waiter.tenant, now_us)
         usable_slots = share.total_slots
-        if waiter.guess.long:
+        if waiter.estimate.is_long:
             unreserved_slots = share.total_slots - len(waiter.servers)
             usable_slots = min(unreserved_slots, max(1, int(share.fair_slots)))
         if usable_slots <= 0:
@@ -121,18 +125,18 @@
         )
         return round(work_ahead_us / usable_slots)
 
-    def next(self, server: str, now_us: int) -> Waiter | None:
+    def grant_next(self, server: str, now_us: int) -> Waiter | None:
         """Grant a free slot at a server to a waiting request, and remove it from the queue.
 
         Returns:
             The request to place now; None where no slot is free, or nobody may use it.
         """
-        if not self.count or not self.free(server, False, now_us):
+        if not self.waiting_count or not self.has_free_slot(server, False, now_us):
             return None
         scheduler = self.scheduler(server)
         best: Waiter | None = None
         best_rank: _Rank | None = None
-        for waiters in self.waiting.values():
+        for waiters in self.waiting_by_tenant.values():
             candidate = self._oldest_eligible(waiters.values(), server, now_us)
             if candidate is None:
                 continue
@@ -141,10 +145,10 @@
                 best, best_rank = candidate, rank
         if best is not None:
             self._remove(best)
-            best.apply(WaiterEvent.TURN)
+            best.apply(WaiterEvent.SLOT_GRANTED)
         return best
 
-    def leave(self, waiter: Waiter, event: WaiterEvent) -> WaiterAction:
+    def cancel(self, waiter: Waiter, event: WaiterEvent) -> WaiterAction:
         """Remove a request that stops waiting; without effect where it was granted a slot meanwhile."""
         if waiter.state is WaiterState.WAITING:
             self._remove(waiter)
@@ -154,12 +158,12 @@
         """Return the requests that may not wait any longer."""
         return [
             waiter
-            for waiters in self.waiting.values()
+            for waiters in self.waiting_by_tenant.values()
             for waiter in waiters.values()
-            if now_us >= self.due_us(waiter)
+            if now_us >= self.wait_deadline_us(waiter)
         ]
 
-    def come_back_us(self, waiter: Waiter, now_us: int) -> int:
+    def retry_after_us(self, waiter: Waiter, now_us: int) -> int:
         """Return the Retry-After of a rejected request: until the work ahead of it is done."""
         return max(MIN_RETRY_AFTER_US, self.expected_wait_us(waiter, now_us))
 
@@ -170,61 +174,70 @@
         slot must be reclaimed within one hold, and a long hold would keep it. Short holds may borrow, but
         leave a reserve, or each new request of another tenant would have to wait for a slot to be released.
         """
-        schedulers = [self.servers[server] for server in waiter.servers if server in self.servers]
-        if waiter.guess.long:
-            long_us = self.holds.long_us()
+        schedulers = [self.schedulers[server] for server in waiter.servers if server in self.schedulers]
+        if waiter.estimate.is_long:
+            long_us = self.service_times.long_threshold_us()
             long_holds = sum(each.long_hold_count(long_us, now_us, waiter.tenant) for each in schedulers)
             return long_holds < max(1.0, self.fair_share(waiter.servers, waiter.tenant, now_us).fair_slots)
         total_slots = sum(self.slot_limit(server, now_us) for server in waiter.servers)
-        free_slots = total_slots - sum(each.out for each in schedulers)
+        free_slots = total_slots - sum(each.slots_in_use for each in schedulers)
         if free_slots > total_slots // LENDING_RESERVE_DIVISOR:
             return True
         within_share = self.tenants_within_share(waiter.servers, waiter.tenant, now_us)
         # A tenant with a waiting request needs no reserve: it is granted the next slot by its tag.
-        return waiter.tenant in within_share or all(tenant in self.waiting for tenant in within_share)
+        return waiter.tenant in within_share or all(
+            tenant in self.waiting_by_tenant for tenant in within_share
+        )
 
     def _eviction_victim(self, newcomer: Waiter) -> Waiter:
         """Return the newest request of the tenant with the most waiting ones; the newcomer if it is of it."""
-        largest = max(self.waiting, key=lambda tenant: (len(self.waiting[tenant]), tenant == newcomer.tenant))
-        return newcomer if largest == newcomer.tenant else next(reversed(self.waiting[largest].values()))
+        largest = max(
+            self.waiting_by_tenant,
+            key=lambda tenant: (len(self.waiting_by_tenant[tenant]), tenant == newcomer.tenant),
+        )
+        return (
+            newcomer
+            if largest == newcomer.tenant
+            else next(reversed(self.waiting_by_tenant[largest].values()))
+        )
 
     def _work_ahead_us(self, waiter: Waiter, server: str, own_queued_us: int, now_us: int) -> float:
         """Return the slot time ahead of a new request by the tags of one server."""
         scheduler = self.scheduler(server)
-        own_queued_tag = own_queued_us / self.terms.weight(waiter.tenant)
+        own_queued_tag = own_queued_us / self.tenant_weights.weight(waiter.tenant)
         tag = scheduler.start_tag(waiter.tenant, now_us) + own_queued_tag
         work_ahead_us = float(own_queued_us)
-        for tenant, waiters in self.waiting.items():
+        for tenant, waiters in self.waiting_by_tenant.items():
             if tenant == waiter.tenant:
                 continue
-            lead_us = (tag - scheduler.start_tag(tenant, now_us)) * self.terms.weight(tenant)
+            lead_us = (tag - scheduler.start_tag(tenant, now_us)) * self.tenant_weights.weight(tenant)
             if lead_us >= 0:
                 oldest = next(iter(waiters.values()))
                 queued_us = _expected_work_us(waiters.values())
-                work_ahead_us += min(queued_us, lead_us + oldest.guess.expected_us)
+                work_ahead_us += min(queued_us, lead_us + oldest.estimate.expected_us)
         return work_ahead_us
 
     def _oldest_eligible(self, waiters: Iterable[Waiter], server: str, now_us: int) -> Waiter | None:
         """Return the first request that may use a slot at a server."""
         for waiter in waiters:
-            if server in waiter.servers and self.open_to(waiter, server, now_us):
+            if server in waiter.servers and self.may_acquire(waiter, server, now_us):
                 return waiter
         return None
 
     def _rank(self, waiter: Waiter, scheduler: VirtualTimeScheduler, now_us: int) -> _Rank:
         is_over_share = False
-        if self.heard:  # the tags alone are enough for a front without others
+        if self.reporting_front_count:  # the tags alone are enough for a front without others
             within_share = self.tenants_within_share(waiter.servers, waiter.tenant, now_us)
             is_over_share = waiter.tenant not in within_share
         return _Rank(is_over_share, scheduler.start_tag(waiter.tenant, now_us), waiter.sequence)
 
     def _remove(self, waiter: Waiter) -> None:
-        waiters = self.waiting[waiter.tenant]
+        waiters = self.waiting_by_tenant[waiter.tenant]
         del waiters[waiter.id]
         if not waiters:
-            del self.waiting[waiter.tenant]
-        self.count -= 1
+            del self.waiting_by_tenant[waiter.tenant]
+        self.waiting_count -= 1
 
 
 def _expected_work_us(waiters: Iterable[Waiter]) -> int:
-    return sum(waiter.guess.expected_us for waiter in waiters)
+    return sum(waiter.estimate.expected_us for waiter in waiters)
--- a/packages/fair-queueing/src/fennelcove/fair_queueing/waiter.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/waiter.py
@@ -27,13 +27,13 @@
     NO_SLOT = auto()  # every slot that it could use is taken
     NO_TIME = auto()  # wait, attempt and response would not fit before its deadline
     CROWDED = auto()  # the queue is full, and its tenant has the most requests in it
-    TURN = auto()  # a slot is granted
+    SLOT_GRANTED = auto()  # a slot is granted
     PLACED = auto()  # the placement policy picked a server, and the slot there is acquired
-    NO_BOX = auto()  # the placement policy finds no place at the servers with a free slot
-    AGAIN = auto()  # it is queued again, for the servers whose slots are all taken
+    NO_SERVER = auto()  # the placement policy finds no place at the servers with a free slot
+    REQUEUED = auto()  # it is queued again, for the servers whose slots are all taken
     HUNG_UP = auto()  # the client disconnected
     STOPPED = auto()  # the front shuts down
-    RETURNED = auto()  # its attempt completed and released the slot
+    SLOT_RELEASED = auto()  # its attempt completed and released the slot
 
 
 class WaiterAction(Enum):
@@ -41,7 +41,7 @@
 
     WAIT = auto()
     PLACE = auto()  # pass the request to the placement policy now
-    REFUSE = auto()  # send the final response at once, with Retry-After
+    REJECT = auto()  # send the final response at once, with Retry-After
     DROP = auto()  # no client waits for a response
     CHARGE = auto()  # charge the expected service time to the tenant
     CORRECT = auto()  # replace the charge by the measured service time
@@ -55,19 +55,19 @@
 # have no row and change nothing.
 TRANSITIONS: TransitionTable[WaiterState, WaiterEvent, WaiterAction] = TransitionTable(
     {
-        (_STATE.NEW, _EVENT.TURN): Transition(_STATE.PLACING, (_ACTION.PLACE,)),
+        (_STATE.NEW, _EVENT.SLOT_GRANTED): Transition(_STATE.PLACING, (_ACTION.PLACE,)),
         (_STATE.NEW, _EVENT.NO_SLOT): Transition(_STATE.WAITING, (_ACTION.WAIT,)),
-        (_STATE.NEW, _EVENT.NO_TIME): Transition(_STATE.CLOSED, (_ACTION.REFUSE,)),
-        (_STATE.NEW, _EVENT.CROWDED): Transition(_STATE.CLOSED, (_ACTION.REFUSE,)),
-        (_STATE.WAITING, _EVENT.TURN): Transition(_STATE.PLACING, (_ACTION.PLACE,)),
-        (_STATE.WAITING, _EVENT.NO_TIME): Transition(_STATE.CLOSED, (_ACTION.REFUSE,)),
-        (_STATE.WAITING, _EVENT.CROWDED): Transition(_STATE.CLOSED, (_ACTION.REFUSE,)),
-        (_STATE.WAITING, _EVENT.STOPPED): Transition(_STATE.CLOSED, (_ACTION.REFUSE,)),
+        (_STATE.NEW, _EVENT.NO_TIME): Transition(_STATE.CLOSED, (_ACTION.REJECT,)),
+        (_STATE.NEW, _EVENT.CROWDED): Transition(_STATE.CLOSED, (_ACTION.REJECT,)),
+        (_STATE.WAITING, _EVENT.SLOT_GRANTED): Transition(_STATE.PLACING, (_ACTION.PLACE,)),
+        (_STATE.WAITING, _EVENT.NO_TIME): Transition(_STATE.CLOSED, (_ACTION.REJECT,)),
+        (_STATE.WAITING, _EVENT.CROWDED): Transition(_STATE.CLOSED, (_ACTION.REJECT,)),
+        (_STATE.WAITING, _EVENT.STOPPED): Transition(_STATE.CLOSED, (_ACTION.REJECT,)),
         (_STATE.WAITING, _EVENT.HUNG_UP): Transition(_STATE.CLOSED, (_ACTION.DROP,)),
         (_STATE.PLACING, _EVENT.PLACED): Transition(_STATE.HOLDING, (_ACTION.CHARGE,)),
-        (_STATE.PLACING, _EVENT.NO_BOX): Transition(_STATE.CLOSED),
-        (_STATE.CLOSED, _EVENT.AGAIN): Transition(_STATE.NEW),
-        (_STATE.HOLDING, _EVENT.RETURNED): Transition(_STATE.PLACING, (_ACTION.CORRECT,)),
+        (_STATE.PLACING, _EVENT.NO_SERVER): Transition(_STATE.CLOSED),
+        (_STATE.CLOSED, _EVENT.REQUEUED): Transition(_STATE.NEW),
+        (_STATE.HOLDING, _EVENT.SLOT_RELEASED): Transition(_STATE.PLACING, (_ACTION.CORRECT,)),
     },
     unlisted=Unlisted.IGNORE,
 )
--- a/packages/ingress/src/fennelcove/ingress/playback_routes.py
+++ b/packages/ingress/src/fennelcove/ingress/playback_routes.py
@@ -13,14 +13,19 @@
 from fennelcove.core.content_insertion import ChangeReach
 from fennelcove.core.segment_sources import Fetch
 from fennelcove.decisions.servers.load_signals import KBIT_PER_KB, ClientHints
-from fennelcove.decisions.playback.splices import Refusal, Ruling, Verdict, seconds
-from fennelcove.decisions.playback.segment_routing import Source
+from fennelcove.decisions.playback.splices import (
+    RejectionReason,
+    ChangeStatus,
+    ChangeResult,
+    parse_media_time,
+)
+from fennelcove.decisions.playback.segment_routing import SegmentSource
 from fennelcove.ingress import replies
 from fennelcove.ingress.replies import Reply
 from fennelcove.manifests import dash, hls
-from fennelcove.manifests.exact_time import iso
+from fennelcove.manifests.exact_time import format_wall_time
 from fennelcove.settings.schema import Author
-from fennelcove.timeline.model import Change, Kind, Target
+from fennelcove.timeline.model import Change, ChangeKind, ChangeTarget
 from fennelcove.wire.sessions import ChangeOrder, ChangeState, problem
 
 HLS = ("Content-Type", "application/vnd.apple.mpegurl")
@@ -28,7 +33,7 @@
 FRESH = ("Cache-Control", "no-cache")
 MOVING_MS = 50.0  # a home is made within some milliseconds
 BUFFER_S = 2
-CONFLICTS = (Refusal.OVERLAPS, Refusal.ID_TAKEN)
+CONFLICTS = (RejectionReason.OVERLAPS, RejectionReason.ID_TAKEN)
 _ORDER: msgspec.json.Decoder[ChangeOrder] = msgspec.json.Decoder(ChangeOrder)
 _INIT = re.compile(r"([A-Za-z0-9._-]{1,64})/([0-9]{1,4})\.mp4")
 
@@ -59,11 +64,11 @@
         target = self.core.content.target_duration_s
         if name == "master.m3u8":
             lesson = self.core.content.media[view.title]
-            text = hls.multivariant(max(kbit.values()) * 1000, kbit[view.rung] * 1000, lesson.codecs)
+            text = hls.multivariant_playlist(max(kbit.values()) * 1000, kbit[view.rung] * 1000, lesson.codecs)
             return Reply(200, [HLS, *fields], text.encode())
         if name == "media.m3u8":
             return Reply(200, [HLS, *fields], hls.media_playlist(listing, target).encode())
-        return Reply(200, [DASH, *fields], dash.manifest(listing, target, kbit, BUFFER_S).encode())
+        return Reply(200, [DASH, *fields], dash.media_presentation(listing, target, kbit, BUFFER_S).encode())
 
     def segment(self, id: str, seq: int, says: ClientHints) -> Reply | None:
         """Where a segment is to be had; None where nothing plays under this id."""
@@ -83,7 +88,7 @@
         if found is None:
             return replies.fault("not-shown")
         fields = [HLS, FRESH, *replies.hints(view, "", self.front, None)]
-        return Reply(200, fields, hls.asset_playlist(change, *found).encode())
+        return Reply(200, fields, hls.interstitial_playlist(change, *found).encode())
 
     def asset_segment(self, id: str, change: str, number: int, says: ClientHints) -> Reply | None:
         """Where a segment of a clip told apart is to be had."""
@@ -111,7 +116,7 @@
             return replies.fault("not-shown")
         if fetch.url:
             return Reply(307, [("Location", fetch.url), FRESH, *hints])
-        if fetch.source is Source.WAIT:
+        if fetch.source is SegmentSource.WAIT:
             details = problem("moving", retry_after_ms=MOVING_MS)
             return Reply(503, [replies.PROBLEM_JSON, ("Retry-After", "1")], msgspec.json.encode(details))
         return replies.fault("not-shown", "no box can serve it any more", status=404)
@@ -137,12 +142,12 @@
         except (msgspec.MsgspecError, ValueError, ZeroDivisionError) as error:
             return replies.fault("malformed", str(error))
         verdict = self.core.content.submit(change)
-        if verdict.ruling is Ruling.REFUSED:
+        if verdict.status is ChangeStatus.REJECTED:
             return _refused(verdict)
-        if verdict.ruling is Ruling.MADE:
+        if verdict.status is ChangeStatus.ACCEPTED:
             self.keep(change, True, verdict.version)
-        state = ChangeState(id=change.id, state=verdict.ruling.value, version=verdict.version)
-        status = 201 if verdict.ruling is Ruling.MADE else 200
+        state = ChangeState(id=change.id, state=verdict.status.value, version=verdict.version)
+        status = 201 if verdict.status is ChangeStatus.ACCEPTED else 200
         return Reply(
             status, [replies.JSON, ("Location", f"/v1/changes/{change.id}")], msgspec.json.encode(state)
         )
@@ -150,11 +155,11 @@
     def withdraw(self, id: str) -> Reply:
         """A change taken back, now or before."""
         verdict = self.core.content.withdraw(id)
-        if verdict.ruling is Ruling.UNKNOWN:
+        if verdict.status is ChangeStatus.UNKNOWN:
             return replies.fault("unknown-change", id[:80])
         change = self.core.content.ledger.entries[id].change
         self.keep(change, False, verdict.version)
-        state = ChangeState(id=id, state=verdict.ruling.value, version=verdict.version)
+        state = ChangeState(id=id, state=verdict.status.value, version=verdict.version)
         return Reply(200, [replies.JSON], msgspec.json.encode(state))
 
     def changes(self, title: str | None, id: str | None = None) -> Reply:
@@ -178,20 +183,20 @@
     return Change(
         order.id,
         author,
-        Target(order.title, order.room_type, order.subscription),
-        Kind(order.kind),
+        ChangeTarget(order.title, order.room_type, order.subscription),
+        ChangeKind(order.kind),
         order.clip,
-        None if order.at is None else seconds(order.at),
-        None if order.until is None else seconds(order.until),
+        None if order.at is None else parse_media_time(order.at),
+        None if order.until is None else parse_media_time(order.until),
         wall_us,
     )
 
 
-def _refused(verdict: Verdict) -> Reply:
-    assert verdict.refusal is not None
-    status = 409 if verdict.refusal in CONFLICTS else 422
+def _refused(verdict: ChangeResult) -> Reply:
+    assert verdict.reason is not None
+    status = 409 if verdict.reason in CONFLICTS else 422
     details = msgspec.structs.replace(
-        problem("refused-change", verdict.cure, status), reason=verdict.refusal.value
+        problem("refused-change", verdict.remedy, status), reason=verdict.reason.value
     )
     return Reply(status, [replies.PROBLEM_JSON], msgspec.json.encode(details))
 
@@ -204,17 +209,17 @@
     change, entry = seen.entry.change, seen.entry
     return ChangeState(
         id=change.id,
-        state="made" if entry.withdrawn is None else "withdrawn",
+        state="made" if entry.withdrawn_version is None else "withdrawn",
         version=entry.version,
         author=change.author,
         kind=change.kind.value,
         title=change.target.title,
-        room_type=change.target.room_type,
-        subscription=change.target.subscription,
+        room_type=change.target.service_class,
+        subscription=change.target.session_id,
         clip=change.clip,
-        at=_time(change.at),
-        until=_time(change.until),
-        wall=None if change.wall_us is None else iso(change.wall_us),
+        at=_time(change.start_s),
+        until=_time(change.end_s),
+        wall=None if change.wall_us is None else format_wall_time(change.wall_us),
         players_shown=seen.shown_count,
         players_ahead=seen.ahead_count,
     )
--- a/packages/messages/src/fennelcove/limit_messages.py
+++ b/packages/messages/src/fennelcove/limit_messages.py
@@ -9,9 +9,9 @@
 import struct
 from collections.abc import Iterator, Sequence
 
-from fennelcove.concurrency_limits.latency_histogram import LAST_CLASS, ClassCounts, Row
+from fennelcove.concurrency_limits.latency_histogram import LAST_CLASS, ClassCounts, HistogramRow
 from fennelcove.concurrency_limits.quorum import QuorumVote
-from fennelcove.concurrency_limits.replica import ReplicaMessages
+from fennelcove.concurrency_limits.replica import LimitReport
 from fennelcove.concurrency_limits.server_limits import MAX_REPORTED_AGE_US
 from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Resource
 
@@ -38,7 +38,7 @@
 MAX_SLOTS = 65_535
 
 
-def encode(incarnation: int, sequence: int, reports: Sequence[ReplicaMessages], now_us: int) -> list[bytes]:
+def encode(incarnation: int, sequence: int, reports: Sequence[LimitReport], now_us: int) -> list[bytes]:
     """Encode what a replica reports, into messages of 256 bytes at most each."""
     counts = [_encode_counts(report, row, now_us) for report in reports for row in report.rows]
     votes = [_encode_vote(report, report.vote, now_us) for report in reports if report.vote is not None]
@@ -79,7 +79,7 @@
     )
 
 
-def _encode_counts(report: ReplicaMessages, row: Row, now_us: int) -> bytes:
+def _encode_counts(report: LimitReport, row: HistogramRow, now_us: int) -> bytes:
     age_s = _age_s(report.started_us, now_us)
     head = COUNTS.pack(report.server, age_s, row.shape, row.requested, row.denied, row.unanswered)
     service_times = _encode_classes(row.service_times, MAX_SERVICE_CLASSES)
@@ -87,13 +87,13 @@
     return _encode_row(head + service_times + bytes([END_OF_CLASSES]) + waiting_times)
 
 
-def _encode_vote(report: ReplicaMessages, vote: QuorumVote, now_us: int) -> bytes:
+def _encode_vote(report: LimitReport, vote: QuorumVote, now_us: int) -> bytes:
     head = VOTE.pack(report.server, _age_s(report.started_us, now_us), min(MAX_SLOTS, vote.limit))
     limits = b"".join(SHAPE_LIMIT.pack(shape, min(MAX_SLOTS, slots)) for shape, slots in vote.shape_limits)
     return _encode_row(head + limits)
 
 
-def decode(raw: bytes, now_us: int) -> tuple[int, int, list[ReplicaMessages]] | None:
+def decode(raw: bytes, now_us: int) -> tuple[int, int, list[LimitReport]] | None:
     """Decode a message: incarnation, sequence and reports.
 
     None where it is malformed; rows of an unknown kind are skipped.
@@ -102,7 +102,7 @@
         return None
     kind, incarnation, sequence = HEAD.unpack_from(raw)
     decode_body = _decode_counts if kind == COUNTS_REPORT else _decode_vote
-    reports: list[ReplicaMessages] = []
+    reports: list[LimitReport] = []
     for body in _row_bodies(raw[HEAD.size :]):
         if body is None:
             return None
@@ -127,7 +127,7 @@
         raw = raw[end:]
 
 
-def _decode_counts(body: bytes, now_us: int) -> ReplicaMessages | None:
+def _decode_counts(body: bytes, now_us: int) -> LimitReport | None:
     if len(body) <= COUNTS.size:
         return None
     server, age_s, shape, requested, denied, lost = COUNTS.unpack_from(body)
@@ -142,8 +142,8 @@
     waiting_times = _decode_classes(pairs[ends[0] + 1 :])
     if service_times is None or waiting_times is None:
         return None
-    row = Row(shape, requested, denied, lost, service_times, waiting_times)
-    return ReplicaMessages((), server, _started_us(age_s, now_us), rows=(row,))
+    row = HistogramRow(shape, requested, denied, lost, service_times, waiting_times)
+    return LimitReport((), server, _started_us(age_s, now_us), rows=(row,))
 
 
 def _decode_classes(raw: bytes) -> ClassCounts | None:
@@ -151,14 +151,14 @@
     return classes if all(number <= LAST_CLASS for number, _ in classes) else None
 
 
-def _decode_vote(body: bytes, now_us: int) -> ReplicaMessages | None:
+def _decode_vote(body: bytes, now_us: int) -> LimitReport | None:
     if len(body) < VOTE.size or (len(body) - VOTE.size) % SHAPE_LIMIT.size:
         return None
     server, age_s, whole = VOTE.unpack_from(body)
     if not whole:
         return None
     limits = tuple((shape, slots) for shape, slots in SHAPE_LIMIT.iter_unpack(body[VOTE.size :]))
-    return ReplicaMessages((), server, _started_us(age_s, now_us), vote=QuorumVote(whole, limits))
+    return LimitReport((), server, _started_us(age_s, now_us), vote=QuorumVote(whole, limits))
 
 
 def encode_slot_message(server: int, message: QuotaRequest | QuotaTransfer) -> bytes:
--- a/packages/messages/src/fennelcove/usage_messages.py
+++ b/packages/messages/src/fennelcove/usage_messages.py
@@ -15,7 +15,7 @@
 
 def encode(report: UsageReport) -> list[bytes]:
     """Encode a report, into messages of 256 bytes at most each."""
-    rows = [ROW.pack(row.server, row.tenant, row.given_us) for row in report.rows]
+    rows = [ROW.pack(row.server, row.tenant, row.used_us) for row in report.rows]
     head = HEAD.pack(USAGE_REPORT, report.incarnation, report.sequence)
     starts = range(0, len(rows), MAX_ROWS)
     return [head + b"".join(rows[start : start + MAX_ROWS]) for start in starts]
--- a/packages/playback/src/fennelcove/decisions/playback/resume_tokens.py
+++ b/packages/playback/src/fennelcove/decisions/playback/resume_tokens.py
@@ -19,7 +19,7 @@
     PlaylistTrack,
     ReplayLimit,
 )
-from fennelcove.timeline.model import PeriodStart, Shown
+from fennelcove.timeline.model import PeriodStart, ListedSegment
 
 MAX_TOKEN_CHARS = 8192
 
@@ -63,35 +63,35 @@
 _DECODER: msgspec.json.Decoder[_TrackRecord] = msgspec.json.Decoder(_TrackRecord)
 
 
-def write(track: PlaylistTrack) -> str:
+def encode(track: PlaylistTrack) -> str:
     """Encodes a track as a token; segments that have left the playlist's window are left out."""
     cursor = track.cursor
-    oldest = track.fetched - WINDOW_SEGMENTS
-    kept = [segment for segment in track.shown if segment.sequence_number > oldest]
-    dropped = sum(segment.is_discontinuity for segment in track.shown if segment.sequence_number <= oldest)
+    oldest = track.last_fetched - WINDOW_SEGMENTS
+    kept = [segment for segment in track.segments if segment.sequence_number > oldest]
+    dropped = sum(segment.is_discontinuity for segment in track.segments if segment.sequence_number <= oldest)
     record = _TrackRecord(
-        ledger_version=track.version,
+        ledger_version=track.ledger_version,
         began_wall_us=track.began_wall_us,
-        last_fetched=track.fetched,
+        last_fetched=track.last_fetched,
         dropped_discontinuities=track.dropped_discontinuities + dropped,
-        is_ended=track.ended,
+        is_ended=track.is_ended,
         next_sequence_number=cursor.next_sequence_number,
-        next_title_segment=cursor.lesson,
-        start_s=str(cursor.start),
+        next_title_segment=cursor.next_title_segment,
+        start_s=str(cursor.start_s),
         clip_progress=_encode_clip_progress(cursor.clip_progress),
-        continuation_key=cursor.source,
+        continuation_key=cursor.continuation_key,
         rung=cursor.rung,
         period=_encode_period(cursor.period),
         applied_change_ids=sorted(cursor.applied_change_ids),
         segments=[_encode_segment(segment) for segment in kept],
-        uses_interstitials=track.apart,
-        interstitial_rungs=track.begun,
-        interstitial_ids=cursor.breaks,
+        uses_interstitials=track.uses_interstitials,
+        interstitial_rungs=track.interstitial_rungs,
+        interstitial_ids=cursor.interstitial_ids,
     )
     return msgspec.json.encode(record).decode()
 
 
-def read(text: str) -> PlaylistTrack | None:
+def decode(text: str) -> PlaylistTrack | None:
     """Decodes a token; None for an empty or malformed one, so that no server can make a front fail."""
     if not text or len(text) > MAX_TOKEN_CHARS:
         return None
@@ -103,7 +103,7 @@
 
 
 def _encode_period(period: PeriodStart) -> _PeriodRecord:
-    return period.sequence_number, period.number, str(period.start)
+    return period.sequence_number, period.segment_number, str(period.start_s)
 
 
 def _decode_period(record: _PeriodRecord) -> PeriodStart:
@@ -117,23 +117,23 @@
     return progress.change_id, progress.clip, progress.next_segment, progress.segment_count
 
 
-def _encode_segment(segment: Shown) -> _SegmentRecord:
+def _encode_segment(segment: ListedSegment) -> _SegmentRecord:
     return _SegmentRecord(
         sequence_number=segment.sequence_number,
         media=segment.media,
-        segment_number=segment.number,
+        segment_number=segment.segment_number,
         rung=segment.rung,
-        start_s=str(segment.start),
-        duration_s=str(segment.duration),
+        start_s=str(segment.start_s),
+        duration_s=str(segment.duration_s),
         period=_encode_period(segment.period),
-        change_id=segment.change,
+        change_id=segment.change_id,
         is_discontinuity=segment.is_discontinuity,
-        interstitial_ids=segment.breaks,
+        interstitial_ids=segment.interstitial_ids,
     )
 
 
-def _decode_segment(record: _SegmentRecord) -> Shown:
-    return Shown(
+def _decode_segment(record: _SegmentRecord) -> ListedSegment:
+    return ListedSegment(
         record.sequence_number,
         record.media,
         record.segment_number,
@@ -173,6 +173,6 @@
         record.ledger_version,
     )
     track.replay = ReplayLimit(record.next_sequence_number, record.ledger_version)
-    track.apart = record.uses_interstitials
-    track.begun = dict(record.interstitial_rungs)
+    track.uses_interstitials = record.uses_interstitials
+    track.interstitial_rungs = dict(record.interstitial_rungs)
     return track
--- a/packages/playback/src/fennelcove/decisions/playback/segment_routing.py
+++ b/packages/playback/src/fennelcove/decisions/playback/segment_routing.py
@@ -12,7 +12,7 @@
 from enum import Enum, auto
 
 
-class Source(Enum):
+class SegmentSource(Enum):
     """Where a segment comes from, the most preferred first.
 
     The members' names are part of the names of counters in the status.
@@ -26,11 +26,11 @@
     NONE = auto()
 
 
-FALLBACK_ORDER = (Source.HOME, Source.OTHER, Source.LOWER, Source.SLATE)
+FALLBACK_ORDER = (SegmentSource.HOME, SegmentSource.OTHER, SegmentSource.LOWER, SegmentSource.SLATE)
 
 
 @dataclass(frozen=True, slots=True)
-class Offer:
+class SegmentCandidates:
     """The servers that could serve a segment now, by address."""
 
     home_server: str | None  # None while the session is being moved
@@ -44,18 +44,18 @@
 class SegmentRoute:
     """The source of a segment and its server; no server for WAIT and NONE."""
 
-    source: Source
+    source: SegmentSource
     server: str = ""
 
 
-def pick_lesson(candidates: Offer) -> SegmentRoute:
+def route_title_segment(candidates: SegmentCandidates) -> SegmentRoute:
     """Routes a segment of the title, which only the session's own server may serve."""
     if candidates.home_server is None:
-        return SegmentRoute(Source.WAIT)
-    return SegmentRoute(Source.HOME, candidates.home_server)
+        return SegmentRoute(SegmentSource.WAIT)
+    return SegmentRoute(SegmentSource.HOME, candidates.home_server)
 
 
-def pick_clip(candidates: Offer, failed_servers: Sequence[str]) -> SegmentRoute:
+def route_clip_segment(candidates: SegmentCandidates, failed_servers: Sequence[str]) -> SegmentRoute:
     """Routes a segment of a spliced clip.
 
     Args:
@@ -66,22 +66,24 @@
         server = _find_server(source, candidates, failed_servers)
         if server is not None:
             return SegmentRoute(source, server)
-    return SegmentRoute(Source.WAIT if candidates.home_server is None else Source.NONE)
+    return SegmentRoute(SegmentSource.WAIT if candidates.home_server is None else SegmentSource.NONE)
 
 
-def _find_server(source: Source, candidates: Offer, failed_servers: Sequence[str]) -> str | None:
-    if source is Source.SLATE:
+def _find_server(
+    source: SegmentSource, candidates: SegmentCandidates, failed_servers: Sequence[str]
+) -> str | None:
+    if source is SegmentSource.SLATE:
         return candidates.slate_server  # also where it failed before: there is nothing behind it
-    if source is Source.HOME:
+    if source is SegmentSource.HOME:
         servers = _home_servers(candidates)
-    elif source is Source.OTHER:
+    elif source is SegmentSource.OTHER:
         servers = candidates.replicas
     else:
         servers = candidates.lower_rung_replicas
     return next((server for server in servers if server not in failed_servers), None)
 
 
-def _home_servers(candidates: Offer) -> Sequence[str]:
+def _home_servers(candidates: SegmentCandidates) -> Sequence[str]:
     if candidates.home_server is None or not candidates.home_has_media:
         return ()
     return (candidates.home_server,)
