--- a/packages/playback/src/fennelcove/decisions/playback/splices.py
+++ b/packages/playback/src/fennelcove/decisions/playback/splices.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from fractions import Fraction
 
-from fennelcove.timeline.model import Change, Kind, Media
+from fennelcove.timeline.model import Change, ChangeKind, Media
 
 MAX_CHANGES_PER_TITLE = 1000
 MAX_LEDGER_ENTRIES = 20_000  # withdrawn ones included: a repeated submission must find the first one
@@ -20,7 +20,7 @@
 SECONDS_PER_MINUTE = 60
 
 
-class Refusal(Enum):
+class RejectionReason(Enum):
     """Why a change is rejected; the values are part of the HTTP interface."""
 
     UNKNOWN_TITLE = "unknown-title"
@@ -37,28 +37,28 @@
     TOO_MANY = "too-many"
 
 
-class Ruling(Enum):
+class ChangeStatus(Enum):
     """The result of a submission or withdrawal; the values are part of the HTTP interface."""
 
-    MADE = "made"
+    ACCEPTED = "made"
     UNCHANGED = "stands"  # the same change was submitted before
-    REFUSED = "refused"
+    REJECTED = "refused"
     WITHDRAWN = "withdrawn"
     UNKNOWN = "unknown"
 
 
 @dataclass(frozen=True, slots=True)
-class Verdict:
+class ChangeResult:
     """What became of a change; where it was rejected, the reason and what the author can do."""
 
-    ruling: Ruling
+    status: ChangeStatus
     version: int
-    refusal: Refusal | None = None
-    cure: str = ""
+    reason: RejectionReason | None = None
+    remedy: str = ""
 
 
 @dataclass(frozen=True, slots=True)
-class Scene:
+class ValidationContext:
     """What a change is checked against, beside the ledger."""
 
     media: Mapping[str, Media]
@@ -72,28 +72,28 @@
 class Rejection:
     """The reason for which a check rejects a change, and what the author can do."""
 
-    reason: Refusal
+    reason: RejectionReason
     remedy: str
 
 
 @dataclass(slots=True)
-class Entry:
+class LedgerEntry:
     """One change, and the ledger versions at which it was accepted and withdrawn."""
 
     change: Change
     version: int
-    withdrawn: int | None = None
+    withdrawn_version: int | None = None
 
 
 @dataclass(slots=True)
-class Ledger:
+class ChangeLedger:
     """All changes, by id, with a version that grows by one at each step; state in memory alone."""
 
-    entries: dict[str, Entry] = field(default_factory=dict)
+    entries: dict[str, LedgerEntry] = field(default_factory=dict)
     version: int = 0
-    by_title: dict[str, dict[str, Entry]] = field(default_factory=dict)
+    by_title: dict[str, dict[str, LedgerEntry]] = field(default_factory=dict)
 
-    def submit(self, change: Change, context: Scene) -> Verdict:
+    def submit(self, change: Change, context: ValidationContext) -> ChangeResult:
         """Accepts a change, finds that it was accepted before, or rejects it as a whole."""
         entry = self.entries.get(change.id)
         if entry is not None:
@@ -101,35 +101,35 @@
         for check in CHECKS:
             rejection = check(self, change, context)
             if rejection is not None:
-                return Verdict(Ruling.REFUSED, self.version, rejection.reason, rejection.remedy)
-        self.put(change)
-        return Verdict(Ruling.MADE, self.version)
+                return ChangeResult(ChangeStatus.REJECTED, self.version, rejection.reason, rejection.remedy)
+        self.add(change)
+        return ChangeResult(ChangeStatus.ACCEPTED, self.version)
 
-    def _resubmit(self, entry: Entry, change: Change) -> Verdict:
-        if entry.change == change and entry.withdrawn is None:
-            return Verdict(Ruling.UNCHANGED, entry.version)
+    def _resubmit(self, entry: LedgerEntry, change: Change) -> ChangeResult:
+        if entry.change == change and entry.withdrawn_version is None:
+            return ChangeResult(ChangeStatus.UNCHANGED, entry.version)
         remedy = "the same id stood for another change or was withdrawn; use a new id"
-        return Verdict(Ruling.REFUSED, self.version, Refusal.ID_TAKEN, remedy)
+        return ChangeResult(ChangeStatus.REJECTED, self.version, RejectionReason.ID_TAKEN, remedy)
 
-    def put(self, change: Change) -> None:
+    def add(self, change: Change) -> None:
         """Adds a change without any check."""
         self.version += 1
-        entry = Entry(change, self.version)
+        entry = LedgerEntry(change, self.version)
         self.entries[change.id] = entry
         self.by_title.setdefault(change.target.title, {})[change.id] = entry
 
-    def withdraw(self, change_id: str) -> Verdict:
+    def withdraw(self, change_id: str) -> ChangeResult:
         """Withdraws a change. Players for which its first segment was listed play it to its end."""
         entry = self.entries.get(change_id)
         if entry is None:
-            return Verdict(Ruling.UNKNOWN, self.version)
-        if entry.withdrawn is None:
+            return ChangeResult(ChangeStatus.UNKNOWN, self.version)
+        if entry.withdrawn_version is None:
             self.version += 1
-            entry.withdrawn = self.version
+            entry.withdrawn_version = self.version
             self.by_title[entry.change.target.title].pop(change_id, None)
-        return Verdict(Ruling.WITHDRAWN, self.version)
+        return ChangeResult(ChangeStatus.WITHDRAWN, self.version)
 
-    def standing(self, title: str, at_version: int | None = None) -> Iterable[Change]:
+    def active_changes(self, title: str, at_version: int | None = None) -> Iterable[Change]:
         """The changes to a title in force, now or as of an earlier version of the ledger."""
         if at_version is None:
             return [entry.change for entry in self.by_title.get(title, {}).values()]
@@ -138,91 +138,96 @@
             for entry in self.entries.values()
             if entry.change.target.title == title
             and entry.version <= at_version
-            and (entry.withdrawn is None or entry.withdrawn > at_version)
+            and (entry.withdrawn_version is None or entry.withdrawn_version > at_version)
         ]
 
 
-def _check_references(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
+def _check_references(ledger: ChangeLedger, change: Change, context: ValidationContext) -> Rejection | None:
     if change.target.title not in context.media:
-        return Rejection(Refusal.UNKNOWN_TITLE, "name a title that has media")
+        return Rejection(RejectionReason.UNKNOWN_TITLE, "name a title that has media")
     if not context.is_session_known:
-        return Rejection(Refusal.UNKNOWN_SESSION, "name a subscription that plays here, or a title")
-    if change.kind is not Kind.CUT:
+        return Rejection(RejectionReason.UNKNOWN_SESSION, "name a subscription that plays here, or a title")
+    if change.kind is not ChangeKind.CUT:
         clip = context.media.get(change.clip or "")
-        if clip is None or clip.live:
-            return Rejection(Refusal.UNKNOWN_CLIP, "name a recorded title that has media")
+        if clip is None or clip.is_live:
+            return Rejection(RejectionReason.UNKNOWN_CLIP, "name a recorded title that has media")
     return None
 
 
-def _check_times(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
-    if (change.at is None) == (change.wall_us is None):
-        return Rejection(Refusal.INVALID_TIME, "give either a media time or a wall time")
-    if change.kind is Kind.INSERT and change.until is not None:
+def _check_times(ledger: ChangeLedger, change: Change, context: ValidationContext) -> Rejection | None:
+    if (change.start_s is None) == (change.wall_us is None):
+        return Rejection(RejectionReason.INVALID_TIME, "give either a media time or a wall time")
+    if change.kind is ChangeKind.INSERT and change.end_s is not None:
         return Rejection(
-            Refusal.INVALID_TIME, "an insertion has no end in the lesson; leave it out, or replace"
+            RejectionReason.INVALID_TIME, "an insertion has no end in the lesson; leave it out, or replace"
         )
-    if change.kind is not Kind.INSERT and (change.until is None or change.at is None):
-        return Rejection(Refusal.INVALID_TIME, "a stretch needs both its ends, as media times")
-    if change.at is not None and change.at < 0:
-        return Rejection(Refusal.INVALID_TIME, "media times begin at 0")
+    if change.kind is not ChangeKind.INSERT and (change.end_s is None or change.start_s is None):
+        return Rejection(RejectionReason.INVALID_TIME, "a stretch needs both its ends, as media times")
+    if change.start_s is not None and change.start_s < 0:
+        return Rejection(RejectionReason.INVALID_TIME, "media times begin at 0")
     return None
 
 
-def _check_range(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
+def _check_range(ledger: ChangeLedger, change: Change, context: ValidationContext) -> Rejection | None:
     media = context.media[change.target.title]
-    first, resume = change.first(media), change.after(media)
-    if change.kind is Kind.INSERT or first is None or resume is None:
+    first, resume = change.first_segment(media), change.resume_segment(media)
+    if change.kind is ChangeKind.INSERT or first is None or resume is None:
         return None
     if resume <= first:
-        remedy = f"no segment begins in it; a segment is {float(media.each):g} s long"
-        return Rejection(Refusal.EMPTY_RANGE, remedy)
+        remedy = f"no segment begins in it; a segment is {float(media.segment_duration_s):g} s long"
+        return Rejection(RejectionReason.EMPTY_RANGE, remedy)
     return None
 
 
-def _check_end(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
+def _check_end(ledger: ChangeLedger, change: Change, context: ValidationContext) -> Rejection | None:
     media = context.media[change.target.title]
-    first, resume = change.first(media), change.after(media)
-    if media.count is None or first is None or resume is None:
+    first, resume = change.first_segment(media), change.resume_segment(media)
+    if media.segment_count is None or first is None or resume is None:
         return None
-    if max(first, resume) > media.count:
-        return Rejection(Refusal.PAST_END, f"the lesson ends at {float(media.start(media.count)):g} s")
+    if max(first, resume) > media.segment_count:
+        return Rejection(
+            RejectionReason.PAST_END,
+            f"the lesson ends at {float(media.segment_start_s(media.segment_count)):g} s",
+        )
     return None
 
 
-def _check_not_listed(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
+def _check_not_listed(ledger: ChangeLedger, change: Change, context: ValidationContext) -> Rejection | None:
     media = context.media[change.target.title]
-    first = change.first(media)
+    first = change.first_segment(media)
     if first is None:
         if change.wall_us is not None and change.wall_us < context.wall_us:
-            return Rejection(Refusal.BEFORE_LIVE_EDGE, "that moment has passed")
+            return Rejection(RejectionReason.BEFORE_LIVE_EDGE, "that moment has passed")
         return None
-    if media.live:
+    if media.is_live:
         # The segment at the edge is being written and may be listed at any instant: one more is kept clear.
-        earliest = media.ready(context.wall_us) + 1
+        earliest = media.available_segments(context.wall_us) + 1
         if first < earliest:
             return Rejection(
-                Refusal.BEFORE_LIVE_EDGE, f"the earliest time is now {float(media.start(earliest)):g} s"
+                RejectionReason.BEFORE_LIVE_EDGE,
+                f"the earliest time is now {float(media.segment_start_s(earliest)):g} s",
             )
     if context.next_title_segment is not None and first < context.next_title_segment:
         return Rejection(
-            Refusal.ALREADY_LISTED,
-            f"the player was shown the lesson up to {float(media.start(context.next_title_segment)):g} s",
+            RejectionReason.ALREADY_LISTED,
+            "the player was shown the lesson up to "
+            f"{float(media.segment_start_s(context.next_title_segment)):g} s",
         )
     return None
 
 
-def _check_overlaps(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
+def _check_overlaps(ledger: ChangeLedger, change: Change, context: ValidationContext) -> Rejection | None:
     media = context.media[change.target.title]
-    for other in ledger.standing(change.target.title):
+    for other in ledger.active_changes(change.target.title):
         if change.target.may_overlap(other.target) and _overlap(change, other, media):
             remedy = f"it meets {other.id!r} of {other.author!r}; withdraw that, or go around it"
-            return Rejection(Refusal.OVERLAPS, remedy)
+            return Rejection(RejectionReason.OVERLAPS, remedy)
     return None
 
 
 def _overlap(change: Change, other: Change, media: Media) -> bool:
-    first, resume = change.first(media), change.after(media)
-    other_first, other_resume = other.first(media), other.after(media)
+    first, resume = change.first_segment(media), change.resume_segment(media)
+    other_first, other_resume = other.first_segment(media), other.resume_segment(media)
     if first is None or resume is None or other_first is None or other_resume is None:
         return change.wall_us is not None and change.wall_us == other.wall_us
     if first == other_first:
@@ -230,30 +235,31 @@
     return first < other_resume and other_first < resume
 
 
-def _check_renditions(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
-    if change.kind is Kind.CUT:
+def _check_renditions(ledger: ChangeLedger, change: Change, context: ValidationContext) -> Rejection | None:
+    if change.kind is ChangeKind.CUT:
         return None
     media, clip = context.media[change.target.title], context.media[change.clip or ""]
     if clip.codecs != media.codecs:
         return Rejection(
-            Refusal.INCOMPATIBLE_RENDITIONS, f"the lesson is in {media.codecs}, the clip in {clip.codecs}"
+            RejectionReason.INCOMPATIBLE_RENDITIONS,
+            f"the lesson is in {media.codecs}, the clip in {clip.codecs}",
         )
     if context.floor_rung not in clip.rungs:
         return Rejection(
-            Refusal.INCOMPATIBLE_RENDITIONS,
+            RejectionReason.INCOMPATIBLE_RENDITIONS,
             f"the clip needs rung {context.floor_rung}, the floor of the room types concerned",
         )
     return None
 
 
-def _check_limits(ledger: Ledger, change: Change, context: Scene) -> Rejection | None:
+def _check_limits(ledger: ChangeLedger, change: Change, context: ValidationContext) -> Rejection | None:
     title_changes = len(ledger.by_title.get(change.target.title, ()))
     if title_changes >= MAX_CHANGES_PER_TITLE or len(ledger.entries) >= MAX_LEDGER_ENTRIES:
-        return Rejection(Refusal.TOO_MANY, "withdraw some that are over")
+        return Rejection(RejectionReason.TOO_MANY, "withdraw some that are over")
     return None
 
 
-Check = Callable[[Ledger, Change, Scene], Rejection | None]
+Check = Callable[[ChangeLedger, Change, ValidationContext], Rejection | None]
 
 CHECKS: tuple[Check, ...] = (
     _check_references,
@@ -267,7 +273,7 @@
 )
 
 
-def seconds(text: str) -> Fraction:
+def parse_media_time(text: str) -> Fraction:
     """Parses a media time as authors write it: `12.5`, `37/3`, `1:02:03.25`.
 
     Raises:
--- a/packages/playback/src/fennelcove/manifests/dash.py
+++ b/packages/playback/src/fennelcove/manifests/dash.py
@@ -5,16 +5,18 @@
 from itertools import groupby
 from xml.sax.saxutils import quoteattr
 
-from fennelcove.manifests.exact_time import iso, to_microseconds, format_duration
-from fennelcove.manifests.hls import Listing
-from fennelcove.timeline.model import Shown
+from fennelcove.manifests.exact_time import format_wall_time, to_microseconds, format_duration
+from fennelcove.manifests.hls import MediaListing
+from fennelcove.timeline.model import ListedSegment
 
 
-def _group_by_period(segments: list[Shown]) -> list[list[Shown]]:
+def _group_by_period(segments: list[ListedSegment]) -> list[list[ListedSegment]]:
     return [list(group) for _, group in groupby(segments, lambda item: item.period.sequence_number)]
 
 
-def manifest(listing: Listing, target_duration_s: int, rung_kbit: dict[int, int], buffer_s: int) -> str:
+def media_presentation(
+    listing: MediaListing, target_duration_s: int, rung_kbit: dict[int, int], buffer_s: int
+) -> str:
     """The MPD of one player: without a duration while it may grow, with its duration once it has ended.
 
     Args:
@@ -23,17 +25,17 @@
         rung_kbit: each rung's rate, in kilobits a second.
         buffer_s: seconds of media that players should buffer at least.
     """
-    segments = listing.shown
-    end_us = to_microseconds(segments[-1].end) if segments else 0
+    segments = listing.segments
+    end_us = to_microseconds(segments[-1].end_s) if segments else 0
     lines = [
         '<?xml version="1.0" encoding="UTF-8"?>',
         '<MPD xmlns="urn:mpeg:dash:schema:mpd:2011" profiles="urn:mpeg:dash:profile:isoff-live:2011"',
-        f' type="dynamic" availabilityStartTime="{iso(listing.began_wall_us)}"',
-        f' publishTime="{iso(listing.began_wall_us + end_us)}"',
+        f' type="dynamic" availabilityStartTime="{format_wall_time(listing.began_wall_us)}"',
+        f' publishTime="{format_wall_time(listing.began_wall_us + end_us)}"',
         f' minBufferTime="PT{buffer_s}S" suggestedPresentationDelay="PT0S"'
         f' maxSegmentDuration="PT{target_duration_s}S"',
     ]
-    if listing.ended:
+    if listing.is_ended:
         lines.append(f' mediaPresentationDuration="{format_duration(end_us)}">')
     else:
         lines.append(f' minimumUpdatePeriod="PT{target_duration_s}S">')
@@ -41,28 +43,30 @@
     periods = _group_by_period(segments)
     for index, period_segments in enumerate(periods):
         is_last = index + 1 == len(periods)
-        last_segment = None if is_last and not listing.ended else period_segments[-1]
+        last_segment = None if is_last and not listing.is_ended else period_segments[-1]
         lines.append(_period(period_segments, listing, rung_kbit, last_segment))
     lines.append("</MPD>")
     return "\n".join(lines) + "\n"
 
 
 def _period(
-    segments: list[Shown], listing: Listing, rung_kbit: dict[int, int], last_segment: Shown | None
+    segments: list[ListedSegment],
+    listing: MediaListing,
+    rung_kbit: dict[int, int],
+    last_segment: ListedSegment | None,
 ) -> str:
     first = segments[0]
     media, period_start = listing.media[first.media], first.period
     # Named by where the period began, also once its first segments have left the window.
-    start_us = to_microseconds(period_start.start)
+    start_us = to_microseconds(period_start.start_s)
     length = (
-        f' duration="{format_duration(to_microseconds(last_segment.end) - start_us)}"'
+        f' duration="{format_duration(to_microseconds(last_segment.end_s) - start_us)}"'
         if last_segment is not None
         else ""
     )
-    timeline = (
-        f'<S t="{first.number * media.segment_ticks}" d="{media.segment_ticks}" r="{len(segments) - 1}"/>'
-    )
-    offset = period_start.number * media.segment_ticks
+    start_ticks = first.segment_number * media.segment_ticks
+    timeline = f'<S t="{start_ticks}" d="{media.segment_ticks}" r="{len(segments) - 1}"/>'
+    offset = period_start.segment_number * media.segment_ticks
     init = quoteattr(f"init/{first.media}/{first.rung}.mp4")
     return (
         f'<Period id="p{period_start.sequence_number}" start="{format_duration(start_us)}"{length}>'
--- a/packages/playback/src/fennelcove/manifests/exact_time.py
+++ b/packages/playback/src/fennelcove/manifests/exact_time.py
@@ -26,7 +26,7 @@
     return to_decimal_seconds(to_microseconds(end_s) - to_microseconds(start_s))
 
 
-def iso(wall_us: int) -> str:
+def format_wall_time(wall_us: int) -> str:
     """Formats a wall time as RFC 3339 requires, in UTC with microseconds."""
     wall_time = datetime(1970, 1, 1, tzinfo=UTC) + timedelta(microseconds=wall_us)
     return wall_time.strftime("%Y-%m-%dT%H:%M:%S.%fZ")
--- a/packages/playback/src/fennelcove/manifests/hls.py
+++ b/packages/playback/src/fennelcove/manifests/hls.py
@@ -12,8 +12,8 @@
 from fractions import Fraction
 from math import ceil
 
-from fennelcove.manifests.exact_time import iso, to_microseconds, duration_between
-from fennelcove.timeline.model import Media, Shown
+from fennelcove.manifests.exact_time import format_wall_time, to_microseconds, duration_between
+from fennelcove.timeline.model import Media, ListedSegment
 
 SPLICE_CLASS = "urn:fennelcove:stitch"
 INTERSTITIAL_CLASS = "com.apple.hls.interstitial"  # the successor draft of RFC 8216, appendix D
@@ -23,22 +23,24 @@
 class Interstitial:
     """A clip that is played as an interstitial, after which the title continues where it was left."""
 
-    change: str
+    change_id: str
     clip: Media
 
 
 @dataclass(frozen=True, slots=True)
-class Listing:
+class MediaListing:
     """What a manifest is written from."""
 
-    shown: list[Shown]  # the segments to list
+    segments: list[ListedSegment]  # the segments to list
     discontinuity_sequence: int  # the discontinuity sequence number of the first segment
-    ended: bool  # no segment will follow
-    live: bool  # the title is live
+    is_ended: bool  # no segment will follow
+    is_live: bool  # the title is live
     began_wall_us: int  # the wall time at which the player's timeline began
     media: Mapping[str, Media]  # by title
-    breaks: Mapping[str, Interstitial] = field(default_factory=dict)  # the interstitials, by change
-    after: tuple[str, ...] = ()  # ids of the changes whose interstitials are played after the last segment
+    interstitials: Mapping[str, Interstitial] = field(default_factory=dict)  # the interstitials, by change
+    trailing_interstitial_ids: tuple[
+        str, ...
+    ] = ()  # ids of the changes whose interstitials are played after the last segment
 
 
 def target_duration(media: Iterable[Media]) -> int:
@@ -46,10 +48,10 @@
 
     It covers all media, as EXT-X-TARGETDURATION must never change (RFC 8216, section 4.3.3.1).
     """
-    return max((ceil(item.each) for item in media), default=1)
+    return max((ceil(item.segment_duration_s) for item in media), default=1)
 
 
-def multivariant(bandwidth: int, average_bandwidth: int, codecs: str) -> str:
+def multivariant_playlist(bandwidth: int, average_bandwidth: int, codecs: str) -> str:
     """The multivariant playlist; bandwidths in bits a second."""
     return (
         "#EXTM3U\n#EXT-X-VERSION:7\n#EXT-X-INDEPENDENT-SEGMENTS\n"
@@ -58,14 +60,14 @@
     )
 
 
-def media_playlist(listing: Listing, target_duration_s: int) -> str:
+def media_playlist(listing: MediaListing, target_duration_s: int) -> str:
     """The media playlist of one player; `target_duration_s` as of `target_duration`."""
-    segments = listing.shown
+    segments = listing.segments
     lines = ["#EXTM3U", "#EXT-X-VERSION:7", f"#EXT-X-TARGETDURATION:{target_duration_s}"]
     lines.append(f"#EXT-X-MEDIA-SEQUENCE:{segments[0].sequence_number if segments else 0}")
     lines.append(f"#EXT-X-DISCONTINUITY-SEQUENCE:{listing.discontinuity_sequence}")
     lines.append("#EXT-X-INDEPENDENT-SEGMENTS")
-    if not listing.live:
+    if not listing.is_live:
         lines.append("#EXT-X-START:TIME-OFFSET=0,PRECISE=YES")
     rendition: tuple[str, int] | None = None
     for index, segment in enumerate(segments):
@@ -74,52 +76,57 @@
         if (segment.media, segment.rung) != rendition:
             rendition = (segment.media, segment.rung)
             lines.append(f'#EXT-X-MAP:URI="init/{segment.media}/{segment.rung}.mp4"')
-        if index == 0 or segment.is_discontinuity or segment.breaks:
+        if index == 0 or segment.is_discontinuity or segment.interstitial_ids:
             lines.append(
-                f"#EXT-X-PROGRAM-DATE-TIME:{iso(listing.began_wall_us + to_microseconds(segment.start))}"
+                "#EXT-X-PROGRAM-DATE-TIME:"
+                f"{format_wall_time(listing.began_wall_us + to_microseconds(segment.start_s))}"
             )
-        if segment.change and (segment.number == 0 or index == 0):
+        if segment.change_id and (segment.segment_number == 0 or index == 0):
             lines.append(_date_range(segment, listing))
-        lines += _interstitials(segment.breaks, segment.start, listing)
-        lines.append(f"#EXTINF:{duration_between(segment.start, segment.end)},")
+        lines += _interstitials(segment.interstitial_ids, segment.start_s, listing)
+        lines.append(f"#EXTINF:{duration_between(segment.start_s, segment.end_s)},")
         lines.append(f"seg/{segment.sequence_number}.m4s")
-    if listing.ended:
-        lines += _interstitials(listing.after, segments[-1].end if segments else Fraction(0), listing)
+    if listing.is_ended:
+        lines += _interstitials(
+            listing.trailing_interstitial_ids, segments[-1].end_s if segments else Fraction(0), listing
+        )
         lines.append("#EXT-X-ENDLIST")
     return "\n".join(lines) + "\n"
 
 
-def _date_range(segment: Shown, listing: Listing) -> str:
+def _date_range(segment: ListedSegment, listing: MediaListing) -> str:
     """EXT-X-DATERANGE of a spliced clip, for players that mark it (RFC 8216, section 4.3.2.7)."""
     clip = listing.media[segment.media]
-    start_s = segment.start - clip.start(segment.number)
-    end_s = start_s + clip.start(clip.count or 0)
-    start_date = iso(listing.began_wall_us + to_microseconds(start_s))
+    start_s = segment.start_s - clip.segment_start_s(segment.segment_number)
+    end_s = start_s + clip.segment_start_s(clip.segment_count or 0)
+    start_date = format_wall_time(listing.began_wall_us + to_microseconds(start_s))
     duration = duration_between(start_s, end_s)
     return (
-        f'#EXT-X-DATERANGE:ID="{segment.change}",CLASS="{SPLICE_CLASS}",START-DATE="{start_date}",'
+        f'#EXT-X-DATERANGE:ID="{segment.change_id}",CLASS="{SPLICE_CLASS}",START-DATE="{start_date}",'
         f"DURATION={duration}"
     )
 
 
-def _interstitials(change_ids: Iterable[str], start_s: Fraction, listing: Listing) -> list[str]:
+def _interstitials(change_ids: Iterable[str], start_s: Fraction, listing: MediaListing) -> list[str]:
     """EXT-X-DATERANGE of each interstitial (the successor draft of RFC 8216, appendix D)."""
-    start_date = iso(listing.began_wall_us + to_microseconds(start_s))
+    start_date = format_wall_time(listing.began_wall_us + to_microseconds(start_s))
     return [
-        f'#EXT-X-DATERANGE:ID="{item.change}",CLASS="{INTERSTITIAL_CLASS}",START-DATE="{start_date}",'
-        f"DURATION={duration_between(Fraction(0), item.clip.start(item.clip.count or 0))},"
-        f'X-ASSET-URI="asset/{item.change}.m3u8",X-RESUME-OFFSET=0.0'
-        for item in map(listing.breaks.get, change_ids)
+        f'#EXT-X-DATERANGE:ID="{item.change_id}",CLASS="{INTERSTITIAL_CLASS}",START-DATE="{start_date}",'
+        f"DURATION={duration_between(Fraction(0), item.clip.segment_start_s(item.clip.segment_count or 0))},"
+        f'X-ASSET-URI="asset/{item.change_id}.m3u8",X-RESUME-OFFSET=0.0'
+        for item in map(listing.interstitials.get, change_ids)
         if item is not None
     ]
 
 
-def asset_playlist(change_id: str, clip: Media, rung: int) -> str:
+def interstitial_playlist(change_id: str, clip: Media, rung: int) -> str:
     """The complete media playlist of an interstitial's clip; its URIs are relative to its own."""
-    lines = ["#EXTM3U", "#EXT-X-VERSION:7", f"#EXT-X-TARGETDURATION:{ceil(clip.each)}"]
+    lines = ["#EXTM3U", "#EXT-X-VERSION:7", f"#EXT-X-TARGETDURATION:{ceil(clip.segment_duration_s)}"]
     lines += ["#EXT-X-PLAYLIST-TYPE:VOD", "#EXT-X-INDEPENDENT-SEGMENTS"]
     lines.append(f'#EXT-X-MAP:URI="../init/{clip.name}/{rung}.mp4"')
-    for number in range(clip.count or 0):
-        lines.append(f"#EXTINF:{duration_between(clip.start(number), clip.start(number + 1))},")
+    for number in range(clip.segment_count or 0):
+        lines.append(
+            f"#EXTINF:{duration_between(clip.segment_start_s(number), clip.segment_start_s(number + 1))},"
+        )
         lines.append(f"{change_id}/{number}.m4s")
     return "\n".join([*lines, "#EXT-X-ENDLIST"]) + "\n"
--- a/packages/playback/src/fennelcove/timeline/model.py
+++ b/packages/playback/src/fennelcove/timeline/model.py
@@ -16,42 +16,42 @@
     name: str  # the title
     timescale: int  # ticks a second
     segment_ticks: int  # a segment's duration
-    count: int | None  # the number of segments; None for a live title
+    segment_count: int | None  # the number of segments; None for a live title
     rungs: tuple[int, ...]  # the rungs of the bitrate ladder that it is available at
     codecs: str  # as in RFC 6381
     live_from_us: int = 0  # wall time at which a live title began
 
     @property
-    def live(self) -> bool:
+    def is_live(self) -> bool:
         """Whether segments are added as time passes."""
-        return self.count is None
+        return self.segment_count is None
 
     @property
-    def each(self) -> Fraction:
+    def segment_duration_s(self) -> Fraction:
         """A segment's duration, in seconds."""
         return Fraction(self.segment_ticks, self.timescale)
 
-    def start(self, number: int) -> Fraction:
+    def segment_start_s(self, number: int) -> Fraction:
         """Where a segment begins, in seconds of media time."""
         return Fraction(number * self.segment_ticks, self.timescale)
 
     def first_segment_at_or_after(self, media_time_s: Fraction) -> int:
         """The first segment that begins at or after a media time."""
-        return -(-media_time_s // self.each)
+        return -(-media_time_s // self.segment_duration_s)
 
-    def ready(self, wall_us: int) -> int:
+    def available_segments(self, wall_us: int) -> int:
         """The number of segments available at a wall time."""
-        if self.count is not None:
-            return self.count
+        if self.segment_count is not None:
+            return self.segment_count
         elapsed_s = self.live_time_s(wall_us)
-        return int(elapsed_s // self.each)
+        return int(elapsed_s // self.segment_duration_s)
 
     def live_time_s(self, wall_us: int) -> Fraction:
         """The media time of a live title at a wall time, in seconds."""
         return Fraction(max(0, wall_us - self.live_from_us), MICROSECONDS_PER_SECOND)
 
 
-class Kind(Enum):
+class ChangeKind(Enum):
     """What a change does; the values are part of the HTTP interface and of the ledger."""
 
     INSERT = "insert"  # splice the clip in between two segments
@@ -60,27 +60,27 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Target:
+class ChangeTarget:
     """The sessions that a change applies to: all of a title, those of one service class, or a single one."""
 
     title: str
-    room_type: str | None = None
-    subscription: str | None = None
+    service_class: str | None = None
+    session_id: str | None = None
 
-    def meets(self, title: str, service_class: str, session_id: str) -> bool:
+    def matches(self, title: str, service_class: str, session_id: str) -> bool:
         """Whether the change applies to this session."""
         return (
             self.title == title
-            and self.room_type in (None, service_class)
-            and self.subscription in (None, session_id)
+            and self.service_class in (None, service_class)
+            and self.session_id in (None, session_id)
         )
 
-    def may_overlap(self, other: Target) -> bool:
+    def may_overlap(self, other: ChangeTarget) -> bool:
         """Whether changes with these two targets could apply to the same session."""
         return (
             self.title == other.title
-            and _is_compatible(self.room_type, other.room_type)
-            and _is_compatible(self.subscription, other.subscription)
+            and _is_compatible(self.service_class, other.service_class)
+            and _is_compatible(self.session_id, other.session_id)
         )
 
 
@@ -94,29 +94,29 @@
 
     id: str  # chosen by the author, never used twice
     author: str  # the name that belongs to the author's key
-    target: Target  # the sessions that it applies to
-    kind: Kind  # what it does
+    target: ChangeTarget  # the sessions that it applies to
+    kind: ChangeKind  # what it does
     clip: str | None  # the title that is spliced in; None for a cut
     # Media time from which on it applies, in seconds; None where a wall time is given.
-    at: Fraction | None = None
+    start_s: Fraction | None = None
     # Media time at which the title continues, in seconds; None for an insertion.
-    until: Fraction | None = None
+    end_s: Fraction | None = None
     wall_us: int | None = None  # wall time at which it applies, to each player where it is then
 
-    def first(self, media: Media) -> int | None:
+    def first_segment(self, media: Media) -> int | None:
         """The title's segment before which it applies; None where that differs between players."""
-        if self.at is not None:
-            return media.first_segment_at_or_after(self.at)
-        if media.live and self.wall_us is not None:
+        if self.start_s is not None:
+            return media.first_segment_at_or_after(self.start_s)
+        if media.is_live and self.wall_us is not None:
             return media.first_segment_at_or_after(media.live_time_s(self.wall_us))
         return None
 
-    def after(self, media: Media) -> int | None:
+    def resume_segment(self, media: Media) -> int | None:
         """The title's segment with which it continues; None where that differs between players."""
-        first = self.first(media)
-        if first is None or self.until is None:
+        first = self.first_segment(media)
+        if first is None or self.end_s is None:
             return first
-        return max(first, media.first_segment_at_or_after(self.until))
+        return max(first, media.first_segment_at_or_after(self.end_s))
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,26 +124,28 @@
     """Where a period began: a run of segments of one source at one rung. Manifests name the period by it."""
 
     sequence_number: int
-    number: int
-    start: Fraction
+    segment_number: int
+    start_s: Fraction
 
 
 @dataclass(frozen=True, slots=True)
-class Shown:
+class ListedSegment:
     """One segment as it was listed for a player."""
 
     sequence_number: int  # its number in the player's manifests
     media: str  # the title that it is a segment of
-    number: int  # its number in that title
+    segment_number: int  # its number in that title
     rung: int  # the rung of the bitrate ladder that it is listed at
-    start: Fraction  # its start on the player's own timeline, in seconds from 0
-    duration: Fraction  # in seconds
+    start_s: Fraction  # its start on the player's own timeline, in seconds from 0
+    duration_s: Fraction  # in seconds
     period: PeriodStart  # where the run of segments that it belongs to began
-    change: str = ""  # the id of the change that spliced it in; empty for a segment of the session's title
+    change_id: str = ""  # the id of the change that spliced it in; empty for a segment of the session's title
     is_discontinuity: bool = False  # it comes from another source than the segment before
-    breaks: tuple[str, ...] = ()  # ids of the changes whose clips are played as interstitials before it
+    interstitial_ids: tuple[
+        str, ...
+    ] = ()  # ids of the changes whose clips are played as interstitials before it
 
     @property
-    def end(self) -> Fraction:
+    def end_s(self) -> Fraction:
         """Where the next segment begins, in seconds."""
-        return self.start + self.duration
+        return self.start_s + self.duration_s
--- a/packages/scenarios/src/fennelcove/scenarios/authors.py
+++ b/packages/scenarios/src/fennelcove/scenarios/authors.py
@@ -8,7 +8,7 @@
 
 from fennelcove.clock import Clock
 from fennelcove.scenarios.script import ChangeLine
-from fennelcove.manifests.exact_time import iso
+from fennelcove.manifests.exact_time import format_wall_time
 from fennelcove.emulators.recorder import Recorder
 from fennelcove.emulators.clients import Player, Unanswered
 
@@ -31,7 +31,7 @@
                 if value is not None
             }
             if line.wall_in_s is not None:
-                order["wall"] = iso(clock.wall_us() + round(line.wall_in_s * 1e6))
+                order["wall"] = format_wall_time(clock.wall_us() + round(line.wall_in_s * 1e6))
             heard = player.ask("POST", "/v1/changes", fields, msgspec.json.encode(order), 5.0)
         recorder.note("change", id=id, kind=line.kind, status=heard.status, reason=heard.body.get("reason"))
     except Unanswered as error:
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -22,7 +22,7 @@
 import pytest
 
 from fennelcove import limit_messages, messages, rollout_messages, usage_messages
-from fennelcove.concurrency_limits.persisted import KeptSlots
+from fennelcove.concurrency_limits.persisted import StoredLimit
 from fennelcove.daemon import key_file
 from fennelcove.daemon.audit_file import AuditFile, check
 from fennelcove.daemon.ledger_file import LedgerFile
@@ -120,7 +120,7 @@
     assert flat(snapshot.read_front(stored[b"front"])) == expected["front"]
     assert flat(snapshot.read_list(stored[b"list"])) == expected["list"]
     assert snapshot.format_of(stored) == snapshot.FORMAT_VERSION
-    limits = msgspec.msgpack.decode(stored[b"slots/" + address], type=KeptSlots)
+    limits = msgspec.msgpack.decode(stored[b"slots/" + address], type=StoredLimit)
     assert flat(limits) == expected["slots"]
     assert msgspec.msgpack.encode(limits) == stored[b"slots/" + address]
 
@@ -181,10 +181,10 @@
     assert access_tokens.sign_access_token(shown.token, mac) == token
 
     text, expected = RECORD["tokens"]["resume"]
-    track = resume_tokens.read(text)
+    track = resume_tokens.decode(text)
     assert track is not None
     assert flat(track) == expected
-    assert resume_tokens.write(track) == text
+    assert resume_tokens.encode(track) == text
 
 
 def test_a_ledger_of_the_earlier_version_gives_the_same_changes() -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -422,84 +422,102 @@
 class MoveTest(unittest.TestCase):
     def test_a_move_has_one_join_out_and_one_end_whatever_happens(self) -> None:
         held = migration.SessionMigration("a", 1.0)
-        self.assertEqual(held.apply(migration.MigrationEvent.TOLD), (migration.MigrationAction.QUEUE,))
-        self.assertEqual(held.apply(migration.MigrationEvent.TOLD), ())
-        self.assertEqual(held.apply(migration.MigrationEvent.TURN), (migration.MigrationAction.ASK_MODULE,))
-        self.assertEqual(held.apply(migration.MigrationEvent.TURN), ())
-        self.assertEqual(held.apply(migration.MigrationEvent.LOST), (migration.MigrationAction.TELL_LOST,))
-        self.assertEqual(held.apply(migration.MigrationEvent.MADE), (migration.MigrationAction.SWITCH,))
-        self.assertFalse(held.lost)
+        self.assertEqual(
+            held.apply(migration.MigrationEvent.SERVER_DRAINING), (migration.MigrationAction.ENQUEUE,)
+        )
+        self.assertEqual(held.apply(migration.MigrationEvent.SERVER_DRAINING), ())
+        self.assertEqual(
+            held.apply(migration.MigrationEvent.TURN_GRANTED), (migration.MigrationAction.SELECT_SERVER,)
+        )
+        self.assertEqual(held.apply(migration.MigrationEvent.TURN_GRANTED), ())
+        self.assertEqual(
+            held.apply(migration.MigrationEvent.SERVER_LOST), (migration.MigrationAction.REPORT_SERVER_LOST,)
+        )
+        self.assertEqual(
+            held.apply(migration.MigrationEvent.ESTABLISHED), (migration.MigrationAction.SWITCH_SERVER,)
+        )
+        self.assertFalse(held.is_server_lost)
 
     def test_without_a_place_what_plays_stays_and_what_is_lost_ends(self) -> None:
         staying, adrift = migration.SessionMigration("a", 1.0), migration.SessionMigration("b", 1.0)
-        for cue in (migration.MigrationEvent.TOLD, migration.MigrationEvent.TURN):
+        for cue in (migration.MigrationEvent.SERVER_DRAINING, migration.MigrationEvent.TURN_GRANTED):
             staying.apply(cue)
-        self.assertEqual(staying.apply(migration.MigrationEvent.REFUSED), (migration.MigrationAction.PAUSE,))
-        self.assertEqual(staying.apply(migration.MigrationEvent.TIME), (migration.MigrationAction.STAY,))
         self.assertEqual(
-            adrift.apply(migration.MigrationEvent.LOST),
-            (migration.MigrationAction.ASK_MODULE, migration.MigrationAction.TELL_LOST),
+            staying.apply(migration.MigrationEvent.NO_SERVER_FOUND), (migration.MigrationAction.RETRY_LATER,)
+        )
+        self.assertEqual(
+            staying.apply(migration.MigrationEvent.GRACE_EXPIRED), (migration.MigrationAction.KEEP_SERVER,)
+        )
+        self.assertEqual(
+            adrift.apply(migration.MigrationEvent.SERVER_LOST),
+            (migration.MigrationAction.SELECT_SERVER, migration.MigrationAction.REPORT_SERVER_LOST),
+        )
+        self.assertEqual(
+            adrift.apply(migration.MigrationEvent.NO_SERVER_FOUND), (migration.MigrationAction.END_SESSION,)
         )
-        self.assertEqual(adrift.apply(migration.MigrationEvent.REFUSED), (migration.MigrationAction.END,))
-        self.assertEqual(adrift.apply(migration.MigrationEvent.MADE), ())
-        self.assertFalse(migration.may_rescue(Effect.SINGLE_SHOT))
+        self.assertEqual(adrift.apply(migration.MigrationEvent.ESTABLISHED), ())
+        self.assertFalse(migration.may_reestablish(Effect.SINGLE_SHOT))
         # Adopted after a restart it was set up again past its key's time (day release-hall, seed 3).
-        self.assertFalse(migration.may_rescue(Effect.GUARDED, adopted=True))
-        self.assertTrue(migration.may_rescue(Effect.GUARDED))
-        self.assertTrue(migration.may_rescue(Effect.FREE, adopted=True))
+        self.assertFalse(migration.may_reestablish(Effect.GUARDED, is_adopted=True))
+        self.assertTrue(migration.may_reestablish(Effect.GUARDED))
+        self.assertTrue(migration.may_reestablish(Effect.FREE, is_adopted=True))
 
     def test_what_stays_ends_when_its_box_has_left_the_list(self) -> None:
         # Its player would ask for ever for segments that nobody may name to it.
         held = migration.SessionMigration("a", 1.0)
         for cue in (
-            migration.MigrationEvent.TOLD,
-            migration.MigrationEvent.TURN,
-            migration.MigrationEvent.REFUSED,
-            migration.MigrationEvent.TIME,
+            migration.MigrationEvent.SERVER_DRAINING,
+            migration.MigrationEvent.TURN_GRANTED,
+            migration.MigrationEvent.NO_SERVER_FOUND,
+            migration.MigrationEvent.GRACE_EXPIRED,
         ):
             held.apply(cue)
-        self.assertEqual(held.apply(migration.MigrationEvent.GONE), (migration.MigrationAction.QUEUE,))
-        self.assertEqual(held.apply(migration.MigrationEvent.TIME), (migration.MigrationAction.END,))
+        self.assertEqual(
+            held.apply(migration.MigrationEvent.SERVER_DELISTED), (migration.MigrationAction.ENQUEUE,)
+        )
+        self.assertEqual(
+            held.apply(migration.MigrationEvent.GRACE_EXPIRED), (migration.MigrationAction.END_SESSION,)
+        )
 
     def test_turns_go_by_time_then_benefit_and_so_many_at_once(self) -> None:
-        turns = migration.MigrationTurns(2, 1000)
+        turns = migration.MigrationQueue(2, 1000)
         moves = [
             migration.SessionMigration(name, benefit)
             for name, benefit in (("low", 1.0), ("high", 3.0), ("mid", 2.0))
         ]
         for one in moves:
-            one.apply(migration.MigrationEvent.TOLD)
+            one.apply(migration.MigrationEvent.SERVER_DRAINING)
             turns.add(one, 0)
-        turn, over = turns.take(0)
-        self.assertEqual(([one.id for one in turn], over), (["high", "mid"], []))
-        self.assertEqual(turns.take(1), ([], []))
-        turns.finished()
-        self.assertEqual([one.id for one in turns.take(1)[0]], ["low"])
+        turn, over = turns.take_ready(0)
+        self.assertEqual(([one.session_id for one in turn], over), (["high", "mid"], []))
+        self.assertEqual(turns.take_ready(1), ([], []))
+        turns.on_turn_finished()
+        self.assertEqual([one.session_id for one in turns.take_ready(1)[0]], ["low"])
 
     def test_past_nine_tenths_of_the_grace_no_turn_is_given(self) -> None:
-        turns, held = migration.MigrationTurns(1, 1000), migration.SessionMigration("a", 1.0)
-        held.apply(migration.MigrationEvent.TOLD)
+        turns, held = migration.MigrationQueue(1, 1000), migration.SessionMigration("a", 1.0)
+        held.apply(migration.MigrationEvent.SERVER_DRAINING)
         turns.add(held, 0)
-        self.assertEqual(turns.take(900), ([], [held]))
+        self.assertEqual(turns.take_ready(900), ([], [held]))
 
     def test_a_move_put_back_waits_its_pause(self) -> None:
         turns, held = (
-            migration.MigrationTurns(1, 10 * migration.RETRY_US),
+            migration.MigrationQueue(1, 10 * migration.RETRY_DELAY_US),
             migration.SessionMigration("a", 1.0),
         )
-        held.apply(migration.MigrationEvent.TOLD)
+        held.apply(migration.MigrationEvent.SERVER_DRAINING)
         turns.add(held, 0)
-        turns.take(0)
-        held.apply(migration.MigrationEvent.TURN)
-        held.apply(migration.MigrationEvent.REFUSED)
-        turns.finished()
-        turns.put_back(held, 0)
-        self.assertEqual(turns.take(migration.RETRY_US - 1), ([], []))
-        self.assertEqual(turns.take(migration.RETRY_US), ([held], []))
+        turns.take_ready(0)
+        held.apply(migration.MigrationEvent.TURN_GRANTED)
+        held.apply(migration.MigrationEvent.NO_SERVER_FOUND)
+        turns.on_turn_finished()
+        turns.retry_later(held, 0)
+        self.assertEqual(turns.take_ready(migration.RETRY_DELAY_US - 1), ([], []))
+        self.assertEqual(turns.take_ready(migration.RETRY_DELAY_US), ([held], []))
 
 
 class SourceTest(unittest.TestCase):
-    def offer(self, **changes: Any) -> segment_routing.Offer:
+    def offer(self, **changes: Any) -> segment_routing.SegmentCandidates:
         base = {
             "home_server": "h",
             "home_has_media": True,
@@ -507,10 +525,10 @@
             "lower_rung_replicas": ("l",),
             "slate_server": "s",
         }
-        return segment_routing.Offer(**{**base, **changes})
+        return segment_routing.SegmentCandidates(**{**base, **changes})
 
     def test_sources_in_their_order(self) -> None:
-        source = segment_routing.Source
+        source = segment_routing.SegmentSource
         for offer, tried, pick in (
             (self.offer(), (), (source.HOME, "h")),
             (self.offer(), ("h",), (source.OTHER, "o")),
@@ -526,13 +544,14 @@
                 (source.WAIT, ""),
             ),
         ):
-            found = segment_routing.pick_clip(offer, tried)
+            found = segment_routing.route_clip_segment(offer, tried)
             self.assertEqual((found.source, found.server), pick)
 
     def test_the_lesson_comes_from_its_place_or_waits_for_one(self) -> None:
-        self.assertEqual(segment_routing.pick_lesson(self.offer()).server, "h")
+        self.assertEqual(segment_routing.route_title_segment(self.offer()).server, "h")
         self.assertIs(
-            segment_routing.pick_lesson(self.offer(home_server=None)).source, segment_routing.Source.WAIT
+            segment_routing.route_title_segment(self.offer(home_server=None)).source,
+            segment_routing.SegmentSource.WAIT,
         )
 
 
--- a/tests/test_fair.py
+++ b/tests/test_fair.py
@@ -24,7 +24,7 @@
     MAX_TENANTS,
     OTHER_TENANTS,
     VirtualTimeScheduler,
-    TenantTerms,
+    TenantWeights,
 )
 from fennelcove.fair_queueing.usage_gossip import UsageReport, UsageRow, UsageGossip
 from fennelcove.fair_queueing.waiter import WaiterAction, WaiterEvent, WaiterState
@@ -41,22 +41,22 @@
 
 def served(weights: dict[int, float], holds: dict[int, int], slots: int, seconds: float) -> dict[int, int]:
     """The slot-time of tenants who all want more than there is, at one box; each has one wish waiting."""
-    queue = WaitQueue(lambda box, now_us: slots, TenantTerms(weights), max_wait_us=10**9)
+    queue = WaitQueue(lambda box, now_us: slots, TenantWeights(weights), max_wait_us=10**9)
     got, out, now_us, number = dict.fromkeys(weights, 0), list[tuple[int, str, int]](), 0, 0
     while now_us < seconds * SECOND:
         for tenant in weights:
-            while len(queue.waiting.get(tenant, {})) < 1:
+            while len(queue.waiting_by_tenant.get(tenant, {})) < 1:
                 number += 1
                 wish = waiter(f"{number}", tenant, holds[tenant], now_us)
-                if queue.ask(wish, now_us).act is WaiterAction.PLACE:
-                    queue.take("b", (wish.id, 0), tenant, wish.guess, now_us)
+                if queue.request_slot(wish, now_us).action is WaiterAction.PLACE:
+                    queue.try_acquire("b", (wish.id, 0), tenant, wish.estimate, now_us)
                     out.append((now_us + holds[tenant], wish.id, tenant))
         now_us, name, tenant = min(out)
         out.remove((now_us, name, tenant))
         got[tenant] += holds[tenant]
-        queue.give_back("b", (name, 0), now_us)
-        while (following := queue.next("b", now_us)) is not None:
-            queue.take("b", (following.id, 0), following.tenant, following.guess, now_us)
+        queue.release("b", (name, 0), now_us)
+        while (following := queue.grant_next("b", now_us)) is not None:
+            queue.try_acquire("b", (following.id, 0), following.tenant, following.estimate, now_us)
             out.append((now_us + holds[following.tenant], following.id, following.tenant))
     return got
 
@@ -82,7 +82,7 @@
                 self.assertLessEqual(apart, 2 * (slots + 1) * most, (weights, holds, got))
 
     def test_who_was_idle_has_saved_nothing_up(self) -> None:
-        shares = VirtualTimeScheduler(TenantTerms())
+        shares = VirtualTimeScheduler(TenantWeights())
         for i in range(50):
             shares.acquire((f"{i}", 0), 1, 100_000, i * 100_000, is_long=False)
             shares.release((f"{i}", 0), (i + 1) * 100_000)
@@ -92,41 +92,44 @@
 
     def test_a_hold_that_does_not_end_is_charged_while_it_lasts(self) -> None:
         # A slot leaked by a box that never answers would be free of charge until it ends.
-        shares = VirtualTimeScheduler(TenantTerms())
+        shares = VirtualTimeScheduler(TenantWeights())
         shares.acquire(("leaked", 0), 1, 100_000, 0, is_long=False)
         soon = shares.start_tag(1, SECOND)
         self.assertGreaterEqual(shares.start_tag(1, 5 * SECOND), soon + 4 * SECOND)
 
     def test_a_slot_given_back_twice_counts_once(self) -> None:
-        shares = VirtualTimeScheduler(TenantTerms())
+        shares = VirtualTimeScheduler(TenantWeights())
         shares.acquire(("a", 0), 1, 100_000, 0, is_long=False)
         self.assertIsNotNone(shares.release(("a", 0), 50_000))
         self.assertIsNone(shares.release(("a", 0), 60_000))
-        self.assertEqual(shares.out, 0)
+        self.assertEqual(shares.slots_in_use, 0)
 
     def test_a_thousand_names_do_not_grow_the_table(self) -> None:
-        shares, rng = VirtualTimeScheduler(TenantTerms()), Random(1)
+        shares, rng = VirtualTimeScheduler(TenantWeights()), Random(1)
         for i in range(5000):
             now_us = i * 1000
             shares.acquire((f"{i}", 0), 1 + rng.randrange(1000), 50_000, now_us, is_long=False)
             if i >= 8:
                 shares.release((f"{i - 8}", 0), now_us)
         self.assertLessEqual(len(shares.accounts), MAX_TENANTS + 1)
-        self.assertEqual(shares.out, 8)
+        self.assertEqual(shares.slots_in_use, 8)
         self.assertEqual(sum(account.slots_in_use for account in shares.accounts.values()), 8)
 
     def test_where_tenants_are_named_strangers_are_one(self) -> None:
-        terms = TenantTerms({7: 2.0}, 0.5)
-        self.assertEqual((terms.known(7), terms.known(8), terms.known(9)), (7, OTHER_TENANTS, OTHER_TENANTS))
+        terms = TenantWeights({7: 2.0}, 0.5)
+        self.assertEqual(
+            (terms.accounted_tenant(7), terms.accounted_tenant(8), terms.accounted_tenant(9)),
+            (7, OTHER_TENANTS, OTHER_TENANTS),
+        )
         self.assertEqual((terms.weight(7), terms.weight(OTHER_TENANTS)), (2.0, 0.5))
 
     def test_other_weights_count_from_when_they_are_told(self) -> None:
-        queue = WaitQueue(lambda box, now_us: 1, TenantTerms({1: 1.0, 2: 1.0}))
-        queue.take("b", ("a", 0), 1, ServiceTimeEstimate(100_000, 100_000, False), 0)
+        queue = WaitQueue(lambda box, now_us: 1, TenantWeights({1: 1.0, 2: 1.0}))
+        queue.try_acquire("b", ("a", 0), 1, ServiceTimeEstimate(100_000, 100_000, False), 0)
         before = queue.scheduler("b").accounts[1].finish_tag
-        queue.set_tenant_weights(TenantTerms({1: 4.0, 2: 1.0}))
-        queue.give_back("b", ("a", 0), 100_000)
-        queue.take("b", ("c", 0), 1, ServiceTimeEstimate(100_000, 100_000, False), 100_000)
+        queue.set_tenant_weights(TenantWeights({1: 4.0, 2: 1.0}))
+        queue.release("b", ("a", 0), 100_000)
+        queue.try_acquire("b", ("c", 0), 1, ServiceTimeEstimate(100_000, 100_000, False), 100_000)
         self.assertAlmostEqual(queue.scheduler("b").accounts[1].finish_tag - before, 25_000)
 
 
@@ -135,34 +138,34 @@
         holds = ServiceTimeEstimator()
         for _ in range(20):
             for tenant, title in tenants.items():
-                holds.learn(SHAPE, title, tenant, times[title])
+                holds.observe(SHAPE, title, tenant, times[title])
         return holds
 
     def test_what_nothing_is_known_of_is_long(self) -> None:
         self.assertEqual(
-            ServiceTimeEstimator().guess(SHAPE, "new"),
+            ServiceTimeEstimator().estimate(SHAPE, "new"),
             ServiceTimeEstimate(DEFAULT_SERVICE_TIME_US, 2 * DEFAULT_SERVICE_TIME_US, True),
         )
 
     def test_one_that_comes_with_slow_titles_does_not_make_slow_the_usual(self) -> None:
         holds = self.learned({"slow": 900_000, "fast": 50_000}, {1: "slow", 2: "fast", 3: "fast"})
-        self.assertTrue(holds.guess(SHAPE, "slow").long)
-        self.assertFalse(holds.guess(SHAPE, "fast").long)
+        self.assertTrue(holds.estimate(SHAPE, "slow").is_long)
+        self.assertFalse(holds.estimate(SHAPE, "fast").is_long)
 
     def test_where_all_are_slow_nothing_is_long(self) -> None:
         holds = self.learned({"slow": 900_000}, {1: "slow", 2: "slow"})
-        self.assertFalse(holds.guess(SHAPE, "slow").long)
+        self.assertFalse(holds.estimate(SHAPE, "slow").is_long)
 
     def test_a_tenfold_change_is_followed_within_few_holds(self) -> None:
         holds = self.learned({"fast": 50_000}, {1: "fast", 2: "fast"})
         for _ in range(8):
-            holds.learn(SHAPE, "fast", 1, 500_000)
-        self.assertGreater(holds.guess(SHAPE, "fast").expected_us, 400_000)
+            holds.observe(SHAPE, "fast", 1, 500_000)
+        self.assertGreater(holds.estimate(SHAPE, "fast").expected_us, 400_000)
 
     def test_titles_and_tenants_are_bounded(self) -> None:
         holds = ServiceTimeEstimator()
         for i in range(5000):
-            holds.learn((f"room-{i}", 0, True), f"title-{i}", i, 1000)
+            holds.observe((f"room-{i}", 0, True), f"title-{i}", i, 1000)
         self.assertLessEqual(len(holds.titles), 1024)
         self.assertLessEqual(len(holds.tenants), 64)
         self.assertLessEqual(len(holds.shapes), 64)
@@ -173,14 +176,14 @@
         queue = WaitQueue(lambda box, now_us: slots, **changes)  # type: ignore[arg-type]
         for tenant in (1, 2):
             for _ in range(8):
-                queue.holds.learn(SHAPE, "fast", tenant, 50_000)
+                queue.service_times.observe(SHAPE, "fast", tenant, 50_000)
         return queue
 
     def ask(self, queue: WaitQueue, name: str, tenant: int, long: bool = False, now_us: int = 0) -> Waiter:
         wish = waiter(name, tenant, 500_000 if long else 50_000, now_us)
-        wish.guess = replace(wish.guess, long=long)
-        if queue.ask(wish, now_us).act is WaiterAction.PLACE:
-            self.assertTrue(queue.take("b", (name, 0), tenant, wish.guess, now_us))
+        wish.estimate = replace(wish.estimate, is_long=long)
+        if queue.request_slot(wish, now_us).action is WaiterAction.PLACE:
+            self.assertTrue(queue.try_acquire("b", (name, 0), tenant, wish.estimate, now_us))
             wish.apply(WaiterEvent.PLACED)
         return wish
 
@@ -195,20 +198,20 @@
         held = [self.ask(queue, f"{i}", 1) for i in range(2)]
         waits = self.ask(queue, "waits", 1)
         self.assertIs(waits.state, WaiterState.WAITING)
-        self.assertIs(queue.leave(waits, WaiterEvent.HUNG_UP), WaiterAction.DROP)
-        self.assertEqual((queue.count, queue.scheduler("b").out), (0, 2))
-        self.assertIs(queue.leave(held[0], WaiterEvent.HUNG_UP), WaiterAction.NOTHING)
-        self.assertEqual(queue.scheduler("b").out, 2)
+        self.assertIs(queue.cancel(waits, WaiterEvent.HUNG_UP), WaiterAction.DROP)
+        self.assertEqual((queue.waiting_count, queue.scheduler("b").slots_in_use), (0, 2))
+        self.assertIs(queue.cancel(held[0], WaiterEvent.HUNG_UP), WaiterAction.NOTHING)
+        self.assertEqual(queue.scheduler("b").slots_in_use, 2)
 
     def test_waiting_in_vain_is_refused_at_once_with_a_time(self) -> None:
         queue = self.queue(max_wait_us=100_000)
-        rulings = [queue.ask(waiter(f"{i}", 1, 50_000), 0) for i in range(2)]
+        rulings = [queue.request_slot(waiter(f"{i}", 1, 50_000), 0) for i in range(2)]
         for i in range(2):
-            queue.take("b", (f"{i}", 0), 1, ServiceTimeEstimate(50_000, 50_000, False), 0)
-        rulings = [queue.ask(waiter(f"w{i}", 1, 50_000), 0) for i in range(12)]
-        refused = [ruling for ruling in rulings if ruling.act is WaiterAction.REFUSE]
+            queue.try_acquire("b", (f"{i}", 0), 1, ServiceTimeEstimate(50_000, 50_000, False), 0)
+        rulings = [queue.request_slot(waiter(f"w{i}", 1, 50_000), 0) for i in range(12)]
+        refused = [ruling for ruling in rulings if ruling.action is WaiterAction.REJECT]
         self.assertTrue(0 < len(refused) < 12)
-        self.assertTrue(all(ruling.wait_us >= 100_000 for ruling in refused))
+        self.assertTrue(all(ruling.retry_after_us >= 100_000 for ruling in refused))
 
     def test_no_wish_outlasts_its_answer(self) -> None:
         queue = self.queue(max_wait_us=10**9)
@@ -216,8 +219,8 @@
             self.ask(queue, f"{i}", 1)
         wish = waiter("tight", 2, 50_000)
         wish.deadline_us = 120_000
-        queue.ask(wish, 0)
-        self.assertEqual(queue.due_us(wish), 70_000)
+        queue.request_slot(wish, 0)
+        self.assertEqual(queue.wait_deadline_us(wish), 70_000)
         self.assertEqual(queue.expired(70_000), [wish])
 
     def test_a_full_line_sheds_the_newest_of_whoever_has_most_in_it(self) -> None:
@@ -228,16 +231,16 @@
         self.assertIs(self.ask(queue, "hog-late", 1).state, WaiterState.CLOSED)
         self.assertIs(self.ask(queue, "other", 2).state, WaiterState.WAITING)
         self.assertIs(hog[-1].state, WaiterState.CLOSED)
-        self.assertEqual(queue.count, 4)
+        self.assertEqual(queue.waiting_count, 4)
 
     def test_every_stage_and_cue_is_settled_and_what_is_over_stays_over(self) -> None:
-        for cue in set(WaiterEvent) - {WaiterEvent.AGAIN}:
+        for cue in set(WaiterEvent) - {WaiterEvent.REQUEUED}:
             self.assertEqual(
                 waiter_states.transition(WaiterState.CLOSED, cue), (WaiterState.CLOSED, WaiterAction.NOTHING)
             )
         # A wish that waits must end by each of these, or it would be owed an answer for ever.
         for cue in (
-            WaiterEvent.TURN,
+            WaiterEvent.SLOT_GRANTED,
             WaiterEvent.NO_TIME,
             WaiterEvent.CROWDED,
             WaiterEvent.STOPPED,
@@ -254,13 +257,15 @@
             for i in range(60):
                 now_us, tenant = i * 10_000, names[rng.randrange(5)]
                 wish = waiter(f"{i}", tenant, 20_000 + 10_000 * rng.randrange(5), now_us)
-                if queue.ask(wish, now_us).act is WaiterAction.PLACE:
-                    queue.take("b", (wish.id, 0), tenant, wish.guess, now_us)
+                if queue.request_slot(wish, now_us).action is WaiterAction.PLACE:
+                    queue.try_acquire("b", (wish.id, 0), tenant, wish.estimate, now_us)
                     out.append(wish.id)
                 if out and rng.random() < 0.6:
-                    queue.give_back("b", (out.pop(0), 0), now_us)
-                    while (following := queue.next("b", now_us)) is not None:
-                        queue.take("b", (following.id, 0), following.tenant, following.guess, now_us)
+                    queue.release("b", (out.pop(0), 0), now_us)
+                    while (following := queue.grant_next("b", now_us)) is not None:
+                        queue.try_acquire(
+                            "b", (following.id, 0), following.tenant, following.estimate, now_us
+                        )
                         out.append(following.id)
                         found.append(following.id)
             return found
@@ -276,8 +281,8 @@
             teller = UsageGossip(life)
             for _ in range(8):
                 for _ in range(rng.randrange(4)):
-                    teller.gave(rng.randrange(3), rng.randrange(1, 4), rng.randrange(1, 50_000))
-                if (said := teller.window()) is not None:
+                    teller.record_usage(rng.randrange(3), rng.randrange(1, 4), rng.randrange(1, 50_000))
+                if (said := teller.next_report()) is not None:
                     found.append(said)
         return found
 
@@ -292,7 +297,7 @@
             rng.shuffle(order)
             hears = UsageGossip()
             for said in order:
-                hears.hear(1, said, 10**9, SECOND)
+                hears.on_report(1, said, 10**9, SECOND)
             teller = hears.remote_fronts[1]
             ends.append((teller.incarnation, {key: r.max_used_us for key, r in teller.usage.items()}))
         self.assertEqual(ends[0], ends[1])
@@ -302,31 +307,31 @@
         # Fails where a doubled word is added twice, or a lost one is lost for good.
         for seed in range(20):
             rng, teller, hears = Random(seed), UsageGossip(1), UsageGossip(2)
-            teller.gave(1, 1, 1)
-            first = teller.window()
+            teller.record_usage(1, 1, 1)
+            first = teller.next_report()
             assert first is not None
-            hears.hear(1, first, 4, 0)
+            hears.on_report(1, first, 4, 0)
             whole = 0
             for i in range(1, 60):
-                teller.gave(1, 1, 20_000)
-                said = teller.window()
+                teller.record_usage(1, 1, 20_000)
+                said = teller.next_report()
                 assert said is not None
                 for _ in range(rng.choice((0, 1, 1, 2)) if i < 59 else 1):
-                    whole += sum(row.given_us for row in hears.hear(1, said, 4, i * 250_000))
+                    whole += sum(row.used_us for row in hears.on_report(1, said, 4, i * 250_000))
             self.assertEqual(whole, 59 * 20_000)
 
     def test_one_that_tells_more_than_all_slots_could_give_is_taken_at_that(self) -> None:
         hears = UsageGossip()
-        hears.hear(1, UsageReport(1, 1, (UsageRow(1, 1, 0),)), 4, 0)
-        found = hears.hear(1, UsageReport(1, 2, (UsageRow(1, 1, 10**12),)), 4, SECOND)
+        hears.on_report(1, UsageReport(1, 1, (UsageRow(1, 1, 0),)), 4, 0)
+        found = hears.on_report(1, UsageReport(1, 2, (UsageRow(1, 1, 10**12),)), 4, SECOND)
         self.assertEqual(found, [UsageRow(1, 1, 4 * SECOND)])
 
     def test_sums_of_a_thousand_names_are_bounded(self) -> None:
         teller = UsageGossip()
         for i in range(5000):
-            teller.gave(1, i + 1, 10)
+            teller.record_usage(1, i + 1, 10)
         self.assertLessEqual(len(teller.local_usage), usage_gossip.MAX_ENTRIES)
-        self.assertLessEqual(len((teller.window() or UsageReport(0, 0, ())).rows), usage_gossip.MAX_ROWS)
+        self.assertLessEqual(len((teller.next_report() or UsageReport(0, 0, ())).rows), usage_gossip.MAX_ROWS)
 
 
 class WorldTest(unittest.TestCase):
--- a/tests/test_fair_worlds.py
+++ b/tests/test_fair_worlds.py
@@ -34,10 +34,10 @@
     ) -> None:
         self.slots, self.now_us, self.number = slots, 0, 0
         self.queue = kind(lambda box, now_us: slots, max_wait_us=10**9)
-        self.queue.servers["b"] = shares(self.queue.terms)
+        self.queue.schedulers["b"] = shares(self.queue.tenant_weights)
         for tenant in TENANTS:
             for _ in range(3):
-                self.queue.holds.learn(SHAPE, "title", tenant, SHORT_US)
+                self.queue.service_times.observe(SHAPE, "title", tenant, SHORT_US)
         self.out: list[Waiter] = []
         self.passed: dict[int, float] = {}  # slot-time others began and ended while a tenant waited
         self.waits_us: dict[int, int] = {}
@@ -61,11 +61,13 @@
     def choices(self) -> list[tuple[str, int]]:
         """What may happen now."""
         choices: list[tuple[str, int]] = [("time", 0)]
-        choices += [("ask", tenant) for tenant in TENANTS if len(self.queue.waiting.get(tenant, {})) < 2]
-        choices += [("long", 1)] if len(self.queue.waiting.get(1, {})) < 2 else []
+        choices += [
+            ("ask", tenant) for tenant in TENANTS if len(self.queue.waiting_by_tenant.get(tenant, {})) < 2
+        ]
+        choices += [("long", 1)] if len(self.queue.waiting_by_tenant.get(1, {})) < 2 else []
         choices += [("back", i) for i in range(len(self.out))]
         choices += [("again", 0)] if self.out else []
-        choices += [("gone", tenant) for tenant in self.queue.waiting]
+        choices += [("gone", tenant) for tenant in self.queue.waiting_by_tenant]
         return choices
 
     def steps(self) -> Iterator[World]:
@@ -89,33 +91,33 @@
             us = LONG_US if what == "long" else SHORT_US
             guess = ServiceTimeEstimate(us, us, what == "long")
             wish = Waiter(f"{self.number}", which, SHAPE, "title", ("b",), self.now_us, 10**9, guess)
-            act = queue.ask(wish, self.now_us).act
+            act = queue.request_slot(wish, self.now_us).action
             if act is WaiterAction.PLACE:
                 self._takes(wish)
-            elif act is WaiterAction.REFUSE and not self.out:
+            elif act is WaiterAction.REJECT and not self.out:
                 self.fault = "somebody is refused at an idle box"
-            elif act is WaiterAction.WAIT and which not in self.passed and not guess.long:
+            elif act is WaiterAction.WAIT and which not in self.passed and not guess.is_long:
                 self._waits(which)
         elif what == "back":
             self._back(which)
         elif what == "again":
-            queue.give_back("b", ("never", 0), self.now_us)
+            queue.release("b", ("never", 0), self.now_us)
             self._pump()
         else:
-            mine = queue.waiting[which]
-            queue.leave(next(iter(mine.values())), WaiterEvent.HUNG_UP)
-            if all(one.guess.long for one in queue.waiting.get(which, {}).values()):
+            mine = queue.waiting_by_tenant[which]
+            queue.cancel(next(iter(mine.values())), WaiterEvent.HUNG_UP)
+            if all(one.estimate.is_long for one in queue.waiting_by_tenant.get(which, {}).values()):
                 self.passed.pop(which, None)
-        if len(queue.servers["b"].holds) > self.slots or len(self.out) > self.slots:
+        if len(queue.schedulers["b"].holds) > self.slots or len(self.out) > self.slots:
             self.fault = "more out than slots"
-        if queue.count and not self.out:
+        if queue.waiting_count and not self.out:
             self.fault = "somebody waits at an idle box"
         if any(wish.state not in (WaiterState.HOLDING, WaiterState.PLACING) for wish in self.out):
             self.fault = "a slot is out for a wish that has none"
 
     def _back(self, which: int) -> None:
         wish = self.out.pop(which)
-        self.queue.give_back("b", (wish.id, 0), self.now_us)
+        self.queue.release("b", (wish.id, 0), self.now_us)
         since_us = self.since.pop(wish.id)
         for tenant, wait in self.passed.items():
             if tenant != wish.tenant and since_us >= self.waits_us[tenant]:
@@ -125,7 +127,7 @@
     def _leads(self) -> None:
         """Each other may get what a tenant is ahead (by a hold of its own that lasts on, too), and one hold
         that crosses; and what is out counts as the others' until it is back."""
-        shares = self.queue.servers["b"]
+        shares = self.queue.schedulers["b"]
         for tenant in self.passed:
             lead = shares.start_tag(tenant, self.now_us) - shares.virtual_time
             most = (len(TENANTS) - 1) * (lead + LONG_US) + self.slots * LONG_US
@@ -134,20 +136,22 @@
                 self.fault = "a tenant is passed over for longer than its bound"
 
     def _pump(self) -> None:
-        while (wish := self.queue.next("b", self.now_us)) is not None:
+        while (wish := self.queue.grant_next("b", self.now_us)) is not None:
             self._takes(wish)
 
     def _takes(self, wish: Waiter) -> None:
-        if not self.queue.take("b", (wish.id, 0), wish.tenant, wish.guess, self.now_us):
+        if not self.queue.try_acquire("b", (wish.id, 0), wish.tenant, wish.estimate, self.now_us):
             self.fault = "a turn without a slot"
         wish.apply(WaiterEvent.PLACED)
         self.out.append(wish)
-        if sum(one.guess.long for one in self.out) > max(1, self.slots - reserved_slots(self.slots)):
+        if sum(one.estimate.is_long for one in self.out) > max(1, self.slots - reserved_slots(self.slots)):
             self.fault = "long holds have the last slot"
         self.since[wish.id] = self.now_us
         self.passed.pop(wish.tenant, None)
         # A long one waits for what long ones may have, and by no bound but its own time.
-        if any(not one.guess.long for one in self.queue.waiting.get(wish.tenant, {}).values()):
+        if any(
+            not one.estimate.is_long for one in self.queue.waiting_by_tenant.get(wish.tenant, {}).values()
+        ):
             self._waits(wish.tenant)
         self._leads()
 
@@ -156,10 +160,13 @@
         self.waits_us[tenant] = self.now_us
 
     def key(self) -> object:
-        shares = self.queue.servers["b"]
+        shares = self.queue.schedulers["b"]
         tags = {t: round((shares.start_tag(t, self.now_us) - shares.virtual_time) / STEP_US) for t in TENANTS}
-        out = sorted((one.tenant, one.guess.long) for one in self.out)
-        waits = [tuple(one.guess.long for one in self.queue.waiting.get(t, {}).values()) for t in TENANTS]
+        out = sorted((one.tenant, one.estimate.is_long) for one in self.out)
+        waits = [
+            tuple(one.estimate.is_long for one in self.queue.waiting_by_tenant.get(t, {}).values())
+            for t in TENANTS
+        ]
         passed = [round(self.passed.get(t, -STEP_US) / STEP_US) for t in TENANTS]
         return tuple(tags.values()), tuple(out), tuple(waits), tuple(passed)
 
@@ -196,24 +203,24 @@
 class Unjust(WaitQueue):
     """A planted fault: the slot goes to whoever has the greatest tag."""
 
-    def next(self, box: str, now_us: int) -> Waiter | None:
-        if not self.count or not self.free(box, False, now_us):
+    def grant_next(self, box: str, now_us: int) -> Waiter | None:
+        if not self.waiting_count or not self.has_free_slot(box, False, now_us):
             return None
         shares = self.scheduler(box)
-        tenant = max(self.waiting, key=lambda one: shares.start_tag(one, now_us))
-        found = next(iter(self.waiting[tenant].values()))
-        if not self.open_to(found, box, now_us):
+        tenant = max(self.waiting_by_tenant, key=lambda one: shares.start_tag(one, now_us))
+        found = next(iter(self.waiting_by_tenant[tenant].values()))
+        if not self.may_acquire(found, box, now_us):
             return None
         self._remove(found)
-        found.apply(WaiterEvent.TURN)
+        found.apply(WaiterEvent.SLOT_GRANTED)
         return found
 
 
 class Reckless(WaitQueue):
     """A planted fault: long holds have all slots."""
 
-    def free(self, box: str, long: bool, now_us: int) -> bool:
-        return WaitQueue.free(self, box, False, now_us)
+    def has_free_slot(self, box: str, long: bool, now_us: int) -> bool:
+        return WaitQueue.has_free_slot(self, box, False, now_us)
 
     def _is_within_share(self, waiter: Waiter, now_us: int) -> bool:
         return True
--- a/tests/test_lessons.py
+++ b/tests/test_lessons.py
@@ -202,10 +202,10 @@
         self.assertEqual(self.get(f"{path}/asset/c1/2.m4s").status, 307)
 
     def rung_of(self, id: str) -> int:
-        return self.front.core.content.players[id].track.begun["c1"]
+        return self.front.core.content.players[id].track.interstitial_rungs["c1"]
 
     def mark_of(self, box: StandInBox, id: str) -> bool:
-        track = resume_tokens.read(box.marks.get((id, 0), ""))
+        track = resume_tokens.decode(box.marks.get((id, 0), ""))
         return (
             track is not None
             and track.cursor.next_sequence_number
@@ -216,7 +216,7 @@
         id = self.ask().body["id"]
         self.manifest(id)
         track = self.front.core.content.players[id].track
-        copy = resume_tokens.read(resume_tokens.write(track))
+        copy = resume_tokens.decode(resume_tokens.encode(track))
         assert copy is not None
         self.insert(at="1.2")  # at the very edge of what the player was shown
         self.front.core.content.players[id].track = copy
@@ -275,7 +275,7 @@
             [(made.id, done) for made, done in found], [("c1", True), ("c3", True), ("c1", False)]
         )
         self.assertEqual(told, ["2", "4"])
-        self.assertEqual(found[0][0].at, change("c1", at="1/3").at)
+        self.assertEqual(found[0][0].start_s, change("c1", at="1/3").start_s)
 
     def test_a_mark_that_is_none_of_ours_is_no_track(self) -> None:
         for text in (
@@ -286,7 +286,7 @@
             "{" * 9000,
             '[0,0,0,0,false,0,0,"1/0",null,"",0,[0,0,"0"],[],[]]',
         ):
-            self.assertIsNone(resume_tokens.read(text))
+            self.assertIsNone(resume_tokens.decode(text))
 
 
 if __name__ == "__main__":
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -31,7 +31,7 @@
 from fennelcove.concurrency_limits.latency_histogram import (
     GossipedHistograms,
     OwnHistograms,
-    Row,
+    HistogramRow,
     ObservedLatency,
     class_of,
     class_bounds_us,
@@ -46,14 +46,16 @@
     LimitState,
 )
 from fennelcove.concurrency_limits.quota_loans import LOAN_US, QuotaLoans
-from fennelcove.concurrency_limits.replica import Replica, ReplicaMessages
-from fennelcove.concurrency_limits.workload_shape import MAX_SHAPES, name_of, shape_of, shape_share
+from fennelcove.concurrency_limits.replica import Replica, LimitReport
+from fennelcove.concurrency_limits.workload_shape import MAX_SHAPES, shape_name, shape_of, shape_share
 
 MINUTE = 60_000_000
 
 
-def row(hold_ms: float, count: int, shape: int = 0, asked: int | None = None) -> Row:
-    return Row(shape, count if asked is None else asked, 0, 0, ((class_of(hold_ms * 1000), count),), ())
+def row(hold_ms: float, count: int, shape: int = 0, asked: int | None = None) -> HistogramRow:
+    return HistogramRow(
+        shape, count if asked is None else asked, 0, 0, ((class_of(hold_ms * 1000), count),), ()
+    )
 
 
 def seen(hold_ms: float, count: float, waits: bool = False, lost: float = 0.0) -> ObservedLatency:
@@ -180,7 +182,7 @@
         driver = Driver(20)
         busy = {0: seen(100, 600, waits=True)}
         driver.run(6, {0: seen(100, 600)})
-        while driver.learner.phase is not LimitState.PROVING:
+        while driver.learner.state is not LimitState.PROVING:
             driver.run(0.5, busy)
         before = driver.learner.previous_limit
         acts = driver.run(5, {0: seen(220, 600, waits=True)})
@@ -257,7 +259,7 @@
 
     def test_what_the_others_do_not_want_is_given_up(self) -> None:
         learner, now = AdaptiveLimit(LimitSettings(), 16, MINUTE), MINUTE
-        learner.limit, learner.phase, learner.last_action_us = 22, LimitState.PROVING, now
+        learner.limit, learner.state, learner.last_action_us = 22, LimitState.PROVING, now
         for _ in range(20):
             now += 500_000
             learner.on_window_closed({}, 16, now)
@@ -330,7 +332,7 @@
     def lots(self, fronts: int, whole: int) -> list[QuotaLoans]:
         found = [QuotaLoans(0, fronts, i, 1, 0) for i in range(fronts)]
         for lot in found:
-            lot.purse.is_cleared = True
+            lot.quota.is_cleared = True
             lot.set_limit(whole, 0)
         return found
 
@@ -339,19 +341,19 @@
         for _ in range(30):
             now += 300_000
             for busy in lots[:3]:
-                busy.waiting = 20 - busy.out
-                busy.most(now, 1_000_000)
+                busy.waiting = 20 - busy.in_flight
+                busy.max_in_flight(now, 1_000_000)
                 for to, ask in busy.request_slots(now / 1e7, now):
                     loan = lots[to].on_request(busy.index, ask, now)
                     if loan is not None:
                         busy.on_transfer(to, loan, now)
-        self.assertGreater(sum(lot.most(now) for lot in lots[:3]), 36)
-        self.assertLessEqual(sum(lot.most(now) for lot in lots), 48)
+        self.assertGreater(sum(lot.max_in_flight(now) for lot in lots[:3]), 36)
+        self.assertLessEqual(sum(lot.max_in_flight(now) for lot in lots), 48)
         for busy in lots[:3]:
             busy.waiting = 0
             for to, back in busy.return_slots(now):
                 lots[to].on_transfer(busy.index, back, now)
-        self.assertEqual(sum(lot.most(now) for lot in lots), 48)
+        self.assertEqual(sum(lot.max_in_flight(now) for lot in lots), 48)
 
     def test_a_borrowed_slot_carries_only_what_ends_in_time(self) -> None:
         lots = self.lots(3, 6)
@@ -360,89 +362,91 @@
             loan = lots[to].on_request(0, ask, 0)
             assert loan is not None
             lots[0].on_transfer(to, loan, 0)
-        self.assertEqual(lots[0].most(0, LOAN_US), 6)
-        self.assertEqual(lots[0].most(1, LOAN_US), 2)
+        self.assertEqual(lots[0].max_in_flight(0, LOAN_US), 6)
+        self.assertEqual(lots[0].max_in_flight(1, LOAN_US), 2)
 
     def test_a_new_life_waits_until_all_have_answered_or_loans_are_over(self) -> None:
         lot = QuotaLoans(0, 3, 0, 2, 0)
         lot.set_limit(9, 0)
-        self.assertEqual(lot.most(0), 0)
-        self.assertEqual(lot.most(round(LOAN_US * 1.2)), 3)
-        lot.purse.is_cleared = True
-        self.assertEqual(lot.most(0), 3)
+        self.assertEqual(lot.max_in_flight(0), 0)
+        self.assertEqual(lot.max_in_flight(round(LOAN_US * 1.2)), 3)
+        lot.quota.is_cleared = True
+        self.assertEqual(lot.max_in_flight(0), 3)
 
 
 class MemberTest(unittest.TestCase):
     def member(self, fronts: int = 3, index: int = 0) -> Replica:
         member = Replica(LimitSettings(start=9), fronts, index, 1, MINUTE)
-        member.listed(7, "kind", 0, MINUTE)
+        member.on_server_listed(7, "kind", 0, MINUTE)
         return member
 
     def test_a_box_replaced_at_its_address_begins_anew_and_the_old_ones_rows_are_passed_over(self) -> None:
         member = self.member()
-        member.servers[7].agreed.whole = 40
-        member.servers[7].holds[0] = 1.0
-        self.assertFalse(member.listed(7, "kind", 0, MINUTE))
-        self.assertTrue(member.listed(7, "kind", MINUTE, MINUTE, is_warming_up=True))
-        self.assertEqual(member.servers[7].agreed.whole, 9)
-        self.assertEqual(member.servers[7].holds, {})
+        member.servers[7].agreement.limit = 40
+        member.servers[7].median_service_us[0] = 1.0
+        self.assertFalse(member.on_server_listed(7, "kind", 0, MINUTE))
+        self.assertTrue(member.on_server_listed(7, "kind", MINUTE, MINUTE, is_warming_up=True))
+        self.assertEqual(member.servers[7].agreement.limit, 9)
+        self.assertEqual(member.servers[7].median_service_us, {})
         for sender in (1, 2):
-            member.hear(sender, 1, 1, ReplicaMessages((0,), 7, 0, vote=QuorumVote(40)), MINUTE)
-        self.assertEqual(member.servers[7].agreed.whole, 9)
-        member.hear(1, 1, 1, ReplicaMessages((0,), 7, 0, rows=(row(100, 9),)), MINUTE)
+            member.on_report(sender, 1, 1, LimitReport((0,), 7, 0, vote=QuorumVote(40)), MINUTE)
+        self.assertEqual(member.servers[7].agreement.limit, 9)
+        member.on_report(1, 1, 1, LimitReport((0,), 7, 0, rows=(row(100, 9),)), MINUTE)
         self.assertEqual(member.servers[7].gossip.rows, {})
 
     def test_a_box_begins_at_half_of_what_its_kind_takes(self) -> None:
         member = self.member()
         for name in (8, 9):
-            member.listed(name, "kind", 0, MINUTE)
+            member.on_server_listed(name, "kind", 0, MINUTE)
         for name, whole in ((7, 40), (8, 60), (9, 90)):
-            member.servers[name].agreed.whole = whole
-            learner = member.servers[name].learner
+            member.servers[name].agreement.limit = whole
+            learner = member.servers[name].adaptive_limit
             assert learner is not None
             learner.is_measured = True
-        member.listed(10, "kind", 0, MINUTE)
-        member.listed(11, "other", 0, MINUTE)
-        self.assertEqual(member.servers[10].agreed.whole, 30)
-        self.assertEqual(member.servers[11].agreed.whole, 9)
+        member.on_server_listed(10, "kind", 0, MINUTE)
+        member.on_server_listed(11, "other", 0, MINUTE)
+        self.assertEqual(member.servers[10].agreement.limit, 30)
+        self.assertEqual(member.servers[11].agreement.limit, 9)
 
     def test_links_follow_what_is_used(self) -> None:
         member = self.member()
-        member.unclear.clear()
-        member.servers[7].lot.purse.is_cleared = True
-        self.assertEqual(member.links(7, MINUTE), 1)
+        member.unacknowledged.clear()
+        member.servers[7].loans.quota.is_cleared = True
+        self.assertEqual(member.connection_target(7, MINUTE), 1)
         for _ in range(3):
-            member.sent(7, 0, MINUTE, 1_000_000)
-        self.assertEqual(member.links(7, MINUTE), 3)
+            member.on_attempt_started(7, 0, MINUTE, 1_000_000)
+        self.assertEqual(member.connection_target(7, MINUTE), 3)
         for _ in range(3):
-            member.ended(7, 0, 1000, True)
-        member.turn(MINUTE + 30 * 500_000)
-        self.assertEqual(member.links(7, MINUTE), 1)
+            member.on_attempt_ended(7, 0, 1000, True)
+        member.close_windows(MINUTE + 30 * 500_000)
+        self.assertEqual(member.connection_target(7, MINUTE), 1)
 
     def test_a_life_is_cleared_by_all_and_by_answers_to_it_alone(self) -> None:
         member = self.member()
-        self.assertEqual(member.begun(), (1, 2))
-        self.assertFalse(member.hear_clear(1, 1))
-        self.assertFalse(member.hear_clear(2, 9))
-        self.assertEqual(member.most(7, MINUTE), 0)
-        self.assertTrue(member.hear_clear(2, 1))
-        self.assertEqual(member.most(7, MINUTE), 3)
+        self.assertEqual(member.incarnation_recipients(), (1, 2))
+        self.assertFalse(member.on_incarnation_acknowledged(1, 1))
+        self.assertFalse(member.on_incarnation_acknowledged(2, 9))
+        self.assertEqual(member.max_in_flight(7, MINUTE), 0)
+        self.assertTrue(member.on_incarnation_acknowledged(2, 1))
+        self.assertEqual(member.max_in_flight(7, MINUTE), 3)
 
     def test_shapes_are_a_few_dozen_with_names(self) -> None:
         found = {
             shape_of(room, rung, 5, ready) for room in range(20) for rung in range(5) for ready in (0, 1)
         }
         self.assertEqual(len(found), MAX_SHAPES)
-        self.assertEqual(name_of(shape_of(1, 4, 5, True), ("news", "live")), "live high ready")
+        self.assertEqual(shape_name(shape_of(1, 4, 5, True), ("news", "live")), "live high ready")
 
 
 class MessagesTest(unittest.TestCase):
     now_us = 100 * MINUTE
 
-    def told(self, boxes: int) -> list[ReplicaMessages]:
-        full = Row(3, 65_535, 2, 1, tuple((c, 255) for c in range(40)), tuple((c, 9) for c in range(9)))
+    def told(self, boxes: int) -> list[LimitReport]:
+        full = HistogramRow(
+            3, 65_535, 2, 1, tuple((c, 255) for c in range(40)), tuple((c, 9) for c in range(9))
+        )
         return [
-            ReplicaMessages(
+            LimitReport(
                 (1,),
                 1000 + box,
                 self.now_us - MINUTE if box % 2 else 0,
@@ -455,7 +459,7 @@
     def test_all_survives_its_bytes_in_messages_of_a_datagram(self) -> None:
         parts = limit_messages.encode(1 << 40, 9, self.told(12), self.now_us)
         self.assertTrue(all(len(part) <= limit_messages.MAX_BYTES for part in parts))
-        found: list[ReplicaMessages] = []
+        found: list[LimitReport] = []
         for part in parts:
             read = limit_messages.decode(part, self.now_us)
             assert read is not None
@@ -551,9 +555,9 @@
             book.try_acquire("box:1", 0, 1_000_000)
         book.clock.now += 500_000  # type: ignore[attr-defined]
         book.close_window()
-        self.assertEqual(book.replica.servers[book.server_keys["box:1"]].lot.waiting, 3)
+        self.assertEqual(book.replica.servers[book.server_keys["box:1"]].loans.waiting, 3)
         book.set_waiting_count("box:1", 0)
-        self.assertEqual(book.replica.servers[book.server_keys["box:1"]].lot.waiting, 0)
+        self.assertEqual(book.replica.servers[book.server_keys["box:1"]].loans.waiting, 0)
 
     def test_a_box_that_no_list_names_takes_none_and_one_that_is_gone_neither(self) -> None:
         book = self.fleet(1)[0]
@@ -567,13 +571,13 @@
 
     def test_what_is_kept_is_taken_up_by_the_next_life(self) -> None:
         book = self.fleet(1)[0]
-        book.replica.servers[book.server_keys["box:1"]].agreed.whole = 50
+        book.replica.servers[book.server_keys["box:1"]].agreement.limit = 50
         values = dict(book.snapshot_records())
         after = learned_book(0, 1)
         after.clock.now += 500_000  # type: ignore[attr-defined]
         after.restore(values)
         after.close_window()
-        found = after.replica.servers[after.server_keys["box:1"]].agreed.whole
+        found = after.replica.servers[after.server_keys["box:1"]].agreement.limit
         self.assertGreater(found, 45)
         self.assertLessEqual(found, 50)
 
@@ -593,14 +597,14 @@
 class KeptTest(unittest.TestCase):
     def test_it_is_taken_up_aged_and_by_the_same_box_alone(self) -> None:
         wall = 10**15
-        raw = msgspec.msgpack.encode(persisted.KeptSlots("big", wall - 10**9, 80, wall))
-        self.assertEqual(persisted.recall(raw, "big", wall - 10**9, 16, wall), 80)
-        later = persisted.recall(raw, "big", wall - 10**9, 16, wall + HALF_LIFE_US)
+        raw = msgspec.msgpack.encode(persisted.StoredLimit("big", wall - 10**9, 80, wall))
+        self.assertEqual(persisted.restore_limit(raw, "big", wall - 10**9, 16, wall), 80)
+        later = persisted.restore_limit(raw, "big", wall - 10**9, 16, wall + HALF_LIFE_US)
         self.assertEqual(later, 48)
-        self.assertIsNone(persisted.recall(raw, "big", wall - 10**8, 16, wall))
-        self.assertIsNone(persisted.recall(raw, "small", wall - 10**9, 16, wall))
-        self.assertIsNone(persisted.recall(raw[:-1], "big", wall - 10**9, 16, wall))
-        self.assertIsNone(persisted.recall(raw, "big", wall - 10**9, 16, wall - 1))
+        self.assertIsNone(persisted.restore_limit(raw, "big", wall - 10**8, 16, wall))
+        self.assertIsNone(persisted.restore_limit(raw, "small", wall - 10**9, 16, wall))
+        self.assertIsNone(persisted.restore_limit(raw[:-1], "big", wall - 10**9, 16, wall))
+        self.assertIsNone(persisted.restore_limit(raw, "big", wall - 10**9, 16, wall - 1))
 
 
 class JudgeTest(unittest.TestCase):
--- a/tests/test_slots_front.py
+++ b/tests/test_slots_front.py
@@ -53,8 +53,8 @@
             wait_for(lambda: self.shown()["boxes"], "a box listed")
             self.front.stop()
             values = self.front.core.snapshots.stored
-            raw = values[persisted.KEY + self.boxes[0].address.encode()]
-            self.assertEqual(persisted.recall(raw, "k", 0, 16, self.clock.wall_us()), 16)
+            raw = values[persisted.KEY_PREFIX + self.boxes[0].address.encode()]
+            self.assertEqual(persisted.restore_limit(raw, "k", 0, 16, self.clock.wall_us()), 16)
 
     def test_a_loan_that_no_join_outlasts_is_asked_for(self) -> None:
         self.begin(start=False, slots=SlotSettings(loan_ms=4000.0, start=1, least=2))
--- a/tests/test_stitch.py
+++ b/tests/test_stitch.py
@@ -15,12 +15,17 @@
 from mpegdash.parser import MPEGDASHParser
 
 from fennelcove.decisions.playback import splices, playlist_cursor
-from fennelcove.decisions.playback.splices import Ledger, Refusal, Ruling, Scene
-from fennelcove.decisions.playback.playlist_cursor import PlaylistTrack, Viewpoint
+from fennelcove.decisions.playback.splices import (
+    ChangeLedger,
+    RejectionReason,
+    ChangeStatus,
+    ValidationContext,
+)
+from fennelcove.decisions.playback.playlist_cursor import PlaylistTrack, SelectionContext
 from fennelcove.manifests import dash, hls
 from fennelcove.manifests.exact_time import to_microseconds
 from fennelcove.decisions.playback import resume_tokens
-from fennelcove.timeline.model import Change, Kind, Media, Shown, Target
+from fennelcove.timeline.model import Change, ChangeKind, Media, ListedSegment, ChangeTarget
 
 WALL = 1_800_000_000_000_000
 LESSON = Media("lesson", 30_000, 60_060, 40, (0, 1, 2), "avc1")
@@ -37,15 +42,15 @@
     id: str,
     at: Any = 10,
     clip: str | None = "rest",
-    kind: Kind = Kind.INSERT,
+    kind: ChangeKind = ChangeKind.INSERT,
     until: Any = None,
-    target: Target | None = None,
+    target: ChangeTarget | None = None,
     **more: Any,
 ) -> Change:
     return Change(
         id,
         "author",
-        target or Target("lesson"),
+        target or ChangeTarget("lesson"),
         kind,
         clip,
         None if at is None else Fraction(at),
@@ -54,101 +59,110 @@
     )
 
 
-def scene(**changes: Any) -> Scene:
-    return replace(Scene(MEDIA, 0, WALL), **changes)
+def scene(**changes: Any) -> ValidationContext:
+    return replace(ValidationContext(MEDIA, 0, WALL), **changes)
 
 
-def view(ledger: Ledger, title: str = "lesson", rung: int = 1, **changes: Any) -> Viewpoint:
-    base = Viewpoint(
-        MEDIA, title, "room", "s1", tuple(ledger.standing(title)), rung, 0, WALL, WALL, lambda name: True
+def view(ledger: ChangeLedger, title: str = "lesson", rung: int = 1, **changes: Any) -> SelectionContext:
+    base = SelectionContext(
+        MEDIA,
+        title,
+        "room",
+        "s1",
+        tuple(ledger.active_changes(title)),
+        rung,
+        0,
+        WALL,
+        WALL,
+        lambda name: True,
     )
     return replace(base, **changes)
 
 
-def whole(ledger: Ledger, track: PlaylistTrack | None = None, **changes: Any) -> list[Shown]:
+def whole(ledger: ChangeLedger, track: PlaylistTrack | None = None, **changes: Any) -> list[ListedSegment]:
     """Everything a player is shown that fetches as it goes."""
-    track = track or playlist_cursor.begin(LESSON, WALL)
-    found: list[Shown] = []
+    track = track or playlist_cursor.new_track(LESSON, WALL)
+    found: list[ListedSegment] = []
     for _ in range(400):
         track.extend(view(ledger, **changes), ledger.version)
-        found += [item for item in track.shown if item.sequence_number == len(found)][:1]
-        if track.ended and len(found) == track.cursor.next_sequence_number:
+        found += [item for item in track.segments if item.sequence_number == len(found)][:1]
+        if track.is_ended and len(found) == track.cursor.next_sequence_number:
             return found
-        track.fetch(len(found) - 1)
+        track.on_segment_requested(len(found) - 1)
     raise AssertionError("never ended")
 
 
 class SeamsTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.ledger = Ledger()
+        self.ledger = ChangeLedger()
 
-    def refused(self, made: Change, **changes: Any) -> Refusal | None:
+    def refused(self, made: Change, **changes: Any) -> RejectionReason | None:
         verdict = self.ledger.submit(made, scene(**changes))
-        if verdict.ruling is Ruling.REFUSED:
-            self.assertTrue(verdict.cure)
-            if verdict.refusal is not Refusal.ID_TAKEN:
-                self.assertNotIn(made.id, [item.id for item in self.ledger.standing("lesson")])
-        return verdict.refusal
+        if verdict.status is ChangeStatus.REJECTED:
+            self.assertTrue(verdict.remedy)
+            if verdict.reason is not RejectionReason.ID_TAKEN:
+                self.assertNotIn(made.id, [item.id for item in self.ledger.active_changes("lesson")])
+        return verdict.reason
 
     def test_each_refusal_has_its_reason_and_leaves_nothing(self) -> None:
-        live = Target("live")
+        live = ChangeTarget("live")
         for made, refusal in (
-            (change("a", target=Target("nowhere")), Refusal.UNKNOWN_TITLE),
-            (change("a", clip="nothing"), Refusal.UNKNOWN_CLIP),
-            (change("a", clip="live"), Refusal.UNKNOWN_CLIP),
-            (change("a", at=None), Refusal.INVALID_TIME),
-            (change("a", wall_us=WALL), Refusal.INVALID_TIME),
-            (change("a", at=-1), Refusal.INVALID_TIME),
-            (change("a", until=20), Refusal.INVALID_TIME),
-            (change("a", kind=Kind.REPLACE), Refusal.INVALID_TIME),
-            (change("a", kind=Kind.CUT, at="2.1", until="2.5"), Refusal.EMPTY_RANGE),
-            (change("a", kind=Kind.CUT, at=10, until=900), Refusal.PAST_END),
-            (change("a", at="80.2"), Refusal.PAST_END),
-            (change("a", at=None, wall_us=WALL - 1), Refusal.BEFORE_LIVE_EDGE),
-            (change("a", at=100, target=live), Refusal.BEFORE_LIVE_EDGE),
-            (change("a", clip="odd"), Refusal.INCOMPATIBLE_RENDITIONS),
-            (change("a", clip="high"), Refusal.INCOMPATIBLE_RENDITIONS),
+            (change("a", target=ChangeTarget("nowhere")), RejectionReason.UNKNOWN_TITLE),
+            (change("a", clip="nothing"), RejectionReason.UNKNOWN_CLIP),
+            (change("a", clip="live"), RejectionReason.UNKNOWN_CLIP),
+            (change("a", at=None), RejectionReason.INVALID_TIME),
+            (change("a", wall_us=WALL), RejectionReason.INVALID_TIME),
+            (change("a", at=-1), RejectionReason.INVALID_TIME),
+            (change("a", until=20), RejectionReason.INVALID_TIME),
+            (change("a", kind=ChangeKind.REPLACE), RejectionReason.INVALID_TIME),
+            (change("a", kind=ChangeKind.CUT, at="2.1", until="2.5"), RejectionReason.EMPTY_RANGE),
+            (change("a", kind=ChangeKind.CUT, at=10, until=900), RejectionReason.PAST_END),
+            (change("a", at="80.2"), RejectionReason.PAST_END),
+            (change("a", at=None, wall_us=WALL - 1), RejectionReason.BEFORE_LIVE_EDGE),
+            (change("a", at=100, target=live), RejectionReason.BEFORE_LIVE_EDGE),
+            (change("a", clip="odd"), RejectionReason.INCOMPATIBLE_RENDITIONS),
+            (change("a", clip="high"), RejectionReason.INCOMPATIBLE_RENDITIONS),
         ):
             self.assertIs(self.refused(made), refusal, made)
         self.assertEqual(self.ledger.version, 0)
-        self.assertIs(self.refused(change("a"), next_title_segment=6), Refusal.ALREADY_LISTED)
-        self.assertIs(self.refused(change("a"), is_session_known=False), Refusal.UNKNOWN_SESSION)
+        self.assertIs(self.refused(change("a"), next_title_segment=6), RejectionReason.ALREADY_LISTED)
+        self.assertIs(self.refused(change("a"), is_session_known=False), RejectionReason.UNKNOWN_SESSION)
 
     def test_a_live_change_keeps_one_whole_segment_clear_of_the_edge(self) -> None:
         # Fifty segments are ready at 100 s; the one now being written must not be touched either.
-        target = Target("live")
+        target = ChangeTarget("live")
         self.assertIs(self.refused(change("a", at=102 - Fraction(1, 10**9), target=target)), None)
-        self.assertIs(self.refused(change("b", at=100, target=target)), Refusal.BEFORE_LIVE_EDGE)
+        self.assertIs(self.refused(change("b", at=100, target=target)), RejectionReason.BEFORE_LIVE_EDGE)
 
     def test_a_repeat_stands_and_an_id_is_never_given_twice(self) -> None:
         self.assertIsNone(self.refused(change("a")))
         again = self.ledger.submit(change("a"), scene())
-        self.assertEqual((again.ruling, again.version, self.ledger.version), (Ruling.UNCHANGED, 1, 1))
-        self.assertIs(self.refused(change("a", at=30)), Refusal.ID_TAKEN)
+        self.assertEqual((again.status, again.version, self.ledger.version), (ChangeStatus.UNCHANGED, 1, 1))
+        self.assertIs(self.refused(change("a", at=30)), RejectionReason.ID_TAKEN)
         self.ledger.withdraw("a")
-        self.assertIs(self.refused(change("a")), Refusal.ID_TAKEN)
-        self.assertIs(self.ledger.withdraw("a").ruling, Ruling.WITHDRAWN)
+        self.assertIs(self.refused(change("a")), RejectionReason.ID_TAKEN)
+        self.assertIs(self.ledger.withdraw("a").status, ChangeStatus.WITHDRAWN)
         self.assertEqual(self.ledger.version, 2)
-        self.assertIs(self.ledger.withdraw("zz").ruling, Ruling.UNKNOWN)
+        self.assertIs(self.ledger.withdraw("zz").status, ChangeStatus.UNKNOWN)
 
     def test_two_authors_whose_changes_meet(self) -> None:
-        self.assertIsNone(self.refused(change("a", at=20, until=30, kind=Kind.REPLACE)))
+        self.assertIsNone(self.refused(change("a", at=20, until=30, kind=ChangeKind.REPLACE)))
         for other, refusal in (
-            (change("b", at=20), Refusal.OVERLAPS),
-            (change("b", at=25), Refusal.OVERLAPS),
-            (change("b", at=28, until=40, kind=Kind.CUT), Refusal.OVERLAPS),
-            (change("b", at=25, target=Target("lesson", "room")), Refusal.OVERLAPS),
-            (change("b", at=25, target=Target("lesson", None, "s9")), Refusal.OVERLAPS),
+            (change("b", at=20), RejectionReason.OVERLAPS),
+            (change("b", at=25), RejectionReason.OVERLAPS),
+            (change("b", at=28, until=40, kind=ChangeKind.CUT), RejectionReason.OVERLAPS),
+            (change("b", at=25, target=ChangeTarget("lesson", "room")), RejectionReason.OVERLAPS),
+            (change("b", at=25, target=ChangeTarget("lesson", None, "s9")), RejectionReason.OVERLAPS),
         ):
             self.assertIs(self.refused(other), refusal, other)
         self.assertIsNone(self.refused(change("c", at="30.03")))
-        self.assertIsNone(self.refused(change("d", at=50, target=Target("lesson", "one"))))
-        self.assertIsNone(self.refused(change("e", at=50, target=Target("lesson", "two"))))
+        self.assertIsNone(self.refused(change("d", at=50, target=ChangeTarget("lesson", "one"))))
+        self.assertIsNone(self.refused(change("e", at=50, target=ChangeTarget("lesson", "two"))))
 
     def test_bounded(self) -> None:
         for i in range(splices.MAX_CHANGES_PER_TITLE):
-            self.ledger.put(change(f"x{i}", at=None, wall_us=WALL + i))
-        self.assertIs(self.refused(change("a")), Refusal.TOO_MANY)
+            self.ledger.add(change(f"x{i}", at=None, wall_us=WALL + i))
+        self.assertIs(self.refused(change("a")), RejectionReason.TOO_MANY)
 
     def test_times_as_authors_write_them(self) -> None:
         for text, value in (
@@ -156,73 +170,77 @@
             ("37/3", Fraction(37, 3)),
             ("1:02:03.25", Fraction(14893, 4)),
         ):
-            self.assertEqual(splices.seconds(text), value)
+            self.assertEqual(splices.parse_media_time(text), value)
         for text in ("", "x", "1:2:3:4", "1e9", ":", "9" * 50):
             with self.assertRaises(ValueError):
-                splices.seconds(text)
+                splices.parse_media_time(text)
 
 
 class TracksTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.ledger = Ledger()
+        self.ledger = ChangeLedger()
 
     def test_insert_replace_and_cut(self) -> None:
-        self.ledger.put(change("a", at=4, clip="note"))
-        self.ledger.put(change("b", at=20, until=30, kind=Kind.REPLACE))
-        self.ledger.put(change("c", at=40, until=60, kind=Kind.CUT, clip=None))
+        self.ledger.add(change("a", at=4, clip="note"))
+        self.ledger.add(change("b", at=20, until=30, kind=ChangeKind.REPLACE))
+        self.ledger.add(change("c", at=40, until=60, kind=ChangeKind.CUT, clip=None))
         shown = whole(self.ledger)
-        lesson = [item.number for item in shown if not item.change]
+        lesson = [item.segment_number for item in shown if not item.change_id]
         self.assertEqual(lesson, [*range(10), *range(15, 20), *range(30, 40)])
-        self.assertEqual([item.change for item in shown[:4]], ["", "", "a", ""])
+        self.assertEqual([item.change_id for item in shown[:4]], ["", "", "a", ""])
         self.assertEqual(
             [item.media for item in shown if item.is_discontinuity],
             ["note", "lesson", "rest", "lesson", "lesson"],
         )
 
     def test_a_change_taken_back_while_half_the_players_watch_its_clip(self) -> None:
-        self.ledger.put(change("a", at=4))
-        ahead, behind = playlist_cursor.begin(LESSON, WALL), playlist_cursor.begin(LESSON, WALL)
+        self.ledger.add(change("a", at=4))
+        ahead, behind = playlist_cursor.new_track(LESSON, WALL), playlist_cursor.new_track(LESSON, WALL)
         ahead.extend(view(self.ledger), 1)
-        self.assertEqual([item.change for item in ahead.shown], ["", "", "a"])
+        self.assertEqual([item.change_id for item in ahead.segments], ["", "", "a"])
         self.ledger.withdraw("a")
-        self.assertEqual([item.change for item in whole(self.ledger, ahead)][:6], ["", "", "a", "a", "a", ""])
-        self.assertTrue(all(not item.change for item in whole(self.ledger, behind)))
+        self.assertEqual(
+            [item.change_id for item in whole(self.ledger, ahead)][:6], ["", "", "a", "a", "a", ""]
+        )
+        self.assertTrue(all(not item.change_id for item in whole(self.ledger, behind)))
 
     def test_a_rendition_that_the_clip_lacks_falls_to_the_next_lower(self) -> None:
-        self.ledger.put(change("a", at=4))
-        self.assertEqual({item.rung for item in whole(self.ledger, rung=1) if item.change}, {0})
-        self.assertEqual({item.rung for item in whole(self.ledger, rung=2) if item.change}, {2})
+        self.ledger.add(change("a", at=4))
+        self.assertEqual({item.rung for item in whole(self.ledger, rung=1) if item.change_id}, {0})
+        self.assertEqual({item.rung for item in whole(self.ledger, rung=2) if item.change_id}, {2})
         self.assertEqual(playlist_cursor.fitting_rung(HIGH, 1, 1), 1)
 
     def test_a_clip_that_nothing_can_serve_leaves_the_lesson_unstitched(self) -> None:
-        self.ledger.put(change("a", at=4))
+        self.ledger.add(change("a", at=4))
         shown = whole(self.ledger, is_clip_available=lambda name: False)
-        self.assertEqual([item.number for item in shown], list(range(40)))
+        self.assertEqual([item.segment_number for item in shown], list(range(40)))
         self.assertFalse(any(item.is_discontinuity for item in shown))
 
     def test_a_moment_meets_each_player_where_it_is_and_once(self) -> None:
-        self.ledger.put(change("a", at=None, clip="note", wall_us=WALL + 10_000_000))
+        self.ledger.add(change("a", at=None, clip="note", wall_us=WALL + 10_000_000))
         shown = whole(self.ledger)
-        self.assertEqual([item.sequence_number for item in shown if item.change], [5])
-        late = playlist_cursor.begin(LESSON, WALL + 11_000_000)
+        self.assertEqual([item.sequence_number for item in shown if item.change_id], [5])
+        late = playlist_cursor.new_track(LESSON, WALL + 11_000_000)
         self.assertFalse(
-            any(item.change for item in whole(self.ledger, late, began_wall_us=late.began_wall_us))
+            any(item.change_id for item in whole(self.ledger, late, began_wall_us=late.began_wall_us))
         )
 
     def test_a_live_player_begins_near_the_edge_and_waits_there(self) -> None:
-        track = playlist_cursor.begin(LIVE, WALL)
+        track = playlist_cursor.new_track(LIVE, WALL)
         track.extend(view(self.ledger, "live"), 0)
-        self.assertEqual([item.number for item in track.shown], [47, 48, 49])
+        self.assertEqual([item.segment_number for item in track.segments], [47, 48, 49])
         for seq in range(3):
-            track.fetch(seq)
+            track.on_segment_requested(seq)
         self.assertEqual(track.extend(view(self.ledger, "live"), 0), 0)
-        self.assertFalse(track.ended)
+        self.assertFalse(track.is_ended)
         self.assertEqual(track.extend(view(self.ledger, "live", wall_us=WALL + 2_000_000), 0), 1)
 
     def test_the_narrowest_target_wins_where_two_meet_by_moment_and_time(self) -> None:
-        self.ledger.put(change("wide", at=4))
-        self.ledger.put(change("own", at=4, clip="note", target=Target("lesson", None, "s1")))
-        self.assertEqual([item.change for item in whole(self.ledger)][2:6], ["own", "wide", "wide", "wide"])
+        self.ledger.add(change("wide", at=4))
+        self.ledger.add(change("own", at=4, clip="note", target=ChangeTarget("lesson", None, "s1")))
+        self.assertEqual(
+            [item.change_id for item in whole(self.ledger)][2:6], ["own", "wide", "wide", "wide"]
+        )
 
 
 steps = st.lists(
@@ -245,43 +263,50 @@
     def test_whatever_happens_each_manifest_goes_on_from_the_last(
         self, script: list[tuple[str, Any, Any]]
     ) -> None:
-        ledger, track, rung = Ledger(), playlist_cursor.begin(LESSON, WALL), 1
+        ledger, track, rung = ChangeLedger(), playlist_cursor.new_track(LESSON, WALL), 1
         seen: dict[int, tuple[str, str]] = {}
         before = (0, 0)
         for i, (what, one, two) in enumerate([*script, *[("fetch", 3, 0)] * 60]):
             rung = self.happens(ledger, track, i, what, one, two, rung)
             track.extend(view(ledger, rung=rung), ledger.version)
             before = self.check(track, seen, before)
-        self.assertTrue(track.ended)
-        for seq in range(max(0, track.fetched - 20), track.fetched + 1):
-            self.assertIsNotNone(track.fetch(seq), "a segment fetched is denied later")
+        self.assertTrue(track.is_ended)
+        for seq in range(max(0, track.last_fetched - 20), track.last_fetched + 1):
+            self.assertIsNotNone(track.on_segment_requested(seq), "a segment fetched is denied later")
 
     def happens(
-        self, ledger: Ledger, track: PlaylistTrack, number: int, what: str, one: Any, two: Any, rung: int
+        self,
+        ledger: ChangeLedger,
+        track: PlaylistTrack,
+        number: int,
+        what: str,
+        one: Any,
+        two: Any,
+        rung: int,
     ) -> int:
         """One step of a script; the rung from then on."""
         if what == "insert":
             ledger.submit(change(f"c{number}", at=one, clip=two), scene())
         elif what in ("replace", "cut"):
-            ledger.submit(change(f"c{number}", one, kind=Kind(what), until=one + two), scene())
+            ledger.submit(change(f"c{number}", one, kind=ChangeKind(what), until=one + two), scene())
         elif what == "withdraw":
             ledger.withdraw(f"c{one}")
         elif what == "fetch":
             for seq in range(
-                track.fetched + 1, min(track.cursor.next_sequence_number, track.fetched + 1 + one)
+                track.last_fetched + 1, min(track.cursor.next_sequence_number, track.last_fetched + 1 + one)
             ):
-                self.assertIsNotNone(track.fetch(seq))
+                self.assertIsNotNone(track.on_segment_requested(seq))
         return one if what == "rung" else rung
 
     def check(
         self, track: PlaylistTrack, seen: dict[int, tuple[str, str]], before: tuple[int, int]
     ) -> tuple[int, int]:
         shown, joints = track.window()
-        listing = hls.Listing(shown, joints, track.ended, False, WALL, MEDIA)
+        listing = hls.MediaListing(shown, joints, track.is_ended, False, WALL, MEDIA)
         text = hls.media_playlist(listing, TARGET)
         parsed = m3u8.loads(text)
         self.assertEqual(parsed.target_duration, TARGET)
-        self.assertEqual(parsed.is_endlist, track.ended)
+        self.assertEqual(parsed.is_endlist, track.is_ended)
         first, discontinuity = parsed.media_sequence, parsed.discontinuity_sequence or 0
         self.assertGreaterEqual(first, before[0])
         self.assertGreaterEqual(discontinuity, before[1])
@@ -290,9 +315,9 @@
             now = (segment.uri, str(segment.init_section.uri))
             self.assertEqual(seen.setdefault(first + i, now), now, "a listed segment changed")
         for one, two in pairwise(shown):
-            self.assertEqual(one.end, two.start)
+            self.assertEqual(one.end_s, two.start_s)
         self.sums(text, shown)
-        self.periods(dash.manifest(listing, TARGET, {0: 800, 1: 1600, 2: 3200}, 4), shown)
+        self.periods(dash.media_presentation(listing, TARGET, {0: 800, 1: 1600, 2: 3200}, 4), shown)
         return first, discontinuity
 
     @given(steps)
@@ -300,50 +325,54 @@
     def test_clips_told_apart_leave_the_lesson_whole_and_come_once(
         self, script: list[tuple[str, Any, Any]]
     ) -> None:
-        ledger, track, rung = Ledger(), playlist_cursor.begin(LESSON, WALL, apart=True), 1
+        ledger, track, rung = ChangeLedger(), playlist_cursor.new_track(LESSON, WALL, apart=True), 1
         numbers: dict[int, int] = {}
         told: dict[str, tuple[str, ...]] = {}
         begun: dict[str, int] = {}
         for i, (what, one, two) in enumerate([*script, *[("fetch", 3, 0)] * 60]):
             rung = self.happens(ledger, track, i, what, one, two, rung)
             track.extend(view(ledger, rung=rung, uses_interstitials=True), ledger.version)
-            track = resume_tokens.read(resume_tokens.write(track)) or self.fail("a mark that can't be read")
+            track = resume_tokens.decode(resume_tokens.encode(track)) or self.fail(
+                "a mark that can't be read"
+            )
             track.replay = None
-            for item in track.shown:
-                numbers[item.sequence_number] = item.number
-                self.assertEqual((item.media, item.change), ("lesson", ""))
-                for id in item.breaks:
-                    at = told.setdefault(id, (str(item.start), str(item.number)))
-                    self.assertEqual(at, (str(item.start), str(item.number)), "told at two places")
+            for item in track.segments:
+                numbers[item.sequence_number] = item.segment_number
+                self.assertEqual((item.media, item.change_id), ("lesson", ""))
+                for id in item.interstitial_ids:
+                    at = told.setdefault(id, (str(item.start_s), str(item.segment_number)))
+                    self.assertEqual(at, (str(item.start_s), str(item.segment_number)), "told at two places")
                     clip = MEDIA[ledger.entries[id].change.clip or ""]
-                    gone = ledger.entries[id].withdrawn is not None
-                    had = track.asset(id, clip, rung, 0, gone)
+                    gone = ledger.entries[id].withdrawn_version is not None
+                    had = track.interstitial_rung(id, clip, rung, 0, gone)
                     self.assertEqual(had is None, gone and id not in begun, "a clip begun is denied later")
                     if had is not None:
                         self.assertEqual(begun.setdefault(id, had), had)
-        self.assertTrue(track.ended)
+        self.assertTrue(track.is_ended)
         shown = [numbers[seq] for seq in sorted(numbers)]
         left_out = {
             number
             for entry in ledger.entries.values()
-            if entry.change.kind is not Kind.INSERT
-            for number in range(entry.change.first(LESSON) or 0, entry.change.after(LESSON) or 0)
+            if entry.change.kind is not ChangeKind.INSERT
+            for number in range(
+                entry.change.first_segment(LESSON) or 0, entry.change.resume_segment(LESSON) or 0
+            )
         }
         self.assertEqual(shown, sorted(set(shown)))
         self.assertLessEqual(set(range(40)) - set(shown), left_out)
-        self.assertIsNone(track.asset("never-told", REST, 1, 0, False))
+        self.assertIsNone(track.interstitial_rung("never-told", REST, 1, 0, False))
 
     def test_an_interstitial_is_read_by_a_parser_that_is_not_ours(self) -> None:
-        ledger = Ledger()
-        ledger.put(change("a", at=4))
-        ledger.put(change("b", at=4 * 2.002, kind=Kind.REPLACE, until=8 * 2.002, clip="note"))
-        track = playlist_cursor.begin(LESSON, WALL, apart=True)
+        ledger = ChangeLedger()
+        ledger.add(change("a", at=4))
+        ledger.add(change("b", at=4 * 2.002, kind=ChangeKind.REPLACE, until=8 * 2.002, clip="note"))
+        track = playlist_cursor.new_track(LESSON, WALL, apart=True)
         track.extend(view(ledger, uses_interstitials=True), 1)
-        track.fetch(2)
+        track.on_segment_requested(2)
         track.extend(view(ledger, uses_interstitials=True), 1)
         shown, joints = track.window()
         breaks = {"a": hls.Interstitial("a", REST), "b": hls.Interstitial("b", NOTE)}
-        listing = hls.Listing(shown, joints, False, False, WALL, MEDIA, breaks)
+        listing = hls.MediaListing(shown, joints, False, False, WALL, MEDIA, breaks)
         parsed = m3u8.loads(hls.media_playlist(listing, TARGET))
         found = {
             told.id: (i, told) for i, item in enumerate(parsed.segments) for told in item.dateranges or ()
@@ -354,20 +383,20 @@
         self.assertEqual(dict(told.x_client_attrs)["x_asset_uri"], '"asset/a.m3u8"')
         self.assertAlmostEqual(float(told.duration), 3 * 120_007 / 90_000, places=5)
         self.assertTrue(parsed.segments[4].discontinuity, "what a clip replaces is left out")
-        asset = m3u8.loads(hls.asset_playlist("a", REST, 2))
+        asset = m3u8.loads(hls.interstitial_playlist("a", REST, 2))
         self.assertEqual([item.uri for item in asset.segments], ["a/0.m4s", "a/1.m4s", "a/2.m4s"])
         self.assertTrue(asset.is_endlist)
         self.assertLessEqual(max(item.duration for item in asset.segments), asset.target_duration)
 
-    def sums(self, text: str, shown: list[Shown]) -> None:
+    def sums(self, text: str, shown: list[ListedSegment]) -> None:
         """The decimals add up to the rounded ends, however many there are."""
         total = sum(Fraction(line[8:-1]) for line in text.splitlines() if line.startswith("#EXTINF:"))
         if shown:
             self.assertEqual(
-                total * 1_000_000, to_microseconds(shown[-1].end) - to_microseconds(shown[0].start)
+                total * 1_000_000, to_microseconds(shown[-1].end_s) - to_microseconds(shown[0].start_s)
             )
 
-    def periods(self, text: str, shown: list[Shown]) -> None:
+    def periods(self, text: str, shown: list[ListedSegment]) -> None:
         mpd = MPEGDASHParser.parse(text)
         numbers: list[int] = []
         ends: str | None = None
@@ -383,30 +412,34 @@
         self.assertEqual(numbers, [item.sequence_number for item in shown])
 
     def test_periods_keep_their_names_as_the_window_slides(self) -> None:
-        ledger = Ledger()
-        ledger.put(change("a", at=10))
-        track = playlist_cursor.begin(LESSON, WALL)
+        ledger = ChangeLedger()
+        ledger.add(change("a", at=10))
+        track = playlist_cursor.new_track(LESSON, WALL)
         names: dict[str, str] = {}
         for _ in range(30):
             track.extend(view(ledger), 1)
             shown, joints = track.window()
-            listing = hls.Listing(shown, joints, track.ended, False, WALL, MEDIA)
-            for period in MPEGDASHParser.parse(dash.manifest(listing, TARGET, {0: 1, 1: 1}, 4)).periods:
+            listing = hls.MediaListing(shown, joints, track.is_ended, False, WALL, MEDIA)
+            for period in MPEGDASHParser.parse(
+                dash.media_presentation(listing, TARGET, {0: 1, 1: 1}, 4)
+            ).periods:
                 self.assertEqual(names.setdefault(period.id, period.start), period.start)
-            track.fetch(track.cursor.next_sequence_number - 1)
+            track.on_segment_requested(track.cursor.next_sequence_number - 1)
         self.assertEqual(list(names), ["p0", "p5", "p8"])
 
     def test_clips_are_told_and_interstitials_have_their_own_form(self) -> None:
-        ledger = Ledger()
-        ledger.put(change("a", at=4))
-        track = playlist_cursor.begin(LESSON, WALL)
+        ledger = ChangeLedger()
+        ledger.add(change("a", at=4))
+        track = playlist_cursor.new_track(LESSON, WALL)
         track.extend(view(ledger), 1)
         shown, joints = track.window()
-        parsed = m3u8.loads(hls.media_playlist(hls.Listing(shown, joints, False, False, WALL, MEDIA), TARGET))
+        parsed = m3u8.loads(
+            hls.media_playlist(hls.MediaListing(shown, joints, False, False, WALL, MEDIA), TARGET)
+        )
         marked = [item for segment in parsed.segments for item in segment.dateranges]
         self.assertEqual([(item.id, item.class_) for item in marked], [("a", hls.SPLICE_CLASS)])
         self.assertAlmostEqual(float(marked[0].duration), 3 * 120_007 / 90_000, places=5)
-        variants = m3u8.loads(hls.multivariant(2_000_000, 1_600_000, "avc1.64001f,mp4a.40.2"))
+        variants = m3u8.loads(hls.multivariant_playlist(2_000_000, 1_600_000, "avc1.64001f,mp4a.40.2"))
         self.assertEqual(variants.playlists[0].stream_info.bandwidth, 2_000_000)
 
 
