--- a/benchmarks/fair_sim.py
+++ b/benchmarks/fair_sim.py
@@ -26,13 +26,14 @@
 from random import Random
 from statistics import median
 
-from benchmarks.events import Events
 from fennelcove.fair_queueing import usage_gossip
-from fennelcove.fair_queueing.wait_queue import WaitQueue, Waiter
+from fennelcove.fair_queueing.usage_gossip import UsageGossip, UsageReport
 from fennelcove.fair_queueing.virtual_time import TenantWeights
-from fennelcove.fair_queueing.usage_gossip import UsageReport, UsageGossip
+from fennelcove.fair_queueing.wait_queue import Waiter, WaitQueue
 from fennelcove.fair_queueing.waiter import WaiterAction, WaiterEvent
 
+from benchmarks.events import Events
+
 PART, HOLD_US, SLOW_TIMES = 4, 100_000, 10
 TENANTS, HOG, GROUP = 8, 1, 50
 HOG_FROM_US, TIMEOUT_US, JOIN_MOST_US = 3_000_000, 1_500_000, 1_200_000
--- a/benchmarks/fleet_sums.py
+++ b/benchmarks/fleet_sums.py
@@ -15,10 +15,11 @@
 from random import Random
 from statistics import median
 
-from benchmarks.events import Call, Events
 from fennelcove.decisions.fleet import health_checks
-from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, Quota, Resource
-from fennelcove.decisions.fleet.health_checks import ProbeResult, HealthCheckAssignment
+from fennelcove.decisions.fleet.health_checks import HealthCheckAssignment, ProbeResult
+from fennelcove.decisions.fleet.shared_quotas import Quota, QuotaRequest, Resource
+
+from benchmarks.events import Call, Events
 
 END_US = 30_000_000
 CUT = (10_000_000, 20_000_000)
--- a/benchmarks/floods.py
+++ b/benchmarks/floods.py
@@ -13,12 +13,12 @@
 from concurrent.futures import ProcessPoolExecutor
 
 import msgspec
-
-from benchmarks.power import played, spread
 from fennelcove.scenarios.checker import Verdict
 from fennelcove.scenarios.script import Day, read
 from fennelcove.settings.schema import StormSettings
 
+from benchmarks.power import played, spread
+
 replace = msgspec.structs.replace
 CROWD = (8, 16)  # seconds of the day in which it comes
 
--- a/benchmarks/front_load.py
+++ b/benchmarks/front_load.py
@@ -25,11 +25,10 @@
 from pathlib import Path
 from typing import Any
 
-from hdrh.histogram import HdrHistogram
-
 from fennelcove.clock import SystemClock
 from fennelcove.emulators.endpoint_list_service import Known, StandInLists
 from fennelcove.emulators.recorder import Recorder
+from hdrh.histogram import HdrHistogram
 
 CLIENTS, BOXES = 3, 3
 BODY = b'{"room_type":"free","title":"t","client_timeout_ms":9000}'
--- a/benchmarks/live_seam.py
+++ b/benchmarks/live_seam.py
@@ -16,11 +16,11 @@
 from typing import Any
 
 import msgspec
-
 from fennelcove.scenarios.checker import judge
 from fennelcove.scenarios.player import DayPlayer
 from fennelcove.scenarios.script import BoxLine, ChangeLine, Crowd, Day, Trouble, read
 from fennelcove.settings.schema import MediaSettings, Title
+
 from benchmarks.moving import causes, seen_after
 
 ARRIVE_S = 10.0
--- a/benchmarks/manifests.py
+++ b/benchmarks/manifests.py
@@ -9,12 +9,11 @@
 import time
 from fractions import Fraction
 
-from fennelcove.decisions.playback import playlist_cursor
-from fennelcove.decisions.playback.splices import ChangeLedger
+from fennelcove.decisions.playback import playlist_cursor, resume_tokens
 from fennelcove.decisions.playback.playlist_cursor import SelectionContext
+from fennelcove.decisions.playback.splices import ChangeLedger
 from fennelcove.manifests import dash, hls
-from fennelcove.decisions.playback import resume_tokens
-from fennelcove.timeline.model import Change, ChangeKind, Media, ChangeTarget
+from fennelcove.timeline.model import Change, ChangeKind, ChangeTarget, Media
 
 LESSON = Media("lesson", 30_000, 60_060, 450, (0, 1, 2), "avc1")
 REST = Media("rest", 90_000, 120_007, 3, (0, 1, 2), "avc1")
--- a/benchmarks/moving.py
+++ b/benchmarks/moving.py
@@ -17,12 +17,11 @@
 from typing import Any
 
 import msgspec
-
+from fennelcove.emulators.recorder import Record
 from fennelcove.scenarios.checker import judge
 from fennelcove.scenarios.player import DayPlayer
 from fennelcove.scenarios.script import BoxLine, ChangeLine, Crowd, Day, Trouble, read
 from fennelcove.settings.schema import MediaSettings, Title
-from fennelcove.emulators.recorder import Record
 
 ARRIVE_S = 10.0
 SEGMENT_S = 2.002
--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -10,15 +10,14 @@
 from collections.abc import Callable
 
 import http_sfv
-
 from fennelcove import log
 from fennelcove.clock import SystemClock
-from fennelcove.core.core import Core
 from fennelcove.clock.timers import Timers
+from fennelcove.core.core import Core
 from fennelcove.core.ports import CorePorts
 from fennelcove.core.requests import AttemptResult, SendAttempt, SessionRequest
-from fennelcove.decisions.servers.load_signals import ServerHints
 from fennelcove.decisions.servers.endpoint_list import EndpointListUpdate
+from fennelcove.decisions.servers.load_signals import ServerHints
 from fennelcove.hints import cmcd, cmsd
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import CodecLimits
--- a/benchmarks/power.py
+++ b/benchmarks/power.py
@@ -16,7 +16,6 @@
 from concurrent.futures import ProcessPoolExecutor
 
 import msgspec
-
 from fennelcove.scenarios.checker import Verdict, judge
 from fennelcove.scenarios.player import DayFailed, DayPlayer
 from fennelcove.scenarios.script import Day, read
--- a/benchmarks/power_sim.py
+++ b/benchmarks/power_sim.py
@@ -23,28 +23,28 @@
 from random import Random
 
 import msgspec
-
-from benchmarks.events import Events
-from fennelcove.scenarios.script import Day, read
 from fennelcove.decisions.fleet.membership import Heartbeat, Membership, MembershipSettings
+from fennelcove.emulators.model import BoxModel, RackModel, SetUp
 from fennelcove.interface import (
     AttemptCompleted,
     ListEntry,
     ListMode,
     ListUpdate,
     LoadReport,
-    SessionReport,
-    ReportKind,
     Outcome,
     PeerMessage,
+    ReportKind,
     Request,
     ServerState,
+    SessionReport,
     SessionStarted,
     TimerFired,
 )
 from fennelcove.placement import PlacementPolicy
+from fennelcove.scenarios.script import Day, read
 from fennelcove.settings.checks import module_settings
-from fennelcove.emulators.model import BoxModel, RackModel, SetUp
+
+from benchmarks.events import Events
 
 BEGAN_US = 1_000_000
 POWER_S, END_S, WATCH_US = 16, 60, 12_000_000
--- a/benchmarks/release_sim.py
+++ b/benchmarks/release_sim.py
@@ -28,22 +28,22 @@
 from statistics import median
 
 from fennelcove.rollouts import plan_execution, rollout_plan
-from fennelcove.rollouts.permit_grantor import Grantor
-from fennelcove.rollouts.permit_requester import RequestState, Requester
-from fennelcove.rollouts.permit_settings import PermitSettings
 from fennelcove.rollouts.disruption_budget import DisruptionLimit, DisruptionMap, Location
 from fennelcove.rollouts.fleet_view import FleetView
-from fennelcove.rollouts.plan_execution import PlanExecution
-from fennelcove.rollouts.rollout_plan import RolloutEvent
 from fennelcove.rollouts.messages import (
+    HaltReason,
+    Heartbeat,
     PlaceKind,
-    RolloutPhase,
     Plan,
-    HaltReason,
+    RolloutPhase,
     RolloutRecord,
     ServingState,
-    Heartbeat,
 )
+from fennelcove.rollouts.permit_grantor import Grantor
+from fennelcove.rollouts.permit_requester import Requester, RequestState
+from fennelcove.rollouts.permit_settings import PermitSettings
+from fennelcove.rollouts.plan_execution import PlanExecution
+from fennelcove.rollouts.rollout_plan import RolloutEvent
 
 SECOND = 1_000_000
 HALLS = 4
--- a/benchmarks/release_world.py
+++ b/benchmarks/release_world.py
@@ -15,23 +15,23 @@
 
 from fennelcove.rollouts.coordinator import (
     Action,
-    RolloutAgreement,
-    Command,
     ActionKind,
-    PersistedState,
+    Command,
+    CommandKind,
     FrontStatus,
+    PersistedState,
+    RolloutAgreement,
     RolloutSettings,
-    CommandKind,
 )
+from fennelcove.rollouts.disruption_budget import DisruptionLimit, DisruptionMap, FleetLimits, Location
 from fennelcove.rollouts.leader_election import Role
-from fennelcove.rollouts.disruption_budget import DisruptionLimit, FleetLimits, DisruptionMap, Location
 from fennelcove.rollouts.messages import (
     ACTIVE_PHASES,
     PlaceKind,
-    RolloutPhase,
     Plan,
-    RolloutRecord,
     RolloutMessage,
+    RolloutPhase,
+    RolloutRecord,
     ServingState,
 )
 
--- a/benchmarks/release_worlds.py
+++ b/benchmarks/release_worlds.py
@@ -20,25 +20,26 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from benchmarks.release_world import BEAT_US, BOXES, LIMITS, PLAN, World
 from fennelcove.rollouts import leader_election
 from fennelcove.rollouts.coordinator import CommandKind
+from fennelcove.rollouts.disruption_budget import DisruptionLimit, FleetLimits
 from fennelcove.rollouts.front_permits import FrontPermits
 from fennelcove.rollouts.leader_election import Role
-from fennelcove.rollouts.record_acceptor import Acceptor
-from fennelcove.rollouts.permit_entry import PermitState
-from fennelcove.rollouts.permit_grantor import Grantor
-from fennelcove.rollouts.permit_requester import Requester
-from fennelcove.rollouts.disruption_budget import DisruptionLimit, FleetLimits
 from fennelcove.rollouts.messages import (
     ACTIVE_PHASES,
+    LeaderVote,
+    PermitVerdict,
+    ProposalAck,
     RolloutPhase,
     RolloutRecord,
     ServingState,
-    ProposalAck,
-    PermitVerdict,
-    LeaderVote,
 )
+from fennelcove.rollouts.permit_entry import PermitState
+from fennelcove.rollouts.permit_grantor import Grantor
+from fennelcove.rollouts.permit_requester import Requester
+from fennelcove.rollouts.record_acceptor import Acceptor
+
+from benchmarks.release_world import BEAT_US, BOXES, LIMITS, PLAN, World
 
 
 def search(steps: int, most: int, limits: FleetLimits = LIMITS) -> tuple[int, int, list[str]]:
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -16,11 +16,10 @@
 from random import Random
 
 import msgspec
-
+from fennelcove.emulators.recorder import Record
 from fennelcove.scenarios.checker import judge
 from fennelcove.scenarios.player import DayPlayer
 from fennelcove.scenarios.script import Day, Trouble, read
-from fennelcove.emulators.recorder import Record
 from fennelcove.store.directory import Store
 
 AFTER_US = 2_000_000
--- a/benchmarks/seats.py
+++ b/benchmarks/seats.py
@@ -18,14 +18,13 @@
 from typing import Any
 
 import msgspec
-
 from fennelcove import log
 from fennelcove.clock import SystemClock
-from fennelcove.scenarios.rig import Rig
-from fennelcove.scenarios.script import read
 from fennelcove.daemon.front_daemon import FrontDaemon
-from fennelcove.emulators.recorder import Recorder
 from fennelcove.emulators.clients import Player, Unanswered
+from fennelcove.emulators.recorder import Recorder
+from fennelcove.scenarios.rig import Rig
+from fennelcove.scenarios.script import read
 
 JSON = ("Content-Type", "application/json")
 ROOM, TITLE, SEATS, SEAT_MS = "keyed", "knee-1", 40, 400.0
--- a/benchmarks/slots_sim.py
+++ b/benchmarks/slots_sim.py
@@ -26,12 +26,13 @@
 from random import Random
 from statistics import median
 
-from benchmarks.events import Events
-from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer
 from fennelcove.concurrency_limits import quota_loans
-from fennelcove.concurrency_limits.latency_histogram import WINDOW_US
 from fennelcove.concurrency_limits.adaptive_limit import LimitSettings
-from fennelcove.concurrency_limits.replica import Replica, LimitReport
+from fennelcove.concurrency_limits.latency_histogram import WINDOW_US
+from fennelcove.concurrency_limits.replica import LimitReport, Replica
+from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer
+
+from benchmarks.events import Events
 
 END_S = 150.0
 WARM_US = 30_000_000
--- a/benchmarks/slots_worlds.py
+++ b/benchmarks/slots_worlds.py
@@ -23,6 +23,10 @@
 from typing import Any
 from unittest import mock
 
+from fennelcove.concurrency_limits.adaptive_limit import LimitSettings
+from fennelcove.concurrency_limits.quorum import QuorumAgreement, QuorumVote
+from fennelcove.concurrency_limits.quota_loans import LOAN_US, QuotaLoans
+from fennelcove.concurrency_limits.replica import LimitReport, Replica
 from fennelcove.decisions.fleet.shared_quotas import (
     CLOCK_DRIFT,
     BorrowedQuota,
@@ -30,10 +34,6 @@
     QuotaRequest,
     QuotaTransfer,
 )
-from fennelcove.concurrency_limits.quorum import QuorumAgreement, QuorumVote
-from fennelcove.concurrency_limits.adaptive_limit import LimitSettings
-from fennelcove.concurrency_limits.quota_loans import LOAN_US, QuotaLoans
-from fennelcove.concurrency_limits.replica import Replica, LimitReport
 
 BOX = 7
 START = 4
--- a/benchmarks/sockets.py
+++ b/benchmarks/sockets.py
@@ -22,17 +22,16 @@
 from typing import Any
 
 import msgspec
-
 from fennelcove.clock import SystemClock
-from fennelcove.scenarios.fronts import FrontProcess
-from fennelcove.scenarios.rig import Rig
-from fennelcove.scenarios.script import Day, read
 from fennelcove.daemon import certificates
 from fennelcove.daemon.key_file import rotate
-from fennelcove.settings.schema import TlsSettings
+from fennelcove.emulators.clients import Player, Unanswered
 from fennelcove.emulators.recorder import Recorder
 from fennelcove.emulators.sockets import SocketPlayer
-from fennelcove.emulators.clients import Player, Unanswered
+from fennelcove.scenarios.fronts import FrontProcess
+from fennelcove.scenarios.rig import Rig
+from fennelcove.scenarios.script import Day, read
+from fennelcove.settings.schema import TlsSettings
 from fennelcove.websocket.deflate import Inflater, deflate
 from fennelcove.websocket.frames import masked
 
--- a/benchmarks/store_cost.py
+++ b/benchmarks/store_cost.py
@@ -16,15 +16,14 @@
 from statistics import quantiles
 
 import msgspec
-
 from fennelcove import log
 from fennelcove.clock import SystemClock
+from fennelcove.daemon.front_daemon import FrontDaemon
+from fennelcove.emulators.clients import Player
+from fennelcove.emulators.recorder import Recorder
 from fennelcove.scenarios.rig import Rig
 from fennelcove.scenarios.script import read
-from fennelcove.daemon.front_daemon import FrontDaemon
 from fennelcove.settings.schema import StoreSettings
-from fennelcove.emulators.recorder import Recorder
-from fennelcove.emulators.clients import Player
 from fennelcove.store.files import LocalFiles
 
 JSON = ("Content-Type", "application/json")
--- a/benchmarks/storm_parts.py
+++ b/benchmarks/storm_parts.py
@@ -16,21 +16,21 @@
 from random import Random
 
 import msgspec
-
-from benchmarks.parts import NoPorts
 from fennelcove.clock import ManualClock
+from fennelcove.clock.timers import Timers
 from fennelcove.core.core import Core
 from fennelcove.core.ports import CorePorts
-from fennelcove.core.session_ids import SessionIds
-from fennelcove.core.retry_storm_guard import keyed_mac
-from fennelcove.clock.timers import Timers
 from fennelcove.core.requests import SessionRequest
-from fennelcove.scenarios.script import read
+from fennelcove.core.retry_storm_guard import keyed_mac
+from fennelcove.core.session_ids import SessionIds
 from fennelcove.decisions.clients import waiting_room
-from fennelcove.decisions.clients.waiting_room import QueueTicket
 from fennelcove.decisions.clients.retry_storm import StormState
+from fennelcove.decisions.clients.waiting_room import QueueTicket
+from fennelcove.scenarios.script import read
 from fennelcove.settings.schema import StormSettings
 
+from benchmarks.parts import NoPorts
+
 
 def made(phase: StormState) -> tuple[Core, ManualClock]:
     """A core in a phase, with damping."""
--- a/benchmarks/storms.py
+++ b/benchmarks/storms.py
@@ -16,7 +16,6 @@
 from typing import Any
 
 import msgspec
-
 from fennelcove.scenarios.checker import judge
 from fennelcove.scenarios.player import DayPlayer
 from fennelcove.scenarios.script import Day, read
--- a/benchmarks/watching.py
+++ b/benchmarks/watching.py
@@ -13,13 +13,13 @@
 from concurrent.futures import ProcessPoolExecutor
 
 import msgspec
-
-from benchmarks.power import spread
+from fennelcove.emulators.recorder import Record
 from fennelcove.scenarios.checker import Verdict, judge
 from fennelcove.scenarios.player import DayFailed, DayPlayer
 from fennelcove.scenarios.recovery import began_us
 from fennelcove.scenarios.script import Day, read
-from fennelcove.emulators.recorder import Record
+
+from benchmarks.power import spread
 
 replace = msgspec.structs.replace
 FOUND_S = 2.5  # two probes that fail, half a second apart, and words that may be late
--- a/benchmarks/worlds.py
+++ b/benchmarks/worlds.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 from itertools import product
 
-from fennelcove.decisions.fleet.membership import Heartbeat, Membership, Peer, MembershipSettings
+from fennelcove.decisions.fleet.membership import Heartbeat, Membership, MembershipSettings, Peer
 
 BEAT_US = 500_000
 TERMS = {
--- a/packages/api/src/fennelcove/api/asyncapi.py
+++ b/packages/api/src/fennelcove/api/asyncapi.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import msgspec
-
 from fennelcove.wire import sessions
 from fennelcove.wire import socket as wire
 
--- a/packages/api/src/fennelcove/api/diff.py
+++ b/packages/api/src/fennelcove/api/diff.py
@@ -256,6 +256,7 @@
 
 def stepped(old: str, new: str) -> bool:
     """Whether a version says that clients of the older one may break: another major number, or before 1.0
-    another minor one."""
+    another minor one.
+    """
     one, two = ([int(part) for part in version.split(".")[:2]] for version in (old, new))
     return two[0] > one[0] or (one[0] == two[0] == 0 and two[1] > one[1])
--- a/packages/api/src/fennelcove/api/openapi.py
+++ b/packages/api/src/fennelcove/api/openapi.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import msgspec
-
 from fennelcove.api.operations import JSON, OPERATIONS, PROBLEM, Operation
 from fennelcove.hints import cmcd
 from fennelcove.wire import sessions
--- a/packages/api/src/fennelcove/api/operations.py
+++ b/packages/api/src/fennelcove/api/operations.py
@@ -5,9 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from msgspec import Struct
-
 from fennelcove.wire import sessions
+from msgspec import Struct
 
 JSON, PROBLEM = "application/json", "application/problem+json"
 HLS, DASH = "application/vnd.apple.mpegurl", "application/dash+xml"
--- a/packages/cli/src/fennelcove/cli/api.py
+++ b/packages/cli/src/fennelcove/cli/api.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import click
-
 from fennelcove.api import asyncapi, openapi
 from fennelcove.api.diff import Comparison, stepped
 from fennelcove.cli.telling import FileUnusable, fail
--- a/packages/cli/src/fennelcove/cli/client.py
+++ b/packages/cli/src/fennelcove/cli/client.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import msgspec
-
 from fennelcove.errors import OperatorError
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import ProtocolError, ResponseHead
--- a/packages/cli/src/fennelcove/cli/days.py
+++ b/packages/cli/src/fennelcove/cli/days.py
@@ -4,16 +4,15 @@
 
 import click
 import msgspec
-
 from fennelcove.cli.telling import FileUnusable, ToolsMissing, tell
+from fennelcove.emulators.recorder import load, save
 from fennelcove.scenarios import outages, slots
 from fennelcove.scenarios.checker import Verdict, judge
+from fennelcove.scenarios.player import DayFailed, DayPlayer
 from fennelcove.scenarios.plots import draw_seconds
 from fennelcove.scenarios.recovery import told
-from fennelcove.scenarios.player import DayFailed, DayPlayer
 from fennelcove.scenarios.script import read
 from fennelcove.settings.reader import SettingsError
-from fennelcove.emulators.recorder import load, save
 
 PASSED, BROKEN, USAGE = 0, 1, 2
 
--- a/packages/cli/src/fennelcove/cli/fleet.py
+++ b/packages/cli/src/fennelcove/cli/fleet.py
@@ -10,22 +10,21 @@
 
 import click
 import msgspec
-from rich.console import Console
-from rich.table import Table
-
 from fennelcove.cli.main import LazyGroup
 from fennelcove.cli.telling import fail
 from fennelcove.clock import SystemClock
 from fennelcove.core.retry_storm_guard import keyed_mac
+from fennelcove.daemon.key_file import KeyFileError, load
 from fennelcove.decisions.operators import command_authorization, reachability
 from fennelcove.decisions.operators.command_authorization import SignedCommand
-from fennelcove.decisions.operators.reachability import CallOutcome, CallStatus
 from fennelcove.decisions.operators.convergence import ConvergenceWait, DesiredState
+from fennelcove.decisions.operators.reachability import CallOutcome, CallStatus
 from fennelcove.fleet import inventory
 from fennelcove.fleet.asker import Call, Fields, Times, ask_all
 from fennelcove.fleet.inventory import FrontLine
-from fennelcove.daemon.key_file import KeyFileError, load
 from fennelcove.settings.reader import SettingsError
+from rich.console import Console
+from rich.table import Table
 
 Show = Callable[[CallOutcome], list[str]]
 
@@ -116,7 +115,8 @@
     as_json: bool,
 ) -> None:
     """Many fronts at once. Exit status: 0 all done, 1 some failed, 3 some may have done it and did not
-    say."""
+    say.
+    """
     times = Times(*(round(seconds * 1e6) for seconds in (connect_s, answer_s, whole_s)))
     ctx.obj = Fleet(source, times, at_once, as_json)
 
--- a/packages/cli/src/fennelcove/cli/keys.py
+++ b/packages/cli/src/fennelcove/cli/keys.py
@@ -7,12 +7,11 @@
 from pathlib import Path
 
 import click
-
 from fennelcove.cli.telling import FileUnusable, fail
 from fennelcove.clock import SystemClock
 from fennelcove.core.retry_storm_guard import keyed_mac
-from fennelcove.decisions.clients import access_tokens
 from fennelcove.daemon.key_file import KeyFileError, load, rotate
+from fennelcove.decisions.clients import access_tokens
 
 
 @click.group()
--- a/packages/cli/src/fennelcove/cli/main.py
+++ b/packages/cli/src/fennelcove/cli/main.py
@@ -113,7 +113,8 @@
 @click.option("--json", "as_json", is_flag=True, help="End with one JSON object on the last line.")
 def day_play(name: str, seed: int, record: str | None, plot: str | None, as_json: bool) -> None:
     """Play the day NAME, or one of your own from a file that ends in `.sexp`; exit status 0 only where no
-    rule broke and service reached its floor."""
+    rule broke and service reached its floor.
+    """
     from fennelcove.cli.days import play
 
     sys.exit(play(name, seed, record, as_json, plot))
--- a/packages/cli/src/fennelcove/cli/releases.py
+++ b/packages/cli/src/fennelcove/cli/releases.py
@@ -8,7 +8,6 @@
 
 import click
 import msgspec
-
 from fennelcove.cli.fleet import FILE, KEY, Fleet, sealed
 from fennelcove.cli.telling import FleetSilent, fail
 from fennelcove.decisions.operators import reachability
@@ -230,6 +229,7 @@
 @click.pass_obj
 def write_off(tool: Fleet, kind: str, place: int, selectors: tuple[str, ...], key: str, file: str) -> None:
     """A front by its index, or a box by its cell, does not come back: it counts no more until it is seen to
-    serve. Tell all fronts: those that don't hear it go on counting it."""
+    serve. Tell all fronts: those that don't hear it go on counting it.
+    """
     body = msgspec.json.encode({"kind": kind, "place": place})
     tool.run(tool.chosen(selectors), sealed(tool, "write-off", key, file, body), _row, HEADS)
--- a/packages/cli/src/fennelcove/cli/serve.py
+++ b/packages/cli/src/fennelcove/cli/serve.py
@@ -8,21 +8,20 @@
 from typing import Annotated, ClassVar
 
 import click
-from msgspec import Meta
-
 from fennelcove import log
 from fennelcove.cli.telling import ListenFailed, tell
 from fennelcove.clock import SystemClock
-from fennelcove.ingress.tls import TlsError
 from fennelcove.daemon.front_daemon import FrontDaemon
 from fennelcove.daemon.key_file import KeyFileError
-from fennelcove.settings.checks import load_front
-from fennelcove.settings.reader import SettingsError, load
-from fennelcove.store.directory import StoreError
-from fennelcove.settings.schema import Name, SomeCount, SomeFigure, SomeMillis, Strict
 from fennelcove.emulators.media_server import StandInBox
 from fennelcove.emulators.model import BoxModel, RackModel
 from fennelcove.emulators.recorder import Recorder
+from fennelcove.ingress.tls import TlsError
+from fennelcove.settings.checks import load_front
+from fennelcove.settings.reader import SettingsError, load
+from fennelcove.settings.schema import Name, SomeCount, SomeFigure, SomeMillis, Strict
+from fennelcove.store.directory import StoreError
+from msgspec import Meta
 
 USAGE, FAILED = 2, 1
 
--- a/packages/cli/src/fennelcove/cli/stitch.py
+++ b/packages/cli/src/fennelcove/cli/stitch.py
@@ -11,11 +11,10 @@
 import blake3
 import click
 import msgspec
-from rich.console import Console
-from rich.table import Table
-
 from fennelcove.cli.client import Failed, call
 from fennelcove.cli.telling import FileUnusable, fail
+from rich.console import Console
+from rich.table import Table
 
 REFUSED, USAGE, UNREACHED = 1, 2, 3
 KEY_VARIABLE = "FENNELCOVE_KEY"
@@ -43,7 +42,8 @@
 
     def call(self, method: str, path: str, body: bytes = b"") -> Any:
         """The answer's body; on a refusal the reason is told and the command ends with 1, unreached with
-        3."""
+        3.
+        """
         try:
             status, found = call(self.address, method, path, self.key, body)
         except Failed as error:
--- a/packages/cli/src/fennelcove/cli/store.py
+++ b/packages/cli/src/fennelcove/cli/store.py
@@ -9,7 +9,6 @@
 
 import click
 import msgspec
-
 from fennelcove.cli.telling import fail
 from fennelcove.core.snapshot_records import FRONT_KEY, SERVER_KEY_PREFIX
 from fennelcove.decisions.recovery import snapshot
--- a/packages/cli/src/fennelcove/cli/storms.py
+++ b/packages/cli/src/fennelcove/cli/storms.py
@@ -8,17 +8,16 @@
 
 import click
 import msgspec
-
 from fennelcove.cli.days import show
 from fennelcove.cli.telling import FileUnusable, ToolsMissing, fail, tell
 from fennelcove.clock import SystemClock
+from fennelcove.daemon.key_file import KeyFileError, rotate
+from fennelcove.emulators.recorder import Record, load, save
 from fennelcove.scenarios import replays
 from fennelcove.scenarios.checker import judge
 from fennelcove.scenarios.player import DayFailed, DayPlayer
 from fennelcove.scenarios.script import read
-from fennelcove.daemon.key_file import KeyFileError, rotate
 from fennelcove.settings.reader import SettingsError
-from fennelcove.emulators.recorder import Record, load, save
 
 FAILED = 1
 
@@ -52,7 +51,8 @@
     day: str, source: str | None, seed: int, record: str | None, plot: str | None, as_json: bool
 ) -> None:
     """Play a storm against real fronts on loopback: DAY's own, or a recorded one on DAY's boxes and
-    fronts."""
+    fronts.
+    """
     try:
         script = read(day)
         again = None
--- a/packages/cli/src/fennelcove/cli/telling.py
+++ b/packages/cli/src/fennelcove/cli/telling.py
@@ -6,7 +6,6 @@
 from typing import NoReturn
 
 import click
-
 from fennelcove.errors import OperatorError
 
 USAGE = 2
--- a/packages/cli/src/fennelcove/log.py
+++ b/packages/cli/src/fennelcove/log.py
@@ -7,7 +7,6 @@
 
 import msgspec
 import structlog
-
 from fennelcove.core.requests import EventLogger
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
--- a/packages/codecs/src/fennelcove/hints/cmcd.py
+++ b/packages/codecs/src/fennelcove/hints/cmcd.py
@@ -13,7 +13,6 @@
 from urllib.parse import unquote
 
 import msgspec
-
 from fennelcove.hints.fields import Bare, Item, Token, dictionary, write_dictionary
 
 NAMES = ("CMCD-Request", "CMCD-Object", "CMCD-Status", "CMCD-Session")
--- a/packages/codecs/src/fennelcove/http1/syntax.py
+++ b/packages/codecs/src/fennelcove/http1/syntax.py
@@ -1,5 +1,6 @@
 """The grammar of heads, strict where leniency lets one message pass for two (RFC 9112 sections 2 to 7,
-11.2)."""
+11.2).
+"""
 
 from __future__ import annotations
 
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/persisted.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/persisted.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import msgspec
-
 from fennelcove.concurrency_limits.limit_decay import decayed_limit
 
 KEY_PREFIX = b"slots/"  # the prefix of the records' keys; the server's address follows
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/quota_loans.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/quota_loans.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, field
 from math import floor
 
-from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Quota, Resource
 from fennelcove.concurrency_limits.quorum import home_slots, other_homes
+from fennelcove.decisions.fleet.shared_quotas import Quota, QuotaRequest, QuotaTransfer, Resource
 
 LOAN_US = 10_000_000  # must be longer than an attempt may last, or a loan is of no use to any
 UNLENT_SHARE = 0.2  # of the home slots, what is never lent: what a restarted front has until others answer
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/replica.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/replica.py
@@ -11,13 +11,13 @@
 from dataclasses import dataclass, field
 from statistics import median_low
 
-from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer
 from fennelcove.concurrency_limits.adaptive_limit import AdaptiveLimit, LimitSettings
 from fennelcove.concurrency_limits.latency_histogram import WINDOW_US, HistogramRow
 from fennelcove.concurrency_limits.persisted import is_same_start
 from fennelcove.concurrency_limits.quorum import QuorumAgreement, QuorumVote, panel_of
 from fennelcove.concurrency_limits.quota_loans import LOAN_US, QuotaLoans
 from fennelcove.concurrency_limits.server_limits import ReportOrigin, ServerLimits, initial_limit_of_kind
+from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer
 
 MAX_SERVERS = 10_000
 MAX_INCARNATION_RECIPIENTS = 64  # at a time
--- a/packages/concurrency-limits/src/fennelcove/concurrency_limits/server_limits.py
+++ b/packages/concurrency-limits/src/fennelcove/concurrency_limits/server_limits.py
@@ -9,8 +9,8 @@
 from fennelcove.concurrency_limits.adaptive_limit import AdaptiveLimit
 from fennelcove.concurrency_limits.latency_histogram import (
     GossipedHistograms,
-    OwnHistograms,
     HistogramRow,
+    OwnHistograms,
     class_of,
     quantile_us,
 )
--- a/packages/core/src/fennelcove/core/content_insertion.py
+++ b/packages/core/src/fennelcove/core/content_insertion.py
@@ -8,7 +8,6 @@
 from typing import NamedTuple
 
 import blake3
-
 from fennelcove.core.client_notifier import ClientNotifier
 from fennelcove.core.command_queue import CommandDispatcher
 from fennelcove.core.context import Catalogue, CoreContext
@@ -24,17 +23,17 @@
 from fennelcove.decisions.playback import playlist_cursor, resume_tokens
 from fennelcove.decisions.playback.playlist_cursor import PlaylistTrack
 from fennelcove.decisions.playback.splices import (
-    LedgerEntry,
     ChangeLedger,
+    ChangeResult,
     ChangeStatus,
+    LedgerEntry,
     ValidationContext,
-    ChangeResult,
 )
 from fennelcove.decisions.servers.command_queue import Command
 from fennelcove.manifests.hls import MediaListing, target_duration
 from fennelcove.placement import PlacementPolicy
 from fennelcove.settings.schema import Author, StitchSettings
-from fennelcove.timeline.model import Change, Media, ChangeTarget
+from fennelcove.timeline.model import Change, ChangeTarget, Media
 
 
 class ClipRendition(NamedTuple):
--- a/packages/core/src/fennelcove/core/learned_limit_messages.py
+++ b/packages/core/src/fennelcove/core/learned_limit_messages.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from fennelcove import limit_messages
-from fennelcove.concurrency_limits.replica import Replica, LimitReport
+from fennelcove.concurrency_limits.replica import LimitReport, Replica
 from fennelcove.decisions.fleet.shared_quotas import QuotaTransfer
 
 
--- a/packages/core/src/fennelcove/core/learned_limit_snapshots.py
+++ b/packages/core/src/fennelcove/core/learned_limit_snapshots.py
@@ -5,7 +5,6 @@
 from collections.abc import Mapping
 
 import msgspec
-
 from fennelcove.clock import Clock
 from fennelcove.concurrency_limits import persisted
 from fennelcove.concurrency_limits.replica import Replica
--- a/packages/core/src/fennelcove/core/player_playlists.py
+++ b/packages/core/src/fennelcove/core/player_playlists.py
@@ -11,7 +11,7 @@
 from fennelcove.decisions.playback.playlist_cursor import PlaylistTrack, SelectionContext
 from fennelcove.decisions.playback.splices import ChangeLedger
 from fennelcove.manifests.hls import Interstitial
-from fennelcove.timeline.model import Media, ListedSegment
+from fennelcove.timeline.model import ListedSegment, Media
 
 NO_SEQUENCE = -1  # of a segment that is not part of the player's own playlist
 
--- a/packages/core/src/fennelcove/core/retry_storm_guard.py
+++ b/packages/core/src/fennelcove/core/retry_storm_guard.py
@@ -9,7 +9,6 @@
 from dataclasses import asdict, dataclass, replace
 
 import blake3
-
 from fennelcove.core.context import Catalogue, CoreContext
 from fennelcove.core.requests import ResponseKind, Session, SessionRequest, SessionResponse
 from fennelcove.decisions.clients import waiting_room
--- a/packages/core/src/fennelcove/core/rollout_coordinator.py
+++ b/packages/core/src/fennelcove/core/rollout_coordinator.py
@@ -18,12 +18,12 @@
 from fennelcove.core.requests import EventLogger
 from fennelcove.rollouts.coordinator import (
     Action,
-    CommandOutcome,
-    Command,
     ActionKind,
-    PersistedState,
+    Command,
+    CommandOutcome,
     FrontStatus,
     Outbox,
+    PersistedState,
     RolloutAgreement,
 )
 from fennelcove.rollouts.disruption_budget import Location
--- a/packages/core/src/fennelcove/core/segment_sources.py
+++ b/packages/core/src/fennelcove/core/segment_sources.py
@@ -11,7 +11,7 @@
 from fennelcove.decisions.playback.segment_routing import SegmentCandidates, SegmentRoute, SegmentSource
 from fennelcove.interface import ServerState
 from fennelcove.placement import PlacementPolicy, Server
-from fennelcove.timeline.model import Media, ListedSegment
+from fennelcove.timeline.model import ListedSegment, Media
 
 MAX_SERVERS_TRIED = 8
 NO_CAPACITY = float("inf")  # the utility factor of a server that cannot take the stream
--- a/packages/core/src/fennelcove/core/session_migrations.py
+++ b/packages/core/src/fennelcove/core/session_migrations.py
@@ -20,8 +20,8 @@
 from fennelcove.decisions.playback.migration import (
     MigrationAction,
     MigrationEvent,
-    MigrationState,
     MigrationQueue,
+    MigrationState,
     SessionMigration,
 )
 from fennelcove.interface import MigrationRequested, Outcome, SessionStarted
--- a/packages/core/src/fennelcove/core/slot_requests.py
+++ b/packages/core/src/fennelcove/core/slot_requests.py
@@ -10,7 +10,7 @@
 
 from fennelcove.core.context import Catalogue
 from fennelcove.core.requests import Session, Wakeup
-from fennelcove.fair_queueing.service_time import ServiceTimeEstimate, RequestShape
+from fennelcove.fair_queueing.service_time import RequestShape, ServiceTimeEstimate
 from fennelcove.fair_queueing.wait_queue import Waiter, WaitQueue
 from fennelcove.interface import Request
 from fennelcove.placement import PlacementPolicy
--- a/packages/core/src/fennelcove/core/snapshot_records.py
+++ b/packages/core/src/fennelcove/core/snapshot_records.py
@@ -8,14 +8,13 @@
 from collections.abc import Iterable
 
 import msgspec
-
 from fennelcove.core.front_incarnations import FrontIncarnations
 from fennelcove.decisions.clients.retry_storm import RetryStormDetector
 from fennelcove.decisions.recovery import snapshot
 from fennelcove.decisions.recovery.snapshot import (
-    FrontRecord,
     EndpointListRecord,
     EndpointRecord,
+    FrontRecord,
     ServerRecord,
 )
 from fennelcove.interface import ListEntry, ServerState
--- a/packages/daemon/src/fennelcove/daemon/background.py
+++ b/packages/daemon/src/fennelcove/daemon/background.py
@@ -8,9 +8,9 @@
 from fennelcove.clock import Clock
 from fennelcove.core.requests import EventLogger
 from fennelcove.decisions.recovery.background_scheduler import (
-    TaskPriority,
     BackgroundScheduler,
     BackgroundTask,
+    TaskPriority,
 )
 
 
--- a/packages/daemon/src/fennelcove/daemon/certificates.py
+++ b/packages/daemon/src/fennelcove/daemon/certificates.py
@@ -12,7 +12,6 @@
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
-
 from fennelcove.errors import OperatorError
 
 CERTIFICATE, KEY = "certificate.pem", "key.pem"
--- a/packages/daemon/src/fennelcove/daemon/concurrency_limits.py
+++ b/packages/daemon/src/fennelcove/daemon/concurrency_limits.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 
 from fennelcove.clock import Clock
+from fennelcove.clock.timers import Timers
+from fennelcove.concurrency_limits.latency_histogram import WINDOW_US
 from fennelcove.core.core import Core
 from fennelcove.core.learned_limits import QUOTA_EXCHANGE_INTERVAL_US, LearnedLimits, ListedServer
-from fennelcove.clock.timers import Timers
 from fennelcove.core.requests import EventLogger
 from fennelcove.settings.schema import FrontSettings, SlotSettings
-from fennelcove.concurrency_limits.latency_histogram import WINDOW_US
 
 
 class LimitService:
--- a/packages/daemon/src/fennelcove/daemon/front_daemon.py
+++ b/packages/daemon/src/fennelcove/daemon/front_daemon.py
@@ -7,58 +7,57 @@
 from random import Random
 
 from fennelcove.clock import Clock, SystemClock
-from fennelcove.core import shared_quota_coordinator, slot_scheduler
-from fennelcove.core.shared_quota_coordinator import SharedQuotaCoordinator
-from fennelcove.core.recovery_coordinator import RecoveryCoordinator
-from fennelcove.core.membership_coordinator import MembershipCoordinator
+from fennelcove.clock.timers import Timers
+from fennelcove.core import health_check_coordinator, shared_quota_coordinator, slot_scheduler
 from fennelcove.core.core import Core
+from fennelcove.core.health_check_coordinator import HealthCheckCoordinator
+from fennelcove.core.load_shedding_coordinator import LoadSheddingCoordinator
+from fennelcove.core.membership_coordinator import MembershipCoordinator
 from fennelcove.core.ports import CorePorts
+from fennelcove.core.recovery_coordinator import RecoveryCoordinator
+from fennelcove.core.requests import EventLogger
+from fennelcove.core.retry_storm_guard import keyed_mac
 from fennelcove.core.session_ids import SessionIds
-from fennelcove.core.load_shedding_coordinator import LoadSheddingCoordinator
+from fennelcove.core.shared_quota_coordinator import SharedQuotaCoordinator
 from fennelcove.core.slot_scheduler import SlotScheduler
-from fennelcove.core.retry_storm_guard import keyed_mac
-from fennelcove.clock.timers import Timers
-from fennelcove.core.requests import EventLogger
-from fennelcove.core import health_check_coordinator
-from fennelcove.core.health_check_coordinator import HealthCheckCoordinator
-from fennelcove.decisions.servers import event_stream
+from fennelcove.daemon.audit_file import AuditFile
+from fennelcove.daemon.background import Background
+from fennelcove.daemon.concurrency_limits import LimitService
+from fennelcove.daemon.key_file import load
+from fennelcove.daemon.ledger_file import LedgerFile
+from fennelcove.daemon.rollouts import RolloutService
 from fennelcove.decisions.fleet import fleet_load, recovery_admission
 from fennelcove.decisions.fleet.shared_quotas import Resource
-from fennelcove.decisions.recovery.background_scheduler import TaskPriority
+from fennelcove.decisions.operators.command_authorization import CommandAuthorizer
 from fennelcove.decisions.operators.graceful_shutdown import (
+    GracefulShutdown,
     ShutdownAction,
     ShutdownEvent,
     ShutdownState,
-    GracefulShutdown,
 )
+from fennelcove.decisions.recovery.background_scheduler import TaskPriority
+from fennelcove.decisions.servers import event_stream
 from fennelcove.ingress.connection import ConnectionLimits
-from fennelcove.decisions.operators.command_authorization import CommandAuthorizer
 from fennelcove.ingress.control import OperatorCommands
-from fennelcove.ingress.operator_routes import OperatorRoutes
 from fennelcove.ingress.http_server import HttpServer
+from fennelcove.ingress.operator_routes import OperatorRoutes
 from fennelcove.ingress.session_setups import SessionSetups
-from fennelcove.ingress.websocket_server import WebSocketServer
 from fennelcove.ingress.tls import TlsKeys
+from fennelcove.ingress.websocket_server import WebSocketServer
 from fennelcove.interface import Effect, ServerState
-from fennelcove.upstream.server_event_streams import ServerEventStreams
-from fennelcove.upstream.front_messaging import FrontMessaging
-from fennelcove.upstream.attempts import HintReader, AttemptSender
-from fennelcove.upstream.wakeups import Wakeup, CancellationLatch
-from fennelcove.upstream.endpoint_list_client import EndpointListClient
-from fennelcove.upstream.migration_workers import MigrationWorkers
-from fennelcove.upstream.command_senders import CommandSenders
-from fennelcove.upstream.connection_pool import DialLimits, ConnectionPool
-from fennelcove.upstream.health_checks import HealthChecker
-from fennelcove.daemon.audit_file import AuditFile
-from fennelcove.daemon.background import Background
-from fennelcove.daemon.key_file import load
-from fennelcove.daemon.ledger_file import LedgerFile
-from fennelcove.daemon.rollouts import RolloutService
-from fennelcove.daemon.concurrency_limits import LimitService
 from fennelcove.settings.checks import module_settings
 from fennelcove.settings.schema import FrontSettings
 from fennelcove.store.directory import Store
 from fennelcove.store.writer import StoreWriter
+from fennelcove.upstream.attempts import AttemptSender, HintReader
+from fennelcove.upstream.command_senders import CommandSenders
+from fennelcove.upstream.connection_pool import ConnectionPool, DialLimits
+from fennelcove.upstream.endpoint_list_client import EndpointListClient
+from fennelcove.upstream.front_messaging import FrontMessaging
+from fennelcove.upstream.health_checks import HealthChecker
+from fennelcove.upstream.migration_workers import MigrationWorkers
+from fennelcove.upstream.server_event_streams import ServerEventStreams
+from fennelcove.upstream.wakeups import CancellationLatch, Wakeup
 
 SWEEP_US = 250_000
 REMEMBER_US = 1_000_000
--- a/packages/daemon/src/fennelcove/daemon/ledger_file.py
+++ b/packages/daemon/src/fennelcove/daemon/ledger_file.py
@@ -12,10 +12,9 @@
 
 import blake3
 import msgspec
-from msgspec import Struct
-
 from fennelcove.core.requests import EventLogger
 from fennelcove.timeline.model import Change, ChangeKind, ChangeTarget
+from msgspec import Struct
 
 
 class _Line(Struct, frozen=True, kw_only=True):
--- a/packages/daemon/src/fennelcove/daemon/rollouts.py
+++ b/packages/daemon/src/fennelcove/daemon/rollouts.py
@@ -11,23 +11,22 @@
 from zlib import crc32
 
 import msgspec
-from msgspec import Struct
-
 from fennelcove.clock import Clock
-from fennelcove.core.core import Core
-from fennelcove.core.rollout_coordinator import ServerObservation, RolloutCoordinator
 from fennelcove.clock.timers import Timers
+from fennelcove.core.core import Core
 from fennelcove.core.requests import EventLogger
-from fennelcove.decisions.fleet.recovery_admission import RecoveryState as Opening
-from fennelcove.decisions.clients.admission import AdmissionState, AdmissionEvent
+from fennelcove.core.rollout_coordinator import RolloutCoordinator, ServerObservation
+from fennelcove.decisions.clients.admission import AdmissionEvent, AdmissionState
 from fennelcove.decisions.clients.retry_storm import StormState as Weather
+from fennelcove.decisions.fleet.recovery_admission import RecoveryState as Opening
 from fennelcove.interface import ServerState
-from fennelcove.rollouts.coordinator import RolloutAgreement, PersistedState, FrontStatus, RolloutSettings
+from fennelcove.placement import Server
+from fennelcove.rollouts.coordinator import FrontStatus, PersistedState, RolloutAgreement, RolloutSettings
 from fennelcove.rollouts.disruption_budget import DisruptionLimit, FleetLimits, Location
 from fennelcove.rollouts.messages import ServingState
-from fennelcove.placement import Server
 from fennelcove.settings.schema import FrontSettings, ReleaseSettings
 from fennelcove.store.directory import Store
+from msgspec import Struct
 
 KEY = b"releases"
 FOLDER = "promises"  # in the front's store: a store of its own, written at once
@@ -56,7 +55,8 @@
 
 class Promises:
     """The folder of one front's promises; without a folder nothing outlives the process, and the next life
-    waits instead."""
+    waits instead.
+    """
 
     def __init__(self, settings: FrontSettings, wall_us: int, notice: EventLogger) -> None:
         self.notice = notice
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/access_tokens.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/access_tokens.py
@@ -10,10 +10,9 @@
 from enum import Enum, auto
 
 import msgspec
-from msgspec import Struct
-
 from fennelcove.decisions.clients import signed_tokens
 from fennelcove.decisions.clients.signed_tokens import Mac
+from msgspec import Struct
 
 MAX_TOKEN_CHARS = 800
 RENEWAL_NOTICE_FRACTION = 0.25  # of a token's whole time: its holder is notified to renew it from then on
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/idempotency.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/idempotency.py
@@ -14,9 +14,8 @@
 from typing import NamedTuple
 
 import msgspec
-from msgspec import Struct
-
 from fennelcove.state_machine import Transition, TransitionTable
+from msgspec import Struct
 
 RETENTION_US = 120_000_000  # as long as any client comes back for the start of the same content
 MAX_KEYS = 50_000
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/seat_leases.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/seat_leases.py
@@ -14,9 +14,8 @@
 from typing import NamedTuple
 
 import msgspec
-from msgspec import Struct
-
 from fennelcove.state_machine import Transition, TransitionTable
+from msgspec import Struct
 
 MAX_RENEWAL_KEYS = 8  # renewals of one seat whose keys are remembered
 # Seats released in one call: ten thousand at one moment must not hold the lock for a second.
--- a/packages/decisions-clients/src/fennelcove/decisions/clients/waiting_room.py
+++ b/packages/decisions-clients/src/fennelcove/decisions/clients/waiting_room.py
@@ -13,11 +13,10 @@
 from enum import Enum, auto
 
 import msgspec
-from msgspec import Struct
-
 from fennelcove.decisions.clients import signed_tokens
 from fennelcove.decisions.clients.signed_tokens import Mac
 from fennelcove.decisions.clients.wait_window import WaitWindow
+from msgspec import Struct
 
 MIN_WAIT_US = 1_000_000  # Retry-After counts whole seconds
 # The rate may double each second, so an estimate further ahead is worth nothing. With waits of up to 30 s the
--- a/packages/decisions-operators/src/fennelcove/decisions/operators/shadow_policy.py
+++ b/packages/decisions-operators/src/fennelcove/decisions/operators/shadow_policy.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from fennelcove.interface import Effects, Event, Settings, TimerFired
-from fennelcove.placement import PlacementPolicy, Attempt, Session
+from fennelcove.placement import Attempt, PlacementPolicy, Session
 
 MOST_KEPT = 256  # decisions of one event that are compared; more come only with a whole fleet's end
 
--- a/packages/decisions-recovery/src/fennelcove/decisions/recovery/snapshot.py
+++ b/packages/decisions-recovery/src/fennelcove/decisions/recovery/snapshot.py
@@ -18,10 +18,9 @@
 from typing import TypeVar
 
 import msgspec
-from msgspec import Struct
-
 from fennelcove.decisions.fleet.snapshot_trust import CLOCK_TOLERANCE_US, MAX_AGE_US
 from fennelcove.decisions.recovery.write_behind import Change
+from msgspec import Struct
 
 FORMAT_VERSION = 2  # of the records; a snapshot without a format has the first
 UNSUPPORTED_FORMAT = 0
--- a/packages/decisions-servers/src/fennelcove/decisions/servers/load_signals.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/load_signals.py
@@ -13,7 +13,7 @@
 from statistics import median
 
 from fennelcove.interface import LoadReport
-from fennelcove.placement import RESERVE, RAISE_MARGIN, FULL_DELIVERY
+from fennelcove.placement import FULL_DELIVERY, RAISE_MARGIN, RESERVE
 
 KBIT_PER_KB = 8  # kilobits in a kilobyte: hints count kilobits, the bitrate ladder counts kilobytes
 FULL_UTILIZATION = 1.0
--- a/packages/emulators/src/fennelcove/emulators/clients.py
+++ b/packages/emulators/src/fennelcove/emulators/clients.py
@@ -11,14 +11,13 @@
 from typing import Any, Protocol
 
 import msgspec
-
 from fennelcove.clock import Clock
+from fennelcove.emulators.recorder import Recorder
 from fennelcove.hints import cmcd
 from fennelcove.hints.fields import Bare, Token
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead
 from fennelcove.http1.reader import Gatherer, Reader
-from fennelcove.emulators.recorder import Recorder
 
 JSON = ("Content-Type", "application/json")
 LIMITS = CodecLimits(body_bytes=1_000_000)  # a front's description is longer than any request
--- a/packages/emulators/src/fennelcove/emulators/dishonest_front.py
+++ b/packages/emulators/src/fennelcove/emulators/dishonest_front.py
@@ -10,10 +10,10 @@
 
 from fennelcove import limit_messages
 from fennelcove.clock import Clock
-from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Resource
-from fennelcove.concurrency_limits.quorum import QuorumVote
 from fennelcove.concurrency_limits.latency_histogram import HistogramRow
+from fennelcove.concurrency_limits.quorum import QuorumVote
 from fennelcove.concurrency_limits.replica import LimitReport
+from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer, Resource
 
 EVERY_S = 0.2
 MOST = 4096
--- a/packages/emulators/src/fennelcove/emulators/disk.py
+++ b/packages/emulators/src/fennelcove/emulators/disk.py
@@ -97,7 +97,8 @@
 
     def after_power_cut(self) -> Iterator[dict[str, bytes]]:
         """What the next life may find: each file with none, all, the first half torn, or only the last of its
-        unsynced writes; names that were not synced there or not, removed ones there or not."""
+        unsynced writes; names that were not synced there or not, removed ones there or not.
+        """
         choices: list[list[tuple[str, bytes | None]]] = []
         for name, file in {**self.gone, **self.files}.items():
             found: list[tuple[str, bytes | None]] = [(name, state) for state in dict.fromkeys(_states(file))]
--- a/packages/emulators/src/fennelcove/emulators/endpoint_list_service.py
+++ b/packages/emulators/src/fennelcove/emulators/endpoint_list_service.py
@@ -8,12 +8,11 @@
 from urllib.parse import parse_qs
 
 import msgspec
-
 from fennelcove.clock import Clock
-from fennelcove.http1 import writer
-from fennelcove.http1.messages import RequestHead
 from fennelcove.emulators.recorder import Recorder
 from fennelcove.emulators.server import Peer, StandInServer
+from fennelcove.http1 import writer
+from fennelcove.http1.messages import RequestHead
 from fennelcove.wire.events import BEAT, write_event
 from fennelcove.wire.lists import ListedBox, ListMessage
 
--- a/packages/emulators/src/fennelcove/emulators/fault_proxy/faults.py
+++ b/packages/emulators/src/fennelcove/emulators/fault_proxy/faults.py
@@ -44,7 +44,8 @@
 
 class Rules:
     """The faults in force. What they mean for one direction is worked out once: it is asked several times for
-    each piece that passes, and with four faults that was a quarter of what a report cost."""
+    each piece that passes, and with four faults that was a quarter of what a report cost.
+    """
 
     def __init__(self, faults: Iterable[Fault] = ()) -> None:
         self.faults = tuple(faults)
--- a/packages/emulators/src/fennelcove/emulators/fault_proxy/gauge.py
+++ b/packages/emulators/src/fennelcove/emulators/fault_proxy/gauge.py
@@ -11,12 +11,12 @@
 from contextlib import suppress
 
 from fennelcove.clock import Clock
-from fennelcove.http1 import writer
-from fennelcove.http1.messages import RequestHead
+from fennelcove.emulators.clients import Player, Unanswered
 from fennelcove.emulators.fault_proxy.relay import Relays
 from fennelcove.emulators.recorder import Recorder
 from fennelcove.emulators.server import Peer, StandInServer
-from fennelcove.emulators.clients import Player, Unanswered
+from fennelcove.http1 import writer
+from fennelcove.http1.messages import RequestHead
 
 EVERY_S = 0.1
 LONGEST_S = 5.0
--- a/packages/emulators/src/fennelcove/emulators/fault_proxy/relay.py
+++ b/packages/emulators/src/fennelcove/emulators/fault_proxy/relay.py
@@ -114,7 +114,8 @@
 
     def post(self, addresses: list[str], parties: list[Party]) -> list[list[str]]:
         """Relays for datagrams between fronts that listen at these addresses; for each front the addresses by
-        index as it is to know them, its own unchanged."""
+        index as it is to know them, its own unchanged.
+        """
         size = range(len(addresses))
         posts = {
             (i, j): _Post(_datagrams(), parties[i], parties[j], _address(addresses[j]))
--- a/packages/emulators/src/fennelcove/emulators/media_server.py
+++ b/packages/emulators/src/fennelcove/emulators/media_server.py
@@ -9,15 +9,13 @@
 from urllib.parse import parse_qs
 
 import msgspec
-from msgspec.structs import replace
-
 from fennelcove.clock import Clock
-from fennelcove.hints import cmsd
-from fennelcove.http1 import writer
-from fennelcove.http1.messages import RequestHead
 from fennelcove.emulators.model import BoxModel, SetUp
 from fennelcove.emulators.recorder import Recorder
 from fennelcove.emulators.server import Peer, StandInServer
+from fennelcove.hints import cmsd
+from fennelcove.http1 import writer
+from fennelcove.http1.messages import RequestHead
 from fennelcove.wire.boxes import (
     ENDED,
     HELLO,
@@ -33,6 +31,7 @@
 )
 from fennelcove.wire.events import write_event
 from fennelcove.wire.sessions import Problem
+from msgspec.structs import replace
 
 JSON = ("Content-Type", "application/json")
 MOST_HANG_S = 30.0
--- a/packages/emulators/src/fennelcove/emulators/players.py
+++ b/packages/emulators/src/fennelcove/emulators/players.py
@@ -5,9 +5,8 @@
 from typing import Any
 
 import m3u8
-
-from fennelcove.http1.messages import ResponseHead
 from fennelcove.emulators.clients import Heard, Player, StandInViewer, Unanswered
+from fennelcove.http1.messages import ResponseHead
 
 INTERSTITIAL = "com.apple.hls.interstitial"
 START_SEGMENTS = 2
--- a/packages/emulators/src/fennelcove/emulators/recorder.py
+++ b/packages/emulators/src/fennelcove/emulators/recorder.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import msgspec
-
 from fennelcove.clock import Clock
 
 Record = dict[str, Any]
--- a/packages/emulators/src/fennelcove/emulators/server.py
+++ b/packages/emulators/src/fennelcove/emulators/server.py
@@ -48,7 +48,8 @@
 
 class StandInServer:
     """Listens until `stop`; can `down` and `up` again on the same port. A handler returns whether to go
-    on."""
+    on.
+    """
 
     def __init__(self, handler: Handler, name: str) -> None:
         self.handler = handler
--- a/packages/emulators/src/fennelcove/emulators/sockets.py
+++ b/packages/emulators/src/fennelcove/emulators/sockets.py
@@ -10,12 +10,11 @@
 from typing import Any
 
 import msgspec
-
 from fennelcove.clock import Clock
+from fennelcove.emulators.clients import Unanswered, Witness
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import CodecLimits, ProtocolError, ResponseHead
 from fennelcove.http1.reader import Gatherer, Reader
-from fennelcove.emulators.clients import Unanswered, Witness
 from fennelcove.websocket import handshake
 from fennelcove.websocket.conversation import Closed, Conversation, Message
 from fennelcove.websocket.terms import Bounds, CloseCode
--- a/packages/emulators/src/fennelcove/emulators/websocket_clients.py
+++ b/packages/emulators/src/fennelcove/emulators/websocket_clients.py
@@ -1,14 +1,15 @@
 """Stand-in viewers of the second door: the same habits, over one WebSocket that they open again when it is
-lost."""
+lost.
+"""
 
 from __future__ import annotations
 
 import random
 from typing import Any
 
-from fennelcove.http1.messages import ResponseHead
-from fennelcove.emulators.sockets import SocketPlayer
 from fennelcove.emulators.clients import Heard, StandInViewer, Unanswered
+from fennelcove.emulators.sockets import SocketPlayer
+from fennelcove.http1.messages import ResponseHead
 
 STATUS = {"playing": 201, "throttled": 503, "terminated": 504, "fault": 400}
 REPORT_S = 0.5
--- a/packages/fair-queueing/src/fennelcove/fair_queueing/wait_queue.py
+++ b/packages/fair-queueing/src/fennelcove/fair_queueing/wait_queue.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from fennelcove.fair_queueing.service_time import ServiceTimeEstimate, RequestShape
+from fennelcove.fair_queueing.service_time import RequestShape, ServiceTimeEstimate
 from fennelcove.fair_queueing.slot_allocator import SlotAllocator
 from fennelcove.fair_queueing.virtual_time import VirtualTimeScheduler
 from fennelcove.fair_queueing.waiter import WaiterAction, WaiterEvent, WaiterState, transition
--- a/packages/fleet/src/fennelcove/fleet/asker.py
+++ b/packages/fleet/src/fennelcove/fleet/asker.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 import msgspec
-
 from fennelcove.clock import Clock
 from fennelcove.decisions.operators import reachability
 from fennelcove.decisions.operators.reachability import CallFailure, CallOutcome, CallProgress, CallStatus
--- a/packages/fleet/src/fennelcove/fleet/inventory.py
+++ b/packages/fleet/src/fennelcove/fleet/inventory.py
@@ -4,10 +4,9 @@
 
 from typing import Annotated, ClassVar
 
-from msgspec import Meta, field
-
 from fennelcove.settings.reader import SettingsError, load
 from fennelcove.settings.schema import Name, Strict
+from msgspec import Meta, field
 
 Host = Annotated[str, Meta(max_length=255, pattern=r"^[0-9A-Za-z._-]+:[0-9]{1,5}$")]
 
--- a/packages/ingress/src/fennelcove/ingress/connection.py
+++ b/packages/ingress/src/fennelcove/ingress/connection.py
@@ -144,7 +144,8 @@
 
     def _may_continue(self) -> None:
         """Answer `Expect: 100-continue` once the head is here and the body is not (RFC 9110 section
-        10.1.1)."""
+        10.1.1).
+        """
         head = self.requests.head
         if isinstance(head, RequestHead) and head.expects_continue and not self.continued:
             self.continued = True
--- a/packages/ingress/src/fennelcove/ingress/control.py
+++ b/packages/ingress/src/fennelcove/ingress/control.py
@@ -6,15 +6,14 @@
 from collections.abc import Callable
 
 import msgspec
-
 from fennelcove.clock import Clock
 from fennelcove.core.core import Core
-from fennelcove.decisions.operators import command_authorization
 from fennelcove.decisions.clients.admission import AdmissionEvent
+from fennelcove.decisions.operators import command_authorization
 from fennelcove.decisions.operators.command_authorization import CommandAuthorizer, CommandVerdict
 from fennelcove.ingress import replies
-from fennelcove.ingress.replies import Reply
 from fennelcove.ingress.operator_routes import OperatorRoutes
+from fennelcove.ingress.replies import Reply
 
 TURNS = {"drain": AdmissionEvent.DRAIN, "undrain": AdmissionEvent.UNDRAIN}
 STATUS = {
--- a/packages/ingress/src/fennelcove/ingress/http_server.py
+++ b/packages/ingress/src/fennelcove/ingress/http_server.py
@@ -1,5 +1,6 @@
 """The HTTP door: one listener, one thread a connection, each set-up run to its answer on the thread that
-asked."""
+asked.
+"""
 
 from __future__ import annotations
 
@@ -9,16 +10,16 @@
 
 from fennelcove.clock import Clock
 from fennelcove.core.core import Core
-from fennelcove.core.requests import ResponseKind, SessionResponse, SessionRequest, EventLogger
+from fennelcove.core.requests import EventLogger, ResponseKind, SessionRequest, SessionResponse
 from fennelcove.decisions.clients.admission import AdmissionRequest
+from fennelcove.http1.messages import CodecLimits, ProtocolError
 from fennelcove.ingress import replies
 from fennelcove.ingress.connection import Connection, ConnectionLimits, ConnectionRejecter, TooSlow
 from fennelcove.ingress.control import OperatorCommands
 from fennelcove.ingress.routes import Keep, Routes
 from fennelcove.ingress.session_setups import SessionSetups
-from fennelcove.ingress.websocket_server import WebSocketServer
 from fennelcove.ingress.tls import TlsKeys
-from fennelcove.http1.messages import CodecLimits, ProtocolError
+from fennelcove.ingress.websocket_server import WebSocketServer
 from fennelcove.upstream.wakeups import CancellationLatch, WakeReason, wait
 from fennelcove.websocket import handshake
 from fennelcove.wire.socket import PATH
--- a/packages/ingress/src/fennelcove/ingress/operator_routes.py
+++ b/packages/ingress/src/fennelcove/ingress/operator_routes.py
@@ -5,11 +5,10 @@
 from collections.abc import Callable
 
 import msgspec
-
 from fennelcove.core.rollout_coordinator import RolloutCoordinator
 from fennelcove.ingress import replies
 from fennelcove.ingress.replies import Reply
-from fennelcove.rollouts.coordinator import CommandOutcome, Command, CommandKind
+from fennelcove.rollouts.coordinator import Command, CommandKind, CommandOutcome
 from fennelcove.rollouts.messages import PlaceKind, Plan
 from fennelcove.wire.orders import FenceOrder, OutOrder, PlanOrder
 
--- a/packages/ingress/src/fennelcove/ingress/playback_routes.py
+++ b/packages/ingress/src/fennelcove/ingress/playback_routes.py
@@ -8,18 +8,17 @@
 from fractions import Fraction
 
 import msgspec
-
-from fennelcove.core.core import Core
 from fennelcove.core.content_insertion import ChangeReach
+from fennelcove.core.core import Core
 from fennelcove.core.segment_sources import Fetch
-from fennelcove.decisions.servers.load_signals import KBIT_PER_KB, ClientHints
+from fennelcove.decisions.playback.segment_routing import SegmentSource
 from fennelcove.decisions.playback.splices import (
-    RejectionReason,
-    ChangeStatus,
     ChangeResult,
+    ChangeStatus,
+    RejectionReason,
     parse_media_time,
 )
-from fennelcove.decisions.playback.segment_routing import SegmentSource
+from fennelcove.decisions.servers.load_signals import KBIT_PER_KB, ClientHints
 from fennelcove.ingress import replies
 from fennelcove.ingress.replies import Reply
 from fennelcove.manifests import dash, hls
--- a/packages/ingress/src/fennelcove/ingress/replies.py
+++ b/packages/ingress/src/fennelcove/ingress/replies.py
@@ -5,14 +5,13 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from msgspec import UNSET, UnsetType
-
-from fennelcove.core.requests import ResponseKind, SessionResponse, Session, SessionView
+from fennelcove.core.requests import ResponseKind, Session, SessionResponse, SessionView
 from fennelcove.decisions.clients.admission import retry_after_s
 from fennelcove.decisions.servers.load_signals import KBIT_PER_KB
 from fennelcove.hints import cmsd
 from fennelcove.http1 import writer
 from fennelcove.wire.sessions import Playing, Problem, Rung, problem
+from msgspec import UNSET, UnsetType
 
 JSON = ("Content-Type", "application/json")
 PROBLEM_JSON = ("Content-Type", "application/problem+json")
--- a/packages/ingress/src/fennelcove/ingress/routes.py
+++ b/packages/ingress/src/fennelcove/ingress/routes.py
@@ -8,20 +8,19 @@
 from typing import Any
 
 import msgspec
-
 from fennelcove.core.core import Core
 from fennelcove.core.requests import SessionRequest
-from fennelcove.decisions.operators import command_authorization
 from fennelcove.decisions.clients import access_tokens
-from fennelcove.decisions.servers.load_signals import ClientHints
 from fennelcove.decisions.clients.access_tokens import Permission, PresentedToken
+from fennelcove.decisions.operators import command_authorization
+from fennelcove.decisions.servers.load_signals import ClientHints
+from fennelcove.hints import cmcd
+from fennelcove.hints.cmcd import Cmcd
 from fennelcove.ingress import replies
-from fennelcove.ingress.replies import Reply
 from fennelcove.ingress.connection import Received
 from fennelcove.ingress.control import OperatorCommands
 from fennelcove.ingress.playback_routes import PlaybackRoutes
-from fennelcove.hints import cmcd
-from fennelcove.hints.cmcd import Cmcd
+from fennelcove.ingress.replies import Reply
 from fennelcove.settings.schema import Author
 from fennelcove.timeline.model import Change
 from fennelcove.wire.orders import COMMANDS
--- a/packages/ingress/src/fennelcove/ingress/session_setups.py
+++ b/packages/ingress/src/fennelcove/ingress/session_setups.py
@@ -8,13 +8,13 @@
 from fennelcove.clock import Clock
 from fennelcove.core.core import Core
 from fennelcove.core.requests import (
-    SessionResponse,
-    SessionRequest,
-    WaitForSlot,
     EventLogger,
+    NextStep,
     SendAttempt,
     Session,
-    NextStep,
+    SessionRequest,
+    SessionResponse,
+    WaitForSlot,
 )
 from fennelcove.fair_queueing.waiter import WaiterEvent
 from fennelcove.interface import Outcome
@@ -46,7 +46,8 @@
 
     def run(self, ask: SessionRequest, viewer: socket.socket) -> Result | None:
         """Ask the core and send joins until there is an answer; None where this front failed at it, so that
-        the viewer is owed an error and nothing is held."""
+        the viewer is owed an error and nothing is held.
+        """
         session: Session | None = None
         counted = False
         known = self.core.idempotency.find_response(ask)
--- a/packages/ingress/src/fennelcove/ingress/tls.py
+++ b/packages/ingress/src/fennelcove/ingress/tls.py
@@ -1,5 +1,6 @@
 """TLS for both doors: the certificate in force, read again when its files change, without a connection
-lost."""
+lost.
+"""
 
 from __future__ import annotations
 
--- a/packages/ingress/src/fennelcove/ingress/websocket_routes.py
+++ b/packages/ingress/src/fennelcove/ingress/websocket_routes.py
@@ -6,14 +6,13 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-
 from fennelcove.core.requests import SessionRequest
 from fennelcove.decisions.clients import access_tokens
-from fennelcove.decisions.servers.load_signals import ClientHints
 from fennelcove.decisions.clients.access_tokens import Permission, TokenStatus
+from fennelcove.decisions.servers.load_signals import ClientHints
+from fennelcove.hints import cmcd
 from fennelcove.ingress.replies import playing_state
 from fennelcove.ingress.routes import asked_for, says
-from fennelcove.hints import cmcd
 from fennelcove.wire import socket as wire
 
 if TYPE_CHECKING:
--- a/packages/ingress/src/fennelcove/ingress/websocket_server.py
+++ b/packages/ingress/src/fennelcove/ingress/websocket_server.py
@@ -5,16 +5,15 @@
 import threading
 
 import msgspec
-
 from fennelcove.clock import Clock
 from fennelcove.core.core import Core
 from fennelcove.core.requests import EventLogger
+from fennelcove.http1 import writer
 from fennelcove.ingress import replies
 from fennelcove.ingress.connection import Connection, ConnectionLimits, Received
 from fennelcove.ingress.routes import shown
 from fennelcove.ingress.session_setups import SessionSetups
 from fennelcove.ingress.websocket_session import WebSocketSession
-from fennelcove.http1 import writer
 from fennelcove.websocket import handshake
 from fennelcove.websocket.conversation import Conversation
 from fennelcove.websocket.terms import Bounds
--- a/packages/ingress/src/fennelcove/ingress/websocket_session.py
+++ b/packages/ingress/src/fennelcove/ingress/websocket_session.py
@@ -8,30 +8,29 @@
 from dataclasses import dataclass
 
 import msgspec
-
 from fennelcove.clock import Clock
-from fennelcove.core.core import Core
 from fennelcove.core.client_notifier import (
+    ContentNotification,
     EndNotification,
     MigrationNotification,
     Notification,
     RungNotification,
-    ContentNotification,
-    TakeoverNotification,
     StormNotification,
+    TakeoverNotification,
 )
+from fennelcove.core.core import Core
 from fennelcove.core.requests import ResponseKind, SessionRequest, SessionView
 from fennelcove.decisions.clients import access_tokens
+from fennelcove.decisions.clients.access_tokens import PresentedToken, TokenStatus
 from fennelcove.decisions.clients.admission import reconnect_window_us
+from fennelcove.decisions.clients.conflating_queue import ConflatingQueue, PutResult
 from fennelcove.decisions.clients.keepalive import KeepaliveAction, KeepaliveMonitor
 from fennelcove.decisions.clients.rate_limit import MessageRateLimit
-from fennelcove.decisions.clients.conflating_queue import PutResult, ConflatingQueue
-from fennelcove.decisions.clients.access_tokens import PresentedToken, TokenStatus
 from fennelcove.ingress import websocket_routes
-from fennelcove.ingress.replies import playing_state
 from fennelcove.ingress.connection import READ_BYTES, ConnectionLimits, take
+from fennelcove.ingress.replies import playing_state
 from fennelcove.ingress.session_setups import Result, SessionSetups
-from fennelcove.upstream.wakeups import Wakeup, WakeReason, wait
+from fennelcove.upstream.wakeups import WakeReason, Wakeup, wait
 from fennelcove.websocket.conversation import Closed, Conversation, Message, Pinged, State
 from fennelcove.websocket.terms import CloseCode
 from fennelcove.wire import socket as wire
--- a/packages/interface/src/fennelcove/facts.py
+++ b/packages/interface/src/fennelcove/facts.py
@@ -9,7 +9,7 @@
 from typing import Any, TypeVar
 
 from fennelcove.errors import OperatorError
-from fennelcove.interface import Effect, LoadReport, ServiceClass, Scope, Settings
+from fennelcove.interface import Effect, LoadReport, Scope, ServiceClass, Settings
 
 E = TypeVar("E", bound=Enum)
 
--- a/packages/node/src/fennelcove/node/config.py
+++ b/packages/node/src/fennelcove/node/config.py
@@ -8,7 +8,7 @@
 
 from fennelcove import facts
 from fennelcove.errors import OperatorError
-from fennelcove.facts import PlatformSettingsError, ConnectionSettings
+from fennelcove.facts import ConnectionSettings, PlatformSettingsError
 from fennelcove.interface import Settings
 from fennelcove.node.address import Address, parse_address
 from fennelcove.node.discovery_events import DiscoveryBatch, DiscoveryError
--- a/packages/node/src/fennelcove/rtsp/reader.py
+++ b/packages/node/src/fennelcove/rtsp/reader.py
@@ -5,13 +5,13 @@
 import re
 
 from fennelcove.rtsp.messages import (
-    MAX_MESSAGE_BYTES,
     MAX_FIELDS,
-    Response,
+    MAX_MESSAGE_BYTES,
     Fields,
     Message,
     ProtocolError,
     Request,
+    Response,
 )
 
 _REQUEST_LINE = re.compile(rb"([A-Z_]{1,32}) ([\x21-\x7e]{1,512}) RTSP/1\.0")
--- a/packages/playback/src/fennelcove/decisions/playback/playlist_cursor.py
+++ b/packages/playback/src/fennelcove/decisions/playback/playlist_cursor.py
@@ -18,9 +18,9 @@
     MICROSECONDS_PER_SECOND,
     Change,
     ChangeKind,
+    ListedSegment,
     Media,
     PeriodStart,
-    ListedSegment,
 )
 
 # Segments listed beyond the last one fetched: what a player needs to keep its buffer (RFC 8216, 6.3.3).
--- a/packages/playback/src/fennelcove/decisions/playback/resume_tokens.py
+++ b/packages/playback/src/fennelcove/decisions/playback/resume_tokens.py
@@ -10,8 +10,6 @@
 from fractions import Fraction
 
 import msgspec
-from msgspec import Struct
-
 from fennelcove.decisions.playback.playlist_cursor import (
     WINDOW_SEGMENTS,
     ClipProgress,
@@ -19,7 +17,8 @@
     PlaylistTrack,
     ReplayLimit,
 )
-from fennelcove.timeline.model import PeriodStart, ListedSegment
+from fennelcove.timeline.model import ListedSegment, PeriodStart
+from msgspec import Struct
 
 MAX_TOKEN_CHARS = 8192
 
--- a/packages/playback/src/fennelcove/manifests/dash.py
+++ b/packages/playback/src/fennelcove/manifests/dash.py
@@ -5,7 +5,7 @@
 from itertools import groupby
 from xml.sax.saxutils import quoteattr
 
-from fennelcove.manifests.exact_time import format_wall_time, to_microseconds, format_duration
+from fennelcove.manifests.exact_time import format_duration, format_wall_time, to_microseconds
 from fennelcove.manifests.hls import MediaListing
 from fennelcove.timeline.model import ListedSegment
 
--- a/packages/playback/src/fennelcove/manifests/hls.py
+++ b/packages/playback/src/fennelcove/manifests/hls.py
@@ -12,8 +12,8 @@
 from fractions import Fraction
 from math import ceil
 
-from fennelcove.manifests.exact_time import format_wall_time, to_microseconds, duration_between
-from fennelcove.timeline.model import Media, ListedSegment
+from fennelcove.manifests.exact_time import duration_between, format_wall_time, to_microseconds
+from fennelcove.timeline.model import ListedSegment, Media
 
 SPLICE_CLASS = "urn:fennelcove:stitch"
 INTERSTITIAL_CLASS = "com.apple.hls.interstitial"  # the successor draft of RFC 8216, appendix D
--- a/packages/rollouts/src/fennelcove/rollouts/coordinator.py
+++ b/packages/rollouts/src/fennelcove/rollouts/coordinator.py
@@ -16,16 +16,16 @@
 from fennelcove.rollouts.heartbeat_sender import HeartbeatSender
 from fennelcove.rollouts.messages import (
     Heartbeat,
-    PlaceKind,
     LeaderVote,
     LeaderVoteRequest,
     PermitRequest,
     PermitVote,
+    PlaceKind,
     Proposal,
     ProposalAck,
+    RolloutMessage,
     RolloutOrder,
     RolloutRecord,
-    RolloutMessage,
     ServingState,
 )
 from fennelcove.rollouts.order_handler import OrderHandler
@@ -36,16 +36,16 @@
 from fennelcove.rollouts.status import disruption_status, plan_status, request_status
 from fennelcove.rollouts.types import (
     Action,
-    CommandOutcome,
-    Command,
     ActionKind,
-    LocalFront,
-    PersistedState,
+    Command,
+    CommandKind,
+    CommandOutcome,
     FrontStatus,
+    LocalFront,
     Outbox,
+    PersistedState,
     RolloutSettings,
     StoredPermit,
-    CommandKind,
 )
 
 __all__ = [
--- a/packages/rollouts/src/fennelcove/rollouts/front_permits.py
+++ b/packages/rollouts/src/fennelcove/rollouts/front_permits.py
@@ -8,9 +8,9 @@
 from fennelcove.rollouts.action_queue import ActionQueue
 from fennelcove.rollouts.heartbeat_sender import HeartbeatSender
 from fennelcove.rollouts.messages import (
-    PlaceKind,
     PermitRequest,
     PermitVote,
+    PlaceKind,
     RolloutPhase,
     RolloutRecord,
     ServingState,
--- a/packages/rollouts/src/fennelcove/rollouts/pending_command.py
+++ b/packages/rollouts/src/fennelcove/rollouts/pending_command.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from fennelcove.rollouts.types import CommandOutcome, Command
+from fennelcove.rollouts.types import Command, CommandOutcome
 
 MAX_OUTCOMES = 16
 COMMAND_TIMEOUT_US = 4_000_000  # after which a command that no majority has accepted counts as lost
--- a/packages/rollouts/src/fennelcove/rollouts/permit_grantor.py
+++ b/packages/rollouts/src/fennelcove/rollouts/permit_grantor.py
@@ -25,10 +25,10 @@
 from fennelcove.rollouts.messages import (
     MAX_PROMISED_PLACES,
     Heartbeat,
-    PlaceKind,
     PermitRequest,
     PermitVerdict,
     PermitVote,
+    PlaceKind,
     ServingState,
 )
 from fennelcove.rollouts.permit_entry import (
--- a/packages/rollouts/src/fennelcove/rollouts/rollout_controller.py
+++ b/packages/rollouts/src/fennelcove/rollouts/rollout_controller.py
@@ -16,9 +16,9 @@
     LeaderVoteRequest,
     Proposal,
     ProposalAck,
+    RolloutMessage,
     RolloutOrder,
     RolloutRecord,
-    RolloutMessage,
     ServingState,
 )
 from fennelcove.rollouts.pending_command import CommandTracker, PendingCommand
@@ -27,12 +27,12 @@
 from fennelcove.rollouts.record_acceptor import Acceptor
 from fennelcove.rollouts.rollout_plan import RolloutEvent, next_record, target_version
 from fennelcove.rollouts.types import (
-    CommandOutcome,
     Command,
+    CommandKind,
+    CommandOutcome,
     FrontStatus,
     Outbox,
     RolloutSettings,
-    CommandKind,
 )
 
 # Over so many heartbeat intervals the fronts that miss a leader become candidates.
--- a/packages/rollouts/src/fennelcove/rollouts/types.py
+++ b/packages/rollouts/src/fennelcove/rollouts/types.py
@@ -9,8 +9,8 @@
 from enum import Enum, auto
 
 from fennelcove.rollouts.disruption_budget import FleetLimits
+from fennelcove.rollouts.messages import PlaceKind, Plan, RolloutMessage, RolloutRecord, ServingState
 from fennelcove.rollouts.permit_settings import PermitSettings
-from fennelcove.rollouts.messages import PlaceKind, Plan, RolloutRecord, RolloutMessage, ServingState
 
 Outbox = list[tuple[int, RolloutMessage]]  # messages to send, each with the index of the front that it is for
 
--- a/packages/scenarios/src/fennelcove/scenarios/authors.py
+++ b/packages/scenarios/src/fennelcove/scenarios/authors.py
@@ -5,12 +5,11 @@
 from collections.abc import Callable
 
 import msgspec
-
 from fennelcove.clock import Clock
-from fennelcove.scenarios.script import ChangeLine
-from fennelcove.manifests.exact_time import format_wall_time
-from fennelcove.emulators.recorder import Recorder
 from fennelcove.emulators.clients import Player, Unanswered
+from fennelcove.emulators.recorder import Recorder
+from fennelcove.manifests.exact_time import format_wall_time
+from fennelcove.scenarios.script import ChangeLine
 
 KEY = "a-key-for-scripted-days-only"
 
--- a/packages/scenarios/src/fennelcove/scenarios/checker.py
+++ b/packages/scenarios/src/fennelcove/scenarios/checker.py
@@ -8,13 +8,12 @@
 from typing import Any
 
 import msgspec
-
+from fennelcove.emulators.recorder import Record
 from fennelcove.scenarios.exemptions import SLACK_US, Excuses
 from fennelcove.scenarios.outages import Outs, outs
-from fennelcove.scenarios.slots import Slots, slots
 from fennelcove.scenarios.recovery import Fleet, fleet
+from fennelcove.scenarios.slots import Slots, slots
 from fennelcove.scenarios.tenants import Tenants, tenants
-from fennelcove.emulators.recorder import Record
 
 PLAYS, THROTTLED = 201, 503
 DESCRIBED = 8  # none of them either: a front says nothing that its descriptions do not mention
@@ -105,7 +104,8 @@
 
     def break_by_lateness(self, rule: int, t_us: int, subscription: str, reason: str) -> None:
         """A rule broken by nothing but the time that something took: inconclusive where it came late inside
-        a measured stall of the machine, or while what had piled up in it was worked off."""
+        a measured stall of the machine, or while what had piled up in it was worked off.
+        """
         stalled = any(from_us <= t_us <= until_us + SLACK_US for from_us, until_us in self.machine_stalls)
         found = self.inconclusive if stalled else self.broken
         found.append(Broken(rule, round(t_us / 1e6, 3), subscription, reason))
@@ -408,7 +408,8 @@
 
 def _settled(seen: _Seen, records: list[Record]) -> float | None:
     """When the share of refusals was last over a twentieth in a second, in seconds after the last crowd
-    came."""
+    came.
+    """
     last = seen.terms.get("last_crowd_s")
     if last is None:
         return None
@@ -427,7 +428,8 @@
 
 def _service(seen: _Seen) -> float:
     """The benefit answered within the join objective over that asked for; further tries belong to the
-    first."""
+    first.
+    """
     offered = earned = 0.0
     first: dict[str, Record] = {}
     for (viewer, number), asked in seen.asked.items():
--- a/packages/scenarios/src/fennelcove/scenarios/fault_injection.py
+++ b/packages/scenarios/src/fennelcove/scenarios/fault_injection.py
@@ -8,13 +8,12 @@
 from random import Random
 from zlib import crc32
 
-from msgspec.structs import replace as replace_struct
-
+from fennelcove.emulators.dishonest_front import SlotLiar
 from fennelcove.scenarios.fronts import DayFailed, FrontProcess, Fronts, side_by_side
 from fennelcove.scenarios.rig import Rig
 from fennelcove.scenarios.script import Power, Trouble
 from fennelcove.scenarios.supervisor import Supervisor
-from fennelcove.emulators.dishonest_front import SlotLiar
+from msgspec.structs import replace as replace_struct
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +26,8 @@
 
 class Troubles:
     """Turns a script's troubles into what is due when. What takes long runs on a thread of its own, and its
-    failure is the day's."""
+    failure is the day's.
+    """
 
     def __init__(
         self, rig: Rig, fronts: Fronts, seed: int, leaving: threading.Event, supervisor: Supervisor
--- a/packages/scenarios/src/fennelcove/scenarios/fronts.py
+++ b/packages/scenarios/src/fennelcove/scenarios/fronts.py
@@ -15,12 +15,13 @@
 
 import blake3
 import msgspec
-
+from fennelcove.daemon.key_file import rotate
+from fennelcove.emulators.clients import Player, Unanswered
+from fennelcove.emulators.recorder import Recorder
 from fennelcove.errors import OperatorError
 from fennelcove.scenarios import authors
 from fennelcove.scenarios.rig import Rig, front_host
 from fennelcove.scenarios.script import Day, Version
-from fennelcove.daemon.key_file import rotate
 from fennelcove.settings.schema import (
     Author,
     CompanySettings,
@@ -32,8 +33,6 @@
     Rules,
 )
 from fennelcove.settings.writer import write
-from fennelcove.emulators.recorder import Recorder
-from fennelcove.emulators.clients import Player, Unanswered
 from fennelcove.store.directory import verify_folder
 
 START_S = 30.0
@@ -397,7 +396,8 @@
 
     def chooser(self, name: str, some: Sequence[int] = ()) -> Callable[[], str]:
         """A viewer's way to a front: another one, of all or of some, at each try, by its name, the same in
-        every run."""
+        every run.
+        """
         chance, among = random.Random(name), [self.all[number] for number in some] or self.all
         return lambda: chance.choice(among).address
 
@@ -423,7 +423,8 @@
 
 def _free_port(index: int) -> str:
     """A free address for datagrams. Below the ports that the system hands out by itself: one of those was
-    taken by another socket before its front could bind it."""
+    taken by another socket before its front could bind it.
+    """
     while True:
         address = (front_host(index), random.randrange(20_000, 32_000))
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
--- a/packages/scenarios/src/fennelcove/scenarios/outages.py
+++ b/packages/scenarios/src/fennelcove/scenarios/outages.py
@@ -11,11 +11,10 @@
 from dataclasses import dataclass, field
 
 import msgspec
-
-from fennelcove.scenarios.server_outages import boxed
+from fennelcove.emulators.recorder import Record
 from fennelcove.scenarios.exemptions import SLACK_US
 from fennelcove.scenarios.faults import OUT, STRUCK, Fault
-from fennelcove.emulators.recorder import Record
+from fennelcove.scenarios.server_outages import boxed
 
 PLAYS = 201
 NEVER = 1 << 62
--- a/packages/scenarios/src/fennelcove/scenarios/player.py
+++ b/packages/scenarios/src/fennelcove/scenarios/player.py
@@ -10,19 +10,18 @@
 from pathlib import Path
 
 import msgspec
-
 from fennelcove.clock import Clock, SystemClock
+from fennelcove.emulators.clients import Habits, StandInViewer
+from fennelcove.emulators.recorder import Record, Recorder
+from fennelcove.emulators.stall_monitor import StallMonitor
+from fennelcove.emulators.websocket_clients import StandInSocketViewer
 from fennelcove.scenarios import authors
+from fennelcove.scenarios.fault_injection import Due, Troubles
 from fennelcove.scenarios.fronts import DayFailed, FrontProcess, Fronts
 from fennelcove.scenarios.rig import Rig
+from fennelcove.scenarios.schema_conformance import DescribedWitness
 from fennelcove.scenarios.script import ChangeLine, Crowd, Day
 from fennelcove.scenarios.supervisor import Supervisor
-from fennelcove.scenarios.fault_injection import Due, Troubles
-from fennelcove.scenarios.schema_conformance import DescribedWitness
-from fennelcove.emulators.recorder import Record, Recorder
-from fennelcove.emulators.stall_monitor import StallMonitor
-from fennelcove.emulators.websocket_clients import StandInSocketViewer
-from fennelcove.emulators.clients import Habits, StandInViewer
 
 __all__ = ["DayFailed", "DayPlayer", "arrivals", "terms"]
 
@@ -158,7 +157,8 @@
 
     def _left(self, supervisor: Supervisor) -> None:
         """A day of releases lasts as long as it says, and until its plan is over: how long that takes hangs
-        on how fast a machine starts processes, and what a day comes to must not."""
+        on how fast a machine starts processes, and what a day comes to must not.
+        """
         began_us = next(r["t_us"] for r in self.recorder.records if r["what"] == "day_began")
         until_us = self.recorder.began_us + began_us + round(self.day.seconds * 1e6)
         if self.day.release is not None:
--- a/packages/scenarios/src/fennelcove/scenarios/plots.py
+++ b/packages/scenarios/src/fennelcove/scenarios/plots.py
@@ -4,9 +4,9 @@
 
 from pathlib import Path
 
+from fennelcove.emulators.recorder import Record
 from fennelcove.scenarios.recovery import seconds
 from fennelcove.scenarios.replays import series
-from fennelcove.emulators.recorder import Record
 
 
 def draw(records: list[Record], folder: str) -> list[str]:
--- a/packages/scenarios/src/fennelcove/scenarios/recovery.py
+++ b/packages/scenarios/src/fennelcove/scenarios/recovery.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterator
 
 import msgspec
-
 from fennelcove.emulators.recorder import Record
 
 PLAYS, THROTTLED = 201, 503
@@ -141,7 +140,8 @@
 
 def warm_bound_s(records: list[Record], at_s: float, mean: float) -> float:
     """How soon after a trouble the boxes alone could take `BACK` of the set-ups before it: from then on all
-    boxes that are back, each at the pace that it has warmed up to, take so many a second."""
+    boxes that are back, each at the pace that it has warmed up to, take so many a second.
+    """
     since_us = began_us(records)
     terms = next(r for r in records if r["what"] == "terms")
     ramp_s, cold = terms["ramp_ms"] / 1000, terms["start_capacity"]
--- a/packages/scenarios/src/fennelcove/scenarios/replays.py
+++ b/packages/scenarios/src/fennelcove/scenarios/replays.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-from fennelcove.emulators.recorder import Record
 from fennelcove.emulators.clients import Habits
+from fennelcove.emulators.recorder import Record
 
 WORDS = {
     "first": "a first try past what the pace has room for",
@@ -21,7 +21,8 @@
 
 def arrivals(records: Iterable[Record], retries: int, watch_s: float) -> Iterator[tuple[float, str, Habits]]:
     """The first tries of a recording: when, by whom, and with what habits; further tries come of
-    themselves."""
+    themselves.
+    """
     began_us: int | None = None
     for record in records:
         if record["what"] == "front_started" and began_us is None:
@@ -43,7 +44,8 @@
 
 def explained(lines: Iterable[dict[str, Any]]) -> Iterator[str]:
     """What a front's log says of storms, one line for each change of phase and each viewer turned away at the
-    door."""
+    door.
+    """
     turned: Counter[str] = Counter()
     for line in lines:
         event, at = line.get("event"), str(line.get("timestamp", ""))[11:23]
--- a/packages/scenarios/src/fennelcove/scenarios/rig.py
+++ b/packages/scenarios/src/fennelcove/scenarios/rig.py
@@ -7,14 +7,14 @@
 from random import Random
 
 from fennelcove.clock import Clock
-from fennelcove.scenarios.script import Day, Trouble
+from fennelcove.emulators.endpoint_list_service import Known, StandInLists, State
 from fennelcove.emulators.fault_proxy.faults import Fault, How, Party
 from fennelcove.emulators.fault_proxy.gauge import Gauge
 from fennelcove.emulators.fault_proxy.relay import Relays
 from fennelcove.emulators.media_server import Pace, StandInBox
-from fennelcove.emulators.endpoint_list_service import Known, StandInLists, State
 from fennelcove.emulators.model import BoxModel, RackModel
 from fennelcove.emulators.recorder import Recorder
+from fennelcove.scenarios.script import Day, Trouble
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/scenarios/src/fennelcove/scenarios/schema_conformance.py
+++ b/packages/scenarios/src/fennelcove/scenarios/schema_conformance.py
@@ -6,8 +6,8 @@
 
 from fennelcove.api import asyncapi, openapi
 from fennelcove.api.described import Described
-from fennelcove.ingress.routes import LINES
 from fennelcove.emulators.recorder import Recorder
+from fennelcove.ingress.routes import LINES
 
 
 class DescribedWitness:
--- a/packages/scenarios/src/fennelcove/scenarios/script.py
+++ b/packages/scenarios/src/fennelcove/scenarios/script.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 from importlib import resources
 from pathlib import Path
-from collections.abc import Iterator
 from typing import Annotated, ClassVar, Literal
 
 import msgspec
-from msgspec import Meta, field
-
 from fennelcove.settings.checks import amiss
 from fennelcove.settings.reader import SettingsError, parse
 from fennelcove.settings.schema import (
@@ -24,6 +22,7 @@
     SomeFigure,
     Strict,
 )
+from msgspec import Meta, field
 
 Seconds = Annotated[float, Meta(ge=0, le=600)]
 What = Literal[
@@ -121,7 +120,8 @@
 
 class Between(Strict, frozen=True, kw_only=True):
     """A fault of the relays: what `sender` sends to `taker`. Parties are `all`, `fronts`, `boxes`, `lists`,
-    `viewers`, a hall, `front-3`, `box-2`, or several with `|` between."""
+    `viewers`, a hall, `front-3`, `box-2`, or several with `|` between.
+    """
 
     sender: Parties
     taker: Parties
@@ -181,7 +181,8 @@
 
 class Trouble(Strict, frozen=True, kw_only=True):
     """Something that goes wrong; `box` counts the boxes as the script lists them, and the fronts where it
-    concerns one."""
+    concerns one.
+    """
 
     at_s: Seconds
     what: What
--- a/packages/scenarios/src/fennelcove/scenarios/server_outages.py
+++ b/packages/scenarios/src/fennelcove/scenarios/server_outages.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from fennelcove.scenarios.faults import OUT, STRUCK, Fault
 from fennelcove.emulators.recorder import Record
+from fennelcove.scenarios.faults import OUT, STRUCK, Fault
 
 NEVER = 1 << 62
 
--- a/packages/scenarios/src/fennelcove/scenarios/slots.py
+++ b/packages/scenarios/src/fennelcove/scenarios/slots.py
@@ -10,7 +10,6 @@
 from dataclasses import dataclass
 
 import msgspec
-
 from fennelcove.emulators.recorder import Record
 
 OVER = 12  # no rule of the six: more joins out at a box than its knee bears
--- a/packages/scenarios/src/fennelcove/scenarios/supervisor.py
+++ b/packages/scenarios/src/fennelcove/scenarios/supervisor.py
@@ -11,11 +11,11 @@
 from pathlib import Path
 from typing import Any
 
+from fennelcove.fleet.asker import Call, Times, ask_all
+from fennelcove.fleet.inventory import FrontLine, Inventory
 from fennelcove.scenarios.fronts import START_S, DayFailed, FrontProcess, Fronts
 from fennelcove.scenarios.rig import Rig
 from fennelcove.scenarios.script import Release, Trouble
-from fennelcove.fleet.asker import Call, Times, ask_all
-from fennelcove.fleet.inventory import FrontLine, Inventory
 from fennelcove.settings.writer import write
 
 LOOK_S = 0.05
--- a/packages/scenarios/src/fennelcove/scenarios/tenants.py
+++ b/packages/scenarios/src/fennelcove/scenarios/tenants.py
@@ -1,5 +1,6 @@
 """What each tenant got of the boxes' slots, and whether a day kept to its bounds: read off what passed on the
-sockets of boxes and viewers, and of nothing that a front says of itself."""
+sockets of boxes and viewers, and of nothing that a front says of itself.
+"""
 
 from __future__ import annotations
 
@@ -9,9 +10,8 @@
 from typing import Any
 
 import msgspec
-
-from fennelcove.scenarios.exemptions import SLACK_US
 from fennelcove.emulators.recorder import Record
+from fennelcove.scenarios.exemptions import SLACK_US
 
 SLOTS = 10  # none of the six rules: joins out at a box over all fronts
 WAITS = 11  # a neighbour's wait
@@ -102,7 +102,8 @@
 
 def _stopped(records: list[Record]) -> dict[str, list[tuple[int, int]]]:
     """When each front stood still, by the address that viewers have for it: who comes to it then waits for
-    that, and for no slot."""
+    that, and for no slot.
+    """
     addresses = {r["front"]: r["address"] for r in records if r["what"] == "front_started"}
     found: dict[str, list[tuple[int, int]]] = defaultdict(list)
     for record in records:
--- a/packages/settings/src/fennelcove/settings/checks.py
+++ b/packages/settings/src/fennelcove/settings/checks.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from fennelcove.interface import Effect, ServiceClass, Scope, Settings
+from fennelcove.interface import Effect, Scope, ServiceClass, Settings
 from fennelcove.messages import MAX_CELLS
 from fennelcove.settings.reader import SettingsError, load
 from fennelcove.settings.schema import FrontSettings, ShapeSettings
--- a/packages/settings/src/fennelcove/settings/reader.py
+++ b/packages/settings/src/fennelcove/settings/reader.py
@@ -16,7 +16,6 @@
 
 import msgspec
 import sexpdata
-
 from fennelcove.errors import OperatorError
 
 MOST_BYTES = 4 * 1024 * 1024
--- a/packages/settings/src/fennelcove/settings/schema.py
+++ b/packages/settings/src/fennelcove/settings/schema.py
@@ -84,7 +84,8 @@
 
 class Author(Strict, frozen=True, kw_only=True):
     """Who may change lessons: the blake3 hash of a key, in hexadecimal (`fennelcove author-key` makes
-    both)."""
+    both).
+    """
 
     name: Name
     key_hash: Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
@@ -130,7 +131,8 @@
 
 class CompanySettings(Strict, frozen=True, kw_only=True):
     """Fronts may tell each other that they live, over UDP: every front's address, by its index. `kept` is the
-    part of its equal share that a front may take whoever hears it; the rest hangs on a lease."""
+    part of its equal share that a front may take whoever hears it; the rest hangs on a lease.
+    """
 
     addresses: Annotated[list[Address], Meta(min_length=1, max_length=64)]
     beat_ms: Annotated[float, Meta(ge=50, le=60_000)] = 200.0
@@ -140,14 +142,16 @@
 
 class WatcherSettings(Strict, frozen=True, kw_only=True):
     """A few fronts probe each box, the others hear of it by `company`: one that two of its watchers find ill
-    gets no joins of anybody. A probe is over after this time."""
+    gets no joins of anybody. A probe is over after this time.
+    """
 
     timeout_ms: Annotated[float, Meta(ge=50, le=10_000)] = 500.0
 
 
 class OverloadSettings(Strict, frozen=True, kw_only=True):
     """Fronts tell each other what they are asked and shed load by one ladder; with no `company` each takes
-    the others for its own likes. What all fronts together may spend a second: 0 sets no limit."""
+    the others for its own likes. What all fronts together may spend a second: 0 sets no limit.
+    """
 
     enabled: bool = True
     further_joins_s: Figure = 0.0
@@ -158,7 +162,8 @@
 class SlotSettings(Strict, frozen=True, kw_only=True):
     """The fleet learns how many joins each box takes at a time. `start` is the number of all fronts together
     where nothing is known; no more than one set-up in a hundred should wait for a slot longer than
-    `wait_share` of the shortest client timeout; a loan has to outlast every join."""
+    `wait_share` of the shortest client timeout; a loan has to outlast every join.
+    """
 
     start: Annotated[int, Meta(ge=1, le=4096)] = 16
     least: Annotated[int, Meta(ge=1, le=4096)] = 2
@@ -169,7 +174,8 @@
 
 class RecoverySettings(Strict, frozen=True, kw_only=True):
     """Service returns in order: the door opens at once, boxes are asked, a list kept in the store stands in
-    for one that does not come, and while most boxes are cold the greater benefit goes first."""
+    for one that does not come, and while most boxes are cold the greater benefit goes first.
+    """
 
     by_benefit: bool = True
     kept_list: bool = True
@@ -177,7 +183,8 @@
 
 class ReleaseSettings(Strict, frozen=True, kw_only=True):
     """Who may be out is agreed among all fronts, and plans of operators move by it; a supervisor starts a
-    front that has ended with the version that the file `wanted` names. Limits are the same at all fronts."""
+    front that has ended with the version that the file `wanted` names. Limits are the same at all fronts.
+    """
 
     version: Annotated[int, Meta(ge=1, le=0xFFFF_FFFF)]  # of this process, as the supervisor counts
     wanted: Annotated[str, Meta(min_length=1, max_length=1000)]
@@ -269,7 +276,8 @@
 
 class StormSettings(Strict, frozen=True, kw_only=True):
     """Damping of retry storms; `key_file` makes places outlive this process (`fennelcove storm key` makes
-    it)."""
+    it).
+    """
 
     damping: bool = False
     box_limits: bool = False
@@ -278,7 +286,8 @@
 
 class WebSocketSettings(Strict, frozen=True, kw_only=True):
     """The second door. `origins` are the web pages that may open a connection, as `https://host`; none named
-    is any."""
+    is any.
+    """
 
     subscriptions: Annotated[int, Meta(ge=1, le=64)] = 8
     origins: list[Annotated[str, Meta(max_length=200, pattern=r"^https?://[a-z0-9.:\[\]-]+$")]] = field(
@@ -332,7 +341,8 @@
 
 class FairSettings(Strict, frozen=True, kw_only=True):
     """Slot-time at boxes is shared out among tenants. `slots` is how many joins one box may have out of all
-    fronts; where `weights` names tenants all others together weigh `strangers`."""
+    fronts; where `weights` names tenants all others together weigh `strangers`.
+    """
 
     slots: Annotated[int, Meta(ge=2, le=10_000)]
     weights: Annotated[list[Weight], Meta(max_length=1000)] = field(default_factory=list)
--- a/packages/simulator-adapter/src/fennelcove/simulator_adapter/codec.py
+++ b/packages/simulator-adapter/src/fennelcove/simulator_adapter/codec.py
@@ -11,20 +11,20 @@
 from fennelcove import facts as facts_reader
 from fennelcove.errors import OperatorError
 from fennelcove.interface import (
+    AttemptCompleted,
     ClientGone,
     Handover,
-    AttemptCompleted,
     ListEntry,
     LoadReport,
-    SessionReport,
-    ReportKind,
     Outcome,
     PeerMessage,
     ProbeCompleted,
+    ReportKind,
     Request,
-    Settings,
     ServerState,
+    SessionReport,
     SessionStarted,
+    Settings,
     TimerFired,
     TimerName,
 )
--- a/packages/store/src/fennelcove/store/base.py
+++ b/packages/store/src/fennelcove/store/base.py
@@ -11,7 +11,6 @@
 from pathlib import Path
 
 import lmdb
-
 from fennelcove.decisions.recovery.write_behind import Change
 from fennelcove.errors import OperatorError
 from fennelcove.store.records import CHECKSUM_BYTES, FORMAT_VERSION, checksum
--- a/packages/store/src/fennelcove/store/records.py
+++ b/packages/store/src/fennelcove/store/records.py
@@ -12,9 +12,8 @@
 
 import blake3
 import msgspec
-from msgspec import Struct
-
 from fennelcove.decisions.recovery.write_behind import Change
+from msgspec import Struct
 
 FORMAT_VERSION = 1
 CHECKSUM_BYTES = 16
--- a/packages/upstream/src/fennelcove/upstream/attempts.py
+++ b/packages/upstream/src/fennelcove/upstream/attempts.py
@@ -1,5 +1,6 @@
 """Carries out one join: one HTTP set-up at a box, each socket event told to the table that knows what it
-proves."""
+proves.
+"""
 
 from __future__ import annotations
 
@@ -10,22 +11,21 @@
 from typing import Protocol
 
 import msgspec
-
 from fennelcove.clock import Clock
 from fennelcove.core.requests import AttemptResult, SendAttempt
-from fennelcove.decisions.servers.load_signals import ServerHints
 from fennelcove.decisions.servers.attempt_exchange import (
     AttemptExchange,
     ExchangeEvent,
     attempt_timeouts,
     may_reuse_connection,
 )
+from fennelcove.decisions.servers.load_signals import ServerHints
 from fennelcove.hints import cmsd
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import ProtocolError, ResponseHead, Whole
 from fennelcove.interface import Effect, Outcome
+from fennelcove.upstream.connection_pool import READ_BYTES, ConnectionPool, DialLimits, ServerConnection, dial
 from fennelcove.upstream.wakeups import CancellationLatch, WakeReason, wait
-from fennelcove.upstream.connection_pool import READ_BYTES, DialLimits, ServerConnection, ConnectionPool, dial
 from fennelcove.wire.boxes import TURNED_AWAY, JoinOrder, join_path
 from fennelcove.wire.sessions import Problem
 
--- a/packages/upstream/src/fennelcove/upstream/command_senders.py
+++ b/packages/upstream/src/fennelcove/upstream/command_senders.py
@@ -5,14 +5,13 @@
 import threading
 
 import msgspec
-
 from fennelcove.clock import Clock
 from fennelcove.core.command_queue import CommandDispatcher
 from fennelcove.core.session_lifecycle import SessionLifecycle
 from fennelcove.decisions.servers.command_queue import COMMAND_TIMEOUT_US, Command
 from fennelcove.http1 import writer
 from fennelcove.http1.messages import ProtocolError, ResponseHead
-from fennelcove.upstream.connection_pool import DialLimits, ServerConnection, ConnectionPool, dial
+from fennelcove.upstream.connection_pool import ConnectionPool, DialLimits, ServerConnection, dial
 from fennelcove.wire.boxes import Mark, RungOrder, join_path
 
 SENDERS = 4
@@ -44,7 +43,8 @@
 
     def stop(self, until_us: int) -> None:
         """Send what may go out at once, and end by then: a box that hangs must not hold the front's end
-        up."""
+        up.
+        """
         with self.ready:
             self.until_us = until_us
             self.ready.notify_all()
--- a/packages/upstream/src/fennelcove/upstream/endpoint_list_client.py
+++ b/packages/upstream/src/fennelcove/upstream/endpoint_list_client.py
@@ -7,7 +7,6 @@
 from random import Random
 
 import msgspec
-
 from fennelcove.clock import Clock
 from fennelcove.core.endpoint_discovery import EndpointDiscovery
 from fennelcove.core.requests import EventLogger
--- a/packages/upstream/src/fennelcove/upstream/front_messaging.py
+++ b/packages/upstream/src/fennelcove/upstream/front_messaging.py
@@ -6,14 +6,14 @@
 import threading
 from collections.abc import Callable, Sequence
 
-from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer
+from fennelcove import limit_messages, messages, rollout_messages, usage_messages
 from fennelcove.decisions.fleet.fleet_load import LoadSummary
-from fennelcove.decisions.fleet.membership import Heartbeat
 from fennelcove.decisions.fleet.health_checks import HealthReport
-from fennelcove.interface import PeerMessage
-from fennelcove import usage_messages, messages, rollout_messages, limit_messages
+from fennelcove.decisions.fleet.membership import Heartbeat
+from fennelcove.decisions.fleet.shared_quotas import QuotaRequest, QuotaTransfer
 from fennelcove.fair_queueing.usage_gossip import UsageReport
-from fennelcove.messages import MAX_BYTES, encode, decode
+from fennelcove.interface import PeerMessage
+from fennelcove.messages import MAX_BYTES, decode, encode
 from fennelcove.rollouts.messages import RolloutMessage
 
 LOOK_S = 0.25  # how often the listening thread looks whether it should end
--- a/packages/upstream/src/fennelcove/upstream/health_checks.py
+++ b/packages/upstream/src/fennelcove/upstream/health_checks.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 
 import msgspec
-
 from fennelcove.clock import Clock
 from fennelcove.decisions.servers import load_signals
 from fennelcove.interface import LoadReport, Outcome, ProbeCompleted
--- a/packages/upstream/src/fennelcove/upstream/server_event_streams.py
+++ b/packages/upstream/src/fennelcove/upstream/server_event_streams.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 import msgspec
-
 from fennelcove.clock.timers import Timers
 from fennelcove.core.requests import EventLogger
 from fennelcove.core.server_registry import ServerRegistry
--- a/packages/upstream/src/fennelcove/upstream/wakeups.py
+++ b/packages/upstream/src/fennelcove/upstream/wakeups.py
@@ -90,7 +90,8 @@
 
 def wait_bell(bell: int, timeout_us: int, latch: CancellationLatch, other: socket.socket) -> WakeReason:
     """Wait until this descriptor can be read, the other one's peer hangs up, the latch is set or time is
-    up."""
+    up.
+    """
     poll = select.poll()
     poll.register(bell, select.POLLIN)
     poll.register(latch.reader, select.POLLIN)
--- a/packages/wire/src/fennelcove/wire/boxes.py
+++ b/packages/wire/src/fennelcove/wire/boxes.py
@@ -36,7 +36,8 @@
 
 class Held(Struct, frozen=True):
     """One join that a box holds, with what a front needs that has lost its memory; the rate in kB a
-    second."""
+    second.
+    """
 
     subscription: str
     join: int
@@ -48,7 +49,8 @@
 
 class Mark(Struct, frozen=True):
     """The body of `PUT /v1/joins/{subscription}/{join}/mark`: a text that the box keeps and names in its
-    greeting."""
+    greeting.
+    """
 
     mark: str
 
@@ -62,7 +64,8 @@
 
 class Hello(Struct, frozen=True):
     """The first event of a feed: this life of the box's process, what it holds for the front, and for how
-    long the process has been up, where it says so."""
+    long the process has been up, where it says so.
+    """
 
     boot: str
     held: list[Held]
--- a/packages/wire/src/fennelcove/wire/lists.py
+++ b/packages/wire/src/fennelcove/wire/lists.py
@@ -9,10 +9,9 @@
 
 from typing import Annotated, Literal
 
-from msgspec import Meta, Struct
-
 from fennelcove.decisions.servers.endpoint_list import EndpointListUpdate
 from fennelcove.interface import ListEntry, ServerState
+from msgspec import Meta, Struct
 
 
 class ListedBox(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/packages/wire/src/fennelcove/wire/orders.py
+++ b/packages/wire/src/fennelcove/wire/orders.py
@@ -28,7 +28,8 @@
 
 class PlanOrder(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """`release-start`, `release-change`: what is wanted, in which steps, and what halts it. `fence` is what
-    the operator saw last."""
+    the operator saw last.
+    """
 
     fence: Number
     wanted: Annotated[int, Meta(ge=1, le=0xFFFF_FFFF)]
@@ -53,7 +54,8 @@
 
 class OutOrder(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """`out`: this front, to come back with a version. `box-out`: the box of a cell. `write-off`: a front by
-    its index or a box by its cell does not come back."""
+    its index or a box by its cell does not come back.
+    """
 
     kind: Literal["front", "box"] = "front"
     place: Place = 0
--- a/packages/wire/src/fennelcove/wire/sessions.py
+++ b/packages/wire/src/fennelcove/wire/sessions.py
@@ -1,5 +1,6 @@
 """The session interface for players: bodies of requests and answers. Rates in kB a second, times in
-milliseconds."""
+milliseconds.
+"""
 
 from __future__ import annotations
 
@@ -8,14 +9,14 @@
 
 from msgspec import UNSET, Meta, Struct, UnsetType
 
-
 VERSION = "1.0.0"  # of both doors' interface; a breaking change takes a step (fennelcove api diff)
 
 
 class SetUp(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """`POST /v1/subscriptions`: a player asks for a subscription. The title may come as CMCD `cid`
     instead. With a `key` of the player's choice, sent twice it counts once. `tenant` is the customer that it
-    counts for, `watch_ms` a guess of how long it will play."""
+    counts for, `watch_ms` a guess of how long it will play.
+    """
 
     room_type: Annotated[str, Meta(min_length=1, max_length=64)]
     title: Annotated[str, Meta(min_length=1, max_length=64)] | None = None
@@ -162,7 +163,8 @@
 
 class ChangeState(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """One change as it stands: `made`, `stands` (told again) or `withdrawn`; how many players it has
-    reached."""
+    reached.
+    """
 
     id: str
     state: str
--- a/packages/wire/src/fennelcove/wire/socket.py
+++ b/packages/wire/src/fennelcove/wire/socket.py
@@ -8,9 +8,8 @@
 
 from typing import Annotated, Any
 
-from msgspec import UNSET, Meta, Struct, UnsetType
-
 from fennelcove.wire.sessions import Playing, SetUp
+from msgspec import UNSET, Meta, Struct, UnsetType
 
 SUBPROTOCOL = "fennelcove.session.v1"
 PATH = "/v1/session"
@@ -47,7 +46,8 @@
 
 class Resume(_Request, frozen=True, kw_only=True, tag="resume"):
     """A subscription that plays, claimed for this connection; `seen` is the last news' number. Answered by
-    `resumed`."""
+    `resumed`.
+    """
 
     ref: Ref
     subscription: Id
@@ -129,7 +129,8 @@
 
 class Resumed(_Told, frozen=True, kw_only=True, tag="resumed"):
     """It is this connection's from now on. `missed` counts the news not seen; unset where that can't be told.
-    The state holds all that they said."""
+    The state holds all that they said.
+    """
 
     ref: str
     number: int
--- a/tests/clientrig.py
+++ b/tests/clientrig.py
@@ -19,8 +19,9 @@
 from fennelcove.clock.timers import Timers
 from fennelcove.log import silent
 from fennelcove.node import config, session_manager
-from fennelcove.node.server_connection import set_receive_timeout
 from fennelcove.node.client_connection import MESSAGE_TIMEOUT_US, ClientConnection
+from fennelcove.node.server_connection import set_receive_timeout
+
 from tests.noderig import SETTINGS, WAIT_S, Caller, NodeRig, StandInServer, eventually, notice
 
 
--- a/tests/coldfleet.py
+++ b/tests/coldfleet.py
@@ -21,6 +21,7 @@
     ServerState,
 )
 from fennelcove.placement import PlacementPolicy
+
 from tests.helpers import SECOND, Recorder
 from tests.noderig import SETTINGS
 
--- a/tests/generated.py
+++ b/tests/generated.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from fennelcove.api.described import Described
-from fennelcove.emulators.sockets import SocketPlayer
 from fennelcove.emulators.clients import Heard, Player
+from fennelcove.emulators.sockets import SocketPlayer
 
 
 class Undescribed(AssertionError):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,20 +6,20 @@
 from typing import Any
 
 from fennelcove.interface import (
-    Effect,
     AttemptCompleted,
+    Effect,
     ListEntry,
     ListMode,
     ListUpdate,
-    SessionReport,
-    ReportKind,
     Outcome,
+    ReportKind,
     Request,
-    ServiceClass,
     Scope,
-    Settings,
     ServerState,
+    ServiceClass,
+    SessionReport,
     SessionStarted,
+    Settings,
 )
 from fennelcove.placement import PlacementPolicy
 
--- a/tests/nodeprocess.py
+++ b/tests/nodeprocess.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from fennelcove.rtsp import writer
+
 from tests.noderig import SETTINGS, Caller, NodeRig, StandInServer, eventually
 
 # The longest client timeout sets how long a node stays after SIGTERM: a short one, for a short test.
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -9,20 +9,20 @@
 from typing import Any
 
 import msgspec
-
 from fennelcove import log
 from fennelcove.clock import SystemClock
 from fennelcove.core.ports import CorePorts
-from fennelcove.http1.messages import CodecLimits, ResponseHead
-from fennelcove.http1.reader import Gatherer, Reader
 from fennelcove.daemon.front_daemon import FrontDaemon
-from fennelcove.settings.reader import parse
-from fennelcove.settings.schema import FrontSettings
-from fennelcove.emulators.media_server import StandInBox
+from fennelcove.emulators.clients import Heard, Player
 from fennelcove.emulators.endpoint_list_service import Known, StandInLists
+from fennelcove.emulators.media_server import StandInBox
 from fennelcove.emulators.model import BoxModel, RackModel
 from fennelcove.emulators.recorder import Record, Recorder
-from fennelcove.emulators.clients import Heard, Player
+from fennelcove.http1.messages import CodecLimits, ResponseHead
+from fennelcove.http1.reader import Gatherer, Reader
+from fennelcove.settings.reader import parse
+from fennelcove.settings.schema import FrontSettings
+
 from tests.helpers import Recorder as EffectRecorder
 
 LONGEST_S = 20.0
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -12,18 +12,18 @@
 
 import msgspec
 from click.testing import CliRunner
-from openapi_spec_validator import validate
-
 from fennelcove.api import asyncapi, openapi
 from fennelcove.api.described import KNOWN, Described
 from fennelcove.api.diff import Comparison, stepped
 from fennelcove.cli.main import main
+from fennelcove.emulators.sockets import SocketPlayer
 from fennelcove.ingress.routes import LINES
 from fennelcove.ingress.websocket_routes import HANDLERS
 from fennelcove.settings.schema import Author, MediaSettings, StitchSettings, Title
-from fennelcove.emulators.sockets import SocketPlayer
 from fennelcove.wire import sessions
 from fennelcove.wire import socket as wire
+from openapi_spec_validator import validate
+
 from tests.generated import GeneratedHttp, GeneratedSocket, Undescribed
 from tests.rig import WholePath
 from tests.test_lessons import hashed
@@ -35,8 +35,8 @@
 class KeptTest(unittest.TestCase):
     def test_the_files_are_what_the_code_says(self) -> None:
         cure = "the interface changed: fennelcove api openapi --out docs/api/openapi.json, asyncapi alike"
-        self.assertEqual((KEPT / "openapi.json").read_text(), openapi.text(LINES), cure)
-        self.assertEqual((KEPT / "asyncapi.json").read_text(), asyncapi.text(), cure)
+        assert (KEPT / "openapi.json").read_text() == openapi.text(LINES), cure
+        assert (KEPT / "asyncapi.json").read_text() == asyncapi.text(), cure
 
     def test_a_validator_that_is_not_ours_takes_them(self) -> None:
         validate(openapi.document(LINES))
@@ -50,7 +50,7 @@
             for schema in document["components"]["schemas"].values():
                 for node in nodes(schema):
                     if "type" in node and isinstance(node["type"], str | list):
-                        self.assertLessEqual(node.keys(), KNOWN)
+                        assert node.keys() <= KNOWN
 
     def test_a_field_renamed_in_the_code_fails_the_build(self) -> None:
         renamed = msgspec.defstruct(
@@ -68,27 +68,27 @@
         )
         told = msgspec.to_builtins(renamed(subscription="x", number=1, rung_now=1, top_rung=1, rate_kb=1.0))
         amiss = Described(json.loads((KEPT / "asyncapi.json").read_text())).message(told)
-        self.assertEqual(len(amiss), 2)  # one missing, one not described
+        assert len(amiss) == 2  # one missing, one not described
         _, schemas = msgspec.json.schema_components([renamed])
         kept = json.loads((KEPT / "asyncapi.json").read_text())["components"]["schemas"]["RungChanged"]
-        self.assertNotEqual(schemas["RungChanged"]["properties"].keys(), kept["properties"].keys())
+        assert schemas["RungChanged"]["properties"].keys() != kept["properties"].keys()
 
     def test_an_event_that_no_description_mentions_fails_the_build(self) -> None:
         described = Described(asyncapi.document())
-        self.assertTrue(described.message({"type": "surprise", "subscription": "x"}))
+        assert described.message({"type": "surprise", "subscription": "x"})
         document = asyncapi.document()
         document["operations"]["news"]["messages"] = [
             item for item in document["operations"]["news"]["messages"] if not item["$ref"].endswith("/moved")
         ]
         moved = {"type": "moved", "subscription": "x", "number": 1, "box": "b", "rung": 1, "rate_kb": 1.0}
-        self.assertEqual(described.message(moved), [])
-        self.assertTrue(Described(document).message(moved))
+        assert described.message(moved) == []
+        assert Described(document).message(moved)
 
     def test_tables_and_messages_are_the_same_sets(self) -> None:
-        self.assertEqual(set(HANDLERS), set(wire.ANSWERS))
-        self.assertEqual(set(HANDLERS), set(asyncapi.asked()))
+        assert set(HANDLERS) == set(wire.ANSWERS)
+        assert set(HANDLERS) == set(asyncapi.asked())
         answered = {kind for kinds in wire.ANSWERS.values() for kind in kinds}
-        self.assertEqual(answered | set(wire.NEWS), set(asyncapi.told()))
+        assert answered | set(wire.NEWS) == set(asyncapi.told())
         with self.assertRaises(ValueError):
             openapi.document(LINES[1:])
 
@@ -101,7 +101,7 @@
             for kind in response["description"].split(",")
         }
         general = {"unknown-path", "wrong-method", "not-yours"}  # of no operation
-        self.assertEqual(set(sessions.KINDS) - described, general)
+        assert set(sessions.KINDS) - described == general
 
 
 def nodes(tree: Any) -> Any:
@@ -164,14 +164,14 @@
             given = values | {"id": "c1"} if name == "submitChange" else values
             heard = client.call(name, given, key if "hange" in name else [])
             statuses.setdefault(name, []).append(heard.status)
-        self.assertEqual(set(client.operations), {*order, "setUp"})
-        self.assertEqual(statuses["submitChange"], [201, 200])
-        self.assertEqual(statuses["release"], [204, 410])
-        self.assertEqual(statuses["segment"], [307])
+        assert set(client.operations) == {*order, "setUp"}
+        assert statuses["submitChange"] == [201, 200]
+        assert statuses["release"] == [204, 410]
+        assert statuses["segment"] == [307]
         for amiss, status in (({"title": "none"}, 404), ({"room_type": "none"}, 422)):
-            self.assertEqual(client.call("setUp", values | amiss).status, status)
-        self.assertEqual(client.call("withdrawChange", values | {"change": "none"}, key).status, 404)
-        self.assertEqual(client.call("listChanges", values).status, 401)
+            assert client.call("setUp", values | amiss).status == status
+        assert client.call("withdrawChange", values | {"change": "none"}, key).status == 404
+        assert client.call("listChanges", values).status == 401
 
     def test_every_request_of_the_socket_door_by_its_description(self) -> None:
         document = json.loads(self.get("/v1/asyncapi.json").text)
@@ -185,19 +185,16 @@
             for name, operation in document["operations"].items()
             if "reply" in operation and name not in ("on-set-up", "on-release")
         }
-        self.assertEqual(
-            seen,
-            {
-                "on-hello": "fault",
-                "on-renew": "fault",
-                "on-resume": "resumed",
-                "on-set-top": "state",
-                "on-renew-seat": "fault",
-            },
-        )
+        assert seen == {
+            "on-hello": "fault",
+            "on-renew": "fault",
+            "on-resume": "resumed",
+            "on-set-top": "state",
+            "on-renew-seat": "fault",
+        }
         with self.front.core.lock:
             self.front.core.effects.set_rung(values["subscription"], 0)
-        self.assertEqual(client.call("on-release", values)["type"], "released")
+        assert client.call("on-release", values)["type"] == "released"
 
     def test_a_front_that_says_more_than_its_description_is_caught(self) -> None:
         document = json.loads(self.get("/v1/openapi.json").text)
@@ -218,8 +215,8 @@
         return [item.breaks for item in Comparison(old, new).run()]
 
     def test_nothing_changed(self) -> None:
-        self.assertEqual(self.differ(self.http(), self.http()), [])
-        self.assertEqual(self.differ(asyncapi.document(), asyncapi.document()), [])
+        assert self.differ(self.http(), self.http()) == []
+        assert self.differ(asyncapi.document(), asyncapi.document()) == []
 
     def test_changes_of_the_http_door(self) -> None:
         def schema(document: Document, name: str) -> Document:
@@ -278,9 +275,9 @@
                 new = self.http()
                 change(new)
                 found = self.differ(self.http(), new)
-                self.assertEqual((any(found), bool(found)), (breaks, True))
+                assert (any(found), bool(found)) == (breaks, True)
                 back = self.differ(new, self.http())
-                self.assertTrue(back, "seen in the other direction as well")
+                assert back, "seen in the other direction as well"
 
     def test_changes_of_the_socket_door(self) -> None:
         def without(document: Document, operation: str, name: str, reply: bool = False) -> None:
@@ -305,13 +302,14 @@
                 new = copy.deepcopy(asyncapi.document())
                 change(new)
                 found = self.differ(asyncapi.document(), new)
-                self.assertEqual((any(found), bool(found)), (breaks, True))
+                assert (any(found), bool(found)) == (breaks, True)
 
     def test_the_command_asks_for_a_version_step(self) -> None:
-        self.assertEqual(
-            [stepped(*pair) for pair in (("1.0.0", "2.0.0"), ("1.0.0", "1.1.0"), ("0.1.0", "0.2.0"))],
-            [True, False, True],
-        )
+        assert [stepped(*pair) for pair in (("1.0.0", "2.0.0"), ("1.0.0", "1.1.0"), ("0.1.0", "0.2.0"))] == [
+            True,
+            False,
+            True,
+        ]
         new = self.http()
         new["components"]["schemas"]["Playing"]["properties"].pop("box")
         with tempfile.TemporaryDirectory() as folder:
@@ -319,15 +317,15 @@
             one.write_text(openapi.text(LINES))
             two.write_text(json.dumps(new))
             run = CliRunner().invoke(main, ["api", "diff", str(one), str(two)])
-            self.assertEqual(run.exit_code, 1)
-            self.assertIn("breaking: ", run.output)
+            assert run.exit_code == 1
+            assert "breaking: " in run.output
             new["info"]["version"] = "2.0.0"
             two.write_text(json.dumps(new))
-            self.assertEqual(CliRunner().invoke(main, ["api", "diff", str(one), str(two)]).exit_code, 0)
+            assert CliRunner().invoke(main, ["api", "diff", str(one), str(two)]).exit_code == 0
             two.write_text(asyncapi.text())
-            self.assertEqual(CliRunner().invoke(main, ["api", "diff", str(one), str(two)]).exit_code, 2)
+            assert CliRunner().invoke(main, ["api", "diff", str(one), str(two)]).exit_code == 2
             two.write_text("{")
-            self.assertEqual(CliRunner().invoke(main, ["api", "diff", str(one), str(two)]).exit_code, 2)
+            assert CliRunner().invoke(main, ["api", "diff", str(one), str(two)]).exit_code == 2
 
 
 if __name__ == "__main__":
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -4,18 +4,18 @@
 
 import unittest
 
-from hypothesis import given, settings
-from hypothesis import strategies as st
-
 from fennelcove.clock import SystemClock
+from fennelcove.daemon.background import Background
 from fennelcove.decisions.recovery.background_scheduler import (
     MAX_DEBT_US,
     MAX_SAVED_US,
-    TaskPriority,
     BackgroundScheduler,
     BackgroundTask,
+    TaskPriority,
 )
-from fennelcove.daemon.background import Background
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from tests.rig import wait_for
 
 MS = 1000
@@ -47,8 +47,8 @@
         viewers = BackgroundTask("v", TaskPriority.CLIENT_FACING, 100 * MS, 100 * MS)
         house = BackgroundTask("h", TaskPriority.HOUSEKEEPING, 100 * MS, 50 * MS)
         schedule = self.made(house, viewers)
-        self.assertIs(schedule.next_task(0).task, viewers)
-        self.assertIs(schedule.next_task(60 * MS).task, house)
+        assert schedule.next_task(0).task is viewers
+        assert schedule.next_task(60 * MS).task is house
 
     @given(
         st.lists(
@@ -74,21 +74,21 @@
         passed, taken = played(schedule, costs, 20_000 * MS)
         longest = sum(costs.values())
         for task in tasks:
-            self.assertGreater(task.run_count, 0)
+            assert task.run_count > 0
             # Past its deadline it goes before all that are not; only others as late can be before it.
-            self.assertLessEqual(task.max_lateness_us, task.max_delay_us + longest)
-        self.assertGreaterEqual(schedule.budget_us, -MAX_DEBT_US)
+            assert task.max_lateness_us <= task.max_delay_us + longest
+        assert schedule.budget_us >= -MAX_DEBT_US
         if not any(task.max_lateness_us >= task.max_delay_us for task in tasks):
-            self.assertLessEqual(taken, schedule.time_share * passed + MAX_SAVED_US + longest)
+            assert taken <= schedule.time_share * passed + MAX_SAVED_US + longest
 
     def test_a_dear_task_waits_for_its_budget_and_a_cheap_one_does_not(self) -> None:
         dear = BackgroundTask("dear", TaskPriority.CLIENT_FACING, 100 * MS, 10_000 * MS)
         cheap = BackgroundTask("cheap", TaskPriority.HOUSEKEEPING, 100 * MS, 10_000 * MS)
         schedule = self.made(dear, cheap)
         passed, taken = played(schedule, {"dear": 40 * MS, "cheap": MS // 10}, 30_000 * MS)
-        self.assertLess(taken / passed, 0.12)
-        self.assertGreater(cheap.run_count, 2 * dear.run_count)
-        self.assertGreater(dear.skipped_count, 0)
+        assert taken / passed < 0.12
+        assert cheap.run_count > 2 * dear.run_count
+        assert dear.skipped_count > 0
 
     def test_one_that_hung_once_does_not_stop_the_rest_for_long(self) -> None:
         hung, other = (
@@ -98,9 +98,9 @@
         schedule = self.made(hung, other)
         schedule.on_run_completed(hung, 0, 60_000 * MS)
         now_us = 60_000 * MS
-        self.assertIs(schedule.next_task(now_us).task, other)
+        assert schedule.next_task(now_us).task is other
         schedule.on_run_completed(other, now_us, now_us + MS)
-        self.assertLess(schedule.next_task(now_us + 2 * MS).wait_us, 1000 * MS)
+        assert schedule.next_task(now_us + 2 * MS).wait_us < 1000 * MS
 
 
 class BackgroundTest(unittest.TestCase):
@@ -116,9 +116,9 @@
         background.start()
         wait_for(lambda: len(runs) > 3 and len(told) > 3, "both")
         background.stop()
-        self.assertEqual(set(told), {"bad"})
-        self.assertFalse(background.thread.is_alive())
-        self.assertEqual(set(background.status()), {"bad", "good"})
+        assert set(told) == {"bad"}
+        assert not background.thread.is_alive()
+        assert set(background.status()) == {"bad", "good"}
 
 
 if __name__ == "__main__":
--- a/tests/test_between.py
+++ b/tests/test_between.py
@@ -5,17 +5,13 @@
 import socket
 import threading
 import unittest
-from unittest.mock import Mock
 from contextlib import suppress
 from random import Random
+from unittest.mock import Mock
 
 import msgspec
-
-from fennelcove.scenarios.fronts import DayFailed, FrontProcess
 from fennelcove.clock import SystemClock
-from fennelcove.scenarios.checker import judge
-from fennelcove.scenarios.player import terms
-from fennelcove.scenarios.script import read
+from fennelcove.emulators.clients import Player
 from fennelcove.emulators.fault_proxy import faults
 from fennelcove.emulators.fault_proxy.faults import Fault, How
 from fennelcove.emulators.fault_proxy.gauge import Gauge
@@ -23,8 +19,12 @@
 from fennelcove.emulators.media_server import StandInBox
 from fennelcove.emulators.model import BoxModel, RackModel
 from fennelcove.emulators.recorder import Recorder
-from fennelcove.emulators.clients import Player
+from fennelcove.scenarios.checker import judge
+from fennelcove.scenarios.fronts import DayFailed, FrontProcess
+from fennelcove.scenarios.player import terms
+from fennelcove.scenarios.script import read
 from fennelcove.wire.boxes import JoinOrder, join_path
+
 from tests.rig import wait_for
 
 FRONT = frozenset({"fronts", "front-0", "hall-a"})
@@ -40,25 +40,25 @@
             ("hall-b", "hall-a", False),
             ("front-1", "boxes", False),
         ):
-            self.assertIs(Fault(sender, taker, How.SILENT).hits(FRONT, BOX), hit, (sender, taker))
+            assert Fault(sender, taker, How.SILENT).hits(FRONT, BOX) is hit, (sender, taker)
 
     def test_datagrams_are_lost_doubled_and_late_by_share(self) -> None:
         chance = Random(3).random
         lose = [faults.datagram([Fault("all", "all", How.LOSE, share=0.5)], chance) for _ in range(400)]
-        self.assertTrue(120 < sum(not copies for copies in lose) < 280)
+        assert 120 < sum(not copies for copies in lose) < 280
         double = [faults.datagram([Fault("all", "all", How.DOUBLE, 20, 0.5)], chance) for _ in range(400)]
-        self.assertTrue(120 < sum(len(copies) == 2 for copies in double) < 280)
+        assert 120 < sum(len(copies) == 2 for copies in double) < 280
         late = [faults.datagram([Fault("all", "all", How.REORDER, 50, 1.0)], chance)[0] for _ in range(50)]
-        self.assertTrue(all(0 <= at <= 50_000 for at in late))
-        self.assertGreater(len(set(late)), 10)
-        self.assertEqual(faults.datagram([Fault("all", "all", How.SILENT)], chance), [])
-        self.assertEqual(faults.datagram([], chance), [0])
+        assert all(0 <= at <= 50000 for at in late)
+        assert len(set(late)) > 10
+        assert faults.datagram([Fault("all", "all", How.SILENT)], chance) == []
+        assert faults.datagram([], chance) == [0]
 
     def test_the_least_of_two_paces_holds_and_delays_add_up(self) -> None:
         both = [Fault("all", "all", How.THROTTLE, 50), Fault("all", "all", How.THROTTLE, 20)]
-        self.assertEqual(faults.pace_kb(both), 20)
+        assert faults.pace_kb(both) == 20
         late = [Fault("all", "all", How.DELAY, 10), Fault("all", "all", How.DELAY, 20)]
-        self.assertEqual(faults.late_us(late, lambda: 0.0), 30_000)
+        assert faults.late_us(late, lambda: 0.0) == 30000
 
 
 class Echo:
@@ -125,8 +125,8 @@
         found = b""
         while len(found) < len(big):
             found += sock.recv(65_536)
-        self.assertEqual(found, big)
-        self.assertEqual(self.relays.told(), {"connections fronts boxes": 1})
+        assert found == big
+        assert self.relays.told() == {"connections fronts boxes": 1}
 
     def test_an_end_passes_and_so_does_what_was_sent_before_it(self) -> None:
         sock = self.dial()
@@ -135,11 +135,11 @@
         found = b""
         while part := sock.recv(100):
             found += part
-        self.assertEqual(found, b"last words")
+        assert found == b"last words"
 
     def test_a_silent_cut_holds_bytes_until_it_heals(self) -> None:
         sock = self.dial()
-        self.assertEqual(self.said(sock), b"hello")
+        assert self.said(sock) == b"hello"
         self.relays.set(Fault("hall-a", "hall-b", How.SILENT))
         sock.sendall(b"into the dark")
         sock.settimeout(0.2)
@@ -147,7 +147,7 @@
             sock.recv(100)
         self.relays.set()
         sock.settimeout(10)
-        self.assertEqual(sock.recv(100), b"into the dark")
+        assert sock.recv(100) == b"into the dark"
 
     def test_what_was_dialled_across_a_cut_and_given_up_never_arrives(self) -> None:
         # Guards against joins of a whole cut at boxes in the moment it heals, long given up by their fronts:
@@ -160,9 +160,9 @@
         gave_up.close()
         self.relays.set()
         waits.settimeout(10)
-        self.assertEqual(waits.recv(100), b"into the dark")
-        self.assertEqual(self.said(self.dial()), b"hello")  # whatever was to come over has come
-        self.assertEqual(self.echo.heard, [b"into the dark", b"hello"])
+        assert waits.recv(100) == b"into the dark"
+        assert self.said(self.dial()) == b"hello"  # whatever was to come over has come
+        assert self.echo.heard == [b"into the dark", b"hello"]
 
     def test_a_reset_ends_what_is_open_and_what_is_new_until_it_heals(self) -> None:
         sock = self.dial()
@@ -177,7 +177,7 @@
             if not self.said(self.dial()):
                 raise ConnectionError
         self.relays.set()
-        self.assertEqual(self.said(self.dial()), b"hello")
+        assert self.said(self.dial()) == b"hello"
 
     def test_a_cut_breaks_off_in_the_middle_of_a_message(self) -> None:
         sock = self.dial()
@@ -185,14 +185,14 @@
         found = b""
         with suppress(ConnectionError):
             found = self.said(sock, b"0123456789")
-        self.assertIn(found, (b"", b"01234"))
+        assert found in (b"", b"01234")
 
     def test_what_is_behind_a_shut_door_is_refused(self) -> None:
         self.relays.shut(self.door)
         with self.assertRaises(ConnectionRefusedError):
             self.dial()
         self.relays.open(self.door)
-        self.assertEqual(self.said(self.dial()), b"hello")
+        assert self.said(self.dial()) == b"hello"
 
     def test_all_that_wait_at_a_door_are_let_in_at_one_turn(self) -> None:
         # Guards against a queue at the relays' doors that passes for slow fronts.
@@ -201,12 +201,12 @@
         host, _, port = door.rpartition(":")
         socks = [socket.create_connection((host, int(port)), 10) for _ in range(20)]
         relays._accept(relays.doors[door])
-        self.assertEqual(relays.told(), {"connections viewers boxes": 20})
+        assert relays.told() == {"connections viewers boxes": 20}
         relays.start()
         self.addCleanup(relays.stop)
         for sock in socks:
             self.addCleanup(sock.close)
-            self.assertEqual(self.said(sock), b"hello")
+            assert self.said(sock) == b"hello"
 
     def test_the_rig_is_measured_beside_the_fronts(self) -> None:
         # Guards against a full machine that passes for late fronts, and against a gauge that sees nothing.
@@ -217,13 +217,13 @@
         gauge.start()
         self.addCleanup(gauge.stop)
         wait_for(lambda: recorder.count("rig_late") > 1, "two late ones")
-        self.assertGreaterEqual(min(record["ms"] for record in recorder.records), 300)
+        assert min(record["ms"] for record in recorder.records) >= 300
         self.relays.set()
         asked = gauge.asked
         wait_for(lambda: gauge.asked > asked + 2, "others in time")
         verdict = judge([terms(read("power-short")) | {"t_us": 0, "what": "terms"}, *recorder.records])
-        self.assertGreaterEqual(verdict.rig_late_ms, 300)
-        self.assertGreaterEqual(verdict.rig_late_s, 0.6)
+        assert verdict.rig_late_ms >= 300
+        assert verdict.rig_late_s >= 0.6
 
     def test_datagrams_come_from_who_sent_them_as_the_taker_knows_it(self) -> None:
         socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(2)]
@@ -236,14 +236,14 @@
         host, _, port = known[0][1].rpartition(":")
         socks[0].sendto(b"beat", (host, int(port)))
         raw, source = socks[1].recvfrom(100)
-        self.assertEqual((raw, "{}:{}".format(*source)), (b"beat", known[1][0]))
+        assert (raw, "{}:{}".format(*source)) == (b"beat", known[1][0])
         self.relays.set(Fault("front-0", "all", How.LOSE))
         socks[0].sendto(b"lost", (host, int(port)))
         count = "datagrams fronts boxes"
         wait_for(lambda: self.relays.told().get(count) == 2, "the second datagram")
         self.relays.set()
         socks[0].sendto(b"again", (host, int(port)))
-        self.assertEqual(socks[1].recv(100), b"again")
+        assert socks[1].recv(100) == b"again"
 
 
 class BoxTest(unittest.TestCase):
@@ -262,8 +262,8 @@
         for method, join, status in asked:
             body = msgspec.json.encode(order) if method == "PUT" else b""
             heard = player.ask(method, join_path("s", join), [], body, 10)
-            self.assertEqual(heard.status, status, (method, join))
-            self.assertEqual(list(model.playing), [("s", 1)] if status == 201 else [])
+            assert heard.status == status, (method, join)
+            assert list(model.playing) == ([("s", 1)] if status == 201 else [])
 
 
 class StruckTest(unittest.TestCase):
@@ -272,7 +272,7 @@
         front = object.__new__(FrontProcess)
         front.process, front.struck, front.name = Mock(returncode=-9), True, "front-1"
         front.log = Mock(read_text=lambda *_: "")
-        self.assertFalse(front.up())
+        assert not front.up()
         front.struck = False
         with self.assertRaises(DayFailed):
             front.up()
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -9,11 +9,14 @@
 from itertools import pairwise
 from random import Random
 
-from hypothesis import given, settings
-from hypothesis import strategies as st
-
 from fennelcove import messages
-from fennelcove.decisions.fleet import shared_quotas, health_checks
+from fennelcove.decisions.fleet import health_checks, shared_quotas
+from fennelcove.decisions.fleet.health_checks import (
+    HealthCheckAssignment,
+    HealthReport,
+    ProbeResult,
+    chosen_checkers,
+)
 from fennelcove.decisions.fleet.shared_quotas import (
     BorrowedQuota,
     Quota,
@@ -21,12 +24,8 @@
     QuotaTransfer,
     Resource,
 )
-from fennelcove.decisions.fleet.health_checks import (
-    ProbeResult,
-    HealthCheckAssignment,
-    HealthReport,
-    chosen_checkers,
-)
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 STEP_US = shared_quotas.LOAN_US // 2
 WHOLE = 6.0
@@ -180,13 +179,13 @@
 class SearchTest(unittest.TestCase):
     def test_in_no_small_world_do_rates_add_up_to_more_than_the_whole(self) -> None:
         worlds, largest = search(Quota, 2000)
-        self.assertGreaterEqual(worlds, 2000)
-        self.assertLessEqual(largest, WHOLE + 1e-9)
+        assert worlds >= 2000
+        assert largest <= WHOLE + 1e-09
 
     def test_planted_faults_are_found(self) -> None:
         for fault in (FromReceipt, Unwary, TakesBack):
             with self.subTest(fault.__name__):
-                self.assertGreater(search(fault, 6000)[1], WHOLE + 1e-9)
+                assert search(fault, 6000)[1] > WHOLE + 1e-09
 
 
 class PurseTest(unittest.TestCase):
@@ -218,7 +217,7 @@
         saved = max(4.0, shared_quotas.BURST_S * WHOLE)
         for at, from_us in enumerate(spent):
             within = [time for time in spent[at:] if time < from_us + 1_000_000]
-            self.assertLessEqual(len(within), WHOLE + saved + births)
+            assert len(within) <= WHOLE + saved + births
 
     def test_the_idle_lend_to_the_busy(self) -> None:
         world = World(size=3)
@@ -231,9 +230,9 @@
         world.air = [(0, to, said) for to, said in busy.next_requests(0.0, world.now_us)]
         while world.air:
             world.deliver(0, keep=False)
-        self.assertGreater(busy.rate(world.now_us), 2 * busy.equal_share)
+        assert busy.rate(world.now_us) > 2 * busy.equal_share
         self.assertAlmostEqual(world.whole(), WHOLE)
-        self.assertEqual(busy.wait_us(world.now_us), 0)
+        assert busy.wait_us(world.now_us) == 0
 
     def test_asks_and_loans_survive_their_bytes_and_cut_ones_are_refused(self) -> None:
         for said in (
@@ -241,27 +240,27 @@
             QuotaTransfer(1 << 41, 9, Resource.LIST_CALL, 0.125),
         ):
             raw = messages.encode_quota_message(said)
-            self.assertEqual(messages.decode_quota_message(raw), said)
+            assert messages.decode_quota_message(raw) == said
             for cut in range(len(raw)):
-                self.assertIsNone(messages.decode_quota_message(raw[:cut]))
+                assert messages.decode_quota_message(raw[:cut]) is None
 
 
 class WatchersTest(unittest.TestCase):
     def test_only_the_chosen_probe_and_the_next_takes_over(self) -> None:
         everyone = range(8)
         first = chosen_checkers("box", everyone)
-        self.assertEqual(len(first), health_checks.CHECKERS_PER_SERVER)
+        assert len(first) == health_checks.CHECKERS_PER_SERVER
         rest = [front for front in everyone if front != first[0]]
         after = chosen_checkers("box", rest)
-        self.assertEqual(after[:2], first[1:])
+        assert after[:2] == first[1:]
         book = HealthCheckAssignment(after[2], 8)
-        self.assertEqual(book.due_probes(["box"], everyone, 0.0, 1), [])
-        self.assertEqual(book.due_probes(["box"], rest, 0.0, 1), ["box"])
+        assert book.due_probes(["box"], everyone, 0.0, 1) == []
+        assert book.due_probes(["box"], rest, 0.0, 1) == ["box"]
 
     def test_names_of_fronts_change_nothing_but_who_watches(self) -> None:
         for names in (range(5), range(20, 25), (3, 1, 4, 15, 9)):
-            self.assertEqual(len(set(chosen_checkers("box", names))), health_checks.CHECKERS_PER_SERVER)
-            self.assertEqual(chosen_checkers("box", names), chosen_checkers("box", reversed(list(names))))
+            assert len(set(chosen_checkers("box", names))) == health_checks.CHECKERS_PER_SERVER
+            assert chosen_checkers("box", names) == chosen_checkers("box", reversed(list(names)))
 
     def test_one_bad_path_shuts_a_box_for_nobody_else_and_two_words_do(self) -> None:
         everyone = range(6)
@@ -270,13 +269,13 @@
         book = HealthCheckAssignment(other, 6)
         book.on_report(one, "box", True, 1, 0)
         book.on_report(other, "box", True, 1, 0)  # its own voice from outside is nobody's
-        self.assertFalse(book.is_down("box", everyone, 0))
+        assert not book.is_down("box", everyone, 0)
         book.on_report(two, "box", True, 1, 0)
-        self.assertTrue(book.is_down("box", everyone, 0))
-        self.assertFalse(book.is_down("box", everyone, health_checks.REPORT_LIFETIME_US + 1))
+        assert book.is_down("box", everyone, 0)
+        assert not book.is_down("box", everyone, health_checks.REPORT_LIFETIME_US + 1)
         book.on_report(two, "box", False, 2, 0)
         book.on_report(two, "box", True, 1, 0)  # late
-        self.assertFalse(book.is_down("box", everyone, 0))
+        assert not book.is_down("box", everyone, 0)
 
     def test_a_probe_that_fails_is_repeated_soon_and_a_dead_box_is_asked_ever_more_seldom(self) -> None:
         book, now, asked = HealthCheckAssignment(0, 1), 1, []
@@ -287,10 +286,10 @@
                 asked.append(now)
                 book.on_probe_completed("box", ProbeResult.FAILED, now)
         gaps = [b - a for a, b in pairwise(asked)]
-        self.assertLess(gaps[0], health_checks.HEALTHY_PROBE_INTERVAL_US)
-        self.assertEqual(gaps[-1], health_checks.MAX_PROBE_INTERVAL_US)
-        self.assertEqual(gaps, sorted(gaps))
-        self.assertTrue(book.is_down("box", (0,), asked[-1]))
+        assert gaps[0] < health_checks.HEALTHY_PROBE_INTERVAL_US
+        assert gaps[-1] == health_checks.MAX_PROBE_INTERVAL_US
+        assert gaps == sorted(gaps)
+        assert book.is_down("box", (0,), asked[-1])
 
     def test_a_dead_box_stays_gone_for_others_between_two_probes(self) -> None:
         # A word that ended before its watcher's next probe made the fleet join there again each time.
@@ -310,31 +309,30 @@
             gone.append(hearer.is_down("box", everyone, now))
             now += 100_000
         first = gone.index(True)
-        self.assertLess(first, 60)
-        self.assertTrue(all(gone[first:]))
+        assert first < 60
+        assert all(gone[first:])
 
     def test_a_failed_join_brings_the_next_probe_forward_and_many_bring_no_more(self) -> None:
         # Calm probes are seconds apart: most fronts had tried a box that stood still before it was found out.
         book, now = HealthCheckAssignment(0, 1), 1
-        self.assertEqual(book.due_probes(["box"], (0,), 0.0, now), ["box"])
+        assert book.due_probes(["box"], (0,), 0.0, now) == ["box"]
         book.on_probe_completed("box", ProbeResult.ANSWERED, now)
         now += health_checks.SUSPECT_PROBE_INTERVAL_US
         word = book.on_attempt_failed("box", now)
         assert word is not None
-        self.assertEqual(
-            word,
-            HealthReport(health_checks.hash_address("box"), health_checks.HealthVerdict.ATTEMPT_FAILED, 1),
+        assert word == HealthReport(
+            health_checks.hash_address("box"), health_checks.HealthVerdict.ATTEMPT_FAILED, 1
         )
-        self.assertEqual(messages.decode_health_report(messages.encode_health_report(word)), word)
-        self.assertIsNone(book.on_attempt_failed("box", now + 1))
-        self.assertEqual(book.due_probes(["box"], (0,), 0.0, now), ["box"])
+        assert messages.decode_health_report(messages.encode_health_report(word)) == word
+        assert book.on_attempt_failed("box", now + 1) is None
+        assert book.due_probes(["box"], (0,), 0.0, now) == ["box"]
         for _ in range(100):
             book.on_probe_requested("box", now)
-            self.assertEqual(
-                book.due_probes(["box"], (0,), 0.0, now + health_checks.SUSPECT_PROBE_INTERVAL_US - 1), []
+            assert (
+                book.due_probes(["box"], (0,), 0.0, now + health_checks.SUSPECT_PROBE_INTERVAL_US - 1) == []
             )
         book.on_probe_completed("box", ProbeResult.FAILED, now)
-        self.assertIsNone(book.report("box", now))
+        assert book.report("box", now) is None
 
     def test_what_served_this_front_just_now_is_not_gone_for_it(self) -> None:
         everyone = range(5)
@@ -342,10 +340,10 @@
         book = HealthCheckAssignment(other, 5)
         for front in chosen_checkers("box", everyone):
             book.on_report(front, "box", True, 1, 0)
-        self.assertTrue(book.is_down("box", everyone, 0))
+        assert book.is_down("box", everyone, 0)
         book.on_attempt_served("box", 0)
-        self.assertFalse(book.is_down("box", everyone, health_checks.RECENTLY_SERVED_US))
-        self.assertTrue(book.is_down("box", everyone, health_checks.RECENTLY_SERVED_US + 1))
+        assert not book.is_down("box", everyone, health_checks.RECENTLY_SERVED_US)
+        assert book.is_down("box", everyone, health_checks.RECENTLY_SERVED_US + 1)
 
     def test_a_box_that_is_well_again_is_told_for_as_long_as_an_ill_word_may_stand(self) -> None:
         # A single word that it is well may be lost, and the ill one before it stood on.
@@ -353,18 +351,18 @@
         for _ in range(2):
             book.due_probes(["box"], (0,), 0.0, now)
             book.on_probe_completed("box", ProbeResult.FAILED, now)
-        self.assertIsNotNone(book.report("box", now))
+        assert book.report("box", now) is not None
         book.on_probe_completed("box", ProbeResult.ANSWERED, now)
         for after in (1, health_checks.REPORT_LIFETIME_US - 1):
             said = book.report("box", now + after)
-            self.assertIs(said.verdict if said else None, health_checks.HealthVerdict.HEALTHY)
-        self.assertIsNone(book.report("box", now + health_checks.REPORT_LIFETIME_US))
+            assert (said.verdict if said else None) is health_checks.HealthVerdict.HEALTHY
+        assert book.report("box", now + health_checks.REPORT_LIFETIME_US) is None
 
     def test_words_that_were_altered_are_refused(self) -> None:
         raw = messages.encode_health_report(HealthReport(7, health_checks.HealthVerdict.UNHEALTHY, 1 << 60))
-        self.assertIsNone(messages.decode_health_report(raw[:-1]))
-        self.assertIsNone(messages.decode_health_report(raw[:5] + b"\x09" + raw[6:]))
-        self.assertIsNone(messages.decode_health_report(b""))
+        assert messages.decode_health_report(raw[:-1]) is None
+        assert messages.decode_health_report(raw[:5] + b"\t" + raw[6:]) is None
+        assert messages.decode_health_report(b"") is None
 
     def test_with_all_watchers_dead_the_next_begin_within_a_look(self) -> None:
         everyone = set(range(7))
@@ -374,7 +372,7 @@
         begun = [
             front for front in living if HealthCheckAssignment(front, 7).due_probes(["box"], living, 0.0, now)
         ]
-        self.assertEqual(sorted(begun), sorted(chosen_checkers("box", living)))
+        assert sorted(begun) == sorted(chosen_checkers("box", living))
 
 
 if __name__ == "__main__":
--- a/tests/test_company.py
+++ b/tests/test_company.py
@@ -6,14 +6,14 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from hypothesis import given, settings
-from hypothesis import strategies as st
-
-from benchmarks.worlds import Hasty, Trusting
 from fennelcove import messages
 from fennelcove.decisions.fleet import membership
 from fennelcove.decisions.fleet.membership import Heartbeat, Membership, MembershipSettings
 from fennelcove.decisions.fleet.peer_states import PeerState
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from benchmarks.worlds import Hasty, Trusting
 
 BEAT = membership.HEARTBEAT_INTERVAL_US
 LONG = 2 * membership.LEASE_US
@@ -73,14 +73,14 @@
         world = World(5)
         world.begin()
         world.run(LONG)
-        self.assertEqual({member.allowed_share(world.now_us) for member in world.members.values()}, {1 / 5})
+        assert {member.allowed_share(world.now_us) for member in world.members.values()} == {1 / 5}
         for turn in range(50):
             mine = [
                 member.settings.index
                 for member in world.members.values()
                 if member.owns_turn(turn, world.now_us)
             ]
-            self.assertEqual(mine, [turn % 5])
+            assert mine == [turn % 5]
 
     def test_what_the_dead_leave_is_shared_by_a_majority_but_for_what_they_may_always_take(self) -> None:
         world = World(5)
@@ -98,7 +98,7 @@
             ]
             for turn in range(2000)
         ]
-        self.assertTrue(all(len(mine) <= 1 for mine in taken))
+        assert all(len(mine) <= 1 for mine in taken)
         # Two of five are gone and half of their turns are kept for them.
         self.assertAlmostEqual(sum(map(len, taken)) / 2000, 1 - 2 / 5 * 0.5, delta=0.03)
 
@@ -115,11 +115,11 @@
         cut = apart({0, 1, 2}, {3, 4, 5})
         for _ in range(40):
             world.step(cut)
-            self.assertLessEqual(world.whole(), 1 + 1e-9)
+            assert world.whole() <= 1 + 1e-09
         self.assertAlmostEqual(world.whole(), 0.5)
         for _ in range(40):
             world.step()
-            self.assertLessEqual(world.whole(), 1 + 1e-9)
+            assert world.whole() <= 1 + 1e-09
         self.assertAlmostEqual(world.whole(), 1.0)
 
     def test_one_that_was_stopped_believes_nothing_of_before(self) -> None:
@@ -130,8 +130,8 @@
         world.run(2 * LONG)
         # The moment it goes on, before it has heard anything.
         total = world.whole() + stopped.allowed_share(world.now_us)
-        self.assertLessEqual(total, 1 + 1e-9)
-        self.assertFalse(stopped.has_lease(world.now_us))
+        assert total <= 1 + 1e-09
+        assert not stopped.has_lease(world.now_us)
 
     def test_a_new_life_repeats_nothing_until_the_promises_of_the_last_have_lapsed(self) -> None:
         world = World(3)
@@ -140,9 +140,9 @@
         world.members[0] = world.new(0)
         world.step()
         beats = world.members[0].next_heartbeats(world.now_us)
-        self.assertEqual([beat.acknowledged_sequence for beat in beats.values()], [0, 0])
+        assert [beat.acknowledged_sequence for beat in beats.values()] == [0, 0]
         world.run(LONG)
-        self.assertTrue(all(member.has_lease(world.now_us) for member in world.members.values()))
+        assert all(member.has_lease(world.now_us) for member in world.members.values())
 
     def test_two_processes_under_one_index_are_seen_and_share_one_front_between_them(self) -> None:
         world = World(5)
@@ -152,9 +152,9 @@
         # Nobody knows of the second before it speaks: until the first one's lease is over, it comes on top.
         for tick in range(120):
             world.step()
-            self.assertLessEqual(world.whole(), 1 + (0.5 / 5 if tick * BEAT <= LONG else 0) + 1e-9)
+            assert world.whole() <= 1 + (0.5 / 5 if tick * BEAT <= LONG else 0) + 1e-09
         seen = world.members[0].peers[3].state
-        self.assertIs(seen, PeerState.DUPLICATE)
+        assert seen is PeerState.DUPLICATE
 
     def test_a_clock_that_went_back_does_not_make_a_new_life_an_old_one(self) -> None:
         world = World(3)
@@ -163,8 +163,8 @@
         world.run(LONG)
         world.members[1] = world.new(1, life=7)
         world.run(2 * LONG)
-        self.assertTrue(world.members[1].has_lease(world.now_us))
-        self.assertGreater(world.members[1].incarnation, 100)
+        assert world.members[1].has_lease(world.now_us)
+        assert world.members[1].incarnation > 100
 
     def test_a_farewell_is_believed_at_once_and_a_late_beat_behind_it_is_not(self) -> None:
         world = World(3)
@@ -173,9 +173,9 @@
         late = world.members[2].next_heartbeats(world.now_us)[0]
         world.members[2].is_leaving = True
         world.step()
-        self.assertIs(world.members[0].peers[2].state, PeerState.LEFT)
+        assert world.members[0].peers[2].state is PeerState.LEFT
         world.members[0].on_heartbeat(2, late, world.now_us)
-        self.assertIs(world.members[0].peers[2].state, PeerState.LEFT)
+        assert world.members[0].peers[2].state is PeerState.LEFT
 
     def test_one_that_comes_and_goes_has_to_be_steady_for_longer_each_time(self) -> None:
         waits = []
@@ -190,26 +190,26 @@
             while world.members[0].peers[2].state is not PeerState.ALIVE:
                 world.step()
             waits.append(world.now_us - since_us)
-        self.assertGreater(waits[-1], waits[0])
+        assert waits[-1] > waits[0]
 
     def test_a_beat_survives_its_bytes_and_altered_ones_are_refused_or_other_beats(self) -> None:
         beat = Heartbeat(1 << 40, 7, 1 << 41, 9, True, (3, 200))
         raw = messages.encode_heartbeat(beat)
-        self.assertEqual(messages.decode_heartbeat(raw), beat)
-        self.assertIsNone(messages.decode(0, raw))
+        assert messages.decode_heartbeat(raw) == beat
+        assert messages.decode(0, raw) is None
         for cut in range(len(raw)):
-            self.assertNotEqual(messages.decode_heartbeat(raw[:cut]), beat)
+            assert messages.decode_heartbeat(raw[:cut]) != beat
 
     @settings(max_examples=100, deadline=None)
     @given(st.integers(0, 1 << 30), st.integers(3, 6))
     def test_shares_never_add_up_to_more_than_the_whole(self, seed: int, size: int) -> None:
         """Loss, doubling, delay, cuts, crashes, returns, pauses: drawn from a seed."""
-        self.assertLessEqual(walk(seed, size, 160), 1 + 1e-9)
+        assert walk(seed, size, 160) <= 1 + 1e-09
 
     @settings(max_examples=40, deadline=None)
     @given(st.integers(0, 1 << 30), st.integers(3, 6))
     def test_no_turn_is_ever_two_fronts(self, seed: int, size: int) -> None:
-        self.assertLessEqual(walk(seed, size, 160, turns=True), 1)
+        assert walk(seed, size, 160, turns=True) <= 1
 
 
 def walk(seed: int, size: int, steps: int, kind: type[Membership] = Membership, turns: bool = False) -> float:
@@ -263,7 +263,7 @@
     def test_planted_faults_are_found(self) -> None:
         for fault in (Hasty, Trusting):
             found = any(walk(seed, 3, 160, fault) > 1 + 1e-9 for seed in range(300))
-            self.assertTrue(found, fault.__name__)
+            assert found, fault.__name__
 
 
 if __name__ == "__main__":
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -20,7 +20,6 @@
 import blake3
 import msgspec
 import pytest
-
 from fennelcove import limit_messages, messages, rollout_messages, usage_messages
 from fennelcove.concurrency_limits.persisted import StoredLimit
 from fennelcove.daemon import key_file
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -7,26 +7,27 @@
 
 from fennelcove import log
 from fennelcove.clock import ManualClock
+from fennelcove.clock.timers import Timers
 from fennelcove.core.core import Core
 from fennelcove.core.ports import CorePorts
-from fennelcove.core.session_ids import SessionIds
-from fennelcove.clock.timers import Timers
 from fennelcove.core.requests import (
     AttemptResult,
+    NextStep,
     ResponseKind,
-    SessionResponse,
-    SessionRequest,
     SendAttempt,
     Session,
-    NextStep,
+    SessionRequest,
+    SessionResponse,
 )
-from fennelcove.decisions.servers.load_signals import ServerHints, ClientHints
-from fennelcove.decisions.servers.endpoint_list import EndpointListUpdate
+from fennelcove.core.session_ids import SessionIds
 from fennelcove.decisions.clients.session_lifecycle import SessionState
+from fennelcove.decisions.servers.endpoint_list import EndpointListUpdate
+from fennelcove.decisions.servers.load_signals import ClientHints, ServerHints
 from fennelcove.interface import ListEntry, Outcome, ServerState
 from fennelcove.settings.reader import parse
 from fennelcove.settings.schema import FrontSettings
 from fennelcove.wire.boxes import Held
+
 from tests.rig import SETTINGS
 
 MS = 1000
@@ -84,46 +85,46 @@
         self.core.status_reporter.add_section("alpha", lambda: None)
         names = "front boot phase connections waiting held boxes_playing orders_waiting sockets list_version"
         names += " list_age_ms storm counts watch zeta alpha"
-        self.assertEqual(list(self.core.status().to_json_fields()), names.split())
+        assert list(self.core.status().to_json_fields()) == names.split()
 
     def test_served_in_the_very_instant_of_the_timeout_counts_as_given_up(self) -> None:
         session, step = self.ask(client_timeout_us=1000 * MS)
-        self.assertEqual(session.deadline_us, self.clock.now_us() + 900 * MS)
+        assert session.deadline_us == self.clock.now_us() + 900 * MS
         self.clock.advance(900 * MS)
         answered = self.over(step, Outcome.SERVED)
         assert isinstance(answered, SessionResponse)
-        self.assertIs(answered.kind, ResponseKind.REJECTED)
-        self.assertEqual(self.orders(), [(session.id, None)])
-        self.assertFalse(self.core.policy.sessions)
+        assert answered.kind is ResponseKind.REJECTED
+        assert self.orders() == [(session.id, None)]
+        assert not self.core.policy.sessions
 
     def test_served_one_microsecond_before_it_plays(self) -> None:
         _, step = self.ask(client_timeout_us=1000 * MS)
         self.clock.advance(900 * MS - 1)
         answered = self.over(step, Outcome.SERVED)
         assert isinstance(answered, SessionResponse)
-        self.assertIs(answered.kind, ResponseKind.PLAYING)
+        assert answered.kind is ResponseKind.PLAYING
 
     def test_a_second_end_of_one_join_says_nothing(self) -> None:
         session, step = self.ask()
         self.over(step, Outcome.SERVED)
-        self.assertIsNone(self.over(step, Outcome.SERVED))
-        self.assertIsNone(self.over(step, Outcome.CONNECTION_LOST))
-        self.assertIs(session.state, SessionState.ESTABLISHED)
+        assert self.over(step, Outcome.SERVED) is None
+        assert self.over(step, Outcome.CONNECTION_LOST) is None
+        assert session.state is SessionState.ESTABLISHED
 
     def test_single_shot_is_never_sent_again_once_it_may_have_run(self) -> None:
         _, step = self.ask("once")
         answered = self.over(step, Outcome.NO_ANSWER)
         assert isinstance(answered, SessionResponse)
-        self.assertIs(answered.kind, ResponseKind.FAILED)
+        assert answered.kind is ResponseKind.FAILED
         _, step = self.ask("once")
-        self.assertIsInstance(self.over(step, Outcome.NO_CONNECTION), SendAttempt)
+        assert isinstance(self.over(step, Outcome.NO_CONNECTION), SendAttempt)
 
     def test_an_abandoned_join_that_is_served_is_released(self) -> None:
         session, step = self.ask()
         self.core.on_client_gone(session)
-        self.assertIsNone(self.over(step, Outcome.SERVED))
-        self.assertEqual(self.orders(), [(session.id, None)])
-        self.assertEqual((self.core.sessions, self.core.policy.sessions), ({}, {}))
+        assert self.over(step, Outcome.SERVED) is None
+        assert self.orders() == [(session.id, None)]
+        assert (self.core.sessions, self.core.policy.sessions) == ({}, {})
 
     def test_what_began_while_a_greeting_was_under_way_is_not_lost_by_it(self) -> None:
         # A greeting made before the set-up ended does not name it; losing it would end a lesson that plays.
@@ -136,12 +137,12 @@
             self.over(step, Outcome.SERVED)
             session, step = self.ask()
         self.over(step, Outcome.SERVED)
-        self.assertGreater(session.established_us, opened)
+        assert session.established_us > opened
         self.core.server_registry.on_hello(
             first.server, generation, "boot", [Held(first.id, 0, "t1", "free", 2)]
         )
-        self.assertIn(session.id, self.core.sessions)
-        self.assertIn(first.id, self.core.sessions)
+        assert session.id in self.core.sessions
+        assert first.id in self.core.sessions
 
     def test_a_box_that_names_what_ended_here_is_told_to_let_go_and_not_believed(self) -> None:
         session = self.play()
@@ -153,8 +154,8 @@
         generation = self.core.server_registry.records[keeps.server].generation
         held = [Held(item.id, 0, "t1", "free", 2) for item in (session, keeps)]
         self.core.server_registry.on_hello(keeps.server, generation, "boot", held)
-        self.assertEqual(self.orders(), [(session.id, None)])
-        self.assertNotIn(session.id, self.core.sessions)
+        assert self.orders() == [(session.id, None)]
+        assert session.id not in self.core.sessions
 
     def test_reports_of_a_feed_that_was_closed_count_for_nothing(self) -> None:
         session = self.play()
@@ -162,35 +163,35 @@
         self.core.server_registry.on_load_report(
             session.server, generation - 1, ServerHints(link_utilization=1.5), None
         )
-        self.assertIsNone(self.core.policy.servers[session.server].link.report)
+        assert self.core.policy.servers[session.server].link.report is None
         self.core.server_registry.on_load_report(
             session.server, generation, ServerHints(link_utilization=0.4), None
         )
-        self.assertEqual(self.core.policy.servers[session.server].link.report, 0.4)
+        assert self.core.policy.servers[session.server].link.report == 0.4
 
     def test_a_boxs_ceiling_lowers_the_rung_at_once(self) -> None:
         session, step = self.ask()
         self.over(step, Outcome.SERVED, ServerHints(max_kbit=1700.0))
-        self.assertEqual((session.top_rung, session.rung), (1, 1))
-        self.assertEqual(self.orders(), [(session.id, 1)])
+        assert (session.top_rung, session.rung) == (1, 1)
+        assert self.orders() == [(session.id, 1)]
 
     def test_a_viewers_own_short_link_lowers_it_and_blames_no_box(self) -> None:
         session = self.play()
         view = self.core.on_client_report(session.id, ClientHints(measured_kbit=1000.0, is_starved=True))
         assert view is not None
-        self.assertEqual(view.rung, 0)
-        self.assertEqual(self.core.policy.servers[session.server].link.full_until_us, 0)
+        assert view.rung == 0
+        assert self.core.policy.servers[session.server].link.full_until_us == 0
 
     def test_a_silent_viewer_is_let_go(self) -> None:
         session = self.play()
         self.clock.advance(59_999 * MS)
         self.core.client_reports.close_silent_sessions()
-        self.assertIn(session.id, self.core.sessions)
+        assert session.id in self.core.sessions
         self.clock.advance(1 * MS)
         self.core.client_reports.close_silent_sessions()
-        self.assertEqual(self.core.close_reason(session.id), "its viewer fell silent")
-        self.assertEqual(self.orders(), [(session.id, None)])
-        self.assertEqual((self.core.admission_controller.sessions, self.core.policy.sessions), (0, {}))
+        assert self.core.close_reason(session.id) == "its viewer fell silent"
+        assert self.orders() == [(session.id, None)]
+        assert (self.core.admission_controller.sessions, self.core.policy.sessions) == (0, {})
 
     def test_a_decision_that_fails_keeps_no_place_and_no_memory(self) -> None:
         # Each such request used to keep its place: after 4,000 of them a front refused everybody.
@@ -201,14 +202,14 @@
         with self.assertRaises(ZeroDivisionError):
             self.core.request_session(SessionRequest("t1", "free"))
         gate = self.core.admission_controller
-        self.assertEqual((gate.pending_requests, gate.sessions, self.core.sessions), (0, 0, {}))
+        assert (gate.pending_requests, gate.sessions, self.core.sessions) == (0, 0, {})
 
     def test_a_session_that_fails_while_it_plays_is_released(self) -> None:
         session = self.play()
         self.core.discard(session)
-        self.assertEqual(self.orders(), [(session.id, None)])
-        self.assertEqual((self.core.admission_controller.sessions, self.core.sessions), (0, {}))
-        self.assertEqual(self.core.server_registry.records[session.server].sessions, {})
+        assert self.orders() == [(session.id, None)]
+        assert (self.core.admission_controller.sessions, self.core.sessions) == (0, {})
+        assert self.core.server_registry.records[session.server].sessions == {}
 
     def test_a_box_on_which_nothing_plays_for_a_while_is_let_go(self) -> None:
         session = self.play()
@@ -216,19 +217,19 @@
         self.clock.advance(20_000 * MS)
         for call in self.timers.ready():
             call()
-        self.assertEqual(self.core.server_registry.records, {})
+        assert self.core.server_registry.records == {}
 
     def test_a_gap_in_the_changes_asks_for_a_whole_list(self) -> None:
         self.core.discovery.on_list(EndpointListUpdate(9, 8, ()))
-        self.assertIn(("fetch",), self.ports.calls)
+        assert ("fetch",) in self.ports.calls
 
     def test_an_id_of_another_life_is_not_mine(self) -> None:
         names = SessionIds(b"a" * 32)
         mine = names.next_id()
-        self.assertTrue(names.is_issued_here(mine))
-        self.assertFalse(SessionIds(b"b" * 32).is_issued_here(mine))
+        assert names.is_issued_here(mine)
+        assert not SessionIds(b"b" * 32).is_issued_here(mine)
         for other in ("", "zz", "1-" + "0" * 24, f"2{mine[1:]}"):
-            self.assertFalse(names.is_issued_here(other))
+            assert not names.is_issued_here(other)
 
     def test_timers_come_in_order_and_one_fault_does_not_end_them(self) -> None:
         seen: list[object] = []
@@ -238,7 +239,7 @@
         self.clock.advance(10)
         for call in timers.ready():
             call()
-        self.assertEqual(seen, ["early"])
+        assert seen == ["early"]
 
 
 if __name__ == "__main__":
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -48,16 +48,16 @@
 
     def check(self, text: str, status: int, record: str) -> None:
         verdict = json.loads(text.splitlines()[-1])
-        self.assertEqual(verdict["broken"], [])
-        self.assertEqual(verdict["inconclusive"], [])
-        self.assertEqual(status, 0, text)
-        self.assertGreaterEqual(verdict["service"], verdict["service_floor"])
+        assert verdict["broken"] == []
+        assert verdict["inconclusive"] == []
+        assert status == 0, text
+        assert verdict["service"] >= verdict["service_floor"]
         answered = verdict["answers"] + verdict["hung_up"] + verdict["not_taken"]
-        self.assertEqual(verdict["requests"], answered)
-        self.assertGreater(verdict["played"], 40)
+        assert verdict["requests"] == answered
+        assert verdict["played"] > 40
         again = [sys.executable, "-m", "fennelcove", "day", "judge", record, "--json"]
         judged = subprocess.run(again, capture_output=True, timeout=LONGEST_S, check=False)
-        self.assertEqual(json.loads(judged.stdout.splitlines()[-1]), verdict)
+        assert json.loads(judged.stdout.splitlines()[-1]) == verdict
 
 
 if __name__ == "__main__":
