Front node: counts by reason, holds of the lock, and a session's transitions in its log

Now metrics.NodeMetrics counts each with its reason (bounded by enumerations) and is logged every 10 s and at the end of a shutdown; node_lock.NodeLock measures each hold and logs those over 50 ms, the tolerance of the time limits; an 'answered_late' line carries the latest transitions of its session out of a ring of 2,048.

--- a/packages/node/src/fennelcove/node/client_connection.py
+++ b/packages/node/src/fennelcove/node/client_connection.py
@@ -4,14 +4,15 @@
 
 import select
 import socket
-import threading
 from contextlib import suppress
 from typing import Protocol
 
 from fennelcove.clock import Clock
 from fennelcove.node import client_requests
 from fennelcove.node.descriptor_budget import DescriptorBudget, DescriptorUse
+from fennelcove.node.metrics import Metric
 from fennelcove.node.model import ClientLink, Session
+from fennelcove.node.node_lock import NodeLock
 from fennelcove.node.pending_notifications import PendingNotifications
 from fennelcove.node.receive_queue import ReceiveQueue
 from fennelcove.node.server_connection import poll_peer_events, send_now, set_receive_timeout
@@ -34,7 +35,7 @@
 class ClientSessions(client_requests.SessionService, Protocol):
     """The session manager, as connections of clients use it."""
 
-    lock: threading.Lock
+    lock: NodeLock
     clock: Clock
     connections: ConnectionTable
     descriptors: DescriptorBudget
@@ -61,6 +62,7 @@
         self.is_ended_by_client = False
         self.is_finishing = False  # the node shuts down, and has shut the reading side itself
         self.is_closed = False
+        self.end_reason = "disconnected"
 
     @property
     def is_unused(self) -> bool:
@@ -115,11 +117,14 @@
             self._receive()
         except OSError:
             self.is_ended_by_client = True  # broken
+            self.end_reason = "reset"
         except ProtocolError as error:
+            self.end_reason = f"unreadable_{error.status}"
             with self.manager.lock:
                 self.send(writer.response(error.status))
         finally:
             with self.manager.lock:
+                self.manager.metrics.count(Metric.CLIENT_CONNECTION_CLOSED, self.end_reason)
                 self.is_closed = True
                 client_requests.on_client_gone(self.manager, self)
             self._drain()
@@ -160,6 +165,7 @@
                     continue
             if not data:
                 self.is_ended_by_client = True
+                self.end_reason = "shutdown" if self.is_finishing else "client_left"
                 return
             deadline_us = self._process(data, deadline_us)
 
@@ -212,7 +218,9 @@
         """
         with self.manager.lock:
             data = self._receive_available()
-            self.is_closed |= data is None
+            if data is None:
+                self.is_closed = True
+                self.end_reason = "timed_out"
         return data
 
     def _receive_available(self) -> bytes | None:
--- a/packages/node/src/fennelcove/node/node_context.py
+++ b/packages/node/src/fennelcove/node/node_context.py
@@ -8,6 +8,7 @@
 from fennelcove.node.config import Config
 from fennelcove.node.descriptor_budget import DescriptorBudget, DescriptorUse
 from fennelcove.node.log import EventLogger
+from fennelcove.node.metrics import NodeMetrics
 from fennelcove.node.model import Server, Session
 
 
@@ -28,6 +29,7 @@
         self.timers = timers
         self.logger = logger
         self.descriptors = descriptors
+        self.metrics = NodeMetrics(clock, logger)
         self.connections = ConnectionTable(descriptors.limits[DescriptorUse.CLIENT])
         self.sessions: dict[bytes, Session] = {}
         self.servers: dict[str, Server] = {}
--- a/packages/node/src/fennelcove/node/program.py
+++ b/packages/node/src/fennelcove/node/program.py
@@ -116,7 +116,8 @@
         with self.manager.lock:
             unanswered = self.manager.shut_down()
         self.listener.drain()
-        self.log("shutdown_completed", held=len(self.manager.sessions), unanswered=unanswered)
+        counts = self.manager.metrics.fields()
+        self.log("shutdown_completed", held=len(self.manager.sessions), unanswered=unanswered, **counts)
 
 
 def shutdown_wait_us(longest_us: int) -> int:
--- a/packages/node/src/fennelcove/node/server_connection.py
+++ b/packages/node/src/fennelcove/node/server_connection.py
@@ -20,7 +20,9 @@
 from fennelcove.isup.reader import Reader
 from fennelcove.node.config import Config
 from fennelcove.node.descriptor_budget import DescriptorBudget, DescriptorUse
+from fennelcove.node.metrics import Metric, NodeMetrics
 from fennelcove.node.model import Attempt, ConnectionState, Server, ServerLink, Session
+from fennelcove.node.node_lock import NodeLock
 
 READ_BYTES = 16_384
 REDIAL_DELAY_US = 300_000  # delay between two dials for the sessions that are established at a server
@@ -37,8 +39,9 @@
     """
 
     config: Config
-    lock: threading.Lock
+    lock: NodeLock
     descriptors: DescriptorBudget
+    metrics: NodeMetrics
 
     def now_us(self) -> int:
         """Return the Unix time in microseconds; it never goes back."""
@@ -209,6 +212,7 @@
             return
         if self.state is ConnectionState.OPEN and not self.is_read_to_end:
             self.server.needs_redial = True
+        self.manager.metrics.count(Metric.SERVER_CONNECTION_CLOSED, f"{self.state.name}_{outcome.name}")
         self.state = ConnectionState.CLOSED
         self.server.links.pop(self, None)
         self.server.last_closed_us = self.manager.now_us()
--- a/packages/node/src/fennelcove/node/session_admission.py
+++ b/packages/node/src/fennelcove/node/session_admission.py
@@ -41,7 +41,10 @@
             if session is None:
                 continue
             if session_states.apply_event(self._actions, session, SessionEvent.ABORTED):
-                self._context.logger("answered_late", id=session.key, attempts=session.attempts)
+                transitions = self._context.metrics.transitions_of(session.id)
+                self._context.logger(
+                    "answered_late", id=session.key, attempts=session.attempts, transitions=transitions
+                )
 
     def shut_down(self) -> int:
         """Answer all requests that are still unanswered, and from now on each one at once.
--- a/packages/node/src/fennelcove/node/session_manager.py
+++ b/packages/node/src/fennelcove/node/session_manager.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import threading
 from collections.abc import Callable
 
 from fennelcove.clock import Clock
@@ -19,6 +18,7 @@
 from fennelcove.node.handovers import HandoverManager
 from fennelcove.node.log import EventLogger
 from fennelcove.node.node_context import NodeContext
+from fennelcove.node.node_lock import NodeLock
 from fennelcove.node.policy_effects import PolicyEffects
 from fennelcove.node.policy_notifier import PolicyNotifier
 from fennelcove.node.server_messages import ServerMessageHandler
@@ -50,14 +50,15 @@
         self.timers = timers
         self.logger = notice
         self.descriptors = descriptors or DescriptorBudget(effective_limit(config.socket_limit))
-        self.lock = threading.Lock()
         self.is_shutting_down = False
         self.request_full_list: Callable[[], None] = lambda: None  # requests the whole list of servers
         self.context = NodeContext(config, clock, timers, notice, self.descriptors)
         self.sessions = self.context.sessions
         self.servers = self.context.servers
         self.connections = self.context.connections
+        self.metrics = self.context.metrics
         self.now_us = self.context.now_us
+        self.lock = NodeLock(clock, self.metrics)
         self.policy = PlacementPolicy(config.settings, config.seed, PolicyEffects(self), self.now_us())
         self._create_parts()
         self._bind_entry_points()
@@ -85,6 +86,7 @@
         self.handovers.resolve_waiting()
         self.admission.answer_overdue()  # here too, for want of a timer for the next deadline
         self.monitor.check_servers(now_us)
+        self.metrics.report()
 
     def _create_parts(self) -> None:
         context = self.context
--- a/packages/node/src/fennelcove/node/session_messenger.py
+++ b/packages/node/src/fennelcove/node/session_messenger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from fennelcove.node.deadlines import Deadlines
+from fennelcove.node.metrics import Metric
 from fennelcove.node.model import ConnectionState, Session
 from fennelcove.node.node_context import NodeContext
 
@@ -31,6 +32,7 @@
         if client is None or client.has_left():
             client = self._context.connections.find_connection(session.peer, session.client_id)
         if client is None or not client.send(data):
+            self._context.metrics.count(Metric.RELEASE_DEFERRED, "client")
             self._context.connections.defer(session.peer, data, self._context.now_us())
 
     def send_to_server(self, session: Session, data: bytes) -> None:
@@ -42,6 +44,7 @@
             # Lost on a connection that has ended, a message left its session established for nobody.
             if link.state is ConnectionState.OPEN and not link.is_ended_by_server() and link.send(data):
                 return
+        self._context.metrics.count(Metric.RELEASE_DEFERRED, "server")
         server.unsent.append(data)
 
     def forget_session(self, session: Session) -> None:
--- a/packages/node/src/fennelcove/node/session_states.py
+++ b/packages/node/src/fennelcove/node/session_states.py
@@ -9,6 +9,7 @@
 from fennelcove.interface import AttemptCompleted, ClientGone, Event, Outcome, SessionStarted
 from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause, Code, Kind
+from fennelcove.node.metrics import Metric, NodeMetrics
 from fennelcove.node.model import Session, SessionState
 from fennelcove.rtsp import writer as rtsp
 from fennelcove.state_machine import Transition, TransitionTable, Unlisted
@@ -40,6 +41,8 @@
 class SessionActions(Protocol):
     """The operations by which transitions act on the node; called with the node's lock held."""
 
+    metrics: NodeMetrics
+
     def now_us(self) -> int:
         """Unix time; never goes back."""
         ...
@@ -82,6 +85,7 @@
     if transition is None:
         return False
     session.state = transition.state
+    actions.metrics.record_transition(session.id, event.name, transition.state.name)
     for action in transition.actions:
         action(actions, session)
     return True
@@ -116,7 +120,7 @@
 def _establish(actions: SessionActions, session: Session) -> None:
     """Answer the client with the server's description, unchanged."""
     attempt = session.current_attempt
-    is_delivered = actions.answer_setup(session, _setup_answer(session, STATUS_OK, body=session.answer))
+    is_delivered = _answer(actions, session, STATUS_OK, body=session.answer)
     if session.client is not None:
         session.client.open_sessions.pop(session, None)
         session.client.established_sessions[session] = None
@@ -166,12 +170,12 @@
 
 def _reject(actions: SessionActions, session: Session) -> None:
     fields = retry_after_fields(session.retry_after_us)
-    actions.answer_setup(session, _setup_answer(session, STATUS_REJECTED, *fields))
+    _answer(actions, session, STATUS_REJECTED, *fields)
     actions.forget_session(session)
 
 
 def _fail(actions: SessionActions, session: Session) -> None:
-    actions.answer_setup(session, _setup_answer(session, STATUS_FAILED))
+    _answer(actions, session, STATUS_FAILED)
     actions.forget_session(session)
 
 
@@ -183,7 +187,7 @@
 
 def _abort_attempt(actions: SessionActions, session: Session) -> None:
     """Answer with a failure: it is unknown whether the attempt in flight took effect."""
-    actions.answer_setup(session, _setup_answer(session, STATUS_FAILED))
+    _answer(actions, session, STATUS_FAILED)
     _abandon_attempt(actions, session)
 
 
@@ -203,6 +207,7 @@
     attempt = session.current_attempt
     attempt.link = None
     attempt.server.outcome_counts[attempt.outcome] += 1
+    actions.metrics.count(Metric.ATTEMPT, attempt.outcome.name)
     if is_finished:
         actions.forget_session(session)
     actions.notify_policy(
@@ -210,8 +215,14 @@
     )
 
 
-def _setup_answer(session: Session, status: int, *fields: tuple[str, str], body: bytes = b"") -> bytes:
-    return rtsp.response(status, ("CSeq", session.cseq), ("Session", session.name), *fields, body=body)
+def _answer(
+    actions: SessionActions, session: Session, status: int, *fields: tuple[str, str], body: bytes = b""
+) -> bool:
+    """Answer the set-up request; False where its client has not got all of the answer."""
+    data = rtsp.response(status, ("CSeq", session.cseq), ("Session", session.name), *fields, body=body)
+    is_delivered = actions.answer_setup(session, data)
+    actions.metrics.count(Metric.ANSWER if is_delivered else Metric.UNDELIVERED_ANSWER, str(status))
+    return is_delivered
 
 
 def _row(state: SessionState, *actions: Action) -> Transition[SessionState, Action]:
--- a/packages/node/src/fennelcove/node/state_dump.py
+++ b/packages/node/src/fennelcove/node/state_dump.py
@@ -13,6 +13,7 @@
 from fennelcove.node.descriptor_budget import DescriptorBudget
 from fennelcove.node.log import EventLogger
 from fennelcove.node.model import Server
+from fennelcove.node.node_lock import NodeLock
 from fennelcove.placement import PlacementPolicy
 
 INTERVAL_VARIABLE = "FENNELCOVE_TRACE"
@@ -23,7 +24,7 @@
 class DumpedNode(Protocol):
     """What is dumped."""
 
-    lock: threading.Lock
+    lock: NodeLock
     logger: EventLogger
     policy: PlacementPolicy
     servers: dict[str, Server]
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -20,6 +20,7 @@
 from fennelcove.log import silent
 from fennelcove.node import client_requests, config, server_messages, session_manager
 from fennelcove.node.client_connection import ClientConnection
+from fennelcove.node.node_lock import NodeLock
 from fennelcove.node.server_connection import ServerConnection
 from fennelcove.rtsp import messages as rtsp
 from fennelcove.rtsp import writer as rtsp_writer
@@ -142,8 +143,10 @@
     def dialled(self) -> socket.socket | None:
         """The connection that a thread has just made, and with which it waits for the lock."""
         for frame in sys._current_frames().values():
-            if frame.f_code is ServerConnection._on_connected.__code__:
-                sock = frame.f_locals.get("sock")
+            caller = frame.f_back
+            is_waiting = frame.f_code is NodeLock.__enter__.__code__
+            if is_waiting and caller and caller.f_code is ServerConnection._on_connected.__code__:
+                sock = caller.f_locals.get("sock")
                 with suppress(OSError):  # it has just closed it
                     if sock is not None and sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY):
                         assert isinstance(sock, socket.socket)
