--- /dev/null
+++ b/tests/soak/checker.py
@@ -0,0 +1,313 @@
+"""Checks the rules on sockets by the recordings alone.
+
+Each time limit has the 50 ms of the protocol page on top. Rules: `lost` (answers, releases, forwarding after
+the end), `overlap` (one attempt at a time), `repeat` (single-shot classes), `drain`, `bad_client`, `limits`,
+`crash`.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from tests.soak.plan import DRAIN_GRACE_S, Plan
+from tests.soak.recording import Event, read
+
+SLACK_S = 0.05
+LATE_S = 0.5  # an answer so much past its time earns nothing, but is not lost
+RELEASE_S = 1.0  # from a server's release to the one towards the client
+UNHEARD_RELEASE_S = 8.0  # from the end of a session whose server could not tell
+HANDOVER_S = 0.2
+BAD_CLIENT_S = 3.0
+READY_S = 10.0
+OUTAGE_TOLD_S = 6.0  # after a failed call a change counts as told, from when discovery could be reached
+MOVE_TOLD_S = 4.0
+MEMORY_MB = 192
+HARMLESS = (453, 454, 503)
+PROOF = ("full", "moot")
+FAULTY_EVENTS = (
+    "decision_failed",
+    "timer_failed",
+    "maintenance_failed",
+    "answered_late",
+    "invariant_violated",
+)
+
+
+@dataclass(frozen=True)
+class Violation:
+    """One broken rule."""
+
+    rule: str
+    at: float
+    what: str
+    session: str = ""
+
+
+@dataclass
+class Verdict:
+    """What one run showed."""
+
+    violations: list[Violation] = field(default_factory=list)
+    figures: dict[str, Any] = field(default_factory=dict)
+
+    def by_rule(self) -> dict[str, int]:
+        return dict(Counter(each.rule for each in self.violations))
+
+
+class Checker:
+    """All rules over one run's recordings."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.plan = Plan.load(folder / "plan.json")
+        self.events = read(folder)
+        self.found: list[Violation] = []
+        self.by_session: dict[str, list[Event]] = defaultdict(list)
+        for event in self.events:
+            if event.get("session"):
+                self.by_session[event["session"]].append(event)
+        self.end = next((e["t"] for e in self.events if e["event"] == "finished"), 0.0)
+        self.downs = self._downs()
+        self.silences = self._silences()
+
+    def check(self) -> Verdict:
+        """Check everything."""
+        if not self.end:
+            self._report("crash", 0.0, "the clients did not finish")
+        for id, events in self.by_session.items():
+            self._check_answer(id, events)
+            self._check_forwarding(id, events)
+            self._check_release(id, events)
+        self._check_drains()
+        self._check_processes()
+        return Verdict(sorted(self.found, key=lambda each: each.at), self._figures())
+
+    def _report(self, rule: str, at: float, what: str, session: str = "") -> None:
+        self.found.append(Violation(rule, round(at - self.plan.start, 3), what, session))
+
+    def _downs(self) -> dict[int, list[tuple[float, float, bool]]]:
+        """From when to when each node had no process that serves, and whether it was killed outright."""
+        found: dict[int, list[tuple[float, float, bool]]] = defaultdict(list)
+        terminated: dict[int, float] = {}
+        killed: dict[int, tuple[float, bool]] = {}
+        for event in self.events:
+            if event["event"] == "signal" and event["signal"] == "SIGTERM":
+                terminated[event["node"]] = event["t"]
+            elif event["event"] == "signal" and event["signal"] == "SIGKILL":
+                killed[event["node"]] = (event["t"], event["node"] not in terminated)
+            elif event["event"] == "stopped" and event["node"] not in killed:
+                killed[event["node"]] = (event["t"], False)
+            elif event["event"] == "ready" and event["node"] in killed:
+                began, outright = killed.pop(event["node"])
+                terminated.pop(event["node"], None)
+                found[event["node"]].append((began, event["t"], outright))
+        for node, (began, outright) in killed.items():
+            found[node].append((began, 1e18, outright))
+        return found
+
+    def _silences(self) -> dict[tuple[str, str], list[tuple[float, float]]]:
+        """From when to when each stand-in server said and read nothing."""
+        found: dict[tuple[str, str], list[tuple[float, float]]] = defaultdict(list)
+        begun: dict[tuple[str, str], float] = {}
+        for event in self.events:
+            key = (event["by"], event.get("server", ""))
+            if event["event"] == "silent":
+                begun.setdefault(key, event["t"])
+            elif event["event"] == "resumed" and key in begun:
+                found[key].append((begun.pop(key), event["t"]))
+        for key, began in begun.items():
+            found[key].append((began, 1e18))
+        return found
+
+    def _was_silent(self, event: Event, begin: float, end: float) -> bool:
+        spans = self.silences.get((event["by"], event["server"]), ())
+        return any(a <= end and begin <= b for a, b in spans)
+
+    def _was_killed(self, node: int, begin: float, end: float) -> bool:
+        return any(out and begin <= a <= end for a, _, out in self.downs[node])
+
+    def _check_answer(self, id: str, events: list[Event]) -> None:
+        """One answer, in time, that a server made."""
+        sent = [e for e in events if e["event"] == "sent"]
+        if not sent:
+            return
+        first, node = sent[0], sent[0]["node"]
+        deadline = first["t"] + first["limit"] + LATE_S + SLACK_S
+        answers = [e for e in events if e["event"] == "answer"]
+        if len(answers) > 1:
+            self._report("lost", answers[1]["t"], "a second answer", id)
+        if answers and answers[0]["status"] == 200:
+            made = [e["description"] for e in events if e["event"] == "answered"]
+            if answers[0]["body"] not in made:
+                self._report("lost", answers[0]["t"], "served with what no server made", id)
+        if any(e["event"] in ("given_up", "not_taken") and e["by"] == "clients" for e in events):
+            return
+        if answers:
+            if answers[0]["t"] > deadline:
+                self._report(
+                    "lost", answers[0]["t"], f"answered {answers[0]['t'] - deadline:.3f} s too late", id
+                )
+        elif deadline < self.end and not self._was_killed(node, first["t"] - SLACK_S, deadline):
+            broken = next((e["t"] for e in events if e["event"] == "broken_off"), 0.0)
+            what = (
+                f"closed without an answer, {broken - first['t']:.3f} s after it was sent"
+                if broken
+                else "no answer"
+            )
+            self._report("lost", broken or deadline, what, id)
+
+    def _check_forwarding(self, id: str, events: list[Event]) -> None:
+        """One attempt at a time, none after the end, no repeat of what may have run."""
+        over = next(
+            (e["t"] for e in events if e["event"] in ("answer", "given_up") and e["by"] == "clients"), 1e18
+        )
+        attempts = [e for e in events if e["event"] == "set_up"]
+        earlier_may_have_run = False
+        until, holder = 0.0, None
+        for number, attempt in enumerate(attempts):
+            ends = [
+                e
+                for e in events
+                if e["event"] in ("refused", "spoilt", "answered", "given_up", "cut")
+                and e["by"] == attempt["by"]
+                and e.get("server") == attempt["server"]
+                and e["t"] >= attempt["t"]
+            ]
+            end = ends[0]["t"] if ends else attempt["t"]
+            was_silent = self._was_silent(attempt, attempt["t"] - 10, attempt["t"])
+            if attempt["t"] > over + SLACK_S and not was_silent:
+                self._report("lost", attempt["t"], f"forwarded {attempt['t'] - over:.3f} s after its end", id)
+            overlap = until - attempt["t"]
+            was_held_silent = holder is not None and self._was_silent(holder, holder["t"], until)
+            if overlap > SLACK_S and not was_silent and not was_held_silent:
+                self._report("overlap", attempt["t"], f"attempts overlap by {overlap:.3f} s", id)
+            if number and earlier_may_have_run and attempt["service_class"] == "paid":
+                self._report("repeat", attempt["t"], "a single-shot set-up was repeated", id)
+            kinds = [e.get("kind") for e in ends[:1] if e["event"] == "refused"]
+            earlier_may_have_run |= not any(kind in PROOF for kind in kinds)
+            until, holder = max(until, end), attempt
+        answer = next((e for e in events if e["event"] == "answer"), None)
+        was_paid = bool(attempts) and attempts[0]["service_class"] == "paid"
+        is_called_harmless = answer is not None and answer["status"] in HARMLESS
+        if (
+            answer
+            and is_called_harmless
+            and was_paid
+            and earlier_may_have_run
+            and attempts[0]["t"] < answer["t"]
+        ):
+            self._report("repeat", answer["t"], "called harmless though it may have run", id)
+
+    def _check_release(self, id: str, events: list[Event]) -> None:
+        """What stood and is over is released towards its client."""
+        answer = next((e for e in events if e["event"] == "answer" and e["status"] == 200), None)
+        if answer is None:
+            return
+        made = next(
+            (e for e in events if e["event"] == "answered" and e["description"] == answer["body"]), None
+        )
+        if made is None:
+            return
+        ends = [e for e in events if e["event"] in ("over", "cut") and e.get("server") == made["server"]]
+        ends = [e for e in ends if e["by"] == made["by"] and e["t"] >= made["t"]]
+        if not ends:
+            return
+        if any(e["event"] in ("released", "torn_down") for e in events if e["by"] == "clients"):
+            told = next(
+                e["t"] for e in events if e["event"] in ("released", "torn_down") and e["by"] == "clients"
+            )
+        else:
+            told = 1e18
+        deadline = max(answer["t"], ends[0]["t"]) + UNHEARD_RELEASE_S + SLACK_S
+        releases = [e["t"] for e in events if e["event"] == "release_sent" and e["by"] == made["by"]]
+        if ends[0]["event"] == "over" and releases:
+            deadline = max(answer["t"], *releases) + RELEASE_S + SLACK_S
+        node = answer["node"]
+        for began, ready, _ in self.downs[node]:
+            if began - RELEASE_S - UNHEARD_RELEASE_S <= ends[0]["t"] <= ready or began <= deadline <= ready:
+                handed = [e["t"] for e in events if e["event"] == "handed_over" and e["t"] >= began]
+                if not handed:
+                    return  # torn down meanwhile, or never handed over
+                deadline = max(deadline, handed[0] + HANDOVER_S + UNHEARD_RELEASE_S + SLACK_S)
+        if told > deadline and deadline < self.end:
+            how = "never released" if told > self.end else f"released {told - deadline:.3f} s too late"
+            sent = f"release sent at {releases[0] - self.plan.start:.3f}" if releases else "no release sent"
+            self._report("lost", deadline, f"{how} ({ends[0]['event']}, {sent})", id)
+
+    def _told(self, node: int, at: float) -> float:
+        """When a change counts as told to a node at the latest; times from the run's start."""
+        told = at
+        for fault in self.plan.discovery:
+            if fault.at - 1.0 <= at < fault.until or fault.at - 1.0 <= told < fault.until:
+                told = max(told, fault.until + OUTAGE_TOLD_S)
+        for signal in self.plan.signals:
+            if (
+                signal.node == node
+                and signal.kind == "move"
+                and signal.at - 0.2 <= told <= signal.at + MOVE_TOLD_S
+            ):
+                told = max(told, signal.at + MOVE_TOLD_S)
+        return told
+
+    def _check_drains(self) -> None:
+        """Nothing new to a draining or removed server past the grace."""
+        drained: dict[str, float] = {}
+        for change in self.plan.changes:
+            if change.health != "up":
+                drained.setdefault(change.name, change.at)
+        for event in self.events:
+            if event["event"] != "set_up" or event["server"] not in drained:
+                continue
+            node = int(event["by"].partition("-")[2])
+            limit = self.plan.start + self._told(node, drained[event["server"]]) + DRAIN_GRACE_S + SLACK_S
+            if event["t"] > limit and not self._was_silent(event, limit - 1, event["t"]):
+                self._report(
+                    "drain", event["t"], f"sent {event['t'] - limit:.3f} s past the grace", event["session"]
+                )
+
+    def _check_processes(self) -> None:
+        for event in self.events:
+            node = event.get("node")
+            if event["event"] == "crashed":
+                self._report("crash", event["t"], f"node {node} ended with {event['code']}")
+            elif event["event"] == "stopped" and event["code"] not in (0, None):
+                self._report("crash", event["t"], f"node {node} stopped with {event['code']}")
+            elif event["event"] == "ready" and READY_S < event["after"] < 1e6:
+                self._report("crash", event["t"], f"node {node} was ready after {event['after']:.1f} s")
+            elif event["event"] == "sample" and event["descriptors"] > self.plan.sockets:
+                self._report("limits", event["t"], f"node {node} held {event['descriptors']} descriptors")
+            elif event["event"] == "sample" and event["memory_mb"] > MEMORY_MB:
+                self._report("limits", event["t"], f"node {node} used {event['memory_mb']:.0f} MB")
+            elif event["event"] == "bad_client" and event["after"] > BAD_CLIENT_S + SLACK_S:
+                self._report(
+                    "bad_client", event["t"], f"node {node} let a bad client wait {event['after']:.2f} s"
+                )
+            elif event["event"] == "unreadable":
+                self._report("lost", event["t"], f"node {node} sent what can't be read")
+        for node in range(self.plan.nodes):
+            path = self.folder / f"node-{node}.log"
+            for line in path.read_text(encoding="utf-8").splitlines():
+                is_event = line.startswith("{") and line.endswith("}")
+                entry = json.loads(line) if is_event else {"event": "traceback", "at": self.plan.start}
+                if entry["event"] in (*FAULTY_EVENTS, "traceback"):
+                    self._report("log", entry["at"], f"node {node}: {line[:300]}", str(entry.get("id", "")))
+
+    def _figures(self) -> dict[str, Any]:
+        sent = [e for e in self.events if e["event"] == "sent"]
+        statuses = Counter(e["status"] for e in self.events if e["event"] == "answer")
+        samples = [e for e in self.events if e["event"] == "sample"]
+        stalls = [e["seconds"] for e in self.events if e["event"] == "machine_stalled"]
+        return {
+            "sent": len(sent),
+            "statuses": dict(statuses),
+            "set_ups": sum(e["event"] == "set_up" for e in self.events),
+            "over": sum(e["event"] == "over" for e in self.events),
+            "memory_mb": round(max((e["memory_mb"] for e in samples), default=0)),
+            "descriptors": max((e["descriptors"] for e in samples), default=0),
+            "cpu_s": round(max((e["cpu_s"] for e in samples), default=0), 2),
+            "stall_s": round(max(stalls, default=0.0), 3),
+        }
--- /dev/null
+++ b/tests/soak/discovery.py
@@ -0,0 +1,147 @@
+"""The platform's discovery service for all nodes: each has addresses of its own, and a new one at SIGHUP."""
+
+from __future__ import annotations
+
+import json
+import socket
+import sys
+import threading
+import time
+from contextlib import suppress
+from pathlib import Path
+
+from fennelcove.http1 import writer as http
+from fennelcove.http1.messages import CodecLimits, RequestHead
+from fennelcove.http1.reader import Gatherer, Reader
+
+from tests.soak.loop import reset
+from tests.soak.plan import Plan
+from tests.soak.recording import Recorder
+
+POLL_S = 0.01
+OLD_ADDRESS_S = 1.5  # how long an address that has been left keeps its open connections
+SLOW_BYTES, SLOW_PAUSE_S = 20_000, 0.05
+
+
+class Board:
+    """One address of one node's discovery service."""
+
+    def __init__(self, plan: Plan, node: int, number: int, record: Recorder) -> None:
+        self.plan, self.node, self.number, self.record = plan, node, number, record
+        self.address = board_address(plan, node, number)
+        self.connections: set[socket.socket] = set()
+        self.listener: socket.socket | None = None
+        moves = [signal.at for signal in plan.signals if signal.node == node and signal.kind == "move"]
+        self.opens = moves[number - 1] - 0.1 if number else -100.0
+        self.closes = moves[number] if number < len(moves) else 1e9
+        threading.Thread(target=self._supervise, daemon=True).start()
+
+    @property
+    def now(self) -> float:
+        return time.time() - self.plan.start
+
+    def fault(self) -> str:
+        """The fault that is on now."""
+        return next((each.kind for each in self.plan.discovery if each.at <= self.now < each.until), "")
+
+    def _supervise(self) -> None:
+        """Listen while the address is in use and the service is not down."""
+        while True:
+            is_open = self.opens <= self.now < self.closes and self.fault() != "down"
+            if is_open and self.listener is None:
+                self._listen()
+            elif not is_open and self.listener is not None:
+                self._stop()
+            time.sleep(POLL_S)
+
+    def _listen(self) -> None:
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(self.address)
+        self.listener.listen(64)
+        threading.Thread(target=self._accept, args=(self.listener,), daemon=True).start()
+
+    def _stop(self) -> None:
+        listener, self.listener = self.listener, None
+        assert listener is not None
+        with suppress(OSError):
+            listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
+        if self.now >= self.closes:
+            time.sleep(OLD_ADDRESS_S)
+        for sock in list(self.connections):
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            self.connections.add(sock)
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        requests = Gatherer(Reader(True, CodecLimits()))
+        with suppress(OSError):
+            while data := sock.recv(4096):
+                requests.reader.feed(data)
+                while (whole := requests.next()) is not None:
+                    assert isinstance(whole.head, RequestHead)
+                    self._answer(sock, whole.head.target)
+        self.connections.discard(sock)
+        sock.close()
+
+    def _answer(self, sock: socket.socket, target: str) -> None:
+        fields = dict(part.split("=") for part in target.partition("?")[2].split("&"))
+        watch, until = int(fields["watch"]), time.time() + int(fields["linger"]) / 1000
+        self.record("polled", node=self.node, watch=watch, board=self.number)
+        if self.fault() == "crowded":
+            time.sleep(0.8)
+        while time.time() < until and self.plan.start > 0:
+            if self.plan.revision(self.now) > watch or self.now >= self.closes:
+                break
+            time.sleep(POLL_S)
+        while self.fault() == "silent" or self.now >= self.closes:
+            time.sleep(POLL_S)
+            if self.now >= self.closes + OLD_ADDRESS_S:
+                raise OSError("left")
+        now = self.now
+        body = {"rev": self.plan.revision(now), "notices": self.plan.notices(self.node, now, after=watch)}
+        self._send(sock, http.response(200, [], json.dumps(body).encode()))
+
+    def _send(self, sock: socket.socket, data: bytes) -> None:
+        fault = self.fault()
+        if fault == "broken":
+            sock.sendall(data[: len(data) * 2 // 3])
+            reset(sock)
+            raise OSError("broken off")
+        if fault != "slow":
+            sock.sendall(data)
+            return
+        for at in range(0, len(data), SLOW_BYTES):
+            sock.sendall(data[at : at + SLOW_BYTES])
+            time.sleep(SLOW_PAUSE_S)
+
+
+def board_address(plan: Plan, node: int, number: int) -> tuple[str, int]:
+    return f"127.{plan.octet + node}.250.{10 + number}", plan.port
+
+
+def main(folder: Path) -> None:
+    plan = Plan.load(folder / "plan.json")
+    record = Recorder(folder / "discovery.rec", "discovery")
+    for node in range(plan.nodes):
+        moves = sum(signal.node == node and signal.kind == "move" for signal in plan.signals)
+        for number in range(moves + 1):
+            Board(plan, node, number, record)
+    time.sleep(0.1)
+    (folder / "discovery.ready").touch()
+    while time.time() < plan.start + plan.duration + 60:
+        time.sleep(0.5)
+        record.flush()
+
+
+if __name__ == "__main__":
+    main(Path(sys.argv[1]))
--- /dev/null
+++ b/tests/soak/loop.py
@@ -0,0 +1,53 @@
+"""A loop over sockets and timers in one thread, for stand-ins with thousands of sockets."""
+
+from __future__ import annotations
+
+import heapq
+import selectors
+import socket
+import struct
+import time
+from collections.abc import Callable
+from contextlib import suppress
+
+MAX_WAIT_S = 0.05
+
+
+class Loop:
+    """Calls back on readable sockets and at given Unix times."""
+
+    def __init__(self) -> None:
+        self.selector = selectors.DefaultSelector()
+        self.due: list[tuple[float, int, Callable[[], None]]] = []
+        self.count = 0
+
+    def at(self, when: float, call: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.due, (when, self.count, call))
+
+    def after(self, delay: float, call: Callable[[], None]) -> None:
+        self.at(time.time() + delay, call)
+
+    def watch(self, sock: socket.socket, call: Callable[[], None], write: bool = False) -> None:
+        self.selector.register(sock, selectors.EVENT_WRITE if write else selectors.EVENT_READ, call)
+
+    def forget(self, sock: socket.socket) -> None:
+        with suppress(KeyError, ValueError):
+            self.selector.unregister(sock)
+
+    def run(self, until: float) -> None:
+        while (now := time.time()) < until:
+            while self.due and self.due[0][0] <= now:
+                heapq.heappop(self.due)[2]()
+            next_due = self.due[0][0] if self.due else now + MAX_WAIT_S
+            for key, _ in self.selector.select(max(0.0, min(MAX_WAIT_S, next_due - time.time()))):
+                # An earlier call of this turn may have closed it.
+                if key.fd >= 0 and self.selector.get_map().get(key.fd) is key:
+                    key.data()
+
+
+def reset(sock: socket.socket) -> None:
+    """Close with a reset."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
--- /dev/null
+++ b/tests/soak/plan.py
@@ -0,0 +1,314 @@
+"""What one run plays: processes, limits, traffic and a schedule of overlapping faults, drawn from a seed.
+
+Figures come from the platform's pages: limits of 256 to 1,024 descriptors, SIGKILL at the earliest the
+longest deadline (counted as 3 s where it is longer) plus 0.7 s after SIGTERM, up to 3,200 servers.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+MAX_COUNTED_DEADLINE_S = 3.0
+KILL_MARGIN_S = 0.7
+DRAIN_GRACE_S = 2.0
+IDLE_S = 6.0
+CONNECT_S = 1.0
+SERVERS_PER_CELL = 2
+TOTAL_STREAMS = 6_000  # of all servers together, however many there are
+SERVER_FAULTS = (
+    "hang", "cut", "vanish", "die", "late_connect", "full", "error", "moot", "reset", "reset_unread",
+    "reset_under_request", "noise", "truncated", "half", "huge", "never", "slow", "double", "ahead", "bytes",
+    "close_after_answer",
+)  # fmt: skip
+DISCOVERY_FAULTS = ("down", "silent", "broken", "slow", "crowded")
+
+
+@dataclass(frozen=True)
+class ServerFault:
+    """A fault of some servers, towards the nodes named or all."""
+
+    at: float
+    until: float
+    kind: str
+    servers: list[str]
+    nodes: list[int]
+
+
+@dataclass(frozen=True)
+class ListChange:
+    """One event of the discovery service. A server that is removed ends its process soon after."""
+
+    at: float
+    name: str
+    health: str
+    slot: int
+    cell: int
+    born: float  # 0 for long ago
+
+
+@dataclass(frozen=True)
+class DiscoveryFault:
+    """A fault of the discovery service towards all nodes."""
+
+    at: float
+    until: float
+    kind: str
+
+
+@dataclass(frozen=True)
+class NodeSignal:
+    """`restart`: SIGTERM, then SIGKILL at the earliest; `kill`: SIGKILL alone; `move`: SIGHUP, a new address."""
+
+    at: float
+    node: int
+    kind: str
+
+
+@dataclass(frozen=True)
+class Plan:
+    """One run; times in seconds from its start."""
+
+    seed: int
+    duration: float
+    nodes: int
+    servers: int
+    sockets: int
+    rate: float  # set-ups a second at each node
+    crowd: tuple[float, float, float]  # from, until, factor
+    hard_limits_ms: list[int]
+    idle_policy: str
+    play_mean_s: float
+    octet: int  # second octet of the servers' addresses
+    port: int
+    faults: list[ServerFault] = field(default_factory=list)
+    changes: list[ListChange] = field(default_factory=list)
+    discovery: list[DiscoveryFault] = field(default_factory=list)
+    signals: list[NodeSignal] = field(default_factory=list)
+    start: float = 0.0  # Unix time
+
+    @property
+    def kill_after(self) -> float:
+        """From SIGTERM to SIGKILL at the earliest, in seconds."""
+        return min(MAX_COUNTED_DEADLINE_S, max(self.hard_limits_ms) / 1000) + KILL_MARGIN_S
+
+    @property
+    def cells(self) -> int:
+        return max(4, self.servers // SERVERS_PER_CELL)
+
+    @property
+    def streams(self) -> int:
+        return max(3, TOTAL_STREAMS // self.servers)
+
+    def server_name(self, index: int) -> str:
+        return f"s-{index:05d}"
+
+    def server_address(self, node: int, slot: int) -> tuple[str, int]:
+        """Each node reaches each server at an address of its own."""
+        return f"127.{self.octet + node}.{slot // 200}.{1 + slot % 200}", self.port
+
+    def cell_of(self, slot: int) -> int:
+        return slot % self.cells
+
+    def settings(self) -> dict[str, Any]:
+        """The settings of each node's configuration."""
+        kinds = (("recorded", "free"), ("live", "guarded"), ("paid", "single_shot"))
+        lanes = [
+            {
+                "Name": name,
+                "AimMs": limit // 2,
+                "HardLimitMs": limit,
+                "Effect": effect,
+                "DedupScope": "all",
+                "KeyTtlMs": 60_000,
+            }
+            for (name, effect), limit in zip(kinds, self.hard_limits_ms, strict=True)
+        ]
+        stream_kb = 400
+        return {
+            "Balancers": self.nodes,
+            "Index": 0,
+            "Zone": "east",
+            "Kinds": ["kind"],
+            "Lanes": lanes,
+            "FamilyInfo": {
+                "LevelKb": [100, 200, 400],
+                "WorthByRung": [0.3, 0.6, 1.0],
+                "KindStreams": [self.streams],
+                "KbPerWeight": self.streams * stream_kb,
+                "AllLinksKb": TOTAL_STREAMS * stream_kb,
+                "Places": self.cells,
+                "ReportsEveryMs": 1000,
+                "SeenAfterMs": 100,
+            },
+            "LoadReport": {"Fields": ["util"], "Source": "answers"},
+            "Rules": {
+                "RampTimeMs": 6000,
+                "StartCapacity": 0.5,
+                "DrainGraceMs": DRAIN_GRACE_S * 1000,
+                "FallMultiple": 2.0,
+                "TipAfterMs": 2000,
+            },
+            "Allowed": {
+                "ConnectTimeoutMs": CONNECT_S * 1000,
+                "ConnIdleMs": IDLE_S * 1000,
+                "RetryAfter": True,
+                "MaxRetryAfterMs": 500,
+            },
+        }
+
+    def row(self, node: int, change: ListChange) -> dict[str, Any]:
+        """One server as the discovery service lists it to one node."""
+        host, port = self.server_address(node, change.slot)
+        return {
+            "host": change.name,
+            "dial": f"{host}:{port}",
+            "site": "east" if change.slot % 2 else "west",
+            "class": "kind",
+            "block": change.cell,
+            "health": change.health,
+            "share": 1,
+            "born_ms": round((self.start + change.born) * 1000) if change.born else 0,
+        }
+
+    def notices(self, node: int, until: float, after: int = 0) -> list[dict[str, Any]]:
+        """The discovery service's events up to a time: first the whole list, then one for each change."""
+        found = []
+        if after < 1:
+            listed = [
+                ListChange(0.0, self.server_name(i), "up", i, self.cell_of(i), 0.0)
+                for i in range(self.servers)
+            ]
+            found.append(_notice(1, [self.row(node, each) for each in listed], whole=True))
+        for rev, change in enumerate(self.changes, 2):
+            if change.at <= until and rev > after:
+                found.append(_notice(rev, [self.row(node, change)], whole=False))
+        return found
+
+    def revision(self, until: float) -> int:
+        """The number of the last event at a time."""
+        return 1 + sum(change.at <= until for change in self.changes)
+
+    def save(self, path: Path) -> None:
+        path.write_text(json.dumps(asdict(self)), encoding="utf-8")
+
+    @classmethod
+    def load(cls, path: Path) -> Plan:
+        tree = json.loads(path.read_text(encoding="utf-8"))
+        for name, kind in (
+            ("faults", ServerFault),
+            ("changes", ListChange),
+            ("discovery", DiscoveryFault),
+            ("signals", NodeSignal),
+        ):
+            tree[name] = [kind(**each) for each in tree[name]]
+        tree["crowd"] = tuple(tree["crowd"])
+        return cls(**tree)
+
+
+def _notice(rev: int, hosts: list[dict[str, Any]], whole: bool) -> dict[str, Any]:
+    return {"rev": rev, "pool": {"seq": rev, "whole": whole, "hosts": hosts}}
+
+
+def draw(seed: int, octet: int, port: int, duration: float = 20.0, servers: int | None = None) -> Plan:
+    """Draw a run; the same seed gives the same run."""
+    rng = Random(seed)
+    count = servers or rng.choice((60, 200, 200, 800, 3200))
+    nodes = rng.randint(2, 5)
+    limits = [rng.choice((400, 800, 1500, 3000, 6000)) for _ in range(3)]
+    begin = rng.uniform(2, duration * 0.7)
+    is_crowded = rng.random() < 0.4
+    plan = Plan(
+        seed=seed,
+        duration=duration,
+        nodes=nodes,
+        servers=count,
+        sockets=rng.choice((256, 256, 512, 1024)),
+        rate=rng.uniform(8, 30),
+        crowd=(begin, begin + 3.0, 3.0) if is_crowded else (0.0, 0.0, 1.0),
+        hard_limits_ms=limits,
+        idle_policy=rng.choice(("close", "reset", "forget")),
+        play_mean_s=rng.choice((1.0, 3.0, 6.0)),
+        octet=octet,
+        port=port,
+    )
+    _draw_server_faults(plan, rng)
+    _draw_list_changes(plan, rng)
+    for _ in range(rng.randint(0, 3)):
+        at = rng.uniform(1, duration - 4)
+        plan.discovery.append(DiscoveryFault(at, at + rng.uniform(1, 6), rng.choice(DISCOVERY_FAULTS)))
+    _draw_signals(plan, rng)
+    return plan
+
+
+def release(servers: int, octet: int, port: int) -> Plan:
+    """Without chance: two nodes, and a release that replaces six in ten servers within 4 s; nothing else."""
+    plan = Plan(
+        seed=servers,
+        duration=10.0,
+        nodes=2,
+        servers=servers,
+        sockets=512,
+        rate=25.0,
+        crowd=(0.0, 0.0, 1.0),
+        hard_limits_ms=[1500, 1500, 1500],
+        idle_policy="close",
+        play_mean_s=4.0,
+        octet=octet,
+        port=port,
+    )
+    count = servers * 6 // 10
+    for number in range(count):
+        at, cell = 3.0 + 4.0 * number / count, plan.cell_of(number)
+        old = plan.server_name(number)
+        plan.changes.append(ListChange(at, f"n-{number:05d}", "up", servers + number, cell, at - 0.2))
+        plan.changes.append(ListChange(at + 0.3, old, "draining", number, cell, 0.0))
+        plan.changes.append(ListChange(at + 1.5, old, "removed", number, cell, 0.0))
+    plan.changes.sort(key=lambda change: change.at)
+    return plan
+
+
+def _draw_server_faults(plan: Plan, rng: Random) -> None:
+    for _ in range(rng.randint(3, 8)):
+        at = rng.uniform(1, plan.duration - 3)
+        share = rng.choice((0.02, 0.1, 0.3))
+        affected = rng.sample(range(plan.servers), max(1, round(plan.servers * share)))
+        names = [plan.server_name(i) for i in affected]
+        # A partition may cut some nodes' paths alone.
+        nodes = list(range(plan.nodes)) if rng.random() < 0.6 else rng.sample(range(plan.nodes), 1)
+        kind = rng.choice(SERVER_FAULTS)
+        plan.faults.append(ServerFault(at, at + rng.uniform(0.5, 6), kind, names, nodes))
+
+
+def _draw_list_changes(plan: Plan, rng: Random) -> None:
+    """A release of servers: replacements come up, then the old ones drain and are removed, one by one."""
+    share = rng.choice((0.0, 0.1, 0.3, 0.6))
+    at, span = rng.uniform(1, plan.duration / 2), rng.uniform(3, 7)
+    replaced = rng.sample(range(plan.servers), round(plan.servers * share))
+    changes = []
+    for number, index in enumerate(replaced):
+        when = at + span * number / max(1, len(replaced))
+        cell = plan.cell_of(index)
+        takes_over = rng.random() < 0.3  # the new server has the address of the one that has gone
+        slot = index if takes_over else plan.servers + number
+        born = when + (2.0 if takes_over else 0.0)
+        changes.append(ListChange(when, plan.server_name(index), "draining", index, cell, 0.0))
+        changes.append(ListChange(when + 1.5, plan.server_name(index), "removed", index, cell, 0.0))
+        changes.append(ListChange(born + 0.2, f"n-{number:05d}", "up", slot, cell, born))
+    plan.changes.extend(sorted(changes, key=lambda each: each.at))
+
+
+def _draw_signals(plan: Plan, rng: Random) -> None:
+    for node in range(plan.nodes):
+        at = rng.uniform(3, plan.duration / 2)
+        kind = rng.choice(("restart", "restart", "kill", "move", "moves", "none"))
+        if kind == "moves":
+            plan.signals.extend(NodeSignal(at + i * rng.uniform(0.01, 0.5), node, "move") for i in range(3))
+        elif kind == "restart" and rng.random() < 0.5:
+            plan.signals.extend((NodeSignal(at - 0.05, node, "move"), NodeSignal(at, node, "restart")))
+        elif kind != "none":
+            plan.signals.append(NodeSignal(at, node, kind))
+    plan.signals.sort(key=lambda each: each.at)
--- /dev/null
+++ b/tests/soak/recording.py
@@ -0,0 +1,36 @@
+"""Recordings of one process: a JSON line an event, with its Unix time in seconds."""
+
+from __future__ import annotations
+
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+Event = dict[str, Any]
+
+
+class Recorder:
+    """Appends events to a file; buffered, since a write an event would slow the stand-ins down."""
+
+    def __init__(self, path: Path, source: str) -> None:
+        self.file = path.open("w", encoding="utf-8", buffering=1 << 16)
+        self.source = source
+
+    def __call__(self, event: str, **fields: Any) -> float:
+        """Record an event that happens now, and return its time."""
+        now = time.time()
+        self.file.write(json.dumps({"t": now, "by": self.source, "event": event, **fields}) + "\n")
+        return now
+
+    def flush(self) -> None:
+        self.file.flush()
+
+
+def read(folder: Path) -> list[Event]:
+    """All events of all recordings in a folder, in the order of their times."""
+    found: list[Event] = []
+    for path in sorted(folder.glob("*.rec")):
+        lines = path.read_text(encoding="utf-8").split("\n")
+        found += [json.loads(line) for line in lines if line.endswith("}")]
+    return sorted(found, key=lambda each: each["t"])
--- /dev/null
+++ b/tests/soak/servers.py
@@ -0,0 +1,386 @@
+"""The platform's servers as one node reaches them: thousands of stand-ins in one process."""
+
+from __future__ import annotations
+
+import socket
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+from random import Random
+
+from fennelcove.isup import writer
+from fennelcove.isup.messages import Cause, Code, Kind, Message, ProtocolError
+from fennelcove.isup.reader import Reader
+
+from tests.soak.loop import Loop, reset
+from tests.soak.plan import IDLE_S, ListChange, Plan, ServerFault
+from tests.soak.recording import Recorder
+
+BACKLOG = 64
+NORMAL_DELAY_S = (0.002, 0.03)
+SLOW_DELAY_S = (0.3, 1.2)
+REMOVED_TO_EXIT_S = 0.5
+FAULT_SHARE = 0.5  # of the set-ups that come while a server is faulty in its answers
+SILENT_FAULTS = ("hang", "cut", "vanish", "late_connect")
+REFUSALS = {"full": Cause.FULL, "error": Cause.ERROR, "moot": Cause.MOOT}
+
+
+class Connection:
+    """A connection of the node to one server."""
+
+    def __init__(self, server: Server, sock: socket.socket) -> None:
+        self.server = server
+        self.sock = sock
+        self.reader = Reader()
+        self.open: set[bytes] = set()  # set-ups without an answer
+        self.used = time.time()
+        self.is_closed = False
+        self.is_forgotten = False  # the next bytes are answered by a reset
+        self.is_unusable = False  # an answer here was spoilt
+
+
+class Server:
+    """One server process; a name has one process at a time."""
+
+    def __init__(self, name: str, address: tuple[str, int]) -> None:
+        self.name = name
+        self.address = address
+        self.listener: socket.socket | None = None
+        self.fillers: list[socket.socket] = []
+        self.connections: dict[Connection, None] = {}
+        self.playing: dict[bytes, Connection] = {}
+        self.ended: dict[bytes, Cause] = {}  # ended with no connection open; told on the next
+        self.deferred: list[tuple[Connection, bytes]] = []
+        self.silent: set[int] = set()  # the faults that keep it silent
+        self.answer_faults: dict[int, str] = {}
+
+
+class Farm:
+    """All servers, on the side of one node."""
+
+    def __init__(self, plan: Plan, node: int, record: Recorder) -> None:
+        self.plan = plan
+        self.node = node
+        self.record = record
+        self.rng = Random(plan.seed * 1000 + node)
+        self.loop = Loop()
+        self.servers: dict[str, Server] = {}
+        for index in range(plan.servers):
+            self.start(plan.server_name(index), index)
+        for change in plan.changes:
+            self._schedule(change)
+        for number, fault in enumerate(plan.faults):
+            if node in fault.nodes:
+                self.loop.at(plan.start + fault.at, lambda n=number, f=fault: self.begin(n, f))
+                self.loop.at(plan.start + fault.until, lambda n=number, f=fault: self.end(n, f))
+
+    def _schedule(self, change: ListChange) -> None:
+        if change.health == "up":
+            when = self.plan.start + (change.born or change.at)
+            self.loop.at(when, lambda: self.start(change.name, change.slot))
+        elif change.health == "removed":
+            when = self.plan.start + change.at + REMOVED_TO_EXIT_S
+            self.loop.at(when, lambda: self.die(change.name))
+
+    def start(self, name: str, slot: int) -> None:
+        """Start a server's process."""
+        server = self.servers[name] = Server(name, self.plan.server_address(self.node, slot))
+        self._listen(server)
+
+    def _listen(self, server: Server) -> None:
+        listener = server.listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(server.address)
+        listener.listen(BACKLOG)
+        listener.setblocking(False)
+        self.loop.watch(listener, lambda: self._accept(server))
+
+    def die(self, name: str) -> None:
+        """End a server's process: its connections are reset, its sessions cut, new connections refused."""
+        server = self.servers.get(name)
+        if server is None or server.listener is None:
+            return
+        for session in [*server.playing, *server.ended]:
+            self.record("cut", server=name, session=session.hex())
+        server.playing.clear()
+        server.ended.clear()
+        server.deferred.clear()
+        server.silent.clear()
+        for connection in list(server.connections):
+            self.close(connection, is_reset=True)
+        self._drop_fillers(server)
+        self.loop.forget(server.listener)
+        server.listener.close()
+        server.listener = None
+
+    def begin(self, number: int, fault: ServerFault) -> None:
+        """Begin a fault."""
+        self.record("fault", kind=fault.kind, servers=len(fault.servers), until=fault.until)
+        for name in fault.servers:
+            server = self.servers.get(name)
+            if server is None or server.listener is None:
+                continue
+            if fault.kind == "die":
+                self.die(name)
+            elif fault.kind in SILENT_FAULTS:
+                self._silence(server, number, fault.kind)
+            elif fault.kind == "reset":
+                for connection in list(server.connections):
+                    self.close(connection, is_reset=True)
+            else:
+                server.answer_faults[number] = fault.kind
+
+    def end(self, number: int, fault: ServerFault) -> None:
+        """End a fault; a process that died starts anew, a machine that vanished stays away."""
+        for name in fault.servers:
+            server = self.servers.get(name)
+            if server is None:
+                continue
+            server.answer_faults.pop(number, None)
+            if fault.kind == "die" and server.listener is None and not self._is_removed(name):
+                self._listen(server)
+            elif fault.kind != "vanish" and number in server.silent:
+                server.silent.discard(number)
+                if not server.silent:
+                    self._resume(server)
+
+    def _is_removed(self, name: str) -> bool:
+        now = time.time() - self.plan.start
+        return any(c.name == name and c.health == "removed" and c.at <= now for c in self.plan.changes)
+
+    def _silence(self, server: Server, number: int, kind: str) -> None:
+        """Read and send nothing from now on; but for a hang no new connection comes up either."""
+        server.silent.add(number)
+        self.record("silent", server=server.name)
+        assert server.listener is not None
+        self.loop.forget(server.listener)
+        if kind != "late_connect":
+            for connection in server.connections:
+                self.loop.forget(connection.sock)
+        if kind == "vanish":
+            for session in [*server.playing, *server.ended]:
+                self.record("cut", server=server.name, session=session.hex())
+            server.playing.clear()
+            server.ended.clear()
+        if kind != "hang" and not server.fillers:
+            self._accept(server)
+            server.listener.listen(0)
+            for _ in range(2):  # the queue of a listener with a backlog of 0 holds one
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex(server.address)
+                server.fillers.append(filler)
+
+    def _drop_fillers(self, server: Server) -> None:
+        for filler in server.fillers:
+            reset(filler)
+        server.fillers.clear()
+
+    def _resume(self, server: Server) -> None:
+        self.record("resumed", server=server.name)
+        self._drop_fillers(server)
+        assert server.listener is not None
+        server.listener.listen(BACKLOG)
+        self.loop.watch(server.listener, lambda: self._accept(server))
+        for connection in server.connections:
+            self.loop.forget(connection.sock)
+            self.loop.watch(connection.sock, lambda c=connection: self._read(c))
+        deferred, server.deferred = server.deferred, []
+        for connection, data in deferred:
+            self.send(connection, data)
+
+    def _accept(self, server: Server) -> None:
+        while server.listener is not None:
+            try:
+                sock, _ = server.listener.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = Connection(server, sock)
+            server.connections[connection] = None
+            self.record("connected", server=server.name)
+            self.loop.watch(sock, lambda c=connection: self._read(c))
+            for session, cause in list(server.ended.items()):
+                self._send_release(connection, session, cause)
+
+    def _read(self, connection: Connection) -> None:
+        if connection.is_forgotten or any(
+            kind == "reset_unread" and self.rng.random() < FAULT_SHARE
+            for kind in connection.server.answer_faults.values()
+        ):
+            self.close(connection, is_reset=True)
+            return
+        try:
+            data = connection.sock.recv(16_384)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self.close(connection)
+            return
+        connection.used = time.time()
+        connection.reader.feed(data)
+        try:
+            while not connection.is_closed and (message := connection.reader.next()) is not None:
+                self._on_message(connection, message)
+        except ProtocolError:
+            self.close(connection)
+
+    def _on_message(self, connection: Connection, message: Message) -> None:
+        server = connection.server
+        if message.kind is Kind.TEST:
+            self.send(connection, writer.message(Kind.TESTED, message.session, (Code.CAUSE, b"\1")))
+        elif message.kind is Kind.SET_UP:
+            self._on_set_up(connection, message)
+        elif message.kind is Kind.RELEASE and message.session in connection.open:
+            connection.open.discard(message.session)
+            self.record("given_up", server=server.name, session=message.session.hex())
+        elif message.kind is Kind.RELEASE:
+            if server.playing.pop(message.session, None) is not None:
+                self.record("released_by_node", server=server.name, session=message.session.hex())
+            server.ended.pop(message.session, None)
+
+    def _on_set_up(self, connection: Connection, message: Message) -> None:
+        server = connection.server
+        wait_s = int(message.text(Code.WAIT_MS)) / 1000
+        self.record(
+            "set_up",
+            server=server.name,
+            session=message.session.hex(),
+            service_class=message.text(Code.ROOM),
+            wait=wait_s,
+        )
+        connection.open.add(message.session)
+        kinds = [kind for kind in server.answer_faults.values() if self.rng.random() < FAULT_SHARE]
+        kind = kinds[-1] if kinds else ""
+        delay = self.rng.uniform(*(SLOW_DELAY_S if kind == "slow" else NORMAL_DELAY_S))
+        self.loop.after(delay, lambda: self._answer(connection, message, kind))
+
+    def _answer(self, connection: Connection, message: Message, kind: str) -> None:
+        """Answer a set-up, by the fault that was drawn for it."""
+        server, session = connection.server, message.session
+        if connection.is_closed or session not in connection.open:
+            return
+        if kind == "reset_under_request" or (kind == "never" and self.rng.random() < 0.3):
+            self.close(connection, is_reset=True)
+            return
+        if kind == "never" or connection.is_unusable:
+            return
+        if kind in REFUSALS:
+            connection.open.discard(session)
+            self.record("refused", server=server.name, session=session.hex(), kind=kind)
+            self.send(connection, writer.release(session, REFUSALS[kind]))
+            return
+        description = f"{server.name};{session.hex()};{self.rng.randrange(1 << 30):x}".encode()
+        answer = writer.message(Kind.ANSWER, session, (Code.DESCRIPTION, description))
+        if kind in ("noise", "truncated", "half", "huge"):
+            self._spoil(connection, session, answer, kind)
+            return
+        connection.open.discard(session)
+        server.playing[session] = connection
+        self.record("answered", server=server.name, session=session.hex(), description=description.decode())
+        if kind == "ahead":
+            answer = writer.message(Kind.ANSWER, bytes(8), (Code.DESCRIPTION, b"unknown")) + answer
+        if kind == "bytes":
+            for i in range(len(answer)):
+                self.send(connection, answer[i : i + 1])
+        else:
+            self.send(connection, answer)
+        if kind == "double":
+            self.loop.after(0.003, lambda: self.send(connection, answer))
+        if kind == "close_after_answer":
+            self.loop.after(0.001, lambda: self.close(connection, is_reset=self.rng.random() < 0.5))
+        self.loop.after(
+            self.rng.expovariate(1 / self.plan.play_mean_s), lambda: self._end_session(server, session)
+        )
+
+    def _spoil(self, connection: Connection, session: bytes, answer: bytes, kind: str) -> None:
+        """Send an answer that can't be read; the request has run, and its session is cut."""
+        connection.is_unusable = True
+        self.record("spoilt", server=connection.server.name, session=session.hex(), kind=kind)
+        spoilt = {
+            "noise": self.rng.randbytes(60),
+            "truncated": answer[:-5],
+            "half": answer[: len(answer) // 2],
+            "huge": b"\xff\xf0" + answer[2:] * 4,
+        }[kind]
+        self.send(connection, spoilt)
+        if kind == "truncated":
+            self.close(connection)
+
+    def _end_session(self, server: Server, session: bytes) -> None:
+        if session not in server.playing:
+            return
+        if server.silent:  # a process that hangs goes on later, and one that is cut off tells later
+            self.loop.after(0.2, lambda: self._end_session(server, session))
+            return
+        connection = server.playing.pop(session)
+        cause = self.rng.choice((Cause.OK, Cause.OK, Cause.RESET))
+        self.record("over", server=server.name, session=session.hex())
+        server.ended[session] = cause
+        if connection.is_closed:
+            connection = next((each for each in server.connections if not each.is_unusable), connection)
+        if not connection.is_closed:
+            self._send_release(connection, session, cause)
+
+    def _send_release(self, connection: Connection, session: bytes, cause: Cause) -> None:
+        self.record("release_sent", server=connection.server.name, session=session.hex())
+        self.send(connection, writer.release(session, cause))
+        if not connection.is_closed:
+            # It is repeated on the next connection, for a while.
+            self.loop.after(10.0, lambda: connection.server.ended.pop(session, None))
+
+    def send(self, connection: Connection, data: bytes) -> None:
+        if connection.server.silent:
+            connection.server.deferred.append((connection, data))
+        elif not connection.is_closed:
+            try:
+                connection.sock.send(data)
+            except OSError:
+                self.close(connection)
+
+    def close(self, connection: Connection, is_reset: bool = False) -> None:
+        if connection.is_closed:
+            return
+        connection.is_closed = True
+        connection.server.connections.pop(connection, None)
+        for session in connection.open:
+            self.record("given_up", server=connection.server.name, session=session.hex())
+        connection.open.clear()
+        self.loop.forget(connection.sock)
+        if is_reset:
+            reset(connection.sock)
+        else:
+            with suppress(OSError):
+                connection.sock.shutdown(socket.SHUT_RDWR)
+            connection.sock.close()
+
+    def close_idle(self) -> None:
+        """Close, reset or forget connections that were idle for as long as the settings say."""
+        oldest = time.time() - IDLE_S
+        for server in self.servers.values():
+            for connection in list(server.connections):
+                if connection.open or connection.used > oldest or server.silent:
+                    continue
+                if self.plan.idle_policy == "forget":
+                    connection.is_forgotten = True
+                else:
+                    self.close(connection, is_reset=self.plan.idle_policy == "reset")
+        self.record.flush()
+        self.loop.after(0.25, self.close_idle)
+
+
+def main(folder: Path, node: int) -> None:
+    plan = Plan.load(folder / "plan.json")
+    record = Recorder(folder / f"servers-{node}.rec", f"servers-{node}")
+    farm = Farm(plan, node, record)
+    farm.close_idle()
+    (folder / f"servers-{node}.ready").touch()
+    farm.loop.run(plan.start + plan.duration + 60)
+
+
+if __name__ == "__main__":
+    main(Path(sys.argv[1]), int(sys.argv[2]))
