Placement: a session's end looks only at servers with sessions, and sums a rack's rate once

Of the samples under the policy nearly all were in on_attempt_completed: for each server of the rack raise_rungs summed the rates of all servers of the rack, so one session's end cost the square of the rack's size, with the node's lock held. A rack now keeps the servers that have sessions, in the order of the list, and the sum of their rates until one changes.

--- a/packages/placement/src/fennelcove/placement/policy.py
+++ b/packages/placement/src/fennelcove/placement/policy.py
@@ -106,8 +106,9 @@
             health.record_outcome(self, attempt.server, event.outcome)
         if is_playing:
             self.typical_watch_us += (self.now_us - session.started_us - self.typical_watch_us) / 8
-            for server in attempt.server.rack.servers:
-                raise_rungs(self, server, 0)  # capacity is free at once; reports may be late or stay out
+            for server in list(attempt.server.rack.loaded_servers):
+                if server.is_in_rack and server.sessions:
+                    raise_rungs(self, server, 0)  # capacity is free at once; reports may be late or stay out
         elif event.report:
             observe_load(attempt.server, event.report, attempt.sent_us - self.settings.report_delay_us)
         apply_event(self, session, SessionEvent.FINISHED if event.is_finished else SessionEvent.FAILED)
--- a/packages/placement/src/fennelcove/placement/records.py
+++ b/packages/placement/src/fennelcove/placement/records.py
@@ -51,7 +51,9 @@
     """Servers that share an uplink."""
 
     uplink: LinkLoad
-    servers: list[Server] = field(default_factory=list)
+    servers: list[Server] = field(default_factory=list)  # in the order in which they were first listed
+    loaded_servers: list[Server] = field(default_factory=list)  # with sessions of this front, in that order
+    own_kb: float | None = None  # rate of this front's sessions; None where it has to be summed anew
     residual_uplink: float = 0.0  # free share of the uplink, for the request in hand
 
 
@@ -66,6 +68,7 @@
     max_streams: int  # sessions that it can serve at once; 0 where the list gives none
     link: LinkLoad
     started_us: int
+    sequence: int  # its place in the order in which servers were first listed
     state: ServerState = ServerState.ACTIVE
     last_attempt_us: int | None = None
     health: Health = Health.WELL
@@ -73,6 +76,8 @@
     shut_until_us: int = 0  # end of the suspension
     sessions: dict[Session, None] = field(default_factory=dict)  # of this front, in order
     own_kb: float = 0.0  # rate of this front's sessions
+    is_in_rack: bool = False  # whether its rack's servers include it
+    is_loaded: bool = False  # whether its rack's loaded servers include it
     next_probe_us: int | None = None
     probe_interval_us: int = 0
     waiting_sessions: dict[Session, None] = field(default_factory=dict)  # those that await its load
@@ -164,6 +169,7 @@
     request_times: deque[int] = field(default_factory=deque)  # times of requests, for the retry budget
     retry_times: deque[int] = field(default_factory=deque)  # times of retries, for the retry budget
     title_request_times_us: dict[int, deque[int]] = field(default_factory=dict)  # latest, by title
+    listed_count: int = 0  # servers that were ever listed
     list_is_fresh: bool = False  # a server list later than the saved one has come
     failed_list_polls: int = 0  # in a row
     kb_per_stream: float = 0.0  # link capacity for each stream, where the list gives no sizes
--- a/packages/placement/src/fennelcove/placement/server_list.py
+++ b/packages/placement/src/fennelcove/placement/server_list.py
@@ -29,8 +29,10 @@
     oldest_us = state.now_us - state.settings.warm_up_us
     for rack in state.racks:
         rack.servers.clear()
+        rack.own_kb = None
     for server in list(state.servers.values()):
-        if server.state is ServerState.ACTIVE or server.sessions:
+        server.is_in_rack = server.state is ServerState.ACTIVE or bool(server.sessions)
+        if server.is_in_rack:
             server.rack.servers.append(server)
         elif server.state is ServerState.LEFT and server.started_us < oldest_us:
             del state.servers[server.address]
@@ -51,7 +53,9 @@
     streams = state.settings.streams_by_kind.get(entry.kind, 0)
     by_streams_kb = 0.0 if state.settings.has_listed_sizes else streams * state.kb_per_stream
     link = LinkLoad(by_streams_kb or state.settings.kb_per_weight * entry.weight or 1.0)
-    server = Server(entry.address, entry.zone, entry.cell, rack, streams, link, entry.started_us)
+    server = Server(entry.address, entry.zone, entry.cell, rack, streams, link, entry.started_us,
+                    state.listed_count)
+    state.listed_count += 1
     state.servers[entry.address] = server
     state.replicas.setdefault(entry.cell, []).append(server)
     return server
--- a/packages/placement/src/fennelcove/placement/state.py
+++ b/packages/placement/src/fennelcove/placement/state.py
@@ -1,5 +1,6 @@
 """State of one front's placement policy, and the load and utility estimates that its decisions share."""
 
+from bisect import insort
 from collections import deque
 from collections.abc import Callable
 from math import exp
@@ -90,11 +91,17 @@
         return max(own, mean if link.report is None else self.aged_utilization(link, own, others))
 
     def uplink_utilization(self, rack: Rack) -> float:
-        own = sum(server.own_kb for server in rack.servers) / rack.uplink.capacity_kb
+        own = self.rack_own_kb(rack) / rack.uplink.capacity_kb
         mean = self.mean_utilization() if self.settings.reports_uplinks else 0.0  # guesses would stay
         others = mean * (1 - 1 / self.settings.front_count)
         return own if rack.uplink.report is None else self.aged_utilization(rack.uplink, own, others)
 
+    def rack_own_kb(self, rack: Rack) -> float:
+        """Rate of this front's sessions in a rack, summed only after a change and over its loaded servers."""
+        if rack.own_kb is None:
+            rack.own_kb = sum(server.own_kb for server in rack.loaded_servers if server.is_in_rack)
+        return rack.own_kb
+
     def others_kb(self, server: Server) -> float:
         return max(0.0, self.link_utilization(server) * server.link.capacity_kb - server.own_kb)
 
@@ -102,7 +109,15 @@
         return session.service_class.rate_scale * self.settings.ladder_kb[rung]
 
     def record_rate_change(self, session: Session, rate_kb: float) -> None:
-        session.server.own_kb += rate_kb
+        server = session.server
+        server.own_kb += rate_kb
+        server.rack.own_kb = None
+        is_loaded = bool(server.sessions) or server.own_kb != 0
+        if server.is_loaded and not is_loaded:
+            server.rack.loaded_servers.remove(server)
+        elif is_loaded and not server.is_loaded:
+            insort(server.rack.loaded_servers, server, key=lambda each: each.sequence)
+        server.is_loaded = is_loaded
         record_sent(session.server, rate_kb, self.now_us)
 
     def change_rung(self, session: Session, rung: int) -> None:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True)
 class NodeSignal:
-    """`restart`: SIGTERM, then SIGKILL at the earliest; `kill`: SIGKILL alone; `move`: SIGHUP, a new address."""
+    """`restart`: SIGTERM, then SIGKILL; `kill`: SIGKILL alone; `move`: SIGHUP with a new address."""
 
     at: float
     node: int
--- /dev/null
+++ b/tests/test_work_per_event.py
@@ -0,0 +1,61 @@
+"""What one event costs must not grow with the fleet: its work is done while every request waits for the lock.
+
+Cost is counted in lines of Python run, so that the verdict does not hang on the machine.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from types import FrameType
+from typing import Any
+
+from fennelcove.interface import ListMode, ListUpdate, Outcome
+from fennelcove.placement import PlacementPolicy
+
+from tests.helpers import end, entry, front, play
+
+USUAL, MANY = 200, 3_200
+GROWTH = (
+    1.4  # the operators' bound on processor time from the usual number of servers to sixteen times as many
+)
+SESSIONS = 20
+
+
+def lines_run(call: Callable[[], object]) -> int:
+    """Lines of Python that a call runs, each time through a loop or a comprehension counted."""
+    count = 0
+
+    def trace(frame: FrameType, event: str, argument: Any) -> Any:
+        nonlocal count
+        count += event == "line"
+        return trace
+
+    before = sys.gettrace()
+    sys.settrace(trace)
+    try:
+        call()
+    finally:
+        sys.settrace(before)
+    return count
+
+
+def policy_among(servers: int) -> PlacementPolicy:
+    """A policy that knows so many servers in two racks, and has a session playing at each of a few."""
+    policy, _ = front(0, total_links_kb=1_000.0 * servers, uplink_kb=1_000.0 * servers)
+    policy.handle(ListUpdate(ListMode.FULL, tuple(entry(f"s{i}", i) for i in range(servers))), policy.now_us)
+    for i in range(SESSIONS):
+        play(policy, f"session-{i}", first_cell=i % policy.settings.cell_count)
+    return policy
+
+
+def assert_no_growth(lines_among: Callable[[int], int]) -> None:
+    assert lines_among(MANY) <= GROWTH * lines_among(USUAL)
+
+
+def test_the_end_of_a_session_visits_no_server_without_sessions() -> None:
+    def lines_among(servers: int) -> int:
+        policy = policy_among(servers)
+        return lines_run(lambda: end(policy, Outcome.SERVED, "session-3", finished=True))
+
+    assert_no_growth(lines_among)
