--- a/packages/placement/src/fennelcove/placement/attempts.py
+++ b/packages/placement/src/fennelcove/placement/attempts.py
@@ -58,7 +58,8 @@
 
 def open_attempt(state: PolicyState, session: Session, server: Server) -> None:
     session.attempts.append(Attempt(server, state.now_us))
-    server.sessions[session] = state.contacted[server] = None
+    server.sessions[session] = None
+    state.record_contact(server)
     seat = (session.title, session.service_class)
     state.seats[seat] = state.seats.get(seat, 0) + 1
     state.record_rate_change(session, state.rate_kb(session, session.rung))
--- a/packages/placement/src/fennelcove/placement/server_list.py
+++ b/packages/placement/src/fennelcove/placement/server_list.py
@@ -22,7 +22,8 @@
     for entry in event.entries:
         on_list_entry(state, entry)
     if event.mode is not ListMode.INCREMENTAL:  # the others of an incremental list are as they were
-        state.inactive_servers = {s: None for s in state.servers.values() if s.state is not ServerState.ACTIVE}
+        state.inactive_servers = dict.fromkeys(
+            server for server in state.servers.values() if server.state is not ServerState.ACTIVE)
     update_racks(state)
     if event.mode is ListMode.SAVED:
         poll_endpoint_list(state)  # the saved list may be old: a full one is worth one call
--- a/packages/placement/src/fennelcove/placement/state.py
+++ b/packages/placement/src/fennelcove/placement/state.py
@@ -12,6 +12,7 @@
 RESERVE = 0.1  # share of each capacity kept in reserve, as true rates spread (design page)
 RAISE_MARGIN = 1.5 * RESERVE  # stays free beyond the reserve when raising, or rungs would flutter
 FULL_DELIVERY = 0.98  # delivery under this share costs utility: the bound of the reports themselves
+MAX_SAMPLED_LINKS = 256  # the mean of so many is within a sixteenth of their spread
 MARK_US = 10_000_000  # how long a report of short delivery marks its link as full (design page)
 
 
@@ -68,7 +69,8 @@
     def mean_utilization(self) -> float:
         """What a link without a report is taken to carry; computed once for all decisions of an instant."""
         if self.cached_mean_at_us != self.now_us:
-            active = [server.link for server in self.contacted if server.state is ServerState.ACTIVE]
+            latest = list(self.contacted)[-MAX_SAMPLED_LINKS:]
+            active = [server.link for server in latest if server.state is ServerState.ACTIVE]
             reported = [min(1.0, link.utilization()) for link in active if link.report is not None]
             # Nothing reported: the middle, as in the paper. Else no single report may count for all servers.
             samples = (reported or [0.5]) if self.settings.rejects_at else [*reported, 0.25, 0.75]
@@ -96,6 +98,12 @@
         others = mean * (1 - 1 / self.settings.front_count)
         return own if rack.uplink.report is None else self.aged_utilization(rack.uplink, own, others)
 
+    def record_contact(self, server: Server) -> None:
+        """Count a server among those contacted; past the sample's size in the order of the last contacts."""
+        if len(self.contacted) > MAX_SAMPLED_LINKS:
+            self.contacted.pop(server, None)
+        self.contacted[server] = None
+
     def rack_own_kb(self, rack: Rack) -> float:
         """Rate of this front's sessions in a rack, summed only after a change and over its loaded servers."""
         if rack.own_kb is None:
--- a/tests/test_work_per_event.py
+++ b/tests/test_work_per_event.py
@@ -12,6 +12,7 @@
 
 from fennelcove.interface import ListMode, ListUpdate, Outcome, ServerState
 from fennelcove.placement import PlacementPolicy
+from fennelcove.placement.state import MAX_SAMPLED_LINKS
 
 from tests.helpers import end, entry, front, play
 
@@ -86,3 +87,28 @@
     policy.handle(ListUpdate(ListMode.INCREMENTAL, (entry("s31", 31),)), policy.now_us)
     assert busy.address not in policy.servers
     assert all(busy not in rack.servers for rack in policy.racks)
+
+
+def test_the_mean_utilization_samples_a_bounded_number_of_servers() -> None:
+    def lines_among(servers: int) -> int:
+        policy = policy_among(servers)
+        for server in policy.servers.values():
+            policy.record_contact(server)
+            server.link.observe(0.5, policy.now_us)
+        policy.now_us += 1
+        return lines_run(policy.mean_utilization)
+
+    assert lines_among(MANY) <= GROWTH * lines_among(MAX_SAMPLED_LINKS)
+
+
+def test_the_mean_utilization_follows_the_servers_contacted_last() -> None:
+    policy = policy_among(2 * MAX_SAMPLED_LINKS)
+    for server in policy.servers.values():
+        policy.record_contact(server)
+        server.link.observe(0.9, policy.now_us)
+    again = list(policy.servers.values())[:MAX_SAMPLED_LINKS]
+    for server in again:
+        policy.record_contact(server)
+        server.link.observe(0.3, policy.now_us)
+    policy.now_us += 1
+    assert abs(policy.mean_utilization() - 0.3) < 0.05
