Front node: events visit the few servers that have connections, by a table with an address index

Each event of discovery, each maintenance and each connection made on a full pool went through all servers; and for each connected server off the list, all servers were searched again for one at its address (is_replaced). With the lock held, one event cost 51 ms among 3,200 servers where 85 connected ones had left the list, and a release brings hundreds a second: every request waited past its timeout. server_table.ServerTable keeps an index of listed addresses, and the servers that are connected, hold sessions or unsent messages, or are off the list; others need no supervision.

--- a/packages/node/src/fennelcove/node/discovery_updates.py
+++ b/packages/node/src/fennelcove/node/discovery_updates.py
@@ -40,23 +40,21 @@
         for entry in event.update.entries:
             self._monitor.on_started(self._context.servers[entry.address], entry.started_us)
         self._handovers.resolve_waiting()
-        for server in list(self._context.servers.values()):
-            if not server.listed and server.links and self._monitor.is_replaced(server):
+        for server in self._context.server_table.supervised():
+            if server.links and self._context.server_table.is_replaced(server):
                 self._pool.close_outdated(server, only_dials=True)
             self._monitor.forget_if_removed(server)
 
     def _update_table(self, event: DiscoveryEvent) -> list[Server]:
         """Bring the table up to date; the servers whose address has changed."""
-        servers = self._context.servers
+        table = self._context.server_table
         if event.update.mode is not ListMode.INCREMENTAL:
-            for server in servers.values():
-                server.listed = False
+            table.delist_all()
         moved = []
         for entry in event.update.entries:
             address = event.addresses[entry.address]
-            server = servers.setdefault(entry.address, Server(entry.address, address))
+            server = table.get_or_add(entry.address, address)
             if server.address != address:
                 moved.append(server)
-            server.address = address
-            server.listed = entry.state is not ServerState.LEFT
+            table.update(server, address, is_listed=entry.state is not ServerState.LEFT)
         return moved
--- a/packages/node/src/fennelcove/node/handovers.py
+++ b/packages/node/src/fennelcove/node/handovers.py
@@ -74,6 +74,7 @@
                 del self.waiting[session]
                 server = self._context.servers[placeholder.name]
                 server.unsent.extend(placeholder.unsent)  # closed meanwhile, it still plays at its server
+                self._context.server_table.supervise(server)
                 if session.state is SessionState.ESTABLISHED:
                     attempt.server = server
                     self._attach(session, handover.request, server)
@@ -93,6 +94,7 @@
     def _attach(self, session: Session, request: Request, server: Server) -> None:
         """Attach a session to its server, and handle what the server has already sent of it."""
         server.established[session] = None
+        self._context.server_table.supervise(server)
         self._actions.notify_policy(Handover(request, server.name))
         self._messages.replay(session)
         if not server.links and not self._pool.is_full:
--- a/packages/node/src/fennelcove/node/node_context.py
+++ b/packages/node/src/fennelcove/node/node_context.py
@@ -9,7 +9,8 @@
 from fennelcove.node.descriptor_budget import DescriptorBudget, DescriptorUse
 from fennelcove.node.log import EventLogger
 from fennelcove.node.metrics import NodeMetrics
-from fennelcove.node.model import Server, Session
+from fennelcove.node.model import Session
+from fennelcove.node.server_table import ServerTable
 
 
 class NodeContext:
@@ -32,7 +33,8 @@
         self.metrics = NodeMetrics(clock, logger)
         self.connections = ConnectionTable(descriptors.limits[DescriptorUse.CLIENT])
         self.sessions: dict[bytes, Session] = {}
-        self.servers: dict[str, Server] = {}
+        self.server_table = ServerTable()
+        self.servers = self.server_table.by_name
         self.last_us = 0
 
     def now_us(self) -> int:
--- a/packages/node/src/fennelcove/node/server_connection.py
+++ b/packages/node/src/fennelcove/node/server_connection.py
@@ -47,6 +47,10 @@
         """Return the Unix time in microseconds; it never goes back."""
         ...
 
+    def supervise(self, server: Server) -> None:
+        """Include a server in the periodic checks."""
+        ...
+
     def on_server_message(self, link: ServerLink, message: Message) -> None:
         """Handle a message from a server."""
         ...
@@ -120,6 +124,7 @@
         self.descriptor = manager.descriptors.reserve(DescriptorUse.SERVER)
         self.is_read_to_end = False  # every message that the server has sent here has been handled
         server.links[self] = None
+        manager.supervise(server)
 
     @property
     def is_idle(self) -> bool:
--- a/packages/node/src/fennelcove/node/server_monitor.py
+++ b/packages/node/src/fennelcove/node/server_monitor.py
@@ -41,12 +41,6 @@
         """Whether both the policy and the node have a server of this name."""
         return name in self._policy.servers and name in self._context.servers
 
-    def is_replaced(self, server: Server) -> bool:
-        """Whether a server is off the list and its address is another's by now."""
-        return not server.listed and any(
-            other.listed and other.address == server.address for other in self._context.servers.values()
-        )
-
     def on_dial_failed(self, server: Server, refused: bool) -> None:
         """Record that a connection could not be made."""
         now_us = self._context.now_us()
@@ -96,19 +90,19 @@
             if link.dispatched_session is None:
                 link.close(Outcome.CONNECTION_LOST)
         if not server.links:
-            del self._context.servers[server.name]
+            self._context.server_table.forget(server)
 
     def check_servers(self, now_us: int) -> None:
         """Probe, close and open connections; called periodically."""
         waiting = list[Server]()
-        for server in list(self._context.servers.values()):
+        for server in self._context.server_table.supervised():
             self._check_connections(server, now_us)
             if server.established:
                 self.close_if_lost(server)
             if self._is_dial_due(server, now_us):
                 server.needs_redial = False
                 # A dial would reach the one that came in its place, whose answers prove nothing of it.
-                if self.is_replaced(server):
+                if self._context.server_table.is_replaced(server):
                     self.close_sessions(server)
                 else:
                     waiting.append(server)
--- a/packages/node/src/fennelcove/node/server_pool.py
+++ b/packages/node/src/fennelcove/node/server_pool.py
@@ -67,7 +67,7 @@
             Whether one was closed.
         """
         now_us = self._context.now_us()
-        servers = self._context.servers.values()
+        servers = self._context.server_table.supervised()
         idle = [link for server in servers for link in server.links if link.is_idle]
         unneeded = [link for link in idle if not (link.server.needs_link and len(link.server.links) == 1)]
         if unneeded:
--- a/packages/node/src/fennelcove/node/session_manager.py
+++ b/packages/node/src/fennelcove/node/session_manager.py
@@ -115,6 +115,7 @@
         self.admit = self.admission.admit
         self.take_over = self.handovers.take_over
         # Of connections to servers (`ConnectionOwner`).
+        self.supervise = self.context.server_table.supervise
         self.on_server_message = self.messages.on_message
         self.on_attempt_completed = self.attempts.on_completed
         self.accepts_attempts = self.monitor.accepts_attempts
--- a/packages/node/src/fennelcove/node/session_messenger.py
+++ b/packages/node/src/fennelcove/node/session_messenger.py
@@ -46,6 +46,7 @@
                 return
         self._context.metrics.count(Metric.RELEASE_DEFERRED, "server")
         server.unsent.append(data)
+        self._context.server_table.supervise(server)
 
     def forget_session(self, session: Session) -> None:
         """Remove a closed session from every table."""
--- a/tests/test_work_per_event.py
+++ b/tests/test_work_per_event.py
@@ -10,11 +10,18 @@
 from types import FrameType
 from typing import Any
 
+from fennelcove.clock import ManualClock
+from fennelcove.clock.timers import Timers
 from fennelcove.interface import ListMode, ListUpdate, Outcome, ServerState
+from fennelcove.log import silent
+from fennelcove.node import config
+from fennelcove.node.discovery_events import DiscoveryBatch, DiscoveryEvent
+from fennelcove.node.session_manager import SessionManager
 from fennelcove.placement import PlacementPolicy
 from fennelcove.placement.state import MAX_SAMPLED_LINKS
 
-from tests.helpers import end, entry, front, play
+from tests.helpers import SECOND, end, entry, front, play
+from tests.noderig import SETTINGS, notice
 
 USUAL, MANY = 200, 3_200
 GROWTH = (
@@ -112,3 +119,57 @@
         server.link.observe(0.3, policy.now_us)
     policy.now_us += 1
     assert abs(policy.mean_utilization() - 0.3) < 0.05
+
+
+def node_among(servers: int) -> SessionManager:
+    """A node's parts without sockets: some servers that it is connected to have just been removed."""
+    rows = [row(i) for i in range(servers)]
+    known = {"rev": 1, "notices": [notice(1, rows, whole=True)]}
+    tree = {"listen": "127.0.0.1:1", "board": "127.0.0.1:2", "known": known, "settings": SETTINGS}
+    clock = ManualClock(wall_from_us=1_700_000_000 * SECOND)
+    node = SessionManager(config.parse(tree), clock, Timers(clock), silent)
+    for event in node.config.initial_batch.events:
+        node.on_discovery_event(event)
+    for i in range(SESSIONS):
+        node.pool.create(node.servers[f"s{i}"])
+    removed = [row(i, health="removed") for i in range(SESSIONS)]
+    node.on_discovery_event(change(2, *removed))
+    return node
+
+
+def row(i: int, **changes: Any) -> dict[str, Any]:
+    address = f"127.0.{i // 250}.{i % 250}:3868"
+    fixed = {"site": "here", "class": "kind", "block": i, "health": "up", "share": 1, "born_ms": 0}
+    return {"host": f"s{i}", "dial": address, **fixed, **changes}
+
+
+def change(rev: int, *rows: dict[str, Any]) -> DiscoveryEvent:
+    [event] = DiscoveryBatch.parse({"rev": rev, "notices": [notice(rev, list(rows))]}).events
+    return event
+
+
+def test_a_discovery_event_visits_no_server_without_connections() -> None:
+    def lines_among(servers: int) -> int:
+        node = node_among(servers)
+        event = change(3, row(100, host="new", dial="127.1.0.1:3868"))
+        return lines_run(lambda: node.on_discovery_event(event))
+
+    assert_no_growth(lines_among)
+
+
+def test_maintenance_visits_no_server_without_connections() -> None:
+    def lines_among(servers: int) -> int:
+        node = node_among(servers)
+        node.run_maintenance()
+        return lines_run(node.run_maintenance)
+
+    assert_no_growth(lines_among)
+
+
+def test_making_room_for_a_connection_visits_no_server_without_connections() -> None:
+    def lines_among(servers: int) -> int:
+        node = node_among(servers)
+        node.run_maintenance()
+        return lines_run(node.pool.close_idle)
+
+    assert_no_growth(lines_among)
