Front node: checking a batch of discovery events for gaps takes time in proportion to it

After an outage of discovery in a release among thousands of servers a batch has thousands of events.

--- a/packages/node/src/fennelcove/node/discovery_events.py
+++ b/packages/node/src/fennelcove/node/discovery_events.py
@@ -61,7 +61,8 @@
     def has_gap_after(self, watch: int) -> bool:
         """Whether a revision after `watch`, up to the last, is missing from the batch."""
         numbers = {notice.revision for notice in self.events} | self.other_revisions
-        return sum(watch < rev <= self.last_revision for rev in numbers) != self.last_revision - watch
+        last = self.last_revision
+        return sum(watch < rev <= last for rev in numbers) != last - watch
 
     def events_after(self, watch: int, gapless: bool) -> tuple[DiscoveryEvent, ...] | None:
         """Return the events after revision `watch`, each once and in order.
--- a/tests/test_work_per_event.py
+++ b/tests/test_work_per_event.py
@@ -173,3 +173,12 @@
         return lines_run(node.pool.close_idle)
 
     assert_no_growth(lines_among)
+
+
+def test_the_work_on_a_batch_of_events_grows_with_their_number_alone() -> None:
+    def lines_for(events: int) -> int:
+        notices = [notice(rev, [row(rev)]) for rev in range(2, events + 2)]
+        batch = DiscoveryBatch.parse({"rev": events + 1, "notices": notices})
+        return lines_run(lambda: batch.events_after(1, gapless=True))
+
+    assert lines_for(1_600) <= GROWTH * 16 * lines_for(100)
