Placement: a change of the list visits inactive servers only after a change of theirs

Only servers whose state or sessions have changed since the last list are looked at, and those that left too lately to be forgotten.

--- a/packages/placement/src/fennelcove/placement/attempts.py
+++ b/packages/placement/src/fennelcove/placement/attempts.py
@@ -59,14 +59,22 @@
 def open_attempt(state: PolicyState, session: Session, server: Server) -> None:
     session.attempts.append(Attempt(server, state.now_us))
     server.sessions[session] = None
+    note_if_inactive(state, server)
     state.record_contact(server)
     seat = (session.title, session.service_class)
     state.seats[seat] = state.seats.get(seat, 0) + 1
     state.record_rate_change(session, state.rate_kb(session, session.rung))
 
 
+def note_if_inactive(state: PolicyState, server: Server) -> None:
+    """Have the next list look at a server that drains or has left: its sessions have changed."""
+    if server.state is not ServerState.ACTIVE:
+        state.changed_inactive_servers[server] = None
+
+
 def close_attempt(state: PolicyState, session: Session, attempt: Attempt) -> None:
     attempt.server.sessions.pop(session, None)
+    note_if_inactive(state, attempt.server)
     state.seats[session.title, session.service_class] -= 1
     state.record_rate_change(session, -state.rate_kb(session, session.rung))
 
--- a/packages/placement/src/fennelcove/placement/records.py
+++ b/packages/placement/src/fennelcove/placement/records.py
@@ -169,7 +169,9 @@
     request_times: deque[int] = field(default_factory=deque)  # times of requests, for the retry budget
     retry_times: deque[int] = field(default_factory=deque)  # times of retries, for the retry budget
     title_request_times_us: dict[int, deque[int]] = field(default_factory=dict)  # latest, by title
-    inactive_servers: dict[Server, None] = field(default_factory=dict)  # that drain or have left the list
+    # Servers that drain or have left the list, whose state or sessions changed since the last list, and those
+    # that left too lately to be forgotten.
+    changed_inactive_servers: dict[Server, None] = field(default_factory=dict)
     listed_count: int = 0  # servers that were ever listed
     list_is_fresh: bool = False  # a server list later than the saved one has come
     failed_list_polls: int = 0  # in a row
--- a/packages/placement/src/fennelcove/placement/server_list.py
+++ b/packages/placement/src/fennelcove/placement/server_list.py
@@ -22,7 +22,7 @@
     for entry in event.entries:
         on_list_entry(state, entry)
     if event.mode is not ListMode.INCREMENTAL:  # the others of an incremental list are as they were
-        state.inactive_servers = dict.fromkeys(
+        state.changed_inactive_servers = dict.fromkeys(
             server for server in state.servers.values() if server.state is not ServerState.ACTIVE)
     update_racks(state)
     if event.mode is ListMode.SAVED:
@@ -32,10 +32,14 @@
 def update_racks(state: PolicyState) -> None:
     """Exclude inactive servers from racks once they are empty, and forget those that left."""
     oldest_us = state.now_us - state.settings.warm_up_us
-    for server in list(state.inactive_servers):
+    for server in list(state.changed_inactive_servers):
         update_membership(server)
-        if server.state is ServerState.LEFT and not server.is_in_rack and server.started_us < oldest_us:
-            del state.servers[server.address], state.inactive_servers[server]
+        has_left = server.state is ServerState.LEFT and not server.is_in_rack
+        if has_left and server.started_us >= oldest_us:
+            continue
+        del state.changed_inactive_servers[server]
+        if has_left:
+            del state.servers[server.address]
             state.replicas[server.cell].remove(server)
             state.contacted.pop(server, None)
 
@@ -58,9 +62,9 @@
     server.state = entry.state
     update_membership(server)
     if server.state is ServerState.ACTIVE:
-        state.inactive_servers.pop(server, None)
+        state.changed_inactive_servers.pop(server, None)
     else:
-        state.inactive_servers[server] = None
+        state.changed_inactive_servers[server] = None
     if entry.started_us > server.started_us:  # a new process has no sessions and no faults of its last one
         server.started_us, server.health, server.strikes = entry.started_us, Health.WELL, 0
         server.link.report = server.last_attempt_us = None
--- a/tests/test_work_per_event.py
+++ b/tests/test_work_per_event.py
@@ -182,3 +182,14 @@
         return lines_run(lambda: batch.events_after(1, gapless=True))
 
     assert lines_for(1_600) <= GROWTH * 16 * lines_for(100)
+
+
+def test_a_change_of_the_list_visits_no_server_that_drains_unchanged() -> None:
+    def lines_among(draining: int) -> int:
+        policy = policy_among(MANY)
+        update = tuple(entry(f"s{i}", i, state=ServerState.LEAVING) for i in range(draining))
+        policy.handle(ListUpdate(ListMode.INCREMENTAL, update), policy.now_us)
+        another = ListUpdate(ListMode.INCREMENTAL, (entry("new", 7),))
+        return lines_run(lambda: policy.handle(another, policy.now_us))
+
+    assert lines_among(USUAL * 10) <= GROWTH * lines_among(USUAL)
