--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -226,6 +226,8 @@
         releases = [e["t"] for e in events if e["event"] == "release_sent" and e["by"] == made["by"]]
         if ends[0]["event"] == "over" and releases:
             deadline = max(answer["t"], *releases) + RELEASE_S + SLACK_S
+            if any(e["event"] == "orphaned" and e["t"] <= deadline for e in events):
+                deadline = max(deadline, ends[0]["t"] + UNHEARD_RELEASE_S + SLACK_S)
         node = answer["node"]
         for began, ready, _ in self.downs[node]:
             if began - RELEASE_S - UNHEARD_RELEASE_S <= ends[0]["t"] <= ready or began <= deadline <= ready:
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -61,6 +61,7 @@
         self.playing: dict[str, Session] = {}
         self.used = time.time()
         self.is_closed = False
+        self.held: list[bytes] | None = None  # what waits for the rest of a set-up that is sent in pieces
 
     @property
     def is_unused(self) -> bool:
@@ -244,15 +245,19 @@
     def _send_in_pieces(self, connection: Connection, session: Session, data: bytes) -> None:
         at = self.rng.randrange(1, len(data))
         self.write(connection, data[:at])
-        # Nothing else may be written on it meanwhile.
+        connection.held = []
+        # No other set-up may be written on it meanwhile.
         self.nodes[connection.node].connections.pop(connection, None)
 
         def finish() -> None:
             if connection.is_closed:
                 return
+            held, connection.held = connection.held or [], None
             self.write(connection, data[at:])
             self.nodes[connection.node].connections[connection] = None
             self.on_sent(connection, session)
+            for each in held:
+                self.write(connection, each)
 
         self.loop.after(self.rng.uniform(0.001, 0.3), finish)
 
@@ -318,7 +323,12 @@
             session.connection.playing.pop(session.id, None)
 
     def write(self, connection: Connection, data: bytes) -> None:
+        if connection.is_closed:
+            return
         connection.used = time.time()
+        if connection.held is not None:
+            connection.held.append(data)
+            return
         try:
             sent = connection.sock.send(data)
         except OSError:
@@ -409,6 +419,8 @@
 
     def drop(self, connection: Connection) -> None:
         connection.is_closed = True
+        for id in connection.playing:
+            self.record("orphaned", node=connection.node, session=id)
         self.nodes[connection.node].connections.pop(connection, None)
         self.loop.forget(connection.sock)
         connection.sock.close()
