Front node: a discovery response may have 8 MiB, as thousands of servers and their changes need

A response past 1 MiB was refused, the poll failed and was sent again, without end: the server list never changed again, and set-ups went on to servers that had drained. Some 5,000 changes since the last poll suffice, as after an outage in a release among 3,200 servers; a whole list with three changes of six in ten servers has 1.8 MB.

The new test sends 9,000 changes: failed before (20 s without the last change), passes now.

--- a/packages/node/src/fennelcove/node/discovery_client.py
+++ b/packages/node/src/fennelcove/node/discovery_client.py
@@ -27,7 +27,7 @@
 BACKOFF_MAX_US = 500_000  # up to this, so that events of a service that is back still arrive in time
 BACKOFF_MAX_DOUBLINGS = 10
 BACKOFF_MIN_FACTOR, BACKOFF_MAX_FACTOR = 0.5, 1.5  # jitter
-MAX_RESPONSE_BYTES = 1 << 20
+MAX_RESPONSE_BYTES = 8 << 20  # some 200 bytes for each of thousands of servers, and for each change of one
 READ_BYTES = 65_536
 HTTP_OK = 200
 
--- a/tests/test_node_discovery_thread.py
+++ b/tests/test_node_discovery_thread.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 import threading
 import time
@@ -11,6 +12,7 @@
 
 from fennelcove.clock import SystemClock
 from fennelcove.clock.timers import Timers
+from fennelcove.http1 import writer as http
 from fennelcove.interface import ServerState
 from fennelcove.log import silent
 from fennelcove.node import config, session_manager
@@ -63,6 +65,22 @@
     def standing(self) -> ServerState:
         return self.desk.policy.servers["s0"].state
 
+    def changes(self, count: int) -> bytes:
+        """A response with so many changes, the last of which drains the server."""
+        rows = [{**HOST, "host": f"s{i}", "dial": f"127.0.0.1:{1 + i % 60_000}"} for i in range(1, count)]
+        notices = [notice(rev, [row]) for rev, row in enumerate([*rows, DRAINING], 2)]
+        body = json.dumps({"rev": count + 1, "notices": notices}).encode()
+        return http.response(200, [], body)
+
+    def test_a_list_of_thousands_of_servers_and_changes_is_not_too_long(self) -> None:
+        # Past the bound of 1 MiB each poll failed, and the list never changed again.
+        board = HeldBoard()
+        self.watch(board)
+        response = self.changes(9_000)
+        assert 1 << 20 < len(response) < 4 << 20
+        board.next().send(response)
+        eventually(lambda: self.standing() is ServerState.LEAVING, "the last change")
+
     def test_an_answer_of_the_old_board_is_not_applied_after_the_move(self) -> None:
         # Read before the move and applied after it: the old board tells nothing further.
         old, new = HeldBoard(), HeldBoard()
