Front node: a connection to a server's successor no longer holds the sessions of the one that went

Callers whose server was replaced by another at the same address were never released. The server's process had ended and its connections were reset; the node dialled at once, reached the new process before the list named it, and took its answers for the old one's signs of life. When the list then named the new server, only dials under way were closed. Now connections opened after the start that the list gives the new server are closed, and what played at the old one ends.

--- a/packages/node/src/fennelcove/node/discovery_updates.py
+++ b/packages/node/src/fennelcove/node/discovery_updates.py
@@ -41,8 +41,9 @@
             self._monitor.on_started(self._context.servers[entry.address], entry.started_us)
         self._handovers.resolve_waiting()
         for server in self._context.server_table.supervised():
-            if server.links and self._context.server_table.is_replaced(server):
-                self._pool.close_outdated(server, only_dials=True)
+            successor = self._context.server_table.successor_of(server)
+            if successor is not None:
+                self._pool.close_links_to_successor(server, successor)
             self._monitor.forget_if_removed(server)
 
     def _update_table(self, event: DiscoveryEvent) -> list[Server]:
--- a/packages/node/src/fennelcove/node/server_monitor.py
+++ b/packages/node/src/fennelcove/node/server_monitor.py
@@ -102,7 +102,7 @@
             if self._is_dial_due(server, now_us):
                 server.needs_redial = False
                 # A dial would reach the one that came in its place, whose answers prove nothing of it.
-                if self._context.server_table.is_replaced(server):
+                if self._context.server_table.successor_of(server) is not None:
                     self.close_sessions(server)
                 else:
                     waiting.append(server)
--- a/packages/node/src/fennelcove/node/server_pool.py
+++ b/packages/node/src/fennelcove/node/server_pool.py
@@ -96,14 +96,22 @@
                 return
             self.create(server).start()
 
-    def close_outdated(self, server: Server, *, only_dials: bool = False) -> None:
-        """Close connections that lead to another process than the list now means.
+    def close_outdated(self, server: Server) -> None:
+        """Close connections that lead to another process than the list now means."""
+        for link in list(server.links):
+            if link.state is ConnectionState.DIALLING:
+                link.close(Outcome.NOT_SENT)
+            elif link.is_idle:
+                link.close(Outcome.CONNECTION_LOST)
+
+    def close_links_to_successor(self, server: Server, successor: Server) -> None:
+        """Close connections of a server that has gone which lead to the one in its place.
 
-        A dial under way to a server that has gone would reach the one in its place, whose signs of life
-        would then keep sessions of the first open.
+        The signs of life of the second would keep sessions of the first open. A dial under way reaches the
+        second; so has a connection that was opened after the second had started, before the list named it.
         """
         for link in list(server.links):
             if link.state is ConnectionState.DIALLING:
                 link.close(Outcome.NOT_SENT)
-            elif link.is_idle and not only_dials:
+            elif 0 < successor.started_us <= link.opened_us:
                 link.close(Outcome.CONNECTION_LOST)
--- a/packages/node/src/fennelcove/node/server_table.py
+++ b/packages/node/src/fennelcove/node/server_table.py
@@ -46,9 +46,11 @@
         self._listed_at.clear()
         self._supervised = dict.fromkeys(self.by_name.values())
 
-    def is_replaced(self, server: Server) -> bool:
-        """Whether a server is off the list and its address is another's by now."""
-        return not server.listed and bool(self._listed_at.get(server.address))
+    def successor_of(self, server: Server) -> Server | None:
+        """The listed server that has the address of a server off the list by now, or None."""
+        if server.listed:
+            return None
+        return next(iter(self._listed_at.get(server.address, ())), None)
 
     def supervise(self, server: Server) -> None:
         """Supervise a server: it has connections, sessions or messages to send, or has left the list."""
--- a/tests/noderig.py
+++ b/tests/noderig.py
@@ -82,12 +82,16 @@
     """Answers each set-up by `reply`; None closes the connection, and empty bytes say nothing."""
 
     def __init__(
-        self, name: str, cell: int, reply: Callable[[ServerMessage], bytes | None] = answered
+        self,
+        name: str,
+        cell: int,
+        reply: Callable[[ServerMessage], bytes | None] = answered,
+        address: tuple[str, int] = ("127.0.0.1", 0),
     ) -> None:
         self.name, self.cell, self.reply = name, cell, reply
         self.heard: list[ServerMessage] = []
         self.sockets: list[socket.socket] = []
-        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener = socket.create_server(address)
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -8,6 +8,7 @@
 import socket
 import tempfile
 import threading
+import time
 import unittest
 from contextlib import suppress
 from pathlib import Path
@@ -328,6 +329,25 @@
         self.served(rig, 2)
         assert (len(old.of(Kind.SET_UP)), len(new.of(Kind.SET_UP))) == (1, 1)
 
+    def test_a_connection_to_a_successor_not_listed_yet_does_not_hold_sessions_of_the_one_that_went(
+        self,
+    ) -> None:
+        # Made anew as soon as the first had reset it, it was answered by the second, and nobody was released.
+        gone, board = StandInServer("s0", 0), HeldBoard()
+        rig = self.rig(board, gone)
+        poll = board.next()
+        viewer = self.served(rig)
+        address = gone.listener.getsockname()
+        gone.die()
+        started_ms = time.time_ns() // 1_000_000
+        heir = StandInServer("s1", 0, address=address)
+        eventually(lambda: heir.sockets, "a connection to the second")
+        rows = [{**heir.row, "host": "s0", "health": "removed"}, {**heir.row, "born_ms": started_ms}]
+        poll.tell(2, notice(2, rows))
+        assert board.next().watch == 2
+        release = viewer.request()
+        assert (release.method, release.fields["reason"]) == ("TEARDOWN", "cause=41")
+
     def test_a_dial_under_way_does_not_take_a_successor_for_the_one_that_went(self) -> None:
         # What played at the one that went was held by a connection to the other, and never released.
         listener, fillers = hung(self)
