Front node: one guard for starting, sending, repeating, answering and closing; violations counted

It is asked where a set-up's bytes leave, where an answer leaves, where a session starts, where a connection is closed and where a release is kept; a step that would break one is refused or made harmless, counted in the metrics and logged with the session's transitions.

Its invariant on closing was broken: a connection closed by the node for unreadable bytes, for a message that stops short, or for an id used twice took its open set-ups with it unanswered.

--- a/packages/node/src/fennelcove/node/client_connection.py
+++ b/packages/node/src/fennelcove/node/client_connection.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from fennelcove.clock import Clock
-from fennelcove.node import client_requests
+from fennelcove.node import client_requests, session_states
 from fennelcove.node.descriptor_budget import DescriptorBudget, DescriptorUse
 from fennelcove.node.metrics import Metric
 from fennelcove.node.model import ClientLink, Session
@@ -32,6 +32,14 @@
 PEER_GONE_EVENTS = select.POLLRDHUP | select.POLLERR
 
 
+class CloseGuard(session_states.Guard, Protocol):
+    """The invariants that a connection's end asks for."""
+
+    def check_close(self, client: ClientLink) -> None:
+        """Check that the node closes a connection only once its set-ups are answered."""
+        ...
+
+
 class ClientSessions(client_requests.SessionService, Protocol):
     """The session manager, as connections of clients use it."""
 
@@ -40,6 +48,11 @@
     connections: ConnectionTable
     descriptors: DescriptorBudget
 
+    @property
+    def guard(self) -> CloseGuard:
+        """The guard of sessions' invariants."""
+        ...
+
 
 class ClientConnection:
     """One connection of a client. Every method but `run` is called with the manager's lock held."""
@@ -121,10 +134,13 @@
         except ProtocolError as error:
             self.end_reason = f"unreadable_{error.status}"
             with self.manager.lock:
+                client_requests.answer_open_requests(self.manager, self)
                 self.send(writer.response(error.status))
         finally:
             with self.manager.lock:
                 self.manager.metrics.count(Metric.CLIENT_CONNECTION_CLOSED, self.end_reason)
+                if not (self.is_ended_by_client or self.has_left()):
+                    self.manager.guard.check_close(self)
                 self.is_closed = True
                 client_requests.on_client_gone(self.manager, self)
             self._drain()
@@ -219,6 +235,7 @@
         with self.manager.lock:
             data = self._receive_available()
             if data is None:
+                client_requests.answer_open_requests(self.manager, self)
                 self.is_closed = True
                 self.end_reason = "timed_out"
         return data
@@ -372,9 +389,9 @@
         )
         return next((each for each in same_peer if not each.has_left()), None)
 
-    def defer(self, peer: str, data: bytes, now_us: int) -> None:
-        """Queue a message for the peer's next connection."""
-        self.pending_notifications.defer(peer, data, now_us)
+    def defer(self, peer: str, data: bytes, now_us: int) -> bool:
+        """Queue a message for the peer's next connection; False if one was dropped."""
+        return self.pending_notifications.defer(peer, data, now_us)
 
     def deliver(self, connection: ClientLink) -> None:
         """Send what is queued for this connection's peer."""
--- a/packages/node/src/fennelcove/node/client_requests.py
+++ b/packages/node/src/fennelcove/node/client_requests.py
@@ -95,7 +95,7 @@
         client.send(writer.response(STATUS_INVALID_SETUP, *echo))
         return
     if existing is not None:
-        _on_duplicate_setup(client, existing, setup, echo)
+        _on_duplicate_setup(manager, client, existing, setup, echo)
         return
     session = Session(
         id=id,
@@ -131,6 +131,12 @@
     return session_states.apply_event(manager, session, SessionEvent.CLIENT_GONE)
 
 
+def answer_open_requests(manager: SessionService, client: ClientLink) -> None:
+    """Answer the set-up requests on a connection that the node itself is about to close."""
+    for session in list(client.open_sessions):
+        session_states.apply_event(manager, session, SessionEvent.ABORTED)
+
+
 def on_client_gone(manager: SessionService, client: ClientLink) -> None:
     """Act on a connection's end: its set-up requests are cancelled, its established sessions play on."""
     for session in list(client.open_sessions):
@@ -147,12 +153,17 @@
 
 
 def _on_duplicate_setup(
-    client: ClientLink, existing: Session, setup: SetupRequest, echo: tuple[tuple[str, str], ...]
+    manager: SessionService,
+    client: ClientLink,
+    existing: Session,
+    setup: SetupRequest,
+    echo: tuple[tuple[str, str], ...],
 ) -> None:
     if setup.current_server:
         return  # a session may be handed over that is held already
     if existing.client is client and existing.state is not SessionState.ESTABLISHED:
         # One answer is pending under this id; an error status here would be taken for it.
+        answer_open_requests(manager, client)
         client.disconnect()
         return
     client.send(writer.response(STATUS_SESSION_EXISTS, *echo))
--- a/packages/node/src/fennelcove/node/model.py
+++ b/packages/node/src/fennelcove/node/model.py
@@ -114,6 +114,7 @@
     timeout_us: int  # timeout, counted from `sent_us`
     link: ServerLink | None = None  # the connection in use until the session is established
     outcome: Outcome = Outcome.NO_ANSWER
+    is_sent: bool = False  # its set-up request was handed to the kernel, in part at least
     report: LoadReport | None = None
 
 
@@ -134,6 +135,8 @@
     attempt: Attempt | None = None
     attempts: int = 0
     answer: bytes = b""  # the body of the server's answer
+    is_answered: bool = False  # the set-up request has its answer
+    may_have_run: bool = False  # an attempt that has ended may have been carried out
     retry_after_us: int = 0  # sent to a client that is rejected; 0 for none
     answer_deadline_us: int = 0
     client_id: str = ""
--- a/packages/node/src/fennelcove/node/pending_notifications.py
+++ b/packages/node/src/fennelcove/node/pending_notifications.py
@@ -30,12 +30,18 @@
     def __init__(self) -> None:
         self.by_peer: dict[str, deque[_Notification]] = {}
 
-    def defer(self, peer: str, data: bytes, now_us: int) -> None:
-        """Queue a message for the peer's next connection; dropped if too many peers have a queue."""
+    def defer(self, peer: str, data: bytes, now_us: int) -> bool:
+        """Queue a message for the peer's next connection.
+
+        Returns:
+            False if one was dropped: too many peers have a queue, or too many messages are in this one.
+        """
         if peer not in self.by_peer and len(self.by_peer) >= MAX_PENDING_PEERS:
-            return
+            return False
         queue = self.by_peer.setdefault(peer, deque(maxlen=MAX_PENDING_PER_PEER))
+        is_full = len(queue) == MAX_PENDING_PER_PEER
         queue.append(_Notification(now_us, data))
+        return not is_full
 
     def deliver(self, connection: ClientLink) -> None:
         """Send what is queued for this connection's peer; what can't be sent stays for the next one."""
--- a/packages/node/src/fennelcove/node/server_connection.py
+++ b/packages/node/src/fennelcove/node/server_connection.py
@@ -32,6 +32,14 @@
 KEEPALIVE_ANSWER_CAUSE = b"\1"
 
 
+class SendGuard(Protocol):
+    """The invariants that sending a set-up request asks for."""
+
+    def may_send(self, session: Session) -> bool:
+        """Whether the session's current attempt may be sent to its server now."""
+        ...
+
+
 class ConnectionOwner(Protocol):
     """Receives the messages and the state changes of connections to servers.
 
@@ -43,6 +51,11 @@
     descriptors: DescriptorBudget
     metrics: NodeMetrics
 
+    @property
+    def guard(self) -> SendGuard:
+        """The guard of sessions' invariants."""
+        ...
+
     def now_us(self) -> int:
         """Return the Unix time in microseconds; it never goes back."""
         ...
@@ -155,6 +168,10 @@
 
     def _send_set_up(self, session: Session) -> None:
         assert session.attempt is not None
+        if not self.manager.guard.may_send(session):
+            self._complete_attempt(Outcome.NOT_SENT)
+            return
+        session.attempt.is_sent = True
         parameters = self._set_up_parameters(session, session.attempt)
         # If the kernel accepts only a part of it, nothing more is sent: no server receives it whole.
         self.send(writer.message(Kind.SET_UP, session.id, *parameters), Outcome.NOT_SENT)
--- a/packages/node/src/fennelcove/node/session_admission.py
+++ b/packages/node/src/fennelcove/node/session_admission.py
@@ -7,6 +7,7 @@
 from fennelcove.node.deadlines import Deadlines
 from fennelcove.node.model import Session, SessionState
 from fennelcove.node.node_context import NodeContext
+from fennelcove.node.session_guard import SessionGuard
 from fennelcove.node.session_states import SessionActions, SessionEvent
 
 ANSWER_GRACE_US = 20_000  # past a client's timeout the policy may still answer, of 50 ms that are allowed
@@ -15,8 +16,11 @@
 class SessionAdmission:
     """Answers each set-up request in time, at the latest at shutdown; used with the node's lock held."""
 
-    def __init__(self, context: NodeContext, deadlines: Deadlines, actions: SessionActions) -> None:
+    def __init__(
+        self, context: NodeContext, deadlines: Deadlines, guard: SessionGuard, actions: SessionActions
+    ) -> None:
         """Admit requests until `shut_down`."""
+        self._guard = guard
         self._context = context
         self._deadlines = deadlines
         self._actions = actions
@@ -24,6 +28,8 @@
 
     def admit(self, session: Session, request: Request) -> None:
         """Register a session, and pass its valid set-up request to the policy."""
+        if not self._guard.may_start(session):
+            return  # its connection gets the answer of the one that is open
         self._context.sessions[session.id] = session
         if session.client is not None:
             session.client.open_sessions[session] = None
--- a/packages/node/src/fennelcove/node/session_manager.py
+++ b/packages/node/src/fennelcove/node/session_manager.py
@@ -25,6 +25,7 @@
 from fennelcove.node.server_monitor import ServerMonitor
 from fennelcove.node.server_pool import ServerPool
 from fennelcove.node.session_admission import SessionAdmission
+from fennelcove.node.session_guard import SessionGuard
 from fennelcove.node.session_messenger import SessionMessenger
 from fennelcove.placement import PlacementPolicy
 
@@ -92,8 +93,9 @@
         context = self.context
         self.deadlines = Deadlines(self.clock, self.timers, self._on_deadline_timer)
         self.notifier = PolicyNotifier(context, self.policy, self)
-        self.messenger = SessionMessenger(context, self.deadlines)
-        self.admission = SessionAdmission(context, self.deadlines, self)
+        self.guard = SessionGuard(context, self.policy)
+        self.messenger = SessionMessenger(context, self.deadlines, self.guard)
+        self.admission = SessionAdmission(context, self.deadlines, self.guard, self)
         self.pool = ServerPool(context, self)
         self.attempts = AttemptDispatcher(context, self.pool, self, self.run_locked)
         self.messages = ServerMessageHandler(context, self.attempts, self)
--- a/packages/node/src/fennelcove/node/session_messenger.py
+++ b/packages/node/src/fennelcove/node/session_messenger.py
@@ -6,15 +6,17 @@
 from fennelcove.node.metrics import Metric
 from fennelcove.node.model import ConnectionState, Session
 from fennelcove.node.node_context import NodeContext
+from fennelcove.node.session_guard import SessionGuard
 
 
 class SessionMessenger:
     """Sends without waiting; used with the node's lock held."""
 
-    def __init__(self, context: NodeContext, deadlines: Deadlines) -> None:
+    def __init__(self, context: NodeContext, deadlines: Deadlines, guard: SessionGuard) -> None:
         """Use the context's connections; `deadlines` are those of unanswered set-up requests."""
         self._context = context
         self._deadlines = deadlines
+        self._guard = guard
 
     def answer_setup(self, session: Session, data: bytes) -> bool:
         """Answer the set-up request, on its own connection only.
@@ -33,7 +35,8 @@
             client = self._context.connections.find_connection(session.peer, session.client_id)
         if client is None or not client.send(data):
             self._context.metrics.count(Metric.RELEASE_DEFERRED, "client")
-            self._context.connections.defer(session.peer, data, self._context.now_us())
+            is_kept = self._context.connections.defer(session.peer, data, self._context.now_us())
+            self._guard.check_release(session, is_kept=is_kept)
 
     def send_to_server(self, session: Session, data: bytes) -> None:
         """Send on an open connection to the session's server, or keep it for the next one."""
--- a/packages/node/src/fennelcove/node/session_states.py
+++ b/packages/node/src/fennelcove/node/session_states.py
@@ -20,6 +20,8 @@
 RETRY_AFTER_FIELD = "Come-Back-Ms"
 TEARDOWN_CSEQ = "2"
 REDIRECT_CSEQ = "4"
+# The outcomes that prove that no server carried the attempt out.
+NEVER_RAN = frozenset({Outcome.REJECTED, Outcome.NO_CONNECTION, Outcome.NOT_SENT})
 # What a server's end of a session means to its client; any other outcome is a reset.
 RELEASE_CAUSES = {Outcome.SERVED: Cause.OK}
 
@@ -38,11 +40,28 @@
     ABORTED = auto()  # the node shuts down, or the placement policy has failed on the session
 
 
+class Guard(Protocol):
+    """The invariants that transitions ask for; `session_guard` has them all."""
+
+    def may_answer(self, session: Session) -> bool:
+        """Whether the set-up request may be answered."""
+        ...
+
+    def may_reject(self, session: Session) -> bool:
+        """Whether the answer may call a retry harmless."""
+        ...
+
+
 class SessionActions(Protocol):
     """The operations by which transitions act on the node; called with the node's lock held."""
 
     metrics: NodeMetrics
 
+    @property
+    def guard(self) -> Guard:
+        """The guard of sessions' invariants."""
+        ...
+
     def now_us(self) -> int:
         """Unix time; never goes back."""
         ...
@@ -169,8 +188,10 @@
 
 
 def _reject(actions: SessionActions, session: Session) -> None:
-    fields = retry_after_fields(session.retry_after_us)
-    _answer(actions, session, STATUS_REJECTED, *fields)
+    if actions.guard.may_reject(session):
+        _answer(actions, session, STATUS_REJECTED, *retry_after_fields(session.retry_after_us))
+    else:
+        _answer(actions, session, STATUS_FAILED)
     actions.forget_session(session)
 
 
@@ -206,6 +227,7 @@
 def _complete_attempt(actions: SessionActions, session: Session, *, is_finished: bool) -> None:
     attempt = session.current_attempt
     attempt.link = None
+    session.may_have_run |= attempt.outcome not in NEVER_RAN
     attempt.server.outcome_counts[attempt.outcome] += 1
     actions.metrics.count(Metric.ATTEMPT, attempt.outcome.name)
     if is_finished:
@@ -219,6 +241,9 @@
     actions: SessionActions, session: Session, status: int, *fields: tuple[str, str], body: bytes = b""
 ) -> bool:
     """Answer the set-up request; False where its client has not got all of the answer."""
+    if not actions.guard.may_answer(session):
+        return False
+    session.is_answered = True
     data = rtsp.response(status, ("CSeq", session.cseq), ("Session", session.name), *fields, body=body)
     is_delivered = actions.answer_setup(session, data)
     actions.metrics.count(Metric.ANSWER if is_delivered else Metric.UNDELIVERED_ANSWER, str(status))
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import re
 import socket
 import sys
 import threading
@@ -19,7 +20,8 @@
 
 from tests import noderig
 from tests.clientrig import Inside, Stopped, arrived, ended, holds, reset, rest, sockets, taken
-from tests.noderig import Caller, NodeRig, StandInServer, answered, eventually, released
+from tests.nodeprocess import Rig
+from tests.noderig import SETTINGS, Caller, NodeRig, StandInServer, answered, eventually, released
 
 ID, OTHER = "9b1f03aa5c7e2d41", "00000000000000a1"
 
@@ -289,12 +291,28 @@
         caller = self.script(rig)
         caller.send(writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")))
         caller.set_up(ID)
-        caller.set_up(ID)  # a refusal would be taken for the answer that is owed
+        caller.set_up(ID)  # the first is answered, once, before the connection is shut
         caller.gathered += b"x" * (1 << 20)
         caller.flush()
         caller.sock.shutdown(socket.SHUT_WR)
         said = rest(caller)
-        assert (said[:13], said.count(b"RTSP/1.0 ")) == (b"RTSP/1.0 200 ", 1)
+        statuses = re.findall(rb"RTSP/1\.0 (\d+) [^\r]*\r\nCSeq: (\d)", said)
+        assert statuses == [(b"200", b"3"), (b"500", b"1")]
+        assert said.count(b"RTSP/1.0 ") == 2
+
+    def test_an_open_request_is_answered_before_its_connection_is_closed_for_what_follows_it(self) -> None:
+        # Closed for unreadable bytes, or for a message that stops short, the request was never answered.
+        patient = {**SETTINGS, "Lanes": [{**SETTINGS["Lanes"][0], "AimMs": 20_000}]}
+        for broken in (b"no line at all\r\n\r\n", b"SETUP rtsp://media/7f3a RTSP/1.0\r\nCSe"):
+            with self.subTest(broken):
+                rig = Rig(StandInServer("s0", 0, mute), settings=patient)
+                self.addCleanup(rig.close)
+                caller = rig.caller()
+                caller.set_up(ID)
+                caller.send(broken)
+                answer = caller.answer()
+                assert (answer.status, answer.fields["session"]) == (500, ID)
+                rest(caller)
 
     def test_who_never_ends_is_closed_all_the_same(self) -> None:
         rig = self.rig(StandInServer("s0", 0))
