Front node: the releases of all sessions are kept for their clients, whatever addresses they have

Releases for which no connection was open were kept for 64 addresses, and 256 for one; past that each further one was dropped, its client never heard of the end. Where clients share an address, or a crowd loses its connections at once, a node holds more sessions than that. One bound on all now, that of the sessions (10,000).

--- a/packages/node/src/fennelcove/node/pending_notifications.py
+++ b/packages/node/src/fennelcove/node/pending_notifications.py
@@ -8,8 +8,7 @@
 from fennelcove.node.model import ClientLink
 
 NOTIFICATION_TTL_US = 8_000_000  # a notification is queued for so long,
-MAX_PENDING_PEERS = 64  # for so many peers,
-MAX_PENDING_PER_PEER = 256  # and so many for each
+MAX_NOTIFICATIONS = 10_000  # and so many for all peers: as many as sessions
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -29,25 +28,25 @@
 
     def __init__(self) -> None:
         self.by_peer: dict[str, deque[_Notification]] = {}
+        self.count = 0  # of all queues
 
     def defer(self, peer: str, data: bytes, now_us: int) -> bool:
         """Queue a message for the peer's next connection.
 
         Returns:
-            False if one was dropped: too many peers have a queue, or too many messages are in this one.
+            False if it was dropped, because too many are queued.
         """
-        if peer not in self.by_peer and len(self.by_peer) >= MAX_PENDING_PEERS:
+        if self.count >= MAX_NOTIFICATIONS:
             return False
-        queue = self.by_peer.setdefault(peer, deque(maxlen=MAX_PENDING_PER_PEER))
-        is_full = len(queue) == MAX_PENDING_PER_PEER
-        queue.append(_Notification(now_us, data))
-        return not is_full
+        self.by_peer.setdefault(peer, deque()).append(_Notification(now_us, data))
+        self.count += 1
+        return True
 
     def deliver(self, connection: ClientLink) -> None:
         """Send what is queued for this connection's peer; what can't be sent stays for the next one."""
         queue = self.by_peer.get(connection.peer, deque())
         while queue and not connection.has_left() and connection.send(queue[0].data):
-            queue.popleft()
+            self._drop_first(queue)
         if not queue:
             self.by_peer.pop(connection.peer, None)
 
@@ -55,6 +54,10 @@
         """Drop the notifications that have been queued for too long."""
         for peer, queue in list(self.by_peer.items()):
             while queue and now_us - queue[0].queued_us > NOTIFICATION_TTL_US:
-                queue.popleft()
+                self._drop_first(queue)
             if not queue:
                 del self.by_peer[peer]
+
+    def _drop_first(self, queue: deque[_Notification]) -> None:
+        queue.popleft()
+        self.count -= 1
