Front node: a server that hung gets a further connection once it answers, to repeat its releases on

A session's end was never told to its client: the server hung for 4.4 s, the node closed the unanswered connection and made another, which the kernel of the hung server took in. When the server went on it told the end on the first connection, whose close it had not read yet, and since the second was open no next one followed on which it would repeat it. A server whose connection was closed unanswered now gets one more as soon as it has sent something on a later one.

--- a/packages/node/src/fennelcove/node/server_connection.py
+++ b/packages/node/src/fennelcove/node/server_connection.py
@@ -234,6 +234,8 @@
             return
         if self.state is ConnectionState.OPEN and not self.is_read_to_end:
             self.server.needs_redial = True
+            if outcome is Outcome.NO_ANSWER or self.keepalive_sent_us is not None:
+                self.server.unanswered_close_us = self.manager.now_us()
         self.manager.metrics.count(Metric.SERVER_CONNECTION_CLOSED, f"{self.state.name}_{outcome.name}")
         self.state = ConnectionState.CLOSED
         self.server.links.pop(self, None)
@@ -370,6 +372,7 @@
     def _handle_messages(self, reader: Reader) -> None:
         self.last_received_us, self.keepalive_sent_us = self.manager.now_us(), None
         self.server.connection_loss.on_received(self.last_received_us)
+        self.server.last_message_us = self.last_received_us
         # Read to the end even if the connection was closed meanwhile: a session's release may be among them.
         while (message := reader.next()) is not None:
             self.manager.on_server_message(self, message)
--- a/tests/test_node_owed.py
+++ b/tests/test_node_owed.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import socket
+import threading
+from contextlib import suppress
+from unittest import mock
 
 from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause, Code, Kind
@@ -15,6 +18,13 @@
 from tests.test_node_clients import ID, OTHER, RigTest, many
 
 
+def answer_tests(sock: socket.socket) -> None:
+    """Answer whatever comes as a test of the connection, until it ends."""
+    with suppress(OSError):
+        while sock.recv(4096):
+            sock.sendall(isup.message(Kind.TESTED, bytes(8), (Code.CAUSE, b"\1")))
+
+
 class OwedTest(RigTest):
     """The end of what stands reaches its client on whichever connection is open, or the next that is."""
 
@@ -90,3 +100,24 @@
             caller.set_up(id, routing=f"home:0;copies:4;top:2;viewer:{number:016x}")
             caller.answer()
         assert list(far.recent_clients) == [f"{n:016x}" for n in range(9, client_requests.MAX_CLIENT_IDS + 9)]
+
+    def test_a_server_that_hung_gets_a_further_connection_once_it_answers(self) -> None:
+        # It told the end on the connection that had been closed unanswered; the one made while it hung stayed
+        # open, none followed, and its client waited for good.
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.settimeout(noderig.WAIT_S)
+        self.addCleanup(listener.close)
+        server = StandInServer("s0", 0)
+        row = {**server.row, "dial": f"127.0.0.1:{listener.getsockname()[1]}"}
+        with mock.patch.object(StandInServer, "row", row):
+            rig = self.rig(server)
+        viewer = rig.caller()
+        viewer.set_up(ID, routing="home:0;copies:4;top:2;at:s0")
+        unanswered, _ = listener.accept()
+        meanwhile, _ = listener.accept()
+        with unanswered, meanwhile:
+            threading.Thread(target=answer_tests, args=(meanwhile,), daemon=True).start()
+            following, _ = listener.accept()
+            with following:
+                following.sendall(isup.release(bytes.fromhex(ID), Cause.OK))
+                assert viewer.request().fields["session"] == ID
