Soak: reports of servers, restarts that the list tells, repeated signals, short timeouts, cold servers

Loads over their size are reported each second; a twentieth of the servers dies and is back within 0.05 to 1.5 s, the list tells later; SIGTERM and SIGHUP come again while a node shuts down, SIGKILL while it starts; one set-up in twenty has 20 to 200 ms; set-ups at cold servers are summed over all nodes against the settings.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -1,19 +1,20 @@
 """Checks the rules on sockets by the recordings alone.
 
 Each time limit has the 50 ms of the protocol page on top. Rules: `lost` (answers, releases, forwarding after
-the end), `overlap` (one attempt at a time), `repeat` (single-shot classes), `drain`, `bad_client`, `limits`,
-`crash`.
+the end), `overlap` (one attempt at a time), `repeat` (single-shot classes), `drain`, `failback` (cold server),
+`bad_client`, `limits`, `crash`.
 """
 
 from __future__ import annotations
 
 import json
+import math
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
-from tests.soak.plan import DRAIN_GRACE_S, Plan
+from tests.soak.plan import DRAIN_GRACE_S, FALL_MULTIPLE, RAMP_S, START_CAPACITY, TIP_S, Plan
 from tests.soak.recording import Event, read
 
 SLACK_S = 0.05
@@ -26,6 +27,7 @@
 OUTAGE_TOLD_S = 6.0  # after a failed call a change counts as told, from when discovery could be reached
 MOVE_TOLD_S = 4.0
 MEMORY_MB = 192
+LARGE_MEAN = 30  # from so many allowed set-ups on the slack is smaller
 HARMLESS = (453, 454, 503)
 PROOF = ("full", "moot")
 FAULTY_EVENTS = (
@@ -83,6 +85,7 @@
             self._check_forwarding(id, events)
             self._check_release(id, events)
         self._check_drains()
+        self._check_slow_starts()
         self._check_processes()
         return Verdict(sorted(self.found, key=lambda each: each.at), self._figures())
 
@@ -271,6 +274,31 @@
                     "drain", event["t"], f"sent {event['t'] - limit:.3f} s past the grace", event["session"]
                 )
 
+    def _check_slow_starts(self) -> None:
+        """No cold server gets more than the settings allow from nodes that were told of its start."""
+        for change in self.plan.changes:
+            if not change.born or change.health != "up":
+                continue
+            born = self.plan.start + change.born
+            told = {node: self._told(node, change.at) + self.plan.start for node in range(self.plan.nodes)}
+            set_ups = [e for e in self.events if e["event"] == "set_up" and e["server"] == change.name]
+            set_ups = [e for e in set_ups if born <= e["t"] < born + RAMP_S]
+            for number, first in enumerate(set_ups):
+                window = [e for e in set_ups[number:] if e["t"] < first["t"] + TIP_S]
+                allowed = self._allowed(first["t"] - born)
+                knowing = [e for e in window if e["t"] >= told[int(e["by"].partition("-")[2])]]
+                if len(window) > allowed and 3 * len(knowing) > 2 * len(window):
+                    what = f"{change.name} got {len(window)} set-ups in {TIP_S} s, {allowed:.1f} allowed"
+                    self._report("failback", first["t"], what)
+                    break
+
+    def _allowed(self, age: float) -> float:
+        """Set-ups that a server of this age may get in the time in which it would fall, with the slack."""
+        warmth = START_CAPACITY + (1 - START_CAPACITY) * min(1.0, (age + TIP_S / 2) / RAMP_S)
+        mean = FALL_MULTIPLE * self.plan.streams / RAMP_S * warmth * TIP_S
+        root = math.sqrt(mean)
+        return mean + (3 * root + 3 if mean < LARGE_MEAN else 2 * root + 2)
+
     def _check_processes(self) -> None:
         for event in self.events:
             node = event.get("node")
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -29,6 +29,7 @@
 BAD_CLIENT_LIMIT_S = 3.0
 GIVE_UP_SHARE, LEAVE_SHARE, TEAR_DOWN_SHARE, HASTY_SHARE, PIECES_SHARE = 0.06, 0.03, 0.3, 0.2, 0.1
 MAX_TRIES = 4
+SHORT_SHARE, SHORT_LIMITS_MS = 0.05, (20, 200)  # set-ups with very little time left
 
 
 class Session:
@@ -47,6 +48,7 @@
         self.is_given_up = False
         self.server = ""  # where it plays
         self.is_resent = False
+        self.limit_ms = 0  # how long its client waits
 
 
 class Connection:
@@ -174,6 +176,9 @@
         self.sessions += 1
         id = f"{self.plan.seed & 0xFFFF:04x}{index:04x}{self.sessions:08x}"
         session = Session(id, index, service_class, tries)
+        session.limit_ms = self.plan.hard_limits_ms[CLASSES.index(service_class)]
+        if self.rng.random() < SHORT_SHARE:
+            session.limit_ms = min(session.limit_ms, self.rng.randint(*SHORT_LIMITS_MS))
         home = self.rng.randrange(self.plan.cells)
         session.routing = f"home:{home};copies:3;top:2;viewer:{self.rng.randrange(1 << 30):016x}"
         connection = self.pick(index)
@@ -220,7 +225,7 @@
     def set_up_message(self, session: Session, routing: str, timed: bool = True) -> bytes:
         fields = [("CSeq", "1"), ("Session", session.id), ("Call-Kind", session.service_class)]
         if timed:
-            fields.append(("Answer-Within", str(self.limit_ms(session))))
+            fields.append(("Answer-Within", str(session.limit_ms)))
         if session.tries:
             routing += ";again:1"
         body = b"v=0\r\nc=IN IP4 10.4.7.9\r\n"
@@ -228,9 +233,6 @@
             "SETUP", f"rtsp://media/{session.title}", *fields, ("Routing-Data", routing), body=body
         )
 
-    def limit_ms(self, session: Session) -> int:
-        return self.plan.hard_limits_ms[CLASSES.index(session.service_class)]
-
     def send(self, connection: Connection, session: Session) -> None:
         """Send a set-up, at times in pieces, and plan the client's change of mind."""
         data = self.set_up_message(session, session.routing)
@@ -269,7 +271,7 @@
             node=session.node,
             session=session.id,
             service_class=session.service_class,
-            limit=self.limit_ms(session) / 1000,
+            limit=session.limit_ms / 1000,
             connection=connection.number,
             resent=session.is_resent,
         )
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -15,6 +15,8 @@
 MAX_COUNTED_DEADLINE_S = 3.0
 KILL_MARGIN_S = 0.7
 DRAIN_GRACE_S = 2.0
+RAMP_S, START_CAPACITY, FALL_MULTIPLE, TIP_S = 6.0, 0.5, 2.0, 2.0
+RACKS = 3
 IDLE_S = 6.0
 CONNECT_S = 1.0
 SERVERS_PER_CELL = 2
@@ -61,7 +63,10 @@
 
 @dataclass(frozen=True)
 class NodeSignal:
-    """`restart`: SIGTERM, then SIGKILL; `kill`: SIGKILL alone; `move`: SIGHUP with a new address."""
+    """`restart`: SIGTERM, then SIGKILL; `kill`: SIGKILL alone; `move`: SIGHUP with a new address.
+
+    `again` is one more SIGTERM or SIGHUP that says nothing new, as of an impatient supervisor.
+    """
 
     at: float
     node: int
@@ -141,16 +146,18 @@
                 "KbPerWeight": self.streams * stream_kb,
                 "AllLinksKb": TOTAL_STREAMS * stream_kb,
                 "Places": self.cells,
+                "Racks": RACKS,
+                "RackLinkKb": TOTAL_STREAMS * stream_kb // RACKS,
                 "ReportsEveryMs": 1000,
                 "SeenAfterMs": 100,
             },
-            "LoadReport": {"Fields": ["util"], "Source": "answers"},
+            "LoadReport": {"Fields": ["x0", "x1"], "Source": "answers"},
             "Rules": {
-                "RampTimeMs": 6000,
-                "StartCapacity": 0.5,
+                "RampTimeMs": RAMP_S * 1000,
+                "StartCapacity": START_CAPACITY,
                 "DrainGraceMs": DRAIN_GRACE_S * 1000,
-                "FallMultiple": 2.0,
-                "TipAfterMs": 2000,
+                "FallMultiple": FALL_MULTIPLE,
+                "TipAfterMs": TIP_S * 1000,
             },
             "Allowed": {
                 "ConnectTimeoutMs": CONNECT_S * 1000,
@@ -272,7 +279,7 @@
 
 
 def _draw_server_faults(plan: Plan, rng: Random) -> None:
-    for _ in range(rng.randint(3, 8)):
+    for _ in range(rng.randint(4, 12)):
         at = rng.uniform(1, plan.duration - 3)
         share = rng.choice((0.02, 0.1, 0.3))
         affected = rng.sample(range(plan.servers), max(1, round(plan.servers * share)))
@@ -281,6 +288,19 @@
         nodes = list(range(plan.nodes)) if rng.random() < 0.6 else rng.sample(range(plan.nodes), 1)
         kind = rng.choice(SERVER_FAULTS)
         plan.faults.append(ServerFault(at, at + rng.uniform(0.5, 6), kind, names, nodes))
+    _draw_server_restarts(plan, rng)
+
+
+def _draw_server_restarts(plan: Plan, rng: Random) -> None:
+    """Processes that die and are back soon, maybe before a second dial; the list tells of the new start."""
+    if rng.random() < 0.5:
+        return
+    at = rng.uniform(1, plan.duration / 2)
+    for index in rng.sample(range(plan.servers), max(1, plan.servers // 20)):
+        name, born = plan.server_name(index), at + rng.uniform(0.05, 1.5)
+        plan.faults.append(ServerFault(at, born, "restart", [name], list(range(plan.nodes))))
+        told = born + rng.uniform(0.1, 1.5)
+        plan.changes.append(ListChange(told, name, "up", index, plan.cell_of(index), born))
 
 
 def _draw_list_changes(plan: Plan, rng: Random) -> None:
@@ -288,7 +308,9 @@
     share = rng.choice((0.0, 0.1, 0.3, 0.6))
     at, span = rng.uniform(1, plan.duration / 2), rng.uniform(3, 7)
     replaced = rng.sample(range(plan.servers), round(plan.servers * share))
-    changes = []
+    restarted = {change.name for change in plan.changes}
+    replaced = [index for index in replaced if plan.server_name(index) not in restarted]
+    changes = list(plan.changes)
     for number, index in enumerate(replaced):
         when = at + span * number / max(1, len(replaced))
         cell = plan.cell_of(index)
@@ -298,7 +320,7 @@
         changes.append(ListChange(when, plan.server_name(index), "draining", index, cell, 0.0))
         changes.append(ListChange(when + 1.5, plan.server_name(index), "removed", index, cell, 0.0))
         changes.append(ListChange(born + 0.2, f"n-{number:05d}", "up", slot, cell, born))
-    plan.changes.extend(sorted(changes, key=lambda each: each.at))
+    plan.changes[:] = sorted(changes, key=lambda each: each.at)
 
 
 def _draw_signals(plan: Plan, rng: Random) -> None:
@@ -311,4 +333,10 @@
             plan.signals.extend((NodeSignal(at - 0.05, node, "move"), NodeSignal(at, node, "restart")))
         elif kind != "none":
             plan.signals.append(NodeSignal(at, node, kind))
+        if kind == "restart" and rng.random() < 0.5:
+            plan.signals.append(NodeSignal(at + rng.uniform(0.01, 1), node, "again"))
+        if kind in ("restart", "kill") and rng.random() < 0.4:
+            # Soon after the new process has started, or while it starts.
+            later = at + (plan.kill_after if kind == "restart" else 0.0) + rng.uniform(0.1, 3)
+            plan.signals.append(NodeSignal(later, node, "kill"))
     plan.signals.sort(key=lambda each: each.at)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -21,6 +21,7 @@
 NORMAL_DELAY_S = (0.002, 0.03)
 SLOW_DELAY_S = (0.3, 1.2)
 REMOVED_TO_EXIT_S = 0.5
+REPORT_S = 1.0
 FAULT_SHARE = 0.5  # of the set-ups that come while a server is faulty in its answers
 SILENT_FAULTS = ("hang", "cut", "vanish", "late_connect")
 REFUSALS = {"full": Cause.FULL, "error": Cause.ERROR, "moot": Cause.MOOT}
@@ -76,7 +77,7 @@
                 self.loop.at(plan.start + fault.until, lambda n=number, f=fault: self.end(n, f))
 
     def _schedule(self, change: ListChange) -> None:
-        if change.health == "up":
+        if change.health == "up" and change.name not in self.servers:
             when = self.plan.start + (change.born or change.at)
             self.loop.at(when, lambda: self.start(change.name, change.slot))
         elif change.health == "removed":
@@ -121,7 +122,7 @@
             server = self.servers.get(name)
             if server is None or server.listener is None:
                 continue
-            if fault.kind == "die":
+            if fault.kind in ("die", "restart"):
                 self.die(name)
             elif fault.kind in SILENT_FAULTS:
                 self._silence(server, number, fault.kind)
@@ -138,7 +139,8 @@
             if server is None:
                 continue
             server.answer_faults.pop(number, None)
-            if fault.kind == "die" and server.listener is None and not self._is_removed(name):
+            if fault.kind in ("die", "restart") and server.listener is None and not self._is_removed(name):
+                self.record("restarted", server=name)
                 self._listen(server)
             elif fault.kind != "vanish" and number in server.silent:
                 server.silent.discard(number)
@@ -296,6 +298,18 @@
         self.loop.after(
             self.rng.expovariate(1 / self.plan.play_mean_s), lambda: self._end_session(server, session)
         )
+        self.loop.after(self.rng.random() * REPORT_S, lambda: self._report_load(server, session))
+
+    def _report_load(self, server: Server, session: bytes) -> None:
+        """Report the loads of the server's link and of its rack's uplink, at times over their size."""
+        connection = server.playing.get(session)
+        if connection is None or connection.is_closed:
+            return
+        for name in (b"nic", b"tor", b"quality"):
+            figure = b"%.2f" % self.rng.choice((0.3, 0.6, 0.9, 1.2))
+            note = writer.message(Kind.NOTE, session, (Code.NOTE_NAME, name), (Code.FIGURE, figure))
+            self.send(connection, note)
+        self.loop.after(REPORT_S, lambda: self._report_load(server, session))
 
     def _spoil(self, connection: Connection, session: bytes, answer: bytes, kind: str) -> None:
         """Send an answer that can't be read; the request has run, and its session is cut."""
--- a/tests/soak/trial.py
+++ b/tests/soak/trial.py
@@ -76,7 +76,15 @@
         self.write_config(time.time() - self.plan.start)
         self._send(signal.SIGHUP)
 
+    def signal_again(self) -> None:
+        """Signals that say nothing new."""
+        if self.process is not None and self.process.poll() is None:
+            self._send(signal.SIGHUP)
+            self._send(signal.SIGTERM)
+
     def kill(self) -> None:
+        if self.is_expected_to_end:
+            return  # another signal ends it already
         self.is_expected_to_end = True
         self._send(signal.SIGKILL)
         assert self.process is not None
@@ -85,6 +93,8 @@
 
     def terminate(self) -> None:
         """SIGTERM, then SIGKILL at the earliest that the pages allow, then a new process."""
+        if self.is_expected_to_end:
+            return
         self.is_expected_to_end = True
         began = time.time()
         self._send(signal.SIGTERM)
@@ -193,6 +203,8 @@
         actions = {"move": node.move, "kill": node.kill, "restart": node.terminate}
         if each.kind == "move":
             node.move()
+        elif each.kind == "again":
+            node.signal_again()
         else:
             threads.append(threading.Thread(target=actions[each.kind]))
             threads[-1].start()
