--- a/packages/node/src/fennelcove/node/model.py
+++ b/packages/node/src/fennelcove/node/model.py
@@ -178,7 +178,7 @@
     needs_redial: bool = False
     last_message_us: int = 0  # when it last sent anything
     # When a connection was closed on which it did not answer; 0 once it has sent something since. Until then
-    # it may not know of that end, and take a later connection for no next one.
+    # it may not know of that end, and what it tells next goes there.
     unanswered_close_us: int = 0
 
     @property
--- a/packages/node/src/fennelcove/node/server_monitor.py
+++ b/packages/node/src/fennelcove/node/server_monitor.py
@@ -100,8 +100,7 @@
             if server.established:
                 self.close_if_lost(server)
             if self._is_dial_due(server, now_us):
-                # Kept while the server has sent nothing since: it may not know of the last one's end yet.
-                server.needs_redial = server.unanswered_close_us > 0
+                server.needs_redial = False
                 # A dial would reach the one that came in its place, whose answers prove nothing of it.
                 if self._context.server_table.successor_of(server) is not None:
                     self.close_sessions(server)
@@ -129,8 +128,9 @@
     def _is_dial_due(self, server: Server, now_us: int) -> bool:
         # The ends of sessions come on any open connection, or on the next that is opened. One that was
         # closed unread may have carried them, and with others open no next one ever came.
+        if 0 < server.unanswered_close_us < server.last_message_us:
+            # It goes on: what it tells now on the connection that was closed meanwhile must come again.
+            server.needs_redial, server.unanswered_close_us = True, 0
         server.needs_redial = server.needs_redial and bool(server.established)
-        if server.last_message_us > server.unanswered_close_us:
-            server.unanswered_close_us = 0
-        needs_another = server.needs_redial and not server.unanswered_close_us and not self._pool.is_full
+        needs_another = server.needs_redial and not self._pool.is_full
         return server.needs_link and (not server.links or needs_another) and now_us >= server.next_dial_us
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -1,7 +1,7 @@
 """Checks the rules on sockets by the recordings alone.
 
 Each time limit has the 50 ms of the protocol page on top. Rules: `lost` (answers, releases, forwarding after
-the end), `overlap` (one attempt at a time), `repeat` (single-shot classes), `drain`, `failback` (cold server),
+the end), `overlap` (one attempt at a time), `repeat` (single-shot classes), `drain`, `failback`,
 `bad_client`, `limits`, `crash`.
 """
 
