Placement: an overloaded uplink is relieved by its known servers and one entry for all others

Links that were never reported are taken to carry the mean, whatever is kept for them; now only servers that were contacted or reported are visited, and the rack's uplink gets one entry for the others.

--- a/packages/placement/src/fennelcove/placement/bitrate_adaptation.py
+++ b/packages/placement/src/fennelcove/placement/bitrate_adaptation.py
@@ -41,11 +41,35 @@
     if load <= 1:
         return
     excess = 1 - (1 - RESERVE) / load
-    for server in servers if other_fronts else ():  # they got the same report, and relieve it now too
-        record_sent(server, -excess * state.others_kb(server), state.now_us)
+    if other_fronts:  # they got the same report, and relieve it now too
+        record_others_relief(state, servers, excess)
     lower_rungs(state, servers, excess)
 
 
+def record_others_relief(state: PolicyState, servers: list[Server], excess: float) -> None:
+    """Count a share off what other fronts send to one server, or to all servers of one rack.
+
+    Links that were never reported are taken to carry the mean anyway: their rack's uplink gets one entry for
+    all of them. Entries of their own, of thousands of links, took all memory.
+    """
+    rack = servers[0].rack if servers else None
+    if rack is None:
+        return
+    known = servers if len(servers) == 1 else [server for server in rack.known_servers if server.is_in_rack]
+    unreported_kb = 0.0
+    if known is not servers:
+        unknown_kb = rack.capacity_kb - sum(server.link.capacity_kb for server in known)
+        unreported_kb = -excess * state.mean_utilization() * max(0.0, unknown_kb)
+    for server in known:
+        relief_kb = -excess * state.others_kb(server)
+        if server.link.report is None:
+            unreported_kb += relief_kb
+        else:
+            record_sent(server, relief_kb, state.now_us)
+    if unreported_kb:
+        rack.uplink.record_sent(unreported_kb, state.now_us)
+
+
 def adapt_rungs(state: PolicyState, server: Server, other_fronts: int | None) -> None:
     """Answer a report of a server's load that other fronts got too; None: a probe of this front's own."""
     relieve_overload(state, state.link_utilization(server), [server], other_fronts or 0)
@@ -68,7 +92,8 @@
         if rungs.get(session, session.rung) == rung:
             rungs[session] = rung - 1
             excess_kb -= step_kb
-    set_rungs(state, {session: rung for session, rung in rungs.items() if session.server in servers})
+    members = set(servers)
+    set_rungs(state, {session: rung for session, rung in rungs.items() if session.server in members})
 
 
 def raise_rungs(state: PolicyState, server: Server, other_fronts: int | None) -> None:
--- a/packages/placement/src/fennelcove/placement/server_list.py
+++ b/packages/placement/src/fennelcove/placement/server_list.py
@@ -42,6 +42,7 @@
             del state.servers[server.address]
             state.replicas[server.cell].remove(server)
             state.contacted.pop(server, None)
+            server.rack.known_servers.pop(server, None)
 
 
 def update_membership(server: Server) -> None:
@@ -51,6 +52,7 @@
     if server.is_in_rack == was_in_rack:
         return
     server.rack.own_kb = None
+    server.rack.capacity_kb += server.link.capacity_kb * (1 if server.is_in_rack else -1)
     if server.is_in_rack:
         insort(server.rack.servers, server, key=lambda each: each.sequence)
     else:
--- a/packages/placement/src/fennelcove/placement/state.py
+++ b/packages/placement/src/fennelcove/placement/state.py
@@ -38,6 +38,7 @@
 
 
 def observe_load(server: Server, report: LoadReport | CellLoad, as_of_us: int) -> None:
+    server.rack.known_servers[server] = None
     server.link.observe(report.link, as_of_us)
     server.rack.uplink.observe(report.uplink, as_of_us)
 
@@ -102,7 +103,7 @@
         """Count a server among those contacted; past the sample's size in the order of the last contacts."""
         if len(self.contacted) > MAX_SAMPLED_LINKS:
             self.contacted.pop(server, None)
-        self.contacted[server] = None
+        self.contacted[server] = server.rack.known_servers[server] = None
 
     def rack_own_kb(self, rack: Rack) -> float:
         """Rate of this front's sessions in a rack, summed only after a change and over its loaded servers."""
--- a/tests/test_work_per_event.py
+++ b/tests/test_work_per_event.py
@@ -7,12 +7,13 @@
 
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from types import FrameType
 from typing import Any
 
 from fennelcove.clock import ManualClock
 from fennelcove.clock.timers import Timers
-from fennelcove.interface import ListMode, ListUpdate, Outcome, ServerState
+from fennelcove.interface import ListMode, ListUpdate, Outcome, ReportKind, ServerState
 from fennelcove.log import silent
 from fennelcove.node import config
 from fennelcove.node.discovery_events import DiscoveryBatch, DiscoveryEvent
@@ -20,7 +21,7 @@
 from fennelcove.placement import PlacementPolicy
 from fennelcove.placement.state import MAX_SAMPLED_LINKS
 
-from tests.helpers import SECOND, end, entry, front, play
+from tests.helpers import SECOND, end, entry, front, note, play
 from tests.noderig import SETTINGS, notice
 
 USUAL, MANY = 200, 3_200
@@ -193,3 +194,30 @@
         return lines_run(lambda: policy.handle(another, policy.now_us))
 
     assert lines_among(USUAL * 10) <= GROWTH * lines_among(USUAL)
+
+
+def overloaded(servers: int) -> PlacementPolicy:
+    policy = policy_among(servers)
+    policy.settings = replace(policy.settings, front_count=3)
+    return policy
+
+
+def test_an_overloaded_uplink_costs_no_work_and_no_memory_for_each_server_of_the_rack() -> None:
+    # Each report of it left an entry at every link of the rack: 50 MB in 20 s, among 3,200 servers.
+    def lines_among(servers: int) -> int:
+        policy = overloaded(servers)
+        return lines_run(lambda: note(policy, ReportKind.UPLINK, 1.5, "session-3"))
+
+    assert_no_growth(lines_among)
+    policy = overloaded(MANY)
+    for _ in range(20):
+        note(policy, ReportKind.UPLINK, 1.5, "session-3")
+    assert sum(len(server.link.unreported) for server in policy.servers.values()) < 20 * SESSIONS * 2
+
+
+def test_an_overloaded_uplink_is_relieved_by_what_other_fronts_send_to_all_its_servers() -> None:
+    policy = overloaded(USUAL)
+    rack = policy.sessions["session-3"].server.rack
+    note(policy, ReportKind.UPLINK, 1.5, "session-3")
+    others_kb = sum(policy.others_kb(server) for server in rack.servers)
+    assert abs(rack.uplink.unreported_kb) > 0.3 * others_kb
