Placement: a report of short delivery counts the servers that were contacted or reported only

is_uplink_short visited every server of the rack for each report of short delivery where uplinks are not reported. A server that was never contacted can't be marked as short.

--- a/packages/placement/src/fennelcove/placement/load_reports.py
+++ b/packages/placement/src/fennelcove/placement/load_reports.py
@@ -45,8 +45,8 @@
 
 def is_uplink_short(state: PolicyState, rack: Rack) -> bool:
     """Whether most links of a rack deliver short with capacity left, so that its uplink must be short."""
-    short = sum(state.now_us < server.link.full_until_us and (server.link.report or 0.0) < 1 - RESERVE
-                for server in rack.servers)
+    short = sum(server.is_in_rack and state.now_us < server.link.full_until_us
+                and (server.link.report or 0.0) < 1 - RESERVE for server in rack.known_servers)
     return 2 * short > len(rack.servers)
 
 
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -205,7 +205,8 @@
             self.record("connected", server=server.name)
             self.loop.watch(sock, lambda c=connection: self._read(c))
             for session, cause in list(server.ended.items()):
-                self._send_release(connection, session, cause)
+                if self._is_open(connection):
+                    self._send_release(connection, session, cause)
 
     def _read(self, connection: Connection) -> None:
         if connection.is_forgotten or any(
@@ -335,11 +336,28 @@
         cause = self.rng.choice((Cause.OK, Cause.OK, Cause.RESET))
         self.record("over", server=server.name, session=session.hex())
         server.ended[session] = cause
-        if connection.is_closed:
-            connection = next((each for each in server.connections if not each.is_unusable), connection)
+        if not self._is_open(connection):
+            usable = (
+                each for each in list(server.connections) if not each.is_unusable and self._is_open(each)
+            )
+            connection = next(usable, connection)
         if not connection.is_closed:
             self._send_release(connection, session, cause)
 
+    def _is_open(self, connection: Connection) -> bool:
+        """Whether a release can be sent: the node may have closed the connection while the server hung."""
+        if connection.is_closed:
+            return False
+        try:
+            is_ended = connection.sock.recv(1, socket.MSG_PEEK) == b""
+        except BlockingIOError:
+            return True
+        except OSError:
+            is_ended = True
+        if is_ended:
+            self.close(connection)
+        return not is_ended
+
     def _send_release(self, connection: Connection, session: bytes, cause: Cause) -> None:
         self.record("release_sent", server=connection.server.name, session=session.hex())
         self.send(connection, writer.release(session, cause))
--- a/tests/test_work_per_event.py
+++ b/tests/test_work_per_event.py
@@ -221,3 +221,12 @@
     note(policy, ReportKind.UPLINK, 1.5, "session-3")
     others_kb = sum(policy.others_kb(server) for server in rack.servers)
     assert abs(rack.uplink.unreported_kb) > 0.3 * others_kb
+
+
+def test_a_report_of_short_delivery_visits_no_server_that_was_never_contacted() -> None:
+    def lines_among(servers: int) -> int:
+        policy = overloaded(servers)
+        note(policy, ReportKind.LINK, 0.4, "session-3")
+        return lines_run(lambda: note(policy, ReportKind.DELIVERED, 0.5, "session-3", after=1))
+
+    assert_no_growth(lines_among)
