Front node: a session handed over is dated before this process, for servers that started since

Sessions handed over to a restarted node were dated by their hand-over. Where their server had died and was back by then, and the list told of it only later, they counted as younger than the server's process and were kept for good; their clients were never released. They began before this process: a server that has started since does not hold them, whether the list told it before the hand-over or after.

The new test failed before in its first half, passes now. What stays open: a server that started before this process, told later; nothing on the wire tells the session's age.

--- a/packages/node/src/fennelcove/node/handovers.py
+++ b/packages/node/src/fennelcove/node/handovers.py
@@ -83,7 +83,8 @@
                 self._attempts.on_completed(session, Outcome.CONNECTION_LOST, None)
 
     def _establish(self, session: Session, server: Server) -> None:
-        session.attempt = Attempt(server, 0, self._context.now_us(), 0)
+        # It began before this process: a server that has started since holds it no longer.
+        session.attempt = Attempt(server, 0, self._context.created_us, 0)
         session.attempts = 1
         session.state = SessionState.ESTABLISHED
         session.description = b""
@@ -97,5 +98,7 @@
         self._context.server_table.supervise(server)
         self._actions.notify_policy(Handover(request, server.name))
         self._messages.replay(session)
+        if server.started_us > self._context.created_us:
+            self._attempts.on_completed(session, Outcome.NO_ANSWER, None)
         if not server.links and not self._pool.is_full:
             self._pool.create(server).start()
--- a/packages/node/src/fennelcove/node/node_context.py
+++ b/packages/node/src/fennelcove/node/node_context.py
@@ -36,6 +36,7 @@
         self.server_table = ServerTable()
         self.servers = self.server_table.by_name
         self.last_us = 0
+        self.created_us = self.now_us()
 
     def now_us(self) -> int:
         """Unix time, to which rules and servers' starts refer; it never goes back."""
--- a/tests/test_node_owed.py
+++ b/tests/test_node_owed.py
@@ -4,6 +4,7 @@
 
 import socket
 import threading
+import time
 from contextlib import suppress
 from unittest import mock
 
@@ -14,7 +15,7 @@
 
 from tests import noderig
 from tests.clientrig import Inside, Stopped, arrived, holds, taken
-from tests.noderig import StandInServer, eventually, released
+from tests.noderig import StandInServer, eventually, notice, released
 from tests.test_node_clients import ID, OTHER, RigTest, many
 
 
@@ -101,6 +102,21 @@
             caller.answer()
         assert list(far.recent_clients) == [f"{n:016x}" for n in range(9, client_requests.MAX_CLIENT_IDS + 9)]
 
+    def test_a_session_handed_over_is_older_than_a_server_that_started_after_this_node(self) -> None:
+        # Dated by its hand-over, it was kept for a server's new process that never had it.
+        server = StandInServer("s0", 0)
+        rig = self.rig(server)
+        started_ms = time.time_ns() // 1_000_000 + 1
+        time.sleep(0.01)
+        viewer = rig.caller()
+        viewer.set_up(ID, routing="home:0;copies:4;top:2;at:s0")
+        eventually(lambda: server.sockets, "the session taken over")
+        rig.board.notices.append(notice(2, [{**server.row, "born_ms": started_ms}]))
+        release = viewer.request()
+        assert (release.fields["session"], release.fields["reason"]) == (ID, "cause=41")
+        viewer.set_up(OTHER, routing="home:0;copies:4;top:2;at:s0")
+        assert viewer.request().fields["session"] == OTHER
+
     def test_a_server_that_hung_gets_a_further_connection_once_it_answers(self) -> None:
         # It told the end on the connection that had been closed unanswered; the one made while it hung stayed
         # open, none followed, and its client waited for good.
