Placement: a title that nobody plays any more leaves no count of seats behind

The table kept a key for each title ever asked for (150 bytes; a client may invent titles), for as long as the process lived. The new test failed before (50 titles left), passes now.

--- a/packages/placement/src/fennelcove/placement/attempts.py
+++ b/packages/placement/src/fennelcove/placement/attempts.py
@@ -75,7 +75,10 @@
 def close_attempt(state: PolicyState, session: Session, attempt: Attempt) -> None:
     attempt.server.sessions.pop(session, None)
     note_if_inactive(state, attempt.server)
-    state.seats[session.title, session.service_class] -= 1
+    seat = (session.title, session.service_class)
+    state.seats[seat] -= 1
+    if not state.seats[seat]:  # a client may invent titles without end
+        del state.seats[seat]
     state.record_rate_change(session, -state.rate_kb(session, session.rung))
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -84,7 +84,7 @@
     policy.now_us = 100 * SECOND if warm else 0
     for server in policy.servers.values():
         server.link.observe(0.0, policy.now_us - 1)
-        policy.contacted[server] = None
+        policy.record_contact(server)
     effects.calls.clear()
     return policy, effects
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -744,3 +744,14 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class SeatTableTest(unittest.TestCase):
+    def test_a_title_that_nobody_plays_any_more_leaves_no_seats_behind(self) -> None:
+        # Each title ever asked for was kept, for as long as the process lived.
+        policy, _ = front()
+        for title in range(50):
+            play(policy, f"session-{title}", title=title)
+            end(policy, Outcome.SERVED, f"session-{title}", finished=True)
+        play(policy, "last", title=7)
+        assert {title for title, _ in policy.seats} == {7}
