Front node: servers that may be gone are dialled first, and a silent connection counts as evidence

With more servers than connections each waits its turn, 4 s at most. A server that vanished was closed after 3.25 s of silence, waited a turn for each of the two dials that show it is gone, and its clients heard of the end 8.4 s after it instead of 8 s. A keepalive without an answer now counts as the first of the two, and such servers are dialled before the others that wait.

Tests: the order of dials and the evidence, both failed before (no such order, no such evidence).

--- a/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
@@ -38,7 +38,7 @@
     """What the latest dials show."""
 
     REACHABLE = auto()
-    SUSPECTED = auto()  # one dial has failed, which may be chance
+    SUSPECTED = auto()  # one dial has failed, or an open connection has gone silent, which may be chance
     REFUSING = auto()
     UNRESPONSIVE = auto()
 
@@ -78,6 +78,15 @@
         if result is DialResult.CONNECTED:
             self.last_received_us = now_us
 
+    def on_keepalive_timeout(self) -> None:
+        """Record that an open connection has gone silent: as much evidence as a dial that timed out."""
+        self.state = TRANSITIONS.apply(self.state, DialResult.TIMED_OUT).state
+
+    @property
+    def is_suspected(self) -> bool:
+        """Whether one more dial decides whether the server is there."""
+        return self.state is LossState.SUSPECTED
+
     def on_received(self, now_us: int) -> None:
         """Record that something was received from the server."""
         self.state = LossState.REACHABLE
--- a/packages/node/src/fennelcove/node/server_monitor.py
+++ b/packages/node/src/fennelcove/node/server_monitor.py
@@ -120,6 +120,8 @@
                 link.keepalive_sent_us is not None and now_us - link.keepalive_sent_us > PROBE_TIMEOUT_US
             )
             is_unused = link.is_idle and not server.established and quiet_us > unused_after_us
+            if is_dead:
+                server.connection_loss.on_keepalive_timeout()
             if is_dead or is_unused:
                 link.close(Outcome.CONNECTION_LOST)
             elif quiet_us > PROBE_AFTER_US and server.established and link.keepalive_sent_us is None:
--- a/packages/node/src/fennelcove/node/server_pool.py
+++ b/packages/node/src/fennelcove/node/server_pool.py
@@ -13,6 +13,10 @@
 MAX_ABANDONED = 64  # set-ups, one after another on a connection whose server answers none of them
 
 
+def _dial_order(server: Server) -> tuple[bool, int]:
+    return not server.connection_loss.is_suspected, server.last_closed_us
+
+
 class ServerPool:
     """The connections from one node to servers; used with its lock held."""
 
@@ -88,10 +92,11 @@
     def connect_waiting(self, waiting: list[Server]) -> None:
         """Connect to servers that need it, in turns where they are more than the connections allowed.
 
-        A server repeats on the next connection which sessions have ended.
+        A server repeats on the next connection which sessions have ended. Those that may be gone come first:
+        with a whole turn for each dial that shows it, clients heard of the end too late.
         """
         turn_us = TURNS_US * self.max_connections // (self.max_connections + len(waiting))
-        for server in sorted(waiting, key=lambda server: server.last_closed_us):
+        for server in sorted(waiting, key=_dial_order):
             if self.is_full and not self.close_idle(turn_us):
                 return
             self.create(server).start()
--- a/tests/test_node_desk.py
+++ b/tests/test_node_desk.py
@@ -221,6 +221,16 @@
         with mock.patch("threading.Thread"):
             self.desk.run_maintenance()
         assert link.state is ConnectionState.CLOSED
+        assert self.desk.servers["s0"].connection_loss.is_suspected
+
+    def test_servers_that_may_be_gone_are_dialled_before_the_others_that_wait(self) -> None:
+        # Each waited a whole turn for each of two dials, and its clients heard of the end after 8 s.
+        waiting = [Server(f"s{i}", Address("127.0.0.1", 9), last_closed_us=i) for i in range(4)]
+        waiting[2].connection_loss.on_keepalive_timeout()
+        dialled: list[str] = []
+        with mock.patch.object(ServerConnection, "start", lambda link: dialled.append(link.server.name)):
+            self.desk.pool.connect_waiting(waiting)
+        assert dialled == ["s2", "s0", "s1", "s3"]
 
     def test_what_is_held_already_may_be_named_again(self) -> None:
         link, _ = self.link()
