--- a/tests/soak/trial.py
+++ b/tests/soak/trial.py
@@ -59,7 +59,6 @@
         """Start a process with what the discovery service knows by now."""
         self.write_config(time.time() - self.plan.start)
         self.starts += 1
-        self.is_expected_to_end = False
         with (self.folder / f"node-{self.index}.log").open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "fennelcove.node"],
@@ -68,6 +67,7 @@
                 stderr=log,
                 stdin=subprocess.DEVNULL,
             )
+        self.is_expected_to_end = False
         self.record("started", node=self.index)
 
     def move(self) -> None:
