Front node: a server that ended its connection is dialled ahead of the others that wait for one

Sessions of a server whose process died and was back 2 s later were never released by a node with more servers than connections: the server waited 2.8 s for its turn, and the new process answered for the old one. Whoever ended the last connection itself comes first now, beside those that may be gone, and for them a connection that is half a second old makes room.

Tests: the order, and a full pool, both failed before.

--- a/packages/node/src/fennelcove/node/model.py
+++ b/packages/node/src/fennelcove/node/model.py
@@ -176,6 +176,7 @@
     last_closed_us: int = 0  # when its last connection closed
     # A connection was closed before it was read to its end: the server repeats its last messages on the next.
     needs_redial: bool = False
+    is_interrupted: bool = False  # it ended the last connection, and none has been opened since
     last_message_us: int = 0  # when it last sent anything
     # When a connection was closed on which it did not answer; 0 once it has sent something since. Until then
     # it may not know of that end, and what it tells next goes there.
--- a/packages/node/src/fennelcove/node/server_connection.py
+++ b/packages/node/src/fennelcove/node/server_connection.py
@@ -260,6 +260,7 @@
             pass  # broken, or unreadable: either way nothing more can be received
         finally:
             with self.manager.lock:
+                self.server.is_interrupted |= self.state is ConnectionState.OPEN
                 self.close(Outcome.CONNECTION_LOST)
                 self.sock = None
             self.descriptor.close()
@@ -312,6 +313,7 @@
                     self.manager.now_us(),
                 )
                 self.opened_us = self.last_received_us
+                self.server.is_interrupted = False
                 self.server.connection_loss.on_dial_completed(DialResult.CONNECTED, self.last_received_us)
                 self._on_opened()
                 return sock
--- a/packages/node/src/fennelcove/node/server_pool.py
+++ b/packages/node/src/fennelcove/node/server_pool.py
@@ -10,11 +10,13 @@
 
 # In this time each server with established sessions gets its turn, well within 8 s of a session's end.
 TURNS_US = 4_000_000
+MIN_TURN_US = 500_000  # how long one keeps its connection at least
 MAX_ABANDONED = 64  # set-ups, one after another on a connection whose server answers none of them
 
 
-def _dial_order(server: Server) -> tuple[bool, int]:
-    return not server.connection_loss.is_suspected, server.last_closed_us
+def _is_urgent(server: Server) -> bool:
+    """Whether its process may have ended: whoever dials it too late meets the next one in its place."""
+    return server.is_interrupted or server.connection_loss.is_suspected
 
 
 class ServerPool:
@@ -96,8 +98,8 @@
         with a whole turn for each dial that shows it, clients heard of the end too late.
         """
         turn_us = TURNS_US * self.max_connections // (self.max_connections + len(waiting))
-        for server in sorted(waiting, key=_dial_order):
-            if self.is_full and not self.close_idle(turn_us):
+        for server in sorted(waiting, key=lambda server: (not _is_urgent(server), server.last_closed_us)):
+            if self.is_full and not self.close_idle(MIN_TURN_US if _is_urgent(server) else turn_us):
                 return
             self.create(server).start()
 
--- a/tests/test_node_desk.py
+++ b/tests/test_node_desk.py
@@ -23,6 +23,7 @@
     pending_notifications,
     server_messages,
     server_monitor,
+    server_pool,
     session_manager,
     session_states,
     state_dump,
@@ -59,6 +60,9 @@
 }
 
 
+HERE = Address("127.0.0.1", 9)
+
+
 class Said(ClientConnection):
     """A viewer's connection that writes down what it is sent."""
 
@@ -225,12 +229,32 @@
 
     def test_servers_that_may_be_gone_are_dialled_before_the_others_that_wait(self) -> None:
         # Each waited a whole turn for each of two dials, and its clients heard of the end after 8 s.
-        waiting = [Server(f"s{i}", Address("127.0.0.1", 9), last_closed_us=i) for i in range(4)]
+        waiting = [Server(f"s{i}", Address("127.0.0.1", 9), last_closed_us=i) for i in range(5)]
         waiting[2].connection_loss.on_keepalive_timeout()
+        waiting[4].is_interrupted = True
         dialled: list[str] = []
         with mock.patch.object(ServerConnection, "start", lambda link: dialled.append(link.server.name)):
             self.desk.pool.connect_waiting(waiting)
-        assert dialled == ["s2", "s0", "s1", "s3"]
+        assert dialled == ["s2", "s4", "s0", "s1", "s3"]
+
+    def test_a_server_that_has_just_reset_its_connection_is_dialled_within_a_second_by_a_full_node(
+        self,
+    ) -> None:
+        # It waited a whole turn of all servers, was back by then, and what had been cut was never released.
+        connections = [
+            ServerConnection(self.desk, Server(f"s{i}", HERE))
+            for i in range(self.desk.max_server_connections)
+        ]
+        for connection in connections:
+            connection.state = ConnectionState.OPEN
+            connection.server.established[mock.Mock()] = None
+        self.clock.advance(server_pool.MIN_TURN_US)
+        reset = Server("reset", HERE, is_interrupted=True)
+        others = [Server(f"other{i}", HERE) for i in range(100)]
+        dialled: list[str] = []
+        with mock.patch.object(ServerConnection, "start", lambda link: dialled.append(link.server.name)):
+            self.desk.pool.connect_waiting([*others, reset])
+        assert dialled == ["reset"]
 
     def test_what_is_held_already_may_be_named_again(self) -> None:
         link, _ = self.link()
