--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -40,6 +40,7 @@
         self.is_closed = False
         self.is_forgotten = False  # the next bytes are answered by a reset
         self.is_unusable = False  # an answer here was spoilt
+        self.held: list[bytes] | None = None  # what waits for the rest of an answer that goes out in pieces
 
 
 class Server:
@@ -191,7 +192,7 @@
             self.loop.watch(connection.sock, lambda c=connection: self._read(c))
         deferred, server.deferred = server.deferred, []
         for connection, data in deferred:
-            self.send(connection, data)
+            self._hand_out(connection, data)
 
     def _accept(self, server: Server) -> None:
         while server.listener is not None:
@@ -289,9 +290,7 @@
         if kind == "ahead":
             answer = writer.message(Kind.ANSWER, bytes(8), (Code.DESCRIPTION, b"unknown")) + answer
         if kind == "drip":
-            for number, at in enumerate(range(0, len(answer), DRIP_BYTES)):
-                part = answer[at : at + DRIP_BYTES]
-                self.loop.after(number * DRIP_S, lambda p=part: self.send(connection, p))
+            self._send_in_pieces(connection, answer)
         elif kind == "bytes":
             for i in range(len(answer)):
                 self.send(connection, answer[i : i + 1])
@@ -306,6 +305,22 @@
         )
         self.loop.after(self.rng.random() * REPORT_S, lambda: self._report_load(server, session))
 
+    def _send_in_pieces(self, connection: Connection, answer: bytes) -> None:
+        """Send an answer in pieces; whatever else is sent meanwhile follows behind it."""
+        parts = [answer[at : at + DRIP_BYTES] for at in range(0, len(answer), DRIP_BYTES)]
+        connection.held = []
+
+        def send_next() -> None:
+            self._hand_out(connection, parts.pop(0))
+            if parts:
+                self.loop.after(DRIP_S, send_next)
+                return
+            held, connection.held = connection.held or [], None
+            for each in held:
+                self.send(connection, each)
+
+        send_next()
+
     def _report_load(self, server: Server, session: bytes) -> None:
         """Report the loads of the server's link and of its rack's uplink, at times over their size."""
         connection = server.playing.get(session)
@@ -371,6 +386,12 @@
             self.loop.after(10.0, lambda: connection.server.ended.pop(session, None))
 
     def send(self, connection: Connection, data: bytes) -> None:
+        if connection.held is None:
+            self._hand_out(connection, data)
+        else:
+            connection.held.append(data)
+
+    def _hand_out(self, connection: Connection, data: bytes) -> None:
         if connection.server.silent:
             connection.server.deferred.append((connection, data))
         elif not connection.is_closed:
