Placement: a server without sessions carries no remainder of rates; relief of link and uplink apart

A server without sessions has a rate of 0 now. relieve_overload did two jobs by the length of its list; relieve_link and relieve_uplink are its halves, by name.

--- a/packages/placement/src/fennelcove/placement/bitrate_adaptation.py
+++ b/packages/placement/src/fennelcove/placement/bitrate_adaptation.py
@@ -1,6 +1,6 @@
 """Bitrate adaptation: rungs of new sessions, lowered where a link is overloaded, raised into lasting room."""
 
-from fennelcove.placement.records import Server, Session, SessionState
+from fennelcove.placement.records import Rack, Server, Session, SessionState
 from fennelcove.placement.state import RESERVE, RAISE_MARGIN, PolicyState, record_sent
 
 
@@ -36,44 +36,43 @@
         state.effects.set_rung(session.id, rung)
 
 
-def relieve_overload(state: PolicyState, load: float, servers: list[Server], other_fronts: int) -> None:
-    """Take this front's part of an overload off: short delivery costs more than a rung."""
+def relieve_link(state: PolicyState, server: Server, load: float, other_fronts: int) -> None:
+    """Take this front's part of an overload off a server's link: short delivery costs more than a rung."""
     if load <= 1:
         return
     excess = 1 - (1 - RESERVE) / load
     if other_fronts:  # they got the same report, and relieve it now too
-        record_others_relief(state, servers, excess)
-    lower_rungs(state, servers, excess)
+        record_relief(state, server, excess)
+    lower_rungs(state, [server], excess)
 
 
-def record_others_relief(state: PolicyState, servers: list[Server], excess: float) -> None:
-    """Count a share off what other fronts send to one server, or to all servers of one rack.
-
-    Links that were never reported are taken to carry the mean anyway: their rack's uplink gets one entry for
-    all of them. Entries of their own, of thousands of links, took all memory.
-    """
-    rack = servers[0].rack if servers else None
-    if rack is None:
+def relieve_uplink(state: PolicyState, rack: Rack, load: float, other_fronts: int) -> None:
+    """Take this front's part of an overload off a rack's uplink."""
+    if load <= 1:
         return
-    known = servers if len(servers) == 1 else [server for server in rack.known_servers if server.is_in_rack]
-    unreported_kb = 0.0
-    if known is not servers:
-        unknown_kb = rack.capacity_kb - sum(server.link.capacity_kb for server in known)
-        unreported_kb = -excess * state.mean_utilization() * max(0.0, unknown_kb)
-    for server in known:
-        relief_kb = -excess * state.others_kb(server)
-        if server.link.report is None:
-            unreported_kb += relief_kb
-        else:
-            record_sent(server, relief_kb, state.now_us)
-    if unreported_kb:
-        rack.uplink.record_sent(unreported_kb, state.now_us)
+    excess = 1 - (1 - RESERVE) / load
+    if other_fronts:
+        known = [server for server in rack.known_servers if server.is_in_rack]
+        # One entry for all links that were never reported: one for each of thousands took all memory.
+        unknown_kb = max(0.0, rack.capacity_kb - sum(server.link.capacity_kb for server in known))
+        rack.uplink.record_sent(-excess * state.mean_utilization() * unknown_kb, state.now_us)
+        for server in known:
+            record_relief(state, server, excess)
+    lower_rungs(state, [server for server in rack.loaded_servers if server.is_in_rack], excess)
+
+
+def record_relief(state: PolicyState, server: Server, excess: float) -> None:
+    """Count a share off what other fronts send to a server."""
+    relief_kb = -excess * state.others_kb(server)
+    server.rack.uplink.record_sent(relief_kb, state.now_us)
+    if server.link.report is not None:  # else it is taken to carry the mean anyway
+        server.link.record_sent(relief_kb, state.now_us)
 
 
 def adapt_rungs(state: PolicyState, server: Server, other_fronts: int | None) -> None:
     """Answer a report of a server's load that other fronts got too; None: a probe of this front's own."""
-    relieve_overload(state, state.link_utilization(server), [server], other_fronts or 0)
-    relieve_overload(state, state.uplink_utilization(server.rack), server.rack.servers, other_fronts or 0)
+    relieve_link(state, server, state.link_utilization(server), other_fronts or 0)
+    relieve_uplink(state, server.rack, state.uplink_utilization(server.rack), other_fronts or 0)
     raise_rungs(state, server, other_fronts)
 
 
--- a/packages/placement/src/fennelcove/placement/load_reports.py
+++ b/packages/placement/src/fennelcove/placement/load_reports.py
@@ -1,7 +1,7 @@
 """Loads reported by playing sessions, probes and other fronts: rungs adapt, waiting sessions are placed."""
 
 from fennelcove.interface import PeerMessage, ProbeCompleted, ReportKind, SessionReport
-from fennelcove.placement.bitrate_adaptation import adapt_rungs, relieve_overload, repays_switch
+from fennelcove.placement.bitrate_adaptation import adapt_rungs, relieve_link, relieve_uplink, repays_switch
 from fennelcove.placement.load_polling import MAX_POLLED_CELLS, load_of, notify_shard_owner, plan_probe
 from fennelcove.placement.records import Rack, Server, Session, SessionEvent, SessionState
 from fennelcove.placement.session_transitions import apply_event
@@ -22,7 +22,7 @@
         session.has_report = True
     elif kind is ReportKind.UPLINK:
         server.rack.uplink.observe(event.level, reported_us)
-        relieve_overload(state, state.uplink_utilization(server.rack), server.rack.servers, other_fronts)
+        relieve_uplink(state, server.rack, state.uplink_utilization(server.rack), other_fronts)
     elif event.level < FULL_DELIVERY:
         on_short_delivery(state, server, event.level)
     else:
@@ -37,10 +37,10 @@
     server.link.full_until_us = state.now_us + MARK_US
     if server.link.as_of_us < seen_us - state.settings.report_interval_us:
         server.link.observe(load, seen_us)  # no report comes in time: this is the only measure
-        relieve_overload(state, load, [server], other_fronts)
+        relieve_link(state, server, load, other_fronts)
     elif not state.settings.reports_uplinks and is_uplink_short(state, rack):
         rack.uplink.observe(load, seen_us)
-        relieve_overload(state, state.uplink_utilization(rack), rack.servers, other_fronts)
+        relieve_uplink(state, rack, state.uplink_utilization(rack), other_fronts)
 
 
 def is_uplink_short(state: PolicyState, rack: Rack) -> bool:
--- a/packages/placement/src/fennelcove/placement/records.py
+++ b/packages/placement/src/fennelcove/placement/records.py
@@ -53,9 +53,8 @@
     uplink: LinkLoad
     servers: list[Server] = field(default_factory=list)  # in the order in which they were first listed
     loaded_servers: list[Server] = field(default_factory=list)  # with sessions of this front, in that order
-    known_servers: dict[Server, None] = field(
-        default_factory=dict
-    )  # that were contacted, or whose load was told
+    # Those that were contacted, or whose load was reported.
+    known_servers: dict[Server, None] = field(default_factory=dict)
     capacity_kb: float = 0.0  # of the links of its servers together
     own_kb: float | None = None  # rate of this front's sessions; None where it has to be summed anew
     residual_uplink: float = 0.0  # free share of the uplink, for the request in hand
--- a/packages/placement/src/fennelcove/placement/state.py
+++ b/packages/placement/src/fennelcove/placement/state.py
@@ -119,9 +119,9 @@
 
     def record_rate_change(self, session: Session, rate_kb: float) -> None:
         server = session.server
-        server.own_kb += rate_kb
+        is_loaded = bool(server.sessions)
+        server.own_kb = server.own_kb + rate_kb if is_loaded else 0.0  # sums of many rates leave a remainder
         server.rack.own_kb = None
-        is_loaded = bool(server.sessions) or server.own_kb != 0
         if server.is_loaded and not is_loaded:
             server.rack.loaded_servers.remove(server)
         elif is_loaded and not server.is_loaded:
--- a/tests/test_work_per_event.py
+++ b/tests/test_work_per_event.py
@@ -230,3 +230,16 @@
         return lines_run(lambda: note(policy, ReportKind.DELIVERED, 0.5, "session-3", after=1))
 
     assert_no_growth(lines_among)
+
+
+def test_servers_whose_sessions_have_ended_are_loaded_no_longer() -> None:
+    # Sums of rates leave a remainder: each server ever used was visited at each session's end.
+    sizes = {"total_links_kb": 90_000.0, "uplink_kb": 90_000.0, "ladder_kb": (100.1, 200.3, 400.7)}
+    policy, _ = front(6, {"rate_scale": 0.7}, **sizes)
+    for i in range(60):
+        play(policy, f"session-{i}", first_cell=i % 6, cell_count=6)
+    assert any(rack.loaded_servers for rack in policy.racks)
+    for i in range(60):
+        end(policy, Outcome.SERVED, f"session-{i}", finished=True)
+    assert not any(rack.loaded_servers for rack in policy.racks)
+    assert not any(server.own_kb for server in policy.servers.values())
