--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import signal
 import unittest
 from collections.abc import Iterator
@@ -134,6 +135,9 @@
         assert facts.connection_settings({**NORTH, "Allowed": {}}).connect_us == 0
 
 
+SESSION_NUMBERS = itertools.count(1)
+
+
 class Node(NodeRig):
     """A node under some settings."""
 
@@ -157,9 +161,9 @@
     def answers(self, node: Node, *asks: tuple[str, int]) -> list[int]:
         caller, found = node.caller(), list[int]()
         with caller.sock:
-            for number, (room, top) in enumerate(asks):
+            for room, top in asks:
                 routing = f"home:0;copies:4;top:{top}"
-                caller.set_up(f"{number:08x}{id(caller) % 2**32:08x}", routing=routing, **{"Call-Kind": room})
+                caller.set_up(f"{next(SESSION_NUMBERS):016x}", routing=routing, **{"Call-Kind": room})
                 found.append(caller.answer().status)
         return found
 
