--- a/review/standins.py
+++ b/review/standins.py
@@ -219,6 +219,8 @@
             self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         with self.lock:
+            for session in self.standing:
+                self.record(self.name, "cut", id=session.hex())
             self.standing.clear()
             links = list(self.links)
         for link in links:
