Node metrics: polls of discovery that failed, by reason

The log has only the first failure of a row, so four explanations could not be told apart: each poll is given up before its answer, answers are rejected, answers are applied and not heeded, the board can't be reached.

Change: `discovery_polls` in `metrics_reported` counts polls that were not answered in time as overdue, unreachable or invalid. What the polls do is as before.

--- a/packages/node/src/fennelcove/node/discovery_client.py
+++ b/packages/node/src/fennelcove/node/discovery_client.py
@@ -17,6 +17,7 @@
 from fennelcove.node.address import Address
 from fennelcove.node.descriptor_budget import Descriptor, DescriptorUse
 from fennelcove.node.discovery_events import DiscoveryBatch, DiscoveryError
+from fennelcove.node.metrics import Metric, PollFailure
 from fennelcove.node.session_manager import SessionManager
 
 LONG_POLL_MS = 1_000  # how long the service may delay its response; a silent one is detected soon after
@@ -51,6 +52,12 @@
     return round(nominal_us * rng.uniform(BACKOFF_MIN_FACTOR, BACKOFF_MAX_FACTOR))
 
 
+def _failure_of(error: Exception) -> PollFailure:
+    if isinstance(error, TimeoutError):
+        return PollFailure.OVERDUE
+    return PollFailure.UNREACHABLE if isinstance(error, OSError) else PollFailure.INVALID
+
+
 @dataclass(frozen=True, slots=True)
 class _Poll:
     """Address and revision of one poll, and the generation in which it was started."""
@@ -152,6 +159,8 @@
             if self.is_stopped or self._is_superseded(poll):
                 return 0  # this client has interrupted the poll itself
         failures = earlier_failures + 1
+        with self.manager.lock:
+            self.manager.metrics.count(Metric.DISCOVERY_POLL, _failure_of(error).value)
         if failures == 1:  # a long outage must not fill the log
             self._log_failure(error, poll.address)
         with self.changed:
--- a/packages/node/src/fennelcove/node/metrics.py
+++ b/packages/node/src/fennelcove/node/metrics.py
@@ -30,6 +30,15 @@
     RELEASE_DEFERRED = "releases_deferred"  # by party, client or server; no connection to it was open
     SLOW_EVENT = "slow_events"  # by thread; an event held the lock for longer than `SLOW_EVENT_US`
     VIOLATION = "violations"  # by invariant
+    DISCOVERY_POLL = "discovery_polls"  # by `PollFailure`; polls answered in time are not counted
+
+
+class PollFailure(Enum):
+    """Why a poll of discovery was not answered in time; the values are reasons of a metric."""
+
+    UNREACHABLE = "unreachable"  # no connection, or it ended before the complete response
+    OVERDUE = "overdue"  # no complete response in time
+    INVALID = "invalid"  # a complete response that can't be applied
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_node_discovery_thread.py
+++ b/tests/test_node_discovery_thread.py
@@ -18,6 +18,7 @@
 from fennelcove.node import config, discovery_client, session_manager
 from fennelcove.node.address import parse_address
 from fennelcove.node.discovery_client import DiscoveryClient
+from fennelcove.node.metrics import Metric
 
 from tests.discovery_harness import ManualDiscovery, is_being_dialled, unresponsive_listener
 from tests.node_harness import notice, wait_until
@@ -211,6 +212,17 @@
         next_poll = discovery.next_poll()
         assert (next_poll.watch, self.server_state(), discovery.accepted_count) == (2, ServerState.LEAVING, 1)
 
+    def test_polls_that_fail_are_counted_by_reason(self) -> None:
+        # The log has the first failure of a row only: a slow service could not be told from a faulty one.
+        discovery = ManualDiscovery()
+        self.start_client(discovery)
+        discovery.next_poll().close()
+        discovery.next_poll().send_response(b"x")
+        discovery.next_poll()  # never answered
+        discovery.next_poll()
+        counts = self.manager.metrics.counts[Metric.DISCOVERY_POLL]
+        assert counts == {"unreachable": 1, "invalid": 1, "overdue": 1}
+
     def test_a_response_that_cannot_be_applied_is_requested_again(self) -> None:
         discovery = ManualDiscovery()
         self.start_client(discovery)
