--- a/packages/node/src/fennelcove/node/descriptor_budget.py
+++ b/packages/node/src/fennelcove/node/descriptor_budget.py
@@ -26,7 +26,7 @@
 
     FIXED = "fixed"  # those open when the process starts, and the listening socket
     FILE = "file"  # the configuration file, and files that the interpreter reads meanwhile
-    DISCOVERY = "discovery"  # the poll, and a previous one that a change of address ends
+    DISCOVERY = "discovery"  # the poll, and an earlier one that is overdue
     ACCEPT = "accept"  # an accepted connection that is not admitted yet
     SERVER = "server"
     CLIENT = "client"
--- a/packages/node/src/fennelcove/node/metrics.py
+++ b/packages/node/src/fennelcove/node/metrics.py
@@ -38,6 +38,7 @@
 
     UNREACHABLE = "unreachable"  # no connection, or it ended before the complete response
     OVERDUE = "overdue"  # no complete response in time
+    ANSWERED_LATE = "answered_late"  # of the overdue ones, those whose response arrived in the end
     INVALID = "invalid"  # a complete response that can't be applied
 
 
