Front node: an overdue dial goes on beside the next where sessions wait

What callers saw: a server whose connections come up a second late lost all its sessions. A viewer whose session had ended well there was told 7 s later that it was cut (cause 41 instead of 16).

Change: the attempt that waits for a dial still ends at the timeout as no connection, and the dial counts as timed out. But where sessions or messages wait for the server, one such dial to it goes on beside the next ones, until the sessions count as lost in any case. It gives its descriptor up as soon as another connection needs it.

--- a/packages/node/src/fennelcove/node/handovers.py
+++ b/packages/node/src/fennelcove/node/handovers.py
@@ -100,5 +100,5 @@
         self._messages.replay(session)
         if server.started_us > self._context.created_us:
             self._attempts.on_completed(session, Outcome.NO_ANSWER, None)
-        if not server.links and not self._pool.is_full:
+        if not server.prompt_links and not self._pool.is_full:
             self._pool.create(server).start()
--- a/packages/node/src/fennelcove/node/model.py
+++ b/packages/node/src/fennelcove/node/model.py
@@ -42,6 +42,7 @@
     last_received_us: int  # when data was last received
     opened_us: int
     keepalive_sent_us: int | None  # when the keepalive request without an answer was sent
+    is_overdue: bool  # it is still being opened, after the settings' timeout
 
     @property
     def is_idle(self) -> bool:
@@ -186,3 +187,8 @@
     def needs_link(self) -> bool:
         """Whether a connection is needed, to receive the ends of sessions or to send queued messages."""
         return bool(self.established or self.unsent)
+
+    @property
+    def prompt_links(self) -> list[ServerLink]:
+        """Its connections that are open, or being opened and not overdue."""
+        return [link for link in self.links if not link.is_overdue]
--- a/packages/node/src/fennelcove/node/server_connection.py
+++ b/packages/node/src/fennelcove/node/server_connection.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 import select
 import socket
 import struct
@@ -13,7 +14,7 @@
 from contextlib import suppress
 from typing import Protocol
 
-from fennelcove.decisions.servers.connection_loss import DialResult
+from fennelcove.decisions.servers.connection_loss import UNCONFIRMED_LOSS_US, DialResult
 from fennelcove.interface import LoadReport, Outcome
 from fennelcove.isup import writer
 from fennelcove.isup.messages import Cause, Message, MessageKind, Parameter, ProtocolError
@@ -26,6 +27,7 @@
 
 READ_BYTES = 16_384
 REDIAL_DELAY_US = 300_000  # between two dials for the sessions established at a server
+MAX_DIAL_US = UNCONFIRMED_LOSS_US  # of an overdue dial; by then the sessions that it is for count as lost
 MIN_RECEIVE_TIMEOUT_US = 1_000
 NO_SESSION_ID = bytes(8)
 KEEPALIVE_REQUEST_CAUSE = b"\0"
@@ -84,6 +86,10 @@
         """Handle a connection to a server that could not be made."""
         ...
 
+    def may_stay_overdue(self, server: Server) -> bool:
+        """Whether a dial to this server may go on after its timeout."""
+        ...
+
 
 def set_receive_timeout(sock: socket.socket, timeout_us: int) -> None:
     """Set the kernel's receive timeout; sends stay non-blocking by `MSG_DONTWAIT`."""
@@ -120,6 +126,21 @@
     return events
 
 
+def wait_until_connected(sock: socket.socket, timeout_us: int) -> None:
+    """Wait for a connect that has timed out but was not cancelled.
+
+    Raises:
+        OSError: the connection was refused, or not made in time.
+    """
+    poll = select.poll()
+    poll.register(sock, select.POLLOUT)
+    if not poll.poll(timeout_us / 1000):
+        raise TimeoutError("not connected in time")
+    error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise OSError(error, os.strerror(error))
+
+
 class ServerConnection:
     """One connection to a server. Every method but `run` is called with the manager's lock held."""
 
@@ -133,6 +154,7 @@
         self.abandoned_ids: set[bytes] = set()  # ids of abandoned set-ups that may still be answered here
         self.last_received_us = self.opened_us = manager.now_us()
         self.keepalive_sent_us: int | None = None
+        self.is_overdue = False  # still dialling after the timeout; the attempt that waited for it has failed
         self.is_dialling = False  # its thread is dialling, with a descriptor open even if the state is CLOSED
         self.descriptor = manager.descriptors.reserve(DescriptorUse.SERVER)
         self.is_read_to_end = False  # every message that the server has sent here has been handled
@@ -246,7 +268,7 @@
         self.state = ConnectionState.CLOSED
         self.server.links.pop(self, None)
         self.server.last_closed_us = self.manager.now_us()
-        if not self.is_dialling:
+        if not self.is_dialling or self.is_overdue:  # an overdue dial is ended below
             self.descriptor.release_reservation()
         session, self.dispatched_session = self.dispatched_session, None
         if self.sock is not None:
@@ -281,7 +303,12 @@
             return None
         try:
             sock.settimeout(timeout_us / 1e6)
-            sock.connect((self.address.host, self.address.port))
+            try:
+                sock.connect((self.address.host, self.address.port))
+            except TimeoutError:
+                if not self._stay_overdue(sock):
+                    raise
+                wait_until_connected(sock, MAX_DIAL_US - timeout_us)
             sock.settimeout(None)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as error:
@@ -300,18 +327,33 @@
             self.server.next_dial_us = self.manager.now_us() + REDIAL_DELAY_US
             self.close(Outcome.NOT_SENT)
 
+    def _stay_overdue(self, sock: socket.socket) -> bool:
+        """Fail the attempt that waits for this dial, but go on dialling; False if the dial has to end."""
+        with self.manager.lock:
+            if self.state is not ConnectionState.DIALLING or not self.manager.may_stay_overdue(self.server):
+                return False
+            self.is_overdue, self.sock = True, sock
+            self._complete_attempt(Outcome.NO_CONNECTION)
+            self.manager.on_dial_failed(self.server, refused=False)
+            return True
+
     def _on_connect_failed(self, error: OSError) -> None:
+        with self.manager.lock:
+            self.sock = None
         self.descriptor.close()
+        is_refused = isinstance(error, ConnectionRefusedError)
         with self.manager.lock:
             self._on_dial_finished()
             if self.state is ConnectionState.DIALLING:
                 self.close(Outcome.NO_CONNECTION)
-                self.manager.on_dial_failed(self.server, isinstance(error, ConnectionRefusedError))
+                if is_refused or not self.is_overdue:  # that it was not made in time is recorded already
+                    self.manager.on_dial_failed(self.server, is_refused)
 
     def _on_connected(self, sock: socket.socket) -> socket.socket | None:
         """Open the connection; None if it was closed while its thread dialled."""
         with self.manager.lock:
             self._on_dial_finished()
+            self.is_overdue, self.sock = False, None
             if self.state is ConnectionState.DIALLING:
                 self.state, self.sock, self.last_received_us = (
                     ConnectionState.OPEN,
--- a/packages/node/src/fennelcove/node/server_monitor.py
+++ b/packages/node/src/fennelcove/node/server_monitor.py
@@ -137,4 +137,6 @@
             server.needs_redial, server.unanswered_close_us = True, 0
         server.needs_redial = server.needs_redial and bool(server.established)
         needs_another = server.needs_redial and not self._pool.is_full
-        return server.needs_link and (not server.links or needs_another) and now_us >= server.next_dial_us
+        return (
+            server.needs_link and (not server.prompt_links or needs_another) and now_us >= server.next_dial_us
+        )
--- a/packages/node/src/fennelcove/node/server_pool.py
+++ b/packages/node/src/fennelcove/node/server_pool.py
@@ -67,15 +67,19 @@
     def close_idle(self, min_age_us: int = 0) -> bool:
         """Close an idle connection so that another may be opened.
 
-        Of the connections that their server does not need, the one that has been silent longest is closed; if
-        there is none, the oldest connection, if it has been open for `min_age_us`.
+        An overdue dial goes first. Of the connections that their server does not need, the one that has been
+        silent longest is closed; if there is none, the oldest one, if it has been open for `min_age_us`.
 
         Returns:
             Whether one was closed.
         """
         now_us = self._context.now_us()
-        servers = self._context.server_table.supervised()
-        idle = [link for server in servers for link in server.links if link.is_idle]
+        links = [link for server in self._context.server_table.supervised() for link in server.links]
+        overdue = next((link for link in links if link.is_overdue), None)
+        if overdue is not None:
+            overdue.close(Outcome.NO_CONNECTION)
+            return True
+        idle = [link for link in links if link.is_idle]
         unneeded = [link for link in idle if not (link.server.needs_link and len(link.server.links) == 1)]
         if unneeded:
             min(unneeded, key=lambda link: link.last_received_us).close(Outcome.CONNECTION_LOST)
@@ -86,6 +90,14 @@
         oldest.close(Outcome.CONNECTION_LOST)
         return True
 
+    def may_stay_overdue(self, server: Server) -> bool:
+        """Whether a dial to this server may go on after its timeout, beside the next one.
+
+        A server whose connections are late by a constant amount would otherwise never be reached. It is worth
+        a connection only if sessions or messages wait for it, and one such dial is enough.
+        """
+        return server.needs_link and len(server.prompt_links) == len(server.links) and not self.is_full
+
     def ensure_capacity(self) -> bool:
         """Whether a connection may be opened; an idle one is closed first if that is necessary."""
         if self.is_full:
--- a/packages/node/src/fennelcove/node/session_manager.py
+++ b/packages/node/src/fennelcove/node/session_manager.py
@@ -123,6 +123,7 @@
         self.accepts_attempts = self.monitor.accepts_attempts
         self.is_still_wanted = self.attempts.is_wanted
         self.on_dial_failed = self.monitor.on_dial_failed
+        self.may_stay_overdue = self.pool.may_stay_overdue
         # Called by the discovery client and the program.
         self.on_discovery_event = self.updates.on_event
         self.on_discovery_events = self.updates.on_events
