List client: the limit of a request for the list doubles while it is exceeded

What an operator saw: with a list service whose answers take 1.5 s the front's requests for the complete list failed each time, and the list stayed that of before.

A request was given up after 1 s and repeated with the same limit.

Change: the limit doubles with each request that times out, up to 30 s, and is 1 s again after an answer within 1 s (FetchTimeout, a decision without clock). `stop` ends an open request, so that a long limit does not delay the end of the process.

--- a/packages/decisions-servers/src/fennelcove/decisions/servers/endpoint_list.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/endpoint_list.py
@@ -18,6 +18,9 @@
 INITIAL_BACKOFF_US = 100_000
 MAX_BACKOFF_US = 5_000_000
 BACKOFF = Backoff(INITIAL_BACKOFF_US, MAX_BACKOFF_US)
+MIN_FETCH_TIMEOUT_US = 1_000_000
+MAX_FETCH_TIMEOUT_US = 30_000_000
+_FETCH_TIMEOUT = Backoff(MIN_FETCH_TIMEOUT_US, MAX_FETCH_TIMEOUT_US)
 
 # The progress of a server's removal from the fleet: of two entries for one server, the more advanced counts.
 _DRAIN_PROGRESS = {ServerState.ACTIVE: 0, ServerState.LEAVING: 1, ServerState.LEFT: 2}
@@ -140,6 +143,32 @@
     return None
 
 
+@dataclass(slots=True)
+class FetchTimeout:
+    """How long the list service may take to answer a request for the complete list.
+
+    It doubles with each request that times out: with the same limit every time, a service that is late by
+    more than that would never be heard. It is the minimum again after an answer within the minimum.
+    """
+
+    _doublings: int = 0
+
+    @property
+    def current_us(self) -> int:
+        """The timeout of the next request, in microseconds."""
+        return _FETCH_TIMEOUT.delay_us(self._doublings)
+
+    def on_timed_out(self) -> None:
+        """Record a request that was not answered in time."""
+        if self.current_us < MAX_FETCH_TIMEOUT_US:
+            self._doublings += 1
+
+    def on_answered(self, duration_us: int) -> None:
+        """Record how long an answer has taken."""
+        if duration_us < MIN_FETCH_TIMEOUT_US:
+            self._doublings = 0
+
+
 def backoff_us(failures: int, draw: float) -> int:
     """The delay before the next call of the list service.
 
--- a/packages/upstream/src/fennelcove/upstream/endpoint_list_client.py
+++ b/packages/upstream/src/fennelcove/upstream/endpoint_list_client.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 
 import msgspec
@@ -14,8 +16,8 @@
 from fennelcove.decisions.servers.command_queue import COMMAND_TIMEOUT_US
 from fennelcove.errors import OperatorError
 from fennelcove.http1 import writer
-from fennelcove.http1.messages import ProtocolError, ResponseHead
-from fennelcove.upstream.connection_pool import DialLimits, dial
+from fennelcove.http1.messages import CompleteMessage, ProtocolError, ResponseHead
+from fennelcove.upstream.connection_pool import DialLimits, ServerConnection, dial
 from fennelcove.upstream.event_stream import EventStream, PeerRefusedError, StreamBrokenError
 from fennelcove.wire.endpoint_list import ListMessage, to_endpoint_list_update
 from fennelcove.wire.events import EventError, ServerEvent
@@ -67,6 +69,8 @@
         self.fetch_requested = False
         self.is_stopped = False
         self.stream: EventStream | None = None
+        self.fetch_connection: ServerConnection | None = None
+        self.fetch_timeout = endpoint_list.FetchTimeout()  # used by the thread that requests lists
         self.turn_wait_us: Callable[[], int] = lambda: 0  # the wait before the next call; 0 counts the call
         self.threads: list[threading.Thread] = []
 
@@ -85,6 +89,9 @@
             self.is_stopped = True
             if self.stream is not None:
                 self.stream.close()
+            if self.fetch_connection is not None:
+                with suppress(OSError):
+                    self.fetch_connection.sock.shutdown(socket.SHUT_RDWR)
             self.state_changed.notify_all()
         for thread in self.threads:
             thread.join()
@@ -165,6 +172,8 @@
                 discovery.on_list(to_endpoint_list_update(message, self.clock.now_us()))
                 failures = 0
             except (OSError, ProtocolError, msgspec.MsgspecError) as error:
+                if self.is_stopped:
+                    return
                 failures += 1
                 unreached = EndpointListUnreachedError(str(error) or type(error).__name__, self.address)
                 self.log_event("list_call_failed", **unreached.fields(), failures=failures)
@@ -176,10 +185,29 @@
     def _fetch(self) -> ListMessage:
         connection = dial(self.address, COMMAND_TIMEOUT_US, self.limits)
         with connection.sock as sock:
-            sock.settimeout(COMMAND_TIMEOUT_US / 1e6)
-            sock.sendall(writer.request("GET", "/v1/list", self.address))
-            response = connection.read_response()
+            with self.state_changed:
+                if self.is_stopped:
+                    raise ConnectionError("closed by this front")
+                self.fetch_connection = connection
+            try:
+                sock.settimeout(COMMAND_TIMEOUT_US / 1e6)
+                sock.sendall(writer.request("GET", "/v1/list", self.address))
+                response = self._read_response(connection)
+            finally:
+                with self.state_changed:
+                    self.fetch_connection = None
         assert isinstance(response.head, ResponseHead)
         if response.head.status == 200:
             return _MESSAGE.decode(response.body)
         raise ConnectionError(f"response status {response.head.status}")
+
+    def _read_response(self, connection: ServerConnection) -> CompleteMessage:
+        begun_us = self.clock.now_us()
+        connection.sock.settimeout(self.fetch_timeout.current_us / 1e6)
+        try:
+            response = connection.read_response()
+        except TimeoutError:
+            self.fetch_timeout.on_timed_out()
+            raise
+        self.fetch_timeout.on_answered(self.clock.now_us() - begun_us)
+        return response
