--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 from tests.soak.checker import Checker, Verdict
-from tests.soak.plan import Plan, draw
+from tests.soak.plan import Plan, draw, with_late_discovery
 from tests.soak.trial import play
 
 OCTETS_PER_JOB = 8
@@ -43,6 +43,7 @@
     parser.add_argument("--jobs", type=int, default=3)
     parser.add_argument("--duration", type=float, default=20.0)
     parser.add_argument("--servers", type=int)
+    parser.add_argument("--late-discovery", action="store_true", help="every answer of discovery is late")
     parser.add_argument("--keep", type=Path, help="folder for the recordings of failed seeds")
     options = parser.parse_args()
     first, _, last = options.seeds.partition("..")
@@ -55,6 +56,7 @@
         try:
             octet = FIRST_OCTET + slot * OCTETS_PER_JOB
             plan = draw(seed, octet, free_port(), options.duration, options.servers)
+            plan = with_late_discovery(plan) if options.late_discovery else plan
             verdict = run(plan, root / f"seed-{seed}")
         finally:
             slots.append(slot)
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from typing import Any
 
-from tests.soak.plan import DRAIN_GRACE_S, FALL_MULTIPLE, RAMP_S, START_CAPACITY, TIP_AFTER_S, Plan
+from tests.soak.plan import DRAIN_GRACE_S, FALL_MULTIPLE, LATE, RAMP_S, START_CAPACITY, TIP_AFTER_S, Plan
 from tests.soak.recording import Event, read
 
 SLACK_S = 0.05
@@ -263,7 +263,9 @@
         """Return when a node must know a change at the latest; times since the start of the run."""
         known_at = at
         for fault in self.plan.discovery:
-            if fault.at - 1.0 <= at < fault.until or fault.at - 1.0 <= known_at < fault.until:
+            if fault.kind == LATE:
+                known_at = max(known_at, at + OUTAGE_RECOVERY_S)
+            elif fault.at - 1.0 <= at < fault.until or fault.at - 1.0 <= known_at < fault.until:
                 known_at = max(known_at, fault.until + OUTAGE_RECOVERY_S)
         for signal in self.plan.signals:
             if (
--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -15,7 +15,7 @@
 from fennelcove.http1.reader import MessageAssembler, Reader
 
 from tests.soak.loop import reset
-from tests.soak.plan import Plan
+from tests.soak.plan import DISCOVERY_DELAY_S, LATE, Plan
 from tests.soak.recording import Recorder
 
 POLL_S = 0.01
@@ -107,6 +107,8 @@
             time.sleep(POLL_S)
             if self.now >= self.closes_at + OLD_ADDRESS_LINGER_S:
                 raise OSError("address is no longer in use")
+        if self.fault() == LATE:
+            time.sleep(DISCOVERY_DELAY_S)
         now = self.now
         body = {"rev": self.plan.revision(now), "notices": self.plan.notices(self.node, now, after=watch)}
         self._send(sock, http.response(200, [], json.dumps(body).encode()))
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -27,6 +27,9 @@
     "close_after_answer", "drip",
 )  # fmt: skip
 DISCOVERY_FAULTS = ("down", "silent", "broken", "slow", "crowded")
+LATE = "late"  # not drawn: every answer of discovery comes whole and right, but late by the same time
+DISCOVERY_DELAY_S = 1.5
+NEVER_ENDS_S = 1e9
 
 
 @dataclass(frozen=True)
@@ -252,6 +255,11 @@
     return plan
 
 
+def with_late_discovery(plan: Plan) -> Plan:
+    """Return the plan with discovery that is late with every answer, in place of its other faults."""
+    return replace(plan, discovery=[DiscoveryFault(0.0, NEVER_ENDS_S, LATE)])
+
+
 def release(servers: int, octet: int, port: int) -> Plan:
     """Return a fixed plan: two nodes, a release that replaces 60 % of the servers within 4 s, no faults."""
     plan = Plan(
