Client connections: an idle answered one gives way at once, a new silent one last

Cause: in a full table the connection to give way was one that had sent nothing, however new. For a new one the only accepting thread slept up to 20 ms, though answered and idle ones could have gone at once.

Change: unused connections give way in the order of EvictionClass: drained, silent past the grace, answered, new. Only for the last the accepting thread waits.

--- a/packages/node/src/fennelcove/node/client_connection.py
+++ b/packages/node/src/fennelcove/node/client_connection.py
@@ -5,6 +5,7 @@
 import select
 import socket
 from contextlib import suppress
+from enum import IntEnum
 from typing import Protocol
 
 from fennelcove.clock import Clock
@@ -33,6 +34,15 @@
 PEER_GONE_EVENTS = select.POLLRDHUP | select.POLLERR
 
 
+class EvictionClass(IntEnum):
+    """Unused connections in the order in which they give way to new ones."""
+
+    CLOSED = 1  # only drained
+    SILENT = 2  # some clients open hundreds of connections and never send
+    ANSWERED = 3  # its client may use it again, or opens another one
+    NEW = 4  # its first message may still be in transit; new connections wait until it is silent
+
+
 class CloseGuard(session_states.Guard, Protocol):
     """The invariants that are checked when a connection is closed."""
 
@@ -86,6 +96,15 @@
         """Whether it has neither open nor established sessions, so that it may be closed."""
         return not self.open_sessions and not self.established_sessions
 
+    def eviction_class(self, now_us: int) -> EvictionClass:
+        """How readily it gives way to a new connection while it is unused."""
+        if self.is_closed:
+            return EvictionClass.CLOSED
+        if self.has_sent_message:
+            return EvictionClass.ANSWERED
+        is_new = now_us < self.accepted_us + EVICTION_GRACE_US
+        return EvictionClass.NEW if is_new else EvictionClass.SILENT
+
     @property
     def has_unread_data(self) -> bool:
         """Whether data has arrived that its thread has not read yet."""
@@ -319,7 +338,8 @@
         """
         if len(self.connections) >= self.max_connections:
             # If every unused connection is still sending, the oldest of them is evicted.
-            evicted = self._eviction_candidate() or self._oldest_unused()
+            now_us = connection.manager.clock.now_us()
+            evicted = self._eviction_candidate(now_us) or self._oldest_unused()
             if evicted is None:
                 return False
             self._evict(evicted)
@@ -331,25 +351,24 @@
         candidates = (each for each in self.connections if each.is_unused and not each.is_closed)
         return next(candidates, None)
 
-    def _eviction_candidate(self) -> ClientConnection | None:
-        """Return the connection to evict: preferably one being drained, then one that has sent no message.
+    def _eviction_candidate(self, now_us: int) -> ClientConnection | None:
+        """Return the connection to evict, by `EvictionClass`, and of one class the oldest.
 
-        Some clients open hundreds of connections and never send. A connection with unread data is kept, since
-        the request in it would get no answer.
+        A connection with unread data is kept, since the request in it would get no answer.
         """
         candidates = [
             each for each in self.connections if each.is_unused and (each.is_closed or not each.is_busy)
         ]
-        candidates.sort(key=lambda each: (not each.is_closed, each.has_sent_message))
+        candidates.sort(key=lambda each: each.eviction_class(now_us))
         return next((each for each in candidates if each.is_closed or _has_nothing_to_process(each)), None)
 
     def _evict(self, connection: ClientConnection) -> None:
         connection.disconnect()
         self.remove(connection)
 
-    def evict_one(self) -> None:
+    def evict_one(self, now_us: int) -> None:
         """Evict an unused connection, if there is one."""
-        candidate = self._eviction_candidate()
+        candidate = self._eviction_candidate(now_us)
         if candidate is not None:
             self._evict(candidate)
 
@@ -357,12 +376,12 @@
         """Return how long a new connection waits before another is evicted for it, in microseconds."""
         if len(self.connections) < self.max_connections:
             return 0
-        candidate = self._eviction_candidate()
+        candidate = self._eviction_candidate(now_us)
         if candidate is None:  # every unused connection is sending just now
             return EVICTION_GRACE_US
-        if candidate.has_sent_message or candidate.is_closed:
+        if candidate.eviction_class(now_us) is not EvictionClass.NEW:
             return 0
-        return max(0, candidate.accepted_us + EVICTION_GRACE_US - now_us)
+        return candidate.accepted_us + EVICTION_GRACE_US - now_us
 
     def may_hold_sessions(self, connection: ClientLink) -> bool:
         """Whether this connection may have open or established sessions.
--- a/packages/node/src/fennelcove/node/client_listener.py
+++ b/packages/node/src/fennelcove/node/client_listener.py
@@ -84,7 +84,7 @@
             self.log("accept_failed", reason=str(error))
         if error.errno in (errno.EMFILE, errno.ENFILE):
             with self.manager.lock:
-                self.manager.connections.evict_one()
+                self.manager.connections.evict_one(now_us)
         time.sleep(ACCEPT_RETRY_DELAY_S)
 
     def admit(self, sock: socket.socket, peer: str) -> None:
