Server connection: an overdue dial has a limit whatever the connect timeout

With a ConnectTimeoutMs of 7 s or more the time left for an overdue dial is negative, and a poll with a negative timeout waits without limit: the dial would hold its thread and descriptor until the connection is closed.

Change: no time left means no wait, as in wait_for_events.

Measured: the new test did not end before and passes now; node_late_servers and node_dialling pass. Settings with shorter timeouts are not affected.

--- a/packages/node/src/fennelcove/node/server_connection.py
+++ b/packages/node/src/fennelcove/node/server_connection.py
@@ -134,7 +134,7 @@
     """
     poll = select.poll()
     poll.register(sock, select.POLLOUT)
-    if not poll.poll(timeout_us / 1000):
+    if not poll.poll(max(0, timeout_us) / 1000):
         raise TimeoutError("not connected in time")
     error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if error:
--- a/tests/test_node_late_servers.py
+++ b/tests/test_node_late_servers.py
@@ -215,3 +215,21 @@
         server.become_late()
         release = client.receive_request()
         assert (release.method, release.fields["reason"]) == ("TEARDOWN", f"cause={Cause.OK.value}")
+
+
+class WaitUntilConnectedTest(unittest.TestCase):
+    def test_a_connect_timeout_beyond_the_limit_of_overdue_dials_leaves_no_time(self) -> None:
+        # The remaining time was negative, which a poll takes for no limit at all.
+        listener, _ = unresponsive_listener(self)
+        with socket.socket() as sock:
+            sock.setblocking(False)
+            sock.connect_ex(listener.getsockname())
+            waiter = threading.Thread(target=self.assert_times_out, args=(sock,), daemon=True)
+            waiter.start()
+            waiter.join(2.0)
+            assert not waiter.is_alive()
+
+    def assert_times_out(self, sock: socket.socket) -> None:
+        """Check that no time is left to wait."""
+        with self.assertRaises(TimeoutError):
+            server_connection.wait_until_connected(sock, -1_000_000)
