--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -146,6 +146,7 @@
         self.connections = []
         self.owed = []  # releases that no connection has carried yet
         self.listener = None
+        self.last_accepted = 0.0
         self.host, self.port = host, 0
         self.listen()
 
@@ -178,6 +179,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self.lock:
                 self.connections.append(sock)
+                self.last_accepted = time.time()
                 owed, self.owed = self.owed, []
             self.record(self.name, "connection accepted")
             for data in owed:
@@ -261,6 +263,27 @@
                 pass  # it has ended meanwhile
 
 
+class LateServer(Server):
+    """A server whose connections come up late: with the queue of its socket full, a SYN is not answered until it is repeated."""
+
+    def hold_connections(self):
+        self.stop_listening()
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind((self.host, self.port))
+        self.listener.listen(0)
+        self.filler = socket.create_connection((self.host, self.port))  # fills the queue
+        self.record(self.name, "connections come up late from here on")
+
+    def take_connections(self):
+        self.listener.listen(64)
+        accepted, _ = self.listener.accept()  # the filler
+        accepted.close()
+        self.filler.close()
+        self.record(self.name, "takes connections")
+        threading.Thread(target=self._accept, args=(self.listener,), daemon=True).start()
+
+
 class Board:
     """The notice board: numbered events, told on long polls."""
 
@@ -509,6 +532,10 @@
         self.record("node", f"gets {signal.Signals(number).name}")
         self.process.send_signal(number)
 
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
     def log(self):
         path = Path(self.folder.name) / "log.txt"
         return path.read_text(errors="replace") if path.exists() else ""
