--- a/review/7/case.py
+++ b/review/7/case.py
@@ -6,7 +6,18 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from standins_2 import TROUBLE, Board, LateServer, Node, Record, Viewer, run_case, session_id, settings, wait_for
+from standins_2 import (
+    TROUBLE,
+    Board,
+    LateServer,
+    Node,
+    Record,
+    Viewer,
+    run_case,
+    session_id,
+    settings,
+    wait_for,
+)
 
 LATE_S = 0.9  # from then on the server takes connections; the kernel's first repeat of a SYN comes 1 s after the SYN
 DELAYS_S = (0.0, 0.06, 0.12, 0.18)  # of the hand-over after the test; a round each
@@ -42,14 +53,24 @@
             time.sleep(max(0.0, handed_at + LATE_S - time.time()))
             late.take_connections()
         wait_for(lambda: late.last_accepted > handed_at, 5)
-        record("case", f"the front node's connection to {late.name} came up {late.last_accepted - handed_at:.3f} s after the hand-over")
+        record(
+            "case",
+            f"the front node's connection to {late.name} came up {late.last_accepted - handed_at:.3f} s after the hand-over",
+        )
         time.sleep(3.0)
         for session, server in stood.items():
             told = viewers[session].find(session, "TEARDOWN")
             if told and bytes.fromhex(session) in server.standing:
                 broken += 1
-                record("case", f"viewer was told {told[0][0] - handed_at:.3f} s after the hand-over that {session} is over; it stands at {server.name}")
-    still = [each for each in stood if bytes.fromhex(each) in stood[each].standing and not viewers[each].find(each, "TEARDOWN")]
+                record(
+                    "case",
+                    f"viewer was told {told[0][0] - handed_at:.3f} s after the hand-over that {session} is over; it stands at {server.name}",
+                )
+    still = [
+        each
+        for each in stood
+        if bytes.fromhex(each) in stood[each].standing and not viewers[each].find(each, "TEARDOWN")
+    ]
     for session in still[:3]:  # what was kept is still released
         stood[session].end(bytes.fromhex(session))
         if not wait_for(lambda: viewers[session].find(session, "TEARDOWN"), 1.05):
