Connection loss: sessions handed over to a late server outlive two dials

Cause: the silence of a server was counted from its last byte, and one never reached counted as lost with the second dial that timed out.

Change: the silence is counted from the last byte or from a later first hand-over, and a server never reached gets the 7 s of one whose path is interrupted. Related paths mended with it: a hand-over at a server reached long ago, and at one that is taken off the list.

--- a/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
@@ -3,7 +3,9 @@
 A refused connection shows that the machine is reachable and the server process has ended, and its sessions
 with it. A connection that times out shows only that the path is interrupted: behind a partition the sessions
 may continue. Sessions at such a server count as lost once the endpoint list no longer contains it, or once
-nothing has been received from it for the time within which clients must be notified of a session's end.
+nothing has been received from it for the time within which clients must be notified of a session's end. Where
+sessions are handed over while the server is silent, that time begins with the hand-over: the connection may
+only be late.
 """
 
 from __future__ import annotations
@@ -14,7 +16,7 @@
 
 from fennelcove.state_machine import Transition, TransitionTable, Unlisted
 
-# Counted from the last byte received; a client must be notified of a session's end within 8 s.
+# Counted from the last byte received or a later hand-over; a client must be notified of an end within 8 s.
 UNCONFIRMED_LOSS_US = 7_000_000
 
 
@@ -30,8 +32,8 @@
     """What else is known about the server."""
 
     LISTED = auto()  # listed, and reached before: its path may be interrupted
-    NEVER_REACHED = auto()  # nothing was ever received, so there is no time to count from
-    DELISTED = auto()  # no longer in the endpoint list
+    NEVER_REACHED = auto()  # nothing was ever received, so its first connection may only be late
+    DELISTED = auto()  # reached before, and no longer in the endpoint list
 
 
 class LossState(Enum):
@@ -56,11 +58,11 @@
     unlisted=Unlisted.IGNORE,
 )
 
-# The states in which sessions are lost, and the time after the last byte received (None: at once).
+# The states in which sessions are lost, and the time of silence after which they are (None: at once).
 LOST_AFTER_US: dict[tuple[LossState, EndpointKnowledge], int | None] = {
     **{(LossState.REFUSING, knowledge): None for knowledge in EndpointKnowledge},
     (LossState.UNRESPONSIVE, EndpointKnowledge.DELISTED): None,
-    (LossState.UNRESPONSIVE, EndpointKnowledge.NEVER_REACHED): None,
+    (LossState.UNRESPONSIVE, EndpointKnowledge.NEVER_REACHED): UNCONFIRMED_LOSS_US,
     (LossState.UNRESPONSIVE, EndpointKnowledge.LISTED): UNCONFIRMED_LOSS_US,
 }
 
@@ -71,6 +73,7 @@
 
     state: LossState = LossState.REACHABLE
     last_received_us: int | None = None
+    handed_over_us: int | None = None  # when the first of its present sessions was handed over
 
     def on_dial_completed(self, result: DialResult, now_us: int) -> None:
         """Record the result of a dial."""
@@ -92,19 +95,22 @@
         self.state = LossState.REACHABLE
         self.last_received_us = now_us
 
+    def on_first_handover(self, now_us: int) -> None:
+        """Record that a session was handed over at the server, which had none until then."""
+        self.handed_over_us = now_us
+
     def is_lost(self, listed: bool, now_us: int) -> bool:
         """Whether the sessions at the server count as lost."""
         reason = (self.state, self._knowledge(is_listed=listed))
         if reason not in LOST_AFTER_US:
             return False
         lost_after_us = LOST_AFTER_US[reason]
-        if lost_after_us is None or self.last_received_us is None:
+        if lost_after_us is None:
             return True
-        return now_us - self.last_received_us >= lost_after_us
+        silent_since_us = max(self.last_received_us or 0, self.handed_over_us or 0)
+        return now_us - silent_since_us >= lost_after_us
 
     def _knowledge(self, *, is_listed: bool) -> EndpointKnowledge:
-        if not is_listed:
-            return EndpointKnowledge.DELISTED
         if self.last_received_us is None:
             return EndpointKnowledge.NEVER_REACHED
-        return EndpointKnowledge.LISTED
+        return EndpointKnowledge.LISTED if is_listed else EndpointKnowledge.DELISTED
--- a/packages/node/src/fennelcove/node/handovers.py
+++ b/packages/node/src/fennelcove/node/handovers.py
@@ -96,6 +96,8 @@
 
     def _attach(self, session: Session, request: Request, server: Server) -> None:
         """Attach a session to its server, and handle the server's cached messages about it."""
+        if not server.established:
+            server.connection_loss.on_first_handover(self._context.now_us())
         server.established[session] = None
         self._context.server_table.supervise(server)
         self._actions.notify_policy(Handover(request, server.name))
--- a/tests/test_node_late_servers.py
+++ b/tests/test_node_late_servers.py
@@ -216,6 +216,22 @@
         release = client.receive_request()
         assert (release.method, release.fields["reason"]) == ("TEARDOWN", f"cause={Cause.OK.value}")
 
+    def test_a_session_handed_over_at_a_start_outlives_the_late_connection_to_its_server(self) -> None:
+        # Two dials that timed out ended the sessions at a server that this process had not reached yet.
+        server, discovery = LateServer("s0", 0), ManualDiscovery()
+        self.addCleanup(server.close)
+        self.addCleanup(discovery.close)
+        server.become_late()
+        node = DiscoveryNodeProcess(discovery, server, settings=SHORT_CONNECT_SETTINGS)
+        self.addCleanup(node.close)
+        client = node.connect_client()
+        self.addCleanup(client.sock.close)
+        client.set_up(SESSION, routing="home:0;copies:4;top:2;at:s0")
+        wait_until(lambda: server.sockets, "the late connection")
+        server.send(isup.release(bytes.fromhex(SESSION), Cause.OK))
+        release = client.receive_request()
+        assert (release.method, release.fields["reason"]) == ("TEARDOWN", f"cause={Cause.OK.value}")
+
 
 class WaitUntilConnectedTest(unittest.TestCase):
     def test_a_connect_timeout_beyond_the_limit_of_overdue_dials_leaves_no_time(self) -> None:
--- a/tests/test_node_session_manager.py
+++ b/tests/test_node_session_manager.py
@@ -546,6 +546,46 @@
         self.manager.run_maintenance()
         assert session.state is SessionState.CLOSED
 
+    def hand_over(self) -> Session:
+        """Hand a session over at `s0`, without a connection."""
+        fields = {"cseq": "1", "session": ID.hex(), "call-kind": "recorded", "answer-within": "8000"}
+        fields["routing-data"] = "home:0;copies:4;top:2;at:s0"
+        request = rtsp.Request("SETUP", "rtsp://media/7f", fields, b"what")
+        with mock.patch("threading.Thread"):
+            client_requests.on_client_message(self.manager, self.connection, request)
+        return self.manager.sessions[ID]
+
+    def assert_lost_after_silence(self, session: Session) -> None:
+        """Check that dials which time out end a session 7 s after it was handed over, and not before."""
+        server = self.manager.servers["s0"]
+        for _ in range(3):
+            self.manager.on_dial_failed(server, refused=False)
+        for link in list(server.links):
+            link.close(Outcome.NO_CONNECTION)
+        server.next_dial_us = 1 << 62
+        self.clock.advance(6_900_000)
+        self.manager.run_maintenance()
+        assert session.state is SessionState.ESTABLISHED
+        self.clock.advance(200_000)
+        self.manager.run_maintenance()
+        assert session.state is SessionState.CLOSED
+
+    def test_sessions_handed_over_at_a_server_never_reached_are_lost_after_silence(self) -> None:
+        # They were closed with the second dial that timed out, while they went on at the server.
+        self.assert_lost_after_silence(self.hand_over())
+
+    def test_sessions_handed_over_at_a_server_reached_long_ago_are_lost_after_silence(self) -> None:
+        # The silence was counted from a time at which the server had no session and was not listened to.
+        self.manager.servers["s0"].connection_loss.on_received(self.manager.now_us())
+        self.clock.advance(60_000_000)
+        self.assert_lost_after_silence(self.hand_over())
+
+    def test_sessions_handed_over_at_a_removed_server_never_reached_are_lost_after_silence(self) -> None:
+        # A server that drains and is taken off the list still holds its sessions.
+        session = self.hand_over()
+        self.apply_notice(2, {**HOST_ENTRY, "health": "removed"})
+        self.assert_lost_after_silence(session)
+
     def test_sessions_at_a_server_that_refuses_connections_are_closed(self) -> None:
         server, session = self.establish_and_lose_connection()
         self.manager.on_dial_failed(server, refused=True)
