Front node: releases are kept until their server has read them

Cause: when a silent server counted as lost, the queue of messages for it was emptied and no release was sent for the sessions closed then. The record has no release after the path is back; sessions whose server was not yet lost were released.

Change: ServerOutbox keeps the latest message of each session, for a server that counts as lost too, until its process has provably ended, a connection has carried it, or 300 s have passed. Related paths with the same cause: a release on a connection reset before it was read (kept until confirmed, with a keepalive if nothing else confirms), a queue of 256 that dropped the oldest, a server that leaves the list, a release that could overtake the next set-up of its id. The base class of the session manager's tests moves to a harness, unchanged.

--- a/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
@@ -18,6 +18,8 @@
 
 # Counted from the last byte received or a later hand-over; a client must be notified of an end within 8 s.
 UNCONFIRMED_LOSS_US = 7_000_000
+MIN_REDIAL_DELAY_US = 300_000
+MAX_REDIAL_DELAY_US = 4_800_000  # if no session waits to be heard from, only messages to be sent
 
 
 class DialResult(Enum):
@@ -73,12 +75,15 @@
 
     state: LossState = LossState.REACHABLE
     last_received_us: int | None = None
+    failed_dials: int = 0  # in succession
     handed_over_us: int | None = None  # when the first of its present sessions was handed over
 
     def on_dial_completed(self, result: DialResult, now_us: int) -> None:
         """Record the result of a dial."""
         self.state = TRANSITIONS.apply(self.state, result).state
+        self.failed_dials += 1
         if result is DialResult.CONNECTED:
+            self.failed_dials = 0
             self.last_received_us = now_us
 
     def on_keepalive_timeout(self) -> None:
@@ -90,6 +95,18 @@
         """Whether the next dial decides if the server is reachable."""
         return self.state is LossState.SUSPECTED
 
+    @property
+    def is_refusing(self) -> bool:
+        """Whether the latest dials were refused: no process listens at the server's address."""
+        return self.state is LossState.REFUSING
+
+    def redial_delay_us(self, *, has_sessions: bool) -> int:
+        """The time from a failed dial to the next: constant while sessions wait, else growing."""
+        if has_sessions:
+            return MIN_REDIAL_DELAY_US
+        delay_us = MIN_REDIAL_DELAY_US << min(max(0, self.failed_dials - 1), 10)
+        return min(delay_us, MAX_REDIAL_DELAY_US)
+
     def on_received(self, now_us: int) -> None:
         """Record that something was received from the server."""
         self.state = LossState.REACHABLE
--- a/packages/node/src/fennelcove/node/handovers.py
+++ b/packages/node/src/fennelcove/node/handovers.py
@@ -75,7 +75,8 @@
             if self._monitor.is_known(placeholder.name):
                 del self.waiting[session]
                 server = self._context.servers[placeholder.name]
-                server.unsent.extend(placeholder.unsent)  # a session closed meanwhile is still released there
+                for message in placeholder.outbox:  # a session closed meanwhile is still released there
+                    server.outbox.add(message)
                 self._context.server_table.supervise(server)
                 if session.state is SessionState.ESTABLISHED:
                     attempt.server = server
--- a/packages/node/src/fennelcove/node/metrics.py
+++ b/packages/node/src/fennelcove/node/metrics.py
@@ -28,11 +28,19 @@
     CLIENT_CONNECTION_CLOSED = "client_connections_closed"  # by reason
     SERVER_CONNECTION_CLOSED = "server_connections_closed"  # by state and outcome of a set-up in flight
     RELEASE_DEFERRED = "releases_deferred"  # by party, client or server; no connection to it was open
+    MESSAGE_DROPPED = "messages_dropped"  # by `DropReason`; a server never got a release or a rung
     SLOW_EVENT = "slow_events"  # by thread; an event held the lock for longer than `SLOW_EVENT_US`
     VIOLATION = "violations"  # by invariant
     DISCOVERY_POLL = "discovery_polls"  # by `PollFailure`; polls answered in time are not counted
 
 
+class DropReason(Enum):
+    """Why a message for a server without a connection was dropped; the values are reasons of a metric."""
+
+    EXPIRED = "expired"  # no connection came up within its time to live
+    LIMIT = "limit"  # too many messages waited for this server
+
+
 class PollFailure(Enum):
     """Why a poll of discovery was not answered in time; the values are reasons of a metric."""
 
--- a/packages/node/src/fennelcove/node/model.py
+++ b/packages/node/src/fennelcove/node/model.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -10,8 +10,7 @@
 from fennelcove.decisions.servers.connection_loss import ConnectionLossTracker
 from fennelcove.interface import LoadReport, Outcome
 from fennelcove.node.address import Address
-
-MAX_UNSENT_MESSAGES = 256  # per server without an open connection; the oldest are dropped first
+from fennelcove.node.server_outbox import ServerOutbox, SessionMessage, UnconfirmedMessages
 
 
 class SessionState(Enum):
@@ -43,6 +42,7 @@
     opened_us: int
     keepalive_sent_us: int | None  # when the keepalive request without an answer was sent
     is_overdue: bool  # it is still being opened, after the settings' timeout
+    unconfirmed: UnconfirmedMessages  # returned to the server's outbox when the connection closes
 
     @property
     def is_idle(self) -> bool:
@@ -57,8 +57,12 @@
         """Whether the kernel has seen the server's end of the stream or a reset."""
         ...
 
-    def send(self, data: bytes) -> bool:
-        """Send a message without waiting; False if the connection has failed."""
+    def deliver(self, message: SessionMessage) -> bool:
+        """Send a message about a session without waiting; False if the connection has failed."""
+        ...
+
+    def send_queued_messages(self) -> None:
+        """Send the messages of the server's outbox."""
         ...
 
     def send_keepalive(self) -> None:
@@ -169,8 +173,7 @@
     started_us: int = 0  # start of its process by the server list, Unix time; 0 for long ago or unknown
     links: dict[ServerLink, None] = field(default_factory=dict)
     established: dict[Session, None] = field(default_factory=dict)
-    # Messages for which no connection was open; sent when the next one opens.
-    unsent: deque[bytes] = field(default_factory=lambda: deque(maxlen=MAX_UNSENT_MESSAGES))
+    outbox: ServerOutbox = field(default_factory=ServerOutbox)
     outcome_counts: Counter[Outcome] = field(default_factory=Counter)  # of attempts and sessions here
     connection_loss: ConnectionLossTracker = field(default_factory=ConnectionLossTracker)
     next_dial_us: int = 0  # no dial before this time, while dials fail
@@ -186,7 +189,12 @@
     @property
     def needs_link(self) -> bool:
         """Whether a connection is needed, to receive the ends of sessions or to send queued messages."""
-        return bool(self.established or self.unsent)
+        return bool(self.established or self.outbox)
+
+    def take_message(self, session: bytes) -> SessionMessage | None:
+        """Remove and return the message about a session that the server may not have read, or None."""
+        candidates = [self.outbox.take(session), *(link.unconfirmed.take(session) for link in self.links)]
+        return next((message for message in candidates if message is not None), None)
 
     @property
     def prompt_links(self) -> list[ServerLink]:
--- a/packages/node/src/fennelcove/node/node_context.py
+++ b/packages/node/src/fennelcove/node/node_context.py
@@ -33,7 +33,7 @@
         self.metrics = NodeMetrics(clock, logger)
         self.connections = ConnectionTable(descriptors.limits[DescriptorUse.CLIENT])
         self.sessions: dict[bytes, Session] = {}
-        self.server_table = ServerTable()
+        self.server_table = ServerTable(self.metrics)
         self.servers = self.server_table.by_name
         self.last_us = 0
         self.created_us = self.now_us()
--- a/packages/node/src/fennelcove/node/server_connection.py
+++ b/packages/node/src/fennelcove/node/server_connection.py
@@ -14,7 +14,11 @@
 from contextlib import suppress
 from typing import Protocol
 
-from fennelcove.decisions.servers.connection_loss import UNCONFIRMED_LOSS_US, DialResult
+from fennelcove.decisions.servers.connection_loss import (
+    MIN_REDIAL_DELAY_US,
+    UNCONFIRMED_LOSS_US,
+    DialResult,
+)
 from fennelcove.interface import LoadReport, Outcome
 from fennelcove.isup import writer
 from fennelcove.isup.messages import Cause, Message, MessageKind, Parameter, ProtocolError
@@ -24,9 +28,9 @@
 from fennelcove.node.metrics import Metric, NodeMetrics
 from fennelcove.node.model import Attempt, ConnectionState, Server, ServerLink, Session
 from fennelcove.node.node_lock import NodeLock
+from fennelcove.node.server_outbox import SessionMessage, UnconfirmedMessages
 
 READ_BYTES = 16_384
-REDIAL_DELAY_US = 300_000  # between two dials for the sessions established at a server
 MAX_DIAL_US = UNCONFIRMED_LOSS_US  # of an overdue dial; by then the sessions that it is for count as lost
 MIN_RECEIVE_TIMEOUT_US = 1_000
 NO_SESSION_ID = bytes(8)
@@ -66,6 +70,10 @@
         """Include a server in the periodic checks."""
         ...
 
+    def queue_message(self, server: Server, message: SessionMessage) -> None:
+        """Queue a message for the server's next connection."""
+        ...
+
     def on_server_message(self, link: ServerLink, message: Message) -> None:
         """Handle a message from a server."""
         ...
@@ -157,6 +165,7 @@
         self.is_overdue = False  # still dialling after the timeout; the attempt that waited for it has failed
         self.is_dialling = False  # its thread is dialling, with a descriptor open even if the state is CLOSED
         self.descriptor = manager.descriptors.reserve(DescriptorUse.SERVER)
+        self.unconfirmed = UnconfirmedMessages()
         self.is_read_to_end = False  # every message that the server has sent here has been handled
         server.links[self] = None
         manager.supervise(server)
@@ -193,6 +202,11 @@
         if not self.manager.guard.may_send(session):
             self._complete_attempt(Outcome.NOT_SENT)
             return
+        # A message about an earlier session of this id must not reach the server after the set-up.
+        earlier = self.server.take_message(session.id)
+        if earlier is not None and not self.deliver(earlier, Outcome.NOT_SENT):
+            self.manager.queue_message(self.server, earlier)
+            return
         session.attempt.is_sent = True
         parameters = self._set_up_parameters(session, session.attempt)
         # If the kernel accepts only a part, the connection is closed: no server receives a complete set-up.
@@ -225,9 +239,25 @@
             self.close(failure_outcome)
         return self.state is ConnectionState.OPEN
 
+    def deliver(self, message: SessionMessage, failure_outcome: Outcome = Outcome.CONNECTION_LOST) -> bool:
+        """Send a message about a session; it is queued again if the connection ends before it is confirmed.
+
+        Args:
+            message: the message; if it can't be sent it is not queued.
+            failure_outcome: the outcome of the set-up in flight, if the message can't be sent.
+
+        Returns:
+            Whether the connection is still open.
+        """
+        if not self.send(message.data, failure_outcome):
+            return False
+        self.unconfirmed.on_sent(message)
+        return True
+
     def send_keepalive(self) -> None:
         """Send a keepalive request."""
         self.keepalive_sent_us = self.manager.now_us()
+        self.unconfirmed.on_keepalive_sent()
         self.send(
             writer.message(MessageKind.KEEPALIVE, NO_SESSION_ID, (Parameter.CAUSE, KEEPALIVE_REQUEST_CAUSE))
         )
@@ -249,6 +279,8 @@
 
     def on_set_up_completed(self) -> None:
         """Record that the server has answered the set-up in flight, and so has read all earlier releases."""
+        if self.dispatched_session is not None:
+            self.unconfirmed.take(self.dispatched_session.id)
         self.dispatched_session = None
         self.abandoned_ids.clear()
 
@@ -267,6 +299,8 @@
         self.manager.metrics.count(Metric.SERVER_CONNECTION_CLOSED, f"{self.state.name}_{outcome.name}")
         self.state = ConnectionState.CLOSED
         self.server.links.pop(self, None)
+        for message in self.unconfirmed.take_all():
+            self.manager.queue_message(self.server, message)
         self.server.last_closed_us = self.manager.now_us()
         if not self.is_dialling or self.is_overdue:  # an overdue dial is ended below
             self.descriptor.release_reservation()
@@ -324,7 +358,7 @@
         """
         with self.manager.lock:
             self._on_dial_finished()
-            self.server.next_dial_us = self.manager.now_us() + REDIAL_DELAY_US
+            self.server.next_dial_us = self.manager.now_us() + MIN_REDIAL_DELAY_US
             self.close(Outcome.NOT_SENT)
 
     def _stay_overdue(self, sock: socket.socket) -> bool:
@@ -384,7 +418,8 @@
             # The server has closed it already: a set-up sent now would count as possibly executed.
             self._complete_attempt(Outcome.NO_CONNECTION)
             return
-        self._send_queued_messages()
+        # If a queued message can't be sent, the waiting set-up was not sent either.
+        self.send_queued_messages(Outcome.NOT_SENT)
         if not self.manager.accepts_attempts(self.server) or self.address != self.server.address:
             # The list has changed during the dial: a slow dial may outlast the grace period, and another
             # server may have the address by now. The connection stays open for the established sessions.
@@ -392,11 +427,13 @@
         elif self.dispatched_session is not None:
             self._send_waiting_set_up()
 
-    def _send_queued_messages(self) -> None:
-        unsent = self.server.unsent
-        # If one of these can't be sent, the waiting set-up was not sent either: its outcome is NOT_SENT.
-        while unsent and self.send(unsent[0], Outcome.NOT_SENT):
-            unsent.popleft()
+    def send_queued_messages(self, failure_outcome: Outcome = Outcome.CONNECTION_LOST) -> None:
+        """Send the messages of the server's outbox; those that can't be sent stay there."""
+        outbox = self.server.outbox
+        while outbox and self.state is ConnectionState.OPEN:
+            message = outbox.take_first()
+            if not self.deliver(message, failure_outcome):
+                self.manager.queue_message(self.server, message)
 
     def _send_waiting_set_up(self) -> None:
         session, self.dispatched_session = self.dispatched_session, None
@@ -425,4 +462,8 @@
         self.server.last_message_us = self.last_received_us
         # All messages are handled even if one of them closes the connection: a release may be among the rest.
         while (message := reader.next()) is not None:
+            if message.kind is MessageKind.RELEASE_COMPLETE:
+                self.unconfirmed.take(message.session)
+            elif message.kind is MessageKind.KEEPALIVE_ANSWER:
+                self.unconfirmed.on_keepalive_answered()
             self.manager.on_server_message(self, message)
--- a/packages/node/src/fennelcove/node/server_monitor.py
+++ b/packages/node/src/fennelcove/node/server_monitor.py
@@ -4,10 +4,12 @@
 
 from fennelcove.decisions.servers.connection_loss import DialResult
 from fennelcove.interface import Outcome, ServerState
+from fennelcove.isup import writer as isup
+from fennelcove.isup.messages import Cause
 from fennelcove.node.attempt_dispatcher import AttemptDispatcher
-from fennelcove.node.model import ConnectionState, Server
+from fennelcove.node.model import ConnectionState, Server, ServerLink
 from fennelcove.node.node_context import NodeContext
-from fennelcove.node.server_connection import REDIAL_DELAY_US
+from fennelcove.node.server_outbox import SessionMessage
 from fennelcove.node.server_pool import ServerPool
 from fennelcove.placement import PlacementPolicy
 
@@ -46,8 +48,10 @@
         server.connection_loss.on_dial_completed(
             DialResult.REFUSED if refused else DialResult.TIMED_OUT, now_us
         )
-        server.next_dial_us = self._context.now_us() + REDIAL_DELAY_US
         self.close_if_lost(server)
+        server.next_dial_us = now_us + server.connection_loss.redial_delay_us(
+            has_sessions=bool(server.established)
+        )
 
     def close_if_lost(self, server: Server) -> None:
         """Close the sessions at a server that is lost, so that their clients are notified."""
@@ -56,14 +60,25 @@
         # Two dials that time out do not make a server lost: a zone that is only partitioned from this node
         # would lose all its sessions.
         if server.connection_loss.is_lost(server.listed, self._context.now_us()):
-            self.close_sessions(server)
+            self._release_sessions(server)
+
+    def _release_sessions(self, server: Server) -> None:
+        """Close all sessions at a server that can't be reached; they are released there once it can be.
 
-    def close_sessions(self, server: Server) -> None:
-        """Close all sessions at a lost server, and drop the messages queued for it."""
-        server.unsent.clear()
+        Behind an interrupted path the server still holds them, and would do so without a client.
+        """
+        now_us = self._context.now_us()
         for session in list(server.established):
+            message = SessionMessage(session.id, isup.release(session.id, Cause.OK), now_us)
+            self._context.server_table.queue_message(server, message)
             self._attempts.on_completed(session, Outcome.CONNECTION_LOST, None)
 
+    def _close_replaced(self, server: Server) -> None:
+        """Close all sessions at a server whose address another one has, which can't be reached any more."""
+        for session in list(server.established):
+            self._attempts.on_completed(session, Outcome.CONNECTION_LOST, None)
+        server.outbox.clear()
+
     def on_started(self, server: Server, started_us: int) -> None:
         """Close connections and sessions older than the process start that the list now reports.
 
@@ -84,9 +99,11 @@
                 self._attempts.on_completed(session, Outcome.NO_ANSWER, None)
 
     def forget_if_removed(self, server: Server) -> None:
-        """Forget a server that is off the list, once the policy has forgotten it and no session is left."""
+        """Forget a server that is off the list, once the policy has forgotten it and nothing waits for it."""
         if server.listed or server.established or server.name in self._policy.servers:
             return
+        if server.outbox and not server.connection_loss.is_refusing:
+            return  # its process may go on with the sessions whose releases are queued
         for link in list(server.links):
             if link.dispatched_session is None:
                 link.close(Outcome.CONNECTION_LOST)
@@ -98,13 +115,14 @@
         waiting = list[Server]()
         for server in self._context.server_table.supervised():
             self._check_connections(server, now_us)
+            self._context.server_table.expire_messages(server, now_us)
             if server.established:
                 self.close_if_lost(server)
             if self._is_dial_due(server, now_us):
                 server.needs_redial = False
                 # A dial would reach its successor, whose answers prove nothing about this server.
                 if self._context.server_table.successor_of(server) is not None:
-                    self.close_sessions(server)
+                    self._close_replaced(server)
                 else:
                     waiting.append(server)
             self.forget_if_removed(server)
@@ -125,9 +143,18 @@
                 server.connection_loss.on_keepalive_timeout()
             if is_dead or is_unused:
                 link.close(Outcome.CONNECTION_LOST)
-            elif quiet_us > PROBE_AFTER_US and server.established and link.keepalive_sent_us is None:
+                continue
+            if server.outbox and link.is_idle:
+                link.send_queued_messages()
+            if link.keepalive_sent_us is None and self._is_keepalive_due(link, now_us):
                 link.send_keepalive()
 
+    def _is_keepalive_due(self, link: ServerLink, now_us: int) -> bool:
+        oldest_unconfirmed_us = link.unconfirmed.oldest_us
+        if oldest_unconfirmed_us is not None and now_us - oldest_unconfirmed_us > PROBE_AFTER_US:
+            return True
+        return bool(link.server.established) and now_us - link.last_received_us > PROBE_AFTER_US
+
     def _is_dial_due(self, server: Server, now_us: int) -> bool:
         # A server sends the ends of sessions on any open connection, or on the next one that opens. If a
         # connection was closed with unread data, they may have been in it, and another one must be opened
--- a/packages/node/src/fennelcove/node/server_table.py
+++ b/packages/node/src/fennelcove/node/server_table.py
@@ -5,7 +5,9 @@
 from collections.abc import Iterator
 
 from fennelcove.node.address import Address
+from fennelcove.node.metrics import DropReason, Metric, NodeMetrics
 from fennelcove.node.model import Server
+from fennelcove.node.server_outbox import SessionMessage
 
 
 class ServerTable:
@@ -15,8 +17,9 @@
     the list, are supervised: the work for an event or an interval must not visit all servers.
     """
 
-    def __init__(self) -> None:
-        """Start without servers."""
+    def __init__(self, metrics: NodeMetrics) -> None:
+        """Start without servers; messages that are dropped are counted in `metrics`."""
+        self._metrics = metrics
         self.by_name: dict[str, Server] = {}
         self._listed_at: dict[Address, dict[Server, None]] = {}
         self._supervised: dict[Server, None] = {}
@@ -59,7 +62,7 @@
     def supervised(self) -> Iterator[Server]:
         """Iterate over the supervised servers, oldest first; their set may change meanwhile.
 
-        The supervision of a listed server without connections, sessions and unsent messages ends here.
+        The supervision of a listed server without connections, sessions and queued messages ends here.
         """
         for server in list(self._supervised):
             if server.listed and not server.links and not server.needs_link:
@@ -67,6 +70,17 @@
             else:
                 yield server
 
+    def queue_message(self, server: Server, message: SessionMessage) -> None:
+        """Queue a message for the server's next connection."""
+        if not server.outbox.add(message):
+            self._metrics.count(Metric.MESSAGE_DROPPED, DropReason.LIMIT.value)
+        self.supervise(server)
+
+    def expire_messages(self, server: Server, now_us: int) -> None:
+        """Drop queued messages whose time to live has passed."""
+        for _ in range(server.outbox.expire(now_us)):
+            self._metrics.count(Metric.MESSAGE_DROPPED, DropReason.EXPIRED.value)
+
     def forget(self, server: Server) -> None:
         """Remove a server that is off the list."""
         self.by_name.pop(server.name, None)
--- a/packages/node/src/fennelcove/node/session_manager.py
+++ b/packages/node/src/fennelcove/node/session_manager.py
@@ -118,6 +118,7 @@
         self.take_over = self.handovers.take_over
         # Called by connections to servers (`server_connection.ConnectionOwner`).
         self.supervise = self.context.server_table.supervise
+        self.queue_message = self.context.server_table.queue_message
         self.on_server_message = self.messages.on_message
         self.on_attempt_completed = self.attempts.on_completed
         self.accepts_attempts = self.monitor.accepts_attempts
--- a/packages/node/src/fennelcove/node/session_messenger.py
+++ b/packages/node/src/fennelcove/node/session_messenger.py
@@ -6,6 +6,7 @@
 from fennelcove.node.metrics import Metric
 from fennelcove.node.model import ConnectionState, Session
 from fennelcove.node.node_context import NodeContext
+from fennelcove.node.server_outbox import SessionMessage
 from fennelcove.node.session_guard import SessionGuard
 
 
@@ -43,14 +44,14 @@
         if session.attempt is None:
             return
         server = session.attempt.server
+        message = SessionMessage(session.id, data, self._context.now_us())
         for link in list(server.links):
             # On a connection that the server has ended, the message would be lost: after a lost release,
             # the session stays established and loads the server unused.
-            if link.state is ConnectionState.OPEN and not link.is_ended_by_server() and link.send(data):
+            if link.state is ConnectionState.OPEN and not link.is_ended_by_server() and link.deliver(message):
                 return
         self._context.metrics.count(Metric.RELEASE_DEFERRED, "server")
-        server.unsent.append(data)
-        self._context.server_table.supervise(server)
+        self._context.server_table.queue_message(server, message)
 
     def forget_session(self, session: Session) -> None:
         """Remove a closed session from every table."""
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -36,7 +36,7 @@
     notice,
     wait_until,
 )
-from tests.test_node_session_manager import NODE_CONFIG
+from tests.session_manager_harness import NODE_CONFIG
 
 ID, OTHER, THIRD = "9b1f03aa5c7e2d41", "00000000000000a1", "00000000000000b2"
 SINGLE_SHOT: dict[str, Any] = {**SETTINGS, "Lanes": [{**SETTINGS["Lanes"][0], "Effect": "single_shot"}]}
--- a/tests/test_node_descriptors.py
+++ b/tests/test_node_descriptors.py
@@ -45,7 +45,7 @@
     notice,
     wait_until,
 )
-from tests.test_node_session_manager import NODE_CONFIG
+from tests.session_manager_harness import NODE_CONFIG
 
 MIN_DESCRIPTORS = 32  # the smallest limit that a configuration may name
 OBSERVATION_S = 0.5  # how long a test checks that something does not happen
--- a/tests/test_node_discovery_thread.py
+++ b/tests/test_node_discovery_thread.py
@@ -29,7 +29,7 @@
     unresponsive_listener,
 )
 from tests.node_harness import notice, wait_until
-from tests.test_node_session_manager import HOST_ENTRY, NODE_CONFIG
+from tests.session_manager_harness import HOST_ENTRY, NODE_CONFIG
 
 DRAINING = {**HOST_ENTRY, "health": "draining"}
 MAX_NOTIFICATION_S = 6.0  # a change counts as told by then, after a call that was given up
--- a/tests/test_node_late_servers.py
+++ b/tests/test_node_late_servers.py
@@ -16,6 +16,7 @@
 from fennelcove.node.descriptor_budget import DescriptorUse
 from fennelcove.node.model import ConnectionState, ServerLink
 from fennelcove.node.server_connection import ServerConnection
+from fennelcove.node.server_outbox import SessionMessage
 
 from tests.discovery_harness import (
     DiscoveryNodeProcess,
@@ -131,7 +132,8 @@
         with front.manager.lock:
             silent = front.manager.servers["s0"]
             silent.connection_loss.on_received(front.manager.now_us())  # it was reached before
-            silent.unsent.append(isup.release(bytes(8), Cause.OK))
+            release = isup.release(bytes(8), Cause.OK)
+            silent.outbox.add(SessionMessage(bytes(8), release, front.manager.now_us()))
             front.manager.supervise(silent)
             front.manager.run_maintenance()
             link = front.link()
--- a/tests/test_node_platform_requirements.py
+++ b/tests/test_node_platform_requirements.py
@@ -40,7 +40,7 @@
 
 from tests.helpers import SECOND_US, Recorder
 from tests.node_harness import SETTINGS, notice, wait_until
-from tests.test_node_session_manager import HOST_ENTRY, ID, NODE_CONFIG, RecordingConnection
+from tests.session_manager_harness import HOST_ENTRY, ID, NODE_CONFIG, RecordingConnection
 
 
 class StopTest(unittest.TestCase):
