Connection loss: refused dials alone don't end a server's sessions

Cause: two refused dials counted as the end of the process, whatever was known besides (LOST_AFTER_US, row REFUSING).

Change: a process that ends resets its connections (PROTOCOL). Refused dials end the sessions at once if the latest connection was reset or the server is off the list; else the 7 s of an interrupted path apply, and the sessions are released once the server can be reached.

--- a/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
+++ b/packages/decisions-servers/src/fennelcove/decisions/servers/connection_loss.py
@@ -1,11 +1,12 @@
 """Decides whether the sessions at a silent server are lost, from the results of connection attempts (dials).
 
-A refused connection shows that the machine is reachable and the server process has ended, and its sessions
-with it. A connection that times out shows only that the path is interrupted: behind a partition the sessions
-may continue. Sessions at such a server count as lost once the endpoint list no longer contains it, or once
-nothing has been received from it for the time within which clients must be notified of a session's end. Where
-sessions are handed over while the server is silent, that time begins with the hand-over: the connection may
-only be late.
+A process that ends resets its connections and refuses new ones; its sessions end with it. A refused
+connection alone does not show that: a server that holds as many connections as it takes refuses further ones
+too, and its sessions go on. A connection that times out shows only that the path is interrupted: behind a
+partition the sessions may continue. Sessions at such a server count as lost once the endpoint list no longer
+contains it, or once nothing has been received from it for the time within which clients must be notified of
+a session's end. Where sessions are handed over while the server is silent, that time begins with the
+hand-over: the connection may only be late.
 """
 
 from __future__ import annotations
@@ -36,6 +37,7 @@
     LISTED = auto()  # listed, and reached before: its path may be interrupted
     NEVER_REACHED = auto()  # nothing was ever received, so its first connection may only be late
     DELISTED = auto()  # reached before, and no longer in the endpoint list
+    RESET = auto()  # it has reset its latest connection, as a process does that ends
 
 
 class LossState(Enum):
@@ -62,10 +64,14 @@
 
 # The states in which sessions are lost, and the time of silence after which they are (None: at once).
 LOST_AFTER_US: dict[tuple[LossState, EndpointKnowledge], int | None] = {
-    **{(LossState.REFUSING, knowledge): None for knowledge in EndpointKnowledge},
+    (LossState.REFUSING, EndpointKnowledge.DELISTED): None,
+    (LossState.REFUSING, EndpointKnowledge.RESET): None,
+    (LossState.REFUSING, EndpointKnowledge.NEVER_REACHED): UNCONFIRMED_LOSS_US,
+    (LossState.REFUSING, EndpointKnowledge.LISTED): UNCONFIRMED_LOSS_US,
     (LossState.UNRESPONSIVE, EndpointKnowledge.DELISTED): None,
     (LossState.UNRESPONSIVE, EndpointKnowledge.NEVER_REACHED): UNCONFIRMED_LOSS_US,
     (LossState.UNRESPONSIVE, EndpointKnowledge.LISTED): UNCONFIRMED_LOSS_US,
+    (LossState.UNRESPONSIVE, EndpointKnowledge.RESET): UNCONFIRMED_LOSS_US,
 }
 
 
@@ -76,6 +82,7 @@
     state: LossState = LossState.REACHABLE
     last_received_us: int | None = None
     failed_dials: int = 0  # in succession
+    was_reset: bool = False  # the server has reset its latest connection
     handed_over_us: int | None = None  # when the first of its present sessions was handed over
 
     def on_dial_completed(self, result: DialResult, now_us: int) -> None:
@@ -84,8 +91,13 @@
         self.failed_dials += 1
         if result is DialResult.CONNECTED:
             self.failed_dials = 0
+            self.was_reset = False
             self.last_received_us = now_us
 
+    def on_reset(self) -> None:
+        """Record that the server has reset a connection."""
+        self.was_reset = True
+
     def on_keepalive_timeout(self) -> None:
         """Record that an open connection has gone silent, which counts as a dial that timed out."""
         self.state = TRANSITIONS.apply(self.state, DialResult.TIMED_OUT).state
@@ -95,10 +107,10 @@
         """Whether the next dial decides if the server is reachable."""
         return self.state is LossState.SUSPECTED
 
-    @property
-    def is_refusing(self) -> bool:
-        """Whether the latest dials were refused: no process listens at the server's address."""
-        return self.state is LossState.REFUSING
+    def has_process_ended(self, *, is_listed: bool) -> bool:
+        """Whether the server's process has ended, so that it holds no session any more."""
+        reason = (self.state, self._knowledge(is_listed=is_listed))
+        return self.state is LossState.REFUSING and LOST_AFTER_US[reason] is None
 
     def redial_delay_us(self, *, has_sessions: bool) -> int:
         """The time from a failed dial to the next: constant while sessions wait, else growing."""
@@ -130,4 +142,6 @@
     def _knowledge(self, *, is_listed: bool) -> EndpointKnowledge:
         if self.last_received_us is None:
             return EndpointKnowledge.NEVER_REACHED
-        return EndpointKnowledge.LISTED if is_listed else EndpointKnowledge.DELISTED
+        if not is_listed:
+            return EndpointKnowledge.DELISTED
+        return EndpointKnowledge.RESET if self.was_reset else EndpointKnowledge.LISTED
--- a/packages/node/src/fennelcove/node/server_connection.py
+++ b/packages/node/src/fennelcove/node/server_connection.py
@@ -316,12 +316,17 @@
         sock = self._connect()
         if sock is None:
             return
+        is_reset = False
         try:
             self._receive(sock)
+        except ConnectionResetError:
+            is_reset = True
         except (OSError, ProtocolError):
             pass  # broken or unparsable: nothing more can be received
         finally:
             with self.manager.lock:
+                if is_reset and self.state is ConnectionState.OPEN:
+                    self.server.connection_loss.on_reset()
                 self.server.is_interrupted |= self.state is ConnectionState.OPEN
                 self.close(Outcome.CONNECTION_LOST)
                 self.sock = None
--- a/packages/node/src/fennelcove/node/server_monitor.py
+++ b/packages/node/src/fennelcove/node/server_monitor.py
@@ -59,7 +59,11 @@
             return
         # Two dials that time out do not make a server lost: a zone that is only partitioned from this node
         # would lose all its sessions.
-        if server.connection_loss.is_lost(server.listed, self._context.now_us()):
+        if not server.connection_loss.is_lost(server.listed, self._context.now_us()):
+            return
+        if server.connection_loss.has_process_ended(is_listed=server.listed):
+            self._close_ended(server)
+        else:
             self._release_sessions(server)
 
     def _release_sessions(self, server: Server) -> None:
@@ -73,8 +77,8 @@
             self._context.server_table.queue_message(server, message)
             self._attempts.on_completed(session, Outcome.CONNECTION_LOST, None)
 
-    def _close_replaced(self, server: Server) -> None:
-        """Close all sessions at a server whose address another one has, which can't be reached any more."""
+    def _close_ended(self, server: Server) -> None:
+        """Close all sessions at a server whose process has ended, and drop the messages for it."""
         for session in list(server.established):
             self._attempts.on_completed(session, Outcome.CONNECTION_LOST, None)
         server.outbox.clear()
@@ -102,7 +106,7 @@
         """Forget a server that is off the list, once the policy has forgotten it and nothing waits for it."""
         if server.listed or server.established or server.name in self._policy.servers:
             return
-        if server.outbox and not server.connection_loss.is_refusing:
+        if server.outbox and not server.connection_loss.has_process_ended(is_listed=False):
             return  # its process may go on with the sessions whose releases are queued
         for link in list(server.links):
             if link.dispatched_session is None:
@@ -122,7 +126,7 @@
                 server.needs_redial = False
                 # A dial would reach its successor, whose answers prove nothing about this server.
                 if self._context.server_table.successor_of(server) is not None:
-                    self._close_replaced(server)
+                    self._close_ended(server)
                 else:
                     waiting.append(server)
             self.forget_if_removed(server)
--- a/tests/test_node_late_servers.py
+++ b/tests/test_node_late_servers.py
@@ -235,6 +235,33 @@
         assert (release.method, release.fields["reason"]) == ("TEARDOWN", f"cause={Cause.OK.value}")
 
 
+class ConnectionLimitTest(unittest.TestCase):
+    """A server that closes an idle connection and refuses others, since it holds all that it takes."""
+
+    REFUSING_S = 3.0
+
+    def test_a_session_outlives_the_time_in_which_its_server_refuses_connections(self) -> None:
+        # Two refused dials, 0.3 s apart, counted as the end of the process: its sessions were told over.
+        server, discovery = FakeServer("s0", 0), ManualDiscovery()
+        self.addCleanup(discovery.close)
+        node = DiscoveryNodeProcess(discovery, server, settings=SHORT_CONNECT_SETTINGS)
+        self.addCleanup(node.close)
+        client = node.connect_client()
+        self.addCleanup(client.sock.close)
+        client.set_up(SESSION)
+        assert client.receive_response().status == 200
+        address = server.listener.getsockname()
+        server.terminate()  # orderly: an ended process would reset the connection
+        time.sleep(self.REFUSING_S)
+        server.sockets.clear()
+        server.listener = socket.create_server(address)
+        threading.Thread(target=server._accept, daemon=True).start()
+        wait_until(lambda: server.sockets, "the next connection")
+        server.send(isup.release(bytes.fromhex(SESSION), Cause.OK))
+        release = client.receive_request()
+        assert (release.method, release.fields["reason"]) == ("TEARDOWN", f"cause={Cause.OK.value}")
+
+
 class WaitUntilConnectedTest(unittest.TestCase):
     def test_a_connect_timeout_beyond_the_limit_of_overdue_dials_leaves_no_time(self) -> None:
         # The remaining time was negative, which a poll takes for no limit at all.
