Tests: a session is read with its first attempt, behind the node's lock

Seen: test_an_answer_in_transit_when_its_attempt_times_out failed once beside other tests with an AttributeError, session.attempt was None. A session is entered in the table before the policy starts its attempt; the test looked in between, without the lock. Neither the program nor what the test checks is changed: it waits for the lock to look.

--- a/tests/test_node_dialling.py
+++ b/tests/test_node_dialling.py
@@ -16,6 +16,7 @@
 from fennelcove.node import client_requests
 from fennelcove.node.descriptor_budget import DescriptorUse
 from fennelcove.node.discovery_events import DiscoveryBatch
+from fennelcove.node.model import Session
 
 from tests.node_harness import (
     SETTINGS,
@@ -186,7 +187,12 @@
         entries = [server.host_entry(name, cell) for cell, (name, server) in enumerate(servers.items())]
         front = self.start_front(*entries, settings=SETTINGS)
         front.client.set_up(ID)
-        session = wait_until(lambda: front.manager.sessions.get(bytes.fromhex(ID)), "the set-up")
+
+        def attempted_session() -> Session | None:
+            with front.manager.lock:  # a session is in the table before its first attempt
+                return front.manager.sessions.get(bytes.fromhex(ID))
+
+        session = wait_until(attempted_session, "the set-up")
         first_sock = servers.pop(session.attempt.server.name).accept()
         sent = read_message(first_sock)
         [other] = servers.values()
