Soak: a session that its client has ended must not go on at its server

Change: rule `standing`: 10 s after a client has ended a session or was told of its end, and after its server can be reached again, the server no longer has it; spans without a serving node are left out.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -3,6 +3,7 @@
 The protocol specification allows 50 ms on top of each time limit. Rules:
 
 - `lost`: answers and releases are sent in time, and nothing is forwarded after the end of a session
+- `standing`: a session whose client knows its end does not go on at its server
 - `overlap`: one attempt of a session at a time
 - `repeat`: a single-shot set-up that may have been executed is not repeated
 - `drain`: no set-up to a draining or removed server after the grace period
@@ -27,6 +28,7 @@
 MAX_RELEASE_S = 1.0  # from the release by a server to the one sent to the client
 UNREPORTED_END_S = 8.0  # release time after a session end that the server could not report
 MAX_HANDOVER_S = 0.2
+MAX_STANDING_S = 10.0  # at a server that can be reached again, after the client knows of the session's end
 MAX_BAD_CLIENT_S = 3.0
 MAX_START_S = 10.0
 OUTAGE_RECOVERY_S = 6.0  # after a failed poll, a change must be known this long after discovery is reachable
@@ -90,6 +92,7 @@
             self._check_answer(id, events)
             self._check_forwarding(id, events)
             self._check_release(id, events)
+            self._check_standing(id, events)
         self._check_drains()
         self._check_slow_starts()
         self._check_processes()
@@ -259,6 +262,37 @@
             sent = f"release sent at {releases[0] - self.plan.start:.3f}" if releases else "no release sent"
             self._report("lost", deadline, f"{outcome} ({ends[0]['event']}, {sent})", id)
 
+    def _check_standing(self, id: str, events: list[Event]) -> None:
+        """Check that no server goes on with a session whose client has ended it or was told of its end."""
+        client_end = next(
+            (e for e in events if e["by"] == "clients" and e["event"] in CLIENT_KNOWS_END), None
+        )
+        if client_end is None:
+            return
+        for made in (e for e in events if e["event"] == "answered"):
+            node = int(made["by"].partition("-")[2])
+            limit = max(client_end["t"], made["t"]) + MAX_STANDING_S
+            for began, ended in self.silences.get((made["by"], made["server"]), ()):
+                if began - MAX_STANDING_S <= limit:
+                    limit = max(limit, ended + MAX_STANDING_S)
+            if limit >= self.end or self._was_out(node, client_end["t"], limit):
+                continue
+            ends = [
+                e["t"]
+                for e in events
+                if e["event"] in ("over", "cut", "released_by_node")
+                and (e["by"], e["server"]) == (made["by"], made["server"])
+                and e["t"] >= made["t"]
+            ]
+            if not ends or ends[0] > limit:
+                known_end = client_end["event"]
+                what = f"stands at {made['server']} {MAX_STANDING_S:.0f} s after its client's {known_end}"
+                self._report("standing", limit, what, id)
+
+    def _was_out(self, node: int, begin: float, end: float) -> bool:
+        """Whether the node had no serving process at some time in this span, or just before it."""
+        return any(a <= end and begin - SLACK_S <= b for a, b, _ in self.outages[node])
+
     def _known_at(self, node: int, at: float) -> float:
         """Return when a node must know a change at the latest; times since the start of the run."""
         known_at = at
