Front node: sessions end with a server whose address another one has

Cause: the node's next connection reaches the new process under the old server's name and is answered there. It was closed when the list names the successor only if opened after the successor's listed start; with no start time (born_ms 0) it stayed, and kept all sessions.

Change: when the list names a successor, a session goes on only if its server has said something about it since its oldest open connection was opened; the new process can't, and keepalives prove nothing.

--- a/packages/node/src/fennelcove/node/discovery_updates.py
+++ b/packages/node/src/fennelcove/node/discovery_updates.py
@@ -47,7 +47,7 @@
         for server in self._context.server_table.supervised():
             successor = self._context.server_table.successor_of(server)
             if successor is not None:
-                self._pool.close_links_to_successor(server, successor)
+                self._monitor.on_replaced(server, successor)
             self._monitor.forget_if_removed(server)
 
     def _apply(self, event: DiscoveryEvent) -> None:
--- a/packages/node/src/fennelcove/node/model.py
+++ b/packages/node/src/fennelcove/node/model.py
@@ -119,6 +119,7 @@
     timeout_us: int  # timeout, counted from `sent_us`
     link: ServerLink | None = None  # the connection in use until the session is established
     outcome: Outcome = Outcome.NO_ANSWER
+    confirmed_us: int = 0  # when the server last sent a message about the session that it established
     is_sent: bool = False  # at least a part of its set-up request was passed to the kernel
     report: LoadReport | None = None
 
--- a/packages/node/src/fennelcove/node/server_messages.py
+++ b/packages/node/src/fennelcove/node/server_messages.py
@@ -54,6 +54,7 @@
             return
         if session.state is SessionState.ATTEMPTING and session.attempt.link is not link:
             return  # for an earlier attempt under this id: an attempt in flight uses one connection only
+        session.attempt.confirmed_us = self._context.now_us()
         if message.kind is MessageKind.ANSWER:
             self._on_answer(link, session, message)
         elif message.kind is MessageKind.RELEASE:
--- a/packages/node/src/fennelcove/node/server_monitor.py
+++ b/packages/node/src/fennelcove/node/server_monitor.py
@@ -83,6 +83,18 @@
             self._attempts.on_completed(session, Outcome.CONNECTION_LOST, None)
         server.outbox.clear()
 
+    def on_replaced(self, server: Server, successor: Server) -> None:
+        """Close what belongs to a server that has gone and whose address another one has now.
+
+        The successor accepts connections at this address before the list names it, and answers keepalives on
+        them. So a session goes on only if its server has sent something about it since it was connected.
+        """
+        self._pool.close_links_to_successor(server, successor)
+        opened_us = [link.opened_us for link in server.links if link.state is ConnectionState.OPEN]
+        for session in list(server.established):
+            if not opened_us or session.current_attempt.confirmed_us < min(opened_us):
+                self._attempts.on_completed(session, Outcome.CONNECTION_LOST, None)
+
     def on_started(self, server: Server, started_us: int) -> None:
         """Close connections and sessions older than the process start that the list now reports.
 
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -375,10 +375,8 @@
         self.assert_served(node, 2)
         assert (len(old.messages(MessageKind.SET_UP)), len(new.messages(MessageKind.SET_UP))) == (1, 1)
 
-    def test_a_connection_to_an_unlisted_successor_does_not_keep_sessions_of_the_removed_server(
-        self,
-    ) -> None:
-        # Reopened after the first server's reset, it was answered by the second, and no client was released.
+    def assert_released_after_listing(self, *, is_start_listed: bool) -> None:
+        """Check that a client is released once the list names a new server at its server's address."""
         removed_server, discovery = FakeServer("s0", 0), ManualDiscovery()
         node = self.start_node(discovery, removed_server)
         poll = discovery.next_poll()
@@ -390,13 +388,23 @@
         wait_until(lambda: successor.sockets, "a connection to the successor")
         entries = [
             {**successor.host_entry, "host": "s0", "health": "removed"},
-            {**successor.host_entry, "born_ms": started_ms},
+            {**successor.host_entry, "born_ms": started_ms if is_start_listed else 0},
         ]
         poll.send_notices(2, notice(2, entries))
         assert discovery.next_poll().watch == 2
         release = client.receive_request()
         assert (release.method, release.fields["reason"]) == ("TEARDOWN", "cause=41")
 
+    def test_a_connection_to_an_unlisted_successor_does_not_keep_sessions_of_the_removed_server(
+        self,
+    ) -> None:
+        # Reopened after the first server's reset, it was answered by the second, and no client was released.
+        self.assert_released_after_listing(is_start_listed=True)
+
+    def test_a_connection_to_a_successor_whose_start_is_unknown_keeps_no_sessions(self) -> None:
+        # Without a start time the connection to the successor was taken for one to the removed server.
+        self.assert_released_after_listing(is_start_listed=False)
+
     def test_a_dial_in_progress_does_not_mistake_a_successor_for_the_removed_server(self) -> None:
         # Sessions at the removed server were kept by a connection to its successor, and never released.
         listener, backlog_fillers = unresponsive_listener(self)
