Front node: one keepalive at a time for a release, never behind a set-up

Cause: for a release without a confirmation the node sent a keepalive in each interval, since any received data counts as the answer to the last one.

Change: one such keepalive at a time, and none while a set-up is in flight on the connection.

--- a/packages/node/src/fennelcove/node/server_monitor.py
+++ b/packages/node/src/fennelcove/node/server_monitor.py
@@ -166,8 +166,9 @@
                 link.send_keepalive()
 
     def _is_keepalive_due(self, link: ServerLink, now_us: int) -> bool:
-        oldest_unconfirmed_us = link.unconfirmed.oldest_us
-        if oldest_unconfirmed_us is not None and now_us - oldest_unconfirmed_us > PROBE_AFTER_US:
+        waiting_since_us = link.unconfirmed.waiting_since_us
+        # Behind an answer that stopped short, the answer to a keepalive would be taken for its rest.
+        if link.is_idle and waiting_since_us is not None and now_us - waiting_since_us > PROBE_AFTER_US:
             return True
         return bool(link.server.established) and now_us - link.last_received_us > PROBE_AFTER_US
 
--- a/packages/node/src/fennelcove/node/server_outbox.py
+++ b/packages/node/src/fennelcove/node/server_outbox.py
@@ -86,8 +86,13 @@
         return len(self._messages)
 
     @property
-    def oldest_us(self) -> int | None:
-        """When the oldest message was queued, in microseconds; None if there is none."""
+    def waiting_since_us(self) -> int | None:
+        """When the oldest message was queued, in microseconds.
+
+        None if there is no message, or a keepalive request without an answer will confirm some.
+        """
+        if self._before_keepalive:
+            return None
         return next((message.queued_us for message in self._messages.values()), None)
 
     def on_sent(self, message: SessionMessage) -> None:
--- a/tests/test_node_server_outbox.py
+++ b/tests/test_node_server_outbox.py
@@ -13,6 +13,7 @@
 from fennelcove.isup.messages import Cause, Message, MessageKind, Parameter
 from fennelcove.node import client_requests, server_outbox
 from fennelcove.node.metrics import DropReason, Metric
+from fennelcove.node.server_connection import ServerConnection
 from fennelcove.node.server_monitor import PROBE_AFTER_US
 from fennelcove.node.server_outbox import ServerOutbox, SessionMessage, UnconfirmedMessages
 
@@ -221,6 +222,33 @@
         link.close(Outcome.CONNECTION_LOST)
         assert self.queued() == [ID]
 
+    def establish_and_release(self) -> tuple[ServerConnection, socket.socket]:
+        """A connection on which the release of a session was sent, and the server's end of it."""
+        link, server_sock = self.link()
+        self.set_up()
+        self.manager.on_server_message(link, Message(MessageKind.ANSWER, ID, {Parameter.DESCRIPTION: b"x"}))
+        client_requests.tear_down(self.manager, self.connection, ID)
+        self.receive_messages(server_sock)
+        return link, server_sock
+
+    def test_a_keepalive_for_a_release_is_not_repeated_while_other_data_arrives(self) -> None:
+        # Any received data counted as its answer, and each interval sent another one.
+        link, server_sock = self.establish_and_release()
+        for _ in range(3):
+            self.clock.advance(PROBE_AFTER_US + 1)
+            self.manager.run_maintenance()
+            link.last_received_us, link.keepalive_sent_us = self.manager.now_us(), None
+        assert [m.kind for m in self.receive_messages(server_sock)] == [MessageKind.KEEPALIVE]
+
+    def test_no_keepalive_for_a_release_is_sent_while_a_set_up_is_in_flight(self) -> None:
+        # Its answer completed an answer that had stopped short, and was passed on as its description.
+        _, server_sock = self.establish_and_release()
+        self.set_up()
+        self.clock.advance(PROBE_AFTER_US + 1)
+        self.manager.run_maintenance()
+        kinds = [message.kind for message in self.receive_messages(server_sock)]
+        assert MessageKind.KEEPALIVE not in kinds
+
 
 class ServerOutboxTest(unittest.TestCase):
     def test_the_latest_message_of_a_session_replaces_the_earlier_one(self) -> None:
