--- a/tests/test_node_metrics.py
+++ b/tests/test_node_metrics.py
@@ -38,7 +38,7 @@
     clock, logger = ManualClock(), RecordingLogger()
 
     def log(event: str, **fields: Any) -> None:
-        assert not lock._lock.locked()
+        assert not lock.is_held
         logger(event, **fields)
 
     metrics = NodeMetrics(clock, log)
