Front node: an id that may have run isn't executed again after its client left

Cause: the session was forgotten as its client left, and with it that a server may have executed it; the id counted as a new request.

Change: such ids are remembered for 60 s, 16,384 at most, and a set-up under one is answered 455, like one under the id of an open session. A set-up that no server got is accepted, as for one that crosses a close; so is an id that its client ended with TEARDOWN.

--- a/packages/node/src/fennelcove/node/client_requests.py
+++ b/packages/node/src/fennelcove/node/client_requests.py
@@ -9,6 +9,7 @@
 from fennelcove.node import session_states
 from fennelcove.node.config import Config
 from fennelcove.node.model import ClientLink, Session, SessionState
+from fennelcove.node.recent_ids import RecentIds
 from fennelcove.node.session_states import SessionActions, SessionEvent
 from fennelcove.node.setup_request import InvalidRequestError, SetupRequest, expects_answer, parse_setup
 from fennelcove.rtsp import messages, writer
@@ -32,6 +33,7 @@
     config: Config
     is_shutting_down: bool
     sessions: dict[bytes, Session]
+    abandoned_ids: RecentIds  # of sessions whose client left, and which a server may have executed
 
     def deliver_pending(self, client: ClientLink, /) -> None:
         """Send the client's pending notifications."""
@@ -97,6 +99,9 @@
     if existing is not None:
         _on_duplicate_setup(manager, client, existing, setup, echo)
         return
+    if expects_answer(message) and manager.abandoned_ids.contains(id, manager.now_us()):
+        client.send(writer.response(STATUS_SESSION_EXISTS, *echo))
+        return
     session = Session(
         id=id,
         name=name,
--- a/packages/node/src/fennelcove/node/node_context.py
+++ b/packages/node/src/fennelcove/node/node_context.py
@@ -10,6 +10,7 @@
 from fennelcove.node.log import EventLogger
 from fennelcove.node.metrics import NodeMetrics
 from fennelcove.node.model import Session
+from fennelcove.node.recent_ids import RecentIds
 from fennelcove.node.server_table import ServerTable
 
 
@@ -33,6 +34,7 @@
         self.metrics = NodeMetrics(clock, logger)
         self.connections = ConnectionTable(descriptors.limits[DescriptorUse.CLIENT])
         self.sessions: dict[bytes, Session] = {}
+        self.abandoned_ids = RecentIds()
         self.server_table = ServerTable(self.metrics)
         self.servers = self.server_table.by_name
         self.last_us = 0
--- a/packages/node/src/fennelcove/node/session_manager.py
+++ b/packages/node/src/fennelcove/node/session_manager.py
@@ -55,6 +55,7 @@
         self.request_full_list: Callable[[], None] = lambda: None  # requests a full update of the server list
         self.context = NodeContext(config, clock, timers, logger, self.descriptors)
         self.sessions = self.context.sessions
+        self.abandoned_ids = self.context.abandoned_ids
         self.servers = self.context.servers
         self.connections = self.context.connections
         self.metrics = self.context.metrics
@@ -84,6 +85,7 @@
         now_us = self.now_us()
         self.messages.expire(now_us)
         self.connections.expire(now_us)
+        self.abandoned_ids.expire(now_us)
         self.handovers.resolve_waiting()
         self.admission.answer_overdue()  # in case no timer could be set for the next deadline
         self.monitor.check_servers(now_us)
@@ -110,6 +112,7 @@
         self.answer_setup = self.messenger.answer_setup
         self.send_to_client = self.messenger.send_to_client
         self.send_to_server = self.messenger.send_to_server
+        self.remember_abandoned = self.messenger.remember_abandoned
         self.forget_session = self.messenger.forget_session
         # Called by connections from clients (`client_connection.ClientSessions`).
         self.deliver_pending = self.connections.deliver
--- a/packages/node/src/fennelcove/node/session_messenger.py
+++ b/packages/node/src/fennelcove/node/session_messenger.py
@@ -53,6 +53,10 @@
         self._context.metrics.count(Metric.RELEASE_DEFERRED, "server")
         self._context.server_table.queue_message(server, message)
 
+    def remember_abandoned(self, session: Session) -> None:
+        """Remember the id of a session that its client has left, so that it is not executed again."""
+        self._context.abandoned_ids.add(session.id, self._context.now_us())
+
     def forget_session(self, session: Session) -> None:
         """Remove a closed session from every table."""
         self._context.sessions.pop(session.id, None)
--- a/packages/node/src/fennelcove/node/session_states.py
+++ b/packages/node/src/fennelcove/node/session_states.py
@@ -90,6 +90,10 @@
         """Remove the session from every table."""
         ...
 
+    def remember_abandoned(self, session: Session) -> None:
+        """Remember the session's id, so that it is not executed again."""
+        ...
+
 
 Action = Callable[[SessionActions, Session], None]
 
@@ -165,6 +169,13 @@
     _complete_attempt(actions, session, is_finished=True)
 
 
+def _remember_if_executed(actions: SessionActions, session: Session) -> None:
+    """Remember the id of a session whose client has left, if a server may have executed it."""
+    may_have_run = session.may_have_run or (session.attempt is not None and session.attempt.is_sent)
+    if may_have_run and (session.client is None or session.client.has_left()):
+        actions.remember_abandoned(session)
+
+
 def _release_at_server(actions: SessionActions, session: Session) -> None:
     """Release an established session at its server: the client has ended it, or it migrates."""
     actions.send_to_server(session, isup.release(session.id, Cause.OK))
@@ -264,7 +275,7 @@
         (SessionState.PENDING, SessionEvent.REJECTED): _transition_to(SessionState.CLOSED, _reject),
         (SessionState.PENDING, SessionEvent.FAILED): _transition_to(SessionState.CLOSED, _fail),
         (SessionState.PENDING, SessionEvent.CLIENT_GONE): _transition_to(
-            SessionState.CLOSED, _forget_pending
+            SessionState.CLOSED, _remember_if_executed, _forget_pending
         ),
         (SessionState.PENDING, SessionEvent.ABORTED): _transition_to(SessionState.CLOSED, _abort_pending),
         (SessionState.ATTEMPTING, SessionEvent.SETUP_ANSWERED): _transition_to(
@@ -274,7 +285,7 @@
             SessionState.PENDING, _on_attempt_failed
         ),
         (SessionState.ATTEMPTING, SessionEvent.CLIENT_GONE): _transition_to(
-            SessionState.CLOSED, _abandon_attempt
+            SessionState.CLOSED, _remember_if_executed, _abandon_attempt
         ),
         (SessionState.ATTEMPTING, SessionEvent.ABORTED): _transition_to(SessionState.CLOSED, _abort_attempt),
         (SessionState.ESTABLISHED, SessionEvent.RUNG_CHANGED): _transition_to(
@@ -282,10 +293,10 @@
         ),
         (SessionState.ESTABLISHED, SessionEvent.MIGRATED): _transition_to(SessionState.CLOSED, _migrate),
         (SessionState.ESTABLISHED, SessionEvent.ATTEMPT_ENDED): _transition_to(
-            SessionState.CLOSED, _on_session_ended
+            SessionState.CLOSED, _remember_if_executed, _on_session_ended
         ),
         (SessionState.ESTABLISHED, SessionEvent.CLIENT_GONE): _transition_to(
-            SessionState.CLOSED, _release_at_server
+            SessionState.CLOSED, _remember_if_executed, _release_at_server
         ),
     },
     unlisted=Unlisted.IGNORE,
