Front node: what all clients together make it hold in memory is limited

Cause: limits stood for each connection and session alone: 64 KiB read and parsed ahead, at a multiple of the bytes for short messages, and up to 10,000 descriptions of up to 16 KiB.

Change: how far a connection reads and parses ahead depends on how many there are; descriptions of unanswered requests have 16 MiB together, and a request beyond that is answered 503 with Come-Back-Ms.

--- a/packages/node/src/fennelcove/node/client_connection.py
+++ b/packages/node/src/fennelcove/node/client_connection.py
@@ -15,7 +15,7 @@
 from fennelcove.node.model import ClientLink, Session
 from fennelcove.node.node_lock import NodeLock
 from fennelcove.node.pending_notifications import PendingNotifications
-from fennelcove.node.receive_queue import ReceiveQueue
+from fennelcove.node.receive_queue import ReadAheadLimit, ReceiveQueue, read_ahead_limit
 from fennelcove.node.server_connection import poll_peer_events, send_now, set_receive_timeout
 from fennelcove.rtsp import writer
 from fennelcove.rtsp.messages import ProtocolError
@@ -226,6 +226,7 @@
         """
         queue = self.receive_queue
         begins_message = queue.is_empty
+        queue.limit = self.manager.connections.read_ahead_limit()
         queue.feed(data)
         has_processed = self._process_messages()
         queue.raise_failure()
@@ -393,6 +394,10 @@
             return True
         return sum(not each.is_unused for each in self.connections) < self.max_connections_in_use
 
+    def read_ahead_limit(self) -> ReadAheadLimit:
+        """How much each connection may read ahead; needs no lock."""
+        return read_ahead_limit(len(self.connections))
+
     def remove(self, connection: ClientConnection) -> None:
         """Remove a connection; removing it again has no effect."""
         self.connections.pop(connection, None)
--- a/packages/node/src/fennelcove/node/client_requests.py
+++ b/packages/node/src/fennelcove/node/client_requests.py
@@ -16,7 +16,6 @@
 
 MAX_PENDING_PER_CONNECTION = 256  # set-up requests without an answer
 MAX_CLIENT_IDS = 64  # recorded per connection
-MAX_SESSIONS = 10_000  # of one node, in all states
 STATUS_OK = 200
 STATUS_BAD_REQUEST = 400
 STATUS_INVALID_SETUP = 451
@@ -43,6 +42,10 @@
         """Whether this connection may have open or established sessions."""
         ...
 
+    def has_capacity_for(self, description: bytes, /) -> bool:
+        """Whether the node may hold another session, with this description until it is answered."""
+        ...
+
     def admit(self, session: Session, request: Request) -> None:
         """Accept a set-up request."""
         ...
@@ -185,7 +188,7 @@
     if not manager.may_hold_sessions(client):
         # An established session needs no connection; this one may be evicted to admit others.
         session.client = None
-    if len(manager.sessions) < MAX_SESSIONS:
+    if manager.has_capacity_for(b""):
         manager.take_over(session, setup.request, setup.current_server)
 
 
@@ -196,9 +199,9 @@
     setup: SetupRequest,
     echo: tuple[tuple[str, str], ...],
 ) -> None:
-    if len(client.open_sessions) >= MAX_PENDING_PER_CONNECTION or len(manager.sessions) >= MAX_SESSIONS:
+    if len(client.open_sessions) >= MAX_PENDING_PER_CONNECTION:
         client.send(writer.response(STATUS_UNAVAILABLE, *echo))
-    elif not manager.may_hold_sessions(client):
+    elif not manager.has_capacity_for(session.description) or not manager.may_hold_sessions(client):
         retry_after = session_states.retry_after_fields(manager.config.settings.retry_after_us or 0)
         client.send(writer.response(STATUS_UNAVAILABLE, *echo, *retry_after))
     else:
--- a/packages/node/src/fennelcove/node/node_context.py
+++ b/packages/node/src/fennelcove/node/node_context.py
@@ -34,6 +34,7 @@
         self.metrics = NodeMetrics(clock, logger)
         self.connections = ConnectionTable(descriptors.limits[DescriptorUse.CLIENT])
         self.sessions: dict[bytes, Session] = {}
+        self.description_bytes = 0  # of the descriptions of set-up requests without an answer
         self.abandoned_ids = RecentIds()
         self.server_table = ServerTable(self.metrics)
         self.servers = self.server_table.by_name
--- a/packages/node/src/fennelcove/node/receive_queue.py
+++ b/packages/node/src/fennelcove/node/receive_queue.py
@@ -4,11 +4,34 @@
 
 from collections import Counter, deque
 from contextlib import suppress
+from dataclasses import dataclass
 
 from fennelcove.rtsp.messages import Message, ProtocolError, Request
 from fennelcove.rtsp.reader import Reader
 
-MAX_UNPROCESSED_BYTES = 65_536  # read ahead of the message that is processed
+MAX_BYTES_AHEAD = 65_536  # of one connection, read ahead of the message that is processed
+MIN_BYTES_AHEAD = 16_384
+TOTAL_BYTES_AHEAD = 8_388_608  # of all connections, unless each has the minimum
+MAX_MESSAGES_AHEAD = 512  # of one connection; parsed, a short message takes many times its bytes
+MIN_MESSAGES_AHEAD = 16
+TOTAL_MESSAGES_AHEAD = 16_384
+
+
+@dataclass(frozen=True, slots=True)
+class ReadAheadLimit:
+    """How much one connection may read ahead of the message that is processed."""
+
+    bytes: int
+    messages: int  # parsed ones; further ones stay unparsed
+
+
+def read_ahead_limit(connection_count: int) -> ReadAheadLimit:
+    """The limit of each of this many connections: hundreds that flood the node must not fill its memory."""
+    count = max(1, connection_count)
+    return ReadAheadLimit(
+        bytes=min(MAX_BYTES_AHEAD, max(MIN_BYTES_AHEAD, TOTAL_BYTES_AHEAD // count)),
+        messages=min(MAX_MESSAGES_AHEAD, max(MIN_MESSAGES_AHEAD, TOTAL_MESSAGES_AHEAD // count)),
+    )
 
 
 class ReceiveQueue:
@@ -19,6 +42,7 @@
         self.messages: deque[Message] = deque()
         self.teardown_counts: Counter[str] = Counter()  # in `messages`, by session id
         self.unprocessed_bytes = 0  # fed since the queue was last empty
+        self.limit = read_ahead_limit(1)
 
     @property
     def is_empty(self) -> bool:
@@ -28,18 +52,14 @@
     @property
     def is_full(self) -> bool:
         """Whether queued messages must be processed before more is read."""
-        return self.unprocessed_bytes >= MAX_UNPROCESSED_BYTES
+        return self.unprocessed_bytes >= self.limit.bytes
 
     def feed(self, data: bytes) -> None:
-        """Add received data. A protocol error is kept for `raise_failure`; messages before it are queued."""
+        """Add received data. A protocol error is kept for `raise_failure`; messages before it are kept."""
         self.unprocessed_bytes += len(data)
         if self.reader.failure is None:
             self.reader.feed(data)
-        with suppress(ProtocolError):
-            while (message := self.reader.next()) is not None:
-                self.messages.append(message)
-                if _is_teardown(message):
-                    self.teardown_counts[_session_name(message)] += 1
+        self._parse_ahead()
 
     def pop(self) -> Message:
         """Remove and return the next message.
@@ -53,10 +73,21 @@
             self.teardown_counts[session] -= 1
             if not self.teardown_counts[session]:
                 del self.teardown_counts[session]
+        self._parse_ahead()
         if not self.messages:
             self.unprocessed_bytes = 0
         return message
 
+    def _parse_ahead(self) -> None:
+        with suppress(ProtocolError):
+            while len(self.messages) < self.limit.messages:
+                message = self.reader.next()
+                if message is None:
+                    return
+                self.messages.append(message)
+                if _is_teardown(message):
+                    self.teardown_counts[_session_name(message)] += 1
+
     def is_withdrawn(self, message: Message) -> bool:
         """Whether a queued TEARDOWN ends the session of this message."""
         return bool(self.teardown_counts) and _session_name(message) in self.teardown_counts
--- a/packages/node/src/fennelcove/node/session_admission.py
+++ b/packages/node/src/fennelcove/node/session_admission.py
@@ -10,6 +10,8 @@
 from fennelcove.node.session_guard import SessionGuard
 from fennelcove.node.session_states import SessionActions, SessionEvent
 
+MAX_SESSIONS = 10_000  # of one node, in all states
+MAX_DESCRIPTION_BYTES = 16_777_216  # of all set-up requests without an answer together
 ANSWER_GRACE_US = 20_000  # after a client's timeout for an answer of the policy; the platform allows 50 ms
 
 
@@ -26,11 +28,18 @@
         self._actions = actions
         self._is_shut_down = False
 
+    def has_capacity_for(self, description: bytes) -> bool:
+        """Whether the node may hold another session, with this description until it is answered."""
+        if len(self._context.sessions) >= MAX_SESSIONS:
+            return False
+        return self._context.description_bytes + len(description) <= MAX_DESCRIPTION_BYTES
+
     def admit(self, session: Session, request: Request) -> None:
         """Register a session, and pass its validated set-up request to the policy."""
         if not self._guard.may_start(session):
             return  # the open session with the same id is answered
         self._context.sessions[session.id] = session
+        self._context.description_bytes += len(session.description)
         if session.client is not None:
             session.client.open_sessions[session] = None
         if self._is_shut_down:
--- a/packages/node/src/fennelcove/node/session_manager.py
+++ b/packages/node/src/fennelcove/node/session_manager.py
@@ -112,12 +112,14 @@
         self.answer_setup = self.messenger.answer_setup
         self.send_to_client = self.messenger.send_to_client
         self.send_to_server = self.messenger.send_to_server
+        self.drop_description = self.messenger.drop_description
         self.remember_abandoned = self.messenger.remember_abandoned
         self.forget_session = self.messenger.forget_session
         # Called by connections from clients (`client_connection.ClientSessions`).
         self.deliver_pending = self.connections.deliver
         self.may_hold_sessions = self.connections.may_hold_sessions
         self.admit = self.admission.admit
+        self.has_capacity_for = self.admission.has_capacity_for
         self.take_over = self.handovers.take_over
         # Called by connections to servers (`server_connection.ConnectionOwner`).
         self.supervise = self.context.server_table.supervise
--- a/packages/node/src/fennelcove/node/session_messenger.py
+++ b/packages/node/src/fennelcove/node/session_messenger.py
@@ -57,8 +57,14 @@
         """Remember the id of a session that its client has left, so that it is not executed again."""
         self._context.abandoned_ids.add(session.id, self._context.now_us())
 
+    def drop_description(self, session: Session) -> None:
+        """Drop the description of a set-up request that needs no further attempt."""
+        self._context.description_bytes -= len(session.description)
+        session.description = b""
+
     def forget_session(self, session: Session) -> None:
         """Remove a closed session from every table."""
+        self.drop_description(session)
         self._context.sessions.pop(session.id, None)
         self._deadlines.drop(session)
         if session.client is not None:
--- a/packages/node/src/fennelcove/node/session_states.py
+++ b/packages/node/src/fennelcove/node/session_states.py
@@ -90,6 +90,10 @@
         """Remove the session from every table."""
         ...
 
+    def drop_description(self, session: Session) -> None:
+        """Drop the description of a set-up request that needs no further attempt."""
+        ...
+
     def remember_abandoned(self, session: Session) -> None:
         """Remember the session's id, so that it is not executed again."""
         ...
@@ -147,7 +151,8 @@
     if session.client is not None:
         session.client.open_sessions.pop(session, None)
         session.client.established_sessions[session] = None
-    session.description = session.answer = b""
+    actions.drop_description(session)
+    session.answer = b""
     attempt.link = None
     attempt.server.established[session] = None
     actions.notify_policy(SessionStarted(session.key, attempt.number, actions.now_us() - attempt.sent_us))
--- a/tests/test_node_session_manager.py
+++ b/tests/test_node_session_manager.py
@@ -22,6 +22,7 @@
     server_messages,
     server_monitor,
     server_pool,
+    session_admission,
     session_manager,
     session_states,
     state_dump,
@@ -233,7 +234,7 @@
 
     def test_pending_notifications_are_bounded_and_expire(self) -> None:
         table, maximum = self.manager.connections, pending_notifications.MAX_NOTIFICATIONS
-        assert maximum >= client_requests.MAX_SESSIONS
+        assert maximum >= session_admission.MAX_SESSIONS
         deferred = [
             table.defer(str(number % 100), b"x", self.manager.now_us()) for number in range(maximum + 1)
         ]
