Front node: a session told over before its server is listed is released there

Cause: nothing was kept for a server without an address.

Change: its release is kept by the server's name, 4,096 together for 300 s, and goes out when a list names the server. So is the release of a session that its viewer ended meanwhile.

--- a/packages/node/src/fennelcove/node/handovers.py
+++ b/packages/node/src/fennelcove/node/handovers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from fennelcove.interface import Handover, Outcome, Request
+from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause
 from fennelcove.node.address import Address
 from fennelcove.node.attempt_dispatcher import AttemptDispatcher
@@ -12,6 +13,7 @@
 from fennelcove.node.node_context import NodeContext
 from fennelcove.node.server_messages import ServerMessageHandler
 from fennelcove.node.server_monitor import ServerMonitor
+from fennelcove.node.server_outbox import ServerOutbox, SessionMessage
 from fennelcove.node.server_pool import ServerPool
 from fennelcove.node.session_states import SessionActions, release_message
 
@@ -19,6 +21,7 @@
 # the client of a session that has ended must be notified.
 UNKNOWN_SERVER_TIMEOUT_US = 6_000_000
 MAX_WAITING = 1_024  # sessions whose server is not known yet
+MAX_LATE_RELEASES = 4_096  # kept for servers that no list names; clients may invent their names
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +52,8 @@
         self._messages = messages
         self._actions = actions
         self.waiting: dict[Session, WaitingHandover] = {}
+        # Releases of sessions that have waited too long, for a list that names their server even later.
+        self.unlisted: dict[str, ServerOutbox] = {}
 
     def take_over(self, session: Session, request: Request, server: str) -> bool:
         """Take over a session; False if its server is not known yet."""
@@ -69,21 +74,43 @@
 
     def resolve_waiting(self) -> None:
         """Attach sessions whose server has become known, and close those that have waited too long."""
+        self._queue_late_releases()
         for session, handover in list(self.waiting.items()):
             attempt = session.current_attempt
             placeholder = attempt.server
             if self._monitor.is_known(placeholder.name):
                 del self.waiting[session]
                 server = self._context.servers[placeholder.name]
-                for message in placeholder.outbox:  # a session closed meanwhile is still released there
-                    server.outbox.add(message)
                 self._context.server_table.supervise(server)
+                for message in placeholder.outbox:  # a session closed meanwhile is still released there
+                    self._context.server_table.queue_message(server, message)
                 if session.state is SessionState.ESTABLISHED:
                     attempt.server = server
                     self._attach(session, handover.request, server)
             elif self._context.now_us() >= handover.deadline_us:
                 del self.waiting[session]
-                self._attempts.on_completed(session, Outcome.CONNECTION_LOST, None)
+                release = SessionMessage(
+                    session.id, isup.release(session.id, Cause.OK), self._context.now_us()
+                )
+                self._keep_late_release(placeholder.name, release)
+                if session.state is SessionState.ESTABLISHED:
+                    self._attempts.on_completed(session, Outcome.CONNECTION_LOST, None)
+
+    def _keep_late_release(self, server: str, release: SessionMessage) -> None:
+        """Keep a release for a server that no list names yet; it may hold the session all the same."""
+        if sum(map(len, self.unlisted.values())) < MAX_LATE_RELEASES:
+            self.unlisted.setdefault(server, ServerOutbox()).add(release)
+
+    def _queue_late_releases(self) -> None:
+        """Queue the releases for servers that have become known, and drop those that are too old."""
+        for name, outbox in list(self.unlisted.items()):
+            if self._monitor.is_known(name):
+                for release in outbox:
+                    self._context.server_table.queue_message(self._context.servers[name], release)
+                outbox.clear()
+            outbox.expire(self._context.now_us())
+            if not outbox:
+                del self.unlisted[name]
 
     def _establish(self, session: Session, server: Server) -> None:
         # It began before this process did: a server that has started later no longer has it.
--- a/tests/test_node_session_manager.py
+++ b/tests/test_node_session_manager.py
@@ -18,6 +18,7 @@
 from fennelcove.node import (
     client_requests,
     config,
+    handovers,
     pending_notifications,
     server_messages,
     server_monitor,
@@ -481,6 +482,21 @@
         self.apply_notice(2, {**HOST_ENTRY, "health": "removed"})
         self.assert_lost_after_silence(session)
 
+    def test_a_session_told_over_before_its_server_is_listed_is_released_there(self) -> None:
+        # Closed 6 s after its hand-over, it stood on at a server that a late list named only then.
+        fields = {"cseq": "1", "session": ID.hex(), "call-kind": "recorded", "answer-within": "8000"}
+        fields["routing-data"] = "home:0;copies:4;top:2;at:s9"
+        request = rtsp.Request("SETUP", "rtsp://media/7f", fields, b"what")
+        client_requests.on_client_message(self.manager, self.connection, request)
+        self.clock.advance(handovers.UNKNOWN_SERVER_TIMEOUT_US)
+        self.manager.run_maintenance()
+        assert b"Reason: cause=41" in self.connection.sent[-1]
+        with mock.patch("threading.Thread"):
+            self.apply_notice(2, {**HOST_ENTRY, "host": "s9", "dial": "127.0.0.1:10"})
+            self.manager.run_maintenance()
+        assert [message.data for message in self.manager.servers["s9"].outbox] == [isup.release(ID, Cause.OK)]
+        assert not self.manager.handovers.unlisted
+
     def test_sessions_at_a_server_that_only_refuses_connections_are_lost_after_silence(self) -> None:
         # A server that holds all the connections it takes refuses further ones, and its sessions go on.
         server, session = self.establish_and_lose_connection()
