--- a/packages/node/src/fennelcove/node/client_connection.py
+++ b/packages/node/src/fennelcove/node/client_connection.py
@@ -16,7 +16,7 @@
 from fennelcove.node.node_lock import NodeLock
 from fennelcove.node.pending_notifications import PendingNotifications
 from fennelcove.node.receive_queue import ReadAheadLimit, ReceiveQueue, read_ahead_limit
-from fennelcove.node.server_connection import poll_peer_events, send_now, set_receive_timeout
+from fennelcove.node.socket_calls import poll_peer_events, send_now, set_receive_timeout
 from fennelcove.rtsp import writer
 from fennelcove.rtsp.messages import ProtocolError
 
--- a/packages/node/src/fennelcove/node/client_listener.py
+++ b/packages/node/src/fennelcove/node/client_listener.py
@@ -14,7 +14,7 @@
 from fennelcove.node.config import ConfigError
 from fennelcove.node.descriptor_budget import DescriptorUse
 from fennelcove.node.log import EventLogger
-from fennelcove.node.server_connection import set_receive_timeout
+from fennelcove.node.socket_calls import set_receive_timeout
 from fennelcove.node.thread_start import start_thread
 
 BACKLOG = 512
--- a/tests/client_connection_harness.py
+++ b/tests/client_connection_harness.py
@@ -20,7 +20,7 @@
 from fennelcove.log import silent
 from fennelcove.node import config, session_manager
 from fennelcove.node.client_connection import MESSAGE_TIMEOUT_US, ClientConnection
-from fennelcove.node.server_connection import set_receive_timeout
+from fennelcove.node.socket_calls import set_receive_timeout
 
 from tests.node_harness import SETTINGS, WAIT_TIMEOUT_S, Client, FakeServer, NodeProcess, notice, wait_until
 
--- a/tests/test_node_late_servers.py
+++ b/tests/test_node_late_servers.py
@@ -12,7 +12,7 @@
 
 from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause, MessageKind
-from fennelcove.node import server_connection
+from fennelcove.node import server_connection, socket_calls
 from fennelcove.node.descriptor_budget import DescriptorUse
 from fennelcove.node.model import ConnectionState, ServerLink
 from fennelcove.node.server_connection import ServerConnection
@@ -277,4 +277,4 @@
     def assert_times_out(self, sock: socket.socket) -> None:
         """Check that no time is left to wait."""
         with self.assertRaises(TimeoutError):
-            server_connection.wait_until_connected(sock, -1_000_000)
+            socket_calls.wait_until_connected(sock, -1_000_000)
