Server outbox: unconfirmed messages have a limit; tests share their start

Cause: found by reading the whole change again. A server that confirms nothing and goes on sending would let the messages that wait for a confirmation grow for as long as its connection stays open. Four tests over processes and two of lost servers repeated their first lines.

Change: 10,000 a connection, the oldest gives way.

--- a/packages/node/src/fennelcove/node/server_outbox.py
+++ b/packages/node/src/fennelcove/node/server_outbox.py
@@ -11,7 +11,7 @@
 
 # A server that is cut off for longer keeps the sessions that were released meanwhile.
 MESSAGE_TTL_US = 300_000_000
-MAX_MESSAGES = 10_000  # per server: as many as sessions
+MAX_MESSAGES = 10_000  # per server, and per connection: as many as sessions
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,7 +96,10 @@
         return next((message.queued_us for message in self._messages.values()), None)
 
     def on_sent(self, message: SessionMessage) -> None:
-        """Record that a message was sent."""
+        """Record that a message was sent; the oldest one gives way at the limit."""
+        self._messages.pop(message.session, None)
+        if len(self._messages) >= MAX_MESSAGES:
+            del self._messages[next(iter(self._messages))]
         self._messages[message.session] = message
 
     def on_keepalive_sent(self) -> None:
--- a/tests/discovery_harness.py
+++ b/tests/discovery_harness.py
@@ -18,7 +18,13 @@
 from fennelcove.http1.reader import MessageAssembler
 from fennelcove.http1.reader import Reader as HttpReader
 
-from tests.node_harness import WAIT_TIMEOUT_S, FakeServer, NodeProcess, notice
+from tests.node_harness import SETTINGS, WAIT_TIMEOUT_S, Client, FakeServer, NodeProcess, notice
+
+CONNECT_TIMEOUT_S = 0.25
+SHORT_CONNECT_SETTINGS = {
+    **SETTINGS,
+    "Allowed": {**SETTINGS["Allowed"], "ConnectTimeoutMs": 1000 * CONNECT_TIMEOUT_S},
+}
 
 HostEntry = dict[str, Any]
 
@@ -187,3 +193,14 @@
 def is_being_dialled(listener: socket.socket, except_from: list[socket.socket]) -> bool:
     """Whether a dial to the listener is in progress, other than from the given sockets."""
     return bool(dialling_ports(listener, except_from))
+
+
+def connect_to_impatient_node(test: unittest.TestCase, server: FakeServer) -> Client:
+    """Start a node that allows servers a quarter of a second for a connection; return a client of it."""
+    discovery = ManualDiscovery()
+    test.addCleanup(discovery.close)
+    node = DiscoveryNodeProcess(discovery, server, settings=SHORT_CONNECT_SETTINGS)
+    test.addCleanup(node.close)
+    client = node.connect_client()
+    test.addCleanup(client.sock.close)
+    return client
--- a/tests/test_node_late_servers.py
+++ b/tests/test_node_late_servers.py
@@ -19,21 +19,17 @@
 from fennelcove.node.server_outbox import SessionMessage
 
 from tests.discovery_harness import (
+    SHORT_CONNECT_SETTINGS,
     DiscoveryNodeProcess,
     LateDiscovery,
-    ManualDiscovery,
+    connect_to_impatient_node,
     dialling_ports,
     unresponsive_listener,
 )
-from tests.node_harness import SETTINGS, FakeServer, notice, wait_until
+from tests.node_harness import FakeServer, notice, wait_until
 from tests.test_node_connections import FrontTestCase, InProcessFront
 
 SESSION = "00000000000000a1"
-CONNECT_TIMEOUT_S = 0.25
-SHORT_CONNECT_SETTINGS = {
-    **SETTINGS,
-    "Allowed": {**SETTINGS["Allowed"], "ConnectTimeoutMs": 1000 * CONNECT_TIMEOUT_S},
-}
 RETRANSMISSION_S = 1.0  # until the kernel repeats the first packet of a dial
 MIN_DIAL_AGE_S = 0.8
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -203,13 +199,9 @@
 
     def test_the_end_of_a_session_is_heard_from_a_server_whose_connections_come_up_late(self) -> None:
         # Each dial was given up after the timeout and begun again: after 7 s the server counted as lost.
-        server, discovery = LateServer("s0", 0), ManualDiscovery()
+        server = LateServer("s0", 0)
         self.addCleanup(server.close)
-        self.addCleanup(discovery.close)
-        node = DiscoveryNodeProcess(discovery, server, settings=SHORT_CONNECT_SETTINGS)
-        self.addCleanup(node.close)
-        client = node.connect_client()
-        self.addCleanup(client.sock.close)
+        client = connect_to_impatient_node(self, server)
         client.set_up(SESSION)
         assert client.receive_response().status == 200
         [set_up] = server.messages(MessageKind.SET_UP)
@@ -220,14 +212,10 @@
 
     def test_a_session_handed_over_at_a_start_outlives_the_late_connection_to_its_server(self) -> None:
         # Two dials that timed out ended the sessions at a server that this process had not reached yet.
-        server, discovery = LateServer("s0", 0), ManualDiscovery()
+        server = LateServer("s0", 0)
         self.addCleanup(server.close)
-        self.addCleanup(discovery.close)
         server.become_late()
-        node = DiscoveryNodeProcess(discovery, server, settings=SHORT_CONNECT_SETTINGS)
-        self.addCleanup(node.close)
-        client = node.connect_client()
-        self.addCleanup(client.sock.close)
+        client = connect_to_impatient_node(self, server)
         client.set_up(SESSION, routing="home:0;copies:4;top:2;at:s0")
         wait_until(lambda: server.sockets, "the late connection")
         server.send(isup.release(bytes.fromhex(SESSION), Cause.OK))
@@ -242,12 +230,8 @@
 
     def test_a_session_outlives_the_time_in_which_its_server_refuses_connections(self) -> None:
         # Two refused dials, 0.3 s apart, counted as the end of the process: its sessions were told over.
-        server, discovery = FakeServer("s0", 0), ManualDiscovery()
-        self.addCleanup(discovery.close)
-        node = DiscoveryNodeProcess(discovery, server, settings=SHORT_CONNECT_SETTINGS)
-        self.addCleanup(node.close)
-        client = node.connect_client()
-        self.addCleanup(client.sock.close)
+        server = FakeServer("s0", 0)
+        client = connect_to_impatient_node(self, server)
         client.set_up(SESSION)
         assert client.receive_response().status == 200
         address = server.listener.getsockname()
--- a/tests/test_node_server_outbox.py
+++ b/tests/test_node_server_outbox.py
@@ -17,13 +17,12 @@
 from fennelcove.node.server_monitor import PROBE_AFTER_US
 from fennelcove.node.server_outbox import ServerOutbox, SessionMessage, UnconfirmedMessages
 
-from tests.discovery_harness import DiscoveryNodeProcess, ManualDiscovery
-from tests.node_harness import SETTINGS, FakeServer, wait_until
+from tests.discovery_harness import connect_to_impatient_node
+from tests.node_harness import FakeServer, wait_until
 from tests.session_manager_harness import HOST_ENTRY, ID, SessionManagerTestCase
 from tests.test_node_connections import FrontTestCase
 
 SESSIONS = ("00000000000000a1", "00000000000000a2")
-SHORT_CONNECT_SETTINGS = {**SETTINGS, "Allowed": {**SETTINGS["Allowed"], "ConnectTimeoutMs": 250}}
 CUT_S = 9.0  # longer than a listed server may be silent until its sessions count as lost
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -95,12 +94,8 @@
 class CutTest(unittest.TestCase):
     def test_sessions_that_end_during_a_cut_are_released_at_their_server_after_it(self) -> None:
         # Releases were dropped when a silent server counted as lost, and none was sent for what then ended.
-        server, discovery = CutServer("s0", 0), ManualDiscovery()
-        self.addCleanup(discovery.close)
-        node = DiscoveryNodeProcess(discovery, server, settings=SHORT_CONNECT_SETTINGS)
-        self.addCleanup(node.close)
-        client = node.connect_client()
-        self.addCleanup(client.sock.close)
+        server = CutServer("s0", 0)
+        client = connect_to_impatient_node(self, server)
         for session in SESSIONS:
             client.set_up(session)
             assert client.receive_response().status == 200
@@ -277,6 +272,14 @@
         unconfirmed.on_keepalive_answered()
         assert unconfirmed.take_all() == [second]
 
+    def test_the_number_of_unconfirmed_messages_is_limited(self) -> None:
+        # A server that confirms nothing, and goes on sending, must not fill the memory.
+        unconfirmed = UnconfirmedMessages()
+        for number in range(server_outbox.MAX_MESSAGES + 1):
+            unconfirmed.on_sent(session_message(number))
+        assert len(unconfirmed) == server_outbox.MAX_MESSAGES
+        assert unconfirmed.take(session_message(0).session) is None
+
     def test_a_release_complete_message_confirms_its_session(self) -> None:
         unconfirmed = UnconfirmedMessages()
         unconfirmed.on_sent(session_message(1))
--- a/tests/test_node_session_manager.py
+++ b/tests/test_node_session_manager.py
@@ -451,11 +451,11 @@
         self.manager.run_maintenance()
         assert session.state is SessionState.CLOSED
 
-    def assert_lost_after_silence(self, session: Session) -> None:
-        """Check that dials which time out end a session 7 s after it was handed over, and not before."""
+    def assert_lost_after_silence(self, session: Session, *, refused: bool = False) -> None:
+        """Check that failed dials end a session after 7 s of silence, and not before."""
         server = self.manager.servers["s0"]
         for _ in range(3):
-            self.manager.on_dial_failed(server, refused=False)
+            self.manager.on_dial_failed(server, refused)
         for link in list(server.links):
             link.close(Outcome.NO_CONNECTION)
         server.next_dial_us = 1 << 62
@@ -500,15 +500,7 @@
     def test_sessions_at_a_server_that_only_refuses_connections_are_lost_after_silence(self) -> None:
         # A server that holds all the connections it takes refuses further ones, and its sessions go on.
         server, session = self.establish_and_lose_connection()
-        for _ in range(3):
-            self.manager.on_dial_failed(server, refused=True)
-        server.next_dial_us = 1 << 62
-        self.clock.advance(6_900_000)
-        self.manager.run_maintenance()
-        assert session.state is SessionState.ESTABLISHED
-        self.clock.advance(200_000)
-        self.manager.run_maintenance()
-        assert session.state is SessionState.CLOSED
+        self.assert_lost_after_silence(session, refused=True)
         assert [message.session for message in server.outbox] == [ID]
 
     def test_sessions_at_a_server_that_resets_and_refuses_connections_are_closed(self) -> None:
