Tests: the connection that gets a release is open before the release

Cause: the test's own. Its server released the session and the next connection was opened after that; where the node handled the release first, it queued it for the client's next message, which never came, and closed the silent connection after 2 s.

Change: the connection is opened and answered before the release. What the test checks is as it was.

--- a/tests/test_node_recent_ids.py
+++ b/tests/test_node_recent_ids.py
@@ -7,6 +7,7 @@
 from fennelcove.isup import writer as isup
 from fennelcove.isup.messages import Cause, MessageKind
 from fennelcove.node.recent_ids import MAX_IDS, RETENTION_US, RecentIds
+from fennelcove.rtsp import writer as rtsp_writer
 
 from tests.node_harness import Client, FakeServer, NodeProcess, encode_answer, wait_until
 from tests.test_node_connections import FrontTestCase
@@ -49,8 +50,10 @@
         assert client.receive_response().status == 200
         self.leave(client, node)
         time.sleep(0.2)  # nothing outside the node shows that it has noticed the close
-        server.send(isup.release(bytes.fromhex(ID), Cause.OK))
         other = node.connect_client()
+        other.send(rtsp_writer.request("OPTIONS", "rtsp://media/ping", ("CSeq", "3")))
+        assert other.receive_response().status == 200  # its connection is the one that gets the release
+        server.send(isup.release(bytes.fromhex(ID), Cause.OK))
         assert other.receive_request().method == "TEARDOWN"
         self.assert_not_executed_again(server, node)
 
